--- /dev/null
+++ b/cmd/cinderslipd/run.go
@@ -0,0 +1,163 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/cinderslip/cinderslip/internal/buildinfo"
+	"github.com/cinderslip/cinderslip/internal/daemon"
+	"github.com/cinderslip/cinderslip/internal/dev"
+	"github.com/cinderslip/cinderslip/internal/settings"
+)
+
+// The exit codes.
+const (
+	exitDone     = 0
+	exitFailed   = 1
+	exitUsage    = 2
+	exitFindings = 3
+)
+
+type arguments struct {
+	Config       string `long:"config" value-name:"FILE" description:"settings of one role, in TOML"`
+	Check        bool   `long:"check" description:"report every finding about the settings, then exit"`
+	Dev          bool   `long:"dev" description:"run every role and stand-ins of the platform on 127.0.0.1"`
+	DevWeights   string `long:"dev-weights" value-name:"DIR" description:"with --dev: publish the files of a directory as a model version"`
+	DevListen    string `long:"dev-listen" value-name:"127.0.0.1:PORT" description:"with --dev: the first entry's address for callers"`
+	DevOperators string `long:"dev-operators" value-name:"127.0.0.1:PORT" description:"with --dev: the first entry's address for operators"`
+	LogLevel     string `long:"log-level" value-name:"LEVEL" description:"with --dev: debug, info, warn or error" default:"info"`
+	Version      bool   `long:"version" description:"print the version, then exit"`
+}
+
+func run(args []string, stdout, stderr io.Writer) int {
+	var given arguments
+	parser := flags.NewNamedParser("cinderslipd", flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := parser.AddGroup("Options", "", &given); err != nil {
+		_, _ = fmt.Fprintln(stderr, err)
+		return exitFailed
+	}
+	rest, err := parser.ParseArgs(args)
+	var problem *flags.Error
+	if errors.As(err, &problem) && problem.Type == flags.ErrHelp {
+		_, _ = fmt.Fprintln(stdout, problem.Message)
+		return exitDone
+	}
+	if err == nil {
+		err = given.check(rest)
+	}
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, "cinderslipd:", err)
+		return exitUsage
+	}
+	switch {
+	case given.Version:
+		_, _ = fmt.Fprintln(stdout, "cinderslipd", buildinfo.String())
+		return exitDone
+	case given.Dev:
+		return runDev(given, stdout, stderr)
+	}
+	return runRole(given, stdout, stderr)
+}
+
+func (a *arguments) check(rest []string) error {
+	if len(rest) > 0 {
+		return fmt.Errorf("unexpected argument %q", rest[0])
+	}
+	if a.Version {
+		return nil
+	}
+	if a.Dev == (a.Config != "") {
+		return errors.New("want either --dev or --config FILE; see --help")
+	}
+	if !a.Dev && (a.DevWeights != "" || a.DevListen != "" || a.DevOperators != "") {
+		return errors.New("--dev-weights, --dev-listen and --dev-operators go with --dev")
+	}
+	if a.Dev && a.Check {
+		return errors.New("--check goes with --config FILE")
+	}
+	for _, address := range []string{a.DevListen, a.DevOperators} {
+		if parsed, err := netip.ParseAddrPort(address); address != "" && (err != nil || !parsed.Addr().IsLoopback()) {
+			return fmt.Errorf("want a loopback address such as 127.0.0.1:8080, got %q", address)
+		}
+	}
+	return nil
+}
+
+func runRole(given arguments, stdout, stderr io.Writer) int {
+	loaded, findings := settings.Load(given.Config)
+	for _, finding := range findings {
+		_, _ = fmt.Fprintln(stderr, finding)
+	}
+	if len(findings) > 0 {
+		return exitFindings
+	}
+	if given.Check {
+		_, _ = fmt.Fprintf(stdout, "%s: no findings\n", given.Config)
+		return exitDone
+	}
+	clock := clockwork.NewRealClock()
+	log := daemon.NewLogger(stderr, loaded.Log.Level, clock)
+	stop := stopSignal()
+	process, err := daemon.Start(loaded, daemon.Options{Clock: clock, Log: log})
+	if err != nil {
+		log.Error().Err(err).Msg("cannot start")
+		return exitFailed
+	}
+	log.Info().Str("role", string(loaded.Role)).Str("box", loaded.Box).Str("callers", process.CallersAddress()).
+		Str("operators", process.OperatorsAddress()).Str("peers", process.PeersAddress()).Msg("started")
+	<-stop.Done()
+	if err := process.Stop(afterSignal()); err != nil {
+		log.Error().Err(err).Msg("stop was not clean")
+		return exitFailed
+	}
+	log.Info().Msg("stopped")
+	return exitDone
+}
+
+func runDev(given arguments, stdout, stderr io.Writer) int {
+	clock := clockwork.NewRealClock()
+	log := daemon.NewLogger(stderr, given.LogLevel, clock)
+	stop := stopSignal()
+	if given.DevWeights != "" {
+		if info, err := os.Stat(given.DevWeights); err != nil || !info.IsDir() {
+			_, _ = fmt.Fprintf(stderr, "cinderslipd: --dev-weights: want a directory, got %q\n", given.DevWeights)
+			return exitUsage
+		}
+	}
+	cluster, err := dev.Start(dev.Options{
+		Clock: clock, Log: log, WeightsDir: given.DevWeights, Callers: given.DevListen, Operators: given.DevOperators,
+	})
+	if err != nil {
+		log.Error().Err(err).Msg("cannot start")
+		return exitFailed
+	}
+	_, _ = fmt.Fprintf(stdout, "ready entry=%s operators=%s\n",
+		strings.Join(cluster.Entries(), ","), strings.Join(cluster.Operators(), ","))
+	_, _ = fmt.Fprintln(stdout, cluster.Curl())
+	<-stop.Done()
+	if err := cluster.Stop(afterSignal()); err != nil {
+		log.Error().Err(err).Msg("stop was not clean")
+		return exitFailed
+	}
+	return exitDone
+}
+
+// stopSignal ends at the first interrupt or termination signal.
+func stopSignal() context.Context {
+	ctx, _ := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	return ctx
+}
+
+// afterSignal ends at the next signal, so that a second one cuts a planned stop
+// short.
+func afterSignal() context.Context { return stopSignal() }
--- /dev/null
+++ b/internal/daemon/body.go
@@ -0,0 +1,131 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+)
+
+// errBodySpent reports a body that is too long to be sent a second time.
+var errBodySpent = errors.New("request body was not kept for another try")
+
+// pieceSize is the size of the pieces in which a body is passed on, in bytes.
+const pieceSize = 32 << 10
+
+// bodyReader reads a caller's body once and can give it to several attempts, one
+// after the other, as long as it is no longer than the limit.
+type bodyReader struct {
+	limit  int64
+	pieces chan []byte
+	err    error
+
+	mu    sync.Mutex
+	kept  [][]byte
+	size  int64
+	ended bool
+	spent bool
+}
+
+// newBodyReader starts to read. A short body of known length is read at once.
+// Reading ends with the context, which must end before the handler returns.
+func newBodyReader(ctx context.Context, request *http.Request, limit int64) (*bodyReader, error) {
+	b := &bodyReader{limit: limit}
+	if request.Body == nil || request.Body == http.NoBody {
+		b.ended = true
+		return b, nil
+	}
+	if request.ContentLength >= 0 && request.ContentLength <= min(limit, pieceSize) {
+		piece := make([]byte, request.ContentLength)
+		if _, err := io.ReadFull(request.Body, piece); err != nil {
+			return nil, err
+		}
+		b.kept = [][]byte{piece}
+		b.ended = true
+		return b, nil
+	}
+	b.pieces = make(chan []byte)
+	go b.pump(ctx, request.Body)
+	return b, nil
+}
+
+// pump hands over one piece at a time, so that a slow backend server slows the
+// caller and nothing piles up here.
+func (b *bodyReader) pump(ctx context.Context, body io.Reader) {
+	defer close(b.pieces)
+	for {
+		piece := make([]byte, pieceSize)
+		n, err := body.Read(piece)
+		if n > 0 {
+			select {
+			case b.pieces <- piece[:n]:
+			case <-ctx.Done():
+				return
+			}
+		}
+		if err != nil {
+			if !errors.Is(err, io.EOF) {
+				b.err = err
+			}
+			return
+		}
+	}
+}
+
+// isEmpty reports whether there is nothing to send.
+func (b *bodyReader) isEmpty() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ended && len(b.kept) == 0 && b.err == nil
+}
+
+// replayable reports whether another attempt could send the body from its start.
+func (b *bodyReader) replayable() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.spent
+}
+
+// piece returns the piece of an index; nil at the end. Only one attempt reads at
+// a time.
+func (b *bodyReader) piece(ctx context.Context, index int) ([]byte, error) {
+	b.mu.Lock()
+	if b.spent && index < len(b.kept) && b.kept[index] == nil {
+		b.mu.Unlock()
+		return nil, errBodySpent
+	}
+	if index < len(b.kept) {
+		defer b.mu.Unlock()
+		return b.kept[index], nil
+	}
+	ended := b.ended
+	b.mu.Unlock()
+	if ended {
+		return nil, b.err
+	}
+	select {
+	case piece, ok := <-b.pieces:
+		return b.keep(piece, ok)
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (b *bodyReader) keep(piece []byte, ok bool) ([]byte, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !ok {
+		b.ended = true
+		return nil, b.err
+	}
+	b.size += int64(len(piece))
+	b.kept = append(b.kept, piece)
+	if b.size > b.limit {
+		b.spent = true
+		for i := range b.kept {
+			b.kept[i] = nil
+		}
+	}
+	return piece, nil
+}
--- /dev/null
+++ b/internal/daemon/chunks.go
@@ -0,0 +1,76 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/cinderslip/cinderslip/internal/wire"
+	"github.com/cinderslip/cinderslip/pkg/weights"
+)
+
+// frameSize is the size of the frames in which a chunk is sent, in bytes.
+const frameSize = 128 << 10
+
+// ChunkServer gives other agents the chunks that this one holds.
+type ChunkServer struct {
+	store   *weights.MemoryStore
+	metrics *Metrics
+	// slots bounds the chunks that are sent at once.
+	slots chan struct{}
+}
+
+// chunkSlots is how many chunks an agent sends at once.
+const chunkSlots = 8
+
+// NewChunkServer returns a server for what a store holds.
+func NewChunkServer(store *weights.MemoryStore, metrics *Metrics) *ChunkServer {
+	return &ChunkServer{store: store, metrics: metrics, slots: make(chan struct{}, chunkSlots)}
+}
+
+// Holdings tells which chunks of a version are held.
+func (s *ChunkServer) Holdings(_ context.Context, request *wire.HoldingsRequest) (*wire.HoldingsResponse, error) {
+	digest, err := weights.DigestFromBytes(request.Manifest)
+	if err != nil {
+		return nil, err
+	}
+	return &wire.HoldingsResponse{Held: s.store.Held(digest)}, nil
+}
+
+// Manifest gives the manifest of a version; empty if it is not held.
+func (s *ChunkServer) Manifest(_ context.Context, request *wire.ManifestRequest) (*wire.ManifestResponse, error) {
+	digest, err := weights.DigestFromBytes(request.Manifest)
+	if err != nil {
+		return nil, err
+	}
+	manifest, ok := s.store.Manifest(digest)
+	if !ok {
+		return &wire.ManifestResponse{}, nil
+	}
+	return &wire.ManifestResponse{Content: manifest.Content()}, nil
+}
+
+// Fetch sends one chunk in frames.
+func (s *ChunkServer) Fetch(request *wire.FetchRequest, stream wire.DRPCChunks_FetchStream) error {
+	digest, err := weights.DigestFromBytes(request.Manifest)
+	if err != nil {
+		return err
+	}
+	select {
+	case s.slots <- struct{}{}:
+		defer func() { <-s.slots }()
+	case <-stream.Context().Done():
+		return stream.Context().Err()
+	}
+	data, err := s.store.Get(digest, int(request.Chunk))
+	if err != nil {
+		return err
+	}
+	for len(data) > 0 {
+		size := min(len(data), frameSize)
+		if err := stream.Send(&wire.FetchResponse{Data: data[:size]}); err != nil {
+			return err
+		}
+		s.metrics.servedBytes.Add(float64(size))
+		data = data[size:]
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/daemon/configuration.go
@@ -0,0 +1,314 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"github.com/cinderslip/cinderslip/internal/kernel"
+	"github.com/cinderslip/cinderslip/internal/platform"
+	"github.com/cinderslip/cinderslip/pkg/state"
+	"github.com/cinderslip/cinderslip/pkg/table"
+)
+
+// tableKey is the key of the table in the key-value service.
+const tableKey = "cinderslip/table"
+
+// ErrUndecided reports an edit of which it is not known yet whether it was
+// accepted. The same edit id settles it later.
+var ErrUndecided = errors.New("edit is undecided")
+
+const (
+	// readInterval is how often a relay reads the table without being woken,
+	// in case a watch has gone silent.
+	readInterval = 5 * time.Second
+	// watchTimeout bounds one waiting watch.
+	watchTimeout = time.Minute
+	// callTimeout bounds one call of the key-value service.
+	callTimeout = 5 * time.Second
+	// settleTries and settleWait bound how long an edit whose answer was lost is
+	// looked for before it is called undecided.
+	settleTries = 4
+	settleWait  = 250 * time.Millisecond
+	// swapTries bounds how often an edit is applied anew after another edit.
+	swapTries = 50
+)
+
+// Configuration brings the table from the key-value service into the replicated
+// items, and makes edits.
+type Configuration struct {
+	kv      platform.KeyValue
+	sources []platform.WeightSource
+	replica *Replica
+	clock   clockwork.Clock
+	log     zerolog.Logger
+	metrics *Metrics
+	isRelay func() bool
+	duties  *kernel.Duties
+	wake    chan struct{}
+	watched chan platform.Revision
+}
+
+// NewConfiguration starts to follow the table while isRelay holds.
+func NewConfiguration(kv platform.KeyValue, sources []platform.WeightSource, replica *Replica,
+	clock clockwork.Clock, log zerolog.Logger, metrics *Metrics, isRelay func() bool,
+) *Configuration {
+	c := &Configuration{
+		kv: kv, sources: sources, replica: replica, clock: clock, log: log, metrics: metrics, isRelay: isRelay,
+		duties:  kernel.NewDuties(),
+		wake:    make(chan struct{}, 1),
+		watched: make(chan platform.Revision, 1),
+	}
+	c.duties.Go(c.read)
+	c.duties.Go(c.watch)
+	return c
+}
+
+// String returns the service's name.
+func (c *Configuration) String() string { return "configuration" }
+
+// Stop ends following the table.
+func (c *Configuration) Stop(ctx context.Context) error { return c.duties.Stop(ctx) }
+
+func (c *Configuration) read(ctx context.Context) {
+	for {
+		if c.isRelay() {
+			c.readOnce(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.wake:
+		case <-c.clock.After(readInterval):
+		}
+	}
+}
+
+func (c *Configuration) readOnce(ctx context.Context) {
+	held, revision, err := c.load(ctx)
+	if err != nil {
+		c.metrics.keyValueErrors.Inc()
+		c.log.Warn().Err(err).Msg("table cannot be read")
+		return
+	}
+	c.publish(held)
+	select {
+	case <-c.watched:
+	default:
+	}
+	c.watched <- revision
+}
+
+// watch waits for the next change after what was read last.
+func (c *Configuration) watch(ctx context.Context) {
+	for {
+		var after platform.Revision
+		select {
+		case <-ctx.Done():
+			return
+		case after = <-c.watched:
+		}
+		watchCtx, cancel := context.WithTimeout(ctx, watchTimeout)
+		c.metrics.keyValueCalls.WithLabelValues("watch").Inc()
+		err := c.kv.Watch(watchCtx, tableKey, after)
+		cancel()
+		if err != nil {
+			continue
+		}
+		select {
+		case c.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (c *Configuration) load(ctx context.Context) (*table.Table, platform.Revision, error) {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	c.metrics.keyValueCalls.WithLabelValues("get").Inc()
+	entry, err := c.kv.Get(callCtx, tableKey)
+	if err != nil {
+		return nil, 0, err
+	}
+	held := &table.Table{}
+	if entry.Revision == 0 {
+		return held, 0, nil
+	}
+	if err := json.Unmarshal(entry.Value, held); err != nil {
+		return nil, 0, eris.Wrap(err, "decoding the table")
+	}
+	return held, entry.Revision, nil
+}
+
+// publish turns the table into items. A row's version is the revision of its
+// last edit, so that every reader makes the same item.
+func (c *Configuration) publish(held *table.Table) {
+	items := make([]state.Item, 0, len(held.Entries)+1)
+	for _, entry := range held.Entries {
+		value, err := json.Marshal(entry.Row)
+		if err != nil {
+			c.log.Error().Err(err).Msg("row cannot be encoded")
+			continue
+		}
+		items = append(items, state.Item{
+			Key:     tableRowPrefix + entry.Key().String(),
+			Version: state.Version{Major: uint64(entry.Revision)},
+			Deleted: entry.Deleted,
+			Value:   value,
+		})
+	}
+	head, _ := json.Marshal(held.Revision)
+	items = append(items, state.Item{Key: tableHeadKey, Version: state.Version{Major: uint64(held.Revision)}, Value: head})
+	c.replica.Publish(items...)
+}
+
+// Edit makes an edit and returns the table that holds it. Errors wrap
+// *table.ConflictError, table.Findings, table.ErrBaseAhead, ErrUndecided or
+// platform.ErrUnavailable; with all but ErrUndecided nothing was changed.
+func (c *Configuration) Edit(ctx context.Context, edit table.Edit) (*table.Table, error) {
+	for range swapTries {
+		held, revision, err := c.load(ctx)
+		if err != nil {
+			return nil, err
+		}
+		next, err := held.Apply(edit, c.clock.Now())
+		if err != nil {
+			return nil, err
+		}
+		if next == held {
+			c.publish(held)
+			return held, nil
+		}
+		if err := c.checkPublished(ctx, edit, next); err != nil {
+			return nil, err
+		}
+		swapped, err := c.swap(ctx, next, revision)
+		if errors.Is(err, platform.ErrUncertain) {
+			return c.settle(ctx, edit.ID, err)
+		}
+		if err != nil {
+			return nil, err
+		}
+		if swapped {
+			c.publish(next)
+			c.log.Info().Str("edit", string(edit.ID)).Str("author", edit.Author).
+				Uint64("revision", uint64(next.Revision)).Msg("edit accepted")
+			return next, nil
+		}
+	}
+	return nil, fmt.Errorf("other edits kept coming first: %w", platform.ErrUnavailable)
+}
+
+func (c *Configuration) swap(ctx context.Context, next *table.Table, revision platform.Revision) (bool, error) {
+	value, err := json.Marshal(next)
+	if err != nil {
+		return false, eris.Wrap(err, "encoding the table")
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	c.metrics.keyValueCalls.WithLabelValues("swap").Inc()
+	_, swapped, err := c.kv.Swap(callCtx, tableKey, value, revision, 0)
+	return swapped, err
+}
+
+// settle looks for an edit whose answer was lost. An edit that is not found may
+// still be under way, so it is never reported as refused.
+func (c *Configuration) settle(ctx context.Context, id table.EditID, cause error) (*table.Table, error) {
+	for range settleTries {
+		held, _, err := c.load(ctx)
+		if err == nil {
+			if _, done := held.Find(id); done {
+				c.publish(held)
+				return held, nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-c.clock.After(settleWait):
+		}
+	}
+	return nil, fmt.Errorf("%w: %w", ErrUndecided, cause)
+}
+
+// Find reads an edit's record back.
+func (c *Configuration) Find(ctx context.Context, id table.EditID) (table.Record, bool, error) {
+	held, _, err := c.load(ctx)
+	if err != nil {
+		return table.Record{}, false, err
+	}
+	record, done := held.Find(id)
+	return record, done, nil
+}
+
+// History returns the records that are kept, oldest first.
+func (c *Configuration) History(ctx context.Context) ([]table.Record, error) {
+	held, _, err := c.load(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return held.History, nil
+}
+
+// checkPublished refuses an edit that names a version which nobody published.
+// Rows whose version the edit leaves alone are not looked at.
+func (c *Configuration) checkPublished(ctx context.Context, edit table.Edit, next *table.Table) error {
+	touched := make(map[table.Key]bool)
+	for _, change := range edit.Changes {
+		if _, ok := change.Set[table.ColumnVersion]; ok {
+			touched[change.Key] = true
+		}
+	}
+	var rows []table.Row
+	published := make(map[table.Model][]table.ModelVersion)
+	for _, row := range next.Rows() {
+		if !touched[row.Key()] {
+			continue
+		}
+		rows = append(rows, row)
+		versions, err := c.Versions(ctx, row.Model)
+		if errors.Is(err, platform.ErrNotPublished) {
+			continue
+		}
+		if err != nil {
+			return fmt.Errorf("checking the versions of %s: %w", row.Model, err)
+		}
+		published[row.Model] = versions
+	}
+	if findings := table.CheckVersions(rows, published); len(findings) > 0 {
+		return findings
+	}
+	return nil
+}
+
+// Versions lists the published versions of a model, from the first source that
+// answers. Errors wrap platform.ErrNotPublished or platform.ErrUnavailable.
+func (c *Configuration) Versions(ctx context.Context, model table.Model) ([]table.ModelVersion, error) {
+	return fromSources(c.sources, func(source platform.WeightSource) ([]table.ModelVersion, error) {
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		return source.Versions(callCtx, model)
+	})
+}
+
+// fromSources asks each source in turn. If none has the answer, the error of one
+// that may have it goes before that of one that surely has not.
+func fromSources[T any](sources []platform.WeightSource, ask func(platform.WeightSource) (T, error)) (T, error) {
+	var zero T
+	problem := error(platform.ErrNotPublished)
+	for _, source := range sources {
+		answer, err := ask(source)
+		if err == nil {
+			return answer, nil
+		}
+		if !errors.Is(err, platform.ErrNotPublished) {
+			problem = err
+		}
+	}
+	return zero, problem
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,222 @@
+// Package daemon holds the services of an entry box and of an agent, and the
+// steps that start them.
+//
+// # Entry box
+//
+//	Replica        keeps the replicated items in step with the relays
+//	View           reads them into the form that decisions need
+//	Heart          the box's own record and its heartbeats
+//	Monitor        takes heartbeats, marks boxes silent, hands out assignments
+//	Configuration  follows the table in the key-value service and makes edits
+//	Planner        computes plans while it holds the lease
+//	Lister         compares the platform's box list with the records
+//	Callers        answers callers
+//	Operators      answers operators
+//
+// # Agent
+//
+//	Heart          the box's own record and its heartbeats
+//	Copier         fetches, verifies, loads and drops versions
+//	ChunkServer    gives chunks to other agents
+//	Gate           the last check before a backend server
+//	Operators      metrics and health checks
+//
+// # Usage
+//
+//	process, err := daemon.Start(loaded, daemon.Options{Clock: clock, Log: log})
+//	...
+//	err = process.Stop(ctx)
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+	"storj.io/drpc/drpcmux"
+
+	"github.com/cinderslip/cinderslip/internal/kernel"
+	"github.com/cinderslip/cinderslip/internal/platform"
+	"github.com/cinderslip/cinderslip/internal/settings"
+	"github.com/cinderslip/cinderslip/pkg/member"
+	"github.com/cinderslip/cinderslip/pkg/route"
+)
+
+// Options are what a process gets from outside its settings.
+type Options struct {
+	Clock clockwork.Clock
+	Log   zerolog.Logger
+}
+
+// Process is one running role.
+type Process struct {
+	kernel   *kernel.Kernel
+	settings *settings.Settings
+	options  Options
+	metrics  *Metrics
+	peers    *Peers
+	client   *http.Client
+	heart    *Heart
+	relays   *Relays
+	gate     *Gate
+
+	callers   net.Listener
+	operators net.Listener
+	peersAt   net.Listener
+	mux       *drpcmux.Mux
+}
+
+// Step is one part of starting a process.
+type Step interface {
+	// String names the step in logs and errors.
+	String() string
+	// Skip reports whether the role does without the step.
+	Skip(p *Process) bool
+	// Run does the step.
+	Run(p *Process) error
+}
+
+// Start runs the steps of a role in order. If one fails, what was started is
+// stopped again.
+func Start(loaded *settings.Settings, options Options) (*Process, error) {
+	p := &Process{
+		kernel: kernel.New(), settings: loaded, options: options,
+		metrics: NewMetrics(), mux: drpcmux.New(),
+		client: newPlatformClient(),
+	}
+	for _, step := range steps {
+		if err := logged(skipped(step.Run))(p, step); err != nil {
+			ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+			defer cancel()
+			return nil, errors.Join(fmt.Errorf("starting %s: %w", step, err), p.kernel.Stop(ctx))
+		}
+	}
+	return p, nil
+}
+
+// platformConnections bounds the unused connections kept to a platform service.
+const platformConnections = 8
+
+func newPlatformClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: platformConnections, IdleConnTimeout: idleTime, DisableCompression: true,
+		DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
+	}}
+}
+
+// stepRun is Run with its step, for the middleware.
+type stepRun func(p *Process, step Step) error
+
+// skipped leaves out a step that the role does without.
+func skipped(run func(p *Process) error) stepRun {
+	return func(p *Process, step Step) error {
+		if step.Skip(p) {
+			return nil
+		}
+		return step.Run(p)
+	}
+}
+
+// logged writes a line for each step.
+func logged(run stepRun) stepRun {
+	return func(p *Process, step Step) error {
+		started := p.options.Clock.Now()
+		err := run(p, step)
+		event := p.options.Log.Debug()
+		if err != nil {
+			event = p.options.Log.Error().Err(err)
+		}
+		event.Str("step", step.String()).Dur("taken_ms", p.options.Clock.Since(started)).Msg("step done")
+		return err
+	}
+}
+
+// Stop is a planned stop: the box announces that it is leaving, finishes what is
+// in progress and ends every service, within the grace of the settings.
+func (p *Process) Stop(ctx context.Context) error {
+	stopCtx, cancel := context.WithTimeout(ctx, time.Duration(p.settings.Stop.Grace))
+	defer cancel()
+	p.leave()
+	err := p.kernel.Stop(stopCtx)
+	p.client.CloseIdleConnections()
+	return err
+}
+
+// leave announces that the box is leaving and waits until its monitors know.
+func (p *Process) leave() {
+	if p.heart.Record().Status == member.StatusLeaving {
+		return
+	}
+	p.options.Log.Info().Str("box", p.settings.Box).Msg("leaving")
+	p.heart.Update(func(record *member.Record) { record.Status = member.StatusLeaving })
+	ctx, cancel := context.WithTimeout(context.Background(), 2*dialTimeout)
+	defer cancel()
+	p.heart.Announce(ctx)
+}
+
+// CallersAddress returns where callers are answered; empty on an agent.
+func (p *Process) CallersAddress() string { return listenerAddress(p.callers) }
+
+// OperatorsAddress returns where operators are answered.
+func (p *Process) OperatorsAddress() string { return listenerAddress(p.operators) }
+
+// PeersAddress returns where other processes are answered.
+func (p *Process) PeersAddress() string { return listenerAddress(p.peersAt) }
+
+func listenerAddress(listener net.Listener) string {
+	if listener == nil {
+		return ""
+	}
+	return listener.Addr().String()
+}
+
+// record is the box's own record as the settings give it.
+func (p *Process) record(role member.Role) member.Record {
+	return member.Record{
+		Box: member.BoxID(p.settings.Box), Role: role,
+		Region: member.Region(p.settings.Region), FailureDomain: member.FailureDomain(p.settings.FailureDomain),
+		Peers: member.Address(p.PeersAddress()), Callers: member.Address(p.CallersAddress()),
+	}
+}
+
+// sources are asked in order: the weight store first, because bytes drawn from
+// the origin are the ones that are scarce.
+func (p *Process) sources() []platform.WeightSource {
+	return []platform.WeightSource{
+		platform.NewWeightSource("weight-store", p.settings.Platform.WeightStore, p.client),
+		platform.NewWeightSource("origin", p.settings.Platform.Origin, p.client),
+	}
+}
+
+func (p *Process) entryAddresses() []member.Address {
+	addresses := make([]member.Address, 0, len(p.settings.Peers.Entries))
+	for _, entry := range p.settings.Peers.Entries {
+		if entry != p.PeersAddress() {
+			addresses = append(addresses, member.Address(entry))
+		}
+	}
+	return addresses
+}
+
+// IsServing reports whether an entry box has a live box for every row of the
+// table in force.
+func (p *Process) IsServing() bool {
+	view, err := kernel.Find[*View](p.kernel, "view")
+	if err != nil {
+		return false
+	}
+	rows, _ := view.Rows()
+	for _, row := range rows {
+		decided, ok := view.Row(row.Key())
+		place := route.Place{Service: member.Service(row.Model), Version: decided.Serving}
+		if !ok || view.Router().Count(place) == 0 {
+			return false
+		}
+	}
+	return len(rows) > 0
+}
--- /dev/null
+++ b/internal/daemon/fetch.go
@@ -0,0 +1,262 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cinderslip/cinderslip/internal/platform"
+	"github.com/cinderslip/cinderslip/internal/wire"
+	"github.com/cinderslip/cinderslip/pkg/member"
+	"github.com/cinderslip/cinderslip/pkg/weights"
+)
+
+const (
+	// holdingsInterval is how often neighbours are asked what they hold.
+	holdingsInterval = 200 * time.Millisecond
+	// stallTimeout ends a fetch from a peer that gives nothing for so long.
+	stallTimeout = 2 * time.Second
+	// drawTimeout ends a draw from a source.
+	drawTimeout = 30 * time.Second
+	// drawRetry is the wait before a draw that failed is tried again.
+	drawRetry = time.Second
+	// progressParts is in how many steps progress is told.
+	progressParts = 4
+)
+
+// fetch gets the missing chunks of one version. One goroutine makes all
+// decisions; the transfers tell it their results.
+type fetch struct {
+	copier   *Copier
+	job      *copyJob
+	manifest *weights.Manifest
+	picker   *weights.Picker
+	results  chan fetchResult
+	holdings chan holdingsResult
+	asked    map[string]bool
+	told     int
+	full     bool
+}
+
+type fetchResult struct {
+	task weights.Task
+	data []byte
+	err  error
+}
+
+type holdingsResult struct {
+	box  string
+	held weights.Bits
+	err  error
+}
+
+func newFetch(c *Copier, job *copyJob, manifest *weights.Manifest) *fetch {
+	return &fetch{
+		copier: c, job: job, manifest: manifest,
+		picker: weights.NewPicker(manifest, string(c.options.Self), c.options.Store.Held(manifest.Digest()),
+			c.options.Picker, c.options.Clock.Now()),
+		results:  make(chan fetchResult),
+		holdings: make(chan holdingsResult),
+		asked:    make(map[string]bool),
+	}
+}
+
+// run returns when every chunk is held, the store is full or the context ends.
+func (f *fetch) run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	clock := f.copier.options.Clock
+	ticker := clock.NewTicker(holdingsInterval)
+	defer ticker.Stop()
+	f.adoptSwarm(ctx)
+	f.askHoldings(ctx)
+	for f.picker.Missing() > 0 {
+		f.startTasks(ctx)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case result := <-f.results:
+			if err := f.take(result); err != nil {
+				return err
+			}
+		case result := <-f.holdings:
+			f.takeHoldings(result)
+		case <-f.job.updated:
+			f.adoptSwarm(ctx)
+		case <-ticker.Chan():
+			f.adoptSwarm(ctx)
+			f.askHoldings(ctx)
+		}
+	}
+	return nil
+}
+
+func (f *fetch) adoptSwarm(context.Context) {
+	f.job.mu.Lock()
+	defer f.job.mu.Unlock()
+	f.picker.SetNeighbours(slices.Collect(maps.Keys(f.job.neighbours)))
+	if f.job.swarmed && len(f.job.drawers) > 0 {
+		f.picker.SetDrawers(f.job.drawers)
+		f.job.swarmed = false
+	}
+}
+
+func (f *fetch) startTasks(ctx context.Context) {
+	for {
+		task, ok := f.picker.Next(f.copier.options.Clock.Now())
+		if !ok {
+			return
+		}
+		go func() {
+			data, err := f.transfer(ctx, task)
+			select {
+			case f.results <- fetchResult{task, data, err}:
+			case <-ctx.Done():
+			}
+		}()
+	}
+}
+
+// take keeps a chunk that verifies and notes everything else as a fault.
+func (f *fetch) take(result fetchResult) error {
+	metrics := f.copier.options.Metrics
+	from := "peer"
+	if result.task.IsDraw() {
+		from = "source"
+	}
+	err := result.err
+	if err == nil {
+		err = f.copier.options.Store.Put(f.manifest, result.task.Chunk, result.data)
+	}
+	switch {
+	case err == nil:
+		metrics.chunkBytes.WithLabelValues(from).Add(float64(len(result.data)))
+		f.picker.Done(result.task)
+		f.tellProgress()
+		return nil
+	case errors.Is(err, weights.ErrFull):
+		return err
+	}
+	metrics.chunkFaults.WithLabelValues(from, faultLabel(err)).Inc()
+	f.copier.options.Log.Debug().Int("chunk", result.task.Chunk).Str("from", result.task.From).Err(err).Msg("chunk not taken")
+	f.picker.Failed(result.task, f.copier.options.Clock.Now().Add(drawRetry))
+	return nil
+}
+
+func faultLabel(err error) string {
+	switch {
+	case errors.Is(err, weights.ErrDigest):
+		return "digest"
+	case errors.Is(err, errStalled):
+		return "stalled"
+	case errors.Is(err, platform.ErrLimited):
+		return "limited"
+	case errors.Is(err, errDial):
+		return "unreachable"
+	}
+	return "broken"
+}
+
+func (f *fetch) tellProgress() {
+	total := len(f.manifest.Chunks)
+	held := total - f.picker.Missing()
+	if part := held * progressParts / total; part != f.told {
+		f.told = part
+		f.copier.setCopy(f.job, member.PhaseFetching, held, "")
+	}
+}
+
+func (f *fetch) transfer(ctx context.Context, task weights.Task) ([]byte, error) {
+	if task.IsDraw() {
+		return f.draw(ctx, task.Chunk)
+	}
+	f.job.mu.Lock()
+	address, ok := f.job.neighbours[task.From]
+	f.job.mu.Unlock()
+	if !ok {
+		return nil, fmt.Errorf("%s is no longer a neighbour: %w", task.From, errDial)
+	}
+	return f.fromPeer(ctx, address, task.Chunk)
+}
+
+// draw reads a chunk from the weight store, else from the origin.
+func (f *fetch) draw(ctx context.Context, index int) ([]byte, error) {
+	callCtx, cancel := context.WithTimeout(ctx, drawTimeout)
+	defer cancel()
+	chunk := f.manifest.Chunks[index]
+	file := f.manifest.Files[chunk.File]
+	return fromSources(f.copier.options.Sources, func(source platform.WeightSource) ([]byte, error) {
+		return source.Range(callCtx, f.job.weights.Model, file.Blob, chunk.Offset, chunk.Size)
+	})
+}
+
+// errStalled reports a peer that gave nothing for stallTimeout.
+var errStalled = errors.New("transfer stalled")
+
+func (f *fetch) fromPeer(ctx context.Context, address member.Address, index int) ([]byte, error) {
+	callCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stall := f.copier.options.Clock.AfterFunc(stallTimeout, func() { cancel(errStalled) })
+	defer stall.Stop()
+	digest := f.manifest.Digest()
+	stream, err := wire.NewDRPCChunksClient(f.copier.options.Peers.Conn(address)).
+		Fetch(callCtx, &wire.FetchRequest{Manifest: digest[:], Chunk: uint32(index)})
+	if err != nil {
+		return nil, err
+	}
+	size := f.manifest.Chunks[index].Size
+	data := make([]byte, 0, size)
+	for {
+		frame, err := stream.Recv()
+		switch {
+		case errors.Is(err, io.EOF):
+			return data, nil
+		case context.Cause(callCtx) != nil:
+			return nil, context.Cause(callCtx)
+		case err != nil:
+			return nil, err
+		case int64(len(data)+len(frame.Data)) > size:
+			return nil, fmt.Errorf("chunk %d is longer than %d bytes: %w", index, size, weights.ErrDigest)
+		}
+		data = append(data, frame.Data...)
+		stall.Reset(stallTimeout)
+	}
+}
+
+// askHoldings asks each neighbour that has answered the last time.
+func (f *fetch) askHoldings(ctx context.Context) {
+	digest := f.manifest.Digest()
+	for box, address := range f.job.neighbourAddresses() {
+		if f.asked[box] {
+			continue
+		}
+		f.asked[box] = true
+		go func() {
+			callCtx, cancel := context.WithTimeout(ctx, stallTimeout)
+			defer cancel()
+			answer, err := wire.NewDRPCChunksClient(f.copier.options.Peers.Conn(address)).
+				Holdings(callCtx, &wire.HoldingsRequest{Manifest: digest[:]})
+			result := holdingsResult{box: box, err: err}
+			if err == nil {
+				result.held = answer.Held
+			}
+			select {
+			case f.holdings <- result:
+			case <-ctx.Done():
+			}
+		}()
+	}
+}
+
+func (f *fetch) takeHoldings(result holdingsResult) {
+	f.asked[result.box] = false
+	if result.err != nil {
+		f.picker.SetHoldings(result.box, nil)
+		return
+	}
+	f.picker.SetHoldings(result.box, result.held)
+}
--- /dev/null
+++ b/internal/daemon/forward.go
@@ -0,0 +1,304 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/cinderslip/cinderslip/internal/wire"
+	"github.com/cinderslip/cinderslip/pkg/member"
+	"github.com/cinderslip/cinderslip/pkg/route"
+	"github.com/cinderslip/cinderslip/pkg/table"
+)
+
+// settleTimeout bounds how long an agent is asked what became of a request.
+const settleTimeout = time.Second
+
+// outcome is what one attempt came to.
+type outcome int
+
+const (
+	// outcomeAnswered means that the whole answer was passed on.
+	outcomeAnswered outcome = iota
+	// outcomeNotRun means that the attempt surely did not start and never will.
+	outcomeNotRun
+	// outcomeUnknown means that the attempt may have run, and nothing of its
+	// answer was passed on.
+	outcomeUnknown
+	// outcomeCut means that the answer broke off after part of it was passed on.
+	outcomeCut
+	// outcomeCallerGone means that the caller went away.
+	outcomeCallerGone
+)
+
+// String names the outcome for metrics and logs.
+func (o outcome) String() string {
+	return [...]string{"answered", "not-run", "unknown", "cut", "caller-gone"}[o]
+}
+
+// errWrongAnswer reports an answer that carries another request's id.
+var errWrongAnswer = errors.New("answer belongs to another request")
+
+// refusedError carries the agent's reason.
+type refusedError struct {
+	refusal wire.Refusal
+	detail  string
+}
+
+// Error names the reason.
+func (e *refusedError) Error() string {
+	return fmt.Sprintf("agent refused: %v %s", e.refusal, e.detail)
+}
+
+// exchange is one caller's request on its way.
+type exchange struct {
+	id         route.RequestID
+	group      table.Group
+	service    member.Service
+	version    table.ModelVersion
+	path       string
+	repeatable bool
+	priority   int
+	deadline   time.Time
+	request    *http.Request
+	writer     http.ResponseWriter
+	body       *bodyReader
+	arrived    time.Time
+	// frames counts the frames of the answer, as a measure of the work done.
+	frames int
+}
+
+// forwarder sends attempts to agents.
+type forwarder struct {
+	peers   *Peers
+	clock   clockwork.Clock
+	metrics *Metrics
+}
+
+// attempt sends the request to one box. With outcomeNotRun and outcomeUnknown
+// nothing has been written to the caller.
+func (f *forwarder) attempt(ctx context.Context, x *exchange, target *route.Target, attempt route.AttemptID) (outcome, error) {
+	target.Start()
+	defer target.Release()
+	attemptCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := wire.NewDRPCBackendClient(f.peers.Conn(target.Address)).Serve(attemptCtx)
+	if err != nil {
+		target.Failed(f.clock.Now())
+		return outcomeNotRun, err
+	}
+	if err := stream.Send(&wire.ServeRequest{Head: f.head(x, target, attempt), End: x.body.isEmpty()}); err != nil {
+		target.Failed(f.clock.Now())
+		return f.settle(ctx, x, target, attempt, err)
+	}
+	sent := make(chan error, 1)
+	go func() {
+		err := sendBody(attemptCtx, x.body, stream)
+		if errors.Is(err, errCallerBody) {
+			cancel()
+		}
+		sent <- err
+	}()
+	result, err := f.receive(ctx, x, target, attempt, stream)
+	cancel()
+	bodyErr := <-sent
+	if result == outcomeUnknown && errors.Is(bodyErr, errCallerBody) {
+		return outcomeCallerGone, bodyErr
+	}
+	return result, err
+}
+
+func (f *forwarder) head(x *exchange, target *route.Target, attempt route.AttemptID) *wire.RequestHead {
+	head := &wire.RequestHead{
+		RequestId: string(x.id), Service: string(x.service), Version: string(x.version), Group: string(x.group),
+		Method: x.request.Method, Path: x.path, Headers: headersToWire(x.request.Header, x.request.Header.Values("Connection")),
+		Repeatable: x.repeatable, Priority: int32(x.priority),
+		Incarnation: uint64(target.Incarnation), Attempt: string(attempt),
+	}
+	if !x.deadline.IsZero() {
+		head.DeadlineMilliseconds = max(1, x.deadline.Sub(f.clock.Now()).Milliseconds())
+	}
+	if x.request.ContentLength >= 0 {
+		head.Headers = append(head.Headers, &wire.Header{
+			Name: "Content-Length", Values: []string{strconv.FormatInt(x.request.ContentLength, 10)},
+		})
+	}
+	return head
+}
+
+// errCallerBody reports that the caller's body could not be read to its end.
+var errCallerBody = errors.New("reading the caller's body")
+
+func sendBody(ctx context.Context, body *bodyReader, stream wire.DRPCBackend_ServeClient) error {
+	if body.isEmpty() {
+		return nil
+	}
+	for index := 0; ; index++ {
+		piece, err := body.piece(ctx, index)
+		if err != nil {
+			return fmt.Errorf("%w: %w", errCallerBody, err)
+		}
+		if piece == nil {
+			return stream.Send(&wire.ServeRequest{End: true})
+		}
+		if err := stream.Send(&wire.ServeRequest{Body: piece}); err != nil {
+			return err
+		}
+	}
+}
+
+// receive passes the answer on.
+func (f *forwarder) receive(ctx context.Context, x *exchange, target *route.Target, attempt route.AttemptID,
+	stream wire.DRPCBackend_ServeClient,
+) (outcome, error) {
+	first, err := f.firstAnswer(ctx, x, target, stream)
+	if err != nil {
+		if ctx.Err() == nil {
+			target.Failed(f.clock.Now())
+		}
+		return f.settle(ctx, x, target, attempt, err)
+	}
+	f.noteLoad(target, first)
+	if first.Refusal != wire.Refusal_REFUSAL_NONE {
+		_ = stream.Close()
+		return f.refused(target, first)
+	}
+	if first.Failed || first.Head == nil {
+		target.Failed(f.clock.Now())
+		return outcomeUnknown, fmt.Errorf("backend server gave no answer: %s", first.Detail)
+	}
+	target.Succeeded()
+	return f.passOn(ctx, x, target, stream, first)
+}
+
+// errSilent reports a box that fell silent before it answered.
+var errSilent = errors.New("the box fell silent")
+
+// firstAnswer waits for the first frame, at most until the deadline or until the
+// box is marked silent.
+func (f *forwarder) firstAnswer(ctx context.Context, x *exchange, target *route.Target, stream wire.DRPCBackend_ServeClient) (*wire.ServeResponse, error) {
+	type received struct {
+		answer *wire.ServeResponse
+		err    error
+	}
+	arrived := make(chan received, 1)
+	go func() {
+		answer, err := stream.Recv()
+		arrived <- received{answer, err}
+	}()
+	var expired <-chan time.Time
+	if !x.deadline.IsZero() {
+		timer := f.clock.NewTimer(x.deadline.Sub(f.clock.Now()))
+		defer timer.Stop()
+		expired = timer.Chan()
+	}
+	select {
+	case got := <-arrived:
+		if got.err == nil && got.answer.RequestId != string(x.id) {
+			return nil, errWrongAnswer
+		}
+		return got.answer, got.err
+	case <-expired:
+		return nil, context.DeadlineExceeded
+	case <-target.Silenced():
+		return nil, errSilent
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (f *forwarder) refused(target *route.Target, answer *wire.ServeResponse) (outcome, error) {
+	err := &refusedError{refusal: answer.Refusal, detail: answer.Detail}
+	switch answer.Refusal {
+	case wire.Refusal_REFUSAL_DUPLICATE:
+		// The id ran before, so it cannot be said that it did not run.
+		return outcomeUnknown, err
+	case wire.Refusal_REFUSAL_UNREACHABLE:
+		target.Failed(f.clock.Now())
+	}
+	return outcomeNotRun, err
+}
+
+func (f *forwarder) noteLoad(target *route.Target, answer *wire.ServeResponse) {
+	if answer.Load != nil {
+		target.Report(int(answer.Load.Running+answer.Load.Waiting), f.clock.Now())
+	}
+}
+
+// passOn writes the head and the body to the caller as they come.
+func (f *forwarder) passOn(ctx context.Context, x *exchange, target *route.Target,
+	stream wire.DRPCBackend_ServeClient, first *wire.ServeResponse,
+) (outcome, error) {
+	header := x.writer.Header()
+	for _, line := range first.Head.Headers {
+		header[line.Name] = line.Values
+	}
+	header.Set(headerBox, string(target.Box))
+	if x.version != "" {
+		header.Set(headerVersion, string(x.version))
+	}
+	x.writer.WriteHeader(int(first.Head.Status))
+	f.metrics.firstByte.WithLabelValues(string(x.service)).Observe(f.clock.Since(x.arrived).Seconds())
+	controller := http.NewResponseController(x.writer)
+	for answer := first; ; {
+		if len(answer.Body) > 0 {
+			x.frames++
+			if _, err := x.writer.Write(answer.Body); err != nil {
+				return outcomeCallerGone, err
+			}
+			_ = controller.Flush()
+		}
+		f.noteLoad(target, answer)
+		if answer.Failed {
+			return outcomeCut, fmt.Errorf("backend server broke off: %s", answer.Detail)
+		}
+		if answer.End {
+			_ = stream.Close()
+			return outcomeAnswered, nil
+		}
+		next, err := stream.Recv()
+		switch {
+		case ctx.Err() != nil:
+			return outcomeCallerGone, ctx.Err()
+		case err != nil:
+			target.Failed(f.clock.Now())
+			return outcomeCut, cutError(err)
+		case next.RequestId != string(x.id):
+			return outcomeCut, errWrongAnswer
+		}
+		answer = next
+	}
+}
+
+func cutError(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// settle asks the agent for the truth about an attempt that gave no answer. If
+// the agent has not started it, it promises never to.
+func (f *forwarder) settle(ctx context.Context, x *exchange, target *route.Target, attempt route.AttemptID, cause error) (outcome, error) {
+	if x.request.Context().Err() != nil {
+		return outcomeCallerGone, cause
+	}
+	if errors.Is(cause, errDial) {
+		return outcomeNotRun, cause
+	}
+	callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
+	defer cancel()
+	answer, err := wire.NewDRPCBackendClient(f.peers.Conn(target.Address)).Settle(callCtx, &wire.SettleRequest{
+		RequestId: string(x.id), Attempt: string(attempt), Incarnation: uint64(target.Incarnation),
+	})
+	if err == nil && answer.Known && !answer.Started {
+		return outcomeNotRun, cause
+	}
+	return outcomeUnknown, cause
+}
--- /dev/null
+++ b/internal/daemon/gate.go
@@ -0,0 +1,367 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+
+	"github.com/cinderslip/cinderslip/internal/platform"
+	"github.com/cinderslip/cinderslip/internal/wire"
+	"github.com/cinderslip/cinderslip/pkg/member"
+	"github.com/cinderslip/cinderslip/pkg/route"
+	"github.com/cinderslip/cinderslip/pkg/table"
+)
+
+// onceWindow is how long an agent remembers the ids of requests.
+const onceWindow = 10 * time.Minute
+
+// Gate is the last check before a backend server: right incarnation, version
+// live, box not leaving, and not run before. It then passes the request on.
+type Gate struct {
+	clock   clockwork.Clock
+	log     zerolog.Logger
+	metrics *Metrics
+	client  *http.Client
+	// fresh opens a connection for each request. The common client may send a
+	// request without a body again by itself when a kept connection turns out
+	// to be closed; a request that may not be repeated must not go that way.
+	fresh    *http.Client
+	engine   string
+	services map[member.Service]string
+	record   func() member.Record
+	once     *route.Once
+
+	mu       sync.Mutex
+	leaving  bool
+	versions map[route.Place]*gateVersion
+	running  int
+	idle     chan struct{}
+}
+
+// gateVersion is a version that may be asked for, with its requests in progress.
+type gateVersion struct {
+	open    bool
+	running int
+	// drained is closed when a Close that waits sees the last request end.
+	drained chan struct{}
+}
+
+// NewGate returns a gate that refuses everything until Open.
+func NewGate(engine string, services map[member.Service]string, record func() member.Record,
+	clock clockwork.Clock, log zerolog.Logger, metrics *Metrics,
+) *Gate {
+	g := &Gate{
+		clock: clock, log: log, metrics: metrics,
+		client: newBackendClient(false), fresh: newBackendClient(true),
+		engine: engine, services: services, record: record,
+		once:     route.NewOnce(onceWindow),
+		versions: make(map[route.Place]*gateVersion),
+		idle:     make(chan struct{}),
+	}
+	for service := range services {
+		g.Open(route.Place{Service: service})
+	}
+	return g
+}
+
+// backendConnections bounds the unused connections kept to one backend server.
+const backendConnections = 64
+
+func newBackendClient(fresh bool) *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			DisableCompression: true, DisableKeepAlives: fresh,
+			MaxIdleConnsPerHost: backendConnections, IdleConnTimeout: idleTime,
+			DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// String returns the service's name.
+func (g *Gate) String() string { return "gate" }
+
+// Stop refuses new requests and waits for those in progress.
+func (g *Gate) Stop(ctx context.Context) error {
+	g.mu.Lock()
+	g.leaving = true
+	running := g.running
+	g.mu.Unlock()
+	if running == 0 {
+		return nil
+	}
+	g.log.Info().Int("running", running).Msg("waiting for requests in progress")
+	select {
+	case <-g.idle:
+		g.client.CloseIdleConnections()
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Open lets requests for a place through.
+func (g *Gate) Open(place route.Place) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.versions[place] = &gateVersion{open: true}
+}
+
+// Shut refuses new requests for a place; those in progress go on.
+func (g *Gate) Shut(place route.Place) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if held, ok := g.versions[place]; ok {
+		held.open = false
+	}
+}
+
+// Close refuses new requests for a place and waits until those in progress are
+// done. It reports whether they are.
+func (g *Gate) Close(ctx context.Context, place route.Place) bool {
+	g.mu.Lock()
+	held, ok := g.versions[place]
+	if !ok {
+		g.mu.Unlock()
+		return true
+	}
+	held.open = false
+	if held.running == 0 {
+		delete(g.versions, place)
+		g.mu.Unlock()
+		return true
+	}
+	held.drained = make(chan struct{})
+	drained := held.drained
+	g.mu.Unlock()
+	select {
+	case <-drained:
+		g.mu.Lock()
+		delete(g.versions, place)
+		g.mu.Unlock()
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// enter checks a request and counts it. The refusal is NONE if it may run; then
+// leave must be called once.
+func (g *Gate) enter(head *wire.RequestHead) (leave func(), refusal wire.Refusal, detail string) {
+	record := g.record()
+	place := route.Place{Service: member.Service(head.Service), Version: table.ModelVersion(head.Version)}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	held, ok := g.versions[place]
+	switch {
+	case head.Incarnation != uint64(record.Incarnation):
+		return nil, wire.Refusal_REFUSAL_INCARNATION, fmt.Sprintf("this is incarnation %d", record.Incarnation)
+	case g.leaving:
+		return nil, wire.Refusal_REFUSAL_LEAVING, "the box is leaving"
+	case !ok || !held.open:
+		return nil, wire.Refusal_REFUSAL_VERSION, fmt.Sprintf("%s %s is not live here", head.Service, head.Version)
+	}
+	switch g.once.Start(route.RequestID(head.RequestId), route.AttemptID(head.Attempt), head.Repeatable, g.clock.Now()) {
+	case route.StartedBefore:
+		return nil, wire.Refusal_REFUSAL_DUPLICATE, "the request id ran before"
+	case route.StartedNever:
+		return nil, wire.Refusal_REFUSAL_SETTLED, "the attempt was settled as not started"
+	case route.StartedNow:
+	}
+	held.running++
+	g.running++
+	return func() { g.leave(held) }, wire.Refusal_REFUSAL_NONE, ""
+}
+
+func (g *Gate) leave(held *gateVersion) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	held.running--
+	g.running--
+	if !held.open && held.running == 0 && held.drained != nil {
+		close(held.drained)
+		held.drained = nil
+	}
+	if g.leaving && g.running == 0 {
+		close(g.idle)
+	}
+}
+
+func (g *Gate) load() *wire.Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return &wire.Load{Running: uint32(g.running)}
+}
+
+// Settle tells whether an attempt was started; one that was not never will be.
+func (g *Gate) Settle(_ context.Context, request *wire.SettleRequest) (*wire.SettleResponse, error) {
+	if request.Incarnation != uint64(g.record().Incarnation) {
+		return &wire.SettleResponse{Known: false}, nil
+	}
+	started := g.once.Settle(route.AttemptID(request.Attempt), g.clock.Now())
+	return &wire.SettleResponse{Known: true, Started: started}, nil
+}
+
+// Serve takes one request from an entry box.
+func (g *Gate) Serve(stream wire.DRPCBackend_ServeStream) error {
+	first, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	if first.Head == nil {
+		return errors.New("first frame has no head")
+	}
+	leave, refusal, detail := g.enter(first.Head)
+	if refusal != wire.Refusal_REFUSAL_NONE {
+		g.metrics.gateRequests.WithLabelValues(refusalLabel(refusal)).Inc()
+		return g.refuse(stream, first.Head, refusal, detail)
+	}
+	defer leave()
+	return g.pass(stream, first)
+}
+
+func refusalLabel(refusal wire.Refusal) string {
+	return strings.ToLower(strings.TrimPrefix(refusal.String(), "REFUSAL_"))
+}
+
+func (g *Gate) refuse(stream wire.DRPCBackend_ServeStream, head *wire.RequestHead, refusal wire.Refusal, detail string) error {
+	return stream.Send(&wire.ServeResponse{RequestId: head.RequestId, Refusal: refusal, Detail: detail, Load: g.load()})
+}
+
+// pass sends the request to the backend server and its answer back.
+func (g *Gate) pass(stream wire.DRPCBackend_ServeStream, first *wire.ServeRequest) error {
+	head := first.Head
+	request, err := g.request(stream, first)
+	if err != nil {
+		return g.fail(stream, head, err)
+	}
+	client := g.client
+	if !head.Repeatable && request.Body == http.NoBody {
+		client = g.fresh
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		if neverConnected(err) {
+			g.once.Abandon(route.RequestID(head.RequestId), route.AttemptID(head.Attempt), g.clock.Now())
+			g.metrics.gateRequests.WithLabelValues(refusalLabel(wire.Refusal_REFUSAL_UNREACHABLE)).Inc()
+			return g.refuse(stream, head, wire.Refusal_REFUSAL_UNREACHABLE, err.Error())
+		}
+		return g.fail(stream, head, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	return g.answer(stream, head, response)
+}
+
+// neverConnected reports that no connection was opened, so that the backend
+// server never saw the request.
+func neverConnected(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+func (g *Gate) fail(stream wire.DRPCBackend_ServeStream, head *wire.RequestHead, err error) error {
+	g.metrics.gateRequests.WithLabelValues("failed").Inc()
+	return stream.Send(&wire.ServeResponse{RequestId: head.RequestId, Failed: true, Detail: err.Error(), Load: g.load()})
+}
+
+func (g *Gate) request(stream wire.DRPCBackend_ServeStream, first *wire.ServeRequest) (*http.Request, error) {
+	head := first.Head
+	base := g.services[member.Service(head.Service)]
+	if head.Version != "" {
+		base = g.engine
+	}
+	var body io.Reader = http.NoBody
+	if !first.End {
+		body = &streamBody{stream: stream, rest: first.Body}
+	}
+	request, err := http.NewRequestWithContext(stream.Context(), head.Method, base+head.Path, body)
+	if err != nil {
+		return nil, err
+	}
+	request.Header = headersFromWire(head.Headers)
+	if length := request.Header.Get("Content-Length"); length != "" && body != http.NoBody {
+		if _, err := fmt.Sscan(length, &request.ContentLength); err != nil {
+			return nil, fmt.Errorf("reading Content-Length: %w", err)
+		}
+	}
+	request.Header.Del("Content-Length")
+	request.Header.Set(headerRequestID, head.RequestId)
+	request.Header.Set(headerGroup, head.Group)
+	if head.Version != "" {
+		request.Header.Set(platform.HeaderEngineVersion, head.Version)
+	}
+	return request, nil
+}
+
+// streamBody reads the body from the frames that follow the head.
+type streamBody struct {
+	stream wire.DRPCBackend_ServeStream
+	rest   []byte
+	ended  bool
+}
+
+// Read implements io.Reader.
+func (b *streamBody) Read(buffer []byte) (int, error) {
+	for len(b.rest) == 0 {
+		if b.ended {
+			return 0, io.EOF
+		}
+		frame, err := b.stream.Recv()
+		if err != nil {
+			return 0, fmt.Errorf("reading the request's body: %w", cutError(err))
+		}
+		b.rest = frame.Body
+		b.ended = frame.End
+	}
+	n := copy(buffer, b.rest)
+	b.rest = b.rest[n:]
+	return n, nil
+}
+
+// answer sends the backend server's answer in frames; the last one says whether
+// the answer is whole.
+func (g *Gate) answer(stream wire.DRPCBackend_ServeStream, head *wire.RequestHead, response *http.Response) error {
+	frame := &wire.ServeResponse{
+		RequestId: head.RequestId,
+		Head: &wire.AnswerHead{
+			Status:  int32(response.StatusCode),
+			Headers: headersToWire(response.Header, response.Header.Values("Connection")),
+		},
+	}
+	buffer := make([]byte, pieceSize)
+	for {
+		n, err := response.Body.Read(buffer)
+		frame.Body = buffer[:n]
+		if err != nil {
+			frame.End = errors.Is(err, io.EOF)
+			frame.Failed = !frame.End
+			frame.Load = g.load()
+			if frame.Failed {
+				frame.Detail = err.Error()
+			}
+			g.metrics.gateRequests.WithLabelValues(answerLabel(frame)).Inc()
+			return stream.Send(frame)
+		}
+		if err := stream.Send(frame); err != nil {
+			g.metrics.gateRequests.WithLabelValues("caller-gone").Inc()
+			return err
+		}
+		frame = &wire.ServeResponse{RequestId: head.RequestId}
+	}
+}
+
+func answerLabel(frame *wire.ServeResponse) string {
+	if frame.End {
+		return "answered"
+	}
+	return "cut"
+}
--- /dev/null
+++ b/internal/daemon/headers.go
@@ -0,0 +1,57 @@
+package daemon
+
+import (
+	"net/http"
+	"net/textproto"
+	"slices"
+	"strings"
+
+	"github.com/cinderslip/cinderslip/internal/wire"
+)
+
+// The headers of the callers' interface.
+const (
+	headerGroup      = "Cinderslip-Group"
+	headerRequestID  = "Cinderslip-Request-Id"
+	headerRepeatable = "Cinderslip-Repeatable"
+	headerPriority   = "Cinderslip-Priority"
+	headerDeadline   = "Cinderslip-Deadline"
+	headerBox        = "Cinderslip-Box"
+	headerVersion    = "Cinderslip-Version"
+	headerOutcome    = "Cinderslip-Outcome"
+)
+
+// connectionHeaders concern one connection and are not passed on (RFC 9110,
+// section 7.6.1). Content-Length is set anew from what is known of the body.
+var connectionHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Proxy-Connection", "Content-Length",
+}
+
+// headersToWire copies what is passed on. The values of Connection name further
+// headers that are not.
+func headersToWire(header http.Header, connection []string) []*wire.Header {
+	var named []string
+	for _, value := range connection {
+		for name := range strings.SplitSeq(value, ",") {
+			named = append(named, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+	lines := make([]*wire.Header, 0, len(header))
+	for name, values := range header {
+		if slices.Contains(connectionHeaders, name) || slices.Contains(named, name) {
+			continue
+		}
+		lines = append(lines, &wire.Header{Name: name, Values: values})
+	}
+	return lines
+}
+
+// headersFromWire is the inverse.
+func headersFromWire(lines []*wire.Header) http.Header {
+	header := make(http.Header, len(lines))
+	for _, line := range lines {
+		header[line.Name] = line.Values
+	}
+	return header
+}
--- /dev/null
+++ b/internal/daemon/monitor.go
@@ -0,0 +1,230 @@
+package daemon
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+
+	"github.com/cinderslip/cinderslip/internal/kernel"
+	"github.com/cinderslip/cinderslip/internal/wire"
+	"github.com/cinderslip/cinderslip/pkg/member"
+	"github.com/cinderslip/cinderslip/pkg/state"
+	"github.com/cinderslip/cinderslip/pkg/weights"
+)
+
+// neighboursPerBox is how many boxes an agent exchanges chunks with.
+const neighboursPerBox = 8
+
+// entriesTold is how many entry boxes an agent learns, its monitors first.
+const entriesTold = 5
+
+// Monitor takes heartbeats: it publishes the records of boxes, marks boxes
+// silent, and tells agents their assignments and neighbours.
+type Monitor struct {
+	view    *View
+	replica *Replica
+	clock   clockwork.Clock
+	log     zerolog.Logger
+	heard   *member.Monitor
+	duties  *kernel.Duties
+	metrics *Metrics
+}
+
+// NewMonitor starts to look for silence.
+func NewMonitor(view *View, replica *Replica, clock clockwork.Clock, log zerolog.Logger, metrics *Metrics, silence time.Duration) *Monitor {
+	m := &Monitor{
+		view: view, replica: replica, clock: clock, log: log, metrics: metrics,
+		heard:  member.NewMonitor(silence),
+		duties: kernel.NewDuties(),
+	}
+	m.duties.Go(func(ctx context.Context) { m.watch(ctx, silence/4) })
+	return m
+}
+
+// String returns the service's name.
+func (m *Monitor) String() string { return "monitor" }
+
+// Stop ends looking for silence.
+func (m *Monitor) Stop(ctx context.Context) error { return m.duties.Stop(ctx) }
+
+func (m *Monitor) watch(ctx context.Context, interval time.Duration) {
+	last := m.clock.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.clock.After(interval):
+		}
+		now := m.clock.Now()
+		if now.Sub(last) > 2*interval {
+			// This process itself stood still, so what it has not heard says
+			// nothing about the others.
+			m.heard.Excuse(now)
+		}
+		last = now
+		for _, box := range m.heard.Silent(now) {
+			m.markSilent(box)
+		}
+	}
+}
+
+// markSilent publishes the version directly above the box's own.
+func (m *Monitor) markSilent(box member.BoxID) {
+	record, ok := m.view.Member(box)
+	if !ok || record.Status == member.StatusSilent {
+		return
+	}
+	record.Status = member.StatusSilent
+	item, err := record.Item()
+	if err != nil {
+		m.log.Error().Str("box", string(box)).Err(err).Msg("cannot mark box silent")
+		return
+	}
+	m.log.Warn().Str("box", string(box)).Msg("box is silent")
+	m.metrics.silent.Inc()
+	m.replica.Publish(item)
+}
+
+// Heartbeat answers a box.
+func (m *Monitor) Heartbeat(_ context.Context, request *wire.HeartbeatRequest) (*wire.HeartbeatResponse, error) {
+	box := member.BoxID(request.Box)
+	m.heard.Heard(box, m.clock.Now())
+	m.metrics.heartbeats.Inc()
+	if len(request.Record) > 0 {
+		if err := m.publish(request.Record); err != nil {
+			return nil, err
+		}
+	}
+	answer := &wire.HeartbeatResponse{}
+	m.fillKnown(box, answer)
+	m.fillAssignment(box, request, answer)
+	for _, wanted := range request.Wanted {
+		if swarm, ok := m.swarm(box, wanted); ok {
+			answer.Swarms = append(answer.Swarms, swarm)
+		}
+	}
+	answer.Entries = m.entriesFor(box)
+	return answer, nil
+}
+
+func (m *Monitor) publish(raw []byte) error {
+	record, err := member.ParseRecord(raw)
+	if err != nil {
+		return err
+	}
+	m.replica.Publish(state.Item{
+		Key: member.KeyPrefix + string(record.Box), Version: record.Version(), Value: raw,
+	})
+	return nil
+}
+
+func (m *Monitor) fillKnown(box member.BoxID, answer *wire.HeartbeatResponse) {
+	item, ok := m.replica.store.Lookup(member.KeyPrefix + string(box))
+	if !ok {
+		return
+	}
+	answer.KnownIncarnation = item.Version.Major
+	answer.KnownSequence = item.Version.Minor / 2
+	answer.Silent = item.Deleted || item.Version.Minor%2 == 1
+}
+
+func (m *Monitor) fillAssignment(box member.BoxID, request *wire.HeartbeatRequest, answer *wire.HeartbeatResponse) {
+	held, ok := m.view.assignment(box)
+	if !ok {
+		return
+	}
+	answer.AssignmentMajor, answer.AssignmentMinor = held.version.Major, held.version.Minor
+	theirs := state.Version{Major: request.AssignmentMajor, Minor: request.AssignmentMinor}
+	if held.version.Compare(theirs) > 0 {
+		answer.Assignment = held.raw
+	}
+}
+
+// swarm names the neighbours of a box for one manifest and, where the box does
+// not know them yet, all that want it.
+func (m *Monitor) swarm(box member.BoxID, wanted *wire.Wanted) (*wire.Swarm, bool) {
+	manifest, err := weights.DigestFromBytes(wanted.Manifest)
+	if err != nil {
+		return nil, false
+	}
+	carriers := m.view.Swarm(manifest)
+	swarm := &wire.Swarm{Manifest: wanted.Manifest, DrawersHash: hashBoxes(carriers)}
+	if swarm.DrawersHash != wanted.DrawersHash {
+		for _, carrier := range carriers {
+			swarm.Drawers = append(swarm.Drawers, string(carrier))
+		}
+	}
+	for _, neighbour := range m.neighbours(box, carriers) {
+		swarm.Neighbours = append(swarm.Neighbours, &wire.SwarmPeer{
+			Box: string(neighbour.Box), Address: string(neighbour.Peers),
+		})
+	}
+	return swarm, true
+}
+
+func hashBoxes(boxes []member.BoxID) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	for _, box := range boxes {
+		_, _ = digest.WriteString(string(box))
+		_, _ = digest.Write([]byte{0})
+	}
+	return digest.Sum64()
+}
+
+// neighbours prefers boxes of the same failure domain, then of the region, but
+// keeps places for far ones, so that chunks also cross.
+func (m *Monitor) neighbours(box member.BoxID, carriers []member.BoxID) []member.Record {
+	self, _ := m.view.Member(box)
+	var same, region, far []member.BoxID
+	for _, carrier := range carriers {
+		record, ok := m.view.Member(carrier)
+		switch {
+		case !ok || carrier == box || record.Status != member.StatusUp:
+		case record.FailureDomain == self.FailureDomain:
+			same = append(same, carrier)
+		case record.Region == self.Region:
+			region = append(region, carrier)
+		default:
+			far = append(far, carrier)
+		}
+	}
+	chosen := member.Rank(string(box), same, neighboursPerBox/2)
+	chosen = append(chosen, member.Rank(string(box), region, neighboursPerBox/4)...)
+	chosen = append(chosen, member.Rank(string(box), far, neighboursPerBox-len(chosen))...)
+	records := make([]member.Record, 0, len(chosen))
+	for _, id := range chosen {
+		if record, ok := m.view.Member(id); ok {
+			records = append(records, record)
+		}
+	}
+	return records
+}
+
+// entriesFor ranks the entry boxes of a box's region; where it has none, all.
+func (m *Monitor) entriesFor(box member.BoxID) []string {
+	self, _ := m.view.Member(box)
+	entries := m.view.Entries(self.Region)
+	if len(entries) < monitorsPerBox {
+		entries = m.view.Entries("")
+	}
+	var out []string
+	for _, address := range rankedMonitors(box, entries) {
+		out = append(out, string(address))
+	}
+	return out
+}
+
+func rankedMonitors(box member.BoxID, entries []member.Record) []member.Address {
+	addresses := make([]member.Address, 0, len(entries))
+	for _, entry := range entries {
+		if entry.Box != box {
+			addresses = append(addresses, entry.Peers)
+		}
+	}
+	return member.Rank(strings.ToLower(string(box)), addresses, entriesTold)
+}
--- /dev/null
+++ b/internal/daemon/operators.go
@@ -0,0 +1,279 @@
+package daemon
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/labstack/echo/v4"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rs/zerolog"
+
+	"github.com/cinderslip/cinderslip/internal/kernel"
+	"github.com/cinderslip/cinderslip/internal/platform"
+	"github.com/cinderslip/cinderslip/pkg/member"
+	"github.com/cinderslip/cinderslip/pkg/plan"
+	"github.com/cinderslip/cinderslip/pkg/table"
+)
+
+// patchLimit bounds an edit, in bytes.
+const patchLimit = 1 << 20
+
+// Operators answers operators over HTTP, apart from callers. Agents have only
+// the metrics and the health checks.
+type Operators struct {
+	options OperatorsOptions
+	token   string
+	duties  *kernel.Duties
+	server  *http.Server
+}
+
+// OperatorsOptions are the parts that Operators works with. View and
+// Configuration are nil on an agent.
+type OperatorsOptions struct {
+	TokenFile     string
+	View          *View
+	Configuration *Configuration
+	Metrics       *Metrics
+	Clock         clockwork.Clock
+	Log           zerolog.Logger
+	EntriesTTL    time.Duration
+	Self          func() member.Record
+	// Ready reports whether the process can do its work, and if not, why.
+	Ready func() (ok bool, why string)
+}
+
+// NewOperators starts to answer on a listener.
+func NewOperators(listener net.Listener, options OperatorsOptions) (*Operators, error) {
+	o := &Operators{options: options, duties: kernel.NewDuties()}
+	if options.TokenFile != "" {
+		content, err := os.ReadFile(options.TokenFile)
+		if err != nil {
+			return nil, fmt.Errorf("reading the operators' token: %w", err)
+		}
+		o.token = strings.TrimSpace(string(content))
+	}
+	router := newEcho()
+	router.GET("/healthz", func(e echo.Context) error { return e.String(http.StatusOK, "ok\n") })
+	router.GET("/readyz", o.ready)
+	secured := router.Group("", o.authorize)
+	secured.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(options.Metrics.registry, promhttp.HandlerOpts{})))
+	if options.View != nil {
+		secured.GET("/v1/table", o.getTable)
+		secured.PATCH("/v1/table", o.patchTable)
+		secured.GET("/v1/table/history", o.getHistory)
+		secured.GET("/v1/table/edits/:id", o.getEdit)
+		secured.GET("/v1/status", o.getStatus)
+		secured.GET("/v1/entries", o.getEntries)
+	}
+	o.server = &http.Server{
+		Handler: router, ReadHeaderTimeout: headerTimeout, IdleTimeout: connectionIdle, MaxHeaderBytes: headerLimit,
+	}
+	o.duties.Go(func(context.Context) {
+		if err := o.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			options.Log.Error().Err(err).Msg("operators' listener failed")
+		}
+	})
+	return o, nil
+}
+
+// String returns the service's name.
+func (o *Operators) String() string { return "operators" }
+
+// Stop finishes what is in progress.
+func (o *Operators) Stop(ctx context.Context) error {
+	err := o.server.Shutdown(ctx)
+	return errors.Join(err, o.duties.Stop(ctx))
+}
+
+func (o *Operators) authorize(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(e echo.Context) error {
+		given := strings.TrimPrefix(e.Request().Header.Get("Authorization"), "Bearer ")
+		if o.token != "" && subtle.ConstantTimeCompare([]byte(given), []byte(o.token)) != 1 {
+			e.Response().Header().Set("WWW-Authenticate", "Bearer")
+			writeProblem(e.Response(), Problem{Status: http.StatusUnauthorized, Detail: "want the operators' bearer token"})
+			return nil
+		}
+		return next(e)
+	}
+}
+
+func (o *Operators) ready(e echo.Context) error {
+	if ok, why := o.options.Ready(); !ok {
+		writeProblem(e.Response(), Problem{Status: http.StatusServiceUnavailable, Detail: why})
+		return nil
+	}
+	return e.String(http.StatusOK, "ready\n")
+}
+
+// TableAnswer is the table in force.
+type TableAnswer struct {
+	Revision table.Revision `json:"revision"`
+	Rows     []table.Row    `json:"rows"`
+}
+
+func etag(revision table.Revision) string {
+	return strconv.Quote(strconv.FormatUint(uint64(revision), 10))
+}
+
+func (o *Operators) getTable(e echo.Context) error {
+	rows, revision := o.options.View.Rows()
+	e.Response().Header().Set("ETag", etag(revision))
+	if strings.Contains(e.Request().Header.Get("Accept"), "text/csv") {
+		e.Response().Header().Set("Content-Type", "text/csv; charset=utf-8")
+		return table.WriteCSV(e.Response(), rows)
+	}
+	return e.JSON(http.StatusOK, TableAnswer{Revision: revision, Rows: rows})
+}
+
+// Patch is the body of an edit; its base revision is the If-Match header.
+type Patch struct {
+	ID      table.EditID   `json:"id"`
+	Author  string         `json:"author"`
+	Reason  string         `json:"reason,omitempty"`
+	Changes []table.Change `json:"changes"`
+}
+
+// PatchAnswer tells the revision at which an edit is in the table.
+type PatchAnswer struct {
+	Edit     table.EditID   `json:"edit"`
+	Revision table.Revision `json:"revision"`
+}
+
+func (o *Operators) patchTable(e echo.Context) error {
+	edit, problem := readPatch(e)
+	if problem != nil {
+		writeProblem(e.Response(), *problem)
+		return nil
+	}
+	held, err := o.options.Configuration.Edit(e.Request().Context(), edit)
+	if err != nil {
+		writeProblem(e.Response(), editProblem(edit.ID, err))
+		return nil
+	}
+	record, _ := held.Find(edit.ID)
+	e.Response().Header().Set("ETag", etag(held.Revision))
+	return e.JSON(http.StatusOK, PatchAnswer{Edit: edit.ID, Revision: record.Revision})
+}
+
+func readPatch(e echo.Context) (table.Edit, *Problem) {
+	base, err := strconv.ParseUint(strings.Trim(e.Request().Header.Get("If-Match"), `"`), 10, 64)
+	if err != nil {
+		return table.Edit{}, &Problem{
+			Status: http.StatusPreconditionRequired, Detail: "want If-Match with the revision that the edit is based on, as GET /v1/table gives it",
+		}
+	}
+	var patch Patch
+	decoder := json.NewDecoder(http.MaxBytesReader(e.Response(), e.Request().Body, patchLimit))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&patch); err != nil {
+		return table.Edit{}, &Problem{Status: http.StatusBadRequest, Detail: "reading the edit: " + err.Error()}
+	}
+	if patch.ID == "" || patch.Author == "" || len(patch.Changes) == 0 {
+		return table.Edit{}, &Problem{Status: http.StatusBadRequest, Detail: "want id, author and at least one of changes"}
+	}
+	return table.Edit{
+		ID: patch.ID, Author: patch.Author, Reason: patch.Reason, Base: table.Revision(base), Changes: patch.Changes,
+	}, nil
+}
+
+// editProblem tells what became of an edit that was not accepted.
+func editProblem(id table.EditID, err error) Problem {
+	var conflict *table.ConflictError
+	var findings table.Findings
+	problem := Problem{Detail: err.Error(), Edit: id}
+	switch {
+	case errors.As(err, &conflict):
+		problem.Status, problem.Title, problem.Conflicts = http.StatusConflict, "Edit in conflict", conflict.Conflicts
+	case errors.As(err, &findings):
+		problem.Status, problem.Title, problem.Findings = http.StatusUnprocessableEntity, "Table not valid", findings
+	case errors.Is(err, table.ErrBaseAhead):
+		problem.Status, problem.Title = http.StatusPreconditionFailed, "Unknown revision"
+	case errors.Is(err, ErrUndecided):
+		problem.Status, problem.Title = http.StatusGatewayTimeout, "Edit undecided"
+		problem.Reason = "undecided"
+	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrLimited):
+		problem.Status, problem.Title = http.StatusServiceUnavailable, "Nothing was changed"
+	default:
+		problem.Status = http.StatusInternalServerError
+	}
+	return problem
+}
+
+func (o *Operators) getHistory(e echo.Context) error {
+	records, err := o.options.Configuration.History(e.Request().Context())
+	if err != nil {
+		writeProblem(e.Response(), editProblem("", err))
+		return nil
+	}
+	return e.JSON(http.StatusOK, records)
+}
+
+// getEdit settles an edit that was undecided.
+func (o *Operators) getEdit(e echo.Context) error {
+	id := table.EditID(e.Param("id"))
+	record, found, err := o.options.Configuration.Find(e.Request().Context(), id)
+	if err != nil {
+		writeProblem(e.Response(), editProblem(id, err))
+		return nil
+	}
+	if !found {
+		writeProblem(e.Response(), Problem{Status: http.StatusNotFound, Edit: id, Detail: "no such edit is in the table"})
+		return nil
+	}
+	return e.JSON(http.StatusOK, record)
+}
+
+// StatusAnswer is what an entry box knows of the whole.
+type StatusAnswer struct {
+	Self   member.Record   `json:"self"`
+	Table  table.Revision  `json:"table_revision"`
+	Plan   plan.Head       `json:"plan"`
+	Rows   []RowStatus     `json:"rows"`
+	Boxes  []member.Record `json:"boxes"`
+	Wanted []BoxWanted     `json:"wanted"`
+}
+
+// RowStatus is a row of the table with what is in force for it.
+type RowStatus struct {
+	table.Row
+	Plan plan.RowPlan `json:"plan"`
+}
+
+// BoxWanted is what the plan wants on a box.
+type BoxWanted struct {
+	Box     member.BoxID   `json:"box"`
+	Weights []plan.Weights `json:"weights"`
+}
+
+func (o *Operators) getStatus(e echo.Context) error {
+	rows, revision := o.options.View.Rows()
+	current, head := o.options.View.Plan()
+	answer := StatusAnswer{
+		Self: o.options.Self(), Table: revision, Plan: head,
+		Rows: []RowStatus{}, Boxes: o.options.View.Members(), Wanted: []BoxWanted{},
+	}
+	for _, row := range rows {
+		answer.Rows = append(answer.Rows, RowStatus{Row: row, Plan: current.Rows[row.Key()]})
+	}
+	for _, record := range answer.Boxes {
+		if assignment, ok := current.Boxes[record.Box]; ok {
+			answer.Wanted = append(answer.Wanted, BoxWanted{Box: record.Box, Weights: assignment.Weights})
+		}
+	}
+	return e.JSON(http.StatusOK, answer)
+}
+
+func (o *Operators) getEntries(e echo.Context) error {
+	service := member.Service(e.QueryParam("service"))
+	return e.JSON(http.StatusOK, entriesAnswer(o.options.View, service, o.options.Self().Region, o.options.EntriesTTL))
+}
--- /dev/null
+++ b/internal/daemon/peers.go
@@ -0,0 +1,98 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/rs/zerolog"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcpool"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
+
+	"github.com/cinderslip/cinderslip/internal/kernel"
+	"github.com/cinderslip/cinderslip/pkg/member"
+)
+
+// errDial reports that no connection could be opened, so that nothing was sent.
+var errDial = errors.New("cannot connect")
+
+const (
+	dialTimeout = time.Second
+	// messageLimit bounds one message between the system's processes, in bytes.
+	messageLimit = 16 << 20
+	// idleConnections bounds the unused connections kept to one peer.
+	idleConnections = 32
+	// idleTime is how long an unused connection is kept.
+	idleTime = time.Minute
+)
+
+// Peers opens and keeps connections to other processes. A connection carries one
+// call at a time, so a peer has as many as there are calls in progress, and the
+// idle ones are kept for a while.
+type Peers struct {
+	pool *drpcpool.Pool[member.Address, drpcpool.Conn]
+}
+
+// NewPeers returns peers without connections.
+func NewPeers() *Peers {
+	return &Peers{pool: drpcpool.New[member.Address, drpcpool.Conn](drpcpool.Options{
+		Expiration: idleTime, KeyCapacity: idleConnections,
+	})}
+}
+
+// String returns the service's name.
+func (p *Peers) String() string { return "peers" }
+
+// Stop closes the idle connections.
+func (p *Peers) Stop(context.Context) error { return p.pool.Close() }
+
+// Conn returns a connection for one call. The errors of the call wrap errDial if
+// the peer could not be reached.
+func (p *Peers) Conn(address member.Address) drpc.Conn {
+	return p.pool.Get(context.Background(), address, dialPeer)
+}
+
+func dialPeer(ctx context.Context, address member.Address) (drpcpool.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	raw, err := dialer.DialContext(ctx, "tcp", string(address))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errDial, err)
+	}
+	return drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: managerOptions()}), nil
+}
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: messageLimit}}
+}
+
+// PeerServer answers the calls of other processes.
+type PeerServer struct {
+	mux    *drpcmux.Mux
+	duties *kernel.Duties
+}
+
+// NewPeerServer returns a server on a listener; register what it answers with
+// the mux before anyone is told of the address.
+func NewPeerServer(listener net.Listener, mux *drpcmux.Mux, log zerolog.Logger) *PeerServer {
+	s := &PeerServer{mux: mux, duties: kernel.NewDuties()}
+	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
+	s.duties.Go(func(ctx context.Context) {
+		if err := server.Serve(ctx, listener); err != nil && ctx.Err() == nil {
+			log.Error().Err(err).Msg("peer listener failed")
+		}
+	})
+	return s
+}
+
+// String returns the service's name.
+func (s *PeerServer) String() string { return "peer-server" }
+
+// Stop closes the listener and every connection.
+func (s *PeerServer) Stop(ctx context.Context) error { return s.duties.Stop(ctx) }
--- /dev/null
+++ b/internal/daemon/steps.go
@@ -0,0 +1,355 @@
+package daemon
+
+import (
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cinderslip/cinderslip/internal/kernel"
+	"github.com/cinderslip/cinderslip/internal/platform"
+	"github.com/cinderslip/cinderslip/internal/settings"
+	"github.com/cinderslip/cinderslip/internal/wire"
+	"github.com/cinderslip/cinderslip/pkg/member"
+	"github.com/cinderslip/cinderslip/pkg/state"
+	"github.com/cinderslip/cinderslip/pkg/table"
+	"github.com/cinderslip/cinderslip/pkg/weights"
+)
+
+// steps start a process, each service after those that it builds on. Services
+// stop in the reverse order, so what serves callers comes last.
+var steps = []Step{
+	listenStep{},
+	peersStep{},
+	entryStateStep{},
+	entryHeartStep{},
+	entryDutiesStep{},
+	agentHeartStep{},
+	agentWeightsStep{},
+	operatorsStep{},
+	peerServerStep{},
+	callersStep{},
+	gateStep{},
+}
+
+// everyRole is embedded by steps that every role needs.
+type everyRole struct{}
+
+// Skip is false.
+func (everyRole) Skip(*Process) bool { return false }
+
+// entryOnly is embedded by steps of the entry role.
+type entryOnly struct{}
+
+// Skip is true on an agent.
+func (entryOnly) Skip(p *Process) bool { return p.settings.Role != settings.RoleEntry }
+
+// agentOnly is embedded by steps of the agent role.
+type agentOnly struct{}
+
+// Skip is true on an entry box.
+func (agentOnly) Skip(p *Process) bool { return p.settings.Role != settings.RoleAgent }
+
+// listenStep opens the listeners before anything tells their addresses.
+type listenStep struct{ everyRole }
+
+func (listenStep) String() string { return "listeners" }
+
+func (listenStep) Run(p *Process) error {
+	var err error
+	if p.peersAt, err = net.Listen("tcp", p.settings.Listen.Peers); err != nil {
+		return fmt.Errorf("listening for peers: %w", err)
+	}
+	if p.operators, err = net.Listen("tcp", p.settings.Listen.Operators); err != nil {
+		return fmt.Errorf("listening for operators: %w", err)
+	}
+	if p.settings.Role == settings.RoleEntry {
+		if p.callers, err = net.Listen("tcp", p.settings.Listen.Callers); err != nil {
+			return fmt.Errorf("listening for callers: %w", err)
+		}
+	}
+	return nil
+}
+
+// peersStep makes the connections to other processes.
+type peersStep struct{ everyRole }
+
+func (peersStep) String() string { return "peers" }
+
+func (peersStep) Run(p *Process) error {
+	p.peers = NewPeers()
+	return p.kernel.Register(p.peers)
+}
+
+// entryStateStep makes the replicated state and what keeps it in step.
+type entryStateStep struct{ entryOnly }
+
+func (entryStateStep) String() string { return "replicated state" }
+
+func (entryStateStep) Run(p *Process) error {
+	store := state.NewStore(uint64(p.options.Clock.Now().UnixNano()))
+	view := NewView(store, member.Region(p.settings.Region), p.options.Log)
+	if err := p.kernel.Register(view); err != nil {
+		return err
+	}
+	relays := NewRelays(view, p.record(member.RoleEntry), p.seeds)
+	replica := NewReplica(store, p.peers, p.options.Clock, p.options.Log, relays.Addresses)
+	p.relays = relays
+	if err := wire.DRPCRegisterReplica(p.mux, replica); err != nil {
+		return err
+	}
+	return p.kernel.Register(replica)
+}
+
+// seeds are the entry boxes to begin with: those of the settings, and those that
+// the platform lists.
+func (p *Process) seeds() []member.Address {
+	seeds := p.entryAddresses()
+	lister, err := kernel.Find[*Lister](p.kernel, "lister")
+	if err != nil {
+		return seeds
+	}
+	for _, entry := range lister.Entries() {
+		if string(entry) != p.PeersAddress() && !slices.Contains(seeds, entry) {
+			seeds = append(seeds, entry)
+		}
+	}
+	return seeds
+}
+
+// entryHeartStep publishes the entry box's own record.
+type entryHeartStep struct{ entryOnly }
+
+func (entryHeartStep) String() string { return "entry heart" }
+
+func (entryHeartStep) Run(p *Process) error {
+	view, err := kernel.Find[*View](p.kernel, "view")
+	if err != nil {
+		return err
+	}
+	replica, err := kernel.Find[*Replica](p.kernel, "replica")
+	if err != nil {
+		return err
+	}
+	record := p.record(member.RoleEntry)
+	p.heart = NewHeart(record, HeartOptions{
+		Peers: p.peers, Clock: p.options.Clock, Log: p.options.Log,
+		Interval: time.Duration(p.settings.Peers.Heartbeat),
+		Monitors: func() []member.Address {
+			if near := rankedMonitors(record.Box, view.Entries(record.Region)); len(near) > 0 {
+				return near
+			}
+			return p.seeds()
+		},
+		Fill:     func(*wire.HeartbeatRequest) {},
+		Answered: func(member.Address, *wire.HeartbeatResponse) {},
+		Changed: func(record member.Record) {
+			item, err := record.Item()
+			if err != nil {
+				p.options.Log.Error().Err(err).Msg("own record cannot be published")
+				return
+			}
+			replica.Publish(item)
+		},
+	})
+	return p.kernel.Register(p.heart)
+}
+
+// entryDutiesStep starts the monitor, the configuration, the lister and the
+// planner.
+type entryDutiesStep struct{ entryOnly }
+
+func (entryDutiesStep) String() string { return "entry duties" }
+
+func (entryDutiesStep) Run(p *Process) error {
+	view, err := kernel.Find[*View](p.kernel, "view")
+	if err != nil {
+		return err
+	}
+	replica, err := kernel.Find[*Replica](p.kernel, "replica")
+	if err != nil {
+		return err
+	}
+	clock, log, isRelay := p.options.Clock, p.options.Log, p.relays.IsRelay
+	monitor := NewMonitor(view, replica, clock, log, p.metrics, time.Duration(p.settings.Peers.Silence))
+	if err := wire.DRPCRegisterMonitor(p.mux, monitor); err != nil {
+		return err
+	}
+	kv := platform.NewKeyValue(p.settings.Platform.KeyValue, p.client)
+	list := platform.NewBoxList(p.settings.Platform.BoxList, p.client)
+	for _, service := range []kernel.Service{
+		monitor,
+		NewConfiguration(kv, p.sources(), replica, clock, log, p.metrics, isRelay),
+		NewLister(list, view, replica, clock, log, isRelay),
+		NewPlanner(member.BoxID(p.settings.Box), kv, p.sources(), view, replica, clock, log, p.metrics, isRelay,
+			time.Duration(p.settings.Peers.Heartbeat)),
+	} {
+		if err := p.kernel.Register(service); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// agentHeartStep starts the agent's heartbeats.
+type agentHeartStep struct{ agentOnly }
+
+func (agentHeartStep) String() string { return "agent heart" }
+
+// toldEntries remembers the entry boxes that monitors named last.
+type toldEntries struct {
+	mu      sync.Mutex
+	entries []member.Address
+}
+
+func (t *toldEntries) set(entries []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.entries = t.entries[:0:0]
+	for _, entry := range entries {
+		t.entries = append(t.entries, member.Address(entry))
+	}
+}
+
+// with returns the entries told, then those of the settings.
+func (t *toldEntries) with(seeds []member.Address) []member.Address {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	all := slices.Clone(t.entries)
+	for _, seed := range seeds {
+		if !slices.Contains(all, seed) {
+			all = append(all, seed)
+		}
+	}
+	return all
+}
+
+func (agentHeartStep) Run(p *Process) error {
+	record := p.record(member.RoleAgent)
+	for _, model := range p.settings.Agent.Engine.Models {
+		record.Models = append(record.Models, table.Model(model))
+	}
+	if len(record.Models) > 0 {
+		record.Slots = p.settings.Agent.Engine.Slots
+	}
+	for _, service := range p.settings.Agent.Services {
+		record.Services = append(record.Services, member.Service(service.Name))
+	}
+	told := &toldEntries{}
+	p.heart = NewHeart(record, HeartOptions{
+		Peers: p.peers, Clock: p.options.Clock, Log: p.options.Log,
+		Interval: time.Duration(p.settings.Peers.Heartbeat),
+		Monitors: func() []member.Address { return told.with(p.entryAddresses()) },
+		Fill: func(request *wire.HeartbeatRequest) {
+			if copier, err := kernel.Find[*Copier](p.kernel, "copier"); err == nil {
+				copier.Fill(request)
+			}
+		},
+		Answered: func(_ member.Address, answer *wire.HeartbeatResponse) {
+			if len(answer.Entries) > 0 {
+				told.set(answer.Entries)
+			}
+			if copier, err := kernel.Find[*Copier](p.kernel, "copier"); err == nil {
+				copier.Answered(answer)
+			}
+		},
+	})
+	return p.kernel.Register(p.heart)
+}
+
+// agentWeightsStep starts the gate, the copier and the chunk server.
+type agentWeightsStep struct{ agentOnly }
+
+func (agentWeightsStep) String() string { return "agent weights" }
+
+func (agentWeightsStep) Run(p *Process) error {
+	services := make(map[member.Service]string)
+	for _, service := range p.settings.Agent.Services {
+		services[member.Service(service.Name)] = service.URL
+	}
+	engine := p.settings.Agent.Engine.URL
+	p.gate = NewGate(engine, services, p.heart.Record, p.options.Clock, p.options.Log, p.metrics)
+	if err := wire.DRPCRegisterBackend(p.mux, p.gate); err != nil {
+		return err
+	}
+	store := weights.NewMemoryStore(p.settings.Weights.MemoryLimit)
+	if err := wire.DRPCRegisterChunks(p.mux, NewChunkServer(store, p.metrics)); err != nil {
+		return err
+	}
+	picker := weights.DefaultPickerOptions()
+	picker.DrawWait = time.Duration(p.settings.Weights.DrawWait)
+	copier := NewCopier(CopierOptions{
+		Self: member.BoxID(p.settings.Box), Peers: p.peers, Store: store, Sources: p.sources(),
+		Engine: platform.NewEngine(engine, p.client), Gate: p.gate, Heart: p.heart,
+		Clock: p.options.Clock, Log: p.options.Log, Metrics: p.metrics, Picker: picker,
+	})
+	return p.kernel.Register(copier)
+}
+
+// operatorsStep answers operators.
+type operatorsStep struct{ everyRole }
+
+func (operatorsStep) String() string { return "operators" }
+
+func (operatorsStep) Run(p *Process) error {
+	options := OperatorsOptions{
+		TokenFile: p.settings.Operators.TokenFile, Metrics: p.metrics, Clock: p.options.Clock, Log: p.options.Log,
+		EntriesTTL: time.Duration(p.settings.Requests.EntriesTTL), Self: p.heart.Record,
+		Ready: func() (bool, string) { return true, "" },
+	}
+	if p.settings.Role == settings.RoleEntry {
+		view, err := kernel.Find[*View](p.kernel, "view")
+		if err != nil {
+			return err
+		}
+		if options.Configuration, err = kernel.Find[*Configuration](p.kernel, "configuration"); err != nil {
+			return err
+		}
+		options.View = view
+		options.Ready = func() (bool, string) {
+			if view.Head().Epoch == 0 {
+				return false, "no plan is in force yet"
+			}
+			return true, ""
+		}
+	}
+	operators, err := NewOperators(p.operators, options)
+	if err != nil {
+		return err
+	}
+	return p.kernel.Register(operators)
+}
+
+// peerServerStep begins to answer other processes.
+type peerServerStep struct{ everyRole }
+
+func (peerServerStep) String() string { return "peer server" }
+
+func (peerServerStep) Run(p *Process) error {
+	return p.kernel.Register(NewPeerServer(p.peersAt, p.mux, p.options.Log))
+}
+
+// callersStep begins to answer callers.
+type callersStep struct{ entryOnly }
+
+func (callersStep) String() string { return "callers" }
+
+func (callersStep) Run(p *Process) error {
+	view, err := kernel.Find[*View](p.kernel, "view")
+	if err != nil {
+		return err
+	}
+	return p.kernel.Register(NewCallers(p.callers, CallersOptions{
+		Settings: p.settings.Requests, Region: member.Region(p.settings.Region), View: view, Peers: p.peers,
+		Clock: p.options.Clock, Log: p.options.Log, Metrics: p.metrics,
+	}))
+}
+
+// gateStep registers the gate last, so that it is the first to stop and waits
+// for the requests in progress while all else still runs.
+type gateStep struct{ agentOnly }
+
+func (gateStep) String() string { return "gate" }
+
+func (gateStep) Run(p *Process) error { return p.kernel.Register(p.gate) }
--- /dev/null
+++ b/internal/daemon/view.go
@@ -0,0 +1,345 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/rs/zerolog"
+
+	"github.com/cinderslip/cinderslip/internal/kernel"
+	"github.com/cinderslip/cinderslip/pkg/member"
+	"github.com/cinderslip/cinderslip/pkg/plan"
+	"github.com/cinderslip/cinderslip/pkg/route"
+	"github.com/cinderslip/cinderslip/pkg/state"
+	"github.com/cinderslip/cinderslip/pkg/table"
+	"github.com/cinderslip/cinderslip/pkg/weights"
+)
+
+// tableRowPrefix starts the key of each row of the table in the store. The item
+// tableHeadKey holds the revision up to which the rows are in force.
+const (
+	tableRowPrefix = "table/row/"
+	tableHeadKey   = "table/head"
+)
+
+// assigned is a box's assignment with the version under which it is replicated.
+type assigned struct {
+	plan.Assignment
+	version state.Version
+	raw     []byte
+}
+
+// View is the replicated items read into the form that decisions need. One duty
+// follows the store; what changes is applied item by item.
+type View struct {
+	region member.Region
+	store  *state.Store
+	log    zerolog.Logger
+	router *route.Router
+	duties *kernel.Duties
+
+	mu          sync.RWMutex
+	members     map[member.BoxID]member.Record
+	rows        map[table.Key]table.Row
+	revision    table.Revision
+	boxes       map[member.BoxID]assigned
+	planRows    map[table.Key]plan.RowPlan
+	head        plan.Head
+	swarms      map[weights.Digest]map[member.BoxID]bool
+	changed     chan struct{}
+	shareChange uint64
+	entryChange uint64
+	// hinted holds the incarnation of boxes that the platform lists as leaving.
+	hinted map[member.BoxID]member.Incarnation
+}
+
+// NewView follows a store and keeps a router for callers of a region.
+func NewView(store *state.Store, region member.Region, log zerolog.Logger) *View {
+	v := &View{
+		region: region, store: store, log: log,
+		router:   route.NewRouter(region),
+		duties:   kernel.NewDuties(),
+		members:  make(map[member.BoxID]member.Record),
+		rows:     make(map[table.Key]table.Row),
+		boxes:    make(map[member.BoxID]assigned),
+		planRows: make(map[table.Key]plan.RowPlan),
+		swarms:   make(map[weights.Digest]map[member.BoxID]bool),
+		changed:  make(chan struct{}),
+		hinted:   make(map[member.BoxID]member.Incarnation),
+	}
+	v.duties.Go(v.follow)
+	return v
+}
+
+// String returns the service's name.
+func (v *View) String() string { return "view" }
+
+// Stop ends following the store.
+func (v *View) Stop(ctx context.Context) error { return v.duties.Stop(ctx) }
+
+// Router returns the router that the view keeps.
+func (v *View) Router() *route.Router { return v.router }
+
+func (v *View) follow(ctx context.Context) {
+	var cursor state.Cursor
+	for {
+		changed := v.store.Changed()
+		batch := v.store.Since(cursor, 0)
+		cursor = batch.Next
+		if len(batch.Items) > 0 {
+			v.apply(batch.Items)
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+func (v *View) apply(items []state.Item) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, item := range items {
+		if err := v.applyItem(item); err != nil {
+			v.log.Error().Str("key", item.Key).Err(err).Msg("replicated item cannot be read")
+		}
+	}
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
+
+func (v *View) applyItem(item state.Item) error {
+	switch {
+	case strings.HasPrefix(item.Key, member.KeyPrefix):
+		return v.applyMember(item)
+	case strings.HasPrefix(item.Key, leavingPrefix):
+		return v.applyHint(item)
+	case strings.HasPrefix(item.Key, tableRowPrefix):
+		v.shareChange++
+		return applyKeyed(v.rows, tableRowPrefix, item)
+	case strings.HasPrefix(item.Key, plan.RowPrefix):
+		v.shareChange++
+		return applyKeyed(v.planRows, plan.RowPrefix, item)
+	case strings.HasPrefix(item.Key, plan.BoxPrefix):
+		return v.applyAssignment(item)
+	case item.Key == tableHeadKey:
+		return json.Unmarshal(item.Value, &v.revision)
+	case item.Key == plan.HeadKey:
+		return json.Unmarshal(item.Value, &v.head)
+	}
+	return nil
+}
+
+func (v *View) applyMember(item state.Item) error {
+	box := member.BoxID(strings.TrimPrefix(item.Key, member.KeyPrefix))
+	v.shareChange++
+	if item.Deleted {
+		if v.members[box].Role == member.RoleEntry {
+			v.entryChange++
+		}
+		delete(v.members, box)
+		delete(v.hinted, box)
+		v.router.Remove(box)
+		return nil
+	}
+	record, err := member.ParseRecord(item.Value)
+	if err != nil {
+		return err
+	}
+	v.setMember(record)
+	return nil
+}
+
+// setMember keeps a record, with the platform's hint that the box is leaving.
+func (v *View) setMember(record member.Record) {
+	if record.Status == member.StatusUp && v.hinted[record.Box] == record.Incarnation {
+		record.Status = member.StatusLeaving
+	}
+	if record.Role == member.RoleEntry {
+		v.entryChange++
+	}
+	v.members[record.Box] = record
+	v.router.Set(record)
+}
+
+func (v *View) applyHint(item state.Item) error {
+	box := member.BoxID(strings.TrimPrefix(item.Key, leavingPrefix))
+	v.hinted[box] = member.Incarnation(item.Version.Major)
+	if record, ok := v.members[box]; ok {
+		v.shareChange++
+		v.setMember(record)
+	}
+	return nil
+}
+
+func (v *View) applyAssignment(item state.Item) error {
+	box := member.BoxID(strings.TrimPrefix(item.Key, plan.BoxPrefix))
+	for _, held := range v.boxes[box].Weights {
+		delete(v.swarms[held.Manifest], box)
+		if len(v.swarms[held.Manifest]) == 0 {
+			delete(v.swarms, held.Manifest)
+		}
+	}
+	if item.Deleted {
+		delete(v.boxes, box)
+		return nil
+	}
+	next := assigned{version: item.Version, raw: item.Value}
+	if err := json.Unmarshal(item.Value, &next.Assignment); err != nil {
+		return err
+	}
+	v.boxes[box] = next
+	for _, held := range next.Weights {
+		if v.swarms[held.Manifest] == nil {
+			v.swarms[held.Manifest] = make(map[member.BoxID]bool)
+		}
+		v.swarms[held.Manifest][box] = true
+	}
+	return nil
+}
+
+// applyKeyed keeps a value under the row key that its item's key holds.
+func applyKeyed[V any](values map[table.Key]V, prefix string, item state.Item) error {
+	group, model, _ := strings.Cut(strings.TrimPrefix(item.Key, prefix), "/")
+	key := table.Key{Group: table.Group(group), Model: table.Model(model)}
+	if item.Deleted {
+		delete(values, key)
+		return nil
+	}
+	var value V
+	if err := json.Unmarshal(item.Value, &value); err != nil {
+		return err
+	}
+	values[key] = value
+	return nil
+}
+
+// Changed returns a channel that is closed at the next change.
+func (v *View) Changed() <-chan struct{} {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.changed
+}
+
+// ShareGeneration changes whenever something does that shares depend on.
+func (v *View) ShareGeneration() uint64 {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.shareChange
+}
+
+// EntryGeneration changes whenever the record of an entry box does.
+func (v *View) EntryGeneration() uint64 {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.entryChange
+}
+
+// Rows returns the table in force, ordered, with its revision.
+func (v *View) Rows() ([]table.Row, table.Revision) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	rows := slices.Collect(maps.Values(v.rows))
+	table.SortRows(rows)
+	return rows, v.revision
+}
+
+// Members returns all records, ordered by box.
+func (v *View) Members() []member.Record {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	records := slices.Collect(maps.Values(v.members))
+	slices.SortFunc(records, func(a, b member.Record) int { return strings.Compare(string(a.Box), string(b.Box)) })
+	return records
+}
+
+// Member returns the record of a box.
+func (v *View) Member(box member.BoxID) (member.Record, bool) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	record, ok := v.members[box]
+	return record, ok
+}
+
+// Entries returns the entry boxes that are up, of one region or, for the empty
+// region, of all; ordered by box.
+func (v *View) Entries(region member.Region) []member.Record {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	var entries []member.Record
+	for _, record := range v.members {
+		if record.Role == member.RoleEntry && record.Status == member.StatusUp && (region == "" || record.Region == region) {
+			entries = append(entries, record)
+		}
+	}
+	slices.SortFunc(entries, func(a, b member.Record) int { return strings.Compare(string(a.Box), string(b.Box)) })
+	return entries
+}
+
+// Plan returns the plan in force with its head.
+func (v *View) Plan() (plan.Plan, plan.Head) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	current := plan.Plan{
+		Boxes: make(map[member.BoxID]plan.Assignment, len(v.boxes)),
+		Rows:  maps.Clone(v.planRows),
+	}
+	for box, held := range v.boxes {
+		current.Boxes[box] = held.Assignment
+	}
+	return current, v.head
+}
+
+// Head returns the name of the plan in force.
+func (v *View) Head() plan.Head {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.head
+}
+
+// PlanRows returns what is in force for every row.
+func (v *View) PlanRows() map[table.Key]plan.RowPlan {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return maps.Clone(v.planRows)
+}
+
+// Row returns what is in force for a group and model.
+func (v *View) Row(key table.Key) (plan.RowPlan, bool) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	row, ok := v.planRows[key]
+	return row, ok
+}
+
+// HasModel reports whether the table has a row for the model.
+func (v *View) HasModel(model table.Model) bool {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	for key := range v.rows {
+		if key.Model == model {
+			return true
+		}
+	}
+	return false
+}
+
+func (v *View) assignment(box member.BoxID) (assigned, bool) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	held, ok := v.boxes[box]
+	return held, ok
+}
+
+// Swarm returns the boxes that carry a manifest or are to, ordered by box.
+func (v *View) Swarm(manifest weights.Digest) []member.BoxID {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return slices.Sorted(maps.Keys(v.swarms[manifest]))
+}
--- /dev/null
+++ b/internal/dev/dev.go
@@ -0,0 +1,381 @@
+// Package dev runs every role and the stand-ins of the platform in one process
+// on 127.0.0.1, for newcomers and for tests.
+//
+// It publishes two versions of one model and one of another, writes an example
+// table, and starts two entry boxes and four agents with an engine each; the
+// last agent also has a plain service.
+//
+// # Usage
+//
+//	cluster, err := dev.Start(dev.Options{Clock: clockwork.NewRealClock(), Log: log})
+//	fmt.Println(cluster.Entries())
+//	err = cluster.Stop(ctx)
+package dev
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+
+	"github.com/cinderslip/cinderslip/internal/daemon"
+	"github.com/cinderslip/cinderslip/internal/platform"
+	"github.com/cinderslip/cinderslip/internal/settings"
+	"github.com/cinderslip/cinderslip/internal/standin"
+	"github.com/cinderslip/cinderslip/pkg/member"
+	"github.com/cinderslip/cinderslip/pkg/table"
+)
+
+// The example.
+const (
+	Model        = "kakiwake"
+	OtherModel   = "sokuryo"
+	LocalModel   = "local"
+	PlainService = "chizu"
+	Group        = "kumiai"
+
+	versionOne   = "2026.11"
+	versionTwo   = "2026.12"
+	otherVersion = "2026.10"
+	localVersion = "v1"
+)
+
+const (
+	entryBoxes = 2
+	agentBoxes = 4
+	loopback   = "127.0.0.1:0"
+
+	exampleSize  = 4 << 20
+	exampleChunk = 256 << 10
+	localChunk   = 4 << 20
+	// originRate and storeRate are in bytes per second.
+	originRate = 64 << 20
+	storeRate  = 32 << 20
+	listLag    = 2 * time.Second
+
+	heartbeat  = 250 * time.Millisecond
+	silence    = 1500 * time.Millisecond
+	entriesTTL = time.Second
+	stopGrace  = 20 * time.Second
+	tokenTime  = 40 * time.Millisecond
+	tokens     = 24
+	slots      = 4
+	// readyLimit is how long Start waits for the example to be live.
+	readyLimit = 4 * time.Second
+	readyPoll  = 20 * time.Millisecond
+)
+
+// Options says how the example is started.
+type Options struct {
+	Clock clockwork.Clock
+	Log   zerolog.Logger
+	// WeightsDir is a directory to publish as a version of LocalModel; may be "".
+	WeightsDir string
+	// Callers and Operators fix the first entry box's addresses; may be "".
+	Callers, Operators string
+}
+
+// Cluster is the running example.
+type Cluster struct {
+	options   Options
+	servers   []*http.Server
+	entries   []*daemon.Process
+	agents    []*daemon.Process
+	platform  settings.Platform
+	kv        *standin.KeyValue
+	origin    *standin.Registry
+	store     *standin.Registry
+	list      *standin.BoxList
+	published chan struct{}
+}
+
+// Start starts the stand-ins and the roles and waits until the example table is
+// live, at most readyLimit.
+func Start(options Options) (*Cluster, error) {
+	c := &Cluster{options: options, published: make(chan struct{})}
+	if err := errors.Join(c.startPlatform(), c.writeTable()); err != nil {
+		return nil, errors.Join(err, c.Stop(context.Background()))
+	}
+	if err := c.startRoles(); err != nil {
+		return nil, errors.Join(err, c.Stop(context.Background()))
+	}
+	c.awaitLive()
+	go c.publishLocal()
+	return c, nil
+}
+
+// serve answers a handler on a loopback address and returns its base URL.
+func (c *Cluster) serve(handler http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return "", fmt.Errorf("listening for a stand-in: %w", err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
+	c.servers = append(c.servers, server)
+	go func() { _ = server.Serve(listener) }()
+	return "http://" + listener.Addr().String(), nil
+}
+
+func (c *Cluster) startPlatform() error {
+	clock := c.options.Clock
+	c.kv = standin.NewKeyValue(clock)
+	c.origin = standin.NewRegistry(clock, originRate)
+	c.store = standin.NewRegistry(clock, storeRate)
+	c.list = standin.NewBoxList(clock, listLag)
+	var problems [4]error
+	c.platform.KeyValue, problems[0] = c.serve(c.kv)
+	c.platform.Origin, problems[1] = c.serve(c.origin)
+	c.platform.WeightStore, problems[2] = c.serve(c.store)
+	c.platform.BoxList, problems[3] = c.serve(c.list)
+	return errors.Join(append(problems[:], c.publishExample())...)
+}
+
+// publishExample makes weights from a fixed seed. The second version of the
+// model shares half of its chunks with the first.
+func (c *Cluster) publishExample() error {
+	common, first, second, other := content(1), content(2), content(3), content(4)
+	versions := []struct {
+		model, version string
+		files          []standin.NamedFile
+	}{
+		{Model, versionOne, files(common, first)},
+		{Model, versionTwo, files(common, second)},
+		{OtherModel, otherVersion, files(other)},
+	}
+	for _, v := range versions {
+		for _, registry := range []*standin.Registry{c.origin, c.store} {
+			if _, err := registry.Publish(v.model, v.version, v.files, exampleChunk); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func content(seed byte) []byte {
+	data := make([]byte, exampleSize/2)
+	_, _ = rand.NewChaCha8([32]byte{seed}).Read(data)
+	return data
+}
+
+func files(contents ...[]byte) []standin.NamedFile {
+	var named []standin.NamedFile
+	for i, data := range contents {
+		named = append(named, standin.NamedFile{Name: fmt.Sprintf("model-%d.safetensors", i), Content: data})
+	}
+	return named
+}
+
+// writeTable writes the example table as a first edit.
+func (c *Cluster) writeTable() error {
+	rows := []table.Row{
+		{Group: Group, Model: Model, Weight: 2, Floor: 0.25, Ceiling: 1, Version: versionOne},
+		{Group: "nouka", Model: Model, Weight: 1, Floor: 0.25, Ceiling: 0.75, Version: versionOne},
+		{Group: Group, Model: OtherModel, Weight: 1, Ceiling: 1, Version: otherVersion},
+	}
+	return c.edit(table.Edit{ID: "example", Author: "dev", Reason: "example table", Changes: table.Diff(nil, rows)})
+}
+
+// edit writes an edit straight to the key-value service.
+func (c *Cluster) edit(edit table.Edit) error {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	kv := platform.NewKeyValue(c.platform.KeyValue, http.DefaultClient)
+	for {
+		held, err := kv.Get(ctx, "cinderslip/table")
+		if err != nil {
+			return fmt.Errorf("reading the table: %w", err)
+		}
+		current := &table.Table{}
+		if held.Revision != 0 {
+			if err := json.Unmarshal(held.Value, current); err != nil {
+				return fmt.Errorf("decoding the table: %w", err)
+			}
+		}
+		edit.Base = current.Revision
+		next, err := current.Apply(edit, c.options.Clock.Now())
+		if err != nil {
+			return fmt.Errorf("editing the table: %w", err)
+		}
+		var value bytes.Buffer
+		if err := json.NewEncoder(&value).Encode(next); err != nil {
+			return fmt.Errorf("encoding the table: %w", err)
+		}
+		_, swapped, err := kv.Swap(ctx, "cinderslip/table", value.Bytes(), held.Revision, 0)
+		if err != nil || swapped {
+			return err
+		}
+	}
+}
+
+func (c *Cluster) startRoles() error {
+	for i := range entryBoxes {
+		if err := c.startEntry(i); err != nil {
+			return err
+		}
+	}
+	for i := range agentBoxes {
+		if err := c.startAgent(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// common returns settings with what every role of the example shares.
+func (c *Cluster) common(box, domain string) *settings.Settings {
+	s := &settings.Settings{Box: box, Organisation: "example", Region: "kita", FailureDomain: domain, Platform: c.platform}
+	s.Listen.Peers, s.Listen.Operators = loopback, loopback
+	s.Peers.Heartbeat, s.Peers.Silence = settings.Duration(heartbeat), settings.Duration(silence)
+	for _, entry := range c.entries {
+		s.Peers.Entries = append(s.Peers.Entries, entry.PeersAddress())
+	}
+	s.Stop.Grace = settings.Duration(stopGrace)
+	s.Requests.EntriesTTL = settings.Duration(entriesTTL)
+	s.Weights.DrawWait = settings.Duration(500 * time.Millisecond)
+	s.Default()
+	return s
+}
+
+func domain(i int) string { return "kita-" + string(rune('a'+i%2)) }
+
+func (c *Cluster) startEntry(i int) error {
+	s := c.common(fmt.Sprintf("entry-%d", i+1), domain(i))
+	s.Role = settings.RoleEntry
+	s.Listen.Callers = loopback
+	if i == 0 && c.options.Callers != "" {
+		s.Listen.Callers = c.options.Callers
+	}
+	if i == 0 && c.options.Operators != "" {
+		s.Listen.Operators = c.options.Operators
+	}
+	process, err := c.start(s, member.RoleEntry)
+	if err == nil {
+		c.entries = append(c.entries, process)
+	}
+	return err
+}
+
+func (c *Cluster) startAgent(i int) error {
+	s := c.common(fmt.Sprintf("agent-%d", i+1), domain(i))
+	s.Role = settings.RoleAgent
+	s.Agent.Engine.Models = []string{Model, OtherModel, LocalModel}
+	s.Agent.Engine.Slots = slots
+	var err error
+	s.Agent.Engine.URL, err = c.serve(standin.NewEngine(c.options.Clock, standin.EngineOptions{
+		Slots: slots, LoadTime: 100 * time.Millisecond, TokenTime: tokenTime, Tokens: tokens,
+	}))
+	if err != nil {
+		return err
+	}
+	if i == agentBoxes-1 {
+		url, err := c.serve(standin.NewPlain(c.options.Clock))
+		if err != nil {
+			return err
+		}
+		s.Agent.Services = []settings.Service{{Name: PlainService, URL: url}}
+	}
+	process, err := c.start(s, member.RoleAgent)
+	if err == nil {
+		c.agents = append(c.agents, process)
+	}
+	return err
+}
+
+func (c *Cluster) start(s *settings.Settings, role member.Role) (*daemon.Process, error) {
+	log := c.options.Log.With().Str("box", s.Box).Logger()
+	process, err := daemon.Start(s, daemon.Options{Clock: c.options.Clock, Log: log})
+	if err != nil {
+		return nil, fmt.Errorf("starting %s: %w", s.Box, err)
+	}
+	c.list.Set(platform.ListedBox{
+		Box: member.BoxID(s.Box), Role: role, Region: member.Region(s.Region),
+		FailureDomain: member.FailureDomain(s.FailureDomain),
+		Peers:         member.Address(process.PeersAddress()), State: platform.ListedLive,
+	})
+	return process, nil
+}
+
+// awaitLive waits until each entry box answers for every row of the table.
+func (c *Cluster) awaitLive() {
+	deadline := c.options.Clock.Now().Add(readyLimit)
+	for _, entry := range c.entries {
+		for !entry.IsServing() && c.options.Clock.Now().Before(deadline) {
+			c.options.Clock.Sleep(readyPoll)
+		}
+	}
+}
+
+// publishLocal publishes the real directory, then adds a row for it.
+func (c *Cluster) publishLocal() {
+	defer close(c.published)
+	if c.options.WeightsDir == "" {
+		return
+	}
+	for _, registry := range []*standin.Registry{c.origin, c.store} {
+		if _, err := registry.PublishDir(LocalModel, localVersion, c.options.WeightsDir, localChunk); err != nil {
+			c.options.Log.Error().Err(err).Msg("directory cannot be published")
+			return
+		}
+	}
+	row := table.Row{Group: Group, Model: LocalModel, Weight: 1, Ceiling: 1, Version: localVersion}
+	err := c.edit(table.Edit{ID: "local", Author: "dev", Reason: "--dev-weights", Changes: table.Diff(nil, []table.Row{row})})
+	if err != nil {
+		c.options.Log.Error().Err(err).Msg("row for the directory cannot be added")
+	}
+}
+
+// Entries returns the callers' addresses of the entry boxes.
+func (c *Cluster) Entries() []string {
+	addresses := make([]string, 0, len(c.entries))
+	for _, entry := range c.entries {
+		addresses = append(addresses, entry.CallersAddress())
+	}
+	return addresses
+}
+
+// Operators returns the operators' addresses of the entry boxes.
+func (c *Cluster) Operators() []string {
+	addresses := make([]string, 0, len(c.entries))
+	for _, entry := range c.entries {
+		addresses = append(addresses, entry.OperatorsAddress())
+	}
+	return addresses
+}
+
+// Curl returns a command that streams an answer of the example.
+func (c *Cluster) Curl() string {
+	return fmt.Sprintf("curl -sN -H 'Cinderslip-Group: %s' -H 'Content-Type: application/json' "+
+		`-d '{"model":"%s","stream":true,"messages":[{"role":"user","content":"Draft the boundary of parcel 12."}]}' `+
+		"http://%s/v1/services/%s/v1/chat/completions", Group, Model, c.Entries()[0], Model)
+}
+
+// Stop drains the entry boxes, then the agents, then ends the stand-ins.
+func (c *Cluster) Stop(ctx context.Context) error {
+	problems := stopAll(ctx, c.entries)
+	problems = append(problems, stopAll(ctx, c.agents)...)
+	for _, server := range c.servers {
+		_ = server.Close()
+	}
+	return errors.Join(problems...)
+}
+
+func stopAll(ctx context.Context, processes []*daemon.Process) []error {
+	results := make(chan error, len(processes))
+	for _, process := range processes {
+		go func() { results <- process.Stop(ctx) }()
+	}
+	var problems []error
+	for range processes {
+		problems = append(problems, <-results)
+	}
+	return problems
+}
--- /dev/null
+++ b/internal/platform/boxlist.go
@@ -0,0 +1,84 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"github.com/cinderslip/cinderslip/pkg/member"
+)
+
+// ListedState is what the box list says of a box.
+type ListedState string
+
+// The states of a listed box.
+const (
+	ListedLive    ListedState = "live"
+	ListedLeaving ListedState = "leaving"
+)
+
+// ListedBox is a box as the platform's lagging list gives it.
+type ListedBox struct {
+	Box           member.BoxID
+	Role          member.Role
+	Region        member.Region
+	FailureDomain member.FailureDomain
+	Peers         member.Address
+	State         ListedState
+}
+
+// TargetGroup is one element of the HTTP service discovery format.
+type TargetGroup struct {
+	Targets []string          `json:"targets"`
+	Labels  map[string]string `json:"labels"`
+}
+
+// The labels of a target group in the box list.
+const (
+	LabelBox           = "box"
+	LabelRole          = "role"
+	LabelRegion        = "region"
+	LabelFailureDomain = "failure_domain"
+	LabelState         = "state"
+)
+
+// BoxList is the platform's list of boxes.
+type BoxList struct {
+	// List reads the whole list. Errors wrap ErrUnavailable.
+	List func(ctx context.Context) ([]ListedBox, error)
+}
+
+// NewBoxList returns the seam for a list in the HTTP service discovery format.
+func NewBoxList(url string, client *http.Client) BoxList {
+	registry := &registryClient{base: url, client: client}
+	return BoxList{List: func(ctx context.Context) ([]ListedBox, error) {
+		content, err := registry.get(ctx, "", nil)
+		if err != nil {
+			return nil, err
+		}
+		var groups []TargetGroup
+		if err := json.Unmarshal(content, &groups); err != nil {
+			return nil, fmt.Errorf("decoding box list: %w", err)
+		}
+		return listedBoxes(groups), nil
+	}}
+}
+
+func listedBoxes(groups []TargetGroup) []ListedBox {
+	var boxes []ListedBox
+	for _, group := range groups {
+		if len(group.Targets) == 0 {
+			continue
+		}
+		boxes = append(boxes, ListedBox{
+			Box:           member.BoxID(group.Labels[LabelBox]),
+			Role:          member.Role(group.Labels[LabelRole]),
+			Region:        member.Region(group.Labels[LabelRegion]),
+			FailureDomain: member.FailureDomain(group.Labels[LabelFailureDomain]),
+			Peers:         member.Address(group.Targets[0]),
+			State:         ListedState(group.Labels[LabelState]),
+		})
+	}
+	return boxes
+}
--- /dev/null
+++ b/internal/platform/weights.go
@@ -0,0 +1,142 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/cinderslip/cinderslip/pkg/table"
+)
+
+// MediaTypeChunks is the media type of the config blob that holds the chunk
+// manifest of a version published as an OCI artifact.
+const MediaTypeChunks = "application/vnd.cinderslip.chunks.v1+json"
+
+// ErrNotPublished reports a model or version that the source does not have.
+var ErrNotPublished = errors.New("not published")
+
+// ErrLimited reports that the source asks to come back later.
+var ErrLimited = errors.New("source limits its rate")
+
+// manifestLimit bounds the bytes of a chunk manifest.
+const manifestLimit = 64 << 20
+
+// WeightSource is a weight store or an origin.
+type WeightSource struct {
+	Name string
+	// Versions lists the published versions of a model. Errors wrap
+	// ErrNotPublished or ErrUnavailable.
+	Versions func(ctx context.Context, model table.Model) ([]table.ModelVersion, error)
+	// Manifest reads the chunk manifest of a version.
+	Manifest func(ctx context.Context, model table.Model, version table.ModelVersion) ([]byte, error)
+	// Range reads size bytes of a blob from offset. Errors wrap ErrLimited,
+	// ErrNotPublished or ErrUnavailable.
+	Range func(ctx context.Context, model table.Model, blob string, offset, size int64) ([]byte, error)
+}
+
+// NewWeightSource returns the seam for a source that speaks the OCI distribution
+// API.
+func NewWeightSource(name, base string, client *http.Client) WeightSource {
+	c := &registryClient{base: base, client: client}
+	return WeightSource{Name: name, Versions: c.versions, Manifest: c.manifest, Range: c.blobRange}
+}
+
+type registryClient struct {
+	base   string
+	client *http.Client
+}
+
+// OCIManifest is the part of an OCI image manifest that is used here.
+type OCIManifest struct {
+	SchemaVersion int             `json:"schemaVersion"`
+	MediaType     string          `json:"mediaType"`
+	Config        OCIDescriptor   `json:"config"`
+	Layers        []OCIDescriptor `json:"layers"`
+}
+
+// OCIDescriptor points to a blob. Size is in bytes.
+type OCIDescriptor struct {
+	MediaType string `json:"mediaType"`
+	Digest    string `json:"digest"`
+	Size      int64  `json:"size"`
+}
+
+// OCITags is the answer of the tag list.
+type OCITags struct {
+	Name string   `json:"name"`
+	Tags []string `json:"tags"`
+}
+
+func (c *registryClient) get(ctx context.Context, path string, header http.Header) ([]byte, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, http.NoBody)
+	if err != nil {
+		return nil, fmt.Errorf("reading %s: %w", path, err)
+	}
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return nil, fmt.Errorf("reading %s: %w: %w", path, ErrUnavailable, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if err := checkStatus(response.StatusCode); err != nil {
+		return nil, fmt.Errorf("reading %s: %w", path, err)
+	}
+	content, err := io.ReadAll(io.LimitReader(response.Body, manifestLimit))
+	if err != nil {
+		return nil, fmt.Errorf("reading %s: %w: %w", path, ErrUnavailable, err)
+	}
+	return content, nil
+}
+
+func checkStatus(status int) error {
+	switch status {
+	case http.StatusOK, http.StatusPartialContent:
+		return nil
+	case http.StatusNotFound:
+		return ErrNotPublished
+	case http.StatusTooManyRequests:
+		return ErrLimited
+	}
+	return fmt.Errorf("status %d: %w", status, ErrUnavailable)
+}
+
+func (c *registryClient) versions(ctx context.Context, model table.Model) ([]table.ModelVersion, error) {
+	content, err := c.get(ctx, "/v2/"+string(model)+"/tags/list", nil)
+	if err != nil {
+		return nil, err
+	}
+	var tags OCITags
+	if err := json.Unmarshal(content, &tags); err != nil {
+		return nil, fmt.Errorf("decoding tags of %s: %w", model, err)
+	}
+	versions := make([]table.ModelVersion, 0, len(tags.Tags))
+	for _, tag := range tags.Tags {
+		versions = append(versions, table.ModelVersion(tag))
+	}
+	return versions, nil
+}
+
+func (c *registryClient) manifest(ctx context.Context, model table.Model, version table.ModelVersion) ([]byte, error) {
+	content, err := c.get(ctx, "/v2/"+string(model)+"/manifests/"+string(version), nil)
+	if err != nil {
+		return nil, err
+	}
+	var manifest OCIManifest
+	if err := json.Unmarshal(content, &manifest); err != nil {
+		return nil, fmt.Errorf("decoding manifest of %s %s: %w", model, version, err)
+	}
+	if manifest.Config.MediaType != MediaTypeChunks {
+		return nil, fmt.Errorf("%s %s has config %q, want %q: %w", model, version, manifest.Config.MediaType, MediaTypeChunks, ErrNotPublished)
+	}
+	return c.get(ctx, "/v2/"+string(model)+"/blobs/"+manifest.Config.Digest, nil)
+}
+
+func (c *registryClient) blobRange(ctx context.Context, model table.Model, blob string, offset, size int64) ([]byte, error) {
+	header := http.Header{"Range": []string{fmt.Sprintf("bytes=%d-%d", offset, offset+size-1)}}
+	return c.get(ctx, "/v2/"+string(model)+"/blobs/"+blob, header)
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,200 @@
+// Package settings reads, completes and checks the settings of a daemon.
+//
+// Settings are written in TOML. Everything wrong with a file is collected and
+// reported together, each finding with its line, its column and what is allowed;
+// an unknown key is a finding. Defaults are set in one step before the check.
+//
+// # Usage
+//
+//	loaded, findings := settings.Load("entry.toml")
+//	if len(findings) > 0 { ... }
+package settings
+
+import (
+	"time"
+)
+
+// Role is what a daemon does on its box.
+type Role string
+
+// The roles.
+const (
+	RoleEntry Role = "entry"
+	RoleAgent Role = "agent"
+)
+
+// Preference trades bytes drawn from the origin against time until live.
+type Preference string
+
+// The preferences of Weights.Prefer.
+const (
+	// PreferFewestBytes draws about one copy from the origin.
+	PreferFewestBytes Preference = "fewest-bytes"
+	// PreferSoonestLive draws several copies where that is sooner.
+	PreferSoonestLive Preference = "soonest-live"
+)
+
+// Duration is a time.Duration written as text, such as "2s".
+type Duration time.Duration
+
+// UnmarshalText reads the form of time.ParseDuration.
+func (d *Duration) UnmarshalText(text []byte) error {
+	value, err := time.ParseDuration(string(text))
+	*d = Duration(value)
+	return err
+}
+
+// MarshalText writes the form of time.ParseDuration.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// Settings is everything that a daemon reads from its file.
+type Settings struct {
+	Role Role `toml:"role"`
+	// Organisation, Box, Region and FailureDomain say what and where the box is.
+	Organisation  string `toml:"organisation"`
+	Box           string `toml:"box"`
+	Region        string `toml:"region"`
+	FailureDomain string `toml:"failure_domain"`
+
+	Listen    Listen    `toml:"listen"`
+	Operators Operators `toml:"operators"`
+	Platform  Platform  `toml:"platform"`
+	Peers     Peers     `toml:"peers"`
+	Requests  Requests  `toml:"requests"`
+	Agent     Agent     `toml:"agent"`
+	Weights   Weights   `toml:"weights"`
+	Log       Log       `toml:"log"`
+	Stop      Stop      `toml:"stop"`
+}
+
+// Listen holds the addresses to listen on, each an IP address with a port.
+type Listen struct {
+	// Callers is for callers; entry only.
+	Callers string `toml:"callers"`
+	// Operators is for operators and metrics.
+	Operators string `toml:"operators"`
+	// Peers is for the system's own processes.
+	Peers string `toml:"peers"`
+}
+
+// Operators says who may use the operators' listener.
+type Operators struct {
+	// TokenFile holds the bearer token. Without it only loopback addresses may
+	// be listened on.
+	TokenFile string `toml:"token_file"`
+}
+
+// Platform holds the base URLs of what the platform provides.
+type Platform struct {
+	KeyValue    string `toml:"key_value"`
+	BoxList     string `toml:"box_list"`
+	WeightStore string `toml:"weight_store"`
+	Origin      string `toml:"origin"`
+}
+
+// Peers tells how to find the system's other processes.
+type Peers struct {
+	// Entries are peer addresses of some entry boxes, to begin with.
+	Entries []string `toml:"entries"`
+	// Heartbeat is the time between two heartbeats.
+	Heartbeat Duration `toml:"heartbeat"`
+	// Silence is after how long without a heartbeat a box counts as silent.
+	Silence Duration `toml:"silence"`
+}
+
+// Requests tunes an entry box's work for callers.
+type Requests struct {
+	// PlacesPerReplica is how many requests each live replica takes at once,
+	// summed over all entry boxes.
+	PlacesPerReplica int `toml:"places_per_replica"`
+	// QueuePerGroup bounds the requests of one group that wait.
+	QueuePerGroup int `toml:"queue_per_group"`
+	// Deadline is that of a request which names none.
+	Deadline Duration `toml:"deadline"`
+	// BodyLimit bounds a request's body that is kept for a retry, in bytes.
+	BodyLimit int64 `toml:"retry_body_limit_bytes"`
+	// EntriesTTL is how long a caller may keep the list of entry boxes.
+	EntriesTTL Duration `toml:"entries_ttl"`
+}
+
+// Agent describes what stands on an agent's box.
+type Agent struct {
+	Engine   Engine    `toml:"engine"`
+	Services []Service `toml:"services"`
+}
+
+// Engine is the model engine of the box; an empty URL means that there is none.
+type Engine struct {
+	URL    string   `toml:"url"`
+	Models []string `toml:"models"`
+	// Slots is how many versions fit into the engine's memory at once.
+	Slots int `toml:"slots"`
+}
+
+// Service is a plain service on the box.
+type Service struct {
+	Name string `toml:"name"`
+	URL  string `toml:"url"`
+}
+
+// Weights tunes the distribution of weights.
+type Weights struct {
+	Prefer Preference `toml:"prefer"`
+	// MemoryLimit bounds the chunks held in memory, in bytes.
+	MemoryLimit int64 `toml:"memory_limit_bytes"`
+	// DrawWait is how long a box waits for the one before it in the order of
+	// drawers.
+	DrawWait Duration `toml:"draw_wait"`
+}
+
+// Log says what is logged.
+type Log struct {
+	Level string `toml:"level"`
+}
+
+// Stop says how a planned stop goes.
+type Stop struct {
+	// Grace bounds the time to finish what is in progress.
+	Grace Duration `toml:"grace"`
+}
+
+const (
+	defaultHeartbeat    = Duration(time.Second)
+	defaultSilence      = Duration(3 * time.Second)
+	defaultPlaces       = 16
+	defaultQueue        = 256
+	defaultDeadline     = Duration(2 * time.Minute)
+	defaultBodyLimit    = 1 << 20
+	defaultEntriesTTL   = Duration(10 * time.Second)
+	defaultSlots        = 2
+	defaultMemoryLimit  = 1 << 30
+	defaultDrawWait     = Duration(2 * time.Second)
+	defaultGrace        = Duration(time.Minute)
+	defaultLogLevel     = "info"
+	defaultOrganisation = "default"
+)
+
+// Default fills everything that the file left out.
+func (s *Settings) Default() {
+	setDefault(&s.Organisation, defaultOrganisation)
+	setDefault(&s.Peers.Heartbeat, defaultHeartbeat)
+	setDefault(&s.Peers.Silence, defaultSilence)
+	setDefault(&s.Requests.PlacesPerReplica, defaultPlaces)
+	setDefault(&s.Requests.QueuePerGroup, defaultQueue)
+	setDefault(&s.Requests.Deadline, defaultDeadline)
+	setDefault(&s.Requests.BodyLimit, defaultBodyLimit)
+	setDefault(&s.Requests.EntriesTTL, defaultEntriesTTL)
+	setDefault(&s.Agent.Engine.Slots, defaultSlots)
+	setDefault(&s.Weights.Prefer, PreferFewestBytes)
+	setDefault(&s.Weights.MemoryLimit, defaultMemoryLimit)
+	setDefault(&s.Weights.DrawWait, defaultDrawWait)
+	setDefault(&s.Log.Level, defaultLogLevel)
+	setDefault(&s.Stop.Grace, defaultGrace)
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/standin/boxlist.go
@@ -0,0 +1,96 @@
+package standin
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/cinderslip/cinderslip/internal/platform"
+)
+
+// BoxList is a stand-in of the platform's list of boxes. What is set shows up
+// only after the lag.
+type BoxList struct {
+	faults
+	handler http.Handler
+	clock   clockwork.Clock
+	lag     time.Duration
+
+	mu      sync.Mutex
+	changes []listChange
+}
+
+type listChange struct {
+	at    time.Time
+	box   platform.ListedBox
+	gone  bool
+	named string
+}
+
+// NewBoxList returns an empty list that lags.
+func NewBoxList(clock clockwork.Clock, lag time.Duration) *BoxList {
+	l := &BoxList{clock: clock, lag: lag}
+	l.handler = l.wrap(clock, http.HandlerFunc(l.serve))
+	return l
+}
+
+// ServeHTTP answers one call.
+func (l *BoxList) ServeHTTP(w http.ResponseWriter, r *http.Request) { l.handler.ServeHTTP(w, r) }
+
+// Set adds a box or changes what the list says of it.
+func (l *BoxList) Set(box platform.ListedBox) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.changes = append(l.changes, listChange{at: l.clock.Now(), box: box, named: string(box.Box)})
+}
+
+// Remove takes a box off the list.
+func (l *BoxList) Remove(box string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.changes = append(l.changes, listChange{at: l.clock.Now(), gone: true, named: box})
+}
+
+func (l *BoxList) serve(w http.ResponseWriter, _ *http.Request) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	seen := l.clock.Now().Add(-l.lag)
+	boxes := make(map[string]platform.ListedBox)
+	var order []string
+	for _, change := range l.changes {
+		if change.at.After(seen) {
+			continue
+		}
+		if _, known := boxes[change.named]; !known {
+			order = append(order, change.named)
+		}
+		boxes[change.named] = change.box
+		if change.gone {
+			delete(boxes, change.named)
+		}
+	}
+	groups := []platform.TargetGroup{}
+	for _, name := range order {
+		if box, listed := boxes[name]; listed {
+			groups = append(groups, targetGroup(box))
+			delete(boxes, name)
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	writeJSON(w, groups)
+}
+
+func targetGroup(box platform.ListedBox) platform.TargetGroup {
+	return platform.TargetGroup{
+		Targets: []string{string(box.Peers)},
+		Labels: map[string]string{
+			platform.LabelBox:           string(box.Box),
+			platform.LabelRole:          string(box.Role),
+			platform.LabelRegion:        string(box.Region),
+			platform.LabelFailureDomain: string(box.FailureDomain),
+			platform.LabelState:         string(box.State),
+		},
+	}
+}
--- /dev/null
+++ b/internal/standin/engine.go
@@ -0,0 +1,272 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/zeebo/blake3"
+
+	"github.com/cinderslip/cinderslip/internal/platform"
+	"github.com/cinderslip/cinderslip/pkg/weights"
+)
+
+// Engine is a stand-in of a model engine. It takes chunks and fenced orders from
+// its agent and answers POST /v1/chat/completions with a stream of tokens, in
+// the usual form of server-sent events.
+type Engine struct {
+	faults
+	handler http.Handler
+	clock   clockwork.Clock
+	options EngineOptions
+
+	mu      sync.Mutex
+	fence   platform.Fence
+	staging map[string]map[int][]byte
+	loaded  map[string]platform.LoadedVersion
+	running int
+	started map[string]int
+	orders  []platform.Order
+}
+
+// EngineOptions sets how an engine behaves.
+type EngineOptions struct {
+	// Slots is how many versions fit at once.
+	Slots int
+	// LoadTime is how long a load takes.
+	LoadTime time.Duration
+	// TokenTime is the time between two tokens.
+	TokenTime time.Duration
+	// Tokens is how many tokens an answer has if the request does not say.
+	Tokens int
+}
+
+// NewEngine returns an engine with nothing loaded.
+func NewEngine(clock clockwork.Clock, options EngineOptions) *Engine {
+	e := &Engine{
+		clock: clock, options: options,
+		staging: make(map[string]map[int][]byte),
+		loaded:  make(map[string]platform.LoadedVersion),
+		started: make(map[string]int),
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /staging/{manifest}/{chunk}", e.serveStage)
+	mux.HandleFunc("POST /orders", e.serveOrder)
+	mux.HandleFunc("GET /state", e.serveState)
+	mux.HandleFunc("POST /v1/chat/completions", e.serveCompletion)
+	e.handler = e.wrap(clock, mux)
+	return e
+}
+
+// ServeHTTP answers one call.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.handler.ServeHTTP(w, r) }
+
+// Started returns how often each request id began to run.
+func (e *Engine) Started() map[string]int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	started := make(map[string]int, len(e.started))
+	for id, count := range e.started {
+		started[id] = count
+	}
+	return started
+}
+
+// Orders returns the orders obeyed so far.
+func (e *Engine) Orders() []platform.Order {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]platform.Order(nil), e.orders...)
+}
+
+func (e *Engine) serveStage(w http.ResponseWriter, r *http.Request) {
+	chunk, err := strconv.Atoi(r.PathValue("chunk"))
+	if err != nil {
+		http.Error(w, "chunk is not a number", http.StatusBadRequest)
+		return
+	}
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	manifest := r.PathValue("manifest")
+	if e.staging[manifest] == nil {
+		e.staging[manifest] = make(map[int][]byte)
+	}
+	e.staging[manifest][chunk] = data
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var order platform.Order
+	if !decode(w, r, &order) {
+		return
+	}
+	e.mu.Lock()
+	fenced := order.Fence.Epoch < e.fence.Epoch ||
+		order.Fence.Epoch == e.fence.Epoch && order.Fence.Sequence < e.fence.Sequence
+	if !fenced {
+		e.fence = order.Fence
+	}
+	e.mu.Unlock()
+	if fenced {
+		http.Error(w, "order is older than the fence", http.StatusConflict)
+		return
+	}
+	if err := e.obey(order); err != nil {
+		http.Error(w, err.Error(), http.StatusUnprocessableEntity)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) obey(order platform.Order) error {
+	key := string(order.Model) + "/" + string(order.Version)
+	if order.Kind == platform.OrderUnload {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		delete(e.loaded, key)
+		delete(e.staging, order.Manifest.String())
+		e.orders = append(e.orders, order)
+		return nil
+	}
+	if err := e.checkStaged(order); err != nil {
+		return err
+	}
+	e.clock.Sleep(e.options.LoadTime)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, already := e.loaded[key]; !already && len(e.loaded) >= e.options.Slots {
+		return fmt.Errorf("all %d slots are taken", e.options.Slots)
+	}
+	e.loaded[key] = platform.LoadedVersion{Model: order.Model, Version: order.Version, Manifest: order.Manifest}
+	delete(e.staging, order.Manifest.String())
+	e.orders = append(e.orders, order)
+	return nil
+}
+
+// checkStaged makes sure that no partial or mixed copy is loaded.
+func (e *Engine) checkStaged(order platform.Order) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	chunks := e.staging[order.Manifest.String()]
+	whole := blake3.New()
+	for i := range order.Chunks {
+		data, ok := chunks[i]
+		if !ok {
+			return fmt.Errorf("chunk %d of %d was not staged", i, order.Chunks)
+		}
+		_, _ = whole.Write(data)
+	}
+	var sum weights.Digest
+	whole.Sum(sum[:0])
+	if sum != order.Whole {
+		return fmt.Errorf("digest of the whole is %s, want %s", sum.Short(), order.Whole.Short())
+	}
+	return nil
+}
+
+func (e *Engine) serveState(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	state := platform.EngineState{Running: e.running}
+	for _, loaded := range e.loaded {
+		state.Loaded = append(state.Loaded, loaded)
+	}
+	e.mu.Unlock()
+	writeJSON(w, state)
+}
+
+// Completion is the part of a chat completion request that the engine reads.
+type Completion struct {
+	Model     string `json:"model"`
+	Stream    bool   `json:"stream"`
+	MaxTokens int    `json:"max_tokens"`
+	Messages  []struct {
+		Role    string `json:"role"`
+		Content string `json:"content"`
+	} `json:"messages"`
+}
+
+func (e *Engine) serveCompletion(w http.ResponseWriter, r *http.Request) {
+	var request Completion
+	if !decode(w, r, &request) {
+		return
+	}
+	version := r.Header.Get(platform.HeaderEngineVersion)
+	e.mu.Lock()
+	loaded, ok := e.loaded[request.Model+"/"+version]
+	if ok {
+		e.running++
+		e.started[r.Header.Get("Cinderslip-Request-Id")]++
+	}
+	e.mu.Unlock()
+	if !ok {
+		http.Error(w, fmt.Sprintf("model %s version %s is not loaded", request.Model, version), http.StatusNotFound)
+		return
+	}
+	defer func() {
+		e.mu.Lock()
+		e.running--
+		e.mu.Unlock()
+	}()
+	e.stream(w, r, request, loaded)
+}
+
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, request Completion, loaded platform.LoadedVersion) {
+	words := answerWords(request, loaded, e.options.Tokens)
+	w.Header().Set("Content-Type", "text/event-stream")
+	controller := http.NewResponseController(w)
+	for _, word := range words {
+		select {
+		case <-e.clock.After(e.options.TokenTime):
+		case <-r.Context().Done():
+			return
+		}
+		if _, err := fmt.Fprintf(w, "data: %s\n\n", completionChunk(word, loaded)); err != nil {
+			return
+		}
+		_ = controller.Flush()
+	}
+	_, _ = io.WriteString(w, "data: [DONE]\n\n")
+}
+
+func answerWords(request Completion, loaded platform.LoadedVersion, tokens int) []string {
+	if request.MaxTokens > 0 {
+		tokens = request.MaxTokens
+	}
+	last := ""
+	if len(request.Messages) > 0 {
+		last = request.Messages[len(request.Messages)-1].Content
+	}
+	words := strings.Fields(fmt.Sprintf("%s %s answers: %s", loaded.Model, loaded.Version, last))
+	for len(words) < tokens {
+		words = append(words, "token"+strconv.Itoa(len(words)))
+	}
+	return words[:tokens]
+}
+
+func completionChunk(word string, loaded platform.LoadedVersion) []byte {
+	type delta struct {
+		Content string `json:"content"`
+	}
+	type choice struct {
+		Index int   `json:"index"`
+		Delta delta `json:"delta"`
+	}
+	content, _ := json.Marshal(struct {
+		Object      string   `json:"object"`
+		Model       string   `json:"model"`
+		Fingerprint string   `json:"system_fingerprint"`
+		Choices     []choice `json:"choices"`
+	}{"chat.completion.chunk", string(loaded.Model), loaded.Manifest.Short(), []choice{{Delta: delta{Content: word + " "}}}})
+	return content
+}
--- /dev/null
+++ b/internal/standin/keyvalue.go
@@ -0,0 +1,374 @@
+// Package standin holds small stand-ins for what the platform provides, for
+// --dev and for tests: a key-value service, a weight store or origin, a box
+// list, a model engine and a plain service.
+//
+// Each is an http.Handler that speaks the protocol which the package platform
+// expects. Each has a Fault field: a function that is asked before a call is
+// carried out and can delay it, fail it, or let it take effect and lose its
+// answer.
+//
+// # Usage
+//
+//	kv := standin.NewKeyValue(clockwork.NewRealClock())
+//	server := httptest.NewServer(kv)
+//	kv.SetFault(func(path string) standin.Fault { return standin.Fault{Status: 503} })
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// Fault is what happens to one call. The zero Fault does nothing.
+type Fault struct {
+	// Status answers the call without carrying it out.
+	Status int
+	// Delay holds the call back before it is carried out.
+	Delay time.Duration
+	// LoseAnswer carries the call out, then breaks the connection.
+	LoseAnswer bool
+}
+
+// faults is embedded by each stand-in.
+type faults struct {
+	mu    sync.Mutex
+	fault func(path string) Fault
+}
+
+// SetFault sets what happens to calls; nil ends all faults.
+func (f *faults) SetFault(fault func(path string) Fault) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.fault = fault
+}
+
+func (f *faults) next(path string) Fault {
+	f.mu.Lock()
+	fault := f.fault
+	f.mu.Unlock()
+	if fault == nil {
+		return Fault{}
+	}
+	return fault(path)
+}
+
+// wrap carries calls out under the current fault.
+func (f *faults) wrap(clock clockwork.Clock, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		fault := f.next(r.URL.Path)
+		if fault.Delay > 0 {
+			select {
+			case <-clock.After(fault.Delay):
+			case <-r.Context().Done():
+				return
+			}
+		}
+		if fault.Status != 0 {
+			http.Error(w, "fault", fault.Status)
+			return
+		}
+		if fault.LoseAnswer {
+			next.ServeHTTP(discard{header: http.Header{}}, r)
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// discard is a ResponseWriter whose answer is lost.
+type discard struct{ header http.Header }
+
+func (d discard) Header() http.Header             { return d.header }
+func (d discard) Write(data []byte) (int, error)  { return len(data), nil }
+func (d discard) WriteHeader(int)                 {}
+func writeJSON(w http.ResponseWriter, answer any) { _ = json.NewEncoder(w).Encode(answer) }
+
+type pair struct {
+	Key            []byte `json:"key"`
+	Value          []byte `json:"value"`
+	CreateRevision int64  `json:"create_revision,string"`
+	ModRevision    int64  `json:"mod_revision,string"`
+	lease          int64
+}
+
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+}
+
+// KeyValue is a stand-in of the key-value service. It speaks the part of the
+// etcd v3 JSON API that the project uses.
+type KeyValue struct {
+	faults
+	clock   clockwork.Clock
+	handler http.Handler
+
+	mu       sync.Mutex
+	revision int64
+	pairs    map[string]pair
+	leases   map[int64]lease
+	changed  chan struct{}
+	calls    map[string]int
+}
+
+// valueLimit is the largest value, as the platform states it.
+const valueLimit = 1 << 20
+
+// NewKeyValue returns an empty service.
+func NewKeyValue(clock clockwork.Clock) *KeyValue {
+	kv := &KeyValue{
+		clock: clock, revision: 1,
+		pairs: make(map[string]pair), leases: make(map[int64]lease),
+		changed: make(chan struct{}), calls: make(map[string]int),
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v3/kv/range", kv.serveRange)
+	mux.HandleFunc("POST /v3/kv/txn", kv.serveTxn)
+	mux.HandleFunc("POST /v3/lease/grant", kv.serveGrant)
+	mux.HandleFunc("POST /v3/lease/keepalive", kv.serveKeepAlive)
+	mux.HandleFunc("POST /v3/lease/revoke", kv.serveRevoke)
+	mux.HandleFunc("POST /v3/watch", kv.serveWatch)
+	kv.handler = kv.wrap(clock, mux)
+	return kv
+}
+
+// ServeHTTP answers one call.
+func (kv *KeyValue) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	kv.mu.Lock()
+	kv.calls[r.URL.Path]++
+	kv.mu.Unlock()
+	kv.handler.ServeHTTP(w, r)
+}
+
+// Calls returns how often each path was called.
+func (kv *KeyValue) Calls() map[string]int {
+	kv.mu.Lock()
+	defer kv.mu.Unlock()
+	calls := make(map[string]int, len(kv.calls))
+	for path, count := range kv.calls {
+		calls[path] = count
+	}
+	return calls
+}
+
+func decode(w http.ResponseWriter, r *http.Request, message any) bool {
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 2*valueLimit)).Decode(message); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+// expire removes leases that have run out, with their keys.
+func (kv *KeyValue) expire() {
+	now := kv.clock.Now()
+	for id, held := range kv.leases {
+		if now.After(held.expires) {
+			kv.drop(id)
+		}
+	}
+}
+
+func (kv *KeyValue) drop(id int64) {
+	delete(kv.leases, id)
+	for key, held := range kv.pairs {
+		if held.lease == id {
+			kv.revision++
+			delete(kv.pairs, key)
+			kv.notify()
+		}
+	}
+}
+
+func (kv *KeyValue) notify() {
+	close(kv.changed)
+	kv.changed = make(chan struct{})
+}
+
+func (kv *KeyValue) serveRange(w http.ResponseWriter, r *http.Request) {
+	var message struct {
+		Key []byte `json:"key"`
+	}
+	if !decode(w, r, &message) {
+		return
+	}
+	kv.mu.Lock()
+	kv.expire()
+	held, ok := kv.pairs[string(message.Key)]
+	kv.mu.Unlock()
+	answer := struct {
+		Pairs []pair `json:"kvs"`
+	}{}
+	if ok {
+		answer.Pairs = append(answer.Pairs, held)
+	}
+	writeJSON(w, answer)
+}
+
+type txnMessage struct {
+	Compare []struct {
+		Key         []byte `json:"key"`
+		ModRevision int64  `json:"mod_revision,string"`
+	} `json:"compare"`
+	Success []struct {
+		Put struct {
+			Key   []byte `json:"key"`
+			Value []byte `json:"value"`
+			Lease int64  `json:"lease,string"`
+		} `json:"request_put"`
+	} `json:"success"`
+}
+
+type header struct {
+	Revision int64 `json:"revision,string"`
+}
+
+func (kv *KeyValue) serveTxn(w http.ResponseWriter, r *http.Request) {
+	var message txnMessage
+	if !decode(w, r, &message) {
+		return
+	}
+	kv.mu.Lock()
+	defer kv.mu.Unlock()
+	kv.expire()
+	for _, operation := range message.Success {
+		put := operation.Put
+		if _, open := kv.leases[put.Lease]; put.Lease != 0 && !open || len(put.Value) > valueLimit {
+			http.Error(w, "lease not found or value too large", http.StatusBadRequest)
+			return
+		}
+	}
+	answer := struct {
+		Header    header `json:"header"`
+		Succeeded bool   `json:"succeeded"`
+	}{Succeeded: kv.holds(message)}
+	if answer.Succeeded {
+		kv.put(message)
+	}
+	answer.Header.Revision = kv.revision
+	writeJSON(w, answer)
+}
+
+func (kv *KeyValue) holds(message txnMessage) bool {
+	for _, compare := range message.Compare {
+		if kv.pairs[string(compare.Key)].ModRevision != compare.ModRevision {
+			return false
+		}
+	}
+	return true
+}
+
+func (kv *KeyValue) put(message txnMessage) {
+	kv.revision++
+	for _, operation := range message.Success {
+		put := operation.Put
+		held, ok := kv.pairs[string(put.Key)]
+		if !ok {
+			held = pair{Key: bytes.Clone(put.Key), CreateRevision: kv.revision}
+		}
+		held.Value = put.Value
+		held.ModRevision = kv.revision
+		held.lease = put.Lease
+		kv.pairs[string(put.Key)] = held
+	}
+	kv.notify()
+}
+
+type leaseMessage struct {
+	ID  int64 `json:"ID,string"`
+	TTL int64 `json:"TTL,string"`
+}
+
+func (kv *KeyValue) serveGrant(w http.ResponseWriter, r *http.Request) {
+	var message leaseMessage
+	if !decode(w, r, &message) {
+		return
+	}
+	kv.mu.Lock()
+	defer kv.mu.Unlock()
+	kv.revision++
+	ttl := time.Duration(message.TTL) * time.Second
+	kv.leases[kv.revision] = lease{ttl: ttl, expires: kv.clock.Now().Add(ttl)}
+	writeJSON(w, leaseMessage{ID: kv.revision, TTL: message.TTL})
+}
+
+func (kv *KeyValue) serveKeepAlive(w http.ResponseWriter, r *http.Request) {
+	var message leaseMessage
+	if !decode(w, r, &message) {
+		return
+	}
+	kv.mu.Lock()
+	defer kv.mu.Unlock()
+	kv.expire()
+	answer := struct {
+		Result leaseMessage `json:"result"`
+	}{Result: leaseMessage{ID: message.ID}}
+	if held, open := kv.leases[message.ID]; open {
+		held.expires = kv.clock.Now().Add(held.ttl)
+		kv.leases[message.ID] = held
+		answer.Result.TTL = int64(held.ttl / time.Second)
+	}
+	writeJSON(w, answer)
+}
+
+func (kv *KeyValue) serveRevoke(w http.ResponseWriter, r *http.Request) {
+	var message leaseMessage
+	if !decode(w, r, &message) {
+		return
+	}
+	kv.mu.Lock()
+	kv.drop(message.ID)
+	kv.mu.Unlock()
+	writeJSON(w, struct{}{})
+}
+
+func (kv *KeyValue) serveWatch(w http.ResponseWriter, r *http.Request) {
+	var message struct {
+		Create struct {
+			Key           []byte `json:"key"`
+			StartRevision int64  `json:"start_revision,string"`
+		} `json:"create_request"`
+	}
+	if !decode(w, r, &message) {
+		return
+	}
+	writeJSON(w, map[string]any{"result": map[string]any{"created": true}})
+	_ = http.NewResponseController(w).Flush()
+	held, ok := kv.await(r.Context(), string(message.Create.Key), message.Create.StartRevision)
+	if !ok {
+		return
+	}
+	event := map[string]any{"type": "PUT", "kv": held}
+	writeJSON(w, map[string]any{"result": map[string]any{"events": []any{event}}})
+}
+
+// leasePoll is how often a watch looks for leases that ran out.
+const leasePoll = 200 * time.Millisecond
+
+func (kv *KeyValue) await(ctx context.Context, key string, start int64) (pair, bool) {
+	kv.mu.Lock()
+	_, existed := kv.pairs[key]
+	kv.mu.Unlock()
+	for {
+		kv.mu.Lock()
+		kv.expire()
+		held, ok := kv.pairs[key]
+		changed := kv.changed
+		kv.mu.Unlock()
+		if ok && held.ModRevision >= start || existed && !ok {
+			return held, true
+		}
+		select {
+		case <-changed:
+		case <-kv.clock.After(leasePoll):
+		case <-ctx.Done():
+			return pair{}, false
+		}
+	}
+}
--- /dev/null
+++ b/pkg/plan/plan.go
@@ -0,0 +1,428 @@
+// Package plan decides from the table and the boxes which box carries which
+// version, which share each group gets, and which version answers each group.
+//
+// Next is a pure decision over its input: it does no I/O, reads no clock and
+// gives the same plan for the same input. A plan is kept as one item for each
+// box and each row, so that a change moves only what it touches.
+//
+// A row whose version changes keeps its old version in service until enough
+// boxes have the new one live to keep the group's floor; the old version then
+// stays loaded for a while, so that an entry box that has not heard of the
+// change yet is still answered.
+//
+// # Usage
+//
+//	next := plan.Next(plan.Input{Rows: rows, Boxes: boxes, Previous: previous, Now: now, Options: plan.DefaultOptions()})
+//	for box, assignment := range next.Boxes { ... }
+//	for key, row := range next.Rows { ... }
+package plan
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cinderslip/cinderslip/pkg/member"
+	"github.com/cinderslip/cinderslip/pkg/table"
+	"github.com/cinderslip/cinderslip/pkg/weights"
+)
+
+// Key prefixes of the plan's items in a state.Store.
+const (
+	BoxPrefix = "plan/box/"
+	RowPrefix = "plan/row/"
+	HeadKey   = "plan/head"
+)
+
+// Weights is one version of a model, pinned by its manifest.
+type Weights struct {
+	Model    table.Model        `json:"model"`
+	Version  table.ModelVersion `json:"version"`
+	Manifest weights.Digest     `json:"manifest"`
+}
+
+// Assignment is what one box carries.
+type Assignment struct {
+	Weights []Weights `json:"weights"`
+}
+
+// RowPlan is what is in force for one row.
+type RowPlan struct {
+	Share float64 `json:"share"`
+	// Serving answers the group's requests; Target is the table's version.
+	Serving table.ModelVersion `json:"serving"`
+	Target  table.ModelVersion `json:"target"`
+	// Previous stays loaded until Until.
+	Previous table.ModelVersion `json:"previous,omitempty"`
+	Until    time.Time          `json:"until,omitzero"`
+	// Replicas is how many boxes carry Target, Live on how many it is loaded.
+	Replicas int `json:"replicas"`
+	Live     int `json:"live"`
+	// Waits says why Serving is not Target yet.
+	Waits string `json:"waits,omitempty"`
+}
+
+// Head names a plan as a whole.
+type Head struct {
+	Epoch    uint64         `json:"epoch"`
+	Sequence uint64         `json:"sequence"`
+	Planner  member.BoxID   `json:"planner"`
+	Table    table.Revision `json:"table"`
+}
+
+// Plan is everything decided.
+type Plan struct {
+	Boxes map[member.BoxID]Assignment
+	Rows  map[table.Key]RowPlan
+}
+
+// Options tunes the decision.
+type Options struct {
+	// Linger is how long a version that no longer serves stays loaded; longer
+	// than a change takes to be in force everywhere.
+	Linger time.Duration
+	// Ready is the part of a version's reachable replicas that must be live
+	// before it answers, beside the group's floor.
+	Ready float64
+}
+
+// DefaultOptions holds for changes in force within 8 s.
+func DefaultOptions() Options {
+	return Options{Linger: 10 * time.Second, Ready: 0.5}
+}
+
+// Input is all that a plan depends on.
+type Input struct {
+	Rows []table.Row
+	// Boxes are the agents' records, silent and leaving ones included.
+	Boxes []member.Record
+	// Manifests pins every version that is known to be published.
+	Manifests map[table.Model]map[table.ModelVersion]weights.Digest
+	Previous  Plan
+	Now       time.Time
+	Options   Options
+}
+
+// The reasons for which a row waits.
+const (
+	waitsForVersion = "version not found in the weight store"
+	waitsForBoxes   = "no box of the pool is up"
+	waitsForLive    = "too few boxes have the version live"
+)
+
+// Next returns the plan that follows from the input.
+func Next(in Input) Plan {
+	next := Plan{Boxes: make(map[member.BoxID]Assignment), Rows: make(map[table.Key]RowPlan)}
+	byModel := make(map[table.Model][]table.Row)
+	for _, row := range in.Rows {
+		byModel[row.Model] = append(byModel[row.Model], row)
+	}
+	for _, model := range slices.Sorted(maps.Keys(byModel)) {
+		newModelPlan(&in, model, byModel[model]).decide(&next)
+	}
+	in.keepUnreachable(&next)
+	return next
+}
+
+// keepUnreachable leaves the assignment of a box that is silent or leaving as it
+// was, so that a short silence moves no weights.
+func (in *Input) keepUnreachable(next *Plan) {
+	for _, box := range in.Boxes {
+		before, had := in.Previous.Boxes[box.Box]
+		if box.Status != member.StatusUp && had {
+			next.Boxes[box.Box] = before
+		}
+	}
+}
+
+// modelPlan works on one model at a time.
+type modelPlan struct {
+	in    *Input
+	model table.Model
+	rows  []table.Row
+	pool  []member.Record
+}
+
+func newModelPlan(in *Input, model table.Model, rows []table.Row) *modelPlan {
+	p := &modelPlan{in: in, model: model, rows: rows}
+	table.SortRows(p.rows)
+	for _, box := range in.Boxes {
+		if box.Status == member.StatusUp && box.Role == member.RoleAgent && slices.Contains(box.Models, model) {
+			p.pool = append(p.pool, box)
+		}
+	}
+	slices.SortFunc(p.pool, func(a, b member.Record) int {
+		if a.Box < b.Box {
+			return -1
+		}
+		return 1
+	})
+	return p
+}
+
+func (p *modelPlan) decide(next *Plan) {
+	shares := p.shares()
+	targets := p.targets(shares)
+	carriers := p.place(targets)
+	for i, row := range p.rows {
+		next.Rows[row.Key()] = p.rowPlan(row, shares[i], carriers[row.Version])
+	}
+	p.assign(next, carriers)
+}
+
+func (p *modelPlan) shares() []float64 {
+	demands := make([]Demand, 0, len(p.rows))
+	for _, row := range p.rows {
+		demands = append(demands, Demand{
+			Key: row.Key(), Weight: row.Weight, Floor: row.Floor, Ceiling: row.Ceiling, Wanted: 1,
+		})
+	}
+	return Shares(demands)
+}
+
+// targets returns how many boxes each published version gets.
+func (p *modelPlan) targets(shares []float64) map[table.ModelVersion]int {
+	byVersion := make(map[table.ModelVersion]float64)
+	for i, row := range p.rows {
+		if _, published := p.manifest(row.Version); published {
+			byVersion[row.Version] += shares[i]
+		}
+	}
+	versions := slices.Sorted(maps.Keys(byVersion))
+	parts := make([]float64, len(versions))
+	for i, version := range versions {
+		parts[i] = byVersion[version]
+	}
+	targets := make(map[table.ModelVersion]int, len(versions))
+	for i, count := range Apportion(parts, len(p.pool)) {
+		targets[versions[i]] = count
+	}
+	return targets
+}
+
+func (p *modelPlan) manifest(version table.ModelVersion) (weights.Digest, bool) {
+	digest, ok := p.in.Manifests[p.model][version]
+	return digest, ok
+}
+
+// place chooses the boxes of each version. Boxes that hold a version keep it
+// first; the rest go where the version has the fewest boxes of a domain.
+func (p *modelPlan) place(targets map[table.ModelVersion]int) map[table.ModelVersion][]member.BoxID {
+	carriers := make(map[table.ModelVersion][]member.BoxID, len(targets))
+	taken := make(map[member.BoxID]bool, len(p.pool))
+	versions := slices.Sorted(maps.Keys(targets))
+	spreads := make(map[table.ModelVersion]*spread, len(versions))
+	for _, version := range versions {
+		spreads[version] = &spread{count: make(map[member.FailureDomain]int)}
+		holders := p.byDomain(func(box *member.Record) bool { return p.holds(box, version) })
+		carriers[version] = spreads[version].fill(nil, targets[version], holders, taken)
+	}
+	free := p.byDomain(func(box *member.Record) bool { return !taken[box.Box] })
+	for _, version := range versions {
+		carriers[version] = spreads[version].fill(carriers[version], targets[version], free, taken)
+	}
+	return carriers
+}
+
+// domainBoxes are boxes by failure domain, in the order of their ids.
+type domainBoxes struct {
+	domains []member.FailureDomain
+	boxes   map[member.FailureDomain][]member.BoxID
+}
+
+func (p *modelPlan) byDomain(use func(*member.Record) bool) *domainBoxes {
+	out := &domainBoxes{boxes: make(map[member.FailureDomain][]member.BoxID)}
+	for i := range p.pool {
+		box := &p.pool[i]
+		if use(box) {
+			out.boxes[box.FailureDomain] = append(out.boxes[box.FailureDomain], box.Box)
+		}
+	}
+	out.domains = slices.Sorted(maps.Keys(out.boxes))
+	return out
+}
+
+// next returns the first box of a domain that is not taken yet.
+func (d *domainBoxes) next(domain member.FailureDomain, taken map[member.BoxID]bool) (member.BoxID, bool) {
+	for boxes := d.boxes[domain]; len(boxes) > 0; boxes = d.boxes[domain] {
+		if !taken[boxes[0]] {
+			return boxes[0], true
+		}
+		d.boxes[domain] = boxes[1:]
+	}
+	return "", false
+}
+
+// spread counts the boxes of one version by failure domain.
+type spread struct {
+	count map[member.FailureDomain]int
+}
+
+// fill adds boxes up to the target, each from the domain with the fewest.
+func (s *spread) fill(chosen []member.BoxID, target int, from *domainBoxes, taken map[member.BoxID]bool) []member.BoxID {
+	for len(chosen) < target {
+		var best member.BoxID
+		var bestDomain member.FailureDomain
+		found := false
+		for _, domain := range from.domains {
+			if found && s.count[domain] >= s.count[bestDomain] {
+				continue
+			}
+			if box, ok := from.next(domain, taken); ok {
+				best, bestDomain, found = box, domain, true
+			}
+		}
+		if !found {
+			return chosen
+		}
+		chosen = append(chosen, best)
+		taken[best] = true
+		s.count[bestDomain]++
+	}
+	return chosen
+}
+
+// holds reports whether a box has the version or was told to get it.
+func (p *modelPlan) holds(box *member.Record, version table.ModelVersion) bool {
+	for _, held := range p.in.Previous.Boxes[box.Box].Weights {
+		if held.Model == p.model && held.Version == version {
+			return true
+		}
+	}
+	return slices.ContainsFunc(box.Copies, func(c member.Copy) bool {
+		return c.Model == p.model && c.Version == version
+	})
+}
+
+func (p *modelPlan) liveOn(version table.ModelVersion) int {
+	live := 0
+	for _, box := range p.pool {
+		if box.IsLive(p.model, version) {
+			live++
+		}
+	}
+	return live
+}
+
+func (p *modelPlan) rowPlan(row table.Row, share float64, carriers []member.BoxID) RowPlan {
+	before := p.in.Previous.Rows[row.Key()]
+	out := RowPlan{
+		Share: share, Target: row.Version, Serving: before.Serving,
+		Previous: before.Previous, Until: before.Until,
+		Replicas: len(carriers), Live: p.liveOn(row.Version),
+	}
+	if out.Serving == "" {
+		out.Serving = p.firstServing(row)
+	}
+	if out.Serving != row.Version {
+		out.Waits = p.waits(row, out)
+		if out.Waits == "" {
+			out.Previous = out.Serving
+			out.Until = p.in.Now.Add(p.in.Options.Linger).UTC().Round(0)
+			out.Serving = row.Version
+		}
+	}
+	if !out.Until.IsZero() && !p.in.Now.Before(out.Until) {
+		out.Previous = ""
+		out.Until = time.Time{}
+	}
+	return out
+}
+
+// firstServing is for a row without a plan: a new planner that lost the old
+// plan must not take a version out of service that is live, so it prefers the
+// table's version only where it is live or nothing else is.
+func (p *modelPlan) firstServing(row table.Row) table.ModelVersion {
+	if p.liveOn(row.Version) > 0 {
+		return row.Version
+	}
+	best, most := row.Version, 0
+	for _, version := range p.liveVersions() {
+		if live := p.liveOn(version); live > most {
+			best, most = version, live
+		}
+	}
+	return best
+}
+
+func (p *modelPlan) liveVersions() []table.ModelVersion {
+	var versions []table.ModelVersion
+	for _, box := range p.pool {
+		for _, held := range box.Copies {
+			if held.Model == p.model && held.Phase == member.PhaseLive && !slices.Contains(versions, held.Version) {
+				versions = append(versions, held.Version)
+			}
+		}
+	}
+	slices.Sort(versions)
+	return versions
+}
+
+// waits says why the row's version cannot answer yet; empty if it can.
+func (p *modelPlan) waits(row table.Row, out RowPlan) string {
+	if _, published := p.manifest(row.Version); !published {
+		return waitsForVersion
+	}
+	if len(p.pool) == 0 {
+		return waitsForBoxes
+	}
+	floor := int(math.Ceil(row.Floor * float64(len(p.pool))))
+	ready := int(math.Ceil(p.in.Options.Ready * float64(out.Replicas)))
+	need := max(1, min(out.Replicas, floor), ready)
+	if out.Live < need {
+		return waitsForLive
+	}
+	return ""
+}
+
+// assign writes each box's assignment: its target first, then what it holds and
+// must keep while a row is still answered by it.
+func (p *modelPlan) assign(next *Plan, carriers map[table.ModelVersion][]member.BoxID) {
+	target := make(map[member.BoxID]table.ModelVersion)
+	for version, boxes := range carriers {
+		for _, box := range boxes {
+			target[box] = version
+		}
+	}
+	kept := p.keptVersions(next)
+	for i := range p.pool {
+		box := &p.pool[i]
+		assignment := next.Boxes[box.Box]
+		wanted := p.boxVersions(box, target[box.Box], kept)
+		for _, version := range wanted {
+			if digest, ok := p.manifest(version); ok && len(assignment.Weights) < max(1, box.Slots) {
+				assignment.Weights = append(assignment.Weights, Weights{Model: p.model, Version: version, Manifest: digest})
+			}
+		}
+		next.Boxes[box.Box] = assignment
+	}
+}
+
+// keptVersions are those that some row is answered by now or was until lately.
+func (p *modelPlan) keptVersions(next *Plan) []table.ModelVersion {
+	var kept []table.ModelVersion
+	for _, row := range p.rows {
+		decided := next.Rows[row.Key()]
+		for _, version := range []table.ModelVersion{decided.Serving, decided.Previous} {
+			if version != "" && !slices.Contains(kept, version) {
+				kept = append(kept, version)
+			}
+		}
+	}
+	slices.Sort(kept)
+	return kept
+}
+
+func (p *modelPlan) boxVersions(box *member.Record, target table.ModelVersion, kept []table.ModelVersion) []table.ModelVersion {
+	var wanted []table.ModelVersion
+	if target != "" {
+		wanted = append(wanted, target)
+	}
+	for _, version := range kept {
+		if version != target && box.IsLive(p.model, version) {
+			wanted = append(wanted, version)
+		}
+	}
+	return wanted
+}
--- /dev/null
+++ b/pkg/table/edit.go
@@ -0,0 +1,226 @@
+package table
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Change sets cells of one row, makes the row, or removes it.
+type Change struct {
+	Key
+	// Set gives the new text of each changed column.
+	Set map[Column]string `json:"set,omitempty"`
+	// Remove deletes the row; Set is then empty.
+	Remove bool `json:"remove,omitempty"`
+}
+
+// Edit is what an operator asks for.
+type Edit struct {
+	ID     EditID `json:"id"`
+	Author string `json:"author"`
+	Reason string `json:"reason,omitempty"`
+	// Base is the revision that the author saw.
+	Base    Revision `json:"base"`
+	Changes []Change `json:"changes"`
+}
+
+// Conflict is one cell that another edit changed after the base revision.
+type Conflict struct {
+	Key
+	Column Column `json:"column"`
+	// Wanted is the text asked for; Current is what the other edit left.
+	Wanted  string `json:"wanted"`
+	Current string `json:"current"`
+	// Edit is the edit that is refused, Other the one that was accepted.
+	Edit   EditID `json:"edit"`
+	Other  EditID `json:"other_edit"`
+	Author string `json:"other_author"`
+}
+
+// ConflictError reports every cell in conflict.
+type ConflictError struct {
+	Base      Revision
+	Current   Revision
+	Conflicts []Conflict
+}
+
+// Error lists the cells in conflict.
+func (e *ConflictError) Error() string {
+	parts := make([]string, 0, len(e.Conflicts))
+	for _, c := range e.Conflicts {
+		parts = append(parts, fmt.Sprintf("%s %s: edit %s wants %q, edit %s by %q made it %q",
+			c.Key, c.Column, c.Edit, c.Wanted, c.Other, c.Author, c.Current))
+	}
+	return fmt.Sprintf("conflict between revision %d and %d: %s", e.Base, e.Current, strings.Join(parts, "; "))
+}
+
+// ErrBaseAhead reports an edit made against a revision that does not exist yet.
+var ErrBaseAhead = errors.New("base revision is newer than the table")
+
+// ErrNoEditID reports an edit without an id.
+var ErrNoEditID = errors.New("edit has no id")
+
+// Apply returns the table after the edit and leaves t as it was. An edit that is
+// already in the history returns t itself. Errors are *ConflictError, Findings,
+// ErrBaseAhead and ErrNoEditID.
+func (t *Table) Apply(edit Edit, now time.Time) (*Table, error) {
+	if edit.ID == "" {
+		return nil, ErrNoEditID
+	}
+	if _, done := t.Find(edit.ID); done {
+		return t, nil
+	}
+	if edit.Base > t.Revision {
+		return nil, fmt.Errorf("base %d, table %d: %w", edit.Base, t.Revision, ErrBaseAhead)
+	}
+	if conflicts := t.conflicts(edit); len(conflicts) > 0 {
+		return nil, &ConflictError{Base: edit.Base, Current: t.Revision, Conflicts: conflicts}
+	}
+	next := t.clone()
+	next.Revision++
+	var findings Findings
+	for _, change := range edit.Changes {
+		findings = append(findings, next.apply(change)...)
+	}
+	findings = append(findings, Check(next.Rows())...)
+	if len(findings) > 0 {
+		return nil, findings
+	}
+	next.record(edit, now)
+	return next, nil
+}
+
+func (t *Table) record(edit Edit, now time.Time) {
+	t.History = append(t.History, Record{
+		ID: edit.ID, Revision: t.Revision, Author: edit.Author,
+		Reason: edit.Reason, Time: now.UTC(), Changes: edit.Changes,
+	})
+	if extra := len(t.History) - historyLength; extra > 0 {
+		t.History = t.History[extra:]
+	}
+}
+
+func (t *Table) conflicts(edit Edit) []Conflict {
+	var conflicts []Conflict
+	for _, change := range edit.Changes {
+		at := t.entry(change.Key)
+		if at < 0 {
+			continue
+		}
+		entry := t.Entries[at]
+		for _, column := range change.touched(entry) {
+			changed := entry.Cells[column]
+			if changed <= edit.Base {
+				continue
+			}
+			other := t.recordAt(changed)
+			conflicts = append(conflicts, Conflict{
+				Key: change.Key, Column: column,
+				Wanted: change.Set[column], Current: entry.Cell(column),
+				Edit: edit.ID, Other: other.ID, Author: other.Author,
+			})
+		}
+	}
+	return conflicts
+}
+
+// touched lists the columns on which the change depends. Removing a row, or
+// bringing a removed one back, depends on all of them.
+func (c Change) touched(entry Entry) []Column {
+	if c.Remove || entry.Deleted {
+		return valueColumns
+	}
+	var columns []Column
+	for _, column := range valueColumns {
+		if _, ok := c.Set[column]; ok {
+			columns = append(columns, column)
+		}
+	}
+	return columns
+}
+
+func (t *Table) apply(change Change) Findings {
+	at := t.entry(change.Key)
+	if change.Remove {
+		return t.remove(change, at)
+	}
+	if at < 0 {
+		t.Entries = append(t.Entries, Entry{Row: NewRow(change.Key), Deleted: true})
+		at = len(t.Entries) - 1
+	}
+	entry := &t.Entries[at]
+	made := entry.Deleted
+	if made {
+		entry.Row = NewRow(change.Key)
+		entry.Deleted = false
+		entry.Cells = make(map[Column]Revision, len(valueColumns))
+	}
+	var findings Findings
+	for column, text := range change.Set {
+		if message := entry.setValue(column, text); message != "" {
+			findings = append(findings, Finding{Key: change.Key, Column: column, Message: message})
+		}
+	}
+	for _, column := range valueColumns {
+		if _, set := change.Set[column]; set || made {
+			entry.Cells[column] = t.Revision
+		}
+	}
+	entry.Revision = t.Revision
+	return findings
+}
+
+func (e *Entry) setValue(column Column, text string) string {
+	if column == ColumnGroup || column == ColumnModel {
+		return "cannot be changed; remove the row and add another"
+	}
+	return e.set(column, text)
+}
+
+func (t *Table) remove(change Change, at int) Findings {
+	if at < 0 || t.Entries[at].Deleted {
+		return Findings{{Key: change.Key, Message: "no such row to remove"}}
+	}
+	entry := &t.Entries[at]
+	entry.Deleted = true
+	entry.Revision = t.Revision
+	for _, column := range valueColumns {
+		entry.Cells[column] = t.Revision
+	}
+	return nil
+}
+
+// Diff returns the changes that lead from the old rows to the new ones.
+func Diff(before, after []Row) []Change {
+	old := make(map[Key]Row, len(before))
+	for _, row := range before {
+		old[row.Key()] = row
+	}
+	var changes []Change
+	for _, row := range after {
+		was, existed := old[row.Key()]
+		delete(old, row.Key())
+		set := changedCells(was, row, existed)
+		if len(set) > 0 {
+			changes = append(changes, Change{Key: row.Key(), Set: set})
+		}
+	}
+	for _, row := range before {
+		if _, gone := old[row.Key()]; gone {
+			changes = append(changes, Change{Key: row.Key(), Remove: true})
+		}
+	}
+	return changes
+}
+
+func changedCells(was, row Row, existed bool) map[Column]string {
+	set := make(map[Column]string)
+	for _, column := range valueColumns {
+		if !existed || was.Cell(column) != row.Cell(column) {
+			set[column] = row.Cell(column)
+		}
+	}
+	return set
+}
--- /dev/null
+++ b/pkg/weights/picker.go
@@ -0,0 +1,262 @@
+package weights
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// PickerOptions sets how a copy is fetched.
+type PickerOptions struct {
+	// Window is how many fetches run at once from one neighbour.
+	Window int
+	// DrawWindow is how many run at once from the origin.
+	DrawWindow int
+	// DrawWait is how long each place in the order of drawers waits for the
+	// one before it.
+	DrawWait time.Duration
+	// Strikes is after how many faults a neighbour is no longer asked.
+	Strikes int
+}
+
+// DefaultPickerOptions suits links of about two copies in the time allowed.
+func DefaultPickerOptions() PickerOptions {
+	return PickerOptions{Window: 2, DrawWindow: 4, DrawWait: 2 * time.Second, Strikes: 3}
+}
+
+// Task is one fetch. From is empty for the origin.
+type Task struct {
+	Chunk int
+	From  string
+}
+
+// IsDraw reports whether the task fetches from the origin.
+func (t Task) IsDraw() bool { return t.From == "" }
+
+type neighbour struct {
+	held    Bits
+	running int
+	strikes int
+}
+
+// Picker decides which chunk to fetch next. It is not safe for concurrent use.
+type Picker struct {
+	manifest *Manifest
+	self     string
+	options  PickerOptions
+	start    time.Time
+
+	held       Bits
+	missing    int
+	running    map[int]bool
+	draws      int
+	neighbours map[string]*neighbour
+	order      []string
+	ranks      []int
+	lastRetry  map[int]time.Time
+}
+
+// NewPicker returns a picker for a copy that starts now. Held chunks are not
+// fetched.
+func NewPicker(manifest *Manifest, self string, held Bits, options PickerOptions, now time.Time) *Picker {
+	p := &Picker{
+		manifest: manifest, self: self, options: options, start: now,
+		held:       NewBits(len(manifest.Chunks)),
+		missing:    len(manifest.Chunks),
+		running:    make(map[int]bool),
+		neighbours: make(map[string]*neighbour),
+		lastRetry:  make(map[int]time.Time),
+	}
+	for i := range manifest.Chunks {
+		if held.Has(i) {
+			p.held.Set(i)
+			p.missing--
+		}
+	}
+	p.SetDrawers([]string{self})
+	return p
+}
+
+// SetDrawers names all boxes that want the version. For each chunk rendezvous
+// hashing puts them in an order; the first draws it from the origin, and each
+// later one only if the chunk has not shown up within its wait.
+func (p *Picker) SetDrawers(drawers []string) {
+	p.ranks = make([]int, len(p.manifest.Chunks))
+	for i := range p.manifest.Chunks {
+		own := drawScore(p.manifest.digest, i, p.self)
+		for _, drawer := range drawers {
+			if drawer != p.self && drawScore(p.manifest.digest, i, drawer) > own {
+				p.ranks[i]++
+			}
+		}
+	}
+}
+
+func drawScore(manifest Digest, chunk int, box string) uint64 {
+	var place [DigestSize + 4]byte
+	copy(place[:], manifest[:])
+	place[DigestSize] = byte(chunk)
+	place[DigestSize+1] = byte(chunk >> 8)
+	place[DigestSize+2] = byte(chunk >> 16)
+	place[DigestSize+3] = byte(chunk >> 24)
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.Write(place[:])
+	_, _ = digest.WriteString(box)
+	return digest.Sum64()
+}
+
+// SetNeighbours replaces the boxes that may be asked. What is known of those
+// that stay is kept.
+func (p *Picker) SetNeighbours(boxes []string) {
+	for box := range p.neighbours {
+		if !slices.Contains(boxes, box) {
+			delete(p.neighbours, box)
+		}
+	}
+	for _, box := range boxes {
+		if _, ok := p.neighbours[box]; !ok && box != p.self {
+			p.neighbours[box] = &neighbour{}
+		}
+	}
+	p.order = p.order[:0]
+	for box := range p.neighbours {
+		p.order = append(p.order, box)
+	}
+	slices.Sort(p.order)
+}
+
+// SetHoldings notes what a neighbour holds.
+func (p *Picker) SetHoldings(box string, held Bits) {
+	if n, ok := p.neighbours[box]; ok {
+		n.held = held
+	}
+}
+
+// Missing returns how many chunks are not yet held.
+func (p *Picker) Missing() int { return p.missing }
+
+// Next returns the next fetch; ok is false if nothing can be started now. The
+// task counts as running until Done or Failed.
+func (p *Picker) Next(now time.Time) (task Task, ok bool) {
+	if task, ok = p.fromNeighbour(); !ok {
+		task, ok = p.fromOrigin(now)
+	}
+	if !ok {
+		return Task{}, false
+	}
+	p.running[task.Chunk] = true
+	if task.IsDraw() {
+		p.draws++
+	} else {
+		p.neighbours[task.From].running++
+	}
+	return task, true
+}
+
+// fromNeighbour takes the chunk that the fewest neighbours hold, from the
+// least busy of them. Ties go by a hash of box and chunk, so that boxes that
+// start together do not all fetch the same chunk.
+func (p *Picker) fromNeighbour() (Task, bool) {
+	best, bestCount, bestTie := Task{Chunk: -1}, 0, uint64(0)
+	for chunk := range p.manifest.Chunks {
+		if p.held.Has(chunk) || p.running[chunk] {
+			continue
+		}
+		from, count := p.holder(chunk)
+		if from == "" {
+			continue
+		}
+		tie := drawScore(p.manifest.digest, chunk, p.self)
+		if best.Chunk < 0 || count < bestCount || count == bestCount && tie > bestTie {
+			best, bestCount, bestTie = Task{Chunk: chunk, From: from}, count, tie
+		}
+	}
+	return best, best.Chunk >= 0
+}
+
+// holder returns the least busy usable neighbour with the chunk, and how many
+// neighbours hold it.
+func (p *Picker) holder(chunk int) (string, int) {
+	from, running, count := "", 0, 0
+	for _, box := range p.order {
+		n := p.neighbours[box]
+		if !n.held.Has(chunk) {
+			continue
+		}
+		count++
+		usable := n.running < p.options.Window && n.strikes < p.options.Strikes
+		if usable && (from == "" || n.running < running) {
+			from, running = box, n.running
+		}
+	}
+	return from, count
+}
+
+// fromOrigin takes a chunk that no neighbour shows and for which the boxes that
+// come first in its order have had their time.
+func (p *Picker) fromOrigin(now time.Time) (Task, bool) {
+	if p.draws >= p.options.DrawWindow {
+		return Task{}, false
+	}
+	best, bestRank := -1, 0
+	for chunk := range p.manifest.Chunks {
+		if p.held.Has(chunk) || p.running[chunk] || p.isShown(chunk) {
+			continue
+		}
+		due := p.start.Add(time.Duration(p.ranks[chunk]) * p.options.DrawWait)
+		if now.Before(due) || now.Before(p.lastRetry[chunk]) {
+			continue
+		}
+		if best < 0 || p.ranks[chunk] < bestRank {
+			best, bestRank = chunk, p.ranks[chunk]
+		}
+	}
+	return Task{Chunk: best}, best >= 0
+}
+
+// isShown reports whether a usable neighbour holds the chunk, busy or not.
+func (p *Picker) isShown(chunk int) bool {
+	for _, box := range p.order {
+		n := p.neighbours[box]
+		if n.strikes < p.options.Strikes && n.held.Has(chunk) {
+			return true
+		}
+	}
+	return false
+}
+
+// Done notes that the chunk was fetched, verified and kept.
+func (p *Picker) Done(task Task) {
+	p.finish(task)
+	if n, ok := p.neighbours[task.From]; ok {
+		n.strikes = 0
+	}
+	if !p.held.Has(task.Chunk) {
+		p.held.Set(task.Chunk)
+		p.missing--
+	}
+}
+
+// Failed notes that the fetch gave nothing. A neighbour gets a strike; a draw is
+// not tried again before retry.
+func (p *Picker) Failed(task Task, retry time.Time) {
+	p.finish(task)
+	if task.IsDraw() {
+		p.lastRetry[task.Chunk] = retry
+		return
+	}
+	if n, ok := p.neighbours[task.From]; ok {
+		n.strikes++
+	}
+}
+
+func (p *Picker) finish(task Task) {
+	delete(p.running, task.Chunk)
+	if task.IsDraw() {
+		p.draws--
+	} else if n, ok := p.neighbours[task.From]; ok {
+		n.running--
+	}
+}
