fix(plan): a new version never pushes out one that a floor still needs

Change: what is in service is kept first; a target waits unless a kept version has boxes to spare beyond the floors of its rows; slots of models decided later are reserved; live boxes are counted once a model. One slot and floors above one half still wait, and say so.

--- /dev/null
+++ b/cmd/cinderslip/client.go
@@ -0,0 +1,161 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"strings"
+
+	"github.com/cinderslip/cinderslip/internal/daemon"
+	"github.com/cinderslip/cinderslip/pkg/table"
+)
+
+// client calls the operators' interface of an entry box.
+type client struct {
+	base  string
+	token string
+	http  *http.Client
+}
+
+func newClient(global *globalOptions) (*client, error) {
+	c := &client{base: global.Server, http: &http.Client{Timeout: global.Timeout}}
+	if c.base != "" && !strings.Contains(c.base, "://") {
+		c.base = "http://" + c.base
+	}
+	if global.TokenFile == "" {
+		return c, nil
+	}
+	content, err := os.ReadFile(global.TokenFile)
+	if err != nil {
+		return nil, withCode(exitUsage, fmt.Errorf("reading the token: %w", err))
+	}
+	c.token = strings.TrimSpace(string(content))
+	return c, nil
+}
+
+// problemError is a problem document from the server.
+type problemError struct{ daemon.Problem }
+
+// Error lists what the document says, each conflict and finding on a line.
+func (e *problemError) Error() string {
+	if len(e.Conflicts) == 0 && len(e.Findings) == 0 {
+		return fmt.Sprintf("%s: %s", e.Title, e.Detail)
+	}
+	lines := []string{e.Title + ":"}
+	for _, conflict := range e.Conflicts {
+		lines = append(lines, fmt.Sprintf("  row %s, column %s: edit %s wants %q, edit %s by %q made it %q",
+			conflict.Key, conflict.Column, conflict.Edit, conflict.Wanted, conflict.Other, conflict.Author, conflict.Current))
+	}
+	for _, finding := range e.Findings {
+		lines = append(lines, "  "+finding.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// errNoAnswer reports that the server gave no answer to a call that was sent.
+var errNoAnswer = errors.New("no answer from the server")
+
+// call sends a request and decodes the answer, if answer is not nil. A problem
+// document is returned as *problemError with its exit code.
+func (c *client) call(ctx context.Context, method, path string, header http.Header, message, answer any) error {
+	if c.base == "" {
+		return withCode(exitUsage, errors.New("want --server ADDRESS or CINDERSLIP_SERVER"))
+	}
+	var body io.Reader = http.NoBody
+	if message != nil {
+		content, err := json.Marshal(message)
+		if err != nil {
+			return fmt.Errorf("encoding the request: %w", err)
+		}
+		body = bytes.NewReader(content)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
+	if err != nil {
+		return withCode(exitUsage, err)
+	}
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	if c.token != "" {
+		request.Header.Set("Authorization", "Bearer "+c.token)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return withCode(exitUnavailable, fmt.Errorf("%w: %w", errNoAnswer, err))
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return readProblem(response)
+	}
+	if answer == nil {
+		return nil
+	}
+	if err := json.NewDecoder(response.Body).Decode(answer); err != nil {
+		return withCode(exitUnavailable, fmt.Errorf("%w: %w", errNoAnswer, err))
+	}
+	return nil
+}
+
+func readProblem(response *http.Response) error {
+	problem := &problemError{}
+	if err := json.NewDecoder(response.Body).Decode(&problem.Problem); err != nil {
+		problem.Title, problem.Detail = response.Status, "the answer is not a problem document"
+	}
+	switch response.StatusCode {
+	case http.StatusConflict, http.StatusUnprocessableEntity, http.StatusPreconditionFailed:
+		return withCode(exitRefused, problem)
+	case http.StatusGatewayTimeout:
+		return withCode(exitUndecided, problem)
+	case http.StatusServiceUnavailable, http.StatusBadGateway:
+		return withCode(exitUnavailable, problem)
+	}
+	return withCode(exitFailed, problem)
+}
+
+func (c *client) table(ctx context.Context) (daemon.TableAnswer, error) {
+	var answer daemon.TableAnswer
+	err := c.call(ctx, http.MethodGet, "/v1/table", nil, nil, &answer)
+	return answer, err
+}
+
+func (c *client) status(ctx context.Context) (daemon.StatusAnswer, error) {
+	var answer daemon.StatusAnswer
+	err := c.call(ctx, http.MethodGet, "/v1/status", nil, nil, &answer)
+	return answer, err
+}
+
+func (c *client) history(ctx context.Context) ([]table.Record, error) {
+	var records []table.Record
+	err := c.call(ctx, http.MethodGet, "/v1/table/history", nil, nil, &records)
+	return records, err
+}
+
+// edit reads back the record of an edit; found is false if the table does not
+// hold it.
+func (c *client) edit(ctx context.Context, id table.EditID) (record table.Record, found bool, err error) {
+	err = c.call(ctx, http.MethodGet, "/v1/table/edits/"+url.PathEscape(string(id)), nil, nil, &record)
+	var problem *problemError
+	if errors.As(err, &problem) && problem.Status == http.StatusNotFound {
+		return record, false, nil
+	}
+	return record, err == nil, err
+}
+
+func (c *client) patch(ctx context.Context, base table.Revision, patch daemon.Patch) (daemon.PatchAnswer, error) {
+	var answer daemon.PatchAnswer
+	header := http.Header{"If-Match": []string{fmt.Sprintf("%q", fmt.Sprint(base))}}
+	err := c.call(ctx, http.MethodPatch, "/v1/table", header, patch, &answer)
+	return answer, err
+}
+
+func (c *client) entries(ctx context.Context, service string) (daemon.EntriesAnswer, error) {
+	var answer daemon.EntriesAnswer
+	err := c.call(ctx, http.MethodGet, "/v1/entries?service="+url.QueryEscape(service), nil, nil, &answer)
+	return answer, err
+}
--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -300,7 +300,7 @@
 // that may have it goes before that of one that surely has not.
 func fromSources[T any](sources []platform.WeightSource, ask func(platform.WeightSource) (T, error)) (T, error) {
 	var zero T
-	problem := error(platform.ErrNotPublished)
+	problem := platform.ErrNotPublished
 	for _, source := range sources {
 		answer, err := ask(source)
 		if err == nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -90,7 +90,7 @@
 		client: newPlatformClient(),
 	}
 	for _, step := range steps {
-		if err := logged(skipped(step.Run))(p, step); err != nil {
+		if err := logged(runUnlessSkipped)(p, step); err != nil {
 			ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 			defer cancel()
 			return nil, errors.Join(fmt.Errorf("starting %s: %w", step, err), p.kernel.Stop(ctx))
@@ -109,17 +109,15 @@
 	}}
 }
 
-// stepRun is Run with its step, for the middleware.
+// stepRun runs a step; middleware wraps it.
 type stepRun func(p *Process, step Step) error
 
-// skipped leaves out a step that the role does without.
-func skipped(run func(p *Process) error) stepRun {
-	return func(p *Process, step Step) error {
-		if step.Skip(p) {
-			return nil
-		}
-		return step.Run(p)
+// runUnlessSkipped leaves out a step that the role does without.
+func runUnlessSkipped(p *Process, step Step) error {
+	if step.Skip(p) {
+		return nil
 	}
+	return step.Run(p)
 }
 
 // logged writes a line for each step.
--- a/internal/daemon/fetch.go
+++ b/internal/daemon/fetch.go
@@ -39,7 +39,6 @@
 	holdings chan holdingsResult
 	asked    map[string]bool
 	told     int
-	full     bool
 }
 
 type fetchResult struct {
@@ -72,7 +71,7 @@
 	clock := f.copier.options.Clock
 	ticker := clock.NewTicker(holdingsInterval)
 	defer ticker.Stop()
-	f.adoptSwarm(ctx)
+	f.adoptSwarm()
 	f.askHoldings(ctx)
 	for f.picker.Missing() > 0 {
 		f.startTasks(ctx)
@@ -86,16 +85,16 @@
 		case result := <-f.holdings:
 			f.takeHoldings(result)
 		case <-f.job.updated:
-			f.adoptSwarm(ctx)
+			f.adoptSwarm()
 		case <-ticker.Chan():
-			f.adoptSwarm(ctx)
+			f.adoptSwarm()
 			f.askHoldings(ctx)
 		}
 	}
 	return nil
 }
 
-func (f *fetch) adoptSwarm(context.Context) {
+func (f *fetch) adoptSwarm() {
 	f.job.mu.Lock()
 	defer f.job.mu.Unlock()
 	f.picker.SetNeighbours(slices.Collect(maps.Keys(f.job.neighbours)))
--- a/internal/daemon/planner.go
+++ b/internal/daemon/planner.go
@@ -292,9 +292,14 @@
 	p.metrics.planSeconds.Observe(p.clock.Since(started).Seconds())
 	version := state.Version{Major: t.epoch, Minor: t.sequence + 1}
 	items, err := planItems(previous, next, version)
-	if err != nil || len(items) == 0 {
+	if err != nil {
 		return err
 	}
+	// A plan without changes is still published for a new table, so that its
+	// head tells that the edit is in force.
+	if before := p.view.Head(); len(items) == 0 && before.Epoch == t.epoch && before.Table == revision {
+		return nil
+	}
 	head := plan.Head{Epoch: t.epoch, Sequence: version.Minor, Planner: p.self, Table: revision}
 	if err := p.swapHead(ctx, t, head); err != nil {
 		return err
@@ -372,7 +377,7 @@
 func (p *Planner) pinHeld(members []member.Record) {
 	for _, record := range members {
 		for _, held := range record.Copies {
-			if _, known := p.pin(held.Model, held.Version); !known {
+			if !p.isPinned(held.Model, held.Version) {
 				p.setPin(held.Model, held.Version, held.Manifest)
 			}
 		}
@@ -397,7 +402,7 @@
 }
 
 func (p *Planner) resolveRow(ctx context.Context, row table.Row) {
-	if _, known := p.pin(row.Model, row.Version); known || p.missedLately(row) {
+	if p.isPinned(row.Model, row.Version) || p.missedLately(row) {
 		return
 	}
 	content, err := readManifest(ctx, p.sources, row.Model, row.Version)
@@ -424,11 +429,11 @@
 	})
 }
 
-func (p *Planner) pin(model table.Model, version table.ModelVersion) (weights.Digest, bool) {
+func (p *Planner) isPinned(model table.Model, version table.ModelVersion) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	digest, ok := p.manifests[model][version]
-	return digest, ok
+	_, ok := p.manifests[model][version]
+	return ok
 }
 
 func (p *Planner) setPin(model table.Model, version table.ModelVersion, digest weights.Digest) {
--- a/internal/daemon/steps.go
+++ b/internal/daemon/steps.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"slices"
@@ -57,15 +58,17 @@
 func (listenStep) String() string { return "listeners" }
 
 func (listenStep) Run(p *Process) error {
+	ctx := context.Background()
+	var config net.ListenConfig
 	var err error
-	if p.peersAt, err = net.Listen("tcp", p.settings.Listen.Peers); err != nil {
+	if p.peersAt, err = config.Listen(ctx, "tcp", p.settings.Listen.Peers); err != nil {
 		return fmt.Errorf("listening for peers: %w", err)
 	}
-	if p.operators, err = net.Listen("tcp", p.settings.Listen.Operators); err != nil {
+	if p.operators, err = config.Listen(ctx, "tcp", p.settings.Listen.Operators); err != nil {
 		return fmt.Errorf("listening for operators: %w", err)
 	}
 	if p.settings.Role == settings.RoleEntry {
-		if p.callers, err = net.Listen("tcp", p.settings.Listen.Callers); err != nil {
+		if p.callers, err = config.Listen(ctx, "tcp", p.settings.Listen.Callers); err != nil {
 			return fmt.Errorf("listening for callers: %w", err)
 		}
 	}
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -114,7 +114,8 @@
 
 // serve answers a handler on a loopback address and returns its base URL.
 func (c *Cluster) serve(handler http.Handler) (string, error) {
-	listener, err := net.Listen("tcp", loopback)
+	var config net.ListenConfig
+	listener, err := config.Listen(context.Background(), "tcp", loopback)
 	if err != nil {
 		return "", fmt.Errorf("listening for a stand-in: %w", err)
 	}
--- a/pkg/plan/plan.go
+++ b/pkg/plan/plan.go
@@ -102,6 +102,9 @@
 	Previous  Plan
 	Now       time.Time
 	Options   Options
+
+	// named holds the models of the rows.
+	named map[table.Model]bool
 }
 
 // The reasons for which a row waits.
@@ -109,6 +112,7 @@
 	waitsForVersion = "version not found in the weight store"
 	waitsForBoxes   = "no box of the pool is up"
 	waitsForLive    = "too few boxes have the version live"
+	waitsForRoom    = "too few boxes have room for it beside the version in service"
 )
 
 // Next returns the plan that follows from the input.
@@ -118,6 +122,10 @@
 	for _, row := range in.Rows {
 		byModel[row.Model] = append(byModel[row.Model], row)
 	}
+	in.named = make(map[table.Model]bool, len(byModel))
+	for model := range byModel {
+		in.named[model] = true
+	}
 	for _, model := range slices.Sorted(maps.Keys(byModel)) {
 		newModelPlan(&in, model, byModel[model]).decide(&next)
 	}
@@ -142,6 +150,7 @@
 	model table.Model
 	rows  []table.Row
 	pool  []member.Record
+	live  map[table.ModelVersion]int
 }
 
 func newModelPlan(in *Input, model table.Model, rows []table.Row) *modelPlan {
@@ -158,6 +167,7 @@
 		}
 		return 1
 	})
+	p.countLive()
 	return p
 }
 
@@ -285,24 +295,38 @@
 
 // holds reports whether a box has the version or was told to get it.
 func (p *modelPlan) holds(box *member.Record, version table.ModelVersion) bool {
-	for _, held := range p.in.Previous.Boxes[box.Box].Weights {
-		if held.Model == p.model && held.Version == version {
-			return true
-		}
+	if p.in.Previous.Boxes[box.Box].carries(p.model, version) {
+		return true
 	}
 	return slices.ContainsFunc(box.Copies, func(c member.Copy) bool {
 		return c.Model == p.model && c.Version == version
 	})
 }
 
-func (p *modelPlan) liveOn(version table.ModelVersion) int {
-	live := 0
-	for _, box := range p.pool {
-		if box.IsLive(p.model, version) {
-			live++
+func (p *modelPlan) liveOn(version table.ModelVersion) int { return p.live[version] }
+
+// countLive counts the boxes of the pool that have each version live and have
+// not been told to drop it.
+func (p *modelPlan) countLive() {
+	p.live = make(map[table.ModelVersion]int)
+	for i := range p.pool {
+		for _, version := range p.stays(&p.pool[i]) {
+			p.live[version]++
 		}
 	}
-	return live
+}
+
+// stays are the versions that a box has live and has not been told to drop.
+func (p *modelPlan) stays(box *member.Record) []table.ModelVersion {
+	before, told := p.in.Previous.Boxes[box.Box]
+	var versions []table.ModelVersion
+	for _, held := range box.Copies {
+		isLive := held.Model == p.model && held.Phase == member.PhaseLive
+		if isLive && (!told || before.carries(held.Model, held.Version)) {
+			versions = append(versions, held.Version)
+		}
+	}
+	return versions
 }
 
 func (p *modelPlan) rowPlan(row table.Row, share float64, carriers []member.BoxID) RowPlan {
@@ -316,7 +340,7 @@
 		out.Serving = p.firstServing(row)
 	}
 	if out.Serving != row.Version {
-		out.Waits = p.waits(row, out)
+		out.Waits = p.waits(row, &out)
 		if out.Waits == "" {
 			out.Previous = out.Serving
 			out.Until = p.in.Now.Add(p.in.Options.Linger).UTC().Round(0)
@@ -338,29 +362,16 @@
 		return row.Version
 	}
 	best, most := row.Version, 0
-	for _, version := range p.liveVersions() {
-		if live := p.liveOn(version); live > most {
-			best, most = version, live
+	for _, version := range slices.Sorted(maps.Keys(p.live)) {
+		if p.live[version] > most {
+			best, most = version, p.live[version]
 		}
 	}
 	return best
 }
 
-func (p *modelPlan) liveVersions() []table.ModelVersion {
-	var versions []table.ModelVersion
-	for _, box := range p.pool {
-		for _, held := range box.Copies {
-			if held.Model == p.model && held.Phase == member.PhaseLive && !slices.Contains(versions, held.Version) {
-				versions = append(versions, held.Version)
-			}
-		}
-	}
-	slices.Sort(versions)
-	return versions
-}
-
 // waits says why the row's version cannot answer yet; empty if it can.
-func (p *modelPlan) waits(row table.Row, out RowPlan) string {
+func (p *modelPlan) waits(row table.Row, out *RowPlan) string {
 	if _, published := p.manifest(row.Version); !published {
 		return waitsForVersion
 	}
@@ -368,16 +379,34 @@
 		return waitsForBoxes
 	}
 	floor := int(math.Ceil(row.Floor * float64(len(p.pool))))
-	ready := int(math.Ceil(p.in.Options.Ready * float64(out.Replicas)))
+	assigned := p.assignedTo(row.Version)
+	ready := int(math.Ceil(p.in.Options.Ready * float64(min(out.Replicas, max(1, assigned)))))
 	need := max(1, min(out.Replicas, floor), ready)
-	if out.Live < need {
-		return waitsForLive
+	switch {
+	case out.Live >= need:
+		return ""
+	case assigned > 0 && assigned < need:
+		return waitsForRoom
 	}
-	return ""
+	return waitsForLive
 }
 
-// assign writes each box's assignment: its target first, then what it holds and
-// must keep while a row is still answered by it.
+// assignedTo counts the boxes that the previous plan gave a version to. It can
+// be fewer than are to carry it, where old versions still take the room.
+func (p *modelPlan) assignedTo(version table.ModelVersion) int {
+	count := 0
+	for i := range p.pool {
+		if p.in.Previous.Boxes[p.pool[i].Box].carries(p.model, version) {
+			count++
+		}
+	}
+	return count
+}
+
+// assign writes each box's assignment: what it must keep while a row is still
+// answered by it, then its target. Where both do not fit, a kept version gives
+// way on boxes beyond those that the floors of its rows need; if there are none,
+// the target waits.
 func (p *modelPlan) assign(next *Plan, carriers map[table.ModelVersion][]member.BoxID) {
 	target := make(map[member.BoxID]table.ModelVersion)
 	for version, boxes := range carriers {
@@ -385,13 +414,13 @@
 			target[box] = version
 		}
 	}
-	kept := p.keptVersions(next)
+	keeping := p.newKeeping(next)
 	for i := range p.pool {
 		box := &p.pool[i]
 		assignment := next.Boxes[box.Box]
-		wanted := p.boxVersions(box, target[box.Box], kept)
-		for _, version := range wanted {
-			if digest, ok := p.manifest(version); ok && len(assignment.Weights) < max(1, box.Slots) {
+		room := max(1, box.Slots) - len(assignment.Weights) - p.reserved(box)
+		for _, version := range keeping.fit(box, target[box.Box], room) {
+			if digest, ok := p.manifest(version); ok {
 				assignment.Weights = append(assignment.Weights, Weights{Model: p.model, Version: version, Manifest: digest})
 			}
 		}
@@ -399,30 +428,92 @@
 	}
 }
 
-// keptVersions are those that some row is answered by now or was until lately.
-func (p *modelPlan) keptVersions(next *Plan) []table.ModelVersion {
-	var kept []table.ModelVersion
+// reserved counts the slots of models that are decided later, so that one model's
+// new version never pushes out what another one serves with.
+func (p *modelPlan) reserved(box *member.Record) int {
+	count := 0
+	before := p.in.Previous.Boxes[box.Box]
+	for _, held := range box.Copies {
+		if held.Model > p.model && p.in.named[held.Model] && before.carries(held.Model, held.Version) {
+			count++
+		}
+	}
+	return count
+}
+
+// keeping decides which old versions stay on which boxes.
+type keeping struct {
+	plan *modelPlan
+	// kept counts the boxes that still keep a version, need how many must.
+	kept map[table.ModelVersion]int
+	need map[table.ModelVersion]int
+	// lingers marks versions that were in service until lately.
+	lingers map[table.ModelVersion]bool
+}
+
+func (p *modelPlan) newKeeping(next *Plan) *keeping {
+	k := &keeping{
+		plan:    p,
+		kept:    make(map[table.ModelVersion]int),
+		need:    make(map[table.ModelVersion]int),
+		lingers: make(map[table.ModelVersion]bool),
+	}
+	floors := make(map[table.ModelVersion]float64)
 	for _, row := range p.rows {
 		decided := next.Rows[row.Key()]
-		for _, version := range []table.ModelVersion{decided.Serving, decided.Previous} {
-			if version != "" && !slices.Contains(kept, version) {
-				kept = append(kept, version)
-			}
+		floors[decided.Serving] += row.Floor
+		if decided.Previous != "" {
+			k.lingers[decided.Previous] = true
+		}
+	}
+	for version, floor := range floors {
+		k.need[version] = max(1, int(math.Ceil(floor*float64(len(p.pool)))))
+	}
+	for i := range p.pool {
+		for _, version := range k.versions(&p.pool[i]) {
+			k.kept[version]++
 		}
 	}
-	slices.Sort(kept)
-	return kept
+	return k
+}
+
+// versions are those that stay on the box and some row is or was answered by.
+func (k *keeping) versions(box *member.Record) []table.ModelVersion {
+	versions := slices.DeleteFunc(k.plan.stays(box), func(version table.ModelVersion) bool {
+		return k.need[version] == 0 && !k.lingers[version]
+	})
+	slices.Sort(versions)
+	return versions
+}
+
+func (a Assignment) carries(model table.Model, version table.ModelVersion) bool {
+	return slices.ContainsFunc(a.Weights, func(w Weights) bool { return w.Model == model && w.Version == version })
 }
 
-func (p *modelPlan) boxVersions(box *member.Record, target table.ModelVersion, kept []table.ModelVersion) []table.ModelVersion {
-	var wanted []table.ModelVersion
-	if target != "" {
-		wanted = append(wanted, target)
+// fit returns what the box is to carry of the model in the room that it has.
+func (k *keeping) fit(box *member.Record, target table.ModelVersion, room int) []table.ModelVersion {
+	versions := k.versions(box)
+	if target != "" && !slices.Contains(versions, target) {
+		for len(versions) >= room {
+			spare := k.spare(versions)
+			if spare < 0 {
+				break
+			}
+			k.kept[versions[spare]]--
+			versions = slices.Delete(versions, spare, spare+1)
+		}
+		versions = append(versions, target)
 	}
-	for _, version := range kept {
-		if version != target && box.IsLive(p.model, version) {
-			wanted = append(wanted, version)
+	return versions[:max(0, min(room, len(versions)))]
+}
+
+// spare is the version with the most boxes beyond its need; -1 if there is none.
+func (k *keeping) spare(versions []table.ModelVersion) int {
+	best, most := -1, 0
+	for i, version := range versions {
+		if surplus := k.kept[version] - k.need[version]; !k.lingers[version] && surplus > most {
+			best, most = i, surplus
 		}
 	}
-	return wanted
+	return best
 }
