fix(weights): a box in the order of drawers waits for progress, not from the start

Cause: the second drawer of a chunk drew it a fixed time after the copy began, though the first had drawn it and it was on its way through other boxes; 40 boxes and 100 chunks drew 122 chunks. Change: the wait counts from the last chunk that the box got. Measured: 100 chunks drawn for 40 boxes (before: 122); with 5 of 10 boxes dead, under two copies, as before. Drawing still waits out one full wait when a drawer dies and no silent mark comes first.

--- a/internal/daemon/fetch.go
+++ b/internal/daemon/fetch.go
@@ -134,7 +134,7 @@
 	switch {
 	case err == nil:
 		metrics.chunkBytes.WithLabelValues(from).Add(float64(len(result.data)))
-		f.picker.Done(result.task)
+		f.picker.Done(result.task, f.copier.options.Clock.Now())
 		f.tellProgress()
 		return nil
 	case errors.Is(err, weights.ErrFull):
--- /dev/null
+++ b/pkg/member/member_test.go
@@ -0,0 +1,129 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cinderslip/cinderslip/pkg/state"
+	"github.com/cinderslip/cinderslip/pkg/table"
+)
+
+func TestSilentMarkLosesToTheBoxesNextRecord(t *testing.T) {
+	store := state.NewStore(1)
+	put := func(record Record) bool {
+		item, err := record.Item()
+		require.NoError(t, err)
+		return len(store.Apply([]state.Item{item})) == 1
+	}
+	own := Record{Box: "b", Incarnation: 5, Sequence: 3, Status: StatusUp}
+	require.True(t, put(own))
+	silent := own
+	silent.Status = StatusSilent
+	require.True(t, put(silent), "a monitor's mark is newer than the record it is about")
+	require.False(t, put(own), "the old record does not take it back")
+	own.Sequence++
+	require.True(t, put(own), "the box's next record does")
+	restarted := Record{Box: "b", Incarnation: 6, Sequence: 1, Status: StatusUp}
+	require.True(t, put(restarted))
+	require.False(t, put(own), "a message of the earlier incarnation is refused")
+}
+
+func TestMonitorTellsSilenceOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := NewMonitor(3 * time.Second)
+	m.Heard("a", now)
+	m.Heard("b", now.Add(2*time.Second))
+	require.Empty(t, m.Silent(now.Add(3*time.Second)))
+	require.Equal(t, []BoxID{"a"}, m.Silent(now.Add(4*time.Second)))
+	require.Empty(t, m.Silent(now.Add(4*time.Second)))
+	require.True(t, m.Watches("b"))
+	m.Excuse(now.Add(time.Hour))
+	require.Empty(t, m.Silent(now.Add(time.Hour)), "a monitor that stood still itself marks nobody")
+}
+
+// A candidate that goes away moves only the keys that it had.
+func TestRankMovesOnlyWhatMust(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var candidates []string
+		for i := range rapid.IntRange(2, 20).Draw(t, "candidates") {
+			candidates = append(candidates, fmt.Sprint("entry-", i))
+		}
+		key := rapid.String().Draw(t, "key")
+		before := Rank(key, candidates, len(candidates))
+		gone := rapid.IntRange(0, len(candidates)-1).Draw(t, "gone")
+		var rest []string
+		for i, candidate := range candidates {
+			if i != gone {
+				rest = append(rest, candidate)
+			}
+		}
+		var want []string
+		for _, candidate := range before {
+			if candidate != candidates[gone] {
+				want = append(want, candidate)
+			}
+		}
+		require.Equal(t, want, Rank(key, rest, len(rest)))
+	})
+}
+
+func TestRankSpreadsKeysEvenly(t *testing.T) {
+	candidates := []string{"a", "b", "c", "d", "e"}
+	count := make(map[string]int)
+	for i := range 5000 {
+		count[Rank(fmt.Sprint("box-", i), candidates, 1)[0]]++
+	}
+	for candidate, keys := range count {
+		require.InDelta(t, 1000, keys, 150, candidate)
+	}
+}
+
+func TestOnlyALoadedVersionOfABoxThatIsUpIsLive(t *testing.T) {
+	record := Record{Status: StatusUp, Copies: []Copy{
+		{Model: "m", Version: "v1", Phase: PhaseLive}, {Model: "m", Version: "v2", Phase: PhaseLoading},
+	}}
+	require.True(t, record.IsLive("m", "v1"))
+	require.False(t, record.IsLive("m", "v2"))
+	record.Status = StatusLeaving
+	require.False(t, record.IsLive("m", "v1"))
+}
+
+func BenchmarkRankMonitors(b *testing.B) {
+	for _, entries := range []int{7, 366} {
+		b.Run(fmt.Sprintf("entries=%d", entries), func(b *testing.B) {
+			var candidates []Address
+			for i := range entries {
+				candidates = append(candidates, Address(fmt.Sprintf("10.0.%d.%d:7000", i/256, i%256)))
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				Rank("box-7", candidates, 2)
+			}
+		})
+	}
+}
+
+func BenchmarkRecordRoundTrip(b *testing.B) {
+	record := Record{
+		Box: "kita-a-agent-0001", Role: RoleAgent, Region: "kita", FailureDomain: "kita-a", Peers: "10.0.0.1:7000",
+		Incarnation: 1, Sequence: 1, Status: StatusUp, Models: []table.Model{"kakiwake"}, Slots: 2,
+		Copies: []Copy{{Model: "kakiwake", Version: "2026.12", Phase: PhaseLive, Total: 3500}},
+	}
+	item, err := record.Item()
+	require.NoError(b, err)
+	b.ReportMetric(float64(len(item.Value)), "bytes")
+	b.ReportAllocs()
+	for b.Loop() {
+		item, err := record.Item()
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := ParseRecord(item.Value); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/route/route_test.go
@@ -0,0 +1,419 @@
+package route
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cinderslip/cinderslip/pkg/member"
+	"github.com/cinderslip/cinderslip/pkg/table"
+)
+
+var testTime = time.Unix(1_000_000, 0)
+
+func record(box string, region member.Region, versions ...table.ModelVersion) member.Record {
+	r := member.Record{
+		Box: member.BoxID(box), Role: member.RoleAgent, Status: member.StatusUp, Region: region,
+		Peers: member.Address(box + ":1"), Incarnation: 1,
+	}
+	for _, version := range versions {
+		r.Copies = append(r.Copies, member.Copy{Model: "m", Version: version, Phase: member.PhaseLive})
+	}
+	return r
+}
+
+var placeOne = Place{Service: "m", Version: "v1"}
+
+func TestPickUsesOnlyBoxesWithTheVersionLiveAndNotLeaving(t *testing.T) {
+	r := NewRouter("kita")
+	r.Set(record("a", "kita", "v1"))
+	r.Set(record("b", "kita", "v2"))
+	loading := record("c", "kita", "v1")
+	loading.Copies[0].Phase = member.PhaseLoading
+	r.Set(loading)
+	for range 50 {
+		target, ok := r.Pick(placeOne, nil, testTime)
+		require.True(t, ok)
+		require.Equal(t, member.BoxID("a"), target.Box)
+	}
+	leaving := record("a", "kita", "v1")
+	leaving.Status = member.StatusLeaving
+	r.Set(leaving)
+	_, ok := r.Pick(placeOne, nil, testTime)
+	require.False(t, ok)
+}
+
+func TestPickLeavesOutBoxesThatWereTried(t *testing.T) {
+	r := NewRouter("kita")
+	r.Set(record("a", "kita", "v1"))
+	r.Set(record("b", "kita", "v1"))
+	target, ok := r.Pick(placeOne, []member.BoxID{"a"}, testTime)
+	require.True(t, ok)
+	require.Equal(t, member.BoxID("b"), target.Box)
+	_, ok = r.Pick(placeOne, []member.BoxID{"a", "b"}, testTime)
+	require.False(t, ok)
+}
+
+func TestEjectedBoxIsUsedOnlyWhenNoOtherIsLeft(t *testing.T) {
+	r := NewRouter("kita")
+	r.Set(record("a", "kita", "v1"))
+	r.Set(record("b", "kita", "v1"))
+	bad, _ := r.Pick(placeOne, []member.BoxID{"b"}, testTime)
+	bad.Failed(testTime)
+	for range 50 {
+		target, _ := r.Pick(placeOne, nil, testTime)
+		require.Equal(t, member.BoxID("b"), target.Box)
+	}
+	target, ok := r.Pick(placeOne, []member.BoxID{"b"}, testTime)
+	require.True(t, ok, "an ejected box is better than a refusal")
+	require.Equal(t, member.BoxID("a"), target.Box)
+	seen := make(map[member.BoxID]bool)
+	for range 100 {
+		target, _ := r.Pick(placeOne, nil, testTime.Add(time.Second))
+		seen[target.Box] = true
+	}
+	require.True(t, seen["a"], "it comes back after its time")
+}
+
+func TestCountsOfABoxSurviveItsNextRecordButNotItsRestart(t *testing.T) {
+	r := NewRouter("kita")
+	r.Set(record("a", "kita", "v1"))
+	target, _ := r.Pick(placeOne, nil, testTime)
+	target.Start()
+	r.Set(record("a", "kita", "v1", "v2"))
+	again, _ := r.Pick(Place{Service: "m", Version: "v2"}, nil, testTime)
+	require.Equal(t, int64(1), again.InFlight())
+	restarted := record("a", "kita", "v1")
+	restarted.Incarnation = 2
+	r.Set(restarted)
+	again, _ = r.Pick(placeOne, nil, testTime)
+	require.Zero(t, again.InFlight())
+}
+
+func TestSilentBoxTellsThoseWhoWaitForIt(t *testing.T) {
+	r := NewRouter("kita")
+	r.Set(record("a", "kita", "v1"))
+	target, _ := r.Pick(placeOne, nil, testTime)
+	silent := record("a", "kita", "v1")
+	silent.Status = member.StatusSilent
+	r.Set(silent)
+	select {
+	case <-target.Silenced():
+	default:
+		require.Fail(t, "not told")
+	}
+	r.Set(silent)
+}
+
+// Many entry boxes with the same stale load report do not all pick the box that
+// looked idle.
+func TestStaleReportsDoNotMakeAHerd(t *testing.T) {
+	const entries, boxes = 50, 20
+	picked := make(map[member.BoxID]int)
+	for range entries {
+		r := NewRouter("kita")
+		for i := range boxes {
+			r.Set(record(fmt.Sprint("box-", i), "kita", "v1"))
+		}
+		for range 4 {
+			target, _ := r.Pick(placeOne, nil, testTime)
+			target.Start()
+			picked[target.Box]++
+		}
+	}
+	for box, count := range picked {
+		require.Less(t, count, 3*entries*4/boxes, box)
+	}
+}
+
+// Whatever records come, a pick is a box that is up and has the version live by
+// the newest record, and one is found whenever there is one.
+func TestPickAgreesWithTheNewestRecords(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := NewRouter("kita")
+		held := make(map[member.BoxID]member.Record)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			box := fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "box"))
+			next := record(box, rapid.SampledFrom([]member.Region{"kita", "far"}).Draw(t, "region"),
+				rapid.SliceOfDistinct(rapid.SampledFrom([]table.ModelVersion{"v1", "v2"}), func(v table.ModelVersion) string { return string(v) }).Draw(t, "versions")...)
+			next.Incarnation = member.Incarnation(rapid.IntRange(1, 2).Draw(t, "incarnation"))
+			next.Status = rapid.SampledFrom([]member.Status{member.StatusUp, member.StatusUp, member.StatusLeaving, member.StatusSilent}).Draw(t, "status")
+			r.Set(next)
+			held[next.Box] = next
+			place := Place{Service: "m", Version: rapid.SampledFrom([]table.ModelVersion{"v1", "v2"}).Draw(t, "wanted")}
+			any := false
+			for _, record := range held {
+				any = any || record.IsLive("m", place.Version)
+			}
+			target, ok := r.Pick(place, nil, testTime)
+			require.Equal(t, any, ok)
+			if ok {
+				require.True(t, held[target.Box].IsLive("m", place.Version))
+				require.Equal(t, held[target.Box].Incarnation, target.Incarnation)
+				if rapid.Bool().Draw(t, "fails") {
+					target.Failed(testTime)
+				}
+			}
+		}
+	})
+}
+
+// An agent's registry of ids: each that may not be repeated starts at most once,
+// and what was settled as not started never starts, in whatever order.
+func TestIDRunsAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := NewOnce(time.Minute)
+		ran := make(map[RequestID]int)
+		started := make(map[AttemptID]bool)
+		promised := make(map[AttemptID]bool)
+		now := testTime
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "passes")) * time.Millisecond)
+			request := RequestID(fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "request")))
+			attempt := AttemptID(fmt.Sprint(request, "/", rapid.IntRange(0, 2).Draw(t, "attempt")))
+			switch rapid.IntRange(0, 2).Draw(t, "action") {
+			case 0:
+				if o.Start(request, attempt, false, now) == StartedNow {
+					ran[request]++
+					started[attempt] = true
+					if promised[attempt] {
+						t.Fatalf("%s started after it was promised not to", attempt)
+					}
+				}
+			case 1:
+				if !o.Settle(attempt, now) {
+					promised[attempt] = true
+					if started[attempt] {
+						t.Fatalf("%s ran and is said not to have", attempt)
+					}
+				}
+			case 2:
+				if started[attempt] && ran[request] == 1 && rapid.Bool().Draw(t, "abandon") {
+					o.Abandon(request, attempt, now)
+					ran[request]--
+					started[attempt] = false
+					promised[attempt] = true
+				}
+			}
+			if ran[request] > 1 {
+				t.Fatalf("%s ran %d times", request, ran[request])
+			}
+		}
+	})
+}
+
+func TestRegistryForgetsAfterItsWindow(t *testing.T) {
+	o := NewOnce(time.Minute)
+	for i := range 1000 {
+		o.Start(RequestID(fmt.Sprint(i)), AttemptID(fmt.Sprint(i)), false, testTime)
+	}
+	require.Equal(t, 2000, o.Len())
+	o.Start("last", "last", false, testTime.Add(3*time.Minute))
+	require.Equal(t, 2, o.Len())
+}
+
+func TestBudgetLetsRetriesBeAPartOfTheRequests(t *testing.T) {
+	b := NewBudget(0.1, 5)
+	retries := 0
+	for range 1000 {
+		b.Request()
+		if b.Retry() {
+			retries++
+		}
+	}
+	require.InDelta(t, 105, retries, 2)
+}
+
+func TestFreePlaceIsTakenAtOnceByWhoeverAsks(t *testing.T) {
+	a := NewAdmission(2, 1)
+	a.SetWeight("big", 9)
+	for range 2 {
+		_, err := a.Enter(t.Context(), "small", 0, testTime, time.Time{})
+		require.NoError(t, err)
+	}
+}
+
+func TestQueueThatIsFullRefusesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := NewAdmission(1, 1)
+		_, err := a.Enter(t.Context(), "g", 0, time.Now(), time.Time{})
+		require.NoError(t, err)
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _, _ = a.Enter(ctx, "g", 0, time.Now(), time.Time{}) }()
+		synctest.Wait()
+		_, err = a.Enter(t.Context(), "g", 0, time.Now(), time.Time{})
+		require.ErrorIs(t, err, ErrQueueFull)
+		require.GreaterOrEqual(t, a.RetryAfter("g"), time.Second)
+		cancel()
+	})
+}
+
+func TestCancelledWaiterTakesNoPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := NewAdmission(1, 10)
+		first, err := a.Enter(t.Context(), "g", 0, time.Now(), time.Time{})
+		require.NoError(t, err)
+		ctx, cancel := context.WithCancel(t.Context())
+		failed := make(chan error)
+		go func() {
+			_, err := a.Enter(ctx, "g", 0, time.Now(), time.Time{})
+			failed <- err
+		}()
+		synctest.Wait()
+		cancel()
+		require.ErrorIs(t, <-failed, context.Canceled)
+		first.Leave(0, time.Now())
+		_, err = a.Enter(t.Context(), "g", 0, time.Now(), time.Time{})
+		require.NoError(t, err)
+	})
+}
+
+func TestRequestThatCannotMeetItsDeadlineIsRefusedBeforeItWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := NewAdmission(1, 100)
+		for range 100 {
+			slot, err := a.Enter(t.Context(), "g", 0, time.Now(), time.Time{})
+			require.NoError(t, err)
+			time.Sleep(time.Second)
+			slot.Leave(0, time.Now())
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		for range 20 {
+			go func() { _, _ = a.Enter(ctx, "g", 0, time.Now(), time.Time{}) }()
+		}
+		synctest.Wait()
+		_, err := a.Enter(ctx, "g", 0, time.Now(), time.Now().Add(time.Second))
+		require.ErrorIs(t, err, ErrDeadline)
+		cancel()
+	})
+}
+
+// Under saturation the places follow the weights, whatever one group floods.
+func TestSaturatedPlacesFollowTheWeights(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := NewAdmission(4, 1000)
+		weights := map[table.Group]float64{"a": 3, "b": 1, "flood": 2}
+		demand := map[table.Group]int{"a": 20, "b": 20, "flood": 400}
+		var mu sync.Mutex
+		var wait sync.WaitGroup
+		served := make(map[table.Group]int)
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Second)
+		defer cancel()
+		for group, weight := range weights {
+			a.SetWeight(group, weight)
+			for range demand[group] {
+				wait.Go(func() {
+					for ctx.Err() == nil {
+						slot, err := a.Enter(ctx, group, 0, time.Now(), time.Time{})
+						if err != nil {
+							return
+						}
+						time.Sleep(100 * time.Millisecond)
+						slot.Leave(0, time.Now())
+						mu.Lock()
+						served[group]++
+						mu.Unlock()
+					}
+				})
+			}
+		}
+		wait.Wait()
+		sum, squares := 0.0, 0.0
+		for group, count := range served {
+			share := float64(count) / weights[group]
+			sum += share
+			squares += share * share
+		}
+		require.GreaterOrEqual(t, sum*sum/(3*squares), 0.99, "Jain index by weight: %v", served)
+	})
+}
+
+func TestHigherPriorityGoesFirstWithinAGroup(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := NewAdmission(1, 10)
+		first, err := a.Enter(t.Context(), "g", 0, time.Now(), time.Time{})
+		require.NoError(t, err)
+		var mu sync.Mutex
+		var order []string
+		for _, priority := range []int{0, 5, 0, 9} {
+			go func() {
+				slot, err := a.Enter(t.Context(), "g", priority, time.Now(), time.Time{})
+				if err != nil {
+					return
+				}
+				mu.Lock()
+				order = append(order, fmt.Sprint(priority))
+				mu.Unlock()
+				slot.Leave(0, time.Now())
+			}()
+			synctest.Wait()
+		}
+		first.Leave(0, time.Now())
+		synctest.Wait()
+		require.Equal(t, "9 5 0 0", strings.Join(order, " "))
+	})
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, boxes := range []int{12, 1_000, 12_000} {
+		b.Run(fmt.Sprintf("boxes=%d", boxes), func(b *testing.B) {
+			r := NewRouter("kita")
+			for i := range boxes {
+				r.Set(record(fmt.Sprint("box-", i), "kita", "v1"))
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, ok := r.Pick(placeOne, nil, testTime); !ok {
+					b.Fatal("no box")
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkSetRecord(b *testing.B) {
+	for _, boxes := range []int{1_000, 12_000} {
+		b.Run(fmt.Sprintf("boxes=%d", boxes), func(b *testing.B) {
+			r := NewRouter("kita")
+			for i := range boxes {
+				r.Set(record(fmt.Sprint("box-", i), "kita", "v1"))
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				changed := record("box-7", "kita", "v1")
+				changed.Incarnation = member.Incarnation(i + 2)
+				r.Set(changed)
+			}
+		})
+	}
+}
+
+func BenchmarkAdmission(b *testing.B) {
+	a := NewAdmission(1<<20, 10)
+	b.ReportAllocs()
+	for b.Loop() {
+		slot, err := a.Enter(context.Background(), "g", 0, testTime, time.Time{})
+		if err != nil {
+			b.Fatal(err)
+		}
+		slot.Leave(0, testTime)
+	}
+}
+
+func BenchmarkOnce(b *testing.B) {
+	o := NewOnce(time.Minute)
+	now := testTime
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		now = now.Add(time.Millisecond)
+		id := fmt.Sprint(i)
+		o.Start(RequestID(id), AttemptID(id), false, now)
+	}
+}
--- a/pkg/weights/manifest.go
+++ b/pkg/weights/manifest.go
@@ -19,7 +19,7 @@
 //	task, ok := picker.Next(now)
 //	// fetch task.Chunk from task.From, or from the origin if task.From is ""
 //	err = store.Put(manifest, task.Chunk, data) // refuses a wrong digest
-//	picker.Done(task)
+//	picker.Done(task, now)
 package weights
 
 import (
--- a/pkg/weights/picker.go
+++ b/pkg/weights/picker.go
@@ -14,7 +14,7 @@
 	// DrawWindow is how many run at once from the origin.
 	DrawWindow int
 	// DrawWait is how long each place in the order of drawers waits for the
-	// one before it.
+	// one before it, counted from the last chunk that this box got.
 	DrawWait time.Duration
 	// Strikes is after how many faults a neighbour is no longer asked.
 	Strikes int
@@ -45,7 +45,9 @@
 	manifest *Manifest
 	self     string
 	options  PickerOptions
-	start    time.Time
+	// progress is when the last chunk was got. While chunks keep coming, one
+	// that is not shown yet is most likely on its way through other boxes.
+	progress time.Time
 
 	held       Bits
 	missing    int
@@ -61,7 +63,7 @@
 // fetched.
 func NewPicker(manifest *Manifest, self string, held Bits, options PickerOptions, now time.Time) *Picker {
 	p := &Picker{
-		manifest: manifest, self: self, options: options, start: now,
+		manifest: manifest, self: self, options: options, progress: now,
 		held:       NewBits(len(manifest.Chunks)),
 		missing:    len(manifest.Chunks),
 		running:    make(map[int]bool),
@@ -80,7 +82,7 @@
 
 // SetDrawers names all boxes that want the version. For each chunk rendezvous
 // hashing puts them in an order; the first draws it from the origin, and each
-// later one only if the chunk has not shown up within its wait.
+// later one only if it got no chunk at all for its part of the wait.
 func (p *Picker) SetDrawers(drawers []string) {
 	p.ranks = make([]int, len(p.manifest.Chunks))
 	for i := range p.manifest.Chunks {
@@ -205,7 +207,7 @@
 		if p.held.Has(chunk) || p.running[chunk] || p.isShown(chunk) {
 			continue
 		}
-		due := p.start.Add(time.Duration(p.ranks[chunk]) * p.options.DrawWait)
+		due := p.progress.Add(time.Duration(p.ranks[chunk]) * p.options.DrawWait)
 		if now.Before(due) || now.Before(p.lastRetry[chunk]) {
 			continue
 		}
@@ -228,8 +230,9 @@
 }
 
 // Done notes that the chunk was fetched, verified and kept.
-func (p *Picker) Done(task Task) {
+func (p *Picker) Done(task Task, now time.Time) {
 	p.finish(task)
+	p.progress = now
 	if n, ok := p.neighbours[task.From]; ok {
 		n.strikes = 0
 	}
--- /dev/null
+++ b/pkg/weights/weights_test.go
@@ -0,0 +1,289 @@
+package weights
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func random(seed byte, size int) []byte {
+	data := make([]byte, size)
+	_, _ = rand.NewChaCha8([32]byte{seed}).Read(data)
+	return data
+}
+
+func source(name string, data []byte) Source {
+	return Source{Path: name, Blob: "sha256:" + name, Open: func() (io.ReadCloser, error) {
+		return io.NopCloser(bytes.NewReader(data)), nil
+	}}
+}
+
+func build(t require.TestingT, chunkSize int64, contents ...[]byte) *Manifest {
+	var sources []Source
+	for i, data := range contents {
+		sources = append(sources, source(fmt.Sprint("f", i), data))
+	}
+	manifest, _, err := Build("m", "v", sources, chunkSize)
+	require.NoError(t, err)
+	return manifest
+}
+
+func chunkData(m *Manifest, index int, contents ...[]byte) []byte {
+	chunk := m.Chunks[index]
+	return contents[chunk.File][chunk.Offset : chunk.Offset+chunk.Size]
+}
+
+func TestManifestCoversFilesOfAnySizeInOrder(t *testing.T) {
+	contents := [][]byte{random(1, 1000), {}, random(2, 512), random(3, 1)}
+	m := build(t, 512, contents...)
+	require.Equal(t, int64(1513), m.Size())
+	require.Len(t, m.Chunks, 4)
+	again, err := Parse(m.Content(), m.Digest())
+	require.NoError(t, err)
+	require.Equal(t, m, again)
+}
+
+func TestManifestThatDisagreesWithItselfIsRefused(t *testing.T) {
+	good := build(t, 512, random(1, 1000))
+	cases := map[string]func(*Manifest){
+		"gap":            func(m *Manifest) { m.Chunks[1].Offset++ },
+		"overlap":        func(m *Manifest) { m.Chunks[1].Offset-- },
+		"missing end":    func(m *Manifest) { m.Chunks = m.Chunks[:1] },
+		"beyond the end": func(m *Manifest) { m.Chunks[1].Size++ },
+		"empty chunk":    func(m *Manifest) { m.Chunks[0].Size = 0 },
+		"unknown file":   func(m *Manifest) { m.Chunks[1].File = 7 },
+		"no files":       func(m *Manifest) { m.Files = nil },
+	}
+	for name, breakIt := range cases {
+		t.Run(name, func(t *testing.T) {
+			broken, err := Parse(good.Content(), Digest{})
+			require.NoError(t, err)
+			breakIt(broken)
+			content, err := json.Marshal(broken)
+			require.NoError(t, err)
+			_, err = Parse(content, Digest{})
+			require.ErrorIs(t, err, ErrManifest)
+		})
+	}
+	_, err := Parse(good.Content(), Sum([]byte("another")))
+	require.ErrorIs(t, err, ErrDigest)
+	_, err = Parse([]byte("{"), Digest{})
+	require.ErrorIs(t, err, ErrManifest)
+}
+
+func TestStoreKeepsOnlyVerifiedChunksUnderItsLimit(t *testing.T) {
+	data := random(1, 1024)
+	m := build(t, 512, data)
+	s := NewMemoryStore(512)
+	s.Add(m)
+	wrong := bytes.Clone(data[:512])
+	wrong[3] ^= 1
+	require.ErrorIs(t, s.Put(m, 0, wrong), ErrDigest)
+	require.ErrorIs(t, s.Put(m, 0, data[:511]), ErrDigest)
+	require.ErrorIs(t, s.Verify(m), ErrAbsent)
+	require.NoError(t, s.Put(m, 0, data[:512]))
+	require.NoError(t, s.Put(m, 0, data[:512]), "a chunk that is held takes no more room")
+	require.ErrorIs(t, s.Put(m, 1, data[512:]), ErrFull)
+	require.Equal(t, int64(512), s.Used())
+	_, err := s.Get(m.Digest(), 9)
+	require.ErrorIs(t, err, ErrAbsent)
+}
+
+func TestVersionsShareChunksUntilTheLastIsDropped(t *testing.T) {
+	common, first, second := random(1, 1024), random(2, 512), random(3, 512)
+	one, two := build(t, 512, common, first), build(t, 512, common, second)
+	s := NewMemoryStore(1 << 20)
+	s.Add(one)
+	for i := range one.Chunks {
+		require.NoError(t, s.Put(one, i, chunkData(one, i, common, first)))
+	}
+	require.NoError(t, s.Verify(one))
+	s.Add(two)
+	require.Equal(t, 2, s.Held(two.Digest()).Count(len(two.Chunks)), "the common chunks count at once")
+	s.Drop(one.Digest())
+	require.Equal(t, int64(1024), s.Used())
+	require.Nil(t, s.Held(one.Digest()))
+	s.Drop(two.Digest())
+	require.Zero(t, s.Used())
+}
+
+// swarm is boxes whose pickers exchange chunks without links or time of their
+// own: each turn, every box starts one fetch and ends it.
+type swarm struct {
+	manifest *Manifest
+	pickers  []*Picker
+	down     []bool
+	draws    int
+	now      time.Time
+}
+
+func name(i int) string { return fmt.Sprintf("box-%04d", i) }
+
+func newSwarm(m *Manifest, boxes, neighbours int, options PickerOptions) *swarm {
+	s := &swarm{manifest: m, now: time.Unix(1_000_000, 0), down: make([]bool, boxes)}
+	var all []string
+	for i := range boxes {
+		all = append(all, name(i))
+	}
+	for i := range boxes {
+		p := NewPicker(m, name(i), nil, options, s.now)
+		p.SetDrawers(all)
+		var near []string
+		for n := range neighbours {
+			near = append(near, name((i+1+n*n)%boxes))
+		}
+		p.SetNeighbours(near)
+		s.pickers = append(s.pickers, p)
+	}
+	return s
+}
+
+// turn lets every box that is up do one fetch; fault decides whether it fails.
+func (s *swarm) turn(fault func(box int, task Task) bool) (missing int) {
+	for i, p := range s.pickers {
+		if s.down[i] {
+			continue
+		}
+		for j := range s.pickers {
+			if s.down[j] {
+				p.SetHoldings(name(j), nil)
+			} else {
+				p.SetHoldings(name(j), s.pickers[j].held)
+			}
+		}
+		task, ok := p.Next(s.now)
+		switch {
+		case !ok:
+		case fault(i, task):
+			p.Failed(task, s.now.Add(time.Second))
+		default:
+			if task.IsDraw() {
+				s.draws++
+			}
+			p.Done(task, s.now)
+		}
+		missing += p.Missing()
+	}
+	s.now = s.now.Add(100 * time.Millisecond)
+	return missing
+}
+
+func noFault(int, Task) bool { return false }
+
+func TestOriginGivesOneCopyToManyBoxes(t *testing.T) {
+	m := build(t, 64, random(1, 64*100))
+	s := newSwarm(m, 40, 6, DefaultPickerOptions())
+	for s.turn(noFault) > 0 {
+		require.Less(t, s.now.Unix(), int64(1_000_600), "the copy does not end")
+	}
+	require.Equal(t, len(m.Chunks), s.draws)
+}
+
+func TestDeadDrawersAreReplacedAfterTheirWait(t *testing.T) {
+	m := build(t, 64, random(1, 64*50))
+	s := newSwarm(m, 10, 4, DefaultPickerOptions())
+	for i := range 5 {
+		s.down[2*i] = true
+	}
+	for s.turn(noFault) > 0 {
+		require.Less(t, s.now.Unix(), int64(1_000_600), "the copy does not end")
+	}
+	require.LessOrEqual(t, s.draws, 2*len(m.Chunks))
+}
+
+func TestNeighbourThatKeepsGivingBadChunksIsLeftOut(t *testing.T) {
+	m := build(t, 64, random(1, 64*50))
+	s := newSwarm(m, 6, 4, DefaultPickerOptions())
+	asked := 0
+	bad := func(_ int, task Task) bool {
+		if task.From == name(1) {
+			asked++
+		}
+		return task.From == name(1)
+	}
+	for s.turn(bad) > 0 {
+		require.Less(t, s.now.Unix(), int64(1_000_600), "the copy does not end")
+	}
+	require.LessOrEqual(t, asked, 5*DefaultPickerOptions().Strikes)
+}
+
+// Whatever fails and whoever goes away, a copy ends once one good source is
+// reachable, no chunk is fetched twice at once, and no window is exceeded.
+func TestCopyAlwaysEndsOnceTheOriginAnswers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := build(t, 64, random(1, 64*rapid.IntRange(1, 12).Draw(t, "chunks")))
+		s := newSwarm(m, rapid.IntRange(1, 6).Draw(t, "boxes"), 3, DefaultPickerOptions())
+		faulty := rapid.SliceOfN(rapid.Bool(), 16, 16).Draw(t, "faults")
+		count := 0
+		fault := func(_ int, task Task) bool {
+			count++
+			return faulty[(count+task.Chunk)%len(faulty)]
+		}
+		for range rapid.IntRange(0, 40).Draw(t, "turns") {
+			at := rapid.IntRange(0, len(s.down)-1).Draw(t, "box")
+			s.down[at] = rapid.Bool().Draw(t, "down") && at != 0
+			s.turn(fault)
+		}
+		for turns := 0; s.turn(noFault) > 0; turns++ {
+			if turns > 5000 {
+				t.Fatalf("the copy does not end")
+			}
+		}
+	})
+}
+
+func BenchmarkPickerNext(b *testing.B) {
+	for _, chunks := range []int{100, 1_000, 3_500} {
+		b.Run(fmt.Sprintf("chunks=%d", chunks), func(b *testing.B) {
+			m := build(b, 16, random(1, 16*chunks))
+			p := NewPicker(m, "box-0000", nil, DefaultPickerOptions(), time.Unix(0, 0))
+			p.SetNeighbours([]string{"a", "b", "c", "d", "e", "f", "g", "h"})
+			all := NewBits(chunks)
+			for i := range chunks {
+				all.Set(i)
+			}
+			for _, box := range p.order {
+				p.SetHoldings(box, all)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				task, ok := p.Next(time.Unix(1, 0))
+				if !ok {
+					b.Fatal("nothing to fetch")
+				}
+				p.finish(task)
+			}
+		})
+	}
+}
+
+func BenchmarkSetDrawers(b *testing.B) {
+	for _, boxes := range []int{100, 1_400} {
+		b.Run(fmt.Sprintf("boxes=%d", boxes), func(b *testing.B) {
+			m := build(b, 16, random(1, 16*3_500))
+			p := NewPicker(m, "box-0000", nil, DefaultPickerOptions(), time.Unix(0, 0))
+			var drawers []string
+			for i := range boxes {
+				drawers = append(drawers, name(i))
+			}
+			for b.Loop() {
+				p.SetDrawers(drawers)
+			}
+		})
+	}
+}
+
+func BenchmarkVerifyChunk(b *testing.B) {
+	data := random(1, 4<<20)
+	b.SetBytes(int64(len(data)))
+	for b.Loop() {
+		Sum(data)
+	}
+}
