fix(route): an answer that stands still on a silent box is broken off

Cause: the agent of an answer in progress froze; its connection stayed open and gave nothing, so the caller waited for good. Ruled out: the wait for the first frame, which already ends at the mark. Change: once a box is marked silent, an answer without a new frame for 2 s is broken off; one that still moves goes on, in case the mark is wrong.

--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -427,7 +427,7 @@
 		c.refuse(x, refusal{reasonDeadline, "the deadline would pass before the request starts", admission.RetryAfter(x.group)})
 		return
 	}
-	defer func() { slot.Leave(float64(x.frames)/framesPerRequest, c.clock.Now()) }()
+	defer func() { slot.Leave(float64(x.frames.Load())/framesPerRequest, c.clock.Now()) }()
 	// The version is pinned only now: while the request waited, another one may
 	// have come into force.
 	place, why := c.place(x)
--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -71,7 +72,7 @@
 	body       *bodyReader
 	arrived    time.Time
 	// frames counts the frames of the answer, as a measure of the work done.
-	frames int
+	frames atomic.Int64
 }
 
 // forwarder sends attempts to agents.
@@ -86,7 +87,8 @@
 func (f *forwarder) attempt(ctx context.Context, x *exchange, target *route.Target, attempt route.AttemptID) (outcome, error) {
 	target.Start()
 	defer target.Release()
-	attemptCtx, cancel := context.WithCancel(ctx)
+	attemptCtx, cancelCause := context.WithCancelCause(ctx)
+	cancel := func() { cancelCause(nil) }
 	defer cancel()
 	stream, err := wire.NewDRPCBackendClient(f.peers.Conn(target.Address)).Serve(attemptCtx)
 	if err != nil {
@@ -104,9 +106,13 @@
 			cancel()
 		}
 		sent <- err
+		f.watchSilence(attemptCtx, x, target, cancelCause)
 	}()
 	result, err := f.receive(ctx, x, target, attempt, stream)
 	cancel()
+	if cause := context.Cause(attemptCtx); result == outcomeCut && errors.Is(cause, errSilent) {
+		err = cause
+	}
 	bodyErr := <-sent
 	if result == outcomeUnknown && errors.Is(bodyErr, errCallerBody) {
 		return outcomeCallerGone, bodyErr
@@ -132,6 +138,31 @@
 	return head
 }
 
+// silentGrace is how long an answer in progress may stand still once its box is
+// marked silent. A box that was marked wrongly goes on sending and is let go on.
+const silentGrace = 2 * time.Second
+
+// watchSilence breaks off an answer that stands still on a silent box, which
+// would otherwise keep its caller waiting for good.
+func (f *forwarder) watchSilence(ctx context.Context, x *exchange, target *route.Target, cancel context.CancelCauseFunc) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-target.Silenced():
+	}
+	for seen := x.frames.Load(); ; seen = x.frames.Load() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.clock.After(silentGrace):
+		}
+		if x.frames.Load() == seen {
+			cancel(errSilent)
+			return
+		}
+	}
+}
+
 // errCallerBody reports that the caller's body could not be read to its end.
 var errCallerBody = errors.New("reading the caller's body")
 
@@ -247,8 +278,8 @@
 	f.metrics.firstByte.WithLabelValues(string(x.service)).Observe(f.clock.Since(x.arrived).Seconds())
 	controller := http.NewResponseController(x.writer)
 	for answer := first; ; {
+		x.frames.Add(1)
 		if len(answer.Body) > 0 {
-			x.frames++
 			if _, err := x.writer.Write(answer.Body); err != nil {
 				return outcomeCallerGone, err
 			}
