test: faults of edits, planning, replication, requests and copies

Cause: the scenarios prove the whole; the faults of each part had no test of their own. Writing them showed that a box whose clock was set back at a restart was not heard until its next heartbeat after the refutation. A refutation is now sent in the same beat. Entry boxes that leave close callers' connections with their next answer.

--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -68,6 +69,7 @@
 	budget  *route.Budget
 	duties  *kernel.Duties
 	server  *http.Server
+	leaving atomic.Bool
 
 	mu         sync.Mutex
 	admissions map[member.Service]*route.Admission
@@ -95,6 +97,7 @@
 		admissions: make(map[member.Service]*route.Admission),
 	}
 	router := newEcho()
+	router.Use(c.closeWhenLeaving)
 	router.GET("/v1/entries", c.entries)
 	router.Any(servicesPath+":service", c.serve)
 	router.Any(servicesPath+":service/*", c.serve)
@@ -134,6 +137,7 @@
 // Stop goes on answering for as long as callers may keep the box's address, then
 // finishes what is in progress. The box has announced before that it is leaving.
 func (c *Callers) Stop(ctx context.Context) error {
+	c.leaving.Store(true)
 	select {
 	case <-ctx.Done():
 	case <-c.clock.After(time.Duration(c.options.EntriesTTL)):
@@ -142,6 +146,17 @@
 	return errors.Join(err, c.duties.Stop(ctx))
 }
 
+// closeWhenLeaving tells callers with each answer not to use their connection
+// again, so that none is cut off when the listener closes.
+func (c *Callers) closeWhenLeaving(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(e echo.Context) error {
+		if c.leaving.Load() {
+			e.Response().Header().Set("Connection", "close")
+		}
+		return next(e)
+	}
+}
+
 // adjust follows the view with the number of places and the weights of groups.
 func (c *Callers) adjust(ctx context.Context) {
 	generation := uint64(math.MaxUint64)
--- /dev/null
+++ b/internal/daemon/configuration_test.go
@@ -0,0 +1,137 @@
+package daemon
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cinderslip/cinderslip/internal/platform"
+	"github.com/cinderslip/cinderslip/internal/standin"
+	"github.com/cinderslip/cinderslip/pkg/table"
+)
+
+func newTestConfiguration(t *testing.T, p *testPlatform, n *node) *Configuration {
+	t.Helper()
+	c := NewConfiguration(p.seam, []platform.WeightSource{p.source}, n.replica, clockwork.NewRealClock(), quiet(), NewMetrics(), always)
+	t.Cleanup(func() { stopService(t, c) })
+	return c
+}
+
+func rowEdit(id table.EditID, base table.Revision, column table.Column, text string) table.Edit {
+	return table.Edit{ID: id, Author: "aya", Base: base, Changes: []table.Change{
+		{Key: table.Key{Group: "kumiai", Model: "kakiwake"}, Set: map[table.Column]string{column: text}},
+	}}
+}
+
+// configured is a platform with one published version and one row.
+func configured(t *testing.T) (*testPlatform, *node, *Configuration) {
+	t.Helper()
+	p := newTestPlatform(t)
+	p.publish(t, "kakiwake", "v1", []byte("weights"), 4)
+	n := newNode(t, 1, noRelays)
+	c := newTestConfiguration(t, p, n)
+	_, err := c.Edit(t.Context(), rowEdit("first", 0, table.ColumnVersion, "v1"))
+	require.NoError(t, err)
+	return p, n, c
+}
+
+func TestEditIsInForceAtOnceAndElsewhereSoon(t *testing.T) {
+	p, n, _ := configured(t)
+	other := newNode(t, 2, noRelays)
+	newTestConfiguration(t, p, other)
+	for _, at := range []*node{n, other} {
+		eventually(t, func() bool {
+			rows, revision := at.view.Rows()
+			return revision == 1 && len(rows) == 1 && rows[0].Version == "v1"
+		}, "the row comes into force")
+	}
+}
+
+func TestEditWhoseAnswerIsLostIsMadeOnce(t *testing.T) {
+	p, _, c := configured(t)
+	var once sync.Once
+	p.kv.SetFault(func(path string) (fault standin.Fault) {
+		if path == "/v3/kv/txn" {
+			once.Do(func() { fault.LoseAnswer = true })
+		}
+		return fault
+	})
+	held, err := c.Edit(t.Context(), rowEdit("lost", 1, table.ColumnWeight, "5"))
+	require.NoError(t, err)
+	require.Equal(t, table.Revision(2), held.Revision)
+	records, err := c.History(t.Context())
+	require.NoError(t, err)
+	require.Len(t, records, 2)
+}
+
+func TestEditThatMayHaveBeenMadeIsNeverReportedAsRefused(t *testing.T) {
+	p, _, c := configured(t)
+	// The write takes effect, its answer is lost, and the service is gone.
+	var mu sync.Mutex
+	gone := false
+	p.kv.SetFault(func(path string) standin.Fault {
+		mu.Lock()
+		defer mu.Unlock()
+		if gone {
+			return standin.Fault{Status: http.StatusServiceUnavailable}
+		}
+		gone = path == "/v3/kv/txn"
+		return standin.Fault{LoseAnswer: gone}
+	})
+	_, err := c.Edit(t.Context(), rowEdit("undecided", 1, table.ColumnWeight, "5"))
+	require.ErrorIs(t, err, ErrUndecided)
+	p.kv.SetFault(nil)
+	_, found, err := c.Find(t.Context(), "undecided")
+	require.NoError(t, err)
+	require.True(t, found, "it is settled later by its id")
+}
+
+func TestEditDuringAnOutageChangesNothing(t *testing.T) {
+	p, _, c := configured(t)
+	p.kv.SetFault(func(string) standin.Fault { return standin.Fault{Status: http.StatusServiceUnavailable} })
+	_, err := c.Edit(t.Context(), rowEdit("down", 1, table.ColumnWeight, "5"))
+	require.ErrorIs(t, err, platform.ErrUnavailable)
+	require.NotErrorIs(t, err, ErrUndecided)
+	p.kv.SetFault(nil)
+	_, found, err := c.Find(t.Context(), "down")
+	require.NoError(t, err)
+	require.False(t, found)
+}
+
+func TestEditsAtTheSameMomentAllMergeOrConflict(t *testing.T) {
+	_, n, c := configured(t)
+	columns := map[table.EditID]table.Column{"a": table.ColumnWeight, "b": table.ColumnFloor, "c": table.ColumnWeight}
+	results := make(map[table.EditID]error)
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	for id, column := range columns {
+		wait.Go(func() {
+			_, err := c.Edit(t.Context(), rowEdit(id, 1, column, "0.5"))
+			mu.Lock()
+			defer mu.Unlock()
+			results[id] = err
+		})
+	}
+	wait.Wait()
+	require.NoError(t, results["b"], "the only edit of its cell")
+	conflicts := 0
+	for _, id := range []table.EditID{"a", "c"} {
+		if results[id] != nil {
+			require.ErrorAs(t, results[id], new(*table.ConflictError))
+			conflicts++
+		}
+	}
+	require.Equal(t, 1, conflicts, "one of the two edits of the same cell")
+	eventually(t, func() bool { _, revision := n.view.Rows(); return revision == 3 }, "both others are in force")
+}
+
+func TestVersionThatNobodyPublishedIsAFinding(t *testing.T) {
+	_, _, c := configured(t)
+	_, err := c.Edit(t.Context(), rowEdit("bad", 1, table.ColumnVersion, "v9"))
+	var findings table.Findings
+	require.ErrorAs(t, err, &findings)
+	require.Equal(t, table.ColumnVersion, findings[0].Column)
+}
--- /dev/null
+++ b/internal/daemon/harness_test.go
@@ -0,0 +1,118 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+	"storj.io/drpc/drpcmux"
+
+	"github.com/cinderslip/cinderslip/internal/platform"
+	"github.com/cinderslip/cinderslip/internal/standin"
+	"github.com/cinderslip/cinderslip/pkg/member"
+	"github.com/cinderslip/cinderslip/pkg/state"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("net/http.(*persistConn).readLoop"),
+		goleak.IgnoreAnyFunction("net/http.(*persistConn).writeLoop"))
+}
+
+// waitLimit bounds each wait of a test; it never judges speed.
+const waitLimit = 20 * time.Second
+
+func eventually(t *testing.T, check func() bool, what string) {
+	t.Helper()
+	require.Eventually(t, check, waitLimit, 5*time.Millisecond, what)
+}
+
+func quiet() zerolog.Logger { return zerolog.Nop() }
+
+// listenPeers answers other processes until the test ends.
+func listenPeers(t *testing.T, mux *drpcmux.Mux) member.Address {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := NewPeerServer(listener, mux, quiet())
+	t.Cleanup(func() { stopService(t, server) })
+	return member.Address(listener.Addr().String())
+}
+
+type stopper interface{ Stop(context.Context) error }
+
+func stopService(t *testing.T, service stopper) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	require.NoError(t, service.Stop(ctx))
+}
+
+func newTestPeers(t *testing.T) *Peers {
+	t.Helper()
+	peers := NewPeers()
+	t.Cleanup(func() { stopService(t, peers) })
+	return peers
+}
+
+func serveHTTP(t *testing.T, handler http.Handler) string {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+// node is an entry box's replicated state without its listeners.
+type node struct {
+	store   *state.Store
+	view    *View
+	replica *Replica
+	address member.Address
+}
+
+func newNode(t *testing.T, instance uint64, relays func() []member.Address) *node {
+	t.Helper()
+	n := &node{store: state.NewStore(instance)}
+	n.view = NewView(n.store, "kita", quiet())
+	n.replica = NewReplica(n.store, newTestPeers(t), clockwork.NewRealClock(), quiet(), relays)
+	t.Cleanup(func() {
+		stopService(t, n.replica)
+		stopService(t, n.view)
+	})
+	return n
+}
+
+func noRelays() []member.Address { return nil }
+
+func always() bool { return true }
+
+// testPlatform is a key-value service and a weight source that a test can break.
+type testPlatform struct {
+	kv       *standin.KeyValue
+	registry *standin.Registry
+	client   *http.Client
+	seam     platform.KeyValue
+	source   platform.WeightSource
+}
+
+func newTestPlatform(t *testing.T) *testPlatform {
+	t.Helper()
+	clock := clockwork.NewRealClock()
+	p := &testPlatform{kv: standin.NewKeyValue(clock), registry: standin.NewRegistry(clock, 64<<20), client: &http.Client{Transport: &http.Transport{}}}
+	t.Cleanup(p.client.CloseIdleConnections)
+	p.seam = platform.NewKeyValue(serveHTTP(t, p.kv), p.client)
+	p.source = platform.NewWeightSource("origin", serveHTTP(t, p.registry), p.client)
+	return p
+}
+
+func (p *testPlatform) publish(t *testing.T, model, version string, content []byte, chunk int64) {
+	t.Helper()
+	_, err := p.registry.Publish(model, version, []standin.NamedFile{{Name: "weights", Content: content}}, chunk)
+	require.NoError(t, err)
+}
--- a/internal/daemon/heart.go
+++ b/internal/daemon/heart.go
@@ -143,9 +143,11 @@
 		h.mu.Lock()
 		h.known[monitor] = known
 		h.mu.Unlock()
-		h.refute(answer)
+		if h.refute(answer) {
+			continue
+		}
 		own := state.Version{Major: uint64(record.Incarnation), Minor: record.Sequence}
-		if known.Compare(own) >= 0 && !answer.Silent {
+		if known.Compare(own) >= 0 {
 			return true
 		}
 	}
@@ -177,8 +179,8 @@
 
 // refute writes a newer record when somebody has marked this box silent, or
 // holds a record of a later incarnation than this one, as after a clock that
-// was set back.
-func (h *Heart) refute(answer *wire.HeartbeatResponse) {
+// was set back. It reports whether it did.
+func (h *Heart) refute(answer *wire.HeartbeatResponse) bool {
 	h.mu.Lock()
 	known := state.Version{Major: answer.KnownIncarnation, Minor: answer.KnownSequence}
 	own := state.Version{Major: uint64(h.record.Incarnation), Minor: h.record.Sequence}
@@ -194,4 +196,5 @@
 	if ahead {
 		h.tellChanged(record)
 	}
+	return ahead
 }
--- /dev/null
+++ b/internal/daemon/planner_test.go
@@ -0,0 +1,129 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cinderslip/cinderslip/internal/platform"
+	"github.com/cinderslip/cinderslip/internal/standin"
+	"github.com/cinderslip/cinderslip/pkg/member"
+	"github.com/cinderslip/cinderslip/pkg/plan"
+	"github.com/cinderslip/cinderslip/pkg/state"
+	"github.com/cinderslip/cinderslip/pkg/table"
+)
+
+func newTestPlanner(t *testing.T, p *testPlatform, n *node, box member.BoxID, isRelay func() bool) *Planner {
+	t.Helper()
+	planner := NewPlanner(box, p.seam, []platform.WeightSource{p.source}, n.view, n.replica,
+		clockwork.NewRealClock(), quiet(), NewMetrics(), isRelay, 10*time.Millisecond)
+	t.Cleanup(func() { stopService(t, planner) })
+	return planner
+}
+
+func never() bool { return false }
+
+func TestPlannerThatWasPausedBeyondItsLeaseChangesNothing(t *testing.T) {
+	p, n, _ := configured(t)
+	paused := newTestPlanner(t, p, n, "paused", never)
+	next := newTestPlanner(t, p, n, "next", never)
+	old, err := paused.acquire(t.Context())
+	require.NoError(t, err)
+	// The pause: its lease lapses unseen, and another planner takes over.
+	require.NoError(t, p.seam.Revoke(t.Context(), old.lease))
+	current, err := next.acquire(t.Context())
+	require.NoError(t, err)
+	require.Greater(t, current.epoch, old.epoch)
+
+	before := n.store.Since(state.Cursor{}, 0).Next
+	require.ErrorIs(t, paused.planOnce(t.Context(), old), errDeposed)
+	for _, item := range n.store.Since(before, 0).Items {
+		require.NotEqual(t, old.epoch, item.Version.Major, "%s was written by the deposed planner", item.Key)
+	}
+	require.NoError(t, next.planOnce(t.Context(), current))
+	require.Equal(t, current.epoch, n.view.Head().Epoch)
+}
+
+func TestTwoPlannersNeverHoldTheLeaseAtOnce(t *testing.T) {
+	p, n, _ := configured(t)
+	first := newTestPlanner(t, p, n, "first", never)
+	second := newTestPlanner(t, p, n, "second", never)
+	held, err := first.acquire(t.Context())
+	require.NoError(t, err)
+	_, err = second.acquire(t.Context())
+	require.ErrorIs(t, err, errDeposed)
+	first.release(held)
+	_, err = second.acquire(t.Context())
+	require.NoError(t, err)
+}
+
+func TestSwapOfAPlanWhoseAnswerIsLostPublishesNothing(t *testing.T) {
+	p, n, _ := configured(t)
+	planner := newTestPlanner(t, p, n, "planner", never)
+	tenure, err := planner.acquire(t.Context())
+	require.NoError(t, err)
+	p.kv.SetFault(func(string) standin.Fault { return standin.Fault{LoseAnswer: true} })
+	require.Error(t, planner.planOnce(t.Context(), tenure))
+	require.Zero(t, n.view.Head().Epoch)
+	p.kv.SetFault(nil)
+	planner.release(tenure)
+	next, err := planner.acquire(t.Context())
+	require.NoError(t, err, "the next tenure builds on whatever was written")
+	require.NoError(t, planner.planOnce(t.Context(), next))
+	require.Equal(t, next.epoch, n.view.Head().Epoch)
+}
+
+func TestPlanStaysInForceWhileTheKeyValueServiceIsDown(t *testing.T) {
+	p, n, _ := configured(t)
+	newTestPlanner(t, p, n, "planner", always)
+	row := table.Key{Group: "kumiai", Model: "kakiwake"}
+	eventually(t, func() bool { decided, ok := n.view.Row(row); return ok && decided.Target == "v1" }, "a plan comes")
+	before := n.view.Head()
+	p.kv.SetFault(func(string) standin.Fault { return standin.Fault{Status: http.StatusServiceUnavailable} })
+	time.Sleep(2 * plannerRenew)
+	_, ok := n.view.Row(row)
+	require.True(t, ok)
+	require.Equal(t, before, n.view.Head())
+}
+
+func TestPlannerGivesUpWhenItCannotRenew(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	planner := &Planner{clock: clock, metrics: NewMetrics(), kv: platform.KeyValue{
+		KeepAlive: func(context.Context, platform.LeaseID) error { return platform.ErrUnavailable },
+	}}
+	ended := make(chan error, 1)
+	go func() { ended <- planner.renew(t.Context(), 1, clock.Now()) }()
+	for {
+		require.NoError(t, clock.BlockUntilContext(t.Context(), 1))
+		clock.Advance(plannerRenew)
+		select {
+		case err := <-ended:
+			require.ErrorIs(t, err, platform.ErrLeaseLost)
+			return
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+func TestPlanItemsHoldOnlyWhatChanged(t *testing.T) {
+	box := plan.Assignment{Weights: []plan.Weights{{Model: "m", Version: "v1"}}}
+	before := plan.Plan{
+		Boxes: map[member.BoxID]plan.Assignment{"a": box, "b": box, "gone": box},
+		Rows:  map[table.Key]plan.RowPlan{{Group: "g", Model: "m"}: {Serving: "v1"}},
+	}
+	after := plan.Plan{
+		Boxes: map[member.BoxID]plan.Assignment{"a": box, "b": {}, "new": box},
+		Rows:  before.Rows,
+	}
+	items, err := planItems(before, after, state.Version{Major: 3, Minor: 1})
+	require.NoError(t, err)
+	got := make(map[string]bool)
+	for _, item := range items {
+		got[item.Key] = item.Deleted
+	}
+	require.Equal(t, map[string]bool{"plan/box/b": false, "plan/box/new": false, "plan/box/gone": true}, got)
+}
--- /dev/null
+++ b/internal/daemon/replica_test.go
@@ -0,0 +1,143 @@
+package daemon
+
+import (
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+	"storj.io/drpc/drpcmux"
+
+	"github.com/cinderslip/cinderslip/internal/wire"
+	"github.com/cinderslip/cinderslip/pkg/member"
+	"github.com/cinderslip/cinderslip/pkg/state"
+)
+
+// listen makes a node answer other processes.
+func (n *node) listen(t *testing.T) {
+	t.Helper()
+	mux := drpcmux.New()
+	require.NoError(t, wire.DRPCRegisterReplica(mux, n.replica))
+	n.address = listenPeers(t, mux)
+}
+
+func item(key string, major uint64) state.Item {
+	return state.Item{Key: key, Version: state.Version{Major: major}, Value: []byte(key)}
+}
+
+func TestChangesReachEveryEntryBoxThroughARelay(t *testing.T) {
+	relay := newNode(t, 1, noRelays)
+	relay.listen(t)
+	toRelay := func() []member.Address { return []member.Address{relay.address} }
+	first, second := newNode(t, 2, toRelay), newNode(t, 3, toRelay)
+	first.replica.Publish(item("a", 1))
+	eventually(t, func() bool { _, ok := second.store.Get("a"); return ok }, "the change arrives")
+}
+
+func TestChangeWaitsForARelayThatIsAway(t *testing.T) {
+	var address atomic.Value
+	address.Store(member.Address("127.0.0.1:1"))
+	n := newNode(t, 1, func() []member.Address { return []member.Address{address.Load().(member.Address)} })
+	n.replica.Publish(item("a", 1))
+	relay := newNode(t, 2, noRelays)
+	relay.listen(t)
+	address.Store(relay.address)
+	eventually(t, func() bool { _, ok := relay.store.Get("a"); return ok }, "the change is not lost")
+}
+
+func TestOldPeerThatComesBackRevertsNothing(t *testing.T) {
+	old := newNode(t, 1, noRelays)
+	old.store.Apply([]state.Item{item("row", 1), item("only-old", 1)})
+	old.listen(t)
+	n := newNode(t, 2, func() []member.Address { return []member.Address{old.address} })
+	n.replica.Publish(item("row", 2))
+	eventually(t, func() bool { _, ok := n.store.Get("only-old"); return ok }, "the old peer is heard")
+	held, _ := n.store.Get("row")
+	require.Equal(t, uint64(2), held.Version.Major)
+	eventually(t, func() bool { held, _ := old.store.Get("row"); return held.Version.Major == 2 }, "the old peer is brought up to date")
+}
+
+func TestLargeStateArrivesInParts(t *testing.T) {
+	relay := newNode(t, 1, noRelays)
+	items := make([]state.Item, 0, 3*pullLimit)
+	for i := range 3 * pullLimit {
+		items = append(items, state.Item{Key: string(rune('a' + i%26)) + time.Duration(i).String(), Version: state.Version{Major: 1}})
+	}
+	relay.store.Apply(items)
+	relay.listen(t)
+	n := newNode(t, 2, func() []member.Address { return []member.Address{relay.address} })
+	eventually(t, func() bool { return n.store.Len() == relay.store.Len() }, "everything arrives")
+}
+
+// heartOf starts a heart that beats to a node's monitor.
+func heartOf(t *testing.T, clock clockwork.Clock, record member.Record, monitors func() []member.Address) *Heart {
+	t.Helper()
+	h := NewHeart(record, HeartOptions{
+		Peers: newTestPeers(t), Clock: clock, Log: quiet(), Interval: 20 * time.Millisecond, Monitors: monitors,
+		Fill: func(*wire.HeartbeatRequest) {}, Answered: func(member.Address, *wire.HeartbeatResponse) {},
+	})
+	t.Cleanup(func() { stopService(t, h) })
+	return h
+}
+
+// monitored is a node with a monitor that others can reach.
+func monitored(t *testing.T, instance uint64, silence time.Duration) *node {
+	t.Helper()
+	n := newNode(t, instance, noRelays)
+	m := NewMonitor("", n.view, n.replica, newTestPeers(t), clockwork.NewRealClock(), quiet(), NewMetrics(), silence)
+	t.Cleanup(func() { stopService(t, m) })
+	mux := drpcmux.New()
+	require.NoError(t, wire.DRPCRegisterMonitor(mux, m))
+	n.address = listenPeers(t, mux)
+	return n
+}
+
+func agentRecord(box member.BoxID) member.Record {
+	return member.Record{Box: box, Role: member.RoleAgent, Region: "kita", FailureDomain: "kita-a", Peers: "127.0.0.1:1"}
+}
+
+func hasStatus(n *node, status member.Status) func() bool {
+	return func() bool { record, ok := n.view.Member("b"); return ok && record.Status == status }
+}
+
+func TestBoxThatStopsBeatingIsMarkedSilentAndComesBack(t *testing.T) {
+	n := monitored(t, 1, 100*time.Millisecond)
+	to := func() []member.Address { return []member.Address{n.address} }
+	h := heartOf(t, clockwork.NewRealClock(), agentRecord("b"), to)
+	eventually(t, hasStatus(n, member.StatusUp), "the box is known")
+	stopService(t, h)
+	eventually(t, hasStatus(n, member.StatusSilent), "the box is marked")
+	heartOf(t, clockwork.NewRealClock(), agentRecord("b"), to)
+	eventually(t, hasStatus(n, member.StatusUp), "its next start is up")
+}
+
+func TestWrongMarkIsRefuted(t *testing.T) {
+	n := monitored(t, 1, time.Hour)
+	heartOf(t, clockwork.NewRealClock(), agentRecord("b"), func() []member.Address { return []member.Address{n.address} })
+	eventually(t, hasStatus(n, member.StatusUp), "the box is known")
+	record, _ := n.view.Member("b")
+	record.Status = member.StatusSilent
+	marked, err := record.Item()
+	require.NoError(t, err)
+	n.replica.Publish(marked)
+	eventually(t, func() bool {
+		now, _ := n.view.Member("b")
+		return now.Status == member.StatusUp && now.Sequence > record.Sequence
+	}, "the box writes a newer record")
+}
+
+func TestBoxWhoseClockWasSetBackIsStillHeard(t *testing.T) {
+	n := monitored(t, 1, time.Hour)
+	to := func() []member.Address { return []member.Address{n.address} }
+	ahead := heartOf(t, clockwork.NewRealClock(), agentRecord("b"), to)
+	eventually(t, hasStatus(n, member.StatusUp), "the box is known")
+	earlier := ahead.Record().Incarnation
+	stopService(t, ahead)
+	back := clockwork.NewFakeClockAt(time.Now().Add(-24 * time.Hour))
+	restarted := heartOf(t, back, agentRecord("b"), to)
+	eventually(t, func() bool {
+		record, _ := n.view.Member("b")
+		return record.Incarnation > earlier && record.Incarnation == restarted.Record().Incarnation
+	}, "its new incarnation is above the old one")
+}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -85,6 +85,15 @@
 	return append([]platform.Order(nil), e.orders...)
 }
 
+// Forget drops everything that is loaded, as a restart of the engine does. Its
+// fence stays.
+func (e *Engine) Forget() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	clear(e.loaded)
+	clear(e.staging)
+}
+
 func (e *Engine) serveStage(w http.ResponseWriter, r *http.Request) {
 	chunk, err := strconv.Atoi(r.PathValue("chunk"))
 	if err != nil {
