style: format new files too

Cause: the formatter was given tracked files only. Change: untracked sources are formatted and checked as well.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(CURDIR)/bin
 TOOLS := go tool -modfile=$(CURDIR)/tools/go.mod
 GOLANGCI_LINT_VERSION := v2.15.0
-SOURCES = $(shell git ls-files '*.go' | grep -v -e '\.pb\.go$$')
+SOURCES = $(shell git ls-files -co --exclude-standard '*.go' | grep -v -e '\.pb\.go$$')
 
 .PHONY: setup build fmt lint generate test bench ci check-fmt check-generated
 
--- a/internal/daemon/gate_test.go
+++ b/internal/daemon/gate_test.go
@@ -239,7 +239,9 @@
 }
 
 // wrongAgent answers with another request's id, as one that mixes up streams.
-type wrongAgent struct{ wire.DRPCBackendUnimplementedServer }
+type wrongAgent struct {
+	wire.DRPCBackendUnimplementedServer
+}
 
 func (*wrongAgent) Serve(stream wire.DRPCBackend_ServeStream) error {
 	if _, err := stream.Recv(); err != nil {
--- a/internal/daemon/replica_test.go
+++ b/internal/daemon/replica_test.go
@@ -62,7 +62,7 @@
 	relay := newNode(t, 1, noRelays)
 	items := make([]state.Item, 0, 3*pullLimit)
 	for i := range 3 * pullLimit {
-		items = append(items, state.Item{Key: string(rune('a' + i%26)) + time.Duration(i).String(), Version: state.Version{Major: 1}})
+		items = append(items, state.Item{Key: string(rune('a'+i%26)) + time.Duration(i).String(), Version: state.Version{Major: 1}})
 	}
 	relay.store.Apply(items)
 	relay.listen(t)
