--- /dev/null
+++ b/internal/daemon/bench_test.go
@@ -0,0 +1,392 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+	"storj.io/drpc/drpcmux"
+
+	"github.com/cinderslip/cinderslip/internal/wire"
+	"github.com/cinderslip/cinderslip/pkg/member"
+	"github.com/cinderslip/cinderslip/pkg/plan"
+	"github.com/cinderslip/cinderslip/pkg/state"
+	"github.com/cinderslip/cinderslip/pkg/table"
+	"github.com/cinderslip/cinderslip/pkg/weights"
+)
+
+// The benchmarks of this file give the slopes from which docs/CAPACITY.md is
+// worked out.
+
+// cpuTime is what this process has used so far.
+func cpuTime() time.Duration {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// countedPeers counts the bytes that cross its connections, both ways.
+func countedPeers(counter *atomic.Int64) *Peers {
+	p := NewPeers()
+	open := p.dial
+	p.dial = func(ctx context.Context, address member.Address) (net.Conn, error) {
+		conn, err := open(ctx, address)
+		return &countedConn{conn, counter}, err
+	}
+	return p
+}
+
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c *countedConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(data []byte) (int, error) {
+	n, err := c.Conn.Write(data)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// benchRecord is a record of the usual length.
+func benchRecord(i int, role member.Role) member.Record {
+	record := member.Record{
+		Box: member.BoxID(fmt.Sprintf("kita-a-%s-%05d", role, i)), Role: role, Region: "kita", FailureDomain: "kita-a",
+		Peers: member.Address(fmt.Sprintf("10.%d.%d.1:7000", i/256, i%256)), Incarnation: 1_760_000_000_000_000_000, Sequence: 1, Status: member.StatusUp,
+	}
+	if role == member.RoleAgent {
+		record.Models, record.Slots = []table.Model{"kakiwake"}, 2
+		record.Copies = []member.Copy{{Model: "kakiwake", Version: "2026.12", Manifest: weights.Sum([]byte("m")), Phase: member.PhaseLive, Total: 3500}}
+	}
+	return record
+}
+
+func benchItems(b *testing.B, agents, rows int) []state.Item {
+	b.Helper()
+	version := state.Version{Major: 9, Minor: 9}
+	items := make([]state.Item, 0, 2*agents+2*rows)
+	add := func(key string, value any) {
+		raw, err := state.Encode(value)
+		require.NoError(b, err)
+		items = append(items, state.Item{Key: key, Version: version, Value: raw})
+	}
+	for i := range agents {
+		record := benchRecord(i, member.RoleAgent)
+		item, err := record.Item()
+		require.NoError(b, err)
+		items = append(items, item)
+		add(plan.BoxPrefix+string(record.Box), plan.Assignment{Weights: []plan.Weights{
+			{Model: "kakiwake", Version: "2026.12", Manifest: weights.Sum([]byte("m"))},
+		}})
+	}
+	for i := range rows {
+		row := table.Row{Group: table.Group(fmt.Sprintf("group-%04d", i)), Model: "kakiwake", Weight: 1, Ceiling: 1, Version: "2026.12"}
+		add(tableRowPrefix+row.Key().String(), row)
+		add(plan.RowPrefix+row.Key().String(), plan.RowPlan{Share: 0.01, Serving: "2026.12", Target: "2026.12", Replicas: 100, Live: 100})
+	}
+	return items
+}
+
+// An entry box's memory for what it holds of the whole fleet.
+func BenchmarkEntryMemory(b *testing.B) {
+	for _, agents := range []int{1_000, 12_000} {
+		b.Run(fmt.Sprintf("agents=%d", agents), func(b *testing.B) {
+			items := benchItems(b, agents, agents/6)
+			for b.Loop() {
+				before := heapInUse()
+				store := state.NewStore(1)
+				view := NewView(store, "kita", quiet())
+				store.Apply(items, state.OriginRemote)
+				for len(view.Members()) < agents {
+					time.Sleep(time.Millisecond)
+				}
+				b.ReportMetric(float64(heapInUse()-before)/float64(agents), "heap-bytes/agent")
+				_ = view.Stop(context.Background())
+				runtime.KeepAlive(store)
+			}
+		})
+	}
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+// What one change of a box's record costs an entry box that reads it.
+func BenchmarkViewApply(b *testing.B) {
+	items := benchItems(b, 12_000, 2_000)
+	view := NewView(state.NewStore(1), "kita", quiet())
+	defer func() { _ = view.Stop(context.Background()) }()
+	view.apply(items)
+	record := benchRecord(7, member.RoleAgent)
+	b.ReportAllocs()
+	for b.Loop() {
+		record.Sequence++
+		item, err := record.Item()
+		if err != nil {
+			b.Fatal(err)
+		}
+		view.apply([]state.Item{item})
+	}
+}
+
+// One heartbeat, both ends of it in this process.
+func BenchmarkHeartbeat(b *testing.B) {
+	store := state.NewStore(1)
+	view := NewView(store, "kita", quiet())
+	peers := NewPeers()
+	replica := NewReplica(store, peers, clockwork.NewRealClock(), quiet(), noLinks)
+	monitor := NewMonitor("", view, replica, peers, clockwork.NewRealClock(), quiet(), NewMetrics(), time.Hour)
+	items := benchItems(b, 2_000, 100)
+	for i := range 366 {
+		item, err := benchRecord(i, member.RoleEntry).Item()
+		require.NoError(b, err)
+		items = append(items, item)
+	}
+	store.Apply(items, state.OriginRemote)
+	mux := drpcmux.New()
+	require.NoError(b, wire.DRPCRegisterMonitor(mux, monitor))
+	address, stop := benchListen(b, mux)
+	var bytes atomic.Int64
+	counted := countedPeers(&bytes)
+	client := wire.NewDRPCMonitorClient(counted.Conn(address))
+	record := benchRecord(7, member.RoleAgent)
+	request := &wire.HeartbeatRequest{
+		Box: string(record.Box), Incarnation: uint64(record.Incarnation), Sequence: 1, AssignmentMajor: 9, AssignmentMinor: 9, Load: &wire.Load{Running: 3},
+	}
+	for len(view.Members()) < 2_366 {
+		time.Sleep(time.Millisecond)
+	}
+	b.ReportAllocs()
+	started, used := cpuTime(), bytes.Load()
+	for b.Loop() {
+		if _, err := client.Heartbeat(context.Background(), request); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(cpuTime()-started)/float64(b.N), "cpu-ns/op")
+	b.ReportMetric(float64(bytes.Load()-used)/float64(b.N), "wire-bytes/op")
+	stop()
+	for _, service := range []stopper{counted, monitor, replica, view, peers} {
+		_ = service.Stop(context.Background())
+	}
+}
+
+func benchListen(b *testing.B, mux *drpcmux.Mux) (member.Address, func()) {
+	b.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	server := NewPeerServer(listener, mux, quiet())
+	return member.Address(listener.Addr().String()), func() { _ = server.Stop(context.Background()) }
+}
+
+// benchEntry is one entry box of the dissemination benchmark.
+type benchEntry struct {
+	store   *state.Store
+	view    *View
+	replica *Replica
+	peers   *Peers
+	bytes   atomic.Int64
+	stop    func()
+}
+
+// A change at one entry box of a region until it is in force at every other, over
+// real connections, and the bytes that the busiest box sees for it.
+func BenchmarkDissemination(b *testing.B) {
+	for _, count := range []int{7, 50, 200, 366} {
+		b.Run(fmt.Sprintf("entries=%d", count), func(b *testing.B) { benchDissemination(b, count) })
+	}
+}
+
+func benchDissemination(b *testing.B, count int) {
+	entries := startBenchEntries(b, count)
+	defer func() {
+		for _, e := range entries {
+			e.stop()
+		}
+	}()
+	awaitEverywhere(b, entries, func(e *benchEntry) bool { return len(e.view.Members()) == count })
+	time.Sleep(2 * pullRetry)
+	key := plan.BoxPrefix + "box"
+	value, err := state.Encode(plan.Assignment{Weights: []plan.Weights{{Model: "kakiwake", Version: "2026.12", Manifest: weights.Sum([]byte("m"))}}})
+	require.NoError(b, err)
+	for _, e := range entries {
+		e.bytes.Store(0)
+	}
+	var times []time.Duration
+	started := cpuTime()
+	change := uint64(0)
+	for b.Loop() {
+		change++
+		version := state.Version{Major: change}
+		begun := time.Now()
+		entries[int(change)%count].replica.Publish(state.Item{Key: key, Version: version, Value: value})
+		awaitEverywhere(b, entries, func(e *benchEntry) bool { held, _ := e.store.Get(key); return held.Version == version })
+		times = append(times, time.Since(begun))
+	}
+	used := cpuTime() - started
+	busiest := int64(0)
+	for _, e := range entries {
+		busiest = max(busiest, e.bytes.Load())
+	}
+	slices.Sort(times)
+	b.ReportMetric(float64(times[len(times)/2])/1e6, "p50-ms")
+	b.ReportMetric(float64(times[len(times)*99/100])/1e6, "p99-ms")
+	b.ReportMetric(float64(busiest)/float64(len(times)), "busiest-bytes/change")
+	b.ReportMetric(float64(used)/float64(len(times)*count), "cpu-ns/change/entry")
+}
+
+func awaitEverywhere(b *testing.B, entries []*benchEntry, check func(*benchEntry) bool) {
+	b.Helper()
+	deadline := time.Now().Add(time.Minute)
+	for _, e := range entries {
+		for !check(e) {
+			if time.Now().After(deadline) {
+				b.Fatal("the change does not arrive")
+			}
+			time.Sleep(200 * time.Microsecond)
+		}
+	}
+}
+
+// startBenchEntries starts entry boxes that all know each other. Each counts the
+// bytes of the connections that it opens and of those that it accepts.
+func startBenchEntries(b *testing.B, count int) []*benchEntry {
+	b.Helper()
+	entries := make([]*benchEntry, count)
+	records := make([]state.Item, count)
+	listeners := make([]net.Listener, count)
+	for i := range entries {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(b, err)
+		listeners[i] = listener
+		record := benchRecord(i, member.RoleEntry)
+		record.Peers = member.Address(listener.Addr().String())
+		records[i], err = record.Item()
+		require.NoError(b, err)
+	}
+	for i := range entries {
+		e := &benchEntry{store: state.NewStore(uint64(i) + 1)}
+		e.store.Apply(records, state.OriginRemote)
+		e.view = NewView(e.store, "kita", quiet())
+		e.peers = countedPeers(&e.bytes)
+		overlay := NewOverlay(e.view, benchRecord(i, member.RoleEntry), func() []member.Address { return nil })
+		e.replica = NewReplica(e.store, e.peers, clockwork.NewRealClock(), quiet(), overlay.Links)
+		mux := drpcmux.New()
+		require.NoError(b, wire.DRPCRegisterReplica(mux, e.replica))
+		server := NewPeerServer(&countedListener{listeners[i], &e.bytes}, mux, quiet())
+		e.stop = func() {
+			for _, service := range []stopper{e.replica, e.view, server, e.peers} {
+				_ = service.Stop(context.Background())
+			}
+		}
+		entries[i] = e
+	}
+	return entries
+}
+
+type countedListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+func (l *countedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return &countedConn{conn, l.bytes}, err
+}
+
+// One small request from entry box to backend server and back, against the same
+// request sent straight to the backend server.
+func BenchmarkRequest(b *testing.B) {
+	backend := &http.Server{Handler: http.HandlerFunc(echoHandler), ReadHeaderTimeout: time.Second}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	go func() { _ = backend.Serve(listener) }()
+	defer func() { _ = backend.Close() }()
+	base := "http://" + listener.Addr().String()
+	b.Run("direct", func(b *testing.B) {
+		client := newBackendClient(false)
+		defer client.CloseIdleConnections()
+		started := cpuTime()
+		b.ReportAllocs()
+		for b.Loop() {
+			response, err := client.Post(base+"/path", "text/plain", strings.NewReader("hello"))
+			if err != nil {
+				b.Fatal(err)
+			}
+			_, _ = copyAll(io.Discard, response)
+			_ = response.Body.Close()
+		}
+		b.ReportMetric(float64(cpuTime()-started)/float64(b.N), "cpu-ns/op")
+	})
+	b.Run("through", func(b *testing.B) { benchThrough(b, base) })
+}
+
+func benchThrough(b *testing.B, backend string) {
+	record := benchRecord(1, member.RoleAgent)
+	record.Services = []member.Service{"chizu"}
+	gate := NewGate("", map[member.Service]string{"chizu": backend}, func() member.Record { return record }, clockwork.NewRealClock(), quiet(), NewMetrics())
+	mux := drpcmux.New()
+	require.NoError(b, wire.DRPCRegisterBackend(mux, gate))
+	address, stop := benchListen(b, mux)
+	defer stop()
+	record.Peers = address
+	store := state.NewStore(1)
+	view := NewView(store, "kita", quiet())
+	peers := NewPeers()
+	item, err := record.Item()
+	require.NoError(b, err)
+	store.Apply([]state.Item{item}, state.OriginRemote)
+	for len(view.Members()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	options := CallersOptions{View: view, Peers: peers, Clock: clockwork.NewRealClock(), Log: quiet(), Metrics: NewMetrics(), Region: "kita"}
+	options.Settings.PlacesPerReplica, options.Settings.QueuePerGroup, options.Settings.BodyLimit = 64, 64, 1<<20
+	options.Settings.Deadline = 60_000_000_000
+	callers := NewCallers(listener, options)
+	client := newBackendClient(false)
+	send := func() int {
+		response, err := client.Post("http://"+listener.Addr().String()+"/v1/services/chizu/path", "text/plain", strings.NewReader("hello"))
+		if err != nil {
+			b.Fatal(err)
+		}
+		_, _ = copyAll(io.Discard, response)
+		_ = response.Body.Close()
+		return response.StatusCode
+	}
+	require.Equal(b, http.StatusAccepted, send())
+	started := cpuTime()
+	b.ReportAllocs()
+	for b.Loop() {
+		if status := send(); status != http.StatusAccepted {
+			b.Fatal(status)
+		}
+	}
+	b.ReportMetric(float64(cpuTime()-started)/float64(b.N), "cpu-ns/op")
+	client.CloseIdleConnections()
+	for _, service := range []stopper{callers, view, peers} {
+		_ = service.Stop(context.Background())
+	}
+}
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -183,43 +183,47 @@
 const adjustGap = 100 * time.Millisecond
 
 func (c *Callers) adjustAll() {
-	current := c.view.PlanRows()
-	versions := make(map[member.Service]map[table.ModelVersion]bool)
-	for key, row := range current {
-		service := member.Service(key.Model)
-		c.admission(service).SetWeight(key.Group, max(row.Share, minimumWeight))
-		if versions[service] == nil {
-			versions[service] = make(map[table.ModelVersion]bool)
-		}
-		versions[service][row.Serving] = true
-	}
-	entries := max(1, len(c.view.Entries(c.region)))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for service, admission := range c.admissions {
-		admission.SetPlaces(c.places(service, versions[service], entries))
+		c.adjustOne(service, admission)
+	}
+}
+
+// adjustOne gives an admission its places and the weights of its groups.
+func (c *Callers) adjustOne(service member.Service, admission *route.Admission) {
+	versions := make(map[table.ModelVersion]bool)
+	for key, row := range c.view.PlanRows() {
+		if member.Service(key.Model) == service {
+			admission.SetWeight(key.Group, max(row.Share, minimumWeight))
+			versions[row.Serving] = true
+		}
 	}
+	admission.SetPlaces(c.places(service, versions))
 }
 
 // minimumWeight keeps a group with a share of 0 from dividing by 0.
 const minimumWeight = 1e-3
 
 // places divides the replicas' places among the entry boxes of the region.
-func (c *Callers) places(service member.Service, versions map[table.ModelVersion]bool, entries int) int {
+func (c *Callers) places(service member.Service, versions map[table.ModelVersion]bool) int {
 	replicas := c.view.Router().Count(route.Place{Service: service})
 	for version := range versions {
 		replicas += c.view.Router().Count(route.Place{Service: service, Version: version})
 	}
-	all := replicas * c.options.PlacesPerReplica
-	return (all + entries - 1) / entries
+	entries := max(1, len(c.view.Entries(c.region)))
+	return (replicas*c.options.PlacesPerReplica + entries - 1) / entries
 }
 
+// admission returns the queue of a service. One that is asked for the first time
+// gets its places at once: nothing may change in the view for a long time.
 func (c *Callers) admission(service member.Service) *route.Admission {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	held, ok := c.admissions[service]
 	if !ok {
 		held = route.NewAdmission(0, c.options.QueuePerGroup)
+		c.adjustOne(service, held)
 		c.admissions[service] = held
 	}
 	return held
@@ -421,7 +425,7 @@
 // admit waits for a place and runs the request in it.
 func (c *Callers) admit(ctx context.Context, x *exchange, place route.Place) {
 	admission := c.admission(x.service)
-	if c.places(x.service, map[table.ModelVersion]bool{place.Version: true}, 1) == 0 {
+	if c.view.Router().Count(place) == 0 {
 		c.refuse(x, refusal{reasonNoBox, fmt.Sprintf("no box has %s %s live", x.service, place.Version), time.Second})
 		return
 	}
--- /dev/null
+++ b/internal/daemon/callers_test.go
@@ -0,0 +1,142 @@
+package daemon
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cinderslip/cinderslip/internal/settings"
+	"github.com/cinderslip/cinderslip/pkg/member"
+	"github.com/cinderslip/cinderslip/pkg/route"
+	"github.com/cinderslip/cinderslip/pkg/state"
+)
+
+// calling is an entry box's callers' side before one gate.
+type calling struct {
+	*gated
+	callers *Callers
+	base    string
+	client  *http.Client
+}
+
+func newCalling(t *testing.T, backend string, change func(*settings.Requests)) *calling {
+	t.Helper()
+	c := &calling{gated: newGated(t, backend)}
+	n := newNode(t, 1, noLinks)
+	record := member.Record{
+		Box: "b", Role: member.RoleAgent, Status: member.StatusUp, Region: "kita", Peers: c.address,
+		Incarnation: testIncarnation, Services: []member.Service{"chizu"},
+	}
+	item, err := record.Item()
+	require.NoError(t, err)
+	n.store.Apply([]state.Item{item}, state.OriginLocal)
+	eventually(t, func() bool { return n.view.Router().Count(route.Place{Service: "chizu"}) == 1 }, "the box is known")
+	var loaded settings.Settings
+	loaded.Default()
+	loaded.Requests.EntriesTTL = settings.Duration(time.Millisecond)
+	change(&loaded.Requests)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	c.callers = NewCallers(listener, CallersOptions{
+		Settings: loaded.Requests, Region: "kita", View: n.view, Peers: newTestPeers(t),
+		Clock: clockwork.NewRealClock(), Log: quiet(), Metrics: NewMetrics(),
+	})
+	c.client = &http.Client{Transport: &http.Transport{}}
+	t.Cleanup(func() {
+		c.client.CloseIdleConnections()
+		stopService(t, c.callers)
+	})
+	c.base = "http://" + listener.Addr().String()
+	return c
+}
+
+// get sends a request with headers given as name and value in turn.
+func (c *calling) get(t *testing.T, path string, headers ...string) *http.Response {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, c.base+path, http.NoBody)
+	require.NoError(t, err)
+	for i := 0; i < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := c.client.Do(request)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = response.Body.Close() })
+	return response
+}
+
+func unchanged(*settings.Requests) {}
+
+// The view may not change for hours after an entry box has started.
+func TestFirstRequestOfAServiceNeedsNoChangeToComeFirst(t *testing.T) {
+	c := newCalling(t, serveHTTP(t, http.HandlerFunc(echoHandler)), unchanged)
+	time.Sleep(2 * adjustGap)
+	response := c.get(t, "/v1/services/chizu/x%2Fy?a=%20b", headerDeadline, "5000")
+	require.Equal(t, http.StatusAccepted, response.StatusCode)
+	require.Equal(t, "b", response.Header.Get(headerBox))
+	require.NotEmpty(t, response.Header.Get(headerRequestID))
+	body := new(strings.Builder)
+	_, err := copyAll(body, response)
+	require.NoError(t, err)
+	require.Equal(t, "GET /x%2Fy?a=%20b ", body.String(), "the path is passed on as it came")
+}
+
+func TestHeadersThatMakeNoSenseAreNamed(t *testing.T) {
+	c := newCalling(t, "http://127.0.0.1:1", unchanged)
+	for header, value := range map[string]string{
+		headerRepeatable: "maybe", headerPriority: "high", headerDeadline: "-1", headerRequestID: strings.Repeat("x", 129),
+	} {
+		response := c.get(t, "/v1/services/chizu/", header, value)
+		require.Equal(t, http.StatusBadRequest, response.StatusCode, header)
+		require.Equal(t, problemType, response.Header.Get("Content-Type"))
+		body := new(strings.Builder)
+		_, _ = copyAll(body, response)
+		require.Contains(t, body.String(), header)
+	}
+}
+
+func TestRequestThatIsRefusedIsToldWhenToComeBack(t *testing.T) {
+	c := newCalling(t, "http://127.0.0.1:1", unchanged)
+	for _, path := range []string{"/v1/services/nothing/", "/v1/services/chizu/"} {
+		response := c.get(t, path)
+		require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+		require.Equal(t, "not-run", response.Header.Get(headerOutcome))
+		require.Equal(t, "1", response.Header.Get("Retry-After"))
+	}
+}
+
+// A group with a full queue gets its final answer at once, while the one request
+// that runs goes on.
+func TestFullQueueRefusesAtOnce(t *testing.T) {
+	begun, proceed := make(chan struct{}, 8), make(chan struct{})
+	c := newCalling(t, serveHTTP(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		begun <- struct{}{}
+		<-proceed
+	})), func(requests *settings.Requests) { requests.PlacesPerReplica, requests.QueuePerGroup = 1, 1 })
+	statuses := make(chan int, 2)
+	for range 2 {
+		go func() { statuses <- c.get(t, "/v1/services/chizu/").StatusCode }()
+	}
+	<-begun
+	eventually(t, func() bool { waiting, _ := c.callers.admission("chizu").Waiting(); return waiting == 1 }, "one waits")
+	response := c.get(t, "/v1/services/chizu/")
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.Equal(t, "not-run", response.Header.Get(headerOutcome))
+	close(proceed)
+	require.Equal(t, http.StatusOK, <-statuses)
+	require.Equal(t, http.StatusOK, <-statuses)
+}
+
+// Once one attempt may have run, no refusal of a later one makes "not run" true.
+func TestOutcomeStaysUnknownOnceAnAttemptMayHaveRun(t *testing.T) {
+	c := newCalling(t, serveHTTP(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		panic(http.ErrAbortHandler)
+	})), unchanged)
+	response := c.get(t, "/v1/services/chizu/", headerRepeatable, "true")
+	require.Equal(t, http.StatusBadGateway, response.StatusCode)
+	require.Equal(t, "unknown", response.Header.Get(headerOutcome))
+}
--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -151,7 +151,7 @@
 func (c *Configuration) publish(held *table.Table) {
 	items := make([]state.Item, 0, len(held.Entries)+1)
 	for _, entry := range held.Entries {
-		value, err := json.Marshal(entry.Row)
+		value, err := state.Encode(entry.Row)
 		if err != nil {
 			c.log.Error().Err(err).Msg("row cannot be encoded")
 			continue
@@ -163,7 +163,11 @@
 			Value:   value,
 		})
 	}
-	head, _ := json.Marshal(held.Revision)
+	head, err := state.Encode(held.Revision)
+	if err != nil {
+		c.log.Error().Err(err).Msg("revision cannot be encoded")
+		return
+	}
 	items = append(items, state.Item{Key: tableHeadKey, Version: state.Version{Major: uint64(held.Revision)}, Value: head})
 	c.replica.Publish(items...)
 }
--- a/internal/daemon/configuration_test.go
+++ b/internal/daemon/configuration_test.go
@@ -31,7 +31,7 @@
 	t.Helper()
 	p := newTestPlatform(t)
 	p.publish(t, "kakiwake", "v1", []byte("weights"), 4)
-	n := newNode(t, 1, noRelays)
+	n := newNode(t, 1, noLinks)
 	c := newTestConfiguration(t, p, n)
 	_, err := c.Edit(t.Context(), rowEdit("first", 0, table.ColumnVersion, "v1"))
 	require.NoError(t, err)
@@ -40,7 +40,7 @@
 
 func TestEditIsInForceAtOnceAndElsewhereSoon(t *testing.T) {
 	p, n, _ := configured(t)
-	other := newNode(t, 2, noRelays)
+	other := newNode(t, 2, noLinks)
 	newTestConfiguration(t, p, other)
 	for _, at := range []*node{n, other} {
 		eventually(t, func() bool {
--- a/internal/daemon/copier.go
+++ b/internal/daemon/copier.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"slices"
@@ -110,7 +109,7 @@
 		return
 	}
 	next := assigned{version: state.Version{Major: answer.AssignmentMajor, Minor: answer.AssignmentMinor}}
-	if err := json.Unmarshal(answer.Assignment, &next.Assignment); err != nil {
+	if err := state.Decode(answer.Assignment, &next.Assignment); err != nil {
 		c.options.Log.Error().Err(err).Msg("assignment cannot be read")
 		return
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -62,7 +62,7 @@
 	peers    *Peers
 	client   *http.Client
 	heart    *Heart
-	relays   *Relays
+	overlay  *Overlay
 	gate     *Gate
 
 	callers   net.Listener
--- a/internal/daemon/harness_test.go
+++ b/internal/daemon/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -35,6 +36,8 @@
 
 func quiet() zerolog.Logger { return zerolog.Nop() }
 
+func copyAll(w io.Writer, response *http.Response) (int64, error) { return io.Copy(w, response.Body) }
+
 // listenPeers answers other processes until the test ends.
 func listenPeers(t *testing.T, mux *drpcmux.Mux) member.Address {
 	t.Helper()
@@ -76,11 +79,11 @@
 	address member.Address
 }
 
-func newNode(t *testing.T, instance uint64, relays func() []member.Address) *node {
+func newNode(t *testing.T, instance uint64, links func() Links) *node {
 	t.Helper()
 	n := &node{store: state.NewStore(instance)}
 	n.view = NewView(n.store, "kita", quiet())
-	n.replica = NewReplica(n.store, newTestPeers(t), clockwork.NewRealClock(), quiet(), relays)
+	n.replica = NewReplica(n.store, newTestPeers(t), clockwork.NewRealClock(), quiet(), links)
 	t.Cleanup(func() {
 		stopService(t, n.replica)
 		stopService(t, n.view)
@@ -88,7 +91,7 @@
 	return n
 }
 
-func noRelays() []member.Address { return nil }
+func noLinks() Links { return Links{IsRelay: true} }
 
 func always() bool { return true }
 
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -38,11 +38,17 @@
 // idle ones are kept for a while.
 type Peers struct {
 	pool *drpcpool.Pool[member.Address, drpcpool.Conn]
+	// dial opens a connection.
+	dial func(ctx context.Context, address member.Address) (net.Conn, error)
 }
 
 // NewPeers returns peers without connections.
 func NewPeers() *Peers {
-	return &Peers{pool: drpcpool.New[member.Address, drpcpool.Conn](drpcpool.Options{
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	dial := func(ctx context.Context, address member.Address) (net.Conn, error) {
+		return dialer.DialContext(ctx, "tcp", string(address))
+	}
+	return &Peers{dial: dial, pool: drpcpool.New[member.Address, drpcpool.Conn](drpcpool.Options{
 		Expiration: idleTime, KeyCapacity: idleConnections,
 	})}
 }
@@ -56,12 +62,11 @@
 // Conn returns a connection for one call. The errors of the call wrap errDial if
 // the peer could not be reached.
 func (p *Peers) Conn(address member.Address) drpc.Conn {
-	return p.pool.Get(context.Background(), address, dialPeer)
+	return p.pool.Get(context.Background(), address, p.connect)
 }
 
-func dialPeer(ctx context.Context, address member.Address) (drpcpool.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	raw, err := dialer.DialContext(ctx, "tcp", string(address))
+func (p *Peers) connect(ctx context.Context, address member.Address) (drpcpool.Conn, error) {
+	raw, err := p.dial(ctx, address)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errDial, err)
 	}
--- a/internal/daemon/planner.go
+++ b/internal/daemon/planner.go
@@ -305,9 +305,9 @@
 		return err
 	}
 	t.sequence = version.Minor
-	value, err := json.Marshal(head)
+	value, err := state.Encode(head)
 	if err != nil {
-		return fmt.Errorf("encoding plan head: %w", err)
+		return err
 	}
 	p.replica.Publish(append(items, state.Item{Key: plan.HeadKey, Version: version, Value: value})...)
 	p.log.Info().Uint64("epoch", t.epoch).Uint64("sequence", t.sequence).Int("changes", len(items)).Msg("plan in force")
@@ -336,9 +336,9 @@
 func planItems(previous, next plan.Plan, version state.Version) ([]state.Item, error) {
 	var items []state.Item
 	add := func(key string, value any) error {
-		raw, err := json.Marshal(value)
+		raw, err := state.Encode(value)
 		if err != nil {
-			return fmt.Errorf("encoding %s: %w", key, err)
+			return fmt.Errorf("%s: %w", key, err)
 		}
 		items = append(items, state.Item{Key: key, Version: version, Value: raw})
 		return nil
--- a/internal/daemon/replica.go
+++ b/internal/daemon/replica.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"encoding/binary"
+	"errors"
+	"strings"
 	"sync"
 	"time"
 
@@ -18,43 +21,47 @@
 	// pullLimit bounds the items of one answer.
 	pullLimit = 4096
 	// pullWait is how long a pull may wait for something new.
-	pullWait = 20 * time.Second
+	pullWait = 10 * time.Second
 	// pullGap gathers changes that come close together into one answer.
 	pullGap = 20 * time.Millisecond
 	// pullRetry is the wait after a failed pull.
 	pullRetry = 200 * time.Millisecond
 	// pushTimeout bounds one push.
 	pushTimeout = 2 * time.Second
+	// repairInterval is how often this process compares digests with a source.
+	repairInterval = 10 * time.Second
 )
 
 // Replica keeps this entry box's copy of the replicated items in step with the
-// relays: entry boxes, two of each region, that every other entry box pulls from
-// and pushes its own changes to. Relays pull from all other relays.
+// others, along the links of the overlay: it reads from its sources by long polls
+// and hands its own changes up. Now and then it compares digests with a source,
+// which repairs whatever was lost on the way.
 type Replica struct {
 	store  *state.Store
 	peers  *Peers
 	clock  clockwork.Clock
 	log    zerolog.Logger
-	relays func() []member.Address
+	links  func() Links
 	duties *kernel.Duties
 
-	mu      sync.Mutex
-	pending map[string]bool
-	kick    chan struct{}
-	pulling map[member.Address]context.CancelFunc
+	mu       sync.Mutex
+	pending  map[string]bool
+	kick     chan struct{}
+	pulling  map[string]context.CancelFunc
+	repaired time.Time
 }
 
-// NewReplica starts to pull and push. The function relays names the peers to
-// pull from and push to; it may change its answer at any time.
-func NewReplica(store *state.Store, peers *Peers, clock clockwork.Clock, log zerolog.Logger, relays func() []member.Address) *Replica {
+// NewReplica starts to pull and push. The function links may change its answer
+// at any time.
+func NewReplica(store *state.Store, peers *Peers, clock clockwork.Clock, log zerolog.Logger, links func() Links) *Replica {
 	r := &Replica{
-		store: store, peers: peers, clock: clock, log: log, relays: relays,
+		store: store, peers: peers, clock: clock, log: log, links: links,
 		duties:  kernel.NewDuties(),
 		pending: make(map[string]bool),
 		kick:    make(chan struct{}, 1),
-		pulling: make(map[member.Address]context.CancelFunc),
+		pulling: make(map[string]context.CancelFunc),
 	}
-	r.duties.Go(r.followRelays)
+	r.duties.Go(r.followSources)
 	r.duties.Go(r.pushPending)
 	return r
 }
@@ -66,9 +73,9 @@
 func (r *Replica) Stop(ctx context.Context) error { return r.duties.Stop(ctx) }
 
 // Publish merges items that this process wrote or was told first, and hands them
-// to the relays.
+// up.
 func (r *Replica) Publish(items ...state.Item) {
-	fresh := r.store.Apply(items)
+	fresh := r.store.Apply(items, state.OriginLocal)
 	if len(fresh) == 0 {
 		return
 	}
@@ -83,8 +90,8 @@
 	}
 }
 
-// followRelays keeps one puller for each relay.
-func (r *Replica) followRelays(ctx context.Context) {
+// followSources keeps one puller for each source of the overlay.
+func (r *Replica) followSources(ctx context.Context) {
 	for ctx.Err() == nil {
 		r.adjustPullers()
 		select {
@@ -95,57 +102,119 @@
 }
 
 func (r *Replica) adjustPullers() {
-	wanted := make(map[member.Address]bool)
-	for _, relay := range r.relays() {
-		wanted[relay] = true
+	links := r.links()
+	wanted := make(map[string][]member.Address, len(links.Follow))
+	for _, source := range links.Follow {
+		wanted[sourceKey(source, links.LocalOnly)] = source
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for relay, cancel := range r.pulling {
-		if !wanted[relay] {
+	for key, cancel := range r.pulling {
+		if wanted[key] == nil {
 			cancel()
-			delete(r.pulling, relay)
+			delete(r.pulling, key)
 		}
 	}
-	for relay := range wanted {
-		if _, running := r.pulling[relay]; running {
+	for key, source := range wanted {
+		if _, running := r.pulling[key]; running {
 			continue
 		}
 		pullCtx, cancel := context.WithCancel(r.duties.Context())
-		r.pulling[relay] = cancel
-		r.duties.Go(func(context.Context) { r.pullFrom(pullCtx, relay) })
+		r.pulling[key] = cancel
+		r.duties.Go(func(context.Context) { r.follow(pullCtx, source, links.LocalOnly) })
 	}
 }
 
-// pullFrom follows one relay until it is no longer wanted.
-func (r *Replica) pullFrom(ctx context.Context, relay member.Address) {
-	var cursor state.Cursor
-	for ctx.Err() == nil {
-		next, err := r.pullOnce(ctx, relay, cursor)
+func sourceKey(source []member.Address, localOnly bool) string {
+	var key strings.Builder
+	if localOnly {
+		key.WriteString("local ")
+	}
+	for _, address := range source {
+		key.WriteString(string(address) + " ")
+	}
+	return key.String()
+}
+
+// follow reads from the first address of a source that answers.
+func (r *Replica) follow(ctx context.Context, source []member.Address, localOnly bool) {
+	for at := 0; ctx.Err() == nil; at = (at + 1) % len(source) {
+		err := r.followAddress(ctx, source[at], localOnly)
+		r.log.Debug().Str("source", string(source[at])).Err(err).Msg("pull failed")
+		select {
+		case <-ctx.Done():
+		case <-r.clock.After(pullRetry):
+		}
+	}
+}
+
+// followAddress returns when the address no longer answers. It reads what is new
+// from here on and has the rest repaired, so that changing the source costs only
+// what differs.
+func (r *Replica) followAddress(ctx context.Context, address member.Address, localOnly bool) error {
+	request := &wire.PullRequest{WaitMilliseconds: pullWait.Milliseconds(), LocalOnly: localOnly, FromTail: true}
+	r.mu.Lock()
+	r.repaired = time.Time{}
+	r.mu.Unlock()
+	for {
+		answer, err := r.pull(ctx, address, request)
 		if err != nil {
-			r.log.Debug().Str("relay", string(relay)).Err(err).Msg("pull failed")
-			select {
-			case <-ctx.Done():
-			case <-r.clock.After(pullRetry):
-			}
-			continue
+			return err
+		}
+		request.Instance, request.Cursor, request.FromTail = answer.Instance, answer.Cursor, false
+		if err := r.repairIfDue(ctx, address); err != nil {
+			return err
 		}
-		cursor = next
 	}
 }
 
-func (r *Replica) pullOnce(ctx context.Context, relay member.Address, cursor state.Cursor) (state.Cursor, error) {
+func (r *Replica) pull(ctx context.Context, address member.Address, request *wire.PullRequest) (*wire.PullResponse, error) {
 	callCtx, cancel := context.WithTimeout(ctx, pullWait+pushTimeout)
 	defer cancel()
-	client := wire.NewDRPCReplicaClient(r.peers.Conn(relay))
-	answer, err := client.Pull(callCtx, &wire.PullRequest{
-		Instance: cursor.Instance, Cursor: cursor.Sequence, WaitMilliseconds: pullWait.Milliseconds(),
-	})
+	answer, err := wire.NewDRPCReplicaClient(r.peers.Conn(address)).Pull(callCtx, request)
+	if err != nil {
+		return nil, err
+	}
+	r.store.Apply(fromWire(answer.Items), state.OriginRemote)
+	return answer, nil
+}
+
+// repairIfDue compares digests with a source, unless that was done lately.
+func (r *Replica) repairIfDue(ctx context.Context, address member.Address) error {
+	now := r.clock.Now()
+	r.mu.Lock()
+	due := now.Sub(r.repaired) >= repairInterval
+	if due {
+		r.repaired = now
+	}
+	r.mu.Unlock()
+	if !due {
+		return nil
+	}
+	for more := true; more; {
+		fresh, err := r.repair(ctx, address, &more)
+		if err != nil {
+			return err
+		}
+		if fresh == 0 {
+			return nil
+		}
+		r.log.Debug().Str("source", string(address)).Int("items", fresh).Msg("repaired")
+	}
+	return nil
+}
+
+// repair reads one part of what differs and returns how much of it was new.
+func (r *Replica) repair(ctx context.Context, address member.Address, more *bool) (int, error) {
+	callCtx, cancel := context.WithTimeout(ctx, pullWait)
+	defer cancel()
+	request := &wire.RepairRequest{Digests: packDigests(r.store.Digests())}
+	answer, err := wire.NewDRPCReplicaClient(r.peers.Conn(address)).Repair(callCtx, request)
 	if err != nil {
-		return cursor, err
+		return 0, err
 	}
-	r.store.Apply(fromWire(answer.Items))
-	return state.Cursor{Instance: answer.Instance, Sequence: answer.Cursor}, nil
+	*more = answer.More
+	return len(r.store.Apply(fromWire(answer.Items), state.OriginRemote)), nil
 }
 
 // pushPending hands on what this process published until some relay has it.
@@ -166,14 +235,14 @@
 }
 
 // pushAll reports whether everything that was pending has reached a relay. A
-// process that knows no relay is one itself and has nothing to push.
+// process that has nobody above it is a relay itself: the others read from it.
 func (r *Replica) pushAll(ctx context.Context) bool {
 	r.mu.Lock()
 	keys := r.pending
 	r.pending = make(map[string]bool)
 	r.mu.Unlock()
-	relays := r.relays()
-	if len(keys) == 0 || len(relays) == 0 {
+	up := r.links().Up
+	if len(keys) == 0 || len(up) == 0 {
 		return true
 	}
 	items := make([]state.Item, 0, len(keys))
@@ -182,39 +251,48 @@
 			items = append(items, item)
 		}
 	}
-	reached := false
-	for _, relay := range relays {
+	for _, relay := range up {
 		callCtx, cancel := context.WithTimeout(ctx, pushTimeout)
 		_, err := wire.NewDRPCReplicaClient(r.peers.Conn(relay)).Push(callCtx, &wire.PushRequest{Items: toWire(items)})
 		cancel()
-		reached = reached || err == nil
-	}
-	if !reached {
-		r.mu.Lock()
-		for key := range keys {
-			r.pending[key] = true
+		if err == nil {
+			return true
 		}
-		r.mu.Unlock()
 	}
-	return reached
+	r.mu.Lock()
+	for key := range keys {
+		r.pending[key] = true
+	}
+	r.mu.Unlock()
+	return false
 }
 
 // Pull answers another entry box.
 func (r *Replica) Pull(ctx context.Context, request *wire.PullRequest) (*wire.PullResponse, error) {
 	cursor := state.Cursor{Instance: request.Instance, Sequence: request.Cursor}
+	if request.FromTail {
+		cursor = r.store.Tail()
+		return &wire.PullResponse{Instance: cursor.Instance, Cursor: cursor.Sequence}, nil
+	}
+	read := r.store.Since
+	if request.LocalOnly {
+		read = r.store.SinceLocal
+	}
 	wait := min(time.Duration(request.WaitMilliseconds)*time.Millisecond, pullWait)
 	deadline := r.clock.After(wait)
 	for {
 		changed := r.store.Changed()
-		batch := r.store.Since(cursor, pullLimit)
+		batch := read(cursor, pullLimit)
+		cursor = batch.Next
+		answer := &wire.PullResponse{Instance: cursor.Instance, Cursor: cursor.Sequence, Items: toWire(batch.Items)}
 		if len(batch.Items) > 0 {
-			return &wire.PullResponse{Instance: batch.Next.Instance, Cursor: batch.Next.Sequence, Items: toWire(batch.Items)}, nil
+			return answer, nil
 		}
 		select {
 		case <-changed:
 			r.clock.Sleep(pullGap)
 		case <-deadline:
-			return &wire.PullResponse{Instance: batch.Next.Instance, Cursor: batch.Next.Sequence}, nil
+			return answer, nil
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		case <-r.duties.Context().Done():
@@ -223,12 +301,47 @@
 	}
 }
 
-// Push takes another entry box's changes.
+// Push takes another entry box's changes. A box that is no relay, though the
+// sender took it for one, hands them on.
 func (r *Replica) Push(_ context.Context, request *wire.PushRequest) (*wire.PushResponse, error) {
-	r.store.Apply(fromWire(request.Items))
+	r.Publish(fromWire(request.Items)...)
 	return &wire.PushResponse{}, nil
 }
 
+// Repair answers another entry box with the items of the buckets in which it
+// holds something else.
+func (r *Replica) Repair(_ context.Context, request *wire.RepairRequest) (*wire.RepairResponse, error) {
+	digests, err := unpackDigests(request.Digests)
+	if err != nil {
+		return nil, err
+	}
+	items, more := r.store.Differing(digests, pullLimit)
+	return &wire.RepairResponse{Items: toWire(items), More: more}, nil
+}
+
+const digestSize = 8
+
+func packDigests(digests state.Digests) []byte {
+	packed := make([]byte, 0, digestSize*state.Buckets)
+	for _, digest := range digests {
+		packed = binary.LittleEndian.AppendUint64(packed, digest)
+	}
+	return packed
+}
+
+var errDigests = errors.New("digests have the wrong length")
+
+func unpackDigests(packed []byte) (state.Digests, error) {
+	var digests state.Digests
+	if len(packed) != digestSize*state.Buckets {
+		return digests, errDigests
+	}
+	for i := range digests {
+		digests[i] = binary.LittleEndian.Uint64(packed[i*digestSize:])
+	}
+	return digests, nil
+}
+
 func toWire(items []state.Item) []*wire.Item {
 	out := make([]*wire.Item, len(items))
 	for i, item := range items {
--- a/internal/daemon/replica_test.go
+++ b/internal/daemon/replica_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -22,14 +23,21 @@
 	n.address = listenPeers(t, mux)
 }
 
+// below are the links of an entry box with one relay above it.
+func below(relay *node) func() Links {
+	return func() Links {
+		return Links{Follow: [][]member.Address{{relay.address}}, Up: []member.Address{relay.address}}
+	}
+}
+
 func item(key string, major uint64) state.Item {
 	return state.Item{Key: key, Version: state.Version{Major: major}, Value: []byte(key)}
 }
 
 func TestChangesReachEveryEntryBoxThroughARelay(t *testing.T) {
-	relay := newNode(t, 1, noRelays)
+	relay := newNode(t, 1, noLinks)
 	relay.listen(t)
-	toRelay := func() []member.Address { return []member.Address{relay.address} }
+	toRelay := below(relay)
 	first, second := newNode(t, 2, toRelay), newNode(t, 3, toRelay)
 	first.replica.Publish(item("a", 1))
 	eventually(t, func() bool { _, ok := second.store.Get("a"); return ok }, "the change arrives")
@@ -38,19 +46,19 @@
 func TestChangeWaitsForARelayThatIsAway(t *testing.T) {
 	var address atomic.Value
 	address.Store(member.Address("127.0.0.1:1"))
-	n := newNode(t, 1, func() []member.Address { return []member.Address{address.Load().(member.Address)} })
+	n := newNode(t, 1, func() Links { return Links{Up: []member.Address{address.Load().(member.Address)}} })
 	n.replica.Publish(item("a", 1))
-	relay := newNode(t, 2, noRelays)
+	relay := newNode(t, 2, noLinks)
 	relay.listen(t)
 	address.Store(relay.address)
 	eventually(t, func() bool { _, ok := relay.store.Get("a"); return ok }, "the change is not lost")
 }
 
 func TestOldPeerThatComesBackRevertsNothing(t *testing.T) {
-	old := newNode(t, 1, noRelays)
-	old.store.Apply([]state.Item{item("row", 1), item("only-old", 1)})
+	old := newNode(t, 1, noLinks)
+	old.store.Apply([]state.Item{item("row", 1), item("only-old", 1)}, state.OriginLocal)
 	old.listen(t)
-	n := newNode(t, 2, func() []member.Address { return []member.Address{old.address} })
+	n := newNode(t, 2, below(old))
 	n.replica.Publish(item("row", 2))
 	eventually(t, func() bool { _, ok := n.store.Get("only-old"); return ok }, "the old peer is heard")
 	held, _ := n.store.Get("row")
@@ -59,17 +67,60 @@
 }
 
 func TestLargeStateArrivesInParts(t *testing.T) {
-	relay := newNode(t, 1, noRelays)
+	relay := newNode(t, 1, noLinks)
 	items := make([]state.Item, 0, 3*pullLimit)
 	for i := range 3 * pullLimit {
 		items = append(items, state.Item{Key: string(rune('a'+i%26)) + time.Duration(i).String(), Version: state.Version{Major: 1}})
 	}
-	relay.store.Apply(items)
+	relay.store.Apply(items, state.OriginLocal)
 	relay.listen(t)
-	n := newNode(t, 2, func() []member.Address { return []member.Address{relay.address} })
+	n := newNode(t, 2, below(relay))
 	eventually(t, func() bool { return n.store.Len() == relay.store.Len() }, "everything arrives")
 }
 
+func TestReaderThatChangesItsSourceIsRepairedWithoutReadingEverything(t *testing.T) {
+	first, second := newNode(t, 1, noLinks), newNode(t, 2, noLinks)
+	first.listen(t)
+	second.listen(t)
+	var common []state.Item
+	for i := range 2000 {
+		common = append(common, item(fmt.Sprint("common-", i), 1))
+	}
+	first.store.Apply(common, state.OriginLocal)
+	second.store.Apply(common, state.OriginLocal)
+	second.store.Apply([]state.Item{item("missed", 1)}, state.OriginLocal)
+	var source atomic.Value
+	source.Store(first)
+	n := newNode(t, 3, func() Links { return below(source.Load().(*node))() })
+	eventually(t, func() bool { return n.store.Len() == len(common) }, "the first source is read")
+	source.Store(second)
+	eventually(t, func() bool { _, ok := n.store.Get("missed"); return ok }, "what it missed is repaired")
+	differing, _ := second.store.Differing(first.store.Digests(), pullLimit)
+	require.Less(t, len(differing), 100, "one bucket differs, not all")
+}
+
+func TestSourceThatFailsIsReplacedByTheNext(t *testing.T) {
+	relay := newNode(t, 1, noLinks)
+	relay.listen(t)
+	n := newNode(t, 2, func() Links { return Links{Follow: [][]member.Address{{"127.0.0.1:1", relay.address}}} })
+	relay.replica.Publish(item("a", 1))
+	eventually(t, func() bool { _, ok := n.store.Get("a"); return ok }, "the second address is read")
+}
+
+// A relay hands other relays only what came up to it, so that an item crosses
+// between two relays once.
+func TestRelaysDoNotHandOnWhatTheyReadFromEachOther(t *testing.T) {
+	one := newNode(t, 1, noLinks)
+	one.listen(t)
+	two := newNode(t, 2, func() Links { return Links{IsRelay: true, LocalOnly: true, Follow: [][]member.Address{{one.address}}} })
+	two.listen(t)
+	one.replica.Publish(item("a", 1))
+	eventually(t, func() bool { _, ok := two.store.Get("a"); return ok }, "it crosses")
+	require.Empty(t, two.store.SinceLocal(state.Cursor{}, 0).Items)
+	two.replica.Publish(item("b", 1))
+	require.Len(t, two.store.SinceLocal(state.Cursor{}, 0).Items, 1)
+}
+
 // heartOf starts a heart that beats to a node's monitor.
 func heartOf(t *testing.T, clock clockwork.Clock, record member.Record, monitors func() []member.Address) *Heart {
 	t.Helper()
@@ -84,7 +135,7 @@
 // monitored is a node with a monitor that others can reach.
 func monitored(t *testing.T, instance uint64, silence time.Duration) *node {
 	t.Helper()
-	n := newNode(t, instance, noRelays)
+	n := newNode(t, instance, noLinks)
 	m := NewMonitor("", n.view, n.replica, newTestPeers(t), clockwork.NewRealClock(), quiet(), NewMetrics(), silence)
 	t.Cleanup(func() { stopService(t, m) })
 	mux := drpcmux.New()
--- a/internal/daemon/steps.go
+++ b/internal/daemon/steps.go
@@ -96,9 +96,8 @@
 	if err := p.kernel.Register(view); err != nil {
 		return err
 	}
-	relays := NewRelays(view, p.record(member.RoleEntry), p.seeds)
-	replica := NewReplica(store, p.peers, p.options.Clock, p.options.Log, relays.Addresses)
-	p.relays = relays
+	p.overlay = NewOverlay(view, p.record(member.RoleEntry), p.seeds)
+	replica := NewReplica(store, p.peers, p.options.Clock, p.options.Log, p.overlay.Links)
 	if err := wire.DRPCRegisterReplica(p.mux, replica); err != nil {
 		return err
 	}
@@ -174,7 +173,7 @@
 	if err != nil {
 		return err
 	}
-	clock, log, isRelay := p.options.Clock, p.options.Log, p.relays.IsRelay
+	clock, log, isRelay := p.options.Clock, p.options.Log, p.overlay.IsRelay
 	monitor := NewMonitor(member.Address(p.PeersAddress()), view, replica, p.peers, clock, log, p.metrics, time.Duration(p.settings.Peers.Silence))
 	if err := wire.DRPCRegisterMonitor(p.mux, monitor); err != nil {
 		return err
--- a/internal/daemon/view.go
+++ b/internal/daemon/view.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"maps"
 	"slices"
 	"strings"
@@ -53,6 +52,9 @@
 	changed     chan struct{}
 	shareChange uint64
 	entryChange uint64
+	// entries is worked out anew when entryChange has left entriesAt behind.
+	entries   map[member.Region][]member.Record
+	entriesAt uint64
 	// hinted holds the incarnation of boxes that the platform lists as leaving.
 	hinted map[member.BoxID]member.Incarnation
 }
@@ -129,9 +131,9 @@
 	case strings.HasPrefix(item.Key, plan.BoxPrefix):
 		return v.applyAssignment(item)
 	case item.Key == tableHeadKey:
-		return json.Unmarshal(item.Value, &v.revision)
+		return state.Decode(item.Value, &v.revision)
 	case item.Key == plan.HeadKey:
-		return json.Unmarshal(item.Value, &v.head)
+		return state.Decode(item.Value, &v.head)
 	}
 	return nil
 }
@@ -191,7 +193,7 @@
 		return nil
 	}
 	next := assigned{version: item.Version, raw: item.Value}
-	if err := json.Unmarshal(item.Value, &next.Assignment); err != nil {
+	if err := state.Decode(item.Value, &next.Assignment); err != nil {
 		return err
 	}
 	v.boxes[box] = next
@@ -213,7 +215,7 @@
 		return nil
 	}
 	var value V
-	if err := json.Unmarshal(item.Value, &value); err != nil {
+	if err := state.Decode(item.Value, &value); err != nil {
 		return err
 	}
 	values[key] = value
@@ -268,17 +270,28 @@
 }
 
 // Entries returns the entry boxes that are up, of one region or, for the empty
-// region, of all; ordered by box.
+// region, of all; ordered by box. The answer is shared and must not be changed.
 func (v *View) Entries(region member.Region) []member.Record {
-	v.mu.RLock()
-	defer v.mu.RUnlock()
-	var entries []member.Record
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.entriesAt != v.entryChange || v.entries == nil {
+		v.entriesAt = v.entryChange
+		v.entries = v.entriesByRegion()
+	}
+	return v.entries[region]
+}
+
+func (v *View) entriesByRegion() map[member.Region][]member.Record {
+	entries := make(map[member.Region][]member.Record)
 	for _, record := range v.members {
-		if record.Role == member.RoleEntry && record.Status == member.StatusUp && (region == "" || record.Region == region) {
-			entries = append(entries, record)
+		if record.Role == member.RoleEntry && record.Status == member.StatusUp {
+			entries[""] = append(entries[""], record)
+			entries[record.Region] = append(entries[record.Region], record)
 		}
 	}
-	slices.SortFunc(entries, func(a, b member.Record) int { return strings.Compare(string(a.Box), string(b.Box)) })
+	for _, records := range entries {
+		slices.SortFunc(records, func(a, b member.Record) int { return strings.Compare(string(a.Box), string(b.Box)) })
+	}
 	return entries
 }
 
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -21,7 +21,6 @@
 package member
 
 import (
-	"encoding/json"
 	"fmt"
 	"slices"
 
@@ -82,37 +81,37 @@
 
 // Copy is one version of a model on a box.
 type Copy struct {
-	Model    table.Model        `json:"model"`
-	Version  table.ModelVersion `json:"version"`
-	Manifest weights.Digest     `json:"manifest"`
-	Phase    Phase              `json:"phase"`
+	Model    table.Model        `json:"model" cbor:"1,keyasint,omitempty"`
+	Version  table.ModelVersion `json:"version" cbor:"2,keyasint,omitempty"`
+	Manifest weights.Digest     `json:"manifest" cbor:"3,keyasint,omitempty"`
+	Phase    Phase              `json:"phase" cbor:"4,keyasint,omitempty"`
 	// Chunks is how many chunks were held when the record was written.
-	Chunks int `json:"chunks,omitempty"`
-	Total  int `json:"total,omitempty"`
+	Chunks int `json:"chunks,omitempty" cbor:"5,keyasint,omitempty"`
+	Total  int `json:"total,omitempty" cbor:"6,keyasint,omitempty"`
 	// Waits says why the copy does not advance, if it does not.
-	Waits string `json:"waits,omitempty"`
+	Waits string `json:"waits,omitempty" cbor:"7,keyasint,omitempty"`
 }
 
 // Record is what a box says of itself.
 type Record struct {
-	Box           BoxID         `json:"box"`
-	Role          Role          `json:"role"`
-	Region        Region        `json:"region"`
-	FailureDomain FailureDomain `json:"failure_domain"`
+	Box           BoxID         `json:"box" cbor:"1,keyasint,omitempty"`
+	Role          Role          `json:"role" cbor:"2,keyasint,omitempty"`
+	Region        Region        `json:"region" cbor:"3,keyasint,omitempty"`
+	FailureDomain FailureDomain `json:"failure_domain" cbor:"4,keyasint,omitempty"`
 	// Peers is where the box's own processes are reached.
-	Peers Address `json:"peers"`
+	Peers Address `json:"peers" cbor:"5,keyasint,omitempty"`
 	// Callers is where callers reach an entry box.
-	Callers     Address     `json:"callers,omitempty"`
-	Incarnation Incarnation `json:"incarnation"`
-	Sequence    uint64      `json:"sequence"`
-	Status      Status      `json:"status"`
+	Callers     Address     `json:"callers,omitempty" cbor:"6,keyasint,omitempty"`
+	Incarnation Incarnation `json:"incarnation" cbor:"7,keyasint,omitempty"`
+	Sequence    uint64      `json:"sequence" cbor:"8,keyasint,omitempty"`
+	Status      Status      `json:"status" cbor:"9,keyasint,omitempty"`
 	// Models are those that the box's engine can load; Slots is how many
 	// versions fit at once.
-	Models []table.Model `json:"models,omitempty"`
-	Slots  int           `json:"slots,omitempty"`
-	Copies []Copy        `json:"copies,omitempty"`
+	Models []table.Model `json:"models,omitempty" cbor:"10,keyasint,omitempty"`
+	Slots  int           `json:"slots,omitempty" cbor:"11,keyasint,omitempty"`
+	Copies []Copy        `json:"copies,omitempty" cbor:"12,keyasint,omitempty"`
 	// Services are the plain services on the box.
-	Services []Service `json:"services,omitempty"`
+	Services []Service `json:"services,omitempty" cbor:"13,keyasint,omitempty"`
 }
 
 // KeyPrefix starts the key of each record in a state.Store.
@@ -130,9 +129,9 @@
 
 // Item returns the record as a replicated item.
 func (r Record) Item() (state.Item, error) {
-	value, err := json.Marshal(r)
+	value, err := state.Encode(r)
 	if err != nil {
-		return state.Item{}, fmt.Errorf("encoding record of box %s: %w", r.Box, err)
+		return state.Item{}, fmt.Errorf("record of box %s: %w", r.Box, err)
 	}
 	return state.Item{Key: KeyPrefix + string(r.Box), Version: r.Version(), Value: value}, nil
 }
@@ -140,8 +139,8 @@
 // ParseRecord reads a record back from an item's value.
 func ParseRecord(value []byte) (Record, error) {
 	var record Record
-	if err := json.Unmarshal(value, &record); err != nil {
-		return Record{}, fmt.Errorf("decoding member record: %w", err)
+	if err := state.Decode(value, &record); err != nil {
+		return Record{}, fmt.Errorf("member record: %w", err)
 	}
 	return record, nil
 }
--- a/pkg/member/member_test.go
+++ b/pkg/member/member_test.go
@@ -17,7 +17,7 @@
 	put := func(record Record) bool {
 		item, err := record.Item()
 		require.NoError(t, err)
-		return len(store.Apply([]state.Item{item})) == 1
+		return len(store.Apply([]state.Item{item}, state.OriginLocal)) == 1
 	}
 	own := Record{Box: "b", Incarnation: 5, Sequence: 3, Status: StatusUp}
 	require.True(t, put(own))
@@ -71,6 +71,38 @@
 	})
 }
 
+// Every member is reached from the roots in few steps, nobody has many children,
+// and one that goes away moves few others.
+func TestTreeReachesEveryMemberWithABoundedFan(t *testing.T) {
+	for _, count := range []int{1, 2, 3, 7, 50, 366, 2200} {
+		var boxes []BoxID
+		for i := range count {
+			boxes = append(boxes, BoxID(fmt.Sprint("entry-", i)))
+		}
+		tree := NewTree("kita", boxes)
+		smaller := NewTree("kita", boxes[1:])
+		children := make(map[BoxID]int)
+		moved, deepest := 0, 0
+		for _, box := range boxes {
+			deepest = max(deepest, tree.Depth(box))
+			parent, ok := tree.Parent(box)
+			require.Equal(t, !ok, tree.IsRoot(box))
+			if ok {
+				children[parent]++
+			}
+			if after, _ := smaller.Parent(box); box != boxes[0] && after != parent {
+				moved++
+			}
+		}
+		require.Len(t, tree.Roots(), min(Roots, count))
+		require.LessOrEqual(t, deepest, 5, "%d members", count)
+		for box, fan := range children {
+			require.LessOrEqual(t, fan, 5*Fanout, "%s of %d", box, count)
+		}
+		require.LessOrEqual(t, moved, 3*Fanout+count/20, "%d members", count)
+	}
+}
+
 func TestRankSpreadsKeysEvenly(t *testing.T) {
 	candidates := []string{"a", "b", "c", "d", "e"}
 	count := make(map[string]int)
@@ -115,8 +147,8 @@
 	}
 	item, err := record.Item()
 	require.NoError(b, err)
-	b.ReportMetric(float64(len(item.Value)), "bytes")
 	b.ReportAllocs()
+	defer func() { b.ReportMetric(float64(len(item.Value)), "bytes/record") }()
 	for b.Loop() {
 		item, err := record.Item()
 		if err != nil {
--- a/pkg/plan/plan.go
+++ b/pkg/plan/plan.go
@@ -37,38 +37,38 @@
 
 // Weights is one version of a model, pinned by its manifest.
 type Weights struct {
-	Model    table.Model        `json:"model"`
-	Version  table.ModelVersion `json:"version"`
-	Manifest weights.Digest     `json:"manifest"`
+	Model    table.Model        `json:"model" cbor:"1,keyasint,omitempty"`
+	Version  table.ModelVersion `json:"version" cbor:"2,keyasint,omitempty"`
+	Manifest weights.Digest     `json:"manifest" cbor:"3,keyasint,omitempty"`
 }
 
 // Assignment is what one box carries.
 type Assignment struct {
-	Weights []Weights `json:"weights"`
+	Weights []Weights `json:"weights" cbor:"1,keyasint,omitempty"`
 }
 
 // RowPlan is what is in force for one row.
 type RowPlan struct {
-	Share float64 `json:"share"`
+	Share float64 `json:"share" cbor:"1,keyasint,omitempty"`
 	// Serving answers the group's requests; Target is the table's version.
-	Serving table.ModelVersion `json:"serving"`
-	Target  table.ModelVersion `json:"target"`
+	Serving table.ModelVersion `json:"serving" cbor:"2,keyasint,omitempty"`
+	Target  table.ModelVersion `json:"target" cbor:"3,keyasint,omitempty"`
 	// Previous stays loaded until Until.
-	Previous table.ModelVersion `json:"previous,omitempty"`
-	Until    time.Time          `json:"until,omitzero"`
+	Previous table.ModelVersion `json:"previous,omitempty" cbor:"4,keyasint,omitempty"`
+	Until    time.Time          `json:"until,omitzero" cbor:"5,keyasint,omitzero"`
 	// Replicas is how many boxes carry Target, Live on how many it is loaded.
-	Replicas int `json:"replicas"`
-	Live     int `json:"live"`
+	Replicas int `json:"replicas" cbor:"6,keyasint,omitempty"`
+	Live     int `json:"live" cbor:"7,keyasint,omitempty"`
 	// Waits says why Serving is not Target yet.
-	Waits string `json:"waits,omitempty"`
+	Waits string `json:"waits,omitempty" cbor:"8,keyasint,omitempty"`
 }
 
 // Head names a plan as a whole.
 type Head struct {
-	Epoch    uint64         `json:"epoch"`
-	Sequence uint64         `json:"sequence"`
-	Planner  member.BoxID   `json:"planner"`
-	Table    table.Revision `json:"table"`
+	Epoch    uint64         `json:"epoch" cbor:"1,keyasint,omitempty"`
+	Sequence uint64         `json:"sequence" cbor:"2,keyasint,omitempty"`
+	Planner  member.BoxID   `json:"planner" cbor:"3,keyasint,omitempty"`
+	Table    table.Revision `json:"table" cbor:"4,keyasint,omitempty"`
 }
 
 // Plan is everything decided.
--- /dev/null
+++ b/pkg/state/repair.go
@@ -0,0 +1,70 @@
+package state
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Buckets is into how many buckets keys are divided for the comparison of
+// stores.
+const Buckets = 256
+
+// Digests is a digest of the keys and versions in each bucket. It does not
+// depend on the order in which items came.
+type Digests [Buckets]uint64
+
+func bucketOf(key string) int { return int(xxhash.Sum64String(key) % Buckets) }
+
+func digestOf(item Item) uint64 {
+	var version [16]byte
+	binary.LittleEndian.PutUint64(version[:8], item.Version.Major)
+	binary.LittleEndian.PutUint64(version[8:], item.Version.Minor)
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.WriteString(item.Key)
+	_, _ = digest.Write(version[:])
+	return digest.Sum64()
+}
+
+// Digests returns the digests of what is held.
+func (s *Store) Digests() Digests {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.digests
+}
+
+// Differing returns the items in the buckets in which another store holds
+// something else. Whole buckets are taken until there are at least limit items;
+// more is set if some were left out. It visits every key, unless no bucket
+// differs.
+func (s *Store) Differing(other Digests, limit int) (items []Item, more bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if s.digests == other {
+		return nil, false
+	}
+	var counts [Buckets]int
+	for key := range s.nodes {
+		counts[bucketOf(key)]++
+	}
+	var taken [Buckets]bool
+	total := 0
+	for bucket, count := range counts {
+		switch {
+		case s.digests[bucket] == other[bucket]:
+		case total >= limit:
+			more = true
+		default:
+			taken[bucket] = true
+			total += count
+		}
+	}
+	items = make([]Item, 0, total)
+	for key, n := range s.nodes {
+		if taken[bucketOf(key)] {
+			items = append(items, n.item)
+		}
+	}
+	return items, more
+}
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -12,10 +12,14 @@
 // nothing has to be trimmed. The number of a store is of use only together with
 // its instance, which is drawn anew at each start.
 //
+// Two stores that should hold the same compare digests, one for each bucket of
+// keys, and exchange only the buckets that differ; so a reader that has changed
+// its source need not read everything again.
+//
 // # Usage
 //
 //	store := state.NewStore(instance)
-//	store.Apply([]state.Item{{Key: "row/a", Version: state.Version{Major: 7}, Value: v}})
+//	store.Apply([]state.Item{{Key: "row/a", Version: state.Version{Major: 7}, Value: v}}, state.OriginLocal)
 //	batch := store.Since(state.Cursor{}, 0)        // everything
 //	changed := store.Changed()                    // closed at the next change
 //	batch = store.Since(batch.Next, 0)            // only what is newer
@@ -65,6 +69,7 @@
 type node struct {
 	item       Item
 	sequence   uint64
+	local      bool
 	prev, next *node
 }
 
@@ -77,6 +82,7 @@
 	tail     *node
 	sequence uint64
 	changed  chan struct{}
+	digests  [Buckets]uint64
 }
 
 // NewStore returns an empty store. The instance must differ between any two
@@ -89,13 +95,26 @@
 	}
 }
 
+// Origin is by which way items came to a store.
+type Origin bool
+
+// The origins of items.
+const (
+	// OriginLocal marks items that this process wrote, or that came up to it
+	// from below in an overlay.
+	OriginLocal Origin = true
+	// OriginRemote marks items that came from a store which hands them to all
+	// others too.
+	OriginRemote Origin = false
+)
+
 // Apply merges items and returns those that were newer than what was held.
-func (s *Store) Apply(items []Item) []Item {
+func (s *Store) Apply(items []Item, origin Origin) []Item {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var fresh []Item
 	for _, item := range items {
-		if s.put(item) {
+		if s.put(item, origin) {
 			fresh = append(fresh, item)
 		}
 	}
@@ -106,13 +125,14 @@
 	return fresh
 }
 
-func (s *Store) put(item Item) bool {
+func (s *Store) put(item Item, origin Origin) bool {
 	held, ok := s.nodes[item.Key]
 	if ok && item.Version.Compare(held.item.Version) <= 0 {
 		return false
 	}
 	if ok {
 		s.unlink(held)
+		s.digests[bucketOf(item.Key)] ^= digestOf(held.item)
 	} else {
 		held = &node{}
 		s.nodes[item.Key] = held
@@ -120,6 +140,8 @@
 	s.sequence++
 	held.item = item
 	held.sequence = s.sequence
+	held.local = bool(origin)
+	s.digests[bucketOf(item.Key)] ^= digestOf(item)
 	s.append(held)
 	return true
 }
@@ -147,7 +169,19 @@
 // Since returns what changed after the cursor, oldest first and at most limit
 // items; a limit of 0 means all. A cursor of another instance counts as the zero
 // cursor. The cost is proportional to what changed.
-func (s *Store) Since(cursor Cursor, limit int) Batch {
+func (s *Store) Since(cursor Cursor, limit int) Batch { return s.since(cursor, limit, false) }
+
+// SinceLocal is Since for items of OriginLocal only.
+func (s *Store) SinceLocal(cursor Cursor, limit int) Batch { return s.since(cursor, limit, true) }
+
+// Tail returns the cursor after everything.
+func (s *Store) Tail() Cursor {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return Cursor{Instance: s.instance, Sequence: s.sequence}
+}
+
+func (s *Store) since(cursor Cursor, limit int, localOnly bool) Batch {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	after := uint64(0)
@@ -163,9 +197,11 @@
 		count = limit
 	}
 	batch.Items = make([]Item, 0, count)
-	for n := first; len(batch.Items) < count; n = n.next {
-		batch.Items = append(batch.Items, n.item)
+	for n := first; n != nil && len(batch.Items) < count; n = n.next {
 		batch.Next.Sequence = n.sequence
+		if n.local || !localOnly {
+			batch.Items = append(batch.Items, n.item)
+		}
 	}
 	return batch
 }
--- a/pkg/state/state_test.go
+++ b/pkg/state/state_test.go
@@ -11,9 +11,9 @@
 func TestOlderVersionIsRefusedOnEveryPath(t *testing.T) {
 	s := NewStore(1)
 	newer := Item{Key: "a", Version: Version{Major: 2}, Value: []byte("new")}
-	require.Len(t, s.Apply([]Item{newer}), 1)
-	require.Empty(t, s.Apply([]Item{{Key: "a", Version: Version{Major: 1, Minor: 9}, Value: []byte("old")}}))
-	require.Empty(t, s.Apply([]Item{newer}), "the same version again is no change")
+	require.Len(t, s.Apply([]Item{newer}, OriginLocal), 1)
+	require.Empty(t, s.Apply([]Item{{Key: "a", Version: Version{Major: 1, Minor: 9}, Value: []byte("old")}}, OriginLocal))
+	require.Empty(t, s.Apply([]Item{newer}, OriginLocal), "the same version again is no change")
 	held, ok := s.Get("a")
 	require.True(t, ok)
 	require.Equal(t, "new", string(held.Value))
@@ -21,9 +21,9 @@
 
 func TestTombstoneKeepsAnOldPeerFromBringingAValueBack(t *testing.T) {
 	s := NewStore(1)
-	s.Apply([]Item{{Key: "a", Version: Version{Major: 1}, Value: []byte("v")}})
-	s.Apply([]Item{{Key: "a", Version: Version{Major: 2}, Deleted: true}})
-	s.Apply([]Item{{Key: "a", Version: Version{Major: 1}, Value: []byte("v")}})
+	s.Apply([]Item{{Key: "a", Version: Version{Major: 1}, Value: []byte("v")}}, OriginLocal)
+	s.Apply([]Item{{Key: "a", Version: Version{Major: 2}, Deleted: true}}, OriginLocal)
+	s.Apply([]Item{{Key: "a", Version: Version{Major: 1}, Value: []byte("v")}}, OriginLocal)
 	_, ok := s.Get("a")
 	require.False(t, ok)
 	require.Len(t, s.Since(Cursor{}, 0).Items, 1, "the tombstone itself travels on")
@@ -31,7 +31,7 @@
 
 func TestCursorOfAnotherInstanceReadsEverything(t *testing.T) {
 	s := NewStore(2)
-	s.Apply([]Item{{Key: "a", Version: Version{Major: 1}}})
+	s.Apply([]Item{{Key: "a", Version: Version{Major: 1}}}, OriginLocal)
 	require.Len(t, s.Since(Cursor{Instance: 1, Sequence: 100}, 0).Items, 1)
 	require.Empty(t, s.Since(Cursor{Instance: 2, Sequence: 1}, 0).Items)
 }
@@ -57,7 +57,7 @@
 			before := versions(stores[to])
 			batch := stores[from].Since(cursors[to][from], limit)
 			cursors[to][from] = batch.Next
-			stores[to].Apply(batch.Items)
+			stores[to].Apply(batch.Items, OriginLocal)
 			for key, version := range versions(stores[to]) {
 				if version.Compare(before[key]) < 0 {
 					t.Fatalf("key %s went back from %v to %v", key, before[key], version)
@@ -76,8 +76,8 @@
 				version := Version{Major: newest[key].Major + 1, Minor: rapid.Uint64Range(0, 3).Draw(t, "minor")}
 				newest[key] = version
 				item := Item{Key: key, Version: version, Deleted: rapid.Bool().Draw(t, "deleted")}
-				stores[0].Apply([]Item{item})
-				stores[at].Apply([]Item{item})
+				stores[0].Apply([]Item{item}, OriginLocal)
+				stores[at].Apply([]Item{item}, OriginLocal)
 			default:
 				pull(at, rapid.IntRange(0, count-1).Draw(t, "from"), rapid.IntRange(0, 3).Draw(t, "limit"))
 			}
@@ -115,7 +115,7 @@
 	for i := range keys {
 		items = append(items, Item{Key: fmt.Sprintf("member/box-%06d", i), Version: Version{Major: 1}, Value: value})
 	}
-	s.Apply(items)
+	s.Apply(items, OriginLocal)
 	return s
 }
 
@@ -126,7 +126,7 @@
 			value := make([]byte, 250)
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
-				s.Apply([]Item{{Key: "member/box-000007", Version: Version{Major: uint64(i) + 2}, Value: value}})
+				s.Apply([]Item{{Key: "member/box-000007", Version: Version{Major: uint64(i) + 2}, Value: value}}, OriginLocal)
 			}
 		})
 	}
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -70,15 +70,15 @@
 
 // Row is one line of the table.
 type Row struct {
-	Group Group `json:"group"`
-	Model Model `json:"model"`
+	Group Group `json:"group" cbor:"1,keyasint,omitempty"`
+	Model Model `json:"model" cbor:"2,keyasint,omitempty"`
 	// Weight is relative to the other rows of the model; more than 0.
-	Weight float64 `json:"weight"`
+	Weight float64 `json:"weight" cbor:"3,keyasint,omitempty"`
 	// Floor is the guaranteed share of the model's pool, 0 to 1.
-	Floor float64 `json:"floor"`
+	Floor float64 `json:"floor" cbor:"4,keyasint,omitempty"`
 	// Ceiling is the largest share of the model's pool, 0 to 1.
-	Ceiling float64      `json:"ceiling"`
-	Version ModelVersion `json:"version"`
+	Ceiling float64      `json:"ceiling" cbor:"5,keyasint,omitempty"`
+	Version ModelVersion `json:"version" cbor:"6,keyasint,omitempty"`
 }
 
 // Key returns the row's key.
