perf(route): short bodies and answers travel in one frame each

Cause: a small request took three frames to the agent and two back, and each answer allocated a buffer of 32 KiB. Change: a short body goes with the head; an answer whose length is reached ends in the same frame; buffers are kept; the last frame is not flushed by itself. Measured: 26,502 bytes allocated a request (before: 59,151), 300 allocations (307). Time is unchanged within noise: 337 us through entry box and agent against 71 us direct, one request at a time (before: 316 to 367 and 65). Conclusion: kept for the memory; where the time goes is open.

--- a/internal/daemon/body.go
+++ b/internal/daemon/body.go
@@ -73,11 +73,18 @@
 	}
 }
 
-// isEmpty reports whether there is nothing to send.
-func (b *bodyReader) isEmpty() bool {
+// whole returns the body if it is short and all here, so that it can go with the
+// head; ok is false otherwise.
+func (b *bodyReader) whole() (body []byte, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.ended && len(b.kept) == 0 && b.err == nil
+	if !b.ended || b.err != nil || len(b.kept) > 1 || b.spent {
+		return nil, false
+	}
+	if len(b.kept) == 1 {
+		body = b.kept[0]
+	}
+	return body, true
 }
 
 // replayable reports whether another attempt could send the body from its start.
--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -95,13 +95,18 @@
 		target.Failed(f.clock.Now())
 		return outcomeNotRun, err
 	}
-	if err := stream.Send(&wire.ServeRequest{Head: f.head(x, target, attempt), End: x.body.isEmpty()}); err != nil {
+	first := &wire.ServeRequest{Head: f.head(x, target, attempt)}
+	first.Body, first.End = x.body.whole()
+	if err := stream.Send(first); err != nil {
 		target.Failed(f.clock.Now())
 		return f.settle(ctx, x, target, attempt, err)
 	}
 	sent := make(chan error, 1)
 	go func() {
-		err := sendBody(attemptCtx, x.body, stream)
+		var err error
+		if !first.End {
+			err = sendBody(attemptCtx, x.body, stream)
+		}
 		if errors.Is(err, errCallerBody) {
 			cancel()
 		}
@@ -167,9 +172,6 @@
 var errCallerBody = errors.New("reading the caller's body")
 
 func sendBody(ctx context.Context, body *bodyReader, stream wire.DRPCBackend_ServeClient) error {
-	if body.isEmpty() {
-		return nil
-	}
 	for index := 0; ; index++ {
 		piece, err := body.piece(ctx, index)
 		if err != nil {
@@ -283,7 +285,9 @@
 			if _, err := x.writer.Write(answer.Body); err != nil {
 				return outcomeCallerGone, err
 			}
-			_ = controller.Flush()
+			if !answer.End {
+				_ = controller.Flush()
+			}
 		}
 		f.noteLoad(target, answer)
 		if answer.Failed {
--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -280,8 +281,12 @@
 		base = g.engine
 	}
 	var body io.Reader = http.NoBody
-	if !first.End {
+	switch {
+	case !first.End:
 		body = &streamBody{stream: stream, rest: first.Body}
+	case len(first.Body) > 0:
+		// Without a way to rewind it, the client cannot send it a second time.
+		body = struct{ io.Reader }{bytes.NewReader(first.Body)}
 	}
 	request, err := http.NewRequestWithContext(stream.Context(), head.Method, base+head.Path, body)
 	if err != nil {
@@ -327,6 +332,9 @@
 	return n, nil
 }
 
+// answerBuffers keeps the buffers through which answers pass.
+var answerBuffers = sync.Pool{New: func() any { return new([pieceSize]byte) }}
+
 // answer sends the backend server's answer in frames; the last one says whether
 // the answer is whole.
 func (g *Gate) answer(stream wire.DRPCBackend_ServeStream, head *wire.RequestHead, response *http.Response) error {
@@ -337,10 +345,15 @@
 			Headers: headersToWire(response.Header, response.Header.Values("Connection")),
 		},
 	}
-	buffer := make([]byte, pieceSize)
-	for {
-		n, err := response.Body.Read(buffer)
+	buffer, _ := answerBuffers.Get().(*[pieceSize]byte)
+	defer answerBuffers.Put(buffer)
+	for received := int64(0); ; {
+		n, err := response.Body.Read(buffer[:])
 		frame.Body = buffer[:n]
+		received += int64(n)
+		if err == nil && received == response.ContentLength {
+			err = io.EOF
+		}
 		if err != nil {
 			frame.End = errors.Is(err, io.EOF)
 			frame.Failed = !frame.End
