perf(plan): the planner paces itself, and long copies ask less often

Change: a planner waits 30 times as long as its last plan took, at least 200 ms; neighbours are asked in inverse proportion to the chunks.

--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -318,38 +318,112 @@
 // One small request from entry box to backend server and back, against the same
 // request sent straight to the backend server.
 func BenchmarkRequest(b *testing.B) {
-	backend := &http.Server{Handler: http.HandlerFunc(echoHandler), ReadHeaderTimeout: time.Second}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(b, err)
-	go func() { _ = backend.Serve(listener) }()
-	defer func() { _ = backend.Close() }()
-	base := "http://" + listener.Addr().String()
-	b.Run("direct", func(b *testing.B) {
-		client := newBackendClient(false)
-		defer client.CloseIdleConnections()
-		started := cpuTime()
-		b.ReportAllocs()
-		for b.Loop() {
-			response, err := client.Post(base+"/path", "text/plain", strings.NewReader("hello"))
-			if err != nil {
-				b.Fatal(err)
+	base, stop := benchBackend(b, echoHandler)
+	defer stop()
+	direct := &benchCaller{client: newBackendClient(false), url: base + "/path"}
+	defer direct.client.CloseIdleConnections()
+	through := startBenchCaller(b, base)
+	defer through.stop()
+	for name, caller := range map[string]*benchCaller{"direct": direct, "through": through} {
+		b.Run(name, func(b *testing.B) {
+			require.Equal(b, http.StatusAccepted, caller.send(b))
+			started := cpuTime()
+			b.ReportAllocs()
+			for b.Loop() {
+				caller.send(b)
 			}
-			_, _ = copyAll(io.Discard, response)
-			_ = response.Body.Close()
+			b.ReportMetric(float64(cpuTime()-started)/float64(b.N), "cpu-ns/op")
+		})
+	}
+}
+
+// streamFrames is how many frames the answers of BenchmarkStream have.
+const streamFrames = 500
+
+// One frame of a streamed answer on its way from backend server to caller. All
+// ends are in this process, so the figure bounds each of them from above.
+func BenchmarkStream(b *testing.B) {
+	base, stop := benchBackend(b, func(w http.ResponseWriter, _ *http.Request) {
+		controller := http.NewResponseController(w)
+		for range streamFrames {
+			_, _ = io.WriteString(w, "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"word \"}}]}\n\n")
+			_ = controller.Flush()
 		}
-		b.ReportMetric(float64(cpuTime()-started)/float64(b.N), "cpu-ns/op")
 	})
-	b.Run("through", func(b *testing.B) { benchThrough(b, base) })
+	defer stop()
+	entry := startBenchCaller(b, base)
+	defer entry.stop()
+	b.ReportAllocs()
+	started := cpuTime()
+	for b.Loop() {
+		entry.send(b)
+	}
+	b.ReportMetric(float64(cpuTime()-started)/float64(b.N*streamFrames), "cpu-ns/frame")
+}
+
+// The memory of answers in progress, all ends in this process.
+func BenchmarkActiveStreams(b *testing.B) {
+	const streams = 400
+	base, stop := benchBackend(b, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, "data: first\n\n")
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	})
+	defer stop()
+	entry := startBenchCaller(b, base)
+	defer entry.stop()
+	for b.Loop() {
+		before := heapInUse()
+		ctx, cancel := context.WithCancel(context.Background())
+		for range streams {
+			request, err := http.NewRequestWithContext(ctx, http.MethodGet, entry.url, http.NoBody)
+			require.NoError(b, err)
+			response, err := entry.client.Do(request)
+			require.NoError(b, err)
+			defer func() { _ = response.Body.Close() }()
+		}
+		b.ReportMetric(float64(heapInUse()-before)/streams, "heap-bytes/stream")
+		var stats runtime.MemStats
+		runtime.ReadMemStats(&stats)
+		b.ReportMetric(float64(stats.StackInuse)/streams, "stack-bytes/stream")
+		cancel()
+	}
 }
 
-func benchThrough(b *testing.B, backend string) {
+func benchBackend(b *testing.B, handler http.HandlerFunc) (base string, stop func()) {
+	b.Helper()
+	backend := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	go func() { _ = backend.Serve(listener) }()
+	return "http://" + listener.Addr().String(), func() { _ = backend.Close() }
+}
+
+// benchCaller is a caller before an entry box and an agent.
+type benchCaller struct {
+	client *http.Client
+	url    string
+	stop   func()
+}
+
+func (c *benchCaller) send(b *testing.B) int {
+	response, err := c.client.Post(c.url, "text/plain", strings.NewReader("hello"))
+	if err != nil {
+		b.Fatal(err)
+	}
+	_, _ = copyAll(io.Discard, response)
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+func startBenchCaller(b *testing.B, backend string) *benchCaller {
+	b.Helper()
 	record := benchRecord(1, member.RoleAgent)
 	record.Services = []member.Service{"chizu"}
 	gate := NewGate("", map[member.Service]string{"chizu": backend}, func() member.Record { return record }, clockwork.NewRealClock(), quiet(), NewMetrics())
 	mux := drpcmux.New()
 	require.NoError(b, wire.DRPCRegisterBackend(mux, gate))
 	address, stop := benchListen(b, mux)
-	defer stop()
 	record.Peers = address
 	store := state.NewStore(1)
 	view := NewView(store, "kita", quiet())
@@ -363,30 +437,18 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(b, err)
 	options := CallersOptions{View: view, Peers: peers, Clock: clockwork.NewRealClock(), Log: quiet(), Metrics: NewMetrics(), Region: "kita"}
-	options.Settings.PlacesPerReplica, options.Settings.QueuePerGroup, options.Settings.BodyLimit = 64, 64, 1<<20
+	options.Settings.PlacesPerReplica, options.Settings.QueuePerGroup, options.Settings.BodyLimit = 1000, 64, 1<<20
 	options.Settings.Deadline = 60_000_000_000
 	callers := NewCallers(listener, options)
-	client := newBackendClient(false)
-	send := func() int {
-		response, err := client.Post("http://"+listener.Addr().String()+"/v1/services/chizu/path", "text/plain", strings.NewReader("hello"))
-		if err != nil {
-			b.Fatal(err)
-		}
-		_, _ = copyAll(io.Discard, response)
-		_ = response.Body.Close()
-		return response.StatusCode
+	caller := &benchCaller{
+		client: newBackendClient(false), url: "http://" + listener.Addr().String() + "/v1/services/chizu/path",
 	}
-	require.Equal(b, http.StatusAccepted, send())
-	started := cpuTime()
-	b.ReportAllocs()
-	for b.Loop() {
-		if status := send(); status != http.StatusAccepted {
-			b.Fatal(status)
+	caller.stop = func() {
+		caller.client.CloseIdleConnections()
+		for _, service := range []stopper{callers, view, peers} {
+			_ = service.Stop(context.Background())
 		}
+		stop()
 	}
-	b.ReportMetric(float64(cpuTime()-started)/float64(b.N), "cpu-ns/op")
-	client.CloseIdleConnections()
-	for _, service := range []stopper{callers, view, peers} {
-		_ = service.Stop(context.Background())
-	}
+	return caller
 }
--- a/internal/daemon/fetch.go
+++ b/internal/daemon/fetch.go
@@ -16,8 +16,11 @@
 )
 
 const (
-	// holdingsInterval is how often neighbours are asked what they hold.
+	// holdingsInterval is how often neighbours are asked what they hold, for a
+	// manifest of up to holdingsChunks chunks. Longer ones are asked less often,
+	// so that the answers take the same bandwidth.
 	holdingsInterval = 200 * time.Millisecond
+	holdingsChunks   = 500
 	// stallTimeout ends a fetch from a peer that gives nothing for so long.
 	stallTimeout = 2 * time.Second
 	// drawTimeout ends a draw from a source.
@@ -69,7 +72,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	clock := f.copier.options.Clock
-	ticker := clock.NewTicker(holdingsInterval)
+	ticker := clock.NewTicker(askInterval(len(f.manifest.Chunks)))
 	defer ticker.Stop()
 	f.adoptSwarm()
 	f.askHoldings(ctx)
@@ -94,6 +97,10 @@
 	return nil
 }
 
+func askInterval(chunks int) time.Duration {
+	return holdingsInterval * time.Duration(max(holdingsChunks, chunks)) / holdingsChunks
+}
+
 func (f *fetch) adoptSwarm() {
 	f.job.mu.Lock()
 	defer f.job.mu.Unlock()
--- a/internal/daemon/planner.go
+++ b/internal/daemon/planner.go
@@ -35,8 +35,10 @@
 	// plannerPoll is how often a relay that is not the planner looks.
 	plannerPoll = time.Second
 	// planInterval is the least time between two plans; planPulse is the most,
-	// for what changes with time alone.
+	// for what changes with time alone. A large plan waits planPace times as long
+	// as it took to compute, which bounds the planner to 3% of a core.
 	planInterval = 200 * time.Millisecond
+	planPace     = 30
 	planPulse    = time.Second
 	// settleBeats is for how many heartbeats a planner that knows no plan waits
 	// to be told what the boxes hold.
@@ -118,6 +120,8 @@
 	// headRevision is that of the head in the key-value service, which the next
 	// swap expects.
 	headRevision platform.Revision
+	// computed is how long the last plan took to compute.
+	computed time.Duration
 	// renewed is when the last renewal that succeeded was sent.
 	renewed time.Time
 }
@@ -233,15 +237,19 @@
 	p.duties.Go(func(context.Context) { p.resolve(renewCtx) })
 	for {
 		changed := p.view.Changed()
+		started := p.clock.Now()
 		if err := p.planOnce(ctx, t); err != nil {
 			return err
 		}
+		pause := max(planInterval, planPace*t.computed)
+		p.metrics.planSeconds.Observe(t.computed.Seconds())
+		p.log.Debug().Dur("taken_ms", p.clock.Since(started)).Dur("pause_ms", pause).Msg("planned")
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case err := <-lost:
 			return err
-		case <-p.clock.After(planInterval):
+		case <-p.clock.After(pause):
 		}
 		select {
 		case <-ctx.Done():
@@ -289,7 +297,7 @@
 	next := plan.Next(plan.Input{
 		Rows: rows, Boxes: members, Manifests: p.pins(), Previous: previous, Now: started, Options: p.options,
 	})
-	p.metrics.planSeconds.Observe(p.clock.Since(started).Seconds())
+	t.computed = p.clock.Since(started)
 	version := state.Version{Major: t.epoch, Minor: t.sequence + 1}
 	items, err := planItems(previous, next, version)
 	if err != nil {
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -105,6 +105,7 @@
 	"await-first":    plain("await-first", awaitFirst),
 	"outcome":        plain("outcome", outcome),
 	"ran":            plain("ran", ran),
+	"usage":          plain("usage", usage),
 	"refused-path":   plain("refused-path", refusedPath),
 }
 
--- /dev/null
+++ b/internal/scenario/usage_test.go
@@ -0,0 +1,58 @@
+package scenario
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// clockTicks is the unit of the kernel's accounting on Linux, in parts of a
+// second.
+const clockTicks = 100
+
+// usage TIME logs what each process used in that time: part of a core and
+// resident memory. It judges nothing; the figures are for docs/CAPACITY.md.
+func usage(w *world, ts *testscript.TestScript, args []string) {
+	options(ts, args, 1)
+	span, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	before := make(map[string]float64)
+	for _, name := range w.order {
+		before[name] = cpuSeconds(ts, w.processes[name].cmd.Process.Pid)
+	}
+	time.Sleep(span)
+	for _, name := range w.order {
+		pid := w.processes[name].cmd.Process.Pid
+		used := cpuSeconds(ts, pid) - before[name]
+		ts.Logf("usage %s: %.2f%% of a core, %.1f MB resident", name, 100*used/span.Seconds(), residentMegabytes(ts, pid))
+	}
+}
+
+func cpuSeconds(ts *testscript.TestScript, pid int) float64 {
+	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	ts.Check(err)
+	_, rest, _ := strings.Cut(string(content), ") ")
+	fields := strings.Fields(rest)
+	user, err := strconv.ParseFloat(fields[11], 64)
+	ts.Check(err)
+	system, err := strconv.ParseFloat(fields[12], 64)
+	ts.Check(err)
+	return (user + system) / clockTicks
+}
+
+func residentMegabytes(ts *testscript.TestScript, pid int) float64 {
+	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	ts.Check(err)
+	for line := range strings.SplitSeq(string(content), "\n") {
+		if text, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kilobytes, err := strconv.ParseFloat(strings.Fields(text)[0], 64)
+			ts.Check(err)
+			return kilobytes / 1000
+		}
+	}
+	return 0
+}
