--- a/internal/daemon/monitor.go
+++ b/internal/daemon/monitor.go
@@ -16,9 +16,6 @@
 	"github.com/cinderslip/cinderslip/pkg/weights"
 )
 
-// neighboursPerBox is how many boxes an agent exchanges chunks with.
-const neighboursPerBox = 8
-
 // entriesTold is how many entry boxes an agent learns, its monitors first.
 const entriesTold = 5
 
@@ -232,33 +229,16 @@
 	return digest.Sum64()
 }
 
-// neighbours prefers boxes of the same failure domain, then of the region, but
-// keeps places for far ones, so that chunks also cross.
+// neighbours are the boxes that are up among the carriers, chosen for the box.
 func (m *Monitor) neighbours(box member.BoxID, carriers []member.BoxID) []member.Record {
 	self, _ := m.view.Member(box)
-	var same, region, far []member.BoxID
+	records := make([]member.Record, 0, len(carriers))
 	for _, carrier := range carriers {
-		record, ok := m.view.Member(carrier)
-		switch {
-		case !ok || carrier == box || record.Status != member.StatusUp:
-		case record.FailureDomain == self.FailureDomain:
-			same = append(same, carrier)
-		case record.Region == self.Region:
-			region = append(region, carrier)
-		default:
-			far = append(far, carrier)
-		}
-	}
-	chosen := member.Rank(string(box), same, neighboursPerBox/2)
-	chosen = append(chosen, member.Rank(string(box), region, neighboursPerBox/4)...)
-	chosen = append(chosen, member.Rank(string(box), far, neighboursPerBox-len(chosen))...)
-	records := make([]member.Record, 0, len(chosen))
-	for _, id := range chosen {
-		if record, ok := m.view.Member(id); ok {
+		if record, ok := m.view.Member(carrier); ok && record.Status == member.StatusUp {
 			records = append(records, record)
 		}
 	}
-	return records
+	return member.Neighbours(self, records)
 }
 
 // entriesFor ranks the entry boxes of a box's region; where it has none, all.
