--- a/pkg/weights/picker.go
+++ b/pkg/weights/picker.go
@@ -225,8 +225,7 @@
 		if p.held.Has(chunk) || p.running[chunk] || p.isShown(chunk) {
 			continue
 		}
-		due := p.progress.Add(time.Duration(p.ranks[chunk]/p.options.Copies) * p.options.DrawWait)
-		if now.Before(due) || now.Before(p.lastRetry[chunk]) {
+		if now.Before(p.due(p.ranks[chunk]/p.options.Copies)) || now.Before(p.lastRetry[chunk]) {
 			continue
 		}
 		if best < 0 || p.ranks[chunk] < bestRank {
@@ -236,6 +235,16 @@
 	return Task{Chunk: best}, best >= 0
 }
 
+// due is when a box of a rank takes its turn. The first does at once; the second
+// waits twice, because a copy that has just begun needs about one wait until its
+// first chunks have come round.
+func (p *Picker) due(rank int) time.Time {
+	if rank == 0 {
+		return p.progress
+	}
+	return p.progress.Add(time.Duration(rank+1) * p.options.DrawWait)
+}
+
 // isShown reports whether a usable neighbour holds the chunk, busy or not.
 func (p *Picker) isShown(chunk int) bool {
 	for _, n := range p.order {
