refactor: smaller files, and bounds on names that callers make up

In the reading: the group and service of any request became labels of metrics and queues, so a caller could grow them without end; and each request scanned all rows to see whether its service is a model.

--- a/internal/daemon/callers_test.go
+++ b/internal/daemon/callers_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -8,6 +9,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/stretchr/testify/require"
 
 	"github.com/cinderslip/cinderslip/internal/settings"
@@ -109,6 +111,17 @@
 	}
 }
 
+// Whatever names callers make up, what is kept for them stays bounded.
+func TestNamesThatCallersMakeUpAreCountedTogether(t *testing.T) {
+	c := newCalling(t, serveHTTP(t, http.HandlerFunc(echoHandler)), unchanged)
+	for i := range 20 {
+		name := fmt.Sprint("made-up-", i)
+		c.get(t, "/v1/services/chizu/", headerGroup, name)
+		c.get(t, "/v1/services/"+name+"/", headerGroup, name)
+	}
+	require.Equal(t, 2, testutil.CollectAndCount(c.callers.metrics.requests), "one for the service, one for all others")
+}
+
 // A group with a full queue gets its final answer at once, while the one request
 // that runs goes on.
 func TestFullQueueRefusesAtOnce(t *testing.T) {
--- a/internal/daemon/planner.go
+++ b/internal/daemon/planner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"reflect"
@@ -112,20 +111,6 @@
 	}
 }
 
-// tenure is one time of holding the lease.
-type tenure struct {
-	epoch    uint64
-	lease    platform.LeaseID
-	sequence uint64
-	// headRevision is that of the head in the key-value service, which the next
-	// swap expects.
-	headRevision platform.Revision
-	// computed is how long the last plan took to compute.
-	computed time.Duration
-	// renewed is when the last renewal that succeeded was sent.
-	renewed time.Time
-}
-
 func (p *Planner) tryOnce(ctx context.Context) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -147,79 +132,6 @@
 	p.release(t)
 }
 
-func (p *Planner) acquire(ctx context.Context) (*tenure, error) {
-	sent := p.clock.Now()
-	p.metrics.keyValueCalls.WithLabelValues("lease").Inc()
-	lease, err := p.kv.Grant(ctx, plannerLease)
-	if err != nil {
-		return nil, err
-	}
-	t := &tenure{lease: lease, renewed: sent}
-	p.metrics.keyValueCalls.WithLabelValues("swap").Inc()
-	revision, won, err := p.kv.Swap(ctx, plannerKey, []byte(p.self), 0, lease)
-	if err == nil && !won {
-		err = errDeposed
-	}
-	if err != nil {
-		p.release(t)
-		return nil, err
-	}
-	t.epoch = uint64(revision)
-	if err := p.claim(ctx, t); err != nil {
-		p.release(t)
-		return nil, err
-	}
-	return t, nil
-}
-
-// claim writes the new epoch into the head, after which no plan of an older
-// epoch can win its swap.
-func (p *Planner) claim(ctx context.Context, t *tenure) error {
-	p.metrics.keyValueCalls.WithLabelValues("get").Inc()
-	entry, err := p.kv.Get(ctx, planHeadKey)
-	if err != nil {
-		return err
-	}
-	var head plan.Head
-	if entry.Revision != 0 {
-		if err := json.Unmarshal(entry.Value, &head); err != nil {
-			return fmt.Errorf("decoding plan head: %w", err)
-		}
-	}
-	if head.Epoch >= t.epoch {
-		return errDeposed
-	}
-	t.headRevision = entry.Revision
-	return p.swapHead(ctx, t, plan.Head{Epoch: t.epoch, Planner: p.self, Table: head.Table})
-}
-
-func (p *Planner) swapHead(ctx context.Context, t *tenure, head plan.Head) error {
-	value, err := json.Marshal(head)
-	if err != nil {
-		return fmt.Errorf("encoding plan head: %w", err)
-	}
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	p.metrics.keyValueCalls.WithLabelValues("swap").Inc()
-	revision, won, err := p.kv.Swap(callCtx, planHeadKey, value, t.headRevision, 0)
-	if err != nil {
-		return err
-	}
-	if !won {
-		return errDeposed
-	}
-	t.headRevision = revision
-	return nil
-}
-
-func (p *Planner) release(t *tenure) {
-	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
-	defer cancel()
-	if err := p.kv.Revoke(ctx, t.lease); err != nil {
-		p.log.Debug().Err(err).Msg("planner lease not revoked")
-	}
-}
-
 // serve plans until the lease or a swap is lost. With the key-value service down
 // the lease lapses and the last plan stays in force.
 func (p *Planner) serve(ctx context.Context, t *tenure) error {
@@ -263,31 +175,6 @@
 	}
 }
 
-// renew keeps the lease, counting its time from when a renewal was sent.
-func (p *Planner) renew(ctx context.Context, lease platform.LeaseID, renewed time.Time) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-p.clock.After(plannerRenew):
-		}
-		sent := p.clock.Now()
-		callCtx, cancel := context.WithTimeout(ctx, plannerRenew)
-		p.metrics.keyValueCalls.WithLabelValues("lease").Inc()
-		err := p.kv.KeepAlive(callCtx, lease)
-		cancel()
-		switch {
-		case err == nil:
-			renewed = sent
-		case errors.Is(err, platform.ErrLeaseLost):
-			return err
-		}
-		if p.clock.Since(renewed) > plannerLease {
-			return platform.ErrLeaseLost
-		}
-	}
-}
-
 func (p *Planner) planOnce(ctx context.Context, t *tenure) error {
 	rows, revision := p.view.Rows()
 	previous, _ := p.view.Plan()
@@ -379,106 +266,3 @@
 	}
 	return items, nil
 }
-
-// pinHeld takes over the pins of what boxes hold, so that a source that is down
-// does not matter for versions in use.
-func (p *Planner) pinHeld(members []member.Record) {
-	for _, record := range members {
-		for _, held := range record.Copies {
-			if !p.isPinned(held.Model, held.Version) {
-				p.setPin(held.Model, held.Version, held.Manifest)
-			}
-		}
-	}
-}
-
-// resolve pins the manifest of each version that the table comes to name. It is
-// a duty of its own, so that a slow source does not hold up planning.
-func (p *Planner) resolve(ctx context.Context) {
-	for ctx.Err() == nil {
-		changed := p.view.Changed()
-		rows, _ := p.view.Rows()
-		for _, row := range rows {
-			p.resolveRow(ctx, row)
-		}
-		select {
-		case <-ctx.Done():
-		case <-changed:
-		case <-p.clock.After(manifestRetry):
-		}
-	}
-}
-
-func (p *Planner) resolveRow(ctx context.Context, row table.Row) {
-	if p.isPinned(row.Model, row.Version) || p.missedLately(row) {
-		return
-	}
-	content, err := readManifest(ctx, p.sources, row.Model, row.Version)
-	if err == nil {
-		_, err = weights.Parse(content, weights.Digest{})
-	}
-	if err != nil {
-		p.log.Warn().Str("model", string(row.Model)).Str("version", string(row.Version)).Err(err).Msg("version cannot be resolved")
-		p.miss(row)
-		return
-	}
-	p.setPin(row.Model, row.Version, weights.Sum(content))
-	select {
-	case p.resolved <- struct{}{}:
-	default:
-	}
-}
-
-func readManifest(ctx context.Context, sources []platform.WeightSource, model table.Model, version table.ModelVersion) ([]byte, error) {
-	return fromSources(sources, func(source platform.WeightSource) ([]byte, error) {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
-		return source.Manifest(callCtx, model, version)
-	})
-}
-
-func (p *Planner) isPinned(model table.Model, version table.ModelVersion) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	_, ok := p.manifests[model][version]
-	return ok
-}
-
-func (p *Planner) setPin(model table.Model, version table.ModelVersion, digest weights.Digest) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	setNested(p.manifests, model, version, digest)
-}
-
-func (p *Planner) miss(row table.Row) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	setNested(p.missed, row.Model, row.Version, p.clock.Now())
-}
-
-func (p *Planner) missedLately(row table.Row) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	at, ok := p.missed[row.Model][row.Version]
-	return ok && p.clock.Since(at) < manifestRetry
-}
-
-func setNested[A, B comparable, V any](values map[A]map[B]V, a A, b B, value V) {
-	if values[a] == nil {
-		values[a] = make(map[B]V)
-	}
-	values[a][b] = value
-}
-
-// pins returns a copy that a plan can read while versions are added.
-func (p *Planner) pins() map[table.Model]map[table.ModelVersion]weights.Digest {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	out := make(map[table.Model]map[table.ModelVersion]weights.Digest, len(p.manifests))
-	for model, versions := range p.manifests {
-		for version, digest := range versions {
-			setNested(out, model, version, digest)
-		}
-	}
-	return out
-}
--- a/internal/daemon/steps.go
+++ b/internal/daemon/steps.go
@@ -104,6 +104,16 @@
 	return p.kernel.Register(replica)
 }
 
+// replicated finds the two services that hold an entry box's replicated state.
+func (p *Process) replicated() (*View, *Replica, error) {
+	view, err := kernel.Find[*View](p.kernel, "view")
+	if err != nil {
+		return nil, nil, err
+	}
+	replica, err := kernel.Find[*Replica](p.kernel, "replica")
+	return view, replica, err
+}
+
 // seeds are the entry boxes to begin with: those of the settings, and those that
 // the platform lists.
 func (p *Process) seeds() []member.Address {
@@ -126,11 +136,7 @@
 func (entryHeartStep) String() string { return "entry heart" }
 
 func (entryHeartStep) Run(p *Process) error {
-	view, err := kernel.Find[*View](p.kernel, "view")
-	if err != nil {
-		return err
-	}
-	replica, err := kernel.Find[*Replica](p.kernel, "replica")
+	view, replica, err := p.replicated()
 	if err != nil {
 		return err
 	}
@@ -165,11 +171,7 @@
 func (entryDutiesStep) String() string { return "entry duties" }
 
 func (entryDutiesStep) Run(p *Process) error {
-	view, err := kernel.Find[*View](p.kernel, "view")
-	if err != nil {
-		return err
-	}
-	replica, err := kernel.Find[*Replica](p.kernel, "replica")
+	view, replica, err := p.replicated()
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/daemon/versions.go
@@ -0,0 +1,113 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/cinderslip/cinderslip/internal/platform"
+	"github.com/cinderslip/cinderslip/pkg/member"
+	"github.com/cinderslip/cinderslip/pkg/table"
+	"github.com/cinderslip/cinderslip/pkg/weights"
+)
+
+// pinHeld takes over the pins of what boxes hold, so that a source that is down
+// does not matter for versions in use.
+func (p *Planner) pinHeld(members []member.Record) {
+	for _, record := range members {
+		for _, held := range record.Copies {
+			if !p.isPinned(held.Model, held.Version) {
+				p.setPin(held.Model, held.Version, held.Manifest)
+			}
+		}
+	}
+}
+
+// resolve pins the manifest of each version that the table comes to name. It is
+// a duty of its own, so that a slow source does not hold up planning.
+func (p *Planner) resolve(ctx context.Context) {
+	for ctx.Err() == nil {
+		changed := p.view.Changed()
+		rows, _ := p.view.Rows()
+		for _, row := range rows {
+			p.resolveRow(ctx, row)
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-p.clock.After(manifestRetry):
+		}
+	}
+}
+
+func (p *Planner) resolveRow(ctx context.Context, row table.Row) {
+	if p.isPinned(row.Model, row.Version) || p.missedLately(row) {
+		return
+	}
+	content, err := readManifest(ctx, p.sources, row.Model, row.Version)
+	if err == nil {
+		_, err = weights.Parse(content, weights.Digest{})
+	}
+	if err != nil {
+		p.log.Warn().Str("model", string(row.Model)).Str("version", string(row.Version)).Err(err).Msg("version cannot be resolved")
+		p.miss(row)
+		return
+	}
+	p.setPin(row.Model, row.Version, weights.Sum(content))
+	select {
+	case p.resolved <- struct{}{}:
+	default:
+	}
+}
+
+func readManifest(ctx context.Context, sources []platform.WeightSource, model table.Model, version table.ModelVersion) ([]byte, error) {
+	return fromSources(sources, func(source platform.WeightSource) ([]byte, error) {
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		return source.Manifest(callCtx, model, version)
+	})
+}
+
+func (p *Planner) isPinned(model table.Model, version table.ModelVersion) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, ok := p.manifests[model][version]
+	return ok
+}
+
+func (p *Planner) setPin(model table.Model, version table.ModelVersion, digest weights.Digest) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	setNested(p.manifests, model, version, digest)
+}
+
+func (p *Planner) miss(row table.Row) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	setNested(p.missed, row.Model, row.Version, p.clock.Now())
+}
+
+func (p *Planner) missedLately(row table.Row) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at, ok := p.missed[row.Model][row.Version]
+	return ok && p.clock.Since(at) < manifestRetry
+}
+
+func setNested[A, B comparable, V any](values map[A]map[B]V, a A, b B, value V) {
+	if values[a] == nil {
+		values[a] = make(map[B]V)
+	}
+	values[a][b] = value
+}
+
+// pins returns a copy that a plan can read while versions are added.
+func (p *Planner) pins() map[table.Model]map[table.ModelVersion]weights.Digest {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make(map[table.Model]map[table.ModelVersion]weights.Digest, len(p.manifests))
+	for model, versions := range p.manifests {
+		for version, digest := range versions {
+			setNested(out, model, version, digest)
+		}
+	}
+	return out
+}
--- a/internal/daemon/view.go
+++ b/internal/daemon/view.go
@@ -41,9 +41,12 @@
 	router *route.Router
 	duties *kernel.Duties
 
-	mu          sync.RWMutex
-	members     map[member.BoxID]member.Record
-	rows        map[table.Key]table.Row
+	mu      sync.RWMutex
+	members map[member.BoxID]member.Record
+	rows    map[table.Key]table.Row
+	// models and groups count the rows that name them.
+	models      map[table.Model]int
+	groups      map[table.Group]int
 	revision    table.Revision
 	boxes       map[member.BoxID]assigned
 	planRows    map[table.Key]plan.RowPlan
@@ -67,6 +70,8 @@
 		duties:   kernel.NewDuties(),
 		members:  make(map[member.BoxID]member.Record),
 		rows:     make(map[table.Key]table.Row),
+		models:   make(map[table.Model]int),
+		groups:   make(map[table.Group]int),
 		boxes:    make(map[member.BoxID]assigned),
 		planRows: make(map[table.Key]plan.RowPlan),
 		swarms:   make(map[weights.Digest]map[member.BoxID]bool),
@@ -123,8 +128,7 @@
 	case strings.HasPrefix(item.Key, leavingPrefix):
 		return v.applyHint(item)
 	case strings.HasPrefix(item.Key, tableRowPrefix):
-		v.shareChange++
-		return applyKeyed(v.rows, tableRowPrefix, item)
+		return v.applyRow(item)
 	case strings.HasPrefix(item.Key, plan.RowPrefix):
 		v.shareChange++
 		return applyKeyed(v.planRows, plan.RowPrefix, item)
@@ -138,6 +142,36 @@
 	return nil
 }
 
+// applyRow keeps a row and counts how many name its model and its group.
+func (v *View) applyRow(item state.Item) error {
+	v.shareChange++
+	key := keyOf(tableRowPrefix, item)
+	if _, had := v.rows[key]; had {
+		v.countRow(key, -1)
+	}
+	err := applyKeyed(v.rows, tableRowPrefix, item)
+	if _, has := v.rows[key]; has {
+		v.countRow(key, 1)
+	}
+	return err
+}
+
+func (v *View) countRow(key table.Key, by int) {
+	v.models[key.Model] += by
+	v.groups[key.Group] += by
+	if v.models[key.Model] == 0 {
+		delete(v.models, key.Model)
+	}
+	if v.groups[key.Group] == 0 {
+		delete(v.groups, key.Group)
+	}
+}
+
+func keyOf(prefix string, item state.Item) table.Key {
+	group, model, _ := strings.Cut(strings.TrimPrefix(item.Key, prefix), "/")
+	return table.Key{Group: table.Group(group), Model: table.Model(model)}
+}
+
 func (v *View) applyMember(item state.Item) error {
 	box := member.BoxID(strings.TrimPrefix(item.Key, member.KeyPrefix))
 	v.shareChange++
@@ -208,8 +242,7 @@
 
 // applyKeyed keeps a value under the row key that its item's key holds.
 func applyKeyed[V any](values map[table.Key]V, prefix string, item state.Item) error {
-	group, model, _ := strings.Cut(strings.TrimPrefix(item.Key, prefix), "/")
-	key := table.Key{Group: table.Group(group), Model: table.Model(model)}
+	key := keyOf(prefix, item)
 	if item.Deleted {
 		delete(values, key)
 		return nil
@@ -335,12 +368,14 @@
 func (v *View) HasModel(model table.Model) bool {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
-	for key := range v.rows {
-		if key.Model == model {
-			return true
-		}
-	}
-	return false
+	return v.models[model] > 0
+}
+
+// HasGroup reports whether the table has a row for the group.
+func (v *View) HasGroup(group table.Group) bool {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.groups[group] > 0
 }
 
 func (v *View) assignment(box member.BoxID) (assigned, bool) {
--- /dev/null
+++ b/pkg/plan/place.go
@@ -0,0 +1,96 @@
+package plan
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/cinderslip/cinderslip/pkg/member"
+	"github.com/cinderslip/cinderslip/pkg/table"
+)
+
+// place chooses the boxes of each version. Boxes that hold a version keep it
+// first; the rest go where the version has the fewest boxes of a domain.
+func (p *modelPlan) place(targets map[table.ModelVersion]int) map[table.ModelVersion][]member.BoxID {
+	carriers := make(map[table.ModelVersion][]member.BoxID, len(targets))
+	taken := make(map[member.BoxID]bool, len(p.pool))
+	versions := slices.Sorted(maps.Keys(targets))
+	spreads := make(map[table.ModelVersion]*spread, len(versions))
+	for _, version := range versions {
+		spreads[version] = &spread{count: make(map[member.FailureDomain]int)}
+		holders := p.byDomain(func(box *member.Record) bool { return p.holds(box, version) })
+		carriers[version] = spreads[version].fill(nil, targets[version], holders, taken)
+	}
+	free := p.byDomain(func(box *member.Record) bool { return !taken[box.Box] })
+	for _, version := range versions {
+		carriers[version] = spreads[version].fill(carriers[version], targets[version], free, taken)
+	}
+	return carriers
+}
+
+// domainBoxes are boxes by failure domain, in the order of their ids.
+type domainBoxes struct {
+	domains []member.FailureDomain
+	boxes   map[member.FailureDomain][]member.BoxID
+}
+
+func (p *modelPlan) byDomain(use func(*member.Record) bool) *domainBoxes {
+	out := &domainBoxes{boxes: make(map[member.FailureDomain][]member.BoxID)}
+	for i := range p.pool {
+		box := &p.pool[i]
+		if use(box) {
+			out.boxes[box.FailureDomain] = append(out.boxes[box.FailureDomain], box.Box)
+		}
+	}
+	out.domains = slices.Sorted(maps.Keys(out.boxes))
+	return out
+}
+
+// next returns the first box of a domain that is not taken yet.
+func (d *domainBoxes) next(domain member.FailureDomain, taken map[member.BoxID]bool) (member.BoxID, bool) {
+	for boxes := d.boxes[domain]; len(boxes) > 0; boxes = d.boxes[domain] {
+		if !taken[boxes[0]] {
+			return boxes[0], true
+		}
+		d.boxes[domain] = boxes[1:]
+	}
+	return "", false
+}
+
+// spread counts the boxes of one version by failure domain.
+type spread struct {
+	count map[member.FailureDomain]int
+}
+
+// fill adds boxes up to the target, each from the domain with the fewest.
+func (s *spread) fill(chosen []member.BoxID, target int, from *domainBoxes, taken map[member.BoxID]bool) []member.BoxID {
+	for len(chosen) < target {
+		var best member.BoxID
+		var bestDomain member.FailureDomain
+		found := false
+		for _, domain := range from.domains {
+			if found && s.count[domain] >= s.count[bestDomain] {
+				continue
+			}
+			if box, ok := from.next(domain, taken); ok {
+				best, bestDomain, found = box, domain, true
+			}
+		}
+		if !found {
+			return chosen
+		}
+		chosen = append(chosen, best)
+		taken[best] = true
+		s.count[bestDomain]++
+	}
+	return chosen
+}
+
+// holds reports whether a box has the version or was told to get it.
+func (p *modelPlan) holds(box *member.Record, version table.ModelVersion) bool {
+	if p.in.Previous.Boxes[box.Box].carries(p.model, version) {
+		return true
+	}
+	return slices.ContainsFunc(box.Copies, func(c member.Copy) bool {
+		return c.Model == p.model && c.Version == version
+	})
+}
