feat(route): an id that may not be repeated runs once, whichever way it comes again

Cause: the registry of ids was on the agent that ran the request; sent again through any entry box the id reached another agent and ran a second time. Ruled out: a key for each request in the key-value service, a registry among the entry boxes (docs/design/0001). Change: the homes of an id are the first three boxes in rendezvous order. The less loaded of the first two runs it after another home has noted the id; a home that has seen it refuses, and the caller gets unknown. Two homes lost at once are not covered; with two boxes of a service and one just dead, such requests are not-run until it is marked.

--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -420,7 +420,7 @@
 	b.Helper()
 	record := benchRecord(1, member.RoleAgent)
 	record.Services = []member.Service{"chizu"}
-	gate := NewGate("", map[member.Service]string{"chizu": backend}, func() member.Record { return record }, clockwork.NewRealClock(), quiet(), NewMetrics())
+	gate := NewGate("", map[member.Service]string{"chizu": backend}, nil, func() member.Record { return record }, clockwork.NewRealClock(), quiet(), NewMetrics())
 	mux := drpcmux.New()
 	require.NoError(b, wire.DRPCRegisterBackend(mux, gate))
 	address, stop := benchListen(b, mux)
--- a/internal/daemon/fetch_test.go
+++ b/internal/daemon/fetch_test.go
@@ -54,7 +54,7 @@
 	require.NoError(t, err)
 	f.engine = standin.NewEngine(clock, standin.EngineOptions{Slots: 1})
 	f.heart = heartOf(t, clock, agentRecord("self"), func() []member.Address { return nil })
-	f.gate = NewGate("", nil, f.heart.Record, clock, quiet(), f.metrics)
+	f.gate = NewGate("", nil, nil, f.heart.Record, clock, quiet(), f.metrics)
 	f.copier = NewCopier(CopierOptions{
 		Self: "self", Peers: newTestPeers(t), Store: f.store, Sources: []platform.WeightSource{f.platform.source},
 		Engine: platform.NewEngine(serveHTTP(t, f.engine), f.platform.client), Gate: f.gate, Heart: f.heart,
--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -65,12 +65,14 @@
 	version    table.ModelVersion
 	path       string
 	repeatable bool
-	priority   int
-	deadline   time.Time
-	request    *http.Request
-	writer     http.ResponseWriter
-	body       *bodyReader
-	arrived    time.Time
+	// named is set if the caller chose the id, and so can send it again.
+	named    bool
+	priority int
+	deadline time.Time
+	request  *http.Request
+	writer   http.ResponseWriter
+	body     *bodyReader
+	arrived  time.Time
 	// frames counts the frames of the answer, as a measure of the work done.
 	frames atomic.Int64
 }
@@ -84,7 +86,7 @@
 
 // attempt sends the request to one box. With outcomeNotRun and outcomeUnknown
 // nothing has been written to the caller.
-func (f *forwarder) attempt(ctx context.Context, x *exchange, target *route.Target, attempt route.AttemptID) (outcome, error) {
+func (f *forwarder) attempt(ctx context.Context, x *exchange, target *route.Target, attempt route.AttemptID, witnesses []member.Address) (outcome, error) {
 	target.Start()
 	defer target.Release()
 	attemptCtx, cancelCause := context.WithCancelCause(ctx)
@@ -96,6 +98,9 @@
 		return outcomeNotRun, err
 	}
 	first := &wire.ServeRequest{Head: f.head(x, target, attempt)}
+	for _, witness := range witnesses {
+		first.Head.Witnesses = append(first.Head.Witnesses, string(witness))
+	}
 	first.Body, first.End = x.body.whole()
 	if err := stream.Send(first); err != nil {
 		target.Failed(f.clock.Now())
--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -38,6 +38,7 @@
 	fresh    *http.Client
 	engine   string
 	services map[member.Service]string
+	peers    *Peers
 	record   func() member.Record
 	once     *route.Once
 
@@ -57,13 +58,13 @@
 }
 
 // NewGate returns a gate that refuses everything until Open.
-func NewGate(engine string, services map[member.Service]string, record func() member.Record,
+func NewGate(engine string, services map[member.Service]string, peers *Peers, record func() member.Record,
 	clock clockwork.Clock, log zerolog.Logger, metrics *Metrics,
 ) *Gate {
 	g := &Gate{
 		clock: clock, log: log, metrics: metrics,
 		client: newBackendClient(false), fresh: newBackendClient(true),
-		engine: engine, services: services, record: record,
+		engine: engine, services: services, peers: peers, record: record,
 		once:     route.NewOnce(onceWindow),
 		versions: make(map[route.Place]*gateVersion),
 		idle:     make(chan struct{}),
@@ -222,6 +223,11 @@
 		return errors.New("first frame has no head")
 	}
 	leave, refusal, detail := g.enter(first.Head)
+	if refusal == wire.Refusal_REFUSAL_NONE {
+		if refusal, detail = g.claim(stream.Context(), first.Head); refusal != wire.Refusal_REFUSAL_NONE {
+			leave()
+		}
+	}
 	if refusal != wire.Refusal_REFUSAL_NONE {
 		g.metrics.gateRequests.WithLabelValues(refusalLabel(refusal)).Inc()
 		return g.refuse(stream, first.Head, refusal, detail)
@@ -253,6 +259,7 @@
 	if err != nil {
 		if neverConnected(err) {
 			g.once.Abandon(route.RequestID(head.RequestId), route.AttemptID(head.Attempt), g.clock.Now())
+			g.release(head)
 			g.metrics.gateRequests.WithLabelValues(refusalLabel(wire.Refusal_REFUSAL_UNREACHABLE)).Inc()
 			return g.refuse(stream, head, wire.Refusal_REFUSAL_UNREACHABLE, err.Error())
 		}
--- a/internal/daemon/gate_test.go
+++ b/internal/daemon/gate_test.go
@@ -24,6 +24,8 @@
 	address member.Address
 	target  *route.Target
 	forward *forwarder
+	// witnesses go with each request.
+	witnesses []member.Address
 }
 
 const testIncarnation member.Incarnation = 7
@@ -32,7 +34,7 @@
 	t.Helper()
 	clock := clockwork.NewRealClock()
 	record := func() member.Record { return member.Record{Box: "b", Incarnation: testIncarnation} }
-	g := &gated{gate: NewGate("", map[member.Service]string{"chizu": backend}, record, clock, quiet(), NewMetrics())}
+	g := &gated{gate: NewGate("", map[member.Service]string{"chizu": backend}, newTestPeers(t), record, clock, quiet(), NewMetrics())}
 	mux := drpcmux.New()
 	require.NoError(t, wire.DRPCRegisterBackend(mux, g.gate))
 	g.address = listenPeers(t, mux)
@@ -60,7 +62,7 @@
 		x.deadline = deadline
 		x.request = request.WithContext(context.WithoutCancel(request.Context()))
 	}
-	result, err := g.forward.attempt(context.WithoutCancel(request.Context()), x, g.target, route.AttemptID(attempt))
+	result, err := g.forward.attempt(context.WithoutCancel(request.Context()), x, g.target, route.AttemptID(attempt), g.witnesses)
 	return result, writer, err
 }
 
--- a/internal/daemon/request.go
+++ b/internal/daemon/request.go
@@ -27,6 +27,7 @@
 		service: member.Service(e.Param("service")),
 		request: r, writer: e.Response(), arrived: c.clock.Now(),
 	}
+	x.named = x.id != ""
 	if x.id == "" {
 		x.id = route.RequestID(rand.Text())
 	}
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -81,13 +81,13 @@
 	var mayHaveRun error
 	last := refusal{reasonNoBox, fmt.Sprintf("no box has %s %s live", x.service, place.Version), time.Second}
 	for number := range attemptLimit {
-		target, ok := c.view.Router().Pick(place, tried, c.clock.Now())
+		target, witnesses, ok := c.pick(x, place, tried)
 		if !ok {
 			break
 		}
 		tried = append(tried, target.Box)
 		attempt := route.AttemptID(string(x.id) + "/" + rand.Text() + "/" + strconv.Itoa(number))
-		result, err := c.forward.attempt(ctx, x, target, attempt)
+		result, err := c.forward.attempt(ctx, x, target, attempt, witnesses)
 		if result != outcomeAnswered {
 			c.log.Debug().Str("request", string(x.id)).Str("box", string(target.Box)).
 				Str("outcome", result.String()).Err(err).Msg("attempt ended")
@@ -120,6 +120,16 @@
 	c.refuse(x, last)
 }
 
+// pick chooses a box. One that may not run twice goes to the homes of its id.
+func (c *Callers) pick(x *exchange, place route.Place, tried []member.BoxID) (*route.Target, []member.Address, bool) {
+	router, now := c.view.Router(), c.clock.Now()
+	if x.named && !x.repeatable {
+		return router.PickHome(place, x.id, tried, now)
+	}
+	target, ok := router.Pick(place, tried, now)
+	return target, nil, ok
+}
+
 // mayTryAgain reports whether the request may be sent to another box. One that
 // surely did not run may always be, one that may have run only if it can be
 // repeated and the budget allows it.
--- a/internal/daemon/steps.go
+++ b/internal/daemon/steps.go
@@ -277,7 +277,7 @@
 		services[member.Service(service.Name)] = service.URL
 	}
 	engine := p.settings.Agent.Engine.URL
-	p.gate = NewGate(engine, services, p.heart.Record, p.options.Clock, p.options.Log, p.metrics)
+	p.gate = NewGate(engine, services, p.peers, p.heart.Record, p.options.Clock, p.options.Log, p.metrics)
 	if err := wire.DRPCRegisterBackend(p.mux, p.gate); err != nil {
 		return err
 	}
--- a/internal/scenario/callers_test.go
+++ b/internal/scenario/callers_test.go
@@ -281,6 +281,7 @@
 
 // single is one request in the background.
 type single struct {
+	caller *caller
 	first  chan struct{}
 	done   chan struct{}
 	got    result
@@ -295,8 +296,9 @@
 		id = given["id"]
 	}
 	s := &single{first: make(chan struct{}), done: make(chan struct{})}
-	w.singles[args[0]] = s
 	c := w.newCaller(args[1], args[2], given)
+	s.caller = c
+	w.singles[args[0]] = s
 	go func() {
 		defer close(s.done)
 		ctx, cancel := w.context()
@@ -357,6 +359,31 @@
 	}
 }
 
+// kill9-runner ID ends the agent at once whose backend server ran a request id.
+func killRunner(w *world, ts *testscript.TestScript, args []string) {
+	options(ts, args, 1)
+	for name, plain := range w.plains {
+		if plain.Ran()[args[0]] > 0 {
+			kill(w, ts, []string{name})
+			return
+		}
+	}
+	ts.Fatalf("nobody ran %s", args[0])
+}
+
+// kill9-entry-of NAME ends the entry box at once through which a request went.
+func killEntryOf(w *world, ts *testscript.TestScript, args []string) {
+	options(ts, args, 1)
+	used := string(w.singles[args[0]].caller.entries[0].Address)
+	for _, p := range w.entries() {
+		if p.callers == used {
+			kill(w, ts, []string{p.name})
+			return
+		}
+	}
+	ts.Fatalf("no entry box has the address %s", used)
+}
+
 // refused-path PATH… requires that the callers' side does not answer a path of
 // the operators' side.
 func refusedPath(w *world, ts *testscript.TestScript, args []string) {
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -88,6 +88,8 @@
 	"list":           plain("list", list),
 	"entry":          plain("entry", entry),
 	"agent":          plain("agent", agent),
+	"kill9-runner":   plain("kill9-runner", killRunner),
+	"kill9-entry-of": plain("kill9-entry-of", killEntryOf),
 	"kill9":          plain("kill9", kill),
 	"freeze":         plain("freeze", freeze),
 	"thaw":           plain("thaw", thaw),
--- a/pkg/route/once.go
+++ b/pkg/route/once.go
@@ -25,6 +25,8 @@
 )
 
 type onceEntry struct {
+	// attempt is the one that holds a request id.
+	attempt AttemptID
 	started bool
 	settled bool
 	at      time.Time
@@ -32,7 +34,9 @@
 
 // Once remembers request ids on an agent. A request that may not be repeated
 // runs at most once on this process within the window, and an attempt that was
-// settled as not started never starts. Memory is bounded by the window.
+// settled as not started never starts. With Claim a second agent is made a
+// witness, so that the id does not run again after one of the two is gone.
+// Memory is bounded by the window.
 type Once struct {
 	window time.Duration
 
@@ -63,15 +67,40 @@
 		return StartedBefore
 	}
 	if !repeatable {
-		if held, ok := o.requests[request]; ok && held.started {
+		if !o.hold(request, attempt, now) {
 			return StartedBefore
 		}
-		o.requests[request] = onceEntry{started: true, at: now}
 	}
 	o.attempts[attempt] = onceEntry{started: true, at: now}
 	return StartedNow
 }
 
+// Claim holds a request id for an attempt that is about to run on another agent.
+// It reports false if another attempt holds the id here, running or claimed.
+func (o *Once) Claim(request RequestID, attempt AttemptID, now time.Time) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.sweep(now)
+	return o.hold(request, attempt, now)
+}
+
+// Release gives up a claim whose attempt did not run.
+func (o *Once) Release(request RequestID, attempt AttemptID) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.requests[request].attempt == attempt {
+		delete(o.requests, request)
+	}
+}
+
+func (o *Once) hold(request RequestID, attempt AttemptID, now time.Time) bool {
+	if held, ok := o.requests[request]; ok && held.attempt != attempt {
+		return false
+	}
+	o.requests[request] = onceEntry{attempt: attempt, at: now}
+	return true
+}
+
 // Settle reports whether the attempt was started. If it was not, it never will be.
 func (o *Once) Settle(attempt AttemptID, now time.Time) (started bool) {
 	o.mu.Lock()
@@ -89,7 +118,9 @@
 func (o *Once) Abandon(request RequestID, attempt AttemptID, now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	delete(o.requests, request)
+	if o.requests[request].attempt == attempt {
+		delete(o.requests, request)
+	}
 	o.attempts[attempt] = onceEntry{settled: true, at: now}
 }
 
--- a/pkg/route/route_test.go
+++ b/pkg/route/route_test.go
@@ -209,6 +209,81 @@
 	})
 }
 
+// Whichever of a request's homes runs it and whichever witness hears of it, with
+// any one of the agents gone in between, the id runs at most once.
+func TestWitnessKeepsAnIDFromRunningAgainWhenOneAgentIsGone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const agents = 3
+		registries := make([]*Once, agents)
+		for i := range registries {
+			registries[i] = NewOnce(time.Hour)
+		}
+		gone := -1
+		runs := 0
+		for number := range rapid.IntRange(1, 8).Draw(t, "attempts") {
+			if gone < 0 && rapid.Bool().Draw(t, "one goes") {
+				gone = rapid.IntRange(0, agents-1).Draw(t, "gone")
+			}
+			order := rapid.Permutation([]int{0, 1, 2}).Draw(t, "homes")
+			attempt := AttemptID(fmt.Sprint("id/", number))
+			runner, claimed := order[0], false
+			if runner == gone || registries[runner].Start("id", attempt, false, testTime) != StartedNow {
+				continue
+			}
+			for _, witness := range order[1:] {
+				if witness != gone {
+					claimed = registries[witness].Claim("id", attempt, testTime)
+					break
+				}
+			}
+			switch {
+			case !claimed:
+				registries[runner].Abandon("id", attempt, testTime)
+			case rapid.Bool().Draw(t, "backend server takes no connection"):
+				registries[runner].Abandon("id", attempt, testTime)
+				for i, registry := range registries {
+					if i != gone {
+						registry.Release("id", attempt)
+					}
+				}
+			default:
+				runs++
+			}
+		}
+		if runs > 1 {
+			t.Fatalf("the id ran %d times", runs)
+		}
+	})
+}
+
+func TestEveryEntryBoxAsksTheSameHomes(t *testing.T) {
+	one, two := NewRouter("kita"), NewRouter("minami")
+	for i := range 20 {
+		r := record(fmt.Sprint("box-", i), "kita", "v1")
+		one.Set(r)
+		two.Set(r)
+	}
+	for i := range 50 {
+		id := RequestID(fmt.Sprint(i))
+		homes := func(r *Router) map[member.Address]bool {
+			target, witnesses, ok := r.PickHome(placeOne, id, nil, testTime)
+			require.True(t, ok)
+			require.Len(t, witnesses, homesPerID-1)
+			all := map[member.Address]bool{target.Address: true}
+			for _, witness := range witnesses {
+				all[witness] = true
+			}
+			return all
+		}
+		require.Equal(t, homes(one), homes(two))
+	}
+	target, witnesses, ok := one.PickHome(placeOne, "x", nil, testTime)
+	require.True(t, ok)
+	target.Failed(testTime)
+	other, _, _ := one.PickHome(placeOne, "x", nil, testTime)
+	require.Contains(t, witnesses, other.Address, "an ejected home does not run it; another home does")
+}
+
 func TestRegistryForgetsAfterItsWindow(t *testing.T) {
 	o := NewOnce(time.Minute)
 	for i := range 1000 {
@@ -378,6 +453,23 @@
 	}
 }
 
+func BenchmarkPickHome(b *testing.B) {
+	for _, boxes := range []int{12, 2_000, 12_000} {
+		b.Run(fmt.Sprintf("boxes=%d", boxes), func(b *testing.B) {
+			r := NewRouter("kita")
+			for i := range boxes {
+				r.Set(record(fmt.Sprint("box-", i), "kita", "v1"))
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				if _, _, ok := r.PickHome(placeOne, RequestID(fmt.Sprint(i)), nil, testTime); !ok {
+					b.Fatal("no box")
+				}
+			}
+		})
+	}
+}
+
 func BenchmarkSetRecord(b *testing.B) {
 	for _, boxes := range []int{1_000, 12_000} {
 		b.Run(fmt.Sprintf("boxes=%d", boxes), func(b *testing.B) {
