fix(weights): soonest-live waits half as long instead of drawing three copies

Cause: with soonest-live three boxes drew each chunk at once. Change: second drawers wait half as long; the option for copies is gone.

--- a/internal/daemon/fetch_test.go
+++ b/internal/daemon/fetch_test.go
@@ -59,7 +59,7 @@
 		Self: "self", Peers: newTestPeers(t), Store: f.store, Sources: []platform.WeightSource{f.platform.source},
 		Engine: platform.NewEngine(serveHTTP(t, f.engine), f.platform.client), Gate: f.gate, Heart: f.heart,
 		Clock: clock, Log: quiet(), Metrics: f.metrics,
-		Picker: weights.PickerOptions{Window: 2, DrawWindow: 4, DrawWait: 50 * time.Millisecond, Copies: 1, Strikes: 3},
+		Picker: weights.PickerOptions{Window: 2, DrawWindow: 4, DrawWait: 50 * time.Millisecond, Strikes: 3},
 	})
 	t.Cleanup(func() { stopService(t, f.copier) })
 	return f
--- a/internal/daemon/steps.go
+++ b/internal/daemon/steps.go
@@ -262,9 +262,9 @@
 	return p.kernel.Register(p.heart)
 }
 
-// soonestCopies is how many copies the origin gives at once where being live
-// soon goes before its bytes; the origin's link carries about four.
-const soonestCopies = 3
+// soonestPart shortens the wait of second drawers where being live soon goes
+// before bytes from the origin.
+const soonestPart = 2
 
 // agentWeightsStep starts the gate, the copier and the chunk server.
 type agentWeightsStep struct{ agentOnly }
@@ -288,7 +288,7 @@
 	picker := weights.DefaultPickerOptions()
 	picker.DrawWait = time.Duration(p.settings.Weights.DrawWait)
 	if p.settings.Weights.Prefer == settings.PreferSoonestLive {
-		picker.Copies = soonestCopies
+		picker.DrawWait /= soonestPart
 	}
 	copier := NewCopier(CopierOptions{
 		Self: member.BoxID(p.settings.Box), Peers: p.peers, Store: store, Sources: p.sources(),
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -11,7 +11,7 @@
 
 func soonest() weights.PickerOptions {
 	options := weights.DefaultPickerOptions()
-	options.Copies = 3
+	options.DrawWait /= 2
 	return options
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -30,7 +30,7 @@
 const (
 	// PreferFewestBytes draws about one copy from the origin.
 	PreferFewestBytes Preference = "fewest-bytes"
-	// PreferSoonestLive draws several copies where that is sooner.
+	// PreferSoonestLive lets second drawers wait half as long.
 	PreferSoonestLive Preference = "soonest-live"
 )
 
--- a/pkg/weights/picker.go
+++ b/pkg/weights/picker.go
@@ -17,16 +17,13 @@
 	// DrawWait is how long each place in the order of drawers waits for the
 	// one before it, counted from the last chunk that this box got.
 	DrawWait time.Duration
-	// Copies is how many drawers of each chunk need not wait: 1 draws the
-	// fewest bytes, more get each chunk into circulation sooner.
-	Copies int
 	// Strikes is after how many faults a neighbour is no longer asked.
 	Strikes int
 }
 
 // DefaultPickerOptions suits links of about two copies in the time allowed.
 func DefaultPickerOptions() PickerOptions {
-	return PickerOptions{Window: 2, DrawWindow: 4, DrawWait: 2 * time.Second, Copies: 1, Strikes: 3}
+	return PickerOptions{Window: 2, DrawWindow: 4, DrawWait: 2 * time.Second, Strikes: 3}
 }
 
 // Task is one fetch. From is empty for the origin.
@@ -299,7 +296,7 @@
 		if p.held.Has(chunk) || p.running[chunk] || p.isShown(chunk) {
 			continue
 		}
-		if now.Before(p.due(p.ranks[chunk]/p.options.Copies)) || now.Before(p.lastRetry[chunk]) {
+		if now.Before(p.due(p.ranks[chunk])) || now.Before(p.lastRetry[chunk]) {
 			continue
 		}
 		if best < 0 || p.ranks[chunk] < bestRank {
--- a/pkg/weights/weights_test.go
+++ b/pkg/weights/weights_test.go
@@ -186,18 +186,6 @@
 	require.Equal(t, len(m.Chunks), s.draws)
 }
 
-func TestMoreCopiesAreDrawnOnlyWhereTheOptionSaysSo(t *testing.T) {
-	m := build(t, 64, random(1, 64*100))
-	options := DefaultPickerOptions()
-	options.Copies = 3
-	s := newSwarm(m, 40, 6, options)
-	for s.turn(noFault) > 0 {
-		require.Less(t, s.now.Unix(), int64(1_000_600), "the copy does not end")
-	}
-	require.Greater(t, s.draws, len(m.Chunks))
-	require.LessOrEqual(t, s.draws, 3*len(m.Chunks))
-}
-
 func TestDeadDrawersAreReplacedAfterTheirWait(t *testing.T) {
 	m := build(t, 64, random(1, 64*50))
 	s := newSwarm(m, 10, 4, DefaultPickerOptions())
