fix(route): an entry box answers callers only once it knows a plan

Ruled out: the change of the lease (the planner was not involved). Change: the callers' listener opens when a plan is known, and only then does the box's record name its address; connections are refused until then, so that callers go on with the next address.

--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -436,10 +436,10 @@
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(b, err)
-	options := CallersOptions{View: view, Peers: peers, Clock: clockwork.NewRealClock(), Log: quiet(), Metrics: NewMetrics(), Region: "kita"}
+	options := CallersOptions{Listen: listening(listener), Ready: always, Opened: func() {}, View: view, Peers: peers, Clock: clockwork.NewRealClock(), Log: quiet(), Metrics: NewMetrics(), Region: "kita"}
 	options.Settings.PlacesPerReplica, options.Settings.QueuePerGroup, options.Settings.BodyLimit = 1000, 64, 1<<20
 	options.Settings.Deadline = 60_000_000_000
-	callers := NewCallers(listener, options)
+	callers := NewCallers(options)
 	caller := &benchCaller{
 		client: newBackendClient(false), url: "http://" + listener.Addr().String() + "/v1/services/chizu/path",
 	}
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -79,10 +79,16 @@
 	Clock    clockwork.Clock
 	Log      zerolog.Logger
 	Metrics  *Metrics
+	// Listen opens the listener once Ready holds; an entry box that knows nothing
+	// yet would only refuse what another one could answer.
+	Listen func(ctx context.Context) (net.Listener, error)
+	Ready  func() bool
+	// Opened is called when callers are answered.
+	Opened func()
 }
 
-// NewCallers starts to answer on a listener.
-func NewCallers(listener net.Listener, options CallersOptions) *Callers {
+// NewCallers answers callers as soon as it is ready to.
+func NewCallers(options CallersOptions) *Callers {
 	c := &Callers{
 		options: options.Settings, region: options.Region, view: options.View,
 		clock: options.Clock, log: options.Log, metrics: options.Metrics,
@@ -99,8 +105,8 @@
 	c.server = &http.Server{
 		Handler: router, ReadHeaderTimeout: headerTimeout, IdleTimeout: connectionIdle, MaxHeaderBytes: headerLimit,
 	}
-	c.duties.Go(func(context.Context) {
-		if err := c.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	c.duties.Go(func(ctx context.Context) {
+		if err := c.open(ctx, options); err != nil && ctx.Err() == nil && !errors.Is(err, http.ErrServerClosed) {
 			c.log.Error().Err(err).Msg("callers' listener failed")
 		}
 	})
@@ -108,6 +114,27 @@
 	return c
 }
 
+// open waits until the process is ready, then answers until the server stops.
+func (c *Callers) open(ctx context.Context, options CallersOptions) error {
+	for {
+		changed := c.view.Changed()
+		if options.Ready() {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+	}
+	listener, err := options.Listen(ctx)
+	if err != nil {
+		return err
+	}
+	options.Opened()
+	return c.server.Serve(listener)
+}
+
 // newEcho returns a router whose own errors are problem documents.
 func newEcho() *echo.Echo {
 	router := echo.New()
@@ -185,8 +212,10 @@
 	byAddress := make(map[member.Address]member.Record, len(entries))
 	addresses := make([]member.Address, 0, len(entries))
 	for _, entry := range entries {
-		byAddress[entry.Callers] = entry
-		addresses = append(addresses, entry.Callers)
+		if entry.Callers != "" {
+			byAddress[entry.Callers] = entry
+			addresses = append(addresses, entry.Callers)
+		}
 	}
 	for _, address := range member.Rank(rand.Text(), addresses, callerEntries) {
 		answer.Entries = append(answer.Entries, EntryAddress{Address: address, FailureDomain: byAddress[address].FailureDomain})
--- a/internal/daemon/callers_test.go
+++ b/internal/daemon/callers_test.go
@@ -44,7 +44,8 @@
 	change(&loaded.Requests)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	c.callers = NewCallers(listener, CallersOptions{
+	c.callers = NewCallers(CallersOptions{
+		Listen: listening(listener), Ready: always, Opened: func() {},
 		Settings: loaded.Requests, Region: "kita", View: n.view, Peers: newTestPeers(t),
 		Clock: clockwork.NewRealClock(), Log: quiet(), Metrics: NewMetrics(),
 	})
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -65,7 +65,7 @@
 	overlay  *Overlay
 	gate     *Gate
 
-	callers   net.Listener
+	callers   string
 	operators net.Listener
 	peersAt   net.Listener
 	mux       *drpcmux.Mux
@@ -158,7 +158,7 @@
 }
 
 // CallersAddress returns where callers are answered; empty on an agent.
-func (p *Process) CallersAddress() string { return listenerAddress(p.callers) }
+func (p *Process) CallersAddress() string { return p.callers }
 
 // OperatorsAddress returns where operators are answered.
 func (p *Process) OperatorsAddress() string { return listenerAddress(p.operators) }
@@ -178,7 +178,7 @@
 	return member.Record{
 		Box: member.BoxID(p.settings.Box), Role: role,
 		Region: member.Region(p.settings.Region), FailureDomain: member.FailureDomain(p.settings.FailureDomain),
-		Peers: member.Address(p.PeersAddress()), Callers: member.Address(p.CallersAddress()),
+		Peers: member.Address(p.PeersAddress()),
 	}
 }
 
@@ -201,8 +201,8 @@
 	return addresses
 }
 
-// IsServing reports whether an entry box has a live box for every row of the
-// table in force.
+// IsServing reports whether an entry box answers callers and has a live box for
+// every row of the table in force.
 func (p *Process) IsServing() bool {
 	view, err := kernel.Find[*View](p.kernel, "view")
 	if err != nil {
@@ -216,5 +216,5 @@
 			return false
 		}
 	}
-	return len(rows) > 0
+	return len(rows) > 0 && p.heart.Record().Callers != ""
 }
