fix(weights): a version that is wanted again waits until its drop is done

Cause: read as a newcomer: a version dropped while requests still ran on it and wanted again before they ended went live at once, as its engine still had it; the late unload of the drop then took it away, and requests were answered with the engine's 404 until the next look at the engine, up to 2 s. Change: a copy of a manifest begins only when the drop of the same one is done. Conclusion: kept; a version that drains behind long answers is back only after them.

--- a/internal/daemon/copier.go
+++ b/internal/daemon/copier.go
@@ -49,6 +49,9 @@
 	mu      sync.Mutex
 	version state.Version
 	copies  map[weights.Digest]*copyJob
+	// dropping holds the manifests on their way out. One that is wanted again
+	// waits for it, so that a late unload never takes away what is live.
+	dropping map[weights.Digest]chan struct{}
 }
 
 // copyJob is one version on its way to live and out again.
@@ -76,6 +79,8 @@
 		duties:  kernel.NewDuties(),
 		assign:  make(chan assigned, 1),
 		copies:  make(map[weights.Digest]*copyJob),
+
+		dropping: make(map[weights.Digest]chan struct{}),
 	}
 	c.duties.Go(c.follow)
 	return c
@@ -158,16 +163,28 @@
 		if !wanted[digest] {
 			dropped = append(dropped, job)
 			delete(c.copies, digest)
+			c.dropping[digest] = make(chan struct{})
 		}
 	}
 	c.mu.Unlock()
 	for _, job := range dropped {
-		c.duties.Go(func(ctx context.Context) { c.drop(ctx, job, fence) })
+		c.duties.Go(func(ctx context.Context) {
+			c.drop(ctx, job, fence)
+			c.dropped(job.weights.Manifest)
+		})
 	}
 	c.options.Log.Info().Uint64("epoch", fence.Epoch).Uint64("sequence", fence.Sequence).
 		Int("wanted", len(wanted)).Int("dropped", len(dropped)).Msg("assignment taken")
 }
 
+// dropped lets a copy of the same manifest begin.
+func (c *Copier) dropped(manifest weights.Digest) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	close(c.dropping[manifest])
+	delete(c.dropping, manifest)
+}
+
 func (c *Copier) want(ctx context.Context, w plan.Weights, fence platform.Fence) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -184,8 +201,16 @@
 		addresses: make(map[string]member.Address),
 	}
 	c.copies[w.Manifest] = job
+	dropping := c.dropping[w.Manifest]
 	c.duties.Go(func(context.Context) {
 		defer close(job.done)
+		if dropping != nil {
+			select {
+			case <-dropping:
+			case <-jobCtx.Done():
+				return
+			}
+		}
 		c.bring(jobCtx, job)
 	})
 }
--- a/internal/daemon/fetch_test.go
+++ b/internal/daemon/fetch_test.go
@@ -283,3 +283,32 @@
 		require.ErrorIs(t, engine.Order(t.Context(), older), platform.ErrFenced)
 	}
 }
+
+// A version is dropped while a request still runs on it, and wanted again before
+// that has ended: the late unload must not take away what is live again.
+func TestVersionThatIsWantedAgainWhileItDrainsStaysLive(t *testing.T) {
+	f := newFetching(t, 1<<20)
+	f.assign(1, f.manifest.Digest())
+	f.swarm(t, nil, "self")
+	eventually(t, f.isLive, "the version is live")
+	head := &wire.RequestHead{
+		RequestId: "r", Attempt: "r/1", Service: "kakiwake", Version: "v1", Incarnation: uint64(f.heart.Record().Incarnation),
+	}
+	leave, refusal, _ := f.gate.enter(head)
+	require.Equal(t, wire.Refusal_REFUSAL_NONE, refusal)
+	f.assign(2, weights.Digest{})
+	eventually(t, func() bool { return len(f.heart.Record().Copies) == 0 }, "the version drains")
+	f.assign(3, f.manifest.Digest())
+	f.swarm(t, nil, "self")
+	time.Sleep(100 * time.Millisecond)
+	require.False(t, f.isLive(), "it is still on its way out")
+	leave()
+	eventually(t, func() bool {
+		f.swarm(t, nil, "self")
+		orders := f.engine.Orders()
+		return f.isLive() && len(orders) == 3 && orders[2].Kind == platform.OrderLoad
+	}, "it is unloaded, then loaded and live")
+	current, err := f.copier.options.Engine.State(t.Context())
+	require.NoError(t, err)
+	require.Len(t, current.Loaded, 1)
+}
