fix(route): an agent that leaves stays until every entry box has heard of it

The command is called terminate now, and a test refuses commands with the names of built-in ones. Change: a box that leaves goes on refusing, and answering as a witness, for 2 s before it waits for what is in progress.

--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -22,6 +22,9 @@
 	"github.com/cinderslip/cinderslip/pkg/table"
 )
 
+// leaveNotice is within what time a box that is leaving gets nothing new.
+const leaveNotice = 2 * time.Second
+
 // onceWindow is how long an agent remembers the ids of requests.
 const onceWindow = 10 * time.Minute
 
@@ -42,11 +45,14 @@
 	record   func() member.Record
 	once     *route.Once
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// notice is how long a box that is leaving goes on refusing.
+	notice   time.Duration
 	leaving  bool
 	versions map[route.Place]*gateVersion
 	running  int
-	idle     chan struct{}
+	// idle is closed when a Stop that waits sees the last request end.
+	idle chan struct{}
 }
 
 // gateVersion is a version that may be asked for, with its requests in progress.
@@ -67,7 +73,7 @@
 		engine: engine, services: services, peers: peers, record: record,
 		once:     route.NewOnce(onceWindow),
 		versions: make(map[route.Place]*gateVersion),
-		idle:     make(chan struct{}),
+		notice:   leaveNotice,
 	}
 	for service := range services {
 		g.Open(route.Place{Service: service})
@@ -92,18 +98,29 @@
 // String returns the service's name.
 func (g *Gate) String() string { return "gate" }
 
-// Stop refuses new requests and waits for those in progress.
+// Stop refuses new requests, long enough for every entry box to hear that the
+// box is leaving, and waits for those in progress.
 func (g *Gate) Stop(ctx context.Context) error {
 	g.mu.Lock()
 	g.leaving = true
+	g.mu.Unlock()
+	select {
+	case <-g.clock.After(g.notice):
+	case <-ctx.Done():
+	}
+	g.mu.Lock()
 	running := g.running
+	if running > 0 {
+		g.idle = make(chan struct{})
+	}
+	idle := g.idle
 	g.mu.Unlock()
 	if running == 0 {
 		return nil
 	}
 	g.log.Info().Int("running", running).Msg("waiting for requests in progress")
 	select {
-	case <-g.idle:
+	case <-idle:
 		g.client.CloseIdleConnections()
 		return nil
 	case <-ctx.Done():
@@ -193,8 +210,9 @@
 		close(held.drained)
 		held.drained = nil
 	}
-	if g.leaving && g.running == 0 {
+	if g.idle != nil && g.running == 0 {
 		close(g.idle)
+		g.idle = nil
 	}
 }
 
--- a/internal/daemon/gate_test.go
+++ b/internal/daemon/gate_test.go
@@ -35,6 +35,7 @@
 	clock := clockwork.NewRealClock()
 	record := func() member.Record { return member.Record{Box: "b", Incarnation: testIncarnation} }
 	g := &gated{gate: NewGate("", map[member.Service]string{"chizu": backend}, newTestPeers(t), record, clock, quiet(), NewMetrics())}
+	g.gate.notice = 10 * time.Millisecond
 	mux := drpcmux.New()
 	require.NoError(t, wire.DRPCRegisterBackend(mux, g.gate))
 	g.address = listenPeers(t, mux)
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -46,6 +47,18 @@
 	return m.Run()
 }
 
+// A command with the name of one of testscript's own is never run: "stop" ends a
+// script as passed, so that one scenario checked nothing behind it.
+func TestNoCommandHidesBehindABuiltInOne(t *testing.T) {
+	builtIn := strings.Fields("cat cd chmod cmp cmpenv cp env exec exists grep kill mkdir mv rm skip " +
+		"stderr stdin stdout stop symlink ttyin ttyout unix2dos unquote wait")
+	for name := range commands {
+		if slices.Contains(builtIn, name) {
+			t.Errorf("%s is a command of testscript", name)
+		}
+	}
+}
+
 func TestScenarios(t *testing.T) {
 	testscript.Run(t, testscript.Params{
 		Dir:           "testdata",
@@ -93,7 +106,7 @@
 	"kill9":          plain("kill9", kill),
 	"freeze":         plain("freeze", freeze),
 	"thaw":           plain("thaw", thaw),
-	"stop":           plain("stop", stop),
+	"terminate":      plain("terminate", terminate),
 	"restart":        plain("restart", restart),
 	"await-live":     plain("await-live", awaitLive),
 	"await-serving":  plain("await-serving", awaitServing),
--- a/internal/scenario/world_test.go
+++ b/internal/scenario/world_test.go
@@ -421,8 +421,8 @@
 	w.process(ts, args).signal(syscall.SIGCONT)
 }
 
-// stop NAME is a planned stop, which must end with exit code 0.
-func stop(w *world, ts *testscript.TestScript, args []string) {
+// terminate NAME is a planned stop, which must end with exit code 0.
+func terminate(w *world, ts *testscript.TestScript, args []string) {
 	p := w.process(ts, args)
 	p.signal(syscall.SIGTERM)
 	select {
