fix(daemon): the callers' address is held while callers are turned away

Cause: the address was listened on, closed, and listened on again when a plan was known; in between another process could take a free port. Change: the socket is bound and not listened on until then: connections are refused, and nobody else can take the address.

--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -81,7 +81,7 @@
 	Metrics  *Metrics
 	// Listen opens the listener once Ready holds; an entry box that knows nothing
 	// yet would only refuse what another one could answer.
-	Listen func(ctx context.Context) (net.Listener, error)
+	Listen func() (net.Listener, error)
 	Ready  func() bool
 	// Opened is called when callers are answered.
 	Opened func()
@@ -127,7 +127,7 @@
 		case <-changed:
 		}
 	}
-	listener, err := options.Listen(ctx)
+	listener, err := options.Listen()
 	if err != nil {
 		return err
 	}
--- a/internal/daemon/callers_test.go
+++ b/internal/daemon/callers_test.go
@@ -154,3 +154,25 @@
 	require.Equal(t, http.StatusBadGateway, response.StatusCode)
 	require.Equal(t, "unknown", response.Header.Get(headerOutcome))
 }
+
+func TestReservedAddressIsTakenButRefusesUntilItIsListenedOn(t *testing.T) {
+	for _, address := range []string{"127.0.0.1:0", "[::1]:0"} {
+		reserved, err := reserve(address)
+		if err != nil && strings.HasPrefix(address, "[") {
+			t.Logf("no IPv6 here: %v", err)
+			continue
+		}
+		require.NoError(t, err)
+		_, err = reserve(reserved.address)
+		require.Error(t, err, "nobody else can take it")
+		_, err = net.Dial("tcp", reserved.address)
+		require.ErrorContains(t, err, "refused")
+		listener, err := reserved.listen()
+		require.NoError(t, err)
+		require.Equal(t, reserved.address, listener.Addr().String())
+		conn, err := net.Dial("tcp", reserved.address)
+		require.NoError(t, err)
+		require.NoError(t, conn.Close())
+		require.NoError(t, listener.Close())
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -65,7 +65,7 @@
 	overlay  *Overlay
 	gate     *Gate
 
-	callers   string
+	callers   *reservation
 	operators net.Listener
 	peersAt   net.Listener
 	mux       *drpcmux.Mux
@@ -158,7 +158,12 @@
 }
 
 // CallersAddress returns where callers are answered; empty on an agent.
-func (p *Process) CallersAddress() string { return p.callers }
+func (p *Process) CallersAddress() string {
+	if p.callers == nil {
+		return ""
+	}
+	return p.callers.address
+}
 
 // OperatorsAddress returns where operators are answered.
 func (p *Process) OperatorsAddress() string { return listenerAddress(p.operators) }
--- a/internal/daemon/harness_test.go
+++ b/internal/daemon/harness_test.go
@@ -96,8 +96,8 @@
 func always() bool { return true }
 
 // listening gives a listener that is open already.
-func listening(listener net.Listener) func(context.Context) (net.Listener, error) {
-	return func(context.Context) (net.Listener, error) { return listener, nil }
+func listening(listener net.Listener) func() (net.Listener, error) {
+	return func() (net.Listener, error) { return listener, nil }
 }
 
 // testPlatform is a key-value service and a weight source that a test can break.
--- a/internal/daemon/steps.go
+++ b/internal/daemon/steps.go
@@ -68,22 +68,14 @@
 		return fmt.Errorf("listening for operators: %w", err)
 	}
 	if p.settings.Role == settings.RoleEntry {
-		return p.reserveCallers(ctx, &config)
+		// Callers are turned away until the process is ready.
+		if p.callers, err = reserve(p.settings.Listen.Callers); err != nil {
+			return fmt.Errorf("reserving the callers' address: %w", err)
+		}
 	}
 	return nil
 }
 
-// reserveCallers learns the callers' address and that it is free. The listener is
-// closed again, so that callers are turned away until the process is ready.
-func (p *Process) reserveCallers(ctx context.Context, config *net.ListenConfig) error {
-	listener, err := config.Listen(ctx, "tcp", p.settings.Listen.Callers)
-	if err != nil {
-		return fmt.Errorf("listening for callers: %w", err)
-	}
-	p.callers = listener.Addr().String()
-	return listener.Close()
-}
-
 // peersStep makes the connections to other processes.
 type peersStep struct{ everyRole }
 
@@ -373,13 +365,10 @@
 		return err
 	}
 	return p.kernel.Register(NewCallers(CallersOptions{
-		Listen: func(ctx context.Context) (net.Listener, error) {
-			var config net.ListenConfig
-			return config.Listen(ctx, "tcp", p.callers)
-		},
-		Ready: func() bool { return view.Head().Epoch != 0 },
+		Listen: p.callers.listen,
+		Ready:  func() bool { return view.Head().Epoch != 0 },
 		Opened: func() {
-			p.heart.Update(func(record *member.Record) { record.Callers = member.Address(p.callers) })
+			p.heart.Update(func(record *member.Record) { record.Callers = member.Address(p.callers.address) })
 		},
 		Settings: p.settings.Requests, Region: member.Region(p.settings.Region), View: view, Peers: p.peers,
 		Clock: p.options.Clock, Log: p.options.Log, Metrics: p.metrics,
