refactor: work out the order of drawers once, and drop what nothing uses

Cause: read once more as a whole: every heartbeat's answer made a copy in progress rank all drawers anew, though they had not changed. Five fields were read by nobody, a change of a box's copies went through a function argument and a pointer at once, and the key of the table stood twice. Change: the drawers are ranked when their hash differs from the picker's; the unused fields are gone; setting and removing a copy share one step; the dev cluster uses the daemon's constant for the table's key.

--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -17,8 +17,8 @@
 	"github.com/cinderslip/cinderslip/pkg/table"
 )
 
-// tableKey is the key of the table in the key-value service.
-const tableKey = "cinderslip/table"
+// TableKey is the key of the table in the key-value service.
+const TableKey = "cinderslip/table"
 
 // ErrUndecided reports an edit of which it is not known yet whether it was
 // accepted. The same edit id settles it later.
@@ -116,7 +116,7 @@
 		}
 		watchCtx, cancel := context.WithTimeout(ctx, watchTimeout)
 		c.metrics.keyValueCalls.WithLabelValues("watch").Inc()
-		err := c.kv.Watch(watchCtx, tableKey, after)
+		err := c.kv.Watch(watchCtx, TableKey, after)
 		cancel()
 		if err != nil {
 			continue
@@ -132,7 +132,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	c.metrics.keyValueCalls.WithLabelValues("get").Inc()
-	entry, err := c.kv.Get(callCtx, tableKey)
+	entry, err := c.kv.Get(callCtx, TableKey)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -217,7 +217,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	c.metrics.keyValueCalls.WithLabelValues("swap").Inc()
-	_, swapped, err := c.kv.Swap(callCtx, tableKey, value, revision, 0)
+	_, swapped, err := c.kv.Swap(callCtx, TableKey, value, revision, 0)
 	return swapped, err
 }
 
--- a/internal/daemon/copier.go
+++ b/internal/daemon/copier.go
@@ -380,19 +380,19 @@
 		Model: job.weights.Model, Version: job.weights.Version, Manifest: job.weights.Manifest,
 		Phase: phase, Chunks: chunks, Total: total, Waits: waits,
 	}
-	c.changeCopies(job, func(copies []member.Copy) []member.Copy { return append(copies, next) }, &next)
+	if slices.Contains(c.options.Heart.Record().Copies, next) {
+		return
+	}
+	c.options.Heart.Update(func(record *member.Record) {
+		record.Copies = append(copiesWithout(record.Copies, job), next)
+	})
 }
 
 func (c *Copier) removeCopy(job *copyJob) {
-	c.changeCopies(job, func(copies []member.Copy) []member.Copy { return copies }, nil)
+	c.options.Heart.Update(func(record *member.Record) { record.Copies = copiesWithout(record.Copies, job) })
 }
 
-func (c *Copier) changeCopies(job *copyJob, add func([]member.Copy) []member.Copy, next *member.Copy) {
-	same := func(held member.Copy) bool { return held.Manifest == job.weights.Manifest }
-	if next != nil && slices.Contains(c.options.Heart.Record().Copies, *next) {
-		return
-	}
-	c.options.Heart.Update(func(record *member.Record) {
-		record.Copies = add(slices.DeleteFunc(slices.Clone(record.Copies), same))
-	})
+// copiesWithout leaves the given copies as they are: earlier records share them.
+func copiesWithout(copies []member.Copy, job *copyJob) []member.Copy {
+	return slices.DeleteFunc(slices.Clone(copies), func(held member.Copy) bool { return held.Manifest == job.weights.Manifest })
 }
--- a/internal/daemon/fetch.go
+++ b/internal/daemon/fetch.go
@@ -40,6 +40,8 @@
 	holdings chan holdingsResult
 	asked    map[string]bool
 	told     int
+	// drawerHash names the drawers that the picker has.
+	drawerHash uint64
 }
 
 type fetchResult struct {
@@ -88,7 +90,6 @@
 		case <-f.job.updated:
 			f.adoptSwarm()
 		case <-ticker.Chan():
-			f.adoptSwarm()
 			f.askHoldings(ctx)
 		}
 	}
@@ -99,13 +100,15 @@
 	return holdingsInterval * time.Duration(max(holdingsChunks, chunks)) / holdingsChunks
 }
 
+// adoptSwarm takes over what monitors have told. The order of drawers is worked
+// out only when they have changed: every heartbeat names the neighbours anew.
 func (f *fetch) adoptSwarm() {
 	f.job.mu.Lock()
 	defer f.job.mu.Unlock()
 	f.picker.SetNeighbours(f.job.neighbours)
-	if f.job.swarmed && len(f.job.drawers) > 0 {
+	if len(f.job.drawers) > 0 && f.job.drawerHash != f.drawerHash {
+		f.drawerHash = f.job.drawerHash
 		f.picker.SetDrawers(f.job.drawers)
-		f.job.swarmed = false
 	}
 }
 
--- a/internal/daemon/view.go
+++ b/internal/daemon/view.go
@@ -35,7 +35,6 @@
 // View is the replicated items read into the form that decisions need. One duty
 // follows the store; what changes is applied item by item.
 type View struct {
-	region member.Region
 	store  *state.Store
 	log    zerolog.Logger
 	router *route.Router
@@ -65,7 +64,7 @@
 // NewView follows a store and keeps a router for callers of a region.
 func NewView(store *state.Store, region member.Region, log zerolog.Logger) *View {
 	v := &View{
-		region: region, store: store, log: log,
+		store: store, log: log,
 		router:   route.NewRouter(region),
 		duties:   kernel.NewDuties(),
 		members:  make(map[member.BoxID]member.Record),
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -85,22 +85,21 @@
 
 // Cluster is the running example.
 type Cluster struct {
-	options   Options
-	servers   []*http.Server
-	entries   []*daemon.Process
-	agents    []*daemon.Process
-	platform  settings.Platform
-	kv        *standin.KeyValue
-	origin    *standin.Registry
-	store     *standin.Registry
-	list      *standin.BoxList
-	published chan struct{}
+	options  Options
+	servers  []*http.Server
+	entries  []*daemon.Process
+	agents   []*daemon.Process
+	platform settings.Platform
+	kv       *standin.KeyValue
+	origin   *standin.Registry
+	store    *standin.Registry
+	list     *standin.BoxList
 }
 
 // Start starts the stand-ins and the roles and waits until the example table is
 // live, at most readyLimit.
 func Start(options Options) (*Cluster, error) {
-	c := &Cluster{options: options, published: make(chan struct{})}
+	c := &Cluster{options: options}
 	if err := errors.Join(c.startPlatform(), c.writeTable()); err != nil {
 		return nil, errors.Join(err, c.Stop(context.Background()))
 	}
@@ -191,7 +190,7 @@
 	defer cancel()
 	kv := platform.NewKeyValue(c.platform.KeyValue, http.DefaultClient)
 	for {
-		held, err := kv.Get(ctx, "cinderslip/table")
+		held, err := kv.Get(ctx, daemon.TableKey)
 		if err != nil {
 			return fmt.Errorf("reading the table: %w", err)
 		}
@@ -210,7 +209,7 @@
 		if err := json.NewEncoder(&value).Encode(next); err != nil {
 			return fmt.Errorf("encoding the table: %w", err)
 		}
-		_, swapped, err := kv.Swap(ctx, "cinderslip/table", value.Bytes(), held.Revision, 0)
+		_, swapped, err := kv.Swap(ctx, daemon.TableKey, value.Bytes(), held.Revision, 0)
 		if err != nil || swapped {
 			return err
 		}
@@ -317,7 +316,6 @@
 
 // publishLocal publishes the real directory, then adds a row for it.
 func (c *Cluster) publishLocal() {
-	defer close(c.published)
 	if c.options.WeightsDir == "" {
 		return
 	}
--- a/pkg/plan/plan.go
+++ b/pkg/plan/plan.go
@@ -185,7 +185,7 @@
 	demands := make([]Demand, 0, len(p.rows))
 	for _, row := range p.rows {
 		demands = append(demands, Demand{
-			Key: row.Key(), Weight: row.Weight, Floor: row.Floor, Ceiling: row.Ceiling, Wanted: 1,
+			Weight: row.Weight, Floor: row.Floor, Ceiling: row.Ceiling, Wanted: 1,
 		})
 	}
 	return Shares(demands)
--- a/pkg/plan/shares.go
+++ b/pkg/plan/shares.go
@@ -3,13 +3,10 @@
 import (
 	"math"
 	"slices"
-
-	"github.com/cinderslip/cinderslip/pkg/table"
 )
 
 // Demand is one row's claim on its model's pool.
 type Demand struct {
-	Key     table.Key
 	Weight  float64
 	Floor   float64
 	Ceiling float64
--- a/pkg/route/router.go
+++ b/pkg/route/router.go
@@ -35,11 +35,9 @@
 
 // Target is a box that may get requests.
 type Target struct {
-	Box           member.BoxID
-	Address       member.Address
-	Incarnation   member.Incarnation
-	FailureDomain member.FailureDomain
-	Region        member.Region
+	Box         member.BoxID
+	Address     member.Address
+	Incarnation member.Incarnation
 	// Far is set for boxes of another region; they are used only when no
 	// near one is left.
 	Far bool
@@ -191,7 +189,7 @@
 	}
 	return &Target{
 		Box: record.Box, Address: record.Peers, Incarnation: record.Incarnation,
-		FailureDomain: record.FailureDomain, Region: record.Region, Far: record.Region != r.region,
+		Far:      record.Region != r.region,
 		silenced: make(chan struct{}),
 	}
 }
