refactor: the seams to the platform are package provider

Cause: the folder platform/ at the root is to hold the adapter to the users' platform, and two packages of one name would confuse a reader. Change: internal/platform is internal/provider; no behaviour changes.

--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -12,7 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cinderslip/cinderslip/internal/kernel"
-	"github.com/cinderslip/cinderslip/internal/platform"
+	"github.com/cinderslip/cinderslip/internal/provider"
 	"github.com/cinderslip/cinderslip/pkg/state"
 	"github.com/cinderslip/cinderslip/pkg/table"
 )
@@ -43,8 +43,8 @@
 // Configuration brings the table from the key-value service into the replicated
 // items, and makes edits.
 type Configuration struct {
-	kv      platform.KeyValue
-	sources []platform.WeightSource
+	kv      provider.KeyValue
+	sources []provider.WeightSource
 	replica *Replica
 	clock   clockwork.Clock
 	log     zerolog.Logger
@@ -52,18 +52,18 @@
 	isRelay func() bool
 	duties  *kernel.Duties
 	wake    chan struct{}
-	watched chan platform.Revision
+	watched chan provider.Revision
 }
 
 // NewConfiguration starts to follow the table while isRelay holds.
-func NewConfiguration(kv platform.KeyValue, sources []platform.WeightSource, replica *Replica,
+func NewConfiguration(kv provider.KeyValue, sources []provider.WeightSource, replica *Replica,
 	clock clockwork.Clock, log zerolog.Logger, metrics *Metrics, isRelay func() bool,
 ) *Configuration {
 	c := &Configuration{
 		kv: kv, sources: sources, replica: replica, clock: clock, log: log, metrics: metrics, isRelay: isRelay,
 		duties:  kernel.NewDuties(),
 		wake:    make(chan struct{}, 1),
-		watched: make(chan platform.Revision, 1),
+		watched: make(chan provider.Revision, 1),
 	}
 	c.duties.Go(c.read)
 	c.duties.Go(c.watch)
@@ -108,7 +108,7 @@
 // watch waits for the next change after what was read last.
 func (c *Configuration) watch(ctx context.Context) {
 	for {
-		var after platform.Revision
+		var after provider.Revision
 		select {
 		case <-ctx.Done():
 			return
@@ -128,7 +128,7 @@
 	}
 }
 
-func (c *Configuration) load(ctx context.Context) (*table.Table, platform.Revision, error) {
+func (c *Configuration) load(ctx context.Context) (*table.Table, provider.Revision, error) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	c.metrics.keyValueCalls.WithLabelValues("get").Inc()
@@ -174,7 +174,7 @@
 
 // Edit makes an edit and returns the table that holds it. Errors wrap
 // *table.ConflictError, table.Findings, table.ErrBaseAhead, ErrUndecided or
-// platform.ErrUnavailable; with all but ErrUndecided nothing was changed.
+// provider.ErrUnavailable; with all but ErrUndecided nothing was changed.
 func (c *Configuration) Edit(ctx context.Context, edit table.Edit) (*table.Table, error) {
 	for range swapTries {
 		held, revision, err := c.load(ctx)
@@ -193,7 +193,7 @@
 			return nil, err
 		}
 		swapped, err := c.swap(ctx, next, revision)
-		if errors.Is(err, platform.ErrUncertain) {
+		if errors.Is(err, provider.ErrUncertain) {
 			return c.settle(ctx, edit.ID, err)
 		}
 		if err != nil {
@@ -206,10 +206,10 @@
 			return next, nil
 		}
 	}
-	return nil, fmt.Errorf("other edits kept coming first: %w", platform.ErrUnavailable)
+	return nil, fmt.Errorf("other edits kept coming first: %w", provider.ErrUnavailable)
 }
 
-func (c *Configuration) swap(ctx context.Context, next *table.Table, revision platform.Revision) (bool, error) {
+func (c *Configuration) swap(ctx context.Context, next *table.Table, revision provider.Revision) (bool, error) {
 	value, err := json.Marshal(next)
 	if err != nil {
 		return false, eris.Wrap(err, "encoding the table")
@@ -276,7 +276,7 @@
 		}
 		rows = append(rows, row)
 		versions, err := c.Versions(ctx, row.Model)
-		if errors.Is(err, platform.ErrNotPublished) {
+		if errors.Is(err, provider.ErrNotPublished) {
 			continue
 		}
 		if err != nil {
@@ -291,9 +291,9 @@
 }
 
 // Versions lists the published versions of a model, from the first source that
-// answers. Errors wrap platform.ErrNotPublished or platform.ErrUnavailable.
+// answers. Errors wrap provider.ErrNotPublished or provider.ErrUnavailable.
 func (c *Configuration) Versions(ctx context.Context, model table.Model) ([]table.ModelVersion, error) {
-	return fromSources(c.sources, func(source platform.WeightSource) ([]table.ModelVersion, error) {
+	return fromSources(c.sources, func(source provider.WeightSource) ([]table.ModelVersion, error) {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 		return source.Versions(callCtx, model)
@@ -302,15 +302,15 @@
 
 // fromSources asks each source in turn. If none has the answer, the error of one
 // that may have it goes before that of one that surely has not.
-func fromSources[T any](sources []platform.WeightSource, ask func(platform.WeightSource) (T, error)) (T, error) {
+func fromSources[T any](sources []provider.WeightSource, ask func(provider.WeightSource) (T, error)) (T, error) {
 	var zero T
-	problem := platform.ErrNotPublished
+	problem := provider.ErrNotPublished
 	for _, source := range sources {
 		answer, err := ask(source)
 		if err == nil {
 			return answer, nil
 		}
-		if !errors.Is(err, platform.ErrNotPublished) {
+		if !errors.Is(err, provider.ErrNotPublished) {
 			problem = err
 		}
 	}
--- a/internal/daemon/configuration_test.go
+++ b/internal/daemon/configuration_test.go
@@ -8,14 +8,14 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
-	"github.com/cinderslip/cinderslip/internal/platform"
+	"github.com/cinderslip/cinderslip/internal/provider"
 	"github.com/cinderslip/cinderslip/internal/standin"
 	"github.com/cinderslip/cinderslip/pkg/table"
 )
 
 func newTestConfiguration(t *testing.T, p *testPlatform, n *node) *Configuration {
 	t.Helper()
-	c := NewConfiguration(p.seam, []platform.WeightSource{p.source}, n.replica, clockwork.NewRealClock(), quiet(), NewMetrics(), always)
+	c := NewConfiguration(p.seam, []provider.WeightSource{p.source}, n.replica, clockwork.NewRealClock(), quiet(), NewMetrics(), always)
 	t.Cleanup(func() { stopService(t, c) })
 	return c
 }
@@ -93,7 +93,7 @@
 	p, _, c := configured(t)
 	p.kv.SetFault(func(string) standin.Fault { return standin.Fault{Status: http.StatusServiceUnavailable} })
 	_, err := c.Edit(t.Context(), rowEdit("down", 1, table.ColumnWeight, "5"))
-	require.ErrorIs(t, err, platform.ErrUnavailable)
+	require.ErrorIs(t, err, provider.ErrUnavailable)
 	require.NotErrorIs(t, err, ErrUndecided)
 	p.kv.SetFault(nil)
 	_, found, err := c.Find(t.Context(), "down")
--- a/internal/daemon/copier.go
+++ b/internal/daemon/copier.go
@@ -11,7 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cinderslip/cinderslip/internal/kernel"
-	"github.com/cinderslip/cinderslip/internal/platform"
+	"github.com/cinderslip/cinderslip/internal/provider"
 	"github.com/cinderslip/cinderslip/internal/wire"
 	"github.com/cinderslip/cinderslip/pkg/member"
 	"github.com/cinderslip/cinderslip/pkg/plan"
@@ -28,8 +28,8 @@
 	Self    member.BoxID
 	Peers   *Peers
 	Store   *weights.MemoryStore
-	Sources []platform.WeightSource
-	Engine  platform.Engine
+	Sources []provider.WeightSource
+	Engine  provider.Engine
 	Gate    *Gate
 	Heart   *Heart
 	Clock   clockwork.Clock
@@ -60,7 +60,7 @@
 	cancel  context.CancelFunc
 	done    chan struct{}
 	// fence is the newest plan that wants the version.
-	fence platform.Fence
+	fence provider.Fence
 
 	mu         sync.Mutex
 	neighbours []weights.Peer
@@ -151,7 +151,7 @@
 }
 
 func (c *Copier) adopt(ctx context.Context, next assigned) {
-	fence := platform.Fence{Epoch: next.version.Major, Sequence: next.version.Minor}
+	fence := provider.Fence{Epoch: next.version.Major, Sequence: next.version.Minor}
 	wanted := make(map[weights.Digest]bool)
 	for _, w := range next.Weights {
 		wanted[w.Manifest] = true
@@ -185,7 +185,7 @@
 	delete(c.dropping, manifest)
 }
 
-func (c *Copier) want(ctx context.Context, w plan.Weights, fence platform.Fence) {
+func (c *Copier) want(ctx context.Context, w plan.Weights, fence provider.Fence) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if job, running := c.copies[w.Manifest]; running {
@@ -302,7 +302,7 @@
 	j.fetching = fetching
 }
 
-func (j *copyJob) currentFence() platform.Fence {
+func (j *copyJob) currentFence() provider.Fence {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	return j.fence
@@ -314,7 +314,7 @@
 	if err != nil {
 		return false, err
 	}
-	return slices.ContainsFunc(current.Loaded, func(l platform.LoadedVersion) bool {
+	return slices.ContainsFunc(current.Loaded, func(l provider.LoadedVersion) bool {
 		return l.Model == job.weights.Model && l.Version == job.weights.Version && l.Manifest == job.weights.Manifest
 	}), nil
 }
@@ -330,8 +330,8 @@
 			return err
 		}
 	}
-	return c.options.Engine.Order(ctx, platform.Order{
-		Kind: platform.OrderLoad, Model: job.weights.Model, Version: job.weights.Version, Manifest: manifest.Digest(),
+	return c.options.Engine.Order(ctx, provider.Order{
+		Kind: provider.OrderLoad, Model: job.weights.Model, Version: job.weights.Version, Manifest: manifest.Digest(),
 		Chunks: len(manifest.Chunks), Whole: manifest.Whole, Fence: job.currentFence(),
 	})
 }
@@ -347,7 +347,7 @@
 
 // drop takes a version out: no new requests, those in progress end, then the
 // engine unloads it.
-func (c *Copier) drop(ctx context.Context, job *copyJob, fence platform.Fence) {
+func (c *Copier) drop(ctx context.Context, job *copyJob, fence provider.Fence) {
 	job.cancel()
 	<-job.done
 	c.removeCopy(job)
@@ -355,11 +355,11 @@
 		return
 	}
 	for ctx.Err() == nil {
-		err := c.options.Engine.Order(ctx, platform.Order{
-			Kind: platform.OrderUnload, Model: job.weights.Model, Version: job.weights.Version,
+		err := c.options.Engine.Order(ctx, provider.Order{
+			Kind: provider.OrderUnload, Model: job.weights.Model, Version: job.weights.Version,
 			Manifest: job.weights.Manifest, Fence: fence,
 		})
-		if err == nil || errors.Is(err, platform.ErrFenced) {
+		if err == nil || errors.Is(err, provider.ErrFenced) {
 			break
 		}
 		c.options.Log.Warn().Err(err).Msg("unload is held up")
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -41,7 +41,7 @@
 	"storj.io/drpc/drpcmux"
 
 	"github.com/cinderslip/cinderslip/internal/kernel"
-	"github.com/cinderslip/cinderslip/internal/platform"
+	"github.com/cinderslip/cinderslip/internal/provider"
 	"github.com/cinderslip/cinderslip/internal/settings"
 	"github.com/cinderslip/cinderslip/pkg/member"
 	"github.com/cinderslip/cinderslip/pkg/route"
@@ -189,10 +189,10 @@
 
 // sources are asked in order: the weight store first, because bytes drawn from
 // the origin are the ones that are scarce.
-func (p *Process) sources() []platform.WeightSource {
-	return []platform.WeightSource{
-		platform.NewWeightSource("weight-store", p.settings.Platform.WeightStore, p.client),
-		platform.NewWeightSource("origin", p.settings.Platform.Origin, p.client),
+func (p *Process) sources() []provider.WeightSource {
+	return []provider.WeightSource{
+		provider.NewWeightSource("weight-store", p.settings.Platform.WeightStore, p.client),
+		provider.NewWeightSource("origin", p.settings.Platform.Origin, p.client),
 	}
 }
 
--- a/internal/daemon/fetch.go
+++ b/internal/daemon/fetch.go
@@ -7,7 +7,7 @@
 	"io"
 	"time"
 
-	"github.com/cinderslip/cinderslip/internal/platform"
+	"github.com/cinderslip/cinderslip/internal/provider"
 	"github.com/cinderslip/cinderslip/internal/wire"
 	"github.com/cinderslip/cinderslip/pkg/member"
 	"github.com/cinderslip/cinderslip/pkg/weights"
@@ -160,7 +160,7 @@
 		return "digest"
 	case errors.Is(err, errStalled):
 		return "stalled"
-	case errors.Is(err, platform.ErrLimited):
+	case errors.Is(err, provider.ErrLimited):
 		return "limited"
 	case errors.Is(err, errDial):
 		return "unreachable"
@@ -194,7 +194,7 @@
 	defer cancel()
 	chunk := f.manifest.Chunks[index]
 	file := f.manifest.Files[chunk.File]
-	return fromSources(f.copier.options.Sources, func(source platform.WeightSource) ([]byte, error) {
+	return fromSources(f.copier.options.Sources, func(source provider.WeightSource) ([]byte, error) {
 		return source.Range(callCtx, f.job.weights.Model, file.Blob, chunk.Offset, chunk.Size)
 	})
 }
--- a/internal/daemon/fetch_test.go
+++ b/internal/daemon/fetch_test.go
@@ -14,7 +14,7 @@
 	"github.com/stretchr/testify/require"
 	"storj.io/drpc/drpcmux"
 
-	"github.com/cinderslip/cinderslip/internal/platform"
+	"github.com/cinderslip/cinderslip/internal/provider"
 	"github.com/cinderslip/cinderslip/internal/standin"
 	"github.com/cinderslip/cinderslip/internal/wire"
 	"github.com/cinderslip/cinderslip/pkg/member"
@@ -56,8 +56,8 @@
 	f.heart = heartOf(t, clock, agentRecord("self"), func() []member.Address { return nil })
 	f.gate = NewGate("", nil, nil, f.heart.Record, clock, quiet(), f.metrics)
 	f.copier = NewCopier(CopierOptions{
-		Self: "self", Peers: newTestPeers(t), Store: f.store, Sources: []platform.WeightSource{f.platform.source},
-		Engine: platform.NewEngine(serveHTTP(t, f.engine), f.platform.client), Gate: f.gate, Heart: f.heart,
+		Self: "self", Peers: newTestPeers(t), Store: f.store, Sources: []provider.WeightSource{f.platform.source},
+		Engine: provider.NewEngine(serveHTTP(t, f.engine), f.platform.client), Gate: f.gate, Heart: f.heart,
 		Clock: clock, Log: quiet(), Metrics: f.metrics,
 		Picker: weights.PickerOptions{Window: 2, DrawWindow: 4, DrawWait: 50 * time.Millisecond, Strikes: 3},
 	})
@@ -151,7 +151,7 @@
 	eventually(t, f.isLive, "the version is live")
 	orders := f.engine.Orders()
 	require.Len(t, orders, 1)
-	require.Equal(t, platform.Fence{Epoch: 1, Sequence: 3}, orders[0].Fence)
+	require.Equal(t, provider.Fence{Epoch: 1, Sequence: 3}, orders[0].Fence)
 	require.Equal(t, f.manifest.Whole, orders[0].Whole)
 	_, refusal, _ := f.gate.enter(&wire.RequestHead{
 		RequestId: "r", Attempt: "r/1", Service: "kakiwake", Version: "v1", Incarnation: uint64(f.heart.Record().Incarnation),
@@ -242,7 +242,7 @@
 	f.assign(2, weights.Digest{})
 	eventually(t, func() bool { return f.store.Used() == 0 && len(f.heart.Record().Copies) == 0 }, "nothing of it is left")
 	for _, order := range f.engine.Orders() {
-		require.NotEqual(t, platform.OrderLoad, order.Kind)
+		require.NotEqual(t, provider.OrderLoad, order.Kind)
 	}
 }
 
@@ -275,12 +275,12 @@
 func TestOlderOrdersAreRefusedByTheEngine(t *testing.T) {
 	f := newFetching(t, 1<<20)
 	engine := f.copier.options.Engine
-	newer := platform.Order{Kind: platform.OrderUnload, Model: "kakiwake", Version: "v1", Fence: platform.Fence{Epoch: 5, Sequence: 2}}
+	newer := provider.Order{Kind: provider.OrderUnload, Model: "kakiwake", Version: "v1", Fence: provider.Fence{Epoch: 5, Sequence: 2}}
 	require.NoError(t, engine.Order(t.Context(), newer))
-	for _, fence := range []platform.Fence{{Epoch: 4, Sequence: 9}, {Epoch: 5, Sequence: 1}} {
+	for _, fence := range []provider.Fence{{Epoch: 4, Sequence: 9}, {Epoch: 5, Sequence: 1}} {
 		older := newer
 		older.Fence = fence
-		require.ErrorIs(t, engine.Order(t.Context(), older), platform.ErrFenced)
+		require.ErrorIs(t, engine.Order(t.Context(), older), provider.ErrFenced)
 	}
 }
 
@@ -306,7 +306,7 @@
 	eventually(t, func() bool {
 		f.swarm(t, nil, "self")
 		orders := f.engine.Orders()
-		return f.isLive() && len(orders) == 3 && orders[2].Kind == platform.OrderLoad
+		return f.isLive() && len(orders) == 3 && orders[2].Kind == provider.OrderLoad
 	}, "it is unloaded, then loaded and live")
 	current, err := f.copier.options.Engine.State(t.Context())
 	require.NoError(t, err)
--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -15,7 +15,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 
-	"github.com/cinderslip/cinderslip/internal/platform"
+	"github.com/cinderslip/cinderslip/internal/provider"
 	"github.com/cinderslip/cinderslip/internal/wire"
 	"github.com/cinderslip/cinderslip/pkg/member"
 	"github.com/cinderslip/cinderslip/pkg/route"
@@ -327,7 +327,7 @@
 	request.Header.Set(headerRequestID, head.RequestId)
 	request.Header.Set(headerGroup, head.Group)
 	if head.Version != "" {
-		request.Header.Set(platform.HeaderEngineVersion, head.Version)
+		request.Header.Set(provider.HeaderEngineVersion, head.Version)
 	}
 	return request, nil
 }
--- a/internal/daemon/harness_test.go
+++ b/internal/daemon/harness_test.go
@@ -15,7 +15,7 @@
 	"go.uber.org/goleak"
 	"storj.io/drpc/drpcmux"
 
-	"github.com/cinderslip/cinderslip/internal/platform"
+	"github.com/cinderslip/cinderslip/internal/provider"
 	"github.com/cinderslip/cinderslip/internal/standin"
 	"github.com/cinderslip/cinderslip/pkg/member"
 	"github.com/cinderslip/cinderslip/pkg/state"
@@ -105,8 +105,8 @@
 	kv       *standin.KeyValue
 	registry *standin.Registry
 	client   *http.Client
-	seam     platform.KeyValue
-	source   platform.WeightSource
+	seam     provider.KeyValue
+	source   provider.WeightSource
 }
 
 func newTestPlatform(t *testing.T) *testPlatform {
@@ -114,8 +114,8 @@
 	clock := clockwork.NewRealClock()
 	p := &testPlatform{kv: standin.NewKeyValue(clock), registry: standin.NewRegistry(clock, 64<<20), client: &http.Client{Transport: &http.Transport{}}}
 	t.Cleanup(p.client.CloseIdleConnections)
-	p.seam = platform.NewKeyValue(serveHTTP(t, p.kv), p.client)
-	p.source = platform.NewWeightSource("origin", serveHTTP(t, p.registry), p.client)
+	p.seam = provider.NewKeyValue(serveHTTP(t, p.kv), p.client)
+	p.source = provider.NewWeightSource("origin", serveHTTP(t, p.registry), p.client)
 	return p
 }
 
--- a/internal/daemon/lister.go
+++ b/internal/daemon/lister.go
@@ -10,7 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cinderslip/cinderslip/internal/kernel"
-	"github.com/cinderslip/cinderslip/internal/platform"
+	"github.com/cinderslip/cinderslip/internal/provider"
 	"github.com/cinderslip/cinderslip/pkg/member"
 	"github.com/cinderslip/cinderslip/pkg/state"
 )
@@ -30,7 +30,7 @@
 // is listed as leaving gets no new work, even if it has not said so itself; a
 // silent box that is no longer listed is forgotten.
 type Lister struct {
-	list    platform.BoxList
+	list    provider.BoxList
 	view    *View
 	replica *Replica
 	clock   clockwork.Clock
@@ -44,7 +44,7 @@
 }
 
 // NewLister reads the list once, then goes on reading it while isRelay holds.
-func NewLister(list platform.BoxList, view *View, replica *Replica, clock clockwork.Clock, log zerolog.Logger, isRelay func() bool) *Lister {
+func NewLister(list provider.BoxList, view *View, replica *Replica, clock clockwork.Clock, log zerolog.Logger, isRelay func() bool) *Lister {
 	l := &Lister{
 		list: list, view: view, replica: replica, clock: clock, log: log, isRelay: isRelay,
 		duties: kernel.NewDuties(), absent: make(map[member.BoxID]int),
@@ -90,10 +90,10 @@
 	var entries []member.Address
 	for _, box := range listed {
 		present[box.Box] = true
-		if box.Role == member.RoleEntry && box.State == platform.ListedLive {
+		if box.Role == member.RoleEntry && box.State == provider.ListedLive {
 			entries = append(entries, box.Peers)
 		}
-		if box.State == platform.ListedLeaving {
+		if box.State == provider.ListedLeaving {
 			l.hintLeaving(box.Box)
 		}
 	}
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -19,7 +19,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cinderslip/cinderslip/internal/kernel"
-	"github.com/cinderslip/cinderslip/internal/platform"
+	"github.com/cinderslip/cinderslip/internal/provider"
 	"github.com/cinderslip/cinderslip/pkg/member"
 	"github.com/cinderslip/cinderslip/pkg/plan"
 	"github.com/cinderslip/cinderslip/pkg/table"
@@ -201,7 +201,7 @@
 	case errors.Is(err, ErrUndecided):
 		problem.Status, problem.Title = http.StatusGatewayTimeout, "Edit undecided"
 		problem.Reason = "undecided"
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrLimited):
+	case errors.Is(err, provider.ErrUnavailable), errors.Is(err, provider.ErrLimited):
 		problem.Status, problem.Title = http.StatusServiceUnavailable, "Nothing was changed"
 	default:
 		problem.Status = http.StatusInternalServerError
--- a/internal/daemon/planner.go
+++ b/internal/daemon/planner.go
@@ -12,7 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cinderslip/cinderslip/internal/kernel"
-	"github.com/cinderslip/cinderslip/internal/platform"
+	"github.com/cinderslip/cinderslip/internal/provider"
 	"github.com/cinderslip/cinderslip/pkg/member"
 	"github.com/cinderslip/cinderslip/pkg/plan"
 	"github.com/cinderslip/cinderslip/pkg/state"
@@ -56,8 +56,8 @@
 // to its successor, which swaps the head first of all.
 type Planner struct {
 	self    member.BoxID
-	kv      platform.KeyValue
-	sources []platform.WeightSource
+	kv      provider.KeyValue
+	sources []provider.WeightSource
 	view    *View
 	replica *Replica
 	clock   clockwork.Clock
@@ -77,7 +77,7 @@
 }
 
 // NewPlanner starts to compete for the lease while isRelay holds.
-func NewPlanner(self member.BoxID, kv platform.KeyValue, sources []platform.WeightSource, view *View, replica *Replica,
+func NewPlanner(self member.BoxID, kv provider.KeyValue, sources []provider.WeightSource, view *View, replica *Replica,
 	clock clockwork.Clock, log zerolog.Logger, metrics *Metrics, isRelay func() bool, heartbeat time.Duration,
 ) *Planner {
 	p := &Planner{
--- a/internal/daemon/planner_test.go
+++ b/internal/daemon/planner_test.go
@@ -9,7 +9,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
-	"github.com/cinderslip/cinderslip/internal/platform"
+	"github.com/cinderslip/cinderslip/internal/provider"
 	"github.com/cinderslip/cinderslip/internal/standin"
 	"github.com/cinderslip/cinderslip/pkg/member"
 	"github.com/cinderslip/cinderslip/pkg/plan"
@@ -19,7 +19,7 @@
 
 func newTestPlanner(t *testing.T, p *testPlatform, n *node, box member.BoxID, isRelay func() bool) *Planner {
 	t.Helper()
-	planner := NewPlanner(box, p.seam, []platform.WeightSource{p.source}, n.view, n.replica,
+	planner := NewPlanner(box, p.seam, []provider.WeightSource{p.source}, n.view, n.replica,
 		clockwork.NewRealClock(), quiet(), NewMetrics(), isRelay, 10*time.Millisecond)
 	t.Cleanup(func() { stopService(t, planner) })
 	return planner
@@ -93,8 +93,8 @@
 
 func TestPlannerGivesUpWhenItCannotRenew(t *testing.T) {
 	clock := clockwork.NewFakeClock()
-	planner := &Planner{clock: clock, metrics: NewMetrics(), kv: platform.KeyValue{
-		KeepAlive: func(context.Context, platform.LeaseID) error { return platform.ErrUnavailable },
+	planner := &Planner{clock: clock, metrics: NewMetrics(), kv: provider.KeyValue{
+		KeepAlive: func(context.Context, provider.LeaseID) error { return provider.ErrUnavailable },
 	}}
 	ended := make(chan error, 1)
 	go func() { ended <- planner.renew(t.Context(), 1, clock.Now()) }()
@@ -103,7 +103,7 @@
 		clock.Advance(plannerRenew)
 		select {
 		case err := <-ended:
-			require.ErrorIs(t, err, platform.ErrLeaseLost)
+			require.ErrorIs(t, err, provider.ErrLeaseLost)
 			return
 		case <-time.After(20 * time.Millisecond):
 		}
--- a/internal/daemon/steps.go
+++ b/internal/daemon/steps.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/cinderslip/cinderslip/internal/kernel"
-	"github.com/cinderslip/cinderslip/internal/platform"
+	"github.com/cinderslip/cinderslip/internal/provider"
 	"github.com/cinderslip/cinderslip/internal/settings"
 	"github.com/cinderslip/cinderslip/internal/wire"
 	"github.com/cinderslip/cinderslip/pkg/member"
@@ -181,8 +181,8 @@
 	if err := wire.DRPCRegisterMonitor(p.mux, monitor); err != nil {
 		return err
 	}
-	kv := platform.NewKeyValue(p.settings.Platform.KeyValue, p.client)
-	list := platform.NewBoxList(p.settings.Platform.BoxList, p.client)
+	kv := provider.NewKeyValue(p.settings.Platform.KeyValue, p.client)
+	list := provider.NewBoxList(p.settings.Platform.BoxList, p.client)
 	for _, service := range []kernel.Service{
 		monitor,
 		NewConfiguration(kv, p.sources(), replica, clock, log, p.metrics, isRelay),
@@ -293,7 +293,7 @@
 	}
 	copier := NewCopier(CopierOptions{
 		Self: member.BoxID(p.settings.Box), Peers: p.peers, Store: store, Sources: p.sources(),
-		Engine: platform.NewEngine(engine, p.client), Gate: p.gate, Heart: p.heart,
+		Engine: provider.NewEngine(engine, p.client), Gate: p.gate, Heart: p.heart,
 		Clock: p.options.Clock, Log: p.options.Log, Metrics: p.metrics, Picker: picker,
 	})
 	return p.kernel.Register(copier)
--- a/internal/daemon/tenure.go
+++ b/internal/daemon/tenure.go
@@ -7,18 +7,18 @@
 	"fmt"
 	"time"
 
-	"github.com/cinderslip/cinderslip/internal/platform"
+	"github.com/cinderslip/cinderslip/internal/provider"
 	"github.com/cinderslip/cinderslip/pkg/plan"
 )
 
 // tenure is one time of holding the lease.
 type tenure struct {
 	epoch    uint64
-	lease    platform.LeaseID
+	lease    provider.LeaseID
 	sequence uint64
 	// headRevision is that of the head in the key-value service, which the next
 	// swap expects.
-	headRevision platform.Revision
+	headRevision provider.Revision
 	// computed is how long the last plan took to compute.
 	computed time.Duration
 	// lost gets the reason when the lease can no longer be counted on.
@@ -117,7 +117,7 @@
 
 // renew keeps the lease, counting its time from when a renewal was sent. A
 // renewal that is answered late still counts, as long as the lease lasts.
-func (p *Planner) renew(ctx context.Context, lease platform.LeaseID, renewed time.Time) error {
+func (p *Planner) renew(ctx context.Context, lease provider.LeaseID, renewed time.Time) error {
 	for {
 		select {
 		case <-ctx.Done():
@@ -132,11 +132,11 @@
 		switch {
 		case err == nil:
 			renewed = sent
-		case errors.Is(err, platform.ErrLeaseLost):
+		case errors.Is(err, provider.ErrLeaseLost):
 			return err
 		}
 		if p.clock.Since(renewed) > plannerLease {
-			return platform.ErrLeaseLost
+			return provider.ErrLeaseLost
 		}
 	}
 }
--- a/internal/daemon/versions.go
+++ b/internal/daemon/versions.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"github.com/cinderslip/cinderslip/internal/platform"
+	"github.com/cinderslip/cinderslip/internal/provider"
 	"github.com/cinderslip/cinderslip/pkg/member"
 	"github.com/cinderslip/cinderslip/pkg/table"
 	"github.com/cinderslip/cinderslip/pkg/weights"
@@ -58,8 +58,8 @@
 	}
 }
 
-func readManifest(ctx context.Context, sources []platform.WeightSource, model table.Model, version table.ModelVersion) ([]byte, error) {
-	return fromSources(sources, func(source platform.WeightSource) ([]byte, error) {
+func readManifest(ctx context.Context, sources []provider.WeightSource, model table.Model, version table.ModelVersion) ([]byte, error) {
+	return fromSources(sources, func(source provider.WeightSource) ([]byte, error) {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 		return source.Manifest(callCtx, model, version)
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -27,7 +27,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cinderslip/cinderslip/internal/daemon"
-	"github.com/cinderslip/cinderslip/internal/platform"
+	"github.com/cinderslip/cinderslip/internal/provider"
 	"github.com/cinderslip/cinderslip/internal/settings"
 	"github.com/cinderslip/cinderslip/internal/standin"
 	"github.com/cinderslip/cinderslip/pkg/member"
@@ -188,7 +188,7 @@
 func (c *Cluster) edit(edit table.Edit) error {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	kv := platform.NewKeyValue(c.platform.KeyValue, http.DefaultClient)
+	kv := provider.NewKeyValue(c.platform.KeyValue, http.DefaultClient)
 	for {
 		held, err := kv.Get(ctx, daemon.TableKey)
 		if err != nil {
@@ -296,10 +296,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("starting %s: %w", s.Box, err)
 	}
-	c.list.Set(platform.ListedBox{
+	c.list.Set(provider.ListedBox{
 		Box: member.BoxID(s.Box), Role: role, Region: member.Region(s.Region),
 		FailureDomain: member.FailureDomain(s.FailureDomain),
-		Peers:         member.Address(process.PeersAddress()), State: platform.ListedLive,
+		Peers:         member.Address(process.PeersAddress()), State: provider.ListedLive,
 	})
 	return process, nil
 }
--- a/internal/platform/engine.go
+++ b/internal/provider/engine.go
@@ -1,4 +1,4 @@
-package platform
+package provider
 
 import (
 	"bytes"
--- a/internal/platform/keyvalue.go
+++ b/internal/provider/keyvalue.go
@@ -1,4 +1,4 @@
-// Package platform holds the seams to what the platform provides: the key-value
+// Package provider holds the seams to what the platform provides: the key-value
 // service, the weight store and origin, the box list and the model engines.
 //
 // Each seam is a struct of function fields, so that a test replaces one call and
@@ -12,10 +12,10 @@
 //
 // # Usage
 //
-//	kv := platform.NewKeyValue("http://127.0.0.1:2379", http.DefaultClient)
+//	kv := provider.NewKeyValue("http://127.0.0.1:2379", http.DefaultClient)
 //	entry, err := kv.Get(ctx, "cinderslip/table")
 //	revision, swapped, err := kv.Swap(ctx, "cinderslip/table", value, entry.Revision, 0)
-package platform
+package provider
 
 import (
 	"bytes"
--- a/internal/scenario/world_test.go
+++ b/internal/scenario/world_test.go
@@ -19,7 +19,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/rogpeppe/go-internal/testscript"
 
-	"github.com/cinderslip/cinderslip/internal/platform"
+	"github.com/cinderslip/cinderslip/internal/provider"
 	"github.com/cinderslip/cinderslip/internal/standin"
 	"github.com/cinderslip/cinderslip/pkg/member"
 )
@@ -280,7 +280,7 @@
 	}
 	switch args[0] {
 	case "leaving":
-		w.listBox(args[1], platform.ListedLeaving)
+		w.listBox(args[1], provider.ListedLeaving)
 	case "gone":
 		w.list.Remove(args[1])
 	default:
@@ -288,13 +288,13 @@
 	}
 }
 
-func (w *world) listBox(name string, state platform.ListedState) {
+func (w *world) listBox(name string, state provider.ListedState) {
 	p := w.processes[name]
 	role := member.RoleAgent
 	if p.callers != "" {
 		role = member.RoleEntry
 	}
-	w.list.Set(platform.ListedBox{
+	w.list.Set(provider.ListedBox{
 		Box: member.BoxID(name), Role: role, Region: "kita", FailureDomain: "kita-a",
 		Peers: member.Address(p.peers), State: state,
 	})
@@ -345,7 +345,7 @@
 	ts.Check(os.WriteFile(file, []byte(config), 0o600))
 	w.start(ts, name, file)
 	w.order = append(w.order, name)
-	w.listBox(name, platform.ListedLive)
+	w.listBox(name, provider.ListedLive)
 	if running := w.entries(); len(running) > 0 {
 		ts.Setenv("CINDERSLIP_SERVER", running[0].operators)
 	}
--- a/internal/standin/boxlist.go
+++ b/internal/standin/boxlist.go
@@ -7,7 +7,7 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"github.com/cinderslip/cinderslip/internal/platform"
+	"github.com/cinderslip/cinderslip/internal/provider"
 )
 
 // BoxList is a stand-in of the platform's list of boxes. What is set shows up
@@ -24,7 +24,7 @@
 
 type listChange struct {
 	at    time.Time
-	box   platform.ListedBox
+	box   provider.ListedBox
 	gone  bool
 	named string
 }
@@ -40,7 +40,7 @@
 func (l *BoxList) ServeHTTP(w http.ResponseWriter, r *http.Request) { l.handler.ServeHTTP(w, r) }
 
 // Set adds a box or changes what the list says of it.
-func (l *BoxList) Set(box platform.ListedBox) {
+func (l *BoxList) Set(box provider.ListedBox) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.changes = append(l.changes, listChange{at: l.clock.Now(), box: box, named: string(box.Box)})
@@ -57,7 +57,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	seen := l.clock.Now().Add(-l.lag)
-	boxes := make(map[string]platform.ListedBox)
+	boxes := make(map[string]provider.ListedBox)
 	var order []string
 	for _, change := range l.changes {
 		if change.at.After(seen) {
@@ -71,7 +71,7 @@
 			delete(boxes, change.named)
 		}
 	}
-	groups := []platform.TargetGroup{}
+	groups := []provider.TargetGroup{}
 	for _, name := range order {
 		if box, listed := boxes[name]; listed {
 			groups = append(groups, targetGroup(box))
@@ -82,15 +82,15 @@
 	writeJSON(w, groups)
 }
 
-func targetGroup(box platform.ListedBox) platform.TargetGroup {
-	return platform.TargetGroup{
+func targetGroup(box provider.ListedBox) provider.TargetGroup {
+	return provider.TargetGroup{
 		Targets: []string{string(box.Peers)},
 		Labels: map[string]string{
-			platform.LabelBox:           string(box.Box),
-			platform.LabelRole:          string(box.Role),
-			platform.LabelRegion:        string(box.Region),
-			platform.LabelFailureDomain: string(box.FailureDomain),
-			platform.LabelState:         string(box.State),
+			provider.LabelBox:           string(box.Box),
+			provider.LabelRole:          string(box.Role),
+			provider.LabelRegion:        string(box.Region),
+			provider.LabelFailureDomain: string(box.FailureDomain),
+			provider.LabelState:         string(box.State),
 		},
 	}
 }
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -13,7 +13,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/zeebo/blake3"
 
-	"github.com/cinderslip/cinderslip/internal/platform"
+	"github.com/cinderslip/cinderslip/internal/provider"
 	"github.com/cinderslip/cinderslip/pkg/weights"
 )
 
@@ -27,12 +27,12 @@
 	options EngineOptions
 
 	mu      sync.Mutex
-	fence   platform.Fence
+	fence   provider.Fence
 	staging map[string]map[int][]byte
-	loaded  map[string]platform.LoadedVersion
+	loaded  map[string]provider.LoadedVersion
 	running int
 	started map[string]int
-	orders  []platform.Order
+	orders  []provider.Order
 }
 
 // EngineOptions sets how an engine behaves.
@@ -52,7 +52,7 @@
 	e := &Engine{
 		clock: clock, options: options,
 		staging: make(map[string]map[int][]byte),
-		loaded:  make(map[string]platform.LoadedVersion),
+		loaded:  make(map[string]provider.LoadedVersion),
 		started: make(map[string]int),
 	}
 	mux := http.NewServeMux()
@@ -79,10 +79,10 @@
 }
 
 // Orders returns the orders obeyed so far.
-func (e *Engine) Orders() []platform.Order {
+func (e *Engine) Orders() []provider.Order {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return append([]platform.Order(nil), e.orders...)
+	return append([]provider.Order(nil), e.orders...)
 }
 
 // Forget drops everything that is loaded, as a restart of the engine does. Its
@@ -116,7 +116,7 @@
 }
 
 func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
-	var order platform.Order
+	var order provider.Order
 	if !decode(w, r, &order) {
 		return
 	}
@@ -138,9 +138,9 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-func (e *Engine) obey(order platform.Order) error {
+func (e *Engine) obey(order provider.Order) error {
 	key := string(order.Model) + "/" + string(order.Version)
-	if order.Kind == platform.OrderUnload {
+	if order.Kind == provider.OrderUnload {
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		delete(e.loaded, key)
@@ -157,14 +157,14 @@
 	if _, already := e.loaded[key]; !already && len(e.loaded) >= e.options.Slots {
 		return fmt.Errorf("all %d slots are taken", e.options.Slots)
 	}
-	e.loaded[key] = platform.LoadedVersion{Model: order.Model, Version: order.Version, Manifest: order.Manifest}
+	e.loaded[key] = provider.LoadedVersion{Model: order.Model, Version: order.Version, Manifest: order.Manifest}
 	delete(e.staging, order.Manifest.String())
 	e.orders = append(e.orders, order)
 	return nil
 }
 
 // checkStaged makes sure that no partial or mixed copy is loaded.
-func (e *Engine) checkStaged(order platform.Order) error {
+func (e *Engine) checkStaged(order provider.Order) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	chunks := e.staging[order.Manifest.String()]
@@ -186,7 +186,7 @@
 
 func (e *Engine) serveState(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
-	state := platform.EngineState{Running: e.running}
+	state := provider.EngineState{Running: e.running}
 	for _, loaded := range e.loaded {
 		state.Loaded = append(state.Loaded, loaded)
 	}
@@ -210,7 +210,7 @@
 	if !decode(w, r, &request) {
 		return
 	}
-	version := r.Header.Get(platform.HeaderEngineVersion)
+	version := r.Header.Get(provider.HeaderEngineVersion)
 	e.mu.Lock()
 	loaded, ok := e.loaded[request.Model+"/"+version]
 	if ok {
@@ -230,7 +230,7 @@
 	e.stream(w, r, request, loaded)
 }
 
-func (e *Engine) stream(w http.ResponseWriter, r *http.Request, request Completion, loaded platform.LoadedVersion) {
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, request Completion, loaded provider.LoadedVersion) {
 	words := answerWords(request, loaded, e.options.Tokens)
 	w.Header().Set("Content-Type", "text/event-stream")
 	controller := http.NewResponseController(w)
@@ -248,7 +248,7 @@
 	_, _ = io.WriteString(w, "data: [DONE]\n\n")
 }
 
-func answerWords(request Completion, loaded platform.LoadedVersion, tokens int) []string {
+func answerWords(request Completion, loaded provider.LoadedVersion, tokens int) []string {
 	if request.MaxTokens > 0 {
 		tokens = request.MaxTokens
 	}
@@ -263,7 +263,7 @@
 	return words[:tokens]
 }
 
-func completionChunk(word string, loaded platform.LoadedVersion) []byte {
+func completionChunk(word string, loaded provider.LoadedVersion) []byte {
 	type delta struct {
 		Content string `json:"content"`
 	}
--- a/internal/standin/registry.go
+++ b/internal/standin/registry.go
@@ -18,7 +18,7 @@
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/time/rate"
 
-	"github.com/cinderslip/cinderslip/internal/platform"
+	"github.com/cinderslip/cinderslip/internal/provider"
 	"github.com/cinderslip/cinderslip/pkg/weights"
 )
 
@@ -89,7 +89,7 @@
 func (r *Registry) Publish(model, version string, files []NamedFile, chunkSize int64) (*weights.Manifest, error) {
 	blobs := make(map[string]blob)
 	sources := make([]weights.Source, 0, len(files))
-	layers := make([]platform.OCIDescriptor, 0, len(files))
+	layers := make([]provider.OCIDescriptor, 0, len(files))
 	for _, file := range files {
 		digest, size, err := blobDigest(file)
 		if err != nil {
@@ -97,7 +97,7 @@
 		}
 		blobs[digest] = blob{data: file.Content, path: file.Path}
 		sources = append(sources, weights.Source{Path: file.Name, Blob: digest, Open: file.open})
-		layers = append(layers, platform.OCIDescriptor{MediaType: "application/octet-stream", Digest: digest, Size: size})
+		layers = append(layers, provider.OCIDescriptor{MediaType: "application/octet-stream", Digest: digest, Size: size})
 	}
 	manifest, content, err := weights.Build(model, version, sources, chunkSize)
 	if err != nil {
@@ -106,13 +106,13 @@
 	sum := sha256.Sum256(content)
 	config := "sha256:" + hex.EncodeToString(sum[:])
 	blobs[config] = blob{data: content}
-	return manifest, r.add(model, version, layers, platform.OCIDescriptor{
-		MediaType: platform.MediaTypeChunks, Digest: config, Size: int64(len(content)),
+	return manifest, r.add(model, version, layers, provider.OCIDescriptor{
+		MediaType: provider.MediaTypeChunks, Digest: config, Size: int64(len(content)),
 	}, blobs)
 }
 
-func (r *Registry) add(model, version string, layers []platform.OCIDescriptor, config platform.OCIDescriptor, blobs map[string]blob) error {
-	tag, err := json.Marshal(platform.OCIManifest{
+func (r *Registry) add(model, version string, layers []provider.OCIDescriptor, config provider.OCIDescriptor, blobs map[string]blob) error {
+	tag, err := json.Marshal(provider.OCIManifest{
 		SchemaVersion: 2, MediaType: "application/vnd.oci.image.manifest.v1+json", Config: config, Layers: layers,
 	})
 	if err != nil {
@@ -166,7 +166,7 @@
 func (r *Registry) serveTags(w http.ResponseWriter, request *http.Request) {
 	r.mu.Lock()
 	repo, ok := r.repos[request.PathValue("name")]
-	tags := platform.OCITags{Name: request.PathValue("name")}
+	tags := provider.OCITags{Name: request.PathValue("name")}
 	if ok {
 		for tag := range repo.tags {
 			tags.Tags = append(tags.Tags, tag)
