--- /dev/null
+++ b/cmd/cinderslipd/direct.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+
+	"github.com/cinderslip/cinderslip/internal/daemon"
+	"github.com/cinderslip/cinderslip/internal/direct"
+	"github.com/cinderslip/cinderslip/internal/settings"
+	"github.com/cinderslip/cinderslip/internal/upstream"
+	"github.com/cinderslip/cinderslip/pkg/member"
+	"github.com/cinderslip/cinderslip/platform"
+)
+
+// heapPart is the part of the memory limit that the Go runtime keeps to; the
+// rest is for the kernel's buffers and for stacks.
+const heapPart = 0.6
+
+// runDirect runs one role in direct mode until a signal.
+func runDirect(path string, loaded *settings.Settings, stdout io.Writer) int {
+	debug.SetMemoryLimit(int64(heapPart * float64(loaded.Direct.MemoryLimit)))
+	clock := clockwork.NewRealClock()
+	log := daemon.NewLogger(stdout, loaded.Log.Level, clock)
+	stop := stopSignal()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	addresses := platform.Addresses{Store: member.Address(loaded.Direct.Store), Server: member.Address(loaded.Direct.Server)}
+	process, err := direct.Start(loaded, direct.Options{Clock: clock, Log: log, Platform: platform.New(addresses, platformClient())})
+	if err != nil {
+		log.Error().Err(err).Msg("cannot start")
+		return exitFailed
+	}
+	log.Info().Str("role", string(loaded.Role)).Str("box", loaded.Box).Str("region", loaded.Region).Msg("started")
+	for stop.Err() == nil {
+		select {
+		case <-stop.Done():
+		case <-reload:
+			reloadSettings(path, process, log)
+		}
+	}
+	signal.Stop(reload)
+	signal.Ignore(syscall.SIGHUP)
+	if err := process.Stop(context.Background()); err != nil {
+		log.Warn().Err(err).Msg("stop was not clean")
+		return exitFailed
+	}
+	log.Info().Msg("stopped")
+	return exitDone
+}
+
+// reloadSettings reads the settings again. Wrong ones change nothing.
+func reloadSettings(path string, process *direct.Process, log zerolog.Logger) {
+	changed, findings := settings.Load(path)
+	if len(findings) > 0 {
+		log.Error().Err(findings).Msg("changed settings not taken")
+		return
+	}
+	process.Reload(changed)
+}
+
+const (
+	// platformDial bounds connecting to a service of the platform.
+	platformDial = 500 * time.Millisecond
+	// platformProbe is the interval of keep-alive probes; a service that falls
+	// silent is noticed after platformProbes of them.
+	platformProbe  = time.Second
+	platformProbes = 2
+	// platformConnections bounds the unused connections kept to one service.
+	platformConnections = 4
+	// platformIdle is how long they are kept.
+	platformIdle = 10 * time.Second
+)
+
+// platformClient returns the client for the platform's services.
+func platformClient() *http.Client {
+	dialer := &net.Dialer{
+		Timeout: platformDial, Control: upstream.SetSilenceTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: platformProbe, Interval: platformProbe, Count: platformProbes},
+	}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, DisableCompression: true,
+		MaxIdleConnsPerHost: platformConnections, IdleConnTimeout: platformIdle,
+	}}
+}
--- a/cmd/cinderslipd/run.go
+++ b/cmd/cinderslipd/run.go
@@ -105,6 +105,9 @@
 		_, _ = fmt.Fprintf(stdout, "%s: no findings\n", given.Config)
 		return exitDone
 	}
+	if loaded.Mode == settings.ModeDirect {
+		return runDirect(given.Config, loaded, stdout)
+	}
 	clock := clockwork.NewRealClock()
 	log := daemon.NewLogger(stderr, loaded.Log.Level, clock)
 	stop := stopSignal()
--- /dev/null
+++ b/internal/direct/attempt.go
@@ -0,0 +1,390 @@
+package direct
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cinderslip/cinderslip/internal/provider"
+	"github.com/cinderslip/cinderslip/internal/upstream"
+	"github.com/cinderslip/cinderslip/pkg/fleet"
+	"github.com/cinderslip/cinderslip/pkg/route"
+)
+
+const (
+	// streamPatience is how long a stream's next event is waited for before the
+	// stream goes on at another server. Steps of a full batch take a tenth of
+	// it; callers give up after a multiple of it.
+	streamPatience = 800 * time.Millisecond
+	// firstPatience is the same for the first event, which waits for the prompts
+	// that are read before it.
+	firstPatience = 1200 * time.Millisecond
+	// repeatablePart is the part of the remaining time that the first attempt of
+	// a repeatable request gets.
+	repeatablePart = 0.5
+	// refusedWait is when a caller should return whose server refused.
+	refusedWait = 100 * time.Millisecond
+)
+
+// outcome is what became of one attempt.
+type outcome int
+
+const (
+	// outcomeDone is an answer that was passed on whole.
+	outcomeDone outcome = iota
+	// outcomeNotRun is an attempt that surely did not run.
+	outcomeNotRun
+	// outcomeUnknown is an attempt that may have run and gave no answer.
+	outcomeUnknown
+	// outcomeBroken is a stream that broke off after some events.
+	outcomeBroken
+	// outcomeCut is an answer that broke off and can't go on.
+	outcomeCut
+	// outcomeGone is a caller that left.
+	outcomeGone
+)
+
+// run makes attempts until the request has an outcome.
+func (f *Front) run(x *exchange) {
+	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline)
+	defer cancel()
+	budget := f.budget(x.service)
+	budget.Request(f.clock.Now())
+	var tried []fleet.ServerID
+	var mayHaveRun, last error
+	for x.attempts < x.route.MaxAttempts {
+		if x.attempts > 0 && !budget.Retry(f.retryExtra(), f.clock.Now()) {
+			last = errors.New("retry budget is spent")
+			break
+		}
+		place, err := f.acquire(ctx, x, tried)
+		if err != nil {
+			last = err
+			break
+		}
+		tried = append(tried, place.Server.ID)
+		result, err := f.attempt(ctx, x, place)
+		switch result {
+		case outcomeDone:
+			f.finish(x, "answered").Str("server", string(place.Server.ID)).Msg("request answered")
+			return
+		case outcomeGone:
+			f.finish(x, "left").Str("server", string(place.Server.ID)).Msg("caller left")
+			return
+		case outcomeCut:
+			f.abort(x, err)
+		case outcomeNotRun:
+			last = err
+		case outcomeUnknown, outcomeBroken:
+			mayHaveRun = err
+			if !x.route.Repeatable() {
+				f.conclude(ctx, x, mayHaveRun, last)
+				return
+			}
+		}
+	}
+	f.conclude(ctx, x, mayHaveRun, last)
+}
+
+// abort breaks the caller's connection off, so that it sees that the answer is
+// not whole.
+func (f *Front) abort(x *exchange, cause error) {
+	f.finish(x, "cut").Err(cause).Msg("answer cut")
+	panic(http.ErrAbortHandler)
+}
+
+// conclude gives the final answer of a request that no attempt has answered.
+func (f *Front) conclude(ctx context.Context, x *exchange, mayHaveRun, last error) {
+	switch {
+	case x.begun:
+		f.abort(x, errors.Join(mayHaveRun, last))
+	case x.request.Context().Err() != nil:
+		f.finish(x, "left").AnErr("cause", last).Msg("caller left")
+	case mayHaveRun != nil:
+		status := http.StatusBadGateway
+		if ctx.Err() != nil {
+			status = http.StatusGatewayTimeout
+		}
+		f.fail(x, status, mayHaveRun)
+	default:
+		f.refuseAfter(x, last)
+	}
+}
+
+// refuseAfter refuses a request that surely has not run.
+func (f *Front) refuseAfter(x *exchange, cause error) {
+	var busy *route.BusyError
+	wait, reason := refusedWait, "not-run"
+	switch {
+	case errors.As(cause, &busy):
+		wait, reason = busy.RetryAfter, "busy"
+	case errors.Is(cause, route.ErrNoServer):
+		wait, reason = f.noServerWait(x), "no-server"
+	}
+	f.log.Debug().Str("request", x.ID).AnErr("cause", cause).Msg("refusing")
+	f.refuse(x, reason, wait)
+}
+
+// noServerWait is when a caller should return to a service that has no server: as
+// late as callers may be told to, a third of what remains.
+func (f *Front) noServerWait(x *exchange) time.Duration {
+	return max(refusedWait, x.deadline.Sub(f.clock.Now())/3)
+}
+
+// retryExtra is this box's part of the retries that all entry boxes may make
+// beyond the ratio.
+func (f *Front) retryExtra() float64 {
+	boxes := 1
+	if f.entries != nil {
+		boxes += len(f.entries.Boxes())
+	}
+	return float64(f.retries.extra) / float64(boxes) * retrySafety
+}
+
+// retrySafety is the part of the common retry budget that is used: boxes that
+// come and go count each other late.
+const retrySafety = 0.7
+
+// acquire waits for a place on a server.
+func (f *Front) acquire(ctx context.Context, x *exchange, tried []fleet.ServerID) (*route.Reservation, error) {
+	now := f.clock.Now()
+	ask := &route.Ask{
+		Priority: f.priority(x), Arrived: x.arrived, Deadline: x.deadline, Returning: x.returning || x.begun,
+		StartBy: x.arrived.Add(x.route.Objective - f.expectedFirst(x)), Tried: tried,
+	}
+	if x.attempts > 0 {
+		// A second attempt has waited enough.
+		ask.StartBy = now
+		ask.Returning = true
+	}
+	return f.dispatcher(x.service).Acquire(ctx, ask, f.clock.Now)
+}
+
+// priority is the organisation's, else the route's.
+func (f *Front) priority(x *exchange) int {
+	if x.organisation != nil && x.organisation.Priority != nil {
+		return *x.organisation.Priority
+	}
+	return x.route.Priority
+}
+
+// expectedFirst is about how long a server takes to the first byte.
+func (f *Front) expectedFirst(x *exchange) time.Duration {
+	service := f.facts.View().Service(x.service)
+	if service == nil || service.Engine == nil {
+		return x.route.Objective / 2
+	}
+	engine := service.Engine
+	pass := time.Duration(engine.Stride) * (engine.Step + time.Duration(engine.Slots)*engine.StepPerRequest)
+	read := time.Duration(float64(x.PromptTokens) / engine.ReadPerSecond * float64(time.Second))
+	// Half a pass until it is taken in, one in which it is read beside others, and
+	// one for the first event.
+	return min(x.route.Objective*2/3, pass/2+read+2*pass)
+}
+
+// attempt sends the request to one server and passes its answer on.
+func (f *Front) attempt(ctx context.Context, x *exchange, place *route.Reservation) (outcome, error) {
+	now := f.clock.Now()
+	if now.After(x.deadline) {
+		place.Release(route.ResultAbandoned, now)
+		return outcomeNotRun, context.DeadlineExceeded
+	}
+	answer, err := f.pool.Send(ctx, f.outbound(x, place, now))
+	if err != nil {
+		return f.sendFailed(ctx, x, place, err)
+	}
+	x.attempts++
+	mark := f.protocol.ReadAnswer(answer.Response)
+	if mark.NotRun {
+		answer.Discard()
+		result := route.ResultRefused
+		if mark.OtherServer {
+			result = route.ResultUnreachable
+		}
+		f.ended(x, place, result, errRefused)
+		return outcomeNotRun, errRefused
+	}
+	defer answer.Close()
+	switch {
+	case answer.StatusCode < 300 && !mark.Signed || answer.Header.Get("Content-Encoding") != "":
+		f.ended(x, place, route.ResultFailed, errUnsigned)
+		return outcomeUnknown, errUnsigned
+	case answer.StatusCode >= 500 && f.mayRepeat(x):
+		f.ended(x, place, route.ResultFailed, errServerFailed)
+		return outcomeUnknown, errServerFailed
+	case x.begun && answer.StatusCode != http.StatusOK:
+		f.ended(x, place, route.ResultFailed, errServerFailed)
+		return outcomeBroken, errServerFailed
+	}
+	if x.route.Kind == fleet.KindStream && strings.HasPrefix(answer.Header.Get("Content-Type"), "text/event-stream") {
+		return f.passStream(ctx, x, place, answer)
+	}
+	return f.passWhole(ctx, x, place, answer)
+}
+
+// The errors of attempts.
+var (
+	errRefused      = errors.New("server refused the request without running it")
+	errUnsigned     = errors.New("answer is not signed or is encoded")
+	errServerFailed = errors.New("server failed the request")
+)
+
+// mayRepeat reports whether another attempt may follow one that may have run.
+func (f *Front) mayRepeat(x *exchange) bool {
+	return x.route.Repeatable() && x.attempts < x.route.MaxAttempts && f.clock.Now().Before(x.deadline)
+}
+
+// outbound makes the request for one server.
+func (f *Front) outbound(x *exchange, place *route.Reservation, now time.Time) *upstream.Request {
+	header := x.request.Header.Clone()
+	removeConnectionHeaders(header)
+	out := provider.Outbound{
+		Server: place.Server.ID, Deadline: x.deadline.Sub(now), LastEvent: x.lastEvent, Priority: -1,
+	}
+	if x.organisation != nil {
+		out.Organisation = x.organisation.Name
+	}
+	request := &upstream.Request{
+		Address: place.Server.Address, ID: x.ID, Method: x.request.Method, Target: x.request.RequestURI, Host: x.request.Host,
+		Header: header, Body: x.body,
+	}
+	if service := f.facts.View().Service(x.service); service != nil && service.Engine != nil && len(service.Engine.Models) > 0 {
+		out.Priority = f.priority(x)
+		out.Version = f.required(f.facts.View().Wanted(service.Engine.Models[0]), now)
+	}
+	f.protocol.WriteRequest(header, out)
+	if x.route.Repeatable() && x.attempts+1 < x.route.MaxAttempts {
+		request.FirstByte = time.Duration(repeatablePart * float64(x.deadline.Sub(now)))
+		if x.route.Kind == fleet.KindStream {
+			request.FirstByte = min(request.FirstByte, firstPatience)
+		}
+	}
+	return request
+}
+
+// connectionHeaders concern one connection and are not passed on (RFC 9110,
+// section 7.6.1).
+var connectionHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding",
+	"Upgrade", "Proxy-Connection", "Content-Length", "Expect",
+}
+
+func removeConnectionHeaders(header http.Header) {
+	for _, value := range header["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			header.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range connectionHeaders {
+		header.Del(name)
+	}
+}
+
+// sendFailed tells what became of an attempt without an answer.
+func (f *Front) sendFailed(ctx context.Context, x *exchange, place *route.Reservation, err error) (outcome, error) {
+	if x.request.Context().Err() != nil {
+		f.ended(x, place, route.ResultAbandoned, err)
+		return outcomeGone, err
+	}
+	if !upstream.MayHaveRun(err) {
+		f.ended(x, place, route.ResultUnreachable, err)
+		f.pool.Forget(place.Server.Address)
+		if ctx.Err() == nil {
+			// No byte went out, so this was no attempt; but it must not go on
+			// without end.
+			x.attempts++
+		}
+		return outcomeNotRun, err
+	}
+	x.attempts++
+	f.ended(x, place, route.ResultFailed, err)
+	return outcomeUnknown, err
+}
+
+// ended releases the place and notes the attempt.
+func (f *Front) ended(x *exchange, place *route.Reservation, result route.Result, err error) {
+	now := f.clock.Now()
+	held := place.Held(now)
+	place.Release(result, now)
+	f.metrics.attempts.WithLabelValues(string(x.service), result.String()).Inc()
+	if result != route.ResultDone {
+		f.log.Info().Str("request", x.ID).Str("server", string(place.Server.ID)).Str("address", string(place.Server.Address)).
+			Uint64("weights", uint64(place.Version)).Str("result", result.String()).Dur("held_ms", held).
+			Str("last_event", x.lastEvent).Err(err).Msg("attempt ended")
+	}
+}
+
+// passHead passes the status and the headers of an answer on.
+func (f *Front) passHead(x *exchange, answer *upstream.Answer) {
+	header := x.writer.Header()
+	skip := answer.Header.Values("Connection")
+	for name, values := range answer.Header {
+		if name == "Content-Length" || !slices.Contains(connectionHeaders, name) && !slices.Contains(skip, name) {
+			header[name] = values
+		}
+	}
+	if f.leaving.Load() {
+		header.Set("Connection", "close")
+	}
+	x.writer.WriteHeader(answer.StatusCode)
+	x.begun = true
+	f.metrics.firstEvent.WithLabelValues(x.route.Name).Observe(f.clock.Since(x.arrived).Seconds())
+}
+
+// wholeBuffer is the size up to which an answer is read before it is passed on,
+// in bytes; one that breaks off before its end can then still be repeated.
+const wholeBuffer = 64 << 10
+
+// passWhole passes on an answer that is not a stream of events.
+func (f *Front) passWhole(ctx context.Context, x *exchange, place *route.Reservation, answer *upstream.Answer) (outcome, error) {
+	place.Started()
+	buffer := make([]byte, 0, min(wholeBuffer, max(512, int(answer.ContentLength)+1)))
+	var err error
+	for err == nil && len(buffer) < wholeBuffer {
+		if len(buffer) == cap(buffer) {
+			buffer = slices.Grow(buffer, len(buffer))
+		}
+		var n int
+		n, err = answer.Read(buffer[len(buffer):cap(buffer)])
+		buffer = buffer[:len(buffer)+n]
+	}
+	if err != nil && !errors.Is(err, io.EOF) {
+		return f.bodyFailed(ctx, x, place, err)
+	}
+	f.passHead(x, answer)
+	if _, problem := x.writer.Write(buffer); problem != nil {
+		f.ended(x, place, route.ResultAbandoned, problem)
+		return outcomeGone, problem
+	}
+	if err == nil {
+		if _, err = io.Copy(x.writer, answer); err != nil {
+			f.ended(x, place, route.ResultFailed, err)
+			return outcomeCut, err
+		}
+	}
+	f.ended(x, place, resultOf(answer), nil)
+	return outcomeDone, nil
+}
+
+// resultOf is how an answer that was passed on counts for its server.
+func resultOf(answer *upstream.Answer) route.Result {
+	if answer.StatusCode >= 500 {
+		return route.ResultFailed
+	}
+	return route.ResultDone
+}
+
+// bodyFailed tells what became of an answer that broke off before any of it was
+// passed on.
+func (f *Front) bodyFailed(_ context.Context, x *exchange, place *route.Reservation, err error) (outcome, error) {
+	if x.request.Context().Err() != nil {
+		f.ended(x, place, route.ResultAbandoned, err)
+		return outcomeGone, err
+	}
+	f.ended(x, place, route.ResultFailed, err)
+	return outcomeUnknown, err
+}
--- /dev/null
+++ b/internal/direct/direct.go
@@ -0,0 +1,162 @@
+// Package direct holds the services of processes in direct mode, in which entry
+// boxes connect straight to the backend servers of a platform.
+//
+// # Entry box
+//
+//	facts      what the platform's store and other entry boxes tell
+//	peers      follows the other entry boxes: who is there, what they have in flight
+//	servers    follows the agents: what each backend server has loaded and runs
+//	front      answers callers
+//	directory  tells callers which entry boxes to use, and the platform if this one is ready
+//
+// # Agent
+//
+//	facts      follows an entry box
+//	loader     brings the wanted weights to the backend server of the box
+//	status     reads the backend server's state for the entry boxes
+//
+// Nothing here knows the platform's names: they are in provider.Direct, which the
+// program fills.
+//
+// # Usage
+//
+//	process, err := direct.Start(loaded, direct.Options{Clock: clock, Log: log, Platform: platform})
+//	...
+//	err = process.Stop(ctx)
+package direct
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+	"storj.io/drpc/drpcmux"
+
+	"github.com/cinderslip/cinderslip/internal/daemon"
+	"github.com/cinderslip/cinderslip/internal/kernel"
+	"github.com/cinderslip/cinderslip/internal/provider"
+	"github.com/cinderslip/cinderslip/internal/settings"
+	"github.com/cinderslip/cinderslip/internal/upstream"
+	"github.com/cinderslip/cinderslip/pkg/member"
+)
+
+// Options are what a process gets from outside its settings.
+type Options struct {
+	Clock    clockwork.Clock
+	Log      zerolog.Logger
+	Platform provider.Direct
+}
+
+// Process is one running role.
+type Process struct {
+	kernel   *kernel.Kernel
+	settings *settings.Settings
+	options  Options
+	metrics  *Metrics
+	mux      *drpcmux.Mux
+	peers    *daemon.Peers
+	facts    *Facts
+	front    *Front
+	status   *Status
+}
+
+// step starts one part of a process.
+type step struct {
+	name string
+	run  func(p *Process) error
+}
+
+// The steps of each role, in order. Services stop in the reverse order.
+var (
+	entrySteps = []step{
+		{"facts", (*Process).startFacts},
+		{"status", (*Process).startStatus},
+		{"front", (*Process).startFront},
+		{"peers", (*Process).startPeers},
+		{"servers", (*Process).startServers},
+		{"peer server", (*Process).startPeerServer},
+		{"metrics", (*Process).startMetrics},
+		{"directory", (*Process).startDirectory},
+	}
+	agentSteps = []step{
+		{"facts", (*Process).startAgentFacts},
+		{"loader", (*Process).startLoader},
+		{"peer server", (*Process).startPeerServer},
+		{"metrics", (*Process).startMetrics},
+	}
+)
+
+// Start runs the steps of a role. If one fails, what was started is stopped.
+func Start(loaded *settings.Settings, options Options) (*Process, error) {
+	p := &Process{
+		kernel: kernel.New(), settings: loaded, options: options,
+		metrics: NewMetrics(), mux: drpcmux.New(), peers: daemon.NewPeers(),
+	}
+	if err := p.kernel.Register(p.peers); err != nil {
+		return nil, err
+	}
+	steps := agentSteps
+	if loaded.Role == settings.RoleEntry {
+		steps = entrySteps
+	}
+	for _, step := range steps {
+		if err := step.run(p); err != nil {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			return nil, errors.Join(fmt.Errorf("starting %s: %w", step.name, err), p.kernel.Stop(ctx))
+		}
+	}
+	return p, nil
+}
+
+// Stop is a planned stop: callers are led elsewhere first, then what is in
+// progress is finished, within the grace of the settings.
+func (p *Process) Stop(ctx context.Context) error {
+	stopCtx, cancel := context.WithTimeout(ctx, time.Duration(p.settings.Stop.Grace)-stopReserve)
+	defer cancel()
+	if p.front != nil {
+		p.status.Leave()
+		p.front.Leave(stopCtx)
+	}
+	return p.kernel.Stop(stopCtx)
+}
+
+// stopReserve is kept of the grace for ending the process itself.
+const stopReserve = 400 * time.Millisecond
+
+// Reload notes that the settings file may have changed. Nothing that is read at
+// start can change while the process runs, so the running settings stay.
+func (p *Process) Reload(changed *settings.Settings) {
+	p.options.Log.Info().Str("box", changed.Box).Int("seeds", len(changed.Peers.Entries)).Msg("settings reloaded")
+	if p.status != nil {
+		p.status.AddEntries(changed.Peers.Entries)
+	}
+}
+
+// listen opens a listener whose connections fail soon after their peer has
+// fallen silent.
+func listen(address string) (net.Listener, error) {
+	config := net.ListenConfig{Control: upstream.SetSilenceTimeout}
+	return config.Listen(context.Background(), "tcp", address)
+}
+
+func (p *Process) box() member.BoxID { return member.BoxID(p.settings.Box) }
+
+func (p *Process) region() member.Region { return member.Region(p.settings.Region) }
+
+// isNear reports whether a failure domain is in the own region.
+func (p *Process) isNear(domain member.FailureDomain) bool {
+	return p.settings.Direct.Domains[string(domain)] == p.settings.Region
+}
+
+func (p *Process) startPeerServer() error {
+	listener, err := listen(p.settings.Listen.Peers)
+	if err != nil {
+		return err
+	}
+	return p.kernel.Register(daemon.NewPeerServer(listener, p.mux, p.options.Log))
+}
--- /dev/null
+++ b/internal/direct/directory.go
@@ -0,0 +1,95 @@
+package direct
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/cinderslip/cinderslip/internal/provider"
+	"github.com/cinderslip/cinderslip/pkg/member"
+)
+
+// Directory tells callers which entry boxes to use.
+type Directory struct {
+	protocol provider.CallerProtocol
+	status   *Status
+	entries  *EntryBoxes
+	front    *Front
+	self     EntryBox
+	keep     time.Duration
+}
+
+// directoryLimit bounds the addresses of one answer.
+const directoryLimit = 64
+
+// startDirectory answers where callers should go, and whether this box is ready.
+func (p *Process) startDirectory() error {
+	d := &Directory{
+		protocol: p.options.Platform.Callers, status: p.status, entries: p.front.entries, front: p.front,
+		keep: time.Duration(p.settings.Direct.DirectoryTTL),
+		self: EntryBox{
+			Box: p.box(), Region: p.region(), Domain: member.FailureDomain(p.settings.FailureDomain),
+			Callers: member.Address(p.settings.Listen.Callers),
+		},
+	}
+	router := newRouter()
+	router.GET(d.protocol.DirectoryPath, d.resolve)
+	service, err := p.serveHTTP("directory", p.settings.Listen.Directory, router, smallHeaders)
+	if err != nil {
+		return err
+	}
+	if err := p.kernel.Register(service); err != nil {
+		return err
+	}
+	readiness := newRouter()
+	readiness.GET(d.protocol.ReadinessPath, d.ready)
+	if service, err = p.serveHTTP("readiness", p.settings.Listen.Readiness, readiness, smallHeaders); err != nil {
+		return err
+	}
+	p.front.duties.Go(p.front.watchReady(p.status))
+	return p.kernel.Register(service)
+}
+
+// ready answers the platform's question.
+func (d *Directory) ready(c echo.Context) error {
+	if !d.status.Ready() {
+		return c.NoContent(http.StatusServiceUnavailable)
+	}
+	return c.NoContent(http.StatusOK)
+}
+
+// resolve answers with the ready entry boxes of the caller's region, or with all
+// of them if there is none.
+func (d *Directory) resolve(c echo.Context) error {
+	question := d.protocol.ReadQuestion(c.Request())
+	boxes := d.entries.Boxes()
+	if d.status.Ready() {
+		self := d.self
+		self.Ready = true
+		boxes = append(boxes, self)
+	}
+	var near, all []member.Address
+	for _, box := range boxes {
+		if !box.Ready || box.Callers == "" {
+			continue
+		}
+		all = append(all, box.Callers)
+		if box.Region == question.Region {
+			near = append(near, box.Callers)
+		}
+	}
+	chosen := all
+	if len(near) >= nearLeast {
+		chosen = near
+	}
+	if len(chosen) == 0 {
+		return c.NoContent(http.StatusServiceUnavailable)
+	}
+	rand.Shuffle(len(chosen), func(i, j int) { chosen[i], chosen[j] = chosen[j], chosen[i] })
+	return c.JSON(http.StatusOK, d.protocol.WriteAddresses(chosen[:min(len(chosen), directoryLimit)], d.keep))
+}
+
+// nearLeast is how many entry boxes of a caller's region suffice for it.
+const nearLeast = 2
--- /dev/null
+++ b/internal/direct/facts.go
@@ -0,0 +1,393 @@
+package direct
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+
+	"github.com/cinderslip/cinderslip/internal/kernel"
+	"github.com/cinderslip/cinderslip/internal/provider"
+	"github.com/cinderslip/cinderslip/pkg/fleet"
+	"github.com/cinderslip/cinderslip/pkg/state"
+)
+
+const (
+	// watchWait is how long one call waits for changes. Each call is priced; a
+	// store that fell silent is noticed by keep-alive probes, not by this.
+	watchWait = 10 * time.Second
+	// callTimeout bounds any other call of the store; it answers in milliseconds.
+	callTimeout = 2 * time.Second
+	// gatherTime is waited after a change, so that changes in quick succession
+	// take one call. It is short against the time in which one must be in force.
+	gatherTime = 100 * time.Millisecond
+	// retryFirst and retryLongest bound the wait after a failed call.
+	retryFirst   = 100 * time.Millisecond
+	retryLongest = 800 * time.Millisecond
+	// lapseHold is how long a server stays believed whose entry went while the
+	// store was away: entries of servers that live are back within two seconds.
+	lapseHold = 2200 * time.Millisecond
+	// lapseWindow is how long after the store's return entries may still be found
+	// to have lapsed meanwhile.
+	lapseWindow = 1500 * time.Millisecond
+	// restartAge is how long before its start a process takes the wanted weights
+	// to have been named, as it can't know. What remains of the bound passes
+	// before the process counts as settled.
+	restartAge = 5 * time.Second
+)
+
+// Facts keeps what the platform's store and other boxes tell.
+type Facts struct {
+	clock   clockwork.Clock
+	log     zerolog.Logger
+	metrics *Metrics
+	store   *state.Store
+	view    atomic.Pointer[fleet.View]
+	duties  *kernel.Duties
+	started time.Time
+
+	mu sync.Mutex
+	// changed is closed when the view changes.
+	changed chan struct{}
+	servers map[fleet.ServerID]fleet.Server
+	// lapsed holds the servers whose entry went around an absence of the store,
+	// and until when they are believed.
+	lapsed   map[fleet.ServerID]lapse
+	wanted   map[fleet.ModelName]fleet.WantedSince
+	revision fleet.Revision
+	// answered is when the store last answered; zero if it never did.
+	answered time.Time
+	lost     bool
+	returned time.Time
+}
+
+type lapse struct {
+	server fleet.Server
+	until  time.Time
+}
+
+// NewFacts returns facts that know nothing yet.
+func NewFacts(clock clockwork.Clock, log zerolog.Logger, metrics *Metrics) *Facts {
+	f := &Facts{
+		clock: clock, log: log, metrics: metrics,
+		store: state.NewStore(rand.Uint64()), duties: kernel.NewDuties(), started: clock.Now(),
+		changed: make(chan struct{}),
+		servers: make(map[fleet.ServerID]fleet.Server), lapsed: make(map[fleet.ServerID]lapse),
+		wanted: make(map[fleet.ModelName]fleet.WantedSince),
+	}
+	f.view.Store(fleet.EmptyView())
+	return f
+}
+
+// String returns the service's name.
+func (f *Facts) String() string { return "facts" }
+
+// Stop ends reading.
+func (f *Facts) Stop(ctx context.Context) error { return f.duties.Stop(ctx) }
+
+// View returns what is believed now.
+func (f *Facts) View() *fleet.View { return f.view.Load() }
+
+// Changed returns a channel that is closed at the next change of the view.
+func (f *Facts) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+// Revision returns the newest revision that was heard of.
+func (f *Facts) Revision() fleet.Revision {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.revision
+}
+
+// StoreAge returns how long ago the store answered; negative if it never did.
+func (f *Facts) StoreAge() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.answered.IsZero() {
+		return -1
+	}
+	return f.clock.Since(f.answered)
+}
+
+// ReadStore follows the store for as long as wanted holds.
+func (f *Facts) ReadStore(source provider.FactSource, wanted func() bool) {
+	f.duties.Go(func(ctx context.Context) {
+		reader := &storeReader{facts: f, source: source, pause: retryFirst}
+		for ctx.Err() == nil {
+			if !wanted() {
+				sleep(ctx, f.clock, gatherTime)
+				continue
+			}
+			reader.once(ctx)
+		}
+	})
+}
+
+// storeReader is how far one reader has come in the store's changes.
+type storeReader struct {
+	facts  *Facts
+	source provider.FactSource
+	after  fleet.Revision
+	pause  time.Duration
+}
+
+// once makes one call and takes its result.
+func (r *storeReader) once(ctx context.Context) {
+	f := r.facts
+	call, whole := "changes", r.after == 0
+	var got provider.Facts
+	var err error
+	if whole {
+		call = "snapshot"
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		got, err = r.source.Snapshot(callCtx)
+		cancel()
+	} else {
+		callCtx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
+		got, err = r.source.Changes(callCtx, r.after, watchWait)
+		cancel()
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		f.metrics.storeCalls.WithLabelValues(call, "failed").Inc()
+		r.failed(ctx, call, err)
+		return
+	}
+	f.metrics.storeCalls.WithLabelValues(call, "done").Inc()
+	r.pause = retryFirst
+	f.storeAnswered()
+	for _, finding := range got.Findings {
+		f.log.Error().Err(finding).Msg("entry of the store not taken")
+	}
+	if whole {
+		got.Facts = append(got.Facts, f.missing(got)...)
+	}
+	f.Apply(got.Facts, "store")
+	r.after = max(r.after, got.At)
+	if len(got.Facts) > 0 && !whole {
+		sleep(ctx, f.clock, gatherTime)
+	}
+}
+
+// failed notes a call that gave nothing.
+func (r *storeReader) failed(ctx context.Context, call string, err error) {
+	f := r.facts
+	if errors.Is(err, provider.ErrHistoryGone) {
+		f.log.Warn().Uint64("after", uint64(r.after)).Err(err).Msg("store history gone, reading everything")
+		r.after = 0
+		return
+	}
+	f.mu.Lock()
+	first := !f.lost
+	f.lost = true
+	f.mu.Unlock()
+	if first {
+		f.log.Warn().Str("dependency", "store").Str("call", call).Dur("age_ms", f.StoreAge()).Err(err).Msg("dependency lost")
+	}
+	sleep(ctx, f.clock, r.pause+rand.N(r.pause))
+	r.pause = min(2*r.pause, retryLongest)
+}
+
+func (f *Facts) storeAnswered() {
+	f.mu.Lock()
+	regained := f.lost
+	f.lost = false
+	f.answered = f.clock.Now()
+	if regained {
+		f.returned = f.answered
+	}
+	f.mu.Unlock()
+	if regained {
+		f.log.Info().Str("dependency", "store").Msg("dependency regained")
+	}
+}
+
+// missing returns the facts that are held but no longer in the store.
+func (f *Facts) missing(got provider.Facts) []fleet.Fact {
+	present := make(map[string]bool, len(got.Facts))
+	for i := range got.Facts {
+		present[got.Facts[i].Key] = true
+	}
+	var gone []fleet.Fact
+	for _, item := range f.store.Prefix("") {
+		if !present[item.Key] && !item.Deleted {
+			gone = append(gone, fleet.Fact{Key: item.Key, Revision: got.At, Gone: true})
+		}
+	}
+	return gone
+}
+
+// Apply merges facts. Older ones than those held change nothing.
+func (f *Facts) Apply(facts []fleet.Fact, from string) {
+	items := make([]state.Item, 0, len(facts))
+	for i := range facts {
+		item, err := facts[i].Item()
+		if err != nil {
+			f.log.Error().Str("fact", facts[i].Key).Err(err).Msg("fact not taken")
+			continue
+		}
+		items = append(items, item)
+	}
+	f.ApplyItems(items, from)
+}
+
+// ApplyItems is Apply for facts in their replicated form.
+func (f *Facts) ApplyItems(items []state.Item, from string) {
+	fresh := f.store.Apply(items, state.OriginLocal)
+	if len(fresh) == 0 {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	view := f.View()
+	servers, wanted := false, false
+	for _, item := range fresh {
+		f.revision = max(f.revision, fleet.Revision(item.Version.Major))
+		fact, err := fleet.FactOf(item)
+		if err != nil {
+			f.log.Error().Str("fact", item.Key).Err(err).Msg("fact not taken")
+			continue
+		}
+		switch {
+		case fact.Configuration != nil:
+			view = f.takeConfiguration(view, &fact, from)
+		case strings.HasPrefix(fact.Key, fleet.ServerKey("")):
+			f.takeServer(&fact, from)
+			servers = true
+		case strings.HasPrefix(fact.Key, fleet.WantedKey("")):
+			f.takeWanted(&fact, from)
+			wanted = true
+		}
+	}
+	if servers {
+		view = view.WithServers(f.believedServers())
+	}
+	if wanted {
+		view = view.WithWanted(f.copyWanted())
+	}
+	f.publish(view)
+}
+
+// publish makes a view the one that is believed. The lock must be held.
+func (f *Facts) publish(view *fleet.View) {
+	f.view.Store(view)
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func (f *Facts) takeConfiguration(view *fleet.View, fact *fleet.Fact, from string) *fleet.View {
+	held := view.Configuration
+	if held != nil && fact.Configuration.Version < held.Version {
+		f.log.Error().Uint64("version", fact.Configuration.Version).Uint64("held", held.Version).Msg("older configuration at a newer revision not taken")
+		return view
+	}
+	f.log.Info().Uint64("version", fact.Configuration.Version).Uint64("revision", uint64(fact.Revision)).Str("from", from).
+		Int("routes", len(fact.Configuration.Routes)).Int("organisations", len(fact.Configuration.Organisations)).Msg("configuration in force")
+	return view.WithConfiguration(fact.Configuration, fact.Revision)
+}
+
+func (f *Facts) takeServer(fact *fleet.Fact, from string) {
+	id := fleet.ServerID(strings.TrimPrefix(fact.Key, fleet.ServerKey("")))
+	if !fact.Gone {
+		if _, known := f.servers[id]; !known || fact.Server.Leaving {
+			f.log.Info().Str("server", string(id)).Str("service", string(fact.Server.Service)).Str("address", string(fact.Server.Address)).
+				Bool("leaving", fact.Server.Leaving).Uint64("revision", uint64(fact.Revision)).Str("from", from).Msg("server listed")
+		}
+		f.servers[id] = *fact.Server
+		delete(f.lapsed, id)
+		return
+	}
+	server, known := f.servers[id]
+	delete(f.servers, id)
+	if !known {
+		return
+	}
+	now := f.clock.Now()
+	hold := !server.Leaving && (f.lost || now.Sub(f.returned) < lapseWindow)
+	f.log.Info().Str("server", string(id)).Bool("held", hold).Uint64("revision", uint64(fact.Revision)).Str("from", from).Msg("server gone from the list")
+	if hold {
+		f.lapsed[id] = lapse{server: server, until: now.Add(lapseHold)}
+		f.clock.AfterFunc(lapseHold, f.endLapses)
+	}
+}
+
+// endLapses gives up servers whose entries have not come back.
+func (f *Facts) endLapses() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	ended := false
+	for id, lapsed := range f.lapsed {
+		if !f.clock.Now().Before(lapsed.until) {
+			delete(f.lapsed, id)
+			ended = true
+			f.log.Info().Str("server", string(id)).Msg("lapsed server given up")
+		}
+	}
+	if ended {
+		f.publish(f.View().WithServers(f.believedServers()))
+	}
+}
+
+func (f *Facts) believedServers() []fleet.Server {
+	servers := make([]fleet.Server, 0, len(f.servers)+len(f.lapsed))
+	for _, server := range f.servers {
+		servers = append(servers, server)
+	}
+	for _, lapsed := range f.lapsed {
+		servers = append(servers, lapsed.server)
+	}
+	return servers
+}
+
+func (f *Facts) takeWanted(fact *fleet.Fact, from string) {
+	if fact.Wanted == nil {
+		return
+	}
+	model := fact.Wanted.Model
+	if fact.Wanted.Version <= f.wanted[model].Version {
+		return
+	}
+	since := f.clock.Now()
+	if since.Sub(f.started) < callTimeout {
+		since = since.Add(-restartAge)
+	}
+	f.wanted[model] = fleet.WantedSince{Wanted: *fact.Wanted, Revision: fact.Revision, Since: since}
+	f.log.Info().Str("model", string(model)).Uint64("version", uint64(fact.Wanted.Version)).
+		Uint64("revision", uint64(fact.Revision)).Str("from", from).Msg("weights wanted")
+}
+
+func (f *Facts) copyWanted() map[fleet.ModelName]fleet.WantedSince {
+	wanted := make(map[fleet.ModelName]fleet.WantedSince, len(f.wanted))
+	for model, since := range f.wanted {
+		wanted[model] = since
+	}
+	return wanted
+}
+
+// sleep waits, at most until the context ends.
+func sleep(ctx context.Context, clock clockwork.Clock, wait time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-clock.After(wait):
+	}
+}
+
+func (p *Process) newFacts() error {
+	p.facts = NewFacts(p.options.Clock, p.options.Log, p.metrics)
+	return p.kernel.Register(p.facts)
+}
+
+// startFacts makes the facts of an entry box, which are read once the other
+// entry boxes can be asked too.
+func (p *Process) startFacts() error { return p.newFacts() }
--- /dev/null
+++ b/internal/direct/fetch.go
@@ -0,0 +1,226 @@
+package direct
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/cinderslip/cinderslip/internal/wire"
+	"github.com/cinderslip/cinderslip/pkg/member"
+	"github.com/cinderslip/cinderslip/pkg/weights"
+)
+
+const (
+	// drawWait is how long each place in the order of drawers waits for the one
+	// before it: a few pieces over the origin's link, which all draw at once.
+	drawWait = 700 * time.Millisecond
+	// fetchInterval is how often neighbours are asked what they hold.
+	fetchInterval = 150 * time.Millisecond
+	// pieceTimeout bounds fetching a piece: many times what one takes over a box's
+	// link, and a small part of the time in which weights must be live.
+	pieceTimeout = 1500 * time.Millisecond
+	// drawRetry is the wait before a draw that failed is tried again.
+	drawRetry = 300 * time.Millisecond
+)
+
+// fetch gets the missing pieces of one version. One goroutine decides; the
+// transfers tell it their results.
+type fetch struct {
+	loader    *Loader
+	want      *target
+	manifest  *weights.Manifest
+	picker    *weights.Picker
+	addresses map[string]member.Address
+	results   chan fetchResult
+	holdings  chan holdingsResult
+	asked     map[string]bool
+}
+
+type fetchResult struct {
+	task weights.Task
+	data []byte
+	err  error
+}
+
+type holdingsResult struct {
+	box  string
+	held weights.Bits
+}
+
+// fetch returns when every piece is held, other weights are wanted or the context
+// ends.
+func (l *Loader) fetch(ctx context.Context, want *target, manifest *weights.Manifest) error {
+	options := weights.DefaultPickerOptions()
+	options.DrawWait = drawWait
+	f := &fetch{
+		loader: l, want: want, manifest: manifest, addresses: make(map[string]member.Address),
+		picker: weights.NewPicker(manifest, string(l.options.Agent), l.store.Held(manifest.Digest()), options, l.options.Clock.Now()),
+		// Buffered, so that a transfer that ends late does not stay.
+		results: make(chan fetchResult), holdings: make(chan holdingsResult), asked: make(map[string]bool),
+	}
+	f.adoptPeers()
+	return f.run(ctx)
+}
+
+// adoptPeers names the agents that take part.
+func (f *fetch) adoptPeers() {
+	records := f.loader.records(f.want)
+	drawers := make([]weights.Peer, 0, len(records))
+	for _, record := range records {
+		drawers = append(drawers, weights.Peer{Box: string(record.Box)})
+		f.addresses[string(record.Box)] = record.Peers
+	}
+	f.picker.SetDrawers(drawers)
+	neighbours := f.loader.neighbours(f.want)
+	peers := make([]weights.Peer, 0, len(neighbours))
+	for _, record := range neighbours {
+		peers = append(peers, weights.Peer{Box: string(record.Box)})
+	}
+	f.picker.SetNeighbours(peers)
+}
+
+// records are the agents of the service as the members of a swarm. An agent is
+// named by its address.
+func (l *Loader) records(want *target) []member.Record {
+	records := make([]member.Record, 0, len(want.servers))
+	for _, server := range want.servers {
+		address, ok := agentAddress(server.Address, l.options.AgentPort)
+		if !ok {
+			continue
+		}
+		region := member.Region("far")
+		if l.options.IsNear(server.Domain) {
+			region = "near"
+		}
+		records = append(records, member.Record{
+			Box: member.BoxID(address), Peers: address, Region: region, FailureDomain: server.Domain,
+		})
+	}
+	return records
+}
+
+// neighbours are the agents that pieces are exchanged with.
+func (l *Loader) neighbours(want *target) []member.Record {
+	self := member.Record{Box: member.BoxID(l.options.Agent), Region: "near"}
+	return member.Neighbours(self, l.records(want))
+}
+
+func (f *fetch) run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	clock := f.loader.options.Clock
+	ticker := clock.NewTicker(fetchInterval)
+	defer ticker.Stop()
+	f.askHoldings(ctx)
+	for f.picker.Missing() > 0 {
+		f.startTasks(ctx)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case result := <-f.results:
+			f.take(result)
+		case result := <-f.holdings:
+			f.asked[result.box] = false
+			f.picker.SetHoldings(result.box, result.held)
+		case <-ticker.Chan():
+			if !f.loader.isWanted(f.want) {
+				return errSuperseded
+			}
+			f.askHoldings(ctx)
+		}
+	}
+	return nil
+}
+
+func (f *fetch) startTasks(ctx context.Context) {
+	for {
+		task, ok := f.picker.Next(f.loader.options.Clock.Now())
+		if !ok {
+			return
+		}
+		go func() {
+			data, err := f.transfer(ctx, task)
+			select {
+			case f.results <- fetchResult{task, data, err}:
+			case <-ctx.Done():
+			}
+		}()
+	}
+}
+
+// take keeps a piece that verifies and notes everything else as a fault.
+func (f *fetch) take(result fetchResult) {
+	from := "peer"
+	if result.task.IsDraw() {
+		from = "origin"
+	}
+	err := result.err
+	if err == nil {
+		err = f.loader.store.Put(f.manifest, result.task.Chunk, result.data)
+	}
+	f.loader.options.Metrics.pieces.WithLabelValues(from, resultLabel(err)).Inc()
+	now := f.loader.options.Clock.Now()
+	if err == nil {
+		f.picker.Done(result.task, now)
+		return
+	}
+	f.loader.options.Log.Info().Int("piece", result.task.Chunk).Str("from", result.task.From).
+		Uint64("version", uint64(f.want.wanted.Version)).Err(err).Msg("piece not taken")
+	f.picker.Failed(result.task, now.Add(drawRetry))
+}
+
+func (f *fetch) transfer(ctx context.Context, task weights.Task) ([]byte, error) {
+	callCtx, cancel := context.WithTimeout(ctx, pieceTimeout)
+	defer cancel()
+	if task.IsDraw() {
+		return f.loader.options.Origin.Piece(callCtx, f.want.origin, f.want.model, f.want.wanted.Version, task.Chunk)
+	}
+	digest := f.manifest.Digest()
+	stream, err := wire.NewDRPCChunksClient(f.loader.options.Peers.Conn(f.addresses[task.From])).
+		Fetch(callCtx, &wire.FetchRequest{Manifest: digest[:], Chunk: uint32(task.Chunk)})
+	if err != nil {
+		return nil, err
+	}
+	size := f.manifest.Chunks[task.Chunk].Size
+	data := make([]byte, 0, size)
+	for {
+		frame, err := stream.Recv()
+		switch {
+		case errors.Is(err, io.EOF):
+			return data, nil
+		case err != nil:
+			return nil, err
+		case int64(len(data)+len(frame.Data)) > size:
+			return nil, fmt.Errorf("piece is longer than %d bytes: %w", size, weights.ErrDigest)
+		}
+		data = append(data, frame.Data...)
+	}
+}
+
+// askHoldings asks each neighbour that has answered the last time.
+func (f *fetch) askHoldings(ctx context.Context) {
+	digest := f.manifest.Digest()
+	for _, box := range f.picker.Ask() {
+		if f.asked[box] {
+			continue
+		}
+		f.asked[box] = true
+		address := f.addresses[box]
+		go func() {
+			callCtx, cancel := context.WithTimeout(ctx, pieceTimeout)
+			defer cancel()
+			result := holdingsResult{box: box}
+			answer, err := wire.NewDRPCChunksClient(f.loader.options.Peers.Conn(address)).
+				Holdings(callCtx, &wire.HoldingsRequest{Manifest: digest[:]})
+			if err == nil {
+				result.held = answer.Held
+			}
+			select {
+			case f.holdings <- result:
+			case <-ctx.Done():
+			}
+		}()
+	}
+}
--- /dev/null
+++ b/internal/direct/loader.go
@@ -0,0 +1,348 @@
+package direct
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+
+	"github.com/cinderslip/cinderslip/internal/daemon"
+	"github.com/cinderslip/cinderslip/internal/kernel"
+	"github.com/cinderslip/cinderslip/internal/provider"
+	"github.com/cinderslip/cinderslip/internal/wire"
+	"github.com/cinderslip/cinderslip/pkg/fleet"
+	"github.com/cinderslip/cinderslip/pkg/member"
+	"github.com/cinderslip/cinderslip/pkg/weights"
+)
+
+const (
+	// reportInterval is how often the backend server's report is read; from its
+	// own box it is fresh and free.
+	reportInterval = 100 * time.Millisecond
+	// reportTimeout bounds reading it.
+	reportTimeout = time.Second
+	// loadRetry is the wait after a step towards the wanted weights that failed.
+	loadRetry = 200 * time.Millisecond
+	// weightsMemory bounds the pieces that are held, in bytes: two versions of the
+	// largest models of today fit many times.
+	weightsMemory = 64 << 20
+)
+
+// Loader brings the wanted weights to the backend server of the box and tells
+// the entry boxes how far it is. It implements the drpc service Fleet for agents.
+type Loader struct {
+	wire.DRPCFleetUnimplementedServer
+
+	options LoaderOptions
+	duties  *kernel.Duties
+	store   *weights.MemoryStore
+
+	mu sync.Mutex
+	// published are the manifests of the versions whose pieces are held.
+	published map[publishedVersion]*weights.Manifest
+	report    fleet.Report
+	reportAt  time.Time
+	swapping  bool
+	changed   chan struct{}
+	done      chan struct{}
+	stopOnce  sync.Once
+}
+
+type publishedVersion struct {
+	model   fleet.ModelName
+	version fleet.WeightsVersion
+}
+
+// LoaderOptions are the parts that a Loader works with.
+type LoaderOptions struct {
+	Box     string
+	Service member.Service
+	// Address is that of the backend server on the box, Agent that of this
+	// process for its peers.
+	Address   member.Address
+	Agent     member.Address
+	AgentPort uint16
+	Facts     *Facts
+	Peers     *daemon.Peers
+	Server    provider.ModelServer
+	Origin    provider.PieceOrigin
+	Clock     clockwork.Clock
+	Log       zerolog.Logger
+	Metrics   *Metrics
+	// IsNear reports whether a failure domain is in the own region.
+	IsNear func(member.FailureDomain) bool
+	// Bound is how long after newer weights were named older ones may still start
+	// a request.
+	Bound time.Duration
+}
+
+// startLoader starts to follow the wanted weights.
+func (p *Process) startLoader() error {
+	l := &Loader{
+		options: LoaderOptions{
+			Box: p.settings.Box, Service: member.Service(p.settings.Direct.Service),
+			Address: member.Address(p.settings.Direct.Server), Agent: member.Address(p.settings.Listen.Peers),
+			AgentPort: uint16(p.settings.Direct.AgentPort),
+			Facts:     p.facts, Peers: p.peers, Server: p.options.Platform.Server, Origin: p.options.Platform.Origin,
+			Clock: p.options.Clock, Log: p.options.Log, Metrics: p.metrics, IsNear: p.isNear,
+			Bound: time.Duration(p.settings.Direct.VersionBound),
+		},
+		duties: kernel.NewDuties(), store: weights.NewMemoryStore(weightsMemory),
+		published: make(map[publishedVersion]*weights.Manifest),
+		changed:   make(chan struct{}), done: make(chan struct{}),
+	}
+	if err := wire.DRPCRegisterFleet(p.mux, l); err != nil {
+		return err
+	}
+	if err := wire.DRPCRegisterChunks(p.mux, daemon.NewChunkServer(l.store, daemon.NewMetrics())); err != nil {
+		return err
+	}
+	l.duties.Go(l.watchServer)
+	l.duties.Go(l.follow)
+	return p.kernel.Register(l)
+}
+
+// String returns the service's name.
+func (l *Loader) String() string { return "loader" }
+
+// Stop ends following.
+func (l *Loader) Stop(ctx context.Context) error {
+	l.stopOnce.Do(func() { close(l.done) })
+	return l.duties.Stop(ctx)
+}
+
+// notify wakes the streams. The lock must be held.
+func (l *Loader) notify() {
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// watchServer reads the backend server's report again and again.
+func (l *Loader) watchServer(ctx context.Context) {
+	lost := false
+	for ctx.Err() == nil {
+		callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
+		report, err := l.options.Server.Report(callCtx)
+		cancel()
+		if failed := err != nil; failed != lost && ctx.Err() == nil {
+			lost = failed
+			event, message := l.options.Log.Info(), "dependency regained"
+			if failed {
+				event, message = l.options.Log.Warn().Err(err), "dependency lost"
+			}
+			event.Str("dependency", "server").Str("address", string(l.options.Address)).Msg(message)
+		}
+		l.mu.Lock()
+		if err == nil {
+			l.report, l.reportAt = report, l.options.Clock.Now()
+		} else {
+			l.report, l.reportAt = fleet.Report{}, time.Time{}
+		}
+		l.notify()
+		l.mu.Unlock()
+		sleep(ctx, l.options.Clock, reportInterval)
+	}
+}
+
+// serverReport returns the newest report; ok is false while the server does not
+// answer.
+func (l *Loader) serverReport() (report fleet.Report, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.report, !l.reportAt.IsZero()
+}
+
+func (l *Loader) setSwapping(swapping bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.swapping != swapping {
+		l.swapping = swapping
+		l.notify()
+	}
+}
+
+// target is what the server should run.
+type target struct {
+	model   fleet.ModelName
+	engine  *fleet.Engine
+	wanted  fleet.WantedSince
+	origin  member.Address
+	servers []fleet.Server
+}
+
+// target returns what the server should run; ok is false until it is known.
+func (l *Loader) target() (target, bool) {
+	view := l.options.Facts.View()
+	service := view.Service(l.options.Service)
+	if service == nil || service.Engine == nil || len(service.Engine.Models) == 0 {
+		return target{}, false
+	}
+	model := service.Engine.Models[0]
+	return target{
+		model: model, engine: service.Engine, wanted: view.Wanted(model), origin: view.Origin(),
+		servers: view.Servers(l.options.Service),
+	}, true
+}
+
+// loaded returns the whole version of a model that the server has; 0 for none.
+func loaded(report *fleet.Report, model fleet.ModelName, layers int) fleet.WeightsVersion {
+	for i := range report.Models {
+		if report.Models[i].Name != model {
+			continue
+		}
+		if version, whole := report.Models[i].Whole(layers); whole {
+			return version
+		}
+	}
+	return 0
+}
+
+// errSuperseded reports that other weights are wanted by now.
+var errSuperseded = errors.New("other weights are wanted by now")
+
+// follow brings the wanted weights to the server, again whenever they change or
+// the server has lost them.
+func (l *Loader) follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		want, known := l.target()
+		report, answers := l.serverReport()
+		switch {
+		case !known || !answers || report.Busy:
+		case loaded(&report, want.model, want.engine.Layers) >= want.wanted.Version:
+			l.setSwapping(false)
+			if err := l.adopt(ctx, &want); err != nil {
+				l.options.Log.Debug().Err(err).Msg("staged pieces not adopted")
+			}
+		default:
+			if err := l.bring(ctx, &want, loaded(&report, want.model, want.engine.Layers) > 0); err != nil && ctx.Err() == nil {
+				l.options.Log.Info().Str("model", string(want.model)).Uint64("version", uint64(want.wanted.Version)).
+					Err(err).Msg("weights not brought, trying again")
+				sleep(ctx, l.options.Clock, loadRetry)
+			}
+			continue
+		}
+		sleep(ctx, l.options.Clock, reportInterval)
+	}
+}
+
+// manifest returns the manifest of a version: held, of a peer, or of the origin.
+func (l *Loader) manifest(ctx context.Context, want *target) (*weights.Manifest, error) {
+	key := publishedVersion{want.model, want.wanted.Version}
+	l.mu.Lock()
+	held := l.published[key]
+	l.mu.Unlock()
+	if held != nil {
+		return held, nil
+	}
+	manifest, err := l.manifestFromPeers(ctx, want)
+	if err != nil {
+		callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
+		defer cancel()
+		manifest, err = l.options.Origin.Manifest(callCtx, want.origin, want.model, want.wanted.Version)
+		if err != nil {
+			return nil, fmt.Errorf("reading the manifest: %w", err)
+		}
+	}
+	l.store.Add(manifest)
+	l.mu.Lock()
+	l.published[key] = manifest
+	l.mu.Unlock()
+	l.forgetOlder(key)
+	return manifest, nil
+}
+
+// forgetOlder drops the pieces of versions before the last two.
+func (l *Loader) forgetOlder(newest publishedVersion) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for key, manifest := range l.published {
+		if key.model == newest.model && key.version+1 < newest.version {
+			delete(l.published, key)
+			l.store.Drop(manifest.Digest())
+		}
+	}
+}
+
+// errNoPeer reports that no peer has a manifest.
+var errNoPeer = errors.New("no peer has the manifest")
+
+func (l *Loader) manifestFromPeers(ctx context.Context, want *target) (*weights.Manifest, error) {
+	for _, neighbour := range l.neighbours(want) {
+		callCtx, cancel := context.WithTimeout(ctx, reportTimeout/4)
+		answer, err := wire.NewDRPCFleetClient(l.options.Peers.Conn(neighbour.Peers)).
+			Published(callCtx, &wire.PublishedRequest{Model: string(want.model), Version: uint64(want.wanted.Version)})
+		cancel()
+		if err != nil || len(answer.Content) == 0 {
+			continue
+		}
+		manifest, err := weights.Parse(answer.Content, weights.Digest{})
+		if err == nil && manifest.Model == string(want.model) && manifest.Version == strconv.FormatUint(uint64(want.wanted.Version), 10) {
+			return manifest, nil
+		}
+		l.options.Log.Warn().Str("peer", string(neighbour.Peers)).Err(err).Msg("manifest refused")
+	}
+	return nil, errNoPeer
+}
+
+// Published returns the manifest that is held of a version; empty if none is.
+func (l *Loader) Published(_ context.Context, request *wire.PublishedRequest) (*wire.ManifestResponse, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	manifest := l.published[publishedVersion{fleet.ModelName(request.Model), fleet.WeightsVersion(request.Version)}]
+	if manifest == nil {
+		return &wire.ManifestResponse{}, nil
+	}
+	return &wire.ManifestResponse{Content: manifest.Content()}, nil
+}
+
+// Server streams the state of the backend server.
+func (l *Loader) Server(_ *wire.FollowRequest, stream wire.DRPCFleet_ServerStream) error {
+	var told *wire.ServerStatus
+	var toldAt time.Time
+	for {
+		l.mu.Lock()
+		changed := l.changed
+		l.mu.Unlock()
+		status := l.status()
+		if !sameServerStatus(told, status) || l.options.Clock.Since(toldAt) >= statusHeartbeat {
+			if err := stream.Send(status); err != nil {
+				return err
+			}
+			told, toldAt = status, l.options.Clock.Now()
+		}
+		select {
+		case <-stream.Context().Done():
+			return nil
+		case <-l.done:
+			return nil
+		case <-changed:
+		}
+	}
+}
+
+func (l *Loader) status() *wire.ServerStatus {
+	want, known := l.target()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	status := &wire.ServerStatus{
+		Box: l.options.Box, Address: string(l.options.Address), Swapping: l.swapping,
+		Running: uint32(l.report.Running), Waiting: uint32(l.report.Waiting),
+		MemoryUsed: l.report.MemoryUsed, MemoryTotal: l.report.MemoryTotal, Pace: l.report.Pace,
+	}
+	if known && !l.reportAt.IsZero() {
+		status.Model = string(want.model)
+		version := loaded(&l.report, want.model, want.engine.Layers)
+		status.Version, status.Whole = uint64(version), version > 0
+	}
+	return status
+}
+
+// sameServerStatus reports whether entry boxes need not be told again at once.
+func sameServerStatus(a, b *wire.ServerStatus) bool {
+	return a != nil && a.Swapping == b.Swapping && a.Whole == b.Whole && a.Version == b.Version
+}
--- /dev/null
+++ b/internal/direct/metrics.go
@@ -0,0 +1,136 @@
+package direct
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/cinderslip/cinderslip/internal/kernel"
+)
+
+// Metrics are the counts of one process.
+type Metrics struct {
+	registry *prometheus.Registry
+
+	requests    *prometheus.CounterVec
+	seconds     *prometheus.HistogramVec
+	firstEvent  *prometheus.HistogramVec
+	attempts    *prometheus.CounterVec
+	waiting     *prometheus.GaugeVec
+	connections prometheus.Counter
+	storeCalls  *prometheus.CounterVec
+	logDropped  prometheus.Counter
+	pieces      *prometheus.CounterVec
+	orders      *prometheus.CounterVec
+}
+
+const namespace = "cinderslip"
+
+// secondsBuckets reach from a fast lookup to a long stream.
+var secondsBuckets = []float64{0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 1, 1.5, 2.5, 4, 6}
+
+// NewMetrics returns metrics with a registry of their own.
+func NewMetrics() *Metrics {
+	m := &Metrics{
+		registry:    prometheus.NewRegistry(),
+		requests:    counters("direct_requests_total", "Requests by route and outcome.", "route", "outcome"),
+		seconds:     histograms("direct_request_seconds", "Time from arrival to the end of the answer.", "route"),
+		firstEvent:  histograms("direct_first_byte_seconds", "Time from arrival to the first byte of the answer.", "route"),
+		attempts:    counters("direct_attempts_total", "Attempts at backend servers by service and result.", "service", "result"),
+		waiting:     prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "direct_waiting", Help: "Requests that wait for a place."}, []string{"service"}),
+		connections: counter("direct_connections_total", "Connections opened to backend servers."),
+		storeCalls:  counters("store_calls_total", "Calls of the platform's store by kind and result.", "call", "result"),
+		logDropped:  counter("log_lines_dropped_total", "Log lines dropped because they came too fast."),
+		pieces:      counters("pieces_total", "Pieces of weights received, by source and result.", "from", "result"),
+		orders:      counters("orders_total", "Orders given to the backend server, by result.", "result"),
+	}
+	m.registry.MustRegister(m.requests, m.seconds, m.firstEvent, m.attempts, m.waiting, m.connections,
+		m.storeCalls, m.logDropped, m.pieces, m.orders, collectors.NewGoCollector())
+	return m
+}
+
+func counter(name, help string) prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help})
+}
+
+func counters(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
+func histograms(name, help string, labels ...string) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: namespace, Name: name, Help: help, Buckets: secondsBuckets,
+	}, labels)
+}
+
+// httpService is an HTTP server as a service of the kernel.
+type httpService struct {
+	name   string
+	server *http.Server
+	duties *kernel.Duties
+}
+
+const (
+	// headerTimeout bounds how long a caller may take to send its headers.
+	headerTimeout = 3 * time.Second
+	// connectionIdle is how long an unused connection is kept; callers take one
+	// up again that has rested for up to four fifths of it.
+	connectionIdle = 15 * time.Second
+)
+
+// serveHTTP answers on an address.
+func (p *Process) serveHTTP(name, address string, handler http.Handler, headerBytes int) (*httpService, error) {
+	listener, err := listen(address)
+	if err != nil {
+		return nil, err
+	}
+	s := &httpService{name: name, duties: kernel.NewDuties(), server: &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: connectionIdle, MaxHeaderBytes: headerBytes,
+	}}
+	s.duties.Go(func(context.Context) {
+		if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			p.options.Log.Error().Str("service", name).Err(err).Msg("listener failed")
+		}
+	})
+	return s, nil
+}
+
+// String returns the service's name.
+func (s *httpService) String() string { return s.name }
+
+// Stop finishes what is in progress.
+func (s *httpService) Stop(ctx context.Context) error {
+	err := s.server.Shutdown(ctx)
+	if err != nil {
+		err = errors.Join(err, s.server.Close())
+	}
+	return errors.Join(err, s.duties.Stop(ctx))
+}
+
+func newRouter() *echo.Echo {
+	router := echo.New()
+	router.HideBanner = true
+	return router
+}
+
+// smallHeaders bounds the headers of questions to the process itself, in bytes.
+const smallHeaders = 8 << 10
+
+// startMetrics serves the metrics. A process works without them, so a taken
+// address is logged and no more.
+func (p *Process) startMetrics() error {
+	router := newRouter()
+	router.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(p.metrics.registry, promhttp.HandlerOpts{})))
+	service, err := p.serveHTTP("metrics", p.settings.Listen.Metrics, router, smallHeaders)
+	if err != nil {
+		p.options.Log.Warn().Str("address", p.settings.Listen.Metrics).Err(err).Msg("metrics are not served")
+		return nil
+	}
+	return p.kernel.Register(service)
+}
--- /dev/null
+++ b/internal/direct/peers.go
@@ -0,0 +1,269 @@
+package direct
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+
+	"github.com/cinderslip/cinderslip/internal/daemon"
+	"github.com/cinderslip/cinderslip/internal/kernel"
+	"github.com/cinderslip/cinderslip/internal/wire"
+	"github.com/cinderslip/cinderslip/pkg/fleet"
+	"github.com/cinderslip/cinderslip/pkg/member"
+)
+
+const (
+	// followRetry is the wait before a box that could not be followed is tried
+	// again.
+	followRetry = 250 * time.Millisecond
+	// forgetAfter is after how long without contact an entry box is forgotten
+	// that the settings do not name.
+	forgetAfter = 20 * time.Second
+	// factsGap is for how long another box must know a newer revision before its
+	// facts are asked for: most come from the store at the same moment.
+	factsGap = 300 * time.Millisecond
+	// readersPerRegion is how many entry boxes of a region read the store; the
+	// others hear from them.
+	readersPerRegion = 2
+	// storeAway is after how long without an answer of the store a reader no
+	// longer counts. It is longer than one watch.
+	storeAway = watchWait + 2*callTimeout
+)
+
+// EntryBoxes follows the other entry boxes.
+type EntryBoxes struct {
+	self   wire.EntryStatus
+	status *Status
+	facts  *Facts
+	peers  *daemon.Peers
+	clock  clockwork.Clock
+	log    zerolog.Logger
+	duties *kernel.Duties
+	seeds  []string
+	// loaded is called with what another box has in flight.
+	loaded func(box member.BoxID, load map[fleet.ServerID]int, now time.Time)
+
+	mu    sync.Mutex
+	boxes map[string]EntryBox
+}
+
+// startPeers follows the other entry boxes.
+func (p *Process) startPeers() error {
+	e := &EntryBoxes{
+		status: p.status, facts: p.facts, peers: p.peers, clock: p.options.Clock, log: p.options.Log,
+		duties: kernel.NewDuties(), seeds: p.settings.Peers.Entries, boxes: make(map[string]EntryBox),
+		loaded: p.front.PeerLoad,
+	}
+	e.self.Box, e.self.Region = p.settings.Box, p.settings.Region
+	p.front.entries = e
+	e.duties.Go(e.followAll)
+	e.duties.Go(e.repair)
+	p.facts.ReadStore(p.options.Platform.Facts, e.isReader)
+	return p.kernel.Register(e)
+}
+
+// String returns the service's name.
+func (e *EntryBoxes) String() string { return "entry-boxes" }
+
+// Stop ends following.
+func (e *EntryBoxes) Stop(ctx context.Context) error { return e.duties.Stop(ctx) }
+
+// followAll starts a duty for each entry box that becomes known.
+func (e *EntryBoxes) followAll(ctx context.Context) {
+	following := make(map[string]bool)
+	ended := make(chan string)
+	for {
+		known, added := e.status.Entries()
+		for _, entry := range known {
+			if following[entry] {
+				continue
+			}
+			following[entry] = true
+			e.duties.Go(func(ctx context.Context) {
+				e.follow(ctx, entry)
+				select {
+				case ended <- entry:
+				case <-ctx.Done():
+				}
+			})
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-added:
+		case entry := <-ended:
+			delete(following, entry)
+		}
+	}
+}
+
+// follow keeps one entry box's status until it has been away for long.
+func (e *EntryBoxes) follow(ctx context.Context, entry string) {
+	heard := e.clock.Now()
+	connected := false
+	for ctx.Err() == nil {
+		err := followStream(ctx, e.clock, func(ctx context.Context) (func() error, error) {
+			stream, err := wire.NewDRPCFleetClient(e.peers.Conn(member.Address(entry))).
+				Entry(ctx, &wire.FollowRequest{Box: e.self.Box})
+			if err != nil {
+				return nil, err
+			}
+			return func() error {
+				status, err := stream.Recv()
+				if err != nil {
+					return err
+				}
+				heard = e.clock.Now()
+				if !connected {
+					connected = true
+					e.log.Info().Str("dependency", "entry").Str("box", status.Box).Str("address", entry).Msg("dependency regained")
+				}
+				e.take(entry, status)
+				return nil
+			}, nil
+		})
+		if connected && ctx.Err() == nil {
+			connected = false
+			e.log.Warn().Str("dependency", "entry").Str("address", entry).Err(err).Msg("dependency lost")
+			e.drop(entry)
+		}
+		if e.clock.Since(heard) > forgetAfter && !slices.Contains(e.seeds, entry) {
+			e.status.RemoveEntry(entry)
+			return
+		}
+		sleep(ctx, e.clock, followRetry)
+	}
+}
+
+// followStream opens a stream and receives until it fails or falls silent.
+func followStream(ctx context.Context, clock clockwork.Clock, open func(ctx context.Context) (func() error, error)) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watchdog := clock.AfterFunc(statusSilence, cancel)
+	defer watchdog.Stop()
+	receive, err := open(ctx)
+	for err == nil {
+		if err = receive(); err == nil {
+			watchdog.Reset(statusSilence)
+		}
+	}
+	return err
+}
+
+func (e *EntryBoxes) take(entry string, status *wire.EntryStatus) {
+	now := e.clock.Now()
+	box := entryBoxOf(status, now)
+	e.mu.Lock()
+	before, known := e.boxes[entry]
+	e.boxes[entry] = box
+	e.mu.Unlock()
+	if !known || before.Ready != box.Ready {
+		e.log.Info().Str("box", status.Box).Bool("ready", box.Ready).Bool("leaving", status.Leaving).Msg("entry box heard")
+	}
+	e.status.AddEntries(status.Entries)
+	e.loaded(box.Box, box.Load, now)
+}
+
+func (e *EntryBoxes) drop(entry string) {
+	e.mu.Lock()
+	box, known := e.boxes[entry]
+	delete(e.boxes, entry)
+	e.mu.Unlock()
+	if known {
+		e.loaded(box.Box, nil, e.clock.Now())
+	}
+}
+
+// Boxes returns the entry boxes that were heard lately, without this one.
+func (e *EntryBoxes) Boxes() []EntryBox {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.clock.Now()
+	boxes := make([]EntryBox, 0, len(e.boxes))
+	for _, box := range e.boxes {
+		if now.Sub(box.Heard) < statusSilence {
+			boxes = append(boxes, box)
+		}
+	}
+	slices.SortFunc(boxes, func(a, b EntryBox) int { return strings.Compare(string(a.Box), string(b.Box)) })
+	return boxes
+}
+
+// isReader reports whether this box reads the store: it does unless enough boxes
+// of its region go before it and hear from the store.
+func (e *EntryBoxes) isReader() bool {
+	self := member.BoxID(e.self.Box)
+	candidates := []member.BoxID{self}
+	for _, box := range e.Boxes() {
+		if string(box.Region) == e.self.Region && box.StoreAge >= 0 && box.StoreAge < storeAway {
+			candidates = append(candidates, box.Box)
+		}
+	}
+	return slices.Contains(member.Rank("reader/"+e.self.Region, candidates, readersPerRegion), self)
+}
+
+// repair asks another box for its facts when it has known newer ones for a while.
+func (e *EntryBoxes) repair(ctx context.Context) {
+	ticker := e.clock.NewTicker(statusInterval)
+	defer ticker.Stop()
+	var behindSince time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+		}
+		newest, ok := e.newest()
+		if !ok {
+			behindSince = time.Time{}
+			continue
+		}
+		if behindSince.IsZero() {
+			behindSince = e.clock.Now()
+		}
+		if e.isReader() && e.clock.Since(behindSince) < factsGap {
+			continue
+		}
+		behindSince = time.Time{}
+		if err := pullFacts(ctx, e.peers, e.facts, newest.Peers, e.self.Box); err != nil {
+			e.log.Warn().Str("box", string(newest.Box)).Err(err).Msg("facts not read from another entry box")
+		}
+	}
+}
+
+// newest returns the box that knows a newer revision than this one, one of the
+// own region if there is one; ok is false if none does.
+func (e *EntryBoxes) newest() (newest EntryBox, ok bool) {
+	own := e.facts.Revision()
+	for _, box := range e.Boxes() {
+		if box.Revision <= own {
+			continue
+		}
+		near, bestNear := string(box.Region) == e.self.Region, string(newest.Region) == e.self.Region
+		if !ok || near && !bestNear || near == bestNear && box.Revision > newest.Revision {
+			newest, ok = box, true
+		}
+	}
+	return newest, ok
+}
+
+// pullFacts reads everything that another entry box knows.
+func pullFacts(ctx context.Context, peers *daemon.Peers, facts *Facts, from member.Address, self string) error {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	stream, err := wire.NewDRPCFleetClient(peers.Conn(from)).Facts(callCtx, &wire.FactsRequest{Box: self, Once: true})
+	if err != nil {
+		return err
+	}
+	batch, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	facts.ApplyItems(itemsFromWire(batch.Items), string(from))
+	return nil
+}
--- /dev/null
+++ b/internal/direct/servers.go
@@ -0,0 +1,145 @@
+package direct
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+
+	"github.com/cinderslip/cinderslip/internal/daemon"
+	"github.com/cinderslip/cinderslip/internal/kernel"
+	"github.com/cinderslip/cinderslip/internal/wire"
+	"github.com/cinderslip/cinderslip/pkg/fleet"
+	"github.com/cinderslip/cinderslip/pkg/member"
+	"github.com/cinderslip/cinderslip/pkg/route"
+)
+
+// ModelServers follows the agents beside the model servers.
+type ModelServers struct {
+	facts  *Facts
+	peers  *daemon.Peers
+	clock  clockwork.Clock
+	log    zerolog.Logger
+	duties *kernel.Duties
+	self   string
+	port   uint16
+	// state is called with what an agent tells of the server at an address.
+	state func(address member.Address, state route.ServerState, now time.Time)
+}
+
+// startServers follows the agents.
+func (p *Process) startServers() error {
+	m := &ModelServers{
+		facts: p.facts, peers: p.peers, clock: p.options.Clock, log: p.options.Log, duties: kernel.NewDuties(),
+		self: p.settings.Box, port: uint16(p.settings.Direct.AgentPort), state: p.front.ServerState,
+	}
+	m.duties.Go(m.followAll)
+	return p.kernel.Register(m)
+}
+
+// String returns the service's name.
+func (m *ModelServers) String() string { return "model-servers" }
+
+// Stop ends following.
+func (m *ModelServers) Stop(ctx context.Context) error { return m.duties.Stop(ctx) }
+
+// agentAddress is where the agent beside a backend server is reached.
+func agentAddress(server member.Address, port uint16) (member.Address, bool) {
+	address, err := netip.ParseAddrPort(string(server))
+	if err != nil {
+		return "", false
+	}
+	return member.Address(netip.AddrPortFrom(address.Addr(), port).String()), true
+}
+
+// followAll keeps a duty for each model server of the list.
+func (m *ModelServers) followAll(ctx context.Context) {
+	following := make(map[member.Address]context.CancelFunc)
+	for {
+		changed := m.facts.Changed()
+		listed := m.listed()
+		for address := range listed {
+			if following[address] == nil {
+				followCtx, cancel := context.WithCancel(ctx)
+				following[address] = cancel
+				m.duties.Go(func(context.Context) { m.follow(followCtx, address) })
+			}
+		}
+		for address, cancel := range following {
+			if !listed[address] {
+				cancel()
+				delete(following, address)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			for _, cancel := range following {
+				cancel()
+			}
+			return
+		case <-changed:
+		}
+	}
+}
+
+// listed returns the addresses of all model servers.
+func (m *ModelServers) listed() map[member.Address]bool {
+	view := m.facts.View()
+	listed := make(map[member.Address]bool)
+	for _, service := range view.Services() {
+		if service.Engine == nil {
+			continue
+		}
+		for _, server := range view.Servers(service.Name) {
+			listed[server.Address] = true
+		}
+	}
+	return listed
+}
+
+// follow takes the states that one agent tells.
+func (m *ModelServers) follow(ctx context.Context, server member.Address) {
+	agent, ok := agentAddress(server, m.port)
+	if !ok {
+		m.log.Error().Str("address", string(server)).Msg("server's address has no IP address and port")
+		return
+	}
+	connected := false
+	for ctx.Err() == nil {
+		err := followStream(ctx, m.clock, func(ctx context.Context) (func() error, error) {
+			stream, err := wire.NewDRPCFleetClient(m.peers.Conn(agent)).Server(ctx, &wire.FollowRequest{Box: m.self})
+			if err != nil {
+				return nil, err
+			}
+			return func() error {
+				status, err := stream.Recv()
+				if err != nil {
+					return err
+				}
+				if !connected {
+					connected = true
+					m.log.Info().Str("dependency", "agent").Str("box", status.Box).Str("address", string(agent)).Msg("dependency regained")
+				}
+				m.state(server, serverStateOf(status), m.clock.Now())
+				return nil
+			}, nil
+		})
+		if connected && ctx.Err() == nil {
+			connected = false
+			m.log.Warn().Str("dependency", "agent").Str("address", string(agent)).Err(err).Msg("dependency lost")
+		}
+		sleep(ctx, m.clock, followRetry)
+	}
+}
+
+func serverStateOf(status *wire.ServerStatus) route.ServerState {
+	state := route.ServerState{
+		Swapping: status.Swapping, Running: int(status.Running), Waiting: int(status.Waiting), Pace: status.Pace,
+	}
+	if status.Whole {
+		state.Version = fleet.WeightsVersion(status.Version)
+	}
+	return state
+}
--- /dev/null
+++ b/internal/direct/status.go
@@ -0,0 +1,280 @@
+package direct
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/cinderslip/cinderslip/internal/wire"
+	"github.com/cinderslip/cinderslip/pkg/fleet"
+	"github.com/cinderslip/cinderslip/pkg/member"
+	"github.com/cinderslip/cinderslip/pkg/state"
+)
+
+const (
+	// statusInterval is how often an entry box tells the others what it has in
+	// flight, if that has changed. A request holds a place for a second or so.
+	statusInterval = 50 * time.Millisecond
+	// statusHeartbeat is how often it does if nothing has changed.
+	statusHeartbeat = 400 * time.Millisecond
+	// statusSilence is after how long without a status a box counts as away.
+	statusSilence = 1500 * time.Millisecond
+	// factsLimit bounds the items of one batch.
+	factsLimit = 256
+)
+
+// Status is what an entry box tells other processes. It implements the drpc
+// service Fleet for entry boxes.
+type Status struct {
+	wire.DRPCFleetUnimplementedServer
+
+	clock    clockwork.Clock
+	facts    *Facts
+	identity *wire.EntryStatus
+	load     func() map[fleet.ServerID]int
+
+	mu      sync.Mutex
+	ready   bool
+	leaving bool
+	entries map[string]bool
+	added   chan struct{}
+	// done ends the streams.
+	done     chan struct{}
+	stopOnce sync.Once
+}
+
+// startStatus makes the box's own status.
+func (p *Process) startStatus() error {
+	p.status = &Status{
+		clock: p.options.Clock, facts: p.facts,
+		identity: &wire.EntryStatus{
+			Box: p.settings.Box, Region: p.settings.Region, FailureDomain: p.settings.FailureDomain,
+			Peers: p.settings.Listen.Peers, Callers: p.settings.Listen.Callers,
+			Incarnation: rand.Uint64(),
+		},
+		load:    func() map[fleet.ServerID]int { return p.front.Load() },
+		entries: make(map[string]bool), added: make(chan struct{}), done: make(chan struct{}),
+	}
+	p.status.AddEntries(p.settings.Peers.Entries)
+	if err := wire.DRPCRegisterFleet(p.mux, p.status); err != nil {
+		return err
+	}
+	return p.kernel.Register(p.status)
+}
+
+// String returns the service's name.
+func (s *Status) String() string { return "status" }
+
+// Stop ends all streams.
+func (s *Status) Stop(context.Context) error {
+	s.stopOnce.Do(func() { close(s.done) })
+	return nil
+}
+
+// Leave announces a planned stop.
+func (s *Status) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving, s.ready = true, false
+}
+
+// SetReady tells whether the box takes requests.
+func (s *Status) SetReady(ready bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ready = ready && !s.leaving
+}
+
+// Ready reports whether the box takes requests.
+func (s *Status) Ready() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ready
+}
+
+// AddEntries notes addresses of other entry boxes.
+func (s *Status) AddEntries(entries []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, entry := range entries {
+		if entry == s.identity.Peers || s.entries[entry] {
+			continue
+		}
+		s.entries[entry] = true
+		close(s.added)
+		s.added = make(chan struct{})
+	}
+}
+
+// RemoveEntry forgets an entry box that has been away for long.
+func (s *Status) RemoveEntry(entry string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.entries, entry)
+}
+
+// Entries returns the entry boxes that are known, and a channel that is closed
+// when there is another one.
+func (s *Status) Entries() (entries []string, added <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.knownEntries(), s.added
+}
+
+func (s *Status) knownEntries() []string {
+	entries := make([]string, 0, len(s.entries)+1)
+	for entry := range s.entries {
+		entries = append(entries, entry)
+	}
+	slices.Sort(entries)
+	return entries
+}
+
+// current returns the status to be told now.
+func (s *Status) current() *wire.EntryStatus {
+	load := s.load()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	status := &wire.EntryStatus{
+		Box: s.identity.Box, Region: s.identity.Region, FailureDomain: s.identity.FailureDomain,
+		Peers: s.identity.Peers, Callers: s.identity.Callers, Incarnation: s.identity.Incarnation,
+		Ready: s.ready, Leaving: s.leaving,
+		Revision: uint64(s.facts.Revision()), StoreAgeMilliseconds: s.facts.StoreAge().Milliseconds(),
+		Entries: s.knownEntries(),
+	}
+	for server, count := range load {
+		status.InFlight = append(status.InFlight, &wire.InFlight{Server: string(server), Count: uint32(count)})
+	}
+	slices.SortFunc(status.InFlight, func(a, b *wire.InFlight) int {
+		if a.Server < b.Server {
+			return -1
+		}
+		return 1
+	})
+	return status
+}
+
+// sameStatus reports whether two statuses tell the same but for their age.
+func sameStatus(a, b *wire.EntryStatus) bool {
+	if a == nil || a.Ready != b.Ready || a.Leaving != b.Leaving || a.Revision != b.Revision ||
+		len(a.InFlight) != len(b.InFlight) || len(a.Entries) != len(b.Entries) {
+		return false
+	}
+	for i := range a.InFlight {
+		if a.InFlight[i].Server != b.InFlight[i].Server || a.InFlight[i].Count != b.InFlight[i].Count {
+			return false
+		}
+	}
+	return true
+}
+
+// Entry streams the box's status.
+func (s *Status) Entry(_ *wire.FollowRequest, stream wire.DRPCFleet_EntryStream) error {
+	ticker := s.clock.NewTicker(statusInterval)
+	defer ticker.Stop()
+	var told *wire.EntryStatus
+	var toldAt time.Time
+	for {
+		status := s.current()
+		if !sameStatus(told, status) || s.clock.Since(toldAt) >= statusHeartbeat {
+			if err := stream.Send(status); err != nil {
+				return err
+			}
+			told, toldAt = status, s.clock.Now()
+		}
+		select {
+		case <-stream.Context().Done():
+			return nil
+		case <-s.done:
+			return nil
+		case <-ticker.Chan():
+		}
+	}
+}
+
+// Facts streams the facts that changed after a cursor.
+func (s *Status) Facts(request *wire.FactsRequest, stream wire.DRPCFleet_FactsStream) error {
+	cursor := state.Cursor{Instance: request.Instance, Sequence: request.Cursor}
+	ticker := s.clock.NewTicker(statusHeartbeat)
+	defer ticker.Stop()
+	for {
+		changed := s.facts.Changed()
+		batch := s.facts.store.Since(cursor, factsLimit)
+		cursor = batch.Next
+		entries, _ := s.Entries()
+		message := &wire.FactsBatch{
+			Instance: cursor.Instance, Cursor: cursor.Sequence, Items: itemsToWire(batch.Items),
+			Entries: append(entries, s.identity.Peers),
+		}
+		if err := stream.Send(message); err != nil {
+			return err
+		}
+		if request.Once {
+			return nil
+		}
+		if len(batch.Items) == factsLimit {
+			continue
+		}
+		select {
+		case <-stream.Context().Done():
+			return nil
+		case <-s.done:
+			return nil
+		case <-changed:
+		case <-ticker.Chan():
+		}
+	}
+}
+
+func itemsToWire(items []state.Item) []*wire.Item {
+	told := make([]*wire.Item, 0, len(items))
+	for _, item := range items {
+		told = append(told, &wire.Item{
+			Key: item.Key, Major: item.Version.Major, Minor: item.Version.Minor, Deleted: item.Deleted, Value: item.Value,
+		})
+	}
+	return told
+}
+
+func itemsFromWire(told []*wire.Item) []state.Item {
+	items := make([]state.Item, 0, len(told))
+	for _, item := range told {
+		items = append(items, state.Item{
+			Key: item.Key, Version: state.Version{Major: item.Major, Minor: item.Minor}, Deleted: item.Deleted, Value: item.Value,
+		})
+	}
+	return items
+}
+
+// EntryBox is another entry box as its status tells.
+type EntryBox struct {
+	Box      member.BoxID
+	Region   member.Region
+	Domain   member.FailureDomain
+	Peers    member.Address
+	Callers  member.Address
+	Ready    bool
+	Revision fleet.Revision
+	// StoreAge is how long ago the store answered the box; negative for never.
+	StoreAge time.Duration
+	Load     map[fleet.ServerID]int
+	Heard    time.Time
+}
+
+func entryBoxOf(status *wire.EntryStatus, now time.Time) EntryBox {
+	entry := EntryBox{
+		Box: member.BoxID(status.Box), Region: member.Region(status.Region), Domain: member.FailureDomain(status.FailureDomain),
+		Peers: member.Address(status.Peers), Callers: member.Address(status.Callers),
+		Ready: status.Ready && !status.Leaving, Revision: fleet.Revision(status.Revision),
+		StoreAge: time.Duration(status.StoreAgeMilliseconds) * time.Millisecond,
+		Load:     make(map[fleet.ServerID]int, len(status.InFlight)), Heard: now,
+	}
+	for _, load := range status.InFlight {
+		entry.Load[fleet.ServerID(load.Server)] = int(load.Count)
+	}
+	return entry
+}
--- /dev/null
+++ b/internal/direct/stream.go
@@ -0,0 +1,156 @@
+package direct
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cinderslip/cinderslip/internal/upstream"
+	"github.com/cinderslip/cinderslip/pkg/route"
+)
+
+// eventLimit bounds one event, in bytes.
+const eventLimit = 1 << 20
+
+// errEventTooLong reports an event of more than eventLimit bytes.
+var errEventTooLong = errors.New("event is too long")
+
+// errPartialEvent reports a stream that ended in the middle of an event.
+var errPartialEvent = errors.New("stream ended in the middle of an event")
+
+// eventReader cuts a stream of events (WHATWG HTML, server-sent events) into
+// whole events.
+type eventReader struct {
+	source io.Reader
+	buffer []byte
+	// read is how much of the buffer has been returned.
+	read int
+}
+
+// next returns what has arrived of whole events, at least one, with the id of
+// the last of them. At the end of the stream it returns io.EOF if nothing is
+// left, and errPartialEvent if a part of an event is.
+func (r *eventReader) next() (events []byte, id string, err error) {
+	r.buffer = append(r.buffer[:0], r.buffer[r.read:]...)
+	r.read = 0
+	for {
+		if end := lastEventEnd(r.buffer); end > 0 {
+			r.read = end
+			return r.buffer[:end], lastID(r.buffer[:end]), nil
+		}
+		if len(r.buffer) > eventLimit {
+			return nil, "", errEventTooLong
+		}
+		if err != nil {
+			if errors.Is(err, io.EOF) && len(r.buffer) > 0 {
+				err = errPartialEvent
+			}
+			return nil, "", err
+		}
+		if cap(r.buffer)-len(r.buffer) < 1024 {
+			grown := make([]byte, len(r.buffer), 2*cap(r.buffer)+4096)
+			copy(grown, r.buffer)
+			r.buffer = grown
+		}
+		var n int
+		n, err = r.source.Read(r.buffer[len(r.buffer):cap(r.buffer)])
+		r.buffer = r.buffer[:len(r.buffer)+n]
+	}
+}
+
+// lastEventEnd returns where the last whole event ends; 0 if there is none.
+func lastEventEnd(buffer []byte) int {
+	end := 0
+	if at := bytes.LastIndex(buffer, []byte("\n\n")); at >= 0 {
+		end = at + 2
+	}
+	if at := bytes.LastIndex(buffer, []byte("\r\n\r\n")); at >= 0 {
+		end = max(end, at+4)
+	}
+	return end
+}
+
+// lastID returns the id of the last event that has one.
+func lastID(events []byte) string {
+	id := ""
+	for line := range bytes.SplitSeq(events, []byte("\n")) {
+		name, value, ok := bytes.Cut(line, []byte(":"))
+		if ok && string(name) == "id" {
+			id = strings.TrimSpace(string(value))
+		}
+	}
+	return id
+}
+
+// passStream passes events on as they come. A stream that breaks off can go on
+// at another server after the last event that was passed on.
+func (f *Front) passStream(ctx context.Context, x *exchange, place *route.Reservation, answer *upstream.Answer) (outcome, error) {
+	reader := &eventReader{source: answer}
+	flush := http.NewResponseController(x.writer)
+	wait := firstPatience
+	if !x.begun {
+		// The head is passed on with the first event, so that a server that gives
+		// none can be replaced.
+		wait = max(wait, x.route.Objective)
+	}
+	for {
+		answer.SetWait(f.eventWait(x, wait))
+		events, id, err := reader.next()
+		switch {
+		case errors.Is(err, io.EOF):
+			if !x.begun {
+				f.passHead(x, answer)
+			}
+			f.ended(x, place, route.ResultDone, nil)
+			return outcomeDone, nil
+		case err != nil:
+			return f.streamFailed(ctx, x, place, err)
+		}
+		if !x.begun {
+			answer.Header.Del("Content-Length")
+			f.passHead(x, answer)
+		}
+		place.Started()
+		if _, err = x.writer.Write(events); err == nil {
+			err = flush.Flush()
+		}
+		if err != nil {
+			f.ended(x, place, route.ResultAbandoned, err)
+			return outcomeGone, err
+		}
+		if id != "" {
+			x.lastEvent = id
+		}
+		wait = streamPatience
+	}
+}
+
+// eventWait is how long the next event is waited for. Where no other server may
+// take the stream over, it is the time that is left.
+func (f *Front) eventWait(x *exchange, wait time.Duration) time.Duration {
+	left := max(time.Millisecond, x.deadline.Sub(f.clock.Now()))
+	if !f.mayRepeat(x) {
+		return left
+	}
+	return min(wait, left)
+}
+
+// streamFailed tells what became of a stream that broke off.
+func (f *Front) streamFailed(ctx context.Context, x *exchange, place *route.Reservation, err error) (outcome, error) {
+	if x.request.Context().Err() != nil {
+		f.ended(x, place, route.ResultAbandoned, err)
+		return outcomeGone, err
+	}
+	f.ended(x, place, route.ResultFailed, err)
+	if !x.begun {
+		return outcomeUnknown, err
+	}
+	if x.lastEvent == "" || ctx.Err() != nil {
+		return outcomeCut, err
+	}
+	return outcomeBroken, err
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -33,6 +33,13 @@
 	c.name("box", s.Box)
 	c.name("region", s.Region)
 	c.name("failure_domain", s.FailureDomain)
+	if s.Mode == ModeDirect {
+		c.direct()
+		return c.findings
+	}
+	if s.Mode != ModeAgents {
+		c.add("mode", "want %q or %q, got %q", ModeAgents, ModeDirect, s.Mode)
+	}
 	c.addresses()
 	c.common()
 	switch s.Role {
--- /dev/null
+++ b/internal/settings/direct.go
@@ -0,0 +1,50 @@
+package settings
+
+import (
+	"fmt"
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// portLimit is the highest port.
+const portLimit = 1<<16 - 1
+
+// direct checks the settings of direct mode.
+func (c *checker) direct() {
+	s := c.settings
+	c.address("listen.peers", s.Listen.Peers)
+	c.address("listen.metrics", s.Listen.Metrics)
+	c.address("direct.store", s.Direct.Store)
+	c.number("direct.agent_port", int64(s.Direct.AgentPort), 1, portLimit)
+	c.number("direct.memory_limit_bytes", s.Direct.MemoryLimit, 1<<20, 1<<50)
+	c.duration("direct.version_bound", s.Direct.VersionBound, time.Second, 24*time.Hour)
+	c.duration("direct.retry_window", s.Direct.RetryWindow, time.Second, time.Hour)
+	c.duration("stop.grace", s.Stop.Grace, time.Second, time.Hour)
+	if s.Direct.RetryRatio < 0 || s.Direct.RetryExtra < 0 {
+		c.add("direct.retry_ratio", "want numbers that are not negative, got %v and %v", s.Direct.RetryRatio, s.Direct.RetryExtra)
+	}
+	for i, entry := range s.Peers.Entries {
+		if _, err := netip.ParseAddrPort(entry); err != nil {
+			c.add("peers.entries", "element %d: want an IP address with a port, got %q", i+1, entry)
+		}
+	}
+	for _, domain := range slices.Sorted(maps.Keys(s.Direct.Domains)) {
+		c.name(fmt.Sprintf("direct.domains.%s", domain), s.Direct.Domains[domain])
+	}
+	if _, err := zerolog.ParseLevel(s.Log.Level); err != nil {
+		c.add("log.level", "want debug, info, warn or error, got %q", s.Log.Level)
+	}
+	if s.Role == RoleAgent {
+		c.address("direct.server", s.Direct.Server)
+		c.name("direct.service", s.Direct.Service)
+		return
+	}
+	c.address("listen.callers", s.Listen.Callers)
+	c.address("listen.readiness", s.Listen.Readiness)
+	c.address("listen.directory", s.Listen.Directory)
+	c.duration("direct.directory_ttl", s.Direct.DirectoryTTL, time.Second, time.Hour)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,6 +23,19 @@
 	RoleAgent Role = "agent"
 )
 
+// Mode is how requests reach backend servers.
+type Mode string
+
+// The modes.
+const (
+	// ModeAgents sends requests through the agents beside the backend servers.
+	ModeAgents Mode = "agents"
+	// ModeDirect connects entry boxes straight to the backend servers of a
+	// platform that keeps their list, the operators' routes and the wanted
+	// weights in its key-value service.
+	ModeDirect Mode = "direct"
+)
+
 // Preference trades bytes drawn from the origin against time until live.
 type Preference string
 
@@ -50,6 +63,7 @@
 // Settings is everything that a daemon reads from its file.
 type Settings struct {
 	Role Role `toml:"role"`
+	Mode Mode `toml:"mode"`
 	// Organisation, Box, Region and FailureDomain say what and where the box is.
 	Organisation  string `toml:"organisation"`
 	Box           string `toml:"box"`
@@ -65,6 +79,7 @@
 	Weights   Weights   `toml:"weights"`
 	Log       Log       `toml:"log"`
 	Stop      Stop      `toml:"stop"`
+	Direct    Direct    `toml:"direct"`
 }
 
 // Listen holds the addresses to listen on, each an IP address with a port.
@@ -75,6 +90,12 @@
 	Operators string `toml:"operators"`
 	// Peers is for the system's own processes.
 	Peers string `toml:"peers"`
+	// Readiness and Directory are for the platform's and the callers' questions;
+	// entry in direct mode only.
+	Readiness string `toml:"readiness"`
+	Directory string `toml:"directory"`
+	// Metrics serves the process's metrics; direct mode only.
+	Metrics string `toml:"metrics"`
 }
 
 // Operators says who may use the operators' listener.
@@ -147,6 +168,32 @@
 	DrawWait Duration `toml:"draw_wait"`
 }
 
+// Direct tunes a process in direct mode.
+type Direct struct {
+	// Store is the address of the platform's key-value service.
+	Store string `toml:"store"`
+	// Server is the address of the backend server on the agent's box, Service the
+	// service that it belongs to.
+	Server  string `toml:"server"`
+	Service string `toml:"service"`
+	// AgentPort is where the agent on a backend server's box is reached.
+	AgentPort int `toml:"agent_port"`
+	// Domains gives the region of each failure domain.
+	Domains map[string]string `toml:"domains"`
+	// MemoryLimit bounds the process's memory, in bytes.
+	MemoryLimit int64 `toml:"memory_limit_bytes"`
+	// VersionBound is how long after newer weights were named older ones may
+	// still start a request.
+	VersionBound Duration `toml:"version_bound"`
+	// DirectoryTTL is how long callers may keep the addresses they are told.
+	DirectoryTTL Duration `toml:"directory_ttl"`
+	// RetryRatio and RetryExtra bound the attempts beyond the first of each
+	// request of a service within RetryWindow, over all entry boxes.
+	RetryRatio  float64  `toml:"retry_ratio"`
+	RetryExtra  int      `toml:"retry_extra"`
+	RetryWindow Duration `toml:"retry_window"`
+}
+
 // Log says what is logged.
 type Log struct {
 	Level string `toml:"level"`
@@ -172,11 +219,22 @@
 	defaultGrace        = Duration(time.Minute)
 	defaultLogLevel     = "info"
 	defaultOrganisation = "default"
+	defaultVersionBound = Duration(8 * time.Second)
+	defaultDirectoryTTL = Duration(time.Second)
+	defaultRetryRatio   = 0.2
+	defaultRetryExtra   = 100
+	defaultRetryWindow  = Duration(10 * time.Second)
 )
 
 // Default fills everything that the file left out.
 func (s *Settings) Default() {
 	setDefault(&s.Organisation, defaultOrganisation)
+	setDefault(&s.Mode, ModeAgents)
+	setDefault(&s.Direct.VersionBound, defaultVersionBound)
+	setDefault(&s.Direct.DirectoryTTL, defaultDirectoryTTL)
+	setDefault(&s.Direct.RetryRatio, defaultRetryRatio)
+	setDefault(&s.Direct.RetryExtra, defaultRetryExtra)
+	setDefault(&s.Direct.RetryWindow, defaultRetryWindow)
 	setDefault(&s.Peers.Heartbeat, defaultHeartbeat)
 	setDefault(&s.Peers.Silence, defaultSilence)
 	setDefault(&s.Requests.PlacesPerReplica, defaultPlaces)
--- /dev/null
+++ b/internal/upstream/answer.go
@@ -0,0 +1,88 @@
+package upstream
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"time"
+)
+
+// Answer is the answer of a server. Its body has yet to be read.
+type Answer struct {
+	*http.Response
+
+	conn *conn
+	stop func() bool
+	// sent gives the result of writing the request.
+	sent  chan error
+	ended bool
+}
+
+// SetWait bounds the wait for the next byte of the body; 0 ends the bound.
+func (a *Answer) SetWait(wait time.Duration) {
+	var until time.Time
+	if wait > 0 {
+		until = a.conn.pool.options.Clock.Now().Add(wait)
+	}
+	_ = a.conn.SetReadDeadline(until)
+}
+
+// Read reads the body. io.EOF means that the body is whole.
+func (a *Answer) Read(buffer []byte) (int, error) {
+	n, err := a.Body.Read(buffer)
+	if errors.Is(err, io.EOF) {
+		a.ended = true
+	}
+	return n, err
+}
+
+// IsFramed reports whether the end of the body shows by other means than the end
+// of the connection.
+func (a *Answer) IsFramed() bool { return a.ContentLength >= 0 || len(a.TransferEncoding) > 0 }
+
+// Close gives the connection back if the answer was read whole and the server
+// keeps it open, and closes it otherwise.
+func (a *Answer) Close() {
+	live := a.stop == nil || a.stop()
+	if !live || !a.ended || a.Response == nil || a.Response.Close || !a.IsFramed() || !a.isSent() {
+		_ = a.conn.Close()
+		return
+	}
+	keep := keepFor(a.Header)
+	a.conn.until = a.conn.pool.options.Clock.Now().Add(keep)
+	a.conn.pool.keep(a.conn)
+}
+
+// isSent reports whether the request was written whole. A server may answer
+// before it has read a long body; what comes next on such a connection would be
+// taken for the rest of it.
+func (a *Answer) isSent() bool {
+	select {
+	case err := <-a.sent:
+		return err == nil
+	default:
+		return false
+	}
+}
+
+func drain(response *http.Response) error {
+	_, err := io.Copy(io.Discard, io.LimitReader(response.Body, drainLimit))
+	return errors.Join(err, response.Body.Close())
+}
+
+// drainLimit bounds an answer that is thrown away, in bytes.
+const drainLimit = 1 << 20
+
+// Discard reads the rest of a short answer and closes it, so that the connection
+// can be kept.
+func (a *Answer) Discard() {
+	if _, err := io.Copy(io.Discard, io.LimitReader(a, discardLimit)); err == nil {
+		// The reader has met the end unless the answer is longer.
+		_, _ = a.Read(make([]byte, 1))
+	}
+	a.Close()
+}
+
+// discardLimit bounds an answer that is read only to keep its connection, in
+// bytes.
+const discardLimit = 4 << 10
--- /dev/null
+++ b/internal/upstream/upstream.go
@@ -0,0 +1,305 @@
+// Package upstream sends requests to backend servers over connections of its
+// own. One call is one attempt: nothing is ever sent twice, and every failure
+// says whether the server may have run the request.
+//
+// A connection carries one request at a time. Kept connections are checked
+// before they are used again, and an answer that belongs to another request is
+// read and thrown away, so that a late second answer is never taken for the next
+// one.
+//
+// # Usage
+//
+//	pool := upstream.NewPool(upstream.Options{...})
+//	answer, err := pool.Send(ctx, &upstream.Request{Address: address, ...})
+//	if err != nil && !upstream.MayHaveRun(err) { ... } // try elsewhere
+//	defer answer.Close()
+//	io.Copy(w, answer.Body())
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/cinderslip/cinderslip/pkg/member"
+)
+
+// ErrNotSent reports that no byte of the request reached the server.
+var ErrNotSent = errors.New("request was not sent")
+
+// ErrNoAnswer reports a request that was sent and got no valid answer: it may
+// have run.
+var ErrNoAnswer = errors.New("no answer came")
+
+// MayHaveRun reports whether a request that ended with the error may have run.
+func MayHaveRun(err error) bool { return !errors.Is(err, ErrNotSent) }
+
+const (
+	// dialTimeout bounds opening a connection. It is many round trips on any
+	// link between boxes, and short against a caller's patience.
+	dialTimeout = 400 * time.Millisecond
+	// silenceTimeout ends a connection whose peer does not acknowledge what was
+	// sent, as a box without power does.
+	silenceTimeout = 2 * time.Second
+	// bufferSize is that of each direction of a connection, in bytes; an event
+	// of a stream takes a few hundred.
+	bufferSize = 4 << 10
+	// idleLimit is how long a connection is kept unused where the server does
+	// not say.
+	idleLimit = 4 * time.Second
+	// inlineBody is the size up to which a body is written before the answer is
+	// read, in bytes; it fits the windows of any link.
+	inlineBody = 16 << 10
+	// strayAnswers bounds the answers to other requests that are thrown away on
+	// one connection.
+	strayAnswers = 2
+)
+
+// tcpUserTimeout is TCP_USER_TIMEOUT of Linux (RFC 5482).
+const tcpUserTimeout = 0x12
+
+// Options are the parts that a pool works with.
+type Options struct {
+	Clock clockwork.Clock
+	// IsOwn reports whether an answer belongs to the request with the id.
+	IsOwn func(answer *http.Response, id string) bool
+	// KeepPerServer bounds the unused connections kept to one server.
+	KeepPerServer int
+	// Opened is called for each new connection.
+	Opened func()
+}
+
+// Pool opens and keeps connections. It is safe for concurrent use.
+type Pool struct {
+	options Options
+	dialer  net.Dialer
+
+	mu   sync.Mutex
+	idle map[member.Address][]*conn
+}
+
+// NewPool returns a pool without connections.
+func NewPool(options Options) *Pool {
+	return &Pool{
+		options: options,
+		dialer:  net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: SetSilenceTimeout},
+		idle:    make(map[member.Address][]*conn),
+	}
+}
+
+// SetSilenceTimeout makes a socket fail soon after its peer has fallen silent.
+func SetSilenceTimeout(_, _ string, raw syscall.RawConn) error {
+	var problem error
+	err := raw.Control(func(fd uintptr) {
+		problem = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(silenceTimeout.Milliseconds()))
+	})
+	return errors.Join(err, problem)
+}
+
+// conn is one connection to a server.
+type conn struct {
+	net.Conn
+	pool    *Pool
+	address member.Address
+	reader  *bufio.Reader
+	writer  *bufio.Writer
+	// until is when the connection may no longer be taken for another request.
+	until time.Time
+}
+
+// Request is one attempt.
+type Request struct {
+	Address member.Address
+	ID      string
+	Method  string
+	// Target is the request target exactly as the caller sent it.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// FirstByte bounds the wait for the head of the answer; 0 leaves it to the
+	// context.
+	FirstByte time.Duration
+}
+
+// Send makes one attempt and returns the answer's head. The answer must be
+// closed. The context's end breaks the connection off, also while the body is
+// read. Errors wrap ErrNotSent or ErrNoAnswer.
+func (p *Pool) Send(ctx context.Context, request *Request) (*Answer, error) {
+	c, err := p.take(ctx, request.Address)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	answer := &Answer{conn: c, sent: make(chan error, 1)}
+	answer.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
+	if len(request.Body) <= inlineBody {
+		if err := c.write(request); err != nil {
+			answer.Close()
+			return nil, fmt.Errorf("%w: %w", ErrNoAnswer, err)
+		}
+		answer.sent <- nil
+	} else {
+		go func() { answer.sent <- c.write(request) }()
+	}
+	if request.FirstByte > 0 {
+		_ = c.SetReadDeadline(p.options.Clock.Now().Add(request.FirstByte))
+	}
+	answer.Response, err = c.readOwn(request) //nolint:bodyclose // Answer.Close ends it
+	if err != nil {
+		answer.Close()
+		return nil, fmt.Errorf("%w: %w", ErrNoAnswer, err)
+	}
+	return answer, nil
+}
+
+// take returns a kept connection that is still sound, else a new one.
+func (p *Pool) take(ctx context.Context, address member.Address) (*conn, error) {
+	for {
+		c := p.pop(address)
+		if c == nil {
+			break
+		}
+		if p.options.Clock.Now().Before(c.until) && c.isQuiet() {
+			return c, nil
+		}
+		_ = c.Close()
+	}
+	raw, err := p.dialer.DialContext(ctx, "tcp", string(address))
+	if err != nil {
+		return nil, err
+	}
+	if p.options.Opened != nil {
+		p.options.Opened()
+	}
+	return &conn{
+		Conn: raw, pool: p, address: address,
+		reader: bufio.NewReaderSize(raw, bufferSize), writer: bufio.NewWriterSize(raw, bufferSize),
+	}, nil
+}
+
+func (p *Pool) pop(address member.Address) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := p.idle[address]
+	if len(kept) == 0 {
+		return nil
+	}
+	c := kept[len(kept)-1]
+	p.idle[address] = kept[:len(kept)-1]
+	return c
+}
+
+// keep takes a connection back whose answer was read to its end.
+func (p *Pool) keep(c *conn) {
+	_ = c.SetReadDeadline(time.Time{})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[c.address]) >= p.options.KeepPerServer {
+		_ = c.Close()
+		return
+	}
+	p.idle[c.address] = append(p.idle[c.address], c)
+}
+
+// Forget closes the kept connections to an address whose server has gone.
+func (p *Pool) Forget(address member.Address) {
+	p.mu.Lock()
+	kept := p.idle[address]
+	delete(p.idle, address)
+	p.mu.Unlock()
+	for _, c := range kept {
+		_ = c.Close()
+	}
+}
+
+// isQuiet reports whether the server has neither closed the connection nor sent
+// anything on it since the last answer.
+func (c *conn) isQuiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, problem := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(problem, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+func (c *conn) write(request *Request) error {
+	w := c.writer
+	_, _ = w.WriteString(request.Method)
+	_ = w.WriteByte(' ')
+	_, _ = w.WriteString(request.Target)
+	_, _ = w.WriteString(" HTTP/1.1\r\nHost: ")
+	_, _ = w.WriteString(request.Host)
+	_, _ = w.WriteString("\r\n")
+	if len(request.Body) > 0 || request.Method == http.MethodPost || request.Method == http.MethodPut || request.Method == http.MethodPatch {
+		_, _ = w.WriteString("Content-Length: ")
+		_, _ = w.WriteString(strconv.Itoa(len(request.Body)))
+		_, _ = w.WriteString("\r\n")
+	}
+	// The writer keeps its first error and gives it again at the end.
+	_ = request.Header.Write(w)
+	_, _ = w.WriteString("\r\n")
+	_, _ = w.Write(request.Body)
+	return w.Flush()
+}
+
+// readOwn reads the answer to the request, past answers to other ones.
+func (c *conn) readOwn(request *Request) (*http.Response, error) {
+	for range strayAnswers + 1 {
+		response, err := c.readFinal(request.Method)
+		if err != nil {
+			return nil, err
+		}
+		if c.pool.options.IsOwn(response, request.ID) {
+			return response, nil
+		}
+		if err := drain(response); err != nil {
+			return nil, fmt.Errorf("reading an answer to another request: %w", err)
+		}
+	}
+	return nil, errors.New("every answer belonged to another request")
+}
+
+// readFinal reads past interim answers (RFC 9110, section 15.2).
+func (c *conn) readFinal(method string) (*http.Response, error) {
+	for {
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+			return response, nil
+		}
+	}
+}
+
+// keepFor reads how long the server leaves the connection open, and takes four
+// fifths of it, so that a request does not cross its close.
+func keepFor(header http.Header) time.Duration {
+	for value := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
+		name, text, _ := strings.Cut(strings.TrimSpace(value), "=")
+		if seconds, err := strconv.Atoi(text); err == nil && strings.EqualFold(name, "timeout") {
+			return time.Duration(seconds) * time.Second * 4 / 5
+		}
+	}
+	return idleLimit
+}
--- /dev/null
+++ b/pkg/fleet/fact.go
@@ -0,0 +1,80 @@
+package fleet
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/cinderslip/cinderslip/pkg/state"
+)
+
+// The keys under which facts are replicated.
+const (
+	configurationKey = "configuration"
+	serverPrefix     = "server/"
+	wantedPrefix     = "wanted/"
+)
+
+// Fact is one thing that was written outside. Exactly one of Configuration,
+// Server and Wanted is set, or none if the fact is gone.
+type Fact struct {
+	Key           string
+	Revision      Revision
+	Gone          bool
+	Configuration *Configuration
+	Server        *Server
+	Wanted        *Wanted
+}
+
+// ConfigurationKey returns the key of the configuration.
+func ConfigurationKey() string { return configurationKey }
+
+// ServerKey returns the key of a server's entry.
+func ServerKey(id ServerID) string { return serverPrefix + string(id) }
+
+// WantedKey returns the key of a model's wanted weights.
+func WantedKey(model ModelName) string { return wantedPrefix + string(model) }
+
+// Item returns the fact in the form in which it is replicated.
+func (f *Fact) Item() (state.Item, error) {
+	item := state.Item{Key: f.Key, Version: state.Version{Major: uint64(f.Revision)}, Deleted: f.Gone}
+	var value any
+	switch {
+	case f.Gone:
+		return item, nil
+	case f.Configuration != nil:
+		value = f.Configuration
+	case f.Server != nil:
+		value = f.Server
+	case f.Wanted != nil:
+		value = f.Wanted
+	}
+	var err error
+	item.Value, err = state.Encode(value)
+	return item, err
+}
+
+// FactOf reads a fact back from its item.
+func FactOf(item state.Item) (Fact, error) {
+	fact := Fact{Key: item.Key, Revision: Revision(item.Version.Major), Gone: item.Deleted}
+	if item.Deleted {
+		return fact, nil
+	}
+	var value any
+	switch {
+	case item.Key == configurationKey:
+		fact.Configuration = &Configuration{}
+		value = fact.Configuration
+	case strings.HasPrefix(item.Key, serverPrefix):
+		fact.Server = &Server{}
+		value = fact.Server
+	case strings.HasPrefix(item.Key, wantedPrefix):
+		fact.Wanted = &Wanted{}
+		value = fact.Wanted
+	default:
+		return fact, fmt.Errorf("fact %q has no known kind", item.Key)
+	}
+	if err := state.Decode(item.Value, value); err != nil {
+		return fact, fmt.Errorf("fact %q: %w", item.Key, err)
+	}
+	return fact, nil
+}
--- /dev/null
+++ b/pkg/fleet/fleet.go
@@ -0,0 +1,217 @@
+// Package fleet holds the facts by which entry boxes serve callers directly:
+// the operators' routes, the backend servers that there are, and the weights
+// that each model should run.
+//
+// Facts come from outside (a key-value service, or another entry box) and carry
+// the revision at which they were written. A View is the immutable form that
+// decisions read: it finds the route of a request, the organisation of a key and
+// the backend servers of a service.
+//
+// # Usage
+//
+//	view := fleet.NewView(facts)
+//	route, ok := view.Route("maps.example", "/tiles/7/3")
+//	organisation, ok := view.Organisation(key)
+//	servers := view.Servers(route.Service)
+package fleet
+
+import (
+	"time"
+
+	"github.com/cinderslip/cinderslip/pkg/member"
+)
+
+// Revision orders the writes of the key-value service.
+type Revision uint64
+
+// ServerID names one start of a backend server.
+type ServerID string
+
+// ModelName names a model.
+type ModelName string
+
+// WeightsVersion numbers the published weights of a model; it only goes up.
+type WeightsVersion uint64
+
+// OrganisationName names an organisation.
+type OrganisationName string
+
+// APIKey is what an organisation's callers show.
+type APIKey string
+
+// RouteKind says what may be done with the requests of a route.
+type RouteKind string
+
+// The kinds of routes.
+const (
+	// KindRepeatable requests may run more than once.
+	KindRepeatable RouteKind = "repeatable"
+	// KindOnce requests run at most once.
+	KindOnce RouteKind = "once"
+	// KindStream requests are answered with a series of events.
+	KindStream RouteKind = "stream"
+)
+
+// Backend is one service that a route sends requests to.
+type Backend struct {
+	Service member.Service `cbor:"1,keyasint"`
+	// Weight is relative to the weights of the route's other backends.
+	Weight float64 `cbor:"2,keyasint"`
+}
+
+// Route sends the requests of one host and path prefix to a service.
+type Route struct {
+	Name       string        `cbor:"1,keyasint"`
+	Host       string        `cbor:"2,keyasint"`
+	PathPrefix string        `cbor:"3,keyasint"`
+	Kind       RouteKind     `cbor:"4,keyasint"`
+	Timeout    time.Duration `cbor:"5,keyasint"`
+	// Objective is the time to the answer, or to a stream's first event, that
+	// callers expect.
+	Objective time.Duration `cbor:"6,keyasint"`
+	// Priority is 0 for the most urgent.
+	Priority int       `cbor:"7,keyasint"`
+	Backends []Backend `cbor:"8,keyasint"`
+	// MaxAttempts bounds the backend servers that one request may be sent to.
+	MaxAttempts int `cbor:"9,keyasint"`
+	// Public routes need no key.
+	Public bool `cbor:"10,keyasint,omitempty"`
+	// Resumable streams may go on at another backend server.
+	Resumable bool `cbor:"11,keyasint,omitempty"`
+	// Pause is the longest time between two events that callers accept.
+	Pause time.Duration `cbor:"12,keyasint,omitempty"`
+}
+
+// Repeatable reports whether a request may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == KindRepeatable || r.Kind == KindStream && r.Resumable
+}
+
+// Engine describes the model servers of a service.
+type Engine struct {
+	// Slots is how many requests a server runs at once.
+	Slots  int         `cbor:"1,keyasint"`
+	Models []ModelName `cbor:"2,keyasint"`
+	// Warmup is how long a server takes to load all layers.
+	Warmup time.Duration `cbor:"3,keyasint"`
+	Layers int           `cbor:"4,keyasint"`
+	// Pieces and PieceSize (bytes) are how the weights are cut for transport.
+	Pieces    int   `cbor:"5,keyasint"`
+	PieceSize int64 `cbor:"6,keyasint"`
+	// Step is the time of one token step, StepPerRequest what each running
+	// request adds to it.
+	Step           time.Duration `cbor:"7,keyasint"`
+	StepPerRequest time.Duration `cbor:"8,keyasint"`
+	// Stride is how many token steps are played between two readings of prompts.
+	Stride int `cbor:"9,keyasint"`
+	// ReadPerSecond is the rate at which prompts are read, in tokens.
+	ReadPerSecond float64 `cbor:"10,keyasint"`
+	// UsualPrompt and UsualAnswer are mean sizes, in tokens.
+	UsualPrompt float64 `cbor:"11,keyasint"`
+	UsualAnswer float64 `cbor:"12,keyasint"`
+}
+
+// Service is a group of backend servers that answer alike, or an origin of
+// weights.
+type Service struct {
+	Name           member.Service `cbor:"1,keyasint"`
+	MaxConnections int            `cbor:"2,keyasint"`
+	// Engine is nil for a service that runs no model.
+	Engine *Engine `cbor:"3,keyasint,omitempty"`
+	// Origin is where weights are published; empty for all other services.
+	Origin member.Address `cbor:"4,keyasint,omitempty"`
+}
+
+// Organisation holds the keys of one organisation.
+type Organisation struct {
+	Name OrganisationName `cbor:"1,keyasint"`
+	Keys []APIKey         `cbor:"2,keyasint"`
+	// Priority replaces that of the route if it is set.
+	Priority *int `cbor:"3,keyasint,omitempty"`
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	// HeaderBytes and BodyBytes are sizes in bytes.
+	HeaderBytes   int64         `cbor:"1,keyasint"`
+	BodyBytes     int64         `cbor:"2,keyasint"`
+	HeaderTimeout time.Duration `cbor:"3,keyasint"`
+	IdleTimeout   time.Duration `cbor:"4,keyasint"`
+}
+
+// Configuration is what the operators have written last, whole.
+type Configuration struct {
+	// Version goes up with each change, in uneven steps.
+	Version       uint64         `cbor:"1,keyasint"`
+	Routes        []Route        `cbor:"2,keyasint"`
+	Services      []Service      `cbor:"3,keyasint"`
+	Organisations []Organisation `cbor:"4,keyasint"`
+	Limits        Limits         `cbor:"5,keyasint"`
+}
+
+// LoadedLayers is a range of layers that a server holds, End exclusive.
+type LoadedLayers struct {
+	Start   int            `cbor:"1,keyasint"`
+	End     int            `cbor:"2,keyasint"`
+	Version WeightsVersion `cbor:"3,keyasint"`
+}
+
+// LoadedModel is what a server holds of one model.
+type LoadedModel struct {
+	Name    ModelName      `cbor:"1,keyasint"`
+	Version WeightsVersion `cbor:"2,keyasint"`
+	Layers  []LoadedLayers `cbor:"3,keyasint"`
+}
+
+// Whole returns the version of which all n layers are held, if there is one.
+func (m *LoadedModel) Whole(n int) (WeightsVersion, bool) {
+	if n == 0 {
+		return m.Version, m.Version > 0
+	}
+	next := 0
+	var version WeightsVersion
+	for _, held := range m.Layers {
+		if next > 0 && held.Version != version {
+			return 0, false
+		}
+		if held.Start > next {
+			return 0, false
+		}
+		version = held.Version
+		next = max(next, held.End)
+	}
+	return version, next >= n
+}
+
+// Server is a backend server as it stands in the list.
+type Server struct {
+	ID      ServerID             `cbor:"1,keyasint"`
+	Service member.Service       `cbor:"2,keyasint"`
+	Address member.Address       `cbor:"3,keyasint"`
+	Domain  member.FailureDomain `cbor:"4,keyasint"`
+	Slots   int                  `cbor:"5,keyasint"`
+	// Leaving is set once the server has said that it will end.
+	Leaving bool          `cbor:"6,keyasint,omitempty"`
+	Models  []LoadedModel `cbor:"7,keyasint,omitempty"`
+}
+
+// Wanted names the weights that all servers of a model should run.
+type Wanted struct {
+	Model   ModelName      `cbor:"1,keyasint"`
+	Version WeightsVersion `cbor:"2,keyasint"`
+}
+
+// Report is what a model server says of itself.
+type Report struct {
+	Models []LoadedModel
+	// Busy is set while an order is being carried out.
+	Busy    bool
+	Orders  uint64
+	Running int
+	Waiting int
+	// MemoryUsed and MemoryTotal are in tokens times layers.
+	MemoryUsed  uint64
+	MemoryTotal uint64
+	// Pace is above 1 when the server is slow; 0 if it does not say.
+	Pace float64
+}
--- /dev/null
+++ b/pkg/fleet/view.go
@@ -0,0 +1,148 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cinderslip/cinderslip/pkg/member"
+)
+
+// View is what is believed at one moment. It is not changed once made, so it may
+// be read without locks.
+type View struct {
+	// Configuration is nil until one is known.
+	Configuration *Configuration
+	// ConfigurationRevision is the revision at which it was written.
+	ConfigurationRevision Revision
+
+	routes        map[string][]*Route
+	organisations map[APIKey]*Organisation
+	services      map[member.Service]*Service
+	servers       map[member.Service][]Server
+	wanted        map[ModelName]WantedSince
+	origin        member.Address
+}
+
+// WantedSince is a wanted version with the time at which this process first
+// heard of it.
+type WantedSince struct {
+	Wanted
+	Revision Revision
+	Since    time.Time
+}
+
+// EmptyView returns a view that knows nothing.
+func EmptyView() *View { return &View{} }
+
+// WithConfiguration returns a view with another configuration and all else as it
+// was.
+func (v *View) WithConfiguration(configuration *Configuration, revision Revision) *View {
+	next := *v
+	next.Configuration, next.ConfigurationRevision = configuration, revision
+	next.routes = make(map[string][]*Route)
+	next.organisations = make(map[APIKey]*Organisation)
+	next.services = make(map[member.Service]*Service)
+	next.origin = ""
+	for i := range configuration.Routes {
+		route := &configuration.Routes[i]
+		host := strings.ToLower(route.Host)
+		next.routes[host] = append(next.routes[host], route)
+	}
+	for _, routes := range next.routes {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
+	}
+	for i := range configuration.Organisations {
+		organisation := &configuration.Organisations[i]
+		for _, key := range organisation.Keys {
+			next.organisations[key] = organisation
+		}
+	}
+	for i := range configuration.Services {
+		service := &configuration.Services[i]
+		next.services[service.Name] = service
+		if service.Origin != "" {
+			next.origin = service.Origin
+		}
+	}
+	return &next
+}
+
+// WithServers returns a view with another list of servers.
+func (v *View) WithServers(servers []Server) *View {
+	next := *v
+	next.servers = make(map[member.Service][]Server)
+	for _, server := range servers {
+		next.servers[server.Service] = append(next.servers[server.Service], server)
+	}
+	for _, list := range next.servers {
+		slices.SortFunc(list, func(a, b Server) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	}
+	return &next
+}
+
+// WithWanted returns a view with other wanted weights.
+func (v *View) WithWanted(wanted map[ModelName]WantedSince) *View {
+	next := *v
+	next.wanted = wanted
+	return &next
+}
+
+// Route returns the route of a host whose prefix begins the path and is longest.
+func (v *View) Route(host, path string) (*Route, bool) {
+	for _, route := range v.routes[strings.ToLower(host)] {
+		if strings.HasPrefix(path, route.PathPrefix) {
+			return route, true
+		}
+	}
+	return nil, false
+}
+
+// Organisation returns who holds a key.
+func (v *View) Organisation(key APIKey) (*Organisation, bool) {
+	organisation, ok := v.organisations[key]
+	return organisation, ok
+}
+
+// Service returns the description of a service; nil if it is not known.
+func (v *View) Service(name member.Service) *Service { return v.services[name] }
+
+// Servers returns the servers of a service in the order of their ids.
+func (v *View) Servers(name member.Service) []Server { return v.servers[name] }
+
+// AllServers calls a function for each server of each service.
+func (v *View) AllServers(visit func(Server)) {
+	for _, servers := range v.servers {
+		for _, server := range servers {
+			visit(server)
+		}
+	}
+}
+
+// Services returns the services that have backend servers or routes.
+func (v *View) Services() []*Service {
+	if v.Configuration == nil {
+		return nil
+	}
+	services := make([]*Service, 0, len(v.Configuration.Services))
+	for i := range v.Configuration.Services {
+		services = append(services, &v.Configuration.Services[i])
+	}
+	return services
+}
+
+// Origin returns where weights are published; empty if no service says.
+func (v *View) Origin() member.Address { return v.origin }
+
+// Wanted returns the weights that the servers of a model should run. Before any
+// version was named it is the first.
+func (v *View) Wanted(model ModelName) WantedSince {
+	if wanted, ok := v.wanted[model]; ok {
+		return wanted
+	}
+	return WantedSince{Wanted: Wanted{Model: model, Version: FirstVersion}}
+}
+
+// FirstVersion is the version that a model has before another one is named.
+const FirstVersion WeightsVersion = 1
--- /dev/null
+++ b/pkg/route/dispatch.go
@@ -0,0 +1,530 @@
+package route
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cinderslip/cinderslip/pkg/fleet"
+	"github.com/cinderslip/cinderslip/pkg/member"
+)
+
+// ErrNoServer reports a service without a backend server that could run the
+// request.
+var ErrNoServer = errors.New("no backend server can run the request")
+
+// BusyError reports that the request could not start in time.
+type BusyError struct {
+	// Waiting is how many requests were queued before it.
+	Waiting int
+	// RetryAfter is when there should be room.
+	RetryAfter time.Duration
+}
+
+// Error says how many requests wait.
+func (e *BusyError) Error() string {
+	return fmt.Sprintf("%d requests wait, room in about %v", e.Waiting, e.RetryAfter)
+}
+
+const (
+	// peerLoadAge is how long the load that another entry box told counts. It is
+	// several of the intervals at which they tell it.
+	peerLoadAge = 1500 * time.Millisecond
+	// serverStatusAge is how long an agent's status counts.
+	serverStatusAge = 1200 * time.Millisecond
+	// orphanMargin is by how many requests a server's own count may exceed what
+	// the entry boxes claim before it is believed: its count is a little older.
+	orphanMargin = 4
+	// holdSmoothing is the weight of the newest time in the mean time that a
+	// request holds a place.
+	holdSmoothing = 0.05
+	// failureSmoothing is the weight of the newest result in a server's share of
+	// failures.
+	failureSmoothing = 0.15
+	// ejectFirst and ejectLongest bound how long a server that could not be
+	// reached is left alone.
+	ejectFirst   = 500 * time.Millisecond
+	ejectLongest = 4 * time.Second
+	// lateReserve is what must be left of a queued request's time for an answer
+	// to be worth starting, as a part of the usual time that one takes.
+	lateReserve = 0.5
+	// retryLeast is the shortest time after which a caller is told to return.
+	retryLeast = 100 * time.Millisecond
+)
+
+// The parts of a server's cost beside the share of its places that are taken.
+const (
+	// costReading is for each prompt that is being read there: reading holds up
+	// every other request of the batch.
+	costReading = 0.06
+	// costFar is for a server of another region: each answer crosses a priced
+	// link.
+	costFar = 0.12
+	// costFailures is for a server all of whose answers fail.
+	costFailures = 4.0
+)
+
+// Load is how many requests one box has in flight at each server.
+type Load map[fleet.ServerID]int
+
+// ServerState is what an agent tells of the backend server on its box.
+type ServerState struct {
+	// Version is the whole version that is loaded; 0 if there is none.
+	Version fleet.WeightsVersion
+	// Swapping is set while the server takes nothing new.
+	Swapping bool
+	Running  int
+	Waiting  int
+	// Pace is above 1 when the server is slow.
+	Pace float64
+}
+
+// backend is one server of a service as seen from this box.
+type backend struct {
+	server fleet.Server
+	far    bool
+	// listed is the version that the list gives.
+	listed fleet.WeightsVersion
+
+	state   ServerState
+	stateAt time.Time
+
+	own      int
+	reading  int
+	failures float64
+
+	ejectedTo time.Time
+	ejections int
+}
+
+// version returns the whole version that the server has, by the newest word.
+func (b *backend) version(now time.Time) (version fleet.WeightsVersion, swapping bool) {
+	if now.Sub(b.stateAt) < serverStatusAge {
+		return b.state.Version, b.state.Swapping
+	}
+	return b.listed, false
+}
+
+type peerLoad struct {
+	load Load
+	at   time.Time
+}
+
+// Ask is a request for a place.
+type Ask struct {
+	// Priority is 0 for the most urgent.
+	Priority int
+	Arrived  time.Time
+	// StartBy is when the request must start to meet its objective.
+	StartBy  time.Time
+	Deadline time.Time
+	// Returning is set for a caller that was refused before.
+	Returning bool
+	// Tried are servers that it was sent to already.
+	Tried []fleet.ServerID
+	// Once is set if the request must start at once or not at all.
+	Once bool
+}
+
+// waitingAsk is a request in the queue.
+type waitingAsk struct {
+	ask   *Ask
+	grant chan *Reservation
+}
+
+// Dispatcher shares the places of one service's backend servers among requests.
+// Several entry boxes do so at once; each tells the others what it has in
+// flight. It is safe for concurrent use.
+type Dispatcher struct {
+	mu       sync.Mutex
+	backends map[fleet.ServerID]*backend
+	order    []*backend
+	peers    map[member.BoxID]peerLoad
+	// boxes is how many entry boxes share the places.
+	boxes int
+	queue []*waitingAsk
+	// usual is how long a request holds its place, in the mean.
+	usual time.Duration
+	// required is the oldest version of weights that may start a request.
+	required fleet.WeightsVersion
+	// engine is set for a service whose servers need weights to run requests.
+	engine bool
+}
+
+// NewDispatcher returns a dispatcher without servers. The usual time is how long
+// a request holds a place, until better is known.
+func NewDispatcher(usual time.Duration, engine bool) *Dispatcher {
+	return &Dispatcher{
+		backends: make(map[fleet.ServerID]*backend), peers: make(map[member.BoxID]peerLoad),
+		boxes: 1, usual: usual, engine: engine,
+	}
+}
+
+// Servers replaces the list of servers. What is known of those that stay is
+// kept. Near reports whether a failure domain is in the own region.
+func (d *Dispatcher) Servers(servers []fleet.Server, layers int, near func(member.FailureDomain) bool, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	next := make(map[fleet.ServerID]*backend, len(servers))
+	d.order = d.order[:0]
+	for _, server := range servers {
+		if server.Leaving {
+			continue
+		}
+		b := d.backends[server.ID]
+		if b == nil {
+			b = &backend{}
+		}
+		b.server, b.far, b.listed = server, !near(server.Domain), 0
+		for i := range server.Models {
+			if version, whole := server.Models[i].Whole(layers); whole {
+				b.listed = version
+			}
+		}
+		next[server.ID] = b
+		d.order = append(d.order, b)
+	}
+	d.backends = next
+	d.grant(now)
+}
+
+// Boxes sets how many entry boxes share the places.
+func (d *Dispatcher) Boxes(boxes int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.boxes = max(1, boxes)
+}
+
+// Require sets the oldest version of weights that may start a request.
+func (d *Dispatcher) Require(version fleet.WeightsVersion, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.required != version {
+		d.required = version
+		d.grant(now)
+	}
+}
+
+// State takes what an agent tells of a server.
+func (d *Dispatcher) State(id fleet.ServerID, state ServerState, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if b := d.backends[id]; b != nil {
+		b.state, b.stateAt = state, now
+		d.grant(now)
+	}
+}
+
+// PeerLoad takes what another entry box has in flight.
+func (d *Dispatcher) PeerLoad(box member.BoxID, load Load, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.peers[box] = peerLoad{load, now}
+	d.grant(now)
+}
+
+// Own returns what this box has in flight.
+func (d *Dispatcher) Own() Load {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	load := make(Load)
+	for _, b := range d.order {
+		if b.own > 0 {
+			load[b.server.ID] = b.own
+		}
+	}
+	return load
+}
+
+// Waiting returns how many requests are queued.
+func (d *Dispatcher) Waiting() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.queue)
+}
+
+// Reservation is a place on a server that a request holds until it is released.
+type Reservation struct {
+	Server fleet.Server
+	// Version is the version of the weights that the server has; 0 if it runs no
+	// model.
+	Version fleet.WeightsVersion
+
+	dispatcher *Dispatcher
+	backend    *backend
+	since      time.Time
+	reading    bool
+}
+
+// Acquire returns a place, waiting for one if the request can still start in
+// time. Errors are a *BusyError, wrap ErrNoServer, or are the context's.
+func (d *Dispatcher) Acquire(ctx context.Context, ask *Ask, now func() time.Time) (*Reservation, error) {
+	d.mu.Lock()
+	at := now()
+	if len(d.queue) == 0 || d.isFirst(ask) {
+		if place := d.choose(ask, at); place != nil {
+			d.mu.Unlock()
+			return place, nil
+		}
+	}
+	if !d.anyEligible(at) {
+		d.mu.Unlock()
+		return nil, ErrNoServer
+	}
+	ahead, wait := d.expected(ask)
+	late := at.Add(wait).After(ask.StartBy)
+	if ask.Once || late && !ask.Returning {
+		d.mu.Unlock()
+		return nil, d.busy(ask, ahead, wait, at)
+	}
+	w := &waitingAsk{ask: ask, grant: make(chan *Reservation, 1)}
+	d.enqueue(w)
+	d.mu.Unlock()
+	return d.wait(ctx, w, now)
+}
+
+// wait returns the place that is granted. A request that can no longer be
+// answered in its time is refused.
+func (d *Dispatcher) wait(ctx context.Context, w *waitingAsk, now func() time.Time) (*Reservation, error) {
+	last := w.ask.Deadline.Add(-time.Duration(lateReserve * float64(d.usualTime())))
+	timer := time.NewTimer(last.Sub(now()))
+	defer timer.Stop()
+	var problem error
+	select {
+	case place := <-w.grant:
+		return place, nil
+	case <-ctx.Done():
+		problem = ctx.Err()
+	case <-timer.C:
+		problem = &BusyError{RetryAfter: retryLeast}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	at := slices.Index(d.queue, w)
+	if at < 0 {
+		// It was granted in the meantime.
+		place := <-w.grant
+		if ctx.Err() == nil {
+			return place, nil
+		}
+		d.release(place, now())
+		return nil, problem
+	}
+	d.queue = slices.Delete(d.queue, at, at+1)
+	return nil, problem
+}
+
+func (d *Dispatcher) usualTime() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.usual
+}
+
+// busy says when a refused request should come back.
+func (d *Dispatcher) busy(ask *Ask, ahead int, wait time.Duration, now time.Time) error {
+	longest := ask.Deadline.Sub(now) / 3
+	spread := time.Duration(rand.Int64N(int64(max(wait, retryLeast))))
+	return &BusyError{Waiting: ahead, RetryAfter: max(retryLeast, min(wait+spread/2, longest))}
+}
+
+// isFirst reports whether a request goes before all that wait.
+func (d *Dispatcher) isFirst(ask *Ask) bool { return before(ask, d.queue[0].ask) }
+
+// before orders the queue: those that were refused before, then the more urgent,
+// then those that must start earlier.
+func before(a, b *Ask) bool {
+	if a.Returning != b.Returning {
+		return a.Returning
+	}
+	if a.Priority != b.Priority {
+		return a.Priority < b.Priority
+	}
+	return a.StartBy.Before(b.StartBy)
+}
+
+func (d *Dispatcher) enqueue(w *waitingAsk) {
+	at := len(d.queue)
+	for at > 0 && before(w.ask, d.queue[at-1].ask) {
+		at--
+	}
+	d.queue = slices.Insert(d.queue, at, w)
+}
+
+// expected returns how many requests go before one, and how long they take.
+func (d *Dispatcher) expected(ask *Ask) (ahead int, wait time.Duration) {
+	for _, w := range d.queue {
+		if !before(ask, w.ask) {
+			ahead++
+		}
+	}
+	places := 0
+	for _, b := range d.order {
+		places += d.limit(b)
+	}
+	share := max(1, float64(places)/float64(d.boxes))
+	return ahead, time.Duration(float64(ahead+1) / share * float64(d.usual))
+}
+
+// limit is how many requests a server is given at once.
+func (d *Dispatcher) limit(b *backend) int { return max(1, b.server.Slots) }
+
+// anyEligible reports whether some server could run a request if it had room.
+func (d *Dispatcher) anyEligible(now time.Time) bool {
+	return slices.ContainsFunc(d.order, func(b *backend) bool { return d.isEligible(b, now) })
+}
+
+// isEligible reports whether a server can run requests at all.
+func (d *Dispatcher) isEligible(b *backend, now time.Time) bool {
+	if now.Before(b.ejectedTo) {
+		return false
+	}
+	if !d.engine {
+		return true
+	}
+	version, swapping := b.version(now)
+	return !swapping && version > 0 && version >= d.required
+}
+
+// load is how many requests a server has, as far as this box knows.
+func (d *Dispatcher) load(b *backend, now time.Time) int {
+	load := b.own
+	for _, peer := range d.peers {
+		if now.Sub(peer.at) < peerLoadAge {
+			load += peer.load[b.server.ID]
+		}
+	}
+	if now.Sub(b.stateAt) < serverStatusAge {
+		if told := b.state.Running + b.state.Waiting; told > load+orphanMargin {
+			return told
+		}
+	}
+	return load
+}
+
+// choose takes a place on the server that costs least; nil if none has room.
+func (d *Dispatcher) choose(ask *Ask, now time.Time) *Reservation {
+	var best *backend
+	bestCost := math.Inf(1)
+	for _, b := range d.order {
+		if !d.isEligible(b, now) || slices.Contains(ask.Tried, b.server.ID) {
+			continue
+		}
+		load, limit := d.load(b, now), d.limit(b)
+		if load >= limit {
+			continue
+		}
+		cost := float64(load)/float64(limit) + costReading*float64(b.reading) + costFailures*b.failures +
+			rand.Float64()/float64(limit)
+		if b.far {
+			cost += costFar
+		}
+		if cost < bestCost {
+			best, bestCost = b, cost
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	best.own++
+	best.reading++
+	version, _ := best.version(now)
+	return &Reservation{Server: best.server, Version: version, dispatcher: d, backend: best, since: now, reading: true}
+}
+
+// grant gives free places to those who wait.
+func (d *Dispatcher) grant(now time.Time) {
+	for i := 0; i < len(d.queue); {
+		w := d.queue[i]
+		place := d.choose(w.ask, now)
+		if place == nil {
+			if len(w.ask.Tried) == 0 {
+				return
+			}
+			i++
+			continue
+		}
+		d.queue = slices.Delete(d.queue, i, i+1)
+		w.grant <- place
+	}
+}
+
+// Started notes that the answer has begun.
+func (r *Reservation) Started() {
+	d := r.dispatcher
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.started(r)
+}
+
+func (d *Dispatcher) started(r *Reservation) {
+	if r.reading {
+		r.reading = false
+		r.backend.reading--
+	}
+}
+
+// Result is what became of an attempt.
+type Result int
+
+// The results of an attempt.
+const (
+	// ResultDone is a whole answer.
+	ResultDone Result = iota
+	// ResultFailed is an answer that failed or broke off.
+	ResultFailed
+	// ResultRefused is a refusal by a server that did not run the request.
+	ResultRefused
+	// ResultUnreachable is a server that could not be connected to, or that has
+	// become another one.
+	ResultUnreachable
+	// ResultAbandoned is an attempt whose caller left.
+	ResultAbandoned
+)
+
+// Release gives the place back.
+func (r *Reservation) Release(result Result, now time.Time) {
+	d := r.dispatcher
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	b := r.backend
+	switch result {
+	case ResultDone:
+		b.failures *= 1 - failureSmoothing
+		b.ejections = 0
+		d.usual += time.Duration(holdSmoothing * float64(now.Sub(r.since)-d.usual))
+	case ResultFailed:
+		b.failures += failureSmoothing * (1 - b.failures)
+	case ResultRefused:
+		// The server had less room than was thought; it is left alone until a few
+		// of its requests have ended.
+		b.ejectedTo = now.Add(d.usual / time.Duration(2*d.limit(b)))
+	case ResultUnreachable:
+		b.ejectedTo = now.Add(min(ejectLongest, ejectFirst<<min(b.ejections, 8)))
+		b.ejections++
+	case ResultAbandoned:
+	}
+	d.release(r, now)
+}
+
+func (d *Dispatcher) release(r *Reservation, now time.Time) {
+	d.started(r)
+	r.backend.own--
+	d.grant(now)
+}
+
+// resultNames are the names of results in logs and metrics.
+var resultNames = map[Result]string{
+	ResultDone: "done", ResultFailed: "failed", ResultRefused: "refused",
+	ResultUnreachable: "unreachable", ResultAbandoned: "abandoned",
+}
+
+// String returns the result's name in logs and metrics.
+func (r Result) String() string { return resultNames[r] }
+
+// Held returns for how long the place has been held.
+func (r *Reservation) Held(now time.Time) time.Duration { return now.Sub(r.since) }
--- a/pkg/weights/manifest.go
+++ b/pkg/weights/manifest.go
@@ -24,6 +24,7 @@
 package weights
 
 import (
+	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 	"errors"
@@ -36,12 +37,29 @@
 // DigestSize is the length of a digest in bytes.
 const DigestSize = 32
 
-// Digest is a BLAKE3 digest.
+// Digest is a BLAKE3 digest, or what the manifest's Hash names.
 type Digest [DigestSize]byte
 
 // Sum returns the digest of data.
 func Sum(data []byte) Digest { return blake3.Sum256(data) }
 
+// Hash names how digests of chunks are made.
+type Hash string
+
+// The hashes of chunks.
+const (
+	HashBLAKE3 Hash = ""
+	HashSHA256 Hash = "sha256"
+)
+
+// Sum returns the digest of a chunk.
+func (h Hash) Sum(data []byte) Digest {
+	if h == HashSHA256 {
+		return sha256.Sum256(data)
+	}
+	return Sum(data)
+}
+
 // String returns the digest in hexadecimal.
 func (d Digest) String() string { return hex.EncodeToString(d[:]) }
 
@@ -112,8 +130,11 @@
 	Version string  `json:"version"`
 	Files   []File  `json:"files"`
 	Chunks  []Chunk `json:"chunks"`
-	// Whole is the digest of all content in order.
+	// Whole is the digest of all content in order; zero where the publisher gives
+	// only those of the chunks.
 	Whole Digest `json:"whole"`
+	// Hash is how the digests of the chunks were made; empty for BLAKE3.
+	Hash Hash `json:"hash,omitempty"`
 
 	digest  Digest
 	size    int64
@@ -223,3 +244,18 @@
 	m.Files = append(m.Files, file)
 	return nil
 }
+
+// FromDigests returns the manifest of a version that is published as numbered
+// chunks of one size with their digests. Errors wrap ErrManifest.
+func FromDigests(model, version string, hash Hash, chunkSize int64, digests []Digest) (*Manifest, error) {
+	size := chunkSize * int64(len(digests))
+	manifest := &Manifest{Model: model, Version: version, Hash: hash, Files: []File{{Path: model, Size: size}}}
+	for i, digest := range digests {
+		manifest.Chunks = append(manifest.Chunks, Chunk{Offset: int64(i) * chunkSize, Size: chunkSize, Digest: digest})
+	}
+	content, err := json.Marshal(manifest)
+	if err != nil {
+		return nil, fmt.Errorf("encoding manifest: %w", err)
+	}
+	return Parse(content, Digest{})
+}
--- a/pkg/weights/store.go
+++ b/pkg/weights/store.go
@@ -48,7 +48,7 @@
 // Put keeps a chunk if its digest is right. Errors wrap ErrDigest or ErrFull.
 func (s *MemoryStore) Put(manifest *Manifest, index int, data []byte) error {
 	want := manifest.Chunks[index]
-	if int64(len(data)) != want.Size || Sum(data) != want.Digest {
+	if int64(len(data)) != want.Size || manifest.Hash.Sum(data) != want.Digest {
 		return fmt.Errorf("chunk %d of %s: %w", index, manifest.Digest().Short(), ErrDigest)
 	}
 	s.mu.Lock()
