fix(weights): older named versions bind on their own, and pieces cross to a region once

(2) all agents counted as near, so pieces crossed between regions at will: 0.071 GB. Ruled out: the box was in touch and its reader alive. Change: the versions are kept with their times; older copies that have begun go on; far agents are told as far; a watch lasts 1.5 s; one reader a region, cursors for facts of other boxes.

--- a/internal/direct/bring.go
+++ b/internal/direct/bring.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cinderslip/cinderslip/internal/provider"
+	"github.com/cinderslip/cinderslip/pkg/fleet"
 	"github.com/cinderslip/cinderslip/pkg/member"
 	"github.com/cinderslip/cinderslip/pkg/weights"
 )
@@ -16,6 +18,9 @@
 	swapLead = 2 * time.Second
 	// swapSpan is over how long the swaps of all servers are spread.
 	swapSpan = 3 * time.Second
+	// swapLatest is how long before the bound of an older version the swaps to it
+	// begin if the newer one has not come round: the span, and the time of one.
+	swapLatest = swapSpan + 2500*time.Millisecond
 	// swapTimeout bounds the wait until the server holds what it was ordered to
 	// take; streams that run are finished first.
 	swapTimeout = 10 * time.Second
@@ -24,64 +29,115 @@
 	swapNotice = 150 * time.Millisecond
 )
 
-// bring fetches the wanted version, stages it and orders the server to take it.
-func (l *Loader) bring(ctx context.Context, want *target, serving bool) error {
+// versionCopy is the fetching of one version.
+type versionCopy struct {
+	cancel   context.CancelFunc
+	complete bool
+}
+
+// startCopy fetches a version unless that has begun. Older ones that have begun
+// go on, because the origin may be gone before the newer one has come round.
+func (l *Loader) startCopy(want *target, version fleet.WeightsVersion) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.copies[version] != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(l.duties.Context())
+	held := &versionCopy{cancel: cancel}
+	l.copies[version] = held
+	l.duties.Go(func(context.Context) { l.bring(ctx, want, version, held) })
+}
+
+// endCopies ends all fetching; the pieces that came stay.
+func (l *Loader) endCopies() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for version, held := range l.copies {
+		held.cancel()
+		delete(l.copies, version)
+	}
+}
+
+// newestComplete returns the newest version of which all pieces are here; 0 if
+// there is none.
+func (l *Loader) newestComplete() fleet.WeightsVersion {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	newest := fleet.WeightsVersion(0)
+	for version, held := range l.copies {
+		if held.complete {
+			newest = max(newest, version)
+		}
+	}
+	return newest
+}
+
+// completed notes a copy that is whole and ends the older ones.
+func (l *Loader) completed(version fleet.WeightsVersion, held *versionCopy) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	held.complete = true
+	for older, other := range l.copies {
+		if older < version {
+			other.cancel()
+		}
+	}
+}
+
+// bring fetches the pieces of a version until all are here.
+func (l *Loader) bring(ctx context.Context, want *target, version fleet.WeightsVersion, held *versionCopy) {
 	started := l.options.Clock.Now()
-	manifest, err := l.manifest(ctx, want)
+	for ctx.Err() == nil {
+		manifest, err := l.manifest(ctx, want, version)
+		if err == nil {
+			l.readStaged(ctx, want, version, manifest)
+			err = l.fetch(ctx, want, version, manifest)
+		}
+		if err == nil {
+			l.options.Log.Info().Str("model", string(want.model)).Uint64("version", uint64(version)).
+				Dur("taken_ms", l.options.Clock.Since(started)).Msg("weights fetched")
+			l.completed(version, held)
+			return
+		}
+		if ctx.Err() == nil {
+			l.options.Log.Info().Str("model", string(want.model)).Uint64("version", uint64(version)).
+				Err(err).Msg("weights not fetched, trying again")
+		}
+		sleep(ctx, l.options.Clock, loadRetry)
+		if now, known := l.target(); known {
+			want = &now
+		}
+	}
+}
+
+// swap stages a version and orders the server to take it.
+func (l *Loader) swap(ctx context.Context, want *target, version fleet.WeightsVersion, serving bool) error {
+	manifest, err := l.manifest(ctx, want, version)
 	if err != nil {
 		return err
 	}
-	l.readStaged(ctx, want, manifest)
-	if err := l.fetch(ctx, want, manifest); err != nil {
-		return fmt.Errorf("fetching: %w", err)
-	}
-	l.options.Log.Info().Str("model", string(want.model)).Uint64("version", uint64(want.wanted.Version)).
-		Dur("taken_ms", l.options.Clock.Since(started)).Msg("weights fetched")
+	defer l.setSwapping(false)
 	if serving {
-		if err := l.awaitTurn(ctx, want); err != nil {
-			return err
-		}
 		l.setSwapping(true)
 		sleep(ctx, l.options.Clock, swapNotice)
 	}
 	if err := l.stage(ctx, want, manifest); err != nil {
-		l.setSwapping(false)
 		return fmt.Errorf("staging: %w", err)
 	}
-	return l.order(ctx, want, serving)
-}
-
-// isWanted reports whether the target is still the wanted one.
-func (l *Loader) isWanted(want *target) bool {
-	now, known := l.target()
-	return known && now.model == want.model && now.wanted.Version == want.wanted.Version
+	return l.order(ctx, want, version, serving)
 }
 
-// awaitTurn waits until it is this server's turn to be swapped. The servers go
-// one after the other, so that capacity stays up.
-func (l *Loader) awaitTurn(ctx context.Context, want *target) error {
+// turn is when this server is to be swapped. The servers go one after the other,
+// so that capacity stays up.
+func (l *Loader) turn(want *target, since time.Time, version fleet.WeightsVersion) time.Time {
 	servers := make([]member.Address, 0, len(want.servers))
 	for _, server := range want.servers {
 		servers = append(servers, server.Address)
 	}
-	order := member.Rank(fmt.Sprintf("swap/%s/%d", want.model, want.wanted.Version), servers, len(servers))
-	place := 0
-	for i, address := range order {
-		if address == l.options.Address {
-			place = i
-		}
-	}
-	turn := want.wanted.Since.Add(swapLead + swapSpan*time.Duration(place)/time.Duration(max(1, len(order))))
-	for l.options.Clock.Now().Before(turn) {
-		if !l.isWanted(want) {
-			return errSuperseded
-		}
-		if ctx.Err() != nil {
-			return ctx.Err()
-		}
-		sleep(ctx, l.options.Clock, min(reportInterval, turn.Sub(l.options.Clock.Now())))
-	}
-	return nil
+	order := member.Rank(fmt.Sprintf("swap/%s/%d", want.model, version), servers, len(servers))
+	place := max(0, slices.Index(order, l.options.Address))
+	return since.Add(swapLead + swapSpan*time.Duration(place)/time.Duration(max(1, len(order))))
 }
 
 // stage hands every piece to the server and reads it back: what lies there may
@@ -117,7 +173,7 @@
 }
 
 // readStaged takes over the pieces that lie at the server already.
-func (l *Loader) readStaged(ctx context.Context, want *target, manifest *weights.Manifest) {
+func (l *Loader) readStaged(ctx context.Context, want *target, version fleet.WeightsVersion, manifest *weights.Manifest) {
 	held := l.store.Held(manifest.Digest())
 	taken := 0
 	for index := range manifest.Chunks {
@@ -140,37 +196,36 @@
 		}
 	}
 	if taken > 0 {
-		l.options.Log.Info().Str("model", string(want.model)).Uint64("version", uint64(want.wanted.Version)).Int("pieces", taken).Msg("staged pieces taken over")
+		l.options.Log.Info().Str("model", string(want.model)).Uint64("version", uint64(version)).Int("pieces", taken).Msg("staged pieces taken over")
 	}
 }
 
 // adopt takes over the pieces of the version that the server runs, so that other
 // agents can have them.
-func (l *Loader) adopt(ctx context.Context, want *target) error {
+func (l *Loader) adopt(ctx context.Context, want *target, version fleet.WeightsVersion) error {
 	l.mu.Lock()
-	_, known := l.published[publishedVersion{want.model, want.wanted.Version}]
+	_, known := l.published[publishedVersion{want.model, version}]
 	l.mu.Unlock()
 	if known {
 		return nil
 	}
-	manifest, err := l.manifest(ctx, want)
+	manifest, err := l.manifest(ctx, want, version)
 	if err != nil {
 		return err
 	}
-	l.readStaged(ctx, want, manifest)
+	l.readStaged(ctx, want, version, manifest)
 	return nil
 }
 
 // order tells the server to take what is staged and waits until it has.
-func (l *Loader) order(ctx context.Context, want *target, serving bool) error {
+func (l *Loader) order(ctx context.Context, want *target, version fleet.WeightsVersion, serving bool) error {
 	callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
-	err := l.options.Server.Start(callCtx, provider.StartOrder{Model: want.model, Version: want.wanted.Version})
+	err := l.options.Server.Start(callCtx, provider.StartOrder{Model: want.model, Version: version})
 	cancel()
 	l.options.Metrics.orders.WithLabelValues(resultLabel(err)).Inc()
-	l.options.Log.Info().Str("model", string(want.model)).Uint64("version", uint64(want.wanted.Version)).
+	l.options.Log.Info().Str("model", string(want.model)).Uint64("version", uint64(version)).
 		Bool("serving", serving).Err(err).Msg("server ordered to take weights")
 	if err != nil {
-		l.setSwapping(false)
 		return fmt.Errorf("ordering: %w", err)
 	}
 	ordered := l.options.Clock.Now()
@@ -180,15 +235,13 @@
 		if !answers {
 			break
 		}
-		if loaded(&report, want.model, want.engine.Layers) == want.wanted.Version {
-			l.options.Log.Info().Str("model", string(want.model)).Uint64("version", uint64(want.wanted.Version)).
+		if loaded(&report, want.model, want.engine.Layers) == version {
+			l.options.Log.Info().Str("model", string(want.model)).Uint64("version", uint64(version)).
 				Dur("taken_ms", l.options.Clock.Since(ordered)).Msg("weights live")
-			l.setSwapping(false)
 			return nil
 		}
 	}
-	l.setSwapping(false)
-	return fmt.Errorf("server has not taken version %d of %s", want.wanted.Version, want.model)
+	return fmt.Errorf("server has not taken version %d of %s", version, want.model)
 }
 
 // resultLabel is how the result of a call stands in metrics.
--- a/internal/direct/facts.go
+++ b/internal/direct/facts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"strings"
 	"sync"
@@ -19,14 +20,17 @@
 )
 
 const (
-	// watchWait is how long one call waits for changes. Each call is priced; a
-	// store that fell silent is noticed by keep-alive probes, not by this.
-	watchWait = 10 * time.Second
+	// watchWait is how long one call waits for changes. Each call is priced, but a
+	// waiting call may hear nothing of changes while the store drops its history;
+	// only the next one does, and a change has to be in force in two seconds.
+	watchWait = 1500 * time.Millisecond
+	// watchSlack is for how much longer the answer of such a call is waited for.
+	watchSlack = 500 * time.Millisecond
 	// callTimeout bounds any other call of the store; it answers in milliseconds.
-	callTimeout = 2 * time.Second
+	callTimeout = time.Second
 	// gatherTime is waited after a change, so that changes in quick succession
 	// take one call. It is short against the time in which one must be in force.
-	gatherTime = 100 * time.Millisecond
+	gatherTime = 250 * time.Millisecond
 	// retryFirst and retryLongest bound the wait after a failed call.
 	retryFirst   = 100 * time.Millisecond
 	retryLongest = 800 * time.Millisecond
@@ -40,6 +44,9 @@
 	// to have been named, as it can't know. What remains of the bound passes
 	// before the process counts as settled.
 	restartAge = 5 * time.Second
+	// startTime is how long after its start a process takes what it hears for what
+	// was there before.
+	startTime = 2 * time.Second
 )
 
 // Facts keeps what the platform's store and other boxes tell.
@@ -59,7 +66,7 @@
 	// lapsed holds the servers whose entry went around an absence of the store,
 	// and until when they are believed.
 	lapsed   map[fleet.ServerID]lapse
-	wanted   map[fleet.ModelName]fleet.WantedSince
+	wanted   map[fleet.ModelName]fleet.Named
 	revision fleet.Revision
 	// answered is when the store last answered; zero if it never did.
 	answered time.Time
@@ -79,7 +86,7 @@
 		store: state.NewStore(rand.Uint64()), duties: kernel.NewDuties(), started: clock.Now(),
 		changed: make(chan struct{}),
 		servers: make(map[fleet.ServerID]fleet.Server), lapsed: make(map[fleet.ServerID]lapse),
-		wanted: make(map[fleet.ModelName]fleet.WantedSince),
+		wanted: make(map[fleet.ModelName]fleet.Named),
 	}
 	f.view.Store(fleet.EmptyView())
 	return f
@@ -152,7 +159,7 @@
 		got, err = r.source.Snapshot(callCtx)
 		cancel()
 	} else {
-		callCtx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
 		got, err = r.source.Changes(callCtx, r.after, watchWait)
 		cancel()
 	}
@@ -274,7 +281,7 @@
 		view = view.WithServers(f.believedServers())
 	}
 	if wanted {
-		view = view.WithWanted(f.copyWanted())
+		view = view.WithWanted(maps.Clone(f.wanted))
 	}
 	f.publish(view)
 }
@@ -355,26 +362,19 @@
 		return
 	}
 	model := fact.Wanted.Model
-	if fact.Wanted.Version <= f.wanted[model].Version {
+	named := f.wanted[model]
+	if len(named) > 0 && fact.Wanted.Version <= named.Newest().Version {
 		return
 	}
 	since := f.clock.Now()
-	if since.Sub(f.started) < callTimeout {
+	if since.Sub(f.started) < startTime {
 		since = since.Add(-restartAge)
 	}
-	f.wanted[model] = fleet.WantedSince{Wanted: *fact.Wanted, Revision: fact.Revision, Since: since}
+	f.wanted[model] = named.With(fleet.WantedSince{Version: fact.Wanted.Version, Revision: fact.Revision, Since: since})
 	f.log.Info().Str("model", string(model)).Uint64("version", uint64(fact.Wanted.Version)).
 		Uint64("revision", uint64(fact.Revision)).Str("from", from).Msg("weights wanted")
 }
 
-func (f *Facts) copyWanted() map[fleet.ModelName]fleet.WantedSince {
-	wanted := make(map[fleet.ModelName]fleet.WantedSince, len(f.wanted))
-	for model, since := range f.wanted {
-		wanted[model] = since
-	}
-	return wanted
-}
-
 // sleep waits, at most until the context ends.
 func sleep(ctx context.Context, clock clockwork.Clock, wait time.Duration) {
 	select {
--- a/internal/direct/fetch.go
+++ b/internal/direct/fetch.go
@@ -5,9 +5,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/cinderslip/cinderslip/internal/wire"
+	"github.com/cinderslip/cinderslip/pkg/fleet"
 	"github.com/cinderslip/cinderslip/pkg/member"
 	"github.com/cinderslip/cinderslip/pkg/weights"
 )
@@ -30,6 +32,7 @@
 type fetch struct {
 	loader    *Loader
 	want      *target
+	version   fleet.WeightsVersion
 	manifest  *weights.Manifest
 	picker    *weights.Picker
 	addresses map[string]member.Address
@@ -49,15 +52,13 @@
 	held weights.Bits
 }
 
-// fetch returns when every piece is held, other weights are wanted or the context
-// ends.
-func (l *Loader) fetch(ctx context.Context, want *target, manifest *weights.Manifest) error {
+// fetch returns when every piece is held or the context ends.
+func (l *Loader) fetch(ctx context.Context, want *target, version fleet.WeightsVersion, manifest *weights.Manifest) error {
 	options := weights.DefaultPickerOptions()
 	options.DrawWait = drawWait
 	f := &fetch{
-		loader: l, want: want, manifest: manifest, addresses: make(map[string]member.Address),
-		picker: weights.NewPicker(manifest, string(l.options.Agent), l.store.Held(manifest.Digest()), options, l.options.Clock.Now()),
-		// Buffered, so that a transfer that ends late does not stay.
+		loader: l, want: want, version: version, manifest: manifest, addresses: make(map[string]member.Address),
+		picker:  weights.NewPicker(manifest, string(l.options.Agent), l.store.Held(manifest.Digest()), options, l.options.Clock.Now()),
 		results: make(chan fetchResult), holdings: make(chan holdingsResult), asked: make(map[string]bool),
 	}
 	f.adoptPeers()
@@ -66,21 +67,38 @@
 
 // adoptPeers names the agents that take part.
 func (f *fetch) adoptPeers() {
+	if now, known := f.loader.target(); known {
+		if sameServers(f.want.servers, now.servers) && len(f.addresses) > 0 {
+			return
+		}
+		f.want = &now
+	}
 	records := f.loader.records(f.want)
 	drawers := make([]weights.Peer, 0, len(records))
 	for _, record := range records {
-		drawers = append(drawers, weights.Peer{Box: string(record.Box)})
+		drawers = append(drawers, weights.Peer{Box: string(record.Box), Far: record.Region == regionFar})
 		f.addresses[string(record.Box)] = record.Peers
 	}
 	f.picker.SetDrawers(drawers)
 	neighbours := f.loader.neighbours(f.want)
 	peers := make([]weights.Peer, 0, len(neighbours))
 	for _, record := range neighbours {
-		peers = append(peers, weights.Peer{Box: string(record.Box)})
+		peers = append(peers, weights.Peer{Box: string(record.Box), Far: record.Region == regionFar})
 	}
 	f.picker.SetNeighbours(peers)
 }
 
+// sameServers reports whether two lists name the same servers.
+func sameServers(a, b []fleet.Server) bool {
+	return slices.EqualFunc(a, b, func(a, b fleet.Server) bool { return a.ID == b.ID })
+}
+
+// Regions as one box sees them: its own, and all others.
+const (
+	regionNear member.Region = "near"
+	regionFar  member.Region = "far"
+)
+
 // records are the agents of the service as the members of a swarm. An agent is
 // named by its address.
 func (l *Loader) records(want *target) []member.Record {
@@ -90,9 +108,9 @@
 		if !ok {
 			continue
 		}
-		region := member.Region("far")
+		region := regionFar
 		if l.options.IsNear(server.Domain) {
-			region = "near"
+			region = regionNear
 		}
 		records = append(records, member.Record{
 			Box: member.BoxID(address), Peers: address, Region: region, FailureDomain: server.Domain,
@@ -103,7 +121,7 @@
 
 // neighbours are the agents that pieces are exchanged with.
 func (l *Loader) neighbours(want *target) []member.Record {
-	self := member.Record{Box: member.BoxID(l.options.Agent), Region: "near"}
+	self := member.Record{Box: member.BoxID(l.options.Agent), Region: regionNear}
 	return member.Neighbours(self, l.records(want))
 }
 
@@ -125,9 +143,7 @@
 			f.asked[result.box] = false
 			f.picker.SetHoldings(result.box, result.held)
 		case <-ticker.Chan():
-			if !f.loader.isWanted(f.want) {
-				return errSuperseded
-			}
+			f.adoptPeers()
 			f.askHoldings(ctx)
 		}
 	}
@@ -167,7 +183,7 @@
 		return
 	}
 	f.loader.options.Log.Info().Int("piece", result.task.Chunk).Str("from", result.task.From).
-		Uint64("version", uint64(f.want.wanted.Version)).Err(err).Msg("piece not taken")
+		Uint64("version", uint64(f.version)).Err(err).Msg("piece not taken")
 	f.picker.Failed(result.task, now.Add(drawRetry))
 }
 
@@ -175,7 +191,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, pieceTimeout)
 	defer cancel()
 	if task.IsDraw() {
-		return f.loader.options.Origin.Piece(callCtx, f.want.origin, f.want.model, f.want.wanted.Version, task.Chunk)
+		return f.loader.options.Origin.Piece(callCtx, f.want.origin, f.want.model, f.version, task.Chunk)
 	}
 	digest := f.manifest.Digest()
 	stream, err := wire.NewDRPCChunksClient(f.loader.options.Peers.Conn(f.addresses[task.From])).
--- a/internal/direct/front.go
+++ b/internal/direct/front.go
@@ -271,12 +271,9 @@
 	}
 }
 
-// required is the oldest version that may start a request now.
-func (f *Front) required(wanted fleet.WantedSince, now time.Time) fleet.WeightsVersion {
-	if wanted.Since.IsZero() || now.Sub(wanted.Since) < f.bound-versionMargin {
-		return 0
-	}
-	return wanted.Version
+// required is the oldest version of weights that may start a request now.
+func (f *Front) required(named fleet.Named, now time.Time) fleet.WeightsVersion {
+	return named.Required(f.bound-versionMargin, now)
 }
 
 // exchange is one request of a caller.
--- a/internal/direct/loader.go
+++ b/internal/direct/loader.go
@@ -45,12 +45,14 @@
 	mu sync.Mutex
 	// published are the manifests of the versions whose pieces are held.
 	published map[publishedVersion]*weights.Manifest
-	report    fleet.Report
-	reportAt  time.Time
-	swapping  bool
-	changed   chan struct{}
-	done      chan struct{}
-	stopOnce  sync.Once
+	// copies are the versions that are being fetched or have been.
+	copies   map[fleet.WeightsVersion]*versionCopy
+	report   fleet.Report
+	reportAt time.Time
+	swapping bool
+	changed  chan struct{}
+	done     chan struct{}
+	stopOnce sync.Once
 }
 
 type publishedVersion struct {
@@ -94,6 +96,7 @@
 		},
 		duties: kernel.NewDuties(), store: weights.NewMemoryStore(weightsMemory),
 		published: make(map[publishedVersion]*weights.Manifest),
+		copies:    make(map[fleet.WeightsVersion]*versionCopy),
 		changed:   make(chan struct{}), done: make(chan struct{}),
 	}
 	if err := wire.DRPCRegisterFleet(p.mux, l); err != nil {
@@ -170,11 +173,24 @@
 type target struct {
 	model   fleet.ModelName
 	engine  *fleet.Engine
-	wanted  fleet.WantedSince
+	named   fleet.Named
 	origin  member.Address
 	servers []fleet.Server
 }
 
+// newest is the version that the server should come to.
+func (t *target) newest() fleet.WeightsVersion { return t.named.Newest().Version }
+
+// since is when a version was named.
+func (t *target) since(version fleet.WeightsVersion) time.Time {
+	for _, named := range t.named {
+		if named.Version == version {
+			return named.Since
+		}
+	}
+	return time.Time{}
+}
+
 // target returns what the server should run; ok is false until it is known.
 func (l *Loader) target() (target, bool) {
 	view := l.options.Facts.View()
@@ -184,7 +200,7 @@
 	}
 	model := service.Engine.Models[0]
 	return target{
-		model: model, engine: service.Engine, wanted: view.Wanted(model), origin: view.Origin(),
+		model: model, engine: service.Engine, named: view.Wanted(model), origin: view.Origin(),
 		servers: view.Servers(l.options.Service),
 	}, true
 }
@@ -202,48 +218,75 @@
 	return 0
 }
 
-// errSuperseded reports that other weights are wanted by now.
-var errSuperseded = errors.New("other weights are wanted by now")
-
 // follow brings the wanted weights to the server, again whenever they change or
 // the server has lost them.
 func (l *Loader) follow(ctx context.Context) {
 	for ctx.Err() == nil {
 		want, known := l.target()
 		report, answers := l.serverReport()
-		switch {
-		case !known || !answers || report.Busy:
-		case loaded(&report, want.model, want.engine.Layers) >= want.wanted.Version:
-			l.setSwapping(false)
-			if err := l.adopt(ctx, &want); err != nil {
-				l.options.Log.Debug().Err(err).Msg("staged pieces not adopted")
-			}
-		default:
-			if err := l.bring(ctx, &want, loaded(&report, want.model, want.engine.Layers) > 0); err != nil && ctx.Err() == nil {
-				l.options.Log.Info().Str("model", string(want.model)).Uint64("version", uint64(want.wanted.Version)).
-					Err(err).Msg("weights not brought, trying again")
-				sleep(ctx, l.options.Clock, loadRetry)
-			}
-			continue
+		if known && answers && !report.Busy {
+			l.step(ctx, &want, loaded(&report, want.model, want.engine.Layers))
 		}
-		sleep(ctx, l.options.Clock, reportInterval)
+		sleep(ctx, l.options.Clock, followInterval)
+	}
+}
+
+// followInterval is how often is looked at what the server lacks.
+const followInterval = 50 * time.Millisecond
+
+// step does what is due for a server that holds a whole version, or none if it is
+// 0.
+func (l *Loader) step(ctx context.Context, want *target, have fleet.WeightsVersion) {
+	if have >= want.newest() {
+		l.endCopies()
+		if err := l.adopt(ctx, want, have); err != nil {
+			l.options.Log.Debug().Err(err).Msg("staged pieces not adopted")
+		}
+		return
+	}
+	l.startCopy(want, want.newest())
+	version, ok := l.due(want, have, l.options.Clock.Now())
+	if !ok {
+		return
+	}
+	if err := l.swap(ctx, want, version, have > 0); err != nil && ctx.Err() == nil {
+		l.options.Log.Warn().Str("model", string(want.model)).Uint64("version", uint64(version)).
+			Uint64("have", uint64(have)).Err(err).Msg("weights not taken, trying again")
+		sleep(ctx, l.options.Clock, loadRetry)
+	}
+}
+
+// due returns the version that the server is to be swapped to now. It is the
+// newest; an older one only if the newest has not come round and those before the
+// older one may soon no longer start requests, or if the server has none.
+func (l *Loader) due(want *target, have fleet.WeightsVersion, now time.Time) (fleet.WeightsVersion, bool) {
+	complete := l.newestComplete()
+	switch {
+	case complete <= have:
+		return 0, false
+	case have == 0:
+		return complete, true
+	case complete == want.newest():
+		return complete, !now.Before(l.turn(want, want.since(complete), complete))
 	}
+	latest := want.since(complete).Add(l.options.Bound - swapLatest)
+	return complete, !now.Before(l.turn(want, latest, complete).Add(-swapLead))
 }
 
 // manifest returns the manifest of a version: held, of a peer, or of the origin.
-func (l *Loader) manifest(ctx context.Context, want *target) (*weights.Manifest, error) {
-	key := publishedVersion{want.model, want.wanted.Version}
+func (l *Loader) manifest(ctx context.Context, want *target, version fleet.WeightsVersion) (*weights.Manifest, error) {
+	key := publishedVersion{want.model, version}
 	l.mu.Lock()
 	held := l.published[key]
 	l.mu.Unlock()
 	if held != nil {
 		return held, nil
 	}
-	manifest, err := l.manifestFromPeers(ctx, want)
+	manifest, err := l.manifestFromPeers(ctx, want, version)
 	if err != nil {
 		callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
 		defer cancel()
-		manifest, err = l.options.Origin.Manifest(callCtx, want.origin, want.model, want.wanted.Version)
+		manifest, err = l.options.Origin.Manifest(callCtx, want.origin, want.model, version)
 		if err != nil {
 			return nil, fmt.Errorf("reading the manifest: %w", err)
 		}
@@ -271,17 +314,17 @@
 // errNoPeer reports that no peer has a manifest.
 var errNoPeer = errors.New("no peer has the manifest")
 
-func (l *Loader) manifestFromPeers(ctx context.Context, want *target) (*weights.Manifest, error) {
+func (l *Loader) manifestFromPeers(ctx context.Context, want *target, version fleet.WeightsVersion) (*weights.Manifest, error) {
 	for _, neighbour := range l.neighbours(want) {
 		callCtx, cancel := context.WithTimeout(ctx, reportTimeout/4)
 		answer, err := wire.NewDRPCFleetClient(l.options.Peers.Conn(neighbour.Peers)).
-			Published(callCtx, &wire.PublishedRequest{Model: string(want.model), Version: uint64(want.wanted.Version)})
+			Published(callCtx, &wire.PublishedRequest{Model: string(want.model), Version: uint64(version)})
 		cancel()
 		if err != nil || len(answer.Content) == 0 {
 			continue
 		}
 		manifest, err := weights.Parse(answer.Content, weights.Digest{})
-		if err == nil && manifest.Model == string(want.model) && manifest.Version == strconv.FormatUint(uint64(want.wanted.Version), 10) {
+		if err == nil && manifest.Model == string(want.model) && manifest.Version == strconv.FormatUint(uint64(version), 10) {
 			return manifest, nil
 		}
 		l.options.Log.Warn().Str("peer", string(neighbour.Peers)).Err(err).Msg("manifest refused")
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -15,6 +15,7 @@
 	"github.com/cinderslip/cinderslip/internal/wire"
 	"github.com/cinderslip/cinderslip/pkg/fleet"
 	"github.com/cinderslip/cinderslip/pkg/member"
+	"github.com/cinderslip/cinderslip/pkg/state"
 )
 
 const (
@@ -27,12 +28,12 @@
 	// factsGap is for how long another box must know a newer revision before its
 	// facts are asked for: most come from the store at the same moment.
 	factsGap = 300 * time.Millisecond
-	// readersPerRegion is how many entry boxes of a region read the store; the
-	// others hear from them.
-	readersPerRegion = 2
+	// leastReaders is how many entry boxes read the store at least, and one does in
+	// each region; the others hear from them.
+	leastReaders = 2
 	// storeAway is after how long without an answer of the store a reader no
 	// longer counts. It is longer than one watch.
-	storeAway = watchWait + 2*callTimeout
+	storeAway = watchWait + watchSlack + statusHeartbeat
 )
 
 // EntryBoxes follows the other entry boxes.
@@ -48,6 +49,9 @@
 	// loaded is called with what another box has in flight.
 	loaded func(box member.BoxID, load map[fleet.ServerID]int, now time.Time)
 
+	// pulled is how far the facts of each box were read; only repair uses it.
+	pulled map[member.Address]state.Cursor
+
 	mu    sync.Mutex
 	boxes map[string]EntryBox
 }
@@ -56,7 +60,7 @@
 func (p *Process) startPeers() error {
 	e := &EntryBoxes{
 		status: p.status, facts: p.facts, peers: p.peers, clock: p.options.Clock, log: p.options.Log,
-		duties: kernel.NewDuties(), seeds: p.settings.Peers.Entries, boxes: make(map[string]EntryBox),
+		duties: kernel.NewDuties(), seeds: p.settings.Peers.Entries, boxes: make(map[string]EntryBox), pulled: make(map[member.Address]state.Cursor),
 		loaded: p.front.PeerLoad,
 	}
 	e.self.Box, e.self.Region = p.settings.Box, p.settings.Region
@@ -195,16 +199,23 @@
 }
 
 // isReader reports whether this box reads the store: it does unless enough boxes
-// of its region go before it and hear from the store.
+// go before it, in its region or, where it is the only one there, anywhere, and
+// hear from the store.
 func (e *EntryBoxes) isReader() bool {
 	self := member.BoxID(e.self.Box)
 	candidates := []member.BoxID{self}
+	elsewhere := make(map[member.Region]bool)
 	for _, box := range e.Boxes() {
-		if string(box.Region) == e.self.Region && box.StoreAge >= 0 && box.StoreAge < storeAway {
+		switch {
+		case box.StoreAge < 0 || box.StoreAge >= storeAway:
+		case string(box.Region) == e.self.Region:
 			candidates = append(candidates, box.Box)
+		default:
+			elsewhere[box.Region] = true
 		}
 	}
-	return slices.Contains(member.Rank("reader/"+e.self.Region, candidates, readersPerRegion), self)
+	readers := max(1, leastReaders-len(elsewhere))
+	return slices.Contains(member.Rank("reader/"+e.self.Region, candidates, readers), self)
 }
 
 // repair asks another box for its facts when it has known newer ones for a while.
@@ -230,7 +241,7 @@
 			continue
 		}
 		behindSince = time.Time{}
-		if err := pullFacts(ctx, e.peers, e.facts, newest.Peers, e.self.Box); err != nil {
+		if err := e.pull(ctx, newest.Peers); err != nil {
 			e.log.Warn().Str("box", string(newest.Box)).Err(err).Msg("facts not read from another entry box")
 		}
 	}
@@ -252,11 +263,14 @@
 	return newest, ok
 }
 
-// pullFacts reads everything that another entry box knows.
-func pullFacts(ctx context.Context, peers *daemon.Peers, facts *Facts, from member.Address, self string) error {
+// pull reads what another entry box has come to know since the last time.
+func (e *EntryBoxes) pull(ctx context.Context, from member.Address) error {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	stream, err := wire.NewDRPCFleetClient(peers.Conn(from)).Facts(callCtx, &wire.FactsRequest{Box: self, Once: true})
+	cursor := e.pulled[from]
+	stream, err := wire.NewDRPCFleetClient(e.peers.Conn(from)).Facts(callCtx, &wire.FactsRequest{
+		Box: e.self.Box, Instance: cursor.Instance, Cursor: cursor.Sequence, Once: true,
+	})
 	if err != nil {
 		return err
 	}
@@ -264,6 +278,7 @@
 	if err != nil {
 		return err
 	}
-	facts.ApplyItems(itemsFromWire(batch.Items), string(from))
+	e.pulled[from] = state.Cursor{Instance: batch.Instance, Sequence: batch.Cursor}
+	e.facts.ApplyItems(itemsFromWire(batch.Items), string(from))
 	return nil
 }
--- a/pkg/fleet/view.go
+++ b/pkg/fleet/view.go
@@ -21,18 +21,45 @@
 	organisations map[APIKey]*Organisation
 	services      map[member.Service]*Service
 	servers       map[member.Service][]Server
-	wanted        map[ModelName]WantedSince
+	wanted        map[ModelName]Named
 	origin        member.Address
 }
 
 // WantedSince is a wanted version with the time at which this process first
 // heard of it.
 type WantedSince struct {
-	Wanted
+	Version  WeightsVersion
 	Revision Revision
 	Since    time.Time
 }
 
+// Named are the versions of a model that were named, oldest first. Before any
+// was named it holds the first version, without a time.
+type Named []WantedSince
+
+// Newest returns the version that all servers should come to.
+func (n Named) Newest() WantedSince { return n[len(n)-1] }
+
+// Required returns the oldest version that may still start requests when each
+// version bars those before it a bound after it was named; 0 if any may.
+func (n Named) Required(bound time.Duration, now time.Time) WeightsVersion {
+	for i := len(n) - 1; i >= 0; i-- {
+		if !n[i].Since.IsZero() && now.Sub(n[i].Since) >= bound {
+			return n[i].Version
+		}
+	}
+	return 0
+}
+
+// With returns the versions with another one added.
+func (n Named) With(next WantedSince) Named {
+	last := max(0, len(n)-namedKept+1)
+	return append(slices.Clone(n[last:]), next)
+}
+
+// namedKept is how many of the versions that were named last are remembered.
+const namedKept = 8
+
 // EmptyView returns a view that knows nothing.
 func EmptyView() *View { return &View{} }
 
@@ -83,7 +110,7 @@
 }
 
 // WithWanted returns a view with other wanted weights.
-func (v *View) WithWanted(wanted map[ModelName]WantedSince) *View {
+func (v *View) WithWanted(wanted map[ModelName]Named) *View {
 	next := *v
 	next.wanted = wanted
 	return &next
@@ -135,13 +162,12 @@
 // Origin returns where weights are published; empty if no service says.
 func (v *View) Origin() member.Address { return v.origin }
 
-// Wanted returns the weights that the servers of a model should run. Before any
-// version was named it is the first.
-func (v *View) Wanted(model ModelName) WantedSince {
+// Wanted returns the versions that were named for a model.
+func (v *View) Wanted(model ModelName) Named {
 	if wanted, ok := v.wanted[model]; ok {
 		return wanted
 	}
-	return WantedSince{Wanted: Wanted{Model: model, Version: FirstVersion}}
+	return Named{{Version: FirstVersion}}
 }
 
 // FirstVersion is the version that a model has before another one is named.
