perf(weights): pieces leave room on the link; swaps cut resumable streams, in turn

Cause: (1) from the naming of a version on, before any swap, most answers were late: pieces queued on the 9.4 Mbit/s link that the backend server's answers share, up to 16 at once to a box. (2) servers were out of service for as long as their longest stream. (3) after the bound requests asked for the required version, not the server's own, and were refused with 421 (361 of 468 failed attempts). Ruled out: processor (0.04 cores). Change: an agent paces pieces to 0.6 of its link and fetches 3 at once; servers whose streams may all be resumed are cut rather than drained, spread over 2.7 s; the version asked for is the server's.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -254,7 +254,9 @@
 	}
 	if service := f.facts.View().Service(x.service); service != nil && service.Engine != nil && len(service.Engine.Models) > 0 {
 		out.Priority = f.priority(x)
-		out.Version = f.required(f.facts.View().Wanted(service.Engine.Models[0]), now)
+		if f.required(f.facts.View().Wanted(service.Engine.Models[0]), now) > 0 {
+			out.Version = place.Version
+		}
 	}
 	f.protocol.WriteRequest(header, out)
 	if x.route.Repeatable() && x.attempts+1 < x.route.MaxAttempts {
--- a/internal/direct/bring.go
+++ b/internal/direct/bring.go
@@ -15,9 +15,10 @@
 const (
 	// swapLead is how long after a version was named the first server with older
 	// weights is swapped at the earliest, so that the pieces have come round.
-	swapLead = 2 * time.Second
-	// swapSpan is over how long the swaps of all servers are spread.
-	swapSpan = 3 * time.Second
+	swapLead = 4300 * time.Millisecond
+	// swapSpan is over how long the swaps of all servers are spread; with the lead
+	// it stays within the time that a version has.
+	swapSpan = 2700 * time.Millisecond
 	// swapLatest is how long before the bound of an older version the swaps to it
 	// begin if the newer one has not come round: the span, and the time of one.
 	swapLatest = swapSpan + 2500*time.Millisecond
@@ -26,7 +27,7 @@
 	swapTimeout = 10 * time.Second
 	// swapNotice is how long before the order entry boxes are told to send the
 	// server nothing more.
-	swapNotice = 150 * time.Millisecond
+	swapNotice = 400 * time.Millisecond
 )
 
 // versionCopy is the fetching of one version.
@@ -220,7 +221,7 @@
 // order tells the server to take what is staged and waits until it has.
 func (l *Loader) order(ctx context.Context, want *target, version fleet.WeightsVersion, serving bool) error {
 	callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
-	err := l.options.Server.Start(callCtx, provider.StartOrder{Model: want.model, Version: version})
+	err := l.options.Server.Start(callCtx, provider.StartOrder{Model: want.model, Version: version, Cut: serving && want.resumable})
 	cancel()
 	l.options.Metrics.orders.WithLabelValues(resultLabel(err)).Inc()
 	l.options.Log.Info().Str("model", string(want.model)).Uint64("version", uint64(version)).
--- a/internal/direct/fetch.go
+++ b/internal/direct/fetch.go
@@ -20,6 +20,9 @@
 	drawWait = 700 * time.Millisecond
 	// fetchInterval is how often neighbours are asked what they hold.
 	fetchInterval = 150 * time.Millisecond
+	// fetchWindow is how many pieces are fetched at once. More would queue on the
+	// box's link before what callers wait for.
+	fetchWindow = 3
 	// pieceTimeout bounds fetching a piece: many times what one takes over a box's
 	// link, and a small part of the time in which weights must be live.
 	pieceTimeout = 1500 * time.Millisecond
@@ -55,7 +58,7 @@
 // fetch returns when every piece is held or the context ends.
 func (l *Loader) fetch(ctx context.Context, want *target, version fleet.WeightsVersion, manifest *weights.Manifest) error {
 	options := weights.DefaultPickerOptions()
-	options.DrawWait = drawWait
+	options.DrawWait, options.Window, options.TotalWindow = drawWait, 1, fetchWindow
 	f := &fetch{
 		loader: l, want: want, version: version, manifest: manifest, addresses: make(map[string]member.Address),
 		picker:  weights.NewPicker(manifest, string(l.options.Agent), l.store.Held(manifest.Digest()), options, l.options.Clock.Now()),
--- a/internal/direct/loader.go
+++ b/internal/direct/loader.go
@@ -102,7 +102,7 @@
 	if err := wire.DRPCRegisterFleet(p.mux, l); err != nil {
 		return err
 	}
-	if err := wire.DRPCRegisterChunks(p.mux, daemon.NewChunkServer(l.store, daemon.NewMetrics())); err != nil {
+	if err := wire.DRPCRegisterChunks(p.mux, NewPieceServer(l.store, p.settings.Direct.LinkMbps)); err != nil {
 		return err
 	}
 	l.duties.Go(l.watchServer)
@@ -176,6 +176,9 @@
 	named   fleet.Named
 	origin  member.Address
 	servers []fleet.Server
+	// resumable is set if every request that the servers run can go on at another
+	// one.
+	resumable bool
 }
 
 // newest is the version that the server should come to.
@@ -201,7 +204,7 @@
 	model := service.Engine.Models[0]
 	return target{
 		model: model, engine: service.Engine, named: view.Wanted(model), origin: view.Origin(),
-		servers: view.Servers(l.options.Service),
+		servers: view.Servers(l.options.Service), resumable: view.Resumable(l.options.Service),
 	}, true
 }
 
--- /dev/null
+++ b/internal/direct/pieces.go
@@ -0,0 +1,82 @@
+package direct
+
+import (
+	"context"
+
+	"golang.org/x/time/rate"
+
+	"github.com/cinderslip/cinderslip/internal/wire"
+	"github.com/cinderslip/cinderslip/pkg/weights"
+)
+
+const (
+	// pieceShare is the part of the box's link that pieces may take; the rest is
+	// for the answers of the backend server beside it. At half of it a copy of
+	// today's weights comes round well within the time that a version has.
+	pieceShare = 0.6
+	// pieceSlots is how many pieces are sent at once.
+	pieceSlots = 3
+	// pieceFrame is the size of the frames in which a piece is sent, in bytes. One
+	// holds up an answer on the link for a few milliseconds.
+	pieceFrame = 4 << 10
+	// bytesPerMbit converts rates.
+	bytesPerMbit = 1e6 / 8
+)
+
+// PieceServer gives other agents the pieces that this one holds, at a pace that
+// leaves room on the link. It implements the drpc service Chunks.
+type PieceServer struct {
+	wire.DRPCChunksUnimplementedServer
+
+	store *weights.MemoryStore
+	pace  *rate.Limiter
+	slots chan struct{}
+}
+
+// NewPieceServer returns a server for what a store holds, on a link of a rate in
+// Mbit/s.
+func NewPieceServer(store *weights.MemoryStore, linkMbps float64) *PieceServer {
+	return &PieceServer{
+		store: store, slots: make(chan struct{}, pieceSlots),
+		pace: rate.NewLimiter(rate.Limit(pieceShare*linkMbps*bytesPerMbit), pieceFrame),
+	}
+}
+
+// Holdings tells which pieces of a version are held.
+func (s *PieceServer) Holdings(_ context.Context, request *wire.HoldingsRequest) (*wire.HoldingsResponse, error) {
+	digest, err := weights.DigestFromBytes(request.Manifest)
+	if err != nil {
+		return nil, err
+	}
+	return &wire.HoldingsResponse{Held: s.store.Held(digest)}, nil
+}
+
+// Fetch sends one piece in frames.
+func (s *PieceServer) Fetch(request *wire.FetchRequest, stream wire.DRPCChunks_FetchStream) error {
+	digest, err := weights.DigestFromBytes(request.Manifest)
+	if err != nil {
+		return err
+	}
+	ctx := stream.Context()
+	select {
+	case s.slots <- struct{}{}:
+		defer func() { <-s.slots }()
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	data, err := s.store.Get(digest, int(request.Chunk))
+	if err != nil {
+		return err
+	}
+	for len(data) > 0 {
+		size := min(len(data), pieceFrame)
+		if err := s.pace.WaitN(ctx, size); err != nil {
+			return err
+		}
+		if err := stream.Send(&wire.FetchResponse{Data: data[:size]}); err != nil {
+			return err
+		}
+		data = data[size:]
+	}
+	return nil
+}
--- a/internal/settings/direct.go
+++ b/internal/settings/direct.go
@@ -21,6 +21,9 @@
 	c.address("direct.store", s.Direct.Store)
 	c.number("direct.agent_port", int64(s.Direct.AgentPort), 1, portLimit)
 	c.number("direct.memory_limit_bytes", s.Direct.MemoryLimit, 1<<20, 1<<50)
+	if s.Direct.LinkMbps <= 0 {
+		c.add("direct.link_mbps", "want the rate of the box's link in Mbit/s, got %v", s.Direct.LinkMbps)
+	}
 	c.duration("direct.version_bound", s.Direct.VersionBound, time.Second, 24*time.Hour)
 	c.duration("direct.retry_window", s.Direct.RetryWindow, time.Second, time.Hour)
 	c.duration("stop.grace", s.Stop.Grace, time.Second, time.Hour)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -182,6 +182,8 @@
 	Domains map[string]string `toml:"domains"`
 	// MemoryLimit bounds the process's memory, in bytes.
 	MemoryLimit int64 `toml:"memory_limit_bytes"`
+	// LinkMbps is the rate of the box's link, in Mbit/s.
+	LinkMbps float64 `toml:"link_mbps"`
 	// VersionBound is how long after newer weights were named older ones may
 	// still start a request.
 	VersionBound Duration `toml:"version_bound"`
--- a/pkg/fleet/view.go
+++ b/pkg/fleet/view.go
@@ -159,6 +159,26 @@
 	return services
 }
 
+// Resumable reports whether every route of a service has streams that may go on at
+// another server.
+func (v *View) Resumable(name member.Service) bool {
+	if v.Configuration == nil {
+		return false
+	}
+	found := false
+	for i := range v.Configuration.Routes {
+		route := &v.Configuration.Routes[i]
+		if !slices.ContainsFunc(route.Backends, func(b Backend) bool { return b.Service == name }) {
+			continue
+		}
+		if route.Kind != KindStream || !route.Resumable {
+			return false
+		}
+		found = true
+	}
+	return found
+}
+
 // Origin returns where weights are published; empty if no service says.
 func (v *View) Origin() member.Address { return v.origin }
 
--- a/pkg/weights/picker.go
+++ b/pkg/weights/picker.go
@@ -14,6 +14,9 @@
 	Window int
 	// DrawWindow is how many run at once from the origin.
 	DrawWindow int
+	// TotalWindow is how many run at once in all; 0 for no such bound. A small one
+	// keeps the box's link free for requests.
+	TotalWindow int
 	// DrawWait is how long each place in the order of drawers waits for the
 	// one before it, counted from the last chunk that this box got.
 	DrawWait time.Duration
@@ -230,6 +233,9 @@
 // Next returns the next fetch; ok is false if nothing can be started now. The
 // task counts as running until Done or Failed.
 func (p *Picker) Next(now time.Time) (task Task, ok bool) {
+	if p.options.TotalWindow > 0 && len(p.running) >= p.options.TotalWindow {
+		return Task{}, false
+	}
 	if task, ok = p.fromNeighbour(now); !ok {
 		task, ok = p.fromOrigin(now)
 	}
