fix(direct): only who reads the store holds a lapsed server's entry

Change: the reader alone holds back deletions that come right after the store's return; all others take what it tells.

--- a/internal/direct/facts.go
+++ b/internal/direct/facts.go
@@ -63,9 +63,6 @@
 	// changed is closed when the view changes.
 	changed chan struct{}
 	servers map[fleet.ServerID]fleet.Server
-	// lapsed holds the servers whose entry went around an absence of the store,
-	// and until when they are believed.
-	lapsed   map[fleet.ServerID]lapse
 	wanted   map[fleet.ModelName]fleet.Named
 	revision fleet.Revision
 	// answered is when the store last answered; zero if it never did.
@@ -74,18 +71,13 @@
 	returned time.Time
 }
 
-type lapse struct {
-	server fleet.Server
-	until  time.Time
-}
-
 // NewFacts returns facts that know nothing yet.
 func NewFacts(clock clockwork.Clock, log zerolog.Logger, metrics *Metrics) *Facts {
 	f := &Facts{
 		clock: clock, log: log, metrics: metrics,
 		store: state.NewStore(rand.Uint64()), duties: kernel.NewDuties(), started: clock.Now(),
 		changed: make(chan struct{}),
-		servers: make(map[fleet.ServerID]fleet.Server), lapsed: make(map[fleet.ServerID]lapse),
+		servers: make(map[fleet.ServerID]fleet.Server),
 		wanted: make(map[fleet.ModelName]fleet.Named),
 	}
 	f.view.Store(fleet.EmptyView())
@@ -180,7 +172,7 @@
 	if whole {
 		got.Facts = append(got.Facts, f.missing(got)...)
 	}
-	f.Apply(got.Facts, "store")
+	f.Apply(f.holdLapsed(got.Facts), "store")
 	r.after = max(r.after, got.At)
 	if len(got.Facts) > 0 && !whole {
 		sleep(ctx, f.clock, gatherTime)
@@ -220,6 +212,31 @@
 	}
 }
 
+// holdLapsed takes out the entries of servers that went while the store was away,
+// and applies them later: an entry that is back by then is newer.
+func (f *Facts) holdLapsed(facts []fleet.Fact) []fleet.Fact {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.returned.IsZero() || f.clock.Since(f.returned) >= lapseWindow {
+		return facts
+	}
+	var now, later []fleet.Fact
+	for _, fact := range facts {
+		id := fleet.ServerID(strings.TrimPrefix(fact.Key, fleet.ServerKey("")))
+		if server, known := f.servers[id]; fact.Gone && known && !server.Leaving {
+			later = append(later, fact)
+			f.log.Info().Str("server", string(id)).Uint64("revision", uint64(fact.Revision)).
+				Dur("hold_ms", lapseHold).Msg("server's entry went while the store was away, held")
+			continue
+		}
+		now = append(now, fact)
+	}
+	if len(later) > 0 {
+		f.clock.AfterFunc(lapseHold, func() { f.Apply(later, "store") })
+	}
+	return now
+}
+
 // missing returns the facts that are held but no longer in the store.
 func (f *Facts) missing(got provider.Facts) []fleet.Fact {
 	present := make(map[string]bool, len(got.Facts))
@@ -312,7 +329,6 @@
 				Bool("leaving", fact.Server.Leaving).Uint64("revision", uint64(fact.Revision)).Str("from", from).Msg("server listed")
 		}
 		f.servers[id] = *fact.Server
-		delete(f.lapsed, id)
 		return
 	}
 	server, known := f.servers[id]
@@ -320,40 +336,15 @@
 	if !known {
 		return
 	}
-	now := f.clock.Now()
-	hold := !server.Leaving && (f.lost || now.Sub(f.returned) < lapseWindow)
-	f.log.Info().Str("server", string(id)).Bool("held", hold).Uint64("revision", uint64(fact.Revision)).Str("from", from).Msg("server gone from the list")
-	if hold {
-		f.lapsed[id] = lapse{server: server, until: now.Add(lapseHold)}
-		f.clock.AfterFunc(lapseHold, f.endLapses)
-	}
-}
-
-// endLapses gives up servers whose entries have not come back.
-func (f *Facts) endLapses() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	ended := false
-	for id, lapsed := range f.lapsed {
-		if !f.clock.Now().Before(lapsed.until) {
-			delete(f.lapsed, id)
-			ended = true
-			f.log.Info().Str("server", string(id)).Msg("lapsed server given up")
-		}
-	}
-	if ended {
-		f.publish(f.View().WithServers(f.believedServers()))
-	}
+	f.log.Info().Str("server", string(id)).Str("address", string(server.Address)).Bool("was_leaving", server.Leaving).
+		Uint64("revision", uint64(fact.Revision)).Str("from", from).Msg("server gone from the list")
 }
 
 func (f *Facts) believedServers() []fleet.Server {
-	servers := make([]fleet.Server, 0, len(f.servers)+len(f.lapsed))
+	servers := make([]fleet.Server, 0, len(f.servers))
 	for _, server := range f.servers {
 		servers = append(servers, server)
 	}
-	for _, lapsed := range f.lapsed {
-		servers = append(servers, lapsed.server)
-	}
 	return servers
 }
 
--- a/internal/direct/front.go
+++ b/internal/direct/front.go
@@ -41,7 +41,7 @@
 	keepPerServer = 16
 	// versionMargin is how long before the bound older weights no longer start a
 	// request: it covers hearing late of the version and a request on its way.
-	versionMargin = 500 * time.Millisecond
+	versionMargin = time.Second
 	// adjustInterval is how often time alone may change what servers may do.
 	adjustInterval = 250 * time.Millisecond
 )
