fix(direct): a server with barred weights is given no time beyond the bound

Change: a request to a server whose version a newer one will bar gets a deadline that ends with the bound; the stream goes on elsewhere.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -26,6 +26,11 @@
 	// repeatablePart is the part of the remaining time that the first attempt of
 	// a repeatable request gets.
 	repeatablePart = 0.5
+	// heardLate is how much later than the store's acknowledgement a version may
+	// have been heard of.
+	heardLate = 500 * time.Millisecond
+	// leastDeadline is the shortest time that a server is given.
+	leastDeadline = 50 * time.Millisecond
 	// refusedWait is when a caller should return whose server refused.
 	refusedWait = 100 * time.Millisecond
 )
@@ -254,9 +259,15 @@
 	}
 	if service := f.facts.View().Service(x.service); service != nil && service.Engine != nil && len(service.Engine.Models) > 0 {
 		out.Priority = f.priority(x)
-		if f.required(f.facts.View().Wanted(service.Engine.Models[0]), now) > 0 {
+		named := f.facts.View().Wanted(service.Engine.Models[0])
+		if f.required(named, now) > 0 {
 			out.Version = place.Version
 		}
+		// A server that stands still for a while must not take the request up once
+		// its weights may no longer start any.
+		if barred, ok := named.Barred(place.Version, f.bound-heardLate); ok {
+			out.Deadline = min(out.Deadline, max(leastDeadline, barred.Sub(now)))
+		}
 	}
 	f.protocol.WriteRequest(header, out)
 	if x.route.Repeatable() && x.attempts+1 < x.route.MaxAttempts {
--- a/pkg/fleet/view.go
+++ b/pkg/fleet/view.go
@@ -51,6 +51,17 @@
 	return 0
 }
 
+// Barred returns when a version may no longer start requests, a bound after a
+// newer one was named; ok is false while none was.
+func (n Named) Barred(version WeightsVersion, bound time.Duration) (at time.Time, ok bool) {
+	for _, named := range n {
+		if named.Version > version && !named.Since.IsZero() {
+			return named.Since.Add(bound), true
+		}
+	}
+	return time.Time{}, false
+}
+
 // With returns the versions with another one added.
 func (n Named) With(next WantedSince) Named {
 	last := max(0, len(n)-namedKept+1)
