perf(weights): servers get their copies in three groups, so that swaps begin early

Change: two thirds of the boxes first bring only what others wait for; 5 transfers at once; an agent that falls silent makes its server ineligible until it speaks again.

--- a/internal/direct/bring.go
+++ b/internal/direct/bring.go
@@ -15,10 +15,14 @@
 const (
 	// swapLead is how long after a version was named the first server with older
 	// weights is swapped at the earliest, so that the pieces have come round.
-	swapLead = 4300 * time.Millisecond
+	swapLead = 2500 * time.Millisecond
 	// swapSpan is over how long the swaps of all servers are spread; with the lead
 	// it stays within the time that a version has.
-	swapSpan = 2700 * time.Millisecond
+	swapSpan = 4 * time.Second
+	// fetchGroups is in how many groups servers get their copies, fetchStagger the
+	// time between two of them: about what a copy takes over a box's link.
+	fetchGroups  = 3
+	fetchStagger = time.Second
 	// swapLatest is how long before the bound of an older version the swaps to it
 	// begin if the newer one has not come round: the span, and the time of one.
 	swapLatest = swapSpan + 2500*time.Millisecond
@@ -132,13 +136,31 @@
 // turn is when this server is to be swapped. The servers go one after the other,
 // so that capacity stays up.
 func (l *Loader) turn(want *target, since time.Time, version fleet.WeightsVersion) time.Time {
-	servers := make([]member.Address, 0, len(want.servers))
+	place, servers := l.place(want, version)
+	return since.Add(swapLead + swapSpan*time.Duration(place)/time.Duration(servers))
+}
+
+// place is this server's place in the order of the swaps to a version, and how
+// many servers there are.
+func (l *Loader) place(want *target, version fleet.WeightsVersion) (place, servers int) {
+	addresses := make([]member.Address, 0, len(want.servers))
 	for _, server := range want.servers {
-		servers = append(servers, server.Address)
+		addresses = append(addresses, server.Address)
+	}
+	order := member.Rank(fmt.Sprintf("swap/%s/%d", want.model, version), addresses, len(addresses))
+	return max(0, slices.Index(order, l.options.Address)), max(1, len(order))
+}
+
+// holdBack is until when this box leaves the links to those whose servers are
+// swapped before its own. A server without weights does not wait.
+func (l *Loader) holdBack(want *target, version fleet.WeightsVersion) time.Time {
+	report, answers := l.serverReport()
+	since := want.since(version)
+	if since.IsZero() || answers && loaded(&report, want.model, want.engine.Layers) == 0 {
+		return time.Time{}
 	}
-	order := member.Rank(fmt.Sprintf("swap/%s/%d", want.model, version), servers, len(servers))
-	place := max(0, slices.Index(order, l.options.Address))
-	return since.Add(swapLead + swapSpan*time.Duration(place)/time.Duration(max(1, len(order))))
+	place, servers := l.place(want, version)
+	return since.Add(fetchStagger * time.Duration(place*fetchGroups/servers))
 }
 
 // stage hands every piece to the server and reads it back: what lies there may
--- a/internal/direct/facts.go
+++ b/internal/direct/facts.go
@@ -61,8 +61,8 @@
 
 	mu sync.Mutex
 	// changed is closed when the view changes.
-	changed chan struct{}
-	servers map[fleet.ServerID]fleet.Server
+	changed  chan struct{}
+	servers  map[fleet.ServerID]fleet.Server
 	wanted   map[fleet.ModelName]fleet.Named
 	revision fleet.Revision
 	// answered is when the store last answered; zero if it never did.
@@ -78,7 +78,7 @@
 		store: state.NewStore(rand.Uint64()), duties: kernel.NewDuties(), started: clock.Now(),
 		changed: make(chan struct{}),
 		servers: make(map[fleet.ServerID]fleet.Server),
-		wanted: make(map[fleet.ModelName]fleet.Named),
+		wanted:  make(map[fleet.ModelName]fleet.Named),
 	}
 	f.view.Store(fleet.EmptyView())
 	return f
--- a/internal/direct/fetch.go
+++ b/internal/direct/fetch.go
@@ -19,10 +19,10 @@
 	// before it: a few pieces over the origin's link, which all draw at once.
 	drawWait = 700 * time.Millisecond
 	// fetchInterval is how often neighbours are asked what they hold.
-	fetchInterval = 150 * time.Millisecond
+	fetchInterval = 80 * time.Millisecond
 	// fetchWindow is how many pieces are fetched at once. More would queue on the
 	// box's link before what callers wait for.
-	fetchWindow = 3
+	fetchWindow = 5
 	// pieceTimeout bounds fetching a piece: many times what one takes over a box's
 	// link, and a small part of the time in which weights must be live.
 	pieceTimeout = 1500 * time.Millisecond
@@ -64,6 +64,7 @@
 		picker:  weights.NewPicker(manifest, string(l.options.Agent), l.store.Held(manifest.Digest()), options, l.options.Clock.Now()),
 		results: make(chan fetchResult), holdings: make(chan holdingsResult), asked: make(map[string]bool),
 	}
+	f.picker.HoldBack(l.holdBack(want, version))
 	f.adoptPeers()
 	return f.run(ctx)
 }
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"strings"
 	"sync"
@@ -146,9 +147,9 @@
 
 // followStream opens a stream and receives until it fails or falls silent.
 func followStream(ctx context.Context, clock clockwork.Clock, open func(ctx context.Context) (func() error, error)) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	watchdog := clock.AfterFunc(statusSilence, cancel)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watchdog := clock.AfterFunc(statusSilence, func() { cancel(errSilent) })
 	defer watchdog.Stop()
 	receive, err := open(ctx)
 	for err == nil {
@@ -156,9 +157,15 @@
 			watchdog.Reset(statusSilence)
 		}
 	}
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
 	return err
 }
 
+// errSilent reports a peer that said nothing for statusSilence.
+var errSilent = errors.New("peer is silent")
+
 func (e *EntryBoxes) take(entry string, status *wire.EntryStatus) {
 	now := e.clock.Now()
 	box := entryBoxOf(status, now)
--- a/internal/direct/pieces.go
+++ b/internal/direct/pieces.go
@@ -11,9 +11,8 @@
 
 const (
 	// pieceShare is the part of the box's link that pieces may take; the rest is
-	// for the answers of the backend server beside it. At half of it a copy of
-	// today's weights comes round well within the time that a version has.
-	pieceShare = 0.6
+	// for the answers of the backend server beside it, which are small.
+	pieceShare = 0.65
 	// pieceSlots is how many pieces are sent at once.
 	pieceSlots = 3
 	// pieceFrame is the size of the frames in which a piece is sent, in bytes. One
--- a/internal/direct/servers.go
+++ b/internal/direct/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"time"
 
@@ -128,7 +129,11 @@
 		})
 		if connected && ctx.Err() == nil {
 			connected = false
-			m.log.Warn().Str("dependency", "agent").Str("address", string(agent)).Err(err).Msg("dependency lost")
+			silent := errors.Is(err, errSilent)
+			m.log.Warn().Str("dependency", "agent").Str("address", string(agent)).Bool("silent", silent).Err(err).Msg("dependency lost")
+			if silent {
+				m.state(server, route.ServerState{Silent: true}, m.clock.Now())
+			}
 		}
 		sleep(ctx, m.clock, followRetry)
 	}
--- a/pkg/route/dispatch.go
+++ b/pkg/route/dispatch.go
@@ -82,6 +82,9 @@
 	Waiting  int
 	// Pace is above 1 when the server is slow.
 	Pace float64
+	// Silent is set when the agent fell silent: the box stands still or can't be
+	// reached, and the server with it. An agent that has ended is not silent.
+	Silent bool
 }
 
 // backend is one server of a service as seen from this box.
@@ -380,7 +383,7 @@
 
 // isEligible reports whether a server can run requests at all.
 func (d *Dispatcher) isEligible(b *backend, now time.Time) bool {
-	if now.Before(b.ejectedTo) {
+	if now.Before(b.ejectedTo) || b.state.Silent {
 		return false
 	}
 	if !d.engine {
--- a/pkg/weights/picker.go
+++ b/pkg/weights/picker.go
@@ -71,6 +71,8 @@
 	// scores are this box's own for each chunk.
 	scores    []uint64
 	lastRetry map[int]time.Time
+	// heldBack is until when only chunks are fetched that others wait for.
+	heldBack time.Time
 }
 
 // NewPicker returns a picker for a copy that starts now. Held chunks are not
@@ -97,6 +99,11 @@
 	return p
 }
 
+// HoldBack lets the box fetch only those chunks until a time that it draws from
+// the origin or is the first of its region to bring, so that other boxes have
+// theirs whole earlier.
+func (p *Picker) HoldBack(until time.Time) { p.heldBack = until }
+
 // Peer is another box of the rollout.
 type Peer struct {
 	Box string
@@ -257,7 +264,7 @@
 func (p *Picker) fromNeighbour(now time.Time) (Task, bool) {
 	best, bestCount, bestTie := Task{Chunk: -1}, 0, uint64(0)
 	for chunk := range p.manifest.Chunks {
-		if p.held.Has(chunk) || p.running[chunk] {
+		if p.held.Has(chunk) || p.running[chunk] || p.nearRanks[chunk] > 0 && now.Before(p.heldBack) {
 			continue
 		}
 		from, count := p.holder(chunk, now)
