perf(route): under overload places go to requests that can still be in time

Change: one order by the time at which a request must start; the time to the first event is measured (RFC 6298); a late start is allowed to those refused before only while few are; a silent attempt is left only for a place that is had on another server, so that a request is no longer answered 502 after 1.2 s for want of one.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -16,16 +16,6 @@
 )
 
 const (
-	// streamPatience is how long a stream's next event is waited for before the
-	// stream goes on at another server. Steps of a full batch take a tenth of
-	// it; callers give up after a multiple of it.
-	streamPatience = 800 * time.Millisecond
-	// firstPatience is the same for the first event, which waits for the prompts
-	// that are read before it.
-	firstPatience = 1200 * time.Millisecond
-	// repeatablePart is the part of the remaining time that the first attempt of
-	// a repeatable request gets.
-	repeatablePart = 0.5
 	// heardLate is how much later than the store's acknowledgement a version may
 	// have been heard of.
 	heardLate = 500 * time.Millisecond
@@ -60,19 +50,25 @@
 	budget := f.budget(x.service)
 	budget.Request(f.clock.Now())
 	var tried []fleet.ServerID
+	var next *route.Reservation
 	var mayHaveRun, last error
 	for x.attempts < x.route.MaxAttempts {
-		if x.attempts > 0 && !budget.Retry(f.retryExtra(), f.clock.Now()) {
-			last = errors.New("retry budget is spent")
-			break
-		}
-		place, err := f.acquire(ctx, x, tried)
-		if err != nil {
-			last = err
-			break
+		place := next
+		if place == nil {
+			if x.attempts > 0 && !budget.Retry(f.retryExtra(), f.clock.Now()) {
+				last = errBudget
+				break
+			}
+			var err error
+			if place, err = f.dispatcher(x.service).Acquire(ctx, f.ask(x, tried, false), f.clock.Now); err != nil {
+				last = err
+				break
+			}
 		}
 		tried = append(tried, place.Server.ID)
-		result, err := f.attempt(ctx, x, place)
+		guard := f.watch(ctx, x, tried)
+		result, err := f.attempt(guard.ctx, x, place, guard)
+		next = guard.end(result, f.clock.Now())
 		switch result {
 		case outcomeDone:
 			f.finish(x, "answered").Str("server", string(place.Server.ID)).Msg("request answered")
@@ -95,6 +91,9 @@
 	f.conclude(ctx, x, mayHaveRun, last)
 }
 
+// errBudget reports that no further attempt is allowed.
+var errBudget = errors.New("retry budget is spent")
+
 // abort breaks the caller's connection off, so that it sees that the answer is
 // not whole.
 func (f *Front) abort(x *exchange, cause error) {
@@ -154,19 +153,17 @@
 // come and go count each other late.
 const retrySafety = 0.7
 
-// acquire waits for a place on a server.
-func (f *Front) acquire(ctx context.Context, x *exchange, tried []fleet.ServerID) (*route.Reservation, error) {
-	now := f.clock.Now()
+// ask is what a request needs of a server.
+func (f *Front) ask(x *exchange, tried []fleet.ServerID, once bool) *route.Ask {
 	ask := &route.Ask{
-		Priority: f.priority(x), Arrived: x.arrived, Deadline: x.deadline, Returning: x.returning || x.begun,
-		StartBy: x.arrived.Add(x.route.Objective - f.expectedFirst(x)), Tried: tried,
+		Priority: f.priority(x), Objective: x.arrived.Add(x.route.Objective), Reading: f.readingTime(x), Deadline: x.deadline,
+		Returning: x.returning, Tried: tried, Once: once,
 	}
 	if x.attempts > 0 {
-		// A second attempt has waited enough.
-		ask.StartBy = now
+		// A request that has been tried already goes before those that came later.
 		ask.Returning = true
 	}
-	return f.dispatcher(x.service).Acquire(ctx, ask, f.clock.Now)
+	return ask
 }
 
 // priority is the organisation's, else the route's.
@@ -177,22 +174,17 @@
 	return x.route.Priority
 }
 
-// expectedFirst is about how long a server takes to the first byte.
-func (f *Front) expectedFirst(x *exchange) time.Duration {
+// readingTime is how long a model server reads the prompt.
+func (f *Front) readingTime(x *exchange) time.Duration {
 	service := f.facts.View().Service(x.service)
-	if service == nil || service.Engine == nil {
-		return x.route.Objective / 2
+	if service == nil || service.Engine == nil || service.Engine.ReadPerSecond <= 0 {
+		return 0
 	}
-	engine := service.Engine
-	pass := time.Duration(engine.Stride) * (engine.Step + time.Duration(engine.Slots)*engine.StepPerRequest)
-	read := time.Duration(float64(x.PromptTokens) / engine.ReadPerSecond * float64(time.Second))
-	// Half a pass until it is taken in, one in which it is read beside others, and
-	// one for the first event.
-	return min(x.route.Objective*2/3, pass/2+read+2*pass)
+	return time.Duration(float64(x.PromptTokens) / service.Engine.ReadPerSecond * float64(time.Second))
 }
 
 // attempt sends the request to one server and passes its answer on.
-func (f *Front) attempt(ctx context.Context, x *exchange, place *route.Reservation) (outcome, error) {
+func (f *Front) attempt(ctx context.Context, x *exchange, place *route.Reservation, guard *guard) (outcome, error) {
 	now := f.clock.Now()
 	if now.After(x.deadline) {
 		place.Release(route.ResultAbandoned, now)
@@ -200,7 +192,7 @@
 	}
 	answer, err := f.pool.Send(ctx, f.outbound(x, place, now))
 	if err != nil {
-		return f.sendFailed(ctx, x, place, err)
+		return f.sendFailed(x, place, err)
 	}
 	x.attempts++
 	mark := f.protocol.ReadAnswer(answer.Response)
@@ -226,9 +218,9 @@
 		return outcomeBroken, errServerFailed
 	}
 	if x.route.Kind == fleet.KindStream && strings.HasPrefix(answer.Header.Get("Content-Type"), "text/event-stream") {
-		return f.passStream(ctx, x, place, answer)
+		return f.passStream(x, place, answer, guard)
 	}
-	return f.passWhole(ctx, x, place, answer)
+	return f.passWhole(x, place, answer)
 }
 
 // The errors of attempts.
@@ -270,12 +262,6 @@
 		}
 	}
 	f.protocol.WriteRequest(header, out)
-	if x.route.Repeatable() && x.attempts+1 < x.route.MaxAttempts {
-		request.FirstByte = time.Duration(repeatablePart * float64(x.deadline.Sub(now)))
-		if x.route.Kind == fleet.KindStream {
-			request.FirstByte = min(request.FirstByte, firstPatience)
-		}
-	}
 	return request
 }
 
@@ -298,7 +284,7 @@
 }
 
 // sendFailed tells what became of an attempt without an answer.
-func (f *Front) sendFailed(ctx context.Context, x *exchange, place *route.Reservation, err error) (outcome, error) {
+func (f *Front) sendFailed(x *exchange, place *route.Reservation, err error) (outcome, error) {
 	if x.request.Context().Err() != nil {
 		f.ended(x, place, route.ResultAbandoned, err)
 		return outcomeGone, err
@@ -306,11 +292,8 @@
 	if !upstream.MayHaveRun(err) {
 		f.ended(x, place, route.ResultUnreachable, err)
 		f.pool.Forget(place.Server.Address)
-		if ctx.Err() == nil {
-			// No byte went out, so this was no attempt; but it must not go on
-			// without end.
-			x.attempts++
-		}
+		// No byte went out, but tries must not go on without end.
+		x.attempts++
 		return outcomeNotRun, err
 	}
 	x.attempts++
@@ -353,8 +336,8 @@
 const wholeBuffer = 64 << 10
 
 // passWhole passes on an answer that is not a stream of events.
-func (f *Front) passWhole(ctx context.Context, x *exchange, place *route.Reservation, answer *upstream.Answer) (outcome, error) {
-	place.Started()
+func (f *Front) passWhole(x *exchange, place *route.Reservation, answer *upstream.Answer) (outcome, error) {
+	place.Started(f.clock.Now())
 	buffer := make([]byte, 0, min(wholeBuffer, max(512, int(answer.ContentLength)+1)))
 	var err error
 	for err == nil && len(buffer) < wholeBuffer {
@@ -366,7 +349,7 @@
 		buffer = buffer[:len(buffer)+n]
 	}
 	if err != nil && !errors.Is(err, io.EOF) {
-		return f.bodyFailed(ctx, x, place, err)
+		return f.bodyFailed(x, place, err)
 	}
 	f.passHead(x, answer)
 	if _, problem := x.writer.Write(buffer); problem != nil {
@@ -393,7 +376,7 @@
 
 // bodyFailed tells what became of an answer that broke off before any of it was
 // passed on.
-func (f *Front) bodyFailed(_ context.Context, x *exchange, place *route.Reservation, err error) (outcome, error) {
+func (f *Front) bodyFailed(x *exchange, place *route.Reservation, err error) (outcome, error) {
 	if x.request.Context().Err() != nil {
 		f.ended(x, place, route.ResultAbandoned, err)
 		return outcomeGone, err
--- a/internal/direct/front.go
+++ b/internal/direct/front.go
@@ -37,6 +37,10 @@
 	// the mean is known.
 	usualModelTime = time.Second
 	usualPlainTime = 40 * time.Millisecond
+	// firstModelTime and firstPlainTime are how long answers take to begin until
+	// that is known.
+	firstModelTime = 120 * time.Millisecond
+	firstPlainTime = 40 * time.Millisecond
 	// keepPerServer bounds the unused connections kept to one server.
 	keepPerServer = 16
 	// versionMargin is how long before the bound older weights no longer start a
@@ -203,18 +207,20 @@
 	d, ok := f.dispatchers[name]
 	if !ok {
 		service := f.facts.View().Service(name)
-		engine := service != nil && service.Engine != nil
-		usual := usualPlainTime
-		if engine {
-			usual = usualModelTime
-		}
-		d = route.NewDispatcher(usual, engine)
+		d = newDispatcher(service)
 		f.dispatchers[name] = d
 		f.adjustOne(name, d)
 	}
 	return d
 }
 
+func newDispatcher(service *fleet.Service) *route.Dispatcher {
+	if service != nil && service.Engine != nil {
+		return route.NewDispatcher(usualModelTime, firstModelTime, true)
+	}
+	return route.NewDispatcher(usualPlainTime, firstPlainTime, false)
+}
+
 func (f *Front) budget(name member.Service) *route.WindowBudget {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -233,11 +239,7 @@
 		f.mu.Lock()
 		for _, service := range f.facts.View().Services() {
 			if f.dispatchers[service.Name] == nil && service.Origin == "" {
-				usual := usualPlainTime
-				if service.Engine != nil {
-					usual = usualModelTime
-				}
-				f.dispatchers[service.Name] = route.NewDispatcher(usual, service.Engine != nil)
+				f.dispatchers[service.Name] = newDispatcher(service)
 			}
 		}
 		for name, d := range f.dispatchers {
--- a/internal/direct/stream.go
+++ b/internal/direct/stream.go
@@ -2,12 +2,10 @@
 
 import (
 	"bytes"
-	"context"
 	"errors"
 	"io"
 	"net/http"
 	"strings"
-	"time"
 
 	"github.com/cinderslip/cinderslip/internal/upstream"
 	"github.com/cinderslip/cinderslip/pkg/route"
@@ -88,17 +86,12 @@
 
 // passStream passes events on as they come. A stream that breaks off can go on
 // at another server after the last event that was passed on.
-func (f *Front) passStream(ctx context.Context, x *exchange, place *route.Reservation, answer *upstream.Answer) (outcome, error) {
+func (f *Front) passStream(x *exchange, place *route.Reservation, answer *upstream.Answer, guard *guard) (outcome, error) {
 	reader := &eventReader{source: answer}
 	flush := http.NewResponseController(x.writer)
-	wait := firstPatience
-	if !x.begun {
-		// The head is passed on with the first event, so that a server that gives
-		// none can be replaced.
-		wait = max(wait, x.route.Objective)
-	}
+	// The head is passed on with the first event, so that a server that gives none
+	// can be replaced.
 	for {
-		answer.SetWait(f.eventWait(x, wait))
 		events, id, err := reader.next()
 		switch {
 		case errors.Is(err, io.EOF):
@@ -108,13 +101,14 @@
 			f.ended(x, place, route.ResultDone, nil)
 			return outcomeDone, nil
 		case err != nil:
-			return f.streamFailed(ctx, x, place, err)
+			return f.streamFailed(x, place, err)
 		}
 		if !x.begun {
 			answer.Header.Del("Content-Length")
 			f.passHead(x, answer)
 		}
-		place.Started()
+		guard.progress(streamPatience)
+		place.Started(f.clock.Now())
 		if _, err = x.writer.Write(events); err == nil {
 			err = flush.Flush()
 		}
@@ -125,22 +119,11 @@
 		if id != "" {
 			x.lastEvent = id
 		}
-		wait = streamPatience
-	}
-}
-
-// eventWait is how long the next event is waited for. Where no other server may
-// take the stream over, it is the time that is left.
-func (f *Front) eventWait(x *exchange, wait time.Duration) time.Duration {
-	left := max(time.Millisecond, x.deadline.Sub(f.clock.Now()))
-	if !f.mayRepeat(x) {
-		return left
 	}
-	return min(wait, left)
 }
 
 // streamFailed tells what became of a stream that broke off.
-func (f *Front) streamFailed(ctx context.Context, x *exchange, place *route.Reservation, err error) (outcome, error) {
+func (f *Front) streamFailed(x *exchange, place *route.Reservation, err error) (outcome, error) {
 	if x.request.Context().Err() != nil {
 		f.ended(x, place, route.ResultAbandoned, err)
 		return outcomeGone, err
@@ -149,7 +132,7 @@
 	if !x.begun {
 		return outcomeUnknown, err
 	}
-	if x.lastEvent == "" || ctx.Err() != nil {
+	if x.lastEvent == "" || !f.clock.Now().Before(x.deadline) {
 		return outcomeCut, err
 	}
 	return outcomeBroken, err
--- a/pkg/route/dispatch.go
+++ b/pkg/route/dispatch.go
@@ -55,6 +55,14 @@
 	lateReserve = 0.5
 	// retryLeast is the shortest time after which a caller is told to return.
 	retryLeast = 100 * time.Millisecond
+	// lateness is how much later than its objective asks a request may start that
+	// was refused before, as long as few are refused: callers prefer a late answer
+	// to a second refusal.
+	lateness = 1200 * time.Millisecond
+	// refusedSmoothing is the weight of the newest request in the share of those
+	// that are refused, and refusedFew the share up to which few are.
+	refusedSmoothing = 0.02
+	refusedFew       = 0.3
 )
 
 // The parts of a server's cost beside the share of its places that are taken.
@@ -122,9 +130,10 @@
 type Ask struct {
 	// Priority is 0 for the most urgent.
 	Priority int
-	Arrived  time.Time
-	// StartBy is when the request must start to meet its objective.
-	StartBy  time.Time
+	// Objective is when the first byte of the answer is expected.
+	Objective time.Time
+	// Reading is how long the server takes to read the request itself.
+	Reading  time.Duration
 	Deadline time.Time
 	// Returning is set for a caller that was refused before.
 	Returning bool
@@ -132,6 +141,9 @@
 	Tried []fleet.ServerID
 	// Once is set if the request must start at once or not at all.
 	Once bool
+
+	// startBy is when the request must start to meet its objective.
+	startBy time.Time
 }
 
 // waitingAsk is a request in the queue.
@@ -153,6 +165,12 @@
 	queue []*waitingAsk
 	// usual is how long a request holds its place, in the mean.
 	usual time.Duration
+	// first is how long an answer takes to begin beside reading the request, and
+	// deviation by how much that differs, in the mean.
+	first     time.Duration
+	deviation time.Duration
+	// refused is the share of first requests that were refused lately.
+	refused float64
 	// required is the oldest version of weights that may start a request.
 	required fleet.WeightsVersion
 	// engine is set for a service whose servers need weights to run requests.
@@ -160,9 +178,12 @@
 }
 
 // NewDispatcher returns a dispatcher without servers. The usual time is how long
-// a request holds a place, until better is known.
-func NewDispatcher(usual time.Duration, engine bool) *Dispatcher {
+// a request holds a place, the first how long an answer takes to begin, until
+// better is known.
+func NewDispatcher(usual, first time.Duration, engine bool) *Dispatcher {
 	return &Dispatcher{
+		first: first,
+
 		backends: make(map[fleet.ServerID]*backend), peers: make(map[member.BoxID]peerLoad),
 		boxes: 1, usual: usual, engine: engine,
 	}
@@ -262,6 +283,7 @@
 	backend    *backend
 	since      time.Time
 	reading    bool
+	readTime   time.Duration
 }
 
 // Acquire returns a place, waiting for one if the request can still start in
@@ -269,8 +291,10 @@
 func (d *Dispatcher) Acquire(ctx context.Context, ask *Ask, now func() time.Time) (*Reservation, error) {
 	d.mu.Lock()
 	at := now()
+	ask.startBy = ask.Objective.Add(-d.first - d.deviation - ask.Reading)
 	if len(d.queue) == 0 || d.isFirst(ask) {
 		if place := d.choose(ask, at); place != nil {
+			d.note(ask, false)
 			d.mu.Unlock()
 			return place, nil
 		}
@@ -280,21 +304,47 @@
 		return nil, ErrNoServer
 	}
 	ahead, wait := d.expected(ask)
-	late := at.Add(wait).After(ask.StartBy)
-	if ask.Once || late && !ask.Returning {
+	latest := d.latest(ask)
+	late := at.Add(wait).After(latest)
+	d.note(ask, late)
+	if ask.Once || late {
 		d.mu.Unlock()
 		return nil, d.busy(ask, ahead, wait, at)
 	}
 	w := &waitingAsk{ask: ask, grant: make(chan *Reservation, 1)}
 	d.enqueue(w)
 	d.mu.Unlock()
-	return d.wait(ctx, w, now)
+	return d.wait(ctx, w, latest, now)
+}
+
+// latest is when a request must have started to be worth waiting for. While the
+// service is overloaded, places go to those who can still be answered in time.
+func (d *Dispatcher) latest(ask *Ask) time.Time {
+	latest := ask.startBy
+	if ask.Returning {
+		latest = latest.Add(time.Duration(float64(lateness) * max(0, 1-d.refused/refusedFew)))
+	}
+	return latest
+}
+
+// note counts whether a first request was refused.
+func (d *Dispatcher) note(ask *Ask, refused bool) {
+	if ask.Returning {
+		return
+	}
+	share := 0.0
+	if refused {
+		share = 1
+	}
+	d.refused += refusedSmoothing * (share - d.refused)
 }
 
 // wait returns the place that is granted. A request that can no longer be
 // answered in its time is refused.
-func (d *Dispatcher) wait(ctx context.Context, w *waitingAsk, now func() time.Time) (*Reservation, error) {
-	last := w.ask.Deadline.Add(-time.Duration(lateReserve * float64(d.usualTime())))
+func (d *Dispatcher) wait(ctx context.Context, w *waitingAsk, last time.Time, now func() time.Time) (*Reservation, error) {
+	if end := w.ask.Deadline.Add(-time.Duration(lateReserve * float64(d.usualTime()))); end.Before(last) {
+		last = end
+	}
 	timer := time.NewTimer(last.Sub(now()))
 	defer timer.Stop()
 	var problem error
@@ -304,7 +354,6 @@
 	case <-ctx.Done():
 		problem = ctx.Err()
 	case <-timer.C:
-		problem = &BusyError{RetryAfter: retryLeast}
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -319,6 +368,10 @@
 		return nil, problem
 	}
 	d.queue = slices.Delete(d.queue, at, at+1)
+	if problem == nil {
+		ahead, wait := d.expected(w.ask)
+		problem = d.busy(w.ask, ahead, wait, now())
+	}
 	return nil, problem
 }
 
@@ -338,16 +391,13 @@
 // isFirst reports whether a request goes before all that wait.
 func (d *Dispatcher) isFirst(ask *Ask) bool { return before(ask, d.queue[0].ask) }
 
-// before orders the queue: those that were refused before, then the more urgent,
-// then those that must start earlier.
+// before orders the queue: the more urgent first, then those that must start
+// earlier.
 func before(a, b *Ask) bool {
-	if a.Returning != b.Returning {
-		return a.Returning
-	}
 	if a.Priority != b.Priority {
 		return a.Priority < b.Priority
 	}
-	return a.StartBy.Before(b.StartBy)
+	return a.startBy.Before(b.startBy)
 }
 
 func (d *Dispatcher) enqueue(w *waitingAsk) {
@@ -436,7 +486,9 @@
 	best.own++
 	best.reading++
 	version, _ := best.version(now)
-	return &Reservation{Server: best.server, Version: version, dispatcher: d, backend: best, since: now, reading: true}
+	return &Reservation{
+		Server: best.server, Version: version, dispatcher: d, backend: best, since: now, reading: true, readTime: ask.Reading,
+	}
 }
 
 // grant gives free places to those who wait.
@@ -457,11 +509,18 @@
 }
 
 // Started notes that the answer has begun.
-func (r *Reservation) Started() {
+func (r *Reservation) Started(now time.Time) {
 	d := r.dispatcher
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if !r.reading {
+		return
+	}
 	d.started(r)
+	// The estimate of round-trip times of RFC 6298, with its weights.
+	sample := max(0, now.Sub(r.since)-r.readTime)
+	d.deviation += (max(sample-d.first, d.first-sample) - d.deviation) / 4
+	d.first += (sample - d.first) / 8
 }
 
 func (d *Dispatcher) started(r *Reservation) {
