fix(weights): links narrower than told, and a wider margin before a version's bound

Ruled out: late hearing of the version. Change: the fetch window halves when a piece takes over 0.7 s; a server with older weights whose agent lags is left alone; the margin is 1.5 s, the swaps spread over 3.6 s.

--- a/internal/direct/bring.go
+++ b/internal/direct/bring.go
@@ -18,7 +18,7 @@
 	swapLead = 2500 * time.Millisecond
 	// swapSpan is over how long the swaps of all servers are spread; with the lead
 	// it stays within the time that a version has.
-	swapSpan = 4 * time.Second
+	swapSpan = 3600 * time.Millisecond
 	// fetchGroups is in how many groups servers get their copies, fetchStagger the
 	// time between two of them: about what a copy takes over a box's link.
 	fetchGroups  = 3
--- a/internal/direct/fetch.go
+++ b/internal/direct/fetch.go
@@ -23,9 +23,14 @@
 	// fetchWindow is how many pieces are fetched at once. More would queue on the
 	// box's link before what callers wait for.
 	fetchWindow = 5
+	// pieceSlow is how long a piece takes on a link that is too narrow for the
+	// window: several times what a full window takes on the links of today.
+	pieceSlow = 700 * time.Millisecond
+	// windowGrowth is by how much the window opens with each piece.
+	windowGrowth = 0.25
 	// pieceTimeout bounds fetching a piece: many times what one takes over a box's
 	// link, and a small part of the time in which weights must be live.
-	pieceTimeout = 1500 * time.Millisecond
+	pieceTimeout = 2500 * time.Millisecond
 	// drawRetry is the wait before a draw that failed is tried again.
 	drawRetry = 300 * time.Millisecond
 )
@@ -42,12 +47,16 @@
 	results   chan fetchResult
 	holdings  chan holdingsResult
 	asked     map[string]bool
+	// window is how many pieces are fetched at once; it shrinks while they take
+	// long, because then the link is narrower than the settings say.
+	window float64
 }
 
 type fetchResult struct {
-	task weights.Task
-	data []byte
-	err  error
+	task  weights.Task
+	data  []byte
+	err   error
+	taken time.Duration
 }
 
 type holdingsResult struct {
@@ -63,6 +72,7 @@
 		loader: l, want: want, version: version, manifest: manifest, addresses: make(map[string]member.Address),
 		picker:  weights.NewPicker(manifest, string(l.options.Agent), l.store.Held(manifest.Digest()), options, l.options.Clock.Now()),
 		results: make(chan fetchResult), holdings: make(chan holdingsResult), asked: make(map[string]bool),
+		window: fetchWindow,
 	}
 	f.picker.HoldBack(l.holdBack(want, version))
 	f.adoptPeers()
@@ -160,10 +170,11 @@
 		if !ok {
 			return
 		}
+		started := f.loader.options.Clock.Now()
 		go func() {
 			data, err := f.transfer(ctx, task)
 			select {
-			case f.results <- fetchResult{task, data, err}:
+			case f.results <- fetchResult{task, data, err, f.loader.options.Clock.Since(started)}:
 			case <-ctx.Done():
 			}
 		}()
@@ -182,6 +193,7 @@
 	}
 	f.loader.options.Metrics.pieces.WithLabelValues(from, resultLabel(err)).Inc()
 	now := f.loader.options.Clock.Now()
+	f.adjustWindow(result)
 	if err == nil {
 		f.picker.Done(result.task, now)
 		return
@@ -191,6 +203,16 @@
 	f.picker.Failed(result.task, now.Add(drawRetry))
 }
 
+// adjustWindow halves the window when a piece took long and opens it slowly.
+func (f *fetch) adjustWindow(result fetchResult) {
+	if result.taken > pieceSlow {
+		f.window = max(1, f.window/2)
+	} else {
+		f.window = min(fetchWindow, f.window+windowGrowth)
+	}
+	f.picker.SetTotalWindow(int(f.window))
+}
+
 func (f *fetch) transfer(ctx context.Context, task weights.Task) ([]byte, error) {
 	callCtx, cancel := context.WithTimeout(ctx, pieceTimeout)
 	defer cancel()
--- a/internal/direct/front.go
+++ b/internal/direct/front.go
@@ -45,7 +45,7 @@
 	keepPerServer = 16
 	// versionMargin is how long before the bound older weights no longer start a
 	// request: it covers hearing late of the version and a request on its way.
-	versionMargin = time.Second
+	versionMargin = 1500 * time.Millisecond
 	// adjustInterval is how often time alone may change what servers may do.
 	adjustInterval = 250 * time.Millisecond
 )
@@ -264,7 +264,8 @@
 	if service != nil && service.Engine != nil {
 		layers = service.Engine.Layers
 		if len(service.Engine.Models) > 0 {
-			d.Require(f.required(view.Wanted(service.Engine.Models[0]), now), now)
+			named := view.Wanted(service.Engine.Models[0])
+			d.Require(f.required(named, now), named.Newest().Version, now)
 		}
 	}
 	d.Servers(view.Servers(name), layers, f.isNear, now)
--- a/pkg/route/dispatch.go
+++ b/pkg/route/dispatch.go
@@ -37,6 +37,10 @@
 	peerLoadAge = 1500 * time.Millisecond
 	// serverStatusAge is how long an agent's status counts.
 	serverStatusAge = 1200 * time.Millisecond
+	// laggingAge is after how long without a status a server with older weights is
+	// left alone while newer ones come: what is sent to it may arrive, or begin,
+	// after they may no longer. An agent speaks twice as often.
+	laggingAge = 800 * time.Millisecond
 	// orphanMargin is by how many requests a server's own count may exceed what
 	// the entry boxes claim before it is believed: its count is a little older.
 	orphanMargin = 4
@@ -173,6 +177,7 @@
 	refused float64
 	// required is the oldest version of weights that may start a request.
 	required fleet.WeightsVersion
+	newest   fleet.WeightsVersion
 	// engine is set for a service whose servers need weights to run requests.
 	engine bool
 }
@@ -225,9 +230,11 @@
 }
 
 // Require sets the oldest version of weights that may start a request.
-func (d *Dispatcher) Require(version fleet.WeightsVersion, now time.Time) {
+// Newest is the version that the servers should come to.
+func (d *Dispatcher) Require(version, newest fleet.WeightsVersion, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.newest = newest
 	if d.required != version {
 		d.required = version
 		d.grant(now)
@@ -440,6 +447,9 @@
 		return true
 	}
 	version, swapping := b.version(now)
+	if version < d.newest && !b.stateAt.IsZero() && now.Sub(b.stateAt) > laggingAge {
+		return false
+	}
 	return !swapping && version > 0 && version >= d.required
 }
 
--- a/pkg/weights/picker.go
+++ b/pkg/weights/picker.go
@@ -104,6 +104,9 @@
 // theirs whole earlier.
 func (p *Picker) HoldBack(until time.Time) { p.heldBack = until }
 
+// SetTotalWindow changes how many fetches run at once in all.
+func (p *Picker) SetTotalWindow(window int) { p.options.TotalWindow = window }
+
 // Peer is another box of the rollout.
 type Peer struct {
 	Box string
