fix(weights): a first drawer on a slow link holds the others up for seconds no more

Their first drawers' links were squeezed to 1.2 Mbit/s; the others waited, as each piece that came began their wait anew, and did not draw what was shown. Ruled out: the origin's spoilt pieces (5 of 400). Change: waits are counted from the start of the copy after 1.6 s; a piece that is shown but doesn't come is drawn; among the neighbours with a piece the fastest is asked.

--- a/internal/direct/fetch.go
+++ b/internal/direct/fetch.go
@@ -18,6 +18,9 @@
 	// drawWait is how long each place in the order of drawers waits for the one
 	// before it: a few pieces over the origin's link, which all draw at once.
 	drawWait = 700 * time.Millisecond
+	// drawPatience is after how long that order is kept to no more: the origin has
+	// given one copy by then if all who are first draw at the rate of their links.
+	drawPatience = 1600 * time.Millisecond
 	// fetchInterval is how often neighbours are asked what they hold.
 	fetchInterval = 80 * time.Millisecond
 	// fetchWindow is how many pieces are fetched at once. More would queue on the
@@ -67,7 +70,7 @@
 // fetch returns when every piece is held or the context ends.
 func (l *Loader) fetch(ctx context.Context, want *target, version fleet.WeightsVersion, manifest *weights.Manifest) error {
 	options := weights.DefaultPickerOptions()
-	options.DrawWait, options.Window, options.TotalWindow = drawWait, 1, fetchWindow
+	options.DrawWait, options.Patience, options.Window, options.TotalWindow = drawWait, drawPatience, 1, fetchWindow
 	f := &fetch{
 		loader: l, want: want, version: version, manifest: manifest, addresses: make(map[string]member.Address),
 		picker:  weights.NewPicker(manifest, string(l.options.Agent), l.store.Held(manifest.Digest()), options, l.options.Clock.Now()),
@@ -196,6 +199,8 @@
 	f.adjustWindow(result)
 	if err == nil {
 		f.picker.Done(result.task, now)
+		f.loader.options.Log.Debug().Int("piece", result.task.Chunk).Str("from", result.task.From).Uint64("version", uint64(f.version)).
+			Int("missing", f.picker.Missing()).Dur("taken_ms", result.taken).Msg("piece taken")
 		return
 	}
 	f.loader.options.Log.Info().Int("piece", result.task.Chunk).Str("from", result.task.From).
--- a/pkg/weights/picker.go
+++ b/pkg/weights/picker.go
@@ -20,6 +20,10 @@
 	// DrawWait is how long each place in the order of drawers waits for the
 	// one before it, counted from the last chunk that this box got.
 	DrawWait time.Duration
+	// Patience is after how long the waits of DrawWait are counted from the start
+	// of the copy, even while other chunks come: a first drawer may be on a link
+	// that has become slow. 0 leaves it at DrawWait.
+	Patience time.Duration
 	// Strikes is after how many faults a neighbour is no longer asked.
 	Strikes int
 }
@@ -44,20 +48,26 @@
 	held    Bits
 	running int
 	strikes int
+	// pace is how long a chunk from there took, in the mean.
+	pace time.Duration
 }
 
+// paceSmoothing is the weight of the newest chunk in a neighbour's pace.
+const paceSmoothing = 0.3
+
 // Picker decides which chunk to fetch next. It is not safe for concurrent use.
 type Picker struct {
 	manifest *Manifest
 	self     string
 	options  PickerOptions
+	started time.Time
 	// progress is when the last chunk was got. While chunks keep coming, one
 	// that is not shown yet is most likely on its way through other boxes.
 	progress time.Time
 
 	held       Bits
 	missing    int
-	running    map[int]bool
+	running    map[int]time.Time
 	draws      int
 	neighbours map[string]*neighbour
 	// order holds the neighbours by name, so that decisions are repeatable.
@@ -79,10 +89,10 @@
 // fetched.
 func NewPicker(manifest *Manifest, self string, held Bits, options PickerOptions, now time.Time) *Picker {
 	p := &Picker{
-		manifest: manifest, self: self, options: options, progress: now,
+		manifest: manifest, self: self, options: options, started: now, progress: now,
 		held:       NewBits(len(manifest.Chunks)),
 		missing:    len(manifest.Chunks),
-		running:    make(map[int]bool),
+		running:    make(map[int]time.Time),
 		neighbours: make(map[string]*neighbour),
 		lastRetry:  make(map[int]time.Time),
 	}
@@ -252,7 +262,7 @@
 	if !ok {
 		return Task{}, false
 	}
-	p.running[task.Chunk] = true
+	p.running[task.Chunk] = now
 	if task.IsDraw() {
 		p.draws++
 	} else {
@@ -267,7 +277,7 @@
 func (p *Picker) fromNeighbour(now time.Time) (Task, bool) {
 	best, bestCount, bestTie := Task{Chunk: -1}, 0, uint64(0)
 	for chunk := range p.manifest.Chunks {
-		if p.held.Has(chunk) || p.running[chunk] || p.nearRanks[chunk] > 0 && now.Before(p.heldBack) {
+		if p.held.Has(chunk) || p.isRunning(chunk) || p.nearRanks[chunk] > 0 && now.Before(p.heldBack) {
 			continue
 		}
 		from, count := p.holder(chunk, now)
@@ -286,7 +296,7 @@
 // neighbours hold it. A far one is asked only in this box's turn, so that about
 // one copy crosses to each region.
 func (p *Picker) holder(chunk int, now time.Time) (string, int) {
-	from, running, count := "", 0, 0
+	from, least, count := "", time.Duration(0), 0
 	mayCross := !now.Before(p.due(p.nearRanks[chunk]))
 	for _, n := range p.order {
 		if !n.held.Has(chunk) {
@@ -294,8 +304,9 @@
 		}
 		count++
 		usable := n.running < p.options.Window && n.strikes < p.options.Strikes && (mayCross || !n.far)
-		if usable && (from == "" || n.running < running) {
-			from, running = n.box, n.running
+		// What runs there already counts by how long chunks from there take.
+		if load := time.Duration(n.running+1) * (n.pace + 1); usable && (from == "" || load < least) {
+			from, least = n.box, load
 		}
 	}
 	return from, count
@@ -309,7 +320,7 @@
 	}
 	best, bestRank := -1, 0
 	for chunk := range p.manifest.Chunks {
-		if p.held.Has(chunk) || p.running[chunk] || p.isShown(chunk) {
+		if p.held.Has(chunk) || p.isRunning(chunk) || p.isShown(chunk) && !p.isStuck(chunk, now) {
 			continue
 		}
 		if now.Before(p.due(p.ranks[chunk])) || now.Before(p.lastRetry[chunk]) {
@@ -329,7 +340,29 @@
 	if rank == 0 {
 		return p.progress
 	}
-	return p.progress.Add(time.Duration(rank+1) * p.options.DrawWait)
+	due := p.progress.Add(time.Duration(rank+1) * p.options.DrawWait)
+	if p.options.Patience > 0 {
+		latest := p.started.Add(p.options.Patience + time.Duration(rank)*p.options.DrawWait)
+		if latest.Before(due) {
+			return latest
+		}
+	}
+	return due
+}
+
+// isStuck reports whether a chunk that is shown has been waited for so long that
+// the box draws it itself.
+func (p *Picker) isStuck(chunk int, now time.Time) bool {
+	if p.options.Patience == 0 {
+		return false
+	}
+	wait := 2*p.options.Patience + time.Duration(p.ranks[chunk])*p.options.DrawWait
+	return now.Sub(p.started) >= wait
+}
+
+func (p *Picker) isRunning(chunk int) bool {
+	_, running := p.running[chunk]
+	return running
 }
 
 // isShown reports whether a usable neighbour holds the chunk, busy or not.
@@ -344,10 +377,15 @@
 
 // Done notes that the chunk was fetched, verified and kept.
 func (p *Picker) Done(task Task, now time.Time) {
+	taken := now.Sub(p.running[task.Chunk])
 	p.finish(task)
 	p.progress = now
 	if n, ok := p.neighbours[task.From]; ok {
 		n.strikes = 0
+		if n.pace == 0 {
+			n.pace = taken
+		}
+		n.pace += time.Duration(paceSmoothing * float64(taken-n.pace))
 	}
 	if !p.held.Has(task.Chunk) {
 		p.held.Set(task.Chunk)
