perf(route): callers who come back wait for a server that is about to take new weights

Change: they wait for up to 0.4 of their time; when places come free, those who can be in time go first.

--- a/pkg/route/dispatch.go
+++ b/pkg/route/dispatch.go
@@ -63,6 +63,10 @@
 	// was refused before, as long as few are refused: callers prefer a late answer
 	// to a second refusal.
 	lateness = 1200 * time.Millisecond
+	// holdPart is the part of its time for which a request that was refused before
+	// waits for a service that has no server: most such times are short, while new
+	// weights are taken, and a second refusal is final.
+	holdPart = 0.4
 	// refusedSmoothing is the weight of the newest request in the share of those
 	// that are refused, and refusedFew the share up to which few are.
 	refusedSmoothing = 0.02
@@ -299,7 +303,7 @@
 	d.mu.Lock()
 	at := now()
 	ask.startBy = ask.Objective.Add(-d.first - d.deviation - ask.Reading)
-	if len(d.queue) == 0 || d.isFirst(ask) {
+	if len(d.queue) == 0 || d.isFirst(ask, at) {
 		if place := d.choose(ask, at); place != nil {
 			d.note(ask, false)
 			d.mu.Unlock()
@@ -307,8 +311,11 @@
 		}
 	}
 	if !d.anyEligible(at) {
-		d.mu.Unlock()
-		return nil, ErrNoServer
+		if !ask.Returning || ask.Once {
+			d.mu.Unlock()
+			return nil, ErrNoServer
+		}
+		return d.hold(ctx, ask, at.Add(time.Duration(holdPart*float64(ask.Deadline.Sub(at)))), now)
 	}
 	ahead, wait := d.expected(ask)
 	latest := d.latest(ask)
@@ -318,6 +325,11 @@
 		d.mu.Unlock()
 		return nil, d.busy(ask, ahead, wait, at)
 	}
+	return d.hold(ctx, ask, latest, now)
+}
+
+// hold queues a request until a time. It unlocks the dispatcher.
+func (d *Dispatcher) hold(ctx context.Context, ask *Ask, latest time.Time, now func() time.Time) (*Reservation, error) {
 	w := &waitingAsk{ask: ask, grant: make(chan *Reservation, 1)}
 	d.enqueue(w)
 	d.mu.Unlock()
@@ -396,7 +408,14 @@
 }
 
 // isFirst reports whether a request goes before all that wait.
-func (d *Dispatcher) isFirst(ask *Ask) bool { return before(ask, d.queue[0].ask) }
+func (d *Dispatcher) isFirst(ask *Ask, now time.Time) bool {
+	for _, w := range d.queue {
+		if !w.ask.startBy.Before(now) && !before(ask, w.ask) {
+			return false
+		}
+	}
+	return !ask.startBy.Before(now)
+}
 
 // before orders the queue: the more urgent first, then those that must start
 // earlier.
@@ -501,20 +520,27 @@
 	}
 }
 
-// grant gives free places to those who wait.
+// grant gives free places to those who wait: first to those who can still be
+// answered in time, then to the others.
 func (d *Dispatcher) grant(now time.Time) {
-	for i := 0; i < len(d.queue); {
-		w := d.queue[i]
-		place := d.choose(w.ask, now)
-		if place == nil {
-			if len(w.ask.Tried) == 0 {
-				return
+	for _, late := range []bool{false, true} {
+		for i := 0; i < len(d.queue); {
+			w := d.queue[i]
+			if w.ask.startBy.Before(now) != late {
+				i++
+				continue
 			}
-			i++
-			continue
+			place := d.choose(w.ask, now)
+			if place == nil {
+				if len(w.ask.Tried) == 0 {
+					return
+				}
+				i++
+				continue
+			}
+			d.queue = slices.Delete(d.queue, i, i+1)
+			w.grant <- place
 		}
-		d.queue = slices.Delete(d.queue, i, i+1)
-		w.grant <- place
 	}
 }
 
