fix(weights): own draws first, and no more connections than the origin takes

Change: draws that a box is first for go before all else; draws at once follow from the origin's connections and the number of servers; backups draw after 1.7 s (was 2.3).

--- a/internal/direct/fetch.go
+++ b/internal/direct/fetch.go
@@ -17,10 +17,10 @@
 const (
 	// drawWait is how long each place in the order of drawers waits for the one
 	// before it: a few pieces over the origin's link, which all draw at once.
-	drawWait = 700 * time.Millisecond
+	drawWait = 500 * time.Millisecond
 	// drawPatience is after how long that order is kept to no more: the origin has
 	// given one copy by then if all who are first draw at the rate of their links.
-	drawPatience = 1600 * time.Millisecond
+	drawPatience = 1200 * time.Millisecond
 	// fetchInterval is how often neighbours are asked what they hold.
 	fetchInterval = 80 * time.Millisecond
 	// fetchWindow is how many pieces are fetched at once. More would queue on the
@@ -70,6 +70,7 @@
 // fetch returns when every piece is held or the context ends.
 func (l *Loader) fetch(ctx context.Context, want *target, version fleet.WeightsVersion, manifest *weights.Manifest) error {
 	options := weights.DefaultPickerOptions()
+	options.DrawWindow = drawWindow(want)
 	options.DrawWait, options.Patience, options.Window, options.TotalWindow = drawWait, drawPatience, 1, fetchWindow
 	f := &fetch{
 		loader: l, want: want, version: version, manifest: manifest, addresses: make(map[string]member.Address),
@@ -82,6 +83,22 @@
 	return f.run(ctx)
 }
 
+const (
+	// mostDraws is how many pieces one box draws at once.
+	mostDraws = 4
+	// originPart is the part of the origin's connections that all boxes together
+	// use: it drops those that are too many.
+	originPart = 0.8
+)
+
+// drawWindow is how many pieces this box may draw at once.
+func drawWindow(want *target) int {
+	if want.originConnections == 0 || len(want.servers) == 0 {
+		return mostDraws
+	}
+	return max(1, min(mostDraws, int(originPart*float64(want.originConnections))/len(want.servers)))
+}
+
 // adoptPeers names the agents that take part.
 func (f *fetch) adoptPeers() {
 	if now, known := f.loader.target(); known {
--- a/internal/direct/loader.go
+++ b/internal/direct/loader.go
@@ -171,11 +171,13 @@
 
 // target is what the server should run.
 type target struct {
-	model   fleet.ModelName
-	engine  *fleet.Engine
-	named   fleet.Named
-	origin  member.Address
-	servers []fleet.Server
+	model  fleet.ModelName
+	engine *fleet.Engine
+	named  fleet.Named
+	origin member.Address
+	// originConnections is how many connections the origin takes; 0 if unknown.
+	originConnections int
+	servers           []fleet.Server
 	// resumable is set if every request that the servers run can go on at another
 	// one.
 	resumable bool
@@ -203,7 +205,7 @@
 	}
 	model := service.Engine.Models[0]
 	return target{
-		model: model, engine: service.Engine, named: view.Wanted(model), origin: view.Origin(),
+		model: model, engine: service.Engine, named: view.Wanted(model), origin: view.Origin(), originConnections: view.OriginConnections(),
 		servers: view.Servers(l.options.Service), resumable: view.Resumable(l.options.Service),
 	}, true
 }
--- a/pkg/fleet/view.go
+++ b/pkg/fleet/view.go
@@ -23,6 +23,7 @@
 	servers       map[member.Service][]Server
 	wanted        map[ModelName]Named
 	origin        member.Address
+	originLimit   int
 }
 
 // WantedSince is a wanted version with the time at which this process first
@@ -101,7 +102,7 @@
 		service := &configuration.Services[i]
 		next.services[service.Name] = service
 		if service.Origin != "" {
-			next.origin = service.Origin
+			next.origin, next.originLimit = service.Origin, service.MaxConnections
 		}
 	}
 	return &next
@@ -201,5 +202,8 @@
 	return Named{{Version: FirstVersion}}
 }
 
+// OriginConnections returns how many connections the origin takes; 0 if unknown.
+func (v *View) OriginConnections() int { return v.originLimit }
+
 // FirstVersion is the version that a model has before another one is named.
 const FirstVersion WeightsVersion = 1
--- a/pkg/weights/picker.go
+++ b/pkg/weights/picker.go
@@ -1,6 +1,7 @@
 package weights
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -52,6 +53,9 @@
 	pace time.Duration
 }
 
+// anyRank is after the last place in any order of drawers.
+const anyRank = math.MaxInt
+
 // paceSmoothing is the weight of the newest chunk in a neighbour's pace.
 const paceSmoothing = 0.3
 
@@ -60,7 +64,7 @@
 	manifest *Manifest
 	self     string
 	options  PickerOptions
-	started time.Time
+	started  time.Time
 	// progress is when the last chunk was got. While chunks keep coming, one
 	// that is not shown yet is most likely on its way through other boxes.
 	progress time.Time
@@ -256,8 +260,11 @@
 	if p.options.TotalWindow > 0 && len(p.running) >= p.options.TotalWindow {
 		return Task{}, false
 	}
-	if task, ok = p.fromNeighbour(now); !ok {
-		task, ok = p.fromOrigin(now)
+	// What this box is the first to draw goes before all else: others wait for it.
+	if task, ok = p.fromOrigin(now, 0); !ok {
+		if task, ok = p.fromNeighbour(now); !ok {
+			task, ok = p.fromOrigin(now, anyRank)
+		}
 	}
 	if !ok {
 		return Task{}, false
@@ -312,9 +319,9 @@
 	return from, count
 }
 
-// fromOrigin takes a chunk that no neighbour shows and for which the boxes that
-// come first in its order have had their time.
-func (p *Picker) fromOrigin(now time.Time) (Task, bool) {
+// fromOrigin takes a chunk of a place in the order of drawers up to lastRank that
+// no neighbour shows and for which the boxes that come first have had their time.
+func (p *Picker) fromOrigin(now time.Time, lastRank int) (Task, bool) {
 	if p.draws >= p.options.DrawWindow {
 		return Task{}, false
 	}
@@ -323,7 +330,7 @@
 		if p.held.Has(chunk) || p.isRunning(chunk) || p.isShown(chunk) && !p.isStuck(chunk, now) {
 			continue
 		}
-		if now.Before(p.due(p.ranks[chunk])) || now.Before(p.lastRetry[chunk]) {
+		if p.ranks[chunk] > lastRank || now.Before(p.due(p.ranks[chunk])) || now.Before(p.lastRetry[chunk]) {
 			continue
 		}
 		if best < 0 || p.ranks[chunk] < bestRank {
