fix(direct): a box that holds deletions back asks those who know better

Change: while it holds deletions a box counts its facts as complete only up to them, so it asks a box that is ahead and takes the deletion from there. A server with older weights shortly before its bound must have been seen to start at once; pieces use the whole link of an idle server.

--- a/internal/direct/bring.go
+++ b/internal/direct/bring.go
@@ -125,7 +125,7 @@
 	defer l.setSwapping(false)
 	if serving {
 		l.setSwapping(true)
-		sleep(ctx, l.options.Clock, swapNotice)
+		l.awaitIdle(ctx, swapNotice)
 	}
 	if err := l.stage(ctx, want, manifest); err != nil {
 		return fmt.Errorf("staging: %w", err)
@@ -133,6 +133,22 @@
 	return l.order(ctx, want, version, serving)
 }
 
+// awaitIdle waits until nothing runs on the server, at most for a time.
+func (l *Loader) awaitIdle(ctx context.Context, wait time.Duration) {
+	until := l.options.Clock.Now().Add(wait)
+	// The entry boxes hear of it within a few round trips.
+	sleep(ctx, l.options.Clock, reportInterval)
+	for ctx.Err() == nil && l.options.Clock.Now().Before(until) && !l.isIdle() {
+		sleep(ctx, l.options.Clock, reportInterval/2)
+	}
+}
+
+// isIdle reports whether the server runs nothing and nothing waits there.
+func (l *Loader) isIdle() bool {
+	report, answers := l.serverReport()
+	return answers && report.Running+report.Waiting == 0
+}
+
 // turn is when this server is to be swapped. The servers go one after the other,
 // so that capacity stays up.
 func (l *Loader) turn(want *target, since time.Time, version fleet.WeightsVersion) time.Time {
--- a/internal/direct/facts.go
+++ b/internal/direct/facts.go
@@ -65,6 +65,10 @@
 	servers  map[fleet.ServerID]fleet.Server
 	wanted   map[fleet.ModelName]fleet.Named
 	revision fleet.Revision
+	// held are the deletions that are held back, by key. While there are any, the
+	// facts count as complete only up to the revision before them, so that they
+	// are asked of another box that knows better.
+	held map[string]fleet.Revision
 	// answered is when the store last answered; zero if it never did.
 	answered time.Time
 	lost     bool
@@ -100,11 +104,15 @@
 	return f.changed
 }
 
-// Revision returns the newest revision that was heard of.
+// Revision returns the revision up to which everything that was heard of counts.
 func (f *Facts) Revision() fleet.Revision {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.revision
+	revision := f.revision
+	for _, held := range f.held {
+		revision = min(revision, held-1)
+	}
+	return revision
 }
 
 // StoreAge returns how long ago the store answered; negative if it never did.
@@ -225,6 +233,7 @@
 		id := fleet.ServerID(strings.TrimPrefix(fact.Key, fleet.ServerKey("")))
 		if server, known := f.servers[id]; fact.Gone && known && !server.Leaving {
 			later = append(later, fact)
+			f.held[fact.Key] = fact.Revision
 			f.log.Info().Str("server", string(id)).Uint64("revision", uint64(fact.Revision)).
 				Dur("hold_ms", lapseHold).Msg("server's entry went while the store was away, held")
 			continue
@@ -232,11 +241,23 @@
 		now = append(now, fact)
 	}
 	if len(later) > 0 {
-		f.clock.AfterFunc(lapseHold, func() { f.Apply(later, "store") })
+		f.clock.AfterFunc(lapseHold, func() {
+			f.Apply(later, "store")
+			f.release(later)
+		})
 	}
 	return now
 }
 
+// release ends holding back deletions.
+func (f *Facts) release(facts []fleet.Fact) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range facts {
+		delete(f.held, facts[i].Key)
+	}
+}
+
 // missing returns the facts that are held but no longer in the store.
 func (f *Facts) missing(got provider.Facts) []fleet.Fact {
 	present := make(map[string]bool, len(got.Facts))
@@ -277,6 +298,7 @@
 	view := f.View()
 	servers, wanted := false, false
 	for _, item := range fresh {
+		delete(f.held, item.Key)
 		f.revision = max(f.revision, fleet.Revision(item.Version.Major))
 		fact, err := fleet.FactOf(item)
 		if err != nil {
--- a/internal/direct/front.go
+++ b/internal/direct/front.go
@@ -45,9 +45,11 @@
 	keepPerServer = 16
 	// versionMargin is how long before the bound older weights no longer start a
 	// request: it covers hearing late of the version and a request on its way.
-	versionMargin = 1500 * time.Millisecond
+	versionMargin = time.Second
+	// slowMargin is the same for servers that were not seen to start at once.
+	slowMargin = 1500 * time.Millisecond
 	// adjustInterval is how often time alone may change what servers may do.
-	adjustInterval = 250 * time.Millisecond
+	adjustInterval = 100 * time.Millisecond
 )
 
 // Front answers callers.
@@ -265,7 +267,9 @@
 		layers = service.Engine.Layers
 		if len(service.Engine.Models) > 0 {
 			named := view.Wanted(service.Engine.Models[0])
-			d.Require(f.required(named, now), named.Newest().Version, now)
+			d.Require(route.Versions{
+				Required: f.required(named, now), Preferred: named.Required(f.bound-slowMargin, now), Newest: named.Newest().Version,
+			}, now)
 		}
 	}
 	d.Servers(view.Servers(name), layers, f.isNear, now)
--- a/internal/direct/loader.go
+++ b/internal/direct/loader.go
@@ -102,7 +102,7 @@
 	if err := wire.DRPCRegisterFleet(p.mux, l); err != nil {
 		return err
 	}
-	if err := wire.DRPCRegisterChunks(p.mux, NewPieceServer(l.store, p.settings.Direct.LinkMbps)); err != nil {
+	if err := wire.DRPCRegisterChunks(p.mux, NewPieceServer(l.store, p.settings.Direct.LinkMbps, l.isIdle)); err != nil {
 		return err
 	}
 	l.duties.Go(l.watchServer)
--- a/internal/direct/pieces.go
+++ b/internal/direct/pieces.go
@@ -30,13 +30,16 @@
 	store *weights.MemoryStore
 	pace  *rate.Limiter
 	slots chan struct{}
+	// isIdle reports whether the backend server has nothing to answer, so that the
+	// whole link is free.
+	isIdle func() bool
 }
 
 // NewPieceServer returns a server for what a store holds, on a link of a rate in
 // Mbit/s.
-func NewPieceServer(store *weights.MemoryStore, linkMbps float64) *PieceServer {
+func NewPieceServer(store *weights.MemoryStore, linkMbps float64, isIdle func() bool) *PieceServer {
 	return &PieceServer{
-		store: store, slots: make(chan struct{}, pieceSlots),
+		store: store, isIdle: isIdle, slots: make(chan struct{}, pieceSlots),
 		pace: rate.NewLimiter(rate.Limit(pieceShare*linkMbps*bytesPerMbit), pieceFrame),
 	}
 }
@@ -69,8 +72,10 @@
 	}
 	for len(data) > 0 {
 		size := min(len(data), pieceFrame)
-		if err := s.pace.WaitN(ctx, size); err != nil {
-			return err
+		if !s.isIdle() {
+			if err := s.pace.WaitN(ctx, size); err != nil {
+				return err
+			}
 		}
 		if err := stream.Send(&wire.FetchResponse{Data: data[:size]}); err != nil {
 			return err
--- a/pkg/route/dispatch.go
+++ b/pkg/route/dispatch.go
@@ -41,6 +41,10 @@
 	// left alone while newer ones come: what is sent to it may arrive, or begin,
 	// after they may no longer. An agent speaks twice as often.
 	laggingAge = 800 * time.Millisecond
+	// promptStart is within which time a server must have begun its last answer, at
+	// most promptAge ago, to start requests shortly before its weights are barred.
+	promptStart = 300 * time.Millisecond
+	promptAge   = time.Second
 	// orphanMargin is by how many requests a server's own count may exceed what
 	// the entry boxes claim before it is believed: its count is a little older.
 	orphanMargin = 4
@@ -119,6 +123,11 @@
 
 	ejectedTo time.Time
 	ejections int
+
+	// startTime is how long the last answer here took to begin, startedAt when it
+	// did.
+	startTime time.Duration
+	startedAt time.Time
 }
 
 // version returns the whole version that the server has, by the newest word.
@@ -181,7 +190,10 @@
 	refused float64
 	// required is the oldest version of weights that may start a request.
 	required fleet.WeightsVersion
-	newest   fleet.WeightsVersion
+	// preferred is the oldest version for any server; older ones, down to the
+	// required, start requests only on servers that were seen to do so at once.
+	preferred fleet.WeightsVersion
+	newest    fleet.WeightsVersion
 	// engine is set for a service whose servers need weights to run requests.
 	engine bool
 }
@@ -233,14 +245,23 @@
 	d.boxes = max(1, boxes)
 }
 
-// Require sets the oldest version of weights that may start a request.
-// Newest is the version that the servers should come to.
-func (d *Dispatcher) Require(version, newest fleet.WeightsVersion, now time.Time) {
+// Versions are the versions of weights that bear on where a request may start.
+type Versions struct {
+	// Required is the oldest that may start a request at all.
+	Required fleet.WeightsVersion
+	// Preferred is the oldest that may on a server that is slow to start.
+	Preferred fleet.WeightsVersion
+	// Newest is the version that the servers should come to.
+	Newest fleet.WeightsVersion
+}
+
+// Require sets which versions may start requests.
+func (d *Dispatcher) Require(versions Versions, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.newest = newest
-	if d.required != version {
-		d.required = version
+	changed := d.required != versions.Required
+	d.required, d.preferred, d.newest = versions.Required, versions.Preferred, versions.Newest
+	if changed {
 		d.grant(now)
 	}
 }
@@ -469,7 +490,10 @@
 	if version < d.newest && !b.stateAt.IsZero() && now.Sub(b.stateAt) > laggingAge {
 		return false
 	}
-	return !swapping && version > 0 && version >= d.required
+	if swapping || version == 0 || version < d.required {
+		return false
+	}
+	return version >= d.preferred || now.Sub(b.startedAt) < promptAge && b.startTime < promptStart
 }
 
 // load is how many requests a server has, as far as this box knows.
@@ -553,6 +577,7 @@
 		return
 	}
 	d.started(r)
+	r.backend.startTime, r.backend.startedAt = now.Sub(r.since), now
 	// The estimate of round-trip times of RFC 6298, with its weights.
 	sample := max(0, now.Sub(r.since)-r.readTime)
 	d.deviation += (max(sample-d.first, d.first-sample) - d.deviation) / 4
