--- a/pkg/route/dispatch.go
+++ b/pkg/route/dispatch.go
@@ -41,6 +41,9 @@
 	// left alone while newer ones come: what is sent to it may arrive, or begin,
 	// after they may no longer. An agent speaks twice as often.
 	laggingAge = 800 * time.Millisecond
+	// swapMemory is how long a server is left alone whose agent ended while new
+	// weights were taken; the list tells of them by then.
+	swapMemory = 5 * time.Second
 	// promptStart is within which time a server must have begun its last answer, at
 	// most promptAge ago, to start requests shortly before its weights are barred.
 	promptStart = 300 * time.Millisecond
@@ -135,7 +138,7 @@
 	if now.Sub(b.stateAt) < serverStatusAge {
 		return b.state.Version, b.state.Swapping
 	}
-	return b.listed, false
+	return b.listed, b.state.Swapping && now.Sub(b.stateAt) < swapMemory
 }
 
 type peerLoad struct {
--- /dev/null
+++ b/pkg/route/dispatch_test.go
@@ -0,0 +1,284 @@
+package route
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cinderslip/cinderslip/pkg/fleet"
+	"github.com/cinderslip/cinderslip/pkg/member"
+)
+
+// bench is a dispatcher with a clock of its own.
+type bench struct {
+	*Dispatcher
+	now time.Time
+}
+
+func newBench(engine bool, servers ...fleet.Server) *bench {
+	b := &bench{Dispatcher: NewDispatcher(time.Second, 100*time.Millisecond, engine), now: time.Unix(1000, 0)}
+	b.Servers(servers, 0, func(domain member.FailureDomain) bool { return domain != "far" }, b.now)
+	return b
+}
+
+func (b *bench) clock() time.Time { return b.now }
+
+func (b *bench) ask() *Ask {
+	return &Ask{Objective: b.now.Add(400 * time.Millisecond), Deadline: b.now.Add(6 * time.Second)}
+}
+
+func (b *bench) acquire(t *testing.T) *Reservation {
+	t.Helper()
+	place, err := b.Acquire(context.Background(), b.ask(), b.clock)
+	require.NoError(t, err)
+	return place
+}
+
+func model(id string, slots int, version fleet.WeightsVersion) fleet.Server {
+	return fleet.Server{
+		ID: fleet.ServerID(id), Slots: slots, Domain: "near",
+		Models: []fleet.LoadedModel{{Name: "m", Version: version}},
+	}
+}
+
+func TestAFullServiceRefusesAtOnceWithATimeToComeBack(t *testing.T) {
+	b := newBench(true, model("a", 1, 1))
+	b.acquire(t)
+	_, err := b.Acquire(context.Background(), b.ask(), b.clock)
+	var busy *BusyError
+	require.ErrorAs(t, err, &busy)
+	require.Positive(t, busy.RetryAfter)
+	require.LessOrEqual(t, busy.RetryAfter, 2*time.Second)
+}
+
+func TestARequestWaitsForAPlaceThatComesInTime(t *testing.T) {
+	b := newBench(true, model("a", 20, 1))
+	var held []*Reservation
+	for range 20 {
+		held = append(held, b.acquire(t))
+	}
+	got := make(chan error, 1)
+	go func() {
+		_, err := b.Acquire(context.Background(), b.ask(), b.clock)
+		got <- err
+	}()
+	require.Eventually(t, func() bool { return b.Waiting() == 1 }, 10*time.Second, time.Millisecond)
+	held[0].Release(ResultDone, b.now)
+	require.NoError(t, <-got)
+}
+
+func TestWhatOtherEntryBoxesHaveInFlightCounts(t *testing.T) {
+	b := newBench(true, model("a", 2, 1), model("b", 2, 1))
+	b.PeerLoad("entry-2", Load{"a": 2}, b.now)
+	require.Equal(t, fleet.ServerID("b"), b.acquire(t).Server.ID)
+	require.Equal(t, fleet.ServerID("b"), b.acquire(t).Server.ID)
+	b.now = b.now.Add(peerLoadAge)
+	require.Equal(t, fleet.ServerID("a"), b.acquire(t).Server.ID, "an old load no longer counts")
+}
+
+func TestNoRequestStartsOnBarredWeights(t *testing.T) {
+	b := newBench(true, model("a", 4, 1), model("b", 4, 2))
+	b.Require(Versions{Required: 2, Preferred: 2, Newest: 2}, b.now)
+	for range 4 {
+		require.Equal(t, fleet.ServerID("b"), b.acquire(t).Server.ID)
+	}
+}
+
+func TestShortlyBeforeTheBoundOnlyServersThatStartAtOnceAreUsed(t *testing.T) {
+	b := newBench(true, model("a", 4, 1))
+	b.Require(Versions{Preferred: 2, Newest: 2}, b.now)
+	_, err := b.Acquire(context.Background(), b.ask(), b.clock)
+	require.ErrorIs(t, err, ErrNoServer)
+	b.Require(Versions{Newest: 2}, b.now)
+	place := b.acquire(t)
+	b.now = b.now.Add(promptStart / 2)
+	place.Started(b.now)
+	b.Require(Versions{Preferred: 2, Newest: 2}, b.now)
+	b.acquire(t)
+	b.now = b.now.Add(promptAge)
+	_, err = b.Acquire(context.Background(), b.ask(), b.clock)
+	require.ErrorIs(t, err, ErrNoServer)
+}
+
+func TestASwappingOrSilentServerGetsNothing(t *testing.T) {
+	for _, state := range []ServerState{{Version: 1, Swapping: true}, {Silent: true}, {Version: 0}} {
+		b := newBench(true, model("a", 4, 1))
+		b.State("a", state, b.now)
+		_, err := b.Acquire(context.Background(), b.ask(), b.clock)
+		require.ErrorIs(t, err, ErrNoServer)
+	}
+}
+
+func TestASilentServerStaysIneligibleUntilItsAgentSpeaks(t *testing.T) {
+	b := newBench(true, model("a", 4, 1))
+	b.State("a", ServerState{Silent: true}, b.now)
+	b.now = b.now.Add(time.Minute)
+	_, err := b.Acquire(context.Background(), b.ask(), b.clock)
+	require.ErrorIs(t, err, ErrNoServer)
+	b.State("a", ServerState{Version: 1}, b.now)
+	b.acquire(t)
+}
+
+func TestALeavingServerGetsNothing(t *testing.T) {
+	leaving := model("a", 4, 1)
+	leaving.Leaving = true
+	b := newBench(true, leaving)
+	_, err := b.Acquire(context.Background(), b.ask(), b.clock)
+	require.ErrorIs(t, err, ErrNoServer)
+}
+
+func TestAServerThatWasTriedIsNotTriedAgain(t *testing.T) {
+	b := newBench(false, model("a", 4, 0), model("b", 4, 0))
+	ask := b.ask()
+	ask.Tried = []fleet.ServerID{"a"}
+	place, err := b.Acquire(context.Background(), ask, b.clock)
+	require.NoError(t, err)
+	require.Equal(t, fleet.ServerID("b"), place.Server.ID)
+}
+
+func TestAServerThatCannotBeReachedIsLeftAloneForAWhile(t *testing.T) {
+	b := newBench(false, model("a", 4, 0))
+	b.acquire(t).Release(ResultUnreachable, b.now)
+	_, err := b.Acquire(context.Background(), b.ask(), b.clock)
+	require.ErrorIs(t, err, ErrNoServer)
+	b.now = b.now.Add(ejectFirst)
+	b.acquire(t)
+}
+
+func TestWhoeverComesBackWaitsForAServiceWithoutServers(t *testing.T) {
+	b := newBench(true, model("a", 4, 1))
+	b.State("a", ServerState{Version: 1, Swapping: true}, b.now)
+	got := make(chan error, 1)
+	go func() {
+		ask := b.ask()
+		ask.Returning = true
+		_, err := b.Acquire(context.Background(), ask, b.clock)
+		got <- err
+	}()
+	require.Eventually(t, func() bool { return b.Waiting() == 1 }, 10*time.Second, time.Millisecond)
+	b.State("a", ServerState{Version: 2}, b.now)
+	require.NoError(t, <-got)
+}
+
+func TestARequestWhoseCallerLeavesIsTakenOutOfTheQueue(t *testing.T) {
+	b := newBench(true, model("a", 20, 1))
+	for range 20 {
+		b.acquire(t)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	got := make(chan error, 1)
+	go func() {
+		_, err := b.Acquire(ctx, b.ask(), b.clock)
+		got <- err
+	}()
+	require.Eventually(t, func() bool { return b.Waiting() == 1 }, 10*time.Second, time.Millisecond)
+	cancel()
+	require.ErrorIs(t, <-got, context.Canceled)
+	require.Zero(t, b.Waiting())
+}
+
+// Whatever happens, no server is given more than its places by one box, none that
+// is barred, leaving or swapping gets a request, and every place comes back.
+func TestPlacesAreNeverExceededAndAlwaysComeBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		servers := []fleet.Server{model("a", 2, 1), model("b", 3, 1), model("c", 1, 2)}
+		b := newBench(true, servers...)
+		type told struct {
+			ServerState
+			at time.Time
+		}
+		states := make(map[fleet.ServerID]told)
+		var held []*Reservation
+		required := fleet.WeightsVersion(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0, 1:
+				ask := b.ask()
+				ask.Once = true
+				place, err := b.Acquire(context.Background(), ask, b.clock)
+				var busy *BusyError
+				if err != nil && !errors.As(err, &busy) && !errors.Is(err, ErrNoServer) {
+					t.Fatalf("acquire: %v", err)
+				}
+				if err == nil {
+					state := states[place.Server.ID]
+					if place.Version < required || state.Swapping && b.now.Sub(state.at) < swapMemory {
+						t.Fatalf("place on %s with version %d, required %d, state %+v", place.Server.ID, place.Version, required, states[place.Server.ID])
+					}
+					held = append(held, place)
+				}
+			case 2:
+				if len(held) > 0 {
+					held[0].Release(Result(rapid.IntRange(0, 4).Draw(t, "result")), b.now)
+					held = held[1:]
+				}
+			case 3:
+				id := rapid.SampledFrom(servers).Draw(t, "server").ID
+				state := ServerState{Version: fleet.WeightsVersion(rapid.IntRange(1, 3).Draw(t, "version")), Swapping: rapid.Bool().Draw(t, "swapping")}
+				states[id] = told{state, b.now}
+				b.State(id, state, b.now)
+			case 4:
+				required = fleet.WeightsVersion(rapid.IntRange(0, 2).Draw(t, "required"))
+				b.Require(Versions{Required: required, Preferred: required, Newest: 3}, b.now)
+			}
+			for id, count := range b.Own() {
+				for _, server := range servers {
+					if server.ID == id && count > server.Slots {
+						t.Fatalf("%s has %d of %d places taken", id, count, server.Slots)
+					}
+				}
+			}
+			b.now = b.now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+		}
+		for _, place := range held {
+			place.Release(ResultDone, b.now)
+		}
+		if own := b.Own(); len(own) != 0 {
+			t.Fatalf("places left: %v", own)
+		}
+	})
+}
+
+func TestTheRetryBudgetHoldsInEveryWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const window = 10 * time.Second
+		budget := NewWindowBudget(0.2, window)
+		start := time.Unix(1000, 0)
+		type event struct {
+			at    time.Duration
+			retry bool
+		}
+		var events []event
+		at := time.Duration(0)
+		for range rapid.IntRange(1, 200).Draw(t, "events") {
+			at += time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond
+			if rapid.Bool().Draw(t, "retry") {
+				if budget.Retry(3, start.Add(at)) {
+					events = append(events, event{at, true})
+				}
+			} else {
+				budget.Request(start.Add(at))
+				events = append(events, event{at, false})
+			}
+		}
+		// The window's parts make it up to a tenth shorter than said.
+		for i, last := range events {
+			retries, requests := 0, 0
+			for _, e := range events[:i+1] {
+				if last.at-e.at < window*9/10 && e.retry {
+					retries++
+				}
+				if last.at-e.at <= window && !e.retry {
+					requests++
+				}
+			}
+			if float64(retries) > 0.2*float64(requests)+3 {
+				t.Fatalf("%d retries for %d requests", retries, requests)
+			}
+		}
+	})
+}
