--- a/internal/direct/facts.go
+++ b/internal/direct/facts.go
@@ -83,6 +83,7 @@
 		changed: make(chan struct{}),
 		servers: make(map[fleet.ServerID]fleet.Server),
 		wanted:  make(map[fleet.ModelName]fleet.Named),
+		held:    make(map[string]fleet.Revision),
 	}
 	f.view.Store(fleet.EmptyView())
 	return f
--- /dev/null
+++ b/internal/direct/facts_test.go
@@ -0,0 +1,151 @@
+package direct
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cinderslip/cinderslip/internal/provider"
+	"github.com/cinderslip/cinderslip/pkg/fleet"
+)
+
+// scriptedStore answers calls one after the other.
+type scriptedStore struct {
+	answers []func() (provider.Facts, error)
+}
+
+func (s *scriptedStore) next() (provider.Facts, error) {
+	answer := s.answers[0]
+	s.answers = s.answers[1:]
+	return answer()
+}
+
+func (s *scriptedStore) source() provider.FactSource {
+	return provider.FactSource{
+		Snapshot: func(context.Context) (provider.Facts, error) { return s.next() },
+		Changes: func(context.Context, fleet.Revision, time.Duration) (provider.Facts, error) {
+			return s.next()
+		},
+	}
+}
+
+func gives(at fleet.Revision, facts ...fleet.Fact) func() (provider.Facts, error) {
+	return func() (provider.Facts, error) { return provider.Facts{Facts: facts, At: at}, nil }
+}
+
+func fails(err error) func() (provider.Facts, error) {
+	return func() (provider.Facts, error) { return provider.Facts{}, err }
+}
+
+func listed(id fleet.ServerID, revision fleet.Revision) fleet.Fact {
+	return fleet.Fact{Key: fleet.ServerKey(id), Revision: revision, Server: &fleet.Server{ID: id, Service: "llm", Slots: 1}}
+}
+
+func gone(id fleet.ServerID, revision fleet.Revision) fleet.Fact {
+	return fleet.Fact{Key: fleet.ServerKey(id), Revision: revision, Gone: true}
+}
+
+// play makes one call for each answer. Waits are passed over.
+func play(t *testing.T, clock *clockwork.FakeClock, facts *Facts, answers ...func() (provider.Facts, error)) {
+	t.Helper()
+	store := &scriptedStore{answers: answers}
+	reader := &storeReader{facts: facts, source: store.source(), pause: retryFirst}
+	for len(store.answers) > 0 {
+		done := make(chan struct{})
+		go func() {
+			reader.once(context.Background())
+			close(done)
+		}()
+		passWaits(clock, done)
+	}
+}
+
+func passWaits(clock *clockwork.FakeClock, done <-chan struct{}) {
+	for {
+		select {
+		case <-done:
+			return
+		case <-time.After(time.Millisecond):
+			clock.Advance(10 * time.Millisecond)
+		}
+	}
+}
+
+func newTestFacts() (*Facts, *clockwork.FakeClock) {
+	clock := clockwork.NewFakeClock()
+	return NewFacts(clock, zerolog.Nop(), NewMetrics()), clock
+}
+
+func TestAServerWhoseEntryLapsedWithTheStoreAwayIsBelievedForAWhile(t *testing.T) {
+	facts, clock := newTestFacts()
+	play(t, clock, facts,
+		gives(5, listed("a", 3)), fails(provider.ErrUnavailable), gives(7, gone("a", 7)))
+	require.Len(t, facts.View().Servers("llm"), 1)
+	require.Less(t, facts.Revision(), fleet.Revision(7), "what is held back must not count as known")
+	clock.Advance(lapseHold)
+	require.Eventually(t, func() bool { return len(facts.View().Servers("llm")) == 0 }, 10*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return facts.Revision() == 7 }, 10*time.Second, time.Millisecond)
+}
+
+func TestALapsedEntryThatIsBackStays(t *testing.T) {
+	facts, clock := newTestFacts()
+	play(t, clock, facts,
+		gives(5, listed("a", 3)), fails(provider.ErrUnavailable), gives(7, gone("a", 7)), gives(8, listed("a", 8)))
+	clock.Advance(2 * lapseHold)
+	require.Len(t, facts.View().Servers("llm"), 1)
+}
+
+// Only this box had lost the store; another one knows that the server left.
+func TestADeletionThatAnotherBoxKnowsIsNotHeldBack(t *testing.T) {
+	facts, clock := newTestFacts()
+	play(t, clock, facts,
+		gives(5, listed("a", 3)), fails(provider.ErrUnavailable), gives(7, gone("a", 7)))
+	facts.Apply([]fleet.Fact{gone("a", 7)}, "entry-2")
+	require.Empty(t, facts.View().Servers("llm"))
+	require.Equal(t, fleet.Revision(7), facts.Revision())
+}
+
+func TestAnEntryThatIsMissingFromASnapshotIsGone(t *testing.T) {
+	facts, clock := newTestFacts()
+	play(t, clock, facts,
+		gives(5, listed("a", 3), listed("b", 4)), fails(provider.ErrHistoryGone), gives(9, listed("b", 4)))
+	servers := facts.View().Servers("llm")
+	require.Len(t, servers, 1)
+	require.Equal(t, fleet.ServerID("b"), servers[0].ID)
+}
+
+func TestAConfigurationNeverGoesBack(t *testing.T) {
+	facts, clock := newTestFacts()
+	configuration := func(version uint64, revision fleet.Revision) fleet.Fact {
+		return fleet.Fact{Key: fleet.ConfigurationKey(), Revision: revision, Configuration: &fleet.Configuration{Version: version}}
+	}
+	play(t, clock, facts, gives(5, configuration(4, 5)), gives(6, configuration(3, 6)))
+	require.EqualValues(t, 4, facts.View().Configuration.Version)
+	facts.Apply([]fleet.Fact{configuration(2, 2)}, "entry-2")
+	require.EqualValues(t, 4, facts.View().Configuration.Version)
+}
+
+func TestEachNamedVersionBarsTheOlderOnesFromItsOwnName(t *testing.T) {
+	facts, clock := newTestFacts()
+	clock.Advance(time.Minute)
+	wanted := func(version fleet.WeightsVersion, revision fleet.Revision) fleet.Fact {
+		return fleet.Fact{Key: fleet.WantedKey("m"), Revision: revision, Wanted: &fleet.Wanted{Model: "m", Version: version}}
+	}
+	facts.Apply([]fleet.Fact{wanted(2, 1)}, "store")
+	clock.Advance(3 * time.Second)
+	facts.Apply([]fleet.Fact{wanted(3, 2)}, "store")
+	named, bound := facts.View().Wanted("m"), 8*time.Second
+	clock.Advance(4 * time.Second)
+	require.EqualValues(t, 0, named.Required(bound, clock.Now()))
+	clock.Advance(time.Second)
+	require.EqualValues(t, 2, named.Required(bound, clock.Now()))
+	clock.Advance(3 * time.Second)
+	require.EqualValues(t, 3, named.Required(bound, clock.Now()))
+	barred, ok := named.Barred(1, bound)
+	require.True(t, ok)
+	require.Equal(t, clock.Now().Add(-3*time.Second), barred)
+}
