fix(route): a server whose answers do not begin comes last, and near a bound not at all

At first five pieces of each of two versions were on their way to the box, 490 KB. Change: a place remembers when it was taken until its answer begins; a server with one older than 0.4 s starts nothing in the last 2.5 s before the bound, with one older than 0.7 s it comes last. The fetch window begins at 2.

--- a/internal/direct/fetch.go
+++ b/internal/direct/fetch.go
@@ -28,9 +28,11 @@
 	fetchWindow = 5
 	// pieceSlow is how long a piece takes on a link that is too narrow for the
 	// window: several times what a full window takes on the links of today.
-	pieceSlow = 700 * time.Millisecond
+	pieceSlow = 600 * time.Millisecond
 	// windowGrowth is by how much the window opens with each piece.
 	windowGrowth = 0.25
+	// firstWindow is how many are at first, until the link is known to bear more.
+	firstWindow = 2
 	// pieceTimeout bounds fetching a piece: many times what one takes over a box's
 	// link, and a small part of the time in which weights must be live.
 	pieceTimeout = 2500 * time.Millisecond
@@ -71,12 +73,12 @@
 func (l *Loader) fetch(ctx context.Context, want *target, version fleet.WeightsVersion, manifest *weights.Manifest) error {
 	options := weights.DefaultPickerOptions()
 	options.DrawWindow = drawWindow(want)
-	options.DrawWait, options.Patience, options.Window, options.TotalWindow = drawWait, drawPatience, 1, fetchWindow
+	options.DrawWait, options.Patience, options.Window, options.TotalWindow = drawWait, drawPatience, 1, firstWindow
 	f := &fetch{
 		loader: l, want: want, version: version, manifest: manifest, addresses: make(map[string]member.Address),
 		picker:  weights.NewPicker(manifest, string(l.options.Agent), l.store.Held(manifest.Digest()), options, l.options.Clock.Now()),
 		results: make(chan fetchResult), holdings: make(chan holdingsResult), asked: make(map[string]bool),
-		window: fetchWindow,
+		window: firstWindow,
 	}
 	f.picker.HoldBack(l.holdBack(want, version))
 	f.adoptPeers()
--- a/internal/direct/front.go
+++ b/internal/direct/front.go
@@ -47,7 +47,7 @@
 	// request: it covers hearing late of the version and a request on its way.
 	versionMargin = time.Second
 	// slowMargin is the same for servers that were not seen to start at once.
-	slowMargin = 1500 * time.Millisecond
+	slowMargin = 2500 * time.Millisecond
 	// adjustInterval is how often time alone may change what servers may do.
 	adjustInterval = 100 * time.Millisecond
 )
--- a/pkg/route/dispatch.go
+++ b/pkg/route/dispatch.go
@@ -41,12 +41,15 @@
 	// left alone while newer ones come: what is sent to it may arrive, or begin,
 	// after they may no longer. An agent speaks twice as often.
 	laggingAge = 800 * time.Millisecond
+	// stallTime is after how long without the beginning of an answer a server is
+	// taken to stand still; answers of a full batch begin within half of it.
+	stallTime = 700 * time.Millisecond
 	// swapMemory is how long a server is left alone whose agent ended while new
 	// weights were taken; the list tells of them by then.
 	swapMemory = 5 * time.Second
 	// promptStart is within which time a server must have begun its last answer, at
 	// most promptAge ago, to start requests shortly before its weights are barred.
-	promptStart = 300 * time.Millisecond
+	promptStart = 400 * time.Millisecond
 	promptAge   = time.Second
 	// orphanMargin is by how many requests a server's own count may exceed what
 	// the entry boxes claim before it is believed: its count is a little older.
@@ -88,6 +91,8 @@
 	// costFar is for a server of another region: each answer crosses a priced
 	// link.
 	costFar = 0.12
+	// costStalled is for a server that seems to stand still: any other goes first.
+	costStalled = 2.0
 	// costFailures is for a server all of whose answers fail.
 	costFailures = 4.0
 )
@@ -121,7 +126,6 @@
 	stateAt time.Time
 
 	own      int
-	reading  int
 	failures float64
 
 	ejectedTo time.Time
@@ -131,6 +135,23 @@
 	// did.
 	startTime time.Duration
 	startedAt time.Time
+	// awaiting are when the requests were sent whose answers have not begun.
+	awaiting map[*Reservation]time.Time
+}
+
+// oldestAwaited returns for how long an answer has been waited for to begin; 0 if
+// none is.
+func (b *backend) oldestAwaited(now time.Time) time.Duration {
+	oldest := time.Duration(0)
+	for _, since := range b.awaiting {
+		oldest = max(oldest, now.Sub(since))
+	}
+	return oldest
+}
+
+// isPrompt reports whether the server was seen to start requests at once.
+func (b *backend) isPrompt(now time.Time) bool {
+	return now.Sub(b.startedAt) < promptAge && b.startTime < promptStart && b.oldestAwaited(now) < promptStart
 }
 
 // version returns the whole version that the server has, by the newest word.
@@ -226,7 +247,7 @@
 		}
 		b := d.backends[server.ID]
 		if b == nil {
-			b = &backend{}
+			b = &backend{awaiting: make(map[*Reservation]time.Time)}
 		}
 		b.server, b.far, b.listed = server, !near(server.Domain), 0
 		for i := range server.Models {
@@ -317,7 +338,6 @@
 	dispatcher *Dispatcher
 	backend    *backend
 	since      time.Time
-	reading    bool
 	readTime   time.Duration
 }
 
@@ -496,7 +516,7 @@
 	if swapping || version == 0 || version < d.required {
 		return false
 	}
-	return version >= d.preferred || now.Sub(b.startedAt) < promptAge && b.startTime < promptStart
+	return version >= d.preferred || b.isPrompt(now)
 }
 
 // load is how many requests a server has, as far as this box knows.
@@ -527,11 +547,14 @@
 		if load >= limit {
 			continue
 		}
-		cost := float64(load)/float64(limit) + costReading*float64(b.reading) + costFailures*b.failures +
+		cost := float64(load)/float64(limit) + costReading*float64(len(b.awaiting)) + costFailures*b.failures +
 			rand.Float64()/float64(limit)
 		if b.far {
 			cost += costFar
 		}
+		if b.oldestAwaited(now) > stallTime {
+			cost += costStalled
+		}
 		if cost < bestCost {
 			best, bestCost = b, cost
 		}
@@ -540,11 +563,12 @@
 		return nil
 	}
 	best.own++
-	best.reading++
 	version, _ := best.version(now)
-	return &Reservation{
-		Server: best.server, Version: version, dispatcher: d, backend: best, since: now, reading: true, readTime: ask.Reading,
+	place := &Reservation{
+		Server: best.server, Version: version, dispatcher: d, backend: best, since: now, readTime: ask.Reading,
 	}
+	best.awaiting[place] = now
+	return place
 }
 
 // grant gives free places to those who wait: first to those who can still be
@@ -576,10 +600,10 @@
 	d := r.dispatcher
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !r.reading {
+	if _, awaited := r.backend.awaiting[r]; !awaited {
 		return
 	}
-	d.started(r)
+	delete(r.backend.awaiting, r)
 	r.backend.startTime, r.backend.startedAt = now.Sub(r.since), now
 	// The estimate of round-trip times of RFC 6298, with its weights.
 	sample := max(0, now.Sub(r.since)-r.readTime)
@@ -587,13 +611,6 @@
 	d.first += (sample - d.first) / 8
 }
 
-func (d *Dispatcher) started(r *Reservation) {
-	if r.reading {
-		r.reading = false
-		r.backend.reading--
-	}
-}
-
 // Result is what became of an attempt.
 type Result int
 
@@ -638,7 +655,7 @@
 }
 
 func (d *Dispatcher) release(r *Reservation, now time.Time) {
-	d.started(r)
+	delete(r.backend.awaiting, r)
 	r.backend.own--
 	d.grant(now)
 }
--- a/pkg/route/dispatch_test.go
+++ b/pkg/route/dispatch_test.go
@@ -282,3 +282,29 @@
 		}
 	})
 }
+
+// A link that has become narrow holds up what is sent; the answers that began
+// before say nothing of it.
+func TestAServerThatStandsStillGetsNothingShortlyBeforeTheBound(t *testing.T) {
+	b := newBench(true, model("a", 4, 1))
+	started, waiting := b.acquire(t), b.acquire(t)
+	b.now = b.now.Add(promptStart / 2)
+	started.Started(b.now)
+	b.Require(Versions{Preferred: 2, Newest: 2}, b.now)
+	b.now = b.now.Add(promptStart / 2)
+	_, err := b.Acquire(context.Background(), b.ask(), b.clock)
+	require.ErrorIs(t, err, ErrNoServer)
+	waiting.Release(ResultFailed, b.now)
+	b.acquire(t)
+}
+
+func TestAServerThatSeemsToStandStillComesLast(t *testing.T) {
+	b := newBench(true, model("a", 8, 1))
+	b.acquire(t)
+	b.now = b.now.Add(stallTime + time.Millisecond)
+	b.Servers([]fleet.Server{model("a", 8, 1), model("b", 4, 1)}, 0, func(member.FailureDomain) bool { return true }, b.now)
+	for range 4 {
+		require.Equal(t, fleet.ServerID("b"), b.acquire(t).Server.ID)
+	}
+	require.Equal(t, fleet.ServerID("a"), b.acquire(t).Server.ID)
+}
