--- a/internal/direct/fetch.go
+++ b/internal/direct/fetch.go
@@ -21,6 +21,9 @@
 	// drawPatience is after how long that order is kept to no more: the origin has
 	// given one copy by then if all who are first draw at the rate of their links.
 	drawPatience = 1200 * time.Millisecond
+	// farPatience is the same for pieces that another box of the region is to bring
+	// over a priced link: most copies are whole by then.
+	farPatience = 1900 * time.Millisecond
 	// fetchInterval is how often neighbours are asked what they hold.
 	fetchInterval = 80 * time.Millisecond
 	// fetchWindow is how many pieces are fetched at once. More would queue on the
@@ -73,6 +76,7 @@
 func (l *Loader) fetch(ctx context.Context, want *target, version fleet.WeightsVersion, manifest *weights.Manifest) error {
 	options := weights.DefaultPickerOptions()
 	options.DrawWindow = drawWindow(want)
+	options.FarPatience = farPatience
 	options.DrawWait, options.Patience, options.Window, options.TotalWindow = drawWait, drawPatience, 1, firstWindow
 	f := &fetch{
 		loader: l, want: want, version: version, manifest: manifest, addresses: make(map[string]member.Address),
--- a/pkg/route/dispatch.go
+++ b/pkg/route/dispatch.go
@@ -90,7 +90,7 @@
 	costReading = 0.06
 	// costFar is for a server of another region: each answer crosses a priced
 	// link.
-	costFar = 0.12
+	costFar = 0.2
 	// costStalled is for a server that seems to stand still: any other goes first.
 	costStalled = 2.0
 	// costFailures is for a server all of whose answers fail.
--- a/pkg/weights/picker.go
+++ b/pkg/weights/picker.go
@@ -25,6 +25,9 @@
 	// of the copy, even while other chunks come: a first drawer may be on a link
 	// that has become slow. 0 leaves it at DrawWait.
 	Patience time.Duration
+	// FarPatience is the same for chunks that another box of the region is to bring
+	// over a long link.
+	FarPatience time.Duration
 	// Strikes is after how many faults a neighbour is no longer asked.
 	Strikes int
 }
@@ -304,7 +307,7 @@
 // one copy crosses to each region.
 func (p *Picker) holder(chunk int, now time.Time) (string, int) {
 	from, least, count := "", time.Duration(0), 0
-	mayCross := !now.Before(p.due(p.nearRanks[chunk]))
+	mayCross := !now.Before(p.due(p.nearRanks[chunk], p.options.FarPatience))
 	for _, n := range p.order {
 		if !n.held.Has(chunk) {
 			continue
@@ -330,7 +333,7 @@
 		if p.held.Has(chunk) || p.isRunning(chunk) || p.isShown(chunk) && !p.isStuck(chunk, now) {
 			continue
 		}
-		if p.ranks[chunk] > lastRank || now.Before(p.due(p.ranks[chunk])) || now.Before(p.lastRetry[chunk]) {
+		if p.ranks[chunk] > lastRank || now.Before(p.due(p.ranks[chunk], p.options.Patience)) || now.Before(p.lastRetry[chunk]) {
 			continue
 		}
 		if best < 0 || p.ranks[chunk] < bestRank {
@@ -343,13 +346,13 @@
 // due is when a box of a rank takes its turn. The first does at once; the second
 // waits twice, because a copy that has just begun needs about one wait until its
 // first chunks have come round.
-func (p *Picker) due(rank int) time.Time {
+func (p *Picker) due(rank int, patience time.Duration) time.Time {
 	if rank == 0 {
 		return p.progress
 	}
 	due := p.progress.Add(time.Duration(rank+1) * p.options.DrawWait)
-	if p.options.Patience > 0 {
-		latest := p.started.Add(p.options.Patience + time.Duration(rank)*p.options.DrawWait)
+	if patience > 0 {
+		latest := p.started.Add(patience + time.Duration(rank)*p.options.DrawWait)
 		if latest.Before(due) {
 			return latest
 		}
