--- a/cmd/cinderslipd/direct.go
+++ b/cmd/cinderslipd/direct.go
@@ -30,12 +30,14 @@
 func runDirect(path string, loaded *settings.Settings, stdout io.Writer) int {
 	debug.SetMemoryLimit(int64(heapPart * float64(loaded.Direct.MemoryLimit)))
 	clock := clockwork.NewRealClock()
-	log := daemon.NewLogger(stdout, loaded.Log.Level, clock)
+	queue := daemon.NewLogQueue(stdout, clock)
+	defer closeLog(queue)
+	log := daemon.NewLogger(queue, loaded.Log.Level, clock)
 	stop := stopSignal()
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	addresses := platform.Addresses{Store: member.Address(loaded.Direct.Store), Server: member.Address(loaded.Direct.Server)}
-	process, err := direct.Start(loaded, direct.Options{Clock: clock, Log: log, Platform: platform.New(addresses, platformClient())})
+	process, err := direct.Start(loaded, direct.Options{Clock: clock, Log: log, Platform: platform.New(addresses, platformClient()), LogQueue: queue})
 	if err != nil {
 		log.Error().Err(err).Msg("cannot start")
 		return exitFailed
@@ -58,6 +60,15 @@
 	return exitDone
 }
 
+// logGrace bounds the time to write the last lines of the log.
+const logGrace = 200 * time.Millisecond
+
+func closeLog(queue *daemon.LogQueue) {
+	ctx, cancel := context.WithTimeout(context.Background(), logGrace)
+	defer cancel()
+	queue.Close(ctx)
+}
+
 // reloadSettings reads the settings again. Wrong ones change nothing.
 func reloadSettings(path string, process *direct.Process, log zerolog.Logger) {
 	changed, findings := settings.Load(path)
--- /dev/null
+++ b/internal/daemon/logqueue_test.go
@@ -0,0 +1,57 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+)
+
+// stuckOutput takes nothing until it is released.
+type stuckOutput struct {
+	release chan struct{}
+	bytes.Buffer
+}
+
+func (s *stuckOutput) Write(line []byte) (int, error) {
+	<-s.release
+	return s.Buffer.Write(line)
+}
+
+func TestWhoLogsNeverWaitsForTheOutput(t *testing.T) {
+	out := &stuckOutput{release: make(chan struct{})}
+	clock := clockwork.NewFakeClock()
+	queue := NewLogQueue(out, clock)
+	dropped := atomic.Int64{}
+	queue.Dropped = func() { dropped.Add(1) }
+	const lines = 4 * logQueue
+	for i := range lines {
+		_, err := fmt.Fprintf(queue, "line %d\n", i)
+		require.NoError(t, err)
+		if i%logPerSecond == logPerSecond-1 {
+			clock.Advance(time.Second)
+		}
+	}
+	require.Positive(t, dropped.Load())
+	close(out.release)
+	queue.Close(context.Background())
+	written := strings.Count(out.String(), "line ")
+	require.EqualValues(t, lines, int64(written)+dropped.Load(), "each line is written or counted")
+	require.Contains(t, out.String(), "log lines dropped")
+}
+
+func TestTheVolumeOfTheLogIsBounded(t *testing.T) {
+	out := &bytes.Buffer{}
+	queue := NewLogQueue(out, clockwork.NewFakeClock())
+	for range 3 * logPerSecond {
+		_, _ = queue.Write([]byte("x\n"))
+	}
+	queue.Close(context.Background())
+	require.LessOrEqual(t, strings.Count(out.String(), "x\n"), logPerSecond)
+}
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -49,6 +49,8 @@
 	Clock    clockwork.Clock
 	Log      zerolog.Logger
 	Platform provider.Direct
+	// LogQueue is where the log goes, if its losses are to be counted.
+	LogQueue *daemon.LogQueue
 }
 
 // Process is one running role.
@@ -96,6 +98,9 @@
 		kernel: kernel.New(), settings: loaded, options: options,
 		metrics: NewMetrics(), mux: drpcmux.New(), peers: daemon.NewPeers(),
 	}
+	if options.LogQueue != nil {
+		options.LogQueue.Dropped = p.metrics.logDropped.Inc
+	}
 	if err := p.kernel.Register(p.peers); err != nil {
 		return nil, err
 	}
