fix(route): a dead server takes no attempt, and one that is another now is left alone

The list still had the servers of before; each request spent its two attempts on 421s, was told to come back after 0.1 s, and was refused for good. Change: what could not be connected to is no attempt (at most 4 a request); a server that answers 421 is left alone for 3 s or until its agent tells of other weights; after two such the caller is sent away for a third of its time.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -21,6 +21,9 @@
 	heardLate = 500 * time.Millisecond
 	// leastDeadline is the shortest time that a server is given.
 	leastDeadline = 50 * time.Millisecond
+	// unreachableLimit bounds the servers that one request finds unreachable: a list
+	// of which so many are gone is old, as after a loss of power.
+	unreachableLimit = 4
 	// refusedWait is when a caller should return whose server refused.
 	refusedWait = 100 * time.Millisecond
 )
@@ -52,7 +55,7 @@
 	var tried []fleet.ServerID
 	var next *route.Reservation
 	var mayHaveRun, last error
-	for x.attempts < x.route.MaxAttempts {
+	for x.attempts < x.route.MaxAttempts && x.unreachable < unreachableLimit {
 		place := next
 		if place == nil {
 			if x.attempts > 0 && !budget.Retry(f.retryExtra(), f.clock.Now()) {
@@ -126,7 +129,7 @@
 	switch {
 	case errors.As(cause, &busy):
 		wait, reason = busy.RetryAfter, "busy"
-	case errors.Is(cause, route.ErrNoServer):
+	case errors.Is(cause, route.ErrNoServer), x.unreachable+x.misdirected > 1:
 		wait, reason = f.noServerWait(x), "no-server"
 	}
 	f.log.Debug().Str("request", x.ID).AnErr("cause", cause).Msg("refusing")
@@ -200,7 +203,8 @@
 		answer.Discard()
 		result := route.ResultRefused
 		if mark.OtherServer {
-			result = route.ResultUnreachable
+			result = route.ResultReplaced
+			x.misdirected++
 		}
 		f.ended(x, place, result, errRefused)
 		return outcomeNotRun, errRefused
@@ -292,8 +296,8 @@
 	if !upstream.MayHaveRun(err) {
 		f.ended(x, place, route.ResultUnreachable, err)
 		f.pool.Forget(place.Server.Address)
-		// No byte went out, but tries must not go on without end.
-		x.attempts++
+		// No byte went out, so this was no attempt.
+		x.unreachable++
 		return outcomeNotRun, err
 	}
 	x.attempts++
--- a/internal/direct/front.go
+++ b/internal/direct/front.go
@@ -299,7 +299,11 @@
 	returning bool
 	// configuration is the version by which the request was routed.
 	configuration uint64
-	attempts      int
+	// attempts counts what was sent, unreachable what could not be, misdirected
+	// what came to a server that was not the one meant.
+	attempts    int
+	unreachable int
+	misdirected int
 	// begun is set once the head of an answer has been passed on.
 	begun bool
 	// lastEvent is the id of the last event that was passed on.
@@ -460,7 +464,7 @@
 	f.metrics.requests.WithLabelValues(name, outcome).Inc()
 	f.metrics.seconds.WithLabelValues(name).Observe(taken.Seconds())
 	return f.log.Info().Str("request", x.ID).Str("route", name).Str("outcome", outcome).
-		Uint64("configuration", x.configuration).Int("attempts", x.attempts).Dur("taken_ms", taken)
+		Uint64("configuration", x.configuration).Int("attempts", x.attempts).Int("unreachable", x.unreachable).Dur("taken_ms", taken)
 }
 
 // watchReady keeps the status in step with whether requests can be answered: a
--- a/internal/direct/world_test.go
+++ b/internal/direct/world_test.go
@@ -148,6 +148,7 @@
 			route("talk", "/talk/", "streaming", "llm", 4000, 2, true),
 			route("look", "/look/", "safe", "maps", 2000, 2, false),
 			route("book", "/book/", "unsafe", "maps", 600, 2, false),
+			route("once", "/once/", "unsafe", "maps", 2000, 1, false),
 		},
 		"Services": []any{
 			map[string]any{"Name": "llm", "MaxConnections": 50, "Engine": engine},
@@ -271,13 +272,17 @@
 }
 
 // cmdServer sets a server's fault: server model-1 cut=4, server plain-1 status=500,
-// server plain-1 mute, server model-1 restart=i-new.
+// server plain-1 mute, server plain-1 dead, server model-1
+// restart=i-new.
 func (w *world) cmdServer(args []string) error {
 	s, given := w.servers[args[0]], options(args[1:])
 	s.CutAt(number(given["cut"], 0))
 	s.Fail(number(given["status"], 0))
 	_, mute := given["mute"]
 	s.Mute(mute)
+	if _, dead := given["dead"]; dead {
+		return w.stopServing(s.address)
+	}
 	if id := given["restart"]; id != "" {
 		w.store.Remove("servers/" + s.id)
 		s.id = id
@@ -287,6 +292,16 @@
 	return nil
 }
 
+// stopServing closes the listener at an address; connections that are kept stay.
+func (w *world) stopServing(address string) error {
+	for _, listener := range w.listeners {
+		if listener.Addr().String() == address {
+			return listener.Close()
+		}
+	}
+	return fmt.Errorf("nothing listens at %s", address)
+}
+
 // cmdOrigin spoils pieces: origin spoil=3, or bounds what was sent: origin most=9.
 func (w *world) cmdOrigin(args []string) error {
 	given := options(args)
--- a/pkg/route/dispatch.go
+++ b/pkg/route/dispatch.go
@@ -64,6 +64,9 @@
 	// reached is left alone.
 	ejectFirst   = 500 * time.Millisecond
 	ejectLongest = 4 * time.Second
+	// replacedTime is how long a server is left alone that is no longer the one
+	// listed. Its entry goes, or its agent tells of other weights, well within it.
+	replacedTime = 3 * time.Second
 	// lateReserve is what must be left of a queued request's time for an answer
 	// to be worth starting, as a part of the usual time that one takes.
 	lateReserve = 0.5
@@ -130,6 +133,9 @@
 
 	ejectedTo time.Time
 	ejections int
+	// replaced is set when the server was left alone because it had other weights
+	// than were asked for, or another id.
+	replaced bool
 
 	// startTime is how long the last answer here took to begin, startedAt when it
 	// did.
@@ -295,6 +301,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if b := d.backends[id]; b != nil {
+		if state.Version != b.state.Version && b.replaced {
+			b.replaced, b.ejectedTo = false, time.Time{}
+		}
 		b.state, b.stateAt = state, now
 		d.grant(now)
 	}
@@ -622,9 +631,11 @@
 	ResultFailed
 	// ResultRefused is a refusal by a server that did not run the request.
 	ResultRefused
-	// ResultUnreachable is a server that could not be connected to, or that has
-	// become another one.
+	// ResultUnreachable is a server that could not be connected to.
 	ResultUnreachable
+	// ResultReplaced is a server whose address another one has, or whose weights
+	// are not those that were asked for.
+	ResultReplaced
 	// ResultAbandoned is an attempt whose caller left.
 	ResultAbandoned
 )
@@ -649,6 +660,11 @@
 	case ResultUnreachable:
 		b.ejectedTo = now.Add(min(ejectLongest, ejectFirst<<min(b.ejections, 8)))
 		b.ejections++
+	case ResultReplaced:
+		// An agent that has told of other weights meanwhile knows better.
+		if version, _ := b.version(now); version == r.Version {
+			b.replaced, b.ejectedTo = true, now.Add(replacedTime)
+		}
 	case ResultAbandoned:
 	}
 	d.release(r, now)
@@ -663,7 +679,7 @@
 // resultNames are the names of results in logs and metrics.
 var resultNames = map[Result]string{
 	ResultDone: "done", ResultFailed: "failed", ResultRefused: "refused",
-	ResultUnreachable: "unreachable", ResultAbandoned: "abandoned",
+	ResultUnreachable: "unreachable", ResultReplaced: "replaced", ResultAbandoned: "abandoned",
 }
 
 // String returns the result's name in logs and metrics.
--- a/pkg/route/dispatch_test.go
+++ b/pkg/route/dispatch_test.go
@@ -213,7 +213,7 @@
 				}
 			case 2:
 				if len(held) > 0 {
-					held[0].Release(Result(rapid.IntRange(0, 4).Draw(t, "result")), b.now)
+					held[0].Release(Result(rapid.IntRange(0, 5).Draw(t, "result")), b.now)
 					held = held[1:]
 				}
 			case 3:
@@ -308,3 +308,18 @@
 	}
 	require.Equal(t, fleet.ServerID("a"), b.acquire(t).Server.ID)
 }
+
+// After a loss of power the list still has the servers of before; each tells that
+// it is another one now.
+func TestAServerThatIsAnotherOneNowIsLeftAloneUntilItsAgentTellsOfNewWeights(t *testing.T) {
+	b := newBench(true, model("a", 4, 1))
+	b.State("a", ServerState{Version: 1}, b.now)
+	b.acquire(t).Release(ResultReplaced, b.now)
+	_, err := b.Acquire(context.Background(), b.ask(), b.clock)
+	require.ErrorIs(t, err, ErrNoServer)
+	b.State("a", ServerState{Version: 2}, b.now)
+	late := b.acquire(t)
+	b.State("a", ServerState{Version: 3}, b.now)
+	late.Release(ResultReplaced, b.now)
+	b.acquire(t)
+}
