--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -143,8 +143,12 @@
 }
 
 // retryExtra is this box's part of the retries that all entry boxes may make
-// beyond the ratio.
+// beyond the ratio. A box that has just started does not know the others yet, nor
+// what it has used before its start.
 func (f *Front) retryExtra() float64 {
+	if f.clock.Since(f.started) < f.retries.window {
+		return 0
+	}
 	boxes := 1
 	if f.entries != nil {
 		boxes += len(f.entries.Boxes())
--- a/internal/direct/front.go
+++ b/internal/direct/front.go
@@ -63,6 +63,7 @@
 	duties   *kernel.Duties
 	bound    time.Duration
 	retries  retryLimits
+	started  time.Time
 	isNear   func(member.FailureDomain) bool
 	entries  *EntryBoxes
 	service  *httpService
@@ -92,7 +93,7 @@
 	direct := p.settings.Direct
 	f := &Front{
 		facts: p.facts, protocol: p.options.Platform.Callers, clock: p.options.Clock, log: p.options.Log, metrics: p.metrics,
-		duties: kernel.NewDuties(), bound: time.Duration(direct.VersionBound),
+		duties: kernel.NewDuties(), started: p.options.Clock.Now(), bound: time.Duration(direct.VersionBound),
 		retries: retryLimits{direct.RetryRatio, direct.RetryExtra, time.Duration(direct.RetryWindow)},
 		isNear:  p.isNear, dispatchers: make(map[member.Service]*route.Dispatcher),
 		budgets: make(map[member.Service]*route.WindowBudget), longest: make(map[string]time.Duration),
