fix(direct): boxes that are behind ask different ones for a large configuration

Ruled out: the store (its reader had it in 0.3 s). Change: the box to ask is drawn; asking may take 2.5 s, the answer of a watch 1 s more.

--- a/internal/direct/facts.go
+++ b/internal/direct/facts.go
@@ -25,7 +25,7 @@
 	// only the next one does, and a change has to be in force in two seconds.
 	watchWait = 1500 * time.Millisecond
 	// watchSlack is for how much longer the answer of such a call is waited for.
-	watchSlack = 500 * time.Millisecond
+	watchSlack = time.Second
 	// callTimeout bounds any other call of the store; it answers in milliseconds.
 	callTimeout = time.Second
 	// gatherTime is waited after a change, so that changes in quick succession
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -29,6 +30,9 @@
 	// factsGap is for how long another box must know a newer revision before its
 	// facts are asked for: most come from the store at the same moment.
 	factsGap = 300 * time.Millisecond
+	// pullTimeout bounds asking for facts: a configuration of thousands of routes
+	// takes some hundred milliseconds on the narrowest links.
+	pullTimeout = 2500 * time.Millisecond
 	// leastReaders is how many entry boxes read the store at least, and one does in
 	// each region; the others hear from them.
 	leastReaders = 2
@@ -254,25 +258,33 @@
 	}
 }
 
-// newest returns the box that knows a newer revision than this one, one of the
-// own region if there is one; ok is false if none does.
+// newest returns a box that knows a newer revision than this one, one of the own
+// region if there is one; ok is false if none does. It is drawn, so that all that
+// are behind do not ask the same box for a large configuration.
 func (e *EntryBoxes) newest() (newest EntryBox, ok bool) {
 	own := e.facts.Revision()
+	var near, far []EntryBox
 	for _, box := range e.Boxes() {
-		if box.Revision <= own {
-			continue
-		}
-		near, bestNear := string(box.Region) == e.self.Region, string(newest.Region) == e.self.Region
-		if !ok || near && !bestNear || near == bestNear && box.Revision > newest.Revision {
-			newest, ok = box, true
+		switch {
+		case box.Revision <= own:
+		case string(box.Region) == e.self.Region:
+			near = append(near, box)
+		default:
+			far = append(far, box)
 		}
 	}
-	return newest, ok
+	if len(near) == 0 {
+		near = far
+	}
+	if len(near) == 0 {
+		return EntryBox{}, false
+	}
+	return near[rand.IntN(len(near))], true
 }
 
 // pull reads what another entry box has come to know since the last time.
 func (e *EntryBoxes) pull(ctx context.Context, from member.Address) error {
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	cursor := e.pulled[from]
 	stream, err := wire.NewDRPCFleetClient(e.peers.Conn(from)).Facts(callCtx, &wire.FactsRequest{
