--- a/internal/daemon/headers.go
+++ b/internal/daemon/headers.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 
+	"github.com/cinderslip/cinderslip/internal/upstream"
 	"github.com/cinderslip/cinderslip/internal/wire"
 )
 
@@ -21,13 +22,6 @@
 	headerOutcome    = "Cinderslip-Outcome"
 )
 
-// connectionHeaders concern one connection and are not passed on (RFC 9110,
-// section 7.6.1). Content-Length is set anew from what is known of the body.
-var connectionHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Proxy-Connection", "Content-Length",
-}
-
 // headersToWire copies what is passed on. The values of Connection name further
 // headers that are not.
 func headersToWire(header http.Header, connection []string) []*wire.Header {
@@ -39,7 +33,7 @@
 	}
 	lines := make([]*wire.Header, 0, len(header))
 	for name, values := range header {
-		if slices.Contains(connectionHeaders, name) || slices.Contains(named, name) {
+		if slices.Contains(upstream.ConnectionHeaders, name) || slices.Contains(named, name) {
 			continue
 		}
 		lines = append(lines, &wire.Header{Name: name, Values: values})
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -147,7 +147,7 @@
 // what it has used before its start.
 func (f *Front) retryExtra() float64 {
 	if f.clock.Since(f.started) < f.retries.window {
-		return 0
+		return float64(f.retries.extra) / unknownBoxes
 	}
 	boxes := 1
 	if f.entries != nil {
@@ -156,6 +156,10 @@
 	return float64(f.retries.extra) / float64(boxes) * retrySafety
 }
 
+// unknownBoxes is among how many entry boxes a box that has just started splits the
+// common retries: more than any deployment of today has.
+const unknownBoxes = 64
+
 // retrySafety is the part of the common retry budget that is used: boxes that
 // come and go count each other late.
 const retrySafety = 0.7
@@ -246,7 +250,7 @@
 // outbound makes the request for one server.
 func (f *Front) outbound(x *exchange, place *route.Reservation, now time.Time) *upstream.Request {
 	header := x.request.Header.Clone()
-	removeConnectionHeaders(header)
+	upstream.RemoveConnectionHeaders(header)
 	out := provider.Outbound{
 		Server: place.Server.ID, Deadline: x.deadline.Sub(now), LastEvent: x.lastEvent, Priority: -1,
 	}
@@ -273,24 +277,6 @@
 	return request
 }
 
-// connectionHeaders concern one connection and are not passed on (RFC 9110,
-// section 7.6.1).
-var connectionHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding",
-	"Upgrade", "Proxy-Connection", "Content-Length", "Expect",
-}
-
-func removeConnectionHeaders(header http.Header) {
-	for _, value := range header["Connection"] {
-		for name := range strings.SplitSeq(value, ",") {
-			header.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range connectionHeaders {
-		header.Del(name)
-	}
-}
-
 // sendFailed tells what became of an attempt without an answer.
 func (f *Front) sendFailed(x *exchange, place *route.Reservation, err error) (outcome, error) {
 	if x.request.Context().Err() != nil {
@@ -325,11 +311,13 @@
 // passHead passes the status and the headers of an answer on.
 func (f *Front) passHead(x *exchange, answer *upstream.Answer) {
 	header := x.writer.Header()
-	skip := answer.Header.Values("Connection")
+	length := answer.Header["Content-Length"]
+	upstream.RemoveConnectionHeaders(answer.Header)
 	for name, values := range answer.Header {
-		if name == "Content-Length" || !slices.Contains(connectionHeaders, name) && !slices.Contains(skip, name) {
-			header[name] = values
-		}
+		header[name] = values
+	}
+	if length != nil {
+		header["Content-Length"] = length
 	}
 	if f.leaving.Load() {
 		header.Set("Connection", "close")
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/cinderslip/cinderslip/internal/kernel"
+	"github.com/cinderslip/cinderslip/internal/metric"
 )
 
 // Metrics are the counts of one process.
@@ -30,8 +31,6 @@
 	orders      *prometheus.CounterVec
 }
 
-const namespace = "cinderslip"
-
 // secondsBuckets reach from a fast lookup to a long stream.
 var secondsBuckets = []float64{0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 1, 1.5, 2.5, 4, 6}
 
@@ -39,36 +38,22 @@
 func NewMetrics() *Metrics {
 	m := &Metrics{
 		registry:    prometheus.NewRegistry(),
-		requests:    counters("direct_requests_total", "Requests by route and outcome.", "route", "outcome"),
-		seconds:     histograms("direct_request_seconds", "Time from arrival to the end of the answer.", "route"),
-		firstEvent:  histograms("direct_first_byte_seconds", "Time from arrival to the first byte of the answer.", "route"),
-		attempts:    counters("direct_attempts_total", "Attempts at backend servers by service and result.", "service", "result"),
-		waiting:     prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "direct_waiting", Help: "Requests that wait for a place."}, []string{"service"}),
-		connections: counter("direct_connections_total", "Connections opened to backend servers."),
-		storeCalls:  counters("store_calls_total", "Calls of the platform's store by kind and result.", "call", "result"),
-		logDropped:  counter("log_lines_dropped_total", "Log lines dropped because they came too fast."),
-		pieces:      counters("pieces_total", "Pieces of weights received, by source and result.", "from", "result"),
-		orders:      counters("orders_total", "Orders given to the backend server, by result.", "result"),
+		requests:    metric.Counters("direct_requests_total", "Requests by route and outcome.", "route", "outcome"),
+		seconds:     metric.Histograms("direct_request_seconds", "Time from arrival to the end of the answer.", secondsBuckets, "route"),
+		firstEvent:  metric.Histograms("direct_first_byte_seconds", "Time from arrival to the first byte of the answer.", secondsBuckets, "route"),
+		attempts:    metric.Counters("direct_attempts_total", "Attempts at backend servers by service and result.", "service", "result"),
+		waiting:     prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: metric.Namespace, Name: "direct_waiting", Help: "Requests that wait for a place."}, []string{"service"}),
+		connections: metric.Counter("direct_connections_total", "Connections opened to backend servers."),
+		storeCalls:  metric.Counters("store_calls_total", "Calls of the platform's store by kind and result.", "call", "result"),
+		logDropped:  metric.Counter("log_lines_dropped_total", "Log lines dropped because they came too fast."),
+		pieces:      metric.Counters("pieces_total", "Pieces of weights received, by source and result.", "from", "result"),
+		orders:      metric.Counters("orders_total", "Orders given to the backend server, by result.", "result"),
 	}
 	m.registry.MustRegister(m.requests, m.seconds, m.firstEvent, m.attempts, m.waiting, m.connections,
 		m.storeCalls, m.logDropped, m.pieces, m.orders, collectors.NewGoCollector())
 	return m
 }
 
-func counter(name, help string) prometheus.Counter {
-	return prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help})
-}
-
-func counters(name, help string, labels ...string) *prometheus.CounterVec {
-	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
-}
-
-func histograms(name, help string, labels ...string) *prometheus.HistogramVec {
-	return prometheus.NewHistogramVec(prometheus.HistogramOpts{
-		Namespace: namespace, Name: name, Help: help, Buckets: secondsBuckets,
-	}, labels)
-}
-
 // httpService is an HTTP server as a service of the kernel.
 type httpService struct {
 	name   string
--- /dev/null
+++ b/internal/metric/metric.go
@@ -0,0 +1,29 @@
+// Package metric makes the metrics of all processes under one namespace.
+//
+// # Usage
+//
+//	requests := metric.Counters("requests_total", "Requests by outcome.", "outcome")
+//	registry.MustRegister(requests)
+package metric
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// Namespace begins the name of each metric.
+const Namespace = "cinderslip"
+
+// Counter returns a counter.
+func Counter(name, help string) prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{Namespace: Namespace, Name: name, Help: help})
+}
+
+// Counters returns counters with labels.
+func Counters(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: Namespace, Name: name, Help: help}, labels)
+}
+
+// Histograms returns histograms with labels. Buckets are their upper bounds.
+func Histograms(name, help string, buckets []float64, labels ...string) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: Namespace, Name: name, Help: help, Buckets: buckets,
+	}, labels)
+}
--- /dev/null
+++ b/pkg/route/backend.go
@@ -0,0 +1,154 @@
+package route
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cinderslip/cinderslip/pkg/fleet"
+)
+
+const (
+	// peerLoadAge is how long the load that another entry box told counts. It is
+	// several of the intervals at which they tell it.
+	peerLoadAge = 1500 * time.Millisecond
+	// serverStatusAge is how long an agent's status counts.
+	serverStatusAge = 1200 * time.Millisecond
+	// laggingAge is after how long without a status a server with older weights is
+	// left alone while newer ones come: what is sent to it may arrive, or begin,
+	// after they may no longer. An agent speaks twice as often.
+	laggingAge = 800 * time.Millisecond
+	// stallTime is after how long without the beginning of an answer a server is
+	// taken to stand still; answers of a full batch begin within half of it.
+	stallTime = 700 * time.Millisecond
+	// swapMemory is how long a server is left alone whose agent ended while new
+	// weights were taken; the list tells of them by then.
+	swapMemory = 5 * time.Second
+	// promptStart is within which time a server must have begun its last answer, at
+	// most promptAge ago, to start requests shortly before its weights are barred.
+	promptStart = 400 * time.Millisecond
+	promptAge   = time.Second
+	// orphanMargin is by how many requests a server's own count may exceed what
+	// the entry boxes claim before it is believed: its count is a little older.
+	orphanMargin = 4
+)
+
+// The parts of a server's cost beside the share of its places that are taken.
+const (
+	// costReading is for each prompt that is being read there: reading holds up
+	// every other request of the batch.
+	costReading = 0.06
+	// costFar is for a server of another region: each answer crosses a priced
+	// link.
+	costFar = 0.2
+	// costStalled is for a server that seems to stand still: any other goes first.
+	costStalled = 2.0
+	// costFailures is for a server all of whose answers fail.
+	costFailures = 4.0
+)
+
+// ServerState is what an agent tells of the backend server on its box.
+type ServerState struct {
+	// Version is the whole version that is loaded; 0 if there is none.
+	Version fleet.WeightsVersion
+	// Swapping is set while the server takes nothing new.
+	Swapping bool
+	Running  int
+	Waiting  int
+	// Pace is above 1 when the server is slow.
+	Pace float64
+	// Silent is set when the agent fell silent: the box stands still or can't be
+	// reached, and the server with it. An agent that has ended is not silent.
+	Silent bool
+}
+
+// backend is one server of a service as seen from this box.
+type backend struct {
+	server fleet.Server
+	far    bool
+	// listed is the version that the list gives.
+	listed fleet.WeightsVersion
+
+	state   ServerState
+	stateAt time.Time
+
+	own      int
+	failures float64
+
+	ejectedTo time.Time
+	ejections int
+	// replaced is set when the server was left alone because it had other weights
+	// than were asked for, or another id.
+	replaced bool
+
+	// startTime is how long the last answer here took to begin, startedAt when it
+	// did.
+	startTime time.Duration
+	startedAt time.Time
+	// awaiting are when the requests were sent whose answers have not begun.
+	awaiting map[*Reservation]time.Time
+}
+
+// oldestAwaited returns for how long an answer has been waited for to begin; 0 if
+// none is.
+func (b *backend) oldestAwaited(now time.Time) time.Duration {
+	oldest := time.Duration(0)
+	for _, since := range b.awaiting {
+		oldest = max(oldest, now.Sub(since))
+	}
+	return oldest
+}
+
+// isPrompt reports whether the server was seen to start requests at once.
+func (b *backend) isPrompt(now time.Time) bool {
+	return now.Sub(b.startedAt) < promptAge && b.startTime < promptStart && b.oldestAwaited(now) < promptStart
+}
+
+// version returns the whole version that the server has, by the newest word.
+func (b *backend) version(now time.Time) (version fleet.WeightsVersion, swapping bool) {
+	if now.Sub(b.stateAt) < serverStatusAge {
+		return b.state.Version, b.state.Swapping
+	}
+	return b.listed, b.state.Swapping && now.Sub(b.stateAt) < swapMemory
+}
+
+// limit is how many requests a server is given at once.
+func (d *Dispatcher) limit(b *backend) int { return max(1, b.server.Slots) }
+
+// anyEligible reports whether some server could run a request if it had room.
+func (d *Dispatcher) anyEligible(now time.Time) bool {
+	return slices.ContainsFunc(d.order, func(b *backend) bool { return d.isEligible(b, now) })
+}
+
+// isEligible reports whether a server can run requests at all.
+func (d *Dispatcher) isEligible(b *backend, now time.Time) bool {
+	if now.Before(b.ejectedTo) || b.state.Silent {
+		return false
+	}
+	if !d.engine {
+		return true
+	}
+	version, swapping := b.version(now)
+	if version < d.newest && !b.stateAt.IsZero() && now.Sub(b.stateAt) > laggingAge {
+		return false
+	}
+	if swapping || version == 0 || version < d.required {
+		return false
+	}
+	return version >= d.preferred || b.isPrompt(now)
+}
+
+// load is how many requests a server has, as far as this box knows.
+func (d *Dispatcher) load(b *backend, now time.Time) int {
+	load := b.own
+	for _, peer := range d.peers {
+		if now.Sub(peer.at) < peerLoadAge {
+			load += peer.load[b.server.ID]
+		}
+	}
+	if now.Sub(b.stateAt) < serverStatusAge {
+		if told := b.state.Running + b.state.Waiting; told > load+orphanMargin {
+			return told
+		}
+	}
+	return load
+}
--- a/pkg/route/dispatch.go
+++ b/pkg/route/dispatch.go
@@ -32,41 +32,6 @@
 }
 
 const (
-	// peerLoadAge is how long the load that another entry box told counts. It is
-	// several of the intervals at which they tell it.
-	peerLoadAge = 1500 * time.Millisecond
-	// serverStatusAge is how long an agent's status counts.
-	serverStatusAge = 1200 * time.Millisecond
-	// laggingAge is after how long without a status a server with older weights is
-	// left alone while newer ones come: what is sent to it may arrive, or begin,
-	// after they may no longer. An agent speaks twice as often.
-	laggingAge = 800 * time.Millisecond
-	// stallTime is after how long without the beginning of an answer a server is
-	// taken to stand still; answers of a full batch begin within half of it.
-	stallTime = 700 * time.Millisecond
-	// swapMemory is how long a server is left alone whose agent ended while new
-	// weights were taken; the list tells of them by then.
-	swapMemory = 5 * time.Second
-	// promptStart is within which time a server must have begun its last answer, at
-	// most promptAge ago, to start requests shortly before its weights are barred.
-	promptStart = 400 * time.Millisecond
-	promptAge   = time.Second
-	// orphanMargin is by how many requests a server's own count may exceed what
-	// the entry boxes claim before it is believed: its count is a little older.
-	orphanMargin = 4
-	// holdSmoothing is the weight of the newest time in the mean time that a
-	// request holds a place.
-	holdSmoothing = 0.05
-	// failureSmoothing is the weight of the newest result in a server's share of
-	// failures.
-	failureSmoothing = 0.15
-	// ejectFirst and ejectLongest bound how long a server that could not be
-	// reached is left alone.
-	ejectFirst   = 500 * time.Millisecond
-	ejectLongest = 4 * time.Second
-	// replacedTime is how long a server is left alone that is no longer the one
-	// listed. Its entry goes, or its agent tells of other weights, well within it.
-	replacedTime = 3 * time.Second
 	// lateReserve is what must be left of a queued request's time for an answer
 	// to be worth starting, as a part of the usual time that one takes.
 	lateReserve = 0.5
@@ -86,88 +51,9 @@
 	refusedFew       = 0.3
 )
 
-// The parts of a server's cost beside the share of its places that are taken.
-const (
-	// costReading is for each prompt that is being read there: reading holds up
-	// every other request of the batch.
-	costReading = 0.06
-	// costFar is for a server of another region: each answer crosses a priced
-	// link.
-	costFar = 0.2
-	// costStalled is for a server that seems to stand still: any other goes first.
-	costStalled = 2.0
-	// costFailures is for a server all of whose answers fail.
-	costFailures = 4.0
-)
-
 // Load is how many requests one box has in flight at each server.
 type Load map[fleet.ServerID]int
 
-// ServerState is what an agent tells of the backend server on its box.
-type ServerState struct {
-	// Version is the whole version that is loaded; 0 if there is none.
-	Version fleet.WeightsVersion
-	// Swapping is set while the server takes nothing new.
-	Swapping bool
-	Running  int
-	Waiting  int
-	// Pace is above 1 when the server is slow.
-	Pace float64
-	// Silent is set when the agent fell silent: the box stands still or can't be
-	// reached, and the server with it. An agent that has ended is not silent.
-	Silent bool
-}
-
-// backend is one server of a service as seen from this box.
-type backend struct {
-	server fleet.Server
-	far    bool
-	// listed is the version that the list gives.
-	listed fleet.WeightsVersion
-
-	state   ServerState
-	stateAt time.Time
-
-	own      int
-	failures float64
-
-	ejectedTo time.Time
-	ejections int
-	// replaced is set when the server was left alone because it had other weights
-	// than were asked for, or another id.
-	replaced bool
-
-	// startTime is how long the last answer here took to begin, startedAt when it
-	// did.
-	startTime time.Duration
-	startedAt time.Time
-	// awaiting are when the requests were sent whose answers have not begun.
-	awaiting map[*Reservation]time.Time
-}
-
-// oldestAwaited returns for how long an answer has been waited for to begin; 0 if
-// none is.
-func (b *backend) oldestAwaited(now time.Time) time.Duration {
-	oldest := time.Duration(0)
-	for _, since := range b.awaiting {
-		oldest = max(oldest, now.Sub(since))
-	}
-	return oldest
-}
-
-// isPrompt reports whether the server was seen to start requests at once.
-func (b *backend) isPrompt(now time.Time) bool {
-	return now.Sub(b.startedAt) < promptAge && b.startTime < promptStart && b.oldestAwaited(now) < promptStart
-}
-
-// version returns the whole version that the server has, by the newest word.
-func (b *backend) version(now time.Time) (version fleet.WeightsVersion, swapping bool) {
-	if now.Sub(b.stateAt) < serverStatusAge {
-		return b.state.Version, b.state.Swapping
-	}
-	return b.listed, b.state.Swapping && now.Sub(b.stateAt) < swapMemory
-}
-
 type peerLoad struct {
 	load Load
 	at   time.Time
@@ -337,19 +223,6 @@
 	return len(d.queue)
 }
 
-// Reservation is a place on a server that a request holds until it is released.
-type Reservation struct {
-	Server fleet.Server
-	// Version is the version of the weights that the server has; 0 if it runs no
-	// model.
-	Version fleet.WeightsVersion
-
-	dispatcher *Dispatcher
-	backend    *backend
-	since      time.Time
-	readTime   time.Duration
-}
-
 // Acquire returns a place, waiting for one if the request can still start in
 // time. Errors are a *BusyError, wrap ErrNoServer, or are the context's.
 func (d *Dispatcher) Acquire(ctx context.Context, ask *Ask, now func() time.Time) (*Reservation, error) {
@@ -502,48 +375,6 @@
 	return ahead, time.Duration(float64(ahead+1) / share * float64(d.usual))
 }
 
-// limit is how many requests a server is given at once.
-func (d *Dispatcher) limit(b *backend) int { return max(1, b.server.Slots) }
-
-// anyEligible reports whether some server could run a request if it had room.
-func (d *Dispatcher) anyEligible(now time.Time) bool {
-	return slices.ContainsFunc(d.order, func(b *backend) bool { return d.isEligible(b, now) })
-}
-
-// isEligible reports whether a server can run requests at all.
-func (d *Dispatcher) isEligible(b *backend, now time.Time) bool {
-	if now.Before(b.ejectedTo) || b.state.Silent {
-		return false
-	}
-	if !d.engine {
-		return true
-	}
-	version, swapping := b.version(now)
-	if version < d.newest && !b.stateAt.IsZero() && now.Sub(b.stateAt) > laggingAge {
-		return false
-	}
-	if swapping || version == 0 || version < d.required {
-		return false
-	}
-	return version >= d.preferred || b.isPrompt(now)
-}
-
-// load is how many requests a server has, as far as this box knows.
-func (d *Dispatcher) load(b *backend, now time.Time) int {
-	load := b.own
-	for _, peer := range d.peers {
-		if now.Sub(peer.at) < peerLoadAge {
-			load += peer.load[b.server.ID]
-		}
-	}
-	if now.Sub(b.stateAt) < serverStatusAge {
-		if told := b.state.Running + b.state.Waiting; told > load+orphanMargin {
-			return told
-		}
-	}
-	return load
-}
-
 // choose takes a place on the server that costs least; nil if none has room.
 func (d *Dispatcher) choose(ask *Ask, now time.Time) *Reservation {
 	var best *backend
@@ -603,87 +434,3 @@
 		}
 	}
 }
-
-// Started notes that the answer has begun.
-func (r *Reservation) Started(now time.Time) {
-	d := r.dispatcher
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if _, awaited := r.backend.awaiting[r]; !awaited {
-		return
-	}
-	delete(r.backend.awaiting, r)
-	r.backend.startTime, r.backend.startedAt = now.Sub(r.since), now
-	// The estimate of round-trip times of RFC 6298, with its weights.
-	sample := max(0, now.Sub(r.since)-r.readTime)
-	d.deviation += (max(sample-d.first, d.first-sample) - d.deviation) / 4
-	d.first += (sample - d.first) / 8
-}
-
-// Result is what became of an attempt.
-type Result int
-
-// The results of an attempt.
-const (
-	// ResultDone is a whole answer.
-	ResultDone Result = iota
-	// ResultFailed is an answer that failed or broke off.
-	ResultFailed
-	// ResultRefused is a refusal by a server that did not run the request.
-	ResultRefused
-	// ResultUnreachable is a server that could not be connected to.
-	ResultUnreachable
-	// ResultReplaced is a server whose address another one has, or whose weights
-	// are not those that were asked for.
-	ResultReplaced
-	// ResultAbandoned is an attempt whose caller left.
-	ResultAbandoned
-)
-
-// Release gives the place back.
-func (r *Reservation) Release(result Result, now time.Time) {
-	d := r.dispatcher
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	b := r.backend
-	switch result {
-	case ResultDone:
-		b.failures *= 1 - failureSmoothing
-		b.ejections = 0
-		d.usual += time.Duration(holdSmoothing * float64(now.Sub(r.since)-d.usual))
-	case ResultFailed:
-		b.failures += failureSmoothing * (1 - b.failures)
-	case ResultRefused:
-		// The server had less room than was thought; it is left alone until a few
-		// of its requests have ended.
-		b.ejectedTo = now.Add(d.usual / time.Duration(2*d.limit(b)))
-	case ResultUnreachable:
-		b.ejectedTo = now.Add(min(ejectLongest, ejectFirst<<min(b.ejections, 8)))
-		b.ejections++
-	case ResultReplaced:
-		// An agent that has told of other weights meanwhile knows better.
-		if version, _ := b.version(now); version == r.Version {
-			b.replaced, b.ejectedTo = true, now.Add(replacedTime)
-		}
-	case ResultAbandoned:
-	}
-	d.release(r, now)
-}
-
-func (d *Dispatcher) release(r *Reservation, now time.Time) {
-	delete(r.backend.awaiting, r)
-	r.backend.own--
-	d.grant(now)
-}
-
-// resultNames are the names of results in logs and metrics.
-var resultNames = map[Result]string{
-	ResultDone: "done", ResultFailed: "failed", ResultRefused: "refused",
-	ResultUnreachable: "unreachable", ResultReplaced: "replaced", ResultAbandoned: "abandoned",
-}
-
-// String returns the result's name in logs and metrics.
-func (r Result) String() string { return resultNames[r] }
-
-// Held returns for how long the place has been held.
-func (r *Reservation) Held(now time.Time) time.Duration { return now.Sub(r.since) }
--- /dev/null
+++ b/pkg/route/reservation.go
@@ -0,0 +1,120 @@
+package route
+
+import (
+	"time"
+
+	"github.com/cinderslip/cinderslip/pkg/fleet"
+)
+
+const (
+	// holdSmoothing is the weight of the newest time in the mean time that a
+	// request holds a place.
+	holdSmoothing = 0.05
+	// failureSmoothing is the weight of the newest result in a server's share of
+	// failures.
+	failureSmoothing = 0.15
+	// ejectFirst and ejectLongest bound how long a server that could not be
+	// reached is left alone.
+	ejectFirst   = 500 * time.Millisecond
+	ejectLongest = 4 * time.Second
+	// replacedTime is how long a server is left alone that is no longer the one
+	// listed. Its entry goes, or its agent tells of other weights, well within it.
+	replacedTime = 3 * time.Second
+)
+
+// Reservation is a place on a server that a request holds until it is released.
+type Reservation struct {
+	Server fleet.Server
+	// Version is the version of the weights that the server has; 0 if it runs no
+	// model.
+	Version fleet.WeightsVersion
+
+	dispatcher *Dispatcher
+	backend    *backend
+	since      time.Time
+	readTime   time.Duration
+}
+
+// Started notes that the answer has begun.
+func (r *Reservation) Started(now time.Time) {
+	d := r.dispatcher
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if _, awaited := r.backend.awaiting[r]; !awaited {
+		return
+	}
+	delete(r.backend.awaiting, r)
+	r.backend.startTime, r.backend.startedAt = now.Sub(r.since), now
+	// The estimate of round-trip times of RFC 6298, with its weights.
+	sample := max(0, now.Sub(r.since)-r.readTime)
+	d.deviation += (max(sample-d.first, d.first-sample) - d.deviation) / 4
+	d.first += (sample - d.first) / 8
+}
+
+// Result is what became of an attempt.
+type Result int
+
+// The results of an attempt.
+const (
+	// ResultDone is a whole answer.
+	ResultDone Result = iota
+	// ResultFailed is an answer that failed or broke off.
+	ResultFailed
+	// ResultRefused is a refusal by a server that did not run the request.
+	ResultRefused
+	// ResultUnreachable is a server that could not be connected to.
+	ResultUnreachable
+	// ResultReplaced is a server whose address another one has, or whose weights
+	// are not those that were asked for.
+	ResultReplaced
+	// ResultAbandoned is an attempt whose caller left.
+	ResultAbandoned
+)
+
+// Release gives the place back.
+func (r *Reservation) Release(result Result, now time.Time) {
+	d := r.dispatcher
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	b := r.backend
+	switch result {
+	case ResultDone:
+		b.failures *= 1 - failureSmoothing
+		b.ejections = 0
+		d.usual += time.Duration(holdSmoothing * float64(now.Sub(r.since)-d.usual))
+	case ResultFailed:
+		b.failures += failureSmoothing * (1 - b.failures)
+	case ResultRefused:
+		// The server had less room than was thought; it is left alone until a few
+		// of its requests have ended.
+		b.ejectedTo = now.Add(d.usual / time.Duration(2*d.limit(b)))
+	case ResultUnreachable:
+		b.ejectedTo = now.Add(min(ejectLongest, ejectFirst<<min(b.ejections, 8)))
+		b.ejections++
+	case ResultReplaced:
+		// An agent that has told of other weights meanwhile knows better.
+		if version, _ := b.version(now); version == r.Version {
+			b.replaced, b.ejectedTo = true, now.Add(replacedTime)
+		}
+	case ResultAbandoned:
+	}
+	d.release(r, now)
+}
+
+func (d *Dispatcher) release(r *Reservation, now time.Time) {
+	delete(r.backend.awaiting, r)
+	r.backend.own--
+	d.grant(now)
+}
+
+// resultNames are the names of results in logs and metrics.
+var resultNames = map[Result]string{
+	ResultDone: "done", ResultFailed: "failed", ResultRefused: "refused",
+	ResultUnreachable: "unreachable", ResultReplaced: "replaced", ResultAbandoned: "abandoned",
+}
+
+// String returns the result's name in logs and metrics.
+func (r Result) String() string { return resultNames[r] }
+
+// Held returns for how long the place has been held.
+func (r *Reservation) Held(now time.Time) time.Duration { return now.Sub(r.since) }
