fix(upstream): how long a server keeps a connection is read with the answer

Cause: since the headers of an answer are taken out in place, its Keep-Alive was gone when the connection was given back, and 4 s were assumed; found while reading the diff. Change: it is read when the answer comes.

--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -13,6 +13,8 @@
 
 	conn *conn
 	stop func() bool
+	// keep is how long the connection may be used again after the answer.
+	keep time.Duration
 	// sent gives the result of writing the request.
 	sent  chan error
 	ended bool
@@ -48,8 +50,7 @@
 		_ = a.conn.Close()
 		return
 	}
-	keep := keepFor(a.Header)
-	a.conn.until = a.conn.pool.options.Clock.Now().Add(keep)
+	a.conn.until = a.conn.pool.options.Clock.Now().Add(a.keep)
 	a.conn.pool.keep(a.conn)
 }
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -159,6 +159,7 @@
 		answer.Close()
 		return nil, fmt.Errorf("%w: %w", ErrNoAnswer, err)
 	}
+	answer.keep = keepFor(answer.Header)
 	return answer, nil
 }
 
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
@@ -225,3 +226,34 @@
 		<-closed
 	}
 }
+
+// The server says how long it leaves the connection open; that holds also when the
+// headers of the answer have been changed for the caller meanwhile.
+func TestAConnectionIsNotUsedAgainAfterTheTimeThatTheServerGave(t *testing.T) {
+	address := rawServer(t, func(conn net.Conn, reader *bufio.Reader) {
+		for {
+			id, err := readRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nKeep-Alive: timeout=1\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	var opened atomic.Int32
+	clock := clockwork.NewFakeClockAt(time.Now())
+	pool := newTestPool(&opened)
+	pool.options.Clock = clock
+	for i, wait := range []time.Duration{0, 500 * time.Millisecond, 900 * time.Millisecond} {
+		clock.Advance(wait)
+		id := fmt.Sprint(i)
+		answer, err := pool.Send(context.Background(), &Request{
+			Address: address, ID: id, Method: http.MethodGet, Target: "/", Host: "a", Header: http.Header{"Id": {id}},
+		})
+		require.NoError(t, err)
+		RemoveConnectionHeaders(answer.Header)
+		_, err = io.ReadAll(answer)
+		require.NoError(t, err)
+		answer.Close()
+	}
+	require.EqualValues(t, 2, opened.Load(), "used again after 0.5 s, not after 0.9 s of the 1 s given")
+}
