fix(direct): the front learns of the other entry boxes without a race

Cause: found while reading the diff: the other entry boxes were set on a front that answers already. The race detector had not met it. Change: an atomic pointer, and one place that counts the boxes.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -149,11 +149,7 @@
 	if f.clock.Since(f.started) < f.retries.window {
 		return float64(f.retries.extra) / unknownBoxes
 	}
-	boxes := 1
-	if f.entries != nil {
-		boxes += len(f.entries.Boxes())
-	}
-	return float64(f.retries.extra) / float64(boxes) * retrySafety
+	return float64(f.retries.extra) / float64(f.boxes()) * retrySafety
 }
 
 // unknownBoxes is among how many entry boxes a box that has just started splits the
--- a/internal/direct/directory.go
+++ b/internal/direct/directory.go
@@ -27,7 +27,7 @@
 // startDirectory answers where callers should go, and whether this box is ready.
 func (p *Process) startDirectory() error {
 	d := &Directory{
-		protocol: p.options.Platform.Callers, status: p.status, entries: p.front.entries, front: p.front,
+		protocol: p.options.Platform.Callers, status: p.status, entries: p.front.entries.Load(), front: p.front,
 		keep: time.Duration(p.settings.Direct.DirectoryTTL),
 		self: EntryBox{
 			Box: p.box(), Region: p.region(), Domain: member.FailureDomain(p.settings.FailureDomain),
--- a/internal/direct/front.go
+++ b/internal/direct/front.go
@@ -65,7 +65,7 @@
 	retries  retryLimits
 	started  time.Time
 	isNear   func(member.FailureDomain) bool
-	entries  *EntryBoxes
+	entries  atomic.Pointer[EntryBoxes]
 	service  *httpService
 	leaving  atomic.Bool
 	active   atomic.Int64
@@ -274,9 +274,16 @@
 		}
 	}
 	d.Servers(view.Servers(name), layers, f.isNear, now)
-	if f.entries != nil {
-		d.Boxes(len(f.entries.Boxes()) + 1)
+	d.Boxes(f.boxes())
+}
+
+// boxes is how many entry boxes there are, with this one, as far as it knows.
+func (f *Front) boxes() int {
+	entries := f.entries.Load()
+	if entries == nil {
+		return 1
 	}
+	return len(entries.Boxes()) + 1
 }
 
 // required is the oldest version of weights that may start a request now.
--- a/internal/direct/front_test.go
+++ b/internal/direct/front_test.go
@@ -20,7 +20,7 @@
 	require.Less(t, f.retryExtra(), 2.0)
 	clock.Advance(time.Second)
 	require.InDelta(t, 100*retrySafety, f.retryExtra(), 1e-9)
-	f.entries = &EntryBoxes{clock: clock, boxes: map[string]EntryBox{"a": {Heard: clock.Now()}, "b": {Heard: clock.Now()}}}
+	f.entries.Store(&EntryBoxes{clock: clock, boxes: map[string]EntryBox{"a": {Heard: clock.Now()}, "b": {Heard: clock.Now()}}})
 	require.InDelta(t, 100*retrySafety/3, f.retryExtra(), 1e-9)
 }
 
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -69,7 +69,7 @@
 		loaded: p.front.PeerLoad,
 	}
 	e.self.Box, e.self.Region = p.settings.Box, p.settings.Region
-	p.front.entries = e
+	p.front.entries.Store(e)
 	e.duties.Go(e.followAll)
 	e.duties.Go(e.repair)
 	p.facts.ReadStore(p.options.Platform.Facts, e.isReader)
