fix(direct): a version named just after a box started is not taken for an old one

It had dated version 2, named at 19.6 s, five seconds back, as it does with what it finds at its start, and barred version 1 too early. Ruled out: its servers and agents (the other six boxes served). Change: only what comes before any configuration was there at the start. Result: the test failed before and passes.

--- a/internal/direct/facts.go
+++ b/internal/direct/facts.go
@@ -40,13 +40,10 @@
 	// lapseWindow is how long after the store's return entries may still be found
 	// to have lapsed meanwhile.
 	lapseWindow = 1500 * time.Millisecond
-	// restartAge is how long before its start a process takes the wanted weights
-	// to have been named, as it can't know. What remains of the bound passes
-	// before the process counts as settled.
+	// restartAge is how long before its start a process takes weights to have been
+	// named that were there already, as it can't know. What remains of the bound
+	// passes before the process counts as settled.
 	restartAge = 5 * time.Second
-	// startTime is how long after its start a process takes what it hears for what
-	// was there before.
-	startTime = 2 * time.Second
 )
 
 // Facts keeps what the platform's store and other boxes tell.
@@ -57,7 +54,6 @@
 	store   *state.Store
 	view    atomic.Pointer[fleet.View]
 	duties  *kernel.Duties
-	started time.Time
 
 	mu sync.Mutex
 	// changed is closed when the view changes.
@@ -79,7 +75,7 @@
 func NewFacts(clock clockwork.Clock, log zerolog.Logger, metrics *Metrics) *Facts {
 	f := &Facts{
 		clock: clock, log: log, metrics: metrics,
-		store: state.NewStore(rand.Uint64()), duties: kernel.NewDuties(), started: clock.Now(),
+		store: state.NewStore(rand.Uint64()), duties: kernel.NewDuties(),
 		changed: make(chan struct{}),
 		servers: make(map[fleet.ServerID]fleet.Server),
 		wanted:  make(map[fleet.ModelName]fleet.Named),
@@ -297,6 +293,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	view := f.View()
+	// What comes before any configuration was there when the process started.
+	earlier := view.Configuration == nil
 	servers, wanted := false, false
 	for _, item := range fresh {
 		delete(f.held, item.Key)
@@ -313,7 +311,7 @@
 			f.takeServer(&fact, from)
 			servers = true
 		case strings.HasPrefix(fact.Key, fleet.WantedKey("")):
-			f.takeWanted(&fact, from)
+			f.takeWanted(&fact, from, earlier)
 			wanted = true
 		}
 	}
@@ -371,7 +369,7 @@
 	return servers
 }
 
-func (f *Facts) takeWanted(fact *fleet.Fact, from string) {
+func (f *Facts) takeWanted(fact *fleet.Fact, from string, earlier bool) {
 	if fact.Wanted == nil {
 		return
 	}
@@ -381,7 +379,7 @@
 		return
 	}
 	since := f.clock.Now()
-	if since.Sub(f.started) < startTime {
+	if earlier {
 		since = since.Add(-restartAge)
 	}
 	f.wanted[model] = named.With(fleet.WantedSince{Version: fact.Wanted.Version, Revision: fact.Revision, Since: since})
--- a/internal/direct/facts_test.go
+++ b/internal/direct/facts_test.go
@@ -130,13 +130,13 @@
 
 func TestEachNamedVersionBarsTheOlderOnesFromItsOwnName(t *testing.T) {
 	facts, clock := newTestFacts()
-	clock.Advance(time.Minute)
+	facts.Apply([]fleet.Fact{{Key: fleet.ConfigurationKey(), Revision: 1, Configuration: &fleet.Configuration{}}}, "store")
 	wanted := func(version fleet.WeightsVersion, revision fleet.Revision) fleet.Fact {
 		return fleet.Fact{Key: fleet.WantedKey("m"), Revision: revision, Wanted: &fleet.Wanted{Model: "m", Version: version}}
 	}
-	facts.Apply([]fleet.Fact{wanted(2, 1)}, "store")
+	facts.Apply([]fleet.Fact{wanted(2, 2)}, "store")
 	clock.Advance(3 * time.Second)
-	facts.Apply([]fleet.Fact{wanted(3, 2)}, "store")
+	facts.Apply([]fleet.Fact{wanted(3, 3)}, "store")
 	named, bound := facts.View().Wanted("m"), 8*time.Second
 	clock.Advance(4 * time.Second)
 	require.EqualValues(t, 0, named.Required(bound, clock.Now()))
@@ -148,3 +148,17 @@
 	require.True(t, ok)
 	require.Equal(t, clock.Now().Add(-3*time.Second), barred)
 }
+
+// A version that was there when the process started may have been named long before;
+// one that comes a moment later was named just now.
+func TestOnlyVersionsThatWereThereAtTheStartAreTakenForOlder(t *testing.T) {
+	configuration := fleet.Fact{Key: fleet.ConfigurationKey(), Revision: 1, Configuration: &fleet.Configuration{}}
+	wanted := fleet.Fact{Key: fleet.WantedKey("m"), Revision: 2, Wanted: &fleet.Wanted{Model: "m", Version: 2}}
+	together, clock := newTestFacts()
+	together.Apply([]fleet.Fact{configuration, wanted}, "store")
+	require.Equal(t, clock.Now().Add(-restartAge), together.View().Wanted("m").Newest().Since)
+	later, clock := newTestFacts()
+	later.Apply([]fleet.Fact{configuration}, "store")
+	later.Apply([]fleet.Fact{wanted}, "store")
+	require.Equal(t, clock.Now(), later.View().Wanted("m").Newest().Since)
+}
