--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 GOLANGCI_LINT_VERSION := v2.15.0
 SOURCES = $(shell git ls-files -co --exclude-standard '*.go' | grep -v -e '\.pb\.go$$')
 
-.PHONY: setup build fmt lint generate test bench ci check-fmt check-generated
+.PHONY: setup build build-deployed fmt lint generate test bench ci check-fmt check-generated
 
 setup: ## Fetch modules and install the pinned linter.
 	go mod download
@@ -38,6 +38,9 @@
 check-generated: generate
 	@git diff --exit-code --stat -- internal/wire || (echo "generated code is not up to date"; exit 1)
 
-ci: setup check-fmt check-generated lint build
+build-deployed: ## Build as deploy/system.toml says.
+	sh -c "$$(sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml)"
+
+ci: setup check-fmt check-generated lint build build-deployed
 	go test -count=1 ./...
-	go test -count=1 -race ./pkg/... ./internal/daemon/... ./internal/kernel/...
+	go test -count=1 -race ./pkg/... ./internal/daemon/... ./internal/kernel/... ./internal/direct/... ./internal/upstream/...
