refactor: drop what the guard of attempts made dead

Cause: found while reading the whole change: a first-byte limit, a wait for the next byte and a walk over all servers had no caller any more since attempts are guarded by a timer, and giving a connection back cleared a deadline that nothing set. Change: they are gone; nothing that runs has changed.

--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -20,15 +20,6 @@
 	ended bool
 }
 
-// SetWait bounds the wait for the next byte of the body; 0 ends the bound.
-func (a *Answer) SetWait(wait time.Duration) {
-	var until time.Time
-	if wait > 0 {
-		until = a.conn.pool.options.Clock.Now().Add(wait)
-	}
-	_ = a.conn.SetReadDeadline(until)
-}
-
 // Read reads the body. io.EOF means that the body is whole.
 func (a *Answer) Read(buffer []byte) (int, error) {
 	n, err := a.Body.Read(buffer)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -127,9 +127,6 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// FirstByte bounds the wait for the head of the answer; 0 leaves it to the
-	// context.
-	FirstByte time.Duration
 }
 
 // Send makes one attempt and returns the answer's head. The answer must be
@@ -151,9 +148,6 @@
 	} else {
 		go func() { answer.sent <- c.write(request) }()
 	}
-	if request.FirstByte > 0 {
-		_ = c.SetReadDeadline(p.options.Clock.Now().Add(request.FirstByte))
-	}
 	answer.Response, err = c.readOwn(request) //nolint:bodyclose // Answer.Close ends it
 	if err != nil {
 		answer.Close()
@@ -202,7 +196,6 @@
 
 // keep takes a connection back whose answer was read to its end.
 func (p *Pool) keep(c *conn) {
-	_ = c.SetReadDeadline(time.Time{})
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle[c.address]) >= p.options.KeepPerServer {
--- a/pkg/fleet/view.go
+++ b/pkg/fleet/view.go
@@ -150,15 +150,6 @@
 // Servers returns the servers of a service in the order of their ids.
 func (v *View) Servers(name member.Service) []Server { return v.servers[name] }
 
-// AllServers calls a function for each server of each service.
-func (v *View) AllServers(visit func(Server)) {
-	for _, servers := range v.servers {
-		for _, server := range servers {
-			visit(server)
-		}
-	}
-}
-
 // Services returns the services that have backend servers or routes.
 func (v *View) Services() []*Service {
 	if v.Configuration == nil {
