perf(route): boxes tell how old named versions are, and load by what has changed

(2) Prompts that other entry boxes had sent were not counted, so boxes met at the same servers. Change: entry boxes and agents tell how long ago a version was named if they heard of it then; the first who heard is right. Statuses tell the servers at which something changed, with the time that the prompts not yet begun take to read; sums of what the others told are kept.

--- a/internal/direct/agentfacts.go
+++ b/internal/direct/agentfacts.go
@@ -75,6 +75,7 @@
 					log.Info().Str("dependency", "entry").Str("address", entry).Msg("dependency regained")
 				}
 				f.facts.ApplyItems(itemsFromWire(batch.Items), entry)
+				f.facts.LearnAges(agesFromWire(batch.Ages), entry)
 				f.mu.Lock()
 				f.known = batch.Entries
 				f.mu.Unlock()
--- /dev/null
+++ b/internal/direct/ages.go
@@ -0,0 +1,83 @@
+package direct
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cinderslip/cinderslip/internal/wire"
+	"github.com/cinderslip/cinderslip/pkg/fleet"
+)
+
+// The platform's store does not say when a version of weights was named. A process
+// that starts afterwards can only guess, and one that stood still or was cut off
+// hears of it late. So processes tell each other how old the versions are that they
+// heard of as they were named.
+
+const (
+	// agesTold is how many versions of a model are told, the newest first. Each
+	// bars those before it, so older ones decide nothing any more.
+	agesTold = 3
+	// ageTolerance is by how much sooner another process must have heard of a
+	// version to be believed: less is the time that messages take.
+	ageTolerance = 20 * time.Millisecond
+)
+
+// VersionAges returns how long ago versions were named, where that is known.
+func (f *Facts) VersionAges() []fleet.VersionAge {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock.Now()
+	var ages []fleet.VersionAge
+	for _, model := range slices.Sorted(maps.Keys(f.wanted)) {
+		named := f.wanted[model]
+		for _, version := range named[max(0, len(named)-agesTold):] {
+			if version.Witnessed {
+				ages = append(ages, fleet.VersionAge{Model: model, Version: version.Version, Age: now.Sub(version.Since)})
+			}
+		}
+	}
+	return ages
+}
+
+// LearnAges takes what another process tells of the versions that this one knows.
+func (f *Facts) LearnAges(ages []fleet.VersionAge, from string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now, learned := f.clock.Now(), false
+	for _, age := range ages {
+		named := f.wanted[age.Model]
+		corrected, ok := named.Corrected(age.Version, now.Add(-age.Age), ageTolerance)
+		if !ok {
+			continue
+		}
+		f.log.Info().Str("model", string(age.Model)).Uint64("version", uint64(age.Version)).Dur("age_ms", age.Age).
+			Dur("believed_ms", now.Sub(named.Since(age.Version))).Str("from", from).Msg("age of wanted weights corrected")
+		f.wanted[age.Model] = corrected
+		learned = true
+	}
+	if learned {
+		f.publish(f.View().WithWanted(maps.Clone(f.wanted)))
+	}
+}
+
+func agesToWire(ages []fleet.VersionAge) []*wire.VersionAge {
+	told := make([]*wire.VersionAge, 0, len(ages))
+	for _, age := range ages {
+		told = append(told, &wire.VersionAge{
+			Model: string(age.Model), Version: uint64(age.Version), AgeMilliseconds: uint64(age.Age.Milliseconds()),
+		})
+	}
+	return told
+}
+
+func agesFromWire(told []*wire.VersionAge) []fleet.VersionAge {
+	ages := make([]fleet.VersionAge, 0, len(told))
+	for _, age := range told {
+		ages = append(ages, fleet.VersionAge{
+			Model: fleet.ModelName(age.Model), Version: fleet.WeightsVersion(age.Version),
+			Age: time.Duration(age.AgeMilliseconds) * time.Millisecond,
+		})
+	}
+	return ages
+}
--- a/internal/direct/bring.go
+++ b/internal/direct/bring.go
@@ -171,7 +171,7 @@
 // swapped before its own. A server without weights does not wait.
 func (l *Loader) holdBack(want *target, version fleet.WeightsVersion) time.Time {
 	report, answers := l.serverReport()
-	since := want.since(version)
+	since := want.named.Since(version)
 	if since.IsZero() || answers && loaded(&report, want.model, want.engine.Layers) == 0 {
 		return time.Time{}
 	}
--- a/internal/direct/facts.go
+++ b/internal/direct/facts.go
@@ -382,7 +382,9 @@
 	if earlier {
 		since = since.Add(-restartAge)
 	}
-	f.wanted[model] = named.With(fleet.WantedSince{Version: fact.Wanted.Version, Revision: fact.Revision, Since: since})
+	f.wanted[model] = named.With(fleet.WantedSince{
+		Version: fact.Wanted.Version, Revision: fact.Revision, Since: since, Witnessed: !earlier,
+	})
 	f.log.Info().Str("model", string(model)).Uint64("version", uint64(fact.Wanted.Version)).
 		Uint64("revision", uint64(fact.Revision)).Str("from", from).Msg("weights wanted")
 }
--- a/internal/direct/facts_test.go
+++ b/internal/direct/facts_test.go
@@ -162,3 +162,43 @@
 	later.Apply([]fleet.Fact{wanted}, "store")
 	require.Equal(t, clock.Now(), later.View().Wanted("m").Newest().Since)
 }
+
+func wantedVersion(version fleet.WeightsVersion, revision fleet.Revision) fleet.Fact {
+	return fleet.Fact{Key: fleet.WantedKey("m"), Revision: revision, Wanted: &fleet.Wanted{Model: "m", Version: version}}
+}
+
+// A box that has just started guessed that both versions were named long ago, and
+// barred the older of them while it was still in force.
+func TestAProcessThatStartedLaterLearnsWhenVersionsWereNamed(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	configuration := fleet.Fact{Key: fleet.ConfigurationKey(), Revision: 1, Configuration: &fleet.Configuration{}}
+	witness := NewFacts(clock, zerolog.Nop(), NewMetrics())
+	witness.Apply([]fleet.Fact{configuration}, "store")
+	witness.Apply([]fleet.Fact{wantedVersion(2, 2)}, "store")
+	clock.Advance(2 * time.Second)
+	witness.Apply([]fleet.Fact{wantedVersion(3, 3)}, "store")
+	clock.Advance(time.Second)
+
+	late := NewFacts(clock, zerolog.Nop(), NewMetrics())
+	late.Apply([]fleet.Fact{configuration, wantedVersion(2, 2), wantedVersion(3, 3)}, "store")
+	require.Empty(t, late.VersionAges(), "a guess is not told to others")
+	late.LearnAges(witness.VersionAges(), "entry-2")
+	bound := 6 * time.Second
+	clock.Advance(3 * time.Second)
+	named := late.View().Wanted("m")
+	require.EqualValues(t, 2, named.Required(bound, clock.Now()))
+	require.Equal(t, witness.View().Wanted("m").Newest().Since, named.Newest().Since)
+	require.Equal(t, witness.VersionAges(), late.VersionAges())
+}
+
+// A box that stood still heard of a version when it woke.
+func TestOfTwoWhoHeardOfAVersionTheFirstIsRight(t *testing.T) {
+	facts, clock := newTestFacts()
+	facts.Apply([]fleet.Fact{{Key: fleet.ConfigurationKey(), Revision: 1, Configuration: &fleet.Configuration{}}}, "store")
+	facts.Apply([]fleet.Fact{wantedVersion(2, 2)}, "store")
+	heard := clock.Now()
+	facts.LearnAges([]fleet.VersionAge{{Model: "m", Version: 2, Age: 5 * time.Second}}, "entry-2")
+	require.Equal(t, heard.Add(-5*time.Second), facts.View().Wanted("m").Newest().Since)
+	facts.LearnAges([]fleet.VersionAge{{Model: "m", Version: 2, Age: time.Second}, {Model: "m", Version: 9}, {Model: "n", Version: 2}}, "entry-3")
+	require.Equal(t, heard.Add(-5*time.Second), facts.View().Wanted("m").Newest().Since)
+}
--- a/internal/direct/front.go
+++ b/internal/direct/front.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -161,12 +162,10 @@
 }
 
 // Load returns what this box has in flight at each server.
-func (f *Front) Load() map[fleet.ServerID]int {
-	load := make(map[fleet.ServerID]int)
+func (f *Front) Load() route.Load {
+	load := make(route.Load)
 	for _, d := range f.all() {
-		for id, count := range d.Own() {
-			load[id] = count
-		}
+		maps.Copy(load, d.Own())
 	}
 	return load
 }
@@ -181,10 +180,10 @@
 	return all
 }
 
-// PeerLoad takes what another entry box has in flight.
-func (f *Front) PeerLoad(box member.BoxID, load map[fleet.ServerID]int, now time.Time) {
+// PeerLoad takes what another entry box has in flight; see route.Dispatcher.
+func (f *Front) PeerLoad(box member.BoxID, load route.Load, whole bool, now time.Time) {
 	for _, d := range f.all() {
-		d.PeerLoad(box, load, now)
+		d.PeerLoad(box, load, whole, now)
 	}
 }
 
--- a/internal/direct/loader.go
+++ b/internal/direct/loader.go
@@ -189,16 +189,6 @@
 // newest is the version that the server should come to.
 func (t *target) newest() fleet.WeightsVersion { return t.named.Newest().Version }
 
-// since is when a version was named.
-func (t *target) since(version fleet.WeightsVersion) time.Time {
-	for _, named := range t.named {
-		if named.Version == version {
-			return named.Since
-		}
-	}
-	return time.Time{}
-}
-
 // target returns what the server should run; ok is false until it is known.
 func (l *Loader) target() (target, bool) {
 	view := l.options.Facts.View()
@@ -275,9 +265,9 @@
 	case have == 0:
 		return complete, true
 	case complete == want.newest():
-		return complete, !now.Before(l.turn(want, want.since(complete), complete))
+		return complete, !now.Before(l.turn(want, want.named.Since(complete), complete))
 	}
-	latest := want.since(complete).Add(l.options.Bound - swapLatest)
+	latest := want.named.Since(complete).Add(l.options.Bound - swapLatest)
 	return complete, !now.Before(l.turn(want, latest, complete).Add(-swapLead))
 }
 
@@ -386,6 +376,7 @@
 		Box: l.options.Box, Address: string(l.options.Address), Swapping: l.swapping,
 		Running: uint32(l.report.Running), Waiting: uint32(l.report.Waiting),
 		MemoryUsed: l.report.MemoryUsed, MemoryTotal: l.report.MemoryTotal, Pace: l.report.Pace,
+		Ages: agesToWire(l.options.Facts.VersionAges()),
 	}
 	if known && !l.reportAt.IsZero() {
 		status.Model = string(want.model)
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -15,8 +15,8 @@
 	"github.com/cinderslip/cinderslip/internal/daemon"
 	"github.com/cinderslip/cinderslip/internal/kernel"
 	"github.com/cinderslip/cinderslip/internal/wire"
-	"github.com/cinderslip/cinderslip/pkg/fleet"
 	"github.com/cinderslip/cinderslip/pkg/member"
+	"github.com/cinderslip/cinderslip/pkg/route"
 	"github.com/cinderslip/cinderslip/pkg/state"
 )
 
@@ -51,8 +51,8 @@
 	log    zerolog.Logger
 	duties *kernel.Duties
 	seeds  []string
-	// loaded is called with what another box has in flight.
-	loaded func(box member.BoxID, load map[fleet.ServerID]int, now time.Time)
+	// loaded is called with what another box has in flight; see route.Dispatcher.
+	loaded func(box member.BoxID, load route.Load, whole bool, now time.Time)
 
 	// pulled is how far the facts of each box were read; only repair uses it.
 	pulled map[member.Address]state.Cursor
@@ -172,16 +172,31 @@
 
 func (e *EntryBoxes) take(entry string, status *wire.EntryStatus) {
 	now := e.clock.Now()
-	box := entryBoxOf(status, now)
+	load := loadOf(status.InFlight)
 	e.mu.Lock()
 	before, known := e.boxes[entry]
-	e.boxes[entry] = box
+	box := before
+	if status.Partial {
+		box = before.updated(status, now)
+	} else {
+		box = entryBoxOf(status, now)
+	}
+	if known || !status.Partial {
+		e.boxes[entry] = box
+	}
 	e.mu.Unlock()
+	if status.Partial && !known {
+		return
+	}
 	if !known || before.Ready != box.Ready {
-		e.log.Info().Str("box", status.Box).Bool("ready", box.Ready).Bool("leaving", status.Leaving).Msg("entry box heard")
+		e.log.Info().Str("box", string(box.Box)).Bool("ready", box.Ready).Bool("leaving", status.Leaving).Msg("entry box heard")
+	}
+	e.loaded(box.Box, load, !status.Partial, now)
+	if status.Partial {
+		return
 	}
 	e.status.AddEntries(status.Entries)
-	e.loaded(box.Box, box.Load, now)
+	e.facts.LearnAges(agesFromWire(status.Ages), status.Box)
 }
 
 func (e *EntryBoxes) drop(entry string) {
@@ -190,7 +205,7 @@
 	delete(e.boxes, entry)
 	e.mu.Unlock()
 	if known {
-		e.loaded(box.Box, nil, e.clock.Now())
+		e.loaded(box.Box, nil, true, e.clock.Now())
 	}
 }
 
@@ -299,5 +314,6 @@
 	}
 	e.pulled[from] = state.Cursor{Instance: batch.Instance, Sequence: batch.Cursor}
 	e.facts.ApplyItems(itemsFromWire(batch.Items), string(from))
+	e.facts.LearnAges(agesFromWire(batch.Ages), string(from))
 	return nil
 }
--- a/internal/direct/servers.go
+++ b/internal/direct/servers.go
@@ -123,6 +123,7 @@
 					connected = true
 					m.log.Info().Str("dependency", "agent").Str("box", status.Box).Str("address", string(agent)).Msg("dependency regained")
 				}
+				m.facts.LearnAges(agesFromWire(status.Ages), status.Box)
 				m.state(server, serverStateOf(status), m.clock.Now())
 				return nil
 			}, nil
--- a/internal/direct/status.go
+++ b/internal/direct/status.go
@@ -12,6 +12,7 @@
 	"github.com/cinderslip/cinderslip/internal/wire"
 	"github.com/cinderslip/cinderslip/pkg/fleet"
 	"github.com/cinderslip/cinderslip/pkg/member"
+	"github.com/cinderslip/cinderslip/pkg/route"
 	"github.com/cinderslip/cinderslip/pkg/state"
 )
 
@@ -35,7 +36,7 @@
 	clock    clockwork.Clock
 	facts    *Facts
 	identity *wire.EntryStatus
-	load     func() map[fleet.ServerID]int
+	load     func() route.Load
 
 	mu      sync.Mutex
 	ready   bool
@@ -56,7 +57,7 @@
 			Peers: p.settings.Listen.Peers, Callers: p.settings.Listen.Callers,
 			Incarnation: rand.Uint64(),
 		},
-		load:    func() map[fleet.ServerID]int { return p.front.Load() },
+		load:    func() route.Load { return p.front.Load() },
 		entries: make(map[string]bool), added: make(chan struct{}), done: make(chan struct{}),
 	}
 	p.status.AddEntries(p.settings.Peers.Entries)
@@ -134,57 +135,31 @@
 	return entries
 }
 
-// current returns the status to be told now.
+// current returns the status without what is in flight.
 func (s *Status) current() *wire.EntryStatus {
-	load := s.load()
+	ages := agesToWire(s.facts.VersionAges())
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	status := &wire.EntryStatus{
+	return &wire.EntryStatus{
 		Box: s.identity.Box, Region: s.identity.Region, FailureDomain: s.identity.FailureDomain,
 		Peers: s.identity.Peers, Callers: s.identity.Callers, Incarnation: s.identity.Incarnation,
 		Ready: s.ready, Leaving: s.leaving,
 		Revision: uint64(s.facts.Revision()), StoreAgeMilliseconds: s.facts.StoreAge().Milliseconds(),
-		Entries: s.knownEntries(),
+		Entries: s.knownEntries(), Ages: ages,
 	}
-	for server, count := range load {
-		status.InFlight = append(status.InFlight, &wire.InFlight{Server: string(server), Count: uint32(count)})
-	}
-	slices.SortFunc(status.InFlight, func(a, b *wire.InFlight) int {
-		if a.Server < b.Server {
-			return -1
-		}
-		return 1
-	})
-	return status
 }
 
-// sameStatus reports whether two statuses tell the same but for their age.
-func sameStatus(a, b *wire.EntryStatus) bool {
-	if a == nil || a.Ready != b.Ready || a.Leaving != b.Leaving || a.Revision != b.Revision ||
-		len(a.InFlight) != len(b.InFlight) || len(a.Entries) != len(b.Entries) {
-		return false
-	}
-	for i := range a.InFlight {
-		if a.InFlight[i].Server != b.InFlight[i].Server || a.InFlight[i].Count != b.InFlight[i].Count {
-			return false
-		}
-	}
-	return true
-}
-
-// Entry streams the box's status.
+// Entry streams the box's status: whole at first, when it has changed and now and
+// then, and in between only the servers at which what is in flight has changed.
 func (s *Status) Entry(_ *wire.FollowRequest, stream wire.DRPCFleet_EntryStream) error {
 	ticker := s.clock.NewTicker(statusInterval)
 	defer ticker.Stop()
-	var told *wire.EntryStatus
-	var toldAt time.Time
+	var told statusTold
 	for {
-		status := s.current()
-		if !sameStatus(told, status) || s.clock.Since(toldAt) >= statusHeartbeat {
+		if status := told.next(s.current(), s.load(), s.clock.Now()); status != nil {
 			if err := stream.Send(status); err != nil {
 				return err
 			}
-			told, toldAt = status, s.clock.Now()
 		}
 		select {
 		case <-stream.Context().Done():
@@ -196,6 +171,67 @@
 	}
 }
 
+// statusTold is what the receiver of one stream knows.
+type statusTold struct {
+	status *wire.EntryStatus
+	load   route.Load
+	at     time.Time
+}
+
+// next returns the message that brings the receiver to a status and a load; nil if
+// it knows them.
+func (t *statusTold) next(status *wire.EntryStatus, load route.Load, now time.Time) *wire.EntryStatus {
+	if t.status == nil || now.Sub(t.at) >= statusHeartbeat || !sameStatus(t.status, status) {
+		t.status, t.load, t.at = status, load, now
+		status.InFlight = loadToWire(load)
+		return status
+	}
+	changed := make(route.Load)
+	for id, at := range load {
+		if t.load[id] != at {
+			changed[id] = at
+		}
+	}
+	for id := range t.load {
+		if _, stays := load[id]; !stays {
+			changed[id] = route.ServerLoad{}
+		}
+	}
+	if len(changed) == 0 {
+		return nil
+	}
+	t.load = load
+	return &wire.EntryStatus{
+		Partial: true, Ready: status.Ready, Leaving: status.Leaving, Revision: status.Revision, InFlight: loadToWire(changed),
+	}
+}
+
+// sameStatus reports whether two statuses tell the same but for their age and what
+// is in flight.
+func sameStatus(a, b *wire.EntryStatus) bool {
+	return a.Ready == b.Ready && a.Leaving == b.Leaving && a.Revision == b.Revision && len(a.Entries) == len(b.Entries)
+}
+
+func loadToWire(load route.Load) []*wire.InFlight {
+	told := make([]*wire.InFlight, 0, len(load))
+	for id, at := range load {
+		told = append(told, &wire.InFlight{
+			Server: string(id), Count: uint32(at.Requests), ReadingMilliseconds: uint32(at.Reading.Milliseconds()),
+		})
+	}
+	return told
+}
+
+func loadOf(told []*wire.InFlight) route.Load {
+	load := make(route.Load, len(told))
+	for _, at := range told {
+		load[fleet.ServerID(at.Server)] = route.ServerLoad{
+			Requests: int(at.Count), Reading: time.Duration(at.ReadingMilliseconds) * time.Millisecond,
+		}
+	}
+	return load
+}
+
 // Facts streams the facts that changed after a cursor.
 func (s *Status) Facts(request *wire.FactsRequest, stream wire.DRPCFleet_FactsStream) error {
 	cursor := state.Cursor{Instance: request.Instance, Sequence: request.Cursor}
@@ -208,7 +244,7 @@
 		entries, _ := s.Entries()
 		message := &wire.FactsBatch{
 			Instance: cursor.Instance, Cursor: cursor.Sequence, Items: itemsToWire(batch.Items),
-			Entries: append(entries, s.identity.Peers),
+			Entries: append(entries, s.identity.Peers), Ages: agesToWire(s.facts.VersionAges()),
 		}
 		if err := stream.Send(message); err != nil {
 			return err
@@ -261,20 +297,20 @@
 	Revision fleet.Revision
 	// StoreAge is how long ago the store answered the box; negative for never.
 	StoreAge time.Duration
-	Load     map[fleet.ServerID]int
 	Heard    time.Time
 }
 
 func entryBoxOf(status *wire.EntryStatus, now time.Time) EntryBox {
-	entry := EntryBox{
+	return EntryBox{
 		Box: member.BoxID(status.Box), Region: member.Region(status.Region), Domain: member.FailureDomain(status.FailureDomain),
 		Peers: member.Address(status.Peers), Callers: member.Address(status.Callers),
 		Ready: status.Ready && !status.Leaving, Revision: fleet.Revision(status.Revision),
-		StoreAge: time.Duration(status.StoreAgeMilliseconds) * time.Millisecond,
-		Load:     make(map[fleet.ServerID]int, len(status.InFlight)), Heard: now,
-	}
-	for _, load := range status.InFlight {
-		entry.Load[fleet.ServerID(load.Server)] = int(load.Count)
+		StoreAge: time.Duration(status.StoreAgeMilliseconds) * time.Millisecond, Heard: now,
 	}
-	return entry
+}
+
+// updated is the box after a message that tells only what has changed.
+func (b EntryBox) updated(status *wire.EntryStatus, now time.Time) EntryBox {
+	b.Ready, b.Revision, b.Heard = status.Ready && !status.Leaving, fleet.Revision(status.Revision), now
+	return b
 }
--- a/pkg/fleet/view.go
+++ b/pkg/fleet/view.go
@@ -32,6 +32,17 @@
 	Version  WeightsVersion
 	Revision Revision
 	Since    time.Time
+	// Witnessed is set if Since is when some process heard of the version as it was
+	// named. Otherwise it was there when this process started, and Since is a guess.
+	Witnessed bool
+}
+
+// VersionAge is how long ago a version was named, as a process that heard of it
+// then tells.
+type VersionAge struct {
+	Model   ModelName
+	Version WeightsVersion
+	Age     time.Duration
 }
 
 // Named are the versions of a model that were named, oldest first. Before any
@@ -69,6 +80,29 @@
 	return append(slices.Clone(n[last:]), next)
 }
 
+// Since returns when a version was named; the zero time if that is not known.
+func (n Named) Since(version WeightsVersion) time.Time {
+	for _, named := range n {
+		if named.Version == version {
+			return named.Since
+		}
+	}
+	return time.Time{}
+}
+
+// Corrected returns the versions with the time of one corrected by a witness: a
+// guess is replaced, and of two witnesses the one who heard sooner, by more than a
+// tolerance, is right. ok is false if nothing changes.
+func (n Named) Corrected(version WeightsVersion, since time.Time, tolerance time.Duration) (corrected Named, ok bool) {
+	at := slices.IndexFunc(n, func(named WantedSince) bool { return named.Version == version && !named.Since.IsZero() })
+	if at < 0 || n[at].Witnessed && since.After(n[at].Since.Add(-tolerance)) {
+		return n, false
+	}
+	corrected = slices.Clone(n)
+	corrected[at].Since, corrected[at].Witnessed = since, true
+	return corrected, true
+}
+
 // namedKept is how many of the versions that were named last are remembered.
 const namedKept = 8
 
--- a/pkg/route/backend.go
+++ b/pkg/route/backend.go
@@ -8,9 +8,6 @@
 )
 
 const (
-	// peerLoadAge is how long the load that another entry box told counts. It is
-	// several of the intervals at which they tell it.
-	peerLoadAge = 1500 * time.Millisecond
 	// serverStatusAge is how long an agent's status counts.
 	serverStatusAge = 1200 * time.Millisecond
 	// laggingAge is after how long without a status a server with older weights is
@@ -34,9 +31,9 @@
 
 // The parts of a server's cost beside the share of its places that are taken.
 const (
-	// costReading is for each prompt that is being read there: reading holds up
-	// every other request of the batch.
-	costReading = 0.06
+	// readingScale is the time of reading prompts that costs as much as a full
+	// server: an answer begins only once the prompts before it are read.
+	readingScale = 500 * time.Millisecond
 	// costFar is for a server of another region: each answer crosses a priced
 	// link.
 	costFar = 0.2
@@ -71,7 +68,7 @@
 	state   ServerState
 	stateAt time.Time
 
-	own      int
+	own      ServerLoad
 	failures float64
 
 	ejectedTo time.Time
@@ -137,17 +134,14 @@
 	return version >= d.preferred || b.isPrompt(now)
 }
 
-// load is how many requests a server has, as far as this box knows.
-func (d *Dispatcher) load(b *backend, now time.Time) int {
-	load := b.own
-	for _, peer := range d.peers {
-		if now.Sub(peer.at) < peerLoadAge {
-			load += peer.load[b.server.ID]
-		}
-	}
+// load is what a server has in flight, as far as this box knows.
+func (d *Dispatcher) load(b *backend, now time.Time) ServerLoad {
+	load := d.peers.sums[b.server.ID]
+	load.Requests += b.own.Requests
+	load.Reading += b.own.Reading
 	if now.Sub(b.stateAt) < serverStatusAge {
-		if told := b.state.Running + b.state.Waiting; told > load+orphanMargin {
-			return told
+		if told := b.state.Running + b.state.Waiting; told > load.Requests+orphanMargin {
+			load.Requests = told
 		}
 	}
 	return load
--- a/pkg/route/dispatch.go
+++ b/pkg/route/dispatch.go
@@ -51,14 +51,6 @@
 	refusedFew       = 0.3
 )
 
-// Load is how many requests one box has in flight at each server.
-type Load map[fleet.ServerID]int
-
-type peerLoad struct {
-	load Load
-	at   time.Time
-}
-
 // Ask is a request for a place.
 type Ask struct {
 	// Priority is 0 for the most urgent.
@@ -92,7 +84,7 @@
 	mu       sync.Mutex
 	backends map[fleet.ServerID]*backend
 	order    []*backend
-	peers    map[member.BoxID]peerLoad
+	peers    *peerLoads
 	// boxes is how many entry boxes share the places.
 	boxes int
 	queue []*waitingAsk
@@ -121,7 +113,7 @@
 	return &Dispatcher{
 		first: first,
 
-		backends: make(map[fleet.ServerID]*backend), peers: make(map[member.BoxID]peerLoad),
+		backends: make(map[fleet.ServerID]*backend), peers: newPeerLoads(),
 		boxes: 1, usual: usual, engine: engine,
 	}
 }
@@ -195,11 +187,12 @@
 	}
 }
 
-// PeerLoad takes what another entry box has in flight.
-func (d *Dispatcher) PeerLoad(box member.BoxID, load Load, now time.Time) {
+// PeerLoad takes what another entry box has in flight: at the servers that are
+// named, or, if whole is set, at these and no others.
+func (d *Dispatcher) PeerLoad(box member.BoxID, load Load, whole bool, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.peers[box] = peerLoad{load, now}
+	d.peers.take(box, load, whole, now)
 	d.grant(now)
 }
 
@@ -209,7 +202,7 @@
 	defer d.mu.Unlock()
 	load := make(Load)
 	for _, b := range d.order {
-		if b.own > 0 {
+		if b.own.Requests > 0 {
 			load[b.server.ID] = b.own
 		}
 	}
@@ -377,6 +370,7 @@
 
 // choose takes a place on the server that costs least; nil if none has room.
 func (d *Dispatcher) choose(ask *Ask, now time.Time) *Reservation {
+	d.peers.expire(now)
 	var best *backend
 	bestCost := math.Inf(1)
 	for _, b := range d.order {
@@ -384,10 +378,10 @@
 			continue
 		}
 		load, limit := d.load(b, now), d.limit(b)
-		if load >= limit {
+		if load.Requests >= limit {
 			continue
 		}
-		cost := float64(load)/float64(limit) + costReading*float64(len(b.awaiting)) + costFailures*b.failures +
+		cost := float64(load.Requests)/float64(limit) + float64(load.Reading)/float64(readingScale) + costFailures*b.failures +
 			rand.Float64()/float64(limit)
 		if b.far {
 			cost += costFar
@@ -402,7 +396,8 @@
 	if best == nil {
 		return nil
 	}
-	best.own++
+	best.own.Requests++
+	best.own.Reading += ask.Reading
 	version, _ := best.version(now)
 	place := &Reservation{
 		Server: best.server, Version: version, dispatcher: d, backend: best, since: now, readTime: ask.Reading,
--- a/pkg/route/dispatch_bench_test.go
+++ b/pkg/route/dispatch_bench_test.go
@@ -22,9 +22,9 @@
 			for box := range size.boxes {
 				load := make(Load)
 				for i := range size.servers {
-					load[servers[i].ID] = i % 2
+					load[servers[i].ID] = ServerLoad{Requests: i % 2}
 				}
-				d.PeerLoad(member.BoxID(fmt.Sprint(box)), load, d.now)
+				d.PeerLoad(member.BoxID(fmt.Sprint(box)), load, true, d.now)
 			}
 			for b.Loop() {
 				place, err := d.Acquire(context.Background(), d.ask(), d.clock)
--- a/pkg/route/dispatch_test.go
+++ b/pkg/route/dispatch_test.go
@@ -73,7 +73,7 @@
 
 func TestWhatOtherEntryBoxesHaveInFlightCounts(t *testing.T) {
 	b := newBench(true, model("a", 2, 1), model("b", 2, 1))
-	b.PeerLoad("entry-2", Load{"a": 2}, b.now)
+	b.PeerLoad("entry-2", Load{"a": {Requests: 2}}, true, b.now)
 	require.Equal(t, fleet.ServerID("b"), b.acquire(t).Server.ID)
 	require.Equal(t, fleet.ServerID("b"), b.acquire(t).Server.ID)
 	b.now = b.now.Add(peerLoadAge)
@@ -227,8 +227,8 @@
 			}
 			for id, count := range b.Own() {
 				for _, server := range servers {
-					if server.ID == id && count > server.Slots {
-						t.Fatalf("%s has %d of %d places taken", id, count, server.Slots)
+					if server.ID == id && count.Requests > server.Slots {
+						t.Fatalf("%s has %d of %d places taken", id, count.Requests, server.Slots)
 					}
 				}
 			}
--- /dev/null
+++ b/pkg/route/peerload.go
@@ -0,0 +1,92 @@
+package route
+
+import (
+	"time"
+
+	"github.com/cinderslip/cinderslip/pkg/fleet"
+	"github.com/cinderslip/cinderslip/pkg/member"
+)
+
+// peerLoadAge is how long the load that another entry box told counts. It is
+// several of the intervals at which they tell it.
+const peerLoadAge = 1500 * time.Millisecond
+
+// ServerLoad is what entry boxes have in flight at one server.
+type ServerLoad struct {
+	Requests int
+	// Reading is how long the server takes to read the requests whose answers have
+	// not begun.
+	Reading time.Duration
+}
+
+// Load is what one entry box has in flight at each server.
+type Load map[fleet.ServerID]ServerLoad
+
+// peerLoad is what another entry box told last, and when.
+type peerLoad struct {
+	load Load
+	at   time.Time
+}
+
+// peerLoads keeps what the other entry boxes have in flight, and the sums, so that
+// choosing a server does not add them up each time.
+type peerLoads struct {
+	boxes map[member.BoxID]*peerLoad
+	sums  Load
+}
+
+func newPeerLoads() *peerLoads {
+	return &peerLoads{boxes: make(map[member.BoxID]*peerLoad), sums: make(Load)}
+}
+
+// take notes what a box has in flight: at the servers that are named, or, if whole
+// is set, at these and no others.
+func (p *peerLoads) take(box member.BoxID, told Load, whole bool, now time.Time) {
+	known := p.boxes[box]
+	switch {
+	case known == nil && !whole:
+		// The first word of a box is whole; what comes before it is of no use.
+		return
+	case known == nil:
+		known = &peerLoad{load: make(Load)}
+		p.boxes[box] = known
+	}
+	known.at = now
+	if whole {
+		for id := range known.load {
+			if _, stays := told[id]; !stays {
+				p.set(known, id, ServerLoad{})
+			}
+		}
+	}
+	for id, load := range told {
+		p.set(known, id, load)
+	}
+}
+
+// set changes what one box has in flight at one server, and the sum.
+func (p *peerLoads) set(box *peerLoad, id fleet.ServerID, load ServerLoad) {
+	before := box.load[id]
+	sum := p.sums[id]
+	sum.Requests += load.Requests - before.Requests
+	sum.Reading += load.Reading - before.Reading
+	if p.sums[id] = sum; sum == (ServerLoad{}) {
+		delete(p.sums, id)
+	}
+	if box.load[id] = load; load == (ServerLoad{}) {
+		delete(box.load, id)
+	}
+}
+
+// expire forgets the boxes that have told nothing for long.
+func (p *peerLoads) expire(now time.Time) {
+	for box, known := range p.boxes {
+		if now.Sub(known.at) < peerLoadAge {
+			continue
+		}
+		for id := range known.load {
+			p.set(known, id, ServerLoad{})
+		}
+		delete(p.boxes, box)
+	}
+}
--- /dev/null
+++ b/pkg/route/peerload_test.go
@@ -0,0 +1,90 @@
+package route
+
+import (
+	"fmt"
+	"maps"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cinderslip/cinderslip/pkg/fleet"
+	"github.com/cinderslip/cinderslip/pkg/member"
+)
+
+// drawLoad draws what a box has in flight, nothing at some servers.
+func drawLoad(t *rapid.T) Load {
+	load := make(Load)
+	for _, id := range []fleet.ServerID{"a", "b", "c"} {
+		if rapid.Bool().Draw(t, "named") {
+			load[id] = ServerLoad{
+				Requests: rapid.IntRange(0, 5).Draw(t, "requests"), Reading: time.Duration(rapid.IntRange(0, 99).Draw(t, "reading")) * time.Millisecond,
+			}
+		}
+	}
+	return load
+}
+
+func TestTheSumsOfPeerLoadsAreThoseOfWhatEachBoxToldLast(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		peers, want := newPeerLoads(), make(map[member.BoxID]*peerLoad)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			box := member.BoxID(fmt.Sprint(rapid.IntRange(1, 3).Draw(t, "box")))
+			told, whole := drawLoad(t), rapid.Bool().Draw(t, "whole")
+			peers.expire(now)
+			peers.take(box, told, whole, now)
+			for name, known := range want {
+				if now.Sub(known.at) >= peerLoadAge {
+					delete(want, name)
+				}
+			}
+			if whole {
+				want[box] = &peerLoad{load: maps.Clone(told), at: now}
+			} else if known := want[box]; known != nil {
+				maps.Copy(known.load, told)
+				known.at = now
+			}
+			sums := make(Load)
+			for _, known := range want {
+				for id, load := range known.load {
+					sum := sums[id]
+					sum.Requests += load.Requests
+					sum.Reading += load.Reading
+					sums[id] = sum
+				}
+			}
+			maps.DeleteFunc(sums, func(_ fleet.ServerID, load ServerLoad) bool { return load == ServerLoad{} })
+			if !maps.Equal(sums, peers.sums) {
+				t.Fatalf("sums are %v, want %v", peers.sums, sums)
+			}
+		}
+	})
+}
+
+// Without it, a server that reads the long prompts of another box seemed free.
+func TestPromptsThatOtherBoxesSentCountUntilTheyAreRead(t *testing.T) {
+	b := newBench(true, model("a", 16, 1), model("b", 16, 1))
+	b.PeerLoad("entry-2", Load{"a": {Requests: 1, Reading: 2 * readingScale}}, true, b.now)
+	for range 8 {
+		require.Equal(t, fleet.ServerID("b"), b.acquire(t).Server.ID)
+	}
+	b.PeerLoad("entry-2", Load{"a": {Requests: 1}}, false, b.now)
+	require.Equal(t, fleet.ServerID("a"), b.acquire(t).Server.ID)
+}
+
+func TestAPromptCountsUntilItsAnswerBegins(t *testing.T) {
+	b := newBench(true, model("a", 16, 1))
+	ask := b.ask()
+	ask.Reading = 30 * time.Millisecond
+	place, err := b.Acquire(t.Context(), ask, b.clock)
+	require.NoError(t, err)
+	require.Equal(t, Load{"a": {Requests: 1, Reading: 30 * time.Millisecond}}, b.Own())
+	place.Started(b.now)
+	place.Started(b.now)
+	require.Equal(t, Load{"a": {Requests: 1}}, b.Own())
+	place.Release(ResultDone, b.now)
+	require.Empty(t, b.Own())
+}
--- a/pkg/route/reservation.go
+++ b/pkg/route/reservation.go
@@ -43,7 +43,7 @@
 	if _, awaited := r.backend.awaiting[r]; !awaited {
 		return
 	}
-	delete(r.backend.awaiting, r)
+	r.begun()
 	r.backend.startTime, r.backend.startedAt = now.Sub(r.since), now
 	// The estimate of round-trip times of RFC 6298, with its weights.
 	sample := max(0, now.Sub(r.since)-r.readTime)
@@ -102,11 +102,19 @@
 }
 
 func (d *Dispatcher) release(r *Reservation, now time.Time) {
-	delete(r.backend.awaiting, r)
-	r.backend.own--
+	r.begun()
+	r.backend.own.Requests--
 	d.grant(now)
 }
 
+// begun notes that the server no longer reads the request.
+func (r *Reservation) begun() {
+	if _, awaited := r.backend.awaiting[r]; awaited {
+		delete(r.backend.awaiting, r)
+		r.backend.own.Reading -= r.readTime
+	}
+}
+
 // resultNames are the names of results in logs and metrics.
 var resultNames = map[Result]string{
 	ResultDone: "done", ResultFailed: "failed", ResultRefused: "refused",
