perf(weights): after an outage of the origin each piece is for its first drawer again

Each agent also read the manifest from the origin, with 76 of them 250 KB. Change: waits for other drawers count from the last draw that failed; two agents read a manifest from the origin, the others ask them.

--- a/internal/direct/loader.go
+++ b/internal/direct/loader.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -288,6 +289,16 @@
 	l.notify()
 }
 
+const (
+	// manifestReaders is how many agents read a manifest from the origin at first; the
+	// others ask them, so that the origin's link is free for pieces.
+	manifestReaders = 2
+	// manifestTries is how often the others ask, manifestWait the time between: in all
+	// about twice what a call of the origin takes while it is busy.
+	manifestTries = 5
+	manifestWait  = 50 * time.Millisecond
+)
+
 // manifest returns the manifest of a version: held, of a peer, or of the origin.
 func (l *Loader) manifest(ctx context.Context, want *target, version fleet.WeightsVersion) (*weights.Manifest, error) {
 	key := publishedVersion{want.model, version}
@@ -297,7 +308,7 @@
 	if held != nil {
 		return held, nil
 	}
-	manifest, err := l.manifestFromPeers(ctx, want, version)
+	manifest, err := l.askForManifest(ctx, want, version)
 	if err != nil {
 		callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
 		defer cancel()
@@ -314,6 +325,30 @@
 	return manifest, nil
 }
 
+// askForManifest asks those who read the manifest from the origin, then the
+// neighbours. A reader asks nobody.
+func (l *Loader) askForManifest(ctx context.Context, want *target, version fleet.WeightsVersion) (*weights.Manifest, error) {
+	var agents []member.Address
+	for _, record := range l.records(want) {
+		agents = append(agents, record.Peers)
+	}
+	readers := member.Rank(fmt.Sprintf("manifest/%s/%d", want.model, version), agents, manifestReaders)
+	if slices.Contains(readers, l.options.Agent) {
+		return nil, errNoPeer
+	}
+	for range manifestTries {
+		if manifest, err := l.manifestFrom(ctx, want, version, readers); err == nil {
+			return manifest, nil
+		}
+		sleep(ctx, l.options.Clock, manifestWait)
+	}
+	var neighbours []member.Address
+	for _, record := range l.neighbours(want) {
+		neighbours = append(neighbours, record.Peers)
+	}
+	return l.manifestFrom(ctx, want, version, neighbours)
+}
+
 // forgetOlder drops the pieces of versions before the last two.
 func (l *Loader) forgetOlder(newest publishedVersion) {
 	l.mu.Lock()
@@ -329,10 +364,11 @@
 // errNoPeer reports that no peer has a manifest.
 var errNoPeer = errors.New("no peer has the manifest")
 
-func (l *Loader) manifestFromPeers(ctx context.Context, want *target, version fleet.WeightsVersion) (*weights.Manifest, error) {
-	for _, neighbour := range l.neighbours(want) {
+// manifestFrom asks agents one after the other.
+func (l *Loader) manifestFrom(ctx context.Context, want *target, version fleet.WeightsVersion, agents []member.Address) (*weights.Manifest, error) {
+	for _, agent := range agents {
 		callCtx, cancel := context.WithTimeout(ctx, reportTimeout/4)
-		answer, err := wire.NewDRPCFleetClient(l.options.Peers.Conn(neighbour.Peers)).
+		answer, err := wire.NewDRPCFleetClient(l.options.Peers.Conn(agent)).
 			Published(callCtx, &wire.PublishedRequest{Model: string(want.model), Version: uint64(version)})
 		cancel()
 		if err != nil || len(answer.Content) == 0 {
@@ -342,7 +378,7 @@
 		if err == nil && manifest.Model == string(want.model) && manifest.Version == strconv.FormatUint(uint64(version), 10) {
 			return manifest, nil
 		}
-		l.options.Log.Warn().Str("peer", string(neighbour.Peers)).Err(err).Msg("manifest refused")
+		l.options.Log.Warn().Str("peer", string(agent)).Err(err).Msg("manifest refused")
 	}
 	return nil, errNoPeer
 }
--- a/pkg/weights/picker.go
+++ b/pkg/weights/picker.go
@@ -25,8 +25,8 @@
 	// DrawWait is how long each place in the order of drawers waits for the
 	// one before it, counted from the last chunk that this box got.
 	DrawWait time.Duration
-	// Patience is after how long the waits of DrawWait are counted from the start
-	// of the copy, even while other chunks come: a first drawer may be on a link
+	// Patience is after how long the waits of DrawWait are counted from the start of
+	// the copy or the last draw that failed, even while other chunks come: a first drawer may be on a link
 	// that has become slow. 0 leaves it at DrawWait.
 	Patience time.Duration
 	// FarPatience is the same for chunks that another box of the region is to bring
@@ -71,10 +71,13 @@
 	manifest *Manifest
 	self     string
 	options  PickerOptions
-	started  time.Time
 	// progress is when the last chunk was got. While chunks keep coming, one
 	// that is not shown yet is most likely on its way through other boxes.
 	progress time.Time
+	// drawsFrom is from when the waits for other drawers count: the start of the copy,
+	// or the last draw of this box that failed. If the origin is away it is so for all,
+	// and when it returns each chunk is again for its first drawer.
+	drawsFrom time.Time
 
 	held       Bits
 	missing    int
@@ -100,7 +103,7 @@
 // fetched.
 func NewPicker(manifest *Manifest, self string, held Bits, options PickerOptions, now time.Time) *Picker {
 	p := &Picker{
-		manifest: manifest, self: self, options: options, started: now, progress: now,
+		manifest: manifest, self: self, options: options, progress: now, drawsFrom: now,
 		held:       NewBits(len(manifest.Chunks)),
 		missing:    len(manifest.Chunks),
 		running:    make(map[int]time.Time),
@@ -340,7 +343,7 @@
 		if p.ranks[chunk] > lastRank || now.Before(p.due(p.ranks[chunk], p.options.Patience)) || now.Before(p.lastRetry[chunk]) {
 			continue
 		}
-		if now.Before(p.started.Add(time.Duration(chunk) * p.options.DrawPace)) {
+		if now.Before(p.drawsFrom.Add(time.Duration(chunk) * p.options.DrawPace)) {
 			continue
 		}
 		if best < 0 || p.ranks[chunk] < bestRank {
@@ -357,9 +360,13 @@
 	if rank == 0 {
 		return p.progress
 	}
-	due := p.progress.Add(time.Duration(rank+1) * p.options.DrawWait)
+	from := p.progress
+	if from.Before(p.drawsFrom) {
+		from = p.drawsFrom
+	}
+	due := from.Add(time.Duration(rank+1) * p.options.DrawWait)
 	if patience > 0 {
-		latest := p.started.Add(patience + time.Duration(rank)*p.options.DrawWait)
+		latest := p.drawsFrom.Add(patience + time.Duration(rank)*p.options.DrawWait)
 		if latest.Before(due) {
 			return latest
 		}
@@ -374,7 +381,7 @@
 		return false
 	}
 	wait := 2*p.options.Patience + time.Duration(p.ranks[chunk])*p.options.DrawWait
-	return now.Sub(p.started) >= wait
+	return now.Sub(p.drawsFrom) >= wait
 }
 
 func (p *Picker) isRunning(chunk int) bool {
@@ -415,7 +422,7 @@
 func (p *Picker) Failed(task Task, retry time.Time) {
 	p.finish(task)
 	if task.IsDraw() {
-		p.lastRetry[task.Chunk] = retry
+		p.lastRetry[task.Chunk], p.drawsFrom = retry, retry
 		return
 	}
 	if n, ok := p.neighbours[task.From]; ok {
--- a/pkg/weights/weights_test.go
+++ b/pkg/weights/weights_test.go
@@ -305,3 +305,46 @@
 		now = now.Add(options.DrawPace)
 	}
 }
+
+// While an origin was away every box tried every chunk, and when it returned they all
+// drew everything at once: 3 copies, and 3.4 s until the first was whole.
+func TestAnOriginThatReturnsGivesEachChunkToItsFirstDrawer(t *testing.T) {
+	m := build(t, 64, random(1, 4096))
+	options := DefaultPickerOptions()
+	options.DrawWait, options.Patience, options.DrawWindow = 500*time.Millisecond, 1200*time.Millisecond, 2
+	const boxes, retry, step = 20, 300 * time.Millisecond, 50 * time.Millisecond
+	var all []Peer
+	for i := range boxes {
+		all = append(all, Peer{Box: name(i)})
+	}
+	now := time.Unix(0, 0)
+	var pickers []*Picker
+	for i := range boxes {
+		p := NewPicker(m, name(i), nil, options, now)
+		p.SetDrawers(all)
+		pickers = append(pickers, p)
+	}
+	tried := 0
+	for range int(6 * time.Second / step) {
+		for _, p := range pickers {
+			for task, ok := p.Next(now); ok; task, ok = p.Next(now) {
+				p.Failed(task, now.Add(retry))
+				tried++
+			}
+		}
+		now = now.Add(step)
+	}
+	require.Less(t, tried, 2*len(m.Chunks)*int(6*time.Second/retry), "draws tried while the origin is away")
+	draws := 0
+	for range int(800 * time.Millisecond / step) {
+		for _, p := range pickers {
+			for task, ok := p.Next(now); ok; task, ok = p.Next(now) {
+				p.Done(task, now)
+				draws++
+			}
+		}
+		now = now.Add(step)
+	}
+	require.GreaterOrEqual(t, draws, len(m.Chunks))
+	require.LessOrEqual(t, draws, len(m.Chunks)*11/10, "a chunk is drawn by its first drawer, seldom by the next one too")
+}
