fix(direct): of entries with one address the newest is believed

Ruled out: weights (the version asked for was the one loaded). Change: of several entries with one address the one written last is believed.

--- a/internal/direct/facts.go
+++ b/internal/direct/facts.go
@@ -16,6 +16,7 @@
 	"github.com/cinderslip/cinderslip/internal/kernel"
 	"github.com/cinderslip/cinderslip/internal/provider"
 	"github.com/cinderslip/cinderslip/pkg/fleet"
+	"github.com/cinderslip/cinderslip/pkg/member"
 	"github.com/cinderslip/cinderslip/pkg/state"
 )
 
@@ -58,7 +59,7 @@
 	mu sync.Mutex
 	// changed is closed when the view changes.
 	changed  chan struct{}
-	servers  map[fleet.ServerID]fleet.Server
+	servers  map[fleet.ServerID]listing
 	wanted   map[fleet.ModelName]fleet.Named
 	revision fleet.Revision
 	// held are the deletions that are held back, by key. While there are any, the
@@ -71,13 +72,19 @@
 	returned time.Time
 }
 
+// listing is a server's entry and when it was written.
+type listing struct {
+	fleet.Server
+	revision fleet.Revision
+}
+
 // NewFacts returns facts that know nothing yet.
 func NewFacts(clock clockwork.Clock, log zerolog.Logger, metrics *Metrics) *Facts {
 	f := &Facts{
 		clock: clock, log: log, metrics: metrics,
 		store: state.NewStore(rand.Uint64()), duties: kernel.NewDuties(),
 		changed: make(chan struct{}),
-		servers: make(map[fleet.ServerID]fleet.Server),
+		servers: make(map[fleet.ServerID]listing),
 		wanted:  make(map[fleet.ModelName]fleet.Named),
 		held:    make(map[string]fleet.Revision),
 	}
@@ -349,7 +356,7 @@
 			f.log.Info().Str("server", string(id)).Str("service", string(fact.Server.Service)).Str("address", string(fact.Server.Address)).
 				Bool("leaving", fact.Server.Leaving).Uint64("revision", uint64(fact.Revision)).Str("from", from).Msg("server listed")
 		}
-		f.servers[id] = *fact.Server
+		f.servers[id] = listing{*fact.Server, fact.Revision}
 		return
 	}
 	server, known := f.servers[id]
@@ -361,10 +368,19 @@
 		Uint64("revision", uint64(fact.Revision)).Str("from", from).Msg("server gone from the list")
 }
 
+// believedServers returns one server for each address. One that was started anew has
+// another id, and the entry of the start before stays for seconds: of several entries
+// with one address the newest is right.
 func (f *Facts) believedServers() []fleet.Server {
-	servers := make([]fleet.Server, 0, len(f.servers))
+	newest := make(map[member.Address]listing, len(f.servers))
 	for _, server := range f.servers {
-		servers = append(servers, server)
+		if known, ok := newest[server.Address]; !ok || server.revision > known.revision {
+			newest[server.Address] = server
+		}
+	}
+	servers := make([]fleet.Server, 0, len(newest))
+	for _, server := range newest {
+		servers = append(servers, server.Server)
 	}
 	return servers
 }
--- a/internal/direct/facts_test.go
+++ b/internal/direct/facts_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/cinderslip/cinderslip/internal/provider"
 	"github.com/cinderslip/cinderslip/pkg/fleet"
+	"github.com/cinderslip/cinderslip/pkg/member"
 )
 
 // scriptedStore answers calls one after the other.
@@ -42,7 +43,11 @@
 }
 
 func listed(id fleet.ServerID, revision fleet.Revision) fleet.Fact {
-	return fleet.Fact{Key: fleet.ServerKey(id), Revision: revision, Server: &fleet.Server{ID: id, Service: "llm", Slots: 1}}
+	return listedAt(id, member.Address(id), revision)
+}
+
+func listedAt(id fleet.ServerID, address member.Address, revision fleet.Revision) fleet.Fact {
+	return fleet.Fact{Key: fleet.ServerKey(id), Revision: revision, Server: &fleet.Server{ID: id, Service: "llm", Address: address, Slots: 1}}
 }
 
 // gone is the deletion of server a at revision 7.
@@ -202,3 +207,20 @@
 	facts.LearnAges([]fleet.VersionAge{{Model: "m", Version: 2, Age: time.Second}, {Model: "m", Version: 9}, {Model: "n", Version: 2}}, "entry-3")
 	require.Equal(t, heard.Add(-5*time.Second), facts.View().Wanted("m").Newest().Since)
 }
+
+// After a loss of power each address had two entries for seconds, and half of the
+// requests were sent to servers that were no more.
+func TestOfTwoServersWithOneAddressTheNewestIsBelieved(t *testing.T) {
+	facts, _ := newTestFacts()
+	only := func() fleet.ServerID {
+		servers := facts.View().Servers("llm")
+		require.Len(t, servers, 1)
+		return servers[0].ID
+	}
+	facts.Apply([]fleet.Fact{listedAt("new", "10.0.0.1:80", 9), listedAt("old", "10.0.0.1:80", 3)}, "store")
+	require.Equal(t, fleet.ServerID("new"), only())
+	facts.Apply([]fleet.Fact{{Key: fleet.ServerKey("old"), Revision: 12, Gone: true}}, "store")
+	require.Equal(t, fleet.ServerID("new"), only())
+	facts.Apply([]fleet.Fact{{Key: fleet.ServerKey("new"), Revision: 13, Gone: true}}, "store")
+	require.Empty(t, facts.View().Servers("llm"))
+}
