perf(route): no more prompts than can be read in time; callers come back one after the other

Ruled out: places (212 answers a second of 290 possible). Change: (1) the time that a server takes to read a prompt beside its writing (stride and step of the engine) counts, and a request goes only where what is to be read lets it begin in time, a late one where hardly anything is; (2) refused requests get the spare places one after the other; (3) one that comes back waits up to 0.45 of its time, 1.9 s at the most; (4) until 20 callers are known, the route's time tells who has been here before.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -162,11 +162,12 @@
 
 // ask is what a request needs of a server.
 func (f *Front) ask(x *exchange, tried []fleet.ServerID, once bool) *route.Ask {
+	reading, writing := f.engineTimes(x)
 	ask := &route.Ask{
-		Priority: f.priority(x), Objective: x.arrived.Add(x.route.Objective), Reading: f.readingTime(x), Deadline: x.deadline,
+		Priority: f.priority(x), Objective: x.arrived.Add(x.route.Objective), Deadline: x.deadline,
+		Reading: reading, Holding: reading + writing,
 		Returning: x.returning, Tried: tried, Once: once,
 	}
-	ask.Holding = ask.Reading + f.writingTime(x)
 	if x.attempts > 0 {
 		// A request that has been tried already goes before those that came later.
 		ask.Returning = true
@@ -182,31 +183,21 @@
 	return x.route.Priority
 }
 
-// readingTime is how long a model server reads the prompt.
-func (f *Front) readingTime(x *exchange) time.Duration {
-	service := f.facts.View().Service(x.service)
-	if service == nil || service.Engine == nil || service.Engine.ReadPerSecond <= 0 {
-		return 0
-	}
-	return time.Duration(float64(x.PromptTokens) / service.Engine.ReadPerSecond * float64(time.Second))
-}
-
-// writingTime is how long a model server is expected to write the answer, on a half
-// full batch; 0 for other servers.
-func (f *Front) writingTime(x *exchange) time.Duration {
+// engineTimes is how long a model server reads the prompt and is expected to write the
+// answer; 0 for other servers.
+func (f *Front) engineTimes(x *exchange) (reading, writing time.Duration) {
 	service := f.facts.View().Service(x.service)
 	if service == nil || service.Engine == nil {
-		return 0
+		return 0, 0
 	}
-	engine := service.Engine
 	tokens := float64(x.AnswerHint)
 	if tokens == 0 {
-		tokens = engine.UsualAnswer
+		tokens = service.Engine.UsualAnswer
 	}
 	if x.AnswerTokens > 0 {
 		tokens = min(tokens, float64(x.AnswerTokens))
 	}
-	return time.Duration(tokens * (float64(engine.Step) + float64(engine.StepPerRequest)*float64(engine.Slots)/2))
+	return service.Engine.ReadingTime(x.PromptTokens), service.Engine.WritingTime(tokens)
 }
 
 // attempt sends the request to one server and passes its answer on.
--- a/internal/direct/front.go
+++ b/internal/direct/front.go
@@ -77,9 +77,8 @@
 	mu          sync.Mutex
 	dispatchers map[member.Service]*route.Dispatcher
 	budgets     map[member.Service]*route.WindowBudget
-	// longest is the longest time that callers of a route have asked for; one
-	// who asks for less has been here before.
-	longest map[string]time.Duration
+	// patience is how long the callers of a route wait, by the route's name.
+	patience map[string]*patience
 }
 
 // retryLimits bound the attempts beyond the first of all entry boxes together.
@@ -97,7 +96,7 @@
 		duties: kernel.NewDuties(), started: p.options.Clock.Now(), bound: time.Duration(direct.VersionBound),
 		retries: retryLimits{direct.RetryRatio, direct.RetryExtra, time.Duration(direct.RetryWindow)},
 		isNear:  p.isNear, dispatchers: make(map[member.Service]*route.Dispatcher),
-		budgets: make(map[member.Service]*route.WindowBudget), longest: make(map[string]time.Duration),
+		budgets: make(map[member.Service]*route.WindowBudget), patience: make(map[string]*patience),
 	}
 	f.pool = upstream.NewPool(upstream.Options{
 		Clock: p.options.Clock, IsOwn: f.isOwn, KeepPerServer: keepPerServer, Opened: p.metrics.connections.Inc,
@@ -418,9 +417,40 @@
 	return false
 }
 
-// returningPart is the part of the longest time asked for below which a caller
-// is taken to have been refused before.
-const returningPart = 0.985
+// patience is the longest time that callers of a route have asked for. One who asks
+// for less has been here before.
+type patience struct {
+	longest time.Duration
+	seen    int
+}
+
+const (
+	// returningPart is the part of the longest time asked for below which a caller is
+	// taken to have been refused before.
+	returningPart = 0.985
+	// patienceKnown is after how many callers the longest time is known. Until then the
+	// route's own time counts too: after a loss of power most callers have been here
+	// before.
+	patienceKnown = 20
+)
+
+// isReturning reports whether a caller has been refused before.
+func (f *Front) isReturning(x *exchange) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	known := f.patience[x.route.Name]
+	if known == nil {
+		known = &patience{}
+		f.patience[x.route.Name] = known
+	}
+	known.seen++
+	known.longest = max(known.longest, x.Deadline)
+	longest := known.longest
+	if known.seen <= patienceKnown {
+		longest = max(longest, x.route.Timeout)
+	}
+	return float64(x.Deadline) < returningPart*float64(longest)
+}
 
 func (f *Front) setTimes(x *exchange) {
 	timeout := x.route.Timeout
@@ -428,11 +458,7 @@
 		timeout = x.Deadline
 	}
 	if x.Deadline > 0 {
-		f.mu.Lock()
-		longest := max(f.longest[x.route.Name], x.Deadline)
-		f.longest[x.route.Name] = longest
-		f.mu.Unlock()
-		x.returning = float64(x.Deadline) < returningPart*float64(longest)
+		x.returning = f.isReturning(x)
 		timeout = min(timeout, x.Deadline)
 	}
 	x.deadline = x.arrived.Add(timeout)
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -109,6 +109,28 @@
 	// UsualPrompt and UsualAnswer are mean sizes, in tokens.
 	UsualPrompt float64 `cbor:"11,keyasint"`
 	UsualAnswer float64 `cbor:"12,keyasint"`
+	// ReadAtOnce is how many tokens of prompts are read between two strides; 0 if
+	// that is not known.
+	ReadAtOnce int `cbor:"13,keyasint,omitempty"`
+}
+
+// ReadingTime returns how long a server that also writes answers takes to read a
+// prompt: after each part of it a stride of token steps is played.
+func (e *Engine) ReadingTime(tokens int) time.Duration {
+	if e.ReadPerSecond <= 0 {
+		return 0
+	}
+	reading := time.Duration(float64(tokens) / e.ReadPerSecond * float64(time.Second))
+	if e.ReadAtOnce <= 0 {
+		return reading
+	}
+	return reading + time.Duration(float64(tokens)/float64(e.ReadAtOnce)*float64(e.Stride)*float64(e.Step))
+}
+
+// WritingTime returns how long a server whose batch is half full takes to write an
+// answer.
+func (e *Engine) WritingTime(tokens float64) time.Duration {
+	return time.Duration(tokens * (float64(e.Step) + float64(e.StepPerRequest)*float64(e.Slots)/2))
 }
 
 // Service is a group of backend servers that answer alike, or an origin of
--- a/pkg/route/backend.go
+++ b/pkg/route/backend.go
@@ -33,7 +33,7 @@
 const (
 	// readingScale is the time of reading prompts that costs as much as a full
 	// server: an answer begins only once the prompts before it are read.
-	readingScale = 500 * time.Millisecond
+	readingScale = 800 * time.Millisecond
 	// costFar is for a server of another region: each answer crosses a priced
 	// link.
 	costFar = 0.2
--- a/pkg/route/dispatch.go
+++ b/pkg/route/dispatch.go
@@ -37,18 +37,19 @@
 	lateReserve = 0.5
 	// retryLeast is the shortest time after which a caller is told to return.
 	retryLeast = 100 * time.Millisecond
-	// lateness is how much later than its objective asks a request may start that
-	// was refused before, as long as few are refused: callers prefer a late answer
-	// to a second refusal.
-	lateness = 1200 * time.Millisecond
 	// holdPart is the part of its time for which a request that was refused before
-	// waits for a service that has no server: most such times are short, while new
-	// weights are taken, and a second refusal is final.
-	holdPart = 0.4
-	// refusedSmoothing is the weight of the newest request in the share of those
-	// that are refused, and refusedFew the share up to which few are.
-	refusedSmoothing = 0.02
-	refusedFew       = 0.3
+	// waits for a place or a server: a second refusal is final, and with less than
+	// half of its time held nothing is lost by waiting.
+	holdPart = 0.45
+	// holdLongest bounds that: readers of streams leave after two seconds without any
+	// event.
+	holdLongest = 1900 * time.Millisecond
+	// spareShare is the part of the places that is there for requests which come back,
+	// beside those that come first, once a service has recovered.
+	spareShare = 0.3
+	// lateReading is how much a server may have to read when a late request is sent
+	// there: about one prompt.
+	lateReading = 60 * time.Millisecond
 )
 
 // Ask is a request for a place.
@@ -96,8 +97,9 @@
 	// deviation by how much that differs, in the mean.
 	first     time.Duration
 	deviation time.Duration
-	// refused is the share of first requests that were refused lately.
-	refused float64
+	// promised is until when the spare places are promised to requests that were told
+	// to come back.
+	promised time.Time
 	// required is the oldest version of weights that may start a request.
 	required fleet.WeightsVersion
 	// preferred is the oldest version for any server; older ones, down to the
@@ -226,25 +228,21 @@
 	ask.startBy = ask.Objective.Add(-d.first - d.deviation - ask.Reading)
 	if len(d.queue) == 0 || d.isFirst(ask, at) {
 		if place := d.choose(ask, at); place != nil {
-			d.note(ask, false)
 			d.mu.Unlock()
 			return place, nil
 		}
 	}
-	if !d.anyEligible(at) {
-		if !ask.Returning || ask.Once {
-			d.mu.Unlock()
-			return nil, ErrNoServer
+	latest := d.latest(ask, at)
+	switch {
+	case ask.Once || !ask.Returning && !d.anyEligible(at):
+		defer d.mu.Unlock()
+		if d.anyEligible(at) {
+			return nil, d.busy(ask, at)
 		}
-		return d.hold(ctx, ask, at.Add(time.Duration(holdPart*float64(ask.Deadline.Sub(at)))), now)
-	}
-	ahead, wait := d.expected(ask)
-	latest := d.latest(ask)
-	late := at.Add(wait).After(latest)
-	d.note(ask, late)
-	if ask.Once || late {
-		d.mu.Unlock()
-		return nil, d.busy(ask, ahead, wait, at)
+		return nil, ErrNoServer
+	case !ask.Returning && at.Add(d.expected(ask)).After(latest):
+		defer d.mu.Unlock()
+		return nil, d.busy(ask, at)
 	}
 	return d.hold(ctx, ask, latest, now)
 }
@@ -257,26 +255,17 @@
 	return d.wait(ctx, w, latest, now)
 }
 
-// latest is when a request must have started to be worth waiting for. While the
-// service is overloaded, places go to those who can still be answered in time.
-func (d *Dispatcher) latest(ask *Ask) time.Time {
-	latest := ask.startBy
-	if ask.Returning {
-		latest = latest.Add(time.Duration(float64(lateness) * max(0, 1-d.refused/refusedFew)))
-	}
-	return latest
-}
-
-// note counts whether a first request was refused.
-func (d *Dispatcher) note(ask *Ask, refused bool) {
-	if ask.Returning {
-		return
+// latest is when a request must have started to be worth waiting for: in time for its
+// objective, or, if it was refused before, before it has waited for too long.
+func (d *Dispatcher) latest(ask *Ask, now time.Time) time.Time {
+	if !ask.Returning {
+		return ask.startBy
 	}
-	share := 0.0
-	if refused {
-		share = 1
+	held := min(holdLongest, time.Duration(holdPart*float64(ask.Deadline.Sub(now))))
+	if latest := now.Add(held); latest.After(ask.startBy) {
+		return latest
 	}
-	d.refused += refusedSmoothing * (share - d.refused)
+	return ask.startBy
 }
 
 // wait returns the place that is granted. A request that can no longer be
@@ -309,8 +298,7 @@
 	}
 	d.queue = slices.Delete(d.queue, at, at+1)
 	if problem == nil {
-		ahead, wait := d.expected(w.ask)
-		problem = d.busy(w.ask, ahead, wait, now())
+		problem = d.busy(w.ask, now())
 	}
 	return nil, problem
 }
@@ -321,11 +309,19 @@
 	return d.usual
 }
 
-// busy says when a refused request should come back.
-func (d *Dispatcher) busy(ask *Ask, ahead int, wait time.Duration, now time.Time) error {
-	longest := ask.Deadline.Sub(now) / 3
-	spread := time.Duration(rand.Int64N(int64(max(wait, retryLeast))))
-	return &BusyError{Waiting: ahead, RetryAfter: max(retryLeast, min(wait+spread/2, longest))}
+// busy says when a refused request should come back. Those that are refused get the
+// spare places one after the other: told the same short time, they would come back
+// together and be refused for good.
+func (d *Dispatcher) busy(ask *Ask, now time.Time) error {
+	longest := max(retryLeast, ask.Deadline.Sub(now)/3)
+	back := now.Add(max(retryLeast, d.expected(ask)))
+	if d.promised.After(back) {
+		back = d.promised
+	}
+	wait := min(back.Sub(now), longest)
+	d.promised = now.Add(wait + time.Duration(float64(d.interval())/spareShare))
+	jitter := time.Duration(rand.Int64N(int64(retryLeast)))
+	return &BusyError{Waiting: len(d.queue), RetryAfter: min(wait+jitter, longest)}
 }
 
 // isFirst reports whether a request goes before all that wait.
@@ -355,19 +351,25 @@
 	d.queue = slices.Insert(d.queue, at, w)
 }
 
-// expected returns how many requests go before one, and how long they take.
-func (d *Dispatcher) expected(ask *Ask) (ahead int, wait time.Duration) {
+// expected returns how long a request waits for its place.
+func (d *Dispatcher) expected(ask *Ask) time.Duration {
+	ahead := 0
 	for _, w := range d.queue {
 		if !before(ask, w.ask) {
 			ahead++
 		}
 	}
+	return time.Duration(ahead+1) * d.interval()
+}
+
+// interval is how long after each other places become free for this box.
+func (d *Dispatcher) interval() time.Duration {
 	places := 0
 	for _, b := range d.order {
 		places += d.limit(b)
 	}
 	share := max(1, float64(places)/float64(d.boxes))
-	return ahead, time.Duration(float64(ahead+1) / share * float64(d.usual))
+	return time.Duration(float64(d.usual) / share)
 }
 
 // choose takes a place on the server that costs least; nil if none has room.
@@ -380,7 +382,7 @@
 			continue
 		}
 		load, limit := d.load(b, now), d.limit(b)
-		if load.Requests >= limit {
+		if load.Requests >= limit || load.Reading > d.mostReading(ask, now) {
 			continue
 		}
 		cost := float64(load.Requests)/float64(limit) + float64(load.Reading)/float64(readingScale) + costFailures*b.failures +
@@ -401,16 +403,27 @@
 	if best == nil {
 		return nil
 	}
-	best.own.Requests++
-	best.own.Reading += ask.Reading
 	version, _ := best.version(now)
 	place := &Reservation{
-		Server: best.server, Version: version, dispatcher: d, backend: best, since: now, readTime: ask.Reading,
+		Server: best.server, Version: version, dispatcher: d, backend: best, since: now, reading: ask.Reading,
+		readAhead: d.load(best, now).Reading,
 	}
+	best.own.Requests++
+	best.own.Reading += ask.Reading
 	best.awaiting[place] = now
 	return place
 }
 
+// mostReading is how much a server may have to read before a request is sent there:
+// what still lets the answer begin in time, and for one that is late already so little
+// that it does not hold up those that are not.
+func (d *Dispatcher) mostReading(ask *Ask, now time.Time) time.Duration {
+	if left := ask.startBy.Sub(now); left >= 0 {
+		return left
+	}
+	return lateReading
+}
+
 // grant gives free places to those who wait: first to those who can still be
 // answered in time, then to the others.
 func (d *Dispatcher) grant(now time.Time) {
--- a/pkg/route/reservation.go
+++ b/pkg/route/reservation.go
@@ -32,7 +32,10 @@
 	dispatcher *Dispatcher
 	backend    *backend
 	since      time.Time
-	readTime   time.Duration
+	// reading is how long the server takes to read the request, readAhead what it has
+	// to read before.
+	reading   time.Duration
+	readAhead time.Duration
 }
 
 // Started notes that the answer has begun.
@@ -46,9 +49,10 @@
 	r.begun()
 	r.backend.startTime, r.backend.startedAt = now.Sub(r.since), now
 	// The estimate of round-trip times of RFC 6298, with its weights.
-	sample := max(0, now.Sub(r.since)-r.readTime)
+	sample := max(0, now.Sub(r.since)-r.reading-r.readAhead)
 	d.deviation += (max(sample-d.first, d.first-sample) - d.deviation) / 4
 	d.first += (sample - d.first) / 8
+	d.grant(now)
 }
 
 // Result is what became of an attempt.
@@ -111,7 +115,7 @@
 func (r *Reservation) begun() {
 	if _, awaited := r.backend.awaiting[r]; awaited {
 		delete(r.backend.awaiting, r)
-		r.backend.own.Reading -= r.readTime
+		r.backend.own.Reading -= r.reading
 	}
 }
 
