perf(route): an answer that has begun goes on when its weights are barred; late requests give way

(2) Late requests took all places of a server, and those that wait late counted as ahead of one that is in time. Change: (1) an attempt is broken off if its answer has not begun 0.5 s before the bar; one that has begun goes on. (2) Late requests take at most 0.85 of a server's places and are not ahead of one in time.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -16,11 +16,9 @@
 )
 
 const (
-	// heardLate is how much later than the store's acknowledgement a version may
-	// have been heard of.
-	heardLate = 500 * time.Millisecond
-	// leastDeadline is the shortest time that a server is given.
-	leastDeadline = 50 * time.Millisecond
+	// beginReserve is how long before the weights of a server are barred an answer must
+	// have begun: a version may have been heard of late, and breaking off takes a while.
+	beginReserve = 500 * time.Millisecond
 	// unreachableLimit bounds the servers that one request finds unreachable: a list
 	// of which so many are gone is old, as after a loss of power.
 	unreachableLimit = 4
@@ -70,6 +68,9 @@
 		}
 		tried = append(tried, place.Server.ID)
 		guard := f.watch(ctx, x, tried)
+		if by, ok := f.beginBy(x, place); ok {
+			guard.beginBy(by, f.clock)
+		}
 		result, err := f.attempt(guard.ctx, x, place, guard)
 		next = guard.end(result, f.clock.Now())
 		switch result {
@@ -94,6 +95,17 @@
 	f.conclude(ctx, x, mayHaveRun, last)
 }
 
+// beginBy returns when an answer must have begun: before the weights of its server are
+// barred. An answer that has begun by then may go on.
+func (f *Front) beginBy(x *exchange, place *route.Reservation) (at time.Time, ok bool) {
+	view := f.facts.View()
+	service := view.Service(x.service)
+	if service == nil || service.Engine == nil || len(service.Engine.Models) == 0 {
+		return time.Time{}, false
+	}
+	return view.Wanted(service.Engine.Models[0]).Barred(place.Version, f.bound-beginReserve)
+}
+
 // errBudget reports that no further attempt is allowed.
 var errBudget = errors.New("retry budget is spent")
 
@@ -238,7 +250,7 @@
 	if x.route.Kind == fleet.KindStream && strings.HasPrefix(answer.Header.Get("Content-Type"), "text/event-stream") {
 		return f.passStream(x, place, answer, guard)
 	}
-	return f.passWhole(x, place, answer)
+	return f.passWhole(x, place, answer, guard)
 }
 
 // The errors of attempts.
@@ -278,11 +290,6 @@
 		if f.required(named, now) > 0 {
 			out.Version = place.Version
 		}
-		// A server that stands still for a while must not take the request up once
-		// its weights may no longer start any.
-		if barred, ok := named.Barred(place.Version, f.bound-heardLate); ok {
-			out.Deadline = min(out.Deadline, max(leastDeadline, barred.Sub(now)))
-		}
 	}
 	f.protocol.WriteRequest(header, out)
 	return request
@@ -343,8 +350,9 @@
 const wholeBuffer = 64 << 10
 
 // passWhole passes on an answer that is not a stream of events.
-func (f *Front) passWhole(x *exchange, place *route.Reservation, answer *upstream.Answer) (outcome, error) {
+func (f *Front) passWhole(x *exchange, place *route.Reservation, answer *upstream.Answer, guard *guard) (outcome, error) {
 	place.Started(f.clock.Now())
+	guard.begun()
 	buffer := make([]byte, 0, min(wholeBuffer, max(512, int(answer.ContentLength)+1)))
 	var err error
 	for err == nil && len(buffer) < wholeBuffer {
--- a/internal/direct/stream.go
+++ b/internal/direct/stream.go
@@ -107,6 +107,7 @@
 			answer.Header.Del("Content-Length")
 			f.passHead(x, answer)
 		}
+		guard.begun()
 		guard.progress(streamPatience)
 		place.Started(f.clock.Now())
 		if _, err = x.writer.Write(events); err == nil {
--- a/pkg/route/dispatch.go
+++ b/pkg/route/dispatch.go
@@ -50,6 +50,8 @@
 	// lateReading is how much a server may have to read when a late request is sent
 	// there: about one prompt.
 	lateReading = 60 * time.Millisecond
+	// latePart is the part of a server's places that late requests may take.
+	latePart = 0.85
 )
 
 // Ask is a request for a place.
@@ -240,7 +242,7 @@
 			return nil, d.busy(ask, at)
 		}
 		return nil, ErrNoServer
-	case !ask.Returning && at.Add(d.expected(ask)).After(latest):
+	case !ask.Returning && at.Add(d.expected(ask, at)).After(latest):
 		defer d.mu.Unlock()
 		return nil, d.busy(ask, at)
 	}
@@ -314,7 +316,7 @@
 // together and be refused for good.
 func (d *Dispatcher) busy(ask *Ask, now time.Time) error {
 	longest := max(retryLeast, ask.Deadline.Sub(now)/3)
-	back := now.Add(max(retryLeast, d.expected(ask)))
+	back := now.Add(max(retryLeast, d.expected(ask, now)))
 	if d.promised.After(back) {
 		back = d.promised
 	}
@@ -326,12 +328,7 @@
 
 // isFirst reports whether a request goes before all that wait.
 func (d *Dispatcher) isFirst(ask *Ask, now time.Time) bool {
-	for _, w := range d.queue {
-		if !w.ask.startBy.Before(now) && !before(ask, w.ask) {
-			return false
-		}
-	}
-	return !ask.startBy.Before(now)
+	return !slices.ContainsFunc(d.queue, func(w *waitingAsk) bool { return isAhead(w.ask, ask, now) })
 }
 
 // before orders the queue: the more urgent first, then those that must start
@@ -351,17 +348,26 @@
 	d.queue = slices.Insert(d.queue, at, w)
 }
 
-// expected returns how long a request waits for its place.
-func (d *Dispatcher) expected(ask *Ask) time.Duration {
+// expected returns how long a request waits for its place. Those who are late already
+// do not go before one who is not.
+func (d *Dispatcher) expected(ask *Ask, now time.Time) time.Duration {
 	ahead := 0
 	for _, w := range d.queue {
-		if !before(ask, w.ask) {
+		if isAhead(w.ask, ask, now) {
 			ahead++
 		}
 	}
 	return time.Duration(ahead+1) * d.interval()
 }
 
+// isAhead reports whether a waiting request gets a place before another one.
+func isAhead(waiting, ask *Ask, now time.Time) bool {
+	if late := waiting.startBy.Before(now); late != ask.startBy.Before(now) {
+		return !late
+	}
+	return !before(ask, waiting)
+}
+
 // interval is how long after each other places become free for this box.
 func (d *Dispatcher) interval() time.Duration {
 	places := 0
@@ -382,7 +388,7 @@
 			continue
 		}
 		load, limit := d.load(b, now), d.limit(b)
-		if load.Requests >= limit || load.Reading > d.mostReading(ask, now) {
+		if load.Requests >= d.mostRequests(ask, limit, now) || load.Reading > d.mostReading(ask, now) {
 			continue
 		}
 		cost := float64(load.Requests)/float64(limit) + float64(load.Reading)/float64(readingScale) + costFailures*b.failures +
@@ -414,6 +420,15 @@
 	return place
 }
 
+// mostRequests is how many requests a server may have before another one is sent
+// there. One that is late already leaves places to those that are not.
+func (d *Dispatcher) mostRequests(ask *Ask, limit int, now time.Time) int {
+	if ask.startBy.Before(now) {
+		return max(1, int(latePart*float64(limit)))
+	}
+	return limit
+}
+
 // mostReading is how much a server may have to read before a request is sent there:
 // what still lets the answer begin in time, and for one that is late already so little
 // that it does not hold up those that are not.
