perf(direct): boxes that come back find each other at once; callers are held as long as they stay

Servers were live at 37.4 s, callers who had come back at 35.2 s were refused for good at 37.2. Ruled out: the copies (all pieces still lay staged). Change: processes give a connection 0.3 s and try again after 0.15 s; a request that came back is held for 0.48 of its time, at most until shortly before its caller would leave, which the adapter knows; a late request is sent only where nothing is to be read.

--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -24,7 +24,10 @@
 var errDial = errors.New("cannot connect")
 
 const (
-	dialTimeout = time.Second
+	// dialTimeout bounds connecting to another process. It is many round trips between
+	// regions, and well below the second after which TCP sends a lost opening packet
+	// again: a box that had no power when it was called is called anew.
+	dialTimeout = 300 * time.Millisecond
 	// messageLimit bounds one message between the system's processes, in bytes.
 	messageLimit = 16 << 20
 	// idleConnections bounds the unused connections kept to one peer.
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -176,7 +176,7 @@
 func (f *Front) ask(x *exchange, tried []fleet.ServerID, once bool) *route.Ask {
 	reading, writing := f.engineTimes(x)
 	ask := &route.Ask{
-		Priority: f.priority(x), Objective: x.arrived.Add(x.route.Objective), Deadline: x.deadline,
+		Priority: f.priority(x), Objective: x.arrived.Add(x.route.Objective), Deadline: x.deadline, Patience: x.route.Patience,
 		Reading: reading, Holding: reading + writing,
 		Returning: x.returning, Tried: tried, Once: once,
 	}
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -22,8 +22,8 @@
 
 const (
 	// followRetry is the wait before a box that could not be followed is tried
-	// again.
-	followRetry = 250 * time.Millisecond
+	// again. After a loss of power everything waits for it.
+	followRetry = 150 * time.Millisecond
 	// forgetAfter is after how long without contact an entry box is forgotten
 	// that the settings do not name.
 	forgetAfter = 20 * time.Second
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -80,6 +80,9 @@
 	Resumable bool `cbor:"11,keyasint,omitempty"`
 	// Pause is the longest time between two events that callers accept.
 	Pause time.Duration `cbor:"12,keyasint,omitempty"`
+	// Patience is after how long without any event callers leave a stream; 0 if they
+	// stay to their deadline.
+	Patience time.Duration `cbor:"13,keyasint,omitempty"`
 }
 
 // Repeatable reports whether a request may run more than once.
--- a/pkg/route/dispatch.go
+++ b/pkg/route/dispatch.go
@@ -40,16 +40,15 @@
 	// holdPart is the part of its time for which a request that was refused before
 	// waits for a place or a server: a second refusal is final, and with less than
 	// half of its time held nothing is lost by waiting.
-	holdPart = 0.45
-	// holdLongest bounds that: readers of streams leave after two seconds without any
-	// event.
-	holdLongest = 1900 * time.Millisecond
+	holdPart = 0.48
+	// leaveReserve is how long before a caller leaves its request must have started.
+	leaveReserve = 300 * time.Millisecond
 	// spareShare is the part of the places that is there for requests which come back,
 	// beside those that come first, once a service has recovered.
 	spareShare = 0.3
 	// lateReading is how much a server may have to read when a late request is sent
-	// there: about one prompt.
-	lateReading = 60 * time.Millisecond
+	// there: nothing, or it would hold up those that are still in time.
+	lateReading = time.Duration(0)
 	// latePart is the part of a server's places that late requests may take.
 	latePart = 0.85
 )
@@ -65,6 +64,9 @@
 	// Holding is how long the request is expected to hold its place.
 	Holding  time.Duration
 	Deadline time.Time
+	// Patience is after how long without an answer the caller leaves; 0 if it stays to
+	// its deadline.
+	Patience time.Duration
 	// Returning is set for a caller that was refused before.
 	Returning bool
 	// Tried are servers that it was sent to already.
@@ -263,7 +265,10 @@
 	if !ask.Returning {
 		return ask.startBy
 	}
-	held := min(holdLongest, time.Duration(holdPart*float64(ask.Deadline.Sub(now))))
+	held := time.Duration(holdPart * float64(ask.Deadline.Sub(now)))
+	if ask.Patience > 0 {
+		held = min(held, ask.Patience-leaveReserve)
+	}
 	if latest := now.Add(held); latest.After(ask.startBy) {
 		return latest
 	}
--- a/pkg/route/dispatch_test.go
+++ b/pkg/route/dispatch_test.go
@@ -323,3 +323,58 @@
 	late.Release(ResultReplaced, b.now)
 	b.acquire(t)
 }
+
+// Late requests that took places as if they were in time made the next ones late too.
+func TestALateRequestGoesOnlyWhereItHoldsUpNobody(t *testing.T) {
+	b := newBench(true, model("a", 10, 1))
+	late := func() *Ask {
+		return &Ask{Objective: b.now.Add(-time.Second), Deadline: b.now.Add(6 * time.Second), Reading: 30 * time.Millisecond, Once: true}
+	}
+	first := b.ask()
+	first.Reading = 30 * time.Millisecond
+	place, err := b.Acquire(t.Context(), first, b.clock)
+	require.NoError(t, err)
+	_, err = b.Acquire(t.Context(), late(), b.clock)
+	require.Error(t, err, "the server reads a prompt")
+	place.Started(b.now)
+	for range 7 {
+		place, err = b.Acquire(t.Context(), late(), b.clock)
+		require.NoError(t, err)
+		place.Started(b.now)
+	}
+	_, err = b.Acquire(t.Context(), late(), b.clock)
+	require.Error(t, err, "the places left are for requests in time")
+	b.acquire(t)
+}
+
+// What was refused while the service was full came back together, and was refused for
+// good.
+func TestRefusedRequestsAreToldToComeBackOneAfterTheOther(t *testing.T) {
+	b := newBench(true, model("a", 1, 1))
+	b.acquire(t)
+	var last time.Duration
+	for i := range 6 {
+		_, err := b.Acquire(t.Context(), b.ask(), b.clock)
+		var busy *BusyError
+		require.ErrorAs(t, err, &busy)
+		require.LessOrEqual(t, busy.RetryAfter, 2*time.Second, "callers keep at most a third of their time")
+		require.GreaterOrEqual(t, busy.RetryAfter, last-retryLeast, "request %d", i)
+		last = busy.RetryAfter
+	}
+	require.Greater(t, last, 1500*time.Millisecond)
+}
+
+// The second refusal is final, so one who comes back waits, in time or not.
+func TestOneWhoComesBackWaitsForAPlace(t *testing.T) {
+	b := newBench(true, model("a", 1, 1))
+	held := b.acquire(t)
+	ask := &Ask{Objective: b.now.Add(-time.Second), Deadline: b.now.Add(4 * time.Second), Returning: true}
+	got := make(chan error, 1)
+	go func() {
+		_, err := b.Acquire(context.Background(), ask, b.clock)
+		got <- err
+	}()
+	require.Eventually(t, func() bool { return b.Waiting() == 1 }, 10*time.Second, time.Millisecond)
+	held.Release(ResultDone, b.now)
+	require.NoError(t, <-got)
+}
