feat(report): explain a request and measure service-level burn from logs

Ruled out: a query on the running processes, because they keep nothing of requests that have ended. Change: 'cinderslip explain ID FILES' finds a request's lines in the collected logs, names the cause, and shows what its boxes came to believe before and the orders to the servers of its attempts; 'cinderslip burn FILES' counts requests in time, late, refused and failed for each route and window. The outcome line tells when the answer began and the objective, orders and live weights name the server's address.

--- /dev/null
+++ b/cmd/cinderslip/report.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/jedib0t/go-pretty/v6/table"
+
+	"github.com/cinderslip/cinderslip/internal/report"
+)
+
+// errNoFiles reports a command that reads logs without any.
+var errNoFiles = errors.New("name the files with the logs of all processes")
+
+// readLogs reads the logs of all processes, in the order of their times. Lines that
+// cannot be read are told and passed over.
+func readLogs(env *environment, paths []string) ([]report.Event, error) {
+	if len(paths) == 0 {
+		return nil, withCode(exitUsage, errNoFiles)
+	}
+	var all []report.Event
+	for _, path := range paths {
+		events, err := readLog(path)
+		if errors.Is(err, os.ErrNotExist) || errors.Is(err, os.ErrPermission) {
+			return nil, err
+		}
+		if err != nil {
+			_, _ = fmt.Fprintln(env.stderr, "cinderslip:", err)
+		}
+		all = append(all, events...)
+	}
+	report.Sort(all)
+	return all, nil
+}
+
+func readLog(path string) ([]report.Event, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = file.Close() }()
+	return report.Read(filepath.Base(path), file)
+}
+
+// explain tells from collected logs what became of a request, and why.
+type explain struct{}
+
+func (*explain) Run(env *environment, args []string) error {
+	if len(args) == 0 {
+		return withCode(exitUsage, errors.New("name the request's id, then the files with the logs"))
+	}
+	events, err := readLogs(env, args[1:])
+	if err != nil {
+		return err
+	}
+	explanation, ok := report.Explain(events, args[0])
+	if !ok {
+		return fmt.Errorf("no line of %d names request %s: look for a caller that could not connect, or lines that were dropped", len(events), args[0])
+	}
+	_, _ = fmt.Fprint(env.stdout, explanation.String())
+	return nil
+}
+
+// burn tells how fast the service levels of routes were used up.
+type burn struct {
+	Target  float64         `long:"target" default:"0.99" value-name:"PART" description:"part of the requests that must be answered in time"`
+	Windows []time.Duration `long:"window" default:"1m" default:"5m" default:"1h" value-name:"TIME" description:"span back from the newest line; may be repeated"`
+	Format  string          `long:"format" choice:"table" choice:"json" default:"table" description:"how to print it"`
+}
+
+func (b *burn) Run(env *environment, args []string) error {
+	if b.Target <= 0 || b.Target >= 1 {
+		return withCode(exitUsage, fmt.Errorf("--target wants a part between 0 and 1, got %v", b.Target))
+	}
+	events, err := readLogs(env, args)
+	if err != nil {
+		return err
+	}
+	burns := report.MeasureBurn(events, report.BurnOptions{Target: b.Target, Windows: b.Windows})
+	if b.Format == "json" {
+		return printJSON(env.stdout, burns)
+	}
+	writer := newTableWriter(env.stdout, "route", "window", "good", "late", "refused", "failed", "burn rate")
+	for _, route := range burns {
+		for _, window := range route.Windows {
+			writer.AppendRow(table.Row{
+				route.Route, window.Span, window.Good, window.Late, window.Refused, window.Failed, fmt.Sprintf("%.2f", window.Rate),
+			})
+		}
+	}
+	writer.Render()
+	return nil
+}
--- a/cmd/cinderslip/run.go
+++ b/cmd/cinderslip/run.go
@@ -152,6 +152,8 @@
 		{"boxes", "Show the boxes", &boxes{}},
 		{"rollout", "Show how far versions have come", &rollout{}},
 		{"resolve", "Show the entry boxes that a caller would be told", &resolve{}},
+		{"explain", "Tell from collected logs what became of a request", &explain{}},
+		{"burn", "Tell from collected logs how fast service levels were used up", &burn{}},
 		{"completion", "Print a script for shell completion", &completion{}},
 		{"version", "Print the version", &version{}},
 	})
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -341,8 +341,8 @@
 		header.Set("Connection", "close")
 	}
 	x.writer.WriteHeader(answer.StatusCode)
-	x.begun = true
-	f.metrics.firstEvent.WithLabelValues(x.route.Name).Observe(f.clock.Since(x.arrived).Seconds())
+	x.begun, x.firstAfter = true, f.clock.Since(x.arrived)
+	f.metrics.firstEvent.WithLabelValues(x.route.Name).Observe(x.firstAfter.Seconds())
 }
 
 // wholeBuffer is the size up to which an answer is read before it is passed on,
--- a/internal/direct/bring.go
+++ b/internal/direct/bring.go
@@ -261,7 +261,7 @@
 	cancel()
 	l.options.Metrics.orders.WithLabelValues(resultLabel(err)).Inc()
 	l.options.Log.Info().Str("model", string(want.model)).Uint64("version", uint64(version)).
-		Bool("serving", serving).Err(err).Msg("server ordered to take weights")
+		Str("address", string(l.options.Address)).Bool("serving", serving).Err(err).Msg("server ordered to take weights")
 	if err != nil {
 		return fmt.Errorf("ordering: %w", err)
 	}
@@ -274,7 +274,7 @@
 		}
 		if loaded(&report, want.model, want.engine.Layers) == version {
 			l.options.Log.Info().Str("model", string(want.model)).Uint64("version", uint64(version)).
-				Dur("taken_ms", l.options.Clock.Since(ordered)).Msg("weights live")
+				Str("address", string(l.options.Address)).Dur("taken_ms", l.options.Clock.Since(ordered)).Msg("weights live")
 			return nil
 		}
 	}
--- a/internal/direct/front.go
+++ b/internal/direct/front.go
@@ -310,8 +310,9 @@
 	attempts    int
 	unreachable int
 	misdirected int
-	// begun is set once the head of an answer has been passed on.
-	begun bool
+	// begun is set once the head of an answer has been passed on, after firstAfter.
+	begun      bool
+	firstAfter time.Duration
 	// lastEvent is the id of the last event that was passed on.
 	lastEvent string
 }
@@ -496,8 +497,11 @@
 	taken := f.clock.Since(x.arrived)
 	f.metrics.requests.WithLabelValues(name, outcome).Inc()
 	f.metrics.seconds.WithLabelValues(name).Observe(taken.Seconds())
-	return f.log.Info().Str("request", x.ID).Str("route", name).Str("outcome", outcome).
-		Uint64("configuration", x.configuration).Int("attempts", x.attempts).Int("unreachable", x.unreachable).Dur("taken_ms", taken)
+	event := f.log.Info().Str("request", x.ID).Str("route", name).Str("outcome", outcome)
+	if x.begun {
+		event = event.Dur("begun_ms", x.firstAfter).Dur("objective_ms", x.route.Objective)
+	}
+	return event.Uint64("configuration", x.configuration).Int("attempts", x.attempts).Int("unreachable", x.unreachable).Dur("taken_ms", taken)
 }
 
 // watchReady keeps the status in step with whether requests can be answered: a
--- /dev/null
+++ b/internal/report/explain.go
@@ -0,0 +1,226 @@
+package report
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"time"
+)
+
+const (
+	// believedBefore is for how long before a request's end what its box came to
+	// believe may have decided it: the longest of the times for which things are
+	// believed or left alone.
+	believedBefore = 10 * time.Second
+	// cutAround is how near the end of an attempt an order to its server must be to
+	// have cut it.
+	cutAround = time.Second
+)
+
+// The names of events that an explanation reads.
+const (
+	eventAttempt   = "attempt ended"
+	eventOrdered   = "server ordered to take weights"
+	eventWanted    = "weights wanted"
+	eventLive      = "weights live"
+	eventLost      = "dependency lost"
+	eventRegained  = "dependency regained"
+	eventGone      = "server gone from the list"
+	eventInForce   = "configuration in force"
+	eventStarted   = "started"
+	eventLeaving   = "leaving"
+	eventDropped   = "log lines dropped"
+	eventAge       = "age of wanted weights corrected"
+	eventEntryHeld = "server's entry went while the store was away, held"
+)
+
+// beliefs are the events by which a box changes what it believes.
+var beliefs = map[string]bool{
+	eventWanted: true, eventLost: true, eventRegained: true, eventGone: true, eventInForce: true,
+	eventStarted: true, eventLeaving: true, eventDropped: true, eventAge: true, eventEntryHeld: true,
+}
+
+// Explanation is what the logs tell of one request.
+type Explanation struct {
+	Request string
+	// Cause is the reason in words.
+	Cause string
+	// Events are the lines of the request itself.
+	Events []Event
+	// Context are the lines by which its box, or the agent beside one of its servers,
+	// changed what decided the request.
+	Context []Event
+}
+
+// Explain finds what became of a request. The events must be in the order of their
+// times. ok is false if no line names the request.
+func Explain(events []Event, request string) (explanation Explanation, ok bool) {
+	explanation.Request = request
+	for _, event := range events {
+		if event.Get("request") == request {
+			explanation.Events = append(explanation.Events, event)
+		}
+	}
+	if len(explanation.Events) == 0 {
+		return explanation, false
+	}
+	last := explanation.Events[len(explanation.Events)-1]
+	for _, event := range events {
+		if event.Get("request") == "" && explanation.bears(&event, &last) {
+			explanation.Context = append(explanation.Context, event)
+		}
+	}
+	explanation.Cause = explanation.cause(&last)
+	return explanation, true
+}
+
+// bears reports whether an event that is not of the request may have decided it.
+func (x *Explanation) bears(event, last *Event) bool {
+	if event.Time.After(last.Time.Add(cutAround)) || event.Time.Before(last.Time.Add(-believedBefore)) {
+		return false
+	}
+	if event.Source == last.Source {
+		return beliefs[event.Name]
+	}
+	return (event.Name == eventOrdered || event.Name == eventLive) && x.used(event.Get("address"))
+}
+
+// used reports whether an attempt went to the server at an address.
+func (x *Explanation) used(address string) bool {
+	for i := range x.Events {
+		if x.Events[i].Name == eventAttempt && x.Events[i].Get("address") == address {
+			return true
+		}
+	}
+	return false
+}
+
+// cause says why the request ended as its last line tells.
+func (x *Explanation) cause(last *Event) string {
+	switch last.Get("outcome") {
+	case "answered":
+		return x.answered(last)
+	case "refused":
+		return "refused without having run: " + refusals[last.Get("reason")] + x.newest(refusalBeliefs[last.Get("reason")])
+	case "rejected":
+		return "rejected by configuration " + last.Get("configuration") + ": " + last.Get("reason") + x.newest(eventInForce)
+	case "unknown":
+		return "answered " + last.Get("status") + ", it may have run: " + x.attempts()
+	case "cut":
+		return "broken off in the middle of the answer: " + x.attempts()
+	case "left":
+		return "its caller left after " + last.Milliseconds("taken_ms").Round(time.Millisecond).String() + ": " + x.attempts()
+	}
+	return "its last line tells of no outcome; the process may have ended before"
+}
+
+// refusals put the reasons of refusals in words.
+var refusals = map[string]string{
+	"busy":             "all places were taken, and it could not have begun in time",
+	"no-server":        "no server could run it",
+	"no-configuration": "the box had just started and knew no configuration",
+	"not-run":          "its server refused it or could not be reached, and no further attempt was allowed",
+}
+
+// refusalBeliefs are the events that stand behind a reason.
+var refusalBeliefs = map[string]string{
+	"no-server": eventWanted, "no-configuration": eventStarted,
+}
+
+// newest names the newest event of a kind in the context.
+func (x *Explanation) newest(name string) string {
+	for i := len(x.Context) - 1; i >= 0; i-- {
+		if event := &x.Context[i]; name != "" && event.Name == name {
+			return fmt.Sprintf(" (%s at %s%s)", name, event.Time.Format(timeFormat), versionOf(event))
+		}
+	}
+	return ""
+}
+
+func versionOf(event *Event) string {
+	if version := event.Get("version"); version != "" {
+		return ", version " + version
+	}
+	return ""
+}
+
+func (x *Explanation) answered(last *Event) string {
+	taken := last.Milliseconds("begun_ms")
+	text := "answered by " + last.Get("server")
+	if objective := last.Milliseconds("objective_ms"); objective > 0 && taken > objective {
+		text += fmt.Sprintf(", begun after %v with an objective of %v", taken.Round(time.Millisecond), objective)
+	}
+	if tries := x.attempts(); tries != "" {
+		text += ", after " + tries
+	}
+	return text
+}
+
+// attempts tells how each attempt ended that did not end well.
+func (x *Explanation) attempts() string {
+	var told []string
+	for i := range x.Events {
+		event := &x.Events[i]
+		if event.Name != eventAttempt {
+			continue
+		}
+		text := fmt.Sprintf("attempt at %s (%s) %s after %v", event.Get("server"), event.Get("address"), event.Get("result"),
+			event.Milliseconds("held_ms").Round(time.Millisecond))
+		if order := x.orderNear(event); order != nil {
+			text += ", which was cut for weights" + versionOf(order)
+		} else if problem := event.Get("error"); problem != "" {
+			text += ": " + problem
+		}
+		told = append(told, text)
+	}
+	return strings.Join(told, "; ")
+}
+
+// orderNear returns the order that took an attempt's server out of service about when
+// the attempt ended; nil if there is none.
+func (x *Explanation) orderNear(attempt *Event) *Event {
+	for i := range x.Context {
+		event := &x.Context[i]
+		near := event.Time.Sub(attempt.Time).Abs() < cutAround
+		if event.Name == eventOrdered && near && sameHost(event.Get("address"), attempt.Get("address")) {
+			return event
+		}
+	}
+	return nil
+}
+
+func sameHost(a, b string) bool {
+	hostA, _, errA := net.SplitHostPort(a)
+	hostB, _, errB := net.SplitHostPort(b)
+	return errA == nil && errB == nil && hostA == hostB
+}
+
+// timeFormat is how times stand in reports.
+const timeFormat = "15:04:05.000"
+
+// String returns the explanation as text: the cause, the request's own lines, and what
+// its boxes came to believe before.
+func (x *Explanation) String() string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "request %s: %s\n", x.Request, x.Cause)
+	writeEvents(&text, "its own lines", x.Events)
+	writeEvents(&text, "what its boxes came to believe", x.Context)
+	return text.String()
+}
+
+func writeEvents(text *strings.Builder, title string, events []Event) {
+	if len(events) == 0 {
+		return
+	}
+	fmt.Fprintf(text, "%s:\n", title)
+	for i := range events {
+		event := &events[i]
+		fmt.Fprintf(text, "  %s %s: %s", event.Time.Format(timeFormat), event.Source, event.Name)
+		for _, field := range event.fields {
+			if field.key != "level" && field.key != "request" {
+				fmt.Fprintf(text, " %s=%q", field.key, field.value)
+			}
+		}
+		text.WriteByte('\n')
+	}
+}
--- /dev/null
+++ b/internal/report/report_test.go
@@ -0,0 +1,88 @@
+package report
+
+import (
+	"bufio"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// readAll reads the logs of testdata.
+func readAll(t *testing.T) ([]Event, error) {
+	t.Helper()
+	var all []Event
+	var findings error
+	for _, name := range []string{"entry-1.log", "agent-30.log"} {
+		file, err := os.Open("testdata/" + name)
+		require.NoError(t, err)
+		events, problem := Read(name, file)
+		require.NoError(t, file.Close())
+		if problem != nil {
+			findings = problem
+		}
+		all = append(all, events...)
+	}
+	Sort(all)
+	return all, findings
+}
+
+func TestEachRequestIsExplainedByItsCause(t *testing.T) {
+	events, _ := readAll(t)
+	file, err := os.Open("testdata/causes.txt")
+	require.NoError(t, err)
+	defer func() { _ = file.Close() }()
+	for scanner := bufio.NewScanner(file); scanner.Scan(); {
+		request, want, ok := strings.Cut(scanner.Text(), ": ")
+		require.True(t, ok)
+		t.Run(request, func(t *testing.T) {
+			explanation, ok := Explain(events, request)
+			require.True(t, ok)
+			require.Equal(t, want, explanation.Cause)
+			require.Contains(t, explanation.String(), "request "+request+": "+want)
+		})
+	}
+}
+
+func TestARequestThatNoLogNamesIsSaidSo(t *testing.T) {
+	events, _ := readAll(t)
+	_, ok := Explain(events, "unheard-of")
+	require.False(t, ok)
+}
+
+func TestALineThatCannotBeReadIsNamedWithItsPlace(t *testing.T) {
+	events, findings := readAll(t)
+	require.ErrorIs(t, findings, ErrLine)
+	require.ErrorContains(t, findings, "entry-1.log:11")
+	require.Len(t, events, 13)
+}
+
+func TestTheBurnCountsWhatServiceLevelsPromise(t *testing.T) {
+	events, _ := readAll(t)
+	burns := MeasureBurn(events, BurnOptions{Target: 0.9, Windows: []time.Duration{time.Second, time.Hour}})
+	require.Len(t, burns, 2)
+	require.Equal(t, "book", burns[0].Route)
+	require.Equal(t, Counts{Failed: 1}, burns[0].Windows[1].Counts)
+	require.InDelta(t, 10, burns[0].Windows[1].Rate, 1e-9)
+	draft := burns[1]
+	require.Equal(t, Counts{Refused: 1}, draft.Windows[0].Counts, "the last second")
+	require.Equal(t, Counts{Good: 1, Late: 1, Refused: 1}, draft.Windows[1].Counts, "the hour; rejected requests do not count")
+	require.InDelta(t, 2.0/3/0.1, draft.Windows[1].Rate, 1e-9)
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add(`time=2026-12-02T10:00:00Z level=info event="request answered" request=a outcome=answered`)
+	f.Add(`time=x event=`)
+	f.Fuzz(func(t *testing.T, line string) {
+		events, _ := Read("fuzz", strings.NewReader(line))
+		Sort(events)
+		for i := range events {
+			if explanation, ok := Explain(events, events[i].Get("request")); ok {
+				_ = explanation.String()
+			}
+		}
+		_ = MeasureBurn(events, BurnOptions{Target: 0.99, Windows: []time.Duration{time.Minute}})
+	})
+}
