test(soak): real processes under faults from outside; agents are told services only

Agents were told the whole configuration at every change, 1,400 routes on a grown site. Change: internal/soak starts three entry boxes and three agents on stand-ins of the platform, puts proxies before the store and every server, and draws overlapping faults by a seed: kills, planned stops, freezes, SIGHUP, links silenced one way or both, delayed, reset or refused, a store that refuses, is deaf or forgets, servers mute, failing or cutting, spoilt pieces, new weights and configurations. It checks answers, at most one run, true refusals, weights taken whole, no exits, and service after the end. Agents ask for a configuration of services only.

--- a/internal/direct/status.go
+++ b/internal/direct/status.go
@@ -43,6 +43,8 @@
 	leaving bool
 	entries map[string]bool
 	added   chan struct{}
+	// reduced is the configuration as it was last told to agents.
+	reduced state.Item
 	// done ends the streams.
 	done     chan struct{}
 	stopOnce sync.Once
@@ -241,6 +243,9 @@
 		changed := s.facts.Changed()
 		batch := s.facts.store.Since(cursor, factsLimit)
 		cursor = batch.Next
+		if request.ServicesOnly {
+			s.reduce(batch.Items)
+		}
 		entries, _ := s.Entries()
 		message := &wire.FactsBatch{
 			Instance: cursor.Instance, Cursor: cursor.Sequence, Items: itemsToWire(batch.Items),
@@ -266,6 +271,27 @@
 	}
 }
 
+// reduce replaces a configuration by what a process needs that serves no callers. All
+// agents ask for the same one, so the last is kept.
+func (s *Status) reduce(items []state.Item) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, item := range items {
+		if item.Key != fleet.ConfigurationKey() || item.Deleted {
+			continue
+		}
+		if s.reduced.Version != item.Version {
+			reduced, err := fleet.ServicesOnly(item)
+			if err != nil {
+				s.facts.log.Error().Err(err).Msg("configuration told whole")
+				continue
+			}
+			s.reduced = reduced
+		}
+		items[i] = s.reduced
+	}
+}
+
 func itemsToWire(items []state.Item) []*wire.Item {
 	told := make([]*wire.Item, 0, len(items))
 	for _, item := range items {
--- /dev/null
+++ b/internal/soak/world_test.go
@@ -0,0 +1,229 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cinderslip/cinderslip/platform/standin"
+)
+
+const (
+	entryBoxes   = 3
+	modelServers = 3
+	plainServers = 2
+	pieces       = 6
+	pieceSize    = 20_000
+	events       = 12
+	eventTime    = 30 * time.Millisecond
+	originConns  = 40
+)
+
+// The ports, alike on all boxes.
+const (
+	portPeers = 17000 + iota
+	portCallers
+	portReadiness
+	portDirectory
+	portAgents
+	portServers
+)
+
+// world is one deployment: stand-ins of the platform in this process, entry boxes and
+// agents as processes of their own, and proxies before the store and every server.
+type world struct {
+	t      *testing.T
+	random *rand.Rand
+	number int
+
+	store     *standin.Store
+	origin    *standin.Origin
+	servers   []*server
+	entries   []*process
+	agents    []*process
+	callers   []string
+	listeners []net.Listener
+	proxies   []*proxy
+	storeLink *proxy
+	originAt  string
+
+	// mu orders what the operator writes.
+	mu      sync.Mutex
+	version int
+	config  int
+}
+
+// server is a stand-in of a backend server behind its proxy.
+type server struct {
+	*standin.Server
+	service string
+	link    *proxy
+}
+
+func newWorld(t *testing.T, seed uint64, number int) *world {
+	w := &world{
+		t: t, random: rand.New(rand.NewPCG(seed, seed)), number: number, //nolint:gosec // repeatable on purpose
+		store: standin.NewStore(), origin: standin.NewOrigin(pieces, pieceSize), version: 1, config: 1,
+	}
+	t.Cleanup(w.close)
+	w.storeLink = w.link("127.0.0.1:0", w.serve(w.store))
+	for i := range modelServers {
+		w.addServer(fmt.Sprintf("i-model-%d", i), "llm", "daka", w.ip(50+i))
+	}
+	for i := range plainServers {
+		w.addServer(fmt.Sprintf("i-plain-%d", i), "maps", "", w.ip(150+i))
+	}
+	w.putConfig()
+	dir := t.TempDir()
+	seeds := fmt.Sprintf("entries = [%q]", fmt.Sprintf("%s:%d", w.ip(1), portPeers))
+	for i := range entryBoxes {
+		w.addEntry(dir, fmt.Sprintf("entry-%d", i), w.ip(1+i), seeds)
+	}
+	for i := range modelServers {
+		w.addAgent(dir, fmt.Sprintf("agent-%d", i), w.ip(50+i), seeds, w.servers[i])
+	}
+	return w
+}
+
+// ip returns an address that no other world of this process uses.
+func (w *world) ip(n int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 100+w.number/200, 1+w.number%200, n)
+}
+
+func (w *world) serve(handler http.Handler) string {
+	var config net.ListenConfig
+	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.listeners = append(w.listeners, listener)
+	go func() { _ = http.Serve(listener, handler) }() //nolint:gosec // a stand-in on loopback
+	return listener.Addr().String()
+}
+
+func (w *world) link(address, target string) *proxy {
+	p, err := newProxy(address, target)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.proxies = append(w.proxies, p)
+	return p
+}
+
+func (w *world) addServer(id, service, model, ip string) {
+	version := uint64(0)
+	if model != "" {
+		version = 1
+	}
+	s := &server{service: service, Server: standin.NewServer(standin.ServerOptions{
+		ID: id, Model: model, Version: version, Pieces: pieces, Digest: w.origin.Digest,
+		Events: events, EventTime: eventTime, LoadTime: 50 * time.Millisecond,
+	})}
+	s.link = w.link(fmt.Sprintf("%s:%d", ip, portServers), w.serve(s))
+	w.servers = append(w.servers, s)
+	w.store.Put("servers/"+id, s.Entry(service, s.link.address(), "hall-a", false))
+}
+
+func (w *world) addEntry(dir, name, ip, seeds string) {
+	callers := fmt.Sprintf("%s:%d", ip, portCallers)
+	listen := []string{
+		fmt.Sprintf("callers = %q", callers), fmt.Sprintf("readiness = \"%s:%d\"", ip, portReadiness),
+		fmt.Sprintf("directory = \"%s:%d\"", ip, portDirectory), fmt.Sprintf("peers = \"%s:%d\"", ip, portPeers),
+	}
+	w.entries = append(w.entries, newProcess(w.t, dir, name, settingsOf("entry", name, ip, listen, w.rest(seeds))))
+	w.callers = append(w.callers, callers)
+}
+
+func (w *world) addAgent(dir, name, ip, seeds string, s *server) {
+	listen := []string{fmt.Sprintf("peers = \"%s:%d\"", ip, portAgents)}
+	rest := append(w.rest(seeds), fmt.Sprintf("server = %q", s.link.address()), fmt.Sprintf("service = %q", s.service))
+	w.agents = append(w.agents, newProcess(w.t, dir, name, settingsOf("agent", name, ip, listen, rest)))
+}
+
+func (w *world) rest(seeds string) []string {
+	return []string{
+		"[peers]", seeds, "[direct]", fmt.Sprintf("store = %q", w.storeLink.address()), fmt.Sprintf("agent_port = %d", portAgents),
+		"memory_limit_bytes = 150000000", "link_mbps = 100.0", `version_bound = "8s"`, "retry_ratio = 0.2", "retry_extra = 1000", `retry_window = "10s"`,
+	}
+}
+
+func (w *world) processes() []*process {
+	return append(append([]*process(nil), w.entries...), w.agents...)
+}
+
+func (w *world) close() {
+	for _, p := range w.processes() {
+		p.signal(syscall.SIGCONT)
+		p.stop(syscall.SIGKILL)
+	}
+	for _, p := range w.proxies {
+		_ = p.listener.Close()
+		p.reset()
+	}
+	for _, listener := range w.listeners {
+		_ = listener.Close()
+	}
+}
+
+// putConfig writes the next configuration; each adds a route.
+func (w *world) putConfig() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	route := func(name, kind, service string, attempts int, resumable bool) map[string]any {
+		return map[string]any{
+			"Name": name, "Host": "a.example", "PathPrefix": "/" + name + "/", "Type": kind, "TimeoutMs": 3000, "TargetLatencyMs": 400,
+			"Service": service, "MaxAttempts": attempts, "Resumable": resumable, "gap_aim_ms": 300, "Public": true,
+		}
+	}
+	routes := []any{
+		route("talk", "streaming", "llm", 2, true), route("once", "streaming", "llm", 2, false),
+		route("look", "safe", "maps", 2, false), route("book", "unsafe", "maps", 2, false),
+	}
+	for i := range w.config {
+		routes = append(routes, route(fmt.Sprintf("extra-%d", i), "safe", "maps", 2, false))
+	}
+	engine := map[string]any{
+		"Slots": 4, "Models": []map[string]any{{"Name": "daka", "WarmupS": 0.05}}, "layers": standin.Layers,
+		"chunks": pieces, "chunk_bytes": pieceSize, "step_ms": 7.0, "read_per_s": 30000.0, "stride": 6, "chunk": 2048,
+	}
+	w.put("op/config", map[string]any{
+		"Version": w.config, "Routes": routes, "Limits": map[string]any{"MaxBodyBytes": 1000},
+		"Services": []any{
+			map[string]any{"Name": "llm", "MaxConnections": 50, "Engine": engine},
+			map[string]any{"Name": "maps", "MaxConnections": 50},
+			map[string]any{"Name": "weights", "origin": w.originAddress(), "MaxConnections": originConns},
+		},
+	})
+	w.config++
+}
+
+// originAddress serves the origin at the first call.
+func (w *world) originAddress() string {
+	if w.originAt == "" {
+		w.originAt = w.serve(w.origin)
+	}
+	return w.originAt
+}
+
+// nameVersion names the next version of the weights.
+func (w *world) nameVersion() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.version++
+	w.put("op/version/daka", map[string]any{"Model": "daka", "Version": w.version})
+}
+
+func (w *world) put(key string, value any) {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.store.Put(key, raw)
+}
--- a/pkg/fleet/fact.go
+++ b/pkg/fleet/fact.go
@@ -53,6 +53,22 @@
 	return item, err
 }
 
+// ServicesOnly returns an item in the form for processes that serve no callers; only
+// that of the configuration has another one.
+func ServicesOnly(item state.Item) (state.Item, error) {
+	if item.Key != configurationKey || item.Deleted {
+		return item, nil
+	}
+	fact, err := FactOf(item)
+	if err != nil {
+		return item, err
+	}
+	fact.Configuration = fact.Configuration.ServicesOnly()
+	reduced, err := fact.Item()
+	reduced.Version = item.Version
+	return reduced, err
+}
+
 // FactOf reads a fact back from its item.
 func FactOf(item state.Item) (Fact, error) {
 	fact := Fact{Key: item.Key, Revision: Revision(item.Version.Major), Gone: item.Deleted}
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -176,6 +176,33 @@
 	Limits        Limits         `cbor:"5,keyasint"`
 }
 
+// ServicesOnly returns what a process needs that serves no callers: the services, and
+// one route for each way in which the routes of a service may go on elsewhere. It does
+// not grow with the operators' routes and organisations.
+func (c *Configuration) ServicesOnly() *Configuration {
+	type way struct {
+		service   member.Service
+		kind      RouteKind
+		resumable bool
+	}
+	reduced := &Configuration{Version: c.Version, Services: c.Services}
+	seen := make(map[way]bool)
+	for i := range c.Routes {
+		route := &c.Routes[i]
+		for _, backend := range route.Backends {
+			w := way{backend.Service, route.Kind, route.Resumable}
+			if seen[w] {
+				continue
+			}
+			seen[w] = true
+			reduced.Routes = append(reduced.Routes, Route{
+				Kind: route.Kind, Resumable: route.Resumable, Backends: []Backend{{Service: backend.Service, Weight: 1}},
+			})
+		}
+	}
+	return reduced
+}
+
 // LoadedLayers is a range of layers that a server holds, End exclusive.
 type LoadedLayers struct {
 	Start   int            `cbor:"1,keyasint"`
--- /dev/null
+++ b/pkg/fleet/fleet_test.go
@@ -0,0 +1,39 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cinderslip/cinderslip/pkg/member"
+)
+
+// A configuration of 1,400 routes went whole to every agent at every change.
+func TestWhatAgentsAreToldDoesNotGrowWithTheRoutes(t *testing.T) {
+	configuration := &Configuration{Version: 9, Services: []Service{{Name: "llm", Engine: &Engine{Layers: 4}}, {Name: "maps"}}}
+	route := func(service member.Service, kind RouteKind, resumable bool) {
+		configuration.Routes = append(configuration.Routes, Route{
+			Name: fmt.Sprint(len(configuration.Routes)), Kind: kind, Resumable: resumable, Backends: []Backend{{Service: service, Weight: 1}},
+		})
+	}
+	for range 700 {
+		route("llm", KindStream, true)
+		route("maps", KindOnce, false)
+	}
+	whole, err := (&Fact{Key: ConfigurationKey(), Revision: 7, Configuration: configuration}).Item()
+	require.NoError(t, err)
+	reduced, err := ServicesOnly(whole)
+	require.NoError(t, err)
+	require.Equal(t, whole.Version, reduced.Version)
+	require.Less(t, len(reduced.Value), len(whole.Value)/100)
+	fact, err := FactOf(reduced)
+	require.NoError(t, err)
+	view := EmptyView().WithConfiguration(fact.Configuration, fact.Revision)
+	require.True(t, view.Resumable("llm"))
+	require.False(t, view.Resumable("maps"))
+	require.NotNil(t, view.Service("llm").Engine)
+
+	route("llm", KindOnce, false)
+	require.False(t, EmptyView().WithConfiguration(configuration.ServicesOnly(), 8).Resumable("llm"), "one route that can't go on counts")
+}
