--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 GOLANGCI_LINT_VERSION := v2.15.0
 SOURCES = $(shell git ls-files -co --exclude-standard '*.go' | grep -v -e '\.pb\.go$$')
 
-.PHONY: setup build build-deployed fmt lint generate test bench ci check-fmt check-generated
+.PHONY: setup build build-deployed fmt lint generate test soak bench ci check-fmt check-generated
 
 setup: ## Fetch modules and install the pinned linter.
 	go mod download
@@ -28,6 +28,10 @@
 test: ## Run all tests.
 	go test ./...
 
+SOAK_FROM ?= 1000
+soak: ## Run fifty seeds of random faults against real processes.
+	go test -count=1 -timeout 30m -parallel 6 ./internal/soak -soak.seeds 50 -soak.from $(SOAK_FROM)
+
 bench: ## Run the benchmarks from which docs/CAPACITY.md is worked out.
 	go test -run '^$$' -bench . -benchmem ./...
 
