fix(route): only first refusals are promised a place

Cause: found by reading: an attempt without progress asks for a place elsewhere every 150 ms, and each time pushed the time at which others are told to come back, up to its longest; so did second refusals, after which nobody comes back. Change: only a request that is refused for the first time takes a spare place.

--- a/pkg/route/dispatch_test.go
+++ b/pkg/route/dispatch_test.go
@@ -378,3 +378,20 @@
 	held.Release(ResultDone, b.now)
 	require.NoError(t, <-got)
 }
+
+// An attempt without progress asks for a place elsewhere again and again; that pushed
+// the time to come back of all others to its longest.
+func TestOnlyFirstRefusalsArePromisedAPlace(t *testing.T) {
+	b := newBench(true, model("a", 1, 1))
+	b.acquire(t)
+	for range 50 {
+		once := b.ask()
+		once.Once = true
+		_, err := b.Acquire(t.Context(), once, b.clock)
+		require.Error(t, err)
+	}
+	_, err := b.Acquire(t.Context(), b.ask(), b.clock)
+	var busy *BusyError
+	require.ErrorAs(t, err, &busy)
+	require.Less(t, busy.RetryAfter, 1500*time.Millisecond)
+}
--- a/pkg/route/queue.go
+++ b/pkg/route/queue.go
@@ -109,9 +109,9 @@
 	return d.usual
 }
 
-// busy says when a refused request should come back. Those that are refused get the
-// spare places one after the other: told the same short time, they would come back
-// together and be refused for good.
+// busy says when a refused request should come back. Those that are refused for the
+// first time get the spare places one after the other: told the same short time, they
+// would come back together and be refused for good.
 func (d *Dispatcher) busy(ask *Ask, now time.Time) error {
 	longest := max(retryLeast, ask.Deadline.Sub(now)/3)
 	back := now.Add(max(retryLeast, d.expected(ask, now)))
@@ -119,7 +119,9 @@
 		back = d.promised
 	}
 	wait := min(back.Sub(now), longest)
-	d.promised = now.Add(wait + time.Duration(float64(d.interval())/spareShare))
+	if !ask.Returning && !ask.Once {
+		d.promised = now.Add(wait + time.Duration(float64(d.interval())/spareShare))
+	}
 	jitter := time.Duration(rand.Int64N(int64(retryLeast)))
 	return &BusyError{Waiting: len(d.queue), RetryAfter: min(wait+jitter, longest)}
 }
