fix(settings): bounds of the platform may be fractions, and may be nothing

Memory was made of a number and six zeros. An allowance of 0 was taken for one that was left out, and became 100. Change: retry_extra is a number that may be a fraction, ratio and extra may be 0, memory is given in megabytes; the time of weights may be absent.

--- a/cmd/cinderslipd/direct.go
+++ b/cmd/cinderslipd/direct.go
@@ -22,13 +22,16 @@
 	"github.com/cinderslip/cinderslip/platform"
 )
 
+// bytesPerMegabyte converts the memory limit.
+const bytesPerMegabyte = 1e6
+
 // heapPart is the part of the memory limit that the Go runtime keeps to; the
 // rest is for the kernel's buffers and for stacks.
 const heapPart = 0.6
 
 // runDirect runs one role in direct mode until a signal.
 func runDirect(path string, loaded *settings.Settings, stdout io.Writer) int {
-	debug.SetMemoryLimit(int64(heapPart * float64(loaded.Direct.MemoryLimit)))
+	debug.SetMemoryLimit(int64(heapPart * bytesPerMegabyte * loaded.Direct.MemoryMegabytes))
 	clock := clockwork.NewRealClock()
 	queue := daemon.NewLogQueue(stdout, clock)
 	defer closeLog(queue)
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -159,9 +159,9 @@
 // what it has used before its start.
 func (f *Front) retryExtra() float64 {
 	if f.clock.Since(f.started) < f.retries.window {
-		return float64(f.retries.extra) / unknownBoxes
+		return f.retries.extra / unknownBoxes
 	}
-	return float64(f.retries.extra) / float64(f.boxes()) * retrySafety
+	return f.retries.extra / float64(f.boxes()) * retrySafety
 }
 
 // unknownBoxes is among how many entry boxes a box that has just started splits the
--- a/internal/direct/front.go
+++ b/internal/direct/front.go
@@ -79,7 +79,7 @@
 // retryLimits bound the attempts beyond the first of all entry boxes together.
 type retryLimits struct {
 	ratio  float64
-	extra  int
+	extra  float64
 	window time.Duration
 }
 
@@ -89,7 +89,7 @@
 	f := &Front{
 		facts: p.facts, protocol: p.options.Platform.Callers, clock: p.options.Clock, log: p.options.Log, metrics: p.metrics,
 		duties: kernel.NewDuties(), started: p.options.Clock.Now(), bound: time.Duration(direct.VersionBound),
-		retries: retryLimits{direct.RetryRatio, direct.RetryExtra, time.Duration(direct.RetryWindow)},
+		retries: retryLimits{*direct.RetryRatio, *direct.RetryExtra, time.Duration(direct.RetryWindow)},
 		isNear:  p.isNear, dispatchers: make(map[member.Service]*route.Dispatcher),
 		budgets: make(map[member.Service]*route.WindowBudget), patience: make(map[string]*patience),
 	}
--- a/internal/direct/world_test.go
+++ b/internal/direct/world_test.go
@@ -31,7 +31,7 @@
 	events    = 10
 	eventTime = 20 * time.Millisecond
 	// retryExtra lets a box that has just started retry what a script needs.
-	retryExtra = 1000
+	retryExtra = 1000.0
 )
 
 // world is a small deployment in this process.
@@ -202,7 +202,7 @@
 		Listen: settings.Listen{Peers: fmt.Sprintf("%s:%d", ip, peersPort), Metrics: ip + ":0"},
 		Peers:  settings.Peers{Entries: w.entries},
 		Direct: settings.Direct{
-			Store: w.storeAt, AgentPort: portAgents, MemoryLimit: 64 << 20, LinkMbps: 100, RetryExtra: retryExtra,
+			Store: w.storeAt, AgentPort: portAgents, MemoryMegabytes: 64, LinkMbps: 100, RetryExtra: new(retryExtra),
 			Domains: map[string]string{"hall-a": "riga"},
 		},
 		Stop: settings.Stop{Grace: settings.Duration(6 * time.Second)},
--- a/internal/settings/direct.go
+++ b/internal/settings/direct.go
@@ -20,15 +20,20 @@
 	c.address("listen.metrics", s.Listen.Metrics)
 	c.address("direct.store", s.Direct.Store)
 	c.number("direct.agent_port", int64(s.Direct.AgentPort), 1, portLimit)
-	c.number("direct.memory_limit_bytes", s.Direct.MemoryLimit, 1<<20, 1<<50)
+	if s.Direct.MemoryMegabytes < 1 {
+		c.add("direct.memory_limit_megabytes", "want at least 1, got %v", s.Direct.MemoryMegabytes)
+	}
 	if s.Direct.LinkMbps <= 0 {
 		c.add("direct.link_mbps", "want the rate of the box's link in Mbit/s, got %v", s.Direct.LinkMbps)
 	}
 	c.duration("direct.version_bound", s.Direct.VersionBound, time.Second, 24*time.Hour)
 	c.duration("direct.retry_window", s.Direct.RetryWindow, time.Second, time.Hour)
 	c.duration("stop.grace", s.Stop.Grace, time.Second, time.Hour)
-	if s.Direct.RetryRatio < 0 || s.Direct.RetryExtra < 0 {
-		c.add("direct.retry_ratio", "want numbers that are not negative, got %v and %v", s.Direct.RetryRatio, s.Direct.RetryExtra)
+	if *s.Direct.RetryRatio < 0 {
+		c.add("direct.retry_ratio", "want a number that is not negative, got %v", *s.Direct.RetryRatio)
+	}
+	if *s.Direct.RetryExtra < 0 {
+		c.add("direct.retry_extra", "want a number that is not negative, got %v", *s.Direct.RetryExtra)
 	}
 	for i, entry := range s.Peers.Entries {
 		if _, err := netip.ParseAddrPort(entry); err != nil {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -180,8 +180,8 @@
 	AgentPort int `toml:"agent_port"`
 	// Domains gives the region of each failure domain.
 	Domains map[string]string `toml:"domains"`
-	// MemoryLimit bounds the process's memory, in bytes.
-	MemoryLimit int64 `toml:"memory_limit_bytes"`
+	// MemoryMegabytes bounds the process's memory, in millions of bytes.
+	MemoryMegabytes float64 `toml:"memory_limit_megabytes"`
 	// LinkMbps is the rate of the box's link, in Mbit/s.
 	LinkMbps float64 `toml:"link_mbps"`
 	// VersionBound is how long after newer weights were named older ones may
@@ -190,9 +190,9 @@
 	// DirectoryTTL is how long callers may keep the addresses they are told.
 	DirectoryTTL Duration `toml:"directory_ttl"`
 	// RetryRatio and RetryExtra bound the attempts beyond the first of each
-	// request of a service within RetryWindow, over all entry boxes.
-	RetryRatio  float64  `toml:"retry_ratio"`
-	RetryExtra  int      `toml:"retry_extra"`
+	// request of a service within RetryWindow, over all entry boxes. Either may be 0.
+	RetryRatio  *float64 `toml:"retry_ratio"`
+	RetryExtra  *float64 `toml:"retry_extra"`
 	RetryWindow Duration `toml:"retry_window"`
 }
 
@@ -224,7 +224,7 @@
 	defaultVersionBound = Duration(8 * time.Second)
 	defaultDirectoryTTL = Duration(time.Second)
 	defaultRetryRatio   = 0.2
-	defaultRetryExtra   = 100
+	defaultRetryExtra   = 100.0
 	defaultRetryWindow  = Duration(10 * time.Second)
 )
 
@@ -234,8 +234,8 @@
 	setDefault(&s.Mode, ModeAgents)
 	setDefault(&s.Direct.VersionBound, defaultVersionBound)
 	setDefault(&s.Direct.DirectoryTTL, defaultDirectoryTTL)
-	setDefault(&s.Direct.RetryRatio, defaultRetryRatio)
-	setDefault(&s.Direct.RetryExtra, defaultRetryExtra)
+	setDefault(&s.Direct.RetryRatio, new(defaultRetryRatio))
+	setDefault(&s.Direct.RetryExtra, new(defaultRetryExtra))
 	setDefault(&s.Direct.RetryWindow, defaultRetryWindow)
 	setDefault(&s.Peers.Heartbeat, defaultHeartbeat)
 	setDefault(&s.Peers.Silence, defaultSilence)
--- /dev/null
+++ b/internal/settings/template_test.go
@@ -0,0 +1,128 @@
+package settings
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"regexp"
+	"sort"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// fields are what the platform fills the template from.
+type fields map[string]any
+
+func (f fields) get(name string) any {
+	var value any = map[string]any(f)
+	for part := range strings.SplitSeq(name, ".") {
+		switch at := value.(type) {
+		case map[string]any:
+			value = at[part]
+		case []any:
+			var index int
+			if _, err := fmt.Sscan(part, &index); err != nil || index >= len(at) {
+				return nil
+			}
+			value = at[index]
+		default:
+			return nil
+		}
+	}
+	return value
+}
+
+var (
+	section = regexp.MustCompile(`(?s)\{\{([#^])([\w.]+)\}\}(.*?)\{\{/([\w.]+)\}\}`)
+	gap     = regexp.MustCompile(`\{\{([\w.@]+)(\|json)?\}\}`)
+)
+
+// fill fills the template as the platform's pages describe it, as far as it is used.
+func fill(text string, f fields) string {
+	text = section.ReplaceAllStringFunc(text, func(found string) string {
+		parts := section.FindStringSubmatch(found)
+		value := f.get(parts[2])
+		given := value != nil && value != false && value != ""
+		if parts[1] == "^" {
+			if given {
+				return ""
+			}
+			return fill(parts[3], f)
+		}
+		table, ok := value.(map[string]any)
+		switch {
+		case !given:
+			return ""
+		case !ok:
+			return fill(parts[3], f)
+		}
+		var out strings.Builder
+		names := make([]string, 0, len(table))
+		for name := range table {
+			names = append(names, name)
+		}
+		sort.Strings(names)
+		for _, name := range names {
+			out.WriteString(strings.NewReplacer("{{@}}", name, "{{.}}", fmt.Sprint(table[name])).Replace(parts[3]))
+		}
+		return out.String()
+	})
+	return gap.ReplaceAllStringFunc(text, func(found string) string {
+		parts := gap.FindStringSubmatch(found)
+		value := f.get(parts[1])
+		if parts[2] != "" {
+			raw, err := json.Marshal(value)
+			if err != nil {
+				panic(err) // plain values always encode
+			}
+			return string(raw)
+		}
+		if value == nil {
+			return ""
+		}
+		return fmt.Sprint(value)
+	})
+}
+
+// platformFields decodes fields as the platform has them.
+func platformFields(t *testing.T, listen string, numbers string) fields {
+	t.Helper()
+	var f fields
+	require.NoError(t, json.Unmarshal([]byte(`{
+		"NodeName": "edge-kita-a-1", "Ip": "10.1.0.40", "Zone": "kita-a", "Region": "kita", "InternalPorts": [7700, 7715],
+		"Seeds": ["10.1.0.40:8000", "10.2.0.37:8000"], "Zones": {"kita-a": "kita", "minami-a": "minami"},
+		"Provider": {"Address": "10.200.1.7:8007"}, `+listen+`, `+numbers+`}`), &f))
+	return f
+}
+
+const (
+	entryListen = `"Listen": {"Front": "10.1.0.40:8005", "Readiness": "10.1.0.40:8002", "Control": "10.1.0.40:8000", "Directory": "10.1.0.40:8009"}`
+	agentListen = `"Listen": {}, "app": "10.1.0.40:8100", "Service": "kakiwake"`
+)
+
+// A deployment whose bounds were fractions could not start at all.
+func TestTheTemplateGivesSettingsWhateverNumbersThePlatformHas(t *testing.T) {
+	template, err := os.ReadFile("../../deploy/settings.toml.tmpl")
+	require.NoError(t, err)
+	bounds := map[string]string{
+		"whole":     `"Limits": {"MemoryMb": 284, "LinkMbps": 1000}, "Bounds": {"version_ms": 8000, "RetryBudgetRatio": 1, "RetryBudgetExtra": 100, "RetryWindowS": 10, "GraceS": 8}`,
+		"fractions": `"Limits": {"MemoryMb": 184.5, "LinkMbps": 9.4}, "Bounds": {"version_ms": 8000.5, "RetryBudgetRatio": 0.2, "RetryBudgetExtra": 100.8, "RetryWindowS": 9.5, "GraceS": 7.25}`,
+		"none":      `"Limits": {"MemoryMb": 152, "LinkMbps": 9}, "Bounds": {"RetryBudgetRatio": 0, "RetryBudgetExtra": 0, "RetryWindowS": 10, "GraceS": 8}`,
+	}
+	for name, numbers := range bounds {
+		for role, listen := range map[Role]string{RoleEntry: entryListen, RoleAgent: agentListen} {
+			t.Run(name+"/"+string(role), func(t *testing.T) {
+				text := fill(string(template), platformFields(t, listen, numbers))
+				loaded, findings := Parse("settings.toml", []byte(text))
+				require.Empty(t, findings, text)
+				require.Equal(t, role, loaded.Role)
+				if name == "none" {
+					require.Zero(t, *loaded.Direct.RetryExtra, "an allowance of nothing is not one that was left out")
+					require.Zero(t, *loaded.Direct.RetryRatio)
+				}
+			})
+		}
+	}
+}
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -150,7 +150,7 @@
 func (w *world) rest(seeds string) []string {
 	return []string{
 		"[peers]", seeds, "[direct]", fmt.Sprintf("store = %q", w.storeLink.address()), fmt.Sprintf("agent_port = %d", portAgents),
-		"memory_limit_bytes = 150000000", "link_mbps = 100.0", `version_bound = "8s"`, "retry_ratio = 0.2", "retry_extra = 1000", `retry_window = "10s"`,
+		"memory_limit_megabytes = 150", "link_mbps = 100.0", `version_bound = "8s"`, "retry_ratio = 0.2", "retry_extra = 1000", `retry_window = "10s"`,
 	}
 }
 
