perf(direct): a request waits for a box that has just started to know a configuration

Change: a request waits for a configuration, for 0.3 of its time and 1.6 s at the most; who is refused is told a third of its time.

--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -67,9 +67,9 @@
 // admit finds the route and the organisation of a request. If there is none, the
 // answer is written.
 func (f *Front) admit(x *exchange) bool {
-	view := f.facts.View()
+	view := f.awaitConfiguration(x)
 	if view.Configuration == nil {
-		f.refuse(x, "no-configuration", noConfigurationWait)
+		f.refuse(x, "no-configuration", max(noConfigurationWait, x.Deadline/3))
 		return false
 	}
 	x.configuration = view.Configuration.Version
@@ -88,6 +88,31 @@
 	return true
 }
 
+// awaitConfiguration returns what is believed, once a configuration is known or the
+// request has waited for one for long enough. A box that has just started reads one
+// within a few round trips, and seconds later if the store is away too.
+func (f *Front) awaitConfiguration(x *exchange) *fleet.View {
+	view := f.facts.View()
+	if view.Configuration != nil {
+		return view
+	}
+	wait := min(configurationLongest, time.Duration(configurationPart*float64(x.Deadline)))
+	timeout := f.clock.After(wait)
+	for {
+		changed := f.facts.Changed()
+		if view = f.facts.View(); view.Configuration != nil {
+			return view
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			return view
+		case <-x.request.Context().Done():
+			return view
+		}
+	}
+}
+
 // hostOf is the host that a request names, without a port.
 func hostOf(request *http.Request) string {
 	host := request.Host
--- a/internal/direct/front.go
+++ b/internal/direct/front.go
@@ -26,9 +26,14 @@
 	callerHeaders = 16 << 10
 	// defaultBody bounds a caller's body where the operators give no limit.
 	defaultBody = 4 << 20
-	// noConfigurationWait is when a caller should return to a box that knows no
-	// configuration yet; one is read within a few round trips.
+	// noConfigurationWait is the shortest time after which a caller should return to a
+	// box that knows no configuration yet.
 	noConfigurationWait = 300 * time.Millisecond
+	// configurationPart is the part of its time for which a request waits for the box
+	// to know a configuration, configurationLongest bounds it: readers of streams leave
+	// after two seconds without any event.
+	configurationPart    = 0.3
+	configurationLongest = 1600 * time.Millisecond
 	// usualModelTime and usualPlainTime are how long requests hold a place until
 	// the mean is known.
 	usualModelTime = time.Second
--- a/internal/direct/front_test.go
+++ b/internal/direct/front_test.go
@@ -1,12 +1,16 @@
 package direct
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
+	"github.com/cinderslip/cinderslip/internal/provider"
+	"github.com/cinderslip/cinderslip/pkg/fleet"
 	"github.com/cinderslip/cinderslip/pkg/member"
 )
 
@@ -42,3 +46,23 @@
 	}
 	require.Equal(t, map[member.BoxID]bool{"a": true, "b": true, "c": true}, asked)
 }
+
+// A box that had just started refused for good whoever had come back to it, some
+// milliseconds before it knew the configuration.
+func TestARequestWaitsForABoxThatHasJustStartedToKnowAConfiguration(t *testing.T) {
+	facts, clock := newTestFacts()
+	f := &Front{facts: facts, clock: clock}
+	x := &exchange{Inbound: provider.Inbound{Deadline: 4 * time.Second}, request: httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/", http.NoBody)}
+	got := make(chan *fleet.View, 1)
+	go func() { got <- f.awaitConfiguration(x) }()
+	require.NoError(t, clock.BlockUntilContext(t.Context(), 1))
+	facts.Apply([]fleet.Fact{{Key: fleet.ConfigurationKey(), Revision: 1, Configuration: &fleet.Configuration{Version: 3}}}, "store")
+	require.EqualValues(t, 3, (<-got).Configuration.Version)
+
+	empty, clock := newTestFacts()
+	f = &Front{facts: empty, clock: clock}
+	go func() { got <- f.awaitConfiguration(x) }()
+	require.NoError(t, clock.BlockUntilContext(t.Context(), 1))
+	clock.Advance(time.Duration(configurationPart * float64(x.Deadline)))
+	require.Nil(t, (<-got).Configuration, "it does not wait for longer than a part of its time")
+}
