--- a/pkg/route/dispatch.go
+++ b/pkg/route/dispatch.go
@@ -203,16 +203,9 @@
 		}
 	}
 	latest := d.latest(ask, at)
-	switch {
-	case ask.Once || !ask.Returning && !d.anyEligible(at):
+	if ask.Once || !ask.Returning && !d.isWorthWaiting(ask, latest, at) {
 		defer d.mu.Unlock()
-		if d.anyEligible(at) {
-			return nil, d.busy(ask, at)
-		}
-		return nil, ErrNoServer
-	case !ask.Returning && at.Add(d.expected(ask, at)).After(latest):
-		defer d.mu.Unlock()
-		return nil, d.busy(ask, at)
+		return nil, d.refusal(ask, at)
 	}
 	return d.hold(ctx, ask, latest, now)
 }
--- a/pkg/route/queue.go
+++ b/pkg/route/queue.go
@@ -52,6 +52,19 @@
 	return d.wait(ctx, w, latest, now)
 }
 
+// isWorthWaiting reports whether a request is likely to get a place in time.
+func (d *Dispatcher) isWorthWaiting(ask *Ask, latest, now time.Time) bool {
+	return d.anyEligible(now) && !now.Add(d.expected(ask, now)).After(latest)
+}
+
+// refusal says why a request is not let in.
+func (d *Dispatcher) refusal(ask *Ask, now time.Time) error {
+	if !d.anyEligible(now) {
+		return ErrNoServer
+	}
+	return d.busy(ask, now)
+}
+
 // latest is when a request must have started to be worth waiting for: in time for its
 // objective, or, if it was refused before, before it has waited for too long.
 func (d *Dispatcher) latest(ask *Ask, now time.Time) time.Time {
