fix(direct): a leaving box sends late-comers elsewhere

Ruled out: the server (it ran them), the order of the stop. Change: three seconds after the stop began a request is refused at once, with the time to come back and the connection closed; while a box leaves nobody is held for a place longer than the request's objective allows.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -178,7 +178,7 @@
 	ask := &route.Ask{
 		Priority: f.priority(x), Objective: x.arrived.Add(x.route.Objective), Deadline: x.deadline, Patience: x.route.Patience,
 		Reading: reading, Holding: reading + writing,
-		Returning: x.returning, Tried: tried, Once: once,
+		Returning: x.returning && !f.leaving.Load(), Tried: tried, Once: once,
 	}
 	if x.attempts > 0 {
 		// A request that has been tried already goes before those that came later.
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -55,6 +55,10 @@
 	}
 	if f.leaving.Load() {
 		x.writer.Header().Set("Connection", "close")
+		if x.arrived.Sub(f.leavingSince) >= leaveTakes {
+			f.refuse(x, "leaving", refusedWait)
+			return nil
+		}
 	}
 	if !f.admit(x) || !f.readBody(x) {
 		return nil
--- a/internal/direct/front.go
+++ b/internal/direct/front.go
@@ -69,7 +69,9 @@
 	entries  atomic.Pointer[EntryBoxes]
 	service  *httpService
 	leaving  atomic.Bool
-	active   atomic.Int64
+	// leavingSince is when the box began to leave; it is set before leaving is.
+	leavingSince time.Time
+	active       atomic.Int64
 	// accepted counts the requests since the start, to see when callers have
 	// gone elsewhere.
 	accepted atomic.Int64
@@ -126,6 +128,9 @@
 	// leaveLeast is how long a leaving box goes on taking new connections: some
 	// callers keep an address for three times the time that they are told.
 	leaveLeast = 3500 * time.Millisecond
+	// leaveTakes is how long a leaving box goes on taking requests. Those that come
+	// later might not end within its grace, and are sent elsewhere.
+	leaveTakes = 3 * time.Second
 	// leaveQuiet is for how long no request must have come before it stops.
 	leaveQuiet = time.Second
 	// leaveReserve is kept of the time for the requests in progress.
@@ -134,6 +139,7 @@
 
 // Leave goes on answering until callers have gone elsewhere.
 func (f *Front) Leave(ctx context.Context) {
+	f.leavingSince = f.clock.Now()
 	f.leaving.Store(true)
 	f.log.Info().Int64("active", f.active.Load()).Msg("leaving")
 	started, quietSince, seen := f.clock.Now(), f.clock.Now(), f.accepted.Load()
--- a/internal/direct/front_test.go
+++ b/internal/direct/front_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/labstack/echo/v4"
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"github.com/cinderslip/cinderslip/internal/provider"
@@ -66,3 +68,28 @@
 	clock.Advance(time.Duration(configurationPart * float64(x.Deadline)))
 	require.Nil(t, (<-got).Configuration, "it does not wait for longer than a part of its time")
 }
+
+// A request that came five seconds after a planned stop had begun was held for a place,
+// and cut when the grace was over.
+func TestALeavingBoxTakesNoRequestThatMightOutlastItsGrace(t *testing.T) {
+	facts, clock := newTestFacts()
+	facts.Apply([]fleet.Fact{{Key: fleet.ConfigurationKey(), Revision: 1, Configuration: &fleet.Configuration{Version: 3}}}, "store")
+	f := &Front{
+		facts: facts, clock: clock, metrics: NewMetrics(), log: zerolog.Nop(),
+		protocol: provider.CallerProtocol{ReadRequest: func(*http.Request) provider.Inbound { return provider.Inbound{} }},
+	}
+	f.leavingSince = clock.Now()
+	f.leaving.Store(true)
+	ask := func() *httptest.ResponseRecorder {
+		recorder := httptest.NewRecorder()
+		request := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/none/", http.NoBody)
+		require.NoError(t, f.serve(echo.New().NewContext(request, recorder)))
+		require.Equal(t, "close", recorder.Header().Get("Connection"))
+		return recorder
+	}
+	require.Equal(t, http.StatusNotFound, ask().Code, "a request that comes early is taken")
+	clock.Advance(leaveTakes)
+	refused := ask()
+	require.Equal(t, http.StatusServiceUnavailable, refused.Code)
+	require.NotEmpty(t, refused.Header().Get("Retry-After"))
+}
--- a/internal/report/explain.go
+++ b/internal/report/explain.go
@@ -118,6 +118,7 @@
 var refusals = map[string]string{
 	"busy":             "all places were taken, and it could not have begun in time",
 	"no-server":        "no server could run it",
+	"leaving":          "the box was in a planned stop and could not have ended it",
 	"no-configuration": "the box had just started and knew no configuration",
 	"not-run":          "its server refused it or could not be reached, and no further attempt was allowed",
 }
