feat(log): a request's line tells its wait, its size and how long ago its caller first asked

Cause: the lines did not tell why an answer was late: whether its caller had been refused before, whether it waited for a place, or its server took long. Change: since_first_ms, waited_ms, prompt_tokens, service and organisation on each request's line, pause_ms on begun ones.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -61,7 +61,7 @@
 				break
 			}
 			var err error
-			if place, err = f.dispatcher(x.service).Acquire(ctx, f.ask(x, tried, false), f.clock.Now); err != nil {
+			if place, err = f.acquire(ctx, x, tried); err != nil {
 				last = err
 				break
 			}
@@ -95,6 +95,13 @@
 	f.conclude(ctx, x, mayHaveRun, last)
 }
 
+// acquire waits for a place on a server.
+func (f *Front) acquire(ctx context.Context, x *exchange, tried []fleet.ServerID) (*route.Reservation, error) {
+	asked := f.clock.Now()
+	defer func() { x.waited += f.clock.Since(asked) }()
+	return f.dispatcher(x.service).Acquire(ctx, f.ask(x, tried, false), f.clock.Now)
+}
+
 // beginBy returns when an answer must have begun: before the weights of its server are
 // barred. An answer that has begun by then may go on.
 func (f *Front) beginBy(x *exchange, place *route.Reservation) (at time.Time, ok bool) {
@@ -178,7 +185,7 @@
 	ask := &route.Ask{
 		Priority: f.priority(x), Objective: x.arrived.Add(x.route.Objective), Deadline: x.deadline, Patience: x.route.Patience,
 		Reading: reading, Holding: reading + writing,
-		Returning: x.returning && !f.leaving.Load(), Tried: tried, Once: once,
+		Returning: x.sinceFirst > 0 && !f.leaving.Load(), Tried: tried, Once: once,
 	}
 	if x.attempts > 0 {
 		// A request that has been tried already goes before those that came later.
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -29,8 +29,12 @@
 	organisation *fleet.Organisation
 	arrived      time.Time
 	// deadline is when the caller's and the route's time is over.
-	deadline  time.Time
-	returning bool
+	deadline time.Time
+	// sinceFirst is how long before this request its caller first asked, as far as its
+	// remaining time tells; 0 for one that was not here before.
+	sinceFirst time.Duration
+	// waited is for how long the request has waited for places.
+	waited time.Duration
 	// configuration is the version by which the request was routed.
 	configuration uint64
 	// attempts counts what was sent, unreachable what could not be, misdirected
@@ -41,6 +45,10 @@
 	// begun is set once the head of an answer has been passed on, after firstAfter.
 	begun      bool
 	firstAfter time.Duration
+	// longestPause is the longest time between two events that were passed on, lastPassed
+	// when the last one was.
+	longestPause time.Duration
+	lastPassed   time.Time
 	// lastEvent is the id of the last event that was passed on.
 	lastEvent string
 }
@@ -184,7 +192,7 @@
 
 const (
 	// returningPart is the part of the longest time asked for below which a caller is
-	// taken to have been refused before.
+	// taken to have been here before: connecting and sending take less than the rest.
 	returningPart = 0.985
 	// patienceKnown is after how many callers the longest time is known. Until then the
 	// route's own time counts too: after a loss of power most callers have been here
@@ -192,8 +200,8 @@
 	patienceKnown = 20
 )
 
-// isReturning reports whether a caller has been refused before.
-func (f *Front) isReturning(x *exchange) bool {
+// sinceFirst returns how long ago a caller first asked; 0 if it was not here before.
+func (f *Front) sinceFirst(x *exchange) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	known := f.patience[x.route.Name]
@@ -207,7 +215,10 @@
 	if known.seen <= patienceKnown {
 		longest = max(longest, x.route.Timeout)
 	}
-	return float64(x.Deadline) < returningPart*float64(longest)
+	if float64(x.Deadline) >= returningPart*float64(longest) {
+		return 0
+	}
+	return longest - x.Deadline
 }
 
 func (f *Front) setTimes(x *exchange) {
@@ -216,7 +227,7 @@
 		timeout = x.Deadline
 	}
 	if x.Deadline > 0 {
-		x.returning = f.isReturning(x)
+		x.sinceFirst = f.sinceFirst(x)
 		timeout = min(timeout, x.Deadline)
 	}
 	x.deadline = x.arrived.Add(timeout)
@@ -255,8 +266,15 @@
 	f.metrics.requests.WithLabelValues(name, outcome).Inc()
 	f.metrics.seconds.WithLabelValues(name).Observe(taken.Seconds())
 	event := f.log.Info().Str("request", x.ID).Str("route", name).Str("outcome", outcome)
+	if x.route != nil {
+		event = event.Str("service", string(x.service)).Dur("objective_ms", x.route.Objective).Dur("since_first_ms", x.sinceFirst).
+			Dur("waited_ms", x.waited).Int("prompt_tokens", x.PromptTokens)
+	}
+	if x.organisation != nil {
+		event = event.Str("organisation", string(x.organisation.Name))
+	}
 	if x.begun {
-		event = event.Dur("begun_ms", x.firstAfter).Dur("objective_ms", x.route.Objective)
+		event = event.Dur("begun_ms", x.firstAfter).Dur("pause_ms", x.longestPause)
 	}
 	return event.Uint64("configuration", x.configuration).Int("attempts", x.attempts).Int("unreachable", x.unreachable).Dur("taken_ms", taken)
 }
--- a/internal/direct/stream.go
+++ b/internal/direct/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/cinderslip/cinderslip/internal/upstream"
 	"github.com/cinderslip/cinderslip/pkg/route"
@@ -109,6 +110,7 @@
 		}
 		guard.begun()
 		guard.progress(streamPatience)
+		x.passed(f.clock.Now())
 		place.Started(f.clock.Now())
 		if _, err = x.writer.Write(events); err == nil {
 			err = flush.Flush()
@@ -123,6 +125,14 @@
 	}
 }
 
+// passed notes that events are passed on.
+func (x *exchange) passed(now time.Time) {
+	if !x.lastPassed.IsZero() {
+		x.longestPause = max(x.longestPause, now.Sub(x.lastPassed))
+	}
+	x.lastPassed = now
+}
+
 // streamFailed tells what became of a stream that broke off.
 func (f *Front) streamFailed(x *exchange, place *route.Reservation, err error) (outcome, error) {
 	if x.request.Context().Err() != nil {
