refactor(route): requests are submitted, reviewed and withdrawn; a model runs the dispatcher in virtual time

Change: Submit, Review and Withdraw decide at a given time; Acquire wraps them for the front. The dispatcher's random numbers are an option. internal/lab models callers, entry boxes, links, servers in batches and faults, and runs this dispatcher.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -99,7 +99,7 @@
 func (f *Front) acquire(ctx context.Context, x *exchange, tried []fleet.ServerID) (*route.Reservation, error) {
 	asked := f.clock.Now()
 	defer func() { x.waited += f.clock.Since(asked) }()
-	return f.dispatcher(x.service).Acquire(ctx, f.ask(x, tried, false), f.clock.Now)
+	return f.dispatcher(x.service).Acquire(ctx, f.ask(x, tried, false), f.clock)
 }
 
 // beginBy returns when an answer must have begun: before the weights of its server are
@@ -144,23 +144,17 @@
 // refuseAfter refuses a request that surely has not run.
 func (f *Front) refuseAfter(x *exchange, cause error) {
 	var busy *route.BusyError
-	wait, reason := refusedWait, "not-run"
+	wait, reason, left := refusedWait, "not-run", x.deadline.Sub(f.clock.Now())
 	switch {
 	case errors.As(cause, &busy):
 		wait, reason = busy.RetryAfter, "busy"
 	case errors.Is(cause, route.ErrNoServer), x.unreachable+x.misdirected > 1:
-		wait, reason = f.noServerWait(x), "no-server"
+		wait, reason = route.RetryAfter(route.ErrNoServer, left), "no-server"
 	}
 	f.log.Debug().Str("request", x.ID).AnErr("cause", cause).Msg("refusing")
 	f.refuse(x, reason, wait)
 }
 
-// noServerWait is when a caller should return to a service that has no server: as
-// late as callers may be told to, a third of what remains.
-func (f *Front) noServerWait(x *exchange) time.Duration {
-	return max(refusedWait, x.deadline.Sub(f.clock.Now())/3)
-}
-
 // retryExtra is this box's part of the retries that all entry boxes may make
 // beyond the ratio. A box that has just started does not know the others yet, nor
 // what it has used before its start.
@@ -183,7 +177,7 @@
 func (f *Front) ask(x *exchange, tried []fleet.ServerID, once bool) *route.Ask {
 	reading, writing := f.engineTimes(x)
 	ask := &route.Ask{
-		Priority: f.priority(x), Objective: x.arrived.Add(x.route.Objective), Deadline: x.deadline, Patience: x.route.Patience,
+		Priority: f.priority(x), Arrived: f.clock.Now(), Objective: x.arrived.Add(x.route.Objective), Deadline: x.deadline, Patience: x.route.Patience,
 		Reading: reading, Holding: reading + writing,
 		Returning: x.sinceFirst > 0 && !f.leaving.Load(), Tried: tried, Once: once,
 	}
--- a/internal/direct/front.go
+++ b/internal/direct/front.go
@@ -223,9 +223,9 @@
 
 func newDispatcher(service *fleet.Service) *route.Dispatcher {
 	if service != nil && service.Engine != nil {
-		return route.NewDispatcher(usualModelTime, firstModelTime, true)
+		return route.NewDispatcher(route.DispatcherOptions{Usual: usualModelTime, First: firstModelTime, Engine: true})
 	}
-	return route.NewDispatcher(usualPlainTime, firstPlainTime, false)
+	return route.NewDispatcher(route.DispatcherOptions{Usual: usualPlainTime, First: firstPlainTime})
 }
 
 func (f *Front) budget(name member.Service) *route.WindowBudget {
--- a/internal/direct/guard.go
+++ b/internal/direct/guard.go
@@ -59,7 +59,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.timer = f.clock.AfterFunc(patience, func() {
-		place, err := dispatcher.Acquire(g.ctx, ask, f.clock.Now)
+		place, err := dispatcher.Acquire(g.ctx, ask, f.clock)
 		if err != nil {
 			g.progress(guardRetry)
 			return
--- /dev/null
+++ b/internal/lab/box.go
@@ -0,0 +1,261 @@
+package lab
+
+import (
+	"maps"
+	"time"
+
+	"github.com/cinderslip/cinderslip/pkg/fleet"
+	"github.com/cinderslip/cinderslip/pkg/member"
+	"github.com/cinderslip/cinderslip/pkg/route"
+)
+
+// box is an entry box. Its dispatcher is the one that runs in production.
+type box struct {
+	world      *world
+	id         member.BoxID
+	region     int
+	dispatcher *route.Dispatcher
+	up         bool
+	// life changes when the box is killed, so that what was planned before lapses.
+	life int
+	told route.Load
+}
+
+// start starts the box; it knows nothing of the others yet.
+func (b *box) start() {
+	b.up = true
+	b.life++
+	b.told = nil
+	b.dispatcher = route.NewDispatcher(route.DispatcherOptions{
+		Usual: usualTime, First: firstTime, Engine: true, Random: b.world.random.Float64,
+	})
+	b.dispatcher.Boxes(len(b.world.boxes))
+	b.dispatcher.Servers(b.world.listed, 0, func(domain member.FailureDomain) bool { return domain == domainOf(b.region) }, b.world.now())
+	for _, other := range b.world.boxes {
+		if other != b && other.up && other.dispatcher != nil {
+			b.hear(other, other.dispatcher.Own())
+		}
+	}
+	b.tell(b.life)
+}
+
+// kill ends the box and all that it was doing.
+func (b *box) kill() {
+	b.up = false
+	b.life++
+	for _, other := range b.world.boxes {
+		if other != b && other.up {
+			other.dispatcher.PeerLoad(b.id, nil, true, b.world.now())
+		}
+	}
+}
+
+// tell tells the others what is in flight here, again and again.
+func (b *box) tell(life int) {
+	if b.life != life {
+		return
+	}
+	load := b.dispatcher.Own()
+	if b.told == nil || !maps.Equal(load, b.told) {
+		b.told = load
+		for _, other := range b.world.boxes {
+			if other != b {
+				other.hear(b, load)
+			}
+		}
+	}
+	b.world.after(b.world.deployment.TellInterval, func() { b.tell(life) })
+}
+
+// hear takes what another box tells, a little later.
+func (b *box) hear(from *box, load route.Load) {
+	life, fromLife := b.life, from.life
+	b.world.after(b.world.delay(from.region, b.region), func() {
+		if b.life == life && from.life == fromLife {
+			b.dispatcher.PeerLoad(from.id, load, true, b.world.now())
+		}
+	})
+}
+
+// request is one request of a caller at a box.
+type request struct {
+	box    *box
+	life   int
+	caller *caller
+	ask    route.Ask
+	// try is the number of the caller's attempt that the request belongs to.
+	try      int
+	attempts int
+	tried    []fleet.ServerID
+	begun    bool
+	place    *route.Reservation
+	waiting  *route.Waiting
+	job      *job
+	server   *engine
+	ended    bool
+}
+
+// serve takes a request.
+func (b *box) serve(c *caller) *request {
+	r := &request{box: b, life: b.life, caller: c, try: c.tries}
+	now := b.world.now()
+	kind := c.kind
+	engine := &b.world.deployment.Engine
+	r.ask = route.Ask{
+		Priority: kind.Priority, Arrived: now, Objective: c.first.Add(kind.Objective), Deadline: c.first.Add(kind.Deadline),
+		Patience: kind.Patience, Reading: engine.reading(c.prompt), Returning: c.tries > 1,
+	}
+	r.ask.Holding = r.ask.Reading + time.Duration(c.answer)*(engine.Step+time.Duration(engine.Slots/2)*engine.StepPerRequest)
+	r.submit()
+	return r
+}
+
+// reading is how long a prompt is read by a server that also writes.
+func (e *Engine) reading(tokens int) time.Duration {
+	read := time.Duration(float64(tokens) / e.ReadPerSecond * float64(time.Second))
+	return read + time.Duration(float64(tokens)/float64(e.ReadAtOnce)*float64(e.Stride)*float64(e.Step))
+}
+
+// later runs something at the box after a time, if the request lives.
+func (r *request) later(wait time.Duration, run func()) {
+	r.box.world.after(wait, func() {
+		if r.box.life == r.life && !r.ended {
+			run()
+		}
+	})
+}
+
+// submit asks for a place.
+func (r *request) submit() {
+	ask := r.ask
+	ask.Tried = r.tried
+	place, waiting, err := r.box.dispatcher.Submit(&ask, func(place *route.Reservation) {
+		r.waiting = nil
+		r.later(0, func() { r.send(place) })
+	}, r.box.world.now())
+	switch {
+	case place != nil:
+		r.send(place)
+	case err != nil:
+		r.refuse(err)
+	default:
+		r.waiting = waiting
+		r.review()
+	}
+}
+
+// review looks at a waiting request again and again.
+func (r *request) review() {
+	if r.waiting == nil {
+		return
+	}
+	now := r.box.world.now()
+	again, waits, err := r.box.dispatcher.Review(r.waiting, now)
+	switch {
+	case err != nil:
+		r.waiting = nil
+		r.refuse(err)
+	case waits:
+		r.later(again.Sub(now), r.review)
+	}
+}
+
+// send sends the request to a server.
+func (r *request) send(place *route.Reservation) {
+	r.place = place
+	r.attempts++
+	r.tried = append(r.tried, place.Server.ID)
+	server := r.box.world.byID[place.Server.ID]
+	delay := r.box.world.delay(r.box.region, server.region)
+	r.server = server
+	r.job = &job{prompt: r.caller.prompt, answer: r.caller.unwritten()}
+	r.job.event = func() { r.later(delay, func() { r.event(place) }) }
+	r.job.ended = func(whole bool) { r.later(delay, func() { r.over(whole) }) }
+	sent := r.job
+	r.later(delay, func() {
+		if !sent.gone && !server.submit(sent) {
+			r.later(delay, func() { r.turnedAway(server.up) })
+		}
+	})
+}
+
+// event passes an event on.
+func (r *request) event(place *route.Reservation) {
+	place.Started(r.box.world.now())
+	r.begun = true
+	r.later(r.box.world.deployment.CallerDelay, func() { r.caller.event(r) })
+}
+
+// over ends an attempt whose server has ended it.
+func (r *request) over(whole bool) {
+	now := r.box.world.now()
+	if whole {
+		r.place.Release(route.ResultDone, now)
+		r.place = nil
+		r.later(r.box.world.deployment.CallerDelay, func() {
+			r.ended = true
+			r.caller.whole(r)
+		})
+		return
+	}
+	r.place.Release(route.ResultFailed, now)
+	r.again()
+}
+
+// turnedAway ends an attempt whose server did not take it.
+func (r *request) turnedAway(up bool) {
+	result := route.ResultRefused
+	if !up {
+		result = route.ResultUnreachable
+	}
+	r.place.Release(result, r.box.world.now())
+	r.again()
+}
+
+// again goes on at another server, if one more may be tried.
+func (r *request) again() {
+	r.place = nil
+	if r.attempts >= r.box.world.deployment.MaxAttempts {
+		r.later(r.box.world.deployment.CallerDelay, func() {
+			r.ended = true
+			r.caller.broken(r)
+		})
+		return
+	}
+	r.ask.Returning = true
+	r.ask.Arrived = r.box.world.now()
+	r.submit()
+}
+
+// refuse tells the caller when to come back.
+func (r *request) refuse(err error) {
+	if r.begun {
+		r.later(r.box.world.deployment.CallerDelay, func() {
+			r.ended = true
+			r.caller.broken(r)
+		})
+		return
+	}
+	wait := route.RetryAfter(err, r.ask.Deadline.Sub(r.box.world.now()))
+	r.later(r.box.world.deployment.CallerDelay, func() {
+		r.ended = true
+		r.caller.refused(r, wait)
+	})
+}
+
+// drop ends a request whose caller has left.
+func (r *request) drop() {
+	if r.ended || r.box.life != r.life {
+		return
+	}
+	r.ended = true
+	if r.waiting != nil {
+		r.box.dispatcher.Withdraw(r.waiting)
+		r.waiting = nil
+	}
+	if r.place != nil {
+		r.server.cancel(r.job)
+		r.place.Release(route.ResultAbandoned, r.box.world.now())
+		r.place = nil
+	}
+}
--- /dev/null
+++ b/internal/lab/world.go
@@ -0,0 +1,234 @@
+package lab
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cinderslip/cinderslip/pkg/fleet"
+	"github.com/cinderslip/cinderslip/pkg/member"
+	"github.com/cinderslip/cinderslip/pkg/route"
+)
+
+const (
+	// usualTime and firstTime are what dispatchers start from.
+	usualTime = time.Second
+	firstTime = 120 * time.Millisecond
+	// stateInterval is how often an agent tells of its server if nothing changes.
+	stateInterval = 400 * time.Millisecond
+	// weightsVersion is the version that all servers have.
+	weightsVersion fleet.WeightsVersion = 1
+)
+
+// world is one run of a deployment.
+type world struct {
+	timeline
+	deployment *Deployment
+	random     *rand.Rand
+	boxes      []*box
+	servers    []*engine
+	listed     []fleet.Server
+	byID       map[fleet.ServerID]*engine
+	// burst multiplies the traffic.
+	burst  float64
+	result *Result
+}
+
+// Run plays a deployment with faults. The same seed gives the same result.
+func Run(deployment *Deployment, faults []Fault, seed uint64) *Result {
+	w := &world{
+		deployment: deployment, random: rand.New(rand.NewPCG(seed, 1)), byID: make(map[fleet.ServerID]*engine), burst: 1,
+		result: newResult(deployment),
+	}
+	w.build()
+	for i := range faults {
+		w.plan(&faults[i])
+	}
+	for region := range deployment.Regions {
+		for kind := range deployment.Kinds {
+			w.arrive(region, &deployment.Kinds[kind])
+		}
+	}
+	w.run(deployment.Length + longestDeadline(deployment))
+	return w.result
+}
+
+func longestDeadline(deployment *Deployment) time.Duration {
+	longest := time.Duration(0)
+	for i := range deployment.Kinds {
+		longest = max(longest, deployment.Kinds[i].Deadline)
+	}
+	return longest
+}
+
+// build makes the servers and the entry boxes.
+func (w *world) build() {
+	for region, sizes := range w.deployment.Regions {
+		for range sizes.Servers {
+			e := &engine{
+				Engine: w.deployment.Engine, id: fleet.ServerID(fmt.Sprintf("server-%d", len(w.servers))), region: region,
+				line: &w.timeline, up: true, open: true, slow: 1,
+			}
+			w.servers = append(w.servers, e)
+			w.byID[e.id] = e
+			w.listed = append(w.listed, fleet.Server{
+				ID: e.id, Slots: e.Slots, Domain: domainOf(region),
+				Models: []fleet.LoadedModel{{Name: "model", Version: weightsVersion}},
+			})
+		}
+	}
+	for region, sizes := range w.deployment.Regions {
+		for range sizes.Boxes {
+			b := &box{world: w, id: member.BoxID(fmt.Sprintf("entry-%d", len(w.boxes))), region: region}
+			w.boxes = append(w.boxes, b)
+		}
+	}
+	for _, b := range w.boxes {
+		b.start()
+	}
+	for _, e := range w.servers {
+		w.tellStates(e)
+	}
+}
+
+func domainOf(region int) member.FailureDomain {
+	return member.FailureDomain(fmt.Sprintf("region-%d", region))
+}
+
+// delay is the time of a message between two regions, one way.
+func (w *world) delay(from, to int) time.Duration {
+	if from == to {
+		return w.deployment.BoxDelay
+	}
+	return w.deployment.RegionDelay
+}
+
+// tellStates tells all entry boxes of a server now and then.
+func (w *world) tellStates(e *engine) {
+	w.tellState(e)
+	w.after(stateInterval, func() { w.tellStates(e) })
+}
+
+// tellState tells all entry boxes of a server.
+func (w *world) tellState(e *engine) {
+	if !e.up {
+		return
+	}
+	state := route.ServerState{
+		Version: weightsVersion, Swapping: !e.open, Running: len(e.running), Waiting: len(e.queue), Pace: e.slow,
+	}
+	for _, b := range w.boxes {
+		w.after(w.delay(e.region, b.region), func() {
+			if b.up {
+				b.dispatcher.State(e.id, state, w.now())
+			}
+		})
+	}
+}
+
+// level is the present traffic as a part of the kinds' rates.
+func (w *world) level() float64 {
+	level := 1.0
+	for _, step := range w.deployment.Steps {
+		if step.At <= w.elapsed {
+			level = step.Level
+		}
+	}
+	return level * w.burst
+}
+
+// arrive plans the next first request of a kind from a region.
+func (w *world) arrive(region int, kind *Kind) {
+	rate := kind.PerSecond * w.deployment.Regions[region].Share
+	if rate <= 0 {
+		return
+	}
+	// Drawn at the highest rate and thinned out, so that a change of the traffic takes
+	// effect at once.
+	const highest = 4.0
+	wait := w.random.ExpFloat64() / (rate * highest)
+	w.after(time.Duration(wait*float64(time.Second)), func() {
+		if w.elapsed >= w.deployment.Length {
+			return
+		}
+		if w.random.Float64() < w.level()/highest {
+			newCaller(w, region, kind).send()
+		}
+		w.arrive(region, kind)
+	})
+}
+
+// draw returns a size with a mean and a spread of its logarithm.
+func (w *world) draw(mean, spread float64) int {
+	if spread <= 0 {
+		return max(1, int(mean))
+	}
+	return max(1, int(mean*math.Exp(spread*w.random.NormFloat64()-spread*spread/2)))
+}
+
+// plan lets a fault happen.
+func (w *world) plan(f *Fault) {
+	switch f.Kind {
+	case FaultSwap:
+		w.each(f, w.struck(len(w.servers), f.Share), func(i int) { w.swap(w.servers[i], f.Down) })
+	case FaultServersDown:
+		w.each(f, w.struck(len(w.servers), f.Share), func(i int) { w.crash(w.servers[i], f.Down) })
+	case FaultServersSlow:
+		w.each(f, w.struck(len(w.servers), f.Share), func(i int) {
+			w.servers[i].slow = f.Factor
+			w.after(f.Down, func() { w.servers[i].slow = 1 })
+		})
+	case FaultBoxesDown:
+		w.each(f, w.struck(len(w.boxes), f.Share), func(i int) {
+			w.boxes[i].kill()
+			w.after(f.Down, w.boxes[i].start)
+		})
+	case FaultBurst:
+		w.after(f.At, func() { w.burst *= f.Factor })
+		w.after(f.At+f.Down, func() { w.burst /= f.Factor })
+	}
+}
+
+// struck draws a part of n things.
+func (w *world) struck(n int, share float64) []int {
+	return w.random.Perm(n)[:min(n, int(math.Ceil(share*float64(n))))]
+}
+
+func (w *world) each(f *Fault, struck []int, strike func(i int)) {
+	for place, i := range struck {
+		w.after(f.At+f.Over*time.Duration(place)/time.Duration(len(struck)), func() { strike(i) })
+	}
+}
+
+// swapNotice is how long before it takes nothing any more the entry boxes are told that
+// a server is swapped.
+const swapNotice = 400 * time.Millisecond
+
+// swap takes a server out for new weights: what runs is cut, as it can go on elsewhere.
+func (w *world) swap(e *engine, down time.Duration) {
+	e.open = false
+	w.tellState(e)
+	w.after(swapNotice, e.stop)
+	w.after(swapNotice+down, func() {
+		e.open = true
+		w.tellState(e)
+	})
+}
+
+// crash ends a server. Its agent stays and tells that it holds nothing.
+func (w *world) crash(e *engine, down time.Duration) {
+	e.up = false
+	e.stop()
+	for _, b := range w.boxes {
+		w.after(w.delay(e.region, b.region), func() {
+			if b.up {
+				b.dispatcher.State(e.id, route.ServerState{}, w.now())
+			}
+		})
+	}
+	w.after(down, func() {
+		e.up = true
+		w.tellState(e)
+	})
+}
--- a/pkg/route/dispatch.go
+++ b/pkg/route/dispatch.go
@@ -1,7 +1,6 @@
 package route
 
 import (
-	"context"
 	"errors"
 	"math"
 	"math/rand/v2"
@@ -17,19 +16,17 @@
 // request.
 var ErrNoServer = errors.New("no backend server can run the request")
 
-const (
-	// lateReading is how much a server may have to read when a late request is sent
-	// there: nothing, or it would hold up those that are still in time.
-	lateReading = time.Duration(0)
-	// latePart is the part of a server's places that late requests may take.
-	latePart = 0.85
-)
+// latePart is the part of a server's places that late requests may take.
+const latePart = 0.85
 
 // Ask is a request for a place.
 type Ask struct {
 	// Priority is 0 for the most urgent.
 	Priority int
-	// Objective is when the first byte of the answer is expected.
+	// Arrived is when the request came.
+	Arrived time.Time
+	// Objective is when the first byte of the answer is expected, counted from when the
+	// caller asked for the first time.
 	Objective time.Time
 	// Reading is how long the server takes to read the request itself.
 	Reading time.Duration
@@ -60,7 +57,7 @@
 	peers    *peerLoads
 	// boxes is how many entry boxes share the places.
 	boxes int
-	queue []*waitingAsk
+	queue []*Waiting
 	// usual is how long a request holds its place, in the mean.
 	usual time.Duration
 	// first is how long an answer takes to begin beside reading the request, and
@@ -78,17 +75,28 @@
 	newest    fleet.WeightsVersion
 	// engine is set for a service whose servers need weights to run requests.
 	engine bool
+	random func() float64
 }
 
-// NewDispatcher returns a dispatcher without servers. The usual time is how long
-// a request holds a place, the first how long an answer takes to begin, until
-// better is known.
-func NewDispatcher(usual, first time.Duration, engine bool) *Dispatcher {
-	return &Dispatcher{
-		first: first,
+// DispatcherOptions are what a dispatcher starts from.
+type DispatcherOptions struct {
+	// Usual is how long a request holds a place, First how long an answer takes to begin,
+	// until better is known.
+	Usual, First time.Duration
+	// Engine is set for a service whose servers need weights to run requests.
+	Engine bool
+	// Random returns numbers from 0 up to 1; nil for those of the process.
+	Random func() float64
+}
 
-		backends: make(map[fleet.ServerID]*backend), peers: newPeerLoads(),
-		boxes: 1, usual: usual, engine: engine,
+// NewDispatcher returns a dispatcher without servers.
+func NewDispatcher(options DispatcherOptions) *Dispatcher {
+	if options.Random == nil {
+		options.Random = rand.Float64
+	}
+	return &Dispatcher{
+		backends: make(map[fleet.ServerID]*backend), peers: newPeerLoads(), boxes: 1,
+		usual: options.Usual, first: options.First, engine: options.Engine, random: options.Random,
 	}
 }
 
@@ -190,26 +198,6 @@
 	return len(d.queue)
 }
 
-// Acquire returns a place, waiting for one if the request can still start in
-// time. Errors are a *BusyError, wrap ErrNoServer, or are the context's.
-func (d *Dispatcher) Acquire(ctx context.Context, ask *Ask, now func() time.Time) (*Reservation, error) {
-	d.mu.Lock()
-	at := now()
-	ask.startBy = ask.Objective.Add(-d.first - d.deviation - ask.Reading)
-	if len(d.queue) == 0 || d.isFirst(ask, at) {
-		if place := d.choose(ask, at); place != nil {
-			d.mu.Unlock()
-			return place, nil
-		}
-	}
-	latest := d.latest(ask, at)
-	if ask.Once || !ask.Returning && !d.isWorthWaiting(ask, latest, at) {
-		defer d.mu.Unlock()
-		return nil, d.refusal(ask, at)
-	}
-	return d.hold(ctx, ask, latest, now)
-}
-
 // choose takes a place on the server that costs least; nil if none has room.
 func (d *Dispatcher) choose(ask *Ask, now time.Time) *Reservation {
 	d.peers.expire(now)
@@ -224,7 +212,7 @@
 			continue
 		}
 		cost := float64(load.Requests)/float64(limit) + float64(load.Reading)/float64(readingScale) + costFailures*b.failures +
-			rand.Float64()/float64(limit)
+			d.random()/float64(limit)
 		if b.far {
 			cost += costFar
 		}
@@ -262,13 +250,13 @@
 }
 
 // mostReading is how much a server may have to read before a request is sent there:
-// what still lets the answer begin in time, and for one that is late already so little
-// that it does not hold up those that are not.
+// what still lets the answer begin in time, and for one that is late already nothing,
+// or it would hold up those that are not.
 func (d *Dispatcher) mostReading(ask *Ask, now time.Time) time.Duration {
 	if left := ask.startBy.Sub(now); left >= 0 {
 		return left
 	}
-	return lateReading
+	return 0
 }
 
 // grant gives free places to those who wait: first to those who can still be
@@ -290,7 +278,7 @@
 				continue
 			}
 			d.queue = slices.Delete(d.queue, i, i+1)
-			w.grant <- place
+			w.granted(place)
 		}
 	}
 }
--- a/pkg/route/dispatch_bench_test.go
+++ b/pkg/route/dispatch_bench_test.go
@@ -24,14 +24,14 @@
 				for i := range size.servers {
 					load[servers[i].ID] = ServerLoad{Requests: i % 2}
 				}
-				d.PeerLoad(member.BoxID(fmt.Sprint(box)), load, true, d.now)
+				d.PeerLoad(member.BoxID(fmt.Sprint(box)), load, true, d.clock.Now())
 			}
 			for b.Loop() {
 				place, err := d.Acquire(context.Background(), d.ask(), d.clock)
 				if err != nil {
 					b.Fatal(err)
 				}
-				place.Release(ResultDone, d.now)
+				place.Release(ResultDone, d.clock.Now())
 			}
 		})
 	}
--- a/pkg/route/dispatch_test.go
+++ b/pkg/route/dispatch_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
@@ -16,19 +17,17 @@
 // bench is a dispatcher with a clock of its own.
 type bench struct {
 	*Dispatcher
-	now time.Time
+	clock *clockwork.FakeClock
 }
 
 func newBench(engine bool, servers ...fleet.Server) *bench {
-	b := &bench{Dispatcher: NewDispatcher(time.Second, 100*time.Millisecond, engine), now: time.Unix(1000, 0)}
-	b.Servers(servers, 0, func(domain member.FailureDomain) bool { return domain != "far" }, b.now)
+	b := &bench{Dispatcher: NewDispatcher(DispatcherOptions{Usual: time.Second, First: 100 * time.Millisecond, Engine: engine}), clock: clockwork.NewFakeClockAt(time.Unix(1000, 0))}
+	b.Servers(servers, 0, func(domain member.FailureDomain) bool { return domain != "far" }, b.clock.Now())
 	return b
 }
 
-func (b *bench) clock() time.Time { return b.now }
-
 func (b *bench) ask() *Ask {
-	return &Ask{Objective: b.now.Add(400 * time.Millisecond), Deadline: b.now.Add(6 * time.Second)}
+	return &Ask{Arrived: b.clock.Now(), Objective: b.clock.Now().Add(400 * time.Millisecond), Deadline: b.clock.Now().Add(6 * time.Second)}
 }
 
 func (b *bench) acquire(t *testing.T) *Reservation {
@@ -67,22 +66,22 @@
 		got <- err
 	}()
 	require.Eventually(t, func() bool { return b.Waiting() == 1 }, 10*time.Second, time.Millisecond)
-	held[0].Release(ResultDone, b.now)
+	held[0].Release(ResultDone, b.clock.Now())
 	require.NoError(t, <-got)
 }
 
 func TestWhatOtherEntryBoxesHaveInFlightCounts(t *testing.T) {
 	b := newBench(true, model("a", 2, 1), model("b", 2, 1))
-	b.PeerLoad("entry-2", Load{"a": {Requests: 2}}, true, b.now)
+	b.PeerLoad("entry-2", Load{"a": {Requests: 2}}, true, b.clock.Now())
 	require.Equal(t, fleet.ServerID("b"), b.acquire(t).Server.ID)
 	require.Equal(t, fleet.ServerID("b"), b.acquire(t).Server.ID)
-	b.now = b.now.Add(peerLoadAge)
+	b.clock.Advance(peerLoadAge)
 	require.Equal(t, fleet.ServerID("a"), b.acquire(t).Server.ID, "an old load no longer counts")
 }
 
 func TestNoRequestStartsOnBarredWeights(t *testing.T) {
 	b := newBench(true, model("a", 4, 1), model("b", 4, 2))
-	b.Require(Versions{Required: 2, Preferred: 2, Newest: 2}, b.now)
+	b.Require(Versions{Required: 2, Preferred: 2, Newest: 2}, b.clock.Now())
 	for range 4 {
 		require.Equal(t, fleet.ServerID("b"), b.acquire(t).Server.ID)
 	}
@@ -90,16 +89,16 @@
 
 func TestShortlyBeforeTheBoundOnlyServersThatStartAtOnceAreUsed(t *testing.T) {
 	b := newBench(true, model("a", 4, 1))
-	b.Require(Versions{Preferred: 2, Newest: 2}, b.now)
+	b.Require(Versions{Preferred: 2, Newest: 2}, b.clock.Now())
 	_, err := b.Acquire(context.Background(), b.ask(), b.clock)
 	require.ErrorIs(t, err, ErrNoServer)
-	b.Require(Versions{Newest: 2}, b.now)
+	b.Require(Versions{Newest: 2}, b.clock.Now())
 	place := b.acquire(t)
-	b.now = b.now.Add(promptStart / 2)
-	place.Started(b.now)
-	b.Require(Versions{Preferred: 2, Newest: 2}, b.now)
+	b.clock.Advance(promptStart / 2)
+	place.Started(b.clock.Now())
+	b.Require(Versions{Preferred: 2, Newest: 2}, b.clock.Now())
 	b.acquire(t)
-	b.now = b.now.Add(promptAge)
+	b.clock.Advance(promptAge)
 	_, err = b.Acquire(context.Background(), b.ask(), b.clock)
 	require.ErrorIs(t, err, ErrNoServer)
 }
@@ -107,7 +106,7 @@
 func TestASwappingOrSilentServerGetsNothing(t *testing.T) {
 	for _, state := range []ServerState{{Version: 1, Swapping: true}, {Silent: true}, {Version: 0}} {
 		b := newBench(true, model("a", 4, 1))
-		b.State("a", state, b.now)
+		b.State("a", state, b.clock.Now())
 		_, err := b.Acquire(context.Background(), b.ask(), b.clock)
 		require.ErrorIs(t, err, ErrNoServer)
 	}
@@ -115,11 +114,11 @@
 
 func TestASilentServerStaysIneligibleUntilItsAgentSpeaks(t *testing.T) {
 	b := newBench(true, model("a", 4, 1))
-	b.State("a", ServerState{Silent: true}, b.now)
-	b.now = b.now.Add(time.Minute)
+	b.State("a", ServerState{Silent: true}, b.clock.Now())
+	b.clock.Advance(time.Minute)
 	_, err := b.Acquire(context.Background(), b.ask(), b.clock)
 	require.ErrorIs(t, err, ErrNoServer)
-	b.State("a", ServerState{Version: 1}, b.now)
+	b.State("a", ServerState{Version: 1}, b.clock.Now())
 	b.acquire(t)
 }
 
@@ -142,16 +141,16 @@
 
 func TestAServerThatCannotBeReachedIsLeftAloneForAWhile(t *testing.T) {
 	b := newBench(false, model("a", 4, 0))
-	b.acquire(t).Release(ResultUnreachable, b.now)
+	b.acquire(t).Release(ResultUnreachable, b.clock.Now())
 	_, err := b.Acquire(context.Background(), b.ask(), b.clock)
 	require.ErrorIs(t, err, ErrNoServer)
-	b.now = b.now.Add(ejectFirst)
+	b.clock.Advance(ejectFirst)
 	b.acquire(t)
 }
 
 func TestWhoeverComesBackWaitsForAServiceWithoutServers(t *testing.T) {
 	b := newBench(true, model("a", 4, 1))
-	b.State("a", ServerState{Version: 1, Swapping: true}, b.now)
+	b.State("a", ServerState{Version: 1, Swapping: true}, b.clock.Now())
 	got := make(chan error, 1)
 	go func() {
 		ask := b.ask()
@@ -160,7 +159,7 @@
 		got <- err
 	}()
 	require.Eventually(t, func() bool { return b.Waiting() == 1 }, 10*time.Second, time.Millisecond)
-	b.State("a", ServerState{Version: 2}, b.now)
+	b.State("a", ServerState{Version: 2}, b.clock.Now())
 	require.NoError(t, <-got)
 }
 
@@ -206,24 +205,24 @@
 				}
 				if err == nil {
 					state := states[place.Server.ID]
-					if place.Version < required || state.Swapping && b.now.Sub(state.at) < swapMemory {
+					if place.Version < required || state.Swapping && b.clock.Now().Sub(state.at) < swapMemory {
 						t.Fatalf("place on %s with version %d, required %d, state %+v", place.Server.ID, place.Version, required, states[place.Server.ID])
 					}
 					held = append(held, place)
 				}
 			case 2:
 				if len(held) > 0 {
-					held[0].Release(Result(rapid.IntRange(0, 5).Draw(t, "result")), b.now)
+					held[0].Release(Result(rapid.IntRange(0, 5).Draw(t, "result")), b.clock.Now())
 					held = held[1:]
 				}
 			case 3:
 				id := rapid.SampledFrom(servers).Draw(t, "server").ID
 				state := ServerState{Version: fleet.WeightsVersion(rapid.IntRange(1, 3).Draw(t, "version")), Swapping: rapid.Bool().Draw(t, "swapping")}
-				states[id] = told{state, b.now}
-				b.State(id, state, b.now)
+				states[id] = told{state, b.clock.Now()}
+				b.State(id, state, b.clock.Now())
 			case 4:
 				required = fleet.WeightsVersion(rapid.IntRange(0, 2).Draw(t, "required"))
-				b.Require(Versions{Required: required, Preferred: required, Newest: 3}, b.now)
+				b.Require(Versions{Required: required, Preferred: required, Newest: 3}, b.clock.Now())
 			}
 			for id, count := range b.Own() {
 				for _, server := range servers {
@@ -232,10 +231,10 @@
 					}
 				}
 			}
-			b.now = b.now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			b.clock.Advance(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
 		}
 		for _, place := range held {
-			place.Release(ResultDone, b.now)
+			place.Release(ResultDone, b.clock.Now())
 		}
 		if own := b.Own(); len(own) != 0 {
 			t.Fatalf("places left: %v", own)
@@ -288,21 +287,21 @@
 func TestAServerThatStandsStillGetsNothingShortlyBeforeTheBound(t *testing.T) {
 	b := newBench(true, model("a", 4, 1))
 	started, waiting := b.acquire(t), b.acquire(t)
-	b.now = b.now.Add(promptStart / 2)
-	started.Started(b.now)
-	b.Require(Versions{Preferred: 2, Newest: 2}, b.now)
-	b.now = b.now.Add(promptStart / 2)
+	b.clock.Advance(promptStart / 2)
+	started.Started(b.clock.Now())
+	b.Require(Versions{Preferred: 2, Newest: 2}, b.clock.Now())
+	b.clock.Advance(promptStart / 2)
 	_, err := b.Acquire(context.Background(), b.ask(), b.clock)
 	require.ErrorIs(t, err, ErrNoServer)
-	waiting.Release(ResultFailed, b.now)
+	waiting.Release(ResultFailed, b.clock.Now())
 	b.acquire(t)
 }
 
 func TestAServerThatSeemsToStandStillComesLast(t *testing.T) {
 	b := newBench(true, model("a", 8, 1))
 	b.acquire(t)
-	b.now = b.now.Add(stallTime + time.Millisecond)
-	b.Servers([]fleet.Server{model("a", 8, 1), model("b", 4, 1)}, 0, func(member.FailureDomain) bool { return true }, b.now)
+	b.clock.Advance(stallTime + time.Millisecond)
+	b.Servers([]fleet.Server{model("a", 8, 1), model("b", 4, 1)}, 0, func(member.FailureDomain) bool { return true }, b.clock.Now())
 	for range 4 {
 		require.Equal(t, fleet.ServerID("b"), b.acquire(t).Server.ID)
 	}
@@ -313,14 +312,14 @@
 // it is another one now.
 func TestAServerThatIsAnotherOneNowIsLeftAloneUntilItsAgentTellsOfNewWeights(t *testing.T) {
 	b := newBench(true, model("a", 4, 1))
-	b.State("a", ServerState{Version: 1}, b.now)
-	b.acquire(t).Release(ResultReplaced, b.now)
+	b.State("a", ServerState{Version: 1}, b.clock.Now())
+	b.acquire(t).Release(ResultReplaced, b.clock.Now())
 	_, err := b.Acquire(context.Background(), b.ask(), b.clock)
 	require.ErrorIs(t, err, ErrNoServer)
-	b.State("a", ServerState{Version: 2}, b.now)
+	b.State("a", ServerState{Version: 2}, b.clock.Now())
 	late := b.acquire(t)
-	b.State("a", ServerState{Version: 3}, b.now)
-	late.Release(ResultReplaced, b.now)
+	b.State("a", ServerState{Version: 3}, b.clock.Now())
+	late.Release(ResultReplaced, b.clock.Now())
 	b.acquire(t)
 }
 
@@ -328,7 +327,7 @@
 func TestALateRequestGoesOnlyWhereItHoldsUpNobody(t *testing.T) {
 	b := newBench(true, model("a", 10, 1))
 	late := func() *Ask {
-		return &Ask{Objective: b.now.Add(-time.Second), Deadline: b.now.Add(6 * time.Second), Reading: 30 * time.Millisecond, Once: true}
+		return &Ask{Arrived: b.clock.Now(), Objective: b.clock.Now().Add(-time.Second), Deadline: b.clock.Now().Add(6 * time.Second), Reading: 30 * time.Millisecond, Once: true}
 	}
 	first := b.ask()
 	first.Reading = 30 * time.Millisecond
@@ -336,11 +335,11 @@
 	require.NoError(t, err)
 	_, err = b.Acquire(t.Context(), late(), b.clock)
 	require.Error(t, err, "the server reads a prompt")
-	place.Started(b.now)
+	place.Started(b.clock.Now())
 	for range 7 {
 		place, err = b.Acquire(t.Context(), late(), b.clock)
 		require.NoError(t, err)
-		place.Started(b.now)
+		place.Started(b.clock.Now())
 	}
 	_, err = b.Acquire(t.Context(), late(), b.clock)
 	require.Error(t, err, "the places left are for requests in time")
@@ -368,14 +367,14 @@
 func TestOneWhoComesBackWaitsForAPlace(t *testing.T) {
 	b := newBench(true, model("a", 1, 1))
 	held := b.acquire(t)
-	ask := &Ask{Objective: b.now.Add(-time.Second), Deadline: b.now.Add(4 * time.Second), Returning: true}
+	ask := &Ask{Arrived: b.clock.Now(), Objective: b.clock.Now().Add(-time.Second), Deadline: b.clock.Now().Add(4 * time.Second), Returning: true}
 	got := make(chan error, 1)
 	go func() {
 		_, err := b.Acquire(context.Background(), ask, b.clock)
 		got <- err
 	}()
 	require.Eventually(t, func() bool { return b.Waiting() == 1 }, 10*time.Second, time.Millisecond)
-	held.Release(ResultDone, b.now)
+	held.Release(ResultDone, b.clock.Now())
 	require.NoError(t, <-got)
 }
 
--- a/pkg/route/peerload_test.go
+++ b/pkg/route/peerload_test.go
@@ -67,11 +67,11 @@
 // Without it, a server that reads the long prompts of another box seemed free.
 func TestPromptsThatOtherBoxesSentCountUntilTheyAreRead(t *testing.T) {
 	b := newBench(true, model("a", 16, 1), model("b", 16, 1))
-	b.PeerLoad("entry-2", Load{"a": {Requests: 1, Reading: 2 * readingScale}}, true, b.now)
+	b.PeerLoad("entry-2", Load{"a": {Requests: 1, Reading: 2 * readingScale}}, true, b.clock.Now())
 	for range 8 {
 		require.Equal(t, fleet.ServerID("b"), b.acquire(t).Server.ID)
 	}
-	b.PeerLoad("entry-2", Load{"a": {Requests: 1}}, false, b.now)
+	b.PeerLoad("entry-2", Load{"a": {Requests: 1}}, false, b.clock.Now())
 	require.Equal(t, fleet.ServerID("a"), b.acquire(t).Server.ID)
 }
 
@@ -82,9 +82,9 @@
 	place, err := b.Acquire(t.Context(), ask, b.clock)
 	require.NoError(t, err)
 	require.Equal(t, Load{"a": {Requests: 1, Reading: 30 * time.Millisecond}}, b.Own())
-	place.Started(b.now)
-	place.Started(b.now)
+	place.Started(b.clock.Now())
+	place.Started(b.clock.Now())
 	require.Equal(t, Load{"a": {Requests: 1}}, b.Own())
-	place.Release(ResultDone, b.now)
+	place.Release(ResultDone, b.clock.Now())
 	require.Empty(t, b.Own())
 }
--- a/pkg/route/queue.go
+++ b/pkg/route/queue.go
@@ -2,27 +2,22 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/jonboulle/clockwork"
 )
 
 const (
 	// lateReserve is what must be left of a queued request's time for an answer
 	// to be worth starting, as a part of the usual time that one takes.
 	lateReserve = 0.5
-	// retryLeast is the shortest time after which a caller is told to return.
-	retryLeast = 100 * time.Millisecond
-	// holdPart is the part of its time for which a request that was refused before
-	// waits for a place or a server: a second refusal is final, and with less than
-	// half of its time held nothing is lost by waiting.
-	holdPart = 0.48
 	// leaveReserve is how long before a caller leaves its request must have started.
 	leaveReserve = 300 * time.Millisecond
-	// spareShare is the part of the places that is there for requests which come back,
-	// beside those that come first, once a service has recovered.
-	spareShare = 0.3
+	// reviewInterval is how often the chances of a waiting request are estimated anew.
+	reviewInterval = 100 * time.Millisecond
 )
 
 // BusyError reports that the request could not start in time.
@@ -38,95 +33,120 @@
 	return fmt.Sprintf("%d requests wait, room in about %v", e.Waiting, e.RetryAfter)
 }
 
-// waitingAsk is a request in the queue.
-type waitingAsk struct {
-	ask   *Ask
-	grant chan *Reservation
-}
-
-// hold queues a request until a time. It unlocks the dispatcher.
-func (d *Dispatcher) hold(ctx context.Context, ask *Ask, latest time.Time, now func() time.Time) (*Reservation, error) {
-	w := &waitingAsk{ask: ask, grant: make(chan *Reservation, 1)}
-	d.enqueue(w)
-	d.mu.Unlock()
-	return d.wait(ctx, w, latest, now)
+// RetryAfter returns when a refused caller should come back: when there should be room,
+// or, where no server could run the request, as late as callers may be told to.
+func RetryAfter(refusal error, left time.Duration) time.Duration {
+	var busy *BusyError
+	if errors.As(refusal, &busy) {
+		return busy.RetryAfter
+	}
+	return max(retryLeast, left/retryLongestPart)
 }
 
-// isWorthWaiting reports whether a request is likely to get a place in time.
-func (d *Dispatcher) isWorthWaiting(ask *Ask, latest, now time.Time) bool {
-	return d.anyEligible(now) && !now.Add(d.expected(ask, now)).After(latest)
+// Waiting is a request that waits for a place.
+type Waiting struct {
+	ask *Ask
+	// granted is called with the place; the dispatcher is locked meanwhile.
+	granted func(*Reservation)
 }
 
-// refusal says why a request is not let in.
-func (d *Dispatcher) refusal(ask *Ask, now time.Time) error {
-	if !d.anyEligible(now) {
-		return ErrNoServer
+// Submit decides about a request. It gets a place at once, or waits until granted is
+// called, or is refused. One that waits has to be reviewed by the time that Review
+// tells, at first within reviewInterval. Errors are a *BusyError or wrap ErrNoServer.
+func (d *Dispatcher) Submit(ask *Ask, granted func(*Reservation), now time.Time) (*Reservation, *Waiting, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	ask.startBy = ask.Objective.Add(-d.first - d.deviation - ask.Reading)
+	if len(d.queue) == 0 || d.isFirst(ask, now) {
+		if place := d.choose(ask, now); place != nil {
+			return place, nil, nil
+		}
 	}
-	return d.busy(ask, now)
+	if ask.Once || !d.hasChance(ask, now) {
+		return nil, nil, d.refusal(ask, now)
+	}
+	w := &Waiting{ask: ask, granted: granted}
+	d.enqueue(w)
+	return nil, w, nil
 }
 
-// latest is when a request must have started to be worth waiting for: in time for its
-// objective, or, if it was refused before, before it has waited for too long.
-func (d *Dispatcher) latest(ask *Ask, now time.Time) time.Time {
-	if !ask.Returning {
-		return ask.startBy
+// Review estimates anew whether a waiting request will get a place in time, and refuses
+// it if not. It returns when to ask again; ok is false if it waits no longer.
+func (d *Dispatcher) Review(w *Waiting, now time.Time) (again time.Time, ok bool, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	at := slices.Index(d.queue, w)
+	if at < 0 {
+		return time.Time{}, false, nil
 	}
-	held := time.Duration(holdPart * float64(ask.Deadline.Sub(now)))
-	if ask.Patience > 0 {
-		held = min(held, ask.Patience-leaveReserve)
+	if !d.hasChance(w.ask, now) {
+		d.queue = slices.Delete(d.queue, at, at+1)
+		return time.Time{}, false, d.refusal(w.ask, now)
 	}
-	if latest := now.Add(held); latest.After(ask.startBy) {
-		return latest
+	again = now.Add(reviewInterval)
+	if latest := d.latest(w.ask); latest.After(now) && latest.Before(again) {
+		again = latest
 	}
-	return ask.startBy
+	return again, true, nil
 }
 
-// wait returns the place that is granted. A request that can no longer be
-// answered in its time is refused.
-func (d *Dispatcher) wait(ctx context.Context, w *waitingAsk, last time.Time, now func() time.Time) (*Reservation, error) {
-	if end := w.ask.Deadline.Add(-time.Duration(lateReserve * float64(d.usualTime()))); end.Before(last) {
-		last = end
-	}
-	timer := time.NewTimer(last.Sub(now()))
-	defer timer.Stop()
-	var problem error
-	select {
-	case place := <-w.grant:
-		return place, nil
-	case <-ctx.Done():
-		problem = ctx.Err()
-	case <-timer.C:
-	}
+// Withdraw takes a request out of the queue whose caller has left; false if it has been
+// granted a place or refused meanwhile.
+func (d *Dispatcher) Withdraw(w *Waiting) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	at := slices.Index(d.queue, w)
 	if at < 0 {
-		// It was granted in the meantime.
-		place := <-w.grant
-		if ctx.Err() == nil {
+		return false
+	}
+	d.queue = slices.Delete(d.queue, at, at+1)
+	return true
+}
+
+// Acquire returns a place, waiting for one while the request can still start in
+// time. Errors are a *BusyError, wrap ErrNoServer, or are the context's.
+func (d *Dispatcher) Acquire(ctx context.Context, ask *Ask, clock clockwork.Clock) (*Reservation, error) {
+	granted := make(chan *Reservation, 1)
+	place, w, err := d.Submit(ask, func(place *Reservation) { granted <- place }, clock.Now())
+	if w == nil {
+		return place, err
+	}
+	again, waits, err := d.Review(w, clock.Now())
+	for waits {
+		timer := clock.NewTimer(clock.Until(again))
+		select {
+		case place = <-granted:
+			timer.Stop()
 			return place, nil
+		case <-ctx.Done():
+			timer.Stop()
+			if !d.Withdraw(w) {
+				(<-granted).Release(ResultAbandoned, clock.Now())
+			}
+			return nil, ctx.Err()
+		case <-timer.Chan():
+			again, waits, err = d.Review(w, clock.Now())
 		}
-		d.release(place, now())
-		return nil, problem
 	}
-	d.queue = slices.Delete(d.queue, at, at+1)
-	if problem == nil {
-		problem = d.busy(w.ask, now())
+	if err != nil {
+		return nil, err
 	}
-	return nil, problem
+	return <-granted, nil
 }
 
-func (d *Dispatcher) usualTime() time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.usual
+// refusal says why a request is not let in.
+func (d *Dispatcher) refusal(ask *Ask, now time.Time) error {
+	if !d.anyEligible(now) {
+		return ErrNoServer
+	}
+	return d.busy(ask, now)
 }
 
 // busy says when a refused request should come back. Those that are refused for the
 // first time get the spare places one after the other: told the same short time, they
 // would come back together and be refused for good.
 func (d *Dispatcher) busy(ask *Ask, now time.Time) error {
-	longest := max(retryLeast, ask.Deadline.Sub(now)/3)
+	longest := max(retryLeast, ask.Deadline.Sub(now)/retryLongestPart)
 	back := now.Add(max(retryLeast, d.expected(ask, now)))
 	if d.promised.After(back) {
 		back = d.promised
@@ -135,13 +155,13 @@
 	if !ask.Returning && !ask.Once {
 		d.promised = now.Add(wait + time.Duration(float64(d.interval())/spareShare))
 	}
-	jitter := time.Duration(rand.Int64N(int64(retryLeast)))
+	jitter := time.Duration(d.random() * float64(retryLeast))
 	return &BusyError{Waiting: len(d.queue), RetryAfter: min(wait+jitter, longest)}
 }
 
 // isFirst reports whether a request goes before all that wait.
 func (d *Dispatcher) isFirst(ask *Ask, now time.Time) bool {
-	return !slices.ContainsFunc(d.queue, func(w *waitingAsk) bool { return isAhead(w.ask, ask, now) })
+	return !slices.ContainsFunc(d.queue, func(w *Waiting) bool { return isAhead(w.ask, ask, now) })
 }
 
 // before orders the queue: the more urgent first, then those that must start
@@ -153,7 +173,7 @@
 	return a.startBy.Before(b.startBy)
 }
 
-func (d *Dispatcher) enqueue(w *waitingAsk) {
+func (d *Dispatcher) enqueue(w *Waiting) {
 	at := len(d.queue)
 	for at > 0 && before(w.ask, d.queue[at-1].ask) {
 		at--
@@ -161,32 +181,11 @@
 	d.queue = slices.Insert(d.queue, at, w)
 }
 
-// expected returns how long a request waits for its place. Those who are late already
-// do not go before one who is not.
-func (d *Dispatcher) expected(ask *Ask, now time.Time) time.Duration {
-	ahead := 0
-	for _, w := range d.queue {
-		if isAhead(w.ask, ask, now) {
-			ahead++
-		}
-	}
-	return time.Duration(ahead+1) * d.interval()
-}
-
-// isAhead reports whether a waiting request gets a place before another one.
+// isAhead reports whether a waiting request gets a place before another one. Those who
+// are late already do not go before one who is not.
 func isAhead(waiting, ask *Ask, now time.Time) bool {
 	if late := waiting.startBy.Before(now); late != ask.startBy.Before(now) {
 		return !late
 	}
 	return !before(ask, waiting)
 }
-
-// interval is how long after each other places become free for this box.
-func (d *Dispatcher) interval() time.Duration {
-	places := 0
-	for _, b := range d.order {
-		places += d.limit(b)
-	}
-	share := max(1, float64(places)/float64(d.boxes))
-	return time.Duration(float64(d.usual) / share)
-}
