perf(route): late requests wait only while first ones leave them places

Change: entry boxes tell each other how many requests come first and how many wait. A late request is held while the places that become free, less those that first requests take, reach it before its caller leaves; this is estimated anew every 0.1 s and it is refused once it no longer holds. The constant part of its time (0.48) is gone. A status is built only when it is told; a box whose first message is not whole is asked for nothing twice.

--- a/internal/direct/front.go
+++ b/internal/direct/front.go
@@ -175,6 +175,18 @@
 	return load
 }
 
+// Demands returns what this box is asked for of each service.
+func (f *Front) Demands() route.Demands {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock.Now()
+	demands := make(route.Demands, len(f.dispatchers))
+	for name, d := range f.dispatchers {
+		demands[name] = d.Demand(now)
+	}
+	return demands
+}
+
 func (f *Front) all() []*route.Dispatcher {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -185,9 +197,16 @@
 	return all
 }
 
-// PeerLoad takes what another entry box has in flight; see route.Dispatcher.
-func (f *Front) PeerLoad(box member.BoxID, load route.Load, whole bool, now time.Time) {
-	for _, d := range f.all() {
+// PeerTold takes what another entry box has in flight and is asked for: at the servers
+// and of the services that are named or, if whole is set, of these and no others.
+func (f *Front) PeerTold(box member.BoxID, load route.Load, demands route.Demands, whole bool, now time.Time) {
+	f.mu.Lock()
+	dispatchers := maps.Clone(f.dispatchers)
+	f.mu.Unlock()
+	for service, d := range dispatchers {
+		if demand, told := demands[service]; told || whole {
+			d.PeerDemand(box, demand, now)
+		}
 		d.PeerLoad(box, load, whole, now)
 	}
 }
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -51,8 +51,8 @@
 	log    zerolog.Logger
 	duties *kernel.Duties
 	seeds  []string
-	// loaded is called with what another box has in flight; see route.Dispatcher.
-	loaded func(box member.BoxID, load route.Load, whole bool, now time.Time)
+	// told is called with what another box has in flight and is asked for; see Front.
+	told func(box member.BoxID, load route.Load, demands route.Demands, whole bool, now time.Time)
 
 	// pulled is how far the facts of each box were read; only repair uses it.
 	pulled map[member.Address]state.Cursor
@@ -66,7 +66,7 @@
 	e := &EntryBoxes{
 		status: p.status, facts: p.facts, peers: p.peers, clock: p.options.Clock, log: p.options.Log,
 		duties: kernel.NewDuties(), seeds: p.settings.Peers.Entries, boxes: make(map[string]EntryBox), pulled: make(map[member.Address]state.Cursor),
-		loaded: p.front.PeerLoad,
+		told: p.front.PeerTold,
 	}
 	e.self.Box, e.self.Region = p.settings.Box, p.settings.Region
 	p.front.entries.Store(e)
@@ -170,33 +170,40 @@
 // errSilent reports a peer that said nothing for statusSilence.
 var errSilent = errors.New("peer is silent")
 
+// take takes a message of another box. What comes before its first whole one is of no
+// use.
 func (e *EntryBoxes) take(entry string, status *wire.EntryStatus) {
 	now := e.clock.Now()
-	load := loadOf(status.InFlight)
-	e.mu.Lock()
-	before, known := e.boxes[entry]
-	box := before
-	if status.Partial {
-		box = before.updated(status, now)
-	} else {
-		box = entryBoxOf(status, now)
-	}
-	if known || !status.Partial {
-		e.boxes[entry] = box
-	}
-	e.mu.Unlock()
-	if status.Partial && !known {
+	box, before, ok := e.update(entry, status, now)
+	if !ok {
 		return
 	}
-	if !known || before.Ready != box.Ready {
+	if before.Ready != box.Ready || before.Box == "" {
 		e.log.Info().Str("box", string(box.Box)).Bool("ready", box.Ready).Bool("leaving", status.Leaving).Msg("entry box heard")
 	}
-	e.loaded(box.Box, load, !status.Partial, now)
-	if status.Partial {
-		return
+	e.told(box.Box, loadOf(status.InFlight), demandsOf(status.Demands), !status.Partial, now)
+	if !status.Partial {
+		e.status.AddEntries(status.Entries)
+		e.facts.LearnAges(agesFromWire(status.Ages), status.Box)
+	}
+}
+
+// update keeps what a message tells of a box itself; ok is false if that is not known
+// whole yet.
+func (e *EntryBoxes) update(entry string, status *wire.EntryStatus, now time.Time) (box, before EntryBox, ok bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	before, known := e.boxes[entry]
+	switch {
+	case !status.Partial:
+		box = entryBoxOf(status, now)
+	case known:
+		box = before.updated(status, now)
+	default:
+		return EntryBox{}, EntryBox{}, false
 	}
-	e.status.AddEntries(status.Entries)
-	e.facts.LearnAges(agesFromWire(status.Ages), status.Box)
+	e.boxes[entry] = box
+	return box, before, true
 }
 
 func (e *EntryBoxes) drop(entry string) {
@@ -205,7 +212,7 @@
 	delete(e.boxes, entry)
 	e.mu.Unlock()
 	if known {
-		e.loaded(box.Box, nil, true, e.clock.Now())
+		e.told(box.Box, nil, nil, true, e.clock.Now())
 	}
 }
 
--- a/internal/direct/status.go
+++ b/internal/direct/status.go
@@ -36,7 +36,9 @@
 	clock    clockwork.Clock
 	facts    *Facts
 	identity *wire.EntryStatus
-	load     func() route.Load
+	// load and demands are what the box has in flight and is asked for.
+	load    func() route.Load
+	demands func() route.Demands
 
 	mu      sync.Mutex
 	ready   bool
@@ -59,7 +61,7 @@
 			Peers: p.settings.Listen.Peers, Callers: p.settings.Listen.Callers,
 			Incarnation: rand.Uint64(),
 		},
-		load:    func() route.Load { return p.front.Load() },
+		load: func() route.Load { return p.front.Load() }, demands: func() route.Demands { return p.front.Demands() },
 		entries: make(map[string]bool), added: make(chan struct{}), done: make(chan struct{}),
 	}
 	p.status.AddEntries(p.settings.Peers.Entries)
@@ -128,6 +130,7 @@
 	return s.knownEntries(), s.added
 }
 
+// knownEntries returns the entry boxes that are known. The lock must be held.
 func (s *Status) knownEntries() []string {
 	entries := make([]string, 0, len(s.entries)+1)
 	for entry := range s.entries {
@@ -137,8 +140,15 @@
 	return entries
 }
 
-// current returns the status without what is in flight.
-func (s *Status) current() *wire.EntryStatus {
+// summary returns what decides whether the status is told whole.
+func (s *Status) summary() statusSummary {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return statusSummary{ready: s.ready, leaving: s.leaving, revision: s.facts.Revision(), entries: len(s.entries)}
+}
+
+// whole returns the status without what is in flight and asked for.
+func (s *Status) whole() *wire.EntryStatus {
 	ages := agesToWire(s.facts.VersionAges())
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -152,13 +162,13 @@
 }
 
 // Entry streams the box's status: whole at first, when it has changed and now and
-// then, and in between only the servers at which what is in flight has changed.
+// then, and in between only what has changed of what is in flight and asked for.
 func (s *Status) Entry(_ *wire.FollowRequest, stream wire.DRPCFleet_EntryStream) error {
 	ticker := s.clock.NewTicker(statusInterval)
 	defer ticker.Stop()
-	var told statusTold
+	told := statusTold{whole: s.whole}
 	for {
-		if status := told.next(s.current(), s.load(), s.clock.Now()); status != nil {
+		if status := told.next(s.summary(), s.load(), s.demands(), s.clock.Now()); status != nil {
 			if err := stream.Send(status); err != nil {
 				return err
 			}
@@ -173,67 +183,6 @@
 	}
 }
 
-// statusTold is what the receiver of one stream knows.
-type statusTold struct {
-	status *wire.EntryStatus
-	load   route.Load
-	at     time.Time
-}
-
-// next returns the message that brings the receiver to a status and a load; nil if
-// it knows them.
-func (t *statusTold) next(status *wire.EntryStatus, load route.Load, now time.Time) *wire.EntryStatus {
-	if t.status == nil || now.Sub(t.at) >= statusHeartbeat || !sameStatus(t.status, status) {
-		t.status, t.load, t.at = status, load, now
-		status.InFlight = loadToWire(load)
-		return status
-	}
-	changed := make(route.Load)
-	for id, at := range load {
-		if t.load[id] != at {
-			changed[id] = at
-		}
-	}
-	for id := range t.load {
-		if _, stays := load[id]; !stays {
-			changed[id] = route.ServerLoad{}
-		}
-	}
-	if len(changed) == 0 {
-		return nil
-	}
-	t.load = load
-	return &wire.EntryStatus{
-		Partial: true, Ready: status.Ready, Leaving: status.Leaving, Revision: status.Revision, InFlight: loadToWire(changed),
-	}
-}
-
-// sameStatus reports whether two statuses tell the same but for their age and what
-// is in flight.
-func sameStatus(a, b *wire.EntryStatus) bool {
-	return a.Ready == b.Ready && a.Leaving == b.Leaving && a.Revision == b.Revision && len(a.Entries) == len(b.Entries)
-}
-
-func loadToWire(load route.Load) []*wire.InFlight {
-	told := make([]*wire.InFlight, 0, len(load))
-	for id, at := range load {
-		told = append(told, &wire.InFlight{
-			Server: string(id), Count: uint32(at.Requests), ReadingMilliseconds: uint32(at.Reading.Milliseconds()),
-		})
-	}
-	return told
-}
-
-func loadOf(told []*wire.InFlight) route.Load {
-	load := make(route.Load, len(told))
-	for _, at := range told {
-		load[fleet.ServerID(at.Server)] = route.ServerLoad{
-			Requests: int(at.Count), Reading: time.Duration(at.ReadingMilliseconds) * time.Millisecond,
-		}
-	}
-	return load
-}
-
 // Facts streams the facts that changed after a cursor.
 func (s *Status) Facts(request *wire.FactsRequest, stream wire.DRPCFleet_FactsStream) error {
 	cursor := state.Cursor{Instance: request.Instance, Sequence: request.Cursor}
--- a/internal/direct/status_test.go
+++ b/internal/direct/status_test.go
@@ -15,8 +15,8 @@
 
 func TestPartialStatusesBringTheReceiverToTheSameLoad(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		var told statusTold
-		received, now := make(route.Load), time.Unix(1000, 0)
+		told := statusTold{whole: func() *wire.EntryStatus { return &wire.EntryStatus{Box: "entry-1"} }}
+		received, asked, now := make(route.Load), make(route.Demands), time.Unix(1000, 0)
 		for range rapid.IntRange(1, 50).Draw(t, "steps") {
 			now = now.Add(statusInterval)
 			load := make(route.Load)
@@ -25,20 +25,22 @@
 					load[id] = route.ServerLoad{Requests: requests, Reading: time.Duration(requests) * time.Millisecond}
 				}
 			}
-			status := &wire.EntryStatus{Box: "entry-1", Revision: uint64(rapid.IntRange(0, 1).Draw(t, "revision"))}
-			message := told.next(status, load, now)
+			summary := statusSummary{revision: fleet.Revision(rapid.IntRange(0, 1).Draw(t, "revision"))}
+			demands := route.Demands{"draft": {Arrivals: 7, Late: rapid.IntRange(0, 1).Draw(t, "late")}}
+			message := told.next(summary, load, demands, now)
 			if message == nil {
-				if !maps.Equal(load, received) {
+				if !maps.Equal(load, received) || !maps.Equal(demands, asked) {
 					t.Fatalf("nothing told of %v, known is %v", load, received)
 				}
 				continue
 			}
+			maps.Copy(asked, demandsOf(message.Demands))
 			if !message.Partial {
 				clear(received)
 			}
 			maps.Copy(received, loadOf(message.InFlight))
 			maps.DeleteFunc(received, func(_ fleet.ServerID, load route.ServerLoad) bool { return load == route.ServerLoad{} })
-			if !maps.Equal(load, received) || message.Revision != status.Revision {
+			if !maps.Equal(load, received) || message.Partial && message.Revision != uint64(summary.revision) || !maps.Equal(demands, asked) {
 				t.Fatalf("told %v, want %v", received, load)
 			}
 		}
@@ -46,11 +48,26 @@
 }
 
 func TestAStatusIsToldWholeAtFirstAndNowAndThen(t *testing.T) {
-	var told statusTold
+	wholes := 0
+	told := statusTold{whole: func() *wire.EntryStatus {
+		wholes++
+		return &wire.EntryStatus{Box: "entry-1", Entries: []string{"10.0.0.1:1"}}
+	}}
+	now, summary := time.Unix(1000, 0), statusSummary{entries: 1}
+	require.False(t, told.next(summary, route.Load{}, nil, now).Partial)
+	require.Nil(t, told.next(summary, route.Load{}, nil, now.Add(statusInterval)))
+	require.True(t, told.next(summary, route.Load{"a": {Requests: 1}}, nil, now.Add(2*statusInterval)).Partial)
+	require.False(t, told.next(summary, route.Load{"a": {Requests: 1}}, nil, now.Add(statusHeartbeat)).Partial)
+	require.Equal(t, 2, wholes, "it is built only when it is told")
+}
+
+// A box where requests wait is heard of at once; that a few more came is not worth a message.
+func TestADemandIsToldAtOnceOnlyIfMoreOrFewerWait(t *testing.T) {
+	told := statusTold{whole: func() *wire.EntryStatus { return &wire.EntryStatus{} }}
 	now := time.Unix(1000, 0)
-	status := func() *wire.EntryStatus { return &wire.EntryStatus{Box: "entry-1", Entries: []string{"10.0.0.1:1"}} }
-	require.False(t, told.next(status(), route.Load{}, now).Partial)
-	require.Nil(t, told.next(status(), route.Load{}, now.Add(statusInterval)))
-	require.True(t, told.next(status(), route.Load{"a": {Requests: 1}}, now.Add(2*statusInterval)).Partial)
-	require.False(t, told.next(status(), route.Load{"a": {Requests: 1}}, now.Add(statusHeartbeat)).Partial)
+	require.NotNil(t, told.next(statusSummary{}, nil, route.Demands{"draft": {Arrivals: 1}}, now))
+	require.Nil(t, told.next(statusSummary{}, nil, route.Demands{"draft": {Arrivals: 2}}, now))
+	message := told.next(statusSummary{}, nil, route.Demands{"draft": {Arrivals: 3, InTime: 1}}, now)
+	require.True(t, message.Partial)
+	require.Equal(t, route.Demands{"draft": {Arrivals: 3, InTime: 1}}, demandsOf(message.Demands))
 }
--- /dev/null
+++ b/internal/direct/told.go
@@ -0,0 +1,116 @@
+package direct
+
+import (
+	"maps"
+	"time"
+
+	"github.com/cinderslip/cinderslip/internal/wire"
+	"github.com/cinderslip/cinderslip/pkg/fleet"
+	"github.com/cinderslip/cinderslip/pkg/member"
+	"github.com/cinderslip/cinderslip/pkg/route"
+)
+
+// statusSummary is what, when it changes, is told whole at once.
+type statusSummary struct {
+	ready, leaving bool
+	revision       fleet.Revision
+	entries        int
+}
+
+// statusTold is what the receiver of one stream knows.
+type statusTold struct {
+	// whole returns the box's status without what is in flight and asked for.
+	whole   func() *wire.EntryStatus
+	summary statusSummary
+	load    route.Load
+	demands route.Demands
+	at      time.Time
+}
+
+// next returns the message that brings the receiver to a state; nil if it knows it.
+func (t *statusTold) next(summary statusSummary, load route.Load, demands route.Demands, now time.Time) *wire.EntryStatus {
+	if t.at.IsZero() || now.Sub(t.at) >= statusHeartbeat || summary != t.summary {
+		t.summary, t.load, t.demands, t.at = summary, load, demands, now
+		status := t.whole()
+		status.InFlight, status.Demands = loadToWire(load), demandsToWire(demands)
+		return status
+	}
+	changed := changedLoad(t.load, load)
+	asked := maps.Clone(demands)
+	maps.DeleteFunc(asked, func(service member.Service, demand route.Demand) bool { return t.demands[service] == demand })
+	if len(changed) == 0 && !isUrgent(t.demands, asked) {
+		return nil
+	}
+	t.load, t.demands = load, demands
+	return &wire.EntryStatus{
+		Partial: true, Ready: summary.ready, Leaving: summary.leaving, Revision: uint64(summary.revision),
+		InFlight: loadToWire(changed), Demands: demandsToWire(asked),
+	}
+}
+
+// changedLoad returns the servers at which the load is another one than before.
+func changedLoad(before, now route.Load) route.Load {
+	changed := make(route.Load)
+	for id, at := range now {
+		if before[id] != at {
+			changed[id] = at
+		}
+	}
+	for id := range before {
+		if _, stays := now[id]; !stays {
+			changed[id] = route.ServerLoad{}
+		}
+	}
+	return changed
+}
+
+// isUrgent reports whether demands that have changed are to be told even if nothing
+// else has: that more or fewer requests wait is, that a few more or fewer came is not.
+func isUrgent(before, changed route.Demands) bool {
+	for service, demand := range changed {
+		if known := before[service]; known.InTime != demand.InTime || known.Late != demand.Late {
+			return true
+		}
+	}
+	return false
+}
+
+func loadToWire(load route.Load) []*wire.InFlight {
+	told := make([]*wire.InFlight, 0, len(load))
+	for id, at := range load {
+		told = append(told, &wire.InFlight{
+			Server: string(id), Count: uint32(at.Requests), ReadingMilliseconds: uint32(at.Reading.Milliseconds()),
+		})
+	}
+	return told
+}
+
+func loadOf(told []*wire.InFlight) route.Load {
+	load := make(route.Load, len(told))
+	for _, at := range told {
+		load[fleet.ServerID(at.Server)] = route.ServerLoad{
+			Requests: int(at.Count), Reading: time.Duration(at.ReadingMilliseconds) * time.Millisecond,
+		}
+	}
+	return load
+}
+
+func demandsToWire(demands route.Demands) []*wire.ServiceDemand {
+	told := make([]*wire.ServiceDemand, 0, len(demands))
+	for service, demand := range demands {
+		told = append(told, &wire.ServiceDemand{
+			Service: string(service), Arrivals: uint32(demand.Arrivals), InTime: uint32(demand.InTime), Late: uint32(demand.Late),
+		})
+	}
+	return told
+}
+
+func demandsOf(told []*wire.ServiceDemand) route.Demands {
+	demands := make(route.Demands, len(told))
+	for _, demand := range told {
+		demands[member.Service(demand.Service)] = route.Demand{
+			Arrivals: int(demand.Arrivals), InTime: int(demand.InTime), Late: int(demand.Late),
+		}
+	}
+	return demands
+}
--- a/internal/lab/box.go
+++ b/internal/lab/box.go
@@ -33,7 +33,7 @@
 	b.dispatcher.Servers(b.world.listed, 0, func(domain member.FailureDomain) bool { return domain == domainOf(b.region) }, b.world.now())
 	for _, other := range b.world.boxes {
 		if other != b && other.up && other.dispatcher != nil {
-			b.hear(other, other.dispatcher.Own())
+			b.hear(other, other.dispatcher.Own(), other.dispatcher.Demand(b.world.now()))
 		}
 	}
 	b.tell(b.life)
@@ -55,12 +55,12 @@
 	if b.life != life {
 		return
 	}
-	load := b.dispatcher.Own()
+	load, demand := b.dispatcher.Own(), b.dispatcher.Demand(b.world.now())
 	if b.told == nil || !maps.Equal(load, b.told) {
 		b.told = load
 		for _, other := range b.world.boxes {
 			if other != b {
-				other.hear(b, load)
+				other.hear(b, load, demand)
 			}
 		}
 	}
@@ -68,10 +68,11 @@
 }
 
 // hear takes what another box tells, a little later.
-func (b *box) hear(from *box, load route.Load) {
+func (b *box) hear(from *box, load route.Load, demand route.Demand) {
 	life, fromLife := b.life, from.life
 	b.world.after(b.world.delay(from.region, b.region), func() {
 		if b.life == life && from.life == fromLife {
+			b.dispatcher.PeerDemand(from.id, demand, b.world.now())
 			b.dispatcher.PeerLoad(from.id, load, true, b.world.now())
 		}
 	})
--- a/pkg/route/backend.go
+++ b/pkg/route/backend.go
@@ -139,6 +139,12 @@
 	return version >= d.preferred || b.isPrompt(now)
 }
 
+// isSwapping reports whether a server is about to have newer weights.
+func (d *Dispatcher) isSwapping(b *backend, now time.Time) bool {
+	_, swapping := b.version(now)
+	return d.engine && swapping && !b.state.Silent
+}
+
 // load is what a server has in flight, as far as this box knows.
 func (d *Dispatcher) load(b *backend, now time.Time) ServerLoad {
 	load := d.peers.sums[b.server.ID]
--- a/pkg/route/dispatch.go
+++ b/pkg/route/dispatch.go
@@ -47,6 +47,9 @@
 	startBy time.Time
 }
 
+// isLate reports whether the request can't meet its objective any more.
+func (a *Ask) isLate(now time.Time) bool { return a.startBy.Before(now) }
+
 // Dispatcher shares the places of one service's backend servers among requests.
 // Several entry boxes do so at once; each tells the others what it has in
 // flight. It is safe for concurrent use.
@@ -58,6 +61,10 @@
 	// boxes is how many entry boxes share the places.
 	boxes int
 	queue []*Waiting
+	// arrivals are the requests that come to this box for the first time.
+	arrivals rateMeter
+	// demands are what the other entry boxes are asked for.
+	demands map[member.BoxID]peerDemand
 	// usual is how long a request holds its place, in the mean.
 	usual time.Duration
 	// first is how long an answer takes to begin beside reading the request, and
@@ -95,7 +102,7 @@
 		options.Random = rand.Float64
 	}
 	return &Dispatcher{
-		backends: make(map[fleet.ServerID]*backend), peers: newPeerLoads(), boxes: 1,
+		backends: make(map[fleet.ServerID]*backend), peers: newPeerLoads(), demands: make(map[member.BoxID]peerDemand), boxes: 1,
 		usual: options.Usual, first: options.First, engine: options.Engine, random: options.Random,
 	}
 }
@@ -243,7 +250,7 @@
 // mostRequests is how many requests a server may have before another one is sent
 // there. One that is late already leaves places to those that are not.
 func (d *Dispatcher) mostRequests(ask *Ask, limit int, now time.Time) int {
-	if ask.startBy.Before(now) {
+	if ask.isLate(now) {
 		return max(1, int(latePart*float64(limit)))
 	}
 	return limit
@@ -265,7 +272,7 @@
 	for _, late := range []bool{false, true} {
 		for i := 0; i < len(d.queue); {
 			w := d.queue[i]
-			if w.ask.startBy.Before(now) != late {
+			if w.ask.isLate(now) != late {
 				i++
 				continue
 			}
--- a/pkg/route/forecast.go
+++ b/pkg/route/forecast.go
@@ -8,52 +8,81 @@
 	// retryLongestPart is the part of its remaining time for which a caller waits at
 	// most: one in so many.
 	retryLongestPart = 3
-	// holdPart is the part of its time for which a request that was refused before
-	// waits for a place or a server: a second refusal is final, and with less than
-	// half of its time held nothing is lost by waiting.
-	holdPart = 0.48
 	// spareShare is the part of the places that is there for requests which come back,
 	// beside those that come first, once a service has recovered.
 	spareShare = 0.3
 )
 
-// hasChance reports whether a request is likely to get a place in time.
+// hasChance reports whether a request is likely to get a place while an answer is still
+// of use: in time for its objective or, once that can't be met, before its caller leaves.
 func (d *Dispatcher) hasChance(ask *Ask, now time.Time) bool {
-	latest := d.latest(ask)
-	if ask.Returning {
-		return now.Before(latest)
+	if !ask.isLate(now) {
+		inTime := d.anyEligible(now) && !now.Add(d.expected(ask, now)).After(ask.startBy)
+		if inTime || !ask.Returning {
+			return inTime
+		}
 	}
-	return d.anyEligible(now) && !now.Add(d.expected(ask, now)).After(latest)
+	wait, ok := d.expectedLate(ask, now)
+	return ok && !now.Add(wait).After(d.latest(ask))
 }
 
-// latest is when a request must have started to be worth waiting for: in time for its
-// objective, or, if it was refused before, before it has waited for too long.
+// latest is when a request that can't meet its objective must have started to be of use.
 func (d *Dispatcher) latest(ask *Ask) time.Time {
-	latest := ask.startBy
-	if ask.Returning {
-		held := time.Duration(holdPart * float64(ask.Deadline.Sub(ask.Arrived)))
-		if ask.Patience > 0 {
-			held = min(held, ask.Patience-leaveReserve)
-		}
-		if last := ask.Arrived.Add(held); last.After(latest) {
-			latest = last
+	latest := ask.Deadline.Add(-time.Duration(lateReserve * float64(d.usual)))
+	if ask.Patience > 0 {
+		if leaves := ask.Arrived.Add(ask.Patience - leaveReserve); leaves.Before(latest) {
+			return leaves
 		}
 	}
-	if end := ask.Deadline.Add(-time.Duration(lateReserve * float64(d.usual))); end.Before(latest) {
-		return end
-	}
 	return latest
 }
 
-// expected returns how long a request waits for its place.
+// expected returns how long a request that is in time waits for its place.
 func (d *Dispatcher) expected(ask *Ask, now time.Time) time.Duration {
+	return time.Duration(d.ahead(ask, now)+1) * d.interval()
+}
+
+// expectedLate returns how long a request that is late waits for its place: those who
+// are late share what the requests leave that come first, at all entry boxes. ok is
+// false if these leave nothing.
+func (d *Dispatcher) expectedLate(ask *Ask, now time.Time) (wait time.Duration, ok bool) {
+	peers := d.peersDemand(now)
+	spare := d.freedPerSecond(now) - float64(d.arrivals.count(now)+peers.Arrivals)/rateSpan.Seconds()
+	if spare <= 0 {
+		return 0, false
+	}
+	ahead := float64(d.ahead(ask, now) + peers.Late + 1)
+	return time.Duration(ahead / spare * float64(time.Second)), true
+}
+
+// freedPerSecond is how many places become free in a second if all are taken. Where no
+// server takes requests, those count that are being swapped: they are back before who
+// waits has left.
+func (d *Dispatcher) freedPerSecond(now time.Time) float64 {
+	open, swapping := 0, 0
+	for _, b := range d.order {
+		switch {
+		case d.isEligible(b, now):
+			open += d.limit(b)
+		case d.isSwapping(b, now):
+			swapping += d.limit(b)
+		}
+	}
+	if open == 0 {
+		open = swapping
+	}
+	return float64(open) / d.usual.Seconds()
+}
+
+// ahead is how many requests wait here that get a place before another one.
+func (d *Dispatcher) ahead(ask *Ask, now time.Time) int {
 	ahead := 0
 	for _, w := range d.queue {
 		if w.ask != ask && isAhead(w.ask, ask, now) {
 			ahead++
 		}
 	}
-	return time.Duration(ahead+1) * d.interval()
+	return ahead
 }
 
 // interval is how long after each other places become free for this box.
--- /dev/null
+++ b/pkg/route/forecast_test.go
@@ -0,0 +1,99 @@
+package route
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// returning is a caller that was refused and can't be answered in time any more.
+func (b *bench) returning() *Ask {
+	now := b.clock.Now()
+	return &Ask{Arrived: now, Objective: now.Add(-time.Second), Deadline: now.Add(4 * time.Second), Returning: true}
+}
+
+// submit asks for a place and reports whether the request waits for one.
+func (b *bench) submit(t *testing.T, ask *Ask) (waits bool, err error) {
+	t.Helper()
+	place, w, err := b.Submit(ask, func(*Reservation) {}, b.clock.Now())
+	require.Nil(t, place)
+	return w != nil, err
+}
+
+// Late requests were held for two seconds while first ones took all places, and more than
+// half of them were refused all the same.
+func TestALateRequestIsHeldOnlyIfFirstOnesLeaveItAPlace(t *testing.T) {
+	b := newBench(true, model("a", 10, 1))
+	for range 10 {
+		b.acquire(t)
+	}
+	b.clock.Advance(2 * rateSpan)
+	waits, err := b.submit(t, b.returning())
+	require.NoError(t, err)
+	require.True(t, waits, "ten places are free again within the second")
+	b.PeerDemand("entry-2", Demand{Arrivals: 9, Late: 5}, b.clock.Now())
+	_, err = b.submit(t, b.returning())
+	var busy *BusyError
+	require.ErrorAs(t, err, &busy, "one place a second is left, six wait for it")
+	b.PeerDemand("entry-2", Demand{Arrivals: 11}, b.clock.Now())
+	_, err = b.submit(t, b.returning())
+	require.ErrorAs(t, err, &busy, "no place is left")
+}
+
+func TestAWaitingRequestIsRefusedOnceItsChanceIsGone(t *testing.T) {
+	b := newBench(true, model("a", 10, 1))
+	for range 10 {
+		b.acquire(t)
+	}
+	b.clock.Advance(2 * rateSpan)
+	place, w, err := b.Submit(b.returning(), func(*Reservation) {}, b.clock.Now())
+	require.NoError(t, err)
+	require.Nil(t, place)
+	again, waits, err := b.Review(w, b.clock.Now())
+	require.NoError(t, err)
+	require.True(t, waits)
+	require.Equal(t, reviewInterval, again.Sub(b.clock.Now()))
+	b.PeerDemand("entry-2", Demand{Arrivals: 20}, b.clock.Now())
+	_, waits, err = b.Review(w, b.clock.Now())
+	require.Error(t, err)
+	require.False(t, waits)
+	require.Zero(t, b.Waiting())
+}
+
+func TestADemandThatIsNotToldAgainIsForgotten(t *testing.T) {
+	b := newBench(true, model("a", 10, 1))
+	b.PeerDemand("entry-2", Demand{Arrivals: 9, InTime: 2, Late: 5}, b.clock.Now())
+	require.Equal(t, Demand{Arrivals: 9, InTime: 2, Late: 5}, b.peersDemand(b.clock.Now()))
+	b.clock.Advance(peerLoadAge)
+	require.Zero(t, b.peersDemand(b.clock.Now()))
+}
+
+func TestTheDemandCountsFirstRequestsOfTheLastSecond(t *testing.T) {
+	b := newBench(true, model("a", 10, 1))
+	for range 30 {
+		place, err := b.Acquire(context.Background(), b.ask(), b.clock)
+		require.NoError(t, err)
+		place.Release(ResultDone, b.clock.Now())
+		b.clock.Advance(100 * time.Millisecond)
+	}
+	require.Equal(t, 10, b.Demand(b.clock.Now()).Arrivals)
+	b.clock.Advance(rateSpan + rateSpan/rateParts)
+	require.Zero(t, b.Demand(b.clock.Now()).Arrivals)
+}
+
+// While no server takes requests because all are being swapped, who comes back is held.
+func TestServersThatAreBeingSwappedCountForThoseWhoComeBack(t *testing.T) {
+	b := newBench(true, model("a", 4, 1))
+	b.State("a", ServerState{Version: 1, Swapping: true}, b.clock.Now())
+	waits, err := b.submit(t, b.returning())
+	require.NoError(t, err)
+	require.True(t, waits)
+	_, err = b.submit(t, b.ask())
+	require.ErrorIs(t, err, ErrNoServer, "one who comes first can come back")
+	b.State("a", ServerState{Silent: true}, b.clock.Now())
+	_, err = b.submit(t, b.returning())
+	require.ErrorIs(t, err, ErrNoServer)
+	require.Equal(t, 2*time.Second, RetryAfter(err, 6*time.Second))
+}
--- a/pkg/route/queue.go
+++ b/pkg/route/queue.go
@@ -57,6 +57,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	ask.startBy = ask.Objective.Add(-d.first - d.deviation - ask.Reading)
+	if !ask.Returning && !ask.Once {
+		d.arrivals.add(now)
+	}
 	if len(d.queue) == 0 || d.isFirst(ask, now) {
 		if place := d.choose(ask, now); place != nil {
 			return place, nil, nil
@@ -84,8 +87,8 @@
 		return time.Time{}, false, d.refusal(w.ask, now)
 	}
 	again = now.Add(reviewInterval)
-	if latest := d.latest(w.ask); latest.After(now) && latest.Before(again) {
-		again = latest
+	if startBy := w.ask.startBy; startBy.After(now) && startBy.Before(again) {
+		again = startBy
 	}
 	return again, true, nil
 }
@@ -184,7 +187,7 @@
 // isAhead reports whether a waiting request gets a place before another one. Those who
 // are late already do not go before one who is not.
 func isAhead(waiting, ask *Ask, now time.Time) bool {
-	if late := waiting.startBy.Before(now); late != ask.startBy.Before(now) {
+	if late := waiting.isLate(now); late != ask.isLate(now) {
 		return !late
 	}
 	return !before(ask, waiting)
