perf(route): the estimate of the time to begin follows many answers, and recovers

Cause: in the model boxes took first requests for late ones at once, with 20 to 70 of 208 places free: the estimate followed the last four answers (0.04 to 0.16 s within two seconds), and a box whose estimate went over the objective sent nothing that could have lowered it. Change: weights of one sixteenth in place of those of RFC 6298; a first request is in time when it comes.

--- a/pkg/route/forecast_test.go
+++ b/pkg/route/forecast_test.go
@@ -97,3 +97,17 @@
 	require.ErrorIs(t, err, ErrNoServer)
 	require.Equal(t, 2*time.Second, RetryAfter(err, 6*time.Second))
 }
+
+// A box whose answers had begun late took every request for a late one, and got no place
+// that could have shown it better.
+func TestABoxThatSawAnswersBeginLateGoesOnTrying(t *testing.T) {
+	b := newBench(true, model("a", 4, 1))
+	b.first, b.deviation = 300*time.Millisecond, 200*time.Millisecond
+	for range 100 {
+		place := b.acquire(t)
+		b.clock.Advance(20 * time.Millisecond)
+		place.Started(b.clock.Now())
+		place.Release(ResultDone, b.clock.Now())
+	}
+	require.Less(t, b.first+b.deviation, 100*time.Millisecond)
+}
--- a/pkg/route/queue.go
+++ b/pkg/route/queue.go
@@ -56,7 +56,7 @@
 func (d *Dispatcher) Submit(ask *Ask, granted func(*Reservation), now time.Time) (*Reservation, *Waiting, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	ask.startBy = ask.Objective.Add(-d.first - d.deviation - ask.Reading)
+	ask.startBy = d.startBy(ask, now)
 	if !ask.Returning && !ask.Once {
 		d.arrivals.add(now)
 	}
@@ -75,6 +75,17 @@
 	return nil, w, nil
 }
 
+// startBy returns when a request must start to meet its objective, as far as answers took
+// to begin lately. One that comes for the first time is in time when it comes: otherwise
+// a box that has seen answers begin late would send none that could show it better.
+func (d *Dispatcher) startBy(ask *Ask, now time.Time) time.Time {
+	startBy := ask.Objective.Add(-d.first - d.deviation - ask.Reading)
+	if !ask.Returning && startBy.Before(now) && ask.Objective.After(now) {
+		return now
+	}
+	return startBy
+}
+
 // Review estimates anew whether a waiting request will get a place in time, and refuses
 // it if not. It returns when to ask again; ok is false if it waits no longer.
 func (d *Dispatcher) Review(w *Waiting, now time.Time) (again time.Time, ok bool, err error) {
--- a/pkg/route/reservation.go
+++ b/pkg/route/reservation.go
@@ -10,6 +10,10 @@
 	// holdSmoothing is the weight of the newest time in the mean time that a
 	// request holds a place.
 	holdSmoothing = 0.05
+	// firstSmoothing is the weight of the newest time in the mean time in which an answer
+	// begins, and in its mean deviation. A box sees about as many answers begin in a
+	// second as the mean reaches back; with the weights of RFC 6298 it followed single ones.
+	firstSmoothing = 1.0 / 16
 	// failureSmoothing is the weight of the newest result in a server's share of
 	// failures.
 	failureSmoothing = 0.15
@@ -48,10 +52,9 @@
 	}
 	r.begun()
 	r.backend.startTime, r.backend.startedAt = now.Sub(r.since), now
-	// The estimate of round-trip times of RFC 6298, with its weights.
 	sample := max(0, now.Sub(r.since)-r.reading-r.readAhead)
-	d.deviation += (max(sample-d.first, d.first-sample) - d.deviation) / 4
-	d.first += (sample - d.first) / 8
+	d.deviation += time.Duration(firstSmoothing * float64((sample-d.first).Abs()-d.deviation))
+	d.first += time.Duration(firstSmoothing * float64(sample-d.first))
 	d.grant(nil, now)
 }
 
