perf(route): late requests hold only the places that first ones do not need

Change: late requests hold, at all boxes, at most what the first ones leave by Little's law: places less arrivals times the time that a place is held. The forecast for who waits uses the same.

--- a/internal/lab/box.go
+++ b/internal/lab/box.go
@@ -9,6 +9,9 @@
 	"github.com/cinderslip/cinderslip/pkg/route"
 )
 
+// tellAgain is after which time a box tells the others again what has not changed.
+const tellAgain = 400 * time.Millisecond
+
 // box is an entry box. Its dispatcher is the one that runs in production.
 type box struct {
 	world      *world
@@ -17,8 +20,9 @@
 	dispatcher *route.Dispatcher
 	up         bool
 	// life changes when the box is killed, so that what was planned before lapses.
-	life int
-	told route.Load
+	life   int
+	told   route.Load
+	toldAt time.Time
 }
 
 // start starts the box; it knows nothing of the others yet.
@@ -56,8 +60,9 @@
 		return
 	}
 	load, demand := b.dispatcher.Own(), b.dispatcher.Demand(b.world.now())
-	if b.told == nil || !maps.Equal(load, b.told) {
-		b.told = load
+	now := b.world.now()
+	if b.told == nil || now.Sub(b.toldAt) >= tellAgain || !maps.Equal(load, b.told) {
+		b.told, b.toldAt = load, now
 		for _, other := range b.world.boxes {
 			if other != b {
 				other.hear(b, load, demand)
--- a/pkg/route/demand.go
+++ b/pkg/route/demand.go
@@ -13,6 +13,8 @@
 	// InTime is how many requests wait for a place that can still meet their objective,
 	// Late how many of the others.
 	InTime, Late int
+	// LateRunning is how many requests hold a place that were late when they got it.
+	LateRunning int
 }
 
 // Demands are the demands of one entry box, by service.
@@ -28,7 +30,7 @@
 func (d *Dispatcher) Demand(now time.Time) Demand {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	demand := Demand{Arrivals: d.arrivals.count(now)}
+	demand := Demand{Arrivals: d.arrivals.count(now), LateRunning: d.lateRunning}
 	for _, w := range d.queue {
 		if w.ask.isLate(now) {
 			demand.Late++
@@ -57,6 +59,7 @@
 		sum.Arrivals += told.Arrivals
 		sum.InTime += told.InTime
 		sum.Late += told.Late
+		sum.LateRunning += told.LateRunning
 	}
 	return sum
 }
--- a/pkg/route/dispatch.go
+++ b/pkg/route/dispatch.go
@@ -83,6 +83,8 @@
 	engine bool
 	random func() float64
 	claims claims
+	// lateRunning is how many requests hold a place here that were late when they got it.
+	lateRunning int
 	// candidates is reused from one choice to the next.
 	candidates []candidate
 }
@@ -214,6 +216,9 @@
 	d.startRound(now)
 	competition := d.competition(now)
 	standing := ask.standing(now)
+	if standing == standsLate && !d.hasLatePlace(now) {
+		return nil
+	}
 	if freed != nil && (standing == standsInTime || competition.free > competition.inTime) {
 		if c, ok := d.candidate(freed, ask, now); ok {
 			return d.reserve(c.backend, ask, now)
@@ -270,6 +275,9 @@
 		Server: b.server, Version: version, dispatcher: d, backend: b, since: now, reading: ask.Reading,
 		readAhead: d.load(b, now).Reading,
 	}
+	if place.late = ask.isLate(now); place.late {
+		d.lateRunning++
+	}
 	b.own.Requests++
 	b.own.Reading += ask.Reading
 	b.awaiting[place] = now
--- a/pkg/route/forecast.go
+++ b/pkg/route/forecast.go
@@ -42,23 +42,20 @@
 	return time.Duration(d.ahead(ask, now)+1) * d.interval()
 }
 
-// expectedLate returns how long a request that is late waits for its place: those who
-// are late share what the requests leave that come first, at all entry boxes. ok is
-// false if these leave nothing.
+// expectedLate returns how long a request that is late waits for its place, behind those
+// that wait elsewhere too. ok is false if there is no place for late ones.
 func (d *Dispatcher) expectedLate(ask *Ask, now time.Time) (wait time.Duration, ok bool) {
-	peers := d.peersDemand(now)
-	spare := d.freedPerSecond(now) - float64(d.arrivals.count(now)+peers.Arrivals)/rateSpan.Seconds()
-	if spare <= 0 {
+	places := d.latePlaces(now)
+	if places <= 0 {
 		return 0, false
 	}
-	ahead := float64(d.ahead(ask, now) + peers.Late + 1)
-	return time.Duration(ahead / spare * float64(time.Second)), true
+	ahead := float64(d.ahead(ask, now) + d.peersDemand(now).Late + 1)
+	return time.Duration(ahead / places * float64(d.usual)), true
 }
 
-// freedPerSecond is how many places become free in a second if all are taken. Where no
-// server takes requests, those count that are being swapped: they are back before who
-// waits has left.
-func (d *Dispatcher) freedPerSecond(now time.Time) float64 {
+// places is how many places there are. Where no server takes requests, those count that
+// are being swapped: they are back before who waits has left.
+func (d *Dispatcher) places(now time.Time) int {
 	open, swapping := 0, 0
 	for _, b := range d.order {
 		switch {
@@ -69,9 +66,22 @@
 		}
 	}
 	if open == 0 {
-		open = swapping
+		return swapping
 	}
-	return float64(open) / d.usual.Seconds()
+	return open
+}
+
+// latePlaces is how many places late requests may hold, at all entry boxes: those that
+// first requests do not need at the rate at which they come (Little's law). Taken by late
+// ones, they would be missing when the first ones come.
+func (d *Dispatcher) latePlaces(now time.Time) float64 {
+	arrivals := d.arrivals.count(now) + d.peersDemand(now).Arrivals
+	return float64(d.places(now)) - float64(arrivals)*d.usual.Seconds()/rateSpan.Seconds()
+}
+
+// hasLatePlace reports whether one more late request may get a place.
+func (d *Dispatcher) hasLatePlace(now time.Time) bool {
+	return float64(d.lateRunning+d.peersDemand(now).LateRunning+1) <= d.latePlaces(now)
 }
 
 // ahead is how many requests wait here that get a place before another one.
--- a/pkg/route/reservation.go
+++ b/pkg/route/reservation.go
@@ -40,6 +40,8 @@
 	// to read before.
 	reading   time.Duration
 	readAhead time.Duration
+	// late is set if the request was late when it got the place.
+	late bool
 }
 
 // Started notes that the answer has begun.
@@ -111,6 +113,9 @@
 func (d *Dispatcher) release(r *Reservation, now time.Time) {
 	r.begun()
 	r.backend.own.Requests--
+	if r.late {
+		d.lateRunning--
+	}
 	d.grant(r.backend, now)
 }
 
