fix(route): a place on a server that is no longer listed is not taken again

A place given back goes to the own queue at once, whatever the list says of its server; that came with the claims. Ruled out: a list heard late (all boxes had it within 55 ms), kept connections. Change: only places of listed servers. The test failed before.

--- a/pkg/route/claims_test.go
+++ b/pkg/route/claims_test.go
@@ -105,3 +105,29 @@
 	require.Zero(t, b.peers.sums["a"])
 	require.Equal(t, member.FailureDomain("near"), b.acquire(t).Server.Domain)
 }
+
+// A place that was given back on a server that had left the list went to the next request
+// (DRAIN on mixed days).
+func TestAPlaceOnAServerThatIsNoLongerListedIsNotTakenAgain(t *testing.T) {
+	b := newBench(true, model("a", 2, 1), model("b", 2, 1))
+	held := make(map[fleet.ServerID][]*Reservation)
+	for range 4 {
+		place := b.acquire(t)
+		held[place.Server.ID] = append(held[place.Server.ID], place)
+	}
+	b.Servers([]fleet.Server{model("b", 2, 1)}, 0, func(member.FailureDomain) bool { return true }, b.clock.Now())
+	b.clock.Advance(2 * rateSpan)
+	var granted *Reservation
+	_, w, err := b.Submit(b.returning(), func(place *Reservation) { granted = place }, b.clock.Now())
+	require.NoError(t, err)
+	require.NotNil(t, w)
+	for _, place := range held["a"] {
+		place.Release(ResultDone, b.clock.Now())
+	}
+	require.Nil(t, granted)
+	for _, place := range held["b"] {
+		place.Release(ResultDone, b.clock.Now())
+	}
+	require.NotNil(t, granted)
+	require.Equal(t, fleet.ServerID("b"), granted.Server.ID)
+}
--- a/pkg/route/reservation.go
+++ b/pkg/route/reservation.go
@@ -116,7 +116,12 @@
 	if r.late {
 		d.lateRunning--
 	}
-	d.grant(r.backend, now)
+	freed := r.backend
+	if d.backends[r.Server.ID] != freed {
+		// The server is no longer listed.
+		freed = nil
+	}
+	d.grant(freed, now)
 }
 
 // begun notes that the server no longer reads the request.
