--- a/pkg/route/claims_test.go
+++ b/pkg/route/claims_test.go
@@ -116,18 +116,13 @@
 		held[place.Server.ID] = append(held[place.Server.ID], place)
 	}
 	b.Servers([]fleet.Server{model("b", 2, 1)}, 0, func(member.FailureDomain) bool { return true }, b.clock.Now())
-	b.clock.Advance(2 * rateSpan)
 	var granted *Reservation
-	_, w, err := b.Submit(b.returning(), func(place *Reservation) { granted = place }, b.clock.Now())
-	require.NoError(t, err)
-	require.NotNil(t, w)
-	for _, place := range held["a"] {
-		place.Release(ResultDone, b.clock.Now())
-	}
+	ask := b.ask()
+	ask.startBy = ask.Objective
+	b.enqueue(&Waiting{ask: ask, granted: func(place *Reservation) { granted = place }})
+	held["a"][0].Release(ResultDone, b.clock.Now())
 	require.Nil(t, granted)
-	for _, place := range held["b"] {
-		place.Release(ResultDone, b.clock.Now())
-	}
+	held["b"][0].Release(ResultDone, b.clock.Now())
 	require.NotNil(t, granted)
 	require.Equal(t, fleet.ServerID("b"), granted.Server.ID)
 }
