--- a/internal/lab/box.go
+++ b/internal/lab/box.go
@@ -116,10 +116,10 @@
 	return r
 }
 
-// reading is how long a prompt is read by a server that also writes.
+// reading is how long an entry box takes a prompt to be read.
 func (e *Engine) reading(tokens int) time.Duration {
-	read := time.Duration(float64(tokens) / e.ReadPerSecond * float64(time.Second))
-	return read + time.Duration(float64(tokens)/float64(e.ReadAtOnce)*float64(e.Stride)*float64(e.Step))
+	engine := fleet.Engine{ReadPerSecond: e.ReadPerSecond, ReadAtOnce: e.ReadAtOnce, Stride: e.Stride, Step: e.Step}
+	return engine.ReadingTime(tokens)
 }
 
 // later runs something at the box after a time, if the request lives.
--- a/internal/lab/deployment.go
+++ b/internal/lab/deployment.go
@@ -59,7 +59,7 @@
 	// Stride is how many token steps are played in a pass.
 	Stride int
 	// ReadPerSecond is the rate at which prompts are read, ReadAtOnce how many tokens
-	// are read in a pass.
+	// are read in a step.
 	ReadPerSecond float64
 	ReadAtOnce    int
 	// EventTokens is how many tokens are told at once.
--- a/internal/lab/engine.go
+++ b/internal/lab/engine.go
@@ -106,7 +106,7 @@
 			writers++
 			continue
 		}
-		piece := min(j.unread, e.ReadAtOnce-read)
+		piece := min(j.unread, e.ReadAtOnce*e.Stride-read)
 		j.unread -= piece
 		read += piece
 		if j.unread == 0 {
