perf(route): how long a request in time waits is worked out from the places of all boxes

Cause: the wait was the own part of all places, so with 39 boxes 90 ms for the first in the queue, more than large prompts have; they were refused at once with places coming free elsewhere every 3 ms. Change: a box's part is what waits there of all that wait, at least one of all boxes.

--- a/pkg/route/forecast.go
+++ b/pkg/route/forecast.go
@@ -37,9 +37,22 @@
 	return latest
 }
 
-// expected returns how long a request that is in time waits for its place.
+// expected returns how long a request that is in time waits for its place. Places go to
+// the boxes by how many such requests wait there, and a box keeps those that it gives back.
 func (d *Dispatcher) expected(ask *Ask, now time.Time) time.Duration {
-	return time.Duration(d.ahead(ask, now)+1) * d.interval()
+	ahead, own := 0, 1
+	for _, w := range d.queue {
+		if w.ask == ask || w.ask.isLate(now) {
+			continue
+		}
+		own++
+		if isAhead(w.ask, ask, now) {
+			ahead++
+		}
+	}
+	share := max(1/float64(d.boxes), float64(own)/float64(own+d.peersDemand(now).InTime))
+	perSecond := max(1, float64(d.places(now))) / d.usual.Seconds() * share
+	return time.Duration(float64(ahead+1) / perSecond * float64(time.Second))
 }
 
 // expectedLate returns how long a request that is late waits for its place, behind those
