fix(direct): an entry box becomes known by following another one

Boxes that no settings name would also have lost each other with the three. Change: who follows says its own address. The scenario failed before (one address in place of three).

--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -68,7 +68,7 @@
 		duties: kernel.NewDuties(), seeds: p.settings.Peers.Entries, boxes: make(map[string]EntryBox), pulled: make(map[member.Address]state.Cursor),
 		told: p.front.PeerTold,
 	}
-	e.self.Box, e.self.Region = p.settings.Box, p.settings.Region
+	e.self.Box, e.self.Region, e.self.Peers = p.settings.Box, p.settings.Region, p.settings.Listen.Peers
 	p.front.entries.Store(e)
 	e.duties.Go(e.followAll)
 	e.duties.Go(e.repair)
@@ -118,7 +118,7 @@
 	for ctx.Err() == nil {
 		err := followStream(ctx, e.clock, func(ctx context.Context) (func() error, error) {
 			stream, err := wire.NewDRPCFleetClient(e.peers.Conn(member.Address(entry))).
-				Entry(ctx, &wire.FollowRequest{Box: e.self.Box})
+				Entry(ctx, &wire.FollowRequest{Box: e.self.Box, Peers: e.self.Peers})
 			if err != nil {
 				return nil, err
 			}
--- a/internal/direct/status.go
+++ b/internal/direct/status.go
@@ -162,8 +162,12 @@
 }
 
 // Entry streams the box's status: whole at first, when it has changed and now and
-// then, and in between only what has changed of what is in flight and asked for.
-func (s *Status) Entry(_ *wire.FollowRequest, stream wire.DRPCFleet_EntryStream) error {
+// then, and in between only what has changed of what is in flight and asked for. An entry
+// box that follows this one becomes known by that: the settings name only a few.
+func (s *Status) Entry(request *wire.FollowRequest, stream wire.DRPCFleet_EntryStream) error {
+	if request.Peers != "" {
+		s.AddEntries([]string{request.Peers})
+	}
 	ticker := s.clock.NewTicker(statusInterval)
 	defer ticker.Stop()
 	told := statusTold{whole: s.whole}
--- a/internal/direct/world_test.go
+++ b/internal/direct/world_test.go
@@ -430,11 +430,13 @@
 }
 
 // cmdAwait waits for a condition: await ready entry-1, await version 2, await
-// status entry-1 /look/1 key-2 401, await stream entry-1.
+// status entry-1 /look/1 key-2 401, await stream entry-1, await directory entry-1 3.
 func (w *world) cmdAwait(args []string) error {
 	switch args[0] {
 	case "ready":
 		return w.await(func() error { return w.ready(args[1]) })
+	case "directory":
+		return w.await(func() error { return w.leadsTo(args[1], number(args[2], 0)) })
 	case "version":
 		return w.await(func() error {
 			for name, s := range w.servers {
@@ -476,6 +478,31 @@
 	return nil
 }
 
+// leadsTo checks to how many entry boxes a box leads callers.
+func (w *world) leadsTo(entry string, want int) error {
+	address := "http://" + w.loaded[entry].Listen.Directory + "/cinderslip/resolve?Name=maps.example&Region=riga&Zone=hall-a"
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, address, http.NoBody)
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	var answer struct{ Addresses []string }
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s leads to no box: %d", entry, response.StatusCode)
+	}
+	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
+		return err
+	}
+	if len(answer.Addresses) != want {
+		return fmt.Errorf("%s leads to %v, want %d boxes", entry, answer.Addresses, want)
+	}
+	return nil
+}
+
 func (w *world) await(condition func() error) error {
 	deadline := time.Now().Add(waitLimit)
 	for {
