perf(route): late requests are held by a forecast of the servers' swaps

The chance of a late request knew only the servers that take requests now; the time to come back assumed that 0.3 of the places are spare. Change: a forecast of three seconds in steps of 0.2 s, from the swaps that agents announce and how long they take as seen; who waits, and when a refused caller should come back, both follow it. Servers whose copy is not whole are not foreseen yet.

--- a/pkg/route/backend.go
+++ b/pkg/route/backend.go
@@ -72,6 +72,8 @@
 
 	state   ServerState
 	stateAt time.Time
+	// swapSince is when the server was last heard to be taken out of service.
+	swapSince time.Time
 
 	own      ServerLoad
 	failures float64
--- a/pkg/route/dispatch.go
+++ b/pkg/route/dispatch.go
@@ -70,9 +70,10 @@
 	// deviation by how much that differs, in the mean.
 	first     time.Duration
 	deviation time.Duration
-	// promised is until when the spare places are promised to requests that were told
-	// to come back.
-	promised time.Time
+	promises  promises
+	// swapTime is how long a server is out of service for newer weights, in the mean.
+	swapTime time.Duration
+	forecast forecast
 	// required is the oldest version of weights that may start a request.
 	required fleet.WeightsVersion
 	// preferred is the oldest version for any server; older ones, down to the
@@ -110,7 +111,7 @@
 	}
 	return &Dispatcher{
 		backends: make(map[fleet.ServerID]*backend), peers: newPeerLoads(), demands: make(map[member.BoxID]peerDemand), boxes: 1,
-		usual: options.Usual, first: options.First, engine: options.Engine, random: options.Random, self: options.Box,
+		usual: options.Usual, first: options.First, engine: options.Engine, random: options.Random, self: options.Box, swapTime: usualSwapTime,
 	}
 }
 
@@ -139,6 +140,7 @@
 		d.order = append(d.order, b)
 	}
 	d.backends = next
+	d.forecast = forecast{}
 	d.grant(nil, now)
 }
 
@@ -178,11 +180,25 @@
 		if state.Version != b.state.Version && b.replaced {
 			b.replaced, b.ejectedTo = false, time.Time{}
 		}
+		d.noteSwap(b, state, now)
+		if state.Swapping != b.state.Swapping || state.Silent != b.state.Silent || state.Version != b.state.Version {
+			d.forecast = forecast{}
+		}
 		b.state, b.stateAt = state, now
 		d.grant(nil, now)
 	}
 }
 
+// noteSwap learns how long swaps take.
+func (d *Dispatcher) noteSwap(b *backend, state ServerState, now time.Time) {
+	switch {
+	case state.Swapping && !b.state.Swapping:
+		b.swapSince = now
+	case !state.Swapping && b.state.Swapping && state.Version > b.state.Version:
+		d.swapTime += time.Duration(swapSmoothing * float64(now.Sub(b.swapSince)-d.swapTime))
+	}
+}
+
 // PeerLoad takes what another entry box has in flight: at the servers that are
 // named, or, if whole is set, at these and no others.
 func (d *Dispatcher) PeerLoad(box member.BoxID, load Load, whole bool, now time.Time) {
--- a/pkg/route/forecast.go
+++ b/pkg/route/forecast.go
@@ -8,11 +8,75 @@
 	// retryLongestPart is the part of its remaining time for which a caller waits at
 	// most: one in so many.
 	retryLongestPart = 3
-	// spareShare is the part of the places that is there for requests which come back,
-	// beside those that come first, once a service has recovered.
-	spareShare = 0.3
+	// forecastStep is the step of the forecast of places, forecastSteps how many there
+	// are: callers leave, or come back as they are told, within three seconds.
+	forecastStep  = 200 * time.Millisecond
+	forecastSteps = 15
+	// forecastAge is for how long a forecast counts.
+	forecastAge = 50 * time.Millisecond
+	// usualSwapTime is how long a server is out of service for newer weights until that
+	// has been seen, swapSmoothing the weight of the newest time in the mean.
+	usualSwapTime = time.Second
+	swapSmoothing = 0.25
 )
 
+// forecast is how many late requests can start in the time to come.
+type forecast struct {
+	at time.Time
+	// late is how many can in each step.
+	late [forecastSteps]float64
+}
+
+// lateForecast returns how many late requests can start in the time to come: on places
+// that first requests do not need at the rate at which they come now. Servers leave and
+// come back as their agents tell of swaps.
+func (d *Dispatcher) lateForecast(now time.Time) *forecast {
+	f := &d.forecast
+	if age := now.Sub(f.at); age >= 0 && age < forecastAge {
+		return f
+	}
+	*f = forecast{at: now}
+	var places [forecastSteps]int
+	for _, b := range d.order {
+		from, to := d.outOfService(b, now)
+		for step := range places {
+			if middle := now.Add(forecastStep/2 + time.Duration(step)*forecastStep); middle.Before(from) || !middle.Before(to) {
+				places[step] += d.limit(b)
+			}
+		}
+	}
+	first := d.firstPlaces(now)
+	for step := range f.late {
+		f.late[step] = max(0, float64(places[step])-first) * forecastStep.Seconds() / d.usual.Seconds()
+	}
+	return f
+}
+
+// outOfService returns from when to when a server takes nothing, as far as is known.
+func (d *Dispatcher) outOfService(b *backend, now time.Time) (from, to time.Time) {
+	switch {
+	case d.isSwapping(b, now):
+		return now, b.swapSince.Add(d.swapTime)
+	case !d.isEligible(b, now):
+		return now, now.Add(forecastStep * forecastSteps)
+	case !b.state.SwapAt.IsZero():
+		return b.state.SwapAt, b.state.SwapAt.Add(d.swapTime)
+	}
+	return time.Time{}, time.Time{}
+}
+
+// until returns after which time so many late requests have started; ok is false if that
+// is later than the forecast reaches.
+func (f *forecast) until(requests float64) (wait time.Duration, ok bool) {
+	for step, late := range f.late {
+		if late > 0 && requests <= late {
+			return time.Duration((float64(step) + requests/late) * float64(forecastStep)), true
+		}
+		requests -= late
+	}
+	return 0, false
+}
+
 // hasChance reports whether a request is likely to get a place while an answer is still
 // of use: in time for its objective or, once that can't be met, before its caller leaves.
 func (d *Dispatcher) hasChance(ask *Ask, now time.Time) bool {
@@ -56,45 +120,32 @@
 }
 
 // expectedLate returns how long a request that is late waits for its place, behind those
-// that wait elsewhere too. ok is false if there is no place for late ones.
+// that wait elsewhere too. ok is false if it gets none in the foreseeable time.
 func (d *Dispatcher) expectedLate(ask *Ask, now time.Time) (wait time.Duration, ok bool) {
-	places := d.latePlaces(now)
-	if places <= 0 {
-		return 0, false
-	}
-	ahead := float64(d.ahead(ask, now) + d.peersDemand(now).Late + 1)
-	return time.Duration(ahead / places * float64(d.usual)), true
+	return d.lateForecast(now).until(float64(d.ahead(ask, now) + d.peersDemand(now).Late + 1))
 }
 
-// places is how many places there are. Where no server takes requests, those count that
-// are being swapped: they are back before who waits has left.
+// places is how many places there are.
 func (d *Dispatcher) places(now time.Time) int {
-	open, swapping := 0, 0
+	places := 0
 	for _, b := range d.order {
-		switch {
-		case d.isEligible(b, now):
-			open += d.limit(b)
-		case d.isSwapping(b, now):
-			swapping += d.limit(b)
+		if d.isEligible(b, now) {
+			places += d.limit(b)
 		}
 	}
-	if open == 0 {
-		return swapping
-	}
-	return open
+	return places
 }
 
-// latePlaces is how many places late requests may hold, at all entry boxes: those that
-// first requests do not need at the rate at which they come (Little's law). Taken by late
-// ones, they would be missing when the first ones come.
-func (d *Dispatcher) latePlaces(now time.Time) float64 {
+// firstPlaces is how many places those need who come first, at the rate at which they
+// come (Little's law). Taken by late ones, they would be missing when the first ones come.
+func (d *Dispatcher) firstPlaces(now time.Time) float64 {
 	arrivals := d.arrivals.count(now) + d.peersDemand(now).Arrivals
-	return float64(d.places(now)) - float64(arrivals)*d.usual.Seconds()/rateSpan.Seconds()
+	return float64(arrivals) * d.usual.Seconds() / rateSpan.Seconds()
 }
 
 // hasLatePlace reports whether one more late request may get a place.
 func (d *Dispatcher) hasLatePlace(now time.Time) bool {
-	return float64(d.lateRunning+d.peersDemand(now).LateRunning+1) <= d.latePlaces(now)
+	return float64(d.lateRunning+d.peersDemand(now).LateRunning+1) <= float64(d.places(now))-d.firstPlaces(now)
 }
 
 // ahead is how many requests wait here that get a place before another one.
@@ -107,13 +158,3 @@
 	}
 	return ahead
 }
-
-// interval is how long after each other places become free for this box.
-func (d *Dispatcher) interval() time.Duration {
-	places := 0
-	for _, b := range d.order {
-		places += d.limit(b)
-	}
-	share := max(1, float64(places)/float64(d.boxes))
-	return time.Duration(float64(d.usual) / share)
-}
--- a/pkg/route/forecast_test.go
+++ b/pkg/route/forecast_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/cinderslip/cinderslip/pkg/fleet"
 )
 
 // returning is a caller that was refused and can't be answered in time any more.
@@ -33,10 +35,12 @@
 	waits, err := b.submit(t, b.returning())
 	require.NoError(t, err)
 	require.True(t, waits, "ten places are free again within the second")
+	b.clock.Advance(forecastAge)
 	b.PeerDemand("entry-2", Demand{Arrivals: 9, Late: 5}, b.clock.Now())
 	_, err = b.submit(t, b.returning())
 	var busy *BusyError
 	require.ErrorAs(t, err, &busy, "one place a second is left, six wait for it")
+	b.clock.Advance(forecastAge)
 	b.PeerDemand("entry-2", Demand{Arrivals: 11}, b.clock.Now())
 	_, err = b.submit(t, b.returning())
 	require.ErrorAs(t, err, &busy, "no place is left")
@@ -55,6 +59,7 @@
 	require.NoError(t, err)
 	require.True(t, waits)
 	require.Equal(t, reviewInterval, again.Sub(b.clock.Now()))
+	b.clock.Advance(forecastAge)
 	b.PeerDemand("entry-2", Demand{Arrivals: 20}, b.clock.Now())
 	_, waits, err = b.Review(w, b.clock.Now())
 	require.Error(t, err)
@@ -134,3 +139,51 @@
 	_, err = late()
 	require.NoError(t, err)
 }
+
+// Who came back while half of the servers were being swapped was refused for good, half a
+// second before they were back.
+func TestALateRequestIsHeldForServersThatAreBackInTime(t *testing.T) {
+	b := newBench(true, model("a", 10, 1), model("b", 10, 1))
+	for range 20 {
+		b.acquire(t)
+	}
+	b.clock.Advance(2 * rateSpan)
+	b.PeerDemand("entry-2", Demand{Arrivals: 12}, b.clock.Now())
+	b.State("a", ServerState{Version: 1, Swapping: true}, b.clock.Now())
+	b.State("b", ServerState{Version: 2}, b.clock.Now())
+	ask := b.returning()
+	ask.Patience = 2 * time.Second
+	waits, err := b.submit(t, ask)
+	require.NoError(t, err)
+	require.True(t, waits, "one server is not enough for those who come first, two are")
+	ask = b.returning()
+	ask.Patience = usualSwapTime
+	_, err = b.submit(t, ask)
+	require.Error(t, err, "it leaves before the other one is back")
+}
+
+// A server that is swapped soon is not there for those who come back then.
+func TestASwapThatIsToComeCounts(t *testing.T) {
+	b := newBench(true, model("a", 10, 1))
+	now := b.clock.Now()
+	b.State("a", ServerState{Version: 1, SwapAt: now.Add(forecastStep)}, now)
+	f := b.lateForecast(now)
+	require.Positive(t, f.late[0])
+	require.Zero(t, f.late[2])
+	require.Positive(t, f.late[forecastSteps-1])
+	wait, ok := f.until(f.late[0] + f.late[forecastSteps-1]/2)
+	require.True(t, ok)
+	require.Greater(t, wait, usualSwapTime)
+	_, ok = f.until(1000)
+	require.False(t, ok)
+}
+
+func TestHowLongSwapsTakeIsLearned(t *testing.T) {
+	b := newBench(true, model("a", 10, 1))
+	for version := range fleet.WeightsVersion(20) {
+		b.State("a", ServerState{Version: version + 1}, b.clock.Now())
+		b.State("a", ServerState{Version: version + 1, Swapping: true}, b.clock.Now())
+		b.clock.Advance(400 * time.Millisecond)
+	}
+	require.InDelta(t, 400, b.swapTime.Milliseconds(), 10)
+}
--- a/pkg/route/queue.go
+++ b/pkg/route/queue.go
@@ -157,23 +157,48 @@
 	return d.busy(ask, now)
 }
 
-// busy says when a refused request should come back. Those that are refused for the
-// first time get the spare places one after the other: told the same short time, they
-// would come back together and be refused for good.
+// busy says when a refused request should come back: when those are served that wait and
+// those that were told to come back before. Told the same time, they would come back
+// together and be refused for good.
 func (d *Dispatcher) busy(ask *Ask, now time.Time) error {
 	longest := max(retryLeast, ask.Deadline.Sub(now)/retryLongestPart)
-	back := now.Add(max(retryLeast, d.expected(ask, now)))
-	if d.promised.After(back) {
-		back = d.promised
+	wait := longest
+	if room, ok := d.lateForecast(now).until(float64(d.promises.count(now)*d.boxes + d.waitingLate(now) + 1)); ok {
+		wait = min(longest, max(retryLeast, room))
 	}
-	wait := min(back.Sub(now), longest)
 	if !ask.Returning && !ask.Once {
-		d.promised = now.Add(wait + time.Duration(float64(d.interval())/spareShare))
+		d.promises.add(now.Add(wait))
 	}
 	jitter := time.Duration(d.random() * float64(retryLeast))
 	return &BusyError{Waiting: len(d.queue), RetryAfter: min(wait+jitter, longest)}
 }
 
+// waitingLate is how many late requests wait, at all entry boxes.
+func (d *Dispatcher) waitingLate(now time.Time) int {
+	waiting := d.peersDemand(now).Late
+	for _, w := range d.queue {
+		if w.ask.isLate(now) {
+			waiting++
+		}
+	}
+	return waiting
+}
+
+// promises are the times at which callers were told to come back, the soonest first.
+type promises []time.Time
+
+func (p *promises) add(at time.Time) {
+	place, _ := slices.BinarySearchFunc(*p, at, time.Time.Compare)
+	*p = slices.Insert(*p, place, at)
+}
+
+// count returns how many are to come back after a time, and forgets the others.
+func (p *promises) count(now time.Time) int {
+	past, _ := slices.BinarySearchFunc(*p, now, time.Time.Compare)
+	*p = slices.Delete(*p, 0, past)
+	return len(*p)
+}
+
 // isFirst reports whether a request goes before all that wait.
 func (d *Dispatcher) isFirst(ask *Ask, now time.Time) bool {
 	return !slices.ContainsFunc(d.queue, func(w *Waiting) bool { return isAhead(w.ask, ask, now) })
