feat(report): cinderslip losses tells where requests were lost, and why

Cause: where the worth is lost was counted by hand from logs, each time anew. Change: losses reads collected logs and counts causes (late: came back, waited, second attempt, slow to begin, paused; refused at once, after waiting, no server; cut once or twice; failed; left) apart for first requests and returned ones, by second, route, size, organisation or box, as a table, JSON and an SVG plot. Lines that cannot be read are named with their place, the others are read.

--- /dev/null
+++ b/cmd/cinderslip/losses.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"errors"
+	"os"
+
+	"github.com/jedib0t/go-pretty/v6/table"
+
+	"github.com/cinderslip/cinderslip/internal/report"
+)
+
+// losses tells where requests were lost, and why.
+type losses struct {
+	By     string `long:"by" choice:"all" choice:"second" choice:"route" choice:"size" choice:"organisation" choice:"box" default:"all" description:"what to group by"`
+	Format string `long:"format" choice:"table" choice:"json" default:"table" description:"how to print it"`
+	Plot   string `long:"plot" value-name:"FILE" description:"also write a plot over time, as SVG"`
+}
+
+func (l *losses) Run(env *environment, args []string) error {
+	events, err := readLogs(env, args)
+	if err != nil {
+		return err
+	}
+	found := report.MeasureLosses(events, report.Dimension(l.By))
+	if len(found) == 0 {
+		return errors.New("no line tells of a request of a route: are these the logs of entry boxes?")
+	}
+	if l.Plot != "" {
+		if err := plotLosses(l.Plot, report.MeasureLosses(events, report.BySecond)); err != nil {
+			return err
+		}
+	}
+	if l.Format == "json" {
+		return printJSON(env.stdout, found)
+	}
+	if l.By == string(report.ByNothing) {
+		printCauses(env, &found[0])
+		return nil
+	}
+	writer := newTableWriter(env.stdout, l.By, "asked", "in time", "late", "lost for good", "most lost as")
+	for i := range found {
+		group := &found[i]
+		writer.AppendRow(table.Row{group.Group, group.Asked(), group.InTime(), group.Late(), group.Lost(), group.Worst()})
+	}
+	writer.Render()
+	return nil
+}
+
+// printCauses prints how many requests had each cause.
+func printCauses(env *environment, all *report.Losses) {
+	writer := newTableWriter(env.stdout, "cause", "first requests", "returned")
+	for _, cause := range report.Causes {
+		if all.First[cause]+all.Returned[cause] > 0 {
+			writer.AppendRow(table.Row{cause, all.First[cause], all.Returned[cause]})
+		}
+	}
+	writer.AppendFooter(table.Row{"callers: in time, late, lost for good", all.Asked(), []int{all.InTime(), all.Late(), all.Lost()}})
+	writer.Render()
+}
+
+func plotLosses(path string, bySecond []report.Losses) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	return errors.Join(report.PlotLosses(file, bySecond), file.Close())
+}
--- a/cmd/cinderslip/run.go
+++ b/cmd/cinderslip/run.go
@@ -154,6 +154,7 @@
 		{"resolve", "Show the entry boxes that a caller would be told", &resolve{}},
 		{"explain", "Tell from collected logs what became of a request", &explain{}},
 		{"burn", "Tell from collected logs how fast service levels were used up", &burn{}},
+		{"losses", "Tell from collected logs where requests were lost, and why", &losses{}},
 		{"completion", "Print a script for shell completion", &completion{}},
 		{"version", "Print the version", &version{}},
 	})
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -275,6 +275,9 @@
 	}
 	if x.begun {
 		event = event.Dur("begun_ms", x.firstAfter).Dur("pause_ms", x.longestPause)
+		if x.route.Pause > 0 && x.longestPause > x.route.Pause {
+			event = event.Bool("paused", true)
+		}
 	}
 	return event.Uint64("configuration", x.configuration).Int("attempts", x.attempts).Int("unreachable", x.unreachable).Dur("taken_ms", taken)
 }
--- a/internal/report/event.go
+++ b/internal/report/event.go
@@ -7,6 +7,7 @@
 //	events, err := report.Read("entry-1.log", file)
 //	...
 //	explanation, ok := report.Explain(events, "9c41d07be2a35f68")
+//	losses := report.MeasureLosses(events, report.BySecond)
 //	burn := report.MeasureBurn(events, report.BurnOptions{Target: 0.99, Windows: windows})
 package report
 
@@ -37,6 +38,9 @@
 	Time time.Time
 	// Source is the file that it stands in.
 	Source string
+	// Process is the last word that a collector put before the line; the source if there
+	// is none.
+	Process string
 	Name   string
 	fields []field
 }
@@ -78,7 +82,7 @@
 			problems = append(problems, fmt.Errorf("%s:%d: %w: %w", source, number, ErrLine, err))
 			continue
 		}
-		event.Source = source
+		event.Source, event.Process = source, processOf(line[:at], source)
 		events = append(events, event)
 	}
 	if err := scanner.Err(); err != nil {
@@ -87,6 +91,14 @@
 	return events, errors.Join(problems...)
 }
 
+func processOf(prefix, source string) string {
+	words := strings.Fields(prefix)
+	if len(words) == 0 {
+		return source
+	}
+	return strings.TrimRight(words[len(words)-1], ":|")
+}
+
 func parse(line string) (Event, error) {
 	decoder := logfmt.NewDecoder(strings.NewReader(line))
 	var event Event
--- /dev/null
+++ b/internal/report/losses.go
@@ -0,0 +1,273 @@
+package report
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+)
+
+// Cause is what became of a request, with the reason if it is not an answer in time.
+type Cause string
+
+// The causes.
+const (
+	CauseInTime Cause = "in time"
+	// CausePaused is an answer that began in time and paused for longer than its readers
+	// accept.
+	CausePaused Cause = "late: paused"
+	// CauseReturnedLate is an answer to a caller that came back when its objective had
+	// passed.
+	CauseReturnedLate Cause = "late: came back late"
+	// CauseWaited is an answer that would have begun in time without the wait for a place.
+	CauseWaited Cause = "late: waited for a place"
+	// CauseSecondAttempt is an answer that a second server began.
+	CauseSecondAttempt Cause = "late: second attempt"
+	// CauseSlowServer is an answer that its server began late.
+	CauseSlowServer Cause = "late: slow to begin"
+	// CauseRefusedAtOnce and CauseRefusedHeld are refusals for want of a place.
+	CauseRefusedAtOnce Cause = "refused: at once"
+	CauseRefusedHeld   Cause = "refused: after waiting"
+	CauseNoServer      Cause = "refused: no server"
+	// CauseRefusedOther is a box that knew no configuration, or was leaving, or a server
+	// that refused.
+	CauseRefusedOther Cause = "refused: other"
+	// CauseCut is an answer that broke off, CauseCutAgain one that did so at two servers.
+	CauseCut      Cause = "cut"
+	CauseCutAgain Cause = "cut: both attempts"
+	CauseFailed   Cause = "failed"
+	// CauseLeft is a caller that left.
+	CauseLeft Cause = "left"
+)
+
+// Causes are all causes, in the order in which they are shown.
+var Causes = []Cause{
+	CauseInTime, CausePaused, CauseReturnedLate, CauseWaited, CauseSecondAttempt, CauseSlowServer, CauseRefusedAtOnce,
+	CauseRefusedHeld, CauseNoServer, CauseRefusedOther, CauseCut, CauseCutAgain, CauseFailed, CauseLeft,
+}
+
+// atOnce is within which time a refusal counts as one at once: a caller does not notice it.
+const atOnce = 20 * time.Millisecond
+
+// classify returns what became of the request that a line tells of; ok is false for a
+// line that tells of none, or of one that the configuration does not allow.
+func classify(event *Event) (cause Cause, ok bool) {
+	if route := event.Get("route"); route == "" || route == "none" {
+		return "", false
+	}
+	switch event.Get("outcome") {
+	case "answered":
+		return classifyAnswer(event), true
+	case "refused":
+		return classifyRefusal(event), true
+	case "cut":
+		if attempts, err := strconv.Atoi(event.Get("attempts")); err == nil && attempts > 1 {
+			return CauseCutAgain, true
+		}
+		return CauseCut, true
+	case "unknown":
+		return CauseFailed, true
+	case "left":
+		return CauseLeft, true
+	}
+	return "", false
+}
+
+func classifyAnswer(event *Event) Cause {
+	objective, since := event.Milliseconds("objective_ms"), event.Milliseconds("since_first_ms")
+	begun, waited := event.Milliseconds("begun_ms"), event.Milliseconds("waited_ms")
+	switch {
+	case objective == 0 || since+begun <= objective:
+		if event.Get("paused") == "true" {
+			return CausePaused
+		}
+		return CauseInTime
+	case since >= objective:
+		return CauseReturnedLate
+	case event.Get("attempts") != "1":
+		return CauseSecondAttempt
+	case since+begun-waited <= objective:
+		return CauseWaited
+	}
+	return CauseSlowServer
+}
+
+func classifyRefusal(event *Event) Cause {
+	switch reason := event.Get("reason"); {
+	case reason == "no-server":
+		return CauseNoServer
+	case reason != "busy":
+		return CauseRefusedOther
+	case event.Milliseconds("waited_ms") < atOnce:
+		return CauseRefusedAtOnce
+	}
+	return CauseRefusedHeld
+}
+
+// Dimension is what losses are grouped by.
+type Dimension string
+
+// The dimensions.
+const (
+	ByNothing      Dimension = "all"
+	BySecond       Dimension = "second"
+	ByRoute        Dimension = "route"
+	ByOrganisation Dimension = "organisation"
+	ByBox          Dimension = "box"
+	// BySize groups the prompts of each route: the largest tenth, the fifth below it, and
+	// the others.
+	BySize Dimension = "size"
+)
+
+// Losses are the requests of one group by cause: those of callers that came for the first
+// time, and those that came back.
+type Losses struct {
+	Group    string
+	First    map[Cause]int
+	Returned map[Cause]int
+}
+
+// sum adds up some causes; all of them if none is named.
+func sum(counts map[Cause]int, causes ...Cause) int {
+	all := 0
+	for cause, n := range counts {
+		if len(causes) == 0 || slices.Contains(causes, cause) {
+			all += n
+		}
+	}
+	return all
+}
+
+// Asked is how many callers there were, InTime how many were answered in time.
+func (l *Losses) Asked() int { return sum(l.First) }
+
+// InTime is how many callers were answered in time, whether or not they came back.
+func (l *Losses) InTime() int { return sum(l.First, CauseInTime) + sum(l.Returned, CauseInTime) }
+
+// Late is how many callers were answered later.
+func (l *Losses) Late() int {
+	late := []Cause{CausePaused, CauseReturnedLate, CauseWaited, CauseSecondAttempt, CauseSlowServer}
+	return sum(l.First, late...) + sum(l.Returned, late...)
+}
+
+// Lost is how many callers came back and got no whole answer then either. Those that did
+// not come back are not seen in logs.
+func (l *Losses) Lost() int {
+	return sum(l.Returned, CauseRefusedAtOnce, CauseRefusedHeld, CauseNoServer, CauseRefusedOther, CauseCut, CauseCutAgain, CauseFailed)
+}
+
+// MeasureLosses counts what became of the requests that events tell of, by one dimension.
+// The groups are in the order of their names, seconds in that of time.
+func MeasureLosses(events []Event, by Dimension) []Losses {
+	sizes := sizeGroups(events, by)
+	start := firstTime(events)
+	groups := make(map[string]*Losses)
+	for i := range events {
+		event := &events[i]
+		cause, ok := classify(event)
+		if !ok {
+			continue
+		}
+		name := groupOf(event, by, start, sizes)
+		group := groups[name]
+		if group == nil {
+			group = &Losses{Group: name, First: make(map[Cause]int), Returned: make(map[Cause]int)}
+			groups[name] = group
+		}
+		if event.Milliseconds("since_first_ms") > 0 {
+			group.Returned[cause]++
+		} else {
+			group.First[cause]++
+		}
+	}
+	all := make([]Losses, 0, len(groups))
+	for _, group := range groups {
+		all = append(all, *group)
+	}
+	slices.SortFunc(all, func(a, b Losses) int { return cmp.Compare(a.Group, b.Group) })
+	return all
+}
+
+func firstTime(events []Event) time.Time {
+	var first time.Time
+	for i := range events {
+		if at := events[i].Time; first.IsZero() || at.Before(first) {
+			first = at
+		}
+	}
+	return first
+}
+
+func groupOf(event *Event, by Dimension, start time.Time, sizes map[string]sizeBounds) string {
+	switch by {
+	case BySecond:
+		came := event.Time.Add(-event.Milliseconds("taken_ms"))
+		return fmt.Sprintf("%5d", int(came.Sub(start)/time.Second))
+	case ByRoute:
+		return event.Get("route")
+	case ByOrganisation:
+		return event.Get("organisation")
+	case ByBox:
+		return event.Process
+	case BySize:
+		return sizes[event.Get("route")].group(event.Get("route"), promptTokens(event))
+	}
+	return string(ByNothing)
+}
+
+// sizeBounds are the smallest prompts of the largest tenth of a route's requests and of
+// the fifth below it, in tokens.
+type sizeBounds struct{ tenth, fifth int }
+
+func (b sizeBounds) group(route string, tokens int) string {
+	switch {
+	case tokens == 0:
+		return route + ", no prompt"
+	case tokens >= b.tenth:
+		return route + ", largest tenth"
+	case tokens >= b.fifth:
+		return route + ", next fifth"
+	}
+	return route + ", others"
+}
+
+func promptTokens(event *Event) int {
+	tokens, err := strconv.Atoi(event.Get("prompt_tokens"))
+	if err != nil {
+		return 0
+	}
+	return tokens
+}
+
+func sizeGroups(events []Event, by Dimension) map[string]sizeBounds {
+	bounds := make(map[string]sizeBounds)
+	if by != BySize {
+		return bounds
+	}
+	prompts := make(map[string][]int)
+	for i := range events {
+		if _, ok := classify(&events[i]); ok {
+			route := events[i].Get("route")
+			prompts[route] = append(prompts[route], promptTokens(&events[i]))
+		}
+	}
+	for route, tokens := range prompts {
+		slices.Sort(tokens)
+		bounds[route] = sizeBounds{tenth: tokens[len(tokens)*9/10], fifth: tokens[len(tokens)*7/10]}
+	}
+	return bounds
+}
+
+// Worst is the cause, other than an answer in time, that most requests of the group had;
+// empty if there is none.
+func (l *Losses) Worst() Cause {
+	var worst Cause
+	most := 0
+	for _, cause := range Causes[1:] {
+		if n := l.First[cause] + l.Returned[cause]; n > most {
+			worst, most = cause, n
+		}
+	}
+	return worst
+}
--- /dev/null
+++ b/internal/report/losses_test.go
@@ -0,0 +1,62 @@
+package report
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func lossEvents(t *testing.T) []Event {
+	t.Helper()
+	file, err := os.Open("testdata/losses.log")
+	require.NoError(t, err)
+	defer func() { _ = file.Close() }()
+	events, findings := Read("losses.log", file)
+	require.ErrorContains(t, findings, "losses.log:19", "the line that is cut off is named, the others are read")
+	return events
+}
+
+func TestEachLossHasItsCause(t *testing.T) {
+	all := MeasureLosses(lossEvents(t), ByNothing)
+	require.Len(t, all, 1)
+	require.Equal(t, map[Cause]int{
+		CauseInTime: 2, CausePaused: 1, CauseWaited: 1, CauseSlowServer: 1, CauseSecondAttempt: 1, CauseRefusedAtOnce: 1,
+		CauseNoServer: 1, CauseRefusedOther: 1, CauseCut: 1, CauseCutAgain: 1, CauseFailed: 1, CauseLeft: 1,
+	}, all[0].First)
+	require.Equal(t, map[Cause]int{CauseInTime: 1, CauseReturnedLate: 1, CauseRefusedHeld: 1}, all[0].Returned)
+	require.Equal(t, 13, all[0].Asked())
+	require.Equal(t, 3, all[0].InTime())
+	require.Equal(t, 5, all[0].Late())
+	require.Equal(t, 1, all[0].Lost())
+}
+
+func TestLossesAreGrouped(t *testing.T) {
+	names := func(by Dimension) []string {
+		var names []string
+		for _, group := range MeasureLosses(lossEvents(t), by) {
+			names = append(names, group.Group)
+		}
+		return names
+	}
+	require.Equal(t, []string{"book", "draft"}, names(ByRoute))
+	require.Equal(t, []string{"", "kumiai", "nouka"}, names(ByOrganisation))
+	require.Equal(t, []string{"losses.log"}, names(ByBox))
+	require.Equal(t, []string{"    0", "    1", "    2", "    3"}, names(BySecond), "the second in which a request came, not in which it ended")
+	require.Equal(t, []string{"book, no prompt", "draft, largest tenth", "draft, others"}, names(BySize))
+}
+
+func TestTheProcessIsWhatACollectorPutBeforeTheLine(t *testing.T) {
+	events, err := Read("all.log", strings.NewReader("12.5 entry-7: time=2026-12-02T10:00:00Z event=started\n"))
+	require.NoError(t, err)
+	require.Equal(t, "entry-7", events[0].Process)
+}
+
+func TestLossesArePlottedOverTime(t *testing.T) {
+	var svg strings.Builder
+	require.NoError(t, PlotLosses(&svg, MeasureLosses(lossEvents(t), BySecond)))
+	require.Contains(t, svg.String(), "<svg")
+	require.Contains(t, svg.String(), "refused at once")
+	require.ErrorIs(t, PlotLosses(&svg, nil), ErrNothingToPlot)
+}
--- /dev/null
+++ b/internal/report/plot.go
@@ -0,0 +1,64 @@
+package report
+
+import (
+	"errors"
+	"io"
+	"strconv"
+	"strings"
+
+	"github.com/wcharczuk/go-chart/v2"
+)
+
+// ErrNothingToPlot reports logs that tell of requests in less than two seconds.
+var ErrNothingToPlot = errors.New("requests of two seconds at least are needed for a plot")
+
+// plotWidth and plotHeight are the size of a plot, in pixels.
+const (
+	plotWidth  = 1100
+	plotHeight = 420
+)
+
+// Series is one line of a plot over seconds.
+type Series struct {
+	Name   string
+	Values []float64
+}
+
+// Plot writes lines over seconds as SVG. The series must be of one length, two at least.
+func Plot(w io.Writer, title string, seconds []float64, series []Series) error {
+	if len(seconds) < 2 {
+		return ErrNothingToPlot
+	}
+	graph := chart.Chart{
+		Title: title, Width: plotWidth, Height: plotHeight,
+		Background: chart.Style{Padding: chart.Box{Top: 40, Left: 20, Right: 20, Bottom: 10}},
+		XAxis:      chart.XAxis{Name: "second"}, YAxis: chart.YAxis{Name: "a second"},
+	}
+	for _, line := range series {
+		graph.Series = append(graph.Series, chart.ContinuousSeries{Name: line.Name, XValues: seconds, YValues: line.Values})
+	}
+	graph.Elements = []chart.Renderable{chart.LegendThin(&graph)}
+	return graph.Render(chart.SVG, w)
+}
+
+// PlotLosses writes what became of callers over time as SVG. The losses are by second.
+func PlotLosses(w io.Writer, losses []Losses) error {
+	seconds := make([]float64, 0, len(losses))
+	lines := []Series{{Name: "asked"}, {Name: "in time"}, {Name: "late"}, {Name: "refused at once"}, {Name: "refused after waiting"}, {Name: "cut or failed"}}
+	for i := range losses {
+		group := &losses[i]
+		second, err := strconv.Atoi(strings.TrimSpace(group.Group))
+		if err != nil {
+			return err
+		}
+		seconds = append(seconds, float64(second))
+		both := func(causes ...Cause) int { return sum(group.First, causes...) + sum(group.Returned, causes...) }
+		for line, n := range []int{
+			group.Asked(), group.InTime(), group.Late(), both(CauseRefusedAtOnce, CauseNoServer, CauseRefusedOther),
+			both(CauseRefusedHeld), both(CauseCut, CauseCutAgain, CauseFailed),
+		} {
+			lines[line].Values = append(lines[line].Values, float64(n))
+		}
+	}
+	return Plot(w, "callers by the second in which they came", seconds, lines)
+}
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -83,6 +83,9 @@
 				_ = explanation.String()
 			}
 		}
+		for _, by := range []Dimension{ByNothing, BySecond, ByRoute, ByOrganisation, ByBox, BySize} {
+			_ = MeasureLosses(events, by)
+		}
 		_ = MeasureBurn(events, BurnOptions{Target: 0.99, Windows: []time.Duration{time.Minute}})
 	})
 }
