--- a/internal/report/event.go
+++ b/internal/report/event.go
@@ -41,8 +41,8 @@
 	// Process is the last word that a collector put before the line; the source if there
 	// is none.
 	Process string
-	Name   string
-	fields []field
+	Name    string
+	fields  []field
 }
 
 // Get returns the value of a field; empty if the line has no such field.
