perf(direct): a stream that goes on at another server goes before all that have not begun

A stream that a swap had cut asked for its next server with the objective of its first event, long past, so it was late and got only what requests in time left. Change: its objective is when its next event is due, and it goes first.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -181,13 +181,22 @@
 		Reading: reading, Holding: reading + writing,
 		Returning: x.sinceFirst > 0 && !f.leaving.Load(), Tried: tried, Once: once,
 	}
-	if x.attempts > 0 {
+	switch {
+	case x.begun:
+		// Its reader waits for the next event, and all that was written is lost if none
+		// comes.
+		ask.Resuming, ask.Returning = true, false
+		ask.Priority, ask.Objective = resumePriority, x.lastPassed.Add(x.route.Pause)
+	case x.attempts > 0:
 		// A request that has been tried already goes before those that came later.
 		ask.Returning = true
 	}
 	return ask
 }
 
+// resumePriority is more urgent than any priority of operators, which begin at 0.
+const resumePriority = -1
+
 // priority is the organisation's, else the route's.
 func (f *Front) priority(x *exchange) int {
 	if x.organisation != nil && x.organisation.Priority != nil {
--- a/internal/direct/front_test.go
+++ b/internal/direct/front_test.go
@@ -116,3 +116,22 @@
 	require.True(t, back.Returning)
 	require.Equal(t, clock.Now().Add(-1600*time.Millisecond), back.Objective)
 }
+
+// A stream that a swap had cut waited behind all that could be in time, and paused for
+// longer than its reader accepts.
+func TestAStreamThatGoesOnElsewhereIsInTimeUntilItsNextEventIsDue(t *testing.T) {
+	facts, clock := newTestFacts()
+	f := &Front{facts: facts, clock: clock, patience: make(map[string]*patience)}
+	x := &exchange{
+		arrived: clock.Now(), begun: true, attempts: 1,
+		route: &fleet.Route{Name: "draft", Objective: 400 * time.Millisecond, Pause: 300 * time.Millisecond, Timeout: 6 * time.Second},
+	}
+	clock.Advance(2 * time.Second)
+	x.passed(clock.Now())
+	clock.Advance(50 * time.Millisecond)
+	ask := f.ask(x, nil, false)
+	require.Equal(t, clock.Now().Add(250*time.Millisecond), ask.Objective)
+	require.True(t, ask.Resuming)
+	require.False(t, ask.Returning)
+	require.Less(t, ask.Priority, 0)
+}
--- a/internal/lab/box.go
+++ b/internal/lab/box.go
@@ -94,11 +94,13 @@
 	attempts int
 	tried    []fleet.ServerID
 	begun    bool
-	place    *route.Reservation
-	waiting  *route.Waiting
-	job      *job
-	server   *engine
-	ended    bool
+	// passed is when the newest event was passed on.
+	passed  time.Time
+	place   *route.Reservation
+	waiting *route.Waiting
+	job     *job
+	server  *engine
+	ended   bool
 }
 
 // serve takes a request.
@@ -188,7 +190,7 @@
 // event passes an event on.
 func (r *request) event(place *route.Reservation) {
 	place.Started(r.box.world.now())
-	r.begun = true
+	r.begun, r.passed = true, r.box.world.now()
 	r.later(r.box.world.deployment.CallerDelay, func() { r.caller.event(r) })
 }
 
@@ -228,8 +230,11 @@
 		})
 		return
 	}
-	r.ask.Returning = true
-	r.ask.Arrived = r.box.world.now()
+	now := r.box.world.now()
+	r.ask.Arrived, r.ask.Returning = now, !r.begun
+	if r.begun {
+		r.ask.Resuming, r.ask.Priority, r.ask.Objective = true, -1, r.passed.Add(r.caller.kind.Pause)
+	}
 	r.submit()
 }
 
--- a/pkg/route/dispatch.go
+++ b/pkg/route/dispatch.go
@@ -37,6 +37,8 @@
 	Patience time.Duration
 	// Returning is set for a caller that was refused before.
 	Returning bool
+	// Resuming is set for an answer that has begun and goes on at another server.
+	Resuming bool
 	// Tried are servers that it was sent to already.
 	Tried []fleet.ServerID
 	// Once is set if the request must start at once or not at all.
--- a/pkg/route/forecast.go
+++ b/pkg/route/forecast.go
@@ -82,7 +82,7 @@
 func (d *Dispatcher) hasChance(ask *Ask, now time.Time) bool {
 	if !ask.isLate(now) {
 		inTime := d.anyEligible(now) && !now.Add(d.expected(ask, now)).After(ask.startBy)
-		if inTime || !ask.Returning {
+		if inTime || !ask.Returning && !ask.Resuming {
 			return inTime
 		}
 	}
--- a/pkg/route/queue.go
+++ b/pkg/route/queue.go
@@ -57,7 +57,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	ask.startBy = d.startBy(ask, now)
-	if !ask.Returning && !ask.Once {
+	if !ask.Returning && !ask.Resuming && !ask.Once {
 		d.arrivals.add(now)
 	}
 	if len(d.queue) == 0 || d.isFirst(ask, now) {
@@ -166,7 +166,7 @@
 	if room, ok := d.lateForecast(now).until(float64(d.promises.count(now)*d.boxes + d.waitingLate(now) + 1)); ok {
 		wait = min(longest, max(retryLeast, room))
 	}
-	if !ask.Returning && !ask.Once {
+	if !ask.Returning && !ask.Resuming && !ask.Once {
 		d.promises.add(now.Add(wait))
 	}
 	jitter := time.Duration(d.random() * float64(retryLeast))
