perf(route): an outage whose end nobody knows is taken to last as long again

Change: the forecast counts servers that take nothing, each as back after as long again as it has been away (Lindy's law).

--- a/pkg/route/backend.go
+++ b/pkg/route/backend.go
@@ -72,6 +72,8 @@
 
 	state   ServerState
 	stateAt time.Time
+	// closedSince is when the server was first seen to take nothing; zero while it does.
+	closedSince time.Time
 	// swapSince is when the server was last heard to be taken out of service.
 	swapSince time.Time
 
--- a/pkg/route/dispatch.go
+++ b/pkg/route/dispatch.go
@@ -138,6 +138,7 @@
 				b.listed = version
 			}
 		}
+		d.noteClosed(b, now)
 		next[server.ID] = b
 		d.order = append(d.order, b)
 	}
@@ -187,10 +188,21 @@
 			d.forecast = forecast{}
 		}
 		b.state, b.stateAt = state, now
+		d.noteClosed(b, now)
 		d.grant(nil, now)
 	}
 }
 
+// noteClosed notes since when a server takes nothing.
+func (d *Dispatcher) noteClosed(b *backend, now time.Time) {
+	switch {
+	case d.isEligible(b, now):
+		b.closedSince = time.Time{}
+	case b.closedSince.IsZero():
+		b.closedSince = now
+	}
+}
+
 // noteSwap learns how long swaps take.
 func (d *Dispatcher) noteSwap(b *backend, state ServerState, now time.Time) {
 	switch {
--- a/pkg/route/forecast.go
+++ b/pkg/route/forecast.go
@@ -52,13 +52,16 @@
 	return f
 }
 
-// outOfService returns from when to when a server takes nothing, as far as is known.
+// outOfService returns from when to when a server takes nothing, as far as is known. What
+// is not known is taken to last as long again as it has lasted (Lindy's law): after a loss
+// of power all servers are back within a second or two, and one that has been away for a
+// minute is not waited for.
 func (d *Dispatcher) outOfService(b *backend, now time.Time) (from, to time.Time) {
 	switch {
 	case d.isSwapping(b, now):
 		return now, b.swapSince.Add(d.swapTime)
 	case !d.isEligible(b, now):
-		return now, now.Add(forecastStep * forecastSteps)
+		return now, now.Add(max(forecastStep, now.Sub(b.closedSince)))
 	case !b.state.SwapAt.IsZero():
 		return b.state.SwapAt, b.state.SwapAt.Add(d.swapTime)
 	}
--- a/pkg/route/forecast_test.go
+++ b/pkg/route/forecast_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cinderslip/cinderslip/pkg/fleet"
+	"github.com/cinderslip/cinderslip/pkg/member"
 )
 
 // returning is a caller that was refused and can't be answered in time any more.
@@ -98,6 +99,7 @@
 	_, err = b.submit(t, b.ask())
 	require.ErrorIs(t, err, ErrNoServer, "one who comes first can come back")
 	b.State("a", ServerState{Silent: true}, b.clock.Now())
+	b.clock.Advance(4 * time.Second)
 	_, err = b.submit(t, b.returning())
 	require.ErrorIs(t, err, ErrNoServer)
 	require.Equal(t, 2*time.Second, RetryAfter(err, 6*time.Second))
@@ -187,3 +189,31 @@
 	}
 	require.InDelta(t, 400, b.swapTime.Milliseconds(), 10)
 }
+
+// After a loss of power who came back was refused at once, a second before the servers had
+// their weights again.
+func TestAnOutageIsTakenToLastAsLongAgain(t *testing.T) {
+	b := newBench(true, model("a", 10, 0))
+	list := func() {
+		b.Servers([]fleet.Server{model("a", 10, 0)}, 0, func(member.FailureDomain) bool { return true }, b.clock.Now())
+	}
+	held := func(patience time.Duration) bool {
+		ask := b.returning()
+		ask.Patience = patience + leaveReserve
+		_, w, err := b.Submit(ask, func(*Reservation) {}, b.clock.Now())
+		if w != nil {
+			require.True(t, b.Withdraw(w))
+		}
+		require.Equal(t, w == nil, err != nil)
+		return w != nil
+	}
+	b.clock.Advance(time.Second)
+	list()
+	require.True(t, held(1500*time.Millisecond))
+	require.False(t, held(900*time.Millisecond))
+	b.clock.Advance(2 * time.Second)
+	list()
+	require.False(t, held(2*time.Second), "it has lasted three seconds")
+	b.State("a", ServerState{Version: 1}, b.clock.Now())
+	require.True(t, b.backends["a"].closedSince.IsZero())
+}
