perf(route): late requests are bounded by how many answers are beginning, not by how many run

A place that a late request holds is free again when its answer ends, and answers end as fast as first requests come once they have begun; what first requests lack is answers that have begun. Change: no more answers may be beginning than first requests leave places; empty places count in the forecast. A refusal's log line tells what it was decided by. The lines show what still binds: 320 places, 120 needed, 35 beginning, 150 waiting.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -147,7 +147,8 @@
 	wait, reason, left := refusedWait, "not-run", x.deadline.Sub(f.clock.Now())
 	switch {
 	case errors.As(cause, &busy):
-		wait, reason = busy.RetryAfter, "busy"
+		f.refuseBusy(x, busy)
+		return
 	case errors.Is(cause, route.ErrNoServer), x.unreachable+x.misdirected > 1:
 		wait, reason = route.RetryAfter(route.ErrNoServer, left), "no-server"
 	}
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -15,6 +15,7 @@
 	"github.com/cinderslip/cinderslip/internal/provider"
 	"github.com/cinderslip/cinderslip/pkg/fleet"
 	"github.com/cinderslip/cinderslip/pkg/member"
+	"github.com/cinderslip/cinderslip/pkg/route"
 )
 
 // exchange is one request of a caller.
@@ -235,10 +236,22 @@
 
 // refuse answers that the request has not run and when to come back.
 func (f *Front) refuse(x *exchange, reason string, wait time.Duration) {
+	f.writeRefusal(x, wait)
+	f.finish(x, "refused").Str("reason", reason).Dur("retry_after_ms", wait).Msg("request refused")
+}
+
+// refuseBusy is refuse for a request that could not start in time, and logs why.
+func (f *Front) refuseBusy(x *exchange, busy *route.BusyError) {
+	f.writeRefusal(x, busy.RetryAfter)
+	f.finish(x, "refused").Str("reason", "busy").Dur("retry_after_ms", busy.RetryAfter).Bool("late", busy.Late).Dur("left_ms", busy.Left).
+		Int("waiting", busy.Waiting).Int("waiting_elsewhere", busy.WaitingElsewhere).Int("places", busy.Places).
+		Int("places_needed", int(busy.Needed)).Int("beginning", busy.Beginning).Msg("request refused")
+}
+
+func (f *Front) writeRefusal(x *exchange, wait time.Duration) {
 	x.writer.Header().Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
 	x.writer.Header().Set("Content-Length", "0")
 	x.writer.WriteHeader(http.StatusServiceUnavailable)
-	f.finish(x, "refused").Str("reason", reason).Dur("retry_after_ms", wait).Msg("request refused")
 }
 
 // reject answers that the request is not a proper one.
--- a/internal/direct/told.go
+++ b/internal/direct/told.go
@@ -100,7 +100,7 @@
 	for service, demand := range demands {
 		told = append(told, &wire.ServiceDemand{
 			Service: string(service), Arrivals: uint32(demand.Arrivals), InTime: uint32(demand.InTime), Late: uint32(demand.Late),
-			LateRunning: uint32(demand.LateRunning),
+			Beginning: uint32(demand.Beginning),
 		})
 	}
 	return told
@@ -111,7 +111,7 @@
 	for _, demand := range told {
 		demands[member.Service(demand.Service)] = route.Demand{
 			Arrivals: int(demand.Arrivals), InTime: int(demand.InTime), Late: int(demand.Late),
-			LateRunning: int(demand.LateRunning),
+			Beginning: int(demand.Beginning),
 		}
 	}
 	return demands
--- a/pkg/route/demand.go
+++ b/pkg/route/demand.go
@@ -13,8 +13,8 @@
 	// InTime is how many requests wait for a place that can still meet their objective,
 	// Late how many of the others.
 	InTime, Late int
-	// LateRunning is how many requests hold a place that were late when they got it.
-	LateRunning int
+	// Beginning is how many requests hold a place whose answers have not begun.
+	Beginning int
 }
 
 // Demands are the demands of one entry box, by service.
@@ -34,7 +34,7 @@
 }
 
 func (d *Dispatcher) demand(now time.Time) Demand {
-	demand := Demand{Arrivals: d.arrivals.count(now), LateRunning: d.lateRunning}
+	demand := Demand{Arrivals: d.arrivals.count(now), Beginning: d.beginning}
 	for _, w := range d.queue {
 		if w.ask.isLate(now) {
 			demand.Late++
@@ -63,7 +63,7 @@
 		sum.Arrivals += told.Arrivals
 		sum.InTime += told.InTime
 		sum.Late += told.Late
-		sum.LateRunning += told.LateRunning
+		sum.Beginning += told.Beginning
 	}
 	return sum
 }
--- a/pkg/route/dispatch.go
+++ b/pkg/route/dispatch.go
@@ -87,8 +87,8 @@
 	random func() float64
 	// self is the name of this box.
 	self member.BoxID
-	// lateRunning is how many requests hold a place here that were late when they got it.
-	lateRunning int
+	// beginning is how many requests hold a place here whose answers have not begun.
+	beginning int
 	// candidates is reused from one choice to the next.
 	candidates []candidate
 }
@@ -325,9 +325,7 @@
 		Server: b.server, Version: version, dispatcher: d, backend: b, since: now, reading: ask.Reading,
 		readAhead: d.load(b, now).Reading,
 	}
-	if place.late = ask.isLate(now); place.late {
-		d.lateRunning++
-	}
+	d.beginning++
 	b.own.Requests++
 	b.own.Reading += ask.Reading
 	b.awaiting[place] = now
--- a/pkg/route/forecast.go
+++ b/pkg/route/forecast.go
@@ -18,6 +18,9 @@
 	// has been seen, swapSmoothing the weight of the newest time in the mean.
 	usualSwapTime = time.Second
 	swapSmoothing = 0.25
+	// minBegin is the least that an answer is taken to need to begin, for estimates that
+	// divide by it.
+	minBegin = 20 * time.Millisecond
 )
 
 // forecast is how many late requests can start in the time to come.
@@ -28,17 +31,23 @@
 }
 
 // lateForecast returns how many late requests can start in the time to come: on places
-// that first requests do not need at the rate at which they come now. Servers leave and
-// come back as their agents tell of swaps.
+// that are free now, or with servers that come back, and on those that first requests do
+// not need at the rate at which they come now. Servers leave and come back as their
+// agents tell of swaps.
 func (d *Dispatcher) lateForecast(now time.Time) *forecast {
 	f := &d.forecast
 	if age := now.Sub(f.at); age >= 0 && age < forecastAge {
 		return f
 	}
 	*f = forecast{at: now}
-	var places [forecastSteps]int
+	var places, empty [forecastSteps]int
 	for _, b := range d.order {
 		from, to := d.outOfService(b, now)
+		if d.isEligible(b, now) {
+			empty[0] += max(0, d.limit(b)-d.load(b, now).Requests)
+		} else if step := int(to.Sub(now) / forecastStep); step < forecastSteps {
+			empty[max(0, step)] += d.limit(b)
+		}
 		for step := range places {
 			if middle := now.Add(forecastStep/2 + time.Duration(step)*forecastStep); middle.Before(from) || !middle.Before(to) {
 				places[step] += d.limit(b)
@@ -47,7 +56,11 @@
 	}
 	first := d.firstPlaces(now)
 	for step := range f.late {
-		f.late[step] = max(0, float64(places[step])-first) * forecastStep.Seconds() / d.usual.Seconds()
+		spare := max(0, float64(places[step])-first)
+		freed := spare * forecastStep.Seconds() / d.usual.Seconds()
+		// So many begin at once, each for as long as an answer takes to begin.
+		most := spare * forecastStep.Seconds() / max(minBegin, d.first).Seconds()
+		f.late[step] = min(most, freed+float64(empty[step]))
 	}
 	return f
 }
@@ -146,9 +159,12 @@
 	return float64(arrivals) * d.usual.Seconds() / rateSpan.Seconds()
 }
 
-// hasLatePlace reports whether one more late request may get a place.
+// hasLatePlace reports whether one more late request may get a place. Places become free
+// as answers that have begun end; those that first requests need within the time that one
+// is held must be freed by then, so no more answers than the others may be beginning.
 func (d *Dispatcher) hasLatePlace(now time.Time) bool {
-	return float64(d.lateRunning+d.peersDemand(now).LateRunning+1) <= float64(d.places(now))-d.firstPlaces(now)
+	beginning := d.beginning + d.peersDemand(now).Beginning
+	return float64(beginning+1) <= float64(d.places(now))-d.firstPlaces(now)
 }
 
 // ahead is how many requests wait here that get a place before another one.
--- a/pkg/route/queue.go
+++ b/pkg/route/queue.go
@@ -20,17 +20,27 @@
 	reviewInterval = 100 * time.Millisecond
 )
 
-// BusyError reports that the request could not start in time.
+// BusyError reports that the request could not start in time, and what that was decided by.
 type BusyError struct {
-	// Waiting is how many requests were queued before it.
-	Waiting int
+	// Waiting is how many requests were queued here, WaitingElsewhere how many late ones at
+	// other entry boxes.
+	Waiting, WaitingElsewhere int
+	// Late is set if the request could not meet its objective any more; Left is how long a
+	// start would still have been of use.
+	Late bool
+	Left time.Duration
+	// Places is how many places there were, Needed how many of them those need who come
+	// first, Beginning how many answers were to begin.
+	Places    int
+	Needed    float64
+	Beginning int
 	// RetryAfter is when there should be room.
 	RetryAfter time.Duration
 }
 
 // Error says how many requests wait.
 func (e *BusyError) Error() string {
-	return fmt.Sprintf("%d requests wait, room in about %v", e.Waiting, e.RetryAfter)
+	return fmt.Sprintf("%d requests wait for %d places, room in about %v", e.Waiting, e.Places, e.RetryAfter)
 }
 
 // RetryAfter returns when a refused caller should come back: when there should be room,
@@ -170,7 +180,15 @@
 		d.promises.add(now.Add(wait))
 	}
 	jitter := time.Duration(d.random() * float64(retryLeast))
-	return &BusyError{Waiting: len(d.queue), RetryAfter: min(wait+jitter, longest)}
+	peers, left := d.peersDemand(now), d.latest(ask).Sub(now)
+	if !ask.isLate(now) {
+		left = ask.startBy.Sub(now)
+	}
+	return &BusyError{
+		Waiting: len(d.queue), WaitingElsewhere: peers.Late, Late: ask.isLate(now), Left: left,
+		Places: d.places(now), Needed: d.firstPlaces(now), Beginning: d.beginning + peers.Beginning,
+		RetryAfter: min(wait+jitter, longest),
+	}
 }
 
 // waitingLate is how many late requests wait, at all entry boxes.
--- a/pkg/route/reservation.go
+++ b/pkg/route/reservation.go
@@ -40,8 +40,6 @@
 	// to read before.
 	reading   time.Duration
 	readAhead time.Duration
-	// late is set if the request was late when it got the place.
-	late bool
 }
 
 // Started notes that the answer has begun.
@@ -113,9 +111,6 @@
 func (d *Dispatcher) release(r *Reservation, now time.Time) {
 	r.begun()
 	r.backend.own.Requests--
-	if r.late {
-		d.lateRunning--
-	}
 	freed := r.backend
 	if d.backends[r.Server.ID] != freed {
 		// The server is no longer listed.
@@ -128,6 +123,7 @@
 func (r *Reservation) begun() {
 	if _, awaited := r.backend.awaiting[r]; awaited {
 		delete(r.backend.awaiting, r)
+		r.dispatcher.beginning--
 		r.backend.own.Reading -= r.reading
 	}
 }
