--- a/internal/direct/bring.go
+++ b/internal/direct/bring.go
@@ -181,7 +181,7 @@
 // have turned bad.
 func (l *Loader) stage(ctx context.Context, want *target, manifest *weights.Manifest) error {
 	for index := range manifest.Chunks {
-		if l.isStaged(ctx, want, manifest, index) {
+		if l.wasStaged(manifest, index) || l.isStaged(ctx, want, manifest, index) {
 			continue
 		}
 		data, err := l.store.Get(manifest.Digest(), index)
@@ -201,6 +201,35 @@
 	return nil
 }
 
+// stagedTrust is for how long a piece counts as right that was just read from the server.
+// After a loss of power the server waits for each of them to be read; what turns bad
+// within a second would not be found by reading it a little earlier or later either.
+const stagedTrust = time.Second
+
+// wasStaged reports whether the right bytes of a piece were read from the server just now.
+func (l *Loader) wasStaged(manifest *weights.Manifest, index int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.staged.digest == manifest.Digest() && l.options.Clock.Since(l.staged.at[index]) < stagedTrust
+}
+
+// noteStaged notes that the right bytes of a piece were read from the server.
+func (l *Loader) noteStaged(manifest *weights.Manifest, index int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.staged.digest != manifest.Digest() {
+		l.staged = stagedPieces{digest: manifest.Digest(), at: make(map[int]time.Time)}
+	}
+	l.staged.at[index] = l.options.Clock.Now()
+}
+
+// stagedPieces are when the right bytes of a version's pieces were last read from the
+// server.
+type stagedPieces struct {
+	digest weights.Digest
+	at     map[int]time.Time
+}
+
 // isStaged reports whether the server holds the right bytes of a piece.
 func (l *Loader) isStaged(ctx context.Context, want *target, manifest *weights.Manifest, index int) bool {
 	callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
@@ -228,6 +257,7 @@
 		}
 		if l.store.Put(manifest, index, data) == nil {
 			taken++
+			l.noteStaged(manifest, index)
 		} else if index == 0 {
 			return
 		}
@@ -267,11 +297,11 @@
 	}
 	ordered := l.options.Clock.Now()
 	for ctx.Err() == nil && l.options.Clock.Since(ordered) < swapTimeout {
-		sleep(ctx, l.options.Clock, reportInterval/2)
-		report, answers := l.serverReport()
-		if !answers {
-			break
+		sleep(ctx, l.options.Clock, orderInterval)
+		if err := l.readReport(ctx); err != nil {
+			return fmt.Errorf("reading how far the order is: %w", err)
 		}
+		report, _ := l.serverReport()
 		if loaded(&report, want.model, want.engine.Layers) == version {
 			l.options.Log.Info().Str("model", string(want.model)).Uint64("version", uint64(version)).
 				Str("address", string(l.options.Address)).Dur("taken_ms", l.options.Clock.Since(ordered)).Msg("weights live")
--- /dev/null
+++ b/internal/direct/bring_test.go
@@ -0,0 +1,49 @@
+package direct
+
+import (
+	"context"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cinderslip/cinderslip/internal/provider"
+	"github.com/cinderslip/cinderslip/pkg/fleet"
+	"github.com/cinderslip/cinderslip/pkg/weights"
+)
+
+// After a loss of power each piece was read twice before the server was ordered to take
+// them.
+func TestPiecesThatWereJustReadAreNotReadAgainBeforeTheOrder(t *testing.T) {
+	content := make([]byte, 10<<10)
+	for i := range content {
+		content[i] = byte(i >> 10)
+	}
+	staged := func(index int) []byte { return content[index<<10 : (index+1)<<10] }
+	digests := make([]weights.Digest, 0, 10)
+	for index := range 10 {
+		digests = append(digests, weights.HashSHA256.Sum(staged(index)))
+	}
+	manifest, err := weights.FromDigests("m", "1", weights.HashSHA256, 1<<10, digests)
+	require.NoError(t, err)
+	reads := 0
+	clock := clockwork.NewFakeClock()
+	l := &Loader{
+		options: LoaderOptions{Clock: clock, Log: zerolog.Nop(), Server: provider.ModelServer{
+			Staged: func(_ context.Context, _ fleet.ModelName, index int) ([]byte, error) {
+				reads++
+				return staged(index), nil
+			},
+		}},
+		store: weights.NewMemoryStore(1 << 20),
+	}
+	want := &target{model: "m"}
+	l.readStaged(t.Context(), want, 1, manifest)
+	require.Equal(t, 10, reads)
+	require.NoError(t, l.stage(t.Context(), want, manifest))
+	require.Equal(t, 10, reads)
+	clock.Advance(stagedTrust)
+	require.NoError(t, l.stage(t.Context(), want, manifest))
+	require.Equal(t, 20, reads, "what was read a while ago may have turned bad")
+}
--- a/internal/direct/loader.go
+++ b/internal/direct/loader.go
@@ -21,6 +21,8 @@
 	// reportInterval is how often the backend server's report is read; from its
 	// own box it is fresh and free.
 	reportInterval = 100 * time.Millisecond
+	// orderInterval is the same while the server carries an order out: callers wait for it.
+	orderInterval = 20 * time.Millisecond
 	// reportTimeout bounds reading it.
 	reportTimeout = time.Second
 	// loadRetry is the wait after a step towards the wanted weights that failed.
@@ -44,6 +46,7 @@
 	published map[publishedVersion]*weights.Manifest
 	// copies are the versions that are being fetched or have been.
 	copies   map[fleet.WeightsVersion]*versionCopy
+	staged   stagedPieces
 	report   fleet.Report
 	reportAt time.Time
 	// asked is set once the server has been asked for a report.
@@ -125,9 +128,7 @@
 func (l *Loader) watchServer(ctx context.Context) {
 	lost := false
 	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
-		report, err := l.options.Server.Report(callCtx)
-		cancel()
+		err := l.readReport(ctx)
 		if failed := err != nil; failed != lost && ctx.Err() == nil {
 			lost = failed
 			event, message := l.options.Log.Info(), "dependency regained"
@@ -136,19 +137,27 @@
 			}
 			event.Str("dependency", "server").Str("address", string(l.options.Address)).Msg(message)
 		}
-		l.mu.Lock()
-		l.asked = true
-		if err == nil {
-			l.report, l.reportAt = report, l.options.Clock.Now()
-		} else {
-			l.report, l.reportAt = fleet.Report{}, time.Time{}
-		}
-		l.notify()
-		l.mu.Unlock()
 		sleep(ctx, l.options.Clock, reportInterval)
 	}
 }
 
+// readReport reads the backend server's report once.
+func (l *Loader) readReport(ctx context.Context) error {
+	callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
+	report, err := l.options.Server.Report(callCtx)
+	cancel()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.asked = true
+	if err == nil {
+		l.report, l.reportAt = report, l.options.Clock.Now()
+	} else {
+		l.report, l.reportAt = fleet.Report{}, time.Time{}
+	}
+	l.notify()
+	return err
+}
+
 // serverReport returns the newest report; ok is false while the server does not
 // answer.
 func (l *Loader) serverReport() (report fleet.Report, ok bool) {
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -22,8 +22,9 @@
 
 const (
 	// followRetry is the wait before a box that could not be followed is tried
-	// again. After a loss of power everything waits for it.
-	followRetry = 150 * time.Millisecond
+	// again. After a loss of power everything waits for it; an attempt costs little, as a
+	// port that nothing listens on is told at once.
+	followRetry = 50 * time.Millisecond
 	// forgetAfter is after how long without contact an entry box is forgotten
 	// that the settings do not name.
 	forgetAfter = 20 * time.Second
