--- a/internal/direct/bring_test.go
+++ b/internal/direct/bring_test.go
@@ -47,3 +47,13 @@
 	require.NoError(t, l.stage(t.Context(), want, manifest))
 	require.Equal(t, 20, reads, "what was read a while ago may have turned bad")
 }
+
+// Pieces crossed to a region 1.6 times where links were narrower than the patience was
+// made for.
+func TestACopyIsHeldUpOnlyAfterTheTimeThatTheLinksNeed(t *testing.T) {
+	l := &Loader{options: LoaderOptions{LinkMbps: 8}}
+	want := &target{engine: &fleet.Engine{Pieces: 64, PieceSize: 1 << 15}}
+	require.Equal(t, farPatience, l.farPatience(want), "the origin's link is not known")
+	want.origin.OriginMbps = 16
+	require.InDelta(t, 1.05+2.1, l.farPatience(want).Seconds(), 0.01)
+}
--- a/internal/direct/fetch.go
+++ b/internal/direct/fetch.go
@@ -21,9 +21,9 @@
 	// drawPatience is after how long that order is kept to no more: the origin has
 	// given one copy by then if all who are first draw at the rate of their links.
 	drawPatience = 1200 * time.Millisecond
-	// farPatience is the same for pieces that another box of the region is to bring
-	// over a priced link: most copies are whole by then.
-	farPatience = 1900 * time.Millisecond
+	// farPatience is the same for pieces that another box of the region is to bring over
+	// a priced link, where the rates of the links are not known.
+	farPatience = 2 * time.Second
 	// fetchInterval is how often neighbours are asked what they hold.
 	fetchInterval = 80 * time.Millisecond
 	// fetchWindow is how many pieces are fetched at once. More would queue on the
@@ -76,7 +76,7 @@
 func (l *Loader) fetch(ctx context.Context, want *target, version fleet.WeightsVersion, manifest *weights.Manifest) error {
 	options := weights.DefaultPickerOptions()
 	options.DrawWindow, options.DrawPace = drawWindow(want), drawPace(want)
-	options.FarPatience = farPatience
+	options.FarPatience = l.farPatience(want)
 	options.DrawWait, options.Patience, options.Window, options.TotalWindow = drawWait, drawPatience, 1, firstWindow
 	f := &fetch{
 		loader: l, want: want, version: version, manifest: manifest, addresses: make(map[string]member.Address),
@@ -105,6 +105,17 @@
 	return max(1, min(mostDraws, int(originPart*float64(want.origin.MaxConnections))/len(want.servers)))
 }
 
+// farPatience is how long a copy takes to pass the origin's link and then a box's: one
+// that has not come round in the region by then is held up.
+func (l *Loader) farPatience(want *target) time.Duration {
+	if want.origin.OriginMbps <= 0 || l.options.LinkMbps <= 0 {
+		return farPatience
+	}
+	size := float64(want.engine.PieceSize) * float64(want.engine.Pieces)
+	seconds := size/(want.origin.OriginMbps*bytesPerMbit) + size/(l.options.LinkMbps*bytesPerMbit)
+	return time.Duration(seconds * float64(time.Second))
+}
+
 // drawPart is the part of the time that a piece takes over the origin's link after
 // which the next one is drawn: a little less than all, so that the link is never
 // idle.
--- a/internal/direct/loader.go
+++ b/internal/direct/loader.go
@@ -77,6 +77,8 @@
 	Metrics   *Metrics
 	// IsNear reports whether a failure domain is in the own region.
 	IsNear func(member.FailureDomain) bool
+	// LinkMbps is the rate of the box's link, in Mbit/s.
+	LinkMbps float64
 	// Bound is how long after newer weights were named older ones may still start
 	// a request.
 	Bound time.Duration
@@ -91,7 +93,7 @@
 			AgentPort: uint16(p.settings.Direct.AgentPort),
 			Facts:     p.facts, Peers: p.peers, Server: p.options.Platform.Server, Origin: p.options.Platform.Origin,
 			Clock: p.options.Clock, Log: p.options.Log, Metrics: p.metrics, IsNear: p.isNear,
-			Bound: time.Duration(p.settings.Direct.VersionBound),
+			LinkMbps: p.settings.Direct.LinkMbps, Bound: time.Duration(p.settings.Direct.VersionBound),
 		},
 		duties: kernel.NewDuties(), store: weights.NewMemoryStore(weightsMemory),
 		published: make(map[publishedVersion]*weights.Manifest),
