refactor: one timeline of virtual time for both models; a box's status is made once for all who follow it

Cause: internal/rig and internal/lab had an event queue each; with 39 boxes each made its load and demand anew for 38 streams, 20 times a second.

--- a/internal/direct/status.go
+++ b/internal/direct/status.go
@@ -45,6 +45,8 @@
 	load    func() route.Load
 	demands func() route.Demands
 
+	snapshotMu sync.Mutex
+	last       *statusSnapshot
 	// farFollowers is how many entry boxes of other regions follow this one.
 	farFollowers atomic.Int64
 
@@ -183,7 +185,8 @@
 	}
 	told := statusTold{whole: s.whole}
 	for {
-		if status := told.next(s.summary(), s.load(), s.demands(), s.clock.Now()); status != nil {
+		now := s.snapshot()
+		if status := told.next(now.statusSummary, now.load, now.demands, now.at); status != nil {
 			if err := stream.Send(status); err != nil {
 				return err
 			}
@@ -198,6 +201,29 @@
 	}
 }
 
+// statusSnapshot is what the box tells of itself at a moment.
+type statusSnapshot struct {
+	statusSummary
+	at      time.Time
+	load    route.Load
+	demands route.Demands
+}
+
+// snapshotAge is for how long a snapshot serves all streams: with many of them, making it
+// for each took most of the time of telling.
+const snapshotAge = 10 * time.Millisecond
+
+// snapshot returns what is to be told now. It must not be changed.
+func (s *Status) snapshot() *statusSnapshot {
+	s.snapshotMu.Lock()
+	defer s.snapshotMu.Unlock()
+	now := s.clock.Now()
+	if s.last == nil || now.Sub(s.last.at) >= snapshotAge {
+		s.last = &statusSnapshot{statusSummary: s.summary(), at: now, load: s.load(), demands: s.demands()}
+	}
+	return s.last
+}
+
 // interval is how often an entry box of this region, or of another one, is told.
 func (s *Status) interval(far bool) time.Duration {
 	if !far {
--- a/internal/lab/box.go
+++ b/internal/lab/box.go
@@ -34,10 +34,10 @@
 		Usual: usualTime, First: firstTime, Engine: true, Random: b.world.random.Float64, Box: b.id,
 	})
 	b.dispatcher.Boxes(len(b.world.boxes))
-	b.dispatcher.Servers(b.world.listed, 0, func(domain member.FailureDomain) bool { return domain == domainOf(b.region) }, b.world.now())
+	b.dispatcher.Servers(b.world.listed, 0, func(domain member.FailureDomain) bool { return domain == domainOf(b.region) }, b.world.Now())
 	for _, other := range b.world.boxes {
 		if other != b && other.up && other.dispatcher != nil {
-			b.hear(other, other.dispatcher.Own(), other.dispatcher.Demand(b.world.now()))
+			b.hear(other, other.dispatcher.Own(), other.dispatcher.Demand(b.world.Now()))
 		}
 	}
 	b.tell(b.life)
@@ -49,7 +49,7 @@
 	b.life++
 	for _, other := range b.world.boxes {
 		if other != b && other.up {
-			other.dispatcher.PeerLoad(b.id, nil, true, b.world.now())
+			other.dispatcher.PeerLoad(b.id, nil, true, b.world.Now())
 		}
 	}
 }
@@ -59,8 +59,8 @@
 	if b.life != life {
 		return
 	}
-	load, demand := b.dispatcher.Own(), b.dispatcher.Demand(b.world.now())
-	now := b.world.now()
+	load, demand := b.dispatcher.Own(), b.dispatcher.Demand(b.world.Now())
+	now := b.world.Now()
 	if b.told == nil || now.Sub(b.toldAt) >= tellAgain || !maps.Equal(load, b.told) {
 		b.told, b.toldAt = load, now
 		for _, other := range b.world.boxes {
@@ -69,16 +69,16 @@
 			}
 		}
 	}
-	b.world.after(b.world.deployment.TellInterval, func() { b.tell(life) })
+	b.world.After(b.world.deployment.TellInterval, func() { b.tell(life) })
 }
 
 // hear takes what another box tells, a little later.
 func (b *box) hear(from *box, load route.Load, demand route.Demand) {
 	life, fromLife := b.life, from.life
-	b.world.after(b.world.delay(from.region, b.region), func() {
+	b.world.After(b.world.delay(from.region, b.region), func() {
 		if b.life == life && from.life == fromLife {
-			b.dispatcher.PeerDemand(from.id, demand, b.world.now())
-			b.dispatcher.PeerLoad(from.id, load, true, b.world.now())
+			b.dispatcher.PeerDemand(from.id, demand, b.world.Now())
+			b.dispatcher.PeerLoad(from.id, load, true, b.world.Now())
 		}
 	})
 }
@@ -106,7 +106,7 @@
 // serve takes a request.
 func (b *box) serve(c *caller) *request {
 	r := &request{box: b, life: b.life, caller: c, try: c.tries}
-	now := b.world.now()
+	now := b.world.Now()
 	kind := c.kind
 	engine := &b.world.deployment.Engine
 	r.ask = route.Ask{
@@ -126,7 +126,7 @@
 
 // later runs something at the box after a time, if the request lives.
 func (r *request) later(wait time.Duration, run func()) {
-	r.box.world.after(wait, func() {
+	r.box.world.After(wait, func() {
 		if r.box.life == r.life && !r.ended {
 			run()
 		}
@@ -140,7 +140,7 @@
 	place, waiting, err := r.box.dispatcher.Submit(&ask, func(place *route.Reservation) {
 		r.waiting = nil
 		r.later(0, func() { r.send(place) })
-	}, r.box.world.now())
+	}, r.box.world.Now())
 	switch {
 	case place != nil:
 		r.send(place)
@@ -157,7 +157,7 @@
 	if r.waiting == nil {
 		return
 	}
-	now := r.box.world.now()
+	now := r.box.world.Now()
 	again, waits, err := r.box.dispatcher.Review(r.waiting, now)
 	switch {
 	case err != nil:
@@ -189,14 +189,14 @@
 
 // event passes an event on.
 func (r *request) event(place *route.Reservation) {
-	place.Started(r.box.world.now())
-	r.begun, r.passed = true, r.box.world.now()
+	place.Started(r.box.world.Now())
+	r.begun, r.passed = true, r.box.world.Now()
 	r.later(r.box.world.deployment.CallerDelay, func() { r.caller.event(r) })
 }
 
 // over ends an attempt whose server has ended it.
 func (r *request) over(whole bool) {
-	now := r.box.world.now()
+	now := r.box.world.Now()
 	if whole {
 		r.place.Release(route.ResultDone, now)
 		r.place = nil
@@ -216,7 +216,7 @@
 	if !up {
 		result = route.ResultUnreachable
 	}
-	r.place.Release(result, r.box.world.now())
+	r.place.Release(result, r.box.world.Now())
 	r.again()
 }
 
@@ -230,7 +230,7 @@
 		})
 		return
 	}
-	now := r.box.world.now()
+	now := r.box.world.Now()
 	r.ask.Arrived, r.ask.Returning = now, !r.begun
 	if r.begun {
 		r.ask.Resuming, r.ask.Priority, r.ask.Objective = true, -1, r.passed.Add(r.caller.kind.Pause)
@@ -247,7 +247,7 @@
 		})
 		return
 	}
-	wait := route.RetryAfter(err, r.ask.Deadline.Sub(r.box.world.now()))
+	wait := route.RetryAfter(err, r.ask.Deadline.Sub(r.box.world.Now()))
 	r.later(r.box.world.deployment.CallerDelay, func() {
 		r.ended = true
 		r.caller.refused(r, wait)
@@ -266,7 +266,7 @@
 	}
 	if r.place != nil {
 		r.server.cancel(r.job)
-		r.place.Release(route.ResultAbandoned, r.box.world.now())
+		r.place.Release(route.ResultAbandoned, r.box.world.Now())
 		r.place = nil
 	}
 }
--- a/internal/lab/caller.go
+++ b/internal/lab/caller.go
@@ -33,7 +33,7 @@
 
 func newCaller(w *world, region int, kind *Kind) *caller {
 	return &caller{
-		world: w, region: region, kind: kind, first: w.now(),
+		world: w, region: region, kind: kind, first: w.Now(),
 		prompt: w.draw(kind.Prompt, kind.PromptSpread), answer: w.draw(kind.Answer, kind.AnswerSpread),
 	}
 }
@@ -43,7 +43,7 @@
 	return max(1, c.answer-c.events*c.world.deployment.Engine.EventTokens)
 }
 
-func (c *caller) remaining() time.Duration { return c.first.Add(c.kind.Deadline).Sub(c.world.now()) }
+func (c *caller) remaining() time.Duration { return c.first.Add(c.kind.Deadline).Sub(c.world.Now()) }
 
 // send asks an entry box of the region.
 func (c *caller) send() {
@@ -55,7 +55,7 @@
 		return
 	}
 	if c.tries == 0 {
-		c.world.after(c.kind.Deadline, func() {
+		c.world.After(c.kind.Deadline, func() {
 			if !c.done {
 				c.leave()
 			}
@@ -68,14 +68,14 @@
 		}
 	}
 	if len(near) == 0 {
-		c.world.after(connectRetry, c.send)
+		c.world.After(connectRetry, c.send)
 		return
 	}
 	b := near[c.world.random.IntN(len(near))]
 	c.tries++
-	c.sent = c.world.now()
+	c.sent = c.world.Now()
 	life := b.life
-	c.world.after(c.world.deployment.CallerDelay, func() {
+	c.world.After(c.world.deployment.CallerDelay, func() {
 		if c.done {
 			return
 		}
@@ -91,7 +91,7 @@
 
 // watchBox notices when the entry box has been killed.
 func (c *caller) watchBox(r *request) {
-	c.world.after(connectRetry, func() {
+	c.world.After(connectRetry, func() {
 		switch {
 		case c.done || c.request != r || r.ended:
 		case r.box.life != r.life:
@@ -108,7 +108,7 @@
 	if c.last.After(since) {
 		since = c.last
 	}
-	c.world.after(since.Add(c.kind.Patience).Sub(c.world.now()), func() {
+	c.world.After(since.Add(c.kind.Patience).Sub(c.world.Now()), func() {
 		if c.done || c.request != r || r.ended {
 			return
 		}
@@ -125,7 +125,7 @@
 	if c.done || c.request != r {
 		return
 	}
-	now := c.world.now()
+	now := c.world.Now()
 	if c.events == 0 {
 		c.begun = now
 	} else {
@@ -156,7 +156,7 @@
 		c.end(OutcomeRefused)
 		return
 	}
-	c.world.after(min(wait, c.remaining()/retryPart), c.send)
+	c.world.After(min(wait, c.remaining()/retryPart), c.send)
 }
 
 // broken comes back after an answer that broke off.
@@ -186,7 +186,7 @@
 // leave gives up.
 func (c *caller) leave() {
 	if r := c.request; r != nil {
-		c.world.after(c.world.deployment.CallerDelay, r.drop)
+		c.world.After(c.world.deployment.CallerDelay, r.drop)
 	}
 	c.end(OutcomeFailed)
 }
--- a/internal/lab/engine.go
+++ b/internal/lab/engine.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/cinderslip/cinderslip/internal/virtual"
 	"github.com/cinderslip/cinderslip/pkg/fleet"
 )
 
@@ -25,7 +26,7 @@
 
 	id      fleet.ServerID
 	region  int
-	line    *timeline
+	line    *virtual.Timeline
 	running []*job
 	queue   []*job
 	// up is false while it is down, open while it takes new requests.
@@ -72,7 +73,7 @@
 		taken += time.Duration(e.Stride) * (e.Step + time.Duration(writers)*e.StepPerRequest)
 	}
 	life := e.life
-	e.line.after(time.Duration(float64(taken)*e.slow), func() {
+	e.line.After(time.Duration(float64(taken)*e.slow), func() {
 		if life == e.life {
 			e.passed()
 			e.pass()
@@ -144,7 +145,7 @@
 	case j.untold < 0:
 		j.unwritten--
 		j.untold = 0
-		e.line.after(e.First, func() { j.tell() })
+		e.line.After(e.First, func() { j.tell() })
 	case j.unread == 0:
 		tokens := min(e.Stride, j.unwritten)
 		j.unwritten -= tokens
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/cinderslip/cinderslip/internal/virtual"
 )
 
 // drafting is a deployment of nine entry boxes and thirteen servers, which at level 1 is
@@ -67,7 +69,7 @@
 
 // A server alone makes what its figures say: a batch of 16 plays 6 steps in 42.5 ms.
 func TestAServerMakesWhatItsFiguresSay(t *testing.T) {
-	var line timeline
+	var line virtual.Timeline
 	e := &engine{Engine: drafting(1).Engine, line: &line, up: true, open: true, slow: 1}
 	done, begun := 0, 0
 	for range e.Slots {
@@ -83,22 +85,22 @@
 		}})
 		require.True(t, ok)
 	}
-	line.run(300 * time.Millisecond)
+	line.Run(300 * time.Millisecond)
 	require.Equal(t, e.Slots, begun)
 	require.Zero(t, done)
-	line.run(1100 * time.Millisecond)
+	line.Run(1100 * time.Millisecond)
 	require.Equal(t, e.Slots, done, "a pass to read, 20 strides of 42.5 ms to write")
 }
 
 func TestACrashedServerEndsWhatItRan(t *testing.T) {
-	var line timeline
+	var line virtual.Timeline
 	e := &engine{Engine: drafting(1).Engine, line: &line, up: true, open: true, slow: 1}
 	var ended []bool
 	require.True(t, e.submit(&job{prompt: 100, answer: 121, event: func() {}, ended: func(whole bool) { ended = append(ended, whole) }}))
-	line.run(100 * time.Millisecond)
+	line.Run(100 * time.Millisecond)
 	e.up = false
 	e.stop()
-	line.run(10 * time.Second)
+	line.Run(10 * time.Second)
 	require.Equal(t, []bool{false}, ended)
 	require.False(t, e.submit(&job{}))
 }
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/cinderslip/cinderslip/internal/virtual"
 )
 
 // Outcome is what became of a caller.
@@ -79,7 +81,7 @@
 }
 
 func (r *Result) add(c *caller, outcome Outcome) {
-	if second := int(c.first.Sub(epoch) / time.Second); second < len(r.Seconds) {
+	if second := int(c.first.Sub(virtual.Epoch) / time.Second); second < len(r.Seconds) {
 		r.Seconds[second][outcome]++
 	}
 	kind := r.Kinds[c.kind.Name]
@@ -97,7 +99,7 @@
 	case OutcomeLate:
 		r.Earned += size * c.kind.LateWorth
 	case OutcomeRefused, OutcomeFailed:
-		held := c.world.now().Sub(c.sent) - c.kind.Objective/8
+		held := c.world.Now().Sub(c.sent) - c.kind.Objective/8
 		part := min(1, max(0, float64(held)/(priceHeldLongest*float64(c.kind.Deadline))))
 		if c.tries > 1 {
 			part += priceRefusedAgain
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cinderslip/cinderslip/internal/virtual"
 	"github.com/cinderslip/cinderslip/pkg/fleet"
 	"github.com/cinderslip/cinderslip/pkg/member"
 	"github.com/cinderslip/cinderslip/pkg/route"
@@ -23,7 +24,7 @@
 
 // world is one run of a deployment.
 type world struct {
-	timeline
+	virtual.Timeline
 	deployment *Deployment
 	random     *rand.Rand
 	boxes      []*box
@@ -50,7 +51,7 @@
 			w.arrive(region, &deployment.Kinds[kind])
 		}
 	}
-	w.run(deployment.Length + longestDeadline(deployment))
+	w.Run(deployment.Length + longestDeadline(deployment))
 	return w.result
 }
 
@@ -68,7 +69,7 @@
 		for range sizes.Servers {
 			e := &engine{
 				Engine: w.deployment.Engine, id: fleet.ServerID(fmt.Sprintf("server-%d", len(w.servers))), region: region,
-				line: &w.timeline, up: true, open: true, slow: 1,
+				line: &w.Timeline, up: true, open: true, slow: 1,
 			}
 			w.servers = append(w.servers, e)
 			w.byID[e.id] = e
@@ -107,7 +108,7 @@
 // tellStates tells all entry boxes of a server now and then.
 func (w *world) tellStates(e *engine) {
 	w.tellState(e)
-	w.after(stateInterval, func() { w.tellStates(e) })
+	w.After(stateInterval, func() { w.tellStates(e) })
 }
 
 // tellState tells all entry boxes of a server.
@@ -119,9 +120,9 @@
 		Version: weightsVersion, Swapping: !e.open, Running: len(e.running), Waiting: len(e.queue), Pace: e.slow,
 	}
 	for _, b := range w.boxes {
-		w.after(w.delay(e.region, b.region), func() {
+		w.After(w.delay(e.region, b.region), func() {
 			if b.up {
-				b.dispatcher.State(e.id, state, w.now())
+				b.dispatcher.State(e.id, state, w.Now())
 			}
 		})
 	}
@@ -131,7 +132,7 @@
 func (w *world) level() float64 {
 	level := 1.0
 	for _, step := range w.deployment.Steps {
-		if step.At <= w.elapsed {
+		if step.At <= w.Elapsed() {
 			level = step.Level
 		}
 	}
@@ -148,8 +149,8 @@
 	// effect at once.
 	const highest = 4.0
 	wait := w.random.ExpFloat64() / (rate * highest)
-	w.after(time.Duration(wait*float64(time.Second)), func() {
-		if w.elapsed >= w.deployment.Length {
+	w.After(time.Duration(wait*float64(time.Second)), func() {
+		if w.Elapsed() >= w.deployment.Length {
 			return
 		}
 		if w.random.Float64() < w.level()/highest {
@@ -177,16 +178,16 @@
 	case FaultServersSlow:
 		w.each(f, w.struck(len(w.servers), f.Share), func(i int) {
 			w.servers[i].slow = f.Factor
-			w.after(f.Down, func() { w.servers[i].slow = 1 })
+			w.After(f.Down, func() { w.servers[i].slow = 1 })
 		})
 	case FaultBoxesDown:
 		w.each(f, w.struck(len(w.boxes), f.Share), func(i int) {
 			w.boxes[i].kill()
-			w.after(f.Down, w.boxes[i].start)
+			w.After(f.Down, w.boxes[i].start)
 		})
 	case FaultBurst:
-		w.after(f.At, func() { w.burst *= f.Factor })
-		w.after(f.At+f.Down, func() { w.burst /= f.Factor })
+		w.After(f.At, func() { w.burst *= f.Factor })
+		w.After(f.At+f.Down, func() { w.burst /= f.Factor })
 	}
 }
 
@@ -197,7 +198,7 @@
 
 func (w *world) each(f *Fault, struck []int, strike func(i int)) {
 	for place, i := range struck {
-		w.after(f.At+f.Over*time.Duration(place)/time.Duration(len(struck)), func() { strike(i) })
+		w.After(f.At+f.Over*time.Duration(place)/time.Duration(len(struck)), func() { strike(i) })
 	}
 }
 
@@ -209,8 +210,8 @@
 func (w *world) swap(e *engine, down time.Duration) {
 	e.open = false
 	w.tellState(e)
-	w.after(swapNotice, e.stop)
-	w.after(swapNotice+down, func() {
+	w.After(swapNotice, e.stop)
+	w.After(swapNotice+down, func() {
 		e.open = true
 		w.tellState(e)
 	})
@@ -221,13 +222,13 @@
 	e.up = false
 	e.stop()
 	for _, b := range w.boxes {
-		w.after(w.delay(e.region, b.region), func() {
+		w.After(w.delay(e.region, b.region), func() {
 			if b.up {
-				b.dispatcher.State(e.id, route.ServerState{}, w.now())
+				b.dispatcher.State(e.id, route.ServerState{}, w.Now())
 			}
 		})
 	}
-	w.after(down, func() {
+	w.After(down, func() {
 		e.up = true
 		w.tellState(e)
 	})
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -19,11 +19,11 @@
 package rig
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
+	"github.com/cinderslip/cinderslip/internal/virtual"
 	"github.com/cinderslip/cinderslip/pkg/member"
 	"github.com/cinderslip/cinderslip/pkg/weights"
 )
@@ -88,57 +88,20 @@
 	done     time.Duration
 }
 
-type event struct {
-	at   time.Duration
-	turn int
-	run  func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].turn < e[j].turn
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-
-// Push is for container/heap.
-func (e *events) Push(x any) { *e = append(*e, x.(event)) }
-
-// Pop is for container/heap.
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 type run struct {
+	virtual.Timeline
 	options  Options
 	random   *rand.Rand
 	manifest *weights.Manifest
 	boxes    []*box
 	byName   map[string]*box
 	source   link
-	queue    events
-	turn     int
-	now      time.Duration
 	left     int
 	result   Result
 	sent     int
 	far      map[member.Region]int
 }
 
-// start of the clock; any moment serves.
-var epoch = time.Unix(1_000_000, 0)
-
-func (r *run) clock() time.Time { return epoch.Add(r.now) }
-
-func (r *run) after(wait time.Duration, what func()) {
-	r.turn++
-	heap.Push(&r.queue, event{at: r.now + wait, turn: r.turn, run: what})
-}
-
 // Run distributes one version to boxes that have nothing.
 func Run(options Options) Result {
 	r := &run{
@@ -154,13 +117,10 @@
 	r.meet()
 	r.breakSome()
 	for i, b := range r.boxes {
-		r.after(pollTime*time.Duration(i)/time.Duration(len(r.boxes)), func() { r.poll(b) })
+		r.After(pollTime*time.Duration(i)/time.Duration(len(r.boxes)), func() { r.poll(b) })
 	}
 	limit := time.Duration(options.Boxes+10) * copyTime
-	for len(r.queue) > 0 && r.left > 0 && r.now < limit {
-		next := heap.Pop(&r.queue).(event)
-		r.now = next.at
-		next.run()
+	for r.left > 0 && r.Step(limit) {
 	}
 	return r.finish()
 }
@@ -182,7 +142,7 @@
 			Box: member.BoxID(name), Region: member.Region(fmt.Sprint("r", region)),
 			FailureDomain: member.FailureDomain(fmt.Sprint("r", region, "-", i/r.options.Regions%domainsPerRegion)),
 		},
-		picker: weights.NewPicker(r.manifest, name, nil, r.options.Picker, epoch),
+		picker: weights.NewPicker(r.manifest, name, nil, r.options.Picker, virtual.Epoch),
 		held:   weights.NewBits(r.options.Chunks),
 		up:     link{rate: chunkTime}, down: link{rate: chunkTime},
 	}
@@ -222,19 +182,19 @@
 		at := time.Duration(r.random.Float64() * float64(copyTime))
 		switch chance := r.random.Float64(); {
 		case chance < r.options.Dying:
-			r.after(at, func() {
+			r.After(at, func() {
 				b.dead = true
 				if b.done == 0 {
 					r.left--
 				}
 			})
 		case chance < r.options.Dying+r.options.Stalling:
-			r.after(at, func() { b.stalled = true })
+			r.After(at, func() { b.stalled = true })
 		}
 	}
 	if r.options.Dying > 0 {
 		for at := silenceTime; at < copyTime+2*silenceTime; at += silenceTime {
-			r.after(at, r.meet)
+			r.After(at, r.meet)
 		}
 	}
 }
@@ -253,12 +213,12 @@
 		b.picker.SetHoldings(name, append(weights.Bits(nil), held...))
 	}
 	r.fetch(b)
-	r.after(pollTime, func() { r.poll(b) })
+	r.After(pollTime, func() { r.poll(b) })
 }
 
 func (r *run) fetch(b *box) {
 	for {
-		task, ok := b.picker.Next(r.clock())
+		task, ok := b.picker.Next(r.Now())
 		if !ok {
 			return
 		}
@@ -271,36 +231,36 @@
 	from := r.byName[task.From]
 	switch {
 	case from != nil && from.dead:
-		r.after(refusedTime, func() { r.failed(b, task) })
+		r.After(refusedTime, func() { r.failed(b, task) })
 	case from != nil && from.stalled:
-		r.after(stallTime, func() { r.failed(b, task) })
+		r.After(stallTime, func() { r.failed(b, task) })
 	default:
 		up := &r.source
 		if from != nil {
 			up = &from.up
 		}
-		r.after(r.send(up), func() {
-			r.after(r.receive(&b.down), func() { r.arrived(b, from, task) })
+		r.After(r.send(up), func() {
+			r.After(r.receive(&b.down), func() { r.arrived(b, from, task) })
 		})
 	}
 }
 
 // send takes a transfer's turn on the sender's link and returns when it has gone.
 func (r *run) send(up *link) time.Duration {
-	up.free = max(r.now+latency, up.free) + up.rate
-	return up.free - r.now
+	up.free = max(r.Elapsed()+latency, up.free) + up.rate
+	return up.free - r.Elapsed()
 }
 
 // receive takes its turn on the receiver's link. A transfer that found the link
 // free has passed through while it was sent.
 func (r *run) receive(down *link) time.Duration {
-	down.free = max(r.now, down.free+down.rate)
-	return down.free + latency - r.now
+	down.free = max(r.Elapsed(), down.free+down.rate)
+	return down.free + latency - r.Elapsed()
 }
 
 func (r *run) failed(b *box, task weights.Task) {
 	if !b.dead {
-		b.picker.Failed(task, r.clock().Add(time.Second))
+		b.picker.Failed(task, r.Now().Add(time.Second))
 		r.fetch(b)
 	}
 }
@@ -310,17 +270,17 @@
 	case b.dead:
 		return
 	case from != nil && (from.dead || from.stalled):
-		r.after(stallTime, func() { r.failed(b, task) })
+		r.After(stallTime, func() { r.failed(b, task) })
 		return
 	case from == nil:
 		r.sent++
 	case from.record.Region != b.record.Region:
 		r.far[b.record.Region]++
 	}
-	b.picker.Done(task, r.clock())
+	b.picker.Done(task, r.Now())
 	b.held.Set(task.Chunk)
 	if b.picker.Missing() == 0 {
-		b.done = r.now
+		b.done = r.Elapsed()
 		r.left--
 		return
 	}
