perf(route): decisions that do not grow with the servers, nor with the queue

Change: a census of all servers, exact up to 64, of at most 50 ms beyond, counted on with what the box does itself; a sample of 24 with room; the queue counted by its order; sums of what others tell.

--- a/pkg/route/claims.go
+++ b/pkg/route/claims.go
@@ -57,15 +57,10 @@
 // competition returns who competes for how many places.
 func (d *Dispatcher) competition(now time.Time) competition {
 	peers := d.peersDemand(now)
-	c := competition{
+	return competition{
 		round: now.UnixNano() / int64(claimRound), inTime: float64(peers.InTime) + peers.coming(), late: float64(peers.Late),
+		free: float64(max(0, d.survey(now).free)),
 	}
-	for _, b := range d.order {
-		if d.isEligible(b, now) {
-			c.free += float64(max(0, d.limit(b)-d.load(b, now).Requests))
-		}
-	}
-	return c
 }
 
 // coming is how many requests come for the first time in one round.
@@ -112,7 +107,7 @@
 // wins reports whether a place is this box's.
 func (d *Dispatcher) wins(c claim, own float64) bool {
 	mine := c.score(d.self, own)
-	for box, told := range d.demands {
+	for box, told := range d.demands.boxes {
 		if c.score(box, told.claimWeight()) > mine {
 			return false
 		}
--- a/pkg/route/demand.go
+++ b/pkg/route/demand.go
@@ -26,6 +26,48 @@
 	at time.Time
 }
 
+// peerDemands keeps what the other entry boxes are asked for, and the sum.
+type peerDemands struct {
+	boxes map[member.BoxID]peerDemand
+	sum   Demand
+	// oldest is when the oldest of them was told, or before.
+	oldest time.Time
+}
+
+func (p *peerDemands) set(box member.BoxID, demand Demand, now time.Time) {
+	if len(p.boxes) == 0 {
+		p.oldest = now
+	}
+	p.sum.add(p.boxes[box].Demand, -1)
+	p.sum.add(demand, 1)
+	p.boxes[box] = peerDemand{demand, now}
+}
+
+// expire forgets the boxes that have told nothing for long.
+func (p *peerDemands) expire(now time.Time) {
+	if now.Sub(p.oldest) < peerLoadAge {
+		return
+	}
+	p.oldest = now
+	for box, told := range p.boxes {
+		if now.Sub(told.at) >= peerLoadAge {
+			p.sum.add(told.Demand, -1)
+			delete(p.boxes, box)
+			continue
+		}
+		if told.at.Before(p.oldest) {
+			p.oldest = told.at
+		}
+	}
+}
+
+func (d *Demand) add(other Demand, sign int) {
+	d.Arrivals += sign * other.Arrivals
+	d.InTime += sign * other.InTime
+	d.Late += sign * other.Late
+	d.Beginning += sign * other.Beginning
+}
+
 // Demand returns what this box is asked for.
 func (d *Dispatcher) Demand(now time.Time) Demand {
 	d.mu.Lock()
@@ -34,38 +76,21 @@
 }
 
 func (d *Dispatcher) demand(now time.Time) Demand {
-	demand := Demand{Arrivals: d.arrivals.count(now), Beginning: d.beginning}
-	for _, w := range d.queue {
-		if w.ask.isLate(now) {
-			demand.Late++
-		} else {
-			demand.InTime++
-		}
-	}
-	return demand
+	inTime, late := d.waiting(now)
+	return Demand{Arrivals: d.arrivals.count(now), InTime: inTime, Late: late, Beginning: d.beginning}
 }
 
 // PeerDemand takes what another entry box is asked for.
 func (d *Dispatcher) PeerDemand(box member.BoxID, demand Demand, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.demands[box] = peerDemand{demand, now}
+	d.demands.set(box, demand, now)
 }
 
 // peersDemand sums what the other entry boxes told lately.
 func (d *Dispatcher) peersDemand(now time.Time) Demand {
-	var sum Demand
-	for box, told := range d.demands {
-		if now.Sub(told.at) >= peerLoadAge {
-			delete(d.demands, box)
-			continue
-		}
-		sum.Arrivals += told.Arrivals
-		sum.InTime += told.InTime
-		sum.Late += told.Late
-		sum.Beginning += told.Beginning
-	}
-	return sum
+	d.demands.expire(now)
+	return d.demands.sum
 }
 
 const (
--- a/pkg/route/dispatch.go
+++ b/pkg/route/dispatch.go
@@ -46,6 +46,8 @@
 
 	// startBy is when the request must start to meet its objective.
 	startBy time.Time
+	// queued is set while the request is in the queue.
+	queued bool
 }
 
 // isLate reports whether the request can't meet its objective any more.
@@ -65,7 +67,7 @@
 	// arrivals are the requests that come to this box for the first time.
 	arrivals rateMeter
 	// demands are what the other entry boxes are asked for.
-	demands map[member.BoxID]peerDemand
+	demands peerDemands
 	// usual is how long a request holds its place, in the mean.
 	usual time.Duration
 	// first is how long an answer takes to begin beside reading the request, and
@@ -91,6 +93,9 @@
 	self member.BoxID
 	// beginning is how many requests hold a place here whose answers have not begun.
 	beginning int
+	// changes counts what may change the census.
+	changes uint64
+	census  census
 	// candidates is reused from one choice to the next.
 	candidates []candidate
 }
@@ -114,7 +119,7 @@
 		options.Random = rand.Float64
 	}
 	return &Dispatcher{
-		backends: make(map[fleet.ServerID]*backend), peers: newPeerLoads(), demands: make(map[member.BoxID]peerDemand), boxes: 1,
+		backends: make(map[fleet.ServerID]*backend), peers: newPeerLoads(), demands: peerDemands{boxes: make(map[member.BoxID]peerDemand)}, boxes: 1,
 		usual: options.Usual, first: options.First, engine: options.Engine, random: options.Random, self: options.Box, swapTime: usualSwapTime,
 	}
 }
@@ -145,7 +150,7 @@
 		d.order = append(d.order, b)
 	}
 	d.backends = next
-	d.forecast = forecast{}
+	d.forecast, d.census = forecast{}, census{}
 	d.grant(nil, now)
 }
 
@@ -170,6 +175,7 @@
 func (d *Dispatcher) Require(versions Versions, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.changes++
 	changed := d.required != versions.Required
 	d.required, d.preferred, d.newest = versions.Required, versions.Preferred, versions.Newest
 	if changed {
@@ -190,6 +196,7 @@
 			d.forecast = forecast{}
 		}
 		b.state, b.stateAt = state, now
+		d.changes++
 		d.noteClosed(b, now)
 		d.grant(nil, now)
 	}
@@ -221,6 +228,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.peers.take(box, load, whole, now)
+	d.changes++
 	d.grant(nil, now)
 }
 
@@ -257,12 +265,7 @@
 			return d.reserve(c.backend, ask, now)
 		}
 	}
-	d.candidates = d.candidates[:0]
-	for _, b := range d.order {
-		if c, ok := d.candidate(b, ask, now); ok {
-			d.candidates = append(d.candidates, c)
-		}
-	}
+	d.gather(ask, now)
 	coming := competition.others(standing) + 1
 	if competition.isScarce(standing) {
 		d.keepClaimable(competition.round, now)
@@ -328,6 +331,8 @@
 		readAhead: d.load(b, now).Reading,
 	}
 	d.beginning++
+	d.changes++
+	d.census.free--
 	b.own.Requests++
 	b.own.Reading += ask.Reading
 	b.awaiting[place] = now
@@ -374,7 +379,7 @@
 			if place.backend == freed {
 				freed = nil
 			}
-			d.queue = slices.Delete(d.queue, i, i+1)
+			d.dequeue(i)
 			w.granted(place)
 		}
 	}
--- a/pkg/route/dispatch_bench_test.go
+++ b/pkg/route/dispatch_bench_test.go
@@ -12,7 +12,7 @@
 // BenchmarkDispatch takes a place and gives it back, among servers whose load is told
 // by other entry boxes.
 func BenchmarkDispatch(b *testing.B) {
-	for _, size := range []struct{ servers, boxes int }{{20, 6}, {45, 42}, {2000, 42}} {
+	for _, size := range []struct{ servers, boxes int }{{20, 6}, {45, 42}, {2000, 42}, {12000, 42}} {
 		b.Run(fmt.Sprintf("servers=%d/boxes=%d", size.servers, size.boxes), func(b *testing.B) {
 			servers := make([]fleet.Server, 0, size.servers)
 			for i := range size.servers {
@@ -36,3 +36,32 @@
 		})
 	}
 }
+
+// BenchmarkRefuse decides about a request that can't start in time, with a thousand that
+// wait.
+func BenchmarkRefuse(b *testing.B) {
+	servers := make([]fleet.Server, 0, 12000)
+	for i := range 12000 {
+		servers = append(servers, model(fmt.Sprintf("s-%d", i), 1, 1))
+	}
+	d := newBench(true, servers...)
+	load := make(Load)
+	for i := range servers {
+		load[servers[i].ID] = ServerLoad{Requests: 1}
+	}
+	d.PeerLoad("others", load, true, d.clock.Now())
+	for box := range 42 {
+		d.PeerDemand(member.BoxID(fmt.Sprint(box)), Demand{InTime: 1000, Arrivals: 1000}, d.clock.Now())
+	}
+	for range 1000 {
+		w := &Waiting{ask: d.ask(), granted: func(*Reservation) {}}
+		w.ask.startBy = w.ask.Objective
+		d.enqueue(w)
+	}
+	ask := d.returning()
+	for b.Loop() {
+		if _, _, err := d.Submit(ask, nil, d.clock.Now()); err == nil {
+			b.Fatal("a full service took a request")
+		}
+	}
+}
--- a/pkg/route/forecast.go
+++ b/pkg/route/forecast.go
@@ -120,19 +120,13 @@
 // expected returns how long a request that is in time waits for its place. Places go to
 // the boxes by how many such requests wait there, and a box keeps those that it gives back.
 func (d *Dispatcher) expected(ask *Ask, now time.Time) time.Duration {
-	ahead, own := 0, 1
-	for _, w := range d.queue {
-		if w.ask == ask || w.ask.isLate(now) {
-			continue
-		}
+	own, _ := d.waiting(now)
+	if !ask.queued {
 		own++
-		if isAhead(w.ask, ask, now) {
-			ahead++
-		}
 	}
 	share := max(1/float64(d.boxes), float64(own)/float64(own+d.peersDemand(now).InTime))
 	perSecond := max(1, float64(d.places(now))) / d.usual.Seconds() * share
-	return time.Duration(float64(ahead+1) / perSecond * float64(time.Second))
+	return time.Duration(float64(d.ahead(ask, now)+1) / perSecond * float64(time.Second))
 }
 
 // expectedLate returns how long a request that is late waits for its place, behind those
@@ -142,15 +136,7 @@
 }
 
 // places is how many places there are.
-func (d *Dispatcher) places(now time.Time) int {
-	places := 0
-	for _, b := range d.order {
-		if d.isEligible(b, now) {
-			places += d.limit(b)
-		}
-	}
-	return places
-}
+func (d *Dispatcher) places(now time.Time) int { return d.survey(now).places }
 
 // firstPlaces is how many places those need who come first, at the rate at which they
 // come (Little's law). Taken by late ones, they would be missing when the first ones come.
@@ -166,14 +152,3 @@
 	beginning := d.beginning + d.peersDemand(now).Beginning
 	return float64(beginning+1) <= float64(d.places(now))-d.firstPlaces(now)
 }
-
-// ahead is how many requests wait here that get a place before another one.
-func (d *Dispatcher) ahead(ask *Ask, now time.Time) int {
-	ahead := 0
-	for _, w := range d.queue {
-		if w.ask != ask && isAhead(w.ask, ask, now) {
-			ahead++
-		}
-	}
-	return ahead
-}
--- a/pkg/route/peerload.go
+++ b/pkg/route/peerload.go
@@ -33,6 +33,8 @@
 type peerLoads struct {
 	boxes map[member.BoxID]*peerLoad
 	sums  Load
+	// oldest is when the oldest of them was told, or before.
+	oldest time.Time
 }
 
 func newPeerLoads() *peerLoads {
@@ -51,7 +53,9 @@
 		known = &peerLoad{load: make(Load)}
 		p.boxes[box] = known
 	}
-	known.at = now
+	if known.at = now; len(p.boxes) == 1 {
+		p.oldest = now
+	}
 	if whole {
 		for id := range known.load {
 			if _, stays := told[id]; !stays {
@@ -80,8 +84,15 @@
 
 // expire forgets the boxes that have told nothing for long.
 func (p *peerLoads) expire(now time.Time) {
+	if now.Sub(p.oldest) < peerLoadAge {
+		return
+	}
+	p.oldest = now
 	for box, known := range p.boxes {
 		if now.Sub(known.at) < peerLoadAge {
+			if known.at.Before(p.oldest) {
+				p.oldest = known.at
+			}
 			continue
 		}
 		for id := range known.load {
--- a/pkg/route/queue.go
+++ b/pkg/route/queue.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"sort"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -71,7 +72,7 @@
 		d.arrivals.add(now)
 		d.slack += time.Duration(firstSmoothing * float64(ask.startBy.Sub(now)-d.slack))
 	}
-	if len(d.queue) == 0 || d.isFirst(ask, now) {
+	if len(d.queue) == 0 || d.ahead(ask, now) == 0 {
 		if place := d.choose(ask, nil, now); place != nil {
 			return place, nil, nil
 		}
@@ -106,7 +107,7 @@
 		return time.Time{}, false, nil
 	}
 	if !d.hasChance(w.ask, now) {
-		d.queue = slices.Delete(d.queue, at, at+1)
+		d.dequeue(at)
 		return time.Time{}, false, d.refusal(w.ask, now)
 	}
 	again = now.Add(reviewInterval)
@@ -125,7 +126,7 @@
 	if at < 0 {
 		return false
 	}
-	d.queue = slices.Delete(d.queue, at, at+1)
+	d.dequeue(at)
 	return true
 }
 
@@ -194,13 +195,8 @@
 
 // waitingLate is how many late requests wait, at all entry boxes.
 func (d *Dispatcher) waitingLate(now time.Time) int {
-	waiting := d.peersDemand(now).Late
-	for _, w := range d.queue {
-		if w.ask.isLate(now) {
-			waiting++
-		}
-	}
-	return waiting
+	_, late := d.waiting(now)
+	return late + d.peersDemand(now).Late
 }
 
 // promises are the times at which callers were told to come back, the soonest first.
@@ -218,11 +214,6 @@
 	return len(*p)
 }
 
-// isFirst reports whether a request goes before all that wait.
-func (d *Dispatcher) isFirst(ask *Ask, now time.Time) bool {
-	return !slices.ContainsFunc(d.queue, func(w *Waiting) bool { return isAhead(w.ask, ask, now) })
-}
-
 // before orders the queue: the more urgent first, then those that must start
 // earlier.
 func before(a, b *Ask) bool {
@@ -233,18 +224,65 @@
 }
 
 func (d *Dispatcher) enqueue(w *Waiting) {
-	at := len(d.queue)
-	for at > 0 && before(w.ask, d.queue[at-1].ask) {
-		at--
-	}
+	at, _ := slices.BinarySearchFunc(d.queue, w.ask, func(other *Waiting, ask *Ask) int {
+		if before(ask, other.ask) {
+			return 1
+		}
+		return -1
+	})
 	d.queue = slices.Insert(d.queue, at, w)
+	w.ask.queued = true
+}
+
+// dequeue takes the request at a place out of the queue.
+func (d *Dispatcher) dequeue(at int) {
+	d.queue[at].ask.queued = false
+	d.queue = slices.Delete(d.queue, at, at+1)
+}
+
+// group is where the requests of one priority stand in the queue: the late ones from
+// start to inTime, those in time from there to end.
+type group struct{ priority, start, inTime, end int }
+
+// groups calls yield for each priority that waits, the most urgent first.
+func (d *Dispatcher) groups(now time.Time, yield func(g group)) {
+	for start := 0; start < len(d.queue); {
+		g := group{priority: d.queue[start].ask.Priority, start: start}
+		g.end = start + sort.Search(len(d.queue)-start, func(i int) bool { return d.queue[start+i].ask.Priority > g.priority })
+		g.inTime = start + sort.Search(g.end-start, func(i int) bool { return !d.queue[start+i].ask.isLate(now) })
+		yield(g)
+		start = g.end
+	}
 }
 
-// isAhead reports whether a waiting request gets a place before another one. Those who
-// are late already do not go before one who is not.
-func isAhead(waiting, ask *Ask, now time.Time) bool {
-	if late := waiting.isLate(now); late != ask.isLate(now) {
-		return !late
+// waiting is how many requests wait here that are in time, and how many that are late.
+func (d *Dispatcher) waiting(now time.Time) (inTime, late int) {
+	d.groups(now, func(g group) {
+		inTime += g.end - g.inTime
+		late += g.inTime - g.start
+	})
+	return inTime, late
+}
+
+// ahead is how many requests wait here that get a place before another one. Those who are
+// late do not go before one who is in time.
+func (d *Dispatcher) ahead(ask *Ask, now time.Time) int {
+	ahead, isLate := 0, ask.isLate(now)
+	d.groups(now, func(g group) {
+		from, to := g.inTime, g.end
+		if isLate {
+			from, to = g.start, g.inTime
+			ahead += g.end - g.inTime
+		}
+		switch {
+		case g.priority < ask.Priority:
+			ahead += to - from
+		case g.priority == ask.Priority:
+			ahead += sort.Search(to-from, func(i int) bool { return d.queue[from+i].ask.startBy.After(ask.startBy) })
+		}
+	})
+	if ask.queued {
+		ahead--
 	}
-	return !before(ask, waiting)
+	return max(0, ahead)
 }
--- a/pkg/route/reservation.go
+++ b/pkg/route/reservation.go
@@ -111,6 +111,8 @@
 func (d *Dispatcher) release(r *Reservation, now time.Time) {
 	r.begun()
 	r.backend.own.Requests--
+	d.changes++
+	d.census.free++
 	freed := r.backend
 	if d.backends[r.Server.ID] != freed {
 		// The server is no longer listed.
