feat(direct): what a box believes shows in logs and metrics

Change: a line for each time that facts are read from another entry box; how long the store was away, and after how many calls, when it is back; gauges for configuration, revision, age of the store's word and deletions held back. Time-outs of the store's calls and of asking other boxes run on the process's clock, so that tests can move it.

--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -46,7 +46,7 @@
 		silent:         metric.Counter("boxes_marked_silent_total", "Boxes that this process marked silent."),
 		keyValueCalls:  metric.Counters("key_value_calls_total", "Calls of the key-value service, by purpose.", "purpose"),
 		keyValueErrors: metric.Counter("key_value_errors_total", "Reads of the key-value service that failed."),
-		planner:        prometheus.NewGauge(prometheus.GaugeOpts{Namespace: metric.Namespace, Name: "planner", Help: "1 while this process holds the planner's lease."}),
+		planner:        metric.Gauge("planner", "1 while this process holds the planner's lease."),
 		planSeconds:    prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: metric.Namespace, Name: "plan_seconds", Help: "Time to compute a plan.", Buckets: requestBuckets}),
 		chunkBytes:     metric.Counters("chunk_received_bytes_total", "Bytes of verified chunks received, by where from.", "from"),
 		chunkFaults:    metric.Counters("chunk_faults_total", "Fetches of chunks that failed, by where from and fault.", "from", "fault"),
--- a/internal/direct/facts.go
+++ b/internal/direct/facts.go
@@ -69,6 +69,8 @@
 	// answered is when the store last answered; zero if it never did.
 	answered time.Time
 	lost     bool
+	// failures are the calls in a row that gave nothing.
+	failures int
 	returned time.Time
 }
 
@@ -159,11 +161,11 @@
 	var err error
 	if whole {
 		call = "snapshot"
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		callCtx, cancel := clockwork.WithTimeout(ctx, f.clock, callTimeout)
 		got, err = r.source.Snapshot(callCtx)
 		cancel()
 	} else {
-		callCtx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+		callCtx, cancel := clockwork.WithTimeout(ctx, f.clock, watchWait+watchSlack)
 		got, err = r.source.Changes(callCtx, r.after, watchWait)
 		cancel()
 	}
@@ -202,6 +204,7 @@
 	f.mu.Lock()
 	first := !f.lost
 	f.lost = true
+	f.failures++
 	f.mu.Unlock()
 	if first {
 		f.log.Warn().Str("dependency", "store").Str("call", call).Dur("age_ms", f.StoreAge()).Err(err).Msg("dependency lost")
@@ -212,15 +215,15 @@
 
 func (f *Facts) storeAnswered() {
 	f.mu.Lock()
-	regained := f.lost
-	f.lost = false
+	regained, before, failures := f.lost, f.answered, f.failures
+	f.lost, f.failures = false, 0
 	f.answered = f.clock.Now()
 	if regained {
 		f.returned = f.answered
 	}
 	f.mu.Unlock()
 	if regained {
-		f.log.Info().Str("dependency", "store").Msg("dependency regained")
+		f.log.Info().Str("dependency", "store").Dur("age_ms", f.clock.Since(before)).Int("failures", failures).Msg("dependency regained")
 	}
 }
 
@@ -260,6 +263,7 @@
 	for i := range facts {
 		delete(f.held, facts[i].Key)
 	}
+	f.metrics.observeBelief(f.View(), f.revision, len(f.held))
 }
 
 // missing returns the facts that are held but no longer in the store.
@@ -334,6 +338,7 @@
 // publish makes a view the one that is believed. The lock must be held.
 func (f *Facts) publish(view *fleet.View) {
 	f.view.Store(view)
+	f.metrics.observeBelief(view, f.revision, len(f.held))
 	close(f.changed)
 	f.changed = make(chan struct{})
 }
@@ -415,6 +420,7 @@
 
 func (p *Process) newFacts() error {
 	p.facts = NewFacts(p.options.Clock, p.options.Log, p.metrics)
+	p.metrics.observeStoreAge(p.facts.StoreAge)
 	return p.kernel.Register(p.facts)
 }
 
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -13,6 +13,7 @@
 
 	"github.com/cinderslip/cinderslip/internal/kernel"
 	"github.com/cinderslip/cinderslip/internal/metric"
+	"github.com/cinderslip/cinderslip/pkg/fleet"
 )
 
 // Metrics are the counts of one process.
@@ -29,6 +30,10 @@
 	logDropped  prometheus.Counter
 	pieces      *prometheus.CounterVec
 	orders      *prometheus.CounterVec
+	// configuration, revision and held are what the process believes.
+	configuration prometheus.Gauge
+	revision      prometheus.Gauge
+	held          prometheus.Gauge
 }
 
 // secondsBuckets reach from a fast lookup to a long stream.
@@ -42,18 +47,38 @@
 		seconds:     metric.Histograms("direct_request_seconds", "Time from arrival to the end of the answer.", secondsBuckets, "route"),
 		firstEvent:  metric.Histograms("direct_first_byte_seconds", "Time from arrival to the first byte of the answer.", secondsBuckets, "route"),
 		attempts:    metric.Counters("direct_attempts_total", "Attempts at backend servers by service and result.", "service", "result"),
-		waiting:     prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: metric.Namespace, Name: "direct_waiting", Help: "Requests that wait for a place."}, []string{"service"}),
+		waiting:     metric.Gauges("direct_waiting", "Requests that wait for a place.", "service"),
 		connections: metric.Counter("direct_connections_total", "Connections opened to backend servers."),
 		storeCalls:  metric.Counters("store_calls_total", "Calls of the platform's store by kind and result.", "call", "result"),
 		logDropped:  metric.Counter("log_lines_dropped_total", "Log lines dropped because they came too fast."),
 		pieces:      metric.Counters("pieces_total", "Pieces of weights received, by source and result.", "from", "result"),
 		orders:      metric.Counters("orders_total", "Orders given to the backend server, by result.", "result"),
+
+		configuration: metric.Gauge("believed_configuration_version", "Version of the operators' configuration that is in force here."),
+		revision:      metric.Gauge("believed_revision", "Newest revision of the platform's store that is known here."),
+		held:          metric.Gauge("believed_held_deletions", "Deletions of servers' entries that are held back after an outage of the store."),
 	}
 	m.registry.MustRegister(m.requests, m.seconds, m.firstEvent, m.attempts, m.waiting, m.connections,
-		m.storeCalls, m.logDropped, m.pieces, m.orders, collectors.NewGoCollector())
+		m.storeCalls, m.logDropped, m.pieces, m.orders, m.configuration, m.revision, m.held, collectors.NewGoCollector())
 	return m
 }
 
+// observeBelief shows what the process believes.
+func (m *Metrics) observeBelief(view *fleet.View, revision fleet.Revision, held int) {
+	if view.Configuration != nil {
+		m.configuration.Set(float64(view.Configuration.Version))
+	}
+	m.revision.Set(float64(revision))
+	m.held.Set(float64(held))
+}
+
+// observeStoreAge shows how long ago the platform's store last answered the process.
+func (m *Metrics) observeStoreAge(age func() time.Duration) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: metric.Namespace, Name: "believed_store_age_seconds", Help: "How long ago the platform's store last answered; negative if it never did.",
+	}, func() float64 { return age().Seconds() }))
+}
+
 // httpService is an HTTP server as a service of the kernel.
 type httpService struct {
 	name   string
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -307,8 +307,9 @@
 
 // pull reads what another entry box has come to know since the last time.
 func (e *EntryBoxes) pull(ctx context.Context, from member.Address) error {
-	callCtx, cancel := context.WithTimeout(ctx, pullTimeout)
+	callCtx, cancel := clockwork.WithTimeout(ctx, e.clock, pullTimeout)
 	defer cancel()
+	began := e.clock.Now()
 	cursor := e.pulled[from]
 	stream, err := wire.NewDRPCFleetClient(e.peers.Conn(from)).Facts(callCtx, &wire.FactsRequest{
 		Box: e.self.Box, Instance: cursor.Instance, Cursor: cursor.Sequence, Once: true,
@@ -320,6 +321,8 @@
 	if err != nil {
 		return err
 	}
+	e.log.Info().Str("address", string(from)).Dur("taken_ms", e.clock.Since(began)).Int("items", len(batch.Items)).
+		Uint64("before", uint64(e.facts.Revision())).Msg("facts read from another entry box")
 	e.pulled[from] = state.Cursor{Instance: batch.Instance, Sequence: batch.Cursor}
 	e.facts.ApplyItems(itemsFromWire(batch.Items), string(from))
 	e.facts.LearnAges(agesFromWire(batch.Ages), string(from))
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -27,3 +27,13 @@
 		Namespace: Namespace, Name: name, Help: help, Buckets: buckets,
 	}, labels)
 }
+
+// Gauge returns a gauge.
+func Gauge(name, help string) prometheus.Gauge {
+	return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: Namespace, Name: name, Help: help})
+}
+
+// Gauges returns gauges with labels.
+func Gauges(name, help string, labels ...string) *prometheus.GaugeVec {
+	return prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: Namespace, Name: name, Help: help}, labels)
+}
