--- a/internal/direct/facts.go
+++ b/internal/direct/facts.go
@@ -157,6 +157,7 @@
 func (r *storeReader) once(ctx context.Context) {
 	f := r.facts
 	call, whole := "changes", r.after == 0
+	began := f.clock.Now()
 	var got provider.Facts
 	var err error
 	if whole {
@@ -180,6 +181,10 @@
 	f.metrics.storeCalls.WithLabelValues(call, "done").Inc()
 	r.pause = retryFirst
 	f.storeAnswered()
+	if whole || len(got.Facts) > 0 {
+		f.log.Info().Str("call", call).Uint64("after", uint64(r.after)).Uint64("at", uint64(got.At)).Int("facts", len(got.Facts)).
+			Dur("taken_ms", f.clock.Since(began)).Msg("facts read from the store")
+	}
 	for _, finding := range got.Findings {
 		f.log.Error().Err(finding).Msg("entry of the store not taken")
 	}
