--- /dev/null
+++ b/internal/direct/outage_test.go
@@ -0,0 +1,191 @@
+package direct
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cinderslip/cinderslip/internal/provider"
+	"github.com/cinderslip/cinderslip/internal/wire"
+	"github.com/cinderslip/cinderslip/pkg/fleet"
+	"github.com/cinderslip/cinderslip/pkg/member"
+	"github.com/cinderslip/cinderslip/pkg/state"
+)
+
+// readBound is in which time a box has to read a change of the store: half of the two
+// seconds after which it has to be in force, so that others can be told in the other half.
+const readBound = time.Second
+
+// silentStore is a store that swallows calls: one that comes while it is silent never gets
+// an answer, also after it is back.
+type silentStore struct {
+	mu      sync.Mutex
+	silent  bool
+	version uint64
+	changed chan struct{}
+}
+
+func newSilentStore() *silentStore { return &silentStore{version: 1, changed: make(chan struct{})} }
+
+// silence begins or ends the outage; calls that wait for changes are swallowed too.
+func (s *silentStore) silence(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+}
+
+// configure writes another configuration.
+func (s *silentStore) configure(version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version = version
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *silentStore) source() provider.FactSource {
+	return provider.FactSource{
+		Snapshot: func(ctx context.Context) (provider.Facts, error) { return s.answer(ctx, 0, 0) },
+		Changes:  s.answer,
+	}
+}
+
+func (s *silentStore) answer(ctx context.Context, after fleet.Revision, wait time.Duration) (provider.Facts, error) {
+	end := time.After(wait)
+	for {
+		s.mu.Lock()
+		silent, at, changed := s.silent, fleet.Revision(s.version), s.changed
+		s.mu.Unlock()
+		if silent {
+			<-ctx.Done()
+			return provider.Facts{}, provider.ErrUnavailable
+		}
+		if at > after {
+			fact := fleet.Fact{Key: fleet.ConfigurationKey(), Revision: at, Configuration: &fleet.Configuration{Version: uint64(at)}}
+			return provider.Facts{Facts: []fleet.Fact{fact}, At: at}, nil
+		}
+		select {
+		case <-changed:
+		case <-end:
+			return provider.Facts{At: after}, nil
+		case <-ctx.Done():
+			return provider.Facts{}, provider.ErrUnavailable
+		}
+	}
+}
+
+// awaitVersion returns how long it takes until a configuration is in force, at most a minute.
+func awaitVersion(facts *Facts, version uint64) time.Duration {
+	began, limit := time.Now(), time.After(time.Minute)
+	for {
+		changed := facts.Changed()
+		if view := facts.View(); view.Configuration != nil && view.Configuration.Version >= version {
+			return time.Since(began)
+		}
+		select {
+		case <-changed:
+		case <-limit:
+			return time.Since(began)
+		}
+	}
+}
+
+// A call that the store had swallowed just before it came back, and the pause after it, hid
+// for up to four seconds that it was back (incident 0001).
+func TestAStoreThatIsBackIsReadSoonHoweverLongItWasSilent(t *testing.T) {
+	const shortest, longest, step = 2 * time.Second, 9 * time.Second, 100 * time.Millisecond
+	for silent := shortest; silent <= longest; silent += step {
+		synctest.Test(t, func(t *testing.T) {
+			store, facts := newSilentStore(), NewFacts(clockwork.NewRealClock(), zerolog.Nop(), NewMetrics())
+			defer func() { require.NoError(t, facts.Stop(context.Background())) }()
+			facts.ReadStore(store.source(), func() bool { return true })
+			awaitVersion(facts, 1)
+			store.silence(true)
+			time.Sleep(silent)
+			store.silence(false)
+			store.configure(2)
+			assert.LessOrEqual(t, awaitVersion(facts, 2), readBound, "silent for %s", silent)
+		})
+	}
+}
+
+// newTestBoxes returns what a box knows of one other that told its status.
+func newTestBoxes(facts *Facts, told ...*wire.EntryStatus) *EntryBoxes {
+	boxes := &EntryBoxes{
+		facts: facts, clock: facts.clock, log: zerolog.Nop(),
+		boxes: make(map[string]EntryBox), pulled: make(map[member.Address]state.Cursor),
+	}
+	boxes.self.Box = "self"
+	for _, status := range told {
+		boxes.update(status.Peers, status, facts.clock.Now())
+	}
+	return boxes
+}
+
+func newTestStatus(facts *Facts) *Status {
+	return &Status{clock: facts.clock, facts: facts, identity: &wire.EntryStatus{Box: "reader", Peers: "reader:1"}}
+}
+
+func configurationAt(version uint64, revision fleet.Revision) fleet.Fact {
+	return fleet.Fact{Key: fleet.ConfigurationKey(), Revision: revision, Configuration: &fleet.Configuration{Version: version}}
+}
+
+// A box that held back the deletion of a server's entry told the revision before it, so that
+// nobody asked it for the configuration that it had read since (incident 0001).
+func TestAConfigurationReadAfterAnOutageIsToldWhileDeletionsAreHeldBack(t *testing.T) {
+	reader, clock := newTestFacts()
+	play(t, clock, reader,
+		gives(5, listed("a", 3), configurationAt(1, 5)), fails(provider.ErrUnavailable),
+		gives(9, fleet.Fact{Key: fleet.ServerKey("a"), Revision: 6, Gone: true}, configurationAt(2, 9)))
+	require.EqualValues(t, 2, reader.View().Configuration.Version)
+	follower := NewFacts(clock, zerolog.Nop(), NewMetrics())
+	follower.Apply([]fleet.Fact{listed("a", 3), configurationAt(1, 5)}, "store")
+	boxes := newTestBoxes(follower, newTestStatus(reader).whole())
+	_, behind := boxes.newest()
+	require.True(t, behind, "the follower has to ask for the new configuration")
+}
+
+// Facts were asked of one box after the other, so that a silent one held up all others for
+// two and a half seconds (found with incident 0001).
+func TestABoxThatDoesNotAnswerHoldsUpNoOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		facts := NewFacts(clockwork.NewRealClock(), zerolog.Nop(), NewMetrics())
+		facts.Apply([]fleet.Fact{configurationAt(1, 1)}, "store")
+		status := func(box string) *wire.EntryStatus {
+			return &wire.EntryStatus{Box: box, Peers: box, Revision: 2, Ready: true}
+		}
+		boxes := newTestBoxes(facts, status("silent"), status("sound"))
+		var once sync.Once
+		boxes.pull = func(ctx context.Context, from member.Address) error {
+			// Whoever is asked first is the silent one, so that the draw does not matter.
+			silent := false
+			once.Do(func() { silent = true })
+			if silent {
+				pullCtx, cancel := context.WithTimeout(ctx, pullTimeout)
+				defer cancel()
+				<-pullCtx.Done()
+				return pullCtx.Err()
+			}
+			facts.Apply([]fleet.Fact{configurationAt(2, 2)}, string(from))
+			return nil
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go func() {
+			for ctx.Err() == nil {
+				boxes.update("silent", status("silent"), time.Now())
+				boxes.update("sound", status("sound"), time.Now())
+				sleep(ctx, facts.clock, statusHeartbeat)
+			}
+		}()
+		go boxes.repair(ctx)
+		assert.LessOrEqual(t, awaitVersion(facts, 2), readBound)
+	})
+}
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -55,6 +55,8 @@
 	// told is called with what another box has in flight and is asked for; see Front.
 	told func(box member.BoxID, load route.Load, demands route.Demands, whole bool, now time.Time)
 
+	// pull reads what another entry box has come to know since the last time.
+	pull func(ctx context.Context, from member.Address) error
 	// pulled is how far the facts of each box were read; only repair uses it.
 	pulled map[member.Address]state.Cursor
 
@@ -70,6 +72,7 @@
 		told: p.front.PeerTold,
 	}
 	e.self.Box, e.self.Region, e.self.Peers = p.settings.Box, p.settings.Region, p.settings.Listen.Peers
+	e.pull = e.readFacts
 	p.front.entries.Store(e)
 	e.duties.Go(e.followAll)
 	e.duties.Go(e.repair)
@@ -305,8 +308,8 @@
 	return near[rand.IntN(len(near))], true
 }
 
-// pull reads what another entry box has come to know since the last time.
-func (e *EntryBoxes) pull(ctx context.Context, from member.Address) error {
+// readFacts is the pull of a running process.
+func (e *EntryBoxes) readFacts(ctx context.Context, from member.Address) error {
 	callCtx, cancel := clockwork.WithTimeout(ctx, e.clock, pullTimeout)
 	defer cancel()
 	began := e.clock.Now()
