fix(direct): a store that is back is read at once, however long it was silent

Cause: a call that the store had swallowed just before its return was given up after 2.5 s and followed by a pause of 0.8 to 1.6 s; nothing else was tried meanwhile. Change: an answer that is overdue by 0.3 s is no longer waited for alone: the store is called again, on another connection, and the first answer counts. While it is away each box calls it at a pace at which all of them together make ten calls a second. One watch waits for 1 s in place of 1.5 s. Deletions are held back only after an outage in which entries can have lapsed, as a single call that is overdue now counts as a loss.

--- a/internal/direct/facts.go
+++ b/internal/direct/facts.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"maps"
 	"math/rand/v2"
 	"strings"
@@ -21,23 +20,12 @@
 )
 
 const (
-	// watchWait is how long one call waits for changes. Each call is priced, but a
-	// waiting call may hear nothing of changes while the store drops its history;
-	// only the next one does, and a change has to be in force in two seconds.
-	watchWait = 1500 * time.Millisecond
-	// watchSlack is for how much longer the answer of such a call is waited for.
-	watchSlack = time.Second
-	// callTimeout bounds any other call of the store; it answers in milliseconds.
-	callTimeout = time.Second
-	// gatherTime is waited after a change, so that changes in quick succession
-	// take one call. It is short against the time in which one must be in force.
-	gatherTime = 250 * time.Millisecond
-	// retryFirst and retryLongest bound the wait after a failed call.
-	retryFirst   = 100 * time.Millisecond
-	retryLongest = 800 * time.Millisecond
 	// lapseHold is how long a server stays believed whose entry went while the
 	// store was away: entries of servers that live are back within two seconds.
 	lapseHold = 2200 * time.Millisecond
+	// lapseLeast is how long the store must have been away for entries to have lapsed
+	// meanwhile: they last for several heartbeats, which come every second or so.
+	lapseLeast = 1400 * time.Millisecond
 	// lapseWindow is how long after the store's return entries may still be found
 	// to have lapsed meanwhile.
 	lapseWindow = 1500 * time.Millisecond
@@ -68,9 +56,12 @@
 	held map[string]fleet.Revision
 	// answered is when the store last answered; zero if it never did.
 	answered time.Time
-	lost     bool
-	// failures are the calls in a row that gave nothing.
-	failures int
+	// lostSince is when the first of the calls began that the store has not answered since,
+	// failures how many they are; zero while it answers.
+	lostSince time.Time
+	failures  int
+	// returned is when the store answered after it had been away for so long that entries
+	// may have lapsed.
 	returned time.Time
 }
 
@@ -131,104 +122,38 @@
 	return f.clock.Since(f.answered)
 }
 
-// ReadStore follows the store for as long as wanted holds.
-func (f *Facts) ReadStore(source provider.FactSource, wanted func() bool) {
-	f.duties.Go(func(ctx context.Context) {
-		reader := &storeReader{facts: f, source: source, pause: retryFirst}
-		for ctx.Err() == nil {
-			if !wanted() {
-				sleep(ctx, f.clock, gatherTime)
-				continue
-			}
-			reader.once(ctx)
-		}
-	})
-}
-
-// storeReader is how far one reader has come in the store's changes.
-type storeReader struct {
-	facts  *Facts
-	source provider.FactSource
-	after  fleet.Revision
-	pause  time.Duration
-}
-
-// once makes one call and takes its result.
-func (r *storeReader) once(ctx context.Context) {
-	f := r.facts
-	call, whole := "changes", r.after == 0
-	began := f.clock.Now()
-	var got provider.Facts
-	var err error
-	if whole {
-		call = "snapshot"
-		callCtx, cancel := clockwork.WithTimeout(ctx, f.clock, callTimeout)
-		got, err = r.source.Snapshot(callCtx)
-		cancel()
-	} else {
-		callCtx, cancel := clockwork.WithTimeout(ctx, f.clock, watchWait+watchSlack)
-		got, err = r.source.Changes(callCtx, r.after, watchWait)
-		cancel()
-	}
-	if ctx.Err() != nil {
-		return
-	}
-	if err != nil {
-		f.metrics.storeCalls.WithLabelValues(call, "failed").Inc()
-		r.failed(ctx, call, err)
-		return
-	}
-	f.metrics.storeCalls.WithLabelValues(call, "done").Inc()
-	r.pause = retryFirst
-	f.storeAnswered()
-	if whole || len(got.Facts) > 0 {
-		f.log.Info().Str("call", call).Uint64("after", uint64(r.after)).Uint64("at", uint64(got.At)).Int("facts", len(got.Facts)).
-			Dur("taken_ms", f.clock.Since(began)).Msg("facts read from the store")
-	}
-	for _, finding := range got.Findings {
-		f.log.Error().Err(finding).Msg("entry of the store not taken")
-	}
-	if whole {
-		got.Facts = append(got.Facts, f.missing(got)...)
-	}
-	f.Apply(f.holdLapsed(got.Facts), "store")
-	r.after = max(r.after, got.At)
-	if len(got.Facts) > 0 && !whole {
-		sleep(ctx, f.clock, gatherTime)
-	}
+// isStoreLost reports whether the store has not answered the last call.
+func (f *Facts) isStoreLost() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.lostSince.IsZero()
 }
 
-// failed notes a call that gave nothing.
-func (r *storeReader) failed(ctx context.Context, call string, err error) {
-	f := r.facts
-	if errors.Is(err, provider.ErrHistoryGone) {
-		f.log.Warn().Uint64("after", uint64(r.after)).Err(err).Msg("store history gone, reading everything")
-		r.after = 0
-		return
-	}
+// storeLost notes a call that was not answered, or not in time.
+func (f *Facts) storeLost(call string, began time.Time, err error) {
 	f.mu.Lock()
-	first := !f.lost
-	f.lost = true
+	first := f.lostSince.IsZero()
+	if first {
+		f.lostSince = began
+	}
 	f.failures++
 	f.mu.Unlock()
 	if first {
 		f.log.Warn().Str("dependency", "store").Str("call", call).Dur("age_ms", f.StoreAge()).Err(err).Msg("dependency lost")
 	}
-	sleep(ctx, f.clock, r.pause+rand.N(r.pause))
-	r.pause = min(2*r.pause, retryLongest)
 }
 
 func (f *Facts) storeAnswered() {
 	f.mu.Lock()
-	regained, before, failures := f.lost, f.answered, f.failures
-	f.lost, f.failures = false, 0
-	f.answered = f.clock.Now()
-	if regained {
-		f.returned = f.answered
+	now := f.clock.Now()
+	regained, away, failures := !f.lostSince.IsZero(), now.Sub(f.lostSince), f.failures
+	f.answered, f.lostSince, f.failures = now, time.Time{}, 0
+	if regained && away >= lapseLeast {
+		f.returned = now
 	}
 	f.mu.Unlock()
 	if regained {
-		f.log.Info().Str("dependency", "store").Dur("age_ms", f.clock.Since(before)).Int("failures", failures).Msg("dependency regained")
+		f.log.Info().Str("dependency", "store").Dur("away_ms", away).Int("failures", failures).Msg("dependency regained")
 	}
 }
 
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -38,8 +38,8 @@
 	// each region; the others hear from them.
 	leastReaders = 2
 	// storeAway is after how long without an answer of the store a reader no
-	// longer counts. It is longer than one watch.
-	storeAway = watchWait + watchSlack + statusHeartbeat
+	// longer counts: it is longer than one watch, and a call in place of one that is overdue.
+	storeAway = watchWait + overdueAfter + probeShortest + statusHeartbeat
 )
 
 // EntryBoxes follows the other entry boxes.
@@ -76,7 +76,7 @@
 	p.front.entries.Store(e)
 	e.duties.Go(e.followAll)
 	e.duties.Go(e.repair)
-	p.facts.ReadStore(p.options.Platform.Facts, e.isReader)
+	p.facts.ReadStore(p.options.Platform.Facts, e.isReader, e.probePause)
 	return p.kernel.Register(e)
 }
 
@@ -255,6 +255,9 @@
 	return slices.Contains(member.Rank("reader/"+e.self.Region, candidates, readers), self)
 }
 
+// probePause is the time between two calls of the store while it is away.
+func (e *EntryBoxes) probePause() time.Duration { return probePauseOf(1 + len(e.Boxes())) }
+
 // repair asks another box for its facts when it has known newer ones for a while.
 func (e *EntryBoxes) repair(ctx context.Context) {
 	ticker := e.clock.NewTicker(statusInterval)
--- /dev/null
+++ b/internal/direct/reader.go
@@ -0,0 +1,189 @@
+package direct
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/cinderslip/cinderslip/internal/provider"
+	"github.com/cinderslip/cinderslip/pkg/fleet"
+)
+
+const (
+	// watchWait is how long one call waits for changes. Each call is priced, but one whose
+	// connection has gone silent, or that waits while the store drops its history, hears
+	// nothing, and a change has to be in force everywhere in two seconds: half of them are
+	// for reading it, half for telling the others.
+	watchWait = time.Second
+	// overdueAfter is for how long after its time an answer is waited for before the store is
+	// called anew, on another connection. The store answers in milliseconds, and in a
+	// quarter of a second when it is slow.
+	overdueAfter = 300 * time.Millisecond
+	// callTimeout bounds any call that does not wait. Others are made meanwhile, so it may be
+	// long against the answers of a slow store.
+	callTimeout = 2 * time.Second
+	// gatherTime is waited after a change, so that changes in quick succession
+	// take one call. It is short against the time in which one must be in force.
+	gatherTime = 250 * time.Millisecond
+	// retryFirst is the wait after a waiting call that failed; up to as much is added at random.
+	retryFirst = 100 * time.Millisecond
+	// probesPerSecond is how often the store is called while it is away, by all boxes
+	// together: the first one that gets an answer tells the others.
+	probesPerSecond = 10
+	// probeShortest and probeLongest bound the time between two such calls of one box, which
+	// varies by a quarter. The longest is still below the time in which a change must be in
+	// force; the calls of some hundred boxes are then a tenth of those that the store takes.
+	probeShortest = 300 * time.Millisecond
+	probeLongest  = 1500 * time.Millisecond
+)
+
+// storeReader is how far one reader has come in the store's changes.
+type storeReader struct {
+	facts  *Facts
+	source provider.FactSource
+	after  fleet.Revision
+	// wanted reports whether this process is to read the store.
+	wanted func() bool
+	// probePause is the time between two calls while the store is away.
+	probePause func() time.Duration
+}
+
+// storeAnswer is what became of one call.
+type storeAnswer struct {
+	call  string
+	whole bool
+	began time.Time
+	after fleet.Revision
+	got   provider.Facts
+	err   error
+}
+
+// ReadStore follows the store for as long as wanted holds. While the store is away it is
+// called once in each probePause.
+func (f *Facts) ReadStore(source provider.FactSource, wanted func() bool, probePause func() time.Duration) {
+	f.duties.Go(func(ctx context.Context) {
+		reader := &storeReader{facts: f, source: source, wanted: wanted, probePause: probePause}
+		for ctx.Err() == nil {
+			if !wanted() {
+				sleep(ctx, f.clock, gatherTime)
+				continue
+			}
+			reader.once(ctx)
+		}
+	})
+}
+
+// probePauseOf is the time between two calls of each of some boxes while the store is away.
+func probePauseOf(boxes int) time.Duration {
+	return min(max(time.Duration(boxes)*time.Second/probesPerSecond, probeShortest), probeLongest)
+}
+
+// once reads what has changed, and takes it.
+func (r *storeReader) once(ctx context.Context) {
+	f := r.facts
+	answer, ok := r.read(ctx)
+	if !ok {
+		return
+	}
+	if answer.err != nil {
+		f.log.Warn().Uint64("after", uint64(answer.after)).Err(answer.err).Msg("store history gone, reading everything")
+		r.after = 0
+		return
+	}
+	f.storeAnswered()
+	r.take(&answer)
+	if len(answer.got.Facts) > 0 && !answer.whole {
+		sleep(ctx, f.clock, gatherTime)
+	}
+}
+
+// read calls the store until it answers; ok is false if the context has ended or the store is
+// not to be read any more. An answer that is overdue is waited for no longer than it takes
+// to get one by another call: the connection may have gone silent, or the store may be back
+// that had swallowed the call.
+func (r *storeReader) read(ctx context.Context) (answer storeAnswer, ok bool) {
+	f := r.facts
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan storeAnswer)
+	wait := watchWait
+	if f.isStoreLost() {
+		wait = 0
+	}
+	began := r.call(ctx, wait, answers)
+	next := f.clock.Now().Add(wait + overdueAfter)
+	for {
+		select {
+		case <-ctx.Done():
+			return storeAnswer{}, false
+		case answer = <-answers:
+			if answer.err == nil || errors.Is(answer.err, provider.ErrHistoryGone) {
+				return answer, true
+			}
+			r.failed(&answer)
+			if answer.began.Equal(began) {
+				next = f.clock.Now().Add(retryFirst + rand.N(retryFirst))
+			}
+		case <-f.clock.After(next.Sub(f.clock.Now())):
+			if !r.wanted() {
+				return storeAnswer{}, false
+			}
+			f.storeLost("overdue", began, errOverdue)
+			r.call(ctx, 0, answers)
+			pause := r.probePause()
+			next = f.clock.Now().Add(pause*3/4 + rand.N(pause/2))
+		}
+	}
+}
+
+// errOverdue reports a call that was not answered in its time.
+var errOverdue = errors.New("answer is overdue")
+
+// call begins one call of the store, which waits for changes at most for a time.
+func (r *storeReader) call(ctx context.Context, wait time.Duration, answers chan<- storeAnswer) (began time.Time) {
+	answer := storeAnswer{call: "changes", whole: r.after == 0, began: r.facts.clock.Now(), after: r.after}
+	if answer.whole {
+		answer.call = "snapshot"
+	}
+	r.facts.duties.Go(func(context.Context) {
+		callCtx, cancel := clockwork.WithTimeout(ctx, r.facts.clock, wait+callTimeout)
+		defer cancel()
+		if answer.whole {
+			answer.got, answer.err = r.source.Snapshot(callCtx)
+		} else {
+			answer.got, answer.err = r.source.Changes(callCtx, answer.after, wait)
+		}
+		select {
+		case answers <- answer:
+		case <-ctx.Done():
+		}
+	})
+	return answer.began
+}
+
+// failed notes a call that gave nothing.
+func (r *storeReader) failed(answer *storeAnswer) {
+	r.facts.metrics.storeCalls.WithLabelValues(answer.call, "failed").Inc()
+	r.facts.storeLost(answer.call, answer.began, answer.err)
+}
+
+// take takes what a call has read.
+func (r *storeReader) take(answer *storeAnswer) {
+	f, got := r.facts, answer.got
+	f.metrics.storeCalls.WithLabelValues(answer.call, "done").Inc()
+	if answer.whole || len(got.Facts) > 0 {
+		f.log.Info().Str("call", answer.call).Uint64("after", uint64(answer.after)).Uint64("at", uint64(got.At)).Int("facts", len(got.Facts)).
+			Dur("taken_ms", f.clock.Since(answer.began)).Msg("facts read from the store")
+	}
+	for _, finding := range got.Findings {
+		f.log.Error().Err(finding).Msg("entry of the store not taken")
+	}
+	if answer.whole {
+		got.Facts = append(got.Facts, f.missing(got)...)
+	}
+	f.Apply(f.holdLapsed(got.Facts), "store")
+	r.after = max(r.after, got.At)
+}
