fix(direct): what was read after an outage is told while deletions are held back

Cause: while deletions of servers' entries are held back, a box told the revision before the first of them. Those that hear from others took it to know nothing new, and asked for the configuration up to 2.2 s later. Two more of the kind: a reader whose cursor was old held back deletions of entries that it knew to be back, and told an old revision for 2.2 s; and a batch that was cut counted for everything once the newest revision was among its facts. Change: a box tells two revisions, the newest of which it knows anything and the one up to which it knows everything; others ask it while either is beyond their own. A batch tells up to where it is complete, and nothing if it is cut. A deletion is held back only if nothing newer is known of its key.

--- a/internal/direct/facts.go
+++ b/internal/direct/facts.go
@@ -46,13 +46,13 @@
 
 	mu sync.Mutex
 	// changed is closed when the view changes.
-	changed  chan struct{}
-	servers  map[fleet.ServerID]listing
-	wanted   map[fleet.ModelName]fleet.Named
-	revision fleet.Revision
-	// held are the deletions that are held back, by key. While there are any, the
-	// facts count as complete only up to the revision before them, so that they
-	// are asked of another box that knows better.
+	changed chan struct{}
+	servers map[fleet.ServerID]listing
+	wanted  map[fleet.ModelName]fleet.Named
+	// newest is the newest revision of any fact, complete the one up to which all were read,
+	// those included that are held back.
+	newest, complete fleet.Revision
+	// held are the deletions that are held back, by key.
 	held map[string]fleet.Revision
 	// answered is when the store last answered; zero if it never did.
 	answered time.Time
@@ -101,15 +101,36 @@
 	return f.changed
 }
 
-// Revision returns the revision up to which everything that was heard of counts.
-func (f *Facts) Revision() fleet.Revision {
+// Extent is how far the changes of the platform's store are known.
+type Extent struct {
+	// Newest is the newest revision of which anything is known.
+	Newest fleet.Revision
+	// Complete is the revision up to which everything is known. Deletions that are held
+	// back come after it, so that they are asked of another box that knows better.
+	Complete fleet.Revision
+}
+
+// isBehind reports whether another process knows something that this one does not.
+func (e Extent) isBehind(other Extent) bool {
+	return other.Newest > e.Newest || other.Complete > e.Complete
+}
+
+// Extent returns how far the changes of the platform's store are known.
+func (f *Facts) Extent() Extent {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	revision := f.revision
+	complete := min(f.newest, f.complete)
 	for _, held := range f.held {
-		revision = min(revision, held-1)
+		complete = min(complete, held-1)
 	}
-	return revision
+	return Extent{Newest: f.newest, Complete: complete}
+}
+
+// CompleteUpTo notes that everything up to a revision was read.
+func (f *Facts) CompleteUpTo(revision fleet.Revision) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.complete = max(f.complete, revision)
 }
 
 // StoreAge returns how long ago the store answered; negative if it never did.
@@ -168,7 +189,7 @@
 	var now, later []fleet.Fact
 	for _, fact := range facts {
 		id := fleet.ServerID(strings.TrimPrefix(fact.Key, fleet.ServerKey("")))
-		if server, known := f.servers[id]; fact.Gone && known && !server.Leaving {
+		if server, known := f.servers[id]; fact.Gone && known && !server.Leaving && server.revision < fact.Revision {
 			later = append(later, fact)
 			f.held[fact.Key] = fact.Revision
 			f.log.Info().Str("server", string(id)).Uint64("revision", uint64(fact.Revision)).
@@ -191,9 +212,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for i := range facts {
-		delete(f.held, facts[i].Key)
+		if f.held[facts[i].Key] == facts[i].Revision {
+			delete(f.held, facts[i].Key)
+		}
 	}
-	f.metrics.observeBelief(f.View(), f.revision, len(f.held))
+	f.metrics.observeBelief(f.View(), f.newest, len(f.held))
 }
 
 // missing returns the facts that are held but no longer in the store.
@@ -239,7 +262,7 @@
 	servers, wanted := false, false
 	for _, item := range fresh {
 		delete(f.held, item.Key)
-		f.revision = max(f.revision, fleet.Revision(item.Version.Major))
+		f.newest = max(f.newest, fleet.Revision(item.Version.Major))
 		fact, err := fleet.FactOf(item)
 		if err != nil {
 			f.log.Error().Str("fact", item.Key).Err(err).Msg("fact not taken")
@@ -268,7 +291,7 @@
 // publish makes a view the one that is believed. The lock must be held.
 func (f *Facts) publish(view *fleet.View) {
 	f.view.Store(view)
-	f.metrics.observeBelief(view, f.revision, len(f.held))
+	f.metrics.observeBelief(view, f.newest, len(f.held))
 	close(f.changed)
 	f.changed = make(chan struct{})
 }
--- a/internal/direct/facts_test.go
+++ b/internal/direct/facts_test.go
@@ -103,10 +103,10 @@
 		facts, clock := newTestFacts()
 		play(t, clock, facts, outage(gives(5, listed("a", 3)), gives(7, gone()))...)
 		require.Len(t, facts.View().Servers("llm"), 1)
-		require.Less(t, facts.Revision(), fleet.Revision(7), "what is held back must not count as known")
+		require.Less(t, facts.Extent().Complete, fleet.Revision(7), "what is held back must not count as known")
 		clock.Advance(lapseHold)
 		require.Eventually(t, func() bool { return len(facts.View().Servers("llm")) == 0 }, 10*time.Second, time.Millisecond)
-		require.Eventually(t, func() bool { return facts.Revision() == 7 }, 10*time.Second, time.Millisecond)
+		require.Eventually(t, func() bool { return facts.Extent() == Extent{Newest: 7, Complete: 7} }, 10*time.Second, time.Millisecond)
 	})
 }
 
@@ -117,7 +117,7 @@
 		facts, clock := newTestFacts()
 		play(t, clock, facts, gives(5, listed("a", 3)), fails(provider.ErrUnavailable), gives(7, gone()))
 		require.Empty(t, facts.View().Servers("llm"))
-		require.Equal(t, fleet.Revision(7), facts.Revision())
+		require.Equal(t, Extent{Newest: 7, Complete: 7}, facts.Extent())
 	})
 }
 
@@ -137,7 +137,7 @@
 		play(t, clock, facts, outage(gives(5, listed("a", 3)), gives(7, gone()))...)
 		facts.Apply([]fleet.Fact{gone()}, "entry-2")
 		require.Empty(t, facts.View().Servers("llm"))
-		require.Equal(t, fleet.Revision(7), facts.Revision())
+		require.Equal(t, Extent{Newest: 7, Complete: 7}, facts.Extent())
 	})
 }
 
--- a/internal/direct/front_test.go
+++ b/internal/direct/front_test.go
@@ -38,9 +38,9 @@
 	e := &EntryBoxes{clock: clock, facts: facts, boxes: make(map[string]EntryBox)}
 	e.self.Region = "riga"
 	for _, name := range []string{"a", "b", "c"} {
-		e.boxes[name] = EntryBox{Box: member.BoxID(name), Region: "riga", Revision: 7, Heard: clock.Now()}
+		e.boxes[name] = EntryBox{Box: member.BoxID(name), Region: "riga", Extent: Extent{Newest: 7}, Heard: clock.Now()}
 	}
-	e.boxes["far"] = EntryBox{Box: "far", Region: "kurzeme", Revision: 9, Heard: clock.Now()}
+	e.boxes["far"] = EntryBox{Box: "far", Region: "kurzeme", Extent: Extent{Newest: 9}, Heard: clock.Now()}
 	asked := make(map[member.BoxID]bool)
 	for range 200 {
 		box, ok := e.newest()
--- a/internal/direct/outage_test.go
+++ b/internal/direct/outage_test.go
@@ -148,12 +148,62 @@
 		require.EqualValues(t, 2, reader.View().Configuration.Version)
 		follower := NewFacts(clock, zerolog.Nop(), NewMetrics())
 		follower.Apply([]fleet.Fact{listed("a", 3), configurationAt(1, 5)}, "store")
-		boxes := newTestBoxes(follower, newTestStatus(reader).whole())
-		_, behind := boxes.newest()
-		require.True(t, behind, "the follower has to ask for the new configuration")
+		status := newTestStatus(reader)
+		boxes := newTestBoxes(follower, status.whole())
+		isBehind := func() bool {
+			boxes.update("reader:1", status.whole(), clock.Now())
+			_, behind := boxes.newest()
+			return behind
+		}
+		read := func() { boxes.takeBatch("reader:1", status.batch(boxes.pulled["reader:1"], false)) }
+		require.True(t, isBehind(), "the follower has to ask for the new configuration")
+		read()
+		require.EqualValues(t, 2, follower.View().Configuration.Version)
+		require.Len(t, follower.View().Servers("llm"), 1)
+		require.False(t, isBehind(), "there is nothing to ask for until the deletion counts")
+		clock.Advance(lapseHold)
+		synctest.Wait()
+		require.True(t, isBehind(), "the follower has to ask for the deletion")
+		read()
+		require.Empty(t, follower.View().Servers("llm"))
+		require.False(t, isBehind())
+	})
+}
+
+// A reader whose cursor is old hears once more of entries that lapsed; those that it knows to
+// be back must not be held, nor keep it from telling what it knows (found with incident 0001).
+func TestALapsedEntryThatIsKnownToBeBackIsNotHeldBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		facts, clock := newTestFacts()
+		facts.Apply([]fleet.Fact{listed("a", 8), configurationAt(2, 9)}, "entry-2")
+		play(t, clock, facts, outage(gives(5, listed("a", 3)), gives(9, gone(), listed("a", 8), configurationAt(2, 9)))...)
+		require.Len(t, facts.View().Servers("llm"), 1)
+		require.Equal(t, Extent{Newest: 9, Complete: 9}, facts.Extent())
 	})
 }
 
+// More facts than one batch holds were taken for all of them, once the newest was among them.
+func TestABatchThatIsCutDoesNotCountAsComplete(t *testing.T) {
+	source, _ := newTestFacts()
+	var facts []fleet.Fact
+	for i := range 2 * factsLimit {
+		facts = append(facts, listed(fleet.ServerID(rune('a'+i)), fleet.Revision(2*factsLimit-i)))
+	}
+	source.Apply(facts, "store")
+	source.CompleteUpTo(2 * factsLimit)
+	status, follower := newTestStatus(source), NewFacts(source.clock, zerolog.Nop(), NewMetrics())
+	boxes := newTestBoxes(follower, status.whole())
+	for range 2 {
+		_, behind := boxes.newest()
+		require.True(t, behind)
+		boxes.takeBatch("reader:1", status.batch(boxes.pulled["reader:1"], false))
+	}
+	boxes.takeBatch("reader:1", status.batch(boxes.pulled["reader:1"], false))
+	_, behind := boxes.newest()
+	require.False(t, behind)
+	require.Len(t, follower.View().Servers("llm"), 2*factsLimit)
+}
+
 // Facts were asked of one box after the other, so that a silent one held up all others for
 // two and a half seconds (found with incident 0001).
 func TestABoxThatDoesNotAnswerHoldsUpNoOther(t *testing.T) {
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -15,6 +15,7 @@
 	"github.com/cinderslip/cinderslip/internal/daemon"
 	"github.com/cinderslip/cinderslip/internal/kernel"
 	"github.com/cinderslip/cinderslip/internal/wire"
+	"github.com/cinderslip/cinderslip/pkg/fleet"
 	"github.com/cinderslip/cinderslip/pkg/member"
 	"github.com/cinderslip/cinderslip/pkg/route"
 	"github.com/cinderslip/cinderslip/pkg/state"
@@ -287,15 +288,15 @@
 	}
 }
 
-// newest returns a box that knows a newer revision than this one, one of the own
+// newest returns a box that knows more than this one, one of the own
 // region if there is one; ok is false if none does. It is drawn, so that all that
 // are behind do not ask the same box for a large configuration.
 func (e *EntryBoxes) newest() (newest EntryBox, ok bool) {
-	own := e.facts.Revision()
+	own := e.facts.Extent()
 	var near, far []EntryBox
 	for _, box := range e.Boxes() {
 		switch {
-		case box.Revision <= own:
+		case !own.isBehind(box.Extent):
 		case string(box.Region) == e.self.Region:
 			near = append(near, box)
 		default:
@@ -315,22 +316,32 @@
 func (e *EntryBoxes) readFacts(ctx context.Context, from member.Address) error {
 	callCtx, cancel := clockwork.WithTimeout(ctx, e.clock, pullTimeout)
 	defer cancel()
-	began := e.clock.Now()
-	cursor := e.pulled[from]
-	stream, err := wire.NewDRPCFleetClient(e.peers.Conn(from)).Facts(callCtx, &wire.FactsRequest{
-		Box: e.self.Box, Instance: cursor.Instance, Cursor: cursor.Sequence, Once: true,
-	})
-	if err != nil {
-		return err
-	}
-	batch, err := stream.Recv()
-	if err != nil {
-		return err
+	for {
+		began, cursor := e.clock.Now(), e.pulled[from]
+		stream, err := wire.NewDRPCFleetClient(e.peers.Conn(from)).Facts(callCtx, &wire.FactsRequest{
+			Box: e.self.Box, Instance: cursor.Instance, Cursor: cursor.Sequence, Once: true,
+		})
+		if err != nil {
+			return err
+		}
+		batch, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		own := e.facts.Extent()
+		e.log.Info().Str("address", string(from)).Dur("taken_ms", e.clock.Since(began)).Int("items", len(batch.Items)).
+			Uint64("newest", uint64(own.Newest)).Uint64("complete", uint64(own.Complete)).Msg("facts read from another entry box")
+		e.takeBatch(from, batch)
+		if len(batch.Items) < factsLimit {
+			return nil
+		}
 	}
-	e.log.Info().Str("address", string(from)).Dur("taken_ms", e.clock.Since(began)).Int("items", len(batch.Items)).
-		Uint64("before", uint64(e.facts.Revision())).Msg("facts read from another entry box")
+}
+
+// takeBatch takes facts of another entry box.
+func (e *EntryBoxes) takeBatch(from member.Address, batch *wire.FactsBatch) {
 	e.pulled[from] = state.Cursor{Instance: batch.Instance, Sequence: batch.Cursor}
 	e.facts.ApplyItems(itemsFromWire(batch.Items), string(from))
+	e.facts.CompleteUpTo(fleet.Revision(batch.Complete))
 	e.facts.LearnAges(agesFromWire(batch.Ages), string(from))
-	return nil
 }
--- a/internal/direct/reader.go
+++ b/internal/direct/reader.go
@@ -185,5 +185,6 @@
 		got.Facts = append(got.Facts, f.missing(got)...)
 	}
 	f.Apply(f.holdLapsed(got.Facts), "store")
+	f.CompleteUpTo(got.At)
 	r.after = max(r.after, got.At)
 }
--- a/internal/direct/status.go
+++ b/internal/direct/status.go
@@ -154,19 +154,19 @@
 func (s *Status) summary() statusSummary {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return statusSummary{ready: s.ready, leaving: s.leaving, revision: s.facts.Revision(), entries: len(s.entries), storeAge: s.facts.StoreAge()}
+	return statusSummary{ready: s.ready, leaving: s.leaving, extent: s.facts.Extent(), entries: len(s.entries), storeAge: s.facts.StoreAge()}
 }
 
 // whole returns the status without what is in flight and asked for.
 func (s *Status) whole() *wire.EntryStatus {
-	ages := agesToWire(s.facts.VersionAges())
+	ages, extent := agesToWire(s.facts.VersionAges()), s.facts.Extent()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return &wire.EntryStatus{
 		Box: s.identity.Box, Region: s.identity.Region, FailureDomain: s.identity.FailureDomain,
 		Peers: s.identity.Peers, Callers: s.identity.Callers, Incarnation: s.identity.Incarnation,
 		Ready: s.ready, Leaving: s.leaving,
-		Revision: uint64(s.facts.Revision()), StoreAgeMilliseconds: s.facts.StoreAge().Milliseconds(),
+		Revision: uint64(extent.Newest), Complete: uint64(extent.Complete), StoreAgeMilliseconds: s.facts.StoreAge().Milliseconds(),
 		Entries: s.knownEntries(), Ages: ages,
 	}
 }
@@ -240,14 +240,8 @@
 	var told []string
 	for {
 		changed := s.facts.Changed()
-		batch := s.facts.store.Since(cursor, factsLimit)
-		cursor = batch.Next
-		if request.ServicesOnly {
-			s.reduce(batch.Items)
-		}
-		message := &wire.FactsBatch{
-			Instance: cursor.Instance, Cursor: cursor.Sequence, Items: itemsToWire(batch.Items), Ages: agesToWire(s.facts.VersionAges()),
-		}
+		message := s.batch(cursor, request.ServicesOnly)
+		cursor = state.Cursor{Instance: message.Instance, Sequence: message.Cursor}
 		if entries, _ := s.Entries(); !slices.Equal(entries, told) {
 			told = entries
 			message.Entries = append(slices.Clone(entries), s.identity.Peers)
@@ -258,7 +252,7 @@
 		if request.Once {
 			return nil
 		}
-		if len(batch.Items) == factsLimit {
+		if len(message.Items) == factsLimit {
 			continue
 		}
 		select {
@@ -272,6 +266,23 @@
 	}
 }
 
+// batch returns the facts that changed after a cursor, without the entry boxes.
+func (s *Status) batch(cursor state.Cursor, servicesOnly bool) *wire.FactsBatch {
+	// What is complete is read first: the facts then reach at least as far.
+	extent := s.facts.Extent()
+	batch := s.facts.store.Since(cursor, factsLimit)
+	if servicesOnly {
+		s.reduce(batch.Items)
+	}
+	message := &wire.FactsBatch{
+		Instance: batch.Next.Instance, Cursor: batch.Next.Sequence, Items: itemsToWire(batch.Items), Ages: agesToWire(s.facts.VersionAges()),
+	}
+	if len(batch.Items) < factsLimit {
+		message.Complete = uint64(extent.Complete)
+	}
+	return message
+}
+
 // reduce replaces a configuration by what a process needs that serves no callers. All
 // agents ask for the same one, so the last is kept.
 func (s *Status) reduce(items []state.Item) {
@@ -315,13 +326,14 @@
 
 // EntryBox is another entry box as its status tells.
 type EntryBox struct {
-	Box      member.BoxID
-	Region   member.Region
-	Domain   member.FailureDomain
-	Peers    member.Address
-	Callers  member.Address
-	Ready    bool
-	Revision fleet.Revision
+	Box     member.BoxID
+	Region  member.Region
+	Domain  member.FailureDomain
+	Peers   member.Address
+	Callers member.Address
+	Ready   bool
+	// Extent is how far the box knows the store's changes.
+	Extent Extent
 	// StoreAge is how long ago the store answered the box; negative for never.
 	StoreAge time.Duration
 	Heard    time.Time
@@ -331,14 +343,18 @@
 	return EntryBox{
 		Box: member.BoxID(status.Box), Region: member.Region(status.Region), Domain: member.FailureDomain(status.FailureDomain),
 		Peers: member.Address(status.Peers), Callers: member.Address(status.Callers),
-		Ready: status.Ready && !status.Leaving, Revision: fleet.Revision(status.Revision),
+		Ready: status.Ready && !status.Leaving, Extent: extentOf(status),
 		StoreAge: time.Duration(status.StoreAgeMilliseconds) * time.Millisecond, Heard: now,
 	}
 }
 
 // updated is the box after a message that tells only what has changed.
 func (b EntryBox) updated(status *wire.EntryStatus, now time.Time) EntryBox {
-	b.Ready, b.Revision, b.Heard = status.Ready && !status.Leaving, fleet.Revision(status.Revision), now
+	b.Ready, b.Extent, b.Heard = status.Ready && !status.Leaving, extentOf(status), now
 	b.StoreAge = time.Duration(status.StoreAgeMilliseconds) * time.Millisecond
 	return b
 }
+
+func extentOf(status *wire.EntryStatus) Extent {
+	return Extent{Newest: fleet.Revision(status.Revision), Complete: fleet.Revision(status.Complete)}
+}
--- a/internal/direct/status_test.go
+++ b/internal/direct/status_test.go
@@ -25,7 +25,8 @@
 					load[id] = route.ServerLoad{Requests: requests, Reading: time.Duration(requests) * time.Millisecond}
 				}
 			}
-			summary := statusSummary{revision: fleet.Revision(rapid.IntRange(0, 1).Draw(t, "revision"))}
+			revision := func(name string) fleet.Revision { return fleet.Revision(rapid.IntRange(0, 1).Draw(t, name)) }
+			summary := statusSummary{extent: Extent{Newest: revision("newest"), Complete: revision("complete")}}
 			demands := route.Demands{"draft": {Arrivals: 7, Late: rapid.IntRange(0, 1).Draw(t, "late")}}
 			message := told.next(summary, load, demands, now)
 			if message == nil {
@@ -40,7 +41,7 @@
 			}
 			maps.Copy(received, loadOf(message.InFlight))
 			maps.DeleteFunc(received, func(_ fleet.ServerID, load route.ServerLoad) bool { return load == route.ServerLoad{} })
-			if !maps.Equal(load, received) || message.Partial && message.Revision != uint64(summary.revision) || !maps.Equal(demands, asked) {
+			if !maps.Equal(load, received) || message.Partial && extentOf(message) != summary.extent || !maps.Equal(demands, asked) {
 				t.Fatalf("told %v, want %v", received, load)
 			}
 		}
--- a/internal/direct/told.go
+++ b/internal/direct/told.go
@@ -13,7 +13,7 @@
 // statusSummary is what a status tells of the box itself.
 type statusSummary struct {
 	ready, leaving bool
-	revision       fleet.Revision
+	extent         Extent
 	entries        int
 	// storeAge is how long ago the store answered; negative for never.
 	storeAge time.Duration
@@ -52,7 +52,7 @@
 	}
 	t.load, t.demands, t.at = load, demands, now
 	return &wire.EntryStatus{
-		Partial: true, Ready: summary.ready, Leaving: summary.leaving, Revision: uint64(summary.revision),
+		Partial: true, Ready: summary.ready, Leaving: summary.leaving, Revision: uint64(summary.extent.Newest), Complete: uint64(summary.extent.Complete),
 		StoreAgeMilliseconds: summary.storeAge.Milliseconds(), InFlight: loadToWire(changed), Demands: demandsToWire(asked),
 	}
 }
