fix(direct): a stream between processes has a connection of its own

Cause: a stream that had fallen silent was opened again on a connection that was kept from an earlier call. Change: streams and the asking of facts open a connection each, and close it when they end.

--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -68,6 +68,18 @@
 	return p.pool.Get(context.Background(), address, p.connect)
 }
 
+// Dial returns a new connection, which is closed when the context ends. It is for calls that
+// must not wait on a kept connection: that may have gone silent, which only the time-out of
+// a call shows. The error wraps errDial if the peer could not be reached.
+func (p *Peers) Dial(ctx context.Context, address member.Address) (drpc.Conn, error) {
+	conn, err := p.connect(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	context.AfterFunc(ctx, func() { _ = conn.Close() })
+	return conn, nil
+}
+
 func (p *Peers) connect(ctx context.Context, address member.Address) (drpcpool.Conn, error) {
 	raw, err := p.dial(ctx, address)
 	if err != nil {
--- a/internal/direct/agentfacts.go
+++ b/internal/direct/agentfacts.go
@@ -60,8 +60,11 @@
 		}
 		connected := false
 		err := followStream(ctx, clock, func(ctx context.Context) (func() error, error) {
-			stream, err := wire.NewDRPCFleetClient(f.peers.Conn(member.Address(entry))).
-				Facts(ctx, &wire.FactsRequest{Box: f.self, ServicesOnly: true})
+			conn, err := f.peers.Dial(ctx, member.Address(entry))
+			if err != nil {
+				return nil, err
+			}
+			stream, err := wire.NewDRPCFleetClient(conn).Facts(ctx, &wire.FactsRequest{Box: f.self, ServicesOnly: true})
 			if err != nil {
 				return nil, err
 			}
--- a/internal/direct/outage_test.go
+++ b/internal/direct/outage_test.go
@@ -31,9 +31,13 @@
 	silent  bool
 	version uint64
 	changed chan struct{}
+	// cut ends the calls in progress without a word.
+	cut chan struct{}
 }
 
-func newSilentStore() *silentStore { return &silentStore{version: 1, changed: make(chan struct{})} }
+func newSilentStore() *silentStore {
+	return &silentStore{version: 1, changed: make(chan struct{}), cut: make(chan struct{})}
+}
 
 // silence begins or ends the outage; calls that wait for changes are swallowed too.
 func (s *silentStore) silence(silent bool) {
@@ -42,6 +46,14 @@
 	s.silent = silent
 }
 
+// silenceConnections lets the calls in progress hear nothing any more; new ones are answered.
+func (s *silentStore) silenceConnections() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.cut)
+	s.cut = make(chan struct{})
+}
+
 // configure writes another configuration.
 func (s *silentStore) configure(version uint64) {
 	s.mu.Lock()
@@ -60,6 +72,9 @@
 
 func (s *silentStore) answer(ctx context.Context, after fleet.Revision, wait time.Duration) (provider.Facts, error) {
 	end := time.After(wait)
+	s.mu.Lock()
+	cut := s.cut
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
 		silent, at, changed := s.silent, fleet.Revision(s.version), s.changed
@@ -73,6 +88,9 @@
 			return provider.Facts{Facts: []fleet.Fact{fact}, At: at}, nil
 		}
 		select {
+		case <-cut:
+			<-ctx.Done()
+			return provider.Facts{}, provider.ErrUnavailable
 		case <-changed:
 		case <-end:
 			return provider.Facts{At: after}, nil
@@ -117,6 +135,23 @@
 	}
 }
 
+// The connection of the call that waits for changes goes silent for good, while new ones work.
+func TestAChangeIsReadAlthoughTheConnectionThatWaitsForItIsSilent(t *testing.T) {
+	for phase := time.Duration(0); phase <= watchWait; phase += watchWait / 10 {
+		synctest.Test(t, func(t *testing.T) {
+			store, facts := newSilentStore(), NewFacts(clockwork.NewRealClock(), zerolog.Nop(), NewMetrics())
+			defer func() { require.NoError(t, facts.Stop(context.Background())) }()
+			facts.ReadStore(store.source(), func() bool { return true }, func() time.Duration { return probePauseOf(7) })
+			awaitVersion(facts, 1)
+			time.Sleep(5*time.Second + phase)
+			synctest.Wait()
+			store.silenceConnections()
+			store.configure(2)
+			assert.LessOrEqual(t, awaitVersion(facts, 2), watchWait+overdueAfter, "silent %s after a call", phase)
+		})
+	}
+}
+
 // newTestBoxes returns what a box knows of one other that told its status.
 func newTestBoxes(facts *Facts, told ...*wire.EntryStatus) *EntryBoxes {
 	boxes := &EntryBoxes{
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -114,7 +114,11 @@
 	connected := false
 	for ctx.Err() == nil {
 		err := followStream(ctx, e.clock, func(ctx context.Context) (func() error, error) {
-			stream, err := wire.NewDRPCFleetClient(e.peers.Conn(member.Address(entry))).
+			conn, err := e.peers.Dial(ctx, member.Address(entry))
+			if err != nil {
+				return nil, err
+			}
+			stream, err := wire.NewDRPCFleetClient(conn).
 				Entry(ctx, &wire.FollowRequest{Box: e.self.Box, Peers: e.self.Peers, Region: e.self.Region})
 			if err != nil {
 				return nil, err
@@ -146,7 +150,8 @@
 	}
 }
 
-// followStream opens a stream and receives until it fails or falls silent.
+// followStream opens a stream and receives until it fails or falls silent. Each stream has a
+// connection of its own: after one that fell silent, others that are kept may be silent too.
 func followStream(ctx context.Context, clock clockwork.Clock, open func(ctx context.Context) (func() error, error)) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
--- a/internal/direct/repair.go
+++ b/internal/direct/repair.go
@@ -129,9 +129,13 @@
 func (e *EntryBoxes) readFacts(ctx context.Context, from member.Address) error {
 	callCtx, cancel := clockwork.WithTimeout(ctx, e.clock, pullTimeout)
 	defer cancel()
+	conn, err := e.peers.Dial(callCtx, from)
+	if err != nil {
+		return err
+	}
 	for {
 		began, cursor := e.clock.Now(), e.cursor(from)
-		stream, err := wire.NewDRPCFleetClient(e.peers.Conn(from)).Facts(callCtx, &wire.FactsRequest{
+		stream, err := wire.NewDRPCFleetClient(conn).Facts(callCtx, &wire.FactsRequest{
 			Box: e.self.Box, Instance: cursor.Instance, Cursor: cursor.Sequence, Once: true,
 		})
 		if err != nil {
--- a/internal/direct/servers.go
+++ b/internal/direct/servers.go
@@ -110,7 +110,11 @@
 	connected, box := false, ""
 	for ctx.Err() == nil {
 		err := followStream(ctx, m.clock, func(ctx context.Context) (func() error, error) {
-			stream, err := wire.NewDRPCFleetClient(m.peers.Conn(agent)).Server(ctx, &wire.FollowRequest{Box: m.self})
+			conn, err := m.peers.Dial(ctx, agent)
+			if err != nil {
+				return nil, err
+			}
+			stream, err := wire.NewDRPCFleetClient(conn).Server(ctx, &wire.FollowRequest{Box: m.self})
 			if err != nil {
 				return nil, err
 			}
