fix(direct): a call in place of an overdue one uses a new connection

Cause: a call in place of one that hung could go over another kept connection to the store, which is silent too when all open ones are. Of kept connections between processes nobody noticed that they had gone silent. Change: before the store is called anew its kept connections are dropped. All connections that processes keep, to the platform and to each other, come from one dialer, which probes those at rest and ends the silent ones after some three seconds.

--- a/cmd/cinderslipd/direct.go
+++ b/cmd/cinderslipd/direct.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -85,10 +84,6 @@
 const (
 	// platformDial bounds connecting to a service of the platform.
 	platformDial = 500 * time.Millisecond
-	// platformProbe is the interval of keep-alive probes; a service that falls
-	// silent is noticed after platformProbes of them.
-	platformProbe  = time.Second
-	platformProbes = 2
 	// platformConnections bounds the unused connections kept to one service.
 	platformConnections = 4
 	// platformIdle is how long they are kept.
@@ -97,12 +92,8 @@
 
 // platformClient returns the client for the platform's services.
 func platformClient() *http.Client {
-	dialer := &net.Dialer{
-		Timeout: platformDial, Control: upstream.SetSilenceTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: platformProbe, Interval: platformProbe, Count: platformProbes},
-	}
 	return &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, DisableCompression: true,
+		DialContext: upstream.NewDialer(platformDial).DialContext, DisableCompression: true,
 		MaxIdleConnsPerHost: platformConnections, IdleConnTimeout: platformIdle,
 	}}
 }
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -17,6 +17,7 @@
 	"storj.io/drpc/drpcwire"
 
 	"github.com/cinderslip/cinderslip/internal/kernel"
+	"github.com/cinderslip/cinderslip/internal/upstream"
 	"github.com/cinderslip/cinderslip/pkg/member"
 )
 
@@ -47,7 +48,7 @@
 
 // NewPeers returns peers without connections.
 func NewPeers() *Peers {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dialer := upstream.NewDialer(dialTimeout)
 	dial := func(ctx context.Context, address member.Address) (net.Conn, error) {
 		return dialer.DialContext(ctx, "tcp", string(address))
 	}
--- a/internal/direct/facts_test.go
+++ b/internal/direct/facts_test.go
@@ -33,6 +33,7 @@
 		Changes: func(context.Context, fleet.Revision, time.Duration) (provider.Facts, error) {
 			return s.next()
 		},
+		Reconnect: func() {},
 	}
 }
 
--- a/internal/direct/outage_test.go
+++ b/internal/direct/outage_test.go
@@ -31,7 +31,8 @@
 	silent  bool
 	version uint64
 	changed chan struct{}
-	// cut ends the calls in progress without a word.
+	// cut is closed when the connections go silent; there is another one for those that are
+	// opened later.
 	cut chan struct{}
 }
 
@@ -46,11 +47,17 @@
 	s.silent = silent
 }
 
-// silenceConnections lets the calls in progress hear nothing any more; new ones are answered.
+// silenceConnections lets the calls on connections that are open hear nothing any more.
 func (s *silentStore) silenceConnections() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	close(s.cut)
+}
+
+// reconnect lets later calls use another connection.
+func (s *silentStore) reconnect() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.cut = make(chan struct{})
 }
 
@@ -66,7 +73,7 @@
 func (s *silentStore) source() provider.FactSource {
 	return provider.FactSource{
 		Snapshot: func(ctx context.Context) (provider.Facts, error) { return s.answer(ctx, 0, 0) },
-		Changes:  s.answer,
+		Changes:  s.answer, Reconnect: s.reconnect,
 	}
 }
 
@@ -79,7 +86,7 @@
 		s.mu.Lock()
 		silent, at, changed := s.silent, fleet.Revision(s.version), s.changed
 		s.mu.Unlock()
-		if silent {
+		if silent || isClosed(cut) {
 			<-ctx.Done()
 			return provider.Facts{}, provider.ErrUnavailable
 		}
@@ -89,8 +96,6 @@
 		}
 		select {
 		case <-cut:
-			<-ctx.Done()
-			return provider.Facts{}, provider.ErrUnavailable
 		case <-changed:
 		case <-end:
 			return provider.Facts{At: after}, nil
@@ -100,6 +105,15 @@
 	}
 }
 
+func isClosed(channel <-chan struct{}) bool {
+	select {
+	case <-channel:
+		return true
+	default:
+		return false
+	}
+}
+
 // awaitVersion returns how long it takes until a configuration is in force, at most a minute.
 func awaitVersion(facts *Facts, version uint64) time.Duration {
 	began, limit := time.Now(), time.After(time.Minute)
@@ -135,8 +149,8 @@
 	}
 }
 
-// The connection of the call that waits for changes goes silent for good, while new ones work.
-func TestAChangeIsReadAlthoughTheConnectionThatWaitsForItIsSilent(t *testing.T) {
+// The connections to the store go silent for good, the kept ones too, while new ones work.
+func TestAChangeIsReadAlthoughAllOpenConnectionsAreSilent(t *testing.T) {
 	for phase := time.Duration(0); phase <= watchWait; phase += watchWait / 10 {
 		synctest.Test(t, func(t *testing.T) {
 			store, facts := newSilentStore(), NewFacts(clockwork.NewRealClock(), zerolog.Nop(), NewMetrics())
--- a/internal/direct/reader.go
+++ b/internal/direct/reader.go
@@ -132,6 +132,7 @@
 				return storeAnswer{}, false
 			}
 			f.storeLost("overdue", began, errOverdue)
+			r.source.Reconnect()
 			r.call(ctx, 0, answers)
 			pause := r.probePause()
 			next = f.clock.Now().Add(pause*3/4 + rand.N(pause/2))
--- a/internal/provider/fleet.go
+++ b/internal/provider/fleet.go
@@ -32,6 +32,9 @@
 	// Changes waits for what is written after a revision, at most for the wait.
 	// Errors wrap ErrUnavailable or ErrHistoryGone.
 	Changes func(ctx context.Context, after fleet.Revision, wait time.Duration) (Facts, error)
+	// Reconnect lets the calls that begin from now on use new connections: those that are
+	// kept may have gone silent.
+	Reconnect func()
 }
 
 // StartOrder tells a model server to take up staged weights.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -97,6 +97,23 @@
 	}
 }
 
+const (
+	// probeInterval is how long a connection on which nothing is sent rests before its peer is
+	// asked for a sign of life, and the time between two such questions.
+	probeInterval = time.Second
+	// probes is how many of them stay unanswered on a connection that has gone silent.
+	probes = 2
+)
+
+// NewDialer returns a dialer whose connections fail soon after their peer has fallen
+// silent, also while nothing is sent on them. The time-out bounds opening one.
+func NewDialer(timeout time.Duration) *net.Dialer {
+	return &net.Dialer{
+		Timeout: timeout, Control: SetSilenceTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: probes},
+	}
+}
+
 // SetSilenceTimeout makes a socket fail soon after its peer has fallen silent.
 func SetSilenceTimeout(_, _ string, raw syscall.RawConn) error {
 	var problem error
