test(soak): the store swallows calls, open connections go silent, changes have to come

When a silence of the store ended all connections were reset, so that no call hung past it; silences lasted for 1.5 s at most; and nothing checked that a change comes into force. Change: a fault after which swallowed calls stay without an answer, one that silences open connections to the store or a server for good, and at the end of each seed a change right after the store was silent for up to six seconds. How late it comes is logged, and judged only if asked for, as by make soak.

--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 
 SOAK_FROM ?= 1000
 soak: ## Run fifty seeds of random faults against real processes.
-	go test -count=1 -timeout 30m -parallel 6 ./internal/soak -soak.seeds 50 -soak.from $(SOAK_FROM)
+	go test -count=1 -timeout 30m -parallel 6 ./internal/soak -soak.seeds 50 -soak.from $(SOAK_FROM) -soak.change 2s
 
 bench: ## Run the benchmarks from which docs/CAPACITY.md is worked out.
 	go test -run '^$$' -bench . -benchmem ./...
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -17,8 +17,8 @@
 	onEntry((*process).kill), onAgent((*process).kill), onEntry((*process).roll), onAgent((*process).roll),
 	onEntry((*process).freeze), onAgent((*process).freeze), onEntry((*process).reload), onAgent((*process).reload), killAllEntries,
 	storeFault(standin.FaultRefuse), storeFault(standin.FaultDeaf), storeCompacts,
-	onStoreLink(silence), onStoreLink(silenceAnswers), onStoreLink(slow), onStoreLink(refuse),
-	onServerLink(silence), onServerLink(silenceAnswers), onServerLink(slow), onServerLink(refuse), resetServer,
+	onStoreLink(silence), onStoreLink(silenceAnswers), onStoreLink(slow), onStoreLink(refuse), storeSwallows, storeMute,
+	onServerLink(silence), onServerLink(silenceAnswers), onServerLink(slow), onServerLink(refuse), resetServer, serverLinkMute,
 	serverMute, serverFails, serverCuts, spoilOrigin, nameWeights, nameWeights, changeConfiguration, changeConfiguration,
 }
 
@@ -114,6 +114,20 @@
 	return func(w *world, pick int, lasts time.Duration) { w.servers[pick%len(w.servers)].link.harm(harm, lasts) }
 }
 
+// storeSwallows is an outage in which calls are lost without a word; connections stay open.
+func storeSwallows(w *world, _ int, lasts time.Duration) {
+	w.storeLink.set(silence)
+	time.Sleep(2 * lasts)
+	w.storeLink.swallow()
+}
+
+// storeMute and serverLinkMute let open connections go silent for good, while new ones work.
+func storeMute(w *world, _ int, _ time.Duration) { w.storeLink.muteOpen() }
+
+func serverLinkMute(w *world, pick int, _ time.Duration) {
+	w.servers[pick%len(w.servers)].link.muteOpen()
+}
+
 func (p *proxy) harm(harm func(p *proxy), lasts time.Duration) {
 	p.set(harm)
 	time.Sleep(lasts)
--- a/internal/soak/load_test.go
+++ b/internal/soak/load_test.go
@@ -83,6 +83,54 @@
 	}
 }
 
+// awaitChange lets the store swallow calls for a while, and waits until a change that is
+// written at its return is in force on every entry box.
+func (l *load) awaitChange(t *testing.T) {
+	t.Helper()
+	silent := longestOutage * time.Duration(l.w.random.Int64N(100)) / 100
+	storeSwallows(l.w, 0, silent/2)
+	added := l.w.putConfig()
+	began := time.Now()
+	var last time.Duration
+	for _, entry := range l.w.callers {
+		for !l.isKnown(entry, added) {
+			if time.Since(began) > settleLimit {
+				t.Errorf("%s does not know route %s after the store was silent for %s", entry, added, silent)
+				return
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		last = time.Since(began)
+	}
+	t.Logf("the store was silent for %s, a change was in force everywhere %s later", silent, last.Round(time.Millisecond))
+	if *change > 0 && last > *change {
+		t.Errorf("a change took %s, want %s at most", last, *change)
+	}
+}
+
+// longestOutage is the longest silence of the store before a change, longer than any wait
+// between two calls of it.
+const longestOutage = 6 * time.Second
+
+// isKnown reports whether an entry box has a route.
+func (l *load) isKnown(entry, route string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), callerWait)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+"/"+route+"/1", http.NoBody)
+	if err != nil {
+		l.problem("route %s: %v", route, err)
+		return true
+	}
+	request.Host = "a.example"
+	request.Header.Set("X-Request-Id", fmt.Sprintf("r-%d-%d", l.w.number, l.number.Add(1)))
+	response, err := l.client.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode != http.StatusNotFound
+}
+
 // ask sends one request and checks what comes back. It reports whether the request was
 // answered with success.
 func (l *load) ask(kind, entry string) bool {
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -21,7 +21,13 @@
 	silentUp, silentDown bool
 	// refuse closes new connections at once.
 	refuse bool
-	open   map[net.Conn]bool
+	open   map[net.Conn]*link
+}
+
+// link is one connection that passes.
+type link struct {
+	// mute swallows what comes in from either side, for good.
+	mute bool
 }
 
 // newProxy listens at an address.
@@ -31,7 +37,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: listener, target: target, open: make(map[net.Conn]bool)}
+	p := &proxy{listener: listener, target: target, open: make(map[net.Conn]*link)}
 	go p.accept()
 	return p, nil
 }
@@ -62,8 +68,9 @@
 		return
 	}
 	defer func() { _ = far.Close() }()
+	passing := new(link)
 	p.mu.Lock()
-	p.open[near] = true
+	p.open[near] = passing
 	p.mu.Unlock()
 	defer func() {
 		p.mu.Lock()
@@ -71,8 +78,8 @@
 		p.mu.Unlock()
 	}()
 	done := make(chan struct{}, 2)
-	go p.copy(far, near, func() bool { return p.silentUp }, done)
-	go p.copy(near, far, func() bool { return p.silentDown }, done)
+	go p.copy(far, near, func() bool { return p.silentUp || passing.mute }, done)
+	go p.copy(near, far, func() bool { return p.silentDown || passing.mute }, done)
 	<-done
 }
 
@@ -109,6 +116,29 @@
 	}
 }
 
+// muteOpen lets the connections that are open go silent for good; new ones pass.
+func (p *proxy) muteOpen() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mute()
+}
+
+// mute is muteOpen with the lock held.
+func (p *proxy) mute() {
+	for _, passing := range p.open {
+		passing.mute = true
+	}
+}
+
+// swallow ends a silence in which calls were swallowed: they get no answer any more, and
+// their connections stay open.
+func (p *proxy) swallow() {
+	p.set(func(p *proxy) {
+		p.mute()
+		p.silentUp, p.silentDown = false, false
+	})
+}
+
 // set changes the harm.
 func (p *proxy) set(change func(p *proxy)) {
 	p.mu.Lock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -8,6 +8,7 @@
 //
 //	go test ./internal/soak                                  # the seeds of CI and those that ever failed
 //	go test ./internal/soak -soak.seeds 50 -soak.from 1000   # fifty others
+//	go test ./internal/soak -soak.change 2s                  # judge also how late a change comes
 package soak
 
 import (
@@ -28,6 +29,8 @@
 	seeds = flag.Int("soak.seeds", 2, "how many seeds are run")
 	from  = flag.Uint64("soak.from", 1, "the first seed")
 	long  = flag.Duration("soak.for", 4*time.Second, "for how long each seed injects faults")
+	// change is not judged by default, as a busy machine must not decide a verdict.
+	change = flag.Duration("soak.change", 0, "in which time a change must be in force on every entry box; 0: any")
 )
 
 // program is the daemon that TestMain built.
@@ -99,6 +102,7 @@
 	load.stop()
 	load.awaitServed(t)
 	w.awaitVersion()
+	load.awaitChange(t)
 	findings := load.findings()
 	for _, p := range w.processes() {
 		findings = append(findings, p.findings()...)
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -172,8 +172,8 @@
 	}
 }
 
-// putConfig writes the next configuration; each adds a route.
-func (w *world) putConfig() {
+// putConfig writes the next configuration; each adds a route, which is returned.
+func (w *world) putConfig() (added string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	route := func(name, kind, service string, resumable bool) map[string]any {
@@ -187,7 +187,8 @@
 		route("look", "safe", "maps", false), route("book", "unsafe", "maps", false),
 	}
 	for i := range w.config {
-		routes = append(routes, route(fmt.Sprintf("extra-%d", i), "safe", "maps", false))
+		added = fmt.Sprintf("extra-%d", i)
+		routes = append(routes, route(added, "safe", "maps", false))
 	}
 	engine := map[string]any{
 		"Slots": 4, "Models": []map[string]any{{"Name": "daka", "WarmupS": 0.05}}, "layers": standin.Layers,
@@ -202,6 +203,7 @@
 		},
 	})
 	w.config++
+	return added
 }
 
 // originAddress serves the origin at the first call.
