fix(daemon): an edit is read soon after the key-value service is back

Change: a read in the background is given up after 2 s and made again after 0.5 s. The client of the platform's services ends connections that have gone silent.

--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -28,6 +28,11 @@
 	// readInterval is how often a relay reads the table without being woken,
 	// in case a watch has gone silent.
 	readInterval = 5 * time.Second
+	// readTimeout bounds such a read, and readRetry is the wait after one that failed: an edit
+	// has to be in force in all regions in eight seconds, and a service that is back after
+	// an outage must not hide behind a call that it has swallowed.
+	readTimeout = 2 * time.Second
+	readRetry   = 500 * time.Millisecond
 	// watchTimeout bounds one waiting watch.
 	watchTimeout = time.Minute
 	// callTimeout bounds one call of the key-value service.
@@ -78,24 +83,28 @@
 
 func (c *Configuration) read(ctx context.Context) {
 	for {
-		if c.isRelay() {
-			c.readOnce(ctx)
+		wait := readInterval
+		if c.isRelay() && !c.readOnce(ctx) {
+			wait = readRetry
 		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-c.wake:
-		case <-c.clock.After(readInterval):
+		case <-c.clock.After(wait):
 		}
 	}
 }
 
-func (c *Configuration) readOnce(ctx context.Context) {
-	held, revision, err := c.load(ctx)
+// readOnce reads the table; done is false if that failed.
+func (c *Configuration) readOnce(ctx context.Context) (done bool) {
+	readCtx, cancel := clockwork.WithTimeout(ctx, c.clock, readTimeout)
+	defer cancel()
+	held, revision, err := c.load(readCtx)
 	if err != nil {
 		c.metrics.keyValueErrors.Inc()
 		c.log.Warn().Err(err).Msg("table cannot be read")
-		return
+		return false
 	}
 	c.publish(held)
 	select {
@@ -103,6 +112,7 @@
 	default:
 	}
 	c.watched <- revision
+	return true
 }
 
 // watch waits for the next change after what was read last.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -43,6 +43,7 @@
 	"github.com/cinderslip/cinderslip/internal/kernel"
 	"github.com/cinderslip/cinderslip/internal/provider"
 	"github.com/cinderslip/cinderslip/internal/settings"
+	"github.com/cinderslip/cinderslip/internal/upstream"
 	"github.com/cinderslip/cinderslip/pkg/member"
 	"github.com/cinderslip/cinderslip/pkg/route"
 )
@@ -105,7 +106,7 @@
 func newPlatformClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		MaxIdleConnsPerHost: platformConnections, IdleConnTimeout: idleTime, DisableCompression: true,
-		DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext: upstream.NewDialer(dialTimeout).DialContext,
 	}}
 }
 
