--- a/internal/direct/reader.go
+++ b/internal/direct/reader.go
@@ -108,12 +108,12 @@
 	f := r.facts
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	answers := make(chan storeAnswer)
 	wait := watchWait
 	if f.isStoreLost() {
 		wait = 0
 	}
-	began := r.call(ctx, wait, answers)
+	answers, waiting := make(chan storeAnswer), 1
+	first := r.call(ctx, wait, answers)
 	next := f.clock.Now().Add(wait + overdueAfter)
 	for {
 		select {
@@ -123,19 +123,23 @@
 			if answer.err == nil || errors.Is(answer.err, provider.ErrHistoryGone) {
 				return answer, true
 			}
-			r.failed(&answer)
-			if answer.began.Equal(began) {
+			waiting--
+			r.failed(&answer, "failed")
+			if answer.began.Equal(first.began) {
 				next = f.clock.Now().Add(retryFirst + rand.N(retryFirst))
 			}
 		case <-f.clock.After(next.Sub(f.clock.Now())):
 			if !r.wanted() {
 				return storeAnswer{}, false
 			}
-			f.storeLost("overdue", began, errOverdue)
+			if waiting > 0 {
+				first.err = errOverdue
+				r.failed(&first, "overdue")
+			}
 			r.source.Reconnect()
 			r.call(ctx, 0, answers)
-			pause := r.probePause()
-			next = f.clock.Now().Add(pause*3/4 + rand.N(pause/2))
+			waiting++
+			next = f.clock.Now().Add(varied(r.probePause()))
 		}
 	}
 }
@@ -143,12 +147,17 @@
 // errOverdue reports a call that was not answered in its time.
 var errOverdue = errors.New("answer is overdue")
 
-// call begins one call of the store, which waits for changes at most for a time.
-func (r *storeReader) call(ctx context.Context, wait time.Duration, answers chan<- storeAnswer) (began time.Time) {
+// varied returns a pause that differs by up to a quarter, so that boxes do not call together.
+func varied(pause time.Duration) time.Duration { return pause*3/4 + rand.N(pause/2) }
+
+// call begins one call of the store, which waits for changes at most for a time, and returns
+// what is known of it.
+func (r *storeReader) call(ctx context.Context, wait time.Duration, answers chan<- storeAnswer) storeAnswer {
 	answer := storeAnswer{call: "changes", whole: r.after == 0, began: r.facts.clock.Now(), after: r.after}
 	if answer.whole {
 		answer.call = "snapshot"
 	}
+	begun := answer
 	r.facts.duties.Go(func(context.Context) {
 		callCtx, cancel := clockwork.WithTimeout(ctx, r.facts.clock, wait+callTimeout)
 		defer cancel()
@@ -162,12 +171,12 @@
 		case <-ctx.Done():
 		}
 	})
-	return answer.began
+	return begun
 }
 
-// failed notes a call that gave nothing.
-func (r *storeReader) failed(answer *storeAnswer) {
-	r.facts.metrics.storeCalls.WithLabelValues(answer.call, "failed").Inc()
+// failed notes a call that gave nothing, or nothing in its time.
+func (r *storeReader) failed(answer *storeAnswer, result string) {
+	r.facts.metrics.storeCalls.WithLabelValues(answer.call, result).Inc()
 	r.facts.storeLost(answer.call, answer.began, answer.err)
 }
 
