fix(daemon): the claim of an attempt that did not run is taken back if a witness was silent

Traced in its logs: both were refused by agent-2 as not run, because no witness had answered, and then by agent-3 as run before. The claim had reached agent-3, its answer had not come in 0.5 s, and nobody took it back. What made the answer late is not shown. Change: an attempt that is refused for want of a witness takes its claims back.

--- a/internal/daemon/witness.go
+++ b/internal/daemon/witness.go
@@ -34,6 +34,10 @@
 		break
 	}
 	g.once.Abandon(route.RequestID(head.RequestId), route.AttemptID(head.Attempt), g.clock.Now())
+	if refusal == wire.Refusal_REFUSAL_WITNESS {
+		// A witness that did not answer may hold the claim, and the next attempt may go there.
+		g.release(head)
+	}
 	return refusal, detail
 }
 
