--- a/internal/direct/outage_test.go
+++ b/internal/direct/outage_test.go
@@ -149,6 +149,14 @@
 	}
 }
 
+func TestTheStoreIsCalledAtABoundedRateWhileItIsAway(t *testing.T) {
+	for boxes, want := range map[int]time.Duration{
+		1: probeShortest, 7: 700 * time.Millisecond, 39: probeLongest, 300: probeLongest, 2000: 10 * time.Second,
+	} {
+		require.Equal(t, want, probePauseOf(boxes), "%d boxes", boxes)
+	}
+}
+
 // The connections to the store go silent for good, the kept ones too, while new ones work.
 func TestAChangeIsReadAlthoughAllOpenConnectionsAreSilent(t *testing.T) {
 	for phase := time.Duration(0); phase <= watchWait; phase += watchWait / 10 {
--- a/internal/direct/reader.go
+++ b/internal/direct/reader.go
@@ -35,9 +35,12 @@
 	probesPerSecond = 10
 	// probeShortest and probeLongest bound the time between two such calls of one box, which
 	// varies by a quarter. The longest is still below the time in which a change must be in
-	// force; the calls of some hundred boxes are then a tenth of those that the store takes.
+	// force, for a box that is the only one to reach the store.
 	probeShortest = 300 * time.Millisecond
 	probeLongest  = 1500 * time.Millisecond
+	// mostProbesPerSecond goes before the longest pause when there are hundreds of boxes: it is a
+	// tenth of what the store takes.
+	mostProbesPerSecond = 200
 )
 
 // storeReader is how far one reader has come in the store's changes.
@@ -78,7 +81,8 @@
 
 // probePauseOf is the time between two calls of each of some boxes while the store is away.
 func probePauseOf(boxes int) time.Duration {
-	return min(max(time.Duration(boxes)*time.Second/probesPerSecond, probeShortest), probeLongest)
+	all := time.Duration(boxes) * time.Second
+	return max(min(max(all/probesPerSecond, probeShortest), probeLongest), all/mostProbesPerSecond)
 }
 
 // once reads what has changed, and takes it.
