--- a/internal/direct/outage_test.go
+++ b/internal/direct/outage_test.go
@@ -11,7 +11,9 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"storj.io/drpc/drpcmux"
 
+	"github.com/cinderslip/cinderslip/internal/daemon"
 	"github.com/cinderslip/cinderslip/internal/kernel"
 	"github.com/cinderslip/cinderslip/internal/provider"
 	"github.com/cinderslip/cinderslip/internal/wire"
@@ -262,6 +264,31 @@
 	require.Len(t, follower.View().Servers("llm"), 2*factsLimit)
 }
 
+// The batches of a large answer come one after the other over one connection.
+func TestFactsThatFillSeveralBatchesAreReadAtOnce(t *testing.T) {
+	source, _ := newTestFacts()
+	var facts []fleet.Fact
+	for i := range 2*factsLimit + 1 {
+		facts = append(facts, listed(fleet.ServerID(rune('a'+i)), fleet.Revision(i+1)))
+	}
+	source.Apply(facts, "store")
+	source.CompleteUpTo(2*factsLimit + 1)
+	status := newTestStatus(source)
+	status.done = make(chan struct{})
+	mux := drpcmux.New()
+	require.NoError(t, wire.DRPCRegisterFleet(mux, status))
+	listener, err := listen("127.0.0.1:0")
+	require.NoError(t, err)
+	server := daemon.NewPeerServer(listener, mux, zerolog.Nop())
+	defer func() { require.NoError(t, server.Stop(context.Background())) }()
+	follower := NewFacts(clockwork.NewRealClock(), zerolog.Nop(), NewMetrics())
+	boxes := newTestBoxes(follower)
+	boxes.peers = daemon.NewPeers()
+	require.NoError(t, boxes.readFacts(t.Context(), member.Address(listener.Addr().String())))
+	require.Equal(t, source.Extent(), follower.Extent())
+	require.Len(t, follower.View().Servers("llm"), 2*factsLimit+1)
+}
+
 // Facts were asked of one box after the other, so that a silent one held up all others for
 // two and a half seconds (found with incident 0001).
 func TestABoxThatDoesNotAnswerHoldsUpNoOther(t *testing.T) {
