--- a/internal/direct/agentfacts.go
+++ b/internal/direct/agentfacts.go
@@ -4,7 +4,9 @@
 	"context"
 	"math/rand/v2"
 	"slices"
-	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
 
 	"github.com/cinderslip/cinderslip/internal/daemon"
 	"github.com/cinderslip/cinderslip/internal/wire"
@@ -14,82 +16,130 @@
 // entryFollower keeps an agent's facts in step with one entry box, and goes to
 // another one when that falls silent.
 type entryFollower struct {
-	facts *Facts
-	peers *daemon.Peers
-	self  string
-	seeds []string
-
-	mu    sync.Mutex
+	facts  *Facts
+	peers  *daemon.Peers
+	self   string
+	region string
+	seeds  []string
+	// known are entry boxes that one of them has told, of which one is followed. The agents
+	// would all stay with the few of the settings otherwise.
 	known []string
+	// moved is set once one of the settings has been left for one that was told.
+	moved bool
 }
 
+// moveAfter is after how long an agent leaves the entry box of the settings that it started
+// with: hundreds of boxes that start at one moment know each other by then.
+const moveAfter = 3 * time.Second
+
 // startAgentFacts follows an entry box.
 func (p *Process) startAgentFacts() error {
 	if err := p.newFacts(); err != nil {
 		return err
 	}
-	follower := &entryFollower{facts: p.facts, peers: p.peers, self: p.settings.Box, seeds: p.settings.Peers.Entries}
+	follower := &entryFollower{facts: p.facts, peers: p.peers, self: p.settings.Box, region: p.settings.Region, seeds: p.settings.Peers.Entries}
 	p.facts.duties.Go(follower.run)
 	return nil
 }
 
-// next returns the address to try: one that an entry box has told, or now and
-// then one of the settings.
-func (f *entryFollower) next() string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	candidates := slices.Clone(f.known)
-	for _, seed := range f.seeds {
-		if !slices.Contains(candidates, seed) {
-			candidates = append(candidates, seed)
+// next returns the address to follow, drawn from those that were told; ok is false if none
+// was, or none is left.
+func (f *entryFollower) next() (entry string, ok bool) {
+	if len(f.known) == 0 {
+		return "", false
+	}
+	at := rand.IntN(len(f.known))
+	entry = f.known[at]
+	f.known = slices.Delete(f.known, at, at+1)
+	return entry, true
+}
+
+// ask asks the entry boxes of the settings, in a random order, for others.
+func (f *entryFollower) ask(ctx context.Context) {
+	for _, at := range rand.Perm(len(f.seeds)) {
+		callCtx, cancel := clockwork.WithTimeout(ctx, f.facts.clock, askTimeout)
+		entries, err := f.askOne(callCtx, f.seeds[at])
+		cancel()
+		if err == nil && len(entries) > 0 {
+			f.known = entries
+			return
 		}
 	}
-	if len(candidates) == 0 {
-		return ""
+	// A seed that knows of none that is ready may still have facts.
+	f.known = slices.Clone(f.seeds)
+}
+
+// askTimeout bounds asking an entry box for others: many round trips, and a small part of the
+// time in which a change must reach the agents.
+const askTimeout = 500 * time.Millisecond
+
+func (f *entryFollower) askOne(ctx context.Context, seed string) ([]string, error) {
+	conn, err := f.peers.Dial(ctx, member.Address(seed))
+	if err != nil {
+		return nil, err
+	}
+	stream, err := wire.NewDRPCFleetClient(conn).Facts(ctx, &wire.FactsRequest{Box: f.self, Region: f.region, EntriesOnly: true})
+	if err != nil {
+		return nil, err
+	}
+	batch, err := stream.Recv()
+	if err != nil {
+		return nil, err
 	}
-	return candidates[rand.IntN(len(candidates))]
+	return batch.Entries, nil
 }
 
 func (f *entryFollower) run(ctx context.Context) {
-	clock, log := f.facts.clock, f.facts.log
 	for ctx.Err() == nil {
-		entry := f.next()
-		if entry == "" {
-			sleep(ctx, clock, followRetry)
-			continue
+		if entry, ok := f.next(); ok {
+			f.follow(ctx, entry)
+		} else {
+			f.ask(ctx)
 		}
-		connected := false
-		err := followStream(ctx, clock, func(ctx context.Context) (func() error, error) {
-			conn, err := f.peers.Dial(ctx, member.Address(entry))
+		sleep(ctx, f.facts.clock, followRetry)
+	}
+}
+
+// follow keeps step with one entry box until its stream ends.
+func (f *entryFollower) follow(ctx context.Context, entry string) {
+	followCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	isMoving := !f.moved && slices.Contains(f.seeds, entry)
+	if isMoving {
+		// Many others started at the same moment, and the seed did not know of them yet.
+		f.moved = true
+		timer := f.facts.clock.AfterFunc(moveAfter, cancel)
+		defer timer.Stop()
+	}
+	heard := false
+	err := followStream(followCtx, f.facts.clock, f.peers, member.Address(entry), func(ctx context.Context, client wire.DRPCFleetClient) (func() error, error) {
+		stream, err := client.Facts(ctx, &wire.FactsRequest{Box: f.self, Region: f.region, ServicesOnly: true})
+		if err != nil {
+			return nil, err
+		}
+		return func() error {
+			batch, err := stream.Recv()
 			if err != nil {
-				return nil, err
+				return err
 			}
-			stream, err := wire.NewDRPCFleetClient(conn).Facts(ctx, &wire.FactsRequest{Box: f.self, ServicesOnly: true})
-			if err != nil {
-				return nil, err
+			if !heard {
+				heard = true
+				f.facts.log.Info().Str("dependency", "entry").Str("address", entry).Msg("dependency regained")
 			}
-			return func() error {
-				batch, err := stream.Recv()
-				if err != nil {
-					return err
-				}
-				if !connected {
-					connected = true
-					log.Info().Str("dependency", "entry").Str("address", entry).Msg("dependency regained")
-				}
-				f.facts.ApplyItems(itemsFromWire(batch.Items), entry)
-				f.facts.LearnAges(agesFromWire(batch.Ages), entry)
-				if len(batch.Entries) > 0 {
-					f.mu.Lock()
-					f.known = batch.Entries
-					f.mu.Unlock()
-				}
-				return nil
-			}, nil
-		})
-		if connected && ctx.Err() == nil {
-			log.Warn().Str("dependency", "entry").Str("address", entry).Err(err).Msg("dependency lost")
-		}
-		sleep(ctx, clock, followRetry)
+			f.take(batch, entry, isMoving)
+			return nil
+		}, nil
+	})
+	if heard && followCtx.Err() == nil {
+		f.facts.log.Warn().Str("dependency", "entry").Str("address", entry).Err(err).Msg("dependency lost")
+	}
+}
+
+// take takes facts, and whom else they can be had of unless that is to be asked anew.
+func (f *entryFollower) take(batch *wire.FactsBatch, entry string, isMoving bool) {
+	f.facts.ApplyItems(itemsFromWire(batch.Items), entry)
+	f.facts.LearnAges(agesFromWire(batch.Ages), entry)
+	if len(batch.Entries) > 0 && !isMoving {
+		f.known = batch.Entries
 	}
 }
--- a/internal/direct/ages.go
+++ b/internal/direct/ages.go
@@ -40,6 +40,22 @@
 	return ages
 }
 
+// versionsKnown is how many versions were ever heard of as they were named, or told by one who
+// had; when it changes, others are told of the ages.
+func (f *Facts) versionsKnown() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	known := 0
+	for _, named := range f.wanted {
+		for _, version := range named {
+			if version.Witnessed {
+				known++
+			}
+		}
+	}
+	return known
+}
+
 // LearnAges takes what another process tells of the versions that this one knows.
 func (f *Facts) LearnAges(ages []fleet.VersionAge, from string) {
 	f.mu.Lock()
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -161,13 +161,13 @@
 // what it has used before its start.
 func (f *Front) retryExtra() float64 {
 	if f.clock.Since(f.started) < f.retries.window {
-		return f.retries.extra / unknownBoxes
+		return f.retries.extra / float64(max(unknownBoxes, f.boxes()))
 	}
 	return f.retries.extra / float64(f.boxes()) * retrySafety
 }
 
-// unknownBoxes is among how many entry boxes a box that has just started splits the
-// common retries: more than any deployment of today has.
+// unknownBoxes is among how many entry boxes at least a box that has just started splits the
+// common retries, as it may not know of all of them yet.
 const unknownBoxes = 64
 
 // retrySafety is the part of the common retry budget that is used: boxes that
--- /dev/null
+++ b/internal/direct/cells.go
@@ -0,0 +1,103 @@
+package direct
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/cinderslip/cinderslip/pkg/fleet"
+	"github.com/cinderslip/cinderslip/pkg/member"
+)
+
+// cellPlan is how the fleet is divided, as this box sees it. Boxes that see it differently for a
+// while share some servers without knowing of each other; what the agents report of their
+// servers then counts (route.Dispatcher).
+type cellPlan struct {
+	cells, own int
+	// mates are the other entry boxes of the own cell.
+	mates map[member.BoxID]bool
+	// servers are the cells of the servers that are divided, by address; those that are not in
+	// it are shared by all cells.
+	servers map[member.Address]int
+}
+
+// uses reports whether the own cell uses a server.
+func (p *cellPlan) uses(address member.Address) bool {
+	if p == nil {
+		return true
+	}
+	cell, divided := p.servers[address]
+	return !divided || cell == p.own
+}
+
+// owned returns those servers that the own cell uses.
+func (p *cellPlan) owned(servers []fleet.Server) []fleet.Server {
+	if p == nil || p.cells == 1 {
+		return servers
+	}
+	owned := make([]fleet.Server, 0, len(servers)/p.cells+1)
+	for i := range servers {
+		if p.uses(servers[i].Address) {
+			owned = append(owned, servers[i])
+		}
+	}
+	return owned
+}
+
+// planCells divides the entry boxes and the servers of a view.
+func planCells(self member.BoxID, boxes []member.Record, view *fleet.View, regionOf func(member.FailureDomain) member.Region) *cellPlan {
+	cells := member.CellCount(len(boxes), largestService(view, len(boxes)))
+	plan := &cellPlan{cells: cells, mates: make(map[member.BoxID]bool), servers: make(map[member.Address]int)}
+	assigned := make(map[member.BoxID]int, len(boxes))
+	for _, region := range byRegion(boxes, func(r *member.Record) (member.Region, member.BoxID) { return r.Region, r.Box }) {
+		maps.Copy(assigned, member.AssignCells(region, cells))
+	}
+	plan.own = assigned[self]
+	for box, cell := range assigned {
+		if cell == plan.own && box != self {
+			plan.mates[box] = true
+		}
+	}
+	if cells == 1 {
+		return plan
+	}
+	for _, service := range view.Services() {
+		servers := view.Servers(service.Name)
+		if !member.IsDivisible(len(servers), cells) {
+			continue
+		}
+		where := func(s *fleet.Server) (member.Region, member.Address) { return regionOf(s.Domain), s.Address }
+		for _, region := range byRegion(servers, where) {
+			maps.Copy(plan.servers, member.AssignCells(region, cells))
+		}
+	}
+	return plan
+}
+
+// largestService is how many servers the largest service has that runs models. Until a
+// configuration is known there are taken to be enough to divide the fleet by its boxes alone.
+func largestService(view *fleet.View, boxes int) int {
+	if view.Configuration == nil {
+		return boxes
+	}
+	largest := 0
+	for _, service := range view.Services() {
+		if service.Engine != nil {
+			largest = max(largest, len(view.Servers(service.Name)))
+		}
+	}
+	return largest
+}
+
+// byRegion groups keys by region, in the order of the regions' names.
+func byRegion[T any, K ~string](all []T, keyOf func(*T) (member.Region, K)) [][]K {
+	groups := make(map[member.Region][]K)
+	for i := range all {
+		region, key := keyOf(&all[i])
+		groups[region] = append(groups[region], key)
+	}
+	ordered := make([][]K, 0, len(groups))
+	for _, region := range slices.Sorted(maps.Keys(groups)) {
+		ordered = append(ordered, groups[region])
+	}
+	return ordered
+}
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -4,8 +4,9 @@
 // # Entry box
 //
 //	facts      what the platform's store and other entry boxes tell
-//	peers      follows the other entry boxes: who is there, what they have in flight
-//	servers    follows the agents: what each backend server has loaded and runs
+//	members    who is there, as the entry boxes tell each other
+//	peers      follows those of the own cell, for what they have in flight, and some neighbours
+//	servers    follows the agents of the cell: what each backend server has loaded and runs
 //	front      answers callers
 //	directory  tells callers which entry boxes to use, and the platform if this one is ready
 //
@@ -62,6 +63,8 @@
 	mux      *drpcmux.Mux
 	peers    *daemon.Peers
 	facts    *Facts
+	members  *Members
+	entries  *EntryBoxes
 	front    *Front
 	status   *Status
 }
@@ -76,10 +79,12 @@
 var (
 	entrySteps = []step{
 		{"facts", (*Process).startFacts},
+		{"members", (*Process).startMembers},
 		{"status", (*Process).startStatus},
 		{"front", (*Process).startFront},
 		{"peers", (*Process).startPeers},
 		{"servers", (*Process).startServers},
+		{"telling", (*Process).startTelling},
 		{"peer server", (*Process).startPeerServer},
 		{"metrics", (*Process).startMetrics},
 		{"directory", (*Process).startDirectory},
@@ -137,8 +142,8 @@
 // start can change while the process runs, so the running settings stay.
 func (p *Process) Reload(changed *settings.Settings) {
 	p.options.Log.Info().Str("box", changed.Box).Int("seeds", len(changed.Peers.Entries)).Msg("settings reloaded")
-	if p.status != nil {
-		p.status.AddEntries(changed.Peers.Entries)
+	if p.entries != nil {
+		p.entries.AddSeeds(changed.Peers.Entries)
 	}
 }
 
@@ -153,11 +158,14 @@
 
 func (p *Process) region() member.Region { return member.Region(p.settings.Region) }
 
-// isNear reports whether a failure domain is in the own region.
-func (p *Process) isNear(domain member.FailureDomain) bool {
-	return p.settings.Direct.Domains[string(domain)] == p.settings.Region
+// regionOf returns the region of a failure domain; empty if the settings do not name it.
+func (p *Process) regionOf(domain member.FailureDomain) member.Region {
+	return member.Region(p.settings.Direct.Domains[string(domain)])
 }
 
+// isNear reports whether a failure domain is in the own region.
+func (p *Process) isNear(domain member.FailureDomain) bool { return p.regionOf(domain) == p.region() }
+
 func (p *Process) startPeerServer() error {
 	listener, err := listen(p.settings.Listen.Peers)
 	if err != nil {
--- a/internal/direct/directory.go
+++ b/internal/direct/directory.go
@@ -16,8 +16,7 @@
 	protocol provider.CallerProtocol
 	status   *Status
 	entries  *EntryBoxes
-	front    *Front
-	self     EntryBox
+	self     member.Record
 	keep     time.Duration
 }
 
@@ -27,12 +26,8 @@
 // startDirectory answers where callers should go, and whether this box is ready.
 func (p *Process) startDirectory() error {
 	d := &Directory{
-		protocol: p.options.Platform.Callers, status: p.status, entries: p.front.entries.Load(), front: p.front,
+		protocol: p.options.Platform.Callers, status: p.status, entries: p.entries, self: p.members.own,
 		keep: time.Duration(p.settings.Direct.DirectoryTTL),
-		self: EntryBox{
-			Box: p.box(), Region: p.region(), Domain: member.FailureDomain(p.settings.FailureDomain),
-			Callers: member.Address(p.settings.Listen.Callers),
-		},
 	}
 	router := newRouter()
 	router.GET(d.protocol.DirectoryPath, d.resolve)
@@ -64,17 +59,12 @@
 // of them if there is none.
 func (d *Directory) resolve(c echo.Context) error {
 	question := d.protocol.ReadQuestion(c.Request())
-	boxes := d.entries.Boxes()
+	boxes := d.entries.Ready()
 	if d.status.Ready() {
-		self := d.self
-		self.Ready = true
-		boxes = append(boxes, self)
+		boxes = append(boxes, d.self)
 	}
 	var near, all []member.Address
 	for _, box := range boxes {
-		if !box.Ready || box.Callers == "" {
-			continue
-		}
 		all = append(all, box.Callers)
 		if box.Region == question.Region {
 			near = append(near, box.Callers)
--- a/internal/direct/facts.go
+++ b/internal/direct/facts.go
@@ -143,6 +143,13 @@
 	return f.clock.Since(f.answered)
 }
 
+// Answered returns when the store last answered; zero if it never did.
+func (f *Facts) Answered() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.answered
+}
+
 // isStoreLost reports whether the store has not answered the last call.
 func (f *Facts) isStoreLost() bool {
 	f.mu.Lock()
--- a/internal/direct/front.go
+++ b/internal/direct/front.go
@@ -298,8 +298,13 @@
 			}, now)
 		}
 	}
-	d.Servers(view.Servers(name), layers, f.isNear, now)
-	d.Boxes(f.boxes())
+	entries := f.entries.Load()
+	if entries == nil {
+		d.Servers(view.Servers(name), layers, f.isNear, now)
+		return
+	}
+	d.Servers(entries.currentPlan().owned(view.Servers(name)), layers, f.isNear, now)
+	d.Boxes(entries.CellBoxes())
 }
 
 // boxes is how many entry boxes there are, with this one, as far as it knows.
@@ -308,7 +313,7 @@
 	if entries == nil {
 		return 1
 	}
-	return len(entries.Boxes()) + 1
+	return entries.Up()
 }
 
 // required is the oldest version of weights that may start a request now.
--- a/internal/direct/front_test.go
+++ b/internal/direct/front_test.go
@@ -27,7 +27,11 @@
 	require.Less(t, f.retryExtra(), 2.0)
 	clock.Advance(time.Second)
 	require.InDelta(t, 100*retrySafety, f.retryExtra(), 1e-9)
-	f.entries.Store(&EntryBoxes{clock: clock, boxes: map[string]EntryBox{"a": {Heard: clock.Now()}, "b": {Heard: clock.Now()}}})
+	members := newTestMembers(clock, "self")
+	for _, name := range []member.BoxID{"a", "b"} {
+		members.Learn(recordsOf(t, member.Record{Box: name, Status: member.StatusUp}), "a")
+	}
+	f.entries.Store(&EntryBoxes{members: members})
 	require.InDelta(t, 100*retrySafety/3, f.retryExtra(), 1e-9)
 }
 
--- a/internal/direct/outage_test.go
+++ b/internal/direct/outage_test.go
@@ -181,6 +181,7 @@
 	boxes := &EntryBoxes{
 		facts: facts, clock: facts.clock, log: zerolog.Nop(), duties: kernel.NewDuties(),
 		boxes: make(map[string]EntryBox), pulled: make(map[member.Address]state.Cursor),
+		members: newTestMembers(facts.clock, "self"), readers: newReaders("self", ""),
 	}
 	boxes.self.Box = "self"
 	for _, status := range told {
@@ -190,7 +191,7 @@
 }
 
 func newTestStatus(facts *Facts) *Status {
-	return &Status{clock: facts.clock, facts: facts, identity: &wire.EntryStatus{Box: "reader", Peers: "reader:1"}}
+	return &Status{clock: facts.clock, facts: facts, members: newTestMembers(facts.clock, "reader"), identity: &wire.EntryStatus{Box: "reader", Peers: "reader:1"}}
 }
 
 func configurationAt(version uint64, revision fleet.Revision) fleet.Fact {
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -14,6 +14,7 @@
 	"github.com/cinderslip/cinderslip/internal/daemon"
 	"github.com/cinderslip/cinderslip/internal/kernel"
 	"github.com/cinderslip/cinderslip/internal/wire"
+	"github.com/cinderslip/cinderslip/pkg/fleet"
 	"github.com/cinderslip/cinderslip/pkg/member"
 	"github.com/cinderslip/cinderslip/pkg/route"
 	"github.com/cinderslip/cinderslip/pkg/state"
@@ -24,48 +25,75 @@
 	// again. After a loss of power everything waits for it; an attempt costs little, as a
 	// port that nothing listens on is told at once.
 	followRetry = 50 * time.Millisecond
-	// forgetAfter is after how long without contact an entry box is forgotten
-	// that the settings do not name.
-	forgetAfter = 20 * time.Second
-	// leastReaders is how many entry boxes read the store at least, and one does in
-	// each region; the others hear from them.
-	leastReaders = 2
-	// storeAway is after how long without an answer of the store a reader no
-	// longer counts: it is longer than one watch, and a call in place of one that is overdue.
-	storeAway = watchWait + overdueAfter + probeShortest + statusHeartbeat
+	// markAfter is for how long a box can't be reached before it is marked silent: connections
+	// that are reset while the box lives are opened again well within it.
+	markAfter = 200 * time.Millisecond
+	// markAgain is the same for a box that others hear, or that has answered the mark.
+	markAgain = 2 * time.Second
+	// planInterval is how often at most the fleet is divided anew: when hundreds of boxes start,
+	// records come by the dozen.
+	planInterval = 100 * time.Millisecond
+	// expireInterval is how often is looked for boxes that have been silent for long.
+	expireInterval = time.Second
 )
 
-// EntryBoxes follows the other entry boxes.
+// EntryBoxes follows other entry boxes: all of the own cell, for what they have in flight, and
+// some neighbours in the whole fleet, for what they know. Where the fleet is one cell that is
+// all of them.
 type EntryBoxes struct {
-	self   wire.EntryStatus
-	status *Status
-	facts  *Facts
-	peers  *daemon.Peers
-	clock  clockwork.Clock
-	log    zerolog.Logger
-	duties *kernel.Duties
-	seeds  []string
-	// told is called with what another box has in flight and is asked for; see Front.
+	self     member.Record
+	regionOf func(member.FailureDomain) member.Region
+	members  *Members
+	facts    *Facts
+	peers    *daemon.Peers
+	clock    clockwork.Clock
+	log      zerolog.Logger
+	duties   *kernel.Duties
+	// told is called with what another box of the cell has in flight and is asked for; see Front.
 	told func(box member.BoxID, load route.Load, demands route.Demands, whole bool, now time.Time)
-
 	// pull reads what another entry box has come to know since the last time.
 	pull func(ctx context.Context, from member.Address) error
 
-	mu    sync.Mutex
+	mu sync.Mutex
+	// seeds are the addresses of the settings.
+	seeds []string
+	// boxes are those that are heard directly.
 	boxes map[string]EntryBox
+	// following is whom this box follows.
+	following map[string]followed
 	// pulled is how far the facts of each box were read.
-	pulled map[member.Address]state.Cursor
+	pulled  map[member.Address]state.Cursor
+	readers *readers
+	// plan is how the fleet is divided; nil until that is known. Replanned is closed when it
+	// changes.
+	plan      *cellPlan
+	planned   planInput
+	replanned chan struct{}
+}
+
+// interest is what this box wants to hear of another one.
+type interest struct {
+	// load is set for boxes of the own cell, members for those that tell of all others.
+	load, members bool
+}
+
+// followed is a box that is being followed.
+type followed struct {
+	interest
+	cancel context.CancelFunc
 }
 
 // startPeers follows the other entry boxes.
 func (p *Process) startPeers() error {
 	e := &EntryBoxes{
-		status: p.status, facts: p.facts, peers: p.peers, clock: p.options.Clock, log: p.options.Log,
-		duties: kernel.NewDuties(), seeds: p.settings.Peers.Entries, boxes: make(map[string]EntryBox), pulled: make(map[member.Address]state.Cursor),
-		told: p.front.PeerTold,
+		self: p.members.own, regionOf: p.regionOf, members: p.members, facts: p.facts, peers: p.peers, clock: p.options.Clock, log: p.options.Log,
+		duties: kernel.NewDuties(), seeds: p.settings.Peers.Entries, boxes: make(map[string]EntryBox),
+		following: make(map[string]followed), pulled: make(map[member.Address]state.Cursor),
+		readers: newReaders(p.box(), p.region()), replanned: make(chan struct{}), told: p.front.PeerTold,
 	}
-	e.self.Box, e.self.Region, e.self.Peers = p.settings.Box, p.settings.Region, p.settings.Listen.Peers
 	e.pull = e.readFacts
+	p.entries = e
+	p.status.readers = e.toldReaders
 	p.front.entries.Store(e)
 	e.duties.Go(e.followAll)
 	e.duties.Go(e.repair)
@@ -79,85 +107,183 @@
 // Stop ends following.
 func (e *EntryBoxes) Stop(ctx context.Context) error { return e.duties.Stop(ctx) }
 
-// followAll starts a duty for each entry box that becomes known.
+// AddSeeds notes addresses of settings that have changed.
+func (e *EntryBoxes) AddSeeds(seeds []string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.seeds = seeds
+}
+
+// followAll follows whom it has to, and divides the fleet anew when it changes.
 func (e *EntryBoxes) followAll(ctx context.Context) {
-	following := make(map[string]bool)
-	ended := make(chan string)
-	for {
-		known, added := e.status.Entries()
-		for _, entry := range known {
-			if following[entry] {
-				continue
-			}
-			following[entry] = true
-			e.duties.Go(func(ctx context.Context) {
-				e.follow(ctx, entry)
-				select {
-				case ended <- entry:
-				case <-ctx.Done():
-				}
-			})
-		}
+	for ctx.Err() == nil {
+		members, facts := e.members.Changed(), e.facts.Changed()
+		e.replan()
+		e.followOnly(e.interests())
+		sleep(ctx, e.clock, planInterval)
 		select {
 		case <-ctx.Done():
-			return
-		case <-added:
-		case entry := <-ended:
-			delete(following, entry)
+		case <-members:
+		case <-facts:
+		case <-e.clock.After(expireInterval):
+			e.members.Expire()
 		}
 	}
 }
 
-// follow keeps one entry box's status until it has been away for long.
-func (e *EntryBoxes) follow(ctx context.Context, entry string) {
-	heard := e.clock.Now()
-	connected := false
-	for ctx.Err() == nil {
-		err := followStream(ctx, e.clock, func(ctx context.Context) (func() error, error) {
-			conn, err := e.peers.Dial(ctx, member.Address(entry))
-			if err != nil {
-				return nil, err
-			}
-			stream, err := wire.NewDRPCFleetClient(conn).
-				Entry(ctx, &wire.FollowRequest{Box: e.self.Box, Peers: e.self.Peers, Region: e.self.Region})
-			if err != nil {
-				return nil, err
-			}
-			return func() error {
-				status, err := stream.Recv()
-				if err != nil {
-					return err
-				}
-				heard = e.clock.Now()
-				if !connected {
-					connected = true
-					e.log.Info().Str("dependency", "entry").Str("box", status.Box).Str("address", entry).Msg("dependency regained")
-				}
-				e.take(entry, status)
-				return nil
-			}, nil
-		})
-		if connected && ctx.Err() == nil {
-			connected = false
+// interests returns whom to follow, by address.
+func (e *EntryBoxes) interests() map[string]interest {
+	records, plan := e.members.All(), e.currentPlan()
+	wanted := make(map[string]interest)
+	heardOf := make(map[string]bool, len(records))
+	up := make([]member.Record, 0, len(records))
+	for _, record := range records {
+		if plan.mates[record.Box] {
+			wanted[string(record.Peers)] = interest{load: true}
+		}
+		if record.Status != member.StatusSilent {
+			heardOf[string(record.Peers)] = true
+			up = append(up, record)
+		}
+	}
+	tellers := make([]string, 0, member.NeighboursPerBox)
+	for _, record := range member.Neighbours(e.self, up) {
+		tellers = append(tellers, string(record.Peers))
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	// A seed that nobody is known by is how this box finds the others, at its start or after
+	// two parts of the fleet have forgotten each other.
+	for _, seed := range e.seeds {
+		if !heardOf[seed] {
+			tellers = append(tellers, seed)
+		}
+	}
+	for _, teller := range tellers {
+		wanted[teller] = interest{load: wanted[teller].load, members: true}
+	}
+	delete(wanted, string(e.self.Peers))
+	return wanted
+}
+
+// followOnly follows boxes, and no others any more.
+func (e *EntryBoxes) followOnly(wanted map[string]interest) {
+	var ended []string
+	e.mu.Lock()
+	for address, f := range e.following {
+		if wanted[address] != f.interest {
+			f.cancel()
+			delete(e.following, address)
+			ended = append(ended, address)
+		}
+	}
+	for address, want := range wanted {
+		if _, follows := e.following[address]; follows {
+			continue
+		}
+		ctx, cancel := context.WithCancel(e.duties.Context())
+		e.following[address] = followed{want, cancel}
+		e.duties.Go(func(context.Context) { e.follow(ctx, address, want) })
+	}
+	e.mu.Unlock()
+	for _, address := range ended {
+		e.drop(address)
+	}
+}
+
+// follow keeps what one entry box tells.
+func (e *EntryBoxes) follow(ctx context.Context, entry string, want interest) {
+	lost := e.clock.Now()
+	for {
+		heard, err := e.followOnce(ctx, entry, want)
+		if ctx.Err() != nil {
+			return
+		}
+		now := e.clock.Now()
+		if heard {
+			lost = now
 			e.log.Warn().Str("dependency", "entry").Str("address", entry).Err(err).Msg("dependency lost")
 			e.drop(entry)
 		}
-		if e.clock.Since(heard) > forgetAfter && !slices.Contains(e.seeds, entry) {
-			e.status.RemoveEntry(entry)
-			return
+		if now.Sub(lost) >= markAfter || errors.Is(err, errSilent) {
+			e.mark(entry)
+			lost = now.Add(markAgain)
 		}
 		sleep(ctx, e.clock, followRetry)
 	}
 }
 
+// followOnce follows a box until its stream ends, and tells whether it was heard.
+func (e *EntryBoxes) followOnce(ctx context.Context, entry string, want interest) (heard bool, err error) {
+	err = followStream(ctx, e.clock, e.peers, member.Address(entry), func(streamCtx context.Context, client wire.DRPCFleetClient) (func() error, error) {
+		stream, err := client.Entry(streamCtx, e.request(want))
+		if err != nil {
+			return nil, err
+		}
+		return func() error {
+			status, err := stream.Recv()
+			if err != nil || ctx.Err() != nil {
+				return errors.Join(err, ctx.Err())
+			}
+			if !heard {
+				heard = true
+				e.log.Info().Str("dependency", "entry").Str("box", status.Box).Str("address", entry).
+					Bool("load", want.load).Bool("members", want.members).Msg("dependency regained")
+			}
+			e.take(entry, want, status)
+			return nil
+		}, nil
+	})
+	return heard, err
+}
+
+// request is how this box asks another one for its status.
+func (e *EntryBoxes) request(want interest) *wire.FollowRequest {
+	request := &wire.FollowRequest{
+		Box: string(e.self.Box), Peers: string(e.self.Peers), Region: string(e.self.Region), Load: want.load, Members: want.members,
+	}
+	own, _ := e.members.Record(e.self.Box)
+	item, err := own.Item()
+	if err != nil {
+		e.log.Error().Err(err).Msg("own record not told")
+		return request
+	}
+	request.Record = itemsToWire([]state.Item{item})[0]
+	return request
+}
+
+// mark marks a box silent that can't be reached, unless this box is likely to be the one that
+// is cut off: then it hears less than half of those that it follows.
+func (e *EntryBoxes) mark(entry string) {
+	for _, record := range e.members.All() {
+		if string(record.Peers) == entry && e.hearsMost() {
+			e.members.Mark(record.Box)
+		}
+	}
+}
+
+func (e *EntryBoxes) hearsMost() bool {
+	heard := len(e.Boxes())
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return 2*heard >= len(e.following)
+}
+
+// openStream opens a stream at another process and returns what takes its next message.
+type openStream func(ctx context.Context, client wire.DRPCFleetClient) (receive func() error, err error)
+
 // followStream opens a stream and receives until it fails or falls silent. Each stream has a
 // connection of its own: after one that fell silent, others that are kept may be silent too.
-func followStream(ctx context.Context, clock clockwork.Clock, open func(ctx context.Context) (func() error, error)) error {
+func followStream(ctx context.Context, clock clockwork.Clock, peers *daemon.Peers, address member.Address, open openStream) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watchdog := clock.AfterFunc(statusSilence, func() { cancel(errSilent) })
 	defer watchdog.Stop()
-	receive, err := open(ctx)
+	conn, err := peers.Dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	receive, err := open(ctx, wire.NewDRPCFleetClient(conn))
 	for err == nil {
 		if err = receive(); err == nil {
 			watchdog.Reset(statusSilence)
@@ -174,8 +300,9 @@
 
 // take takes a message of another box. What comes before its first whole one is of no
 // use.
-func (e *EntryBoxes) take(entry string, status *wire.EntryStatus) {
+func (e *EntryBoxes) take(entry string, want interest, status *wire.EntryStatus) {
 	now := e.clock.Now()
+	e.members.Learn(itemsFromWire(status.Members), entry)
 	box, before, ok := e.update(entry, status, now)
 	if !ok {
 		return
@@ -183,9 +310,10 @@
 	if before.Ready != box.Ready || before.Box == "" {
 		e.log.Info().Str("box", string(box.Box)).Bool("ready", box.Ready).Bool("leaving", status.Leaving).Msg("entry box heard")
 	}
-	e.told(box.Box, loadOf(status.InFlight), demandsOf(status.Demands), !status.Partial, now)
+	if want.load {
+		e.told(box.Box, loadOf(status.InFlight), demandsOf(status.Demands), !status.Partial, now)
+	}
 	if !status.Partial {
-		e.status.AddEntries(status.Entries)
 		e.facts.LearnAges(agesFromWire(status.Ages), status.Box)
 	}
 }
@@ -205,6 +333,9 @@
 		return EntryBox{}, EntryBox{}, false
 	}
 	e.boxes[entry] = box
+	for _, reader := range status.Readers {
+		e.readers.heard(member.BoxID(reader.Box), now.Add(-time.Duration(reader.AgeMilliseconds)*time.Millisecond))
+	}
 	return box, before, true
 }
 
@@ -233,25 +364,119 @@
 	return boxes
 }
 
-// isReader reports whether this box reads the store: it does unless enough boxes
-// go before it, in its region or, where it is the only one there, anywhere, and
-// hear from the store.
+// Ready returns the entry boxes that take requests, without this one: as they tell themselves
+// where they are followed, else as others tell of them.
+func (e *EntryBoxes) Ready() []member.Record {
+	records := e.members.All()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.clock.Now()
+	ready := make([]member.Record, 0, len(records))
+	for _, record := range records {
+		isReady := record.Status == member.StatusUp
+		if _, follows := e.following[string(record.Peers)]; follows {
+			box, heard := e.boxes[string(record.Peers)]
+			isReady = heard && box.Ready && now.Sub(box.Heard) < statusSilence
+		}
+		if isReady && record.Box != e.self.Box && record.Callers != "" {
+			ready = append(ready, record)
+		}
+	}
+	return ready
+}
+
+// CellBoxes is how many entry boxes share the servers of the cell, with this one, as far as
+// they are heard.
+func (e *EntryBoxes) CellBoxes() int {
+	plan, boxes := e.currentPlan(), 1
+	if plan == nil {
+		return boxes
+	}
+	for _, box := range e.Boxes() {
+		if plan.mates[box.Box] {
+			boxes++
+		}
+	}
+	return boxes
+}
+
+// Up is how many entry boxes there are.
+func (e *EntryBoxes) Up() int { return e.members.Up() }
+
+// planInput is what a plan was made from.
+type planInput struct {
+	boxes []member.Record
+	// services are the servers of each service.
+	services [][]fleet.Server
+	known    bool
+}
+
+// isSame reports whether nothing has changed. Views share the slices that stay as they were.
+func (p *planInput) isSame(other *planInput) bool {
+	return p.known == other.known && isSameSlice(p.boxes, other.boxes) && slices.EqualFunc(p.services, other.services, isSameSlice)
+}
+
+func isSameSlice[T any](a, b []T) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
+// replan divides the fleet anew if it has changed.
+func (e *EntryBoxes) replan() {
+	view := e.facts.View()
+	input := planInput{boxes: e.members.All(), known: view.Configuration != nil}
+	for _, service := range view.Services() {
+		input.services = append(input.services, view.Servers(service.Name))
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.plan != nil && e.planned.isSame(&input) {
+		return
+	}
+	before := e.plan
+	e.plan, e.planned = planCells(e.self.Box, input.boxes, view, e.regionOf), input
+	if before == nil || before.cells != e.plan.cells || before.own != e.plan.own {
+		e.log.Info().Int("boxes", len(input.boxes)).Int("cells", e.plan.cells).Int("cell", e.plan.own).Int("mates", len(e.plan.mates)).Msg("fleet divided")
+	}
+	close(e.replanned)
+	e.replanned = make(chan struct{})
+}
+
+// currentPlan returns how the fleet is divided; nil until that is known.
+func (e *EntryBoxes) currentPlan() *cellPlan {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.plan
+}
+
+// Replanned returns a channel that is closed when the fleet is divided anew.
+func (e *EntryBoxes) Replanned() <-chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.replanned
+}
+
+// isReader reports whether this box reads the store.
 func (e *EntryBoxes) isReader() bool {
-	self := member.BoxID(e.self.Box)
-	candidates := []member.BoxID{self}
 	elsewhere := make(map[member.Region]bool)
-	for _, box := range e.Boxes() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, record := range e.members.All() {
 		switch {
-		case box.StoreAge < 0 || box.StoreAge >= storeAway:
-		case string(box.Region) == e.self.Region:
-			candidates = append(candidates, box.Box)
-		default:
-			elsewhere[box.Region] = true
+		case record.Status == member.StatusSilent:
+			delete(e.readers.answered, record.Box)
+		case record.Region != e.self.Region:
+			elsewhere[record.Region] = true
 		}
 	}
-	readers := max(1, leastReaders-len(elsewhere))
-	return slices.Contains(member.Rank("reader/"+e.self.Region, candidates, readers), self)
+	return e.readers.isReader(len(elsewhere), e.clock.Now())
+}
+
+// toldReaders is what this box tells of those that read the store.
+func (e *EntryBoxes) toldReaders() []*wire.StoreReader {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.readers.toWire(e.facts.Answered(), e.clock.Now())
 }
 
 // probePause is the time between two calls of the store while it is away.
-func (e *EntryBoxes) probePause() time.Duration { return probePauseOf(1 + len(e.Boxes())) }
+func (e *EntryBoxes) probePause() time.Duration { return probePauseOf(e.members.Up()) }
--- a/internal/direct/repair.go
+++ b/internal/direct/repair.go
@@ -110,7 +110,7 @@
 	for _, box := range e.Boxes() {
 		switch {
 		case !own.isBehind(box.Extent) || asked[box.Peers]:
-		case string(box.Region) == e.self.Region:
+		case box.Region == e.self.Region:
 			near = append(near, box)
 		default:
 			far = append(far, box)
@@ -136,7 +136,7 @@
 	for {
 		began, cursor := e.clock.Now(), e.cursor(from)
 		stream, err := wire.NewDRPCFleetClient(conn).Facts(callCtx, &wire.FactsRequest{
-			Box: e.self.Box, Instance: cursor.Instance, Cursor: cursor.Sequence, Once: true,
+			Box: string(e.self.Box), Instance: cursor.Instance, Cursor: cursor.Sequence, Once: true,
 		})
 		if err != nil {
 			return err
--- a/internal/direct/servers.go
+++ b/internal/direct/servers.go
@@ -19,13 +19,15 @@
 
 // ModelServers follows the agents beside the model servers.
 type ModelServers struct {
-	facts  *Facts
-	peers  *daemon.Peers
-	clock  clockwork.Clock
-	log    zerolog.Logger
-	duties *kernel.Duties
-	self   string
-	port   uint16
+	facts *Facts
+	peers *daemon.Peers
+	// entries tell which servers are those of the own cell.
+	entries *EntryBoxes
+	clock   clockwork.Clock
+	log     zerolog.Logger
+	duties  *kernel.Duties
+	self    string
+	port    uint16
 	// state is called with what an agent tells of the server at an address.
 	state func(address member.Address, state route.ServerState, now time.Time)
 }
@@ -33,7 +35,7 @@
 // startServers follows the agents.
 func (p *Process) startServers() error {
 	m := &ModelServers{
-		facts: p.facts, peers: p.peers, clock: p.options.Clock, log: p.options.Log, duties: kernel.NewDuties(),
+		facts: p.facts, peers: p.peers, entries: p.entries, clock: p.options.Clock, log: p.options.Log, duties: kernel.NewDuties(),
 		self: p.settings.Box, port: uint16(p.settings.Direct.AgentPort), state: p.front.ServerState,
 	}
 	m.duties.Go(m.followAll)
@@ -59,7 +61,7 @@
 func (m *ModelServers) followAll(ctx context.Context) {
 	following := make(map[member.Address]context.CancelFunc)
 	for {
-		changed := m.facts.Changed()
+		changed, replanned := m.facts.Changed(), m.entries.Replanned()
 		listed := m.listed()
 		for address := range listed {
 			if following[address] == nil {
@@ -81,19 +83,20 @@
 			}
 			return
 		case <-changed:
+		case <-replanned:
 		}
 	}
 }
 
-// listed returns the addresses of all model servers.
+// listed returns the addresses of the model servers of the own cell.
 func (m *ModelServers) listed() map[member.Address]bool {
-	view := m.facts.View()
+	view, plan := m.facts.View(), m.entries.currentPlan()
 	listed := make(map[member.Address]bool)
 	for _, service := range view.Services() {
 		if service.Engine == nil {
 			continue
 		}
-		for _, server := range view.Servers(service.Name) {
+		for _, server := range plan.owned(view.Servers(service.Name)) {
 			listed[server.Address] = true
 		}
 	}
@@ -107,35 +110,11 @@
 		m.log.Error().Str("address", string(server)).Msg("server's address has no IP address and port")
 		return
 	}
-	connected, box := false, ""
 	for ctx.Err() == nil {
-		err := followStream(ctx, m.clock, func(ctx context.Context) (func() error, error) {
-			conn, err := m.peers.Dial(ctx, agent)
-			if err != nil {
-				return nil, err
-			}
-			stream, err := wire.NewDRPCFleetClient(conn).Server(ctx, &wire.FollowRequest{Box: m.self})
-			if err != nil {
-				return nil, err
-			}
-			return func() error {
-				status, err := stream.Recv()
-				if err != nil {
-					return err
-				}
-				if !connected {
-					connected, box = true, status.Box
-					m.log.Info().Str("dependency", "agent").Str("box", box).Str("address", string(agent)).Msg("dependency regained")
-				}
-				m.facts.LearnAges(agesFromWire(status.Ages), box)
-				m.state(server, serverStateOf(status, m.clock.Now()), m.clock.Now())
-				return nil
-			}, nil
-		})
-		if connected && ctx.Err() == nil {
-			connected = false
+		box, err := m.followOnce(ctx, server, agent)
+		if box != "" && ctx.Err() == nil {
 			silent := errors.Is(err, errSilent)
-			m.log.Warn().Str("dependency", "agent").Str("address", string(agent)).Bool("silent", silent).Err(err).Msg("dependency lost")
+			m.log.Warn().Str("dependency", "agent").Str("box", box).Str("address", string(agent)).Bool("silent", silent).Err(err).Msg("dependency lost")
 			if silent {
 				m.state(server, route.ServerState{Silent: true}, m.clock.Now())
 			}
@@ -144,6 +123,31 @@
 	}
 }
 
+// followOnce follows an agent until its stream ends, and returns the name of its box; empty if
+// it was not heard.
+func (m *ModelServers) followOnce(ctx context.Context, server, agent member.Address) (box string, err error) {
+	err = followStream(ctx, m.clock, m.peers, agent, func(ctx context.Context, client wire.DRPCFleetClient) (func() error, error) {
+		stream, err := client.Server(ctx, &wire.FollowRequest{Box: m.self})
+		if err != nil {
+			return nil, err
+		}
+		return func() error {
+			status, err := stream.Recv()
+			if err != nil {
+				return err
+			}
+			if box == "" {
+				box = status.Box
+				m.log.Info().Str("dependency", "agent").Str("box", box).Str("address", string(agent)).Msg("dependency regained")
+			}
+			m.facts.LearnAges(agesFromWire(status.Ages), box)
+			m.state(server, serverStateOf(status, m.clock.Now()), m.clock.Now())
+			return nil
+		}, nil
+	})
+	return box, err
+}
+
 func serverStateOf(status *wire.ServerStatus, now time.Time) route.ServerState {
 	state := route.ServerState{
 		Swapping: status.Swapping, Running: int(status.Running), Waiting: int(status.Waiting), Pace: status.Pace,
--- a/internal/direct/status.go
+++ b/internal/direct/status.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/cinderslip/cinderslip/internal/kernel"
 	"github.com/cinderslip/cinderslip/internal/wire"
 	"github.com/cinderslip/cinderslip/pkg/fleet"
 	"github.com/cinderslip/cinderslip/pkg/member"
@@ -21,8 +21,8 @@
 	// statusInterval is how often an entry box tells the others what it has in
 	// flight, if that has changed. A request holds a place for a second or so.
 	statusInterval = 50 * time.Millisecond
-	// farMessages is how many such messages a box sends to those of other regions in a
-	// second, all together: they cross narrow links, and grow with the square of the boxes.
+	// farMessages is how many such messages a box sends to those of its cell in other regions in
+	// a second, all together: they cross narrow links.
 	// With six others there is no need to tell them less often than the near ones.
 	farMessages = 120
 	// statusHeartbeat is how often it does if nothing has changed.
@@ -40,21 +40,24 @@
 
 	clock    clockwork.Clock
 	facts    *Facts
+	members  *Members
+	duties   *kernel.Duties
 	identity *wire.EntryStatus
 	// load and demands are what the box has in flight and is asked for.
 	load    func() route.Load
 	demands func() route.Demands
+	// readers are those that read the store, as far as the box knows.
+	readers func() []*wire.StoreReader
 
-	snapshotMu sync.Mutex
-	last       *statusSnapshot
-	// farFollowers is how many entry boxes of other regions follow this one.
+	// farFollowers is how many entry boxes of other regions follow what this one has in flight.
 	farFollowers atomic.Int64
 
 	mu      sync.Mutex
 	ready   bool
 	leaving bool
-	entries map[string]bool
-	added   chan struct{}
+	// last is what is to be told now, ticked is closed when that is looked at anew.
+	last   *statusSnapshot
+	ticked chan struct{}
 	// reduced is the configuration as it was last told to agents.
 	reduced state.Item
 	// done ends the streams.
@@ -62,32 +65,49 @@
 	stopOnce sync.Once
 }
 
+// startMembers makes the box known to itself.
+func (p *Process) startMembers() error {
+	p.members = NewMembers(member.Record{
+		Box: p.box(), Role: member.RoleEntry, Region: p.region(), FailureDomain: member.FailureDomain(p.settings.FailureDomain),
+		Peers: member.Address(p.settings.Listen.Peers), Callers: member.Address(p.settings.Listen.Callers),
+		Incarnation: member.Incarnation(p.options.Clock.Now().UnixMilli()), Status: member.StatusStarting,
+	}, p.options.Clock, p.options.Log)
+	return nil
+}
+
 // startStatus makes the box's own status.
 func (p *Process) startStatus() error {
 	p.status = &Status{
-		clock: p.options.Clock, facts: p.facts,
+		clock: p.options.Clock, facts: p.facts, members: p.members, duties: kernel.NewDuties(),
 		identity: &wire.EntryStatus{
 			Box: p.settings.Box, Region: p.settings.Region, FailureDomain: p.settings.FailureDomain,
 			Peers: p.settings.Listen.Peers, Callers: p.settings.Listen.Callers,
 			Incarnation: rand.Uint64(),
 		},
 		load: func() route.Load { return p.front.Load() }, demands: func() route.Demands { return p.front.Demands() },
-		entries: make(map[string]bool), added: make(chan struct{}), done: make(chan struct{}),
+		readers: func() []*wire.StoreReader { return nil },
+		ticked:  make(chan struct{}), done: make(chan struct{}),
 	}
-	p.status.AddEntries(p.settings.Peers.Entries)
 	if err := wire.DRPCRegisterFleet(p.mux, p.status); err != nil {
 		return err
 	}
 	return p.kernel.Register(p.status)
 }
 
+// startTelling begins to look at what is to be told, once all that tells it is there.
+func (p *Process) startTelling() error {
+	p.status.look()
+	p.status.duties.Go(p.status.beat)
+	return nil
+}
+
 // String returns the service's name.
 func (s *Status) String() string { return "status" }
 
 // Stop ends all streams.
-func (s *Status) Stop(context.Context) error {
+func (s *Status) Stop(ctx context.Context) error {
 	s.stopOnce.Do(func() { close(s.done) })
-	return nil
+	return s.duties.Stop(ctx)
 }
 
 // Leave announces a planned stop.
@@ -95,13 +115,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.leaving, s.ready = true, false
+	s.members.SetStatus(member.StatusLeaving)
 }
 
 // SetReady tells whether the box takes requests.
 func (s *Status) SetReady(ready bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.ready = ready && !s.leaving
+	if s.ready = ready && !s.leaving; s.ready {
+		s.members.SetStatus(member.StatusUp)
+	}
 }
 
 // Ready reports whether the box takes requests.
@@ -111,50 +134,12 @@
 	return s.ready
 }
 
-// AddEntries notes addresses of other entry boxes.
-func (s *Status) AddEntries(entries []string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, entry := range entries {
-		if entry == s.identity.Peers || s.entries[entry] {
-			continue
-		}
-		s.entries[entry] = true
-		close(s.added)
-		s.added = make(chan struct{})
-	}
-}
-
-// RemoveEntry forgets an entry box that has been away for long.
-func (s *Status) RemoveEntry(entry string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.entries, entry)
-}
-
-// Entries returns the entry boxes that are known, and a channel that is closed
-// when there is another one.
-func (s *Status) Entries() (entries []string, added <-chan struct{}) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.knownEntries(), s.added
-}
-
-// knownEntries returns the entry boxes that are known. The lock must be held.
-func (s *Status) knownEntries() []string {
-	entries := make([]string, 0, len(s.entries)+1)
-	for entry := range s.entries {
-		entries = append(entries, entry)
-	}
-	slices.Sort(entries)
-	return entries
-}
-
-// summary returns what decides whether the status is told whole.
+// summary returns what is told besides what is in flight and asked for.
 func (s *Status) summary() statusSummary {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	return statusSummary{ready: s.ready, leaving: s.leaving, extent: s.facts.Extent(), entries: len(s.entries), storeAge: s.facts.StoreAge()}
+	ready, leaving := s.ready, s.leaving
+	s.mu.Unlock()
+	return statusSummary{ready: ready, leaving: leaving, extent: s.facts.Extent(), ages: s.facts.versionsKnown(), storeAge: s.facts.StoreAge()}
 }
 
 // whole returns the status without what is in flight and asked for.
@@ -167,28 +152,30 @@
 		Peers: s.identity.Peers, Callers: s.identity.Callers, Incarnation: s.identity.Incarnation,
 		Ready: s.ready, Leaving: s.leaving,
 		Revision: uint64(extent.Newest), Complete: uint64(extent.Complete), StoreAgeMilliseconds: s.facts.StoreAge().Milliseconds(),
-		Entries: s.knownEntries(), Ages: ages,
+		Ages: ages,
 	}
 }
 
-// Entry streams the box's status: whole at first and when it has changed, in between only
-// what has changed of what is in flight and asked for, now and then nothing else. An entry
-// box that follows this one becomes known by that: the settings name only a few.
+// Entry streams the box's status: whole at first and when the ages of versions have changed, in
+// between only what has changed of what is in flight and asked for, now and then nothing else.
+// An entry box that follows this one becomes known by that: the settings name only a few.
 func (s *Status) Entry(request *wire.FollowRequest, stream wire.DRPCFleet_EntryStream) error {
-	if request.Peers != "" {
-		s.AddEntries([]string{request.Peers})
+	if request.Record != nil {
+		s.members.Learn(itemsFromWire([]*wire.Item{request.Record}), request.Box)
 	}
 	far := request.Region != s.identity.Region
-	if far {
+	if far && request.Load {
 		s.farFollowers.Add(1)
 		defer s.farFollowers.Add(-1)
 	}
-	told := statusTold{whole: s.whole}
+	told, records := statusTold{whole: s.whole}, memberCursor{members: s.members, all: request.Members}
 	for {
-		now := s.snapshot()
-		if status := told.next(now.statusSummary, now.load, now.demands, now.at); status != nil {
-			if err := stream.Send(status); err != nil {
-				return err
+		now, ticked := s.now()
+		if told.at.IsZero() || now.at.Sub(told.at) >= s.interval(far)-statusInterval/2 {
+			if status := s.message(request, &told, &records, now, far); status != nil {
+				if err := stream.Send(status); err != nil {
+					return err
+				}
 			}
 		}
 		select {
@@ -196,11 +183,29 @@
 			return nil
 		case <-s.done:
 			return nil
-		case <-s.clock.After(s.interval(far)):
+		case <-ticked:
 		}
 	}
 }
 
+// message returns what one follower is to be told now; nil if nothing.
+func (s *Status) message(request *wire.FollowRequest, told *statusTold, records *memberCursor, now *statusSnapshot, far bool) *wire.EntryStatus {
+	summary := now.statusSummary
+	if far {
+		summary.readers = nil
+	}
+	load, demands := now.load, now.demands
+	if !request.Load {
+		load, demands = nil, nil
+	}
+	changed := itemsToWire(records.next())
+	status := told.next(summary, load, demands, now.at, len(changed) > 0)
+	if status != nil {
+		status.Members = changed
+	}
+	return status
+}
+
 // statusSnapshot is what the box tells of itself at a moment.
 type statusSnapshot struct {
 	statusSummary
@@ -209,19 +214,38 @@
 	demands route.Demands
 }
 
-// snapshotAge is for how long a snapshot serves all streams: with many of them, making it
-// for each took most of the time of telling.
-const snapshotAge = 10 * time.Millisecond
-
-// snapshot returns what is to be told now. It must not be changed.
-func (s *Status) snapshot() *statusSnapshot {
-	s.snapshotMu.Lock()
-	defer s.snapshotMu.Unlock()
-	now := s.clock.Now()
-	if s.last == nil || now.Sub(s.last.at) >= snapshotAge {
-		s.last = &statusSnapshot{statusSummary: s.summary(), at: now, load: s.load(), demands: s.demands()}
+// beat looks at what is to be told, for all streams at once: with a timer each, waking up took
+// most of the time of telling.
+func (s *Status) beat(ctx context.Context) {
+	ticker := s.clock.NewTicker(statusInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+		}
+		s.look()
 	}
-	return s.last
+}
+
+// look makes the snapshot of this moment the one that is told.
+func (s *Status) look() {
+	next := &statusSnapshot{statusSummary: s.summary(), at: s.clock.Now(), load: s.load(), demands: s.demands()}
+	next.readers = s.readers()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.last = next
+	close(s.ticked)
+	s.ticked = make(chan struct{})
+}
+
+// now returns what is to be told now, which must not be changed, and a channel that is closed
+// when there is something newer.
+func (s *Status) now() (snapshot *statusSnapshot, ticked <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.last, s.ticked
 }
 
 // interval is how often an entry box of this region, or of another one, is told.
@@ -237,15 +261,15 @@
 	cursor := state.Cursor{Instance: request.Instance, Sequence: request.Cursor}
 	ticker := s.clock.NewTicker(statusHeartbeat)
 	defer ticker.Stop()
-	var told []string
+	entries := s.members.Sample(member.Region(request.Region))
+	if request.EntriesOnly {
+		return stream.Send(&wire.FactsBatch{Entries: entries})
+	}
 	for {
 		changed := s.facts.Changed()
 		message := s.batch(cursor, request.ServicesOnly)
 		cursor = state.Cursor{Instance: message.Instance, Sequence: message.Cursor}
-		if entries, _ := s.Entries(); !slices.Equal(entries, told) {
-			told = entries
-			message.Entries = append(slices.Clone(entries), s.identity.Peers)
-		}
+		message.Entries, entries = entries, nil
 		if err := stream.Send(message); err != nil {
 			return err
 		}
--- a/internal/direct/status_test.go
+++ b/internal/direct/status_test.go
@@ -28,7 +28,7 @@
 			revision := func(name string) fleet.Revision { return fleet.Revision(rapid.IntRange(0, 1).Draw(t, name)) }
 			summary := statusSummary{extent: Extent{Newest: revision("newest"), Complete: revision("complete")}}
 			demands := route.Demands{"draft": {Arrivals: 7, Late: rapid.IntRange(0, 1).Draw(t, "late")}}
-			message := told.next(summary, load, demands, now)
+			message := told.next(summary, load, demands, now, false)
 			if message == nil {
 				if !maps.Equal(load, received) || !maps.Equal(demands, asked) {
 					t.Fatalf("nothing told of %v, known is %v", load, received)
@@ -54,20 +54,22 @@
 	wholes := 0
 	told := statusTold{whole: func() *wire.EntryStatus {
 		wholes++
-		return &wire.EntryStatus{Box: "entry-1", Entries: []string{"10.0.0.1:1"}}
+		return &wire.EntryStatus{Box: "entry-1", Ages: []*wire.VersionAge{{Model: "m"}}}
 	}}
-	now, summary := time.Unix(1000, 0), statusSummary{entries: 1}
-	require.False(t, told.next(summary, route.Load{}, nil, now).Partial)
-	require.Nil(t, told.next(summary, route.Load{}, nil, now.Add(statusInterval)))
-	require.True(t, told.next(summary, route.Load{"a": {Requests: 1}}, nil, now.Add(2*statusInterval)).Partial)
+	now, summary := time.Unix(1000, 0), statusSummary{ages: 1}
+	require.False(t, told.next(summary, route.Load{}, nil, now, false).Partial)
+	require.Nil(t, told.next(summary, route.Load{}, nil, now.Add(statusInterval), false))
+	require.True(t, told.next(summary, route.Load{"a": {Requests: 1}}, nil, now.Add(2*statusInterval), false).Partial)
 	now = now.Add(2*statusInterval + statusHeartbeat)
 	summary.storeAge = time.Second
-	heartbeat := told.next(summary, route.Load{"a": {Requests: 1}}, nil, now)
+	heartbeat := told.next(summary, route.Load{"a": {Requests: 1}}, nil, now, false)
 	require.True(t, heartbeat.Partial, "a heartbeat tells that the box is there, and how old its facts may be")
 	require.EqualValues(t, 1000, heartbeat.StoreAgeMilliseconds)
 	require.Empty(t, heartbeat.InFlight)
-	summary.entries = 2
-	require.False(t, told.next(summary, route.Load{"a": {Requests: 1}}, nil, now).Partial)
+	summary.extent.Newest = 7
+	require.EqualValues(t, 7, told.next(summary, route.Load{"a": {Requests: 1}}, nil, now, false).Revision, "a change is told at once")
+	summary.ages = 2
+	require.False(t, told.next(summary, route.Load{"a": {Requests: 1}}, nil, now, false).Partial)
 	require.Equal(t, 2, wholes, "it is built only when it is told")
 }
 
@@ -75,9 +77,9 @@
 func TestADemandIsToldAtOnceOnlyIfMoreOrFewerWait(t *testing.T) {
 	told := statusTold{whole: func() *wire.EntryStatus { return &wire.EntryStatus{} }}
 	now := time.Unix(1000, 0)
-	require.NotNil(t, told.next(statusSummary{}, nil, route.Demands{"draft": {Arrivals: 1}}, now))
-	require.Nil(t, told.next(statusSummary{}, nil, route.Demands{"draft": {Arrivals: 2}}, now))
-	message := told.next(statusSummary{}, nil, route.Demands{"draft": {Arrivals: 3, InTime: 1}}, now)
+	require.NotNil(t, told.next(statusSummary{}, nil, route.Demands{"draft": {Arrivals: 1}}, now, false))
+	require.Nil(t, told.next(statusSummary{}, nil, route.Demands{"draft": {Arrivals: 2}}, now, false))
+	message := told.next(statusSummary{}, nil, route.Demands{"draft": {Arrivals: 3, InTime: 1}}, now, false)
 	require.True(t, message.Partial)
 	require.Equal(t, route.Demands{"draft": {Arrivals: 3, InTime: 1}}, demandsOf(message.Demands))
 }
--- a/internal/direct/told.go
+++ b/internal/direct/told.go
@@ -14,15 +14,17 @@
 type statusSummary struct {
 	ready, leaving bool
 	extent         Extent
-	entries        int
+	// ages is how many versions of weights the box knows the ages of.
+	ages int
 	// storeAge is how long ago the store answered; negative for never.
 	storeAge time.Duration
+	// readers are the boxes that read the store.
+	readers []*wire.StoreReader
 }
 
-// told is what, when it changes, is told whole at once.
-func (s statusSummary) told() statusSummary {
-	s.storeAge = 0
-	return s
+// told is what, when it changes, is told at once.
+func (s *statusSummary) told() (ready, leaving bool, extent Extent) {
+	return s.ready, s.leaving, s.extent
 }
 
 // statusTold is what the receiver of one stream knows.
@@ -36,27 +38,47 @@
 }
 
 // next returns the message that brings the receiver to a state; nil if it knows it and has
-// heard of the box lately.
-func (t *statusTold) next(summary statusSummary, load route.Load, demands route.Demands, now time.Time) *wire.EntryStatus {
-	if t.at.IsZero() || summary.told() != t.summary.told() {
+// heard of the box lately, unless there is something else to tell it.
+func (t *statusTold) next(summary statusSummary, load route.Load, demands route.Demands, now time.Time, more bool) *wire.EntryStatus {
+	if t.at.IsZero() || summary.ages != t.summary.ages {
 		t.summary, t.load, t.demands, t.at = summary, load, demands, now
 		status := t.whole()
-		status.InFlight, status.Demands = loadToWire(load), demandsToWire(demands)
+		status.InFlight, status.Demands, status.Readers = loadToWire(load), demandsToWire(demands), summary.readers
 		return status
 	}
 	changed := changedLoad(t.load, load)
 	asked := maps.Clone(demands)
 	maps.DeleteFunc(asked, func(service member.Service, demand route.Demand) bool { return t.demands[service] == demand })
-	if len(changed) == 0 && !isUrgent(t.demands, asked) && now.Sub(t.at) < statusHeartbeat {
+	urgent := more || len(changed) > 0 || isUrgent(t.demands, asked) || t.isNews(&summary, now)
+	if !urgent && now.Sub(t.at) < statusHeartbeat {
 		return nil
 	}
-	t.load, t.demands, t.at = load, demands, now
+	t.summary, t.load, t.demands, t.at = summary, load, demands, now
 	return &wire.EntryStatus{
 		Partial: true, Ready: summary.ready, Leaving: summary.leaving, Revision: uint64(summary.extent.Newest), Complete: uint64(summary.extent.Complete),
-		StoreAgeMilliseconds: summary.storeAge.Milliseconds(), InFlight: loadToWire(changed), Demands: demandsToWire(asked),
+		StoreAgeMilliseconds: summary.storeAge.Milliseconds(), InFlight: loadToWire(changed), Demands: demandsToWire(asked), Readers: summary.readers,
 	}
 }
 
+// isNews reports whether what a summary tells must not wait for the next heartbeat.
+func (t *statusTold) isNews(summary *statusSummary, now time.Time) bool {
+	ready, leaving, extent := summary.told()
+	knownReady, knownLeaving, knownExtent := t.summary.told()
+	if ready != knownReady || leaving != knownLeaving || extent != knownExtent {
+		return true
+	}
+	return newestAnswer(summary.readers, now).Sub(newestAnswer(t.summary.readers, t.at)) >= readerRelay
+}
+
+// newestAnswer returns when the store answered the first in rank of its readers, as was told at a
+// time; the zero time if there is none.
+func newestAnswer(told []*wire.StoreReader, at time.Time) time.Time {
+	if len(told) == 0 {
+		return time.Time{}
+	}
+	return at.Add(-time.Duration(told[0].AgeMilliseconds) * time.Millisecond)
+}
+
 // changedLoad returns the servers at which the load is another one than before.
 func changedLoad(before, now route.Load) route.Load {
 	changed := make(route.Load)
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -63,6 +63,9 @@
 
 // The statuses of a box.
 const (
+	// StatusStarting is a box that is there but can't answer callers yet.
+	StatusStarting Status = "starting"
+
 	StatusUp      Status = "up"
 	StatusLeaving Status = "leaving"
 	StatusSilent  Status = "silent"
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -223,6 +223,20 @@
 	return s.changed
 }
 
+// Forget drops a key, tombstone and all. It is for keys whose writer is gone for good: a peer
+// that still holds the item brings it back.
+func (s *Store) Forget(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held, ok := s.nodes[key]
+	if !ok {
+		return
+	}
+	s.unlink(held)
+	s.digests[bucketOf(key)] ^= digestOf(held.item)
+	delete(s.nodes, key)
+}
+
 // Get returns the item of a key; ok is false if there is none or it is deleted.
 func (s *Store) Get(key string) (item Item, ok bool) {
 	item, ok = s.Lookup(key)
