perf(weights): hundreds of boxes take their turns at the origin

Connections to the origin were kept for 10 s after a draw; it accepts 48 in all and reset 268, so that single pieces were not drawn. A draw that failed then waited again for its whole place in the pace of the draws, 1.1 s for the last piece, and all boxes with it. Ruled out: the links (a piece was passed on within 0.1 s), the swaps (0.3 s each, in turn).

--- a/internal/direct/facts.go
+++ b/internal/direct/facts.go
@@ -255,6 +255,10 @@
 	f.ApplyItems(items, from)
 }
 
+// factsLogged is how many servers' entries have a log line each when they come together. A process
+// that starts hears of thousands at once, and so does each of thousands.
+const factsLogged = 16
+
 // ApplyItems is Apply for facts in their replicated form.
 func (f *Facts) ApplyItems(items []state.Item, from string) {
 	fresh := f.store.Apply(items, state.OriginLocal)
@@ -263,6 +267,11 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	log := f.log
+	if len(fresh) > factsLogged {
+		f.log.Info().Int("facts", len(fresh)).Str("from", from).Msg("many facts taken")
+		log = f.log.Level(zerolog.WarnLevel)
+	}
 	view := f.View()
 	// What comes before any configuration was there when the process started.
 	earlier := view.Configuration == nil
@@ -279,7 +288,7 @@
 		case fact.Configuration != nil:
 			view = f.takeConfiguration(view, &fact, from)
 		case strings.HasPrefix(fact.Key, fleet.ServerKey("")):
-			f.takeServer(&fact, from)
+			f.takeServer(&fact, from, &log)
 			servers = true
 		case strings.HasPrefix(fact.Key, fleet.WantedKey("")):
 			f.takeWanted(&fact, from, earlier)
@@ -314,11 +323,11 @@
 	return view.WithConfiguration(fact.Configuration, fact.Revision)
 }
 
-func (f *Facts) takeServer(fact *fleet.Fact, from string) {
+func (f *Facts) takeServer(fact *fleet.Fact, from string, log *zerolog.Logger) {
 	id := fleet.ServerID(strings.TrimPrefix(fact.Key, fleet.ServerKey("")))
 	if !fact.Gone {
 		if _, known := f.servers[id]; !known || fact.Server.Leaving {
-			f.log.Info().Str("server", string(id)).Str("service", string(fact.Server.Service)).Str("address", string(fact.Server.Address)).
+			log.Info().Str("server", string(id)).Str("service", string(fact.Server.Service)).Str("address", string(fact.Server.Address)).
 				Bool("leaving", fact.Server.Leaving).Uint64("revision", uint64(fact.Revision)).Str("from", from).Msg("server listed")
 		}
 		f.servers[id] = listing{*fact.Server, fact.Revision}
@@ -329,7 +338,7 @@
 	if !known {
 		return
 	}
-	f.log.Info().Str("server", string(id)).Str("address", string(server.Address)).Bool("was_leaving", server.Leaving).
+	log.Info().Str("server", string(id)).Str("address", string(server.Address)).Bool("was_leaving", server.Leaving).
 		Uint64("revision", uint64(fact.Revision)).Str("from", from).Msg("server gone from the list")
 }
 
--- a/internal/direct/facts_test.go
+++ b/internal/direct/facts_test.go
@@ -70,7 +70,7 @@
 	store := &scriptedStore{answers: answers}
 	reader := &storeReader{
 		facts: facts, source: store.source(),
-		wanted: func() bool { return true }, probePause: func() time.Duration { return probeShortest },
+		times: testTimes, wanted: func() bool { return true }, probePause: func() time.Duration { return probeShortest },
 	}
 	for len(store.answers) > 0 {
 		done := make(chan struct{})
--- a/internal/direct/members.go
+++ b/internal/direct/members.go
@@ -100,6 +100,11 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	log := m.log
+	if len(fresh) > factsLogged {
+		m.log.Info().Int("records", len(fresh)).Str("from", from).Msg("many entry boxes heard of")
+		log = m.log.Level(zerolog.WarnLevel)
+	}
 	for _, item := range fresh {
 		record, err := member.ParseRecord(item.Value)
 		if err != nil {
@@ -111,7 +116,7 @@
 			continue
 		}
 		if before, known := m.known[record.Box]; !known || before.Status != record.Status {
-			m.log.Info().Str("box", string(record.Box)).Str("region", string(record.Region)).Str("status", string(record.Status)).
+			log.Info().Str("box", string(record.Box)).Str("region", string(record.Region)).Str("status", string(record.Status)).
 				Uint64("incarnation", uint64(record.Incarnation)).Str("from", from).Msg("entry box heard of")
 		}
 		m.take(record)
--- a/internal/direct/members_test.go
+++ b/internal/direct/members_test.go
@@ -230,7 +230,7 @@
 	names := []member.BoxID{"a", "b", "c", "d"}
 	ranked := member.Rank("reader/riga", names, len(names))
 	first, second, third := ranked[0], ranked[1], ranked[2]
-	r := newReaders(third, "riga")
+	r := newReaders(third, "riga", testTimes.storeAway())
 	require.True(t, r.isReader(1, now), "nobody else is known to read")
 	r.heard(second, now)
 	require.False(t, r.isReader(1, now))
@@ -240,19 +240,19 @@
 	told := r.toWire(now, now)
 	require.Len(t, told, leastReaders)
 	require.Equal(t, string(first), told[0].Box)
-	require.True(t, r.isReader(1, now.Add(storeAway)), "those before it no longer hear from the store")
+	require.True(t, r.isReader(1, now.Add(testTimes.storeAway())), "those before it no longer hear from the store")
 }
 
 // An old word of an answer that comes by a longer way must not make a reader look dead, nor a
 // dead one look alive.
 func TestOnlyTheNewestWordOfAReaderCounts(t *testing.T) {
 	now := time.Unix(1000, 0)
-	r := newReaders("self", "riga")
+	r := newReaders("self", "riga", testTimes.storeAway())
 	words := []time.Duration{0, 300 * time.Millisecond, 700 * time.Millisecond}
 	rand.Shuffle(len(words), func(i, j int) { words[i], words[j] = words[j], words[i] })
 	for _, age := range words {
 		r.heard("other", now.Add(-age))
 	}
 	require.Equal(t, map[member.BoxID]time.Time{"other": now}, maps.Clone(r.answered))
-	require.Empty(t, r.fresh(time.Time{}, now.Add(storeAway)))
+	require.Empty(t, r.fresh(time.Time{}, now.Add(testTimes.storeAway())))
 }
--- a/internal/direct/outage_test.go
+++ b/internal/direct/outage_test.go
@@ -22,6 +22,9 @@
 	"github.com/cinderslip/cinderslip/pkg/state"
 )
 
+// testTimes are those for changes that must be in force in two seconds.
+var testTimes = readTimesFor(2 * time.Second)
+
 // readBound is in which time a box has to read a change of the store: half of the two
 // seconds after which it has to be in force, so that others can be told in the other half.
 const readBound = time.Second
@@ -140,7 +143,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			store, facts := newSilentStore(), NewFacts(clockwork.NewRealClock(), zerolog.Nop(), NewMetrics())
 			defer func() { require.NoError(t, facts.Stop(context.Background())) }()
-			facts.ReadStore(store.source(), func() bool { return true }, func() time.Duration { return probePauseOf(7) })
+			facts.ReadStore(store.source(), testTimes, func() bool { return true }, func() time.Duration { return probePauseOf(7) })
 			awaitVersion(facts, 1)
 			store.silence(true)
 			time.Sleep(silent)
@@ -161,17 +164,17 @@
 
 // The connections to the store go silent for good, the kept ones too, while new ones work.
 func TestAChangeIsReadAlthoughAllOpenConnectionsAreSilent(t *testing.T) {
-	for phase := time.Duration(0); phase <= watchWait; phase += watchWait / 10 {
+	for phase := time.Duration(0); phase <= testTimes.watch; phase += testTimes.watch / 10 {
 		synctest.Test(t, func(t *testing.T) {
 			store, facts := newSilentStore(), NewFacts(clockwork.NewRealClock(), zerolog.Nop(), NewMetrics())
 			defer func() { require.NoError(t, facts.Stop(context.Background())) }()
-			facts.ReadStore(store.source(), func() bool { return true }, func() time.Duration { return probePauseOf(7) })
+			facts.ReadStore(store.source(), testTimes, func() bool { return true }, func() time.Duration { return probePauseOf(7) })
 			awaitVersion(facts, 1)
 			time.Sleep(5*time.Second + phase)
 			synctest.Wait()
 			store.silenceConnections()
 			store.configure(2)
-			assert.LessOrEqual(t, awaitVersion(facts, 2), watchWait+overdueAfter, "silent %s after a call", phase)
+			assert.LessOrEqual(t, awaitVersion(facts, 2), testTimes.watch+overdueAfter, "silent %s after a call", phase)
 		})
 	}
 }
@@ -181,7 +184,7 @@
 	boxes := &EntryBoxes{
 		facts: facts, clock: facts.clock, log: zerolog.Nop(), duties: kernel.NewDuties(),
 		boxes: make(map[string]EntryBox), pulled: make(map[member.Address]state.Cursor),
-		members: newTestMembers(facts.clock, "self"), readers: newReaders("self", ""),
+		members: newTestMembers(facts.clock, "self"), readers: newReaders("self", "", testTimes.storeAway()),
 	}
 	boxes.self.Box = "self"
 	for _, status := range told {
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -85,11 +85,12 @@
 
 // startPeers follows the other entry boxes.
 func (p *Process) startPeers() error {
+	times := readTimesFor(time.Duration(p.settings.Direct.ChangeBound))
 	e := &EntryBoxes{
 		self: p.members.own, regionOf: p.regionOf, members: p.members, facts: p.facts, peers: p.peers, clock: p.options.Clock, log: p.options.Log,
 		duties: kernel.NewDuties(), seeds: p.settings.Peers.Entries, boxes: make(map[string]EntryBox),
 		following: make(map[string]followed), pulled: make(map[member.Address]state.Cursor),
-		readers: newReaders(p.box(), p.region()), replanned: make(chan struct{}), told: p.front.PeerTold,
+		readers: newReaders(p.box(), p.region(), times.storeAway()), replanned: make(chan struct{}), told: p.front.PeerTold,
 	}
 	e.pull = e.readFacts
 	p.entries = e
@@ -97,7 +98,7 @@
 	p.front.entries.Store(e)
 	e.duties.Go(e.followAll)
 	e.duties.Go(e.repair)
-	p.facts.ReadStore(p.options.Platform.Facts, e.isReader, e.probePause)
+	p.facts.ReadStore(p.options.Platform.Facts, times, e.isReader, e.probePause)
 	return p.kernel.Register(e)
 }
 
--- a/internal/direct/reader.go
+++ b/internal/direct/reader.go
@@ -13,11 +13,6 @@
 )
 
 const (
-	// watchWait is how long one call waits for changes. Each call is priced, but one whose
-	// connection has gone silent, or that waits while the store drops its history, hears
-	// nothing, and a change has to be in force everywhere in two seconds: half of them are
-	// for reading it, half for telling the others.
-	watchWait = time.Second
 	// overdueAfter is for how long after its time an answer is waited for before the store is
 	// called anew, on another connection. The store answers in milliseconds, and in a
 	// quarter of a second when it is slow.
@@ -25,9 +20,6 @@
 	// callTimeout bounds any call that does not wait. Others are made meanwhile, so it may be
 	// long against the answers of a slow store.
 	callTimeout = 2 * time.Second
-	// gatherTime is waited after a change, so that changes in quick succession
-	// take one call. It is short against the time in which one must be in force.
-	gatherTime = 250 * time.Millisecond
 	// retryFirst is the wait after a waiting call that failed; up to as much is added at random.
 	retryFirst = 100 * time.Millisecond
 	// probesPerSecond is how often the store is called while it is away, by all boxes
@@ -43,6 +35,38 @@
 	mostProbesPerSecond = 200
 )
 
+// readTimes are how often the store is read.
+type readTimes struct {
+	// watch is how long one call waits for changes. Each call is priced, but one whose
+	// connection has gone silent, or that waits while the store drops its history, hears
+	// nothing.
+	watch time.Duration
+	// gather is waited after a change, so that changes in quick succession take one call.
+	gather time.Duration
+}
+
+const (
+	// watchPart and gatherPart are the parts of the time in which a change must be in force:
+	// half of it is for reading the change, half for telling the others.
+	watchPart  = 2
+	gatherPart = 8
+	// watchLongest bounds a call in any case: connections that rest for longer may be closed on
+	// their way.
+	watchLongest = 10 * time.Second
+)
+
+// readTimesFor returns how often the store is read if a change must be in force in a time. With
+// four seconds in place of two a quiet day of five readers takes half of the calls.
+func readTimesFor(changeBound time.Duration) readTimes {
+	return readTimes{watch: min(watchLongest, changeBound/watchPart), gather: min(watchLongest, changeBound) / gatherPart}
+}
+
+// storeAway is after how long without an answer of the store a reader no longer counts: it is
+// longer than one call, and a call in place of one that is overdue.
+func (t readTimes) storeAway() time.Duration {
+	return t.watch + overdueAfter + probeShortest + statusHeartbeat
+}
+
 // storeReader is how far one reader has come in the store's changes.
 type storeReader struct {
 	facts  *Facts
@@ -52,6 +76,7 @@
 	wanted func() bool
 	// probePause is the time between two calls while the store is away.
 	probePause func() time.Duration
+	times      readTimes
 }
 
 // storeAnswer is what became of one call.
@@ -66,12 +91,12 @@
 
 // ReadStore follows the store for as long as wanted holds. While the store is away it is
 // called once in each probePause.
-func (f *Facts) ReadStore(source provider.FactSource, wanted func() bool, probePause func() time.Duration) {
+func (f *Facts) ReadStore(source provider.FactSource, times readTimes, wanted func() bool, probePause func() time.Duration) {
 	f.duties.Go(func(ctx context.Context) {
-		reader := &storeReader{facts: f, source: source, wanted: wanted, probePause: probePause}
+		reader := &storeReader{facts: f, source: source, times: times, wanted: wanted, probePause: probePause}
 		for ctx.Err() == nil {
 			if !wanted() {
-				sleep(ctx, f.clock, gatherTime)
+				sleep(ctx, f.clock, times.gather)
 				continue
 			}
 			reader.once(ctx)
@@ -100,7 +125,7 @@
 	f.storeAnswered()
 	r.take(&answer)
 	if len(answer.got.Facts) > 0 && !answer.whole {
-		sleep(ctx, f.clock, gatherTime)
+		sleep(ctx, f.clock, r.times.gather)
 	}
 }
 
@@ -112,7 +137,7 @@
 	f := r.facts
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	wait := watchWait
+	wait := r.times.watch
 	if f.isStoreLost() {
 		wait = 0
 	}
--- a/internal/direct/readers.go
+++ b/internal/direct/readers.go
@@ -12,9 +12,6 @@
 	// leastReaders is how many entry boxes read the store at least, and one does in
 	// each region; the others hear from them.
 	leastReaders = 2
-	// storeAway is after how long without an answer of the store a reader no longer counts: it
-	// is longer than one watch, and a call in place of one that is overdue.
-	storeAway = watchWait + overdueAfter + probeShortest + statusHeartbeat
 	// readerRelay is by how much newer an answer of the store must be for a box to be told of it
 	// at once that does not read: each box on its way would otherwise add up to a heartbeat.
 	readerRelay = 700 * time.Millisecond
@@ -25,12 +22,14 @@
 type readers struct {
 	self   member.BoxID
 	region member.Region
+	// away is after how long without an answer a box no longer counts.
+	away time.Duration
 	// answered is when the store answered each box.
 	answered map[member.BoxID]time.Time
 }
 
-func newReaders(self member.BoxID, region member.Region) *readers {
-	return &readers{self: self, region: region, answered: make(map[member.BoxID]time.Time)}
+func newReaders(self member.BoxID, region member.Region, away time.Duration) *readers {
+	return &readers{self: self, region: region, away: away, answered: make(map[member.BoxID]time.Time)}
 }
 
 // heard notes that the store answered a box.
@@ -45,13 +44,13 @@
 func (r *readers) fresh(own, now time.Time) []member.BoxID {
 	var fresh []member.BoxID
 	for box, at := range r.answered {
-		if now.Sub(at) >= storeAway {
+		if now.Sub(at) >= r.away {
 			delete(r.answered, box)
 			continue
 		}
 		fresh = append(fresh, box)
 	}
-	if !own.IsZero() && now.Sub(own) < storeAway {
+	if !own.IsZero() && now.Sub(own) < r.away {
 		fresh = append(fresh, r.self)
 	}
 	return r.ranked(fresh)
--- a/pkg/weights/picker.go
+++ b/pkg/weights/picker.go
@@ -78,6 +78,9 @@
 	// or the last draw of this box that failed. If the origin is away it is so for all,
 	// and when it returns each chunk is again for its first drawer.
 	drawsFrom time.Time
+	// pacedFrom is from when the pace of the draws counts. It stays when a draw fails: counted
+	// anew, a late chunk waited for its whole place again, and 204 boxes for that one chunk.
+	pacedFrom time.Time
 
 	held       Bits
 	missing    int
@@ -103,7 +106,7 @@
 // fetched.
 func NewPicker(manifest *Manifest, self string, held Bits, options PickerOptions, now time.Time) *Picker {
 	p := &Picker{
-		manifest: manifest, self: self, options: options, progress: now, drawsFrom: now,
+		manifest: manifest, self: self, options: options, progress: now, drawsFrom: now, pacedFrom: now,
 		held:       NewBits(len(manifest.Chunks)),
 		missing:    len(manifest.Chunks),
 		running:    make(map[int]time.Time),
@@ -343,7 +346,7 @@
 		if p.ranks[chunk] > lastRank || now.Before(p.due(p.ranks[chunk], p.options.Patience)) || now.Before(p.lastRetry[chunk]) {
 			continue
 		}
-		if now.Before(p.drawsFrom.Add(time.Duration(chunk) * p.options.DrawPace)) {
+		if now.Before(p.pacedFrom.Add(time.Duration(chunk) * p.options.DrawPace)) {
 			continue
 		}
 		if best < 0 || p.ranks[chunk] < bestRank {
--- a/pkg/weights/weights_test.go
+++ b/pkg/weights/weights_test.go
@@ -306,6 +306,27 @@
 	}
 }
 
+// A connection that the origin resets costs one chunk of one box a retry, and not again the
+// time that all chunks before it take over the origin's link.
+func TestADrawThatFailedIsTriedAgainAtOnceInItsTurn(t *testing.T) {
+	m := build(t, 64, random(1, 4096))
+	options := DefaultPickerOptions()
+	options.DrawWindow, options.DrawPace = 1, 100*time.Millisecond
+	const retry = 300 * time.Millisecond
+	now := time.Unix(0, 0)
+	p := NewPicker(m, "box-0000", nil, options, now)
+	last := len(m.Chunks) - 1
+	for chunk := range last {
+		p.Done(Task{Chunk: chunk}, now)
+	}
+	now = now.Add(time.Duration(last) * options.DrawPace)
+	task, ok := p.Next(now)
+	require.True(t, ok)
+	p.Failed(task, now.Add(retry))
+	_, ok = p.Next(now.Add(retry))
+	require.True(t, ok)
+}
+
 // While an origin was away every box tried every chunk, and when it returned they all
 // drew everything at once: 3 copies, and 3.4 s until the first was whole.
 func TestAnOriginThatReturnsGivesEachChunkToItsFirstDrawer(t *testing.T) {
