--- a/internal/daemon/fetch_test.go
+++ b/internal/daemon/fetch_test.go
@@ -162,7 +162,21 @@
 func TestCorruptChunksOfOnePeerAreReplacedByAnothers(t *testing.T) {
 	f := newFetching(t, 1<<20)
 	f.assign(1, f.manifest.Digest())
-	f.swarm(t, map[string]member.Address{"bad": f.peer(t, corrupt), "good": f.peer(t, good)}, "other", "self")
+	// The good peer gives nothing before the bad one has: the copy could be whole without it.
+	asked := make(chan struct{})
+	var once sync.Once
+	bad := func(ctx context.Context, chunk int, data []byte) []byte {
+		once.Do(func() { close(asked) })
+		return corrupt(ctx, chunk, data)
+	}
+	afterBad := func(ctx context.Context, _ int, data []byte) []byte {
+		select {
+		case <-asked:
+		case <-ctx.Done():
+		}
+		return data
+	}
+	f.swarm(t, map[string]member.Address{"bad": f.peer(t, bad), "good": f.peer(t, afterBad)}, "other", "self")
 	eventually(t, f.isLive, "the version is live")
 	require.NotZero(t, f.faults("peer", "digest"))
 	require.NoError(t, f.store.Verify(f.manifest))
--- a/internal/lab/box.go
+++ b/internal/lab/box.go
@@ -14,9 +14,12 @@
 
 // box is an entry box. Its dispatcher is the one that runs in production.
 type box struct {
-	world      *world
-	id         member.BoxID
-	region     int
+	world  *world
+	id     member.BoxID
+	region int
+	// mates are the other boxes of its cell.
+	mates      []*box
+	servers    []fleet.Server
 	dispatcher *route.Dispatcher
 	up         bool
 	// cutOff is set while it does not reach the other boxes, nor they it.
@@ -35,10 +38,10 @@
 	b.dispatcher = route.NewDispatcher(route.DispatcherOptions{
 		Usual: usualTime, First: firstTime, Engine: true, Random: b.world.random.Float64, Box: b.id,
 	})
-	b.dispatcher.Boxes(len(b.world.boxes))
-	b.dispatcher.Servers(b.world.listed, 0, func(domain member.FailureDomain) bool { return domain == domainOf(b.region) }, b.world.Now())
-	for _, other := range b.world.boxes {
-		if other != b && other.up && other.dispatcher != nil {
+	b.dispatcher.Boxes(len(b.mates) + 1)
+	b.dispatcher.Servers(b.servers, 0, func(domain member.FailureDomain) bool { return domain == domainOf(b.region) }, b.world.Now())
+	for _, other := range b.mates {
+		if other.up && other.dispatcher != nil {
 			b.hear(other, other.dispatcher.Own(), other.dispatcher.Demand(b.world.Now()))
 		}
 	}
@@ -49,8 +52,8 @@
 func (b *box) kill() {
 	b.up = false
 	b.life++
-	for _, other := range b.world.boxes {
-		if other != b && other.up {
+	for _, other := range b.mates {
+		if other.up {
 			other.dispatcher.PeerLoad(b.id, nil, true, b.world.Now())
 		}
 	}
@@ -65,10 +68,8 @@
 	now := b.world.Now()
 	if b.told == nil || now.Sub(b.toldAt) >= tellAgain || !maps.Equal(load, b.told) {
 		b.told, b.toldAt = load, now
-		for _, other := range b.world.boxes {
-			if other != b {
-				other.hear(b, load, demand)
-			}
+		for _, other := range b.mates {
+			other.hear(b, load, demand)
 		}
 	}
 	b.world.After(b.world.deployment.TellInterval, func() { b.tell(life) })
--- a/internal/lab/deployment.go
+++ b/internal/lab/deployment.go
@@ -18,8 +18,11 @@
 // Deployment is what is modelled: boxes, servers, links and callers.
 type Deployment struct {
 	Regions []Region
-	Engine  Engine
-	Kinds   []Kind
+	// Cells is into how many cells the boxes and servers are divided; 0 for as many as such a
+	// fleet has in production.
+	Cells  int
+	Engine Engine
+	Kinds  []Kind
 	// RegionDelay is the time of a message between two regions, BoxDelay within one,
 	// CallerDelay between a caller and an entry box; all one way.
 	RegionDelay time.Duration
--- a/internal/lab/engine.go
+++ b/internal/lab/engine.go
@@ -24,8 +24,10 @@
 type engine struct {
 	Engine
 
-	id      fleet.ServerID
-	region  int
+	id     fleet.ServerID
+	region int
+	// boxes are the entry boxes of its cell.
+	boxes   []*box
 	line    *virtual.Timeline
 	running []*job
 	queue   []*job
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -85,6 +86,7 @@
 			w.boxes = append(w.boxes, b)
 		}
 	}
+	w.divide()
 	for _, b := range w.boxes {
 		b.start()
 	}
@@ -93,6 +95,39 @@
 	}
 }
 
+// divide makes the cells, an equal part of each region in each.
+func (w *world) divide() {
+	cells := w.deployment.Cells
+	if cells == 0 {
+		cells = member.CellCount(len(w.boxes), len(w.servers))
+	}
+	boxes, servers := make([][]member.BoxID, len(w.deployment.Regions)), make([][]fleet.ServerID, len(w.deployment.Regions))
+	for _, b := range w.boxes {
+		boxes[b.region] = append(boxes[b.region], b.id)
+	}
+	for _, e := range w.servers {
+		servers[e.region] = append(servers[e.region], e.id)
+	}
+	ofBox, ofServer := make(map[member.BoxID]int), make(map[fleet.ServerID]int)
+	for region := range w.deployment.Regions {
+		maps.Copy(ofBox, member.AssignCells(boxes[region], cells))
+		maps.Copy(ofServer, member.AssignCells(servers[region], cells))
+	}
+	for _, b := range w.boxes {
+		for _, other := range w.boxes {
+			if other != b && ofBox[other.id] == ofBox[b.id] {
+				b.mates = append(b.mates, other)
+			}
+		}
+		for _, server := range w.listed {
+			if ofServer[server.ID] == ofBox[b.id] {
+				b.servers = append(b.servers, server)
+				w.byID[server.ID].boxes = append(w.byID[server.ID].boxes, b)
+			}
+		}
+	}
+}
+
 func domainOf(region int) member.FailureDomain {
 	return member.FailureDomain(fmt.Sprintf("region-%d", region))
 }
@@ -105,13 +140,13 @@
 	return w.deployment.RegionDelay
 }
 
-// tellStates tells all entry boxes of a server now and then.
+// tellStates tells the entry boxes of its cell of a server now and then.
 func (w *world) tellStates(e *engine) {
 	w.tellState(e)
 	w.After(stateInterval, func() { w.tellStates(e) })
 }
 
-// tellState tells all entry boxes of a server.
+// tellState tells the entry boxes of its cell of a server.
 func (w *world) tellState(e *engine) {
 	if !e.up {
 		return
@@ -119,7 +154,7 @@
 	state := route.ServerState{
 		Version: weightsVersion, Swapping: !e.open, Running: len(e.running), Waiting: len(e.queue), Pace: e.slow,
 	}
-	for _, b := range w.boxes {
+	for _, b := range e.boxes {
 		w.After(w.delay(e.region, b.region), func() {
 			if b.up {
 				b.dispatcher.State(e.id, state, w.Now())
@@ -226,7 +261,7 @@
 func (w *world) crash(e *engine, down time.Duration) {
 	e.up = false
 	e.stop()
-	for _, b := range w.boxes {
+	for _, b := range e.boxes {
 		w.After(w.delay(e.region, b.region), func() {
 			if b.up {
 				b.dispatcher.State(e.id, route.ServerState{}, w.Now())
