fix(direct): a box that is followed for another reason is heard at once

When a box was followed for another reason than before (cell in place of neighbour) the new stream was begun first and what was known of the box dropped after; if its first, whole message came in between, all later ones were partial and of no use. Change: what is known goes first. Following is begun through a seam, so that a test can answer in that moment: TestABoxThatIsFollowedAnewIsHeardAtOnce fails on the order before.

--- a/internal/direct/members_test.go
+++ b/internal/direct/members_test.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"context"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -12,8 +13,10 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/cinderslip/cinderslip/internal/wire"
 	"github.com/cinderslip/cinderslip/pkg/fleet"
 	"github.com/cinderslip/cinderslip/pkg/member"
+	"github.com/cinderslip/cinderslip/pkg/route"
 	"github.com/cinderslip/cinderslip/pkg/state"
 )
 
@@ -225,6 +228,24 @@
 	require.LessOrEqual(t, hops-1, 4, "each hop takes an interval of telling and a round trip")
 }
 
+// A box was followed for another reason than before, told all at once, and was then forgotten:
+// nothing that it told later was of use, and callers were led to fourteen of 24 boxes.
+func TestABoxThatIsFollowedAnewIsHeardAtOnce(t *testing.T) {
+	facts, _ := newTestFacts()
+	e := newTestBoxes(facts)
+	e.following, e.told = make(map[string]followed), func(member.BoxID, route.Load, route.Demands, bool, time.Time) {}
+	e.begin = func(address string, want interest) context.CancelFunc {
+		e.take(address, want, &wire.EntryStatus{Box: address, Peers: address, Ready: true})
+		return func() {}
+	}
+	e.followOnly(map[string]interest{"other": {members: true}})
+	require.Len(t, e.Boxes(), 1)
+	e.followOnly(map[string]interest{"other": {load: true}})
+	require.Len(t, e.Boxes(), 1)
+	e.followOnly(nil)
+	require.Empty(t, e.Boxes())
+}
+
 func TestTheFirstInRankThatHearsFromTheStoreReadsIt(t *testing.T) {
 	now := time.Unix(1000, 0)
 	names := []member.BoxID{"a", "b", "c", "d"}
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -52,6 +52,8 @@
 	told func(box member.BoxID, load route.Load, demands route.Demands, whole bool, now time.Time)
 	// pull reads what another entry box has come to know since the last time.
 	pull func(ctx context.Context, from member.Address) error
+	// begin begins to follow a box.
+	begin func(address string, want interest) context.CancelFunc
 
 	mu sync.Mutex
 	// seeds are the addresses of the settings.
@@ -91,7 +93,7 @@
 		following: make(map[string]followed), pulled: make(map[member.Address]state.Cursor),
 		readers: newReaders(p.box(), p.region(), times.storeAway()), replanned: make(chan struct{}), told: p.front.PeerTold,
 	}
-	e.pull = e.readFacts
+	e.pull, e.begin = e.readFacts, e.beginFollowing
 	p.entries = e
 	p.status.readers = e.toldReaders
 	p.front.entries.Store(e)
@@ -168,8 +170,33 @@
 
 // followOnly follows boxes, and no others any more.
 func (e *EntryBoxes) followOnly(wanted map[string]interest) {
-	var ended []string
+	// What is known of a box goes before it is followed anew: the first that it tells is whole,
+	// and nothing is of use without that.
+	for _, address := range e.unfollow(wanted) {
+		e.drop(address)
+	}
+	for address, want := range wanted {
+		if !e.follows(address) {
+			cancel := e.begin(address, want)
+			e.mu.Lock()
+			e.following[address] = followed{want, cancel}
+			e.mu.Unlock()
+		}
+	}
+}
+
+func (e *EntryBoxes) follows(address string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_, follows := e.following[address]
+	return follows
+}
+
+// unfollow ends following those who are not wanted, or not for the same, and returns them.
+func (e *EntryBoxes) unfollow(wanted map[string]interest) []string {
 	e.mu.Lock()
+	defer e.mu.Unlock()
+	var ended []string
 	for address, f := range e.following {
 		if wanted[address] != f.interest {
 			f.cancel()
@@ -177,18 +204,14 @@
 			ended = append(ended, address)
 		}
 	}
-	for address, want := range wanted {
-		if _, follows := e.following[address]; follows {
-			continue
-		}
-		ctx, cancel := context.WithCancel(e.duties.Context())
-		e.following[address] = followed{want, cancel}
-		e.duties.Go(func(context.Context) { e.follow(ctx, address, want) })
-	}
-	e.mu.Unlock()
-	for _, address := range ended {
-		e.drop(address)
-	}
+	return ended
+}
+
+// beginFollowing is the begin of a running process.
+func (e *EntryBoxes) beginFollowing(address string, want interest) context.CancelFunc {
+	ctx, cancel := context.WithCancel(e.duties.Context())
+	e.duties.Go(func(context.Context) { e.follow(ctx, address, want) })
+	return cancel
 }
 
 // follow keeps what one entry box tells.
