--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 # KNOWN_RED is a pattern of the tests of KNOWN-RED.txt, a line each: test, package, cause and issue.
 KNOWN_RED = $(shell awk 'NF {printf "%s^%s$$", sep, $$1; sep="|"}' KNOWN-RED.txt 2>/dev/null)
 
-.PHONY: setup build build-deployed fmt lint generate test known-red soak bench ci check-fmt check-generated
+.PHONY: setup build build-deployed fmt lint generate test known-red soak regress bench ci check-fmt check-generated
 
 setup: ## Fetch modules and install the pinned linter.
 	go mod download
@@ -41,6 +41,10 @@
 soak: ## Run fifty seeds of random faults against real processes.
 	go test -count=1 -timeout 30m -parallel 6 ./internal/soak -soak.seeds 50 -soak.from $(SOAK_FROM) -soak.change 2s
 
+# PLAY is the users' program that plays days of a deployment, SITES are the deployments' files.
+regress: ## Play the standard days of deployments and compare them with docs/contributors/figures.txt.
+	tools/regress.sh "$(PLAY)" $(SITES)
+
 bench: ## Run the benchmarks from which docs/CAPACITY.md is worked out.
 	go test -run '^$$' -bench . -benchmem ./...
 
--- a/internal/direct/members_test.go
+++ b/internal/direct/members_test.go
@@ -246,6 +246,76 @@
 	require.Empty(t, e.Boxes())
 }
 
+// newTestFollower is one of a large fleet, which it knows.
+func newTestFollower(t *testing.T) (*EntryBoxes, []member.Record) {
+	records, view := bigFleet(149, 204)
+	facts, clock := newTestFacts()
+	e := newTestBoxes(facts)
+	e.self, e.members, e.regionOf, e.replanned = records[0], newTestMembers(clock, records[0].Box), sameRegion, make(chan struct{})
+	e.following, e.told = make(map[string]followed), func(member.BoxID, route.Load, route.Demands, bool, time.Time) {}
+	e.begin = func(string, interest) context.CancelFunc { return func() {} }
+	e.members.Learn(recordsOf(t, records...), "")
+	facts.view.Store(view)
+	e.replan()
+	e.followOnly(e.interests())
+	return e, records
+}
+
+// Two parts of a fleet that lost each other for long forget each other; the settings' addresses
+// are all that is left then.
+func TestASeedIsFollowedWhileNobodyIsKnownThere(t *testing.T) {
+	e, records := newTestFollower(t)
+	var seed member.Record
+	for _, record := range records {
+		if _, follows := e.interests()[string(record.Peers)]; !follows && record.Box != e.self.Box {
+			seed = record
+		}
+	}
+	e.AddSeeds([]string{string(seed.Peers), "10.9.9.9:1"})
+	require.Contains(t, e.interests(), "10.9.9.9:1")
+	require.NotContains(t, e.interests(), string(seed.Peers), "it is known, and neighbours tell of it")
+	e.members.Mark(seed.Box)
+	require.Contains(t, e.interests(), string(seed.Peers))
+}
+
+// A box that is cut off hears nobody. Did it mark those that it misses, all would be taken for
+// silent by the whole fleet once it is back.
+func TestABoxThatIsCutOffMarksNobody(t *testing.T) {
+	e, _ := newTestFollower(t)
+	for address := range e.following {
+		e.mark(address)
+	}
+	require.Equal(t, 149, e.members.Up())
+	heard := 0
+	for address := range e.following {
+		if heard++; 2*heard > len(e.following) {
+			e.mark(address)
+			continue
+		}
+		e.take(address, interest{}, &wire.EntryStatus{Box: address, Peers: address})
+	}
+	require.Less(t, e.members.Up(), 149, "half of them are enough")
+}
+
+// Callers are led to boxes that are not followed by what others tell of them, and not to one
+// that is followed and silent, whatever others tell.
+func TestCallersAreLedToBoxesThatOthersTellOf(t *testing.T) {
+	e, records := newTestFollower(t)
+	for _, record := range records[1:] {
+		record.Callers = "callers-" + record.Peers
+		record.Sequence++
+		e.members.Learn(recordsOf(t, record), "")
+	}
+	ready := e.Ready()
+	require.Len(t, ready, 148-len(e.following))
+	for address := range e.following {
+		e.take(address, interest{}, &wire.EntryStatus{Box: address, Peers: address, Ready: true})
+	}
+	require.Len(t, e.Ready(), 148)
+	e.members.Mark(ready[0].Box)
+	require.Len(t, e.Ready(), 147)
+}
+
 func TestTheFirstInRankThatHearsFromTheStoreReadsIt(t *testing.T) {
 	now := time.Unix(1000, 0)
 	names := []member.BoxID{"a", "b", "c", "d"}
