perf(weights): manifests pass down a tree of each region's agents

Cause: two agents read a manifest from the origin and all others asked those two, each 20 times a second: 202 others, 4,000 calls a second at boxes of half a core. Change: the first two of each region read it, the others have it from the agent above them in member.Tree, or from a neighbour that has it earlier. When a manifest was taken is told.

--- a/internal/direct/bring_test.go
+++ b/internal/direct/bring_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 
 	"github.com/jonboulle/clockwork"
@@ -10,6 +11,7 @@
 
 	"github.com/cinderslip/cinderslip/internal/provider"
 	"github.com/cinderslip/cinderslip/pkg/fleet"
+	"github.com/cinderslip/cinderslip/pkg/member"
 	"github.com/cinderslip/cinderslip/pkg/weights"
 )
 
@@ -57,3 +59,45 @@
 	want.origin.OriginMbps = 16
 	require.InDelta(t, 1.05+2.1, l.farPatience(want).Seconds(), 0.01)
 }
+
+// Two agents read the manifest and all others asked them, so that hundreds held each other up
+// for seconds before the first piece.
+func TestAManifestIsAskedOfEachAgentByAFewOthers(t *testing.T) {
+	const perRegion = 41
+	agents := make([]member.Record, 0, perRegion)
+	for i := range perRegion {
+		agents = append(agents, member.Record{Box: member.BoxID(fmt.Sprintf("agent-%d", i)), Region: regionNear})
+	}
+	agents = append(agents, member.Record{Box: "far", Region: regionFar})
+	below, readers := make(map[member.BoxID]int), 0
+	for i := range perRegion {
+		self, steps := agents[i].Box, 0
+		parent, ok := manifestParent(agents, self, "m", 2)
+		if !ok {
+			readers++
+			continue
+		}
+		below[parent]++
+		for ; ok; steps++ {
+			self = parent
+			parent, ok = manifestParent(agents, self, "m", 2)
+		}
+		require.LessOrEqual(t, steps, 3)
+	}
+	require.Equal(t, member.Roots, readers, "the origin sends a manifest to two of each region")
+	require.NotContains(t, below, member.BoxID("far"))
+	for agent, asking := range below {
+		require.LessOrEqual(t, asking, 3*member.Fanout, "%s", agent)
+	}
+}
+
+func TestAgentsWhoseRegionIsNotKnownDoNotAllReadFromTheOrigin(t *testing.T) {
+	agents := []member.Record{{Box: "a", Region: regionFar}, {Box: "b", Region: regionFar}, {Box: "c", Region: regionFar}}
+	readers := 0
+	for i := range agents {
+		if _, ok := manifestParent(agents, agents[i].Box, "m", 2); !ok {
+			readers++
+		}
+	}
+	require.Equal(t, member.Roots, readers)
+}
--- a/internal/direct/manifest.go
+++ b/internal/direct/manifest.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"slices"
 	"strconv"
 	"time"
 
@@ -20,12 +19,10 @@
 }
 
 const (
-	// manifestReaders is how many agents read a manifest from the origin at first; the
-	// others ask them, so that the origin's link is free for pieces.
-	manifestReaders = 2
-	// manifestTries is how often the others ask, manifestWait the time between: in all
-	// about twice what a call of the origin takes while it is busy.
-	manifestTries = 5
+	// manifestTries is how often others are asked for a manifest before the origin is, and
+	// manifestWait the time between: in all several times what it takes to come down a tree of
+	// three levels while the origin is busy.
+	manifestTries = 10
 	manifestWait  = 50 * time.Millisecond
 )
 
@@ -38,8 +35,11 @@
 	if held != nil {
 		return held, nil
 	}
+	asked := l.options.Clock.Now()
 	manifest, err := l.askForManifest(ctx, want, version)
+	source := "peer"
 	if err != nil {
+		source = "origin"
 		callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
 		defer cancel()
 		manifest, err = l.options.Origin.Manifest(callCtx, want.origin.Origin, want.model, version)
@@ -47,6 +47,8 @@
 			return nil, fmt.Errorf("reading the manifest: %w", err)
 		}
 	}
+	l.options.Log.Info().Str("model", string(want.model)).Uint64("version", uint64(version)).Str("from", source).
+		Dur("taken_ms", l.options.Clock.Since(asked)).Msg("manifest taken")
 	l.store.Add(manifest)
 	l.mu.Lock()
 	l.published[key] = manifest
@@ -55,28 +57,47 @@
 	return manifest, nil
 }
 
-// askForManifest asks those who read the manifest from the origin, then the
-// neighbours. A reader asks nobody.
+// askForManifest asks the agent above in the tree of the region and, in between, a neighbour,
+// which may have the manifest earlier or be there when that agent is not. The agents at the top
+// ask nobody.
 func (l *Loader) askForManifest(ctx context.Context, want *target, version fleet.WeightsVersion) (*weights.Manifest, error) {
-	var agents []member.Address
-	for _, record := range l.records(want) {
-		agents = append(agents, record.Peers)
-	}
-	readers := member.Rank(fmt.Sprintf("manifest/%s/%d", want.model, version), agents, manifestReaders)
-	if slices.Contains(readers, l.options.Agent) {
+	above, ok := manifestParent(l.records(want), member.BoxID(l.options.Agent), want.model, version)
+	if !ok {
 		return nil, errNoPeer
 	}
-	for range manifestTries {
-		if manifest, err := l.manifestFrom(ctx, want, version, readers); err == nil {
+	neighbours := l.neighbours(want)
+	for try := range manifestTries {
+		from := member.Address(above)
+		if try%2 == 1 && len(neighbours) > 0 {
+			from = neighbours[try/2%len(neighbours)].Peers
+		}
+		if manifest, err := l.manifestFrom(ctx, want, version, from); err == nil {
 			return manifest, nil
 		}
 		sleep(ctx, l.options.Clock, manifestWait)
 	}
-	var neighbours []member.Address
-	for _, record := range l.neighbours(want) {
-		neighbours = append(neighbours, record.Peers)
+	return nil, errNoPeer
+}
+
+// manifestParent returns the agent that another one has a manifest from; ok is false for those
+// that read it from the origin, the first two of each region. Each has some four below it, so
+// that what one is asked does not grow with their number: with two readers for all, 202 others
+// asked them 4,000 times a second.
+func manifestParent(agents []member.Record, self member.BoxID, model fleet.ModelName, version fleet.WeightsVersion) (parent member.BoxID, ok bool) {
+	var near, all []member.BoxID
+	isNear := false
+	for i := range agents {
+		all = append(all, agents[i].Box)
+		if agents[i].Region == regionNear {
+			near = append(near, agents[i].Box)
+			isNear = isNear || agents[i].Box == self
+		}
+	}
+	if !isNear {
+		// The settings do not name the region of the own failure domain.
+		near = all
 	}
-	return l.manifestFrom(ctx, want, version, neighbours)
+	return member.NewTree(fmt.Sprintf("manifest/%s/%d", model, version), near).Parent(self)
 }
 
 // forgetOlder drops the pieces of versions before the last two.
@@ -94,25 +115,32 @@
 // errNoPeer reports that no peer has a manifest.
 var errNoPeer = errors.New("no peer has the manifest")
 
-// manifestFrom asks agents one after the other.
-func (l *Loader) manifestFrom(ctx context.Context, want *target, version fleet.WeightsVersion, agents []member.Address) (*weights.Manifest, error) {
-	for _, agent := range agents {
-		callCtx, cancel := context.WithTimeout(ctx, reportTimeout/4)
-		answer, err := wire.NewDRPCFleetClient(l.options.Peers.Conn(agent)).
-			Published(callCtx, &wire.PublishedRequest{Model: string(want.model), Version: uint64(version)})
-		cancel()
-		if err != nil || len(answer.Content) == 0 {
-			continue
-		}
-		manifest, err := weights.Parse(answer.Content, weights.Digest{})
-		if err == nil && manifest.Model == string(want.model) && manifest.Version == strconv.FormatUint(uint64(version), 10) {
-			return manifest, nil
-		}
+// manifestFrom asks one agent.
+func (l *Loader) manifestFrom(ctx context.Context, want *target, version fleet.WeightsVersion, agent member.Address) (*weights.Manifest, error) {
+	callCtx, cancel := context.WithTimeout(ctx, reportTimeout/4)
+	defer cancel()
+	answer, err := wire.NewDRPCFleetClient(l.options.Peers.Conn(agent)).
+		Published(callCtx, &wire.PublishedRequest{Model: string(want.model), Version: uint64(version)})
+	if err != nil {
+		return nil, err
+	}
+	if len(answer.Content) == 0 {
+		return nil, errNoPeer
+	}
+	manifest, err := weights.Parse(answer.Content, weights.Digest{})
+	if err == nil && (manifest.Model != string(want.model) || manifest.Version != strconv.FormatUint(uint64(version), 10)) {
+		err = errOtherManifest
+	}
+	if err != nil {
 		l.options.Log.Warn().Str("peer", string(agent)).Err(err).Msg("manifest refused")
+		return nil, err
 	}
-	return nil, errNoPeer
+	return manifest, nil
 }
 
+// errOtherManifest reports a manifest that is not the one that was asked for.
+var errOtherManifest = errors.New("manifest is of another version")
+
 // Published returns the manifest that is held of a version; empty if none is.
 func (l *Loader) Published(_ context.Context, request *wire.PublishedRequest) (*wire.ManifestResponse, error) {
 	l.mu.Lock()
