test: processes of scenarios and soaks have addresses of their own

The log of the scenario key-value-outage shows that the restarted agent could not listen: its port on 127.0.0.1, free while it was killed, had become that of another process's connection. Ruled out: the product (nothing of it had started). Change: scenarios listen on a loopback address of their own, from which no connection begins; the soak's addresses depend on its process. No check has changed.

--- a/internal/scenario/world_test.go
+++ b/internal/scenario/world_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -26,15 +27,18 @@
 
 // world is the platform and the processes of one scenario.
 type world struct {
-	env     *testscript.Env
-	dir     string
-	clock   clockwork.Clock
-	kv      *standin.KeyValue
-	origin  *standin.Registry
-	store   *standin.Registry
-	list    *standin.BoxList
-	urls    map[string]string
-	servers []*http.Server
+	env *testscript.Env
+	dir string
+	// listenAt is where processes listen, at any port. A process that was killed starts again at
+	// its port, which must not become that of a connection meanwhile: those begin at 127.0.0.1.
+	listenAt string
+	clock    clockwork.Clock
+	kv       *standin.KeyValue
+	origin   *standin.Registry
+	store    *standin.Registry
+	list     *standin.BoxList
+	urls     map[string]string
+	servers  []*http.Server
 
 	processes map[string]*process
 	order     []string
@@ -51,11 +55,15 @@
 // changes it.
 const originRate = 8 << 20
 
+// worlds counts the worlds of this process, so that each has an address of its own.
+var worlds atomic.Int32
+
 func newWorld(env *testscript.Env) (*world, error) {
 	clock := clockwork.NewRealClock()
 	w := &world{
 		env: env, dir: env.WorkDir, clock: clock,
-		kv: standin.NewKeyValue(clock), origin: standin.NewRegistry(clock, originRate),
+		listenAt: fmt.Sprintf("127.%d.%d.9:0", 20+os.Getpid()%200, 200+worlds.Add(1)%50),
+		kv:       standin.NewKeyValue(clock), origin: standin.NewRegistry(clock, originRate),
 		store: standin.NewRegistry(clock, originRate), list: standin.NewBoxList(clock, time.Second),
 		urls: make(map[string]string), processes: make(map[string]*process),
 		engines: make(map[string]*standin.Engine), plains: make(map[string]*standin.Plain),
@@ -334,10 +342,10 @@
 level = "debug"
 
 [listen]
-operators = "127.0.0.1:0"
-peers = "127.0.0.1:0"
+operators = %[10]q
+peers = %[10]q
 `, role, name, region, domain, w.urls["key_value"], w.urls["box_list"], w.urls["weight_store"], w.urls["origin"],
-		strings.Join(entries, ", "))
+		strings.Join(entries, ", "), w.listenAt)
 }
 
 func (w *world) launch(ts *testscript.TestScript, name, config string) {
@@ -354,7 +362,7 @@
 // entry NAME DOMAIN [region=R] [places=N] [queue=N] starts an entry box.
 func entry(w *world, ts *testscript.TestScript, args []string) {
 	given := options(ts, args, 2, "region", "places", "queue")
-	config := w.common("entry", args[0], args[1], given["region"]) + "callers = \"127.0.0.1:0\"\n\n[requests]\nentries_ttl = \"1s\"\n"
+	config := w.common("entry", args[0], args[1], given["region"]) + fmt.Sprintf("callers = %q\n", w.listenAt) + "\n[requests]\nentries_ttl = \"1s\"\n"
 	if given["places"] != "" {
 		config += "places_per_replica = " + given["places"] + "\n"
 	}
@@ -447,7 +455,7 @@
 	ts.Check(err)
 	text := string(content)
 	for key, address := range map[string]string{"callers": p.callers, "operators": p.operators, "peers": p.peers} {
-		text = strings.Replace(text, key+` = "127.0.0.1:0"`, fmt.Sprintf("%s = %q", key, address), 1)
+		text = strings.Replace(text, fmt.Sprintf("%s = %q", key, w.listenAt), fmt.Sprintf("%s = %q", key, address), 1)
 	}
 	ts.Check(os.WriteFile(p.config, []byte(text), 0o600))
 	w.start(ts, p.name, p.config)
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"testing"
@@ -92,9 +93,10 @@
 	return w
 }
 
-// ip returns an address that no other world of this process uses.
+// ip returns an address that no other world of this process uses, nor one of a soak that runs
+// beside it.
 func (w *world) ip(n int) string {
-	return fmt.Sprintf("127.%d.%d.%d", 100+w.number/200, 1+w.number%200, n)
+	return fmt.Sprintf("127.%d.%d.%d", 20+(os.Getpid()+w.number/200)%200, 1+w.number%200, n)
 }
 
 func (w *world) serve(handler http.Handler) string {
