fix(platform): entries of other writers name no server; nothing of an earlier start is believed

A server that starts again under its id was believed to hold what it had held. Ruled out: entries of wrong types and bytes that can't be read, which were rejected before. Every statement of a server carries which start of it speaks: a later one ends all that was believed of the one before (weights, swap, requests in flight, failures, staged pieces, an order under way), an earlier one is passed over, one in the future too. Platforms that do not tell starts are served as before.

--- a/internal/direct/bring.go
+++ b/internal/direct/bring.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -286,6 +287,7 @@
 
 // order tells the server to take what is staged and waits until it has.
 func (l *Loader) order(ctx context.Context, want *target, version fleet.WeightsVersion, serving bool) error {
+	before, _ := l.serverReport()
 	callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
 	err := l.options.Server.Start(callCtx, provider.StartOrder{Model: want.model, Version: version, Cut: serving && want.resumable})
 	cancel()
@@ -302,6 +304,9 @@
 			return fmt.Errorf("reading how far the order is: %w", err)
 		}
 		report, _ := l.serverReport()
+		if report.Incarnation != before.Incarnation && before.Incarnation != 0 {
+			return errServerRestarted
+		}
 		if loaded(&report, want.model, want.engine.Layers) == version {
 			l.options.Log.Info().Str("model", string(want.model)).Uint64("version", uint64(version)).
 				Str("address", string(l.options.Address)).Dur("taken_ms", l.options.Clock.Since(ordered)).Msg("weights live")
@@ -311,6 +316,9 @@
 	return fmt.Errorf("server has not taken version %d of %s", version, want.model)
 }
 
+// errServerRestarted reports an order that went with the start of the server that had it.
+var errServerRestarted = errors.New("server has started again since the order")
+
 // resultLabel is how the result of a call stands in metrics.
 func resultLabel(err error) string {
 	if err != nil {
--- a/internal/direct/facts.go
+++ b/internal/direct/facts.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -54,6 +56,10 @@
 	newest, complete fleet.Revision
 	// held are the deletions that are held back, by key.
 	held map[string]fleet.Revision
+	// unread is what was wrong with the entries that could not be read, by key.
+	unread map[string]string
+	// unnamed are the services of entries that the configuration does not name.
+	unnamed map[member.Service]bool
 	// answered is when the store last answered; zero if it never did.
 	answered time.Time
 	// lostSince is when the first of the calls began that the store has not answered since,
@@ -80,6 +86,7 @@
 		servers: make(map[fleet.ServerID]listing),
 		wanted:  make(map[fleet.ModelName]fleet.Named),
 		held:    make(map[string]fleet.Revision),
+		unread:  make(map[string]string), unnamed: make(map[member.Service]bool),
 	}
 	f.view.Store(fleet.EmptyView())
 	return f
@@ -287,6 +294,8 @@
 		switch {
 		case fact.Configuration != nil:
 			view = f.takeConfiguration(view, &fact, from)
+			// Whether a service is named there decides whether its servers are believed.
+			servers = true
 		case strings.HasPrefix(fact.Key, fleet.ServerKey("")):
 			f.takeServer(&fact, from, &log)
 			servers = true
@@ -296,7 +305,7 @@
 		}
 	}
 	if servers {
-		view = view.WithServers(f.believedServers())
+		view = view.WithServers(f.believedServers(view.Configuration))
 	}
 	if wanted {
 		view = view.WithWanted(maps.Clone(f.wanted))
@@ -326,9 +335,16 @@
 func (f *Facts) takeServer(fact *fleet.Fact, from string, log *zerolog.Logger) {
 	id := fleet.ServerID(strings.TrimPrefix(fact.Key, fleet.ServerKey("")))
 	if !fact.Gone {
-		if _, known := f.servers[id]; !known || fact.Server.Leaving {
+		known, isKnown := f.servers[id]
+		if problem := f.startProblem(fact.Server.Incarnation, known.Incarnation); problem != "" {
+			log.Warn().Str("server", string(id)).Uint64("incarnation", uint64(fact.Server.Incarnation)).Uint64("known", uint64(known.Incarnation)).
+				Uint64("revision", uint64(fact.Revision)).Str("from", from).Str("problem", problem).Msg("server's entry not taken")
+			return
+		}
+		if !isKnown || fact.Server.Leaving || fact.Server.Incarnation > known.Incarnation {
 			log.Info().Str("server", string(id)).Str("service", string(fact.Server.Service)).Str("address", string(fact.Server.Address)).
-				Bool("leaving", fact.Server.Leaving).Uint64("revision", uint64(fact.Revision)).Str("from", from).Msg("server listed")
+				Bool("leaving", fact.Server.Leaving).Uint64("incarnation", uint64(fact.Server.Incarnation)).
+				Uint64("revision", uint64(fact.Revision)).Str("from", from).Msg("server listed")
 		}
 		f.servers[id] = listing{*fact.Server, fact.Revision}
 		return
@@ -342,13 +358,34 @@
 		Uint64("revision", uint64(fact.Revision)).Str("from", from).Msg("server gone from the list")
 }
 
-// believedServers returns one server for each address. One that was started anew has
-// another id, and the entry of the start before stays for seconds: of several entries
-// with one address the newest is right.
-func (f *Facts) believedServers() []fleet.Server {
+// startSkew is by how much a server's start may lie ahead of this box's time of day: that may
+// jump by seconds. One that lies further ahead would keep the true one out until then.
+const startSkew = time.Minute
+
+// startProblem says what is wrong with the start that an entry tells, given the one that is
+// known under its id, 0 if none is; empty if nothing is. An entry of an earlier start may be
+// written, or come, after one of a later start.
+func (f *Facts) startProblem(told, known member.Incarnation) string {
+	switch {
+	case told < known:
+		return "earlier start"
+	case told > member.Incarnation(f.clock.Now().Add(startSkew).UnixMilli()):
+		return "start in the future"
+	}
+	return ""
+}
+
+// believedServers returns one server for each address, of the services that the
+// configuration names. One that was started anew may have another id, and the entry of the
+// start before stays for seconds: of several entries with one address that of the latest
+// start is right, and of these, or where the platform does not tell, the newest.
+func (f *Facts) believedServers(configuration *fleet.Configuration) []fleet.Server {
 	newest := make(map[member.Address]listing, len(f.servers))
-	for _, server := range f.servers {
-		if known, ok := newest[server.Address]; !ok || server.revision > known.revision {
+	for id, server := range f.servers {
+		if !f.isNamed(configuration, id, server.Service) {
+			continue
+		}
+		if known, ok := newest[server.Address]; !ok || server.supersedes(&known) {
 			newest[server.Address] = server
 		}
 	}
@@ -359,6 +396,59 @@
 	return servers
 }
 
+// supersedes reports whether an entry tells of a later start than another one.
+func (l *listing) supersedes(other *listing) bool {
+	if l.Incarnation != other.Incarnation {
+		return l.Incarnation > other.Incarnation
+	}
+	return l.revision > other.revision
+}
+
+// isNamed reports whether the configuration names the service of an entry. Without a check
+// an entry of another writer with the address of a server would hide that one.
+func (f *Facts) isNamed(configuration *fleet.Configuration, id fleet.ServerID, service member.Service) bool {
+	if configuration == nil || len(configuration.Services) == 0 {
+		return true
+	}
+	named := slices.ContainsFunc(configuration.Services, func(s fleet.Service) bool { return s.Name == service })
+	if named {
+		delete(f.unnamed, service)
+	} else if !f.unnamed[service] {
+		f.unnamed[service] = true
+		f.log.Warn().Str("server", string(id)).Str("service", string(service)).Uint64("configuration", configuration.Version).
+			Msg("servers of a service that is not configured are passed over")
+	}
+	return named
+}
+
+// noteFindings logs what is wrong with entries, once for each as long as it stays: an entry
+// is read again whenever its writer repeats it.
+func (f *Facts) noteFindings(findings []error, whole bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	known := f.unread
+	if whole {
+		f.unread = make(map[string]string, len(findings))
+	}
+	for _, finding := range findings {
+		var entry *provider.EntryError
+		if !errors.As(finding, &entry) {
+			entry = &provider.EntryError{Err: finding}
+		}
+		text := entry.Err.Error()
+		if known[entry.Key] != text {
+			f.log.Error().Err(finding).Msg("entry of the store not taken whole")
+		}
+		if len(f.unread) < unreadLimit {
+			f.unread[entry.Key] = text
+		}
+	}
+}
+
+// unreadLimit bounds the entries that are remembered as not readable: somebody who fills the
+// store with them must not fill the memory of each box.
+const unreadLimit = 1024
+
 func (f *Facts) takeWanted(fact *fleet.Fact, from string, earlier bool) {
 	if fact.Wanted == nil {
 		return
--- a/internal/direct/loader.go
+++ b/internal/direct/loader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -50,6 +51,8 @@
 	staged   stagedPieces
 	report   fleet.Report
 	reportAt time.Time
+	// incarnation is which start of the server has reported; 0 if none has said.
+	incarnation member.Incarnation
 	// asked is set once the server has been asked for a report.
 	asked    bool
 	swapping bool
@@ -152,6 +155,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.asked = true
+	if err == nil {
+		err = l.noteStart(report.Incarnation)
+	}
 	if err == nil {
 		l.report, l.reportAt = report, l.options.Clock.Now()
 	} else {
@@ -161,6 +167,27 @@
 	return err
 }
 
+// errEarlierStart reports an answer of a start of the server before the present one.
+var errEarlierStart = errors.New("report is of an earlier start of the server")
+
+// noteStart notes which start of the server reports. Nothing that was known of the one
+// before holds of the next: what was staged may be gone, and swaps are planned anew.
+func (l *Loader) noteStart(reported member.Incarnation) error {
+	switch {
+	case reported == 0 || reported == l.incarnation:
+		return nil
+	case reported < l.incarnation:
+		return errEarlierStart
+	}
+	if l.incarnation != 0 {
+		l.options.Log.Warn().Str("address", string(l.options.Address)).Uint64("incarnation", uint64(reported)).
+			Uint64("before", uint64(l.incarnation)).Msg("server has started again")
+		l.staged, l.swapAt = stagedPieces{}, time.Time{}
+	}
+	l.incarnation = reported
+	return nil
+}
+
 // serverReport returns the newest report; ok is false while the server does not
 // answer.
 func (l *Loader) serverReport() (report fleet.Report, ok bool) {
@@ -326,6 +353,7 @@
 	brief := &wire.ServerStatus{
 		Version: status.Version, Whole: status.Whole, Swapping: status.Swapping, Running: status.Running, Waiting: status.Waiting,
 		MemoryUsed: status.MemoryUsed, MemoryTotal: status.MemoryTotal, Pace: status.Pace, SwapInMilliseconds: status.SwapInMilliseconds,
+		Incarnation: status.Incarnation,
 	}
 	if !slices.EqualFunc(told.Ages, status.Ages, func(a, b *wire.VersionAge) bool { return a.Model == b.Model && a.Version == b.Version }) {
 		brief.Ages = status.Ages
@@ -343,7 +371,7 @@
 		Box: l.options.Box, Address: string(l.options.Address), Swapping: l.swapping,
 		Running: uint32(l.report.Running), Waiting: uint32(l.report.Waiting),
 		MemoryUsed: l.report.MemoryUsed, MemoryTotal: l.report.MemoryTotal, Pace: l.report.Pace,
-		Ages: agesToWire(l.options.Facts.VersionAges()),
+		Ages: agesToWire(l.options.Facts.VersionAges()), Incarnation: uint64(l.incarnation),
 	}
 	if !l.swapAt.IsZero() {
 		status.SwapInMilliseconds = uint64(max(1, l.swapAt.Sub(l.options.Clock.Now()).Milliseconds()))
@@ -359,7 +387,7 @@
 // sameServerStatus reports whether entry boxes need not be told again at once that were
 // told a status some time ago.
 func sameServerStatus(told, status *wire.ServerStatus, ago time.Duration) bool {
-	return told != nil && told.Swapping == status.Swapping && told.Whole == status.Whole && told.Version == status.Version &&
+	return told != nil && told.Incarnation == status.Incarnation && told.Swapping == status.Swapping && told.Whole == status.Whole && told.Version == status.Version &&
 		sameSwap(told.SwapInMilliseconds, status.SwapInMilliseconds, ago)
 }
 
--- a/internal/direct/reader.go
+++ b/internal/direct/reader.go
@@ -217,9 +217,7 @@
 		f.log.Info().Str("call", answer.call).Uint64("after", uint64(answer.after)).Uint64("at", uint64(got.At)).Int("facts", len(got.Facts)).
 			Dur("taken_ms", f.clock.Since(answer.began)).Msg("facts read from the store")
 	}
-	for _, finding := range got.Findings {
-		f.log.Error().Err(finding).Msg("entry of the store not taken")
-	}
+	f.noteFindings(got.Findings, answer.whole)
 	if answer.whole {
 		got.Facts = append(got.Facts, f.missing(got)...)
 	}
--- a/internal/direct/scenario_test.go
+++ b/internal/direct/scenario_test.go
@@ -34,6 +34,7 @@
 			"name":     command((*world).cmdName),
 			"store":    command((*world).cmdStore),
 			"server":   command((*world).cmdServer),
+			"foreign":  command((*world).cmdForeign),
 			"origin":   command((*world).cmdOrigin),
 			"stream":   command((*world).cmdStream),
 			"begin":    command((*world).cmdBegin),
--- a/internal/direct/servers.go
+++ b/internal/direct/servers.go
@@ -150,7 +150,7 @@
 
 func serverStateOf(status *wire.ServerStatus, now time.Time) route.ServerState {
 	state := route.ServerState{
-		Swapping: status.Swapping, Running: int(status.Running), Waiting: int(status.Waiting), Pace: status.Pace,
+		Incarnation: member.Incarnation(status.Incarnation), Swapping: status.Swapping, Running: int(status.Running), Waiting: int(status.Waiting), Pace: status.Pace,
 	}
 	if status.Whole {
 		state.Version = fleet.WeightsVersion(status.Version)
--- /dev/null
+++ b/internal/direct/start_test.go
@@ -0,0 +1,71 @@
+package direct
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cinderslip/cinderslip/pkg/fleet"
+	"github.com/cinderslip/cinderslip/pkg/member"
+)
+
+func server(id fleet.ServerID, service member.Service, address member.Address, incarnation member.Incarnation, revision fleet.Revision) fleet.Fact {
+	return fleet.Fact{Key: fleet.ServerKey(id), Revision: revision, Server: &fleet.Server{
+		ID: id, Service: service, Address: address, Slots: 1, Incarnation: incarnation,
+	}}
+}
+
+func believed(facts *Facts, service member.Service) map[fleet.ServerID]member.Incarnation {
+	found := make(map[fleet.ServerID]member.Incarnation)
+	for _, s := range facts.View().Servers(service) {
+		found[s.ID] = s.Incarnation
+	}
+	return found
+}
+
+// An entry of another writer with a server's address was newer than the server's own, and
+// hid it, though no route leads to the service that it named.
+func TestAnEntryOfAServiceThatIsNotConfiguredHidesNoServer(t *testing.T) {
+	facts, _ := newTestFacts()
+	configuration := func(version uint64, names ...member.Service) fleet.Fact {
+		c := &fleet.Configuration{Version: version}
+		for _, name := range names {
+			c.Services = append(c.Services, fleet.Service{Name: name})
+		}
+		return fleet.Fact{Key: fleet.ConfigurationKey(), Revision: fleet.Revision(version), Configuration: c}
+	}
+	facts.Apply([]fleet.Fact{configuration(1, "llm"), server("a", "llm", "10.0.0.1:1", 5, 2), server("x", "nobody", "10.0.0.1:1", 9, 3)}, "store")
+	require.Equal(t, map[fleet.ServerID]member.Incarnation{"a": 5}, believed(facts, "llm"))
+	facts.Apply([]fleet.Fact{configuration(4, "llm", "nobody")}, "store")
+	require.Equal(t, map[fleet.ServerID]member.Incarnation{"x": 9}, believed(facts, "nobody"), "it counts once the service is configured")
+}
+
+func TestTheLatestStartOfAServerIsBelievedInWhateverOrderItsEntriesCome(t *testing.T) {
+	facts, clock := newTestFacts()
+	future := member.Incarnation(clock.Now().Add(time.Hour).UnixMilli())
+	facts.Apply([]fleet.Fact{server("a", "llm", "10.0.0.1:1", 50, 2)}, "store")
+	for revision, incarnation := range []member.Incarnation{40, 0, future} {
+		facts.Apply([]fleet.Fact{server("a", "llm", "10.0.0.1:1", incarnation, fleet.Revision(3+revision))}, "store")
+		require.Equal(t, map[fleet.ServerID]member.Incarnation{"a": 50}, believed(facts, "llm"), "start %d", incarnation)
+	}
+	facts.Apply([]fleet.Fact{server("a", "llm", "10.0.0.1:1", 60, 9)}, "store")
+	require.Equal(t, map[fleet.ServerID]member.Incarnation{"a": 60}, believed(facts, "llm"))
+	// Another id at the address: the later start is right, also when its entry is the older one.
+	facts.Apply([]fleet.Fact{server("b", "llm", "10.0.0.1:1", 55, 10)}, "store")
+	require.Equal(t, map[fleet.ServerID]member.Incarnation{"a": 60}, believed(facts, "llm"))
+}
+
+func TestAnAgentKnowsNothingOfItsServerFromBeforeAStart(t *testing.T) {
+	_, clock := newTestFacts()
+	l := &Loader{changed: make(chan struct{}), options: LoaderOptions{Clock: clock}}
+	require.NoError(t, l.noteStart(5))
+	l.staged.at, l.swapAt = map[int]time.Time{1: clock.Now()}, clock.Now()
+	require.NoError(t, l.noteStart(5))
+	require.NoError(t, l.noteStart(0), "a report that does not tell is of the same start")
+	require.ErrorIs(t, l.noteStart(4), errEarlierStart)
+	require.NotEmpty(t, l.staged.at)
+	require.NoError(t, l.noteStart(6))
+	require.Empty(t, l.staged.at)
+	require.Zero(t, l.swapAt)
+}
--- a/internal/direct/world_test.go
+++ b/internal/direct/world_test.go
@@ -290,7 +290,7 @@
 
 // cmdServer sets a server's fault: server model-1 cut=4, server plain-1 status=500,
 // server plain-1 mute, server plain-1 dead, server model-1
-// restart=i-new.
+// restart=i-new, server model-1 restart=same.
 func (w *world) cmdServer(args []string) error {
 	s, given := w.servers[args[0]], options(args[1:])
 	s.CutAt(number(given["cut"], 0))
@@ -300,7 +300,13 @@
 	if _, dead := given["dead"]; dead {
 		return w.stopServing(s.address)
 	}
-	if id := given["restart"]; id != "" {
+	switch id := given["restart"]; id {
+	case "":
+	case "same":
+		// Its entry tells of the start before until the server writes again, as it may not
+		// for a while.
+		s.Restart(s.id)
+	default:
 		w.store.Remove("servers/" + s.id)
 		s.id = id
 		s.Restart(id)
@@ -309,6 +315,20 @@
 	return nil
 }
 
+// cmdForeign writes entries as other writers may.
+func (w *world) cmdForeign([]string) error {
+	for i, entry := range []string{
+		`{"Service":"llm","Zone":"hall-a","Slots":4,"State":"ready"}`,
+		`{"Service":"llm","Address":"127.0.0.1:1","Zone":"hall-a","Slots":4,"State":"parked"}`,
+		`{"Service":"llm","Address":7}`,
+		`parked`,
+		fmt.Sprintf(`{"Service":"nobody","Address":%q,"Zone":"hall-a","Slots":4,"State":"ready"}`, w.servers["model-1"].address),
+	} {
+		w.store.Put(fmt.Sprintf("servers/foreign-%d", i), []byte(entry))
+	}
+	return nil
+}
+
 // stopServing closes the listener at an address; connections that are kept stay.
 func (w *world) stopServing(address string) error {
 	for _, listener := range w.listeners {
--- a/internal/provider/fleet.go
+++ b/internal/provider/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -18,12 +19,27 @@
 // Facts are facts read from the key-value service, and what could not be read.
 type Facts struct {
 	Facts []fleet.Fact
-	// Findings name the entries that could not be decoded, and why.
+	// Findings name the entries that could not be decoded, and why. Each is an *EntryError.
 	Findings []error
 	// At is the revision from which to go on.
 	At fleet.Revision
 }
 
+// EntryError is an entry that could not be decoded, whole or in part.
+type EntryError struct {
+	Key      string
+	Revision fleet.Revision
+	Err      error
+}
+
+// Error names the entry and what is wrong with it.
+func (e *EntryError) Error() string {
+	return fmt.Sprintf("store key %q at revision %d: %v", e.Key, e.Revision, e.Err)
+}
+
+// Unwrap returns what is wrong with the entry.
+func (e *EntryError) Unwrap() error { return e.Err }
+
 // FactSource reads the operators' configuration, the list of backend servers and
 // the wanted weights.
 type FactSource struct {
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -24,7 +24,8 @@
 // Revision orders the writes of the key-value service.
 type Revision uint64
 
-// ServerID names one start of a backend server.
+// ServerID names a backend server. One that starts again has another id, or the same and
+// another incarnation.
 type ServerID string
 
 // ModelName names a model.
@@ -247,6 +248,9 @@
 	// Leaving is set once the server has said that it will end.
 	Leaving bool          `cbor:"6,keyasint,omitempty"`
 	Models  []LoadedModel `cbor:"7,keyasint,omitempty"`
+	// Incarnation is which start of the server says so: one that starts again may keep its
+	// id, and holds nothing of before. 0 where the platform does not tell.
+	Incarnation member.Incarnation `cbor:"8,keyasint,omitempty"`
 }
 
 // Wanted names the weights that all servers of a model should run.
@@ -257,7 +261,9 @@
 
 // Report is what a model server says of itself.
 type Report struct {
-	Models []LoadedModel
+	// Incarnation is which start of the server reports; 0 where the platform does not tell.
+	Incarnation member.Incarnation
+	Models      []LoadedModel
 	// Busy is set while an order is being carried out.
 	Busy    bool
 	Orders  uint64
--- a/pkg/route/backend.go
+++ b/pkg/route/backend.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cinderslip/cinderslip/pkg/fleet"
+	"github.com/cinderslip/cinderslip/pkg/member"
 )
 
 const (
@@ -48,6 +49,8 @@
 
 // ServerState is what an agent tells of the backend server on its box.
 type ServerState struct {
+	// Incarnation is which start of the server the agent speaks of; 0 if it does not say.
+	Incarnation member.Incarnation
 	// Version is the whole version that is loaded; 0 if there is none.
 	Version fleet.WeightsVersion
 	// Swapping is set while the server takes nothing new.
@@ -66,7 +69,9 @@
 // backend is one server of a service as seen from this box.
 type backend struct {
 	server fleet.Server
-	far    bool
+	// incarnation is the latest start of the server that the list or its agent has told.
+	incarnation member.Incarnation
+	far         bool
 	// listed is the version that the list gives.
 	listed fleet.WeightsVersion
 
@@ -101,6 +106,24 @@
 	awaiting map[*Reservation]time.Time
 }
 
+// newBackend returns a server of which nothing is known but which start of it this is.
+func newBackend(incarnation member.Incarnation) *backend {
+	return &backend{incarnation: incarnation, awaiting: make(map[*Reservation]time.Time)}
+}
+
+// list takes what the list tells of the server's weights, unless it tells of an earlier start.
+func (b *backend) list(server *fleet.Server, layers int) {
+	b.listed = 0
+	if server.Incarnation < b.incarnation && server.Incarnation != 0 {
+		return
+	}
+	for i := range server.Models {
+		if version, whole := server.Models[i].Whole(layers); whole {
+			b.listed = version
+		}
+	}
+}
+
 // oldestAwaited returns for how long an answer has been waited for to begin; 0 if
 // none is.
 func (b *backend) oldestAwaited(now time.Time) time.Duration {
--- a/pkg/route/dispatch.go
+++ b/pkg/route/dispatch.go
@@ -136,15 +136,11 @@
 			continue
 		}
 		b := d.backends[server.ID]
-		if b == nil {
-			b = &backend{awaiting: make(map[*Reservation]time.Time)}
-		}
-		b.server, b.far, b.listed = server, !near(server.Domain), 0
-		for i := range server.Models {
-			if version, whole := server.Models[i].Whole(layers); whole {
-				b.listed = version
-			}
+		if b == nil || server.Incarnation > b.incarnation {
+			b = newBackend(server.Incarnation)
 		}
+		b.server, b.far = server, !near(server.Domain)
+		b.list(&server, layers)
 		d.noteClosed(b, now)
 		next[server.ID] = b
 		d.order = append(d.order, b)
@@ -187,7 +183,7 @@
 func (d *Dispatcher) State(id fleet.ServerID, state ServerState, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if b := d.backends[id]; b != nil {
+	if b := d.current(id, state.Incarnation); b != nil {
 		if state.Version != b.state.Version && b.replaced {
 			b.replaced, b.ejectedTo = false, time.Time{}
 		}
@@ -203,6 +199,29 @@
 	}
 }
 
+// current returns the backend of which an agent tells; nil if there is none, or the agent
+// speaks of an earlier start. One that tells of a later start than is known ends all that is
+// believed of the one before: its weights, swaps, failures and what is in flight there.
+func (d *Dispatcher) current(id fleet.ServerID, told member.Incarnation) *backend {
+	b := d.backends[id]
+	switch {
+	case b == nil || told == 0 || told == b.incarnation:
+		return b
+	case told < b.incarnation:
+		return nil
+	case b.incarnation == 0:
+		// The list does not tell starts, so nothing says that this is another one.
+		b.incarnation = told
+		return b
+	}
+	next := newBackend(told)
+	next.server, next.far = b.server, b.far
+	d.backends[id] = next
+	d.order[slices.Index(d.order, b)] = next
+	d.forecast, d.census = forecast{}, census{}
+	return next
+}
+
 // noteClosed notes since when a server takes nothing.
 func (d *Dispatcher) noteClosed(b *backend, now time.Time) {
 	switch {
