perf(weights): pieces leave the origin once, at full rate from a version's name

A copy takes 2.1 s of its link, but the first server had it 10.2 s after the name, when older weights no longer started requests: four seconds without any. Logs of the agents, one event a piece: 58 draws for 48 pieces, as a second drawer's wait counted from the start of the copy and not from the piece's turn; each agent drew one piece at a time, so that one that had two made others wait; the link stood idle until manifests had come; what killed agents had still to draw was drawn 1.7 s later. One piece that had not left kept 76 servers from the version. Ruled out: the manifests (0.23 s after the name in the median) and the pace between agents (all pieces were everywhere 3.5 s after the last had left). Change: the pace counts from the name, for all alike; waits count from a piece's turn; a second drawer asks the first, takes its place when that falls silent, and otherwise comes after the last piece's turn; draws begin before the manifest has come and are checked against it.

--- a/internal/direct/bring.go
+++ b/internal/direct/bring.go
@@ -87,11 +87,13 @@
 func (l *Loader) bring(ctx context.Context, want *target, version fleet.WeightsVersion, held *versionCopy) {
 	started := l.options.Clock.Now()
 	for ctx.Err() == nil {
+		early := l.drawEarly(ctx, want, version)
 		manifest, err := l.manifest(ctx, want, version)
 		if err == nil {
 			l.readStaged(ctx, want, version, manifest)
-			err = l.fetch(ctx, want, version, manifest)
+			err = l.fetch(ctx, want, version, manifest, early)
 		}
+		early.begun()
 		if err == nil {
 			l.options.Log.Info().Str("model", string(want.model)).Uint64("version", uint64(version)).
 				Dur("taken_ms", l.options.Clock.Since(started)).Msg("weights fetched")
--- /dev/null
+++ b/internal/direct/early.go
@@ -0,0 +1,82 @@
+package direct
+
+import (
+	"context"
+	"maps"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cinderslip/cinderslip/pkg/fleet"
+	"github.com/cinderslip/cinderslip/pkg/weights"
+)
+
+// earlyDraws are the pieces that an agent draws from the origin while the manifest of a version
+// that has just been named is on its way. What comes is checked against the manifest like any
+// other piece.
+//
+// They guard against an origin that goes away when it has had the time for little more than
+// one copy: its link stood idle for 0.12 s of the 2.5 s after a name until manifests had come,
+// and a piece that was missing then kept 76 servers from the version for eight seconds.
+type earlyDraws struct {
+	results chan fetchResult
+	stop    context.CancelFunc
+
+	mu      sync.Mutex
+	stopped bool
+	started map[int]time.Time
+}
+
+// drawEarly begins to draw the pieces that this agent is the first to draw, each in its turn,
+// until begun is called. A version that was named some time ago is not drawn early: others have
+// its pieces.
+func (l *Loader) drawEarly(ctx context.Context, want *target, version fleet.WeightsVersion) *earlyDraws {
+	e := &earlyDraws{started: make(map[int]time.Time), stop: func() {}}
+	named, options := want.named.Since(version), l.pickerOptions(want)
+	if paceFrom(named, l.options.Clock.Now()) != named || options.DrawPace == 0 || want.origin.Origin == "" {
+		return e
+	}
+	var drawers []weights.Peer
+	for _, record := range l.records(want) {
+		drawers = append(drawers, weights.Peer{Box: string(record.Box)})
+	}
+	pieces := weights.FirstDrawn(string(want.model), strconv.FormatUint(uint64(version), 10), string(l.options.Agent), drawers, want.engine.Pieces)
+	e.results = make(chan fetchResult, len(pieces))
+	waitCtx, stop := context.WithCancel(ctx)
+	e.stop = stop
+	l.duties.Go(func(context.Context) {
+		for _, piece := range pieces {
+			sleep(waitCtx, l.options.Clock, named.Add(options.PacedAfter(piece)).Sub(l.options.Clock.Now()))
+			if waitCtx.Err() != nil || !e.start(piece, l.options.Clock.Now()) {
+				return
+			}
+			l.duties.Go(func(context.Context) { e.draw(ctx, l, want, version, piece) })
+		}
+	})
+	return e
+}
+
+// start notes a draw that begins; false if no more are to begin.
+func (e *earlyDraws) start(piece int, now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.stopped {
+		e.started[piece] = now
+	}
+	return !e.stopped
+}
+
+func (e *earlyDraws) draw(ctx context.Context, l *Loader, want *target, version fleet.WeightsVersion, piece int) {
+	started := l.options.Clock.Now()
+	data, err := l.draw(ctx, want, version, piece)
+	e.results <- fetchResult{weights.Task{Chunk: piece}, data, err, l.options.Clock.Since(started)}
+}
+
+// begun ends beginning draws, and returns when each began that has.
+func (e *earlyDraws) begun() map[int]time.Time {
+	e.stop()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stopped = true
+	return maps.Clone(e.started)
+}
--- a/internal/direct/fetch.go
+++ b/internal/direct/fetch.go
@@ -39,6 +39,9 @@
 	// pieceTimeout bounds fetching a piece: many times what one takes over a box's
 	// link, and a small part of the time in which weights must be live.
 	pieceTimeout = 2500 * time.Millisecond
+	// holdingsTimeout bounds asking a neighbour what it holds: several pieces may be on its link
+	// before the answer. One that is silent for longer counts as holding nothing.
+	holdingsTimeout = 500 * time.Millisecond
 	// drawRetry is the wait before a draw that failed is tried again.
 	drawRetry = 300 * time.Millisecond
 )
@@ -53,6 +56,7 @@
 	picker    *weights.Picker
 	addresses map[string]member.Address
 	results   chan fetchResult
+	early     <-chan fetchResult
 	holdings  chan holdingsResult
 	asked     map[string]bool
 	// window is how many pieces are fetched at once; it shrinks while they take
@@ -68,23 +72,36 @@
 }
 
 type holdingsResult struct {
-	box  string
-	held weights.Bits
+	box      string
+	held     weights.Bits
+	answered bool
 }
 
-// fetch returns when every piece is held or the context ends.
-func (l *Loader) fetch(ctx context.Context, want *target, version fleet.WeightsVersion, manifest *weights.Manifest) error {
+// pickerOptions are how a copy is fetched.
+func (l *Loader) pickerOptions(want *target) weights.PickerOptions {
 	options := weights.DefaultPickerOptions()
 	options.DrawWindow, options.DrawPace = drawWindow(want), drawPace(want)
+	options.DrawAhead, options.DrawHedge, options.Silence = drawAhead, drawHedgePieces*options.DrawPace, drawerSilence
 	options.FarPatience = l.farPatience(want)
 	options.DrawWait, options.Patience, options.Window, options.TotalWindow = drawWait, drawPatience, 1, firstWindow
+	return options
+}
+
+// fetch returns when every piece is held or the context ends. Early are the draws that were
+// begun while the manifest was on its way.
+func (l *Loader) fetch(ctx context.Context, want *target, version fleet.WeightsVersion, manifest *weights.Manifest, early *earlyDraws) error {
+	options := l.pickerOptions(want)
 	f := &fetch{
 		loader: l, want: want, version: version, manifest: manifest, addresses: make(map[string]member.Address),
 		picker:  weights.NewPicker(manifest, string(l.options.Agent), l.store.Held(manifest.Digest()), options, l.options.Clock.Now()),
 		results: make(chan fetchResult), holdings: make(chan holdingsResult), asked: make(map[string]bool),
-		window: firstWindow,
+		window: firstWindow, early: early.results,
+	}
+	for chunk, at := range early.begun() {
+		f.picker.Begin(chunk, at)
 	}
 	f.picker.HoldBack(l.holdBack(want, version))
+	f.picker.PaceFrom(paceFrom(want.named.Since(version), l.options.Clock.Now()))
 	f.adoptPeers()
 	return f.run(ctx)
 }
@@ -97,8 +114,12 @@
 	originPart = 0.8
 )
 
-// drawWindow is how many pieces this box may draw at once.
+// drawWindow is how many pieces this box may draw at once. At the pace of the origin's link
+// few are drawn at once in all, and a second one of this box need not wait for the first.
 func drawWindow(want *target) int {
+	if want.origin.OriginMbps > 0 {
+		return mostDraws
+	}
 	if want.origin.MaxConnections == 0 || len(want.servers) == 0 {
 		return mostDraws
 	}
@@ -116,10 +137,36 @@
 	return time.Duration(seconds * float64(time.Second))
 }
 
-// drawPart is the part of the time that a piece takes over the origin's link after
-// which the next one is drawn: a little less than all, so that the link is never
-// idle.
-const drawPart = 0.9
+const (
+	// drawAhead is how many pieces are on their way from the origin before its link has had
+	// the time for them: two keep it busy from one answer to the next request.
+	drawAhead = 2
+	// drawHedgePieces is how many times the time of a piece over the origin's link the second
+	// drawers wait after the last piece's turn: those that are drawn last are on their way.
+	drawHedgePieces = 4
+	// drawerSilence is after how long without an answer the second drawer of a piece takes the
+	// place of the first: several of the intervals at which it is asked. When six of 76 agents
+	// were killed 1.6 s after a name, what they had still to draw came too late for an origin
+	// that went away at 2.5 s, and all waited for two pieces for eight seconds.
+	drawerSilence = 400 * time.Millisecond
+	// paceLate is how long after a version was named an agent still keeps to the pace that
+	// counts from its name. It hears of it and has the manifest within half of that; one that
+	// comes later, as its box has just started, finds most pieces at others.
+	paceLate = 500 * time.Millisecond
+)
+
+// paceFrom is from when the pace of the draws counts: for all agents alike from the name of
+// the version, so that the origin's link is busy from the first to the last piece.
+func paceFrom(named, now time.Time) time.Time {
+	if age := now.Sub(named); named.IsZero() || age < 0 || age > paceLate {
+		return now
+	}
+	return named
+}
+
+// linkOverhead is by how much more than its bytes a piece takes of a link: 40 of 1,500 bytes
+// of each packet are heads of TCP and IP, and there are those of HTTP.
+const linkOverhead = 1.04
 
 // drawPace is how long after each other the pieces are drawn from the origin; 0 if
 // the rate of its link is not known.
@@ -127,8 +174,8 @@
 	if want.origin.OriginMbps <= 0 {
 		return 0
 	}
-	seconds := float64(want.engine.PieceSize) / (want.origin.OriginMbps * bytesPerMbit)
-	return time.Duration(drawPart * seconds * float64(time.Second))
+	seconds := linkOverhead * float64(want.engine.PieceSize) / (want.origin.OriginMbps * bytesPerMbit)
+	return time.Duration(seconds * float64(time.Second))
 }
 
 // adoptPeers names the agents that take part.
@@ -205,9 +252,14 @@
 			return ctx.Err()
 		case result := <-f.results:
 			f.take(result)
+		case result := <-f.early:
+			f.take(result)
 		case result := <-f.holdings:
 			f.asked[result.box] = false
 			f.picker.SetHoldings(result.box, result.held)
+			if result.answered {
+				f.picker.Heard(result.box, f.loader.options.Clock.Now())
+			}
 		case <-ticker.Chan():
 			f.adoptPeers()
 			f.askHoldings(ctx)
@@ -267,12 +319,19 @@
 	f.picker.SetTotalWindow(int(f.window))
 }
 
-func (f *fetch) transfer(ctx context.Context, task weights.Task) ([]byte, error) {
+// draw reads a piece from the origin.
+func (l *Loader) draw(ctx context.Context, want *target, version fleet.WeightsVersion, piece int) ([]byte, error) {
 	callCtx, cancel := context.WithTimeout(ctx, pieceTimeout)
 	defer cancel()
+	return l.options.Origin.Piece(callCtx, want.origin.Origin, want.model, version, piece)
+}
+
+func (f *fetch) transfer(ctx context.Context, task weights.Task) ([]byte, error) {
 	if task.IsDraw() {
-		return f.loader.options.Origin.Piece(callCtx, f.want.origin.Origin, f.want.model, f.version, task.Chunk)
+		return f.loader.draw(ctx, f.want, f.version, task.Chunk)
 	}
+	callCtx, cancel := context.WithTimeout(ctx, pieceTimeout)
+	defer cancel()
 	digest := f.manifest.Digest()
 	stream, err := wire.NewDRPCChunksClient(f.loader.options.Peers.Conn(f.addresses[task.From])).
 		Fetch(callCtx, &wire.FetchRequest{Manifest: digest[:], Chunk: uint32(task.Chunk)})
@@ -305,13 +364,13 @@
 		f.asked[box] = true
 		address := f.addresses[box]
 		go func() {
-			callCtx, cancel := context.WithTimeout(ctx, pieceTimeout)
+			callCtx, cancel := context.WithTimeout(ctx, holdingsTimeout)
 			defer cancel()
 			result := holdingsResult{box: box}
 			answer, err := wire.NewDRPCChunksClient(f.loader.options.Peers.Conn(address)).
 				Holdings(callCtx, &wire.HoldingsRequest{Manifest: digest[:]})
 			if err == nil {
-				result.held = answer.Held
+				result.held, result.answered = answer.Held, true
 			}
 			select {
 			case f.holdings <- result:
--- a/pkg/weights/picker.go
+++ b/pkg/weights/picker.go
@@ -19,6 +19,16 @@
 	// drawer. If all are drawn at once, they share the origin's link and all come at
 	// the same late moment. 0 draws at once.
 	DrawPace time.Duration
+	// DrawAhead is how many chunks are drawn before their pace, so that the origin's link is
+	// not idle while the boxes hear of a version, and begin, one after the other.
+	DrawAhead int
+	// DrawHedge is after how long from the last chunk's turn chunks are drawn by their second
+	// drawers too, if the first, whom these ask, do not show them. Before, each would take the
+	// place of a chunk that has not left the origin yet. 0 leaves it at the waits below.
+	DrawHedge time.Duration
+	// Silence is after how long a first drawer that was heard counts as killed or cut off: its
+	// chunks are drawn by the second in its place.
+	Silence time.Duration
 	// TotalWindow is how many run at once in all; 0 for no such bound. A small one
 	// keeps the box's link free for requests.
 	TotalWindow int
@@ -36,6 +46,12 @@
 	Strikes int
 }
 
+// PacedAfter is after how long from its beginning the turn of a chunk comes at the pace of
+// the origin's link.
+func (o *PickerOptions) PacedAfter(chunk int) time.Duration {
+	return time.Duration(max(0, chunk-o.DrawAhead)) * o.DrawPace
+}
+
 // DefaultPickerOptions suits links of about two copies in the time allowed.
 func DefaultPickerOptions() PickerOptions {
 	return PickerOptions{Window: 2, DrawWindow: 4, DrawWait: 2 * time.Second, Strikes: 3}
@@ -56,6 +72,8 @@
 	held    Bits
 	running int
 	strikes int
+	// heard is when it last answered; zero if it never has.
+	heard time.Time
 	// pace is how long a chunk from there took, in the mean.
 	pace time.Duration
 }
@@ -90,11 +108,16 @@
 	// order holds the neighbours by name, so that decisions are repeatable.
 	order    []*neighbour
 	declared []Peer
+	drawers  []Peer
 	ranks    []int
 	// nearRanks orders the boxes of the own region; farDrawers holds the chunks
 	// to be asked of a box of another region.
 	nearRanks  []int
 	farDrawers map[string][]int
+	// firstDrawers holds the chunks of which this box is the second drawer, by the first.
+	firstDrawers map[string][]int
+	// firstOf is the first drawer of each of these chunks.
+	firstOf map[int]string
 	// scores are this box's own for each chunk.
 	scores    []uint64
 	lastRetry map[int]time.Time
@@ -113,7 +136,7 @@
 		neighbours: make(map[string]*neighbour),
 		lastRetry:  make(map[int]time.Time),
 	}
-	seed := drawSeed(manifest.digest, self)
+	seed := drawSeed(manifest.Model, manifest.Version, self)
 	p.scores = make([]uint64, len(manifest.Chunks))
 	for i := range manifest.Chunks {
 		p.scores[i] = drawScore(seed, i)
@@ -131,6 +154,13 @@
 // theirs whole earlier.
 func (p *Picker) HoldBack(until time.Time) { p.heldBack = until }
 
+// PaceFrom lets the pace of the draws count from a moment that is the same for all boxes,
+// and not from when this one began.
+func (p *Picker) PaceFrom(at time.Time) { p.pacedFrom = at }
+
+// paced is when the turn of a chunk comes at the pace of the origin's link.
+func (p *Picker) paced(chunk int) time.Time { return p.pacedFrom.Add(p.options.PacedAfter(chunk)) }
+
 // SetTotalWindow changes how many fetches run at once in all.
 func (p *Picker) SetTotalWindow(window int) { p.options.TotalWindow = window }
 
@@ -155,7 +185,7 @@
 		if drawer.Box == p.self {
 			continue
 		}
-		seed := drawSeed(p.manifest.digest, drawer.Box)
+		seed := drawSeed(p.manifest.Model, p.manifest.Version, drawer.Box)
 		for chunk, own := range p.scores {
 			score := drawScore(seed, chunk)
 			if score <= own {
@@ -176,25 +206,51 @@
 // setFarDrawers notes whom this box asks for the chunks that it is first of its
 // region to bring.
 func (p *Picker) setFarDrawers(drawers []Peer, first []int) {
-	p.farDrawers = make(map[string][]int)
+	p.farDrawers, p.firstDrawers, p.firstOf = make(map[string][]int), make(map[string][]int), make(map[int]string)
 	for chunk, rank := range p.ranks {
-		if rank > 0 && p.nearRanks[chunk] == 0 && !p.held.Has(chunk) {
-			box := drawers[first[chunk]].Box
-			p.farDrawers[box] = append(p.farDrawers[box], chunk)
+		if rank == 0 || p.held.Has(chunk) {
+			continue
+		}
+		drawer := drawers[first[chunk]]
+		if p.nearRanks[chunk] == 0 {
+			p.farDrawers[drawer.Box] = append(p.farDrawers[drawer.Box], chunk)
+		}
+		if rank == 1 && p.options.DrawHedge > 0 {
+			p.firstDrawers[drawer.Box] = append(p.firstDrawers[drawer.Box], chunk)
+			p.firstOf[chunk] = drawer.Box
 		}
 	}
-	p.arrange()
+	p.arrange(drawers)
 }
 
-// drawSeed stands for a box in the order of drawers of one manifest.
-func drawSeed(manifest Digest, box string) uint64 {
+// drawSeed stands for a box in the order of drawers of one version. It does not depend on the
+// manifest, so that what a box is the first to draw is known before that has come.
+func drawSeed(model, version, box string) uint64 {
 	var digest xxhash.Digest
 	digest.Reset()
-	_, _ = digest.Write(manifest[:])
-	_, _ = digest.WriteString(box)
+	for _, part := range []string{model, version, box} {
+		_, _ = digest.WriteString(part)
+		_, _ = digest.Write([]byte{0})
+	}
 	return digest.Sum64()
 }
 
+// FirstDrawn returns the chunks of a version that a box is the first to draw, as SetDrawers
+// has it, for those that begin before the manifest has come.
+func FirstDrawn(model, version, self string, drawers []Peer, chunks int) []int {
+	own := drawSeed(model, version, self)
+	var first []int
+	for chunk := range chunks {
+		score := drawScore(own, chunk)
+		if !slices.ContainsFunc(drawers, func(drawer Peer) bool {
+			return drawer.Box != self && drawScore(drawSeed(model, version, drawer.Box), chunk) > score
+		}) {
+			first = append(first, chunk)
+		}
+	}
+	return first
+}
+
 // drawScore is a box's weight for one chunk. It is the finishing step of
 // SplitMix64 (Steele, Lea and Flood, 2014), because hashing anew for each of
 // thousands of chunks and boxes took a fifth of a second.
@@ -209,11 +265,13 @@
 // that stay is kept.
 func (p *Picker) SetNeighbours(peers []Peer) {
 	p.declared = slices.Clone(peers)
-	p.arrange()
+	p.arrange(p.drawers)
 }
 
-// arrange makes the neighbours those that were set and the far drawers.
-func (p *Picker) arrange() {
+// arrange makes the neighbours those that were set, the far drawers, and the first drawers
+// of chunks that this box is the second to draw.
+func (p *Picker) arrange(drawers []Peer) {
+	p.drawers = drawers
 	before := p.neighbours
 	p.neighbours = make(map[string]*neighbour, len(p.declared)+len(p.farDrawers))
 	p.order = p.order[:0]
@@ -235,6 +293,11 @@
 	for box := range p.farDrawers {
 		add(Peer{Box: box, Far: true})
 	}
+	for _, drawer := range drawers {
+		if p.firstDrawers[drawer.Box] != nil {
+			add(drawer)
+		}
+	}
 	slices.SortFunc(p.order, func(a, b *neighbour) int { return strings.Compare(a.box, b.box) })
 }
 
@@ -247,10 +310,12 @@
 			boxes = append(boxes, peer.Box)
 		}
 	}
-	for box, chunks := range p.farDrawers {
-		missing := slices.ContainsFunc(chunks, func(chunk int) bool { return !p.held.Has(chunk) })
-		if missing && !slices.Contains(boxes, box) {
-			boxes = append(boxes, box)
+	for _, drawers := range []map[string][]int{p.farDrawers, p.firstDrawers} {
+		for box, chunks := range drawers {
+			missing := slices.ContainsFunc(chunks, func(chunk int) bool { return !p.held.Has(chunk) })
+			if missing && !slices.Contains(boxes, box) {
+				boxes = append(boxes, box)
+			}
 		}
 	}
 	slices.Sort(boxes)
@@ -264,6 +329,13 @@
 	}
 }
 
+// Heard notes that a neighbour has answered.
+func (p *Picker) Heard(box string, now time.Time) {
+	if n, ok := p.neighbours[box]; ok {
+		n.heard = now
+	}
+}
+
 // Missing returns how many chunks are not yet held.
 func (p *Picker) Missing() int { return p.missing }
 
@@ -291,6 +363,12 @@
 	return task, true
 }
 
+// Begin notes a draw that was begun before the manifest had come.
+func (p *Picker) Begin(chunk int, at time.Time) {
+	p.running[chunk] = at
+	p.draws++
+}
+
 // fromNeighbour takes the chunk that the fewest neighbours hold, from the
 // least busy of them. Ties go by a hash of box and chunk, so that boxes that
 // start together do not all fetch the same chunk.
@@ -343,10 +421,7 @@
 		if p.held.Has(chunk) || p.isRunning(chunk) || p.isShown(chunk) && !p.isStuck(chunk, now) {
 			continue
 		}
-		if p.ranks[chunk] > lastRank || now.Before(p.due(p.ranks[chunk], p.options.Patience)) || now.Before(p.lastRetry[chunk]) {
-			continue
-		}
-		if now.Before(p.pacedFrom.Add(time.Duration(chunk) * p.options.DrawPace)) {
+		if p.ranks[chunk] > lastRank || now.Before(p.lastRetry[chunk]) || now.Before(p.drawDue(chunk, now)) {
 			continue
 		}
 		if best < 0 || p.ranks[chunk] < bestRank {
@@ -356,6 +431,39 @@
 	return Task{Chunk: best}, best >= 0
 }
 
+// drawDue is when this box draws a chunk from the origin. The waits for those who come first
+// count from the chunk's turn at the pace of the origin's link: counted from the start of the
+// copy, one chunk in five was drawn twice, and the others came later by as much.
+func (p *Picker) drawDue(chunk int, now time.Time) time.Time {
+	paced, rank := p.paced(chunk), p.ranks[chunk]
+	if rank == 0 {
+		return later(paced, p.due(rank, 0))
+	}
+	due := p.dueFrom(rank, p.options.Patience, later(p.drawsFrom, paced))
+	if rank == 1 && p.options.DrawHedge > 0 {
+		if hedge := p.hedgeDue(chunk, now); hedge.Before(due) {
+			due = hedge
+		}
+	}
+	return later(paced, due)
+}
+
+// hedgeDue is when this box draws a chunk of which it is the second drawer.
+func (p *Picker) hedgeDue(chunk int, now time.Time) time.Time {
+	first := p.neighbours[p.firstOf[chunk]]
+	if first != nil && !first.heard.IsZero() && now.Sub(first.heard) > p.options.Silence {
+		return later(p.drawsFrom, p.paced(chunk))
+	}
+	return later(p.drawsFrom, p.paced(len(p.manifest.Chunks))).Add(p.options.DrawHedge)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // due is when a box of a rank takes its turn. The first does at once; the second
 // waits twice, because a copy that has just begun needs about one wait until its
 // first chunks have come round.
@@ -363,14 +471,14 @@
 	if rank == 0 {
 		return p.progress
 	}
-	from := p.progress
-	if from.Before(p.drawsFrom) {
-		from = p.drawsFrom
-	}
-	due := from.Add(time.Duration(rank+1) * p.options.DrawWait)
+	return p.dueFrom(rank, patience, p.drawsFrom)
+}
+
+// dueFrom is due for a rank after the first, with the patience counted from a moment.
+func (p *Picker) dueFrom(rank int, patience time.Duration, from time.Time) time.Time {
+	due := later(p.progress, p.drawsFrom).Add(time.Duration(rank+1) * p.options.DrawWait)
 	if patience > 0 {
-		latest := p.drawsFrom.Add(patience + time.Duration(rank)*p.options.DrawWait)
-		if latest.Before(due) {
+		if latest := from.Add(patience + time.Duration(rank)*p.options.DrawWait); latest.Before(due) {
 			return latest
 		}
 	}
@@ -384,7 +492,7 @@
 		return false
 	}
 	wait := 2*p.options.Patience + time.Duration(p.ranks[chunk])*p.options.DrawWait
-	return now.Sub(p.drawsFrom) >= wait
+	return now.Sub(later(p.drawsFrom, p.paced(chunk))) >= wait
 }
 
 func (p *Picker) isRunning(chunk int) bool {
