fix(direct): of two words that come at the same moment the newer one is believed

The store of records takes the newer one whatever the order, but what is kept beside it was changed under another lock, afterwards: the older record, taken by the store first, was kept last. It stayed so, as the store never told it again. Facts of the platform's store had the same gap: the entry of a server that had left could stay believed. Ruled out: the fleet's division and the marks of silence (no box but the one that left was marked). Change: both are changed under one lock. With it a process whose planned stop takes too long ends 0.3 s before its grace, with a line that says so; one was killed at the end of its grace on two deployments, and its log did not tell why. What had held those stops up is still open.

--- a/cmd/cinderslipd/direct.go
+++ b/cmd/cinderslipd/direct.go
@@ -54,6 +54,10 @@
 	}
 	signal.Stop(reload)
 	signal.Ignore(syscall.SIGHUP)
+	exitBefore(clock, time.Duration(loaded.Stop.Grace), log, func() {
+		closeLog(queue)
+		os.Exit(exitFailed)
+	})
 	if err := process.Stop(context.Background()); err != nil {
 		log.Warn().Err(err).Msg("stop was not clean")
 		return exitFailed
@@ -62,6 +66,19 @@
 	return exitDone
 }
 
+// exitReserve is how long before the end of its grace a process that is still stopping ends at
+// once: it would be killed then, and whatever holds it up would take its last lines with it.
+// Writing these takes up to logGrace.
+const exitReserve = 300 * time.Millisecond
+
+// exitBefore ends a process whose planned stop takes longer than its grace allows.
+func exitBefore(clock clockwork.Clock, grace time.Duration, log zerolog.Logger, exit func()) {
+	clock.AfterFunc(grace-exitReserve, func() {
+		log.Error().Dur("grace_ms", grace).Msg("stop takes too long, ending at once")
+		exit()
+	})
+}
+
 // logGrace bounds the time to write the last lines of the log.
 const logGrace = 200 * time.Millisecond
 
--- a/internal/direct/facts.go
+++ b/internal/direct/facts.go
@@ -268,12 +268,14 @@
 
 // ApplyItems is Apply for facts in their replicated form.
 func (f *Facts) ApplyItems(items []state.Item, from string) {
+	// What is believed follows the order in which the store takes facts: of two entries that
+	// came at the same moment the older one was believed for good.
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	fresh := f.store.Apply(items, state.OriginLocal)
 	if len(fresh) == 0 {
 		return
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	log := f.log
 	if len(fresh) > factsLogged {
 		f.log.Info().Int("facts", len(fresh)).Str("from", from).Msg("many facts taken")
--- a/internal/direct/members.go
+++ b/internal/direct/members.go
@@ -94,12 +94,14 @@
 
 // Learn takes what another box tells.
 func (m *Members) Learn(items []state.Item, from string) {
+	// What is kept follows the order in which the store takes records: of two that came at the
+	// same moment the older one was kept for good.
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	fresh := m.store.Apply(items, state.OriginRemote)
 	if len(fresh) == 0 {
 		return
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	log := m.log
 	if len(fresh) > factsLogged {
 		m.log.Info().Int("records", len(fresh)).Str("from", from).Msg("many entry boxes heard of")
