perf(weights): which pieces are drawn early is worked out from one hash a drawer

Cause: the names of all drawers were hashed anew for each piece. Change: one hash a drawer. Tests have no parameters that never vary; format. What is drawn is the same, and a test holds it against the picker.

--- a/internal/direct/start_test.go
+++ b/internal/direct/start_test.go
@@ -10,9 +10,10 @@
 	"github.com/cinderslip/cinderslip/pkg/member"
 )
 
-func server(id fleet.ServerID, service member.Service, address member.Address, incarnation member.Incarnation, revision fleet.Revision) fleet.Fact {
+// server is an entry that names the address that all of these tests are about.
+func server(id fleet.ServerID, service member.Service, incarnation member.Incarnation, revision fleet.Revision) fleet.Fact {
 	return fleet.Fact{Key: fleet.ServerKey(id), Revision: revision, Server: &fleet.Server{
-		ID: id, Service: service, Address: address, Slots: 1, Incarnation: incarnation,
+		ID: id, Service: service, Address: "10.0.0.1:1", Slots: 1, Incarnation: incarnation,
 	}}
 }
 
@@ -35,7 +36,7 @@
 		}
 		return fleet.Fact{Key: fleet.ConfigurationKey(), Revision: fleet.Revision(version), Configuration: c}
 	}
-	facts.Apply([]fleet.Fact{configuration(1, "llm"), server("a", "llm", "10.0.0.1:1", 5, 2), server("x", "nobody", "10.0.0.1:1", 9, 3)}, "store")
+	facts.Apply([]fleet.Fact{configuration(1, "llm"), server("a", "llm", 5, 2), server("x", "nobody", 9, 3)}, "store")
 	require.Equal(t, map[fleet.ServerID]member.Incarnation{"a": 5}, believed(facts, "llm"))
 	facts.Apply([]fleet.Fact{configuration(4, "llm", "nobody")}, "store")
 	require.Equal(t, map[fleet.ServerID]member.Incarnation{"x": 9}, believed(facts, "nobody"), "it counts once the service is configured")
@@ -44,15 +45,15 @@
 func TestTheLatestStartOfAServerIsBelievedInWhateverOrderItsEntriesCome(t *testing.T) {
 	facts, clock := newTestFacts()
 	future := member.Incarnation(clock.Now().Add(time.Hour).UnixMilli())
-	facts.Apply([]fleet.Fact{server("a", "llm", "10.0.0.1:1", 50, 2)}, "store")
+	facts.Apply([]fleet.Fact{server("a", "llm", 50, 2)}, "store")
 	for revision, incarnation := range []member.Incarnation{40, 0, future} {
-		facts.Apply([]fleet.Fact{server("a", "llm", "10.0.0.1:1", incarnation, fleet.Revision(3+revision))}, "store")
+		facts.Apply([]fleet.Fact{server("a", "llm", incarnation, fleet.Revision(3+revision))}, "store")
 		require.Equal(t, map[fleet.ServerID]member.Incarnation{"a": 50}, believed(facts, "llm"), "start %d", incarnation)
 	}
-	facts.Apply([]fleet.Fact{server("a", "llm", "10.0.0.1:1", 60, 9)}, "store")
+	facts.Apply([]fleet.Fact{server("a", "llm", 60, 9)}, "store")
 	require.Equal(t, map[fleet.ServerID]member.Incarnation{"a": 60}, believed(facts, "llm"))
 	// Another id at the address: the later start is right, also when its entry is the older one.
-	facts.Apply([]fleet.Fact{server("b", "llm", "10.0.0.1:1", 55, 10)}, "store")
+	facts.Apply([]fleet.Fact{server("b", "llm", 55, 10)}, "store")
 	require.Equal(t, map[fleet.ServerID]member.Incarnation{"a": 60}, believed(facts, "llm"))
 }
 
--- a/pkg/route/incarnation_test.go
+++ b/pkg/route/incarnation_test.go
@@ -10,10 +10,10 @@
 	"github.com/cinderslip/cinderslip/pkg/member"
 )
 
-func startOf(incarnation member.Incarnation, version fleet.WeightsVersion) fleet.Server {
+func startOf(incarnation member.Incarnation) fleet.Server {
 	return fleet.Server{
 		ID: "a", Service: "llm", Slots: 2, Incarnation: incarnation,
-		Models: []fleet.LoadedModel{{Name: "m", Version: version}},
+		Models: []fleet.LoadedModel{{Name: "m", Version: 1}},
 	}
 }
 
@@ -30,14 +30,14 @@
 	for name, restart := range map[string]func(d *Dispatcher){
 		"told by its agent": func(d *Dispatcher) { d.State("a", ServerState{Incarnation: 6}, now) },
 		"told by the list": func(d *Dispatcher) {
-			server := startOf(6, 1)
+			server := startOf(6)
 			server.Models = nil
 			d.Servers([]fleet.Server{server}, 0, near, now)
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := newEngineDispatcher()
-			d.Servers([]fleet.Server{startOf(5, 1)}, 0, near, now)
+			d.Servers([]fleet.Server{startOf(5)}, 0, near, now)
 			d.State("a", ServerState{Incarnation: 5, Version: 1, Swapping: false}, now)
 			ask := &Ask{Objective: now.Add(time.Second), Deadline: now.Add(6 * time.Second)}
 			place, _, err := d.Submit(ask, nil, now)
@@ -53,7 +53,7 @@
 			d.State("a", ServerState{Incarnation: 5, Version: 1}, now)
 			_, _, err = d.Submit(&Ask{Objective: now.Add(time.Second), Deadline: now.Add(6 * time.Second)}, nil, now)
 			require.ErrorIs(t, err, ErrNoServer, "what is told of the start before comes too late")
-			d.Servers([]fleet.Server{startOf(5, 1)}, 0, near, now.Add(2*serverStatusAge))
+			d.Servers([]fleet.Server{startOf(5)}, 0, near, now.Add(2*serverStatusAge))
 			_, _, err = d.Submit(&Ask{Objective: now.Add(time.Hour), Deadline: now.Add(time.Hour)}, nil, now.Add(2*serverStatusAge))
 			require.ErrorIs(t, err, ErrNoServer, "so does a list of before")
 
@@ -71,7 +71,7 @@
 func TestAnAgentMayTellAStartThatTheListDoesNot(t *testing.T) {
 	now := time.Unix(100, 0)
 	d := newEngineDispatcher()
-	d.Servers([]fleet.Server{startOf(0, 1)}, 0, near, now)
+	d.Servers([]fleet.Server{startOf(0)}, 0, near, now)
 	d.State("a", ServerState{Incarnation: 5, Version: 1}, now)
 	_, _, err := d.Submit(&Ask{Objective: now.Add(time.Second), Deadline: now.Add(6 * time.Second)}, nil, now)
 	require.NoError(t, err)
--- a/pkg/weights/draw_test.go
+++ b/pkg/weights/draw_test.go
@@ -26,6 +26,7 @@
 
 const (
 	drawStep = 10 * time.Millisecond
+	chunks   = 48
 	// pieceTime is how long a chunk takes over the origin's link.
 	pieceTime = 44 * time.Millisecond
 	pollEvery = 80 * time.Millisecond
@@ -106,7 +107,7 @@
 	}
 }
 
-func newDrawing(t require.TestingT, boxes, chunks int, starts func(box int) time.Duration, named time.Time) *drawing {
+func newDrawing(t require.TestingT, boxes int, starts func(box int) time.Duration, named time.Time) *drawing {
 	data := make([]byte, chunks)
 	for i := range data {
 		data[i] = byte(i)
@@ -138,9 +139,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		named := time.Unix(1000, 0)
 		boxes := rapid.IntRange(20, 80).Draw(t, "boxes")
-		const chunks = 48
 		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
-		d := newDrawing(t, boxes, chunks, func(int) time.Duration {
+		d := newDrawing(t, boxes, func(int) time.Duration {
 			return 100*time.Millisecond + time.Duration(random.Int64N(int64(200*time.Millisecond)))
 		}, named)
 		d.play(named, 400*time.Millisecond+chunks*pieceTime)
@@ -158,8 +158,7 @@
 // Those chunks whose first drawer was cut off all along come last, and take no chunk's place.
 func TestTheSecondDrawerComesForTheFirst(t *testing.T) {
 	named := time.Unix(1000, 0)
-	const chunks = 48
-	d := newDrawing(t, 20, chunks, func(int) time.Duration { return 200 * time.Millisecond }, named)
+	d := newDrawing(t, 20, func(int) time.Duration { return 200 * time.Millisecond }, named)
 	d.dead[3], d.dead[11] = true, true
 	d.play(named, 3*time.Second)
 	for chunk, at := range d.sent {
@@ -176,9 +175,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		named := time.Unix(1000, 0)
 		boxes := rapid.IntRange(20, 80).Draw(t, "boxes")
-		const chunks = 48
 		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
-		d := newDrawing(t, boxes, chunks, func(int) time.Duration {
+		d := newDrawing(t, boxes, func(int) time.Duration {
 			return 50*time.Millisecond + time.Duration(random.Int64N(int64(150*time.Millisecond)))
 		}, named)
 		d.killed = rapid.SliceOfNDistinct(rapid.IntRange(0, boxes-1), boxes/15, boxes/15, rapid.ID).Draw(t, "killed")
@@ -201,3 +199,36 @@
 	}
 	return false
 }
+
+// Draws that begin before the manifest has come are those that the picker gives this box.
+func TestWhatIsDrawnEarlyIsWhatThePickerWouldDraw(t *testing.T) {
+	named := time.Unix(1000, 0)
+	const boxes = 20
+	d := newDrawing(t, boxes, func(int) time.Duration { return 0 }, named)
+	var all []Peer
+	for i := range boxes {
+		all = append(all, Peer{Box: name(i)})
+	}
+	drawn := 0
+	for i, p := range d.pickers {
+		var first []int
+		for chunk, rank := range p.ranks {
+			if rank == 0 {
+				first = append(first, chunk)
+			}
+		}
+		require.Equal(t, first, FirstDrawn(d.manifest.Model, d.manifest.Version, name(i), all, chunks))
+		drawn += len(first)
+	}
+	require.Equal(t, chunks, drawn)
+}
+
+func BenchmarkFirstDrawn(b *testing.B) {
+	var all []Peer
+	for i := range 1400 {
+		all = append(all, Peer{Box: name(i)})
+	}
+	for b.Loop() {
+		FirstDrawn("m", "2", name(7), all, 3500)
+	}
+}
--- a/pkg/weights/picker.go
+++ b/pkg/weights/picker.go
@@ -239,12 +239,16 @@
 // has it, for those that begin before the manifest has come.
 func FirstDrawn(model, version, self string, drawers []Peer, chunks int) []int {
 	own := drawSeed(model, version, self)
+	seeds := make([]uint64, 0, len(drawers))
+	for _, drawer := range drawers {
+		if drawer.Box != self {
+			seeds = append(seeds, drawSeed(model, version, drawer.Box))
+		}
+	}
 	var first []int
 	for chunk := range chunks {
 		score := drawScore(own, chunk)
-		if !slices.ContainsFunc(drawers, func(drawer Peer) bool {
-			return drawer.Box != self && drawScore(drawSeed(model, version, drawer.Box), chunk) > score
-		}) {
+		if !slices.ContainsFunc(seeds, func(seed uint64) bool { return drawScore(seed, chunk) > score }) {
 			first = append(first, chunk)
 		}
 	}
--- a/pkg/weights/store.go
+++ b/pkg/weights/store.go
@@ -162,9 +162,6 @@
 // Set adds an index, which must be in range.
 func (b Bits) Set(i int) { b[i/bitsPerByte] |= 1 << (i % bitsPerByte) }
 
-// Clear takes an index that must be in range out of the set.
-func (b Bits) Clear(i int) { b[i/bitsPerByte] &^= 1 << (i % bitsPerByte) }
-
 // Has reports whether the index is in the set; one out of range is not.
 func (b Bits) Has(i int) bool {
 	return i/bitsPerByte < len(b) && b[i/bitsPerByte]&(1<<(i%bitsPerByte)) != 0
