--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -1,7 +1,6 @@
 package direct
 
 import (
-	"encoding/binary"
 	"errors"
 	"io"
 	"math/rand/v2"
@@ -10,7 +9,6 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/labstack/echo/v4"
 	"github.com/rs/zerolog"
 
@@ -188,51 +186,6 @@
 	return false
 }
 
-// sinceFirst returns how long ago a caller first asked; 0 if it was not here before. Whom a
-// box of the cell has sent away is known; of the others the remaining time tells those whose
-// box was killed, or who left it by themselves.
-func (f *Front) sinceFirst(x *exchange) time.Duration {
-	x.fingerprint = fingerprintOf(x)
-	if first, ok := f.returns.First(x.fingerprint, x.arrived.Add(x.Deadline), x.arrived); ok {
-		return x.arrived.Sub(first)
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	known := f.patience[x.route.Name]
-	if known == nil {
-		known = &route.Patience{}
-		f.patience[x.route.Name] = known
-	}
-	waited := known.Waited(x.Deadline, x.route.Timeout)
-	known.Note(x.Deadline)
-	return waited
-}
-
-// fingerprintOf identifies what a request asks for.
-func fingerprintOf(x *exchange) route.Fingerprint {
-	var hash xxhash.Digest
-	hash.Reset()
-	if x.request != nil {
-		for _, part := range []string{x.request.Method, x.request.Host, x.request.RequestURI, string(x.Key)} {
-			_, _ = hash.WriteString(part)
-			_, _ = hash.Write([]byte{0})
-		}
-	}
-	_, _ = hash.Write(binary.LittleEndian.AppendUint64(nil, uint64(x.PromptTokens)))
-	_, _ = hash.Write(x.body)
-	return route.Fingerprint(hash.Sum64())
-}
-
-// noteSentAway remembers a caller who got no answer and may come back.
-func (f *Front) noteSentAway(x *exchange) {
-	if x.route == nil || x.Deadline <= 0 {
-		return
-	}
-	f.returns.Note(route.SentAway{
-		Fingerprint: x.fingerprint, First: x.arrived.Add(-x.sinceFirst), Ends: x.arrived.Add(x.Deadline),
-	}, f.clock.Now())
-}
-
 func (f *Front) setTimes(x *exchange) {
 	timeout := x.route.Timeout
 	if timeout <= 0 {
