--- a/internal/lab/box.go
+++ b/internal/lab/box.go
@@ -25,16 +25,35 @@
 	// cutOff is set while it does not reach the other boxes, nor they it.
 	cutOff bool
 	// life changes when the box is killed, so that what was planned before lapses.
-	life   int
-	told   route.Load
-	toldAt time.Time
+	life int
+	// near and far are what the others of the own region were told, and those of other regions.
+	near, far told
+}
+
+// told is what some of the other boxes were told last.
+type told struct {
+	load route.Load
+	at   time.Time
+}
+
+// tell tells the boxes of other regions, or of the own one, if there is something to tell.
+func (t *told) tell(b *box, far bool, load route.Load, demand route.Demand, now time.Time) {
+	if t.load != nil && now.Sub(t.at) < tellAgain && maps.Equal(load, t.load) {
+		return
+	}
+	t.load, t.at = load, now
+	for _, other := range b.mates {
+		if (other.region != b.region) == far {
+			other.hear(b, load, demand)
+		}
+	}
 }
 
 // start starts the box; it knows nothing of the others yet.
 func (b *box) start() {
 	b.up = true
 	b.life++
-	b.told = nil
+	b.near, b.far = told{}, told{}
 	b.dispatcher = route.NewDispatcher(route.DispatcherOptions{
 		Usual: usualTime, First: firstTime, Engine: true, Random: b.world.random.Float64, Box: b.id,
 	})
@@ -66,11 +85,9 @@
 	}
 	load, demand := b.dispatcher.Own(), b.dispatcher.Demand(b.world.Now())
 	now := b.world.Now()
-	if b.told == nil || now.Sub(b.toldAt) >= tellAgain || !maps.Equal(load, b.told) {
-		b.told, b.toldAt = load, now
-		for _, other := range b.mates {
-			other.hear(b, load, demand)
-		}
+	b.near.tell(b, false, load, demand, now)
+	if now.Sub(b.far.at) >= b.world.deployment.FarTellInterval {
+		b.far.tell(b, true, load, demand, now)
 	}
 	b.world.After(b.world.deployment.TellInterval, func() { b.tell(life) })
 }
--- a/internal/lab/deployment.go
+++ b/internal/lab/deployment.go
@@ -30,6 +30,8 @@
 	CallerDelay time.Duration
 	// TellInterval is how often an entry box tells the others what it has in flight.
 	TellInterval time.Duration
+	// FarTellInterval is how often it tells those of other regions, if that is less often.
+	FarTellInterval time.Duration
 	// MaxAttempts is to how many servers one request may be sent.
 	MaxAttempts int
 	// Steps is how the traffic changes in the course of time.
