test(soak): servers start again under their ids, and other writers spoil their entries

Change: servers start again under their ids, once a second in the mean; every other time another writer has spoilt the entry first. They are drawn apart, so that the seeds that are kept draw all else as before.

--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -32,6 +32,7 @@
 // injectFaults draws faults for a time and waits until all have ended.
 func (w *world) injectFaults(lasts time.Duration) {
 	var running sync.WaitGroup
+	running.Go(func() { w.startServersAgain(lasts) })
 	for end := time.Now().Add(lasts); time.Now().Before(end); {
 		chosen := faults[w.random.IntN(len(faults))]
 		pick, span := w.random.IntN(1<<16), time.Duration(w.random.Int64N(int64(faultLongest)))
@@ -41,6 +42,30 @@
 	running.Wait()
 }
 
+// startEvery is how often a server starts again under its id, in the mean.
+const startEvery = time.Second
+
+// startServersAgain lets servers start again under their ids for a time. Their entries tell of the
+// start before for a while, as those of servers do, or another writer has spoilt them.
+func (w *world) startServersAgain(lasts time.Duration) {
+	for end := time.Now().Add(lasts); time.Now().Before(end); {
+		time.Sleep(time.Duration(w.starts.Int64N(int64(2 * startEvery))))
+		s := w.servers[w.starts.IntN(len(w.servers))]
+		key := "servers/" + s.id
+		s.Restart(s.id)
+		if spoilt := w.starts.IntN(2 * len(foreignEntries)); spoilt < len(foreignEntries) {
+			w.store.Put(key, []byte(foreignEntries[spoilt]))
+		}
+		time.Sleep(time.Duration(w.starts.Int64N(int64(startEvery / 2))))
+		w.store.Put(key, s.Entry(s.service, s.link.address(), "hall-a", false))
+	}
+}
+
+// foreignEntries are such as other writers leave.
+var foreignEntries = []string{
+	`parked`, `{}`, `{"Service":"llm","Address":7}`, `{"Service":"llm","Address":"127.0.0.1:1","Zone":"hall-a","Slots":4,"State":"parked"}`,
+}
+
 func onEntry(hit func(p *process, lasts time.Duration)) fault {
 	return func(w *world, pick int, lasts time.Duration) { hit(w.entries[pick%len(w.entries)], lasts) }
 }
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -42,6 +42,9 @@
 type world struct {
 	t      *testing.T
 	random *rand.Rand
+	// starts draws which servers start again, apart from random, so that seeds that are kept
+	// draw all else as they did when they failed.
+	starts *rand.Rand
 	number int
 
 	store     *standin.Store
@@ -64,6 +67,7 @@
 // server is a stand-in of a backend server behind its proxy.
 type server struct {
 	*standin.Server
+	id      string
 	service string
 	link    *proxy
 }
@@ -71,7 +75,8 @@
 func newWorld(t *testing.T, seed uint64, number int) *world {
 	w := &world{
 		t: t, random: rand.New(rand.NewPCG(seed, seed)), number: number, //nolint:gosec // repeatable on purpose
-		store: standin.NewStore(), origin: standin.NewOrigin(pieces, pieceSize), version: 1, config: 1,
+		starts: rand.New(rand.NewPCG(seed, seed+1)), //nolint:gosec // repeatable on purpose
+		store:  standin.NewStore(), origin: standin.NewOrigin(pieces, pieceSize), version: 1, config: 1,
 	}
 	t.Cleanup(w.close)
 	w.storeLink = w.link("127.0.0.1:0", w.serve(w.store))
@@ -124,7 +129,7 @@
 	if model != "" {
 		version = 1
 	}
-	s := &server{service: service, Server: standin.NewServer(standin.ServerOptions{
+	s := &server{id: id, service: service, Server: standin.NewServer(standin.ServerOptions{
 		ID: id, Model: model, Version: version, Pieces: pieces, Digest: w.origin.Digest,
 		Events: events, EventTime: eventTime, LoadTime: 50 * time.Millisecond,
 	})}
