--- a/pkg/weights/draw_test.go
+++ b/pkg/weights/draw_test.go
@@ -14,6 +14,7 @@
 type drawing struct {
 	manifest *Manifest
 	pickers  []*Picker
+	byName   map[string]int
 	starts   []time.Duration
 	dead     []bool
 	// sent is when each chunk was first whole at a box, draws how many were sent.
@@ -93,15 +94,13 @@
 			}
 		}
 		for _, box := range p.Ask() {
-			for j := range d.pickers {
-				if name(j) == box && !d.dead[j] && at >= d.starts[j] {
-					p.SetHoldings(box, d.pickers[j].held)
-					p.Heard(box, now)
-					p.neighbours[box].running = p.options.Window
-				}
-				if name(j) == box && d.dead[j] {
-					p.SetHoldings(box, nil)
-				}
+			switch j := d.byName[box]; {
+			case d.dead[j]:
+				p.SetHoldings(box, nil)
+			case at >= d.starts[j]:
+				p.SetHoldings(box, d.pickers[j].held)
+				p.Heard(box, now)
+				p.neighbours[box].running = p.options.Window
 			}
 		}
 	}
@@ -113,7 +112,7 @@
 		data[i] = byte(i)
 	}
 	m := build(t, 1, data)
-	d := &drawing{manifest: m, dead: make([]bool, boxes), sent: make([]time.Duration, chunks)}
+	d := &drawing{manifest: m, byName: make(map[string]int), dead: make([]bool, boxes), sent: make([]time.Duration, chunks)}
 	options := DefaultPickerOptions()
 	options.DrawWindow, options.DrawPace, options.DrawAhead, options.DrawHedge = 4, pieceTime, 2, 4*pieceTime
 	options.Silence = 400 * time.Millisecond
@@ -123,6 +122,7 @@
 		all = append(all, Peer{Box: name(i)})
 	}
 	for i := range boxes {
+		d.byName[name(i)] = i
 		d.starts = append(d.starts, starts(i))
 		p := NewPicker(m, name(i), nil, options, named.Add(d.starts[i]))
 		p.PaceFrom(named)
