--- a/pkg/route/returns.go
+++ b/pkg/route/returns.go
@@ -30,8 +30,8 @@
 	// between two of its requests: what they take to arrive, and to be read by a box that is
 	// short of processor time. On calm machines it is 3 ms at most.
 	endsTolerance = 100 * time.Millisecond
-	// returnsKept bounds the callers that are remembered, in the order in which they stop
-	// waiting; at 32 bytes each it is a quarter of a megabyte.
+	// returnsKept bounds the callers that are remembered; beyond it, others count as new until
+	// some stop waiting. At 56 bytes each, without the map, it is half a megabyte.
 	returnsKept = 8192
 	// returnsTold is how many of the newest a box can still tell. With 600 sent away a second
 	// by 40 boxes, each tells one or two at a time.
