--- /dev/null
+++ b/internal/direct/bar_test.go
@@ -0,0 +1,150 @@
+package direct
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cinderslip/cinderslip/internal/kernel"
+	"github.com/cinderslip/cinderslip/internal/provider"
+	"github.com/cinderslip/cinderslip/internal/upstream"
+	"github.com/cinderslip/cinderslip/pkg/fleet"
+	"github.com/cinderslip/cinderslip/pkg/member"
+	"github.com/cinderslip/cinderslip/pkg/route"
+)
+
+// testBound is how long after newer weights were named older ones may begin requests.
+const testBound = 8 * time.Second
+
+// slowLink is the way from an entry box to one server, on which bytes stay for long, as on a full link.
+type slowLink struct {
+	address member.Address
+	// taken gets what the link holds once a whole request is on it.
+	taken chan []byte
+	// ended gets how the sender ended the connection: io.EOF for a close in order, which follows
+	// what is on the link, any other error for a reset, which overtakes it.
+	ended chan error
+}
+
+// newSlowLink returns a link that takes one connection.
+func newSlowLink(t *testing.T) *slowLink {
+	t.Helper()
+	var config net.ListenConfig
+	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	link := &slowLink{address: member.Address(listener.Addr().String()), taken: make(chan []byte, 1), ended: make(chan error, 1)}
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		held, buffer := []byte(nil), make([]byte, 4096)
+		for {
+			n, err := conn.Read(buffer)
+			held = append(held, buffer[:n]...)
+			if strings.Contains(string(held), "\r\n\r\n") && len(link.taken) == 0 {
+				link.taken <- held
+			}
+			if err != nil {
+				link.ended <- err
+				return
+			}
+		}
+	}()
+	return link
+}
+
+// barWorld is an entry box before one server that has the first version of a model, of which the
+// second was named just now.
+type barWorld struct {
+	t     *testing.T
+	clock *clockwork.FakeClock
+	facts *Facts
+	front *Front
+	named time.Time
+}
+
+func newBarWorld(t *testing.T, server member.Address) *barWorld {
+	t.Helper()
+	clock := clockwork.NewFakeClock()
+	facts := NewFacts(clock, zerolog.Nop(), NewMetrics())
+	w := &barWorld{t: t, clock: clock, facts: facts, named: clock.Now()}
+	w.front = &Front{
+		facts: facts, clock: clock, log: zerolog.Nop(), metrics: NewMetrics(), duties: kernel.NewDuties(), bound: testBound,
+		protocol: testProtocol(), retries: retryLimits{1, 100, 10 * time.Second}, isNear: func(member.FailureDomain) bool { return true },
+		dispatchers: make(map[member.Service]*route.Dispatcher), budgets: make(map[member.Service]*route.WindowBudget),
+		patience: make(map[string]*route.Patience),
+	}
+	w.front.pool = upstream.NewPool(upstream.Options{Clock: clock, IsOwn: func(*http.Response, string) bool { return true }})
+	engine := &fleet.Engine{Slots: 4, Models: []fleet.ModelName{"m"}, ReadPerSecond: 30000}
+	facts.Apply([]fleet.Fact{{Key: fleet.ConfigurationKey(), Revision: 1, Configuration: &fleet.Configuration{
+		Version: 1, Services: []fleet.Service{{Name: "llm", Engine: engine}},
+	}}}, "store")
+	facts.Apply([]fleet.Fact{
+		{Key: fleet.ServerKey("a"), Revision: 2, Server: &fleet.Server{
+			ID: "a", Service: "llm", Address: server, Slots: 4, Models: []fleet.LoadedModel{{Name: "m", Version: 1}},
+		}},
+		wantedVersion(2, 3),
+	}, "store")
+	return w
+}
+
+// testProtocol writes nothing but the version that must answer, and takes every answer.
+func testProtocol() provider.CallerProtocol {
+	return provider.CallerProtocol{
+		WriteRequest: func(header http.Header, out provider.Outbound) {
+			header.Set("Expect", strconv.FormatUint(uint64(out.Version), 10))
+		},
+		ReadAnswer: func(*http.Response) provider.AnswerMark { return provider.AnswerMark{Signed: true} },
+	}
+}
+
+// ask makes a request for a stream at the box; the channel is closed when it has its outcome.
+func (w *barWorld) ask() <-chan struct{} {
+	request := httptest.NewRequestWithContext(w.t.Context(), http.MethodPost, "/draft/1", http.NoBody)
+	x := &exchange{
+		Inbound: provider.Inbound{ID: "r", Deadline: 6 * time.Second}, writer: httptest.NewRecorder(), request: request, service: "llm", arrived: w.clock.Now(),
+		route: &fleet.Route{Name: "draft", Kind: fleet.KindStream, MaxAttempts: 1, Objective: 400 * time.Millisecond, Timeout: 6 * time.Second},
+	}
+	w.front.setTimes(x)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		defer func() {
+			if problem := recover(); problem != nil && !errors.Is(problem.(error), http.ErrAbortHandler) {
+				panic(problem)
+			}
+		}()
+		w.front.run(x)
+	}()
+	return done
+}
+
+// Users saw a request begin on weights that a newer version had replaced for longer than the
+// bound. In a play of a day with two versions a request had been sent to a server that was not
+// swapped yet; half a second before the bound the box gave it up and closed the connection in
+// order, but its bytes were still on the way. They came 0.5 s later, the close after them, and the
+// server began the request 0.1 s after the bound. A close in order promises the receiver all that was
+// written before; only a reset takes it back.
+func TestARequestThatIsGivenUpBeforeTheBoundIsTakenOffTheLink(t *testing.T) {
+	link := newSlowLink(t)
+	w := newBarWorld(t, link.address)
+	w.clock.Advance(testBound - slowMargin - 100*time.Millisecond)
+	done := w.ask()
+	<-link.taken
+	w.clock.Advance(slowMargin + 100*time.Millisecond - beginReserve)
+	<-done
+	require.ErrorIs(t, <-link.ended, syscall.ECONNRESET, "the server gets what a close in order follows")
+}
