test(direct): what is known of weights counts until a request has begun

Two tests that fail as the code stands, of the same cause: a belief about a server's weights that is taken when a place is granted, and not looked at again.

--- a/internal/direct/bar_test.go
+++ b/internal/direct/bar_test.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -66,21 +67,19 @@
 	return link
 }
 
-// barWorld is an entry box before one server that has the first version of a model, of which the
-// second was named just now.
+// barWorld is an entry box before one server that has the first version of a model.
 type barWorld struct {
 	t     *testing.T
 	clock *clockwork.FakeClock
 	facts *Facts
 	front *Front
-	named time.Time
 }
 
 func newBarWorld(t *testing.T, server member.Address) *barWorld {
 	t.Helper()
 	clock := clockwork.NewFakeClock()
 	facts := NewFacts(clock, zerolog.Nop(), NewMetrics())
-	w := &barWorld{t: t, clock: clock, facts: facts, named: clock.Now()}
+	w := &barWorld{t: t, clock: clock, facts: facts}
 	w.front = &Front{
 		facts: facts, clock: clock, log: zerolog.Nop(), metrics: NewMetrics(), duties: kernel.NewDuties(), bound: testBound,
 		protocol: testProtocol(), retries: retryLimits{1, 100, 10 * time.Second}, isNear: func(member.FailureDomain) bool { return true },
@@ -96,11 +95,18 @@
 		{Key: fleet.ServerKey("a"), Revision: 2, Server: &fleet.Server{
 			ID: "a", Service: "llm", Address: server, Slots: 4, Models: []fleet.LoadedModel{{Name: "m", Version: 1}},
 		}},
-		wantedVersion(2, 3),
 	}, "store")
 	return w
 }
 
+// name names a version of the weights.
+func (w *barWorld) name(version fleet.WeightsVersion) {
+	w.facts.Apply([]fleet.Fact{wantedVersion(version, fleet.Revision(version)+10)}, "store")
+}
+
+// adjust follows what is believed and the time, as the box does again and again.
+func (w *barWorld) adjust() { w.front.adjustOne("llm", w.front.dispatcher("llm")) }
+
 // testProtocol writes nothing but the version that must answer, and takes every answer.
 func testProtocol() provider.CallerProtocol {
 	return provider.CallerProtocol{
@@ -111,15 +117,30 @@
 	}
 }
 
-// ask makes a request for a stream at the box; the channel is closed when it has its outcome.
-func (w *barWorld) ask() <-chan struct{} {
+// await waits for an outcome, in real time and never to judge speed.
+func await(t *testing.T, done <-chan struct{}) {
+	t.Helper()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the request has no outcome")
+	}
+}
+
+// request is one for a stream, of a caller who waits for a minute.
+func (w *barWorld) request() *exchange {
 	request := httptest.NewRequestWithContext(w.t.Context(), http.MethodPost, "/draft/1", http.NoBody)
 	x := &exchange{
-		Inbound: provider.Inbound{ID: "r", Deadline: 6 * time.Second}, writer: httptest.NewRecorder(), request: request, service: "llm", arrived: w.clock.Now(),
-		route: &fleet.Route{Name: "draft", Kind: fleet.KindStream, MaxAttempts: 1, Objective: 400 * time.Millisecond, Timeout: 6 * time.Second},
+		Inbound: provider.Inbound{ID: "r", Deadline: time.Minute}, writer: httptest.NewRecorder(), request: request, service: "llm", arrived: w.clock.Now(),
+		route: &fleet.Route{Name: "draft", Kind: fleet.KindStream, MaxAttempts: 1, Objective: 400 * time.Millisecond, Timeout: time.Minute},
 	}
 	w.front.setTimes(x)
-	done := make(chan struct{})
+	return x
+}
+
+// ask makes a request at the box; the channel is closed when it has its outcome.
+func (w *barWorld) ask() <-chan struct{} {
+	x, done := w.request(), make(chan struct{})
 	go func() {
 		defer close(done)
 		defer func() {
@@ -141,10 +162,68 @@
 func TestARequestThatIsGivenUpBeforeTheBoundIsTakenOffTheLink(t *testing.T) {
 	link := newSlowLink(t)
 	w := newBarWorld(t, link.address)
+	w.name(2)
 	w.clock.Advance(testBound - slowMargin - 100*time.Millisecond)
 	done := w.ask()
 	<-link.taken
 	w.clock.Advance(slowMargin + 100*time.Millisecond - beginReserve)
-	<-done
+	w.adjust()
+	await(t, done)
 	require.ErrorIs(t, <-link.ended, syscall.ECONNRESET, "the server gets what a close in order follows")
 }
+
+// The time by which an answer must have begun was worked out once, as the request was sent. A
+// version that was named afterwards, or whose age was corrected, gave it up too late or never.
+func TestARequestIsGivenUpByWhatIsKnownNowOfItsWeights(t *testing.T) {
+	for name, learn := range map[string]func(w *barWorld){
+		"named after the request was sent": func(w *barWorld) {
+			w.clock.Advance(time.Second)
+			w.name(2)
+			w.clock.Advance(testBound - beginReserve)
+		},
+		"named earlier than was thought": func(w *barWorld) {
+			w.name(2)
+			w.clock.Advance(time.Second)
+			w.facts.LearnVersions([]fleet.VersionAge{{Model: "m", Version: 2, Age: 4 * time.Second}}, "entry-2")
+			w.clock.Advance(testBound - beginReserve - 4*time.Second)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			link := newSlowLink(t)
+			w := newBarWorld(t, link.address)
+			done := w.ask()
+			<-link.taken
+			learn(w)
+			w.adjust()
+			await(t, done)
+			require.ErrorIs(t, <-link.ended, syscall.ECONNRESET)
+		})
+	}
+}
+
+// A box that had stood still between choosing a server and sending the request sent it after the
+// bound to a server that was not swapped.
+func TestARequestIsNotSentToWeightsThatWereBarredMeanwhile(t *testing.T) {
+	link := newSlowLink(t)
+	w := newBarWorld(t, link.address)
+	w.name(2)
+	x := w.request()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	place, err := w.front.acquire(ctx, x, nil)
+	require.NoError(t, err)
+	w.clock.Advance(testBound - versionMargin)
+	x.deadline = w.clock.Now().Add(time.Minute)
+	done := make(chan error, 1)
+	go func() {
+		_, err := w.front.attempt(ctx, x, place, &guard{})
+		done <- err
+	}()
+	select {
+	case err := <-done:
+		require.Error(t, err)
+	case <-link.taken:
+		t.Fatal("the request was sent")
+	}
+	require.Empty(t, w.front.Load(), "the place is given back")
+}
