fix(direct): what is known now of weights decides until a request has begun

Cause: by when an answer must have begun was worked out once, as the request was sent, and whether its weights may start requests once, as its place was granted. A version that was named afterwards, or heard to be older than was thought, gave an attempt up too late or never; a box that stood still in between sent, when it woke, to weights that were barred meanwhile. With deadlines of at most 6 s and a bound of 8 s only corrected ages and standing still can bring it about; longer deadlines are not ruled out. Change: the dispatcher knows which requests have not begun, and gives them up with each look at time and versions; before a request is sent its weights are looked at once more. Measured: two tests, which failed before; the three of the guard's timer hold of the dispatcher now, two of them at exact moments where they waited for 10 s at most.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -68,9 +68,7 @@
 		}
 		tried = append(tried, place.Server.ID)
 		guard := f.watch(ctx, x, tried)
-		if by, ok := f.beginBy(x, place); ok {
-			guard.beginBy(by, f.clock)
-		}
+		place.OnBarred(guard.cancel)
 		result, err := f.attempt(guard.ctx, x, place, guard)
 		next = guard.end(result, f.clock.Now())
 		switch result {
@@ -103,17 +101,20 @@
 	return f.dispatcher(x.service).Acquire(ctx, f.ask(x, tried, false), f.clock)
 }
 
-// beginBy returns when an answer must have begun: before the weights of its server are
-// barred. An answer that has begun by then may go on.
-func (f *Front) beginBy(x *exchange, place *route.Reservation) (at time.Time, ok bool) {
+// isBarred reports whether the weights of a server may no longer start a request. They may have
+// become so since its place was granted: a box that stood still wakes with what it was about to send.
+func (f *Front) isBarred(x *exchange, place *route.Reservation, now time.Time) bool {
 	view := f.facts.View()
 	service := view.Service(x.service)
 	if service == nil || service.Engine == nil || len(service.Engine.Models) == 0 {
-		return time.Time{}, false
+		return false
 	}
-	return view.Wanted(service.Engine.Models[0]).Barred(place.Version, f.bound-beginReserve)
+	return place.Version < f.required(view.Wanted(service.Engine.Models[0]), now)
 }
 
+// errBarred reports weights that were barred before the request was sent.
+var errBarred = errors.New("weights of the server may no longer start a request")
+
 // errBudget reports that no further attempt is allowed.
 var errBudget = errors.New("retry budget is spent")
 
@@ -233,6 +234,12 @@
 		place.Release(route.ResultAbandoned, now)
 		return outcomeNotRun, context.DeadlineExceeded
 	}
+	if f.isBarred(x, place, now) {
+		f.ended(x, place, route.ResultAbandoned, errBarred)
+		// Else the dispatcher, which hears of it within adjustInterval, might grant the place again.
+		f.adjustOne(x.service, f.dispatcher(x.service))
+		return outcomeNotRun, errBarred
+	}
 	answer, err := f.pool.Send(ctx, f.outbound(x, place, now))
 	if err != nil {
 		return f.sendFailed(x, place, err)
@@ -264,7 +271,7 @@
 	if x.route.Kind == fleet.KindStream && strings.HasPrefix(answer.Header.Get("Content-Type"), "text/event-stream") {
 		return f.passStream(x, place, answer, guard)
 	}
-	return f.passWhole(x, place, answer, guard)
+	return f.passWhole(x, place, answer)
 }
 
 // The errors of attempts.
@@ -364,9 +371,8 @@
 const wholeBuffer = 64 << 10
 
 // passWhole passes on an answer that is not a stream of events.
-func (f *Front) passWhole(x *exchange, place *route.Reservation, answer *upstream.Answer, guard *guard) (outcome, error) {
+func (f *Front) passWhole(x *exchange, place *route.Reservation, answer *upstream.Answer) (outcome, error) {
 	place.Started(f.clock.Now())
-	guard.begun()
 	buffer := make([]byte, 0, min(wholeBuffer, max(512, int(answer.ContentLength)+1)))
 	var err error
 	for err == nil && len(buffer) < wholeBuffer {
--- a/internal/direct/bar_test.go
+++ b/internal/direct/bar_test.go
@@ -99,10 +99,8 @@
 	return w
 }
 
-// name names a version of the weights.
-func (w *barWorld) name(version fleet.WeightsVersion) {
-	w.facts.Apply([]fleet.Fact{wantedVersion(version, fleet.Revision(version)+10)}, "store")
-}
+// nameSecond names the second version of the weights.
+func (w *barWorld) nameSecond() { w.facts.Apply([]fleet.Fact{wantedVersion(2, 3)}, "store") }
 
 // adjust follows what is believed and the time, as the box does again and again.
 func (w *barWorld) adjust() { w.front.adjustOne("llm", w.front.dispatcher("llm")) }
@@ -127,6 +125,16 @@
 	}
 }
 
+// place is a place on the server whose answer has not begun, and how often it was given up.
+func (w *barWorld) place() (place *route.Reservation, givenUp *int) {
+	w.t.Helper()
+	place, err := w.front.acquire(w.t.Context(), w.request(), nil)
+	require.NoError(w.t, err)
+	givenUp = new(int)
+	place.OnBarred(func() { *givenUp++ })
+	return place, givenUp
+}
+
 // request is one for a stream, of a caller who waits for a minute.
 func (w *barWorld) request() *exchange {
 	request := httptest.NewRequestWithContext(w.t.Context(), http.MethodPost, "/draft/1", http.NoBody)
@@ -162,7 +170,7 @@
 func TestARequestThatIsGivenUpBeforeTheBoundIsTakenOffTheLink(t *testing.T) {
 	link := newSlowLink(t)
 	w := newBarWorld(t, link.address)
-	w.name(2)
+	w.nameSecond()
 	w.clock.Advance(testBound - slowMargin - 100*time.Millisecond)
 	done := w.ask()
 	<-link.taken
@@ -178,11 +186,11 @@
 	for name, learn := range map[string]func(w *barWorld){
 		"named after the request was sent": func(w *barWorld) {
 			w.clock.Advance(time.Second)
-			w.name(2)
+			w.nameSecond()
 			w.clock.Advance(testBound - beginReserve)
 		},
 		"named earlier than was thought": func(w *barWorld) {
-			w.name(2)
+			w.nameSecond()
 			w.clock.Advance(time.Second)
 			w.facts.LearnVersions([]fleet.VersionAge{{Model: "m", Version: 2, Age: 4 * time.Second}}, "entry-2")
 			w.clock.Advance(testBound - beginReserve - 4*time.Second)
@@ -206,7 +214,7 @@
 func TestARequestIsNotSentToWeightsThatWereBarredMeanwhile(t *testing.T) {
 	link := newSlowLink(t)
 	w := newBarWorld(t, link.address)
-	w.name(2)
+	w.nameSecond()
 	x := w.request()
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
@@ -221,9 +229,44 @@
 	}()
 	select {
 	case err := <-done:
-		require.Error(t, err)
+		require.ErrorIs(t, err, errBarred)
 	case <-link.taken:
 		t.Fatal("the request was sent")
 	}
 	require.Empty(t, w.front.Load(), "the place is given back")
 }
+
+// The server was given a deadline that ended with its weights, so that every stream
+// that ran then was cut.
+func TestAnAnswerThatHasBegunGoesOnWhenItsWeightsAreBarred(t *testing.T) {
+	w := newBarWorld(t, "a")
+	place, givenUp := w.place()
+	w.nameSecond()
+	w.clock.Advance(testBound - time.Second)
+	place.Started(w.clock.Now())
+	w.clock.Advance(time.Minute)
+	w.adjust()
+	require.Zero(t, *givenUp)
+}
+
+func TestAnAnswerThatHasNotBegunWhenItsWeightsAreBarredIsGivenUp(t *testing.T) {
+	w := newBarWorld(t, "a")
+	_, givenUp := w.place()
+	w.nameSecond()
+	w.clock.Advance(testBound - beginReserve - time.Millisecond)
+	w.adjust()
+	require.Zero(t, *givenUp)
+	w.clock.Advance(time.Millisecond)
+	w.adjust()
+	require.Equal(t, 1, *givenUp)
+}
+
+func TestAnAttemptThatEndedIsNotGivenUpLater(t *testing.T) {
+	w := newBarWorld(t, "a")
+	place, givenUp := w.place()
+	w.nameSecond()
+	place.Release(route.ResultDone, w.clock.Now())
+	w.clock.Advance(time.Minute)
+	w.adjust()
+	require.Zero(t, *givenUp)
+}
--- a/internal/direct/front.go
+++ b/internal/direct/front.go
@@ -300,6 +300,7 @@
 			named := view.Wanted(service.Engine.Models[0])
 			d.Require(route.Versions{
 				Required: f.required(named, now), Preferred: named.Required(f.bound-slowMargin, now), Newest: named.Newest().Version,
+				Begun: named.Required(f.bound-beginReserve, now),
 			}, now)
 		}
 	}
--- a/internal/direct/guard.go
+++ b/internal/direct/guard.go
@@ -19,9 +19,6 @@
 
 	mu    sync.Mutex
 	timer clockwork.Timer
-	// begin breaks the attempt off if its answer has not begun in time; nil if it may
-	// begin at any time.
-	begin clockwork.Timer
 	ended bool
 	next  *route.Reservation
 }
@@ -74,22 +71,6 @@
 	return g
 }
 
-// beginBy breaks the attempt off unless its answer begins by a time.
-func (g *guard) beginBy(at time.Time, clock clockwork.Clock) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.begin = clock.AfterFunc(at.Sub(clock.Now()), g.cancel)
-}
-
-// begun notes that the answer has begun.
-func (g *guard) begun() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.begin != nil {
-		g.begin.Stop()
-	}
-}
-
 // progress gives the attempt more time.
 func (g *guard) progress(patience time.Duration) {
 	g.mu.Lock()
@@ -117,9 +98,6 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.ended = true
-	if g.begin != nil {
-		g.begin.Stop()
-	}
 	if g.timer != nil {
 		g.timer.Stop()
 	}
--- a/internal/direct/stream.go
+++ b/internal/direct/stream.go
@@ -108,7 +108,6 @@
 			answer.Header.Del("Content-Length")
 			f.passHead(x, answer)
 		}
-		guard.begun()
 		guard.progress(streamPatience)
 		x.passed(f.clock.Now())
 		place.Started(f.clock.Now())
--- a/pkg/route/dispatch.go
+++ b/pkg/route/dispatch.go
@@ -163,22 +163,40 @@
 	Required fleet.WeightsVersion
 	// Preferred is the oldest that may on a server that is slow to start.
 	Preferred fleet.WeightsVersion
+	// Begun is the oldest on which an answer may still begin that was asked for before.
+	Begun fleet.WeightsVersion
 	// Newest is the version that the servers should come to.
 	Newest fleet.WeightsVersion
 }
 
-// Require sets which versions may start requests.
+// Require sets which versions may start requests, and gives up those that have not begun on
+// older ones.
 func (d *Dispatcher) Require(versions Versions, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.changes++
 	changed := d.required != versions.Required
 	d.required, d.preferred, d.newest = versions.Required, versions.Preferred, versions.Newest
+	d.giveUpOlder(versions.Begun)
 	if changed {
 		d.grant(nil, now)
 	}
 }
 
+// giveUpOlder gives up the requests whose answers have not begun on weights older than a version.
+func (d *Dispatcher) giveUpOlder(begun fleet.WeightsVersion) {
+	if !d.engine || begun == 0 {
+		return
+	}
+	for _, b := range d.order {
+		for place := range b.awaiting {
+			if place.Version < begun && place.giveUp != nil {
+				place.giveUp()
+			}
+		}
+	}
+}
+
 // State takes what an agent tells of a server.
 func (d *Dispatcher) State(id fleet.ServerID, state ServerState, now time.Time) {
 	d.mu.Lock()
--- a/pkg/route/reservation.go
+++ b/pkg/route/reservation.go
@@ -40,6 +40,17 @@
 	// to read before.
 	reading   time.Duration
 	readAhead time.Duration
+	// giveUp ends the attempt; nil if it goes on in any case.
+	giveUp func()
+}
+
+// OnBarred sets what ends the attempt if its answer has not begun when the weights of its server
+// no longer may begin any, by what is known then: a version may be named, or heard to be older than
+// was thought, after the request was sent. It must not block, nor call the dispatcher.
+func (r *Reservation) OnBarred(giveUp func()) {
+	r.dispatcher.mu.Lock()
+	defer r.dispatcher.mu.Unlock()
+	r.giveUp = giveUp
 }
 
 // Started notes that the answer has begun.
