fix: an agent logs which entry boxes it could not ask for others, and why

Cause: entryFollower.ask dropped the error of each entry box of the settings, so an agent that could reach none said nothing of it. Change: a line "entry box not asked for others" with address and error, at most one in 10 s for each address, as all are asked several times a second while none answers. Nothing is logged when the process ends.

--- a/internal/direct/agentfacts.go
+++ b/internal/direct/agentfacts.go
@@ -26,6 +26,8 @@
 	known []string
 	// moved is set once one of the settings has been left for one that was told.
 	moved bool
+	// logged is when the log last named each entry box that could not be asked for others.
+	logged map[string]time.Time
 }
 
 // moveAfter is after how long an agent leaves the entry box of the settings that it started
@@ -37,7 +39,10 @@
 	if err := p.newFacts(); err != nil {
 		return err
 	}
-	follower := &entryFollower{facts: p.facts, peers: p.peers, self: p.settings.Box, region: p.settings.Region, seeds: p.settings.Peers.Entries}
+	follower := &entryFollower{
+		facts: p.facts, peers: p.peers, self: p.settings.Box, region: p.settings.Region, seeds: p.settings.Peers.Entries,
+		logged: make(map[string]time.Time),
+	}
 	p.facts.duties.Go(follower.run)
 	return nil
 }
@@ -60,6 +65,9 @@
 		callCtx, cancel := clockwork.WithTimeout(ctx, f.facts.clock, askTimeout)
 		entries, err := f.askOne(callCtx, f.seeds[at])
 		cancel()
+		if err != nil && ctx.Err() == nil {
+			f.logNotAsked(f.seeds[at], err)
+		}
 		if err == nil && len(entries) > 0 {
 			f.known = entries
 			return
@@ -73,6 +81,20 @@
 // time in which a change must reach the agents.
 const askTimeout = 500 * time.Millisecond
 
+// notAskedPause is how often at most the log names one entry box that can't be asked: while none
+// answers, each is asked several times a second.
+const notAskedPause = 10 * time.Second
+
+// logNotAsked logs why an entry box could not be asked for others.
+func (f *entryFollower) logNotAsked(seed string, err error) {
+	now := f.facts.clock.Now()
+	if last, ok := f.logged[seed]; ok && now.Sub(last) < notAskedPause {
+		return
+	}
+	f.logged[seed] = now
+	f.facts.log.Warn().Str("address", seed).Err(err).Msg("entry box not asked for others")
+}
+
 func (f *entryFollower) askOne(ctx context.Context, seed string) ([]string, error) {
 	conn, err := f.peers.Dial(ctx, member.Address(seed))
 	if err != nil {
--- /dev/null
+++ b/internal/direct/agentfacts_test.go
@@ -0,0 +1,51 @@
+package direct
+
+import (
+	"bytes"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cinderslip/cinderslip/internal/daemon"
+)
+
+// refusingAddress returns an address at which nothing listens.
+func refusingAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, listener.Close())
+	return listener.Addr().String()
+}
+
+func TestAnEntryBoxThatCannotBeAskedForOthersIsLoggedNowAndThen(t *testing.T) {
+	var log bytes.Buffer
+	clock := clockwork.NewFakeClock()
+	seeds := []string{refusingAddress(t), refusingAddress(t)}
+	follower := &entryFollower{
+		facts: NewFacts(clock, zerolog.New(&log), NewMetrics()), peers: daemon.NewPeers(), seeds: seeds, logged: make(map[string]time.Time),
+	}
+	lines := func() []string {
+		log.Reset()
+		follower.ask(t.Context())
+		require.ElementsMatch(t, seeds, follower.known, "those of the settings are followed all the same")
+		return strings.Split(strings.TrimSpace(log.String()), "\n")
+	}
+	first := lines()
+	require.Len(t, first, len(seeds))
+	for _, seed := range seeds {
+		require.Equal(t, 1, strings.Count(strings.Join(first, ""), `"address":"`+seed+`"`))
+	}
+	for _, line := range first {
+		require.Contains(t, line, "cannot connect", "the reason")
+	}
+	clock.Advance(notAskedPause - time.Millisecond)
+	require.Equal(t, []string{""}, lines())
+	clock.Advance(time.Millisecond)
+	require.Len(t, lines(), len(seeds))
+}
