refactor: an entry box tells in its status only what others read

Cause: since records of entry boxes pass from box to box, EntryBox.Domain, Callers and StoreAge were filled and read by nobody, and failure_domain, callers, incarnation and store_age_milliseconds of EntryStatus were told for nothing. Status.identity repeated the own record, with another incarnation. Status takes name, region and address from Members.Own. That nobody else read them was checked by building with all errors after the fields were removed: only the places that fill or copy them failed. A box of the release before decodes the missing fields as zero and reads them nowhere either.

--- a/internal/direct/members.go
+++ b/internal/direct/members.go
@@ -177,6 +177,13 @@
 	return m.sorted
 }
 
+// Own returns the record of this box.
+func (m *Members) Own() member.Record {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.own
+}
+
 // Record returns what is known of one box.
 func (m *Members) Record(box member.BoxID) (record member.Record, ok bool) {
 	m.mu.Lock()
@@ -241,9 +248,7 @@
 		c.cursor = batch.Next
 		return batch.Items
 	}
-	c.members.mu.Lock()
-	own := c.members.own
-	c.members.mu.Unlock()
+	own := c.members.Own()
 	if own.Version() == c.own {
 		return nil
 	}
--- a/internal/direct/status.go
+++ b/internal/direct/status.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -41,11 +40,10 @@
 type Status struct {
 	wire.DRPCFleetUnimplementedServer
 
-	clock    clockwork.Clock
-	facts    *Facts
-	members  *Members
-	duties   *kernel.Duties
-	identity *wire.EntryStatus
+	clock   clockwork.Clock
+	facts   *Facts
+	members *Members
+	duties  *kernel.Duties
 	// load and demands are what the box has in flight and is asked for.
 	load    func() route.Load
 	demands func() route.Demands
@@ -84,11 +82,6 @@
 func (p *Process) startStatus() error {
 	p.status = &Status{
 		clock: p.options.Clock, facts: p.facts, members: p.members, duties: kernel.NewDuties(),
-		identity: &wire.EntryStatus{
-			Box: p.settings.Box, Region: p.settings.Region, FailureDomain: p.settings.FailureDomain,
-			Peers: p.settings.Listen.Peers, Callers: p.settings.Listen.Callers,
-			Incarnation: rand.Uint64(),
-		},
 		load: func() route.Load { return p.front.Load() }, demands: func() route.Demands { return p.front.Demands() },
 		sentAway: func(told uint64) ([]route.SentAway, uint64) { return p.front.returns.Since(told) },
 		readers:  func() []*wire.StoreReader { return nil },
@@ -145,19 +138,18 @@
 	s.mu.Lock()
 	ready, leaving := s.ready, s.leaving
 	s.mu.Unlock()
-	return statusSummary{ready: ready, leaving: leaving, extent: s.facts.Extent(), ages: s.facts.versionsKnown(), storeAge: s.facts.StoreAge()}
+	return statusSummary{ready: ready, leaving: leaving, extent: s.facts.Extent(), ages: s.facts.versionsKnown()}
 }
 
 // whole returns the status without what is in flight and asked for.
 func (s *Status) whole() *wire.EntryStatus {
-	ages, extent := agesToWire(s.facts.VersionAges()), s.facts.Extent()
+	own, ages, extent := s.members.Own(), agesToWire(s.facts.VersionAges()), s.facts.Extent()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return &wire.EntryStatus{
-		Box: s.identity.Box, Region: s.identity.Region, FailureDomain: s.identity.FailureDomain,
-		Peers: s.identity.Peers, Callers: s.identity.Callers, Incarnation: s.identity.Incarnation,
+		Box: string(own.Box), Region: string(own.Region), Peers: string(own.Peers),
 		Ready: s.ready, Leaving: s.leaving,
-		Revision: uint64(extent.Newest), Complete: uint64(extent.Complete), StoreAgeMilliseconds: s.facts.StoreAge().Milliseconds(),
+		Revision: uint64(extent.Newest), Complete: uint64(extent.Complete),
 		Ages: ages,
 	}
 }
@@ -169,7 +161,7 @@
 	if request.Record != nil {
 		s.members.Learn(itemsFromWire([]*wire.Item{request.Record}), request.Box)
 	}
-	far := request.Region != s.identity.Region
+	far := request.Region != string(s.members.Own().Region)
 	if far && request.Load {
 		s.farFollowers.Add(1)
 		defer s.farFollowers.Add(-1)
@@ -361,32 +353,25 @@
 
 // EntryBox is another entry box as its status tells.
 type EntryBox struct {
-	Box     member.BoxID
-	Region  member.Region
-	Domain  member.FailureDomain
-	Peers   member.Address
-	Callers member.Address
-	Ready   bool
+	Box    member.BoxID
+	Region member.Region
+	Peers  member.Address
+	Ready  bool
 	// Extent is how far the box knows the store's changes.
 	Extent Extent
-	// StoreAge is how long ago the store answered the box; negative for never.
-	StoreAge time.Duration
-	Heard    time.Time
+	Heard  time.Time
 }
 
 func entryBoxOf(status *wire.EntryStatus, now time.Time) EntryBox {
 	return EntryBox{
-		Box: member.BoxID(status.Box), Region: member.Region(status.Region), Domain: member.FailureDomain(status.FailureDomain),
-		Peers: member.Address(status.Peers), Callers: member.Address(status.Callers),
-		Ready: status.Ready && !status.Leaving, Extent: extentOf(status),
-		StoreAge: time.Duration(status.StoreAgeMilliseconds) * time.Millisecond, Heard: now,
+		Box: member.BoxID(status.Box), Region: member.Region(status.Region), Peers: member.Address(status.Peers),
+		Ready: status.Ready && !status.Leaving, Extent: extentOf(status), Heard: now,
 	}
 }
 
 // updated is the box after a message that tells only what has changed.
 func (b EntryBox) updated(status *wire.EntryStatus, now time.Time) EntryBox {
 	b.Ready, b.Extent, b.Heard = status.Ready && !status.Leaving, extentOf(status), now
-	b.StoreAge = time.Duration(status.StoreAgeMilliseconds) * time.Millisecond
 	return b
 }
 
--- a/internal/direct/told.go
+++ b/internal/direct/told.go
@@ -17,8 +17,6 @@
 	extent         Extent
 	// ages is how many versions of weights the box knows the ages of.
 	ages int
-	// storeAge is how long ago the store answered; negative for never.
-	storeAge time.Duration
 	// readers are the boxes that read the store.
 	readers []*wire.StoreReader
 }
@@ -59,7 +57,7 @@
 	t.summary, t.load, t.demands, t.at = summary, load, demands, now
 	return &wire.EntryStatus{
 		Partial: true, Ready: summary.ready, Leaving: summary.leaving, Revision: uint64(summary.extent.Newest), Complete: uint64(summary.extent.Complete),
-		StoreAgeMilliseconds: summary.storeAge.Milliseconds(), InFlight: loadToWire(changed), Demands: demandsToWire(asked), Readers: summary.readers,
+		InFlight: loadToWire(changed), Demands: demandsToWire(asked), Readers: summary.readers,
 	}
 }
 
