refactor: followStream keeps what is heard and logs it, for all three followers

Cause: EntryBoxes, ModelServers and entryFollower each kept whether a process was heard and wrote "dependency regained" and "lost" themselves around followStream. Change: followStream, in a file of its own, follow.go (it stood in peers.go), takes a peerStream: how to open it, what takes a message, what each line has in addition. The lines have the keys they had; box now comes after address. A message that arrives as following ends is now taken by none of the three; before only EntryBoxes refused it.

--- a/internal/direct/agentfacts.go
+++ b/internal/direct/agentfacts.go
@@ -133,28 +133,18 @@
 		timer := f.facts.clock.AfterFunc(moveAfter, cancel)
 		defer timer.Stop()
 	}
-	heard := false
-	err := followStream(followCtx, f.facts.clock, f.peers, member.Address(entry), func(ctx context.Context, client wire.DRPCFleetClient) (func() error, error) {
-		stream, err := client.Facts(ctx, &wire.FactsRequest{Box: f.self, Region: f.region, ServicesOnly: true})
-		if err != nil {
-			return nil, err
-		}
-		return func() error {
-			batch, err := stream.Recv()
+	// How the stream ended is in the log, and of no other use.
+	_, _ = followStream(followCtx, f.facts.clock, f.peers, f.facts.log, &peerStream[*wire.FactsBatch]{
+		dependency: "entry", address: member.Address(entry),
+		open: func(ctx context.Context, client wire.DRPCFleetClient) (func() (*wire.FactsBatch, error), error) {
+			stream, err := client.Facts(ctx, &wire.FactsRequest{Box: f.self, Region: f.region, ServicesOnly: true})
 			if err != nil {
-				return err
-			}
-			if !heard {
-				heard = true
-				f.facts.log.Info().Str("dependency", "entry").Str("address", entry).Msg("dependency regained")
+				return nil, err
 			}
-			f.take(batch, entry, isMoving)
-			return nil
-		}, nil
+			return stream.Recv, nil
+		},
+		take: func(batch *wire.FactsBatch) { f.take(batch, entry, isMoving) },
 	})
-	if heard && followCtx.Err() == nil {
-		f.facts.log.Warn().Str("dependency", "entry").Str("address", entry).Err(err).Msg("dependency lost")
-	}
 }
 
 // take takes facts, and whom else they can be had of unless that is to be asked anew.
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -227,7 +227,6 @@
 		now := e.clock.Now()
 		if heard {
 			lost = now
-			e.log.Warn().Str("dependency", "entry").Str("address", entry).Err(err).Msg("dependency lost")
 			e.drop(entry)
 		}
 		if now.Sub(lost) >= markAfter || errors.Is(err, errSilent) {
@@ -240,26 +239,20 @@
 
 // followOnce follows a box until its stream ends, and tells whether it was heard.
 func (e *EntryBoxes) followOnce(ctx context.Context, entry string, want interest) (heard bool, err error) {
-	err = followStream(ctx, e.clock, e.peers, member.Address(entry), func(streamCtx context.Context, client wire.DRPCFleetClient) (func() error, error) {
-		stream, err := client.Entry(streamCtx, e.request(want))
-		if err != nil {
-			return nil, err
-		}
-		return func() error {
-			status, err := stream.Recv()
-			if err != nil || ctx.Err() != nil {
-				return errors.Join(err, ctx.Err())
-			}
-			if !heard {
-				heard = true
-				e.log.Info().Str("dependency", "entry").Str("box", status.Box).Str("address", entry).
-					Bool("load", want.load).Bool("members", want.members).Msg("dependency regained")
+	return followStream(ctx, e.clock, e.peers, e.log, &peerStream[*wire.EntryStatus]{
+		dependency: "entry", address: member.Address(entry),
+		open: func(ctx context.Context, client wire.DRPCFleetClient) (func() (*wire.EntryStatus, error), error) {
+			stream, err := client.Entry(ctx, e.request(want))
+			if err != nil {
+				return nil, err
 			}
-			e.take(entry, want, status)
-			return nil
-		}, nil
+			return stream.Recv, nil
+		},
+		take: func(status *wire.EntryStatus) { e.take(entry, want, status) },
+		regained: func(line *zerolog.Event, first *wire.EntryStatus) {
+			line.Str("box", first.Box).Bool("load", want.load).Bool("members", want.members)
+		},
 	})
-	return heard, err
 }
 
 // request is how this box asks another one for its status.
@@ -294,35 +287,6 @@
 	return 2*heard >= len(e.following)
 }
 
-// openStream opens a stream at another process and returns what takes its next message.
-type openStream func(ctx context.Context, client wire.DRPCFleetClient) (receive func() error, err error)
-
-// followStream opens a stream and receives until it fails or falls silent. Each stream has a
-// connection of its own: after one that fell silent, others that are kept may be silent too.
-func followStream(ctx context.Context, clock clockwork.Clock, peers *daemon.Peers, address member.Address, open openStream) error {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	watchdog := clock.AfterFunc(statusSilence, func() { cancel(errSilent) })
-	defer watchdog.Stop()
-	conn, err := peers.Dial(ctx, address)
-	if err != nil {
-		return err
-	}
-	receive, err := open(ctx, wire.NewDRPCFleetClient(conn))
-	for err == nil {
-		if err = receive(); err == nil {
-			watchdog.Reset(statusSilence)
-		}
-	}
-	if cause := context.Cause(ctx); cause != nil {
-		return cause
-	}
-	return err
-}
-
-// errSilent reports a peer that said nothing for statusSilence.
-var errSilent = errors.New("peer is silent")
-
 // take takes a message of another box. What comes before its first whole one is of no
 // use.
 func (e *EntryBoxes) take(entry string, want interest, status *wire.EntryStatus) {
--- a/internal/direct/servers.go
+++ b/internal/direct/servers.go
@@ -111,41 +111,37 @@
 		return
 	}
 	for ctx.Err() == nil {
-		box, err := m.followOnce(ctx, server, agent)
-		if box != "" && ctx.Err() == nil {
-			silent := errors.Is(err, errSilent)
-			m.log.Warn().Str("dependency", "agent").Str("box", box).Str("address", string(agent)).Bool("silent", silent).Err(err).Msg("dependency lost")
-			if silent {
-				m.state(server, route.ServerState{Silent: true}, m.clock.Now())
-			}
+		heard, err := m.followOnce(ctx, server, agent)
+		if heard && errors.Is(err, errSilent) && ctx.Err() == nil {
+			m.state(server, route.ServerState{Silent: true}, m.clock.Now())
 		}
 		sleep(ctx, m.clock, followRetry)
 	}
 }
 
-// followOnce follows an agent until its stream ends, and returns the name of its box; empty if
-// it was not heard.
-func (m *ModelServers) followOnce(ctx context.Context, server, agent member.Address) (box string, err error) {
-	err = followStream(ctx, m.clock, m.peers, agent, func(ctx context.Context, client wire.DRPCFleetClient) (func() error, error) {
-		stream, err := client.Server(ctx, &wire.FollowRequest{Box: m.self})
-		if err != nil {
-			return nil, err
-		}
-		return func() error {
-			status, err := stream.Recv()
+// followOnce follows an agent until its stream ends, and tells whether it was heard.
+func (m *ModelServers) followOnce(ctx context.Context, server, agent member.Address) (heard bool, err error) {
+	// The agent's box is named by its first message only.
+	box := ""
+	return followStream(ctx, m.clock, m.peers, m.log, &peerStream[*wire.ServerStatus]{
+		dependency: "agent", address: agent,
+		open: func(ctx context.Context, client wire.DRPCFleetClient) (func() (*wire.ServerStatus, error), error) {
+			stream, err := client.Server(ctx, &wire.FollowRequest{Box: m.self})
 			if err != nil {
-				return err
+				return nil, err
 			}
+			return stream.Recv, nil
+		},
+		take: func(status *wire.ServerStatus) {
 			if box == "" {
 				box = status.Box
-				m.log.Info().Str("dependency", "agent").Str("box", box).Str("address", string(agent)).Msg("dependency regained")
 			}
 			m.facts.LearnVersions(agesFromWire(status.Ages), box)
 			m.state(server, serverStateOf(status, m.clock.Now()), m.clock.Now())
-			return nil
-		}, nil
+		},
+		regained: func(line *zerolog.Event, first *wire.ServerStatus) { line.Str("box", first.Box) },
+		lost:     func(line *zerolog.Event, err error) { line.Str("box", box).Bool("silent", errors.Is(err, errSilent)) },
 	})
-	return box, err
 }
 
 func serverStateOf(status *wire.ServerStatus, now time.Time) route.ServerState {
