refactor: ages of versions are learned in one walk

Cause: LearnVersions walked the list under the lock, and LearnAges walked it again under the lock, with a view published by each. Change: LearnVersions takes each version once, adds or corrects it, and publishes once. LearnAges, which no other code called, is gone. Tests: those of LearnAges call LearnVersions. That a version which is not known is passed over was true of LearnAges alone; in its place the test checks that an older unknown one changes nothing, that another model's is taken, and that a newer version in the list keeps none from being corrected.

--- a/internal/direct/ages.go
+++ b/internal/direct/ages.go
@@ -56,48 +56,42 @@
 	return known
 }
 
-// LearnVersions takes the versions that another process heard of as they were named, those
-// included that this one has not heard of itself. It need not wait for the facts then, which
-// come from the own region first: where the box was cut off that reads the store there, agents
-// heard of a version 0.9 s after its name, and of 2.5 s that the origin stayed a copy takes 2.1.
+// LearnVersions takes what another process tells of the versions that it heard of as they were
+// named: their ages, and those versions that this one has not heard of itself. It need not wait
+// for the facts then, which come from the own region first: where the box was cut off that reads
+// the store there, agents heard of a version 0.9 s after its name, and of 2.5 s that the origin
+// stayed a copy takes 2.1.
 func (f *Facts) LearnVersions(ages []fleet.VersionAge, from string) {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	learned := false
 	for _, age := range ages {
-		named := f.wanted[age.Model]
-		if len(named) > 0 && age.Version <= named.Newest().Version {
-			continue
+		if f.learnVersion(age, from) {
+			learned = true
 		}
-		f.wanted[age.Model] = named.With(fleet.WantedSince{Version: age.Version, Since: f.clock.Now().Add(-age.Age), Witnessed: true})
-		learned = true
-		f.log.Info().Str("model", string(age.Model)).Uint64("version", uint64(age.Version)).Dur("age_ms", age.Age).Str("from", from).Msg("weights wanted")
 	}
 	if learned {
 		f.publish(f.View().WithWanted(maps.Clone(f.wanted)))
 	}
-	f.mu.Unlock()
-	f.LearnAges(ages, from)
 }
 
-// LearnAges takes what another process tells of the versions that this one knows.
-func (f *Facts) LearnAges(ages []fleet.VersionAge, from string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now, learned := f.clock.Now(), false
-	for _, age := range ages {
-		named := f.wanted[age.Model]
-		corrected, ok := named.Corrected(age.Version, now.Add(-age.Age), ageTolerance)
-		if !ok {
-			continue
-		}
+// learnVersion takes one version, and reports whether that changes anything. The lock must be
+// held.
+func (f *Facts) learnVersion(age fleet.VersionAge, from string) bool {
+	now, named := f.clock.Now(), f.wanted[age.Model]
+	since := now.Add(-age.Age)
+	if len(named) == 0 || age.Version > named.Newest().Version {
+		f.wanted[age.Model] = named.With(fleet.WantedSince{Version: age.Version, Since: since, Witnessed: true})
+		f.log.Info().Str("model", string(age.Model)).Uint64("version", uint64(age.Version)).Dur("age_ms", age.Age).Str("from", from).Msg("weights wanted")
+		return true
+	}
+	corrected, ok := named.Corrected(age.Version, since, ageTolerance)
+	if ok {
 		f.log.Info().Str("model", string(age.Model)).Uint64("version", uint64(age.Version)).Dur("age_ms", age.Age).
 			Dur("believed_ms", now.Sub(named.Since(age.Version))).Str("from", from).Msg("age of wanted weights corrected")
 		f.wanted[age.Model] = corrected
-		learned = true
-	}
-	if learned {
-		f.publish(f.View().WithWanted(maps.Clone(f.wanted)))
 	}
+	return ok
 }
 
 func agesToWire(ages []fleet.VersionAge) []*wire.VersionAge {
--- a/internal/direct/facts_test.go
+++ b/internal/direct/facts_test.go
@@ -220,7 +220,7 @@
 	late := NewFacts(clock, zerolog.Nop(), NewMetrics())
 	late.Apply([]fleet.Fact{configuration, wantedVersion(2, 2), wantedVersion(3, 3)}, "store")
 	require.Empty(t, late.VersionAges(), "a guess is not told to others")
-	late.LearnAges(witness.VersionAges(), "entry-2")
+	late.LearnVersions(witness.VersionAges(), "entry-2")
 	bound := 6 * time.Second
 	clock.Advance(3 * time.Second)
 	named := late.View().Wanted("m")
@@ -235,10 +235,15 @@
 	facts.Apply([]fleet.Fact{{Key: fleet.ConfigurationKey(), Revision: 1, Configuration: &fleet.Configuration{}}}, "store")
 	facts.Apply([]fleet.Fact{wantedVersion(2, 2)}, "store")
 	heard := clock.Now()
-	facts.LearnAges([]fleet.VersionAge{{Model: "m", Version: 2, Age: 5 * time.Second}}, "entry-2")
-	require.Equal(t, heard.Add(-5*time.Second), facts.View().Wanted("m").Newest().Since)
-	facts.LearnAges([]fleet.VersionAge{{Model: "m", Version: 2, Age: time.Second}, {Model: "m", Version: 9}, {Model: "n", Version: 2}}, "entry-3")
+	facts.LearnVersions([]fleet.VersionAge{{Model: "m", Version: 2, Age: 5 * time.Second}}, "entry-2")
 	require.Equal(t, heard.Add(-5*time.Second), facts.View().Wanted("m").Newest().Since)
+	told := facts.View().Wanted("m")
+	facts.LearnVersions([]fleet.VersionAge{{Model: "m", Version: 2, Age: time.Second}, {Model: "m", Version: 1, Age: time.Minute}, {Model: "n", Version: 2}}, "entry-3")
+	require.Equal(t, told, facts.View().Wanted("m"), "one who heard later, or of an older version, changes nothing")
+	require.Equal(t, clock.Now(), facts.View().Wanted("n").Newest().Since)
+	facts.LearnVersions([]fleet.VersionAge{{Model: "m", Version: 9, Age: time.Second}, {Model: "m", Version: 2, Age: 7 * time.Second}}, "entry-4")
+	require.Equal(t, heard.Add(-7*time.Second), facts.View().Wanted("m").Since(2), "a newer version beside it keeps none from being corrected")
+	require.Equal(t, heard.Add(-time.Second), facts.View().Wanted("m").Newest().Since)
 }
 
 // After a loss of power each address had two entries for seconds, and half of the
