refactor: findings of the store are a list of entry errors

Cause: provider.Facts.Findings was a list of errors of which each was an *EntryError, and its reader kept a branch for others that never came. Change: the list is []*EntryError; the branch is gone.

--- a/internal/direct/facts.go
+++ b/internal/direct/facts.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -425,7 +424,7 @@
 
 // noteFindings logs what is wrong with entries, once for each as long as it stays: an entry
 // is read again whenever its writer repeats it.
-func (f *Facts) noteFindings(findings []error, whole bool) {
+func (f *Facts) noteFindings(findings []*provider.EntryError, whole bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	known := f.unread
@@ -433,16 +432,12 @@
 		f.unread = make(map[string]string, len(findings))
 	}
 	for _, finding := range findings {
-		var entry *provider.EntryError
-		if !errors.As(finding, &entry) {
-			entry = &provider.EntryError{Err: finding}
-		}
-		text := entry.Err.Error()
-		if known[entry.Key] != text {
+		text := finding.Err.Error()
+		if known[finding.Key] != text {
 			f.log.Error().Err(finding).Msg("entry of the store not taken whole")
 		}
 		if len(f.unread) < unreadLimit {
-			f.unread[entry.Key] = text
+			f.unread[finding.Key] = text
 		}
 	}
 }
--- a/internal/provider/fleet.go
+++ b/internal/provider/fleet.go
@@ -19,8 +19,8 @@
 // Facts are facts read from the key-value service, and what could not be read.
 type Facts struct {
 	Facts []fleet.Fact
-	// Findings name the entries that could not be decoded, and why. Each is an *EntryError.
-	Findings []error
+	// Findings name the entries that could not be decoded, and why.
+	Findings []*EntryError
 	// At is the revision from which to go on.
 	At fleet.Revision
 }
