--- a/internal/daemon/outage_test.go
+++ b/internal/daemon/outage_test.go
@@ -57,7 +57,7 @@
 }
 
 // A read that the key-value service had swallowed just before it came back, and the wait
-// after it, hid for up to ten seconds that it was back (found with incident 0001).
+// after it, hid for up to ten seconds that it was back.
 func TestAnEditIsReadSoonHoweverLongTheKeyValueServiceWasSilent(t *testing.T) {
 	const shortest, longest, step = time.Second, 21 * time.Second, 250 * time.Millisecond
 	for silent := shortest; silent <= longest; silent += step {
--- a/internal/direct/outage_test.go
+++ b/internal/direct/outage_test.go
@@ -137,7 +137,7 @@
 }
 
 // A call that the store had swallowed just before it came back, and the pause after it, hid
-// for up to four seconds that it was back (incident 0001).
+// for up to four seconds that it was back.
 func TestAStoreThatIsBackIsReadSoonHoweverLongItWasSilent(t *testing.T) {
 	const shortest, longest, step = 2 * time.Second, 9 * time.Second, 100 * time.Millisecond
 	for silent := shortest; silent <= longest; silent += step {
@@ -204,7 +204,7 @@
 }
 
 // A box that held back the deletion of a server's entry told the revision before it, so that
-// nobody asked it for the configuration that it had read since (incident 0001).
+// nobody asked it, for up to 2.2 s, for the configuration that it had read since.
 func TestAConfigurationReadAfterAnOutageIsToldWhileDeletionsAreHeldBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		reader, clock := newTestFacts()
@@ -237,7 +237,7 @@
 }
 
 // A reader whose cursor is old hears once more of entries that lapsed; those that it knows to
-// be back must not be held, nor keep it from telling what it knows (found with incident 0001).
+// be back must not be held, nor keep it from telling what it knows.
 func TestALapsedEntryThatIsKnownToBeBackIsNotHeldBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		facts, clock := newTestFacts()
@@ -332,7 +332,7 @@
 }
 
 // Facts were asked of one box after the other, so that a silent one held up all others for
-// two and a half seconds (found with incident 0001).
+// two and a half seconds.
 func TestABoxThatDoesNotAnswerHoldsUpNoOther(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		facts := NewFacts(clockwork.NewRealClock(), zerolog.Nop(), NewMetrics())
