--- a/internal/direct/agentfacts.go
+++ b/internal/direct/agentfacts.go
@@ -26,6 +26,8 @@
 	known []string
 	// moved is set once one of the settings has been left for one that was told.
 	moved bool
+	// logged is when the log last named each entry box that could not be asked for others.
+	logged map[string]time.Time
 }
 
 // moveAfter is after how long an agent leaves the entry box of the settings that it started
@@ -37,7 +39,10 @@
 	if err := p.newFacts(); err != nil {
 		return err
 	}
-	follower := &entryFollower{facts: p.facts, peers: p.peers, self: p.settings.Box, region: p.settings.Region, seeds: p.settings.Peers.Entries}
+	follower := &entryFollower{
+		facts: p.facts, peers: p.peers, self: p.settings.Box, region: p.settings.Region, seeds: p.settings.Peers.Entries,
+		logged: make(map[string]time.Time),
+	}
 	p.facts.duties.Go(follower.run)
 	return nil
 }
@@ -60,6 +65,9 @@
 		callCtx, cancel := clockwork.WithTimeout(ctx, f.facts.clock, askTimeout)
 		entries, err := f.askOne(callCtx, f.seeds[at])
 		cancel()
+		if err != nil && ctx.Err() == nil {
+			f.logNotAsked(f.seeds[at], err)
+		}
 		if err == nil && len(entries) > 0 {
 			f.known = entries
 			return
@@ -73,6 +81,20 @@
 // time in which a change must reach the agents.
 const askTimeout = 500 * time.Millisecond
 
+// notAskedPause is how often at most the log names one entry box that can't be asked: while none
+// answers, each is asked several times a second.
+const notAskedPause = 10 * time.Second
+
+// logNotAsked logs why an entry box could not be asked for others.
+func (f *entryFollower) logNotAsked(seed string, err error) {
+	now := f.facts.clock.Now()
+	if last, ok := f.logged[seed]; ok && now.Sub(last) < notAskedPause {
+		return
+	}
+	f.logged[seed] = now
+	f.facts.log.Warn().Str("address", seed).Err(err).Msg("entry box not asked for others")
+}
+
 func (f *entryFollower) askOne(ctx context.Context, seed string) ([]string, error) {
 	conn, err := f.peers.Dial(ctx, member.Address(seed))
 	if err != nil {
@@ -111,28 +133,18 @@
 		timer := f.facts.clock.AfterFunc(moveAfter, cancel)
 		defer timer.Stop()
 	}
-	heard := false
-	err := followStream(followCtx, f.facts.clock, f.peers, member.Address(entry), func(ctx context.Context, client wire.DRPCFleetClient) (func() error, error) {
-		stream, err := client.Facts(ctx, &wire.FactsRequest{Box: f.self, Region: f.region, ServicesOnly: true})
-		if err != nil {
-			return nil, err
-		}
-		return func() error {
-			batch, err := stream.Recv()
+	// How the stream ended is in the log, and of no other use.
+	_, _ = followStream(followCtx, f.facts.clock, f.peers, f.facts.log, &peerStream[*wire.FactsBatch]{
+		dependency: "entry", address: member.Address(entry),
+		open: func(ctx context.Context, client wire.DRPCFleetClient) (func() (*wire.FactsBatch, error), error) {
+			stream, err := client.Facts(ctx, &wire.FactsRequest{Box: f.self, Region: f.region, ServicesOnly: true})
 			if err != nil {
-				return err
+				return nil, err
 			}
-			if !heard {
-				heard = true
-				f.facts.log.Info().Str("dependency", "entry").Str("address", entry).Msg("dependency regained")
-			}
-			f.take(batch, entry, isMoving)
-			return nil
-		}, nil
+			return stream.Recv, nil
+		},
+		take: func(batch *wire.FactsBatch) { f.take(batch, entry, isMoving) },
 	})
-	if heard && followCtx.Err() == nil {
-		f.facts.log.Warn().Str("dependency", "entry").Str("address", entry).Err(err).Msg("dependency lost")
-	}
 }
 
 // take takes facts, and whom else they can be had of unless that is to be asked anew.
