--- a/internal/direct/bar_test.go
+++ b/internal/direct/bar_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/cinderslip/cinderslip/internal/kernel"
 	"github.com/cinderslip/cinderslip/internal/provider"
+	"github.com/cinderslip/cinderslip/internal/settings"
 	"github.com/cinderslip/cinderslip/internal/upstream"
 	"github.com/cinderslip/cinderslip/pkg/fleet"
 	"github.com/cinderslip/cinderslip/pkg/member"
@@ -270,3 +271,20 @@
 	w.adjust()
 	require.Zero(t, *givenUp)
 }
+
+// After all processes were killed nobody knows when a version was named that is there already. It was
+// taken to have been named five seconds before the start, whatever the bound: with one of 30 s older weights began
+// requests for 24 s on, and for all that time the version may have been named long ago.
+func TestWeightsThatWereThereAtTheStartAreBarredBeforeTheBoxIsSettled(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	loaded := &settings.Settings{Mode: settings.ModeDirect, Direct: settings.Direct{VersionBound: settings.Duration(30 * time.Second)}}
+	loaded.Default()
+	p := &Process{kernel: kernel.New(), settings: loaded, options: Options{Clock: clock, Log: zerolog.Nop()}, metrics: NewMetrics()}
+	require.NoError(t, p.newFacts())
+	p.facts.Apply([]fleet.Fact{
+		{Key: fleet.ConfigurationKey(), Revision: 1, Configuration: &fleet.Configuration{Version: 1}}, wantedVersion(2, 2),
+	}, "store")
+	f := &Front{facts: p.facts, clock: clock, bound: 30 * time.Second}
+	clock.Advance(3 * time.Second)
+	require.EqualValues(t, 2, f.required(p.facts.View().Wanted("m"), clock.Now()))
+}
