fix(direct): versions that were there at the start are barred before the box is settled, whatever the bound

Cause: after all processes were killed nobody knows when a version was named; it was taken to be 5 s old, which with a bound of 8 s and a box that is held to bounds 3 s after its start leaves no gap. With a bound of 30 s older weights began requests for 24 s. Ruled out: deployments of today (8 s with 3 and 5 s, 9.7 s with 4 s; the last one now bars 0.7 s sooner after such a start). Change: the age follows from the bound and the new setting settle_time; 5 s at the least.

--- a/internal/direct/facts.go
+++ b/internal/direct/facts.go
@@ -30,12 +30,17 @@
 	// lapseWindow is how long after the store's return entries may still be found
 	// to have lapsed meanwhile.
 	lapseWindow = 1500 * time.Millisecond
-	// restartAge is how long before its start a process takes weights to have been
-	// named that were there already, as it can't know. What remains of the bound
-	// passes before the process counts as settled.
+	// restartAge is how long before its start a process takes weights to have been named at
+	// least that were there already.
 	restartAge = 5 * time.Second
 )
 
+// restartAgeFor is how long before its start a process takes weights to have been named that were
+// there already, as it can't know if all were killed. What remains of the bound passes before the
+// process is settled: with a fixed age and a bound of 30 s it would begin requests on older
+// weights for 24 s.
+func restartAgeFor(bound, settle time.Duration) time.Duration { return max(restartAge, bound-settle) }
+
 // Facts keeps what the platform's store and other boxes tell.
 type Facts struct {
 	clock   clockwork.Clock
@@ -44,6 +49,9 @@
 	store   *state.Store
 	view    atomic.Pointer[fleet.View]
 	duties  *kernel.Duties
+	// restartAge is how long before its start the process takes weights to have been named that
+	// were there already.
+	restartAge time.Duration
 
 	mu sync.Mutex
 	// changed is closed when the view changes.
@@ -79,7 +87,7 @@
 // NewFacts returns facts that know nothing yet.
 func NewFacts(clock clockwork.Clock, log zerolog.Logger, metrics *Metrics) *Facts {
 	f := &Facts{
-		clock: clock, log: log, metrics: metrics,
+		clock: clock, log: log, metrics: metrics, restartAge: restartAge,
 		store: state.NewStore(rand.Uint64()), duties: kernel.NewDuties(),
 		changed: make(chan struct{}),
 		servers: make(map[fleet.ServerID]listing),
@@ -457,7 +465,7 @@
 	}
 	since := f.clock.Now()
 	if earlier {
-		since = since.Add(-restartAge)
+		since = since.Add(-f.restartAge)
 	}
 	f.wanted[model] = named.With(fleet.WantedSince{
 		Version: fact.Wanted.Version, Revision: fact.Revision, Since: since, Witnessed: !earlier,
@@ -475,7 +483,9 @@
 }
 
 func (p *Process) newFacts() error {
+	direct := p.settings.Direct
 	p.facts = NewFacts(p.options.Clock, p.options.Log, p.metrics)
+	p.facts.restartAge = restartAgeFor(time.Duration(direct.VersionBound), time.Duration(direct.SettleTime))
 	p.metrics.observeStoreAge(p.facts.StoreAge)
 	return p.kernel.Register(p.facts)
 }
--- a/internal/settings/direct.go
+++ b/internal/settings/direct.go
@@ -27,6 +27,7 @@
 		c.add("direct.link_mbps", "want the rate of the box's link in Mbit/s, got %v", s.Direct.LinkMbps)
 	}
 	c.duration("direct.version_bound", s.Direct.VersionBound, time.Second, 24*time.Hour)
+	c.duration("direct.settle_time", s.Direct.SettleTime, time.Second, time.Hour)
 	c.duration("direct.change_bound", s.Direct.ChangeBound, 500*time.Millisecond, 24*time.Hour)
 	c.duration("direct.retry_window", s.Direct.RetryWindow, time.Second, time.Hour)
 	c.duration("stop.grace", s.Stop.Grace, time.Second, time.Hour)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -187,6 +187,8 @@
 	// VersionBound is how long after newer weights were named older ones may
 	// still start a request.
 	VersionBound Duration `toml:"version_bound"`
+	// SettleTime is how long after its start a box is not yet held to its bounds.
+	SettleTime Duration `toml:"settle_time"`
 	// ChangeBound is how long after a change of the platform's store it must be in force.
 	ChangeBound Duration `toml:"change_bound"`
 	// DirectoryTTL is how long callers may keep the addresses they are told.
@@ -224,6 +226,7 @@
 	defaultLogLevel     = "info"
 	defaultOrganisation = "default"
 	defaultVersionBound = Duration(8 * time.Second)
+	defaultSettleTime   = Duration(3 * time.Second)
 	defaultChangeBound  = Duration(2 * time.Second)
 	defaultDirectoryTTL = Duration(time.Second)
 	defaultRetryRatio   = 0.2
@@ -236,6 +239,7 @@
 	setDefault(&s.Organisation, defaultOrganisation)
 	setDefault(&s.Mode, ModeAgents)
 	setDefault(&s.Direct.VersionBound, defaultVersionBound)
+	setDefault(&s.Direct.SettleTime, defaultSettleTime)
 	setDefault(&s.Direct.ChangeBound, defaultChangeBound)
 	setDefault(&s.Direct.DirectoryTTL, defaultDirectoryTTL)
 	setDefault(&s.Direct.RetryRatio, new(defaultRetryRatio))
