fix(upstream): a long answer to another request ends the connection

Cause: a stray answer was drained up to 1 MiB, but closing its body then read the rest; found by the fuzz target's review. Change: one that is longer ends the attempt's connection. Measured: the test failed before (the late answer was taken), passes after.

--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -62,11 +62,19 @@
 	}
 }
 
+// drain reads an answer that is thrown away. Closing its body would read one that is longer than
+// the limit to its end.
 func drain(response *http.Response) error {
-	_, err := io.Copy(io.Discard, io.LimitReader(response.Body, drainLimit))
+	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, drainLimit+1))
+	if n > drainLimit {
+		return errStrayTooLong
+	}
 	return errors.Join(err, response.Body.Close())
 }
 
+// errStrayTooLong reports an answer to another request that is longer than drainLimit.
+var errStrayTooLong = errors.New("answer to another request is too long")
+
 // drainLimit bounds an answer that is thrown away, in bytes.
 const drainLimit = 1 << 20
 
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -257,3 +257,20 @@
 	}
 	require.EqualValues(t, 2, opened.Load(), "used again after 0.5 s, not after 0.9 s of the 1 s given")
 }
+
+// An answer to another request was read to its end, however long it was, while the caller waited
+// for its own.
+func TestALongAnswerToAnotherRequestEndsTheConnection(t *testing.T) {
+	address := rawServer(t, func(conn net.Conn, reader *bufio.Reader) {
+		id, err := readRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, answerTo("another", strings.Repeat("x", drainLimit+1)))
+		_, _ = io.WriteString(conn, answerTo(id, "late"))
+	})
+	var opened atomic.Int32
+	_, err := send(t, newTestPool(&opened), address, "1")
+	require.ErrorIs(t, err, ErrNoAnswer)
+	require.ErrorIs(t, err, errStrayTooLong)
+}
