--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -68,12 +68,12 @@
 		}
 		tried = append(tried, place.Server.ID)
 		guard := f.watch(ctx, x, tried)
-		place.OnBarred(guard.cancel)
+		place.OnBarred(guard.giveUp)
 		result, err := f.attempt(guard.ctx, x, place, guard)
 		next = guard.end(result, f.clock.Now())
 		switch result {
 		case outcomeDone:
-			f.finish(x, "answered").Str("server", string(place.Server.ID)).Msg("request answered")
+			f.finish(x, "answered").Str("server", string(place.Server.ID)).Uint64("weights", uint64(place.Version)).Msg("request answered")
 			return
 		case outcomeGone:
 			f.noteSentAway(x)
@@ -242,7 +242,7 @@
 	}
 	answer, err := f.pool.Send(ctx, f.outbound(x, place, now))
 	if err != nil {
-		return f.sendFailed(x, place, err)
+		return f.sendFailed(x, place, guard.reason(err))
 	}
 	x.attempts++
 	mark := f.protocol.ReadAnswer(answer.Response)
--- a/internal/direct/bar_test.go
+++ b/internal/direct/bar_test.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net"
@@ -74,15 +75,16 @@
 	clock *clockwork.FakeClock
 	facts *Facts
 	front *Front
+	log   *bytes.Buffer
 }
 
 func newBarWorld(t *testing.T, server member.Address) *barWorld {
 	t.Helper()
 	clock := clockwork.NewFakeClock()
 	facts := NewFacts(clock, zerolog.Nop(), NewMetrics())
-	w := &barWorld{t: t, clock: clock, facts: facts}
+	w := &barWorld{t: t, clock: clock, facts: facts, log: new(bytes.Buffer)}
 	w.front = &Front{
-		facts: facts, clock: clock, log: zerolog.Nop(), metrics: NewMetrics(), duties: kernel.NewDuties(), bound: testBound,
+		facts: facts, clock: clock, log: zerolog.New(w.log), metrics: NewMetrics(), duties: kernel.NewDuties(), bound: testBound,
 		protocol: testProtocol(), retries: retryLimits{1, 100, 10 * time.Second}, isNear: func(member.FailureDomain) bool { return true },
 		dispatchers: make(map[member.Service]*route.Dispatcher), budgets: make(map[member.Service]*route.WindowBudget),
 		patience: make(map[string]*route.Patience),
@@ -179,6 +181,7 @@
 	w.adjust()
 	await(t, done)
 	require.ErrorIs(t, <-link.ended, syscall.ECONNRESET, "the server gets what a close in order follows")
+	require.Contains(t, w.log.String(), errNotBegun.Error(), "the log tells why the attempt ended")
 }
 
 // The time by which an answer must have begun was worked out once, as the request was sent. A
--- a/internal/direct/guard.go
+++ b/internal/direct/guard.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -14,8 +16,9 @@
 // guard watches one attempt that makes no progress. It breaks the attempt off
 // only once it has a place on another server; until then waiting on is better.
 type guard struct {
-	ctx    context.Context
-	cancel context.CancelFunc
+	ctx context.Context
+	// cancel breaks the attempt off for a reason.
+	cancel context.CancelCauseFunc
 
 	mu    sync.Mutex
 	timer clockwork.Timer
@@ -42,7 +45,7 @@
 // its deadline.
 func (f *Front) watch(ctx context.Context, x *exchange, tried []fleet.ServerID) *guard {
 	g := &guard{}
-	g.ctx, g.cancel = context.WithCancel(ctx)
+	g.ctx, g.cancel = context.WithCancelCause(ctx)
 	if !x.route.Repeatable() || x.attempts+1 >= x.route.MaxAttempts {
 		return g
 	}
@@ -66,11 +69,28 @@
 			return
 		}
 		f.log.Info().Str("request", id).Str("server", string(place.Server.ID)).Msg("no progress, going on at another server")
-		g.cancel()
+		g.cancel(errNoProgress)
 	})
 	return g
 }
 
+// The reasons for which an attempt is broken off.
+var (
+	errNoProgress = errors.New("the attempt made no progress")
+	errNotBegun   = errors.New("the answer had not begun shortly before its weights are barred")
+)
+
+// giveUp breaks off an attempt that has not begun in time for its weights.
+func (g *guard) giveUp() { g.cancel(errNotBegun) }
+
+// reason is err with why the attempt was broken off, if it was.
+func (g *guard) reason(err error) error {
+	if cause := context.Cause(g.ctx); errors.Is(cause, errNotBegun) || errors.Is(cause, errNoProgress) {
+		return fmt.Errorf("%w: %w", cause, err)
+	}
+	return err
+}
+
 // progress gives the attempt more time.
 func (g *guard) progress(patience time.Duration) {
 	g.mu.Lock()
@@ -94,7 +114,7 @@
 // end ends watching and returns the place for the next attempt, if there is to be
 // one and it is had already.
 func (g *guard) end(result outcome, now time.Time) *route.Reservation {
-	g.cancel()
+	g.cancel(nil)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.ended = true
--- a/internal/direct/stream.go
+++ b/internal/direct/stream.go
@@ -102,7 +102,7 @@
 			f.ended(x, place, route.ResultDone, nil)
 			return outcomeDone, nil
 		case err != nil:
-			return f.streamFailed(x, place, err)
+			return f.streamFailed(x, place, guard.reason(err))
 		}
 		if !x.begun {
 			answer.Header.Del("Content-Length")
