fix(direct): every process bars weights from the same moment, and whatever became of the server

Ruled out: the break-off itself. Change: versions between are learned; only who reads a name from the store as it is written, or is told its age, is a witness; what is read late counts from the answer before; requests that have not begun are kept apart from the list of servers; one check just before the first byte, which sends the request elsewhere without marking the server.

--- a/internal/direct/agentfacts.go
+++ b/internal/direct/agentfacts.go
@@ -149,8 +149,9 @@
 
 // take takes facts, and whom else they can be had of unless that is to be asked anew.
 func (f *entryFollower) take(batch *wire.FactsBatch, entry string, isMoving bool) {
-	f.facts.ApplyItems(itemsFromWire(batch.Items), entry)
+	// The ages first: a name without one counts as an old one.
 	f.facts.LearnVersions(agesFromWire(batch.Ages), entry)
+	f.facts.ApplyItems(itemsFromWire(batch.Items), entry)
 	if len(batch.Entries) > 0 && !isMoving {
 		f.known = batch.Entries
 	}
--- a/internal/direct/ages.go
+++ b/internal/direct/ages.go
@@ -80,7 +80,10 @@
 func (f *Facts) learnVersion(age fleet.VersionAge, from string) bool {
 	now, named := f.clock.Now(), f.wanted[age.Model]
 	since := now.Add(-age.Age)
-	if len(named) == 0 || age.Version > named.Newest().Version {
+	if !named.Has(age.Version) {
+		// Also one that is older than the newest: it bars those before it sooner than the newest does.
+		// The store holds only the newest name, so a box that started after two of them, 4 s after each other,
+		// barred the first weights 4 s late.
 		f.wanted[age.Model] = named.With(fleet.WantedSince{Version: age.Version, Since: since, Witnessed: true})
 		f.log.Info().Str("model", string(age.Model)).Uint64("version", uint64(age.Version)).Dur("age_ms", age.Age).Str("from", from).Msg("weights wanted")
 		return true
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -83,6 +83,10 @@
 			f.abort(x, err)
 		case outcomeNotRun:
 			last = err
+			if errors.Is(err, errBarred) {
+				// Nothing was asked of the server, which may have newer weights in a moment.
+				tried = tried[:len(tried)-1]
+			}
 		case outcomeUnknown, outcomeBroken:
 			mayHaveRun = err
 			if !x.route.Repeatable() {
@@ -101,17 +105,6 @@
 	return f.dispatcher(x.service).Acquire(ctx, f.ask(x, tried, false), f.clock)
 }
 
-// isBarred reports whether the weights of a server may no longer start a request. They may have
-// become so since its place was granted: a box that stood still wakes with what it was about to send.
-func (f *Front) isBarred(x *exchange, place *route.Reservation, now time.Time) bool {
-	view := f.facts.View()
-	service := view.Service(x.service)
-	if service == nil || service.Engine == nil || len(service.Engine.Models) == 0 {
-		return false
-	}
-	return place.Version < f.required(view.Wanted(service.Engine.Models[0]), now)
-}
-
 // errBarred reports weights that were barred before the request was sent.
 var errBarred = errors.New("weights of the server may no longer start a request")
 
@@ -234,12 +227,6 @@
 		place.Release(route.ResultAbandoned, now)
 		return outcomeNotRun, context.DeadlineExceeded
 	}
-	if f.isBarred(x, place, now) {
-		f.ended(x, place, route.ResultAbandoned, errBarred)
-		// Else the dispatcher, which hears of it within adjustInterval, might grant the place again.
-		f.adjustOne(x.service, f.dispatcher(x.service))
-		return outcomeNotRun, errBarred
-	}
 	answer, err := f.pool.Send(ctx, f.outbound(x, place, now))
 	if err != nil {
 		return f.sendFailed(x, place, guard.reason(err))
@@ -299,6 +286,12 @@
 	request := &upstream.Request{
 		Address: place.Server.Address, ID: x.ID, Method: x.request.Method, Target: x.request.RequestURI, Host: x.request.Host,
 		Header: header, Body: x.body,
+		Check: func() error {
+			if f.isBarred(x.service, place) {
+				return errBarred
+			}
+			return nil
+		},
 	}
 	if service := f.facts.View().Service(x.service); service != nil && service.Engine != nil && len(service.Engine.Models) > 0 {
 		out.Priority = f.priority(x)
@@ -322,6 +315,11 @@
 		f.ended(x, place, route.ResultAbandoned, err)
 		return outcomeGone, err
 	}
+	if isGivenUp(err) && !upstream.MayHaveRun(err) {
+		// The box itself kept it from being sent, so the server is none the worse for it.
+		f.ended(x, place, route.ResultAbandoned, err)
+		return outcomeNotRun, err
+	}
 	if !upstream.MayHaveRun(err) {
 		f.ended(x, place, route.ResultUnreachable, err)
 		f.pool.Forget(place.Server.Address)
--- a/internal/direct/facts.go
+++ b/internal/direct/facts.go
@@ -73,6 +73,9 @@
 	// failures how many they are; zero while it answers.
 	lostSince time.Time
 	failures  int
+	// deafSince is since when changes of the store may have been written that are read only now;
+	// zero while they are read as they are written.
+	deafSince time.Time
 	// returned is when the store answered after it had been away for so long that entries
 	// may have lapsed.
 	returned time.Time
@@ -185,10 +188,16 @@
 	}
 }
 
-func (f *Facts) storeAnswered() {
+// storeAnswered notes an answer. Late is set if changes may be in it that were written since the
+// answer before: of a whole reading, or after calls that were not answered.
+func (f *Facts) storeAnswered(late bool) {
 	f.mu.Lock()
 	now := f.clock.Now()
 	regained, away, failures := !f.lostSince.IsZero(), now.Sub(f.lostSince), f.failures
+	f.deafSince = time.Time{}
+	if late || regained {
+		f.deafSince = f.answered
+	}
 	f.answered, f.lostSince, f.failures = now, time.Time{}, 0
 	if regained && away >= lapseLeast {
 		f.returned = now
@@ -266,15 +275,18 @@
 		}
 		items = append(items, item)
 	}
-	f.ApplyItems(items, from)
+	f.merge(items, from, true)
 }
 
 // factsLogged is how many servers' entries have a log line each when they come together. A process
 // that starts hears of thousands at once, and so does each of thousands.
 const factsLogged = 16
 
-// ApplyItems is Apply for facts in their replicated form.
-func (f *Facts) ApplyItems(items []state.Item, from string) {
+// ApplyItems merges facts that another process tells, in their replicated form.
+func (f *Facts) ApplyItems(items []state.Item, from string) { f.merge(items, from, false) }
+
+// merge merges facts. Witnessed is set if they were read from the store as they were written.
+func (f *Facts) merge(items []state.Item, from string, witnessed bool) {
 	// What is believed follows the order in which the store takes facts: of two entries that
 	// came at the same moment the older one was believed for good.
 	f.mu.Lock()
@@ -290,7 +302,7 @@
 	}
 	view := f.View()
 	// What comes before any configuration was there when the process started.
-	earlier := view.Configuration == nil
+	witnessed = witnessed && view.Configuration != nil
 	servers, wanted := false, false
 	for _, item := range fresh {
 		delete(f.held, item.Key)
@@ -309,7 +321,7 @@
 			f.takeServer(&fact, from, &log)
 			servers = true
 		case strings.HasPrefix(fact.Key, fleet.WantedKey("")):
-			f.takeWanted(&fact, from, earlier)
+			f.takeWanted(&fact, from, witnessed)
 			wanted = true
 		}
 	}
@@ -454,7 +466,10 @@
 // store with them must not fill the memory of each box.
 const unreadLimit = 1024
 
-func (f *Facts) takeWanted(fact *fleet.Fact, from string, earlier bool) {
+// takeWanted takes the name of a version. When it was named is known to a witness alone: a process
+// that took the moment at which another one told it for that replaced the guesses of all that had
+// just started, and older weights began requests for 2.2 s too long.
+func (f *Facts) takeWanted(fact *fleet.Fact, from string, witnessed bool) {
 	if fact.Wanted == nil {
 		return
 	}
@@ -464,14 +479,17 @@
 		return
 	}
 	since := f.clock.Now()
-	if earlier {
+	switch {
+	case !witnessed:
 		since = since.Add(-f.restartAge)
+	case !f.deafSince.IsZero():
+		since = f.deafSince
 	}
 	f.wanted[model] = named.With(fleet.WantedSince{
-		Version: fact.Wanted.Version, Revision: fact.Revision, Since: since, Witnessed: !earlier,
+		Version: fact.Wanted.Version, Revision: fact.Revision, Since: since, Witnessed: witnessed,
 	})
-	f.log.Info().Str("model", string(model)).Uint64("version", uint64(fact.Wanted.Version)).
-		Uint64("revision", uint64(fact.Revision)).Str("from", from).Msg("weights wanted")
+	f.log.Info().Str("model", string(model)).Uint64("version", uint64(fact.Wanted.Version)).Dur("age_ms", f.clock.Since(since)).
+		Bool("witnessed", witnessed).Uint64("revision", uint64(fact.Revision)).Str("from", from).Msg("weights wanted")
 }
 
 // sleep waits, at most until the context ends.
--- a/internal/direct/front.go
+++ b/internal/direct/front.go
@@ -82,6 +82,9 @@
 	mu          sync.Mutex
 	dispatchers map[member.Service]*route.Dispatcher
 	budgets     map[member.Service]*route.WindowBudget
+	// models are what the servers of a service run, also of one that is configured no more: what was
+	// sent there before may not have begun.
+	models map[member.Service]fleet.ModelName
 	// patience is how long the callers of a route wait, by the route's name.
 	patience map[string]*route.Patience
 }
@@ -101,7 +104,7 @@
 		duties: kernel.NewDuties(), started: p.options.Clock.Now(), bound: time.Duration(direct.VersionBound),
 		retries: retryLimits{*direct.RetryRatio, *direct.RetryExtra, time.Duration(direct.RetryWindow)},
 		isNear:  p.isNear, box: p.box(), dispatchers: make(map[member.Service]*route.Dispatcher),
-		budgets: make(map[member.Service]*route.WindowBudget), patience: make(map[string]*route.Patience),
+		budgets: make(map[member.Service]*route.WindowBudget), models: make(map[member.Service]fleet.ModelName), patience: make(map[string]*route.Patience),
 	}
 	f.pool = upstream.NewPool(upstream.Options{
 		Clock: p.options.Clock, IsOwn: f.isOwn, KeepPerServer: keepPerServer, Opened: p.metrics.connections.Inc,
@@ -289,21 +292,20 @@
 	}
 }
 
-// adjustOne gives a dispatcher its servers and the weights that it may use.
+// adjustOne gives a dispatcher its servers and the weights that it may use. The lock must be
+// held, or an older view might be the last that is taken.
 func (f *Front) adjustOne(name member.Service, d *route.Dispatcher) {
 	view, now := f.facts.View(), f.clock.Now()
 	layers := 0
-	service := view.Service(name)
-	if service != nil && service.Engine != nil {
+	if service := view.Service(name); service != nil && service.Engine != nil {
 		layers = service.Engine.Layers
 		if len(service.Engine.Models) > 0 {
-			named := view.Wanted(service.Engine.Models[0])
-			d.Require(route.Versions{
-				Required: f.required(named, now), Preferred: named.Required(f.bound-slowMargin, now), Newest: named.Newest().Version,
-				Begun: named.Required(f.bound-beginReserve, now),
-			}, now)
+			f.models[name] = service.Engine.Models[0]
 		}
 	}
+	if model, ok := f.models[name]; ok {
+		d.Require(f.versions(view.Wanted(model), now), now)
+	}
 	entries := f.entries.Load()
 	if entries == nil {
 		d.Servers(view.Servers(name), layers, f.isNear, now)
@@ -313,6 +315,28 @@
 	d.Boxes(entries.CellBoxes())
 }
 
+// versions is what a dispatcher may do with which weights now.
+func (f *Front) versions(named fleet.Named, now time.Time) route.Versions {
+	return route.Versions{
+		Required: f.required(named, now), Preferred: named.Required(f.bound-slowMargin, now),
+		Begun: named.Required(f.bound-beginReserve, now), Newest: named.Newest().Version,
+	}
+}
+
+// isBarred reports whether the weights of a place may no longer start a request. They may have
+// become so since it was granted: a box that stood still wakes with what it was about to send. If so, the
+// dispatcher learns of it at once, and not within adjustInterval, so that nobody else is given the place.
+func (f *Front) isBarred(name member.Service, place *route.Reservation) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	model, ok := f.models[name]
+	if !ok || place.Version >= f.required(f.facts.View().Wanted(model), f.clock.Now()) {
+		return false
+	}
+	f.adjustOne(name, f.dispatchers[name])
+	return true
+}
+
 // boxes is how many entry boxes there are, with this one, as far as it knows.
 func (f *Front) boxes() int {
 	entries := f.entries.Load()
--- a/internal/direct/guard.go
+++ b/internal/direct/guard.go
@@ -85,12 +85,17 @@
 
 // reason is err with why the attempt was broken off, if it was.
 func (g *guard) reason(err error) error {
-	if cause := context.Cause(g.ctx); errors.Is(cause, errNotBegun) || errors.Is(cause, errNoProgress) {
+	if cause := context.Cause(g.ctx); isGivenUp(cause) {
 		return fmt.Errorf("%w: %w", cause, err)
 	}
 	return err
 }
 
+// isGivenUp reports whether the box itself ended the attempt.
+func isGivenUp(err error) bool {
+	return errors.Is(err, errBarred) || errors.Is(err, errNotBegun) || errors.Is(err, errNoProgress)
+}
+
 // progress gives the attempt more time.
 func (g *guard) progress(patience time.Duration) {
 	g.mu.Lock()
--- a/internal/direct/reader.go
+++ b/internal/direct/reader.go
@@ -125,7 +125,7 @@
 		r.after = 0
 		return
 	}
-	f.storeAnswered()
+	f.storeAnswered(answer.whole || answer.began.Sub(f.Answered()) > latePauses*r.times.gather)
 	r.take(&answer)
 	if len(answer.got.Facts) > 0 && !answer.whole && !r.spare(f.clock.Now()) {
 		sleep(ctx, f.clock, r.times.gather)
@@ -137,6 +137,10 @@
 // of 0.45 s after its name.
 const readsAtOnce = 4
 
+// latePauses is after how many of the pauses between two calls a call counts as late: the box did not
+// read the store meanwhile, and what it hears now may have been written since.
+const latePauses = 2
+
 // spare reports whether the next call need not wait for more changes: few came lately.
 func (r *storeReader) spare(now time.Time) bool {
 	if r.sparedAt.IsZero() {
--- a/internal/direct/repair.go
+++ b/internal/direct/repair.go
@@ -169,7 +169,8 @@
 	e.mu.Lock()
 	e.pulled[from] = state.Cursor{Instance: batch.Instance, Sequence: batch.Cursor}
 	e.mu.Unlock()
+	// The ages first: a name without one counts as an old one.
+	e.facts.LearnVersions(agesFromWire(batch.Ages), string(from))
 	e.facts.ApplyItems(itemsFromWire(batch.Items), string(from))
 	e.facts.CompleteUpTo(fleet.Revision(batch.Complete))
-	e.facts.LearnVersions(agesFromWire(batch.Ages), string(from))
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -144,6 +144,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Check is asked once there is a connection, which may take as long as dialTimeout; an error
+	// keeps the request from being sent. nil if it may be sent in any case.
+	Check func() error
 }
 
 // Send makes one attempt and returns the answer's head. The answer must be
@@ -154,6 +157,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
+	if err := request.check(ctx); err != nil {
+		c.giveBack()
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
 	answer := &Answer{conn: c, sent: make(chan error, 1)}
 	answer.stop = context.AfterFunc(ctx, c.reset)
 	if len(request.Body) <= inlineBody {
@@ -174,6 +181,26 @@
 	return answer, nil
 }
 
+// check returns why the request must not be sent; nil if it may.
+func (r *Request) check(ctx context.Context) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	if r.Check == nil {
+		return nil
+	}
+	return r.Check()
+}
+
+// giveBack ends the use of a connection on which nothing was sent.
+func (c *conn) giveBack() {
+	if c.until.IsZero() {
+		_ = c.Close()
+		return
+	}
+	c.pool.keep(c)
+}
+
 // take returns a kept connection that is still sound, else a new one.
 func (p *Pool) take(ctx context.Context, address member.Address) (*conn, error) {
 	for {
@@ -233,9 +260,10 @@
 	}
 }
 
-// reset ends the connection with an attempt that is given up. What was written and is still on
-// its way goes too: after a close in order the server would get it, and begin what nobody waits for
-// any more or what must not begin as late as that. On a full link it came 0.5 s after the close.
+// reset ends the connection with an attempt that is given up. What was written and has not left the
+// box goes too, and what a link holds if it drops a connection that is reset: after a close in order
+// the server would get all of it, and begin what nobody waits for any more, or what must not begin as late
+// as that. On a full link it came 0.5 s after the close. What the server's box has received stays there.
 func (c *conn) reset() {
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		// If it fails the connection has ended already.
--- a/pkg/fleet/view.go
+++ b/pkg/fleet/view.go
@@ -73,10 +73,20 @@
 	return time.Time{}, false
 }
 
-// With returns the versions with another one added.
-func (n Named) With(next WantedSince) Named {
-	last := max(0, len(n)-namedKept+1)
-	return append(slices.Clone(n[last:]), next)
+// With returns the versions with another one added at its place: a process that started between
+// two names learns of the older one after the newer.
+func (n Named) With(added WantedSince) Named {
+	at := len(n)
+	for at > 0 && n[at-1].Version > added.Version {
+		at--
+	}
+	next := slices.Insert(slices.Clone(n), at, added)
+	return next[max(0, len(next)-namedKept):]
+}
+
+// Has reports whether a version is known to have been named.
+func (n Named) Has(version WeightsVersion) bool {
+	return slices.ContainsFunc(n, func(named WantedSince) bool { return named.Version == version })
 }
 
 // Since returns when a version was named; the zero time if that is not known.
--- a/pkg/route/demand.go
+++ b/pkg/route/demand.go
@@ -77,7 +77,7 @@
 
 func (d *Dispatcher) demand(now time.Time) Demand {
 	inTime, late := d.waiting(now)
-	return Demand{Arrivals: d.arrivals.count(now), InTime: inTime, Late: late, Beginning: d.beginning}
+	return Demand{Arrivals: d.arrivals.count(now), InTime: inTime, Late: late, Beginning: len(d.unbegun)}
 }
 
 // PeerDemand takes what another entry box is asked for.
--- a/pkg/route/dispatch.go
+++ b/pkg/route/dispatch.go
@@ -91,8 +91,9 @@
 	random func() float64
 	// self is the name of this box.
 	self member.BoxID
-	// beginning is how many requests hold a place here whose answers have not begun.
-	beginning int
+	// unbegun are the requests that hold a place here whose answers have not begun, those included whose
+	// servers are no longer listed.
+	unbegun map[*Reservation]struct{}
 	// changes counts what may change the census.
 	changes uint64
 	census  census
@@ -119,7 +120,7 @@
 		options.Random = rand.Float64
 	}
 	return &Dispatcher{
-		backends: make(map[fleet.ServerID]*backend), peers: newPeerLoads(), demands: peerDemands{boxes: make(map[member.BoxID]peerDemand)}, boxes: 1,
+		backends: make(map[fleet.ServerID]*backend), unbegun: make(map[*Reservation]struct{}), peers: newPeerLoads(), demands: peerDemands{boxes: make(map[member.BoxID]peerDemand)}, boxes: 1,
 		usual: options.Usual, first: options.First, engine: options.Engine, random: options.Random, self: options.Box, swapTime: usualSwapTime,
 	}
 }
@@ -176,6 +177,8 @@
 	defer d.mu.Unlock()
 	d.changes++
 	changed := d.required != versions.Required
+	// Only a service whose servers need weights has versions, as a service may from some moment on.
+	d.engine = true
 	d.required, d.preferred, d.newest = versions.Required, versions.Preferred, versions.Newest
 	d.giveUpOlder(versions.Begun)
 	if changed {
@@ -185,14 +188,9 @@
 
 // giveUpOlder gives up the requests whose answers have not begun on weights older than a version.
 func (d *Dispatcher) giveUpOlder(begun fleet.WeightsVersion) {
-	if !d.engine || begun == 0 {
-		return
-	}
-	for _, b := range d.order {
-		for place := range b.awaiting {
-			if place.Version < begun && place.giveUp != nil {
-				place.giveUp()
-			}
+	for place := range d.unbegun {
+		if place.Version < begun && place.giveUp != nil {
+			place.giveUp()
 		}
 	}
 }
@@ -368,7 +366,7 @@
 		Server: b.server, Version: version, dispatcher: d, backend: b, since: now, reading: ask.Reading,
 		readAhead: d.load(b, now).Reading,
 	}
-	d.beginning++
+	d.unbegun[place] = struct{}{}
 	d.changes++
 	d.census.free--
 	b.own.Requests++
--- a/pkg/route/forecast.go
+++ b/pkg/route/forecast.go
@@ -149,6 +149,6 @@
 // as answers that have begun end; those that first requests need within the time that one
 // is held must be freed by then, so no more answers than the others may be beginning.
 func (d *Dispatcher) hasLatePlace(now time.Time) bool {
-	beginning := d.beginning + d.peersDemand(now).Beginning
+	beginning := len(d.unbegun) + d.peersDemand(now).Beginning
 	return float64(beginning+1) <= float64(d.places(now))-d.firstPlaces(now)
 }
--- a/pkg/route/queue.go
+++ b/pkg/route/queue.go
@@ -188,7 +188,7 @@
 	}
 	return &BusyError{
 		Waiting: len(d.queue), WaitingElsewhere: peers.Late, Late: ask.isLate(now), Left: left,
-		Places: d.places(now), Needed: d.firstPlaces(now), Beginning: d.beginning + peers.Beginning,
+		Places: d.places(now), Needed: d.firstPlaces(now), Beginning: len(d.unbegun) + peers.Beginning,
 		RetryAfter: min(wait+jitter, longest),
 	}
 }
--- a/pkg/route/reservation.go
+++ b/pkg/route/reservation.go
@@ -136,7 +136,7 @@
 func (r *Reservation) begun() {
 	if _, awaited := r.backend.awaiting[r]; awaited {
 		delete(r.backend.awaiting, r)
-		r.dispatcher.beginning--
+		delete(r.dispatcher.unbegun, r)
 		r.backend.own.Reading -= r.reading
 	}
 }
