test: a request without a key is not let in by a key that can't be read

Cause: a key of an organisation that is a number or an object is decoded into the empty key. A request without Authorization has that key too, and passes as the organisation, whatever its route. Seen end to end: the store's answer, the view, admit. Ruled out: that the failed decoding takes the organisation off (only its one field is passed over).

--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -37,3 +37,13 @@
 	route("llm", KindOnce, false)
 	require.False(t, EmptyView().WithConfiguration(configuration.ServicesOnly(), 8).Resumable("llm"), "one route that can't go on counts")
 }
+
+// A caller without a key has the empty one, and passed as the organisation that held it.
+func TestAnEmptyKeyNamesNobody(t *testing.T) {
+	view := EmptyView().WithConfiguration(&Configuration{Organisations: []Organisation{{Name: "kumiai", Keys: []APIKey{"", "k"}}}}, 3)
+	_, known := view.Organisation("")
+	require.False(t, known)
+	organisation, known := view.Organisation("k")
+	require.True(t, known)
+	require.EqualValues(t, "kumiai", organisation.Name)
+}
