fix: a request without a key is let in by no organisation

An empty key, from whatever source, was a key like any other in the view, and the platform's reader made one of each key that it could not read. Ruled out: admit itself; it asks the view rightly. Change: in the view an empty key names nobody.

--- a/pkg/fleet/view.go
+++ b/pkg/fleet/view.go
@@ -128,7 +128,10 @@
 	for i := range configuration.Organisations {
 		organisation := &configuration.Organisations[i]
 		for _, key := range organisation.Keys {
-			next.organisations[key] = organisation
+			// A request without a key has the empty one.
+			if key != "" {
+				next.organisations[key] = organisation
+			}
 		}
 	}
 	for i := range configuration.Services {
@@ -171,7 +174,7 @@
 	return nil, false
 }
 
-// Organisation returns who holds a key.
+// Organisation returns who holds a key; nobody holds the empty one.
 func (v *View) Organisation(key APIKey) (*Organisation, bool) {
 	organisation, ok := v.organisations[key]
 	return organisation, ok
