fix: a part of the configuration that can't be read stays as it was, alone

Cause: routes, services or organisations of another type than a list made the whole configuration unreadable: the older one stayed, with keys and routes that the operators had taken away. Beside it a route whose host or path could not be read had an empty one, and began every path of its host, for callers without a key too if it was public. Ruled out: limits of another type, which were read as none and left the box's own bound. Change: the configuration tells which parts could not be read (Unread). Each box keeps what it knew of these, and of limits each field that is missing; all else is in force as written. The box that reads the store logs the finding, every box a line when it takes such a configuration. A route or a key that isn't found where a part can't be read is refused with 503 for now, not denied: it may stand there; without any key it stays 401.

--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -90,12 +90,12 @@
 	x.configuration = view.Configuration.Version
 	var ok bool
 	if x.route, ok = view.Route(hostOf(x.request), x.request.URL.EscapedPath()); !ok {
-		f.reject(x, http.StatusNotFound, "no-route")
+		f.denyUnlessUnread(x, http.StatusNotFound, "no-route", view.Configuration.Unread.Routes)
 		return false
 	}
 	if len(view.Configuration.Organisations) > 0 && !x.route.Public {
 		if x.organisation, ok = view.Organisation(x.Key); !ok {
-			f.reject(x, http.StatusUnauthorized, "unknown-key")
+			f.denyUnlessUnread(x, http.StatusUnauthorized, "unknown-key", view.Configuration.Unread.Organisations && x.Key != "")
 			return false
 		}
 	}
@@ -103,6 +103,17 @@
 	return true
 }
 
+// denyUnlessUnread rejects a request for what the configuration does not have. Where it may
+// be in a part that could not be read, the request is refused for now: a caller who is denied
+// something does not come back.
+func (f *Front) denyUnlessUnread(x *exchange, status int, reason string, unread bool) {
+	if unread {
+		f.refuse(x, "configuration-unread", max(noConfigurationWait, x.Deadline/3))
+		return
+	}
+	f.reject(x, status, reason)
+}
+
 // awaitConfiguration returns what is believed, once a configuration is known or the
 // request has waited for one for long enough. A box that has just started reads one
 // within a few round trips, and seconds later if the store is away too.
--- a/internal/direct/facts.go
+++ b/internal/direct/facts.go
@@ -330,7 +330,11 @@
 	}
 	f.log.Info().Uint64("version", fact.Configuration.Version).Uint64("revision", uint64(fact.Revision)).Str("from", from).
 		Int("routes", len(fact.Configuration.Routes)).Int("organisations", len(fact.Configuration.Organisations)).Msg("configuration in force")
-	return view.WithConfiguration(fact.Configuration, fact.Revision)
+	if unread := fact.Configuration.Unread; unread != (fleet.Unread{}) {
+		f.log.Error().Uint64("version", fact.Configuration.Version).Bool("routes", unread.Routes).Bool("services", unread.Services).
+			Bool("organisations", unread.Organisations).Bool("limits", unread.Limits).Msg("parts of the configuration that can't be read stay as they were")
+	}
+	return view.WithConfiguration(fact.Configuration.Over(held), fact.Revision)
 }
 
 func (f *Facts) takeServer(fact *fleet.Fact, from string, log *zerolog.Logger) {
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -16,6 +16,7 @@
 package fleet
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/cinderslip/cinderslip/pkg/member"
@@ -175,6 +176,43 @@
 	Services      []Service      `cbor:"3,keyasint"`
 	Organisations []Organisation `cbor:"4,keyasint"`
 	Limits        Limits         `cbor:"5,keyasint"`
+	// Unread are the parts that could not be read, or not whole.
+	Unread Unread `cbor:"6,keyasint"`
+}
+
+// Unread tells which parts of a configuration could not be read. What is missing there may
+// have been written all the same.
+type Unread struct {
+	Routes        bool `cbor:"1,keyasint,omitempty"`
+	Services      bool `cbor:"2,keyasint,omitempty"`
+	Organisations bool `cbor:"3,keyasint,omitempty"`
+	Limits        bool `cbor:"4,keyasint,omitempty"`
+}
+
+// Over returns the configuration with the parts that could not be read as they stood before:
+// neither does it refuse everybody for one of them, nor does it open what was closed.
+func (c *Configuration) Over(before *Configuration) *Configuration {
+	if before == nil || c.Unread == (Unread{}) {
+		return c
+	}
+	filled := *c
+	if c.Unread.Routes {
+		filled.Routes = before.Routes
+	}
+	if c.Unread.Services {
+		filled.Services = before.Services
+	}
+	// Without organisations no key is asked for; those that can't be read were written.
+	if c.Unread.Organisations && len(before.Organisations) > 0 {
+		filled.Organisations = before.Organisations
+	}
+	if c.Unread.Limits {
+		filled.Limits = Limits{
+			HeaderBytes: cmp.Or(c.Limits.HeaderBytes, before.Limits.HeaderBytes), BodyBytes: cmp.Or(c.Limits.BodyBytes, before.Limits.BodyBytes),
+			HeaderTimeout: cmp.Or(c.Limits.HeaderTimeout, before.Limits.HeaderTimeout), IdleTimeout: cmp.Or(c.Limits.IdleTimeout, before.Limits.IdleTimeout),
+		}
+	}
+	return &filled
 }
 
 // ServicesOnly returns what a process needs that serves no callers: the services, and
@@ -186,7 +224,7 @@
 		kind      RouteKind
 		resumable bool
 	}
-	reduced := &Configuration{Version: c.Version, Services: c.Services}
+	reduced := &Configuration{Version: c.Version, Services: c.Services, Unread: c.Unread}
 	seen := make(map[way]bool)
 	for i := range c.Routes {
 		route := &c.Routes[i]
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -47,3 +47,19 @@
 	require.True(t, known)
 	require.EqualValues(t, "kumiai", organisation.Name)
 }
+
+// An agent that is told services which could not be read keeps those that it knows.
+func TestAgentsAreToldWhatCouldNotBeRead(t *testing.T) {
+	before := &Configuration{Version: 4, Services: []Service{{Name: "llm", MaxConnections: 9}}}
+	unread := &Configuration{Version: 5, Unread: Unread{Services: true}}
+	whole, err := (&Fact{Key: ConfigurationKey(), Revision: 7, Configuration: unread}).Item()
+	require.NoError(t, err)
+	reduced, err := ServicesOnly(whole)
+	require.NoError(t, err)
+	told, err := FactOf(reduced)
+	require.NoError(t, err)
+	filled := told.Configuration.Over(before)
+	require.EqualValues(t, 5, filled.Version)
+	require.Equal(t, before.Services, filled.Services)
+	require.Empty(t, told.Configuration.Services, "what was told is left as it is")
+}
