test: the order of events once the store is back from a silence

Cause: the order of events that a record gives, deletions of servers whose entries ran out, five configurations and the servers that come back among them, heard from three sides at once, was held by trials alone. On the code as it stands the order of events refuses no key.

--- a/internal/direct/order_test.go
+++ b/internal/direct/order_test.go
@@ -1,6 +1,9 @@
 package direct
 
 import (
+	"fmt"
+	"slices"
+	"sync"
 	"testing"
 
 	"github.com/jonboulle/clockwork"
@@ -59,3 +62,142 @@
 		require.Empty(t, facts.View().Servers("llm"))
 	}
 }
+
+// The same the other way round: a server that was back stayed gone until it wrote its entry anew.
+func TestAServerThatIsBackAtTheMomentOfItsDeletionIsBelieved(t *testing.T) {
+	for range interleavings / 6 {
+		facts := NewFacts(clockwork.NewFakeClock(), zerolog.Nop(), NewMetrics())
+		interleaved(
+			facts.mu.Lock, facts.mu.Unlock,
+			func() { facts.Apply([]fleet.Fact{gone()}, "store") }, func() { facts.Apply([]fleet.Fact{listed("a", 9)}, "entry-2") },
+		)
+		require.Len(t, facts.View().Servers("llm"), 1)
+	}
+}
+
+// keyedBy is a configuration in which each version up to its own has added a key.
+func keyedBy(version uint64, revision fleet.Revision) fleet.Fact {
+	organisation := fleet.Organisation{Name: "kumiai"}
+	for v := uint64(1); v <= version; v++ {
+		organisation.Keys = append(organisation.Keys, fleet.APIKey(fmt.Sprint("k", v)))
+	}
+	return fleet.Fact{Key: fleet.ConfigurationKey(), Revision: revision, Configuration: &fleet.Configuration{
+		Version: version, Services: []fleet.Service{{Name: "llm"}}, Organisations: []fleet.Organisation{organisation},
+	}}
+}
+
+// Two batches of configurations come from two sides at the same moment: the key that the newest
+// one adds counts, whichever batch is taken last.
+func TestOfTwoBatchesOfConfigurationsTheNewestIsInForce(t *testing.T) {
+	for range interleavings / 6 {
+		facts := NewFacts(clockwork.NewFakeClock(), zerolog.Nop(), NewMetrics())
+		interleaved(
+			facts.mu.Lock, facts.mu.Unlock,
+			func() { facts.Apply([]fleet.Fact{keyedBy(1, 4), keyedBy(2, 5)}, "entry-2") },
+			func() { facts.Apply([]fleet.Fact{keyedBy(3, 8), keyedBy(4, 9)}, "store") },
+		)
+		_, known := facts.View().Organisation("k4")
+		require.True(t, known)
+	}
+}
+
+// returnOfTheStore is what is told once the store is back from a silence in which entries ran out:
+// their deletions, and five configurations with the servers that come back among them.
+func returnOfTheStore() []fleet.Fact {
+	deleted := func(id fleet.ServerID, revision fleet.Revision) fleet.Fact {
+		return fleet.Fact{Key: fleet.ServerKey(id), Revision: revision, Gone: true}
+	}
+	return []fleet.Fact{
+		deleted("a", 50), deleted("b", 51), deleted("c", 52), keyedBy(2, 64), keyedBy(3, 65), listed("a", 66),
+		keyedBy(4, 67), keyedBy(5, 68), listed("b", 69), keyedBy(6, 71), listed("c", 72),
+	}
+}
+
+// watchForSteps counts how often the view goes back to an older configuration, until it is ended.
+func watchForSteps(facts *Facts) (end func() (back int)) {
+	stop, back := make(chan struct{}), make(chan int)
+	go func() {
+		steps, newest := 0, uint64(0)
+		for {
+			version := facts.View().Configuration.Version
+			if version < newest {
+				steps++
+			}
+			newest = max(newest, version)
+			select {
+			case <-stop:
+				back <- steps
+				return
+			default:
+			}
+		}
+	}()
+	return func() int {
+		close(stop)
+		return <-back
+	}
+}
+
+// hearAtOnce lets a box hear of all that the store tells after its return from another box, and at
+// the same moment of the part before a place from the store and of the rest from a third box.
+func hearAtOnce(facts *Facts, try int) {
+	told := returnOfTheStore()
+	cut := 1 + try%(len(told)-1)
+	var begun, heard sync.WaitGroup
+	begun.Add(3)
+	facts.mu.Lock()
+	for from, batches := range map[string][][]fleet.Fact{
+		"entry-2": {told},
+		"store":   slices.Collect(slices.Chunk(told[:cut], 1+try%3)),
+		"entry-3": slices.Collect(slices.Chunk(told[cut:], 1+try%2)),
+	} {
+		heard.Go(func() {
+			begun.Done()
+			for _, batch := range batches {
+				facts.Apply(batch, from)
+			}
+		})
+	}
+	begun.Wait()
+	for range 20000 {
+		// The calls need some microseconds to come to the lock.
+		_ = told
+	}
+	facts.mu.Unlock()
+	heard.Wait()
+}
+
+// tries play each place and each size of batches three times.
+const tries = 180
+
+// knowingThree is a box that knew three servers and a configuration before the store fell silent.
+func knowingThree() *Facts {
+	facts := NewFacts(clockwork.NewFakeClock(), zerolog.Nop(), NewMetrics())
+	facts.Apply([]fleet.Fact{listed("a", 3), listed("b", 4), listed("c", 5), keyedBy(1, 6)}, "store")
+	return facts
+}
+
+// The store was back after a silence, and two boxes refused keys that it had confirmed seconds
+// before. From whatever sides the news comes at once, the newest configuration is in force.
+func TestOfAllThatIsHeardOnceTheStoreIsBackTheNewestKeysCount(t *testing.T) {
+	for try := range tries {
+		facts := knowingThree()
+		end := watchForSteps(facts)
+		hearAtOnce(facts, try)
+		require.Zero(t, end(), "try %d: the view went back", try)
+		require.Equal(t, fleet.Revision(72), facts.Extent().Newest)
+		for version := 1; version <= 6; version++ {
+			_, known := facts.View().Organisation(fleet.APIKey(fmt.Sprint("k", version)))
+			require.True(t, known, "try %d: the key of version %d is refused", try, version)
+		}
+	}
+}
+
+// The same of the servers whose entries had run out: all that come back are believed again.
+func TestOfAllThatIsHeardOnceTheStoreIsBackNoServerIsMissed(t *testing.T) {
+	for try := range tries {
+		facts := knowingThree()
+		hearAtOnce(facts, try)
+		require.Len(t, facts.View().Servers("llm"), 3, "try %d", try)
+	}
+}
