--- a/internal/direct/bar_test.go
+++ b/internal/direct/bar_test.go
@@ -369,7 +369,9 @@
 			return
 		}
 		go func() {
-			_ = <-link.ended
+			if err := <-link.ended; err == nil {
+				return
+			}
 			w.facts.Apply([]fleet.Fact{swapped}, "store")
 			w.adjust()
 		}()
