--- a/internal/direct/ages.go
+++ b/internal/direct/ages.go
@@ -40,20 +40,12 @@
 	return ages
 }
 
-// versionsKnown is how many versions were ever heard of as they were named, or told by one who
-// had; when it changes, others are told of the ages.
+// versionsKnown changes with every version that is heard of and every age that is corrected; others
+// are told of the ages then. The number of versions would not do, as only the last are kept.
 func (f *Facts) versionsKnown() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	known := 0
-	for _, named := range f.wanted {
-		for _, version := range named {
-			if version.Witnessed {
-				known++
-			}
-		}
-	}
-	return known
+	return f.ageNews
 }
 
 // LearnVersions takes what another process tells of the versions that it heard of as they were
@@ -80,10 +72,11 @@
 func (f *Facts) learnVersion(age fleet.VersionAge, from string) bool {
 	now, named := f.clock.Now(), f.wanted[age.Model]
 	since := now.Add(-age.Age)
-	if !named.Has(age.Version) {
+	if named.Lacks(age.Version) {
 		// Also one that is older than the newest: it bars those before it sooner than the newest does.
 		// The store holds only the newest name, so a box that started after two of them, 4 s after each other,
 		// barred the first weights 4 s late.
+		f.ageNews++
 		f.wanted[age.Model] = named.With(fleet.WantedSince{Version: age.Version, Since: since, Witnessed: true})
 		f.log.Info().Str("model", string(age.Model)).Uint64("version", uint64(age.Version)).Dur("age_ms", age.Age).Str("from", from).Msg("weights wanted")
 		return true
@@ -92,6 +85,7 @@
 	if ok {
 		f.log.Info().Str("model", string(age.Model)).Uint64("version", uint64(age.Version)).Dur("age_ms", age.Age).
 			Dur("believed_ms", now.Sub(named.Since(age.Version))).Str("from", from).Msg("age of wanted weights corrected")
+		f.ageNews++
 		f.wanted[age.Model] = corrected
 	}
 	return ok
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -315,7 +315,7 @@
 		f.ended(x, place, route.ResultAbandoned, err)
 		return outcomeGone, err
 	}
-	if isGivenUp(err) && !upstream.MayHaveRun(err) {
+	if (errors.Is(err, errBarred) || errors.Is(err, errNotBegun)) && !upstream.MayHaveRun(err) {
 		// The box itself kept it from being sent, so the server is none the worse for it.
 		f.ended(x, place, route.ResultAbandoned, err)
 		return outcomeNotRun, err
--- a/internal/direct/bar_test.go
+++ b/internal/direct/bar_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -341,6 +342,20 @@
 	await(t, done)
 }
 
+// A server whose box has no power is found by connections that do not come about; the box left it in use
+// when an attempt without progress, which was to be dialled still, had gone on elsewhere.
+func TestAServerThatCannotBeConnectedToIsLeftAloneAlsoIfTheAttemptWentOnElsewhere(t *testing.T) {
+	for reason, unreachable := range map[error]int{errNoProgress: 1, errNotBegun: 0, errBarred: 0} {
+		w := newBarWorld(t, "a:1")
+		x := w.request()
+		place, err := w.front.acquire(t.Context(), x, nil)
+		require.NoError(t, err)
+		result, _ := w.front.sendFailed(x, place, fmt.Errorf("%w: %w", reason, upstream.ErrNotSent))
+		require.Equal(t, outcomeNotRun, result)
+		require.Equal(t, unreachable, x.unreachable, reason)
+	}
+}
+
 // A service whose engine was configured later than its servers came was never asked for its weights.
 func TestWeightsAreBarredOfAServiceThatIsAnEngineLater(t *testing.T) {
 	w := newBarWorld(t, "a:1")
--- a/internal/direct/facts.go
+++ b/internal/direct/facts.go
@@ -58,6 +58,8 @@
 	changed chan struct{}
 	servers map[fleet.ServerID]listing
 	wanted  map[fleet.ModelName]fleet.Named
+	// ageNews goes up with each version that is heard of and each age that is corrected.
+	ageNews int
 	// newest is the newest revision of any fact, complete the one up to which all were read,
 	// those included that are held back.
 	newest, complete fleet.Revision
@@ -73,9 +75,6 @@
 	// failures how many they are; zero while it answers.
 	lostSince time.Time
 	failures  int
-	// deafSince is since when changes of the store may have been written that are read only now;
-	// zero while they are read as they are written.
-	deafSince time.Time
 	// returned is when the store answered after it had been away for so long that entries
 	// may have lapsed.
 	returned time.Time
@@ -188,16 +187,10 @@
 	}
 }
 
-// storeAnswered notes an answer. Late is set if changes may be in it that were written since the
-// answer before: of a whole reading, or after calls that were not answered.
-func (f *Facts) storeAnswered(late bool) {
+func (f *Facts) storeAnswered() {
 	f.mu.Lock()
 	now := f.clock.Now()
 	regained, away, failures := !f.lostSince.IsZero(), now.Sub(f.lostSince), f.failures
-	f.deafSince = time.Time{}
-	if late || regained {
-		f.deafSince = f.answered
-	}
 	f.answered, f.lostSince, f.failures = now, time.Time{}, 0
 	if regained && away >= lapseLeast {
 		f.returned = now
@@ -264,8 +257,12 @@
 	return gone
 }
 
-// Apply merges facts. Older ones than those held change nothing.
-func (f *Facts) Apply(facts []fleet.Fact, from string) {
+// Apply merges facts that were read from the store as they were written. Older ones than those
+// held change nothing.
+func (f *Facts) Apply(facts []fleet.Fact, from string) { f.merge(f.itemsOf(facts), from, true) }
+
+// itemsOf returns facts in their replicated form.
+func (f *Facts) itemsOf(facts []fleet.Fact) []state.Item {
 	items := make([]state.Item, 0, len(facts))
 	for i := range facts {
 		item, err := facts[i].Item()
@@ -275,9 +272,13 @@
 		}
 		items = append(items, item)
 	}
-	f.merge(items, from, true)
+	return items
 }
 
+// ApplyFirst is Apply for the first reading of the store: what is there was written at any time
+// before, also if another process has told a configuration meanwhile.
+func (f *Facts) ApplyFirst(facts []fleet.Fact, from string) { f.merge(f.itemsOf(facts), from, false) }
+
 // factsLogged is how many servers' entries have a log line each when they come together. A process
 // that starts hears of thousands at once, and so does each of thousands.
 const factsLogged = 16
@@ -483,12 +484,10 @@
 		return
 	}
 	since := f.clock.Now()
-	switch {
-	case !witnessed:
+	if !witnessed {
 		since = since.Add(-f.restartAge)
-	case !f.deafSince.IsZero():
-		since = f.deafSince
 	}
+	f.ageNews++
 	f.wanted[model] = named.With(fleet.WantedSince{
 		Version: fact.Wanted.Version, Revision: fact.Revision, Since: since, Witnessed: witnessed,
 	})
--- a/internal/direct/reader.go
+++ b/internal/direct/reader.go
@@ -125,8 +125,9 @@
 		r.after = 0
 		return
 	}
-	f.storeAnswered(answer.whole || answer.began.Sub(f.Answered()) > latePauses*r.times.gather)
-	r.take(&answer)
+	isFirst := f.Answered().IsZero()
+	f.storeAnswered()
+	r.take(&answer, isFirst)
 	if len(answer.got.Facts) > 0 && !answer.whole && !r.spare(f.clock.Now()) {
 		sleep(ctx, f.clock, r.times.gather)
 	}
@@ -137,10 +138,6 @@
 // of 0.45 s after its name.
 const readsAtOnce = 4
 
-// latePauses is after how many of the pauses between two calls a call counts as late: the box did not
-// read the store meanwhile, and what it hears now may have been written since.
-const latePauses = 2
-
 // spare reports whether the next call need not wait for more changes: few came lately.
 func (r *storeReader) spare(now time.Time) bool {
 	if r.sparedAt.IsZero() {
@@ -236,8 +233,8 @@
 	r.facts.storeLost(answer.call, answer.began, answer.err)
 }
 
-// take takes what a call has read.
-func (r *storeReader) take(answer *storeAnswer) {
+// take takes what a call has read, the first one of the process or a later one.
+func (r *storeReader) take(answer *storeAnswer, isFirst bool) {
 	f, got := r.facts, answer.got
 	f.metrics.storeCalls.WithLabelValues(answer.call, "done").Inc()
 	if answer.whole || len(got.Facts) > 0 {
@@ -248,7 +245,11 @@
 	if answer.whole {
 		got.Facts = append(got.Facts, f.missing(got)...)
 	}
-	f.Apply(f.holdLapsed(got.Facts), "store")
+	apply := f.Apply
+	if isFirst {
+		apply = f.ApplyFirst
+	}
+	apply(f.holdLapsed(got.Facts), "store")
 	f.CompleteUpTo(got.At)
 	r.after = max(r.after, got.At)
 }
--- a/pkg/fleet/view.go
+++ b/pkg/fleet/view.go
@@ -84,9 +84,12 @@
 	return next[max(0, len(next)-namedKept):]
 }
 
-// Has reports whether a version is known to have been named.
-func (n Named) Has(version WeightsVersion) bool {
-	return slices.ContainsFunc(n, func(named WantedSince) bool { return named.Version == version })
+// Lacks reports whether a version is not among those that were named and would be kept with them.
+func (n Named) Lacks(version WeightsVersion) bool {
+	if len(n) == namedKept && version < n[0].Version {
+		return false
+	}
+	return !slices.ContainsFunc(n, func(named WantedSince) bool { return named.Version == version })
 }
 
 // Since returns when a version was named; the zero time if that is not known.
