feat(direct): logs and metrics tell what backend servers say of themselves

Ruled out meanwhile: that it is read anywhere (a search of the code finds neither name). Change: the adapter reads both words of an answer's head, of 503 and 429 for rest; every head that comes on a connection is looked at, interim ones and answers to other requests too; a line and a count each. No decision changes. Conclusion: what a server asked for now stands in the log beside the request that heard it.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -292,6 +292,7 @@
 			}
 			return nil
 		},
+		Heard: func(head *http.Response) { f.heard(x, place, head) },
 	}
 	if service := f.facts.View().Service(x.service); service != nil && service.Engine != nil && len(service.Engine.Models) > 0 {
 		out.Priority = f.priority(x)
--- a/internal/provider/fleet.go
+++ b/internal/provider/fleet.go
@@ -126,6 +126,13 @@
 	OtherServer bool
 	// Signed is set when the answer bears the server's signature.
 	Signed bool
+	// Leaving is set when the server says that it will end.
+	Leaving bool
+	// Rest is for how long the server wants nothing more from this box; 0 if it does not say, never
+	// below. It may be as long as a duration can be.
+	Rest time.Duration
+	// Unread is what the answer says about the server and could not be read; nil if nothing.
+	Unread error
 }
 
 // CallerProtocol is how callers and backend servers mark their messages.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -147,6 +147,10 @@
 	// Check is asked once there is a connection, which may take as long as dialTimeout; an error
 	// keeps the request from being sent. nil if it may be sent in any case.
 	Check func() error
+	// Heard is called with the head of every answer that the server gives while the attempt lasts, also an
+	// interim one and one to another request: what a server says of itself holds whatever becomes of the
+	// request. It must not block nor read the body. nil if nobody listens.
+	Heard func(head *http.Response)
 }
 
 // Send makes one attempt and returns the answer's head. The answer must be
@@ -315,7 +319,7 @@
 // readOwn reads the answer to the request, past answers to other ones.
 func (c *conn) readOwn(request *Request) (*http.Response, error) {
 	for range strayAnswers + 1 {
-		response, err := c.readFinal(request.Method)
+		response, err := c.readFinal(request)
 		if err != nil {
 			return nil, err
 		}
@@ -330,12 +334,15 @@
 }
 
 // readFinal reads past interim answers (RFC 9110, section 15.2).
-func (c *conn) readFinal(method string) (*http.Response, error) {
+func (c *conn) readFinal(request *Request) (*http.Response, error) {
 	for {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
 		if err != nil {
 			return nil, err
 		}
+		if request.Heard != nil {
+			request.Heard(response)
+		}
 		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
 			return response, nil
 		}
