--- a/internal/direct/world_test.go
+++ b/internal/direct/world_test.go
@@ -50,6 +50,9 @@
 	loaded    map[string]*settings.Settings
 	entries   []string
 
+	// asked numbers the requests of commands that make several.
+	asked atomic.Int64
+
 	mu      sync.Mutex
 	streams map[string]chan error
 }
@@ -270,7 +273,7 @@
 }
 
 // cmdStore sets a fault or forgets the history: store refuse, store sound, store
-// compact, store remove SERVER, store draining SERVER.
+// compact, store remove SERVER, store draining SERVER, store ready SERVER.
 func (w *world) cmdStore(args []string) error {
 	switch args[0] {
 	case "sound":
@@ -279,9 +282,9 @@
 		w.store.Compact()
 	case "remove":
 		w.store.Remove("servers/" + w.servers[args[1]].id)
-	case "draining":
+	case "draining", "ready":
 		s := w.servers[args[1]]
-		w.store.Put("servers/"+s.id, s.Entry(s.service, s.address, "hall-a", true))
+		w.store.Put("servers/"+s.id, s.Entry(s.service, s.address, "hall-a", args[0] == "draining"))
 	default:
 		w.store.SetFault(standin.Fault(args[0]))
 	}
@@ -290,13 +293,18 @@
 
 // cmdServer sets a server's fault: server model-1 cut=4, server plain-1 status=500,
 // server plain-1 mute, server plain-1 dead, server model-1
-// restart=i-new, server model-1 restart=same.
+// restart=i-new, server model-1 restart=same, server model-1 leaving, server plain-1 rest=5 (the time that
+// it wants to be left alone for, as it writes it).
 func (w *world) cmdServer(args []string) error {
 	s, given := w.servers[args[0]], options(args[1:])
 	s.CutAt(number(given["cut"], 0))
 	s.Fail(number(given["status"], 0))
 	_, mute := given["mute"]
 	s.Mute(mute)
+	if _, leaving := given["leaving"]; leaving {
+		s.Leave(true)
+	}
+	s.Rest(given["rest"])
 	if _, dead := given["dead"]; dead {
 		return w.stopServing(s.address)
 	}
@@ -450,7 +458,8 @@
 }
 
 // cmdAwait waits for a condition: await ready entry-1, await version 2, await
-// status entry-1 /look/1 key-2 401, await stream entry-1, await directory entry-1 3.
+// status entry-1 /look/1 key-2 401, await stream entry-1, await directory entry-1 3, await
+// used entry-1 plain-1 /look/1 (a request is answered by that server).
 func (w *world) cmdAwait(args []string) error {
 	switch args[0] {
 	case "ready":
@@ -472,6 +481,8 @@
 			tries++
 			return w.cmdAsk([]string{args[1], fmt.Sprintf("await-%s-%d", args[4], tries), args[2], args[3], args[4]})
 		})
+	case "used":
+		return w.await(func() error { return w.isUsed(args[1], args[2], args[3]) })
 	case "stream":
 		tries := 0
 		return w.await(func() error {
