fix(direct): a server that says in an answer that it leaves is left alone for good

Cause: what a backend server says of itself in an answer was read for the fate of that request and forgotten with it; a box heard of leaving from the store's entries alone, which told nothing while the store was silent. Ruled out: that the word was read and lost (no code named it, the pace to the server did not change), requests chosen before (they went on for 6 s). Change: the word is kept beside the entries, for the start of the server that gave it; no entry takes it back, a later start ends it at once, also if only an agent has heard of it. It is heard in every head on a connection, and by the agent from its own server. Entry boxes and agents tell it on. The view marks the server as leaving, so places, forecasts, cells and swaps follow; a place is checked once more before the first byte. A server that leaves gets no newer weights. Weighed and not built: a last resort where all servers of a service leave, at most 1.5 s of service against a path that sends to servers which said not to.

--- a/internal/direct/agentfacts.go
+++ b/internal/direct/agentfacts.go
@@ -152,6 +152,7 @@
 	// The ages first: a name without one counts as an old one.
 	f.facts.LearnVersions(agesFromWire(batch.Ages), entry)
 	f.facts.ApplyItems(itemsFromWire(batch.Items), entry)
+	f.facts.LearnDepartures(departuresFromWire(batch.Departures), entry)
 	if len(batch.Entries) > 0 && !isMoving {
 		f.known = batch.Entries
 	}
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -290,7 +290,7 @@
 			if f.isBarred(x.service, place) {
 				return errBarred
 			}
-			return nil
+			return place.Check(f.clock.Now())
 		},
 		Heard: func(head *http.Response) { f.heard(x, place, head) },
 	}
@@ -316,7 +316,7 @@
 		f.ended(x, place, route.ResultAbandoned, err)
 		return outcomeGone, err
 	}
-	if (errors.Is(err, errBarred) || errors.Is(err, errNotBegun)) && !upstream.MayHaveRun(err) {
+	if isHeldBack(err) && !upstream.MayHaveRun(err) {
 		// The box itself kept it from being sent, so the server is none the worse for it.
 		f.ended(x, place, route.ResultAbandoned, err)
 		return outcomeNotRun, err
@@ -333,6 +333,11 @@
 	return outcomeUnknown, err
 }
 
+// isHeldBack reports whether the box itself kept an attempt from being sent, or ended it.
+func isHeldBack(err error) bool {
+	return errors.Is(err, errBarred) || errors.Is(err, errNotBegun) || errors.Is(err, route.ErrLeaving)
+}
+
 // ended releases the place and notes the attempt.
 func (f *Front) ended(x *exchange, place *route.Reservation, result route.Result, err error) {
 	now := f.clock.Now()
--- /dev/null
+++ b/internal/direct/departures.go
@@ -0,0 +1,188 @@
+package direct
+
+import (
+	"slices"
+
+	"github.com/cinderslip/cinderslip/internal/wire"
+	"github.com/cinderslip/cinderslip/pkg/fleet"
+	"github.com/cinderslip/cinderslip/pkg/member"
+)
+
+// A backend server that will end says so in its entry in the platform's store, and in all its answers.
+// The entry may tell it late or never: while the store was silent one server got 2 to 5 requests a second
+// for six seconds after its first word. So the word is kept here, beside the entries, for the start of the
+// server that gave it, and told to all processes that may use the server. No entry takes it back: one that
+// says ready may be of before, or written again as the store returns. A later start of the server ends it.
+
+// departuresKept bounds the departures that are kept of servers that are not listed: an entry of before may
+// come back for some seconds after the store has been away, and a fleet replaces fewer meanwhile.
+const departuresKept = 1024
+
+// departure is a server's word that it will end.
+type departure struct {
+	// incarnation is the start of the server that gave it; 0 where the platform does not tell starts.
+	incarnation member.Incarnation
+	// number orders the departures as they were heard of here.
+	number uint64
+}
+
+// departures are the servers that have said in their answers that they will end.
+type departures struct {
+	byServer map[fleet.ServerID]departure
+	// number is that of the newest.
+	number uint64
+	// starts are the starts that agents have told of servers whose entries tell of an earlier one.
+	starts map[fleet.ServerID]member.Incarnation
+}
+
+func newDepartures() departures {
+	return departures{byServer: make(map[fleet.ServerID]departure), starts: make(map[fleet.ServerID]member.Incarnation)}
+}
+
+// isLeaving reports whether a server, as it is listed, has said that it will end.
+func (d *departures) isLeaving(server *fleet.Server) bool {
+	left, ok := d.byServer[server.ID]
+	return ok && max(server.Incarnation, d.starts[server.ID]) <= left.incarnation
+}
+
+// take notes the word of one start of a server, and reports whether it is news.
+func (d *departures) take(told fleet.Departure, isListed func(id fleet.ServerID) bool) bool {
+	known, ok := d.byServer[told.Server]
+	if ok && told.Incarnation <= known.incarnation || told.Incarnation < d.starts[told.Server] {
+		return false
+	}
+	d.number++
+	d.byServer[told.Server] = departure{told.Incarnation, d.number}
+	if len(d.byServer) > departuresKept {
+		d.forget(isListed)
+	}
+	return true
+}
+
+// forget drops the older half of the departures of servers that are not listed.
+func (d *departures) forget(isListed func(id fleet.ServerID) bool) {
+	var unlisted []fleet.ServerID
+	for id := range d.byServer {
+		if !isListed(id) {
+			unlisted = append(unlisted, id)
+		}
+	}
+	slices.SortFunc(unlisted, func(a, b fleet.ServerID) int { return int(d.byServer[a].number) - int(d.byServer[b].number) })
+	for _, id := range unlisted[:len(unlisted)/2] {
+		delete(d.byServer, id)
+	}
+}
+
+// since returns the departures that were heard of after a number of them, the oldest first.
+func (d *departures) since(told uint64) (left []fleet.Departure, now uint64) {
+	if told == d.number {
+		return nil, told
+	}
+	for id, known := range d.byServer {
+		if known.number > told {
+			left = append(left, fleet.Departure{Server: id, Incarnation: known.incarnation})
+		}
+	}
+	slices.SortFunc(left, func(a, b fleet.Departure) int {
+		return int(d.byServer[a.Server].number) - int(d.byServer[b.Server].number)
+	})
+	return left, d.number
+}
+
+// LearnDepartures takes which servers have said that they will end, each for one of its starts, and reports
+// whether any of it is news.
+func (f *Facts) LearnDepartures(told []fleet.Departure, from string) (learned bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, left := range told {
+		if !f.departures.take(left, f.isListed) {
+			continue
+		}
+		learned = true
+		f.log.Info().Str("server", string(left.Server)).Uint64("incarnation", uint64(left.Incarnation)).Bool("listed", f.isListed(left.Server)).
+			Str("from", from).Msg("server has said that it leaves")
+	}
+	if learned {
+		f.publishServers()
+	}
+	return learned
+}
+
+// isListed reports whether a server has an entry. The lock must be held.
+func (f *Facts) isListed(id fleet.ServerID) bool {
+	_, listed := f.servers[id]
+	return listed
+}
+
+// publishServers publishes the servers as they are believed now. The lock must be held.
+func (f *Facts) publishServers() {
+	view := f.View()
+	f.publish(view.WithServers(f.believedServers(view.Configuration)))
+}
+
+// LearnServer takes what the agent beside the server at an address tells of it: which start of the server
+// it hears, and whether that leaves. A start that is later than the entry's ends what was said by the one
+// before at once; the entry may not follow for as long as the store is away. Where the platform does not
+// tell starts nothing is taken: the word could be of the server that had the address before, and the next
+// one would be lost for good.
+func (f *Facts) LearnServer(address member.Address, started member.Incarnation, leaving bool, from string) {
+	if started == 0 {
+		return
+	}
+	f.mu.Lock()
+	var ids []fleet.ServerID
+	began := false
+	for id, server := range f.servers {
+		if server.Address != address || started < server.Incarnation {
+			continue
+		}
+		ids = append(ids, id)
+		if started > max(server.Incarnation, f.departures.starts[id]) && server.Incarnation != 0 {
+			f.departures.starts[id] = started
+			began = true
+			f.log.Info().Str("server", string(id)).Uint64("incarnation", uint64(started)).Uint64("listed", uint64(server.Incarnation)).
+				Str("from", from).Msg("server has started again, its entry tells of before")
+		}
+	}
+	if began {
+		f.publishServers()
+	}
+	f.mu.Unlock()
+	if !leaving {
+		return
+	}
+	for _, id := range ids {
+		f.LearnDepartures([]fleet.Departure{{Server: id, Incarnation: started}}, from)
+	}
+}
+
+// DeparturesSince returns the departures that were heard of after a number of them, and how many there are
+// now.
+func (f *Facts) DeparturesSince(told uint64) (left []fleet.Departure, now uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.departures.since(told)
+}
+
+// departuresKnown goes up with each departure that is heard of.
+func (f *Facts) departuresKnown() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.departures.number
+}
+
+func departuresToWire(left []fleet.Departure) []*wire.Departure {
+	told := make([]*wire.Departure, 0, len(left))
+	for _, d := range left {
+		told = append(told, &wire.Departure{Server: string(d.Server), Incarnation: uint64(d.Incarnation)})
+	}
+	return told
+}
+
+func departuresFromWire(told []*wire.Departure) []fleet.Departure {
+	left := make([]fleet.Departure, 0, len(told))
+	for _, d := range told {
+		left = append(left, fleet.Departure{Server: fleet.ServerID(d.Server), Incarnation: member.Incarnation(d.Incarnation)})
+	}
+	return left
+}
--- /dev/null
+++ b/internal/direct/departures_test.go
@@ -0,0 +1,158 @@
+package direct
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cinderslip/cinderslip/internal/wire"
+	"github.com/cinderslip/cinderslip/pkg/fleet"
+	"github.com/cinderslip/cinderslip/pkg/member"
+)
+
+// startListed is the entry of one start of server a, which is ready.
+func startListed(incarnation member.Incarnation, revision fleet.Revision) fleet.Fact {
+	fact := listedAt("a", "10.0.0.1:8000", revision)
+	fact.Server.Incarnation = incarnation
+	return fact
+}
+
+// goneAt is that server a has no entry any more.
+func goneAt(revision fleet.Revision) fleet.Fact {
+	return fleet.Fact{Key: fleet.ServerKey("a"), Revision: revision, Gone: true}
+}
+
+func newDeparturesFacts() *Facts {
+	return NewFacts(clockwork.NewFakeClock(), zerolog.Nop(), NewMetrics())
+}
+
+// leavingServers are the servers that are believed to leave.
+func leavingServers(facts *Facts) (leaving []fleet.ServerID) {
+	for _, server := range facts.View().Servers("llm") {
+		if server.Leaving {
+			leaving = append(leaving, server.ID)
+		}
+	}
+	return leaving
+}
+
+// While the store was silent a server that said in its answers that it leaves stood as ready in every list.
+func TestNoEntryTakesBackThatAServerLeaves(t *testing.T) {
+	left := []fleet.Departure{{Server: "a", Incarnation: 5}}
+	for name, test := range map[string]struct {
+		meanwhile func(facts *Facts)
+		leaves    bool
+	}{
+		"nothing":          {func(*Facts) {}, true},
+		"written again":    {func(f *Facts) { f.Apply([]fleet.Fact{startListed(5, 7)}, "store") }, true},
+		"of before":        {func(f *Facts) { f.Apply([]fleet.Fact{startListed(4, 7)}, "store") }, true},
+		"gone and back":    {func(f *Facts) { f.Apply([]fleet.Fact{goneAt(7), startListed(5, 8)}, "store") }, true},
+		"told without one": {func(f *Facts) { f.LearnServer("10.0.0.1:8000", 5, false, "agent") }, true},
+		"agent of before":  {func(f *Facts) { f.LearnServer("10.0.0.1:8000", 4, false, "agent") }, true},
+		"a later start":    {func(f *Facts) { f.Apply([]fleet.Fact{startListed(6, 7)}, "store") }, false},
+		"its agent hears a later start": {func(f *Facts) {
+			f.LearnServer("10.0.0.1:8000", 6, false, "agent")
+			f.LearnDepartures(left, "entry-2")
+		}, false},
+		"the later start is gone, and back": {func(f *Facts) {
+			f.Apply([]fleet.Fact{startListed(6, 7), goneAt(8), startListed(6, 9)}, "store")
+			f.LearnDepartures(left, "entry-2")
+		}, false},
+		"the later start leaves too": {func(f *Facts) {
+			f.LearnServer("10.0.0.1:8000", 6, false, "agent")
+			f.LearnServer("10.0.0.1:8000", 6, true, "agent")
+		}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			facts := newDeparturesFacts()
+			facts.Apply([]fleet.Fact{startListed(5, 6)}, "store")
+			require.True(t, facts.LearnDepartures(left, "request 1"))
+			require.Equal(t, []fleet.ServerID{"a"}, leavingServers(facts))
+			test.meanwhile(facts)
+			require.Equal(t, test.leaves, len(leavingServers(facts)) == 1)
+		})
+	}
+}
+
+// The platform of some deployments tells no starts: a server that starts again has another id there.
+func TestWithoutStartsAnAgentsWordIsNotTakenForTheServerThatHasTheAddressNow(t *testing.T) {
+	facts := newDeparturesFacts()
+	facts.Apply([]fleet.Fact{startListed(0, 6)}, "store")
+	facts.LearnServer("10.0.0.1:8000", 0, true, "agent")
+	require.Empty(t, leavingServers(facts))
+	facts.LearnDepartures([]fleet.Departure{{Server: "a"}}, "request 1")
+	require.Equal(t, []fleet.ServerID{"a"}, leavingServers(facts), "an answer names its server")
+}
+
+// A word that comes before the entry holds once that is there.
+func TestADepartureMayBeHeardOfBeforeTheEntry(t *testing.T) {
+	facts := newDeparturesFacts()
+	facts.LearnDepartures([]fleet.Departure{{Server: "a", Incarnation: 5}}, "entry-2")
+	facts.Apply([]fleet.Fact{startListed(5, 6)}, "store")
+	require.Equal(t, []fleet.ServerID{"a"}, leavingServers(facts))
+}
+
+func TestEachFollowerIsToldOfEachDepartureOnce(t *testing.T) {
+	facts := newDeparturesFacts()
+	facts.LearnDepartures([]fleet.Departure{{Server: "a", Incarnation: 5}, {Server: "b"}}, "entry-2")
+	left, told := facts.DeparturesSince(0)
+	require.Equal(t, []fleet.Departure{{Server: "a", Incarnation: 5}, {Server: "b"}}, departuresFromWire(departuresToWire(left)))
+	facts.LearnDepartures([]fleet.Departure{{Server: "a", Incarnation: 5}}, "entry-3")
+	left, told = facts.DeparturesSince(told)
+	require.Empty(t, left, "it is no news")
+	facts.LearnDepartures([]fleet.Departure{{Server: "a", Incarnation: 6}}, "entry-3")
+	left, _ = facts.DeparturesSince(told)
+	require.Equal(t, []fleet.Departure{{Server: "a", Incarnation: 6}}, left)
+}
+
+// Servers that are replaced for months must not fill the memory of a box, and none that is listed is forgotten.
+func TestDeparturesAreForgottenOfServersThatAreNotListed(t *testing.T) {
+	facts := newDeparturesFacts()
+	facts.Apply([]fleet.Fact{startListed(5, 6)}, "store")
+	facts.LearnDepartures([]fleet.Departure{{Server: "a", Incarnation: 5}}, "request 1")
+	for i := range 5 * departuresKept {
+		facts.LearnDepartures([]fleet.Departure{{Server: fleet.ServerID(fmt.Sprintf("gone-%d", i))}}, "entry-2")
+	}
+	require.LessOrEqual(t, len(facts.departures.byServer), departuresKept)
+	require.Equal(t, []fleet.ServerID{"a"}, leavingServers(facts))
+	left, _ := facts.DeparturesSince(0)
+	require.True(t, slices.ContainsFunc(left, func(d fleet.Departure) bool {
+		return d.Server == fleet.ServerID(fmt.Sprintf("gone-%d", 5*departuresKept-1))
+	}))
+}
+
+// An entry box tells it with what it tells anyway, and its receiver takes it from any message.
+func TestADepartureIsToldWithTheStatusAtOnce(t *testing.T) {
+	told := statusTold{whole: func() *wire.EntryStatus { return &wire.EntryStatus{} }}
+	now := clockwork.NewFakeClock().Now()
+	require.NotNil(t, told.next(statusSummary{}, nil, nil, now, false))
+	require.Nil(t, told.next(statusSummary{departures: 1}, nil, nil, now, false), "the message says what is new")
+	require.NotNil(t, told.next(statusSummary{departures: 1}, nil, nil, now, true))
+}
+
+// A server that leaves was ordered to take newer weights, and others waited for its turn.
+func TestAServerThatLeavesGetsNoNewerWeights(t *testing.T) {
+	facts := newDeparturesFacts()
+	engine := &fleet.Engine{Slots: 4, Models: []fleet.ModelName{"m"}, Layers: 1}
+	facts.Apply([]fleet.Fact{{Key: fleet.ConfigurationKey(), Revision: 1, Configuration: &fleet.Configuration{
+		Version: 1, Services: []fleet.Service{{Name: "llm", Engine: engine}},
+	}}}, "store")
+	facts.Apply([]fleet.Fact{startListed(5, 6), listedAt("b", "10.0.0.2:8000", 6), wantedVersion(2, 7)}, "store")
+	l := &Loader{
+		options: LoaderOptions{Clock: clockwork.NewFakeClock(), Log: zerolog.Nop(), Facts: facts, Service: "llm", Address: "10.0.0.1:8000"},
+		copies:  make(map[fleet.WeightsVersion]*versionCopy), changed: make(chan struct{}),
+	}
+	facts.LearnDepartures([]fleet.Departure{{Server: "a", Incarnation: 5}}, "entry-1")
+	want, known := l.target()
+	require.True(t, known)
+	l.step(t.Context(), &want, 1)
+	require.Empty(t, l.copies, "nothing is fetched")
+	l.options.Address = "10.0.0.2:8000"
+	place, servers := l.place(&want, 2)
+	require.Equal(t, 0, place)
+	require.Equal(t, 1, servers, "the other one is swapped as if it were alone")
+}
--- a/internal/direct/facts.go
+++ b/internal/direct/facts.go
@@ -57,7 +57,9 @@
 	// changed is closed when the view changes.
 	changed chan struct{}
 	servers map[fleet.ServerID]listing
-	wanted  map[fleet.ModelName]fleet.Named
+	// departures are what servers have said in their answers of their end.
+	departures departures
+	wanted     map[fleet.ModelName]fleet.Named
 	// ageNews goes up with each version that is heard of and each age that is corrected.
 	ageNews int
 	// newest is the newest revision of any fact, complete the one up to which all were read,
@@ -92,10 +94,10 @@
 		clock: clock, log: log, metrics: metrics, restartAge: restartAge,
 		store: state.NewStore(rand.Uint64()), duties: kernel.NewDuties(),
 		changed: make(chan struct{}),
-		servers: make(map[fleet.ServerID]listing),
-		wanted:  make(map[fleet.ModelName]fleet.Named),
-		held:    make(map[string]fleet.Revision),
-		unread:  make(map[string]string), unnamed: make(map[member.Service]bool),
+		servers: make(map[fleet.ServerID]listing), departures: newDepartures(),
+		wanted: make(map[fleet.ModelName]fleet.Named),
+		held:   make(map[string]fleet.Revision),
+		unread: make(map[string]string), unnamed: make(map[member.Service]bool),
 	}
 	f.view.Store(fleet.EmptyView())
 	return f
@@ -373,10 +375,14 @@
 				Uint64("revision", uint64(fact.Revision)).Str("from", from).Msg("server listed")
 		}
 		f.servers[id] = listing{*fact.Server, fact.Revision}
+		if fact.Server.Incarnation >= f.departures.starts[id] {
+			delete(f.departures.starts, id)
+		}
 		return
 	}
 	server, known := f.servers[id]
 	delete(f.servers, id)
+	delete(f.departures.starts, id)
 	if !known {
 		return
 	}
@@ -417,6 +423,7 @@
 	}
 	servers := make([]fleet.Server, 0, len(newest))
 	for _, server := range newest {
+		server.Leaving = server.Leaving || f.departures.isLeaving(&server.Server)
 		servers = append(servers, server.Server)
 	}
 	return servers
--- a/internal/direct/heard.go
+++ b/internal/direct/heard.go
@@ -3,11 +3,12 @@
 import (
 	"net/http"
 
+	"github.com/cinderslip/cinderslip/pkg/fleet"
 	"github.com/cinderslip/cinderslip/pkg/route"
 )
 
-// heard takes what a backend server says of itself in the head of an answer, whatever becomes of the
-// request.
+// heard takes what a backend server says of itself in the head of an answer. That holds whatever becomes of the
+// request: read for the fate of the request alone, it was forgotten with it.
 func (f *Front) heard(x *exchange, place *route.Reservation, head *http.Response) {
 	mark := f.protocol.ReadAnswer(head)
 	server := string(place.Server.ID)
@@ -16,10 +17,24 @@
 	}
 	if mark.Leaving {
 		f.metrics.words.WithLabelValues("leaving").Inc()
-		f.log.Info().Str("request", x.ID).Str("server", server).Int("status", head.StatusCode).Msg("server says that it leaves")
+		f.heardLeaving(x, place)
 	}
 	if mark.Rest > 0 {
 		f.metrics.words.WithLabelValues("rest").Inc()
-		f.log.Info().Str("request", x.ID).Str("server", server).Int("status", head.StatusCode).Dur("rest_ms", mark.Rest).Msg("server asks for rest")
+		f.log.Info().Str("request", x.ID).Str("server", server).Uint64("incarnation", uint64(place.Incarnation)).Int("status", head.StatusCode).
+			Dur("asked_ms", mark.Rest).Msg("server asks for rest")
+	}
+}
+
+// heardLeaving takes a server's word that it will end. Its dispatcher knows it before the answer is passed on, so
+// that nothing a caller asks for after that is sent there.
+func (f *Front) heardLeaving(x *exchange, place *route.Reservation) {
+	if !f.facts.LearnDepartures([]fleet.Departure{{Server: place.Server.ID, Incarnation: place.Incarnation}}, "request "+x.ID) {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if d := f.dispatchers[x.service]; d != nil {
+		f.adjustOne(x.service, d)
 	}
 }
--- a/internal/direct/loader.go
+++ b/internal/direct/loader.go
@@ -53,6 +53,8 @@
 	reportAt time.Time
 	// incarnation is which start of the server has reported; 0 if none has said.
 	incarnation member.Incarnation
+	// leaving is set while the server says that it will end.
+	leaving bool
 	// asked is set once the server has been asked for a report.
 	asked    bool
 	swapping bool
@@ -152,9 +154,14 @@
 	callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
 	report, err := l.options.Server.Report(callCtx)
 	cancel()
+	leaving := l.options.Server.Leaving()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.asked = true
+	if leaving && !l.leaving {
+		l.options.Log.Info().Str("address", string(l.options.Address)).Uint64("incarnation", uint64(report.Incarnation)).Msg("server says that it leaves")
+	}
+	l.leaving = leaving
 	if err == nil {
 		err = l.noteStart(report.Incarnation)
 	}
@@ -231,7 +238,7 @@
 	model := service.Engine.Models[0]
 	want := target{
 		model: model, engine: service.Engine, named: view.Wanted(model),
-		servers: view.Servers(l.options.Service), resumable: view.Resumable(l.options.Service),
+		servers: staying(view.Servers(l.options.Service)), resumable: view.Resumable(l.options.Service),
 	}
 	if origin := view.Origin(); origin != nil {
 		want.origin = *origin
@@ -239,6 +246,27 @@
 	return want, true
 }
 
+// staying returns the servers that have not said that they will end: those who leave get no newer weights,
+// so no swap waits its turn behind theirs.
+func staying(servers []fleet.Server) []fleet.Server {
+	isLeaving := func(s fleet.Server) bool { return s.Leaving }
+	if !slices.ContainsFunc(servers, isLeaving) {
+		return servers
+	}
+	return slices.DeleteFunc(slices.Clone(servers), isLeaving)
+}
+
+// isLeaving reports whether the server of the box will end, by its own word to this process or by what is
+// believed of the one at its address.
+func (l *Loader) isLeaving() bool {
+	l.mu.Lock()
+	leaving := l.leaving
+	l.mu.Unlock()
+	return leaving || slices.ContainsFunc(l.options.Facts.View().Servers(l.options.Service), func(s fleet.Server) bool {
+		return s.Address == l.options.Address && s.Leaving
+	})
+}
+
 // loaded returns the whole version of a model that the server has; 0 for none.
 func loaded(report *fleet.Report, model fleet.ModelName, layers int) fleet.WeightsVersion {
 	for i := range report.Models {
@@ -279,6 +307,11 @@
 		}
 		return
 	}
+	if l.isLeaving() {
+		// What was begun goes on, as other boxes may fetch it from here.
+		l.announce(time.Time{})
+		return
+	}
 	l.startCopy(want, want.newest())
 	version, at, ok := l.due(want, have)
 	l.announce(at)
@@ -353,7 +386,7 @@
 	brief := &wire.ServerStatus{
 		Version: status.Version, Whole: status.Whole, Swapping: status.Swapping, Running: status.Running, Waiting: status.Waiting,
 		MemoryUsed: status.MemoryUsed, MemoryTotal: status.MemoryTotal, Pace: status.Pace, SwapInMilliseconds: status.SwapInMilliseconds,
-		Incarnation: status.Incarnation,
+		Incarnation: status.Incarnation, Leaving: status.Leaving,
 	}
 	if !slices.EqualFunc(told.Ages, status.Ages, func(a, b *wire.VersionAge) bool { return a.Model == b.Model && a.Version == b.Version }) {
 		brief.Ages = status.Ages
@@ -371,7 +404,7 @@
 		Box: l.options.Box, Address: string(l.options.Address), Swapping: l.swapping,
 		Running: uint32(l.report.Running), Waiting: uint32(l.report.Waiting),
 		MemoryUsed: l.report.MemoryUsed, MemoryTotal: l.report.MemoryTotal, Pace: l.report.Pace,
-		Ages: agesToWire(l.options.Facts.VersionAges()), Incarnation: uint64(l.incarnation),
+		Ages: agesToWire(l.options.Facts.VersionAges()), Incarnation: uint64(l.incarnation), Leaving: l.leaving,
 	}
 	if !l.swapAt.IsZero() {
 		status.SwapInMilliseconds = uint64(max(1, l.swapAt.Sub(l.options.Clock.Now()).Milliseconds()))
@@ -387,7 +420,7 @@
 // sameServerStatus reports whether entry boxes need not be told again at once that were
 // told a status some time ago.
 func sameServerStatus(told, status *wire.ServerStatus, ago time.Duration) bool {
-	return told != nil && told.Incarnation == status.Incarnation && told.Swapping == status.Swapping && told.Whole == status.Whole && told.Version == status.Version &&
+	return told != nil && told.Incarnation == status.Incarnation && told.Leaving == status.Leaving && told.Swapping == status.Swapping && told.Whole == status.Whole && told.Version == status.Version &&
 		sameSwap(told.SwapInMilliseconds, status.SwapInMilliseconds, ago)
 }
 
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -292,6 +292,7 @@
 func (e *EntryBoxes) take(entry string, want interest, status *wire.EntryStatus) {
 	now := e.clock.Now()
 	e.members.Learn(itemsFromWire(status.Members), entry)
+	e.facts.LearnDepartures(departuresFromWire(status.Departures), entry)
 	box, before, ok := e.update(entry, status, now)
 	if !ok {
 		return
--- a/internal/direct/servers.go
+++ b/internal/direct/servers.go
@@ -122,7 +122,7 @@
 // followOnce follows an agent until its stream ends, and tells whether it was heard.
 func (m *ModelServers) followOnce(ctx context.Context, server, agent member.Address) (heard bool, err error) {
 	// The agent's box is named by its first message only.
-	box := ""
+	box, told := "", serverWord{}
 	return followStream(ctx, m.clock, m.peers, m.log, &peerStream[*wire.ServerStatus]{
 		dependency: "agent", address: agent,
 		open: func(ctx context.Context, client wire.DRPCFleetClient) (func() (*wire.ServerStatus, error), error) {
@@ -137,6 +137,11 @@
 				box = status.Box
 			}
 			m.facts.LearnVersions(agesFromWire(status.Ages), box)
+			if word := (serverWord{member.Incarnation(status.Incarnation), status.Leaving}); word.leaving || word != told {
+				// One that leaves is told again, as its entry may have come later.
+				told = word
+				m.facts.LearnServer(server, word.incarnation, word.leaving, box)
+			}
 			m.state(server, serverStateOf(status, m.clock.Now()), m.clock.Now())
 		},
 		regained: func(line *zerolog.Event, first *wire.ServerStatus) { line.Str("box", first.Box) },
@@ -144,6 +149,12 @@
 	})
 }
 
+// serverWord is which start of a server its agent hears, and whether that leaves.
+type serverWord struct {
+	incarnation member.Incarnation
+	leaving     bool
+}
+
 func serverStateOf(status *wire.ServerStatus, now time.Time) route.ServerState {
 	state := route.ServerState{
 		Incarnation: member.Incarnation(status.Incarnation), Swapping: status.Swapping, Running: int(status.Running), Waiting: int(status.Waiting), Pace: status.Pace,
--- a/internal/direct/status.go
+++ b/internal/direct/status.go
@@ -138,7 +138,9 @@
 	s.mu.Lock()
 	ready, leaving := s.ready, s.leaving
 	s.mu.Unlock()
-	return statusSummary{ready: ready, leaving: leaving, extent: s.facts.Extent(), ages: s.facts.versionsKnown()}
+	return statusSummary{
+		ready: ready, leaving: leaving, extent: s.facts.Extent(), ages: s.facts.versionsKnown(), departures: s.facts.departuresKnown(),
+	}
 }
 
 // whole returns the status without what is in flight and asked for.
@@ -202,9 +204,13 @@
 	if request.Load {
 		sentAway, told.sentAway = s.sentAway(told.sentAway)
 	}
-	status := told.next(summary, load, demands, now.at, len(changed)+len(sentAway) > 0)
+	var departures []fleet.Departure
+	if now.departures != told.departures {
+		departures, told.departures = s.facts.DeparturesSince(told.departures)
+	}
+	status := told.next(summary, load, demands, now.at, len(changed)+len(sentAway)+len(departures) > 0)
 	if status != nil {
-		status.Members, status.SentAway = changed, sentAwayToWire(sentAway, s.clock.Now())
+		status.Members, status.SentAway, status.Departures = changed, sentAwayToWire(sentAway, s.clock.Now()), departuresToWire(departures)
 	}
 	return status
 }
@@ -265,6 +271,7 @@
 	ticker := s.clock.NewTicker(statusHeartbeat)
 	defer ticker.Stop()
 	entries := s.members.Sample(member.Region(request.Region))
+	departures := uint64(0)
 	if request.EntriesOnly {
 		return stream.Send(&wire.FactsBatch{Entries: entries})
 	}
@@ -273,6 +280,12 @@
 		message := s.batch(cursor, request.ServicesOnly)
 		cursor = state.Cursor{Instance: message.Instance, Sequence: message.Cursor}
 		message.Entries, entries = entries, nil
+		if !request.Once {
+			// Entry boxes, which ask once, hear of departures with the status.
+			var left []fleet.Departure
+			left, departures = s.facts.DeparturesSince(departures)
+			message.Departures = departuresToWire(left)
+		}
 		if err := stream.Send(message); err != nil {
 			return err
 		}
--- a/internal/direct/told.go
+++ b/internal/direct/told.go
@@ -17,6 +17,8 @@
 	extent         Extent
 	// ages is how many versions of weights the box knows the ages of.
 	ages int
+	// departures is how many servers the box has heard to leave.
+	departures uint64
 	// readers are the boxes that read the store.
 	readers []*wire.StoreReader
 }
@@ -33,9 +35,11 @@
 	summary statusSummary
 	load    route.Load
 	demands route.Demands
-	// sentAway is how many of the callers that the box has sent away were told.
-	sentAway uint64
-	at       time.Time
+	// sentAway is how many of the callers that the box has sent away were told, departures how many of the
+	// servers that it has heard to leave.
+	sentAway   uint64
+	departures uint64
+	at         time.Time
 }
 
 // next returns the message that brings the receiver to a state; nil if it knows it and has
--- a/internal/direct/world_test.go
+++ b/internal/direct/world_test.go
@@ -314,6 +314,7 @@
 		// Its entry tells of the start before until the server writes again, as it may not
 		// for a while.
 		s.Restart(s.id)
+		s.Hold(uint64(number(given["version"], 0)))
 	default:
 		w.store.Remove("servers/" + s.id)
 		s.id = id
@@ -459,7 +460,7 @@
 
 // cmdAwait waits for a condition: await ready entry-1, await version 2, await
 // status entry-1 /look/1 key-2 401, await stream entry-1, await directory entry-1 3, await
-// used entry-1 plain-1 /look/1 (a request is answered by that server).
+// used entry-1 plain-1 /look/1 (a request is answered by that server), await avoids entry-1 plain-1 /look/1 40 200.
 func (w *world) cmdAwait(args []string) error {
 	switch args[0] {
 	case "ready":
@@ -481,6 +482,8 @@
 			tries++
 			return w.cmdAsk([]string{args[1], fmt.Sprintf("await-%s-%d", args[4], tries), args[2], args[3], args[4]})
 		})
+	case "avoids":
+		return w.await(func() error { return w.cmdAvoids(args[1:]) })
 	case "used":
 		return w.await(func() error { return w.isUsed(args[1], args[2], args[3]) })
 	case "stream":
--- a/internal/provider/fleet.go
+++ b/internal/provider/fleet.go
@@ -67,6 +67,8 @@
 type ModelServer struct {
 	// Report reads its state. Errors wrap ErrUnavailable.
 	Report func(ctx context.Context) (fleet.Report, error)
+	// Leaving reports whether the server's last answer to any call said that it will end.
+	Leaving func() bool
 	// Start gives an order. Errors wrap ErrRejected or ErrUnavailable; with the
 	// latter the order may have been taken.
 	Start func(ctx context.Context, order StartOrder) error
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -302,3 +302,27 @@
 	require.EqualValues(t, 20, served.Load())
 	require.EqualValues(t, 1, opened.Load(), "the connection is still good")
 }
+
+// What a server says of itself was read from the answer to the own request alone.
+func TestEveryHeadOnTheConnectionIsHeard(t *testing.T) {
+	address := rawServer(t, func(conn net.Conn, reader *bufio.Reader) {
+		_, _ = http.ReadRequest(reader)
+		for _, head := range []string{
+			"HTTP/1.1 103 Early Hints\r\nWord: interim\r\n\r\n",
+			"HTTP/1.1 503 Service Unavailable\r\nId: other\r\nWord: another's\r\nContent-Length: 0\r\n\r\n",
+			"HTTP/1.1 200 OK\r\nId: a\r\nWord: own\r\nContent-Length: 9\r\n\r\n",
+		} {
+			_, _ = io.WriteString(conn, head)
+		}
+	})
+	var heard []string
+	answer, err := newTestPool(new(atomic.Int32)).Send(t.Context(), &Request{
+		Address: address, ID: "a", Method: http.MethodGet, Target: "/x", Host: "a.example",
+		Heard: func(head *http.Response) { heard = append(heard, head.Header.Get("Word")) },
+	})
+	require.NoError(t, err)
+	defer answer.Close()
+	_, err = io.ReadAll(answer)
+	require.Error(t, err, "the body breaks off")
+	require.Equal(t, []string{"interim", "another's", "own"}, heard)
+}
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -283,7 +283,7 @@
 	Address member.Address       `cbor:"3,keyasint"`
 	Domain  member.FailureDomain `cbor:"4,keyasint"`
 	Slots   int                  `cbor:"5,keyasint"`
-	// Leaving is set once the server has said that it will end.
+	// Leaving is set once the server has said, in its entry or in an answer, that it will end.
 	Leaving bool          `cbor:"6,keyasint,omitempty"`
 	Models  []LoadedModel `cbor:"7,keyasint,omitempty"`
 	// Incarnation is which start of the server says so: one that starts again may keep its
@@ -291,6 +291,13 @@
 	Incarnation member.Incarnation `cbor:"8,keyasint,omitempty"`
 }
 
+// Departure is a server's word, in an answer, that it will end.
+type Departure struct {
+	Server ServerID
+	// Incarnation is the start of the server that said so; 0 where the platform does not tell.
+	Incarnation member.Incarnation
+}
+
 // Wanted names the weights that all servers of a model should run.
 type Wanted struct {
 	Model   ModelName      `cbor:"1,keyasint"`
--- a/pkg/route/dispatch.go
+++ b/pkg/route/dispatch.go
@@ -60,7 +60,9 @@
 	mu       sync.Mutex
 	backends map[fleet.ServerID]*backend
 	order    []*backend
-	peers    *peerLoads
+	// leaving are the servers of the list that have said that they will end.
+	leaving map[fleet.ServerID]bool
+	peers   *peerLoads
 	// boxes is how many entry boxes share the places.
 	boxes int
 	queue []*Waiting
@@ -120,7 +122,7 @@
 		options.Random = rand.Float64
 	}
 	return &Dispatcher{
-		backends: make(map[fleet.ServerID]*backend), unbegun: make(map[*Reservation]struct{}), peers: newPeerLoads(), demands: peerDemands{boxes: make(map[member.BoxID]peerDemand)}, boxes: 1,
+		backends: make(map[fleet.ServerID]*backend), leaving: make(map[fleet.ServerID]bool), unbegun: make(map[*Reservation]struct{}), peers: newPeerLoads(), demands: peerDemands{boxes: make(map[member.BoxID]peerDemand)}, boxes: 1,
 		usual: options.Usual, first: options.First, engine: options.Engine, random: options.Random, self: options.Box, swapTime: usualSwapTime,
 	}
 }
@@ -132,8 +134,10 @@
 	defer d.mu.Unlock()
 	next := make(map[fleet.ServerID]*backend, len(servers))
 	d.order = d.order[:0]
+	clear(d.leaving)
 	for _, server := range servers {
 		if server.Leaving {
+			d.leaving[server.ID] = true
 			continue
 		}
 		b := d.backends[server.ID]
@@ -363,7 +367,7 @@
 func (d *Dispatcher) reserve(b *backend, ask *Ask, now time.Time) *Reservation {
 	version, _ := b.version(now)
 	place := &Reservation{
-		Server: b.server, Version: version, dispatcher: d, backend: b, since: now, reading: ask.Reading,
+		Server: b.server, Incarnation: b.incarnation, Version: version, dispatcher: d, backend: b, since: now, reading: ask.Reading,
 		readAhead: d.load(b, now).Reading,
 	}
 	d.unbegun[place] = struct{}{}
--- a/pkg/route/reservation.go
+++ b/pkg/route/reservation.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cinderslip/cinderslip/pkg/fleet"
+	"github.com/cinderslip/cinderslip/pkg/member"
 )
 
 const (
@@ -29,6 +30,8 @@
 // Reservation is a place on a server that a request holds until it is released.
 type Reservation struct {
 	Server fleet.Server
+	// Incarnation is the latest start of the server that was known when the place was had; 0 if none was told.
+	Incarnation member.Incarnation
 	// Version is the version of the weights that the server has; 0 if it runs no
 	// model.
 	Version fleet.WeightsVersion
