fix(route): a server that asks for rest gets nothing until it is over, then one request first

Cause: a refusal freed the place at once and left the server alone for a few milliseconds, whatever Retry-After said; with nothing in flight it then looked the emptiest, so every box sent it the next request. Ruled out: requests in flight (bound of 0.5 s; 24 came), a second attempt at the same server (none in the logs). Change: rest is kept by server and start, beside the list, for a minute at most. It bars the server in every choice and once more before the first byte; the forecast knows its end. After it one request goes first, as all boxes return at one moment. Where all servers rest, requests are refused at once and told when the first has rested, one after the other. The agent leaves its own server alone for as long too.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -141,6 +141,11 @@
 // refuseAfter refuses a request that surely has not run.
 func (f *Front) refuseAfter(x *exchange, cause error) {
 	var busy *route.BusyError
+	ask := f.ask(x, nil, false)
+	ask.Returning = x.sinceFirst > 0
+	if resting := f.dispatcher(x.service).Resting(ask, f.clock.Now()); resting != nil {
+		cause = resting
+	}
 	wait, reason, left := refusedWait, "not-run", x.deadline.Sub(f.clock.Now())
 	switch {
 	case errors.As(cause, &busy):
@@ -335,7 +340,7 @@
 
 // isHeldBack reports whether the box itself kept an attempt from being sent, or ended it.
 func isHeldBack(err error) bool {
-	return errors.Is(err, errBarred) || errors.Is(err, errNotBegun) || errors.Is(err, route.ErrLeaving)
+	return errors.Is(err, errBarred) || errors.Is(err, errNotBegun) || errors.Is(err, route.ErrLeaving) || errors.Is(err, route.ErrResting)
 }
 
 // ended releases the place and notes the attempt.
--- a/internal/direct/heard.go
+++ b/internal/direct/heard.go
@@ -2,11 +2,17 @@
 
 import (
 	"net/http"
+	"time"
 
+	"github.com/cinderslip/cinderslip/internal/provider"
 	"github.com/cinderslip/cinderslip/pkg/fleet"
 	"github.com/cinderslip/cinderslip/pkg/route"
 )
 
+// restLongest bounds the rest that a backend server may ask for. After it the server is asked once, so one that
+// wants more gets one request a minute; a time of years, or what was meant as a date, would lose it for good.
+const restLongest = time.Minute
+
 // heard takes what a backend server says of itself in the head of an answer. That holds whatever becomes of the
 // request: read for the fate of the request alone, it was forgotten with it.
 func (f *Front) heard(x *exchange, place *route.Reservation, head *http.Response) {
@@ -20,9 +26,11 @@
 		f.heardLeaving(x, place)
 	}
 	if mark.Rest > 0 {
+		rest, now := min(mark.Rest, restLongest), f.clock.Now()
 		f.metrics.words.WithLabelValues("rest").Inc()
 		f.log.Info().Str("request", x.ID).Str("server", server).Uint64("incarnation", uint64(place.Incarnation)).Int("status", head.StatusCode).
-			Dur("asked_ms", mark.Rest).Msg("server asks for rest")
+			Dur("asked_ms", mark.Rest).Dur("rest_ms", rest).Msg("server asks for rest")
+		place.Rest(now.Add(rest), now)
 	}
 }
 
@@ -38,3 +46,6 @@
 		f.adjustOne(x.service, d)
 	}
 }
+
+// restAsked is the rest that a server has asked for by an error, as far as it is kept.
+func restAsked(err error) time.Duration { return min(restLongest, provider.RestOf(err)) }
--- a/internal/direct/loader.go
+++ b/internal/direct/loader.go
@@ -145,7 +145,7 @@
 			}
 			event.Str("dependency", "server").Str("address", string(l.options.Address)).Msg(message)
 		}
-		sleep(ctx, l.options.Clock, reportInterval)
+		sleep(ctx, l.options.Clock, max(reportInterval, restAsked(err)))
 	}
 }
 
@@ -321,7 +321,7 @@
 	if err := l.swap(ctx, want, version, have > 0); err != nil && ctx.Err() == nil {
 		l.options.Log.Warn().Str("model", string(want.model)).Uint64("version", uint64(version)).
 			Uint64("have", uint64(have)).Err(err).Msg("weights not taken, trying again")
-		sleep(ctx, l.options.Clock, loadRetry)
+		sleep(ctx, l.options.Clock, max(loadRetry, restAsked(err)))
 	}
 }
 
--- a/internal/provider/fleet.go
+++ b/internal/provider/fleet.go
@@ -65,7 +65,7 @@
 
 // ModelServer is the model server on the agent's box.
 type ModelServer struct {
-	// Report reads its state. Errors wrap ErrUnavailable.
+	// Report reads its state. Errors wrap ErrUnavailable, and a RestError if the server wants rest.
 	Report func(ctx context.Context) (fleet.Report, error)
 	// Leaving reports whether the server's last answer to any call said that it will end.
 	Leaving func() bool
@@ -88,6 +88,23 @@
 	Piece func(ctx context.Context, at member.Address, model fleet.ModelName, version fleet.WeightsVersion, index int) ([]byte, error)
 }
 
+// RestError reports a server that turned a call away and wants nothing more for a time.
+type RestError struct {
+	For time.Duration
+}
+
+// Error tells the time.
+func (e *RestError) Error() string { return fmt.Sprintf("wants rest for %v", e.For) }
+
+// RestOf returns for how long a server wants nothing more, as the error of a call says; 0 if it does not.
+func RestOf(err error) time.Duration {
+	var rest *RestError
+	if errors.As(err, &rest) {
+		return rest.For
+	}
+	return 0
+}
+
 // Inbound is what a caller's request says about itself.
 type Inbound struct {
 	ID  string
--- a/pkg/route/backend.go
+++ b/pkg/route/backend.go
@@ -96,6 +96,10 @@
 
 	ejectedTo time.Time
 	ejections int
+	// restTo is until when the server wants nothing from this box; tested is unset from when it asked for rest
+	// until it has answered again.
+	restTo time.Time
+	tested bool
 	// replaced is set when the server was left alone because it had other weights
 	// than were asked for, or another id.
 	replaced bool
@@ -110,7 +114,7 @@
 
 // newBackend returns a server of which nothing is known but which start of it this is.
 func newBackend(incarnation member.Incarnation) *backend {
-	return &backend{incarnation: incarnation, awaiting: make(map[*Reservation]time.Time)}
+	return &backend{incarnation: incarnation, tested: true, awaiting: make(map[*Reservation]time.Time)}
 }
 
 // list takes what the list tells of the server's weights, unless it tells of an earlier start.
@@ -159,7 +163,7 @@
 
 // isEligible reports whether a server can run requests at all.
 func (d *Dispatcher) isEligible(b *backend, now time.Time) bool {
-	if now.Before(b.ejectedTo) || b.state.Silent {
+	if now.Before(b.ejectedTo) || b.state.Silent || b.isResting(now) {
 		return false
 	}
 	if !d.engine {
--- a/pkg/route/dispatch.go
+++ b/pkg/route/dispatch.go
@@ -62,6 +62,7 @@
 	order    []*backend
 	// leaving are the servers of the list that have said that they will end.
 	leaving map[fleet.ServerID]bool
+	rests   rests
 	peers   *peerLoads
 	// boxes is how many entry boxes share the places.
 	boxes int
@@ -122,7 +123,7 @@
 		options.Random = rand.Float64
 	}
 	return &Dispatcher{
-		backends: make(map[fleet.ServerID]*backend), leaving: make(map[fleet.ServerID]bool), unbegun: make(map[*Reservation]struct{}), peers: newPeerLoads(), demands: peerDemands{boxes: make(map[member.BoxID]peerDemand)}, boxes: 1,
+		backends: make(map[fleet.ServerID]*backend), leaving: make(map[fleet.ServerID]bool), rests: make(rests), unbegun: make(map[*Reservation]struct{}), peers: newPeerLoads(), demands: peerDemands{boxes: make(map[member.BoxID]peerDemand)}, boxes: 1,
 		usual: options.Usual, first: options.First, engine: options.Engine, random: options.Random, self: options.Box, swapTime: usualSwapTime,
 	}
 }
@@ -142,7 +143,7 @@
 		}
 		b := d.backends[server.ID]
 		if b == nil || server.Incarnation > b.incarnation {
-			b = newBackend(server.Incarnation)
+			b = d.newBackend(server.ID, server.Incarnation, now)
 		}
 		b.server, b.far = server, !near(server.Domain)
 		b.list(&server, layers)
@@ -203,7 +204,7 @@
 func (d *Dispatcher) State(id fleet.ServerID, state ServerState, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if b := d.current(id, state.Incarnation); b != nil {
+	if b := d.current(id, state.Incarnation, now); b != nil {
 		if state.Version != b.state.Version && b.replaced {
 			b.replaced, b.ejectedTo = false, time.Time{}
 		}
@@ -222,7 +223,7 @@
 // current returns the backend of which an agent tells; nil if there is none, or the agent
 // speaks of an earlier start. One that tells of a later start than is known ends all that is
 // believed of the one before: its weights, swaps, failures and what is in flight there.
-func (d *Dispatcher) current(id fleet.ServerID, told member.Incarnation) *backend {
+func (d *Dispatcher) current(id fleet.ServerID, told member.Incarnation, now time.Time) *backend {
 	b := d.backends[id]
 	switch {
 	case b == nil || told == 0 || told == b.incarnation:
@@ -234,7 +235,7 @@
 		b.incarnation = told
 		return b
 	}
-	next := newBackend(told)
+	next := d.newBackend(id, told, now)
 	next.server, next.far = b.server, b.far
 	d.backends[id] = next
 	d.order[slices.Index(d.order, b)] = next
@@ -339,7 +340,7 @@
 // candidate returns what it costs to send a request to a server; ok is false if it can't
 // be sent there.
 func (d *Dispatcher) candidate(b *backend, ask *Ask, now time.Time) (c candidate, ok bool) {
-	if !d.isEligible(b, now) || slices.Contains(ask.Tried, b.server.ID) {
+	if !d.isEligible(b, now) || b.isOnTrial(now) || slices.Contains(ask.Tried, b.server.ID) {
 		return candidate{}, false
 	}
 	load, limit := d.load(b, now), d.limit(b)
--- a/pkg/route/forecast.go
+++ b/pkg/route/forecast.go
@@ -73,6 +73,8 @@
 	switch {
 	case d.isSwapping(b, now):
 		return now, b.swapSince.Add(d.swapTime)
+	case b.isResting(now):
+		return now, b.restTo
 	case !d.isEligible(b, now):
 		return now, now.Add(max(forecastStep, now.Sub(b.closedSince)))
 	case !b.state.SwapAt.IsZero():
--- a/pkg/route/queue.go
+++ b/pkg/route/queue.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"slices"
 	"sort"
 	"time"
@@ -163,7 +164,7 @@
 
 // refusal says why a request is not let in.
 func (d *Dispatcher) refusal(ask *Ask, now time.Time) error {
-	if !d.anyEligible(now) {
+	if _, _, resting := d.restEnds(now); !resting && !d.anyEligible(now) {
 		return ErrNoServer
 	}
 	return d.busy(ask, now)
@@ -178,8 +179,14 @@
 	if room, ok := d.lateForecast(now).until(float64(d.promises.count(now)*d.boxes + d.waitingLate(now) + 1)); ok {
 		wait = min(longest, max(retryLeast, room))
 	}
+	comes := wait
+	if rested, ok := d.afterRest(now); ok {
+		// Sooner is in vain. Callers who can't wait for as long come when they must.
+		wait = max(retryLeast, rested)
+		comes, longest = min(wait, longest), math.MaxInt64
+	}
 	if !ask.Returning && !ask.Resuming && !ask.Once {
-		d.promises.add(now.Add(wait))
+		d.promises.add(now.Add(comes))
 	}
 	jitter := time.Duration(d.random() * float64(retryLeast))
 	peers, left := d.peersDemand(now), d.latest(ask).Sub(now)
--- a/pkg/route/reservation.go
+++ b/pkg/route/reservation.go
@@ -65,6 +65,7 @@
 		return
 	}
 	r.begun()
+	r.backend.answered(r)
 	r.backend.startTime, r.backend.startedAt = now.Sub(r.since), now
 	sample := max(0, now.Sub(r.since)-r.reading-r.readAhead)
 	d.deviation += time.Duration(firstSmoothing * float64((sample-d.first).Abs()-d.deviation))
@@ -100,6 +101,7 @@
 	b := r.backend
 	switch result {
 	case ResultDone:
+		b.answered(r)
 		b.failures *= 1 - failureSmoothing
 		b.ejections = 0
 		d.usual += time.Duration(holdSmoothing * float64(now.Sub(r.since)-d.usual))
--- a/pkg/route/rest.go
+++ b/pkg/route/rest.go
@@ -3,19 +3,145 @@
 import (
 	"errors"
 	"time"
+
+	"github.com/cinderslip/cinderslip/pkg/fleet"
+	"github.com/cinderslip/cinderslip/pkg/member"
 )
 
+// A server that has no room may turn a request away and ask this box for rest. By what it has in flight it then
+// looks the emptiest of all: one box sent 24 requests to such a server within the three seconds that it had asked
+// for, and each used up an attempt. Rest is asked of one box, so it is not told to others.
+
 // ErrLeaving reports a place on a server that has said meanwhile that it will end.
 var ErrLeaving = errors.New("the server has said that it leaves")
 
+// ErrResting reports a place on a server that has asked for rest meanwhile.
+var ErrResting = errors.New("the server has asked for rest")
+
+// rest is until when one start of a server wants nothing from this box.
+type rest struct {
+	incarnation member.Incarnation
+	until       time.Time
+}
+
+// rests are those that were asked for, kept beside the list: a server whose entry goes and comes back is as
+// tired as before.
+type rests map[fleet.ServerID]rest
+
+// ask notes a rest. Of two times the later one holds.
+func (r rests) ask(id fleet.ServerID, asked rest, now time.Time) {
+	for other, known := range r {
+		if !now.Before(known.until) {
+			delete(r, other)
+		}
+	}
+	known, ok := r[id]
+	if ok && (known.incarnation > asked.incarnation || known.incarnation == asked.incarnation && known.until.After(asked.until)) {
+		return
+	}
+	r[id] = asked
+}
+
+// until returns until when a start of a server rests; a later start than the one that asked does not.
+func (r rests) until(id fleet.ServerID, incarnation member.Incarnation) time.Time {
+	if known, ok := r[id]; ok && incarnation <= known.incarnation {
+		return known.until
+	}
+	return time.Time{}
+}
+
+// newBackend returns a server of which nothing is known but which start of it this is, and the rest that this
+// start has asked for.
+func (d *Dispatcher) newBackend(id fleet.ServerID, incarnation member.Incarnation, now time.Time) *backend {
+	b := newBackend(incarnation)
+	b.restTo = d.rests.until(id, incarnation)
+	b.tested = !b.isResting(now)
+	return b
+}
+
+// Rest notes that the server wants nothing more from this box until a time.
+func (r *Reservation) Rest(until, now time.Time) {
+	d := r.dispatcher
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.rests.ask(r.Server.ID, rest{r.Incarnation, until}, now)
+	b := d.backends[r.Server.ID]
+	if b == nil {
+		return
+	}
+	b.restTo = d.rests.until(r.Server.ID, b.incarnation)
+	b.tested = !b.isResting(now)
+	d.noteClosed(b, now)
+	d.forecast, d.census = forecast{}, census{}
+}
+
 // Check returns why nothing may be sent to the server any more, as it has said something of itself since the
 // place was had; nil if it may. To open a connection alone may take some hundred milliseconds.
-func (r *Reservation) Check(time.Time) error {
+func (r *Reservation) Check(now time.Time) error {
 	d := r.dispatcher
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.leaving[r.Server.ID] {
 		return ErrLeaving
 	}
+	if now.Before(d.rests.until(r.Server.ID, r.Incarnation)) {
+		return ErrResting
+	}
 	return nil
 }
+
+// isResting reports whether the server has asked this box for rest that is not over.
+func (b *backend) isResting(now time.Time) bool { return now.Before(b.restTo) }
+
+// isOnTrial reports whether a request is on its way to a server that has rested and has not answered one since.
+// Others wait for what becomes of it, unless the server stands still: all boxes come back to it at one moment, and
+// each request that it turns away has used up an attempt.
+func (b *backend) isOnTrial(now time.Time) bool {
+	return !b.tested && len(b.awaiting) > 0 && b.oldestAwaited(now) < stallTime
+}
+
+// answered notes that the server has begun or ended an answer to a request; one that was sent before the rest
+// says nothing of what comes after it.
+func (b *backend) answered(r *Reservation) {
+	if !r.since.Before(b.restTo) {
+		b.tested = true
+	}
+}
+
+// restEnds returns when the first of the servers that rest may be asked again, and how many places those have that
+// rest; ok is false if none does.
+func (d *Dispatcher) restEnds(now time.Time) (first time.Time, places int, ok bool) {
+	for _, b := range d.order {
+		if !b.isResting(now) {
+			continue
+		}
+		places += d.limit(b)
+		if first.IsZero() || b.restTo.Before(first) {
+			first = b.restTo
+		}
+	}
+	return first, places, places > 0
+}
+
+// Resting returns why a request that was turned away should come back later if every server that could run it
+// rests, nil otherwise.
+func (d *Dispatcher) Resting(ask *Ask, now time.Time) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if _, _, ok := d.restEnds(now); !ok || d.anyEligible(now) {
+		return nil
+	}
+	ask.startBy = d.startBy(ask, now)
+	return d.busy(ask, now)
+}
+
+// afterRest returns when a caller should come back where every server rests: once the first has rested, those who
+// were told so before first, one after the other.
+func (d *Dispatcher) afterRest(now time.Time) (wait time.Duration, ok bool) {
+	first, places, ok := d.restEnds(now)
+	if !ok || d.anyEligible(now) {
+		return 0, false
+	}
+	before := time.Duration(d.promises.count(now)*d.boxes) * d.usual / time.Duration(places)
+	return first.Sub(now) + before, true
+}
