test(soak): servers say that they leave or want rest, and both promises are judged

The soak showed one more hole in review: an answer does not tell of which start it is, so the word of a start that only the answer had shown was given to the one before, and dropped as the store returned. Change: servers speak in the soak, beside all other faults; promises are judged by the order of events, without a bound of time: the caller asks after its box has heard the word, the request reaches the server all the same. The word also holds for a later start that was there for 2 s when the answer came; the rest of an earlier start makes the later one get one request first.

--- a/internal/direct/departures.go
+++ b/internal/direct/departures.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/cinderslip/cinderslip/internal/wire"
 	"github.com/cinderslip/cinderslip/pkg/fleet"
@@ -22,10 +23,22 @@
 type departure struct {
 	// incarnation is the start of the server that gave it; 0 where the platform does not tell starts.
 	incarnation member.Incarnation
+	// heard is when a request's answer last gave it here; zero if it was only told by others.
+	heard time.Time
 	// number orders the departures as they were heard of here.
 	number uint64
 }
 
+// startCertain is for how long a start of a server must have been there when an answer was heard for the word to
+// be its own, if only an earlier start was known then: the answer does not say of which start it is, and times of
+// day on two boxes differ, or jump, by up to about two seconds. Entries do not tell of starts while the store is away.
+const startCertain = 2 * time.Second
+
+// isOf reports whether the word was given by a start of the server, or by a later one.
+func (d *departure) isOf(start member.Incarnation) bool {
+	return start <= d.incarnation || !d.heard.IsZero() && start <= member.Incarnation(max(0, d.heard.Add(-startCertain).UnixMilli()))
+}
+
 // departures are the servers that have said in their answers that they will end.
 type departures struct {
 	byServer map[fleet.ServerID]departure
@@ -42,17 +55,22 @@
 // isLeaving reports whether a server, as it is listed, has said that it will end.
 func (d *departures) isLeaving(server *fleet.Server) bool {
 	left, ok := d.byServer[server.ID]
-	return ok && max(server.Incarnation, d.starts[server.ID]) <= left.incarnation
+	return ok && left.isOf(max(server.Incarnation, d.starts[server.ID]))
 }
 
-// take notes the word of one start of a server, and reports whether it is news.
-func (d *departures) take(told fleet.Departure, isListed func(id fleet.ServerID) bool) bool {
+// take notes the word of one start of a server, heard in an answer at a time or, if that is zero, from others, and
+// reports whether it is news.
+func (d *departures) take(told fleet.Departure, heard time.Time, isListed func(id fleet.ServerID) bool) bool {
 	known, ok := d.byServer[told.Server]
+	if ok && heard.After(known.heard) {
+		known.heard = heard
+		d.byServer[told.Server] = known
+	}
 	if ok && told.Incarnation <= known.incarnation || told.Incarnation < d.starts[told.Server] {
 		return false
 	}
 	d.number++
-	d.byServer[told.Server] = departure{told.Incarnation, d.number}
+	d.byServer[told.Server] = departure{told.Incarnation, heard, d.number}
 	if len(d.byServer) > departuresKept {
 		d.forget(isListed)
 	}
@@ -89,13 +107,26 @@
 	return left, d.number
 }
 
-// LearnDepartures takes which servers have said that they will end, each for one of its starts, and reports
-// whether any of it is news.
-func (f *Facts) LearnDepartures(told []fleet.Departure, from string) (learned bool) {
+// LearnDepartures takes which servers have said that they will end, each for one of its starts, as another process
+// tells.
+func (f *Facts) LearnDepartures(told []fleet.Departure, from string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.takeDepartures(told, time.Time{}, from)
+}
+
+// HearDeparture takes a server's word that it will end from an answer that has just come, and reports whether it is
+// news. The start is the latest that was known when the request was sent.
+func (f *Facts) HearDeparture(server fleet.ServerID, start member.Incarnation, from string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.takeDepartures([]fleet.Departure{{Server: server, Incarnation: start}}, f.clock.Now(), from)
+}
+
+// takeDepartures takes departures and reports whether any is news. The lock must be held.
+func (f *Facts) takeDepartures(told []fleet.Departure, heard time.Time, from string) (learned bool) {
 	for _, left := range told {
-		if !f.departures.take(left, f.isListed) {
+		if !f.departures.take(left, heard, f.isListed) {
 			continue
 		}
 		learned = true
--- a/internal/direct/departures_test.go
+++ b/internal/direct/departures_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
@@ -70,7 +71,7 @@
 		t.Run(name, func(t *testing.T) {
 			facts := newDeparturesFacts()
 			facts.Apply([]fleet.Fact{startListed(5, 6)}, "store")
-			require.True(t, facts.LearnDepartures(left, "request 1"))
+			facts.LearnDepartures(left, "entry-2")
 			require.Equal(t, []fleet.ServerID{"a"}, leavingServers(facts))
 			test.meanwhile(facts)
 			require.Equal(t, test.leaves, len(leavingServers(facts)) == 1)
@@ -78,6 +79,29 @@
 	}
 }
 
+// While the store is away no entry tells that a server has started again under its id, and an answer does not either.
+func TestAnAnswersWordIsOfTheStartThatWasThereWhenItCame(t *testing.T) {
+	for name, test := range map[string]struct {
+		bornBefore time.Duration
+		leaves     bool
+	}{
+		"long there":    {3 * time.Second, true},
+		"perhaps there": {time.Second, false},
+		"started since": {-5 * time.Second, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			facts := NewFacts(clock, zerolog.Nop(), NewMetrics())
+			facts.Apply([]fleet.Fact{startListed(5, 6)}, "store")
+			require.True(t, facts.HearDeparture("a", 5, "request 1"))
+			born := clock.Now().Add(-test.bornBefore)
+			clock.Advance(10 * time.Second)
+			facts.Apply([]fleet.Fact{startListed(member.Incarnation(born.UnixMilli()), 7)}, "store")
+			require.Equal(t, test.leaves, len(leavingServers(facts)) == 1)
+		})
+	}
+}
+
 // The platform of some deployments tells no starts: a server that starts again has another id there.
 func TestWithoutStartsAnAgentsWordIsNotTakenForTheServerThatHasTheAddressNow(t *testing.T) {
 	facts := newDeparturesFacts()
--- a/internal/direct/heard.go
+++ b/internal/direct/heard.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/cinderslip/cinderslip/internal/provider"
-	"github.com/cinderslip/cinderslip/pkg/fleet"
 	"github.com/cinderslip/cinderslip/pkg/route"
 )
 
@@ -37,7 +36,7 @@
 // heardLeaving takes a server's word that it will end. Its dispatcher knows it before the answer is passed on, so
 // that nothing a caller asks for after that is sent there.
 func (f *Front) heardLeaving(x *exchange, place *route.Reservation) {
-	if !f.facts.LearnDepartures([]fleet.Departure{{Server: place.Server.ID, Incarnation: place.Incarnation}}, "request "+x.ID) {
+	if !f.facts.HearDeparture(place.Server.ID, place.Incarnation, "request "+x.ID) {
 		return
 	}
 	f.mu.Lock()
--- a/internal/soak/load_test.go
+++ b/internal/soak/load_test.go
@@ -37,11 +37,15 @@
 	once     []string
 	problems []string
 	counts   map[string]int
+	// asks are all requests by their ids; heard is when the head of an answer came in which its server says that
+	// it leaves.
+	asks  map[string]asked
+	heard map[string]time.Time
 }
 
 func newLoad(w *world) *load {
 	return &load{
-		w: w, counts: make(map[string]int),
+		w: w, counts: make(map[string]int), asks: make(map[string]asked), heard: make(map[string]time.Time),
 		client: &http.Client{Timeout: callerWait + time.Second, Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 4}},
 	}
 }
@@ -151,11 +155,17 @@
 	request.Header.Set("X-Request-Id", id)
 	request.Header.Set("X-Deadline-Ms", fmt.Sprint(callerWait.Milliseconds()))
 	request.Header.Set("X-Token-Usage", "100,60")
+	l.mu.Lock()
+	l.asks[id] = asked{entry, time.Now()}
+	l.mu.Unlock()
 	response, err := l.client.Do(request)
 	if err != nil {
 		l.count("no answer")
 		return false
 	}
+	if response.Header.Get("Server-Leaving") != "" {
+		l.hear(id)
+	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
 	return l.check(kind, id, response, string(body), err)
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -26,6 +26,8 @@
 	ended  chan struct{}
 	wanted bool // whether the soak ended the run itself
 	exits  []string
+	// starts are when the runs began.
+	starts []time.Time
 }
 
 // settingsOf fills the settings of one role, as the platform does.
@@ -64,6 +66,7 @@
 	}
 	ended := make(chan struct{})
 	p.cmd, p.ended, p.wanted = cmd, ended, false
+	p.starts = append(p.starts, time.Now())
 	go func() {
 		err := cmd.Wait()
 		_ = log.Close()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -104,6 +104,7 @@
 	w.awaitVersion()
 	load.awaitChange(t)
 	findings := load.findings()
+	findings = append(findings, load.wordFindings()...)
 	for _, p := range w.processes() {
 		findings = append(findings, p.findings()...)
 	}
@@ -166,4 +167,5 @@
 	for _, p := range w.processes() {
 		p.signal(syscall.SIGCONT)
 	}
+	w.endWords()
 }
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -45,6 +45,8 @@
 	// starts draws which servers start again, apart from random, so that seeds that are kept
 	// draw all else as they did when they failed.
 	starts *rand.Rand
+	// words draws what servers say of themselves, apart from random for the same reason.
+	words  *rand.Rand
 	number int
 
 	store     *standin.Store
@@ -76,6 +78,7 @@
 	w := &world{
 		t: t, random: rand.New(rand.NewPCG(seed, seed)), number: number, //nolint:gosec // repeatable on purpose
 		starts: rand.New(rand.NewPCG(seed, seed+1)), //nolint:gosec // repeatable on purpose
+		words:  rand.New(rand.NewPCG(seed, seed+2)), //nolint:gosec // repeatable on purpose
 		store:  standin.NewStore(), origin: standin.NewOrigin(pieces, pieceSize), version: 1, config: 1,
 	}
 	t.Cleanup(w.close)
--- a/pkg/route/rest.go
+++ b/pkg/route/rest.go
@@ -55,7 +55,9 @@
 func (d *Dispatcher) newBackend(id fleet.ServerID, incarnation member.Incarnation, now time.Time) *backend {
 	b := newBackend(incarnation)
 	b.restTo = d.rests.until(id, incarnation)
-	b.tested = !b.isResting(now)
+	// An answer does not say of which start it is, so the rest may be this start's, of which was heard later: it
+	// gets one request first.
+	b.tested = !now.Before(d.rests[id].until)
 	return b
 }
 
