--- a/internal/direct/heard.go
+++ b/internal/direct/heard.go
@@ -2,16 +2,10 @@
 
 import (
 	"net/http"
-	"time"
 
-	"github.com/cinderslip/cinderslip/internal/provider"
 	"github.com/cinderslip/cinderslip/pkg/route"
 )
 
-// restLongest bounds the rest that a backend server may ask for. After it the server is asked once, so one that
-// wants more gets one request a minute; a time of years, or what was meant as a date, would lose it for good.
-const restLongest = time.Minute
-
 // heard takes what a backend server says of itself in the head of an answer. That holds whatever becomes of the
 // request: read for the fate of the request alone, it was forgotten with it.
 func (f *Front) heard(x *exchange, place *route.Reservation, head *http.Response) {
@@ -45,6 +39,3 @@
 		f.adjustOne(x.service, d)
 	}
 }
-
-// restAsked is the rest that a server has asked for by an error, as far as it is kept.
-func restAsked(err error) time.Duration { return min(restLongest, provider.RestOf(err)) }
--- a/internal/direct/loader.go
+++ b/internal/direct/loader.go
@@ -97,8 +97,10 @@
 			Box: p.settings.Box, Service: member.Service(p.settings.Direct.Service),
 			Address: member.Address(p.settings.Direct.Server), Agent: member.Address(p.settings.Listen.Peers),
 			AgentPort: uint16(p.settings.Direct.AgentPort),
-			Facts:     p.facts, Peers: p.peers, Server: p.options.Platform.Server, Origin: p.options.Platform.Origin,
-			Clock: p.options.Clock, Log: p.options.Log, Metrics: p.metrics, IsNear: p.isNear,
+			Facts:     p.facts, Peers: p.peers,
+			Server: restingServer(p.options.Platform.Server, &restKeeper{name: "server", clock: p.options.Clock, log: p.options.Log}),
+			Origin: restingOrigin(p.options.Platform.Origin, &restKeeper{name: "origin", clock: p.options.Clock, log: p.options.Log}),
+			Clock:  p.options.Clock, Log: p.options.Log, Metrics: p.metrics, IsNear: p.isNear,
 			LinkMbps: p.settings.Direct.LinkMbps, Bound: time.Duration(p.settings.Direct.VersionBound),
 		},
 		duties: kernel.NewDuties(), store: weights.NewMemoryStore(weightsMemory),
@@ -145,7 +147,7 @@
 			}
 			event.Str("dependency", "server").Str("address", string(l.options.Address)).Msg(message)
 		}
-		sleep(ctx, l.options.Clock, max(reportInterval, restAsked(err)))
+		sleep(ctx, l.options.Clock, reportInterval)
 	}
 }
 
@@ -321,7 +323,7 @@
 	if err := l.swap(ctx, want, version, have > 0); err != nil && ctx.Err() == nil {
 		l.options.Log.Warn().Str("model", string(want.model)).Uint64("version", uint64(version)).
 			Uint64("have", uint64(have)).Err(err).Msg("weights not taken, trying again")
-		sleep(ctx, l.options.Clock, max(loadRetry, restAsked(err)))
+		sleep(ctx, l.options.Clock, loadRetry)
 	}
 }
 
--- /dev/null
+++ b/internal/direct/rest.go
@@ -0,0 +1,97 @@
+package direct
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+
+	"github.com/cinderslip/cinderslip/internal/provider"
+	"github.com/cinderslip/cinderslip/pkg/fleet"
+	"github.com/cinderslip/cinderslip/pkg/member"
+	"github.com/cinderslip/cinderslip/pkg/weights"
+)
+
+// restLongest bounds the rest that a backend server may ask for. After it the server is asked once, so one that
+// wants more gets one request a minute; a time of years, or what was meant as a date, would lose it for good.
+const restLongest = time.Minute
+
+// restKeeper keeps the rest that one server has asked this process for, over all of its calls.
+type restKeeper struct {
+	// name is what the log calls the server.
+	name  string
+	clock clockwork.Clock
+	log   zerolog.Logger
+
+	mu    sync.Mutex
+	until time.Time
+}
+
+// resting makes a call unless the server rests, and notes the rest that it asks for.
+func resting[T any](k *restKeeper, call func() (T, error)) (T, error) {
+	if left := k.left(); left > 0 {
+		var none T
+		return none, &provider.RestError{For: left}
+	}
+	answer, err := call()
+	k.note(provider.RestOf(err))
+	return answer, err
+}
+
+// left is for how long the server rests.
+func (k *restKeeper) left() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.until.Sub(k.clock.Now())
+}
+
+func (k *restKeeper) note(asked time.Duration) {
+	if asked <= 0 {
+		return
+	}
+	rest := min(asked, restLongest)
+	k.log.Info().Str("dependency", k.name).Dur("asked_ms", asked).Dur("rest_ms", rest).Msg("server asks for rest")
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if until := k.clock.Now().Add(rest); until.After(k.until) {
+		k.until = until
+	}
+}
+
+// restingServer is a model server whose calls fail with a RestError while it rests.
+func restingServer(server provider.ModelServer, k *restKeeper) provider.ModelServer {
+	without := func(call func() error) error {
+		_, err := resting(k, func() (struct{}, error) { return struct{}{}, call() })
+		return err
+	}
+	return provider.ModelServer{
+		Leaving: server.Leaving,
+		Report: func(ctx context.Context) (fleet.Report, error) {
+			return resting(k, func() (fleet.Report, error) { return server.Report(ctx) })
+		},
+		Start: func(ctx context.Context, order provider.StartOrder) error {
+			return without(func() error { return server.Start(ctx, order) })
+		},
+		Stage: func(ctx context.Context, model fleet.ModelName, index int, data []byte) error {
+			return without(func() error { return server.Stage(ctx, model, index, data) })
+		},
+		Staged: func(ctx context.Context, model fleet.ModelName, index int) ([]byte, error) {
+			return resting(k, func() ([]byte, error) { return server.Staged(ctx, model, index) })
+		},
+	}
+}
+
+// restingOrigin is an origin whose calls fail with a RestError while it rests. Others draw meanwhile, of whom it has
+// asked nothing.
+func restingOrigin(origin provider.PieceOrigin, k *restKeeper) provider.PieceOrigin {
+	return provider.PieceOrigin{
+		Manifest: func(ctx context.Context, at member.Address, model fleet.ModelName, version fleet.WeightsVersion) (*weights.Manifest, error) {
+			return resting(k, func() (*weights.Manifest, error) { return origin.Manifest(ctx, at, model, version) })
+		},
+		Piece: func(ctx context.Context, at member.Address, model fleet.ModelName, version fleet.WeightsVersion, index int) ([]byte, error) {
+			return resting(k, func() ([]byte, error) { return origin.Piece(ctx, at, model, version, index) })
+		},
+	}
+}
--- /dev/null
+++ b/internal/direct/rest_test.go
@@ -0,0 +1,66 @@
+package direct
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cinderslip/cinderslip/internal/provider"
+	"github.com/cinderslip/cinderslip/pkg/fleet"
+	"github.com/cinderslip/cinderslip/pkg/member"
+)
+
+// An agent asked its server for a report ten times a second, and handed it pieces, whatever rest it had asked for.
+func TestAnAgentLeavesAServerAloneThatWantsRest(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	calls, asks := 0, 3*time.Second
+	server := restingServer(provider.ModelServer{
+		Report: func(context.Context) (fleet.Report, error) {
+			calls++
+			return fleet.Report{}, &provider.RestError{For: asks}
+		},
+		Start:  func(context.Context, provider.StartOrder) error { calls++; return nil },
+		Stage:  func(context.Context, fleet.ModelName, int, []byte) error { calls++; return nil },
+		Staged: func(context.Context, fleet.ModelName, int) ([]byte, error) { calls++; return nil, nil },
+	}, &restKeeper{name: "server", clock: clock, log: zerolog.Nop()})
+	ctx := t.Context()
+	_, err := server.Report(ctx)
+	require.Equal(t, 3*time.Second, provider.RestOf(err))
+	clock.Advance(2 * time.Second)
+	_, err = server.Report(ctx)
+	require.Equal(t, time.Second, provider.RestOf(err), "what is left of it")
+	require.Error(t, server.Start(ctx, provider.StartOrder{}))
+	require.Error(t, server.Stage(ctx, "m", 0, nil))
+	_, err = server.Staged(ctx, "m", 0)
+	require.Error(t, err)
+	require.Equal(t, 1, calls)
+	clock.Advance(time.Second)
+	asks = time.Hour
+	_, _ = server.Report(ctx)
+	require.Equal(t, 2, calls)
+	clock.Advance(restLongest)
+	require.NoError(t, server.Start(ctx, provider.StartOrder{}), "no rest is for longer")
+}
+
+func TestAnAgentLeavesAnOriginAloneThatWantsRest(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	calls := 0
+	origin := restingOrigin(provider.PieceOrigin{
+		Piece: func(context.Context, member.Address, fleet.ModelName, fleet.WeightsVersion, int) ([]byte, error) {
+			calls++
+			return nil, &provider.RestError{For: time.Second}
+		},
+	}, &restKeeper{name: "origin", clock: clock, log: zerolog.Nop()})
+	for range 5 {
+		_, err := origin.Piece(t.Context(), "", "m", 1, 0)
+		require.Error(t, err)
+	}
+	require.Equal(t, 1, calls)
+	clock.Advance(time.Second)
+	_, _ = origin.Piece(t.Context(), "", "m", 1, 0)
+	require.Equal(t, 2, calls)
+}
--- a/internal/provider/fleet.go
+++ b/internal/provider/fleet.go
@@ -63,9 +63,9 @@
 	Start, End int
 }
 
-// ModelServer is the model server on the agent's box.
+// ModelServer is the model server on the agent's box. Errors of any call wrap a RestError if the server wants rest.
 type ModelServer struct {
-	// Report reads its state. Errors wrap ErrUnavailable, and a RestError if the server wants rest.
+	// Report reads its state. Errors wrap ErrUnavailable.
 	Report func(ctx context.Context) (fleet.Report, error)
 	// Leaving reports whether the server's last answer to any call said that it will end.
 	Leaving func() bool
@@ -78,7 +78,7 @@
 	Staged func(ctx context.Context, model fleet.ModelName, index int) ([]byte, error)
 }
 
-// PieceOrigin publishes the weights of models in pieces.
+// PieceOrigin publishes the weights of models in pieces. Errors wrap a RestError where it wants rest.
 type PieceOrigin struct {
 	// Manifest reads the digests of a version. Errors wrap ErrNotPublished or
 	// ErrUnavailable.
