feat(route): a refusal says when all servers rest, and explain names them

Cause: where all servers had asked for rest the log said busy, as if places were taken, and the lines that tell which servers asked stand with other requests. A refusal also looked for resting servers by a walk over all of them before it knew whether any could run the request. Conclusion: on call a refusal for rest is told from a full service by one line.

--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -218,7 +218,11 @@
 // refuseBusy is refuse for a request that could not start in time, and logs why.
 func (f *Front) refuseBusy(x *exchange, busy *route.BusyError) {
 	f.writeRefusal(x, busy.RetryAfter)
-	f.finish(x, "refused").Str("reason", "busy").Dur("retry_after_ms", busy.RetryAfter).Bool("late", busy.Late).Dur("left_ms", busy.Left).
+	reason := "busy"
+	if busy.Places == 0 && busy.Resting > 0 {
+		reason = "resting"
+	}
+	f.finish(x, "refused").Str("reason", reason).Int("resting", busy.Resting).Dur("retry_after_ms", busy.RetryAfter).Bool("late", busy.Late).Dur("left_ms", busy.Left).
 		Int("waiting", busy.Waiting).Int("waiting_elsewhere", busy.WaitingElsewhere).Int("places", busy.Places).
 		Int("places_needed", int(busy.Needed)).Int("beginning", busy.Beginning).Msg("request refused")
 }
--- a/internal/report/explain.go
+++ b/internal/report/explain.go
@@ -32,12 +32,15 @@
 	eventDropped   = "log lines dropped"
 	eventAge       = "age of wanted weights corrected"
 	eventEntryHeld = "server's entry went while the store was away, held"
+	eventDeparture = "server has said that it leaves"
+	eventRest      = "server asks for rest"
 )
 
 // beliefs are the events by which a box changes what it believes.
 var beliefs = map[string]bool{
 	eventWanted: true, eventLost: true, eventRegained: true, eventGone: true, eventInForce: true,
 	eventStarted: true, eventLeaving: true, eventDropped: true, eventAge: true, eventEntryHeld: true,
+	eventDeparture: true, eventRest: true,
 }
 
 // Explanation is what the logs tell of one request.
@@ -66,7 +69,9 @@
 	}
 	last := explanation.Events[len(explanation.Events)-1]
 	for _, event := range events {
-		if event.Get("request") == "" && explanation.bears(&event, &last) {
+		// Rest that the answer to another request asked for bears on those that come after it.
+		isOthers := event.Get("request") == "" || event.Name == eventRest && event.Get("request") != request
+		if isOthers && explanation.bears(&event, &last) {
 			explanation.Context = append(explanation.Context, event)
 		}
 	}
@@ -120,12 +125,13 @@
 	"no-server":        "no server could run it",
 	"leaving":          "the box was in a planned stop and could not have ended it",
 	"no-configuration": "the box had just started and knew no configuration",
+	"resting":          "all servers that could run it had asked the box for rest",
 	"not-run":          "its server refused it or could not be reached, and no further attempt was allowed",
 }
 
 // refusalBeliefs are the events that stand behind a reason.
 var refusalBeliefs = map[string]string{
-	"no-server": eventWanted, "no-configuration": eventStarted,
+	"no-server": eventWanted, "no-configuration": eventStarted, "resting": eventRest,
 }
 
 // newest names the newest event of a kind in the context.
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -89,3 +89,18 @@
 		_ = MeasureBurn(events, BurnOptions{Target: 0.99, Windows: []time.Duration{time.Minute}})
 	})
 }
+
+// Which server had asked for rest stands in the line of the request that it turned away, not of those that are
+// refused for it.
+func TestARefusalWhereAllServersRestNamesTheNewestThatAskedForIt(t *testing.T) {
+	events, err := Read("entry-1.log", strings.NewReader(strings.Join([]string{
+		`time=2026-12-02T10:00:01.000Z level=info event="server asks for rest" request=first server=i-30 status=503 asked_ms=3000 rest_ms=3000`,
+		`time=2026-12-02T10:00:02.000Z level=info event="request refused" outcome=refused reason=resting resting=1 request=second retry_after_ms=2050 route=draft`,
+	}, "\n")))
+	require.NoError(t, err)
+	explanation, ok := Explain(events, "second")
+	require.True(t, ok)
+	require.Contains(t, explanation.Cause, "had asked the box for rest (server asks for rest at 10:00:01.000")
+	require.Len(t, explanation.Context, 1)
+	require.Equal(t, "i-30", explanation.Context[0].Get("server"))
+}
--- a/pkg/route/queue.go
+++ b/pkg/route/queue.go
@@ -36,6 +36,8 @@
 	Places    int
 	Needed    float64
 	Beginning int
+	// Resting is how many servers have asked this box for rest.
+	Resting int
 	// RetryAfter is when there should be room.
 	RetryAfter time.Duration
 }
@@ -164,7 +166,7 @@
 
 // refusal says why a request is not let in.
 func (d *Dispatcher) refusal(ask *Ask, now time.Time) error {
-	if _, _, resting := d.restEnds(now); !resting && !d.anyEligible(now) {
+	if !d.anyEligible(now) && d.resting(now) == 0 {
 		return ErrNoServer
 	}
 	return d.busy(ask, now)
@@ -195,7 +197,7 @@
 	}
 	return &BusyError{
 		Waiting: len(d.queue), WaitingElsewhere: peers.Late, Late: ask.isLate(now), Left: left,
-		Places: d.places(now), Needed: d.firstPlaces(now), Beginning: len(d.unbegun) + peers.Beginning,
+		Places: d.places(now), Needed: d.firstPlaces(now), Beginning: len(d.unbegun) + peers.Beginning, Resting: d.resting(now),
 		RetryAfter: min(wait+jitter, longest),
 	}
 }
--- a/pkg/route/rest.go
+++ b/pkg/route/rest.go
@@ -110,9 +110,19 @@
 	}
 }
 
+// resting is how many servers have asked this box for rest that is not over.
+func (d *Dispatcher) resting(now time.Time) (servers int) {
+	for _, b := range d.order {
+		if b.isResting(now) {
+			servers++
+		}
+	}
+	return servers
+}
+
 // restEnds returns when the first of the servers that rest may be asked again, and how many places those have that
-// rest; ok is false if none does.
-func (d *Dispatcher) restEnds(now time.Time) (first time.Time, places int, ok bool) {
+// rest; places is 0 if none does.
+func (d *Dispatcher) restEnds(now time.Time) (first time.Time, places int) {
 	for _, b := range d.order {
 		if !b.isResting(now) {
 			continue
@@ -122,7 +132,7 @@
 			first = b.restTo
 		}
 	}
-	return first, places, places > 0
+	return first, places
 }
 
 // Resting returns why a request that was turned away should come back later if every server that could run it
@@ -130,7 +140,7 @@
 func (d *Dispatcher) Resting(ask *Ask, now time.Time) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if _, _, ok := d.restEnds(now); !ok || d.anyEligible(now) {
+	if d.anyEligible(now) || d.resting(now) == 0 {
 		return nil
 	}
 	ask.startBy = d.startBy(ask, now)
@@ -140,8 +150,11 @@
 // afterRest returns when a caller should come back where every server rests: once the first has rested, those who
 // were told so before first, one after the other.
 func (d *Dispatcher) afterRest(now time.Time) (wait time.Duration, ok bool) {
-	first, places, ok := d.restEnds(now)
-	if !ok || d.anyEligible(now) {
+	if d.anyEligible(now) {
+		return 0, false
+	}
+	first, places := d.restEnds(now)
+	if places == 0 {
 		return 0, false
 	}
 	before := time.Duration(d.promises.count(now)*d.boxes) * d.usual / time.Duration(places)
