fix(direct): an agent takes its server for leaving by its own word, or that of this very start

A server that is not among those that stay was swapped first. Change: its own last answer decides, or what is believed of the start that reports; one that does not stay comes last in the order. Conclusion: no word about a server without its start is taken for the one that is there now.

--- a/internal/direct/bring.go
+++ b/internal/direct/bring.go
@@ -158,14 +158,17 @@
 }
 
 // place is this server's place in the order of the swaps to a version, and how
-// many servers there are.
+// many servers there are. One that is not among those that stay comes last.
 func (l *Loader) place(want *target, version fleet.WeightsVersion) (place, servers int) {
 	addresses := make([]member.Address, 0, len(want.servers))
 	for _, server := range want.servers {
 		addresses = append(addresses, server.Address)
 	}
 	order := member.Rank(fmt.Sprintf("swap/%s/%d", want.model, version), addresses, len(addresses))
-	return max(0, slices.Index(order, l.options.Address)), max(1, len(order))
+	if place = slices.Index(order, l.options.Address); place < 0 {
+		place = len(order)
+	}
+	return place, max(1, len(order))
 }
 
 // holdBack is until when this box leaves the links to those whose servers are
--- a/internal/direct/departures_test.go
+++ b/internal/direct/departures_test.go
@@ -168,13 +168,19 @@
 	facts.Apply([]fleet.Fact{startListed(5, 6), listedAt("b", "10.0.0.2:8000", 6), wantedVersion(2, 7)}, "store")
 	l := &Loader{
 		options: LoaderOptions{Clock: clockwork.NewFakeClock(), Log: zerolog.Nop(), Facts: facts, Service: "llm", Address: "10.0.0.1:8000"},
-		copies:  make(map[fleet.WeightsVersion]*versionCopy), changed: make(chan struct{}),
+		copies:  make(map[fleet.WeightsVersion]*versionCopy), changed: make(chan struct{}), incarnation: 5,
 	}
 	facts.LearnDepartures([]fleet.Departure{{Server: "a", Incarnation: 5}}, "entry-1")
 	want, known := l.target()
 	require.True(t, known)
 	l.step(t.Context(), &want, 1)
 	require.Empty(t, l.copies, "nothing is fetched")
+	l.incarnation = 0
+	require.False(t, l.isLeaving(), "it may be the one that had the address before")
+	l.leaving = true
+	require.True(t, l.isLeaving(), "by its own word")
+	place, _ := l.place(&want, 2)
+	require.Equal(t, 1, place, "behind those that stay")
 	l.options.Address = "10.0.0.2:8000"
 	place, servers := l.place(&want, 2)
 	require.Equal(t, 0, place)
--- a/internal/direct/loader.go
+++ b/internal/direct/loader.go
@@ -258,14 +258,15 @@
 	return slices.DeleteFunc(slices.Clone(servers), isLeaving)
 }
 
-// isLeaving reports whether the server of the box will end, by its own word to this process or by what is
-// believed of the one at its address.
+// isLeaving reports whether the server of the box will end, by its own last answer or by what is believed of this
+// start of it. Where the platform does not tell starts, what is believed may be of the server that had the address
+// before, and the next one would get no weights until its entry has come.
 func (l *Loader) isLeaving() bool {
 	l.mu.Lock()
-	leaving := l.leaving
+	leaving, incarnation := l.leaving, l.incarnation
 	l.mu.Unlock()
-	return leaving || slices.ContainsFunc(l.options.Facts.View().Servers(l.options.Service), func(s fleet.Server) bool {
-		return s.Address == l.options.Address && s.Leaving
+	return leaving || incarnation != 0 && slices.ContainsFunc(l.options.Facts.View().Servers(l.options.Service), func(s fleet.Server) bool {
+		return s.Address == l.options.Address && s.Incarnation == incarnation && s.Leaving
 	})
 }
 
