--- a/internal/direct/bar_test.go
+++ b/internal/direct/bar_test.go
@@ -417,3 +417,37 @@
 	clock.Advance(3 * time.Second)
 	require.EqualValues(t, 2, f.required(p.facts.View().Wanted("m"), clock.Now()))
 }
+
+// A server that has started again under its id may hold older weights than its entry, or the last word of its agent,
+// tells. A request that was sent there before the older ones were barred was not to be run by the newest alone, so
+// the server could begin it on older ones after the bound, and nothing gave it up.
+func TestARequestForTheNewestWeightsIsForThemAloneFromTheirName(t *testing.T) {
+	for name, test := range map[string]struct {
+		holds fleet.WeightsVersion
+		want  string
+	}{
+		"the newest": {2, "2"},
+		"older ones": {1, "0"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			link := newSlowLink(t)
+			w := newBarWorld(t, link.address)
+			w.nameSecond()
+			w.facts.Apply([]fleet.Fact{{Key: fleet.ServerKey("a"), Revision: 4, Server: &fleet.Server{
+				ID: "a", Service: "llm", Address: link.address, Slots: 4, Models: []fleet.LoadedModel{{Name: "m", Version: test.holds}},
+			}}}, "store")
+			w.adjust()
+			ctx, cancel := context.WithCancel(t.Context())
+			x := w.request()
+			x.request = x.request.WithContext(ctx)
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				w.front.run(x)
+			}()
+			require.Contains(t, string(<-link.taken), "Expect: "+test.want+"\r\n")
+			cancel()
+			await(t, done)
+		})
+	}
+}
