perf(route): a refusal looks at the servers that asked for rest alone

Cause: the count of resting servers in a refusal walked over all servers of the service. Change: it goes by the rests that were asked for, mostly none.

--- a/pkg/route/queue.go
+++ b/pkg/route/queue.go
@@ -166,7 +166,7 @@
 
 // refusal says why a request is not let in.
 func (d *Dispatcher) refusal(ask *Ask, now time.Time) error {
-	if !d.anyEligible(now) && d.resting(now) == 0 {
+	if !d.anyEligible(now) && d.resting(now).servers == 0 {
 		return ErrNoServer
 	}
 	return d.busy(ask, now)
@@ -181,8 +181,8 @@
 	if room, ok := d.lateForecast(now).until(float64(d.promises.count(now)*d.boxes + d.waitingLate(now) + 1)); ok {
 		wait = min(longest, max(retryLeast, room))
 	}
-	comes := wait
-	if rested, ok := d.afterRest(now); ok {
+	comes, resting := wait, d.resting(now)
+	if rested, ok := d.afterRest(resting, now); ok {
 		// Sooner is in vain. Callers who can't wait for as long come when they must.
 		wait = max(retryLeast, rested)
 		comes, longest = min(wait, longest), math.MaxInt64
@@ -197,7 +197,7 @@
 	}
 	return &BusyError{
 		Waiting: len(d.queue), WaitingElsewhere: peers.Late, Late: ask.isLate(now), Left: left,
-		Places: d.places(now), Needed: d.firstPlaces(now), Beginning: len(d.unbegun) + peers.Beginning, Resting: d.resting(now),
+		Places: d.places(now), Needed: d.firstPlaces(now), Beginning: len(d.unbegun) + peers.Beginning, Resting: resting.servers,
 		RetryAfter: min(wait+jitter, longest),
 	}
 }
--- a/pkg/route/rest.go
+++ b/pkg/route/rest.go
@@ -110,29 +110,28 @@
 	}
 }
 
-// resting is how many servers have asked this box for rest that is not over.
-func (d *Dispatcher) resting(now time.Time) (servers int) {
-	for _, b := range d.order {
-		if b.isResting(now) {
-			servers++
-		}
-	}
-	return servers
+// restingServers are the servers of the list that have asked this box for rest that is not over.
+type restingServers struct {
+	servers, places int
+	// first is when the first of them may be asked again.
+	first time.Time
 }
 
-// restEnds returns when the first of the servers that rest may be asked again, and how many places those have that
-// rest; places is 0 if none does.
-func (d *Dispatcher) restEnds(now time.Time) (first time.Time, places int) {
-	for _, b := range d.order {
-		if !b.isResting(now) {
+// resting returns the servers that rest. It looks at those that have asked for rest alone: a walk over 12,000
+// servers took a refusal from 0.8 to 153 us.
+func (d *Dispatcher) resting(now time.Time) (resting restingServers) {
+	for id := range d.rests {
+		b := d.backends[id]
+		if b == nil || !b.isResting(now) {
 			continue
 		}
-		places += d.limit(b)
-		if first.IsZero() || b.restTo.Before(first) {
-			first = b.restTo
+		resting.servers++
+		resting.places += d.limit(b)
+		if resting.first.IsZero() || b.restTo.Before(resting.first) {
+			resting.first = b.restTo
 		}
 	}
-	return first, places
+	return resting
 }
 
 // Resting returns why a request that was turned away should come back later if every server that could run it
@@ -140,7 +139,7 @@
 func (d *Dispatcher) Resting(ask *Ask, now time.Time) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.anyEligible(now) || d.resting(now) == 0 {
+	if d.resting(now).servers == 0 || d.anyEligible(now) {
 		return nil
 	}
 	ask.startBy = d.startBy(ask, now)
@@ -149,14 +148,10 @@
 
 // afterRest returns when a caller should come back where every server rests: once the first has rested, those who
 // were told so before first, one after the other.
-func (d *Dispatcher) afterRest(now time.Time) (wait time.Duration, ok bool) {
-	if d.anyEligible(now) {
-		return 0, false
-	}
-	first, places := d.restEnds(now)
-	if places == 0 {
+func (d *Dispatcher) afterRest(resting restingServers, now time.Time) (wait time.Duration, ok bool) {
+	if resting.servers == 0 || d.anyEligible(now) {
 		return 0, false
 	}
-	before := time.Duration(d.promises.count(now)*d.boxes) * d.usual / time.Duration(places)
-	return first.Sub(now) + before, true
+	before := time.Duration(d.promises.count(now)*d.boxes) * d.usual / time.Duration(resting.places)
+	return resting.first.Sub(now) + before, true
 }
