fix(direct): of two answers that tell it at once, neither is passed on before the box leaves the server alone

Cause: read through: the second of two answers that say that a server leaves was no news, and was passed on while the first was still about to tell the dispatcher; what its caller asked for next could be sent there. The log line of a rest came before the rest held. Change: an answer is passed on once the dispatcher knows, whoever told it; the line comes after. Departures are taken under one lock.

--- a/internal/direct/departures.go
+++ b/internal/direct/departures.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -85,7 +86,7 @@
 			unlisted = append(unlisted, id)
 		}
 	}
-	slices.SortFunc(unlisted, func(a, b fleet.ServerID) int { return int(d.byServer[a].number) - int(d.byServer[b].number) })
+	slices.SortFunc(unlisted, d.byNumber)
 	for _, id := range unlisted[:len(unlisted)/2] {
 		delete(d.byServer, id)
 	}
@@ -101,12 +102,15 @@
 			left = append(left, fleet.Departure{Server: id, Incarnation: known.incarnation})
 		}
 	}
-	slices.SortFunc(left, func(a, b fleet.Departure) int {
-		return int(d.byServer[a.Server].number) - int(d.byServer[b.Server].number)
-	})
+	slices.SortFunc(left, func(a, b fleet.Departure) int { return d.byNumber(a.Server, b.Server) })
 	return left, d.number
 }
 
+// byNumber orders servers as their departures were heard of.
+func (d *departures) byNumber(a, b fleet.ServerID) int {
+	return cmp.Compare(d.byServer[a].number, d.byServer[b].number)
+}
+
 // LearnDepartures takes which servers have said that they will end, each for one of its starts, as another process
 // tells.
 func (f *Facts) LearnDepartures(told []fleet.Departure, from string) {
@@ -115,16 +119,17 @@
 	f.takeDepartures(told, time.Time{}, from)
 }
 
-// HearDeparture takes a server's word that it will end from an answer that has just come, and reports whether it is
-// news. The start is the latest that was known when the request was sent.
-func (f *Facts) HearDeparture(server fleet.ServerID, start member.Incarnation, from string) bool {
+// HearDeparture takes a server's word that it will end from an answer that has just come. The start is the latest
+// that was known when the request was sent.
+func (f *Facts) HearDeparture(server fleet.ServerID, start member.Incarnation, from string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.takeDepartures([]fleet.Departure{{Server: server, Incarnation: start}}, f.clock.Now(), from)
+	f.takeDepartures([]fleet.Departure{{Server: server, Incarnation: start}}, f.clock.Now(), from)
 }
 
-// takeDepartures takes departures and reports whether any is news. The lock must be held.
-func (f *Facts) takeDepartures(told []fleet.Departure, heard time.Time, from string) (learned bool) {
+// takeDepartures takes departures, heard in an answer at a time or, if that is zero, from others. The lock must be held.
+func (f *Facts) takeDepartures(told []fleet.Departure, heard time.Time, from string) {
+	learned := false
 	for _, left := range told {
 		if !f.departures.take(left, heard, f.isListed) {
 			continue
@@ -136,7 +141,6 @@
 	if learned {
 		f.publishServers()
 	}
-	return learned
 }
 
 // isListed reports whether a server has an entry. The lock must be held.
@@ -161,13 +165,16 @@
 		return
 	}
 	f.mu.Lock()
-	var ids []fleet.ServerID
+	defer f.mu.Unlock()
+	var left []fleet.Departure
 	began := false
 	for id, server := range f.servers {
 		if server.Address != address || started < server.Incarnation {
 			continue
 		}
-		ids = append(ids, id)
+		if leaving {
+			left = append(left, fleet.Departure{Server: id, Incarnation: started})
+		}
 		if started > max(server.Incarnation, f.departures.starts[id]) && server.Incarnation != 0 {
 			f.departures.starts[id] = started
 			began = true
@@ -178,13 +185,7 @@
 	if began {
 		f.publishServers()
 	}
-	f.mu.Unlock()
-	if !leaving {
-		return
-	}
-	for _, id := range ids {
-		f.LearnDepartures([]fleet.Departure{{Server: id, Incarnation: started}}, from)
-	}
+	f.takeDepartures(left, time.Time{}, from)
 }
 
 // DeparturesSince returns the departures that were heard of after a number of them, and how many there are
--- a/internal/direct/heard.go
+++ b/internal/direct/heard.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"errors"
 	"net/http"
 
 	"github.com/cinderslip/cinderslip/pkg/route"
@@ -20,17 +21,18 @@
 	}
 	if mark.Rest > 0 {
 		rest, now := min(mark.Rest, restLongest), f.clock.Now()
+		place.Rest(now.Add(rest), now)
 		f.metrics.words.WithLabelValues("rest").Inc()
 		f.log.Info().Str("request", x.ID).Str("server", server).Uint64("incarnation", uint64(place.Incarnation)).Int("status", head.StatusCode).
 			Dur("asked_ms", mark.Rest).Dur("rest_ms", rest).Msg("server asks for rest")
-		place.Rest(now.Add(rest), now)
 	}
 }
 
 // heardLeaving takes a server's word that it will end. Its dispatcher knows it before the answer is passed on, so
-// that nothing a caller asks for after that is sent there.
+// that nothing a caller asks for after that is sent there; also if another answer has just told it.
 func (f *Front) heardLeaving(x *exchange, place *route.Reservation) {
-	if !f.facts.HearDeparture(place.Server.ID, place.Incarnation, "request "+x.ID) {
+	f.facts.HearDeparture(place.Server.ID, place.Incarnation, "request "+x.ID)
+	if errors.Is(place.Check(f.clock.Now()), route.ErrLeaving) {
 		return
 	}
 	f.mu.Lock()
