fix: a hangup while a process starts does not end it

The signal was asked for only once the settings had been read; and in a planned stop it was given back before it was ignored. Ruled out: a hangup to a process that runs (it reads its settings again). Change: it is asked for before anything else, and ignored in one step. Conclusion: what is left is the time until the program's first line, a few milliseconds that no program has a say in.

--- a/cmd/cinderslipd/direct.go
+++ b/cmd/cinderslipd/direct.go
@@ -28,16 +28,14 @@
 // rest is for the kernel's buffers and for stacks.
 const heapPart = 0.6
 
-// runDirect runs one role in direct mode until a signal.
-func runDirect(path string, loaded *settings.Settings, stdout io.Writer) int {
+// runDirect runs one role in direct mode until a signal, and reads its settings again at each of reload.
+func runDirect(path string, loaded *settings.Settings, stdout io.Writer, reload <-chan os.Signal) int {
 	debug.SetMemoryLimit(int64(heapPart * bytesPerMegabyte * loaded.Direct.MemoryMegabytes))
 	clock := clockwork.NewRealClock()
 	queue := daemon.NewLogQueue(stdout, clock)
 	defer closeLog(queue)
 	log := daemon.NewLogger(queue, loaded.Log.Level, clock)
 	stop := stopSignal()
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
 	addresses := platform.Addresses{Store: member.Address(loaded.Direct.Store), Server: member.Address(loaded.Direct.Server)}
 	process, err := direct.Start(loaded, direct.Options{Clock: clock, Log: log, Platform: platform.New(addresses, platformClient()), LogQueue: queue})
 	if err != nil {
@@ -52,7 +50,7 @@
 			reloadSettings(path, process, log)
 		}
 	}
-	signal.Stop(reload)
+	// At once, as a hangup between the end of one and the beginning of the other would end the process.
 	signal.Ignore(syscall.SIGHUP)
 	exitBefore(clock, time.Duration(loaded.Stop.Grace), log, func() {
 		closeLog(queue)
--- a/cmd/cinderslipd/main.go
+++ b/cmd/cinderslipd/main.go
@@ -13,8 +13,13 @@
 
 import (
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 func main() {
-	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+	// Before anything else, as a hangup that comes before it is asked for ends the process.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr, reload))
 }
--- a/cmd/cinderslipd/run.go
+++ b/cmd/cinderslipd/run.go
@@ -39,7 +39,8 @@
 	Version      bool   `long:"version" description:"print the version, then exit"`
 }
 
-func run(args []string, stdout, stderr io.Writer) int {
+// run runs the program. Reload gets a signal when the settings have changed, which a process in direct mode reads again.
+func run(args []string, stdout, stderr io.Writer, reload <-chan os.Signal) int {
 	var given arguments
 	parser := flags.NewNamedParser("cinderslipd", flags.HelpFlag|flags.PassDoubleDash)
 	if _, err := parser.AddGroup("Options", "", &given); err != nil {
@@ -64,9 +65,10 @@
 		_, _ = fmt.Fprintln(stdout, "cinderslipd", buildinfo.String())
 		return exitDone
 	case given.Dev:
+		signal.Reset(syscall.SIGHUP)
 		return runDev(given, stdout, stderr)
 	}
-	return runRole(given, stdout, stderr)
+	return runRole(given, stdout, stderr, reload)
 }
 
 func (a *arguments) check(rest []string) error {
@@ -93,7 +95,7 @@
 	return nil
 }
 
-func runRole(given arguments, stdout, stderr io.Writer) int {
+func runRole(given arguments, stdout, stderr io.Writer, reload <-chan os.Signal) int {
 	loaded, findings := settings.Load(given.Config)
 	for _, finding := range findings {
 		_, _ = fmt.Fprintln(stderr, finding)
@@ -106,8 +108,9 @@
 		return exitDone
 	}
 	if loaded.Mode == settings.ModeDirect {
-		return runDirect(given.Config, loaded, stdout)
+		return runDirect(given.Config, loaded, stdout, reload)
 	}
+	signal.Reset(syscall.SIGHUP)
 	clock := clockwork.NewRealClock()
 	log := daemon.NewLogger(stderr, loaded.Log.Level, clock)
 	stop := stopSignal()
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -23,10 +23,11 @@
 }
 
 const (
-	// faultEvery is how often a fault begins, in the mean; each lasts up to faultLongest,
-	// so that they overlap.
+	// faultEvery is how often a fault begins, in the mean, in a world of faultBoxes entry boxes; in larger ones as
+	// much more often. Each lasts up to faultLongest, so that they overlap.
 	faultEvery   = 250 * time.Millisecond
 	faultLongest = 1500 * time.Millisecond
+	faultBoxes   = 3
 )
 
 // injectFaults draws faults for a time and waits until all have ended.
@@ -38,7 +39,7 @@
 		chosen := faults[w.random.IntN(len(faults))]
 		pick, span := w.random.IntN(1<<16), time.Duration(w.random.Int64N(int64(faultLongest)))
 		running.Go(func() { chosen(w, pick, span) })
-		time.Sleep(time.Duration(w.random.Int64N(int64(2 * faultEvery))))
+		time.Sleep(time.Duration(w.random.Int64N(int64(2*faultEvery))) * faultBoxes / time.Duration(max(faultBoxes, *entryBoxes)))
 	}
 	running.Wait()
 }
--- a/internal/soak/load_test.go
+++ b/internal/soak/load_test.go
@@ -14,9 +14,7 @@
 )
 
 const (
-	// callersAtOnce is how many callers send one request after the other.
-	callersAtOnce = 6
-	callerWait    = 3 * time.Second
+	callerWait = 3 * time.Second
 	// failurePause is how long a caller waits after a request that was not served.
 	failurePause = 20 * time.Millisecond
 )
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -9,6 +9,7 @@
 //	go test ./internal/soak                                  # the seeds of CI and those that ever failed
 //	go test ./internal/soak -soak.seeds 50 -soak.from 1000   # fifty others
 //	go test ./internal/soak -soak.change 2s                  # judge also how late a change comes
+//	go test ./internal/soak -soak.entries 40 -soak.models 80 # two cells, 120 processes
 package soak
 
 import (
@@ -29,6 +30,12 @@
 	seeds = flag.Int("soak.seeds", 2, "how many seeds are run")
 	from  = flag.Uint64("soak.from", 1, "the first seed")
 	long  = flag.Duration("soak.for", 4*time.Second, "for how long each seed injects faults")
+	// Larger worlds than CI's are for runs by hand: each entry box and each model server is a process, at most 49
+	// and 99 of them.
+	entryBoxes   = flag.Int("soak.entries", 3, "how many entry boxes there are")
+	modelServers = flag.Int("soak.models", 3, "how many model servers there are, each with an agent")
+	plainServers = flag.Int("soak.plains", 2, "how many servers there are without a model")
+	atOnce       = flag.Int("soak.callers", 6, "how many callers send one request after the other")
 	// change is not judged by default, as a busy machine must not decide a verdict.
 	change = flag.Duration("soak.change", 0, "in which time a change must be in force on every entry box; 0: any")
 )
@@ -96,7 +103,7 @@
 	}
 	load := newLoad(w)
 	load.awaitServed(t)
-	load.run(callersAtOnce)
+	load.run(*atOnce)
 	w.injectFaults(*long)
 	w.endFaults()
 	load.stop()
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -17,14 +17,11 @@
 )
 
 const (
-	entryBoxes   = 3
-	modelServers = 3
-	plainServers = 2
-	pieces       = 6
-	pieceSize    = 20_000
-	events       = 12
-	eventTime    = 30 * time.Millisecond
-	originConns  = 40
+	pieces      = 6
+	pieceSize   = 20_000
+	events      = 12
+	eventTime   = 30 * time.Millisecond
+	originConns = 40
 )
 
 // The ports, alike on all boxes.
@@ -83,19 +80,19 @@
 	}
 	t.Cleanup(w.close)
 	w.storeLink = w.link("127.0.0.1:0", w.serve(w.store))
-	for i := range modelServers {
+	for i := range *modelServers {
 		w.addServer(fmt.Sprintf("i-model-%d", i), "llm", "daka", w.ip(50+i))
 	}
-	for i := range plainServers {
+	for i := range *plainServers {
 		w.addServer(fmt.Sprintf("i-plain-%d", i), "maps", "", w.ip(150+i))
 	}
 	w.putConfig()
 	dir := t.TempDir()
 	seeds := fmt.Sprintf("entries = [%q]", fmt.Sprintf("%s:%d", w.ip(1), portPeers))
-	for i := range entryBoxes {
+	for i := range *entryBoxes {
 		w.addEntry(dir, fmt.Sprintf("entry-%d", i), w.ip(1+i), seeds)
 	}
-	for i := range modelServers {
+	for i := range *modelServers {
 		w.addAgent(dir, fmt.Sprintf("agent-%d", i), w.ip(50+i), seeds, w.servers[i])
 	}
 	return w
