test(lab): servers that ask for rest, in the model of 9 and of 41 entry boxes

Change: a fault of the model in which servers turn all requests away and ask for rest; the test bounds what may come by the aim: one request for each box, server and rest, none within a rest.

--- a/internal/lab/box.go
+++ b/internal/lab/box.go
@@ -201,7 +201,22 @@
 	r.job.ended = func(whole bool) { r.later(delay, func() { r.over(whole) }) }
 	sent := r.job
 	r.later(delay, func() {
-		if !sent.gone && !server.submit(sent) {
+		if sent.gone {
+			return
+		}
+		server.noteRest(r.box, r.box.world.result)
+		switch {
+		case server.turnsAway:
+			r.box.world.result.TurnedAway++
+			server.turnAway(r.box)
+			rest := server.rest
+			r.later(delay, func() {
+				if now := r.box.world.Now(); rest > 0 {
+					place.Rest(now.Add(rest), now)
+				}
+				r.turnedAway(true)
+			})
+		case !server.submit(sent):
 			r.later(delay, func() { r.turnedAway(server.up) })
 		}
 	})
--- a/internal/lab/deployment.go
+++ b/internal/lab/deployment.go
@@ -110,6 +110,9 @@
 	// FaultBoxesCut cuts a part of the entry boxes off from all others for Down; callers and
 	// servers still reach them.
 	FaultBoxesCut FaultKind = "boxes-cut"
+	// FaultServersRest lets a part of the servers turn all requests away for Down. Each time they ask the box for Rest,
+	// or say nothing if that is 0.
+	FaultServersRest FaultKind = "servers-rest"
 	// FaultBurst multiplies the traffic by Factor for Down.
 	FaultBurst FaultKind = "burst"
 )
@@ -124,5 +127,6 @@
 	// one after the other.
 	Down   time.Duration
 	Over   time.Duration
+	Rest   time.Duration
 	Factor float64
 }
--- a/internal/lab/engine.go
+++ b/internal/lab/engine.go
@@ -33,12 +33,43 @@
 	queue   []*job
 	// up is false while it is down, open while it takes new requests.
 	up, open bool
-	slow     float64
-	passing  bool
+	// turnsAway is set while it takes nothing and asks for rest, if that is not 0.
+	turnsAway bool
+	rest      time.Duration
+	// resting are the rests that boxes have been asked for.
+	resting map[*box]restAsked
+	slow    float64
+	passing bool
 	// life changes when the server goes down, so that planned passes lapse.
 	life int
 }
 
+// restAsked is a rest that a server has asked a box for: it wants nothing from the box between two moments.
+type restAsked struct{ from, until time.Time }
+
+// restGrace is how long after a server has asked for rest what is on its way may still come.
+const restGrace = 500 * time.Millisecond
+
+// turnAway asks a box for rest.
+func (e *engine) turnAway(b *box) {
+	if e.rest == 0 {
+		return
+	}
+	if e.resting == nil {
+		e.resting = make(map[*box]restAsked)
+	}
+	now := e.line.Now()
+	e.resting[b] = restAsked{from: now.Add(restGrace), until: now.Add(e.rest)}
+}
+
+// noteRest counts a request that comes within a rest that its box was asked for.
+func (e *engine) noteRest(b *box, result *Result) {
+	asked, ok := e.resting[b]
+	if now := e.line.Now(); ok && now.After(asked.from) && now.Before(asked.until) {
+		result.WithinRest++
+	}
+}
+
 // submit takes a request; false if there is no room or the server is closed.
 func (e *engine) submit(j *job) bool {
 	if !e.up || !e.open || len(e.running)+len(e.queue) >= e.Slots+e.Queue {
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -64,6 +64,9 @@
 	// Owed and Earned are worth; Priced is what is taken off for callers that were
 	// held in vain or refused again.
 	Owed, Earned, Priced float64
+	// TurnedAway is how many attempts came to servers that took nothing, WithinRest how many of all attempts came
+	// half a second or more after such a server had asked their box for rest, and before that was over.
+	TurnedAway, WithinRest int
 }
 
 // The prices, as parts of a request's worth, are those of the project's own measure: a
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -215,6 +215,11 @@
 			w.servers[i].slow = f.Factor
 			w.After(f.Down, func() { w.servers[i].slow = 1 })
 		})
+	case FaultServersRest:
+		w.each(f, w.struck(len(w.servers), f.Share), func(i int) {
+			w.servers[i].turnsAway, w.servers[i].rest = true, f.Rest
+			w.After(f.Down, func() { w.servers[i].turnsAway = false })
+		})
 	case FaultBoxesDown:
 		w.each(f, w.struck(len(w.boxes), f.Share), func(i int) {
 			w.boxes[i].kill()
