--- a/pkg/route/rest.go
+++ b/pkg/route/rest.go
@@ -24,8 +24,8 @@
 	until       time.Time
 }
 
-// rests are those that were asked for, kept beside the list: a server whose entry goes and comes back is as
-// tired as before.
+// rests are those that were asked for, kept beside the list: a server whose entry goes and comes back still
+// wants the time that it asked for.
 type rests map[fleet.ServerID]rest
 
 // ask notes a rest. Of two times the later one holds.
--- a/pkg/route/rest_test.go
+++ b/pkg/route/rest_test.go
@@ -69,14 +69,14 @@
 func TestAServerThatAskedForRestGetsNothingUntilThat(t *testing.T) {
 	w := newRestWorld(t, plain("a", 1), plain("b", 1))
 	place := w.place()
-	tired := place.Server.ID
+	resting := place.Server.ID
 	w.turnAway(place, 3*time.Second)
 	w.now = w.now.Add(time.Second)
-	require.Zero(t, w.served(50)[tired])
+	require.Zero(t, w.served(50)[resting])
 	w.now = w.now.Add(1999 * time.Millisecond)
-	require.Zero(t, w.served(50)[tired])
+	require.Zero(t, w.served(50)[resting])
 	w.now = w.now.Add(time.Millisecond)
-	require.NotZero(t, w.served(50)[tired], "its rest is over")
+	require.NotZero(t, w.served(50)[resting], "its rest is over")
 }
 
 func TestWhatEndsARestAndWhatDoesNot(t *testing.T) {
