--- a/pkg/route/rest.go
+++ b/pkg/route/rest.go
@@ -97,7 +97,7 @@
 
 // isOnTrial reports whether a request is on its way to a server that has rested and has not answered one since.
 // Others wait for what becomes of it, unless the server stands still: all boxes come back to it at one moment, and
-// each that it turns away has used up an attempt: 108 for 129 in the model of 9 boxes, as many in time within 0.01.
+// each that it turns away has used up an attempt: 108 for 124 in the model of 9 boxes; in time 0.815 for 0.819.
 func (b *backend) isOnTrial(now time.Time) bool {
 	return !b.tested && len(b.awaiting) > 0 && b.oldestAwaited(now) < stallTime
 }
