--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -355,7 +355,7 @@
 	if result != route.ResultDone {
 		f.log.Info().Str("request", x.ID).Str("server", string(place.Server.ID)).Str("address", string(place.Server.Address)).
 			Uint64("weights", uint64(place.Version)).Str("result", result.String()).Dur("held_ms", held).
-			Str("last_event", x.lastEvent).Err(err).Msg("attempt ended")
+			Str("content", x.contentID().String()).Dur("answering_ms", place.Answering(now)).Str("last_event", x.lastEvent).Err(err).Msg("attempt ended")
 	}
 }
 
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -36,6 +36,8 @@
 	sinceFirst time.Duration
 	// fingerprint identifies what is asked, also when the caller asks again.
 	fingerprint route.Fingerprint
+	// content identifies what a server gets of it; nil until that is asked for.
+	content *route.ContentID
 	// waited is for how long the request has waited for places.
 	waited time.Duration
 	// configuration is the version by which the request was routed.
--- a/pkg/route/reservation.go
+++ b/pkg/route/reservation.go
@@ -45,6 +45,8 @@
 	readAhead time.Duration
 	// giveUp ends the attempt; nil if it goes on in any case.
 	giveUp func()
+	// startedAt is when the answer began; zero before that. It belongs to the attempt.
+	startedAt time.Time
 }
 
 // OnBarred sets what ends the attempt if its answer has not begun when the weights of its server
@@ -64,6 +66,7 @@
 	if _, awaited := r.backend.awaiting[r]; !awaited {
 		return
 	}
+	r.startedAt = now
 	r.begun()
 	r.backend.answered(r)
 	r.backend.startTime, r.backend.startedAt = now.Sub(r.since), now
@@ -157,3 +160,11 @@
 
 // Held returns for how long the place has been held.
 func (r *Reservation) Held(now time.Time) time.Duration { return now.Sub(r.since) }
+
+// Answering returns for how long the server has been giving its answer; 0 if it has not begun.
+func (r *Reservation) Answering(now time.Time) time.Duration {
+	if r.startedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(r.startedAt)
+}
