--- /dev/null
+++ b/internal/direct/crash_test.go
@@ -0,0 +1,98 @@
+package direct_test
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// crashDown is for how long a server is away that has crashed.
+const crashDown = 200 * time.Millisecond
+
+// cmdCrashes lets every server crash that begins to run a request with a body, and start again a little later:
+// crashes BODY.
+func (w *world) cmdCrashes(args []string) error {
+	for _, s := range w.servers {
+		s.CrashAt(args[0], func() { w.crash(s) })
+	}
+	return nil
+}
+
+// crash ends a server and starts it again under its id. It holds its weights as soon as it is back.
+func (w *world) crash(s *worldServer) {
+	version := s.Version()
+	if err := s.host.End(); err != nil {
+		w.t.Error(err)
+	}
+	w.restarts.Go(func() {
+		time.Sleep(crashDown)
+		s.Restart(s.id)
+		s.Hold(version)
+		if err := s.host.Start(); err != nil {
+			w.t.Error(err)
+		}
+		w.store.Put("servers/"+s.id, s.Entry(s.service, s.address, "hall-a", false))
+	})
+}
+
+// harmed is how many servers a body has reached.
+func (w *world) harmed(body string) int {
+	count := 0
+	for _, s := range w.servers {
+		for _, visit := range s.Visits() {
+			if visit.Body == body {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// cmdHarm sends a body to some entry boxes in turn until a number of servers have ended under it, or it is refused:
+// harm 3 /talk/1 BODY entry-1 entry-2.
+func (w *world) cmdHarm(args []string) error {
+	entries := args[3:]
+	for i := 0; w.harmed(args[2]) < number(args[0], 0); i++ {
+		status, err := w.ask(entries[i%len(entries)], args[1], args[2])
+		if err != nil {
+			return err
+		}
+		if status == http.StatusServiceUnavailable && w.harmed(args[2]) > 1 {
+			return nil
+		}
+	}
+	return nil
+}
+
+// ask sends a body to an entry box and returns the status of its answer.
+func (w *world) ask(entry, path, body string) (int, error) {
+	response, err := w.requestBody(entry, fmt.Sprintf("harm-%d", w.asked.Add(1)), path, "key-1", body)
+	if err != nil {
+		return 0, err
+	}
+	return response.StatusCode, response.Body.Close()
+}
+
+// cmdBarred sends a body to entry boxes, each of which must refuse it without any server ending: barred /talk/1 BODY entry-1.
+func (w *world) cmdBarred(args []string) error {
+	before := w.harmed(args[1])
+	var findings []string
+	for _, entry := range args[2:] {
+		status, err := w.ask(entry, args[0], args[1])
+		if err != nil {
+			return err
+		}
+		if status != http.StatusServiceUnavailable {
+			findings = append(findings, fmt.Sprintf("%s answered %d", entry, status))
+		}
+	}
+	if reached := w.harmed(args[1]) - before; reached > 0 {
+		findings = append(findings, fmt.Sprintf("%d more servers ended, %d in all", reached, before+reached))
+	}
+	if len(findings) > 0 {
+		return errors.New(strings.Join(findings, ", "))
+	}
+	return nil
+}
--- a/internal/direct/scenario_test.go
+++ b/internal/direct/scenario_test.go
@@ -45,6 +45,9 @@
 			"avoids":   command((*world).cmdAvoids),
 			"later":    command((*world).cmdLater),
 			"await":    command((*world).cmdAwait),
+			"crashes":  command((*world).cmdCrashes),
+			"harm":     command((*world).cmdHarm),
+			"barred":   command((*world).cmdBarred),
 			"sound":    command((*world).cmdSound),
 		},
 	})
--- a/internal/direct/world_test.go
+++ b/internal/direct/world_test.go
@@ -52,6 +52,8 @@
 
 	// asked numbers the requests of commands that make several.
 	asked atomic.Int64
+	// restarts are the servers that have crashed and will start again.
+	restarts sync.WaitGroup
 
 	mu      sync.Mutex
 	streams map[string]chan error
@@ -59,6 +61,7 @@
 
 type worldServer struct {
 	*standin.Server
+	host    *standin.Host
 	id      string
 	service string
 	address string
@@ -119,6 +122,10 @@
 	for _, listener := range w.listeners {
 		_ = listener.Close()
 	}
+	w.restarts.Wait()
+	for _, s := range w.servers {
+		_ = s.host.End()
+	}
 }
 
 // cmdPlatform starts servers and writes the first configuration:
@@ -145,7 +152,11 @@
 		ID: s.id, Model: model, Version: version, Pieces: pieces, Digest: w.origin.Digest,
 		Events: events, EventTime: eventTime, LoadTime: 50 * time.Millisecond,
 	})
-	s.address = w.serve(address, s)
+	var err error
+	if s.host, err = standin.NewHost(address, s); err != nil {
+		w.t.Fatal(err)
+	}
+	s.address = s.host.Address()
 	w.servers[name] = s
 	w.store.Put("servers/"+s.id, s.Entry(service, s.address, "hall-a", false))
 }
@@ -306,7 +317,7 @@
 	}
 	s.Rest(given["rest"])
 	if _, dead := given["dead"]; dead {
-		return w.stopServing(s.address)
+		return s.host.StopListening()
 	}
 	switch id := given["restart"]; id {
 	case "":
@@ -338,16 +349,6 @@
 	return nil
 }
 
-// stopServing closes the listener at an address; connections that are kept stay.
-func (w *world) stopServing(address string) error {
-	for _, listener := range w.listeners {
-		if listener.Addr().String() == address {
-			return listener.Close()
-		}
-	}
-	return fmt.Errorf("nothing listens at %s", address)
-}
-
 // cmdOrigin spoils pieces: origin spoil=3, or bounds what was sent: origin most=9.
 func (w *world) cmdOrigin(args []string) error {
 	given := options(args)
@@ -360,7 +361,12 @@
 
 // request sends a caller's request to an entry box.
 func (w *world) request(entry, id, path, key string) (*http.Response, error) {
-	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+w.loaded[entry].Listen.Callers+path, strings.NewReader("draft"))
+	return w.requestBody(entry, id, path, key, "draft")
+}
+
+// requestBody is request with a body of its own.
+func (w *world) requestBody(entry, id, path, key, body string) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+w.loaded[entry].Listen.Callers+path, strings.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
