--- a/internal/direct/agentfacts.go
+++ b/internal/direct/agentfacts.go
@@ -16,11 +16,12 @@
 // entryFollower keeps an agent's facts in step with one entry box, and goes to
 // another one when that falls silent.
 type entryFollower struct {
-	facts  *Facts
-	peers  *daemon.Peers
-	self   string
-	region string
-	seeds  []string
+	facts    *Facts
+	suspects *Suspects
+	peers    *daemon.Peers
+	self     string
+	region   string
+	seeds    []string
 	// known are entry boxes that one of them has told, of which one is followed. The agents
 	// would all stay with the few of the settings otherwise.
 	known []string
@@ -40,7 +41,7 @@
 		return err
 	}
 	follower := &entryFollower{
-		facts: p.facts, peers: p.peers, self: p.settings.Box, region: p.settings.Region, seeds: p.settings.Peers.Entries,
+		facts: p.facts, suspects: p.suspects, peers: p.peers, self: p.settings.Box, region: p.settings.Region, seeds: p.settings.Peers.Entries,
 		logged: make(map[string]time.Time),
 	}
 	p.facts.duties.Go(follower.run)
@@ -153,6 +154,7 @@
 	f.facts.LearnVersions(agesFromWire(batch.Ages), entry)
 	f.facts.ApplyItems(itemsFromWire(batch.Items), entry)
 	f.facts.LearnDepartures(departuresFromWire(batch.Departures), entry)
+	f.suspects.Learn(evidenceFromWire(batch.Evidence, f.facts.clock.Now()), entry)
 	if len(batch.Entries) > 0 && !isMoving {
 		f.known = batch.Entries
 	}
--- a/internal/direct/agentfacts_test.go
+++ b/internal/direct/agentfacts_test.go
@@ -28,7 +28,7 @@
 	clock := clockwork.NewFakeClock()
 	seeds := []string{refusingAddress(t), refusingAddress(t)}
 	follower := &entryFollower{
-		facts: NewFacts(clock, zerolog.New(&log), NewMetrics()), peers: daemon.NewPeers(), seeds: seeds, logged: make(map[string]time.Time),
+		suspects: noSuspects(), facts: NewFacts(clock, zerolog.New(&log), NewMetrics()), peers: daemon.NewPeers(), seeds: seeds, logged: make(map[string]time.Time),
 	}
 	lines := func() []string {
 		log.Reset()
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -48,23 +48,15 @@
 func (f *Front) run(x *exchange) {
 	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline)
 	defer cancel()
-	budget := f.budget(x.service)
-	budget.Request(f.clock.Now())
+	f.budget(x.service).Request(f.clock.Now())
 	var tried []fleet.ServerID
 	var next *route.Reservation
 	var mayHaveRun, last error
 	for x.attempts < x.route.MaxAttempts && x.unreachable < unreachableLimit {
-		place := next
-		if place == nil {
-			if x.attempts > 0 && !budget.Retry(f.retryExtra(), f.clock.Now()) {
-				last = errBudget
-				break
-			}
-			var err error
-			if place, err = f.acquire(ctx, x, tried); err != nil {
-				last = err
-				break
-			}
+		place, err := f.place(ctx, x, next, tried)
+		if err != nil {
+			last = err
+			break
 		}
 		tried = append(tried, place.Server.ID)
 		guard := f.watch(ctx, x, tried)
@@ -98,6 +90,23 @@
 	f.conclude(ctx, x, mayHaveRun, last)
 }
 
+// place returns the place for the next attempt: the one that was had already or, if there is none, one that is waited for.
+func (f *Front) place(ctx context.Context, x *exchange, had *route.Reservation, tried []fleet.ServerID) (*route.Reservation, error) {
+	if err := f.judge(ctx, x); err != nil {
+		if had != nil {
+			had.Release(route.ResultAbandoned, f.clock.Now())
+		}
+		return nil, err
+	}
+	if had != nil {
+		return had, nil
+	}
+	if x.attempts > 0 && !f.budget(x.service).Retry(f.retryExtra(), f.clock.Now()) {
+		return nil, errBudget
+	}
+	return f.acquire(ctx, x, tried)
+}
+
 // acquire waits for a place on a server.
 func (f *Front) acquire(ctx context.Context, x *exchange, tried []fleet.ServerID) (*route.Reservation, error) {
 	asked := f.clock.Now()
@@ -128,6 +137,9 @@
 		f.noteSentAway(x)
 		f.finish(x, "left").AnErr("cause", last).Msg("caller left")
 	case mayHaveRun != nil:
+		if errors.Is(last, route.ErrQuarantined) {
+			mayHaveRun = errors.Join(mayHaveRun, last)
+		}
 		status := http.StatusBadGateway
 		if ctx.Err() != nil {
 			status = http.StatusGatewayTimeout
@@ -140,6 +152,11 @@
 
 // refuseAfter refuses a request that surely has not run.
 func (f *Front) refuseAfter(x *exchange, cause error) {
+	var held *quarantinedError
+	if errors.As(cause, &held) {
+		f.refuseQuarantined(x, held)
+		return
+	}
 	var busy *route.BusyError
 	ask := f.ask(x, nil, false)
 	ask.Returning = x.sinceFirst > 0
@@ -182,7 +199,7 @@
 	ask := &route.Ask{
 		Priority: f.priority(x), Arrived: f.clock.Now(), Objective: x.arrived.Add(x.route.Objective - x.sinceFirst), Deadline: x.deadline, Patience: x.route.Patience,
 		Reading: reading, Holding: reading + writing,
-		Returning: x.sinceFirst > 0 && !f.leaving.Load(), Tried: tried, Once: once,
+		Returning: x.sinceFirst > 0 && !f.leaving.Load(), Tried: tried, Once: once, Suspect: x.suspect,
 	}
 	switch {
 	case x.begun:
@@ -295,6 +312,9 @@
 			if f.isBarred(x.service, place) {
 				return errBarred
 			}
+			if f.verdict(x).Barred {
+				return route.ErrQuarantined
+			}
 			return place.Check(f.clock.Now())
 		},
 		Heard: func(head *http.Response) { f.heard(x, place, head) },
@@ -337,13 +357,14 @@
 		return outcomeNotRun, err
 	}
 	x.attempts++
-	f.ended(x, place, route.ResultFailed, err)
+	f.failed(x, place, err)
 	return outcomeUnknown, err
 }
 
 // isHeldBack reports whether the box itself kept an attempt from being sent, or ended it.
 func isHeldBack(err error) bool {
-	return errors.Is(err, errBarred) || errors.Is(err, errNotBegun) || errors.Is(err, route.ErrLeaving) || errors.Is(err, route.ErrResting)
+	return errors.Is(err, errBarred) || errors.Is(err, errNotBegun) || errors.Is(err, route.ErrLeaving) || errors.Is(err, route.ErrResting) ||
+		errors.Is(err, route.ErrQuarantined)
 }
 
 // ended releases the place and notes the attempt.
@@ -405,10 +426,11 @@
 	}
 	if err == nil {
 		if _, err = io.Copy(x.writer, answer); err != nil {
-			f.ended(x, place, route.ResultFailed, err)
+			f.failed(x, place, err)
 			return outcomeCut, err
 		}
 	}
+	f.ranWell(x)
 	f.ended(x, place, resultOf(answer), nil)
 	return outcomeDone, nil
 }
@@ -428,6 +450,6 @@
 		f.ended(x, place, route.ResultAbandoned, err)
 		return outcomeGone, err
 	}
-	f.ended(x, place, route.ResultFailed, err)
+	f.failed(x, place, err)
 	return outcomeUnknown, err
 }
--- a/internal/direct/crash_test.go
+++ b/internal/direct/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -37,12 +38,12 @@
 	})
 }
 
-// harmed is how many servers a body has reached.
-func (w *world) harmed(body string) int {
+// harmed is how many servers a request has reached.
+func (w *world) harmed(path, body string) int {
 	count := 0
 	for _, s := range w.servers {
 		for _, visit := range s.Visits() {
-			if visit.Body == body {
+			if visit.Path == path && visit.Body == body {
 				count++
 			}
 		}
@@ -54,12 +55,12 @@
 // harm 3 /talk/1 BODY entry-1 entry-2.
 func (w *world) cmdHarm(args []string) error {
 	entries := args[3:]
-	for i := 0; w.harmed(args[2]) < number(args[0], 0); i++ {
+	for i := 0; w.harmed(args[1], args[2]) < number(args[0], 0); i++ {
 		status, err := w.ask(entries[i%len(entries)], args[1], args[2])
 		if err != nil {
 			return err
 		}
-		if status == http.StatusServiceUnavailable && w.harmed(args[2]) > 1 {
+		if status == http.StatusServiceUnavailable && w.harmed(args[1], args[2]) > 1 {
 			return nil
 		}
 	}
@@ -77,7 +78,7 @@
 
 // cmdBarred sends a body to entry boxes, each of which must refuse it without any server ending: barred /talk/1 BODY entry-1.
 func (w *world) cmdBarred(args []string) error {
-	before := w.harmed(args[1])
+	before := w.harmed(args[0], args[1])
 	var findings []string
 	for _, entry := range args[2:] {
 		status, err := w.ask(entry, args[0], args[1])
@@ -88,7 +89,7 @@
 			findings = append(findings, fmt.Sprintf("%s answered %d", entry, status))
 		}
 	}
-	if reached := w.harmed(args[1]) - before; reached > 0 {
+	if reached := w.harmed(args[0], args[1]) - before; reached > 0 {
 		findings = append(findings, fmt.Sprintf("%d more servers ended, %d in all", reached, before+reached))
 	}
 	if len(findings) > 0 {
@@ -96,3 +97,49 @@
 	}
 	return nil
 }
+
+// cmdAnswered sends a body to an entry box and checks the status of its answer, which may break off:
+// answered entry-1 /talk/1 BODY 200. A server that is just starting may keep it from being answered for a while.
+func (w *world) cmdAnswered(args []string) error {
+	return w.await(func() error {
+		status, err := w.ask(args[0], args[1], args[2])
+		if want := number(args[3], 0); err == nil && status != want {
+			err = fmt.Errorf("%s answered %d, want %d", args[0], status, want)
+		}
+		return err
+	})
+}
+
+// cmdRunning begins a stream at an entry box and lets its server crash once the stream has been running for a while:
+// running entry-1 /talk/1 BODY. The stream goes on elsewhere.
+func (w *world) cmdRunning(args []string) error {
+	id := fmt.Sprintf("running-%d", w.asked.Add(1))
+	for _, s := range w.servers {
+		s.Pace(runningPace)
+		defer s.Pace(eventTime)
+	}
+	response, err := w.requestBody(args[0], id, args[1], "key-1", args[2])
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("stream %s: status %d", id, response.StatusCode)
+	}
+	// The first event has come; a server is safe once it has given its answer for a while.
+	time.Sleep(runningBefore)
+	for _, s := range w.servers {
+		if s.Runs()[id] > 0 {
+			w.crash(s)
+		}
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	return err
+}
+
+// runningBefore is for how long a stream runs before its server crashes: longer than a box takes to be sure that it runs well,
+// shorter than the stream.
+const runningBefore = 300 * time.Millisecond
+
+// runningPace is the time between two events of a stream meanwhile.
+const runningPace = 60 * time.Millisecond
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -65,6 +65,7 @@
 	facts    *Facts
 	members  *Members
 	entries  *EntryBoxes
+	suspects *Suspects
 	front    *Front
 	status   *Status
 }
@@ -103,6 +104,7 @@
 		kernel: kernel.New(), settings: loaded, options: options,
 		metrics: NewMetrics(), mux: drpcmux.New(), peers: daemon.NewPeers(),
 	}
+	p.suspects = newSuspects(options.Clock, options.Log, p.metrics)
 	if options.LogQueue != nil {
 		options.LogQueue.Dropped = p.metrics.logDropped.Inc
 	}
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -38,6 +38,8 @@
 	fingerprint route.Fingerprint
 	// content identifies what a server gets of it; nil until that is asked for.
 	content *route.ContentID
+	// suspect is set while a server may have ended because of the request.
+	suspect bool
 	// waited is for how long the request has waited for places.
 	waited time.Duration
 	// configuration is the version by which the request was routed.
@@ -229,6 +231,14 @@
 		Int("places_needed", int(busy.Needed)).Int("beginning", busy.Beginning).Msg("request refused")
 }
 
+// refuseQuarantined is refuse for a request that ends the servers that run it.
+func (f *Front) refuseQuarantined(x *exchange, held *quarantinedError) {
+	wait := held.until.Sub(f.clock.Now())
+	f.writeRefusal(x, wait)
+	f.finish(x, "refused").Str("reason", "quarantined").Str("content", x.contentID().String()).Int("ends", held.ends).
+		Dur("retry_after_ms", wait).Msg("request refused")
+}
+
 func (f *Front) writeRefusal(x *exchange, wait time.Duration) {
 	f.noteSentAway(x)
 	x.writer.Header().Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
--- a/internal/direct/front.go
+++ b/internal/direct/front.go
@@ -78,6 +78,9 @@
 	accepted atomic.Int64
 	// returns are the callers who were sent away.
 	returns route.Returns
+	// suspects are the requests under which servers have ended, ends tells whether one has.
+	suspects *Suspects
+	ends     *endProbes
 
 	mu          sync.Mutex
 	dispatchers map[member.Service]*route.Dispatcher
@@ -103,12 +106,13 @@
 		facts: p.facts, protocol: p.options.Platform.Callers, clock: p.options.Clock, log: p.options.Log, metrics: p.metrics,
 		duties: kernel.NewDuties(), started: p.options.Clock.Now(), bound: time.Duration(direct.VersionBound),
 		retries: retryLimits{*direct.RetryRatio, *direct.RetryExtra, time.Duration(direct.RetryWindow)},
-		isNear:  p.isNear, box: p.box(), dispatchers: make(map[member.Service]*route.Dispatcher),
+		isNear:  p.isNear, box: p.box(), suspects: p.suspects, dispatchers: make(map[member.Service]*route.Dispatcher),
 		budgets: make(map[member.Service]*route.WindowBudget), models: make(map[member.Service]fleet.ModelName), patience: make(map[string]*route.Patience),
 	}
 	f.pool = upstream.NewPool(upstream.Options{
 		Clock: p.options.Clock, IsOwn: f.isOwn, KeepPerServer: keepPerServer, Opened: p.metrics.connections.Inc,
 	})
+	f.ends = newEndProbes(f.clock, f.pool)
 	p.front = f
 	router := newRouter()
 	router.Any("/*", f.serve)
@@ -229,6 +233,7 @@
 		}
 		for _, server := range view.Servers(service.Name) {
 			if server.Address == address {
+				f.suspects.Started(server.ID, state.Incarnation, "agent")
 				f.dispatcher(service.Name).State(server.ID, state, now)
 			}
 		}
@@ -303,6 +308,11 @@
 			f.models[name] = service.Engine.Models[0]
 		}
 	}
+	if f.suspects.awaitsStarts() {
+		for _, server := range view.Servers(name) {
+			f.suspects.Started(server.ID, server.Incarnation, "entry")
+		}
+	}
 	if model, ok := f.models[name]; ok {
 		d.Require(f.versions(view.Wanted(model), now), now)
 	}
--- a/internal/direct/loader.go
+++ b/internal/direct/loader.go
@@ -75,6 +75,7 @@
 	Agent     member.Address
 	AgentPort uint16
 	Facts     *Facts
+	Suspects  *Suspects
 	Peers     *daemon.Peers
 	Server    provider.ModelServer
 	Origin    provider.PieceOrigin
@@ -97,7 +98,7 @@
 			Box: p.settings.Box, Service: member.Service(p.settings.Direct.Service),
 			Address: member.Address(p.settings.Direct.Server), Agent: member.Address(p.settings.Listen.Peers),
 			AgentPort: uint16(p.settings.Direct.AgentPort),
-			Facts:     p.facts, Peers: p.peers,
+			Facts:     p.facts, Suspects: p.suspects, Peers: p.peers,
 			Server: restingServer(p.options.Platform.Server, &restKeeper{name: "server", clock: p.options.Clock, log: p.options.Log}),
 			Origin: restingOrigin(p.options.Platform.Origin, &restKeeper{name: "origin", clock: p.options.Clock, log: p.options.Log}),
 			Clock:  p.options.Clock, Log: p.options.Log, Metrics: p.metrics, IsNear: p.isNear,
@@ -366,7 +367,13 @@
 		l.mu.Unlock()
 		status, known := l.status()
 		if known && (!sameServerStatus(told, status, l.options.Clock.Since(toldAt)) || l.options.Clock.Since(toldAt) >= statusHeartbeat) {
-			if err := stream.Send(briefServerStatus(told, status)); err != nil {
+			message := briefServerStatus(told, status)
+			if told == nil {
+				// An entry box that has just started may have nobody else to hear it from. Others tell it themselves.
+				evidence, _ := l.options.Suspects.Since(0)
+				message.Evidence = evidenceToWire(evidence, l.options.Clock.Now())
+			}
+			if err := stream.Send(message); err != nil {
 				return err
 			}
 			told, toldAt = status, l.options.Clock.Now()
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -25,7 +25,9 @@
 	firstEvent *prometheus.HistogramVec
 	attempts   *prometheus.CounterVec
 	// words counts the answers in which backend servers say that they leave or ask for rest.
-	words       *prometheus.CounterVec
+	words *prometheus.CounterVec
+	// suspects counts what is heard of requests under which servers have ended.
+	suspects    *prometheus.CounterVec
 	waiting     *prometheus.GaugeVec
 	connections prometheus.Counter
 	storeCalls  *prometheus.CounterVec
@@ -50,6 +52,7 @@
 		firstEvent:  metric.Histograms("direct_first_byte_seconds", "Time from arrival to the first byte of the answer.", secondsBuckets, "route"),
 		attempts:    metric.Counters("direct_attempts_total", "Attempts at backend servers by service and result.", "service", "result"),
 		words:       metric.Counters("direct_server_words_total", "Answers in which backend servers say that they leave or ask for rest.", "word"),
+		suspects:    metric.Counters("suspect_requests_total", "What was heard of requests under which backend servers ended: one more has (ended), or one has run it well (cleared).", "heard"),
 		waiting:     metric.Gauges("direct_waiting", "Requests that wait for a place.", "service"),
 		connections: metric.Counter("direct_connections_total", "Connections opened to backend servers."),
 		storeCalls:  metric.Counters("store_calls_total", "Calls of the platform's store by kind and result.", "call", "result"),
@@ -61,7 +64,7 @@
 		revision:      metric.Gauge("believed_revision", "Newest revision of the platform's store that is known here."),
 		held:          metric.Gauge("believed_held_deletions", "Deletions of servers' entries that are held back after an outage of the store."),
 	}
-	m.registry.MustRegister(m.requests, m.seconds, m.firstEvent, m.attempts, m.words, m.waiting, m.connections,
+	m.registry.MustRegister(m.requests, m.seconds, m.firstEvent, m.attempts, m.words, m.suspects, m.waiting, m.connections,
 		m.storeCalls, m.logDropped, m.pieces, m.orders, m.configuration, m.revision, m.held, collectors.NewGoCollector())
 	return m
 }
--- a/internal/direct/outage_test.go
+++ b/internal/direct/outage_test.go
@@ -183,7 +183,7 @@
 // newTestBoxes returns what a box knows of one other that told its status.
 func newTestBoxes(facts *Facts, told ...*wire.EntryStatus) *EntryBoxes {
 	boxes := &EntryBoxes{
-		facts: facts, clock: facts.clock, log: zerolog.Nop(), duties: kernel.NewDuties(),
+		suspects: noSuspects(), facts: facts, clock: facts.clock, log: zerolog.Nop(), duties: kernel.NewDuties(),
 		boxes: make(map[string]EntryBox), pulled: make(map[member.Address]state.Cursor),
 		members: newTestMembers(facts.clock, "self"), readers: newReaders("self", "", testTimes.storeAway()),
 	}
@@ -196,7 +196,7 @@
 
 func newTestStatus(facts *Facts) *Status {
 	own := member.Record{Box: "reader", Peers: "reader:1", Incarnation: 1, Status: member.StatusStarting}
-	return &Status{clock: facts.clock, facts: facts, members: NewMembers(own, facts.clock, zerolog.Nop())}
+	return &Status{suspects: noSuspects(), clock: facts.clock, facts: facts, members: NewMembers(own, facts.clock, zerolog.Nop())}
 }
 
 func configurationAt(version uint64, revision fleet.Revision) fleet.Fact {
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -44,6 +44,7 @@
 	regionOf func(member.FailureDomain) member.Region
 	members  *Members
 	facts    *Facts
+	suspects *Suspects
 	peers    *daemon.Peers
 	clock    clockwork.Clock
 	log      zerolog.Logger
@@ -90,7 +91,7 @@
 func (p *Process) startPeers() error {
 	times := readTimesFor(time.Duration(p.settings.Direct.ChangeBound))
 	e := &EntryBoxes{
-		self: p.members.own, regionOf: p.regionOf, members: p.members, facts: p.facts, peers: p.peers, clock: p.options.Clock, log: p.options.Log,
+		self: p.members.own, regionOf: p.regionOf, members: p.members, facts: p.facts, suspects: p.suspects, peers: p.peers, clock: p.options.Clock, log: p.options.Log,
 		duties: kernel.NewDuties(), seeds: p.settings.Peers.Entries, boxes: make(map[string]EntryBox),
 		following: make(map[string]followed), pulled: make(map[member.Address]state.Cursor),
 		readers: newReaders(p.box(), p.region(), times.storeAway()), replanned: make(chan struct{}), told: p.front.PeerTold, sentAway: p.front.PeerSentAway,
@@ -293,6 +294,7 @@
 	now := e.clock.Now()
 	e.members.Learn(itemsFromWire(status.Members), entry)
 	e.facts.LearnDepartures(departuresFromWire(status.Departures), entry)
+	e.suspects.Learn(evidenceFromWire(status.Evidence, now), entry)
 	box, before, ok := e.update(entry, status, now)
 	if !ok {
 		return
--- a/internal/direct/scenario_test.go
+++ b/internal/direct/scenario_test.go
@@ -48,6 +48,8 @@
 			"crashes":  command((*world).cmdCrashes),
 			"harm":     command((*world).cmdHarm),
 			"barred":   command((*world).cmdBarred),
+			"answered": command((*world).cmdAnswered),
+			"running":  command((*world).cmdRunning),
 			"sound":    command((*world).cmdSound),
 		},
 	})
--- a/internal/direct/servers.go
+++ b/internal/direct/servers.go
@@ -19,8 +19,9 @@
 
 // ModelServers follows the agents beside the model servers.
 type ModelServers struct {
-	facts *Facts
-	peers *daemon.Peers
+	facts    *Facts
+	suspects *Suspects
+	peers    *daemon.Peers
 	// entries tell which servers are those of the own cell.
 	entries *EntryBoxes
 	clock   clockwork.Clock
@@ -35,7 +36,7 @@
 // startServers follows the agents.
 func (p *Process) startServers() error {
 	m := &ModelServers{
-		facts: p.facts, peers: p.peers, entries: p.entries, clock: p.options.Clock, log: p.options.Log, duties: kernel.NewDuties(),
+		facts: p.facts, suspects: p.suspects, peers: p.peers, entries: p.entries, clock: p.options.Clock, log: p.options.Log, duties: kernel.NewDuties(),
 		self: p.settings.Box, port: uint16(p.settings.Direct.AgentPort), state: p.front.ServerState,
 	}
 	m.duties.Go(m.followAll)
@@ -137,6 +138,7 @@
 				box = status.Box
 			}
 			m.facts.LearnVersions(agesFromWire(status.Ages), box)
+			m.suspects.Learn(evidenceFromWire(status.Evidence, m.clock.Now()), box)
 			if word := (serverWord{member.Incarnation(status.Incarnation), status.Leaving}); word.leaving || word != told {
 				// One that leaves is told again, as its entry may have come later.
 				told = word
--- a/internal/direct/status.go
+++ b/internal/direct/status.go
@@ -49,6 +49,8 @@
 	demands func() route.Demands
 	// sentAway are the callers that the box has sent away after a number of them.
 	sentAway func(told uint64) (callers []route.SentAway, now uint64)
+	// suspects are the requests under which servers have ended.
+	suspects *Suspects
 	// readers are those that read the store, as far as the box knows.
 	readers func() []*wire.StoreReader
 
@@ -84,6 +86,7 @@
 		clock: p.options.Clock, facts: p.facts, members: p.members, duties: kernel.NewDuties(),
 		load: func() route.Load { return p.front.Load() }, demands: func() route.Demands { return p.front.Demands() },
 		sentAway: func(told uint64) ([]route.SentAway, uint64) { return p.front.returns.Since(told) },
+		suspects: p.suspects,
 		readers:  func() []*wire.StoreReader { return nil },
 		ticked:   make(chan struct{}), done: make(chan struct{}),
 	}
@@ -139,7 +142,7 @@
 	ready, leaving := s.ready, s.leaving
 	s.mu.Unlock()
 	return statusSummary{
-		ready: ready, leaving: leaving, extent: s.facts.Extent(), ages: s.facts.versionsKnown(), departures: s.facts.departuresKnown(),
+		ready: ready, leaving: leaving, extent: s.facts.Extent(), ages: s.facts.versionsKnown(), departures: s.facts.departuresKnown(), suspects: s.suspects.Changes(),
 	}
 }
 
@@ -171,8 +174,9 @@
 	told, records := statusTold{whole: s.whole}, memberCursor{members: s.members, all: request.Members}
 	for {
 		now, ticked := s.now()
-		// A version that has just been named goes before the pace of far messages.
-		if told.at.IsZero() || now.ages != told.summary.ages || now.at.Sub(told.at) >= s.interval(far)-statusInterval/2 {
+		// A version that has just been named, and a server that has just ended under a request, go before the pace of far
+		// messages.
+		if told.at.IsZero() || now.ages != told.summary.ages || now.suspects != told.summary.suspects || now.at.Sub(told.at) >= s.interval(far)-statusInterval/2 {
 			if status := s.message(request, &told, &records, now, far); status != nil {
 				if err := stream.Send(status); err != nil {
 					return err
@@ -208,9 +212,12 @@
 	if now.departures != told.departures {
 		departures, told.departures = s.facts.DeparturesSince(told.departures)
 	}
-	status := told.next(summary, load, demands, now.at, len(changed)+len(sentAway)+len(departures) > 0)
+	var evidence []route.Evidence
+	evidence, told.suspects = s.suspects.Since(told.suspects)
+	status := told.next(summary, load, demands, now.at, len(changed)+len(sentAway)+len(departures)+len(evidence) > 0)
 	if status != nil {
 		status.Members, status.SentAway, status.Departures = changed, sentAwayToWire(sentAway, s.clock.Now()), departuresToWire(departures)
+		status.Evidence = evidenceToWire(evidence, s.clock.Now())
 	}
 	return status
 }
@@ -233,6 +240,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.Chan():
+		case <-s.suspects.news:
 		}
 		s.look()
 	}
@@ -271,7 +279,7 @@
 	ticker := s.clock.NewTicker(statusHeartbeat)
 	defer ticker.Stop()
 	entries := s.members.Sample(member.Region(request.Region))
-	departures := uint64(0)
+	departures, suspects := uint64(0), uint64(0)
 	if request.EntriesOnly {
 		return stream.Send(&wire.FactsBatch{Entries: entries})
 	}
@@ -281,10 +289,13 @@
 		cursor = state.Cursor{Instance: message.Instance, Sequence: message.Cursor}
 		message.Entries, entries = entries, nil
 		if !request.Once {
-			// Entry boxes, which ask once, hear of departures with the status.
+			// Entry boxes, which ask once, hear of departures and suspects with the status.
 			var left []fleet.Departure
 			left, departures = s.facts.DeparturesSince(departures)
 			message.Departures = departuresToWire(left)
+			var evidence []route.Evidence
+			evidence, suspects = s.suspects.Since(suspects)
+			message.Evidence = evidenceToWire(evidence, s.clock.Now())
 		}
 		if err := stream.Send(message); err != nil {
 			return err
--- a/internal/direct/stream.go
+++ b/internal/direct/stream.go
@@ -90,6 +90,7 @@
 func (f *Front) passStream(x *exchange, place *route.Reservation, answer *upstream.Answer, guard *guard) (outcome, error) {
 	reader := &eventReader{source: answer}
 	flush := http.NewResponseController(x.writer)
+	runs := false
 	// The head is passed on with the first event, so that a server that gives none
 	// can be replaced.
 	for {
@@ -99,6 +100,7 @@
 			if !x.begun {
 				f.passHead(x, answer)
 			}
+			f.ranWell(x)
 			f.ended(x, place, route.ResultDone, nil)
 			return outcomeDone, nil
 		case err != nil:
@@ -111,6 +113,10 @@
 		guard.progress(streamPatience)
 		x.passed(f.clock.Now())
 		place.Started(f.clock.Now())
+		if !runs && place.Answering(f.clock.Now()) >= answeringSafe {
+			runs = true
+			f.ranWell(x)
+		}
 		if _, err = x.writer.Write(events); err == nil {
 			err = flush.Flush()
 		}
@@ -138,7 +144,7 @@
 		f.ended(x, place, route.ResultAbandoned, err)
 		return outcomeGone, err
 	}
-	f.ended(x, place, route.ResultFailed, err)
+	f.failed(x, place, err)
 	if !x.begun {
 		return outcomeUnknown, err
 	}
--- a/internal/direct/told.go
+++ b/internal/direct/told.go
@@ -19,6 +19,8 @@
 	ages int
 	// departures is how many servers the box has heard to leave.
 	departures uint64
+	// suspects is how often something was heard of requests under which servers have ended.
+	suspects uint64
 	// readers are the boxes that read the store.
 	readers []*wire.StoreReader
 }
@@ -36,9 +38,10 @@
 	load    route.Load
 	demands route.Demands
 	// sentAway is how many of the callers that the box has sent away were told, departures how many of the
-	// servers that it has heard to leave.
+	// servers that it has heard to leave, suspects how much of the requests under which servers have ended.
 	sentAway   uint64
 	departures uint64
+	suspects   uint64
 	at         time.Time
 }
 
--- a/internal/direct/world_test.go
+++ b/internal/direct/world_test.go
@@ -375,7 +375,7 @@
 	request.Header.Set("X-Deadline-Ms", "4000")
 	request.Header.Set("X-Token-Usage", "100,60")
 	request.Header.Set("Authorization", "Bearer "+key)
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: waitLimit}
 	return client.Do(request)
 }
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -217,6 +217,23 @@
 		}
 		_ = c.Close()
 	}
+	return p.open(ctx, address)
+}
+
+// Probe opens a connection to a server, which is kept for the next request. An error of ECONNREFUSED tells that
+// nothing listens there.
+func (p *Pool) Probe(ctx context.Context, address member.Address) error {
+	c, err := p.open(ctx, address)
+	if err != nil {
+		return err
+	}
+	c.until = p.options.Clock.Now().Add(idleLimit)
+	p.keep(c)
+	return nil
+}
+
+// open opens a connection.
+func (p *Pool) open(ctx context.Context, address member.Address) (*conn, error) {
 	raw, err := p.dialer.DialContext(ctx, "tcp", string(address))
 	if err != nil {
 		return nil, err
--- a/pkg/route/backend.go
+++ b/pkg/route/backend.go
@@ -85,6 +85,8 @@
 	swapSince time.Time
 
 	own ServerLoad
+	// suspects is how many requests of this box are there under which another server has ended.
+	suspects int
 	// unseen is how many requests the server has in flight, in the mean, that no entry box
 	// claims which this one hears: of boxes that are cut off from it, or were killed.
 	unseen   float64
--- a/pkg/route/dispatch.go
+++ b/pkg/route/dispatch.go
@@ -43,6 +43,9 @@
 	Tried []fleet.ServerID
 	// Once is set if the request must start at once or not at all.
 	Once bool
+	// Suspect is set if a server has ended under the request. Two of them never go to one server, so that its end
+	// tells which of them is to blame.
+	Suspect bool
 
 	// startBy is when the request must start to meet its objective.
 	startBy time.Time
@@ -340,7 +343,7 @@
 // candidate returns what it costs to send a request to a server; ok is false if it can't
 // be sent there.
 func (d *Dispatcher) candidate(b *backend, ask *Ask, now time.Time) (c candidate, ok bool) {
-	if !d.isEligible(b, now) || b.isOnTrial(now) || slices.Contains(ask.Tried, b.server.ID) {
+	if !d.isEligible(b, now) || b.isOnTrial(now) || slices.Contains(ask.Tried, b.server.ID) || ask.Suspect && b.suspects > 0 {
 		return candidate{}, false
 	}
 	load, limit := d.load(b, now), d.limit(b)
@@ -369,7 +372,10 @@
 	version, _ := b.version(now)
 	place := &Reservation{
 		Server: b.server, Incarnation: b.incarnation, Version: version, dispatcher: d, backend: b, since: now, reading: ask.Reading,
-		readAhead: d.load(b, now).Reading,
+		readAhead: d.load(b, now).Reading, suspect: ask.Suspect,
+	}
+	if ask.Suspect {
+		b.suspects++
 	}
 	d.unbegun[place] = struct{}{}
 	d.changes++
--- a/pkg/route/reservation.go
+++ b/pkg/route/reservation.go
@@ -47,6 +47,8 @@
 	giveUp func()
 	// startedAt is when the answer began; zero before that. It belongs to the attempt.
 	startedAt time.Time
+	// suspect is set for a request under which another server has ended.
+	suspect bool
 }
 
 // OnBarred sets what ends the attempt if its answer has not begun when the weights of its server
@@ -94,6 +96,8 @@
 	ResultReplaced
 	// ResultAbandoned is an attempt whose caller left.
 	ResultAbandoned
+	// ResultEnded is an attempt whose server ended meanwhile.
+	ResultEnded
 )
 
 // Release gives the place back.
@@ -114,7 +118,7 @@
 		// The server had less room than was thought; it is left alone until a few
 		// of its requests have ended.
 		b.ejectedTo = now.Add(d.usual / time.Duration(2*d.limit(b)))
-	case ResultUnreachable:
+	case ResultUnreachable, ResultEnded:
 		b.ejectedTo = now.Add(min(ejectLongest, ejectFirst<<min(b.ejections, 8)))
 		b.ejections++
 	case ResultReplaced:
@@ -130,6 +134,9 @@
 func (d *Dispatcher) release(r *Reservation, now time.Time) {
 	r.begun()
 	r.backend.own.Requests--
+	if r.suspect {
+		r.backend.suspects--
+	}
 	d.changes++
 	d.census.free++
 	freed := r.backend
@@ -152,7 +159,7 @@
 // resultNames are the names of results in logs and metrics.
 var resultNames = map[Result]string{
 	ResultDone: "done", ResultFailed: "failed", ResultRefused: "refused",
-	ResultUnreachable: "unreachable", ResultReplaced: "replaced", ResultAbandoned: "abandoned",
+	ResultUnreachable: "unreachable", ResultReplaced: "replaced", ResultAbandoned: "abandoned", ResultEnded: "server-ended",
 }
 
 // String returns the result's name in logs and metrics.
@@ -168,3 +175,6 @@
 	}
 	return now.Sub(r.startedAt)
 }
+
+// Start returns which start of the server the place is on.
+func (r *Reservation) Start() ServerStart { return ServerStart{r.Server.ID, r.Incarnation} }
