--- a/internal/direct/scenario_test.go
+++ b/internal/direct/scenario_test.go
@@ -50,6 +50,8 @@
 			"barred":   command((*world).cmdBarred),
 			"answered": command((*world).cmdAnswered),
 			"running":  command((*world).cmdRunning),
+			"suspend":  command((*world).cmdSuspend),
+			"stays":    command((*world).cmdStays),
 			"sound":    command((*world).cmdSound),
 		},
 	})
--- a/internal/direct/world_test.go
+++ b/internal/direct/world_test.go
@@ -47,6 +47,7 @@
 
 	servers   map[string]*worldServer
 	processes map[string]*direct.Process
+	clocks    map[string]*machineClock
 	loaded    map[string]*settings.Settings
 	entries   []string
 
@@ -71,6 +72,7 @@
 	w := &world{
 		t: t, store: standin.NewStore(), origin: standin.NewOrigin(pieces, pieceSize),
 		servers: make(map[string]*worldServer), processes: make(map[string]*direct.Process),
+		clocks: make(map[string]*machineClock),
 		loaded: make(map[string]*settings.Settings), streams: make(map[string]chan error), version: 1, number: int(worlds.Add(1)),
 	}
 	w.storeAt = w.serve("127.0.0.1:0", w.store)
@@ -268,11 +270,12 @@
 	client := &http.Client{Transport: &http.Transport{DisableCompression: true}}
 	adapter := platform.New(platform.Addresses{Store: member.Address(w.storeAt), Server: member.Address(loaded.Direct.Server)}, client)
 	log := zerolog.New(zerolog.NewTestWriter(w.t)).With().Str("process", name).Logger()
-	process, err := direct.Start(loaded, direct.Options{Clock: clockwork.NewRealClock(), Log: log, Platform: adapter})
+	clock := &machineClock{Clock: clockwork.NewRealClock()}
+	process, err := direct.Start(loaded, direct.Options{Clock: clock, Log: log, Platform: adapter})
 	if err != nil {
 		return err
 	}
-	w.processes[name], w.loaded[name] = process, loaded
+	w.processes[name], w.loaded[name], w.clocks[name] = process, loaded, clock
 	return nil
 }
 
