--- a/cmd/cinderslipd/direct.go
+++ b/cmd/cinderslipd/direct.go
@@ -13,6 +13,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 
+	"github.com/cinderslip/cinderslip/internal/boottime"
 	"github.com/cinderslip/cinderslip/internal/daemon"
 	"github.com/cinderslip/cinderslip/internal/direct"
 	"github.com/cinderslip/cinderslip/internal/settings"
@@ -31,7 +32,7 @@
 // runDirect runs one role in direct mode until a signal, and reads its settings again at each of reload.
 func runDirect(path string, loaded *settings.Settings, stdout io.Writer, reload <-chan os.Signal) int {
 	debug.SetMemoryLimit(int64(heapPart * bytesPerMegabyte * loaded.Direct.MemoryMegabytes))
-	clock := clockwork.NewRealClock()
+	clock := boottime.NewClock()
 	queue := daemon.NewLogQueue(stdout, clock)
 	defer closeLog(queue)
 	log := daemon.NewLogger(queue, loaded.Log.Level, clock)
--- a/cmd/cinderslipd/run.go
+++ b/cmd/cinderslipd/run.go
@@ -12,9 +12,9 @@
 	"syscall"
 
 	"github.com/jessevdk/go-flags"
-	"github.com/jonboulle/clockwork"
 
 	"github.com/cinderslip/cinderslip/internal/buildinfo"
+	"github.com/cinderslip/cinderslip/internal/boottime"
 	"github.com/cinderslip/cinderslip/internal/daemon"
 	"github.com/cinderslip/cinderslip/internal/dev"
 	"github.com/cinderslip/cinderslip/internal/settings"
@@ -111,7 +111,7 @@
 		return runDirect(given.Config, loaded, stdout, reload)
 	}
 	signal.Reset(syscall.SIGHUP)
-	clock := clockwork.NewRealClock()
+	clock := boottime.NewClock()
 	log := daemon.NewLogger(stderr, loaded.Log.Level, clock)
 	stop := stopSignal()
 	process, err := daemon.Start(loaded, daemon.Options{Clock: clock, Log: log})
@@ -131,7 +131,7 @@
 }
 
 func runDev(given arguments, stdout, stderr io.Writer) int {
-	clock := clockwork.NewRealClock()
+	clock := boottime.NewClock()
 	log := daemon.NewLogger(stderr, given.LogLevel, clock)
 	stop := stopSignal()
 	if given.DevWeights != "" {
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -9,6 +9,8 @@
 	"strings"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"github.com/cinderslip/cinderslip/internal/provider"
 	"github.com/cinderslip/cinderslip/internal/upstream"
 	"github.com/cinderslip/cinderslip/pkg/fleet"
@@ -46,7 +48,7 @@
 
 // run makes attempts until the request has an outcome.
 func (f *Front) run(x *exchange) {
-	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline)
+	ctx, cancel := clockwork.WithTimeout(x.request.Context(), f.clock, f.clock.Until(x.deadline))
 	defer cancel()
 	f.budget(x.service).Request(f.clock.Now())
 	var tried []fleet.ServerID
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -117,7 +117,7 @@
 	}
 	for _, step := range steps {
 		if err := step.run(p); err != nil {
-			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			ctx, cancel := clockwork.WithTimeout(context.Background(), options.Clock, time.Second)
 			defer cancel()
 			return nil, errors.Join(fmt.Errorf("starting %s: %w", step.name, err), p.kernel.Stop(ctx))
 		}
@@ -128,11 +128,12 @@
 // Stop is a planned stop: callers are led elsewhere first, then what is in
 // progress is finished, within the grace of the settings.
 func (p *Process) Stop(ctx context.Context) error {
-	stopCtx, cancel := context.WithTimeout(ctx, time.Duration(p.settings.Stop.Grace)-stopReserve)
+	grace := time.Duration(p.settings.Stop.Grace) - stopReserve
+	stopCtx, cancel := clockwork.WithTimeout(ctx, p.options.Clock, grace)
 	defer cancel()
 	if p.front != nil {
 		p.status.Leave()
-		p.front.Leave(stopCtx)
+		p.front.Leave(stopCtx, grace)
 	}
 	return p.kernel.Stop(stopCtx)
 }
--- a/internal/direct/front.go
+++ b/internal/direct/front.go
@@ -147,20 +147,21 @@
 	leaveReserve = 2500 * time.Millisecond
 )
 
-// Leave goes on answering until callers have gone elsewhere.
-func (f *Front) Leave(ctx context.Context) {
+// Leave goes on answering until callers have gone elsewhere, or too little is left of a time for the requests in progress.
+// The time is counted by the process's own clock: the end of the context is one of a clock that stands while the machine is
+// suspended.
+func (f *Front) Leave(ctx context.Context, within time.Duration) {
 	f.leavingSince = f.clock.Now()
 	f.leaving.Store(true)
 	f.log.Info().Int64("active", f.active.Load()).Msg("leaving")
 	started, quietSince, seen := f.clock.Now(), f.clock.Now(), f.accepted.Load()
-	deadline, ok := ctx.Deadline()
 	for ctx.Err() == nil {
 		sleep(ctx, f.clock, statusInterval)
 		now := f.clock.Now()
 		if accepted := f.accepted.Load(); accepted != seen {
 			seen, quietSince = accepted, now
 		}
-		if ok && deadline.Sub(now) < leaveReserve {
+		if within-now.Sub(started) < leaveReserve {
 			return
 		}
 		if now.Sub(started) >= leaveLeast && now.Sub(quietSince) >= leaveQuiet {
