--- a/cmd/cinderslipd/run.go
+++ b/cmd/cinderslipd/run.go
@@ -13,8 +13,8 @@
 
 	"github.com/jessevdk/go-flags"
 
-	"github.com/cinderslip/cinderslip/internal/buildinfo"
 	"github.com/cinderslip/cinderslip/internal/boottime"
+	"github.com/cinderslip/cinderslip/internal/buildinfo"
 	"github.com/cinderslip/cinderslip/internal/daemon"
 	"github.com/cinderslip/cinderslip/internal/dev"
 	"github.com/cinderslip/cinderslip/internal/settings"
--- a/internal/direct/bar_test.go
+++ b/internal/direct/bar_test.go
@@ -93,7 +93,7 @@
 	facts := NewFacts(clock, zerolog.Nop(), NewMetrics())
 	w := &barWorld{t: t, clock: clock, facts: facts, log: new(bytes.Buffer)}
 	w.front = &Front{
-		suspects: noSuspects(), facts: facts, clock: clock, log: zerolog.New(w.log), metrics: NewMetrics(), duties: kernel.NewDuties(), bound: testBound,
+		suspects: noSuspects(), answered: newAnsweredLately(), facts: facts, clock: clock, log: zerolog.New(w.log), metrics: NewMetrics(), duties: kernel.NewDuties(), bound: testBound,
 		protocol: testProtocol(), retries: retryLimits{1, 100, 10 * time.Second}, isNear: func(member.FailureDomain) bool { return true },
 		dispatchers: make(map[member.Service]*route.Dispatcher), budgets: make(map[member.Service]*route.WindowBudget), models: make(map[member.Service]fleet.ModelName),
 		patience: make(map[string]*route.Patience),
@@ -413,7 +413,7 @@
 	p.facts.Apply([]fleet.Fact{
 		{Key: fleet.ConfigurationKey(), Revision: 1, Configuration: &fleet.Configuration{Version: 1}}, wantedVersion(2, 2),
 	}, "store")
-	f := &Front{suspects: noSuspects(), facts: p.facts, clock: clock, bound: 30 * time.Second}
+	f := &Front{suspects: noSuspects(), answered: newAnsweredLately(), facts: p.facts, clock: clock, bound: 30 * time.Second}
 	clock.Advance(3 * time.Second)
 	require.EqualValues(t, 2, f.required(p.facts.View().Wanted("m"), clock.Now()))
 }
--- a/internal/direct/content.go
+++ b/internal/direct/content.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"io"
 
 	"github.com/cinderslip/cinderslip/pkg/route"
 )
@@ -11,16 +12,21 @@
 // can make a request that is taken for one of another organisation.
 func contentOf(x *exchange) route.ContentID {
 	hash := sha256.New()
+	writeContent(hash, x)
+	return route.ContentID(hash.Sum(nil))
+}
+
+// writeContent writes what a backend server gets of a request to a hash, which never fails.
+func writeContent(hash io.Writer, x *exchange) {
 	caller := string(x.Key)
 	if x.organisation != nil {
 		caller = string(x.organisation.Name)
 	}
 	for _, part := range []string{x.request.Method, hostOf(x.request), x.request.RequestURI, caller} {
-		_, _ = hash.Write([]byte(part))
+		_, _ = io.WriteString(hash, part)
 		_, _ = hash.Write([]byte{0})
 	}
 	_, _ = hash.Write(x.body)
-	return route.ContentID(hash.Sum(nil))
 }
 
 // contentID returns what a request's server gets of it. It is worked out when it is first asked for, as most requests never are.
--- a/internal/direct/ended.go
+++ b/internal/direct/ended.go
@@ -111,7 +111,7 @@
 		return false
 	}
 	ended := f.ends.hasEnded(place.Start(), place.Server.Address)
-	if place.Answering(at) >= answeringSafe {
+	if place.Answering(at) >= answeringSafe || f.answered.take(x, at) {
 		return ended
 	}
 	seen := route.Evidence{Content: x.contentID(), Ended: place.Start(), At: at}
@@ -125,8 +125,10 @@
 
 // ranWell notes that a server runs the request, or has run it, and lives.
 func (f *Front) ranWell(x *exchange) {
+	now := f.clock.Now()
+	f.answered.note(x, now)
 	if !f.suspects.Empty() {
-		f.suspects.See(route.Evidence{Content: x.contentID(), At: f.clock.Now()}, "request "+x.ID)
+		f.suspects.See(route.Evidence{Content: x.contentID(), At: now}, "request "+x.ID)
 	}
 }
 
--- a/internal/direct/front.go
+++ b/internal/direct/front.go
@@ -78,9 +78,10 @@
 	accepted atomic.Int64
 	// returns are the callers who were sent away.
 	returns route.Returns
-	// suspects are the requests under which servers have ended, ends tells whether one has.
+	// suspects are the requests under which servers have ended, ends tells whether one has, answered what was answered lately.
 	suspects *Suspects
 	ends     *endProbes
+	answered *answeredLately
 
 	mu          sync.Mutex
 	dispatchers map[member.Service]*route.Dispatcher
@@ -106,7 +107,7 @@
 		facts: p.facts, protocol: p.options.Platform.Callers, clock: p.options.Clock, log: p.options.Log, metrics: p.metrics,
 		duties: kernel.NewDuties(), started: p.options.Clock.Now(), bound: time.Duration(direct.VersionBound),
 		retries: retryLimits{*direct.RetryRatio, *direct.RetryExtra, time.Duration(direct.RetryWindow)},
-		isNear:  p.isNear, box: p.box(), suspects: p.suspects, dispatchers: make(map[member.Service]*route.Dispatcher),
+		isNear:  p.isNear, box: p.box(), suspects: p.suspects, answered: newAnsweredLately(), dispatchers: make(map[member.Service]*route.Dispatcher),
 		budgets: make(map[member.Service]*route.WindowBudget), models: make(map[member.Service]fleet.ModelName), patience: make(map[string]*route.Patience),
 	}
 	f.pool = upstream.NewPool(upstream.Options{
--- a/internal/direct/front_test.go
+++ b/internal/direct/front_test.go
@@ -22,7 +22,7 @@
 // used before still counts.
 func TestABoxThatHasJustStartedTakesFewOfTheCommonRetries(t *testing.T) {
 	clock := clockwork.NewFakeClock()
-	f := &Front{suspects: noSuspects(), clock: clock, started: clock.Now(), retries: retryLimits{ratio: 0.2, extra: 100, window: 10 * time.Second}}
+	f := &Front{suspects: noSuspects(), answered: newAnsweredLately(), clock: clock, started: clock.Now(), retries: retryLimits{ratio: 0.2, extra: 100, window: 10 * time.Second}}
 	require.Less(t, f.retryExtra(), 2.0)
 	clock.Advance(9 * time.Second)
 	require.Less(t, f.retryExtra(), 2.0)
@@ -59,7 +59,7 @@
 // milliseconds before it knew the configuration.
 func TestARequestWaitsForABoxThatHasJustStartedToKnowAConfiguration(t *testing.T) {
 	facts, clock := newTestFacts()
-	f := &Front{suspects: noSuspects(), facts: facts, clock: clock}
+	f := &Front{suspects: noSuspects(), answered: newAnsweredLately(), facts: facts, clock: clock}
 	x := &exchange{Inbound: provider.Inbound{Deadline: 4 * time.Second}, request: httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/", http.NoBody)}
 	got := make(chan *fleet.View, 1)
 	go func() { got <- f.awaitConfiguration(x) }()
@@ -68,7 +68,7 @@
 	require.EqualValues(t, 3, (<-got).Configuration.Version)
 
 	empty, clock := newTestFacts()
-	f = &Front{suspects: noSuspects(), facts: empty, clock: clock}
+	f = &Front{suspects: noSuspects(), answered: newAnsweredLately(), facts: empty, clock: clock}
 	go func() { got <- f.awaitConfiguration(x) }()
 	require.NoError(t, clock.BlockUntilContext(t.Context(), 1))
 	clock.Advance(time.Duration(configurationPart * float64(x.Deadline)))
@@ -81,7 +81,7 @@
 	facts, clock := newTestFacts()
 	facts.Apply([]fleet.Fact{{Key: fleet.ConfigurationKey(), Revision: 1, Configuration: &fleet.Configuration{Version: 3}}}, "store")
 	f := &Front{
-		suspects: noSuspects(), facts: facts, clock: clock, metrics: NewMetrics(), log: zerolog.Nop(),
+		suspects: noSuspects(), answered: newAnsweredLately(), facts: facts, clock: clock, metrics: NewMetrics(), log: zerolog.Nop(),
 		protocol: provider.CallerProtocol{ReadRequest: func(*http.Request) provider.Inbound { return provider.Inbound{} }},
 	}
 	f.leavingSince = clock.Now()
@@ -105,7 +105,7 @@
 // wait for less than others counted as refused ones.
 func TestTheObjectiveCountsFromTheCallersFirstTry(t *testing.T) {
 	facts, clock := newTestFacts()
-	f := &Front{suspects: noSuspects(), facts: facts, clock: clock, log: zerolog.Nop(), metrics: NewMetrics(), patience: make(map[string]*route.Patience)}
+	f := &Front{suspects: noSuspects(), answered: newAnsweredLately(), facts: facts, clock: clock, log: zerolog.Nop(), metrics: NewMetrics(), patience: make(map[string]*route.Patience)}
 	come := func(target string, left time.Duration) (*exchange, *route.Ask) {
 		x := &exchange{
 			Inbound: provider.Inbound{Deadline: left}, arrived: clock.Now(), writer: httptest.NewRecorder(),
@@ -146,7 +146,7 @@
 func TestWhoWasSentAwayIsKnownAtTheOtherBoxesOfTheCell(t *testing.T) {
 	facts, clock := newTestFacts()
 	newFront := func() *Front {
-		return &Front{suspects: noSuspects(), facts: facts, clock: clock, log: zerolog.Nop(), metrics: NewMetrics(), patience: make(map[string]*route.Patience)}
+		return &Front{suspects: noSuspects(), answered: newAnsweredLately(), facts: facts, clock: clock, log: zerolog.Nop(), metrics: NewMetrics(), patience: make(map[string]*route.Patience)}
 	}
 	here, there := newFront(), newFront()
 	come := func(f *Front, id, target string, left time.Duration) *exchange {
@@ -174,7 +174,7 @@
 // longer than its reader accepts.
 func TestAStreamThatGoesOnElsewhereIsInTimeUntilItsNextEventIsDue(t *testing.T) {
 	facts, clock := newTestFacts()
-	f := &Front{suspects: noSuspects(), facts: facts, clock: clock, patience: make(map[string]*route.Patience)}
+	f := &Front{suspects: noSuspects(), answered: newAnsweredLately(), facts: facts, clock: clock, patience: make(map[string]*route.Patience)}
 	x := &exchange{
 		arrived: clock.Now(), begun: true, attempts: 1,
 		route: &fleet.Route{Name: "draft", Objective: 400 * time.Millisecond, Pause: 300 * time.Millisecond, Timeout: 6 * time.Second},
--- a/internal/direct/key_test.go
+++ b/internal/direct/key_test.go
@@ -40,7 +40,7 @@
 // statusOf asks a box that believes some facts to admit a request.
 func statusOf(t *testing.T, facts *Facts, path, authorization string) int {
 	t.Helper()
-	f := &Front{suspects: noSuspects(), facts: facts, clock: facts.clock, log: zerolog.Nop(), metrics: NewMetrics()}
+	f := &Front{suspects: noSuspects(), answered: newAnsweredLately(), facts: facts, clock: facts.clock, log: zerolog.Nop(), metrics: NewMetrics()}
 	request := httptest.NewRequestWithContext(t.Context(), http.MethodPost, path, http.NoBody)
 	request.Host = "a.example"
 	if authorization != "" {
--- a/internal/direct/suspects_test.go
+++ b/internal/direct/suspects_test.go
@@ -1,11 +1,115 @@
 package direct
 
 import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"syscall"
+	"testing"
+	"time"
+
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cinderslip/cinderslip/internal/wire"
+	"github.com/cinderslip/cinderslip/pkg/fleet"
+	"github.com/cinderslip/cinderslip/pkg/member"
+	"github.com/cinderslip/cinderslip/pkg/route"
 )
 
 // noSuspects returns the suspects of a process that has not heard of any.
 func noSuspects() *Suspects {
 	return newSuspects(clockwork.NewRealClock(), zerolog.Nop(), NewMetrics())
 }
+
+// exchangeOf is a request with a body.
+func exchangeOf(body string) *exchange {
+	return &exchange{request: httptest.NewRequest(http.MethodPost, "http://a.example/talk/1", http.NoBody), body: []byte(body)}
+}
+
+func TestWhatWasAnsweredLatelyIsForgivenOnce(t *testing.T) {
+	answered, now := newAnsweredLately(), time.Unix(1000, 0)
+	often, never := exchangeOf("often"), exchangeOf("never")
+	answered.note(often, now)
+	require.False(t, answered.take(never, now))
+	require.True(t, answered.take(often, now.Add(time.Second)))
+	require.False(t, answered.take(often, now.Add(time.Second)), "it was not answered since")
+	answered.note(often, now.Add(2*time.Second))
+	require.False(t, answered.take(often, now.Add(time.Hour)), "that is long ago")
+}
+
+func TestWhatIsAnsweredTakesNoMoreMemoryWithTime(t *testing.T) {
+	answered, now := newAnsweredLately(), time.Unix(1000, 0)
+	for i := range 3 * answeredKept {
+		answered.note(exchangeOf(strconv.Itoa(i)), now)
+	}
+	require.LessOrEqual(t, len(answered.newer)+len(answered.older), 2*answeredKept)
+}
+
+func TestTheContentOfARequestIsWhatItsServerGets(t *testing.T) {
+	same := exchangeOf("body").contentID()
+	require.Equal(t, same, exchangeOf("body").contentID())
+	other := map[string]*exchange{"body": exchangeOf("other"), "path": exchangeOf("body"), "host": exchangeOf("body"), "caller": exchangeOf("body")}
+	other["path"].request.RequestURI = "/talk/2"
+	other["host"].request.Host = "b.example"
+	other["caller"].organisation = &fleet.Organisation{Name: "nouka"}
+	for part, x := range other {
+		require.NotEqual(t, same, x.contentID(), part)
+	}
+	headers := exchangeOf("body")
+	headers.ID, headers.PromptTokens = "r-2", 7
+	require.Equal(t, same, headers.contentID(), "what differs each time is none of it")
+}
+
+func TestABrokenConnectionToAServerThatLivesIsNoEnd(t *testing.T) {
+	asked := 0
+	lives, refused := error(nil), fmt.Errorf("dial: %w", syscall.ECONNREFUSED)
+	answer := lives
+	probes := &endProbes{clock: clockwork.NewRealClock(), byStart: make(map[route.ServerStart]*endProbe), probe: func(context.Context, member.Address) error {
+		asked++
+		return answer
+	}}
+	start := route.ServerStart{Server: "i-1"}
+	require.False(t, probes.hasEnded(start, "10.0.0.1:80"))
+	answer = context.DeadlineExceeded
+	require.False(t, probes.hasEnded(start, "10.0.0.1:80"), "a box that says nothing")
+	answer = refused
+	require.True(t, probes.hasEnded(start, "10.0.0.1:80"))
+	answer = lives
+	require.True(t, probes.hasEnded(start, "10.0.0.1:80"), "another start may listen there by now")
+	require.Equal(t, 3, asked)
+}
+
+func TestALaterStartTellsThatTheOneBeforeHadEnded(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	suspects := newSuspects(clock, zerolog.Nop(), NewMetrics())
+	seen := route.Evidence{Content: exchangeOf("body").contentID(), Ended: route.ServerStart{Server: "i-1", Incarnation: 5}, At: clock.Now()}
+	suspects.Broke(seen)
+	suspects.Started("i-1", 5, "entry")
+	suspects.Started("i-2", 9, "entry")
+	require.True(t, suspects.Empty())
+	suspects.Started("i-1", 6, "entry")
+	require.Equal(t, 1, suspects.Judge(seen.Content, clock.Now()).Ends)
+
+	late := newSuspects(clock, zerolog.Nop(), NewMetrics())
+	late.Broke(seen)
+	clock.Advance(startAwaited + time.Second)
+	late.Started("i-1", 6, "entry")
+	require.True(t, late.Empty(), "it may have ended for any reason since")
+}
+
+func TestEvidenceIsToldAsAges(t *testing.T) {
+	here, there := time.Unix(1000, 0), time.Unix(9000, 0)
+	evidence := []route.Evidence{
+		{Content: exchangeOf("body").contentID(), Ended: route.ServerStart{Server: "i-1", Incarnation: 5}, At: here.Add(-3 * time.Second)},
+		{Content: exchangeOf("other").contentID(), At: here.Add(-time.Second)},
+	}
+	told := evidenceFromWire(evidenceToWire(evidence, here), there)
+	require.Equal(t, there.Add(-3*time.Second), told[0].At)
+	evidence[0].At, evidence[1].At = told[0].At, told[1].At
+	require.Equal(t, evidence, told)
+	require.Empty(t, evidenceFromWire([]*wire.Evidence{{Content: []byte("short")}, {}}, there), "of another version")
+}
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -104,6 +104,9 @@
 	p.signal(syscall.SIGSTOP)
 	time.Sleep(2 * lasts)
 	p.signal(syscall.SIGCONT)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.wakes = append(p.wakes, time.Now())
 }
 
 func (p *process) reload(time.Duration) { p.signal(syscall.SIGHUP) }
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -28,6 +28,8 @@
 	exits  []string
 	// starts are when the runs began.
 	starts []time.Time
+	// wakes are when it went on after it had stood still.
+	wakes []time.Time
 }
 
 // settingsOf fills the settings of one role, as the platform does.
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -32,21 +32,41 @@
 
 // newProxy listens at an address.
 func newProxy(address, target string) (*proxy, error) {
+	p := &proxy{target: target, open: make(map[net.Conn]*link)}
+	return p, p.listen(address)
+}
+
+// listen begins to listen at an address.
+func (p *proxy) listen(address string) error {
 	var config net.ListenConfig
 	listener, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	p := &proxy{listener: listener, target: target, open: make(map[net.Conn]*link)}
-	go p.accept()
-	return p, nil
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listener = listener
+	go p.accept(listener)
+	return nil
+}
+
+// end stops listening and breaks all connections off, as a process does that crashes.
+func (p *proxy) end() {
+	p.mu.Lock()
+	_ = p.listener.Close()
+	p.mu.Unlock()
+	p.reset()
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+func (p *proxy) address() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.listener.Addr().String()
+}
 
-func (p *proxy) accept() {
+func (p *proxy) accept(listener net.Listener) {
 	for {
-		near, err := p.listener.Accept()
+		near, err := listener.Accept()
 		if err != nil {
 			return
 		}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -104,14 +104,17 @@
 	load := newLoad(w)
 	load.awaitServed(t)
 	load.run(*atOnce)
+	load.runDeadly()
 	w.injectFaults(*long)
 	w.endFaults()
 	load.stop()
+	load.awaitBarred(t)
 	load.awaitServed(t)
 	w.awaitVersion()
 	load.awaitChange(t)
 	findings := load.findings()
 	findings = append(findings, load.wordFindings()...)
+	findings = append(findings, load.deadlyFindings()...)
 	for _, p := range w.processes() {
 		findings = append(findings, p.findings()...)
 	}
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -56,6 +56,8 @@
 	proxies   []*proxy
 	storeLink *proxy
 	originAt  string
+	// crashes are the servers that have crashed and will start again.
+	crashes sync.WaitGroup
 
 	// mu orders what the operator writes.
 	mu      sync.Mutex
@@ -170,9 +172,9 @@
 		p.signal(syscall.SIGCONT)
 		p.stop(syscall.SIGKILL)
 	}
+	w.crashes.Wait()
 	for _, p := range w.proxies {
-		_ = p.listener.Close()
-		p.reset()
+		p.end()
 	}
 	for _, listener := range w.listeners {
 		_ = listener.Close()
