--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -9,8 +9,6 @@
 	"strings"
 	"time"
 
-	"github.com/jonboulle/clockwork"
-
 	"github.com/cinderslip/cinderslip/internal/provider"
 	"github.com/cinderslip/cinderslip/internal/upstream"
 	"github.com/cinderslip/cinderslip/pkg/fleet"
@@ -48,7 +46,7 @@
 
 // run makes attempts until the request has an outcome.
 func (f *Front) run(x *exchange) {
-	ctx, cancel := clockwork.WithTimeout(x.request.Context(), f.clock, f.clock.Until(x.deadline))
+	ctx, cancel := context.WithTimeout(x.request.Context(), f.clock.Until(x.deadline))
 	defer cancel()
 	f.budget(x.service).Request(f.clock.Now())
 	var tried []fleet.ServerID
