--- a/internal/direct/crash_test.go
+++ b/internal/direct/crash_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -51,29 +52,40 @@
 	return count
 }
 
-// cmdHarm sends a body to some entry boxes in turn until a number of servers have ended under it, or it is refused:
+// cmdHarm sends a body to some entry boxes in turn until a number of servers have ended under it, or it is refused for long:
 // harm 3 /talk/1 BODY entry-1 entry-2.
 func (w *world) cmdHarm(args []string) error {
-	entries := args[3:]
-	for i := 0; w.harmed(args[1], args[2]) < number(args[0], 0); i++ {
-		status, err := w.ask(entries[i%len(entries)], args[1], args[2])
-		if err != nil {
-			return err
-		}
-		if status == http.StatusServiceUnavailable && w.harmed(args[1], args[2]) > 1 {
+	entries, tries := args[3:], 0
+	return w.await(func() error {
+		before := w.harmed(args[1], args[2])
+		if before >= number(args[0], 0) {
 			return nil
 		}
-	}
-	return nil
+		tries++
+		status, err := w.ask(entries[tries%len(entries)], args[1], args[2])
+		if err == nil && status != statusBarred {
+			err = fmt.Errorf("%d servers have ended", before)
+		}
+		return err
+	})
 }
 
+// statusBarred stands for a refusal that tells its caller to come back after more than a minute, as no refusal for want of a
+// place does.
+const statusBarred = -http.StatusServiceUnavailable
+
 // ask sends a body to an entry box and returns the status of its answer.
 func (w *world) ask(entry, path, body string) (int, error) {
 	response, err := w.requestBody(entry, fmt.Sprintf("harm-%d", w.asked.Add(1)), path, "key-1", body)
 	if err != nil {
 		return 0, err
 	}
-	return response.StatusCode, response.Body.Close()
+	_ = response.Body.Close()
+	wait, _ := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+	if response.StatusCode == http.StatusServiceUnavailable && wait > time.Minute.Seconds() {
+		return statusBarred, nil
+	}
+	return response.StatusCode, nil
 }
 
 // cmdBarred sends a body to entry boxes, each of which must refuse it without any server ending: barred /talk/1 BODY entry-1.
@@ -85,7 +97,7 @@
 		if err != nil {
 			return err
 		}
-		if status != http.StatusServiceUnavailable {
+		if status != statusBarred {
 			findings = append(findings, fmt.Sprintf("%s answered %d", entry, status))
 		}
 	}
