--- a/internal/direct/ended.go
+++ b/internal/direct/ended.go
@@ -46,9 +46,9 @@
 	return &endProbes{clock: clock, probe: pool.Probe, byStart: make(map[route.ServerStart]*endProbe)}
 }
 
-// hasEnded reports whether nothing listens any more where a start of a server did.
-func (p *endProbes) hasEnded(start route.ServerStart, address member.Address) bool {
-	asked, isNew := p.ask(start)
+// hasEnded reports whether nothing listens any more where a start of a server did to which something was sent at a time.
+func (p *endProbes) hasEnded(start route.ServerStart, address member.Address, sent time.Time) bool {
+	asked, isNew := p.ask(start, sent)
 	if !isNew {
 		<-asked.done
 		return asked.ended
@@ -61,16 +61,19 @@
 		// It lives, as far as is known, and may end later.
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		delete(p.byStart, start)
+		if p.byStart[start] == asked {
+			delete(p.byStart, start)
+		}
 	}
 	return asked.ended
 }
 
-// ask returns the question that is asked about a start, and whether the caller is to ask it.
-func (p *endProbes) ask(start route.ServerStart) (asked *endProbe, isNew bool) {
+// ask returns the question that is asked about a start, and whether the caller is to ask it. What was asked before something
+// was sent tells nothing of what became of that.
+func (p *endProbes) ask(start route.ServerStart, sent time.Time) (asked *endProbe, isNew bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if known := p.byStart[start]; known != nil {
+	if known := p.byStart[start]; known != nil && !sent.After(known.at) {
 		return known, false
 	}
 	now := p.clock.Now()
@@ -110,11 +113,11 @@
 	if errors.Is(place.Check(at), route.ErrLeaving) {
 		return false
 	}
-	ended := f.ends.hasEnded(place.Start(), place.Server.Address)
+	ended := f.ends.hasEnded(place.Start(), place.Server.Address, place.Since())
 	if place.Answering(at) >= answeringSafe || f.answered.take(x, at) {
 		return ended
 	}
-	seen := route.Evidence{Content: x.contentID(), Ended: place.Start(), At: at}
+	seen := route.Evidence{Content: x.contentID(), Ended: f.suspects.StartAt(place.Start(), place.Since()), At: at}
 	if ended {
 		f.suspects.See(seen, "request "+x.ID)
 	} else {
--- a/internal/direct/suspects.go
+++ b/internal/direct/suspects.go
@@ -85,7 +85,7 @@
 		line.Msg("request is no longer suspect")
 		return
 	}
-	line.Str("server", string(seen.Ended.Server)).Uint64("incarnation", uint64(seen.Ended.Incarnation)).Msg("server has ended under a request")
+	line.Str("server", string(seen.Ended.Server)).Uint64("incarnation", uint64(seen.Ended.Incarnation)).Uint32("again", seen.Ended.Again).Msg("server has ended under a request")
 }
 
 // suspectNames are the words of the metric by whether a request is suspect now.
@@ -134,7 +134,7 @@
 	for _, seen := range evidence {
 		told = append(told, &wire.Evidence{
 			Content: seen.Content[:], Server: string(seen.Ended.Server), Incarnation: uint64(seen.Ended.Incarnation),
-			AgeMilliseconds: uint64(max(0, now.Sub(seen.At).Milliseconds())),
+			Again: seen.Ended.Again, AgeMilliseconds: uint64(max(0, now.Sub(seen.At).Milliseconds())),
 		})
 	}
 	return told
@@ -149,7 +149,7 @@
 		}
 		evidence = append(evidence, route.Evidence{
 			Content: route.ContentID(seen.Content),
-			Ended:   route.ServerStart{Server: fleet.ServerID(seen.Server), Incarnation: member.Incarnation(seen.Incarnation)},
+			Ended:   route.ServerStart{Server: fleet.ServerID(seen.Server), Incarnation: member.Incarnation(seen.Incarnation), Again: seen.Again},
 			At:      now.Add(-time.Duration(seen.AgeMilliseconds) * time.Millisecond),
 		})
 	}
--- a/internal/direct/suspects_test.go
+++ b/internal/direct/suspects_test.go
@@ -72,15 +72,16 @@
 		asked++
 		return answer
 	}}
-	start := route.ServerStart{Server: "i-1"}
-	require.False(t, probes.hasEnded(start, "10.0.0.1:80"))
+	start, sent := route.ServerStart{Server: "i-1"}, time.Now()
+	require.False(t, probes.hasEnded(start, "10.0.0.1:80", sent))
 	answer = context.DeadlineExceeded
-	require.False(t, probes.hasEnded(start, "10.0.0.1:80"), "a box that says nothing")
+	require.False(t, probes.hasEnded(start, "10.0.0.1:80", sent), "a box that says nothing")
 	answer = refused
-	require.True(t, probes.hasEnded(start, "10.0.0.1:80"))
+	require.True(t, probes.hasEnded(start, "10.0.0.1:80", sent))
 	answer = lives
-	require.True(t, probes.hasEnded(start, "10.0.0.1:80"), "another start may listen there by now")
+	require.True(t, probes.hasEnded(start, "10.0.0.1:80", sent), "another start may listen there by now")
 	require.Equal(t, 3, asked)
+	require.False(t, probes.hasEnded(start, "10.0.0.1:80", time.Now()), "what that start got is asked about anew")
 }
 
 func TestALaterStartTellsThatTheOneBeforeHadEnded(t *testing.T) {
@@ -104,7 +105,7 @@
 func TestEvidenceIsToldAsAges(t *testing.T) {
 	here, there := time.Unix(1000, 0), time.Unix(9000, 0)
 	evidence := []route.Evidence{
-		{Content: exchangeOf("body").contentID(), Ended: route.ServerStart{Server: "i-1", Incarnation: 5}, At: here.Add(-3 * time.Second)},
+		{Content: exchangeOf("body").contentID(), Ended: route.ServerStart{Server: "i-1", Incarnation: 5, Again: 2}, At: here.Add(-3 * time.Second)},
 		{Content: exchangeOf("other").contentID(), At: here.Add(-time.Second)},
 	}
 	told := evidenceFromWire(evidenceToWire(evidence, here), there)
--- a/pkg/route/quarantine.go
+++ b/pkg/route/quarantine.go
@@ -49,6 +49,9 @@
 	Server fleet.ServerID
 	// Incarnation is which start it is; 0 where the platform does not tell starts.
 	Incarnation member.Incarnation
+	// Again counts the starts since that one of which nobody was told: while the platform's store is away a server may start
+	// again under its id, and end once more.
+	Again uint32
 }
 
 // Evidence is what one box has seen of a request.
@@ -145,6 +148,20 @@
 	return true
 }
 
+// StartAt returns the start of a server that a request was sent to at a time. What nobody was told shows by its ends: what a
+// server took after it had ended was taken by a later start.
+func (q *Quarantine) StartAt(told ServerStart, sent time.Time) ServerStart {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for {
+		ended, isKnown := q.ended[told]
+		if !isKnown || !sent.After(ended) {
+			return told
+		}
+		told.Again++
+	}
+}
+
 // noteEnded notes the end of a server.
 func (q *Quarantine) noteEnded(start ServerStart, at, now time.Time) {
 	if q.ended == nil {
--- a/pkg/route/quarantine_test.go
+++ b/pkg/route/quarantine_test.go
@@ -154,6 +154,21 @@
 	require.Equal(t, []Held{{Content: barred, Until: now.Add(barFirst), Ends: []ServerStart{startNamed("first-0"), startNamed("first-1"), startNamed("first-2")}}}, q.Barred(now))
 }
 
+func TestWhatAServerTookAfterItHadEndedWasTakenByALaterStart(t *testing.T) {
+	var q Quarantine
+	now, told := time.Unix(1000, 0), startNamed("i-1")
+	ends := func(sent, at time.Time) ServerStart {
+		start := q.StartAt(told, sent)
+		q.Take(Evidence{Content: contentNamed("a"), Ended: start, At: at}, at)
+		return start
+	}
+	require.Equal(t, told, ends(now, now.Add(time.Second)))
+	require.Equal(t, told, ends(now.Add(time.Second/2), now.Add(2*time.Second)), "sent before the end, seen late")
+	require.Equal(t, uint32(1), ends(now.Add(2*time.Second), now.Add(3*time.Second)).Again)
+	require.Equal(t, uint32(2), ends(now.Add(4*time.Second), now.Add(5*time.Second)).Again)
+	require.True(t, q.Judge(contentNamed("a"), now.Add(5*time.Second)).Barred)
+}
+
 func TestTwoSuspectsNeverGoToOneServer(t *testing.T) {
 	w := newRestWorld(t, plain("i-1", 1), plain("i-2", 1))
 	suspects := make(map[fleet.ServerID]int)
--- a/pkg/route/reservation.go
+++ b/pkg/route/reservation.go
@@ -177,4 +177,9 @@
 }
 
 // Start returns which start of the server the place is on.
-func (r *Reservation) Start() ServerStart { return ServerStart{r.Server.ID, r.Incarnation} }
+func (r *Reservation) Start() ServerStart {
+	return ServerStart{Server: r.Server.ID, Incarnation: r.Incarnation}
+}
+
+// Since returns when the place was had.
+func (r *Reservation) Since() time.Time { return r.since }
