--- a/internal/soak/words_test.go
+++ b/internal/soak/words_test.go
@@ -41,7 +41,8 @@
 		}
 		if s.LeaveAfter(leavesAfter) && w.words.IntN(2) == 0 {
 			time.Sleep(time.Duration(w.words.Int64N(int64(speakEvery))))
-			w.store.Put("servers/"+s.id, s.Entry(s.service, s.link.address(), "hall-a", true))
+			// It may have started again meanwhile, and that start does not leave.
+			w.store.Put("servers/"+s.id, s.Entry(s.service, s.link.address(), "hall-a", s.IsLeaving()))
 		}
 	}
 }
