--- a/internal/direct/front.go
+++ b/internal/direct/front.go
@@ -327,6 +327,10 @@
 	d.Boxes(entries.CellBoxes())
 }
 
+// beginReserve is how long before the weights of a server are barred an answer must
+// have begun: a version may have been heard of late, and breaking off takes a while.
+const beginReserve = 500 * time.Millisecond
+
 // versions is what a dispatcher may do with which weights now.
 func (f *Front) versions(named fleet.Named, now time.Time) route.Versions {
 	return route.Versions{
--- a/pkg/route/dispatch.go
+++ b/pkg/route/dispatch.go
@@ -417,7 +417,8 @@
 			}
 			place := d.choose(w.ask, freed, now)
 			if place == nil {
-				if len(w.ask.Tried) == 0 {
+				if len(w.ask.Tried) == 0 && !w.ask.Suspect {
+					// It could go anywhere, so those behind it find nothing either.
 					return
 				}
 				i++
--- a/pkg/route/quarantine_test.go
+++ b/pkg/route/quarantine_test.go
@@ -190,3 +190,27 @@
 	require.Zero(t, served[place.Server.ID])
 	require.Equal(t, member.Incarnation(1), place.Start().Incarnation)
 }
+
+func TestASuspectThatFindsNoServerHoldsUpNobody(t *testing.T) {
+	w := newRestWorld(t, plain("i-1", 1))
+	submit := func(suspect bool, granted func(*Reservation)) (*Reservation, *Waiting) {
+		place, waiting, err := w.d.Submit(&Ask{Suspect: suspect, Arrived: w.now, Objective: w.now.Add(time.Second), Deadline: w.now.Add(6 * time.Second)}, granted, w.now)
+		require.NoError(t, err)
+		return place, waiting
+	}
+	first, _ := submit(true, nil)
+	require.NotNil(t, first)
+	var second, other *Reservation
+	_, waits := submit(true, func(place *Reservation) { second = place })
+	require.NotNil(t, waits, "the only server has a suspect")
+	place, behind := submit(false, func(place *Reservation) { other = place })
+	if place == nil {
+		_, _, err := w.d.Review(behind, w.now)
+		require.NoError(t, err)
+		place = other
+	}
+	require.NotNil(t, place, "there are places for others")
+	require.Nil(t, second)
+	first.Release(ResultDone, w.now)
+	require.NotNil(t, second)
+}
