--- a/internal/direct/suspects_test.go
+++ b/internal/direct/suspects_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -144,3 +145,20 @@
 	evidence, _ := suspects.Since(0)
 	require.Len(t, evidence, 1, "other boxes are told")
 }
+
+// BenchmarkContent works out what a request of 2 KB asks for, as is done for each while any is suspect, and notes that it was
+// answered, as is always done.
+func BenchmarkContent(b *testing.B) {
+	x := exchangeOf(strings.Repeat("x", 2048))
+	b.Run("content", func(b *testing.B) {
+		for b.Loop() {
+			contentOf(x)
+		}
+	})
+	b.Run("answered", func(b *testing.B) {
+		answered, now := newAnsweredLately(), time.Now()
+		for b.Loop() {
+			answered.note(x, now)
+		}
+	})
+}
--- a/pkg/route/quarantine.go
+++ b/pkg/route/quarantine.go
@@ -216,12 +216,12 @@
 	return bar
 }
 
-// isOver reports whether nothing that is known of a request is of use any more.
-func (q *Quarantine) isOver(content ContentID, s *suspect, now time.Time) bool {
+// isOver reports whether nothing that is known of the request is of use any more, by whether it is to blame.
+func (s *suspect) isOver(isToBlame bool, now time.Time) bool {
 	switch {
 	case len(s.ends) == 0:
 		return now.Sub(s.cleared) > suspectTime
-	case !q.isToBlame(content, s, now):
+	case !isToBlame:
 		return now.Sub(s.last().at) > suspectTime
 	}
 	return now.Sub(s.last().at) > s.barredFor()+probation
@@ -241,7 +241,7 @@
 		q.requests = make(map[ContentID]*suspect)
 	}
 	for content, s := range q.requests {
-		if q.isOver(content, s, now) {
+		if s.isOver(q.isToBlame(content, s, now), now) {
 			delete(q.requests, content)
 		}
 	}
@@ -270,11 +270,15 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	s := q.requests[content]
-	if s == nil || len(s.ends) == 0 || q.isOver(content, s, now) {
+	if s == nil || len(s.ends) == 0 {
+		return Verdict{}
+	}
+	isToBlame := q.isToBlame(content, s, now)
+	if s.isOver(isToBlame, now) {
 		return Verdict{}
 	}
 	verdict := Verdict{Suspect: true, Ends: len(s.ends), Settles: s.last().at.Add(settleTime)}
-	if until := s.last().at.Add(s.barredFor()); q.isToBlame(content, s, now) && now.Before(until) {
+	if until := s.last().at.Add(s.barredFor()); isToBlame && now.Before(until) {
 		verdict.Barred, verdict.BarredUntil = true, until
 	}
 	return verdict
--- a/pkg/route/quarantine_test.go
+++ b/pkg/route/quarantine_test.go
@@ -214,3 +214,24 @@
 	first.Release(ResultDone, w.now)
 	require.NotNil(t, second)
 }
+
+// BenchmarkJudge asks about a request that is not known while contentsKept others are, and about one that has ended two servers, which
+// is compared with all of them.
+func BenchmarkJudge(b *testing.B) {
+	var q Quarantine
+	now := time.Unix(1000, 0)
+	for i := range contentsKept - 1 {
+		q.Take(Evidence{Content: contentNamed(fmt.Sprintf("other-%d", i)), Ended: startNamed(fmt.Sprintf("s-%d", i)), At: now}, now)
+	}
+	twice := contentNamed("twice")
+	q.Take(Evidence{Content: twice, Ended: startNamed("first"), At: now.Add(time.Minute / 2)}, now)
+	q.Take(Evidence{Content: twice, Ended: startNamed("second"), At: now.Add(time.Minute / 2)}, now)
+	later := now.Add(time.Minute/2 + time.Second)
+	for _, content := range []ContentID{contentNamed("unknown"), twice} {
+		b.Run(strings.TrimRight(string(content[:8]), "\x00"), func(b *testing.B) {
+			for b.Loop() {
+				q.Judge(content, later)
+			}
+		})
+	}
+}
