--- a/internal/direct/status.go
+++ b/internal/direct/status.go
@@ -22,10 +22,7 @@
 	statusInterval = 50 * time.Millisecond
 	// farMessages is how many such messages a box sends to those of its cell in other regions in
 	// a second, all together: they cross narrow links.
-	// With twelve others there is no need to tell them less often than the near ones. Twice as
-	// often, 27 others hear each 0.11 s in place of 0.225: in the model of 41 boxes, at one and a
-	// half times the load of a busy hour and a far cost of 0.5, 0.775 of the requests are in time
-	// and 0.741.
+	// With twelve others there is no need to tell them less often than the near ones.
 	farMessages = 240
 	// statusHeartbeat is how often it does if nothing has changed.
 	statusHeartbeat = 400 * time.Millisecond
--- a/pkg/route/backend.go
+++ b/pkg/route/backend.go
@@ -36,9 +36,7 @@
 	// server: an answer begins only once the prompts before it are read.
 	readingScale = 800 * time.Millisecond
 	// costFar is for a server of another region: each answer crosses a priced link, and what
-	// the boxes there send to it is heard later than what those of the own region do. In the
-	// model of 41 boxes before 76 servers, at 0.8 of what these can do, 0.041 of the requests
-	// were late with half of it and far boxes told each 0.225 s, 0.028 with this and 0.112 s.
+	// the boxes there send to it is heard later than what those of the own region do.
 	costFar = 0.4
 	// costStalled is for a server that seems to stand still: any other goes first.
 	costStalled = 2.0
--- a/pkg/route/patience.go
+++ b/pkg/route/patience.go
@@ -14,10 +14,9 @@
 	// patienceReviewed is after how many requests it is worked out anew.
 	patienceReviewed = 16
 	// returnedPart is the part of the usual time below which a caller has been here before.
-	// Callers differ in how long they wait, so nothing nearer to the usual time tells: with a
-	// bound of 0.985 of the longest nine of ten first requests counted as returned ones where
-	// callers wait for 0.85 to 1 of it. Who has used half of its time can't be answered in time
-	// any more, whoever it is.
+	// Callers differ in how long they wait, so nothing nearer to the usual time tells: first
+	// requests of the less patient would count as returned ones. Who has used half of its time can't be
+	// answered in time any more, whoever it is.
 	returnedPart = 0.5
 )
 
--- a/pkg/route/rest.go
+++ b/pkg/route/rest.go
@@ -97,7 +97,7 @@
 
 // isOnTrial reports whether a request is on its way to a server that has rested and has not answered one since.
 // Others wait for what becomes of it, unless the server stands still: all boxes come back to it at one moment, and
-// each that it turns away has used up an attempt: 108 for 124 in the model of 9 boxes; in time 0.815 for 0.819.
+// each that it turns away has used up an attempt.
 func (b *backend) isOnTrial(now time.Time) bool {
 	return !b.tested && len(b.awaiting) > 0 && b.oldestAwaited(now) < stallTime
 }
@@ -117,8 +117,8 @@
 	first time.Time
 }
 
-// resting returns the servers that rest. It looks at those that have asked for rest alone: a walk over 12,000
-// servers took a refusal from 0.8 to 153 us.
+// resting returns the servers that rest. It looks at those that have asked for rest alone: refusals come
+// by the thousand, and a fleet has as many servers.
 func (d *Dispatcher) resting(now time.Time) (resting restingServers) {
 	for id := range d.rests {
 		b := d.backends[id]
--- a/pkg/route/returns.go
+++ b/pkg/route/returns.go
@@ -12,8 +12,7 @@
 // the moment until which the caller waits. A box remembers whom it has sent away and tells
 // the boxes of its cell, as callers come back to any of them.
 //
-// Inferring it from the remaining time alone took nine of ten first requests for returned
-// ones where callers differ by a seventh in how long they wait.
+// The remaining time alone does not tell: callers differ in how long they wait.
 
 // Fingerprint identifies what a request asks for: it is the same when its caller asks again.
 type Fingerprint uint64
@@ -33,8 +32,7 @@
 	// returnsKept bounds the callers that are remembered; beyond it, others count as new until
 	// some stop waiting. At 56 bytes each, without the map, it is half a megabyte.
 	returnsKept = 8192
-	// returnsTold is how many of the newest a box can still tell. With 600 sent away a second
-	// by 40 boxes, each tells one or two at a time.
+	// returnsTold is how many of the newest a box can still tell; a busy box tells one or two at a time.
 	returnsTold = 256
 	// sameKept bounds the callers that are remembered of those who ask for the very same.
 	sameKept = 8
