--- a/internal/direct/ages.go
+++ b/internal/direct/ages.go
@@ -50,9 +50,8 @@
 
 // LearnVersions takes what another process tells of the versions that it heard of as they were
 // named: their ages, and those versions that this one has not heard of itself. It need not wait
-// for the facts then, which come from the own region first: where the box was cut off that reads
-// the store there, agents heard of a version 0.9 s after its name, and of 2.5 s that the origin
-// stayed a copy takes 2.1.
+// for the facts then, which come from the own region first: where the box is cut off that reads
+// the store there, agents would hear of a version too late to copy it from an origin that goes away soon.
 func (f *Facts) LearnVersions(ages []fleet.VersionAge, from string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/direct/bring.go
+++ b/internal/direct/bring.go
@@ -15,8 +15,7 @@
 
 const (
 	// fetchGroups is in how many groups servers get their copies, fetchStagger the
-	// time between two of them. Longer ones left links unused: on a calm day copies
-	// were whole after 2.5 to 4.3 s with one second, after 2.6 to 3.8 s with this.
+	// time between two of them. Longer ones leave links unused.
 	fetchGroups  = 3
 	fetchStagger = 300 * time.Millisecond
 	// swapTimeout bounds the wait until the server holds what it was ordered to
--- a/internal/direct/departures.go
+++ b/internal/direct/departures.go
@@ -11,8 +11,8 @@
 )
 
 // A backend server that will end says so in its entry in the platform's store, and in all its answers.
-// The entry may tell it late or never: while the store was silent one server got 2 to 5 requests a second
-// for six seconds after its first word. So the word is kept here, beside the entries, for the start of the
+// The entry may tell it late or never: while the store is silent it may go on to get requests for
+// seconds after its first word. So the word is kept here, beside the entries, for the start of the
 // server that gave it, and told to all processes that may use the server. No entry takes it back: one that
 // says ready may be of before, or written again as the store returns. A later start of the server ends it.
 
--- a/internal/direct/early.go
+++ b/internal/direct/early.go
@@ -16,8 +16,8 @@
 // other piece.
 //
 // They guard against an origin that goes away when it has had the time for little more than
-// one copy: its link stood idle for 0.12 s of the 2.5 s after a name until manifests had come,
-// and a piece that was missing then kept 76 servers from the version for eight seconds.
+// one copy: its link would stand idle until manifests have come, and a single piece that is
+// missing then keeps all servers from the version.
 type earlyDraws struct {
 	results chan fetchResult
 	stop    context.CancelFunc
--- a/internal/direct/facts.go
+++ b/internal/direct/facts.go
@@ -378,8 +378,8 @@
 const unreadLimit = 1024
 
 // takeWanted takes the name of a version. When it was named is known to a witness alone: a process
-// that took the moment at which another one told it for that replaced the guesses of all that had
-// just started, and older weights began requests for 2.2 s too long.
+// that takes the moment at which another one told it for that would replace the guesses of all that have
+// just started, and older weights would begin requests for too long.
 func (f *Facts) takeWanted(fact *fleet.Fact, from string, witnessed bool) {
 	if fact.Wanted == nil {
 		return
--- a/internal/direct/fetch.go
+++ b/internal/direct/fetch.go
@@ -145,9 +145,8 @@
 	// drawers wait after the last piece's turn: those that are drawn last are on their way.
 	drawHedgePieces = 4
 	// drawerSilence is after how long without an answer the second drawer of a piece takes the
-	// place of the first: several of the intervals at which it is asked. When six of 76 agents
-	// were killed 1.6 s after a name, what they had still to draw came too late for an origin
-	// that went away at 2.5 s, and all waited for two pieces for eight seconds.
+	// place of the first: several of the intervals at which it is asked. What killed agents
+	// had still to draw must come before the origin may go away, or all wait for it until it is back.
 	drawerSilence = 400 * time.Millisecond
 	// paceLate is how long after a version was named an agent still keeps to the pace that
 	// counts from its name. It hears of it and has the manifest within half of that; one that
--- a/internal/direct/reader.go
+++ b/internal/direct/reader.go
@@ -55,8 +55,8 @@
 	watchLongest = 10 * time.Second
 )
 
-// readTimesFor returns how often the store is read if a change must be in force in a time. With
-// four seconds in place of two a quiet day of five readers takes half of the calls.
+// readTimesFor returns how often the store is read if a change must be in force in a time. Each
+// call is priced, so it lasts as long as that allows.
 func readTimesFor(changeBound time.Duration) readTimes {
 	return readTimes{watch: min(watchLongest, changeBound/watchPart), gather: min(watchLongest, changeBound) / gatherPart}
 }
@@ -134,8 +134,7 @@
 }
 
 // readsAtOnce is how many changes in succession are each read at once before they are gathered.
-// A version that was named a tenth of a second after two changes of the configuration was heard
-// of 0.45 s after its name.
+// A version may be named right after changes of the configuration, and copies of it wait for that.
 const readsAtOnce = 4
 
 // spare reports whether the next call need not wait for more changes: few came lately.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -284,7 +284,7 @@
 // reset ends the connection with an attempt that is given up. What was written and has not left the
 // box goes too, and what a link holds if it drops a connection that is reset: after a close in order
 // the server would get all of it, and begin what nobody waits for any more, or what must not begin as late
-// as that. On a full link it came 0.5 s after the close. What the server's box has received stays there.
+// as that. What the server's box has received stays there.
 func (c *conn) reset() {
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		// If it fails the connection has ended already.
--- a/pkg/route/rest.go
+++ b/pkg/route/rest.go
@@ -9,8 +9,7 @@
 )
 
 // A server that has no room may turn a request away and ask this box for rest. By what it has in flight it then
-// looks the emptiest of all: one box sent 24 requests to such a server within the three seconds that it had asked
-// for, and each used up an attempt. Rest is asked of one box, so it is not told to others.
+// looks the emptiest of all, and would get more than any other server, each of which uses up an attempt. Rest is asked of one box, so it is not told to others.
 
 // ErrLeaving reports a place on a server that has said meanwhile that it will end.
 var ErrLeaving = errors.New("the server has said that it leaves")
