--- a/internal/direct/crash_test.go
+++ b/internal/direct/crash_test.go
@@ -140,13 +140,28 @@
 	}
 	// The first event has come; a server is safe once it has given its answer for a while.
 	time.Sleep(runningBefore)
+	s, err := w.runner(id)
+	if err != nil {
+		return err
+	}
+	w.crash(s)
+	_, err = io.Copy(io.Discard, response.Body)
+	return err
+}
+
+// runner returns the only server that has begun to run a request. It has to be found before anything is done to it: the request
+// may reach the next server within a millisecond.
+func (w *world) runner(id string) (*worldServer, error) {
+	var runners []*worldServer
 	for _, s := range w.servers {
 		if s.Runs()[id] > 0 {
-			w.crash(s)
+			runners = append(runners, s)
 		}
 	}
-	_, err = io.Copy(io.Discard, response.Body)
-	return err
+	if len(runners) != 1 {
+		return nil, fmt.Errorf("%d servers have begun to run %s, want one", len(runners), id)
+	}
+	return runners[0], nil
 }
 
 // runningBefore is for how long a stream runs before its server crashes: longer than a box takes to be sure that it runs well,
