--- a/pkg/route/forecast.go
+++ b/pkg/route/forecast.go
@@ -74,6 +74,8 @@
 	case d.isSwapping(b, now):
 		return now, b.swapSince.Add(d.swapTime)
 	case b.isResting(now):
+		// It may ask for rest again when this one is over; still more callers are served if late ones wait for that
+		// than if they are sent away at once.
 		return now, b.restTo
 	case !d.isEligible(b, now):
 		return now, now.Add(max(forecastStep, now.Sub(b.closedSince)))
