--- a/internal/direct/cells.go
+++ b/internal/direct/cells.go
@@ -2,10 +2,12 @@
 
 import (
 	"maps"
+	"math/bits"
 	"slices"
 
 	"github.com/cinderslip/cinderslip/pkg/fleet"
 	"github.com/cinderslip/cinderslip/pkg/member"
+	"github.com/cinderslip/cinderslip/pkg/route"
 )
 
 // cellPlan is how the fleet is divided, as this box sees it. Boxes that see it differently for a
@@ -13,8 +15,9 @@
 // servers then counts (route.Dispatcher).
 type cellPlan struct {
 	cells, own int
-	// mates are the other entry boxes of the own cell.
-	mates map[member.BoxID]bool
+	// cellOf are the cells of all entry boxes, mates the other entry boxes of the own cell.
+	cellOf map[member.BoxID]int
+	mates  map[member.BoxID]bool
 	// servers are the cells of the servers that are divided, by address; those that are not in
 	// it are shared by all cells.
 	servers map[member.Address]int
@@ -29,6 +32,38 @@
 	return !divided || cell == p.own
 }
 
+// relayed returns the boxes of other cells whom this one follows to tell its own cell whom they have sent away. A box is
+// followed by one of each cell whose number differs from its own in one bit, of its own region where there is one.
+func (p *cellPlan) relayed(self member.BoxID, up []member.Record) map[member.Address]route.Relay {
+	if p.cells == 1 {
+		return nil
+	}
+	var cell []member.BoxID
+	inRegion := make(map[member.Region][]member.BoxID)
+	for i := range up {
+		if box := up[i].Box; p.mates[box] || box == self {
+			cell = append(cell, box)
+			inRegion[up[i].Region] = append(inRegion[up[i].Region], box)
+		}
+	}
+	relayed := make(map[member.Address]route.Relay)
+	for i := range up {
+		other, known := p.cellOf[up[i].Box]
+		differ := uint(other ^ p.own)
+		if !known || bits.OnesCount(differ) != 1 {
+			continue
+		}
+		candidates := inRegion[up[i].Region]
+		if len(candidates) == 0 {
+			candidates = cell
+		}
+		if first := member.Rank("relay "+string(up[i].Box), candidates, 1); len(first) > 0 && first[0] == self {
+			relayed[up[i].Peers] = route.Relay(bits.Len(differ))
+		}
+	}
+	return relayed
+}
+
 // owned returns those servers that the own cell uses.
 func (p *cellPlan) owned(servers []fleet.Server) []fleet.Server {
 	if p == nil || p.cells == 1 {
@@ -51,7 +86,7 @@
 	for _, region := range byRegion(boxes, func(r *member.Record) (member.Region, member.BoxID) { return r.Region, r.Box }) {
 		maps.Copy(assigned, member.AssignCells(region, cells))
 	}
-	plan.own = assigned[self]
+	plan.cellOf, plan.own = assigned, assigned[self]
 	for box, cell := range assigned {
 		if cell == plan.own && box != self {
 			plan.mates[box] = true
--- a/internal/direct/front.go
+++ b/internal/direct/front.go
@@ -223,8 +223,10 @@
 	}
 }
 
-// PeerSentAway takes the callers that another entry box has sent away.
-func (f *Front) PeerSentAway(callers []route.SentAway, now time.Time) { f.returns.Learn(callers, now) }
+// PeerSentAway takes the callers of whom another entry box tells on a way.
+func (f *Front) PeerSentAway(callers []route.SentAway, from route.Relay, now time.Time) {
+	f.returns.Learn(callers, from, now)
+}
 
 // ServerState takes what an agent tells of the server at an address.
 func (f *Front) ServerState(address member.Address, state route.ServerState, now time.Time) {
--- a/internal/direct/members_test.go
+++ b/internal/direct/members_test.go
@@ -347,3 +347,72 @@
 	require.Equal(t, map[member.BoxID]time.Time{"other": now}, maps.Clone(r.answered))
 	require.Empty(t, r.fresh(time.Time{}, now.Add(testTimes.storeAway())))
 }
+
+// fleetOf is the entry boxes of a fleet, each with what it remembers of callers and whom it follows.
+type fleetOf struct {
+	boxes map[member.Address]*EntryBoxes
+	// returns and interests are each box's.
+	returns   map[member.Address]*route.Returns
+	interests map[member.Address]map[string]interest
+}
+
+func newFleetOf(t *testing.T, boxes, servers int) *fleetOf {
+	t.Helper()
+	records, view := bigFleet(boxes, servers)
+	f := &fleetOf{
+		boxes: make(map[member.Address]*EntryBoxes), returns: make(map[member.Address]*route.Returns),
+		interests: make(map[member.Address]map[string]interest),
+	}
+	for _, record := range records {
+		facts, clock := newTestFacts()
+		e := newTestBoxes(facts)
+		e.self, e.members, e.regionOf, e.replanned = record, NewMembers(record, clock, zerolog.Nop()), sameRegion, make(chan struct{})
+		e.members.Learn(recordsOf(t, records...), "")
+		e.facts.view.Store(view)
+		e.replan()
+		f.boxes[record.Peers], f.returns[record.Peers], f.interests[record.Peers] = e, &route.Returns{}, e.interests()
+	}
+	return f
+}
+
+// tell lets each box tell those that follow it until nobody hears anything new, and returns how often each was told.
+func (f *fleetOf) tell(now time.Time) map[member.Address]int {
+	times := make(map[member.Address]int)
+	told := make(map[[2]member.Address]uint64)
+	for news := true; news; {
+		news = false
+		for to, interests := range f.interests {
+			for address, want := range interests {
+				if !want.load && want.relay == 0 {
+					continue
+				}
+				link := [2]member.Address{member.Address(address), to}
+				var callers []route.SentAway
+				callers, told[link] = f.returns[link[0]].Since(told[link], want.relay)
+				f.returns[to].Learn(callers, want.relay, now)
+				times[to] += len(callers)
+				news = news || len(callers) > 0
+			}
+		}
+	}
+	return times
+}
+
+// Of ten callers that a box of one of two cells had refused five came back to the other cell, which took them for new ones: on a day
+// that asked for a third more than the servers could do, a fifth of what these did was answers to callers who were late already.
+func TestWhoWasSentAwayIsKnownInEveryCell(t *testing.T) {
+	for name, fleet := range map[string]struct{ boxes, servers int }{
+		"one cell": {9, 20}, "2 cells": {41, 45}, "8 cells": {149, 204}, "32 cells": {600, 1200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, now := newFleetOf(t, fleet.boxes, fleet.servers), time.Unix(100, 0)
+			f.returns["entry-0"].Note(route.SentAway{Fingerprint: 7, First: now, Ends: now.Add(6 * time.Second)}, now)
+			times := f.tell(now)
+			delete(times, "entry-0")
+			require.Len(t, times, fleet.boxes-1)
+			for box, times := range times {
+				require.Equal(t, 1, times, "%s", box)
+			}
+		})
+	}
+}
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -36,9 +36,9 @@
 	expireInterval = time.Second
 )
 
-// EntryBoxes follows other entry boxes: all of the own cell, for what they have in flight, and
-// some neighbours in the whole fleet, for what they know. Where the fleet is one cell that is
-// all of them.
+// EntryBoxes follows other entry boxes: all of the own cell, for what they have in flight, some
+// neighbours in the whole fleet, for what they know, and a few of other cells, for whom they have
+// sent away. Where the fleet is one cell that is all of them.
 type EntryBoxes struct {
 	self     member.Record
 	regionOf func(member.FailureDomain) member.Region
@@ -51,8 +51,8 @@
 	duties   *kernel.Duties
 	// told is called with what another box of the cell has in flight and is asked for; see Front.
 	told func(box member.BoxID, load route.Load, demands route.Demands, whole bool, now time.Time)
-	// sentAway is called with the callers that another box of the cell has sent away.
-	sentAway func(callers []route.SentAway, now time.Time)
+	// sentAway is called with the callers of whom another box tells on a way.
+	sentAway func(callers []route.SentAway, from route.Relay, now time.Time)
 	// pull reads what another entry box has come to know since the last time.
 	pull func(ctx context.Context, from member.Address) error
 	// begin begins to follow a box.
@@ -79,6 +79,8 @@
 type interest struct {
 	// load is set for boxes of the own cell, members for those that tell of all others.
 	load, members bool
+	// relay is set for boxes of other cells whose callers this one tells its own cell of.
+	relay route.Relay
 }
 
 // followed is a box that is being followed.
@@ -167,6 +169,11 @@
 	for _, teller := range tellers {
 		wanted[teller] = interest{load: wanted[teller].load, members: true}
 	}
+	for address, relay := range plan.relayed(e.self.Box, up) {
+		want := wanted[string(address)]
+		want.relay = relay
+		wanted[string(address)] = want
+	}
 	delete(wanted, string(e.self.Peers))
 	return wanted
 }
@@ -251,7 +258,7 @@
 		},
 		take: func(status *wire.EntryStatus) { e.take(entry, want, status) },
 		regained: func(line *zerolog.Event, first *wire.EntryStatus) {
-			line.Str("box", first.Box).Bool("load", want.load).Bool("members", want.members)
+			line.Str("box", first.Box).Bool("load", want.load).Bool("members", want.members).Int("relay", int(want.relay))
 		},
 	})
 }
@@ -260,6 +267,7 @@
 func (e *EntryBoxes) request(want interest) *wire.FollowRequest {
 	request := &wire.FollowRequest{
 		Box: string(e.self.Box), Peers: string(e.self.Peers), Region: string(e.self.Region), Load: want.load, Members: want.members,
+		Relay: uint32(want.relay),
 	}
 	own, _ := e.members.Record(e.self.Box)
 	item, err := own.Item()
@@ -304,9 +312,9 @@
 	}
 	if want.load {
 		e.told(box.Box, loadOf(status.InFlight), demandsOf(status.Demands), !status.Partial, now)
-		if len(status.SentAway) > 0 {
-			e.sentAway(sentAwayOf(status.SentAway, now), now)
-		}
+	}
+	if len(status.SentAway) > 0 {
+		e.sentAway(sentAwayOf(status.SentAway, now), want.relay, now)
 	}
 	if !status.Partial {
 		e.facts.LearnVersions(agesFromWire(status.Ages), status.Box)
--- a/internal/direct/returning.go
+++ b/internal/direct/returning.go
@@ -9,9 +9,9 @@
 	"github.com/cinderslip/cinderslip/pkg/route"
 )
 
-// sinceFirst returns how long ago a caller first asked; 0 if it was not here before. Whom a
-// box of the cell has sent away is known; of the others the remaining time tells those whose
-// box was killed, or who left it by themselves.
+// sinceFirst returns how long ago a caller first asked; 0 if it was not here before. Whom another
+// box has sent away is known; of the others the remaining time tells those whose box was killed,
+// or who left it by themselves.
 func (f *Front) sinceFirst(x *exchange) time.Duration {
 	x.fingerprint = fingerprintOf(x)
 	if first, ok := f.returns.First(x.fingerprint, x.arrived.Add(x.Deadline), x.arrived); ok {
--- a/internal/direct/status.go
+++ b/internal/direct/status.go
@@ -44,8 +44,8 @@
 	// load and demands are what the box has in flight and is asked for.
 	load    func() route.Load
 	demands func() route.Demands
-	// sentAway are the callers that the box has sent away after a number of them.
-	sentAway func(told uint64) (callers []route.SentAway, now uint64)
+	// sentAway are the callers that were sent away and are to be told on a way, after a number of them.
+	sentAway func(told uint64, to route.Relay) (callers []route.SentAway, now uint64)
 	// suspects are the requests under which servers have ended.
 	suspects *Suspects
 	// readers are those that read the store, as far as the box knows.
@@ -82,7 +82,7 @@
 	p.status = &Status{
 		clock: p.options.Clock, facts: p.facts, members: p.members, duties: kernel.NewDuties(),
 		load: func() route.Load { return p.front.Load() }, demands: func() route.Demands { return p.front.Demands() },
-		sentAway: func(told uint64) ([]route.SentAway, uint64) { return p.front.returns.Since(told) },
+		sentAway: func(told uint64, to route.Relay) ([]route.SentAway, uint64) { return p.front.returns.Since(told, to) },
 		suspects: p.suspects,
 		readers:  func() []*wire.StoreReader { return nil },
 		ticked:   make(chan struct{}), done: make(chan struct{}),
@@ -201,8 +201,8 @@
 	}
 	changed := itemsToWire(records.next())
 	var sentAway []route.SentAway
-	if request.Load {
-		sentAway, told.sentAway = s.sentAway(told.sentAway)
+	if request.Load || request.Relay > 0 {
+		sentAway, told.sentAway = s.sentAway(told.sentAway, route.Relay(request.Relay))
 	}
 	var departures []fleet.Departure
 	if now.departures != told.departures {
--- a/pkg/route/returns.go
+++ b/pkg/route/returns.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -10,7 +11,8 @@
 // time; who was sent away before is late, or nearly so. A caller's requests carry other ids
 // each time, so entry boxes know who came back by two things that stay: what is asked, and
 // the moment until which the caller waits. A box remembers whom it has sent away and tells
-// the boxes of its cell, as callers come back to any of them.
+// all other boxes, as callers come back to any of them: those of its cell itself, those of
+// other cells through one box of each.
 //
 // The remaining time alone does not tell: callers differ in how long they wait.
 
@@ -34,6 +36,9 @@
 	returnsKept = 8192
 	// returnsTold is how many of the newest a box can still tell; a busy box tells one or two at a time.
 	returnsTold = 256
+	// relaysPerSecond bounds what a box tells its cell of callers whom others have sent away: with 18 boxes in a cell each
+	// hears 13 KB of it a second at most. Beyond that, such callers count as new.
+	relaysPerSecond = 40
 	// sameKept bounds the callers that are remembered of those who ask for the very same.
 	sameKept = 8
 )
@@ -50,9 +55,30 @@
 	// last forgotten.
 	count int
 	swept time.Time
-	// own are the newest that this box has sent away, told counts all of them.
-	own  []SentAway
+	// news are the newest that this box is to tell others, told counts all of them.
+	news []sentAwayNews
 	told uint64
+	// relayed is how many callers of other cells were to be told on since a moment.
+	relayed      int
+	relayedSince time.Time
+}
+
+// Relay is the way on which boxes of different cells tell each other. Cells are numbered, and a box tells those cells whose
+// number differs from its own in one bit; the relay is the place of the bit, counted from 1. What has come on a way is told
+// on on lower ones only, so that it comes to each cell once.
+type Relay int
+
+const (
+	// RelayCell is telling within the own cell, where everything is told.
+	RelayCell Relay = 0
+	// relayOwn stands for what no other box has told.
+	relayOwn Relay = math.MaxInt
+)
+
+// sentAwayNews is a caller to be told of, and the way on which it was heard of.
+type sentAwayNews struct {
+	caller SentAway
+	from   Relay
 }
 
 // Note remembers a caller that this box sends away.
@@ -60,19 +86,36 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.add(caller, now)
-	r.own = append(r.own, caller)
-	r.told++
-	if len(r.own) >= 2*returnsTold {
-		r.own = slices.Clone(r.own[len(r.own)-returnsTold:])
-	}
+	r.tell(caller, relayOwn)
 }
 
-// Learn remembers callers that another box has sent away.
-func (r *Returns) Learn(callers []SentAway, now time.Time) {
+// Learn remembers callers of whom another box tells on a way. Those of other cells are told on.
+func (r *Returns) Learn(callers []SentAway, from Relay, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, caller := range callers {
-		r.add(caller, now)
+		isNew := r.add(caller, now)
+		if isNew && from != RelayCell && r.mayRelay(now) {
+			r.tell(caller, from)
+		}
+	}
+}
+
+// mayRelay reports whether one more caller may be told on.
+func (r *Returns) mayRelay(now time.Time) bool {
+	if now.Sub(r.relayedSince) >= time.Second {
+		r.relayed, r.relayedSince = 0, now
+	}
+	r.relayed++
+	return r.relayed <= relaysPerSecond
+}
+
+// tell lets others be told of a caller.
+func (r *Returns) tell(caller SentAway, from Relay) {
+	r.news = append(r.news, sentAwayNews{caller, from})
+	r.told++
+	if len(r.news) >= 2*returnsTold {
+		r.news = slices.Clone(r.news[len(r.news)-returnsTold:])
 	}
 }
 
@@ -89,22 +132,27 @@
 	return time.Time{}, false
 }
 
-// Since returns the callers that this box has sent away after a number of them, and the
+// Since returns the callers that are to be told on a way after a number of them, and the
 // number now. Those before the newest few are left out.
-func (r *Returns) Since(told uint64) (callers []SentAway, now uint64) {
+func (r *Returns) Since(told uint64, to Relay) (callers []SentAway, now uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	missing := min(r.told-min(told, r.told), uint64(min(len(r.own), returnsTold)))
-	return slices.Clone(r.own[len(r.own)-int(missing):]), r.told
+	missing := min(r.told-min(told, r.told), uint64(min(len(r.news), returnsTold)))
+	for _, news := range r.news[len(r.news)-int(missing):] {
+		if news.from > to {
+			callers = append(callers, news.caller)
+		}
+	}
+	return callers, r.told
 }
 
 // isAt reports whether the caller waits until a moment.
 func (s *SentAway) isAt(ends time.Time) bool { return s.Ends.Sub(ends).Abs() <= endsTolerance }
 
-// add remembers a caller; of one that is known already, its earliest request.
-func (r *Returns) add(caller SentAway, now time.Time) {
+// add remembers a caller; of one that is known already, its earliest request. It reports whether the caller was not known.
+func (r *Returns) add(caller SentAway, now time.Time) (isNew bool) {
 	if !caller.Ends.After(now) {
-		return
+		return false
 	}
 	if now.Sub(r.swept) >= time.Second || r.count >= returnsKept {
 		r.sweep(now)
@@ -115,17 +163,18 @@
 			if caller.First.Before(same[i].First) {
 				same[i].First = caller.First
 			}
-			return
+			return false
 		}
 	}
 	if len(same) >= sameKept || r.count >= returnsKept {
-		return
+		return false
 	}
 	if r.callers == nil {
 		r.callers = make(map[Fingerprint][]SentAway)
 	}
 	r.callers[caller.Fingerprint] = append(same, caller)
 	r.count++
+	return true
 }
 
 // sweep forgets the callers who have stopped waiting.
--- a/pkg/route/returns_test.go
+++ b/pkg/route/returns_test.go
@@ -18,8 +18,8 @@
 	var here, there Returns
 	caller := sentAway(7, now, 200*time.Millisecond, 5*time.Second)
 	here.Note(caller, now)
-	told, cursor := here.Since(0)
-	there.Learn(told, now)
+	told, cursor := here.Since(0, RelayCell)
+	there.Learn(told, RelayCell, now)
 	back := now.Add(time.Second)
 	for _, box := range []*Returns{&here, &there} {
 		first, ok := box.First(7, caller.Ends.Add(3*time.Millisecond), back)
@@ -33,10 +33,10 @@
 	there.Note(SentAway{Fingerprint: 7, First: back, Ends: caller.Ends}, back)
 	first, _ := there.First(7, caller.Ends, back.Add(time.Second))
 	require.Equal(t, caller.First, first, "who is sent away twice first asked before the first time")
-	told, again := here.Since(cursor)
+	told, again := here.Since(cursor, RelayCell)
 	require.Empty(t, told)
 	require.Equal(t, cursor, again)
-	told, _ = there.Since(0)
+	told, _ = there.Since(0, RelayCell)
 	require.Len(t, told, 1, "what another box told is not told on")
 }
 
@@ -47,7 +47,7 @@
 		r.Note(sentAway(Fingerprint(i), now, 0, time.Second), now)
 	}
 	require.LessOrEqual(t, r.count, returnsKept)
-	told, _ := r.Since(0)
+	told, _ := r.Since(0, RelayCell)
 	require.Len(t, told, returnsTold, "a box that was away is told the newest")
 	now = now.Add(2 * time.Second)
 	r.Note(sentAway(1, now, 0, time.Second), now)
@@ -105,10 +105,42 @@
 	now := time.Unix(100, 0)
 	var r Returns
 	for i := range 2000 {
-		r.Learn([]SentAway{sentAway(Fingerprint(i), now, 0, time.Minute)}, now)
+		r.Learn([]SentAway{sentAway(Fingerprint(i), now, 0, time.Minute)}, RelayCell, now)
 	}
 	b.ReportAllocs()
 	for i := range b.N {
 		r.First(Fingerprint(i%4000), now.Add(time.Minute), now)
 	}
 }
+
+// A box that hears of many callers of other cells remembers them itself, and tells its cell of some.
+func TestOfOthersCallersSoManyAreToldOnInASecond(t *testing.T) {
+	now := time.Unix(100, 0)
+	ends := now.Add(time.Minute)
+	var r Returns
+	learn := func(from int, relay Relay) {
+		for i := range 2 * relaysPerSecond {
+			r.Learn([]SentAway{{Fingerprint: Fingerprint(from + i), First: now, Ends: ends}}, relay, now)
+		}
+	}
+	learn(0, 2)
+	told, cursor := r.Since(0, RelayCell)
+	require.Len(t, told, relaysPerSecond)
+	r.Note(sentAway(9000, now, 0, time.Minute), now)
+	told, cursor = r.Since(cursor, RelayCell)
+	require.Len(t, told, 1, "its own are told all the same")
+	_, known := r.First(Fingerprint(2*relaysPerSecond-1), ends, now.Add(time.Second))
+	require.True(t, known)
+	now = now.Add(time.Second)
+	learn(0, 1)
+	told, cursor = r.Since(cursor, RelayCell)
+	require.Empty(t, told, "what comes again is not told on again")
+	learn(1000, RelayCell)
+	told, cursor = r.Since(cursor, RelayCell)
+	require.Empty(t, told, "a box of the cell tells all others of it itself")
+	learn(2000, 2)
+	told, _ = r.Since(cursor, 2)
+	require.Empty(t, told, "nothing goes back on the way on which it came")
+	told, _ = r.Since(cursor, 1)
+	require.Len(t, told, relaysPerSecond)
+}
