--- a/internal/direct/front.go
+++ b/internal/direct/front.go
@@ -83,7 +83,10 @@
 	ends     *endProbes
 	answered *answeredLately
 
-	mu          sync.Mutex
+	mu sync.Mutex
+	// peers is what the other boxes of the cell have in flight and are asked for, of all services: a service that is
+	// configured later starts from it, as only what changes is told again.
+	peers       peersTold
 	dispatchers map[member.Service]*route.Dispatcher
 	budgets     map[member.Service]*route.WindowBudget
 	// models are what the servers of a service run, also of one that is configured no more: what was
@@ -213,9 +216,9 @@
 // and of the services that are named or, if whole is set, of these and no others.
 func (f *Front) PeerTold(box member.BoxID, load route.Load, demands route.Demands, whole bool, now time.Time) {
 	f.mu.Lock()
-	dispatchers := maps.Clone(f.dispatchers)
-	f.mu.Unlock()
-	for service, d := range dispatchers {
+	defer f.mu.Unlock()
+	f.peers.take(box, load, demands, whole)
+	for service, d := range f.dispatchers {
 		if demand, told := demands[service]; told || whole {
 			d.PeerDemand(box, demand, now)
 		}
@@ -251,19 +254,22 @@
 	d, ok := f.dispatchers[name]
 	if !ok {
 		service := f.facts.View().Service(name)
-		d = f.newDispatcher(service)
+		d = f.newDispatcher(name, service)
 		f.dispatchers[name] = d
 		f.adjustOne(name, d)
 	}
 	return d
 }
 
-func (f *Front) newDispatcher(service *fleet.Service) *route.Dispatcher {
+// newDispatcher returns a dispatcher that knows what others have told before. The lock must be held.
+func (f *Front) newDispatcher(name member.Service, service *fleet.Service) *route.Dispatcher {
 	options := route.DispatcherOptions{Usual: usualPlainTime, First: firstPlainTime, Box: f.box}
 	if service != nil && service.Engine != nil {
 		options.Usual, options.First, options.Engine = usualModelTime, firstModelTime, true
 	}
-	return route.NewDispatcher(options)
+	d := route.NewDispatcher(options)
+	f.peers.tell(name, d, f.clock.Now())
+	return d
 }
 
 func (f *Front) budget(name member.Service) *route.WindowBudget {
@@ -285,7 +291,7 @@
 		f.mu.Lock()
 		for _, service := range f.facts.View().Services() {
 			if f.dispatchers[service.Name] == nil && service.Origin == "" {
-				f.dispatchers[service.Name] = f.newDispatcher(service)
+				f.dispatchers[service.Name] = f.newDispatcher(service.Name, service)
 			}
 		}
 		for name, d := range f.dispatchers {
