--- a/internal/direct/front_test.go
+++ b/internal/direct/front_test.go
@@ -253,18 +253,44 @@
 	facts.view.Store(fleet.EmptyView().WithConfiguration(&fleet.Configuration{Services: []fleet.Service{{Name: "maps"}}}, 1).WithServers([]fleet.Server{
 		{ID: "maps", Service: "maps", Address: "maps", Slots: slots},
 	}))
-	now := clock.Now()
-	ask := func() *route.Ask {
-		return &route.Ask{Arrived: now, Objective: now.Add(time.Second), Deadline: now.Add(2 * time.Second), Once: true}
+	require.Equal(t, 4, waitingElsewhere(t, f.dispatcher("maps"), clock.Now(), slots))
+}
+
+// A demand that stays as it is is not told again; boxes forgot it after a second and a half.
+func TestADemandThatStaysIsKnownAsLongAsItsBoxIsHeard(t *testing.T) {
+	const slots = 2
+	facts, clock := newTestFacts()
+	f := &Front{
+		facts: facts, clock: clock, log: zerolog.Nop(), metrics: NewMetrics(), suspects: noSuspects(),
+		isNear: func(member.FailureDomain) bool { return true }, dispatchers: make(map[member.Service]*route.Dispatcher),
+		models: make(map[member.Service]fleet.ModelName),
 	}
+	facts.view.Store(fleet.EmptyView().WithConfiguration(&fleet.Configuration{Services: []fleet.Service{{Name: "maps"}}}, 1).WithServers([]fleet.Server{
+		{ID: "maps", Service: "maps", Address: "maps", Slots: slots},
+	}))
+	d := f.dispatcher("maps")
+	f.PeerTold("entry-2", route.Load{}, route.Demands{"maps": {Late: 4}}, true, clock.Now())
+	for range 3 {
+		clock.Advance(time.Second)
+		f.PeerTold("entry-2", route.Load{}, route.Demands{}, false, clock.Now())
+	}
+	require.Equal(t, 4, waitingElsewhere(t, d, clock.Now(), slots))
+	clock.Advance(2 * time.Second)
+	require.Zero(t, waitingElsewhere(t, d, clock.Now(), slots), "the box is not heard")
+}
+
+// waitingElsewhere returns how many late requests wait at other boxes, as a refusal tells once the places are taken.
+func waitingElsewhere(t *testing.T, d *route.Dispatcher, now time.Time, slots int) int {
+	t.Helper()
 	var err error
 	for range slots + 1 {
 		// The last place may belong to another box just now.
-		if _, _, err = f.dispatcher("maps").Submit(ask(), nil, now); err != nil {
+		ask := &route.Ask{Arrived: now, Objective: now.Add(time.Second), Deadline: now.Add(2 * time.Second), Once: true}
+		if _, _, err = d.Submit(ask, nil, now); err != nil {
 			break
 		}
 	}
 	var busy *route.BusyError
 	require.ErrorAs(t, err, &busy)
-	require.Equal(t, 4, busy.WaitingElsewhere)
+	return busy.WaitingElsewhere
 }
--- a/pkg/route/peerload_test.go
+++ b/pkg/route/peerload_test.go
@@ -36,11 +36,6 @@
 			told, whole := drawLoad(t), rapid.Bool().Draw(t, "whole")
 			peers.expire(now)
 			peers.take(box, told, whole, now)
-			for name, known := range want {
-				if now.Sub(known.at) >= peerLoadAge {
-					delete(want, name)
-				}
-			}
 			if whole {
 				want[box] = &peerLoad{load: maps.Clone(told), at: now}
 			} else if known := want[box]; known != nil {
@@ -49,6 +44,9 @@
 			}
 			sums := make(Load)
 			for _, known := range want {
+				if now.Sub(known.at) >= peerLoadAge {
+					continue
+				}
 				for id, load := range known.load {
 					sum := sums[id]
 					sum.Requests += load.Requests
@@ -104,3 +102,16 @@
 	b.PeerLoad("entry-2", Load{"a": {Requests: 5}}, true, b.clock.Now())
 	require.Equal(t, 5, b.load(b.backends["a"], b.clock.Now()).Requests)
 }
+
+// After a box had stood still for two seconds it took servers for empty that others had filled: what these had told was forgotten as it
+// woke, and the messages that lay there by then tell only what has changed.
+func TestABoxThatWasNotHeardForAWhileCountsAgainWithAllThatItTold(t *testing.T) {
+	now := time.Unix(1000, 0)
+	peers := newPeerLoads()
+	peers.take("b", Load{"a": {Requests: 3}, "b": {Requests: 2}}, true, now)
+	now = now.Add(peerLoadAge)
+	peers.expire(now)
+	require.Empty(t, peers.sums)
+	peers.take("b", Load{"b": {Requests: 1}}, false, now)
+	require.Equal(t, Load{"a": {Requests: 3}, "b": {Requests: 1}}, peers.sums)
+}
