--- a/internal/direct/front.go
+++ b/internal/direct/front.go
@@ -217,11 +217,10 @@
 func (f *Front) PeerTold(box member.BoxID, load route.Load, demands route.Demands, whole bool, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.peers.take(box, load, demands, whole)
+	known := f.peers.take(box, load, demands, whole)
 	for service, d := range f.dispatchers {
-		if demand, told := demands[service]; told || whole {
-			d.PeerDemand(box, demand, now)
-		}
+		// A demand that stays is not told again, and counts for as long as its box is heard.
+		d.PeerDemand(box, known.demands[service], now)
 		d.PeerLoad(box, load, whole, now)
 	}
 }
--- a/internal/direct/peerstold.go
+++ b/internal/direct/peerstold.go
@@ -19,8 +19,8 @@
 }
 
 // take takes a message: of the servers and services that are named or, if whole is set, of these and no others. Nothing whole
-// in a message says that the box is no longer heard.
-func (p *peersTold) take(box member.BoxID, load route.Load, demands route.Demands, whole bool) {
+// in a message says that the box is no longer heard. It returns all that is known of the box now.
+func (p *peersTold) take(box member.BoxID, load route.Load, demands route.Demands, whole bool) peerTold {
 	if *p == nil {
 		*p = make(peersTold)
 	}
@@ -28,17 +28,18 @@
 	switch {
 	case whole && load == nil && demands == nil:
 		delete(*p, box)
-		return
+		return peerTold{}
 	case whole:
 		known = peerTold{load: make(route.Load, len(load)), demands: make(route.Demands, len(demands))}
 	case !heard:
 		// The first word of a box is whole; what comes before it is of no use.
-		return
+		return peerTold{}
 	}
 	maps.Copy(known.load, load)
 	maps.DeleteFunc(known.load, func(_ fleet.ServerID, load route.ServerLoad) bool { return load == (route.ServerLoad{}) })
 	maps.Copy(known.demands, demands)
 	(*p)[box] = known
+	return known
 }
 
 // tell tells a new dispatcher of a service.
--- a/pkg/route/peerload.go
+++ b/pkg/route/peerload.go
@@ -11,6 +11,10 @@
 // several of the intervals at which they tell it.
 const peerLoadAge = 1500 * time.Millisecond
 
+// peerLoadKept is for how long after a box's last word it is kept what it told: the stream that tells only changes has ended well
+// before, and the next one begins with the whole.
+const peerLoadKept = time.Minute
+
 // ServerLoad is what entry boxes have in flight at one server.
 type ServerLoad struct {
 	Requests int
@@ -26,6 +30,9 @@
 type peerLoad struct {
 	load Load
 	at   time.Time
+	// silent is set while it does not count, as the box was not heard for long. Its next word may tell only what has
+	// changed.
+	silent bool
 }
 
 // peerLoads keeps what the other entry boxes have in flight, and the sums, so that
@@ -56,6 +63,12 @@
 	if known.at = now; len(p.boxes) == 1 {
 		p.oldest = now
 	}
+	if known.silent {
+		known.silent = false
+		for id, load := range known.load {
+			p.count(id, load, 1)
+		}
+	}
 	if whole {
 		for id := range known.load {
 			if _, stays := told[id]; !stays {
@@ -70,34 +83,43 @@
 
 // set changes what one box has in flight at one server, and the sum.
 func (p *peerLoads) set(box *peerLoad, id fleet.ServerID, load ServerLoad) {
-	before := box.load[id]
+	p.count(id, box.load[id], -1)
+	p.count(id, load, 1)
+	if box.load[id] = load; load == (ServerLoad{}) {
+		delete(box.load, id)
+	}
+}
+
+// count adds a load to the sum, or takes it out.
+func (p *peerLoads) count(id fleet.ServerID, load ServerLoad, sign int) {
 	sum := p.sums[id]
-	sum.Requests += load.Requests - before.Requests
-	sum.Reading += load.Reading - before.Reading
+	sum.Requests += sign * load.Requests
+	sum.Reading += time.Duration(sign) * load.Reading
 	if p.sums[id] = sum; sum == (ServerLoad{}) {
 		delete(p.sums, id)
 	}
-	if box.load[id] = load; load == (ServerLoad{}) {
-		delete(box.load, id)
-	}
 }
 
-// expire forgets the boxes that have told nothing for long.
+// expire leaves out the boxes that have told nothing for long.
 func (p *peerLoads) expire(now time.Time) {
 	if now.Sub(p.oldest) < peerLoadAge {
 		return
 	}
 	p.oldest = now
 	for box, known := range p.boxes {
-		if now.Sub(known.at) < peerLoadAge {
+		age := now.Sub(known.at)
+		switch {
+		case age < peerLoadAge:
 			if known.at.Before(p.oldest) {
 				p.oldest = known.at
 			}
-			continue
-		}
-		for id := range known.load {
-			p.set(known, id, ServerLoad{})
+		case !known.silent:
+			known.silent = true
+			for id, load := range known.load {
+				p.count(id, load, -1)
+			}
+		case age >= peerLoadKept:
+			delete(p.boxes, box)
 		}
-		delete(p.boxes, box)
 	}
 }
