--- a/pkg/route/returns.go
+++ b/pkg/route/returns.go
@@ -64,8 +64,8 @@
 }
 
 // Relay is the way on which boxes of different cells tell each other. Cells are numbered, and a box tells those cells whose
-// number differs from its own in one bit; the relay is the place of the bit, counted from 1. What has come on a way is told
-// on on lower ones only, so that it comes to each cell once.
+// number differs from its own in one bit; the relay is the place of the bit, counted from 1. What has come on one way goes on
+// by lower ones only, so that it comes to each cell once.
 type Relay int
 
 const (
