--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -27,8 +27,10 @@
 	// words counts the answers in which backend servers say that they leave or ask for rest.
 	words *prometheus.CounterVec
 	// suspects counts what is heard of requests under which servers have ended.
-	suspects    *prometheus.CounterVec
-	waiting     *prometheus.GaugeVec
+	suspects *prometheus.CounterVec
+	waiting  *prometheus.GaugeVec
+	// unclaimed are the requests that servers have in flight and no box that is heard claims.
+	unclaimed   *prometheus.GaugeVec
 	connections prometheus.Counter
 	storeCalls  *prometheus.CounterVec
 	logDropped  prometheus.Counter
@@ -54,6 +56,7 @@
 		words:       metric.Counters("direct_server_words_total", "Answers in which backend servers say that they leave or ask for rest.", "word"),
 		suspects:    metric.Counters("suspect_requests_total", "What was heard of requests under which backend servers ended: one more has (ended), or one has run it well (cleared).", "heard"),
 		waiting:     metric.Gauges("direct_waiting", "Requests that wait for a place.", "service"),
+		unclaimed:   metric.Gauges("direct_unclaimed", "Requests that backend servers report and no entry box that is heard here claims.", "service"),
 		connections: metric.Counter("direct_connections_total", "Connections opened to backend servers."),
 		storeCalls:  metric.Counters("store_calls_total", "Calls of the platform's store by kind and result.", "call", "result"),
 		logDropped:  metric.Counter("log_lines_dropped_total", "Log lines dropped because they came too fast."),
@@ -64,7 +67,7 @@
 		revision:      metric.Gauge("believed_revision", "Newest revision of the platform's store that is known here."),
 		held:          metric.Gauge("believed_held_deletions", "Deletions of servers' entries that are held back after an outage of the store."),
 	}
-	m.registry.MustRegister(m.requests, m.seconds, m.firstEvent, m.attempts, m.words, m.suspects, m.waiting, m.connections,
+	m.registry.MustRegister(m.requests, m.seconds, m.firstEvent, m.attempts, m.words, m.suspects, m.waiting, m.unclaimed, m.connections,
 		m.storeCalls, m.logDropped, m.pieces, m.orders, m.configuration, m.revision, m.held, collectors.NewGoCollector())
 	return m
 }
--- a/pkg/route/backend.go
+++ b/pkg/route/backend.go
@@ -191,6 +191,20 @@
 	b.unseen += unseenSmoothing * (float64(b.state.Running+b.state.Waiting-claimed) - b.unseen)
 }
 
+// Unclaimed returns how many requests the servers have in flight, by their agents' reports, that no entry box claims which
+// this one hears. More than a few for long say that it does not know what others have in flight.
+func (d *Dispatcher) Unclaimed(now time.Time) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	unclaimed := 0.0
+	for _, b := range d.order {
+		if now.Sub(b.stateAt) < serverStatusAge {
+			unclaimed += max(0, b.unseen)
+		}
+	}
+	return int(unclaimed)
+}
+
 // load is what a server has in flight, as far as this box knows.
 func (d *Dispatcher) load(b *backend, now time.Time) ServerLoad {
 	load := d.peers.sums[b.server.ID]
--- a/pkg/route/peerload_test.go
+++ b/pkg/route/peerload_test.go
@@ -115,3 +115,24 @@
 	peers.take("b", Load{"b": {Requests: 1}}, false, now)
 	require.Equal(t, Load{"a": {Requests: 3}, "b": {Requests: 1}}, peers.sums)
 }
+
+// Boxes that did not know what others had in flight went by the agents' reports for hours, and nothing showed it.
+func TestRequestsThatNoBoxClaimsAreCounted(t *testing.T) {
+	b := newBench(true, model("a", 16, 1), model("b", 16, 1))
+	report := func(running int) {
+		for range 8 {
+			b.State("a", ServerState{Version: 1, Running: running}, b.clock.Now())
+		}
+	}
+	report(7)
+	require.Equal(t, 6, b.Unclaimed(b.clock.Now()), "seven, but for what is smoothed")
+	b.PeerLoad("entry-2", Load{"a": {Requests: 7}}, true, b.clock.Now())
+	report(7)
+	require.Zero(t, b.Unclaimed(b.clock.Now()))
+	report(5)
+	require.Zero(t, b.Unclaimed(b.clock.Now()), "what has just ended there is no one else's")
+	report(9)
+	require.Equal(t, 1, b.Unclaimed(b.clock.Now()))
+	b.clock.Advance(serverStatusAge)
+	require.Zero(t, b.Unclaimed(b.clock.Now()), "its agent is not heard")
+}
