--- a/cmd/cinderslip/run.go
+++ b/cmd/cinderslip/run.go
@@ -166,6 +166,7 @@
 		{"explain", "Tell from collected logs what became of a request", &explain{}},
 		{"burn", "Tell from collected logs how fast service levels were used up", &burn{}},
 		{"losses", "Tell from collected logs where requests were lost, and why", &losses{}},
+		{"copies", "Tell from collected logs how agents came to newer weights", &copies{}},
 		{"completion", "Print a script for shell completion", &completion{}},
 		{"version", "Print the version", &version{}},
 	})
--- a/internal/report/plot.go
+++ b/internal/report/plot.go
@@ -9,8 +9,8 @@
 	"github.com/wcharczuk/go-chart/v2"
 )
 
-// ErrNothingToPlot reports logs that tell of requests in less than two seconds.
-var ErrNothingToPlot = errors.New("requests of two seconds at least are needed for a plot")
+// ErrNothingToPlot reports logs that tell of less than two points in time.
+var ErrNothingToPlot = errors.New("two points in time at least are needed for a plot")
 
 // plotWidth and plotHeight are the size of a plot, in pixels.
 const (
@@ -24,15 +24,15 @@
 	Values []float64
 }
 
-// Plot writes lines over seconds as SVG. The series must be of one length, two at least.
-func Plot(w io.Writer, title string, seconds []float64, series []Series) error {
+// Plot writes lines over seconds as SVG; counted names what their values count. The series must be of one length, two at least.
+func Plot(w io.Writer, title, counted string, seconds []float64, series []Series) error {
 	if len(seconds) < 2 {
 		return ErrNothingToPlot
 	}
 	graph := chart.Chart{
 		Title: title, Width: plotWidth, Height: plotHeight,
 		Background: chart.Style{Padding: chart.Box{Top: 40, Left: 20, Right: 20, Bottom: 10}},
-		XAxis:      chart.XAxis{Name: "second"}, YAxis: chart.YAxis{Name: "a second"},
+		XAxis:      chart.XAxis{Name: "second"}, YAxis: chart.YAxis{Name: counted},
 	}
 	for _, line := range series {
 		graph.Series = append(graph.Series, chart.ContinuousSeries{Name: line.Name, XValues: seconds, YValues: line.Values})
@@ -60,5 +60,5 @@
 			lines[line].Values = append(lines[line].Values, float64(n))
 		}
 	}
-	return Plot(w, "callers by the second in which they came", seconds, lines)
+	return Plot(w, "callers by the second in which they came", "a second", seconds, lines)
 }
