--- a/internal/direct/front_test.go
+++ b/internal/direct/front_test.go
@@ -189,26 +189,33 @@
 	require.Less(t, ask.Priority, 0)
 }
 
-// One in three requests was late while the fleet was asked for more than it could do, though some servers stood half empty: they had 3 to 21
-// requests of the 12 that they can run, and boxes took nearly all of them for having 10. The boxes had found each other
-// before they knew a configuration, and what each had in flight came once whole, when there was no service yet that it could be
-// counted for; after that only what changed was told, which says nothing without the whole.
-func TestAServiceThatIsConfiguredLaterKnowsWhatOtherBoxesHaveInFlight(t *testing.T) {
+// newUnconfiguredFront returns a front that knows no configuration yet.
+func newUnconfiguredFront() (*Front, *clockwork.FakeClock) {
 	facts, clock := newTestFacts()
-	f := &Front{
+	return &Front{
 		facts: facts, clock: clock, log: zerolog.Nop(), metrics: NewMetrics(), suspects: noSuspects(),
 		isNear: func(member.FailureDomain) bool { return true }, dispatchers: make(map[member.Service]*route.Dispatcher),
 		models: make(map[member.Service]fleet.ModelName),
+	}, clock
+}
+
+// configureServices puts services in force, each with one server of its name.
+func configureServices(f *Front, slots int, names ...member.Service) {
+	var services []fleet.Service
+	var servers []fleet.Server
+	for _, name := range names {
+		services = append(services, fleet.Service{Name: name})
+		servers = append(servers, fleet.Server{ID: fleet.ServerID(name), Service: name, Address: member.Address(name), Slots: slots})
 	}
-	configure := func(names ...member.Service) {
-		var services []fleet.Service
-		var servers []fleet.Server
-		for _, name := range names {
-			services = append(services, fleet.Service{Name: name})
-			servers = append(servers, fleet.Server{ID: fleet.ServerID(name), Service: name, Address: member.Address(name), Slots: 4})
-		}
-		facts.view.Store(fleet.EmptyView().WithConfiguration(&fleet.Configuration{Services: services}, 1).WithServers(servers))
-	}
+	f.facts.view.Store(fleet.EmptyView().WithConfiguration(&fleet.Configuration{Services: services}, 1).WithServers(servers))
+}
+
+// One in three requests was late while the fleet was asked for more than it could do, though some servers stood half empty: they had 3 to 21
+// requests of the 12 that they can run, and boxes took nearly all of them for having 10. The boxes had found each other
+// before they knew a configuration, and what each had in flight came once whole, when there was no service yet that it could be
+// counted for; after that only what changed was told, which says nothing without the whole.
+func TestAServiceThatIsConfiguredLaterKnowsWhatOtherBoxesHaveInFlight(t *testing.T) {
+	f, clock := newUnconfiguredFront()
 	hasRoom := func(service member.Service) bool {
 		d := f.dispatcher(service)
 		now := clock.Now()
@@ -227,47 +234,33 @@
 	f.PeerTold("entry-2", route.Load{"maps": half, "tiles": full, "names": full}, nil, true, clock.Now())
 	f.PeerTold("entry-2", route.Load{"maps": full}, nil, false, clock.Now())
 	f.PeerTold("entry-3", route.Load{"names": full}, nil, false, clock.Now())
-	configure("maps")
+	configureServices(f, 4, "maps")
 	require.False(t, hasRoom("maps"), "it was told twice, whole and what had changed")
 	f.PeerTold("entry-2", route.Load{"tiles": half, "names": {}}, nil, false, clock.Now())
-	configure("maps", "tiles", "names")
+	configureServices(f, 4, "maps", "tiles", "names")
 	require.True(t, hasRoom("tiles"))
 	require.True(t, hasRoom("names"), "the first word of a box is whole; what comes before it is of no use")
 	f.PeerTold("entry-2", nil, nil, true, clock.Now())
 	require.True(t, hasRoom("maps"), "the box is no longer heard")
-	configure("maps", "roads")
+	configureServices(f, 4, "maps", "roads")
 	require.True(t, hasRoom("roads"))
 }
 
 // What is waited for elsewhere is told like what is in flight.
 func TestAServiceThatIsConfiguredLaterKnowsWhatOtherBoxesAreAskedFor(t *testing.T) {
 	const slots = 2
-	facts, clock := newTestFacts()
-	f := &Front{
-		facts: facts, clock: clock, log: zerolog.Nop(), metrics: NewMetrics(), suspects: noSuspects(),
-		isNear: func(member.FailureDomain) bool { return true }, dispatchers: make(map[member.Service]*route.Dispatcher),
-		models: make(map[member.Service]fleet.ModelName),
-	}
+	f, clock := newUnconfiguredFront()
 	f.PeerTold("entry-2", route.Load{}, route.Demands{"maps": {Late: 7}}, true, clock.Now())
 	f.PeerTold("entry-2", route.Load{}, route.Demands{"maps": {Late: 4}}, false, clock.Now())
-	facts.view.Store(fleet.EmptyView().WithConfiguration(&fleet.Configuration{Services: []fleet.Service{{Name: "maps"}}}, 1).WithServers([]fleet.Server{
-		{ID: "maps", Service: "maps", Address: "maps", Slots: slots},
-	}))
+	configureServices(f, slots, "maps")
 	require.Equal(t, 4, waitingElsewhere(t, f.dispatcher("maps"), clock.Now(), slots))
 }
 
 // A demand that stays as it is is not told again; boxes forgot it after a second and a half.
 func TestADemandThatStaysIsKnownAsLongAsItsBoxIsHeard(t *testing.T) {
 	const slots = 2
-	facts, clock := newTestFacts()
-	f := &Front{
-		facts: facts, clock: clock, log: zerolog.Nop(), metrics: NewMetrics(), suspects: noSuspects(),
-		isNear: func(member.FailureDomain) bool { return true }, dispatchers: make(map[member.Service]*route.Dispatcher),
-		models: make(map[member.Service]fleet.ModelName),
-	}
-	facts.view.Store(fleet.EmptyView().WithConfiguration(&fleet.Configuration{Services: []fleet.Service{{Name: "maps"}}}, 1).WithServers([]fleet.Server{
-		{ID: "maps", Service: "maps", Address: "maps", Slots: slots},
-	}))
+	f, clock := newUnconfiguredFront()
+	configureServices(f, slots, "maps")
 	d := f.dispatcher("maps")
 	f.PeerTold("entry-2", route.Load{}, route.Demands{"maps": {Late: 4}}, true, clock.Now())
 	for range 3 {
--- a/internal/report/copies_test.go
+++ b/internal/report/copies_test.go
@@ -1,7 +1,6 @@
 package report
 
 import (
-	"os"
 	"strings"
 	"testing"
 	"time"
@@ -11,10 +10,7 @@
 
 func copyEvents(t *testing.T) []Event {
 	t.Helper()
-	file, err := os.Open("testdata/copies.log")
-	require.NoError(t, err)
-	defer func() { _ = file.Close() }()
-	events, findings := Read("copies.log", file)
+	events, findings := readTestLog(t, "copies.log")
 	require.NoError(t, findings)
 	Sort(events)
 	return events
--- a/internal/report/losses_test.go
+++ b/internal/report/losses_test.go
@@ -1,7 +1,6 @@
 package report
 
 import (
-	"os"
 	"strings"
 	"testing"
 
@@ -10,10 +9,7 @@
 
 func lossEvents(t *testing.T) []Event {
 	t.Helper()
-	file, err := os.Open("testdata/losses.log")
-	require.NoError(t, err)
-	defer func() { _ = file.Close() }()
-	events, findings := Read("losses.log", file)
+	events, findings := readTestLog(t, "losses.log")
 	require.ErrorContains(t, findings, "losses.log:19", "the line that is cut off is named, the others are read")
 	return events
 }
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -10,16 +10,22 @@
 	"github.com/stretchr/testify/require"
 )
 
-// readAll reads the logs of testdata.
+// readTestLog reads one log of testdata.
+func readTestLog(t *testing.T, name string) ([]Event, error) {
+	t.Helper()
+	file, err := os.Open("testdata/" + name)
+	require.NoError(t, err)
+	defer func() { _ = file.Close() }()
+	return Read(name, file)
+}
+
+// readAll reads the logs of two processes, of testdata.
 func readAll(t *testing.T) ([]Event, error) {
 	t.Helper()
 	var all []Event
 	var findings error
 	for _, name := range []string{"entry-1.log", "agent-30.log"} {
-		file, err := os.Open("testdata/" + name)
-		require.NoError(t, err)
-		events, problem := Read(name, file)
-		require.NoError(t, file.Close())
+		events, problem := readTestLog(t, name)
 		if problem != nil {
 			findings = problem
 		}
