--- a/internal/report/copies.go
+++ b/internal/report/copies.go
@@ -50,7 +50,7 @@
 type Rollout struct {
 	Model   string
 	Version int
-	// Named is when the version was named, by the process that knew it to be the youngest.
+	// Named is when the version was named: the earliest moment that any process took it for.
 	Named time.Time
 	// Copies are in the order in which they were live, then whole, then known; those that never came so far come last.
 	Copies []Copy
--- a/internal/report/event.go
+++ b/internal/report/event.go
@@ -1,6 +1,6 @@
 // Package report reads the logs of a system's processes, after the fact: it explains
 // what became of one request, and tells how fast the service levels of routes were
-// used up.
+// used up, and how agents came to newer weights.
 //
 // # Usage
 //
@@ -9,6 +9,7 @@
 //	explanation, ok := report.Explain(events, "9c41d07be2a35f68")
 //	losses := report.MeasureLosses(events, report.BySecond)
 //	burn := report.MeasureBurn(events, report.BurnOptions{Target: 0.99, Windows: windows})
+//	rollouts := report.MeasureRollouts(events)
 package report
 
 import (
