feat: log the rate limit that a backend server advertises, and when it stops

Cause: some servers received more requests than the limit they had advertised. Two of the three hypotheses could not be told apart from the logs: no line showed that an answer carried a limit, or which limit an entry box knew. Each entry box keeps the latest limit it received from each server, for the server's latest known incarnation, ordered by when the request was sent and when the answer arrived, and logs every change. The counter direct_server_words_total counts answers with a limit. The limit does not affect any decision yet.

--- a/internal/direct/facts.go
+++ b/internal/direct/facts.go
@@ -58,6 +58,8 @@
 	servers map[fleet.ServerID]listing
 	// departures are what servers have said in their answers of their end.
 	departures departures
+	// rateLimits are the rate limits that servers have advertised in their answers.
+	rateLimits rateLimits
 	wanted     map[fleet.ModelName]fleet.Named
 	// ageNews goes up with each version that is heard of and each age that is corrected.
 	ageNews int
@@ -87,7 +89,7 @@
 		clock: clock, log: log, metrics: metrics, restartAge: restartAge,
 		store: state.NewStore(rand.Uint64()), duties: kernel.NewDuties(),
 		changed: make(chan struct{}),
-		servers: make(map[fleet.ServerID]listing), departures: newDepartures(),
+		servers: make(map[fleet.ServerID]listing), departures: newDepartures(), rateLimits: make(rateLimits),
 		wanted: make(map[fleet.ModelName]fleet.Named),
 		held:   make(map[string]fleet.Revision),
 		unread: make(map[string]string), unnamed: make(map[member.Service]bool),
--- a/internal/direct/heard.go
+++ b/internal/direct/heard.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"net/http"
+	"time"
 
+	"github.com/cinderslip/cinderslip/internal/provider"
 	"github.com/cinderslip/cinderslip/pkg/route"
 )
 
@@ -19,6 +21,7 @@
 		f.metrics.words.WithLabelValues("leaving").Inc()
 		f.heardLeaving(x, place)
 	}
+	f.heardRateLimit(x, place, &mark, head)
 	if mark.Rest > 0 {
 		rest, now := min(mark.Rest, restLongest), f.clock.Now()
 		place.Rest(now.Add(rest), now)
@@ -28,6 +31,22 @@
 	}
 }
 
+// heardRateLimit records the rate limit in an answer. An answer without one clears the limit, unless it is an interim
+// response, comes from another server or has headers that could not be parsed.
+func (f *Front) heardRateLimit(x *exchange, place *route.Reservation, mark *provider.AnswerMark, head *http.Response) {
+	if mark.RateLimit.Set {
+		f.metrics.words.WithLabelValues("limit").Inc()
+	} else if head.StatusCode < http.StatusOK || mark.OtherServer || mark.Unread != nil {
+		return
+	}
+	sent := place.Since()
+	if mark.RequestID != x.ID && mark.RequestID != "" {
+		// The answer belongs to another request, whose send time is unknown.
+		sent = time.Time{}
+	}
+	f.facts.HearRateLimit(place.Server.ID, place.Incarnation, mark.RateLimit, sent, "request "+x.ID)
+}
+
 // heardLeaving takes a server's word that it will end. Its dispatcher knows it before the answer is passed on, so
 // that nothing a caller asks for after that is sent there; also if another answer has just told it.
 func (f *Front) heardLeaving(x *exchange, place *route.Reservation) {
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -24,7 +24,7 @@
 	seconds    *prometheus.HistogramVec
 	firstEvent *prometheus.HistogramVec
 	attempts   *prometheus.CounterVec
-	// words counts the answers in which backend servers say that they leave or ask for rest.
+	// words counts answers in which backend servers announce that they leave, ask for rest or advertise a rate limit.
 	words *prometheus.CounterVec
 	// suspects counts what is heard of requests under which servers have ended.
 	suspects *prometheus.CounterVec
@@ -53,7 +53,7 @@
 		seconds:     metric.Histograms("direct_request_seconds", "Time from arrival to the end of the answer.", secondsBuckets, "route"),
 		firstEvent:  metric.Histograms("direct_first_byte_seconds", "Time from arrival to the first byte of the answer.", secondsBuckets, "route"),
 		attempts:    metric.Counters("direct_attempts_total", "Attempts at backend servers by service and result.", "service", "result"),
-		words:       metric.Counters("direct_server_words_total", "Answers in which backend servers say that they leave or ask for rest.", "word"),
+		words:       metric.Counters("direct_server_words_total", "Answers in which backend servers say that they leave, ask for rest or name a limit.", "word"),
 		suspects:    metric.Counters("suspect_requests_total", "What was heard of requests under which backend servers ended: one more has (ended), or one has run it well (cleared).", "heard"),
 		waiting:     metric.Gauges("direct_waiting", "Requests that wait for a place.", "service"),
 		unclaimed:   metric.Gauges("direct_unclaimed", "Requests that backend servers report and no entry box that is heard here claims.", "service"),
--- a/internal/provider/fleet.go
+++ b/internal/provider/fleet.go
@@ -150,6 +150,8 @@
 	// Rest is for how long the server wants nothing more from this box; 0 if it does not say, never
 	// below. It may be as long as a duration can be.
 	Rest time.Duration
+	// RateLimit is the limit that the server advertises for all entry boxes together. It applies until an answer omits it.
+	RateLimit fleet.RateLimit
 	// Unread is what the answer says about the server and could not be read; nil if nothing.
 	Unread error
 }
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -291,6 +291,19 @@
 	Incarnation member.Incarnation `cbor:"8,keyasint,omitempty"`
 }
 
+// RateLimit is the request rate that a server accepts from all entry boxes together. The zero value means no limit.
+type RateLimit struct {
+	// Set reports whether there is a limit.
+	Set bool
+	// PerSecond is the number of requests per second; 0 is a valid limit.
+	PerSecond float64
+}
+
+// IsBelow reports whether l is stricter than other.
+func (l RateLimit) IsBelow(other RateLimit) bool {
+	return l.Set && (!other.Set || l.PerSecond < other.PerSecond)
+}
+
 // Departure is a server's word, in an answer, that it will end.
 type Departure struct {
 	Server ServerID
