--- a/internal/direct/world_test.go
+++ b/internal/direct/world_test.go
@@ -51,6 +51,8 @@
 	loaded    map[string]*settings.Settings
 	entries   []string
 
+	// load is what the callers of cmdLoad have seen.
+	load callersLoad
 	// asked numbers the requests of commands that make several.
 	asked atomic.Int64
 	// restarts are the servers that have crashed and will start again.
@@ -306,7 +308,7 @@
 }
 
 // cmdServer sets a server's fault: server model-1 cut=4, server plain-1 status=500,
-// server plain-1 mute, server plain-1 dead, server model-1
+// server plain-1 mute, server plain-1 limit=1.9, server plain-1 dead, server model-1
 // restart=i-new, server model-1 restart=same, server model-1 leaving, server plain-1 rest=5 (the time that
 // it wants to be left alone for, as it writes it).
 func (w *world) cmdServer(args []string) error {
@@ -319,6 +321,7 @@
 		s.Leave(true)
 	}
 	s.Rest(given["rest"])
+	s.Limit(given["limit"])
 	if _, dead := given["dead"]; dead {
 		return s.host.StopListening()
 	}
