--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -155,7 +155,7 @@
 // isHeldBack reports whether the box itself kept an attempt from being sent, or ended it.
 func isHeldBack(err error) bool {
 	return errors.Is(err, errBarred) || errors.Is(err, errNotBegun) || errors.Is(err, route.ErrLeaving) || errors.Is(err, route.ErrResting) ||
-		errors.Is(err, route.ErrQuarantined)
+		errors.Is(err, route.ErrLimited) || errors.Is(err, route.ErrQuarantined)
 }
 
 // ended releases the place and notes the attempt.
--- a/internal/direct/cells.go
+++ b/internal/direct/cells.go
@@ -4,6 +4,7 @@
 	"maps"
 	"math/bits"
 	"slices"
+	"strconv"
 
 	"github.com/cinderslip/cinderslip/pkg/fleet"
 	"github.com/cinderslip/cinderslip/pkg/member"
@@ -71,13 +72,39 @@
 	}
 	owned := make([]fleet.Server, 0, len(servers)/p.cells+1)
 	for i := range servers {
-		if p.uses(servers[i].Address) {
-			owned = append(owned, servers[i])
+		server := servers[i]
+		if !p.uses(server.Address) {
+			continue
+		}
+		if _, divided := p.servers[server.Address]; !divided && server.Limit.Set {
+			var ok bool
+			if server.Limit, ok = p.limitShare(&server); !ok {
+				continue
+			}
 		}
+		owned = append(owned, server)
 	}
 	return owned
 }
 
+// minCellRate is the smallest share, in requests per second, that a rate limit is divided into. Cells do not report requests to each
+// other, so each may send one request in addition to its share.
+const minCellRate = 2
+
+// limitShare returns this cell's share of the rate limit of a server that all cells use; ok is false if it has none. If the limit is
+// too low for all cells, rendezvous hashing by server ID selects the cells that share it.
+func (p *cellPlan) limitShare(server *fleet.Server) (share fleet.RateLimit, ok bool) {
+	sharing := max(1, min(p.cells, int(min(server.Limit.PerSecond/minCellRate, float64(p.cells)))))
+	cells := make([]string, p.cells)
+	for cell := range cells {
+		cells[cell] = strconv.Itoa(cell)
+	}
+	if !slices.Contains(member.Rank("limit "+string(server.ID), cells, sharing), strconv.Itoa(p.own)) {
+		return fleet.RateLimit{}, false
+	}
+	return fleet.RateLimit{Set: true, PerSecond: server.Limit.PerSecond / float64(sharing)}, true
+}
+
 // planCells divides the entry boxes and the servers of a view.
 func planCells(self member.BoxID, boxes []member.Record, view *fleet.View, regionOf func(member.FailureDomain) member.Region) *cellPlan {
 	cells := member.CellCount(len(boxes), largestService(view, len(boxes)))
--- a/internal/direct/ended.go
+++ b/internal/direct/ended.go
@@ -110,7 +110,7 @@
 // request, which it had not announced, the request is suspect from then on.
 func (f *Front) serverEnded(x *exchange, place *route.Reservation) bool {
 	at := f.clock.Now()
-	if errors.Is(place.Check(at), route.ErrLeaving) || !place.IsListed() {
+	if place.IsLeaving() || !place.IsListed() {
 		return false
 	}
 	ended := f.ends.hasEnded(place.Start(), place.Server.Address, place.Since())
--- a/internal/direct/facts.go
+++ b/internal/direct/facts.go
@@ -89,7 +89,7 @@
 		clock: clock, log: log, metrics: metrics, restartAge: restartAge,
 		store: state.NewStore(rand.Uint64()), duties: kernel.NewDuties(),
 		changed: make(chan struct{}),
-		servers: make(map[fleet.ServerID]listing), departures: newDepartures(), rateLimits: make(rateLimits),
+		servers: make(map[fleet.ServerID]listing), departures: newDepartures(), rateLimits: newRateLimits(),
 		wanted: make(map[fleet.ModelName]fleet.Named),
 		held:   make(map[string]fleet.Revision),
 		unread: make(map[string]string), unnamed: make(map[member.Service]bool),
--- a/internal/direct/front.go
+++ b/internal/direct/front.go
@@ -76,6 +76,8 @@
 	// accepted counts the requests since the start, to see when callers have
 	// gone elsewhere.
 	accepted atomic.Int64
+	// onLimitedSend is called when a request is sent to a server with a low rate limit.
+	onLimitedSend func()
 	// returns are the callers who were sent away.
 	returns route.Returns
 	// suspects are the requests under which servers have ended, ends tells whether one has, answered what was answered lately.
@@ -113,6 +115,7 @@
 		isNear:  p.isNear, box: p.box(), suspects: p.suspects, answered: newAnsweredLately(), dispatchers: make(map[member.Service]*route.Dispatcher),
 		budgets: make(map[member.Service]*route.WindowBudget), models: make(map[member.Service]fleet.ModelName), patience: make(map[string]*route.Patience),
 	}
+	f.onLimitedSend = p.status.noteLimitedSend
 	f.pool = upstream.NewPool(upstream.Options{
 		Clock: p.options.Clock, IsOwn: f.isOwn, KeepPerServer: keepPerServer, Opened: p.metrics.connections.Inc,
 	})
@@ -262,7 +265,7 @@
 
 // newDispatcher returns a dispatcher that knows what others have told before. The lock must be held.
 func (f *Front) newDispatcher(name member.Service, service *fleet.Service) *route.Dispatcher {
-	options := route.DispatcherOptions{Usual: usualPlainTime, First: firstPlainTime, Box: f.box}
+	options := route.DispatcherOptions{Usual: usualPlainTime, First: firstPlainTime, Box: f.box, OnLimitedSend: f.onLimitedSend}
 	if service != nil && service.Engine != nil {
 		options.Usual, options.First, options.Engine = usualModelTime, firstModelTime, true
 	}
--- a/internal/direct/heard.go
+++ b/internal/direct/heard.go
@@ -1,11 +1,11 @@
 package direct
 
 import (
-	"errors"
 	"net/http"
 	"time"
 
 	"github.com/cinderslip/cinderslip/internal/provider"
+	"github.com/cinderslip/cinderslip/pkg/member"
 	"github.com/cinderslip/cinderslip/pkg/route"
 )
 
@@ -44,19 +44,26 @@
 		// The answer belongs to another request, whose send time is unknown.
 		sent = time.Time{}
 	}
-	f.facts.HearRateLimit(place.Server.ID, place.Incarnation, mark.RateLimit, sent, "request "+x.ID)
+	if f.facts.HearRateLimit(place.Server.ID, place.Incarnation, mark.RateLimit, sent, "request "+x.ID) {
+		f.adjustService(x.service)
+	}
 }
 
 // heardLeaving takes a server's word that it will end. Its dispatcher knows it before the answer is passed on, so
 // that nothing a caller asks for after that is sent there; also if another answer has just told it.
 func (f *Front) heardLeaving(x *exchange, place *route.Reservation) {
 	f.facts.HearDeparture(place.Server.ID, place.Incarnation, "request "+x.ID)
-	if errors.Is(place.Check(f.clock.Now()), route.ErrLeaving) {
+	if place.IsLeaving() {
 		return
 	}
+	f.adjustService(x.service)
+}
+
+// adjustService updates the dispatcher of a service before the answer is passed on.
+func (f *Front) adjustService(name member.Service) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if d := f.dispatchers[x.service]; d != nil {
-		f.adjustOne(x.service, d)
+	if d := f.dispatchers[name]; d != nil {
+		f.adjustOne(name, d)
 	}
 }
--- a/internal/direct/limit_test.go
+++ b/internal/direct/limit_test.go
@@ -11,30 +11,31 @@
 	"github.com/cinderslip/cinderslip/platform/standin"
 )
 
-// What a server that names a limit must not get: in some limitWindow more than limitFactor times what the limit allows, and
-// limitExtra more, from the boxes that passed on such an answer limitKnown before or earlier. It counts limitGrace after the
-// limit was first named.
+// In any limitWindow, a server that advertises a rate limit must not receive more than limitFactor times what the limit allows plus
+// limitBurst requests. Only requests from boxes that passed on an answer with the limit at least limitNotice before are counted, and
+// only windows that end at least limitGrace after the limit was first advertised are checked.
 const (
 	limitWindow = 4 * time.Second
 	limitFactor = 1.5
-	limitExtra  = 5
-	limitKnown  = 500 * time.Millisecond
+	limitBurst  = 5
+	limitNotice = 500 * time.Millisecond
 	limitGrace  = 3 * time.Second
 )
 
-// callersLoad is what the callers of a load have seen.
-type callersLoad struct {
+// loadResults records the results of the requests of cmdLoad.
+type loadResults struct {
 	mu sync.Mutex
-	// entries are the boxes that requests were sent to, answered when the head of the answer came; by the request's id.
+	// entries are the entry boxes that requests were sent to, and answered are the times at which the response headers arrived;
+	// both by request ID.
 	entries  map[string]string
 	answered map[string]time.Time
-	// refused counts the refusals that told the caller when to come back.
+	// refused is the number of 503 responses with a Retry-After header.
 	refused int
 }
 
-// cmdLoad sends requests to entry boxes in turn at a rate, for some seconds: load 8 100 /look/1 entry-1 entry-2.
+// cmdLoad sends requests to entry boxes in turn, given the seconds and the rate per second: load 8 100 /look/1 entry-1 entry-2.
 func (w *world) cmdLoad(args []string) error {
-	lasts, rate, path, entries := number(args[0], 1), number(args[1], 1), args[2], args[3:]
+	seconds, rate, path, entries := number(args[0], 1), number(args[1], 1), args[2], args[3:]
 	w.load.mu.Lock()
 	if w.load.entries == nil {
 		w.load.entries, w.load.answered = make(map[string]string), make(map[string]time.Time)
@@ -44,7 +45,7 @@
 	var all sync.WaitGroup
 	ticker := time.NewTicker(time.Second / time.Duration(rate))
 	defer ticker.Stop()
-	for i := range lasts * rate {
+	for i := range seconds * rate {
 		<-ticker.C
 		all.Go(func() { w.loadOne(entries[i%len(entries)], path) })
 	}
@@ -52,7 +53,7 @@
 	return nil
 }
 
-// loadOne makes one request and notes what its caller sees.
+// loadOne sends one request and records the result.
 func (w *world) loadOne(entry, path string) {
 	id := fmt.Sprintf("load-%d", w.asked.Add(1))
 	w.load.mu.Lock()
@@ -72,10 +73,10 @@
 	_ = response.Body.Close()
 }
 
-// cmdLimited checks that a server got no more of a load than the limit that it named allows, and at least a part of that in
-// its last seconds: limited plain-1 0.8 4.
+// cmdLimited checks that a server received no more requests than its rate limit allows and, in its last seconds, at least the given
+// part of that: limited plain-1 0.8 4.
 func (w *world) cmdLimited(args []string) error {
-	visits := w.servers[args[0]].Visits()
+	visits := sinceLimited(w.servers[args[0]].Visits())
 	w.load.mu.Lock()
 	defer w.load.mu.Unlock()
 	told := make(map[string]time.Time)
@@ -93,23 +94,35 @@
 		}
 	}
 	if named.IsZero() {
-		return fmt.Errorf("%s has named no limit", args[0])
+		return fmt.Errorf("%s has advertised no limit", args[0])
 	}
 	var counted []standin.Visit
 	for _, visit := range visits {
-		if at := told[w.load.entries[visit.Request]]; !at.IsZero() && visit.At.Sub(at) >= limitKnown {
+		if at := told[w.load.entries[visit.Request]]; !at.IsZero() && visit.At.Sub(at) >= limitNotice {
 			counted = append(counted, visit)
 		}
 	}
-	if err := withinLimit(counted, visits, named.Add(limitGrace)); err != nil {
+	most, err := withinLimit(counted, visits, named.Add(limitGrace))
+	if err != nil {
 		return fmt.Errorf("%s: %w", args[0], err)
 	}
-	return usesLimit(args[0], visits, args[1], args[2])
+	w.t.Logf("%s: at most %d counted requests in %v", args[0], most, limitWindow)
+	return w.usesLimit(args[0], visits, args[1], args[2])
+}
+
+// sinceLimited returns the visits after the last one whose answer had no limit.
+func sinceLimited(visits []standin.Visit) []standin.Visit {
+	for i := len(visits) - 1; i >= 0; i-- {
+		if visits[i].Limit == "" {
+			return visits[i+1:]
+		}
+	}
+	return visits
 }
 
-// withinLimit looks at each window of the visits that count and ends after a moment. The highest limit that was named within
-// the window or limitGrace before counts.
-func withinLimit(counted, all []standin.Visit, from time.Time) error {
+// withinLimit checks each window of the counted visits that ends at or after from, against the highest limit that was advertised in
+// the window or in limitGrace before it. It returns the largest number of visits in a window.
+func withinLimit(counted, all []standin.Visit, from time.Time) (most int, err error) {
 	for first, last := 0, 0; last < len(counted); last++ {
 		end := counted[last].At
 		for end.Sub(counted[first].At) >= limitWindow {
@@ -119,12 +132,14 @@
 			continue
 		}
 		highest := highestLimit(all, end.Add(-limitWindow-limitGrace), end)
-		got, allowed := last-first+1, limitFactor*limitWindow.Seconds()*highest+limitExtra
+		most = max(most, last-first+1)
+		got, allowed := last-first+1, limitFactor*limitWindow.Seconds()*highest+limitBurst
 		if float64(got) > allowed {
-			return fmt.Errorf("named a limit of %v a second and got %d requests in %v, want at most %v", highest, got, limitWindow, allowed)
+			return most, fmt.Errorf("advertised a limit of %v per second and received %d requests in %v, want at most %v",
+				highest, got, limitWindow, allowed)
 		}
 	}
-	return nil
+	return most, nil
 }
 
 func highestLimit(visits []standin.Visit, from, to time.Time) float64 {
@@ -137,8 +152,8 @@
 	return highest
 }
 
-// usesLimit checks that a server got a part of what its limit allows in the last seconds of its visits.
-func usesLimit(server string, visits []standin.Visit, part, seconds string) error {
+// usesLimit checks that a server received at least the given part of what its limit allows in the last seconds of its visits.
+func (w *world) usesLimit(server string, visits []standin.Visit, part, seconds string) error {
 	least, err := strconv.ParseFloat(part, 64)
 	if err != nil {
 		return err
@@ -154,13 +169,15 @@
 			got++
 		}
 	}
+	w.t.Logf("%s: %d requests in the last %v with a limit of %v per second", server, got, span, limit)
 	if want := least * limit * span.Seconds(); float64(got) < want {
-		return fmt.Errorf("%s named a limit of %v a second and got %d requests in %v, want at least %.1f", server, limit, got, span, want)
+		return fmt.Errorf("%s advertised a limit of %v per second and received %d requests in %v, want at least %.1f",
+			server, limit, got, span, want)
 	}
 	return nil
 }
 
-// cmdRefused checks how many requests of the last load were refused and told when to come back: refused 300 700.
+// cmdRefused checks how many requests of the last load were refused with a Retry-After header: refused 300 700.
 func (w *world) cmdRefused(args []string) error {
 	w.load.mu.Lock()
 	defer w.load.mu.Unlock()
--- a/internal/direct/listing.go
+++ b/internal/direct/listing.go
@@ -81,6 +81,7 @@
 	servers := make([]fleet.Server, 0, len(newest))
 	for _, server := range newest {
 		server.Leaving = server.Leaving || f.departures.isLeaving(&server.Server)
+		server.Limit = f.rateLimits.limitOf(&server.Server, f.departures.starts[server.ID])
 		servers = append(servers, server.Server)
 	}
 	return servers
--- a/internal/direct/members_test.go
+++ b/internal/direct/members_test.go
@@ -185,6 +185,28 @@
 	}
 }
 
+// Guards against each cell applying the whole rate limit of a server that all cells use, and against no cell using the server.
+func TestCellsShareTheRateLimitOfAServerThatAllOfThemUse(t *testing.T) {
+	records, view := bigFleet(149, 204)
+	for _, limit := range []float64{0, 0.05, 1, 1.9, 5, 16, 1000} {
+		server := fleet.Server{ID: "shared", Address: "shared", Limit: fleet.RateLimit{Set: true, PerSecond: limit}}
+		shares := make(map[int]float64)
+		for _, record := range records {
+			plan := planCells(record.Box, records, view, sameRegion)
+			for _, owned := range plan.owned([]fleet.Server{server}) {
+				shares[plan.own] = owned.Limit.PerSecond
+			}
+		}
+		sum := 0.0
+		for _, share := range shares {
+			sum += share
+		}
+		require.NotEmpty(t, shares)
+		require.InDelta(t, limit, sum, 1e-9)
+		require.LessOrEqual(t, float64(len(shares)), max(1, limit/minCellRate))
+	}
+}
+
 func TestASmallFleetIsOneCell(t *testing.T) {
 	records, view := bigFleet(9, 20)
 	plan := planCells("entry-0", records, view, sameRegion)
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -302,6 +302,7 @@
 	now := e.clock.Now()
 	e.members.Learn(itemsFromWire(status.Members), entry)
 	e.facts.LearnDepartures(departuresFromWire(status.Departures), entry)
+	e.facts.LearnRateLimits(status.RateLimits, entry)
 	e.suspects.Learn(evidenceFromWire(status.Evidence, now), entry)
 	box, before, ok := e.update(entry, status, now)
 	if !ok {
--- a/internal/direct/ratelimits.go
+++ b/internal/direct/ratelimits.go
@@ -1,12 +1,26 @@
 package direct
 
 import (
+	"cmp"
+	"math"
+	"slices"
 	"time"
 
+	"github.com/cinderslip/cinderslip/internal/wire"
 	"github.com/cinderslip/cinderslip/pkg/fleet"
 	"github.com/cinderslip/cinderslip/pkg/member"
 )
 
+const (
+	// limitTolerance is the relative change of a limit below which it is ignored, as each change rebuilds the view of all servers.
+	limitTolerance = 0.02
+	// limitRaiseDelay is the minimum time between a change of a limit and raising or clearing it. It prevents constant rebuilds for
+	// servers that advertise a different limit in each answer.
+	limitRaiseDelay = time.Second
+	// rateLimitsKept is the number of limits above which those of unlisted servers are dropped.
+	rateLimitsKept = 1024
+)
+
 // observedRateLimit is the rate limit in one answer of a server; its limit is the zero value if the answer had none.
 type observedRateLimit struct {
 	// incarnation is the latest incarnation of the server that was known when the request was sent.
@@ -17,40 +31,186 @@
 	sent, heard time.Time
 }
 
+// rateLimit is the current rate limit of a server.
+type rateLimit struct {
+	observedRateLimit
+	// changed is when the limit last changed; since is when the server last went from unlimited to limited.
+	changed, since time.Time
+	// from is the source of the observation; number is the position of the change in the order in which this box recorded them.
+	from   string
+	number uint64
+}
+
 // rateLimits holds the current rate limit of each server that has ever advertised one.
-type rateLimits map[fleet.ServerID]observedRateLimit
+type rateLimits struct {
+	byServer map[fleet.ServerID]*rateLimit
+	// number is the number of the latest change.
+	number uint64
+}
+
+func newRateLimits() rateLimits {
+	return rateLimits{byServer: make(map[fleet.ServerID]*rateLimit)}
+}
 
 // take records an observation and reports whether it changes the limit. Answers can arrive out of order: if the intervals
 // from sent to heard of two observations overlap, the lower limit is kept until one is known to be later.
-func (r rateLimits) take(id fleet.ServerID, observed observedRateLimit) bool {
-	known, ok := r[id]
+func (r *rateLimits) take(id fleet.ServerID, observed observedRateLimit, from string) bool {
+	known, ok := r.byServer[id]
 	switch {
 	case !ok && !observed.limit.Set, ok && observed.incarnation < known.incarnation:
 		return false
-	case !ok, observed.incarnation > known.incarnation, !observed.sent.Before(known.heard):
+	case !ok:
+		known = &rateLimit{}
+		r.byServer[id] = known
+	case observed.incarnation > known.incarnation:
+	case !observed.sent.Before(known.heard):
+		if known.limit.IsBelow(observed.limit) && observed.heard.Sub(known.changed) < limitRaiseDelay {
+			return false
+		}
 	case observed.heard.Before(known.sent), !observed.limit.IsBelow(known.limit):
 		return false
 	}
-	r[id] = observed
-	return observed.limit != known.limit
+	before := known.limit
+	known.observedRateLimit = observed
+	if isSimilarLimit(before, observed.limit) {
+		known.limit = before
+		return false
+	}
+	if !before.Set {
+		known.since = observed.heard
+	}
+	r.number++
+	known.changed, known.from, known.number = observed.heard, from, r.number
+	return true
 }
 
-// HearRateLimit records the rate limit in an answer that has just arrived and logs it if it has changed. Sent is when the
+// isSimilarLimit reports whether two limits are equal within limitTolerance.
+func isSimilarLimit(a, b fleet.RateLimit) bool {
+	if !a.Set || !b.Set {
+		return a.Set == b.Set
+	}
+	return max(a.PerSecond, b.PerSecond)*(1-limitTolerance) <= min(a.PerSecond, b.PerSecond)
+}
+
+// limitOf returns the limit of a server unless it belongs to an earlier incarnation than its entry or started.
+func (r *rateLimits) limitOf(server *fleet.Server, started member.Incarnation) fleet.RateLimit {
+	if known := r.byServer[server.ID]; known != nil && known.incarnation >= max(server.Incarnation, started) {
+		return known.limit
+	}
+	return fleet.RateLimit{}
+}
+
+// forget drops the older half of the limits of unlisted servers if there are more than rateLimitsKept limits.
+func (r *rateLimits) forget(isListed func(id fleet.ServerID) bool) {
+	if len(r.byServer) <= rateLimitsKept {
+		return
+	}
+	var unlisted []fleet.ServerID
+	for id := range r.byServer {
+		if !isListed(id) {
+			unlisted = append(unlisted, id)
+		}
+	}
+	slices.SortFunc(unlisted, func(a, b fleet.ServerID) int { return cmp.Compare(r.byServer[a].number, r.byServer[b].number) })
+	for _, id := range unlisted[:len(unlisted)/2] {
+		delete(r.byServer, id)
+	}
+}
+
+// HearRateLimit records the rate limit in an answer that has just arrived, and reports whether it has changed. Sent is when the
 // request was sent, or zero if unknown.
-func (f *Facts) HearRateLimit(server fleet.ServerID, start member.Incarnation, limit fleet.RateLimit, sent time.Time, from string) {
+func (f *Facts) HearRateLimit(server fleet.ServerID, start member.Incarnation, limit fleet.RateLimit, sent time.Time, from string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	known := f.rateLimits[server]
-	if !f.rateLimits.take(server, observedRateLimit{incarnation: start, limit: limit, sent: sent, heard: f.clock.Now()}) {
+	if !f.takeRateLimit(server, observedRateLimit{incarnation: start, limit: limit, sent: sent, heard: f.clock.Now()}, from) {
+		return false
+	}
+	f.publishServers()
+	return true
+}
+
+// LearnRateLimits records the rate limits that another entry box reports.
+func (f *Facts) LearnRateLimits(told []*wire.RateLimit, from string) {
+	if len(told) == 0 {
 		return
 	}
-	line := f.log.Info().Str("server", string(server)).Uint64("incarnation", uint64(start)).Bool("listed", f.isListed(server)).Str("from", from)
-	if known.limit.Set {
-		line = line.Float64("previous_per_second", known.limit.PerSecond)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	learned := false
+	for _, limit := range told {
+		if !(limit.PerSecond >= 0) || math.IsInf(limit.PerSecond, 0) {
+			f.log.Warn().Str("server", limit.Server).Str("from", from).Float64("per_second", limit.PerSecond).Msg("invalid rate limit ignored")
+			continue
+		}
+		if f.takeRateLimit(fleet.ServerID(limit.Server), rateLimitFromWire(limit, f.clock.Now()), from) {
+			learned = true
+		}
+	}
+	if learned {
+		f.publishServers()
+	}
+}
+
+// takeRateLimit records an observation, logs it if the limit has changed, and reports whether it has. The lock must be held.
+func (f *Facts) takeRateLimit(server fleet.ServerID, observed observedRateLimit, from string) bool {
+	var before fleet.RateLimit
+	if known := f.rateLimits.byServer[server]; known != nil {
+		before = known.limit
+	}
+	if !f.rateLimits.take(server, observed, from) {
+		return false
 	}
-	if !limit.Set {
+	f.rateLimits.forget(f.isListed)
+	line := f.log.Info().Str("server", string(server)).Uint64("incarnation", uint64(observed.incarnation)).Bool("listed", f.isListed(server)).
+		Str("from", from).Dur("age_ms", f.clock.Since(observed.heard))
+	if before.Set {
+		line = line.Float64("previous_per_second", before.PerSecond)
+	}
+	if !observed.limit.Set {
 		line.Msg("server no longer advertises a rate limit")
-		return
+		return true
+	}
+	line.Float64("per_second", observed.limit.PerSecond).Msg("server advertises a rate limit")
+	return true
+}
+
+// RateLimitsSince returns the limits that changed after the change with number told, and the number of the latest change.
+func (f *Facts) RateLimitsSince(told uint64) (changed []*wire.RateLimit, now uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, known := range f.rateLimits.byServer {
+		if known.number > told {
+			changed = append(changed, rateLimitToWire(id, &known.observedRateLimit, f.clock.Now()))
+		}
+	}
+	return changed, f.rateLimits.number
+}
+
+// rateLimitsKnown returns the number of the latest change of a rate limit.
+func (f *Facts) rateLimitsKnown() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rateLimits.number
+}
+
+// rateLimitToWire encodes times as ages because clocks of boxes are not synchronized.
+func rateLimitToWire(id fleet.ServerID, observed *observedRateLimit, now time.Time) *wire.RateLimit {
+	heard := max(0, now.Sub(observed.heard).Milliseconds())
+	return &wire.RateLimit{
+		Server: string(id), Incarnation: uint64(observed.incarnation), Limited: observed.limit.Set, PerSecond: observed.limit.PerSecond,
+		SentAgeMilliseconds: uint64(max(heard, now.Sub(observed.sent).Milliseconds())), HeardAgeMilliseconds: uint64(heard),
+	}
+}
+
+// maxObservationAge limits received ages to prevent overflow.
+const maxObservationAge = 24 * time.Hour
+
+func rateLimitFromWire(told *wire.RateLimit, now time.Time) observedRateLimit {
+	ago := func(age uint64) time.Time {
+		return now.Add(-time.Duration(min(age, uint64(maxObservationAge.Milliseconds()))) * time.Millisecond)
+	}
+	return observedRateLimit{
+		incarnation: member.Incarnation(told.Incarnation), limit: fleet.RateLimit{Set: told.Limited, PerSecond: told.PerSecond},
+		sent: ago(told.SentAgeMilliseconds), heard: ago(told.HeardAgeMilliseconds),
 	}
-	line.Float64("per_second", limit.PerSecond).Msg("server advertises a rate limit")
 }
--- a/internal/direct/ratelimits_test.go
+++ b/internal/direct/ratelimits_test.go
@@ -1,11 +1,16 @@
 package direct
 
 import (
+	"fmt"
+	"math"
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/cinderslip/cinderslip/internal/wire"
 	"github.com/cinderslip/cinderslip/pkg/fleet"
 	"github.com/cinderslip/cinderslip/pkg/member"
 )
@@ -33,12 +38,16 @@
 		"earlier incarnation":     {observedRateLimit{5, rate(2), at(0), at(10)}, observedRateLimit{4, rate(1), at(15), at(20)}, observedRateLimit{5, rate(2), at(0), at(10)}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			limits := make(rateLimits)
+			limits := newRateLimits()
 			if test.known.heard != (time.Time{}) {
-				limits["a"] = test.known
+				limits.byServer["a"] = &rateLimit{observedRateLimit: test.known, changed: at(-1000)}
 			}
-			changed := limits.take("a", test.observed)
-			require.Equal(t, test.want, limits["a"])
+			changed := limits.take("a", test.observed, "request 1")
+			var kept observedRateLimit
+			if known := limits.byServer["a"]; known != nil {
+				kept = known.observedRateLimit
+			}
+			require.Equal(t, test.want, kept)
 			require.Equal(t, test.want.limit != test.known.limit, changed)
 		})
 	}
@@ -49,7 +58,95 @@
 	facts := newDeparturesFacts()
 	facts.Apply([]fleet.Fact{startListed(5, 6)}, "store")
 	facts.HearRateLimit("a", 5, fleet.RateLimit{Set: true, PerSecond: 2}, facts.clock.Now(), "request 1")
-	require.Equal(t, 2.0, facts.rateLimits["a"].limit.PerSecond)
+	require.Equal(t, 2.0, facts.rateLimits.byServer["a"].limit.PerSecond)
 	facts.HearRateLimit("a", member.Incarnation(6), fleet.RateLimit{}, facts.clock.Now(), "request 2")
-	require.False(t, facts.rateLimits["a"].limit.Set)
+	require.False(t, facts.rateLimits.byServer["a"].limit.Set)
+}
+
+// limitsOf returns the rate limits in the view of the servers.
+func limitsOf(facts *Facts) map[fleet.ServerID]fleet.RateLimit {
+	limits := make(map[fleet.ServerID]fleet.RateLimit)
+	for _, server := range facts.View().Servers("llm") {
+		limits[server.ID] = server.Limit
+	}
+	return limits
+}
+
+// Guards against a box ignoring a rate limit because it has received no answer from the server itself.
+func TestABoxLearnsRateLimitsFromAnother(t *testing.T) {
+	one, other := newDeparturesFacts(), newDeparturesFacts()
+	for _, facts := range []*Facts{one, other} {
+		facts.Apply([]fleet.Fact{startListed(5, 6)}, "store")
+	}
+	limit := fleet.RateLimit{Set: true, PerSecond: 2}
+	require.True(t, one.HearRateLimit("a", 5, limit, one.clock.Now(), "request 1"))
+	changed, told := one.RateLimitsSince(0)
+	other.LearnRateLimits(changed, "entry-1")
+	require.Equal(t, limit, limitsOf(other)["a"])
+	changed, _ = one.RateLimitsSince(told)
+	require.Empty(t, changed)
+
+	changed, _ = other.RateLimitsSince(0)
+	require.Len(t, changed, 1, "limits learned from a box are passed on")
+
+	other.LearnRateLimits([]*wire.RateLimit{
+		{Server: "a", Incarnation: 5, Limited: true, PerSecond: math.NaN()},
+		{Server: "a", Incarnation: 5, Limited: true, PerSecond: -1},
+		{Server: "a", Incarnation: 5, Limited: true, PerSecond: math.Inf(1)},
+	}, "entry-1")
+	require.Equal(t, limit, limitsOf(other)["a"])
+}
+
+// Guards against a limit that is cleared by an update of the server's entry or kept for a later incarnation.
+func TestRateLimitAppliesToOneIncarnation(t *testing.T) {
+	facts := newDeparturesFacts()
+	limit := fleet.RateLimit{Set: true, PerSecond: 2}
+	facts.HearRateLimit("a", 5, limit, facts.clock.Now(), "request 1")
+	facts.Apply([]fleet.Fact{startListed(5, 6)}, "store")
+	require.Equal(t, limit, limitsOf(facts)["a"], "the limit arrived before the entry")
+	facts.Apply([]fleet.Fact{goneAt(7), startListed(5, 8)}, "store")
+	require.Equal(t, limit, limitsOf(facts)["a"])
+	facts.LearnServer("10.0.0.1:8000", 6, false, "agent")
+	require.False(t, limitsOf(facts)["a"].Set)
+}
+
+// Guards against rebuilding the view of all servers for each answer of a server whose limit changes constantly.
+func TestRateLimitIsLoweredAtOnceAndRaisedAfterDelay(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	facts := NewFacts(clock, zerolog.Nop(), NewMetrics())
+	facts.Apply([]fleet.Fact{startListed(5, 6)}, "store")
+	hear := func(perSecond float64) bool {
+		clock.Advance(10 * time.Millisecond)
+		return facts.HearRateLimit("a", 5, fleet.RateLimit{Set: true, PerSecond: perSecond}, clock.Now(), "request")
+	}
+	changes := 0
+	for i := range 200 {
+		if hear(10 + float64(i%2)*5) {
+			changes++
+		}
+	}
+	require.LessOrEqual(t, changes, 5, "in two seconds")
+	clock.Advance(limitRaiseDelay)
+	hear(10)
+	require.True(t, hear(5))
+	require.False(t, hear(5.05), "within limitTolerance")
+	require.False(t, hear(10))
+	clock.Advance(limitRaiseDelay)
+	require.True(t, hear(10))
+	clock.Advance(limitRaiseDelay)
+	require.True(t, facts.HearRateLimit("a", 5, fleet.RateLimit{}, clock.Now(), "request"))
+	require.False(t, limitsOf(facts)["a"].Set)
+}
+
+// Guards against unbounded growth through servers that are no longer listed.
+func TestRateLimitsOfUnlistedServersAreBounded(t *testing.T) {
+	facts := newDeparturesFacts()
+	facts.Apply([]fleet.Fact{startListed(5, 6)}, "store")
+	limit := fleet.RateLimit{Set: true, PerSecond: 2}
+	facts.HearRateLimit("a", 5, limit, facts.clock.Now(), "request 1")
+	for i := range 5 * rateLimitsKept {
+		facts.HearRateLimit(fleet.ServerID(fmt.Sprintf("gone-%d", i)), 1, limit, facts.clock.Now(), "request 2")
+	}
+	require.LessOrEqual(t, len(facts.rateLimits.byServer), rateLimitsKept+1)
+	require.Equal(t, limit, limitsOf(facts)["a"])
 }
--- a/internal/direct/status.go
+++ b/internal/direct/status.go
@@ -50,6 +50,9 @@
 	suspects *Suspects
 	// readers are those that read the store, as far as the box knows.
 	readers func() []*wire.StoreReader
+	// limitedSends is the number of requests sent to servers with a low rate limit; limitedNews signals that some are unreported.
+	limitedSends atomic.Uint64
+	limitedNews  chan struct{}
 
 	// farFollowers is how many entry boxes of other regions follow what this one has in flight.
 	farFollowers atomic.Int64
@@ -85,7 +88,7 @@
 		sentAway: func(told uint64, to route.Relay) ([]route.SentAway, uint64) { return p.front.returns.Since(told, to) },
 		suspects: p.suspects,
 		readers:  func() []*wire.StoreReader { return nil },
-		ticked:   make(chan struct{}), done: make(chan struct{}),
+		ticked:   make(chan struct{}), done: make(chan struct{}), limitedNews: make(chan struct{}, 1),
 	}
 	if err := wire.DRPCRegisterFleet(p.mux, p.status); err != nil {
 		return err
@@ -139,7 +142,9 @@
 	ready, leaving := s.ready, s.leaving
 	s.mu.Unlock()
 	return statusSummary{
-		ready: ready, leaving: leaving, extent: s.facts.Extent(), ages: s.facts.versionsKnown(), departures: s.facts.departuresKnown(), suspects: s.suspects.urgent.Load(),
+		ready: ready, leaving: leaving, extent: s.facts.Extent(), ages: s.facts.versionsKnown(), departures: s.facts.departuresKnown(),
+		rateLimits: s.facts.rateLimitsKnown(),
+		suspects:   s.suspects.urgent.Load(), limitedSends: s.limitedSends.Load(),
 	}
 }
 
@@ -171,8 +176,11 @@
 	told, records := statusTold{whole: s.whole}, memberCursor{members: s.members, all: request.Members}
 	for {
 		now, ticked := s.now()
-		// A version that has just been named, and a request under which a server has ended, go before the pace of far messages.
-		if told.at.IsZero() || now.ages != told.summary.ages || now.suspects != told.summary.suspects || now.at.Sub(told.at) >= s.interval(far)-statusInterval/2 {
+		// A version that has just been named, a request under which a server has ended, and a request to a server with a low rate
+		// limit are reported without waiting for the interval.
+		urgent := told.at.IsZero() || now.ages != told.summary.ages || now.suspects != told.summary.suspects ||
+			request.Load && now.limitedSends != told.summary.limitedSends
+		if urgent || now.at.Sub(told.at) >= s.interval(far)-statusInterval/2 {
 			if status := s.message(request, &told, &records, now, far); status != nil {
 				if err := stream.Send(status); err != nil {
 					return err
@@ -208,10 +216,15 @@
 	if now.departures != told.departures {
 		departures, told.departures = s.facts.DeparturesSince(told.departures)
 	}
+	var limits []*wire.RateLimit
+	if now.rateLimits != told.rateLimits {
+		limits, told.rateLimits = s.facts.RateLimitsSince(told.rateLimits)
+	}
 	var evidence []route.Evidence
 	evidence, told.suspects = s.suspects.Since(told.suspects)
-	status := told.next(summary, load, demands, now.at, len(changed)+len(sentAway)+len(departures)+len(evidence) > 0)
+	status := told.next(summary, load, demands, now.at, len(changed)+len(sentAway)+len(departures)+len(limits)+len(evidence) > 0)
 	if status != nil {
+		status.RateLimits = limits
 		status.Members, status.SentAway, status.Departures = changed, sentAwayToWire(sentAway, s.clock.Now()), departuresToWire(departures)
 		status.Evidence = evidenceToWire(evidence, s.clock.Now())
 	}
@@ -238,11 +251,22 @@
 		case <-ticker.Chan():
 		case <-s.suspects.news:
 			sleep(ctx, s.clock, newsGathered)
+		case <-s.limitedNews:
+			sleep(ctx, s.clock, newsGathered)
 		}
 		s.look()
 	}
 }
 
+// noteLimitedSend schedules an early status message about a request to a server with a low rate limit.
+func (s *Status) noteLimitedSend() {
+	s.limitedSends.Add(1)
+	select {
+	case s.limitedNews <- struct{}{}:
+	default:
+	}
+}
+
 // look makes the snapshot of this moment the one that is told.
 func (s *Status) look() {
 	next := &statusSnapshot{statusSummary: s.summary(), at: s.clock.Now(), load: s.load(), demands: s.demands()}
--- a/internal/direct/told.go
+++ b/internal/direct/told.go
@@ -19,6 +19,10 @@
 	ages int
 	// departures is how many servers the box has heard to leave.
 	departures uint64
+	// rateLimits is the number of rate limit changes that the box has recorded.
+	rateLimits uint64
+	// limitedSends is the number of requests sent to servers with a low rate limit.
+	limitedSends uint64
 	// suspects counts what was heard of requests under which servers have ended and is to be told at once.
 	suspects uint64
 	// readers are the boxes that read the store.
@@ -42,6 +46,8 @@
 	sentAway   uint64
 	departures uint64
 	suspects   uint64
+	// rateLimits is the number of the last rate limit change that was sent.
+	rateLimits uint64
 	at         time.Time
 }
 
@@ -118,7 +124,7 @@
 	told := make([]*wire.InFlight, 0, len(load))
 	for id, at := range load {
 		told = append(told, &wire.InFlight{
-			Server: string(id), Count: uint32(at.Requests), ReadingMilliseconds: uint32(at.Reading.Milliseconds()),
+			Server: string(id), Count: uint32(at.Requests), ReadingMilliseconds: uint32(at.Reading.Milliseconds()), Sent: at.Sent,
 		})
 	}
 	return told
@@ -128,7 +134,7 @@
 	load := make(route.Load, len(told))
 	for _, at := range told {
 		load[fleet.ServerID(at.Server)] = route.ServerLoad{
-			Requests: int(at.Count), Reading: time.Duration(at.ReadingMilliseconds) * time.Millisecond,
+			Requests: int(at.Count), Reading: time.Duration(at.ReadingMilliseconds) * time.Millisecond, Sent: at.Sent,
 		}
 	}
 	return load
--- a/internal/direct/world_test.go
+++ b/internal/direct/world_test.go
@@ -51,8 +51,8 @@
 	loaded    map[string]*settings.Settings
 	entries   []string
 
-	// load is what the callers of cmdLoad have seen.
-	load callersLoad
+	// load holds the results of cmdLoad.
+	load loadResults
 	// asked numbers the requests of commands that make several.
 	asked atomic.Int64
 	// restarts are the servers that have crashed and will start again.
--- a/internal/lab/box.go
+++ b/internal/lab/box.go
@@ -24,6 +24,10 @@
 	up         bool
 	// cutOff is set while it does not reach the other boxes, nor they it.
 	cutOff bool
+	// tellPending is set while a call of tellSoon is scheduled.
+	tellPending bool
+	// struck is set once the box has been killed or cut off.
+	struck bool
 	// life changes when the box is killed, so that what was planned before lapses.
 	life int
 	// near and far are what the others of the own region were told, and those of other regions.
@@ -56,9 +60,11 @@
 	b.near, b.far = told{}, told{}
 	b.dispatcher = route.NewDispatcher(route.DispatcherOptions{
 		Usual: usualTime, First: firstTime, Engine: true, Random: b.world.random.Float64, Box: b.id,
+		OnLimitedSend: func() { b.tellSoon(b.life) },
 	})
 	b.dispatcher.Boxes(len(b.mates) + 1)
-	b.dispatcher.Servers(b.servers, 0, func(domain member.FailureDomain) bool { return domain == domainOf(b.region) }, b.world.Now())
+	b.learnLimits()
+	b.listServers()
 	for _, other := range b.mates {
 		if other.up && other.dispatcher != nil {
 			b.hear(other, other.dispatcher.Own(), other.dispatcher.Demand(b.world.Now()))
@@ -67,9 +73,14 @@
 	b.tell(b.life)
 }
 
+// listServers updates the dispatcher with the servers and their rate limits.
+func (b *box) listServers() {
+	b.dispatcher.Servers(b.servers, 0, func(domain member.FailureDomain) bool { return domain == domainOf(b.region) }, b.world.Now())
+}
+
 // kill ends the box and all that it was doing.
 func (b *box) kill() {
-	b.up = false
+	b.up, b.struck = false, true
 	b.life++
 	for _, other := range b.mates {
 		if other.up {
@@ -92,6 +103,25 @@
 	b.world.After(b.world.deployment.TellInterval, func() { b.tell(life) })
 }
 
+// tellDelay is how long tellSoon waits, to batch requests.
+const tellDelay = 5 * time.Millisecond
+
+// tellSoon reports requests to servers with a low rate limit to the other boxes after tellDelay.
+func (b *box) tellSoon(life int) {
+	if b.tellPending {
+		return
+	}
+	b.tellPending = true
+	b.world.After(tellDelay, func() {
+		b.tellPending = false
+		if b.life == life {
+			load, demand := b.dispatcher.Own(), b.dispatcher.Demand(b.world.Now())
+			b.near.tell(b, false, load, demand, b.world.Now())
+			b.far.tell(b, true, load, demand, b.world.Now())
+		}
+	})
+}
+
 // hear takes what another box tells, a little later.
 func (b *box) hear(from *box, load route.Load, demand route.Demand) {
 	life, fromLife := b.life, from.life
@@ -191,6 +221,12 @@
 // send sends the request to a server.
 func (r *request) send(place *route.Reservation) {
 	r.place = place
+	if place.Check(r.box.world.Now()) != nil {
+		place.Release(route.ResultAbandoned, r.box.world.Now())
+		r.tried = append(r.tried, place.Server.ID)
+		r.again()
+		return
+	}
 	r.attempts++
 	r.tried = append(r.tried, place.Server.ID)
 	server := r.box.world.byID[place.Server.ID]
@@ -205,6 +241,7 @@
 			return
 		}
 		server.noteRest(r.box, r.box.world.result)
+		server.noteArrival(r.box)
 		switch {
 		case server.turnsAway:
 			r.box.world.result.TurnedAway++
@@ -225,6 +262,7 @@
 // event passes an event on.
 func (r *request) event(place *route.Reservation) {
 	place.Started(r.box.world.Now())
+	r.box.hearLimit(r.server)
 	r.begun, r.passed = true, r.box.world.Now()
 	r.later(r.box.world.deployment.CallerDelay, func() { r.caller.event(r) })
 }
--- a/internal/lab/deployment.go
+++ b/internal/lab/deployment.go
@@ -113,6 +113,8 @@
 	// FaultServersRest lets a part of the servers turn all requests away for Down. Each time they ask the box for Rest,
 	// or say nothing if that is 0.
 	FaultServersRest FaultKind = "servers-rest"
+	// FaultServersLimited makes a part of the servers advertise a rate limit for Down.
+	FaultServersLimited FaultKind = "servers-limited"
 	// FaultBurst multiplies the traffic by Factor for Down.
 	FaultBurst FaultKind = "burst"
 )
@@ -125,8 +127,10 @@
 	Share float64
 	// Down is how long each of them is struck, Over the time over which they are struck
 	// one after the other.
-	Down   time.Duration
-	Over   time.Duration
-	Rest   time.Duration
+	Down time.Duration
+	Over time.Duration
+	Rest time.Duration
+	// Limit is the rate limit of each affected server, in requests per second.
+	Limit  float64
 	Factor float64
 }
--- a/internal/lab/engine.go
+++ b/internal/lab/engine.go
@@ -36,6 +36,8 @@
 	// turnsAway is set while it takes nothing and asks for rest, if that is not 0.
 	turnsAway bool
 	rest      time.Duration
+	// limited is set while the server has a rate limit.
+	limited *limitRecord
 	// resting are the rests that boxes have been asked for.
 	resting map[*box]restAsked
 	slow    float64
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -67,6 +67,10 @@
 	// TurnedAway is how many attempts came to servers that took nothing, WithinRest how many of all attempts came
 	// half a second or more after such a server had asked their box for rest, and before that was over.
 	TurnedAway, WithinRest int
+	// LimitExcess is the largest number of requests above the allowed number that a server with a rate limit received in a
+	// limitWindow; 0 if none did. LimitUsed is the utilization of each rate limit.
+	LimitExcess float64
+	LimitUsed   []float64
 }
 
 // The prices, as parts of a request's worth, are those of the project's own measure: a
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -220,6 +220,11 @@
 			w.servers[i].turnsAway, w.servers[i].rest = true, f.Rest
 			w.After(f.Down, func() { w.servers[i].turnsAway = false })
 		})
+	case FaultServersLimited:
+		w.each(f, w.struck(len(w.servers), f.Share), func(i int) {
+			w.servers[i].setLimit(f.Limit)
+			w.After(f.Down, func() { w.servers[i].clearLimit(w.result) })
+		})
 	case FaultBoxesDown:
 		w.each(f, w.struck(len(w.boxes), f.Share), func(i int) {
 			w.boxes[i].kill()
@@ -227,7 +232,7 @@
 		})
 	case FaultBoxesCut:
 		w.each(f, w.struck(len(w.boxes), f.Share), func(i int) {
-			w.boxes[i].cutOff = true
+			w.boxes[i].cutOff, w.boxes[i].struck = true, true
 			w.After(f.Down, func() { w.boxes[i].cutOff = false })
 		})
 	case FaultBurst:
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -289,6 +289,8 @@
 	// Incarnation is which start of the server says so: one that starts again may keep its
 	// id, and holds nothing of before. 0 where the platform does not tell.
 	Incarnation member.Incarnation `cbor:"8,keyasint,omitempty"`
+	// Limit is the rate limit that the server advertises in its answers; it is not part of its entry.
+	Limit RateLimit `cbor:"-"`
 }
 
 // RateLimit is the request rate that a server accepts from all entry boxes together. The zero value means no limit.
--- a/pkg/route/census.go
+++ b/pkg/route/census.go
@@ -22,8 +22,10 @@
 	// places is how many places the servers have that take requests, free how many of
 	// them are free.
 	places, free int
-	// near and far are the servers that take requests and have room, by region.
-	near, far []*backend
+	// perSecond is the total request rate that these servers can run.
+	perSecond float64
+	// near and far are the servers without a rate limit that take requests and have room, by region; limited are those with one.
+	near, far, limited []*backend
 }
 
 // survey returns the census. With few servers it is exact, with many a little old.
@@ -32,21 +34,30 @@
 	if age := now.Sub(c.at); c.changes == d.changes && age == 0 || len(d.order) > exactServers && age >= 0 && age < censusAge {
 		return c
 	}
-	c.at, c.changes, c.places, c.free, c.near, c.far = now, d.changes, 0, 0, c.near[:0], c.far[:0]
+	c.at, c.changes, c.places, c.free, c.perSecond = now, d.changes, 0, 0, 0
+	c.near, c.far, c.limited = c.near[:0], c.far[:0], c.limited[:0]
 	for _, b := range d.order {
 		if !d.isEligible(b, now) {
 			continue
 		}
 		limit := d.limit(b)
 		c.places += limit
+		c.perSecond += d.perSecond(b)
 		free := limit - d.load(b, now).Requests
+		bucket := d.buckets[b.server.ID]
+		if bucket != nil {
+			free = min(free, bucket.available(now))
+		}
 		if free <= 0 {
 			continue
 		}
 		c.free += free
-		if b.far {
+		switch {
+		case bucket != nil:
+			c.limited = append(c.limited, b)
+		case b.far:
 			c.far = append(c.far, b)
-		} else {
+		default:
 			c.near = append(c.near, b)
 		}
 	}
@@ -57,6 +68,7 @@
 func (d *Dispatcher) gather(ask *Ask, now time.Time) {
 	c := d.survey(now)
 	d.candidates = d.candidates[:0]
+	d.consider(ask, c.limited, min(len(c.limited), limitedSample), now)
 	if len(c.near)+len(c.far) <= exactServers {
 		d.consider(ask, c.near, len(c.near), now)
 		d.consider(ask, c.far, len(c.far), now)
--- a/pkg/route/dispatch.go
+++ b/pkg/route/dispatch.go
@@ -66,6 +66,8 @@
 	// leaving are the servers of the list that have said that they will end.
 	leaving map[fleet.ServerID]bool
 	rests   rests
+	// buckets are the token buckets of the servers with a rate limit.
+	buckets map[fleet.ServerID]*tokenBucket
 	peers   *peerLoads
 	// boxes is how many entry boxes share the places.
 	boxes int
@@ -96,7 +98,8 @@
 	engine bool
 	random func() float64
 	// self is the name of this box.
-	self member.BoxID
+	self          member.BoxID
+	onLimitedSend func()
 	// unbegun are the requests that hold a place here whose answers have not begun, those included whose
 	// servers are no longer listed.
 	unbegun map[*Reservation]struct{}
@@ -118,6 +121,9 @@
 	Random func() float64
 	// Box is the name of the entry box, by which it claims places.
 	Box member.BoxID
+	// OnLimitedSend is called when a request is sent to a server with a low rate limit, so that the other boxes can be told at once.
+	// It must not block or call the dispatcher. May be nil.
+	OnLimitedSend func()
 }
 
 // NewDispatcher returns a dispatcher without servers.
@@ -126,8 +132,22 @@
 		options.Random = rand.Float64
 	}
 	return &Dispatcher{
-		backends: make(map[fleet.ServerID]*backend), leaving: make(map[fleet.ServerID]bool), rests: make(rests), unbegun: make(map[*Reservation]struct{}), peers: newPeerLoads(), demands: peerDemands{boxes: make(map[member.BoxID]peerDemand)}, boxes: 1,
-		usual: options.Usual, first: options.First, engine: options.Engine, random: options.Random, self: options.Box, swapTime: usualSwapTime,
+		backends: make(map[fleet.ServerID]*backend),
+		leaving:  make(map[fleet.ServerID]bool),
+		rests:    make(rests),
+		buckets:  make(map[fleet.ServerID]*tokenBucket),
+		unbegun:  make(map[*Reservation]struct{}),
+		peers:    newPeerLoads(),
+		demands:  peerDemands{boxes: make(map[member.BoxID]peerDemand)},
+		boxes:    1,
+		usual:    options.Usual,
+		first:    options.First,
+		engine:   options.Engine,
+		random:   options.Random,
+		self:     options.Box,
+
+		onLimitedSend: options.OnLimitedSend,
+		swapTime:      usualSwapTime,
 	}
 }
 
@@ -149,12 +169,14 @@
 			b = d.newBackend(server.ID, server.Incarnation, now)
 		}
 		b.server, b.far = server, !near(server.Domain)
+		d.setLimit(&server, now)
 		b.list(&server, layers)
 		d.noteClosed(b, now)
 		next[server.ID] = b
 		d.order = append(d.order, b)
 	}
 	d.backends = next
+	d.dropUnlistedBuckets()
 	d.forecast, d.census = forecast{}, census{}
 	d.grant(nil, now)
 }
@@ -272,6 +294,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.peers.take(box, load, whole, now)
+	d.takePeerSent(box, load, now)
 	d.changes++
 	d.grant(nil, now)
 }
@@ -282,8 +305,12 @@
 	defer d.mu.Unlock()
 	load := make(Load)
 	for _, b := range d.order {
-		if b.own.Requests > 0 {
-			load[b.server.ID] = b.own
+		own := b.own
+		if bucket := d.buckets[b.server.ID]; bucket != nil {
+			own.Sent = bucket.sent
+		}
+		if own.Requests > 0 || own.Sent > 0 {
+			load[b.server.ID] = own
 		}
 	}
 	return load
@@ -304,12 +331,15 @@
 	if standing == standsLate && (competition.free <= competition.inTime || !d.hasLatePlace(now)) {
 		return nil
 	}
-	if freed != nil {
+	if freed != nil && d.buckets[freed.server.ID] == nil {
 		if c, ok := d.candidate(freed, ask, now); ok {
 			return d.reserve(c.backend, ask, now)
 		}
 	}
 	d.gather(ask, now)
+	if b := d.pickLimited(competition.others(standing)); b != nil {
+		return d.reserve(b, ask, now)
+	}
 	coming := competition.others(standing) + 1
 	if competition.isScarce(standing) {
 		d.keepClaimable(competition.round, now)
@@ -332,6 +362,10 @@
 	weight := demand.claimWeight()
 	kept := d.candidates[:0]
 	for _, c := range d.candidates {
+		if d.buckets[c.backend.server.ID] != nil {
+			kept = append(kept, c)
+			continue
+		}
 		if mine := d.claimable(c.backend, int(c.room), round, weight); mine > 0 {
 			c.room = float64(mine)
 			kept = append(kept, c)
@@ -351,8 +385,14 @@
 	if load.Requests >= most || load.Reading > d.mostReading(ask, now) {
 		return candidate{}, false
 	}
+	room := most - load.Requests
+	if bucket := d.buckets[b.server.ID]; bucket != nil {
+		if room = min(room, bucket.available(now)); room < 1 {
+			return candidate{}, false
+		}
+	}
 	c = candidate{
-		backend: b, perRequest: 1 / float64(limit), room: float64(most - load.Requests),
+		backend: b, perRequest: 1 / float64(limit), room: float64(room),
 		cost: float64(load.Requests)/float64(limit) + float64(load.Reading)/float64(readingScale) + costFailures*b.failures,
 	}
 	if b.far {
@@ -377,6 +417,7 @@
 	if ask.Suspect {
 		b.suspects++
 	}
+	place.takeToken(now)
 	d.unbegun[place] = struct{}{}
 	d.changes++
 	d.census.free--
--- a/pkg/route/dispatch_bench_test.go
+++ b/pkg/route/dispatch_bench_test.go
@@ -12,11 +12,15 @@
 // BenchmarkDispatch takes a place and gives it back, among servers whose load is told
 // by other entry boxes.
 func BenchmarkDispatch(b *testing.B) {
-	for _, size := range []struct{ servers, boxes int }{{20, 6}, {45, 42}, {2000, 42}, {12000, 42}} {
-		b.Run(fmt.Sprintf("servers=%d/boxes=%d", size.servers, size.boxes), func(b *testing.B) {
+	for _, size := range []struct{ servers, boxes, limited int }{
+		{20, 6, 0}, {45, 42, 0}, {2000, 42, 0}, {12000, 42, 0}, {20, 6, 3}, {12000, 42, 100},
+	} {
+		b.Run(fmt.Sprintf("servers=%d/boxes=%d/limited=%d", size.servers, size.boxes, size.limited), func(b *testing.B) {
 			servers := make([]fleet.Server, 0, size.servers)
 			for i := range size.servers {
-				servers = append(servers, model(fmt.Sprintf("s-%d", i), 16, 1))
+				server := model(fmt.Sprintf("s-%d", i), 16, 1)
+				server.Limit = fleet.RateLimit{Set: i < size.limited, PerSecond: 2}
+				servers = append(servers, server)
 			}
 			d := newBench(true, servers...)
 			for box := range size.boxes {
--- a/pkg/route/forecast.go
+++ b/pkg/route/forecast.go
@@ -41,25 +41,36 @@
 	}
 	*f = forecast{at: now}
 	var places, empty [forecastSteps]int
+	// limited is the number of requests that rate-limited servers accept in each step.
+	var limited [forecastSteps]float64
 	for _, b := range d.order {
 		from, to := d.outOfService(b, now)
+		bucket := d.buckets[b.server.ID]
 		if d.isEligible(b, now) {
-			empty[0] += max(0, d.limit(b)-d.load(b, now).Requests)
-		} else if step := int(to.Sub(now) / forecastStep); step < forecastSteps {
+			free := d.limit(b) - d.load(b, now).Requests
+			if bucket != nil {
+				free = min(free, bucket.available(now))
+			}
+			empty[0] += max(0, free)
+		} else if step := int(to.Sub(now) / forecastStep); step < forecastSteps && bucket == nil {
 			empty[max(0, step)] += d.limit(b)
 		}
 		for step := range places {
 			if middle := now.Add(forecastStep/2 + time.Duration(step)*forecastStep); middle.Before(from) || !middle.Before(to) {
-				places[step] += d.limit(b)
+				if bucket != nil {
+					limited[step] += d.perSecond(b) * forecastStep.Seconds()
+				} else {
+					places[step] += d.limit(b)
+				}
 			}
 		}
 	}
 	first := d.firstPlaces(now)
 	for step := range f.late {
-		spare := max(0, float64(places[step])-first)
-		freed := spare * forecastStep.Seconds() / d.usual.Seconds()
+		spare := float64(places[step]) - first
+		freed := max(0, spare*forecastStep.Seconds()/d.usual.Seconds()+limited[step])
 		// So many begin at once, each for as long as an answer takes to begin.
-		most := spare * forecastStep.Seconds() / max(minBegin, d.first).Seconds()
+		most := max(0, spare)*forecastStep.Seconds()/max(minBegin, d.first).Seconds() + limited[step]
 		f.late[step] = min(most, freed+float64(empty[step]))
 	}
 	return f
@@ -129,7 +140,10 @@
 		own++
 	}
 	share := max(1/float64(d.boxes), float64(own)/float64(own+d.peersDemand(now).InTime))
-	perSecond := max(1, float64(d.places(now))) / d.usual.Seconds() * share
+	perSecond := d.survey(now).perSecond * share
+	if perSecond == 0 {
+		perSecond = share / d.usual.Seconds()
+	}
 	return time.Duration(float64(d.ahead(ask, now)+1) / perSecond * float64(time.Second))
 }
 
@@ -154,5 +168,8 @@
 // is held must be freed by then, so no more answers than the others may be beginning.
 func (d *Dispatcher) hasLatePlace(now time.Time) bool {
 	beginning := len(d.unbegun) + d.peersDemand(now).Beginning
+	if d.firstPlaces(now) >= d.survey(now).perSecond*d.usual.Seconds() {
+		return false
+	}
 	return float64(beginning+1) <= float64(d.places(now))-d.firstPlaces(now)
 }
--- /dev/null
+++ b/pkg/route/limit.go
@@ -0,0 +1,226 @@
+package route
+
+import (
+	"errors"
+	"math"
+	"time"
+
+	"github.com/cinderslip/cinderslip/pkg/fleet"
+	"github.com/cinderslip/cinderslip/pkg/member"
+)
+
+// A server's rate limit applies to the requests of all entry boxes together. Each box keeps a token bucket per limited server and
+// takes from it both for its own requests and for those that other boxes report. Boxes that have not yet received a report may use
+// the same token again; the bucket then goes negative and all boxes wait until it is refilled. The limit therefore holds over any
+// period longer than the reporting delay, and needs neither the number of boxes nor synchronized clocks.
+
+// ErrLimited reports that a server whose rate limit was set or lowered after the place was reserved has no token available.
+var ErrLimited = errors.New("server rate limit reached")
+
+const (
+	// probeRate is the lowest rate, in requests per second. It lets a limit of 0 be detected as lifted.
+	probeRate = 0.05
+	// maxBurstTime is how long unused tokens accumulate.
+	maxBurstTime = 600 * time.Millisecond
+	// maxDebtTime bounds the pause in sending after other boxes report many requests: the first report of a box contains all
+	// requests that it has sent.
+	maxDebtTime = 4 * time.Second
+	// limitedSample is the number of rate-limited servers that are considered for one request.
+	limitedSample = 4
+	// limitedCostMargin is how much higher the cost of a rate-limited server may be for it still to be preferred.
+	limitedCostMargin = 0.25
+	// maxUrgentRate is the highest rate at which each request is reported to other boxes at once. At low rates, a few excess
+	// requests already exceed the limit by a large factor.
+	maxUrgentRate = 20
+)
+
+// tokenBucket limits the requests that this box and its peers send to a server.
+type tokenBucket struct {
+	// rate is in requests per second.
+	rate   float64
+	tokens float64
+	// refilled is when tokens were last added.
+	refilled time.Time
+	// sent is the number of requests of this box; peerSent is the number that each other box reported last.
+	sent     uint32
+	peerSent map[member.BoxID]uint32
+}
+
+// newTokenBucket returns an empty bucket, as other boxes may have used the tokens.
+func newTokenBucket(now time.Time) *tokenBucket {
+	return &tokenBucket{refilled: now, peerSent: make(map[member.BoxID]uint32)}
+}
+
+func (b *tokenBucket) setRate(perSecond float64, now time.Time) {
+	b.refill(now)
+	b.rate = max(probeRate, perSecond)
+	b.tokens = min(b.tokens, b.capacity())
+}
+
+func (b *tokenBucket) capacity() float64 { return 1 + b.rate*maxBurstTime.Seconds() }
+
+func (b *tokenBucket) refill(now time.Time) {
+	if passed := now.Sub(b.refilled); passed > 0 {
+		b.tokens = min(b.capacity(), b.tokens+b.rate*passed.Seconds())
+		b.refilled = now
+	}
+}
+
+// available returns the number of whole tokens.
+func (b *tokenBucket) available(now time.Time) int {
+	b.refill(now)
+	return int(math.Floor(b.tokens))
+}
+
+// take uses a token for a request of this box. The bucket may go negative.
+func (b *tokenBucket) take(now time.Time) {
+	b.refill(now)
+	b.tokens--
+	b.sent++
+}
+
+// takePeer uses tokens for the requests that another box has sent since its last report. A lower count than before means that the
+// box has restarted.
+func (b *tokenBucket) takePeer(box member.BoxID, sent uint32, now time.Time) {
+	before := b.peerSent[box]
+	b.peerSent[box] = sent
+	if sent < before {
+		before = 0
+	}
+	b.refill(now)
+	b.tokens = max(b.tokens-float64(sent-before), -b.rate*maxDebtTime.Seconds())
+}
+
+// setLimit creates, updates or removes the token bucket of a server according to its rate limit.
+func (d *Dispatcher) setLimit(server *fleet.Server, now time.Time) {
+	if !server.Limit.Set {
+		delete(d.buckets, server.ID)
+		return
+	}
+	bucket := d.buckets[server.ID]
+	if bucket == nil {
+		bucket = newTokenBucket(now)
+		d.buckets[server.ID] = bucket
+	}
+	bucket.setRate(server.Limit.PerSecond, now)
+}
+
+// dropUnlistedBuckets removes the token buckets of servers that are no longer listed.
+func (d *Dispatcher) dropUnlistedBuckets() {
+	for id := range d.buckets {
+		if d.backends[id] == nil {
+			delete(d.buckets, id)
+		}
+	}
+}
+
+// takePeerSent updates the token buckets with the requests that another box reports.
+func (d *Dispatcher) takePeerSent(box member.BoxID, load Load, now time.Time) {
+	if len(d.buckets) == 0 {
+		return
+	}
+	for id, told := range load {
+		if bucket := d.buckets[id]; bucket != nil && told.Sent > 0 {
+			bucket.takePeer(box, told.Sent, now)
+		}
+	}
+}
+
+// takeToken takes a token for the reservation if its server has a rate limit. The lock must be held.
+func (r *Reservation) takeToken(now time.Time) {
+	if bucket := r.dispatcher.buckets[r.Server.ID]; bucket != nil {
+		bucket.take(now)
+		r.tokenRate = bucket.rate
+		if bucket.rate <= maxUrgentRate && r.dispatcher.onLimitedSend != nil {
+			r.dispatcher.onLimitedSend()
+		}
+	}
+}
+
+// checkLimit takes a token if the server's rate limit was set or lowered since the last token was taken for the reservation. It
+// returns ErrLimited if none is available.
+func (r *Reservation) checkLimit(now time.Time) error {
+	bucket := r.dispatcher.buckets[r.Server.ID]
+	if bucket == nil || r.tokenRate > 0 && r.tokenRate <= bucket.rate {
+		return nil
+	}
+	if bucket.available(now) < 1 {
+		return ErrLimited
+	}
+	r.takeToken(now)
+	return nil
+}
+
+// perSecond returns the highest request rate that a server can run.
+func (d *Dispatcher) perSecond(b *backend) float64 {
+	most := float64(d.limit(b)) / d.usual.Seconds()
+	if bucket := d.buckets[b.server.ID]; bucket != nil {
+		return min(most, bucket.rate)
+	}
+	return most
+}
+
+// pickLimited returns the rate-limited candidate with the lowest cost, unless the cost exceeds that of the other candidates by more
+// than limitedCostMargin. Rate-limited servers are preferred because unused tokens expire. As others, the number of competing
+// requests of other boxes, may use the same tokens, each limited candidate is kept at random so that about one request takes each
+// token; those that are not kept are removed from the candidates.
+func (d *Dispatcher) pickLimited(others float64) *backend {
+	if len(d.buckets) == 0 {
+		return nil
+	}
+	kept := d.candidates[:0]
+	limited, other := candidate{cost: math.Inf(1)}, math.Inf(1)
+	for _, c := range d.candidates {
+		switch {
+		case d.buckets[c.backend.server.ID] == nil:
+			other = min(other, c.cost)
+		case d.random()*(others+1) >= c.room:
+			continue
+		case c.cost < limited.cost:
+			limited = c
+		}
+		kept = append(kept, c)
+	}
+	d.candidates = kept
+	if limited.cost > other+limitedCostMargin {
+		return nil
+	}
+	return limited.backend
+}
+
+// LimitedServer is the state of a server with a rate limit.
+type LimitedServer struct {
+	Server fleet.ServerID
+	// PerSecond is the rate at which tokens are added. Tokens is the number of requests that may be sent now; it is negative after
+	// too many were sent.
+	PerSecond, Tokens float64
+	// Sent is the number of requests that this box has sent since it learned of the limit.
+	Sent uint32
+}
+
+// LimitedServers returns the servers that have a rate limit.
+func (d *Dispatcher) LimitedServers(now time.Time) []LimitedServer {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	limited := make([]LimitedServer, 0, len(d.buckets))
+	for id, bucket := range d.buckets {
+		bucket.refill(now)
+		limited = append(limited, LimitedServer{Server: id, PerSecond: bucket.rate, Tokens: bucket.tokens, Sent: bucket.sent})
+	}
+	return limited
+}
+
+// limitedEligible returns the number of eligible servers if all of them have a rate limit; 0 otherwise.
+func (d *Dispatcher) limitedEligible(now time.Time) int {
+	limited := 0
+	for _, b := range d.order {
+		if !d.isEligible(b, now) {
+			continue
+		}
+		if d.buckets[b.server.ID] == nil {
+			return 0
+		}
+		limited++
+	}
+	return limited
+}
--- /dev/null
+++ b/pkg/route/limit_test.go
@@ -0,0 +1,170 @@
+package route
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cinderslip/cinderslip/pkg/fleet"
+)
+
+// limited returns a plain server with a rate limit.
+func limited(id fleet.ServerID, perSecond float64) fleet.Server {
+	server := plain(id, 1)
+	server.Limit = fleet.RateLimit{Set: true, PerSecond: perSecond}
+	return server
+}
+
+// newLimitWorld returns a restWorld with a seeded random source.
+func newLimitWorld(t *testing.T, servers ...fleet.Server) *restWorld {
+	t.Helper()
+	w := newRestWorld(t)
+	w.d.random = rand.New(rand.NewPCG(1, 1)).Float64 //nolint:gosec // deterministic test input
+	w.list(servers...)
+	return w
+}
+
+// servedFor submits a request every 10 ms, completes it at once and returns the number of requests that each server received.
+func (w *restWorld) servedFor(duration time.Duration) (served map[fleet.ServerID]int, refused int) {
+	served = make(map[fleet.ServerID]int)
+	for end := w.now.Add(duration); w.now.Before(end); w.now = w.now.Add(10 * time.Millisecond) {
+		place, waiting, err := w.submit()
+		switch {
+		case err != nil:
+			refused++
+		case place == nil:
+			w.d.Withdraw(waiting)
+		case place.Check(w.now) == nil:
+			served[place.Server.ID]++
+			place.Started(w.now)
+			place.Release(ResultDone, w.now)
+		default:
+			place.Release(ResultAbandoned, w.now)
+		}
+	}
+	return served, refused
+}
+
+func TestLimitedServerGetsItsRateAndOthersTheRemainder(t *testing.T) {
+	for _, perSecond := range []float64{0, 0.05, 0.5, 1.9, 10, 1e6} {
+		w := newLimitWorld(t, limited("a", perSecond), plain("b", 1))
+		served, refused := w.servedFor(40 * time.Second)
+		require.Zero(t, refused)
+		most := 40*max(probeRate, perSecond) + 1
+		require.LessOrEqual(t, float64(served["a"]), most, "limit %v", perSecond)
+		require.GreaterOrEqual(t, float64(served["a"]), 0.9*min(most-2, 2000), "limit %v", perSecond)
+	}
+}
+
+// Guards against a limit of 0 that is never detected as lifted.
+func TestServerWithRateLimitOfZeroIsProbed(t *testing.T) {
+	w := newLimitWorld(t, limited("a", 0))
+	served, refused := w.servedFor(100 * time.Second)
+	require.InDelta(t, 100*probeRate, served["a"], 1)
+	require.Greater(t, refused, 9000, "all other requests are refused at once")
+}
+
+func TestCheckFailsIfServerBecameLimitedAfterReservation(t *testing.T) {
+	w := newLimitWorld(t, plain("a", 1))
+	place := w.place()
+	w.list(limited("a", 2))
+	require.ErrorIs(t, place.Check(w.now), ErrLimited)
+	w.now = w.now.Add(500 * time.Millisecond)
+	require.NoError(t, place.Check(w.now))
+	other := &Reservation{Server: place.Server, dispatcher: w.d}
+	require.ErrorIs(t, other.Check(w.now), ErrLimited, "the first request took the token")
+}
+
+func TestCheckTakesAnotherTokenWhenRateLimitIsLowered(t *testing.T) {
+	w := newLimitWorld(t, limited("a", 10))
+	w.now = w.now.Add(time.Second)
+	place := w.place()
+	require.NoError(t, place.Check(w.now))
+	w.list(limited("a", 20))
+	require.NoError(t, place.Check(w.now))
+	w.list(limited("a", 0))
+	w.d.buckets["a"].tokens = 0
+	require.ErrorIs(t, place.Check(w.now), ErrLimited)
+}
+
+func TestRequestsOfOtherBoxesCountTowardsRateLimit(t *testing.T) {
+	w := newLimitWorld(t, limited("a", 4), plain("b", 1))
+	w.now = w.now.Add(10 * time.Second)
+	for sent := uint32(1); sent <= 160; sent++ {
+		w.d.PeerLoad("entry-2", Load{"a": {Sent: sent}}, sent == 1, w.now)
+		served, _ := w.servedFor(250 * time.Millisecond)
+		if sent > 4 {
+			require.Zero(t, served["a"], "another box uses the whole limit")
+		}
+	}
+	w.d.PeerLoad("entry-2", Load{"a": {Sent: 3}}, true, w.now)
+	served, _ := w.servedFor(4 * time.Second)
+	require.InDelta(t, 13, served["a"], 2, "a lower count means that the box has restarted")
+}
+
+// Guards against a restarted box exceeding a limit that its peers already use up.
+func TestFirstCountOfPeerPausesSending(t *testing.T) {
+	w := newLimitWorld(t, limited("a", 4), plain("b", 1))
+	w.now = w.now.Add(10 * time.Second)
+	w.d.PeerLoad("entry-2", Load{"a": {Sent: 1000}}, true, w.now)
+	served, _ := w.servedFor(maxDebtTime)
+	require.Zero(t, served["a"])
+	served, _ = w.servedFor(4 * time.Second)
+	require.InDelta(t, 16, served["a"], 2)
+}
+
+func TestRemovedRateLimitIsNotApplied(t *testing.T) {
+	w := newLimitWorld(t, limited("a", 1), plain("b", 1))
+	served, _ := w.servedFor(2 * time.Second)
+	require.LessOrEqual(t, served["a"], 2)
+	w.list(plain("a", 1), plain("b", 1))
+	served, _ = w.servedFor(2 * time.Second)
+	require.Greater(t, served["a"], 50)
+	require.Empty(t, w.d.LimitedServers(w.now))
+}
+
+// Guards against requests queueing for capacity that the rate limits do not allow.
+func TestCapacityIsSumOfRateLimitsWhenAllServersAreLimited(t *testing.T) {
+	w := newLimitWorld(t, limited("a", 5), limited("b", 5))
+	w.servedFor(2 * time.Second)
+	require.InDelta(t, 10, w.d.survey(w.now).perSecond, 1e-9)
+	served, _ := w.servedFor(10 * time.Second)
+	require.InDelta(t, 100, served["a"]+served["b"], 6)
+	_, _, err := w.submit()
+	for err == nil {
+		_, _, err = w.submit()
+	}
+	var busy *BusyError
+	require.ErrorAs(t, err, &busy)
+	require.LessOrEqual(t, w.d.Waiting(), 10, "the objective is one second")
+	require.Equal(t, 2, busy.Limited)
+	require.Positive(t, busy.RetryAfter)
+}
+
+// Guards against refusing a returning caller while the load is below the rate limit.
+func TestReturningCallerIsServedBelowRateLimit(t *testing.T) {
+	w := newLimitWorld(t, limited("a", 20))
+	for range 50 {
+		w.now = w.now.Add(200 * time.Millisecond)
+		place, _, err := w.d.Submit(&Ask{
+			Arrived: w.now, Objective: w.now.Add(-time.Second), Deadline: w.now.Add(4 * time.Second), Returning: true,
+		}, nil, w.now)
+		require.NoError(t, err)
+		require.NotNil(t, place)
+		place.Started(w.now)
+		place.Release(ResultDone, w.now)
+	}
+}
+
+func TestForecastIncludesRateLimits(t *testing.T) {
+	w := newLimitWorld(t, limited("a", 10))
+	wait, ok := w.d.lateForecast(w.now).until(20)
+	require.True(t, ok)
+	require.InDelta(t, 2, wait.Seconds(), 0.3)
+	_, ok = w.d.lateForecast(w.now).until(40)
+	require.False(t, ok)
+	require.False(t, math.IsNaN(w.d.survey(w.now).perSecond))
+}
--- a/pkg/route/peerload.go
+++ b/pkg/route/peerload.go
@@ -21,6 +21,8 @@
 	// Reading is how long the server takes to read the requests whose answers have
 	// not begun.
 	Reading time.Duration
+	// Sent is the number of requests sent since the box learned of the server's rate limit; 0 if there is no limit.
+	Sent uint32
 }
 
 // Load is what one entry box has in flight at each server.
--- a/pkg/route/queue.go
+++ b/pkg/route/queue.go
@@ -38,6 +38,8 @@
 	Beginning int
 	// Resting is how many servers have asked this box for rest.
 	Resting int
+	// Limited is the number of eligible servers if all of them have a rate limit; 0 otherwise.
+	Limited int
 	// RetryAfter is when there should be room.
 	RetryAfter time.Duration
 }
@@ -198,6 +200,7 @@
 	return &BusyError{
 		Waiting: len(d.queue), WaitingElsewhere: peers.Late, Late: ask.isLate(now), Left: left,
 		Places: d.places(now), Needed: d.firstPlaces(now), Beginning: len(d.unbegun) + peers.Beginning, Resting: resting.servers,
+		Limited:    d.limitedEligible(now),
 		RetryAfter: min(wait+jitter, longest),
 	}
 }
--- a/pkg/route/reservation.go
+++ b/pkg/route/reservation.go
@@ -49,6 +49,8 @@
 	startedAt time.Time
 	// suspect is set for a request under which another server has ended.
 	suspect bool
+	// tokenRate is the rate of the token bucket when a token was last taken for this reservation; 0 if none was taken.
+	tokenRate float64
 }
 
 // OnBarred sets what ends the attempt if its answer has not begun when the weights of its server
--- a/pkg/route/rest.go
+++ b/pkg/route/rest.go
@@ -76,8 +76,17 @@
 	d.forecast, d.census = forecast{}, census{}
 }
 
-// Check returns why nothing may be sent to the server any more, as it has said something of itself since the
-// place was had; nil if it may. To open a connection alone may take some hundred milliseconds.
+// IsLeaving reports whether the server has announced that it will end.
+func (r *Reservation) IsLeaving() bool {
+	d := r.dispatcher
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.leaving[r.Server.ID]
+}
+
+// Check must be called before the request is sent. It returns an error if the server has announced its end, asked for rest or
+// advertised a rate limit since the place was reserved. Opening a connection can take several hundred milliseconds. If it returns
+// nil, the request counts against the rate limit.
 func (r *Reservation) Check(now time.Time) error {
 	d := r.dispatcher
 	d.mu.Lock()
@@ -88,7 +97,7 @@
 	if now.Before(d.rests.until(r.Server.ID, r.Incarnation)) {
 		return ErrResting
 	}
-	return nil
+	return r.checkLimit(now)
 }
 
 // isResting reports whether the server has asked this box for rest that is not over.
