feat: list rate-limited backend servers and count the requests refused because of them

Cause: the logs tell when a rate limit changes. Which limits are in force, how much of each is used and which requests are refused because of them had to be worked out by hand. Change: an entry box serves /rate-limits on its metrics address, and `cinderslip limits` prints it: server, service, limit, the time since which the server has been limited without interruption, the request or entry box from which the value was learned, the share of the own cell, the requests that may be sent now, and the numbers sent by this box and by the others. Adds the gauge direct_limited_servers and the counter direct_limit_refusals_total. A request that is refused while all servers that could run it are limited is logged with reason=limited and the number of these servers. `explain` names the newest rate limit before the refusal; `losses` counts the refusal under the cause that no server could run the request. Conclusion: routing and admission decisions are unchanged.

--- a/cmd/cinderslip/run.go
+++ b/cmd/cinderslip/run.go
@@ -162,6 +162,7 @@
 		{"status", "Show what is in force", &status{}},
 		{"boxes", "Show the boxes", &boxes{}},
 		{"rollout", "Show how far versions have come", &rollout{}},
+		{"limits", "Show the backend servers with a rate limit; --server is the metrics address of an entry box", &limits{}},
 		{"resolve", "Show the entry boxes that a caller would be told", &resolve{}},
 		{"explain", "Tell from collected logs what became of a request", &explain{}},
 		{"burn", "Tell from collected logs how fast service levels were used up", &burn{}},
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -225,8 +225,12 @@
 	reason := "busy"
 	if busy.Places == 0 && busy.Resting > 0 {
 		reason = "resting"
+	} else if busy.Limited > 0 {
+		reason = "limited"
+		f.metrics.limitRefusals.WithLabelValues(string(x.service)).Inc()
 	}
-	f.finish(x, "refused").Str("reason", reason).Int("resting", busy.Resting).Dur("retry_after_ms", busy.RetryAfter).Bool("late", busy.Late).Dur("left_ms", busy.Left).
+	f.finish(x, "refused").Str("reason", reason).Int("resting", busy.Resting).Int("limited", busy.Limited).
+		Dur("retry_after_ms", busy.RetryAfter).Bool("late", busy.Late).Dur("left_ms", busy.Left).
 		Int("waiting", busy.Waiting).Int("waiting_elsewhere", busy.WaitingElsewhere).Int("places", busy.Places).
 		Int("places_needed", int(busy.Needed)).Int("beginning", busy.Beginning).Msg("request refused")
 }
--- a/internal/direct/front.go
+++ b/internal/direct/front.go
@@ -299,6 +299,7 @@
 		for name, d := range f.dispatchers {
 			f.adjustOne(name, d)
 			f.metrics.waiting.WithLabelValues(string(name)).Set(float64(d.Waiting()))
+			f.metrics.limitedServers.WithLabelValues(string(name)).Set(float64(len(d.LimitedServers(f.clock.Now()))))
 			f.metrics.unclaimed.WithLabelValues(string(name)).Set(float64(d.Unclaimed(f.clock.Now())))
 		}
 		f.mu.Unlock()
--- /dev/null
+++ b/internal/direct/limitlist.go
@@ -0,0 +1,68 @@
+package direct
+
+import (
+	"cmp"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/cinderslip/cinderslip/pkg/member"
+	"github.com/cinderslip/cinderslip/pkg/route"
+)
+
+// LimitedServer is the state of a backend server with a rate limit in responses to operators.
+type LimitedServer struct {
+	Server  string `json:"server"`
+	Service string `json:"service"`
+	// PerSecond is the limit for all entry boxes together. Since is when the server last went from unlimited to limited. From is the
+	// request or entry box from which this box learned the current value.
+	PerSecond float64   `json:"per_second"`
+	Since     time.Time `json:"since"`
+	From      string    `json:"from"`
+	// Share is the part of the limit that is allotted to the entry boxes of this cell. Available is the number of requests that they
+	// may send now; it is negative after too many were sent.
+	Share     float64 `json:"share_per_second"`
+	Available float64 `json:"available"`
+	// Sent is the number of requests that this box has sent since it learned of the limit. SentByOthers is the number that the other
+	// entry boxes of its cell have reported.
+	Sent         uint64 `json:"sent"`
+	SentByOthers uint64 `json:"sent_by_others"`
+}
+
+// RateLimitsPath is the path on the metrics address of an entry box that lists the backend servers with a rate limit.
+const RateLimitsPath = "/rate-limits"
+
+// serveRateLimits registers the handler for RateLimitsPath.
+func (f *Front) serveRateLimits(router *echo.Echo) {
+	router.GET(RateLimitsPath, func(c echo.Context) error { return c.JSON(http.StatusOK, f.limitedServers()) })
+}
+
+// limitedServers returns the servers with a rate limit that this box sends to, sorted by server.
+func (f *Front) limitedServers() []LimitedServer {
+	now, servers := f.clock.Now(), []LimitedServer{}
+	for name, d := range f.allDispatchers() {
+		for _, limited := range d.LimitedServers(now) {
+			known := f.facts.rateLimit(limited.Server)
+			servers = append(servers, LimitedServer{
+				Server: string(limited.Server), Service: string(name),
+				PerSecond: known.limit.PerSecond, Since: known.since.UTC(), From: known.from,
+				Share: limited.PerSecond, Available: limited.Tokens, Sent: uint64(limited.Sent), SentByOthers: limited.SentByOthers,
+			})
+		}
+	}
+	slices.SortFunc(servers, func(a, b LimitedServer) int { return cmp.Compare(a.Server, b.Server) })
+	return servers
+}
+
+// allDispatchers returns a copy of the dispatchers by service, for use without the lock.
+func (f *Front) allDispatchers() map[member.Service]*route.Dispatcher {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	dispatchers := make(map[member.Service]*route.Dispatcher, len(f.dispatchers))
+	for name, d := range f.dispatchers {
+		dispatchers[name] = d
+	}
+	return dispatchers
+}
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -29,6 +29,10 @@
 	// suspects counts what is heard of requests under which servers have ended.
 	suspects *prometheus.CounterVec
 	waiting  *prometheus.GaugeVec
+	// limitedServers is the number of servers with a rate limit; limitRefusals counts requests refused while all servers that could
+	// run them had one.
+	limitedServers *prometheus.GaugeVec
+	limitRefusals  *prometheus.CounterVec
 	// unclaimed are the requests that servers have in flight and no box that is heard claims.
 	unclaimed   *prometheus.GaugeVec
 	connections prometheus.Counter
@@ -48,14 +52,20 @@
 // NewMetrics returns metrics with a registry of their own.
 func NewMetrics() *Metrics {
 	m := &Metrics{
-		registry:    prometheus.NewRegistry(),
-		requests:    metric.Counters("direct_requests_total", "Requests by route and outcome.", "route", "outcome"),
-		seconds:     metric.Histograms("direct_request_seconds", "Time from arrival to the end of the answer.", secondsBuckets, "route"),
-		firstEvent:  metric.Histograms("direct_first_byte_seconds", "Time from arrival to the first byte of the answer.", secondsBuckets, "route"),
-		attempts:    metric.Counters("direct_attempts_total", "Attempts at backend servers by service and result.", "service", "result"),
-		words:       metric.Counters("direct_server_words_total", "Answers in which backend servers say that they leave, ask for rest or name a limit.", "word"),
-		suspects:    metric.Counters("suspect_requests_total", "What was heard of requests under which backend servers ended: one more has (ended), or one has run it well (cleared).", "heard"),
-		waiting:     metric.Gauges("direct_waiting", "Requests that wait for a place.", "service"),
+		registry:   prometheus.NewRegistry(),
+		requests:   metric.Counters("direct_requests_total", "Requests by route and outcome.", "route", "outcome"),
+		seconds:    metric.Histograms("direct_request_seconds", "Time from arrival to the end of the answer.", secondsBuckets, "route"),
+		firstEvent: metric.Histograms("direct_first_byte_seconds", "Time from arrival to the first byte of the answer.", secondsBuckets, "route"),
+		attempts:   metric.Counters("direct_attempts_total", "Attempts at backend servers by service and result.", "service", "result"),
+		words:      metric.Counters("direct_server_words_total", "Answers in which backend servers say that they leave, ask for rest or name a limit.", "word"),
+		suspects:   metric.Counters("suspect_requests_total", "What was heard of requests under which backend servers ended: one more has (ended), or one has run it well (cleared).", "heard"),
+		waiting:    metric.Gauges("direct_waiting", "Requests that wait for a place.", "service"),
+		limitedServers: metric.Gauges(
+			"direct_limited_servers", "Backend servers with a rate limit that this box sends to, by service.", "service",
+		),
+		limitRefusals: metric.Counters(
+			"direct_limit_refusals_total", "Requests refused while all servers that could run them had a rate limit, by service.", "service",
+		),
 		unclaimed:   metric.Gauges("direct_unclaimed", "Requests that backend servers report and no entry box that is heard here claims.", "service"),
 		connections: metric.Counter("direct_connections_total", "Connections opened to backend servers."),
 		storeCalls:  metric.Counters("store_calls_total", "Calls of the platform's store by kind and result.", "call", "result"),
@@ -67,8 +77,9 @@
 		revision:      metric.Gauge("believed_revision", "Newest revision of the platform's store that is known here."),
 		held:          metric.Gauge("believed_held_deletions", "Deletions of servers' entries that are held back after an outage of the store."),
 	}
-	m.registry.MustRegister(m.requests, m.seconds, m.firstEvent, m.attempts, m.words, m.suspects, m.waiting, m.unclaimed, m.connections,
-		m.storeCalls, m.logDropped, m.pieces, m.orders, m.configuration, m.revision, m.held, collectors.NewGoCollector())
+	m.registry.MustRegister(m.requests, m.seconds, m.firstEvent, m.attempts, m.words, m.suspects, m.waiting, m.limitedServers,
+		m.limitRefusals, m.unclaimed, m.connections, m.storeCalls, m.logDropped, m.pieces, m.orders,
+		m.configuration, m.revision, m.held, collectors.NewGoCollector())
 	return m
 }
 
@@ -141,12 +152,13 @@
 // smallHeaders bounds the headers of questions to the process itself, in bytes.
 const smallHeaders = 8 << 10
 
-// startMetrics serves the metrics and, on entry boxes, what is barred. A process works without them, so a taken
-// address is logged and no more.
+// startMetrics serves the metrics and, on entry boxes, the barred requests and the rate limits of backend servers. A process works
+// without them, so an address that is already in use is only logged.
 func (p *Process) startMetrics() error {
 	router := newRouter()
 	if p.front != nil {
 		p.suspects.serveQuarantine(router)
+		p.front.serveRateLimits(router)
 	}
 	router.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(p.metrics.registry, promhttp.HandlerOpts{})))
 	service, err := p.serveHTTP("metrics", p.settings.Listen.Metrics, router, smallHeaders)
--- a/internal/direct/ratelimits.go
+++ b/internal/direct/ratelimits.go
@@ -186,6 +186,16 @@
 	return changed, f.rateLimits.number
 }
 
+// rateLimit returns the current rate limit of a server, or the zero value if it never had one.
+func (f *Facts) rateLimit(server fleet.ServerID) rateLimit {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if known := f.rateLimits.byServer[server]; known != nil {
+		return *known
+	}
+	return rateLimit{}
+}
+
 // rateLimitsKnown returns the number of the latest change of a rate limit.
 func (f *Facts) rateLimitsKnown() uint64 {
 	f.mu.Lock()
--- a/internal/direct/scenario_test.go
+++ b/internal/direct/scenario_test.go
@@ -47,6 +47,7 @@
 			"load":     command((*world).cmdLoad),
 			"limited":  command((*world).cmdLimited),
 			"refused":  command((*world).cmdRefused),
+			"limits":   command((*world).cmdLimits),
 			"await":    command((*world).cmdAwait),
 			"crashes":  command((*world).cmdCrashes),
 			"harm":     command((*world).cmdHarm),
--- a/internal/direct/world_test.go
+++ b/internal/direct/world_test.go
@@ -104,6 +104,7 @@
 	portReadiness
 	portDirectory
 	portAgents
+	portMetrics
 )
 
 func (w *world) serve(address string, handler http.Handler) string {
@@ -217,7 +218,7 @@
 func (w *world) settings(role settings.Role, box, ip string, peersPort int) *settings.Settings {
 	loaded := &settings.Settings{
 		Role: role, Mode: settings.ModeDirect, Box: box, Region: "riga", FailureDomain: "hall-a",
-		Listen: settings.Listen{Peers: fmt.Sprintf("%s:%d", ip, peersPort), Metrics: ip + ":0"},
+		Listen: settings.Listen{Peers: fmt.Sprintf("%s:%d", ip, peersPort), Metrics: fmt.Sprintf("%s:%d", ip, portMetrics)},
 		Peers:  settings.Peers{Entries: w.entries},
 		Direct: settings.Direct{
 			Store: w.storeAt, AgentPort: portAgents, MemoryMegabytes: 64, LinkMbps: 100, RetryExtra: new(retryExtra),
--- a/internal/report/explain.go
+++ b/internal/report/explain.go
@@ -34,6 +34,8 @@
 	eventEntryHeld = "server's entry went while the store was away, held"
 	eventDeparture = "server has said that it leaves"
 	eventRest      = "server asks for rest"
+	eventRateLimit = "server advertises a rate limit"
+	eventNoLimit   = "server no longer advertises a rate limit"
 	eventEnded     = "server has ended under a request"
 	eventCleared   = "request is no longer suspect"
 )
@@ -42,7 +44,7 @@
 var beliefs = map[string]bool{
 	eventWanted: true, eventLost: true, eventRegained: true, eventGone: true, eventInForce: true,
 	eventStarted: true, eventLeaving: true, eventDropped: true, eventAge: true, eventEntryHeld: true,
-	eventDeparture: true, eventRest: true,
+	eventDeparture: true, eventRest: true, eventRateLimit: true, eventNoLimit: true,
 }
 
 // contentBeliefs are those that bear on requests of one content.
@@ -149,12 +151,13 @@
 	"no-configuration": "the box had just started and knew no configuration",
 	"quarantined":      "servers that began to run it had ended, so it is sent to none",
 	"resting":          "all servers that could run it had asked the box for rest",
+	"limited":          "all servers that could run it have a rate limit, which is used up",
 	"not-run":          "its server refused it or could not be reached, and no further attempt was allowed",
 }
 
 // refusalBeliefs are the events that stand behind a reason.
 var refusalBeliefs = map[string]string{
-	"no-server": eventWanted, "no-configuration": eventStarted, "resting": eventRest, "quarantined": eventEnded,
+	"no-server": eventWanted, "no-configuration": eventStarted, "resting": eventRest, "limited": eventRateLimit, "quarantined": eventEnded,
 }
 
 // newest names the newest event of a kind in the context.
--- a/internal/report/losses.go
+++ b/internal/report/losses.go
@@ -95,7 +95,7 @@
 
 func classifyRefusal(event *Event) Cause {
 	switch reason := event.Get("reason"); {
-	case reason == "no-server", reason == "resting":
+	case reason == "no-server", reason == "resting", reason == "limited":
 		return CauseNoServer
 	case reason != "busy":
 		return CauseRefusedOther
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -124,3 +124,17 @@
 	require.Contains(t, explanation.Cause, "servers that began to run it had ended, so it is sent to none (server has ended under a request at 10:00:01.000")
 	require.Len(t, explanation.Context, 1)
 }
+
+// Guards against explanations that omit a cause that was logged only for another request.
+func TestExplainOfLimitedRefusalNamesNewestRateLimit(t *testing.T) {
+	events, err := Read("entry-1.log", strings.NewReader(strings.Join([]string{
+		`time=2026-12-02T10:00:01.000Z level=info event="server advertises a rate limit" server=i-30 per_second=1.9 from="request first"`,
+		`time=2026-12-02T10:00:02.000Z level=info event="request refused" outcome=refused reason=limited limited=1 request=second route=draft`,
+	}, "\n")))
+	require.NoError(t, err)
+	explanation, ok := Explain(events, "second")
+	require.True(t, ok)
+	require.Contains(t, explanation.Cause, "have a rate limit, which is used up (server advertises a rate limit at 10:00:01.000")
+	require.Len(t, explanation.Context, 1)
+	require.Equal(t, "i-30", explanation.Context[0].Get("server"))
+}
--- a/pkg/route/limit.go
+++ b/pkg/route/limit.go
@@ -196,6 +196,8 @@
 	PerSecond, Tokens float64
 	// Sent is the number of requests that this box has sent since it learned of the limit.
 	Sent uint32
+	// SentByOthers is the total that other boxes last reported.
+	SentByOthers uint64
 }
 
 // LimitedServers returns the servers that have a rate limit.
@@ -205,7 +207,11 @@
 	limited := make([]LimitedServer, 0, len(d.buckets))
 	for id, bucket := range d.buckets {
 		bucket.refill(now)
-		limited = append(limited, LimitedServer{Server: id, PerSecond: bucket.rate, Tokens: bucket.tokens, Sent: bucket.sent})
+		server := LimitedServer{Server: id, PerSecond: bucket.rate, Tokens: bucket.tokens, Sent: bucket.sent}
+		for _, sent := range bucket.peerSent {
+			server.SentByOthers += uint64(sent)
+		}
+		limited = append(limited, server)
 	}
 	return limited
 }
