test(soak): check server rate limits with and without other faults

Change: while all other faults are injected, servers set, change and remove rate limits and send unreadable ones. After the faults have ended, one server of each service sets a limit for 6 s: one of them 0, the other 1. The check adds up the requests that each server received from all boxes that had passed on the limit at least half a second earlier and had been neither started nor suspended within 5 s. A window is held to the highest limit named from 1 s before it to 1 s after it.

--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -35,6 +35,7 @@
 	var running sync.WaitGroup
 	running.Go(func() { w.startServersAgain(lasts) })
 	running.Go(func() { w.letServersSpeak(lasts) })
+	running.Go(func() { w.varyLimits(lasts) })
 	for end := time.Now().Add(lasts); time.Now().Before(end); {
 		chosen := faults[w.random.IntN(len(faults))]
 		pick, span := w.random.IntN(1<<16), time.Duration(w.random.Int64N(int64(faultLongest)))
--- /dev/null
+++ b/internal/soak/limits_test.go
@@ -0,0 +1,128 @@
+package soak
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cinderslip/cinderslip/platform/standin"
+)
+
+// The rate limit in a server's answers applies to the requests of all entry boxes together. These checks fail if the boxes together
+// send more. They count the requests to boxes that had already passed on an answer with a limit, except boxes that were started or
+// resumed shortly before.
+
+const (
+	// limitEvery is the mean time between two limit changes, over all servers.
+	limitEvery = time.Second
+	// faultFreeLimitTime is how long servers have a limit after all faults have ended.
+	faultFreeLimitTime = 6 * time.Second
+	// In any limitWindow, a server may get limitFactor times the requests that its limit allows, plus limitExtraRequests.
+	limitWindow        = 4 * time.Second
+	limitFactor        = 1.5
+	limitExtraRequests = 5
+	// limitEffectDelay is the time from when a box first passes on a limit until its requests are counted.
+	limitEffectDelay = 500 * time.Millisecond
+	// limitGrace is how long after the first answer with a limit no excess is reported. Limits that were in answers within this time
+	// before or after a window apply to it as well.
+	limitGrace = time.Second
+	// limitRecoveryTime is how long the requests of a box are not counted after it was started or resumed.
+	limitRecoveryTime = 5 * time.Second
+)
+
+// limitValues are valid and invalid values of the Server-Limit header; an empty value omits it.
+var limitValues = []string{"0", "0.05", "1", "1.9", "5", "20", "1000", "", "-1", "NaN", "few"}
+
+// varyLimits sets and removes the limits of randomly chosen servers for a time.
+func (w *world) varyLimits(lasts time.Duration) {
+	for end := time.Now().Add(lasts); time.Now().Before(end); {
+		w.servers[w.limits.IntN(len(w.servers))].Limit(limitValues[w.limits.IntN(len(limitValues))])
+		time.Sleep(time.Duration(w.limits.Int64N(int64(2 * limitEvery))))
+	}
+}
+
+// limitWithoutFaults limits one server of each service for a time while no faults are injected.
+func (w *world) limitWithoutFaults() {
+	w.servers[0].Limit("0")
+	w.servers[len(w.servers)-1].Limit("1")
+	time.Sleep(faultFreeLimitTime)
+	for _, s := range w.servers {
+		s.Limit("")
+	}
+}
+
+// hearLimit records when a caller has received an answer with a rate limit.
+func (l *load) hearLimit(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.limitHeard[id] = time.Now()
+}
+
+// limitFindings reports the servers that got more requests than their limits allow.
+func (l *load) limitFindings() (findings []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range l.w.servers {
+		limited := []standin.Visit{}
+		for _, visit := range s.Visits() {
+			if _, err := parseLimit(&visit); err != nil || len(limited) > 0 && visit.Born != limited[0].Born {
+				findings = append(findings, l.exceededLimit(s.id, limited)...)
+				limited = limited[:0]
+			}
+			if _, err := parseLimit(&visit); err == nil {
+				limited = append(limited, visit)
+			}
+		}
+		findings = append(findings, l.exceededLimit(s.id, limited)...)
+	}
+	return findings
+}
+
+// parseLimit returns the limit in the answer to a visit, or an error if there was none or it is invalid.
+func parseLimit(visit *standin.Visit) (float64, error) {
+	limit, err := strconv.ParseFloat(visit.Limit, 64)
+	if err == nil && !(limit >= 0) {
+		err = strconv.ErrRange
+	}
+	return limit, err
+}
+
+// exceededLimit checks consecutive visits to one start of a server that were all answered with a valid limit, and reports the first
+// window with too many requests. The lock must be held.
+func (l *load) exceededLimit(server string, limited []standin.Visit) []string {
+	knownSince := make(map[string]time.Time)
+	for _, visit := range limited {
+		heard, entry := l.limitHeard[visit.Request], l.asks[visit.Request].entry
+		if first := knownSince[entry]; !heard.IsZero() && (first.IsZero() || heard.Before(first)) {
+			knownSince[entry] = heard
+		}
+	}
+	var counted []time.Time
+	for _, visit := range limited {
+		ask := l.asks[visit.Request]
+		if since := knownSince[ask.entry]; !since.IsZero() && ask.sent.Sub(since) >= limitEffectDelay &&
+			!l.w.disturbedBetween(ask.entry, ask.sent.Add(-limitRecoveryTime), visit.At) {
+			counted = append(counted, ask.sent)
+		}
+	}
+	slices.SortFunc(counted, time.Time.Compare)
+	for first, last := 0, 0; last < len(counted); last++ {
+		for counted[last].Sub(counted[first]) >= limitWindow {
+			first++
+		}
+		highest := 0.0
+		for i := range limited {
+			if age := counted[last].Sub(limited[i].At); age < limitWindow+limitGrace && age > -limitGrace {
+				limit, _ := parseLimit(&limited[i])
+				highest = max(highest, limit)
+			}
+		}
+		got, allowed := last-first+1, limitFactor*limitWindow.Seconds()*highest+limitExtraRequests
+		if float64(got) > allowed && counted[last].Sub(limited[0].At) >= limitGrace {
+			return []string{fmt.Sprintf("%s has a limit of %v requests per second and got %d in %s, want %v at most",
+				server, highest, got, limitWindow, allowed)}
+		}
+	}
+	return nil
+}
--- a/internal/soak/load_test.go
+++ b/internal/soak/load_test.go
@@ -39,11 +39,14 @@
 	// it leaves.
 	asks  map[string]asked
 	heard map[string]time.Time
+	// limitHeard is when the header of an answer with a rate limit was received, by request id.
+	limitHeard map[string]time.Time
 }
 
 func newLoad(w *world) *load {
 	return &load{
-		w: w, counts: make(map[string]int), asks: make(map[string]asked), heard: make(map[string]time.Time),
+		w: w, counts: make(map[string]int), asks: make(map[string]asked),
+		heard: make(map[string]time.Time), limitHeard: make(map[string]time.Time),
 		client: &http.Client{Timeout: callerWait + time.Second, Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 4}},
 	}
 }
@@ -164,6 +167,9 @@
 	if response.Header.Get("Server-Leaving") != "" {
 		l.hear(id)
 	}
+	if response.Header.Get("Server-Limit") != "" {
+		l.hearLimit(id)
+	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
 	return l.check(kind, id, response, string(body), err)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -107,6 +107,7 @@
 	load.runDeadly()
 	w.injectFaults(*long)
 	w.endFaults()
+	w.limitWithoutFaults()
 	load.stop()
 	load.awaitBarred(t)
 	load.awaitServed(t)
@@ -114,6 +115,7 @@
 	load.awaitChange(t)
 	findings := load.findings()
 	findings = append(findings, load.wordFindings()...)
+	findings = append(findings, load.limitFindings()...)
 	findings = append(findings, load.deadlyFindings()...)
 	for _, p := range w.processes() {
 		findings = append(findings, p.findings()...)
@@ -173,6 +175,7 @@
 		s.Mute(false)
 		s.Fail(0)
 		s.CutAt(0)
+		s.Limit("")
 	}
 	for _, p := range w.processes() {
 		p.signal(syscall.SIGCONT)
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -43,7 +43,9 @@
 	// draw all else as they did when they failed.
 	starts *rand.Rand
 	// words draws what servers say of themselves, apart from random for the same reason.
-	words  *rand.Rand
+	words *rand.Rand
+	// limits draws the rate limits of servers, apart from random for the same reason.
+	limits *rand.Rand
 	number int
 
 	store     *standin.Store
@@ -78,6 +80,7 @@
 		t: t, random: rand.New(rand.NewPCG(seed, seed)), number: number, //nolint:gosec // repeatable on purpose
 		starts: rand.New(rand.NewPCG(seed, seed+1)), //nolint:gosec // repeatable on purpose
 		words:  rand.New(rand.NewPCG(seed, seed+2)), //nolint:gosec // repeatable on purpose
+		limits: rand.New(rand.NewPCG(seed, seed+3)), //nolint:gosec // repeatable on purpose
 		store:  standin.NewStore(), origin: standin.NewOrigin(pieces, pieceSize), version: 1, config: 1,
 	}
 	t.Cleanup(w.close)
