fix: keep a server's rate limit when the entry of an already running start is listed late

User impact: none reported. A server that restarts while the store is unavailable and advertises a rate limit is known by its earlier start. When the entry of the new start was listed, all boxes dropped the limit at once, and each continued without it until the next answer.

Cause: an answer does not carry the incarnation of the server, and the limit was recorded for the start that was known.

Change: the limit also applies to a start that had been running for 2 s when the answer arrived, as departures already do. The check moves from there to fleet.WasRunning. A late answer attributed to an earlier start than the latest known one is ignored, unless another box passes it on.

Known failure: rests have the same fault. It predates this work and is not fixed here.

Departures and rate limits now attribute answers to starts in the same way; rests do not yet.

--- a/internal/direct/departures.go
+++ b/internal/direct/departures.go
@@ -30,14 +30,9 @@
 	number uint64
 }
 
-// startCertain is for how long a start of a server must have been there when an answer was heard for the word to
-// be its own, if only an earlier start was known then: the answer does not say of which start it is, and times of
-// day on two boxes differ, or jump, by up to about two seconds. Entries do not tell of starts while the store is away.
-const startCertain = 2 * time.Second
-
 // isOf reports whether the word was given by a start of the server, or by a later one.
 func (d *departure) isOf(start member.Incarnation) bool {
-	return start <= d.incarnation || !d.heard.IsZero() && start <= member.Incarnation(max(0, d.heard.Add(-startCertain).UnixMilli()))
+	return start <= d.incarnation || fleet.WasRunning(start, d.heard)
 }
 
 // departures are the servers that have said in their answers that they will end.
--- a/internal/direct/ratelimits.go
+++ b/internal/direct/ratelimits.go
@@ -92,9 +92,11 @@
 	return max(a.PerSecond, b.PerSecond)*(1-limitTolerance) <= min(a.PerSecond, b.PerSecond)
 }
 
-// limitOf returns the limit of a server unless it belongs to an earlier incarnation than its entry or started.
+// limitOf returns the limit of a server. A limit recorded for an earlier incarnation than its entry or started applies only if the
+// later incarnation was already running when the limit was heard.
 func (r *rateLimits) limitOf(server *fleet.Server, started member.Incarnation) fleet.RateLimit {
-	if known := r.byServer[server.ID]; known != nil && known.incarnation >= max(server.Incarnation, started) {
+	known, start := r.byServer[server.ID], max(server.Incarnation, started)
+	if known != nil && (start <= known.incarnation || fleet.WasRunning(start, known.heard)) {
 		return known.limit
 	}
 	return fleet.RateLimit{}
@@ -118,10 +120,13 @@
 }
 
 // HearRateLimit records the rate limit in an answer that has just arrived, and reports whether it has changed. Sent is when the
-// request was sent, or zero if unknown.
+// request was sent, or zero if unknown. Answers to requests sent to an earlier start than the latest known one are ignored.
 func (f *Facts) HearRateLimit(server fleet.ServerID, start member.Incarnation, limit fleet.RateLimit, sent time.Time, from string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if start < f.latestStart(server) {
+		return false
+	}
 	if !f.takeRateLimit(server, observedRateLimit{incarnation: start, limit: limit, sent: sent, heard: f.clock.Now()}, from) {
 		return false
 	}
@@ -129,6 +134,11 @@
 	return true
 }
 
+// latestStart returns the latest known start of a server. The lock must be held.
+func (f *Facts) latestStart(server fleet.ServerID) member.Incarnation {
+	return max(f.servers[server].Incarnation, f.departures.starts[server])
+}
+
 // LearnRateLimits records the rate limits that another entry box reports.
 func (f *Facts) LearnRateLimits(told []*wire.RateLimit, from string) {
 	if len(told) == 0 {
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -335,3 +335,14 @@
 	// Pace is above 1 when the server is slow; 0 if it does not say.
 	Pace float64
 }
+
+// startUncertainty is the minimum time between a start of a server and an answer for the answer to be attributed to that start. It
+// covers the difference between the clocks of two boxes and clock jumps, which reach about two seconds.
+const startUncertainty = 2 * time.Second
+
+// WasRunning reports whether a start of a server began at least startUncertainty before an answer of the server was heard. Answers
+// do not carry an incarnation, and while the store is unavailable entries do not report new starts, so an answer may be from a later
+// start than the one known at the time. It returns false if heard is zero.
+func WasRunning(start member.Incarnation, heard time.Time) bool {
+	return !heard.IsZero() && start <= member.Incarnation(max(0, heard.Add(-startUncertainty).UnixMilli()))
+}
--- a/pkg/route/rest_test.go
+++ b/pkg/route/rest_test.go
@@ -204,3 +204,25 @@
 	require.NoError(t, err)
 	require.NotNil(t, waiting)
 }
+
+// Guards against ending the rest of a server when its current start is listed only after the answer that asked for rest.
+func TestARestHoldsForAStartThatWasRunningWhenItWasAsked(t *testing.T) {
+	for name, test := range map[string]struct {
+		startedBefore time.Duration
+		rests         bool
+	}{
+		"started 2.1 s before the answer": {2100 * time.Millisecond, true},
+		"started 1.9 s before the answer": {1900 * time.Millisecond, false},
+		"started after the answer":        {-100 * time.Millisecond, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newRestWorld(t, plain("a", 1))
+			w.now = time.Unix(1000, 0)
+			asked := w.now
+			w.turnAway(w.place(), 3*time.Second)
+			w.now = w.now.Add(time.Second)
+			w.list(plain("a", member.Incarnation(asked.Add(-test.startedBefore).UnixMilli())))
+			require.Equal(t, test.rests, !w.d.anyEligible(w.now))
+		})
+	}
+}
