refactor(test): define the request allowance of rate-limited servers in one place

Cause: the rule that a server may receive 1.5 times what its limit allows in 4 s, plus 5 requests, and the loop over sliding windows were implemented three times: in the scenarios, the model and the soak. Change: package ratewindow contains both. Each caller keeps its own bounds, grace periods and selection of the requests that count.

--- a/internal/direct/limit_test.go
+++ b/internal/direct/limit_test.go
@@ -8,16 +8,14 @@
 	"sync"
 	"time"
 
+	"github.com/cinderslip/cinderslip/internal/ratewindow"
 	"github.com/cinderslip/cinderslip/platform/standin"
 )
 
-// In any limitWindow, a server that advertises a rate limit must not receive more than limitFactor times what the limit allows plus
-// limitBurst requests. Only requests from boxes that passed on an answer with the limit at least limitNotice before are counted, and
-// only windows that end at least limitGrace after the limit was first advertised are checked.
+// In any ratewindow.Window, a server that advertises a rate limit must not receive more than ratewindow.Allowed requests. Only requests
+// from boxes that passed on an answer with the limit at least limitNotice before are counted, and only windows that end at least
+// limitGrace after the limit was first advertised are checked.
 const (
-	limitWindow = 4 * time.Second
-	limitFactor = 1.5
-	limitBurst  = 5
 	limitNotice = 500 * time.Millisecond
 	limitGrace  = 3 * time.Second
 )
@@ -106,7 +104,7 @@
 	if err != nil {
 		return fmt.Errorf("%s: %w", args[0], err)
 	}
-	w.t.Logf("%s: at most %d counted requests in %v", args[0], most, limitWindow)
+	w.t.Logf("%s: at most %d counted requests in %v", args[0], most, ratewindow.Window)
 	return w.usesLimit(args[0], visits, args[1], args[2])
 }
 
@@ -123,23 +121,22 @@
 // withinLimit checks each window of the counted visits that ends at or after from, against the highest limit that was advertised in
 // the window or in limitGrace before it. It returns the largest number of visits in a window.
 func withinLimit(counted, all []standin.Visit, from time.Time) (most int, err error) {
-	for first, last := 0, 0; last < len(counted); last++ {
-		end := counted[last].At
-		for end.Sub(counted[first].At) >= limitWindow {
-			first++
-		}
-		if end.Before(from) {
-			continue
+	arrivals := make([]time.Time, 0, len(counted))
+	for _, visit := range counted {
+		arrivals = append(arrivals, visit.At)
+	}
+	ratewindow.Each(arrivals, func(end time.Time, count int) {
+		if err != nil || end.Before(from) {
+			return
 		}
-		highest := highestLimit(all, end.Add(-limitWindow-limitGrace), end)
-		most = max(most, last-first+1)
-		got, allowed := last-first+1, limitFactor*limitWindow.Seconds()*highest+limitBurst
-		if float64(got) > allowed {
-			return most, fmt.Errorf("advertised a limit of %v per second and received %d requests in %v, want at most %v",
-				highest, got, limitWindow, allowed)
+		highest := highestLimit(all, end.Add(-ratewindow.Window-limitGrace), end)
+		most = max(most, count)
+		if allowed := ratewindow.Allowed(highest); float64(count) > allowed {
+			err = fmt.Errorf("advertised a limit of %v per second and received %d requests in %v, want at most %v",
+				highest, count, ratewindow.Window, allowed)
 		}
-	}
-	return most, nil
+	})
+	return most, err
 }
 
 func highestLimit(visits []standin.Visit, from, to time.Time) float64 {
--- a/internal/lab/limit.go
+++ b/internal/lab/limit.go
@@ -4,16 +4,13 @@
 	"math"
 	"time"
 
+	"github.com/cinderslip/cinderslip/internal/ratewindow"
 	"github.com/cinderslip/cinderslip/pkg/fleet"
 )
 
-// In any limitWindow, a server with a rate limit must not receive more than limitFactor times what the limit allows plus limitBurst
-// requests from all entry boxes that have known of the limit for limitNotice. Windows that end less than limitGrace after the limit
-// was set are not checked.
+// In any ratewindow.Window, a server with a rate limit must not receive more than ratewindow.Allowed requests from all entry boxes that
+// have known of the limit for limitNotice. Windows that end less than limitGrace after the limit was set are not checked.
 const (
-	limitWindow = 4 * time.Second
-	limitFactor = 1.5
-	limitBurst  = 5
 	limitNotice = 500 * time.Millisecond
 	limitGrace  = 3 * time.Second
 )
@@ -49,16 +46,11 @@
 func (e *engine) clearLimit(result *Result) {
 	l := e.limited
 	e.limited = nil
-	allowed := limitFactor*limitWindow.Seconds()*l.perSecond + limitBurst
-	first := 0
-	for last, at := range l.counted {
-		for at.Sub(l.counted[first]) >= limitWindow {
-			first++
+	ratewindow.Each(l.counted, func(end time.Time, count int) {
+		if end.Sub(l.from) >= limitGrace {
+			result.LimitExcess = max(result.LimitExcess, float64(count)-ratewindow.Allowed(l.perSecond))
 		}
-		if at.Sub(l.from) >= limitGrace {
-			result.LimitExcess = max(result.LimitExcess, float64(last-first+1)-allowed)
-		}
-	}
+	})
 	used := 0
 	for _, at := range l.arrivals {
 		if at.Sub(l.from) >= limitGrace {
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -68,7 +68,7 @@
 	// half a second or more after such a server had asked their box for rest, and before that was over.
 	TurnedAway, WithinRest int
 	// LimitExcess is the largest number of requests above the allowed number that a server with a rate limit received in a
-	// limitWindow; 0 if none did. LimitUsed is the utilization of each rate limit.
+	// ratewindow.Window; 0 if none did. LimitUsed is the utilization of each rate limit.
 	LimitExcess float64
 	LimitUsed   []float64
 }
--- /dev/null
+++ b/internal/ratewindow/ratewindow.go
@@ -0,0 +1,35 @@
+// Package ratewindow counts the requests to a rate-limited server in sliding time windows and defines how many are allowed. It is for
+// tests and models.
+//
+// # Usage
+//
+//	ratewindow.Each(arrivals, func(end time.Time, count int) {
+//		if float64(count) > ratewindow.Allowed(limit) { ... }
+//	})
+package ratewindow
+
+import "time"
+
+// In any Window, a server may receive burstFactor times the requests that its rate limit allows, plus extraRequests.
+const (
+	Window        = 4 * time.Second
+	burstFactor   = 1.5
+	extraRequests = 5
+)
+
+// Allowed returns the largest number of requests that a server with the given rate limit may receive in a Window.
+func Allowed(perSecond float64) float64 {
+	return burstFactor*Window.Seconds()*perSecond + extraRequests
+}
+
+// Each calls fn for each event, in order, with the event's time and the number of events up to it that are less than a Window older.
+// The events must be sorted by time.
+func Each(events []time.Time, fn func(end time.Time, count int)) {
+	first := 0
+	for last, end := range events {
+		for end.Sub(events[first]) >= Window {
+			first++
+		}
+		fn(end, last-first+1)
+	}
+}
--- a/internal/soak/limits_test.go
+++ b/internal/soak/limits_test.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cinderslip/cinderslip/internal/ratewindow"
 	"github.com/cinderslip/cinderslip/platform/standin"
 )
 
@@ -18,10 +19,6 @@
 	limitEvery = time.Second
 	// faultFreeLimitTime is how long servers have a limit after all faults have ended.
 	faultFreeLimitTime = 6 * time.Second
-	// In any limitWindow, a server may get limitFactor times the requests that its limit allows, plus limitExtraRequests.
-	limitWindow        = 4 * time.Second
-	limitFactor        = 1.5
-	limitExtraRequests = 5
 	// limitEffectDelay is the time from when a box first passes on a limit until its requests are counted.
 	limitEffectDelay = 500 * time.Millisecond
 	// limitGrace is how long after the first answer with a limit no excess is reported. Limits that were in answers within this time
@@ -90,7 +87,7 @@
 
 // exceededLimit checks consecutive visits to one start of a server that were all answered with a valid limit, and reports the first
 // window with too many requests. The lock must be held.
-func (l *load) exceededLimit(server string, limited []standin.Visit) []string {
+func (l *load) exceededLimit(server string, limited []standin.Visit) (findings []string) {
 	knownSince := make(map[string]time.Time)
 	for _, visit := range limited {
 		heard, entry := l.limitHeard[visit.Request], l.asks[visit.Request].entry
@@ -107,22 +104,28 @@
 		}
 	}
 	slices.SortFunc(counted, time.Time.Compare)
-	for first, last := 0, 0; last < len(counted); last++ {
-		for counted[last].Sub(counted[first]) >= limitWindow {
-			first++
+	ratewindow.Each(counted, func(end time.Time, count int) {
+		if len(findings) > 0 || end.Sub(limited[0].At) < limitGrace {
+			return
 		}
-		highest := 0.0
-		for i := range limited {
-			if age := counted[last].Sub(limited[i].At); age < limitWindow+limitGrace && age > -limitGrace {
-				limit, _ := parseLimit(&limited[i])
-				highest = max(highest, limit)
-			}
+		highest := highestLimit(limited, end)
+		if allowed := ratewindow.Allowed(highest); float64(count) > allowed {
+			findings = append(findings, fmt.Sprintf("%s has a limit of %v requests per second and got %d in %s, want %v at most",
+				server, highest, count, ratewindow.Window, allowed))
 		}
-		got, allowed := last-first+1, limitFactor*limitWindow.Seconds()*highest+limitExtraRequests
-		if float64(got) > allowed && counted[last].Sub(limited[0].At) >= limitGrace {
-			return []string{fmt.Sprintf("%s has a limit of %v requests per second and got %d in %s, want %v at most",
-				server, highest, got, limitWindow, allowed)}
+	})
+	return findings
+}
+
+// highestLimit returns the highest limit that applies to the window that ends at end. Limits apply from limitGrace before the window
+// to limitGrace after it.
+func highestLimit(limited []standin.Visit, end time.Time) float64 {
+	highest := 0.0
+	for i := range limited {
+		if age := end.Sub(limited[i].At); age < ratewindow.Window+limitGrace && age > -limitGrace {
+			limit, _ := parseLimit(&limited[i])
+			highest = max(highest, limit)
 		}
 	}
-	return nil
+	return highest
 }
