feat(direct): list the servers that each box knows, and compare boxes

cause: requests reached servers that had left the list. The logs tell neither which servers a box lists, nor from whom it has an entry, nor that an entry arrives although the box counts as complete beyond its revision; entries in batches of more than 16 are not logged at all, which is every entry that a starting box receives.

change: /servers on the metrics address, the command `servers` with a comparison of boxes, a warning for an entry at a revision that counted as known, and the metric believed_complete_revision. No decision changes.

--- a/cmd/cinderslip/run.go
+++ b/cmd/cinderslip/run.go
@@ -160,6 +160,7 @@
 		{"status", "Show the current table and plan", &status{}},
 		{"boxes", "Show the boxes", &boxes{}},
 		{"rollout", "Show the progress of versions on their boxes", &rollout{}},
+		{"servers", "Show the backend servers that boxes list, and compare the lists; --server is the metrics address of a box", &servers{}},
 		{"limits", "Show the backend servers with a rate limit; --server is the metrics address of an entry box", &limits{}},
 		{"resolve", "Show the entry boxes that the directory returns to a caller", &resolve{}},
 		{"explain", "Explain from collected logs how a request ended", &explain{}},
--- a/internal/direct/fleetstate.go
+++ b/internal/direct/fleetstate.go
@@ -132,6 +132,11 @@
 func (f *FleetState) Watermarks() Watermarks {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.watermarks()
+}
+
+// watermarks is Watermarks with the lock held.
+func (f *FleetState) watermarks() Watermarks {
 	complete := min(f.newest, f.complete)
 	for _, revision := range f.deferred {
 		complete = min(complete, revision-1)
@@ -144,6 +149,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.complete = max(f.complete, revision)
+	f.metrics.observeView(f.View(), f.watermarks(), len(f.deferred))
 }
 
 // StoreResponseAge returns the time since the store's last response, or a negative value if there was none.
@@ -236,7 +242,7 @@
 			delete(f.deferred, facts[i].Key)
 		}
 	}
-	f.metrics.observeView(f.View(), f.newest, len(f.deferred))
+	f.metrics.observeView(f.View(), f.watermarks(), len(f.deferred))
 }
 
 // impliedDeletions returns deletions of the known facts that are missing from a snapshot of the store.
@@ -337,7 +343,7 @@
 // setView replaces the current view. The lock must be held.
 func (f *FleetState) setView(view *fleet.View) {
 	f.view.Store(view)
-	f.metrics.observeView(view, f.newest, len(f.deferred))
+	f.metrics.observeView(view, f.watermarks(), len(f.deferred))
 	close(f.changed)
 	f.changed = make(chan struct{})
 }
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -41,9 +41,10 @@
 	logDropped  prometheus.Counter
 	chunks      *prometheus.CounterVec
 	orders      *prometheus.CounterVec
-	// configuration, revision and deferredDeletions describe the process's current view of the fleet.
+	// configuration, revision, complete and deferredDeletions describe the process's current view of the fleet.
 	configuration     prometheus.Gauge
 	revision          prometheus.Gauge
+	complete          prometheus.Gauge
 	deferredDeletions prometheus.Gauge
 }
 
@@ -76,20 +77,22 @@
 
 		configuration:     metric.Gauge("believed_configuration_version", "Version of the operators' configuration that is in force here."),
 		revision:          metric.Gauge("believed_revision", "Newest revision of the platform's store that is known here."),
+		complete:          metric.Gauge("believed_complete_revision", "Revision of the platform's store up to which every change is known here."),
 		deferredDeletions: metric.Gauge("believed_held_deletions", "Deletions of servers' entries that are held back after an outage of the store."),
 	}
 	m.registry.MustRegister(m.requests, m.requestSeconds, m.ttfb, m.attempts, m.serverSignals, m.suspects, m.waiting, m.limitedServers,
 		m.limitRefusals, m.unclaimed, m.connections, m.storeCalls, m.logDropped, m.chunks, m.orders,
-		m.configuration, m.revision, m.deferredDeletions, collectors.NewGoCollector())
+		m.configuration, m.revision, m.complete, m.deferredDeletions, collectors.NewGoCollector())
 	return m
 }
 
 // observeView sets the metrics of the process's current view of the fleet.
-func (m *Metrics) observeView(view *fleet.View, revision fleet.Revision, deferred int) {
+func (m *Metrics) observeView(view *fleet.View, known Watermarks, deferred int) {
 	if view.Configuration != nil {
 		m.configuration.Set(float64(view.Configuration.Version))
 	}
-	m.revision.Set(float64(revision))
+	m.revision.Set(float64(known.Newest))
+	m.complete.Set(float64(known.Complete))
 	m.deferredDeletions.Set(float64(deferred))
 }
 
@@ -153,14 +156,15 @@
 // maxInternalHeaderBytes bounds the request headers, in bytes, of services other than the caller server.
 const maxInternalHeaderBytes = 8 << 10
 
-// startMetrics serves the metrics and, on entry boxes, the quarantined requests and the rate limits of backend
-// servers. The process works without this service, so a failure to listen is only logged.
+// startMetrics serves the metrics, the list of backend servers and, on entry boxes, the quarantined requests and the
+// rate limits of backend servers. The process works without this service, so a failure to listen is only logged.
 func (p *Process) startMetrics() error {
 	router := newRouter()
 	if p.callerServer != nil {
 		p.suspects.serveQuarantine(router)
 		p.callerServer.serveRateLimits(router)
 	}
+	p.fleetState.serveServers(router, p.box())
 	router.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(p.metrics.registry, promhttp.HandlerOpts{})))
 	service, err := p.serveHTTP("metrics", p.settings.Listen.Metrics, router, maxInternalHeaderBytes)
 	if err != nil {
--- a/internal/direct/serverentry.go
+++ b/internal/direct/serverentry.go
@@ -15,6 +15,10 @@
 type serverEntry struct {
 	fleet.Server
 	revision fleet.Revision
+	// from is the store or the process from which this revision was received, listedAt when the server was added
+	// to the list.
+	from     string
+	listedAt time.Time
 }
 
 func (f *FleetState) applyServer(fact *fleet.Fact, from string, log *zerolog.Logger) {
@@ -31,7 +35,15 @@
 				Bool("leaving", fact.Server.Leaving).Uint64("incarnation", uint64(fact.Server.Incarnation)).
 				Uint64("revision", uint64(fact.Revision)).Str("from", from).Msg("server listed")
 		}
-		f.servers[id] = serverEntry{*fact.Server, fact.Revision}
+		if !isKnown && fact.Revision <= f.complete {
+			f.log.Warn().Str("server", string(id)).Uint64("revision", uint64(fact.Revision)).Uint64("complete", uint64(f.complete)).
+				Str("from", from).Msg("server listed at a revision that counted as known")
+		}
+		listedAt := known.listedAt
+		if !isKnown {
+			listedAt = f.clock.Now()
+		}
+		f.servers[id] = serverEntry{*fact.Server, fact.Revision, from, listedAt}
 		if fact.Server.Incarnation >= f.departures.incarnations[id] {
 			delete(f.departures.incarnations, id)
 		}
