fix(direct): drop servers that were deleted before the box that reports on them started

cause: requests reached servers later than the bound after the store had acknowledged that they are gone. A box that pulled from one without the tombstone kept the entry and took over the watermark 'every change is known', after which it was behind nobody. Agents kept what the entry box that they followed before had. Ruled out for these: a slow chain, a deferred deletion (the tests have no delays and no outage).

An item of a server at a revision that counts as complete and that is not held is outdated and is not taken, whoever sends it. A receiver that is complete below the sender's floor gets the keys that the sender holds with the changes, and deletes what it holds beside them; only then does it count as complete. Tombstones are bounded (4096), as discarding them raises the floor. A deferred deletion holds completeness back.

Not yet measured: bytes on the wire.

--- a/internal/direct/entryfollower.go
+++ b/internal/direct/entryfollower.go
@@ -138,7 +138,7 @@
 	_, _ = followStream(followCtx, f.fleetState.clock, f.peers, f.fleetState.log, &peerStream[*wire.FactsBatch]{
 		dependency: "entry", address: member.Address(entry),
 		open: func(ctx context.Context, client wire.DRPCFleetClient) (func() (*wire.FactsBatch, error), error) {
-			stream, err := client.Facts(ctx, &wire.FactsRequest{Box: f.self, Region: f.region, ServicesOnly: true})
+			stream, err := client.Facts(ctx, &wire.FactsRequest{Box: f.self, Region: f.region, ServicesOnly: true, Complete: uint64(f.fleetState.complete())})
 			if err != nil {
 				return nil, err
 			}
@@ -153,7 +153,7 @@
 func (f *entryFollower) applyBatch(batch *wire.FactsBatch, entry string, isMoving bool) {
 	// Ages are merged before facts, because a version without an age gets the assumed age.
 	f.fleetState.MergeVersionAges(agesFromWire(batch.Ages), entry)
-	f.fleetState.ApplyItems(itemsFromWire(batch.Items), entry)
+	f.fleetState.ApplyTransfer(transferFromWire(batch), entry)
 	f.fleetState.MergeDepartures(departuresFromWire(batch.Departures), entry)
 	f.suspects.MergeEvidence(evidenceFromWire(batch.Evidence, f.fleetState.clock.Now()), entry)
 	if len(batch.Entries) > 0 && !isMoving {
--- a/internal/direct/fleetstate.go
+++ b/internal/direct/fleetstate.go
@@ -42,14 +42,18 @@
 	return max(minAssumedAge, bound-settle)
 }
 
+// isServerKey reports whether a key is that of a server's entry. Only those are deleted in the store.
+func isServerKey(key string) bool { return strings.HasPrefix(key, fleet.ServerKey("")) }
+
 // FleetState merges the facts of the platform's store and the state reported by other processes.
 type FleetState struct {
 	clock   clockwork.Clock
 	log     zerolog.Logger
 	metrics *Metrics
-	store   *state.Store
-	view    atomic.Pointer[fleet.View]
-	tasks   *kernel.TaskGroup
+	// mirror holds the facts of the platform's store.
+	mirror *state.Mirror
+	view   atomic.Pointer[fleet.View]
+	tasks  *kernel.TaskGroup
 	// assumedAge is the age assumed for versions of weights that were published before the process started.
 	assumedAge time.Duration
 
@@ -64,11 +68,8 @@
 	published  map[fleet.ModelName]fleet.PublishedVersions
 	// ageChanges counts the new versions and the corrected ages.
 	ageChanges int
-	// newest is the newest revision of any fact. complete is the revision up to which all facts were read,
-	// including deferred ones.
-	newest, complete fleet.Revision
-	// deferred are the revisions of the deferred deletions, by key.
-	deferred map[string]fleet.Revision
+	// newest is the newest revision of any fact.
+	newest fleet.Revision
 	// unreadableEntries are the errors of the entries that could not be read, by key.
 	unreadableEntries map[string]string
 	// unconfigured are the services that have entries but are not in the configuration.
@@ -87,11 +88,10 @@
 func NewFleetState(clock clockwork.Clock, log zerolog.Logger, metrics *Metrics) *FleetState {
 	f := &FleetState{
 		clock: clock, log: log, metrics: metrics, assumedAge: minAssumedAge,
-		store: state.NewStore(rand.Uint64()), tasks: kernel.NewTaskGroup(),
+		mirror: state.NewMirror(rand.Uint64(), isServerKey), tasks: kernel.NewTaskGroup(),
 		changed: make(chan struct{}),
 		servers: make(map[fleet.ServerID]serverEntry), departures: newDepartures(), rateLimits: newRateLimits(),
 		published:         make(map[fleet.ModelName]fleet.PublishedVersions),
-		deferred:          make(map[string]fleet.Revision),
 		unreadableEntries: make(map[string]string), unconfigured: make(map[member.Service]bool),
 	}
 	f.view.Store(fleet.EmptyView())
@@ -123,11 +123,6 @@
 	Complete fleet.Revision
 }
 
-// isBehind reports whether another process knows a change that this one does not know.
-func (w Watermarks) isBehind(other Watermarks) bool {
-	return other.Newest > w.Newest || other.Complete > w.Complete
-}
-
 // Watermarks returns the revisions up to which the changes of the platform's store are known.
 func (f *FleetState) Watermarks() Watermarks {
 	f.mu.Lock()
@@ -137,21 +132,31 @@
 
 // watermarks is Watermarks with the lock held.
 func (f *FleetState) watermarks() Watermarks {
-	complete := min(f.newest, f.complete)
-	for _, revision := range f.deferred {
-		complete = min(complete, revision-1)
-	}
-	return Watermarks{Newest: f.newest, Complete: complete}
+	return Watermarks{Newest: f.newest, Complete: min(f.newest, f.complete())}
 }
 
-// MarkComplete records that every change up to a revision was read.
-func (f *FleetState) MarkComplete(revision fleet.Revision) {
+// position is how far a process has the changes of the platform's store.
+type position struct {
+	// received is the revision up to which everything is known or was received, complete the one up to which
+	// everything is known.
+	received, complete fleet.Revision
+}
+
+// position returns how far this process has the changes of the store.
+func (f *FleetState) position() position {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.complete = max(f.complete, revision)
-	f.metrics.observeView(f.View(), f.watermarks(), len(f.deferred))
+	return position{received: max(f.newest, fleet.Revision(f.mirror.Received())), complete: f.complete()}
+}
+
+// isBehind reports whether another process knows a change that this one does not know.
+func (p position) isBehind(other Watermarks) bool {
+	return other.Newest > p.received || other.Complete > p.complete
 }
 
+// complete returns the revision up to which every change is known, even if there is no fact of that revision.
+func (f *FleetState) complete() fleet.Revision { return fleet.Revision(f.mirror.Complete()) }
+
 // StoreResponseAge returns the time since the store's last response, or a negative value if there was none.
 func (f *FleetState) StoreResponseAge() time.Duration {
 	f.mu.Lock()
@@ -204,65 +209,63 @@
 	}
 }
 
-// deferExpired removes deletions of servers' entries that may have expired during an outage of the store, and
-// applies them after expiryDeferral. An entry that is written again by then is newer and outlives its deletion.
-func (f *FleetState) deferExpired(facts []fleet.Fact) []fleet.Fact {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+// shouldDefer reports whether the deletion of a server's entry is deferred, because the entry may have expired during an
+// outage of the store. An entry that is written again by the end of expiryDeferral is newer and outlives its deletion.
+// The lock must be held.
+func (f *FleetState) shouldDefer(deletion, _ state.Item) bool {
 	if f.recoveredAt.IsZero() || f.clock.Since(f.recoveredAt) >= expiryDeferralWindow {
-		return facts
+		return false
 	}
-	var immediate, deferred []fleet.Fact
-	for _, fact := range facts {
-		id := fleet.ServerID(strings.TrimPrefix(fact.Key, fleet.ServerKey("")))
-		if server, known := f.servers[id]; fact.Deleted && known && !server.Leaving && server.revision < fact.Revision {
-			deferred = append(deferred, fact)
-			f.deferred[fact.Key] = fact.Revision
-			f.log.Info().Str("server", string(id)).Uint64("revision", uint64(fact.Revision)).
-				Dur("hold_ms", expiryDeferral).Msg("server's entry went while the store was away, held")
-			continue
-		}
-		immediate = append(immediate, fact)
+	id := fleet.ServerID(strings.TrimPrefix(deletion.Key, fleet.ServerKey("")))
+	if server, known := f.servers[id]; !known || server.Leaving {
+		return false
 	}
-	if len(deferred) > 0 {
-		f.clock.AfterFunc(expiryDeferral, func() {
-			f.Apply(deferred, "store")
-			f.clearDeferred(deferred)
-		})
-	}
-	return immediate
+	f.log.Info().Str("server", string(id)).Uint64("revision", deletion.Version.Major).Dur("hold_ms", expiryDeferral).
+		Msg("server's entry went while the store was away, held")
+	return true
 }
 
-// clearDeferred ends the deferral of deletions.
-func (f *FleetState) clearDeferred(facts []fleet.Fact) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for i := range facts {
-		if f.deferred[facts[i].Key] == facts[i].Revision {
-			delete(f.deferred, facts[i].Key)
-		}
+// applyLater applies deferred deletions after expiryDeferral.
+func (f *FleetState) applyLater(deferred []state.Item) {
+	if len(deferred) > 0 {
+		f.clock.AfterFunc(expiryDeferral, func() { f.merge(f.mirrorMerge(deferred), "store", true) })
 	}
-	f.metrics.observeView(f.View(), f.watermarks(), len(f.deferred))
 }
 
-// impliedDeletions returns deletions of the known facts that are missing from a snapshot of the store.
-func (f *FleetState) impliedDeletions(snapshot provider.FactBatch) []fleet.Fact {
-	present := make(map[string]bool, len(snapshot.Facts))
-	for i := range snapshot.Facts {
-		present[snapshot.Facts[i].Key] = true
-	}
-	var deleted []fleet.Fact
-	for _, item := range f.store.Prefix("") {
-		if !present[item.Key] && !item.Deleted {
-			deleted = append(deleted, fleet.Fact{Key: item.Key, Revision: snapshot.Revision, Deleted: true})
-		}
-	}
-	return deleted
+// mergeFunc merges items into the mirror. It returns the applied items, and the deletions to apply later.
+type mergeFunc func() (applied, deferred []state.Item)
+
+func (f *FleetState) mirrorMerge(items []state.Item) mergeFunc {
+	return func() (applied, deferred []state.Item) { return f.mirror.Merge(items), nil }
 }
 
 // Apply merges facts that were read from the store when they were written. Facts older than the known ones change
 // nothing.
-func (f *FleetState) Apply(facts []fleet.Fact, from string) { f.merge(f.itemsOf(facts), from, true) }
+func (f *FleetState) Apply(facts []fleet.Fact, from string) {
+	f.merge(f.mirrorMerge(f.itemsOf(facts)), from, true)
+}
+
+// ApplyChanges merges every change of the store after a revision. isFirst is set for the first read of the process:
+// its facts may have been written at any earlier time, even if another process has already reported a configuration.
+func (f *FleetState) ApplyChanges(batch *provider.FactBatch, after fleet.Revision, isFirst bool) {
+	items := f.itemsOf(batch.Facts)
+	f.merge(func() (applied, deferred []state.Item) {
+		return f.mirror.MergeChanges(items, uint64(after), uint64(batch.Revision), f.shouldDefer)
+	}, "store", !isFirst)
+}
+
+// ApplySnapshot merges a snapshot of the store and deletes the servers that it lacks. For isFirst see ApplyChanges.
+func (f *FleetState) ApplySnapshot(batch *provider.FactBatch, isFirst bool) {
+	items := f.itemsOf(batch.Facts)
+	f.merge(func() (applied, deferred []state.Item) {
+		return f.mirror.MergeSnapshot(items, uint64(batch.Revision), f.shouldDefer)
+	}, "store", !isFirst)
+}
+
+// ApplyTransfer merges facts that another process sent.
+func (f *FleetState) ApplyTransfer(transfer *state.Transfer, from string) {
+	f.merge(func() (applied, deferred []state.Item) { return f.mirror.MergeTransfer(transfer, f.shouldDefer) }, from, false)
+}
 
 // itemsOf returns facts in their replicated form. It logs and skips facts that cannot be encoded.
 func (f *FleetState) itemsOf(facts []fleet.Fact) []state.Item {
@@ -278,27 +281,30 @@
 	return items
 }
 
-// ApplyInitial merges the facts of the first read of the store. These may have been written at any earlier time,
-// even if another process has already reported a configuration.
-func (f *FleetState) ApplyInitial(facts []fleet.Fact, from string) {
-	f.merge(f.itemsOf(facts), from, false)
+// ApplyItems merges facts in their replicated form, as another process reports them.
+func (f *FleetState) ApplyItems(items []state.Item, from string) {
+	f.merge(f.mirrorMerge(items), from, false)
 }
 
 // maxItemsLogged is the number of servers' entries in one batch up to which each is logged. A process that starts
 // receives thousands at once, and so does each of thousands of processes.
 const maxItemsLogged = 16
 
-// ApplyItems merges facts in their replicated form, as another process reports them.
-func (f *FleetState) ApplyItems(items []state.Item, from string) { f.merge(items, from, false) }
-
 // merge merges facts. observed is set if they were read from the store when they were written.
-func (f *FleetState) merge(items []state.Item, from string, observed bool) {
-	// The lock is held from the update of the store to that of the view, so that both apply facts in the same
+func (f *FleetState) merge(merge mergeFunc, from string, observed bool) {
+	// The lock is held from the update of the mirror to that of the view, so that both apply facts in the same
 	// order. Otherwise the older of two concurrent entries could stay in the view permanently.
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	applied := f.store.Apply(items, state.OriginLocal)
+	outdated := f.mirror.Outdated()
+	applied, deferred := merge()
+	if outdated = f.mirror.Outdated() - outdated; outdated > 0 {
+		f.metrics.outdatedEntries.Add(float64(outdated))
+		f.log.Info().Uint64("entries", outdated).Uint64("complete", uint64(f.complete())).Str("from", from).Msg("outdated entries of servers not taken")
+	}
+	f.applyLater(deferred)
 	if len(applied) == 0 {
+		f.metrics.observeView(f.View(), f.watermarks(), f.mirror.DeferredCount())
 		return
 	}
 	log := f.log
@@ -311,7 +317,6 @@
 	observed = observed && view.Configuration != nil
 	serversChanged, versionsChanged := false, false
 	for _, item := range applied {
-		delete(f.deferred, item.Key)
 		f.newest = max(f.newest, fleet.Revision(item.Version.Major))
 		fact, err := fleet.ParseFact(item)
 		if err != nil {
@@ -323,7 +328,7 @@
 			view = f.applyConfiguration(view, &fact, from)
 			// The configuration decides which services' servers are in the view.
 			serversChanged = true
-		case strings.HasPrefix(fact.Key, fleet.ServerKey("")):
+		case isServerKey(fact.Key):
 			f.applyServer(&fact, from, &log)
 			serversChanged = true
 		case strings.HasPrefix(fact.Key, fleet.DesiredKey("")):
@@ -343,7 +348,7 @@
 // setView replaces the current view. The lock must be held.
 func (f *FleetState) setView(view *fleet.View) {
 	f.view.Store(view)
-	f.metrics.observeView(view, f.watermarks(), len(f.deferred))
+	f.metrics.observeView(view, f.watermarks(), f.mirror.DeferredCount())
 	close(f.changed)
 	f.changed = make(chan struct{})
 }
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -46,6 +46,8 @@
 	revision          prometheus.Gauge
 	complete          prometheus.Gauge
 	deferredDeletions prometheus.Gauge
+	// outdatedEntries counts the entries of deleted servers that other processes sent.
+	outdatedEntries prometheus.Counter
 }
 
 // secondsBuckets are the histogram bounds in seconds, from a fast lookup to a long stream.
@@ -78,11 +80,12 @@
 		configuration:     metric.Gauge("believed_configuration_version", "Version of the operators' configuration that is in force here."),
 		revision:          metric.Gauge("believed_revision", "Newest revision of the platform's store that is known here."),
 		complete:          metric.Gauge("believed_complete_revision", "Revision of the platform's store up to which every change is known here."),
+		outdatedEntries:   metric.Counter("outdated_entries_total", "Entries of servers that other processes sent and that were deleted before."),
 		deferredDeletions: metric.Gauge("believed_held_deletions", "Deletions of servers' entries that are held back after an outage of the store."),
 	}
 	m.registry.MustRegister(m.requests, m.requestSeconds, m.ttfb, m.attempts, m.serverSignals, m.suspects, m.waiting, m.limitedServers,
 		m.limitRefusals, m.unclaimed, m.connections, m.storeCalls, m.logDropped, m.chunks, m.orders,
-		m.configuration, m.revision, m.complete, m.deferredDeletions, collectors.NewGoCollector())
+		m.configuration, m.revision, m.complete, m.deferredDeletions, m.outdatedEntries, collectors.NewGoCollector())
 	return m
 }
 
--- a/internal/direct/outage_test.go
+++ b/internal/direct/outage_test.go
@@ -221,7 +221,9 @@
 			_, behind := boxes.pickNewer(nil)
 			return behind
 		}
-		read := func() { boxes.applyBatch("reader:1", status.factsBatch(boxes.cursors["reader:1"], false)) }
+		read := func() {
+			boxes.applyBatch("reader:1", status.factsBatch(boxes.cursors["reader:1"], uint64(follower.complete()), false))
+		}
 		require.True(t, isBehind(), "the follower must pull the new configuration")
 		read()
 		require.EqualValues(t, 2, follower.View().Configuration.Version)
@@ -291,16 +293,15 @@
 	for i := range 2 * maxBatchItems {
 		facts = append(facts, listed(fleet.ServerID(rune('a'+i)), fleet.Revision(2*maxBatchItems-i)))
 	}
-	source.Apply(facts, "store")
-	source.MarkComplete(2 * maxBatchItems)
+	applySnapshot(source, 2*maxBatchItems, facts...)
 	status, follower := newTestStatusServer(source), NewFleetState(source.clock, zerolog.Nop(), NewMetrics())
 	boxes := newTestEntryBoxes(follower, status.fullStatus())
 	for range 2 {
 		_, behind := boxes.pickNewer(nil)
 		require.True(t, behind)
-		boxes.applyBatch("reader:1", status.factsBatch(boxes.cursors["reader:1"], false))
+		boxes.applyBatch("reader:1", status.factsBatch(boxes.cursors["reader:1"], uint64(follower.complete()), false))
 	}
-	boxes.applyBatch("reader:1", status.factsBatch(boxes.cursors["reader:1"], false))
+	boxes.applyBatch("reader:1", status.factsBatch(boxes.cursors["reader:1"], uint64(follower.complete()), false))
 	_, behind := boxes.pickNewer(nil)
 	require.False(t, behind)
 	require.Len(t, follower.View().Servers("llm"), 2*maxBatchItems)
@@ -313,8 +314,7 @@
 	for i := range 2*maxBatchItems + 1 {
 		facts = append(facts, listed(fleet.ServerID(rune('a'+i)), fleet.Revision(i+1)))
 	}
-	source.Apply(facts, "store")
-	source.MarkComplete(2*maxBatchItems + 1)
+	applySnapshot(source, 2*maxBatchItems+1, facts...)
 	status := newTestStatusServer(source)
 	status.done = make(chan struct{})
 	mux := drpcmux.New()
--- a/internal/direct/repair.go
+++ b/internal/direct/repair.go
@@ -8,7 +8,6 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/cinderslip/cinderslip/internal/wire"
-	"github.com/cinderslip/cinderslip/pkg/fleet"
 	"github.com/cinderslip/cinderslip/pkg/member"
 	"github.com/cinderslip/cinderslip/pkg/state"
 )
@@ -106,7 +105,7 @@
 // region. ok is false if there is none. The choice is random so that boxes that are behind do not all pull a large
 // configuration from the same box.
 func (e *EntryBoxes) pickNewer(exclude map[member.Address]bool) (source EntryBox, ok bool) {
-	own := e.fleetState.Watermarks()
+	own := e.fleetState.position()
 	var local, remote []EntryBox
 	for _, box := range e.Boxes() {
 		switch {
@@ -138,6 +137,7 @@
 		startedAt, cursor := e.clock.Now(), e.cursor(from)
 		stream, err := wire.NewDRPCFleetClient(conn).Facts(callCtx, &wire.FactsRequest{
 			Box: string(e.self.Box), Instance: cursor.Instance, Cursor: cursor.Sequence, Once: true,
+			Complete: uint64(e.fleetState.complete()),
 		})
 		if err != nil {
 			return err
@@ -170,6 +170,5 @@
 	e.mu.Unlock()
 	// Ages are merged before facts, because a version without an age gets the assumed age.
 	e.fleetState.MergeVersionAges(agesFromWire(batch.Ages), string(from))
-	e.fleetState.ApplyItems(itemsFromWire(batch.Items), string(from))
-	e.fleetState.MarkComplete(fleet.Revision(batch.Complete))
+	e.fleetState.ApplyTransfer(transferFromWire(batch), string(from))
 }
--- a/internal/direct/serverentry.go
+++ b/internal/direct/serverentry.go
@@ -35,10 +35,6 @@
 				Bool("leaving", fact.Server.Leaving).Uint64("incarnation", uint64(fact.Server.Incarnation)).
 				Uint64("revision", uint64(fact.Revision)).Str("from", from).Msg("server listed")
 		}
-		if !isKnown && fact.Revision <= f.complete {
-			f.log.Warn().Str("server", string(id)).Uint64("revision", uint64(fact.Revision)).Uint64("complete", uint64(f.complete)).
-				Str("from", from).Msg("server listed at a revision that counted as known")
-		}
 		listedAt := known.listedAt
 		if !isKnown {
 			listedAt = f.clock.Now()
--- a/internal/direct/serversapi_test.go
+++ b/internal/direct/serversapi_test.go
@@ -13,10 +13,9 @@
 
 func TestServerListNamesRevisionAndOrigin(t *testing.T) {
 	fleetState := newDeparturesState()
-	fleetState.Apply([]fleet.Fact{listed("a", 3), listed("b", 5)}, "store")
+	applySnapshot(fleetState, 6, listed("a", 3), listed("b", 5))
 	fleetState.Apply([]fleet.Fact{listed("b", 7)}, "entry-2")
 	fleetState.MergeDepartures([]fleet.Departure{{Server: "a"}}, "request 1")
-	fleetState.MarkComplete(6)
 	router, response := newRouter(), httptest.NewRecorder()
 	fleetState.serveServers(router, "self")
 	router.ServeHTTP(response, httptest.NewRequestWithContext(t.Context(), http.MethodGet, ServersPath, http.NoBody))
--- a/internal/direct/statusserver.go
+++ b/internal/direct/statusserver.go
@@ -304,13 +304,16 @@
 	ticker := s.clock.NewTicker(statusHeartbeat)
 	defer ticker.Stop()
 	entries := s.membership.SampleAddresses(member.Region(request.Region))
-	departures, suspects := uint64(0), uint64(0)
+	departures, suspects, complete := uint64(0), uint64(0), request.Complete
 	if request.EntriesOnly {
 		return stream.Send(&wire.FactsBatch{Entries: entries})
 	}
 	for {
 		changed := s.fleetState.Changed()
-		message := s.factsBatch(cursor, request.ServicesOnly)
+		message := s.factsBatch(cursor, complete, request.ServicesOnly)
+		if message.HasPresent || complete >= message.Floor {
+			complete = max(complete, message.Complete)
+		}
 		cursor = state.Cursor{Instance: message.Instance, Sequence: message.Cursor}
 		message.Entries, entries = entries, nil
 		if !request.Once {
@@ -342,21 +345,25 @@
 	}
 }
 
-// factsBatch returns a batch of the facts that have changed since a cursor, without entry box addresses.
-func (s *StatusServer) factsBatch(cursor state.Cursor, servicesOnly bool) *wire.FactsBatch {
-	// The watermarks are read before the facts, so that the facts are at least as recent.
-	watermarks := s.fleetState.Watermarks()
-	batch := s.fleetState.store.Since(cursor, maxBatchItems)
+// factsBatch returns a batch of the facts that have changed since a cursor, without entry box addresses, for a process
+// that has every change up to a revision.
+func (s *StatusServer) factsBatch(cursor state.Cursor, complete uint64, servicesOnly bool) *wire.FactsBatch {
+	transfer := s.fleetState.mirror.Transfer(cursor, maxBatchItems, complete)
 	if servicesOnly {
-		s.reduceConfiguration(batch.Items)
+		s.reduceConfiguration(transfer.Items)
 	}
-	message := &wire.FactsBatch{
-		Instance: batch.Next.Instance, Cursor: batch.Next.Sequence, Items: itemsToWire(batch.Items), Ages: agesToWire(s.fleetState.VersionAges()),
+	return &wire.FactsBatch{
+		Instance: transfer.Next.Instance, Cursor: transfer.Next.Sequence, Items: itemsToWire(transfer.Items), Ages: agesToWire(s.fleetState.VersionAges()),
+		Complete: transfer.Complete, Floor: transfer.Floor, Present: transfer.Present, HasPresent: transfer.HasPresent,
 	}
-	if len(batch.Items) < maxBatchItems {
-		message.Complete = uint64(watermarks.Complete)
+}
+
+// transferFromWire returns the facts in a batch.
+func transferFromWire(batch *wire.FactsBatch) *state.Transfer {
+	return &state.Transfer{
+		Batch:    state.Batch{Items: itemsFromWire(batch.Items), Next: state.Cursor{Instance: batch.Instance, Sequence: batch.Cursor}},
+		Complete: batch.Complete, Floor: batch.Floor, Present: batch.Present, HasPresent: batch.HasPresent,
 	}
-	return message
 }
 
 // reduceConfiguration replaces a configuration among the items by the part that a process without callers needs.
--- a/internal/direct/storereader.go
+++ b/internal/direct/storereader.go
@@ -240,13 +240,9 @@
 	}
 	f.logFindings(batch.Errors, response.snapshot)
 	if response.snapshot {
-		batch.Facts = append(batch.Facts, f.impliedDeletions(batch)...)
-	}
-	apply := f.Apply
-	if isFirst {
-		apply = f.ApplyInitial
+		f.ApplySnapshot(&batch, isFirst)
+	} else {
+		f.ApplyChanges(&batch, response.after, isFirst)
 	}
-	apply(f.deferExpired(batch.Facts), "store")
-	f.MarkComplete(batch.Revision)
 	r.after = max(r.after, batch.Revision)
 }
--- /dev/null
+++ b/pkg/state/mirror.go
@@ -0,0 +1,317 @@
+package state
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+)
+
+// Mirror holds the items of one source that numbers all its changes in a single sequence of revisions, such as a
+// key-value service. The major version of an item is the revision at which it was written. Mirrors read the source or
+// each other, in any order, and a mirror that has just started may read one that is far behind.
+//
+// Some keys are removable: a writer may delete them, and the source keeps no trace of a deleted key. A mirror therefore
+// knows more than its items:
+//
+//   - Complete is the revision up to which it has every change. A removable key that the mirror does not hold was not in
+//     the source at that revision. An item of such a key at that revision or an earlier one is outdated, whoever sends
+//     it, and is not taken.
+//   - Floor is the revision up to which it may lack tombstones, because it read a snapshot of the source or has discarded
+//     them. A mirror that is complete up to the floor needs only the changes after that. Any other one also needs the
+//     list of the keys that are present: it deletes what it holds and the list lacks.
+//
+// A Mirror is safe for concurrent use.
+//
+// # Usage
+//
+//	mirror := state.NewMirror(instance, func(key string) bool { return strings.HasPrefix(key, "server/") })
+//	applied, _ := mirror.MergeSnapshot(items, revision, nil)       // read from the source
+//	applied, _ = mirror.MergeChanges(items, after, revision, nil)  // watched at the source
+//	transfer := mirror.Transfer(cursor, 256, other.Complete())     // sent to another mirror
+//	applied = other.MergeTransfer(transfer, nil)
+type Mirror struct {
+	isRemovable func(key string) bool
+
+	mu       sync.Mutex
+	store    *Store
+	complete uint64
+	floor    uint64
+	// deferred are the deletions that are applied later, by key.
+	deferred map[string]deferredDeletion
+	// tombstones is the number of removable keys that are held as deleted, and maxTombstones its bound.
+	tombstones    int
+	maxTombstones int
+	// outdated is the number of outdated items that were not taken.
+	outdated uint64
+}
+
+// deferredDeletion is the newest deletion of a key that a mirror has received and not applied.
+type deferredDeletion struct {
+	revision uint64
+	// complete is the revision up to which the mirror had applied every change before the deletion.
+	complete uint64
+}
+
+// defaultMaxTombstones bounds the number of tombstones. The older half is discarded beyond it.
+const defaultMaxTombstones = 4096
+
+// NewMirror returns an empty mirror. Each start must use another instance. isRemovable reports whether a key may be
+// deleted at the source; a key that may not is kept until a newer version of it arrives.
+func NewMirror(instance uint64, isRemovable func(key string) bool) *Mirror {
+	return &Mirror{
+		isRemovable: isRemovable, store: NewStore(instance), deferred: make(map[string]deferredDeletion), maxTombstones: defaultMaxTombstones,
+	}
+}
+
+// Complete returns the revision up to which the mirror has every change. It does not pass a deferred deletion.
+func (m *Mirror) Complete() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.completeExceptDeferred()
+}
+
+func (m *Mirror) completeExceptDeferred() uint64 {
+	complete := m.complete
+	for _, d := range m.deferred {
+		complete = min(complete, d.complete)
+	}
+	return complete
+}
+
+// Received returns the revision up to which the mirror has every change or a deferred deletion.
+func (m *Mirror) Received() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.complete
+}
+
+// Outdated returns the number of outdated items that were not taken.
+func (m *Mirror) Outdated() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.outdated
+}
+
+// DeferredCount returns the number of deferred deletions.
+func (m *Mirror) DeferredCount() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.deferred)
+}
+
+// Lookup returns the item of a key, even if it is a tombstone.
+func (m *Mirror) Lookup(key string) (item Item, ok bool) { return m.store.Lookup(key) }
+
+// Prefix returns the items whose key starts with prefix, except deleted ones.
+func (m *Mirror) Prefix(prefix string) []Item { return m.store.Prefix(prefix) }
+
+// Tombstones returns the number of removable keys that are held as deleted.
+func (m *Mirror) Tombstones() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.tombstones
+}
+
+// Merge merges items of unknown origin and returns those that were applied.
+func (m *Mirror) Merge(items []Item) (applied []Item) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.merge(items)
+}
+
+// MergeSnapshot merges all items of the source, which were read at a revision or later, and deletes the removable keys
+// that they lack. A deletion for which shouldDefer returns true is not applied but returned; the caller applies it with
+// Merge. shouldDefer receives the deletion and the held item, and may be nil.
+func (m *Mirror) MergeSnapshot(items []Item, revision uint64, shouldDefer func(deletion, held Item) bool) (applied, deferred []Item) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	present := make(map[string]bool, len(items))
+	for i := range items {
+		present[items[i].Key] = true
+	}
+	items, deferred = m.deferDeletions(append(slices.Clone(items), m.missing(present, revision)...), shouldDefer)
+	applied = m.mergeFromSource(items, revision)
+	if revision > m.complete {
+		m.complete, m.floor = revision, max(m.floor, revision)
+	}
+	m.discardTombstones()
+	return applied, deferred
+}
+
+// MergeChanges merges every change of the source after one revision up to another one. For deferred deletions see
+// MergeSnapshot.
+func (m *Mirror) MergeChanges(items []Item, after, revision uint64, shouldDefer func(deletion, held Item) bool) (applied, deferred []Item) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	items, deferred = m.deferDeletions(items, shouldDefer)
+	applied = m.mergeFromSource(items, revision)
+	if after <= m.complete {
+		m.complete = max(m.complete, revision)
+	}
+	m.discardTombstones()
+	return applied, deferred
+}
+
+// Transfer is what one mirror sends to another: the changes after a cursor and what they amount to.
+type Transfer struct {
+	Batch
+	// Complete is the revision up to which the receiver of this transfer and those before it has every change, 0 if
+	// more are to come.
+	Complete uint64
+	// Floor is the floor of the sender.
+	Floor uint64
+	// Present lists the removable keys that the sender holds, if HasPresent is set.
+	Present    []string
+	HasPresent bool
+}
+
+// Transfer returns the changes after a cursor, at most limit items, for a mirror that is complete up to a revision.
+func (m *Mirror) Transfer(cursor Cursor, limit int, receiverComplete uint64) Transfer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	transfer := Transfer{Batch: m.store.Since(cursor, limit), Floor: m.floor}
+	if limit > 0 && len(transfer.Items) >= limit {
+		return transfer
+	}
+	transfer.Complete = m.completeExceptDeferred()
+	if receiverComplete < m.floor && receiverComplete < transfer.Complete {
+		transfer.HasPresent = true
+		for _, item := range m.store.Prefix("") {
+			if m.isRemovable(item.Key) {
+				transfer.Present = append(transfer.Present, item.Key)
+			}
+		}
+	}
+	return transfer
+}
+
+// MergeTransfer merges what another mirror sent. The transfers of one sender must be merged in order. For deferred
+// deletions see MergeSnapshot; only those of keys that the sender no longer holds may be deferred.
+func (m *Mirror) MergeTransfer(transfer *Transfer, shouldDefer func(deletion, held Item) bool) (applied, deferred []Item) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	applied = m.merge(transfer.Items)
+	complete := m.completeExceptDeferred()
+	switch {
+	case transfer.Complete <= complete:
+	case complete >= transfer.Floor:
+		m.complete = max(m.complete, transfer.Complete)
+	case transfer.HasPresent:
+		present := make(map[string]bool, len(transfer.Present))
+		for _, key := range transfer.Present {
+			present[key] = true
+		}
+		var deletions []Item
+		deletions, deferred = m.deferDeletions(m.missing(present, transfer.Complete), shouldDefer)
+		applied = append(applied, m.merge(deletions)...)
+		m.complete, m.floor = max(m.complete, transfer.Complete), max(m.floor, transfer.Floor)
+	}
+	m.discardTombstones()
+	return applied, deferred
+}
+
+// merge applies items that are newer than the held ones, except outdated ones. The lock must be held.
+func (m *Mirror) merge(items []Item) []Item {
+	current := slices.DeleteFunc(slices.Clone(items), m.isOutdated)
+	return m.apply(current)
+}
+
+// mergeFromSource applies items that were read from the source at a revision. None is outdated unless the mirror has
+// become complete beyond that revision meanwhile. The lock must be held.
+func (m *Mirror) mergeFromSource(items []Item, revision uint64) []Item {
+	if revision < m.complete {
+		return m.merge(items)
+	}
+	return m.apply(items)
+}
+
+// apply applies items that are newer than the held ones. The lock must be held.
+func (m *Mirror) apply(items []Item) []Item {
+	wasTombstone := make(map[string]bool)
+	for _, item := range items {
+		held, ok := m.store.Lookup(item.Key)
+		wasTombstone[item.Key] = ok && held.Deleted
+	}
+	applied := m.store.Apply(items, OriginLocal)
+	for _, item := range applied {
+		if d, ok := m.deferred[item.Key]; ok && item.Version.Major >= d.revision {
+			delete(m.deferred, item.Key)
+		}
+		m.countTombstone(item, wasTombstone[item.Key])
+		wasTombstone[item.Key] = item.Deleted
+	}
+	return applied
+}
+
+// isOutdated reports whether an item can't be in the source at the revision up to which the mirror is complete, and
+// counts it: if it were, the mirror would hold it already, unless a deletion of its key is deferred.
+func (m *Mirror) isOutdated(item Item) bool {
+	_, isDeferred := m.deferred[item.Key]
+	if item.Version.Major > m.complete || !m.isRemovable(item.Key) || isDeferred {
+		return false
+	}
+	if held, ok := m.store.Lookup(item.Key); !item.Deleted && (!ok || held.Version.Compare(item.Version) < 0) {
+		m.outdated++
+	}
+	return true
+}
+
+func (m *Mirror) countTombstone(item Item, wasTombstone bool) {
+	if !m.isRemovable(item.Key) {
+		return
+	}
+	if wasTombstone {
+		m.tombstones--
+	}
+	if item.Deleted {
+		m.tombstones++
+	}
+}
+
+// missing returns deletions, at a revision, of the removable keys that are held at that revision or an earlier one and
+// are not present. The lock must be held.
+func (m *Mirror) missing(present map[string]bool, revision uint64) (deletions []Item) {
+	for _, item := range m.store.Prefix("") {
+		if m.isRemovable(item.Key) && !present[item.Key] && item.Version.Major <= revision {
+			deletions = append(deletions, Item{Key: item.Key, Version: Version{Major: revision}, Deleted: true})
+		}
+	}
+	return deletions
+}
+
+// deferDeletions separates the deletions to defer from the other items. The lock must be held.
+func (m *Mirror) deferDeletions(items []Item, shouldDefer func(deletion, held Item) bool) (immediate, deferred []Item) {
+	if shouldDefer == nil {
+		return items, nil
+	}
+	for _, item := range items {
+		held, ok := m.store.Get(item.Key)
+		if !item.Deleted || !ok || held.Version.Compare(item.Version) >= 0 || !shouldDefer(item, held) {
+			immediate = append(immediate, item)
+			continue
+		}
+		deferred = append(deferred, item)
+		m.deferred[item.Key] = deferredDeletion{
+			revision: max(m.deferred[item.Key].revision, item.Version.Major), complete: m.completeExceptDeferred(),
+		}
+	}
+	return immediate, deferred
+}
+
+// discardTombstones discards the older half of the tombstones if there are too many, and raises the floor. The lock must
+// be held.
+func (m *Mirror) discardTombstones() {
+	if m.tombstones <= m.maxTombstones {
+		return
+	}
+	complete := m.completeExceptDeferred()
+	tombstones := slices.DeleteFunc(m.store.tombstones(), func(item Item) bool {
+		return !m.isRemovable(item.Key) || item.Version.Major > complete
+	})
+	slices.SortFunc(tombstones, func(a, b Item) int { return cmp.Compare(a.Version.Major, b.Version.Major) })
+	for _, item := range tombstones[:len(tombstones)/2] {
+		m.store.Purge(item.Key)
+		m.floor = max(m.floor, item.Version.Major)
+		m.tombstones--
+	}
+}
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -12,6 +12,9 @@
 // trimming. Sequence numbers are valid only together with the instance of the store,
 // which is chosen at each start.
 //
+// A Mirror adds what a store of a single source needs: up to which revision it has every change, and so which items
+// are outdated.
+//
 // Two stores that should have the same items compare digests, one for each bucket of
 // keys, and exchange only the buckets that differ. A reader that switches to another
 // source therefore need not read everything again.
@@ -270,6 +273,18 @@
 	return items
 }
 
+// tombstones returns the items of the deleted keys. It visits every key.
+func (s *Store) tombstones() (deleted []Item) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	for _, n := range s.nodes {
+		if n.item.Deleted {
+			deleted = append(deleted, n.item)
+		}
+	}
+	return deleted
+}
+
 // Len returns the number of keys, including tombstones.
 func (s *Store) Len() int {
 	s.mu.RLock()
