fix(direct): do not count a lost call of the store as an outage in which entries expire

cause: after one long poll without an answer, the deletion of a server was held for 2.2 s. An outage counted from the start of the call that failed, so a call that waits for 1.5 or 2 s for changes (bounds of 3 and 4 s) and is overdue by 0.3 s made an outage of 1.8 or 2.3 s, more than the 1.4 s in which entries can expire: blind for 1.8 s, held for 2.2 s, 4 s in all at a bound of 3 s. Evidence: a cluster in virtual time whose readers lose one call each at a bound of 3 or 4 s. At 2 s the call waits for 1 s, which the existing test had. Ruled out: the rest of the chain (at most 0.71 s from the store to the last of nine boxes with one reader frozen, killed or slow).

change: an outage counts from the moment at which the answer was due.

The tests run the production code of entry boxes over connections in memory in virtual time (cluster_test.go); PeerPool takes the function that dials.

--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -51,6 +51,11 @@
 	dial := func(ctx context.Context, address member.Address) (net.Conn, error) {
 		return dialer.DialContext(ctx, "tcp", string(address))
 	}
+	return NewPeerPoolWithDial(dial)
+}
+
+// NewPeerPoolWithDial returns an empty pool that opens its connections with dial.
+func NewPeerPoolWithDial(dial func(ctx context.Context, address member.Address) (net.Conn, error)) *PeerPool {
 	return &PeerPool{dial: dial, pool: drpcpool.New[member.Address, drpcpool.Conn](drpcpool.Options{
 		Expiration: idleConnTimeout, KeyCapacity: peerIdleConns,
 	})}
--- /dev/null
+++ b/internal/direct/cluster_test.go
@@ -0,0 +1,478 @@
+package direct
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+	"storj.io/drpc/drpcmux"
+
+	"github.com/cinderslip/cinderslip/internal/daemon"
+	"github.com/cinderslip/cinderslip/internal/kernel"
+	"github.com/cinderslip/cinderslip/internal/provider"
+	"github.com/cinderslip/cinderslip/internal/wire"
+	"github.com/cinderslip/cinderslip/pkg/fleet"
+	"github.com/cinderslip/cinderslip/pkg/member"
+	"github.com/cinderslip/cinderslip/pkg/route"
+	"github.com/cinderslip/cinderslip/pkg/state"
+)
+
+// A testCluster runs entry boxes with their production code in one process, over connections in memory, and must run in
+// a synctest bubble. The boxes read a store, or each other, and no callers are served.
+
+const (
+	// clusterLatency is the time of a message on a connection, storeLatency that of a call of the store.
+	clusterLatency = 2 * time.Millisecond
+	storeLatency   = 4 * time.Millisecond
+)
+
+// gate blocks while it is closed.
+type gate struct {
+	mu     sync.Mutex
+	opened chan struct{}
+}
+
+func newGate() *gate {
+	g := &gate{opened: make(chan struct{})}
+	close(g.opened)
+	return g
+}
+
+func (g *gate) close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if isClosed(g.opened) {
+		g.opened = make(chan struct{})
+	}
+}
+
+func (g *gate) open() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !isClosed(g.opened) {
+		close(g.opened)
+	}
+}
+
+// wait blocks until the gate is open or done is closed.
+func (g *gate) wait(done <-chan struct{}) {
+	for {
+		g.mu.Lock()
+		opened := g.opened
+		g.mu.Unlock()
+		if isClosed(opened) {
+			return
+		}
+		select {
+		case <-opened:
+		case <-done:
+			return
+		}
+	}
+}
+
+// gatedConn is one end of a connection of a box. It carries nothing while the box is frozen.
+type gatedConn struct {
+	net.Conn
+	box    *clusterBox
+	closed chan struct{}
+	once   sync.Once
+}
+
+// Read implements net.Conn.
+func (c *gatedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.box.processing.wait(c.closed)
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *gatedConn) Write(p []byte) (int, error) {
+	c.box.delay(clusterLatency)
+	c.box.processing.wait(c.closed)
+	return c.Conn.Write(p)
+}
+
+// Close implements net.Conn.
+func (c *gatedConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+// pipeListener accepts connections in memory.
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+// Accept implements net.Listener.
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.conns:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// clusterStore is the store of a cluster.
+type clusterStore struct {
+	mu        sync.Mutex
+	history   []fleet.Fact
+	compacted fleet.Revision
+	changed   chan struct{}
+	// deletedAt is when each server that is not listed was deleted.
+	deletedAt map[fleet.ServerID]time.Time
+	// calls counts the calls by box.
+	calls map[member.BoxID]int
+	// lost is closed to lose the calls that wait for changes: their boxes get no answer.
+	lost chan struct{}
+	// reachable is closed while the store does not answer.
+	reachable *gate
+}
+
+func newClusterStore() *clusterStore {
+	s := &clusterStore{
+		changed: make(chan struct{}), deletedAt: make(map[fleet.ServerID]time.Time), calls: make(map[member.BoxID]int), reachable: newGate(),
+		lost: make(chan struct{}),
+	}
+	s.write(fleet.Fact{Key: fleet.ConfigurationKey(), Configuration: &fleet.Configuration{Version: 1}})
+	return s
+}
+
+func (s *clusterStore) write(fact fleet.Fact) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fact.Revision = fleet.Revision(len(s.history) + 1)
+	s.history = append(s.history, fact)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *clusterStore) put(id fleet.ServerID) {
+	s.mu.Lock()
+	delete(s.deletedAt, id)
+	s.mu.Unlock()
+	s.write(listed(id, 0))
+}
+
+func (s *clusterStore) remove(id fleet.ServerID) {
+	s.write(fleet.Fact{Key: fleet.ServerKey(id), Deleted: true})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deletedAt[id] = time.Now()
+}
+
+func (s *clusterStore) compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.compacted = fleet.Revision(len(s.history))
+}
+
+// at returns the facts at a revision.
+func (s *clusterStore) at(revision fleet.Revision) map[string]fleet.Fact {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	facts := make(map[string]fleet.Fact)
+	for _, fact := range s.history[:min(int(revision), len(s.history))] {
+		if fact.Deleted {
+			delete(facts, fact.Key)
+		} else {
+			facts[fact.Key] = fact
+		}
+	}
+	return facts
+}
+
+func (s *clusterStore) revision() fleet.Revision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return fleet.Revision(len(s.history))
+}
+
+// loseCalls loses the calls that wait for changes.
+func (s *clusterStore) loseCalls() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.lost)
+	s.lost = make(chan struct{})
+}
+
+// readers returns the boxes that have called the store since the last call of readers.
+func (s *clusterStore) readers() (boxes []member.BoxID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for box := range s.calls {
+		boxes = append(boxes, box)
+	}
+	s.calls = make(map[member.BoxID]int)
+	slices.Sort(boxes)
+	return boxes
+}
+
+// source returns the store as a box reads it. A call that is made while the box is frozen or the store is unreachable
+// hangs until its context ends; an answer reaches a frozen box when it continues.
+func (s *clusterStore) source(box *clusterBox) provider.FactSource {
+	call := func(ctx context.Context) error {
+		s.mu.Lock()
+		s.calls[box.id]++
+		s.mu.Unlock()
+		box.delay(storeLatency)
+		box.processing.wait(ctx.Done())
+		s.reachable.wait(ctx.Done())
+		return ctx.Err()
+	}
+	unavailable := func(err error) (provider.FactBatch, error) {
+		return provider.FactBatch{}, errors.Join(provider.ErrUnavailable, err)
+	}
+	return provider.FactSource{
+		Snapshot: func(ctx context.Context) (provider.FactBatch, error) {
+			if err := call(ctx); err != nil {
+				return unavailable(err)
+			}
+			batch := provider.FactBatch{Revision: s.revision()}
+			for _, fact := range s.at(batch.Revision) {
+				batch.Facts = append(batch.Facts, fact)
+			}
+			box.processing.wait(nil)
+			return batch, nil
+		},
+		Changes: func(ctx context.Context, after fleet.Revision, wait time.Duration) (provider.FactBatch, error) {
+			if err := call(ctx); err != nil {
+				return unavailable(err)
+			}
+			batch, err := s.changes(ctx, after, wait)
+			box.processing.wait(ctx.Done())
+			if ctx.Err() != nil {
+				return unavailable(ctx.Err())
+			}
+			return batch, err
+		},
+		Reconnect: func() {},
+	}
+}
+
+func (s *clusterStore) changes(ctx context.Context, after fleet.Revision, wait time.Duration) (provider.FactBatch, error) {
+	end := time.After(wait)
+	s.mu.Lock()
+	lost := s.lost
+	s.mu.Unlock()
+	for {
+		if isClosed(lost) {
+			<-ctx.Done()
+			return provider.FactBatch{}, ctx.Err()
+		}
+		s.mu.Lock()
+		changed, revision, compacted := s.changed, fleet.Revision(len(s.history)), s.compacted
+		s.mu.Unlock()
+		if after < compacted {
+			return provider.FactBatch{}, provider.ErrCompacted
+		}
+		if revision > after {
+			return provider.FactBatch{Facts: slices.Clone(s.history[after:revision]), Revision: revision}, nil
+		}
+		select {
+		case <-changed:
+		case <-lost:
+		case <-end:
+			return provider.FactBatch{Revision: after}, nil
+		case <-ctx.Done():
+			return provider.FactBatch{}, ctx.Err()
+		}
+	}
+}
+
+// testCluster is a number of entry boxes and their store.
+type testCluster struct {
+	t     *testing.T
+	bound time.Duration
+	store *clusterStore
+	boxes []*clusterBox
+
+	mu        sync.Mutex
+	listeners map[member.Address]*pipeListener
+}
+
+// clusterBox is an entry box of a cluster.
+type clusterBox struct {
+	cluster *testCluster
+	id      member.BoxID
+	region  member.Region
+	// processing is closed while the box is frozen. lag is how long each of its messages is late.
+	processing *gate
+	lag        time.Duration
+	// disturbedUntil is when the last fault of the box ended; in the future while there is one.
+	disturbedUntil time.Time
+
+	fleetState *FleetState
+	status     *StatusServer
+	entries    *EntryBoxes
+	peers      *daemon.PeerPool
+	server     *daemon.PeerServer
+}
+
+// newTestCluster starts entry boxes in some regions. bound is the time within which a change must be in force.
+func newTestCluster(t *testing.T, boxes, regions int, bound time.Duration) *testCluster {
+	c := &testCluster{t: t, bound: bound, store: newClusterStore(), listeners: make(map[member.Address]*pipeListener)}
+	for i := range boxes {
+		box := &clusterBox{
+			cluster: c, id: member.BoxID(fmt.Sprintf("entry-%d", i)), region: member.Region(fmt.Sprintf("region-%d", i%regions)), processing: newGate(),
+		}
+		c.boxes = append(c.boxes, box)
+		box.start()
+	}
+	return c
+}
+
+// stop stops all boxes.
+func (c *testCluster) stop() {
+	c.store.reachable.open()
+	for _, box := range c.boxes {
+		box.processing.open()
+	}
+	for _, box := range c.boxes {
+		box.kill()
+	}
+}
+
+func (c *testCluster) box(id member.BoxID) *clusterBox {
+	return c.boxes[slices.IndexFunc(c.boxes, func(b *clusterBox) bool { return b.id == id })]
+}
+
+// delay waits for a time, and longer on a box that is slow.
+func (b *clusterBox) delay(wait time.Duration) { time.Sleep(wait + b.lag) }
+
+func (b *clusterBox) address() member.Address { return member.Address(b.id) + ":1" }
+
+// dial opens a connection to another box.
+func (b *clusterBox) dial(ctx context.Context, address member.Address) (net.Conn, error) {
+	b.delay(clusterLatency)
+	b.cluster.mu.Lock()
+	listener := b.cluster.listeners[address]
+	b.cluster.mu.Unlock()
+	if listener == nil {
+		return nil, errors.New("connection refused")
+	}
+	i := slices.IndexFunc(b.cluster.boxes, func(other *clusterBox) bool { return other.address() == address })
+	near, far := net.Pipe()
+	accepted := &gatedConn{Conn: far, box: b.cluster.boxes[i], closed: make(chan struct{})}
+	select {
+	case listener.conns <- accepted:
+		return &gatedConn{Conn: near, box: b, closed: make(chan struct{})}, nil
+	case <-listener.closed:
+		return nil, errors.New("connection refused")
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// start starts the box. Its state of before is lost.
+func (b *clusterBox) start() {
+	c, clock, log, metrics := b.cluster, clockwork.NewRealClock(), zerolog.Nop(), NewMetrics()
+	times := readIntervalsFor(c.bound)
+	own := member.Record{
+		Box: b.id, Role: member.RoleEntry, Region: b.region, FailureDomain: member.FailureDomain(b.region), Peers: b.address(), Callers: b.address(),
+		Incarnation: member.Incarnation(clock.Now().UnixMilli()), Status: member.StatusStarting,
+	}
+	membership, suspects := NewMembership(own, clock, log), newSuspectRequests(clock, log, metrics)
+	b.fleetState, b.peers = NewFleetState(clock, log, metrics), daemon.NewPeerPoolWithDial(b.dial)
+	b.status = &StatusServer{
+		clock: clock, fleetState: b.fleetState, membership: membership, tasks: kernel.NewTaskGroup(), suspects: suspects,
+		load: func() route.Load { return nil }, demands: func() route.Demands { return nil },
+		rejectedCallers: func(uint64, route.RelayDimension) ([]route.RejectedCaller, uint64) { return nil, 0 },
+		refreshed:       make(chan struct{}), done: make(chan struct{}), limitedSendSignal: make(chan struct{}, 1),
+	}
+	var seeds []string
+	for _, other := range c.boxes[:min(3, len(c.boxes))] {
+		seeds = append(seeds, string(other.address()))
+	}
+	b.entries = &EntryBoxes{
+		self: own, regionOf: func(domain member.FailureDomain) member.Region { return member.Region(domain) }, membership: membership, fleetState: b.fleetState,
+		suspects: suspects, peers: b.peers, clock: clock, log: log, tasks: kernel.NewTaskGroup(), seeds: seeds, boxes: make(map[string]EntryBox),
+		following: make(map[string]followed), cursors: make(map[member.Address]state.Cursor),
+		readers: newReaderSet(b.id, b.region, times.readerTimeout()), replanned: make(chan struct{}),
+		onReport:   func(member.BoxID, route.Load, route.Demands, bool, time.Time) {},
+		onRejected: func([]route.RejectedCaller, route.RelayDimension, time.Time) {},
+	}
+	b.entries.pull, b.entries.startFollow = b.entries.pullFacts, b.entries.startFollowing
+	b.status.readers = b.entries.reportedReaders
+	mux, listener := drpcmux.New(), &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+	require.NoError(c.t, wire.DRPCRegisterFleet(mux, b.status))
+	b.server = daemon.NewPeerServer(listener, mux, log)
+	c.mu.Lock()
+	c.listeners[b.address()] = listener
+	c.mu.Unlock()
+	b.entries.tasks.Go(b.entries.followAll)
+	b.entries.tasks.Go(b.entries.repair)
+	b.fleetState.ReadStore(c.store.source(b), times, b.entries.isReader, b.entries.probeInterval)
+	b.status.SetReady(true)
+	b.status.refresh()
+	b.status.tasks.Go(b.status.refreshLoop)
+}
+
+// kill ends the box at once.
+func (b *clusterBox) kill() {
+	b.cluster.mu.Lock()
+	delete(b.cluster.listeners, b.address())
+	b.cluster.mu.Unlock()
+	b.processing.open()
+	ctx := context.Background()
+	var stopping sync.WaitGroup
+	for _, stop := range []func(context.Context) error{b.server.Stop, b.entries.Stop, b.fleetState.Stop, b.status.Stop, b.peers.Stop} {
+		stopping.Go(func() { _ = stop(ctx) })
+	}
+	stopping.Wait()
+}
+
+// outdatedServers returns the servers that the box uses although the store has deleted them, with the time since then.
+func (b *clusterBox) outdatedServers() map[fleet.ServerID]time.Duration {
+	outdated := make(map[fleet.ServerID]time.Duration)
+	b.cluster.store.mu.Lock()
+	defer b.cluster.store.mu.Unlock()
+	for _, id := range serverIDs(b.fleetState) {
+		if at, deleted := b.cluster.store.deletedAt[id]; deleted {
+			outdated[id] = time.Since(at)
+		}
+	}
+	return outdated
+}
+
+// requireConsistent checks that the box lists nothing that was deleted at a revision up to which it has every change,
+// and lacks nothing that was present then.
+func (b *clusterBox) requireConsistent() {
+	complete := b.fleetState.Watermarks().Complete
+	present := b.cluster.store.at(complete)
+	list := b.fleetState.serverList(b.id)
+	known := make(map[string]bool)
+	for _, server := range list.Servers {
+		key := fleet.ServerKey(fleet.ServerID(server.Server))
+		known[key] = true
+		if _, ok := present[key]; !ok && server.Revision <= complete {
+			b.cluster.t.Errorf("%s has every change up to %d and lists %s of revision %d, which was deleted by then", b.id, complete, server.Server, server.Revision)
+		}
+	}
+	newest := b.cluster.store.at(list.Newest)
+	for key, fact := range present {
+		if _, still := newest[key]; still && fact.Server != nil && !known[key] {
+			b.cluster.t.Errorf("%s has every change up to %d and lacks %s of revision %d", b.id, complete, key, fact.Revision)
+		}
+	}
+}
--- a/internal/direct/fleetstate.go
+++ b/internal/direct/fleetstate.go
@@ -76,8 +76,8 @@
 	unconfigured map[member.Service]bool
 	// storeResponded is the time of the store's last response, or zero if there was none.
 	storeResponded time.Time
-	// downSince is the start of the first failed call since the store's last response, and failedCalls is the
-	// number of failed calls since then. Both are zero while the store responds.
+	// downSince is the time since which the store has not responded although it was due to, and failedCalls is the
+	// number of failed calls since its last response. Both are zero while the store responds.
 	downSince   time.Time
 	failedCalls int
 	// recoveredAt is when the store last responded after an outage in which entries may have expired.
@@ -181,12 +181,16 @@
 	return !f.downSince.IsZero()
 }
 
-// noteStoreFailure records a call of the store that failed or is overdue.
-func (f *FleetState) noteStoreFailure(call string, startedAt time.Time, err error) {
+// noteStoreFailure records a call of the store that failed or is overdue. The store was due to respond to it by dueAt.
+// An outage does not count from the start of a call that waits for changes: a lost response would make one.
+func (f *FleetState) noteStoreFailure(call string, dueAt time.Time, err error) {
 	f.mu.Lock()
 	first := f.downSince.IsZero()
 	if first {
-		f.downSince = startedAt
+		f.downSince = f.clock.Now()
+		if dueAt.Before(f.downSince) {
+			f.downSince = dueAt
+		}
 	}
 	f.failedCalls++
 	f.mu.Unlock()
--- a/internal/direct/storereader.go
+++ b/internal/direct/storereader.go
@@ -85,9 +85,11 @@
 	call     string
 	snapshot bool
 	started  time.Time
-	after    fleet.Revision
-	facts    provider.FactBatch
-	err      error
+	// due is when the store responds at the latest, unless it is slow or away.
+	due   time.Time
+	after fleet.Revision
+	facts provider.FactBatch
+	err   error
 }
 
 // ReadStore reads the store's changes while shouldRead returns true. While the store is down, it is called once
@@ -203,7 +205,8 @@
 // startCall starts one call of the store, which waits for changes for at most the given time. It returns the state
 // of the call at its start, and sends the result to responses.
 func (r *storeReader) startCall(ctx context.Context, wait time.Duration, responses chan<- storeResponse) storeResponse {
-	response := storeResponse{call: "changes", snapshot: r.after == 0, started: r.fleetState.clock.Now(), after: r.after}
+	now := r.fleetState.clock.Now()
+	response := storeResponse{call: "changes", snapshot: r.after == 0, started: now, due: now.Add(wait), after: r.after}
 	if response.snapshot {
 		response.call = "snapshot"
 	}
@@ -227,7 +230,7 @@
 // callFailed records a call that failed or is overdue.
 func (r *storeReader) callFailed(response *storeResponse, result string) {
 	r.fleetState.metrics.storeCalls.WithLabelValues(response.call, result).Inc()
-	r.fleetState.noteStoreFailure(response.call, response.started, response.err)
+	r.fleetState.noteStoreFailure(response.call, response.due, response.err)
 }
 
 // apply applies the result of a call. isFirst is set for the first result of the process.
