--- a/internal/direct/departedservers_test.go
+++ b/internal/direct/departedservers_test.go
@@ -71,6 +71,20 @@
 	require.Equal(t, []fleet.ServerID{"b", "c"}, serverIDs(survivor))
 }
 
+// Guards against a box that has just started and announces no change because the newest change is a deletion.
+func TestDeletionBeforeSnapshotIsAnnounced(t *testing.T) {
+	survivor := readSnapshot(4, listed("a", 3), listed("b", 4))
+	started := newTestStatusServer(readSnapshot(9, listed("b", 4)))
+	boxes := newTestEntryBoxes(survivor, started.fullStatus())
+	_, behind := boxes.pickNewer(nil)
+	require.True(t, behind)
+	boxes.applyBatch("reader:1", started.factsBatch(boxes.cursors["reader:1"], uint64(survivor.complete()), false))
+	require.Equal(t, []fleet.ServerID{"b"}, serverIDs(survivor))
+	_, behind = boxes.pickNewer(nil)
+	require.False(t, behind)
+	require.Equal(t, started.fleetState.Watermarks(), survivor.Watermarks(), "it announces the deletion to others")
+}
+
 // Guards against a box that has just started and takes a deleted server from a box that missed the deletion.
 func TestDeletedServerIsNotTakenFromOutdatedBox(t *testing.T) {
 	outdated := newRealTimeFleetState()
--- a/internal/direct/fleetstate.go
+++ b/internal/direct/fleetstate.go
@@ -68,7 +68,7 @@
 	published  map[fleet.ModelName]fleet.PublishedVersions
 	// ageChanges counts the new versions and the corrected ages.
 	ageChanges int
-	// newest is the newest revision of any fact.
+	// newest is the newest revision of any fact, or of a snapshot: it may lack entries that were deleted by then.
 	newest fleet.Revision
 	// unreadableEntries are the errors of the entries that could not be read, by key.
 	unreadableEntries map[string]string
@@ -307,6 +307,7 @@
 		f.log.Info().Uint64("entries", outdated).Uint64("complete", uint64(f.complete())).Str("from", from).Msg("outdated entries of servers not taken")
 	}
 	f.applyLater(deferred)
+	f.newest = max(f.newest, fleet.Revision(f.mirror.Floor()))
 	if len(applied) == 0 {
 		f.metrics.observeView(f.View(), f.watermarks(), f.mirror.DeferredCount())
 		return
--- a/pkg/state/mirror.go
+++ b/pkg/state/mirror.go
@@ -85,6 +85,13 @@
 	return m.complete
 }
 
+// Floor returns the revision up to which the mirror may lack tombstones.
+func (m *Mirror) Floor() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.floor
+}
+
 // Outdated returns the number of outdated items that were not taken.
 func (m *Mirror) Outdated() uint64 {
 	m.mu.Lock()
