fix(direct): keep servers whose entries expired in an outage when another box starts at its end

cause: entries that lapse while the store is away are back within two seconds of its return, and boxes that saw the outage hold their deletion for that time. Since a box deletes what the list of another box lacks, a box that starts at the end of the outage and reads the store without the lapsed entries made all others drop them: no servers for up to two seconds. Ruled out: to take no list from a box that has just started for 2.2 s; where all readers are new, a deletion would then take more than 2 s.

change: a box reports in its status that entries may have expired as it sees the store (an outage of 1.4 s or more, until 1.5 s after its end). While that is reported, servers that are missing from another box's list are deleted 2.2 s later, as after an own outage. Deletions that another box has seen are applied at once as before, and so are those that the box reads itself.

--- a/internal/direct/cluster_test.go
+++ b/internal/direct/cluster_test.go
@@ -154,10 +154,15 @@
 		changed: make(chan struct{}), deletedAt: make(map[fleet.ServerID]time.Time), calls: make(map[member.BoxID]int), reachable: newGate(),
 		lost: make(chan struct{}),
 	}
-	s.write(fleet.Fact{Key: fleet.ConfigurationKey(), Configuration: &fleet.Configuration{Version: 1}})
+	s.configure()
 	return s
 }
 
+// configure writes the configuration anew.
+func (s *clusterStore) configure() {
+	s.write(fleet.Fact{Key: fleet.ConfigurationKey(), Configuration: &fleet.Configuration{Version: 1}})
+}
+
 func (s *clusterStore) write(fact fleet.Fact) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -260,6 +265,7 @@
 				return unavailable(err)
 			}
 			batch, err := s.changes(ctx, after, wait)
+			s.reachable.wait(ctx.Done())
 			box.processing.wait(ctx.Done())
 			if ctx.Err() != nil {
 				return unavailable(ctx.Err())
--- a/internal/direct/clusterchanges_test.go
+++ b/internal/direct/clusterchanges_test.go
@@ -92,3 +92,51 @@
 		}
 	}
 }
+
+// Guards against dropping servers whose entries expired during an outage of the store because a box starts at its end and
+// reads a list without them.
+func TestExpiredEntriesOutliveStartOfABox(t *testing.T) {
+	for _, startsAfter := range []time.Duration{0, 20 * time.Millisecond, 300 * time.Millisecond, time.Second} {
+		t.Run(startsAfter.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newTestCluster(t, 9, 3, 2*time.Second)
+				defer c.stop()
+				ids := []fleet.ServerID{"a", "b", "c"}
+				for _, id := range ids {
+					c.store.put(id)
+				}
+				time.Sleep(10 * time.Second)
+				c.store.readers()
+				time.Sleep(c.bound)
+				started := c.box(c.store.readers()[0])
+				started.kill()
+				c.store.reachable.close()
+				time.Sleep(2 * time.Second)
+				for _, id := range ids {
+					c.store.remove(id)
+				}
+				c.store.configure()
+				time.Sleep(2 * time.Second)
+				c.store.reachable.open()
+				recoveredAt := time.Now()
+				time.Sleep(startsAfter)
+				started.start()
+				for time.Since(recoveredAt) < 1900*time.Millisecond {
+					time.Sleep(10 * time.Millisecond)
+					for _, box := range c.boxes {
+						if box != started {
+							require.Equal(t, ids, serverIDs(box.fleetState), "%s", box.id)
+						}
+					}
+				}
+				for _, id := range ids {
+					c.store.put(id)
+				}
+				time.Sleep(time.Second)
+				for _, box := range c.boxes {
+					require.Equal(t, ids, serverIDs(box.fleetState), "%s", box.id)
+				}
+			})
+		})
+	}
+}
--- a/internal/direct/entryboxes.go
+++ b/internal/direct/entryboxes.go
@@ -309,6 +309,9 @@
 	e.fleetState.MergeDepartures(departuresFromWire(status.Departures), entry)
 	e.fleetState.MergeRateLimits(status.RateLimits, entry)
 	e.suspects.MergeEvidence(evidenceFromWire(status.Evidence, now), entry)
+	if status.StoreOutage {
+		e.fleetState.noteReportedOutage()
+	}
 	box, before, ok := e.updateBox(entry, status, now)
 	if !ok {
 		return
--- a/internal/direct/fleetstate.go
+++ b/internal/direct/fleetstate.go
@@ -29,6 +29,8 @@
 	// expiryDeferralWindow is how long after the store's recovery deletions may still come from entries that
 	// expired during the outage.
 	expiryDeferralWindow = 1500 * time.Millisecond
+	// outageReportWindow is how long a report of an outage holds. Boxes repeat it with each status message.
+	outageReportWindow = 2 * statusHeartbeat
 	// minAssumedAge is the minimum age that a process assumes for versions of weights that were published before
 	// it started.
 	minAssumedAge = 5 * time.Second
@@ -82,6 +84,8 @@
 	failedCalls int
 	// recoveredAt is when the store last responded after an outage in which entries may have expired.
 	recoveredAt time.Time
+	// outageReportedAt is when another box last reported such an outage.
+	outageReportedAt time.Time
 }
 
 // NewFleetState returns a FleetState without any facts.
@@ -213,13 +217,48 @@
 	}
 }
 
+// hasOutage reports whether entries of servers may have expired in an outage of the store, from its start until
+// expiryDeferralWindow after its end. The lock must be held.
+func (f *FleetState) hasOutage() bool {
+	if !f.downSince.IsZero() && f.clock.Since(f.downSince) >= minExpiryOutage {
+		return true
+	}
+	return !f.recoveredAt.IsZero() && f.clock.Since(f.recoveredAt) < expiryDeferralWindow
+}
+
+// HasStoreOutage reports whether entries of servers may have expired in an outage of the store, as this box sees it.
+func (f *FleetState) HasStoreOutage() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.hasOutage()
+}
+
+// noteReportedOutage records that another box reports an outage of the store.
+func (f *FleetState) noteReportedOutage() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.outageReportedAt = f.clock.Now()
+}
+
+// shouldDeferMissing reports whether the deletion of an entry that another box lacks is deferred. That box may have
+// started after the entry expired, so the outages that other boxes report count too.
+func (f *FleetState) shouldDeferMissing(deletion, held state.Item) bool {
+	if !f.outageReportedAt.IsZero() && f.clock.Since(f.outageReportedAt) < outageReportWindow {
+		return f.deferDeletion(deletion)
+	}
+	return f.shouldDefer(deletion, held)
+}
+
 // shouldDefer reports whether the deletion of a server's entry is deferred, because the entry may have expired during an
 // outage of the store. An entry that is written again by the end of expiryDeferral is newer and outlives its deletion.
 // The lock must be held.
 func (f *FleetState) shouldDefer(deletion, _ state.Item) bool {
-	if f.recoveredAt.IsZero() || f.clock.Since(f.recoveredAt) >= expiryDeferralWindow {
-		return false
-	}
+	return f.hasOutage() && f.deferDeletion(deletion)
+}
+
+// deferDeletion reports whether a deletion is of a server that is not leaving, and logs that it is deferred. The lock
+// must be held.
+func (f *FleetState) deferDeletion(deletion state.Item) bool {
 	id := fleet.ServerID(strings.TrimPrefix(deletion.Key, fleet.ServerKey("")))
 	if server, known := f.servers[id]; !known || server.Leaving {
 		return false
@@ -268,7 +307,7 @@
 
 // ApplyTransfer merges facts that another process sent.
 func (f *FleetState) ApplyTransfer(transfer *state.Transfer, from string) {
-	f.merge(func() (applied, deferred []state.Item) { return f.mirror.MergeTransfer(transfer, f.shouldDefer) }, from, false)
+	f.merge(func() (applied, deferred []state.Item) { return f.mirror.MergeTransfer(transfer, f.shouldDeferMissing) }, from, false)
 }
 
 // itemsOf returns facts in their replicated form. It logs and skips facts that cannot be encoded.
--- a/internal/direct/statusmessage.go
+++ b/internal/direct/statusmessage.go
@@ -28,11 +28,18 @@
 	suspects uint64
 	// readers are the boxes that read the platform's store, first-ranked first.
 	readers []*wire.StoreReader
+	// storeOutage is set while entries of servers may have expired in an outage of the store.
+	storeOutage bool
 }
 
-// urgentFields returns the fields whose changes are sent immediately.
-func (s *statusSummary) urgentFields() (ready, leaving bool, watermarks Watermarks) {
-	return s.ready, s.leaving, s.watermarks
+// urgentFields are the fields of a summary whose changes are sent immediately.
+type urgentFields struct {
+	ready, leaving, storeOutage bool
+	watermarks                  Watermarks
+}
+
+func (s *statusSummary) urgentFields() urgentFields {
+	return urgentFields{s.ready, s.leaving, s.storeOutage, s.watermarks}
 }
 
 // statusCursor is the state that has been sent on one stream.
@@ -72,15 +79,14 @@
 	c.summary, c.load, c.demands, c.sentAt = summary, load, demands, now
 	return &wire.EntryStatus{
 		Partial: true, Ready: summary.ready, Leaving: summary.leaving, Revision: uint64(summary.watermarks.Newest), Complete: uint64(summary.watermarks.Complete),
-		InFlight: loadToWire(changedLoad), Demands: demandsToWire(changedDemands), Readers: summary.readers,
+		StoreOutage: summary.storeOutage,
+		InFlight:    loadToWire(changedLoad), Demands: demandsToWire(changedDemands), Readers: summary.readers,
 	}
 }
 
 // isUrgentChange reports whether the changes in a summary must be sent before the next heartbeat.
 func (c *statusCursor) isUrgentChange(summary *statusSummary, now time.Time) bool {
-	ready, leaving, watermarks := summary.urgentFields()
-	knownReady, knownLeaving, knownWatermarks := c.summary.urgentFields()
-	if ready != knownReady || leaving != knownLeaving || watermarks != knownWatermarks {
+	if summary.urgentFields() != c.summary.urgentFields() {
 		return true
 	}
 	return newestResponse(summary.readers, now).Sub(newestResponse(c.summary.readers, c.sentAt)) >= readerUpdateThreshold
--- a/internal/direct/statusserver.go
+++ b/internal/direct/statusserver.go
@@ -147,8 +147,8 @@
 	s.mu.Unlock()
 	return statusSummary{
 		ready: ready, leaving: leaving, watermarks: s.fleetState.Watermarks(), ages: s.fleetState.ageChangeCount(), departures: s.fleetState.departureSeq(),
-		rateLimits: s.fleetState.rateLimitSeq(),
-		suspects:   s.suspects.urgentCount.Load(), limitedSends: s.limitedSends.Load(),
+		rateLimits: s.fleetState.rateLimitSeq(), storeOutage: s.fleetState.HasStoreOutage(),
+		suspects: s.suspects.urgentCount.Load(), limitedSends: s.limitedSends.Load(),
 	}
 }
 
@@ -161,7 +161,7 @@
 		Box: string(own.Box), Region: string(own.Region), Peers: string(own.Peers),
 		Ready: s.ready, Leaving: s.leaving,
 		Revision: uint64(watermarks.Newest), Complete: uint64(watermarks.Complete),
-		Ages: ages,
+		Ages: ages, StoreOutage: s.fleetState.HasStoreOutage(),
 	}
 }
 
