fix(route): do not send to a server whose entry was deleted while the connection was opened

cause: the check right before the first byte covers a server that announces its departure, not one whose entry is deleted without an announcement. A request that had its slot was sent however long its connection took. Found by reading the chain from the store to the last send; evidence: TestCheckFailsIfServerIsNoLongerListed.

change: the check fails if the server is no longer listed; the request goes to another server and counts as not sent.

--- a/pkg/route/backoff.go
+++ b/pkg/route/backoff.go
@@ -13,7 +13,7 @@
 // each rejected request uses up an attempt. A server requests a backoff from a single box, so it is not reported to
 // other boxes.
 
-// ErrLeaving reports that the server has announced that it is leaving since the slot was reserved.
+// ErrLeaving reports that the server has announced that it is leaving, or left the list, since the slot was reserved.
 var ErrLeaving = errors.New("server is leaving")
 
 // ErrBackingOff reports that the server has requested a backoff since the slot was reserved.
@@ -87,14 +87,14 @@
 }
 
 // Check must be called immediately before the request is sent, as opening a connection can take several hundred
-// milliseconds. It returns ErrLeaving, ErrBackingOff or ErrRateLimited if the server has announced that it is leaving,
+// milliseconds. It returns ErrLeaving, ErrBackingOff or ErrRateLimited if the server is leaving or no longer listed,
 // has requested a backoff, or has no token left under a rate limit that was set or lowered since the slot was reserved.
 // If it returns nil, the request counts against the rate limit.
 func (r *Reservation) Check(now time.Time) error {
 	d := r.dispatcher
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.leaving[r.Server.ID] {
+	if d.leaving[r.Server.ID] || d.backends[r.Server.ID] == nil {
 		return ErrLeaving
 	}
 	if now.Before(d.backoffs.until(r.Server.ID, r.Incarnation)) {
--- a/pkg/route/backoff_test.go
+++ b/pkg/route/backoff_test.go
@@ -145,6 +145,21 @@
 	require.NoError(t, reservation.Check(w.now))
 }
 
+// Guards against sending to a server whose entry was deleted while the connection was opened.
+func TestCheckFailsIfServerIsNoLongerListed(t *testing.T) {
+	w := newPlainDispatcher(t, plainServer("a", 1), plainServer("b", 1))
+	reservation := w.acquire()
+	require.NoError(t, reservation.Check(w.now))
+	other := plainServer("a", 1)
+	if reservation.Server.ID == other.ID {
+		other = plainServer("b", 1)
+	}
+	w.setServers(other)
+	require.ErrorIs(t, reservation.Check(w.now), ErrLeaving)
+	w.setServers(other, reservation.Server)
+	require.NoError(t, reservation.Check(w.now), "the entry is back")
+}
+
 // Guards against overloading a server when its backoff ends. All boxes would send all their queued requests to it at
 // the same time, and each request that it rejects uses up an attempt.
 func TestServerIsProbedWithOneRequestAfterBackoff(t *testing.T) {
