fix(route): keep a backoff for the incarnation that was running when it was requested

cause: a server that has started again under its id while its entry still tells of the start before asks for rest in a response; the backoff was kept for the earlier incarnation and ended as the entry of the running one arrived, so requests went to it within its rest.

change: a backoff also holds for an incarnation that had started at least 2 s before the response, as departures and rate limits do.

--- a/pkg/route/backoff.go
+++ b/pkg/route/backoff.go
@@ -23,6 +23,14 @@
 type backoff struct {
 	incarnation member.Incarnation
 	until       time.Time
+	// received is when the response that requested it arrived.
+	received time.Time
+}
+
+// appliesTo reports whether the backoff was requested by the given incarnation of the server or by a later one. The
+// requesting incarnation may be listed only after its response.
+func (b *backoff) appliesTo(incarnation member.Incarnation) bool {
+	return incarnation <= b.incarnation || fleet.WasRunning(incarnation, b.received)
 }
 
 // backoffs contains the requested backoffs. It is independent of the server list, as a backoff remains valid when the
@@ -46,7 +54,7 @@
 // until returns the end of the backoff of a server's incarnation; zero if there is none. A backoff does not apply to
 // later incarnations than the one that requested it.
 func (r backoffs) until(id fleet.ServerID, incarnation member.Incarnation) time.Time {
-	if known, ok := r[id]; ok && incarnation <= known.incarnation {
+	if known, ok := r[id]; ok && known.appliesTo(incarnation) {
 		return known.until
 	}
 	return time.Time{}
@@ -67,7 +75,7 @@
 	d := r.dispatcher
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.backoffs.add(r.Server.ID, backoff{r.Incarnation, until}, now)
+	d.backoffs.add(r.Server.ID, backoff{r.Incarnation, until, now}, now)
 	b := d.backends[r.Server.ID]
 	if b == nil {
 		return
