--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -32,6 +32,7 @@
 	portDirectory
 	portAgents
 	portServers
+	portMetrics
 )
 
 // testDeployment is a deployment under test. Stand-ins of the platform run in this process, entry boxes and agents run
@@ -48,7 +49,10 @@
 	// limitRand chooses the rate limits of servers. It is separate so that the limits do not change which other
 	// faults a seed chooses.
 	limitRand *rand.Rand
-	index     int
+	// removalRand chooses the servers whose entries are removed. It is separate so that the removals do not change
+	// which other faults a seed chooses.
+	removalRand *rand.Rand
+	index       int
 
 	store           *standin.Store
 	origin          *standin.Origin
@@ -83,6 +87,7 @@
 		restartRand: rand.New(rand.NewPCG(seed, seed+1)), //nolint:gosec // repeatable on purpose
 		signalRand:  rand.New(rand.NewPCG(seed, seed+2)), //nolint:gosec // repeatable on purpose
 		limitRand:   rand.New(rand.NewPCG(seed, seed+3)), //nolint:gosec // repeatable on purpose
+		removalRand: rand.New(rand.NewPCG(seed, seed+4)), //nolint:gosec // repeatable on purpose
 		store:       standin.NewStore(), origin: standin.NewOrigin(chunkCount, chunkSize), newestVersion: 1, nextConfig: 1,
 	}
 	t.Cleanup(w.close)
@@ -151,14 +156,14 @@
 		fmt.Sprintf("callers = %q", callerAddress), fmt.Sprintf("readiness = \"%s:%d\"", ip, portReadiness),
 		fmt.Sprintf("directory = \"%s:%d\"", ip, portDirectory), fmt.Sprintf("peers = \"%s:%d\"", ip, portPeers),
 	}
-	d.entries = append(d.entries, newProcess(d.t, dir, name, renderSettings("entry", name, ip, listen, d.commonSettings(seeds))))
+	d.entries = append(d.entries, newProcess(d.t, dir, name, ip, renderSettings("entry", name, ip, listen, d.commonSettings(seeds))))
 	d.callerAddresses = append(d.callerAddresses, callerAddress)
 }
 
 func (d *testDeployment) addAgent(dir, name, ip, seeds string, s *server) {
 	listen := []string{fmt.Sprintf("peers = \"%s:%d\"", ip, portAgents)}
 	settings := append(d.commonSettings(seeds), fmt.Sprintf("server = %q", s.proxy.address()), fmt.Sprintf("service = %q", s.service))
-	d.agents = append(d.agents, newProcess(d.t, dir, name, renderSettings("agent", name, ip, listen, settings)))
+	d.agents = append(d.agents, newProcess(d.t, dir, name, ip, renderSettings("agent", name, ip, listen, settings)))
 }
 
 func (d *testDeployment) commonSettings(seeds string) []string {
--- /dev/null
+++ b/internal/soak/lists_test.go
@@ -0,0 +1,175 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cinderslip/cinderslip/internal/direct"
+)
+
+// Every process lists the backend servers that it knows, with the revision up to which it has every change of the store.
+// These checks compare the lists with the store, at all times and at all processes.
+
+const (
+	// removalInterval is the mean delay before each removal of a server's entry, and maxRemovalTime the longest time until
+	// the entry is back. The server serves requests meanwhile.
+	removalInterval = 600 * time.Millisecond
+	maxRemovalTime  = 3 * time.Second
+	// storeStableTime is how much longer than the bound the store must have been reachable before a removal counts. For
+	// some time after an outage, processes do not know whether a removed entry has only expired.
+	storeStableTime = time.Second
+	// listInterval is the time between two reads of the lists, and listTimeout limits one read.
+	listInterval = 100 * time.Millisecond
+	listTimeout  = 300 * time.Millisecond
+)
+
+// removeServers removes the entries of randomly chosen servers for a time, with and without an announcement, and writes
+// them again later, by the same incarnation or by the next one.
+func (d *testDeployment) removeServers(duration time.Duration) {
+	for end := time.Now().Add(duration); time.Now().Before(end); {
+		time.Sleep(time.Duration(d.removalRand.Int64N(int64(2 * removalInterval))))
+		s := d.servers[d.removalRand.IntN(len(d.servers))]
+		key := "servers/" + s.id
+		if d.removalRand.IntN(2) == 0 {
+			d.store.Put(key, s.Entry(s.service, s.proxy.address(), "hall-a", true))
+			time.Sleep(time.Duration(d.removalRand.Int64N(int64(removalInterval))))
+		}
+		d.store.Remove(key)
+		time.Sleep(time.Duration(d.removalRand.Int64N(int64(maxRemovalTime))))
+		if d.removalRand.IntN(2) == 0 {
+			s.Restart(s.id)
+		}
+		d.store.Put(key, s.Entry(s.service, s.proxy.address(), "hall-a", s.IsLeaving()))
+	}
+}
+
+// serverLists reads the lists of all processes.
+type serverLists struct {
+	deployment *testDeployment
+	client     *http.Client
+	cancel     context.CancelFunc
+	wg         sync.WaitGroup
+	// findings are the servers that a process listed although they were deleted, each once.
+	findings []string
+	reported map[string]bool
+}
+
+// watchServerLists starts to read the lists.
+func watchServerLists(d *testDeployment) *serverLists {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &serverLists{deployment: d, client: &http.Client{Timeout: listTimeout}, cancel: cancel, reported: make(map[string]bool)}
+	l.wg.Go(func() {
+		for ctx.Err() == nil {
+			for _, p := range d.processes() {
+				if list, err := p.listServers(ctx, l.client); err == nil {
+					l.check(p, list)
+				}
+			}
+			select {
+			case <-ctx.Done():
+			case <-time.After(listInterval):
+			}
+		}
+	})
+	return l
+}
+
+func (l *serverLists) stop() {
+	l.cancel()
+	l.wg.Wait()
+}
+
+// listServers returns the servers that the process lists.
+func (p *process) listServers(ctx context.Context, client *http.Client) (list direct.ServerList, err error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.metrics+direct.ServersPath, http.NoBody)
+	if err != nil {
+		return list, err
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return list, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	return list, json.NewDecoder(response.Body).Decode(&list)
+}
+
+// check reports the servers in a list that the store did not list at the revision up to which the process has every
+// change.
+func (l *serverLists) check(p *process, list direct.ServerList) {
+	present := l.deployment.store.KeysAt("servers/", uint64(list.Complete))
+	for _, server := range list.Servers {
+		if server.Revision > list.Complete || present["servers/"+server.Server] {
+			continue
+		}
+		finding := fmt.Sprintf("%s has every change up to %d and lists %s of revision %d from %s, which was deleted by then",
+			p.name, list.Complete, server.Server, server.Revision, server.From)
+		if !l.reported[finding] {
+			l.reported[finding] = true
+			l.findings = append(l.findings, finding)
+		}
+	}
+}
+
+// awaitRemoval waits until all processes list what the store does, removes the entry of a server, which serves on, and
+// waits until no process lists it. No entry box may send to it later than maxChangeTime after the removal.
+func (l *load) awaitRemoval(t *testing.T) {
+	t.Helper()
+	d := l.deployment
+	d.awaitEqualLists(t)
+	if *maxChangeTime > 0 {
+		time.Sleep(*maxChangeTime + storeStableTime)
+	}
+	removed := d.servers[len(d.servers)-1]
+	removedAt := time.Now()
+	d.store.Remove("servers/" + removed.id)
+	callers := load{deployment: d, client: l.client, counts: make(map[string]int), requests: make(map[string]sentRequest)}
+	callers.lastID.Store(l.lastID.Load())
+	callers.run(*callerCount)
+	elapsed := d.awaitEqualLists(t)
+	time.Sleep(time.Until(removedAt.Add(2 * *maxChangeTime)))
+	callers.stop()
+	t.Logf("no process listed %s any more %s after its removal", removed.id, elapsed.Round(time.Millisecond))
+	if *maxChangeTime == 0 {
+		return
+	}
+	if elapsed > *maxChangeTime {
+		t.Errorf("a removal took %s to reach all processes, want at most %s", elapsed, *maxChangeTime)
+	}
+	for _, attempt := range removed.ReceivedRequests() {
+		if late := attempt.At.Sub(removedAt); late > *maxChangeTime {
+			t.Errorf("request %s reached %s %s after its removal", attempt.RequestID, removed.id, late)
+		}
+	}
+}
+
+// awaitEqualLists waits until all processes list the servers that the store lists, and returns the time until then.
+func (d *testDeployment) awaitEqualLists(t *testing.T) time.Duration {
+	t.Helper()
+	start, client := time.Now(), &http.Client{Timeout: listTimeout}
+	want := slices.Sorted(maps.Keys(d.store.KeysAt("servers/", d.store.Revision())))
+	for _, p := range d.processes() {
+		for {
+			list, err := p.listServers(t.Context(), client)
+			var got []string
+			for _, server := range list.Servers {
+				got = append(got, "servers/"+server.Server)
+			}
+			if err == nil && slices.Equal(got, want) {
+				break
+			}
+			if time.Since(start) > recoveryTimeout {
+				t.Errorf("%s lists %v (%v), the store lists %v", p.name, got, err, want)
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	return time.Since(start)
+}
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -14,9 +14,11 @@
 
 // process is a daemon that can be stopped and restarted with the same settings.
 type process struct {
-	name   string
-	config string
-	log    string
+	name string
+	// metrics is the address at which the process lists the servers that it knows.
+	metrics string
+	config  string
+	log     string
 
 	// lifecycle is held by a fault while it stops, freezes or restarts the process.
 	lifecycle sync.Mutex
@@ -36,7 +38,7 @@
 func renderSettings(role, name, ip string, listen, extra []string) string {
 	lines := []string{
 		`mode = "direct"`, fmt.Sprintf("role = %q", role), fmt.Sprintf("box = %q", name), `region = "r"`, `failure_domain = "hall-a"`,
-		"[listen]", fmt.Sprintf("metrics = %q", ip+":0"),
+		"[listen]", fmt.Sprintf("metrics = \"%s:%d\"", ip, portMetrics),
 	}
 	lines = append(lines, listen...)
 	lines = append(lines, extra...)
@@ -44,9 +46,9 @@
 	return strings.Join(lines, "\n") + "\n"
 }
 
-func newProcess(t *testing.T, dir, name, settings string) *process {
+func newProcess(t *testing.T, dir, name, ip, settings string) *process {
 	t.Helper()
-	p := &process{name: name, config: filepath.Join(dir, name+".toml"), log: filepath.Join(dir, name+".log")}
+	p := &process{name: name, metrics: fmt.Sprintf("%s:%d", ip, portMetrics), config: filepath.Join(dir, name+".toml"), log: filepath.Join(dir, name+".log")}
 	if err := os.WriteFile(p.config, []byte(settings), 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -101,6 +101,7 @@
 		}
 	}
 	load := newLoad(d)
+	lists := watchServerLists(d)
 	load.awaitServing(t)
 	load.run(*callerCount)
 	load.runCrashRequests()
@@ -112,7 +113,10 @@
 	load.awaitServing(t)
 	d.awaitNewestVersion()
 	load.awaitChange(t)
+	load.awaitRemoval(t)
+	lists.stop()
 	findings := load.findings()
+	findings = append(findings, lists.findings...)
 	findings = append(findings, load.signalFindings()...)
 	findings = append(findings, load.limitFindings()...)
 	findings = append(findings, load.crashFindings()...)
--- a/pkg/route/backoff_test.go
+++ b/pkg/route/backoff_test.go
@@ -92,12 +92,14 @@
 		change     func(w *plainDispatcher)
 		backingOff bool
 	}{
-		"nothing changes":                 {func(*plainDispatcher) {}, true},
-		"unlisted and listed again":       {func(w *plainDispatcher) { w.setServers(); w.setServers(plainServer("a", 5)) }, true},
-		"listed with older incarnation":   {func(w *plainDispatcher) { w.setServers(); w.setServers(plainServer("a", 4)) }, true},
-		"agent reports new weights":       {func(w *plainDispatcher) { w.d.UpdateServer("a", ServerState{Incarnation: 5, Version: 2}, w.now) }, true},
-		"listed with new incarnation":     {func(w *plainDispatcher) { w.setServers(plainServer("a", w.incarnationStartedNow())) }, false},
-		"agent reports a new incarnation": {func(w *plainDispatcher) { w.d.UpdateServer("a", ServerState{Incarnation: w.incarnationStartedNow()}, w.now) }, false},
+		"nothing changes":               {func(*plainDispatcher) {}, true},
+		"unlisted and listed again":     {func(w *plainDispatcher) { w.setServers(); w.setServers(plainServer("a", 5)) }, true},
+		"listed with older incarnation": {func(w *plainDispatcher) { w.setServers(); w.setServers(plainServer("a", 4)) }, true},
+		"agent reports new weights":     {func(w *plainDispatcher) { w.d.UpdateServer("a", ServerState{Incarnation: 5, Version: 2}, w.now) }, true},
+		"listed with new incarnation":   {func(w *plainDispatcher) { w.setServers(plainServer("a", w.incarnationStartedNow())) }, false},
+		"agent reports a new incarnation": {func(w *plainDispatcher) {
+			w.d.UpdateServer("a", ServerState{Incarnation: w.incarnationStartedNow()}, w.now)
+		}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			w := newPlainDispatcher(t, plainServer("a", 5))
