--- a/internal/direct/fleetstate.go
+++ b/internal/direct/fleetstate.go
@@ -19,22 +19,9 @@
 	"github.com/cinderslip/cinderslip/pkg/state"
 )
 
-const (
-	// expiryDeferral is how long the deletion of a server's entry is deferred if the entry expired during an
-	// outage of the store. Running servers write their entries again within two seconds.
-	expiryDeferral = 2200 * time.Millisecond
-	// minExpiryOutage is the shortest outage of the store in which entries can expire. Entries last for several
-	// heartbeats, and heartbeats are about a second apart.
-	minExpiryOutage = 1400 * time.Millisecond
-	// expiryDeferralWindow is how long after the store's recovery deletions may still come from entries that
-	// expired during the outage.
-	expiryDeferralWindow = 1500 * time.Millisecond
-	// outageReportWindow is how long a report of an outage holds. Boxes repeat it with each status message.
-	outageReportWindow = 2 * statusHeartbeat
-	// minAssumedAge is the minimum age that a process assumes for versions of weights that were published before
-	// it started.
-	minAssumedAge = 5 * time.Second
-)
+// minAssumedAge is the minimum age that a process assumes for versions of weights that were published before it
+// started.
+const minAssumedAge = 5 * time.Second
 
 // assumedAgeAtStart returns the age that a process assumes for versions of weights that were published before it
 // started. The true age is unknown, as all processes may have been killed at once. The rest of the version bound
@@ -118,49 +105,6 @@
 	return f.changed
 }
 
-// Watermarks are the revisions of the platform's store up to which its changes are known.
-type Watermarks struct {
-	// Newest is the newest revision of any known fact.
-	Newest fleet.Revision
-	// Complete is the revision up to which every change is known. It is older than every deferred deletion, so
-	// that the deletion is requested from a box that has applied it.
-	Complete fleet.Revision
-}
-
-// Watermarks returns the revisions up to which the changes of the platform's store are known.
-func (f *FleetState) Watermarks() Watermarks {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.watermarks()
-}
-
-// watermarks is Watermarks with the lock held.
-func (f *FleetState) watermarks() Watermarks {
-	return Watermarks{Newest: f.newest, Complete: min(f.newest, f.complete())}
-}
-
-// position is how far a process has the changes of the platform's store.
-type position struct {
-	// received is the revision up to which everything is known or was received, complete the one up to which
-	// everything is known.
-	received, complete fleet.Revision
-}
-
-// position returns how far this process has the changes of the store.
-func (f *FleetState) position() position {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return position{received: max(f.newest, fleet.Revision(f.mirror.Received())), complete: f.complete()}
-}
-
-// isBehind reports whether another process knows a change that this one does not know.
-func (p position) isBehind(other Watermarks) bool {
-	return other.Newest > p.received || other.Complete > p.complete
-}
-
-// complete returns the revision up to which every change is known, even if there is no fact of that revision.
-func (f *FleetState) complete() fleet.Revision { return fleet.Revision(f.mirror.Complete()) }
-
 // StoreResponseAge returns the time since the store's last response, or a negative value if there was none.
 func (f *FleetState) StoreResponseAge() time.Duration {
 	f.mu.Lock()
@@ -178,103 +122,6 @@
 	return f.storeResponded
 }
 
-// isStoreDown reports whether the last call of the store failed.
-func (f *FleetState) isStoreDown() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return !f.downSince.IsZero()
-}
-
-// noteStoreFailure records a call of the store that failed or is overdue. The store was due to respond to it by dueAt.
-// An outage does not count from the start of a call that waits for changes: a lost response would make one.
-func (f *FleetState) noteStoreFailure(call string, dueAt time.Time, err error) {
-	f.mu.Lock()
-	first := f.downSince.IsZero()
-	if first {
-		f.downSince = f.clock.Now()
-		if dueAt.Before(f.downSince) {
-			f.downSince = dueAt
-		}
-	}
-	f.failedCalls++
-	f.mu.Unlock()
-	if first {
-		f.log.Warn().Str("dependency", "store").Str("call", call).Dur("age_ms", f.StoreResponseAge()).Err(err).Msg("dependency lost")
-	}
-}
-
-func (f *FleetState) noteStoreResponse() {
-	f.mu.Lock()
-	now := f.clock.Now()
-	recovered, outage, failures := !f.downSince.IsZero(), now.Sub(f.downSince), f.failedCalls
-	f.storeResponded, f.downSince, f.failedCalls = now, time.Time{}, 0
-	if recovered && outage >= minExpiryOutage {
-		f.recoveredAt = now
-	}
-	f.mu.Unlock()
-	if recovered {
-		f.log.Info().Str("dependency", "store").Dur("away_ms", outage).Int("failures", failures).Msg("dependency regained")
-	}
-}
-
-// hasOutage reports whether entries of servers may have expired in an outage of the store, from its start until
-// expiryDeferralWindow after its end. The lock must be held.
-func (f *FleetState) hasOutage() bool {
-	if !f.downSince.IsZero() && f.clock.Since(f.downSince) >= minExpiryOutage {
-		return true
-	}
-	return !f.recoveredAt.IsZero() && f.clock.Since(f.recoveredAt) < expiryDeferralWindow
-}
-
-// HasStoreOutage reports whether entries of servers may have expired in an outage of the store, as this box sees it.
-func (f *FleetState) HasStoreOutage() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.hasOutage()
-}
-
-// noteReportedOutage records that another box reports an outage of the store.
-func (f *FleetState) noteReportedOutage() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.outageReportedAt = f.clock.Now()
-}
-
-// shouldDeferMissing reports whether the deletion of an entry that another box lacks is deferred. That box may have
-// started after the entry expired, so the outages that other boxes report count too.
-func (f *FleetState) shouldDeferMissing(deletion, held state.Item) bool {
-	if !f.outageReportedAt.IsZero() && f.clock.Since(f.outageReportedAt) < outageReportWindow {
-		return f.deferDeletion(deletion)
-	}
-	return f.shouldDefer(deletion, held)
-}
-
-// shouldDefer reports whether the deletion of a server's entry is deferred, because the entry may have expired during an
-// outage of the store. An entry that is written again by the end of expiryDeferral is newer and outlives its deletion.
-// The lock must be held.
-func (f *FleetState) shouldDefer(deletion, _ state.Item) bool {
-	return f.hasOutage() && f.deferDeletion(deletion)
-}
-
-// deferDeletion reports whether a deletion is of a server that is not leaving, and logs that it is deferred. The lock
-// must be held.
-func (f *FleetState) deferDeletion(deletion state.Item) bool {
-	id := fleet.ServerID(strings.TrimPrefix(deletion.Key, fleet.ServerKey("")))
-	if server, known := f.servers[id]; !known || server.Leaving {
-		return false
-	}
-	f.log.Info().Str("server", string(id)).Uint64("revision", deletion.Version.Major).Dur("hold_ms", expiryDeferral).
-		Msg("server's entry went while the store was away, held")
-	return true
-}
-
-// applyLater applies deferred deletions after expiryDeferral.
-func (f *FleetState) applyLater(deferred []state.Item) {
-	if len(deferred) > 0 {
-		f.clock.AfterFunc(expiryDeferral, func() { f.merge(f.mirrorMerge(deferred), "store", true) })
-	}
-}
-
 // mergeFunc merges items into the mirror. It returns the applied items, and the deletions to apply later.
 type mergeFunc func() (applied, deferred []state.Item)
 
--- /dev/null
+++ b/internal/direct/watermarks.go
@@ -0,0 +1,46 @@
+package direct
+
+import "github.com/cinderslip/cinderslip/pkg/fleet"
+
+// Watermarks are the revisions of the platform's store up to which its changes are known.
+type Watermarks struct {
+	// Newest is the newest revision of any known fact.
+	Newest fleet.Revision
+	// Complete is the revision up to which every change is known. It is older than every deferred deletion, so
+	// that the deletion is requested from a box that has applied it.
+	Complete fleet.Revision
+}
+
+// Watermarks returns the revisions up to which the changes of the platform's store are known.
+func (f *FleetState) Watermarks() Watermarks {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.watermarks()
+}
+
+// watermarks is Watermarks with the lock held.
+func (f *FleetState) watermarks() Watermarks {
+	return Watermarks{Newest: f.newest, Complete: min(f.newest, f.complete())}
+}
+
+// position is how far a process has the changes of the platform's store.
+type position struct {
+	// received is the revision up to which everything is known or was received, complete the one up to which
+	// everything is known.
+	received, complete fleet.Revision
+}
+
+// position returns how far this process has the changes of the store.
+func (f *FleetState) position() position {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return position{received: max(f.newest, fleet.Revision(f.mirror.Received())), complete: f.complete()}
+}
+
+// isBehind reports whether another process knows a change that this one does not know.
+func (p position) isBehind(other Watermarks) bool {
+	return other.Newest > p.received || other.Complete > p.complete
+}
+
+// complete returns the revision up to which every change is known, even if there is no fact of that revision.
+func (f *FleetState) complete() fleet.Revision { return fleet.Revision(f.mirror.Complete()) }
