refactor(state): one status for a mirror, and deferral by the deletion alone

Six accessors that lock and return a field become Mirror.Status; the function that defers a deletion takes the deletion, as no caller used the held item; ApplyItems had no caller but tests, which use ApplyTransfer. The behaviour is unchanged: pkg/state and internal/direct without scenarios pass.

--- a/internal/direct/cluster_test.go
+++ b/internal/direct/cluster_test.go
@@ -418,8 +418,8 @@
 		seeds = append(seeds, string(other.address()))
 	}
 	b.entries = &EntryBoxes{
-		self: own, regionOf: func(domain member.FailureDomain) member.Region { return member.Region(domain) }, membership: membership, fleetState: b.fleetState,
-		suspects: suspects, peers: b.peers, clock: clock, log: log, tasks: kernel.NewTaskGroup(), seeds: seeds, boxes: make(map[string]EntryBox),
+		self: own, regionOf: func(domain member.FailureDomain) member.Region { return member.Region(domain) },
+		membership: membership, fleetState: b.fleetState, suspects: suspects, peers: b.peers, clock: clock, log: log, tasks: kernel.NewTaskGroup(), seeds: seeds, boxes: make(map[string]EntryBox),
 		following: make(map[string]followed), cursors: make(map[member.Address]state.Cursor),
 		readers: newReaderSet(b.id, b.region, times.readerTimeout()), replanned: make(chan struct{}),
 		onReport:   func(member.BoxID, route.Load, route.Demands, bool, time.Time) {},
@@ -479,7 +479,8 @@
 		key := fleet.ServerKey(fleet.ServerID(server.Server))
 		known[key] = true
 		if _, ok := present[key]; !ok && server.Revision <= complete {
-			b.cluster.t.Errorf("%s has every change up to %d and lists %s of revision %d, which was deleted by then", b.id, complete, server.Server, server.Revision)
+			b.cluster.t.Errorf("%s has every change up to %d and lists %s of revision %d, which was deleted by then",
+				b.id, complete, server.Server, server.Revision)
 		}
 	}
 	newest := b.cluster.store.at(list.Newest)
--- a/internal/direct/clusterfaults_test.go
+++ b/internal/direct/clusterfaults_test.go
@@ -258,7 +258,8 @@
 		}
 		for id, since := range box.outdatedServers() {
 			if since > c.bound && c.isStoreStableAt(now.Add(-since)) {
-				c.t.Errorf("%s, %s after its last fault, still uses %s %s after its deletion; the bound is %s", box.id, now.Sub(box.disturbedUntil), id, since, c.bound)
+				c.t.Errorf("%s, %s after its last fault, still uses %s %s after its deletion; the bound is %s",
+					box.id, now.Sub(box.disturbedUntil), id, since, c.bound)
 			}
 		}
 	}
--- a/internal/direct/fleetstate.go
+++ b/internal/direct/fleetstate.go
@@ -171,11 +171,6 @@
 	return items
 }
 
-// ApplyItems merges facts in their replicated form, as another process reports them.
-func (f *FleetState) ApplyItems(items []state.Item, from string) {
-	f.merge(f.mirrorMerge(items), from, false)
-}
-
 // maxItemsLogged is the number of servers' entries in one batch up to which each is logged. A process that starts
 // receives thousands at once, and so does each of thousands of processes.
 const maxItemsLogged = 16
@@ -186,16 +181,17 @@
 	// order. Otherwise the older of two concurrent entries could stay in the view permanently.
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	outdated := f.mirror.Outdated()
+	before := f.mirror.Status()
 	applied, deferred := merge()
-	if outdated = f.mirror.Outdated() - outdated; outdated > 0 {
+	after := f.mirror.Status()
+	if outdated := after.Outdated - before.Outdated; outdated > 0 {
 		f.metrics.outdatedEntries.Add(float64(outdated))
-		f.log.Info().Uint64("entries", outdated).Uint64("complete", uint64(f.complete())).Str("from", from).Msg("outdated entries of servers not taken")
+		f.log.Info().Uint64("entries", outdated).Uint64("complete", after.Complete).Str("from", from).Msg("outdated entries of servers not taken")
 	}
 	f.applyLater(deferred)
-	f.newest = max(f.newest, fleet.Revision(f.mirror.Floor()))
+	f.newest = max(f.newest, fleet.Revision(after.Floor))
 	if len(applied) == 0 {
-		f.metrics.observeView(f.View(), f.watermarks(), f.mirror.DeferredCount())
+		f.metrics.observeView(f.View(), f.watermarks(), after.Deferred)
 		return
 	}
 	log := f.log
@@ -239,7 +235,7 @@
 // setView replaces the current view. The lock must be held.
 func (f *FleetState) setView(view *fleet.View) {
 	f.view.Store(view)
-	f.metrics.observeView(view, f.watermarks(), f.mirror.DeferredCount())
+	f.metrics.observeView(view, f.watermarks(), f.mirror.Status().Deferred)
 	close(f.changed)
 	f.changed = make(chan struct{})
 }
--- a/internal/direct/storeoutage.go
+++ b/internal/direct/storeoutage.go
@@ -89,17 +89,17 @@
 
 // shouldDeferMissing reports whether the deletion of an entry that another box lacks is deferred. That box may have
 // started after the entry expired, so the outages that other boxes report count too.
-func (f *FleetState) shouldDeferMissing(deletion, held state.Item) bool {
+func (f *FleetState) shouldDeferMissing(deletion state.Item) bool {
 	if !f.outageReportedAt.IsZero() && f.clock.Since(f.outageReportedAt) < outageReportWindow {
 		return f.deferDeletion(deletion)
 	}
-	return f.shouldDefer(deletion, held)
+	return f.shouldDefer(deletion)
 }
 
 // shouldDefer reports whether the deletion of a server's entry is deferred, because the entry may have expired during an
 // outage of the store. An entry that is written again by the end of expiryDeferral is newer and outlives its deletion.
 // The lock must be held.
-func (f *FleetState) shouldDefer(deletion, _ state.Item) bool {
+func (f *FleetState) shouldDefer(deletion state.Item) bool {
 	return f.hasOutage() && f.deferDeletion(deletion)
 }
 
--- a/internal/direct/watermarks.go
+++ b/internal/direct/watermarks.go
@@ -34,7 +34,8 @@
 func (f *FleetState) position() position {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return position{received: max(f.newest, fleet.Revision(f.mirror.Received())), complete: f.complete()}
+	status := f.mirror.Status()
+	return position{received: max(f.newest, fleet.Revision(status.Received)), complete: fleet.Revision(status.Complete)}
 }
 
 // isBehind reports whether another process knows a change that this one does not know.
@@ -43,4 +44,4 @@
 }
 
 // complete returns the revision up to which every change is known, even if there is no fact of that revision.
-func (f *FleetState) complete() fleet.Revision { return fleet.Revision(f.mirror.Complete()) }
+func (f *FleetState) complete() fleet.Revision { return fleet.Revision(f.mirror.Status().Complete) }
--- a/internal/soak/lists_test.go
+++ b/internal/soak/lists_test.go
@@ -30,8 +30,8 @@
 	listTimeout  = 300 * time.Millisecond
 )
 
-// removeServers removes the entries of randomly chosen servers for a time, with and without an announcement, and writes
-// them again later, by the same incarnation or by the next one.
+// removeServers removes the entries of randomly chosen servers, with and without an announcement, until a duration ends.
+// Each entry is written again later, by the same incarnation or by the next one.
 func (d *testDeployment) removeServers(duration time.Duration) {
 	for end := time.Now().Add(duration); time.Now().Before(end); {
 		time.Sleep(time.Duration(d.removalRand.Int64N(int64(2 * removalInterval))))
--- a/pkg/route/backoff.go
+++ b/pkg/route/backoff.go
@@ -95,7 +95,7 @@
 }
 
 // Check must be called immediately before the request is sent, as opening a connection can take several hundred
-// milliseconds. It returns ErrLeaving, ErrBackingOff or ErrRateLimited if the server is leaving or no longer listed,
+// milliseconds. It returns ErrLeaving, ErrBackingOff or ErrRateLimited if the server is leaving or not listed,
 // has requested a backoff, or has no token left under a rate limit that was set or lowered since the slot was reserved.
 // If it returns nil, the request counts against the rate limit.
 func (r *Reservation) Check(now time.Time) error {
--- a/pkg/state/mirror.go
+++ b/pkg/state/mirror.go
@@ -27,7 +27,7 @@
 //	mirror := state.NewMirror(instance, func(key string) bool { return strings.HasPrefix(key, "server/") })
 //	applied, _ := mirror.MergeSnapshot(items, revision, nil)       // read from the source
 //	applied, _ = mirror.MergeChanges(items, after, revision, nil)  // watched at the source
-//	transfer := mirror.Transfer(cursor, 256, other.Complete())     // sent to another mirror
+//	transfer := mirror.Transfer(cursor, 256, other.Status().Complete)     // sent to another mirror
 //	applied = other.MergeTransfer(transfer, nil)
 type Mirror struct {
 	isRemovable func(key string) bool
@@ -63,13 +63,34 @@
 	}
 }
 
-// Complete returns the revision up to which the mirror has every change. It does not pass a deferred deletion.
-func (m *Mirror) Complete() uint64 {
+// DeferFunc reports whether the deletion of an item that the mirror holds is deferred.
+type DeferFunc func(deletion Item) bool
+
+// MirrorStatus is the state of a mirror apart from its items.
+type MirrorStatus struct {
+	// Complete is the revision up to which the mirror has every change. It does not pass a deferred deletion.
+	Complete uint64
+	// Received is the revision up to which the mirror has every change or a deferred deletion.
+	Received uint64
+	// Floor is the revision up to which the mirror may lack tombstones.
+	Floor uint64
+	// Deferred is the number of deferred deletions, Tombstones the number of removable keys that are held as deleted.
+	Deferred, Tombstones int
+	// Outdated is the number of outdated items that were not taken.
+	Outdated uint64
+}
+
+// Status returns the state of the mirror.
+func (m *Mirror) Status() MirrorStatus {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.completeExceptDeferred()
+	return MirrorStatus{
+		Complete: m.completeExceptDeferred(), Received: m.complete, Floor: m.floor,
+		Deferred: len(m.deferred), Tombstones: m.tombstones, Outdated: m.outdated,
+	}
 }
 
+// completeExceptDeferred returns the revision up to which every change is applied. The lock must be held.
 func (m *Mirror) completeExceptDeferred() uint64 {
 	complete := m.complete
 	for _, d := range m.deferred {
@@ -78,47 +99,12 @@
 	return complete
 }
 
-// Received returns the revision up to which the mirror has every change or a deferred deletion.
-func (m *Mirror) Received() uint64 {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.complete
-}
-
-// Floor returns the revision up to which the mirror may lack tombstones.
-func (m *Mirror) Floor() uint64 {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.floor
-}
-
-// Outdated returns the number of outdated items that were not taken.
-func (m *Mirror) Outdated() uint64 {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.outdated
-}
-
-// DeferredCount returns the number of deferred deletions.
-func (m *Mirror) DeferredCount() int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return len(m.deferred)
-}
-
 // Lookup returns the item of a key, even if it is a tombstone.
 func (m *Mirror) Lookup(key string) (item Item, ok bool) { return m.store.Lookup(key) }
 
 // Prefix returns the items whose key starts with prefix, except deleted ones.
 func (m *Mirror) Prefix(prefix string) []Item { return m.store.Prefix(prefix) }
 
-// Tombstones returns the number of removable keys that are held as deleted.
-func (m *Mirror) Tombstones() int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.tombstones
-}
-
 // Merge merges items of unknown origin and returns those that were applied.
 func (m *Mirror) Merge(items []Item) (applied []Item) {
 	m.mu.Lock()
@@ -128,8 +114,8 @@
 
 // MergeSnapshot merges all items of the source, which were read at a revision or later, and deletes the removable keys
 // that they lack. A deletion for which shouldDefer returns true is not applied but returned; the caller applies it with
-// Merge. shouldDefer receives the deletion and the held item, and may be nil.
-func (m *Mirror) MergeSnapshot(items []Item, revision uint64, shouldDefer func(deletion, held Item) bool) (applied, deferred []Item) {
+// Merge. shouldDefer may be nil.
+func (m *Mirror) MergeSnapshot(items []Item, revision uint64, shouldDefer DeferFunc) (applied, deferred []Item) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	present := make(map[string]bool, len(items))
@@ -147,7 +133,7 @@
 
 // MergeChanges merges every change of the source after one revision up to another one. For deferred deletions see
 // MergeSnapshot.
-func (m *Mirror) MergeChanges(items []Item, after, revision uint64, shouldDefer func(deletion, held Item) bool) (applied, deferred []Item) {
+func (m *Mirror) MergeChanges(items []Item, after, revision uint64, shouldDefer DeferFunc) (applied, deferred []Item) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	items, deferred = m.deferDeletions(items, shouldDefer)
@@ -193,8 +179,8 @@
 }
 
 // MergeTransfer merges what another mirror sent. The transfers of one sender must be merged in order. For deferred
-// deletions see MergeSnapshot; only those of keys that the sender no longer holds may be deferred.
-func (m *Mirror) MergeTransfer(transfer *Transfer, shouldDefer func(deletion, held Item) bool) (applied, deferred []Item) {
+// deletions see MergeSnapshot; tombstones of the sender are applied at once.
+func (m *Mirror) MergeTransfer(transfer *Transfer, shouldDefer DeferFunc) (applied, deferred []Item) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	applied = m.merge(transfer.Items)
@@ -287,13 +273,13 @@
 }
 
 // deferDeletions separates the deletions to defer from the other items. The lock must be held.
-func (m *Mirror) deferDeletions(items []Item, shouldDefer func(deletion, held Item) bool) (immediate, deferred []Item) {
+func (m *Mirror) deferDeletions(items []Item, shouldDefer DeferFunc) (immediate, deferred []Item) {
 	if shouldDefer == nil {
 		return items, nil
 	}
 	for _, item := range items {
 		held, ok := m.store.Get(item.Key)
-		if !item.Deleted || !ok || held.Version.Compare(item.Version) >= 0 || !shouldDefer(item, held) {
+		if !item.Deleted || !ok || held.Version.Compare(item.Version) >= 0 || !shouldDefer(item) {
 			immediate = append(immediate, item)
 			continue
 		}
--- a/pkg/state/mirror_test.go
+++ b/pkg/state/mirror_test.go
@@ -30,7 +30,7 @@
 
 // pullMirror transfers everything from one mirror to another.
 func pullMirror(to, from *Mirror, cursor Cursor) Cursor {
-	transfer := from.Transfer(cursor, 0, to.Complete())
+	transfer := from.Transfer(cursor, 0, to.Status().Complete)
 	to.MergeTransfer(&transfer, nil)
 	return transfer.Next
 }
@@ -41,7 +41,7 @@
 	started.MergeSnapshot([]Item{live("server/b", 4)}, 9, nil)
 	pullMirror(survivor, started, Cursor{})
 	require.Equal(t, map[string]uint64{"server/b": 4}, keysOf(survivor))
-	require.EqualValues(t, 9, survivor.Complete())
+	require.EqualValues(t, 9, survivor.Status().Complete)
 	_, kept := survivor.Lookup("configuration")
 	require.True(t, kept, "a key that is not removable is kept")
 }
@@ -71,16 +71,16 @@
 	reader, follower := NewMirror(1, isServerKey), NewMirror(2, isServerKey)
 	reader.MergeSnapshot([]Item{live("server/a", 3)}, 5, nil)
 	cursor := pullMirror(follower, reader, Cursor{})
-	_, deferred := reader.MergeChanges([]Item{tombstone("server/a", 7), live("server/b", 9)}, 5, 9, func(Item, Item) bool { return true })
+	_, deferred := reader.MergeChanges([]Item{tombstone("server/a", 7), live("server/b", 9)}, 5, 9, func(Item) bool { return true })
 	require.Equal(t, []Item{tombstone("server/a", 7)}, deferred)
-	require.EqualValues(t, 5, reader.Complete())
+	require.EqualValues(t, 5, reader.Status().Complete)
 	cursor = pullMirror(follower, reader, cursor)
 	require.Equal(t, map[string]uint64{"server/a": 3, "server/b": 9}, keysOf(follower))
 	reader.Merge(deferred)
-	require.EqualValues(t, 9, reader.Complete())
+	require.EqualValues(t, 9, reader.Status().Complete)
 	pullMirror(follower, reader, cursor)
 	require.Equal(t, map[string]uint64{"server/b": 9}, keysOf(follower))
-	require.EqualValues(t, 9, follower.Complete())
+	require.EqualValues(t, 9, follower.Status().Complete)
 }
 
 func TestTombstonesAreBounded(t *testing.T) {
@@ -92,11 +92,11 @@
 		key := fmt.Sprintf("server/%d", i)
 		reader.MergeChanges([]Item{live(key, revision+1), tombstone(key, revision+2)}, revision, revision+2, nil)
 		revision += 2
-		require.LessOrEqual(t, reader.Tombstones(), defaultMaxTombstones)
+		require.LessOrEqual(t, reader.Status().Tombstones, defaultMaxTombstones)
 	}
 	pullMirror(late, reader, cursor)
 	require.Empty(t, keysOf(late))
-	require.Equal(t, revision, late.Complete())
+	require.Equal(t, revision, late.Status().Complete)
 }
 
 // source is a key-value service with a single sequence of revisions.
@@ -151,7 +151,7 @@
 		for range rapid.IntRange(1, 120).Draw(t, "steps") {
 			r := replicas[rapid.IntRange(0, len(replicas)-1).Draw(t, "replica")]
 			key := fmt.Sprintf("server/%d", rapid.IntRange(0, 4).Draw(t, "key"))
-			deferSome := func(_, _ Item) bool { return rapid.Bool().Draw(t, "defer") }
+			deferSome := func(Item) bool { return rapid.Bool().Draw(t, "defer") }
 			switch rapid.IntRange(0, 11).Draw(t, "action") {
 			case 0, 1:
 				src.history = append(src.history, live(key, src.revision()+1))
@@ -171,7 +171,7 @@
 			case 8, 9, 10:
 				from := replicas[rapid.IntRange(0, len(replicas)-1).Draw(t, "from")]
 				if from != r {
-					transfer := from.Transfer(r.cursors[from.Mirror], rapid.IntRange(0, 3).Draw(t, "limit"), r.Complete())
+					transfer := from.Transfer(r.cursors[from.Mirror], rapid.IntRange(0, 3).Draw(t, "limit"), r.Status().Complete)
 					_, deferred := r.MergeTransfer(&transfer, deferSome)
 					r.deferred = append(r.deferred, deferred...)
 					r.cursors[from.Mirror] = transfer.Next
@@ -193,7 +193,7 @@
 }
 
 // readSource reads the source at once and returns the function that merges the response.
-func readSource(t *rapid.T, src *source, r *replica, shouldDefer func(deletion, held Item) bool) (merge func()) {
+func readSource(t *rapid.T, src *source, r *replica, shouldDefer DeferFunc) (merge func()) {
 	at, after := src.revision(), r.after
 	if after < src.compacted || after == 0 {
 		// The second page is read later than the first one.
@@ -226,7 +226,7 @@
 }
 
 func requireComplete(t *rapid.T, src *source, m *Mirror, replica int) {
-	complete := m.Complete()
+	complete := m.Status().Complete
 	present := src.at(complete)
 	for key, item := range present {
 		held, ok := m.Lookup(key)
