--- a/internal/direct/watermarks.go
+++ b/internal/direct/watermarks.go
@@ -4,7 +4,7 @@
 
 // Watermarks are the revisions of the platform's store up to which its changes are known.
 type Watermarks struct {
-	// Newest is the newest revision of any known fact.
+	// Newest is the newest revision of any known fact, or of a snapshot of the store.
 	Newest fleet.Revision
 	// Complete is the revision up to which every change is known. It is older than every deferred deletion, so
 	// that the deletion is requested from a box that has applied it.
