--- a/internal/direct/cluster_test.go
+++ b/internal/direct/cluster_test.go
@@ -419,7 +419,8 @@
 	}
 	b.entries = &EntryBoxes{
 		self: own, regionOf: func(domain member.FailureDomain) member.Region { return member.Region(domain) },
-		membership: membership, fleetState: b.fleetState, suspects: suspects, peers: b.peers, clock: clock, log: log, tasks: kernel.NewTaskGroup(), seeds: seeds, boxes: make(map[string]EntryBox),
+		membership: membership, fleetState: b.fleetState, suspects: suspects, peers: b.peers, clock: clock, log: log,
+		tasks: kernel.NewTaskGroup(), seeds: seeds, boxes: make(map[string]EntryBox),
 		following: make(map[string]followed), cursors: make(map[member.Address]state.Cursor),
 		readers: newReaderSet(b.id, b.region, times.readerTimeout()), replanned: make(chan struct{}),
 		onReport:   func(member.BoxID, route.Load, route.Demands, bool, time.Time) {},
--- a/internal/soak/lists_test.go
+++ b/internal/soak/lists_test.go
@@ -30,7 +30,7 @@
 	listTimeout  = 300 * time.Millisecond
 )
 
-// removeServers removes the entries of randomly chosen servers, with and without an announcement, until a duration ends.
+// removeServers removes the entries of random servers, with and without an announcement, until a duration ends.
 // Each entry is written again later, by the same incarnation or by the next one.
 func (d *testDeployment) removeServers(duration time.Duration) {
 	for end := time.Now().Add(duration); time.Now().Before(end); {
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -48,7 +48,10 @@
 
 func newProcess(t *testing.T, dir, name, ip, settings string) *process {
 	t.Helper()
-	p := &process{name: name, metrics: fmt.Sprintf("%s:%d", ip, portMetrics), config: filepath.Join(dir, name+".toml"), log: filepath.Join(dir, name+".log")}
+	p := &process{
+		name: name, metrics: fmt.Sprintf("%s:%d", ip, portMetrics),
+		config: filepath.Join(dir, name+".toml"), log: filepath.Join(dir, name+".log"),
+	}
 	if err := os.WriteFile(p.config, []byte(settings), 0o600); err != nil {
 		t.Fatal(err)
 	}
