--- a/internal/direct/serversapi.go
+++ b/internal/direct/serversapi.go
@@ -77,7 +77,7 @@
 // OutdatedServers compares the lists of several boxes. It returns each server that some box lists and a box with a
 // later list does not, once for each box that lists it.
 func OutdatedServers(lists []ServerList) []Outdated {
-	var outdated []Outdated
+	outdated := []Outdated{}
 	for i := range lists {
 		for _, server := range lists[i].Servers {
 			for j := range lists {
--- a/internal/direct/serversapi_test.go
+++ b/internal/direct/serversapi_test.go
@@ -38,14 +38,14 @@
 		lists []ServerList
 		want  []Outdated
 	}{
-		"equal lists":                        {[]ServerList{list("1", 9, a, b), list("2", 9, a, b)}, nil},
-		"the other box does not know it yet": {[]ServerList{list("1", 9, a, b), list("2", 7, a)}, nil},
+		"equal lists":                        {[]ServerList{list("1", 9, a, b), list("2", 9, a, b)}, []Outdated{}},
+		"the other box does not know it yet": {[]ServerList{list("1", 9, a, b), list("2", 7, a)}, []Outdated{}},
 		"this box does not know its end yet": {[]ServerList{list("1", 7, a), list("2", 9, b)}, []Outdated{{"1", a, "2", 9}}},
 		"both know everything, and differ":   {[]ServerList{list("1", 9, a, b), list("2", 9, b), list("3", 9, b)}, []Outdated{{"1", a, "2", 9}}},
 		"two boxes list it": {
 			[]ServerList{list("1", 9, a), list("2", 9, a), list("3", 9)}, []Outdated{{"1", a, "3", 9}, {"2", a, "3", 9}},
 		},
-		"a single box has nothing to compare": {[]ServerList{list("1", 9, a, b)}, nil},
+		"a single box has nothing to compare": {[]ServerList{list("1", 9, a, b)}, []Outdated{}},
 	} {
 		t.Run(name, func(t *testing.T) { require.Equal(t, test.want, OutdatedServers(test.lists)) })
 	}
