--- a/cmd/cinderslip/client.go
+++ b/cmd/cinderslip/client.go
@@ -24,11 +24,16 @@
 	http  *http.Client
 }
 
-func newClient(global *globalOptions) (*client, error) {
-	c := &client{base: global.Server, http: &http.Client{Timeout: global.Timeout}}
-	if c.base != "" && !strings.Contains(c.base, "://") {
-		c.base = "http://" + c.base
+// baseURL returns the URL of a server that is given as a URL or as an address, or an empty string if none is given.
+func baseURL(server string) string {
+	if server == "" || strings.Contains(server, "://") {
+		return server
 	}
+	return "http://" + server
+}
+
+func newClient(global *globalOptions) (*client, error) {
+	c := &client{base: baseURL(global.Server), http: &http.Client{Timeout: global.Timeout}}
 	if global.TokenFile == "" {
 		return c, nil
 	}
--- a/cmd/cinderslip/servers.go
+++ b/cmd/cinderslip/servers.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/jedib0t/go-pretty/v6/table"
@@ -28,10 +27,7 @@
 		return err
 	}
 	for i, address := range s.Also {
-		if !strings.Contains(address, "://") {
-			address = "http://" + address
-		}
-		other := &client{base: address, token: env.client.token, http: env.client.http}
+		other := &client{base: baseURL(address), token: env.client.token, http: env.client.http}
 		if err := other.call(env.ctx, http.MethodGet, direct.ServersPath, nil, nil, &lists[i+1]); err != nil {
 			return fmt.Errorf("%s: %w", address, err)
 		}
--- a/internal/direct/fleetstate.go
+++ b/internal/direct/fleetstate.go
@@ -125,6 +125,7 @@
 // mergeFunc merges items into the mirror. It returns the applied items, and the deletions to apply later.
 type mergeFunc func() (applied, deferred []state.Item)
 
+// mirrorMerge returns a mergeFunc for items of which it is not known what else was written with them.
 func (f *FleetState) mirrorMerge(items []state.Item) mergeFunc {
 	return func() (applied, deferred []state.Item) { return f.mirror.Merge(items), nil }
 }
@@ -176,13 +177,13 @@
 const maxItemsLogged = 16
 
 // merge merges facts. observed is set if they were read from the store when they were written.
-func (f *FleetState) merge(merge mergeFunc, from string, observed bool) {
+func (f *FleetState) merge(mergeItems mergeFunc, from string, observed bool) {
 	// The lock is held from the update of the mirror to that of the view, so that both apply facts in the same
 	// order. Otherwise the older of two concurrent entries could stay in the view permanently.
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	before := f.mirror.Status()
-	applied, deferred := merge()
+	applied, deferred := mergeItems()
 	after := f.mirror.Status()
 	if outdated := after.Outdated - before.Outdated; outdated > 0 {
 		f.metrics.outdatedEntries.Add(float64(outdated))
--- a/pkg/state/mirror.go
+++ b/pkg/state/mirror.go
@@ -27,8 +27,8 @@
 //	mirror := state.NewMirror(instance, func(key string) bool { return strings.HasPrefix(key, "server/") })
 //	applied, _ := mirror.MergeSnapshot(items, revision, nil)       // read from the source
 //	applied, _ = mirror.MergeChanges(items, after, revision, nil)  // watched at the source
-//	transfer := mirror.Transfer(cursor, 256, other.Status().Complete)     // sent to another mirror
-//	applied = other.MergeTransfer(transfer, nil)
+//	transfer := mirror.Transfer(cursor, 256, other.Status().Complete) // sent to another mirror
+//	applied, _ = other.MergeTransfer(&transfer, nil)
 type Mirror struct {
 	isRemovable func(key string) bool
 
@@ -249,6 +249,7 @@
 	return true
 }
 
+// countTombstone updates the number of tombstones after an item was applied. The lock must be held.
 func (m *Mirror) countTombstone(item Item, wasTombstone bool) {
 	if !m.isRemovable(item.Key) {
 		return
