fix(route): attribute a backoff to the incarnation that holds the connection

The server requested the backoff 1.1 s after its start, while its entry was spoilt by another writer. The box put it down to the start before, and ended it when the entry of the new start arrived, because a response is attributed to an incarnation that is listed later only if that started 2 s before it. A longer or shorter time was ruled out: clocks of boxes and servers differ by seconds, so no time tells two starts apart that are close to a response.

Change: a connection does not outlive the process that accepted it. The box keeps, with the backoff, whether the connection of the response is still open. If the times do not tell which incarnation responded, the backoff applies to the one that becomes known while the connection is open. The incarnation is recorded, so that the connection may be closed afterwards. Without a connection that is open the rule is as before.

Measured: TestBackoffAppliesToIncarnationThatHoldsTheConnection, "open, started 1.1 s before the response", fails before and passes after.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -108,7 +108,7 @@
 			}
 			return reservation.Check(s.clock.Now())
 		},
-		OnResponse: func(resp *http.Response) { s.handleSignals(x, reservation, resp) },
+		OnResponse: func(resp *http.Response, isConnected func() bool) { s.handleSignals(x, reservation, resp, isConnected) },
 	}
 	if service := s.fleetState.View().Service(x.service); service != nil && service.Engine != nil && len(service.Engine.Models) > 0 {
 		out.Priority = s.priority(x)
--- a/internal/direct/responseheaders.go
+++ b/internal/direct/responseheaders.go
@@ -10,8 +10,9 @@
 )
 
 // handleSignals processes the signals in the response headers of a backend server. They apply whatever the
-// outcome of the request is, so they are not handled together with the outcome.
-func (s *CallerServer) handleSignals(x *exchange, reservation *route.Reservation, resp *http.Response) {
+// outcome of the request is, so they are not handled together with the outcome. isConnected reports whether the
+// connection of the response is still open.
+func (s *CallerServer) handleSignals(x *exchange, reservation *route.Reservation, resp *http.Response, isConnected func() bool) {
 	meta := s.protocol.ReadResponse(resp)
 	server := string(reservation.Server.ID)
 	if meta.ParseErr != nil {
@@ -24,7 +25,7 @@
 	s.handleRateLimit(x, reservation, &meta, resp)
 	if meta.Backoff > 0 {
 		backoff, now := min(meta.Backoff, maxBackoff), s.clock.Now()
-		reservation.BackOff(now.Add(backoff), now)
+		reservation.BackOff(now.Add(backoff), now, isConnected)
 		s.metrics.serverSignals.WithLabelValues("rest").Inc()
 		s.log.Info().Str("request", x.ID).Str("server", server).Uint64("incarnation", uint64(reservation.Incarnation)).Int("status", resp.StatusCode).
 			Dur("asked_ms", meta.Backoff).Dur("rest_ms", backoff).Msg("server asks for rest")
--- a/internal/lab/box.go
+++ b/internal/lab/box.go
@@ -254,7 +254,7 @@
 			retryAfter := server.retryAfter
 			r.afterFunc(delay, func() {
 				if now := r.box.sim.Now(); retryAfter > 0 {
-					reservation.BackOff(now.Add(retryAfter), now)
+					reservation.BackOff(now.Add(retryAfter), now, nil)
 				}
 				r.attemptRejected(true)
 			})
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -147,7 +147,10 @@
 	// OnResponse is called with the head of every response received during the attempt. This includes interim
 	// responses and responses to other requests, because the signals that a server sends about itself are valid
 	// regardless of the request. It must not block or read the body. It may be nil.
-	OnResponse func(head *http.Response)
+	//
+	// isConnected reports whether the connection of the response is open at both ends. The process that sent the
+	// response is then still running. It may be called at any time, also after the attempt.
+	OnResponse func(head *http.Response, isConnected func() bool)
 }
 
 // Send sends a request once and returns the response as soon as its head has been read. The caller must close the
@@ -292,20 +295,24 @@
 }
 
 // isReusable reports whether the connection is open and the server has sent nothing on it since the last response.
-func (c *conn) isReusable() bool {
-	if c.reader.Buffered() > 0 {
+func (c *conn) isReusable() bool { return c.reader.Buffered() == 0 && c.isOpen() }
+
+// isOpen reports whether the connection is open at both ends and no received data is unread. It does not wait for
+// another goroutine that reads from the connection.
+func (c *conn) isOpen() bool {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
 		return false
 	}
-	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	raw, err := tcp.SyscallConn()
 	if err != nil {
 		return false
 	}
 	open := false
-	err = raw.Read(func(fd uintptr) bool {
+	err = raw.Control(func(fd uintptr) {
 		var one [1]byte
 		_, _, peekErr := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		open = errors.Is(peekErr, syscall.EAGAIN)
-		return true
 	})
 	return err == nil && open
 }
@@ -356,7 +363,7 @@
 			return nil, err
 		}
 		if request.OnResponse != nil {
-			request.OnResponse(response)
+			request.OnResponse(response, c.isOpen)
 		}
 		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
 			return response, nil
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -319,7 +319,7 @@
 	var received []string
 	response, err := newTestPool(new(atomic.Int32)).Send(t.Context(), &Request{
 		Address: address, ID: "a", Method: http.MethodGet, Target: "/x", Host: "a.example",
-		OnResponse: func(head *http.Response) { received = append(received, head.Header.Get("Word")) },
+		OnResponse: func(head *http.Response, _ func() bool) { received = append(received, head.Header.Get("Word")) },
 	})
 	require.NoError(t, err)
 	defer response.Close()
@@ -327,3 +327,27 @@
 	require.Error(t, err, "the body is truncated")
 	require.Equal(t, []string{"interim", "another's", "own"}, received)
 }
+
+// Guards against attributing a response to a process that has ended.
+func TestConnectionOfResponseIsOpenWhileItsProcessRuns(t *testing.T) {
+	var opened atomic.Int32
+	end := make(chan struct{})
+	address := startRawServer(t, func(conn net.Conn, reader *bufio.Reader) {
+		id, err := readRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, responseTo(id, "x"))
+		<-end
+	})
+	var isOpen func() bool
+	response, err := newTestPool(&opened).Send(t.Context(), &Request{
+		Address: address, ID: "a", Method: http.MethodGet, Target: "/", Host: "a.example", Header: http.Header{"Id": {"a"}},
+		OnResponse: func(_ *http.Response, isConnected func() bool) { isOpen = isConnected },
+	})
+	require.NoError(t, err)
+	response.Discard()
+	require.True(t, isOpen())
+	close(end)
+	require.Eventually(t, func() bool { return !isOpen() }, 10*time.Second, time.Millisecond)
+}
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -352,3 +352,9 @@
 func WasRunning(start member.Incarnation, received time.Time) bool {
 	return !received.IsZero() && start <= member.Incarnation(max(0, received.Add(-startUncertainty).UnixMilli()))
 }
+
+// StartedAfter reports whether an incarnation of a server certainly started after a response of the server was
+// received. If neither StartedAfter nor WasRunning returns true, the times do not tell which incarnation responded.
+func StartedAfter(start member.Incarnation, received time.Time) bool {
+	return start > member.Incarnation(max(0, received.Add(startUncertainty).UnixMilli()))
+}
--- a/pkg/route/backoff.go
+++ b/pkg/route/backoff.go
@@ -25,12 +25,18 @@
 	until       time.Time
 	// received is when the response that requested it arrived.
 	received time.Time
+	// isConnected reports whether the connection of that response is still open; nil if that is not known.
+	isConnected func() bool
 }
 
 // appliesTo reports whether the backoff was requested by the given incarnation of the server or by a later one. The
-// requesting incarnation may be listed only after its response.
+// requesting incarnation may be listed only after its response. If the times do not tell the incarnations apart, the
+// connection of the response does: it does not outlive the process that sent the response.
 func (b *backoff) appliesTo(incarnation member.Incarnation) bool {
-	return incarnation <= b.incarnation || fleet.WasRunning(incarnation, b.received)
+	if incarnation <= b.incarnation || fleet.WasRunning(incarnation, b.received) {
+		return true
+	}
+	return b.isConnected != nil && !fleet.StartedAfter(incarnation, b.received) && b.isConnected()
 }
 
 // backoffs contains the requested backoffs. It is independent of the server list, as a backoff remains valid when the
@@ -52,12 +58,18 @@
 }
 
 // until returns the end of the backoff of a server's incarnation; zero if there is none. A backoff does not apply to
-// later incarnations than the one that requested it.
+// later incarnations than the one that requested it. The incarnation is recorded as the one that requested it, because
+// the connection that shows this may be closed later.
 func (r backoffs) until(id fleet.ServerID, incarnation member.Incarnation) time.Time {
-	if known, ok := r[id]; ok && known.appliesTo(incarnation) {
-		return known.until
+	known, ok := r[id]
+	if !ok || !known.appliesTo(incarnation) {
+		return time.Time{}
+	}
+	if incarnation > known.incarnation {
+		known.incarnation = incarnation
+		r[id] = known
 	}
-	return time.Time{}
+	return known.until
 }
 
 // newBackend returns a backend for an incarnation of a server, with the backoff that this incarnation has requested.
@@ -70,12 +82,13 @@
 	return b
 }
 
-// BackOff records that the server has requested a backoff from this box until a time.
-func (r *Reservation) BackOff(until, now time.Time) {
+// BackOff records that the server has requested a backoff from this box until a time. isConnected reports whether the
+// connection of the response is still open; it is called with the dispatcher locked, must not block and may be nil.
+func (r *Reservation) BackOff(until, now time.Time, isConnected func() bool) {
 	d := r.dispatcher
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.backoffs.add(r.Server.ID, backoff{r.Incarnation, until, now}, now)
+	d.backoffs.add(r.Server.ID, backoff{r.Incarnation, until, now, isConnected}, now)
 	b := d.backends[r.Server.ID]
 	if b == nil {
 		return
--- a/pkg/route/backoff_test.go
+++ b/pkg/route/backoff_test.go
@@ -55,7 +55,12 @@
 
 // rejectWithBackoff simulates a server that rejects the request and requests a backoff.
 func (w *plainDispatcher) rejectWithBackoff(reservation *Reservation, duration time.Duration) {
-	reservation.BackOff(w.now.Add(duration), w.now)
+	w.rejectOnConnection(reservation, duration, nil)
+}
+
+// rejectOnConnection is like rejectWithBackoff, with a connection that isConnected reports as open.
+func (w *plainDispatcher) rejectOnConnection(reservation *Reservation, duration time.Duration, isConnected func() bool) {
+	reservation.BackOff(w.now.Add(duration), w.now, isConnected)
 	reservation.Release(ResultRefused, w.now)
 }
 
@@ -255,3 +260,32 @@
 		})
 	}
 }
+
+// Guards against ending the backoff of an incarnation that requested it soon after its start and is listed only after
+// its response. The times do not tell it from a later incarnation, and the connection of the response does.
+func TestBackoffAppliesToIncarnationThatHoldsTheConnection(t *testing.T) {
+	for name, test := range map[string]struct {
+		startedBefore time.Duration
+		isConnected   bool
+		backingOff    bool
+	}{
+		"open, started 1.1 s before the response":   {1100 * time.Millisecond, true, true},
+		"closed, started 1.1 s before the response": {1100 * time.Millisecond, false, false},
+		"open, started 1.9 s after the response":    {-1900 * time.Millisecond, true, true},
+		"open, started 2.1 s after the response":    {-2100 * time.Millisecond, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newPlainDispatcher(t, plainServer("a", 1))
+			w.now = time.Unix(1000, 0)
+			requestedAt, connected := w.now, test.isConnected
+			w.rejectOnConnection(w.acquire(), 4*time.Second, func() bool { return connected })
+			w.now = w.now.Add(3 * time.Second)
+			w.setServers(plainServer("a", member.Incarnation(requestedAt.Add(-test.startedBefore).UnixMilli())))
+			require.Equal(t, test.backingOff, !w.d.anyEligible(w.now))
+			connected = false
+			w.setServers()
+			w.setServers(plainServer("a", member.Incarnation(requestedAt.Add(-test.startedBefore).UnixMilli())))
+			require.Equal(t, test.backingOff, !w.d.anyEligible(w.now), "the incarnation is known, whatever becomes of the connection")
+		})
+	}
+}
