feat(direct): count control traffic by purpose

Change: counters of messages and bytes by purpose (status, load, members, rejected callers, signals of servers, readers, facts, agent status), for the own region and others. Entry boxes that pull facts are no longer sent a sample of all addresses each time, which they do not read.

--- a/internal/direct/agentfollower.go
+++ b/internal/direct/agentfollower.go
@@ -28,6 +28,7 @@
 	log     zerolog.Logger
 	tasks   *kernel.TaskGroup
 	self    string
+	region  member.Region
 	port    uint16
 	// onState is called with the state that an agent reports for the server at an address.
 	onState func(address member.Address, state route.ServerState, now time.Time)
@@ -37,7 +38,7 @@
 func (p *Process) startAgentFollower() error {
 	a := &AgentFollower{
 		fleetState: p.fleetState, suspects: p.suspects, peers: p.peers, entries: p.entries, clock: p.options.Clock, log: p.options.Log, tasks: kernel.NewTaskGroup(),
-		self: p.settings.Box, port: uint16(p.settings.Direct.AgentPort), onState: p.callerServer.UpdateServerState,
+		self: p.settings.Box, region: p.region(), port: uint16(p.settings.Direct.AgentPort), onState: p.callerServer.UpdateServerState,
 	}
 	a.tasks.Go(a.followAll)
 	return p.services.Register(a)
@@ -129,7 +130,7 @@
 	return followStream(ctx, a.clock, a.peers, a.log, &peerStream[*wire.ServerStatus]{
 		dependency: "agent", address: agent,
 		open: func(ctx context.Context, client wire.DRPCFleetClient) (func() (*wire.ServerStatus, error), error) {
-			stream, err := client.Server(ctx, &wire.FollowRequest{Box: a.self})
+			stream, err := client.Server(ctx, &wire.FollowRequest{Box: a.self, Region: string(a.region)})
 			if err != nil {
 				return nil, err
 			}
--- /dev/null
+++ b/internal/direct/controltraffic.go
@@ -0,0 +1,124 @@
+package direct
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cinderslip/cinderslip/internal/metric"
+	"github.com/cinderslip/cinderslip/internal/wire"
+)
+
+// purpose is what a part of a message to another process is for.
+type purpose string
+
+// The purposes of messages.
+const (
+	// purposeStatus is the state of a box itself: its watermarks, version ages and heartbeats.
+	purposeStatus purpose = "status"
+	// purposeLoad is the load and the demand of a box.
+	purposeLoad purpose = "load"
+	// purposeMembers are records of entry boxes.
+	purposeMembers purpose = "members"
+	// purposeRejected are callers that were rejected.
+	purposeRejected purpose = "rejected-callers"
+	// purposeServers are departures, rate limits and exits of servers.
+	purposeServers purpose = "server-signals"
+	// purposeReaders are the boxes that read the store.
+	purposeReaders purpose = "readers"
+	// purposeFacts are entries of the store.
+	purposeFacts purpose = "facts"
+	// purposeAgent is the state of a server that its agent reports.
+	purposeAgent purpose = "agent-status"
+)
+
+// The scopes of control traffic.
+const (
+	scopeLocal  = "local"
+	scopeRemote = "remote"
+)
+
+// controlTraffic counts the messages and bytes that this process sends to other processes. Bytes are those of the
+// encoded messages, without the overhead of connections.
+type controlTraffic struct {
+	messages *prometheus.CounterVec
+	bytes    *prometheus.CounterVec
+	// counters are the counters of each purpose and scope, so that no label has to be looked up for each message.
+	counters map[trafficKind]trafficCounters
+}
+
+// trafficKind is a purpose and a scope.
+type trafficKind struct {
+	purpose purpose
+	remote  bool
+}
+
+type trafficCounters struct{ messages, bytes prometheus.Counter }
+
+func newControlTraffic() controlTraffic {
+	c := controlTraffic{
+		counters: make(map[trafficKind]trafficCounters),
+		messages: metric.CounterVec("direct_control_messages_total", "Messages sent to other processes, by main purpose and scope: local for the own region.", "purpose", "scope"),
+		bytes:    metric.CounterVec("direct_control_bytes_total", "Bytes sent to other processes, by purpose and scope: local for the own region.", "purpose", "scope"),
+	}
+	for _, p := range []purpose{
+		purposeStatus, purposeLoad, purposeMembers, purposeRejected, purposeServers, purposeReaders, purposeFacts, purposeAgent,
+	} {
+		for _, remote := range []bool{false, true} {
+			labels := []string{string(p), scopeOf(remote)}
+			c.counters[trafficKind{p, remote}] = trafficCounters{c.messages.WithLabelValues(labels...), c.bytes.WithLabelValues(labels...)}
+		}
+	}
+	return c
+}
+
+// scopeOf returns the scope of traffic with another process.
+func scopeOf(remote bool) string {
+	if remote {
+		return scopeRemote
+	}
+	return scopeLocal
+}
+
+// count counts one message with a single purpose.
+func (c *controlTraffic) count(p purpose, size int, remote bool) {
+	counters := c.counters[trafficKind{p, remote}]
+	counters.messages.Inc()
+	counters.bytes.Add(float64(size))
+}
+
+// countStatus counts a status message. Its main purpose is that of its largest part.
+func (c *controlTraffic) countStatus(status *wire.EntryStatus, remote bool) {
+	parts := []struct {
+		purpose purpose
+		size    int
+	}{
+		{purposeLoad, sizeIf(len(status.InFlight)+len(status.Demands), &wire.EntryStatus{InFlight: status.InFlight, Demands: status.Demands})},
+		{purposeMembers, sizeIf(len(status.Members), &wire.EntryStatus{Members: status.Members})},
+		{purposeRejected, sizeIf(len(status.SentAway), &wire.EntryStatus{SentAway: status.SentAway})},
+		{purposeServers, sizeIf(len(status.Departures)+len(status.Evidence)+len(status.RateLimits), &wire.EntryStatus{
+			Departures: status.Departures, Evidence: status.Evidence, RateLimits: status.RateLimits,
+		})},
+		{purposeReaders, sizeIf(len(status.Readers), &wire.EntryStatus{Readers: status.Readers})},
+	}
+	rest, main, largest := proto.Size(status), purposeStatus, 0
+	for _, part := range parts {
+		if part.size == 0 {
+			continue
+		}
+		rest -= part.size
+		c.counters[trafficKind{part.purpose, remote}].bytes.Add(float64(part.size))
+		if part.size > largest && part.purpose != purposeReaders {
+			main, largest = part.purpose, part.size
+		}
+	}
+	c.counters[trafficKind{purposeStatus, remote}].bytes.Add(float64(rest))
+	c.counters[trafficKind{main, remote}].messages.Inc()
+}
+
+// sizeIf returns the encoded size of a message, or 0 if it has no items.
+func sizeIf(items int, message proto.Message) int {
+	if items == 0 {
+		return 0
+	}
+	return proto.Size(message)
+}
--- a/internal/direct/loader.go
+++ b/internal/direct/loader.go
@@ -9,6 +9,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/cinderslip/cinderslip/internal/daemon"
 	"github.com/cinderslip/cinderslip/internal/kernel"
@@ -71,6 +72,7 @@
 // LoaderOptions configures a Loader.
 type LoaderOptions struct {
 	Box     string
+	Region  member.Region
 	Service member.Service
 	// Address is the address of the backend server on the box. Agent is the address of this process for
 	// its peers.
@@ -98,7 +100,7 @@
 func (p *Process) startLoader() error {
 	l := &Loader{
 		options: LoaderOptions{
-			Box: p.settings.Box, Service: member.Service(p.settings.Direct.Service),
+			Box: p.settings.Box, Region: p.region(), Service: member.Service(p.settings.Direct.Service),
 			Address: member.Address(p.settings.Direct.Server), Agent: member.Address(p.settings.Listen.Peers),
 			AgentPort:  uint16(p.settings.Direct.AgentPort),
 			FleetState: p.fleetState, SuspectRequests: p.suspects, Peers: p.peers,
@@ -363,7 +365,8 @@
 
 // Server streams the status of the backend server: at each urgent change and at least every statusHeartbeat.
 // Names are sent in the first message, and version ages in the first one and when they change.
-func (l *Loader) Server(_ *wire.FollowRequest, stream wire.DRPCFleet_ServerStream) error {
+func (l *Loader) Server(request *wire.FollowRequest, stream wire.DRPCFleet_ServerStream) error {
+	remote := request.Region != string(l.options.Region)
 	var sent *wire.ServerStatus
 	var sentAt time.Time
 	for {
@@ -382,6 +385,7 @@
 			if err := stream.Send(message); err != nil {
 				return err
 			}
+			l.options.Metrics.traffic.count(purposeAgent, proto.Size(message), remote)
 			sent, sentAt = status, l.options.Clock.Now()
 		}
 		select {
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -38,9 +38,11 @@
 	unclaimed   *prometheus.GaugeVec
 	connections prometheus.Counter
 	storeCalls  *prometheus.CounterVec
-	logDropped  prometheus.Counter
-	chunks      *prometheus.CounterVec
-	orders      *prometheus.CounterVec
+	// traffic counts the messages and bytes sent to other processes.
+	traffic    controlTraffic
+	logDropped prometheus.Counter
+	chunks     *prometheus.CounterVec
+	orders     *prometheus.CounterVec
 	// configuration, revision, complete and deferredDeletions describe the process's current view of the fleet.
 	configuration     prometheus.Gauge
 	revision          prometheus.Gauge
@@ -78,14 +80,15 @@
 		orders:      metric.CounterVec("orders_total", "Orders given to the backend server, by result.", "result"),
 
 		configuration:     metric.Gauge("believed_configuration_version", "Version of the operators' configuration that is in force here."),
+		traffic:     newControlTraffic(),
 		revision:          metric.Gauge("believed_revision", "Newest revision of the platform's store that is known here."),
 		complete:          metric.Gauge("believed_complete_revision", "Revision of the platform's store up to which every change is known here."),
 		outdatedEntries:   metric.Counter("outdated_entries_total", "Entries of servers that other processes sent and that were deleted before."),
 		deferredDeletions: metric.Gauge("believed_held_deletions", "Deletions of servers' entries that are held back after an outage of the store."),
 	}
 	m.registry.MustRegister(m.requests, m.requestSeconds, m.ttfb, m.attempts, m.serverSignals, m.suspects, m.waiting, m.limitedServers,
-		m.limitRefusals, m.unclaimed, m.connections, m.storeCalls, m.logDropped, m.chunks, m.orders,
-		m.configuration, m.revision, m.complete, m.deferredDeletions, m.outdatedEntries, collectors.NewGoCollector())
+		m.limitRefusals, m.unclaimed, m.heldBytes, m.connections, m.storeCalls, m.traffic.messages, m.traffic.bytes, m.logDropped, m.chunks, m.orders,
+		m.configuration, m.revision, m.complete, m.deferredDeletions, m.evacuatedDomains, m.outdatedEntries, collectors.NewGoCollector())
 	return m
 }
 
--- a/internal/direct/repair.go
+++ b/internal/direct/repair.go
@@ -136,7 +136,7 @@
 	for {
 		startedAt, cursor := e.clock.Now(), e.cursor(from)
 		stream, err := wire.NewDRPCFleetClient(conn).Facts(callCtx, &wire.FactsRequest{
-			Box: string(e.self.Box), Instance: cursor.Instance, Cursor: cursor.Sequence, Once: true,
+			Box: string(e.self.Box), Region: string(e.self.Region), Instance: cursor.Instance, Cursor: cursor.Sequence, Once: true,
 			Complete: uint64(e.fleetState.complete()),
 		})
 		if err != nil {
--- a/internal/direct/statusserver.go
+++ b/internal/direct/statusserver.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/cinderslip/cinderslip/internal/kernel"
 	"github.com/cinderslip/cinderslip/internal/wire"
@@ -189,6 +190,7 @@
 				if err := stream.Send(status); err != nil {
 					return err
 				}
+				s.fleetState.metrics.traffic.countStatus(status, remote)
 			}
 		}
 		select {
@@ -303,7 +305,11 @@
 	cursor := state.Cursor{Instance: request.Instance, Sequence: request.Cursor}
 	ticker := s.clock.NewTicker(statusHeartbeat)
 	defer ticker.Stop()
-	entries := s.membership.SampleAddresses(member.Region(request.Region))
+	var entries []string
+	if !request.Once {
+		// Entry boxes, which set Once, know the others from their records.
+		entries = s.membership.SampleAddresses(member.Region(request.Region))
+	}
 	departures, suspects, complete := uint64(0), uint64(0), request.Complete
 	if request.EntriesOnly {
 		return stream.Send(&wire.FactsBatch{Entries: entries})
@@ -328,6 +334,8 @@
 		if err := stream.Send(message); err != nil {
 			return err
 		}
+		remote := request.Region != string(s.membership.Own().Region)
+		s.fleetState.metrics.traffic.count(purposeFacts, proto.Size(message), remote)
 		if request.Once {
 			return nil
 		}
