perf(state): send a mirror only the changes that it lacks

Counted by purpose, one changed entry of a server costs each box 248 bytes of facts at 30 boxes, 1,292 at 100 and 3,571 at 300: it grows with the fleet, although the entry does not. A box pulls from whichever box is ahead, and keeps a position for each. The first pull from a box has no position there, so it transferred all entries and the configuration, from each of some 25 boxes in turn. The law is the number of boxes times the boxes that each follows, times the state. Load messages, records and heartbeats were ruled out: their bytes do not grow beyond the size of a cell.

Change: a transfer leaves out what was written at or before the revision up to which the receiver has every change, which it states already. It has those changes whoever sent them.

TestMirrorSendsOnlyWhatACompleteMirrorLacks fails before.

--- a/pkg/state/mirror.go
+++ b/pkg/state/mirror.go
@@ -158,11 +158,13 @@
 	HasPresent bool
 }
 
-// Transfer returns the changes after a cursor, at most limit items, for a mirror that is complete up to a revision.
+// Transfer returns the changes after a cursor, at most limit items, for a mirror that is complete up to a revision. That
+// mirror has the changes up to there, whoever sent them, so it is sent only the later ones: a mirror that reads from many
+// others would otherwise receive everything once from each.
 func (m *Mirror) Transfer(cursor Cursor, limit int, receiverComplete uint64) Transfer {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	transfer := Transfer{Batch: m.store.Since(cursor, limit), Floor: m.floor}
+	transfer := Transfer{Batch: m.store.SinceAbove(cursor, limit, receiverComplete), Floor: m.floor}
 	if limit > 0 && len(transfer.Items) >= limit {
 		return transfer
 	}
--- a/pkg/state/mirror_test.go
+++ b/pkg/state/mirror_test.go
@@ -67,6 +67,28 @@
 	require.Zero(t, first.Complete)
 }
 
+// Guards against sending everything to a mirror that has it from another one, at each first transfer between two mirrors.
+func TestMirrorSendsOnlyWhatACompleteMirrorLacks(t *testing.T) {
+	first, second, reader := NewMirror(1, isServerKey), NewMirror(2, isServerKey), NewMirror(3, isServerKey)
+	var items []Item
+	for revision := uint64(1); revision <= 300; revision++ {
+		items = append(items, live(fmt.Sprintf("server/%d", revision), revision))
+	}
+	for _, m := range []*Mirror{first, second} {
+		m.MergeSnapshot(items, 300, nil)
+	}
+	pullMirror(reader, first, Cursor{})
+	for _, m := range []*Mirror{first, second} {
+		m.MergeChanges([]Item{tombstone("server/7", 301), live("server/301", 302)}, 300, 302, nil)
+	}
+	transfer := second.Transfer(Cursor{}, 256, reader.Status().Complete)
+	require.Equal(t, []Item{tombstone("server/7", 301), live("server/301", 302)}, transfer.Items)
+	require.EqualValues(t, 302, transfer.Complete)
+	reader.MergeTransfer(&transfer, nil)
+	require.Equal(t, keysOf(second), keysOf(reader))
+	require.Empty(t, second.Transfer(transfer.Next, 256, reader.Status().Complete).Items)
+}
+
 func TestMirrorIsIncompleteWhileADeletionIsDeferred(t *testing.T) {
 	reader, follower := NewMirror(1, isServerKey), NewMirror(2, isServerKey)
 	reader.MergeSnapshot([]Item{live("server/a", 3)}, 5, nil)
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -173,10 +173,19 @@
 // Since returns the changes after the cursor, oldest first and at most limit items;
 // a limit of 0 means all. A cursor of another instance counts as the zero Cursor. The
 // cost is proportional to the number of changes after the cursor.
-func (s *Store) Since(cursor Cursor, limit int) Batch { return s.since(cursor, limit, false) }
+func (s *Store) Since(cursor Cursor, limit int) Batch {
+	return s.since(cursor, limit, func(*node) bool { return true })
+}
 
 // SinceLocal is like Since, but returns only items with OriginLocal.
-func (s *Store) SinceLocal(cursor Cursor, limit int) Batch { return s.since(cursor, limit, true) }
+func (s *Store) SinceLocal(cursor Cursor, limit int) Batch {
+	return s.since(cursor, limit, func(n *node) bool { return n.local })
+}
+
+// SinceAbove is like Since, but returns only items whose major version is above a version.
+func (s *Store) SinceAbove(cursor Cursor, limit int, version uint64) Batch {
+	return s.since(cursor, limit, func(n *node) bool { return n.item.Version.Major > version })
+}
 
 // Tail returns the cursor after the latest change.
 func (s *Store) Tail() Cursor {
@@ -185,7 +194,7 @@
 	return Cursor{Instance: s.instance, Sequence: s.sequence}
 }
 
-func (s *Store) since(cursor Cursor, limit int, localOnly bool) Batch {
+func (s *Store) since(cursor Cursor, limit int, isSelected func(*node) bool) Batch {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	after := uint64(0)
@@ -200,10 +209,9 @@
 	if limit > 0 && count > limit {
 		count = limit
 	}
-	batch.Items = make([]Item, 0, count)
 	for n := first; n != nil && len(batch.Items) < count; n = n.next {
 		batch.Next.Sequence = n.sequence
-		if n.local || !localOnly {
+		if isSelected(n) {
 			batch.Items = append(batch.Items, n.item)
 		}
 	}
