perf(direct): compute the cell plan only when a box or an address changes

Changes grow with the fleet, so the work does with its square.

Change: the inputs are compared by what the plan depends on, the boxes with their regions and the servers with their addresses and failure domains, instead of by the identity of slices that every change replaces. That comparison is linear and cheap.

--- a/internal/direct/cells.go
+++ b/internal/direct/cells.go
@@ -169,18 +169,39 @@
 type planInput struct {
 	boxes []member.Record
 	// services holds the servers of each service.
-	services   [][]fleet.Server
+	services   []plannedService
 	configured bool
 }
 
-// isEqual reports whether two inputs are equal. It compares slices by identity, because views share unchanged slices.
+// plannedService is a service as far as planCells depends on it.
+type plannedService struct {
+	name      member.Service
+	hasEngine bool
+	servers   []fleet.Server
+}
+
+// isEqual reports whether planCells returns equal plans for two inputs. Most changes of records and entries change
+// neither a box nor the address of a server, and the plan of a large fleet takes milliseconds to compute.
 func (p *planInput) isEqual(other *planInput) bool {
-	return p.configured == other.configured && isSameSlice(p.boxes, other.boxes) && slices.EqualFunc(p.services, other.services, isSameSlice)
+	return p.configured == other.configured && isEqualUnlessSame(p.boxes, other.boxes, isSamePlace) &&
+		slices.EqualFunc(p.services, other.services, func(a, b plannedService) bool {
+			return a.name == b.name && a.hasEngine == b.hasEngine && isEqualUnlessSame(a.servers, b.servers, isSameServer)
+		})
 }
 
-// isSameSlice reports whether two slices have the same length and the same underlying array.
-func isSameSlice[T any](a, b []T) bool {
-	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+// isSamePlace reports whether two records are of one box in one region.
+func isSamePlace(a, b member.Record) bool { return a.Box == b.Box && a.Region == b.Region }
+
+// isSameServer reports whether two entries have the same address and failure domain.
+func isSameServer(a, b fleet.Server) bool { return a.Address == b.Address && a.Domain == b.Domain }
+
+// isEqualUnlessSame compares two slices with equal, unless they have the same underlying array. Views share unchanged
+// slices.
+func isEqualUnlessSame[T any](a, b []T, equal func(a, b T) bool) bool {
+	if len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0]) {
+		return true
+	}
+	return slices.EqualFunc(a, b, equal)
 }
 
 // replan updates the plan if its input has changed.
@@ -188,7 +209,7 @@
 	view := e.fleetState.View()
 	input := planInput{boxes: e.membership.All(), configured: view.Configuration != nil}
 	for _, service := range view.Services() {
-		input.services = append(input.services, view.Servers(service.Name))
+		input.services = append(input.services, plannedService{service.Name, service.Engine != nil, view.Servers(service.Name)})
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
