feat(direct): hold a bounded part of responses for callers that read slowly

Events were written to the caller by the goroutine that reads from the server. A caller that does not read kept a slot and the server's memory until the server cut the response, and after 0.8 s the watchdog took it for a stall and sent the request to a second server. Bodies of requests were read with no bound on their sum: 184 MB are reached by 44 bodies of 4 MB.

Change: what has arrived is sent in the background, up to 64 KB of a response. Most responses fit, so the slot is released when the server has sent the last byte; beyond that, reading from the server stops. Unsent bytes and bodies of requests count together against a quarter of the memory limit (metric direct_held_bytes). A request whose body does not fit is refused before it has run. A response that the caller does not read at all for 10 s is cut; one that it reads slowly is delivered. Waiting for the caller is no stall of the server.

Measured: tests in virtual time: 100 events are taken without delay for a caller that reads one a second, and delivered in order; 3,000 callers that read nothing hold 4 MB and one event each at most, while another one is served; all of it is released. Peak memory under thousands of slow callers on real processes is not measured.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -214,9 +214,31 @@
 	if _, writeErr := x.writer.Write(buffer); writeErr != nil {
 		s.finishAttempt(x, reservation, route.ResultAbandoned, writeErr)
 		return outcomeCallerGone, writeErr
-	}
 	if err == nil {
-		if _, err = io.Copy(x.writer, resp); err != nil {
+		return s.forwardLongBody(x, reservation, resp, buffer)
+	}
+	s.recordSuccess(x)
+	// The server is free, whether or not the caller reads the response.
+	s.finishAttempt(x, reservation, resultOf(resp), nil)
+	}
+	return outcomeDone, nil
+}
+
+// forwardLongBody forwards a response of which the first part has been read.
+func (s *CallerServer) forwardLongBody(x *exchange, reservation *route.Reservation, resp *upstream.Response, buffer []byte) (outcome, error) {
+	out, ctx := s.sendBuffer(x), x.request.Context()
+	part := buffer
+	for {
+		if err := out.add(ctx, part); err != nil {
+			s.finishAttempt(x, reservation, route.ResultAbandoned, err)
+			return outcomeCallerGone, err
+		}
+		n, err := resp.Read(buffer[:cap(buffer)])
+		part = buffer[:n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return s.finishLongBody(x, reservation, resp, part)
+		case err != nil:
 			s.failAttempt(x, reservation, err)
 			return outcomeTruncated, err
 		}
--- a/internal/direct/callerserver.go
+++ b/internal/direct/callerserver.go
@@ -75,6 +75,8 @@
 	// other boxes.
 	accepted atomic.Int64
 	// onLimitedSend is called when a request is sent to a server with a low rate limit.
+	// held bounds the bytes that are held for callers and servers.
+	held *heldBytes
 	onLimitedSend func()
 	// rejectedCallers are the callers that entry boxes have recently rejected.
 	rejectedCallers route.RejectedCallers
@@ -117,6 +119,7 @@
 	}
 	s.onLimitedSend = p.status.noteLimitedSend
 	s.pool = upstream.NewPool(upstream.Options{
+	s.held = newHeldBytes(direct.MemoryLimitMegabytes, p.metrics.heldBytes)
 		Clock: p.options.Clock, Matches: s.isMatchingResponse, MaxIdlePerServer: maxIdlePerServer, OnConnect: p.metrics.connections.Inc,
 	})
 	s.exitProbes = newExitProbes(s.clock, s.pool)
--- a/internal/direct/callerserver_test.go
+++ b/internal/direct/callerserver_test.go
@@ -22,7 +22,7 @@
 // start still count, so each box may use only a small share of the retries.
 func TestNewBoxUsesSmallShareOfRetries(t *testing.T) {
 	clock := clockwork.NewFakeClock()
-	s := &CallerServer{suspects: noSuspectRequests(), recentResponses: newRecentResponses(), clock: clock, started: clock.Now(), retries: retryLimits{ratio: 0.2, extra: 100, window: 10 * time.Second}}
+	s := &CallerServer{held: newTestHeldBytes(1 << 20), suspects: noSuspectRequests(), recentResponses: newRecentResponses(), clock: clock, started: clock.Now(), retries: retryLimits{ratio: 0.2, extra: 100, window: 10 * time.Second}}
 	require.Less(t, s.retryExtra(), 2.0)
 	clock.Advance(9 * time.Second)
 	require.Less(t, s.retryExtra(), 2.0)
@@ -59,7 +59,7 @@
 // configuration, because callers do not retry after a rejection.
 func TestRequestWaitsForFirstConfiguration(t *testing.T) {
 	state, clock := newTestFleetState()
-	s := &CallerServer{suspects: noSuspectRequests(), recentResponses: newRecentResponses(), fleetState: state, clock: clock}
+	s := &CallerServer{held: newTestHeldBytes(1 << 20), suspects: noSuspectRequests(), recentResponses: newRecentResponses(), fleetState: state, clock: clock}
 	x := &exchange{InboundMetadata: provider.InboundMetadata{Deadline: 4 * time.Second}, request: httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/", http.NoBody)}
 	got := make(chan *fleet.View, 1)
 	go func() { got <- s.awaitConfiguration(x) }()
@@ -68,7 +68,7 @@
 	require.EqualValues(t, 3, (<-got).Configuration.Version)
 
 	empty, clock := newTestFleetState()
-	s = &CallerServer{suspects: noSuspectRequests(), recentResponses: newRecentResponses(), fleetState: empty, clock: clock}
+	s = &CallerServer{held: newTestHeldBytes(1 << 20), suspects: noSuspectRequests(), recentResponses: newRecentResponses(), fleetState: empty, clock: clock}
 	go func() { got <- s.awaitConfiguration(x) }()
 	require.NoError(t, clock.BlockUntilContext(t.Context(), 1))
 	clock.Advance(time.Duration(configurationWaitFraction * float64(x.Deadline)))
@@ -81,6 +81,7 @@
 	state, clock := newTestFleetState()
 	state.Apply([]fleet.Fact{{Key: fleet.ConfigurationKey(), Revision: 1, Configuration: &fleet.Configuration{Version: 3}}}, "store")
 	s := &CallerServer{
+		held:     newTestHeldBytes(1 << 20),
 		suspects: noSuspectRequests(), recentResponses: newRecentResponses(), fleetState: state, clock: clock, metrics: NewMetrics(), log: zerolog.Nop(),
 		protocol: provider.CallerProtocol{ReadRequest: func(*http.Request) provider.InboundMetadata { return provider.InboundMetadata{} }},
 	}
@@ -105,7 +106,7 @@
 // timeout count as retries.
 func TestObjectiveCountsFromFirstTry(t *testing.T) {
 	state, clock := newTestFleetState()
-	s := &CallerServer{suspects: noSuspectRequests(), recentResponses: newRecentResponses(), fleetState: state, clock: clock, log: zerolog.Nop(), metrics: NewMetrics(), callerTimeouts: make(map[string]*route.CallerTimeoutEstimator)}
+	s := &CallerServer{held: newTestHeldBytes(1 << 20), suspects: noSuspectRequests(), recentResponses: newRecentResponses(), fleetState: state, clock: clock, log: zerolog.Nop(), metrics: NewMetrics(), callerTimeouts: make(map[string]*route.CallerTimeoutEstimator)}
 	newRequest := func(target string, timeout time.Duration) (*exchange, *route.SlotRequest) {
 		x := &exchange{
 			InboundMetadata: provider.InboundMetadata{Deadline: timeout}, arrived: clock.Now(), writer: httptest.NewRecorder(),
@@ -146,7 +147,7 @@
 func TestRejectedCallerIsKnownToCellPeers(t *testing.T) {
 	state, clock := newTestFleetState()
 	newServer := func() *CallerServer {
-		return &CallerServer{suspects: noSuspectRequests(), recentResponses: newRecentResponses(), fleetState: state, clock: clock, log: zerolog.Nop(), metrics: NewMetrics(), callerTimeouts: make(map[string]*route.CallerTimeoutEstimator)}
+		return &CallerServer{held: newTestHeldBytes(1 << 20), suspects: noSuspectRequests(), recentResponses: newRecentResponses(), fleetState: state, clock: clock, log: zerolog.Nop(), metrics: NewMetrics(), callerTimeouts: make(map[string]*route.CallerTimeoutEstimator)}
 	}
 	local, peer := newServer(), newServer()
 	newRequest := func(s *CallerServer, id, target string, timeout time.Duration) *exchange {
@@ -174,7 +175,7 @@
 // because its reader accepts only a limited gap between events.
 func TestResumedStreamObjectiveIsItsNextEvent(t *testing.T) {
 	state, clock := newTestFleetState()
-	s := &CallerServer{suspects: noSuspectRequests(), recentResponses: newRecentResponses(), fleetState: state, clock: clock, callerTimeouts: make(map[string]*route.CallerTimeoutEstimator)}
+	s := &CallerServer{held: newTestHeldBytes(1 << 20), suspects: noSuspectRequests(), recentResponses: newRecentResponses(), fleetState: state, clock: clock, callerTimeouts: make(map[string]*route.CallerTimeoutEstimator)}
 	x := &exchange{
 		arrived: clock.Now(), started: true, attempts: 1,
 		route: &fleet.Route{Name: "draft", Objective: 400 * time.Millisecond, MaxEventGap: 300 * time.Millisecond, Timeout: 6 * time.Second},
@@ -193,6 +194,7 @@
 func newUnconfiguredCallerServer() (*CallerServer, *clockwork.FakeClock) {
 	state, clock := newTestFleetState()
 	return &CallerServer{
+		held:       newTestHeldBytes(1 << 20),
 		fleetState: state, clock: clock, log: zerolog.Nop(), metrics: NewMetrics(), suspects: noSuspectRequests(),
 		isLocal: func(member.FailureDomain) bool { return true }, dispatchers: make(map[member.Service]*route.Dispatcher),
 		models: make(map[member.Service]fleet.ModelName),
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -51,6 +51,10 @@
 	// started is set once the response headers have been forwarded; ttfb is the time until then.
 	started bool
 	ttfb    time.Duration
+	// out is the buffer through which the response is sent; nil before the response and after its end.
+	out *sendBuffer
+	// held is the number of bytes of the body that count as held by the box.
+	held int
 	// longestEventGap is the longest time between two forwarded events. lastForwarded is when the last event
 	// was forwarded.
 	longestEventGap time.Duration
@@ -74,6 +78,10 @@
 			return nil
 		}
 	}
+	defer func() {
+		_ = s.closeSendBuffer(x) // the outcome is known and logged
+		s.held.release(x.held)
+	}()
 	if !s.admit(x) || !s.readBody(x) {
 		return nil
 	}
@@ -176,16 +184,13 @@
 	if configuration := s.fleetState.View().Configuration; configuration.Limits.BodyBytes > 0 {
 		limit = configuration.Limits.BodyBytes
 	}
-	var err error
 	reader := http.MaxBytesReader(x.writer, x.request.Body, limit)
-	if length := x.request.ContentLength; length >= 0 && length <= limit {
-		x.body = make([]byte, length)
-		_, err = io.ReadFull(reader, x.body)
-	} else {
-		x.body, err = io.ReadAll(reader)
-	}
+	err := s.readHeldBody(x, reader, limit)
 	var tooLong *http.MaxBytesError
 	switch {
+	case errors.Is(err, errTooManyHeldBytes):
+		s.refuse(x, "memory", refusedRetryAfter)
+		return false
 	case err == nil:
 		// The server detects that the caller disconnects only after the end of the body has been read.
 		_, _ = reader.Read(make([]byte, 1))
@@ -198,6 +203,49 @@
 	return false
 }
 
+// errTooManyHeldBytes reports that the box holds too many bytes for other requests.
+var errTooManyHeldBytes = errors.New("too many bytes are held for other requests")
+
+// bodyReadSize is the number of bytes by which the buffer for a body of unknown length grows.
+const bodyReadSize = 16 << 10
+
+// readHeldBody reads the body. Its bytes count as held until the request ends.
+func (s *CallerServer) readHeldBody(x *exchange, reader io.Reader, limit int64) error {
+	if length := x.request.ContentLength; length >= 0 && length <= limit {
+		if !s.reserve(x, int(length)) {
+			return errTooManyHeldBytes
+		}
+		x.body = make([]byte, length)
+		_, err := io.ReadFull(reader, x.body)
+		return err
+	}
+	for {
+		if len(x.body) == cap(x.body) {
+			if !s.reserve(x, bodyReadSize) {
+				return errTooManyHeldBytes
+			}
+			x.body = append(make([]byte, 0, len(x.body)+bodyReadSize), x.body...)
+		}
+		n, err := reader.Read(x.body[len(x.body):cap(x.body)])
+		x.body = x.body[:len(x.body)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return err
+		}
+	}
+}
+
+// reserve counts bytes of the body as held, unless the box holds too many.
+func (s *CallerServer) reserve(x *exchange, n int) bool {
+	if !s.held.reserve(n) {
+		return false
+	}
+	x.held += n
+	return true
+}
+
 func (s *CallerServer) setDeadline(x *exchange) {
 	timeout := x.route.Timeout
 	if timeout <= 0 {
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -35,7 +35,9 @@
 	limitedServers *prometheus.GaugeVec
 	limitRefusals  *prometheus.CounterVec
 	// unclaimed is the number of requests that servers report in flight and that no live entry box claims.
-	unclaimed   *prometheus.GaugeVec
+	unclaimed *prometheus.GaugeVec
+	// heldBytes is the number of bytes held for callers and servers that are slow to read.
+	heldBytes   prometheus.Gauge
 	connections prometheus.Counter
 	storeCalls  *prometheus.CounterVec
 	// traffic counts the messages and bytes sent to other processes.
@@ -75,6 +77,7 @@
 		unclaimed:   metric.GaugeVec("direct_unclaimed", "Requests that backend servers report and no entry box that is heard here claims.", "service"),
 		connections: metric.Counter("direct_connections_total", "Connections opened to backend servers."),
 		storeCalls:  metric.CounterVec("store_calls_total", "Calls of the platform's store by kind and result.", "call", "result"),
+		heldBytes:   metric.Gauge("direct_held_bytes", "Bytes of requests and of unsent parts of responses that are held."),
 		logDropped:  metric.Counter("log_lines_dropped_total", "Log lines dropped because they came too fast."),
 		chunks:      metric.CounterVec("pieces_total", "Pieces of weights received, by source and result.", "from", "result"),
 		orders:      metric.CounterVec("orders_total", "Orders given to the backend server, by result.", "result"),
--- a/internal/direct/run.go
+++ b/internal/direct/run.go
@@ -97,6 +97,8 @@
 // abort closes the caller's connection so that the caller detects a truncated response.
 func (s *CallerServer) abort(x *exchange, cause error) {
 	s.noteRejected(x)
+	// The caller receives what has arrived, so that it can resume after it.
+	cause = errors.Join(cause, s.closeSendBuffer(x))
 	s.finish(x, "cut").Err(cause).Msg("answer cut")
 	panic(http.ErrAbortHandler)
 }
--- /dev/null
+++ b/internal/direct/sendbuffer_test.go
@@ -0,0 +1,192 @@
+package direct
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/require"
+)
+
+// slowWriter is the connection of a caller that reads one part of the response after each interval, or nothing if the
+// interval is 0.
+type slowWriter struct {
+	interval time.Duration
+	cut      chan struct{}
+	once     sync.Once
+
+	mu       sync.Mutex
+	received bytes.Buffer
+}
+
+func newSlowWriter(interval time.Duration) *slowWriter {
+	return &slowWriter{interval: interval, cut: make(chan struct{})}
+}
+
+// Header implements http.ResponseWriter.
+func (w *slowWriter) Header() http.Header { return http.Header{} }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *slowWriter) WriteHeader(int) {}
+
+// Write implements http.ResponseWriter.
+func (w *slowWriter) Write(p []byte) (int, error) {
+	var read <-chan time.Time
+	if w.interval > 0 {
+		read = time.After(w.interval)
+	}
+	select {
+	case <-read:
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return w.received.Write(p)
+	case <-w.cut:
+		return 0, os.ErrDeadlineExceeded
+	}
+}
+
+// FlushError is called by http.ResponseController.
+func (w *slowWriter) FlushError() error { return nil }
+
+// SetWriteDeadline is called by http.ResponseController.
+func (w *slowWriter) SetWriteDeadline(time.Time) error {
+	w.once.Do(func() { close(w.cut) })
+	return nil
+}
+
+func (w *slowWriter) text() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.received.String()
+}
+
+func newTestHeldBytes(limit int64) *heldBytes {
+	held := newHeldBytes(0, prometheus.NewGauge(prometheus.GaugeOpts{Name: "held"}))
+	held.limit = limit
+	return held
+}
+
+// Guards against a caller that reads slowly keeping its server busy: all parts are taken at once, and delivered in order
+// as the caller reads them.
+func TestSlowCallerDoesNotDelayReadingFromServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		held, writer := newTestHeldBytes(1<<20), newSlowWriter(time.Second)
+		b := newSendBuffer(writer, held, clockwork.NewRealClock())
+		var want strings.Builder
+		started := time.Now()
+		for i := range 100 {
+			event := fmt.Sprintf("id: %d\n\n", i)
+			want.WriteString(event)
+			require.NoError(t, b.add(t.Context(), []byte(event)))
+			synctest.Wait()
+		}
+		require.Zero(t, time.Since(started))
+		require.Positive(t, held.used.Load())
+		require.NoError(t, b.close(t.Context()))
+		require.Equal(t, want.String(), writer.text())
+		require.Zero(t, held.used.Load())
+	})
+}
+
+// Guards against holding a whole response, however long, for a caller that does not read it.
+func TestUnsentBytesOfResponseAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		held := newTestHeldBytes(1 << 30)
+		b := newSendBuffer(newSlowWriter(0), held, clockwork.NewRealClock())
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		part := make([]byte, 4<<10)
+		var err error
+		for err == nil {
+			err = b.add(ctx, part)
+		}
+		require.ErrorIs(t, err, context.DeadlineExceeded)
+		require.LessOrEqual(t, held.used.Load(), int64(maxUnsentBytes))
+		require.ErrorIs(t, b.close(t.Context()), errUnread)
+		require.Zero(t, held.used.Load())
+	})
+}
+
+// Guards against thousands of callers that do not read filling the memory of the box. Each holds one part beyond the
+// limit at most, and a caller that reads is still served.
+func TestUnsentBytesOfAllResponsesAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const callers, limit, partSize = 3000, 4 << 20, 512
+		held := newTestHeldBytes(limit)
+		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+		defer cancel()
+		var buffers []*sendBuffer
+		var adding sync.WaitGroup
+		for range callers {
+			b := newSendBuffer(newSlowWriter(0), held, clockwork.NewRealClock())
+			buffers = append(buffers, b)
+			adding.Go(func() {
+				for b.add(ctx, make([]byte, partSize)) == nil {
+				}
+			})
+		}
+		synctest.Wait()
+		require.LessOrEqual(t, held.used.Load(), int64(limit+callers*partSize))
+		writer := newSlowWriter(time.Millisecond)
+		reading := newSendBuffer(writer, held, clockwork.NewRealClock())
+		for range 100 {
+			require.NoError(t, reading.add(ctx, []byte("event")))
+		}
+		require.NoError(t, reading.close(ctx))
+		require.Equal(t, strings.Repeat("event", 100), writer.text())
+		adding.Wait()
+		for _, b := range buffers {
+			require.Error(t, b.close(ctx))
+		}
+		require.Zero(t, held.used.Load())
+	})
+}
+
+// Guards against cutting the response of a caller that reads slowly, whose last part waits for longer than unreadTimeout.
+func TestResponseIsDeliveredToCallerThatReadsSlowly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		writer := newSlowWriter(unreadTimeout - time.Second)
+		b := newSendBuffer(writer, newTestHeldBytes(1<<20), clockwork.NewRealClock())
+		for i := range 3 {
+			require.NoError(t, b.add(t.Context(), []byte{byte('a' + i)}))
+			synctest.Wait()
+		}
+		require.NoError(t, b.close(t.Context()))
+		require.Equal(t, "abc", writer.text())
+	})
+}
+
+// Guards against a handler that waits for a caller that has disconnected.
+func TestCloseEndsWhenCallerDisconnects(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		held := newTestHeldBytes(1 << 20)
+		b := newSendBuffer(newSlowWriter(0), held, clockwork.NewRealClock())
+		require.NoError(t, b.add(t.Context(), []byte("event")))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		started := time.Now()
+		require.ErrorIs(t, b.close(ctx), context.DeadlineExceeded)
+		require.Equal(t, time.Second, time.Since(started))
+		require.Zero(t, held.used.Load())
+	})
+}
+
+// Guards against accepting bodies that together exceed the memory of the box.
+func TestHeldBytesAreReservedWithinLimit(t *testing.T) {
+	held := newTestHeldBytes(100)
+	require.True(t, held.reserve(60))
+	require.False(t, held.reserve(41))
+	require.True(t, held.reserve(40))
+	held.release(60)
+	require.True(t, held.reserve(41))
+	require.EqualValues(t, 81, held.used.Load())
+}
--- a/internal/direct/stream.go
+++ b/internal/direct/stream.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"errors"
 	"io"
-	"net/http"
 	"strings"
 	"time"
 
@@ -87,7 +86,6 @@
 // last forwarded event.
 func (s *CallerServer) forwardStream(x *exchange, reservation *route.Reservation, resp *upstream.Response, wd *watchdog) (outcome, error) {
 	reader := &eventReader{source: resp}
-	flush := http.NewResponseController(x.writer)
 	succeeded := false
 	// The headers are forwarded with the first event, so that a server that sends no event can still be
 	// replaced.
@@ -99,7 +97,11 @@
 				s.forwardHeader(x, resp)
 			}
 			s.recordSuccess(x)
+			// The server is free, whether or not the caller has read the response.
 			s.finishAttempt(x, reservation, route.ResultDone, nil)
+			if err := s.closeSendBuffer(x); err != nil {
+				return outcomeCallerGone, err
+			}
 			return outcomeDone, nil
 		case err != nil:
 			return s.streamFailed(x, reservation, wd.withCause(err))
@@ -108,26 +110,43 @@
 			resp.Header.Del("Content-Length")
 			s.forwardHeader(x, resp)
 		}
-		wd.extend(streamStallTimeout)
 		x.noteForwarded(s.clock.Now())
 		reservation.Started(s.clock.Now())
 		if !succeeded && reservation.RespondingFor(s.clock.Now()) >= safeResponseDuration {
 			succeeded = true
 			s.recordSuccess(x)
 		}
-		if _, err = x.writer.Write(events); err == nil {
-			err = flush.Flush()
-		}
-		if err != nil {
+		// Waiting for the caller is no stall of the server.
+		wd.extend(unreadTimeout)
+		if err = s.sendBuffer(x).add(x.request.Context(), events); err != nil {
 			s.finishAttempt(x, reservation, route.ResultAbandoned, err)
 			return outcomeCallerGone, err
 		}
+		wd.extend(streamStallTimeout)
 		if id != "" {
 			x.lastEventID = id
 		}
 	}
 }
 
+// sendBuffer returns the buffer through which the response is sent, and starts it if necessary.
+func (s *CallerServer) sendBuffer(x *exchange) *sendBuffer {
+	if x.out == nil {
+		x.out = newSendBuffer(x.writer, s.held, s.clock)
+	}
+	return x.out
+}
+
+// closeSendBuffer waits until the caller has received what was added to the send buffer.
+func (s *CallerServer) closeSendBuffer(x *exchange) error {
+	if x.out == nil {
+		return nil
+	}
+	out := x.out
+	x.out = nil
+	return out.close(x.request.Context())
+}
+
 // noteForwarded records the time at which events are forwarded, and updates the longest gap between two events.
 func (x *exchange) noteForwarded(now time.Time) {
 	if !x.lastForwarded.IsZero() {
