--- a/internal/direct/clustertraffic_test.go
+++ b/internal/direct/clustertraffic_test.go
@@ -200,3 +200,17 @@
 		})
 	}
 }
+
+// Guards against facts that are sent whole to each box that pulls from another one for the first time: what one changed
+// entry costs a box must not grow with the fleet.
+func TestFactsOfOneChangeDoNotGrowWithTheFleet(t *testing.T) {
+	factsOfOneChange := func(boxes int) (bytes float64) {
+		synctest.Test(t, func(t *testing.T) {
+			_, bytes = measureTraffic(t, boxes, false).entry.total(string(purposeFacts))
+		})
+		return bytes / float64(boxes)
+	}
+	small, large := factsOfOneChange(20), factsOfOneChange(80)
+	require.Positive(t, small)
+	require.Less(t, large, 1.5*small)
+}
