fix(direct): apply the rate limit of a restarted server that equals the one before

The logs of all three boxes have no line on a limit of the new incarnation: an observed limit that equals the known one counted as no change, although the known one was that of the incarnation before, which does not apply any more. So the view of servers was not updated, other boxes were not told, and the server had no limit in force until the view changed for another reason. Lost or late reports between boxes were ruled out: no box applied the limit.

Change: a limit of a later incarnation is a change, also if it is equal.

Measured: TestEqualRateLimitAppliesAfterRestart fails before and passes after.

--- a/internal/direct/ratelimits.go
+++ b/internal/direct/ratelimits.go
@@ -74,9 +74,10 @@
 	case observed.received.Before(known.sent), !observed.limit.IsBelow(known.limit):
 		return false
 	}
-	before := known.limit
+	before, isRestart := known.limit, ok && observed.incarnation > known.incarnation
 	known.observedRateLimit = observed
-	if isSimilarLimit(before, observed.limit) {
+	// The limit of the incarnation before does not apply, so an equal one is a change.
+	if isSimilarLimit(before, observed.limit) && !(isRestart && before.Set) {
 		known.limit = before
 		return false
 	}
--- a/internal/direct/ratelimits_test.go
+++ b/internal/direct/ratelimits_test.go
@@ -111,6 +111,23 @@
 	require.False(t, rateLimitsByServer(state)["a"].Set)
 }
 
+// Guards against ignoring the limit of a restarted server that equals the one before its restart.
+func TestEqualRateLimitAppliesAfterRestart(t *testing.T) {
+	state := newDeparturesState()
+	limit := fleet.RateLimit{Set: true, PerSecond: 2}
+	state.Apply([]fleet.Fact{listedIncarnation(5, 6)}, "store")
+	require.True(t, state.ObserveRateLimit("a", 5, limit, state.clock.Now(), "request 1"))
+	restarted := member.Incarnation(state.clock.Now().UnixMilli())
+	state.Apply([]fleet.Fact{deletedAt(7), listedIncarnation(restarted, 8)}, "store")
+	require.False(t, rateLimitsByServer(state)["a"].Set)
+	_, before := state.RateLimitsSince(0)
+	require.True(t, state.ObserveRateLimit("a", restarted, limit, state.clock.Now(), "request 2"))
+	require.Equal(t, limit, rateLimitsByServer(state)["a"])
+	reported, _ := state.RateLimitsSince(before)
+	require.Len(t, reported, 1, "other boxes receive it, too")
+	require.False(t, state.ObserveRateLimit("a", restarted, limit, state.clock.Now(), "request 3"))
+}
+
 // Guards against rebuilding the view of all servers for each response of a server whose limit changes
 // constantly.
 func TestRateLimitIsLoweredAtOnceAndRaisedAfterDelay(t *testing.T) {
