test(soak): check allowed regions, evacuations, cold servers and held bytes

A service with a server in each of two regions gets two routes that allow one region each. Always checked: which requests reached these servers, and that boxes hold no bytes when no request is in progress. Without faults, one failure domain is evacuated (no request later than 5 s after the store took it) and the other server is cold (at most 1.5 times its rate and 5 in each second, from all boxes together).

--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -67,6 +67,8 @@
 	// pendingRestarts counts the crashed servers that will restart.
 	pendingRestarts sync.WaitGroup
 
+	placement placement
+
 	// mu protects newestVersion and nextConfig and orders the operator's writes.
 	mu            sync.Mutex
 	newestVersion int
@@ -98,6 +100,10 @@
 	for i := range *plainServerCount {
 		w.addServer(fmt.Sprintf("i-plain-%d", i), "maps", "", w.ip(150+i))
 	}
+	w.placement.near = w.newServer("i-near", "places", "", w.ip(200))
+	w.placement.far = w.newServer("i-far", "places", "", w.ip(201))
+	w.putPlaced(w.placement.near, nearDomain)
+	w.putPlaced(w.placement.far, farDomain)
 	w.putConfig()
 	dir := t.TempDir()
 	seeds := fmt.Sprintf("entries = [%q]", fmt.Sprintf("%s:%d", w.ip(1), portPeers))
@@ -137,6 +143,13 @@
 }
 
 func (d *testDeployment) addServer(id, service, model, ip string) {
+	s := d.newServer(id, service, model, ip)
+	d.servers = append(d.servers, s)
+	d.store.Put("servers/"+id, s.Entry(service, s.proxy.address(), "hall-a", false))
+}
+
+// newServer starts a server behind a proxy.
+func (d *testDeployment) newServer(id, service, model, ip string) *server {
 	version := uint64(0)
 	if model != "" {
 		version = 1
@@ -146,8 +159,7 @@
 		Events: eventCount, EventInterval: eventInterval, LoadTime: 50 * time.Millisecond,
 	})}
 	s.proxy = d.addProxy(fmt.Sprintf("%s:%d", ip, portServers), d.serve(s))
-	d.servers = append(d.servers, s)
-	d.store.Put("servers/"+id, s.Entry(service, s.proxy.address(), "hall-a", false))
+	return s
 }
 
 func (d *testDeployment) addEntry(dir, name, ip, seeds string) {
@@ -170,6 +182,7 @@
 	return []string{
 		"[peers]", seeds, "[direct]", fmt.Sprintf("store = %q", d.storeProxy.address()), fmt.Sprintf("agent_port = %d", portAgents),
 		"memory_limit_megabytes = 150", "link_mbps = 100.0", `version_bound = "8s"`, "retry_ratio = 0.2", "retry_extra = 1000", `retry_window = "10s"`,
+		fmt.Sprintf("cold_rate_factor = %v", coldAllowance.Factor), fmt.Sprintf("cold_rate_extra = %.1f", coldAllowance.Extra),
 	}
 }
 
@@ -205,6 +218,11 @@
 		route("talk", "streaming", "llm", true), route("once", "streaming", "llm", false),
 		route("look", "safe", "maps", false), route("book", "unsafe", "maps", false),
 	}
+	for name, region := range map[string]string{"near": nearRegion, "far": farRegion} {
+		restricted := route(name, "safe", "places", false)
+		restricted["AllowedRegions"] = []string{region}
+		routes = append(routes, restricted)
+	}
 	for i := range d.nextConfig {
 		added = fmt.Sprintf("extra-%d", i)
 		routes = append(routes, route(added, "safe", "maps", false))
@@ -218,6 +236,7 @@
 		"Services": []any{
 			map[string]any{"Name": "llm", "MaxConnections": 50, "Engine": engine},
 			map[string]any{"Name": "maps", "MaxConnections": 50},
+			map[string]any{"Name": "places", "MaxConnections": 50, "ColdPerS": coldRate, "ColdStartS": 3},
 			map[string]any{"Name": "weights", "origin": d.originAddress(), "MaxConnections": originMaxConns},
 		},
 	})
--- a/internal/soak/load_test.go
+++ b/internal/soak/load_test.go
@@ -20,7 +20,7 @@
 )
 
 // routeNames are the names of the routes that callers use. Requests on "once" and "book" may run at most once.
-var routeNames = []string{"talk", "once", "look", "book"}
+var routeNames = []string{"talk", "once", "look", "book", "near", "far"}
 
 // load sends the requests of the callers and records their results.
 type load struct {
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -42,7 +42,7 @@
 	}
 	lines = append(lines, listen...)
 	lines = append(lines, extra...)
-	lines = append(lines, "[direct.domains]", `hall-a = "r"`, "[stop]", `grace = "5s"`)
+	lines = append(lines, "[direct.domains]", fmt.Sprintf("%s = %q", nearDomain, nearRegion), fmt.Sprintf("%s = %q", farDomain, farRegion), "[stop]", `grace = "5s"`)
 	return strings.Join(lines, "\n") + "\n"
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -20,6 +20,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -107,7 +108,10 @@
 	load.runCrashRequests()
 	d.injectFaults(*faultTime)
 	d.clearFaults()
-	d.limitWithoutFaults()
+	var withoutFaults sync.WaitGroup
+	withoutFaults.Go(d.limitWithoutFaults)
+	withoutFaults.Go(d.placeWithoutFaults)
+	withoutFaults.Wait()
 	load.stop()
 	load.awaitBlocked(t)
 	load.awaitServing(t)
@@ -120,6 +124,8 @@
 	findings = append(findings, load.signalFindings()...)
 	findings = append(findings, load.limitFindings()...)
 	findings = append(findings, load.crashFindings()...)
+	findings = append(findings, load.placementFindings()...)
+	findings = append(findings, d.heldFindings()...)
 	for _, p := range d.processes() {
 		findings = append(findings, p.findings()...)
 	}
