feat(report): explain refusals for allowed regions, evacuations and cold servers

Requests that no server could run were refused as "no-server" whatever the reason. The reasons are now also residency, evacuated, cold and memory, and `cinderslip explain` names the event behind each: the configuration, the evacuation or the cold server. Behaviour towards callers is unchanged: 503 with the same Retry-After.

--- a/internal/direct/cutoff_test.go
+++ b/internal/direct/cutoff_test.go
@@ -93,7 +93,7 @@
 	state := NewFleetState(clock, zerolog.Nop(), NewMetrics())
 	c := &cutoffTest{t: t, clock: clock, state: state, log: new(bytes.Buffer)}
 	c.server = &CallerServer{
-		held:     newTestHeldBytes(1 << 20),
+		held: newTestHeldBytes(1 << 20), regionOf: func(domain member.FailureDomain) member.Region { return member.Region(domain) },
 		suspects: noSuspectRequests(), recentResponses: newRecentResponses(), fleetState: state, clock: clock, log: zerolog.New(c.log), metrics: NewMetrics(), tasks: kernel.NewTaskGroup(), versionBound: testVersionBound,
 		protocol: testProtocol(), retries: retryLimits{1, 100, 10 * time.Second}, isLocal: func(member.FailureDomain) bool { return true },
 		dispatchers: make(map[member.Service]*route.Dispatcher), budgets: make(map[member.Service]*route.WindowRetryBudget), models: make(map[member.Service]fleet.ModelName),
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -268,9 +268,12 @@
 func (s *CallerServer) refuseBusy(x *exchange, busy *route.BusyError) {
 	s.writeRefusal(x, busy.RetryAfter)
 	reason := "busy"
-	if busy.Slots == 0 && busy.BackingOff > 0 {
+	switch {
+	case busy.Slots == 0 && busy.BackingOff > 0:
 		reason = "resting"
-	} else if busy.Limited > 0 {
+	case busy.Cold > 0 && busy.Cold == busy.Limited:
+		reason = "cold"
+	case busy.Limited > 0:
 		reason = "limited"
 		s.metrics.limitRefusals.WithLabelValues(string(x.service)).Inc()
 	}
--- a/internal/direct/placement.go
+++ b/internal/direct/placement.go
@@ -46,6 +46,28 @@
 	return fmt.Errorf("%w: %s", errResidency, region)
 }
 
+// noServerReason returns why no server can run a request: none is in an allowed region ("residency"), all of those are in
+// evacuated failure domains ("evacuated"), or another reason ("no-server").
+func (s *CallerServer) noServerReason(x *exchange, residency *fleet.Residency) string {
+	servers := s.fleetState.View().Servers(x.service)
+	allowed, evacuated := 0, 0
+	for i := range servers {
+		if residency.Allows(s.regionOf(servers[i].Domain)) {
+			allowed++
+			if servers[i].Evacuated {
+				evacuated++
+			}
+		}
+	}
+	switch {
+	case residency.Restricted && allowed == 0:
+		return "residency"
+	case allowed > 0 && evacuated == allowed:
+		return "evacuated"
+	}
+	return "no-server"
+}
+
 // directoryRegions returns the regions whose entry boxes a caller may be directed to: that of the caller and those in
 // which all requests to the host may be served.
 func directoryRegions(view *fleet.View, host string, callerRegion member.Region) func(member.Region) bool {
--- a/internal/direct/ratelimits.go
+++ b/internal/direct/ratelimits.go
@@ -77,7 +77,7 @@
 	before, isRestart := known.limit, ok && observed.incarnation > known.incarnation
 	known.observedRateLimit = observed
 	// The limit of the incarnation before does not apply, so an equal one is a change.
-	if isSimilarLimit(before, observed.limit) && !(isRestart && before.Set) {
+	if isSimilarLimit(before, observed.limit) && (!isRestart || !before.Set) {
 		known.limit = before
 		return false
 	}
--- a/internal/direct/run.go
+++ b/internal/direct/run.go
@@ -144,9 +144,9 @@
 	case errors.As(cause, &busy):
 		s.refuseBusy(x, busy)
 		return
-	case errors.Is(cause, route.ErrNoServer) && req.Residency.Restricted:
-		wait, reason = route.RetryAfter(route.ErrNoServer, remaining), "no-server-in-allowed-regions"
-	case errors.Is(cause, route.ErrNoServer), x.unreachable+x.misdirected > 1:
+	case errors.Is(cause, route.ErrNoServer):
+		wait, reason = route.RetryAfter(route.ErrNoServer, remaining), s.noServerReason(x, &req.Residency)
+	case x.unreachable+x.misdirected > 1:
 		wait, reason = route.RetryAfter(route.ErrNoServer, remaining), "no-server"
 	}
 	s.log.Debug().Str("request", x.ID).AnErr("cause", cause).Msg("refusing")
--- a/internal/report/explain.go
+++ b/internal/report/explain.go
@@ -34,6 +34,9 @@
 	eventBackoff          = "server asks for rest"
 	eventRateLimit        = "server advertises a rate limit"
 	eventRateLimitLifted  = "server no longer advertises a rate limit"
+	eventEvacuated        = "failure domain evacuated"
+	eventReadmitted       = "evacuation of failure domain withdrawn"
+	eventCold             = "server is cold"
 	eventServerExited     = "server has ended under a request"
 	eventCleared          = "request is no longer suspect"
 )
@@ -43,6 +46,7 @@
 	eventDesired: true, eventDependencyDown: true, eventDependencyUp: true, eventServerRemoved: true, eventConfiguration: true,
 	eventStarted: true, eventLeaving: true, eventLinesDropped: true, eventAgeCorrected: true, eventDeletionDeferred: true,
 	eventDeparture: true, eventBackoff: true, eventRateLimit: true, eventRateLimitLifted: true,
+	eventEvacuated: true, eventReadmitted: true, eventCold: true,
 }
 
 // contentEvents are the events that affect only requests with the same content.
@@ -151,12 +155,17 @@
 	"quarantined":      "servers that began to run it had ended, so it is sent to none",
 	"resting":          "all servers that could run it had asked the box for rest",
 	"limited":          "all servers that could run it have a rate limit, which is used up",
+	"cold":             "all servers that could run it are cold and get all the requests that they bear",
+	"evacuated":        "the failure domains of all servers that could run it are evacuated",
+	"residency":        "no server is in a region in which it may be served",
+	"memory":           "the box held too many bytes for other requests",
 	"not-run":          "its server refused it or could not be reached, and no further attempt was allowed",
 }
 
 // refusalEvents maps the reason of a refusal to the event that causes it.
 var refusalEvents = map[string]string{
-	"no-server": eventDesired, "no-configuration": eventStarted, "resting": eventBackoff, "limited": eventRateLimit, "quarantined": eventServerExited,
+	"no-server": eventDesired, "no-configuration": eventStarted, "resting": eventBackoff, "limited": eventRateLimit, "cold": eventCold,
+	"evacuated": eventEvacuated, "residency": eventConfiguration, "quarantined": eventServerExited,
 }
 
 // describeNewest describes the newest event with a name in the context; the text is empty if there is none.
--- a/internal/report/losses.go
+++ b/internal/report/losses.go
@@ -97,7 +97,7 @@
 
 func classifyRefusal(event *Event) Cause {
 	switch reason := event.Get("reason"); {
-	case reason == "no-server", reason == "resting", reason == "limited":
+	case reason == "no-server", reason == "resting", reason == "limited", reason == "cold", reason == "evacuated", reason == "residency":
 		return CauseNoServer
 	case reason != "busy":
 		return CauseRefusedOther
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -139,3 +139,21 @@
 	require.Len(t, explanation.Context, 1)
 	require.Equal(t, "i-30", explanation.Context[0].Get("server"))
 }
+
+// Guards against explanations that omit why a request could not be placed, which was logged without a request.
+func TestExplainOfPlacementRefusalNamesItsCause(t *testing.T) {
+	for _, test := range []struct{ reason, event, want string }{
+		{"evacuated", `event="failure domain evacuated" failure_domain=hall-b revision=7 from=store`, "are evacuated (failure domain evacuated at 10:00:01.000"},
+		{"residency", `event="configuration in force" version=12 from=store`, "in which it may be served (configuration in force at 10:00:01.000, version 12)"},
+		{"cold", `event="server is cold" server=i-30 cold_ms=3000 from=store`, "all the requests that they bear (server is cold at 10:00:01.000"},
+	} {
+		events, err := Read("entry-1.log", strings.NewReader(strings.Join([]string{
+			"time=2026-12-02T10:00:01.000Z level=info " + test.event,
+			`time=2026-12-02T10:00:02.000Z level=info event="request refused" outcome=refused reason=` + test.reason + ` request=first route=draft`,
+		}, "\n")))
+		require.NoError(t, err)
+		explanation, ok := Explain(events, "first")
+		require.True(t, ok)
+		require.Contains(t, explanation.Cause, test.want)
+	}
+}
--- a/pkg/route/limit.go
+++ b/pkg/route/limit.go
@@ -267,17 +267,20 @@
 	return limited
 }
 
-// limitedEligible returns the number of eligible servers if all of them have a rate limit; 0 otherwise.
-func (d *Dispatcher) limitedEligible(now time.Time) int {
-	limited := 0
+// limitedEligible returns the number of eligible servers if all of them have a rate limit, and how many of these are
+// cold; 0 otherwise.
+func (d *Dispatcher) limitedEligible(now time.Time) (limited, cold int) {
 	for _, b := range d.backendList {
 		if !d.isEligible(b, now) {
 			continue
 		}
 		if d.buckets[b.server.ID] == nil {
-			return 0
+			return 0, 0
 		}
 		limited++
+		if b.server.Cold {
+			cold++
+		}
 	}
-	return limited
+	return limited, cold
 }
--- a/pkg/route/placement_test.go
+++ b/pkg/route/placement_test.go
@@ -167,9 +167,9 @@
 	})
 }
 
-// coldServer returns a cold server with the limit of its service.
-func coldServer(id fleet.ServerID, limit fleet.RateLimit) fleet.Server {
-	server := plainServer(id, 1)
+// coldServer returns server "a", cold, with the limit of its service.
+func coldServer(limit fleet.RateLimit) fleet.Server {
+	server := plainServer("a", 1)
 	server.Cold, server.Limit = true, limit
 	return server
 }
@@ -177,14 +177,14 @@
 // Guards against preferring cold servers, which are slow, so that their limit is used.
 func TestColdServerIsUsedAfterOthers(t *testing.T) {
 	limit := fleet.RateLimit{Set: true, PerSecond: 20, Burst: 5}
-	w := newLimitedDispatcher(t, coldServer("a", limit), plainServer("b", 1))
+	w := newLimitedDispatcher(t, coldServer(limit), plainServer("b", 1))
 	served, _ := w.serveFor(10 * time.Second)
 	require.Less(t, served["a"], served["b"]/4)
 }
 
 func TestColdServersServeUpToTheirLimit(t *testing.T) {
 	limit := fleet.RateLimit{Set: true, PerSecond: 20, Burst: 5}
-	w := newLimitedDispatcher(t, coldServer("a", limit))
+	w := newLimitedDispatcher(t, coldServer(limit))
 	served, _ := w.serveFor(10 * time.Second)
 	require.InDelta(t, 200, served["a"], 6)
 }
@@ -194,11 +194,11 @@
 	limit := fleet.RateLimit{Set: true, PerSecond: 20, Burst: 5}
 	w := newLimitedDispatcher(t)
 	w.d.SetBoxCount(1, 4)
-	w.setServers(coldServer("a", limit))
+	w.setServers(coldServer(limit))
 	served, _ := w.serveFor(10 * time.Second)
 	require.InDelta(t, 50, served["a"], 3)
 	w.d.SetBoxCount(4, 4)
-	w.setServers(coldServer("a", limit))
+	w.setServers(coldServer(limit))
 	served, _ = w.serveFor(10 * time.Second)
 	require.InDelta(t, 200, served["a"], 6)
 }
--- a/pkg/route/queue.go
+++ b/pkg/route/queue.go
@@ -40,8 +40,9 @@
 	AwaitingFirstByte int
 	// BackingOff is the number of servers that requested a backoff from this box.
 	BackingOff int
-	// Limited is the number of eligible servers if all of them have a rate limit; 0 otherwise.
-	Limited int
+	// Limited is the number of eligible servers if all of them have a rate limit; 0 otherwise. Cold is how many of these
+	// have it because they are cold.
+	Limited, Cold int
 	// RetryAfter is the time after which a slot is expected to be free.
 	RetryAfter time.Duration
 }
@@ -202,10 +203,11 @@
 	if !req.isLate(now) {
 		remaining = req.startBy.Sub(now)
 	}
+	limited, cold := d.limitedEligible(now)
 	return &BusyError{
 		Waiting: len(d.queue), PeerWaiting: peerDemand.Late, Late: req.isLate(now), TimeLeft: remaining,
 		Slots: d.totalSlots(now), NewRequestSlots: d.newRequestSlots(now), AwaitingFirstByte: len(d.awaiting) + peerDemand.AwaitingFirstByte, BackingOff: backingOff.servers,
-		Limited:    d.limitedEligible(now),
+		Limited: limited, Cold: cold,
 		RetryAfter: min(wait+jitter, maxWait),
 	}
 }
