fix(direct): send all records to followers without an address

TestOwnRecordIsReportedOncePerChange showed it; no process of ours follows without an address.

Change: records are left out only for followers with an address.

--- a/internal/direct/membership.go
+++ b/internal/direct/membership.go
@@ -152,8 +152,12 @@
 	}
 }
 
-// lackedBy returns the records that a follower has not sent itself. The follower has the others.
+// lackedBy returns the records that a follower has not sent itself. The follower has the others. All records are returned
+// if the address of the follower is not known.
 func (m *Membership) lackedBy(follower string, items []state.Item) []state.Item {
+	if follower == "" {
+		return items
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return slices.DeleteFunc(items, func(item state.Item) bool {
--- a/internal/direct/membership_test.go
+++ b/internal/direct/membership_test.go
@@ -443,3 +443,31 @@
 		})
 	}
 }
+
+// Guards against sending a record back to the boxes that have sent it, and against keeping back a newer version.
+func TestRecordIsNotSentBackToItsSenders(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	m := NewMembership(member.Record{Box: "a", Incarnation: 1, Status: member.StatusUp}, clock, zerolog.Nop())
+	record := member.Record{Box: "b", Incarnation: 1, Status: member.StatusStarting}
+	merge := func(from string) {
+		item, err := record.Item()
+		require.NoError(t, err)
+		m.Merge([]state.Item{item}, from)
+	}
+	merge("c:1")
+	merge("d:1")
+	sent := func(cursor *memberCursor) (boxes []string) {
+		for _, item := range cursor.next() {
+			boxes = append(boxes, item.Key)
+		}
+		return boxes
+	}
+	toSender, toOther := &memberCursor{membership: m, all: true, follower: "d:1"}, &memberCursor{membership: m, all: true, follower: "e:1"}
+	require.Equal(t, []string{"member/a"}, sent(toSender))
+	require.Equal(t, []string{"member/a", "member/b"}, sent(toOther))
+	record.Status = member.StatusUp
+	record.Sequence++
+	merge("c:1")
+	require.Equal(t, []string{"member/b"}, sent(toSender), "it has sent an earlier version")
+	require.Equal(t, []string{"member/b"}, sent(toOther))
+}
