perf(route): divide the tokens of rate-limited servers among boxes

Cause: two mechanisms kept boxes from using the same token before they hear of each other: for servers that advertise a limit each box drew at random, for cold servers tokens were divided as scarce slots are.

Change: tokens of servers with an advertised limit are divided in each round, too.

--- a/pkg/route/dispatch.go
+++ b/pkg/route/dispatch.go
@@ -364,7 +364,8 @@
 		}
 	}
 	d.collectCandidates(req, now)
-	if b := d.pickLimited(contention.competitors(class)); b != nil {
+	if b := d.pickLimited(contention.round, now); b != nil {
+		b.takenInRound++
 		return d.reserve(b, req, now)
 	}
 	expected := contention.competitors(class) + 1
--- a/pkg/route/limit.go
+++ b/pkg/route/limit.go
@@ -206,20 +206,22 @@
 }
 
 // pickLimited returns the rate-limited candidate with the lowest cost, unless that exceeds the lowest cost of the other
-// candidates by more than limitedCostMargin. Rate-limited servers are preferred because unused tokens expire. Requests
-// of other boxes, whose number is competitors, may use the same tokens. Each rate-limited candidate is therefore kept
-// at random, so that about one request takes each token, and is removed from the candidates otherwise.
-func (d *Dispatcher) pickLimited(competitors float64) *backend {
+// candidates by more than limitedCostMargin. Rate-limited servers are preferred because unused tokens expire. Other
+// boxes have the same tokens, so each token is allocated to one box for a round, as scarce slots are, and servers
+// without a token of this box are removed from the candidates.
+func (d *Dispatcher) pickLimited(round int64, now time.Time) *backend {
 	if len(d.buckets) == 0 {
 		return nil
 	}
 	kept := d.candidates[:0]
+	demand := d.demand(now)
+	weight := demand.allocationWeight()
 	limited, other := candidate{cost: math.Inf(1)}, math.Inf(1)
 	for _, c := range d.candidates {
 		switch {
 		case !d.isRateLimited(c.backend):
 			other = min(other, c.cost)
-		case d.random()*(competitors+1) >= c.room:
+		case d.remainingShare(c.backend, int(c.room), round, weight) <= 0:
 			continue
 		case c.cost < limited.cost:
 			limited = c
