--- a/internal/settings/direct.go
+++ b/internal/settings/direct.go
@@ -13,6 +13,13 @@
 // maxPort is the highest TCP port number.
 const maxPort = 1<<16 - 1
 
+// notNegative checks a number that may have a fraction.
+func (c *checker) notNegative(key string, value float64) {
+	if !(value >= 0) {
+		c.add(key, "want a number that is not negative, got %v", value)
+	}
+}
+
 // direct checks the settings of direct mode.
 func (c *checker) direct() {
 	s := c.settings
@@ -31,12 +38,10 @@
 	c.duration("direct.change_bound", s.Direct.ChangeBound, 500*time.Millisecond, 24*time.Hour)
 	c.duration("direct.retry_window", s.Direct.RetryWindow, time.Second, time.Hour)
 	c.duration("stop.grace", s.Stop.Grace, time.Second, time.Hour)
-	if *s.Direct.RetryRatio < 0 {
-		c.add("direct.retry_ratio", "want a number that is not negative, got %v", *s.Direct.RetryRatio)
-	}
-	if *s.Direct.RetryExtra < 0 {
-		c.add("direct.retry_extra", "want a number that is not negative, got %v", *s.Direct.RetryExtra)
-	}
+	c.notNegative("direct.retry_ratio", *s.Direct.RetryRatio)
+	c.notNegative("direct.retry_extra", *s.Direct.RetryExtra)
+	c.notNegative("direct.cold_rate_factor", *s.Direct.ColdRateFactor)
+	c.notNegative("direct.cold_rate_extra", *s.Direct.ColdRateExtra)
 	for i, entry := range s.Peers.Entries {
 		if _, err := netip.ParseAddrPort(entry); err != nil {
 			c.add("peers.entries", "element %d: want an IP address with a port, got %q", i+1, entry)
