--- a/internal/direct/cells_bench_test.go
+++ b/internal/direct/cells_bench_test.go
@@ -18,19 +18,25 @@
 // benchmarkFleets are the fleet sizes of the benchmarks.
 var benchmarkFleets = []struct{ boxes, servers int }{{30, 60}, {300, 1500}, {2200, 12000}}
 
+// newFleetMember returns the entry boxes as one box of a fleet knows them, and the view of that box.
+func newFleetMember(b *testing.B, boxes, servers int) (*EntryBoxes, *fleet.View) {
+	records, view := newFleet(boxes, servers)
+	fleetState, clock := newTestFleetState()
+	e := newTestEntryBoxes(fleetState)
+	e.self, e.membership, e.regionOf, e.replanned = records[0], newTestMembership(clock, records[0].Box), sameRegion, make(chan struct{})
+	e.membership.Merge(recordItems(b, records...), "")
+	fleetState.view.Store(view)
+	e.replan()
+	return e, view
+}
+
 // BenchmarkControlTraffic reports the number of processes that one entry box follows and the bytes of status
 // messages that it sends per second, with one change of its load in each status interval. In a full mesh, the box
 // followed 365, 1,799 and 14,199 processes.
 func BenchmarkControlTraffic(b *testing.B) {
 	for _, size := range benchmarkFleets {
 		b.Run(fmt.Sprintf("boxes=%d/servers=%d", size.boxes, size.servers), func(b *testing.B) {
-			records, view := newFleet(size.boxes, size.servers)
-			fleetState, clock := newTestFleetState()
-			e := newTestEntryBoxes(fleetState)
-			e.self, e.membership, e.regionOf, e.replanned = records[0], newTestMembership(clock, records[0].Box), sameRegion, make(chan struct{})
-			e.membership.Merge(recordItems(b, records...), "")
-			fleetState.view.Store(view)
-			e.replan()
+			e, view := newFleetMember(b, size.boxes, size.servers)
 			cellPeers, all := len(e.plan.cellPeers), len(e.subscriptions())
 			agents := len(e.plan.ownServers(view.Servers("llm")))
 			bytes := 0
@@ -79,13 +85,7 @@
 func BenchmarkSubscriptions(b *testing.B) {
 	for _, size := range benchmarkFleets {
 		b.Run(fmt.Sprintf("boxes=%d/servers=%d", size.boxes, size.servers), func(b *testing.B) {
-			records, view := newFleet(size.boxes, size.servers)
-			fleetState, clock := newTestFleetState()
-			e := newTestEntryBoxes(fleetState)
-			e.self, e.membership, e.regionOf, e.replanned = records[0], newTestMembership(clock, records[0].Box), sameRegion, make(chan struct{})
-			e.membership.Merge(recordItems(b, records...), "")
-			fleetState.view.Store(view)
-			e.replan()
+			e, _ := newFleetMember(b, size.boxes, size.servers)
 			for b.Loop() {
 				e.subscriptions()
 			}
--- a/internal/lab/cold_test.go
+++ b/internal/lab/cold_test.go
@@ -44,17 +44,23 @@
 	}
 }
 
+// drawDeployment returns a deployment with a random number of boxes and a random load, from a minimum to an overload.
+func drawDeployment(t *rapid.T, minLevel float64) *Deployment {
+	deployment := smallDeployment(rapid.Float64Range(minLevel, 1.2).Draw(t, "level"))
+	boxes := rapid.IntRange(1, 8).Draw(t, "boxes")
+	for i := range deployment.Regions {
+		deployment.Regions[i].Boxes = boxes
+	}
+	deployment.Duration = 12 * time.Second
+	return deployment
+}
+
 // Guards against exceeding the allowance of cold servers when boxes fail or start, when the traffic bursts, or when
 // reports between boxes are delayed. Partitions have a test of their own.
 func TestColdAllowanceHoldsDuringFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		deployment := smallDeployment(rapid.Float64Range(0.2, 1.2).Draw(t, "level"))
-		boxes := rapid.IntRange(1, 8).Draw(t, "boxes")
-		for i := range deployment.Regions {
-			deployment.Regions[i].Boxes = boxes
-		}
+		deployment := drawDeployment(t, 0.2)
 		deployment.ReportInterval = time.Duration(rapid.IntRange(20, 100).Draw(t, "report_ms")) * time.Millisecond
-		deployment.Duration = 12 * time.Second
 		faults := []Fault{
 			coldFault(rapid.Float64Range(0.1, 1).Draw(t, "share"), rapid.SampledFrom([]float64{0.5, 2, 5, 10, 23}).Draw(t, "rate")),
 			{
@@ -73,12 +79,7 @@
 // Boxes that are partitioned from each other must not use the allowance once each.
 func TestColdAllowanceHoldsDuringPartition(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		deployment := smallDeployment(rapid.Float64Range(0.5, 1.2).Draw(t, "level"))
-		boxes := rapid.IntRange(1, 8).Draw(t, "boxes")
-		for i := range deployment.Regions {
-			deployment.Regions[i].Boxes = boxes
-		}
-		deployment.Duration = 12 * time.Second
+		deployment := drawDeployment(t, 0.5)
 		faults := []Fault{
 			coldFault(rapid.Float64Range(0.1, 1).Draw(t, "share"), rapid.SampledFrom([]float64{5, 10, 23}).Draw(t, "rate")),
 			{
