test(direct): end a fault of a box in a cluster before its next one begins

Killing a box takes 2 ms of virtual time; while several were killed in turn, a box's last fault was over by its time, but its end, the start, had not been handled. The harness's own fault, in both tests that use it.

Change: a box gets no new fault while one has not been ended, whatever the time; faults that are due end before the next ones begin. Nothing that is checked has changed, and the random draws are the same.

--- a/internal/direct/cluster_test.go
+++ b/internal/direct/cluster_test.go
@@ -329,6 +329,8 @@
 	lag        atomic.Int64
 	// disturbedUntil is when the last fault of the box ended; in the future while there is one.
 	disturbedUntil time.Time
+	// hasFault is set while a fault of the box has not been ended.
+	hasFault bool
 
 	fleetState *FleetState
 	status     *StatusServer
--- a/internal/direct/clusterfaults_test.go
+++ b/internal/direct/clusterfaults_test.go
@@ -209,12 +209,17 @@
 
 // disturb injects a fault of a box that is undisturbed, and ends it after a time.
 func (c *clusterFaults) disturb(box *clusterBox, span time.Duration, begin, end func()) {
-	if time.Now().Before(box.disturbedUntil) {
+	if box.hasFault || time.Now().Before(box.disturbedUntil) {
 		return
 	}
+	// Other boxes may take some time to stop before the end of this fault is handled.
+	box.hasFault = true
 	box.disturbedUntil = time.Now().Add(span + clusterTick)
 	begin()
-	c.later(span, end)
+	c.later(span, func() {
+		box.hasFault = false
+		end()
+	})
 }
 
 // later schedules the end of a fault.
--- a/internal/direct/evacuations_test.go
+++ b/internal/direct/evacuations_test.go
@@ -133,7 +133,9 @@
 	domains := []member.FailureDomain{"hall-a", "hall-b", "hall-c"}
 	changedAt := make(map[member.FailureDomain]time.Time)
 	var nextChange, nextFault time.Time
-	for end := time.Now().Add(*clusterTime); time.Now().Before(end); time.Sleep(clusterTick) {
+	for end := time.Now().Add(*clusterTime); time.Now().Before(end); {
+		// A fault must end before the next one of the same box begins.
+		c.endFaults()
 		now := time.Now()
 		if !now.Before(nextChange) {
 			domain := domains[random.IntN(len(domains))]
@@ -145,10 +147,10 @@
 			c.inject()
 			nextFault = now.Add(c.randomTime(2 * clusterFaultInterval))
 		}
-		c.endFaults()
 		for _, domain := range domains {
 			c.checkEvacuation(domain, changedAt[domain])
 		}
+		time.Sleep(clusterTick)
 	}
 	time.Sleep(maxClusterFault)
 	c.endFaults()
