fix(direct): read the list of servers and its watermarks together

The list of servers took its watermarks under one lock and its entries under another, later one. A deletion after 138 that was applied in between makes just that picture.

Change: both are read under one lock, and the test compares the list with the watermark that it carries, which is as strict.

--- a/internal/direct/cluster_test.go
+++ b/internal/direct/cluster_test.go
@@ -327,6 +327,8 @@
 	// processing is closed while the box is frozen. lag is how long each of its messages is late.
 	processing *gate
 	lag        atomic.Int64
+	// loaded is set while the load of the box changes.
+	loaded atomic.Bool
 	// disturbedUntil is when the last fault of the box ended; in the future while there is one.
 	disturbedUntil time.Time
 	// hasFault is set while a fault of the box has not been ended.
@@ -411,7 +413,7 @@
 	b.fleetState, b.peers = NewFleetState(clock, log, metrics), daemon.NewPeerPoolWithDial(b.dial)
 	b.status = &StatusServer{
 		clock: clock, fleetState: b.fleetState, membership: membership, tasks: kernel.NewTaskGroup(), suspects: suspects,
-		load: func() route.Load { return nil }, demands: func() route.Demands { return nil },
+		load: b.load, demands: func() route.Demands { return nil },
 		rejectedCallers: func(uint64, route.RelayDimension) ([]route.RejectedCaller, uint64) { return nil, 0 },
 		refreshed:       make(chan struct{}), done: make(chan struct{}), limitedSendSignal: make(chan struct{}, 1),
 	}
@@ -474,9 +476,9 @@
 // requireConsistent checks that the box lists nothing that was deleted at a revision up to which it has every change,
 // and lacks nothing that was present then.
 func (b *clusterBox) requireConsistent() {
-	complete := b.fleetState.Watermarks().Complete
-	present := b.cluster.store.at(complete)
 	list := b.fleetState.serverList(b.id)
+	complete := list.Complete
+	present := b.cluster.store.at(complete)
 	known := make(map[string]bool)
 	for _, server := range list.Servers {
 		key := fleet.ServerKey(fleet.ServerID(server.Server))
--- a/internal/direct/clustertraffic_test.go
+++ b/internal/direct/clustertraffic_test.go
@@ -152,7 +152,7 @@
 		time.Sleep(4 * time.Second)
 	}).minus(scaled(phases.calm, 0.5))
 	for _, box := range c.boxes {
-		box.changeLoad()
+		box.loaded.Store(true)
 	}
 	phases.loaded = measure("loaded, a box and second", perBox(loadedTime), func() { time.Sleep(loadedTime) })
 	return phases
@@ -179,13 +179,13 @@
 	}}
 }
 
-// changeLoad makes the load of a box change every loadChange, at one of eight servers in turn.
-func (b *clusterBox) changeLoad() {
-	started := time.Now()
-	b.status.load = func() route.Load {
-		changes := int(time.Since(started) / loadChange)
-		return route.Load{fleet.ServerID(fmt.Sprintf("i-%08d", changes%8)): {Requests: 1 + changes%3, Prefill: 40 * time.Millisecond}}
+// load returns the load of a box. While it changes, it does so every loadChange, at one of eight servers in turn.
+func (b *clusterBox) load() route.Load {
+	if !b.loaded.Load() {
+		return nil
 	}
+	changes := int(time.Now().UnixNano() / int64(loadChange))
+	return route.Load{fleet.ServerID(fmt.Sprintf("i-%08d", changes%8)): {Requests: 1 + changes%3, Prefill: 40 * time.Millisecond}}
 }
 
 // TestControlTraffic logs the control traffic of clusters of the sizes in the flag cluster.traffic.
--- a/internal/direct/serversapi.go
+++ b/internal/direct/serversapi.go
@@ -55,9 +55,9 @@
 
 // serverList returns the servers that this box knows, in order of their ids.
 func (f *FleetState) serverList(box member.BoxID) ServerList {
-	watermarks := f.Watermarks()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	watermarks := f.watermarks()
 	list := ServerList{
 		Box: string(box), Newest: watermarks.Newest, Complete: watermarks.Complete, Evacuated: f.evacuatedDomains(),
 		Servers: make([]ListedServer, 0, len(f.servers)),
