revert: do not send records back to the boxes that sent them

Cause: a box took who had sent a record for who holds it. A box that restarts at its address has forgotten the record, and its neighbours kept it back. Marks by incarnation were weighed: a message of the incarnation before may be read after the restart, and an incarnation comes again when a clock is set back.

--- a/internal/direct/membership.go
+++ b/internal/direct/membership.go
@@ -33,25 +33,16 @@
 	// or received their mark.
 	records     map[member.BoxID]member.Record
 	silentSince map[member.BoxID]time.Time
-	// senders are the boxes that have sent the current version of each record, by the key of the record. Records are not
-	// sent back to them.
-	senders map[string]recordSenders
 	// sorted caches the records sorted by box name; nil after a change.
 	sorted  []member.Record
 	changed chan struct{}
 }
 
-// recordSenders are the peer addresses of the boxes that have sent one version of a record.
-type recordSenders struct {
-	version   state.Version
-	addresses []string
-}
-
 // NewMembership returns a membership that holds only the record of this box.
 func NewMembership(own member.Record, clock clockwork.Clock, log zerolog.Logger) *Membership {
 	m := &Membership{
 		clock: clock, log: log, store: state.NewStore(rand.Uint64()), own: own,
-		records: make(map[member.BoxID]member.Record), senders: make(map[string]recordSenders), silentSince: make(map[member.BoxID]time.Time), changed: make(chan struct{}),
+		records: make(map[member.BoxID]member.Record), silentSince: make(map[member.BoxID]time.Time), changed: make(chan struct{}),
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -107,7 +98,6 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	fresh := m.store.Apply(items, state.OriginRemote)
-	m.noteSender(items, from)
 	if len(fresh) == 0 {
 		return
 	}
@@ -135,37 +125,6 @@
 	m.notify()
 }
 
-// noteSender records that a box has sent records. The lock must be held.
-func (m *Membership) noteSender(items []state.Item, from string) {
-	for _, item := range items {
-		if held, ok := m.store.Lookup(item.Key); !ok || held.Version != item.Version {
-			continue
-		}
-		known := m.senders[item.Key]
-		if known.version != item.Version {
-			known = recordSenders{version: item.Version}
-		}
-		if !slices.Contains(known.addresses, from) {
-			known.addresses = append(known.addresses, from)
-			m.senders[item.Key] = known
-		}
-	}
-}
-
-// lackedBy returns the records that a follower has not sent itself. The follower has the others. All records are returned
-// if the address of the follower is not known.
-func (m *Membership) lackedBy(follower string, items []state.Item) []state.Item {
-	if follower == "" {
-		return items
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return slices.DeleteFunc(items, func(item state.Item) bool {
-		known := m.senders[item.Key]
-		return known.version == item.Version && slices.Contains(known.addresses, follower)
-	})
-}
-
 // refute replaces a record of this box that is newer than its own by a still newer one: either another box has
 // marked it silent, or its clock was ahead at an earlier start. The lock must be held.
 func (m *Membership) refute(reported member.Record, from string) {
@@ -200,7 +159,6 @@
 		m.log.Info().Str("box", string(box)).Dur("silent_ms", now.Sub(since)).Msg("silent entry box expired; removing it from the membership")
 		delete(m.silentSince, box)
 		delete(m.records, box)
-		delete(m.senders, member.KeyPrefix+string(box))
 		m.store.Purge(member.KeyPrefix + string(box))
 		m.sorted = nil
 		m.notify()
@@ -278,10 +236,8 @@
 type memberCursor struct {
 	membership *Membership
 	// all selects the records of all boxes instead of only this box's own.
-	all bool
-	// follower is the peer address of the receiver.
-	follower string
-	cursor   state.Cursor
+	all    bool
+	cursor state.Cursor
 	// own is the version of this box's record that was sent last.
 	own state.Version
 }
@@ -291,7 +247,7 @@
 	if c.all {
 		batch := c.membership.store.Since(c.cursor, maxBatchItems)
 		c.cursor = batch.Next
-		return c.membership.lackedBy(c.follower, batch.Items)
+		return batch.Items
 	}
 	own := c.membership.Own()
 	if own.Version() == c.own {
--- a/internal/direct/statusserver.go
+++ b/internal/direct/statusserver.go
@@ -171,14 +171,14 @@
 // sends its own record in the request, so that it becomes known here: the settings list only a few boxes.
 func (s *StatusServer) Entry(request *wire.FollowRequest, stream wire.DRPCFleet_EntryStream) error {
 	if request.Record != nil {
-		s.membership.Merge(itemsFromWire([]*wire.Item{request.Record}), request.Peers)
+		s.membership.Merge(itemsFromWire([]*wire.Item{request.Record}), request.Box)
 	}
 	remote := request.Region != string(s.membership.Own().Region)
 	if remote && request.Load {
 		s.remoteFollowers.Add(1)
 		defer s.remoteFollowers.Add(-1)
 	}
-	cursor, records := statusCursor{fullStatus: s.fullStatus}, memberCursor{membership: s.membership, all: request.Members, follower: request.Peers}
+	cursor, records := statusCursor{fullStatus: s.fullStatus}, memberCursor{membership: s.membership, all: request.Members}
 	for {
 		snapshot, refreshed := s.current()
 		// A newly published version, a request under which a server has exited, and a request to a server with a
