fix(route): describe only the allowed regions of a request when rejecting it

Cause: a request that may be served in one region was told to retry after 150 ms although the only server there had asked for a rest of 5 s, because servers of other regions were free; and the counts that decide the reason of the refusal (resting, limited, cold) were those of all regions. Found by reading, shown by TestRejectionDescribesAllowedRegionsOnly, which fails before with 150 ms. Regions were applied where a slot is chosen and not where a rejection is described.

Change: the servers that back off, are eligible, are limited and the slots are those in the allowed regions of the request. anyEligible takes the request; the tests that call it pass one without restriction.

Measured: 150 ms before, 5 s or more after, in that test.

--- a/pkg/route/backend.go
+++ b/pkg/route/backend.go
@@ -165,13 +165,8 @@
 // slots returns the number of requests that a server runs concurrently.
 func (d *Dispatcher) slots(b *backend) int { return max(1, b.server.Slots) }
 
-// anyEligible reports whether any server could run a request if it had a free slot.
-func (d *Dispatcher) anyEligible(now time.Time) bool {
-	return slices.ContainsFunc(d.backendList, func(b *backend) bool { return d.isEligible(b, now) })
-}
-
-// anyEligibleFor reports whether any server in the allowed regions of a request could run it if it had a free slot.
-func (d *Dispatcher) anyEligibleFor(req *SlotRequest, now time.Time) bool {
+// anyEligible reports whether any server in the allowed regions of a request could run it if it had a free slot.
+func (d *Dispatcher) anyEligible(req *SlotRequest, now time.Time) bool {
 	return slices.ContainsFunc(d.backendList, func(b *backend) bool { return req.Residency.Allows(b.region) && d.isEligible(b, now) })
 }
 
--- a/pkg/route/backoff.go
+++ b/pkg/route/backoff.go
@@ -157,12 +157,12 @@
 	earliest time.Time
 }
 
-// backingOff returns a summary of the servers that are backing off. It iterates only over servers with a backoff, as
-// there can be thousands of rejections and thousands of servers.
-func (d *Dispatcher) backingOff(now time.Time) (total backoffServers) {
+// backingOff returns a summary of the servers in the allowed regions of a request that are backing off. It iterates only
+// over servers with a backoff, as there can be thousands of rejections and thousands of servers.
+func (d *Dispatcher) backingOff(req *SlotRequest, now time.Time) (total backoffServers) {
 	for id := range d.backoffs {
 		b := d.backends[id]
-		if b == nil || !b.isBackingOff(now) {
+		if b == nil || !req.Residency.Allows(b.region) || !b.isBackingOff(now) {
 			continue
 		}
 		total.servers++
@@ -179,7 +179,7 @@
 func (d *Dispatcher) BackoffError(req *SlotRequest, now time.Time) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.backingOff(now).servers == 0 || d.anyEligible(now) {
+	if d.backingOff(req, now).servers == 0 || d.anyEligible(req, now) {
 		return nil
 	}
 	req.startBy = d.startBy(req, now)
@@ -189,8 +189,8 @@
 // retryAfterBackoff returns how long a caller should wait before it retries if servers are backing off and no server is
 // eligible: until the first backoff ends, plus the time for the retries that were scheduled before. Otherwise, ok is
 // false.
-func (d *Dispatcher) retryAfterBackoff(backingOff backoffServers, now time.Time) (wait time.Duration, ok bool) {
-	if backingOff.servers == 0 || d.anyEligible(now) {
+func (d *Dispatcher) retryAfterBackoff(req *SlotRequest, backingOff backoffServers, now time.Time) (wait time.Duration, ok bool) {
+	if backingOff.servers == 0 || d.anyEligible(req, now) {
 		return 0, false
 	}
 	earlierRetries := time.Duration(d.scheduledRetries.count(now)*d.boxes) * d.typicalHoldTime / time.Duration(backingOff.slots)
--- a/pkg/route/backoff_test.go
+++ b/pkg/route/backoff_test.go
@@ -256,7 +256,7 @@
 			w.rejectWithBackoff(w.acquire(), 3*time.Second)
 			w.now = w.now.Add(time.Second)
 			w.setServers(plainServer("a", member.Incarnation(requestedAt.Add(-test.startedBefore).UnixMilli())))
-			require.Equal(t, test.backingOff, !w.d.anyEligible(w.now))
+			require.Equal(t, test.backingOff, !w.d.anyEligible(&SlotRequest{}, w.now))
 		})
 	}
 }
@@ -281,11 +281,11 @@
 			w.rejectOnConnection(w.acquire(), 4*time.Second, func() bool { return connected })
 			w.now = w.now.Add(3 * time.Second)
 			w.setServers(plainServer("a", member.Incarnation(requestedAt.Add(-test.startedBefore).UnixMilli())))
-			require.Equal(t, test.backingOff, !w.d.anyEligible(w.now))
+			require.Equal(t, test.backingOff, !w.d.anyEligible(&SlotRequest{}, w.now))
 			connected = false
 			w.setServers()
 			w.setServers(plainServer("a", member.Incarnation(requestedAt.Add(-test.startedBefore).UnixMilli())))
-			require.Equal(t, test.backingOff, !w.d.anyEligible(w.now), "the incarnation is known, whatever becomes of the connection")
+			require.Equal(t, test.backingOff, !w.d.anyEligible(&SlotRequest{}, w.now), "the incarnation is known, whatever becomes of the connection")
 		})
 	}
 }
--- a/pkg/route/capacity.go
+++ b/pkg/route/capacity.go
@@ -76,11 +76,11 @@
 	return c
 }
 
-// allowedShare returns the share of the slots of the eligible servers that are in the allowed
-// regions of a request.
-func (c *capacitySnapshot) allowedShare(req *SlotRequest) float64 {
-	if !req.Residency.Restricted || c.slots == 0 {
-		return 1
+// allowedSlots returns the number of slots of the eligible servers in the allowed regions of a
+// request.
+func (c *capacitySnapshot) allowedSlots(req *SlotRequest) int {
+	if !req.Residency.Restricted {
+		return c.slots
 	}
 	allowed := 0
 	for region, slots := range c.slotsByRegion {
@@ -88,7 +88,15 @@
 			allowed += slots
 		}
 	}
-	return float64(allowed) / float64(c.slots)
+	return allowed
+}
+
+// allowedShare returns the part of all slots that allowedSlots returns.
+func (c *capacitySnapshot) allowedShare(req *SlotRequest) float64 {
+	if c.slots == 0 {
+		return 1
+	}
+	return float64(c.allowedSlots(req)) / float64(c.slots)
 }
 
 // collectCandidates collects the servers that a request may be sent to, or a sample if there are
--- a/pkg/route/forecast.go
+++ b/pkg/route/forecast.go
@@ -118,7 +118,7 @@
 		return false
 	}
 	if !req.isLate(now) {
-		inTime := d.anyEligibleFor(req, now) && !now.Add(d.expectedWait(req, now)).After(req.startBy)
+		inTime := d.anyEligible(req, now) && !now.Add(d.expectedWait(req, now)).After(req.startBy)
 		if inTime || !req.Retry && !req.Resuming {
 			return inTime
 		}
--- a/pkg/route/limit.go
+++ b/pkg/route/limit.go
@@ -269,11 +269,11 @@
 	return limited
 }
 
-// limitedEligible returns the number of eligible servers if all of them have a rate limit, and how many of these are
-// cold; 0 otherwise.
-func (d *Dispatcher) limitedEligible(now time.Time) (limited, cold int) {
+// limitedEligible returns the number of eligible servers in the allowed regions of a request if all of them have a rate
+// limit, and how many of these are cold; 0 otherwise.
+func (d *Dispatcher) limitedEligible(req *SlotRequest, now time.Time) (limited, cold int) {
 	for _, b := range d.backendList {
-		if !d.isEligible(b, now) {
+		if !req.Residency.Allows(b.region) || !d.isEligible(b, now) {
 			continue
 		}
 		if d.buckets[b.server.ID] == nil {
--- a/pkg/route/placement_test.go
+++ b/pkg/route/placement_test.go
@@ -74,6 +74,32 @@
 	require.Equal(t, 1, w.d.QueueLen())
 }
 
+// Guards against telling a caller to retry while the servers that may run its request still back off, or that they back
+// off if they do not.
+func TestRejectionDescribesAllowedRegionsOnly(t *testing.T) {
+	w := newPlainDispatcher(t, domainServer("a", "riga"), domainServer("b", "kurzeme"), domainServer("c", "latgale"))
+	for range 12 {
+		if reservation := w.acquire(); reservation.Server.ID == "a" {
+			w.rejectWithBackoff(reservation, 5*time.Second)
+			break
+		}
+	}
+	var busy *BusyError
+	_, _, err := w.submitIn("riga")
+	require.ErrorAs(t, err, &busy)
+	require.Equal(t, 1, busy.BackingOff)
+	require.GreaterOrEqual(t, busy.RetryAfter, 5*time.Second)
+	limited := domainServer("b", "kurzeme")
+	limited.Limit = fleet.RateLimit{Set: true, PerSecond: 1}
+	w.setServers(domainServer("a", "riga"), limited, domainServer("c", "latgale"))
+	for err = nil; err == nil; {
+		_, _, err = w.submitIn("kurzeme")
+	}
+	require.ErrorAs(t, err, &busy)
+	require.Zero(t, busy.BackingOff)
+	require.Equal(t, 1, busy.Limited)
+}
+
 func TestEvacuatedServerGetsNoRequests(t *testing.T) {
 	w := newPlainDispatcher(t, domainServer("a", "riga"), domainServer("b", "kurzeme"))
 	var reservation *Reservation
--- a/pkg/route/queue.go
+++ b/pkg/route/queue.go
@@ -173,7 +173,7 @@
 
 // rejection returns the error for a request that is rejected.
 func (d *Dispatcher) rejection(req *SlotRequest, now time.Time) error {
-	if !d.hasServerFor(req) || !d.anyEligibleFor(req, now) && d.backingOff(now).servers == 0 {
+	if !d.hasServerFor(req) || !d.anyEligible(req, now) && d.backingOff(req, now).servers == 0 {
 		return ErrNoServer
 	}
 	return d.busyError(req, now)
@@ -188,8 +188,8 @@
 	if untilFree, ok := d.lateForecast(now).timeToStart(float64(d.scheduledRetries.count(now)*d.boxes + d.lateAtAllBoxes(now) + 1)); ok {
 		wait = min(maxWait, max(minRetryAfter, untilFree))
 	}
-	retryIn, backingOff := wait, d.backingOff(now)
-	if afterBackoff, ok := d.retryAfterBackoff(backingOff, now); ok {
+	retryIn, backingOff := wait, d.backingOff(req, now)
+	if afterBackoff, ok := d.retryAfterBackoff(req, backingOff, now); ok {
 		// An earlier retry would fail. Callers that cannot wait this long retry before their
 		// timeout.
 		wait = max(minRetryAfter, afterBackoff)
@@ -203,10 +203,10 @@
 	if !req.isLate(now) {
 		remaining = req.startBy.Sub(now)
 	}
-	limited, cold := d.limitedEligible(now)
+	limited, cold := d.limitedEligible(req, now)
 	return &BusyError{
 		Waiting: len(d.queue), PeerWaiting: peerDemand.Late, Late: req.isLate(now), TimeLeft: remaining,
-		Slots: d.totalSlots(now), NewRequestSlots: d.newRequestSlots(now), AwaitingFirstByte: len(d.awaiting) + peerDemand.AwaitingFirstByte, BackingOff: backingOff.servers,
+		Slots: d.currentCapacity(now).allowedSlots(req), NewRequestSlots: d.newRequestSlots(now), AwaitingFirstByte: len(d.awaiting) + peerDemand.AwaitingFirstByte, BackingOff: backingOff.servers,
 		Limited: limited, Cold: cold,
 		RetryAfter: min(wait+jitter, maxWait),
 	}
