perf(direct): build the parts of a status message only to count those that it has

Cause: each status message sent to each follower built five messages to measure its parts, also a heartbeat that has none of them.

Change: a part is built if it has items. What is counted is the same.

--- a/internal/direct/controltraffic.go
+++ b/internal/direct/controltraffic.go
@@ -86,39 +86,33 @@
 	counters.bytes.Add(float64(size))
 }
 
-// countStatus counts a status message. Its main purpose is that of its largest part.
+// countStatus counts a status message. Its main purpose is that of its largest part; readers are in most messages and
+// are never the main purpose.
 func (c *controlTraffic) countStatus(status *wire.EntryStatus, remote bool) {
-	parts := []struct {
-		purpose purpose
-		size    int
-	}{
-		{purposeLoad, sizeIf(len(status.InFlight)+len(status.Demands), &wire.EntryStatus{InFlight: status.InFlight, Demands: status.Demands})},
-		{purposeMembers, sizeIf(len(status.Members), &wire.EntryStatus{Members: status.Members})},
-		{purposeRejected, sizeIf(len(status.SentAway), &wire.EntryStatus{SentAway: status.SentAway})},
-		{purposeServers, sizeIf(len(status.Departures)+len(status.Evidence)+len(status.RateLimits), &wire.EntryStatus{
-			Departures: status.Departures, Evidence: status.Evidence, RateLimits: status.RateLimits,
-		})},
-		{purposeReaders, sizeIf(len(status.Readers), &wire.EntryStatus{Readers: status.Readers})},
-	}
 	rest, main, largest := proto.Size(status), purposeStatus, 0
-	for _, part := range parts {
-		if part.size == 0 {
-			continue
-		}
-		rest -= part.size
-		c.counters[trafficKind{part.purpose, remote}].bytes.Add(float64(part.size))
-		if part.size > largest && part.purpose != purposeReaders {
-			main, largest = part.purpose, part.size
+	countPart := func(p purpose, part *wire.EntryStatus) {
+		size := proto.Size(part)
+		rest -= size
+		c.counters[trafficKind{p, remote}].bytes.Add(float64(size))
+		if size > largest && p != purposeReaders {
+			main, largest = p, size
 		}
 	}
+	if len(status.InFlight)+len(status.Demands) > 0 {
+		countPart(purposeLoad, &wire.EntryStatus{InFlight: status.InFlight, Demands: status.Demands})
+	}
+	if len(status.Members) > 0 {
+		countPart(purposeMembers, &wire.EntryStatus{Members: status.Members})
+	}
+	if len(status.SentAway) > 0 {
+		countPart(purposeRejected, &wire.EntryStatus{SentAway: status.SentAway})
+	}
+	if len(status.Departures)+len(status.Evidence)+len(status.RateLimits) > 0 {
+		countPart(purposeServers, &wire.EntryStatus{Departures: status.Departures, Evidence: status.Evidence, RateLimits: status.RateLimits})
+	}
+	if len(status.Readers) > 0 {
+		countPart(purposeReaders, &wire.EntryStatus{Readers: status.Readers})
+	}
 	c.counters[trafficKind{purposeStatus, remote}].bytes.Add(float64(rest))
 	c.counters[trafficKind{main, remote}].messages.Inc()
 }
-
-// sizeIf returns the encoded size of a message, or 0 if it has no items.
-func sizeIf(items int, message proto.Message) int {
-	if items == 0 {
-		return 0
-	}
-	return proto.Size(message)
-}
