refactor: the change read once more

* ratewindow.Each takes the window, and the checks of cold servers in package lab and the soak use it in place of loops of their own; package lab draws the random deployments of limits and cold rates in one place, the soak has one request to the metrics address.
* Tests of internal/direct make their caller server in one place, newTestCallerServer, so that a new field is no longer added to each of them.
* Comments say what things are: no story, no verbs of people, the field's terms.

--- a/internal/direct/apikey_test.go
+++ b/internal/direct/apikey_test.go
@@ -6,7 +6,6 @@
 	"net/http/httptest"
 	"testing"
 
-	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"github.com/cinderslip/cinderslip/internal/provider"
@@ -40,7 +39,7 @@
 // admitStatus returns the status with which a box with the given facts rejects a request, or admitted.
 func admitStatus(t *testing.T, state *FleetState, path, authorization string) int {
 	t.Helper()
-	s := &CallerServer{held: newTestHeldBytes(1 << 20), suspects: noSuspectRequests(), recentResponses: newRecentResponses(), fleetState: state, clock: state.clock, log: zerolog.Nop(), metrics: NewMetrics()}
+	s := newTestCallerServer(state)
 	request := httptest.NewRequestWithContext(t.Context(), http.MethodPost, path, http.NoBody)
 	request.Host = "a.example"
 	if authorization != "" {
--- a/internal/direct/callerserver.go
+++ b/internal/direct/callerserver.go
@@ -115,7 +115,8 @@
 		fleetState: p.fleetState, protocol: p.options.Platform.Callers, clock: p.options.Clock, log: p.options.Log, metrics: p.metrics,
 		tasks: kernel.NewTaskGroup(), started: p.options.Clock.Now(), versionBound: time.Duration(direct.VersionBound),
 		retries: retryLimits{*direct.RetryRatio, *direct.RetryExtra, time.Duration(direct.RetryWindow)},
-		isLocal: p.isLocal, regionOf: p.regionOf, box: p.box(), suspects: p.suspects, recentResponses: newRecentResponses(), dispatchers: make(map[member.Service]*route.Dispatcher),
+		isLocal: p.isLocal, regionOf: p.regionOf, box: p.box(), suspects: p.suspects,
+		recentResponses: newRecentResponses(), dispatchers: make(map[member.Service]*route.Dispatcher),
 		budgets: make(map[member.Service]*route.WindowRetryBudget), models: make(map[member.Service]fleet.ModelName), callerTimeouts: make(map[string]*route.CallerTimeoutEstimator),
 	}
 	s.onLimitedSend = p.status.noteLimitedSend
@@ -269,7 +270,9 @@
 
 // newDispatcher returns a dispatcher that starts from the reports of other boxes. The lock must be held.
 func (s *CallerServer) newDispatcher(name member.Service, service *fleet.Service) *route.Dispatcher {
-	options := route.DispatcherOptions{TypicalHoldTime: typicalPlainDuration, TTFB: typicalPlainTTFB, Box: s.box, RegionOf: s.regionOf, OnLimitedSend: s.onLimitedSend}
+	options := route.DispatcherOptions{
+		TypicalHoldTime: typicalPlainDuration, TTFB: typicalPlainTTFB, Box: s.box, RegionOf: s.regionOf, OnLimitedSend: s.onLimitedSend,
+	}
 	if service != nil && service.Engine != nil {
 		options.TypicalHoldTime, options.TTFB, options.NeedsWeights = typicalModelDuration, typicalModelTTFB, true
 	}
--- a/internal/direct/callerserver_test.go
+++ b/internal/direct/callerserver_test.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/cinderslip/cinderslip/internal/kernel"
 	"github.com/cinderslip/cinderslip/internal/provider"
 	"github.com/cinderslip/cinderslip/pkg/fleet"
 	"github.com/cinderslip/cinderslip/pkg/member"
@@ -21,8 +22,9 @@
 // After a power failure all boxes start at once. None of them knows the others yet, and retries from before the
 // start still count, so each box may use only a small share of the retries.
 func TestNewBoxUsesSmallShareOfRetries(t *testing.T) {
-	clock := clockwork.NewFakeClock()
-	s := &CallerServer{held: newTestHeldBytes(1 << 20), suspects: noSuspectRequests(), recentResponses: newRecentResponses(), clock: clock, started: clock.Now(), retries: retryLimits{ratio: 0.2, extra: 100, window: 10 * time.Second}}
+	state, clock := newTestFleetState()
+	s := newTestCallerServer(state)
+	s.started, s.retries = clock.Now(), retryLimits{ratio: 0.2, extra: 100, window: 10 * time.Second}
 	require.Less(t, s.retryExtra(), 2.0)
 	clock.Advance(9 * time.Second)
 	require.Less(t, s.retryExtra(), 2.0)
@@ -59,7 +61,7 @@
 // configuration, because callers do not retry after a rejection.
 func TestRequestWaitsForFirstConfiguration(t *testing.T) {
 	state, clock := newTestFleetState()
-	s := &CallerServer{held: newTestHeldBytes(1 << 20), suspects: noSuspectRequests(), recentResponses: newRecentResponses(), fleetState: state, clock: clock}
+	s := newTestCallerServer(state)
 	x := &exchange{InboundMetadata: provider.InboundMetadata{Deadline: 4 * time.Second}, request: httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/", http.NoBody)}
 	got := make(chan *fleet.View, 1)
 	go func() { got <- s.awaitConfiguration(x) }()
@@ -68,7 +70,7 @@
 	require.EqualValues(t, 3, (<-got).Configuration.Version)
 
 	empty, clock := newTestFleetState()
-	s = &CallerServer{held: newTestHeldBytes(1 << 20), suspects: noSuspectRequests(), recentResponses: newRecentResponses(), fleetState: empty, clock: clock}
+	s = newTestCallerServer(empty)
 	go func() { got <- s.awaitConfiguration(x) }()
 	require.NoError(t, clock.BlockUntilContext(t.Context(), 1))
 	clock.Advance(time.Duration(configurationWaitFraction * float64(x.Deadline)))
@@ -80,11 +82,8 @@
 func TestLeavingBoxRefusesLateRequests(t *testing.T) {
 	state, clock := newTestFleetState()
 	state.Apply([]fleet.Fact{{Key: fleet.ConfigurationKey(), Revision: 1, Configuration: &fleet.Configuration{Version: 3}}}, "store")
-	s := &CallerServer{
-		held:     newTestHeldBytes(1 << 20),
-		suspects: noSuspectRequests(), recentResponses: newRecentResponses(), fleetState: state, clock: clock, metrics: NewMetrics(), log: zerolog.Nop(),
-		protocol: provider.CallerProtocol{ReadRequest: func(*http.Request) provider.InboundMetadata { return provider.InboundMetadata{} }},
-	}
+	s := newTestCallerServer(state)
+	s.protocol = provider.CallerProtocol{ReadRequest: func(*http.Request) provider.InboundMetadata { return provider.InboundMetadata{} }}
 	s.leavingSince = clock.Now()
 	s.leaving.Store(true)
 	send := func() *httptest.ResponseRecorder {
@@ -106,7 +105,7 @@
 // timeout count as retries.
 func TestObjectiveCountsFromFirstTry(t *testing.T) {
 	state, clock := newTestFleetState()
-	s := &CallerServer{held: newTestHeldBytes(1 << 20), suspects: noSuspectRequests(), recentResponses: newRecentResponses(), fleetState: state, clock: clock, log: zerolog.Nop(), metrics: NewMetrics(), callerTimeouts: make(map[string]*route.CallerTimeoutEstimator)}
+	s := newTestCallerServer(state)
 	newRequest := func(target string, timeout time.Duration) (*exchange, *route.SlotRequest) {
 		x := &exchange{
 			InboundMetadata: provider.InboundMetadata{Deadline: timeout}, arrived: clock.Now(), writer: httptest.NewRecorder(),
@@ -146,10 +145,7 @@
 // recognise it by the reports of its cell peers.
 func TestRejectedCallerIsKnownToCellPeers(t *testing.T) {
 	state, clock := newTestFleetState()
-	newServer := func() *CallerServer {
-		return &CallerServer{held: newTestHeldBytes(1 << 20), suspects: noSuspectRequests(), recentResponses: newRecentResponses(), fleetState: state, clock: clock, log: zerolog.Nop(), metrics: NewMetrics(), callerTimeouts: make(map[string]*route.CallerTimeoutEstimator)}
-	}
-	local, peer := newServer(), newServer()
+	local, peer := newTestCallerServer(state), newTestCallerServer(state)
 	newRequest := func(s *CallerServer, id, target string, timeout time.Duration) *exchange {
 		request := httptest.NewRequestWithContext(t.Context(), http.MethodPost, target, http.NoBody)
 		x := &exchange{
@@ -175,7 +171,7 @@
 // because its reader accepts only a limited gap between events.
 func TestResumedStreamObjectiveIsItsNextEvent(t *testing.T) {
 	state, clock := newTestFleetState()
-	s := &CallerServer{held: newTestHeldBytes(1 << 20), suspects: noSuspectRequests(), recentResponses: newRecentResponses(), fleetState: state, clock: clock, callerTimeouts: make(map[string]*route.CallerTimeoutEstimator)}
+	s := newTestCallerServer(state)
 	x := &exchange{
 		arrived: clock.Now(), started: true, attempts: 1,
 		route: &fleet.Route{Name: "draft", Objective: 400 * time.Millisecond, MaxEventGap: 300 * time.Millisecond, Timeout: 6 * time.Second},
@@ -190,15 +186,22 @@
 	require.Less(t, req.Priority, 0)
 }
 
+// newTestCallerServer returns a caller server of a box that knows the state of a fleet. It is not started.
+func newTestCallerServer(state *FleetState) *CallerServer {
+	return &CallerServer{
+		fleetState: state, clock: state.clock, log: zerolog.Nop(), metrics: NewMetrics(), tasks: kernel.NewTaskGroup(),
+		held: newTestHeldBytes(1 << 20), suspects: noSuspectRequests(), recentResponses: newRecentResponses(),
+		isLocal:     func(member.FailureDomain) bool { return true },
+		regionOf:    func(domain member.FailureDomain) member.Region { return member.Region(domain) },
+		dispatchers: make(map[member.Service]*route.Dispatcher), budgets: make(map[member.Service]*route.WindowRetryBudget),
+		models: make(map[member.Service]fleet.ModelName), callerTimeouts: make(map[string]*route.CallerTimeoutEstimator),
+	}
+}
+
 // newUnconfiguredCallerServer returns a caller server without a configuration.
 func newUnconfiguredCallerServer() (*CallerServer, *clockwork.FakeClock) {
 	state, clock := newTestFleetState()
-	return &CallerServer{
-		held:       newTestHeldBytes(1 << 20),
-		fleetState: state, clock: clock, log: zerolog.Nop(), metrics: NewMetrics(), suspects: noSuspectRequests(),
-		isLocal: func(member.FailureDomain) bool { return true }, dispatchers: make(map[member.Service]*route.Dispatcher),
-		models: make(map[member.Service]fleet.ModelName),
-	}, clock
+	return newTestCallerServer(state), clock
 }
 
 // configureServices applies a configuration of services, each with one server of the same name.
--- a/internal/direct/coldservers.go
+++ b/internal/direct/coldservers.go
@@ -7,15 +7,24 @@
 	"github.com/cinderslip/cinderslip/pkg/member"
 )
 
-// A server is cold for some time after a start, and may become cold again at any moment. It then bears only the cold
-// rate of its service, from all entry boxes together, and exits if it receives much more. The limit of a cold server is
-// kept by the token buckets that also keep the rate limits that servers advertise.
+// A server is cold for some time after a start, and may become cold again at any moment. It then accepts only
+// the cold rate of its service, from all entry boxes together, and exits if it receives much more. The token buckets that
+// enforce the advertised rate limits also enforce those of cold servers.
 
-// coldState is until when a server is cold, as its entry and its responses state it.
+const (
+	// maxColdTime is the maximum time for which one statement of a server applies.
+	maxColdTime = time.Minute
+	// coldTolerance is the maximum difference between two statements of the same end of the cold time, which arrive
+	// with different delays.
+	coldTolerance = 500 * time.Millisecond
+)
+
+// coldState is the cold time of a server, according to its entry and its responses.
 type coldState struct {
 	// incarnation is the incarnation of the server that the state describes.
 	incarnation member.Incarnation
-	until       time.Time
+	// until is the end of the cold time.
+	until time.Time
 }
 
 // noteCold records that an incarnation of a server stays cold for a time. What an incarnation states later does not
@@ -38,16 +47,8 @@
 	return true
 }
 
-const (
-	// maxColdTime limits how long one statement of a server counts, so that a wrong one does not limit it for good.
-	maxColdTime = time.Minute
-	// coldTolerance is the difference between two statements of the same end that is ignored. Each takes a different
-	// time to arrive.
-	coldTolerance = 500 * time.Millisecond
-)
-
-// assumedColdTime returns how much longer a server is cold if it only became known that an incarnation of it runs, and
-// not what that incarnation states: as long as the servers of its service are cold after a start.
+// assumedColdTime returns the remaining cold time of an incarnation that is known only from an agent's report: that of
+// its service, from the start of the incarnation.
 func (f *FleetState) assumedColdTime(server *fleet.Server, incarnation member.Incarnation) time.Duration {
 	service := f.View().Service(server.Service)
 	if service == nil {
@@ -56,7 +57,7 @@
 	return service.ColdTime - f.clock.Since(time.UnixMilli(int64(incarnation)))
 }
 
-// ObserveCold records that a server stated in a response how much longer it is cold.
+// ObserveCold records the remaining cold time that a server stated in a response.
 func (f *FleetState) ObserveCold(server fleet.ServerID, incarnation member.Incarnation, coldFor time.Duration, from string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -65,7 +66,7 @@
 	}
 }
 
-// expireCold removes the servers that are no longer cold.
+// expireCold removes the servers whose cold time has ended.
 func (f *FleetState) expireCold() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/direct/cutoff_test.go
+++ b/internal/direct/cutoff_test.go
@@ -92,13 +92,9 @@
 	clock := clockwork.NewFakeClock()
 	state := NewFleetState(clock, zerolog.Nop(), NewMetrics())
 	c := &cutoffTest{t: t, clock: clock, state: state, log: new(bytes.Buffer)}
-	c.server = &CallerServer{
-		held: newTestHeldBytes(1 << 20), regionOf: func(domain member.FailureDomain) member.Region { return member.Region(domain) },
-		suspects: noSuspectRequests(), recentResponses: newRecentResponses(), fleetState: state, clock: clock, log: zerolog.New(c.log), metrics: NewMetrics(), tasks: kernel.NewTaskGroup(), versionBound: testVersionBound,
-		protocol: testProtocol(), retries: retryLimits{1, 100, 10 * time.Second}, isLocal: func(member.FailureDomain) bool { return true },
-		dispatchers: make(map[member.Service]*route.Dispatcher), budgets: make(map[member.Service]*route.WindowRetryBudget), models: make(map[member.Service]fleet.ModelName),
-		callerTimeouts: make(map[string]*route.CallerTimeoutEstimator),
-	}
+	c.server = newTestCallerServer(state)
+	c.server.log, c.server.versionBound, c.server.protocol = zerolog.New(c.log), testVersionBound, testProtocol()
+	c.server.retries = retryLimits{1, 100, 10 * time.Second}
 	c.server.pool = upstream.NewPool(upstream.Options{Clock: clock, Matches: func(*http.Response, string) bool { return true }})
 	engine := &fleet.Engine{Slots: 4, Models: []fleet.ModelName{"m"}, PrefillTokensPerSecond: 30000}
 	state.Apply([]fleet.Fact{{Key: fleet.ConfigurationKey(), Revision: 1, Configuration: &fleet.Configuration{
@@ -413,7 +409,8 @@
 	p.fleetState.Apply([]fleet.Fact{
 		{Key: fleet.ConfigurationKey(), Revision: 1, Configuration: &fleet.Configuration{Version: 1}}, publishedFact(2, 2),
 	}, "store")
-	s := &CallerServer{suspects: noSuspectRequests(), recentResponses: newRecentResponses(), fleetState: p.fleetState, clock: clock, versionBound: 30 * time.Second}
+	s := newTestCallerServer(p.fleetState)
+	s.versionBound = 30 * time.Second
 	clock.Advance(3 * time.Second)
 	require.EqualValues(t, 2, s.requiredVersion(p.fleetState.View().PublishedVersions("m"), clock.Now()))
 }
--- a/internal/direct/deployment_test.go
+++ b/internal/direct/deployment_test.go
@@ -324,8 +324,8 @@
 
 // cmdStore controls the store: it sets a fault (store refuse, store deaf), clears it (store healthy), compacts the
 // history (store compact), removes the entry of a server (store remove SERVER) or writes it with a state
-// (store draining SERVER, store ready SERVER). It evacuates a failure domain (store evacuate DOMAIN) and withdraws the
-// evacuation (store readmit DOMAIN).
+// (store draining SERVER, store ready SERVER). It writes the evacuation of a failure domain (store evacuate DOMAIN) or
+// deletes it (store readmit DOMAIN).
 func (w *testDeployment) cmdStore(args []string) error {
 	switch args[0] {
 	case "healthy":
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -88,7 +88,7 @@
 		configuration:     metric.Gauge("believed_configuration_version", "Version of the operators' configuration that is in force here."),
 		revision:          metric.Gauge("believed_revision", "Newest revision of the platform's store that is known here."),
 		complete:          metric.Gauge("believed_complete_revision", "Revision of the platform's store up to which every change is known here."),
-		evacuatedDomains:  metric.Gauge("believed_evacuated_domains", "Failure domains whose servers are to get no requests."),
+		evacuatedDomains:  metric.Gauge("believed_evacuated_domains", "Failure domains that the operators have evacuated."),
 		outdatedEntries:   metric.Counter("outdated_entries_total", "Entries of servers that other processes sent and that were deleted before."),
 		deferredDeletions: metric.Gauge("believed_held_deletions", "Deletions of servers' entries that are held back after an outage of the store."),
 	}
--- a/internal/direct/placement.go
+++ b/internal/direct/placement.go
@@ -11,9 +11,8 @@
 // errResidency reports that the request may not be served in the region of the server.
 var errResidency = errors.New("request may not be served in the region of the server")
 
-// residency returns where a request may be served, according to the current configuration. The configuration may have
-// changed since the request was admitted. If it no longer has the route or the organisation, their residency at that
-// time still counts.
+// residency returns where a request may be served, according to the current configuration. If that lacks the
+// route or the organisation, the residency at the time of admission applies.
 func (s *CallerServer) residency(x *exchange) fleet.Residency {
 	view := s.fleetState.View()
 	if view.Configuration == nil || view.Configuration.Version == x.configuration {
@@ -68,8 +67,8 @@
 	return "no-server"
 }
 
-// directoryRegions returns the regions whose entry boxes a caller may be directed to: that of the caller and those in
-// which all requests to the host may be served.
+// directoryRegions returns a function that reports whether a caller may be directed to the entry boxes of a region: its own
+// region, or one in which all requests to the host may be served.
 func directoryRegions(view *fleet.View, host string, callerRegion member.Region) func(member.Region) bool {
 	residency := view.HostResidency(host)
 	return func(region member.Region) bool { return region == callerRegion || residency.Allows(region) }
--- a/internal/direct/ratelimitload_test.go
+++ b/internal/direct/ratelimitload_test.go
@@ -130,7 +130,7 @@
 	for _, request := range counted {
 		arrivals = append(arrivals, request.At)
 	}
-	ratewindow.Each(arrivals, func(end time.Time, count int) {
+	ratewindow.Each(arrivals, ratewindow.Window, func(end time.Time, count int) {
 		if err != nil || end.Before(from) {
 			return
 		}
--- a/internal/direct/sendbuffer.go
+++ b/internal/direct/sendbuffer.go
@@ -129,8 +129,8 @@
 	return true, nil
 }
 
-// close waits until everything is sent and ends the background task. It gives up if the caller disconnects, which ends
-// the context, or reads nothing for unreadTimeout.
+// close waits until everything is sent and ends the background task. It returns an error if the caller disconnects, which
+// ends the context, or reads nothing for unreadTimeout.
 func (b *sendBuffer) close(ctx context.Context) error {
 	b.mu.Lock()
 	b.closed = true
--- a/internal/direct/serversapi.go
+++ b/internal/direct/serversapi.go
@@ -19,7 +19,7 @@
 	// has any entry, and the revision up to which it has every change.
 	Newest   fleet.Revision `json:"newest"`
 	Complete fleet.Revision `json:"complete"`
-	// Evacuated are the failure domains whose servers are to get no requests.
+	// Evacuated are the evacuated failure domains.
 	Evacuated []member.FailureDomain `json:"evacuated"`
 	Servers   []ListedServer         `json:"servers"`
 }
@@ -34,7 +34,7 @@
 	Evacuated     bool   `json:"evacuated"`
 	// Leaving is set if the entry or a later announcement of the server says that it leaves.
 	Leaving bool `json:"leaving"`
-	// Cold is set while the server is cold: it bears only the cold rate of its service.
+	// Cold is set while the server is cold: it accepts only the cold rate of its service.
 	Cold bool `json:"cold"`
 	// Revision is the revision of the entry, and Incarnation the incarnation in it, 0 if the platform reports none.
 	Revision    fleet.Revision     `json:"revision"`
--- a/internal/direct/statusserver.go
+++ b/internal/direct/statusserver.go
@@ -305,9 +305,10 @@
 	cursor := state.Cursor{Instance: request.Instance, Sequence: request.Cursor}
 	ticker := s.clock.NewTicker(statusHeartbeat)
 	defer ticker.Stop()
+	remote := request.Region != string(s.membership.Own().Region)
 	var entries []string
 	if !request.Once {
-		// Entry boxes, which set Once, know the others from their records.
+		// Entry boxes, which set Once, receive the addresses of others in records.
 		entries = s.membership.SampleAddresses(member.Region(request.Region))
 	}
 	departures, suspects, complete := uint64(0), uint64(0), request.Complete
@@ -334,7 +335,6 @@
 		if err := stream.Send(message); err != nil {
 			return err
 		}
-		remote := request.Region != string(s.membership.Own().Region)
 		s.fleetState.metrics.traffic.count(purposeFacts, proto.Size(message), remote)
 		if request.Once {
 			return nil
--- a/internal/lab/cold.go
+++ b/internal/lab/cold.go
@@ -3,12 +3,13 @@
 import (
 	"time"
 
+	"github.com/cinderslip/cinderslip/internal/ratewindow"
 	"github.com/cinderslip/cinderslip/pkg/fleet"
 	"github.com/cinderslip/cinderslip/pkg/route"
 )
 
 const (
-	// coldNoticeDelay is the longest time until a box receives notice that a server is cold: the interval at which the
+	// coldNoticeDelay is the maximum time until a box receives notice that a server is cold: the interval at which the
 	// server writes its entry, plus the time until the box has read it.
 	coldNoticeDelay = 1500 * time.Millisecond
 	// coldWindow is the period in which the requests to a cold server are counted.
@@ -64,13 +65,9 @@
 func (e *engine) endCold(result *Result) {
 	cold := e.coldRecord
 	e.coldRecord = nil
-	first := 0
-	for last, end := range cold.arrivals {
-		for end.Sub(cold.arrivals[first]) >= coldWindow {
-			first++
-		}
-		result.ColdExcess = max(result.ColdExcess, float64(last-first+1)-coldAllowance.PerSecond(cold.rate))
-	}
+	ratewindow.Each(cold.arrivals, coldWindow, func(_ time.Time, count int) {
+		result.ColdExcess = max(result.ColdExcess, float64(count)-coldAllowance.PerSecond(cold.rate))
+	})
 	noticed := e.timeline.Now().Sub(cold.since) - coldNoticeDelay
 	result.ColdUtilization = append(result.ColdUtilization, float64(len(cold.arrivals))/(cold.rate*noticed.Seconds()))
 }
--- a/internal/lab/cold_test.go
+++ b/internal/lab/cold_test.go
@@ -16,7 +16,7 @@
 }
 
 // Guards against each entry box using the rate of a cold server on its own, and against unused rates while all servers
-// are cold and the load exceeds what they bear.
+// are cold and the load exceeds their rates.
 func TestBoxesShareAndUseColdRates(t *testing.T) {
 	for _, test := range []struct {
 		name       string
@@ -44,22 +44,12 @@
 	}
 }
 
-// drawDeployment returns a deployment with a random number of boxes and a random load, from a minimum to an overload.
-func drawDeployment(t *rapid.T, minLevel float64) *Deployment {
-	deployment := smallDeployment(rapid.Float64Range(minLevel, 1.2).Draw(t, "level"))
-	boxes := rapid.IntRange(1, 8).Draw(t, "boxes")
-	for i := range deployment.Regions {
-		deployment.Regions[i].Boxes = boxes
-	}
-	deployment.Duration = 12 * time.Second
-	return deployment
-}
-
 // Guards against exceeding the allowance of cold servers when boxes fail or start, when the traffic bursts, or when
 // reports between boxes are delayed. Partitions have a test of their own.
 func TestColdAllowanceHoldsDuringFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		deployment := drawDeployment(t, 0.2)
+		deployment := drawDeployment(t, 0.2, 1.2)
+		deployment.Duration = 12 * time.Second
 		deployment.ReportInterval = time.Duration(rapid.IntRange(20, 100).Draw(t, "report_ms")) * time.Millisecond
 		faults := []Fault{
 			coldFault(rapid.Float64Range(0.1, 1).Draw(t, "share"), rapid.SampledFrom([]float64{0.5, 2, 5, 10, 23}).Draw(t, "rate")),
@@ -79,7 +69,8 @@
 // Boxes that are partitioned from each other must not use the allowance once each.
 func TestColdAllowanceHoldsDuringPartition(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		deployment := drawDeployment(t, 0.5)
+		deployment := drawDeployment(t, 0.5, 1.2)
+		deployment.Duration = 12 * time.Second
 		faults := []Fault{
 			coldFault(rapid.Float64Range(0.1, 1).Draw(t, "share"), rapid.SampledFrom([]float64{5, 10, 23}).Draw(t, "rate")),
 			{
--- a/internal/lab/limit.go
+++ b/internal/lab/limit.go
@@ -49,7 +49,7 @@
 func (e *engine) clearLimit(result *Result) {
 	l := e.limitRecord
 	e.limitRecord = nil
-	ratewindow.Each(l.counted, func(end time.Time, count int) {
+	ratewindow.Each(l.counted, ratewindow.Window, func(end time.Time, count int) {
 		if end.Sub(l.since) >= limitGrace {
 			result.LimitExcess = max(result.LimitExcess, float64(count)-ratewindow.Allowed(l.perSecond))
 		}
--- a/internal/lab/limit_test.go
+++ b/internal/lab/limit_test.go
@@ -40,14 +40,20 @@
 	}
 }
 
+// drawDeployment returns a deployment with a random number of boxes and a random load level in a range.
+func drawDeployment(t *rapid.T, minLevel, maxLevel float64) *Deployment {
+	deployment := smallDeployment(rapid.Float64Range(minLevel, maxLevel).Draw(t, "level"))
+	boxes := rapid.IntRange(1, 8).Draw(t, "boxes")
+	for i := range deployment.Regions {
+		deployment.Regions[i].Boxes = boxes
+	}
+	return deployment
+}
+
 // Guards against exceeding rate limits when boxes fail, or when reports between them are delayed or lost.
 func TestRateLimitsHoldDuringFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		deployment := smallDeployment(rapid.Float64Range(0.2, 1).Draw(t, "level"))
-		boxes := rapid.IntRange(1, 8).Draw(t, "boxes")
-		for i := range deployment.Regions {
-			deployment.Regions[i].Boxes = boxes
-		}
+		deployment := drawDeployment(t, 0.2, 1)
 		deployment.ReportInterval = time.Duration(rapid.IntRange(20, 100).Draw(t, "report_ms")) * time.Millisecond
 		deployment.Duration = 15 * time.Second
 		faults := []Fault{
--- a/internal/ratewindow/ratewindow_test.go
+++ b/internal/ratewindow/ratewindow_test.go
@@ -13,7 +13,7 @@
 		events = append(events, time.Unix(0, 0).Add(time.Duration(ms)*time.Millisecond))
 	}
 	var counts []int
-	Each(events, func(end time.Time, count int) {
+	Each(events, Window, func(end time.Time, count int) {
 		require.Equal(t, events[len(counts)], end)
 		counts = append(counts, count)
 	})
--- a/internal/soak/limits_test.go
+++ b/internal/soak/limits_test.go
@@ -106,7 +106,7 @@
 		}
 	}
 	slices.SortFunc(counted, time.Time.Compare)
-	ratewindow.Each(counted, func(end time.Time, count int) {
+	ratewindow.Each(counted, ratewindow.Window, func(end time.Time, count int) {
 		if len(findings) > 0 || end.Sub(limited[0].At) < limitGrace {
 			return
 		}
--- a/internal/soak/lists_test.go
+++ b/internal/soak/lists_test.go
@@ -86,13 +86,18 @@
 	l.wg.Wait()
 }
 
-// listServers returns the servers that the process lists.
-func (p *process) listServers(ctx context.Context, client *http.Client) (list direct.ServerList, err error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.metrics+direct.ServersPath, http.NoBody)
+// get requests a path at the metrics address of the process.
+func (p *process) get(ctx context.Context, client *http.Client, path string) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.metrics+path, http.NoBody)
 	if err != nil {
-		return list, err
+		return nil, err
 	}
-	response, err := client.Do(request)
+	return client.Do(request)
+}
+
+// listServers returns the servers that the process lists.
+func (p *process) listServers(ctx context.Context, client *http.Client) (list direct.ServerList, err error) {
+	response, err := p.get(ctx, client, direct.ServersPath)
 	if err != nil {
 		return list, err
 	}
--- a/internal/soak/placement_test.go
+++ b/internal/soak/placement_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/cinderslip/cinderslip/internal/ratewindow"
 	"github.com/cinderslip/cinderslip/pkg/route"
 	"github.com/cinderslip/cinderslip/platform/standin"
 )
@@ -82,7 +83,7 @@
 }
 
 // coldFindings reports the first second in which the cold server received too many requests.
-func (l *load) coldFindings(received []standin.ReceivedRequest) []string {
+func (l *load) coldFindings(received []standin.ReceivedRequest) (findings []string) {
 	p := &l.deployment.placement
 	var counted []time.Time
 	for _, attempt := range received {
@@ -91,16 +92,13 @@
 		}
 	}
 	slices.SortFunc(counted, time.Time.Compare)
-	first, allowed := 0, coldAllowance.PerSecond(coldRate)
-	for last, end := range counted {
-		for end.Sub(counted[first]) >= time.Second {
-			first++
+	allowed := coldAllowance.PerSecond(coldRate)
+	ratewindow.Each(counted, time.Second, func(_ time.Time, count int) {
+		if len(findings) == 0 && float64(count) > allowed {
+			findings = append(findings, fmt.Sprintf("a cold server received %d requests in one second, want at most %v", count, allowed))
 		}
-		if count := last - first + 1; float64(count) > allowed {
-			return []string{fmt.Sprintf("a cold server received %d requests in one second, want at most %v", count, allowed)}
-		}
-	}
-	return nil
+	})
+	return findings
 }
 
 // heldFindings reports the entry boxes that hold bytes although no request is in progress.
@@ -123,11 +121,7 @@
 func (p *process) heldBytes() (float64, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.metrics+"/metrics", http.NoBody)
-	if err != nil {
-		return 0, err
-	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := p.get(ctx, http.DefaultClient, "/metrics")
 	if err != nil {
 		return 0, err
 	}
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -302,8 +302,8 @@
 	// Incarnation is the incarnation of the server that the entry describes. A restarted server may
 	// keep its ID, but has lost all loaded weights. 0 if the platform reports no incarnation.
 	Incarnation member.Incarnation `cbor:"8,keyasint,omitempty"`
-	// ColdFor is how much longer the server was cold when it wrote the entry: it runs requests slowly and bears only
-	// the cold rate of its service.
+	// ColdFor is the remaining cold time when the server wrote the entry. A cold server runs requests slowly and accepts
+	// only the cold rate of its service.
 	ColdFor time.Duration `cbor:"9,keyasint,omitempty"`
 	// Limit is the rate limit in force: the one that the server advertises in its responses or that of a cold server,
 	// whichever is lower. It is not part of the entry.
@@ -378,7 +378,7 @@
 }
 
 // StartedAfter reports whether an incarnation of a server certainly started after a response of the server was
-// received. If neither StartedAfter nor WasRunning returns true, the times do not tell which incarnation responded.
+// received. If neither StartedAfter nor WasRunning returns true, either incarnation may have responded.
 func StartedAfter(start member.Incarnation, received time.Time) bool {
 	return start > member.Incarnation(max(0, received.Add(startUncertainty).UnixMilli()))
 }
--- a/pkg/route/backoff.go
+++ b/pkg/route/backoff.go
@@ -33,8 +33,8 @@
 }
 
 // appliesTo reports whether the backoff was requested by the given incarnation of the server or by a later one. The
-// requesting incarnation may be listed only after its response. If the times do not tell the incarnations apart, the
-// connection of the response does: it does not outlive the process that sent the response.
+// requesting incarnation may be listed only after its response. If the times allow either incarnation, the open
+// connection of the response decides, because it is closed when the process that sent the response ends.
 func (b *backoff) appliesTo(incarnation member.Incarnation) bool {
 	if incarnation <= b.incarnation || fleet.WasRunning(incarnation, b.received) {
 		return true
@@ -62,7 +62,7 @@
 
 // until returns the end of the backoff of a server's incarnation; zero if there is none. A backoff does not apply to
 // later incarnations than the one that requested it. The incarnation is recorded as the one that requested it, because
-// the connection that shows this may be closed later.
+// the connection may be closed later.
 func (r backoffs) until(id fleet.ServerID, incarnation member.Incarnation) time.Time {
 	known, ok := r[id]
 	if !ok || !known.appliesTo(incarnation) {
--- a/pkg/route/backoff_test.go
+++ b/pkg/route/backoff_test.go
@@ -262,7 +262,7 @@
 }
 
 // Guards against ending the backoff of an incarnation that requested it soon after its start and is listed only after
-// its response. The times do not tell it from a later incarnation, and the connection of the response does.
+// its response. Its start time is also that of a possible later incarnation, and only the connection identifies it.
 func TestBackoffAppliesToIncarnationThatHoldsTheConnection(t *testing.T) {
 	for name, test := range map[string]struct {
 		startedBefore time.Duration
--- a/pkg/state/mirror.go
+++ b/pkg/state/mirror.go
@@ -158,9 +158,8 @@
 	HasPresent bool
 }
 
-// Transfer returns the changes after a cursor, at most limit items, for a mirror that is complete up to a revision. That
-// mirror has the changes up to there, whoever sent them, so it is sent only the later ones: a mirror that reads from many
-// others would otherwise receive everything once from each.
+// Transfer returns the changes after a cursor, at most limit items, for a mirror that is complete up to a revision. It
+// omits the changes up to there, even if the cursor precedes them: the receiver may have them from another mirror.
 func (m *Mirror) Transfer(cursor Cursor, limit int, receiverComplete uint64) Transfer {
 	m.mu.Lock()
 	defer m.mu.Unlock()
