test(standin): servers that fall silent once in a request and go on

Change: a server is silent while it reads a body, before the head, between events or within a long body, for a time or for good; plain servers send long bodies evenly.

--- a/internal/direct/deployment_test.go
+++ b/internal/direct/deployment_test.go
@@ -351,6 +351,8 @@
 //	server model-1 truncate-at=4     breaks streams off at event 4
 //	server plain-1 status=500        responds with this status
 //	server plain-1 unresponsive      runs requests without responding
+//	server model-1 silent=events for=1.1s   falls silent once in each request, at a standin.SilencePoint; without a time forever
+//	server plain-1 body=200000 within=2s    responds with a long body, sent evenly
 //	server plain-1 limit=1.9         advertises this rate limit, per second
 //	server plain-1 retry-after=5     rejects requests with this Retry-After value
 //	server model-1 leaving           announces its end in its responses
@@ -364,6 +366,10 @@
 	s.SetErrorStatus(parseInt(options["status"], 0))
 	_, unresponsive := options["unresponsive"]
 	s.SetUnresponsive(unresponsive)
+	silentFor, _ := time.ParseDuration(options["for"])
+	s.SetSilence(standin.Silence{Point: standin.SilencePoint(options["silent"]), Duration: silentFor, Forever: silentFor == 0})
+	bodyTime, _ := time.ParseDuration(options["within"])
+	s.SetLongBody(parseInt(options["body"], 0), bodyTime)
 	if _, leaving := options["leaving"]; leaving {
 		s.SetLeaving(true)
 	}
