--- a/internal/direct/deployment_test.go
+++ b/internal/direct/deployment_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -57,6 +58,9 @@
 	settingsByName map[string]*settings.Settings
 	entries        []string
 
+	// backup is the backup of the store, lost what the last restore of it has lost.
+	backup *standin.Backup
+	lost   []standin.Entry
 	// loadResults holds the results of cmdLoad.
 	loadResults loadResults
 	// requestCount numbers the requests of commands that make several.
@@ -325,7 +329,8 @@
 // cmdStore controls the store: it sets a fault (store refuse, store deaf), clears it (store healthy), compacts the
 // history (store compact), removes the entry of a server (store remove SERVER) or writes it with a state
 // (store draining SERVER, store ready SERVER). It writes the evacuation of a failure domain (store evacuate DOMAIN) or
-// deletes it (store readmit DOMAIN).
+// deletes it (store readmit DOMAIN). It takes a backup (store backup), restores it (store restore, with drop-history or
+// keep-watches) and writes what was lost again (store rewrite).
 func (w *testDeployment) cmdStore(args []string) error {
 	switch args[0] {
 	case "healthy":
@@ -340,6 +345,16 @@
 		w.store.Put("op/evacuate/"+args[1], []byte("{}"))
 	case "readmit":
 		w.store.Remove("op/evacuate/" + args[1])
+	case "backup":
+		w.backup = w.store.Backup()
+	case "restore":
+		w.lost = w.store.Restore(w.backup, standin.RestoreOptions{
+			DropHistory: slices.Contains(args, "drop-history"), KeepWatches: slices.Contains(args, "keep-watches"),
+		})
+	case "rewrite":
+		for _, entry := range w.lost {
+			w.store.Write(entry)
+		}
 	default:
 		w.store.SetFault(standin.Fault(args[0]))
 	}
--- a/internal/soak/lists_test.go
+++ b/internal/soak/lists_test.go
@@ -108,7 +108,7 @@
 // check reports the servers in a list that the store did not list at the revision up to which the process has every
 // change.
 func (l *serverLists) check(p *process, list direct.ServerList) {
-	present := l.deployment.store.KeysAt("servers/", uint64(list.Complete))
+	present := l.deployment.store.KeysAt("servers/", 1, uint64(list.Complete))
 	for _, server := range list.Servers {
 		if server.Revision > list.Complete || present["servers/"+server.Server] {
 			continue
@@ -158,7 +158,7 @@
 func (d *testDeployment) awaitEqualLists(t *testing.T) time.Duration {
 	t.Helper()
 	start, client := time.Now(), &http.Client{Timeout: listTimeout}
-	want := slices.Sorted(maps.Keys(d.store.KeysAt("servers/", d.store.Revision())))
+	want := slices.Sorted(maps.Keys(d.store.KeysAt("servers/", d.store.Era(), d.store.Revision())))
 	for _, p := range d.processes() {
 		for {
 			list, err := p.listServers(t.Context(), client)
