test(direct): servers that fall silent once, beside another that does not take over

No script had a server that goes on.

`start-stream` gets `patience`, and there are `start-body` and `check-received`; the configuration gets a route for long bodies.

--- a/internal/direct/deployment_test.go
+++ b/internal/direct/deployment_test.go
@@ -191,7 +191,7 @@
 	w.store.Put("servers/"+s.id, s.Entry(s.service, s.address, s.domain, draining))
 }
 
-// putConfig writes a configuration with four routes, three services and one organisation.
+// putConfig writes a configuration with five routes, three services and one organisation.
 func (w *testDeployment) putConfig(version int, keys []string) {
 	w.configuration = version
 	route := func(name, path, kind, service string, timeout, attempts int, resumable bool) map[string]any {
@@ -209,6 +209,7 @@
 		"Routes": []any{
 			route("talk", "/talk/", "streaming", "llm", 4000, 2, true),
 			route("look", "/look/", "safe", "maps", 2000, 2, false),
+			route("haul", "/haul/", "safe", "maps", 4000, 2, false),
 			route("book", "/book/", "unsafe", "maps", 600, 2, false),
 			route("once", "/once/", "unsafe", "maps", 2000, 1, false),
 		},
@@ -442,7 +443,12 @@
 
 // requestBody sends a request with the given body to an entry box.
 func (w *testDeployment) requestBody(entry, id, path, key, body string) (*http.Response, error) {
-	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+w.settingsByName[entry].Listen.Callers+path, strings.NewReader(body))
+	return w.send(context.Background(), entry, id, path, key, body)
+}
+
+// send sends a request with the given body to an entry box. The caller disconnects when the context ends.
+func (w *testDeployment) send(ctx context.Context, entry, id, path, key, body string) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.settingsByName[entry].Listen.Callers+path, strings.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
@@ -457,12 +463,25 @@
 
 // checkStream requests a stream and checks that each event is received once, in order.
 func (w *testDeployment) checkStream(entry, id string) error {
-	response, err := w.request(entry, id, "/talk/1", "key-1")
+	return w.checkStreamWithin(entry, id, waitTimeout)
+}
+
+// checkStreamWithin is checkStream for a caller that gives the stream up after a time without an event.
+func (w *testDeployment) checkStreamWithin(entry, id string, patience time.Duration) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	timer := time.AfterFunc(patience, cancel)
+	defer timer.Stop()
+	response, err := w.send(ctx, entry, id, "/talk/1", "key-1", "draft")
 	if err != nil {
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
+	body, err := io.ReadAll(readerFunc(func(buffer []byte) (int, error) {
+		n, err := response.Body.Read(buffer)
+		timer.Reset(patience)
+		return n, err
+	}))
 	if err != nil {
 		return fmt.Errorf("reading stream %s after %q: %w", id, body, err)
 	}
@@ -479,34 +498,97 @@
 	return nil
 }
 
+// readerFunc is a function that reads as an io.Reader does.
+type readerFunc func(buffer []byte) (int, error)
+
+// Read calls the function.
+func (f readerFunc) Read(buffer []byte) (int, error) { return f(buffer) }
+
 // cmdStream requests a stream and checks that it is complete: stream entry-1 s-1.
 func (w *testDeployment) cmdStream(args []string) error { return w.checkStream(args[0], args[1]) }
 
-// cmdStartStream starts a stream in the background and waits until a server runs it: start-stream entry-1 s-1.
+// cmdStartStream starts a stream in the background and waits until a server runs it: start-stream entry-1 s-1. The
+// caller may give the stream up after a time without an event: start-stream entry-1 s-1 patience=2s.
 func (w *testDeployment) cmdStartStream(args []string) error {
+	patience := waitTimeout
+	if given, err := time.ParseDuration(parseOptions(args)["patience"]); err == nil {
+		patience = given
+	}
+	return w.startInBackground(args[1], func() error { return w.checkStreamWithin(args[0], args[1], patience) })
+}
+
+// startInBackground calls check, which sends a request with an ID, in the background and waits until a server runs the
+// request.
+func (w *testDeployment) startInBackground(id string, check func() error) error {
 	done := make(chan error, 1)
 	w.mu.Lock()
-	w.streams[args[1]] = done
+	w.streams[id] = done
 	w.mu.Unlock()
-	go func() { done <- w.checkStream(args[0], args[1]) }()
+	go func() { done <- check() }()
 	return w.await(func() error {
 		for _, s := range w.servers {
-			if s.Runs()[args[1]] > 0 {
+			if s.Runs()[id] > 0 {
 				return nil
 			}
 		}
-		return errors.New("stream has not started")
+		return errors.New("request has not started")
 	})
 }
 
-// cmdAwaitStream waits for the end of a stream in the background and checks that it is complete: await-stream s-1.
+// cmdAwaitStream waits for the end of a stream or body in the background and checks that it is complete:
+// await-stream s-1.
 func (w *testDeployment) cmdAwaitStream(args []string) error {
 	select {
 	case err := <-w.streams[args[0]]:
 		return err
 	case <-time.After(waitTimeout):
-		return errors.New("stream has not ended")
+		return errors.New("response has not ended")
+	}
+}
+
+// checkBody requests a response of a plain server and checks that it is complete. A size of 0 stands for the short body.
+func (w *testDeployment) checkBody(entry, id, path string, size int) error {
+	response, err := w.request(entry, id, path, "key-1")
+	if err != nil {
+		return err
 	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return fmt.Errorf("reading body %s after %d bytes: %w", id, len(body), err)
+	}
+	want := strings.Repeat("x", size)
+	if size == 0 {
+		want = "answer to " + id
+	}
+	if response.StatusCode != http.StatusOK || string(body) != want || response.Header.Get("X-Response-Seal") == "" {
+		return fmt.Errorf("body %s: status %d, %d bytes, headers %v", id, response.StatusCode, len(body), response.Header)
+	}
+	return nil
+}
+
+// cmdStartBody requests a response of a plain server in the background and waits until a server runs it:
+// start-body entry-1 b-1 /haul/1 [size]. await-stream checks that it is complete.
+func (w *testDeployment) cmdStartBody(args []string) error {
+	size := 0
+	if len(args) > 3 {
+		size = parseInt(args[3], 0)
+	}
+	return w.startInBackground(args[1], func() error { return w.checkBody(args[0], args[1], args[2], size) })
+}
+
+// cmdCheckReceived checks how often a server received a request, also if it refused it: check-received model-2 s-1 1.
+func (w *testDeployment) cmdCheckReceived(args []string) error {
+	received := 0
+	for _, request := range w.servers[args[0]].ReceivedRequests() {
+		if request.RequestID == args[1] {
+			received++
+		}
+	}
+	if received != parseInt(args[2], 0) {
+		return fmt.Errorf("%s received request %s %d times, want %s", args[0], args[1], received, args[2])
+	}
+	return nil
 }
 
 // cmdRequest sends a request and checks the status of the response, and that a 503 response has a Retry-After
--- a/internal/direct/scenario_test.go
+++ b/internal/direct/scenario_test.go
@@ -41,6 +41,8 @@
 			"stream":             command((*testDeployment).cmdStream),
 			"start-stream":       command((*testDeployment).cmdStartStream),
 			"await-stream":       command((*testDeployment).cmdAwaitStream),
+			"start-body":         command((*testDeployment).cmdStartBody),
+			"check-received":     command((*testDeployment).cmdCheckReceived),
 			"request":            command((*testDeployment).cmdRequest),
 			"check-runs":         command((*testDeployment).cmdCheckRuns),
 			"await-signal":       command((*testDeployment).cmdAwaitSignal),
