feat(direct): the reason of each cut response in logs and metrics

**Change** `answer cut` has `reason`, `direct_cut_answers_total` counts by it, and explanations name it.

**Measured** `go test ./internal/report` and the stream and cutoff tests of `./internal/direct` pass.

--- a/internal/direct/run.go
+++ b/internal/direct/run.go
@@ -46,7 +46,7 @@
 			s.finish(x, "left").Str("server", string(reservation.Server.ID)).Msg("caller left")
 			return
 		case outcomeTruncated:
-			s.abort(x, err)
+			s.abort(x, s.cutReason(x, nil, cutNotResumable), err)
 		case outcomeNotExecuted:
 			lastErr = err
 			if errors.Is(err, errPastCutoff) {
@@ -94,12 +94,49 @@
 // errRetryBudget reports that the retry budget allows no further attempt.
 var errRetryBudget = errors.New("retry budget is spent")
 
+// cutReason is the reason why a response that had started was cut, as logs and metrics give it.
+type cutReason string
+
+// The reasons why responses are cut.
+const (
+	// cutDeadline means that the time of the caller or of the route had ended.
+	cutDeadline cutReason = "deadline"
+	// cutNotResumable means that the server failed and that no other server can continue the response.
+	cutNotResumable cutReason = "not-resumable"
+	// cutAttempts means that all attempts that the route allows had failed or been refused.
+	cutAttempts cutReason = "attempts"
+	// cutRetryBudget means that the retry budget was spent.
+	cutRetryBudget cutReason = "retry-budget"
+	// cutNoServer means that no other server could run the request.
+	cutNoServer cutReason = "no-server"
+	// cutQuarantined means that servers had exited under the request.
+	cutQuarantined cutReason = "quarantined"
+)
+
+// cutReason returns the reason for which a response is cut. lastErr is the error with which the last attempt was refused
+// or not made; fallback is the reason if neither it nor the deadline is the cause.
+func (s *CallerServer) cutReason(x *exchange, lastErr error, fallback cutReason) cutReason {
+	var busy *route.BusyError
+	switch {
+	case !s.clock.Now().Before(x.deadline):
+		return cutDeadline
+	case errors.Is(lastErr, errRetryBudget):
+		return cutRetryBudget
+	case errors.Is(lastErr, route.ErrQuarantined):
+		return cutQuarantined
+	case errors.Is(lastErr, route.ErrNoServer), errors.As(lastErr, &busy):
+		return cutNoServer
+	}
+	return fallback
+}
+
 // abort closes the caller's connection so that the caller detects a truncated response.
-func (s *CallerServer) abort(x *exchange, cause error) {
+func (s *CallerServer) abort(x *exchange, reason cutReason, cause error) {
 	s.noteRejected(x)
+	s.metrics.cutResponses.WithLabelValues(string(reason)).Inc()
 	// The caller receives what has arrived, so that it can resume after it.
 	cause = errors.Join(cause, s.closeSendBuffer(x))
-	s.finish(x, "cut").Err(cause).Msg("answer cut")
+	s.finish(x, "cut").Str("reason", string(reason)).Err(cause).Msg("answer cut")
 	panic(http.ErrAbortHandler)
 }
 
@@ -108,7 +145,7 @@
 func (s *CallerServer) conclude(ctx context.Context, x *exchange, mayHaveRunErr, lastErr error) {
 	switch {
 	case x.started:
-		s.abort(x, errors.Join(mayHaveRunErr, lastErr))
+		s.abort(x, s.cutReason(x, lastErr, cutAttempts), errors.Join(mayHaveRunErr, lastErr))
 	case x.request.Context().Err() != nil:
 		s.noteRejected(x)
 		s.finish(x, "left").AnErr("cause", lastErr).Msg("caller left")
--- a/internal/report/explain.go
+++ b/internal/report/explain.go
@@ -139,7 +139,7 @@
 	case "unknown":
 		return "answered " + last.Get("status") + ", it may have run: " + x.describeAttempts()
 	case "cut":
-		return "broken off in the middle of the answer: " + x.describeAttempts()
+		return "broken off in the middle of the answer" + cutTexts[last.Get("reason")] + ": " + x.describeAttempts()
 	case "left":
 		return "its caller left after " + last.Milliseconds("taken_ms").Round(time.Millisecond).String() + ": " + x.describeAttempts()
 	}
@@ -162,6 +162,16 @@
 	"not-run":          "its server refused it or could not be reached, and no further attempt was allowed",
 }
 
+// cutTexts explains the reasons for which responses are cut.
+var cutTexts = map[string]string{
+	"deadline":      ", its time was over",
+	"not-resumable": ", which no other server could continue",
+	"attempts":      ", its route allowed no further attempt",
+	"retry-budget":  ", the retry budget was spent",
+	"no-server":     ", no other server could run it",
+	"quarantined":   ", servers that began to run it had ended",
+}
+
 // refusalEvents maps the reason of a refusal to the event that causes it.
 var refusalEvents = map[string]string{
 	"no-server": eventDesired, "no-configuration": eventStarted, "resting": eventBackoff, "limited": eventRateLimit, "cold": eventCold,
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -157,3 +157,15 @@
 		require.Contains(t, explanation.Cause, test.want)
 	}
 }
+
+// Guards against cut responses whose logs do not tell why no other server continued them.
+func TestExplainOfCutResponseNamesItsReason(t *testing.T) {
+	events, err := Read("entry-1.log", strings.NewReader(strings.Join([]string{
+		`time=2026-12-02T10:00:01.000Z level=info event="attempt ended" request=first server=i-30 address=127.0.0.1:30 result=failed held_ms=900 error=EOF`,
+		`time=2026-12-02T10:00:01.000Z level=info event="answer cut" outcome=cut reason=retry-budget request=first route=draft attempts=1`,
+	}, "\n")))
+	require.NoError(t, err)
+	explanation, ok := Explain(events, "first")
+	require.True(t, ok)
+	require.Equal(t, "broken off in the middle of the answer, the retry budget was spent: attempt at i-30 (127.0.0.1:30) failed after 900ms: EOF", explanation.Cause)
+}
