fix(direct): let a silent server go on until another one has delivered

The watchdog reserved a slot on another server, aborted the first attempt, and only then sent the request to the other server. What that server did not take was lost, as the route allows two attempts. The watchdog of a plain request was not told of progress, so it aborted bodies that flowed evenly.

**Change** A silent attempt goes on, and a hedge is started beside it. `attemptGroup.claim` decides which attempt delivers: the first one supersedes all others under the lock under which hedges take their last event ID, so no event is sent twice or skipped. A hedge that is refused or fails changes nothing for the first attempt. A superseded attempt is reset, and its server is not blamed. A response of which a part was delivered that nobody can resume is never hedged. Silence counts from the last bytes of a plain body or the last event of a stream. Thresholds, retry budget and slots stay as they were. The log tells how long the server was silent and what became of the hedge; `direct_hedges_total` counts it.

TestUnreachableServerIsCountedAfterStalledAttempt also covers the new cause and the number of attempts.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -31,47 +31,49 @@
 	outcomeTruncated
 	// outcomeCallerGone means that the caller disconnected.
 	outcomeCallerGone
+	// outcomeSuperseded means that another attempt delivered a part of the response first.
+	outcomeSuperseded
 )
 
 // attempt sends the request to one server and forwards the response.
-func (s *CallerServer) attempt(ctx context.Context, x *exchange, reservation *route.Reservation, wd *watchdog) (outcome, error) {
+func (s *CallerServer) attempt(x *exchange, a *attempt) (outcome, error) {
 	now := s.clock.Now()
 	if now.After(x.deadline) {
-		reservation.Release(route.ResultAbandoned, now)
+		x.withdraw()
+		a.reservation.Release(route.ResultAbandoned, now)
 		return outcomeNotExecuted, context.DeadlineExceeded
 	}
-	resp, err := s.pool.Send(ctx, s.upstreamRequest(x, reservation, now))
+	resp, err := s.pool.Send(a.ctx, s.upstreamRequest(x, a, now))
 	if err != nil {
-		return s.sendFailed(x, reservation, wd.withCause(err))
+		return s.sendFailed(x, a, a.withCause(err))
 	}
-	x.attempts++
 	meta := s.protocol.ReadResponse(resp.Response)
 	if meta.NotExecuted {
 		resp.Discard()
 		result := route.ResultRefused
 		if meta.Misdirected {
 			result = route.ResultReplaced
-			x.misdirected++
+			x.noteMisdirected()
 		}
-		s.finishAttempt(x, reservation, result, errNotExecuted)
+		s.finishAttempt(x, a, result, errNotExecuted)
 		return outcomeNotExecuted, errNotExecuted
 	}
 	defer resp.Close()
 	switch {
 	case resp.StatusCode < 300 && !meta.Signed || resp.Header.Get("Content-Encoding") != "":
-		s.finishAttempt(x, reservation, route.ResultFailed, errUnsigned)
+		s.finishAttempt(x, a, route.ResultFailed, errUnsigned)
 		return outcomeUnknown, errUnsigned
-	case resp.StatusCode >= 500 && s.mayRetry(x):
-		s.finishAttempt(x, reservation, route.ResultFailed, errServerFailed)
+	case resp.StatusCode >= 500 && x.mayDrop(a, s.clock.Now()):
+		s.finishAttempt(x, a, route.ResultFailed, errServerFailed)
 		return outcomeUnknown, errServerFailed
-	case x.started && resp.StatusCode != http.StatusOK:
-		s.finishAttempt(x, reservation, route.ResultFailed, errServerFailed)
+	case a.resuming && resp.StatusCode != http.StatusOK:
+		s.finishAttempt(x, a, route.ResultFailed, errServerFailed)
 		return outcomeStreamBroken, errServerFailed
 	}
 	if x.route.Kind == fleet.KindStream && strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
-		return s.forwardStream(x, reservation, resp, wd)
+		return s.forwardStream(x, a, resp)
 	}
-	return s.forwardBody(x, reservation, resp)
+	return s.forwardBody(x, a, resp)
 }
 
 // Errors of attempts.
@@ -81,17 +83,13 @@
 	errServerFailed = errors.New("server failed the request")
 )
 
-// mayRetry reports whether the request may be sent again although it may have run.
-func (s *CallerServer) mayRetry(x *exchange) bool {
-	return x.route.Repeatable() && x.attempts < x.route.MaxAttempts && s.clock.Now().Before(x.deadline)
-}
-
-// upstreamRequest returns the request to send to the server of a reservation.
-func (s *CallerServer) upstreamRequest(x *exchange, reservation *route.Reservation, now time.Time) *upstream.Request {
+// upstreamRequest returns the request to send to the server of an attempt.
+func (s *CallerServer) upstreamRequest(x *exchange, a *attempt, now time.Time) *upstream.Request {
+	reservation := a.reservation
 	header := x.request.Header.Clone()
 	upstream.RemoveHopByHopHeaders(header)
 	out := provider.OutboundMetadata{
-		Server: reservation.Server.ID, Deadline: x.deadline.Sub(now), LastEventID: x.lastEventID, Priority: -1,
+		Server: reservation.Server.ID, Deadline: x.deadline.Sub(now), LastEventID: a.lastEventID, Priority: -1,
 	}
 	if x.organisation != nil {
 		out.Organisation = x.organisation.Name
@@ -115,7 +113,7 @@
 	}
 	if service := s.fleetState.View().Service(x.service); service != nil && service.Engine != nil && len(service.Engine.Models) > 0 {
 		out.Priority = s.priority(x)
-		if x.started {
+		if a.resuming {
 			// The reader is waiting for the next event. Requests without a response so far can wait longer.
 			out.Priority = 0
 		}
@@ -133,36 +131,46 @@
 }
 
 // sendFailed handles an attempt that got no response.
-func (s *CallerServer) sendFailed(x *exchange, reservation *route.Reservation, err error) (outcome, error) {
+func (s *CallerServer) sendFailed(x *exchange, a *attempt, err error) (outcome, error) {
 	if x.request.Context().Err() != nil {
-		s.finishAttempt(x, reservation, route.ResultAbandoned, err)
+		s.finishAttempt(x, a, route.ResultAbandoned, err)
 		return outcomeCallerGone, err
 	}
 	if isLocalAbort(err) && !upstream.MayHaveRun(err) {
 		// The box did not send the request, so the server is not at fault.
-		s.finishAttempt(x, reservation, route.ResultAbandoned, err)
+		x.withdraw()
+		s.finishAttempt(x, a, route.ResultAbandoned, err)
 		return outcomeNotExecuted, err
 	}
 	if !upstream.MayHaveRun(err) {
-		s.finishAttempt(x, reservation, route.ResultUnreachable, err)
-		s.pool.CloseIdle(reservation.Server.Address)
+		s.finishAttempt(x, a, route.ResultUnreachable, err)
+		s.pool.CloseIdle(a.reservation.Server.Address)
 		// No byte was sent, so this does not count as an attempt.
-		x.unreachable++
+		x.withdrawUnreachable()
 		return outcomeNotExecuted, err
 	}
-	x.attempts++
-	s.failAttempt(x, reservation, err)
+	if isSuperseded(err) {
+		return s.endSuperseded(x, a, err)
+	}
+	s.failAttempt(x, a, err)
 	return outcomeUnknown, err
 }
 
+// endSuperseded ends an attempt that another one has superseded. Its server is not at fault.
+func (s *CallerServer) endSuperseded(x *exchange, a *attempt, err error) (outcome, error) {
+	s.finishAttempt(x, a, route.ResultAbandoned, err)
+	return outcomeSuperseded, err
+}
+
 // isLocalAbort reports whether this box prevented or aborted an attempt.
 func isLocalAbort(err error) bool {
-	return errors.Is(err, errPastCutoff) || errors.Is(err, errNotStarted) || errors.Is(err, route.ErrLeaving) || errors.Is(err, route.ErrBackingOff) ||
+	return errors.Is(err, errPastCutoff) || errors.Is(err, errNotStarted) || errors.Is(err, errSuperseded) || errors.Is(err, route.ErrLeaving) || errors.Is(err, route.ErrBackingOff) ||
 		errors.Is(err, route.ErrRateLimited) || errors.Is(err, route.ErrQuarantined) || errors.Is(err, route.ErrEvacuated) || errors.Is(err, errResidency)
 }
 
 // finishAttempt releases the reservation and records the result of the attempt.
-func (s *CallerServer) finishAttempt(x *exchange, reservation *route.Reservation, result route.Result, err error) {
+func (s *CallerServer) finishAttempt(x *exchange, a *attempt, result route.Result, err error) {
+	reservation := a.reservation
 	now := s.clock.Now()
 	heldFor := reservation.HeldFor(now)
 	reservation.Release(result, now)
@@ -170,11 +178,11 @@
 	if result != route.ResultDone {
 		s.log.Info().Str("request", x.ID).Str("server", string(reservation.Server.ID)).Str("address", string(reservation.Server.Address)).
 			Uint64("weights", uint64(reservation.Version)).Str("result", result.String()).Dur("held_ms", heldFor).
-			Str("content", x.contentID().String()).Dur("answering_ms", reservation.RespondingFor(now)).Str("last_event", x.lastEventID).Err(err).Msg("attempt ended")
+			Str("content", x.contentID().String()).Dur("answering_ms", reservation.RespondingFor(now)).Str("last_event", a.lastEventID).Err(err).Msg("attempt ended")
 	}
 }
 
-// forwardHeader forwards the status and the headers of a response.
+// forwardHeader forwards the status and the headers of a response, which the attempt must have claimed.
 func (s *CallerServer) forwardHeader(x *exchange, resp *upstream.Response) {
 	header := x.writer.Header()
 	length := resp.Header["Content-Length"]
@@ -198,8 +206,8 @@
 const responseBufferSize = 64 << 10
 
 // forwardBody forwards a response that is not an event stream.
-func (s *CallerServer) forwardBody(x *exchange, reservation *route.Reservation, resp *upstream.Response) (outcome, error) {
-	reservation.Started(s.clock.Now())
+func (s *CallerServer) forwardBody(x *exchange, a *attempt, resp *upstream.Response) (outcome, error) {
+	a.reservation.Started(s.clock.Now())
 	buffer := make([]byte, 0, min(responseBufferSize, max(512, int(resp.ContentLength)+1)))
 	var err error
 	for err == nil && len(buffer) < responseBufferSize {
@@ -209,17 +217,22 @@
 		var n int
 		n, err = resp.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
+		x.group.noteProgress(s.clock.Now())
 	}
 	if err != nil && !errors.Is(err, io.EOF) {
-		return s.bodyFailed(x, reservation, err)
+		return s.bodyFailed(x, a, a.withCause(err))
+	}
+	if !x.group.claim(a) {
+		return s.endSuperseded(x, a, a.withCause(err))
 	}
+	a.delivered = true
 	s.forwardHeader(x, resp)
 	if err == nil {
-		return s.forwardLongBody(x, reservation, resp, buffer)
+		return s.forwardLongBody(x, a, resp, buffer)
 	}
 	s.recordSuccess(x)
 	// The server is free, whether or not the caller reads the response.
-	s.finishAttempt(x, reservation, resultOf(resp), nil)
+	s.finishAttempt(x, a, resultOf(resp), nil)
 	if _, writeErr := x.writer.Write(buffer); writeErr != nil {
 		return outcomeCallerGone, writeErr
 	}
@@ -227,30 +240,30 @@
 }
 
 // forwardLongBody forwards a response of which the first part has been read.
-func (s *CallerServer) forwardLongBody(x *exchange, reservation *route.Reservation, resp *upstream.Response, buffer []byte) (outcome, error) {
+func (s *CallerServer) forwardLongBody(x *exchange, a *attempt, resp *upstream.Response, buffer []byte) (outcome, error) {
 	out, ctx := s.sendBuffer(x), x.request.Context()
 	part := buffer
 	for {
 		if err := out.add(ctx, part); err != nil {
-			s.finishAttempt(x, reservation, route.ResultAbandoned, err)
+			s.finishAttempt(x, a, route.ResultAbandoned, err)
 			return outcomeCallerGone, err
 		}
 		n, err := resp.Read(buffer[:cap(buffer)])
 		part = buffer[:n]
 		switch {
 		case errors.Is(err, io.EOF):
-			return s.finishLongBody(x, reservation, resp, part)
+			return s.finishLongBody(x, a, resp, part)
 		case err != nil:
-			s.failAttempt(x, reservation, err)
+			s.failAttempt(x, a, err)
 			return outcomeTruncated, err
 		}
 	}
 }
 
 // finishLongBody forwards the last part of a response.
-func (s *CallerServer) finishLongBody(x *exchange, reservation *route.Reservation, resp *upstream.Response, last []byte) (outcome, error) {
+func (s *CallerServer) finishLongBody(x *exchange, a *attempt, resp *upstream.Response, last []byte) (outcome, error) {
 	s.recordSuccess(x)
-	s.finishAttempt(x, reservation, resultOf(resp), nil)
+	s.finishAttempt(x, a, resultOf(resp), nil)
 	err := s.sendBuffer(x).add(x.request.Context(), last)
 	if err == nil {
 		err = s.closeSendBuffer(x)
@@ -270,11 +283,14 @@
 }
 
 // bodyFailed handles a response that failed before any of it was forwarded.
-func (s *CallerServer) bodyFailed(x *exchange, reservation *route.Reservation, err error) (outcome, error) {
+func (s *CallerServer) bodyFailed(x *exchange, a *attempt, err error) (outcome, error) {
 	if x.request.Context().Err() != nil {
-		s.finishAttempt(x, reservation, route.ResultAbandoned, err)
+		s.finishAttempt(x, a, route.ResultAbandoned, err)
 		return outcomeCallerGone, err
 	}
-	s.failAttempt(x, reservation, err)
+	if isSuperseded(err) {
+		return s.endSuperseded(x, a, err)
+	}
+	s.failAttempt(x, a, err)
 	return outcomeUnknown, err
 }
--- a/internal/direct/content.go
+++ b/internal/direct/content.go
@@ -33,9 +33,6 @@
 
 // contentID returns the content ID of the request. It is computed on first use, as most requests never need it.
 func (x *exchange) contentID() route.ContentID {
-	if x.content == nil {
-		content := contentOf(x)
-		x.content = &content
-	}
-	return *x.content
+	x.contentOnce.Do(func() { x.content = contentOf(x) })
+	return x.content
 }
--- a/internal/direct/cutoff_test.go
+++ b/internal/direct/cutoff_test.go
@@ -238,7 +238,7 @@
 	x.deadline = c.clock.Now().Add(time.Minute)
 	done := make(chan error, 1)
 	go func() {
-		_, err := c.server.attempt(ctx, x, reservation, c.server.startWatchdog(ctx, x, nil))
+		_, err := c.server.attempt(x, x.begin(ctx, reservation, c.clock.Now()))
 		done <- err
 	}()
 	select {
@@ -341,14 +341,15 @@
 // A server without power is detected by failed connections. A failure must also count if the attempt had
 // stalled while connecting and was continued at another server; otherwise the unreachable server stays in use.
 func TestUnreachableServerIsCountedAfterStalledAttempt(t *testing.T) {
-	for reason, unreachable := range map[error]int{errNoProgress: 1, errNotStarted: 0, errPastCutoff: 0} {
+	for reason, unreachable := range map[error]int{errNoProgress: 1, errSuperseded: 0, errNotStarted: 0, errPastCutoff: 0} {
 		c := newCutoffTest(t, "a:1")
 		x := c.newExchange()
 		reservation, err := c.server.acquireSlot(t.Context(), x, nil)
 		require.NoError(t, err)
-		result, _ := c.server.sendFailed(x, reservation, fmt.Errorf("%w: %w", reason, upstream.ErrNotSent))
+		result, _ := c.server.sendFailed(x, x.begin(t.Context(), reservation, c.clock.Now()), fmt.Errorf("%w: %w", reason, upstream.ErrNotSent))
 		require.Equal(t, outcomeNotExecuted, result)
 		require.Equal(t, unreachable, x.unreachable, reason)
+		require.Zero(t, x.attempts, reason)
 	}
 }
 
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -35,15 +36,19 @@
 	sinceFirstTry time.Duration
 	// fingerprint identifies the request across retries of the caller.
 	fingerprint route.Fingerprint
-	// content is the content ID; nil until it is first needed.
-	content *route.ContentID
+	// content is the content ID, which is computed when it is first needed.
+	contentOnce sync.Once
+	content     route.ContentID
 	// suspect is set while the request may have caused a server to exit.
 	suspect bool
 	// waited is the total time that the request has waited for slots.
 	waited time.Duration
 	// configuration is the version of the configuration that was used to route the request.
 	configuration uint64
-	// attempts is the number of attempts that were sent, unreachable the number that could not be sent, and
+	// group is the attempts. Its lock guards the numbers of attempts while any of them runs. The fields that describe the
+	// response, started to lastEventID, belong to the attempt that delivers.
+	group attemptGroup
+	// attempts is the number of attempts that run or were sent, unreachable the number that could not be sent, and
 	// misdirected the number that reached another server than the intended one.
 	attempts    int
 	unreachable int
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -24,6 +24,8 @@
 	requestSeconds *prometheus.HistogramVec
 	ttfb           *prometheus.HistogramVec
 	attempts       *prometheus.CounterVec
+	// hedges counts the attempts that were started beside a silent one.
+	hedges *prometheus.CounterVec
 	// cutResponses counts responses that had started and were cut.
 	cutResponses *prometheus.CounterVec
 	// serverSignals counts responses in which backend servers announce a departure, request a backoff or advertise
@@ -69,6 +71,7 @@
 		requestSeconds: metric.HistogramVec("direct_request_seconds", "Time from arrival to the end of the answer.", secondsBuckets, "route"),
 		ttfb:           metric.HistogramVec("direct_first_byte_seconds", "Time from arrival to the first byte of the answer.", secondsBuckets, "route"),
 		attempts:       metric.CounterVec("direct_attempts_total", "Attempts at backend servers by service and result.", "service", "result"),
+		hedges:         metric.CounterVec("direct_hedges_total", "Attempts started beside one whose server was silent, by service and result.", "service", "result"),
 		cutResponses:   metric.CounterVec("direct_cut_answers_total", "Answers cut after their start, by reason.", "reason"),
 		serverSignals:  metric.CounterVec("direct_server_words_total", "Answers in which backend servers say that they leave, ask for rest or name a limit.", "word"),
 		suspects:       metric.CounterVec("suspect_requests_total", "What was heard of requests under which backend servers ended: one more has (ended), or one has run it well (cleared).", "heard"),
@@ -95,7 +98,7 @@
 		outdatedEntries:   metric.Counter("outdated_entries_total", "Entries of servers that other processes sent and that were deleted before."),
 		deferredDeletions: metric.Gauge("believed_held_deletions", "Deletions of servers' entries that are held back after an outage of the store."),
 	}
-	m.registry.MustRegister(m.requests, m.requestSeconds, m.ttfb, m.attempts, m.cutResponses, m.serverSignals, m.suspects, m.waiting, m.limitedServers,
+	m.registry.MustRegister(m.requests, m.requestSeconds, m.ttfb, m.attempts, m.hedges, m.cutResponses, m.serverSignals, m.suspects, m.waiting, m.limitedServers,
 		m.limitRefusals, m.unclaimed, m.heldBytes, m.connections, m.storeCalls, m.traffic.messages, m.traffic.bytes, m.logDropped, m.chunks, m.orders,
 		m.configuration, m.revision, m.complete, m.deferredDeletions, m.evacuatedDomains, m.outdatedEntries, collectors.NewGoCollector())
 	return m
--- a/internal/direct/run.go
+++ b/internal/direct/run.go
@@ -23,62 +23,82 @@
 	ctx, cancel := context.WithTimeout(x.request.Context(), s.clock.Until(x.deadline))
 	defer cancel()
 	s.retryBudget(x.service).RecordRequest(s.clock.Now())
-	var tried []fleet.ServerID
-	var next *route.Reservation
+	defer x.group.stop()
 	var mayHaveRunErr, lastErr error
 	for x.attempts < x.route.MaxAttempts && x.unreachable < maxUnreachable {
-		reservation, err := s.nextReservation(ctx, x, next, tried)
+		reservation, err := s.nextReservation(ctx, x)
 		if err != nil {
 			lastErr = err
 			break
 		}
-		tried = append(tried, reservation.Server.ID)
-		wd := s.startWatchdog(ctx, x, tried)
-		reservation.OnVersionCutoff(wd.abortNotStarted)
-		result, err := s.attempt(wd.ctx, x, reservation, wd)
-		next = wd.stop(result, s.clock.Now())
-		switch result {
-		case outcomeDone:
-			s.finish(x, "answered").Str("server", string(reservation.Server.ID)).Uint64("weights", uint64(reservation.Version)).Msg("request answered")
+		results := s.runAttempts(ctx, x, reservation)
+		if s.finishWith(x, results) {
 			return
+		}
+		for _, result := range results {
+			switch result.outcome {
+			case outcomeNotExecuted:
+				lastErr = result.err
+			case outcomeUnknown, outcomeStreamBroken:
+				mayHaveRunErr = result.err
+			default:
+			}
+		}
+		if mayHaveRunErr != nil && !x.route.Repeatable() {
+			break
+		}
+	}
+	s.conclude(ctx, x, mayHaveRunErr, lastErr)
+}
+
+// runAttempts makes one attempt, and the hedges that are started beside it. It returns their results once all of them
+// have ended, so that none uses the writer afterwards.
+func (s *CallerServer) runAttempts(ctx context.Context, x *exchange, reservation *route.Reservation) []attemptResult {
+	s.startWatchdog(ctx, x)
+	s.runAttempt(x, x.begin(ctx, reservation, s.clock.Now()))
+	x.group.hedges.Wait()
+	return x.group.takeEnded()
+}
+
+// runAttempt makes one attempt and records its result.
+func (s *CallerServer) runAttempt(x *exchange, a *attempt) {
+	a.reservation.OnVersionCutoff(a.abortNotStarted)
+	result, err := s.attempt(x, a)
+	if a.isHedge {
+		s.noteHedgeEnded(x, a, result)
+	}
+	x.group.end(a, result, err, s.clock.Now())
+}
+
+// finishWith ends the request if one of the results is final. Otherwise it returns false.
+func (s *CallerServer) finishWith(x *exchange, results []attemptResult) bool {
+	for _, result := range results {
+		server := result.reservation.Server.ID
+		switch result.outcome {
+		case outcomeDone:
+			s.finish(x, "answered").Str("server", string(server)).Uint64("weights", uint64(result.reservation.Version)).Msg("request answered")
+			return true
 		case outcomeCallerGone:
 			s.noteRejected(x)
-			s.finish(x, "left").Str("server", string(reservation.Server.ID)).Msg("caller left")
-			return
+			s.finish(x, "left").Str("server", string(server)).Msg("caller left")
+			return true
 		case outcomeTruncated:
-			s.abort(x, s.cutReason(x, nil, cutNotResumable), err)
-		case outcomeNotExecuted:
-			lastErr = err
-			if errors.Is(err, errPastCutoff) {
-				// The request was not sent, and the server may have newer weights soon.
-				tried = tried[:len(tried)-1]
-			}
-		case outcomeUnknown, outcomeStreamBroken:
-			mayHaveRunErr = err
-			if !x.route.Repeatable() {
-				s.conclude(ctx, x, mayHaveRunErr, lastErr)
-				return
-			}
+			s.abort(x, s.cutReason(x, nil, cutNotResumable), result.err)
+		default:
 		}
 	}
-	s.conclude(ctx, x, mayHaveRunErr, lastErr)
+	return false
 }
 
-// nextReservation returns the reservation for the next attempt: the given one or, if it is nil, a new one.
-func (s *CallerServer) nextReservation(ctx context.Context, x *exchange, reserved *route.Reservation, tried []fleet.ServerID) (*route.Reservation, error) {
+// nextReservation returns a slot for the next attempt while no attempt runs.
+func (s *CallerServer) nextReservation(ctx context.Context, x *exchange) (*route.Reservation, error) {
 	if err := s.checkQuarantine(ctx, x); err != nil {
-		if reserved != nil {
-			reserved.Release(route.ResultAbandoned, s.clock.Now())
-		}
 		return nil, err
 	}
-	if reserved != nil {
-		return reserved, nil
-	}
 	if x.attempts > 0 && !s.retryBudget(x.service).AllowRetry(s.retryExtra(), s.clock.Now()) {
 		return nil, errRetryBudget
 	}
-	return s.acquireSlot(ctx, x, tried)
+	return s.acquireSlot(ctx, x, x.group.tried)
 }
 
 // acquireSlot waits for a slot on a server.
--- a/internal/direct/serverexits.go
+++ b/internal/direct/serverexits.go
@@ -101,12 +101,12 @@
 }
 
 // failAttempt finishes an attempt that may have run and got no complete response.
-func (s *CallerServer) failAttempt(x *exchange, reservation *route.Reservation, err error) {
+func (s *CallerServer) failAttempt(x *exchange, a *attempt, err error) {
 	result := route.ResultFailed
-	if isDisconnect(err) && s.serverExited(x, reservation) {
+	if isDisconnect(err) && s.serverExited(x, a.reservation) {
 		result = route.ResultServerExited
 	}
-	s.finishAttempt(x, reservation, result, err)
+	s.finishAttempt(x, a, result, err)
 }
 
 // serverExited reports whether the server of a failed connection has exited. If it exited shortly after it
--- a/internal/direct/stream.go
+++ b/internal/direct/stream.go
@@ -84,27 +84,23 @@
 
 // forwardStream forwards events as they arrive. A stream that fails can be resumed at another server after the
 // last forwarded event.
-func (s *CallerServer) forwardStream(x *exchange, reservation *route.Reservation, resp *upstream.Response, wd *watchdog) (outcome, error) {
+func (s *CallerServer) forwardStream(x *exchange, a *attempt, resp *upstream.Response) (outcome, error) {
+	reservation := a.reservation
 	reader := &eventReader{source: resp}
 	succeeded := false
 	// The headers are forwarded with the first event, so that a server that sends no event can still be
 	// replaced.
 	for {
 		events, id, err := reader.next()
-		switch {
-		case errors.Is(err, io.EOF):
-			if !x.started {
-				s.forwardHeader(x, resp)
-			}
-			s.recordSuccess(x)
-			// The server is free, whether or not the caller has read the response.
-			s.finishAttempt(x, reservation, route.ResultDone, nil)
-			if err := s.closeSendBuffer(x); err != nil {
-				return outcomeCallerGone, err
-			}
-			return outcomeDone, nil
-		case err != nil:
-			return s.streamFailed(x, reservation, wd.withCause(err))
+		if err != nil && !errors.Is(err, io.EOF) {
+			return s.streamFailed(x, a, a.withCause(err))
+		}
+		if !x.group.claim(a) {
+			return s.endSuperseded(x, a, a.withCause(err))
+		}
+		a.delivered = true
+		if err != nil {
+			return s.finishStream(x, a, resp)
 		}
 		if !x.started {
 			resp.Header.Del("Content-Length")
@@ -117,16 +113,29 @@
 			s.recordSuccess(x)
 		}
 		// Waiting for the caller is no stall of the server.
-		wd.extend(unreadTimeout)
 		if err = s.sendBuffer(x).add(x.request.Context(), events); err != nil {
-			s.finishAttempt(x, reservation, route.ResultAbandoned, err)
+			s.finishAttempt(x, a, route.ResultAbandoned, err)
 			return outcomeCallerGone, err
 		}
-		wd.extend(streamStallTimeout)
 		if id != "" {
-			x.lastEventID = id
+			x.lastEventID, a.lastEventID = id, id
 		}
+		x.group.delivered(s.clock.Now())
+	}
+}
+
+// finishStream ends a complete stream, which the attempt must have claimed.
+func (s *CallerServer) finishStream(x *exchange, a *attempt, resp *upstream.Response) (outcome, error) {
+	if !x.started {
+		s.forwardHeader(x, resp)
 	}
+	s.recordSuccess(x)
+	// The server is free, whether or not the caller has read the response.
+	s.finishAttempt(x, a, route.ResultDone, nil)
+	if err := s.closeSendBuffer(x); err != nil {
+		return outcomeCallerGone, err
+	}
+	return outcomeDone, nil
 }
 
 // sendBuffer returns the buffer through which the response is sent, and starts it if necessary.
@@ -156,16 +165,19 @@
 }
 
 // streamFailed handles a stream that failed.
-func (s *CallerServer) streamFailed(x *exchange, reservation *route.Reservation, err error) (outcome, error) {
+func (s *CallerServer) streamFailed(x *exchange, a *attempt, err error) (outcome, error) {
 	if x.request.Context().Err() != nil {
-		s.finishAttempt(x, reservation, route.ResultAbandoned, err)
+		s.finishAttempt(x, a, route.ResultAbandoned, err)
 		return outcomeCallerGone, err
 	}
-	s.failAttempt(x, reservation, err)
-	if !x.started {
+	if isSuperseded(err) {
+		return s.endSuperseded(x, a, err)
+	}
+	s.failAttempt(x, a, err)
+	if !a.resuming && !a.delivered {
 		return outcomeUnknown, err
 	}
-	if x.lastEventID == "" || !s.clock.Now().Before(x.deadline) {
+	if a.lastEventID == "" || !s.clock.Now().Before(x.deadline) {
 		return outcomeTruncated, err
 	}
 	return outcomeStreamBroken, err
--- a/internal/direct/watchdog.go
+++ b/internal/direct/watchdog.go
@@ -2,132 +2,180 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
-	"sync"
+	"slices"
 	"time"
 
-	"github.com/jonboulle/clockwork"
-
 	"github.com/cinderslip/cinderslip/pkg/fleet"
 	"github.com/cinderslip/cinderslip/pkg/route"
 )
 
-// watchdog monitors the progress of one attempt. It aborts a stalled attempt only after it has reserved a slot
-// on another server; until then the attempt continues.
-type watchdog struct {
-	ctx context.Context
-	// cancel aborts the attempt with a cause.
-	cancel context.CancelCauseFunc
-
-	mu              sync.Mutex
-	timer           clockwork.Timer
-	stopped         bool
-	nextReservation *route.Reservation
-}
-
 const (
-	// streamStallTimeout is how long the next event of a stream may take before the stream may be resumed at
-	// another server. A step of a full batch takes a tenth of it; callers give up after a multiple of it.
+	// streamStallTimeout is how long the next event of a stream may take before a hedge is started. A step of a full batch
+	// takes a tenth of it; callers give up after a multiple of it.
 	streamStallTimeout = 800 * time.Millisecond
 	// firstEventTimeout replaces streamStallTimeout for the first event, which has to wait for the prefill of
 	// earlier prompts.
 	firstEventTimeout = 1200 * time.Millisecond
-	// retryElsewhereFraction is the part of the remaining time after which a repeatable request may be sent to
-	// another server.
-	retryElsewhereFraction = 0.4
-	// watchdogRetryDelay is the delay between two tries to reserve a slot on another server.
-	watchdogRetryDelay = 150 * time.Millisecond
+	// hedgeFraction is the part of the remaining time for which the server of a repeatable request may be silent before a
+	// hedge is started.
+	hedgeFraction = 0.4
+	// hedgeRetryDelay is the delay before another hedge if a server refused one or no server has a free slot.
+	hedgeRetryDelay = 150 * time.Millisecond
+	// minHedgeTime is the minimum time that must remain until the deadline for a hedge.
+	minHedgeTime = 200 * time.Millisecond
 )
 
-// startWatchdog starts to monitor an attempt. A request that must not be repeated is limited by its deadline
-// only.
-func (s *CallerServer) startWatchdog(ctx context.Context, x *exchange, tried []fleet.ServerID) *watchdog {
-	w := &watchdog{}
-	w.ctx, w.cancel = context.WithCancelCause(ctx)
-	if !x.route.Repeatable() || x.attempts+1 >= x.route.MaxAttempts {
-		return w
+// startWatchdog starts to check the progress of a request's attempts. A request that must not be repeated is limited by
+// its deadline only.
+func (s *CallerServer) startWatchdog(ctx context.Context, x *exchange) {
+	if !x.route.Repeatable() || x.route.MaxAttempts < 2 {
+		return
 	}
-	req := s.slotRequest(x, tried, true)
-	dispatcher, budget := s.dispatcher(x.service), s.retryBudget(x.service)
-	timeout := time.Duration(retryElsewhereFraction * float64(x.deadline.Sub(s.clock.Now())))
+	g := &x.group
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := s.clock.Now()
+	g.hedgeDelay = time.Duration(hedgeFraction * float64(x.deadline.Sub(now)))
 	if x.route.Kind == fleet.KindStream {
-		timeout = min(timeout, firstEventTimeout)
+		g.hedgeDelay = min(g.hedgeDelay, firstEventTimeout)
 	}
-	id := x.ID
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.timer = s.clock.AfterFunc(timeout, func() {
-		reservation, err := dispatcher.Acquire(w.ctx, req, s.clock)
-		if err != nil {
-			w.extend(watchdogRetryDelay)
-			return
-		}
-		if !budget.AllowRetry(s.retryExtra(), s.clock.Now()) || !w.setNextReservation(reservation) {
-			reservation.Release(route.ResultAbandoned, s.clock.Now())
-			return
-		}
-		s.log.Info().Str("request", id).Str("server", string(reservation.Server.ID)).Msg("no progress, going on at another server")
-		w.cancel(errNoProgress)
-	})
-	return w
+	g.lastProgress, g.hedgeAt = now, now.Add(g.hedgeDelay)
+	if g.timer != nil {
+		g.timer.Reset(g.hedgeDelay)
+		return
+	}
+	g.timer = s.clock.AfterFunc(g.hedgeDelay, func() { s.checkProgress(ctx, x) })
 }
 
-// Causes for which the box aborts an attempt.
-var (
-	errNoProgress = errors.New("attempt made no progress")
-	errNotStarted = errors.New("the answer had not begun shortly before its weights are barred")
-)
-
-// abortNotStarted aborts an attempt whose response has not started before the cutoff of its weights.
-func (w *watchdog) abortNotStarted() { w.cancel(errNotStarted) }
+// checkProgress starts a hedge if the attempts of a request make no progress, and runs it.
+func (s *CallerServer) checkProgress(ctx context.Context, x *exchange) {
+	req, ok := s.hedgeRequest(ctx, x)
+	if !ok {
+		return
+	}
+	reservation, err := s.dispatcher(x.service).Acquire(ctx, req, s.clock)
+	if err != nil {
+		x.group.postponeHedge(s.clock.Now())
+		return
+	}
+	if !s.retryBudget(x.service).AllowRetry(s.retryExtra(), s.clock.Now()) {
+		reservation.Release(route.ResultAbandoned, s.clock.Now())
+		x.group.postponeHedge(s.clock.Now())
+		return
+	}
+	hedge := s.beginHedge(ctx, x, reservation)
+	if hedge == nil {
+		reservation.Release(route.ResultAbandoned, s.clock.Now())
+		return
+	}
+	defer x.group.hedges.Done()
+	s.runAttempt(x, hedge)
+}
 
-// withCause adds the cause to err if the box aborted the attempt.
-func (w *watchdog) withCause(err error) error {
-	if cause := context.Cause(w.ctx); isAborted(cause) {
-		return fmt.Errorf("%w: %w", cause, err)
+// hedgeRequest returns the request for the slot of a hedge. ok is false if no hedge may start now; the timer then is set
+// to the time at which one may.
+func (s *CallerServer) hedgeRequest(ctx context.Context, x *exchange) (req *route.SlotRequest, ok bool) {
+	g := &x.group
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := s.clock.Now()
+	if g.timer == nil || len(g.running) == 0 || ctx.Err() != nil || x.deadline.Sub(now) < minHedgeTime {
+		return nil, false
+	}
+	if wait := g.hedgeAt.Sub(now); wait > 0 {
+		g.timer.Reset(wait)
+		return nil, false
+	}
+	if !x.mayHedge() || !s.mayRepeat(x, now) {
+		g.timer.Reset(g.hedgeDelay)
+		return nil, false
 	}
-	return err
+	return s.slotRequest(x, slices.Clone(g.tried), true), true
 }
 
-// isAborted reports whether this box aborted the attempt.
-func isAborted(err error) bool {
-	return errors.Is(err, errPastCutoff) || errors.Is(err, errNotStarted) || errors.Is(err, errNoProgress)
+// mayHedge reports whether another attempt can deliver the rest of the response. A response that has started can only be
+// continued after an event with an ID. The lock of the group must be held.
+func (x *exchange) mayHedge() bool {
+	return !x.group.delivering && x.attempts < x.route.MaxAttempts && x.unreachable < maxUnreachable && (!x.started || x.lastEventID != "")
 }
 
-// extend restarts the timer of the watchdog with a timeout.
-func (w *watchdog) extend(timeout time.Duration) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.timer != nil && !w.stopped && w.nextReservation == nil {
-		w.timer.Reset(timeout)
-	}
+// mayRepeat reports whether the request may be sent to another server although servers may have exited under it.
+func (s *CallerServer) mayRepeat(x *exchange, now time.Time) bool {
+	decision := s.quarantineDecision(x)
+	return !decision.Blocked && (!decision.Suspect || !decision.SettlesAt.After(now))
 }
 
-// setNextReservation stores the reservation for the next attempt. It returns false if the attempt has ended.
-func (w *watchdog) setNextReservation(reservation *route.Reservation) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.stopped || w.nextReservation != nil {
-		return false
+// beginHedge adds a hedge. It returns nil if there has been progress since the slot was requested. Otherwise the number of
+// running hedges must be decremented after the hedge has ended.
+func (s *CallerServer) beginHedge(ctx context.Context, x *exchange, reservation *route.Reservation) *attempt {
+	g := &x.group
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := s.clock.Now()
+	if g.timer == nil || len(g.running) == 0 {
+		return nil
+	}
+	if now.Before(g.hedgeAt) || !x.mayHedge() {
+		g.timer.Reset(g.hedgeDelay)
+		return nil
 	}
-	w.nextReservation = reservation
-	return true
+	s.log.Info().Str("request", x.ID).Str("server", string(reservation.Server.ID)).
+		Str("silent_server", string(g.running[len(g.running)-1].reservation.Server.ID)).Dur("silent_ms", now.Sub(g.lastProgress)).
+		Bool("started", x.started).Msg("server is silent, hedging")
+	hedge := x.beginLocked(ctx, reservation, now)
+	g.hedges.Add(1)
+	g.timer.Reset(g.hedgeDelay)
+	return hedge
 }
 
-// stop stops monitoring and returns the reservation for the next attempt, or nil if there is none or no attempt
-// follows.
-func (w *watchdog) stop(result outcome, now time.Time) *route.Reservation {
-	w.cancel(nil)
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.stopped = true
-	if w.timer != nil {
-		w.timer.Stop()
+// postponeHedge sets the time of the next hedge after no server could take one.
+func (g *attemptGroup) postponeHedge(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if now.Before(g.hedgeAt) {
+		g.resetTimer(g.hedgeAt.Sub(now))
+		return
 	}
-	if w.nextReservation != nil && result != outcomeUnknown && result != outcomeStreamBroken && result != outcomeNotExecuted {
-		w.nextReservation.Release(route.ResultAbandoned, now)
-		return nil
+	g.hedgeAt = now.Add(hedgeRetryDelay)
+	g.resetTimer(hedgeRetryDelay)
+}
+
+// hedgeOutcome is what became of a hedge, as logs and metrics give it.
+type hedgeOutcome string
+
+// The outcomes of hedges.
+const (
+	// hedgeDelivered means that the hedge delivered before the silent server did.
+	hedgeDelivered hedgeOutcome = "delivered"
+	// hedgeSuperseded means that the silent server went on before the hedge delivered.
+	hedgeSuperseded hedgeOutcome = "superseded"
+	// hedgeRefused means that the hedge was certainly not run.
+	hedgeRefused hedgeOutcome = "refused"
+	// hedgeFailed means that the server of the hedge failed before it delivered.
+	hedgeFailed hedgeOutcome = "failed"
+	// hedgeCallerLeft means that the caller disconnected before the hedge delivered.
+	hedgeCallerLeft hedgeOutcome = "left"
+)
+
+// hedgeOutcomeOf returns what became of a hedge with a result.
+func hedgeOutcomeOf(a *attempt, result outcome) hedgeOutcome {
+	switch {
+	case a.delivered:
+		return hedgeDelivered
+	case result == outcomeSuperseded:
+		return hedgeSuperseded
+	case result == outcomeNotExecuted:
+		return hedgeRefused
+	case result == outcomeCallerGone:
+		return hedgeCallerLeft
 	}
-	return w.nextReservation
+	return hedgeFailed
+}
+
+// noteHedgeEnded counts and logs the outcome of a hedge.
+func (s *CallerServer) noteHedgeEnded(x *exchange, a *attempt, result outcome) {
+	hedged := hedgeOutcomeOf(a, result)
+	s.metrics.hedges.WithLabelValues(string(x.service), string(hedged)).Inc()
+	s.log.Info().Str("request", x.ID).Str("server", string(a.reservation.Server.ID)).Str("result", string(hedged)).
+		Dur("after_ms", s.clock.Since(a.startedAt)).Msg("hedge ended")
 }
