test(direct): attempts that are silent, refuse, fail and break off, at random in virtual time

**Cause** Scripts cover single silences; which attempt delivers is decided among up to three that end in any order.

**Change** TestSilentAttemptsLoseNothing runs whole requests (attempts, connections and stand-ins of servers, in memory and virtual time). It checks that events arrive once and in order, that no attempt is given up that would have ended with a complete response, that a route's attempts are not exceeded, that a silent server is replaced within a caller's patience, and that nothing is written or reserved after the end. `upstream.Options` gets `Dial` for it. TestSupersededAttemptDeliversNothing guards the one case that has no order in virtual time. The script long-body-flows also covers a body of which the caller has no part yet.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -73,12 +73,13 @@
 	MaxIdlePerServer int
 	// OnConnect is called for each new connection.
 	OnConnect func()
+	// Dial opens a connection; nil for TCP connections that fail soon if the peer acknowledges nothing.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Pool opens connections to servers and reuses idle ones. It is safe for concurrent use.
 type Pool struct {
 	options Options
-	dialer  net.Dialer
 
 	mu   sync.Mutex
 	idle map[member.Address][]*conn
@@ -86,11 +87,10 @@
 
 // NewPool returns a pool without connections.
 func NewPool(options Options) *Pool {
-	return &Pool{
-		options: options,
-		dialer:  net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: SetUserTimeout},
-		idle:    make(map[member.Address][]*conn),
+	if options.Dial == nil {
+		options.Dial = (&net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: SetUserTimeout}).DialContext
 	}
+	return &Pool{options: options, idle: make(map[member.Address][]*conn)}
 }
 
 const (
@@ -234,7 +234,7 @@
 
 // open opens a connection and calls OnConnect.
 func (p *Pool) open(ctx context.Context, address member.Address) (*conn, error) {
-	raw, err := p.dialer.DialContext(ctx, "tcp", string(address))
+	raw, err := p.options.Dial(ctx, "tcp", string(address))
 	if err != nil {
 		return nil, err
 	}
