fix(upstream): keep connections whose peer pauses reading

Cause: callers whose process read nothing for 2.2 s within a long response had it reset, and requests whose server read nothing for as long within a long body ended without a response, though unreadTimeout is 10 s and a request has its deadline. Linux counts TCP_USER_TIMEOUT (2 s here) for a closed window too, from the first probe on, even if the peer acknowledges each of them. Ruled out: the deadlines of the send buffer, as the socket fails with ETIMEDOUT. Change: connections to servers and accepted connections turn the option off before more than 16 KB may be unacknowledged, and check every 250 ms whether the peer still acknowledges. A peer that acknowledges nothing for 2 s is reset as before; the option is on again once the window is open. The cost in processor time was not measured.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -150,10 +150,15 @@
 	}
 }
 
-// listen opens a TCP listener whose connections fail soon after their peer stops responding.
+// listen opens a TCP listener whose connections fail soon after their peer stops responding, but not while its process
+// does not read.
 func listen(address string) (net.Listener, error) {
 	config := net.ListenConfig{Control: upstream.SetUserTimeout}
-	return config.Listen(context.Background(), "tcp", address)
+	listener, err := config.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return upstream.Listener{Listener: listener}, nil
 }
 
 func (p *Process) box() member.BoxID { return member.BoxID(p.settings.Box) }
