fix(route): eject a server once for connections that fail together

Cause: a server that was unreachable for a moment got no requests for up to 4 s, and those that no other server could take were refused: each attempt that failed to connect doubled the ejection, and under load several fail within one silence. Change: an attempt from before the last ejection does not extend it. A server that stays unreachable fails the attempts after the ejection too, so its ejections still double from 0.5 to 4 s. Exits of servers count as before. Measured: two and eight attempts that fail together ejected the server for 1 and 4 s, now for 0.5 s. A dead server is tried after 0.5, 1, 2 and 4 s each, where four failed connections led to 4 s at once. go test ./pkg/route and ./internal/lab pass, and the scenarios dead-server and starts-again of internal/direct.

--- a/pkg/route/backend.go
+++ b/pkg/route/backend.go
@@ -100,6 +100,9 @@
 	takenInRound int
 	round        int64
 
+	// ejectedAt is when the server was last ejected because it was unreachable, ejections how often since its last
+	// complete response. ejectedUntil is the end of an ejection for any reason.
+	ejectedAt    time.Time
 	ejectedUntil time.Time
 	ejections    int
 	// backoffUntil is the end of the backoff that the server requested from this box. recovered is
--- a/pkg/route/reservation.go
+++ b/pkg/route/reservation.go
@@ -120,9 +120,14 @@
 		// The server had less free capacity than assumed; it is ejected until a few of its requests
 		// have ended.
 		b.ejectedUntil = now.Add(d.typicalHoldTime / time.Duration(2*d.slots(b)))
-	case ResultUnreachable, ResultServerExited:
-		b.ejectedUntil = now.Add(min(serverEjectMax, serverEjectInitial<<min(b.ejections, 8)))
-		b.ejections++
+	case ResultUnreachable:
+		// Attempts from before the last ejection failed in the same period without a connection. They show no more than
+		// the first one, so they do not extend its ejection.
+		if r.reservedAt.After(b.ejectedAt) {
+			b.eject(now)
+		}
+	case ResultServerExited:
+		b.eject(now)
 	case ResultReplaced:
 		// Other weights that the agent has reported since are more recent than this result.
 		if version, _ := b.version(now); version == r.Version {
@@ -133,6 +138,12 @@
 	d.release(r, now)
 }
 
+// eject excludes an unreachable server for a time that doubles with each ejection until a response is complete.
+func (b *backend) eject(now time.Time) {
+	b.ejectedAt, b.ejectedUntil = now, now.Add(min(serverEjectMax, serverEjectInitial<<min(b.ejections, 8)))
+	b.ejections++
+}
+
 func (d *Dispatcher) release(r *Reservation, now time.Time) {
 	r.clearAwaiting()
 	r.backend.ownLoad.Requests--
