--- a/pkg/route/ejection_test.go
+++ b/pkg/route/ejection_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/cinderslip/cinderslip/pkg/member"
 )
 
 // Guards against excluding a server for seconds because several connections to it failed in one short silence.
@@ -47,3 +49,28 @@
 		b.clock.Advance(time.Millisecond)
 	}
 }
+
+// Guards against avoiding a box for seconds because several attempts at it failed in one short silence.
+func TestAttemptsThatFailTogetherEjectBoxOnce(t *testing.T) {
+	r := NewRouter("kita")
+	r.Set(record("a", "kita", "v1"))
+	r.Set(record("b", "kita", "v1"))
+	bad, _ := r.Pick(testServiceVersion, []member.BoxID{"b"}, testTime)
+	isAvoided := func(now time.Time) bool {
+		for range 100 {
+			if target, _ := r.Pick(testServiceVersion, nil, now); target == bad {
+				return false
+			}
+		}
+		return true
+	}
+	now := testTime
+	for _, want := range []time.Duration{boxEjectInitial, 2 * boxEjectInitial, 4 * boxEjectInitial} {
+		for range 8 {
+			bad.Failed(now)
+		}
+		require.True(t, isAvoided(now.Add(want-time.Millisecond)), "a box that stays unreachable is avoided for longer each time")
+		require.False(t, isAvoided(now.Add(want)))
+		now = now.Add(want)
+	}
+}
