fix(route): avoid a box once for attempts that fail together

Cause: eight attempts that fail within one silence of a box kept it avoided for 10 s in agents mode, as each doubled the ejection. Change: failures during an ejection are not counted. A box that stays unreachable fails the attempts after it, so its ejections still double from 0.5 to 10 s.

--- a/pkg/route/router.go
+++ b/pkg/route/router.go
@@ -48,7 +48,7 @@
 	reportedAt   atomic.Int64
 	// ejectedUntil is the end of the ejection as a Unix time in nanoseconds; 0 if the box is not ejected.
 	ejectedUntil atomic.Int64
-	// failures is the number of consecutive failures.
+	// failures is the number of ejections since the last success.
 	failures atomic.Int32
 	// silenced is closed when the box is marked silent.
 	silenced chan struct{}
@@ -84,11 +84,19 @@
 	t.reportedAt.Store(now.UnixNano())
 }
 
-// Failed ejects the box for a time that doubles with each consecutive failure.
+// Failed ejects the box for a time that doubles with each consecutive failure. Failures during an ejection are not
+// counted, because attempts that were in flight fail in the same period without a connection.
 func (t *Target) Failed(now time.Time) {
-	count := min(t.failures.Add(1), 16)
-	wait := min(boxEjectInitial<<(count-1), boxEjectMax)
-	t.ejectedUntil.Store(now.Add(wait).UnixNano())
+	until := t.ejectedUntil.Load()
+	if until > now.UnixNano() {
+		return
+	}
+	failures := t.failures.Load()
+	wait := min(boxEjectInitial<<min(failures, 15), boxEjectMax)
+	// Of two attempts that fail at once, one ejects the box.
+	if t.ejectedUntil.CompareAndSwap(until, now.Add(wait).UnixNano()) {
+		t.failures.Add(1)
+	}
 }
 
 // Succeeded resets the consecutive failures and ends the ejection.
