fix(daemon): keep a paused response whose box has refuted its silence

Cause: in agents mode a box marked silent in error, as after a pause of its own, lost each response that then paused for 2 s: the mark stayed with the requests in flight, as a box that is up again got a new target. Change: a box that refutes the mark within the same start keeps its target, and the response is cut only if the box is still marked silent after 2 s without progress. A box that stays silent loses its responses as before.

--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -152,21 +152,23 @@
 // marked silent. A box that was marked in error keeps sending, and its response continues.
 const silentStallTimeout = 2 * time.Second
 
-// abortIfStalled cancels the attempt if its box is marked silent and the response makes no
-// progress for silentStallTimeout. Without it, the caller could wait forever.
+// abortIfStalled cancels the attempt if its box stays marked silent for silentStallTimeout and the
+// response makes no progress in that time. Without it, the caller could wait forever. A box that
+// has refuted the mark is running, so its response may pause.
 func (f *forwarder) abortIfStalled(ctx context.Context, x *exchange, target *route.Target, cancel context.CancelCauseFunc) {
-	select {
-	case <-ctx.Done():
-		return
-	case <-target.Silenced():
-	}
-	for previous := x.frames.Load(); ; previous = x.frames.Load() {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-target.Silenced():
+		}
+		previous := x.frames.Load()
 		select {
 		case <-ctx.Done():
 			return
 		case <-f.clock.After(silentStallTimeout):
 		}
-		if x.frames.Load() == previous {
+		if target.IsSilent() && x.frames.Load() == previous {
 			cancel(errSilent)
 			return
 		}
--- a/pkg/route/router.go
+++ b/pkg/route/router.go
@@ -50,7 +50,9 @@
 	ejectedUntil atomic.Int64
 	// failures is the number of ejections since the last success.
 	failures atomic.Int32
-	// silenced is closed when the box is marked silent.
+
+	mu sync.Mutex
+	// silenced is closed while the box is marked silent, and replaced when the box refutes the mark.
 	silenced chan struct{}
 }
 
@@ -75,8 +77,40 @@
 // InFlight returns the number of requests that this process has in flight on the box.
 func (t *Target) InFlight() int64 { return t.inFlight.Load() }
 
-// Silenced returns a channel that is closed when the box is marked silent.
-func (t *Target) Silenced() <-chan struct{} { return t.silenced }
+// Silenced returns a channel that is closed when the box is marked silent. After the box has refuted the mark, it
+// returns another one.
+func (t *Target) Silenced() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.silenced
+}
+
+// IsSilent reports whether the box is marked silent.
+func (t *Target) IsSilent() bool {
+	select {
+	case <-t.Silenced():
+		return true
+	default:
+		return false
+	}
+}
+
+// isProcessOf reports whether a record describes the process of the target.
+func (t *Target) isProcessOf(record member.Record) bool {
+	return t.Incarnation == record.Incarnation && t.Address == record.Peers
+}
+
+func (t *Target) markSilent() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	close(t.silenced)
+}
+
+func (t *Target) refuteSilence() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.silenced = make(chan struct{})
+}
 
 // ReportLoad records the load that the box has reported, in requests.
 func (t *Target) ReportLoad(load int, now time.Time) {
@@ -131,6 +165,8 @@
 	mu      sync.RWMutex
 	targets map[ServiceVersion][]*Target
 	boxes   map[member.BoxID]*routedBox
+	// silent holds the targets of boxes that are marked silent, which requests in flight keep.
+	silent map[member.BoxID]*Target
 }
 
 // routedBox is a box with the versions that it serves.
@@ -145,11 +181,13 @@
 		region:  region,
 		targets: make(map[ServiceVersion][]*Target),
 		boxes:   make(map[member.BoxID]*routedBox),
+		silent:  make(map[member.BoxID]*Target),
 	}
 }
 
 // Set updates the router with the latest record of a box. It changes only the entries of that box. Requests in flight
-// keep their target, and the counts of a box are kept until its incarnation or its address changes.
+// keep their target, and the counts of a box are kept until its incarnation or its address changes, also while it is
+// marked silent.
 func (r *Router) Set(record member.Record) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -157,7 +195,8 @@
 	if record.Role != member.RoleAgent || record.Status != member.StatusUp {
 		r.remove(record.Box, before)
 		if before != nil && record.Status == member.StatusSilent {
-			close(before.target.silenced)
+			before.target.markSilent()
+			r.silent[record.Box] = before.target
 		}
 		return
 	}
@@ -177,6 +216,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.remove(box, r.boxes[box])
+	delete(r.silent, box)
 }
 
 func (r *Router) remove(box member.BoxID, routed *routedBox) {
@@ -194,9 +234,15 @@
 
 // target returns the existing target of a box if it is still the same process, and a new one otherwise.
 func (r *Router) target(record member.Record, before *routedBox) *Target {
-	if before != nil && before.target.Incarnation == record.Incarnation && before.target.Address == record.Peers {
+	if before != nil && before.target.isProcessOf(record) {
 		return before.target
 	}
+	silent := r.silent[record.Box]
+	delete(r.silent, record.Box)
+	if silent != nil && silent.isProcessOf(record) {
+		silent.refuteSilence()
+		return silent
+	}
 	return &Target{
 		Box: record.Box, Address: record.Peers, Incarnation: record.Incarnation,
 		Remote:   record.Region != r.region,
