fix(route): use a server that responds while its agent is silent

Cause: when the agent beside a server is paused or cut off alone, the server got no requests until the agent reported again, however many it answered meanwhile; requests that only it could run were refused. Change: a first byte or a complete response from the server after that ends the silence. The status stays outdated, so the server counts as having the listed weights, and with older ones than the newest it still gets no requests. Without a request in flight the server still waits for its agent.

--- a/pkg/route/backend.go
+++ b/pkg/route/backend.go
@@ -65,8 +65,9 @@
 	Waiting int
 	// Slowdown is above 1 when the server is slow.
 	Slowdown float64
-	// Silent is set when the agent stopped reporting without an announcement: its box is stalled or
-	// unreachable, and so is the server. It is not set for an agent that exited.
+	// Silent is set when the agent stopped reporting without an announcement: its box is probably
+	// stalled or unreachable, and so is the server until it responds. It is not set for an agent that
+	// exited.
 	Silent bool
 }
 
--- a/pkg/route/reservation.go
+++ b/pkg/route/reservation.go
@@ -73,6 +73,7 @@
 	r.startedAt = now
 	r.clearAwaiting()
 	r.backend.updateRecovered(r)
+	d.endSilence(r.backend, now)
 	r.backend.lastTTFB, r.backend.lastStartedAt = now.Sub(r.reservedAt), now
 	sample := max(0, now.Sub(r.reservedAt)-r.prefill-r.prefillAhead)
 	d.ttfbDeviation += time.Duration(ttfbSmoothing * float64((sample-d.ttfb).Abs()-d.ttfbDeviation))
@@ -111,6 +112,7 @@
 	switch result {
 	case ResultDone:
 		b.updateRecovered(r)
+		d.endSilence(b, now)
 		b.failureRate *= 1 - failureSmoothing
 		b.ejections = 0
 		d.typicalHoldTime += time.Duration(holdSmoothing * float64(now.Sub(r.reservedAt)-d.typicalHoldTime))
@@ -138,6 +140,18 @@
 	d.release(r, now)
 }
 
+// endSilence makes a server eligible that has responded although its agent is silent: the agent alone is paused or
+// unreachable. As its status is outdated, the server counts as having the listed weights.
+func (d *Dispatcher) endSilence(b *backend, now time.Time) {
+	if !b.state.Silent {
+		return
+	}
+	b.state, b.stateAt = ServerState{Incarnation: b.state.Incarnation}, now.Add(-serverStatusMaxAge)
+	d.forecast = forecast{}
+	d.changes++
+	d.updateIneligibleSince(b, now)
+}
+
 // eject excludes an unreachable server for a time that doubles with each ejection until a response is complete.
 func (b *backend) eject(now time.Time) {
 	b.ejectedAt, b.ejectedUntil = now, now.Add(min(serverEjectMax, serverEjectInitial<<min(b.ejections, 8)))
