--- /dev/null
+++ b/internal/direct/silentserver_test.go
@@ -0,0 +1,111 @@
+package direct
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cinderslip/cinderslip/internal/provider"
+	"github.com/cinderslip/cinderslip/pkg/fleet"
+)
+
+// loadingServer is a model server that loads version 2 within loadTime of its order. It does not respond from silentFrom
+// until silentUntil, and executes what it has received once it goes on.
+type loadingServer struct {
+	silentFrom, silentUntil, loadedAt time.Time
+	// isDead makes calls fail at once during the silence, as if no process listened; dropsOrder loses an order that
+	// arrives during the silence.
+	isDead, dropsOrder bool
+	loadTime           time.Duration
+	orders             int
+}
+
+func (s *loadingServer) call(ctx context.Context) error {
+	wait := time.Until(s.silentUntil)
+	if time.Now().Before(s.silentFrom) || wait <= 0 {
+		return nil
+	}
+	if s.isDead {
+		return fmt.Errorf("%w: %w", provider.ErrUnavailable, syscall.ECONNREFUSED)
+	}
+	select {
+	case <-time.After(wait):
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("%w: %w", provider.ErrUnavailable, ctx.Err())
+	}
+}
+
+func (s *loadingServer) load(ctx context.Context, _ provider.LoadOrder) error {
+	s.orders++
+	isLost := s.dropsOrder && !time.Now().Before(s.silentFrom) && time.Now().Before(s.silentUntil)
+	if !isLost {
+		s.loadedAt = time.Now().Add(s.loadTime + max(0, time.Until(s.silentUntil)))
+	}
+	return s.call(ctx)
+}
+
+func (s *loadingServer) report(ctx context.Context) (fleet.Report, error) {
+	if err := s.call(ctx); err != nil {
+		return fleet.Report{}, err
+	}
+	if s.loadedAt.IsZero() || time.Now().Before(s.loadedAt) {
+		return fleet.Report{Busy: !s.loadedAt.IsZero(), Models: []fleet.LoadedModel{{Name: "m", Version: 1}}}, nil
+	}
+	return fleet.Report{Models: []fleet.LoadedModel{{Name: "m", Version: 2}}}, nil
+}
+
+// Guards against giving up a weight swap, and telling entry boxes that the server takes requests, because the server is
+// silent for a moment, and against waiting for a server that has ended or has lost the order.
+func TestSwapEndsForServerThatIsGoneButNotForSilentOne(t *testing.T) {
+	second := func(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
+	for name, test := range map[string]struct {
+		from, until        time.Duration
+		isDead, dropsOrder bool
+		wantErr            bool
+	}{
+		"sound":                         {},
+		"silent while it loads":         {from: second(0.5), until: second(2.3)},
+		"silent at the order":           {until: second(1.8)},
+		"silent, and the order is lost": {until: second(1.8), dropsOrder: true, wantErr: true},
+		"gone while it loads":           {from: second(0.5), until: second(20), isDead: true, wantErr: true},
+		"silent for good":               {from: second(0.5), until: second(60), wantErr: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				started := time.Now()
+				server := &loadingServer{
+					silentFrom: started.Add(test.from), silentUntil: started.Add(test.until), loadTime: 3 * time.Second, isDead: test.isDead, dropsOrder: test.dropsOrder,
+				}
+				l := &Loader{
+					options: LoaderOptions{
+						Clock: clockwork.NewRealClock(), Log: zerolog.Nop(), Metrics: NewMetrics(),
+						Server: provider.ModelServer{Report: server.report, Load: server.load, Leaving: func() bool { return false }},
+					},
+					changed: make(chan struct{}),
+				}
+				err := l.orderSwap(t.Context(), &target{model: "m", engine: &fleet.Engine{}}, 2, true)
+				require.Equal(t, 1, server.orders)
+				require.Less(t, time.Since(started), 5*time.Second)
+				if test.wantErr {
+					require.Error(t, err)
+				} else {
+					require.NoError(t, err)
+				}
+				if test.isDead {
+					require.Less(t, time.Since(started), time.Second)
+				}
+				if test.dropsOrder {
+					require.Less(t, time.Since(started), 2*time.Second, "the order is repeated soon")
+				}
+			})
+		})
+	}
+}
