--- a/internal/direct/follow_test.go
+++ b/internal/direct/follow_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
@@ -38,7 +39,7 @@
 
 // followReporter follows a reporter and calls onVersion with the version of each message. It returns the log lines
 // and the results of followStream.
-func followReporter(ctx context.Context, t *testing.T, clock clockwork.Clock, reporter *statusReporter, onVersion func(version uint64)) (log []string, received bool, err error) {
+func followReporter(ctx context.Context, t *testing.T, clock clockwork.Clock, reporter wire.DRPCFleetServer, onVersion func(version uint64)) (log []string, received bool, err error) {
 	t.Helper()
 	mux := drpcmux.New()
 	require.NoError(t, wire.DRPCRegisterFleet(mux, reporter))
@@ -113,3 +114,38 @@
 	require.False(t, received)
 	require.Equal(t, []string{""}, log)
 }
+
+// pausedReporter sends a status, and the next one once its follower has gone on after a pause.
+type pausedReporter struct {
+	wire.DRPCFleetUnimplementedServer
+	goesOn chan struct{}
+}
+
+func (s *pausedReporter) Server(_ *wire.FollowRequest, stream wire.DRPCFleet_ServerStream) error {
+	if err := stream.Send(&wire.ServerStatus{Version: 3}); err != nil {
+		return err
+	}
+	<-s.goesOn
+	return stream.Send(&wire.ServerStatus{Version: 4})
+}
+
+// Guards against taking all others for silent after a pause of the own process, whose timers then expire before the
+// messages that have arrived are read: no server was eligible until each agent had been followed anew.
+func TestProcessIsNotSilentBecauseItsFollowerWasPaused(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	reporter := &pausedReporter{goesOn: make(chan struct{})}
+	var versions []uint64
+	_, received, err := followReporter(t.Context(), t, clock, reporter, func(version uint64) {
+		if versions = append(versions, version); version == 3 {
+			go func() {
+				// A jump of the clock is what the timers see of a pause.
+				clock.Advance(5 * statusTimeout)
+				time.Sleep(50 * time.Millisecond)
+				close(reporter.goesOn)
+			}()
+		}
+	})
+	require.True(t, received)
+	require.NotErrorIs(t, err, errSilent)
+	require.Equal(t, []uint64{3, 4}, versions)
+}
