revert: keep the user timeout of TCP on connections whose peer pauses reading

Cause: the change turned TCP_USER_TIMEOUT off while a peer's window may be closed, and checked acknowledgements by TCP_INFO instead.

A blocked write to a box without power would wait there for the request's deadline, where it fails within 2 s today. Change: as before. The fault that it mended stays: a peer that reads nothing for more than 2 s while much waits for it is reset.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -150,15 +150,10 @@
 	}
 }
 
-// listen opens a TCP listener whose connections fail soon after their peer stops responding, but not while its process
-// does not read.
+// listen opens a TCP listener whose connections fail soon after their peer stops responding.
 func listen(address string) (net.Listener, error) {
 	config := net.ListenConfig{Control: upstream.SetUserTimeout}
-	listener, err := config.Listen(context.Background(), "tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	return upstream.Listener{Listener: listener}, nil
+	return config.Listen(context.Background(), "tcp", address)
 }
 
 func (p *Process) box() member.BoxID { return member.BoxID(p.settings.Box) }
