--- a/internal/upstream/unreadbody_test.go
+++ b/internal/upstream/unreadbody_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 )
 
 // readPause is how long the peers of these tests read nothing. It is longer than userTimeout and the first interval
@@ -41,3 +43,61 @@
 	require.NoError(t, err)
 	require.Equal(t, "read", string(body))
 }
+
+// dropReceived makes the kernel discard, unacknowledged, all that the connection receives, as a box without power does.
+func dropReceived(conn net.Conn) error {
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return err
+	}
+	dropAll := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K}
+	var filterErr error
+	err = raw.Control(func(fd uintptr) {
+		filterErr = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &dropAll})
+	})
+	return errors.Join(err, filterErr)
+}
+
+// Guards against waiting for a server whose box acknowledges nothing any more, in the midst of a body or after it.
+func TestServerWhoseBoxStopsAcknowledgingIsGivenUp(t *testing.T) {
+	for name, test := range map[string]struct {
+		size int
+		// beforeDrop is how long the server reads nothing before its box stops.
+		beforeDrop time.Duration
+	}{
+		"short request":                      {size: 100},
+		"long body":                          {size: 4 << 20},
+		"long body that was not read before": {size: 4 << 20, beforeDrop: time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var droppedAt atomic.Pointer[time.Time]
+			address := startRawServer(t, func(conn net.Conn, reader *bufio.Reader) {
+				if test.size > maxInlineBody {
+					_, _ = http.ReadRequest(reader)
+					time.Sleep(test.beforeDrop)
+				}
+				now := time.Now()
+				droppedAt.Store(&now)
+				_ = dropReceived(conn)
+				time.Sleep(20 * time.Second)
+			})
+			var opened atomic.Int32
+			pool := newTestPool(&opened)
+			if test.size <= maxInlineBody {
+				require.NoError(t, pool.Probe(context.Background(), address))
+				require.Eventually(t, func() bool { return droppedAt.Load() != nil }, time.Second, time.Millisecond)
+				time.Sleep(10 * time.Millisecond)
+				now := time.Now()
+				droppedAt.Store(&now)
+			}
+			_, err := pool.Send(context.Background(), &Request{
+				Address: address, ID: "1", Method: http.MethodPost, Target: "/x", Host: "a", Header: http.Header{"Id": {"1"}}, Body: make([]byte, test.size),
+			})
+			require.ErrorIs(t, err, ErrNoResponse)
+			// Window probes have intervals that double, so the first one without acknowledgement may be sent as late
+			// after the drop as the server read nothing before.
+			require.Less(t, time.Since(*droppedAt.Load()), userTimeout+test.beforeDrop+time.Second)
+		})
+	}
+}
