--- a/pkg/route/backend.go
+++ b/pkg/route/backend.go
@@ -65,8 +65,9 @@
 	Waiting int
 	// Slowdown is above 1 when the server is slow.
 	Slowdown float64
-	// Silent is set when the agent stopped reporting without an announcement: its box is stalled or
-	// unreachable, and so is the server. It is not set for an agent that exited.
+	// Silent is set when the agent stopped reporting without an announcement: its box is probably
+	// stalled or unreachable, and so is the server until it responds. It is not set for an agent that
+	// exited.
 	Silent bool
 }
 
@@ -100,6 +101,9 @@
 	takenInRound int
 	round        int64
 
+	// ejectedAt is when the server was last ejected because it was unreachable, ejections how often since its last
+	// complete response. ejectedUntil is the end of an ejection for any reason.
+	ejectedAt    time.Time
 	ejectedUntil time.Time
 	ejections    int
 	// backoffUntil is the end of the backoff that the server requested from this box. recovered is
--- a/pkg/route/reservation.go
+++ b/pkg/route/reservation.go
@@ -73,6 +73,7 @@
 	r.startedAt = now
 	r.clearAwaiting()
 	r.backend.updateRecovered(r)
+	d.endSilence(r.backend, now)
 	r.backend.lastTTFB, r.backend.lastStartedAt = now.Sub(r.reservedAt), now
 	sample := max(0, now.Sub(r.reservedAt)-r.prefill-r.prefillAhead)
 	d.ttfbDeviation += time.Duration(ttfbSmoothing * float64((sample-d.ttfb).Abs()-d.ttfbDeviation))
@@ -111,6 +112,7 @@
 	switch result {
 	case ResultDone:
 		b.updateRecovered(r)
+		d.endSilence(b, now)
 		b.failureRate *= 1 - failureSmoothing
 		b.ejections = 0
 		d.typicalHoldTime += time.Duration(holdSmoothing * float64(now.Sub(r.reservedAt)-d.typicalHoldTime))
@@ -120,9 +122,14 @@
 		// The server had less free capacity than assumed; it is ejected until a few of its requests
 		// have ended.
 		b.ejectedUntil = now.Add(d.typicalHoldTime / time.Duration(2*d.slots(b)))
-	case ResultUnreachable, ResultServerExited:
-		b.ejectedUntil = now.Add(min(serverEjectMax, serverEjectInitial<<min(b.ejections, 8)))
-		b.ejections++
+	case ResultUnreachable:
+		// Attempts from before the last ejection failed in the same period without a connection. They show no more than
+		// the first one, so they do not extend its ejection.
+		if r.reservedAt.After(b.ejectedAt) {
+			b.eject(now)
+		}
+	case ResultServerExited:
+		b.eject(now)
 	case ResultReplaced:
 		// Other weights that the agent has reported since are more recent than this result.
 		if version, _ := b.version(now); version == r.Version {
@@ -133,6 +140,24 @@
 	d.release(r, now)
 }
 
+// endSilence makes a server eligible that has responded although its agent is silent: the agent alone is paused or
+// unreachable. As its status is outdated, the server counts as having the listed weights.
+func (d *Dispatcher) endSilence(b *backend, now time.Time) {
+	if !b.state.Silent {
+		return
+	}
+	b.state, b.stateAt = ServerState{Incarnation: b.state.Incarnation}, now.Add(-serverStatusMaxAge)
+	d.forecast = forecast{}
+	d.changes++
+	d.updateIneligibleSince(b, now)
+}
+
+// eject excludes an unreachable server for a time that doubles with each ejection until a response is complete.
+func (b *backend) eject(now time.Time) {
+	b.ejectedAt, b.ejectedUntil = now, now.Add(min(serverEjectMax, serverEjectInitial<<min(b.ejections, 8)))
+	b.ejections++
+}
+
 func (d *Dispatcher) release(r *Reservation, now time.Time) {
 	r.clearAwaiting()
 	r.backend.ownLoad.Requests--
