fix(direct): keep preferring other servers to one that stays silent

**Cause** Since a silent attempt is superseded instead of failed, nothing told the dispatcher of a server that hangs in the middle of every stream: it got its full share of requests, each of which waited 0.8 s for a hedge.

**Change** An attempt whose server was silent until another one delivered has a result of its own, `silent`, which raises the failure rate as before. That rate orders servers only; it ejects none, and success lowers it. A hedge that the silent server precedes stays `abandoned`. Neither is evidence of an exit.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -150,16 +150,20 @@
 		return outcomeNotExecuted, err
 	}
 	if isSuperseded(err) {
-		return s.endSuperseded(x, a, err)
+		return s.endSuperseded(x, a)
 	}
 	s.failAttempt(x, a, err)
 	return outcomeUnknown, err
 }
 
-// endSuperseded ends an attempt that another one has superseded. Its server is not at fault.
-func (s *CallerServer) endSuperseded(x *exchange, a *attempt, err error) (outcome, error) {
-	s.finishAttempt(x, a, route.ResultAbandoned, err)
-	return outcomeSuperseded, err
+// endSuperseded ends an attempt that another one has superseded. It is no evidence of an exit of its server.
+func (s *CallerServer) endSuperseded(x *exchange, a *attempt) (outcome, error) {
+	cause, result := context.Cause(a.ctx), route.ResultAbandoned
+	if errors.Is(cause, errNoProgress) {
+		result = route.ResultSilent
+	}
+	s.finishAttempt(x, a, result, cause)
+	return outcomeSuperseded, cause
 }
 
 // isLocalAbort reports whether this box prevented or aborted an attempt.
@@ -223,7 +227,7 @@
 		return s.bodyFailed(x, a, a.withCause(err))
 	}
 	if !x.group.claim(a) {
-		return s.endSuperseded(x, a, a.withCause(err))
+		return s.endSuperseded(x, a)
 	}
 	a.delivered = true
 	s.forwardHeader(x, resp)
@@ -289,7 +293,7 @@
 		return outcomeCallerGone, err
 	}
 	if isSuperseded(err) {
-		return s.endSuperseded(x, a, err)
+		return s.endSuperseded(x, a)
 	}
 	s.failAttempt(x, a, err)
 	return outcomeUnknown, err
--- a/internal/direct/hedge_test.go
+++ b/internal/direct/hedge_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -23,6 +24,7 @@
 	"github.com/cinderslip/cinderslip/internal/upstream"
 	"github.com/cinderslip/cinderslip/pkg/fleet"
 	"github.com/cinderslip/cinderslip/pkg/member"
+	"github.com/cinderslip/cinderslip/pkg/route"
 	"github.com/cinderslip/cinderslip/platform"
 	"github.com/cinderslip/cinderslip/platform/standin"
 )
@@ -442,6 +444,10 @@
 			require.False(t, x.group.claim(attempts[test.second]), "also after the delivery")
 			require.ErrorIs(t, context.Cause(attempts[test.second].ctx), []error{errNoProgress, errSuperseded}[test.second])
 			require.NoError(t, attempts[test.first].ctx.Err())
+			result, _ := c.server.endSuperseded(x, attempts[test.second])
+			require.Equal(t, outcomeSuperseded, result)
+			wantResult := []route.Result{route.ResultSilent, route.ResultAbandoned}[test.second]
+			require.EqualValues(t, 1, testutil.ToFloat64(c.server.metrics.attempts.WithLabelValues("llm", wantResult.String())))
 		})
 	}
 }
--- a/internal/direct/stream.go
+++ b/internal/direct/stream.go
@@ -96,7 +96,7 @@
 			return s.streamFailed(x, a, a.withCause(err))
 		}
 		if !x.group.claim(a) {
-			return s.endSuperseded(x, a, a.withCause(err))
+			return s.endSuperseded(x, a)
 		}
 		a.delivered = true
 		if err != nil {
@@ -171,7 +171,7 @@
 		return outcomeCallerGone, err
 	}
 	if isSuperseded(err) {
-		return s.endSuperseded(x, a, err)
+		return s.endSuperseded(x, a)
 	}
 	s.failAttempt(x, a, err)
 	if !a.resuming && !a.delivered {
--- a/pkg/route/dispatch_test.go
+++ b/pkg/route/dispatch_test.go
@@ -298,6 +298,22 @@
 	b.acquire(t)
 }
 
+// Guards against sending request after request to a server that hangs in the middle of each response.
+func TestServerThatStaysSilentIsUsedLast(t *testing.T) {
+	for result, wantOther := range map[Result]bool{ResultSilent: true, ResultAbandoned: false} {
+		b := newTestDispatcher(true, modelServer("a", 8, 1))
+		b.acquire(t).Release(result, b.clock.Now())
+		b.SetServers([]fleet.Server{modelServer("a", 8, 1), modelServer("b", 8, 1)}, 0, func(member.FailureDomain) bool { return true }, b.clock.Now())
+		others := 0
+		for range 4 {
+			if b.acquire(t).Server.ID == "b" {
+				others++
+			}
+		}
+		require.Equal(t, wantOther, others == 4, "%s: %d of 4 requests went to the other server", result, others)
+	}
+}
+
 func TestStalledServerIsUsedLast(t *testing.T) {
 	b := newTestDispatcher(true, modelServer("a", 8, 1))
 	b.acquire(t)
--- a/pkg/route/reservation.go
+++ b/pkg/route/reservation.go
@@ -100,6 +100,9 @@
 	ResultAbandoned
 	// ResultServerExited is an attempt whose server exited during it.
 	ResultServerExited
+	// ResultSilent is an attempt whose server was silent until another attempt delivered. Other
+	// servers are preferred to it as to one that fails, as it may stay silent for good.
+	ResultSilent
 )
 
 // Release releases the slot and records the result of the attempt.
@@ -114,7 +117,7 @@
 		b.failureRate *= 1 - failureSmoothing
 		b.ejections = 0
 		d.typicalHoldTime += time.Duration(holdSmoothing * float64(now.Sub(r.reservedAt)-d.typicalHoldTime))
-	case ResultFailed:
+	case ResultFailed, ResultSilent:
 		b.failureRate += failureSmoothing * (1 - b.failureRate)
 	case ResultRefused:
 		// The server had less free capacity than assumed; it is ejected until a few of its requests
@@ -163,6 +166,7 @@
 var resultNames = map[Result]string{
 	ResultDone: "done", ResultFailed: "failed", ResultRefused: "refused",
 	ResultUnreachable: "unreachable", ResultReplaced: "replaced", ResultAbandoned: "abandoned", ResultServerExited: "server-ended",
+	ResultSilent: "silent",
 }
 
 // String returns the result's name in logs and metrics.
