fix(direct): do not count a caller that leaves within a long body as a failure

**Cause** A read of a body of which a part was delivered fails when its caller disconnects, as that resets the connection to the server. The attempt counted as failed, the response as cut with the reason `not-resumable`, and the server got fewer requests. Streams and shorter bodies check the caller first.

**Change** Long bodies check the caller first, too.

**Measured** TestServerOfCallerThatLeavesWithinLongBodyHasNotFailed fails before and passes after; TestSilentAttemptsLoseNothing passes (three runs of 100 each).

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -253,6 +253,9 @@
 		switch {
 		case errors.Is(err, io.EOF):
 			return s.finishLongBody(x, a, resp, part)
+		case err != nil && ctx.Err() != nil:
+			s.finishAttempt(x, a, route.ResultAbandoned, err)
+			return outcomeCallerGone, err
 		case err != nil:
 			s.failAttempt(x, a, err)
 			return outcomeTruncated, err
