fix(direct): check the retry budget before a hedge takes a slot

**Cause** A slot takes a token of a server with a rate limit, and a release does not give it back. A hedge took a slot first and was dropped if the retry budget was spent, every 150 ms while its request was silent. The tokens of the server were used up, at all boxes, without a request being sent.

**Change** checkProgress looks at the budget first (`HasRetry`) and counts the retry after the slot, as before.

--- a/internal/direct/watchdog.go
+++ b/internal/direct/watchdog.go
@@ -53,6 +53,11 @@
 	if !ok {
 		return
 	}
+	// A slot takes a token of a server with a rate limit, so the budget is checked before.
+	if !s.retryBudget(x.service).HasRetry(s.retryExtra(), s.clock.Now()) {
+		x.group.postponeHedge(s.clock.Now())
+		return
+	}
 	reservation, err := s.dispatcher(x.service).Acquire(ctx, req, s.clock)
 	if err != nil {
 		x.group.postponeHedge(s.clock.Now())
--- a/pkg/route/windowretrybudget.go
+++ b/pkg/route/windowretrybudget.go
@@ -49,20 +49,33 @@
 	b.requests[b.advance(now)]++
 }
 
+// HasRetry reports whether AllowRetry would return true.
+func (b *WindowRetryBudget) HasRetry(extra float64, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	return b.hasRetry(extra)
+}
+
 // AllowRetry counts one retry. It returns false, without counting it, if the window has no retry left: the budget is
 // ratio retries per request in the window plus extra.
 func (b *WindowRetryBudget) AllowRetry(extra float64, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	at := b.advance(now)
+	if !b.hasRetry(extra) {
+		return false
+	}
+	b.retries[at]++
+	return true
+}
+
+// hasRetry reports whether the window has a retry left. The lock must be held.
+func (b *WindowRetryBudget) hasRetry(extra float64) bool {
 	requests, retries := 0, 0
 	for i := range windowBuckets {
 		requests += b.requests[i]
 		retries += b.retries[i]
 	}
-	if float64(retries+1) > b.ratio*float64(requests)+extra {
-		return false
-	}
-	b.retries[at]++
-	return true
+	return float64(retries+1) <= b.ratio*float64(requests)+extra
 }
