fix(direct): log the cause alone for a superseded attempt without another error

**Cause** An attempt that had read a complete part when another one delivered was logged with `%!w(<nil>)` after the cause, and `explain` showed that.

**Change** withCause returns the cause if there is no other error.

**Measured** TestSupersededAttemptHasItsCauseWithoutAnotherError fails before and passes after.

--- a/internal/direct/hedge.go
+++ b/internal/direct/hedge.go
@@ -236,12 +236,16 @@
 	return x.route.Repeatable() && x.attempts < x.route.MaxAttempts && now.Before(x.deadline)
 }
 
-// withCause adds the cause to err if the box aborted the attempt.
+// withCause adds the cause to err, which may be nil, if the box aborted the attempt.
 func (a *attempt) withCause(err error) error {
-	if cause := context.Cause(a.ctx); isAborted(cause) {
-		return fmt.Errorf("%w: %w", cause, err)
+	cause := context.Cause(a.ctx)
+	switch {
+	case !isAborted(cause):
+		return err
+	case err == nil:
+		return cause
 	}
-	return err
+	return fmt.Errorf("%w: %w", cause, err)
 }
 
 // errNotStarted is the cause for an attempt that is aborted before the cutoff of its weights.
