fix(direct): count a hedge that was superseded before it was sent as superseded

**Cause** A hedge that was still connecting when the silent server went on was logged and counted in `direct_hedges_total` as `refused`, although its server was never reached.

**Change** The cause of the abort decides. The number of attempts is as before.

**Measured** TestHedgeSupersededBeforeItIsSentIsNotRefused fails before and passes after.

--- a/internal/direct/run.go
+++ b/internal/direct/run.go
@@ -65,7 +65,7 @@
 	a.reservation.OnVersionCutoff(a.abortNotStarted)
 	result, err := s.attempt(x, a)
 	if a.isHedge {
-		s.noteHedgeEnded(x, a, result)
+		s.noteHedgeEnded(x, a, result, err)
 	}
 	x.group.end(a, result, err, s.clock.Now())
 }
--- a/internal/direct/watchdog.go
+++ b/internal/direct/watchdog.go
@@ -162,12 +162,12 @@
 	hedgeCallerLeft hedgeOutcome = "left"
 )
 
-// hedgeOutcomeOf returns what became of a hedge with a result.
-func hedgeOutcomeOf(a *attempt, result outcome) hedgeOutcome {
+// hedgeOutcomeOf returns what became of a hedge with a result and an error.
+func hedgeOutcomeOf(a *attempt, result outcome, err error) hedgeOutcome {
 	switch {
 	case a.delivered:
 		return hedgeDelivered
-	case result == outcomeSuperseded:
+	case result == outcomeSuperseded, isSuperseded(err):
 		return hedgeSuperseded
 	case result == outcomeNotExecuted:
 		return hedgeRefused
@@ -178,8 +178,8 @@
 }
 
 // noteHedgeEnded counts and logs the outcome of a hedge.
-func (s *CallerServer) noteHedgeEnded(x *exchange, a *attempt, result outcome) {
-	hedged := hedgeOutcomeOf(a, result)
+func (s *CallerServer) noteHedgeEnded(x *exchange, a *attempt, result outcome, err error) {
+	hedged := hedgeOutcomeOf(a, result, err)
 	s.metrics.hedges.WithLabelValues(string(x.service), string(hedged)).Inc()
 	s.log.Info().Str("request", x.ID).Str("server", string(a.reservation.Server.ID)).Str("result", string(hedged)).
 		Dur("after_ms", s.clock.Since(a.startedAt)).Msg("hedge ended")
