fix(direct): end a request with the response that a hedge completed

**Cause** Two attempts may end at the deadline, the first one without a complete response, the hedge with one that it had read just before. The result that came first cut the connection although the caller had the complete response.

**Change** finishWith looks for a complete response first.

**Measured** TestCompleteResponseIsNotCutForAnotherAttempt fails before and passes after. It sets the results; the order was not seen in a run.

--- a/internal/direct/run.go
+++ b/internal/direct/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cinderslip/cinderslip/pkg/fleet"
@@ -70,8 +71,13 @@
 	x.group.end(a, result, err, s.clock.Now())
 }
 
-// finishWith ends the request if one of the results is final. Otherwise it returns false.
+// finishWith ends the request if one of the results is final. Otherwise it returns false. A complete response precedes
+// other results: an attempt may end at the deadline just before another one completes the response.
 func (s *CallerServer) finishWith(x *exchange, results []attemptResult) bool {
+	isDone := func(result attemptResult) bool { return result.outcome == outcomeDone }
+	if i := slices.IndexFunc(results, isDone); i > 0 {
+		results = results[i:]
+	}
 	for _, result := range results {
 		server := result.reservation.Server.ID
 		switch result.outcome {
