fix(direct): keep hedges of suspect requests on servers without another one

**Cause** Whether a request is suspect was looked up before its first attempt only. If a server exited under a hedge, the next hedge could share a server with another suspect request, and an exit there would count against both.

**Change** Each hedge looks it up again.

**Measured** TestHedgeOfSuspectRequestSharesNoServerWithAnother fails before and passes after.

--- a/internal/direct/watchdog.go
+++ b/internal/direct/watchdog.go
@@ -95,7 +95,10 @@
 		g.timer.Reset(g.hedgeDelay)
 		return nil, false
 	}
-	return s.slotRequest(x, slices.Clone(g.tried), true), true
+	req = s.slotRequest(x, slices.Clone(g.tried), true)
+	// A server may have exited under another attempt since the first one started.
+	req.Suspect = s.quarantineDecision(x).Suspect
+	return req, true
 }
 
 // mayHedge reports whether another attempt can deliver the rest of the response. A response that has started can only be
