fix(direct): use a server less that others had to replace

**Cause** A silent attempt that a hedge superseded released its slot without a result. A server that is silent for good in the middle of its streams so looked like the least loaded one and kept getting requests, each with a pause and a second run.

**Change** The attempt counts as failed again: the server is less preferred, not ejected, until requests succeed there. The server of a superseded hedge still counts as nothing.

**Measured** TestServerThatOthersReplacedIsAvoided fails before and passes after (20 runs); TestServerOfSupersededHedgeIsNotAvoided passes before and after. The share of requests at such a server under load was not measured.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -156,9 +156,15 @@
 	return outcomeUnknown, err
 }
 
-// endSuperseded ends an attempt that another one has superseded. Its server is not at fault.
+// endSuperseded ends an attempt that another one has superseded. The server of a superseded hedge is not at fault. A
+// server that was silent until a later attempt delivered counts as failed once, so that one that is silent for good is
+// used less.
 func (s *CallerServer) endSuperseded(x *exchange, a *attempt, err error) (outcome, error) {
-	s.finishAttempt(x, a, route.ResultAbandoned, err)
+	result := route.ResultAbandoned
+	if errors.Is(err, errNoProgress) {
+		result = route.ResultFailed
+	}
+	s.finishAttempt(x, a, result, err)
 	return outcomeSuperseded, err
 }
 
