fix(direct): do not continue a stream with a response of another kind

**Cause** A server that responded to a resumed stream with status 200 and a body that is no event stream had it appended to the events that the caller had.

**Change** Such a response counts as a failure of that server, as one with another status does.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -66,16 +66,21 @@
 	case resp.StatusCode >= 500 && x.mayDrop(a, s.clock.Now()):
 		s.finishAttempt(x, a, route.ResultFailed, errServerFailed)
 		return outcomeUnknown, errServerFailed
-	case a.resuming && resp.StatusCode != http.StatusOK:
+	case a.resuming && (resp.StatusCode != http.StatusOK || !isEventStream(resp)):
 		s.finishAttempt(x, a, route.ResultFailed, errServerFailed)
 		return outcomeStreamBroken, errServerFailed
 	}
-	if x.route.Kind == fleet.KindStream && strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+	if x.route.Kind == fleet.KindStream && isEventStream(resp) {
 		return s.forwardStream(x, a, resp)
 	}
 	return s.forwardBody(x, a, resp)
 }
 
+// isEventStream reports whether a response consists of server-sent events.
+func isEventStream(resp *upstream.Response) bool {
+	return strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
+}
+
 // Errors of attempts.
 var (
 	errNotExecuted  = errors.New("server refused the request without running it")
