fix(direct): do not hedge again at once beside a body that flows

**Change** The time of the next hedge counts from the last part that one of the other attempts has received. Parts that the failed hedge itself received do not count.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -228,7 +228,7 @@
 		var n int
 		n, err = resp.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
-		x.group.noteProgress(s.clock.Now())
+		x.group.noteProgress(a, s.clock.Now())
 	}
 	if err != nil && !errors.Is(err, io.EOF) {
 		return s.bodyFailed(x, a, a.withCause(err))
--- a/internal/direct/hedge.go
+++ b/internal/direct/hedge.go
@@ -29,9 +29,10 @@
 	resuming, delivered bool
 	lastEventID         string
 
-	// superseded is set once another attempt has delivered, failed once the response was found to be a failure. The lock
-	// of the group guards both.
+	// superseded is set once another attempt has delivered, failed once the response was found to be a failure.
+	// lastProgress is when the last part that is not delivered yet arrived; zero before. The lock of the group guards them.
 	superseded, failed bool
+	lastProgress       time.Time
 }
 
 // attemptResult is the result of an attempt that has ended.
@@ -169,14 +170,15 @@
 	g.lastProgress, g.hedgeAt = now, now.Add(g.hedgeDelay)
 }
 
-// noteProgress records that a server has sent a part of a response that is not delivered yet.
-func (g *attemptGroup) noteProgress(now time.Time) {
+// noteProgress records that the server of an attempt has sent a part of a response that is not delivered yet.
+func (g *attemptGroup) noteProgress(a *attempt, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.lastProgress, g.hedgeAt = now, now.Add(g.hedgeDelay)
+	a.lastProgress, g.lastProgress, g.hedgeAt = now, now, now.Add(g.hedgeDelay)
 }
 
-// end records the result of an attempt. A hedge that got no response may be followed by another one soon.
+// end records the result of an attempt. A hedge that got no response may be followed by another one soon, unless another
+// attempt has made progress.
 func (g *attemptGroup) end(a *attempt, result outcome, err error, now time.Time) {
 	a.cancel(nil)
 	g.mu.Lock()
@@ -192,6 +194,11 @@
 	}
 	if a.isHedge {
 		g.hedgeAt = now.Add(hedgeRetryDelay)
+		for _, other := range g.running {
+			if at := other.lastProgress.Add(g.hedgeDelay); at.After(g.hedgeAt) {
+				g.hedgeAt = at
+			}
+		}
 	}
 	g.resetTimer(g.hedgeAt.Sub(now))
 }
--- a/internal/direct/hedgeresults_test.go
+++ b/internal/direct/hedgeresults_test.go
@@ -160,15 +160,30 @@
 	x.route.Kind = fleet.KindRepeatable
 	c.server.startWatchdog(t.Context(), x)
 	defer x.group.stop()
-	c.beginOn(x, "a")
+	first := c.beginOn(x, "a")
 	c.clock.Advance(x.group.hedgeDelay - time.Millisecond)
 	hedge := c.beginOn(x, "b")
 	c.clock.Advance(time.Millisecond)
-	x.group.noteProgress(c.clock.Now())
+	x.group.noteProgress(first, c.clock.Now())
 	x.group.end(hedge, outcomeNotExecuted, errNotExecuted, c.clock.Now())
 	require.Equal(t, c.clock.Now().Add(x.group.hedgeDelay), x.group.hedgeAt)
 }
 
+// Guards against waiting for a silent server because a hedge made progress before it failed.
+func TestFailedHedgeIsRepeatedSoonWhileFirstServerIsSilent(t *testing.T) {
+	c, x := newHedgedExchange(t)
+	x.route.Kind = fleet.KindRepeatable
+	c.server.startWatchdog(t.Context(), x)
+	defer x.group.stop()
+	c.beginOn(x, "a")
+	c.clock.Advance(x.group.hedgeDelay - time.Millisecond)
+	hedge := c.beginOn(x, "b")
+	c.clock.Advance(time.Millisecond)
+	x.group.noteProgress(hedge, c.clock.Now())
+	x.group.end(hedge, outcomeUnknown, io.ErrUnexpectedEOF, c.clock.Now())
+	require.Equal(t, c.clock.Now().Add(hedgeRetryDelay), x.group.hedgeAt)
+}
+
 // Guards against appending a response that is no event stream to a stream that has started.
 func TestStreamIsNotContinuedWithAnotherKindOfResponse(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
