--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -66,16 +66,21 @@
 	case resp.StatusCode >= 500 && x.mayDrop(a, s.clock.Now()):
 		s.finishAttempt(x, a, route.ResultFailed, errServerFailed)
 		return outcomeUnknown, errServerFailed
-	case a.resuming && resp.StatusCode != http.StatusOK:
+	case a.resuming && (resp.StatusCode != http.StatusOK || !isEventStream(resp)):
 		s.finishAttempt(x, a, route.ResultFailed, errServerFailed)
 		return outcomeStreamBroken, errServerFailed
 	}
-	if x.route.Kind == fleet.KindStream && strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+	if x.route.Kind == fleet.KindStream && isEventStream(resp) {
 		return s.forwardStream(x, a, resp)
 	}
 	return s.forwardBody(x, a, resp)
 }
 
+// isEventStream reports whether a response consists of server-sent events.
+func isEventStream(resp *upstream.Response) bool {
+	return strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
+}
+
 // Errors of attempts.
 var (
 	errNotExecuted  = errors.New("server refused the request without running it")
@@ -156,7 +161,8 @@
 	return outcomeUnknown, err
 }
 
-// endSuperseded ends an attempt that another one has superseded. It is no evidence of an exit of its server.
+// endSuperseded ends an attempt that another one has superseded. It is no evidence of an exit of its server. A server that
+// was silent until a later attempt delivered is preferred less; the server of a superseded hedge is not at fault.
 func (s *CallerServer) endSuperseded(x *exchange, a *attempt) (outcome, error) {
 	cause, result := context.Cause(a.ctx), route.ResultAbandoned
 	if errors.Is(cause, errNoProgress) {
@@ -221,7 +227,7 @@
 		var n int
 		n, err = resp.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
-		x.group.noteProgress(s.clock.Now())
+		x.group.noteProgress(a, s.clock.Now())
 	}
 	if err != nil && !errors.Is(err, io.EOF) {
 		return s.bodyFailed(x, a, a.withCause(err))
@@ -257,6 +263,9 @@
 		switch {
 		case errors.Is(err, io.EOF):
 			return s.finishLongBody(x, a, resp, part)
+		case err != nil && ctx.Err() != nil:
+			s.finishAttempt(x, a, route.ResultAbandoned, err)
+			return outcomeCallerGone, err
 		case err != nil:
 			s.failAttempt(x, a, err)
 			return outcomeTruncated, err
--- a/internal/direct/watchdog.go
+++ b/internal/direct/watchdog.go
@@ -53,6 +53,11 @@
 	if !ok {
 		return
 	}
+	// A slot takes a token of a server with a rate limit, so the budget is checked before.
+	if !s.retryBudget(x.service).HasRetry(s.retryExtra(), s.clock.Now()) {
+		x.group.postponeHedge(s.clock.Now())
+		return
+	}
 	reservation, err := s.dispatcher(x.service).Acquire(ctx, req, s.clock)
 	if err != nil {
 		x.group.postponeHedge(s.clock.Now())
@@ -90,7 +95,10 @@
 		g.timer.Reset(g.hedgeDelay)
 		return nil, false
 	}
-	return s.slotRequest(x, slices.Clone(g.tried), true), true
+	req = s.slotRequest(x, slices.Clone(g.tried), true)
+	// A server may have exited under another attempt since the first one started.
+	req.Suspect = s.quarantineDecision(x).Suspect
+	return req, true
 }
 
 // mayHedge reports whether another attempt can deliver the rest of the response. A response that has started can only be
@@ -157,12 +165,12 @@
 	hedgeCallerLeft hedgeOutcome = "left"
 )
 
-// hedgeOutcomeOf returns what became of a hedge with a result.
-func hedgeOutcomeOf(a *attempt, result outcome) hedgeOutcome {
+// hedgeOutcomeOf returns what became of a hedge with a result and an error.
+func hedgeOutcomeOf(a *attempt, result outcome, err error) hedgeOutcome {
 	switch {
 	case a.delivered:
 		return hedgeDelivered
-	case result == outcomeSuperseded:
+	case result == outcomeSuperseded, isSuperseded(err):
 		return hedgeSuperseded
 	case result == outcomeNotExecuted:
 		return hedgeRefused
@@ -173,8 +181,8 @@
 }
 
 // noteHedgeEnded counts and logs the outcome of a hedge.
-func (s *CallerServer) noteHedgeEnded(x *exchange, a *attempt, result outcome) {
-	hedged := hedgeOutcomeOf(a, result)
+func (s *CallerServer) noteHedgeEnded(x *exchange, a *attempt, result outcome, err error) {
+	hedged := hedgeOutcomeOf(a, result, err)
 	s.metrics.hedges.WithLabelValues(string(x.service), string(hedged)).Inc()
 	s.log.Info().Str("request", x.ID).Str("server", string(a.reservation.Server.ID)).Str("result", string(hedged)).
 		Dur("after_ms", s.clock.Since(a.startedAt)).Msg("hedge ended")
