fix(direct): do not take others for silent after a pause of the own process

Cause: after a pause of 1.5 s or more of an entry box the timers of its status streams expired before the messages that had arrived were read. All agents and entry boxes counted as silent and, by reading, requests are refused until each is followed anew. Change: the time without a message is counted in three parts, of which a pause expires one. A peer is silent after 1.5 s as before.

--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
@@ -54,8 +55,8 @@
 func (s *peerStream[M]) receive(ctx context.Context, clock clockwork.Clock, peers *daemon.PeerPool, onMessage func(message M)) error {
 	streamCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watchdog := clock.AfterFunc(statusTimeout, func() { cancel(errSilent) })
-	defer watchdog.Stop()
+	silence := newSilenceTimer(clock, func() { cancel(errSilent) })
+	defer silence.stop()
 	conn, err := peers.Dial(streamCtx, s.address)
 	if err != nil {
 		return err
@@ -69,7 +70,7 @@
 		}
 		if err == nil {
 			onMessage(message)
-			watchdog.Reset(statusTimeout)
+			silence.reset()
 		}
 	}
 	if cause := context.Cause(streamCtx); cause != nil {
@@ -95,3 +96,48 @@
 	}
 	line.Err(err).Msg("dependency lost")
 }
+
+// silenceChecks is the number of equal parts of statusTimeout in each of which no message may arrive before a peer counts
+// as silent. After a pause of the own process, one part expires at once, whatever has arrived meanwhile.
+const silenceChecks = 3
+
+// silenceTimer calls a function after statusTimeout without reset, not counting pauses of the own process.
+type silenceTimer struct {
+	mu      sync.Mutex
+	timer   clockwork.Timer
+	expired int
+	stopped bool
+}
+
+func newSilenceTimer(clock clockwork.Clock, onSilent func()) *silenceTimer {
+	t := &silenceTimer{}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.timer = clock.AfterFunc(statusTimeout/silenceChecks, func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		if t.stopped {
+			return
+		}
+		if t.expired++; t.expired < silenceChecks {
+			t.timer.Reset(statusTimeout / silenceChecks)
+			return
+		}
+		onSilent()
+	})
+	return t
+}
+
+func (t *silenceTimer) reset() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expired = 0
+	t.timer.Reset(statusTimeout / silenceChecks)
+}
+
+func (t *silenceTimer) stop() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stopped = true
+	t.timer.Stop()
+}
