test(direct): no request is blamed for a silence

Cause: no test said that a read which times out, or an attempt that the box ends itself, is not checked for an exit of its server. Change: a table of such errors.

--- a/internal/direct/silentserver_test.go
+++ b/internal/direct/silentserver_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net"
+	"os"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -110,3 +113,14 @@
 		})
 	}
 }
+
+// Guards against blaming a request for a silence: only a server that ends the connection itself is checked for an exit.
+func TestSilenceIsNoDisconnect(t *testing.T) {
+	for _, err := range []error{
+		context.DeadlineExceeded, os.ErrDeadlineExceeded, syscall.ETIMEDOUT, &net.OpError{Op: "read", Err: os.NewSyscallError("read", syscall.ETIMEDOUT)},
+		fmt.Errorf("%w: %w", errPastCutoff, syscall.ECONNRESET), fmt.Errorf("%w: %w", errNotStarted, io.EOF),
+	} {
+		require.False(t, isDisconnect(err), err)
+	}
+	require.True(t, isDisconnect(&net.OpError{Op: "read", Err: os.NewSyscallError("read", syscall.ECONNRESET)}))
+}
