--- a/internal/standin/keyvalue.go
+++ b/internal/standin/keyvalue.go
@@ -16,6 +16,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -145,6 +146,32 @@
 	kv.handler.ServeHTTP(w, r)
 }
 
+// KeyValueBackup is the state of a key-value service at one time, without its leases and their keys.
+type KeyValueBackup struct {
+	revision int64
+	pairs    map[string]pair
+}
+
+// Backup returns a copy of the current state.
+func (kv *KeyValue) Backup() KeyValueBackup {
+	kv.mu.Lock()
+	defer kv.mu.Unlock()
+	kv.expire()
+	backup := KeyValueBackup{revision: kv.revision, pairs: maps.Clone(kv.pairs)}
+	maps.DeleteFunc(backup.pairs, func(_ string, entry pair) bool { return entry.lease != 0 })
+	return backup
+}
+
+// Restore replaces the state by that of a backup, as after a loss of the service's disks. All leases are lost, and the
+// revisions after that of the backup are assigned again.
+func (kv *KeyValue) Restore(backup KeyValueBackup) {
+	kv.mu.Lock()
+	defer kv.mu.Unlock()
+	kv.revision, kv.pairs = backup.revision, maps.Clone(backup.pairs)
+	clear(kv.leases)
+	kv.notify()
+}
+
 // Calls returns the number of calls of each path.
 func (kv *KeyValue) Calls() map[string]int {
 	kv.mu.Lock()
