fix(daemon): number planner terms above those that boxes know

Cause: after a restore of the key-value service with lower revisions a new planner got an epoch below the one in force. Boxes dropped its plans, and it logged them as in force, until it lost its lease at a revision beyond the old one. Change: the epoch is at least one above that of the stored plan head and of the plan that the planner knows. Whether another planner came between is now told by the revision of the head against the one of the claim, which are of one history. A planner that learns of a later epoch ends its term and starts another.

--- a/internal/daemon/leaseterm.go
+++ b/internal/daemon/leaseterm.go
@@ -60,13 +60,12 @@
 	if !swapped {
 		return errSuperseded
 	}
-	t.epoch = uint64(revision)
-	return p.writeEpoch(ctx, t)
+	return p.writeEpoch(ctx, t, revision)
 }
 
-// writeEpoch writes the new epoch into the plan head. After that, the compare-and-swap of
-// a planner with an older epoch fails.
-func (p *Planner) writeEpoch(ctx context.Context, t *leaseTerm) error {
+// writeEpoch chooses the epoch of a term whose lease was claimed at a revision, and writes it into the plan
+// head. After that, the compare-and-swap of a planner with an older epoch fails.
+func (p *Planner) writeEpoch(ctx context.Context, t *leaseTerm, claimed provider.Revision) error {
 	callCtx, cancel := context.WithTimeout(ctx, platformCallTimeout)
 	defer cancel()
 	p.metrics.keyValueCalls.WithLabelValues("get").Inc()
@@ -80,9 +79,16 @@
 			return fmt.Errorf("decoding plan head: %w", err)
 		}
 	}
-	if head.Epoch >= t.epoch {
+	if entry.Revision > claimed {
+		// A planner that claimed the lease later has written its epoch.
 		return errSuperseded
 	}
+	known := max(head.Epoch, p.view.PlanHead().Epoch)
+	t.epoch = max(uint64(claimed), known+1)
+	if t.epoch != uint64(claimed) {
+		p.log.Warn().Uint64("revision", uint64(claimed)).Uint64("known", known).Uint64("epoch", t.epoch).
+			Msg("the key-value service is older than the plan in force, as after a restore")
+	}
 	t.headRevision = entry.Revision
 	return p.compareAndSwapHead(ctx, t, plan.Head{Epoch: t.epoch, Planner: p.self, Table: head.Table})
 }
--- a/internal/daemon/planner.go
+++ b/internal/daemon/planner.go
@@ -53,9 +53,10 @@
 var errSuperseded = errors.New("another planner has taken over")
 
 // Planner computes plans while it holds the lease. Its epoch is the revision of the key-value
-// service at which it acquired the lease, so epochs only increase. A new planner first writes
-// its epoch into the plan head. If the previous planner was paused beyond its lease,
-// the compare-and-swap of its next plan therefore fails.
+// service at which it acquired the lease, so epochs only increase. After a restore of the service
+// its revisions may be lower than epochs that boxes know; then the epoch is the next one after
+// these. A new planner first writes its epoch into the plan head. If the previous planner was
+// paused beyond its lease, the compare-and-swap of its next plan therefore fails.
 type Planner struct {
 	self    member.BoxID
 	kv      provider.KeyValue
@@ -182,6 +183,10 @@
 }
 
 func (p *Planner) planOnce(ctx context.Context, t *leaseTerm) error {
+	if p.view.PlanHead().Epoch > t.epoch {
+		// Boxes ignore plans of this term. The next one has a later epoch.
+		return errSuperseded
+	}
 	rows, revision := p.view.Rows()
 	previous, _ := p.view.Plan()
 	members := p.view.Members()
