fix(daemon): complete a restored table from the replicated rows

Cause: after a restore of the key-value service the table's revision was below that of the rows that boxes hold. Edits based on the rows in force were refused, and others were accepted under revisions that boxes take for outdated; by reading, an edit of the same row would also revert cells that later edits had changed. Change: an edit first completes a table that is older than the replicated one with the rows of later revisions, and gets a revision above them. Within one history the table is never behind the rows, so nothing changes there. The history of the lost edits is not restored, and rows that the editing box has not received yet are not known to it.

--- a/internal/daemon/tablestore.go
+++ b/internal/daemon/tablestore.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -187,6 +188,9 @@
 func (s *TableStore) Edit(ctx context.Context, edit table.Edit) (*table.Table, error) {
 	for range maxEditAttempts {
 		current, revision, err := s.load(ctx)
+		if err == nil {
+			current, err = s.completeRestored(current)
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -218,6 +222,33 @@
 	return nil, fmt.Errorf("other edits kept coming first: %w", provider.ErrUnavailable)
 }
 
+// completeRestored returns the table with the acknowledged edits that it lacks because the key-value service was
+// restored from a backup. The replicated rows have them: they are of a later revision than the table, which
+// is otherwise never behind them.
+func (s *TableStore) completeRestored(current *table.Table) (*table.Table, error) {
+	head, known := s.replica.store.Lookup(tableHeadKey)
+	if !known || head.Version.Major <= uint64(current.Revision) {
+		return current, nil
+	}
+	var newer []table.Entry
+	for _, item := range s.replica.store.Since(state.Cursor{}, 0).Items {
+		if !strings.HasPrefix(item.Key, tableRowPrefix) || item.Version.Major <= uint64(current.Revision) {
+			continue
+		}
+		key := rowKey(tableRowPrefix, item)
+		entry := table.Entry{Row: table.NewRow(key), Revision: table.Revision(item.Version.Major), Deleted: item.Deleted}
+		if !item.Deleted {
+			if err := state.Decode(item.Value, &entry.Row); err != nil {
+				return nil, eris.Wrap(err, "decoding a replicated row")
+			}
+		}
+		newer = append(newer, entry)
+	}
+	s.log.Warn().Uint64("revision", uint64(current.Revision)).Uint64("replicated", head.Version.Major).Int("rows", len(newer)).
+		Msg("table is older than the replicated one, as after a restore; completing it")
+	return current.Complete(table.Revision(head.Version.Major), newer), nil
+}
+
 func (s *TableStore) compareAndSwap(ctx context.Context, next *table.Table, revision provider.Revision) (bool, error) {
 	value, err := json.Marshal(next)
 	if err != nil {
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -202,6 +202,30 @@
 	return 0
 }
 
+// Complete returns the table of at least the given revision, with the entries that are newer than its own. It restores
+// the edits that a table from a backup lacks, from the rows that were replicated of a later revision. All cells of such a
+// row count as changed at the revision of the row. The history lacks these edits.
+func (t *Table) Complete(revision Revision, newer []Entry) *Table {
+	next := t.clone()
+	next.Revision = max(next.Revision, revision)
+	for _, entry := range newer {
+		index := next.entryIndex(entry.Key())
+		if index < 0 {
+			next.Entries = append(next.Entries, Entry{})
+			index = len(next.Entries) - 1
+		}
+		if next.Entries[index].Revision >= entry.Revision {
+			continue
+		}
+		entry.CellRevisions = make(map[Column]Revision, len(editableColumns))
+		for _, column := range editableColumns {
+			entry.CellRevisions[column] = entry.Revision
+		}
+		next.Entries[index] = entry
+	}
+	return next
+}
+
 // Find returns the record of an accepted edit that is still in the history.
 func (t *Table) Find(id EditID) (EditRecord, bool) {
 	for _, record := range t.History {
