test(daemon): planners with the same epoch after a restore

Without changes each takes the plan of the other for its own; a changed plan is refused by the compare-and-swap.

--- a/internal/daemon/restore_test.go
+++ b/internal/daemon/restore_test.go
@@ -74,3 +74,33 @@
 	require.NoError(t, next.planOnce(t.Context(), term))
 	require.Equal(t, term.epoch, fresh.view.PlanHead().Epoch)
 }
+
+// Guards against two planners whose plans are in force in turn: after a restore, revisions are assigned again, so the
+// compare-and-swap of a planner that was paused through it may succeed.
+func TestOnePlannerStaysAfterRevisionsAreAssignedAgain(t *testing.T) {
+	for name, oldPlansFirst := range map[string]bool{"old plans first": true, "next plans first": false} {
+		t.Run(name, func(t *testing.T) {
+			p, n, _ := newConfiguredPlatform(t)
+			eventually(t, func() bool { rows, _ := n.view.Rows(); return len(rows) == 1 }, "the row is in force")
+			backup := p.kvServer.Backup()
+			old, next := newTestPlanner(t, p, n, "old", never), newTestPlanner(t, p, n, "next", never)
+			oldTerm, err := old.acquire(t.Context())
+			require.NoError(t, err)
+			oldTerm.stopRenewal()
+			p.kvServer.Restore(backup)
+			term, err := next.acquire(t.Context())
+			require.NoError(t, err)
+			require.Equal(t, oldTerm.headRevision, term.headRevision, "the revisions coincide")
+			if oldPlansFirst {
+				require.NoError(t, old.planOnce(t.Context(), oldTerm))
+				require.ErrorIs(t, next.planOnce(t.Context(), term), errSuperseded)
+				next.release(term)
+				term, err = next.acquire(t.Context())
+				require.NoError(t, err)
+			}
+			require.NoError(t, next.planOnce(t.Context(), term))
+			require.ErrorIs(t, old.planOnce(t.Context(), oldTerm), errSuperseded)
+			require.Equal(t, plan.Head{Epoch: term.epoch, Sequence: term.sequence, Planner: "next", Table: 1}, n.view.PlanHead())
+		})
+	}
+}
