fix(daemon): tell planners with the same epoch apart

Cause: a planner compared only epochs with the plan in force, and after a restore of the key-value service two may have the same. Change: a planner that sees a plan of its epoch by another one ends its term. Measured: red before, green after in both orders. The planner tests pass three times with -race.

--- a/internal/daemon/planner.go
+++ b/internal/daemon/planner.go
@@ -183,8 +183,9 @@
 }
 
 func (p *Planner) planOnce(ctx context.Context, t *leaseTerm) error {
-	if p.view.PlanHead().Epoch > t.epoch {
-		// Boxes ignore plans of this term. The next one has a later epoch.
+	if head := p.view.PlanHead(); head.Epoch > t.epoch || head.Epoch == t.epoch && head.Planner != p.self {
+		// Boxes ignore plans of this term, or another planner has the same epoch from before a restore. The next term
+		// has a later epoch.
 		return errSuperseded
 	}
 	rows, revision := p.view.Rows()
