--- a/internal/daemon/restore_test.go
+++ b/internal/daemon/restore_test.go
@@ -1,11 +1,14 @@
 package daemon
 
 import (
+	"errors"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cinderslip/cinderslip/internal/wire"
 	"github.com/cinderslip/cinderslip/pkg/plan"
 	"github.com/cinderslip/cinderslip/pkg/state"
 )
@@ -104,3 +107,21 @@
 		})
 	}
 }
+
+// Guards against agents that take no assignment: after a start of all entry boxes only agents know the epoch in force.
+func TestPlannerLearnsLaterEpochFromAgents(t *testing.T) {
+	p := newRestoredPlatform(t)
+	monitored, other := newMonitoredNode(t, 2, time.Hour), newTestNode(t, 3, noLinks)
+	_, err := wire.NewDRPCMonitorClient(newTestPeerPool(t).Conn(monitored.address)).Heartbeat(t.Context(), &wire.HeartbeatRequest{Box: "b", AssignmentMajor: p.term.epoch, AssignmentMinor: 1})
+	require.NoError(t, err)
+	next := newTestPlanner(t, p.testPlatform, other, "next", never)
+	term, err := next.acquire(t.Context())
+	require.NoError(t, err)
+	other.store.Apply(monitored.store.Since(state.Cursor{}, 0).Items, state.OriginRemote)
+	eventually(t, func() bool { return errors.Is(next.planOnce(t.Context(), term), errSuperseded) }, "the term ends once the epoch is known")
+	next.release(term)
+	term, err = next.acquire(t.Context())
+	require.NoError(t, err)
+	require.Greater(t, term.epoch, p.term.epoch)
+	require.NoError(t, next.planOnce(t.Context(), term))
+}
