feat(fleet): revisions with the era of the store

Cause: a revision is taken for a position in one history. The store starts another history each time it comes back from a copy, states it as an era in each response (Store-Era), and gives out numbers again. Nothing read it.

Change: fleet.Revision is an era and a number, packed so that every position of a later era is higher. Comparisons, watermarks, cursors and messages stay as they are, and positions in the first era equal their numbers, so processes of the version before are compatible until the store comes back.

--- a/internal/provider/fleet.go
+++ b/internal/provider/fleet.go
@@ -21,7 +21,7 @@
 	Facts []fleet.Fact
 	// Errors holds one error for each entry that could not be decoded.
 	Errors []*EntryError
-	// Revision is the revision after which the next call of Changes continues.
+	// Revision is the revision after which the next call of Changes continues. Its era is that of the response.
 	Revision fleet.Revision
 }
 
@@ -34,7 +34,7 @@
 
 // Error returns the key and revision of the entry and the decoding error.
 func (e *EntryError) Error() string {
-	return fmt.Sprintf("store key %q at revision %d: %v", e.Key, e.Revision, e.Err)
+	return fmt.Sprintf("store key %q at revision %v: %v", e.Key, e.Revision, e.Err)
 }
 
 // Unwrap returns the decoding error.
@@ -46,7 +46,8 @@
 	// Snapshot reads all entries. Errors wrap ErrUnavailable.
 	Snapshot func(ctx context.Context) (FactBatch, error)
 	// Changes returns the entries written after a revision. It blocks until there is one, at most for wait.
-	// Errors wrap ErrUnavailable or ErrCompacted.
+	// Errors wrap ErrUnavailable or ErrCompacted. If the era of the batch is not that of the given revision, the
+	// batch does not follow it and a snapshot has to be read. With ErrCompacted, the batch has only the era.
 	Changes func(ctx context.Context, after fleet.Revision, wait time.Duration) (FactBatch, error)
 	// Reconnect makes all later calls open new connections, because idle connections may be dead without having
 	// been closed.
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -22,9 +22,6 @@
 	"github.com/cinderslip/cinderslip/pkg/member"
 )
 
-// Revision is the revision of the key-value service at a write. Later writes have higher revisions.
-type Revision uint64
-
 // ServerID identifies a backend server. A restarted server has another ID, or the same ID and
 // another incarnation.
 type ServerID string
