fix(direct): order what the store has by era, and by its writer where that says something

Cause: after the store came back from a copy at a lower revision, boxes took nothing that it said until its revisions passed the old ones (revoked keys accepted, leaving servers used); at revisions that were given out before, the changes between were never read. And a copy is older than what boxes know: taken for the truth, it would bring revoked keys back.

A response of an earlier era than the latest known one is dropped. Versions of items have an Order, compared first: the version of the configuration and the desired versions. So an older configuration at a later position is not taken, at any box and whatever its path. Boxes announce the sum of their orders (ordered), so that a box that knows only the copy is behind one that knows more, and requests for facts carry the orders, so that items at positions up to which the receiver is complete are sent if it lacks them. Fields are new and optional; the Order of an item without one is read from its value. Log lines and metrics state the era.

--- a/internal/direct/departedservers_test.go
+++ b/internal/direct/departedservers_test.go
@@ -15,6 +15,7 @@
 	"github.com/cinderslip/cinderslip/internal/wire"
 	"github.com/cinderslip/cinderslip/pkg/fleet"
 	"github.com/cinderslip/cinderslip/pkg/member"
+	"github.com/cinderslip/cinderslip/pkg/state"
 )
 
 // serveFacts serves the facts of a box and returns its address.
@@ -78,7 +79,7 @@
 	boxes := newTestEntryBoxes(survivor, started.fullStatus())
 	_, behind := boxes.pickNewer(nil)
 	require.True(t, behind)
-	boxes.applyBatch("reader:1", started.factsBatch(boxes.cursors["reader:1"], uint64(survivor.complete()), false))
+	boxes.applyBatch("reader:1", started.factsBatch(boxes.cursors["reader:1"], survivor.mirror.Receiver(), false))
 	require.Equal(t, []fleet.ServerID{"b"}, serverIDs(survivor))
 	_, behind = boxes.pickNewer(nil)
 	require.False(t, behind)
@@ -100,7 +101,7 @@
 	outdated.Apply([]fleet.Fact{listed("a", 3)}, "store")
 	started := newRealTimeFleetState()
 	boxes := newTestEntryBoxes(started)
-	batch := newTestStatusServer(outdated).factsBatch(boxes.cursors["outdated:1"], 0, false)
+	batch := newTestStatusServer(outdated).factsBatch(boxes.cursors["outdated:1"], state.Receiver{}, false)
 	applySnapshot(started, 9, listed("b", 4))
 	boxes.applyBatch("outdated:1", batch)
 	require.Equal(t, []fleet.ServerID{"b"}, serverIDs(started))
--- a/internal/direct/entryfollower.go
+++ b/internal/direct/entryfollower.go
@@ -138,7 +138,10 @@
 	_, _ = followStream(followCtx, f.fleetState.clock, f.peers, f.fleetState.log, &peerStream[*wire.FactsBatch]{
 		dependency: "entry", address: member.Address(entry),
 		open: func(ctx context.Context, client wire.DRPCFleetClient) (func() (*wire.FactsBatch, error), error) {
-			stream, err := client.Facts(ctx, &wire.FactsRequest{Box: f.self, Region: f.region, ServicesOnly: true, Complete: uint64(f.fleetState.complete())})
+			receiver := f.fleetState.mirror.Receiver()
+			stream, err := client.Facts(ctx, &wire.FactsRequest{
+				Box: f.self, Region: f.region, ServicesOnly: true, Complete: receiver.Complete, Orders: receiver.Orders,
+			})
 			if err != nil {
 				return nil, err
 			}
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -45,10 +45,12 @@
 	logDropped prometheus.Counter
 	chunks     *prometheus.CounterVec
 	orders     *prometheus.CounterVec
-	// configuration, revision, complete and deferredDeletions describe the process's current view of the fleet.
+	// configuration, revision, storeEra, complete, completeEra and deferredDeletions describe the process's current view of the fleet.
 	configuration     prometheus.Gauge
 	revision          prometheus.Gauge
+	storeEra          prometheus.Gauge
 	complete          prometheus.Gauge
+	completeEra       prometheus.Gauge
 	deferredDeletions prometheus.Gauge
 	// evacuatedDomains is the number of failure domains that the operators have evacuated.
 	evacuatedDomains prometheus.Gauge
@@ -86,15 +88,17 @@
 		orders:      metric.CounterVec("orders_total", "Orders given to the backend server, by result.", "result"),
 
 		configuration:     metric.Gauge("believed_configuration_version", "Version of the operators' configuration that is in force here."),
-		revision:          metric.Gauge("believed_revision", "Newest revision of the platform's store that is known here."),
-		complete:          metric.Gauge("believed_complete_revision", "Revision of the platform's store up to which every change is known here."),
+		revision:          metric.Gauge("believed_revision", "Newest revision of the platform's store that is known here, within its era."),
+		storeEra:          metric.Gauge("believed_store_era", "Era of the newest revision that is known here: how often the platform's store has come back from a copy, and one."),
+		completeEra:       metric.Gauge("believed_complete_era", "Era of the revision up to which every change is known here."),
+		complete:          metric.Gauge("believed_complete_revision", "Revision of the platform's store up to which every change is known here, within its era."),
 		evacuatedDomains:  metric.Gauge("believed_evacuated_domains", "Failure domains that the operators have evacuated."),
 		outdatedEntries:   metric.Counter("outdated_entries_total", "Entries of servers that other processes sent and that were deleted before."),
 		deferredDeletions: metric.Gauge("believed_held_deletions", "Deletions of servers' entries that are held back after an outage of the store."),
 	}
 	m.registry.MustRegister(m.requests, m.requestSeconds, m.ttfb, m.attempts, m.serverSignals, m.suspects, m.waiting, m.limitedServers,
 		m.limitRefusals, m.unclaimed, m.heldBytes, m.connections, m.storeCalls, m.traffic.messages, m.traffic.bytes, m.logDropped, m.chunks, m.orders,
-		m.configuration, m.revision, m.complete, m.deferredDeletions, m.evacuatedDomains, m.outdatedEntries, collectors.NewGoCollector())
+		m.configuration, m.revision, m.storeEra, m.complete, m.completeEra, m.deferredDeletions, m.evacuatedDomains, m.outdatedEntries, collectors.NewGoCollector())
 	return m
 }
 
@@ -103,8 +107,10 @@
 	if view.Configuration != nil {
 		m.configuration.Set(float64(view.Configuration.Version))
 	}
-	m.revision.Set(float64(known.Newest))
-	m.complete.Set(float64(known.Complete))
+	m.revision.Set(float64(known.Newest.Number()))
+	m.storeEra.Set(float64(known.Newest.Era()))
+	m.complete.Set(float64(known.Complete.Number()))
+	m.completeEra.Set(float64(known.Complete.Era()))
 	m.deferredDeletions.Set(float64(deferred))
 }
 
--- a/internal/direct/outage_test.go
+++ b/internal/direct/outage_test.go
@@ -222,7 +222,7 @@
 			return behind
 		}
 		read := func() {
-			boxes.applyBatch("reader:1", status.factsBatch(boxes.cursors["reader:1"], uint64(follower.complete()), false))
+			boxes.applyBatch("reader:1", status.factsBatch(boxes.cursors["reader:1"], follower.mirror.Receiver(), false))
 		}
 		require.True(t, isBehind(), "the follower must pull the new configuration")
 		read()
@@ -246,7 +246,7 @@
 		fleetState.Apply([]fleet.Fact{listed("a", 8), configurationFact(2, 9)}, "entry-2")
 		replayStore(t, clock, fleetState, outage(returnsFacts(5, listed("a", 3)), returnsFacts(9, deleted(), listed("a", 8), configurationFact(2, 9)))...)
 		require.Len(t, fleetState.View().Servers("llm"), 1)
-		require.Equal(t, Watermarks{Newest: 9, Complete: 9}, fleetState.Watermarks())
+		require.Equal(t, Watermarks{Newest: 9, Complete: 9, Ordered: fleetState.mirror.Status().Ordered}, fleetState.Watermarks())
 	})
 }
 
@@ -299,9 +299,9 @@
 	for range 2 {
 		_, behind := boxes.pickNewer(nil)
 		require.True(t, behind)
-		boxes.applyBatch("reader:1", status.factsBatch(boxes.cursors["reader:1"], uint64(follower.complete()), false))
+		boxes.applyBatch("reader:1", status.factsBatch(boxes.cursors["reader:1"], follower.mirror.Receiver(), false))
 	}
-	boxes.applyBatch("reader:1", status.factsBatch(boxes.cursors["reader:1"], uint64(follower.complete()), false))
+	boxes.applyBatch("reader:1", status.factsBatch(boxes.cursors["reader:1"], follower.mirror.Receiver(), false))
 	_, behind := boxes.pickNewer(nil)
 	require.False(t, behind)
 	require.Len(t, follower.View().Servers("llm"), 2*maxBatchItems)
--- a/internal/direct/repair.go
+++ b/internal/direct/repair.go
@@ -134,10 +134,10 @@
 		return err
 	}
 	for {
-		startedAt, cursor := e.clock.Now(), e.cursor(from)
+		startedAt, cursor, receiver := e.clock.Now(), e.cursor(from), e.fleetState.mirror.Receiver()
 		stream, err := wire.NewDRPCFleetClient(conn).Facts(callCtx, &wire.FactsRequest{
 			Box: string(e.self.Box), Region: string(e.self.Region), Instance: cursor.Instance, Cursor: cursor.Sequence, Once: true,
-			Complete: uint64(e.fleetState.complete()),
+			Complete: receiver.Complete, Orders: receiver.Orders,
 		})
 		if err != nil {
 			return err
@@ -148,7 +148,7 @@
 		}
 		own := e.fleetState.Watermarks()
 		e.log.Info().Str("address", string(from)).Dur("taken_ms", e.clock.Since(startedAt)).Int("items", len(batch.Items)).
-			Uint64("newest", uint64(own.Newest)).Uint64("complete", uint64(own.Complete)).Msg("facts read from another entry box")
+			Stringer("newest", own.Newest).Stringer("complete", own.Complete).Msg("facts read from another entry box")
 		e.applyBatch(from, batch)
 		if len(batch.Items) < maxBatchItems {
 			return nil
--- a/internal/direct/statusmessage.go
+++ b/internal/direct/statusmessage.go
@@ -79,6 +79,7 @@
 	c.summary, c.load, c.demands, c.sentAt = summary, load, demands, now
 	return &wire.EntryStatus{
 		Partial: true, Ready: summary.ready, Leaving: summary.leaving, Revision: uint64(summary.watermarks.Newest), Complete: uint64(summary.watermarks.Complete),
+		Ordered:     summary.watermarks.Ordered,
 		StoreOutage: summary.storeOutage,
 		InFlight:    loadToWire(changedLoad), Demands: demandsToWire(changedDemands), Readers: summary.readers,
 	}
--- a/internal/direct/statusserver.go
+++ b/internal/direct/statusserver.go
@@ -161,7 +161,7 @@
 	return &wire.EntryStatus{
 		Box: string(own.Box), Region: string(own.Region), Peers: string(own.Peers),
 		Ready: s.ready, Leaving: s.leaving,
-		Revision: uint64(watermarks.Newest), Complete: uint64(watermarks.Complete),
+		Revision: uint64(watermarks.Newest), Complete: uint64(watermarks.Complete), Ordered: watermarks.Ordered,
 		Ages: ages, StoreOutage: s.fleetState.HasStoreOutage(),
 	}
 }
@@ -311,15 +311,15 @@
 		// Entry boxes, which set Once, receive the addresses of others in records.
 		entries = s.membership.SampleAddresses(member.Region(request.Region))
 	}
-	departures, suspects, complete := uint64(0), uint64(0), request.Complete
+	departures, suspects, receiver := uint64(0), uint64(0), state.Receiver{Complete: request.Complete, Orders: request.Orders}
 	if request.EntriesOnly {
 		return stream.Send(&wire.FactsBatch{Entries: entries})
 	}
 	for {
 		changed := s.fleetState.Changed()
-		message := s.factsBatch(cursor, complete, request.ServicesOnly)
-		if message.HasPresent || complete >= message.Floor {
-			complete = max(complete, message.Complete)
+		message := s.factsBatch(cursor, receiver, request.ServicesOnly)
+		if message.HasPresent || receiver.Complete >= message.Floor {
+			receiver.Complete = max(receiver.Complete, message.Complete)
 		}
 		cursor = state.Cursor{Instance: message.Instance, Sequence: message.Cursor}
 		message.Entries, entries = entries, nil
@@ -354,9 +354,9 @@
 }
 
 // factsBatch returns a batch of the facts that have changed since a cursor, without entry box addresses, for a process
-// that has every change up to a revision.
-func (s *StatusServer) factsBatch(cursor state.Cursor, complete uint64, servicesOnly bool) *wire.FactsBatch {
-	transfer := s.fleetState.mirror.Transfer(cursor, maxBatchItems, complete)
+// receiver.
+func (s *StatusServer) factsBatch(cursor state.Cursor, receiver state.Receiver, servicesOnly bool) *wire.FactsBatch {
+	transfer := s.fleetState.mirror.Transfer(cursor, maxBatchItems, receiver)
 	if servicesOnly {
 		s.reduceConfiguration(transfer.Items)
 	}
@@ -399,7 +399,7 @@
 	encoded := make([]*wire.Item, 0, len(items))
 	for _, item := range items {
 		encoded = append(encoded, &wire.Item{
-			Key: item.Key, Major: item.Version.Major, Minor: item.Version.Minor, Deleted: item.Deleted, Value: item.Value,
+			Key: item.Key, Major: item.Version.Major, Minor: item.Version.Minor, Order: item.Version.Order, Deleted: item.Deleted, Value: item.Value,
 		})
 	}
 	return encoded
@@ -408,9 +408,9 @@
 func itemsFromWire(encoded []*wire.Item) []state.Item {
 	items := make([]state.Item, 0, len(encoded))
 	for _, item := range encoded {
-		items = append(items, state.Item{
-			Key: item.Key, Version: state.Version{Major: item.Major, Minor: item.Minor}, Deleted: item.Deleted, Value: item.Value,
-		})
+		items = append(items, fleet.WithOrder(state.Item{
+			Key: item.Key, Version: state.Version{Major: item.Major, Minor: item.Minor, Order: item.Order}, Deleted: item.Deleted, Value: item.Value,
+		}))
 	}
 	return items
 }
@@ -441,5 +441,5 @@
 }
 
 func watermarksFromWire(status *wire.EntryStatus) Watermarks {
-	return Watermarks{Newest: fleet.Revision(status.Revision), Complete: fleet.Revision(status.Complete)}
+	return Watermarks{Newest: fleet.Revision(status.Revision), Complete: fleet.Revision(status.Complete), Ordered: status.Ordered}
 }
--- a/internal/direct/storereader.go
+++ b/internal/direct/storereader.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
 
 	"github.com/cinderslip/cinderslip/internal/provider"
 	"github.com/cinderslip/cinderslip/pkg/fleet"
@@ -116,13 +117,15 @@
 // readOnce reads the next changes and applies them.
 func (r *storeReader) readOnce(ctx context.Context) {
 	f := r.fleetState
+	if era := f.storeEra(); r.after != 0 && r.after.Era() < era {
+		f.log.Warn().Stringer("after", r.after).Uint64("known_era", era).Msg("store is in another era; reading a snapshot")
+		r.after = 0
+	}
 	response, ok := r.read(ctx)
 	if !ok {
 		return
 	}
-	if response.err != nil {
-		f.log.Warn().Uint64("after", uint64(response.after)).Err(response.err).Msg("store history is compacted; reading a snapshot")
-		r.after = 0
+	if !r.isCurrent(ctx, &response) {
 		return
 	}
 	isFirst := f.StoreRespondedAt().IsZero()
@@ -133,6 +136,30 @@
 	}
 }
 
+// isCurrent reports whether a response continues what is known. If not, the next call reads a snapshot: changes of one
+// era do not follow a revision of another one, and a response of an era before the latest known one is outdated.
+func (r *storeReader) isCurrent(ctx context.Context, response *storeResponse) bool {
+	f, era, known := r.fleetState, response.facts.Revision.Era(), r.fleetState.storeEra()
+	line := func() *zerolog.Event {
+		return f.log.Warn().Str("call", response.call).Stringer("after", response.after).Uint64("era", era).Uint64("known_era", known)
+	}
+	switch {
+	case era < known:
+		line().Msg("response of an earlier era of the store dropped")
+		r.after = 0
+		sleep(ctx, f.clock, storeRetryDelay+rand.N(storeRetryDelay))
+	case !response.snapshot && era > response.after.Era():
+		line().Msg("store is in another era; reading a snapshot")
+		r.after = 0
+	case response.err != nil:
+		line().Err(response.err).Msg("store history is compacted; reading a snapshot")
+		r.after = 0
+	default:
+		return true
+	}
+	return false
+}
+
 // readBurst is the number of changes in succession that are read immediately, before changes are batched. A
 // version may be published right after changes of the configuration, and downloads of the version wait for its
 // publication.
@@ -238,7 +265,7 @@
 	f, batch := r.fleetState, response.facts
 	f.metrics.storeCalls.WithLabelValues(response.call, "done").Inc()
 	if response.snapshot || len(batch.Facts) > 0 {
-		f.log.Info().Str("call", response.call).Uint64("after", uint64(response.after)).Uint64("at", uint64(batch.Revision)).Int("facts", len(batch.Facts)).
+		f.log.Info().Str("call", response.call).Stringer("after", response.after).Stringer("at", batch.Revision).Int("facts", len(batch.Facts)).
 			Dur("taken_ms", f.clock.Since(response.started)).Msg("facts read from the store")
 	}
 	f.logFindings(batch.Errors, response.snapshot)
--- a/pkg/fleet/fact.go
+++ b/pkg/fleet/fact.go
@@ -40,9 +40,32 @@
 // EvacuationKey returns the key of the evacuation of a failure domain.
 func EvacuationKey(domain member.FailureDomain) string { return evacuationPrefix + string(domain) }
 
+// order returns the number by which the writer of the fact orders its writes, or 0 if it has none. Versions of the
+// configuration and desired versions only increase, also if the store comes back from a copy.
+func (f *Fact) order() uint64 {
+	switch {
+	case f.Configuration != nil:
+		return f.Configuration.Version
+	case f.Desired != nil:
+		return uint64(f.Desired.Version)
+	}
+	return 0
+}
+
+// WithOrder returns an item with its Order if it lacks one, as items from processes of earlier versions do.
+func WithOrder(item state.Item) state.Item {
+	if item.Deleted || item.Version.Order != 0 || item.Key != configurationKey && !strings.HasPrefix(item.Key, desiredPrefix) {
+		return item
+	}
+	if fact, err := ParseFact(item); err == nil {
+		item.Version.Order = fact.order()
+	}
+	return item
+}
+
 // Item encodes the fact for replication.
 func (f *Fact) Item() (state.Item, error) {
-	item := state.Item{Key: f.Key, Version: state.Version{Major: uint64(f.Revision)}, Deleted: f.Deleted}
+	item := state.Item{Key: f.Key, Version: state.Version{Major: uint64(f.Revision), Order: f.order()}, Deleted: f.Deleted}
 	var value any
 	switch {
 	case f.Deleted:
--- a/pkg/state/mirror.go
+++ b/pkg/state/mirror.go
@@ -2,14 +2,21 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Mirror holds the items of one source that numbers all its changes in a single sequence of revisions, such as a
 // key-value service. The major version of an item is the revision at which it was written. Mirrors read the source or
 // each other, in any order, and a mirror that has just started may read one that is far behind.
 //
+// A source may come back from a copy, and start another history that continues from there. Revisions of the later
+// history must be higher than all of the earlier one. What the earlier one held beyond the copy is known to mirrors
+// alone. An item with an Order is therefore kept until its writer writes a newer one, at whatever revision.
+//
 // Some keys are removable: a writer may delete them, and the source keeps no trace of a deleted key. A mirror therefore
 // knows more than its items:
 //
@@ -27,7 +34,7 @@
 //	mirror := state.NewMirror(instance, func(key string) bool { return strings.HasPrefix(key, "server/") })
 //	applied, _ := mirror.MergeSnapshot(items, revision, nil)       // read from the source
 //	applied, _ = mirror.MergeChanges(items, after, revision, nil)  // watched at the source
-//	transfer := mirror.Transfer(cursor, 256, other.Status().Complete) // sent to another mirror
+//	transfer := mirror.Transfer(cursor, 256, other.Receiver()) // sent to another mirror
 //	applied, _ = other.MergeTransfer(&transfer, nil)
 type Mirror struct {
 	isRemovable func(key string) bool
@@ -43,6 +50,8 @@
 	maxTombstones int
 	// outdated is the number of outdated items that were not taken.
 	outdated uint64
+	// orders holds the Order of each item that has one, by key.
+	orders map[string]uint64
 }
 
 // deferredDeletion is the newest deletion of a key that a mirror has received and not applied.
@@ -60,6 +69,7 @@
 func NewMirror(instance uint64, isRemovable func(key string) bool) *Mirror {
 	return &Mirror{
 		isRemovable: isRemovable, store: NewStore(instance), deferred: make(map[string]deferredDeletion), maxTombstones: defaultMaxTombstones,
+		orders: make(map[string]uint64),
 	}
 }
 
@@ -78,6 +88,24 @@
 	Deferred, Tombstones int
 	// Outdated is the number of outdated items that were not taken.
 	Outdated uint64
+	// Ordered increases whenever an item with a higher Order is applied. Mirrors that hold the same Orders have the
+	// same value.
+	Ordered uint64
+}
+
+// Receiver is what a mirror has, as far as a transfer to it depends on that.
+type Receiver struct {
+	// Complete is the revision up to which it has every change.
+	Complete uint64
+	// Orders holds the Order of each item that has one, by key.
+	Orders map[string]uint64
+}
+
+// Receiver returns what the mirror has, for a request for a transfer.
+func (m *Mirror) Receiver() Receiver {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return Receiver{Complete: m.completeExceptDeferred(), Orders: maps.Clone(m.orders)}
 }
 
 // Status returns the state of the mirror.
@@ -86,10 +114,22 @@
 	defer m.mu.Unlock()
 	return MirrorStatus{
 		Complete: m.completeExceptDeferred(), Received: m.complete, Floor: m.floor,
-		Deferred: len(m.deferred), Tombstones: m.tombstones, Outdated: m.outdated,
+		Deferred: len(m.deferred), Tombstones: m.tombstones, Outdated: m.outdated, Ordered: m.ordered(),
 	}
 }
 
+// maxOrderWeight bounds the weight of a key in ordered. Orders below 2^44 do not overflow.
+const maxOrderWeight = 1 << 16
+
+// ordered returns the sum of all orders, each with a weight by its key, so that different orders hardly ever have the
+// same sum. The lock must be held.
+func (m *Mirror) ordered() (sum uint64) {
+	for key, order := range m.orders {
+		sum += order * (1 + xxhash.Sum64String(key)%maxOrderWeight)
+	}
+	return sum
+}
+
 // completeExceptDeferred returns the revision up to which every change is applied. The lock must be held.
 func (m *Mirror) completeExceptDeferred() uint64 {
 	complete := m.complete
@@ -158,12 +198,16 @@
 	HasPresent bool
 }
 
-// Transfer returns the changes after a cursor, at most limit items, for a mirror that is complete up to a revision. It
-// omits the changes up to there, even if the cursor precedes them: the receiver may have them from another mirror.
-func (m *Mirror) Transfer(cursor Cursor, limit int, receiverComplete uint64) Transfer {
+// Transfer returns the changes after a cursor, at most limit items, for a receiver. It omits the changes up to the
+// revision up to which that is complete, even if the cursor precedes them: the receiver may have them from another
+// mirror. It includes items with a higher Order than the receiver has, at whatever revision.
+func (m *Mirror) Transfer(cursor Cursor, limit int, receiver Receiver) Transfer {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	transfer := Transfer{Batch: m.store.SinceAbove(cursor, limit, receiverComplete), Floor: m.floor}
+	receiverComplete := receiver.Complete
+	transfer := Transfer{Floor: m.floor, Batch: m.store.SinceFor(cursor, limit, func(item *Item) bool {
+		return item.Version.Major > receiverComplete || item.Version.Order > receiver.Orders[item.Key]
+	})}
 	if limit > 0 && len(transfer.Items) >= limit {
 		return transfer
 	}
@@ -231,6 +275,9 @@
 		if d, ok := m.deferred[item.Key]; ok && item.Version.Major >= d.revision {
 			delete(m.deferred, item.Key)
 		}
+		if item.Version.Order != 0 {
+			m.orders[item.Key] = item.Version.Order
+		}
 		m.countTombstone(item, wasTombstone[item.Key])
 		wasTombstone[item.Key] = item.Deleted
 	}
--- a/pkg/state/mirror_test.go
+++ b/pkg/state/mirror_test.go
@@ -30,7 +30,7 @@
 
 // pullMirror transfers everything from one mirror to another.
 func pullMirror(to, from *Mirror, cursor Cursor) Cursor {
-	transfer := from.Transfer(cursor, 0, to.Status().Complete)
+	transfer := from.Transfer(cursor, 0, to.Receiver())
 	to.MergeTransfer(&transfer, nil)
 	return transfer.Next
 }
@@ -58,11 +58,11 @@
 	reader.MergeSnapshot([]Item{live("server/a", 3), live("server/b", 4)}, 5, nil)
 	reader.MergeChanges([]Item{tombstone("server/a", 7)}, 5, 7, nil)
 	for complete, want := range map[uint64]bool{0: true, 4: true, 5: false, 6: false, 7: false} {
-		transfer := reader.Transfer(Cursor{}, 0, complete)
+		transfer := reader.Transfer(Cursor{}, 0, Receiver{Complete: complete})
 		require.Equal(t, want, transfer.HasPresent, "receiver complete up to %d", complete)
 		require.EqualValues(t, 7, transfer.Complete)
 	}
-	first := reader.Transfer(Cursor{}, 1, 0)
+	first := reader.Transfer(Cursor{}, 1, Receiver{})
 	require.False(t, first.HasPresent, "more batches follow")
 	require.Zero(t, first.Complete)
 }
@@ -81,12 +81,12 @@
 	for _, m := range []*Mirror{first, second} {
 		m.MergeChanges([]Item{tombstone("server/7", 301), live("server/301", 302)}, 300, 302, nil)
 	}
-	transfer := second.Transfer(Cursor{}, 256, reader.Status().Complete)
+	transfer := second.Transfer(Cursor{}, 256, reader.Receiver())
 	require.Equal(t, []Item{tombstone("server/7", 301), live("server/301", 302)}, transfer.Items)
 	require.EqualValues(t, 302, transfer.Complete)
 	reader.MergeTransfer(&transfer, nil)
 	require.Equal(t, keysOf(second), keysOf(reader))
-	require.Empty(t, second.Transfer(transfer.Next, 256, reader.Status().Complete).Items)
+	require.Empty(t, second.Transfer(transfer.Next, 256, reader.Receiver()).Items)
 }
 
 func TestMirrorIsIncompleteWhileADeletionIsDeferred(t *testing.T) {
@@ -193,7 +193,7 @@
 			case 8, 9, 10:
 				from := replicas[rapid.IntRange(0, len(replicas)-1).Draw(t, "from")]
 				if from != r {
-					transfer := from.Transfer(r.cursors[from.Mirror], rapid.IntRange(0, 3).Draw(t, "limit"), r.Status().Complete)
+					transfer := from.Transfer(r.cursors[from.Mirror], rapid.IntRange(0, 3).Draw(t, "limit"), r.Receiver())
 					_, deferred := r.MergeTransfer(&transfer, deferSome)
 					r.deferred = append(r.deferred, deferred...)
 					r.cursors[from.Mirror] = transfer.Next
--- a/pkg/state/repair.go
+++ b/pkg/state/repair.go
@@ -23,6 +23,9 @@
 	digest.Reset()
 	_, _ = digest.WriteString(item.Key)
 	_, _ = digest.Write(version[:])
+	if item.Version.Order != 0 {
+		_, _ = digest.Write(binary.LittleEndian.AppendUint64(nil, item.Version.Order))
+	}
 	return digest.Sum64()
 }
 
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -34,18 +34,18 @@
 	"sync"
 )
 
-// Version orders the writes of one key. Major is compared first.
+// Version orders the writes of one key. Order is compared first, then Major.
 type Version struct {
 	Major uint64
 	Minor uint64
+	// Order is a number of the writer that increases with the content of the item, or 0 if there is none. It is
+	// independent of the positions of a source, which may come back from a copy that is older than the item.
+	Order uint64
 }
 
 // Compare returns -1, 0 or +1 as v is older than, equal to or newer than other.
 func (v Version) Compare(other Version) int {
-	if order := cmp.Compare(v.Major, other.Major); order != 0 {
-		return order
-	}
-	return cmp.Compare(v.Minor, other.Minor)
+	return cmp.Or(cmp.Compare(v.Order, other.Order), cmp.Compare(v.Major, other.Major), cmp.Compare(v.Minor, other.Minor))
 }
 
 // Item is one version of one key. Value must not be modified after Store.Apply.
@@ -182,9 +182,9 @@
 	return s.since(cursor, limit, func(n *node) bool { return n.local })
 }
 
-// SinceAbove is like Since, but returns only items whose major version is above a version.
-func (s *Store) SinceAbove(cursor Cursor, limit int, version uint64) Batch {
-	return s.since(cursor, limit, func(n *node) bool { return n.item.Version.Major > version })
+// SinceFor is like Since, but returns only items that are selected.
+func (s *Store) SinceFor(cursor Cursor, limit int, isSelected func(item *Item) bool) Batch {
+	return s.since(cursor, limit, func(n *node) bool { return isSelected(&n.item) })
 }
 
 // Tail returns the cursor after the latest change.
