fix(direct): keep what was known of servers when the store comes back from a copy

Cause: the copy lists servers as ready that were leaving or whose entries had been deleted, and lacks servers that run and evacuations that are in force.

Change: a server that was leaving before stays so for its incarnation, as a departure, which other processes are told of. A server whose entry had been deleted in an earlier era is withheld until its entry is written again, has lasted for three heartbeats and a half second, or is of a later incarnation. An entry or an evacuation that only the earlier era had is deleted after expiryDeferral, however the box learned of the new era. A deferred deletion is dropped if another era has followed, which defers it anew. /servers and cinderslip servers show withheld servers, logs each decision.

--- a/cmd/cinderslip/servers.go
+++ b/cmd/cinderslip/servers.go
@@ -58,7 +58,7 @@
 	for _, state := range []struct {
 		name string
 		set  bool
-	}{{"leaving", server.Leaving}, {"evacuated", server.Evacuated}, {"cold", server.Cold}} {
+	}{{"leaving", server.Leaving}, {"evacuated", server.Evacuated}, {"withheld", server.Withheld}, {"cold", server.Cold}} {
 		if state.set {
 			states = append(states, state.name)
 		}
--- a/internal/direct/evacuations.go
+++ b/internal/direct/evacuations.go
@@ -37,7 +37,7 @@
 	if f.evacuated[domain] == !fact.Deleted {
 		return
 	}
-	event := f.log.Info().Str("failure_domain", string(domain)).Uint64("revision", uint64(fact.Revision)).Str("from", from)
+	event := f.log.Info().Str("failure_domain", string(domain)).Stringer("revision", fact.Revision).Str("from", from)
 	if fact.Deleted {
 		delete(f.evacuated, domain)
 		event.Msg("evacuation of failure domain withdrawn")
--- a/internal/direct/fleetstate.go
+++ b/internal/direct/fleetstate.go
@@ -53,6 +53,8 @@
 	servers map[fleet.ServerID]serverEntry
 	// departures are the departures that servers have announced in their responses.
 	departures departures
+	// returned are the servers that may be listed only because the store came back from a copy.
+	returned returnedServers
 	// rateLimits are the rate limits that servers have advertised in their responses.
 	rateLimits rateLimits
 	published  map[fleet.ModelName]fleet.PublishedVersions
@@ -87,7 +89,7 @@
 		clock: clock, log: log, metrics: metrics, assumedAge: minAssumedAge,
 		mirror: state.NewMirror(rand.Uint64(), isRemovableKey), tasks: kernel.NewTaskGroup(),
 		changed: make(chan struct{}),
-		servers: make(map[fleet.ServerID]serverEntry), departures: newDepartures(), rateLimits: newRateLimits(),
+		servers: make(map[fleet.ServerID]serverEntry), departures: newDepartures(), returned: newReturnedServers(), rateLimits: newRateLimits(),
 		published: make(map[fleet.ModelName]fleet.PublishedVersions),
 		evacuated: make(map[member.FailureDomain]bool), cold: make(map[fleet.ServerID]coldState), coldAllowance: route.ColdAllowance{Factor: 1},
 		unreadableEntries: make(map[string]string), unconfigured: make(map[member.Service]bool),
@@ -148,6 +150,7 @@
 func (f *FleetState) ApplyChanges(batch *provider.FactBatch, after fleet.Revision, isFirst bool) {
 	items := f.itemsOf(batch.Facts)
 	f.merge(func() (applied, deferred []state.Item) {
+		defer f.logOlderByWriter(batch)
 		return f.mirror.MergeChanges(items, uint64(after), uint64(batch.Revision), f.shouldDefer)
 	}, "store", !isFirst)
 }
@@ -156,13 +159,29 @@
 func (f *FleetState) ApplySnapshot(batch *provider.FactBatch, isFirst bool) {
 	items := f.itemsOf(batch.Facts)
 	f.merge(func() (applied, deferred []state.Item) {
+		defer f.logOlderByWriter(batch)
 		return f.mirror.MergeSnapshot(items, uint64(batch.Revision), f.shouldDefer)
 	}, "store", !isFirst)
 }
 
 // ApplyTransfer merges facts that another process sent.
 func (f *FleetState) ApplyTransfer(transfer *state.Transfer, from string) {
-	f.merge(func() (applied, deferred []state.Item) { return f.mirror.MergeTransfer(transfer, f.shouldDeferMissing) }, from, false)
+	f.merge(func() (applied, deferred []state.Item) {
+		f.newest = max(f.newest, newestOf(transfer))
+		return f.mirror.MergeTransfer(transfer, f.shouldDeferMissing)
+	}, from, false)
+}
+
+// newestOf returns the newest revision that a transfer tells of: that of any item, and the floor of the sender with the
+// last batch, even if nothing of it is taken.
+func newestOf(transfer *state.Transfer) (newest fleet.Revision) {
+	if transfer.Complete > 0 {
+		newest = fleet.Revision(transfer.Floor)
+	}
+	for i := range transfer.Items {
+		newest = max(newest, fleet.Revision(transfer.Items[i].Version.Major))
+	}
+	return newest
 }
 
 // itemsOf returns facts in their replicated form. It logs and skips facts that cannot be encoded.
@@ -194,7 +213,7 @@
 	after := f.mirror.Status()
 	if outdated := after.Outdated - before.Outdated; outdated > 0 {
 		f.metrics.outdatedEntries.Add(float64(outdated))
-		f.log.Info().Uint64("entries", outdated).Uint64("complete", after.Complete).Str("from", from).Msg("outdated entries of servers not taken")
+		f.log.Info().Uint64("entries", outdated).Stringer("complete", fleet.Revision(after.Complete)).Str("from", from).Msg("outdated entries of servers not taken")
 	}
 	f.applyLater(deferred)
 	f.newest = max(f.newest, fleet.Revision(after.Floor))
@@ -257,7 +276,7 @@
 		f.log.Error().Uint64("version", fact.Configuration.Version).Uint64("held", current.Version).Msg("ignoring an older configuration at a newer revision")
 		return view
 	}
-	f.log.Info().Uint64("version", fact.Configuration.Version).Uint64("revision", uint64(fact.Revision)).Str("from", from).
+	f.log.Info().Uint64("version", fact.Configuration.Version).Stringer("revision", fact.Revision).Str("from", from).
 		Int("routes", len(fact.Configuration.Routes)).Int("organisations", len(fact.Configuration.Organisations)).Msg("configuration in force")
 	if unreadable := fact.Configuration.Unreadable; unreadable != (fleet.UnreadableParts{}) {
 		f.log.Error().Uint64("version", fact.Configuration.Version).Bool("routes", unreadable.Routes).Bool("services", unreadable.Services).
@@ -311,7 +330,7 @@
 		Version: fact.Desired.Version, Revision: fact.Revision, PublishedAt: publishedAt, Observed: observed,
 	})
 	f.log.Info().Str("model", string(model)).Uint64("version", uint64(fact.Desired.Version)).Dur("age_ms", f.clock.Since(publishedAt)).
-		Bool("witnessed", observed).Uint64("revision", uint64(fact.Revision)).Str("from", from).Msg("weights wanted")
+		Bool("witnessed", observed).Stringer("revision", fact.Revision).Str("from", from).Msg("weights wanted")
 }
 
 // sleep waits for a duration, or until the context ends.
--- a/internal/direct/serverentry.go
+++ b/internal/direct/serverentry.go
@@ -27,18 +27,19 @@
 		known, isKnown := f.servers[id]
 		if problem := f.incarnationProblem(fact.Server.Incarnation, known.Incarnation); problem != "" {
 			log.Warn().Str("server", string(id)).Uint64("incarnation", uint64(fact.Server.Incarnation)).Uint64("known", uint64(known.Incarnation)).
-				Uint64("revision", uint64(fact.Revision)).Str("from", from).Str("problem", problem).Msg("server's entry not taken")
+				Stringer("revision", fact.Revision).Str("from", from).Str("problem", problem).Msg("server's entry not taken")
 			return
 		}
 		if !isKnown || fact.Server.Leaving || fact.Server.Incarnation > known.Incarnation {
 			log.Info().Str("server", string(id)).Str("service", string(fact.Server.Service)).Str("address", string(fact.Server.Address)).
 				Bool("leaving", fact.Server.Leaving).Uint64("incarnation", uint64(fact.Server.Incarnation)).
-				Uint64("revision", uint64(fact.Revision)).Str("from", from).Msg("server listed")
+				Stringer("revision", fact.Revision).Str("from", from).Msg("server listed")
 		}
 		listedAt := known.listedAt
 		if !isKnown {
 			listedAt = f.clock.Now()
 		}
+		f.noteEntry(id, fact, &known, isKnown, log)
 		f.servers[id] = serverEntry{*fact.Server, fact.Revision, from, listedAt}
 		f.noteCold(id, fact.Server.Incarnation, fact.Server.ColdFor, from)
 		if fact.Server.Incarnation >= f.departures.incarnations[id] {
@@ -50,11 +51,12 @@
 	delete(f.servers, id)
 	delete(f.cold, id)
 	delete(f.departures.incarnations, id)
+	f.returned.noteDeleted(id, deletedServer{fact.Revision, server.Incarnation, server.Leaving})
 	if !known {
 		return
 	}
 	log.Info().Str("server", string(id)).Str("address", string(server.Address)).Bool("was_leaving", server.Leaving).
-		Uint64("revision", uint64(fact.Revision)).Str("from", from).Msg("server gone from the list")
+		Stringer("revision", fact.Revision).Str("from", from).Msg("server gone from the list")
 }
 
 // maxIncarnationSkew is how far a server's incarnation may be ahead of this box's clock, which may jump by
@@ -81,7 +83,8 @@
 func (f *FleetState) currentServers(configuration *fleet.Configuration) []fleet.Server {
 	newest := make(map[member.Address]serverEntry, len(f.servers))
 	for id, server := range f.servers {
-		if !f.isConfigured(configuration, id, server.Service) {
+		_, isWithheld := f.returned.withheld[id]
+		if isWithheld || !f.isConfigured(configuration, id, server.Service) {
 			continue
 		}
 		if known, ok := newest[server.Address]; !ok || server.supersedes(&known) {
--- a/internal/direct/serversapi.go
+++ b/internal/direct/serversapi.go
@@ -34,6 +34,8 @@
 	Evacuated     bool   `json:"evacuated"`
 	// Leaving is set if the entry or a later announcement of the server says that it leaves.
 	Leaving bool `json:"leaving"`
+	// Withheld is set while the server is not used because the store lists it only since it came back from a copy.
+	Withheld bool `json:"withheld,omitempty"`
 	// Cold is set while the server is cold: it accepts only the cold rate of its service.
 	Cold bool `json:"cold"`
 	// Revision is the revision of the entry, and Incarnation the incarnation in it, 0 if the platform reports none.
@@ -64,9 +66,11 @@
 	}
 	for id := range f.servers {
 		entry := f.servers[id]
+		_, isWithheld := f.returned.withheld[id]
 		list.Servers = append(list.Servers, ListedServer{
 			Server: string(id), Service: string(entry.Service), Address: string(entry.Address),
 			FailureDomain: string(entry.Domain), Evacuated: f.evacuated[entry.Domain], Cold: f.isCold(&entry.Server),
+			Withheld: isWithheld,
 			Leaving:  entry.Leaving || f.departures.isLeaving(&entry.Server),
 			Revision: entry.revision, Incarnation: entry.Incarnation, From: entry.from, Since: entry.listedAt.UTC(),
 		})
--- /dev/null
+++ b/internal/direct/storeera.go
@@ -0,0 +1,165 @@
+package direct
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/cinderslip/cinderslip/internal/provider"
+	"github.com/cinderslip/cinderslip/pkg/fleet"
+	"github.com/cinderslip/cinderslip/pkg/member"
+	"github.com/cinderslip/cinderslip/pkg/state"
+)
+
+// The store may come back from a copy, in a new era. The copy is older than what processes know: it lists servers as
+// ready that were leaving, or whose entries had been deleted. Such a server is not used because the copy lists it.
+
+const (
+	// entryLapse is the time after which the store deletes the entry of a server that no longer writes it: three
+	// heartbeats, which are about a second apart. An entry of the copy that lasts for longer belongs to a running server.
+	entryLapse = 3500 * time.Millisecond
+	// maxDeletedServers bounds the number of deleted servers that are remembered.
+	maxDeletedServers = 4096
+)
+
+// deletedServer is a server whose entry was deleted.
+type deletedServer struct {
+	// revision is the revision of the deletion.
+	revision fleet.Revision
+	// incarnation is the incarnation in the deleted entry, or 0 if it is unknown; wasLeaving is set if that incarnation
+	// was leaving.
+	incarnation member.Incarnation
+	wasLeaving  bool
+}
+
+// returnedServers are the servers whose entries were deleted, and those of them that a copy of the store lists again.
+type returnedServers struct {
+	deleted map[fleet.ServerID]deletedServer
+	// withheld holds, by server, the revision of the entry that the copy lists. The server is not used until its entry is
+	// written again, or has lasted for entryLapse.
+	withheld map[fleet.ServerID]fleet.Revision
+}
+
+func newReturnedServers() returnedServers {
+	return returnedServers{deleted: make(map[fleet.ServerID]deletedServer), withheld: make(map[fleet.ServerID]fleet.Revision)}
+}
+
+// noteDeleted records the deletion of a server's entry.
+func (r *returnedServers) noteDeleted(id fleet.ServerID, server deletedServer) {
+	delete(r.withheld, id)
+	if known, ok := r.deleted[id]; ok && server.incarnation == 0 {
+		server.incarnation, server.wasLeaving = known.incarnation, known.wasLeaving
+	}
+	r.deleted[id] = server
+	if len(r.deleted) <= maxDeletedServers {
+		return
+	}
+	ids := slices.SortedFunc(maps.Keys(r.deleted), func(a, b fleet.ServerID) int { return cmp.Compare(r.deleted[a].revision, r.deleted[b].revision) })
+	for _, id := range ids[:len(ids)/2] {
+		delete(r.deleted, id)
+	}
+}
+
+// isReturned reports whether an entry may come from a copy of the store that is older than the deletion of the server's
+// entry: it is of a later era, and not of a later incarnation.
+func (r *returnedServers) isReturned(id fleet.ServerID, entry *fleet.Fact) bool {
+	deleted, ok := r.deleted[id]
+	if !ok || entry.Revision.Era() <= deleted.revision.Era() {
+		return false
+	}
+	if withheldAt, isWithheld := r.withheld[id]; isWithheld && withheldAt.Era() == entry.Revision.Era() && entry.Revision > withheldAt {
+		return false
+	}
+	return deleted.incarnation == 0 || entry.Server.Incarnation <= deleted.incarnation
+}
+
+// release ends the withholding of a server, whose entry was written again or has lasted.
+func (r *returnedServers) release(id fleet.ServerID) {
+	delete(r.withheld, id)
+	delete(r.deleted, id)
+}
+
+// noteEntry decides whether the entry of a server is that of a copy of the store, and keeps what was known of the server
+// before. The lock must be held.
+func (f *FleetState) noteEntry(id fleet.ServerID, entry *fleet.Fact, known *serverEntry, isKnown bool, log *zerolog.Logger) {
+	if isKnown && known.Leaving && !entry.Server.Leaving && entry.Revision.Era() > known.revision.Era() && entry.Server.Incarnation <= known.Incarnation {
+		f.keepDeparture(id, known.Incarnation)
+	}
+	if !f.returned.isReturned(id, entry) {
+		f.returned.release(id)
+		return
+	}
+	if deleted := f.returned.deleted[id]; deleted.wasLeaving {
+		f.keepDeparture(id, deleted.incarnation)
+	}
+	revision := entry.Revision
+	f.returned.withheld[id] = revision
+	log.Info().Str("server", string(id)).Stringer("revision", revision).Stringer("deleted", f.returned.deleted[id].revision).Dur("hold_ms", entryLapse).
+		Msg("server's entry is in the store again after a copy, server withheld")
+	f.clock.AfterFunc(entryLapse, func() { f.releaseWithheld(id, revision) })
+}
+
+// keepDeparture records that a server was leaving before the store came back from a copy. The lock must be held.
+func (f *FleetState) keepDeparture(id fleet.ServerID, incarnation member.Incarnation) {
+	if f.departures.record(fleet.Departure{Server: id, Incarnation: incarnation}, time.Time{}, f.isListed) {
+		f.log.Info().Str("server", string(id)).Uint64("incarnation", uint64(incarnation)).Msg("server was leaving before the store came back, stays leaving")
+	}
+}
+
+// releaseWithheld ends the withholding of a server whose entry has lasted at a revision.
+func (f *FleetState) releaseWithheld(id fleet.ServerID, revision fleet.Revision) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.returned.withheld[id] != revision {
+		return
+	}
+	f.returned.release(id)
+	f.log.Info().Str("server", string(id)).Stringer("revision", revision).Msg("server's entry has lasted, server no longer withheld")
+	f.refreshServers()
+}
+
+// isOfEarlierEra reports whether the entry that a deletion removes is of an earlier era than the deletion. It may be
+// missing because the copy is older than the entry, and its writer may write it again. The lock must be held.
+func (f *FleetState) isOfEarlierEra(deletion state.Item) bool {
+	held, ok := f.mirror.Lookup(deletion.Key)
+	return ok && fleet.Revision(held.Version.Major).Era() < fleet.Revision(deletion.Version.Major).Era()
+}
+
+// logOlderByWriter logs the items that the store has and that are not taken because their writer wrote later ones. The
+// lock must be held.
+func (f *FleetState) logOlderByWriter(batch *provider.FactBatch) {
+	for i := range batch.Facts {
+		fact := &batch.Facts[i]
+		item, err := fact.Item()
+		held, ok := f.mirror.Lookup(fact.Key)
+		if err != nil || !ok || item.Version.Order == 0 || item.Version.Order >= held.Version.Order {
+			continue
+		}
+		f.log.Warn().Str("fact", fact.Key).Uint64("version", item.Version.Order).Uint64("held", held.Version.Order).Stringer("revision", fact.Revision).
+			Stringer("held_revision", fleet.Revision(held.Version.Major)).Msg("store has an older version, not taken")
+	}
+}
+
+// removeSuperseded removes deferred deletions whose era has been followed by another one. What that one lacks is
+// deferred anew.
+func (f *FleetState) removeSuperseded(deferred []state.Item) []state.Item {
+	received := fleet.Revision(f.mirror.Status().Received)
+	return slices.DeleteFunc(slices.Clone(deferred), func(item state.Item) bool {
+		return fleet.Revision(item.Version.Major).Era() < received.Era()
+	})
+}
+
+// deferEvacuation reports whether the deletion of an evacuation is deferred, and logs that it is: an evacuation stays in
+// force until it is withdrawn, and the copy may be older than it. The lock must be held.
+func (f *FleetState) deferEvacuation(deletion state.Item) bool {
+	if !f.isOfEarlierEra(deletion) {
+		return false
+	}
+	f.log.Info().Str("failure_domain", strings.TrimPrefix(deletion.Key, fleet.EvacuationKey(""))).Stringer("revision", fleet.Revision(deletion.Version.Major)).
+		Dur("hold_ms", expiryDeferral).Msg("evacuation is not in the store that came back from a copy, held")
+	return true
+}
--- a/internal/direct/storeoutage.go
+++ b/internal/direct/storeoutage.go
@@ -90,17 +90,20 @@
 // shouldDeferMissing reports whether the deletion of an entry that another box lacks is deferred. That box may have
 // started after the entry expired, so the outages that other boxes report count too.
 func (f *FleetState) shouldDeferMissing(deletion state.Item) bool {
-	if !f.outageReportedAt.IsZero() && f.clock.Since(f.outageReportedAt) < outageReportWindow {
+	if !isEvacuationKey(deletion.Key) && !f.outageReportedAt.IsZero() && f.clock.Since(f.outageReportedAt) < outageReportWindow {
 		return f.deferDeletion(deletion)
 	}
 	return f.shouldDefer(deletion)
 }
 
-// shouldDefer reports whether the deletion of a server's entry is deferred, because the entry may have expired during an
-// outage of the store. An entry that is written again by the end of expiryDeferral is newer and outlives its deletion.
-// The lock must be held.
+// shouldDefer reports whether the deletion of an entry is deferred, because the entry may have expired during an outage
+// of the store, or the store may have come back from a copy that is older than the entry. An entry that is written again
+// by the end of expiryDeferral is newer and outlives its deletion. The lock must be held.
 func (f *FleetState) shouldDefer(deletion state.Item) bool {
-	return f.hasOutage() && f.deferDeletion(deletion)
+	if isEvacuationKey(deletion.Key) {
+		return f.deferEvacuation(deletion)
+	}
+	return (f.hasOutage() || f.isOfEarlierEra(deletion)) && f.deferDeletion(deletion)
 }
 
 // deferDeletion reports whether a deletion is of a server that is not leaving, and logs that it is deferred. The lock
@@ -110,7 +113,7 @@
 	if server, known := f.servers[id]; !known || server.Leaving {
 		return false
 	}
-	f.log.Info().Str("server", string(id)).Uint64("revision", deletion.Version.Major).Dur("hold_ms", expiryDeferral).
+	f.log.Info().Str("server", string(id)).Stringer("revision", fleet.Revision(deletion.Version.Major)).Dur("hold_ms", expiryDeferral).
 		Msg("server's entry went while the store was away, held")
 	return true
 }
@@ -118,6 +121,6 @@
 // applyLater applies deferred deletions after expiryDeferral.
 func (f *FleetState) applyLater(deferred []state.Item) {
 	if len(deferred) > 0 {
-		f.clock.AfterFunc(expiryDeferral, func() { f.merge(f.mirrorMerge(deferred), "store", true) })
+		f.clock.AfterFunc(expiryDeferral, func() { f.merge(f.mirrorMerge(f.removeSuperseded(deferred)), "store", true) })
 	}
 }
