fix(direct): count the time to be written again only while the store is heard

If the store goes away once more before its writers have written again, boxes deleted what the copy lacked, and used servers that the copy listed although they had gone: the time ran out while they could not know better. Boxes that do not read the store did not notice at all.

Change: before a deletion of an earlier era is applied, and before a withheld server is released, the store must have responded since to this box or to a reader of its region, and no other box may have reported changes that are not known here; for 2 s at most, or while the store is away. Deletions of withheld servers are not deferred.

The cluster in virtual time knows eras (clusterStore.restore); what is deleted, complete and current is checked by era. endFaults lost ends that were scheduled by other ends; nothing did that before.

--- a/internal/direct/cluster_test.go
+++ b/internal/direct/cluster_test.go
@@ -138,7 +138,11 @@
 type clusterStore struct {
 	mu        sync.Mutex
 	history   []fleet.Fact
-	compacted fleet.Revision
+	compacted int
+	// earlier holds the histories of the eras before, as they were at their ends.
+	earlier [][]fleet.Fact
+	// configuration is the version of the configuration that was written last.
+	configuration uint64
 	changed   chan struct{}
 	// deletedAt is when each server that is not listed was deleted.
 	deletedAt map[fleet.ServerID]time.Time
@@ -159,15 +163,38 @@
 	return s
 }
 
-// configure writes the configuration anew.
+// configure writes another version of the configuration.
 func (s *clusterStore) configure() {
-	s.write(fleet.Fact{Key: fleet.ConfigurationKey(), Configuration: &fleet.Configuration{Version: 1}})
+	s.mu.Lock()
+	s.configuration++
+	version := s.configuration
+	s.mu.Unlock()
+	s.write(fleet.Fact{Key: fleet.ConfigurationKey(), Configuration: &fleet.Configuration{Version: version}})
+}
+
+// era returns the current era. The lock must be held.
+func (s *clusterStore) era() uint64 { return uint64(len(s.earlier)) + 1 }
+
+// restore starts another era with the first entries of the history, and cuts the calls that wait for changes.
+func (s *clusterStore) restore(entries int, dropHistory bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.earlier = append(s.earlier, s.history)
+	s.history = slices.Clone(s.history[:entries])
+	for i := range s.history {
+		s.history[i].Revision = fleet.NewRevision(s.era(), uint64(i+1))
+	}
+	if s.compacted = 0; dropHistory {
+		s.compacted = entries
+	}
+	close(s.lost)
+	s.lost = make(chan struct{})
 }
 
 func (s *clusterStore) write(fact fleet.Fact) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	fact.Revision = fleet.Revision(len(s.history) + 1)
+	fact.Revision = fleet.NewRevision(s.era(), uint64(len(s.history)+1))
 	s.history = append(s.history, fact)
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -190,15 +217,18 @@
 func (s *clusterStore) compact() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.compacted = fleet.Revision(len(s.history))
+	s.compacted = len(s.history)
 }
 
 // at returns the facts at a revision.
 func (s *clusterStore) at(revision fleet.Revision) map[string]fleet.Fact {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	facts := make(map[string]fleet.Fact)
-	for _, fact := range s.history[:min(int(revision), len(s.history))] {
+	facts, history := make(map[string]fleet.Fact), s.history
+	if revision.Era() < s.era() {
+		history = s.earlier[revision.Era()-1]
+	}
+	for _, fact := range history[:min(int(revision.Number()), len(history))] {
 		if fact.Deleted {
 			delete(facts, fact.Key)
 		} else {
@@ -211,7 +241,7 @@
 func (s *clusterStore) revision() fleet.Revision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return fleet.Revision(len(s.history))
+	return fleet.NewRevision(s.era(), uint64(len(s.history)))
 }
 
 // loseCalls loses the calls that wait for changes.
@@ -288,20 +318,21 @@
 			return provider.FactBatch{}, ctx.Err()
 		}
 		s.mu.Lock()
-		changed, revision, compacted := s.changed, fleet.Revision(len(s.history)), s.compacted
-		facts := slices.Clone(s.history[min(after, revision):])
+		changed, era, entries, compacted := s.changed, s.era(), len(s.history), s.compacted
+		facts := slices.Clone(s.history[min(int(after.Number()), entries):])
 		s.mu.Unlock()
-		if after < compacted {
-			return provider.FactBatch{}, provider.ErrCompacted
+		revision := fleet.NewRevision(era, uint64(entries))
+		if number := int(after.Number()); number < compacted || number > entries {
+			return provider.FactBatch{Revision: fleet.NewRevision(era, 0)}, provider.ErrCompacted
 		}
-		if revision > after {
+		if len(facts) > 0 {
 			return provider.FactBatch{Facts: facts, Revision: revision}, nil
 		}
 		select {
 		case <-changed:
 		case <-lost:
 		case <-end:
-			return provider.FactBatch{Revision: after}, nil
+			return provider.FactBatch{Revision: revision}, nil
 		case <-ctx.Done():
 			return provider.FactBatch{}, ctx.Err()
 		}
@@ -484,14 +515,16 @@
 		key := fleet.ServerKey(fleet.ServerID(server.Server))
 		known[key] = true
 		if _, ok := present[key]; !ok && server.Revision <= complete {
-			b.cluster.t.Errorf("%s has every change up to %d and lists %s of revision %d, which was deleted by then",
+			b.cluster.t.Errorf("%s has every change up to %v and lists %s of revision %v, which was deleted by then",
 				b.id, complete, server.Server, server.Revision)
 		}
 	}
 	newest := b.cluster.store.at(list.Newest)
 	for key, fact := range present {
 		if _, still := newest[key]; still && fact.Server != nil && !known[key] {
-			b.cluster.t.Errorf("%s has every change up to %d and lacks %s of revision %d", b.id, complete, key, fact.Revision)
+			b.cluster.t.Errorf("%s has every change up to %v of %v and lacks %s of revision %v", b.id, complete, list.Newest, key, fact.Revision)
+			held, ok := b.fleetState.mirror.Lookup(key)
+			b.cluster.t.Logf("held: %v %v %v", fleet.Revision(held.Version.Major), held.Deleted, ok)
 		}
 	}
 }
--- a/internal/direct/clusterfaults_test.go
+++ b/internal/direct/clusterfaults_test.go
@@ -227,15 +227,17 @@
 	c.ends = append(c.ends, scheduledEnd{time.Now().Add(wait), end})
 }
 
-// endFaults ends the faults that are due.
+// endFaults ends the faults that are due. An end may schedule others.
 func (c *clusterFaults) endFaults() {
-	c.ends = slices.DeleteFunc(c.ends, func(e scheduledEnd) bool {
-		due := !time.Now().Before(e.at)
-		if due {
+	ends := c.ends
+	c.ends = nil
+	for _, e := range ends {
+		if time.Now().Before(e.at) {
+			c.ends = append(c.ends, e)
+		} else {
 			e.end()
 		}
-		return due
-	})
+	}
 }
 
 // disturbStore records a fault of the store that begins now.
--- a/internal/direct/entryboxes.go
+++ b/internal/direct/entryboxes.go
@@ -370,9 +370,13 @@
 		return EntryBox{}, EntryBox{}, false
 	}
 	e.boxes[entry] = box
+	var responses []time.Time
 	for _, reader := range status.Readers {
-		e.readers.update(member.BoxID(reader.Box), now.Add(-time.Duration(reader.AgeMilliseconds)*time.Millisecond))
+		respondedAt := now.Add(-time.Duration(reader.AgeMilliseconds) * time.Millisecond)
+		e.readers.update(member.BoxID(reader.Box), respondedAt)
+		responses = append(responses, respondedAt)
 	}
+	e.fleetState.noteReport(box.Watermarks.Newest, responses)
 	return box, before, true
 }
 
--- a/internal/direct/fleetstate.go
+++ b/internal/direct/fleetstate.go
@@ -81,6 +81,10 @@
 	recoveredAt time.Time
 	// outageReportedAt is when another box last reported such an outage.
 	outageReportedAt time.Time
+	// responseReportedAt is the time of the store's last response to another box of the region.
+	responseReportedAt time.Time
+	// newestReported is the newest revision that another box has reported to know.
+	newestReported fleet.Revision
 }
 
 // NewFleetState returns a FleetState without any facts.
--- a/internal/direct/serverentry.go
+++ b/internal/direct/serverentry.go
@@ -83,8 +83,7 @@
 func (f *FleetState) currentServers(configuration *fleet.Configuration) []fleet.Server {
 	newest := make(map[member.Address]serverEntry, len(f.servers))
 	for id, server := range f.servers {
-		_, isWithheld := f.returned.withheld[id]
-		if isWithheld || !f.isConfigured(configuration, id, server.Service) {
+		if f.returned.isWithheld(id) || !f.isConfigured(configuration, id, server.Service) {
 			continue
 		}
 		if known, ok := newest[server.Address]; !ok || server.supersedes(&known) {
--- a/internal/direct/serversapi.go
+++ b/internal/direct/serversapi.go
@@ -66,11 +66,10 @@
 	}
 	for id := range f.servers {
 		entry := f.servers[id]
-		_, isWithheld := f.returned.withheld[id]
 		list.Servers = append(list.Servers, ListedServer{
 			Server: string(id), Service: string(entry.Service), Address: string(entry.Address),
 			FailureDomain: string(entry.Domain), Evacuated: f.evacuated[entry.Domain], Cold: f.isCold(&entry.Server),
-			Withheld: isWithheld,
+			Withheld: f.returned.isWithheld(id),
 			Leaving:  entry.Leaving || f.departures.isLeaving(&entry.Server),
 			Revision: entry.revision, Incarnation: entry.Incarnation, From: entry.from, Since: entry.listedAt.UTC(),
 		})
--- a/internal/direct/storeera.go
+++ b/internal/direct/storeera.go
@@ -22,6 +22,10 @@
 	// entryLapse is the time after which the store deletes the entry of a server that no longer writes it: three
 	// heartbeats, which are about a second apart. An entry of the copy that lasts for longer belongs to a running server.
 	entryLapse = 3500 * time.Millisecond
+	// unheardInterval is the time between two checks whether the store has been heard, and maxUnheard how long a response
+	// is waited for.
+	unheardInterval = 100 * time.Millisecond
+	maxUnheard      = 2 * time.Second
 	// maxDeletedServers bounds the number of deleted servers that are remembered.
 	maxDeletedServers = 4096
 )
@@ -48,6 +52,12 @@
 	return returnedServers{deleted: make(map[fleet.ServerID]deletedServer), withheld: make(map[fleet.ServerID]fleet.Revision)}
 }
 
+// isWithheld reports whether a server is not used although the store lists it.
+func (r *returnedServers) isWithheld(id fleet.ServerID) bool {
+	_, isWithheld := r.withheld[id]
+	return isWithheld
+}
+
 // noteDeleted records the deletion of a server's entry.
 func (r *returnedServers) noteDeleted(id fleet.ServerID, server deletedServer) {
 	delete(r.withheld, id)
@@ -100,7 +110,8 @@
 	f.returned.withheld[id] = revision
 	log.Info().Str("server", string(id)).Stringer("revision", revision).Stringer("deleted", f.returned.deleted[id].revision).Dur("hold_ms", entryLapse).
 		Msg("server's entry is in the store again after a copy, server withheld")
-	f.clock.AfterFunc(entryLapse, func() { f.releaseWithheld(id, revision) })
+	since := f.clock.Now()
+	f.clock.AfterFunc(entryLapse, func() { f.releaseWithheld(id, revision, since) })
 }
 
 // keepDeparture records that a server was leaving before the store came back from a copy. The lock must be held.
@@ -110,11 +121,31 @@
 	}
 }
 
-// releaseWithheld ends the withholding of a server whose entry has lasted at a revision.
-func (f *FleetState) releaseWithheld(id fleet.ServerID, revision fleet.Revision) {
+// isStoreUnheard reports whether changes that the store had after a wait that began at a time may be unknown here: the
+// store is away, no box of the region that reads it is known to have a response from after the wait, or another box has
+// reported changes that are not known here yet.
+func (f *FleetState) isStoreUnheard(since time.Time, wait time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now, due := f.clock.Now(), since.Add(wait)
+	isReported := !f.outageReportedAt.IsZero() && now.Sub(f.outageReportedAt) < outageReportWindow
+	respondedAt := f.storeResponded
+	if f.responseReportedAt.After(respondedAt) {
+		respondedAt = f.responseReportedAt
+	}
+	isUnread := !respondedAt.Before(since) && respondedAt.Before(due) || f.newestReported > f.positionLocked().received
+	return !f.downSince.IsZero() || isReported || isUnread && now.Sub(due) < maxUnheard
+}
+
+// releaseWithheld ends the withholding, since a time, of a server whose entry has lasted at a revision.
+func (f *FleetState) releaseWithheld(id fleet.ServerID, revision fleet.Revision, since time.Time) {
+	if f.isStoreUnheard(since, entryLapse) {
+		f.clock.AfterFunc(unheardInterval, func() { f.releaseWithheld(id, revision, since) })
+		return
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.returned.withheld[id] != revision {
+	if f.returned.withheld[id] != revision || f.storeEraLocked() > revision.Era() {
 		return
 	}
 	f.returned.release(id)
--- a/internal/direct/storeoutage.go
+++ b/internal/direct/storeoutage.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -87,6 +88,19 @@
 	f.outageReportedAt = f.clock.Now()
 }
 
+// noteReport records what another box reports: the newest revision that it knows, and the times of the store's last
+// responses to boxes that read it.
+func (f *FleetState) noteReport(newest fleet.Revision, responses []time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.newestReported = max(f.newestReported, newest)
+	for _, at := range responses {
+		if at.After(f.responseReportedAt) {
+			f.responseReportedAt = at
+		}
+	}
+}
+
 // shouldDeferMissing reports whether the deletion of an entry that another box lacks is deferred. That box may have
 // started after the entry expired, so the outages that other boxes report count too.
 func (f *FleetState) shouldDeferMissing(deletion state.Item) bool {
@@ -110,7 +124,7 @@
 // must be held.
 func (f *FleetState) deferDeletion(deletion state.Item) bool {
 	id := fleet.ServerID(strings.TrimPrefix(deletion.Key, fleet.ServerKey("")))
-	if server, known := f.servers[id]; !known || server.Leaving {
+	if server, known := f.servers[id]; !known || server.Leaving || f.returned.isWithheld(id) {
 		return false
 	}
 	f.log.Info().Str("server", string(id)).Stringer("revision", fleet.Revision(deletion.Version.Major)).Dur("hold_ms", expiryDeferral).
@@ -118,9 +132,25 @@
 	return true
 }
 
-// applyLater applies deferred deletions after expiryDeferral.
+// applyLater applies deferred deletions after expiryDeferral, and those of an earlier era once the store has also been
+// heard since.
 func (f *FleetState) applyLater(deferred []state.Item) {
-	if len(deferred) > 0 {
-		f.clock.AfterFunc(expiryDeferral, func() { f.merge(f.mirrorMerge(f.removeSuperseded(deferred)), "store", true) })
+	if len(deferred) == 0 {
+		return
+	}
+	since := f.clock.Now()
+	f.clock.AfterFunc(expiryDeferral, func() { f.applyDeferred(deferred, since) })
+}
+
+// applyDeferred applies deletions that are deferred since a time, or defers them further.
+func (f *FleetState) applyDeferred(deferred []state.Item, since time.Time) {
+	deferred = f.removeSuperseded(deferred)
+	if f.isStoreUnheard(since, expiryDeferral) {
+		isEarlier := func(item state.Item) bool { return f.isOfEarlierEra(item) }
+		if waiting := slices.DeleteFunc(slices.Clone(deferred), func(item state.Item) bool { return !isEarlier(item) }); len(waiting) > 0 {
+			deferred = slices.DeleteFunc(deferred, isEarlier)
+			f.clock.AfterFunc(unheardInterval, func() { f.applyDeferred(waiting, since) })
+		}
 	}
+	f.merge(f.mirrorMerge(deferred), "store", true)
 }
--- a/internal/direct/watermarks.go
+++ b/internal/direct/watermarks.go
@@ -40,6 +40,11 @@
 func (f *FleetState) position() position {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.positionLocked()
+}
+
+// positionLocked is position with the lock held.
+func (f *FleetState) positionLocked() position {
 	status := f.mirror.Status()
 	return position{received: max(f.newest, fleet.Revision(status.Received)), complete: fleet.Revision(status.Complete), ordered: status.Ordered}
 }
@@ -52,5 +57,8 @@
 // storeEra returns the latest era of the store that is known here, from the store itself or from another process.
 func (f *FleetState) storeEra() uint64 { return f.position().received.Era() }
 
+// storeEraLocked is storeEra with the lock held.
+func (f *FleetState) storeEraLocked() uint64 { return f.positionLocked().received.Era() }
+
 // complete returns the revision up to which every change is known, even if there is no fact of that revision.
 func (f *FleetState) complete() fleet.Revision { return fleet.Revision(f.mirror.Status().Complete) }
