fix(state): a deferred deletion that another era follows is applied or deferred anew

Cause: found by TestBoxesKeepWhatTheyKnowOverEras. A deferred deletion was dropped once another era was known, on the assumption that this era lists the key or defers its deletion anew. Neither holds if a tombstone of an earlier revision arrives meanwhile: the deletion stayed deferred for good, and with it the revision up to which the box is complete.

Change: it is dropped only if a deletion of a later era is deferred for the same key, which clears it.

--- a/internal/direct/storeera.go
+++ b/internal/direct/storeera.go
@@ -175,12 +175,11 @@
 	}
 }
 
-// removeSuperseded removes deferred deletions whose era has been followed by another one. What that one lacks is
-// deferred anew.
+// removeSuperseded removes deferred deletions of keys of which a deletion of a later era is deferred by now.
 func (f *FleetState) removeSuperseded(deferred []state.Item) []state.Item {
-	received := fleet.Revision(f.mirror.Status().Received)
 	return slices.DeleteFunc(slices.Clone(deferred), func(item state.Item) bool {
-		return fleet.Revision(item.Version.Major).Era() < received.Era()
+		latest := fleet.Revision(f.mirror.DeferredRevision(item.Key))
+		return fleet.Revision(item.Version.Major).Era() < latest.Era()
 	})
 }
 
--- a/pkg/state/mirror.go
+++ b/pkg/state/mirror.go
@@ -142,6 +142,13 @@
 // Lookup returns the item of a key, even if it is a tombstone.
 func (m *Mirror) Lookup(key string) (item Item, ok bool) { return m.store.Lookup(key) }
 
+// DeferredRevision returns the revision of the latest deferred deletion of a key, or 0 if there is none.
+func (m *Mirror) DeferredRevision(key string) uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.deferred[key].revision
+}
+
 // Prefix returns the items whose key starts with prefix, except deleted ones.
 func (m *Mirror) Prefix(prefix string) []Item { return m.store.Prefix(prefix) }
 
