fix(direct): wait for a later era that is known in part before a deletion of an earlier one

A box dropped servers that run: its time ran out while the next era was known from some entries only, or while the box of its region that reads the store was frozen.

Cause by reading, not shown by a trace: a box that stops reading while the store is away reports the outage for good, and deletions waited for that without a bound. They no longer do.

--- a/internal/direct/storeera.go
+++ b/internal/direct/storeera.go
@@ -22,10 +22,12 @@
 	// entryLapse is the time after which the store deletes the entry of a server that no longer writes it: three
 	// heartbeats, which are about a second apart. An entry of the copy that lasts for longer belongs to a running server.
 	entryLapse = 3500 * time.Millisecond
-	// unheardInterval is the time between two checks whether the store has been heard, and maxUnheard how long a response
-	// is waited for.
+	// unheardInterval is the time between two checks whether the store has been heard.
 	unheardInterval = 100 * time.Millisecond
-	maxUnheard      = 2 * time.Second
+	// maxEraWait is how much longer a deletion of an era is deferred, or a server withheld, while the store is away or
+	// unheard, or while a later era is known only in part. Boxes have every change of an era once those that read the
+	// store have applied what they defer.
+	maxEraWait = 3 * expiryDeferral
 	// maxDeletedServers bounds the number of deleted servers that are remembered.
 	maxDeletedServers = 4096
 )
@@ -133,8 +135,17 @@
 	if f.responseReportedAt.After(respondedAt) {
 		respondedAt = f.responseReportedAt
 	}
-	isUnread := !respondedAt.Before(since) && respondedAt.Before(due) || f.newestReported > f.positionLocked().received
-	return !f.downSince.IsZero() || isReported || isUnread && now.Sub(due) < maxUnheard
+	isUnread := !respondedAt.IsZero() && respondedAt.Before(due) || f.newestReported > f.positionLocked().received
+	return (isUnread || isReported || !f.downSince.IsZero()) && now.Sub(since) < wait+maxEraWait
+}
+
+// isEraUnread reports whether a later era of the store is known than the one of which this process has every change, for
+// a wait that began at a time.
+func (f *FleetState) isEraUnread(since time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	received := fleet.Revision(f.mirror.Status().Received)
+	return received.Era() < f.storeEraLocked() && f.clock.Since(since) < expiryDeferral+maxEraWait
 }
 
 // releaseWithheld ends the withholding, since a time, of a server whose entry has lasted at a revision.
--- a/internal/direct/storeoutage.go
+++ b/internal/direct/storeoutage.go
@@ -145,7 +145,7 @@
 // applyDeferred applies deletions that are deferred since a time, or defers them further.
 func (f *FleetState) applyDeferred(deferred []state.Item, since time.Time) {
 	deferred = f.removeSuperseded(deferred)
-	if f.isStoreUnheard(since, expiryDeferral) {
+	if f.isStoreUnheard(since, expiryDeferral) || f.isEraUnread(since) {
 		isEarlier := func(item state.Item) bool { return f.isOfEarlierEra(item) }
 		if waiting := slices.DeleteFunc(slices.Clone(deferred), func(item state.Item) bool { return !isEarlier(item) }); len(waiting) > 0 {
 			deferred = slices.DeleteFunc(deferred, isEarlier)
