test(direct): no hedge right after a pause of the box

**Cause** After a pause of a box the timers of its requests expire before what has arrived is read, so each request may get a hedge.

TestHedgeOfSuspectRequestSharesNoServerWithAnother raced with the timer of its request; it now stops the timer, and advances the clock to the time of the hedge instead of beyond it. It checks the same.

--- a/internal/direct/hedgeresults_test.go
+++ b/internal/direct/hedgeresults_test.go
@@ -113,11 +113,13 @@
 // Guards against a hedge of a request under which a server exited sharing its server with another such request.
 func TestHedgeOfSuspectRequestSharesNoServerWithAnother(t *testing.T) {
 	c, x := newHedgedExchange(t)
-	c.beginOn(x, "a")
-	c.server.startWatchdog(t.Context(), x)
-	defer x.group.stop()
 	c.server.suspects.Observe(route.Evidence{Content: x.contentID(), Exited: route.ServerIncarnation{Server: "c"}, At: c.clock.Now()}, "request r")
 	c.clock.Advance(5 * time.Second)
+	c.server.startWatchdog(t.Context(), x)
+	defer x.group.stop()
+	c.beginOn(x, "a")
+	x.group.timer.Stop()
+	c.clock.Advance(firstEventTimeout)
 	require.True(t, c.server.quarantineDecision(x).Suspect)
 	req, ok := c.server.hedgeRequest(t.Context(), x)
 	require.True(t, ok)
@@ -204,3 +206,19 @@
 	require.Empty(t, recorder.Body.String())
 	require.Empty(t, c.server.Load())
 }
+
+// Guards against hedging every request of a box that was paused, before it has read what arrived meanwhile.
+func TestNoHedgeIsStartedRightAfterPauseOfBox(t *testing.T) {
+	c, x := newHedgedExchange(t)
+	c.server.startWatchdog(t.Context(), x)
+	defer x.group.stop()
+	c.beginOn(x, "a")
+	x.group.timer.Stop()
+	c.clock.Advance(firstEventTimeout + time.Second)
+	_, ok := c.server.hedgeRequest(t.Context(), x)
+	require.False(t, ok)
+	x.group.timer.Stop()
+	c.clock.Advance(hedgeRetryDelay)
+	_, ok = c.server.hedgeRequest(t.Context(), x)
+	require.True(t, ok, "the server is silent")
+}
