fix(direct): read what arrived during a pause of the box before hedging

**Cause** After a pause of a box (a freeze, or a long wait for the processor) the timers of its requests expire before the goroutines that read the responses run. Each request whose server had sent nothing before the pause could get a hedge, which spends the retry budget of all and runs requests twice.

**Change** A timer that expires more than 0.1 s late postpones the hedge by 0.15 s, once: on a box whose timers are always late a silent server is still replaced.

A real freeze under load was not measured.

--- a/internal/direct/hedge.go
+++ b/internal/direct/hedge.go
@@ -63,6 +63,9 @@
 	hedgeDelay   time.Duration
 	hedgeAt      time.Time
 	lastProgress time.Time
+	// checkAt is when the timer is due. isPostponed is set while a hedge is postponed because the timer expired late.
+	checkAt     time.Time
+	isPostponed bool
 	// hedges counts the hedges that run.
 	hedges sync.WaitGroup
 }
@@ -165,7 +168,7 @@
 	g.delivering = false
 	if g.hedgeDelay != streamStallTimeout {
 		g.hedgeDelay = streamStallTimeout
-		g.resetTimer(streamStallTimeout)
+		g.resetTimer(now, streamStallTimeout)
 	}
 	g.lastProgress, g.hedgeAt = now, now.Add(g.hedgeDelay)
 }
@@ -200,7 +203,7 @@
 			}
 		}
 	}
-	g.resetTimer(g.hedgeAt.Sub(now))
+	g.resetTimer(now, g.hedgeAt.Sub(now))
 }
 
 // takeEnded returns the results of the attempts that have ended since the last call.
@@ -213,8 +216,9 @@
 }
 
 // resetTimer sets the time until the next check for progress. The lock must be held.
-func (g *attemptGroup) resetTimer(timeout time.Duration) {
+func (g *attemptGroup) resetTimer(now time.Time, timeout time.Duration) {
 	if g.timer != nil {
+		g.checkAt = now.Add(timeout)
 		g.timer.Reset(timeout)
 	}
 }
--- a/internal/direct/watchdog.go
+++ b/internal/direct/watchdog.go
@@ -21,6 +21,8 @@
 	hedgeFraction = 0.4
 	// hedgeRetryDelay is the delay before another hedge if a server refused one or no server has a free slot.
 	hedgeRetryDelay = 150 * time.Millisecond
+	// maxTimerDelay is how late a timer may expire on a box that is not paused.
+	maxTimerDelay = 100 * time.Millisecond
 	// minHedgeTime is the minimum time that must remain until the deadline for a hedge.
 	minHedgeTime = 200 * time.Millisecond
 )
@@ -41,9 +43,10 @@
 	}
 	g.lastProgress, g.hedgeAt = now, now.Add(g.hedgeDelay)
 	if g.timer != nil {
-		g.timer.Reset(g.hedgeDelay)
+		g.resetTimer(now, g.hedgeDelay)
 		return
 	}
+	g.checkAt = g.hedgeAt
 	g.timer = s.clock.AfterFunc(g.hedgeDelay, func() { s.checkProgress(ctx, x) })
 }
 
@@ -88,11 +91,14 @@
 		return nil, false
 	}
 	if wait := g.hedgeAt.Sub(now); wait > 0 {
-		g.timer.Reset(wait)
+		g.resetTimer(now, wait)
 		return nil, false
 	}
 	if !x.mayHedge() || !s.mayRepeat(x, now) {
-		g.timer.Reset(g.hedgeDelay)
+		g.resetTimer(now, g.hedgeDelay)
+		return nil, false
+	}
+	if g.postponeAfterPause(now) {
 		return nil, false
 	}
 	req = s.slotRequest(x, slices.Clone(g.tried), true)
@@ -124,7 +130,7 @@
 		return nil
 	}
 	if now.Before(g.hedgeAt) || !x.mayHedge() {
-		g.timer.Reset(g.hedgeDelay)
+		g.resetTimer(now, g.hedgeDelay)
 		return nil
 	}
 	s.log.Info().Str("request", x.ID).Str("server", string(reservation.Server.ID)).
@@ -132,20 +138,31 @@
 		Bool("started", x.started).Msg("server is silent, hedging")
 	hedge := x.beginLocked(ctx, reservation, now)
 	g.hedges.Add(1)
-	g.timer.Reset(g.hedgeDelay)
+	g.resetTimer(now, g.hedgeDelay)
 	return hedge
 }
 
+// postponeAfterPause postpones the next hedge once if the timer expired late, which means that the box was paused. What has
+// arrived meanwhile is read first. The lock must be held.
+func (g *attemptGroup) postponeAfterPause(now time.Time) bool {
+	g.isPostponed = !g.isPostponed && now.Sub(g.checkAt) > maxTimerDelay
+	if g.isPostponed {
+		g.hedgeAt = now.Add(hedgeRetryDelay)
+		g.resetTimer(now, hedgeRetryDelay)
+	}
+	return g.isPostponed
+}
+
 // postponeHedge sets the time of the next hedge after no server could take one.
 func (g *attemptGroup) postponeHedge(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if now.Before(g.hedgeAt) {
-		g.resetTimer(g.hedgeAt.Sub(now))
+		g.resetTimer(now, g.hedgeAt.Sub(now))
 		return
 	}
 	g.hedgeAt = now.Add(hedgeRetryDelay)
-	g.resetTimer(hedgeRetryDelay)
+	g.resetTimer(now, hedgeRetryDelay)
 }
 
 // hedgeOutcome is what became of a hedge, as logs and metrics give it.
