--- a/internal/direct/watermarks.go
+++ b/internal/direct/watermarks.go
@@ -59,6 +59,3 @@
 
 // storeEraLocked is storeEra with the lock held.
 func (f *FleetState) storeEraLocked() uint64 { return f.positionLocked().received.Era() }
-
-// complete returns the revision up to which every change is known, even if there is no fact of that revision.
-func (f *FleetState) complete() fleet.Revision { return fleet.Revision(f.mirror.Status().Complete) }
