--- a/internal/direct/clustereras_test.go
+++ b/internal/direct/clustereras_test.go
@@ -296,3 +296,52 @@
 		}
 	}
 }
+
+// Guards against a first change after the store has come back from a copy that reaches boxes later than the bound: at a
+// lower revision and at revisions that were given out before, with the history and without it.
+func TestFirstChangeAfterACopyReachesAllBoxesWithinBound(t *testing.T) {
+	for _, bound := range []time.Duration{2 * time.Second, 4 * time.Second} {
+		for _, regions := range []int{1, 3} {
+			for _, copied := range []int{3, 11} {
+				for _, dropHistory := range []bool{false, true} {
+					for _, away := range []time.Duration{0, 300 * time.Millisecond, 2500 * time.Millisecond} {
+						name := fmt.Sprintf("bound=%s/regions=%d/copied=%d/dropped=%t/away=%s", bound, regions, copied, dropHistory, away)
+						t.Run(name, inBubble(func(t *testing.T) {
+							checkFirstChange(t, newTestCluster(t, 9, regions, bound), copied, dropHistory, away)
+						}))
+					}
+				}
+			}
+		}
+	}
+}
+
+// checkFirstChange restores a store of twelve entries, and writes a configuration and that a server leaves.
+func checkFirstChange(t *testing.T, c *testCluster, copied int, dropHistory bool, away time.Duration) {
+	defer c.stop()
+	c.store.put("a")
+	c.store.put("b")
+	for range 9 {
+		c.store.configure()
+	}
+	time.Sleep(10 * time.Second)
+	c.store.reachable.close()
+	time.Sleep(away)
+	c.store.restore(copied, dropHistory)
+	c.store.reachable.open()
+	c.store.configure()
+	leaving := listed("a", 0)
+	leaving.Server.Leaving = true
+	c.store.write(leaving)
+	changedAt := time.Now()
+	for _, box := range c.boxes {
+		for !slices.Equal(leavingServerIDs(box.fleetState), []fleet.ServerID{"a"}) || box.fleetState.View().Configuration.Version != c.store.configuration {
+			if time.Since(changedAt) > c.bound {
+				t.Errorf("%s does not have the changes %s after them", box.id, time.Since(changedAt))
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	t.Logf("known after %s", time.Since(changedAt))
+}
