fix(daemon): learn the epoch in force from agents

Cause: after a restore of the key-value service and a start of all entry boxes the planner's epoch was below that of the assignments that agents hold, so they took no new one. Change: a monitor replicates the epoch that a heartbeat reports if it knows none as late, and planners number their terms above it. Measured: red before; after, the term ends and the next has a later epoch. Tests of planners, monitors and heartbeats pass twice with -race, and the scenarios frozen-planner and entries-replaced.

--- a/internal/daemon/leaseterm.go
+++ b/internal/daemon/leaseterm.go
@@ -83,7 +83,7 @@
 		// A planner that claimed the lease later has written its epoch.
 		return errSuperseded
 	}
-	known := max(head.Epoch, p.view.PlanHead().Epoch)
+	known := max(head.Epoch, p.view.LatestEpoch())
 	t.epoch = max(uint64(claimed), known+1)
 	if t.epoch != uint64(claimed) {
 		p.log.Warn().Uint64("revision", uint64(claimed)).Uint64("known", known).Uint64("epoch", t.epoch).
--- a/internal/daemon/monitor.go
+++ b/internal/daemon/monitor.go
@@ -156,6 +156,7 @@
 		}
 	}
 	response := &wire.HeartbeatResponse{}
+	m.noteEpoch(request.AssignmentMajor)
 	m.fillKnownVersion(box, response)
 	m.fillAssignment(box, request, response)
 	for _, desired := range request.Wanted {
@@ -167,6 +168,13 @@
 	return response, nil
 }
 
+// noteEpoch publishes the epoch of an assignment that a box holds if no plan of that epoch or a later one is known.
+func (m *Monitor) noteEpoch(epoch uint64) {
+	if epoch > m.view.LatestEpoch() {
+		m.replica.Publish(state.Item{Key: reportedEpochKey, Version: state.Version{Major: epoch}})
+	}
+}
+
 func (m *Monitor) publishRecord(raw []byte) error {
 	record, err := member.ParseRecord(raw)
 	if err != nil {
--- a/internal/daemon/planner.go
+++ b/internal/daemon/planner.go
@@ -183,7 +183,7 @@
 }
 
 func (p *Planner) planOnce(ctx context.Context, t *leaseTerm) error {
-	if head := p.view.PlanHead(); head.Epoch > t.epoch || head.Epoch == t.epoch && head.Planner != p.self {
+	if head := p.view.PlanHead(); p.view.LatestEpoch() > t.epoch || head.Epoch == t.epoch && head.Planner != p.self {
 		// Boxes ignore plans of this term, or another planner has the same epoch from before a restore. The next term
 		// has a later epoch.
 		return errSuperseded
--- a/internal/daemon/view.go
+++ b/internal/daemon/view.go
@@ -25,6 +25,10 @@
 	tableHeadKey   = "table/head"
 )
 
+// reportedEpochKey is the key of the highest epoch that a box reported to hold an assignment of. The version of the
+// item is the epoch.
+const reportedEpochKey = "plan/reported"
+
 // versionedAssignment is a box's assignment with the version of its replicated item.
 type versionedAssignment struct {
 	plan.Assignment
@@ -50,6 +54,7 @@
 	assignments     map[member.BoxID]versionedAssignment
 	rowPlans        map[table.Key]plan.RowPlan
 	head            plan.Head
+	reportedEpoch   uint64
 	swarms          map[weights.Digest]map[member.BoxID]bool
 	changed         chan struct{}
 	shareGeneration uint64
@@ -137,6 +142,8 @@
 		return state.Decode(item.Value, &v.revision)
 	case item.Key == plan.HeadKey:
 		return state.Decode(item.Value, &v.head)
+	case item.Key == reportedEpochKey:
+		v.reportedEpoch = item.Version.Major
 	}
 	return nil
 }
@@ -348,6 +355,14 @@
 	return v.head
 }
 
+// LatestEpoch returns the highest epoch that is known: that of the plan in force, or that of an assignment that a box
+// holds, which is higher if all entry boxes have started anew.
+func (v *View) LatestEpoch() uint64 {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return max(v.head.Epoch, v.reportedEpoch)
+}
+
 // RowPlans returns the current plan of every row.
 func (v *View) RowPlans() map[table.Key]plan.RowPlan {
 	v.mu.RLock()
