test(soak): servers and links that fall silent and go on, and a check of each cut response

No server fell silent and went on, no body took longer than a moment, and a cut response was counted and never judged.

Change: a further source of faults makes one server, all of them or several in turn silent for 1 to 2 s, at each point of a request, and holds links for 1 s, beside series of configurations and of SIGHUP. Two callers get bodies of 200 KB that are sent evenly within 2.5 s. Each cut is a finding unless a fault excuses it: the stand-ins record the start, the first byte and the end of each run, the proxies and servers the time of each fault, the processes each signal. A run that the box ended at a sound server before another one had sent anything is a finding whatever happened afterwards. The faults have a random source of their own, so the other faults of a seed stay as they were.

An earlier trial of the check counted a run that began within a millisecond of the reset of its connection; the time of a reset now lasts until all connections are closed, and 50 ms cover the way to the server.

--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -52,11 +52,15 @@
 	// removalRand chooses the servers whose entries are removed. It is separate so that the removals do not change
 	// which other faults a seed chooses.
 	removalRand *rand.Rand
+	// silenceRand chooses the silences of servers and links. It is separate so that they do not change which other
+	// faults a seed chooses.
+	silenceRand *rand.Rand
 	index       int
 
 	store           *standin.Store
 	origin          *standin.Origin
 	servers         []*server
+	bulk            []*server
 	entries         []*process
 	agents          []*process
 	callerAddresses []string
@@ -73,6 +77,8 @@
 	mu            sync.Mutex
 	newestVersion int
 	nextConfig    int
+	// publishedAt holds the time of each publication of weights.
+	publishedAt []time.Time
 }
 
 // server is a stand-in for a backend server behind a proxy.
@@ -90,6 +96,7 @@
 		signalRand:  rand.New(rand.NewPCG(seed, seed+2)), //nolint:gosec // repeatable on purpose
 		limitRand:   rand.New(rand.NewPCG(seed, seed+3)), //nolint:gosec // repeatable on purpose
 		removalRand: rand.New(rand.NewPCG(seed, seed+4)), //nolint:gosec // repeatable on purpose
+		silenceRand: rand.New(rand.NewPCG(seed, seed+5)), //nolint:gosec // repeatable on purpose
 		store:       standin.NewStore(), origin: standin.NewOrigin(chunkCount, chunkSize), newestVersion: 1, nextConfig: 1,
 	}
 	t.Cleanup(w.close)
@@ -104,6 +111,7 @@
 	w.placement.far = w.newServer("i-far", "places", "", w.ip(201))
 	w.putPlaced(w.placement.near, nearDomain)
 	w.putPlaced(w.placement.far, farDomain)
+	w.addBulkServers()
 	w.putConfig()
 	dir := t.TempDir()
 	seeds := fmt.Sprintf("entries = [%q]", fmt.Sprintf("%s:%d", w.ip(1), portPeers))
@@ -223,6 +231,9 @@
 		restricted["AllowedRegions"] = []string{region}
 		routes = append(routes, restricted)
 	}
+	bulk := route(bulkService, "safe", bulkService, false)
+	bulk["TimeoutMs"] = bulkTimeout.Milliseconds()
+	routes = append(routes, bulk)
 	for i := range d.nextConfig {
 		added = fmt.Sprintf("extra-%d", i)
 		routes = append(routes, route(added, "safe", "maps", false))
@@ -237,6 +248,7 @@
 			map[string]any{"Name": "llm", "MaxConnections": 50, "Engine": engine},
 			map[string]any{"Name": "maps", "MaxConnections": 50},
 			map[string]any{"Name": "places", "MaxConnections": 50, "ColdPerS": coldRate, "ColdStartS": 3},
+			map[string]any{"Name": bulkService, "MaxConnections": 50},
 			map[string]any{"Name": "weights", "origin": d.originAddress(), "MaxConnections": originMaxConns},
 		},
 	})
@@ -257,6 +269,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.newestVersion++
+	d.publishedAt = append(d.publishedAt, time.Now())
 	d.put("op/version/daka", map[string]any{"Model": "daka", "Version": d.newestVersion})
 }
 
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -37,6 +37,7 @@
 	running.Go(func() { d.sendServerSignals(duration) })
 	running.Go(func() { d.varyLimits(duration) })
 	running.Go(func() { d.removeServers(duration) })
+	running.Go(func() { d.silenceServers(duration) })
 	for end := time.Now().Add(duration); time.Now().Before(end); {
 		inject := faults[d.random.IntN(len(faults))]
 		pick, span := d.random.IntN(1<<16), time.Duration(d.random.Int64N(int64(maxFaultTime)))
@@ -170,8 +171,14 @@
 }
 
 func (p *proxy) injectFault(inject func(p *proxy), duration time.Duration) {
+	from := time.Now()
 	p.set(inject)
 	time.Sleep(duration)
+	p.set(func(p *proxy) {
+		if p.blackholeUp || p.blackholeDown {
+			p.disturbances = append(p.disturbances, timeSpan{from, time.Now()})
+		}
+	})
 	p.clearFaults()
 }
 
@@ -181,6 +188,7 @@
 
 func serverUnresponsive(d *testDeployment, pick int, duration time.Duration) {
 	s := d.servers[pick%len(d.servers)]
+	defer s.disturbSince(time.Now())
 	s.SetUnresponsive(true)
 	time.Sleep(duration)
 	s.SetUnresponsive(false)
@@ -188,6 +196,7 @@
 
 func serverFails(d *testDeployment, pick int, duration time.Duration) {
 	s := d.servers[pick%len(d.servers)]
+	defer s.disturbSince(time.Now())
 	s.SetErrorStatus(500)
 	time.Sleep(duration)
 	s.SetErrorStatus(0)
@@ -195,6 +204,7 @@
 
 func serverTruncates(d *testDeployment, pick int, duration time.Duration) {
 	s := d.servers[pick%len(d.servers)]
+	defer s.disturbSince(time.Now())
 	s.TruncateStreamAt(1 + pick%eventCount)
 	time.Sleep(duration)
 	s.TruncateStreamAt(0)
--- a/internal/soak/load_test.go
+++ b/internal/soak/load_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -41,13 +40,15 @@
 	leavingReceived map[string]time.Time
 	// limitReceived holds the time at which the header of a response with a rate limit was received, by request id.
 	limitReceived map[string]time.Time
+	// cuts are the responses that were cut.
+	cuts []cut
 }
 
 func newLoad(d *testDeployment) *load {
 	return &load{
 		deployment: d, counts: make(map[string]int), requests: make(map[string]sentRequest),
 		leavingReceived: make(map[string]time.Time), limitReceived: make(map[string]time.Time),
-		client: &http.Client{Timeout: callerTimeout + time.Second, Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 4}},
+		client: &http.Client{Timeout: bulkTimeout + time.Second, Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 4}},
 	}
 }
 
@@ -142,7 +143,7 @@
 	if route == "once" || route == "book" {
 		l.note(&l.atMostOnce, id)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), timeoutOf(route))
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+"/"+route+"/1", strings.NewReader("draft"))
 	if err != nil {
@@ -153,7 +154,7 @@
 	// With GetBody the client could retry the request by itself and so send it twice.
 	request.GetBody = nil
 	request.Header.Set("X-Request-Id", id)
-	request.Header.Set("X-Deadline-Ms", fmt.Sprint(callerTimeout.Milliseconds()))
+	request.Header.Set("X-Deadline-Ms", fmt.Sprint(timeoutOf(route).Milliseconds()))
 	request.Header.Set("X-Token-Usage", "100,60")
 	l.mu.Lock()
 	l.requests[id] = sentRequest{entry, time.Now()}
@@ -161,6 +162,7 @@
 	response, err := l.client.Do(request)
 	if err != nil {
 		l.count("no response")
+		l.noteCut(route, id, entry, err)
 		return false
 	}
 	if response.Header.Get("Server-Leaving") != "" {
@@ -170,8 +172,8 @@
 		l.recordLimit(id)
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
-	return l.check(route, id, response, string(body), err)
+	body, err := l.readResponse(route, id, entry, response)
+	return l.check(route, id, response, body, err)
 }
 
 // check checks one response and reports whether it is a complete success.
@@ -195,8 +197,11 @@
 		l.problem("request %s: got a response to %q with seal %q", id, got, response.Header.Get("X-Response-Seal"))
 	}
 	want := "answer to " + id
-	if route == "talk" || route == "once" {
+	switch route {
+	case "talk", "once":
 		want = completeStream()
+	case bulkService:
+		want = bulkBody
 	}
 	switch {
 	case err != nil && !strings.HasPrefix(want, body):
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -32,6 +32,8 @@
 	startedAt []time.Time
 	// resumedAt holds the times at which the process continued after a freeze.
 	resumedAt []time.Time
+	// signals are the signals that were sent.
+	signals []sentSignal
 }
 
 // renderSettings returns the settings file of a process with the given role, as the platform writes it.
@@ -95,6 +97,7 @@
 		return
 	}
 	p.stopRequested = p.stopRequested || signal == syscall.SIGKILL || signal == syscall.SIGTERM
+	p.signals = append(p.signals, sentSignal{signal, time.Now()})
 	_ = p.cmd.Process.Signal(signal)
 }
 
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -20,7 +20,12 @@
 	blackholeUp, blackholeDown bool
 	// refuse closes new connections immediately.
 	refuse bool
-	conns  map[net.Conn]*connState
+	// heldUntil is when held links go on.
+	heldUntil time.Time
+	// disturbances are the times at which connections were reset or lost data, or the server behind the proxy had a
+	// fault that ends its responses.
+	disturbances []timeSpan
+	conns        map[net.Conn]*connState
 }
 
 // connState is the state of one forwarded connection.
@@ -110,6 +115,9 @@
 		n, err := from.Read(buffer)
 		p.mu.Lock()
 		delay, drop := p.delay, blackholed()
+		if n > 0 {
+			delay = max(delay, time.Until(p.heldUntil))
+		}
 		p.mu.Unlock()
 		time.Sleep(delay)
 		if n > 0 && !drop {
@@ -125,6 +133,8 @@
 
 // reset aborts all connections with a TCP reset.
 func (p *proxy) reset() {
+	from := time.Now()
+	defer func() { p.disturb(from, time.Now()) }()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for conn := range p.conns {
@@ -144,6 +154,8 @@
 
 // blackholeOpenConnsLocked is blackholeOpenConns for callers that hold the lock.
 func (p *proxy) blackholeOpenConnsLocked() {
+	now := time.Now()
+	p.disturbances = append(p.disturbances, timeSpan{now, now})
 	for _, state := range p.conns {
 		state.blackholed = true
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -24,6 +24,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/cinderslip/cinderslip/platform/standin"
 )
 
 var (
@@ -105,6 +107,7 @@
 	lists := watchServerLists(d)
 	load.awaitServing(t)
 	load.run(*callerCount)
+	load.runBulk()
 	load.runCrashRequests()
 	d.injectFaults(*faultTime)
 	d.clearFaults()
@@ -120,6 +123,7 @@
 	load.awaitRemoval(t)
 	lists.stop()
 	findings := load.findings()
+	findings = append(findings, load.cutFindings()...)
 	findings = append(findings, lists.findings...)
 	findings = append(findings, load.signalFindings()...)
 	findings = append(findings, load.limitFindings()...)
@@ -187,6 +191,9 @@
 		s.TruncateStreamAt(0)
 		s.SetRateLimit("")
 	}
+	for _, s := range d.allServers() {
+		s.SetSilence(standin.Silence{})
+	}
 	for _, p := range d.processes() {
 		p.signal(syscall.SIGCONT)
 	}
