test(soak): a store that comes back from a backup, once or in several eras

The soak had no store that goes back, no API keys, and looked at changes only after all faults had ended.

Change: a further source of faults takes the store away for 0.3 to 3 s and restores it from a backup that was taken 0.5 to 8 s before, up to three times in a row, with and without its history and with cut or kept watches. What was lost is written again up to 1.5 s later. Each configuration has a key of its own.

- at all times, a box that has accepted the key of a configuration never accepts one of an earlier configuration before it is started again; - a server that leaves for good during the faults gets no request 2 s after a box has learned of it, and no process lists it as usable again; - the lists are compared with the store by era and revision; - after all faults, a restore is followed at once by a configuration that takes a key away and by a server that leaves.
Both must be in effect on all boxes (-soak.change), and a server that had left before gets no request.

--- a/internal/soak/cuts_test.go
+++ b/internal/soak/cuts_test.go
@@ -76,7 +76,7 @@
 
 // allServers returns the servers of all services.
 func (d *testDeployment) allServers() []*server {
-	return slices.Concat(d.servers, d.bulk, []*server{d.placement.near, d.placement.far})
+	return slices.Concat(d.servers, d.bulk, d.depart, []*server{d.placement.near, d.placement.far})
 }
 
 // isAbandoned reports whether the box ended a run at a sound server before another server had sent anything.
--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -55,12 +55,16 @@
 	// silenceRand chooses the silences of servers and links. It is separate so that they do not change which other
 	// faults a seed chooses.
 	silenceRand *rand.Rand
+	// restoreRand chooses the backups from which the store is restored. It is separate so that the restores do not
+	// change which other faults a seed chooses.
+	restoreRand *rand.Rand
 	index       int
 
 	store           *standin.Store
 	origin          *standin.Origin
 	servers         []*server
 	bulk            []*server
+	depart          []*server
 	entries         []*process
 	agents          []*process
 	callerAddresses []string
@@ -71,7 +75,8 @@
 	// pendingRestarts counts the crashed servers that will restart.
 	pendingRestarts sync.WaitGroup
 
-	placement placement
+	placement  placement
+	departures departures
 
 	// mu protects newestVersion and nextConfig and orders the operator's writes.
 	mu            sync.Mutex
@@ -97,6 +102,7 @@
 		limitRand:   rand.New(rand.NewPCG(seed, seed+3)), //nolint:gosec // repeatable on purpose
 		removalRand: rand.New(rand.NewPCG(seed, seed+4)), //nolint:gosec // repeatable on purpose
 		silenceRand: rand.New(rand.NewPCG(seed, seed+5)), //nolint:gosec // repeatable on purpose
+		restoreRand: rand.New(rand.NewPCG(seed, seed+6)), //nolint:gosec // repeatable on purpose
 		store:       standin.NewStore(), origin: standin.NewOrigin(chunkCount, chunkSize), newestVersion: 1, nextConfig: 1,
 	}
 	t.Cleanup(w.close)
@@ -112,6 +118,7 @@
 	w.putPlaced(w.placement.near, nearDomain)
 	w.putPlaced(w.placement.far, farDomain)
 	w.addBulkServers()
+	w.addDepartServers()
 	w.putConfig()
 	dir := t.TempDir()
 	seeds := fmt.Sprintf("entries = [%q]", fmt.Sprintf("%s:%d", w.ip(1), portPeers))
@@ -231,6 +238,9 @@
 		restricted["AllowedRegions"] = []string{region}
 		routes = append(routes, restricted)
 	}
+	keyed := route(keyedRoute, "safe", departService, false)
+	keyed["Public"] = false
+	routes = append(routes, keyed)
 	bulk := route(bulkService, "safe", bulkService, false)
 	bulk["TimeoutMs"] = bulkTimeout.Milliseconds()
 	routes = append(routes, bulk)
@@ -244,10 +254,12 @@
 	}
 	d.put("op/config", map[string]any{
 		"Version": d.nextConfig, "Routes": routes, "Limits": map[string]any{"MaxBodyBytes": 1000},
+		"Tenants": []any{map[string]any{"Name": "kumiai", "ApiKeys": []string{keyOf(d.nextConfig)}}},
 		"Services": []any{
 			map[string]any{"Name": "llm", "MaxConnections": 50, "Engine": engine},
 			map[string]any{"Name": "maps", "MaxConnections": 50},
 			map[string]any{"Name": "places", "MaxConnections": 50, "ColdPerS": coldRate, "ColdStartS": 3},
+			map[string]any{"Name": departService, "MaxConnections": 50},
 			map[string]any{"Name": bulkService, "MaxConnections": 50},
 			map[string]any{"Name": "weights", "origin": d.originAddress(), "MaxConnections": originMaxConns},
 		},
--- a/internal/soak/lists_test.go
+++ b/internal/soak/lists_test.go
@@ -59,17 +59,57 @@
 	// findings are the servers that a process listed although they were deleted, each once.
 	findings []string
 	reported map[string]bool
+	// departed is what each process knows of the server that has left for good, and departures is when each start of a
+	// process had learned of it.
+	departed   map[*process]processKnowledge
+	departures []departureNotice
+}
+
+// position is a position in the history of the store.
+type position struct{ era, number uint64 }
+
+// includes reports whether every change up to another position is one up to this position of the same era.
+func (p position) includes(other position) bool {
+	return p.era == other.era && p.number >= other.number
+}
+
+// UnmarshalJSON decodes a number in the first era, or a string such as "2:31".
+func (p *position) UnmarshalJSON(raw []byte) error {
+	p.era = 1
+	if _, err := fmt.Sscanf(string(raw), "\"%d:%d\"", &p.era, &p.number); err == nil {
+		return nil
+	}
+	p.era = 1
+	return json.Unmarshal(raw, &p.number)
+}
+
+// positionedList is a direct.ServerList with positions.
+type positionedList struct {
+	Complete position           `json:"complete"`
+	Servers  []positionedServer `json:"servers"`
+}
+
+// positionedServer is a direct.ListedServer with its position. Withheld is set while the box does not use the server
+// because only a store that has come back from a backup lists it.
+type positionedServer struct {
+	Server   string   `json:"server"`
+	Revision position `json:"revision"`
+	From     string   `json:"from"`
+	Leaving  bool     `json:"leaving"`
+	Withheld bool     `json:"withheld"`
 }
 
 // watchServerLists starts to read the lists.
 func watchServerLists(d *testDeployment) *serverLists {
 	ctx, cancel := context.WithCancel(context.Background())
-	l := &serverLists{deployment: d, client: &http.Client{Timeout: listTimeout}, cancel: cancel, reported: make(map[string]bool)}
+	l := &serverLists{deployment: d, client: &http.Client{Timeout: listTimeout}, cancel: cancel, reported: make(map[string]bool), departed: make(map[*process]processKnowledge)}
 	l.wg.Go(func() {
 		for ctx.Err() == nil {
 			for _, p := range d.processes() {
-				if list, err := p.listServers(ctx, l.client); err == nil {
-					l.check(p, list)
+				started := p.lastStart()
+				if list, err := p.listServers(ctx, l.client); err == nil && p.lastStart().Equal(started) {
+					l.check(p, &list)
+					l.noteDeparted(p, started, &list)
 				}
 			}
 			select {
@@ -96,7 +136,7 @@
 }
 
 // listServers returns the servers that the process lists.
-func (p *process) listServers(ctx context.Context, client *http.Client) (list direct.ServerList, err error) {
+func (p *process) listServers(ctx context.Context, client *http.Client) (list positionedList, err error) {
 	response, err := p.get(ctx, client, direct.ServersPath)
 	if err != nil {
 		return list, err
@@ -105,20 +145,24 @@
 	return list, json.NewDecoder(response.Body).Decode(&list)
 }
 
-// check reports the servers in a list that the store did not list at the revision up to which the process has every
-// change.
-func (l *serverLists) check(p *process, list direct.ServerList) {
-	present := l.deployment.store.KeysAt("servers/", 1, uint64(list.Complete))
+// check reports the servers in a list that the store did not list at the position up to which the process has every
+// change. Servers that were last written in an earlier era may be missing for a time.
+func (l *serverLists) check(p *process, list *positionedList) {
+	present := l.deployment.store.KeysAt("servers/", list.Complete.era, list.Complete.number)
 	for _, server := range list.Servers {
-		if server.Revision > list.Complete || present["servers/"+server.Server] {
+		if !list.Complete.includes(server.Revision) || present["servers/"+server.Server] {
 			continue
 		}
-		finding := fmt.Sprintf("%s has every change up to %d and lists %s of revision %d from %s, which was deleted by then",
-			p.name, list.Complete, server.Server, server.Revision, server.From)
-		if !l.reported[finding] {
-			l.reported[finding] = true
-			l.findings = append(l.findings, finding)
-		}
+		l.report(fmt.Sprintf("%s has every change up to %v and lists %s of revision %v from %s, which was deleted by then",
+			p.name, list.Complete, server.Server, server.Revision, server.From))
+	}
+}
+
+// report records a finding once.
+func (l *serverLists) report(finding string) {
+	if !l.reported[finding] {
+		l.reported[finding] = true
+		l.findings = append(l.findings, finding)
 	}
 }
 
