test(soak): a response of a run that has ended may still be on the link

Traced: the box's log has 'connection reset by peer' 110 ms after event 11 of 12; the link was slow (80 ms a block) and the end of that fault resets its connections. The server had ended the run more than 50 ms before, with its last event still on the link.

Change: the faults of a link count until the cut for a run that the server has ended. A run that the box has ended still counts until its end alone.

--- a/internal/soak/cuts_test.go
+++ b/internal/soak/cuts_test.go
@@ -53,10 +53,12 @@
 	l.cuts = append(l.cuts, cut{route, id, entry, l.requests[id].sent, time.Now(), err})
 }
 
-// serverRun is one run of a request, with the times in which faults of its server were in effect.
+// serverRun is one run of a request at a server.
 type serverRun struct {
 	standin.Run
-	server    *server
+	server *server
+	// disturbed is set if a fault of the server or of its links was in effect during the run, or while its response was
+	// still on the link.
 	disturbed bool
 }
 
@@ -68,7 +70,7 @@
 			if run.EndedAt.IsZero() {
 				run.EndedAt = time.Now()
 			}
-			runs[run.RequestID] = append(runs[run.RequestID], serverRun{run, s, s.disturbedBetween(run.StartedAt.Add(-cutSlack), run.EndedAt.Add(cutSlack))})
+			runs[run.RequestID] = append(runs[run.RequestID], serverRun{Run: run, server: s})
 		}
 	}
 	return runs
@@ -79,6 +81,16 @@
 	return slices.Concat(d.servers, d.bulk, d.depart, []*server{d.placement.near, d.placement.far})
 }
 
+// findDisturbance sets disturbed for a run whose response was cut at a time. The response of a run that the box has not
+// ended may be on a slow or held link until then.
+func (r *serverRun) findDisturbance(cutAt time.Time) {
+	until := r.EndedAt
+	if !r.Canceled && cutAt.After(until) {
+		until = cutAt
+	}
+	r.disturbed = r.server.disturbedBetween(r.StartedAt.Add(-cutSlack), until.Add(cutSlack))
+}
+
 // isAbandoned reports whether the box ended a run at a sound server before another server had sent anything.
 func isAbandoned(run serverRun, runs []serverRun) bool {
 	return run.Canceled && !run.disturbed && !slices.ContainsFunc(runs, func(other serverRun) bool {
@@ -92,6 +104,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, c := range l.cuts {
+		for i := range runs[c.id] {
+			runs[c.id][i].findDisturbance(c.at)
+		}
 		if reason := l.deployment.blame(c, runs[c.id]); reason != "" {
 			findings = append(findings, fmt.Sprintf("request %s on %s at %s was cut after %s: %s (%v)",
 				c.id, c.route, c.entry, c.at.Sub(c.sent).Round(time.Millisecond), reason, c.err))
