test(lab): servers that fall silent and go on

Change: FaultServersSilent makes servers process and send nothing for a time, with the requests that they hold. The result counts the responses that boxes cut. The model sends an attempt elsewhere only if its server ends it; when a silent attempt is replaced is decided in internal/direct, and tested there.

--- a/internal/lab/caller.go
+++ b/internal/lab/caller.go
@@ -166,6 +166,7 @@
 	if c.done || c.request != r {
 		return
 	}
+	c.sim.result.Truncated++
 	if c.attempts > c.kind.Retries {
 		c.finish(OutcomeFailed)
 		return
--- a/internal/lab/deployment.go
+++ b/internal/lab/deployment.go
@@ -109,6 +109,9 @@
 	FaultServersDown FaultKind = "servers-down"
 	// FaultServersSlow makes servers slower by Factor for Duration.
 	FaultServersSlow FaultKind = "servers-slow"
+	// FaultServersSilent makes servers process and send nothing for Duration. They go on afterwards with the same
+	// requests.
+	FaultServersSilent FaultKind = "servers-silent"
 	// FaultBoxesDown kills entry boxes; they restart after Duration.
 	FaultBoxesDown FaultKind = "boxes-down"
 	// FaultBoxesPartitioned disconnects entry boxes from all others for Duration. Their connections to callers and
--- a/internal/lab/engine.go
+++ b/internal/lab/engine.go
@@ -47,6 +47,8 @@
 	// backoffs are the last backoffs that the server requested, by box.
 	backoffs map[*box]backoffWindow
 	slowdown float64
+	// silentUntil is when a silent server goes on.
+	silentUntil time.Time
 	// active is set while a pass is scheduled.
 	active bool
 	// incarnation changes when the server stops, which invalidates the scheduled pass.
@@ -118,9 +120,18 @@
 	if decoding > 0 {
 		duration += time.Duration(e.StepsBetweenPrefills) * (e.StepTime + time.Duration(decoding)*e.StepTimePerRequest)
 	}
-	incarnation := e.incarnation
-	e.timeline.AfterFunc(time.Duration(float64(duration)*e.slowdown), func() {
-		if incarnation == e.incarnation {
+	e.finishPassAfter(time.Duration(float64(duration)*e.slowdown), e.incarnation)
+}
+
+// finishPassAfter finishes the pass of an incarnation after a time, or when the server is no longer silent.
+func (e *engine) finishPassAfter(wait time.Duration, incarnation int) {
+	e.timeline.AfterFunc(wait, func() {
+		silence := e.silentUntil.Sub(e.timeline.Now())
+		switch {
+		case incarnation != e.incarnation:
+		case silence > 0:
+			e.finishPassAfter(silence, incarnation)
+		default:
 			e.finishPass()
 			e.pass()
 		}
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -64,6 +64,8 @@
 	// PossibleValue is the value of all requests if every response were in time, EarnedValue that of the actual
 	// responses. Penalties are deducted for callers that waited in vain or were rejected repeatedly.
 	PossibleValue, EarnedValue, Penalties float64
+	// Truncated counts the responses that an entry box ended with an error, or before they were complete.
+	Truncated int
 	// RejectedAttempts counts the attempts that arrived at servers affected by FaultServersRejecting. DuringBackoff
 	// counts all attempts that arrived at such a server during the backoff that it had requested from the box, except
 	// those in the first backoffGrace (half a second).
--- a/internal/lab/simulation.go
+++ b/internal/lab/simulation.go
@@ -216,6 +216,8 @@
 			s.servers[i].slowdown = f.Factor
 			s.AfterFunc(f.Duration, func() { s.servers[i].slowdown = 1 })
 		})
+	case FaultServersSilent:
+		s.scheduleEach(f, s.randomSubset(len(s.servers), f.Share), func(i int) { s.servers[i].silentUntil = s.Now().Add(f.Duration) })
 	case FaultServersRejecting:
 		s.scheduleEach(f, s.randomSubset(len(s.servers), f.Share), func(i int) {
 			s.servers[i].rejecting, s.servers[i].retryAfter = true, f.RetryAfter
