--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -34,6 +35,8 @@
 	resumedAt []time.Time
 	// signals are the signals that were sent.
 	signals []sentSignal
+	// kills are the times from each SIGKILL to the exit of the process.
+	kills []timeSpan
 }
 
 // renderSettings returns the settings file of a process with the given role, as the platform writes it.
@@ -80,6 +83,7 @@
 		err := cmd.Wait()
 		_ = log.Close()
 		p.mu.Lock()
+		p.noteExit()
 		if !p.stopRequested {
 			p.problems = append(p.problems, fmt.Sprintf("%s exited unexpectedly: %v", p.name, err))
 		}
@@ -89,6 +93,22 @@
 	return nil
 }
 
+// noteExit records the exit of the process if it was killed. The lock must be held.
+func (p *process) noteExit() {
+	started := p.startedAt[len(p.startedAt)-1]
+	isKill := func(s sentSignal) bool { return s.signal == syscall.SIGKILL && s.at.After(started) }
+	if first := slices.IndexFunc(p.signals, isKill); first >= 0 {
+		p.kills = append(p.kills, timeSpan{p.signals[first].at, time.Now()})
+	}
+}
+
+// killedBetween reports whether the process was being killed at a moment between two times.
+func (p *process) killedBetween(from, to time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.kills, func(span timeSpan) bool { return span.overlaps(from, to) })
+}
+
 // signal sends a signal to the process of the latest start, if any.
 func (p *process) signal(signal syscall.Signal) {
 	p.mu.Lock()
