test(soak): the number of runs of each request at sound servers

Cause: a mend that replaces silent servers can send a request to more of them than its route allows, and nothing in the soak counted that.

Change: a request that ran more often than MaxAttempts is a finding. Runs at servers that had a fault meanwhile do not count.

--- a/internal/soak/cuts_test.go
+++ b/internal/soak/cuts_test.go
@@ -116,6 +116,23 @@
 	return findings
 }
 
+// budgetFindings reports the requests that ran at more servers than their routes allow. Runs at servers that had a fault
+// meanwhile do not count.
+func (l *load) budgetFindings() (findings []string) {
+	for id, runs := range l.runsByRequest() {
+		sound := 0
+		for i := range runs {
+			if runs[i].findDisturbance(runs[i].EndedAt); !runs[i].disturbed {
+				sound++
+			}
+		}
+		if sound > maxAttempts {
+			findings = append(findings, fmt.Sprintf("request %s ran %d times at sound servers, want at most %d", id, sound, maxAttempts))
+		}
+	}
+	return findings
+}
+
 // blame returns why a cut is the box's fault, and an empty string if it is excused.
 func (d *testDeployment) blame(c cut, runs []serverRun) string {
 	box := d.entryAt(c.entry)
--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -22,6 +22,8 @@
 	eventCount     = 12
 	eventInterval  = 30 * time.Millisecond
 	originMaxConns = 40
+	// maxAttempts is how many servers one request may run at, on each route.
+	maxAttempts = 2
 )
 
 // The ports are the same on all boxes.
@@ -226,7 +228,7 @@
 	route := func(name, kind, service string, resumable bool) map[string]any {
 		return map[string]any{
 			"Name": name, "Host": "a.example", "PathPrefix": "/" + name + "/", "Type": kind, "TimeoutMs": 3000, "TargetLatencyMs": 400,
-			"Service": service, "MaxAttempts": 2, "Resumable": resumable, "gap_aim_ms": 300, "Public": true,
+			"Service": service, "MaxAttempts": maxAttempts, "Resumable": resumable, "gap_aim_ms": 300, "Public": true,
 		}
 	}
 	routes := []any{
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -127,6 +127,7 @@
 	lists.stop()
 	findings := load.findings()
 	findings = append(findings, load.cutFindings()...)
+	findings = append(findings, load.budgetFindings()...)
 	findings = append(findings, lists.findings...)
 	findings = append(findings, keys.findings...)
 	findings = append(findings, load.departureFindings(lists.departures)...)
