test(soak): take the backup of the last restore before the removal

Cause: the last check of the soak waited for a departure of its own to reach all processes, which takes 2.2 s after the outage of the check before it.

Change: the server leaves together with the one of the check of removals, which waits for both. The backup is taken before, so the restore loses both departures.

--- a/internal/soak/restore_test.go
+++ b/internal/soak/restore_test.go
@@ -312,15 +312,19 @@
 	return findings
 }
 
-// awaitRestored makes a server leave and changes the configuration, restores the store from a backup without both, and
-// writes them again at once, then a configuration that takes a key away and the announcement of a server that leaves.
-// It waits until these are in effect on every entry box.
-func (l *load) awaitRestored(t *testing.T) {
-	t.Helper()
-	d := l.deployment
-	d.awaitEqualLists(t)
+// backUpAndLeave returns a backup, and makes a server leave that is in it. awaitRemoval waits until all processes know.
+func (d *testDeployment) backUpAndLeave() *standin.Backup {
 	backup := d.store.Backup()
 	d.store.Remove("servers/" + d.departures.left.id)
+	return backup
+}
+
+// awaitRestored changes the configuration, restores the store from a backup without that and without earlier departures,
+// and writes them again at once, then a configuration that takes a key away and the announcement of a server that
+// leaves. It waits until these are in effect on every entry box.
+func (l *load) awaitRestored(t *testing.T, backup *standin.Backup) {
+	t.Helper()
+	d := l.deployment
 	for range seriesCount {
 		d.putConfig()
 	}
