--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -22,6 +22,8 @@
 	eventCount     = 12
 	eventInterval  = 30 * time.Millisecond
 	originMaxConns = 40
+	// maxAttempts is how many servers one request may run at, on each route.
+	maxAttempts = 2
 )
 
 // The ports are the same on all boxes.
@@ -52,11 +54,19 @@
 	// removalRand chooses the servers whose entries are removed. It is separate so that the removals do not change
 	// which other faults a seed chooses.
 	removalRand *rand.Rand
+	// silenceRand chooses the silences of servers and links. It is separate so that they do not change which other
+	// faults a seed chooses.
+	silenceRand *rand.Rand
+	// restoreRand chooses the backups from which the store is restored. It is separate so that the restores do not
+	// change which other faults a seed chooses.
+	restoreRand *rand.Rand
 	index       int
 
 	store           *standin.Store
 	origin          *standin.Origin
 	servers         []*server
+	bulk            []*server
+	depart          []*server
 	entries         []*process
 	agents          []*process
 	callerAddresses []string
@@ -67,12 +77,15 @@
 	// pendingRestarts counts the crashed servers that will restart.
 	pendingRestarts sync.WaitGroup
 
-	placement placement
+	placement  placement
+	departures departures
 
 	// mu protects newestVersion and nextConfig and orders the operator's writes.
 	mu            sync.Mutex
 	newestVersion int
 	nextConfig    int
+	// publishedAt holds the time of each publication of weights.
+	publishedAt []time.Time
 }
 
 // server is a stand-in for a backend server behind a proxy.
@@ -90,6 +103,8 @@
 		signalRand:  rand.New(rand.NewPCG(seed, seed+2)), //nolint:gosec // repeatable on purpose
 		limitRand:   rand.New(rand.NewPCG(seed, seed+3)), //nolint:gosec // repeatable on purpose
 		removalRand: rand.New(rand.NewPCG(seed, seed+4)), //nolint:gosec // repeatable on purpose
+		silenceRand: rand.New(rand.NewPCG(seed, seed+5)), //nolint:gosec // repeatable on purpose
+		restoreRand: rand.New(rand.NewPCG(seed, seed+6)), //nolint:gosec // repeatable on purpose
 		store:       standin.NewStore(), origin: standin.NewOrigin(chunkCount, chunkSize), newestVersion: 1, nextConfig: 1,
 	}
 	t.Cleanup(w.close)
@@ -104,6 +119,8 @@
 	w.placement.far = w.newServer("i-far", "places", "", w.ip(201))
 	w.putPlaced(w.placement.near, nearDomain)
 	w.putPlaced(w.placement.far, farDomain)
+	w.addBulkServers()
+	w.addDepartServers()
 	w.putConfig()
 	dir := t.TempDir()
 	seeds := fmt.Sprintf("entries = [%q]", fmt.Sprintf("%s:%d", w.ip(1), portPeers))
@@ -211,7 +228,7 @@
 	route := func(name, kind, service string, resumable bool) map[string]any {
 		return map[string]any{
 			"Name": name, "Host": "a.example", "PathPrefix": "/" + name + "/", "Type": kind, "TimeoutMs": 3000, "TargetLatencyMs": 400,
-			"Service": service, "MaxAttempts": 2, "Resumable": resumable, "gap_aim_ms": 300, "Public": true,
+			"Service": service, "MaxAttempts": maxAttempts, "Resumable": resumable, "gap_aim_ms": 300, "Public": true,
 		}
 	}
 	routes := []any{
@@ -223,6 +240,12 @@
 		restricted["AllowedRegions"] = []string{region}
 		routes = append(routes, restricted)
 	}
+	keyed := route(keyedRoute, "safe", departService, false)
+	keyed["Public"] = false
+	routes = append(routes, keyed)
+	bulk := route(bulkService, "safe", bulkService, false)
+	bulk["TimeoutMs"] = bulkTimeout.Milliseconds()
+	routes = append(routes, bulk)
 	for i := range d.nextConfig {
 		added = fmt.Sprintf("extra-%d", i)
 		routes = append(routes, route(added, "safe", "maps", false))
@@ -233,10 +256,13 @@
 	}
 	d.put("op/config", map[string]any{
 		"Version": d.nextConfig, "Routes": routes, "Limits": map[string]any{"MaxBodyBytes": 1000},
+		"Tenants": []any{map[string]any{"Name": "kumiai", "ApiKeys": []string{keyOf(d.nextConfig)}}},
 		"Services": []any{
 			map[string]any{"Name": "llm", "MaxConnections": 50, "Engine": engine},
 			map[string]any{"Name": "maps", "MaxConnections": 50},
 			map[string]any{"Name": "places", "MaxConnections": 50, "ColdPerS": coldRate, "ColdStartS": 3},
+			map[string]any{"Name": departService, "MaxConnections": 50},
+			map[string]any{"Name": bulkService, "MaxConnections": 50},
 			map[string]any{"Name": "weights", "origin": d.originAddress(), "MaxConnections": originMaxConns},
 		},
 	})
@@ -257,6 +283,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.newestVersion++
+	d.publishedAt = append(d.publishedAt, time.Now())
 	d.put("op/version/daka", map[string]any{"Model": "daka", "Version": d.newestVersion})
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -24,6 +24,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/cinderslip/cinderslip/platform/standin"
 )
 
 var (
@@ -103,8 +105,10 @@
 	}
 	load := newLoad(d)
 	lists := watchServerLists(d)
+	keys := watchKeys(load)
 	load.awaitServing(t)
 	load.run(*callerCount)
+	load.runBulk()
 	load.runCrashRequests()
 	d.injectFaults(*faultTime)
 	d.clearFaults()
@@ -117,10 +121,17 @@
 	load.awaitServing(t)
 	d.awaitNewestVersion()
 	load.awaitChange(t)
+	backup := d.backUpAndLeave()
 	load.awaitRemoval(t)
+	load.awaitRestored(t, backup)
+	keys.stop()
 	lists.stop()
 	findings := load.findings()
+	findings = append(findings, load.cutFindings()...)
+	findings = append(findings, load.budgetFindings()...)
 	findings = append(findings, lists.findings...)
+	findings = append(findings, keys.findings...)
+	findings = append(findings, load.departureFindings(lists.departures)...)
 	findings = append(findings, load.signalFindings()...)
 	findings = append(findings, load.limitFindings()...)
 	findings = append(findings, load.crashFindings()...)
@@ -187,6 +198,9 @@
 		s.TruncateStreamAt(0)
 		s.SetRateLimit("")
 	}
+	for _, s := range d.allServers() {
+		s.SetSilence(standin.Silence{})
+	}
 	for _, p := range d.processes() {
 		p.signal(syscall.SIGCONT)
 	}
