fix(direct): withhold servers of a copy that were deleted before a process started

Change: an entry of a later era that a process does not hold, with a number up to which it had every change of the earlier era, is withheld like one whose deletion it saw, unless its server started after the process or states no start.

--- a/internal/direct/fleetstate.go
+++ b/internal/direct/fleetstate.go
@@ -55,6 +55,10 @@
 	departures departures
 	// returned are the servers that may be listed only because the store came back from a copy.
 	returned returnedServers
+	// startedAt is when the process started. completeBefore is the revision up to which every change was known before the
+	// merge in progress.
+	startedAt      time.Time
+	completeBefore fleet.Revision
 	// rateLimits are the rate limits that servers have advertised in their responses.
 	rateLimits rateLimits
 	published  map[fleet.ModelName]fleet.PublishedVersions
@@ -90,7 +94,7 @@
 // NewFleetState returns a FleetState without any facts.
 func NewFleetState(clock clockwork.Clock, log zerolog.Logger, metrics *Metrics) *FleetState {
 	f := &FleetState{
-		clock: clock, log: log, metrics: metrics, assumedAge: minAssumedAge,
+		clock: clock, log: log, metrics: metrics, assumedAge: minAssumedAge, startedAt: clock.Now(),
 		mirror: state.NewMirror(rand.Uint64(), isRemovableKey), tasks: kernel.NewTaskGroup(),
 		changed: make(chan struct{}),
 		servers: make(map[fleet.ServerID]serverEntry), departures: newDepartures(), returned: newReturnedServers(), rateLimits: newRateLimits(),
@@ -213,6 +217,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	before := f.mirror.Status()
+	f.completeBefore = fleet.Revision(before.Complete)
 	applied, deferred := mergeItems()
 	after := f.mirror.Status()
 	if outdated := after.Outdated - before.Outdated; outdated > 0 {
--- a/internal/direct/storeera.go
+++ b/internal/direct/storeera.go
@@ -22,6 +22,9 @@
 	// entryLapse is the time after which the store deletes the entry of a server that no longer writes it: three
 	// heartbeats, which are about a second apart. An entry of the copy that lasts for longer belongs to a running server.
 	entryLapse = 3500 * time.Millisecond
+	// withholdTime is how long a server is withheld that the copy lists. Processes that started after the deletion of its
+	// entry defer the next one, and those that read from them receive it as much later.
+	withholdTime = entryLapse + expiryDeferral
 	// unheardInterval is the time between two checks whether the store has been heard.
 	unheardInterval = 100 * time.Millisecond
 	// maxEraWait is how much longer a deletion of an era is deferred, or a server withheld, while the store is away or
@@ -46,7 +49,7 @@
 type returnedServers struct {
 	deleted map[fleet.ServerID]deletedServer
 	// withheld holds, by server, the revision of the entry that the copy lists. The server is not used until its entry is
-	// written again, or has lasted for entryLapse.
+	// written again, or has lasted for withholdTime.
 	withheld map[fleet.ServerID]fleet.Revision
 }
 
@@ -101,6 +104,9 @@
 	if isKnown && known.Leaving && !entry.Server.Leaving && entry.Revision.Era() > known.revision.Era() && entry.Server.Incarnation <= known.Incarnation {
 		f.keepDeparture(id, known.Incarnation)
 	}
+	if _, isDeleted := f.returned.deleted[id]; !isKnown && !isDeleted && f.wasAbsent(entry) {
+		f.returned.noteDeleted(id, deletedServer{revision: f.completeBefore})
+	}
 	if !f.returned.isReturned(id, entry) {
 		f.returned.release(id)
 		return
@@ -110,10 +116,20 @@
 	}
 	revision := entry.Revision
 	f.returned.withheld[id] = revision
-	log.Info().Str("server", string(id)).Stringer("revision", revision).Stringer("deleted", f.returned.deleted[id].revision).Dur("hold_ms", entryLapse).
+	log.Info().Str("server", string(id)).Stringer("revision", revision).Stringer("deleted", f.returned.deleted[id].revision).Dur("hold_ms", withholdTime).
 		Msg("server's entry is in the store again after a copy, server withheld")
 	since := f.clock.Now()
-	f.clock.AfterFunc(entryLapse, func() { f.releaseWithheld(id, revision, since) })
+	f.clock.AfterFunc(withholdTime, func() { f.releaseWithheld(id, revision, since) })
+}
+
+// wasAbsent reports whether the entry of a server that this process does not hold may come from a copy of the store
+// although it had been deleted: this process had every change of an earlier era up to its number. A process that started
+// after the deletion has no other trace of it. A server that started later than this process cannot have been deleted
+// before, and one without an incarnation may be new. The lock must be held.
+func (f *FleetState) wasAbsent(entry *fleet.Fact) bool {
+	before, incarnation := f.completeBefore, entry.Server.Incarnation
+	return before != 0 && before.Era() < entry.Revision.Era() && entry.Revision.Number() <= before.Number() &&
+		incarnation != 0 && !fleet.StartedAfter(incarnation, f.startedAt)
 }
 
 // keepDeparture records that a server was leaving before the store came back from a copy. The lock must be held.
@@ -150,7 +166,7 @@
 
 // releaseWithheld ends the withholding, since a time, of a server whose entry has lasted at a revision.
 func (f *FleetState) releaseWithheld(id fleet.ServerID, revision fleet.Revision, since time.Time) {
-	if f.isStoreUnheard(since, entryLapse) {
+	if f.isStoreUnheard(since, withholdTime) {
 		f.clock.AfterFunc(unheardInterval, func() { f.releaseWithheld(id, revision, since) })
 		return
 	}
