--- a/internal/direct/storeera_test.go
+++ b/internal/direct/storeera_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cinderslip/cinderslip/internal/provider"
+	"github.com/cinderslip/cinderslip/internal/wire"
 	"github.com/cinderslip/cinderslip/pkg/fleet"
 	"github.com/cinderslip/cinderslip/pkg/member"
 )
@@ -165,3 +166,29 @@
 	f.change(fleet.NewRevision(2, 12), configurationFact(8, 0))
 	require.EqualValues(t, 8, f.View().Configuration.Version)
 }
+
+// Guards against a response of the store that seems later with each relay: servers that the store had deleted were used.
+func TestRelayedReportIsNoLaterResponse(t *testing.T) {
+	reader := func(box string, age time.Duration) *wire.StoreReader {
+		return &wire.StoreReader{Box: box, AgeMilliseconds: uint64(age.Milliseconds())}
+	}
+	for name, test := range map[string]struct {
+		reader, other *wire.StoreReader
+		unheard       bool
+	}{
+		"response to this box, relayed":        {reader("reader", time.Second), reader("self", 0), true},
+		"response to another box, relayed":     {reader("reader", time.Second), reader("reader", 0), true},
+		"later response to another box":        {reader("reader", 0), reader("reader", time.Second), false},
+		"later response to a box not followed": {reader("reader", time.Second), reader("far", 0), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, clock := newTestFleetState()
+			since := clock.Now()
+			f.noteStoreResponse()
+			clock.Advance(entryLapse + 500*time.Millisecond)
+			newTestEntryBoxes(f, &wire.EntryStatus{Box: "reader", Peers: "reader", Readers: []*wire.StoreReader{test.reader}},
+				&wire.EntryStatus{Box: "other", Peers: "other", Readers: []*wire.StoreReader{test.other}})
+			require.Equal(t, test.unheard, f.isStoreUnheard(since, entryLapse))
+		})
+	}
+}
