fix(direct): a response of the store does not seem later with each relay

A withheld server is released, and a deferred deletion applied, once the store has responded after the wait. Reports tell the age of a response, which does not include the time for which the report is under way. In the trace, the reader has its last response at 37.908, a box whose messages are 200 ms late relays it, and by 39.458 it counts as one of 38.524, also at the reader itself. The wait ended at 38.470, while the store was away since 38.218. Ruled out for this trace: a response that the reader held while frozen; the reader was not.

Change: a report counts as evidence only from the reader itself, as long as this box hears that; what others say of this box's own responses never does. Relays count for readers that this box does not follow, as before. Which boxes read the store is decided as before.

--- a/internal/direct/entryboxes.go
+++ b/internal/direct/entryboxes.go
@@ -374,12 +374,32 @@
 	for _, reader := range status.Readers {
 		respondedAt := now.Add(-time.Duration(reader.AgeMilliseconds) * time.Millisecond)
 		e.readers.update(member.BoxID(reader.Box), respondedAt)
-		responses = append(responses, respondedAt)
+		if e.isFirstHand(member.BoxID(reader.Box), box.Box, now) {
+			responses = append(responses, respondedAt)
+		}
 	}
 	e.fleetState.noteReport(box.Watermarks.Newest, responses)
 	return box, before, true
 }
 
+// isFirstHand reports whether a report of the store's last response to a reader counts as evidence of when that was. Ages
+// do not include the time for which a report is under way, so each relay makes a response seem later: a reader that this
+// box hears itself counts by its own reports alone. The lock must be held.
+func (e *EntryBoxes) isFirstHand(reader, from member.BoxID, now time.Time) bool {
+	if reader == from {
+		return true
+	}
+	if reader == e.self.Box {
+		return false
+	}
+	for _, box := range e.boxes {
+		if box.Box == reader && now.Sub(box.LastSeen) < statusTimeout {
+			return false
+		}
+	}
+	return true
+}
+
 // dropBox removes the status, load and demand of a box.
 func (e *EntryBoxes) dropBox(entry string) {
 	e.mu.Lock()
