--- a/internal/direct/storeera_test.go
+++ b/internal/direct/storeera_test.go
@@ -1,6 +1,9 @@
 package direct
 
 import (
+	"context"
+	"io"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -192,3 +195,27 @@
 		})
 	}
 }
+
+// Guards against a response that counts as heard before what it says is applied: a deferred deletion was applied in between.
+func TestResponseCountsOnceItsChangesAreApplied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newEraState(readyServer(5))
+		f.noteStoreResponse()
+		heardAt, applied := f.StoreRespondedAt(), false
+		f.log = zerolog.New(io.Discard).Hook(zerolog.HookFunc(func(_ *zerolog.Event, _ zerolog.Level, message string) {
+			if strings.HasSuffix(message, "while the store was away, held") {
+				applied = true
+				require.Equal(t, heardAt, f.storeResponded)
+			}
+		}))
+		source := provider.FactSource{Snapshot: func(context.Context) (provider.FactBatch, error) {
+			time.Sleep(time.Second)
+			return provider.FactBatch{Revision: fleet.NewRevision(2, 10)}, nil
+		}}
+		reader := &storeReader{fleetState: f.FleetState, source: source, intervals: testIntervals, shouldRead: func() bool { return true }}
+		reader.probeInterval = func() time.Duration { return time.Second }
+		reader.readOnce(t.Context())
+		require.True(t, applied)
+		require.Equal(t, time.Second, f.StoreRespondedAt().Sub(heardAt))
+	})
+}
