fix(direct): a response of the store counts once its changes are applied

The reader recorded the response first and applied its changes afterwards.

Change: the reader applies a response before it records it. An outage that ends with the response is still open while its deletions are judged, by the same length and the same bound as before.

TestResponseCountsOnceItsChangesAreApplied fails before and passes after.

--- a/internal/direct/storereader.go
+++ b/internal/direct/storereader.go
@@ -128,9 +128,9 @@
 	if !r.isCurrent(ctx, &response) {
 		return
 	}
-	isFirst := f.StoreRespondedAt().IsZero()
+	// A response counts once its changes are applied: deferred deletions wait for what it says.
+	r.apply(&response, f.StoreRespondedAt().IsZero())
 	f.noteStoreResponse()
-	r.apply(&response, isFirst)
 	if len(response.facts.Facts) > 0 && !response.snapshot && !r.takeToken(f.clock.Now()) {
 		sleep(ctx, f.clock, r.intervals.batchDelay)
 	}
