--- a/internal/direct/storeera_test.go
+++ b/internal/direct/storeera_test.go
@@ -11,6 +11,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/cinderslip/cinderslip/internal/provider"
 	"github.com/cinderslip/cinderslip/internal/wire"
@@ -219,3 +220,30 @@
 		require.Equal(t, time.Second, f.StoreRespondedAt().Sub(heardAt))
 	})
 }
+
+// Guards against a message that a frozen box receives late and takes for a new one: a deferred deletion was applied while
+// the store was away.
+func TestLateReportIsNoLaterResponse(t *testing.T) {
+	for name, test := range map[string]struct {
+		sent    time.Duration
+		unheard bool
+	}{
+		"sent when it arrives":         {expiryDeferral + time.Second, false},
+		"sent long before it arrives":  {time.Second, true},
+		"sent before the wait is over": {expiryDeferral - 10*time.Millisecond, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, clock := newTestFleetState()
+			since := clock.Now()
+			message := func(sent time.Duration) *wire.EntryStatus {
+				return &wire.EntryStatus{
+					Box: "reader", Peers: "reader", Readers: []*wire.StoreReader{{Box: "reader"}}, SentMilliseconds: proto.Uint64(uint64(sent.Milliseconds())),
+				}
+			}
+			boxes := newTestEntryBoxes(f, message(0))
+			clock.Advance(expiryDeferral + time.Second)
+			boxes.updateBox("reader", message(test.sent), clock.Now())
+			require.Equal(t, test.unheard, f.isStoreUnheard(since, expiryDeferral))
+		})
+	}
+}
