fix(direct): a report of the store's response counts from when it was sent

A box is frozen from 28.782 on. At 30.152 it is handed two messages of readers that were made at about 28.80, with ages of 168 and 156 ms, and takes the responses for ones of 29.996. The wait of a deferred deletion ended at 29.956, so it applies the deletion, while the store is away since 28.922; as it wakes it sends the deletion to others, which do not defer what a box has applied. Ruled out: the response that a frozen reader holds; this box does not read the store, and its own last response is of 21.400.

Change: messages with readers say when they were made, since a time that is the same for all of a stream. The message that took least time on the stream tells where that time lies on the receiver's clock, and what others took longer is added to the ages that they report. Clocks of two boxes may differ by a thousandth. Messages of versions without the field count as before. Which boxes read the store is decided as before.

--- a/internal/direct/entryboxes.go
+++ b/internal/direct/entryboxes.go
@@ -369,13 +369,14 @@
 	default:
 		return EntryBox{}, EntryBox{}, false
 	}
+	sentAt := box.noteSent(status, &before)
 	e.boxes[entry] = box
 	var responses []time.Time
 	for _, reader := range status.Readers {
 		respondedAt := now.Add(-time.Duration(reader.AgeMilliseconds) * time.Millisecond)
 		e.readers.update(member.BoxID(reader.Box), respondedAt)
 		if e.isFirstHand(member.BoxID(reader.Box), box.Box, now) {
-			responses = append(responses, respondedAt)
+			responses = append(responses, respondedAt.Add(-now.Sub(sentAt)))
 		}
 	}
 	e.fleetState.noteReport(box.Watermarks.Newest, responses)
--- a/internal/direct/statusmessage.go
+++ b/internal/direct/statusmessage.go
@@ -57,6 +57,8 @@
 	// rateLimits is the number of the last rate limit change that was sent.
 	rateLimits uint64
 	sentAt     time.Time
+	// openedAt is when the stream was opened.
+	openedAt time.Time
 }
 
 // nextMessage returns the message that updates the receiver to the given state. It returns nil if nothing urgent
--- a/internal/direct/statusserver.go
+++ b/internal/direct/statusserver.go
@@ -178,7 +178,7 @@
 		s.remoteFollowers.Add(1)
 		defer s.remoteFollowers.Add(-1)
 	}
-	cursor, records := statusCursor{fullStatus: s.fullStatus}, memberCursor{membership: s.membership, all: request.Members}
+	cursor, records := statusCursor{fullStatus: s.fullStatus, openedAt: s.clock.Now()}, memberCursor{membership: s.membership, all: request.Members}
 	for {
 		snapshot, refreshed := s.current()
 		// A newly published version, a request under which a server has exited, and a request to a server with a
@@ -233,6 +233,9 @@
 		status.RateLimits = limits
 		status.Members, status.SentAway, status.Departures = changed, rejectedToWire(rejected, s.clock.Now()), departuresToWire(departures)
 		status.Evidence = evidenceToWire(evidence, s.clock.Now())
+		if len(status.Readers) > 0 {
+			status.SentMilliseconds = proto.Uint64(uint64(max(0, snapshot.takenAt.Sub(cursor.openedAt).Milliseconds())))
+		}
 	}
 	return status
 }
@@ -425,6 +428,8 @@
 	Watermarks Watermarks
 	// LastSeen is the time at which the last status message was received.
 	LastSeen time.Time
+	// sentBase is the earliest time that the base of the times in the status messages can have, zero if none has a time.
+	sentBase time.Time
 }
 
 func entryBoxFromWire(status *wire.EntryStatus, now time.Time) EntryBox {
@@ -440,6 +445,24 @@
 	return b
 }
 
+// maxClockDrift is the divisor of a time that gives how much the clocks of two boxes may differ in it.
+const maxClockDrift = 1000
+
+// noteSent returns the time at which a message was sent, as far as the messages before it on the same stream tell: no
+// earlier message took less time than the fastest one. It is LastSeen without them. before is the box before the message.
+func (b *EntryBox) noteSent(status *wire.EntryStatus, before *EntryBox) time.Time {
+	b.sentBase = before.sentBase
+	if status.SentMilliseconds == nil {
+		return b.LastSeen
+	}
+	sinceBase := time.Duration(*status.SentMilliseconds) * time.Millisecond
+	b.sentBase = b.LastSeen.Add(-sinceBase)
+	if drifted := before.sentBase.Add(b.LastSeen.Sub(before.LastSeen) / maxClockDrift); !before.sentBase.IsZero() && drifted.Before(b.sentBase) {
+		b.sentBase = drifted
+	}
+	return b.sentBase.Add(sinceBase)
+}
+
 func watermarksFromWire(status *wire.EntryStatus) Watermarks {
 	return Watermarks{Newest: fleet.Revision(status.Revision), Complete: fleet.Revision(status.Complete), Ordered: status.Ordered}
 }
