--- a/internal/direct/storeera_test.go
+++ b/internal/direct/storeera_test.go
@@ -1,6 +1,9 @@
 package direct
 
 import (
+	"context"
+	"io"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -8,8 +11,10 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/cinderslip/cinderslip/internal/provider"
+	"github.com/cinderslip/cinderslip/internal/wire"
 	"github.com/cinderslip/cinderslip/pkg/fleet"
 	"github.com/cinderslip/cinderslip/pkg/member"
 )
@@ -187,3 +192,80 @@
 	f.change(fleet.NewRevision(2, 12), configurationFact(8, 0))
 	require.EqualValues(t, 8, f.View().Configuration.Version)
 }
+
+// Guards against a response of the store that seems later with each relay: servers that the store had deleted were used.
+func TestRelayedReportIsNoLaterResponse(t *testing.T) {
+	reader := func(box string, age time.Duration) *wire.StoreReader {
+		return &wire.StoreReader{Box: box, AgeMilliseconds: uint64(age.Milliseconds())}
+	}
+	for name, test := range map[string]struct {
+		reader, other *wire.StoreReader
+		unheard       bool
+	}{
+		"response to this box, relayed":        {reader("reader", time.Second), reader("self", 0), true},
+		"response to another box, relayed":     {reader("reader", time.Second), reader("reader", 0), true},
+		"later response to another box":        {reader("reader", 0), reader("reader", time.Second), false},
+		"later response to a box not followed": {reader("reader", time.Second), reader("far", 0), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, clock := newTestFleetState()
+			since := clock.Now()
+			f.noteStoreResponse()
+			clock.Advance(entryLapse + 500*time.Millisecond)
+			newTestEntryBoxes(f, &wire.EntryStatus{Box: "reader", Peers: "reader", Readers: []*wire.StoreReader{test.reader}},
+				&wire.EntryStatus{Box: "other", Peers: "other", Readers: []*wire.StoreReader{test.other}})
+			require.Equal(t, test.unheard, f.isStoreUnheard(since, entryLapse))
+		})
+	}
+}
+
+// Guards against a response that counts as heard before what it says is applied: a deferred deletion was applied in between.
+func TestResponseCountsOnceItsChangesAreApplied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newEraState(readyServer(5))
+		f.noteStoreResponse()
+		heardAt, applied := f.StoreRespondedAt(), false
+		f.log = zerolog.New(io.Discard).Hook(zerolog.HookFunc(func(_ *zerolog.Event, _ zerolog.Level, message string) {
+			if strings.HasSuffix(message, "while the store was away, held") {
+				applied = true
+				require.Equal(t, heardAt, f.storeResponded)
+			}
+		}))
+		source := provider.FactSource{Snapshot: func(context.Context) (provider.FactBatch, error) {
+			time.Sleep(time.Second)
+			return provider.FactBatch{Revision: fleet.NewRevision(2, 10)}, nil
+		}}
+		reader := &storeReader{fleetState: f.FleetState, source: source, intervals: testIntervals, shouldRead: func() bool { return true }}
+		reader.probeInterval = func() time.Duration { return time.Second }
+		reader.readOnce(t.Context())
+		require.True(t, applied)
+		require.Equal(t, time.Second, f.StoreRespondedAt().Sub(heardAt))
+	})
+}
+
+// Guards against a message that a frozen box receives late and takes for a new one: a deferred deletion was applied while
+// the store was away.
+func TestLateReportIsNoLaterResponse(t *testing.T) {
+	for name, test := range map[string]struct {
+		sent    time.Duration
+		unheard bool
+	}{
+		"sent when it arrives":         {expiryDeferral + time.Second, false},
+		"sent long before it arrives":  {time.Second, true},
+		"sent before the wait is over": {expiryDeferral - 10*time.Millisecond, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, clock := newTestFleetState()
+			since := clock.Now()
+			message := func(sent time.Duration) *wire.EntryStatus {
+				return &wire.EntryStatus{
+					Box: "reader", Peers: "reader", Readers: []*wire.StoreReader{{Box: "reader"}}, SentMilliseconds: proto.Uint64(uint64(sent.Milliseconds())),
+				}
+			}
+			boxes := newTestEntryBoxes(f, message(0))
+			clock.Advance(expiryDeferral + time.Second)
+			boxes.updateBox("reader", message(test.sent), clock.Now())
+			require.Equal(t, test.unheard, f.isStoreUnheard(since, expiryDeferral))
+		})
+	}
+}
