test(upstream): wait until the long body is written

Cause: TestUserTimeoutIsOnAgainAfterLongBody was red once, beside the race runs of four other packages: no idle connection. The server's response may be read before the goroutine that wrote the body reports it, and such a connection is closed. Change: the test waits for that report before it closes the response; what it checks is the same.

--- a/internal/upstream/unreadbody_test.go
+++ b/internal/upstream/unreadbody_test.go
@@ -123,6 +123,8 @@
 	require.NoError(t, err)
 	_, err = io.ReadAll(response)
 	require.NoError(t, err)
+	// The server may respond before the goroutine that writes the body has returned; then the connection is not reused.
+	require.Eventually(t, func() bool { return len(response.writeResult) == 1 }, 10*time.Second, time.Millisecond)
 	response.Close()
 	c := pool.popIdle(address)
 	require.NotNil(t, c)
