--- a/internal/daemon/restore_test.go
+++ b/internal/daemon/restore_test.go
@@ -60,7 +60,7 @@
 	require.Greater(t, later.epoch, term.epoch, "terms are ordered until the revisions have caught up, too")
 }
 
-// Guards against a planner that knows no plan of before, and takes its own for the one in force once another box tells it.
+// Guards against a planner without an earlier plan that takes its own for the one in force when it receives that of another box.
 func TestPlannerEndsItsTermWhenBoxesKnowALaterOne(t *testing.T) {
 	p := newRestoredPlatform(t)
 	fresh := newTestNode(t, 2, noLinks)
--- a/internal/direct/entryboxes.go
+++ b/internal/direct/entryboxes.go
@@ -385,7 +385,7 @@
 
 // isFirstHand reports whether a report of the store's last response to a reader counts as evidence of when that was. Ages
 // do not include the time for which a report is under way, so each relay makes a response seem later: a reader that this
-// box hears itself counts by its own reports alone. The lock must be held.
+// box follows counts by its own reports alone. The lock must be held.
 func (e *EntryBoxes) isFirstHand(reader, from member.BoxID, now time.Time) bool {
 	if reader == from {
 		return true
--- a/internal/direct/fleetstate.go
+++ b/internal/direct/fleetstate.go
@@ -180,7 +180,7 @@
 	}, from, false)
 }
 
-// newestOf returns the newest revision that a transfer tells of: that of any item, and the floor of the sender with the
+// newestOf returns the newest revision in a transfer: that of any item, and the floor of the sender with the
 // last batch, even if nothing of it is taken.
 func newestOf(transfer *state.Transfer) (newest fleet.Revision) {
 	if transfer.Complete > 0 {
--- a/internal/direct/statusserver.go
+++ b/internal/direct/statusserver.go
@@ -448,7 +448,7 @@
 // maxClockDrift is the divisor of a time that gives how much the clocks of two boxes may differ in it.
 const maxClockDrift = 1000
 
-// noteSent returns the time at which a message was sent, as far as the messages before it on the same stream tell: no
+// noteSent returns the time at which a message was sent, as far as the messages before it on the same stream show: no
 // earlier message took less time than the fastest one. It is LastSeen without them. before is the box before the message.
 func (b *EntryBox) noteSent(status *wire.EntryStatus, before *EntryBox) time.Time {
 	b.sentBase = before.sentBase
--- a/internal/direct/storeera.go
+++ b/internal/direct/storeera.go
@@ -25,13 +25,13 @@
 	// withholdTime is how long a server is withheld that the copy lists. Processes that started after the deletion of its
 	// entry defer the next one, and those that read from them receive it as much later.
 	withholdTime = entryLapse + expiryDeferral
-	// unheardInterval is the time between two checks whether the store has been heard.
-	unheardInterval = 100 * time.Millisecond
-	// maxEraWait is how much longer a deletion of an era is deferred, or a server withheld, while the store is away or
-	// unheard, or while a later era is known only in part. Boxes have every change of an era once those that read the
-	// store have applied what they defer.
+	// deferralCheckInterval is the time between two checks whether the store has responded since.
+	deferralCheckInterval = 100 * time.Millisecond
+	// maxEraWait is how much longer a deletion of an era is deferred, or a server withheld, while the store is away or not
+	// known to have responded, or while a later era is known only in part. Boxes have every change of an era once those
+	// that read the store have applied what they defer.
 	maxEraWait = 3 * expiryDeferral
-	// maxDeletedServers bounds the number of deleted servers that are remembered.
+	// maxDeletedServers bounds the number of deleted servers that are kept.
 	maxDeletedServers = 4096
 )
 
@@ -139,10 +139,10 @@
 	}
 }
 
-// isStoreUnheard reports whether changes that the store had after a wait that began at a time may be unknown here: the
+// mayLackChanges reports whether changes that the store had after a wait that began at a time may be unknown here: the
 // store is away, no box of the region that reads it is known to have a response from after the wait, or another box has
 // reported changes that are not known here yet.
-func (f *FleetState) isStoreUnheard(since time.Time, wait time.Duration) bool {
+func (f *FleetState) mayLackChanges(since time.Time, wait time.Duration) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now, due := f.clock.Now(), since.Add(wait)
@@ -166,8 +166,8 @@
 
 // releaseWithheld ends the withholding, since a time, of a server whose entry has lasted at a revision.
 func (f *FleetState) releaseWithheld(id fleet.ServerID, revision fleet.Revision, since time.Time) {
-	if f.isStoreUnheard(since, withholdTime) {
-		f.clock.AfterFunc(unheardInterval, func() { f.releaseWithheld(id, revision, since) })
+	if f.mayLackChanges(since, withholdTime) {
+		f.clock.AfterFunc(deferralCheckInterval, func() { f.releaseWithheld(id, revision, since) })
 		return
 	}
 	f.mu.Lock()
@@ -181,7 +181,7 @@
 }
 
 // isOfEarlierEra reports whether the entry that a deletion removes is of an earlier era than the deletion. It may be
-// missing because the copy is older than the entry, and its writer may write it again. The lock must be held.
+// missing because the copy is older than the entry, and its writer may write it again.
 func (f *FleetState) isOfEarlierEra(deletion state.Item) bool {
 	held, ok := f.mirror.Lookup(deletion.Key)
 	return ok && fleet.Revision(held.Version.Major).Era() < fleet.Revision(deletion.Version.Major).Era()
--- a/internal/direct/storeera_test.go
+++ b/internal/direct/storeera_test.go
@@ -200,7 +200,7 @@
 	}
 	for name, test := range map[string]struct {
 		reader, other *wire.StoreReader
-		unheard       bool
+		lacks       bool
 	}{
 		"response to this box, relayed":        {reader("reader", time.Second), reader("self", 0), true},
 		"response to another box, relayed":     {reader("reader", time.Second), reader("reader", 0), true},
@@ -214,12 +214,12 @@
 			clock.Advance(entryLapse + 500*time.Millisecond)
 			newTestEntryBoxes(f, &wire.EntryStatus{Box: "reader", Peers: "reader", Readers: []*wire.StoreReader{test.reader}},
 				&wire.EntryStatus{Box: "other", Peers: "other", Readers: []*wire.StoreReader{test.other}})
-			require.Equal(t, test.unheard, f.isStoreUnheard(since, entryLapse))
+			require.Equal(t, test.lacks, f.mayLackChanges(since, entryLapse))
 		})
 	}
 }
 
-// Guards against a response that counts as heard before what it says is applied: a deferred deletion was applied in between.
+// Guards against a response that counts before its changes are applied: a deferred deletion was applied in between.
 func TestResponseCountsOnceItsChangesAreApplied(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newEraState(readyServer(5))
@@ -248,7 +248,7 @@
 func TestLateReportIsNoLaterResponse(t *testing.T) {
 	for name, test := range map[string]struct {
 		sent    time.Duration
-		unheard bool
+		lacks bool
 	}{
 		"sent when it arrives":         {expiryDeferral + time.Second, false},
 		"sent long before it arrives":  {time.Second, true},
@@ -265,7 +265,7 @@
 			boxes := newTestEntryBoxes(f, message(0))
 			clock.Advance(expiryDeferral + time.Second)
 			boxes.updateBox("reader", message(test.sent), clock.Now())
-			require.Equal(t, test.unheard, f.isStoreUnheard(since, expiryDeferral))
+			require.Equal(t, test.lacks, f.mayLackChanges(since, expiryDeferral))
 		})
 	}
 }
--- a/internal/direct/storeoutage.go
+++ b/internal/direct/storeoutage.go
@@ -133,7 +133,7 @@
 }
 
 // applyLater applies deferred deletions after expiryDeferral, and those of an earlier era once the store has also been
-// heard since.
+// responded since.
 func (f *FleetState) applyLater(deferred []state.Item) {
 	if len(deferred) == 0 {
 		return
@@ -145,11 +145,11 @@
 // applyDeferred applies deletions that are deferred since a time, or defers them further.
 func (f *FleetState) applyDeferred(deferred []state.Item, since time.Time) {
 	deferred = f.removeSuperseded(deferred)
-	if f.isStoreUnheard(since, expiryDeferral) || f.isEraUnread(since) {
+	if f.mayLackChanges(since, expiryDeferral) || f.isEraUnread(since) {
 		isEarlier := func(item state.Item) bool { return f.isOfEarlierEra(item) }
 		if waiting := slices.DeleteFunc(slices.Clone(deferred), func(item state.Item) bool { return !isEarlier(item) }); len(waiting) > 0 {
 			deferred = slices.DeleteFunc(deferred, isEarlier)
-			f.clock.AfterFunc(unheardInterval, func() { f.applyDeferred(waiting, since) })
+			f.clock.AfterFunc(deferralCheckInterval, func() { f.applyDeferred(waiting, since) })
 		}
 	}
 	f.merge(f.mirrorMerge(deferred), "store", true)
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -158,7 +158,7 @@
 	}
 }
 
-// Guards against cut responses whose logs do not tell why no other server continued them.
+// Guards against cut responses whose logs lack the reason why no other server continued them.
 func TestExplainOfCutResponseNamesItsReason(t *testing.T) {
 	events, err := Read("entry-1.log", strings.NewReader(strings.Join([]string{
 		`time=2026-12-02T10:00:01.000Z level=info event="attempt ended" request=first server=i-30 address=127.0.0.1:30 result=failed held_ms=900 error=EOF`,
