--- a/internal/direct/storeera_test.go
+++ b/internal/direct/storeera_test.go
@@ -200,7 +200,7 @@
 	}
 	for name, test := range map[string]struct {
 		reader, other *wire.StoreReader
-		lacks       bool
+		lacks         bool
 	}{
 		"response to this box, relayed":        {reader("reader", time.Second), reader("self", 0), true},
 		"response to another box, relayed":     {reader("reader", time.Second), reader("reader", 0), true},
@@ -247,7 +247,7 @@
 // the store was away.
 func TestLateReportIsNoLaterResponse(t *testing.T) {
 	for name, test := range map[string]struct {
-		sent    time.Duration
+		sent  time.Duration
 		lacks bool
 	}{
 		"sent when it arrives":         {expiryDeferral + time.Second, false},
