test(soak): two crashes of a server shortly after each other

By reading: a second crashing request reaches a server before it has ended, so that its proxy is closed and opened twice. Change: a proxy that listens does not listen again.

--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -26,6 +26,8 @@
 	// fault that ends its responses.
 	disturbances []timeSpan
 	conns        map[net.Conn]*connState
+	// listening is set while connections are accepted.
+	listening bool
 }
 
 // connState is the state of one forwarded connection.
@@ -40,16 +42,20 @@
 	return p, p.listen(address)
 }
 
-// listen starts to accept connections on address.
+// listen starts to accept connections on address. It does nothing if the proxy accepts connections already, as after two
+// crashes of a server shortly after each other.
 func (p *proxy) listen(address string) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listening {
+		return nil
+	}
 	var config net.ListenConfig
 	listener, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return err
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.listener = listener
+	p.listener, p.listening = listener, true
 	go p.accept(listener)
 	return nil
 }
@@ -58,6 +64,7 @@
 func (p *proxy) close() {
 	p.mu.Lock()
 	_ = p.listener.Close()
+	p.listening = false
 	p.mu.Unlock()
 	p.reset()
 }
