refactor: the change read once more

Cause: read as by someone who joins the project: a condition of nine errors on two lines, a comment that could be read two ways, three functions without a comment, a loop of checks that stood twice, a test line of 180 columns. Change: the reasons for which a box aborts an attempt are a list; comments; the checks of the next slots are one function with the same assertions. No behaviour.

--- a/internal/daemon/restore_test.go
+++ b/internal/daemon/restore_test.go
@@ -112,7 +112,8 @@
 func TestPlannerLearnsLaterEpochFromAgents(t *testing.T) {
 	p := newRestoredPlatform(t)
 	monitored, other := newMonitoredNode(t, 2, time.Hour), newTestNode(t, 3, noLinks)
-	_, err := wire.NewDRPCMonitorClient(newTestPeerPool(t).Conn(monitored.address)).Heartbeat(t.Context(), &wire.HeartbeatRequest{Box: "b", AssignmentMajor: p.term.epoch, AssignmentMinor: 1})
+	client := wire.NewDRPCMonitorClient(newTestPeerPool(t).Conn(monitored.address))
+	_, err := client.Heartbeat(t.Context(), &wire.HeartbeatRequest{Box: "b", AssignmentMajor: p.term.epoch, AssignmentMinor: 1})
 	require.NoError(t, err)
 	next := newTestPlanner(t, p.testPlatform, other, "next", never)
 	term, err := next.acquire(t.Context())
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -172,10 +172,15 @@
 	return outcomeSuperseded, cause
 }
 
-// isLocalAbort reports whether this box prevented or aborted an attempt.
+// localAborts are the reasons for which this box prevents or aborts an attempt although its server is not at fault.
+var localAborts = []error{
+	errPastCutoff, errNotStarted, errSuperseded, errResidency,
+	route.ErrLeaving, route.ErrBackingOff, route.ErrRateLimited, route.ErrQuarantined, route.ErrEvacuated,
+}
+
+// isLocalAbort reports whether this box prevented or aborted an attempt for one of the localAborts.
 func isLocalAbort(err error) bool {
-	return errors.Is(err, errPastCutoff) || errors.Is(err, errNotStarted) || errors.Is(err, errSuperseded) || errors.Is(err, route.ErrLeaving) || errors.Is(err, route.ErrBackingOff) ||
-		errors.Is(err, route.ErrRateLimited) || errors.Is(err, route.ErrQuarantined) || errors.Is(err, route.ErrEvacuated) || errors.Is(err, errResidency)
+	return slices.ContainsFunc(localAborts, func(reason error) bool { return errors.Is(err, reason) })
 }
 
 // finishAttempt releases the reservation and records the result of the attempt.
--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -109,6 +109,7 @@
 	stopped bool
 }
 
+// newSilenceTimer starts a timer that calls onSilent.
 func newSilenceTimer(clock clockwork.Clock, onSilent func()) *silenceTimer {
 	t := &silenceTimer{}
 	t.mu.Lock()
@@ -128,6 +129,7 @@
 	return t
 }
 
+// reset starts the time without a message anew.
 func (t *silenceTimer) reset() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -135,6 +137,7 @@
 	t.timer.Reset(statusTimeout / silenceChecks)
 }
 
+// stop stops the timer for good.
 func (t *silenceTimer) stop() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/direct/hedgeresults_test.go
+++ b/internal/direct/hedgeresults_test.go
@@ -126,6 +126,17 @@
 	require.True(t, req.Suspect)
 }
 
+// requireNextSlotsOn checks that the next requests get slots on a server.
+func (c *cutoffTest) requireNextSlotsOn(t *testing.T, want fleet.ServerID) {
+	t.Helper()
+	for range 20 {
+		reservation, err := c.server.acquireSlot(t.Context(), c.newExchange(), nil)
+		require.NoError(t, err)
+		require.Equal(t, want, reservation.Server.ID)
+		reservation.Release(route.ResultDone, c.clock.Now())
+	}
+}
+
 // Guards against a server that is silent for good staying in use as if it were sound.
 func TestServerThatOthersReplacedIsAvoided(t *testing.T) {
 	c, x := newHedgedExchange(t)
@@ -133,12 +144,7 @@
 	require.True(t, x.group.claim(hedge))
 	_, _ = c.server.streamFailed(x, first, first.withCause(io.ErrClosedPipe))
 	c.server.finishAttempt(x, hedge, route.ResultDone, nil)
-	for range 20 {
-		reservation, err := c.server.acquireSlot(t.Context(), c.newExchange(), nil)
-		require.NoError(t, err)
-		require.Equal(t, fleet.ServerID("b"), reservation.Server.ID)
-		reservation.Release(route.ResultDone, c.clock.Now())
-	}
+	c.requireNextSlotsOn(t, "b")
 }
 
 // Guards against avoiding the server of a hedge because the silent server went on first.
@@ -148,12 +154,7 @@
 	require.True(t, x.group.claim(first))
 	_, _ = c.server.streamFailed(x, hedge, hedge.withCause(io.ErrClosedPipe))
 	c.server.finishAttempt(x, first, route.ResultFailed, errServerFailed)
-	for range 20 {
-		reservation, err := c.server.acquireSlot(t.Context(), c.newExchange(), nil)
-		require.NoError(t, err)
-		require.Equal(t, fleet.ServerID("b"), reservation.Server.ID)
-		reservation.Release(route.ResultDone, c.clock.Now())
-	}
+	c.requireNextSlotsOn(t, "b")
 }
 
 // Guards against another hedge beside a body that flows again, as the first hedge was refused.
--- a/internal/direct/storeera.go
+++ b/internal/direct/storeera.go
@@ -16,7 +16,7 @@
 )
 
 // The store may come back from a copy, in a new era. The copy is older than what processes know: it lists servers as
-// ready that were leaving, or whose entries had been deleted. Such a server is not used because the copy lists it.
+// ready that were leaving, or whose entries had been deleted. That the copy lists such a server is no reason to use it.
 
 const (
 	// entryLapse is the time after which the store deletes the entry of a server that no longer writes it: three
@@ -53,6 +53,7 @@
 	withheld map[fleet.ServerID]fleet.Revision
 }
 
+// newReturnedServers returns returnedServers without any server.
 func newReturnedServers() returnedServers {
 	return returnedServers{deleted: make(map[fleet.ServerID]deletedServer), withheld: make(map[fleet.ServerID]fleet.Revision)}
 }
