--- a/internal/direct/content.go
+++ b/internal/direct/content.go
@@ -36,3 +36,12 @@
 	x.contentOnce.Do(func() { x.content = contentOf(x) })
 	return x.content
 }
+
+// promptParts returns the parts of the prompt that other requests may share, for log lines.
+func (x *exchange) promptParts() []string {
+	parts := make([]string, 0, len(x.PromptParts))
+	for _, part := range x.PromptParts {
+		parts = append(parts, string(part))
+	}
+	return parts
+}
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -76,6 +76,9 @@
 	x := &exchange{
 		InboundMetadata: s.protocol.ReadRequest(c.Request()), writer: c.Response().Writer, request: c.Request(), arrived: s.clock.Now(),
 	}
+	if x.ParseErr != nil {
+		s.log.Debug().Str("request", x.ID).Err(x.ParseErr).Msg("part of a request's metadata ignored")
+	}
 	if s.leaving.Load() {
 		x.writer.Header().Set("Connection", "close")
 		if x.arrived.Sub(s.leavingSince) >= leaveAcceptDuration {
--- a/internal/provider/fleet.go
+++ b/internal/provider/fleet.go
@@ -122,8 +122,15 @@
 	PromptTokens       int
 	MaxResponseTokens  int
 	ResponseTokensHint int
+	// PromptParts are the parts of the prompt that other requests may share, in order and without repetitions.
+	PromptParts []PromptPart
+	// ParseErr describes metadata that could not be parsed and is ignored; nil if there is none.
+	ParseErr error
 }
 
+// PromptPart is the ID that callers give to a part of a prompt. Requests with the same part have the same ID for it.
+type PromptPart string
+
 // OutboundMetadata is the metadata that an entry box adds to a request to a backend server.
 type OutboundMetadata struct {
 	Server       fleet.ServerID
