test(direct): run scripts beyond their first planned stop

Cause: the command stop of the scripts has the name of a builtin of testscript, which ends a script at once and lets it pass. Builtins go first, so everything after the first stop of cells, ends-its-servers, homes-and-evacuations, names-a-limit, planned-stop and store-away has never run; seen as a new script passed 5 s too early.

Change: the command is stop-process; nothing else of the scripts is changed.

--- a/internal/direct/deployment_test.go
+++ b/internal/direct/deployment_test.go
@@ -320,7 +320,7 @@
 	return nil
 }
 
-// cmdStop stops a process in a planned stop: stop entry-1.
+// cmdStop stops a process in a planned stop: stop-process entry-1.
 func (w *testDeployment) cmdStop(args []string) error {
 	process := w.processes[args[0]]
 	delete(w.processes, args[0])
--- a/internal/direct/scenario_test.go
+++ b/internal/direct/scenario_test.go
@@ -30,7 +30,7 @@
 			"platform":           command((*testDeployment).cmdPlatform),
 			"entry":              command((*testDeployment).cmdEntry),
 			"agent":              command((*testDeployment).cmdAgent),
-			"stop":               command((*testDeployment).cmdStop),
+			"stop-process":       command((*testDeployment).cmdStop),
 			"config":             command((*testDeployment).cmdConfig),
 			"residency":          command((*testDeployment).cmdResidency),
 			"publish":            command((*testDeployment).cmdPublish),
