test(direct): requests of different content with one part of their prompts in common crash servers

Stand-ins of backend servers crash on a part of a prompt, before the head, after it, inside an event or after one; prompts share their first part, some of the others often, many seldom.

--- /dev/null
+++ b/internal/direct/crashparts_test.go
@@ -0,0 +1,233 @@
+package direct_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cinderslip/cinderslip/internal/settings"
+	"github.com/cinderslip/cinderslip/platform/standin"
+)
+
+const (
+	// partContactTime is how long boxes may take to tell each other of exits.
+	partContactTime = 3 * time.Second
+	// exitsUntilKnown is the number of exits under a part after which at most maxLateWithPart requests with the part may
+	// reach a server, sent later than partContactTime.
+	exitsUntilKnown = 5
+	maxLateWithPart = 3
+	// maxExitsPerPart limits the servers that exit under one part, over all boxes.
+	maxExitsPerPart = 8
+	// minSoundShare is the part of the other requests that must be served at their first attempt, beginning soundFrom
+	// after the first exit.
+	minSoundShare = 0.95
+	soundFrom     = 2 * time.Second
+	// firstPart is the first part of all prompts.
+	firstPart = "f001"
+)
+
+// partExits counts the exits of servers by the part of the prompt that caused them.
+type partExits struct {
+	mu sync.Mutex
+	at map[string][]time.Time
+}
+
+// add records an exit.
+func (e *partExits) add(part string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.at[part] = append(e.at[part], time.Now())
+}
+
+// times returns the times of the exits under a part.
+func (e *partExits) times(part string) []time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.at[part])
+}
+
+// soundResult is the result of a request without a part that crashes servers.
+type soundResult struct {
+	sentAt time.Time
+	status int
+	err    error
+}
+
+// cmdCrashOnParts makes every server crash when it starts to run a request with one of the parts in its prompt, after the
+// given part of the response, and restart a little later:
+//
+//	crash-on-parts head dead01 dead02
+func (w *testDeployment) cmdCrashOnParts(args []string) error {
+	w.partExits = &partExits{at: make(map[string][]time.Time)}
+	for _, s := range w.servers {
+		s.CrashOnParts(args[1:], standin.CrashResponse(args[0]), func(part string) {
+			w.partExits.add(part)
+			w.crash(s)
+		})
+	}
+	return nil
+}
+
+// cmdSendWithParts sends requests whose prompts contain parts that crash servers, and others beside them that share the
+// first part, in turn to all running entry boxes. No two requests have the same body, last part or, mostly, other parts:
+//
+//	send-with-parts /talk/1 parts=dead01,dead02 rate=8 sound=30 seconds=6 first=yes
+//
+// first=yes makes the part the first one.
+func (w *testDeployment) cmdSendWithParts(args []string) error {
+	path, options := args[0], parseOptions(args[1:])
+	parts := strings.Split(options["parts"], ",")
+	seconds, entries := parseInt(options["seconds"], 1), w.runningEntries()
+	var all sync.WaitGroup
+	all.Go(func() {
+		every(parseInt(options["rate"], 1), seconds, &all, func(i int) {
+			part := parts[i%len(parts)]
+			prompt := fmt.Sprintf("%s:40,%s:100,%s:50,%x:30", firstPart, drawPart(), part, rand.Uint32())
+			if options["first"] == "yes" {
+				prompt = fmt.Sprintf("%s:40,%s:100,%x:30", part, drawPart(), rand.Uint32())
+			}
+			_, _ = w.sendPrompt(entries[i%len(entries)], path, prompt)
+		})
+	})
+	if sound := parseInt(options["sound"], 0); sound > 0 {
+		all.Go(func() {
+			every(sound, seconds, &all, func(i int) {
+				sentAt := time.Now()
+				prompt := fmt.Sprintf("%s:40,%s:100,%s:50,%x:30", firstPart, drawPart(), drawPart(), rand.Uint32())
+				status, err := w.sendPrompt(entries[i%len(entries)], path, prompt)
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				w.soundResults = append(w.soundResults, soundResult{sentAt, status, err})
+			})
+		})
+	}
+	all.Wait()
+	return nil
+}
+
+// runningEntries returns the names of the running entry boxes.
+func (w *testDeployment) runningEntries() (names []string) {
+	for name := range w.processes {
+		if w.settingsByName[name].Role == settings.RoleEntry {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// every calls send in goroutines of the group, at a rate per second for a number of seconds.
+func every(rate, seconds int, group *sync.WaitGroup, send func(i int)) {
+	ticker := time.NewTicker(time.Second / time.Duration(rate))
+	defer ticker.Stop()
+	for i := range rate * seconds {
+		<-ticker.C
+		group.Go(func() { send(i) })
+	}
+}
+
+// drawPart returns a part as prompts have them: some often, many seldom.
+func drawPart() string {
+	if rand.IntN(2) == 0 {
+		return fmt.Sprintf("aa%02x", rand.IntN(6))
+	}
+	return fmt.Sprintf("bb%03x", rand.IntN(400))
+}
+
+// sendPrompt sends a request with the given parts of a prompt and another body each time, and returns the status of its
+// response once that is complete.
+func (w *testDeployment) sendPrompt(entry, path, prompt string) (int, error) {
+	id := fmt.Sprintf("prompt-%d", w.requestCount.Add(1))
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+w.settingsByName[entry].Listen.Callers+path, strings.NewReader("body of "+id))
+	if err != nil {
+		return 0, err
+	}
+	request.Host = "a.example"
+	request.Header.Set("X-Request-Id", id)
+	request.Header.Set("X-Deadline-Ms", "4000")
+	request.Header.Set("X-Token-Usage", "100,60")
+	request.Header.Set("X-Prompt-Prefix", prompt)
+	request.Header.Set("Authorization", "Bearer key-1")
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: waitTimeout}
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, err
+}
+
+// cmdCheckPartExits checks that few servers exited under each part, and that few requests with the part reached a server
+// once that was known:
+//
+//	check-part-exits dead01 dead02
+func (w *testDeployment) cmdCheckPartExits(args []string) error {
+	var findings []error
+	for _, part := range args {
+		exits := w.partExits.times(part)
+		if len(exits) == 0 {
+			findings = append(findings, fmt.Errorf("no server exited under part %s", part))
+		}
+		if len(exits) > maxExitsPerPart {
+			findings = append(findings, fmt.Errorf("%d servers exited under part %s, want at most %d", len(exits), part, maxExitsPerPart))
+		}
+		if late := w.countLateWithPart(part, exits); late > maxLateWithPart {
+			findings = append(findings, fmt.Errorf("%d requests with part %s reached servers after %d had exited", late, part, exitsUntilKnown))
+		}
+	}
+	return errors.Join(findings...)
+}
+
+// countLateWithPart returns how many requests with a part reached a server later than partContactTime after the exit with
+// the number exitsUntilKnown.
+func (w *testDeployment) countLateWithPart(part string, exits []time.Time) (late int) {
+	if len(exits) < exitsUntilKnown {
+		return 0
+	}
+	from := exits[exitsUntilKnown-1].Add(partContactTime)
+	for _, s := range w.servers {
+		for _, received := range s.ReceivedRequests() {
+			if slices.Contains(received.Parts, part) && received.At.After(from) {
+				late++
+			}
+		}
+	}
+	return late
+}
+
+// cmdCheckSound checks that the other requests of send-with-parts were served at their first attempt:
+//
+//	check-sound
+func (w *testDeployment) cmdCheckSound([]string) error {
+	w.mu.Lock()
+	results := w.soundResults
+	w.soundResults = nil
+	w.mu.Unlock()
+	sent, served, sample := 0, 0, ""
+	if len(results) == 0 {
+		return errors.New("no request was sent")
+	}
+	from := slices.MinFunc(results, func(a, b soundResult) int { return a.sentAt.Compare(b.sentAt) }).sentAt.Add(soundFrom)
+	for _, result := range results {
+		if result.sentAt.Before(from) {
+			continue
+		}
+		sent++
+		if result.status == http.StatusOK && result.err == nil {
+			served++
+		} else {
+			sample = fmt.Sprintf("status %d, %v", result.status, result.err)
+		}
+	}
+	if float64(served) < minSoundShare*float64(sent) {
+		return fmt.Errorf("%d of %d requests without the part were served, the last other one: %s", served, sent, sample)
+	}
+	return nil
+}
--- a/internal/direct/deployment_test.go
+++ b/internal/direct/deployment_test.go
@@ -68,8 +68,13 @@
 	// restarts counts the crashed servers that have yet to restart.
 	restarts sync.WaitGroup
 
+	// partExits are the exits of servers under parts of prompts.
+	partExits *partExits
+
 	mu      sync.Mutex
 	streams map[string]chan error
+	// soundResults are the results of requests without a part that crashes servers.
+	soundResults []soundResult
 }
 
 // testServer is the stand-in of a backend server and its entry in the store.
