--- a/internal/direct/callerserver.go
+++ b/internal/direct/callerserver.go
@@ -86,6 +86,8 @@
 	suspects        *SuspectRequests
 	exitProbes      *exitProbes
 	recentResponses *recentResponses
+	// inFlight are the requests that are being served.
+	inFlight inFlight
 
 	mu sync.Mutex
 	// peerReports holds the load and the demands that the other boxes of the cell have reported, for all
@@ -132,7 +134,9 @@
 	if s.service, err = p.serveHTTP("callers", p.settings.Listen.Callers, router, maxHeaderBytes); err != nil {
 		return err
 	}
+	s.suspects.Box, s.suspects.BoxCount = s.box, s.entryBoxCount
 	s.tasks.Go(s.updateDispatchers)
+	s.tasks.Go(s.abortQuarantined)
 	return p.services.Register(s)
 }
 
--- a/internal/direct/crashparts_test.go
+++ b/internal/direct/crashparts_test.go
@@ -172,6 +172,10 @@
 	var findings []error
 	for _, part := range args {
 		exits := w.partExits.times(part)
+		w.t.Logf("%d servers exited under part %s", len(exits), part)
+		for _, at := range exits {
+			w.t.Logf("exit under part %s: %v", part, at.Sub(exits[0]))
+		}
 		if len(exits) == 0 {
 			findings = append(findings, fmt.Errorf("no server exited under part %s", part))
 		}
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -38,7 +38,12 @@
 	fingerprint route.Fingerprint
 	// content is the content ID, which is computed when it is first needed.
 	contentOnce sync.Once
-	content     route.ContentID
+	content     route.AttributeID
+	// parts are the partIDs, attributeIDs the attributes, both computed when first needed.
+	partsOnce, attributesOnce sync.Once
+	parts, attributeIDs       []route.AttributeID
+	// trials are the attributes for which the request is the only one of this box that is sent to a server.
+	trials []route.AttributeID
 	// suspect is set while the request may have caused a server to exit.
 	suspect bool
 	// waited is the total time that the request has waited for slots.
@@ -297,7 +302,7 @@
 func (s *CallerServer) refuseQuarantined(x *exchange, quarantined *quarantinedError) {
 	wait := quarantined.until.Sub(s.clock.Now())
 	s.writeRefusal(x, wait)
-	s.finish(x, "refused").Str("reason", "quarantined").Str("content", x.contentID().String()).Int("ends", quarantined.exits).
+	s.finish(x, "refused").Str("reason", "quarantined").Str("content", quarantined.attribute.String()).Int("ends", quarantined.exits).
 		Dur("retry_after_ms", wait).Msg("request refused")
 }
 
--- a/internal/direct/hedge.go
+++ b/internal/direct/hedge.go
@@ -33,6 +33,8 @@
 	// lastProgress is when the last part that is not delivered yet arrived; zero before. The lock of the group guards them.
 	superseded, failed bool
 	lastProgress       time.Time
+	// hasBegun is set once a part of the response body has arrived. The lock of the group guards it.
+	hasBegun bool
 }
 
 // attemptResult is the result of an attempt that has ended.
@@ -135,6 +137,7 @@
 	if a.superseded {
 		return false
 	}
+	a.hasBegun = true
 	if len(g.running) > 1 {
 		g.supersedeOthers(a)
 	}
@@ -177,7 +180,7 @@
 func (g *attemptGroup) noteProgress(a *attempt, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	a.lastProgress, g.lastProgress, g.hedgeAt = now, now, now.Add(g.hedgeDelay)
+	a.lastProgress, g.lastProgress, g.hedgeAt, a.hasBegun = now, now, now.Add(g.hedgeDelay), true
 }
 
 // end records the result of an attempt. A hedge that got no response may be followed by another one soon, unless another
@@ -267,5 +270,5 @@
 
 // isAborted reports whether this box aborted the attempt.
 func isAborted(err error) bool {
-	return errors.Is(err, errPastCutoff) || errors.Is(err, errNotStarted) || isSuperseded(err)
+	return errors.Is(err, errPastCutoff) || errors.Is(err, errNotStarted) || errors.Is(err, route.ErrQuarantined) || isSuperseded(err)
 }
--- a/internal/direct/hedgeresults_test.go
+++ b/internal/direct/hedgeresults_test.go
@@ -113,7 +113,7 @@
 // Guards against a hedge of a request under which a server exited sharing its server with another such request.
 func TestHedgeOfSuspectRequestSharesNoServerWithAnother(t *testing.T) {
 	c, x := newHedgedExchange(t)
-	c.server.suspects.Observe(route.Evidence{Content: x.contentID(), Exited: route.ServerIncarnation{Server: "c"}, At: c.clock.Now()}, "request r")
+	c.server.suspects.Observe(route.Evidence{Attribute: x.contentID(), Exited: route.ServerIncarnation{Server: "c"}, At: c.clock.Now()}, "request r")
 	c.clock.Advance(5 * time.Second)
 	c.server.startWatchdog(t.Context(), x)
 	defer x.group.stop()
--- a/internal/direct/quarantineapi.go
+++ b/internal/direct/quarantineapi.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -11,9 +12,9 @@
 	"github.com/cinderslip/cinderslip/pkg/route"
 )
 
-// QuarantinedRequest is a blocked request in responses to operators.
+// QuarantinedRequest is a blocked attribute of requests in responses to operators.
 type QuarantinedRequest struct {
-	// Content is the content ID, as in the log.
+	// Content is the ID of a content or, with the prefix "part-", of a part of prompts, as in the log.
 	Content string `json:"content"`
 	// Until is when the block ends.
 	Until time.Time `json:"until"`
@@ -39,22 +40,28 @@
 		for _, exit := range request.Exits {
 			servers = append(servers, string(exit.Server))
 		}
-		listed = append(listed, QuarantinedRequest{Content: request.Content.String(), Until: request.Until.UTC(), Servers: servers})
+		listed = append(listed, QuarantinedRequest{Content: request.Attribute.String(), Until: request.Until.UTC(), Servers: servers})
 	}
 	return listed
 }
 
-// serveLift lifts the block of one request on all boxes. Further exits block the request again.
+// serveLift lifts the block of one attribute on all boxes, and of those with the same exits, one of which would block the same
+// requests. Further exits block them again.
 func (s *SuspectRequests) serveLift(c echo.Context) error {
 	content, now := strings.ToLower(c.Param("content")), s.clock.Now()
-	for _, request := range s.Blocked(now) {
-		if request.Content.String() == content {
-			s.log.Warn().Str("content", content).Str("from", c.RealIP()).Int("ends", len(request.Exits)).Msg("bar lifted by an operator")
-			s.Observe(route.Evidence{Content: request.Content, At: now}, "operator")
-			return c.JSON(http.StatusOK, s.quarantinedRequests())
+	blocked := s.Blocked(now)
+	i := slices.IndexFunc(blocked, func(entry route.BlockedAttribute) bool { return entry.Attribute.String() == content })
+	if i < 0 {
+		return c.JSON(http.StatusNotFound, daemon.Problem{
+			Title: "no such request", Status: http.StatusNotFound, Detail: "no request of this content is barred here: " + content,
+		})
+	}
+	for _, entry := range blocked {
+		if !slices.Equal(entry.Exits, blocked[i].Exits) {
+			continue
 		}
+		s.log.Warn().Str("content", entry.Attribute.String()).Str("from", c.RealIP()).Int("ends", len(entry.Exits)).Msg("bar lifted by an operator")
+		s.Observe(route.Evidence{Attribute: entry.Attribute, At: now}, "operator")
 	}
-	return c.JSON(http.StatusNotFound, daemon.Problem{
-		Title: "no such request", Status: http.StatusNotFound, Detail: "no request of this content is barred here: " + content,
-	})
+	return c.JSON(http.StatusOK, s.quarantinedRequests())
 }
--- a/internal/direct/run.go
+++ b/internal/direct/run.go
@@ -25,6 +25,9 @@
 	defer cancel()
 	s.retryBudget(x.service).RecordRequest(s.clock.Now())
 	defer x.group.stop()
+	s.inFlight.add(x)
+	defer s.inFlight.remove(x)
+	defer func() { s.suspects.endTrial(x.trials) }()
 	var mayHaveRunErr, lastErr error
 	for x.attempts < x.route.MaxAttempts && x.unreachable < maxUnreachable {
 		reservation, err := s.nextReservation(ctx, x)
--- a/internal/direct/serverexits.go
+++ b/internal/direct/serverexits.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -103,38 +104,69 @@
 // failAttempt finishes an attempt that may have run and got no complete response.
 func (s *CallerServer) failAttempt(x *exchange, a *attempt, err error) {
 	result := route.ResultFailed
-	if isDisconnect(err) && s.serverExited(x, a.reservation) {
+	switch {
+	case errors.Is(err, route.ErrQuarantined):
+		// The box aborted the attempt.
+		result = route.ResultAbandoned
+	case isDisconnect(err) && s.serverExited(x, a.reservation):
 		result = route.ResultServerExited
 	}
 	s.finishAttempt(x, a, result, err)
 }
 
 // serverExited reports whether the server of a failed connection has exited. If it exited shortly after it
-// began to run the request, and without announcing its departure, the request becomes suspect.
+// began to run the request, and without announcing its departure, the attributes of the request become suspect.
 func (s *CallerServer) serverExited(x *exchange, reservation *route.Reservation) bool {
 	now := s.clock.Now()
 	if reservation.IsLeaving() || !reservation.IsListed() {
 		return false
 	}
-	exited := s.exitProbes.hasExited(reservation.ServerIncarnation(), reservation.Server.Address, reservation.ReservedAt())
-	if reservation.RespondingFor(now) >= safeResponseDuration || s.recentResponses.remove(x, now) {
+	exited := s.hasExited(reservation)
+	if reservation.RespondingFor(now) >= safeResponseDuration {
 		return exited
 	}
-	evidence := route.Evidence{Content: x.contentID(), Exited: s.suspects.IncarnationAt(reservation.ServerIncarnation(), reservation.ReservedAt()), At: now}
-	if exited {
-		s.suspects.Observe(evidence, "request "+x.ID)
-	} else {
-		s.suspects.NoteDisconnect(evidence)
+	incarnation := s.suspects.IncarnationAt(reservation.ServerIncarnation(), reservation.ReservedAt())
+	for _, attribute := range s.possibleCauses(x, reservation, now) {
+		evidence := route.Evidence{Attribute: attribute, Exited: incarnation, At: now}
+		if exited {
+			s.suspects.Observe(evidence, "request "+x.ID)
+		} else {
+			s.suspects.NoteDisconnect(evidence)
+		}
 	}
 	return exited
 }
 
+// hasExited reports whether the server of a reservation has exited.
+func (s *CallerServer) hasExited(reservation *route.Reservation) bool {
+	return s.exitProbes.hasExited(reservation.ServerIncarnation(), reservation.Server.Address, reservation.ReservedAt())
+}
+
+// possibleCauses returns the attributes of a request that may have caused its server to exit: the content unless it was
+// answered recently, and the parts of which no other request was answered while this one was in flight.
+func (s *CallerServer) possibleCauses(x *exchange, reservation *route.Reservation, now time.Time) []route.AttributeID {
+	var causes []route.AttributeID
+	if !s.recentResponses.remove(x, now) {
+		causes = append(causes, x.contentID())
+	}
+	for _, part := range x.partIDs() {
+		if answeredAt, ok := s.suspects.answeredParts.lastAt(part, now); !ok || answeredAt.Before(reservation.ReservedAt()) {
+			causes = append(causes, part)
+		}
+	}
+	return causes
+}
+
 // recordSuccess records that a server has been running the request, or has run it, without exiting.
 func (s *CallerServer) recordSuccess(x *exchange) {
 	now := s.clock.Now()
 	s.recentResponses.add(x, now)
-	if !s.suspects.Empty() {
-		s.suspects.Observe(route.Evidence{Content: x.contentID(), At: now}, "request "+x.ID)
+	s.suspects.answeredParts.add(x.partIDs(), now)
+	if s.suspects.Empty() {
+		return
+	}
+	for _, attribute := range x.attributes() {
+		s.suspects.Observe(route.Evidence{Attribute: attribute, At: now}, "request "+x.ID)
 	}
 }
 
@@ -143,30 +175,75 @@
 	if s.suspects.Empty() {
 		return route.Decision{}
 	}
-	return s.suspects.Evaluate(x.contentID(), s.clock.Now())
+	return s.suspects.Evaluate(x.attributes(), s.clock.Now())
 }
 
-// checkQuarantine returns an error if the request must not be sent to any server. After the latest exit it
-// waits for reports of other boxes, which may have sent the same request.
-func (s *CallerServer) checkQuarantine(ctx context.Context, x *exchange) error {
+// isQuarantined reports whether a request must not be sent now. The first request that is tried after a block is sent.
+func (s *CallerServer) isQuarantined(x *exchange) bool {
 	decision := s.quarantineDecision(x)
-	if decision.Suspect && !decision.Blocked {
-		if wait := decision.SettlesAt.Sub(s.clock.Now()); wait > 0 {
-			sleep(ctx, s.clock, wait)
-			decision = s.quarantineDecision(x)
+	return decision.Blocked || !x.mayTry(decision.Trials)
+}
+
+// mayTry reports whether the request is the one of this box that is tried for each of the attributes.
+func (x *exchange) mayTry(attributes []route.AttributeID) bool {
+	return !slices.ContainsFunc(attributes, func(attribute route.AttributeID) bool { return !slices.Contains(x.trials, attribute) })
+}
+
+const (
+	// trialRetryAfter is the Retry-After for a request whose attributes are being tried by another one.
+	trialRetryAfter = time.Second
+	// maxSuspectWait is how long a suspect request waits for another one of this box with the same attributes.
+	maxSuspectWait = time.Second
+	// suspectCheckInterval is the time between two checks of a request that waits for another one.
+	suspectCheckInterval = 25 * time.Millisecond
+)
+
+// checkQuarantine returns an error if the request must not be sent to any server. After the latest exit it waits for reports
+// of other boxes, which may have sent requests with the same attributes, and for another request of this box with them.
+func (s *CallerServer) checkQuarantine(ctx context.Context, x *exchange) error {
+	giveUpAt := s.clock.Now().Add(maxSuspectWait)
+	for {
+		decision, now := s.quarantineDecision(x), s.clock.Now()
+		x.suspect = decision.Suspect
+		wait := suspectCheckInterval
+		switch {
+		case decision.Blocked:
+			return &quarantinedError{attribute: decision.Attribute, until: decision.BlockedUntil, exits: decision.Exits}
+		case !x.mayTry(decision.Trials) && x.trials != nil:
+			// The request was tried, and its server exited.
+			return &quarantinedError{attribute: decision.Trials[0], until: now.Add(trialRetryAfter), exits: decision.Exits}
+		case decision.SettlesAt.After(now):
+			wait = decision.SettlesAt.Sub(now)
+		case x.mayTry(decision.Suspects), s.beginTrial(x, &decision):
+			return nil
+		case len(decision.Trials) > 0, now.After(giveUpAt), ctx.Err() != nil:
+			return &quarantinedError{attribute: decision.Suspects[0], until: now.Add(trialRetryAfter), exits: decision.Exits}
 		}
+		sleep(ctx, s.clock, wait)
+	}
+}
+
+// beginTrial makes the request the only one of this box with its suspect attributes that is sent to servers, unless there is
+// one already.
+func (s *CallerServer) beginTrial(x *exchange, decision *route.Decision) bool {
+	s.suspects.endTrial(x.trials)
+	x.trials = nil
+	if !s.suspects.beginTrial(decision.Suspects) {
+		return false
 	}
-	x.suspect = decision.Suspect
-	if !decision.Blocked {
-		return nil
+	x.trials = decision.Suspects
+	if len(decision.Trials) > 0 {
+		s.log.Info().Str("request", x.ID).Str("content", decision.Trials[0].String()).Int("ends", decision.Exits).Msg("trying a request after a block")
 	}
-	return &quarantinedError{until: decision.BlockedUntil, exits: decision.Exits}
+	return true
 }
 
-// quarantinedError is route.ErrQuarantined with the end of the block and the number of exits.
+// quarantinedError is route.ErrQuarantined with the attribute that blocks the request, the end of the block and the number
+// of exits.
 type quarantinedError struct {
-	until time.Time
-	exits int
+	attribute route.AttributeID
+	until     time.Time
+	exits     int
 }
 
 // Error returns the message of route.ErrQuarantined.
--- a/internal/direct/suspectrequests.go
+++ b/internal/direct/suspectrequests.go
@@ -23,12 +23,12 @@
 	// urgentBatchDelay is how long evidence is collected before an urgent broadcast. When a server exits,
 	// several requests of a box fail at the same time.
 	urgentBatchDelay = 5 * time.Millisecond
-	// maxDisconnected limits the failed requests that are kept to await a restart of their server.
-	maxDisconnected = 256
+	// maxDisconnected limits the attributes of failed requests that are kept to await a restart of their server.
+	maxDisconnected = 1024
 )
 
-// SuspectRequests records the requests during which backend servers exited, as observed by all processes of the
-// fleet. Agents only store the reports, so that the evidence survives if all entry boxes are killed at once.
+// SuspectRequests records the attributes of requests during which backend servers exited, as observed by all processes of
+// the fleet. Agents only store the reports, so that the evidence survives if all entry boxes are killed at once.
 type SuspectRequests struct {
 	route.Quarantine
 
@@ -39,24 +39,34 @@
 	// counts the urgent broadcasts.
 	wake        chan struct{}
 	urgentCount atomic.Uint64
+	// charged is signalled when requests that are in flight may have to be aborted; it holds at most one signal.
+	charged chan struct{}
+	// answeredParts are the parts of prompts of the requests that were recently answered.
+	answeredParts *answeredParts
 
 	mu sync.Mutex
 	// lastSingleExit is when evidence of a single exit was last broadcast at once.
 	lastSingleExit time.Time
-	// disconnected are the requests whose connection failed and whose server may have exited.
+	// disconnected is the evidence on requests whose connection failed and whose server may have exited.
 	disconnected []route.Evidence
+	// trials are the attributes of which a request is being tried.
+	trials map[route.AttributeID]struct{}
 }
 
 func newSuspectRequests(clock clockwork.Clock, log zerolog.Logger, metrics *Metrics) *SuspectRequests {
-	return &SuspectRequests{clock: clock, log: log, metrics: metrics, wake: make(chan struct{}, 1)}
+	return &SuspectRequests{
+		clock: clock, log: log, metrics: metrics, wake: make(chan struct{}, 1), charged: make(chan struct{}, 1),
+		answeredParts: newAnsweredParts(), trials: make(map[route.AttributeID]struct{}),
+	}
 }
 
 // Observe records evidence that this process has observed.
 func (s *SuspectRequests) Observe(evidence route.Evidence, from string) {
 	now := s.clock.Now()
+	s.noteAnswered(&evidence, now)
 	if s.Record(evidence, now) {
 		s.logEvidence(&evidence, from, now)
-		s.broadcast(evidence.Content, now)
+		s.broadcast(evidence.Attribute, now)
 	}
 }
 
@@ -67,23 +77,45 @@
 		s.log.Info().Int("evidence", len(evidence)).Str("from", from).Msg("evidence of many requests merged, not logging each")
 	}
 	for _, item := range evidence {
-		if !s.Record(item, now) {
+		isNew := s.Merge(item, now)
+		// The other boxes may not know that the part is answered here.
+		isNew = s.noteAnswered(&item, now) || isNew
+		if !isNew {
 			continue
 		}
-		if logEach && s.Evaluate(item.Content, now).Exits > 1 {
+		if logEach && s.evaluate(item.Attribute, now).Exits > 1 {
 			// A single exit has no consequence here yet, and the box that observed it has logged it.
 			s.logEvidence(&item, from, now)
 		}
-		s.broadcast(item.Content, now)
+		s.broadcast(item.Attribute, now)
 	}
 }
 
+// noteAnswered records that this box has received a response to a request with the attribute of an exit shortly before it, or
+// after it. It reports whether that is new.
+func (s *SuspectRequests) noteAnswered(evidence *route.Evidence, now time.Time) bool {
+	if evidence.Exited == (route.ServerIncarnation{}) {
+		return false
+	}
+	answeredAt, ok := s.answeredParts.lastAt(evidence.Attribute, now)
+	return ok && s.Merge(route.Evidence{Attribute: evidence.Attribute, At: answeredAt}, now)
+}
+
+// evaluate returns the decision for a request that has one attribute only.
+func (s *SuspectRequests) evaluate(attribute route.AttributeID, now time.Time) route.Decision {
+	return s.Evaluate([]route.AttributeID{attribute}, now)
+}
+
 // broadcast triggers an urgent broadcast of evidence. Single exits trigger one per singleExitInterval only: if
 // servers exit for other reasons, each exit makes some requests suspect for a moment, and hundreds of boxes
 // report them to each other. Other evidence is sent with the next regular message. broadcast must not block,
 // because its callers may hold locks that sending the message needs.
-func (s *SuspectRequests) broadcast(content route.ContentID, now time.Time) {
-	if s.Evaluate(content, now).Exits < 2 && !s.isSingleDue(now) {
+func (s *SuspectRequests) broadcast(attribute route.AttributeID, now time.Time) {
+	exits := s.evaluate(attribute, now).Exits
+	if exits > 1 {
+		s.signalCharged()
+	}
+	if exits < 2 && !s.isSingleDue(now) {
 		return
 	}
 	s.urgentCount.Add(1)
@@ -93,6 +125,38 @@
 	}
 }
 
+// signalCharged makes the caller server abort the attempts of requests that are now blocked. It does not block.
+func (s *SuspectRequests) signalCharged() {
+	select {
+	case s.charged <- struct{}{}:
+	default:
+	}
+}
+
+// beginTrial reports whether no other request with one of the attributes is being tried. If so, endTrial must be called.
+func (s *SuspectRequests) beginTrial(attributes []route.AttributeID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, attribute := range attributes {
+		if _, isTried := s.trials[attribute]; isTried {
+			return false
+		}
+	}
+	for _, attribute := range attributes {
+		s.trials[attribute] = struct{}{}
+	}
+	return true
+}
+
+// endTrial ends a trial.
+func (s *SuspectRequests) endTrial(attributes []route.AttributeID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, attribute := range attributes {
+		delete(s.trials, attribute)
+	}
+}
+
 // isSingleDue reports whether a single exit may be broadcast at once, and records the broadcast if so.
 func (s *SuspectRequests) isSingleDue(now time.Time) bool {
 	s.mu.Lock()
@@ -106,9 +170,9 @@
 
 // logEvidence counts and logs evidence.
 func (s *SuspectRequests) logEvidence(evidence *route.Evidence, from string, now time.Time) {
-	decision := s.Evaluate(evidence.Content, now)
+	decision := s.evaluate(evidence.Attribute, now)
 	s.metrics.suspects.WithLabelValues(suspectLabels[decision.Suspect]).Inc()
-	event := s.log.Info().Str("content", evidence.Content.String()).Dur("age_ms", now.Sub(evidence.At)).Str("from", from).
+	event := s.log.Info().Str("content", evidence.Attribute.String()).Dur("age_ms", now.Sub(evidence.At)).Str("from", from).
 		Int("ends", decision.Exits).Bool("barred", decision.Blocked)
 	if evidence.Exited == (route.ServerIncarnation{}) {
 		event.Msg("request is no longer suspect")
@@ -163,7 +227,7 @@
 	encoded := make([]*wire.Evidence, 0, len(evidence))
 	for _, item := range evidence {
 		encoded = append(encoded, &wire.Evidence{
-			Content: item.Content[:], Server: string(item.Exited.Server), Incarnation: uint64(item.Exited.Incarnation),
+			Content: item.Attribute[:], Server: string(item.Exited.Server), Incarnation: uint64(item.Exited.Incarnation),
 			Again: item.Exited.UnreportedRestarts, AgeMilliseconds: uint64(max(0, now.Sub(item.At).Milliseconds())),
 		})
 	}
@@ -174,13 +238,13 @@
 func evidenceFromWire(encoded []*wire.Evidence, now time.Time) []route.Evidence {
 	evidence := make([]route.Evidence, 0, len(encoded))
 	for _, item := range encoded {
-		if len(item.Content) != len(route.ContentID{}) || item.AgeMilliseconds > maxAgeMilliseconds {
+		if len(item.Content) != len(route.AttributeID{}) || item.AgeMilliseconds > maxAgeMilliseconds {
 			continue
 		}
 		evidence = append(evidence, route.Evidence{
-			Content: route.ContentID(item.Content),
-			Exited:  route.ServerIncarnation{Server: fleet.ServerID(item.Server), Incarnation: member.Incarnation(item.Incarnation), UnreportedRestarts: item.Again},
-			At:      now.Add(-time.Duration(item.AgeMilliseconds) * time.Millisecond),
+			Attribute: route.AttributeID(item.Content),
+			Exited:    route.ServerIncarnation{Server: fleet.ServerID(item.Server), Incarnation: member.Incarnation(item.Incarnation), UnreportedRestarts: item.Again},
+			At:        now.Add(-time.Duration(item.AgeMilliseconds) * time.Millisecond),
 		})
 	}
 	return evidence
--- a/internal/direct/suspectrequests_test.go
+++ b/internal/direct/suspectrequests_test.go
@@ -88,13 +88,13 @@
 func TestLaterIncarnationProvesExit(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	suspects := newSuspectRequests(clock, zerolog.Nop(), NewMetrics())
-	evidence := route.Evidence{Content: exchangeWithBody("body").contentID(), Exited: route.ServerIncarnation{Server: "i-1", Incarnation: 5}, At: clock.Now()}
+	evidence := route.Evidence{Attribute: exchangeWithBody("body").contentID(), Exited: route.ServerIncarnation{Server: "i-1", Incarnation: 5}, At: clock.Now()}
 	suspects.NoteDisconnect(evidence)
 	suspects.NoteServerStart("i-1", 5, "entry")
 	suspects.NoteServerStart("i-2", 9, "entry")
 	require.True(t, suspects.Empty())
 	suspects.NoteServerStart("i-1", 6, "entry")
-	require.Equal(t, 1, suspects.Evaluate(evidence.Content, clock.Now()).Exits)
+	require.Equal(t, 1, suspects.evaluate(evidence.Attribute, clock.Now()).Exits)
 
 	late := newSuspectRequests(clock, zerolog.Nop(), NewMetrics())
 	late.NoteDisconnect(evidence)
@@ -106,8 +106,8 @@
 func TestEvidenceIsEncodedAsAges(t *testing.T) {
 	here, there := time.Unix(1000, 0), time.Unix(9000, 0)
 	evidence := []route.Evidence{
-		{Content: exchangeWithBody("body").contentID(), Exited: route.ServerIncarnation{Server: "i-1", Incarnation: 5, UnreportedRestarts: 2}, At: here.Add(-3 * time.Second)},
-		{Content: exchangeWithBody("other").contentID(), At: here.Add(-time.Second)},
+		{Attribute: exchangeWithBody("body").contentID(), Exited: route.ServerIncarnation{Server: "i-1", Incarnation: 5, UnreportedRestarts: 2}, At: here.Add(-3 * time.Second)},
+		{Attribute: exchangeWithBody("other").contentID(), At: here.Add(-time.Second)},
 	}
 	decoded := evidenceFromWire(evidenceToWire(evidence, here), there)
 	require.Equal(t, there.Add(-3*time.Second), decoded[0].At)
@@ -127,7 +127,7 @@
 	}
 	content := exchangeWithBody("body").contentID()
 	for _, server := range []fleet.ServerID{"i-1", "i-2", "i-3"} {
-		suspects.Observe(route.Evidence{Content: content, Exited: route.ServerIncarnation{Server: server}, At: suspects.clock.Now()}, "request r-1")
+		suspects.Observe(route.Evidence{Attribute: content, Exited: route.ServerIncarnation{Server: server}, At: suspects.clock.Now()}, "request r-1")
 	}
 	code, listed := call(http.MethodGet, "/quarantine")
 	require.Equal(t, http.StatusOK, code)
@@ -141,7 +141,7 @@
 	code, remaining := call(http.MethodDelete, "/quarantine/"+content.String())
 	require.Equal(t, http.StatusOK, code)
 	require.JSONEq(t, "[]", remaining)
-	require.False(t, suspects.Evaluate(content, suspects.clock.Now()).Suspect)
+	require.False(t, suspects.evaluate(content, suspects.clock.Now()).Suspect)
 	evidence, _ := suspects.Since(0)
 	require.Len(t, evidence, 1, "the lift is reported to other boxes")
 }
--- a/internal/direct/watchdog.go
+++ b/internal/direct/watchdog.go
@@ -116,7 +116,7 @@
 // mayRepeat reports whether the request may be sent to another server although servers may have exited under it.
 func (s *CallerServer) mayRepeat(x *exchange, now time.Time) bool {
 	decision := s.quarantineDecision(x)
-	return !decision.Blocked && (!decision.Suspect || !decision.SettlesAt.After(now))
+	return !decision.Blocked && len(decision.Trials) == 0 && (!decision.Suspect || !decision.SettlesAt.After(now))
 }
 
 // beginHedge adds a hedge. It returns nil if there has been progress since the slot was requested. Otherwise the number of
--- a/pkg/route/quarantine.go
+++ b/pkg/route/quarantine.go
@@ -13,39 +13,53 @@
 )
 
 // A request may cause every backend server that starts to run it to exit, and may be submitted again with another id at
-// any entry box. The evidence must therefore outlast the attempt, the request and the box. Otherwise the request takes
-// down one server after another, together with the responses to all other requests on these servers. At most one of the
-// requests on a server is the cause of its exit, so an exit only makes a request suspect; one response shows that it
-// was not the cause.
+// any entry box. So may all requests that have an attribute in common, such as a part of their prompts. The evidence must
+// therefore outlast the attempt, the request and the box, and is kept for each attribute. Otherwise such requests take down
+// one server after another, together with the responses to all other requests on these servers. At most one of the
+// requests on a server is the cause of its exit, so an exit only makes their attributes suspect; one response to a request
+// with an attribute shows that the attribute was not the cause.
 
 // ErrQuarantined reports that a request is not sent to any server because servers have exited under it.
 var ErrQuarantined = errors.New("request is quarantined: backend servers exited while starting to run it")
 
 const (
-	// exitsToBlock is the number of exits under a request that block it, whatever other requests were on the servers.
+	// exitsToBlock is the number of exits under an attribute that block it, whatever other requests were on the servers.
 	exitsToBlock = 3
-	// exitsToBlockAlone is the number of exits that block a request if it alone explains all of them.
+	// exitsToBlockAmongOthers replaces exitsToBlock for a part of prompts that explains less than half of the exits between the
+	// first and the last one under it.
+	exitsToBlockAmongOthers = 4
+	// exitsToBlockAlone is the number of exits that block an attribute if it alone explains all of them.
 	exitsToBlockAlone = 2
-	// aloneLookback is the period before the first exit under a request in which no server may have exited without the
-	// request. Such an exit shows that servers also exit for other reasons.
+	// aloneLookback is the period before the first exit under an attribute in which no server may have exited without it. Such an exit shows that servers also exit for other reasons.
 	aloneLookback = 10 * time.Second
 	// settleDelay is how long evidence of other boxes on an exit may take to arrive. Boxes report evidence immediately.
 	settleDelay = 150 * time.Millisecond
-	// suspectTime is how long a request that is not responsible for the exits remains suspect after the last one.
+	// suspectTime is how long an attribute that is not responsible for the exits remains suspect after the last one.
 	suspectTime = time.Minute
 	// blockInitial is the duration of the first block. It is multiplied by blockGrowth for each exit beyond
-	// exitsToBlock, up to blockMax, so that a request that causes every server to exit takes down few servers in total.
+	// exitsToBlock, up to blockMax, so that an attribute that causes every server to exit takes down few servers in total.
 	blockInitial = 10 * time.Minute
 	blockGrowth  = 8
 	blockMax     = 7 * 24 * time.Hour
-	// unblockedRetention is how long a request is kept after its block has ended.
+	// partBlockInitial replaces blockInitial for parts of prompts. A new part is in several requests at a time, so servers
+	// that exit for another reason block it more easily than a content, and none of its requests can clear it then.
+	partBlockInitial = 3 * time.Second
+	// staggerDoubling is the time in which the number of boxes whose block has ended doubles.
+	staggerDoubling = 500 * time.Millisecond
+	// successRetention is how long before the first exit under an attribute a response shows that servers run it. One exit
+	// is then attributed to another cause.
+	successRetention = 30 * time.Second
+	// simultaneousExits is the period in which several exits are considered simultaneous.
+	simultaneousExits = 20 * time.Millisecond
+	// unblockedRetention is how long an attribute is kept after its block has ended.
 	unblockedRetention = 24 * time.Hour
-	// maxContents is the maximum number of requests kept. Beyond it, those with the fewest exits are evicted first.
-	maxContents = 1024
-	// expireInterval is the minimum interval between two removals of expired requests.
+	// maxAttributes is the maximum number of attributes kept. Beyond it, those with the fewest exits are evicted first.
+	maxAttributes = 2048
+	// expireInterval is the minimum interval between two removals of expired attributes.
 	expireInterval = 5 * time.Second
-	// maxExitsPerContent is the maximum number of exits kept for a request; more would not block it for longer.
-	maxExitsPerContent = 8
+	// maxExitsPerAttribute is the maximum number of exits kept for an attribute, the latest ones; more would not block it
+	// for longer.
+	maxExitsPerAttribute = 8
 )
 
 // ServerIncarnation identifies one incarnation of a backend server.
@@ -58,65 +72,60 @@
 	UnreportedRestarts uint32
 }
 
-// Evidence is an observation of one box about a request.
+// Evidence is an observation of one box about an attribute of requests.
 type Evidence struct {
-	Content ContentID
-	// Exited is the incarnation that exited when it started to run the request. It is zero if a server has run the
-	// request successfully, or if an operator has unblocked it.
+	Attribute AttributeID
+	// Exited is the incarnation that exited when it started to run a request with the attribute. It is zero if a server has
+	// run one successfully, or if an operator has unblocked the attribute.
 	Exited ServerIncarnation
 	// At is the time of the observation.
 	At time.Time
 }
 
-// isExit reports whether a server has exited under the request.
+// isExit reports whether a server has exited under the attribute.
 func (e *Evidence) isExit() bool { return e.Exited != ServerIncarnation{} }
 
-// Decision states whether and how a request may be sent to a server.
-type Decision struct {
-	// Suspect is set if a server may have exited because of the request. It must not be sent to a server that has
-	// another suspect request.
-	Suspect bool
-	// Blocked is set if the request must not be sent to any server until BlockedUntil.
-	Blocked      bool
-	BlockedUntil time.Time
-	// SettlesAt is the time until which evidence of other boxes on the last exit may arrive. It may be in the past.
-	SettlesAt time.Time
-	// Exits is the number of incarnations that have exited under the request.
-	Exits int
-}
-
-// Quarantine keeps the requests under which backend servers have exited. Its zero value is empty and ready to use. It
-// is safe for concurrent use.
+// Quarantine keeps the attributes of requests under which backend servers have exited. Its zero value is empty and ready
+// to use. It is safe for concurrent use.
 //
 // # Usage
 //
-//	if decision := quarantine.Evaluate(content, now); decision.Blocked { ... } // reject the request
+//	if decision := quarantine.Evaluate(attributes, now); decision.Blocked { ... } // reject the request
 //	...
-//	quarantine.Record(Evidence{Content: content, Exited: incarnation, At: now}, now) // the server exited
-//	quarantine.Record(Evidence{Content: content, At: now}, now)                      // the server responded
+//	quarantine.Record(Evidence{Attribute: attribute, Exited: incarnation, At: now}, now) // the server exited
+//	quarantine.Record(Evidence{Attribute: attribute, At: now}, now)                      // the server responded
 //	...
-//	evidence, cursor = quarantine.Since(cursor) // report the evidence to other boxes
+//	evidence, cursor = quarantine.Since(cursor) // report the evidence to other boxes, which call Merge
 type Quarantine struct {
-	// requestCount is the length of requests. It can be read without the lock.
-	requestCount atomic.Int64
-
-	mu       sync.Mutex
-	requests map[ContentID]*suspect
-	// exitedAt contains the exits within blockInitial, including those under requests that have been cleared since.
+	// Box is the box that evaluates requests, BoxCount returns the number of boxes that do. A nil BoxCount stands for one
+	// box.
+	Box      member.BoxID
+	BoxCount func() int
+
+	// attributeCount is the length of attributes. It can be read without the lock.
+	attributeCount atomic.Int64
+
+	mu         sync.Mutex
+	attributes map[AttributeID]*suspect
+	// charged contains the attributes for which isCharged was true when their evidence last changed.
+	charged map[AttributeID]*suspect
+	// exitedAt contains the exits within blockInitial, including those under attributes that have been cleared since.
 	exitedAt map[ServerIncarnation]time.Time
 	// changes is the number of changes so far.
 	changes uint64
-	// lastExpiry is when expired requests were last removed.
+	// lastExpiry is when expired attributes were last removed.
 	lastExpiry time.Time
 }
 
-// suspect is the evidence on one request.
+// suspect is the evidence on one attribute.
 type suspect struct {
+	// isPart is set for a part of prompts.
+	isPart bool
 	// exits are sorted by time.
 	exits []exit
-	// clearedAt is the time of the last successful run that cleared exits; zero if there was none.
+	// clearedAt is the time of the last known successful run; zero if there was none.
 	clearedAt time.Time
-	// lastChange is the value of Quarantine.changes when the request last changed.
+	// lastChange is the value of Quarantine.changes when the attribute last changed.
 	lastChange uint64
 }
 
@@ -126,35 +135,94 @@
 	at          time.Time
 }
 
-// Empty reports whether the quarantine contains no request, so that Evaluate need not be called.
-func (q *Quarantine) Empty() bool { return q.requestCount.Load() == 0 }
+// Empty reports whether the quarantine contains no attribute, so that Evaluate need not be called.
+func (q *Quarantine) Empty() bool { return q.attributeCount.Load() == 0 }
 
-// Record adds evidence and reports whether it is new, which means that it has to be reported to other boxes.
+// Record adds evidence and reports whether it is new, which means that it has to be reported to other boxes. A success of
+// an attribute that is not suspect is not kept.
 func (q *Quarantine) Record(evidence Evidence, now time.Time) bool {
+	return q.record(evidence, now, false)
+}
+
+// Merge adds evidence that another box reports, as Record does. It keeps a success of an unknown attribute, because the
+// box reports it for an exit that it may have yet to report.
+func (q *Quarantine) Merge(evidence Evidence, now time.Time) bool {
+	return q.record(evidence, now, true)
+}
+
+func (q *Quarantine) record(evidence Evidence, now time.Time, keepsSuccess bool) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if evidence.isExit() && now.Sub(evidence.At) <= blockInitial {
 		q.recordExit(evidence.Exited, evidence.At, now)
 	}
-	s := q.requests[evidence.Content]
+	s := q.attributes[evidence.Attribute]
 	switch {
-	case !evidence.isExit():
-		if s == nil || !s.clear(evidence.At) {
-			return false
-		}
+	case s == nil && evidence.isExit():
+		s = q.newSuspect(evidence.Attribute, now)
+		s.exits = []exit{{evidence.Exited, evidence.At}}
+	case s == nil && keepsSuccess && now.Sub(evidence.At) <= successRetention:
+		s = q.newSuspect(evidence.Attribute, now)
+		s.clearedAt = evidence.At
 	case s == nil:
-		q.makeRoom(now)
-		s = &suspect{exits: []exit{{evidence.Exited, evidence.At}}}
-		q.requests[evidence.Content] = s
-		q.requestCount.Store(int64(len(q.requests)))
-	case !s.add(exit{evidence.Exited, evidence.At}):
+		return false
+	case evidence.isExit() && !s.add(exit{evidence.Exited, evidence.At}):
+		return false
+	case !evidence.isExit() && !q.clear(s, evidence.At):
 		return false
 	}
 	q.changes++
 	s.lastChange = q.changes
+	q.updateCharged(evidence.Attribute, s)
 	return true
 }
 
+// newSuspect adds an attribute without evidence.
+func (q *Quarantine) newSuspect(attribute AttributeID, now time.Time) *suspect {
+	q.makeRoom(now)
+	s := &suspect{isPart: attribute.IsPart()}
+	q.attributes[attribute] = s
+	q.attributeCount.Store(int64(len(q.attributes)))
+	return s
+}
+
+// updateCharged adds an attribute to charged or removes it.
+func (q *Quarantine) updateCharged(attribute AttributeID, s *suspect) {
+	if !q.isCharged(s) {
+		delete(q.charged, attribute)
+		return
+	}
+	if q.charged == nil {
+		q.charged = make(map[AttributeID]*suspect)
+	}
+	q.charged[attribute] = s
+}
+
+// isCharged reports whether an attribute has so many exits that it is considered their cause whatever else was on the servers.
+func (q *Quarantine) isCharged(s *suspect) bool {
+	counted := q.counted(s)
+	if counted < exitsToBlock {
+		return false
+	}
+	return !s.isPart || counted >= exitsToBlockAmongOthers || 2*len(s.exits) >= q.countExits(s.exits[0].at, s.last().at)
+}
+
+// countExits returns the number of exits in a period.
+func (q *Quarantine) countExits(from, to time.Time) (count int) {
+	for _, at := range q.exitedAt {
+		if !at.Before(from) && !at.After(to) {
+			count++
+		}
+	}
+	return count
+}
+
+// remove removes an attribute.
+func (q *Quarantine) remove(attribute AttributeID) {
+	delete(q.attributes, attribute)
+	delete(q.charged, attribute)
+}
+
 // IncarnationAt returns the incarnation that received a request sent at a time, given the latest reported incarnation
 // of the server. A request that was sent after the exit of an incarnation was received by a later one, even if no
 // restart was reported.
@@ -186,66 +254,87 @@
 	q.exitedAt[incarnation] = at
 }
 
-// clear removes the exits up to the time of a successful run. It returns false if there were none.
-func (s *suspect) clear(at time.Time) bool {
-	before := len(s.exits)
+// clear removes the exits up to the time of a successful run. It returns false if that changes no decision: there were
+// none, and the run is not the first one known to have preceded the exits that remain.
+func (q *Quarantine) clear(s *suspect, at time.Time) bool {
+	before, counted, clearedAt := len(s.exits), q.counted(s), s.clearedAt
 	s.exits = slices.DeleteFunc(s.exits, func(e exit) bool { return !e.at.After(at) })
-	if len(s.exits) == before {
+	s.clearedAt = latest(s.clearedAt, at)
+	if len(s.exits) == before && q.counted(s) == counted {
+		s.clearedAt = clearedAt
 		return false
 	}
-	s.clearedAt = at
 	return true
 }
 
-// add adds an exit. It returns false if the exit is known, is not after the run that cleared the request, or exceeds
-// maxExitsPerContent.
+// latest returns the later one of two times.
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// add adds an exit. It returns false if the exit is known, is not after the run that cleared the attribute, or is older than
+// the maxExitsPerAttribute that are kept.
 func (s *suspect) add(next exit) bool {
-	if s.hasExited(next.incarnation) || !next.at.After(s.clearedAt) || len(s.exits) >= maxExitsPerContent {
+	if s.hasExited(next.incarnation) || !next.at.After(s.clearedAt) {
 		return false
 	}
-	s.exits = append(s.exits, next)
+	if len(s.exits) >= maxExitsPerAttribute {
+		if !next.at.After(s.exits[0].at) {
+			return false
+		}
+		s.exits = s.exits[1:]
+	}
+	s.exits = append(slices.Clone(s.exits), next)
 	slices.SortFunc(s.exits, func(a, b exit) int { return a.at.Compare(b.at) })
 	return true
 }
 
-// last returns the latest exit; zero if there is none.
-func (s *suspect) last() exit {
-	if len(s.exits) == 0 {
-		return exit{}
+// counted returns the number of exits that count against an attribute. If a server has run a request with the attribute
+// shortly before the first one, that one does not count.
+func (q *Quarantine) counted(s *suspect) int {
+	count := 0
+	for i := 0; i < len(s.exits); {
+		simultaneous := q.simultaneous(s, s.exits[i:])
+		i += simultaneous
+		count++
 	}
-	return s.exits[len(s.exits)-1]
-}
-
-// blockDuration returns how long the request is blocked after its last exit if it is responsible.
-func (s *suspect) blockDuration() time.Duration {
-	duration := blockInitial
-	for range len(s.exits) - exitsToBlock {
-		duration = min(blockMax, duration*blockGrowth)
+	if count > 0 && !s.clearedAt.IsZero() && s.exits[0].at.Sub(s.clearedAt) <= successRetention {
+		count--
 	}
-	return duration
+	return count
 }
 
-// isExpired reports whether the evidence on the request can be deleted, given whether the request is responsible for
-// the exits.
-func (s *suspect) isExpired(isResponsible bool, now time.Time) bool {
-	switch {
-	case len(s.exits) == 0:
-		return now.Sub(s.clearedAt) > suspectTime
-	case !isResponsible:
-		return now.Sub(s.last().at) > suspectTime
+// simultaneous returns how many of the next exits of an attribute count as one. New requests with a part of prompts are on
+// several servers at a time, so exits under a part count as one if other servers exited at the same time without it: all of
+// them have another cause.
+func (q *Quarantine) simultaneous(s *suspect, next []exit) int {
+	count := 1
+	for count < len(next) && next[count].at.Sub(next[0].at) <= simultaneousExits {
+		count++
+	}
+	if count == 1 || !s.isPart {
+		return 1
 	}
-	return now.Sub(s.last().at) > s.blockDuration()+unblockedRetention
+	for incarnation, at := range q.exitedAt {
+		if at.Sub(next[0].at).Abs() <= simultaneousExits && !s.hasExited(incarnation) {
+			return count
+		}
+	}
+	return 1
 }
 
-// isResponsible reports whether a request is considered the cause of the exits under it.
-func (q *Quarantine) isResponsible(content ContentID, s *suspect, now time.Time) bool {
-	if len(s.exits) >= exitsToBlock {
-		return true
+// last returns the latest exit; zero if there is none.
+func (s *suspect) last() exit {
+	if len(s.exits) == 0 {
+		return exit{}
 	}
-	return len(s.exits) >= exitsToBlockAlone && !now.Before(s.last().at.Add(settleDelay)) && q.explainsAllExits(content, s)
+	return s.exits[len(s.exits)-1]
 }
 
-// Expire removes expired requests, at most once per expireInterval.
+// Expire removes expired attributes, at most once per expireInterval.
 func (q *Quarantine) Expire(now time.Time) {
 	if q.Empty() {
 		return
@@ -260,85 +349,45 @@
 // expire is Expire with the lock held.
 func (q *Quarantine) expire(now time.Time) {
 	q.lastExpiry = now
-	for content, s := range q.requests {
-		if s.isExpired(q.isResponsible(content, s, now), now) {
-			delete(q.requests, content)
+	for attribute, s := range q.attributes {
+		if s.isExpired(attribute, q.isResponsible(s, []AttributeID{attribute}, now), now) {
+			q.remove(attribute)
 		}
 	}
-	q.requestCount.Store(int64(len(q.requests)))
+	q.attributeCount.Store(int64(len(q.attributes)))
 }
 
-// makeRoom expires and evicts requests until one more can be added.
+// makeRoom expires and evicts attributes until one more can be added.
 func (q *Quarantine) makeRoom(now time.Time) {
-	if q.requests == nil {
-		q.requests = make(map[ContentID]*suspect)
+	if q.attributes == nil {
+		q.attributes = make(map[AttributeID]*suspect)
 	}
-	if len(q.requests) >= maxContents {
+	if len(q.attributes) >= maxAttributes {
 		q.expire(now)
 	}
-	for len(q.requests) >= maxContents {
+	for len(q.attributes) >= maxAttributes {
 		q.evictLeast()
 	}
 }
 
-// evictLeast removes the request with the fewest exits; among several, the one that changed least recently.
+// evictLeast removes the attribute with the fewest exits; among several, the one that changed least recently.
 func (q *Quarantine) evictLeast() {
-	var least ContentID
+	var least AttributeID
 	var leastSuspect *suspect
-	for content, s := range q.requests {
+	for attribute, s := range q.attributes {
 		if leastSuspect == nil || cmp.Or(cmp.Compare(len(s.exits), len(leastSuspect.exits)), cmp.Compare(s.lastChange, leastSuspect.lastChange)) < 0 {
-			least, leastSuspect = content, s
-		}
-	}
-	delete(q.requests, least)
-}
-
-// Evaluate decides whether and how a request may be sent now.
-func (q *Quarantine) Evaluate(content ContentID, now time.Time) Decision {
-	if q.Empty() {
-		return Decision{}
-	}
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	s := q.requests[content]
-	if s == nil || len(s.exits) == 0 {
-		return Decision{}
-	}
-	isResponsible := q.isResponsible(content, s, now)
-	if s.isExpired(isResponsible, now) {
-		return Decision{}
-	}
-	decision := Decision{Suspect: true, Exits: len(s.exits), SettlesAt: s.last().at.Add(settleDelay)}
-	if until := s.last().at.Add(s.blockDuration()); isResponsible && now.Before(until) {
-		decision.Blocked, decision.BlockedUntil = true, until
-	}
-	return decision
-}
-
-// explainsAllExits reports whether a request alone explains all exits from aloneLookback before its first exit until
-// settleDelay after its last one: each of these exits was under the request, and no other request is recorded under all
-// exits of this request. Later exits are no evidence for or against it.
-func (q *Quarantine) explainsAllExits(content ContentID, s *suspect) bool {
-	from, to := s.exits[0].at.Add(-aloneLookback), s.last().at.Add(settleDelay)
-	for incarnation, at := range q.exitedAt {
-		if at.After(from) && at.Before(to) && !s.hasExited(incarnation) {
-			return false
-		}
-	}
-	for other, known := range q.requests {
-		if other != content && !slices.ContainsFunc(s.exits, func(e exit) bool { return !known.hasExited(e.incarnation) }) {
-			return false
+			least, leastSuspect = attribute, s
 		}
 	}
-	return true
+	q.remove(least)
 }
 
-// hasExited reports whether an incarnation has exited under the request.
+// hasExited reports whether an incarnation has exited under the attribute.
 func (s *suspect) hasExited(incarnation ServerIncarnation) bool {
 	return slices.ContainsFunc(s.exits, func(e exit) bool { return e.incarnation == incarnation })
 }
 
-// Since returns all evidence on each request whose evidence has changed after the cursor, oldest change first, and the
+// Since returns all evidence on each attribute whose evidence has changed after the cursor, oldest change first, and the
 // cursor for the next call. The first cursor is 0.
 func (q *Quarantine) Since(cursor uint64) (evidence []Evidence, next uint64) {
 	q.mu.Lock()
@@ -346,59 +395,23 @@
 	if cursor == q.changes {
 		return nil, cursor
 	}
-	var contents []ContentID
-	for content, s := range q.requests {
+	var changed []AttributeID
+	for attribute, s := range q.attributes {
 		if s.lastChange > cursor {
-			contents = append(contents, content)
+			changed = append(changed, attribute)
 		}
 	}
-	slices.SortFunc(contents, func(a, b ContentID) int { return cmp.Compare(q.requests[a].lastChange, q.requests[b].lastChange) })
-	for _, content := range contents {
-		s := q.requests[content]
+	slices.SortFunc(changed, func(a, b AttributeID) int {
+		return cmp.Compare(q.attributes[a].lastChange, q.attributes[b].lastChange)
+	})
+	for _, attribute := range changed {
+		s := q.attributes[attribute]
 		if !s.clearedAt.IsZero() {
-			evidence = append(evidence, Evidence{Content: content, At: s.clearedAt})
+			evidence = append(evidence, Evidence{Attribute: attribute, At: s.clearedAt})
 		}
 		for _, e := range s.exits {
-			evidence = append(evidence, Evidence{Content: content, Exited: e.incarnation, At: e.at})
+			evidence = append(evidence, Evidence{Attribute: attribute, Exited: e.incarnation, At: e.at})
 		}
 	}
 	return evidence, q.changes
 }
-
-// BlockedRequest is a request that must not be sent to any server.
-type BlockedRequest struct {
-	Content ContentID
-	Until   time.Time
-	// Exits contains the incarnations that have exited under the request, the earliest exit first.
-	Exits []ServerIncarnation
-}
-
-// Blocked returns the blocked requests, the latest end of a block first.
-func (q *Quarantine) Blocked(now time.Time) []BlockedRequest {
-	q.mu.Lock()
-	contents := make([]ContentID, 0, len(q.requests))
-	for content := range q.requests {
-		contents = append(contents, content)
-	}
-	q.mu.Unlock()
-	var blocked []BlockedRequest
-	for _, content := range contents {
-		if decision := q.Evaluate(content, now); decision.Blocked {
-			blocked = append(blocked, BlockedRequest{Content: content, Until: decision.BlockedUntil, Exits: q.exitsOf(content)})
-		}
-	}
-	slices.SortFunc(blocked, func(a, b BlockedRequest) int { return b.Until.Compare(a.Until) })
-	return blocked
-}
-
-// exitsOf returns the incarnations that have exited under a request.
-func (q *Quarantine) exitsOf(content ContentID) (incarnations []ServerIncarnation) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if s := q.requests[content]; s != nil {
-		for _, e := range s.exits {
-			incarnations = append(incarnations, e.incarnation)
-		}
-	}
-	return incarnations
-}
--- a/pkg/route/quarantine_test.go
+++ b/pkg/route/quarantine_test.go
@@ -21,8 +21,8 @@
 	start      time.Time
 }
 
-// testContent returns the ContentID for a name in a script.
-func testContent(name string) (content ContentID) {
+// testContent returns the AttributeID of a content for a name in a script.
+func testContent(name string) (content AttributeID) {
 	copy(content[:], name)
 	return content
 }
@@ -49,21 +49,21 @@
 	content := testContent(fields[2])
 	switch fields[1] {
 	case "exit":
-		evidence := Evidence{Content: content, Exited: testIncarnation(fields[3]), At: now}
+		evidence := Evidence{Attribute: content, Exited: testIncarnation(fields[3]), At: now}
 		if len(fields) > 4 {
 			evidence.At = s.at(fields[5])
 		}
 		s.quarantine.Record(evidence, now)
 	case "success":
-		s.quarantine.Record(Evidence{Content: content, At: now}, now)
+		s.quarantine.Record(Evidence{Attribute: content, At: now}, now)
 	case "evaluate":
-		require.Equal(s.t, fields[3], decisionName(s.quarantine.Evaluate(content, now)), "%v", fields)
+		require.Equal(s.t, fields[3], decisionName(s.quarantine.Evaluate([]AttributeID{content}, now)), "%v", fields)
 	case "evaluate-peer":
 		peer := new(Quarantine)
 		for _, evidence := range s.evidence() {
 			peer.Record(evidence, now)
 		}
-		require.Equal(s.t, fields[3], decisionName(peer.Evaluate(content, now)), "%v", fields)
+		require.Equal(s.t, fields[3], decisionName(peer.Evaluate([]AttributeID{content}, now)), "%v", fields)
 	default:
 		s.t.Fatalf("unknown command in %v", fields)
 	}
@@ -101,10 +101,10 @@
 	rapid.Check(t, func(t *rapid.T) {
 		boxes := make([]Quarantine, 3)
 		now := time.Unix(1000, 0)
-		contents := []ContentID{testContent("a"), testContent("b")}
+		contents := []AttributeID{testContent("a"), testContent("b")}
 		for range rapid.IntRange(1, 12).Draw(t, "events") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "event gap")) * time.Millisecond)
-			evidence := Evidence{Content: rapid.SampledFrom(contents).Draw(t, "content"), At: now}
+			evidence := Evidence{Attribute: rapid.SampledFrom(contents).Draw(t, "content"), At: now}
 			if rapid.Bool().Draw(t, "exited") {
 				evidence.Exited = testIncarnation(fmt.Sprintf("s%d", rapid.IntRange(0, 4).Draw(t, "server")))
 			}
@@ -113,9 +113,9 @@
 		}
 		now = now.Add(settleDelay)
 		for _, content := range contents {
-			want := boxes[0].Evaluate(content, now)
+			want := boxes[0].Evaluate([]AttributeID{content}, now)
 			for i := range boxes {
-				got := boxes[i].Evaluate(content, now)
+				got := boxes[i].Evaluate([]AttributeID{content}, now)
 				if got.Blocked != want.Blocked || got.Exits != want.Exits {
 					t.Fatalf("box %d: %+v, box 0: %+v", i, got, want)
 				}
@@ -152,20 +152,20 @@
 	now := time.Unix(1000, 0)
 	blocked := testContent("blocked")
 	for i := range exitsToBlock {
-		q.Record(Evidence{Content: blocked, Exited: testIncarnation(fmt.Sprintf("first-%d", i)), At: now}, now)
+		q.Record(Evidence{Attribute: blocked, Exited: testIncarnation(fmt.Sprintf("first-%d", i)), At: now}, now)
 	}
-	for i := range 3 * maxContents {
-		q.Record(Evidence{Content: testContent(fmt.Sprintf("other-%d", i)), Exited: testIncarnation(fmt.Sprintf("s-%d", i)), At: now}, now)
+	for i := range 3 * maxAttributes {
+		q.Record(Evidence{Attribute: testContent(fmt.Sprintf("other-%d", i)), Exited: testIncarnation(fmt.Sprintf("s-%d", i)), At: now}, now)
 	}
-	require.True(t, q.Evaluate(blocked, now).Blocked)
-	require.LessOrEqual(t, len(q.requests), maxContents)
-	require.Equal(t, []BlockedRequest{{Content: blocked, Until: now.Add(blockInitial), Exits: []ServerIncarnation{testIncarnation("first-0"), testIncarnation("first-1"), testIncarnation("first-2")}}}, q.Blocked(now))
+	require.True(t, q.Evaluate([]AttributeID{blocked}, now).Blocked)
+	require.LessOrEqual(t, len(q.attributes), maxAttributes)
+	require.Equal(t, []BlockedAttribute{{Attribute: blocked, Until: now.Add(blockInitial), Exits: []ServerIncarnation{testIncarnation("first-0"), testIncarnation("first-1"), testIncarnation("first-2")}}}, q.Blocked(now))
 }
 
 func TestQuarantineIsEmptyAfterExpiry(t *testing.T) {
 	var q Quarantine
 	now := time.Unix(1000, 0)
-	q.Record(Evidence{Content: testContent("a"), Exited: testIncarnation("i-1"), At: now}, now)
+	q.Record(Evidence{Attribute: testContent("a"), Exited: testIncarnation("i-1"), At: now}, now)
 	q.Expire(now)
 	require.False(t, q.Empty())
 	q.Expire(now.Add(suspectTime + time.Second))
@@ -185,14 +185,14 @@
 	now, reported := time.Unix(1000, 0), testIncarnation("i-1")
 	recordExit := func(sent, at time.Time) ServerIncarnation {
 		incarnation := q.IncarnationAt(reported, sent)
-		q.Record(Evidence{Content: testContent("a"), Exited: incarnation, At: at}, at)
+		q.Record(Evidence{Attribute: testContent("a"), Exited: incarnation, At: at}, at)
 		return incarnation
 	}
 	require.Equal(t, reported, recordExit(now, now.Add(time.Second)))
 	require.Equal(t, reported, recordExit(now.Add(time.Second/2), now.Add(2*time.Second)), "sent before the exit, observed later")
 	require.Equal(t, uint32(1), recordExit(now.Add(2*time.Second), now.Add(3*time.Second)).UnreportedRestarts)
 	require.Equal(t, uint32(2), recordExit(now.Add(4*time.Second), now.Add(5*time.Second)).UnreportedRestarts)
-	require.True(t, q.Evaluate(testContent("a"), now.Add(5*time.Second)).Blocked)
+	require.True(t, q.Evaluate([]AttributeID{testContent("a")}, now.Add(5*time.Second)).Blocked)
 }
 
 func TestServerGetsAtMostOneSuspect(t *testing.T) {
@@ -241,22 +241,22 @@
 	require.NotNil(t, second)
 }
 
-// BenchmarkEvaluate evaluates an unknown request while maxContents others are known, and a request with two exits,
+// BenchmarkEvaluate evaluates an unknown request while maxAttributes others are known, and a request with two exits,
 // which is compared with all others.
 func BenchmarkEvaluate(b *testing.B) {
 	var q Quarantine
 	now := time.Unix(1000, 0)
-	for i := range maxContents - 1 {
-		q.Record(Evidence{Content: testContent(fmt.Sprintf("other-%d", i)), Exited: testIncarnation(fmt.Sprintf("s-%d", i)), At: now}, now)
+	for i := range maxAttributes - 1 {
+		q.Record(Evidence{Attribute: testContent(fmt.Sprintf("other-%d", i)), Exited: testIncarnation(fmt.Sprintf("s-%d", i)), At: now}, now)
 	}
 	twice := testContent("twice")
-	q.Record(Evidence{Content: twice, Exited: testIncarnation("first"), At: now.Add(time.Minute / 2)}, now)
-	q.Record(Evidence{Content: twice, Exited: testIncarnation("second"), At: now.Add(time.Minute / 2)}, now)
+	q.Record(Evidence{Attribute: twice, Exited: testIncarnation("first"), At: now.Add(time.Minute / 2)}, now)
+	q.Record(Evidence{Attribute: twice, Exited: testIncarnation("second"), At: now.Add(time.Minute / 2)}, now)
 	later := now.Add(time.Minute/2 + time.Second)
-	for _, content := range []ContentID{testContent("unknown"), twice} {
+	for _, content := range []AttributeID{testContent("unknown"), twice} {
 		b.Run(strings.TrimRight(string(content[:8]), "\x00"), func(b *testing.B) {
 			for b.Loop() {
-				q.Evaluate(content, later)
+				q.Evaluate([]AttributeID{content}, later)
 			}
 		})
 	}
