fix(route): exits do not appear later with each box that reports them

Cause: reports contain ages, so each box that forwards one adds its delay. An exit went round until it was later than the response that had cleared it, was recorded again and went on.

Change: an exit keeps the earliest time at which any evidence of the box has it.

--- a/pkg/route/quarantine.go
+++ b/pkg/route/quarantine.go
@@ -154,7 +154,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if evidence.isExit() && now.Sub(evidence.At) <= blockInitial {
-		q.recordExit(evidence.Exited, evidence.At, now)
+		evidence.At = q.recordExit(evidence.Exited, evidence.At, now)
 	}
 	s := q.attributes[evidence.Attribute]
 	switch {
@@ -238,20 +238,26 @@
 	}
 }
 
-// recordExit records the exit of an incarnation.
-func (q *Quarantine) recordExit(incarnation ServerIncarnation, at, now time.Time) {
+// recordExit records the exit of an incarnation and returns the earliest time at which it is known to have happened. Reports
+// contain ages, so each box that forwards one makes the exit appear later, at last later than the success that clears it.
+func (q *Quarantine) recordExit(incarnation ServerIncarnation, at, now time.Time) time.Time {
+	if known, isKnown := q.exitedAt[incarnation]; isKnown {
+		if known.After(at) {
+			q.exitedAt[incarnation] = at
+			return at
+		}
+		return known
+	}
 	if q.exitedAt == nil {
 		q.exitedAt = make(map[ServerIncarnation]time.Time)
 	}
-	if _, isKnown := q.exitedAt[incarnation]; isKnown {
-		return
-	}
 	for other, known := range q.exitedAt {
 		if now.Sub(known) > blockInitial {
 			delete(q.exitedAt, other)
 		}
 	}
 	q.exitedAt[incarnation] = at
+	return at
 }
 
 // clear removes the exits up to the time of a successful run. It returns false if that changes no decision: there were
