fix(direct): a stream that ends with its connection is complete only if its server still listens

Cause: a response without a length and chunks ends with its connection. One that broke off after a whole event counted as complete: its caller was told so, and the success cleared what had ended the server.

Change: before such a stream is ended as complete, one connection is opened to its server; if that is refused, the stream has been broken off: it is resumed or cut, and counts as evidence. A stream that ends inside an event was broken off before this change, too.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -245,7 +245,7 @@
 	if err == nil {
 		return s.forwardLongBody(x, a, resp, buffer)
 	}
-	s.recordSuccess(x)
+	s.recordResponse(x, a, resp)
 	// The server is free, whether or not the caller reads the response.
 	s.finishAttempt(x, a, resultOf(resp), nil)
 	if _, writeErr := x.writer.Write(buffer); writeErr != nil {
@@ -280,7 +280,7 @@
 
 // finishLongBody forwards the last part of a response.
 func (s *CallerServer) finishLongBody(x *exchange, a *attempt, resp *upstream.Response, last []byte) (outcome, error) {
-	s.recordSuccess(x)
+	s.recordResponse(x, a, resp)
 	s.finishAttempt(x, a, resultOf(resp), nil)
 	err := s.sendBuffer(x).add(x.request.Context(), last)
 	if err == nil {
--- a/internal/direct/serverexits.go
+++ b/internal/direct/serverexits.go
@@ -170,6 +170,22 @@
 	}
 }
 
+// recordResponse records the success of a request whose response is complete. A response that ends with its connection is
+// also complete if its server exited while it sent it, so unless it has lasted for safeResponseDuration it counts as a
+// success only if the server still listens. The caller does not wait for that.
+func (s *CallerServer) recordResponse(x *exchange, a *attempt, resp *upstream.Response) {
+	reservation := a.reservation
+	if resp.IsSelfDelimited() || reservation.RespondingFor(s.clock.Now()) >= safeResponseDuration {
+		s.recordSuccess(x)
+		return
+	}
+	s.tasks.Go(func(context.Context) {
+		if !s.serverExited(x, reservation) {
+			s.recordSuccess(x)
+		}
+	})
+}
+
 // quarantineDecision returns the current quarantine decision for a request.
 func (s *CallerServer) quarantineDecision(x *exchange) route.Decision {
 	if s.suspects.Empty() {
--- a/internal/direct/stream.go
+++ b/internal/direct/stream.go
@@ -92,6 +92,9 @@
 	// replaced.
 	for {
 		events, id, err := reader.next()
+		if errors.Is(err, io.EOF) && !resp.IsSelfDelimited() && s.hasExitedUnannounced(reservation) {
+			err = io.ErrUnexpectedEOF
+		}
 		if err != nil && !errors.Is(err, io.EOF) {
 			return s.streamFailed(x, a, a.withCause(err))
 		}
@@ -124,6 +127,12 @@
 	}
 }
 
+// hasExitedUnannounced reports whether the server of a stream that ended with its connection, after a complete event, has
+// exited. Such a stream may lack events.
+func (s *CallerServer) hasExitedUnannounced(reservation *route.Reservation) bool {
+	return !reservation.IsLeaving() && reservation.IsListed() && s.hasExited(reservation)
+}
+
 // finishStream ends a complete stream, which the attempt must have claimed.
 func (s *CallerServer) finishStream(x *exchange, a *attempt, resp *upstream.Response) (outcome, error) {
 	if !x.started {
