--- a/internal/soak/crash_test.go
+++ b/internal/soak/crash_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strings"
@@ -32,8 +33,29 @@
 	// may reach a server after that.
 	maxCrashes      = 3
 	maxLateRequests = 3
+	// crashPart is a part of prompts that crashes a server, maxPartCrashes how many servers requests with it may crash before
+	// they are blocked.
+	crashPart      = "dead01"
+	maxPartCrashes = 5
 )
 
+// crashPartResponses is what servers send before they crash because of crashPart, in turn by server.
+var crashPartResponses = []standin.CrashResponse{standin.CrashBeforeHead, standin.CrashAfterHead, standin.CrashInsideEvent, standin.CrashAfterEvent}
+
+// drawPrompt returns the parts of a prompt: the first one is in all prompts, others are in many or few, the last one is its
+// own. inserted is a further part; none if it is empty.
+func drawPrompt(inserted string) string {
+	shared := fmt.Sprintf("aa%02x", rand.IntN(6))
+	if rand.IntN(2) == 0 {
+		shared = fmt.Sprintf("bb%03x", rand.IntN(400))
+	}
+	prompt := "f001:40," + shared + ":50,"
+	if inserted != "" {
+		prompt += inserted + ":60,"
+	}
+	return fmt.Sprintf("%s%x:30", prompt, rand.Uint32())
+}
+
 // crashRoutes are the routes on which the request is sent. The system must treat each as a different request.
 var crashRoutes = []string{"talk", "look"}
 
@@ -54,9 +76,16 @@
 
 // runCrashRequests sends the crashing requests to the entry boxes in turn until the load stops.
 func (l *load) runCrashRequests() {
-	for _, s := range l.deployment.servers {
+	for i, s := range l.deployment.servers {
 		s.CrashOnBody(crashBody, func() { l.deployment.crashServer(s) })
+		s.CrashOnParts([]string{crashPart}, crashPartResponses[i%len(crashPartResponses)], func(string) { l.deployment.crashServer(s) })
 	}
+	l.wg.Go(func() {
+		for i := 0; !l.stopped.Load(); i++ {
+			l.sendCrashPart(l.deployment.callerAddresses[i%len(l.deployment.callerAddresses)])
+			time.Sleep(crashRequestInterval)
+		}
+	})
 	for _, route := range crashRoutes {
 		l.wg.Go(func() {
 			for i := 0; !l.stopped.Load(); i++ {
@@ -69,10 +98,20 @@
 
 // sendCrashRequest sends the request once and returns the status of the response, or 0 if there is none.
 func (l *load) sendCrashRequest(route, entry string) int {
+	return l.sendCrash(route, entry, crashBody, drawPrompt(""))
+}
+
+// sendCrashPart sends a request with crashPart, whose content differs each time, and returns the status of the response, or 0
+// if there is none.
+func (l *load) sendCrashPart(entry string) int {
+	return l.sendCrash("talk", entry, fmt.Sprintf("draft %d", l.lastID.Add(1)), drawPrompt(crashPart))
+}
+
+func (l *load) sendCrash(route, entry, body, prompt string) int {
 	id := fmt.Sprintf("d-%d-%d", l.deployment.index, l.lastID.Add(1))
 	ctx, cancel := context.WithTimeout(context.Background(), crashRequestTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+"/"+route+"/1", strings.NewReader(crashBody))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+"/"+route+"/1", strings.NewReader(body))
 	if err != nil {
 		l.problem("request %s: %v", id, err)
 		return 0
@@ -81,6 +120,7 @@
 	request.GetBody = nil
 	request.Header.Set("X-Request-Id", id)
 	request.Header.Set("X-Deadline-Ms", fmt.Sprint(crashRequestTimeout.Milliseconds()))
+	request.Header.Set("X-Prompt-Prefix", prompt)
 	l.mu.Lock()
 	l.requests[id] = sentRequest{entry, time.Now()}
 	l.mu.Unlock()
@@ -97,10 +137,22 @@
 }
 
 // receivedCrashRequests returns the attempts on a route that reached a server, ordered by time.
-func (l *load) receivedCrashRequests(route string) (attempts []standin.ReceivedRequest) {
+func (l *load) receivedCrashRequests(route string) []standin.ReceivedRequest {
+	return l.receivedRequests(func(r *standin.ReceivedRequest) bool {
+		return r.Body == crashBody && strings.HasPrefix(r.Path, "/"+route+"/")
+	})
+}
+
+// receivedCrashParts returns the attempts with crashPart that reached a server, ordered by time.
+func (l *load) receivedCrashParts() []standin.ReceivedRequest {
+	return l.receivedRequests(func(r *standin.ReceivedRequest) bool { return slices.Contains(r.Parts, crashPart) })
+}
+
+// receivedRequests returns the attempts that match and reached a server, ordered by time.
+func (l *load) receivedRequests(matches func(r *standin.ReceivedRequest) bool) (attempts []standin.ReceivedRequest) {
 	for _, s := range l.deployment.servers {
 		for _, attempt := range s.ReceivedRequests() {
-			if attempt.Body == crashBody && strings.HasPrefix(attempt.Path, "/"+route+"/") {
+			if matches(&attempt) {
 				attempts = append(attempts, attempt)
 			}
 		}
@@ -109,28 +161,33 @@
 	return attempts
 }
 
-// crashFindings reports the routes on which too many attempts reached a server after maxCrashes.
+// crashFindings reports the requests of which too many attempts reached a server after maxCrashes, or maxPartCrashes.
 func (l *load) crashFindings() (findings []string) {
 	for _, route := range crashRoutes {
-		attempts := l.receivedCrashRequests(route)
-		if len(attempts) <= maxCrashes {
-			continue
-		}
-		countFrom, late := attempts[maxCrashes-1].At.Add(propagationTime), 0
-		for _, attempt := range attempts {
-			l.mu.Lock()
-			entry := l.requests[attempt.RequestID].entry
-			l.mu.Unlock()
-			if attempt.At.After(countFrom) && !l.deployment.entryDisturbedBetween(entry, attempt.At.Add(-propagationTime), attempt.At) {
-				late++
-			}
-		}
-		l.deployment.t.Logf("%s: %d attempts of the crashing request reached a server, %d of them late", route, len(attempts), late)
-		if late > maxLateRequests {
-			findings = append(findings, fmt.Sprintf("a request on %s that had crashed %d servers was sent to servers %d more times", route, maxCrashes, late))
+		findings = append(findings, l.lateFindings("a request on "+route, l.receivedCrashRequests(route), maxCrashes)...)
+	}
+	return append(findings, l.lateFindings("requests with part "+crashPart, l.receivedCrashParts(), maxPartCrashes)...)
+}
+
+// lateFindings reports requests of which too many attempts reached a server after a number of crashes.
+func (l *load) lateFindings(what string, attempts []standin.ReceivedRequest, crashes int) []string {
+	if len(attempts) <= crashes {
+		return nil
+	}
+	countFrom, late := attempts[crashes-1].At.Add(propagationTime), 0
+	for _, attempt := range attempts {
+		l.mu.Lock()
+		entry := l.requests[attempt.RequestID].entry
+		l.mu.Unlock()
+		if attempt.At.After(countFrom) && !l.deployment.entryDisturbedBetween(entry, attempt.At.Add(-propagationTime), attempt.At) {
+			late++
 		}
 	}
-	return findings
+	l.deployment.t.Logf("%s: %d attempts reached a server, %d of them late", what, len(attempts), late)
+	if late <= maxLateRequests {
+		return nil
+	}
+	return []string{fmt.Sprintf("%s that had crashed %d servers: sent to servers %d more times", what, crashes, late)}
 }
 
 // awaitBlocked sends the crashing requests until each has crashed maxCrashes servers. It then checks that every entry
--- a/internal/soak/load_test.go
+++ b/internal/soak/load_test.go
@@ -156,6 +156,7 @@
 	request.Header.Set("X-Request-Id", id)
 	request.Header.Set("X-Deadline-Ms", fmt.Sprint(timeoutOf(route).Milliseconds()))
 	request.Header.Set("X-Token-Usage", "100,60")
+	request.Header.Set("X-Prompt-Prefix", drawPrompt(""))
 	l.mu.Lock()
 	l.requests[id] = sentRequest{entry, time.Now()}
 	l.mu.Unlock()
