--- a/internal/direct/suspectsimulation_test.go
+++ b/internal/direct/suspectsimulation_test.go
@@ -113,6 +113,8 @@
 	// sound and served count the requests without a cause and those served of them, from a time on.
 	sound, served int
 	countFrom     time.Duration
+	// sentItems is the number of items of evidence in all reports.
+	sentItems int
 }
 
 func newSuspectSimulation(seed uint64, boxes, servers int) *suspectSimulation {
@@ -174,6 +176,7 @@
 	if len(evidence) > 0 {
 		encoded := evidenceToWire(evidence, s.clock.Now())
 		for _, to := range slices.Sorted(maps.Keys(s.delays[from])) {
+			s.sentItems += len(encoded)
 			s.after(s.delays[from][to], func() {
 				s.boxes[to].suspects.MergeEvidence(evidenceFromWire(encoded, s.clock.Now()), "peer")
 			})
@@ -486,3 +489,20 @@
 		t.Errorf("%d of %d requests were blocked", blockedCount, sentCount)
 	}
 }
+
+// Guards against exits that grow with the number of boxes.
+func TestExitsUnderAPartDoNotGrowWithTheFleet(t *testing.T) {
+	const duration, causesFrom = 12 * time.Second, 2 * time.Second
+	for _, boxes := range []int{41, 150} {
+		s := newSuspectSimulation(uint64(boxes), boxes, 2*boxes)
+		s.sendEvery(60, duration, func() *exchange { return s.newRequest("kumiai", s.drawParts()...) })
+		s.after(causesFrom, func() { s.addCause("part", 0, 25, duration) })
+		s.countFrom = causesFrom + 2*time.Second
+		s.run(duration + time.Second)
+		exits := s.exits[s.causes[0]]
+		t.Logf("%d boxes: %d exits, %d of %d other requests served, %d blocked, %d items of evidence sent", boxes, exits, s.served, s.sound, s.blocked, s.sentItems)
+		if exits > 8 || float64(s.served) < minSimulatedShare*float64(s.sound) {
+			t.Errorf("%d boxes: %d exits, %d of %d other requests served", boxes, exits, s.served, s.sound)
+		}
+	}
+}
--- a/pkg/route/quarantine_test.go
+++ b/pkg/route/quarantine_test.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"crypto/sha256"
 	"fmt"
 	"strings"
 	"testing"
@@ -27,6 +28,18 @@
 	return content
 }
 
+// testAttributes returns the attributes of a request in a script, such as "a+p-first". Names that start with p- are parts.
+func testAttributes(text string) (attributes []AttributeID) {
+	for name := range strings.SplitSeq(text, "+") {
+		attribute := testContent(name)
+		if strings.HasPrefix(name, "p-") {
+			attribute = PartAttribute(sha256.Sum256([]byte(name)))
+		}
+		attributes = append(attributes, attribute)
+	}
+	return attributes
+}
+
 // testIncarnation returns the server incarnation for a name in a script.
 func testIncarnation(name string) ServerIncarnation {
 	return ServerIncarnation{Server: fleet.ServerID(name)}
@@ -46,24 +59,28 @@
 // run executes one line of a script.
 func (s *quarantineScript) run(fields []string) {
 	now := s.at(fields[0])
-	content := testContent(fields[2])
+	attributes := testAttributes(fields[2])
 	switch fields[1] {
 	case "exit":
-		evidence := Evidence{Attribute: content, Exited: testIncarnation(fields[3]), At: now}
+		at := now
 		if len(fields) > 4 {
-			evidence.At = s.at(fields[5])
+			at = s.at(fields[5])
+		}
+		for _, attribute := range attributes {
+			s.quarantine.Record(Evidence{Attribute: attribute, Exited: testIncarnation(fields[3]), At: at}, now)
 		}
-		s.quarantine.Record(evidence, now)
 	case "success":
-		s.quarantine.Record(Evidence{Attribute: content, At: now}, now)
+		for _, attribute := range attributes {
+			s.quarantine.Record(Evidence{Attribute: attribute, At: now}, now)
+		}
 	case "evaluate":
-		require.Equal(s.t, fields[3], decisionName(s.quarantine.Evaluate([]AttributeID{content}, now)), "%v", fields)
+		require.Equal(s.t, fields[3], decisionName(s.quarantine.Evaluate(attributes, now)), "%v", fields)
 	case "evaluate-peer":
 		peer := new(Quarantine)
 		for _, evidence := range s.evidence() {
-			peer.Record(evidence, now)
+			peer.Merge(evidence, now)
 		}
-		require.Equal(s.t, fields[3], decisionName(peer.Evaluate([]AttributeID{content}, now)), "%v", fields)
+		require.Equal(s.t, fields[3], decisionName(peer.Evaluate(attributes, now)), "%v", fields)
 	default:
 		s.t.Fatalf("unknown command in %v", fields)
 	}
