--- a/internal/direct/crashparts_test.go
+++ b/internal/direct/crashparts_test.go
@@ -98,14 +98,7 @@
 	})
 	if sound := parseInt(options["sound"], 0); sound > 0 {
 		all.Go(func() {
-			every(sound, seconds, &all, func(i int) {
-				sentAt := time.Now()
-				prompt := fmt.Sprintf("%s:40,%s:100,%s:50,%x:30", firstPart, drawPart(), drawPart(), rand.Uint32())
-				status, err := w.sendPrompt(entries[i%len(entries)], path, prompt)
-				w.mu.Lock()
-				defer w.mu.Unlock()
-				w.soundResults = append(w.soundResults, soundResult{sentAt, status, err})
-			})
+			w.sendSound(path, sound, seconds, entries, &all)
 		})
 	}
 	all.Wait()
@@ -122,6 +115,50 @@
 	return names
 }
 
+// cmdCrashServers crashes servers in turn at an interval, beside requests without a part that crashes servers:
+//
+//	crash-servers 12 500ms sound=30
+func (w *testDeployment) cmdCrashServers(args []string) error {
+	interval, err := time.ParseDuration(args[1])
+	if err != nil {
+		return err
+	}
+	crashes := parseInt(args[0], 0)
+	var all sync.WaitGroup
+	all.Go(func() {
+		for i := range crashes {
+			w.crash(w.servers[fmt.Sprintf("model-%d", i%len(w.modelNames())+1)])
+			time.Sleep(interval)
+		}
+	})
+	seconds := int(time.Duration(crashes)*interval/time.Second) + 2
+	w.sendSound("/talk/1", parseInt(parseOptions(args[2:])["sound"], 1), seconds, w.runningEntries(), &all)
+	all.Wait()
+	return nil
+}
+
+// modelNames returns the names of the model servers.
+func (w *testDeployment) modelNames() (names []string) {
+	for name := range w.servers {
+		if strings.HasPrefix(name, "model-") {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// sendSound sends requests without a part that crashes servers and records their results.
+func (w *testDeployment) sendSound(path string, rate, seconds int, entries []string, group *sync.WaitGroup) {
+	every(rate, seconds, group, func(i int) {
+		sentAt := time.Now()
+		prompt := fmt.Sprintf("%s:40,%s:100,%s:50,%x:30", firstPart, drawPart(), drawPart(), rand.Uint32())
+		status, err := w.sendPrompt(entries[i%len(entries)], path, prompt)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.soundResults = append(w.soundResults, soundResult{sentAt, status, err})
+	})
+}
+
 // every calls send in goroutines of the group, at a rate per second for a number of seconds.
 func every(rate, seconds int, group *sync.WaitGroup, send func(i int)) {
 	ticker := time.NewTicker(time.Second / time.Duration(rate))
--- a/internal/direct/scenario_test.go
+++ b/internal/direct/scenario_test.go
@@ -59,6 +59,7 @@
 			"await-status":       command((*testDeployment).cmdAwaitStatus),
 			"crash-on-parts":     command((*testDeployment).cmdCrashOnParts),
 			"send-with-parts":    command((*testDeployment).cmdSendWithParts),
+			"crash-servers":      command((*testDeployment).cmdCrashServers),
 			"check-part-exits":   command((*testDeployment).cmdCheckPartExits),
 			"check-sound":        command((*testDeployment).cmdCheckSound),
 			"crash-mid-stream":   command((*testDeployment).cmdCrashMidStream),
