fix(direct): the trial of a request is read by its hedges and by the task that aborts attempts

Cause, found in reading: exchange.trials was written by the goroutine of the request and read by others without synchronisation (the race detector did not meet it). Change: an atomic pointer.

--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -42,8 +43,9 @@
 	// parts are the partIDs, attributeIDs the attributes, both computed when first needed.
 	partsOnce, attributesOnce sync.Once
 	parts, attributeIDs       []route.AttributeID
-	// trials are the attributes for which the request is the only one of this box that is sent to a server.
-	trials []route.AttributeID
+	// trials are the attributes for which the request is the only one of this box that is sent to a server; nil for none. Only
+	// the goroutine of the request sets it.
+	trials atomic.Pointer[[]route.AttributeID]
 	// suspect is set while the request may have caused a server to exit.
 	suspect bool
 	// waited is the total time that the request has waited for slots.
--- a/internal/direct/run.go
+++ b/internal/direct/run.go
@@ -27,7 +27,7 @@
 	defer x.group.stop()
 	s.inFlight.add(x)
 	defer s.inFlight.remove(x)
-	defer func() { s.suspects.endTrial(x.trials) }()
+	defer s.endTrial(x)
 	var mayHaveRunErr, lastErr error
 	for x.attempts < x.route.MaxAttempts && x.unreachable < maxUnreachable {
 		reservation, err := s.nextReservation(ctx, x)
--- a/internal/direct/serverexits.go
+++ b/internal/direct/serverexits.go
@@ -202,7 +202,16 @@
 
 // mayTry reports whether the request is the one of this box that is tried for each of the attributes.
 func (x *exchange) mayTry(attributes []route.AttributeID) bool {
-	return !slices.ContainsFunc(attributes, func(attribute route.AttributeID) bool { return !slices.Contains(x.trials, attribute) })
+	tried := x.triedAttributes()
+	return !slices.ContainsFunc(attributes, func(attribute route.AttributeID) bool { return !slices.Contains(tried, attribute) })
+}
+
+// triedAttributes returns the attributes for which the request is the only one of this box that is sent to a server.
+func (x *exchange) triedAttributes() []route.AttributeID {
+	if tried := x.trials.Load(); tried != nil {
+		return *tried
+	}
+	return nil
 }
 
 const (
@@ -225,15 +234,17 @@
 		switch {
 		case decision.Blocked:
 			return &quarantinedError{attribute: decision.Attribute, until: decision.BlockedUntil, exits: decision.Exits}
-		case !x.mayTry(decision.Trials) && x.trials != nil:
+		case !x.mayTry(decision.Trials) && x.trials.Load() != nil:
 			// The request was tried, and its server exited.
 			return &quarantinedError{attribute: decision.Trials[0], until: now.Add(trialRetryAfter), exits: decision.Exits}
 		case decision.SettlesAt.After(now):
 			wait = decision.SettlesAt.Sub(now)
 		case x.mayTry(decision.Suspects), s.beginTrial(x, &decision):
 			return nil
-		case len(decision.Trials) > 0, now.After(giveUpAt), ctx.Err() != nil:
+		case len(decision.Trials) > 0, ctx.Err() != nil, now.After(giveUpAt) && decision.Exits > 1:
 			return &quarantinedError{attribute: decision.Suspects[0], until: now.Add(trialRetryAfter), exits: decision.Exits}
+		case now.After(giveUpAt):
+			return nil
 		}
 		sleep(ctx, s.clock, wait)
 	}
@@ -242,18 +253,23 @@
 // beginTrial makes the request the only one of this box with its suspect attributes that is sent to servers, unless there is
 // one already.
 func (s *CallerServer) beginTrial(x *exchange, decision *route.Decision) bool {
-	s.suspects.endTrial(x.trials)
-	x.trials = nil
+	s.endTrial(x)
 	if !s.suspects.beginTrial(decision.Suspects) {
 		return false
 	}
-	x.trials = decision.Suspects
+	x.trials.Store(&decision.Suspects)
 	if len(decision.Trials) > 0 {
 		s.log.Info().Str("request", x.ID).Str("content", decision.Trials[0].String()).Int("ends", decision.Exits).Msg("trying a request after a block")
 	}
 	return true
 }
 
+// endTrial ends the trial of a request, if it is one.
+func (s *CallerServer) endTrial(x *exchange) {
+	s.suspects.endTrial(x.triedAttributes())
+	x.trials.Store(nil)
+}
+
 // quarantinedError is route.ErrQuarantined with the attribute that blocks the request, the end of the block and the number
 // of exits.
 type quarantinedError struct {
