fix(direct): a trial ends with the first success, not with the end of a stream

Cause, found in reading: a long stream kept the turn of its attributes; had a server exited under them again, others would have waited 1 s and been refused for as long as it lasted. Change: recordSuccess ends the turn, once only.

--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -43,8 +43,7 @@
 	// parts are the partIDs, attributeIDs the attributes, both computed when first needed.
 	partsOnce, attributesOnce sync.Once
 	parts, attributeIDs       []route.AttributeID
-	// trials are the attributes for which the request is the only one of this box that is sent to a server; nil for none. Only
-	// the goroutine of the request sets it.
+	// trials are the attributes for which the request is the only one of this box that is sent to a server; nil for none.
 	trials atomic.Pointer[[]route.AttributeID]
 	// suspect is set while the request may have caused a server to exit.
 	suspect bool
--- a/internal/direct/serverexits.go
+++ b/internal/direct/serverexits.go
@@ -160,6 +160,7 @@
 // recordSuccess records that a server has been running the request, or has run it, without exiting.
 func (s *CallerServer) recordSuccess(x *exchange) {
 	now := s.clock.Now()
+	defer s.endTrial(x)
 	s.recentResponses.add(x, now)
 	s.suspects.answeredParts.add(x.partIDs(), now)
 	if s.suspects.Empty() {
@@ -266,8 +267,9 @@
 
 // endTrial ends the trial of a request, if it is one.
 func (s *CallerServer) endTrial(x *exchange) {
-	s.suspects.endTrial(x.triedAttributes())
-	x.trials.Store(nil)
+	if tried := x.trials.Swap(nil); tried != nil {
+		s.suspects.endTrial(*tried)
+	}
 }
 
 // quarantinedError is route.ErrQuarantined with the attribute that blocks the request, the end of the block and the number
