fix(direct): a suspect request whose caller has left does not wait

Cause, found in reading: with a context that was done the wait for reports of other boxes returned at once and was begun again, for up to 0.15 s. Test: it never returned with a clock that stands still. Tests as well for one suspect at a time, the time a request waits for a trial, and IDs of parts by organisation and service.

--- a/internal/direct/serverexits.go
+++ b/internal/direct/serverexits.go
@@ -235,6 +235,8 @@
 		switch {
 		case decision.Blocked:
 			return &quarantinedError{attribute: decision.Attribute, until: decision.BlockedUntil, exits: decision.Exits}
+		case ctx.Err() != nil:
+			return ctx.Err()
 		case !x.mayTry(decision.Trials) && x.trials.Load() != nil:
 			// The request was tried, and its server exited.
 			return &quarantinedError{attribute: decision.Trials[0], until: now.Add(trialRetryAfter), exits: decision.Exits}
@@ -242,7 +244,7 @@
 			wait = decision.SettlesAt.Sub(now)
 		case x.mayTry(decision.Suspects), s.beginTrial(x, &decision):
 			return nil
-		case len(decision.Trials) > 0, ctx.Err() != nil, now.After(giveUpAt) && decision.Exits > 1:
+		case len(decision.Trials) > 0, now.After(giveUpAt) && decision.Exits > 1:
 			return &quarantinedError{attribute: decision.Suspects[0], until: now.Add(trialRetryAfter), exits: decision.Exits}
 		case now.After(giveUpAt):
 			return nil
--- a/internal/direct/suspectrequests_test.go
+++ b/internal/direct/suspectrequests_test.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/cinderslip/cinderslip/internal/provider"
 	"github.com/cinderslip/cinderslip/internal/wire"
 	"github.com/cinderslip/cinderslip/pkg/fleet"
 	"github.com/cinderslip/cinderslip/pkg/member"
@@ -162,3 +163,66 @@
 		}
 	})
 }
+
+// newSuspectExchange returns a caller server and a request under which one server has just exited.
+func newSuspectExchange(body string) (*CallerServer, *exchange) {
+	s, clock := newUnconfiguredCallerServer()
+	s.suspects = newSuspectRequests(clock, zerolog.Nop(), NewMetrics())
+	x := exchangeWithBody(body)
+	s.suspects.Observe(route.Evidence{Attribute: x.contentID(), Exited: route.ServerIncarnation{Server: "i-1"}, At: clock.Now()}, "request r")
+	return s, x
+}
+
+func TestSuspectRequestOfCallerThatLeftDoesNotWait(t *testing.T) {
+	s, x := newSuspectExchange("body")
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.ErrorIs(t, s.checkQuarantine(ctx, x), context.Canceled)
+}
+
+func TestOneSuspectWithAnAttributeIsSentAtATime(t *testing.T) {
+	s, first := newSuspectExchange("body")
+	clock := s.clock.(*clockwork.FakeClock)
+	clock.Advance(time.Second)
+	require.NoError(t, s.checkQuarantine(t.Context(), first))
+	second, result := exchangeWithBody("body"), make(chan error, 1)
+	go func() { result <- s.checkQuarantine(t.Context(), second) }()
+	require.NoError(t, clock.BlockUntilContext(t.Context(), 1))
+	select {
+	case err := <-result:
+		t.Fatalf("the second request was decided beside the first one: %v", err)
+	default:
+	}
+	s.recordSuccess(first)
+	clock.Advance(suspectCheckInterval)
+	require.NoError(t, <-result)
+}
+
+func TestRequestWaitsForATrialForALimitedTime(t *testing.T) {
+	s, first := newSuspectExchange("body")
+	clock := s.clock.(*clockwork.FakeClock)
+	for _, server := range []fleet.ServerID{"i-2", "i-3"} {
+		s.suspects.Observe(route.Evidence{Attribute: first.contentID(), Exited: route.ServerIncarnation{Server: server}, At: clock.Now()}, "request r")
+	}
+	var quarantined *quarantinedError
+	require.ErrorAs(t, s.checkQuarantine(t.Context(), first), &quarantined)
+	require.Equal(t, 3, quarantined.exits)
+	clock.Advance(11 * time.Minute)
+	require.NoError(t, s.checkQuarantine(t.Context(), first), "the first request after a block is tried")
+	require.ErrorAs(t, s.checkQuarantine(t.Context(), exchangeWithBody("body")), &quarantined)
+	require.Equal(t, clock.Now().Add(trialRetryAfter), quarantined.until)
+	s.endTrial(first)
+	require.NoError(t, s.checkQuarantine(t.Context(), exchangeWithBody("body")))
+}
+
+func TestPartsOfOtherOrganisationsHaveOtherIDs(t *testing.T) {
+	kumiai, nouka := exchangeWithBody("body"), exchangeWithBody("other")
+	kumiai.organisation, nouka.organisation = &fleet.Organisation{Name: "kumiai"}, &fleet.Organisation{Name: "nouka"}
+	kumiai.PromptParts, nouka.PromptParts = []provider.PromptPart{"5c1e"}, []provider.PromptPart{"5c1e"}
+	require.Len(t, kumiai.partIDs(), 2)
+	require.Equal(t, kumiai.partIDs()[0], nouka.partIDs()[0], "the part for all organisations")
+	require.NotEqual(t, kumiai.partIDs()[1], nouka.partIDs()[1])
+	elsewhere := exchangeWithBody("body")
+	elsewhere.organisation, elsewhere.PromptParts, elsewhere.service = kumiai.organisation, kumiai.PromptParts, "maps"
+	require.NotContains(t, kumiai.partIDs(), elsewhere.partIDs()[0], "another service")
+}
