--- a/internal/direct/suspectrequests_test.go
+++ b/internal/direct/suspectrequests_test.go
@@ -156,6 +156,13 @@
 			contentOf(x)
 		}
 	})
+	b.Run("parts", func(b *testing.B) {
+		for b.Loop() {
+			prompt := &exchange{InboundMetadata: provider.InboundMetadata{PromptParts: []provider.PromptPart{"5c1e07a2", "91bd3f06", "e4402b7d"}}, service: "llm"}
+			prompt.organisation = &fleet.Organisation{Name: "kumiai"}
+			prompt.partIDs()
+		}
+	})
 	b.Run("answered", func(b *testing.B) {
 		responses, now := newRecentResponses(), time.Now()
 		for b.Loop() {
