fix(route): what all requests share is blocked for a short time only when several causes end servers at once

Cause, from its logs: a content and a part ended all three model servers five times within 1 s. The first part of all prompts was on each of them and was blocked for 192 s; the content that all callers send on the route once for 80 min, as the time grew with each exit, also with those of requests under way. No request could clear them, and no single charged attribute explained all of the exits.

Change: blocks of a part grow with exits that follow a block, not with those of one burst; a content with exits under a charged attribute that the request lacks is blocked in the same way. Then one request is tried, which clears what is sound.

--- a/pkg/route/quarantine.go
+++ b/pkg/route/quarantine.go
@@ -44,6 +44,9 @@
 	// partBlockInitial replaces blockInitial for parts of prompts. A new part is in several requests at a time, so servers
 	// that exit for another reason block it more easily than a content, and none of its requests can clear it then.
 	partBlockInitial = 3 * time.Second
+	// roundGap is the time between two exits from which on the second one is due to a request that was sent after the first one
+	// was known.
+	roundGap = 2 * time.Second
 	// staggerDoubling is the time in which the number of boxes whose block has ended doubles.
 	staggerDoubling = 500 * time.Millisecond
 	// successRetention is how long before the first exit under an attribute a response shows that servers run it. One exit
--- a/pkg/route/quarantinedecision.go
+++ b/pkg/route/quarantinedecision.go
@@ -65,7 +65,7 @@
 		return Decision{}
 	}
 	decision := Decision{Suspect: true, Exits: len(s.exits), SettlesAt: s.last().at.Add(settleDelay)}
-	until := s.last().at.Add(s.blockDuration(attribute))
+	until := s.last().at.Add(s.blockDuration(attribute, q.isContested(s, request)))
 	switch q.explanation(s, request) {
 	case explainedByCause:
 		return Decision{}
@@ -155,18 +155,44 @@
 	return result
 }
 
-// blockDuration returns how long an attribute is blocked after its last exit if it is responsible.
-func (s *suspect) blockDuration(attribute AttributeID) time.Duration {
-	duration := blockInitial
-	if attribute.IsPart() {
-		duration = partBlockInitial
+// isContested reports whether a charged attribute that the request lacks has some of the exits of one of its attributes. Several
+// causes at once may block what all requests have in common before any of them can clear it.
+func (q *Quarantine) isContested(s *suspect, request []AttributeID) bool {
+	for other, known := range q.charged {
+		if slices.Contains(request, other) {
+			continue
+		}
+		if slices.ContainsFunc(s.exits, func(e exit) bool { return known.hasExited(e.incarnation) }) {
+			return true
+		}
+	}
+	return false
+}
+
+// blockDuration returns how long an attribute is blocked after its last exit if it is responsible. A part of prompts, or a
+// contested attribute, is tried soon, and its blocks grow with the exits after a block only.
+func (s *suspect) blockDuration(attribute AttributeID, isContested bool) time.Duration {
+	duration, growths := blockInitial, len(s.exits)-exitsToBlock
+	if attribute.IsPart() || isContested {
+		duration, growths = partBlockInitial, s.rounds()-1
 	}
-	for range len(s.exits) - exitsToBlock {
+	for range growths {
 		duration = min(blockMax, duration*blockGrowth)
 	}
 	return duration
 }
 
+// rounds returns the number of groups of exits that are further apart than roundGap.
+func (s *suspect) rounds() int {
+	rounds := 1
+	for i := 1; i < len(s.exits); i++ {
+		if s.exits[i].at.Sub(s.exits[i-1].at) > roundGap {
+			rounds++
+		}
+	}
+	return rounds
+}
+
 // stagger returns how much longer than others this box blocks an attribute. All boxes receive requests with it, and if all
 // blocks ended at the same time, each box would send one. The first box resumes at once on average, the others over some
 // seconds, so that at most a few requests are sent before the boxes know their outcome. An attribute that only few requests
@@ -194,7 +220,7 @@
 	case !isResponsible:
 		return now.Sub(s.last().at) > suspectTime
 	}
-	return now.Sub(s.last().at) > s.blockDuration(attribute)+unblockedRetention
+	return now.Sub(s.last().at) > s.blockDuration(attribute, false)+unblockedRetention
 }
 
 // BlockedAttribute is an attribute of requests that must not be sent to any server.
