--- a/pkg/route/quarantine.go
+++ b/pkg/route/quarantine.go
@@ -30,7 +30,8 @@
 	exitsToBlockAmongOthers = 4
 	// exitsToBlockAlone is the number of exits that block an attribute if it alone explains all of them.
 	exitsToBlockAlone = 2
-	// aloneLookback is the period before the first exit under an attribute in which no server may have exited without it. Such an exit shows that servers also exit for other reasons.
+	// aloneLookback is the period before the first exit under an attribute in which no server may have exited without it.
+	// Such an exit shows that servers also exit for other reasons.
 	aloneLookback = 10 * time.Second
 	// settleDelay is how long evidence of other boxes on an exit may take to arrive. Boxes report evidence immediately.
 	settleDelay = 150 * time.Millisecond
@@ -41,8 +42,9 @@
 	blockInitial = 10 * time.Minute
 	blockGrowth  = 8
 	blockMax     = 7 * 24 * time.Hour
-	// partBlockInitial replaces blockInitial for parts of prompts. A new part is in several requests at a time, so servers
-	// that exit for another reason block it more easily than a content, and none of its requests can clear it then.
+	// partBlockInitial replaces blockInitial for parts of prompts and contested attributes. A new part is in several requests
+	// at a time, so servers that exit for another reason block it more easily than a content, and none of its requests can
+	// clear it then. It is multiplied for each exit that follows the one before after roundGap.
 	partBlockInitial = 3 * time.Second
 	// roundGap is the time between two exits from which on the second one is due to a request that was sent after the first one
 	// was known.
