fix(daemon): a table read just before another edit is published is not taken for a restored one

Cause: an edit read the table, then the replicated revision; if another edit was published in between, the table seemed older than the replicated rows, as after a restore of the key-value service, and was completed with rows of no edit: the edit got a conflict with an unknown author.

Change: the replicated revision is read before the table, which then can only be newer unless it was restored.

--- a/internal/daemon/tablestore.go
+++ b/internal/daemon/tablestore.go
@@ -187,9 +187,11 @@
 // provider.ErrUnavailable. After any of them but ErrUndecided, the table is unchanged.
 func (s *TableStore) Edit(ctx context.Context, edit table.Edit) (*table.Table, error) {
 	for range maxEditAttempts {
+		// Another edit may be published between the two reads, so the head is read first.
+		head, isKnown := s.replica.store.Lookup(tableHeadKey)
 		current, revision, err := s.load(ctx)
-		if err == nil {
-			current, err = s.completeRestored(current)
+		if err == nil && isKnown && head.Version.Major > uint64(current.Revision) {
+			current, err = s.completeRestored(current, head.Version.Major)
 		}
 		if err != nil {
 			return nil, err
@@ -223,13 +225,9 @@
 }
 
 // completeRestored returns the table with the acknowledged edits that it lacks because the key-value service was
-// restored from a backup. The replicated rows have them: they are of a later revision than the table, which
-// is otherwise never behind them.
-func (s *TableStore) completeRestored(current *table.Table) (*table.Table, error) {
-	head, known := s.replica.store.Lookup(tableHeadKey)
-	if !known || head.Version.Major <= uint64(current.Revision) {
-		return current, nil
-	}
+// restored from a backup. The replicated rows, whose revision was read before the table, have them: the table is otherwise
+// never behind them.
+func (s *TableStore) completeRestored(current *table.Table, replicated uint64) (*table.Table, error) {
 	var newer []table.Entry
 	for _, item := range s.replica.store.Since(state.Cursor{}, 0).Items {
 		if !strings.HasPrefix(item.Key, tableRowPrefix) || item.Version.Major <= uint64(current.Revision) {
@@ -244,9 +242,9 @@
 		}
 		newer = append(newer, entry)
 	}
-	s.log.Warn().Uint64("revision", uint64(current.Revision)).Uint64("replicated", head.Version.Major).Int("rows", len(newer)).
+	s.log.Warn().Uint64("revision", uint64(current.Revision)).Uint64("replicated", replicated).Int("rows", len(newer)).
 		Msg("table is older than the replicated one, as after a restore; completing it")
-	return current.Complete(table.Revision(head.Version.Major), newer), nil
+	return current.Complete(table.Revision(replicated), newer), nil
 }
 
 func (s *TableStore) compareAndSwap(ctx context.Context, next *table.Table, revision provider.Revision) (bool, error) {
--- a/internal/daemon/tablestore_test.go
+++ b/internal/daemon/tablestore_test.go
@@ -1,8 +1,10 @@
 package daemon
 
 import (
+	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/jonboulle/clockwork"
@@ -128,6 +130,25 @@
 	eventually(t, func() bool { _, revision := n.view.Rows(); return revision == 3 }, "both other edits are in force")
 }
 
+// Guards against a table that was read just before another edit being taken for one that was restored from a backup.
+func TestEditPublishedDuringReadIsNoRestore(t *testing.T) {
+	p, n, s := newConfiguredPlatform(t)
+	type readerKey struct{}
+	var isDone atomic.Bool
+	get := p.kvClient.Get
+	p.kvClient.Get = func(ctx context.Context, key string) (provider.KeyValueEntry, error) {
+		entry, err := get(ctx, key)
+		if ctx.Value(readerKey{}) != nil && isDone.CompareAndSwap(false, true) {
+			_, editErr := s.Edit(t.Context(), rowEdit("other", 1, table.ColumnWeight, "0.5"))
+			require.NoError(t, editErr)
+		}
+		return entry, err
+	}
+	reader := newTestTableStore(t, p, n)
+	_, err := reader.Edit(context.WithValue(t.Context(), readerKey{}, true), rowEdit("b", 1, table.ColumnFloor, "0.5"))
+	require.NoError(t, err)
+}
+
 func TestUnpublishedVersionIsAFinding(t *testing.T) {
 	_, _, s := newConfiguredPlatform(t)
 	_, err := s.Edit(t.Context(), rowEdit("bad", 1, table.ColumnVersion, "v9"))
