style(direct): lines and comments of the change read once more

Cause: three lines of more than 150 columns, and comments that let processes remember, tell and hear. Change: the lines are split, the comments say what is kept, reported and forwarded.

--- a/internal/direct/answeredparts.go
+++ b/internal/direct/answeredparts.go
@@ -8,13 +8,13 @@
 )
 
 const (
-	// answeredPartRetention is the minimum time for which an answered part of prompts is remembered. maxAnsweredParts
-	// limits the number of parts that are remembered in that time.
+	// answeredPartRetention is the minimum time for which an answered part of prompts is kept. maxAnsweredParts limits
+	// the number of parts that are kept in that time.
 	answeredPartRetention = 30 * time.Second
 	maxAnsweredParts      = 8192
 )
 
-// answeredParts remembers when requests with a part of prompts were last answered. Parts that many requests share are in
+// answeredParts holds the times at which requests with a part of prompts were last answered. Parts that many requests share are in
 // flight at every server that exits, whatever the cause.
 type answeredParts struct {
 	mu sync.Mutex
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -193,7 +193,8 @@
 	if result != route.ResultDone {
 		s.log.Info().Str("request", x.ID).Str("server", string(reservation.Server.ID)).Str("address", string(reservation.Server.Address)).
 			Uint64("weights", uint64(reservation.Version)).Str("result", result.String()).Dur("held_ms", heldFor).
-			Str("content", x.contentID().String()).Strs("parts", x.promptParts()).Dur("answering_ms", reservation.RespondingFor(now)).Str("last_event", a.lastEventID).Err(err).Msg("attempt ended")
+			Str("content", x.contentID().String()).Strs("parts", x.promptParts()).
+			Dur("answering_ms", reservation.RespondingFor(now)).Str("last_event", a.lastEventID).Err(err).Msg("attempt ended")
 	}
 }
 
--- a/internal/direct/crashparts_test.go
+++ b/internal/direct/crashparts_test.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	// partContactTime is how long boxes may take to tell each other of exits.
+	// partContactTime is how long the reports of exits between boxes may take.
 	partContactTime = 3 * time.Second
 	// exitsUntilKnown is the number of exits under a part after which at most maxLateWithPart requests with the part may
 	// reach a server, sent later than partContactTime.
@@ -181,7 +181,8 @@
 // response once that is complete.
 func (w *testDeployment) sendPrompt(entry, path, prompt string) (int, error) {
 	id := fmt.Sprintf("prompt-%d", w.requestCount.Add(1))
-	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+w.settingsByName[entry].Listen.Callers+path, strings.NewReader("body of "+id))
+	url, body := "http://"+w.settingsByName[entry].Listen.Callers+path, strings.NewReader("body of "+id)
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, url, body)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/direct/suspectrequests.go
+++ b/internal/direct/suspectrequests.go
@@ -241,11 +241,11 @@
 		if len(item.Content) != len(route.AttributeID{}) || item.AgeMilliseconds > maxAgeMilliseconds {
 			continue
 		}
-		evidence = append(evidence, route.Evidence{
-			Attribute: route.AttributeID(item.Content),
-			Exited:    route.ServerIncarnation{Server: fleet.ServerID(item.Server), Incarnation: member.Incarnation(item.Incarnation), UnreportedRestarts: item.Again},
-			At:        now.Add(-time.Duration(item.AgeMilliseconds) * time.Millisecond),
-		})
+		exited := route.ServerIncarnation{
+			Server: fleet.ServerID(item.Server), Incarnation: member.Incarnation(item.Incarnation), UnreportedRestarts: item.Again,
+		}
+		at := now.Add(-time.Duration(item.AgeMilliseconds) * time.Millisecond)
+		evidence = append(evidence, route.Evidence{Attribute: route.AttributeID(item.Content), Exited: exited, At: at})
 	}
 	return evidence
 }
--- a/internal/direct/suspectsimulation_test.go
+++ b/internal/direct/suspectsimulation_test.go
@@ -28,7 +28,8 @@
 	simulatedRestart = 3 * time.Second
 	// simulatedReportInterval is the time between two reports of a box.
 	simulatedReportInterval = 20 * time.Millisecond
-	// simulatedFollowers is the number of boxes that follow each other one directly in larger fleets. The others hear from them.
+	// simulatedFollowers is the number of boxes that receive the reports of a box directly in larger fleets. These boxes forward
+	// the evidence to the others.
 	simulatedFollowers = 8
 	// maxSimulatedAttempts is the number of attempts of a request.
 	maxSimulatedAttempts = 2
--- a/pkg/route/quarantinedecision.go
+++ b/pkg/route/quarantinedecision.go
@@ -118,7 +118,7 @@
 	return !slices.ContainsFunc(other.exits, func(e exit) bool { return !s.hasExited(e.incarnation) })
 }
 
-// explanation tells whether attributes that a request lacks explain the exits under one of its attributes.
+// explanation states whether attributes that a request lacks explain the exits under one of its attributes.
 type explanation int
 
 const (
