--- a/internal/direct/serverexits.go
+++ b/internal/direct/serverexits.go
@@ -192,7 +192,7 @@
 	if s.suspects.Empty() {
 		return route.Decision{}
 	}
-	return s.suspects.Evaluate(x.attributes(), s.clock.Now())
+	return s.suspects.EvaluateRequest(x.attributes(), s.clock.Now())
 }
 
 // isQuarantined reports whether a request must not be sent now. The first request that is tried after a block is sent.
--- a/internal/direct/suspectrequests.go
+++ b/internal/direct/suspectrequests.go
@@ -83,7 +83,7 @@
 		if !isNew {
 			continue
 		}
-		if logEach && s.evaluate(item.Attribute, now).Exits > 1 {
+		if logEach && s.Evaluate(item.Attribute, now).Exits > 1 {
 			// A single exit has no consequence here yet, and the box that observed it has logged it.
 			s.logEvidence(&item, from, now)
 		}
@@ -101,17 +101,12 @@
 	return ok && s.Merge(route.Evidence{Attribute: evidence.Attribute, At: answeredAt}, now)
 }
 
-// evaluate returns the decision for a request that has one attribute only.
-func (s *SuspectRequests) evaluate(attribute route.AttributeID, now time.Time) route.Decision {
-	return s.Evaluate([]route.AttributeID{attribute}, now)
-}
-
 // broadcast triggers an urgent broadcast of evidence. Single exits trigger one per singleExitInterval only: if
 // servers exit for other reasons, each exit makes some requests suspect for a moment, and hundreds of boxes
 // report them to each other. Other evidence is sent with the next regular message. broadcast must not block,
 // because its callers may hold locks that sending the message needs.
 func (s *SuspectRequests) broadcast(attribute route.AttributeID, now time.Time) {
-	exits := s.evaluate(attribute, now).Exits
+	exits := s.Evaluate(attribute, now).Exits
 	if exits > 1 {
 		s.signalCharged()
 	}
@@ -170,7 +165,7 @@
 
 // logEvidence counts and logs evidence.
 func (s *SuspectRequests) logEvidence(evidence *route.Evidence, from string, now time.Time) {
-	decision := s.evaluate(evidence.Attribute, now)
+	decision := s.Evaluate(evidence.Attribute, now)
 	s.metrics.suspects.WithLabelValues(suspectLabels[decision.Suspect]).Inc()
 	event := s.log.Info().Str("content", evidence.Attribute.String()).Dur("age_ms", now.Sub(evidence.At)).Str("from", from).
 		Int("ends", decision.Exits).Bool("barred", decision.Blocked)
--- a/internal/direct/suspectrequests_test.go
+++ b/internal/direct/suspectrequests_test.go
@@ -95,7 +95,7 @@
 	suspects.NoteServerStart("i-2", 9, "entry")
 	require.True(t, suspects.Empty())
 	suspects.NoteServerStart("i-1", 6, "entry")
-	require.Equal(t, 1, suspects.evaluate(evidence.Attribute, clock.Now()).Exits)
+	require.Equal(t, 1, suspects.Evaluate(evidence.Attribute, clock.Now()).Exits)
 
 	late := newSuspectRequests(clock, zerolog.Nop(), NewMetrics())
 	late.NoteDisconnect(evidence)
@@ -142,7 +142,7 @@
 	code, remaining := call(http.MethodDelete, "/quarantine/"+content.String())
 	require.Equal(t, http.StatusOK, code)
 	require.JSONEq(t, "[]", remaining)
-	require.False(t, suspects.evaluate(content, suspects.clock.Now()).Suspect)
+	require.False(t, suspects.Evaluate(content, suspects.clock.Now()).Suspect)
 	evidence, _ := suspects.Since(0)
 	require.Len(t, evidence, 1, "the lift is reported to other boxes")
 }
--- a/internal/direct/suspectsimulation_test.go
+++ b/internal/direct/suspectsimulation_test.go
@@ -196,7 +196,7 @@
 		}
 		check := func() {
 			for _, r := range sortedRequests(box.inFlight) {
-				decision := box.suspects.Evaluate(r.attributes(), s.clock.Now())
+				decision := box.suspects.EvaluateRequest(r.attributes(), s.clock.Now())
 				if r.server != nil && r.begunAt == 0 && (decision.Blocked || !r.mayTry(decision.Trials)) {
 					s.leaveServer(r)
 					s.end(r, false)
@@ -240,7 +240,7 @@
 // attempt sends a request to a server, as checkQuarantine allows.
 func (s *suspectSimulation) attempt(r *simulatedRequest) {
 	now := s.clock.Now()
-	decision := r.box.suspects.Evaluate(r.attributes(), now)
+	decision := r.box.suspects.EvaluateRequest(r.attributes(), now)
 	if r.waitsFrom == 0 {
 		r.waitsFrom = s.now
 	}
@@ -427,7 +427,7 @@
 			x.organisation = &fleet.Organisation{Name: "nouka"}
 		}
 		for _, box := range s.boxes {
-			if decision := box.suspects.Evaluate(x.attributes(), s.clock.Now()); decision.Blocked {
+			if decision := box.suspects.EvaluateRequest(x.attributes(), s.clock.Now()); decision.Blocked {
 				return fmt.Sprintf("parts %v at %s, %+v", x.promptParts(), box.suspects.Box, decision), true
 			}
 		}
--- a/pkg/route/quarantine.go
+++ b/pkg/route/quarantine.go
@@ -95,7 +95,7 @@
 //
 // # Usage
 //
-//	if decision := quarantine.Evaluate(attributes, now); decision.Blocked { ... } // reject the request
+//	if decision := quarantine.EvaluateRequest(attributes, now); decision.Blocked { ... } // reject the request
 //	...
 //	quarantine.Record(Evidence{Attribute: attribute, Exited: incarnation, At: now}, now) // the server exited
 //	quarantine.Record(Evidence{Attribute: attribute, At: now}, now)                      // the server responded
--- a/pkg/route/quarantine_test.go
+++ b/pkg/route/quarantine_test.go
@@ -74,13 +74,13 @@
 			s.quarantine.Record(Evidence{Attribute: attribute, At: now}, now)
 		}
 	case "evaluate":
-		require.Equal(s.t, fields[3], decisionName(s.quarantine.Evaluate(attributes, now)), "%v", fields)
+		require.Equal(s.t, fields[3], decisionName(s.quarantine.EvaluateRequest(attributes, now)), "%v", fields)
 	case "evaluate-peer":
 		peer := new(Quarantine)
 		for _, evidence := range s.evidence() {
 			peer.Merge(evidence, now)
 		}
-		require.Equal(s.t, fields[3], decisionName(peer.Evaluate(attributes, now)), "%v", fields)
+		require.Equal(s.t, fields[3], decisionName(peer.EvaluateRequest(attributes, now)), "%v", fields)
 	default:
 		s.t.Fatalf("unknown command in %v", fields)
 	}
@@ -130,9 +130,9 @@
 		}
 		now = now.Add(settleDelay)
 		for _, content := range contents {
-			want := boxes[0].Evaluate([]AttributeID{content}, now)
+			want := boxes[0].Evaluate(content, now)
 			for i := range boxes {
-				got := boxes[i].Evaluate([]AttributeID{content}, now)
+				got := boxes[i].Evaluate(content, now)
 				if got.Blocked != want.Blocked || got.Exits != want.Exits {
 					t.Fatalf("box %d: %+v, box 0: %+v", i, got, want)
 				}
@@ -174,7 +174,7 @@
 	for i := range 3 * maxAttributes {
 		q.Record(Evidence{Attribute: testContent(fmt.Sprintf("other-%d", i)), Exited: testIncarnation(fmt.Sprintf("s-%d", i)), At: now}, now)
 	}
-	require.True(t, q.Evaluate([]AttributeID{blocked}, now).Blocked)
+	require.True(t, q.Evaluate(blocked, now).Blocked)
 	require.LessOrEqual(t, len(q.attributes), maxAttributes)
 	require.Equal(t, []BlockedAttribute{{Attribute: blocked, Until: now.Add(blockInitial), Exits: []ServerIncarnation{testIncarnation("first-0"), testIncarnation("first-1"), testIncarnation("first-2")}}}, q.Blocked(now))
 }
@@ -209,7 +209,7 @@
 	require.Equal(t, reported, recordExit(now.Add(time.Second/2), now.Add(2*time.Second)), "sent before the exit, observed later")
 	require.Equal(t, uint32(1), recordExit(now.Add(2*time.Second), now.Add(3*time.Second)).UnreportedRestarts)
 	require.Equal(t, uint32(2), recordExit(now.Add(4*time.Second), now.Add(5*time.Second)).UnreportedRestarts)
-	require.True(t, q.Evaluate([]AttributeID{testContent("a")}, now.Add(5*time.Second)).Blocked)
+	require.True(t, q.Evaluate(testContent("a"), now.Add(5*time.Second)).Blocked)
 }
 
 func TestServerGetsAtMostOneSuspect(t *testing.T) {
@@ -273,7 +273,7 @@
 	for _, content := range []AttributeID{testContent("unknown"), twice} {
 		b.Run(strings.TrimRight(string(content[:8]), "\x00"), func(b *testing.B) {
 			for b.Loop() {
-				q.Evaluate([]AttributeID{content}, later)
+				q.Evaluate(content, later)
 			}
 		})
 	}
--- a/pkg/route/quarantinedecision.go
+++ b/pkg/route/quarantinedecision.go
@@ -27,8 +27,13 @@
 	Exits int
 }
 
-// Evaluate decides whether and how a request with the given attributes may be sent now.
-func (q *Quarantine) Evaluate(request []AttributeID, now time.Time) (decision Decision) {
+// Evaluate decides whether and how a request that has one attribute only may be sent now.
+func (q *Quarantine) Evaluate(attribute AttributeID, now time.Time) Decision {
+	return q.EvaluateRequest([]AttributeID{attribute}, now)
+}
+
+// EvaluateRequest decides whether and how a request with the given attributes may be sent now.
+func (q *Quarantine) EvaluateRequest(request []AttributeID, now time.Time) (decision Decision) {
 	if q.Empty() {
 		return decision
 	}
