refactor(route): who may be sent, and whose turn it is, are decided in the package of decisions

Change: Quarantine.CheckSend, MaySend, EndTurn, NoteAnswered and PossibleCauses, which take the time as an argument; the caller server and the simulation call them.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -106,7 +106,7 @@
 			if s.isPastCutoff(x.service, reservation) {
 				return errPastCutoff
 			}
-			if s.isQuarantined(x) {
+			if !s.maySend(x) {
 				return route.ErrQuarantined
 			}
 			if err := s.checkResidency(x, &reservation.Server); err != nil {
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -8,7 +8,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -43,8 +42,8 @@
 	// parts are the partIDs, attributeIDs the attributes, both computed when first needed.
 	partsOnce, attributesOnce sync.Once
 	parts, attributeIDs       []route.AttributeID
-	// trials are the attributes for which the request is the only one of this box that is sent to a server; nil for none.
-	trials atomic.Pointer[[]route.AttributeID]
+	// turn is the exclusive right to be sent to servers with suspect attributes.
+	turn route.Turn
 	// suspect is set while the request may have caused a server to exit.
 	suspect bool
 	// waited is the total time that the request has waited for slots.
@@ -300,10 +299,10 @@
 
 // refuseQuarantined refuses a request under which servers have exited, as refuse does. The Retry-After header is the
 // time until the quarantine ends.
-func (s *CallerServer) refuseQuarantined(x *exchange, quarantined *quarantinedError) {
-	wait := quarantined.until.Sub(s.clock.Now())
+func (s *CallerServer) refuseQuarantined(x *exchange, quarantined *route.QuarantinedError) {
+	wait := quarantined.Until.Sub(s.clock.Now())
 	s.writeRefusal(x, wait)
-	s.finish(x, "refused").Str("reason", "quarantined").Str("content", quarantined.attribute.String()).Int("ends", quarantined.exits).
+	s.finish(x, "refused").Str("reason", "quarantined").Str("content", quarantined.Attribute.String()).Int("ends", quarantined.Exits).
 		Dur("retry_after_ms", wait).Msg("request refused")
 }
 
--- a/internal/direct/inflight.go
+++ b/internal/direct/inflight.go
@@ -53,7 +53,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-s.suspects.charged:
+		case <-s.suspects.mayBlock:
 		}
 		s.abortQuarantinedNow()
 		sleep(ctx, s.clock, settleCheckDelay)
@@ -63,7 +63,7 @@
 
 func (s *CallerServer) abortQuarantinedNow() {
 	for _, x := range s.inFlight.list() {
-		if s.isQuarantined(x) {
+		if !s.maySend(x) {
 			x.group.abortNotBegun(route.ErrQuarantined)
 		}
 	}
--- a/internal/direct/run.go
+++ b/internal/direct/run.go
@@ -27,7 +27,7 @@
 	defer x.group.stop()
 	s.inFlight.add(x)
 	defer s.inFlight.remove(x)
-	defer s.endTrial(x)
+	defer s.suspects.EndTurn(&x.turn)
 	var mayHaveRunErr, lastErr error
 	for x.attempts < x.route.MaxAttempts && x.unreachable < maxUnreachable {
 		reservation, err := s.nextReservation(ctx, x)
@@ -194,7 +194,7 @@
 
 // refuseNotRun refuses a request that certainly has not run.
 func (s *CallerServer) refuseNotRun(x *exchange, cause error) {
-	var quarantined *quarantinedError
+	var quarantined *route.QuarantinedError
 	if errors.As(cause, &quarantined) {
 		s.refuseQuarantined(x, quarantined)
 		return
--- a/internal/direct/serverexits.go
+++ b/internal/direct/serverexits.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -126,7 +125,7 @@
 		return exited
 	}
 	incarnation := s.suspects.IncarnationAt(reservation.ServerIncarnation(), reservation.ReservedAt())
-	for _, attribute := range s.possibleCauses(x, reservation, now) {
+	for _, attribute := range s.possibleCauses(x, reservation.ReservedAt(), now) {
 		evidence := route.Evidence{Attribute: attribute, Exited: incarnation, At: now}
 		if exited {
 			s.suspects.Observe(evidence, "request "+x.ID)
@@ -144,25 +143,20 @@
 
 // possibleCauses returns the attributes of a request that may have caused its server to exit: the content unless it was
 // answered recently, and the parts of which no other request was answered while this one was in flight.
-func (s *CallerServer) possibleCauses(x *exchange, reservation *route.Reservation, now time.Time) []route.AttributeID {
-	var causes []route.AttributeID
+func (s *CallerServer) possibleCauses(x *exchange, sentAt, now time.Time) []route.AttributeID {
+	causes := s.suspects.PossibleCauses(x.partIDs(), sentAt, now)
 	if !s.recentResponses.remove(x, now) {
 		causes = append(causes, x.contentID())
 	}
-	for _, part := range x.partIDs() {
-		if answeredAt, ok := s.suspects.answeredParts.lastAt(part, now); !ok || answeredAt.Before(reservation.ReservedAt()) {
-			causes = append(causes, part)
-		}
-	}
 	return causes
 }
 
 // recordSuccess records that a server has been running the request, or has run it, without exiting.
 func (s *CallerServer) recordSuccess(x *exchange) {
 	now := s.clock.Now()
-	defer s.endTrial(x)
+	defer s.suspects.EndTurn(&x.turn)
 	s.recentResponses.add(x, now)
-	s.suspects.answeredParts.add(x.partIDs(), now)
+	s.suspects.NoteAnswered(x.partIDs(), now)
 	if s.suspects.Empty() {
 		return
 	}
@@ -195,95 +189,29 @@
 	return s.suspects.EvaluateRequest(x.attributes(), s.clock.Now())
 }
 
-// isQuarantined reports whether a request must not be sent now. The first request that is tried after a block is sent.
-func (s *CallerServer) isQuarantined(x *exchange) bool {
-	decision := s.quarantineDecision(x)
-	return decision.Blocked || !x.mayTry(decision.Trials)
-}
-
-// mayTry reports whether the request is the one of this box that is tried for each of the attributes.
-func (x *exchange) mayTry(attributes []route.AttributeID) bool {
-	tried := x.triedAttributes()
-	return !slices.ContainsFunc(attributes, func(attribute route.AttributeID) bool { return !slices.Contains(tried, attribute) })
+// maySend reports whether a request that checkQuarantine let pass may still be sent.
+func (s *CallerServer) maySend(x *exchange) bool {
+	return s.suspects.Empty() || s.suspects.MaySend(x.attributes(), &x.turn, s.clock.Now())
 }
 
-// triedAttributes returns the attributes for which the request is the only one of this box that is sent to a server.
-func (x *exchange) triedAttributes() []route.AttributeID {
-	if tried := x.trials.Load(); tried != nil {
-		return *tried
-	}
-	return nil
-}
-
-const (
-	// trialRetryAfter is the Retry-After for a request whose attributes are being tried by another one.
-	trialRetryAfter = time.Second
-	// maxSuspectWait is how long a suspect request waits for another one of this box with the same attributes.
-	maxSuspectWait = time.Second
-	// suspectCheckInterval is the time between two checks of a request that waits for another one.
-	suspectCheckInterval = 25 * time.Millisecond
-)
-
-// checkQuarantine returns an error if the request must not be sent to any server. After the latest exit it waits for reports
-// of other boxes, which may have sent requests with the same attributes, and for another request of this box with them.
+// checkQuarantine waits until the request may be sent to a server. It returns an error if it must not be sent to any.
 func (s *CallerServer) checkQuarantine(ctx context.Context, x *exchange) error {
-	giveUpAt := s.clock.Now().Add(maxSuspectWait)
-	for {
-		decision, now := s.quarantineDecision(x), s.clock.Now()
-		x.suspect = decision.Suspect
-		wait := suspectCheckInterval
+	x.suspect = false
+	for startedAt := s.clock.Now(); !s.suspects.Empty(); {
+		permit := s.suspects.CheckSend(x.attributes(), &x.turn, startedAt, s.clock.Now())
+		x.suspect = permit.Suspect
 		switch {
-		case decision.Blocked:
-			return &quarantinedError{attribute: decision.Attribute, until: decision.BlockedUntil, exits: decision.Exits}
+		case permit.Rejected != nil:
+			return permit.Rejected
 		case ctx.Err() != nil:
 			return ctx.Err()
-		case !x.mayTry(decision.Trials) && x.trials.Load() != nil:
-			// The request was tried, and its server exited.
-			return &quarantinedError{attribute: decision.Trials[0], until: now.Add(trialRetryAfter), exits: decision.Exits}
-		case decision.SettlesAt.After(now):
-			wait = decision.SettlesAt.Sub(now)
-		case x.mayTry(decision.Suspects), s.beginTrial(x, &decision):
-			return nil
-		case len(decision.Trials) > 0, now.After(giveUpAt) && decision.Exits > 1:
-			return &quarantinedError{attribute: decision.Suspects[0], until: now.Add(trialRetryAfter), exits: decision.Exits}
-		case now.After(giveUpAt):
+		case permit.Wait == 0:
+			if permit.Trial != nil {
+				s.log.Info().Str("request", x.ID).Str("content", permit.Trial.String()).Int("ends", permit.Exits).Msg("trying a request after a block")
+			}
 			return nil
 		}
-		sleep(ctx, s.clock, wait)
+		sleep(ctx, s.clock, permit.Wait)
 	}
+	return nil
 }
-
-// beginTrial makes the request the only one of this box with its suspect attributes that is sent to servers, unless there is
-// one already.
-func (s *CallerServer) beginTrial(x *exchange, decision *route.Decision) bool {
-	s.endTrial(x)
-	if !s.suspects.beginTrial(decision.Suspects) {
-		return false
-	}
-	x.trials.Store(&decision.Suspects)
-	if len(decision.Trials) > 0 {
-		s.log.Info().Str("request", x.ID).Str("content", decision.Trials[0].String()).Int("ends", decision.Exits).Msg("trying a request after a block")
-	}
-	return true
-}
-
-// endTrial ends the trial of a request, if it is one.
-func (s *CallerServer) endTrial(x *exchange) {
-	if tried := x.trials.Swap(nil); tried != nil {
-		s.suspects.endTrial(*tried)
-	}
-}
-
-// quarantinedError is route.ErrQuarantined with the attribute that blocks the request, the end of the block and the number
-// of exits.
-type quarantinedError struct {
-	attribute route.AttributeID
-	until     time.Time
-	exits     int
-}
-
-// Error returns the message of route.ErrQuarantined.
-func (e *quarantinedError) Error() string { return route.ErrQuarantined.Error() }
-
-// Unwrap returns route.ErrQuarantined.
-func (e *quarantinedError) Unwrap() error { return route.ErrQuarantined }
--- a/internal/direct/suspectrequests.go
+++ b/internal/direct/suspectrequests.go
@@ -39,31 +39,25 @@
 	// counts the urgent broadcasts.
 	wake        chan struct{}
 	urgentCount atomic.Uint64
-	// charged is signalled when requests that are in flight may have to be aborted; it holds at most one signal.
-	charged chan struct{}
-	// answeredParts are the parts of prompts of the requests that were recently answered.
-	answeredParts *answeredParts
+	// mayBlock is signalled when evidence may block requests that are in flight; it holds at most one signal.
+	mayBlock chan struct{}
 
 	mu sync.Mutex
 	// lastSingleExit is when evidence of a single exit was last broadcast at once.
 	lastSingleExit time.Time
 	// disconnected is the evidence on requests whose connection failed and whose server may have exited.
 	disconnected []route.Evidence
-	// trials are the attributes of which a request is being tried.
-	trials map[route.AttributeID]struct{}
 }
 
 func newSuspectRequests(clock clockwork.Clock, log zerolog.Logger, metrics *Metrics) *SuspectRequests {
 	return &SuspectRequests{
-		clock: clock, log: log, metrics: metrics, wake: make(chan struct{}, 1), charged: make(chan struct{}, 1),
-		answeredParts: newAnsweredParts(), trials: make(map[route.AttributeID]struct{}),
+		clock: clock, log: log, metrics: metrics, wake: make(chan struct{}, 1), mayBlock: make(chan struct{}, 1),
 	}
 }
 
 // Observe records evidence that this process has observed.
 func (s *SuspectRequests) Observe(evidence route.Evidence, from string) {
 	now := s.clock.Now()
-	s.noteAnswered(&evidence, now)
 	if s.Record(evidence, now) {
 		s.logEvidence(&evidence, from, now)
 		s.broadcast(evidence.Attribute, now)
@@ -77,10 +71,7 @@
 		s.log.Info().Int("evidence", len(evidence)).Str("from", from).Msg("evidence of many requests merged, not logging each")
 	}
 	for _, item := range evidence {
-		isNew := s.Merge(item, now)
-		// The other boxes may not know that the part is answered here.
-		isNew = s.noteAnswered(&item, now) || isNew
-		if !isNew {
+		if !s.Merge(item, now) {
 			continue
 		}
 		if logEach && s.Evaluate(item.Attribute, now).Exits > 1 {
@@ -91,16 +82,6 @@
 	}
 }
 
-// noteAnswered records that this box has received a response to a request with the attribute of an exit shortly before it, or
-// after it. It reports whether that is new.
-func (s *SuspectRequests) noteAnswered(evidence *route.Evidence, now time.Time) bool {
-	if evidence.Exited == (route.ServerIncarnation{}) {
-		return false
-	}
-	answeredAt, ok := s.answeredParts.lastAt(evidence.Attribute, now)
-	return ok && s.Merge(route.Evidence{Attribute: evidence.Attribute, At: answeredAt}, now)
-}
-
 // broadcast triggers an urgent broadcast of evidence. Single exits trigger one per singleExitInterval only: if
 // servers exit for other reasons, each exit makes some requests suspect for a moment, and hundreds of boxes
 // report them to each other. Other evidence is sent with the next regular message. broadcast must not block,
@@ -108,48 +89,13 @@
 func (s *SuspectRequests) broadcast(attribute route.AttributeID, now time.Time) {
 	exits := s.Evaluate(attribute, now).Exits
 	if exits > 1 {
-		s.signalCharged()
+		signal(s.mayBlock)
 	}
 	if exits < 2 && !s.isSingleDue(now) {
 		return
 	}
 	s.urgentCount.Add(1)
-	select {
-	case s.wake <- struct{}{}:
-	default:
-	}
-}
-
-// signalCharged makes the caller server abort the attempts of requests that are now blocked. It does not block.
-func (s *SuspectRequests) signalCharged() {
-	select {
-	case s.charged <- struct{}{}:
-	default:
-	}
-}
-
-// beginTrial reports whether no other request with one of the attributes is being tried. If so, endTrial must be called.
-func (s *SuspectRequests) beginTrial(attributes []route.AttributeID) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, attribute := range attributes {
-		if _, isTried := s.trials[attribute]; isTried {
-			return false
-		}
-	}
-	for _, attribute := range attributes {
-		s.trials[attribute] = struct{}{}
-	}
-	return true
-}
-
-// endTrial ends a trial.
-func (s *SuspectRequests) endTrial(attributes []route.AttributeID) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, attribute := range attributes {
-		delete(s.trials, attribute)
-	}
+	signal(s.wake)
 }
 
 // isSingleDue reports whether a single exit may be broadcast at once, and records the broadcast if so.
--- a/internal/direct/suspectrequests_test.go
+++ b/internal/direct/suspectrequests_test.go
@@ -201,7 +201,7 @@
 	default:
 	}
 	s.recordSuccess(first)
-	clock.Advance(suspectCheckInterval)
+	clock.Advance(time.Second / 4)
 	require.NoError(t, <-result)
 }
 
@@ -211,14 +211,14 @@
 	for _, server := range []fleet.ServerID{"i-2", "i-3"} {
 		s.suspects.Observe(route.Evidence{Attribute: first.contentID(), Exited: route.ServerIncarnation{Server: server}, At: clock.Now()}, "request r")
 	}
-	var quarantined *quarantinedError
+	var quarantined *route.QuarantinedError
 	require.ErrorAs(t, s.checkQuarantine(t.Context(), first), &quarantined)
-	require.Equal(t, 3, quarantined.exits)
+	require.Equal(t, 3, quarantined.Exits)
 	clock.Advance(11 * time.Minute)
 	require.NoError(t, s.checkQuarantine(t.Context(), first), "the first request after a block is tried")
 	require.ErrorAs(t, s.checkQuarantine(t.Context(), exchangeWithBody("body")), &quarantined)
-	require.Equal(t, clock.Now().Add(trialRetryAfter), quarantined.until)
-	s.endTrial(first)
+	require.Equal(t, clock.Now().Add(time.Second), quarantined.Until)
+	s.suspects.EndTurn(&first.turn)
 	require.NoError(t, s.checkQuarantine(t.Context(), exchangeWithBody("body")))
 }
 
--- a/internal/direct/suspectsimulation_test.go
+++ b/internal/direct/suspectsimulation_test.go
@@ -90,7 +90,7 @@
 	attempts int
 	sentAt   time.Duration
 	begunAt  time.Duration
-	// waitsFrom is when the request began to wait for the next attempt; 0 if it does not.
+	// waitsFrom is when the request began to wait for the next attempt.
 	waitsFrom time.Duration
 	onEnd     func(served bool)
 }
@@ -190,14 +190,13 @@
 func (s *suspectSimulation) abortQuarantined() {
 	for _, box := range s.boxes {
 		select {
-		case <-box.suspects.charged:
+		case <-box.suspects.mayBlock:
 		default:
 			continue
 		}
 		check := func() {
 			for _, r := range sortedRequests(box.inFlight) {
-				decision := box.suspects.EvaluateRequest(r.attributes(), s.clock.Now())
-				if r.server != nil && r.begunAt == 0 && (decision.Blocked || !r.mayTry(decision.Trials)) {
+				if r.server != nil && r.begunAt == 0 && !box.suspects.MaySend(r.attributes(), &r.turn, s.clock.Now()) {
 					s.leaveServer(r)
 					s.end(r, false)
 				}
@@ -219,7 +218,7 @@
 // send sends a request to a random box.
 func (s *suspectSimulation) send(x *exchange) {
 	s.count++
-	r := &simulatedRequest{exchange: x, box: s.boxes[s.random.IntN(len(s.boxes))], number: s.count}
+	r := &simulatedRequest{exchange: x, box: s.boxes[s.random.IntN(len(s.boxes))], number: s.count, waitsFrom: s.now}
 	if !s.hasCause(x) && s.now >= s.countFrom {
 		s.sound++
 		r.onEnd = func(served bool) {
@@ -239,37 +238,18 @@
 
 // attempt sends a request to a server, as checkQuarantine allows.
 func (s *suspectSimulation) attempt(r *simulatedRequest) {
-	now := s.clock.Now()
-	decision := r.box.suspects.EvaluateRequest(r.attributes(), now)
-	if r.waitsFrom == 0 {
-		r.waitsFrom = s.now
-	}
-	hasTurn := r.mayTry(decision.Suspects)
-	if wait := decision.SettlesAt.Sub(now); !decision.Blocked && wait > 0 {
-		s.after(wait, func() { s.attempt(r) })
+	permit := r.box.suspects.CheckSend(r.attributes(), &r.turn, s.started.Add(r.waitsFrom), s.clock.Now())
+	switch {
+	case permit.Wait > 0:
+		s.after(permit.Wait, func() { s.attempt(r) })
 		return
-	}
-	if !decision.Blocked && !hasTurn {
-		r.endTrial()
-		if hasTurn = r.box.suspects.beginTrial(decision.Suspects); hasTurn {
-			r.trials.Store(&decision.Suspects)
-		}
-	}
-	if !hasTurn && !decision.Blocked && len(decision.Trials) == 0 {
-		if s.now-r.waitsFrom < maxSuspectWait {
-			s.after(suspectCheckInterval, func() { s.attempt(r) })
-			return
-		}
-		hasTurn = decision.Exits == 1
-	}
-	if !hasTurn {
+	case permit.Rejected != nil:
 		if !s.hasCause(r.exchange) {
 			s.blocked++
 		}
 		s.end(r, false)
 		return
 	}
-	r.waitsFrom = 0
 	var up []*simulatedServer
 	for _, server := range s.servers {
 		if !server.isDown {
@@ -307,7 +287,7 @@
 	s.after(safeResponseDuration, func() {
 		if r.attempts == attempt && r.server != nil {
 			s.leaveServer(r)
-			r.box.suspects.answeredParts.add(r.partIDs(), s.clock.Now())
+			r.box.suspects.NoteAnswered(r.partIDs(), s.clock.Now())
 			for _, id := range r.attributes() {
 				r.box.suspects.Observe(route.Evidence{Attribute: id, At: s.clock.Now()}, "request")
 			}
@@ -326,12 +306,10 @@
 	for _, r := range sortedRequests(server.requests) {
 		s.leaveServer(r)
 		now := s.clock.Now()
-		for _, id := range r.attributes() {
-			answeredAt, ok := r.box.suspects.answeredParts.lastAt(id, now)
-			if !ok || answeredAt.Before(s.started.Add(r.sentAt)) {
-				r.box.suspects.Observe(route.Evidence{Attribute: id, Exited: exited, At: now}, "request")
-			}
+		for _, id := range r.box.suspects.PossibleCauses(r.attributes(), s.started.Add(r.sentAt), now) {
+			r.box.suspects.Observe(route.Evidence{Attribute: id, Exited: exited, At: now}, "request")
 		}
+		r.waitsFrom = s.now
 		if r.attempts < maxSimulatedAttempts {
 			s.attempt(r)
 		} else {
@@ -353,19 +331,13 @@
 
 // end ends a request.
 func (s *suspectSimulation) end(r *simulatedRequest, served bool) {
-	r.endTrial()
+	r.box.suspects.EndTurn(&r.turn)
 	delete(r.box.inFlight, r)
 	if r.onEnd != nil {
 		r.onEnd(served)
 	}
 }
 
-// endTrial ends the trial of the request, if it is one.
-func (r *simulatedRequest) endTrial() {
-	r.box.suspects.endTrial(r.triedAttributes())
-	r.trials.Store(nil)
-}
-
 // sendEvery sends requests at a rate per second, at random times, until a time.
 func (s *suspectSimulation) sendEvery(rate float64, until time.Duration, next func() *exchange) {
 	gap := time.Duration(s.random.ExpFloat64() / rate * float64(time.Second))
--- a/pkg/route/quarantine.go
+++ b/pkg/route/quarantine.go
@@ -114,12 +114,16 @@
 	attributes map[AttributeID]*suspect
 	// charged contains the attributes for which isCharged was true when their evidence last changed.
 	charged map[AttributeID]*suspect
+	// taken contains the attributes of all turns.
+	taken map[AttributeID]struct{}
 	// exitedAt contains the exits within blockInitial, including those under attributes that have been cleared since.
 	exitedAt map[ServerIncarnation]time.Time
 	// changes is the number of changes so far.
 	changes uint64
 	// lastExpiry is when expired attributes were last removed.
 	lastExpiry time.Time
+
+	answered answeredAttributes
 }
 
 // suspect is the evidence on one attribute.
@@ -162,18 +166,22 @@
 		evidence.At = q.recordExit(evidence.Exited, evidence.At, now)
 	}
 	s := q.attributes[evidence.Attribute]
-	switch {
-	case s == nil && evidence.isExit():
-		s = q.newSuspect(evidence.Attribute, now)
-		s.exits = []exit{{evidence.Exited, evidence.At}}
-	case s == nil && keepsSuccess && now.Sub(evidence.At) <= successRetention:
+	if s == nil {
+		if !evidence.isExit() && !(keepsSuccess && now.Sub(evidence.At) <= successRetention) {
+			return false
+		}
 		s = q.newSuspect(evidence.Attribute, now)
-		s.clearedAt = evidence.At
-	case s == nil:
-		return false
-	case evidence.isExit() && !s.add(exit{evidence.Exited, evidence.At}):
-		return false
-	case !evidence.isExit() && !q.clear(s, evidence.At):
+	}
+	isNew := false
+	switch {
+	case evidence.isExit():
+		isNew = q.recordUnder(evidence.Attribute, s, exit{evidence.Exited, evidence.At}, now)
+	case len(s.exits) == 0 && s.clearedAt.IsZero():
+		s.clearedAt, isNew = evidence.At, true
+	default:
+		isNew = q.clear(s, evidence.At)
+	}
+	if !isNew {
 		return false
 	}
 	q.changes++
@@ -182,6 +190,16 @@
 	return true
 }
 
+// recordUnder adds an exit to an attribute, and the last answer that this box has received to a request with it, which other
+// boxes may not know. It reports whether either changes the evidence.
+func (q *Quarantine) recordUnder(attribute AttributeID, s *suspect, exited exit, now time.Time) bool {
+	isNew := s.add(exited)
+	if answeredAt, ok := q.answered.lastAt(attribute, now); ok {
+		isNew = q.clear(s, answeredAt) || isNew
+	}
+	return isNew
+}
+
 // newSuspect adds an attribute without evidence.
 func (q *Quarantine) newSuspect(attribute AttributeID, now time.Time) *suspect {
 	q.makeRoom(now)
