--- a/internal/direct/crashparts_test.go
+++ b/internal/direct/crashparts_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strings"
@@ -29,8 +28,6 @@
 	// after the first exit.
 	minSoundShare = 0.95
 	soundFrom     = 2 * time.Second
-	// firstPart is the first part of all prompts.
-	firstPart = "f001"
 )
 
 // partExits counts the exits of servers by the part of the prompt that caused them.
@@ -89,9 +86,9 @@
 	all.Go(func() {
 		every(parseInt(options["rate"], 1), seconds, &all, func(i int) {
 			part := parts[i%len(parts)]
-			prompt := fmt.Sprintf("%s:40,%s:100,%s:50,%x:30", firstPart, drawPart(), part, rand.Uint32())
+			prompt := standin.DrawPrompt(standin.SharedFirstPart, part)
 			if options["first"] == "yes" {
-				prompt = fmt.Sprintf("%s:40,%s:100,%x:30", part, drawPart(), rand.Uint32())
+				prompt = standin.DrawPrompt(part)
 			}
 			_, _ = w.sendPrompt(entries[i%len(entries)], path, prompt)
 		})
@@ -151,8 +148,7 @@
 func (w *testDeployment) sendSound(path string, rate, seconds int, entries []string, group *sync.WaitGroup) {
 	every(rate, seconds, group, func(i int) {
 		sentAt := time.Now()
-		prompt := fmt.Sprintf("%s:40,%s:100,%s:50,%x:30", firstPart, drawPart(), drawPart(), rand.Uint32())
-		status, err := w.sendPrompt(entries[i%len(entries)], path, prompt)
+		status, err := w.sendPrompt(entries[i%len(entries)], path, standin.DrawPrompt(standin.SharedFirstPart, standin.DrawPart()))
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		w.soundResults = append(w.soundResults, soundResult{sentAt, status, err})
@@ -169,14 +165,6 @@
 	}
 }
 
-// drawPart returns a part as prompts have them: some often, many seldom.
-func drawPart() string {
-	if rand.IntN(2) == 0 {
-		return fmt.Sprintf("aa%02x", rand.IntN(6))
-	}
-	return fmt.Sprintf("bb%03x", rand.IntN(400))
-}
-
 // sendPrompt sends a request with the given parts of a prompt and another body each time, and returns the status of its
 // response once that is complete.
 func (w *testDeployment) sendPrompt(entry, path, prompt string) (int, error) {
--- a/internal/soak/crash_test.go
+++ b/internal/soak/crash_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strings"
@@ -42,20 +41,6 @@
 // crashPartResponses is what servers send before they crash because of crashPart, in turn by server.
 var crashPartResponses = []standin.CrashResponse{standin.CrashBeforeHead, standin.CrashAfterHead, standin.CrashInsideEvent, standin.CrashAfterEvent}
 
-// drawPrompt returns the parts of a prompt: the first one is in all prompts, others are in many or few, the last one is its
-// own. inserted is a further part; none if it is empty.
-func drawPrompt(inserted string) string {
-	shared := fmt.Sprintf("aa%02x", rand.IntN(6))
-	if rand.IntN(2) == 0 {
-		shared = fmt.Sprintf("bb%03x", rand.IntN(400))
-	}
-	prompt := "f001:40," + shared + ":50,"
-	if inserted != "" {
-		prompt += inserted + ":60,"
-	}
-	return fmt.Sprintf("%s%x:30", prompt, rand.Uint32())
-}
-
 // crashRoutes are the routes on which the request is sent. The system must treat each as a different request.
 var crashRoutes = []string{"talk", "look"}
 
@@ -98,13 +83,13 @@
 
 // sendCrashRequest sends the request once and returns the status of the response, or 0 if there is none.
 func (l *load) sendCrashRequest(route, entry string) int {
-	return l.sendCrash(route, entry, crashBody, drawPrompt(""))
+	return l.sendCrash(route, entry, crashBody, standin.DrawPrompt(standin.SharedFirstPart))
 }
 
 // sendCrashPart sends a request with crashPart, whose content differs each time, and returns the status of the response, or 0
 // if there is none.
 func (l *load) sendCrashPart(entry string) int {
-	return l.sendCrash("talk", entry, fmt.Sprintf("draft %d", l.lastID.Add(1)), drawPrompt(crashPart))
+	return l.sendCrash("talk", entry, fmt.Sprintf("draft %d", l.lastID.Add(1)), standin.DrawPrompt(standin.SharedFirstPart, crashPart))
 }
 
 func (l *load) sendCrash(route, entry, body, prompt string) int {
--- a/internal/soak/load_test.go
+++ b/internal/soak/load_test.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/cinderslip/cinderslip/platform/standin"
 )
 
 const (
@@ -156,7 +158,7 @@
 	request.Header.Set("X-Request-Id", id)
 	request.Header.Set("X-Deadline-Ms", fmt.Sprint(timeoutOf(route).Milliseconds()))
 	request.Header.Set("X-Token-Usage", "100,60")
-	request.Header.Set("X-Prompt-Prefix", drawPrompt(""))
+	request.Header.Set("X-Prompt-Prefix", standin.DrawPrompt(standin.SharedFirstPart))
 	l.mu.Lock()
 	l.requests[id] = sentRequest{entry, time.Now()}
 	l.mu.Unlock()
--- a/pkg/route/quarantine.go
+++ b/pkg/route/quarantine.go
@@ -167,7 +167,8 @@
 	}
 	s := q.attributes[evidence.Attribute]
 	if s == nil {
-		if !evidence.isExit() && !(keepsSuccess && now.Sub(evidence.At) <= successRetention) {
+		isKept := evidence.isExit() || keepsSuccess && now.Sub(evidence.At) <= successRetention
+		if !isKept {
 			return false
 		}
 		s = q.newSuspect(evidence.Attribute, now)
