feat(lab): a part of prompts that crashes the servers that begin a response to it

Change: FaultPartCrashes; callers draw prompts, from a generator of their own, so that other runs draw what they drew before; boxes run the production quarantine and report evidence after the message delay, also after a partition.

--- a/internal/lab/box.go
+++ b/internal/lab/box.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"errors"
 	"maps"
 	"time"
 
@@ -36,6 +37,13 @@
 	incarnation int
 	// localReporter reports to the peers in the same region, remoteReporter to those in other regions.
 	localReporter, remoteReporter reporter
+	// quarantine is the evidence on requests under which servers crashed. evidenceCursor is what of it has been reported, and
+	// evidencePending is set while a report of it is scheduled.
+	quarantine      *route.Quarantine
+	evidenceCursor  uint64
+	evidencePending bool
+	// inFlight are the requests that were sent to a server, and some that have ended since.
+	inFlight []*request
 }
 
 // reporter sends a box's load and demand to some of its peers and keeps the last load sent.
@@ -73,6 +81,7 @@
 		b.heardAt[other] = b.sim.Now()
 	}
 	b.updateBoxCount()
+	b.startQuarantine()
 	b.initLimits()
 	b.updateServers()
 	for _, other := range b.peers {
@@ -185,12 +194,21 @@
 	job         *job
 	server      *engine
 	done        bool
+	prompt      prompt
+	// turn is the exclusive right to be sent to servers with suspect attributes, waitsFrom when the request began to wait
+	// for the current attempt.
+	turn      route.Turn
+	waitsFrom time.Time
+	// serverIncarnation is the incarnation of the server of the current attempt. succeeded is set once its response has been
+	// in progress for successDuration.
+	serverIncarnation int
+	succeeded         bool
 }
 
 // serve accepts a request from a caller.
 func (b *box) serve(c *caller) *request {
-	r := &request{box: b, incarnation: b.incarnation, caller: c, callerAttempt: c.attempts}
 	now := b.sim.Now()
+	r := &request{box: b, incarnation: b.incarnation, caller: c, callerAttempt: c.attempts, prompt: c.prompt, waitsFrom: now}
 	kind := c.kind
 	engine := &b.sim.deployment.Engine
 	r.slotRequest = route.SlotRequest{
@@ -219,6 +237,9 @@
 
 // submit requests a slot from the dispatcher.
 func (r *request) submit() {
+	if !r.checkQuarantine() {
+		return
+	}
 	req := r.slotRequest
 	req.Tried = r.tried
 	reservation, queued, err := r.box.dispatcher.Submit(&req, func(reservation *route.Reservation) {
@@ -255,6 +276,11 @@
 // send sends the request to the server on which its slot is reserved.
 func (r *request) send(reservation *route.Reservation) {
 	r.reservation = reservation
+	if !r.box.quarantine.MaySend(r.prompt.attributes, &r.turn, r.box.sim.Now()) {
+		reservation.Release(route.ResultAbandoned, r.box.sim.Now())
+		r.retry()
+		return
+	}
 	if reservation.Check(r.box.sim.Now()) != nil {
 		reservation.Release(route.ResultAbandoned, r.box.sim.Now())
 		r.tried = append(r.tried, reservation.Server.ID)
@@ -265,11 +291,23 @@
 	r.tried = append(r.tried, reservation.Server.ID)
 	server := r.box.sim.byID[reservation.Server.ID]
 	delay := r.box.sim.delay(r.box.region, server.region)
-	r.server = server
+	r.server, r.serverIncarnation, r.succeeded = server, server.incarnation, false
+	r.box.inFlight = append(r.box.inFlight, r)
 	r.job = &job{promptTokens: r.caller.promptTokens, responseTokens: r.caller.remainingTokens()}
-	r.job.onEvent = func() { r.afterFunc(delay, func() { r.forwardEvent(reservation) }) }
-	r.job.onEnd = func(complete bool) { r.afterFunc(delay, func() { r.attemptEnded(complete) }) }
 	sent := r.job
+	// afterDelay calls run after the message delay, unless the attempt has been aborted by then.
+	afterDelay := func(run func()) {
+		r.afterFunc(delay, func() {
+			if r.job == sent {
+				run()
+			}
+		})
+	}
+	sent.onEvent = func() { afterDelay(func() { r.forwardEvent(reservation) }) }
+	sent.onEnd = func(complete bool) { afterDelay(func() { r.attemptEnded(complete) }) }
+	if r.prompt.crashes {
+		sent.crash = func() { r.box.sim.crashOnPart(server, r.box) }
+	}
 	r.afterFunc(delay, func() {
 		if sent.dropped {
 			return
@@ -282,14 +320,14 @@
 			r.box.sim.result.RejectedAttempts++
 			server.requestBackoff(r.box)
 			retryAfter := server.retryAfter
-			r.afterFunc(delay, func() {
+			afterDelay(func() {
 				if now := r.box.sim.Now(); retryAfter > 0 {
 					reservation.BackOff(now.Add(retryAfter), now, nil)
 				}
 				r.attemptRejected(true)
 			})
 		case !server.submit(sent):
-			r.afterFunc(delay, func() { r.attemptRejected(server.up) })
+			afterDelay(func() { r.attemptRejected(server.up) })
 		}
 	})
 }
@@ -297,6 +335,9 @@
 // forwardEvent forwards an event of the response to the caller.
 func (r *request) forwardEvent(reservation *route.Reservation) {
 	reservation.Started(r.box.sim.Now())
+	if !r.succeeded && reservation.RespondingFor(r.box.sim.Now()) >= successDuration {
+		r.recordSuccess()
+	}
 	r.box.observeLimit(r.server)
 	r.started, r.lastEvent = true, r.box.sim.Now()
 	r.afterFunc(r.box.sim.deployment.CallerDelay, func() { r.caller.receiveEvent(r) })
@@ -306,15 +347,21 @@
 func (r *request) attemptEnded(complete bool) {
 	now := r.box.sim.Now()
 	if complete {
+		r.recordSuccess()
 		r.reservation.Release(route.ResultDone, now)
 		r.reservation = nil
 		r.afterFunc(r.box.sim.deployment.CallerDelay, func() {
-			r.done = true
+			r.finish()
 			r.caller.complete(r)
 		})
 		return
 	}
-	r.reservation.Release(route.ResultFailed, now)
+	result := route.ResultFailed
+	if !r.server.up {
+		result = route.ResultServerExited
+		r.recordExit()
+	}
+	r.reservation.Release(result, now)
 	r.retry()
 }
 
@@ -331,9 +378,10 @@
 // retry requests a slot on another server, or ends the response if MaxAttempts is reached.
 func (r *request) retry() {
 	r.reservation = nil
+	r.waitsFrom = r.box.sim.Now()
 	if r.attempts >= r.box.sim.deployment.MaxAttempts {
 		r.afterFunc(r.box.sim.deployment.CallerDelay, func() {
-			r.done = true
+			r.finish()
 			r.caller.truncated(r)
 		})
 		return
@@ -350,24 +398,34 @@
 func (r *request) reject(err error) {
 	if r.started {
 		r.afterFunc(r.box.sim.deployment.CallerDelay, func() {
-			r.done = true
+			r.finish()
 			r.caller.truncated(r)
 		})
 		return
 	}
 	wait := route.RetryAfter(err, r.slotRequest.Deadline.Sub(r.box.sim.Now()))
+	var quarantined *route.QuarantinedError
+	if errors.As(err, &quarantined) {
+		wait = quarantined.Until.Sub(r.box.sim.Now())
+	}
 	r.afterFunc(r.box.sim.deployment.CallerDelay, func() {
-		r.done = true
+		r.finish()
 		r.caller.rejected(r, wait)
 	})
 }
 
+// finish ends the request at the box.
+func (r *request) finish() {
+	r.done = true
+	r.box.quarantine.EndTurn(&r.turn)
+}
+
 // cancel ends a request whose caller has disconnected.
 func (r *request) cancel() {
 	if r.done || r.box.incarnation != r.incarnation {
 		return
 	}
-	r.done = true
+	r.finish()
 	if r.queued != nil {
 		r.box.dispatcher.Cancel(r.queued)
 		r.queued = nil
--- a/internal/lab/caller.go
+++ b/internal/lab/caller.go
@@ -19,6 +19,7 @@
 	kind           *RequestKind
 	promptTokens   int
 	responseTokens int
+	prompt         prompt
 	// arrivedAt is when the caller sent its first attempt, from which objective and deadline count.
 	arrivedAt time.Time
 	attempts  int
@@ -37,6 +38,7 @@
 	return &caller{
 		sim: sim, region: region, kind: kind, arrivedAt: sim.Now(),
 		promptTokens: sim.randomSize(kind.Prompt, kind.PromptSpread), responseTokens: sim.randomSize(kind.Response, kind.ResponseSpread),
+		prompt: sim.prompts.draw(),
 	}
 }
 
@@ -196,5 +198,8 @@
 
 func (c *caller) finish(outcome Outcome) {
 	c.done = true
+	if c.prompt.crashes {
+		return
+	}
 	c.sim.result.add(c, outcome)
 }
--- a/internal/lab/deployment.go
+++ b/internal/lab/deployment.go
@@ -125,6 +125,10 @@
 	// FaultServersCold makes servers cold for Duration, with a cold rate of Limit. Each box receives notice of it after
 	// up to coldNoticeDelay.
 	FaultServersCold FaultKind = "servers-cold"
+	// FaultPartCrashes gives Share of the requests that arrive within Duration a part of their prompts that crashes each
+	// server which generates the first token of a response to it. No two of these requests have the same content. They
+	// count for no outcome.
+	FaultPartCrashes FaultKind = "part-crashes"
 	// FaultBurst multiplies the traffic by Factor for Duration.
 	FaultBurst FaultKind = "burst"
 )
@@ -133,7 +137,7 @@
 type Fault struct {
 	Kind FaultKind
 	At   time.Duration
-	// Share is the fraction of the servers or entry boxes that are affected, chosen at random.
+	// Share is the fraction of the servers, entry boxes or requests that are affected, chosen at random.
 	Share float64
 	// Duration is how long the fault lasts at each affected server or box.
 	Duration time.Duration
--- a/internal/lab/engine.go
+++ b/internal/lab/engine.go
@@ -19,6 +19,8 @@
 	// the server stops.
 	onEvent func()
 	onEnd   func(complete bool)
+	// crash crashes the server when it generates the first token; nil if the request does not.
+	crash func()
 	// dropped is set once the request is canceled or the server has stopped.
 	dropped bool
 }
@@ -177,6 +179,12 @@
 
 // finishPass generates the tokens of a pass, reports them, and ends the completed requests.
 func (e *engine) finishPass() {
+	for _, j := range e.running {
+		if !j.dropped && j.unreported < 0 && j.crash != nil {
+			j.crash()
+			return
+		}
+	}
 	unfinished := e.running[:0]
 	var finished []*job
 	for _, j := range e.running {
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -66,6 +66,9 @@
 	PossibleValue, EarnedValue, Penalties float64
 	// Truncated counts the responses that an entry box ended with an error, or before they were complete.
 	Truncated int
+	// PartCrashes counts the servers that crashed because of FaultPartCrashes, without those that a partitioned box caused,
+	// which receives no evidence.
+	PartCrashes int
 	// RejectedAttempts counts the attempts that arrived at servers affected by FaultServersRejecting. DuringBackoff
 	// counts all attempts that arrived at such a server during the backoff that it had requested from the box, except
 	// those in the first backoffGrace (half a second).
--- a/internal/lab/simulation.go
+++ b/internal/lab/simulation.go
@@ -35,13 +35,15 @@
 	// burstFactor is the product of the factors of all current bursts.
 	burstFactor float64
 	result      *Result
+	prompts     prompts
 }
 
 // Run simulates a deployment with faults. The same seed gives the same result.
 func Run(deployment *Deployment, faults []Fault, seed uint64) *Result {
 	s := &simulation{
 		deployment: deployment, random: rand.New(rand.NewPCG(seed, 1)), byID: make(map[fleet.ServerID]*engine), burstFactor: 1,
-		result: newResult(deployment),
+		result:  newResult(deployment),
+		prompts: prompts{random: rand.New(rand.NewPCG(seed, 2))},
 	}
 	s.build()
 	for i := range faults {
@@ -240,6 +242,9 @@
 			s.boxes[i].partitioned, s.boxes[i].hadFault = true, true
 			s.AfterFunc(f.Duration, func() { s.boxes[i].partitioned = false })
 		})
+	case FaultPartCrashes:
+		s.AfterFunc(f.At, func() { s.prompts.crashShare = f.Share })
+		s.AfterFunc(f.At+f.Duration, func() { s.prompts.crashShare = 0 })
 	case FaultBurst:
 		s.AfterFunc(f.At, func() { s.burstFactor *= f.Factor })
 		s.AfterFunc(f.At+f.Duration, func() { s.burstFactor /= f.Factor })
