--- a/pkg/route/quarantine.go
+++ b/pkg/route/quarantine.go
@@ -112,8 +112,8 @@
 
 	mu         sync.Mutex
 	attributes map[AttributeID]*suspect
-	// charged contains the attributes for which isCharged was true when their evidence last changed.
-	charged map[AttributeID]*suspect
+	// confirmed contains the attributes for which isConfirmed was true when their evidence last changed.
+	confirmed map[AttributeID]*suspect
 	// taken contains the attributes of all turns.
 	taken map[AttributeID]struct{}
 	// exitedAt contains the exits within blockInitial, including those under attributes that have been cleared since.
@@ -187,7 +187,7 @@
 	}
 	q.changes++
 	s.lastChange = q.changes
-	q.updateCharged(evidence.Attribute, s)
+	q.updateConfirmed(evidence.Attribute, s)
 	return true
 }
 
@@ -210,20 +210,20 @@
 	return s
 }
 
-// updateCharged adds an attribute to charged or removes it.
-func (q *Quarantine) updateCharged(attribute AttributeID, s *suspect) {
-	if !q.isCharged(s) {
-		delete(q.charged, attribute)
+// updateConfirmed adds an attribute to confirmed or removes it.
+func (q *Quarantine) updateConfirmed(attribute AttributeID, s *suspect) {
+	if !q.isConfirmed(s) {
+		delete(q.confirmed, attribute)
 		return
 	}
-	if q.charged == nil {
-		q.charged = make(map[AttributeID]*suspect)
+	if q.confirmed == nil {
+		q.confirmed = make(map[AttributeID]*suspect)
 	}
-	q.charged[attribute] = s
+	q.confirmed[attribute] = s
 }
 
-// isCharged reports whether an attribute has so many exits that it is considered their cause whatever else was on the servers.
-func (q *Quarantine) isCharged(s *suspect) bool {
+// isConfirmed reports whether an attribute has so many exits that it is considered their cause whatever else was on the servers.
+func (q *Quarantine) isConfirmed(s *suspect) bool {
 	counted := q.counted(s)
 	if counted < exitsToBlock {
 		return false
@@ -244,7 +244,7 @@
 // remove removes an attribute.
 func (q *Quarantine) remove(attribute AttributeID) {
 	delete(q.attributes, attribute)
-	delete(q.charged, attribute)
+	delete(q.confirmed, attribute)
 }
 
 // IncarnationAt returns the incarnation that received a request sent at a time, given the latest reported incarnation
--- a/pkg/route/quarantinedecision.go
+++ b/pkg/route/quarantinedecision.go
@@ -94,7 +94,7 @@
 
 // isResponsible reports whether an attribute of a request is considered the cause of the exits under it.
 func (q *Quarantine) isResponsible(s *suspect, request []AttributeID, now time.Time) bool {
-	if q.isCharged(s) {
+	if q.isConfirmed(s) {
 		return true
 	}
 	return q.counted(s) >= exitsToBlockAlone && !now.Before(s.last().at.Add(settleDelay)) && q.explainsAllExits(s, request)
@@ -127,12 +127,12 @@
 type explanation int
 
 const (
-	// unexplained means that some exit was under no charged attribute that the request lacks.
+	// unexplained means that some exit was under no confirmed cause that the request lacks.
 	unexplained explanation = iota
-	// explainedEqually means that each exit was under a charged attribute that the request lacks, and that some of these
+	// explainedEqually means that each exit was under a confirmed cause that the request lacks, and that some of these
 	// have no more exits than the attribute itself.
 	explainedEqually
-	// explainedByCause means that each exit was under a charged attribute that the request lacks and that has more exits.
+	// explainedByCause means that each exit was under a confirmed cause that the request lacks and that has more exits.
 	explainedByCause
 )
 
@@ -141,7 +141,7 @@
 	result := unexplained
 	for i, e := range s.exits {
 		found := unexplained
-		for other, known := range q.charged {
+		for other, known := range q.confirmed {
 			switch {
 			case len(known.exits) < len(s.exits) || !known.hasExited(e.incarnation) || slices.Contains(request, other):
 			case len(known.exits) > len(s.exits):
@@ -160,10 +160,10 @@
 	return result
 }
 
-// isContested reports whether a charged attribute that the request lacks has some of the exits of one of its attributes. Several
+// isContested reports whether a confirmed cause that the request lacks has some of the exits of one of its attributes. Several
 // causes at once may block what all requests have in common before any of them can clear it.
 func (q *Quarantine) isContested(s *suspect, request []AttributeID) bool {
-	for other, known := range q.charged {
+	for other, known := range q.confirmed {
 		if slices.Contains(request, other) {
 			continue
 		}
@@ -247,7 +247,7 @@
 			continue
 		}
 		request := []AttributeID{attribute}
-		if q.isCharged(s) {
+		if q.isConfirmed(s) {
 			request = q.withSameExits(s)
 		}
 		decision := q.evaluate(attribute, s, request, now)
