refactor(direct): the simulation of suspects runs on the project's timeline

Cause: read as a newcomer, it had a heap of events of its own, while internal/virtual has one. Change: it embeds virtual.Timeline.

--- a/internal/direct/suspectsimulation_test.go
+++ b/internal/direct/suspectsimulation_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -15,6 +14,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/cinderslip/cinderslip/internal/provider"
+	"github.com/cinderslip/cinderslip/internal/virtual"
 	"github.com/cinderslip/cinderslip/pkg/fleet"
 	"github.com/cinderslip/cinderslip/pkg/member"
 	"github.com/cinderslip/cinderslip/pkg/route"
@@ -39,32 +39,6 @@
 	maxBlockedShare = 0.001
 )
 
-// simulatedEvent is something that happens at a time.
-type simulatedEvent struct {
-	at       time.Duration
-	sequence int
-	run      func()
-}
-
-// simulatedEvents is a heap of events by time.
-type simulatedEvents []*simulatedEvent
-
-func (e simulatedEvents) Len() int { return len(e) }
-func (e simulatedEvents) Less(i, j int) bool {
-	return cmp.Or(cmp.Compare(e[i].at, e[j].at), cmp.Compare(e[i].sequence, e[j].sequence)) < 0
-}
-func (e simulatedEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-
-// Push implements heap.Interface.
-func (e *simulatedEvents) Push(event any) { *e = append(*e, event.(*simulatedEvent)) }
-
-// Pop implements heap.Interface.
-func (e *simulatedEvents) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // simulatedServer is a backend server.
 type simulatedServer struct {
 	id          fleet.ServerID
@@ -95,12 +69,14 @@
 	onEnd     func(served bool)
 }
 
+// suspectSimulation is the state of one simulated run.
 type suspectSimulation struct {
-	random  *rand.Rand
-	clock   *clockwork.FakeClock
-	started time.Time
-	now     time.Duration
-	events  simulatedEvents
+	virtual.Timeline
+
+	random *rand.Rand
+	// clock is the clock of the boxes. It is advanced to the time of each event.
+	clock *clockwork.FakeClock
+	// count numbers the requests.
 	count   int
 	boxes   []*simulatedBox
 	servers []*simulatedServer
@@ -120,9 +96,8 @@
 
 func newSuspectSimulation(seed uint64, boxes, servers int) *suspectSimulation {
 	s := &suspectSimulation{
-		random: rand.New(rand.NewPCG(seed, 1)), clock: clockwork.NewFakeClock(), exits: make(map[route.AttributeID]int),
+		random: rand.New(rand.NewPCG(seed, 1)), clock: clockwork.NewFakeClockAt(virtual.Epoch), exits: make(map[route.AttributeID]int),
 	}
-	s.started = s.clock.Now()
 	for i := range boxes {
 		suspects := newSuspectRequests(s.clock, zerolog.Nop(), NewMetrics())
 		suspects.Box, suspects.BoxCount = member.BoxID(fmt.Sprintf("entry-%d", i)), func() int { return boxes }
@@ -152,21 +127,13 @@
 	return time.Duration(2+s.random.IntN(60)) * time.Millisecond
 }
 
-// after runs a function after a delay.
+// after runs a function after a delay, and then what the boxes do because of new evidence.
 func (s *suspectSimulation) after(delay time.Duration, run func()) {
-	s.count++
-	heap.Push(&s.events, &simulatedEvent{s.now + delay, s.count, run})
-}
-
-// run runs the events until a time.
-func (s *suspectSimulation) run(until time.Duration) {
-	for len(s.events) > 0 && s.events[0].at <= until {
-		event := heap.Pop(&s.events).(*simulatedEvent)
-		s.clock.Advance(event.at - s.now)
-		s.now = event.at
-		event.run()
+	s.AfterFunc(delay, func() {
+		s.clock.Advance(s.Now().Sub(s.clock.Now()))
+		run()
 		s.abortQuarantined()
-	}
+	})
 }
 
 // report sends the new evidence of a box to all others.
@@ -218,8 +185,8 @@
 // send sends a request to a random box.
 func (s *suspectSimulation) send(x *exchange) {
 	s.count++
-	r := &simulatedRequest{exchange: x, box: s.boxes[s.random.IntN(len(s.boxes))], number: s.count, waitsFrom: s.now}
-	if !s.hasCause(x) && s.now >= s.countFrom {
+	r := &simulatedRequest{exchange: x, box: s.boxes[s.random.IntN(len(s.boxes))], number: s.count, waitsFrom: s.Elapsed()}
+	if !s.hasCause(x) && s.Elapsed() >= s.countFrom {
 		s.sound++
 		r.onEnd = func(served bool) {
 			if served {
@@ -238,7 +205,7 @@
 
 // attempt sends a request to a server, as checkQuarantine allows.
 func (s *suspectSimulation) attempt(r *simulatedRequest) {
-	permit := r.box.suspects.CheckSend(r.attributes(), &r.turn, s.started.Add(r.waitsFrom), s.clock.Now())
+	permit := r.box.suspects.CheckSend(r.attributes(), &r.turn, virtual.Epoch.Add(r.waitsFrom), s.clock.Now())
 	switch {
 	case permit.Wait > 0:
 		s.after(permit.Wait, func() { s.attempt(r) })
@@ -261,7 +228,7 @@
 		return
 	}
 	r.attempts++
-	r.server, r.sentAt, r.begunAt = up[s.random.IntN(len(up))], s.now, 0
+	r.server, r.sentAt, r.begunAt = up[s.random.IntN(len(up))], s.Elapsed(), 0
 	r.server.requests[r] = struct{}{}
 	attempt := r.attempts
 	s.after(time.Duration(60+s.random.IntN(340))*time.Millisecond, func() {
@@ -282,7 +249,7 @@
 		s.crash(r.server)
 		return
 	}
-	r.begunAt = s.now
+	r.begunAt = s.Elapsed()
 	attempt := r.attempts
 	s.after(safeResponseDuration, func() {
 		if r.attempts == attempt && r.server != nil {
@@ -306,10 +273,10 @@
 	for _, r := range sortedRequests(server.requests) {
 		s.leaveServer(r)
 		now := s.clock.Now()
-		for _, id := range r.box.suspects.PossibleCauses(r.attributes(), s.started.Add(r.sentAt), now) {
+		for _, id := range r.box.suspects.PossibleCauses(r.attributes(), virtual.Epoch.Add(r.sentAt), now) {
 			r.box.suspects.Observe(route.Evidence{Attribute: id, Exited: exited, At: now}, "request")
 		}
-		r.waitsFrom = s.now
+		r.waitsFrom = s.Elapsed()
 		if r.attempts < maxSimulatedAttempts {
 			s.attempt(r)
 		} else {
@@ -341,7 +308,7 @@
 // sendEvery sends requests at a rate per second, at random times, until a time.
 func (s *suspectSimulation) sendEvery(rate float64, until time.Duration, next func() *exchange) {
 	gap := time.Duration(s.random.ExpFloat64() / rate * float64(time.Second))
-	if s.now+gap > until {
+	if s.Elapsed()+gap > until {
 		return
 	}
 	s.after(gap, func() {
@@ -424,7 +391,7 @@
 			}
 		})
 		s.countFrom = causesFrom + 2*time.Second
-		s.run(duration + 5*time.Second)
+		s.Run(duration + 5*time.Second)
 		for i, cause := range s.causes {
 			if s.exits[cause] > 8 {
 				t.Fatalf("%d exits under the %s %s", s.exits[cause], kinds[i], cause)
@@ -454,12 +421,12 @@
 			for range atOnce {
 				s.crash(s.servers[s.random.IntN(len(s.servers))])
 			}
-			if s.now < duration {
+			if s.Elapsed() < duration {
 				s.after(gap, exit)
 			}
 		}
 		s.after(gap, exit)
-		s.run(duration + 5*time.Second)
+		s.Run(duration + 5*time.Second)
 		blockedCount, sentCount = blockedCount+s.blocked, sentCount+s.sound
 		if blocked, found := s.findBlocked(); found {
 			t.Fatalf("blocked without a cause: %s", blocked)
@@ -479,7 +446,7 @@
 		s.sendEvery(60, duration, func() *exchange { return s.newRequest("kumiai", s.drawParts()...) })
 		s.after(causesFrom, func() { s.addCause("part", 0, 25, duration) })
 		s.countFrom = causesFrom + 2*time.Second
-		s.run(duration + time.Second)
+		s.Run(duration + time.Second)
 		exits := s.exits[s.causes[0]]
 		t.Logf("%d boxes: %d exits, %d of %d other requests served, %d blocked, %d items of evidence sent", boxes, exits, s.served, s.sound, s.blocked, s.sentItems)
 		if exits > 8 || float64(s.served) < minSimulatedShare*float64(s.sound) {
