feat(direct): log and count the decisions of the retry budget

Change: one line and one count for each decision, with the cause of the retry and the part of the extra retries; a failed request names the spent budget. Measured result: unit tests of retries and hedges pass; no decision differs.

--- a/internal/direct/run.go
+++ b/internal/direct/run.go
@@ -104,12 +104,26 @@
 	if err := s.checkQuarantine(ctx, x); err != nil {
 		return nil, err
 	}
-	if x.attempts > 0 && !s.retryBudget(x.service).AllowRetry(s.retryExtra(), s.clock.Now()) {
+	if x.attempts > 0 && !s.allowRetry(x, "failed") {
 		return nil, errRetryBudget
 	}
 	return s.acquireSlot(ctx, x, x.group.tried)
 }
 
+// allowRetry takes one retry from the budget, and counts and logs the decision. It returns false if the budget is spent.
+func (s *CallerServer) allowRetry(x *exchange, cause string) bool {
+	extra := s.retryExtra()
+	allowed := s.retryBudget(x.service).AllowRetry(extra, s.clock.Now())
+	result := "denied"
+	if allowed {
+		result = "allowed"
+	}
+	s.metrics.retries.WithLabelValues(string(x.service), cause, result).Inc()
+	s.log.Info().Str("request", x.ID).Str("service", string(x.service)).Str("cause", cause).Bool("started", x.started).
+		Str("result", result).Float64("extra", extra).Msg("retry")
+	return allowed
+}
+
 // acquireSlot waits for a slot on a server.
 func (s *CallerServer) acquireSlot(ctx context.Context, x *exchange, tried []fleet.ServerID) (*route.Reservation, error) {
 	startedAt := s.clock.Now()
@@ -179,7 +193,7 @@
 		s.noteRejected(x)
 		s.finish(x, "left").AnErr("cause", lastErr).Msg("caller left")
 	case mayHaveRunErr != nil:
-		if errors.Is(lastErr, route.ErrQuarantined) {
+		if errors.Is(lastErr, route.ErrQuarantined) || errors.Is(lastErr, errRetryBudget) {
 			mayHaveRunErr = errors.Join(mayHaveRunErr, lastErr)
 		}
 		status := http.StatusBadGateway
--- a/internal/direct/watchdog.go
+++ b/internal/direct/watchdog.go
@@ -66,7 +66,7 @@
 		x.group.postponeHedge(s.clock.Now())
 		return
 	}
-	if !s.retryBudget(x.service).AllowRetry(s.retryExtra(), s.clock.Now()) {
+	if !s.allowRetry(x, "silent") {
 		reservation.Release(route.ResultAbandoned, s.clock.Now())
 		x.group.postponeHedge(s.clock.Now())
 		return
