--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -39,7 +39,7 @@
 func (s *CallerServer) attempt(x *exchange, a *attempt) (outcome, error) {
 	now := s.clock.Now()
 	if now.After(x.deadline) {
-		x.withdraw()
+		x.withdraw(a, now)
 		a.reservation.Release(route.ResultAbandoned, now)
 		return outcomeNotExecuted, context.DeadlineExceeded
 	}
@@ -47,6 +47,7 @@
 	if err != nil {
 		return s.sendFailed(x, a, a.withCause(err))
 	}
+	x.group.noteArrived(a, s.clock.Now())
 	meta := s.protocol.ReadResponse(resp.Response)
 	if meta.NotExecuted {
 		resp.Discard()
@@ -143,7 +144,7 @@
 	}
 	if isLocalAbort(err) && !upstream.MayHaveRun(err) {
 		// The box did not send the request, so the server is not at fault.
-		x.withdraw()
+		x.withdraw(a, s.clock.Now())
 		s.finishAttempt(x, a, route.ResultAbandoned, err)
 		return outcomeNotExecuted, err
 	}
@@ -151,7 +152,7 @@
 		s.finishAttempt(x, a, route.ResultUnreachable, err)
 		s.pool.CloseIdle(a.reservation.Server.Address)
 		// No byte was sent, so this does not count as an attempt.
-		x.withdrawUnreachable()
+		x.withdrawUnreachable(a, s.clock.Now())
 		return outcomeNotExecuted, err
 	}
 	if isSuperseded(err) {
--- a/internal/direct/callerserver.go
+++ b/internal/direct/callerserver.go
@@ -61,7 +61,7 @@
 	pool         *upstream.Pool
 	tasks        *kernel.TaskGroup
 	versionBound time.Duration
-	retries      retryLimits
+	retries      route.RetryLimits
 	started      time.Time
 	box          member.BoxID
 	isLocal      func(member.FailureDomain) bool
@@ -103,20 +103,13 @@
 	callerTimeouts map[string]*route.CallerTimeoutEstimator
 }
 
-// retryLimits limits the retries of all entry boxes together.
-type retryLimits struct {
-	ratio  float64
-	extra  float64
-	window time.Duration
-}
-
 // startCallerServer creates the caller server and starts listening for callers.
 func (p *Process) startCallerServer() error {
 	direct := p.settings.Direct
 	s := &CallerServer{
 		fleetState: p.fleetState, protocol: p.options.Platform.Callers, clock: p.options.Clock, log: p.options.Log, metrics: p.metrics,
 		tasks: kernel.NewTaskGroup(), started: p.options.Clock.Now(), versionBound: time.Duration(direct.VersionBound),
-		retries: retryLimits{*direct.RetryRatio, *direct.RetryExtra, time.Duration(direct.RetryWindow)},
+		retries: route.RetryLimits{Ratio: *direct.RetryRatio, Extra: *direct.RetryExtra, Window: time.Duration(direct.RetryWindow)},
 		isLocal: p.isLocal, regionOf: p.regionOf, box: p.box(), suspects: p.suspects,
 		recentResponses: newRecentResponses(), dispatchers: make(map[member.Service]*route.Dispatcher),
 		budgets: make(map[member.Service]*route.WindowRetryBudget), models: make(map[member.Service]fleet.ModelName), callerTimeouts: make(map[string]*route.CallerTimeoutEstimator),
@@ -285,12 +278,13 @@
 	return d
 }
 
+// retryBudget returns the retry budget of a service and creates it if necessary.
 func (s *CallerServer) retryBudget(name member.Service) *route.WindowRetryBudget {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b, ok := s.budgets[name]
 	if !ok {
-		b = route.NewWindowRetryBudget(s.retries.ratio, s.retries.window)
+		b = route.NewWindowRetryBudget(s.retries, s.started)
 		s.budgets[name] = b
 	}
 	return b
--- a/internal/direct/callerserver_test.go
+++ b/internal/direct/callerserver_test.go
@@ -19,25 +19,6 @@
 	"github.com/cinderslip/cinderslip/pkg/route"
 )
 
-// After a power failure all boxes start at once. None of them knows the others yet, and retries from before the
-// start still count, so each box may use only a small share of the retries.
-func TestNewBoxUsesSmallShareOfRetries(t *testing.T) {
-	state, clock := newTestFleetState()
-	s := newTestCallerServer(state)
-	s.started, s.retries = clock.Now(), retryLimits{ratio: 0.2, extra: 100, window: 10 * time.Second}
-	require.Less(t, s.retryExtra(), 2.0)
-	clock.Advance(9 * time.Second)
-	require.Less(t, s.retryExtra(), 2.0)
-	clock.Advance(time.Second)
-	require.InDelta(t, 100*retrySafety, s.retryExtra(), 1e-9)
-	members := newTestMembership(clock, "self")
-	for _, name := range []member.BoxID{"a", "b"} {
-		members.Merge(recordItems(t, member.Record{Box: name, Status: member.StatusUp}), "a")
-	}
-	s.entries.Store(&EntryBoxes{membership: members})
-	require.InDelta(t, 100*retrySafety/3, s.retryExtra(), 1e-9)
-}
-
 // If many boxes are outdated, they must not all pull from the same box.
 func TestBoxesBehindPullFromDifferentBoxes(t *testing.T) {
 	clock := clockwork.NewFakeClock()
@@ -198,6 +179,12 @@
 	}
 }
 
+// allowRetries limits the retries to a number in each window of ten seconds, without regard to the requests.
+func (s *CallerServer) allowRetries(extra float64) {
+	s.retries = route.RetryLimits{Extra: extra / retrySafety, Window: 10 * time.Second}
+	s.started = s.clock.Now().Add(-s.retries.Window)
+}
+
 // newUnconfiguredCallerServer returns a caller server without a configuration.
 func newUnconfiguredCallerServer() (*CallerServer, *clockwork.FakeClock) {
 	state, clock := newTestFleetState()
--- a/internal/direct/cluster_test.go
+++ b/internal/direct/cluster_test.go
@@ -346,7 +346,7 @@
 	t     *testing.T
 	bound time.Duration
 	// retries limits the retries of all boxes together.
-	retries retryLimits
+	retries route.RetryLimits
 	store   *clusterStore
 	boxes   []*clusterBox
 
@@ -382,7 +382,7 @@
 
 // newTestCluster starts entry boxes in some regions. bound is the time within which a change must be in force.
 func newTestCluster(t *testing.T, boxes, regions int, bound time.Duration) *testCluster {
-	c := &testCluster{t: t, bound: bound, retries: retryLimits{0.2, 100, 10 * time.Second}, store: newClusterStore(), listeners: make(map[member.Address]*pipeListener)}
+	c := &testCluster{t: t, bound: bound, retries: route.RetryLimits{Ratio: 0.2, Extra: 100, Window: 10 * time.Second}, store: newClusterStore(), listeners: make(map[member.Address]*pipeListener)}
 	for i := range boxes {
 		box := &clusterBox{
 			cluster: c, id: member.BoxID(fmt.Sprintf("entry-%d", i)), region: member.Region(fmt.Sprintf("region-%d", i%regions)), processing: newGate(),
--- a/internal/direct/clusterretries_test.go
+++ b/internal/direct/clusterretries_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/cinderslip/cinderslip/internal/ratewindow"
 	"github.com/cinderslip/cinderslip/pkg/member"
+	"github.com/cinderslip/cinderslip/pkg/route"
 )
 
 const (
@@ -67,7 +68,7 @@
 func newRetryRun(t *testing.T, seed uint64, boxes int) *retryRun {
 	limits := retryBounds[boxes]
 	c := newTestCluster(t, boxes, 3, 3*time.Second)
-	c.retries = retryLimits{limits.Ratio, limits.Extra, limits.Window}
+	c.retries = route.RetryLimits(limits)
 	for _, box := range c.boxes {
 		box.callers.retries = c.retries
 	}
@@ -81,8 +82,10 @@
 
 // freeze stops a box until thaw.
 func (r *retryRun) freeze(box *clusterBox) {
-	r.frozen[box] = true
-	box.processing.close()
+	if r.isUp(box) {
+		r.frozen[box] = true
+		box.processing.close()
+	}
 }
 
 func (r *retryRun) thaw(box *clusterBox) {
@@ -90,6 +93,25 @@
 	box.processing.open()
 }
 
+// upCount returns the number of boxes that run. They share the callers of the others.
+func (r *retryRun) upCount() (count int) {
+	for _, box := range r.boxes {
+		if r.isUp(box) {
+			count++
+		}
+	}
+	return count
+}
+
+// randomCount returns a random number with the given mean.
+func (r *retryRun) randomCount(mean float64) int {
+	count := int(mean)
+	if r.random.Float64() < mean-float64(count) {
+		count++
+	}
+	return count
+}
+
 // isUp reports whether a box runs.
 func (r *retryRun) isUp(box *clusterBox) bool {
 	r.mu.Lock()
@@ -106,8 +128,12 @@
 			events = events[1:]
 		}
 		r.deliver()
+		perBox := r.load(at) * retryRate * retryTick.Seconds() * float64(len(r.boxes)) / float64(max(1, r.upCount()))
 		for _, box := range r.boxes {
-			if r.isUp(box) && r.random.Float64() < retryRate*retryTick.Seconds()*r.load(at) {
+			for range r.randomCount(perBox) {
+				if !r.isUp(box) {
+					break
+				}
 				r.log.Requests = append(r.log.Requests, time.Now())
 				r.waiting[box] = append(r.waiting[box], time.Now())
 			}
@@ -133,7 +159,7 @@
 	delete(r.waiting, box)
 	for _, sent := range waiting {
 		if time.Since(sent) < readPatience {
-			box.callers.recordTestRequest(retryService)
+			box.callers.retryBudget(retryService).RecordRequest(time.Now())
 			r.attempt(box, box.callers, 1, nil)
 		}
 	}
@@ -173,12 +199,28 @@
 		return
 	}
 	r.failed++
-	settleNext, ok := callers.takeTestRetry(retryService)
-	if !ok {
-		r.denied++
+	r.retry(box, callers, number, 0)
+}
+
+// retry repeats a failed attempt, or waits for the budget as a caller server does.
+func (r *retryRun) retry(box *clusterBox, callers *CallerServer, number int, waited time.Duration) {
+	budget := callers.retryBudget(retryService)
+	if delay := budget.RetryDelay(callers.allowance(), route.RetryFailed, time.Now()); delay > 0 {
+		if waited+delay > maxRetryWait {
+			r.denied++
+			return
+		}
+		budget.AddWaiting(1)
+		r.later(delay, func() {
+			budget.AddWaiting(-1)
+			if box.callers == callers {
+				r.retry(box, callers, number, waited+delay)
+			}
+		})
 		return
 	}
-	r.attempt(box, callers, number+1, settleNext)
+	taken := budget.TakeRetry(callers.allowance(), route.RetryFailed, time.Now())
+	r.attempt(box, callers, number+1, func() { taken.Settle(time.Now()) })
 }
 
 // transit returns the time of a message between a box and a server.
@@ -280,6 +322,10 @@
 		r.failing = failsBetween(lastingFailures, 20, 21.5, 26, 40)
 		r.run(45*time.Second, r.each(0.7, 22*time.Second, 0, r.kill, 500*time.Millisecond, r.restart)...)
 	}},
+	{"most boxes are killed and stay away", func(r *retryRun) {
+		r.failing = failsBetween(lastingFailures, 14, 70)
+		r.run(70*time.Second, r.each(0.6, 30*time.Second, 0, r.kill, 30*time.Second, r.restart)...)
+	}},
 	{"most boxes are killed three times", func(r *retryRun) {
 		r.failing = failsBetween(lastingFailures, 14, 45)
 		events := r.each(0.7, 20*time.Second, 0, r.kill, 500*time.Millisecond, r.restart)
@@ -349,6 +395,10 @@
 
 // kill ends a box at once.
 func (r *retryRun) kill(box *clusterBox) {
+	if !r.isUp(box) {
+		return
+	}
+	delete(r.frozen, box)
 	box.kill()
 	box.callers = nil
 }
@@ -378,12 +428,104 @@
 	})
 }
 
-// recordTestRequest counts a request.
-func (s *CallerServer) recordTestRequest(service member.Service) {
-	s.retryBudget(service).RecordRequest(s.clock.Now())
+// TestRetriesHoldUnderRandomFaults checks the bound in every window while servers fail, boxes are killed, stand still, join
+// and can't reach each other or the servers, and the traffic changes, all at random and overlapping.
+func TestRetriesHoldUnderRandomFaults(t *testing.T) {
+	seeds := []uint64{13, 40}
+	for i := range uint64(*clusterSeeds) {
+		if seed := *clusterFrom + i; !slices.Contains(seeds, seed) {
+			seeds = append(seeds, seed)
+		}
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			boxes := *clusterBoxes
+			if boxes == 0 {
+				boxes = 7
+			}
+			synctest.Test(t, func(t *testing.T) {
+				r := newRetryRun(t, seed, boxes)
+				defer r.stop()
+				r.runRandom()
+				r.requireBound()
+			})
+		})
+	}
+}
+
+const (
+	// randomRetryTime is how long faults are injected, retryFaultInterval the mean time between two of them, and
+	// maxRetryFault the longest one.
+	randomRetryTime    = 70 * time.Second
+	retryFaultInterval = 3 * time.Second
+	maxRetryFault      = 25 * time.Second
+)
+
+// runRandom injects random faults. Some boxes join during the run.
+func (r *retryRun) runRandom() {
+	joining := r.boxes[len(r.boxes)-r.random.IntN(len(r.boxes)/2+1):]
+	var events []retryEvent
+	for _, box := range joining {
+		r.kill(box)
+		events = append(events, retryEvent{r.randomTime(15*time.Second, randomRetryTime), func() { r.start(box) }})
+	}
+	failing, load := r.randomLevels(2*time.Second, 0.9), r.randomLevels(4*time.Second, 2)
+	r.failing = failing
+	r.load = func(at time.Duration) float64 { return 0.3 + load(at) }
+	disconnected := make(map[*clusterBox]time.Duration)
+	r.isCut = func(box *clusterBox, at time.Duration) bool { return at < disconnected[box] }
+	for at := 12 * time.Second; at < randomRetryTime; at += r.randomTime(0, 2*retryFaultInterval) {
+		span, share := r.randomTime(200*time.Millisecond, maxRetryFault), []float64{0.2, 0.6, 1}[r.random.IntN(3)]
+		switch r.random.IntN(5) {
+		case 0:
+			events = append(events, r.each(share, at, 0, r.kill, span, r.start)...)
+		case 1:
+			events = append(events, r.each(share, at, r.randomTime(0, 2*time.Second), r.kill, time.Second, r.start)...)
+		case 2:
+			events = append(events, r.each(share, at, 0, r.freeze, span/4, r.thaw)...)
+		case 3:
+			parts := make([]int, len(r.boxes))
+			for i := range parts {
+				parts[i] = r.random.IntN(2 + r.random.IntN(2))
+			}
+			events = append(events, retryEvent{at, func() { r.split(func(i int) int { return parts[i] }) }}, retryEvent{at + span, func() { r.split(nil) }})
+		case 4:
+			events = append(events, r.each(share, at, 0, func(box *clusterBox) { disconnected[box] = at + span/4 }, span/4, func(*clusterBox) {})...)
+		}
+	}
+	r.run(randomRetryTime+10*time.Second, events...)
 }
 
-// takeTestRetry takes a retry from the budget. settle must be called once it has reached its server.
-func (s *CallerServer) takeTestRetry(service member.Service) (settle func(), ok bool) {
-	return nil, s.retryBudget(service).AllowRetry(s.retryExtra(), s.clock.Now())
+// randomTime returns a random time in a range.
+func (r *retryRun) randomTime(from, to time.Duration) time.Duration {
+	return from + time.Duration(r.random.Int64N(int64(to-from)))
+}
+
+// randomLevels returns a level that changes at random between 0 and a largest one, and is often either of them.
+func (r *retryRun) randomLevels(mean time.Duration, largest float64) func(time.Duration) float64 {
+	type step struct {
+		from  time.Duration
+		level float64
+	}
+	steps := []step{{0, 0}}
+	for at := 10 * time.Second; at < randomRetryTime+10*time.Second; at += r.randomTime(0, 2*mean) {
+		steps = append(steps, step{at, []float64{0, largest, largest, largest * r.random.Float64()}[r.random.IntN(4)]})
+	}
+	return func(at time.Duration) float64 {
+		i, _ := slices.BinarySearchFunc(steps, at, func(s step, at time.Duration) int {
+			if s.from <= at {
+				return -1
+			}
+			return 1
+		})
+		return steps[max(0, i-1)].level
+	}
+}
+
+// start starts a box that does not run.
+func (r *retryRun) start(box *clusterBox) {
+	if !r.isUp(box) {
+		r.restart(box)
+	}
 }
--- a/internal/direct/cutoff_test.go
+++ b/internal/direct/cutoff_test.go
@@ -94,7 +94,7 @@
 	c := &cutoffTest{t: t, clock: clock, state: state, log: new(bytes.Buffer)}
 	c.server = newTestCallerServer(state)
 	c.server.log, c.server.versionBound, c.server.protocol = zerolog.New(c.log), testVersionBound, testProtocol()
-	c.server.retries = retryLimits{1, 100, 10 * time.Second}
+	c.server.allowRetries(100)
 	c.server.pool = upstream.NewPool(upstream.Options{Clock: clock, Matches: func(*http.Response, string) bool { return true }})
 	engine := &fleet.Engine{Slots: 4, Models: []fleet.ModelName{"m"}, PrefillTokensPerSecond: 30000}
 	state.Apply([]fleet.Fact{{Key: fleet.ConfigurationKey(), Revision: 1, Configuration: &fleet.Configuration{
@@ -238,7 +238,7 @@
 	x.deadline = c.clock.Now().Add(time.Minute)
 	done := make(chan error, 1)
 	go func() {
-		_, err := c.server.attempt(x, x.begin(ctx, reservation, c.clock.Now()))
+		_, err := c.server.attempt(x, x.begin(ctx, reservation, nil, c.clock.Now()))
 		done <- err
 	}()
 	select {
@@ -346,7 +346,7 @@
 		x := c.newExchange()
 		reservation, err := c.server.acquireSlot(t.Context(), x, nil)
 		require.NoError(t, err)
-		result, _ := c.server.sendFailed(x, x.begin(t.Context(), reservation, c.clock.Now()), fmt.Errorf("%w: %w", reason, upstream.ErrNotSent))
+		result, _ := c.server.sendFailed(x, x.begin(t.Context(), reservation, nil, c.clock.Now()), fmt.Errorf("%w: %w", reason, upstream.ErrNotSent))
 		require.Equal(t, outcomeNotExecuted, result)
 		require.Equal(t, unreachable, x.unreachable, reason)
 		require.Zero(t, x.attempts, reason)
--- a/internal/direct/hedge.go
+++ b/internal/direct/hedge.go
@@ -23,6 +23,8 @@
 	startedAt time.Time
 	// isHedge is set if another attempt was running when this one started.
 	isHedge bool
+	// retry is what the attempt has taken from the retry budget; nil for the first attempt.
+	retry *route.Retry
 	// resuming is set if the response had started before the attempt, delivered once the attempt has delivered a part of
 	// it. lastEventID is the ID of the last event that the caller has been sent. Only the goroutine of the attempt uses
 	// these fields.
@@ -33,8 +35,9 @@
 	// lastProgress is when the last part that is not delivered yet arrived; zero before. The lock of the group guards them.
 	superseded, failed bool
 	lastProgress       time.Time
-	// hasBegun is set once a part of the response body has arrived. The lock of the group guards it.
-	hasBegun bool
+	// hasArrived is set once the head of a response has arrived, hasBegun once a part of its body has. The lock of the
+	// group guards them.
+	hasArrived, hasBegun bool
 }
 
 // attemptResult is the result of an attempt that has ended.
@@ -54,6 +57,8 @@
 	mu      sync.Mutex
 	running []*attempt
 	ended   []attemptResult
+	// retries are the retries that are not settled.
+	retries []*route.Retry
 	// tried are the servers of all attempts.
 	tried []fleet.ServerID
 	// delivering is set while an attempt delivers a part of the response. It stays set if no other attempt can continue
@@ -86,17 +91,20 @@
 }
 
 // begin adds an attempt. It counts as sent until withdraw is called.
-func (x *exchange) begin(ctx context.Context, reservation *route.Reservation, now time.Time) *attempt {
+func (x *exchange) begin(ctx context.Context, reservation *route.Reservation, retry *route.Retry, now time.Time) *attempt {
 	x.group.mu.Lock()
 	defer x.group.mu.Unlock()
-	return x.beginLocked(ctx, reservation, now)
+	return x.beginLocked(ctx, reservation, retry, now)
 }
 
 // beginLocked is begin for a caller that holds the lock of the group.
-func (x *exchange) beginLocked(ctx context.Context, reservation *route.Reservation, now time.Time) *attempt {
+func (x *exchange) beginLocked(ctx context.Context, reservation *route.Reservation, retry *route.Retry, now time.Time) *attempt {
 	g := &x.group
 	a := &attempt{
-		reservation: reservation, startedAt: now, isHedge: len(g.running) > 0, resuming: x.started, lastEventID: x.lastEventID,
+		reservation: reservation, startedAt: now, isHedge: len(g.running) > 0, retry: retry, resuming: x.started, lastEventID: x.lastEventID,
+	}
+	if retry != nil {
+		g.retries = append(g.retries, retry)
 	}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	g.running = append(g.running, a)
@@ -107,17 +115,18 @@
 }
 
 // withdraw records that an attempt was not sent.
-func (x *exchange) withdraw() {
+func (x *exchange) withdraw(a *attempt, now time.Time) {
 	x.group.mu.Lock()
 	defer x.group.mu.Unlock()
 	x.attempts--
+	a.retry.Cancel(now)
 }
 
 // withdrawUnreachable records that an attempt was not sent because its server could not be reached.
-func (x *exchange) withdrawUnreachable() {
+func (x *exchange) withdrawUnreachable(a *attempt, now time.Time) {
+	x.withdraw(a, now)
 	x.group.mu.Lock()
 	defer x.group.mu.Unlock()
-	x.attempts--
 	x.unreachable++
 }
 
@@ -128,6 +137,28 @@
 	x.misdirected++
 }
 
+// noteArrived records that the head of a response has arrived.
+func (g *attemptGroup) noteArrived(a *attempt, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	a.hasArrived = true
+	g.settleRetries(now)
+}
+
+// settleRetries settles the retries once every attempt has arrived or ended. Before that, one of them may be the first to
+// arrive, and another one the retry. The lock must be held.
+func (g *attemptGroup) settleRetries(now time.Time) {
+	for _, a := range g.running {
+		if !a.hasArrived {
+			return
+		}
+	}
+	for _, retry := range g.retries {
+		retry.Settle(now)
+	}
+	g.retries = nil
+}
+
 // claim must be called before any part of the response is delivered to the caller. It returns false if another attempt
 // has delivered since this one started; the part must then be dropped. Otherwise it supersedes all other attempts, and
 // none can start until delivered is called.
@@ -191,6 +222,7 @@
 	defer g.mu.Unlock()
 	g.running = slices.DeleteFunc(g.running, func(other *attempt) bool { return other == a })
 	g.ended = append(g.ended, attemptResult{a, result, err})
+	g.settleRetries(now)
 	if errors.Is(err, errPastCutoff) {
 		// The request was not sent, and the server may have newer weights soon.
 		g.tried = slices.DeleteFunc(g.tried, func(id fleet.ServerID) bool { return id == a.reservation.Server.ID })
--- a/internal/direct/hedge_test.go
+++ b/internal/direct/hedge_test.go
@@ -227,7 +227,7 @@
 	state.Apply(facts, "store")
 	h.box = newTestCallerServer(state)
 	h.box.log, h.box.protocol = zerolog.New(h.log), platform.New(platform.Addresses{}, http.DefaultClient).Callers
-	h.box.retries = retryLimits{1, 100, 10 * time.Second}
+	h.box.allowRetries(100)
 	h.box.pool = upstream.NewPool(upstream.Options{
 		Clock: clock, Matches: h.box.isMatchingResponse, Dial: func(ctx context.Context, _, address string) (net.Conn, error) {
 			near, far := net.Pipe()
@@ -435,7 +435,7 @@
 			for range 2 {
 				reservation, err := c.server.acquireSlot(t.Context(), x, nil)
 				require.NoError(t, err)
-				attempts = append(attempts, x.begin(t.Context(), reservation, c.clock.Now()))
+				attempts = append(attempts, x.begin(t.Context(), reservation, nil, c.clock.Now()))
 			}
 			require.True(t, x.group.claim(attempts[test.first]))
 			require.True(t, x.group.claim(attempts[test.first]))
--- a/internal/direct/hedgeresults_test.go
+++ b/internal/direct/hedgeresults_test.go
@@ -43,7 +43,7 @@
 	reservation, err := c.server.acquireSlot(c.t.Context(), x, others)
 	require.NoError(c.t, err)
 	require.Equal(c.t, server, reservation.Server.ID)
-	return x.begin(c.t.Context(), reservation, c.clock.Now())
+	return x.begin(c.t.Context(), reservation, nil, c.clock.Now())
 }
 
 // Guards against a caller that disconnects within a long body counting as a failure of the server.
@@ -58,7 +58,7 @@
 // Guards against hedges that are not allowed using up the rate limit of their server.
 func TestHedgeWithoutRetryBudgetTakesNoToken(t *testing.T) {
 	c, x := newHedgedExchange(t)
-	c.server.retries = retryLimits{0, 0, 10 * time.Second}
+	c.server.allowRetries(0)
 	c.beginOn(x, "a")
 	c.state.ObserveRateLimit("b", 0, fleet.RateLimit{Set: true, PerSecond: 5}, c.clock.Now(), "request r")
 	c.updateDispatcher()
@@ -201,7 +201,7 @@
 	x.writer, x.started, x.lastEventID = recorder, true, "3"
 	reservation, err := c.server.acquireSlot(t.Context(), x, nil)
 	require.NoError(t, err)
-	result, err := c.server.attempt(x, x.begin(t.Context(), reservation, c.clock.Now()))
+	result, err := c.server.attempt(x, x.begin(t.Context(), reservation, nil, c.clock.Now()))
 	require.Error(t, err)
 	require.Equal(t, outcomeStreamBroken, result)
 	require.Empty(t, recorder.Body.String())
--- a/internal/direct/run.go
+++ b/internal/direct/run.go
@@ -30,12 +30,12 @@
 	defer s.suspects.EndTurn(&x.turn)
 	var mayHaveRunErr, lastErr error
 	for x.attempts < x.route.MaxAttempts && x.unreachable < maxUnreachable {
-		reservation, err := s.nextReservation(ctx, x)
+		reservation, retry, err := s.nextReservation(ctx, x)
 		if err != nil {
 			lastErr = err
 			break
 		}
-		results := s.runAttempts(ctx, x, reservation)
+		results := s.runAttempts(ctx, x, reservation, retry)
 		if s.finishWith(x, results) {
 			return
 		}
@@ -57,9 +57,9 @@
 
 // runAttempts makes one attempt, and the hedges that are started beside it. It returns their results once all of them
 // have ended, so that none uses the writer afterwards.
-func (s *CallerServer) runAttempts(ctx context.Context, x *exchange, reservation *route.Reservation) []attemptResult {
+func (s *CallerServer) runAttempts(ctx context.Context, x *exchange, reservation *route.Reservation, retry *route.Retry) []attemptResult {
 	s.startWatchdog(ctx, x)
-	s.runAttempt(x, x.begin(ctx, reservation, s.clock.Now()))
+	s.runAttempt(x, x.begin(ctx, reservation, retry, s.clock.Now()))
 	x.group.hedges.Wait()
 	return x.group.takeEnded()
 }
@@ -99,31 +99,6 @@
 	return false
 }
 
-// nextReservation returns a slot for the next attempt while no attempt runs.
-func (s *CallerServer) nextReservation(ctx context.Context, x *exchange) (*route.Reservation, error) {
-	if err := s.checkQuarantine(ctx, x); err != nil {
-		return nil, err
-	}
-	if x.attempts > 0 && !s.allowRetry(x, "failed") {
-		return nil, errRetryBudget
-	}
-	return s.acquireSlot(ctx, x, x.group.tried)
-}
-
-// allowRetry takes one retry from the budget, and counts and logs the decision. It returns false if the budget is spent.
-func (s *CallerServer) allowRetry(x *exchange, cause string) bool {
-	extra := s.retryExtra()
-	allowed := s.retryBudget(x.service).AllowRetry(extra, s.clock.Now())
-	result := "denied"
-	if allowed {
-		result = "allowed"
-	}
-	s.metrics.retries.WithLabelValues(string(x.service), cause, result).Inc()
-	s.log.Info().Str("request", x.ID).Str("service", string(x.service)).Str("cause", cause).Bool("started", x.started).
-		Str("result", result).Float64("extra", extra).Msg("retry")
-	return allowed
-}
-
 // acquireSlot waits for a slot on a server.
 func (s *CallerServer) acquireSlot(ctx context.Context, x *exchange, tried []fleet.ServerID) (*route.Reservation, error) {
 	startedAt := s.clock.Now()
@@ -134,9 +109,6 @@
 // errPastCutoff reports that the weights of the server passed the cutoff before the request was sent.
 var errPastCutoff = errors.New("weights of the server may no longer start a request")
 
-// errRetryBudget reports that the retry budget allows no further attempt.
-var errRetryBudget = errors.New("retry budget is spent")
-
 // cutReason is the reason why a response that had started was cut, as logs and metrics give it.
 type cutReason string
 
@@ -233,23 +205,6 @@
 	s.refuse(x, reason, wait)
 }
 
-// retryExtra returns this box's share of the retries that all entry boxes together may make beyond the ratio. A
-// box that has just started knows neither the other boxes nor the retries that it made before the start.
-func (s *CallerServer) retryExtra() float64 {
-	if s.clock.Since(s.started) < s.retries.window {
-		return s.retries.extra / float64(max(assumedBoxesAtStart, s.entryBoxCount()))
-	}
-	return s.retries.extra / float64(s.entryBoxCount()) * retrySafety
-}
-
-// assumedBoxesAtStart is the minimum number of entry boxes among which a box that has just started divides the
-// shared retries, as it may not know all boxes yet.
-const assumedBoxesAtStart = 64
-
-// retrySafety is the part of the shared retry budget that is used. It compensates for the delay with which
-// boxes notice that others start or stop.
-const retrySafety = 0.7
-
 // slotRequest returns the request for a slot on a server.
 func (s *CallerServer) slotRequest(x *exchange, tried []fleet.ServerID, noWait bool) *route.SlotRequest {
 	prefill, decode := s.engineTimes(x)
--- a/internal/direct/watchdog.go
+++ b/internal/direct/watchdog.go
@@ -56,8 +56,9 @@
 	if !ok {
 		return
 	}
+	kind := retryKind{retryDuringSilence, req.Resuming, req.Suspect}
 	// A slot takes a token of a server with a rate limit, so the budget is checked before.
-	if !s.retryBudget(x.service).HasRetry(s.retryExtra(), s.clock.Now()) {
+	if s.retryBudget(x.service).RetryDelay(s.allowance(), kind.priority(), s.clock.Now()) > 0 {
 		x.group.postponeHedge(s.clock.Now())
 		return
 	}
@@ -66,13 +67,15 @@
 		x.group.postponeHedge(s.clock.Now())
 		return
 	}
-	if !s.allowRetry(x, "silent") {
+	retry := s.takeRetry(x, kind)
+	if retry == nil {
 		reservation.Release(route.ResultAbandoned, s.clock.Now())
 		x.group.postponeHedge(s.clock.Now())
 		return
 	}
-	hedge := s.beginHedge(ctx, x, reservation)
+	hedge := s.beginHedge(ctx, x, reservation, retry)
 	if hedge == nil {
+		retry.Cancel(s.clock.Now())
 		reservation.Release(route.ResultAbandoned, s.clock.Now())
 		return
 	}
@@ -121,7 +124,7 @@
 
 // beginHedge adds a hedge. It returns nil if there has been progress since the slot was requested. Otherwise the number of
 // running hedges must be decremented after the hedge has ended.
-func (s *CallerServer) beginHedge(ctx context.Context, x *exchange, reservation *route.Reservation) *attempt {
+func (s *CallerServer) beginHedge(ctx context.Context, x *exchange, reservation *route.Reservation, retry *route.Retry) *attempt {
 	g := &x.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -136,7 +139,7 @@
 	s.log.Info().Str("request", x.ID).Str("server", string(reservation.Server.ID)).
 		Str("silent_server", string(g.running[len(g.running)-1].reservation.Server.ID)).Dur("silent_ms", now.Sub(g.lastProgress)).
 		Bool("started", x.started).Msg("server is silent, hedging")
-	hedge := x.beginLocked(ctx, reservation, now)
+	hedge := x.beginLocked(ctx, reservation, retry, now)
 	g.hedges.Add(1)
 	g.resetTimer(now, g.hedgeDelay)
 	return hedge
--- a/pkg/route/dispatch_test.go
+++ b/pkg/route/dispatch_test.go
@@ -246,8 +246,8 @@
 func TestRetryBudgetHoldsInEveryWindow(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const window = 10 * time.Second
-		budget := NewWindowRetryBudget(0.2, window)
 		start := time.Unix(1000, 0)
+		budget := NewWindowRetryBudget(RetryLimits{0.2, 3, window}, start)
 		type event struct {
 			at    time.Duration
 			retry bool
@@ -257,7 +257,8 @@
 		for range rapid.IntRange(1, 200).Draw(t, "events") {
 			at += time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond
 			if rapid.Bool().Draw(t, "retry") {
-				if budget.AllowRetry(3, start.Add(at)) {
+				if retry := budget.TakeRetry(RetryAllowance{Share: 3}, RetryStarted, start.Add(at)); retry != nil {
+					retry.Settle(start.Add(at))
 					events = append(events, event{at, true})
 				}
 			} else {
--- a/pkg/route/windowretrybudget.go
+++ b/pkg/route/windowretrybudget.go
@@ -1,81 +1,209 @@
 package route
 
 import (
+	"math"
 	"sync"
 	"time"
 )
 
-// windowBuckets is the number of intervals into which a window is divided.
-const windowBuckets = 10
+const (
+	// windowBuckets is the number of intervals into which a window is divided. The bound is kept for each window that starts
+	// in any of them, so at most one interval more than is required.
+	windowBuckets = 100
+	// currentWeight and previousWeight are the parts of the ratio that requests in a window and requests in the window before
+	// it allow. They add up to 1, so that the sum over all boxes is at most the ratio of the larger of the two windows.
+	currentWeight  = 0.75
+	previousWeight = 1 - currentWeight
+)
+
+// RetryLimits limits the retries for each service in every window, from all entry boxes together, to Ratio times the
+// number of its requests plus Extra.
+type RetryLimits struct {
+	Ratio, Extra float64
+	Window       time.Duration
+}
+
+// RetryAllowance is what a box may use of the extra retries.
+type RetryAllowance struct {
+	// Share is the number in each window, AtStart the number that the process may use in addition to the ratio until it
+	// has run for a window.
+	Share, AtStart float64
+}
 
-// WindowRetryBudget limits the retries in a sliding window to a ratio of the requests in it, plus an extra number that
-// does not depend on the requests. It is safe for concurrent use.
+// RetryPriority ranks retries by what is lost without them.
+type RetryPriority int
+
+const (
+	// RetryStarted continues a response that the caller has begun to receive.
+	RetryStarted RetryPriority = iota
+	// RetryFailed follows a failed attempt.
+	RetryFailed
+	// RetrySilent runs beside an attempt whose server is silent and may still respond.
+	RetrySilent
+	// RetrySuspect is a retry of a request that may have caused a server to exit.
+	RetrySuspect
+)
+
+// reservedShare returns the part of the share that is reserved for retries of a higher priority.
+func (p RetryPriority) reservedShare() float64 { return [...]float64{0, 0.1, 0.3, 0.5}[p] }
+
+// WindowRetryBudget is one entry box's budget for the retries for one service. In every window, the retries of the box that
+// arrive at servers are at most currentWeight of the ratio of its requests in the window, previousWeight of the ratio of
+// its requests in the window before, and its share of the extra retries. The weights are the same at all boxes, so the sum
+// over all boxes is bounded if the sum of the shares is. A retry counts at any time from when it is taken until it is settled,
+// as it may arrive at any moment between. The budget is safe for concurrent use.
 type WindowRetryBudget struct {
-	ratio      float64
+	limits     RetryLimits
 	bucketTime time.Duration
 
-	mu       sync.Mutex
-	requests [windowBuckets]int
-	retries  [windowBuckets]int
-	// started is the time of the first call. The buckets are numbered from it, and at is the number of the latest
-	// bucket.
+	mu sync.Mutex
+	// started is when the process started. The buckets are numbered from it, and at is the number of the latest bucket.
 	started time.Time
 	at      int64
+	// buckets holds the totals before the start of each bucket of the last two windows.
+	buckets [2*windowBuckets + 2]retryTotals
+	// totals are the current ones, taken is the number of all retries that were taken and not canceled.
+	totals retryTotals
+	taken  int64
+	// waiting is the number of retries that wait.
+	waiting int
 }
 
-// NewWindowRetryBudget returns a budget of ratio retries per request in each window.
-func NewWindowRetryBudget(ratio float64, window time.Duration) *WindowRetryBudget {
-	return &WindowRetryBudget{ratio: ratio, bucketTime: window / windowBuckets}
+// retryTotals are numbers since the start of the process.
+type retryTotals struct {
+	requests, settled int64
 }
 
-// advance clears the buckets that have left the window and returns the index of the current one. The lock must be held.
-func (b *WindowRetryBudget) advance(now time.Time) int {
-	if b.started.IsZero() {
-		b.started = now
-	}
+// NewWindowRetryBudget returns the budget of a process that started at a time. Earlier processes of the box may have used
+// its share until then.
+func NewWindowRetryBudget(limits RetryLimits, started time.Time) *WindowRetryBudget {
+	return &WindowRetryBudget{limits: limits, bucketTime: limits.Window / windowBuckets, started: started}
+}
+
+// advance starts the buckets up to now. The lock must be held.
+func (b *WindowRetryBudget) advance(now time.Time) {
 	at := int64(now.Sub(b.started) / b.bucketTime)
-	for steps := 0; b.at < at && steps < windowBuckets; steps++ {
+	for steps := 0; b.at < at && steps < len(b.buckets); steps++ {
 		b.at++
-		b.requests[b.at%windowBuckets], b.retries[b.at%windowBuckets] = 0, 0
+		b.buckets[b.at%int64(len(b.buckets))] = b.totals
 	}
+	// After a longer time all buckets hold the same totals.
 	b.at = max(b.at, at)
-	return int(b.at % windowBuckets)
+}
+
+// before returns the totals before the start of a bucket of the last two windows, or the current ones for a later bucket.
+func (b *WindowRetryBudget) before(bucket int64) retryTotals {
+	switch {
+	case bucket <= 0:
+		return retryTotals{}
+	case bucket > b.at:
+		return b.totals
+	}
+	return b.buckets[bucket%int64(len(b.buckets))]
 }
 
 // RecordRequest counts a request.
 func (b *WindowRetryBudget) RecordRequest(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.requests[b.advance(now)]++
+	b.advance(now)
+	b.totals.requests++
 }
 
-// HasRetry reports whether AllowRetry would return true.
-func (b *WindowRetryBudget) HasRetry(extra float64, now time.Time) bool {
+// RetryDelay returns 0 if there is a retry, otherwise the time after which the requests will have added one for each that
+// waits, as far as the last window shows.
+func (b *WindowRetryBudget) RetryDelay(allowance RetryAllowance, priority RetryPriority, now time.Time) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
-	return b.hasRetry(extra)
+	missing := b.missing(allowance, priority, now)
+	if missing <= 0 {
+		return 0
+	}
+	return b.delayUntil(missing+float64(b.waiting), now)
 }
 
-// AllowRetry counts one retry. It returns false, without counting it, if the window has no retry left: the budget is
-// ratio retries per request in the window plus extra.
-func (b *WindowRetryBudget) AllowRetry(extra float64, now time.Time) bool {
+// TakeRetry takes a retry. It returns nil if there is none.
+func (b *WindowRetryBudget) TakeRetry(allowance RetryAllowance, priority RetryPriority, now time.Time) *Retry {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	at := b.advance(now)
-	if !b.hasRetry(extra) {
-		return false
+	b.advance(now)
+	if b.missing(allowance, priority, now) > 0 {
+		return nil
 	}
-	b.retries[at]++
-	return true
+	b.taken++
+	return &Retry{budget: b}
 }
 
-// hasRetry reports whether the window has a retry left. The lock must be held.
-func (b *WindowRetryBudget) hasRetry(extra float64) bool {
-	requests, retries := 0, 0
-	for i := range windowBuckets {
-		requests += b.requests[i]
-		retries += b.retries[i]
+// AddWaiting changes the number of retries that wait for RetryDelay to pass.
+func (b *WindowRetryBudget) AddWaiting(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.waiting += n
+}
+
+// retryTolerance absorbs rounding errors, in retries.
+const retryTolerance = 1e-6
+
+// missing returns how much is missing for a retry; it is not positive if there is one. The lock must be held.
+func (b *WindowRetryBudget) missing(allowance RetryAllowance, priority RetryPriority, now time.Time) float64 {
+	return 1 - retryTolerance + priority.reservedShare()*allowance.Share - b.available(allowance, now)
+}
+
+// available returns the number of retries that are allowed in each window in which they may arrive. The lock must be held.
+func (b *WindowRetryBudget) available(allowance RetryAllowance, now time.Time) float64 {
+	used := math.Inf(-1)
+	for bucket := max(0, b.at-windowBuckets); bucket <= b.at; bucket++ {
+		// A window that starts in the bucket holds at least the requests after the bucket, and the window before it at least
+		// those between two buckets that are a window apart.
+		after, previous := b.before(bucket+1).requests, b.before(bucket+1-windowBuckets).requests
+		used = max(used, b.limits.Ratio*(currentWeight*float64(after)-previousWeight*float64(after-previous))-float64(b.before(bucket).settled))
+	}
+	earned := b.limits.Ratio*currentWeight*float64(b.totals.requests) - float64(b.taken)
+	available := earned - used + allowance.Share
+	if now.Sub(b.started) < b.limits.Window {
+		// The share may have been used before the start.
+		available = min(available, earned+allowance.AtStart)
+	}
+	return available
+}
+
+// delayUntil returns the time in which requests add a number of retries. The lock must be held.
+func (b *WindowRetryBudget) delayUntil(retries float64, now time.Time) time.Duration {
+	requests := float64(b.totals.requests - b.before(b.at-windowBuckets).requests)
+	if requests == 0 || b.limits.Ratio == 0 {
+		return b.limits.Window
+	}
+	perRequest := min(b.limits.Window, now.Sub(b.started)).Seconds() / requests
+	return min(b.limits.Window, time.Duration(retries/(b.limits.Ratio*currentWeight)*perRequest*float64(time.Second)))
+}
+
+// Retry is a retry that was taken from a budget. A nil retry has no effect.
+type Retry struct {
+	budget    *WindowRetryBudget
+	isSettled bool
+}
+
+// Settle records that the retry has arrived at its server or never will.
+func (r *Retry) Settle(now time.Time) {
+	r.end(now, func(b *WindowRetryBudget) { b.totals.settled++ })
+}
+
+// Cancel returns a retry that was not sent.
+func (r *Retry) Cancel(now time.Time) {
+	r.end(now, func(b *WindowRetryBudget) { b.taken-- })
+}
+
+// end ends a retry that has not ended.
+func (r *Retry) end(now time.Time, apply func(b *WindowRetryBudget)) {
+	if r == nil {
+		return
+	}
+	r.budget.mu.Lock()
+	defer r.budget.mu.Unlock()
+	if !r.isSettled {
+		r.isSettled = true
+		r.budget.advance(now)
+		apply(r.budget)
 	}
-	return float64(retries+1) <= b.ratio*float64(requests)+extra
 }
