fix(direct): shares of the extra retries add up to all of them, whatever boxes know of each other

Cause: a box divided the extra retries by how many boxes it saw at that moment. When others died, were cut off or had not been seen yet, its share grew at once, while what they had used was in the same window or while they still used theirs; a box that had just started took 1/64 whatever the others held. Change: each box claims a share in its record. The claims add up to at most 0.95 of the extra retries: a box raises its claim only by what the known claims of all others leave, and lowers it a window after it has lowered its use. A box that dies or is cut off keeps its claim at the others, for a minute after a planned stop and two hours otherwise; boxes that start later are told of it. A box that starts has no share until it knows the fleet (another claims one, or every failure domain and seed address is known, or a minute has passed). Of its share a tenth is for its start.

--- a/internal/direct/callerserver.go
+++ b/internal/direct/callerserver.go
@@ -88,6 +88,9 @@
 	recentResponses *recentResponses
 	// inFlight are the requests that are being served.
 	inFlight inFlight
+	// retryShares decides the share of the extra retries that retryAllowance holds. Only updateRetryAllowance uses it.
+	retryShares    *route.RetryShares
+	retryAllowance atomic.Pointer[route.RetryAllowance]
 
 	mu sync.Mutex
 	// peerReports holds the load and the demands that the other boxes of the cell have reported, for all
@@ -114,6 +117,7 @@
 		recentResponses: newRecentResponses(), dispatchers: make(map[member.Service]*route.Dispatcher),
 		budgets: make(map[member.Service]*route.WindowRetryBudget), models: make(map[member.Service]fleet.ModelName), callerTimeouts: make(map[string]*route.CallerTimeoutEstimator),
 	}
+	s.retryShares = route.NewRetryShares(s.retries.Window, s.started)
 	s.onLimitedSend = p.status.noteLimitedSend
 	s.held = newHeldBytes(direct.MemoryLimitMegabytes, p.metrics.heldBytes)
 	s.pool = upstream.NewPool(upstream.Options{
@@ -296,6 +300,7 @@
 	for {
 		changed := s.fleetState.Changed()
 		s.suspects.Expire(s.clock.Now())
+		s.updateRetryAllowance(s.clock.Now())
 		s.mu.Lock()
 		for _, service := range s.fleetState.View().Services() {
 			if s.dispatchers[service.Name] == nil && service.Origin == "" {
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -165,6 +165,15 @@
 	return member.Region(p.settings.Direct.Domains[string(domain)])
 }
 
+// domains returns the failure domains of the settings.
+func (p *Process) domains() []member.FailureDomain {
+	domains := make([]member.FailureDomain, 0, len(p.settings.Direct.Domains))
+	for domain := range p.settings.Direct.Domains {
+		domains = append(domains, member.FailureDomain(domain))
+	}
+	return domains
+}
+
 // isLocal reports whether a failure domain is in the own region.
 func (p *Process) isLocal(domain member.FailureDomain) bool { return p.regionOf(domain) == p.region() }
 
--- a/internal/direct/entryboxes.go
+++ b/internal/direct/entryboxes.go
@@ -41,8 +41,10 @@
 // and demand, those of some neighbours across the fleet for membership records, and those of a few boxes of other
 // cells for the callers that they rejected. In a fleet with a single cell, it follows every box.
 type EntryBoxes struct {
-	self       member.Record
-	regionOf   func(member.FailureDomain) member.Region
+	self     member.Record
+	regionOf func(member.FailureDomain) member.Region
+	// domains are the failure domains of the settings.
+	domains    []member.FailureDomain
 	membership *Membership
 	fleetState *FleetState
 	suspects   *SuspectRequests
@@ -94,7 +96,7 @@
 func (p *Process) startPeers() error {
 	times := readIntervalsFor(time.Duration(p.settings.Direct.ChangeBound))
 	e := &EntryBoxes{
-		self: p.membership.own, regionOf: p.regionOf, membership: p.membership, fleetState: p.fleetState, suspects: p.suspects, peers: p.peers, clock: p.options.Clock, log: p.options.Log,
+		self: p.membership.own, regionOf: p.regionOf, domains: p.domains(), membership: p.membership, fleetState: p.fleetState, suspects: p.suspects, peers: p.peers, clock: p.options.Clock, log: p.options.Log,
 		tasks: kernel.NewTaskGroup(), seeds: p.settings.Peers.Entries, boxes: make(map[string]EntryBox),
 		following: make(map[string]followed), cursors: make(map[member.Address]state.Cursor),
 		readers: newReaderSet(p.box(), p.region(), times.readerTimeout()), replanned: make(chan struct{}), onReport: p.callerServer.MergePeerReport, onRejected: p.callerServer.MergeRejectedCallers,
@@ -331,6 +333,7 @@
 func (e *EntryBoxes) handleStatus(entry string, want subscription, status *wire.EntryStatus) {
 	now := e.clock.Now()
 	e.membership.Merge(itemsFromWire(status.Members), entry)
+	e.membership.MergeRetired(status.Retired)
 	e.fleetState.MergeDepartures(departuresFromWire(status.Departures), entry)
 	e.fleetState.MergeRateLimits(status.RateLimits, entry)
 	e.suspects.MergeEvidence(evidenceFromWire(status.Evidence, now), entry)
--- a/internal/direct/membership.go
+++ b/internal/direct/membership.go
@@ -33,6 +33,10 @@
 	// or received their mark.
 	records     map[member.BoxID]member.Record
 	silentSince map[member.BoxID]time.Time
+	// hasLeft holds the silent boxes that had announced a planned stop.
+	hasLeft map[member.BoxID]bool
+	// retired are the boxes that have been removed from the records and may still use a share of the extra retries.
+	retired retiredBoxes
 	// sorted caches the records sorted by box name; nil after a change.
 	sorted  []member.Record
 	changed chan struct{}
@@ -42,7 +46,7 @@
 func NewMembership(own member.Record, clock clockwork.Clock, log zerolog.Logger) *Membership {
 	m := &Membership{
 		clock: clock, log: log, store: state.NewStore(rand.Uint64()), own: own,
-		records: make(map[member.BoxID]member.Record), silentSince: make(map[member.BoxID]time.Time), changed: make(chan struct{}),
+		records: make(map[member.BoxID]member.Record), silentSince: make(map[member.BoxID]time.Time), hasLeft: make(map[member.BoxID]bool), retired: make(retiredBoxes), changed: make(chan struct{}),
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -64,10 +68,15 @@
 
 // put stores a record and updates silentSince. The lock must be held.
 func (m *Membership) put(record member.Record) {
+	if m.records[record.Box].Status == member.StatusLeaving && record.Status == member.StatusSilent {
+		m.hasLeft[record.Box] = true
+	}
 	m.records[record.Box] = record
 	m.sorted = nil
+	delete(m.retired, record.Box)
 	if record.Status != member.StatusSilent {
 		delete(m.silentSince, record.Box)
+		delete(m.hasLeft, record.Box)
 	} else if _, marked := m.silentSince[record.Box]; !marked {
 		m.silentSince[record.Box] = m.clock.Now()
 	}
@@ -147,7 +156,7 @@
 	m.putLocal(record)
 }
 
-// Expire removes the boxes that have been silent for silentExpiry.
+// Expire removes the boxes that have been silent for silentExpiry. Their shares of the extra retries are kept for longer.
 func (m *Membership) Expire() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -157,12 +166,15 @@
 			continue
 		}
 		m.log.Info().Str("box", string(box)).Dur("silent_ms", now.Sub(since)).Msg("silent entry box expired; removing it from the membership")
+		m.retired[box] = retiredBox{claim: m.records[box].RetryClaim, silentSince: since, hasLeft: m.hasLeft[box]}
 		delete(m.silentSince, box)
+		delete(m.hasLeft, box)
 		delete(m.records, box)
 		m.store.Purge(member.KeyPrefix + string(box))
 		m.sorted = nil
 		m.notify()
 	}
+	m.retired.expire(now)
 }
 
 // All returns the records of all entry boxes, including this one and silent ones, sorted by name. The slice must
--- a/internal/direct/retry.go
+++ b/internal/direct/retry.go
@@ -111,20 +111,27 @@
 		Bool("suspect", kind.suspect).Str("result", result).Float64("share", s.allowance().Share).Msg("retry")
 }
 
-// allowance returns this box's part of the retries that all entry boxes together may make beyond the ratio. A box that has
-// just started knows neither the other boxes nor the retries that it made before the start.
+// allowance returns this box's part of the extra retries of all entry boxes.
 func (s *CallerServer) allowance() route.RetryAllowance {
-	if s.clock.Since(s.started) < s.retries.Window {
-		own := s.retries.Extra / float64(max(assumedBoxesAtStart, s.entryBoxCount()))
-		return route.RetryAllowance{Share: own, AtStart: own}
+	if allowance := s.retryAllowance.Load(); allowance != nil {
+		return *allowance
 	}
-	return route.RetryAllowance{Share: s.retries.Extra / float64(s.entryBoxCount()) * retrySafety}
+	return route.RetryAllowance{}
 }
 
-// assumedBoxesAtStart is the minimum number of entry boxes among which a box that has just started divides the
-// shared retries, as it may not know all boxes yet.
-const assumedBoxesAtStart = 64
-
-// retrySafety is the part of the shared retry budget that is used. It compensates for the delay with which
-// boxes notice that others start or stop.
-const retrySafety = 0.7
+// updateRetryAllowance updates the box's share of the extra retries and publishes its claim to the other boxes.
+func (s *CallerServer) updateRetryAllowance(now time.Time) {
+	entries := s.entries.Load()
+	if entries == nil {
+		return
+	}
+	before := s.allowance()
+	claim := s.retryShares.Update(entries.membership.RetryClaims(), entries.knowsFleet(s.started), now)
+	entries.membership.SetRetryClaim(claim)
+	allowance := s.retryShares.Allowance(s.retries.Extra)
+	s.retryAllowance.Store(&allowance)
+	if allowance.Share != before.Share {
+		s.log.Info().Float64("share", allowance.Share).Float64("previous_share", before.Share).Float64("extra", s.retries.Extra).
+			Uint32("claim", uint32(claim)).Msg("share of the extra retries changed")
+	}
+}
--- a/internal/direct/statusserver.go
+++ b/internal/direct/statusserver.go
@@ -233,6 +233,9 @@
 		status.RateLimits = limits
 		status.Members, status.SentAway, status.Departures = changed, rejectedToWire(rejected, s.clock.Now()), departuresToWire(departures)
 		status.Evidence = evidenceToWire(evidence, s.clock.Now())
+		if request.Members && !status.Partial {
+			status.Retired = s.membership.retiredToWire()
+		}
 		if len(status.Readers) > 0 {
 			status.SentMilliseconds = proto.Uint64(uint64(max(0, snapshot.takenAt.Sub(cursor.openedAt).Milliseconds())))
 		}
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -116,6 +116,9 @@
 	Copies []Copy        `json:"copies,omitempty" cbor:"12,keyasint,omitempty"`
 	// Services are the plain services on the box.
 	Services []Service `json:"services,omitempty" cbor:"13,keyasint,omitempty"`
+	// RetryClaim is the share of the extra retries of all entry boxes that the other boxes must leave to this one; see
+	// route.RetryShares.
+	RetryClaim uint32 `json:"retry_claim,omitempty" cbor:"14,keyasint,omitempty"`
 }
 
 // KeyPrefix is the prefix of the key of each record in a state.Store.
