fix(direct): a request waits for the retry budget only until its process has run for a window

Cause: under lasting failures callers were refused as late: a failed request waited up to a second for the budget, lost it to a later one, and its caller's own retry came too late. Change: a retry that waits is served before later ones of its priority; requests wait only in the first window of their process, when all a box may use is the ratio of its own requests. A retry is taken before its slot and canceled if there is none, so that a slot and a token of a rate limit are not taken in vain.

--- a/internal/direct/clusterretries_test.go
+++ b/internal/direct/clusterretries_test.go
@@ -200,28 +200,28 @@
 		return
 	}
 	r.failed++
-	r.retry(box, callers, number, 0)
+	until := time.Now().Add(callers.retryWaitLimit(time.Now()))
+	retry, delay := callers.retryBudget(retryService).TakeRetry(callers.allowance(), route.RetryFailed, time.Now())
+	r.retry(box, callers, number, retry, delay, until)
 }
 
 // retry repeats a failed attempt, or waits for the budget as a caller server does.
-func (r *retryRun) retry(box *clusterBox, callers *CallerServer, number int, waited time.Duration) {
+func (r *retryRun) retry(box *clusterBox, callers *CallerServer, number int, retry *route.Retry, delay time.Duration, until time.Time) {
 	budget := callers.retryBudget(retryService)
-	if delay := budget.RetryDelay(callers.allowance(), route.RetryFailed, time.Now()); delay > 0 {
-		if waited+delay > maxRetryWait {
-			r.denied++
-			return
-		}
-		budget.AddWaiting(1)
+	switch {
+	case retry != nil:
+		r.attempt(box, callers, number+1, func() { retry.Settle(time.Now()) })
+	case time.Now().Add(delay).After(until):
+		r.denied++
+	default:
+		budget.AddWaiting()
 		r.later(delay, func() {
-			budget.AddWaiting(-1)
 			if box.callers == callers {
-				r.retry(box, callers, number, waited+delay)
+				next, nextDelay := budget.TakeWaiting(callers.allowance(), route.RetryFailed, time.Now())
+				r.retry(box, callers, number, next, nextDelay, until)
 			}
 		})
-		return
 	}
-	taken := budget.TakeRetry(callers.allowance(), route.RetryFailed, time.Now())
-	r.attempt(box, callers, number+1, func() { taken.Settle(time.Now()) })
 }
 
 // transit returns the time of a message between a box and a server.
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -46,9 +46,8 @@
 	turn route.Turn
 	// suspect is set while the request may have caused a server to exit.
 	suspect bool
-	// waited is the total time that the request has waited for slots, retryWaited for the retry budget.
-	waited      time.Duration
-	retryWaited time.Duration
+	// waited is the total time that the request has waited for slots.
+	waited time.Duration
 	// configuration is the version of the configuration that was used to route the request.
 	configuration uint64
 	// group is the attempts. Its lock guards the numbers of attempts while any of them runs. The fields that describe the
--- a/internal/direct/retry.go
+++ b/internal/direct/retry.go
@@ -8,7 +8,8 @@
 	"github.com/cinderslip/cinderslip/pkg/route"
 )
 
-// maxRetryWait is how long a request waits for the retry budget. It is also limited to half of the remaining time.
+// maxRetryWait is how long a request waits for the retry budget at most until the process has run for a window, while it must
+// not use its whole share. Later requests do not wait: a caller that retries itself is served sooner.
 const maxRetryWait = time.Second
 
 // errRetryBudget reports that the retry budget allows no further attempt.
@@ -23,6 +24,15 @@
 	retryDuringSilence retryCause = "silent"
 )
 
+// retryResult is a decision of the retry budget, as logs and metrics give it.
+type retryResult string
+
+// The decisions of the retry budget.
+const (
+	retryAllowed retryResult = "allowed"
+	retryDenied  retryResult = "denied"
+)
+
 // retryKind describes a retry. started is set if the response has started, suspect if the request may have caused a server
 // to exit.
 type retryKind struct {
@@ -54,61 +64,50 @@
 		return reservation, nil, err
 	}
 	kind := retryKind{retryAfterFailure, x.started, x.suspect}
-	for {
-		if err := s.awaitRetry(ctx, x, kind); err != nil {
-			return nil, nil, err
-		}
-		reservation, err := s.acquireSlot(ctx, x, x.group.tried)
-		if err != nil {
-			return nil, nil, err
-		}
-		// The retry is taken last, because it counts from now until it arrives.
-		if retry := s.takeRetry(x, kind); retry != nil {
-			return reservation, retry, nil
-		}
-		reservation.Release(route.ResultAbandoned, s.clock.Now())
+	retry, err := s.awaitRetry(ctx, x, kind)
+	if err != nil {
+		return nil, nil, err
 	}
+	reservation, err := s.acquireSlot(ctx, x, x.group.tried)
+	if err != nil {
+		retry.Cancel(s.clock.Now())
+		return nil, nil, err
+	}
+	return reservation, retry, nil
 }
 
-// awaitRetry waits until the budget has a retry. It returns errRetryBudget at once if that would take too long.
-func (s *CallerServer) awaitRetry(ctx context.Context, x *exchange, kind retryKind) error {
-	budget := s.retryBudget(x.service)
-	for {
-		now := s.clock.Now()
-		delay := budget.RetryDelay(s.allowance(), kind.priority(), now)
-		if delay == 0 {
-			return nil
-		}
-		if x.retryWaited+delay > min(maxRetryWait, x.deadline.Sub(now)/2) {
-			s.noteRetry(x, kind, "denied")
-			return errRetryBudget
-		}
-		budget.AddWaiting(1)
+// awaitRetry takes a retry from the budget, and waits for it if necessary. It returns errRetryBudget at once if that would
+// take too long.
+func (s *CallerServer) awaitRetry(ctx context.Context, x *exchange, kind retryKind) (*route.Retry, error) {
+	budget, startedAt := s.retryBudget(x.service), s.clock.Now()
+	longest := min(s.retryWaitLimit(startedAt), x.deadline.Sub(startedAt)/2)
+	retry, delay := budget.TakeRetry(s.allowance(), kind.priority(), startedAt)
+	for retry == nil && s.clock.Since(startedAt)+delay <= longest && ctx.Err() == nil {
+		budget.AddWaiting()
 		sleep(ctx, s.clock, delay)
-		budget.AddWaiting(-1)
-		x.retryWaited += s.clock.Since(now)
-		if ctx.Err() != nil {
-			return ctx.Err()
-		}
+		retry, delay = budget.TakeWaiting(s.allowance(), kind.priority(), s.clock.Now())
 	}
+	if retry == nil {
+		s.noteRetry(x, kind, retryDenied)
+		return nil, errRetryBudget
+	}
+	s.noteRetry(x, kind, retryAllowed)
+	return retry, nil
 }
 
-// takeRetry takes a retry from the budget, and counts and logs the decision. It returns nil if there is none.
-func (s *CallerServer) takeRetry(x *exchange, kind retryKind) *route.Retry {
-	retry := s.retryBudget(x.service).TakeRetry(s.allowance(), kind.priority(), s.clock.Now())
-	result := "allowed"
-	if retry == nil {
-		result = "denied"
+// retryWaitLimit returns how long a request waits for the retry budget at most.
+func (s *CallerServer) retryWaitLimit(now time.Time) time.Duration {
+	if now.Sub(s.started) < s.retries.Window {
+		return maxRetryWait
 	}
-	s.noteRetry(x, kind, result)
-	return retry
+	return 0
 }
 
 // noteRetry counts and logs a decision on a retry.
-func (s *CallerServer) noteRetry(x *exchange, kind retryKind, result string) {
-	s.metrics.retries.WithLabelValues(string(x.service), string(kind.cause), result).Inc()
+func (s *CallerServer) noteRetry(x *exchange, kind retryKind, result retryResult) {
+	s.metrics.retries.WithLabelValues(string(x.service), string(kind.cause), string(result)).Inc()
 	s.log.Info().Str("request", x.ID).Str("service", string(x.service)).Str("cause", string(kind.cause)).Bool("started", kind.started).
-		Bool("suspect", kind.suspect).Str("result", result).Float64("share", s.allowance().Share).Msg("retry")
+		Bool("suspect", kind.suspect).Str("result", string(result)).Float64("share", s.allowance().Share).Msg("retry")
 }
 
 // allowance returns this box's part of the extra retries of all entry boxes.
--- a/internal/direct/watchdog.go
+++ b/internal/direct/watchdog.go
@@ -57,19 +57,15 @@
 		return
 	}
 	kind := retryKind{retryDuringSilence, req.Resuming, req.Suspect}
-	// A slot takes a token of a server with a rate limit, so the budget is checked before.
-	if s.retryBudget(x.service).RetryDelay(s.allowance(), kind.priority(), s.clock.Now()) > 0 {
+	// A slot takes a token of a server with a rate limit, so the retry is taken before.
+	retry, _ := s.retryBudget(x.service).TakeRetry(s.allowance(), kind.priority(), s.clock.Now())
+	if retry == nil {
 		x.group.postponeHedge(s.clock.Now())
 		return
 	}
 	reservation, err := s.dispatcher(x.service).Acquire(ctx, req, s.clock)
 	if err != nil {
-		x.group.postponeHedge(s.clock.Now())
-		return
-	}
-	retry := s.takeRetry(x, kind)
-	if retry == nil {
-		reservation.Release(route.ResultAbandoned, s.clock.Now())
+		retry.Cancel(s.clock.Now())
 		x.group.postponeHedge(s.clock.Now())
 		return
 	}
@@ -79,6 +75,7 @@
 		reservation.Release(route.ResultAbandoned, s.clock.Now())
 		return
 	}
+	s.noteRetry(x, kind, retryAllowed)
 	defer x.group.hedges.Done()
 	s.runAttempt(x, hedge)
 }
--- a/pkg/route/dispatch_test.go
+++ b/pkg/route/dispatch_test.go
@@ -257,7 +257,7 @@
 		for range rapid.IntRange(1, 200).Draw(t, "events") {
 			at += time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond
 			if rapid.Bool().Draw(t, "retry") {
-				if retry := budget.TakeRetry(RetryAllowance{Share: 3}, RetryStarted, start.Add(at)); retry != nil {
+				if retry, _ := budget.TakeRetry(RetryAllowance{Share: 3}, RetryStarted, start.Add(at)); retry != nil {
 					retry.Settle(start.Add(at))
 					events = append(events, event{at, true})
 				}
--- a/pkg/route/windowretrybudget.go
+++ b/pkg/route/windowretrybudget.go
@@ -110,36 +110,41 @@
 	b.totals.requests++
 }
 
-// RetryDelay returns 0 if there is a retry, otherwise the time after which the requests will have added one for each that
-// waits, as far as the last window shows.
-func (b *WindowRetryBudget) RetryDelay(allowance RetryAllowance, priority RetryPriority, now time.Time) time.Duration {
+// TakeRetry takes a retry. If there is none, or only as many as wait already, it returns nil and the delay after which
+// requests will have added one, as far as the last window shows.
+func (b *WindowRetryBudget) TakeRetry(allowance RetryAllowance, priority RetryPriority, now time.Time) (retry *Retry, delay time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.advance(now)
-	missing := b.missing(allowance, priority, now)
-	if missing <= 0 {
-		return 0
+	ahead := 0
+	if priority > RetryStarted {
+		ahead = b.waiting
 	}
-	return b.delayUntil(missing+float64(b.waiting), now)
+	return b.take(allowance, priority, ahead, now)
 }
 
-// TakeRetry takes a retry. It returns nil if there is none.
-func (b *WindowRetryBudget) TakeRetry(allowance RetryAllowance, priority RetryPriority, now time.Time) *Retry {
+// AddWaiting adds a retry that waits until TakeWaiting is called for it.
+func (b *WindowRetryBudget) AddWaiting() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.advance(now)
-	if b.missing(allowance, priority, now) > 0 {
-		return nil
-	}
-	b.taken++
-	return &Retry{budget: b}
+	b.waiting++
 }
 
-// AddWaiting changes the number of retries that wait for RetryDelay to pass.
-func (b *WindowRetryBudget) AddWaiting(n int) {
+// TakeWaiting takes a retry for one that waits, and ends its wait in any case.
+func (b *WindowRetryBudget) TakeWaiting(allowance RetryAllowance, priority RetryPriority, now time.Time) (retry *Retry, delay time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.waiting += n
+	b.waiting--
+	return b.take(allowance, priority, 0, now)
+}
+
+// take takes a retry if there are more than a number of others need. The lock must be held.
+func (b *WindowRetryBudget) take(allowance RetryAllowance, priority RetryPriority, others int, now time.Time) (retry *Retry, delay time.Duration) {
+	b.advance(now)
+	if missing := b.missing(allowance, priority, now) + float64(others); missing > 0 {
+		return nil, b.delayUntil(missing, now)
+	}
+	b.taken++
+	return &Retry{budget: b}, 0
 }
 
 // retryTolerance absorbs rounding errors, in retries.
