test(direct): boxes killed soon after failures begin; a whole part restarts behind a cut

Cause: no case failed without the rule for a process that has just started; and a part of the fleet with all seed addresses and failure domains that restarts as a whole behind a cut can't be told from the fleet. Change: two cases.

--- a/internal/direct/clusterretries_test.go
+++ b/internal/direct/clusterretries_test.go
@@ -333,6 +333,10 @@
 		r.failing = failsBetween(lastingFailures, 20, 21.5, 26, 40)
 		r.run(45*time.Second, r.each(0.7, 22*time.Second, 0, r.kill, 500*time.Millisecond, r.restart)...)
 	}},
+	{"most boxes are killed soon after failures begin", false, func(r *retryRun) {
+		r.failing = failsBetween(lastingFailures, 20, 45)
+		r.run(45*time.Second, r.each(0.9, 21500*time.Millisecond, 0, r.kill, 500*time.Millisecond, r.restart)...)
+	}},
 	{"most boxes are killed and stay away", false, func(r *retryRun) {
 		r.failing = failsBetween(lastingFailures, 14, 70)
 		r.run(70*time.Second, r.each(0.6, 30*time.Second, 0, r.kill, 30*time.Second, r.restart)...)
@@ -373,6 +377,24 @@
 		}
 		r.run(60*time.Second, events...)
 	}},
+	{"boxes of every region restart behind a cut", false, func(r *retryRun) {
+		r.failing = failsBetween(lastingFailures, 30, 60)
+		half := (len(r.boxes) + 1) / 2
+		events := []retryEvent{
+			{14 * time.Second, func() {
+				r.split(func(i int) int {
+					if i < half {
+						return 0
+					}
+					return 1
+				})
+			}}, {60 * time.Second, func() { r.split(nil) }},
+		}
+		for _, box := range r.boxes[:half] {
+			events = append(events, retryEvent{15 * time.Second, func() { r.kill(box) }}, retryEvent{15500 * time.Millisecond, func() { r.restart(box) }})
+		}
+		r.run(70*time.Second, events...)
+	}},
 	{"a growing fleet", false, func(r *retryRun) {
 		for _, box := range r.boxes[len(r.boxes)/2:] {
 			r.kill(box)
