fix(direct): a failure domain without entry boxes does not withhold the share of the extra retries for a minute

Change: a domain without a known entry box is waited for only during the first window and three seconds, when the share may hardly be used; a seed address without a known box for a minute, as before.

--- a/internal/direct/retiredboxes.go
+++ b/internal/direct/retiredboxes.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cinderslip/cinderslip/internal/wire"
@@ -101,35 +102,32 @@
 	}
 }
 
-// isolationTime is how long after its start a box does without a share of the extra retries if nothing shows that it knows
-// all other boxes. It may have started where it can't reach them.
+// isolationTime is how long after its start a box does without a share of the extra retries if it does not know a box at
+// each seed address. It may have started where it can't reach them.
 const isolationTime = time.Minute
 
 // knowsFleet reports whether no other entry box is missing from the membership: another box claims a share and so has told
-// of all that it knows, or boxes of every failure domain and at every seed address are known.
-func (e *EntryBoxes) knowsFleet(started time.Time) bool {
-	if e.clock.Since(started) >= isolationTime {
+// of all that it knows, or a box at each seed address and in each failure domain is known. A failure domain may have no
+// entry box, so one without is only waited for while the share may hardly be used.
+func (e *EntryBoxes) knowsFleet(started time.Time, startTime time.Duration) bool {
+	age := e.clock.Since(started)
+	if age >= isolationTime {
 		return true
 	}
-	peers, domains, hasClaim := make(map[string]bool), make(map[member.FailureDomain]bool), false
+	peers, domains := make(map[string]bool), make(map[member.FailureDomain]bool)
 	for _, record := range e.membership.All() {
-		peers[string(record.Peers)], domains[record.FailureDomain] = true, true
-		hasClaim = hasClaim || record.RetryClaim > 0 && record.Box != e.self.Box
-	}
-	if hasClaim {
-		return true
-	}
-	for _, domain := range e.domains {
-		if !domains[domain] {
-			return false
+		if record.RetryClaim > 0 && record.Box != e.self.Box {
+			return true
 		}
+		peers[string(record.Peers)], domains[record.FailureDomain] = true, true
 	}
+	isMissing := func(domain member.FailureDomain) bool { return !domains[domain] }
+	return e.knowsSeeds(peers) && (age >= startTime || !slices.ContainsFunc(e.domains, isMissing))
+}
+
+// knowsSeeds reports whether all seed addresses are among those of known boxes.
+func (e *EntryBoxes) knowsSeeds(peers map[string]bool) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, seed := range e.seeds {
-		if !peers[seed] {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(e.seeds, func(seed string) bool { return !peers[seed] })
 }
--- a/internal/direct/retry.go
+++ b/internal/direct/retry.go
@@ -125,7 +125,7 @@
 		return
 	}
 	before := s.allowance()
-	claim := s.retryShares.Update(entries.membership.RetryClaims(), entries.knowsFleet(s.started), now)
+	claim := s.retryShares.Update(entries.membership.RetryClaims(), entries.knowsFleet(s.started, s.retries.StartTime()), now)
 	entries.membership.SetRetryClaim(claim)
 	allowance := s.retryShares.Allowance(s.retries.Extra)
 	s.retryAllowance.Store(&allowance)
