test(soak): retries of all boxes are counted in each window

Cause: the soak checked MaxAttempts of each request, not the sum of all retries, and its settings allowed 1,000.

--- a/internal/soak/crash_test.go
+++ b/internal/soak/crash_test.go
@@ -107,7 +107,7 @@
 	request.Header.Set("X-Deadline-Ms", fmt.Sprint(crashRequestTimeout.Milliseconds()))
 	request.Header.Set("X-Prompt-Prefix", prompt)
 	l.mu.Lock()
-	l.requests[id] = sentRequest{entry, time.Now()}
+	l.requests[id] = sentRequest{entry, route, time.Now()}
 	l.mu.Unlock()
 	response, err := l.client.Do(request)
 	if err != nil {
--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -66,6 +66,7 @@
 	origin          *standin.Origin
 	servers         []*server
 	bulk            []*server
+	failing         []*server
 	depart          []*server
 	entries         []*process
 	agents          []*process
@@ -120,6 +121,7 @@
 	w.putPlaced(w.placement.near, nearDomain)
 	w.putPlaced(w.placement.far, farDomain)
 	w.addBulkServers()
+	w.addFailingServers()
 	w.addDepartServers()
 	w.putConfig()
 	dir := t.TempDir()
@@ -198,7 +200,8 @@
 func (d *testDeployment) commonSettings(seeds string) []string {
 	return []string{
 		"[peers]", seeds, "[direct]", fmt.Sprintf("store = %q", d.storeProxy.address()), fmt.Sprintf("agent_port = %d", portAgents),
-		"memory_limit_megabytes = 150", "link_mbps = 100.0", `version_bound = "8s"`, "retry_ratio = 0.2", "retry_extra = 1000", `retry_window = "10s"`,
+		"memory_limit_megabytes = 150", "link_mbps = 100.0", `version_bound = "8s"`, fmt.Sprintf("retry_ratio = %v", retryBound.Ratio), fmt.Sprintf("retry_extra = %v", retryBound.Extra),
+		fmt.Sprintf("retry_window = %q", retryBound.Window),
 		fmt.Sprintf("cold_rate_factor = %v", coldAllowance.Factor), fmt.Sprintf("cold_rate_extra = %.1f", coldAllowance.Extra),
 	}
 }
@@ -245,7 +248,7 @@
 	routes = append(routes, keyed)
 	bulk := route(bulkService, "safe", bulkService, false)
 	bulk["TimeoutMs"] = bulkTimeout.Milliseconds()
-	routes = append(routes, bulk)
+	routes = append(routes, bulk, route(failingService, "safe", failingService, false))
 	for i := range d.nextConfig {
 		added = fmt.Sprintf("extra-%d", i)
 		routes = append(routes, route(added, "safe", "maps", false))
@@ -263,6 +266,7 @@
 			map[string]any{"Name": "places", "MaxConnections": 50, "ColdPerS": coldRate, "ColdStartS": 3},
 			map[string]any{"Name": departService, "MaxConnections": 50},
 			map[string]any{"Name": bulkService, "MaxConnections": 50},
+			map[string]any{"Name": failingService, "MaxConnections": 50},
 			map[string]any{"Name": "weights", "origin": d.originAddress(), "MaxConnections": originMaxConns},
 		},
 	})
--- a/internal/soak/load_test.go
+++ b/internal/soak/load_test.go
@@ -160,7 +160,7 @@
 	request.Header.Set("X-Token-Usage", "100,60")
 	request.Header.Set("X-Prompt-Prefix", standin.DrawPrompt(standin.SharedFirstPart))
 	l.mu.Lock()
-	l.requests[id] = sentRequest{entry, time.Now()}
+	l.requests[id] = sentRequest{entry, route, time.Now()}
 	l.mu.Unlock()
 	response, err := l.client.Do(request)
 	if err != nil {
--- a/internal/soak/restore_test.go
+++ b/internal/soak/restore_test.go
@@ -242,7 +242,7 @@
 	request.Header.Set("X-Deadline-Ms", fmt.Sprint(callerTimeout.Milliseconds()))
 	request.Header.Set("Authorization", "Bearer "+key)
 	l.mu.Lock()
-	l.requests[id] = sentRequest{entry, time.Now()}
+	l.requests[id] = sentRequest{entry, keyedRoute, time.Now()}
 	l.mu.Unlock()
 	response, err := l.client.Do(request)
 	if err != nil {
--- a/internal/soak/signals_test.go
+++ b/internal/soak/signals_test.go
@@ -62,8 +62,8 @@
 
 // sentRequest is the entry box and time of one request of a caller.
 type sentRequest struct {
-	entry string
-	sent  time.Time
+	entry, route string
+	sent         time.Time
 }
 
 // leavingKey identifies one incarnation of a server as seen by an entry box.
