test(lab): boxes have the retry budget, and servers that fail a part of their requests

Cause: the laboratory's boxes repeated without a limit, and its servers never failed. Change: boxes run the budget and the shares of production and exchange claims over the simulated links; the retries of all boxes are counted in each window; a fault makes servers fail a part of their requests.

--- a/internal/lab/box.go
+++ b/internal/lab/box.go
@@ -42,6 +42,8 @@
 	quarantine      *route.Quarantine
 	evidenceCursor  uint64
 	evidencePending bool
+	// retries is the box's part of the retries of all boxes.
+	retries boxRetries
 	// inFlight are the requests that were sent to a server, and some that have ended since.
 	inFlight []*request
 }
@@ -82,6 +84,7 @@
 	}
 	b.updateBoxCount()
 	b.startQuarantine()
+	b.startRetries()
 	b.initLimits()
 	b.updateServers()
 	for _, other := range b.peers {
@@ -132,6 +135,7 @@
 		return
 	}
 	b.updateBoxCount()
+	b.exchangeRetryClaims()
 	load, demand := b.dispatcher.OwnLoad(), b.dispatcher.Demand(b.sim.Now())
 	now := b.sim.Now()
 	b.localReporter.report(b, false, load, demand, now)
@@ -185,6 +189,8 @@
 	// attempts counts the servers that the request was sent to.
 	attempts int
 	tried    []fleet.ServerID
+	// retry is the current attempt's part of the retry budget; nil for the first attempt.
+	retry *route.Retry
 	// started is set once the response has started.
 	started bool
 	// lastEvent is when the box forwarded the last event to the caller.
@@ -208,6 +214,7 @@
 // serve accepts a request from a caller.
 func (b *box) serve(c *caller) *request {
 	now := b.sim.Now()
+	b.retries.recordRequest(now)
 	r := &request{box: b, incarnation: b.incarnation, caller: c, callerAttempt: c.attempts, prompt: c.prompt, waitsFrom: now}
 	kind := c.kind
 	engine := &b.sim.deployment.Engine
@@ -278,13 +285,13 @@
 	r.reservation = reservation
 	if !r.box.quarantine.MaySend(r.prompt.attributes, &r.turn, r.box.sim.Now()) {
 		reservation.Release(route.ResultAbandoned, r.box.sim.Now())
-		r.retry()
+		r.resubmit()
 		return
 	}
 	if reservation.Check(r.box.sim.Now()) != nil {
 		reservation.Release(route.ResultAbandoned, r.box.sim.Now())
 		r.tried = append(r.tried, reservation.Server.ID)
-		r.retry()
+		r.resubmit()
 		return
 	}
 	r.attempts++
@@ -312,10 +319,13 @@
 		if sent.dropped {
 			return
 		}
+		r.recordArrival()
 		server.countDuringBackoff(r.box, r.box.sim.result)
 		server.recordArrival(r.box)
 		server.recordColdArrival()
 		switch {
+		case server.failing > 0 && r.box.sim.random.Float64() < server.failing:
+			afterDelay(func() { r.attemptEnded(false) })
 		case server.rejecting:
 			r.box.sim.result.RejectedAttempts++
 			server.requestBackoff(r.box)
@@ -335,6 +345,7 @@
 // forwardEvent forwards an event of the response to the caller.
 func (r *request) forwardEvent(reservation *route.Reservation) {
 	reservation.Started(r.box.sim.Now())
+	r.retry.Settle(r.box.sim.Now())
 	if !r.succeeded && reservation.RespondingFor(r.box.sim.Now()) >= successDuration {
 		r.recordSuccess()
 	}
@@ -362,7 +373,7 @@
 		r.recordExit()
 	}
 	r.reservation.Release(result, now)
-	r.retry()
+	r.repeat()
 }
 
 // attemptRejected handles an attempt that the server rejected or, if up is false, that did not reach it.
@@ -372,21 +383,28 @@
 		result = route.ResultUnreachable
 	}
 	r.reservation.Release(result, r.box.sim.Now())
-	r.retry()
+	r.repeat()
 }
 
-// retry requests a slot on another server, or ends the response if MaxAttempts is reached.
-func (r *request) retry() {
+// repeat requests a slot on another server, or ends the response if MaxAttempts is reached or the retry budget is spent.
+func (r *request) repeat() {
+	r.retry.Settle(r.box.sim.Now())
 	r.reservation = nil
-	r.waitsFrom = r.box.sim.Now()
-	if r.attempts >= r.box.sim.deployment.MaxAttempts {
+	if r.attempts >= r.box.sim.deployment.MaxAttempts || !r.takeRetry() {
 		r.afterFunc(r.box.sim.deployment.CallerDelay, func() {
 			r.finish()
 			r.caller.truncated(r)
 		})
 		return
 	}
+	r.resubmit()
+}
+
+// resubmit requests a slot for the next attempt.
+func (r *request) resubmit() {
+	r.reservation = nil
 	now := r.box.sim.Now()
+	r.waitsFrom = now
 	r.slotRequest.Arrived, r.slotRequest.Retry = now, !r.started
 	if r.started {
 		r.slotRequest.Resuming, r.slotRequest.Priority, r.slotRequest.Objective = true, -1, r.lastEvent.Add(r.caller.kind.MaxEventGap)
@@ -417,6 +435,7 @@
 // finish ends the request at the box.
 func (r *request) finish() {
 	r.done = true
+	r.retry.Settle(r.box.sim.Now())
 	r.box.quarantine.EndTurn(&r.turn)
 }
 
--- a/internal/lab/caller.go
+++ b/internal/lab/caller.go
@@ -78,6 +78,7 @@
 	b := local[c.sim.random.IntN(len(local))]
 	c.attempts++
 	c.sentAt = c.sim.Now()
+	c.sim.result.retryLog.Requests = append(c.sim.result.retryLog.Requests, c.sentAt)
 	incarnation := b.incarnation
 	c.sim.AfterFunc(c.sim.deployment.CallerDelay, func() {
 		if c.done {
--- a/internal/lab/deployment.go
+++ b/internal/lab/deployment.go
@@ -13,7 +13,11 @@
 //	fmt.Println(result.Score(), result.Between(20*time.Second, 30*time.Second))
 package lab
 
-import "time"
+import (
+	"time"
+
+	"github.com/cinderslip/cinderslip/pkg/route"
+)
 
 // Deployment describes the simulated boxes, servers, links and callers.
 type Deployment struct {
@@ -36,6 +40,8 @@
 	RemoteReportInterval time.Duration
 	// MaxAttempts is the maximum number of servers that one request is sent to.
 	MaxAttempts int
+	// Retries limits the retries of all entry boxes together; no limit if its window is 0.
+	Retries route.RetryLimits
 	// LoadSteps are the changes of the traffic over time, sorted by time. Before the first, the level is 1.
 	LoadSteps []LoadStep
 	// Duration is how long new callers arrive.
@@ -120,6 +126,8 @@
 	// FaultServersRejecting makes servers reject all requests for Duration. Each rejection requests a backoff of
 	// RetryAfter, or none if that is 0.
 	FaultServersRejecting FaultKind = "servers-rest"
+	// FaultServersFailing makes servers fail a part of their requests, given by Factor, for Duration.
+	FaultServersFailing FaultKind = "servers-failing"
 	// FaultServersLimited makes servers advertise a rate limit for Duration.
 	FaultServersLimited FaultKind = "servers-limited"
 	// FaultServersCold makes servers cold for Duration, with a cold rate of Limit. Each box receives notice of it after
@@ -147,6 +155,7 @@
 	RetryAfter time.Duration
 	// Limit is the rate limit or the cold rate of each affected server, in requests per second.
 	Limit float64
-	// Factor multiplies the traffic of a burst or the time that slow servers take.
+	// Factor multiplies the traffic of a burst or the time that slow servers take. It is the part of the requests that
+	// failing servers fail.
 	Factor float64
 }
--- a/internal/lab/engine.go
+++ b/internal/lab/engine.go
@@ -40,6 +40,8 @@
 	up, accepting bool
 	// rejecting is set while the server rejects all requests. It then requests a backoff of retryAfter, unless that
 	// is 0.
+	// failing is the part of the requests that the server fails.
+	failing    float64
 	rejecting  bool
 	retryAfter time.Duration
 	// limitRecord is non-nil while the server has a rate limit.
--- a/internal/lab/partcrash.go
+++ b/internal/lab/partcrash.go
@@ -137,7 +137,7 @@
 		r.server.cancel(r.job)
 		r.job = nil
 		r.reservation.Release(route.ResultAbandoned, b.sim.Now())
-		r.retry()
+		r.repeat()
 	}
 }
 
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/cinderslip/cinderslip/internal/ratewindow"
 	"github.com/cinderslip/cinderslip/internal/virtual"
 )
 
@@ -81,6 +82,8 @@
 	// all entry boxes; 0 if none did. ColdUtilization is the utilization of each cold server's rate.
 	ColdExcess      float64
 	ColdUtilization []float64
+	// retryLog holds the requests, and the attempts beyond the first of each that arrived at servers.
+	retryLog ratewindow.RetryLog
 }
 
 // A caller without a complete response is penalized by a fraction of its request's value. The fraction grows with the
--- a/internal/lab/simulation.go
+++ b/internal/lab/simulation.go
@@ -225,6 +225,11 @@
 			s.servers[i].rejecting, s.servers[i].retryAfter = true, f.RetryAfter
 			s.AfterFunc(f.Duration, func() { s.servers[i].rejecting = false })
 		})
+	case FaultServersFailing:
+		s.scheduleEach(f, s.randomSubset(len(s.servers), f.Share), func(i int) {
+			s.servers[i].failing = f.Factor
+			s.AfterFunc(f.Duration, func() { s.servers[i].failing = 0 })
+		})
 	case FaultServersLimited:
 		s.scheduleEach(f, s.randomSubset(len(s.servers), f.Share), func(i int) {
 			s.servers[i].setLimit(f.Limit)
