feat(report): explain names a retry that the budget denied

Cause: a request that failed because it was denied a retry was explained by its server's failure alone. Change: the line of the decision is read.

--- a/internal/report/explain.go
+++ b/internal/report/explain.go
@@ -32,6 +32,7 @@
 	eventDeletionDeferred = "server's entry went while the store was away, held"
 	eventDeparture        = "server has said that it leaves"
 	eventBackoff          = "server asks for rest"
+	eventRetry            = "retry"
 	eventRateLimit        = "server advertises a rate limit"
 	eventRateLimitLifted  = "server no longer advertises a rate limit"
 	eventEvacuated        = "failure domain evacuated"
@@ -137,7 +138,7 @@
 	case "rejected":
 		return "rejected by configuration " + last.Get("configuration") + ": " + last.Get("reason") + x.describeNewest(eventConfiguration)
 	case "unknown":
-		return "answered " + last.Get("status") + ", it may have run: " + x.describeAttempts()
+		return "answered " + last.Get("status") + ", it may have run" + x.describeDeniedRetry() + ": " + x.describeAttempts()
 	case "cut":
 		return "broken off in the middle of the answer" + cutTexts[last.Get("reason")] + ": " + x.describeAttempts()
 	case "left":
@@ -146,6 +147,16 @@
 	return "its last line tells of no outcome; the process may have ended before"
 }
 
+// describeDeniedRetry returns a text if the retry budget denied the request another attempt.
+func (x *Explanation) describeDeniedRetry() string {
+	for i := range x.Events {
+		if x.Events[i].Name == eventRetry && x.Events[i].Get("result") == "denied" {
+			return cutTexts["retry-budget"]
+		}
+	}
+	return ""
+}
+
 // refusalTexts explains the reasons for which requests are refused.
 var refusalTexts = map[string]string{
 	"busy":             "all places were taken, and it could not have begun in time",
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -52,6 +52,14 @@
 	}
 }
 
+func TestExplainReportsDeniedRetry(t *testing.T) {
+	events, err := readTestLog(t, "denied.log")
+	require.NoError(t, err)
+	explanation, ok := Explain(events, "denied")
+	require.True(t, ok)
+	require.Equal(t, "answered 502, it may have run, the retry budget was spent: attempt at i-40 (10.1.0.40:80) failed after 20ms: server failed the request", explanation.Cause)
+}
+
 func TestExplainReportsUnknownRequest(t *testing.T) {
 	events, _ := readAll(t)
 	_, ok := Explain(events, "unheard-of")
