fix(direct): waiting for a retry and updating the share cost little

Cause: a retry that waits for another one to arrive could try again every few microseconds; the share was recomputed from all records at each change of the fleet's state (by reading).

--- a/internal/direct/callerserver.go
+++ b/internal/direct/callerserver.go
@@ -297,10 +297,14 @@
 // updateDispatchers updates all dispatchers whenever the fleet state changes, and otherwise every
 // dispatcherUpdateInterval.
 func (s *CallerServer) updateDispatchers(ctx context.Context) {
+	var retriesUpdatedAt time.Time
 	for {
 		changed := s.fleetState.Changed()
 		s.suspects.Expire(s.clock.Now())
-		s.updateRetryAllowance(s.clock.Now())
+		if now := s.clock.Now(); now.Sub(retriesUpdatedAt) >= dispatcherUpdateInterval {
+			retriesUpdatedAt = now
+			s.updateRetryAllowance(now)
+		}
 		s.mu.Lock()
 		for _, service := range s.fleetState.View().Services() {
 			if s.dispatchers[service.Name] == nil && service.Origin == "" {
--- a/internal/direct/retry.go
+++ b/internal/direct/retry.go
@@ -126,7 +126,8 @@
 		return
 	}
 	before := s.allowance()
-	claim := s.retryShares.Update(entries.membership.RetryClaims(), entries.knowsFleet(s.started, s.retries.StartTime()), now)
+	isComplete := s.retryShares.IsComplete() || entries.knowsFleet(s.started, s.retries.StartTime())
+	claim := s.retryShares.Update(entries.membership.RetryClaims(), isComplete, now)
 	entries.membership.SetRetryClaim(claim)
 	allowance := s.retryShares.Allowance(s.retries.Extra)
 	s.retryAllowance.Store(&allowance)
--- a/pkg/route/retryshares.go
+++ b/pkg/route/retryshares.go
@@ -70,6 +70,9 @@
 	return s.claim
 }
 
+// IsComplete reports whether the box has known all others at an earlier update.
+func (s *RetryShares) IsComplete() bool { return s.isComplete }
+
 // raise claims and uses a larger share once it has been free for retryShareSettleTime.
 func (s *RetryShares) raise(target RetryShare, others []RetryShare, now time.Time) {
 	free := sharedRetries
--- a/pkg/route/windowretrybudget.go
+++ b/pkg/route/windowretrybudget.go
@@ -16,8 +16,12 @@
 	previousWeight = 1 - currentWeight
 )
 
-// scarcityTime is how long no retry waits after one was denied.
-const scarcityTime = 500 * time.Millisecond
+const (
+	// scarcityTime is how long no retry waits after one was denied.
+	scarcityTime = 500 * time.Millisecond
+	// minRetryDelay is the shortest delay after which a retry may be tried again.
+	minRetryDelay = 5 * time.Millisecond
+)
 
 // RetryLimits limits the retries for each service in every window, from all entry boxes together, to Ratio times the
 // number of its requests plus Extra.
@@ -205,7 +209,8 @@
 		return b.limits.Window
 	}
 	perRequest := min(b.limits.Window, now.Sub(b.started)).Seconds() / requests
-	return min(b.limits.Window, time.Duration(retries/(b.limits.Ratio*currentWeight)*perRequest*float64(time.Second)))
+	delay := time.Duration(retries / (b.limits.Ratio * currentWeight) * perRequest * float64(time.Second))
+	return min(max(delay, minRetryDelay), b.limits.Window)
 }
 
 // Retry is a retry that was taken from a budget. A nil retry has no effect.
