refactor(direct): one schedule of calls for the tests in virtual time; comments read once more

Cause: two tests of the cluster kept a list of calls that are due, each with a loop of its own. Change: both use schedule; names and comments only elsewhere.

--- a/internal/direct/cluster_test.go
+++ b/internal/direct/cluster_test.go
@@ -341,6 +341,32 @@
 	}
 }
 
+// schedule holds calls that are made at a time.
+type schedule []scheduledCall
+
+type scheduledCall struct {
+	at  time.Time
+	run func()
+}
+
+// after schedules a call.
+func (s *schedule) after(wait time.Duration, run func()) {
+	*s = append(*s, scheduledCall{time.Now().Add(wait), run})
+}
+
+// runDue makes the calls that are due. They may schedule others.
+func (s *schedule) runDue() {
+	calls := *s
+	*s = nil
+	for _, call := range calls {
+		if call.at.After(time.Now()) {
+			*s = append(*s, call)
+		} else {
+			call.run()
+		}
+	}
+}
+
 // testCluster is a number of entry boxes and their store.
 type testCluster struct {
 	t     *testing.T
@@ -382,7 +408,10 @@
 
 // newTestCluster starts entry boxes in some regions. bound is the time within which a change must be in force.
 func newTestCluster(t *testing.T, boxes, regions int, bound time.Duration) *testCluster {
-	c := &testCluster{t: t, bound: bound, retries: route.RetryLimits{Ratio: 0.2, Extra: 100, Window: 10 * time.Second}, store: newClusterStore(), listeners: make(map[member.Address]*pipeListener)}
+	c := &testCluster{
+		t: t, bound: bound, retries: route.RetryLimits{Ratio: 0.2, Extra: 100, Window: 10 * time.Second},
+		store: newClusterStore(), listeners: make(map[member.Address]*pipeListener),
+	}
 	for i := range boxes {
 		box := &clusterBox{
 			cluster: c, id: member.BoxID(fmt.Sprintf("entry-%d", i)), region: member.Region(fmt.Sprintf("region-%d", i%regions)), processing: newGate(),
--- a/internal/direct/clustereras_test.go
+++ b/internal/direct/clustereras_test.go
@@ -93,11 +93,11 @@
 			nextCheck = now.Add(clusterCheckInterval)
 		}
 		time.Sleep(clusterTick)
-		c.endFaults()
+		c.ends.runDue()
 	}
 	for range int((maxClusterFault + lapseTime + clusterRecovery) / clusterTick) {
 		time.Sleep(clusterTick)
-		c.endFaults()
+		c.ends.runDue()
 	}
 	c.checkKnowledge()
 	c.checkConvergence()
--- a/internal/direct/clusterfaults_test.go
+++ b/internal/direct/clusterfaults_test.go
@@ -63,12 +63,6 @@
 	newClusterFaults(t, seed, boxes).run(*clusterTime)
 }
 
-// scheduledEnd is the end of a fault.
-type scheduledEnd struct {
-	at  time.Time
-	end func()
-}
-
 // faultTime is the time of a fault.
 type faultTime struct{ begin, end time.Time }
 
@@ -79,7 +73,7 @@
 	// storeFaults are the times of all faults of the store.
 	storeFaults []faultTime
 	// ends are the ends of the current faults.
-	ends []scheduledEnd
+	ends schedule
 	// hasStoreFaults is set if the store has faults too. The bound holds only while it has none.
 	hasStoreFaults bool
 	nextServer     int
@@ -113,10 +107,10 @@
 			nextCheck = now.Add(clusterCheckInterval)
 		}
 		time.Sleep(clusterTick)
-		c.endFaults()
+		c.ends.runDue()
 	}
 	time.Sleep(maxClusterFault)
-	c.endFaults()
+	c.ends.runDue()
 	time.Sleep(clusterRecovery)
 	c.check()
 	var want []fleet.ServerID
@@ -224,20 +218,7 @@
 
 // later schedules the end of a fault.
 func (c *clusterFaults) later(wait time.Duration, end func()) {
-	c.ends = append(c.ends, scheduledEnd{time.Now().Add(wait), end})
-}
-
-// endFaults ends the faults that are due. An end may schedule others.
-func (c *clusterFaults) endFaults() {
-	ends := c.ends
-	c.ends = nil
-	for _, e := range ends {
-		if time.Now().Before(e.at) {
-			c.ends = append(c.ends, e)
-		} else {
-			e.end()
-		}
-	}
+	c.ends.after(wait, end)
 }
 
 // disturbStore records a fault of the store that begins now.
--- a/internal/direct/clusterretries_test.go
+++ b/internal/direct/clusterretries_test.go
@@ -54,17 +54,11 @@
 	frozen  map[*clusterBox]bool
 	waiting map[*clusterBox][]time.Time
 	// pending are the attempts on their way and the responses on their way back.
-	pending []retryStep
+	pending schedule
 	// failed counts the requests whose attempt failed, denied those of them that were allowed no retry.
 	failed, denied int
 }
 
-// retryStep is what happens at a time.
-type retryStep struct {
-	at  time.Time
-	run func()
-}
-
 func newRetryRun(t *testing.T, seed uint64, boxes int) *retryRun {
 	limits := retryBounds[boxes]
 	c := newTestCluster(t, boxes, 3, 3*time.Second)
@@ -127,7 +121,7 @@
 			events[0].run()
 			events = events[1:]
 		}
-		r.deliver()
+		r.pending.runDue()
 		perBox := r.load(at) * retryRate * retryTick.Seconds() * float64(len(r.boxes)) / float64(max(1, r.upCount()))
 		for _, box := range r.boxes {
 			for range r.randomCount(perBox) {
@@ -169,20 +163,20 @@
 // attempt sends an attempt, which may fail and be repeated. The retry, if it is one, is settled once the head of the response
 // is back.
 func (r *retryRun) attempt(box *clusterBox, callers *CallerServer, number int, settle func()) {
-	r.later(r.transit(), func() { r.arrive(box, callers, number, settle) })
+	r.pending.after(r.transit(), func() { r.arrive(box, callers, number, settle) })
 }
 
 func (r *retryRun) arrive(box *clusterBox, callers *CallerServer, number int, settle func()) {
 	at := time.Since(r.started)
 	if r.isCut(box, at) {
-		r.later(retryTick, func() { r.arrive(box, callers, number, settle) })
+		r.pending.after(retryTick, func() { r.arrive(box, callers, number, settle) })
 		return
 	}
 	if number > 1 {
 		r.log.Retries = append(r.log.Retries, time.Now())
 	}
 	fails := r.random.Float64() < r.failing(at)
-	r.later(r.transit(), func() { r.respond(box, callers, number, fails, settle) })
+	r.pending.after(r.transit(), func() { r.respond(box, callers, number, fails, settle) })
 }
 
 func (r *retryRun) respond(box *clusterBox, callers *CallerServer, number int, fails bool, settle func()) {
@@ -190,7 +184,7 @@
 	case box.callers != callers || !r.isUp(box):
 		return // the box has been killed
 	case r.frozen[box]:
-		r.later(retryTick, func() { r.respond(box, callers, number, fails, settle) })
+		r.pending.after(retryTick, func() { r.respond(box, callers, number, fails, settle) })
 		return
 	}
 	if settle != nil {
@@ -217,7 +211,7 @@
 		budget.DenyRetry(time.Now())
 	default:
 		budget.AddWaiting()
-		r.later(delay, func() {
+		r.pending.after(delay, func() {
 			if box.callers == callers {
 				next, nextDelay := budget.TakeWaiting(callers.allowance(), route.RetryFailed, time.Now())
 				r.retry(box, callers, number, next, nextDelay, until)
@@ -231,23 +225,6 @@
 	return time.Duration(r.random.Int64N(int64(retryTransit)))
 }
 
-func (r *retryRun) later(wait time.Duration, run func()) {
-	r.pending = append(r.pending, retryStep{time.Now().Add(wait), run})
-}
-
-// deliver runs the steps that are due.
-func (r *retryRun) deliver() {
-	pending := r.pending
-	r.pending = nil
-	for _, step := range pending {
-		if step.at.After(time.Now()) {
-			r.pending = append(r.pending, step)
-		} else {
-			step.run()
-		}
-	}
-}
-
 // requireBound checks every window.
 func (r *retryRun) requireBound() {
 	r.t.Helper()
@@ -440,9 +417,11 @@
 
 func (r *retryRun) restart(box *clusterBox) { box.start() }
 
-// each returns the events that begin a fault at a share of the boxes, chosen at random, one after the other, and end each
-// after a time.
-func (r *retryRun) each(share float64, at, gap time.Duration, begin func(*clusterBox), span time.Duration, end func(*clusterBox)) (events []retryEvent) {
+// each returns the events of a fault at a random share of the boxes. It begins at one box after the other, with a gap between
+// two, and ends at each after a span.
+func (r *retryRun) each(
+	share float64, at, gap time.Duration, begin func(*clusterBox), span time.Duration, end func(*clusterBox),
+) (events []retryEvent) {
 	for i, index := range r.random.Perm(len(r.boxes))[:int(share*float64(len(r.boxes)))] {
 		box, start := r.boxes[index], at+time.Duration(i)*gap
 		events = append(events, retryEvent{start, func() { begin(box) }}, retryEvent{start + span, func() { end(box) }})
--- a/internal/direct/entryboxes.go
+++ b/internal/direct/entryboxes.go
@@ -96,7 +96,8 @@
 func (p *Process) startPeers() error {
 	times := readIntervalsFor(time.Duration(p.settings.Direct.ChangeBound))
 	e := &EntryBoxes{
-		self: p.membership.own, regionOf: p.regionOf, domains: p.domains(), membership: p.membership, fleetState: p.fleetState, suspects: p.suspects, peers: p.peers, clock: p.options.Clock, log: p.options.Log,
+		self: p.membership.own, regionOf: p.regionOf, domains: p.domains(),
+		membership: p.membership, fleetState: p.fleetState, suspects: p.suspects, peers: p.peers, clock: p.options.Clock, log: p.options.Log,
 		tasks: kernel.NewTaskGroup(), seeds: p.settings.Peers.Entries, boxes: make(map[string]EntryBox),
 		following: make(map[string]followed), cursors: make(map[member.Address]state.Cursor),
 		readers: newReaderSet(p.box(), p.region(), times.readerTimeout()), replanned: make(chan struct{}), onReport: p.callerServer.MergePeerReport, onRejected: p.callerServer.MergeRejectedCallers,
--- a/internal/direct/evacuations_test.go
+++ b/internal/direct/evacuations_test.go
@@ -135,7 +135,7 @@
 	var nextChange, nextFault time.Time
 	for end := time.Now().Add(*clusterTime); time.Now().Before(end); {
 		// A fault must end before the next one of the same box begins.
-		c.endFaults()
+		c.ends.runDue()
 		now := time.Now()
 		if !now.Before(nextChange) {
 			domain := domains[random.IntN(len(domains))]
@@ -153,7 +153,7 @@
 		time.Sleep(clusterTick)
 	}
 	time.Sleep(maxClusterFault)
-	c.endFaults()
+	c.ends.runDue()
 	time.Sleep(clusterRecovery)
 	for _, box := range c.boxes {
 		require.ElementsMatch(t, c.store.evacuated(), box.fleetState.EvacuatedDomains(), "%s after all faults", box.id)
--- a/internal/direct/retiredboxes.go
+++ b/internal/direct/retiredboxes.go
@@ -18,7 +18,7 @@
 	unreachableExpiry = 2 * time.Hour
 )
 
-// retiredBoxes are boxes that have been silent for so long that the records no longer hold them.
+// retiredBoxes are the silent boxes that have expired from the records.
 type retiredBoxes map[member.BoxID]retiredBox
 
 // retiredBox is a box that may still use its share of the extra retries.
@@ -29,7 +29,7 @@
 	hasLeft bool
 }
 
-// expire removes the boxes that no longer run.
+// expire removes the boxes whose share may be divided among the others.
 func (r retiredBoxes) expire(now time.Time) {
 	for box, retired := range r {
 		expiry := unreachableExpiry
@@ -106,8 +106,8 @@
 // each seed address. It may have started where it can't reach them.
 const isolationTime = time.Minute
 
-// knowsFleet reports whether no other entry box is missing from the membership: another box claims a share and so has told
-// of all that it knows, or a box at each seed address and in each failure domain is known. A failure domain may have no
+// knowsFleet reports whether no other entry box is missing from the membership: another box claims a share, so its records
+// have been received, or a box at each seed address and in each failure domain is known. A failure domain may have no
 // entry box, so one without is only waited for while the share may hardly be used.
 func (e *EntryBoxes) knowsFleet(started time.Time, startTime time.Duration) bool {
 	age := e.clock.Since(started)
--- a/pkg/route/retryshares.go
+++ b/pkg/route/retryshares.go
@@ -46,7 +46,7 @@
 	boxes int
 }
 
-// NewRetryShares returns the shares of a process that starts now. It has none at first.
+// NewRetryShares returns the shares of a process that starts now, without a claim.
 func NewRetryShares(window time.Duration, now time.Time) *RetryShares {
 	return &RetryShares{window: window, started: now, boxes: 1}
 }
--- a/pkg/route/windowretrybudget.go
+++ b/pkg/route/windowretrybudget.go
@@ -44,7 +44,7 @@
 	Share, AtStart float64
 }
 
-// RetryPriority ranks retries by what is lost without them.
+// RetryPriority ranks retries; lower values come first.
 type RetryPriority int
 
 const (
