refactor(route): shares of retries keep no time of their start

Cause: the read of the whole change: RetryShares held the start of its process and never used it; one line was too long. Change: the field and its argument are gone, the line is wrapped.

--- a/internal/direct/callerserver.go
+++ b/internal/direct/callerserver.go
@@ -117,7 +117,7 @@
 		recentResponses: newRecentResponses(), dispatchers: make(map[member.Service]*route.Dispatcher),
 		budgets: make(map[member.Service]*route.WindowRetryBudget), models: make(map[member.Service]fleet.ModelName), callerTimeouts: make(map[string]*route.CallerTimeoutEstimator),
 	}
-	s.retryShares = route.NewRetryShares(s.retries.Window, s.started)
+	s.retryShares = route.NewRetryShares(s.retries.Window)
 	s.onLimitedSend = p.status.noteLimitedSend
 	s.held = newHeldBytes(direct.MemoryLimitMegabytes, p.metrics.heldBytes)
 	s.pool = upstream.NewPool(upstream.Options{
--- a/internal/direct/cluster_test.go
+++ b/internal/direct/cluster_test.go
@@ -545,7 +545,7 @@
 	b.callers = newTestCallerServer(b.fleetState)
 	b.callers.started = clock.Now()
 	b.callers.retries = c.retries
-	b.callers.retryShares = route.NewRetryShares(c.retries.Window, clock.Now())
+	b.callers.retryShares = route.NewRetryShares(c.retries.Window)
 	b.callers.entries.Store(b.entries)
 	mux, listener := drpcmux.New(), &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
 	require.NoError(c.t, wire.DRPCRegisterFleet(mux, b.status))
--- a/internal/direct/membership.go
+++ b/internal/direct/membership.go
@@ -46,7 +46,8 @@
 func NewMembership(own member.Record, clock clockwork.Clock, log zerolog.Logger) *Membership {
 	m := &Membership{
 		clock: clock, log: log, store: state.NewStore(rand.Uint64()), own: own,
-		records: make(map[member.BoxID]member.Record), silentSince: make(map[member.BoxID]time.Time), hasLeft: make(map[member.BoxID]bool), retired: make(retiredBoxes), changed: make(chan struct{}),
+		records: make(map[member.BoxID]member.Record), silentSince: make(map[member.BoxID]time.Time), hasLeft: make(map[member.BoxID]bool),
+		retired: make(retiredBoxes), changed: make(chan struct{}),
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/direct/retry_test.go
+++ b/internal/direct/retry_test.go
@@ -15,7 +15,7 @@
 	state, clock := newTestFleetState()
 	s = newTestCallerServer(state)
 	s.started, s.retries = clock.Now(), route.RetryLimits{Ratio: 0.2, Extra: 100, Window: 10 * time.Second}
-	s.retryShares = route.NewRetryShares(s.retries.Window, s.started)
+	s.retryShares = route.NewRetryShares(s.retries.Window)
 	members := newTestMembership(clock, "self")
 	members.Merge(recordItems(t, others...), "a")
 	s.entries.Store(&EntryBoxes{membership: members, clock: clock, self: members.Own(), seeds: []string{"self", "a", "b"}})
--- a/internal/lab/retries.go
+++ b/internal/lab/retries.go
@@ -23,7 +23,7 @@
 	b.retries = boxRetries{claims: make(map[*box]route.RetryShare)}
 	if limits := b.sim.deployment.Retries; limits.Window > 0 {
 		b.retries.budget = route.NewWindowRetryBudget(limits, b.sim.Now())
-		b.retries.shares = route.NewRetryShares(limits.Window, b.sim.Now())
+		b.retries.shares = route.NewRetryShares(limits.Window)
 		b.retries.extra = limits.Extra
 	}
 }
--- a/pkg/route/retrybudget_test.go
+++ b/pkg/route/retrybudget_test.go
@@ -246,7 +246,7 @@
 func (m *shareModel) startBox(i int, at time.Duration) {
 	b := m.boxes[i]
 	b.up, b.frozen, b.start, b.claim, b.known = true, false, m.epoch.Add(at), 0, make(map[int]RetryShare)
-	b.budget, b.shares = NewWindowRetryBudget(m.limits, b.start), NewRetryShares(m.limits.Window, b.start)
+	b.budget, b.shares = NewWindowRetryBudget(m.limits, b.start), NewRetryShares(m.limits.Window)
 }
 
 // roundUp returns a time rounded up to a whole step.
@@ -404,7 +404,7 @@
 	now, shares := time.Unix(1000, 0), make([]*RetryShares, 5)
 	claims := make([]RetryShare, len(shares))
 	for i := range shares {
-		shares[i] = NewRetryShares(10*time.Second, now)
+		shares[i] = NewRetryShares(10 * time.Second)
 	}
 	run := func(boxes int, duration time.Duration) {
 		for end := now.Add(duration); now.Before(end); now = now.Add(100 * time.Millisecond) {
@@ -432,7 +432,7 @@
 
 func TestBoxThatDoesNotKnowTheFleetClaimsNothing(t *testing.T) {
 	now := time.Unix(1000, 0)
-	s := NewRetryShares(10*time.Second, now)
+	s := NewRetryShares(10 * time.Second)
 	require.Zero(t, s.Update(nil, false, now))
 	require.Zero(t, s.Update(nil, false, now.Add(time.Minute)))
 	require.InDelta(t, 0.1*160/16, s.Allowance(160).Share, 1e-9)
--- a/pkg/route/retryshares.go
+++ b/pkg/route/retryshares.go
@@ -32,8 +32,7 @@
 // claimed. It lowers what it uses at once, and its claim once a window has passed since. A box that can't reach the
 // others therefore keeps its share, and a box that is not reached still has one.
 type RetryShares struct {
-	window  time.Duration
-	started time.Time
+	window time.Duration
 	// isComplete is set once the box knows all others.
 	isComplete bool
 	// claim is the share that other boxes must leave to this one, usable the share that it uses.
@@ -46,9 +45,9 @@
 	boxes int
 }
 
-// NewRetryShares returns the shares of a process that starts now, without a claim.
-func NewRetryShares(window time.Duration, now time.Time) *RetryShares {
-	return &RetryShares{window: window, started: now, boxes: 1}
+// NewRetryShares returns the shares of a process that has just started, without a claim.
+func NewRetryShares(window time.Duration) *RetryShares {
+	return &RetryShares{window: window, boxes: 1}
 }
 
 // Update applies the claims of all other known boxes. isComplete reports that no box is missing among them. It returns the
