test(direct): parallel cases of the retry bound have a size of their own

The two cases with 41 boxes share the loop's variable `boxes`, and each sets it to 7 under the race detector while the other reads it.

Change: each case has its own variable. The sizes are the same as before.

--- a/internal/direct/clusterretries_test.go
+++ b/internal/direct/clusterretries_test.go
@@ -277,11 +277,12 @@
 			}
 			t.Run(fmt.Sprintf("%s, %d boxes", test.name, boxes), func(t *testing.T) {
 				t.Parallel()
-				if boxes > 7 && raceEnabled {
-					boxes = 7
+				run := boxes
+				if run > 7 && raceEnabled {
+					run = 7
 				}
 				synctest.Test(t, func(t *testing.T) {
-					r := newRetryRun(t, 1, boxes)
+					r := newRetryRun(t, 1, run)
 					defer r.stop()
 					test.run(r)
 					r.requireBound()
