--- a/internal/direct/crashparts_test.go
+++ b/internal/direct/crashparts_test.go
@@ -72,6 +72,17 @@
 	return nil
 }
 
+// cmdListenAfterCrash makes servers that crash on a part listen for a time after the connection has closed:
+//
+//	listen-after-crash 5ms
+func (w *testDeployment) cmdListenAfterCrash(args []string) error {
+	duration, err := time.ParseDuration(args[0])
+	for _, s := range w.servers {
+		s.SetListensAfterCrash(duration)
+	}
+	return err
+}
+
 // cmdSendWithParts sends requests whose prompts contain parts that crash servers, and others beside them that share the
 // first part, in turn to all running entry boxes. No two requests have the same body, last part or, mostly, other parts:
 //
--- a/internal/direct/scenario_test.go
+++ b/internal/direct/scenario_test.go
@@ -58,6 +58,7 @@
 			"check-blocked":      command((*testDeployment).cmdCheckBlocked),
 			"await-status":       command((*testDeployment).cmdAwaitStatus),
 			"crash-on-parts":     command((*testDeployment).cmdCrashOnParts),
+			"listen-after-crash": command((*testDeployment).cmdListenAfterCrash),
 			"send-with-parts":    command((*testDeployment).cmdSendWithParts),
 			"crash-servers":      command((*testDeployment).cmdCrashServers),
 			"check-part-exits":   command((*testDeployment).cmdCheckPartExits),
