fix(direct): a server that listens for a moment after its connections have ended has exited

A closed connection was followed by one probe; a process that is ending may close its listener some milliseconds after its connections, so the probe found it. A response broken off after a whole event then counted as complete and cleared the parts of its prompt; one broken off inside an event gave no evidence until the server's next start was known.

Change: a server is probed at once and 10, 40 and 120 ms after. A failed attempt and a stream that ended with its connection wait for the first two. Evidence follows from any of them, and a response that ended with its connection within 200 ms clears its parts after the last one only. An attempt that fails after the first two gets probes of its own, as its server may exit later. The soak's servers listen for 0, 5 or 10 ms after a crash.

--- a/internal/direct/callerserver.go
+++ b/internal/direct/callerserver.go
@@ -123,7 +123,7 @@
 	s.pool = upstream.NewPool(upstream.Options{
 		Clock: p.options.Clock, Matches: s.isMatchingResponse, MaxIdlePerServer: maxIdlePerServer, OnConnect: p.metrics.connections.Inc,
 	})
-	s.exitProbes = newExitProbes(s.clock, s.pool)
+	s.exitProbes = newExitProbes(s.clock, s.pool, s.tasks)
 	p.callerServer = s
 	router := newRouter()
 	router.Any("/*", s.serve)
--- a/internal/direct/hedge_test.go
+++ b/internal/direct/hedge_test.go
@@ -239,7 +239,7 @@
 			}
 		},
 	})
-	h.box.exitProbes = newExitProbes(clock, h.box.pool)
+	h.box.exitProbes = newExitProbes(clock, h.box.pool, h.box.tasks)
 	h.request(t.Context())
 	time.Sleep(10 * time.Second)
 	for i := range h.script.Servers {
--- a/internal/direct/serverexits.go
+++ b/internal/direct/serverexits.go
@@ -5,11 +5,13 @@
 	"errors"
 	"io"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/cinderslip/cinderslip/internal/kernel"
 	"github.com/cinderslip/cinderslip/internal/upstream"
 	"github.com/cinderslip/cinderslip/pkg/member"
 	"github.com/cinderslip/cinderslip/pkg/route"
@@ -22,57 +24,108 @@
 	// exitProbeTimeout limits a probe, which checks whether a server still listens. A box without a listener
 	// refuses the connection at once; if the box does not reply, the failure is not limited to the server.
 	exitProbeTimeout = 150 * time.Millisecond
+	// earlyProbes is the number of probes of exitProbeTimes for which a failed attempt waits.
+	earlyProbes = 2
 	// exitProbeRetention is how long the result of a probe is kept for a server incarnation that has exited.
 	exitProbeRetention = 10 * time.Second
 )
 
+// exitProbeTimes are when a server is probed after a connection to it has failed. A process that ends may listen for a moment
+// after its connections have closed, so a server that is found to listen at once may still be ending.
+var exitProbeTimes = [...]time.Duration{0, 10 * time.Millisecond, 40 * time.Millisecond, 120 * time.Millisecond}
+
 // exitProbes detect whether a server has exited when a connection to it fails. A failed connection alone is no
 // proof: networks reset connections, and servers truncate responses. Attempts that fail at the same time share
-// one probe.
+// the probes of their server.
 type exitProbes struct {
 	clock clockwork.Clock
 	probe func(ctx context.Context, address member.Address) error
+	tasks *kernel.TaskGroup
 
 	mu            sync.Mutex
 	byIncarnation map[route.ServerIncarnation]*exitProbe
 }
 
-// exitProbe is one probe. The result may be read once done is closed.
+// exitProbe is a series of probes of one server. early is closed after the first earlyProbes of them, done after the last one,
+// both as soon as one is refused. exited may be read once either is closed.
 type exitProbe struct {
-	done   chan struct{}
-	at     time.Time
-	exited bool
+	early, done chan struct{}
+	at          time.Time
+	exited      atomic.Bool
+}
+
+// hasExited reports whether one of the first probes was refused.
+func (p *exitProbe) hasExited() bool {
+	<-p.early
+	return p.exited.Load()
+}
+
+// exitsLater reports whether any probe was refused. It waits for the last one.
+func (p *exitProbe) exitsLater() bool {
+	<-p.done
+	return p.exited.Load()
 }
 
-func newExitProbes(clock clockwork.Clock, pool *upstream.Pool) *exitProbes {
-	return &exitProbes{clock: clock, probe: pool.Probe, byIncarnation: make(map[route.ServerIncarnation]*exitProbe)}
+func newExitProbes(clock clockwork.Clock, pool *upstream.Pool, tasks *kernel.TaskGroup) *exitProbes {
+	return &exitProbes{clock: clock, probe: pool.Probe, tasks: tasks, byIncarnation: make(map[route.ServerIncarnation]*exitProbe)}
 }
 
-// hasExited reports whether the incarnation of a server that received a request has exited, which means that
+// start returns the probes that show whether the incarnation of a server that received a request has exited, which means that
 // its address refuses connections.
-func (p *exitProbes) hasExited(incarnation route.ServerIncarnation, address member.Address, sent time.Time) bool {
+func (p *exitProbes) start(incarnation route.ServerIncarnation, address member.Address, sent time.Time) *exitProbe {
 	probe, isNew := p.findOrAdd(incarnation, sent)
-	if !isNew {
-		<-probe.done
-		return probe.exited
+	if isNew {
+		p.tasks.Go(func(ctx context.Context) { p.run(ctx, probe, incarnation, address) })
 	}
+	return probe
+}
+
+// run probes a server until it refuses a connection or the last probe has ended.
+func (p *exitProbes) run(ctx context.Context, probe *exitProbe, incarnation route.ServerIncarnation, address member.Address) {
 	defer close(probe.done)
-	ctx, cancel := clockwork.WithTimeout(context.Background(), p.clock, exitProbeTimeout)
-	defer cancel()
-	probe.exited = errors.Is(p.probe(ctx, address), syscall.ECONNREFUSED)
-	if !probe.exited {
-		// The server is still running and may exit later.
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		if p.byIncarnation[incarnation] == probe {
-			delete(p.byIncarnation, incarnation)
+	for i, at := range exitProbeTimes {
+		sleep(ctx, p.clock, at-p.clock.Since(probe.at))
+		if p.isRefused(ctx, address) {
+			probe.exited.Store(true)
+			p.keep(incarnation, probe)
+			if i < earlyProbes {
+				close(probe.early)
+			}
+			return
+		}
+		if i == earlyProbes-1 {
+			// The server is still running and may exit later. An attempt that fails from now on needs other probes.
+			p.drop(incarnation, probe)
+			close(probe.early)
 		}
 	}
-	return probe.exited
 }
 
-// findOrAdd returns the probe of an incarnation and whether the caller has to run it. A probe that began before
-// the request was sent does not show whether the server exited afterwards, so it is replaced.
+// isRefused reports whether a server refuses a connection.
+func (p *exitProbes) isRefused(ctx context.Context, address member.Address) bool {
+	ctx, cancel := clockwork.WithTimeout(ctx, p.clock, exitProbeTimeout)
+	defer cancel()
+	return errors.Is(p.probe(ctx, address), syscall.ECONNREFUSED)
+}
+
+// keep makes probes that were refused those of an incarnation.
+func (p *exitProbes) keep(incarnation route.ServerIncarnation, probe *exitProbe) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.byIncarnation[incarnation] = probe
+}
+
+// drop removes the probes of an incarnation unless others have replaced them.
+func (p *exitProbes) drop(incarnation route.ServerIncarnation, probe *exitProbe) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.byIncarnation[incarnation] == probe {
+		delete(p.byIncarnation, incarnation)
+	}
+}
+
+// findOrAdd returns the probes of an incarnation and whether the caller has to run them. Probes that began before
+// the request was sent do not show whether the server exited afterwards, so they are replaced.
 func (p *exitProbes) findOrAdd(incarnation route.ServerIncarnation, sent time.Time) (probe *exitProbe, isNew bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -85,7 +138,7 @@
 			delete(p.byIncarnation, other)
 		}
 	}
-	probe = &exitProbe{done: make(chan struct{}), at: now}
+	probe = &exitProbe{early: make(chan struct{}), done: make(chan struct{}), at: now}
 	p.byIncarnation[incarnation] = probe
 	return probe, true
 }
@@ -107,38 +160,55 @@
 	case errors.Is(err, route.ErrQuarantined):
 		// The box aborted the attempt.
 		result = route.ResultAbandoned
-	case isDisconnect(err) && s.serverExited(x, a.reservation):
+	case isDisconnect(err) && s.serverExited(x, a.reservation, (*exitProbe).hasExited):
 		result = route.ResultServerExited
 	}
 	s.finishAttempt(x, a, result, err)
 }
 
 // serverExited reports whether the server of a failed connection has exited. If it exited shortly after it
-// began to run the request, and without announcing its departure, the attributes of the request become suspect.
-func (s *CallerServer) serverExited(x *exchange, reservation *route.Reservation) bool {
+// began to run the request, and without announcing its departure, the attributes of the request become suspect, at once or
+// once a later probe shows it. await returns the result of the probes.
+func (s *CallerServer) serverExited(x *exchange, reservation *route.Reservation, await func(*exitProbe) bool) bool {
 	now := s.clock.Now()
 	if reservation.IsLeaving() || !reservation.IsListed() {
 		return false
 	}
-	exited := s.hasExited(reservation)
+	probe := s.startExitProbe(reservation)
+	exited := await(probe)
 	if reservation.RespondingFor(now) >= safeResponseDuration {
 		return exited
 	}
 	incarnation := s.suspects.IncarnationAt(reservation.ServerIncarnation(), reservation.ReservedAt())
+	var causes []route.Evidence
 	for _, attribute := range s.possibleCauses(x, reservation.ReservedAt(), now) {
-		evidence := route.Evidence{Attribute: attribute, Exited: incarnation, At: now}
-		if exited {
-			s.suspects.Observe(evidence, "request "+x.ID)
-		} else {
-			s.suspects.NoteDisconnect(evidence)
+		causes = append(causes, route.Evidence{Attribute: attribute, Exited: incarnation, At: now})
+	}
+	if exited {
+		s.observeAll(causes, x)
+		return true
+	}
+	for _, evidence := range causes {
+		s.suspects.NoteDisconnect(evidence)
+	}
+	s.tasks.Go(func(context.Context) {
+		if probe.exitsLater() {
+			s.observeAll(causes, x)
 		}
+	})
+	return false
+}
+
+// observeAll records evidence that a request of this box has yielded.
+func (s *CallerServer) observeAll(evidence []route.Evidence, x *exchange) {
+	for _, e := range evidence {
+		s.suspects.Observe(e, "request "+x.ID)
 	}
-	return exited
 }
 
-// hasExited reports whether the server of a reservation has exited.
-func (s *CallerServer) hasExited(reservation *route.Reservation) bool {
-	return s.exitProbes.hasExited(reservation.ServerIncarnation(), reservation.Server.Address, reservation.ReservedAt())
+// startExitProbe starts to find out whether the server of a reservation has exited.
+func (s *CallerServer) startExitProbe(reservation *route.Reservation) *exitProbe {
+	return s.exitProbes.start(reservation.ServerIncarnation(), reservation.Server.Address, reservation.ReservedAt())
 }
 
 // possibleCauses returns the attributes of a request that may have caused its server to exit: the content unless it was
@@ -175,7 +245,7 @@
 		return
 	}
 	s.tasks.Go(func(context.Context) {
-		if !s.serverExited(x, reservation) {
+		if !s.serverExited(x, reservation, (*exitProbe).exitsLater) {
 			s.recordSuccess(x)
 		}
 	})
--- a/internal/direct/stream.go
+++ b/internal/direct/stream.go
@@ -130,7 +130,7 @@
 // hasExitedUnannounced reports whether the server of a stream that ended with its connection, after a complete event, has
 // exited. Such a stream may lack events.
 func (s *CallerServer) hasExitedUnannounced(reservation *route.Reservation) bool {
-	return !reservation.IsLeaving() && reservation.IsListed() && s.hasExited(reservation)
+	return !reservation.IsLeaving() && reservation.IsListed() && s.startExitProbe(reservation).hasExited()
 }
 
 // finishStream ends a complete stream, which the attempt must have claimed.
--- a/internal/direct/suspectrequests_test.go
+++ b/internal/direct/suspectrequests_test.go
@@ -7,14 +7,17 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/cinderslip/cinderslip/internal/kernel"
 	"github.com/cinderslip/cinderslip/internal/provider"
 	"github.com/cinderslip/cinderslip/internal/wire"
 	"github.com/cinderslip/cinderslip/pkg/fleet"
@@ -66,24 +69,75 @@
 	require.Equal(t, same, headers.contentID(), "values that differ on each retry are excluded")
 }
 
+// exitProbeScript answers the probes of one server. Each result holds until a time since the first probe.
+type exitProbeScript []struct {
+	until time.Duration
+	err   error
+}
+
+var errRefused = fmt.Errorf("dial: %w", syscall.ECONNREFUSED)
+
+// newScriptedExitProbes returns probes with scripted results and the number of probes so far.
+func newScriptedExitProbes(script exitProbeScript) (probes *exitProbes, count *atomic.Int64) {
+	started, count := time.Now(), &atomic.Int64{}
+	return &exitProbes{
+		clock: clockwork.NewRealClock(), tasks: kernel.NewTaskGroup(), byIncarnation: make(map[route.ServerIncarnation]*exitProbe),
+		probe: func(context.Context, member.Address) error {
+			count.Add(1)
+			for _, result := range script {
+				if time.Since(started) < result.until {
+					return result.err
+				}
+			}
+			return nil
+		},
+	}, count
+}
+
 func TestDisconnectFromRunningServerIsNoExit(t *testing.T) {
-	probeCount := 0
-	listening, refused := error(nil), fmt.Errorf("dial: %w", syscall.ECONNREFUSED)
-	result := listening
-	probes := &exitProbes{clock: clockwork.NewRealClock(), byIncarnation: make(map[route.ServerIncarnation]*exitProbe), probe: func(context.Context, member.Address) error {
-		probeCount++
-		return result
-	}}
-	incarnation, sent := route.ServerIncarnation{Server: "i-1"}, time.Now()
-	require.False(t, probes.hasExited(incarnation, "10.0.0.1:80", sent))
-	result = context.DeadlineExceeded
-	require.False(t, probes.hasExited(incarnation, "10.0.0.1:80", sent), "the box does not reply")
-	result = refused
-	require.True(t, probes.hasExited(incarnation, "10.0.0.1:80", sent))
-	result = listening
-	require.True(t, probes.hasExited(incarnation, "10.0.0.1:80", sent), "a later incarnation may be listening")
-	require.Equal(t, 3, probeCount)
-	require.False(t, probes.hasExited(incarnation, "10.0.0.1:80", time.Now()), "a later request needs a new probe")
+	synctest.Test(t, func(t *testing.T) {
+		probes, count := newScriptedExitProbes(exitProbeScript{
+			{time.Second, nil}, {2 * time.Second, context.DeadlineExceeded}, {3 * time.Second, errRefused},
+		})
+		incarnation, sent := route.ServerIncarnation{Server: "i-1"}, time.Now()
+		start := func() *exitProbe { return probes.start(incarnation, "10.0.0.1:80", sent) }
+		require.False(t, start().hasExited())
+		require.False(t, start().exitsLater())
+		time.Sleep(time.Second)
+		require.False(t, start().exitsLater(), "the box does not reply")
+		time.Sleep(time.Second)
+		before := count.Load()
+		require.True(t, start().hasExited())
+		time.Sleep(time.Second)
+		require.True(t, start().hasExited(), "a later incarnation may be listening")
+		require.Equal(t, before+1, count.Load())
+		require.False(t, probes.start(incarnation, "10.0.0.1:80", time.Now()).exitsLater(), "a later request needs new probes")
+	})
+}
+
+func TestServerThatListensForAMomentHasExited(t *testing.T) {
+	for _, test := range []struct {
+		listens         time.Duration
+		isEarly, isExit bool
+	}{
+		{0, true, true},
+		{5 * time.Millisecond, true, true},
+		{30 * time.Millisecond, false, true},
+		{100 * time.Millisecond, false, true},
+		{200 * time.Millisecond, false, false},
+	} {
+		t.Run(test.listens.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				probes, _ := newScriptedExitProbes(exitProbeScript{{test.listens, nil}, {time.Second, errRefused}})
+				incarnation, sent := route.ServerIncarnation{Server: "i-1"}, time.Now()
+				probe := probes.start(incarnation, "10.0.0.1:80", sent)
+				require.Equal(t, test.isEarly, probe.hasExited())
+				require.Equal(t, test.isExit, probe.exitsLater())
+				require.Equal(t, test.isExit, probes.start(incarnation, "10.0.0.1:80", sent).hasExited(), "attempts that fail later share the result")
+				require.NoError(t, probes.tasks.Stop(t.Context()))
+			})
+		})
+	}
 }
 
 func TestLaterIncarnationProvesExit(t *testing.T) {
--- a/internal/soak/crash_test.go
+++ b/internal/soak/crash_test.go
@@ -41,6 +41,9 @@
 // crashPartResponses is what servers send before they crash because of crashPart, in turn by server.
 var crashPartResponses = []standin.CrashResponse{standin.CrashBeforeHead, standin.CrashAfterHead, standin.CrashInsideEvent, standin.CrashAfterEvent}
 
+// crashListenTime is how long some servers still listen after the connection of a request with crashPart has closed.
+const crashListenTime = 5 * time.Millisecond
+
 // crashRoutes are the routes on which the request is sent. The system must treat each as a different request.
 var crashRoutes = []string{"talk", "look"}
 
@@ -63,6 +66,7 @@
 func (l *load) runCrashRequests() {
 	for i, s := range l.deployment.servers {
 		s.CrashOnBody(crashBody, func() { l.deployment.crashServer(s) })
+		s.SetListensAfterCrash(time.Duration(i%3) * crashListenTime)
 		s.CrashOnParts([]string{crashPart}, crashPartResponses[i%len(crashPartResponses)], func(string) { l.deployment.crashServer(s) })
 	}
 	l.wg.Go(func() {
