fix(lab): the laboratory's boxes pass the least number of boxes

Cause: gave RetryShares.Update another argument and left out its caller in internal/lab, which did not build from there to. The laboratory has no agents.

Change: it passes 0.

--- a/internal/lab/retries.go
+++ b/internal/lab/retries.go
@@ -40,7 +40,7 @@
 			claims = append(claims, b.retries.claims[other])
 		}
 	}
-	b.retries.claim = b.retries.shares.Update(claims, len(b.retries.claims) == len(claims), b.sim.Now())
+	b.retries.claim = b.retries.shares.Update(claims, 0, len(b.retries.claims) == len(claims), b.sim.Now())
 	for _, other := range b.sim.boxes {
 		if other != b && other.up {
 			b.sendRetryClaim(other)
