test(direct): the bound on retries holds in an upgrade from boxes without claims

Change: a case in which all boxes begin as ones of a version without claims, which use 0.7 of an equal part of the boxes that are up, and are restarted in order as new ones while servers fail. The old version's own window and counting are not modelled.

--- a/internal/direct/clusterretries_test.go
+++ b/internal/direct/clusterretries_test.go
@@ -27,6 +27,8 @@
 	retryTransit = 30 * time.Millisecond
 	// readPatience is how long a caller waits for its box to read the request.
 	readPatience = time.Second
+	// oldRetryShare is the part of an equal share that a version without claims uses.
+	oldRetryShare = 0.7
 	// lastingFailures is the part of the attempts that fail at servers that fail for long.
 	lastingFailures = 0.9
 )
@@ -53,6 +55,8 @@
 	// agents hold what the agents of each region keep of the size of the fleet.
 	agents      map[member.Region]*fleetSizeMemory
 	agentRandom *rand.Rand
+	// isOld holds the boxes of a version without claims.
+	isOld map[*clusterBox]bool
 	// frozen are the boxes that stand still, waiting the requests that have reached them, by when they were sent.
 	frozen  map[*clusterBox]bool
 	waiting map[*clusterBox][]time.Time
@@ -74,7 +78,7 @@
 		failing: func(time.Duration) float64 { return 0 }, load: func(time.Duration) float64 { return 1 },
 		isCut:  func(*clusterBox, time.Duration) bool { return false },
 		agents: make(map[member.Region]*fleetSizeMemory), agentRandom: rand.New(rand.NewPCG(seed, 3)), //nolint:gosec // repeatable on purpose
-		frozen: make(map[*clusterBox]bool), waiting: make(map[*clusterBox][]time.Time),
+		isOld: make(map[*clusterBox]bool), frozen: make(map[*clusterBox]bool), waiting: make(map[*clusterBox][]time.Time),
 	}
 }
 
@@ -139,7 +143,7 @@
 			if !r.isUp(box) {
 				delete(r.waiting, box)
 			} else if !r.frozen[box] {
-				box.callers.updateRetryAllowance(time.Now())
+				r.updateAllowance(box)
 				r.serve(box)
 			}
 		}
@@ -147,6 +151,17 @@
 	}
 }
 
+// updateAllowance updates the share of a box. One of a version without claims uses a part of an equal share of the boxes that
+// are up.
+func (r *retryRun) updateAllowance(box *clusterBox) {
+	if !r.isOld[box] {
+		box.callers.updateRetryAllowance(time.Now())
+		return
+	}
+	share := oldRetryShare * r.limits.Extra / float64(box.entries.membership.UpCount())
+	box.callers.retryAllowance.Store(&route.RetryAllowance{Share: share, AtStart: share})
+}
+
 // followAgents lets the boxes and the agents of each region follow each other. An agent follows any box of its region.
 func (r *retryRun) followAgents() {
 	for _, i := range r.agentRandom.Perm(len(r.boxes)) {
@@ -397,6 +412,17 @@
 		}
 		r.run(70*time.Second, events...)
 	}},
+	{"an upgrade of a version without claims", true, func(r *retryRun) {
+		r.failing = failsBetween(lastingFailures, 14, 60)
+		var events []retryEvent
+		for i, box := range r.boxes {
+			r.isOld[box] = true
+			start := 20*time.Second + time.Duration(i)*1200*time.Millisecond
+			events = append(events, retryEvent{start, func() { r.kill(box) }},
+				retryEvent{start + time.Second, func() { delete(r.isOld, box); r.restart(box) }})
+		}
+		r.run(80*time.Second, events...)
+	}},
 	{"a growing fleet", false, func(r *retryRun) {
 		for _, box := range r.boxes[len(r.boxes)/2:] {
 			r.kill(box)
