fix(daemon): a claim whose release was lost does not refuse the next attempt of its request

From its logs: agent-2 asked agent-3 to witness two requests and had no answer to the claim nor, 0.5 s later, to its release ("releasing the claim at a witness failed ... context deadline exceeded"), and refused the requests as not run; the entry box sent them to agent-3, which held the claims and refused them as run before. Callers saw 502 for requests that had run nowhere. What kept agent-3 silent for a second is not shown; it also missed heartbeats.

Change: the entry box knows which attempts never run, and names them with the next one; agents release their claims first. A claim that arrives after its release is not recorded. A request still runs at most once: an attempt is named only if its agent refused it or has settled that it never starts.

--- a/internal/daemon/attempts.go
+++ b/internal/daemon/attempts.go
@@ -105,6 +105,7 @@
 		case outcomeUnknown:
 			mayHaveRun = err
 		case outcomeNotExecuted:
+			x.notRun = append(x.notRun, string(attempt))
 			lastRefusal = refusal{reasonBoxesFailed, err.Error(), time.Second}
 		}
 		if !c.canRetry(x, result, err) {
--- a/internal/daemon/backendproxy.go
+++ b/internal/daemon/backendproxy.go
@@ -192,6 +192,7 @@
 	case !ok || !state.accepting:
 		return nil, wire.Refusal_REFUSAL_VERSION, fmt.Sprintf("%s %s is not live here", head.Service, head.Version)
 	}
+	p.releaseNotRun(head.RequestId, head.NotRun)
 	switch p.dedup.Start(route.RequestID(head.RequestId), route.AttemptID(head.Attempt), head.Repeatable, p.clock.Now()) {
 	case route.StartDuplicate:
 		return nil, wire.Refusal_REFUSAL_DUPLICATE, "the request id ran before"
--- a/internal/daemon/backendproxy_test.go
+++ b/internal/daemon/backendproxy_test.go
@@ -27,6 +27,8 @@
 	forwarder *forwarder
 	// witnesses are the witness addresses sent with each request.
 	witnesses []member.Address
+	// notRun are the attempts that are sent as ones that never run.
+	notRun []string
 }
 
 const testIncarnation member.Incarnation = 7
@@ -58,7 +60,7 @@
 	writer := newRecorder()
 	x := &exchange{
 		id: route.RequestID(id), service: "chizu", path: request.URL.RequestURI(), request: request, writer: writer,
-		body: body, arrived: time.Now(),
+		body: body, arrived: time.Now(), notRun: f.notRun,
 	}
 	if deadline, ok := request.Context().Deadline(); ok {
 		x.deadline = deadline
--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -73,6 +73,8 @@
 	writer      http.ResponseWriter
 	body        *bodyReader
 	arrived     time.Time
+	// notRun are the attempts that never run.
+	notRun []string
 	// frames counts the response frames as a measure of the work done.
 	frames atomic.Int64
 }
@@ -135,7 +137,7 @@
 		RequestId: string(x.id), Service: string(x.service), Version: string(x.version), Group: string(x.group),
 		Method: x.request.Method, Path: x.path, Headers: headersToWire(x.request.Header, x.request.Header.Values("Connection")),
 		Repeatable: x.repeatable, Priority: int32(x.priority),
-		Incarnation: uint64(target.Incarnation), Attempt: string(attempt),
+		Incarnation: uint64(target.Incarnation), Attempt: string(attempt), NotRun: x.notRun,
 	}
 	if !x.deadline.IsZero() {
 		head.DeadlineMilliseconds = max(1, x.deadline.Sub(f.clock.Now()).Milliseconds())
--- a/internal/daemon/witness.go
+++ b/internal/daemon/witness.go
@@ -42,9 +42,9 @@
 	return refusal, detail
 }
 
-// releaseClaims releases the claims of an attempt that did not run. If a release fails, later
-// attempts with the id may be refused as duplicates, and so get an unknown outcome, until the
-// dedup window ends.
+// releaseClaims releases the claims of an attempt that did not run. If a release fails, only later
+// attempts of the same entry box release them: a request that the caller sends again may be refused as a
+// duplicate, and so get an unknown outcome, until the dedup window ends.
 func (p *BackendProxy) releaseClaims(head *wire.RequestHead) {
 	if head.Repeatable {
 		return
@@ -60,18 +60,26 @@
 }
 
 func newClaimRequest(head *wire.RequestHead) *wire.ClaimRequest {
-	return &wire.ClaimRequest{RequestId: head.RequestId, Attempt: head.Attempt}
+	return &wire.ClaimRequest{RequestId: head.RequestId, Attempt: head.Attempt, NotRun: head.NotRun}
 }
 
 // Claim records a request id for an attempt that is about to run on another agent. Seen is true if
 // another attempt with the id is on record here.
 func (p *BackendProxy) Claim(_ context.Context, request *wire.ClaimRequest) (*wire.ClaimResponse, error) {
+	p.releaseNotRun(request.RequestId, request.NotRun)
 	claimed := p.dedup.Claim(route.RequestID(request.RequestId), route.AttemptID(request.Attempt), p.clock.Now())
 	return &wire.ClaimResponse{Seen: !claimed}, nil
 }
 
+// releaseNotRun releases the claims of earlier attempts of a request that never run.
+func (p *BackendProxy) releaseNotRun(request string, attempts []string) {
+	for _, attempt := range attempts {
+		p.dedup.Abandon(route.RequestID(request), route.AttemptID(attempt), p.clock.Now())
+	}
+}
+
 // Release removes the claim of an attempt that did not run on another agent.
 func (p *BackendProxy) Release(_ context.Context, request *wire.ClaimRequest) (*wire.ReleaseResponse, error) {
-	p.dedup.Release(route.RequestID(request.RequestId), route.AttemptID(request.Attempt))
+	p.dedup.Abandon(route.RequestID(request.RequestId), route.AttemptID(request.Attempt), p.clock.Now())
 	return &wire.ReleaseResponse{}, nil
 }
--- a/pkg/route/dedup.go
+++ b/pkg/route/dedup.go
@@ -85,20 +85,13 @@
 	return r.claim(request, attempt, now)
 }
 
-// Release removes the claim of an attempt that did not run.
-func (r *DedupRegistry) Release(request RequestID, attempt AttemptID) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.requests[request].attempt == attempt {
-		delete(r.requests, request)
-	}
-}
-
 func (r *DedupRegistry) claim(request RequestID, attempt AttemptID, now time.Time) bool {
 	if entry, ok := r.requests[request]; ok && entry.attempt != attempt {
 		return false
 	}
-	r.requests[request] = dedupEntry{attempt: attempt, at: now}
+	if !r.attempts[attempt].settled {
+		r.requests[request] = dedupEntry{attempt: attempt, at: now}
+	}
 	return true
 }
 
@@ -114,8 +107,9 @@
 	return false
 }
 
-// Abandon reverts the start of an attempt that has certainly not reached the backend server. The request may run on
-// another agent, or on this one under another attempt. The abandoned attempt can no longer start.
+// Abandon reverts the start or the claim of an attempt that has certainly not reached the backend server. The request may run
+// on another agent, or on this one under another attempt. The abandoned attempt can no longer start, and a claim of it that
+// arrives later is not recorded.
 func (r *DedupRegistry) Abandon(request RequestID, attempt AttemptID, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/pkg/route/route_test.go
+++ b/pkg/route/route_test.go
@@ -244,7 +244,7 @@
 				registries[runner].Abandon("id", attempt, testTime)
 				for i, registry := range registries {
 					if i != failed {
-						registry.Release("id", attempt)
+						registry.Abandon("id", attempt, testTime)
 					}
 				}
 			default:
