fix(upstream): a peer that reads nothing for a while keeps its connection while its box responds

Cause: a server that read nothing of a long request body for more than 2 s, or a caller that read nothing of a long response, lost its connection after 2.3 s, where the deadline or unreadTimeout (10 s) allow more.

Change: twice a second a connection with unacknowledged data reads TCP_INFO and raises its TCP_USER_TIMEOUT to 2 s after the last acknowledgement. Connections to peers and the store stay as they are: their writes hold no long data, and a raised timeout there would let a frozen peer hold a write.

The caller's test opens its listener by upstream.Listen, which serveHTTP uses now; its checks are the same.

--- a/internal/direct/callerconnection_test.go
+++ b/internal/direct/callerconnection_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/cinderslip/cinderslip/internal/upstream"
 )
 
 // Guards against the kernel cutting a long response because its caller, which acknowledges every window probe, reads
@@ -17,7 +19,7 @@
 	t.Parallel()
 	const size, pause = 4 << 20, 2800 * time.Millisecond
 	require.Less(t, pause, unreadTimeout)
-	listener, err := listen("127.0.0.1:0")
+	listener, err := upstream.Listen(t.Context(), "127.0.0.1:0")
 	require.NoError(t, err)
 	server := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = w.Write(make([]byte, size))
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -13,6 +13,7 @@
 
 	"github.com/cinderslip/cinderslip/internal/kernel"
 	"github.com/cinderslip/cinderslip/internal/metric"
+	"github.com/cinderslip/cinderslip/internal/upstream"
 	"github.com/cinderslip/cinderslip/pkg/fleet"
 )
 
@@ -147,7 +148,7 @@
 
 // serveHTTP starts an HTTP server on an address. headerBytes bounds the size of request headers.
 func (p *Process) serveHTTP(name, address string, handler http.Handler, headerBytes int) (*httpService, error) {
-	listener, err := listen(address)
+	listener, err := upstream.Listen(context.Background(), address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/upstream/unreadbody_test.go
+++ b/internal/upstream/unreadbody_test.go
@@ -65,9 +65,10 @@
 		// beforeDrop is how long the server reads nothing before its box stops.
 		beforeDrop time.Duration
 	}{
-		"short request":                      {size: 100},
-		"long body":                          {size: 4 << 20},
-		"long body that was not read before": {size: 4 << 20, beforeDrop: time.Second},
+		"short request":                          {size: 100},
+		"long body":                              {size: 4 << 20},
+		"long body that was not read before":     {size: 4 << 20, beforeDrop: time.Second},
+		"long body that was not read for longer": {size: 4 << 20, beforeDrop: 5 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -95,9 +96,32 @@
 				Address: address, ID: "1", Method: http.MethodPost, Target: "/x", Host: "a", Header: http.Header{"Id": {"1"}}, Body: make([]byte, test.size),
 			})
 			require.ErrorIs(t, err, ErrNoResponse)
-			// Window probes have intervals that double, so the first one without acknowledgement may be sent as late
-			// after the drop as the server read nothing before.
-			require.Less(t, time.Since(*droppedAt.Load()), userTimeout+test.beforeDrop+time.Second)
+			// Window probes have intervals that double up to userTimeout, so the first one without acknowledgement may be
+			// sent as late after the drop as the server read nothing before.
+			require.Less(t, time.Since(*droppedAt.Load()), userTimeout+min(test.beforeDrop, userTimeout)+time.Second)
 		})
 	}
 }
+
+// Guards against the kernel sending a request for long after its process has ended, to a server that read nothing for long.
+func TestUnreadDataIsDiscardedSoonAfterProcessEnds(t *testing.T) {
+	t.Parallel()
+	const pause, afterEnd = 5 * time.Second, 3 * time.Second
+	const size = 16 << 20
+	received, written := make(chan int64, 1), make(chan int, 1)
+	address := startRawServer(t, func(_ net.Conn, reader *bufio.Reader) {
+		time.Sleep(pause + afterEnd)
+		n, _ := io.Copy(io.Discard, reader)
+		received <- n
+	})
+	conn, err := dial(t.Context(), "tcp", string(address))
+	require.NoError(t, err)
+	go func() {
+		n, _ := conn.Write(make([]byte, size))
+		written <- n
+	}()
+	time.Sleep(pause)
+	// The kernel treats the sockets of an ended process as closed ones.
+	require.NoError(t, conn.Close())
+	require.Less(t, <-received, int64(<-written))
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -88,11 +88,21 @@
 // NewPool returns a pool without connections.
 func NewPool(options Options) *Pool {
 	if options.Dial == nil {
-		options.Dial = (&net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: SetUserTimeout}).DialContext
+		options.Dial = dial
 	}
 	return &Pool{options: options, idle: make(map[member.Address][]*conn)}
 }
 
+// dial opens a connection that fails soon after its peer's box stops responding, and stays open while a peer reads nothing.
+func dial(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: SetUserTimeout}
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return newUnreadConn(conn), nil
+}
+
 const (
 	// keepAliveInterval is the idle time before the first TCP keep-alive probe and the time between two probes.
 	keepAliveInterval = time.Second
@@ -287,7 +297,7 @@
 // receive all of it, and start a request that has no caller any more or that must not start so late. Data that the
 // server's box has already received is not discarded.
 func (c *conn) reset() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+	if tcp, ok := c.Conn.(tcpConn); ok {
 		// An error means that the connection is already closed.
 		_ = tcp.SetLinger(0)
 	}
@@ -300,7 +310,7 @@
 // isOpen reports whether the connection is open at both ends and no received data is unread. It does not wait for
 // another goroutine that reads from the connection.
 func (c *conn) isOpen() bool {
-	tcp, ok := c.Conn.(*net.TCPConn)
+	tcp, ok := c.Conn.(tcpConn)
 	if !ok {
 		return false
 	}
