fix(route): retries that wait for the budget are served in order, and one denied does not deny those after it

Ruled out: a lower budget (the worst window uses 0.45 of what all boxes may).

Change: requests that wait are a queue: one takes a retry only if there are more than those before it need, and the delay counts them. None waits while more retries were denied than taken within the last second, in place of half a second after each denial: failures that last still deny most, a burst does not.

--- a/internal/direct/retry.go
+++ b/internal/direct/retry.go
@@ -10,7 +10,11 @@
 
 // maxRetryWait is how long a request waits for the retry budget at most during the RetryLimits.StartTime of the process, while
 // it must not use its whole share. Later requests do not wait: a caller that retries itself is served sooner.
-const maxRetryWait = 2 * time.Second
+const maxRetryWait = 3 * time.Second
+
+// retryCheckInterval is the time between two checks whether a waiting request may be repeated: those that wait before it may
+// leave at any time.
+const retryCheckInterval = 50 * time.Millisecond
 
 // errRetryBudget reports that the retry budget allows no further attempt.
 var errRetryBudget = errors.New("retry budget is spent")
@@ -82,10 +86,13 @@
 	budget, startedAt := s.retryBudget(x.service), s.clock.Now()
 	longest := min(s.retryWaitLimit(budget, startedAt), x.deadline.Sub(startedAt)/2)
 	retry, delay := budget.TakeRetry(s.allowance(), kind.priority(), startedAt)
-	for retry == nil && s.clock.Since(startedAt)+delay <= longest && ctx.Err() == nil {
-		budget.AddWaiting()
-		sleep(ctx, s.clock, delay)
-		retry, delay = budget.TakeWaiting(s.allowance(), kind.priority(), s.clock.Now())
+	if retry == nil && delay <= longest {
+		ticket := budget.AddWaiting()
+		defer budget.RemoveWaiting(ticket)
+		for retry == nil && s.clock.Since(startedAt)+delay <= longest && ctx.Err() == nil {
+			sleep(ctx, s.clock, min(delay, retryCheckInterval))
+			retry, delay = budget.TakeWaiting(ticket, s.allowance(), kind.priority(), s.clock.Now())
+		}
 	}
 	if retry == nil {
 		budget.DenyRetry(s.clock.Now())
--- a/pkg/route/windowretrybudget.go
+++ b/pkg/route/windowretrybudget.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 )
@@ -17,8 +18,8 @@
 )
 
 const (
-	// scarcityTime is how long no retry waits after one was denied.
-	scarcityTime = 500 * time.Millisecond
+	// scarcityBuckets is the number of buckets in which retries are scarce if more of them were denied than taken.
+	scarcityBuckets = 10
 	// minRetryDelay is the shortest delay after which a retry may be tried again.
 	minRetryDelay = 5 * time.Millisecond
 )
@@ -76,17 +77,16 @@
 	at      int64
 	// buckets holds the totals before the start of each bucket of the last two windows.
 	buckets [2*windowBuckets + 2]retryTotals
-	// totals are the current ones, taken is the number of all retries that were taken and not canceled.
+	// totals are the current ones.
 	totals retryTotals
-	taken  int64
-	// waiting is the number of retries that wait, deniedAt when a retry was last denied.
-	waiting  int
-	deniedAt time.Time
+	// waiting are the retries that wait, in order. lastTicket is the latest of all.
+	waiting    []RetryTicket
+	lastTicket RetryTicket
 }
 
-// retryTotals are numbers since the start of the process.
+// retryTotals are numbers since the start of the process. taken are the retries that were taken and not canceled.
 type retryTotals struct {
-	requests, settled int64
+	requests, taken, settled, denied int64
 }
 
 // NewWindowRetryBudget returns the budget of a process that started at a time. Earlier processes of the box may have used
@@ -132,7 +132,7 @@
 	defer b.mu.Unlock()
 	ahead := 0
 	if priority > RetryStarted {
-		ahead = b.waiting
+		ahead = len(b.waiting)
 	}
 	return b.take(allowance, priority, ahead, now)
 }
@@ -141,29 +141,57 @@
 func (b *WindowRetryBudget) DenyRetry(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.deniedAt = now
+	b.advance(now)
+	b.totals.denied++
 }
 
 // MayWait reports whether a retry may wait. It is pointless while more requests need a retry than can get one.
 func (b *WindowRetryBudget) MayWait(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return now.Sub(b.deniedAt) >= scarcityTime
+	b.advance(now)
+	earlier := b.before(b.at - scarcityBuckets + 1)
+	return b.totals.denied-earlier.denied <= b.totals.taken-earlier.taken
 }
 
-// AddWaiting adds a retry that waits until TakeWaiting is called for it.
-func (b *WindowRetryBudget) AddWaiting() {
+// RetryTicket is the place of a retry in the queue of a budget. Lower ones come first.
+type RetryTicket uint64
+
+// AddWaiting adds a retry to the end of the queue. It waits until TakeWaiting succeeds or RemoveWaiting is called.
+func (b *WindowRetryBudget) AddWaiting() RetryTicket {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.waiting++
+	b.lastTicket++
+	b.waiting = append(b.waiting, b.lastTicket)
+	return b.lastTicket
 }
 
-// TakeWaiting takes a retry for one that waits, and ends its wait in any case.
-func (b *WindowRetryBudget) TakeWaiting(allowance RetryAllowance, priority RetryPriority, now time.Time) (retry *Retry, delay time.Duration) {
+// RemoveWaiting removes a retry from the queue, if it is there.
+func (b *WindowRetryBudget) RemoveWaiting(ticket RetryTicket) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.waiting--
-	return b.take(allowance, priority, 0, now)
+	b.removeWaiting(ticket)
+}
+
+func (b *WindowRetryBudget) removeWaiting(ticket RetryTicket) {
+	b.waiting = slices.DeleteFunc(b.waiting, func(t RetryTicket) bool { return t == ticket })
+}
+
+// TakeWaiting takes a retry for one that waits. If there is none, or only as many as those before it in the queue need, it
+// returns nil and the delay as TakeRetry does.
+func (b *WindowRetryBudget) TakeWaiting(
+	ticket RetryTicket, allowance RetryAllowance, priority RetryPriority, now time.Time,
+) (retry *Retry, delay time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	ahead := 0
+	if priority > RetryStarted {
+		ahead = max(0, slices.Index(b.waiting, ticket))
+	}
+	if retry, delay = b.take(allowance, priority, ahead, now); retry != nil {
+		b.removeWaiting(ticket)
+	}
+	return retry, delay
 }
 
 // take takes a retry if there are more than a number of others need. The lock must be held.
@@ -172,7 +200,7 @@
 	if missing := b.missing(allowance, priority, now) + float64(others); missing > 0 {
 		return nil, b.delayUntil(missing, now)
 	}
-	b.taken++
+	b.totals.taken++
 	return &Retry{budget: b}, 0
 }
 
@@ -193,7 +221,7 @@
 		after, previous := b.before(bucket+1).requests, b.before(bucket+1-windowBuckets).requests
 		used = max(used, b.limits.Ratio*(currentWeight*float64(after)-previousWeight*float64(after-previous))-float64(b.before(bucket).settled))
 	}
-	earned := b.limits.Ratio*currentWeight*float64(b.totals.requests) - float64(b.taken)
+	earned := b.limits.Ratio*currentWeight*float64(b.totals.requests) - float64(b.totals.taken)
 	available := earned - used + allowance.Share
 	if now.Sub(b.started) < b.limits.StartTime() {
 		// The share may have been used before the start.
@@ -226,7 +254,7 @@
 
 // Cancel returns a retry that was not sent.
 func (r *Retry) Cancel(now time.Time) {
-	r.end(now, func(b *WindowRetryBudget) { b.taken-- })
+	r.end(now, func(b *WindowRetryBudget) { b.totals.taken-- })
 }
 
 // end ends a retry that has not ended.
