--- a/internal/direct/cluster_test.go
+++ b/internal/direct/cluster_test.go
@@ -101,6 +101,7 @@
 	c.box.delay(clusterLatency)
 	c.box.processing.wait(c.closed)
 	c.box.awaitLink(c.peer, c.closed)
+	time.Sleep(c.box.cluster.link(c.box.region, c.peer.region).transmit(len(p)))
 	return c.Conn.Write(p)
 }
 
@@ -376,8 +377,13 @@
 	store   *clusterStore
 	boxes   []*clusterBox
 
+	// linkRate is the bandwidth between two regions in each direction, in bytes per second; 0 for no limit.
+	linkRate float64
+
 	mu        sync.Mutex
 	listeners map[member.Address]*pipeListener
+	// links are the links between two regions, one for each direction.
+	links map[[2]member.Region]*regionLink
 	// parts maps the boxes to the parts of the network; boxes of different parts can't reach each other.
 	parts map[member.BoxID]int
 }
@@ -410,7 +416,7 @@
 func newTestCluster(t *testing.T, boxes, regions int, bound time.Duration) *testCluster {
 	c := &testCluster{
 		t: t, bound: bound, retries: route.RetryLimits{Ratio: 0.2, Extra: 100, Window: 10 * time.Second},
-		store: newClusterStore(), listeners: make(map[member.Address]*pipeListener),
+		store: newClusterStore(), listeners: make(map[member.Address]*pipeListener), links: make(map[[2]member.Region]*regionLink),
 	}
 	for i := range boxes {
 		box := &clusterBox{
