fix(route): after an exit the boxes send suspect requests in turn

Cause: callers of sound requests lost more servers to one cause than needed.

Change: each box waits up to 150 ms longer, by its turn for the attribute and the number of exits, the order in which boxes also try a request after a block. The first one's outcome is known before most others send. Sound requests that share the attribute wait as long: 225 ms on average instead of 150 after each of a few exits.

--- a/pkg/route/quarantine.go
+++ b/pkg/route/quarantine.go
@@ -35,6 +35,8 @@
 	aloneLookback = 10 * time.Second
 	// settleDelay is how long evidence of other boxes on an exit may take to arrive. Boxes report evidence immediately.
 	settleDelay = 150 * time.Millisecond
+	// maxSettleTurn is how much longer than settleDelay the last box waits, so that the boxes do not send at the same time.
+	maxSettleTurn = 150 * time.Millisecond
 	// suspectTime is how long an attribute that is not responsible for the exits remains suspect after the last one.
 	suspectTime = time.Minute
 	// blockInitial is the duration of the first block. It is multiplied by blockGrowth for each exit beyond
--- a/pkg/route/quarantine_test.go
+++ b/pkg/route/quarantine_test.go
@@ -278,3 +278,25 @@
 		})
 	}
 }
+
+// Guards against boxes that all send a request with the same attribute at once when an exit has settled: servers that exit
+// within simultaneousExits count as one.
+func TestBoxesSendInTurnAfterExit(t *testing.T) {
+	now, content := time.Unix(1000, 0), testContent("a")
+	settleTime := func(box member.BoxID, boxes int) time.Duration {
+		q := Quarantine{Box: box, BoxCount: func() int { return boxes }}
+		q.Record(Evidence{Attribute: content, Exited: testIncarnation("s1"), At: now}, now)
+		return q.CheckSend([]AttributeID{content}, &Turn{}, now, now).Wait
+	}
+	require.Equal(t, settleDelay, settleTime("entry-1", 1))
+	counts := make(map[time.Duration]int)
+	for i := range 100 {
+		wait := settleTime(member.BoxID(fmt.Sprintf("entry-%d", i)), 100)
+		require.GreaterOrEqual(t, wait, settleDelay)
+		require.LessOrEqual(t, wait, settleDelay+maxSettleTurn)
+		counts[wait.Truncate(simultaneousExits)]++
+	}
+	for _, count := range counts {
+		require.Less(t, count, 30)
+	}
+}
--- a/pkg/route/quarantinedecision.go
+++ b/pkg/route/quarantinedecision.go
@@ -21,7 +21,8 @@
 	// of them may be sent at a time. Suspects are all attributes that may have caused exits.
 	Trials   []AttributeID
 	Suspects []AttributeID
-	// SettlesAt is the time until which evidence of other boxes on the last exit may arrive. It may be in the past.
+	// SettlesAt is the time until which evidence of other boxes on the last exit may arrive, and the turn of this box after it.
+	// It may be in the past.
 	SettlesAt time.Time
 	// Exits is the number of incarnations that have exited under the attribute with the most exits.
 	Exits int
@@ -69,7 +70,7 @@
 	if s.isExpired(attribute, isResponsible, now) {
 		return Decision{}
 	}
-	decision := Decision{Suspect: true, Exits: len(s.exits), SettlesAt: s.last().at.Add(settleDelay)}
+	decision := Decision{Suspect: true, Exits: len(s.exits), SettlesAt: s.last().at.Add(settleDelay + q.settleTurn(attribute, len(s.exits)))}
 	until := s.last().at.Add(s.blockDuration(attribute, q.isContested(s, request)))
 	switch q.explanation(s, request) {
 	case explainedByCause:
@@ -203,17 +204,31 @@
 // seconds, so that at most a few requests are sent before the boxes know their outcome. An attribute that only few requests
 // have is tried by a box as soon as one comes.
 func (q *Quarantine) stagger(attribute AttributeID, exits int) time.Duration {
-	boxes := 1
-	if q.BoxCount != nil {
-		boxes = q.BoxCount()
-	}
-	if boxes <= 1 {
+	rank := q.turn(attribute, exits) * float64(q.boxes())
+	return time.Duration(math.Log2(max(1, rank)) * float64(staggerDoubling))
+}
+
+// settleTurn returns how much longer than settleDelay this box waits after the last of a number of exits under an attribute.
+// If all boxes sent a request at the same time, the exits would count as simultaneous ones.
+func (q *Quarantine) settleTurn(attribute AttributeID, exits int) time.Duration {
+	return time.Duration(q.turn(attribute, exits) * float64(maxSettleTurn))
+}
+
+// turn returns a number from 0 to 1 that orders the boxes after a number of exits under an attribute; 0 for the only box.
+func (q *Quarantine) turn(attribute AttributeID, exits int) float64 {
+	if q.boxes() <= 1 {
 		return 0
 	}
-	seed := slices.Concat(attribute[:], []byte{byte(exits)}, []byte(q.Box))
-	sum := sha256.Sum256(seed)
-	rank := float64(binary.BigEndian.Uint64(sum[:])) / math.MaxUint64 * float64(boxes)
-	return time.Duration(math.Log2(max(1, rank)) * float64(staggerDoubling))
+	sum := sha256.Sum256(slices.Concat(attribute[:], []byte{byte(exits)}, []byte(q.Box)))
+	return float64(binary.BigEndian.Uint64(sum[:])) / math.MaxUint64
+}
+
+// boxes returns the number of boxes that evaluate requests.
+func (q *Quarantine) boxes() int {
+	if q.BoxCount == nil {
+		return 1
+	}
+	return q.BoxCount()
 }
 
 // isExpired reports whether the evidence on the attribute can be deleted, given whether the attribute is responsible for
