fix(direct): a server of a restored copy is withheld while other boxes defer its deletion

Its entry had come back with a copy of the store at 31.44 s, and the agents withheld it for 5.7 s. The store was away again until 35.0 s; the entry boxes read the second deletion then and deferred it for 2.2 s, until 37.204, 47 ms after the agents' wait. Ruled out: a response that counts too early (the agents knew of the store's responses, and of revisions beyond the deletion).

Change: the wait goes on while another box has reported changes up to which this process does not have every one. What a box defers, it does not pass on as complete, so the deletion arrives first; the wait ends after three more deferrals at the latest, as it does while the store is away.

Measured result: the new test fails before and passes after; the tests of eras, copies and outages pass.

--- a/internal/direct/storeera.go
+++ b/internal/direct/storeera.go
@@ -156,6 +156,14 @@
 	return (isUnread || isReported || !f.downSince.IsZero()) && now.Sub(since) < wait+maxEraWait
 }
 
+// mayLackDeferred reports whether another box has reported changes up to which this process does not have every one, so that the
+// box may defer the deletion of a server that is withheld since a time.
+func (f *FleetState) mayLackDeferred(since time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.newestReported > f.positionLocked().complete && f.clock.Since(since) < withholdTime+maxEraWait
+}
+
 // isEraUnread reports whether a later era of the store is known than the one of which this process has every change, for
 // a wait that began at a time.
 func (f *FleetState) isEraUnread(since time.Time) bool {
@@ -167,7 +175,7 @@
 
 // releaseWithheld ends the withholding, since a time, of a server whose entry has lasted at a revision.
 func (f *FleetState) releaseWithheld(id fleet.ServerID, revision fleet.Revision, since time.Time) {
-	if f.mayLackChanges(since, withholdTime) {
+	if f.mayLackChanges(since, withholdTime) || f.mayLackDeferred(since) {
 		f.clock.AfterFunc(deferralCheckInterval, func() { f.releaseWithheld(id, revision, since) })
 		return
 	}
--- a/internal/direct/storeera_test.go
+++ b/internal/direct/storeera_test.go
@@ -17,6 +17,7 @@
 	"github.com/cinderslip/cinderslip/internal/wire"
 	"github.com/cinderslip/cinderslip/pkg/fleet"
 	"github.com/cinderslip/cinderslip/pkg/member"
+	"github.com/cinderslip/cinderslip/pkg/state"
 )
 
 // eraState is a fleet state that has read the store. It must run in a synctest bubble.
@@ -105,6 +106,27 @@
 	}
 }
 
+// Guards against using a server of the copy although its entry was deleted again, while the boxes that read the store defer that.
+func TestServerOfACopyIsWithheldWhileOthersDeferItsDeletion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, second := newEraState(readyServer(5)), fleet.NewRevision(2, 10)
+		f.change(21, deletedAt(0))
+		f.snapshot(second, readyServer(5))
+		f.wait(entryLapse)
+		// Another box has the deletion, which it defers, and a later change, which it passes on.
+		later := fleet.Fact{Key: fleet.ConfigurationKey(), Configuration: &fleet.Configuration{Version: 2}, Revision: second + 2}
+		item, err := later.Item()
+		require.NoError(t, err)
+		f.ApplyTransfer(&state.Transfer{Batch: state.Batch{Items: []state.Item{item}}}, "entry-2")
+		f.noteReport(second+2, nil)
+		f.wait(expiryDeferral + 500*time.Millisecond)
+		require.Empty(t, f.View().Servers("llm"))
+		f.change(second+1, deletedAt(0))
+		f.wait(maxEraWait)
+		require.Empty(t, f.View().Servers("llm"))
+	})
+}
+
 // Guards against using a server of the copy at a process that started after the deletion of its entry.
 func TestServerOfACopyThatWasDeletedBeforeTheStartIsNotUsed(t *testing.T) {
 	for name, test := range map[string]struct {
