refactor: what a newcomer would stumble over in the change of the retry budget

Cause: reading the whole change once more.

Change: knowsFleet and what it needs move to fleetsize.go as they are; the field, comments and lines are put right.

--- a/internal/direct/clusterlinks_test.go
+++ b/internal/direct/clusterlinks_test.go
@@ -39,7 +39,7 @@
 	return c.links[key]
 }
 
-// setLinkRate limits all links between regions to a number of bytes per second in each direction.
+// setLinkRate limits all links between regions to a number of bytes per second in each direction, and starts their counts anew.
 func (c *testCluster) setLinkRate(rate float64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -150,7 +150,8 @@
 	}
 }
 
-// listen opens a TCP listener whose connections fail soon after their peer stops responding.
+// listen opens a TCP listener for other boxes. Its connections fail soon after their peer stops responding or reading, so that no
+// write waits for a process that stands still. For callers see upstream.Listen.
 func listen(address string) (net.Listener, error) {
 	config := net.ListenConfig{Control: upstream.SetUserTimeout}
 	return config.Listen(context.Background(), "tcp", address)
--- a/internal/direct/fleetsize.go
+++ b/internal/direct/fleetsize.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -100,3 +101,33 @@
 	}
 	return since
 }
+
+// isolationTime is how long after its start a box does without a share of the extra retries if it does not know a box at
+// each seed address. It may have started where it can't reach them.
+const isolationTime = time.Minute
+
+// knowsFleet reports whether no other entry box is missing from the membership: another box claims a share, so its records
+// have been received, or a box at each seed address and in each failure domain is known. A failure domain may have no
+// entry box, so one without is only waited for while the share may hardly be used.
+func (e *EntryBoxes) knowsFleet(started time.Time, startTime time.Duration) bool {
+	age := e.clock.Since(started)
+	if age >= isolationTime {
+		return true
+	}
+	peers, domains := make(map[string]bool), make(map[member.FailureDomain]bool)
+	for _, record := range e.membership.All() {
+		if record.RetryClaim > 0 && record.Box != e.self.Box {
+			return true
+		}
+		peers[string(record.Peers)], domains[record.FailureDomain] = true, true
+	}
+	isMissing := func(domain member.FailureDomain) bool { return !domains[domain] }
+	return e.knowsSeeds(peers) && (age >= startTime || !slices.ContainsFunc(e.domains, isMissing))
+}
+
+// knowsSeeds reports whether all seed addresses are among those of known boxes.
+func (e *EntryBoxes) knowsSeeds(peers map[string]bool) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !slices.ContainsFunc(e.seeds, func(seed string) bool { return !peers[seed] })
+}
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -77,11 +77,13 @@
 		ttfb:           metric.HistogramVec("direct_first_byte_seconds", "Time from arrival to the first byte of the answer.", secondsBuckets, "route"),
 		attempts:       metric.CounterVec("direct_attempts_total", "Attempts at backend servers by service and result.", "service", "result"),
 		hedges:         metric.CounterVec("direct_hedges_total", "Attempts started beside one whose server was silent, by service and result.", "service", "result"),
-		retries:        metric.CounterVec("direct_retries_total", "Attempts beyond the first of a request, by service, cause, and whether the retry budget allowed them.", "service", "cause", "result"),
-		cutResponses:   metric.CounterVec("direct_cut_answers_total", "Answers cut after their start, by reason.", "reason"),
-		serverSignals:  metric.CounterVec("direct_server_words_total", "Answers in which backend servers say that they leave, ask for rest or name a limit.", "word"),
-		suspects:       metric.CounterVec("suspect_requests_total", "What was heard of requests under which backend servers ended: one more has (ended), or one has run it well (cleared).", "heard"),
-		waiting:        metric.GaugeVec("direct_waiting", "Requests that wait for a place.", "service"),
+		retries: metric.CounterVec("direct_retries_total",
+			"Attempts beyond the first of a request, by service, cause, and whether the retry budget allowed them.",
+			"service", "cause", "result"),
+		cutResponses:  metric.CounterVec("direct_cut_answers_total", "Answers cut after their start, by reason.", "reason"),
+		serverSignals: metric.CounterVec("direct_server_words_total", "Answers in which backend servers say that they leave, ask for rest or name a limit.", "word"),
+		suspects:      metric.CounterVec("suspect_requests_total", "What was heard of requests under which backend servers ended: one more has (ended), or one has run it well (cleared).", "heard"),
+		waiting:       metric.GaugeVec("direct_waiting", "Requests that wait for a place.", "service"),
 		limitedServers: metric.GaugeVec(
 			"direct_limited_servers", "Backend servers with a rate limit that this box sends to, by service.", "service",
 		),
@@ -106,7 +108,8 @@
 		outdatedEntries:   metric.Counter("outdated_entries_total", "Entries of servers that other processes sent and that were deleted before."),
 		deferredDeletions: metric.Gauge("believed_held_deletions", "Deletions of servers' entries that are held back after an outage of the store."),
 	}
-	m.registry.MustRegister(m.requests, m.requestSeconds, m.ttfb, m.attempts, m.hedges, m.retries, m.cutResponses, m.serverSignals, m.suspects, m.waiting, m.limitedServers,
+	m.registry.MustRegister(m.requests, m.requestSeconds, m.ttfb, m.attempts, m.hedges, m.retries, m.cutResponses, m.serverSignals, m.suspects,
+		m.waiting, m.limitedServers,
 		m.limitRefusals, m.unclaimed, m.heldBytes, m.connections, m.storeCalls, m.traffic.messages, m.traffic.bytes, m.logDropped, m.chunks, m.orders,
 		m.configuration, m.revision, m.storeEra, m.complete, m.completeEra, m.deferredDeletions, m.evacuatedDomains, m.outdatedEntries, collectors.NewGoCollector())
 	return m
--- a/internal/direct/retry_test.go
+++ b/internal/direct/retry_test.go
@@ -64,12 +64,14 @@
 		after   time.Duration
 		want    bool
 	}{
-		"alone":                                    {nil, nil, 30 * time.Second, false},
-		"alone for long":                           {nil, nil, time.Minute, true},
-		"a seed address is missing":                {[]member.Record{otherBox("a", 0)}, nil, 30 * time.Second, false},
-		"all seed addresses":                       {[]member.Record{otherBox("a", 0), otherBox("b", 0)}, []member.FailureDomain{"hall"}, 0, true},
-		"a failure domain is missing":              {[]member.Record{otherBox("a", 0), otherBox("b", 0)}, []member.FailureDomain{"yard"}, 0, false},
-		"a failure domain without boxes":           {[]member.Record{otherBox("a", 0), otherBox("b", 0)}, []member.FailureDomain{"yard"}, 13 * time.Second, true},
+		"alone":                       {nil, nil, 30 * time.Second, false},
+		"alone for long":              {nil, nil, time.Minute, true},
+		"a seed address is missing":   {[]member.Record{otherBox("a", 0)}, nil, 30 * time.Second, false},
+		"all seed addresses":          {[]member.Record{otherBox("a", 0), otherBox("b", 0)}, []member.FailureDomain{"hall"}, 0, true},
+		"a failure domain is missing": {[]member.Record{otherBox("a", 0), otherBox("b", 0)}, []member.FailureDomain{"yard"}, 0, false},
+		"a failure domain without boxes": {
+			[]member.Record{otherBox("a", 0), otherBox("b", 0)}, []member.FailureDomain{"yard"}, 13 * time.Second, true,
+		},
 		"a box that has been told of all that are": {[]member.Record{otherBox("c", 7)}, []member.FailureDomain{"yard"}, 0, true},
 	} {
 		s, advance := newRetryServer(t, test.others...)
--- a/internal/lab/engine.go
+++ b/internal/lab/engine.go
@@ -38,10 +38,10 @@
 	queue    []*job
 	// up is set while the server runs, accepting while it accepts requests.
 	up, accepting bool
+	// failing is the part of the requests that the server fails.
+	failing float64
 	// rejecting is set while the server rejects all requests. It then requests a backoff of retryAfter, unless that
 	// is 0.
-	// failing is the part of the requests that the server fails.
-	failing    float64
 	rejecting  bool
 	retryAfter time.Duration
 	// limitRecord is non-nil while the server has a rate limit.
