--- a/internal/direct/controltraffic.go
+++ b/internal/direct/controltraffic.go
@@ -1,7 +1,13 @@
 package direct
 
 import (
+	"context"
+	"time"
+
+	"github.com/jonboulle/clockwork"
 	"github.com/prometheus/client_golang/prometheus"
+	dto "github.com/prometheus/client_model/go"
+	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/cinderslip/cinderslip/internal/metric"
@@ -54,6 +60,9 @@
 
 type trafficCounters struct{ messages, bytes prometheus.Counter }
 
+// trafficLogInterval is how often a process logs the control traffic that it has sent.
+const trafficLogInterval = 5 * time.Second
+
 func newControlTraffic() controlTraffic {
 	c := controlTraffic{
 		counters: make(map[trafficKind]trafficCounters),
@@ -116,3 +125,44 @@
 	c.counters[trafficKind{purposeStatus, remote}].bytes.Add(float64(rest))
 	c.counters[trafficKind{main, remote}].messages.Inc()
 }
+
+// logEvery logs the traffic of each interval, by purpose and scope, until the context ends.
+func (c *controlTraffic) logEvery(ctx context.Context, clock clockwork.Clock, log zerolog.Logger, interval time.Duration) {
+	ticker := clock.NewTicker(interval)
+	defer ticker.Stop()
+	sent := make(map[trafficKind]trafficTotals, len(c.counters))
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+			c.logSince(sent, log.Info())
+		}
+	}
+}
+
+// trafficTotals are the messages and bytes of one kind that were sent since the start of the process.
+type trafficTotals struct{ messages, bytes float64 }
+
+// logSince logs the traffic since the totals in sent, and replaces these by the current ones.
+func (c *controlTraffic) logSince(sent map[trafficKind]trafficTotals, line *zerolog.Event) {
+	for kind, counters := range c.counters {
+		before, now := sent[kind], trafficTotals{counterValue(counters.messages), counterValue(counters.bytes)}
+		sent[kind] = now
+		if now == before {
+			continue
+		}
+		name := string(kind.purpose) + "_" + scopeOf(kind.remote)
+		line.Float64(name+"_messages", now.messages-before.messages).Float64(name+"_bytes", now.bytes-before.bytes)
+	}
+	line.Msg("control traffic")
+}
+
+// counterValue returns the value of a counter, or 0 if it cannot be read.
+func counterValue(counter prometheus.Counter) float64 {
+	var metric dto.Metric
+	if err := counter.Write(&metric); err != nil {
+		return 0
+	}
+	return metric.Counter.GetValue()
+}
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -190,6 +190,9 @@
 // startMetrics serves the metrics, the list of backend servers and, on entry boxes, the quarantined requests and the
 // rate limits of backend servers. The process works without this service, so a failure to listen is only logged.
 func (p *Process) startMetrics() error {
+	p.fleetState.tasks.Go(func(ctx context.Context) {
+		p.metrics.traffic.logEvery(ctx, p.options.Clock, p.options.Log, trafficLogInterval)
+	})
 	router := newRouter()
 	if p.callerServer != nil {
 		p.suspects.serveQuarantine(router)
--- a/internal/direct/repair.go
+++ b/internal/direct/repair.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/cinderslip/cinderslip/internal/wire"
 	"github.com/cinderslip/cinderslip/pkg/member"
@@ -147,7 +148,7 @@
 			return err
 		}
 		own := e.fleetState.Watermarks()
-		e.log.Info().Str("address", string(from)).Dur("taken_ms", e.clock.Since(startedAt)).Int("items", len(batch.Items)).
+		e.log.Info().Str("address", string(from)).Dur("taken_ms", e.clock.Since(startedAt)).Int("items", len(batch.Items)).Int("bytes", proto.Size(batch)).
 			Stringer("newest", own.Newest).Stringer("complete", own.Complete).Msg("facts read from another entry box")
 		e.applyBatch(from, batch)
 		if len(batch.Items) < maxBatchItems {
