fix(direct): a box that has not been reached on a new subscription is not marked silent after 0.2 s

When hundreds of boxes start, a connection to a live box waits in its queue; one dial that times out (0.3 s) outlasts silentAfter (0.2 s). Each mark goes to every box, is refuted by a record that goes to every box, and changes the neighbours of others, who open new streams: it adds to what fills the links and processors.

A box that dies is marked by those that already follow it, as before.

TestBoxesThatAcceptLateAtStartAreNotMarkedSilent failed before (entry-0 refuted marks: sequence 4 in place of 1) and passes.

--- a/internal/direct/cluster_test.go
+++ b/internal/direct/cluster_test.go
@@ -33,6 +33,8 @@
 	// clusterLatency is the time of a message on a connection, storeLatency that of a call of the store.
 	clusterLatency = 2 * time.Millisecond
 	storeLatency   = 4 * time.Millisecond
+	// clusterDialTimeout is the time after which a connection that is not accepted fails.
+	clusterDialTimeout = 300 * time.Millisecond
 )
 
 // gate blocks while it is closed.
@@ -396,6 +398,8 @@
 	// processing is closed while the box is frozen. lag is how long each of its messages is late.
 	processing *gate
 	lag        atomic.Int64
+	// acceptsAfter is the time before which connections to the box are not accepted in time, in Unix nanoseconds.
+	acceptsAfter atomic.Int64
 	// loaded is set while the load of the box changes.
 	loaded atomic.Bool
 	// disturbedUntil is when the last fault of the box ended; in the future while there is one.
@@ -467,6 +471,10 @@
 	if b.awaitLink(peer, ctx.Done()); ctx.Err() != nil {
 		return nil, ctx.Err()
 	}
+	if time.Now().UnixNano() < peer.acceptsAfter.Load() {
+		time.Sleep(clusterDialTimeout)
+		return nil, errors.New("dial timeout")
+	}
 	near, far := net.Pipe()
 	accepted := &gatedConn{Conn: far, box: peer, peer: b, closed: make(chan struct{})}
 	select {
--- a/internal/direct/entryboxes.go
+++ b/internal/direct/entryboxes.go
@@ -24,9 +24,13 @@
 	// after a power failure waits for this delay; an attempt costs little, because a connection to a port that nobody
 	// listens on is refused at once.
 	followRetryDelay = 50 * time.Millisecond
-	// silentAfter is how long a box must be unreachable before it is marked silent. A connection to a live box
-	// that was reset is opened again well within this time.
+	// silentAfter is how long a box that has sent a status must be unreachable before it is marked silent. A
+	// connection to a live box that was reset is opened again well within this time.
 	silentAfter = 200 * time.Millisecond
+	// unreachedAfter is how long a box that has not sent a status on this subscription must be unreachable before it
+	// is marked silent. When hundreds of boxes start, connections to a live one wait in its queue for longer than
+	// silentAfter. A box that dies is marked earlier by those that already follow it.
+	unreachedAfter = 2 * statusTimeout
 	// remarkInterval is the additional delay before the same box is marked silent again, in case other boxes still
 	// reach it or it has refuted the mark.
 	remarkInterval = 2 * time.Second
@@ -257,7 +261,7 @@
 
 // follow follows one entry box until the context ends, and marks it silent while it is unreachable.
 func (e *EntryBoxes) follow(ctx context.Context, entry string, want subscription) {
-	unreachableSince := e.clock.Now()
+	unreachableSince, markAfter := e.clock.Now(), unreachedAfter
 	for {
 		received, err := e.followOnce(ctx, entry, want)
 		if ctx.Err() != nil {
@@ -265,10 +269,10 @@
 		}
 		now := e.clock.Now()
 		if received {
-			unreachableSince = now
+			unreachableSince, markAfter = now, silentAfter
 			e.dropBox(entry)
 		}
-		if now.Sub(unreachableSince) >= silentAfter || errors.Is(err, errSilent) {
+		if now.Sub(unreachableSince) >= markAfter || received && errors.Is(err, errSilent) {
 			e.markSilent(entry)
 			unreachableSince = now.Add(remarkInterval)
 		}
--- a/internal/direct/membership_test.go
+++ b/internal/direct/membership_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"math/rand/v2"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -461,3 +462,22 @@
 	}
 	require.Equal(t, []string{"member/a", "member/b", "member/d"}, sent)
 }
+
+// Guards against marks of live boxes at a start, when connections wait longer than silentAfter to be accepted.
+func TestBoxesThatAcceptLateAtStartAreNotMarkedSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestCluster(t, 30, 5, 2*time.Second)
+		defer c.stop()
+		for i, box := range c.boxes {
+			if i%3 == 0 {
+				box.acceptsAfter.Store(time.Now().Add(1500 * time.Millisecond).UnixNano())
+			}
+		}
+		time.Sleep(5 * time.Second)
+		for _, box := range c.boxes {
+			require.Len(t, box.entries.membership.All(), len(c.boxes), "%s", box.id)
+			// The only change of a record that is not marked is that of its status to up.
+			require.Equal(t, uint64(1), box.entries.membership.Own().Sequence, "%s", box.id)
+		}
+	})
+}
