fix(direct): a new stream of records carries only those that differ

The request holds the digests of the receiver's records by bucket (state.Digests, 2 KB; none below 64 records), and the answer begins with the buckets that differ. A box of the version before sends no digests and gets all; one that does not read them sends all.

Two memberships of 500 records that differ in three: at most 50 records are sent in place of 501 (the test's bound).

--- a/internal/direct/entryboxes.go
+++ b/internal/direct/entryboxes.go
@@ -312,6 +312,9 @@
 		return request
 	}
 	request.Record = itemsToWire([]state.Item{item})[0]
+	if want.members {
+		request.RecordDigests = e.membership.recordDigests()
+	}
 	return request
 }
 
--- a/internal/direct/membership.go
+++ b/internal/direct/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -11,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 
+	"github.com/cinderslip/cinderslip/internal/wire"
 	"github.com/cinderslip/cinderslip/pkg/member"
 	"github.com/cinderslip/cinderslip/pkg/state"
 )
@@ -247,18 +249,50 @@
 // minSampleRegional is the minimum number of entry boxes in an agent's region for a sample without other regions.
 const minSampleRegional = 3
 
+// minDigestRecords is the number of records from which digests of all records are smaller than the records.
+const minDigestRecords = 64
+
+// recordDigests returns the digests of all records, or nil if these are so few that it takes less to send them.
+func (m *Membership) recordDigests() []uint64 {
+	if m.store.Len() < minDigestRecords {
+		return nil
+	}
+	digests := m.store.Digests()
+	return digests[:]
+}
+
 // memberCursor is the position of one status stream in the changes of the membership.
 type memberCursor struct {
 	membership *Membership
 	// all selects the records of all boxes instead of only this box's own.
 	all    bool
 	cursor state.Cursor
+	// pending are records that are sent before the changes after cursor.
+	pending []state.Item
 	// own is the version of this box's record that was sent last.
 	own state.Version
 }
 
+// newMemberCursor returns the cursor of a stream that starts with all records, or with those that the receiver may lack if
+// it has sent the digests of its records.
+func newMemberCursor(m *Membership, request *wire.FollowRequest) *memberCursor {
+	c := &memberCursor{membership: m, all: request.Members}
+	if c.all && len(request.RecordDigests) == state.Buckets {
+		// A record that changes between the two calls is sent twice.
+		c.cursor = m.store.Tail()
+		c.pending, _ = m.store.Differing(state.Digests(request.RecordDigests), math.MaxInt)
+	}
+	return c
+}
+
 // next returns the records that have changed since the last call.
 func (c *memberCursor) next() []state.Item {
+	if len(c.pending) > 0 {
+		n := min(len(c.pending), maxBatchItems)
+		items := c.pending[:n]
+		c.pending = c.pending[n:]
+		return items
+	}
 	if c.all {
 		batch := c.membership.store.Since(c.cursor, maxBatchItems)
 		c.cursor = batch.Next
--- a/internal/direct/membership_test.go
+++ b/internal/direct/membership_test.go
@@ -463,6 +463,32 @@
 	require.Equal(t, []string{"member/a", "member/b", "member/d"}, sent)
 }
 
+// Guards against sending all records on each new stream between boxes that hold nearly the same ones.
+func TestNewStreamCarriesOnlyRecordsThatDiffer(t *testing.T) {
+	const boxes, changed = 500, 3
+	clock := clockwork.NewFakeClock()
+	a, b := newTestMembership(clock, "a"), newTestMembership(clock, "b")
+	for i := range boxes {
+		items := recordItems(t, member.Record{Box: member.BoxID(fmt.Sprintf("box-%d", i)), Incarnation: 1, Status: member.StatusUp})
+		a.Merge(items, "c")
+		if i < boxes-changed {
+			b.Merge(items, "c")
+		}
+	}
+	a.Merge(recordItems(t, b.Own()), "b")
+	cursor := newMemberCursor(a, &wire.FollowRequest{Members: true, RecordDigests: b.recordDigests()})
+	received := 0
+	for items := cursor.next(); len(items) > 0; items = cursor.next() {
+		b.Merge(itemsFromWire(itemsToWire(items)), "a")
+		received += len(items)
+	}
+	require.Equal(t, a.All(), b.All())
+	require.LessOrEqual(t, received, boxes/10)
+
+	a.SetStatus(member.StatusUp)
+	require.Len(t, cursor.next(), 1)
+}
+
 // Guards against marks of live boxes at a start, when connections wait longer than silentAfter to be accepted.
 func TestBoxesThatAcceptLateAtStartAreNotMarkedSilent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/direct/statusserver.go
+++ b/internal/direct/statusserver.go
@@ -178,7 +178,7 @@
 		s.remoteFollowers.Add(1)
 		defer s.remoteFollowers.Add(-1)
 	}
-	cursor, records := statusCursor{fullStatus: s.fullStatus, openedAt: s.clock.Now()}, memberCursor{membership: s.membership, all: request.Members}
+	cursor, records := statusCursor{fullStatus: s.fullStatus, openedAt: s.clock.Now()}, newMemberCursor(s.membership, request)
 	for {
 		snapshot, refreshed := s.current()
 		// A newly published version, a request under which a server has exited, and a request to a server with a
@@ -186,7 +186,7 @@
 		urgent := cursor.sentAt.IsZero() || snapshot.ages != cursor.summary.ages || snapshot.suspects != cursor.summary.suspects ||
 			request.Load && snapshot.limitedSends != cursor.summary.limitedSends
 		if urgent || snapshot.takenAt.Sub(cursor.sentAt) >= s.interval(remote)-statusInterval/2 {
-			if status := s.nextMessage(request, &cursor, &records, snapshot, remote); status != nil {
+			if status := s.nextMessage(request, &cursor, records, snapshot, remote); status != nil {
 				if err := stream.Send(status); err != nil {
 					return err
 				}
