fix(direct): a plan of cells waits while a large fleet grows fast

Beyond 64 boxes, a plan that would be for over an eighth more boxes than the present one waits until no box has been added for 0.2 s, one second at most. A box that joins a fleet that is there changes the plan at once, as before.

TestPlanIsPostponedOnlyWhileALargeFleetGrowsFast.

--- a/internal/direct/cells.go
+++ b/internal/direct/cells.go
@@ -5,6 +5,7 @@
 	"math/bits"
 	"slices"
 	"strconv"
+	"time"
 
 	"github.com/cinderslip/cinderslip/pkg/fleet"
 	"github.com/cinderslip/cinderslip/pkg/member"
@@ -209,8 +210,42 @@
 	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
 
-// replan updates the plan if its input has changed.
-func (e *EntryBoxes) replan() {
+const (
+	// minSettledBoxes is the number of boxes up to which a plan is never postponed.
+	minSettledBoxes = 64
+	// minGrowthDivisor is the divisor of the number of planned boxes that gives the growth from which a plan is postponed.
+	minGrowthDivisor = 8
+	// settleTime is how long the number of boxes must stay the same before a postponed plan is made, maxSettleTime how
+	// long a plan is postponed at most.
+	settleTime    = 200 * time.Millisecond
+	maxSettleTime = time.Second
+)
+
+// planGrowth is the growth of the fleet beyond the current plan. When hundreds of boxes start, each box receives their
+// records within a second, and each plan made meanwhile would replace the subscriptions to all boxes of a cell.
+type planGrowth struct {
+	boxes         int
+	since, grewAt time.Time
+}
+
+// isFast reports whether a plan for a number of boxes is postponed because more boxes are expected. planned is the number
+// of boxes in the current plan.
+func (g *planGrowth) isFast(boxes, planned int, now time.Time) bool {
+	if boxes <= minSettledBoxes || boxes-planned <= planned/minGrowthDivisor {
+		*g = planGrowth{}
+		return false
+	}
+	if g.since.IsZero() {
+		g.since = now
+	}
+	if boxes > g.boxes {
+		g.boxes, g.grewAt = boxes, now
+	}
+	return now.Sub(g.grewAt) < settleTime && now.Sub(g.since) < maxSettleTime
+}
+
+// replan updates the plan if its input has changed. It reports whether the update is postponed.
+func (e *EntryBoxes) replan() (postponed bool) {
 	view := e.fleetState.View()
 	input := planInput{boxes: e.membership.All(), configured: view.Configuration != nil}
 	for _, service := range view.Services() {
@@ -219,15 +254,19 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.plan != nil && e.planInput.isEqual(&input) {
-		return
+		return false
 	}
 	before := e.plan
+	if before != nil && e.growth.isFast(len(input.boxes), len(e.planInput.boxes), e.clock.Now()) {
+		return true
+	}
 	e.plan, e.planInput = planCells(e.self.Box, input.boxes, view, e.regionOf), input
 	if before == nil || before.cellCount != e.plan.cellCount || before.ownCell != e.plan.ownCell {
 		e.log.Info().Int("boxes", len(input.boxes)).Int("cells", e.plan.cellCount).Int("cell", e.plan.ownCell).Int("mates", len(e.plan.cellPeers)).Msg("fleet divided")
 	}
 	close(e.replanned)
 	e.replanned = make(chan struct{})
+	return false
 }
 
 // currentPlan returns the plan, nil before the first one.
--- a/internal/direct/entryboxes.go
+++ b/internal/direct/entryboxes.go
@@ -79,6 +79,7 @@
 	// plan changes.
 	plan      *cellPlan
 	planInput planInput
+	growth    planGrowth
 	replanned chan struct{}
 }
 
@@ -135,13 +136,16 @@
 	var applied subscriptionInput
 	for ctx.Err() == nil {
 		membershipChanged, fleetStateChanged := e.membership.Changed(), e.fleetState.Changed()
-		e.replan()
+		postponed := e.replan()
 		// Most changes of the fleet state are those of servers' entries, which subscriptions do not depend on.
 		if input := e.subscriptionInput(); !input.isSame(&applied) {
 			applied = input
 			e.setFollowing(e.subscriptions())
 		}
 		sleep(ctx, e.clock, replanInterval)
+		if postponed {
+			continue
+		}
 		select {
 		case <-ctx.Done():
 		case <-membershipChanged:
--- a/internal/direct/membership_test.go
+++ b/internal/direct/membership_test.go
@@ -507,3 +507,22 @@
 		}
 	})
 }
+
+func TestPlanIsPostponedOnlyWhileALargeFleetGrowsFast(t *testing.T) {
+	start := time.Unix(0, 0)
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	var small, steady, fast planGrowth
+	require.False(t, small.isFast(minSettledBoxes, 1, start))
+	require.False(t, steady.isFast(101, 100, start))
+
+	require.True(t, fast.isFast(200, 1, at(0)))
+	require.True(t, fast.isFast(300, 1, at(settleTime/2)))
+	require.True(t, fast.isFast(300, 1, at(settleTime)))
+	require.False(t, fast.isFast(300, 1, at(2*settleTime)), "no growth for settleTime")
+
+	var endless planGrowth
+	for d := time.Duration(0); d < maxSettleTime; d += settleTime / 2 {
+		require.True(t, endless.isFast(200+int(d/time.Millisecond), 1, at(d)))
+	}
+	require.False(t, endless.isFast(5000, 1, at(maxSettleTime)))
+}
