perf(direct): log lines about single records of boxes have a budget

The limit of 16 was for one message, and messages come twenty times a second from each of eight neighbours.

Each process logs at most 16 single records a second; the others are counted in `many entry box records received`.

TestRecordsAreLoggedEachUpToABudget.

--- a/internal/direct/membership.go
+++ b/internal/direct/membership.go
@@ -41,6 +41,7 @@
 	retired retiredBoxes
 	// reportedFleets are the sizes of the fleet that agents have reported, by the agent's address.
 	reportedFleets map[member.Address]reportedFleet
+	logged         recordLogBudget
 	// sorted caches the records sorted by box name; nil after a change.
 	sorted  []member.Record
 	changed chan struct{}
@@ -105,6 +106,28 @@
 	m.putLocal(m.own)
 }
 
+// recordLogInterval is the time in which at most maxItemsLogged records of other boxes are logged each.
+const recordLogInterval = time.Second
+
+// recordLogBudget limits the log lines about single records: when a fleet starts, each box receives hundreds of records,
+// and hundreds of boxes do so at once.
+type recordLogBudget struct {
+	since time.Time
+	lines int
+}
+
+// exceeds reports whether a number of records are too many to be logged each. Otherwise it takes them from the budget.
+func (b *recordLogBudget) exceeds(records int, now time.Time) bool {
+	if now.Sub(b.since) >= recordLogInterval {
+		*b = recordLogBudget{since: now}
+	}
+	if b.lines+records > maxItemsLogged {
+		return true
+	}
+	b.lines += records
+	return false
+}
+
 // Merge applies records received from another box. Records that are not newer than the known ones are ignored.
 func (m *Membership) Merge(items []state.Item, from string) {
 	// The lock also covers the store: without it, of two records received at the same moment the older one could
@@ -115,8 +138,8 @@
 	if len(fresh) == 0 {
 		return
 	}
-	log := m.log
-	if len(fresh) > maxItemsLogged {
+	log, now := m.log, m.clock.Now()
+	if m.logged.exceeds(len(fresh), now) {
 		m.log.Info().Int("records", len(fresh)).Str("from", from).Msg("many entry box records received")
 		log = m.log.Level(zerolog.WarnLevel)
 	}
--- a/internal/direct/membership_test.go
+++ b/internal/direct/membership_test.go
@@ -526,3 +526,12 @@
 	}
 	require.False(t, endless.isFast(5000, 1, at(maxSettleTime)))
 }
+
+func TestRecordsAreLoggedEachUpToABudget(t *testing.T) {
+	start := time.Unix(0, 0)
+	var budget recordLogBudget
+	require.False(t, budget.exceeds(maxItemsLogged-1, start))
+	require.True(t, budget.exceeds(2, start))
+	require.False(t, budget.exceeds(1, start))
+	require.False(t, budget.exceeds(2, start.Add(recordLogInterval)))
+}
