--- a/internal/direct/entryboxes.go
+++ b/internal/direct/entryboxes.go
@@ -24,9 +24,13 @@
 	// after a power failure waits for this delay; an attempt costs little, because a connection to a port that nobody
 	// listens on is refused at once.
 	followRetryDelay = 50 * time.Millisecond
-	// silentAfter is how long a box must be unreachable before it is marked silent. A connection to a live box
-	// that was reset is opened again well within this time.
+	// silentAfter is how long a box that has sent a status must be unreachable before it is marked silent. A
+	// connection to a live box that was reset is opened again well within this time.
 	silentAfter = 200 * time.Millisecond
+	// unreachedAfter is how long a box that has not sent a status on this subscription must be unreachable before it
+	// is marked silent. When hundreds of boxes start, connections to a live one wait in its queue for longer than
+	// silentAfter. A box that dies is marked earlier by those that already follow it.
+	unreachedAfter = 2 * statusTimeout
 	// remarkInterval is the additional delay before the same box is marked silent again, in case other boxes still
 	// reach it or it has refuted the mark.
 	remarkInterval = 2 * time.Second
@@ -75,6 +79,7 @@
 	// plan changes.
 	plan      *cellPlan
 	planInput planInput
+	growth    planGrowth
 	replanned chan struct{}
 }
 
@@ -131,13 +136,16 @@
 	var applied subscriptionInput
 	for ctx.Err() == nil {
 		membershipChanged, fleetStateChanged := e.membership.Changed(), e.fleetState.Changed()
-		e.replan()
+		postponed := e.replan()
 		// Most changes of the fleet state are those of servers' entries, which subscriptions do not depend on.
 		if input := e.subscriptionInput(); !input.isSame(&applied) {
 			applied = input
 			e.setFollowing(e.subscriptions())
 		}
 		sleep(ctx, e.clock, replanInterval)
+		if postponed {
+			continue
+		}
 		select {
 		case <-ctx.Done():
 		case <-membershipChanged:
@@ -257,7 +265,7 @@
 
 // follow follows one entry box until the context ends, and marks it silent while it is unreachable.
 func (e *EntryBoxes) follow(ctx context.Context, entry string, want subscription) {
-	unreachableSince := e.clock.Now()
+	unreachableSince, markAfter := e.clock.Now(), unreachedAfter
 	for {
 		received, err := e.followOnce(ctx, entry, want)
 		if ctx.Err() != nil {
@@ -265,10 +273,10 @@
 		}
 		now := e.clock.Now()
 		if received {
-			unreachableSince = now
+			unreachableSince, markAfter = now, silentAfter
 			e.dropBox(entry)
 		}
-		if now.Sub(unreachableSince) >= silentAfter || errors.Is(err, errSilent) {
+		if now.Sub(unreachableSince) >= markAfter || received && errors.Is(err, errSilent) {
 			e.markSilent(entry)
 			unreachableSince = now.Add(remarkInterval)
 		}
@@ -308,6 +316,9 @@
 		return request
 	}
 	request.Record = itemsToWire([]state.Item{item})[0]
+	if want.members {
+		request.RecordDigests = e.membership.recordDigests()
+	}
 	return request
 }
 
--- a/internal/direct/membership.go
+++ b/internal/direct/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -11,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 
+	"github.com/cinderslip/cinderslip/internal/wire"
 	"github.com/cinderslip/cinderslip/pkg/member"
 	"github.com/cinderslip/cinderslip/pkg/state"
 )
@@ -39,6 +41,7 @@
 	retired retiredBoxes
 	// reportedFleets are the sizes of the fleet that agents have reported, by the agent's address.
 	reportedFleets map[member.Address]reportedFleet
+	logged         recordLogBudget
 	// sorted caches the records sorted by box name; nil after a change.
 	sorted  []member.Record
 	changed chan struct{}
@@ -103,6 +106,28 @@
 	m.putLocal(m.own)
 }
 
+// recordLogInterval is the time in which at most maxItemsLogged records of other boxes are logged each.
+const recordLogInterval = time.Second
+
+// recordLogBudget limits the log lines about single records: when a fleet starts, each box receives hundreds of records,
+// and hundreds of boxes do so at once.
+type recordLogBudget struct {
+	since time.Time
+	lines int
+}
+
+// exceeds reports whether a number of records are too many to be logged each. Otherwise it takes them from the budget.
+func (b *recordLogBudget) exceeds(records int, now time.Time) bool {
+	if now.Sub(b.since) >= recordLogInterval {
+		*b = recordLogBudget{since: now}
+	}
+	if b.lines+records > maxItemsLogged {
+		return true
+	}
+	b.lines += records
+	return false
+}
+
 // Merge applies records received from another box. Records that are not newer than the known ones are ignored.
 func (m *Membership) Merge(items []state.Item, from string) {
 	// The lock also covers the store: without it, of two records received at the same moment the older one could
@@ -113,8 +138,8 @@
 	if len(fresh) == 0 {
 		return
 	}
-	log := m.log
-	if len(fresh) > maxItemsLogged {
+	log, now := m.log, m.clock.Now()
+	if m.logged.exceeds(len(fresh), now) {
 		m.log.Info().Int("records", len(fresh)).Str("from", from).Msg("many entry box records received")
 		log = m.log.Level(zerolog.WarnLevel)
 	}
@@ -247,18 +272,50 @@
 // minSampleRegional is the minimum number of entry boxes in an agent's region for a sample without other regions.
 const minSampleRegional = 3
 
+// minDigestRecords is the number of records from which digests of all records are smaller than the records.
+const minDigestRecords = 64
+
+// recordDigests returns the digests of all records, or nil if these are so few that it takes less to send them.
+func (m *Membership) recordDigests() []uint64 {
+	if m.store.Len() < minDigestRecords {
+		return nil
+	}
+	digests := m.store.Digests()
+	return digests[:]
+}
+
 // memberCursor is the position of one status stream in the changes of the membership.
 type memberCursor struct {
 	membership *Membership
 	// all selects the records of all boxes instead of only this box's own.
 	all    bool
 	cursor state.Cursor
+	// pending are records that are sent before the changes after cursor.
+	pending []state.Item
 	// own is the version of this box's record that was sent last.
 	own state.Version
 }
 
+// newMemberCursor returns the cursor of a stream that starts with all records, or with those that the receiver may lack if
+// it has sent the digests of its records.
+func newMemberCursor(m *Membership, request *wire.FollowRequest) *memberCursor {
+	c := &memberCursor{membership: m, all: request.Members}
+	if c.all && len(request.RecordDigests) == state.Buckets {
+		// A record that changes between the two calls is sent twice.
+		c.cursor = m.store.Tail()
+		c.pending, _ = m.store.Differing(state.Digests(request.RecordDigests), math.MaxInt)
+	}
+	return c
+}
+
 // next returns the records that have changed since the last call.
 func (c *memberCursor) next() []state.Item {
+	if len(c.pending) > 0 {
+		n := min(len(c.pending), maxBatchItems)
+		items := c.pending[:n]
+		c.pending = c.pending[n:]
+		return items
+	}
 	if c.all {
 		batch := c.membership.store.Since(c.cursor, maxBatchItems)
 		c.cursor = batch.Next
--- a/internal/direct/membership_test.go
+++ b/internal/direct/membership_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"math/rand/v2"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -461,3 +462,76 @@
 	}
 	require.Equal(t, []string{"member/a", "member/b", "member/d"}, sent)
 }
+
+// Guards against sending all records on each new stream between boxes that hold nearly the same ones.
+func TestNewStreamCarriesOnlyRecordsThatDiffer(t *testing.T) {
+	const boxes, changed = 500, 3
+	clock := clockwork.NewFakeClock()
+	a, b := newTestMembership(clock, "a"), newTestMembership(clock, "b")
+	for i := range boxes {
+		items := recordItems(t, member.Record{Box: member.BoxID(fmt.Sprintf("box-%d", i)), Incarnation: 1, Status: member.StatusUp})
+		a.Merge(items, "c")
+		if i < boxes-changed {
+			b.Merge(items, "c")
+		}
+	}
+	a.Merge(recordItems(t, b.Own()), "b")
+	cursor := newMemberCursor(a, &wire.FollowRequest{Members: true, RecordDigests: b.recordDigests()})
+	received := 0
+	for items := cursor.next(); len(items) > 0; items = cursor.next() {
+		b.Merge(itemsFromWire(itemsToWire(items)), "a")
+		received += len(items)
+	}
+	require.Equal(t, a.All(), b.All())
+	require.LessOrEqual(t, received, boxes/10)
+
+	a.SetStatus(member.StatusUp)
+	require.Len(t, cursor.next(), 1)
+}
+
+// Guards against marks of live boxes at a start, when connections wait longer than silentAfter to be accepted.
+func TestBoxesThatAcceptLateAtStartAreNotMarkedSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestCluster(t, 30, 5, 2*time.Second)
+		defer c.stop()
+		for i, box := range c.boxes {
+			if i%3 == 0 {
+				box.acceptsAfter.Store(time.Now().Add(1500 * time.Millisecond).UnixNano())
+			}
+		}
+		time.Sleep(5 * time.Second)
+		for _, box := range c.boxes {
+			require.Len(t, box.entries.membership.All(), len(c.boxes), "%s", box.id)
+			// The only change of a record that is not marked is that of its status to up.
+			require.Equal(t, uint64(1), box.entries.membership.Own().Sequence, "%s", box.id)
+		}
+	})
+}
+
+func TestPlanIsPostponedOnlyWhileALargeFleetGrowsFast(t *testing.T) {
+	start := time.Unix(0, 0)
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	var small, steady, fast planGrowth
+	require.False(t, small.isFast(minSettledBoxes, 1, start))
+	require.False(t, steady.isFast(101, 100, start))
+
+	require.True(t, fast.isFast(200, 1, at(0)))
+	require.True(t, fast.isFast(300, 1, at(settleTime/2)))
+	require.True(t, fast.isFast(300, 1, at(settleTime)))
+	require.False(t, fast.isFast(300, 1, at(2*settleTime)), "no growth for settleTime")
+
+	var endless planGrowth
+	for d := time.Duration(0); d < maxSettleTime; d += settleTime / 2 {
+		require.True(t, endless.isFast(200+int(d/time.Millisecond), 1, at(d)))
+	}
+	require.False(t, endless.isFast(5000, 1, at(maxSettleTime)))
+}
+
+func TestRecordsAreLoggedEachUpToABudget(t *testing.T) {
+	start := time.Unix(0, 0)
+	var budget recordLogBudget
+	require.False(t, budget.exceeds(maxItemsLogged-1, start))
+	require.True(t, budget.exceeds(2, start))
+	require.False(t, budget.exceeds(1, start))
+	require.False(t, budget.exceeds(2, start.Add(recordLogInterval)))
+}
