test(direct): links and processors of the boxes in the cluster in virtual time

In the cluster in virtual time only the links between regions had a bandwidth, a box could send and receive without limit, processors took no time, and the store's responses cost nothing.

`limitBoxes(share)` gives each box 40 Mbit/s in each direction, one in ten 1,000 Mbit/s, all its connections together; each pair of regions 26 Mbit/s; and a processor of 0.384 of a core (the large ones one core, assumed). A message takes 60 us of a whole core at its sender and its receiver (given), 20 us more per 1,000 bytes at the receiver and 1 us (assumed) at the sender. Headers of 40 bytes for each packet of 1,460 count on every link, also in the tests that limit only the links between regions. Responses of the store pass the link from its region and the link of the reader. `share` is the part of all links that callers leave. Facts are counted by connection, with what a call that was given up has transferred. The end of a cluster stops all boxes at once, as one after the other takes minutes over slow links.

The 20 us: BenchmarkReceivedConfiguration (decode and WithConfiguration of the fleet's configuration, 333 organisations, 490 routes, 80,101 bytes) took 1.51 ms on a core of this machine under load, 18.8 us per 1,000 bytes.

Not modelled: agents, loss, the slow start and the windows of TCP, processor quotas that stop a box for part of a period, and the JSON of the store (the encoded entries count instead). A message costs by its bytes, so a small message that makes a box build a large view costs too little.

--- a/internal/direct/cluster_test.go
+++ b/internal/direct/cluster_test.go
@@ -87,6 +87,9 @@
 	peer   *clusterBox
 	closed chan struct{}
 	once   sync.Once
+	// isDialer is set at the end that opened the connection. use is what both ends use it for.
+	isDialer bool
+	use      *connUse
 }
 
 // Read implements net.Conn.
@@ -101,7 +104,10 @@
 	c.box.delay(clusterLatency)
 	c.box.processing.wait(c.closed)
 	c.box.awaitLink(c.peer, c.closed)
-	time.Sleep(c.box.cluster.link(c.box.region, c.peer.region).transmit(len(p)))
+	if c.isDialer {
+		c.use.observe(p)
+	}
+	c.box.transmit(c.peer, len(p), c.use)
 	return c.Conn.Write(p)
 }
 
@@ -291,6 +297,9 @@
 			for _, fact := range s.at(batch.Revision) {
 				batch.Facts = append(batch.Facts, fact)
 			}
+			if err := box.receiveFromStore(ctx, batch.Facts); err != nil {
+				return unavailable(err)
+			}
 			box.processing.wait(nil)
 			return batch, nil
 		},
@@ -300,6 +309,9 @@
 			}
 			batch, err := s.changes(ctx, after, wait)
 			s.reachable.wait(ctx.Done())
+			if err := box.receiveFromStore(ctx, batch.Facts); err != nil {
+				return unavailable(err)
+			}
 			box.processing.wait(ctx.Done())
 			if ctx.Err() != nil {
 				return unavailable(ctx.Err())
@@ -383,7 +395,7 @@
 	mu        sync.Mutex
 	listeners map[member.Address]*pipeListener
 	// links are the links between two regions, one for each direction.
-	links map[[2]member.Region]*regionLink
+	links map[[2]member.Region]*networkLink
 	// parts maps the boxes to the parts of the network; boxes of different parts can't reach each other.
 	parts map[member.BoxID]int
 }
@@ -393,6 +405,8 @@
 	cluster *testCluster
 	id      member.BoxID
 	region  member.Region
+	// machine is the capacity of the box and what it has transferred.
+	machine *boxMachine
 	// processing is closed while the box is frozen. lag is how long each of its messages is late.
 	processing *gate
 	lag        atomic.Int64
@@ -416,11 +430,12 @@
 func newTestCluster(t *testing.T, boxes, regions int, bound time.Duration) *testCluster {
 	c := &testCluster{
 		t: t, bound: bound, retries: route.RetryLimits{Ratio: 0.2, Extra: 100, Window: 10 * time.Second},
-		store: newClusterStore(), listeners: make(map[member.Address]*pipeListener), links: make(map[[2]member.Region]*regionLink),
+		store: newClusterStore(), listeners: make(map[member.Address]*pipeListener), links: make(map[[2]member.Region]*networkLink),
 	}
 	for i := range boxes {
 		box := &clusterBox{
 			cluster: c, id: member.BoxID(fmt.Sprintf("entry-%d", i)), region: member.Region(fmt.Sprintf("region-%d", i%regions)), processing: newGate(),
+			machine: &boxMachine{},
 		}
 		c.boxes = append(c.boxes, box)
 	}
@@ -436,9 +451,16 @@
 	for _, box := range c.boxes {
 		box.processing.open()
 	}
+	c.killAll()
+}
+
+// killAll ends all boxes at once.
+func (c *testCluster) killAll() {
+	var killing sync.WaitGroup
 	for _, box := range c.boxes {
-		box.kill()
+		killing.Go(box.kill)
 	}
+	killing.Wait()
 }
 
 func (c *testCluster) box(id member.BoxID) *clusterBox {
@@ -468,10 +490,11 @@
 		return nil, ctx.Err()
 	}
 	near, far := net.Pipe()
-	accepted := &gatedConn{Conn: far, box: peer, peer: b, closed: make(chan struct{})}
+	use := &connUse{}
+	accepted := &gatedConn{Conn: far, box: peer, peer: b, closed: make(chan struct{}), use: use}
 	select {
 	case listener.conns <- accepted:
-		return &gatedConn{Conn: near, box: b, peer: peer, closed: make(chan struct{})}, nil
+		return &gatedConn{Conn: near, box: b, peer: peer, closed: make(chan struct{}), isDialer: true, use: use}, nil
 	case <-listener.closed:
 		return nil, errors.New("connection refused")
 	case <-ctx.Done():
@@ -546,7 +569,7 @@
 		onReport:   func(member.BoxID, route.Load, route.Demands, bool, time.Time) {},
 		onRejected: func([]route.RejectedCaller, route.RelayDimension, time.Time) {},
 	}
-	b.entries.pull, b.entries.startFollow = b.entries.pullFacts, b.entries.startFollowing
+	b.entries.pull, b.entries.startFollow = b.countPulls(b.entries.pullFacts), b.entries.startFollowing
 	b.status.readers = b.entries.reportedReaders
 	b.callers = newTestCallerServer(b.fleetState)
 	b.callers.started = clock.Now()
--- /dev/null
+++ b/internal/direct/clusterconfiguration_test.go
@@ -0,0 +1,282 @@
+package direct
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cinderslip/cinderslip/pkg/fleet"
+	"github.com/cinderslip/cinderslip/pkg/member"
+	"github.com/cinderslip/cinderslip/pkg/state"
+)
+
+// clusterShare is the part of the links that TestConfigurationIsInForceEverywhereInTime leaves for control traffic.
+var clusterShare = flag.Float64("cluster.share", 1, "part of all links that callers leave for control traffic")
+
+// The size of a deployment's state.
+const (
+	organisationCount = 333
+	keysEach          = 2
+	keyLetters        = 20
+	routeCount        = 490
+	serviceCount      = 24
+	serverCount       = 464
+)
+
+// configurationMaker makes the configurations of a fleet, each with one key changed since the one before.
+type configurationMaker struct {
+	random  *rand.Rand
+	current fleet.Configuration
+	changes int
+}
+
+func newConfigurationMaker() *configurationMaker {
+	m := &configurationMaker{random: rand.New(rand.NewPCG(1, 2))}
+	configuration := &m.current
+	configuration.Limits = fleet.Limits{HeaderBytes: 32 << 10, BodyBytes: 10 << 20, HeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute}
+	for i := range serviceCount {
+		service := fleet.Service{Name: member.Service(fmt.Sprintf("service-%d", i)), MaxConnections: 64}
+		if i == 0 {
+			service.Name = "llm"
+		}
+		if i%4 == 0 {
+			service.Engine = &fleet.Engine{
+				Slots: 8, Models: []fleet.ModelName{"model"}, Warmup: 20 * time.Second, Layers: 16, Chunks: 64, ChunkSize: 1 << 20,
+				StepTime: 20 * time.Millisecond, StepTimePerRequest: time.Millisecond, StepsBetweenPrefills: 4, PrefillTokensPerSecond: 4000,
+				TypicalPromptTokens: 600, TypicalResponseTokens: 150,
+			}
+		}
+		configuration.Services = append(configuration.Services, service)
+	}
+	for i := range routeCount {
+		service := configuration.Services[i%serviceCount]
+		route := fleet.Route{
+			Name: fmt.Sprintf("route-%d-%s", i, service.Name), Host: fmt.Sprintf("%s-%d.example", service.Name, i%70),
+			PathPrefix: fmt.Sprintf("/v%d/%s/", i%3+1, m.letters(8)),
+			Kind:       fleet.KindRepeatable, Timeout: 5 * time.Second, Objective: 800 * time.Millisecond, Priority: i % 3, MaxAttempts: 3,
+			Backends: []fleet.Backend{{Service: service.Name, Weight: 1}},
+		}
+		if service.Engine != nil {
+			route.Kind, route.Resumable, route.MaxEventGap, route.CallerTimeout = fleet.KindStream, true, 2*time.Second, 10*time.Second
+		}
+		configuration.Routes = append(configuration.Routes, route)
+	}
+	for i := range organisationCount {
+		organisation := fleet.Organisation{Name: fleet.OrganisationName(fmt.Sprintf("organisation-%d", i))}
+		for range keysEach {
+			organisation.Keys = append(organisation.Keys, fleet.APIKey(m.letters(keyLetters)))
+		}
+		configuration.Organisations = append(configuration.Organisations, organisation)
+	}
+	return m
+}
+
+// letters returns random lower-case letters.
+func (m *configurationMaker) letters(count int) string {
+	var text strings.Builder
+	for range count {
+		text.WriteByte(byte('a' + m.random.IntN(26)))
+	}
+	return text.String()
+}
+
+// next returns the next configuration, without a version.
+func (m *configurationMaker) next() *fleet.Configuration {
+	next := m.current
+	next.Organisations = slices.Clone(next.Organisations)
+	changed := &next.Organisations[m.random.IntN(organisationCount)]
+	changed.Keys = slices.Clone(changed.Keys)
+	changed.Keys[m.changes%keysEach] = fleet.APIKey(m.letters(keyLetters))
+	m.changes++
+	m.current = next
+	return &next
+}
+
+// encodedConfiguration returns a configuration as it is stored and sent.
+func encodedConfiguration(tb testing.TB, configuration *fleet.Configuration) []byte {
+	fact := fleet.Fact{Key: fleet.ConfigurationKey(), Configuration: configuration}
+	item, err := fact.Item()
+	require.NoError(tb, err)
+	return item.Value
+}
+
+// putConfiguration writes a configuration and returns its version.
+func (s *clusterStore) putConfiguration(configuration *fleet.Configuration) uint64 {
+	s.mu.Lock()
+	s.configuration++
+	configuration.Version = s.configuration
+	s.mu.Unlock()
+	s.write(fleet.Fact{Key: fleet.ConfigurationKey(), Configuration: configuration})
+	return configuration.Version
+}
+
+// BenchmarkReceivedConfiguration decodes the configuration of a fleet and puts it into a view, as a box that receives it does.
+func BenchmarkReceivedConfiguration(b *testing.B) {
+	encoded := encodedConfiguration(b, newConfigurationMaker().next())
+	b.SetBytes(int64(len(encoded)))
+	view := fleet.EmptyView()
+	for b.Loop() {
+		var configuration fleet.Configuration
+		require.NoError(b, state.Decode(encoded, &configuration))
+		view = view.WithConfiguration(&configuration, 1)
+	}
+}
+
+// Phases of the measurement of configurations.
+const (
+	// clusterStartTime is the time after which all boxes of a started cluster have each other's records and the state. It is
+	// longer by boxStartTime for each box.
+	clusterStartTime = 8 * time.Second
+	boxStartTime     = 10 * time.Millisecond
+	// entryChangeInterval is the time between two changes of servers' entries.
+	entryChangeInterval = 300 * time.Millisecond
+	// inForcePollInterval is how often the boxes are checked for a configuration.
+	inForcePollInterval = 10 * time.Millisecond
+)
+
+// writtenConfiguration is a configuration and when it was in force at each box that has it.
+type writtenConfiguration struct {
+	version uint64
+	at      time.Time
+	inForce map[*clusterBox]time.Duration
+}
+
+// newLimitedCluster starts a cluster with the links and the state of a deployment, and waits until all boxes have it.
+func newLimitedCluster(t *testing.T, boxes int, share float64) (*testCluster, *configurationMaker) {
+	c, configurations := newTestCluster(t, boxes, 5, 5*time.Second), newConfigurationMaker()
+	c.limitBoxes(1)
+	c.store.putConfiguration(configurations.next())
+	for i := range serverCount {
+		c.store.write(modelEntry(i, 0))
+	}
+	time.Sleep(clusterStartTime + time.Duration(boxes)*boxStartTime)
+	for _, box := range c.boxes {
+		require.Len(t, box.entries.membership.All(), boxes, "%s", box.id)
+		require.True(t, box.hasState(), "%s", box.id)
+	}
+	c.limitBoxes(share)
+	return c, configurations
+}
+
+// hasState reports whether the box has all servers and the last configuration.
+func (b *clusterBox) hasState() bool {
+	return len(serverIDs(b.fleetState)) == serverCount && b.configurationVersion() == b.cluster.store.configuration
+}
+
+// configurationVersion returns the version of the configuration in force, 0 without one.
+func (b *clusterBox) configurationVersion() uint64 {
+	if configuration := b.fleetState.View().Configuration; configuration != nil {
+		return configuration.Version
+	}
+	return 0
+}
+
+// measureConfigurations writes configurations at times after its start, while servers' entries change. It returns when each
+// was in force, after a time for the last one.
+func (c *testCluster) measureConfigurations(
+	configurations *configurationMaker, after []time.Duration, last time.Duration,
+) (written []*writtenConfiguration) {
+	startedAt, entries := time.Now(), 0
+	for time.Since(startedAt) < after[len(after)-1]+last {
+		if len(written) < len(after) && time.Since(startedAt) >= after[len(written)] {
+			written = append(written, &writtenConfiguration{
+				version: c.store.putConfiguration(configurations.next()), at: time.Now(), inForce: make(map[*clusterBox]time.Duration),
+			})
+		}
+		if time.Since(startedAt) >= time.Duration(entries)*entryChangeInterval {
+			entries++
+			c.store.write(modelEntry(entries%serverCount, fleet.WeightsVersion(entries)))
+		}
+		for _, box := range c.boxes {
+			version := box.configurationVersion()
+			for _, configuration := range written {
+				if _, known := configuration.inForce[box]; !known && version >= configuration.version {
+					configuration.inForce[box] = time.Since(configuration.at)
+				}
+			}
+		}
+		time.Sleep(inForcePollInterval)
+	}
+	return written
+}
+
+// quantiles returns the middle and the highest value.
+func quantiles[T int | time.Duration](values []T) (middle, highest T) {
+	slices.Sort(values)
+	return values[len(values)/2], values[len(values)-1]
+}
+
+// logConfigurations logs when configurations were in force and what they cost since the transfers before.
+func (c *testCluster) logConfigurations(written []*writtenConfiguration, before []boxTransfers, linksBefore map[[2]member.Region]int) {
+	for _, configuration := range written {
+		times := slices.Collect(maps.Values(configuration.inForce))
+		middle, last := quantiles(times)
+		late := len(c.boxes) - len(times)
+		for _, taken := range times {
+			if taken > c.bound {
+				late++
+			}
+		}
+		c.t.Logf("configuration %d: in force after %v in the middle, %v at last; %d of %d boxes late",
+			configuration.version, middle, last, late, len(c.boxes))
+	}
+	var sent, received []int
+	var all boxTransfers
+	for i, after := range c.transfers() {
+		cost := after.minus(before[i])
+		sent, received, all = append(sent, cost.sent), append(received, cost.received), all.plus(cost)
+	}
+	busiest := 0
+	for link, bytes := range c.factsBetweenRegions() {
+		busiest = max(busiest, bytes-linksBefore[link])
+	}
+	_, delay := c.busiestLink()
+	sentMiddle, sentMost := quantiles(sent)
+	receivedMiddle, receivedMost := quantiles(received)
+	c.t.Logf("facts in KB: a box sent %d in the middle, %d at most, received %d and %d; the busiest link between regions transmitted %d",
+		sentMiddle/1000, sentMost/1000, receivedMiddle/1000, receivedMost/1000, busiest/1000)
+	c.t.Logf("pulls: %d, failed %d, given up %d; calls of the store given up: %d; a message waited up to %v for a link between regions",
+		all.pulls, all.failed, all.givenUp, all.storeTimeouts, delay)
+}
+
+// Guards against a configuration that is late because it is sent whole, by few boxes, to all others.
+func TestConfigurationIsInForceEverywhereInTime(t *testing.T) {
+	sizes := []int{30, 100}
+	if raceEnabled {
+		sizes = sizes[:1]
+	}
+	if *clusterBoxes > 0 {
+		sizes = []int{*clusterBoxes}
+	}
+	for _, boxes := range sizes {
+		t.Run(fmt.Sprintf("%d boxes", boxes), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, configurations := newLimitedCluster(t, boxes, *clusterShare)
+				defer c.stop()
+				for _, box := range c.boxes {
+					box.loaded.Store(true)
+				}
+				time.Sleep(2 * time.Second)
+				before, linksBefore := c.transfers(), c.factsBetweenRegions()
+				written := c.measureConfigurations(configurations, []time.Duration{0, time.Second}, c.bound+time.Second)
+				c.logConfigurations(written, before, linksBefore)
+				for _, configuration := range written {
+					for _, box := range c.boxes {
+						taken, ok := configuration.inForce[box]
+						if !ok || taken > c.bound {
+							t.Errorf("%s has configuration %d after %v", box.id, configuration.version, taken)
+						}
+					}
+				}
+			})
+		})
+	}
+}
--- a/internal/direct/clusterlinks_test.go
+++ b/internal/direct/clusterlinks_test.go
@@ -13,25 +13,28 @@
 	"github.com/cinderslip/cinderslip/pkg/member"
 )
 
-// regionLink is the link from one region to another. It transmits one message after the other.
-type regionLink struct {
+// networkLink is a link in one direction: from one region to another, or to or from a box. It transmits one message after
+// the other.
+type networkLink struct {
 	// rate is in bytes per second; 0 for no limit.
 	rate float64
 
 	mu     sync.Mutex
 	freeAt time.Time
 	bytes  int
+	// facts are the bytes of calls that transfer facts.
+	facts int
 	// maxDelay is the longest delay of a message.
 	maxDelay time.Duration
 }
 
 // link returns the link between two regions. Within a region there is no limit.
-func (c *testCluster) link(from, to member.Region) *regionLink {
+func (c *testCluster) link(from, to member.Region) *networkLink {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	key := [2]member.Region{from, to}
 	if c.links[key] == nil {
-		c.links[key] = &regionLink{}
+		c.links[key] = &networkLink{}
 		if from != to {
 			c.links[key].rate = c.linkRate
 		}
@@ -44,25 +47,28 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.linkRate = rate
-	c.links = make(map[[2]member.Region]*regionLink)
+	c.links = make(map[[2]member.Region]*networkLink)
 }
 
-// transmit adds a message and returns the time until it has been transmitted.
-func (l *regionLink) transmit(bytes int) time.Duration {
+// transmit adds a message whose first byte arrives at a time, which may have passed, and returns when the first and the last
+// byte of it have been transmitted. The link was idle since that time or since the message before.
+func (l *networkLink) transmit(bytes int, arrival time.Time, use *connUse) (first, last time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.bytes += bytes
+	if use.isFacts() {
+		l.facts += bytes
+	}
 	if l.rate == 0 {
-		return 0
+		return arrival, arrival
 	}
-	now := time.Now()
-	if l.freeAt.Before(now) {
-		l.freeAt = now
+	if l.freeAt.Before(arrival) {
+		l.freeAt = arrival
 	}
+	first = l.freeAt
 	l.freeAt = l.freeAt.Add(time.Duration(float64(bytes) / l.rate * float64(time.Second)))
-	delay := l.freeAt.Sub(now)
-	l.maxDelay = max(l.maxDelay, delay)
-	return delay
+	l.maxDelay = max(l.maxDelay, l.freeAt.Sub(arrival))
+	return first, l.freeAt
 }
 
 // busiestLink returns the bytes of the link between two regions that has transmitted the most, and the longest delay of a
