test(direct): outdated configurations deny proper requests

A box that is cut off answered 404 on a route that the store had had for 2 s, the time within which every configuration must be in force, and went on doing so.

The cluster gets a link to the store for each box.

--- a/internal/direct/cluster_test.go
+++ b/internal/direct/cluster_test.go
@@ -277,6 +277,7 @@
 		box.delay(storeLatency)
 		box.processing.wait(ctx.Done())
 		s.reachable.wait(ctx.Done())
+		box.storeLink.wait(ctx.Done())
 		return ctx.Err()
 	}
 	unavailable := func(err error) (provider.FactBatch, error) {
@@ -300,6 +301,7 @@
 			}
 			batch, err := s.changes(ctx, after, wait)
 			s.reachable.wait(ctx.Done())
+			box.storeLink.wait(ctx.Done())
 			box.processing.wait(ctx.Done())
 			if ctx.Err() != nil {
 				return unavailable(ctx.Err())
@@ -396,6 +398,8 @@
 	// processing is closed while the box is frozen. lag is how long each of its messages is late.
 	processing *gate
 	lag        atomic.Int64
+	// storeLink is closed while the box can't reach the store.
+	storeLink *gate
 	// loaded is set while the load of the box changes.
 	loaded atomic.Bool
 	// disturbedUntil is when the last fault of the box ended; in the future while there is one.
@@ -420,7 +424,7 @@
 	}
 	for i := range boxes {
 		box := &clusterBox{
-			cluster: c, id: member.BoxID(fmt.Sprintf("entry-%d", i)), region: member.Region(fmt.Sprintf("region-%d", i%regions)), processing: newGate(),
+			cluster: c, id: member.BoxID(fmt.Sprintf("entry-%d", i)), region: member.Region(fmt.Sprintf("region-%d", i%regions)), processing: newGate(), storeLink: newGate(),
 		}
 		c.boxes = append(c.boxes, box)
 	}
