fix(direct): a box denies nothing by a configuration that may be outdated

The times of the store's readers, which travel already, do not show this: they stay within a region, whose only reader may stand still for longer than a bound of 2 s, and they have no numbers, so boxes that are cut off together would make a response newer and newer by passing it on.

Change: each response of the store is a confirmation: the newest configuration had this version when the store made it. Status messages pass the latest one on, across regions, with the number of the response; each counts once at a box. The box knows from it whether its configuration is current, behind a later one, or unconfirmed for longer than change_bound. A request that the held configuration allows is served as before. What would be 401, 404 or 413 is rejected at once if current, waits in the way in which requests wait for the first configuration if behind, and is refused with 503 and a Retry-After else. Boxes without confirmations count by Ordered and by the times of the readers that are followed. Tests that set up a state by hand confirm it by the function that the reader calls. The test of the first configuration calls lookUp, which replaces awaitConfiguration, with the same assertions.

--- a/internal/direct/apikey_test.go
+++ b/internal/direct/apikey_test.go
@@ -59,7 +59,7 @@
 	for _, keys := range []string{`[7]`, `[{"key":"k"}]`, `[null]`, `[""]`, `[" "]`, `"k"`, `[7,"sound"]`} {
 		batch := factsFromStore(t, `{"Version":4,"Routes":`+lookRoute+`,"Tenants":[{"Name":"kumiai","ApiKeys":`+keys+`}]}`, 3)
 		state, _ := newTestFleetState()
-		state.Apply(batch.Facts, "store")
+		applyFromStore(state, batch.Facts)
 		for _, authorization := range []string{"", "Bearer", "Bearer ", "Bearer  ", "Bearer \t", " ", "Bearer 7"} {
 			require.Equal(t, http.StatusUnauthorized, admitStatus(t, state, "/look/1", authorization), "keys %s, header %q", keys, authorization)
 		}
@@ -71,7 +71,7 @@
 func TestValidKeysBesideInvalidKeyApply(t *testing.T) {
 	for _, keys := range []string{`[7,"k"]`, `["k",null]`, `["","k"," k"]`} {
 		state, _ := newTestFleetState()
-		state.Apply(factsFromStore(t, `{"Version":4,"Routes":`+lookRoute+`,"Tenants":[{"Name":"kumiai","ApiKeys":`+keys+`}]}`, 3).Facts, "store")
+		applyFromStore(state, factsFromStore(t, `{"Version":4,"Routes":`+lookRoute+`,"Tenants":[{"Name":"kumiai","ApiKeys":`+keys+`}]}`, 3).Facts)
 		require.Equal(t, admitted, admitStatus(t, state, "/look/1", "Bearer k"), keys)
 	}
 }
--- a/internal/direct/callerserver_test.go
+++ b/internal/direct/callerserver_test.go
@@ -45,14 +45,23 @@
 	s := newTestCallerServer(state)
 	x := &exchange{InboundMetadata: provider.InboundMetadata{Deadline: 4 * time.Second}, request: httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/", http.NoBody)}
 	got := make(chan *fleet.View, 1)
-	go func() { got <- s.awaitConfiguration(x) }()
+	await := func() {
+		var last *fleet.View
+		s.lookUp(x, func(view *fleet.View) bool {
+			last = view
+			return view.Configuration != nil
+		})
+		got <- last
+	}
+	go await()
 	require.NoError(t, clock.BlockUntilContext(t.Context(), 1))
 	state.Apply([]fleet.Fact{{Key: fleet.ConfigurationKey(), Revision: 1, Configuration: &fleet.Configuration{Version: 3}}}, "store")
 	require.EqualValues(t, 3, (<-got).Configuration.Version)
 
 	empty, clock := newTestFleetState()
 	s = newTestCallerServer(empty)
-	go func() { got <- s.awaitConfiguration(x) }()
+	x = &exchange{InboundMetadata: x.InboundMetadata, request: x.request}
+	go await()
 	require.NoError(t, clock.BlockUntilContext(t.Context(), 1))
 	clock.Advance(time.Duration(configurationWaitFraction * float64(x.Deadline)))
 	require.Nil(t, (<-got).Configuration, "waits for a part of its deadline only")
@@ -62,7 +71,7 @@
 // is truncated at the end of the grace period.
 func TestLeavingBoxRefusesLateRequests(t *testing.T) {
 	state, clock := newTestFleetState()
-	state.Apply([]fleet.Fact{{Key: fleet.ConfigurationKey(), Revision: 1, Configuration: &fleet.Configuration{Version: 3}}}, "store")
+	applyFromStore(state, []fleet.Fact{{Key: fleet.ConfigurationKey(), Revision: 1, Configuration: &fleet.Configuration{Version: 3}}})
 	s := newTestCallerServer(state)
 	s.protocol = provider.CallerProtocol{ReadRequest: func(*http.Request) provider.InboundMetadata { return provider.InboundMetadata{} }}
 	s.leavingSince = clock.Now()
--- a/internal/direct/cluster_test.go
+++ b/internal/direct/cluster_test.go
@@ -398,8 +398,8 @@
 	// processing is closed while the box is frozen. lag is how long each of its messages is late.
 	processing *gate
 	lag        atomic.Int64
-	// storeLink is closed while the box can't reach the store.
-	storeLink *gate
+	// storeLink is closed while the box can't reach the store, transfers while it receives no facts from other boxes.
+	storeLink, transfers *gate
 	// loaded is set while the load of the box changes.
 	loaded atomic.Bool
 	// disturbedUntil is when the last fault of the box ended; in the future while there is one.
@@ -424,7 +424,7 @@
 	}
 	for i := range boxes {
 		box := &clusterBox{
-			cluster: c, id: member.BoxID(fmt.Sprintf("entry-%d", i)), region: member.Region(fmt.Sprintf("region-%d", i%regions)), processing: newGate(), storeLink: newGate(),
+			cluster: c, id: member.BoxID(fmt.Sprintf("entry-%d", i)), region: member.Region(fmt.Sprintf("region-%d", i%regions)), processing: newGate(), storeLink: newGate(), transfers: newGate(),
 		}
 		c.boxes = append(c.boxes, box)
 	}
@@ -531,6 +531,7 @@
 	}
 	membership, suspects := NewMembership(own, clock, log), newSuspectRequests(clock, log, metrics)
 	b.fleetState, b.peers = NewFleetState(clock, log, metrics), daemon.NewPeerPoolWithDial(b.dial)
+	b.fleetState.confirmations.bound = c.bound
 	b.status = &StatusServer{
 		clock: clock, fleetState: b.fleetState, membership: membership, tasks: kernel.NewTaskGroup(), suspects: suspects,
 		load: b.load, demands: func() route.Demands { return nil },
@@ -550,7 +551,11 @@
 		onReport:   func(member.BoxID, route.Load, route.Demands, bool, time.Time) {},
 		onRejected: func([]route.RejectedCaller, route.RelayDimension, time.Time) {},
 	}
-	b.entries.pull, b.entries.startFollow = b.entries.pullFacts, b.entries.startFollowing
+	b.entries.startFollow = b.entries.startFollowing
+	b.entries.pull = func(ctx context.Context, from member.Address) error {
+		b.transfers.wait(ctx.Done())
+		return b.entries.pullFacts(ctx, from)
+	}
 	b.status.readers = b.entries.reportedReaders
 	b.callers = newTestCallerServer(b.fleetState)
 	b.callers.started = clock.Now()
--- a/internal/direct/configurationstatus_test.go
+++ b/internal/direct/configurationstatus_test.go
@@ -2,13 +2,24 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/cinderslip/cinderslip/internal/wire"
+	"github.com/cinderslip/cinderslip/pkg/fleet"
 )
 
+// applyFromStore applies facts of a response that the store has just made.
+func applyFromStore(f *FleetState, facts []fleet.Fact) {
+	f.Apply(facts, "store")
+	f.confirmConfiguration(f.clock.Now())
+}
+
 // Guards against denying a proper request, which its caller does not repeat, by a configuration that nothing has
 // confirmed for longer than a change may take.
 func TestUnconfirmedConfigurationDeniesNothing(t *testing.T) {
@@ -24,3 +35,106 @@
 		require.Equal(t, admitted, admitStatus(t, fleetState, "/look/1", "Bearer k"), "the held configuration allows it")
 	})
 }
+
+// statement returns a confirmation of the test's readers.
+func statement(reader uint32, response, version uint64, at time.Time) *confirmation {
+	return &confirmation{reader: reader, response: response, version: version, at: at}
+}
+
+// Guards against processes that are cut off together and make a response of the store newer and newer by passing it on to
+// each other: each time adds the time for which the message was under way.
+func TestResponseOfTheStoreConfirmsOnce(t *testing.T) {
+	start := time.Now()
+	c := newConfirmations(2 * time.Second)
+	c.take(statement(1, 7, 4, start), start)
+	c.take(statement(2, 3, 4, start.Add(10*time.Millisecond)), start.Add(20*time.Millisecond))
+	for i := range 400 {
+		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		c.take(statement(1, 7, 4, now), now)
+		c.take(statement(2, 3, 4, now), now)
+	}
+	require.Equal(t, start.Add(10*time.Millisecond), c.latest.at)
+	require.Equal(t, configurationCurrent, c.status(4, 0, start.Add(2*time.Second)))
+	require.Equal(t, configurationUnconfirmed, c.status(4, 0, start.Add(2010*time.Millisecond)))
+	require.Zero(t, c.forReport(start.Add(2010*time.Millisecond)), "not passed on once it is older than the bound")
+	later := start.Add(2100 * time.Millisecond)
+	c.take(statement(1, 8, 4, later), later)
+	require.Equal(t, configurationCurrent, c.status(4, 0, later))
+}
+
+// Guards against a configuration that counts as current although the store has a later one, and against one that stays
+// behind a version that the store has lost.
+func TestLaterVersionMakesAConfigurationBehind(t *testing.T) {
+	start := time.Now()
+	c := newConfirmations(5 * time.Second)
+	c.take(statement(1, 1, 4, start), start)
+	c.take(statement(2, 1, 5, start.Add(-100*time.Millisecond)), start)
+	require.Equal(t, configurationBehind, c.status(4, 0, start), "whichever response is newer by estimate")
+	require.Equal(t, configurationCurrent, c.status(5, 0, start))
+	c.take(statement(1, 2, 4, start.Add(300*time.Millisecond)), start.Add(300*time.Millisecond))
+	require.Equal(t, configurationBehind, c.status(4, 0, start.Add(300*time.Millisecond)), "read at about the same time")
+	c.take(statement(1, 3, 4, start.Add(time.Second)), start.Add(time.Second))
+	require.Equal(t, configurationCurrent, c.status(4, 0, start.Add(time.Second)), "the store came back from a copy")
+}
+
+// Guards against counting a response from when it arrives, if the store made it earlier.
+func TestConfirmationCountsFromWhenTheStoreMadeIt(t *testing.T) {
+	start := time.Now()
+	call := storeResponse{started: start, due: start.Add(time.Second)}
+	require.Equal(t, start.Add(300*time.Millisecond), responseMadeAt(&call, start.Add(300*time.Millisecond)), "a change")
+	require.Equal(t, start.Add(time.Second), responseMadeAt(&call, start.Add(1800*time.Millisecond)), "a late response")
+	call.snapshot = true
+	require.Equal(t, start, responseMadeAt(&call, start.Add(300*time.Millisecond)), "a snapshot of several pages")
+}
+
+// Guards against boxes that refuse everything unknown while they run beside boxes of a version without confirmations.
+func TestReportsWithoutConfirmationsConfirm(t *testing.T) {
+	f, clock := newTestFleetState()
+	f.Apply([]fleet.Fact{{Key: fleet.ConfigurationKey(), Revision: 3, Configuration: &fleet.Configuration{Version: 3}}}, "peer")
+	require.Equal(t, configurationUnconfirmed, f.configurationStatus())
+	status := func(ordered uint64, age time.Duration) *wire.EntryStatus {
+		return &wire.EntryStatus{
+			Box: "old", Peers: "old:1", Ordered: ordered, Readers: []*wire.StoreReader{{Box: "old", AgeMilliseconds: uint64(age.Milliseconds())}},
+		}
+	}
+	own := f.Watermarks().Ordered
+	boxes := newTestEntryBoxes(f)
+	boxes.updateBox("old:1", status(own+1, 0), clock.Now())
+	require.NotEqual(t, configurationCurrent, f.configurationStatus(), "the other box knows a later configuration")
+	clock.Advance(statusTimeout)
+	boxes.updateBox("old:1", status(own, time.Second), clock.Now())
+	require.Equal(t, configurationCurrent, f.configurationStatus())
+	require.Equal(t, time.Second, f.ConfirmationAge())
+	require.Zero(t, f.confirmation(), "not passed on: nothing identifies the response")
+	boxes.updateBox("old:1", status(own+1, 0), clock.Now())
+	require.Equal(t, configurationBehind, f.configurationStatus())
+	clock.Advance(2 * time.Second)
+	require.Equal(t, configurationUnconfirmed, f.configurationStatus())
+}
+
+// Guards against rejecting a body as too long by a limit that may be outdated.
+func TestBodyOverAnOutdatedLimitIsRefused(t *testing.T) {
+	for name, length := range map[string]int64{"known length": 100, "unknown length": -1} {
+		t.Run(name, func(t *testing.T) {
+			f, clock := newTestFleetState()
+			applyFromStore(f, factsFromStore(t, validConfiguration, 3).Facts)
+			send := func(size int) int {
+				s := newTestCallerServer(f)
+				request := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/look/1", strings.NewReader(strings.Repeat("a", size)))
+				request.ContentLength = min(length, int64(size))
+				recorder := httptest.NewRecorder()
+				if s.readBody(&exchange{writer: recorder, request: request, arrived: clock.Now()}) {
+					return admitted
+				}
+				return recorder.Code
+			}
+			require.Equal(t, http.StatusRequestEntityTooLarge, send(100))
+			require.Equal(t, admitted, send(70))
+			f.noteConfirmation(statement(1, 1, 5, clock.Now()))
+			require.Equal(t, http.StatusServiceUnavailable, send(100), "a later configuration may allow it")
+			require.Equal(t, admitted, send(70), "the held one allows it")
+			clock.Advance(5 * time.Second)
+			require.Equal(t, http.StatusServiceUnavailable, send(100), "nothing confirms the held one")
+		})
+	}
+}
--- a/internal/direct/controltraffic.go
+++ b/internal/direct/controltraffic.go
@@ -29,7 +29,7 @@
 	purposeRejected purpose = "rejected-callers"
 	// purposeServers are departures, rate limits and exits of servers.
 	purposeServers purpose = "server-signals"
-	// purposeReaders are the boxes that read the store.
+	// purposeReaders are the boxes that read the store, and confirmations of the configuration.
 	purposeReaders purpose = "readers"
 	// purposeFacts are entries of the store.
 	purposeFacts purpose = "facts"
@@ -119,8 +119,8 @@
 	if len(status.Departures)+len(status.Evidence)+len(status.RateLimits) > 0 {
 		countPart(purposeServers, &wire.EntryStatus{Departures: status.Departures, Evidence: status.Evidence, RateLimits: status.RateLimits})
 	}
-	if len(status.Readers) > 0 {
-		countPart(purposeReaders, &wire.EntryStatus{Readers: status.Readers})
+	if len(status.Readers) > 0 || status.Confirmation != nil {
+		countPart(purposeReaders, &wire.EntryStatus{Readers: status.Readers, Confirmation: status.Confirmation})
 	}
 	c.counters[trafficKind{purposeStatus, remote}].bytes.Add(float64(rest))
 	c.counters[trafficKind{main, remote}].messages.Inc()
--- a/internal/direct/entryboxes.go
+++ b/internal/direct/entryboxes.go
@@ -66,6 +66,8 @@
 	seeds []string
 	// boxes holds the last status of each followed box, by peer address.
 	boxes map[string]EntryBox
+	// requestedAt is when the current status stream of each box was requested, by peer address.
+	requestedAt map[string]time.Time
 	// following holds the followed boxes, by peer address.
 	following map[string]followed
 	// cursors holds the position up to which the facts of each box have been read.
@@ -281,6 +283,7 @@
 	return followStream(ctx, e.clock, e.peers, e.log, &peerStream[*wire.EntryStatus]{
 		dependency: "entry", address: member.Address(entry),
 		open: func(ctx context.Context, client wire.DRPCFleetClient) (func() (*wire.EntryStatus, error), error) {
+			e.noteRequested(entry)
 			stream, err := client.Entry(ctx, e.followRequest(want))
 			if err != nil {
 				return nil, err
@@ -374,6 +377,7 @@
 		return EntryBox{}, EntryBox{}, false
 	}
 	sentAt := box.noteSent(status, &before)
+	box.confirms = before.confirms || status.Confirmation != nil
 	e.boxes[entry] = box
 	var responses []time.Time
 	for _, reader := range status.Readers {
@@ -384,9 +388,34 @@
 		}
 	}
 	e.fleetState.noteReport(box.Watermarks.Newest, responses)
+	if status.Confirmation != nil {
+		e.fleetState.noteConfirmation(confirmationFromWire(status.Confirmation, e.sentAtLeast(entry, status, &before, sentAt)))
+	} else if !box.confirms {
+		e.fleetState.noteReportWithoutConfirmation(box.Watermarks, responses)
+	}
 	return box, before, true
 }
 
+// sentAtLeast returns the time at which a message was sent, or an earlier time if it is the first one of its stream with a
+// time: it may have been under way for long, and no message before it shows that. The lock must be held.
+func (e *EntryBoxes) sentAtLeast(entry string, status *wire.EntryStatus, before *EntryBox, sentAt time.Time) time.Time {
+	requestedAt := e.requestedAt[entry]
+	if requestedAt.IsZero() || status.SentMilliseconds == nil || !before.sentBase.IsZero() {
+		return sentAt
+	}
+	return requestedAt.Add(time.Duration(*status.SentMilliseconds) * time.Millisecond)
+}
+
+// noteRequested records that the status stream of a box is requested now.
+func (e *EntryBoxes) noteRequested(entry string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.requestedAt == nil {
+		e.requestedAt = make(map[string]time.Time)
+	}
+	e.requestedAt[entry] = e.clock.Now()
+}
+
 // isFirstHand reports whether a report of the store's last response to a reader counts as evidence of when that was. Ages
 // do not include the time for which a report is under way, so each relay makes a response seem later: a reader that this
 // box follows counts by its own reports alone. The lock must be held.
@@ -410,6 +439,7 @@
 	e.mu.Lock()
 	box, known := e.boxes[entry]
 	delete(e.boxes, entry)
+	delete(e.requestedAt, entry)
 	e.mu.Unlock()
 	if known {
 		e.onReport(box.Box, nil, nil, true, e.clock.Now())
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -50,6 +50,10 @@
 	waited time.Duration
 	// configuration is the version of the configuration that was used to route the request.
 	configuration uint64
+	// configurationTimeout ends the wait for a configuration, nil if the request has not waited; configurationTimedOut is
+	// set after it.
+	configurationTimeout  <-chan time.Time
+	configurationTimedOut bool
 	// group is the attempts. Its lock guards the numbers of attempts while any of them runs. The fields that describe the
 	// response, started to lastEventID, belong to the attempt that delivers.
 	group attemptGroup
@@ -106,58 +110,100 @@
 // admit finds the route and the organisation of a request. If it finds none, it writes the response and returns
 // false.
 func (s *CallerServer) admit(x *exchange) bool {
-	view := s.awaitConfiguration(x)
-	if view.Configuration == nil {
-		s.refuse(x, "no-configuration", max(noConfigurationRetryAfter, x.Deadline/3))
-		return false
+	var rejected *rejection
+	status := s.lookUp(x, func(view *fleet.View) bool {
+		rejected = x.match(view)
+		return rejected == nil
+	})
+	switch {
+	case rejected == nil:
+		x.service = chooseBackend(x.route.Backends)
+		return true
+	case rejected.status == 0:
+		s.refuse(x, rejected.reason, configurationRetryAfter(x))
+	default:
+		s.rejectOrRefuse(x, rejected, status)
+	}
+	return false
+}
+
+// rejection is why the held configuration does not allow a request.
+type rejection struct {
+	// status is the status with which the request is rejected, 0 if it is refused temporarily whatever the configuration.
+	status int
+	reason string
+}
+
+// match sets the route and the organisation of a request, or returns why the configuration does not allow it. If the
+// missing entry may be in a part of the configuration that could not be read, the request is refused temporarily,
+// because callers do not retry after a rejection.
+func (x *exchange) match(view *fleet.View) *rejection {
+	configuration := view.Configuration
+	if configuration == nil {
+		return &rejection{0, "no-configuration"}
 	}
-	x.configuration = view.Configuration.Version
+	x.configuration, x.organisation = configuration.Version, nil
 	var ok bool
 	if x.route, ok = view.Route(hostOf(x.request), x.request.URL.EscapedPath()); !ok {
-		s.rejectOrRefuse(x, http.StatusNotFound, "no-route", view.Configuration.Unreadable.Routes)
-		return false
+		return newRejection(http.StatusNotFound, "no-route", configuration.Unreadable.Routes)
 	}
-	if len(view.Configuration.Organisations) > 0 && !x.route.Public {
+	if len(configuration.Organisations) > 0 && !x.route.Public {
 		if x.organisation, ok = view.Organisation(x.Key); !ok {
-			s.rejectOrRefuse(x, http.StatusUnauthorized, "unknown-key", view.Configuration.Unreadable.Organisations && x.Key != "")
-			return false
+			return newRejection(http.StatusUnauthorized, "unknown-key", configuration.Unreadable.Organisations && x.Key != "")
 		}
 	}
-	x.service = chooseBackend(x.route.Backends)
-	return true
+	return nil
 }
 
-// rejectOrRefuse rejects a request for something that the configuration lacks. If the missing entry may be in a
-// part of the configuration that could not be read, it refuses the request temporarily instead, because callers
-// do not retry after a rejection.
-func (s *CallerServer) rejectOrRefuse(x *exchange, status int, reason string, unreadable bool) {
+// newRejection returns a rejection for something that the configuration lacks.
+func newRejection(status int, reason string, unreadable bool) *rejection {
 	if unreadable {
-		s.refuse(x, "configuration-unread", max(noConfigurationRetryAfter, x.Deadline/3))
-		return
+		return &rejection{0, "configuration-unread"}
 	}
-	s.reject(x, status, reason)
+	return &rejection{status, reason}
 }
 
-// awaitConfiguration waits for the first configuration, for a limited time, and returns the current view. A box
-// that has just started reads a configuration within a few round trips, or within seconds if the store is down.
-func (s *CallerServer) awaitConfiguration(x *exchange) *fleet.View {
-	view := s.fleetState.View()
-	if view.Configuration != nil {
-		return view
+// rejectOrRefuse rejects a request that the held configuration does not allow. If that may be outdated, it refuses the
+// request temporarily instead, because callers do not retry after a rejection.
+func (s *CallerServer) rejectOrRefuse(x *exchange, rejected *rejection, status configurationStatus) {
+	if status == configurationCurrent {
+		s.reject(x, rejected.status, rejected.reason)
+		return
 	}
-	wait := min(maxConfigurationWait, time.Duration(configurationWaitFraction*float64(x.Deadline)))
-	timeout := s.clock.After(wait)
+	wait := configurationRetryAfter(x)
+	s.writeRefusal(x, wait)
+	s.finish(x, "refused").Str("reason", status.refusalReason()).Str("lacks", rejected.reason).Dur("confirmed_ms", s.fleetState.ConfirmationAge()).
+		Dur("retry_after_ms", wait).Msg("request refused")
+}
+
+// configurationRetryAfter returns the Retry-After of a box that lacks a configuration or the current one.
+func configurationRetryAfter(x *exchange) time.Duration {
+	return max(noConfigurationRetryAfter, x.Deadline/3)
+}
+
+// lookUp calls isFound with the current view, until it returns true, and returns the status of the configuration in the
+// last view. While the box has no configuration, or a later one is known to exist, it waits for the next view, for a
+// limited time in total: a box that has just started reads a configuration within a few round trips, or within seconds
+// if the store is down.
+func (s *CallerServer) lookUp(x *exchange, isFound func(*fleet.View) bool) configurationStatus {
 	for {
 		changed := s.fleetState.Changed()
-		if view = s.fleetState.View(); view.Configuration != nil {
-			return view
+		// The status comes first: it must not be that of a later configuration than the one in the view.
+		status := s.fleetState.configurationStatus()
+		view := s.fleetState.View()
+		if isFound(view) || view.Configuration != nil && status != configurationBehind || x.configurationTimedOut {
+			return status
+		}
+		if x.configurationTimeout == nil {
+			wait := min(maxConfigurationWait, time.Duration(configurationWaitFraction*float64(x.Deadline)))
+			x.configurationTimeout = s.clock.After(wait)
 		}
 		select {
 		case <-changed:
-		case <-timeout:
-			return view
+		case <-x.configurationTimeout:
+			x.configurationTimedOut = true
 		case <-x.request.Context().Done():
-			return view
+			return status
 		}
 	}
 }
@@ -193,10 +239,11 @@
 	if x.request.Body == nil || x.request.Body == http.NoBody {
 		return true
 	}
-	limit := int64(defaultMaxBodyBytes)
-	if configuration := s.fleetState.View().Configuration; configuration.Limits.BodyBytes > 0 {
-		limit = configuration.Limits.BodyBytes
-	}
+	var limit int64
+	status := s.lookUp(x, func(view *fleet.View) bool {
+		limit = bodyLimit(view)
+		return x.request.ContentLength <= limit
+	})
 	reader := http.MaxBytesReader(x.writer, x.request.Body, limit)
 	err := s.readHeldBody(x, reader, limit)
 	var tooLong *http.MaxBytesError
@@ -209,13 +256,27 @@
 		_, _ = reader.Read(make([]byte, 1))
 		return true
 	case errors.As(err, &tooLong):
-		s.reject(x, http.StatusRequestEntityTooLarge, "body-too-long")
+		if x.request.ContentLength <= limit {
+			// The length was not known before, and the configuration may have changed since.
+			if status = s.fleetState.configurationStatus(); bodyLimit(s.fleetState.View()) > limit {
+				status = configurationBehind
+			}
+		}
+		s.rejectOrRefuse(x, &rejection{http.StatusRequestEntityTooLarge, "body-too-long"}, status)
 	default:
 		s.reject(x, http.StatusBadRequest, "body-incomplete")
 	}
 	return false
 }
 
+// bodyLimit returns the limit of the body of a request, in bytes.
+func bodyLimit(view *fleet.View) int64 {
+	if view.Configuration != nil && view.Configuration.Limits.BodyBytes > 0 {
+		return view.Configuration.Limits.BodyBytes
+	}
+	return defaultMaxBodyBytes
+}
+
 // errTooManyHeldBytes reports that the box holds too many bytes for other requests.
 var errTooManyHeldBytes = errors.New("too many bytes are held for other requests")
 
--- a/internal/direct/fleetstate.go
+++ b/internal/direct/fleetstate.go
@@ -91,8 +91,13 @@
 	responseReportedAt time.Time
 	// newestReported is the newest revision that another box has reported to know.
 	newestReported fleet.Revision
+	// confirmations show whether the held configuration may be outdated.
+	confirmations confirmations
 }
 
+// defaultChangeBound is the time within which a change must be in force, if the settings do not define it.
+const defaultChangeBound = 2 * time.Second
+
 // NewFleetState returns a FleetState without any facts.
 func NewFleetState(clock clockwork.Clock, log zerolog.Logger, metrics *Metrics) *FleetState {
 	f := &FleetState{
@@ -103,6 +108,7 @@
 		published: make(map[fleet.ModelName]fleet.PublishedVersions),
 		evacuated: make(map[member.FailureDomain]bool), cold: make(map[fleet.ServerID]coldState), coldAllowance: route.ColdAllowance{Factor: 1},
 		unreadableEntries: make(map[string]string), unconfigured: make(map[member.Service]bool),
+		confirmations: newConfirmations(defaultChangeBound),
 	}
 	f.view.Store(fleet.EmptyView())
 	return f
@@ -357,7 +363,9 @@
 	p.fleetState = NewFleetState(p.options.Clock, p.options.Log, p.metrics)
 	p.fleetState.coldAllowance = route.ColdAllowance{Factor: *direct.ColdRateFactor, Extra: *direct.ColdRateExtra}
 	p.fleetState.assumedAge = assumedAgeAtStart(time.Duration(direct.VersionBound), time.Duration(direct.SettleTime))
+	p.fleetState.confirmations.bound = time.Duration(direct.ChangeBound)
 	p.metrics.observeStoreAge(p.fleetState.StoreResponseAge)
+	p.metrics.observeConfirmationAge(p.fleetState.ConfirmationAge)
 	return p.services.Register(p.fleetState)
 }
 
--- a/internal/direct/invalidconfiguration_test.go
+++ b/internal/direct/invalidconfiguration_test.go
@@ -24,7 +24,7 @@
 	t.Helper()
 	fleetState, _ := newTestFleetState()
 	for i, configuration := range configurations {
-		fleetState.Apply(factsFromStore(t, configuration, fleet.Revision(3+i)).Facts, "store")
+		applyFromStore(fleetState, factsFromStore(t, configuration, fleet.Revision(3+i)).Facts)
 	}
 	return fleetState
 }
@@ -40,7 +40,7 @@
 	require.Equal(t, http.StatusUnauthorized, admitStatus(t, fleetState, "/find/1", ""), "a key is required")
 	require.Equal(t, http.StatusServiceUnavailable, admitStatus(t, fleetState, "/find/1", "Bearer new"), "the key may be valid")
 
-	fleetState.Apply(factsFromStore(t, `{"Version":6,"Routes":`+lookRoute+`,"Tenants":[{"Name":"kumiai","ApiKeys":["new"]}]}`, 9).Facts, "store")
+	applyFromStore(fleetState, factsFromStore(t, `{"Version":6,"Routes":`+lookRoute+`,"Tenants":[{"Name":"kumiai","ApiKeys":["new"]}]}`, 9).Facts)
 	require.Equal(t, admitted, admitStatus(t, fleetState, "/look/1", "Bearer new"))
 	require.Equal(t, http.StatusUnauthorized, admitStatus(t, fleetState, "/look/1", "Bearer k"), "readable organisations replace the kept ones")
 }
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -134,6 +134,14 @@
 	}, func() float64 { return age().Seconds() }))
 }
 
+// observeConfirmationAge registers a metric for the age of the latest confirmation of the configuration.
+func (m *Metrics) observeConfirmationAge(age func() time.Duration) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: metric.Namespace, Name: "believed_confirmation_age_seconds",
+		Help: "How long ago the platform's store last showed, here or to another entry box, which configuration is its newest; negative if it never did.",
+	}, func() float64 { return age().Seconds() }))
+}
+
 // httpService is an HTTP server with the methods of a kernel service.
 type httpService struct {
 	name   string
--- a/internal/direct/statusmessage.go
+++ b/internal/direct/statusmessage.go
@@ -30,6 +30,10 @@
 	readers []*wire.StoreReader
 	// storeOutage is set while entries of servers may have expired in an outage of the store.
 	storeOutage bool
+	// confirmation is the latest confirmation that the box passes on. It is urgent if it is newer than the one sent last by
+	// urgentStep, and not sent if it is not newer by confirmationStep.
+	confirmation                 confirmation
+	confirmationStep, urgentStep time.Duration
 }
 
 // urgentFields are the fields of a summary whose changes are sent immediately.
@@ -57,6 +61,8 @@
 	// rateLimits is the number of the last rate limit change that was sent.
 	rateLimits uint64
 	sentAt     time.Time
+	// confirmation is the last confirmation that was sent.
+	confirmation confirmation
 	// openedAt is when the stream was opened.
 	openedAt time.Time
 }
@@ -69,6 +75,7 @@
 		c.summary, c.load, c.demands, c.sentAt = summary, load, demands, now
 		status := c.fullStatus()
 		status.InFlight, status.Demands, status.Readers = loadToWire(load), demandsToWire(demands), summary.readers
+		status.Confirmation = c.nextConfirmation(&summary, now)
 		return status
 	}
 	changedLoad := loadDelta(c.load, load)
@@ -84,12 +91,23 @@
 		Ordered:     summary.watermarks.Ordered,
 		StoreOutage: summary.storeOutage,
 		InFlight:    loadToWire(changedLoad), Demands: demandsToWire(changedDemands), Readers: summary.readers,
+		Confirmation: c.nextConfirmation(&summary, now),
 	}
 }
 
+// nextConfirmation returns the confirmation of a message that is made at a time, nil if the last one that was sent is not
+// much older.
+func (c *statusCursor) nextConfirmation(summary *statusSummary, now time.Time) *wire.Confirmation {
+	if !summary.confirmation.isNewer(&c.confirmation, summary.confirmationStep) {
+		return nil
+	}
+	c.confirmation = summary.confirmation
+	return c.confirmation.toWire(now)
+}
+
 // isUrgentChange reports whether the changes in a summary must be sent before the next heartbeat.
 func (c *statusCursor) isUrgentChange(summary *statusSummary, now time.Time) bool {
-	if summary.urgentFields() != c.summary.urgentFields() {
+	if summary.urgentFields() != c.summary.urgentFields() || summary.confirmation.isNewer(&c.confirmation, summary.urgentStep) {
 		return true
 	}
 	return newestResponse(summary.readers, now).Sub(newestResponse(c.summary.readers, c.sentAt)) >= readerUpdateThreshold
--- a/internal/direct/statusserver.go
+++ b/internal/direct/statusserver.go
@@ -144,12 +144,13 @@
 // summary returns the current state of the box apart from load, demand and store readers.
 func (s *StatusServer) summary() statusSummary {
 	s.mu.Lock()
-	ready, leaving := s.ready, s.leaving
+	ready, leaving, bound := s.ready, s.leaving, s.fleetState.confirmations.bound
 	s.mu.Unlock()
 	return statusSummary{
 		ready: ready, leaving: leaving, watermarks: s.fleetState.Watermarks(), ages: s.fleetState.ageChangeCount(), departures: s.fleetState.departureSeq(),
 		rateLimits: s.fleetState.rateLimitSeq(), storeOutage: s.fleetState.HasStoreOutage(),
 		suspects: s.suspects.urgentCount.Load(), limitedSends: s.limitedSends.Load(),
+		confirmation: s.fleetState.confirmation(), confirmationStep: bound / confirmationStepDivisor, urgentStep: bound / urgentStepDivisor,
 	}
 }
 
@@ -207,7 +208,8 @@
 func (s *StatusServer) nextMessage(request *wire.FollowRequest, cursor *statusCursor, records *memberCursor, snapshot *statusSnapshot, remote bool) *wire.EntryStatus {
 	summary := snapshot.statusSummary
 	if remote {
-		summary.readers = nil
+		// Messages to other regions cross narrow links: confirmations wait for the heartbeat unless there is a later version.
+		summary.readers, summary.urgentStep = nil, noUrgentStep
 	}
 	load, demands := snapshot.load, snapshot.demands
 	if !request.Load {
@@ -236,7 +238,7 @@
 		if request.Members && !status.Partial {
 			status.Retired = s.membership.retiredToWire()
 		}
-		if len(status.Readers) > 0 {
+		if len(status.Readers) > 0 || status.Confirmation != nil {
 			status.SentMilliseconds = proto.Uint64(uint64(max(0, snapshot.takenAt.Sub(cursor.openedAt).Milliseconds())))
 		}
 	}
@@ -435,6 +437,8 @@
 	LastSeen time.Time
 	// sentBase is the earliest time that the base of the times in the status messages can have, zero if none has a time.
 	sentBase time.Time
+	// confirms is set once the box has sent a confirmation.
+	confirms bool
 }
 
 func entryBoxFromWire(status *wire.EntryStatus, now time.Time) EntryBox {
--- a/internal/direct/storereader.go
+++ b/internal/direct/storereader.go
@@ -131,6 +131,7 @@
 	// A response counts once its changes are applied: deferred deletions wait for what it says.
 	r.apply(&response, f.StoreRespondedAt().IsZero())
 	f.noteStoreResponse()
+	f.confirmConfiguration(responseMadeAt(&response, f.clock.Now()))
 	if len(response.facts.Facts) > 0 && !response.snapshot && !r.takeToken(f.clock.Now()) {
 		sleep(ctx, f.clock, r.intervals.batchDelay)
 	}
