fix(direct): an empty confirmation shows that a box passes them on

Cause: a box whose latest confirmation is older than the change bound sent none on a new stream and was taken for one of a version without confirmations: the times of readers that it reports, which have no numbers and may have come in a circle, then confirmed the configuration of the receiver.

Change: a message that is not partial always has a confirmation, empty if there is none. Only streams without one count by those times.

Measured result: TestBoxWithoutACurrentConfirmationConfirmsNothing, and the tests named Status, Box, Reports, Response, Depart and Unconf pass; the new test was not run on the code before.

--- a/internal/direct/configurationstatus_test.go
+++ b/internal/direct/configurationstatus_test.go
@@ -138,3 +138,16 @@
 		})
 	}
 }
+
+// Guards against taking a box whose confirmations are too old to pass on for one of a version without confirmations: what
+// it reports of readers may have come in a circle.
+func TestBoxWithoutACurrentConfirmationConfirmsNothing(t *testing.T) {
+	f, clock := newTestFleetState()
+	f.Apply([]fleet.Fact{{Key: fleet.ConfigurationKey(), Revision: 3, Configuration: &fleet.Configuration{Version: 3}}}, "peer")
+	cursor := statusCursor{fullStatus: func() *wire.EntryStatus {
+		return &wire.EntryStatus{Box: "other", Peers: "other:1", Ordered: f.Watermarks().Ordered}
+	}}
+	summary := statusSummary{readers: []*wire.StoreReader{{Box: "other"}}}
+	newTestEntryBoxes(f, cursor.nextMessage(summary, nil, nil, clock.Now(), false))
+	require.Equal(t, configurationUnconfirmed, f.configurationStatus())
+}
--- a/internal/direct/entryboxes.go
+++ b/internal/direct/entryboxes.go
@@ -388,7 +388,7 @@
 		}
 	}
 	e.fleetState.noteReport(box.Watermarks.Newest, responses)
-	if status.Confirmation != nil {
+	if status.Confirmation.GetReader() != 0 {
 		e.fleetState.noteConfirmation(confirmationFromWire(status.Confirmation, e.sentAtLeast(entry, status, &before, sentAt)))
 	} else if !box.confirms {
 		e.fleetState.noteReportWithoutConfirmation(box.Watermarks, responses)
--- a/internal/direct/statusmessage.go
+++ b/internal/direct/statusmessage.go
@@ -75,7 +75,10 @@
 		c.summary, c.load, c.demands, c.sentAt = summary, load, demands, now
 		status := c.fullStatus()
 		status.InFlight, status.Demands, status.Readers = loadToWire(load), demandsToWire(demands), summary.readers
-		status.Confirmation = c.nextConfirmation(&summary, now)
+		if status.Confirmation = c.nextConfirmation(&summary, now); status.Confirmation == nil {
+			// An empty one shows that the sender passes on confirmations.
+			status.Confirmation = &wire.Confirmation{}
+		}
 		return status
 	}
 	changedLoad := loadDelta(c.load, load)
