test(direct): 404 while the newest configuration cannot be read

Cause: an entry of the configuration without a valid version, or a truncated one, is dropped by the reader, and its response still confirms the held configuration as the newest one. A request that only the unreadable one allows gets 404 or 401, which callers do not repeat. A configuration that is unreadable in part is refused with 503 already (configuration-unread).

--- a/internal/direct/configurationstatus_test.go
+++ b/internal/direct/configurationstatus_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cinderslip/cinderslip/internal/provider"
 	"github.com/cinderslip/cinderslip/internal/wire"
 	"github.com/cinderslip/cinderslip/pkg/fleet"
 )
@@ -151,3 +152,24 @@
 	newTestEntryBoxes(f, cursor.nextMessage(summary, nil, nil, clock.Now(), false))
 	require.Equal(t, configurationUnconfirmed, f.configurationStatus())
 }
+
+// Guards against denying a request that the newest configuration may allow, because that one can't be read at all and the
+// held one counts as the newest.
+func TestUnreadableConfigurationConfirmsNothing(t *testing.T) {
+	valid, unreadable := factsFromStore(t, validConfiguration, 3), factsFromStore(t, `{"Version":{}}`, 4)
+	mended := factsFromStore(t, strings.Replace(validConfiguration, `"Version":4`, `"Version":5`, 1), 5)
+	returns := func(batch provider.FactBatch) func() (provider.FactBatch, error) {
+		return func() (provider.FactBatch, error) { return batch, nil }
+	}
+	synctest.Test(t, func(t *testing.T) {
+		fleetState, clock := newTestFleetState()
+		replayStore(t, clock, fleetState, returns(valid), returns(unreadable), returns(provider.FactBatch{Revision: 4}))
+		clock.Advance(1900 * time.Millisecond)
+		replayStore(t, clock, fleetState, returns(unreadable))
+		clock.Advance(1900 * time.Millisecond)
+		require.Equal(t, http.StatusServiceUnavailable, admitStatus(t, fleetState, "/find/1", "Bearer k"), "the route may be in the one that can't be read")
+		require.Equal(t, admitted, admitStatus(t, fleetState, "/look/1", "Bearer k"))
+		replayStore(t, clock, fleetState, returns(mended))
+		require.Equal(t, http.StatusNotFound, admitStatus(t, fleetState, "/find/1", "Bearer k"), "the mended one is held")
+	})
+}
