fix(direct): an unreadable configuration leaves the held one unconfirmed

Cause: a configuration that cannot be decoded at all is dropped, and the response that has it still confirmed the held one as the store's newest, so boxes denied with 404 and 401 what the unreadable one may allow.

Change: a batch of facts is marked if its last configuration cannot be decoded, and a reader sends no confirmations until it has read one that can. After the change bound boxes refuse with 503, configuration-unconfirmed, what the held configuration lacks, and serve what it has.

--- a/internal/direct/storereader.go
+++ b/internal/direct/storereader.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -79,6 +80,8 @@
 	// tokens is the number of changes that the next calls may follow immediately, as of refilledAt.
 	tokens     float64
 	refilledAt time.Time
+	// configurationUnread is set while the store's newest configuration can't be read.
+	configurationUnread bool
 }
 
 // storeResponse is the result of one call of the store.
@@ -131,7 +134,9 @@
 	// A response counts once its changes are applied: deferred deletions wait for what it says.
 	r.apply(&response, f.StoreRespondedAt().IsZero())
 	f.noteStoreResponse()
-	f.confirmConfiguration(responseMadeAt(&response, f.clock.Now()))
+	if !r.configurationUnread {
+		f.confirmConfiguration(responseMadeAt(&response, f.clock.Now()))
+	}
 	if len(response.facts.Facts) > 0 && !response.snapshot && !r.takeToken(f.clock.Now()) {
 		sleep(ctx, f.clock, r.intervals.batchDelay)
 	}
@@ -276,4 +281,8 @@
 		f.ApplyChanges(&batch, response.after, isFirst)
 	}
 	r.after = max(r.after, batch.Revision)
+	hasConfiguration := slices.ContainsFunc(batch.Facts, func(fact fleet.Fact) bool { return fact.Configuration != nil })
+	if response.snapshot || hasConfiguration || batch.HasUnreadableConfiguration {
+		r.configurationUnread = batch.HasUnreadableConfiguration
+	}
 }
--- a/internal/provider/fleet.go
+++ b/internal/provider/fleet.go
@@ -21,6 +21,8 @@
 	Facts []fleet.Fact
 	// Errors holds one error for each entry that could not be decoded.
 	Errors []*EntryError
+	// HasUnreadableConfiguration is set if the last configuration among the entries could not be decoded, not even in part.
+	HasUnreadableConfiguration bool
 	// Revision is the revision after which the next call of Changes continues. Its era is that of the response.
 	Revision fleet.Revision
 }
