fix(direct): send times of a stream follow the clocks between messages without them

Cause: since confirmations cross regions, some messages of a stream say when they were made and others do not. The estimate of a send time allows for the difference of two clocks only from one message to the next, and messages without a time dropped what was allowed since the one before: with clocks that differ by 1/2000 and a time in each tenth message, a response seemed 10.55 ms older after 24.5 s, and 0.45 ms a second more. After some hours a current configuration would have counted as unconfirmed.

Change: each message moves the estimate, with a time or without.

--- a/internal/direct/configurationstatus_test.go
+++ b/internal/direct/configurationstatus_test.go
@@ -173,3 +173,20 @@
 		require.Equal(t, http.StatusNotFound, admitStatus(t, fleetState, "/find/1", "Bearer k"), "the mended one is held")
 	})
 }
+
+// Guards against confirmations that seem older and older on a stream of which only some messages say when they were made,
+// because the clocks of the two boxes differ.
+func TestSendTimesFollowClocksBetweenMessagesWithoutThem(t *testing.T) {
+	start := time.Now()
+	var box EntryBox
+	for elapsed := time.Duration(0); elapsed < time.Hour; elapsed += statusInterval {
+		before, status := box, &wire.EntryStatus{Partial: true}
+		box.LastSeen = start.Add(elapsed)
+		if elapsed%(10*statusInterval) == 0 {
+			status.SentMilliseconds = new(uint64((elapsed - elapsed/(2*maxClockDrift)).Milliseconds()))
+		}
+		if sentAt := box.noteSent(status, &before); status.SentMilliseconds != nil {
+			require.LessOrEqual(t, box.LastSeen.Sub(sentAt), 10*time.Millisecond, "after %s", elapsed)
+		}
+	}
+}
--- a/internal/direct/statusserver.go
+++ b/internal/direct/statusserver.go
@@ -461,13 +461,15 @@
 // earlier message took less time than the fastest one. It is LastSeen without them. before is the box before the message.
 func (b *EntryBox) noteSent(status *wire.EntryStatus, before *EntryBox) time.Time {
 	b.sentBase = before.sentBase
+	if !b.sentBase.IsZero() {
+		b.sentBase = b.sentBase.Add(b.LastSeen.Sub(before.LastSeen) / maxClockDrift)
+	}
 	if status.SentMilliseconds == nil {
 		return b.LastSeen
 	}
 	sinceBase := time.Duration(*status.SentMilliseconds) * time.Millisecond
-	b.sentBase = b.LastSeen.Add(-sinceBase)
-	if drifted := before.sentBase.Add(b.LastSeen.Sub(before.LastSeen) / maxClockDrift); !before.sentBase.IsZero() && drifted.Before(b.sentBase) {
-		b.sentBase = drifted
+	if base := b.LastSeen.Add(-sinceBase); b.sentBase.IsZero() || base.Before(b.sentBase) {
+		b.sentBase = base
 	}
 	return b.sentBase.Add(sinceBase)
 }
