--- a/internal/direct/cluster_test.go
+++ b/internal/direct/cluster_test.go
@@ -285,6 +285,7 @@
 		box.delay(storeLatency)
 		box.processing.wait(ctx.Done())
 		s.reachable.wait(ctx.Done())
+		box.storeLink.wait(ctx.Done())
 		return ctx.Err()
 	}
 	unavailable := func(err error) (provider.FactBatch, error) {
@@ -314,6 +315,7 @@
 			if err := box.receiveFromStore(ctx, batch.Facts); err != nil {
 				return unavailable(err)
 			}
+			box.storeLink.wait(ctx.Done())
 			box.processing.wait(ctx.Done())
 			if ctx.Err() != nil {
 				return unavailable(ctx.Err())
@@ -414,6 +416,8 @@
 	lag        atomic.Int64
 	// acceptsAfter is the time before which connections to the box are not accepted in time, in Unix nanoseconds.
 	acceptsAfter atomic.Int64
+	// storeLink is closed while the box can't reach the store, factTransfers while it receives no facts from other boxes.
+	storeLink, factTransfers *gate
 	// loaded is set while the load of the box changes.
 	loaded atomic.Bool
 	// disturbedUntil is when the last fault of the box ended; in the future while there is one.
@@ -439,7 +443,7 @@
 	for i := range boxes {
 		box := &clusterBox{
 			cluster: c, id: member.BoxID(fmt.Sprintf("entry-%d", i)), region: member.Region(fmt.Sprintf("region-%d", i%regions)), processing: newGate(),
-			machine: &boxMachine{},
+			storeLink: newGate(), factTransfers: newGate(), machine: &boxMachine{},
 		}
 		c.boxes = append(c.boxes, box)
 	}
@@ -558,6 +562,7 @@
 	}
 	membership, suspects := NewMembership(own, clock, log), newSuspectRequests(clock, log, metrics)
 	b.fleetState, b.peers = NewFleetState(clock, log, metrics), daemon.NewPeerPoolWithDial(b.dial)
+	b.fleetState.confirmations.bound = c.bound
 	b.status = &StatusServer{
 		clock: clock, fleetState: b.fleetState, membership: membership, tasks: kernel.NewTaskGroup(), suspects: suspects,
 		load: b.load, demands: func() route.Demands { return nil },
@@ -577,7 +582,11 @@
 		onReport:   func(member.BoxID, route.Load, route.Demands, bool, time.Time) {},
 		onRejected: func([]route.RejectedCaller, route.RelayDimension, time.Time) {},
 	}
-	b.entries.pull, b.entries.startFollow = b.countPulls(b.entries.pullFacts), b.entries.startFollowing
+	b.entries.startFollow = b.entries.startFollowing
+	b.entries.pull = b.countPulls(func(ctx context.Context, from member.Address) error {
+		b.factTransfers.wait(ctx.Done())
+		return b.entries.pullFacts(ctx, from)
+	})
 	b.status.readers = b.entries.reportedReaders
 	b.callers = newTestCallerServer(b.fleetState)
 	b.callers.started = clock.Now()
