perf(direct): status streams are woken only when they may have something to send

Status streams were 17% of the processor time of calm entry boxes (TestControlCost) and 38% of that of 100 boxes in virtual time, sending only a quarter of it.

The server compares these counts and the times of heartbeat and interval with the position of each stream, and signals only the streams for which a message may be due. A message that was found not to be due for some counts is not due for the same counts before the heartbeat, or before the store has responded for readerUpdateThreshold more.

--- a/internal/direct/cluster_test.go
+++ b/internal/direct/cluster_test.go
@@ -531,7 +531,7 @@
 		clock: clock, fleetState: b.fleetState, membership: membership, tasks: kernel.NewTaskGroup(), suspects: suspects,
 		load: b.load, demands: func() route.Demands { return nil },
 		rejectedCallers: func(uint64, route.RelayDimension) ([]route.RejectedCaller, uint64) { return nil, 0 },
-		refreshed:       make(chan struct{}), done: make(chan struct{}), limitedSendSignal: make(chan struct{}, 1),
+		done:            make(chan struct{}), limitedSendSignal: make(chan struct{}, 1),
 	}
 	var seeds []string
 	for _, other := range c.boxes[:min(3, len(c.boxes))] {
--- a/internal/direct/statusmessage.go
+++ b/internal/direct/statusmessage.go
@@ -42,6 +42,12 @@
 	return urgentFields{s.ready, s.leaving, s.storeOutage, s.watermarks}
 }
 
+// isSame reports whether two summaries are equal apart from requests to servers with a low rate limit and store readers.
+func (s *statusSummary) isSame(other *statusSummary) bool {
+	return s.urgentFields() == other.urgentFields() && s.ages == other.ages && s.departures == other.departures &&
+		s.rateLimits == other.rateLimits && s.suspects == other.suspects
+}
+
 // statusCursor is the state that has been sent on one stream.
 type statusCursor struct {
 	// fullStatus returns a full status message without load, demand and store readers.
@@ -124,13 +130,16 @@
 // change in the number of waiting requests, but not for a change in the number of arrivals.
 func isUrgentDemand(before, changed route.Demands) bool {
 	for service, demand := range changed {
-		if known := before[service]; known.InTime != demand.InTime || known.Late != demand.Late {
+		if !isSameQueue(before[service], demand) {
 			return true
 		}
 	}
 	return false
 }
 
+// isSameQueue reports whether two demands have the same numbers of waiting requests.
+func isSameQueue(a, b route.Demand) bool { return a.InTime == b.InTime && a.Late == b.Late }
+
 func loadToWire(load route.Load) []*wire.InFlight {
 	encoded := make([]*wire.InFlight, 0, len(load))
 	for id, serverLoad := range load {
--- a/internal/direct/statusserver.go
+++ b/internal/direct/statusserver.go
@@ -60,12 +60,15 @@
 	// remoteFollowers is the number of entry boxes in other regions that follow the load of this box.
 	remoteFollowers atomic.Int64
 
+	// refreshing is held while a snapshot is taken.
+	refreshing sync.Mutex
+
 	mu      sync.Mutex
 	ready   bool
 	leaving bool
-	// snapshot is the latest snapshot; refreshed is closed when a newer one replaces it.
+	// snapshot is the latest snapshot, followers are the streams that send from it.
 	snapshot  *statusSnapshot
-	refreshed chan struct{}
+	followers map[*statusFollower]bool
 	// servicesConfig is the reduced configuration that was sent last; see reduceConfiguration.
 	servicesConfig state.Item
 	// done ends the streams.
@@ -91,9 +94,9 @@
 		rejectedCallers: func(cursor uint64, to route.RelayDimension) ([]route.RejectedCaller, uint64) {
 			return p.callerServer.rejectedCallers.Since(cursor, to)
 		},
-		suspects:  p.suspects,
-		readers:   func() []*wire.StoreReader { return nil },
-		refreshed: make(chan struct{}), done: make(chan struct{}), limitedSendSignal: make(chan struct{}, 1),
+		suspects: p.suspects,
+		readers:  func() []*wire.StoreReader { return nil },
+		done:     make(chan struct{}), limitedSendSignal: make(chan struct{}, 1),
 	}
 	if err := wire.DRPCRegisterFleet(p.mux, p.status); err != nil {
 		return err
@@ -179,14 +182,14 @@
 		defer s.remoteFollowers.Add(-1)
 	}
 	cursor, records := statusCursor{fullStatus: s.fullStatus, openedAt: s.clock.Now()}, memberCursor{membership: s.membership, all: request.Members}
+	follower := &statusFollower{request: request, remote: remote, wake: make(chan struct{}, 1)}
+	s.addFollower(follower)
+	defer s.removeFollower(follower)
 	for {
-		snapshot, refreshed := s.current()
-		// A newly published version, a request under which a server has exited, and a request to a server with a
-		// low rate limit are reported without waiting for the interval.
-		urgent := cursor.sentAt.IsZero() || snapshot.ages != cursor.summary.ages || snapshot.suspects != cursor.summary.suspects ||
-			request.Load && snapshot.limitedSends != cursor.summary.limitedSends
-		if urgent || snapshot.takenAt.Sub(cursor.sentAt) >= s.interval(remote)-statusInterval/2 {
-			if status := s.nextMessage(request, &cursor, &records, snapshot, remote); status != nil {
+		if snapshot, due := s.snapshotFor(follower); due {
+			status := s.nextMessage(request, &cursor, &records, snapshot, remote)
+			s.noteEvaluated(follower, snapshot, &cursor)
+			if status != nil {
 				if err := stream.Send(status); err != nil {
 					return err
 				}
@@ -198,7 +201,7 @@
 			return nil
 		case <-s.done:
 			return nil
-		case <-refreshed:
+		case <-follower.wake:
 		}
 	}
 }
@@ -243,16 +246,8 @@
 	return status
 }
 
-// statusSnapshot is the status of the box at one point in time.
-type statusSnapshot struct {
-	statusSummary
-	takenAt time.Time
-	load    route.Load
-	demands route.Demands
-}
-
-// refreshLoop takes snapshots for all streams together: with a timer for each stream, wake-ups took most of the
-// time spent on status messages.
+// refreshLoop takes snapshots for all streams together. A timer for each stream would wake each of them at every
+// interval, also without anything to send.
 func (s *StatusServer) refreshLoop(ctx context.Context) {
 	ticker := s.clock.NewTicker(statusInterval)
 	defer ticker.Stop()
@@ -279,25 +274,6 @@
 	}
 }
 
-// refresh takes a new snapshot and wakes the streams.
-func (s *StatusServer) refresh() {
-	next := &statusSnapshot{statusSummary: s.summary(), takenAt: s.clock.Now(), load: s.load(), demands: s.demands()}
-	next.readers = s.readers()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.snapshot = next
-	close(s.refreshed)
-	s.refreshed = make(chan struct{})
-}
-
-// current returns the latest snapshot, which must not be modified, and a channel that is closed when there is a
-// newer one.
-func (s *StatusServer) current() (snapshot *statusSnapshot, refreshed <-chan struct{}) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.snapshot, s.refreshed
-}
-
 // interval returns the time between two status messages to a follower in this region or in another one.
 func (s *StatusServer) interval(remote bool) time.Duration {
 	if !remote {
