perf(direct): a changed entry of a server replaces only the list of its service

**Cause.** Each change of an entry, a departure, a rate limit or a cold server listed the servers of all services anew: a map of all entries by address, and a sorted copy of each list. Lists of services that had not changed were new, too, so whatever compares them by identity worked again.

**Change.** FleetState keeps the entries of each address, notes the addresses of which something was learnt, and updates only these in the view. fleet.View.WithServerUpdates copies the lists of the services concerned and shares all others; an entry that is written again as it was shares its own list as well. The rule that chooses the server of an address is unchanged.

--- a/internal/direct/coldservers.go
+++ b/internal/direct/coldservers.go
@@ -30,6 +30,7 @@
 // noteCold records that an incarnation of a server stays cold for a time. What an incarnation states later does not
 // shorten the time, because its entry and its responses arrive in any order. The lock must be held.
 func (f *FleetState) noteCold(id fleet.ServerID, incarnation member.Incarnation, coldFor time.Duration, from string) (changed bool) {
+	f.noteServerChanged(id)
 	known, ok := f.cold[id]
 	until := f.clock.Now().Add(min(coldFor, maxColdTime))
 	switch {
@@ -74,6 +75,7 @@
 	for id, state := range f.cold {
 		if !now.Before(state.until) {
 			delete(f.cold, id)
+			f.noteServerChanged(id)
 			expired = true
 		}
 	}
--- a/internal/direct/departures.go
+++ b/internal/direct/departures.go
@@ -128,6 +128,7 @@
 func (f *FleetState) recordDepartures(reported []fleet.Departure, receivedAt time.Time, from string) {
 	changed := false
 	for _, d := range reported {
+		f.noteServerChanged(d.Server)
 		if !f.departures.record(d, receivedAt, f.isListed) {
 			continue
 		}
@@ -148,8 +149,7 @@
 
 // refreshServers updates the servers in the view. The lock must be held.
 func (f *FleetState) refreshServers() {
-	view := f.View()
-	f.setView(view.WithServers(f.currentServers(view.Configuration)))
+	f.setView(f.withCurrentServers(f.View()))
 }
 
 // MergeAgentReport merges the report of an agent on the server at its address: the incarnation of the server and
@@ -174,6 +174,7 @@
 		}
 		if incarnation > max(server.Incarnation, f.departures.incarnations[id]) && server.Incarnation != 0 {
 			f.departures.incarnations[id] = incarnation
+			f.noteServerChanged(id)
 			f.noteCold(id, incarnation, f.assumedColdTime(&server.Server, incarnation), from)
 			restarted = true
 			f.log.Info().Str("server", string(id)).Uint64("incarnation", uint64(incarnation)).Uint64("listed", uint64(server.Incarnation)).
--- a/internal/direct/evacuations.go
+++ b/internal/direct/evacuations.go
@@ -33,6 +33,7 @@
 
 // applyEvacuation adds or removes the evacuation of a failure domain. The lock must be held.
 func (f *FleetState) applyEvacuation(fact *fleet.Fact, from string) {
+	f.noteAllServersChanged()
 	domain := member.FailureDomain(strings.TrimPrefix(fact.Key, fleet.EvacuationKey("")))
 	if f.evacuated[domain] == !fact.Deleted {
 		return
--- a/internal/direct/fleetstate.go
+++ b/internal/direct/fleetstate.go
@@ -53,6 +53,8 @@
 	// changed is closed when the view changes.
 	changed chan struct{}
 	servers map[fleet.ServerID]serverEntry
+	// changes are what of the servers has changed since the view was updated.
+	changes serverChanges
 	// departures are the departures that servers have announced in their responses.
 	departures departures
 	// returned are the servers that may be listed only because the store came back from a copy.
@@ -99,7 +101,7 @@
 		clock: clock, log: log, metrics: metrics, assumedAge: minAssumedAge, startedAt: clock.Now(),
 		mirror: state.NewMirror(rand.Uint64(), isRemovableKey), tasks: kernel.NewTaskGroup(),
 		changed: make(chan struct{}),
-		servers: make(map[fleet.ServerID]serverEntry), departures: newDepartures(), returned: newReturnedServers(), rateLimits: newRateLimits(),
+		servers: make(map[fleet.ServerID]serverEntry), changes: newServerChanges(), departures: newDepartures(), returned: newReturnedServers(), rateLimits: newRateLimits(),
 		published: make(map[fleet.ModelName]fleet.PublishedVersions),
 		evacuated: make(map[member.FailureDomain]bool), cold: make(map[fleet.ServerID]coldState), coldAllowance: route.ColdAllowance{Factor: 1},
 		unreadableEntries: make(map[string]string), unconfigured: make(map[member.Service]bool),
@@ -265,7 +267,7 @@
 		}
 	}
 	if serversChanged {
-		view = view.WithServers(f.currentServers(view.Configuration))
+		view = f.withCurrentServers(view)
 	}
 	if versionsChanged {
 		view = view.WithPublishedVersions(maps.Clone(f.published))
@@ -282,6 +284,7 @@
 }
 
 func (f *FleetState) applyConfiguration(view *fleet.View, fact *fleet.Fact, from string) *fleet.View {
+	f.noteAllServersChanged()
 	current := view.Configuration
 	if current != nil && fact.Configuration.Version < current.Version {
 		f.log.Error().Uint64("version", fact.Configuration.Version).Uint64("held", current.Version).Msg("ignoring an older configuration at a newer revision")
--- a/internal/direct/ratelimits.go
+++ b/internal/direct/ratelimits.go
@@ -174,6 +174,7 @@
 	if known := f.rateLimits.byServer[server]; known != nil {
 		before = known.limit
 	}
+	f.noteServerChanged(server)
 	if !f.rateLimits.record(server, observed, from) {
 		return false
 	}
--- a/internal/direct/serverentry.go
+++ b/internal/direct/serverentry.go
@@ -40,7 +40,7 @@
 			listedAt = f.clock.Now()
 		}
 		f.noteEntry(id, fact, &known, isKnown, log)
-		f.servers[id] = serverEntry{*fact.Server, fact.Revision, from, listedAt}
+		f.putServer(id, &serverEntry{*fact.Server, fact.Revision, from, listedAt})
 		f.noteCold(id, fact.Server.Incarnation, fact.Server.ColdFor, from)
 		if fact.Server.Incarnation >= f.departures.incarnations[id] {
 			delete(f.departures.incarnations, id)
@@ -48,7 +48,7 @@
 		return
 	}
 	server, known := f.servers[id]
-	delete(f.servers, id)
+	f.deleteServer(id)
 	delete(f.cold, id)
 	delete(f.departures.incarnations, id)
 	f.returned.noteDeleted(id, deletedServer{fact.Revision, server.Incarnation, server.Leaving})
@@ -76,31 +76,6 @@
 	return ""
 }
 
-// currentServers returns one server for each address, of the services in the configuration. A restarted server may
-// have another id, and the entry of its previous incarnation stays for seconds. Of several entries with one
-// address, the one with the latest incarnation is valid. If incarnations are equal or not reported, the newest
-// entry is valid.
-func (f *FleetState) currentServers(configuration *fleet.Configuration) []fleet.Server {
-	newest := make(map[member.Address]serverEntry, len(f.servers))
-	for id, server := range f.servers {
-		if f.returned.isWithheld(id) || !f.isConfigured(configuration, id, server.Service) {
-			continue
-		}
-		if known, ok := newest[server.Address]; !ok || server.supersedes(&known) {
-			newest[server.Address] = server
-		}
-	}
-	servers := make([]fleet.Server, 0, len(newest))
-	for _, server := range newest {
-		server.Leaving = server.Leaving || f.departures.isLeaving(&server.Server)
-		server.Limit = f.rateLimits.limitOf(&server.Server, f.departures.incarnations[server.ID])
-		server.Evacuated = f.evacuated[server.Domain]
-		f.applyCold(&server.Server, configuration)
-		servers = append(servers, server.Server)
-	}
-	return servers
-}
-
 // supersedes reports whether an entry belongs to a later incarnation than another one, or is newer within the same
 // incarnation.
 func (e *serverEntry) supersedes(other *serverEntry) bool {
--- a/internal/direct/storeera.go
+++ b/internal/direct/storeera.go
@@ -135,6 +135,7 @@
 
 // keepDeparture records that a server was leaving before the store came back from a copy. The lock must be held.
 func (f *FleetState) keepDeparture(id fleet.ServerID, incarnation member.Incarnation) {
+	f.noteServerChanged(id)
 	if f.departures.record(fleet.Departure{Server: id, Incarnation: incarnation}, time.Time{}, f.isListed) {
 		f.log.Info().Str("server", string(id)).Uint64("incarnation", uint64(incarnation)).Msg("server was leaving before the store came back, stays leaving")
 	}
@@ -185,6 +186,7 @@
 		return
 	}
 	f.returned.release(id)
+	f.noteServerChanged(id)
 	f.log.Info().Str("server", string(id)).Stringer("revision", revision).Msg("server's entry has lasted, server no longer withheld")
 	f.refreshServers()
 }
--- a/pkg/fleet/view.go
+++ b/pkg/fleet/view.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"reflect"
 	"slices"
 	"strings"
 	"time"
@@ -173,6 +175,69 @@
 	return &next
 }
 
+// ServerRef names a server in a view.
+type ServerRef struct {
+	Service member.Service
+	ID      ServerID
+}
+
+// Ref returns the name of the server in a view.
+func (s *Server) Ref() ServerRef { return ServerRef{s.Service, s.ID} }
+
+// WithServerUpdates returns a copy of the view without some servers and with others. The lists of services whose servers
+// stay the same are shared with v. A removed server that is added again as it was stays the same.
+func (v *View) WithServerUpdates(removed []ServerRef, added []Server) *View {
+	next := *v
+	next.servers = maps.Clone(v.servers)
+	if next.servers == nil {
+		next.servers = make(map[member.Service][]Server)
+	}
+	copied := make(map[member.Service]bool)
+	// list returns a list that may be modified. Its copy has room for one more server.
+	list := func(service member.Service) []Server {
+		servers := next.servers[service]
+		if !copied[service] {
+			copied[service] = true
+			servers = append(make([]Server, 0, len(servers)+1), servers...)
+		}
+		return servers
+	}
+	unchanged := make(map[ServerRef]bool)
+	for i := range added {
+		if known, ok := v.server(added[i].Ref()); ok && slices.Contains(removed, added[i].Ref()) && reflect.DeepEqual(known, &added[i]) {
+			unchanged[added[i].Ref()] = true
+		}
+	}
+	for _, ref := range removed {
+		if i, ok := v.search(next.servers[ref.Service], ref.ID); ok && !unchanged[ref] {
+			next.servers[ref.Service] = slices.Delete(list(ref.Service), i, i+1)
+		}
+	}
+	for i := range added {
+		if ref := added[i].Ref(); !unchanged[ref] {
+			at, _ := v.search(next.servers[ref.Service], ref.ID)
+			next.servers[ref.Service] = slices.Insert(list(ref.Service), at, added[i])
+		}
+	}
+	maps.DeleteFunc(next.servers, func(_ member.Service, servers []Server) bool { return len(servers) == 0 })
+	return &next
+}
+
+// server returns a server of the view.
+func (v *View) server(ref ServerRef) (*Server, bool) {
+	servers := v.servers[ref.Service]
+	i, ok := v.search(servers, ref.ID)
+	if !ok {
+		return nil, false
+	}
+	return &servers[i], true
+}
+
+// search returns the position of a server in a list, or that at which it would be inserted.
+func (v *View) search(servers []Server, id ServerID) (position int, ok bool) {
+	return slices.BinarySearchFunc(servers, id, func(s Server, id ServerID) int { return strings.Compare(string(s.ID), string(id)) })
+}
+
 // WithPublishedVersions returns a copy of the view with other published versions of the models.
 func (v *View) WithPublishedVersions(versions map[ModelName]PublishedVersions) *View {
 	next := *v
