--- a/internal/direct/membership.go
+++ b/internal/direct/membership.go
@@ -292,6 +292,8 @@
 	cursor state.Cursor
 	// pending are records that are sent before the changes after cursor.
 	pending []state.Item
+	// more is set if records may be left after those that next returned last.
+	more bool
 	// own is the version of this box's record that was sent last.
 	own state.Version
 }
@@ -313,12 +315,12 @@
 	if len(c.pending) > 0 {
 		n := min(len(c.pending), maxBatchItems)
 		items := c.pending[:n]
-		c.pending = c.pending[n:]
+		c.pending, c.more = c.pending[n:], true
 		return items
 	}
 	if c.all {
 		batch := c.membership.store.Since(c.cursor, maxBatchItems)
-		c.cursor = batch.Next
+		c.cursor, c.more = batch.Next, len(batch.Items) == maxBatchItems
 		return batch.Items
 	}
 	own := c.membership.Own()
