test(direct): pulls that fill the links that they wait for

**cause**: a box that is behind pulls from any box that is ahead. Nothing bounds how many pull from one box, a pull without a response after 0.3 s is made at two more boxes even while the first one transfers, and a pull of 2.5 s is given up and starts anew. By reading, each adds to what fills the links; no test showed it, as the cluster in virtual time has no bandwidth of boxes.

**change**: boxes of the cluster may have a link of their own, which transmits one message after the other in each direction.

--- a/internal/direct/cluster_test.go
+++ b/internal/direct/cluster_test.go
@@ -101,7 +101,7 @@
 	c.box.delay(clusterLatency)
 	c.box.processing.wait(c.closed)
 	c.box.awaitLink(c.peer, c.closed)
-	time.Sleep(c.box.cluster.link(c.box.region, c.peer.region).transmit(len(p)))
+	time.Sleep(max(c.box.cluster.link(c.box.region, c.peer.region).transmit(len(p)), c.box.uplink.transmit(len(p)), c.peer.downlink.transmit(len(p))))
 	return c.Conn.Write(p)
 }
 
@@ -398,6 +398,8 @@
 	lag        atomic.Int64
 	// loaded is set while the load of the box changes.
 	loaded atomic.Bool
+	// uplink and downlink are the link of the box, without a limit unless setBoxRate was called.
+	uplink, downlink regionLink
 	// disturbedUntil is when the last fault of the box ended; in the future while there is one.
 	disturbedUntil time.Time
 	// hasFault is set while a fault of the box has not been ended.
