perf(state): transfers are bounded in bytes and leave out what the receiver holds

**cause**: a batch of facts was up to 256 items, 100 KB and more, and a pull that failed in it lost all of it. A receiver that is not complete, as after a start, received everything again from the next source, since the cursor holds for one source and nothing else says what has arrived.

**change**: a transfer is bounded at 32 KB as well as in items; an item that is larger is alone in its transfer. `more` states that another one follows, which the number of items no longer shows. A request lists the digests of the items that are held beyond the revision up to which every change is known (8 bytes each, at most 4096), and the sender leaves these out. Weighed: digests of the 256 buckets of keys, which exist already; after a part of a transfer nearly each bucket differs, and all would be sent again. Peers of earlier versions ignore the digests, and end a pull after a batch of less than 256 items, which the cursor continues.

**measured result**: a transfer of 100 items that is interrupted after its first batch sends at another mirror the remaining items only; without the digests all 100 (TestInterruptedTransferGoesOnAtAnotherMirror).

--- a/internal/direct/entryfollower.go
+++ b/internal/direct/entryfollower.go
@@ -140,7 +140,7 @@
 		open: func(ctx context.Context, client wire.DRPCFleetClient) (func() (*wire.FactsBatch, error), error) {
 			receiver := f.fleetState.mirror.Receiver()
 			stream, err := client.Facts(ctx, &wire.FactsRequest{
-				Box: f.self, Region: f.region, ServicesOnly: true, Complete: receiver.Complete, Orders: receiver.Orders,
+				Box: f.self, Region: f.region, ServicesOnly: true, Complete: receiver.Complete, Orders: receiver.Orders, Held: receiver.Held,
 			})
 			if err != nil {
 				return nil, err
--- a/internal/direct/repair.go
+++ b/internal/direct/repair.go
@@ -138,7 +138,7 @@
 		startedAt, cursor, receiver := e.clock.Now(), e.cursor(from), e.fleetState.mirror.Receiver()
 		stream, err := wire.NewDRPCFleetClient(conn).Facts(callCtx, &wire.FactsRequest{
 			Box: string(e.self.Box), Region: string(e.self.Region), Instance: cursor.Instance, Cursor: cursor.Sequence, Once: true,
-			Complete: receiver.Complete, Orders: receiver.Orders,
+			Complete: receiver.Complete, Orders: receiver.Orders, Held: receiver.Held,
 		})
 		if err != nil {
 			return err
@@ -151,7 +151,7 @@
 		e.log.Info().Str("address", string(from)).Dur("taken_ms", e.clock.Since(startedAt)).Int("items", len(batch.Items)).Int("bytes", proto.Size(batch)).
 			Stringer("newest", own.Newest).Stringer("complete", own.Complete).Msg("facts read from another entry box")
 		e.applyBatch(from, batch)
-		if len(batch.Items) < maxBatchItems {
+		if !batch.More && len(batch.Items) < maxBatchItems {
 			return nil
 		}
 	}
--- a/internal/direct/statusserver.go
+++ b/internal/direct/statusserver.go
@@ -317,7 +317,7 @@
 		// Entry boxes, which set Once, receive the addresses of others in records.
 		entries = s.membership.SampleAddresses(member.Region(request.Region))
 	}
-	departures, suspects, receiver := uint64(0), uint64(0), state.Receiver{Complete: request.Complete, Orders: request.Orders}
+	departures, suspects, receiver := uint64(0), uint64(0), state.Receiver{Complete: request.Complete, Orders: request.Orders, Held: request.Held}
 	if request.EntriesOnly {
 		return stream.Send(&wire.FactsBatch{Entries: entries})
 	}
@@ -345,7 +345,7 @@
 		if request.Once {
 			return nil
 		}
-		if len(message.Items) == maxBatchItems {
+		if message.More {
 			continue
 		}
 		select {
@@ -369,7 +369,7 @@
 	fleet := s.membership.fleetSize()
 	return &wire.FactsBatch{
 		FleetSince: uint64(fleet.since), FleetBoxes: uint32(fleet.boxes),
-		Instance: transfer.Next.Instance, Cursor: transfer.Next.Sequence, Items: itemsToWire(transfer.Items), Ages: agesToWire(s.fleetState.VersionAges()),
+		Instance: transfer.Next.Instance, Cursor: transfer.Next.Sequence, Items: itemsToWire(transfer.Items), More: transfer.More, Ages: agesToWire(s.fleetState.VersionAges()),
 		Complete: transfer.Complete, Floor: transfer.Floor, Present: transfer.Present, HasPresent: transfer.HasPresent,
 	}
 }
--- a/pkg/state/mirror.go
+++ b/pkg/state/mirror.go
@@ -99,13 +99,34 @@
 	Complete uint64
 	// Orders holds the Order of each item that has one, by key.
 	Orders map[string]uint64
+	// Held are digests of items that it holds and that are newer than Complete, as it receives them from another
+	// mirror or received them in a transfer that was interrupted.
+	Held []uint64
 }
 
+// maxHeldDigests bounds the digests in a Receiver.
+const maxHeldDigests = 4096
+
 // Receiver returns what the mirror has, for a request for a transfer.
 func (m *Mirror) Receiver() Receiver {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return Receiver{Complete: m.completeExceptDeferred(), Orders: maps.Clone(m.orders)}
+	complete := m.completeExceptDeferred()
+	return Receiver{Complete: complete, Orders: maps.Clone(m.orders), Held: m.store.digestsAfter(complete, maxHeldDigests)}
+}
+
+// lacks returns a function that reports whether the receiver may lack an item.
+func (r *Receiver) lacks() func(item *Item) bool {
+	held := make(map[uint64]bool, len(r.Held))
+	for _, digest := range r.Held {
+		held[digest] = true
+	}
+	return func(item *Item) bool {
+		if item.Version.Major <= r.Complete && item.Version.Order <= r.Orders[item.Key] {
+			return false
+		}
+		return len(held) == 0 || !held[digestOf(*item)]
+	}
 }
 
 // Status returns the state of the mirror.
@@ -205,21 +226,28 @@
 	HasPresent bool
 }
 
-// Transfer returns the changes after a cursor, at most limit items, for a receiver. It omits the changes up to the
-// revision up to which that is complete, even if the cursor precedes them: the receiver may have them from another
-// mirror. It includes items with a higher Order than the receiver has, at whatever revision.
+// maxTransferBytes bounds the size of the items in a transfer with a limit, so that each transfer that arrives is
+// progress on a narrow link, where all changes take seconds. An item that is larger is alone in its transfer.
+const maxTransferBytes = 32 << 10
+
+// Transfer returns the changes after a cursor, at most limit items and maxTransferBytes, for a receiver; all of them for
+// a limit of 0. It omits the changes up to the revision up to which that is complete, and what it holds, even if the
+// cursor precedes them: the receiver may have them from another mirror. It includes items with a higher Order than the
+// receiver has, at whatever revision.
 func (m *Mirror) Transfer(cursor Cursor, limit int, receiver Receiver) Transfer {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	receiverComplete := receiver.Complete
-	transfer := Transfer{Floor: m.floor, Batch: m.store.SinceFor(cursor, limit, func(item *Item) bool {
-		return item.Version.Major > receiverComplete || item.Version.Order > receiver.Orders[item.Key]
-	})}
-	if limit > 0 && len(transfer.Items) >= limit {
+	limits := batchLimits{items: limit}
+	if limit > 0 {
+		limits.bytes = maxTransferBytes
+	}
+	lacks := receiver.lacks()
+	transfer := Transfer{Floor: m.floor, Batch: m.store.since(cursor, limits, func(n *node) bool { return lacks(&n.item) })}
+	if transfer.More {
 		return transfer
 	}
 	transfer.Complete = m.completeExceptDeferred()
-	if receiverComplete < m.floor && receiverComplete < transfer.Complete {
+	if receiver.Complete < m.floor && receiver.Complete < transfer.Complete {
 		transfer.HasPresent = true
 		for _, item := range m.store.Prefix("") {
 			if m.isRemovable(item.Key) {
--- a/pkg/state/mirror_test.go
+++ b/pkg/state/mirror_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 
@@ -285,3 +286,59 @@
 		require.Equal(t, want, keysOf(r.Mirror), "replica %d", i)
 	}
 }
+
+// largeItems returns items of a number of bytes each, at the revisions from 1 on.
+func largeItems(count, bytes int) (items []Item) {
+	for i := range count {
+		items = append(items, Item{Key: fmt.Sprintf("server/%03d", i), Version: Version{Major: uint64(i + 1)}, Value: make([]byte, bytes)})
+	}
+	return items
+}
+
+func TestTransferIsBoundedInBytes(t *testing.T) {
+	source, receiver := NewMirror(1, isServerKey), NewMirror(2, isServerKey)
+	items := append(largeItems(100, 1000), Item{Key: "config", Version: Version{Major: 101}, Value: make([]byte, 10*maxTransferBytes)})
+	source.MergeSnapshot(items, 101, nil)
+	cursor, transfers, largest := Cursor{}, 0, 0
+	for more := true; more; transfers++ {
+		transfer := source.Transfer(cursor, 256, receiver.Receiver())
+		bytes := 0
+		for i := range transfer.Items {
+			bytes += transfer.Items[i].size()
+		}
+		if bytes > maxTransferBytes {
+			require.Len(t, transfer.Items, 1)
+			largest++
+		}
+		require.Equal(t, transfer.More, transfer.Complete == 0)
+		receiver.MergeTransfer(&transfer, nil)
+		cursor, more = transfer.Next, transfer.More
+	}
+	require.Equal(t, 1, largest)
+	require.LessOrEqual(t, transfers, 6)
+	require.EqualValues(t, 101, receiver.Status().Complete)
+	require.Len(t, receiver.Prefix(""), 101)
+}
+
+// Guards against sending everything again when a transfer is interrupted and goes on at another mirror.
+func TestInterruptedTransferGoesOnAtAnotherMirror(t *testing.T) {
+	first, second, receiver := NewMirror(1, isServerKey), NewMirror(2, isServerKey), NewMirror(3, isServerKey)
+	items := largeItems(100, 1000)
+	first.MergeSnapshot(items, 100, nil)
+	slices.Reverse(items)
+	second.MergeSnapshot(items, 100, nil)
+	transfer := first.Transfer(Cursor{}, 256, receiver.Receiver())
+	require.True(t, transfer.More)
+	received := len(transfer.Items)
+	receiver.MergeTransfer(&transfer, nil)
+	sent := 0
+	for cursor, more := (Cursor{}), true; more; {
+		transfer := second.Transfer(cursor, 256, receiver.Receiver())
+		sent += len(transfer.Items)
+		receiver.MergeTransfer(&transfer, nil)
+		cursor, more = transfer.Next, transfer.More
+	}
+	require.Equal(t, len(items)-received, sent)
+	require.EqualValues(t, 100, receiver.Status().Complete)
+	require.Len(t, receiver.Prefix(""), len(items))
+}
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -64,12 +64,21 @@
 }
 
 // Batch holds the changes after a cursor, oldest first. Next is the cursor for the
-// following batch.
+// following batch. More is set if a limit was reached, so that more changes may follow.
 type Batch struct {
 	Items []Item
 	Next  Cursor
+	More  bool
 }
 
+// batchLimits bounds a batch; 0 means no bound. An item that is larger than the bytes is alone in its batch.
+type batchLimits struct{ items, bytes int }
+
+// itemOverhead is the size of an item without its key and its value, about as much as its version takes.
+const itemOverhead = 24
+
+func (i *Item) size() int { return len(i.Key) + len(i.Value) + itemOverhead }
+
 type node struct {
 	item       Item
 	sequence   uint64
@@ -174,17 +183,12 @@
 // a limit of 0 means all. A cursor of another instance counts as the zero Cursor. The
 // cost is proportional to the number of changes after the cursor.
 func (s *Store) Since(cursor Cursor, limit int) Batch {
-	return s.since(cursor, limit, func(*node) bool { return true })
+	return s.since(cursor, batchLimits{items: limit}, func(*node) bool { return true })
 }
 
 // SinceLocal is like Since, but returns only items with OriginLocal.
 func (s *Store) SinceLocal(cursor Cursor, limit int) Batch {
-	return s.since(cursor, limit, func(n *node) bool { return n.local })
-}
-
-// SinceFor is like Since, but returns only items that are selected.
-func (s *Store) SinceFor(cursor Cursor, limit int, isSelected func(item *Item) bool) Batch {
-	return s.since(cursor, limit, func(n *node) bool { return isSelected(&n.item) })
+	return s.since(cursor, batchLimits{items: limit}, func(n *node) bool { return n.local })
 }
 
 // Tail returns the cursor after the latest change.
@@ -194,7 +198,7 @@
 	return Cursor{Instance: s.instance, Sequence: s.sequence}
 }
 
-func (s *Store) since(cursor Cursor, limit int, isSelected func(*node) bool) Batch {
+func (s *Store) since(cursor Cursor, limits batchLimits, isSelected func(*node) bool) Batch {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	after := uint64(0)
@@ -206,12 +210,21 @@
 	if count == 0 {
 		return batch
 	}
-	if limit > 0 && count > limit {
-		count = limit
+	if limits.items > 0 && count > limits.items {
+		count = limits.items
 	}
-	for n := first; n != nil && len(batch.Items) < count; n = n.next {
+	bytes := 0
+	for n := first; n != nil; n = n.next {
+		isWanted := isSelected(n)
+		if isWanted {
+			bytes += n.item.size()
+		}
+		if isWanted && (len(batch.Items) == count || limits.bytes > 0 && bytes > limits.bytes && len(batch.Items) > 0) {
+			batch.More = true
+			break
+		}
 		batch.Next.Sequence = n.sequence
-		if isSelected(n) {
+		if isWanted {
 			batch.Items = append(batch.Items, n.item)
 		}
 	}
@@ -281,6 +294,18 @@
 	return items
 }
 
+// digestsAfter returns the digests of at most limit items with a major version above another one. It visits every key.
+func (s *Store) digestsAfter(major uint64, limit int) (digests []uint64) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	for _, n := range s.nodes {
+		if n.item.Version.Major > major && len(digests) < limit {
+			digests = append(digests, digestOf(n.item))
+		}
+	}
+	return digests
+}
+
 // tombstones returns the items of the deleted keys. It visits every key.
 func (s *Store) tombstones() (deleted []Item) {
 	s.mu.RLock()
