--- a/internal/direct/cluster_test.go
+++ b/internal/direct/cluster_test.go
@@ -104,13 +104,10 @@
 // Write implements net.Conn.
 func (c *gatedConn) Write(p []byte) (int, error) {
 	c.box.delay(clusterLatency)
-	c.box.processing.wait(c.closed)
-	c.box.awaitLink(c.peer, c.closed)
 	if c.isDialer {
 		c.use.observe(p)
 	}
-	c.box.transmit(c.peer, len(p), c.use)
-	return c.Conn.Write(p)
+	return c.writeParts(p)
 }
 
 // Close implements net.Conn.
