feat(state): mirrors send a large value as the deltas from the one that the receiver holds

Cause: an item has one version and one value, so a mirror sends a configuration of 333 organisations and 490 routes whole for each changed key, and the receiver cannot take less (TestTransferOfAChangedConfigurationIsItsChange, red).

* Delta is a program of copies of ranges of the base and of literal bytes, with the digests of base and result.
Diff finds the ranges at the elements of the arrays and maps of the encoding, at any depth.
The plan was a delta by field and list; copies of byte ranges need no decoder at the receiver, cover nested values and parts that move between fields, and the result is byte-identical by construction.
Apply checks the digest of the base, the whole program before it allocates anything, and the digest of the result.
* A Mirror keeps for each large value (4 KB) the chain of the deltas between the values that it has held: 16 at most, and half of the value's size at most.
Received deltas extend it as they are, so a reader computes each delta once and all others pass it on.
* Receiver has the digests of the large values; Transfer sends the deltas from there, MergeTransfer applies those from its own value onward.
Digests identify a base and not versions, because the store may come back from a copy and give a number again.
The same value at another revision is a copy of a few bytes.
* Deltas that do not apply (the receiver has moved on to a value outside the chain) leave the item out and make the transfer an incomplete one, and the next Receiver leaves out the digest, so the value comes whole.
Resolve says so to the caller, which must keep its cursor.

The mirror properties run with large configurations and check their content; a second one adds late transfers, receivers without digests and a writer that gives an Order again after a copy. Draws of the first are unchanged.

Nothing sends digests yet, so the red test is still red.

--- a/pkg/state/mirror.go
+++ b/pkg/state/mirror.go
@@ -52,6 +52,10 @@
 	outdated uint64
 	// orders holds the Order of each item that has one, by key.
 	orders map[string]uint64
+	// chains holds the deltas between the values that were held of each key whose value is large. unresolved holds the
+	// keys whose last received deltas did not apply.
+	chains     map[string]*valueChain
+	unresolved map[string]bool
 }
 
 // deferredDeletion is the newest deletion of a key that a mirror has received and not applied.
@@ -69,7 +73,7 @@
 func NewMirror(instance uint64, isRemovable func(key string) bool) *Mirror {
 	return &Mirror{
 		isRemovable: isRemovable, store: NewStore(instance), deferred: make(map[string]deferredDeletion), maxTombstones: defaultMaxTombstones,
-		orders: make(map[string]uint64),
+		orders: make(map[string]uint64), chains: make(map[string]*valueChain), unresolved: make(map[string]bool),
 	}
 }
 
@@ -99,13 +103,24 @@
 	Complete uint64
 	// Orders holds the Order of each item that has one, by key.
 	Orders map[string]uint64
+	// Values holds the digests of the large values from which it can derive others, by key.
+	Values map[string]ValueDigest
 }
 
 // Receiver returns what the mirror has, for a request for a transfer.
 func (m *Mirror) Receiver() Receiver {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return Receiver{Complete: m.completeExceptDeferred(), Orders: maps.Clone(m.orders)}
+	receiver := Receiver{Complete: m.completeExceptDeferred(), Orders: maps.Clone(m.orders)}
+	for key, chain := range m.chains {
+		if !m.unresolved[key] {
+			if receiver.Values == nil {
+				receiver.Values = make(map[string]ValueDigest)
+			}
+			receiver.Values[key] = chain.digest
+		}
+	}
+	return receiver
 }
 
 // Status returns the state of the mirror.
@@ -195,6 +210,8 @@
 // Transfer is what one mirror sends to another: the changes after a cursor and what they amount to.
 type Transfer struct {
 	Batch
+	// Deltas holds, by key, the deltas from a large value of the receiver that are sent in place of the value of an item.
+	Deltas map[string][]Delta
 	// Complete is the revision up to which the receiver of this transfer and those before it has every change, 0 if
 	// more are to come.
 	Complete uint64
@@ -207,7 +224,8 @@
 
 // Transfer returns the changes after a cursor, at most limit items, for a receiver. It omits the changes up to the
 // revision up to which that is complete, even if the cursor precedes them: the receiver may have them from another
-// mirror. It includes items with a higher Order than the receiver has, at whatever revision.
+// mirror. It includes items with a higher Order than the receiver has, at whatever revision. A large value is replaced
+// by deltas if the mirror has held the one that the receiver holds.
 func (m *Mirror) Transfer(cursor Cursor, limit int, receiver Receiver) Transfer {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -215,6 +233,7 @@
 	transfer := Transfer{Floor: m.floor, Batch: m.store.SinceFor(cursor, limit, func(item *Item) bool {
 		return item.Version.Major > receiverComplete || item.Version.Order > receiver.Orders[item.Key]
 	})}
+	m.replaceByDeltas(&transfer, &receiver)
 	if limit > 0 && len(transfer.Items) >= limit {
 		return transfer
 	}
@@ -231,11 +250,13 @@
 }
 
 // MergeTransfer merges what another mirror sent. The transfers of one sender must be merged in order. For deferred
-// deletions see MergeSnapshot; tombstones of the sender are applied at once.
+// deletions see MergeSnapshot; tombstones of the sender are applied at once. Items whose deltas do not apply are not
+// merged, see Resolve.
 func (m *Mirror) MergeTransfer(transfer *Transfer, shouldDefer DeferFunc) (applied, deferred []Item) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	applied = m.merge(transfer.Items)
+	_ = m.resolve(transfer)
+	applied = m.apply(m.withoutOutdated(transfer.Items), transfer.Deltas)
 	complete := m.completeExceptDeferred()
 	switch {
 	case transfer.Complete <= complete:
@@ -257,8 +278,12 @@
 
 // merge applies items that are newer than the held ones, except outdated ones. The lock must be held.
 func (m *Mirror) merge(items []Item) []Item {
-	current := slices.DeleteFunc(slices.Clone(items), m.isOutdated)
-	return m.apply(current)
+	return m.apply(m.withoutOutdated(items), nil)
+}
+
+// withoutOutdated returns the items except outdated ones. The lock must be held.
+func (m *Mirror) withoutOutdated(items []Item) []Item {
+	return slices.DeleteFunc(slices.Clone(items), m.isOutdated)
 }
 
 // mergeFromSource applies items that were read from the source at a revision. None is outdated unless the mirror has
@@ -267,15 +292,17 @@
 	if revision < m.complete {
 		return m.merge(items)
 	}
-	return m.apply(items)
+	return m.apply(items, nil)
 }
 
-// apply applies items that are newer than the held ones. The lock must be held.
-func (m *Mirror) apply(items []Item) []Item {
-	wasTombstone := make(map[string]bool)
+// apply applies items that are newer than the held ones. received holds the deltas as which they were received. The lock
+// must be held.
+func (m *Mirror) apply(items []Item, received map[string][]Delta) []Item {
+	held := make(map[string]Item)
 	for _, item := range items {
-		held, ok := m.store.Lookup(item.Key)
-		wasTombstone[item.Key] = ok && held.Deleted
+		if before, ok := m.store.Lookup(item.Key); ok {
+			held[item.Key] = before
+		}
 	}
 	applied := m.store.Apply(items, OriginLocal)
 	for _, item := range applied {
@@ -285,8 +312,9 @@
 		if item.Version.Order != 0 {
 			m.orders[item.Key] = item.Version.Order
 		}
-		m.countTombstone(item, wasTombstone[item.Key])
-		wasTombstone[item.Key] = item.Deleted
+		m.countTombstone(item, held[item.Key].Deleted)
+		m.observeValue(held[item.Key], item, received[item.Key])
+		held[item.Key] = item
 	}
 	return applied
 }
--- a/pkg/state/mirror_test.go
+++ b/pkg/state/mirror_test.go
@@ -149,6 +149,8 @@
 	after uint64
 	// late merges a response of the source that has been read and not merged yet.
 	late func()
+	// transfer goes on with a transfer from another mirror that is under way.
+	transfer func()
 	// deferred are the deletions to apply later.
 	deferred []Item
 	cursors  map[*Mirror]Cursor
--- a/pkg/state/mirrorera_test.go
+++ b/pkg/state/mirrorera_test.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"bytes"
 	"fmt"
 	"testing"
 
@@ -11,11 +12,18 @@
 // eraShift is the position of the era in the revisions of an eraSource.
 const eraShift = 48
 
-// eraSource is a key-value service that comes back from copies. The key "configuration" has an Order and is never deleted.
+// eraSource is a key-value service that comes back from copies. The key "configuration" has an Order, a large value and is
+// never deleted.
 type eraSource struct {
+	t *rapid.T
 	// histories holds the items of each era, the last one is the current.
 	histories [][]Item
 	order     uint64
+	// reusesOrders is set if the writer continues from the Order in the copy, so that another value has the same one.
+	reusesOrders bool
+	writes       int
+	// configurations holds the value of each version of the configuration.
+	configurations map[Version][]byte
 }
 
 func (s *eraSource) era() uint64 { return uint64(len(s.histories) - 1) }
@@ -31,15 +39,25 @@
 
 func (s *eraSource) configure() {
 	s.order++
-	s.write(Item{Key: "configuration", Version: Version{Order: s.order}})
+	s.writes++
+	s.write(largeItem(s.t, s.order, 0, s.writes))
+	written := s.current()[len(s.current())-1]
+	s.configurations[written.Version] = written.Value
 }
 
 // restore starts another era with the first items of the current one.
 func (s *eraSource) restore(items int) {
 	restored := append([]Item(nil), s.current()[:items]...)
 	s.histories = append(s.histories, restored)
+	if s.reusesOrders {
+		s.order = 0
+	}
 	for i := range restored {
 		restored[i].Version.Major = s.era()<<eraShift | uint64(i+1)
+		if restored[i].Version.Order != 0 {
+			s.configurations[restored[i].Version] = restored[i].Value
+			s.order = max(s.order, restored[i].Version.Order)
+		}
 	}
 }
 
@@ -86,64 +104,134 @@
 // nothing that was deleted by then, and that no mirror goes back to an item of a lower Order. At the end, mirrors that
 // have pulled from each other hold the highest Order that any of them knew, and the servers that the source has.
 func TestMirrorsConvergeOverEras(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		src, instance := &eraSource{histories: make([][]Item, 1)}, uint64(0)
-		start := func() *replica {
-			instance++
-			m := NewMirror(instance, isServerKey)
-			m.maxTombstones = 2
-			return &replica{Mirror: m, cursors: make(map[*Mirror]Cursor)}
-		}
-		replicas := make([]*replica, rapid.IntRange(2, 5).Draw(t, "replicas"))
-		orders := make([]uint64, len(replicas))
-		for i := range replicas {
-			replicas[i] = start()
+	rapid.Check(t, func(t *rapid.T) { checkMirrorsOverEras(t, false) })
+}
+
+// TestMirrorsConvergeWithLateTransfers is TestMirrorsConvergeOverEras with transfers that are late, so that the receiver has
+// moved on, with receivers that take only whole values, and with a writer that gives an Order again after a copy.
+func TestMirrorsConvergeWithLateTransfers(t *testing.T) {
+	var counts transferCounts
+	rapid.Check(t, func(t *rapid.T) { counts.add(checkMirrorsOverEras(t, true)) })
+	t.Logf("%+v", counts)
+	require.Positive(t, counts.deltas)
+	require.Positive(t, counts.whole)
+}
+
+// transferCounts counts how the configuration was transferred. unresolved are transfers whose deltas did not apply.
+type transferCounts struct{ deltas, whole, unresolved int }
+
+func (c *transferCounts) add(other transferCounts) {
+	c.deltas += other.deltas
+	c.whole += other.whole
+	c.unresolved += other.unresolved
+}
+
+func checkMirrorsOverEras(t *rapid.T, withLateTransfers bool) (counts transferCounts) {
+	src, instance := &eraSource{t: t, histories: make([][]Item, 1), configurations: make(map[Version][]byte)}, uint64(0)
+	action, steps := rapid.IntRange(0, 11), rapid.IntRange(1, 120)
+	if withLateTransfers {
+		// Earlier ones are drawn more often.
+		action, steps = rapid.SampledFrom([]int{13, 12, 3, 8, 5, 7, 13, 12, 3, 8, 5, 7, 0, 2, 4, 11}), rapid.IntRange(50, 200)
+		src.reusesOrders = rapid.Bool().Draw(t, "reuses orders")
+	}
+	start := func() *replica {
+		instance++
+		m := NewMirror(instance, isServerKey)
+		m.maxTombstones = 2
+		return &replica{Mirror: m, cursors: make(map[*Mirror]Cursor)}
+	}
+	replicas := make([]*replica, rapid.IntRange(2, 5).Draw(t, "replicas"))
+	orders := make([]uint64, len(replicas))
+	for i := range replicas {
+		replicas[i] = start()
+	}
+	merge := func(r, from *replica, transfer *Transfer, shouldDefer DeferFunc) {
+		if err := r.Resolve(transfer); err != nil {
+			counts.unresolved++
+		} else {
+			r.cursors[from.Mirror] = transfer.Next
 		}
-		pull := func(r, from *replica, limit int, shouldDefer DeferFunc) {
-			transfer := from.Transfer(r.cursors[from.Mirror], limit, r.Receiver())
-			_, deferred := r.MergeTransfer(&transfer, shouldDefer)
-			r.deferred, r.cursors[from.Mirror] = append(r.deferred, deferred...), transfer.Next
+		_, deferred := r.MergeTransfer(transfer, shouldDefer)
+		r.deferred = append(r.deferred, deferred...)
+	}
+	send := func(from *replica, cursor Cursor, limit int, receiver Receiver) Transfer {
+		transfer := from.Transfer(cursor, limit, receiver)
+		for _, item := range transfer.Items {
+			switch {
+			case transfer.Deltas[item.Key] != nil:
+				counts.deltas++
+			case item.Key == "configuration":
+				counts.whole++
+			}
 		}
-		for range rapid.IntRange(1, 120).Draw(t, "steps") {
-			i := rapid.IntRange(0, len(replicas)-1).Draw(t, "replica")
-			r, key := replicas[i], fmt.Sprintf("server/%d", rapid.IntRange(0, 4).Draw(t, "key"))
-			deferSome := func(Item) bool { return rapid.Bool().Draw(t, "defer") }
-			switch rapid.IntRange(0, 11).Draw(t, "action") {
-			case 0, 1:
-				src.write(Item{Key: key})
-			case 2:
-				if _, present := src.at(src.revision())[key]; present {
-					src.write(Item{Key: key, Deleted: true})
-				}
-			case 3:
-				src.configure()
-			case 4:
-				src.restore(rapid.IntRange(0, len(src.current())).Draw(t, "copied"))
-			case 5, 6:
-				r.late = src.read(r, deferSome)
-			case 7:
-				if r.late != nil {
-					r.late()
-					r.late = nil
-				}
-			case 8, 9, 10:
-				if from := replicas[rapid.IntRange(0, len(replicas)-1).Draw(t, "from")]; from != r {
-					pull(r, from, rapid.IntRange(0, 3).Draw(t, "limit"), deferSome)
+		return transfer
+	}
+	pull := func(r, from *replica, limit int, shouldDefer DeferFunc) {
+		transfer := send(from, r.cursors[from.Mirror], limit, r.Receiver())
+		merge(r, from, &transfer, shouldDefer)
+	}
+	for range steps.Draw(t, "steps") {
+		i := rapid.IntRange(0, len(replicas)-1).Draw(t, "replica")
+		r, key := replicas[i], fmt.Sprintf("server/%d", rapid.IntRange(0, 4).Draw(t, "key"))
+		deferSome := func(Item) bool { return rapid.Bool().Draw(t, "defer") }
+		switch action.Draw(t, "action") {
+		case 0, 1:
+			src.write(Item{Key: key})
+		case 2:
+			if _, present := src.at(src.revision())[key]; present {
+				src.write(Item{Key: key, Deleted: true})
+			}
+		case 3:
+			src.configure()
+		case 4:
+			src.restore(rapid.IntRange(0, len(src.current())).Draw(t, "copied"))
+		case 5, 6:
+			r.late = src.read(r, deferSome)
+		case 7:
+			if r.late != nil {
+				r.late()
+				r.late = nil
+			}
+		case 8, 9, 10:
+			if from := replicas[rapid.IntRange(0, len(replicas)-1).Draw(t, "from")]; from != r {
+				pull(r, from, rapid.IntRange(0, 3).Draw(t, "limit"), deferSome)
+			}
+		case 11:
+			if rapid.Bool().Draw(t, "restart") {
+				replicas[i], orders[i] = start(), 0
+			} else {
+				r.Merge(r.deferred)
+				r.deferred = nil
+			}
+		case 12:
+			if from := replicas[rapid.IntRange(0, len(replicas)-1).Draw(t, "from")]; from != r && r.transfer == nil {
+				cursor, limit, receiver := r.cursors[from.Mirror], rapid.IntRange(0, 3).Draw(t, "limit"), r.Receiver()
+				if rapid.IntRange(0, 3).Draw(t, "takes whole values") == 0 {
+					receiver.Values = nil
 				}
-			case 11:
-				if rapid.Bool().Draw(t, "restart") {
-					replicas[i], orders[i] = start(), 0
-				} else {
-					r.Merge(r.deferred)
-					r.deferred = nil
+				// The transfer is made in one step and merged in a later one.
+				r.transfer = func() {
+					transfer := send(from, cursor, limit, receiver)
+					r.transfer = func() {
+						// Another transfer from the same mirror may have been merged meanwhile.
+						if r.cursors[from.Mirror] == cursor {
+							merge(r, from, &transfer, deferSome)
+						}
+						r.transfer = nil
+					}
 				}
 			}
-			for i, r := range replicas {
-				orders[i] = requireOrdered(t, src, r.Mirror, i, orders[i])
+		case 13:
+			if r.transfer != nil {
+				r.transfer()
 			}
 		}
-		requireEraConvergence(t, src, replicas, pull)
-	})
+		for i, r := range replicas {
+			orders[i] = requireOrdered(t, src, r.Mirror, i, orders[i])
+		}
+	}
+	requireEraConvergence(t, src, replicas, pull)
+	return counts
 }
 
 // requireOrdered checks a mirror and returns the Order of its configuration, which was at least another one before.
@@ -159,6 +247,9 @@
 	if order := present["configuration"].Version.Order; held.Version.Order < max(before, order) {
 		t.Fatalf("replica %d holds order %d, after order %d and with every change up to %x, which has %d", replica, held.Version.Order, before, complete, order)
 	}
+	if !bytes.Equal(src.configurations[held.Version], held.Value) {
+		t.Fatalf("replica %d holds another value of the configuration than was written at %v", replica, held.Version)
+	}
 	return held.Version.Order
 }
 
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -13,7 +13,7 @@
 // which is chosen at each start.
 //
 // A Mirror adds what a store of a single source needs: up to which revision it has every change, and so which items
-// are outdated.
+// are outdated. Mirrors send each other a large value as the Delta from an earlier one.
 //
 // Two stores that should have the same items compare digests, one for each bucket of
 // keys, and exchange only the buckets that differ. A reader that switches to another
