fix(direct): a changed configuration is transferred as its change

Cause: each new version of the configuration went whole from the readers to all other boxes. In a cluster of 12 boxes one changed key of 81,941 bytes moved 61,490 bytes a box (TestTransferOfAChangedConfigurationIsItsChange), which in a large fleet is the configuration times the boxes over the links of those ahead.

Change: a pull sends the digests of its large values (FactsRequest.values), and the batch has deltas in place of a value (Item.deltas). Both fields are optional: an old box sends no digests and gets whole values, a new box that gets a whole value from an old one applies it as before. If deltas do not apply, because the box has moved on to a value that the sender has not held, the pull fails with the reason, the cursor stays, neither watermark rises, and the next pull has no digest for the key, so it ends with a whole value. Agents get the reduced configuration whole, and their streams get no deltas, as the receiver's values change with each batch. The log line of pulled facts has the number of deltas; direct_configuration_transfers_total counts configurations sent by kind (delta, whole, reduced).

The cursor of a box moves after its batch is merged instead of before; pulls from one box do not overlap. Tests that ignored the outcome of a batch now require that there is no error.

--- a/internal/direct/cluster_test.go
+++ b/internal/direct/cluster_test.go
@@ -398,6 +398,8 @@
 	lag        atomic.Int64
 	// loaded is set while the load of the box changes.
 	loaded atomic.Bool
+	// withoutDeltas is set if the box runs a version that neither sends nor takes deltas.
+	withoutDeltas atomic.Bool
 	// disturbedUntil is when the last fault of the box ended; in the future while there is one.
 	disturbedUntil time.Time
 	// hasFault is set while a fault of the box has not been ended.
@@ -554,7 +556,7 @@
 	b.callers.retryShares = route.NewRetryShares(c.retries.Window)
 	b.callers.entries.Store(b.entries)
 	mux, listener := drpcmux.New(), &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
-	require.NoError(c.t, wire.DRPCRegisterFleet(mux, b.status))
+	require.NoError(c.t, wire.DRPCRegisterFleet(mux, &clusterServer{b.status, b}))
 	b.server = daemon.NewPeerServer(listener, mux, log)
 	c.mu.Lock()
 	c.listeners[b.address()] = listener
@@ -567,6 +569,20 @@
 	b.status.tasks.Go(b.status.refreshLoop)
 }
 
+// clusterServer is the status server of a box, which may be of a version without deltas, as may be those that call it.
+type clusterServer struct {
+	*StatusServer
+	box *clusterBox
+}
+
+// Facts streams facts as StatusServer does.
+func (s *clusterServer) Facts(request *wire.FactsRequest, stream wire.DRPCFleet_FactsStream) error {
+	if s.box.withoutDeltas.Load() || s.box.cluster.box(member.BoxID(request.Box)).withoutDeltas.Load() {
+		request.Values = nil
+	}
+	return s.StatusServer.Facts(request, stream)
+}
+
 // kill ends the box at once.
 func (b *clusterBox) kill() {
 	b.cluster.mu.Lock()
--- a/internal/direct/departedservers_test.go
+++ b/internal/direct/departedservers_test.go
@@ -79,7 +79,7 @@
 	boxes := newTestEntryBoxes(survivor, started.fullStatus())
 	_, behind := boxes.pickNewer(nil)
 	require.True(t, behind)
-	boxes.applyBatch("reader:1", started.factsBatch(boxes.cursors["reader:1"], survivor.mirror.Receiver(), false))
+	require.NoError(t, boxes.applyBatch("reader:1", started.factsBatch(boxes.cursors["reader:1"], survivor.mirror.Receiver(), false)))
 	require.Equal(t, []fleet.ServerID{"b"}, serverIDs(survivor))
 	_, behind = boxes.pickNewer(nil)
 	require.False(t, behind)
@@ -103,7 +103,7 @@
 	boxes := newTestEntryBoxes(started)
 	batch := newTestStatusServer(outdated).factsBatch(boxes.cursors["outdated:1"], state.Receiver{}, false)
 	applySnapshot(started, 9, listed("b", 4))
-	boxes.applyBatch("outdated:1", batch)
+	require.NoError(t, boxes.applyBatch("outdated:1", batch))
 	require.Equal(t, []fleet.ServerID{"b"}, serverIDs(started))
 }
 
--- a/internal/direct/entryfollower.go
+++ b/internal/direct/entryfollower.go
@@ -147,20 +147,26 @@
 			}
 			return stream.Recv, nil
 		},
-		onMessage: func(batch *wire.FactsBatch) { f.applyBatch(batch, entry, isMoving) },
+		onMessage: func(batch *wire.FactsBatch) {
+			if err := f.applyBatch(batch, entry, isMoving); err != nil {
+				f.fleetState.log.Warn().Str("address", entry).Err(err).Msg("facts not merged; reading them again")
+				cancel()
+			}
+		},
 	})
 }
 
 // applyBatch merges a batch of facts. It also keeps the other entry boxes in the batch as candidates, unless the
-// agent leaves this one soon and will run discovery again.
-func (f *entryFollower) applyBatch(batch *wire.FactsBatch, entry string, isMoving bool) {
+// agent leaves this one soon and will run discovery again. For the error see FleetState.ApplyTransfer.
+func (f *entryFollower) applyBatch(batch *wire.FactsBatch, entry string, isMoving bool) error {
 	// Ages are merged before facts, because a version without an age gets the assumed age.
 	f.fleetState.MergeVersionAges(agesFromWire(batch.Ages), entry)
-	f.fleetState.ApplyTransfer(transferFromWire(batch), entry)
+	err := f.fleetState.ApplyTransfer(transferFromWire(batch), entry)
 	f.fleetState.MergeDepartures(departuresFromWire(batch.Departures), entry)
 	f.fleetState.fleetSize.Note(fleetSize{member.Incarnation(batch.FleetSince), int(batch.FleetBoxes)}, f.fleetState.clock.Now())
 	f.suspects.MergeEvidence(evidenceFromWire(batch.Evidence, f.fleetState.clock.Now()), entry)
 	if len(batch.Entries) > 0 && !isMoving {
 		f.candidates = batch.Entries
 	}
+	return err
 }
--- a/internal/direct/fleetsize_test.go
+++ b/internal/direct/fleetsize_test.go
@@ -56,7 +56,7 @@
 	entry := newTestStatusServer(fleetState)
 	entry.membership.SetRetryClaim(1)
 	f := &entryFollower{fleetState: fleetState, suspects: noSuspectRequests()}
-	f.applyBatch(entry.factsBatch(state.Cursor{}, state.Receiver{}, true), "entry-1:1", false)
+	require.NoError(t, f.applyBatch(entry.factsBatch(state.Cursor{}, state.Receiver{}, true), "entry-1:1", false))
 	require.Equal(t, entry.membership.fleetSize(), f.fleetState.fleetSize.Size())
 
 	l := &Loader{options: LoaderOptions{Clock: clock, FleetState: f.fleetState}}
--- a/internal/direct/fleetstate.go
+++ b/internal/direct/fleetstate.go
@@ -174,12 +174,15 @@
 	}, "store", !isFirst)
 }
 
-// ApplyTransfer merges facts that another process sent.
-func (f *FleetState) ApplyTransfer(transfer *state.Transfer, from string) {
+// ApplyTransfer merges facts that another process sent. It returns an error if facts were sent as deltas that do not
+// apply. These facts are not merged, and must be requested again from the cursor of before.
+func (f *FleetState) ApplyTransfer(transfer *state.Transfer, from string) (err error) {
 	f.merge(func() (applied, deferred []state.Item) {
+		err = f.mirror.Resolve(transfer)
 		f.newest = max(f.newest, newestOf(transfer))
 		return f.mirror.MergeTransfer(transfer, f.shouldDeferMissing)
 	}, from, false)
+	return err
 }
 
 // newestOf returns the newest revision in a transfer: that of any item, and the floor of the sender with the
--- a/internal/direct/fleetstate_test.go
+++ b/internal/direct/fleetstate_test.go
@@ -239,7 +239,7 @@
 	fact := publishedFact(2, 2)
 	item, err := fact.Item()
 	require.NoError(t, err)
-	fleetState.ApplyTransfer(&state.Transfer{Batch: state.Batch{Items: []state.Item{item}}}, "entry-2")
+	require.NoError(t, fleetState.ApplyTransfer(&state.Transfer{Batch: state.Batch{Items: []state.Item{item}}}, "entry-2"))
 	require.Empty(t, fleetState.VersionAges())
 	require.Equal(t, clock.Now().Add(-minAssumedAge), fleetState.View().PublishedVersions("m").Newest().PublishedAt)
 	fleetState.MergeVersionAges([]fleet.VersionAge{{Model: "m", Version: 2, Age: 300 * time.Millisecond}}, "entry-3")
@@ -255,7 +255,7 @@
 		configuration := fleet.Fact{Key: fleet.ConfigurationKey(), Revision: 1, Configuration: &fleet.Configuration{}}
 		item, err := configuration.Item()
 		require.NoError(t, err)
-		fleetState.ApplyTransfer(&state.Transfer{Batch: state.Batch{Items: []state.Item{item}}}, "entry-2")
+		require.NoError(t, fleetState.ApplyTransfer(&state.Transfer{Batch: state.Batch{Items: []state.Item{item}}}, "entry-2"))
 		replayStore(t, clock, fleetState, returnsFacts(5, configuration, publishedFact(2, 5)), returnsFacts(6, publishedFact(3, 6)))
 		published := fleetState.View().PublishedVersions("m")
 		require.Equal(t, fleetState.StoreRespondedAt(), published.PublishedAt(3), "a later version is observed")
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -48,10 +48,12 @@
 	connections prometheus.Counter
 	storeCalls  *prometheus.CounterVec
 	// traffic counts the messages and bytes sent to other processes.
-	traffic    controlTraffic
-	logDropped prometheus.Counter
-	chunks     *prometheus.CounterVec
-	orders     *prometheus.CounterVec
+	traffic controlTraffic
+	// configurationTransfers counts the configurations sent to other processes.
+	configurationTransfers *prometheus.CounterVec
+	logDropped             prometheus.Counter
+	chunks                 *prometheus.CounterVec
+	orders                 *prometheus.CounterVec
 	// configuration, revision, storeEra, complete, completeEra and deferredDeletions describe the process's current view of the fleet.
 	configuration     prometheus.Gauge
 	revision          prometheus.Gauge
@@ -95,9 +97,11 @@
 		connections: metric.Counter("direct_connections_total", "Connections opened to backend servers."),
 		storeCalls:  metric.CounterVec("store_calls_total", "Calls of the platform's store by kind and result.", "call", "result"),
 		traffic:     newControlTraffic(),
-		logDropped:  metric.Counter("log_lines_dropped_total", "Log lines dropped because they came too fast."),
-		chunks:      metric.CounterVec("pieces_total", "Pieces of weights received, by source and result.", "from", "result"),
-		orders:      metric.CounterVec("orders_total", "Orders given to the backend server, by result.", "result"),
+		configurationTransfers: metric.CounterVec("direct_configuration_transfers_total",
+			"Configurations sent to other processes by kind: the whole, a delta, or the services alone (reduced).", "kind"),
+		logDropped: metric.Counter("log_lines_dropped_total", "Log lines dropped because they came too fast."),
+		chunks:     metric.CounterVec("pieces_total", "Pieces of weights received, by source and result.", "from", "result"),
+		orders:     metric.CounterVec("orders_total", "Orders given to the backend server, by result.", "result"),
 
 		configuration:     metric.Gauge("believed_configuration_version", "Version of the operators' configuration that is in force here."),
 		revision:          metric.Gauge("believed_revision", "Newest revision of the platform's store that is known here, within its era."),
@@ -110,7 +114,7 @@
 	}
 	m.registry.MustRegister(m.requests, m.requestSeconds, m.ttfb, m.attempts, m.hedges, m.retries, m.cutResponses, m.serverSignals, m.suspects,
 		m.waiting, m.limitedServers,
-		m.limitRefusals, m.unclaimed, m.heldBytes, m.connections, m.storeCalls, m.traffic.messages, m.traffic.bytes, m.logDropped, m.chunks, m.orders,
+		m.limitRefusals, m.unclaimed, m.heldBytes, m.connections, m.storeCalls, m.traffic.messages, m.traffic.bytes, m.configurationTransfers, m.logDropped, m.chunks, m.orders,
 		m.configuration, m.revision, m.storeEra, m.complete, m.completeEra, m.deferredDeletions, m.evacuatedDomains, m.outdatedEntries, collectors.NewGoCollector())
 	return m
 }
--- a/internal/direct/outage_test.go
+++ b/internal/direct/outage_test.go
@@ -222,7 +222,7 @@
 			return behind
 		}
 		read := func() {
-			boxes.applyBatch("reader:1", status.factsBatch(boxes.cursors["reader:1"], follower.mirror.Receiver(), false))
+			require.NoError(t, boxes.applyBatch("reader:1", status.factsBatch(boxes.cursors["reader:1"], follower.mirror.Receiver(), false)))
 		}
 		require.True(t, isBehind(), "the follower must pull the new configuration")
 		read()
@@ -299,9 +299,9 @@
 	for range 2 {
 		_, behind := boxes.pickNewer(nil)
 		require.True(t, behind)
-		boxes.applyBatch("reader:1", status.factsBatch(boxes.cursors["reader:1"], follower.mirror.Receiver(), false))
+		require.NoError(t, boxes.applyBatch("reader:1", status.factsBatch(boxes.cursors["reader:1"], follower.mirror.Receiver(), false)))
 	}
-	boxes.applyBatch("reader:1", status.factsBatch(boxes.cursors["reader:1"], follower.mirror.Receiver(), false))
+	require.NoError(t, boxes.applyBatch("reader:1", status.factsBatch(boxes.cursors["reader:1"], follower.mirror.Receiver(), false)))
 	_, behind := boxes.pickNewer(nil)
 	require.False(t, behind)
 	require.Len(t, follower.View().Servers("llm"), 2*maxBatchItems)
--- a/internal/direct/repair.go
+++ b/internal/direct/repair.go
@@ -138,7 +138,7 @@
 		startedAt, cursor, receiver := e.clock.Now(), e.cursor(from), e.fleetState.mirror.Receiver()
 		stream, err := wire.NewDRPCFleetClient(conn).Facts(callCtx, &wire.FactsRequest{
 			Box: string(e.self.Box), Region: string(e.self.Region), Instance: cursor.Instance, Cursor: cursor.Sequence, Once: true,
-			Complete: receiver.Complete, Orders: receiver.Orders,
+			Complete: receiver.Complete, Orders: receiver.Orders, Values: valuesToWire(receiver.Values),
 		})
 		if err != nil {
 			return err
@@ -149,8 +149,11 @@
 		}
 		own := e.fleetState.Watermarks()
 		e.log.Info().Str("address", string(from)).Dur("taken_ms", e.clock.Since(startedAt)).Int("items", len(batch.Items)).Int("bytes", proto.Size(batch)).
+			Int("deltas", countDeltas(batch)).
 			Stringer("newest", own.Newest).Stringer("complete", own.Complete).Msg("facts read from another entry box")
-		e.applyBatch(from, batch)
+		if err := e.applyBatch(from, batch); err != nil {
+			return err
+		}
 		if len(batch.Items) < maxBatchItems {
 			return nil
 		}
@@ -164,12 +167,16 @@
 	return e.cursors[from]
 }
 
-// applyBatch merges a batch of facts of another entry box.
-func (e *EntryBoxes) applyBatch(from member.Address, batch *wire.FactsBatch) {
-	e.mu.Lock()
-	e.cursors[from] = state.Cursor{Instance: batch.Instance, Sequence: batch.Cursor}
-	e.mu.Unlock()
+// applyBatch merges a batch of facts of another entry box. If it returns an error, some facts have not been merged, and the
+// next pull from the same box reads the batch again.
+func (e *EntryBoxes) applyBatch(from member.Address, batch *wire.FactsBatch) error {
 	// Ages are merged before facts, because a version without an age gets the assumed age.
 	e.fleetState.MergeVersionAges(agesFromWire(batch.Ages), string(from))
-	e.fleetState.ApplyTransfer(transferFromWire(batch), string(from))
+	if err := e.fleetState.ApplyTransfer(transferFromWire(batch), string(from)); err != nil {
+		return err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cursors[from] = state.Cursor{Instance: batch.Instance, Sequence: batch.Cursor}
+	return nil
 }
--- a/internal/direct/statusserver.go
+++ b/internal/direct/statusserver.go
@@ -317,7 +317,9 @@
 		// Entry boxes, which set Once, receive the addresses of others in records.
 		entries = s.membership.SampleAddresses(member.Region(request.Region))
 	}
-	departures, suspects, receiver := uint64(0), uint64(0), state.Receiver{Complete: request.Complete, Orders: request.Orders}
+	departures, suspects, receiver := uint64(0), uint64(0), state.Receiver{
+		Complete: request.Complete, Orders: request.Orders, Values: valuesFromWire(request),
+	}
 	if request.EntriesOnly {
 		return stream.Send(&wire.FactsBatch{Entries: entries})
 	}
@@ -342,6 +344,7 @@
 			return err
 		}
 		s.fleetState.metrics.traffic.count(purposeFacts, proto.Size(message), remote)
+		s.fleetState.metrics.countConfiguration(message, request.ServicesOnly)
 		if request.Once {
 			return nil
 		}
@@ -367,17 +370,20 @@
 		s.reduceConfiguration(transfer.Items)
 	}
 	fleet := s.membership.fleetSize()
-	return &wire.FactsBatch{
+	batch := &wire.FactsBatch{
 		FleetSince: uint64(fleet.since), FleetBoxes: uint32(fleet.boxes),
 		Instance: transfer.Next.Instance, Cursor: transfer.Next.Sequence, Items: itemsToWire(transfer.Items), Ages: agesToWire(s.fleetState.VersionAges()),
 		Complete: transfer.Complete, Floor: transfer.Floor, Present: transfer.Present, HasPresent: transfer.HasPresent,
 	}
+	setDeltas(batch, transfer.Deltas)
+	return batch
 }
 
 // transferFromWire returns the facts in a batch.
 func transferFromWire(batch *wire.FactsBatch) *state.Transfer {
 	return &state.Transfer{
 		Batch:    state.Batch{Items: itemsFromWire(batch.Items), Next: state.Cursor{Instance: batch.Instance, Sequence: batch.Cursor}},
+		Deltas:   deltasFromWire(batch),
 		Complete: batch.Complete, Floor: batch.Floor, Present: batch.Present, HasPresent: batch.HasPresent,
 	}
 }
--- a/internal/direct/storeera_test.go
+++ b/internal/direct/storeera_test.go
@@ -117,7 +117,7 @@
 		later := fleet.Fact{Key: fleet.ConfigurationKey(), Configuration: &fleet.Configuration{Version: 2}, Revision: second + 2}
 		item, err := later.Item()
 		require.NoError(t, err)
-		f.ApplyTransfer(&state.Transfer{Batch: state.Batch{Items: []state.Item{item}}}, "entry-2")
+		require.NoError(t, f.ApplyTransfer(&state.Transfer{Batch: state.Batch{Items: []state.Item{item}}}, "entry-2"))
 		f.noteReport(second+2, nil)
 		f.wait(expiryDeferral + 500*time.Millisecond)
 		require.Empty(t, f.View().Servers("llm"))
