test(direct): what one configuration costs is its change, and does not grow

No test stated what it may cost.

TestConfigurationCostsItsChangeAtAnySize writes ten configurations, one changed key each, 1 s apart, in calm clusters of 20 and 80 boxes (10 and 20 with the race detector), and counts the bytes of facts with requests and headers: at most a tenth of the encoded configuration for a box that does not read the store; at most one configuration from the busiest box; and each of these, and the busiest link between two regions, at most 1.5 times as much in the larger cluster. Four subtests, so that each law can be mended and checked alone.

The growth of the busiest sender is the number of boxes of its region that pull from it, 3 at 20 boxes and 9 at 80: changes instead of the whole mend the second law and not this one.

--- a/internal/direct/clusterconfiguration_test.go
+++ b/internal/direct/clusterconfiguration_test.go
@@ -280,3 +280,76 @@
 		})
 	}
 }
+
+// comparedSizes returns the numbers of boxes between which costs are compared.
+func comparedSizes() []int {
+	if raceEnabled {
+		return []int{10, 20}
+	}
+	return []int{20, 80}
+}
+
+// configurationCost is what one configuration with one changed key costs, in bytes of facts with the headers of packets.
+type configurationCost struct {
+	// received is what a box receives on average that does not read the configuration from the store. mostSent is what the
+	// box sends that sends the most, and mostOnLink what the link between two regions transmits that transmits the most, on
+	// average over the configurations.
+	received, mostSent, mostOnLink float64
+	encoded                        int
+}
+
+// measureConfigurationCost writes configurations one after the other in a calm cluster.
+func measureConfigurationCost(t *testing.T, boxes int) (cost configurationCost) {
+	const changes = 10
+	const changeInterval = time.Second
+	c, configurations := newLimitedCluster(t, boxes, 1)
+	defer c.stop()
+	for range changes {
+		before, linksBefore := c.transfers(), c.factsBetweenRegions()
+		configuration := configurations.next()
+		version := c.store.putConfiguration(configuration)
+		time.Sleep(changeInterval)
+		received, receivers, mostSent, mostOnLink := 0, 0, 0, 0
+		for i, after := range c.transfers() {
+			require.Equal(t, version, c.boxes[i].configurationVersion(), "%s", c.boxes[i].id)
+			transferred := after.minus(before[i])
+			mostSent = max(mostSent, transferred.sent)
+			if transferred.fromStore == 0 {
+				received, receivers = received+transferred.received, receivers+1
+			}
+		}
+		for link, bytes := range c.factsBetweenRegions() {
+			mostOnLink = max(mostOnLink, bytes-linksBefore[link])
+		}
+		cost.received += float64(received) / float64(max(1, receivers)) / changes
+		cost.mostSent += float64(mostSent) / changes
+		cost.mostOnLink += float64(mostOnLink) / changes
+		cost.encoded = len(encodedConfiguration(t, configuration))
+	}
+	t.Logf("%d boxes, one changed key of a configuration of %d bytes: a box receives %.0f bytes, the busiest box sends %.0f, "+
+		"the busiest link between regions transmits %.0f", boxes, cost.encoded, cost.received, cost.mostSent, cost.mostOnLink)
+	return cost
+}
+
+// Guards against a configuration that is sent whole for each change of it, by a box to a number of others that grows with the
+// fleet.
+func TestConfigurationCostsItsChangeAtAnySize(t *testing.T) {
+	var small, large configurationCost
+	sizes := comparedSizes()
+	synctest.Test(t, func(t *testing.T) { small = measureConfigurationCost(t, sizes[0]) })
+	synctest.Test(t, func(t *testing.T) { large = measureConfigurationCost(t, sizes[1]) })
+	require.Positive(t, small.received)
+	t.Run("receivers", func(t *testing.T) {
+		require.LessOrEqual(t, large.received, 0.1*float64(large.encoded))
+		require.LessOrEqual(t, large.received, 1.5*small.received)
+	})
+	t.Run("busiest sender", func(t *testing.T) {
+		require.LessOrEqual(t, large.mostSent, float64(large.encoded))
+	})
+	t.Run("growth of busiest sender", func(t *testing.T) {
+		require.LessOrEqual(t, large.mostSent, 1.5*small.mostSent)
+	})
+	t.Run("busiest link between regions", func(t *testing.T) {
+		require.LessOrEqual(t, large.mostOnLink, 1.5*max(small.mostOnLink, small.received))
+	})
+}
