perf(direct): dispatchers are given servers only if they have changed

**Cause.** Ten times a second, and at each change of the view, every dispatcher got the servers of its service anew: a filtered copy of the list, a new map of them, and for each service the size of the cell from a sorted copy of the state of all boxes that are followed.

**Change.** The view, the plan and the size of the cell are read once for all dispatchers. A dispatcher whose list, plan and number of layers are the same values as before gets RefreshServers, which updates what depends on the time and on other boxes; a changed entry replaces only the list of its service. CellSize counts in place.

--- a/internal/direct/callerserver.go
+++ b/internal/direct/callerserver.go
@@ -98,7 +98,9 @@
 	// from this state.
 	peerReports peerReports
 	dispatchers map[member.Service]*route.Dispatcher
-	budgets     map[member.Service]*route.WindowRetryBudget
+	// dispatcherServers are the servers that each dispatcher was given last.
+	dispatcherServers map[member.Service]dispatcherServers
+	budgets           map[member.Service]*route.WindowRetryBudget
 	// models are the models that the servers of each service run. Services that are no longer configured are
 	// kept because requests to them may still be awaiting their first byte.
 	models map[member.Service]fleet.ModelName
@@ -306,13 +308,14 @@
 			s.updateRetryAllowance(now)
 		}
 		s.mu.Lock()
-		for _, service := range s.fleetState.View().Services() {
+		input := s.dispatcherInput()
+		for _, service := range input.view.Services() {
 			if s.dispatchers[service.Name] == nil && service.Origin == "" {
 				s.dispatchers[service.Name] = s.newDispatcher(service.Name, service)
 			}
 		}
 		for name, d := range s.dispatchers {
-			s.updateDispatcher(name, d)
+			s.applyInput(name, d, input)
 			s.metrics.waiting.WithLabelValues(string(name)).Set(float64(d.QueueLen()))
 			s.metrics.limitedServers.WithLabelValues(string(name)).Set(float64(len(d.LimitedServers(s.clock.Now()))))
 			s.metrics.unclaimed.WithLabelValues(string(name)).Set(float64(d.Unclaimed(s.clock.Now())))
@@ -327,10 +330,14 @@
 	}
 }
 
-// updateDispatcher sets the servers of a dispatcher and the weights versions that it may use. The lock must be
-// held; otherwise an older view could overwrite a newer one.
+// updateDispatcher brings one dispatcher up to date. The lock must be held.
 func (s *CallerServer) updateDispatcher(name member.Service, d *route.Dispatcher) {
-	view, now := s.fleetState.View(), s.clock.Now()
+	s.applyInput(name, d, s.dispatcherInput())
+}
+
+// applyInput sets the servers of a dispatcher and the weights versions that it may use. The lock must be held.
+func (s *CallerServer) applyInput(name member.Service, d *route.Dispatcher, input *dispatcherInput) {
+	view, now := input.view, input.now
 	layers := 0
 	if service := view.Service(name); service != nil && service.Engine != nil {
 		layers = service.Engine.Layers
@@ -346,13 +353,10 @@
 	if model, ok := s.models[name]; ok {
 		d.RequireVersions(s.versionConstraints(view.PublishedVersions(model), now), now)
 	}
-	entries := s.entries.Load()
-	if entries == nil {
-		d.SetServers(view.Servers(name), layers, s.isLocal, now)
-		return
+	if input.hasBoxes {
+		d.SetBoxCount(input.liveBoxes, input.allBoxes)
 	}
-	d.SetBoxCount(entries.CellSize())
-	d.SetServers(entries.currentPlan().ownServers(view.Servers(name)), layers, s.isLocal, now)
+	s.setServers(name, d, input, layers)
 }
 
 // responseStartMargin is how long before the version bound a response must have started. It covers the delay
--- a/internal/direct/cells.go
+++ b/internal/direct/cells.go
@@ -247,15 +247,17 @@
 // CellSize returns the number of entry boxes in the own cell: the live ones, which are this one and those that have sent
 // a status within statusTimeout, and all, which includes those that may run and be unreachable from here.
 func (e *EntryBoxes) CellSize() (live, all int) {
-	plan := e.currentPlan()
-	if plan == nil {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.plan == nil {
 		return 1, 1
 	}
 	live = 1
-	for _, box := range e.Boxes() {
-		if plan.cellPeers[box.Box] {
+	now := e.clock.Now()
+	for _, box := range e.boxes {
+		if now.Sub(box.LastSeen) < statusTimeout && e.plan.cellPeers[box.Box] {
 			live++
 		}
 	}
-	return live, max(live, len(plan.cellPeers)+1)
+	return live, max(live, len(e.plan.cellPeers)+1)
 }
--- a/pkg/route/dispatch.go
+++ b/pkg/route/dispatch.go
@@ -69,6 +69,8 @@
 	mu          sync.Mutex
 	backends    map[fleet.ServerID]*backend
 	backendList []*backend
+	// layers is the number of layers of the model that the servers run, 0 if it is not known.
+	layers int
 	// leaving are the listed servers that have announced that they will exit.
 	leaving  map[fleet.ServerID]bool
 	backoffs backoffs
@@ -175,6 +177,7 @@
 func (d *Dispatcher) SetServers(servers []fleet.Server, layers int, isLocal func(member.FailureDomain) bool, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.layers = layers
 	next := make(map[fleet.ServerID]*backend, len(servers))
 	d.backendList = d.backendList[:0]
 	clear(d.leaving)
@@ -188,9 +191,7 @@
 			b = d.newBackend(server.ID, server.Incarnation, now)
 		}
 		b.server, b.remote, b.region = server, !isLocal(server.Domain), d.regionOf(server.Domain)
-		d.setLimit(&server, now)
-		b.updateListedVersion(&server, layers)
-		d.updateIneligibleSince(b, now)
+		d.refreshListed(b, now)
 		next[server.ID] = b
 		d.backendList = append(d.backendList, b)
 	}
@@ -200,9 +201,27 @@
 	d.grant(nil, now)
 }
 
+// RefreshServers has the effect of SetServers with the same servers as at its last call, at less cost.
+func (d *Dispatcher) RefreshServers(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, b := range d.backendList {
+		d.refreshListed(b, now)
+	}
+	d.forecast, d.capacity = forecast{}, capacitySnapshot{}
+	d.grant(nil, now)
+}
+
+// refreshListed updates what the dispatcher derives from the entry of a server.
+func (d *Dispatcher) refreshListed(b *backend, now time.Time) {
+	d.setLimit(&b.server, now)
+	b.updateListedVersion(&b.server, d.layers)
+	d.updateIneligibleSince(b, now)
+}
+
 // SetBoxCount sets how many entry boxes share the slots: the live ones, which report their load to
 // this box, and all, which includes those that may send requests and be unreachable from here.
-// Limits of cold servers change with the next call of SetServers.
+// Limits of cold servers change with the next call of SetServers or RefreshServers.
 func (d *Dispatcher) SetBoxCount(live, all int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
