fix(direct): a box sends facts to two others at a time and refuses the rest

**cause**: nothing bounded how many boxes pull from one. After a configuration, all that follow a reader of the store pulled from it at once, so the first of them had it when nearly all had, and the boxes behind these waited for a second. Agents that start together did the same with the streams of one seed.

**change**: a batch of up to 8 KB is sent at once. A pull of more takes one of two slots until its receiver closes the stream, as what was sent may still be in buffers, or for half a second without a batch. Without a slot it is refused at once (`busy`); a box of an earlier version takes that for an empty batch. The receiver uses another box that is ahead, and the same one after 60 ms, later 120 ms on average. Who has received the facts sends them on, so what is sent grows with each transfer. Pulls get all batches in one stream (`all`), so that the slot is not lost between two. Streams of agents have four slots of their own and wait in turn, with heartbeats; a slot is held for the time that the bytes take on a small box's link. A refused pull does not start the wait of a box that reads the store anew: that delayed it by 0.3 s each time. `direct_refused_pulls_total` counts refusals at the sender, `direct_pulls_total{result="refused"}` at the receiver, and a log line states the first one of a series.

Also weighed: a queue at the sender instead of repeated pulls; a receiver would wait there while others have the facts.

--- a/internal/direct/clusterpulls_test.go
+++ b/internal/direct/clusterpulls_test.go
@@ -1,15 +1,24 @@
 package direct
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
+	"storj.io/drpc/drpcmux"
 
+	"github.com/cinderslip/cinderslip/internal/daemon"
+	"github.com/cinderslip/cinderslip/internal/wire"
 	"github.com/cinderslip/cinderslip/pkg/fleet"
+	"github.com/cinderslip/cinderslip/pkg/member"
+	"github.com/cinderslip/cinderslip/pkg/state"
 )
 
 const (
@@ -285,6 +294,9 @@
 	})
 }
 
+// frozenReceivers is the number of boxes that freeze beside a source.
+const frozenReceivers = 7
+
 // sourceFaults are faults of boxes that others pull from.
 var sourceFaults = []struct {
 	name  string
@@ -297,6 +309,12 @@
 		c.boxes[i].uplink.setRate(20e3)
 		c.boxes[i].downlink.setRate(20e3)
 	}},
+	{"frozen with its receivers", func(c *testCluster, i int) {
+		c.boxes[i].processing.close()
+		for j := range frozenReceivers {
+			c.boxes[(i+1+2*j)%len(c.boxes)].processing.close()
+		}
+	}},
 	{"cut off", func(c *testCluster, i int) { c.split(func(j int) int { return map[bool]int{true: 1}[j == i] }) }},
 }
 
@@ -326,7 +344,9 @@
 						}
 					}
 					fault.begin(c, faulty)
-					_, missing := c.awaitConfiguration(3, bound, func(box *clusterBox) bool { return box != c.boxes[faulty] })
+					_, missing := c.awaitConfiguration(3, bound, func(box *clusterBox) bool {
+						return box != c.boxes[faulty] && isClosed(box.processing.opened)
+					})
 					require.Zero(t, missing, "boxes without the configuration after %v", time.Since(start))
 					t.Logf("in force after %v", time.Since(start))
 				})
@@ -353,3 +373,146 @@
 		t.Logf("in force after %v", taken)
 	})
 }
+
+// Guards against a box whose pulls are always refused: as long as one box alone has the facts, all others receive them in
+// little more than the time that the transfers take.
+func TestRefusedBoxesAllReceiveFacts(t *testing.T) {
+	const receivers, transferTime = 40, 60 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		var (
+			slots   sendSlots
+			waiting sync.WaitGroup
+		)
+		status := &wire.EntryStatus{Box: "reader", Peers: "reader", Revision: 2, Ready: true}
+		start := time.Now()
+		for range receivers {
+			fleetState := NewFleetState(clockwork.NewRealClock(), zerolog.Nop(), NewMetrics())
+			fleetState.Apply([]fleet.Fact{configurationFact(1, 1)}, "store")
+			boxes := newTestEntryBoxes(fleetState, status)
+			boxes.pull = func(ctx context.Context, from member.Address) error {
+				slot := slots.acquire(maxSentPulls, fleetState.clock)
+				if slot == nil {
+					return errBusy
+				}
+				defer slot.release()
+				sleep(ctx, fleetState.clock, transferTime)
+				fleetState.Apply([]fleet.Fact{configurationFact(2, 2)}, string(from))
+				return ctx.Err()
+			}
+			boxes.tasks.Go(func(ctx context.Context) {
+				for ctx.Err() == nil {
+					boxes.updateBox("reader", status, time.Now())
+					sleep(ctx, fleetState.clock, statusHeartbeat)
+				}
+			})
+			boxes.tasks.Go(boxes.repair)
+			waiting.Go(func() {
+				awaitVersion(fleetState, 2)
+				require.NoError(t, boxes.Stop(context.Background()))
+			})
+		}
+		waiting.Wait()
+		transfers := receivers * transferTime / maxSentPulls
+		t.Logf("all have the facts after %v, the transfers take %v", time.Since(start), transfers)
+		require.LessOrEqual(t, time.Since(start), 3*transfers)
+	})
+}
+
+// newAgent starts an agent that knows one entry box, over a link like that of a box.
+func (c *testCluster) newAgent(id member.BoxID, seed *clusterBox) (fleetState *FleetState, stop func()) {
+	clock, log, metrics := clockwork.NewRealClock(), zerolog.Nop(), NewMetrics()
+	agent := &clusterBox{cluster: c, id: id, region: seed.region, processing: newGate()}
+	agent.uplink.setRate(boxBandwidth)
+	agent.downlink.setRate(boxBandwidth)
+	fleetState = NewFleetState(clock, log, metrics)
+	peers := daemon.NewPeerPoolWithDial(agent.dial)
+	follower := &entryFollower{
+		fleetState: fleetState, suspects: newSuspectRequests(clock, log, metrics), peers: peers, self: string(id), region: string(agent.region),
+		seeds: []string{string(seed.address())}, lastLogged: make(map[string]time.Time),
+	}
+	fleetState.tasks.Go(follower.run)
+	return fleetState, func() {
+		_ = fleetState.Stop(context.Background())
+		_ = peers.Stop(context.Background())
+	}
+}
+
+// Guards against agents that all start at once and fill the link of the box that they start with, so that its heartbeats
+// are late and pulls from it wait.
+func TestAgentsAtAStartDoNotFillTheLinkOfABox(t *testing.T) {
+	const agents, servers, maxDelay, limit = 100, 400, 100 * time.Millisecond, 5 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestCluster(t, 1, 1, 5*time.Second)
+		defer c.stop()
+		c.setBoxRate(boxBandwidth)
+		c.configureLarge(2)
+		for i := range servers {
+			c.store.write(modelEntry(i, 0))
+		}
+		time.Sleep(10 * time.Second)
+		var waiting sync.WaitGroup
+		start := time.Now()
+		for i := range agents {
+			fleetState, stop := c.newAgent(member.BoxID(fmt.Sprintf("agent-%d", i)), c.boxes[0])
+			waiting.Go(func() {
+				for len(serverIDs(fleetState)) < servers && time.Since(start) < limit {
+					time.Sleep(10 * time.Millisecond)
+				}
+				require.Len(t, serverIDs(fleetState), servers)
+				stop()
+			})
+		}
+		waiting.Wait()
+		uplink := &c.boxes[0].uplink
+		t.Logf("all have the facts after %v; %d bytes, a message waits up to %v", time.Since(start), uplink.bytes, uplink.maxDelay)
+		require.LessOrEqual(t, uplink.maxDelay, maxDelay)
+	})
+}
+
+// earlierVersion is an entry box of a version that ends each pull after one batch, which is not bounded in bytes.
+type earlierVersion struct {
+	wire.DRPCFleetUnimplementedServer
+	status *StatusServer
+}
+
+// Facts sends one batch.
+func (e *earlierVersion) Facts(request *wire.FactsRequest, stream wire.DRPCFleet_FactsStream) error {
+	batch := e.status.factsBatch(state.Cursor{Instance: request.Instance, Sequence: request.Cursor}, state.Receiver{Complete: request.Complete}, false)
+	batch.More = false
+	return stream.Send(batch)
+}
+
+// Guards against pulls that fail or end early beside boxes of an earlier version.
+func TestPullReadsAllBatchesOfAnEarlierVersion(t *testing.T) {
+	source, _ := newTestFleetState()
+	var facts []fleet.Fact
+	for i := range 2*maxBatchItems + 1 {
+		facts = append(facts, listed(fleet.ServerID(rune('a'+i)), fleet.Revision(i+1)))
+	}
+	applySnapshot(source, 2*maxBatchItems+1, facts...)
+	mux := drpcmux.New()
+	require.NoError(t, wire.DRPCRegisterFleet(mux, &earlierVersion{status: newTestStatusServer(source)}))
+	listener, err := listen("127.0.0.1:0")
+	require.NoError(t, err)
+	server := daemon.NewPeerServer(listener, mux, zerolog.Nop())
+	defer func() { require.NoError(t, server.Stop(context.Background())) }()
+	follower := NewFleetState(clockwork.NewRealClock(), zerolog.Nop(), NewMetrics())
+	boxes := newTestEntryBoxes(follower)
+	boxes.peers = daemon.NewPeerPool()
+	require.NoError(t, boxes.pullFacts(t.Context(), member.Address(listener.Addr().String())))
+	require.Equal(t, source.Watermarks(), follower.Watermarks())
+}
+
+// Guards against a refusal that changes what a box of an earlier version, which does not know of refusals, holds or reads
+// next.
+func TestRefusalIsHarmlessToAnEarlierVersion(t *testing.T) {
+	follower, _ := newTestFleetState()
+	applySnapshot(follower, 3, listed("a", 2), listed("b", 3))
+	boxes, before := newTestEntryBoxes(follower), follower.Watermarks()
+	cursor := state.Cursor{Instance: 7, Sequence: 5}
+	boxes.cursors["reader:1"] = cursor
+	boxes.applyBatch("reader:1", busyBatch(cursor))
+	require.Equal(t, before, follower.Watermarks())
+	require.Equal(t, cursor, boxes.cursors["reader:1"])
+	require.Len(t, serverIDs(follower), 2)
+}
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -65,6 +65,8 @@
 	outdatedEntries prometheus.Counter
 	// pulls counts the pulls of facts from other entry boxes.
 	pulls *prometheus.CounterVec
+	// refusedPulls counts the pulls that this process refused because too many others were in progress.
+	refusedPulls prometheus.Counter
 }
 
 // secondsBuckets are the histogram bounds in seconds, from a fast lookup to a long stream.
@@ -108,13 +110,14 @@
 		complete:          metric.Gauge("believed_complete_revision", "Revision of the platform's store up to which every change is known here, within its era."),
 		evacuatedDomains:  metric.Gauge("believed_evacuated_domains", "Failure domains that the operators have evacuated."),
 		pulls:             metric.CounterVec("direct_pulls_total", "Pulls of facts from other entry boxes, by result.", "result"),
+		refusedPulls:      metric.Counter("direct_refused_pulls_total", "Pulls of facts that other entry boxes made and that were refused because too many were in progress."),
 		outdatedEntries:   metric.Counter("outdated_entries_total", "Entries of servers that other processes sent and that were deleted before."),
 		deferredDeletions: metric.Gauge("believed_held_deletions", "Deletions of servers' entries that are held back after an outage of the store."),
 	}
 	m.registry.MustRegister(m.requests, m.requestSeconds, m.ttfb, m.attempts, m.hedges, m.retries, m.cutResponses, m.serverSignals, m.suspects,
 		m.waiting, m.limitedServers,
 		m.limitRefusals, m.unclaimed, m.heldBytes, m.connections, m.storeCalls, m.traffic.messages, m.traffic.bytes, m.logDropped, m.chunks, m.orders,
-		m.configuration, m.revision, m.storeEra, m.complete, m.completeEra, m.deferredDeletions, m.evacuatedDomains, m.outdatedEntries, m.pulls, collectors.NewGoCollector())
+		m.configuration, m.revision, m.storeEra, m.complete, m.completeEra, m.deferredDeletions, m.evacuatedDomains, m.outdatedEntries, m.pulls, m.refusedPulls, collectors.NewGoCollector())
 	return m
 }
 
--- a/internal/direct/repair.go
+++ b/internal/direct/repair.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -33,22 +34,38 @@
 	hedgeAdvantage = 2
 	// maxConcurrentPulls bounds the concurrent pulls.
 	maxConcurrentPulls = 3
+	// minRefusalDelay is the mean time after which a box that has refused a pull is used again. It doubles with each
+	// further refusal, up to maxRefusalDelay.
+	minRefusalDelay = 60 * time.Millisecond
+	maxRefusalDelay = 120 * time.Millisecond
 )
 
 // The reasons for which pulls are cancelled.
 var (
 	errStalled    = errors.New("nothing has arrived for too long")
 	errSlowerPull = errors.New("another box sends the facts")
+	// errBusy is the result of a pull that the other box refused.
+	errBusy = errors.New("the box sends facts to many others")
 )
 
 // repairer pulls facts that this box lacks from other entry boxes.
 type repairer struct {
 	boxes *EntryBoxes
-	// behindSince is the time since which another box has been ahead, or zero if none is.
+	// behindSince is the time since which another box has been ahead and no pull was completed, or zero if none is ahead.
 	behindSince time.Time
 	// pending are the pulls in progress.
 	pending map[member.Address]*activePull
+	// refused are the boxes that have refused the last pull from them.
+	refused map[member.Address]refusal
 	results chan pullResult
+	// wake signals that a box that has refused a pull may be used again.
+	wake chan struct{}
+}
+
+// refusal is the last refusal of a box: when it is used again, and the mean delay until then.
+type refusal struct {
+	until time.Time
+	delay time.Duration
 }
 
 // activePull is a pull in progress.
@@ -106,7 +123,7 @@
 
 // repair pulls facts from another box when that box has been ahead for a while.
 func (e *EntryBoxes) repair(ctx context.Context) {
-	r := &repairer{boxes: e, pending: make(map[member.Address]*activePull), results: make(chan pullResult)}
+	r := &repairer{boxes: e, pending: make(map[member.Address]*activePull), refused: make(map[member.Address]refusal), results: make(chan pullResult), wake: make(chan struct{}, 1)}
 	ticker := e.clock.NewTicker(statusInterval)
 	defer ticker.Stop()
 	for {
@@ -115,16 +132,23 @@
 			return
 		case result := <-r.results:
 			r.finish(result)
+		case <-r.wake:
+			r.pullNext(ctx)
 		case <-ticker.Chan():
-			now := e.clock.Now()
-			r.cancelSlower(now)
-			if from, ok := r.nextSource(now); ok {
-				r.pull(ctx, from)
-			}
+			r.pullNext(ctx)
 		}
 	}
 }
 
+// pullNext cancels the slower one of two pulls, and starts another pull if one is due.
+func (r *repairer) pullNext(ctx context.Context) {
+	now := r.boxes.clock.Now()
+	r.cancelSlower(now)
+	if from, ok := r.nextSource(now); ok {
+		r.pull(ctx, from)
+	}
+}
+
 // finish records the result of a pull. If it leaves nothing to pull from the boxes of the other pulls, these are cancelled.
 func (r *repairer) finish(result pullResult) {
 	delete(r.pending, result.from)
@@ -133,11 +157,16 @@
 	switch {
 	case result.err == nil:
 		pulls.WithLabelValues("done").Inc()
+		r.behindSince = time.Time{}
+		clear(r.refused)
 		for _, pull := range r.pending {
 			if !r.boxes.isAhead(pull.from) {
 				pull.supersede()
 			}
 		}
+	case errors.Is(result.err, errBusy):
+		pulls.WithLabelValues("refused").Inc()
+		r.refuse(result.from)
 	case errors.Is(result.err, errSlowerPull):
 		pulls.WithLabelValues("superseded").Inc()
 	default:
@@ -146,6 +175,22 @@
 	}
 }
 
+// refuse excludes a box that has refused a pull for a random time.
+func (r *repairer) refuse(from member.Address) {
+	if len(r.refused) == 0 {
+		r.boxes.log.Info().Str("address", string(from)).Msg("entry box refuses a pull of facts, as it sends to many others")
+	}
+	delay := min(max(minRefusalDelay, 2*r.refused[from].delay), maxRefusalDelay)
+	wait := delay/2 + rand.N(delay)
+	r.refused[from] = refusal{r.boxes.clock.Now().Add(wait), delay}
+	r.boxes.clock.AfterFunc(wait, func() {
+		select {
+		case r.wake <- struct{}{}:
+		default:
+		}
+	})
+}
+
 // supersede cancels the pull because another one is faster.
 func (p *activePull) supersede() {
 	if !p.isCancelled {
@@ -215,9 +260,16 @@
 	for address := range r.pending {
 		exclude[address] = true
 	}
+	for address, refusal := range r.refused {
+		if now.Before(refusal.until) {
+			exclude[address] = true
+		}
+	}
 	source, ok := r.boxes.pickNewer(exclude)
 	if !ok {
-		r.behindSince = time.Time{}
+		if len(exclude) == 0 {
+			r.behindSince = time.Time{}
+		}
 		return "", false
 	}
 	if r.behindSince.IsZero() {
@@ -242,11 +294,11 @@
 	if first := r.oldest(); first != nil {
 		pull.firstBytes = r.boxes.progress.of(first.from).bytes
 	}
-	r.pending[from], r.behindSince = pull, time.Time{}
+	r.pending[from] = pull
 	r.boxes.tasks.Go(func(ctx context.Context) {
 		defer cancel(nil)
 		err := r.boxes.pull(pullCtx, from)
-		if cause := context.Cause(pullCtx); cause != nil {
+		if cause := context.Cause(pullCtx); err != nil && cause != nil {
 			err = cause
 		}
 		select {
@@ -295,7 +347,7 @@
 	stalled := e.clock.AfterFunc(pullTimeout, func() { cancel(errStalled) })
 	defer stalled.Stop()
 	defer func() {
-		if cause := context.Cause(callCtx); err != nil && cause != nil {
+		if cause := context.Cause(callCtx); err != nil && !errors.Is(err, errBusy) && cause != nil {
 			err = cause
 		}
 	}()
@@ -306,25 +358,46 @@
 	if err != nil {
 		return err
 	}
-	for {
-		startedAt, cursor, receiver := e.clock.Now(), e.cursor(from), e.fleetState.mirror.Receiver()
+	for isLast := false; !isLast; {
+		cursor, receiver := e.cursor(from), e.fleetState.mirror.Receiver()
 		stream, err := wire.NewDRPCFleetClient(conn).Facts(callCtx, &wire.FactsRequest{
-			Box: string(e.self.Box), Region: string(e.self.Region), Instance: cursor.Instance, Cursor: cursor.Sequence, Once: true,
+			Box: string(e.self.Box), Region: string(e.self.Region), Instance: cursor.Instance, Cursor: cursor.Sequence, Once: true, All: true,
 			Complete: receiver.Complete, Orders: receiver.Orders, Held: receiver.Held,
 		})
 		if err != nil {
 			return err
 		}
-		batch, err := stream.Recv()
-		if err != nil {
+		if isLast, err = e.receiveBatches(from, stream, func() { cancel(nil) }); err != nil {
 			return err
 		}
+	}
+	return nil
+}
+
+// receiveBatches applies the batches of one request. end is called once the last one has arrived; isLast is not set if the
+// sender, which is of an earlier version, has more and ends the stream after one.
+func (e *EntryBoxes) receiveBatches(from member.Address, stream wire.DRPCFleet_FactsClient, end func()) (isLast bool, err error) {
+	for first := true; ; first = false {
+		startedAt := e.clock.Now()
+		batch, err := stream.Recv()
+		switch {
+		case !first && errors.Is(err, io.EOF):
+			return false, nil
+		case err != nil:
+			return false, err
+		case batch.Busy:
+			return true, errBusy
+		}
 		own := e.fleetState.Watermarks()
 		e.log.Info().Str("address", string(from)).Dur("taken_ms", e.clock.Since(startedAt)).Int("items", len(batch.Items)).Int("bytes", proto.Size(batch)).
 			Stringer("newest", own.Newest).Stringer("complete", own.Complete).Msg("facts read from another entry box")
+		if isLast = !batch.More && len(batch.Items) < maxBatchItems; isLast {
+			// The sender may begin the next transfer before this one is applied.
+			end()
+		}
 		e.applyBatch(from, batch)
-		if !batch.More && len(batch.Items) < maxBatchItems {
-			return nil
+		if isLast {
+			return true, nil
 		}
 	}
 }
--- a/internal/direct/statusserver.go
+++ b/internal/direct/statusserver.go
@@ -57,6 +57,9 @@
 	limitedSends      atomic.Uint64
 	limitedSendSignal chan struct{}
 
+	// pullSlots and streamSlots bound the transfers of facts to entry boxes and to agents.
+	pullSlots, streamSlots sendSlots
+
 	// remoteFollowers is the number of entry boxes in other regions that follow the load of this box.
 	remoteFollowers atomic.Int64
 
@@ -306,48 +309,101 @@
 	return max(statusInterval, time.Duration(s.remoteFollowers.Load())*time.Second/maxRemoteMessagesPerSecond)
 }
 
-// Facts streams the facts that have changed since the cursor in the request.
+// Facts streams the facts that have changed since the cursor in the request. Entry boxes, which set Once, pull them;
+// agents follow the stream.
 func (s *StatusServer) Facts(request *wire.FactsRequest, stream wire.DRPCFleet_FactsStream) error {
-	cursor := state.Cursor{Instance: request.Instance, Sequence: request.Cursor}
-	ticker := s.clock.NewTicker(statusHeartbeat)
-	defer ticker.Stop()
-	remote := request.Region != string(s.membership.Own().Region)
-	var entries []string
-	if !request.Once {
-		// Entry boxes, which set Once, receive the addresses of others in records.
-		entries = s.membership.SampleAddresses(member.Region(request.Region))
+	switch {
+	case request.Once:
+		return s.sendPull(request, stream)
+	case request.EntriesOnly:
+		return stream.Send(&wire.FactsBatch{Entries: s.membership.SampleAddresses(member.Region(request.Region))})
+	default:
+		return s.streamFacts(request, stream)
 	}
-	departures, suspects, receiver := uint64(0), uint64(0), state.Receiver{Complete: request.Complete, Orders: request.Orders, Held: request.Held}
-	if request.EntriesOnly {
-		return stream.Send(&wire.FactsBatch{Entries: entries})
+}
+
+// isRemote reports whether a request comes from another region.
+func (s *StatusServer) isRemote(request *wire.FactsRequest) bool {
+	return request.Region != string(s.membership.Own().Region)
+}
+
+// isLarge reports whether a batch, or those that follow it, need a slot.
+func isLarge(batch *wire.FactsBatch) bool {
+	return batch.More || proto.Size(batch) > smallTransferBytes
+}
+
+// sendPull sends the facts to an entry box that pulls them: all batches, or one if the box is of an earlier version. It
+// refuses the pull if it is large and others take all slots.
+func (s *StatusServer) sendPull(request *wire.FactsRequest, stream wire.DRPCFleet_FactsStream) error {
+	cursor, receiver := state.Cursor{Instance: request.Instance, Sequence: request.Cursor}, receiverFromWire(request)
+	var slot *sendSlot
+	defer func() { slot.release() }()
+	for {
+		message := s.factsBatch(cursor, receiver, request.ServicesOnly)
+		if slot == nil && isLarge(message) {
+			if slot = s.pullSlots.acquire(maxSentPulls, s.clock); slot == nil {
+				s.fleetState.metrics.refusedPulls.Inc()
+				return stream.Send(busyBatch(cursor))
+			}
+		}
+		cursor = state.Cursor{Instance: message.Instance, Sequence: message.Cursor}
+		if err := stream.Send(message); err != nil {
+			return err
+		}
+		s.fleetState.metrics.traffic.count(purposeFacts, proto.Size(message), s.isRemote(request))
+		slot.renew()
+		if !request.All {
+			return nil
+		}
+		if !message.More {
+			s.awaitReceipt(stream, slot)
+			return nil
+		}
 	}
+}
+
+// streamFacts sends facts to an agent until the stream ends.
+func (s *StatusServer) streamFacts(request *wire.FactsRequest, stream wire.DRPCFleet_FactsStream) error {
+	cursor, receiver := state.Cursor{Instance: request.Instance, Sequence: request.Cursor}, receiverFromWire(request)
+	ticker := s.clock.NewTicker(statusHeartbeat)
+	defer ticker.Stop()
+	entries, departures, suspects := s.membership.SampleAddresses(member.Region(request.Region)), uint64(0), uint64(0)
+	var slot *sendSlot
+	defer func() { slot.release() }()
+	sent := 0
 	for {
 		changed := s.fleetState.Changed()
 		message := s.factsBatch(cursor, receiver, request.ServicesOnly)
+		if isLarge(message) && slot.isReleased() {
+			var err error
+			slot, err = s.awaitStreamSlot(stream, ticker.Chan(), &wire.FactsBatch{Entries: entries, Instance: cursor.Instance, Cursor: cursor.Sequence})
+			if err != nil {
+				return err
+			}
+			continue
+		}
 		if message.HasPresent || receiver.Complete >= message.Floor {
 			receiver.Complete = max(receiver.Complete, message.Complete)
 		}
 		cursor = state.Cursor{Instance: message.Instance, Sequence: message.Cursor}
 		message.Entries, entries = entries, nil
-		if !request.Once {
-			// Entry boxes, which set Once, receive departures and evidence in status messages.
-			var newDepartures []fleet.Departure
-			newDepartures, departures = s.fleetState.DeparturesSince(departures)
-			message.Departures = departuresToWire(newDepartures)
-			var evidence []route.Evidence
-			evidence, suspects = s.suspects.Since(suspects)
-			message.Evidence = evidenceToWire(evidence, s.clock.Now())
-		}
+		var newDepartures []fleet.Departure
+		newDepartures, departures = s.fleetState.DeparturesSince(departures)
+		message.Departures = departuresToWire(newDepartures)
+		var evidence []route.Evidence
+		evidence, suspects = s.suspects.Since(suspects)
+		message.Evidence = evidenceToWire(evidence, s.clock.Now())
 		if err := stream.Send(message); err != nil {
 			return err
 		}
-		s.fleetState.metrics.traffic.count(purposeFacts, proto.Size(message), remote)
-		if request.Once {
-			return nil
-		}
-		if message.More {
+		size := proto.Size(message)
+		s.fleetState.metrics.traffic.count(purposeFacts, size, s.isRemote(request))
+		if sent += size; message.More {
+			slot.renew()
 			continue
 		}
+		slot.releaseAfter(sent)
+		sent = 0
 		select {
 		case <-stream.Context().Done():
 			return nil
@@ -359,6 +415,51 @@
 	}
 }
 
+// busyBatch returns the response to a pull that is refused. A receiver of an earlier version takes it for a batch
+// without facts that leaves its cursor unchanged.
+func busyBatch(cursor state.Cursor) *wire.FactsBatch {
+	return &wire.FactsBatch{Instance: cursor.Instance, Cursor: cursor.Sequence, Busy: true}
+}
+
+// awaitStreamSlot waits for a slot of a stream, and sends a heartbeat whenever the ticker fires.
+func (s *StatusServer) awaitStreamSlot(stream wire.DRPCFleet_FactsStream, ticker <-chan time.Time, heartbeat *wire.FactsBatch) (*sendSlot, error) {
+	for {
+		freed := s.streamSlots.nextFreed()
+		if slot := s.streamSlots.acquire(maxSentStreams, s.clock); slot != nil {
+			return slot, nil
+		}
+		select {
+		case <-stream.Context().Done():
+			return nil, stream.Context().Err()
+		case <-s.done:
+			return nil, context.Canceled
+		case <-freed:
+		case <-ticker:
+			if err := stream.Send(heartbeat); err != nil {
+				return nil, err
+			}
+		}
+	}
+}
+
+// awaitReceipt waits until the receiver of all batches of a pull closes its stream: what was sent may still be under way,
+// in buffers of the operating system.
+func (s *StatusServer) awaitReceipt(stream wire.DRPCFleet_FactsStream, slot *sendSlot) {
+	if slot == nil {
+		return
+	}
+	select {
+	case <-stream.Context().Done():
+	case <-s.done:
+	case <-slot.released:
+	}
+}
+
+// receiverFromWire returns what the process that sent a request has.
+func receiverFromWire(request *wire.FactsRequest) state.Receiver {
+	return state.Receiver{Complete: request.Complete, Orders: request.Orders, Held: request.Held}
+}
+
 // factsBatch returns a batch of the facts that have changed since a cursor, without entry box addresses, for a process
 // receiver.
 func (s *StatusServer) factsBatch(cursor state.Cursor, receiver state.Receiver, servicesOnly bool) *wire.FactsBatch {
