test(state): the same value at another revision adds nothing to the chain

Cause: with the comparison of digests taken out of valueChain.next, no test failed; a store that comes back from copies would fill the chain with copies of the whole value.

Change: a test of the length of the chain at the sender and at the receiver.

--- a/pkg/state/valuechain_test.go
+++ b/pkg/state/valuechain_test.go
@@ -93,6 +93,19 @@
 	require.Empty(t, m.Receiver().Values)
 }
 
+// Guards against a chain that is full of copies after a store came back from a copy several times.
+func TestSameValueAtAnotherRevisionAddsNoDelta(t *testing.T) {
+	reader, receiver := mirrorWith(1, largeItem(t, 1, 1, 1), largeItem(t, 2, 2, 2)), mirrorWith(2, largeItem(t, 1, 1, 1))
+	for revision := uint64(3); revision < 6; revision++ {
+		reader.MergeChanges([]Item{largeItem(t, 2, revision, 2)}, revision-1, revision, nil)
+		pullMirror(receiver, reader, Cursor{})
+	}
+	for _, m := range []*Mirror{reader, receiver} {
+		require.EqualValues(t, 5, m.Status().Complete)
+		require.Len(t, m.chains["configuration"].deltas, 1)
+	}
+}
+
 func TestReceiverThatMovedOnStartsWithTheDeltaOfItsValue(t *testing.T) {
 	first, second, third := largeItem(t, 1, 1, 1), largeItem(t, 2, 2, 2), largeItem(t, 3, 3, 3)
 	reader := mirrorWith(1, first, second, third)
