fix(direct): the boxes of a region pull from other regions in the order of a rank

**cause**: a box that saw only boxes of other regions ahead for 0.3 s pulled from these. Within a region a change goes from box to box, which takes longer than that for the last ones, so many boxes of one region pulled the same bytes over the same link.

**change**: the first four boxes of a region, by rendezvous hash, wait 0.3, 0.4, 0.5 and 0.6 s, the others up to 1 s by rank: half of the two seconds within which a change must be in force. Delays instead of a chosen box: whichever fails, the next one follows, and the fleet agrees on nothing. A box that reads the store waits 0.3 s, as its region may depend on it. While a box of the region has the facts and is busy, a box waits for 1 s. The time counts from when the box is behind and has completed no pull. Boxes of a region that know each other incompletely, as in the first moments of a start, have lower ranks than later, and more of them pull.

--- a/internal/direct/clusterpulls_test.go
+++ b/internal/direct/clusterpulls_test.go
@@ -249,6 +249,34 @@
 	require.LessOrEqual(t, large, max(5, 1.5*small))
 }
 
+// Guards against a configuration that each box of a region without a reader of the store pulls from another region: the
+// readers of all regions but one freeze.
+func TestRegionsWithoutReadersPullOnce(t *testing.T) {
+	const maxRemote, bound = 10, 2 * time.Second
+	for _, boxes := range []int{30, 100} {
+		t.Run(fmt.Sprintf("boxes=%d", boxes), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newPullCluster(t, pullBoxes(boxes), 0.2)
+				defer c.stop()
+				c.store.readers()
+				time.Sleep(c.bound)
+				for _, reader := range c.store.readers() {
+					if box := c.box(reader); box.region != c.boxes[0].region {
+						box.processing.close()
+					}
+				}
+				remote := c.remoteBytes()
+				c.configureLarge(3)
+				taken, missing := c.awaitConfiguration(3, bound, func(box *clusterBox) bool { return isClosed(box.processing.opened) })
+				require.Zero(t, missing, "boxes without the configuration after %v", taken)
+				remote = (c.remoteBytes() - remote) / configurationBytes
+				t.Logf("in force after %v, %.1f times across regions", taken, remote)
+				require.LessOrEqual(t, remote, float64(maxRemote))
+			})
+		})
+	}
+}
+
 // Guards against boxes that all start at once and transfer the whole state from the few boxes that have it again and again:
 // the store is away, and one box of each region has not been restarted.
 func TestStateAtAStartIsSentToEachBoxOnce(t *testing.T) {
@@ -320,9 +348,10 @@
 
 // Guards against a transfer that waits for a source that fails in the middle of it.
 func TestConfigurationIsInForceDespiteFailingSources(t *testing.T) {
-	const boxes, seeds, bound = 25, 3, 2 * time.Second
+	const boxes, bound = 25, 2 * time.Second
 	for _, fault := range sourceFaults {
-		for seed := range uint64(seeds) {
+		for i := range uint64(*clusterSeeds) {
+			seed := *clusterFrom + i
 			t.Run(fmt.Sprintf("%s/seed=%d", fault.name, seed), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					random := rand.New(rand.NewPCG(seed, 2)) //nolint:gosec // repeatable on purpose
--- a/internal/direct/repair.go
+++ b/internal/direct/repair.go
@@ -20,6 +20,13 @@
 	// itself or if the other box is in another region. Most facts arrive from the store at the same moment, and
 	// then from a box of the own region. Without the delay, two fifths of the facts crossed priced links.
 	pullDelay = 300 * time.Millisecond
+	// Boxes of one region pull from other regions one after the other, so that a change crosses the links between two
+	// regions once or twice, and then goes from box to box within the region. The first maxRemotePullers by rank wait
+	// for remotePullStep longer each. All others follow, up to maxRemotePullDelay: half of the time within which a change
+	// must be in force is for the report to other boxes.
+	remotePullStep     = 100 * time.Millisecond
+	maxRemotePullers   = 4
+	maxRemotePullDelay = time.Second
 	// pullTimeout is the time after which a pull of which nothing more arrives is given up.
 	pullTimeout = 2500 * time.Millisecond
 	// pullHedgeDelay is the time without any progress after which facts are also pulled from a second box, and after
@@ -269,6 +276,7 @@
 	if !ok {
 		if len(exclude) == 0 {
 			r.behindSince = time.Time{}
+			clear(r.refused)
 		}
 		return "", false
 	}
@@ -278,15 +286,36 @@
 	switch {
 	case len(r.pending) >= maxConcurrentPulls:
 		return "", false
-	case len(r.pending) > 0:
-		return source.Peers, r.isHedgeDue(now)
-	case source.Region != r.boxes.self.Region || r.boxes.isReader():
+	case len(r.pending) > 0 && !r.isHedgeDue(now):
+		return "", false
+	case source.Region != r.boxes.self.Region:
+		return source.Peers, now.Sub(r.behindSince) >= r.remotePullDelay()
+	case len(r.pending) == 0 && r.boxes.isReader():
 		return source.Peers, now.Sub(r.behindSince) >= pullDelay
 	default:
 		return source.Peers, true
 	}
 }
 
+// remotePullDelay returns how long this box waits before it pulls from another region. While a box of the own region has
+// the facts and is busy, it waits for the longest time.
+func (r *repairer) remotePullDelay() time.Duration {
+	for address := range r.refused {
+		if r.boxes.isLocal(address) && r.boxes.isAhead(address) {
+			return maxRemotePullDelay
+		}
+	}
+	if r.boxes.isReader() {
+		return pullDelay
+	}
+	rank, boxes := r.boxes.remotePullRank()
+	if rank < maxRemotePullers {
+		return pullDelay + time.Duration(rank)*remotePullStep
+	}
+	const first = pullDelay + maxRemotePullers*remotePullStep
+	return first + (maxRemotePullDelay-first)*time.Duration(rank-maxRemotePullers)/time.Duration(boxes-maxRemotePullers)
+}
+
 // pull starts to pull facts from a box.
 func (r *repairer) pull(ctx context.Context, from member.Address) {
 	pullCtx, cancel := context.WithCancelCause(ctx)
@@ -294,6 +323,8 @@
 	if first := r.oldest(); first != nil {
 		pull.firstBytes = r.boxes.progress.of(first.from).bytes
 	}
+	// What arrived after the end of an earlier pull does not count.
+	r.boxes.progress.end(from)
 	r.pending[from] = pull
 	r.boxes.tasks.Go(func(ctx context.Context) {
 		defer cancel(nil)
@@ -308,6 +339,31 @@
 	})
 }
 
+// remotePullRank returns the rank of this box among those of its region that pull from other regions, from 0, and their
+// number. Boxes that read the store have a rank too, but need not pull.
+func (e *EntryBoxes) remotePullRank() (rank, boxes int) {
+	key := "pull/" + string(e.self.Region)
+	own := member.Score(key, string(e.self.Box))
+	boxes = 1
+	for _, record := range e.membership.All() {
+		if record.Region != e.self.Region || record.Box == e.self.Box || record.Status == member.StatusSilent {
+			continue
+		}
+		boxes++
+		if member.Score(key, string(record.Box)) > own {
+			rank++
+		}
+	}
+	return rank, boxes
+}
+
+// isLocal reports whether a followed box is in the region of this one.
+func (e *EntryBoxes) isLocal(address member.Address) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.boxes[string(address)].Region == e.self.Region
+}
+
 // isAhead reports whether a box is ahead of this one.
 func (e *EntryBoxes) isAhead(address member.Address) bool {
 	own := e.fleetState.position()
