fix(direct): a pull from a slow box gets a competitor after half a second

**cause**: a box whose messages are each 0.3 s late makes progress just often enough that its pull is not stalled, and one that takes longer than a second got a competitor only then.

**change**: the competitor starts after half a second, several times what 300 KB take on the link of a small box or, with a fifth of it, half a second between two regions. The check counts from the write.

--- a/internal/direct/clusterpulls_test.go
+++ b/internal/direct/clusterpulls_test.go
@@ -373,7 +373,7 @@
 						}
 					}
 					fault.begin(c, faulty)
-					_, missing := c.awaitConfiguration(3, bound, func(box *clusterBox) bool {
+					_, missing := c.awaitConfiguration(3, bound-time.Since(start), func(box *clusterBox) bool {
 						return box != c.boxes[faulty] && isClosed(box.processing.opened)
 					})
 					require.Zero(t, missing, "boxes without the configuration after %v", time.Since(start))
--- a/internal/direct/repair.go
+++ b/internal/direct/repair.go
@@ -34,7 +34,7 @@
 	pullHedgeDelay = 300 * time.Millisecond
 	// slowPullDelay is the time after which facts are also pulled from a second box although the first one makes
 	// progress: either that box is slow, or the link of this one is.
-	slowPullDelay = time.Second
+	slowPullDelay = 500 * time.Millisecond
 	// hedgeTrial is the time after which the slower of two pulls is cancelled, and hedgeAdvantage how many times as fast
 	// as the first one the second must be to replace it: two pulls share the link of this box.
 	hedgeTrial     = 300 * time.Millisecond
