--- a/internal/direct/controlcost_test.go
+++ b/internal/direct/controlcost_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"runtime/pprof"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -38,6 +39,19 @@
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
 
+// writtenBytes returns the bytes that this process has written to connections and files.
+func writtenBytes(t *testing.T) (bytes uint64) {
+	content, err := os.ReadFile("/proc/self/io")
+	require.NoError(t, err)
+	for line := range strings.Lines(string(content)) {
+		if n, err := fmt.Sscanf(line, "wchar: %d", &bytes); n == 1 && err == nil {
+			return bytes
+		}
+	}
+	t.Fatal("no count of written bytes")
+	return 0
+}
+
 // TestControlCost logs the processor time of entry boxes that receive no requests, over real connections. The boxes share
 // one process with the store and the servers, so this is an upper bound.
 func TestControlCost(t *testing.T) {
@@ -59,10 +73,11 @@
 			require.NoError(t, pprof.StartCPUProfile(file))
 			defer pprof.StopCPUProfile()
 		}
-		before := processorTime(t)
+		before, written := processorTime(t), writtenBytes(t)
 		run(duration)
 		used := processorTime(t) - before
-		t.Logf("%-10s %6.2f ms of processor time a box and second", name, float64(used.Microseconds())/1e3/float64(*controlBoxes)/duration.Seconds())
+		per := float64(*controlBoxes) * duration.Seconds()
+		t.Logf("%-14s %6.2f ms of processor time, %6.1f KB written, a box and second", name, float64(used.Microseconds())/1e3/per, float64(writtenBytes(t)-written)/1e3/per)
 	}
 	measure("start", func(d time.Duration) {
 		for i := range *controlBoxes {
