perf(direct): the report of an agent finds its server by address

**Cause.** Each report of an agent, some of them 20 a second, compared the address with those of all servers of all services with an engine, of which a large fleet has hundreds; an entry box follows the agents of some fifty servers.

**Change.** FleetState finds the server at the address with the index by which it updates the view. A view has at most one server for an address, so the same one is found. A test compares the result for an address that passes from one entry to another and back.

**Measured result.** BenchmarkServerState, GOMAXPROCS=3, one run each: 770 to 799 ns at 30 servers, 3,567 to 845 ns at 300, 20,184 to 892 ns at 1,000. Not measured on running processes.

--- a/internal/direct/callerserver.go
+++ b/internal/direct/callerserver.go
@@ -243,18 +243,15 @@
 
 // UpdateServerState applies the state that an agent reports for the server at an address.
 func (s *CallerServer) UpdateServerState(address member.Address, state route.ServerState, now time.Time) {
-	view := s.fleetState.View()
-	for _, service := range view.Services() {
-		if service.Engine == nil {
-			continue
-		}
-		for _, server := range view.Servers(service.Name) {
-			if server.Address == address {
-				s.suspects.NoteServerStart(server.ID, state.Incarnation, "agent")
-				s.dispatcher(service.Name).UpdateServer(server.ID, state, now)
-			}
-		}
+	view, server, ok := s.fleetState.serverShownAt(address)
+	if !ok {
+		return
+	}
+	if service := view.Service(server.Service); service == nil || service.Engine == nil {
+		return
 	}
+	s.suspects.NoteServerStart(server.ID, state.Incarnation, "agent")
+	s.dispatcher(server.Service).UpdateServer(server.ID, state, now)
 }
 
 // dispatcher returns the dispatcher of a service and creates it if necessary.
--- a/internal/direct/serverview.go
+++ b/internal/direct/serverview.go
@@ -128,3 +128,16 @@
 	f.applyCold(&server, configuration)
 	return server, true
 }
+
+// serverShownAt returns the server at an address in the current view, and the view; ok is false if there is none.
+func (f *FleetState) serverShownAt(address member.Address) (view *fleet.View, server *fleet.Server, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	view = f.View()
+	ref, ok := f.changes.shown[address]
+	if !ok {
+		return view, nil, false
+	}
+	server, ok = view.Server(ref)
+	return view, server, ok
+}
--- a/internal/direct/serverview_test.go
+++ b/internal/direct/serverview_test.go
@@ -168,3 +168,30 @@
 		})
 	}
 }
+
+// Guards against reports of agents that reach the server that had the address before, or none.
+func TestServerAtAnAddressIsTheOneInTheView(t *testing.T) {
+	f := newListedFleet(40)
+	at := func(address member.Address) fleet.ServerID {
+		view, server, ok := f.serverShownAt(address)
+		require.Same(t, f.View(), view)
+		if !ok {
+			return ""
+		}
+		require.Equal(t, address, server.Address)
+		return server.ID
+	}
+	for i := range 40 {
+		server := modelEntry(i, 1).Server
+		require.Equal(t, server.ID, at(server.Address))
+	}
+	address := modelEntry(3, 1).Server.Address
+	restarted := listedOf(99, 3)
+	restarted.Server.Address, restarted.Server.Incarnation = address, 2
+	f.Apply([]fleet.Fact{restarted}, "test")
+	require.Equal(t, restarted.Server.ID, at(address))
+	f.Apply([]fleet.Fact{{Key: restarted.Key, Revision: 4, Deleted: true}}, "test")
+	require.Equal(t, modelEntry(3, 1).Server.ID, at(address))
+	f.Apply([]fleet.Fact{{Key: fleet.ServerKey(modelEntry(3, 1).Server.ID), Revision: 5, Deleted: true}}, "test")
+	require.Empty(t, at(address))
+}
--- a/pkg/fleet/view.go
+++ b/pkg/fleet/view.go
@@ -204,7 +204,7 @@
 	}
 	unchanged := make(map[ServerRef]bool)
 	for i := range added {
-		if known, ok := v.server(added[i].Ref()); ok && slices.Contains(removed, added[i].Ref()) && reflect.DeepEqual(known, &added[i]) {
+		if known, ok := v.Server(added[i].Ref()); ok && slices.Contains(removed, added[i].Ref()) && reflect.DeepEqual(known, &added[i]) {
 			unchanged[added[i].Ref()] = true
 		}
 	}
@@ -223,8 +223,8 @@
 	return &next
 }
 
-// server returns a server of the view.
-func (v *View) server(ref ServerRef) (*Server, bool) {
+// Server returns a server of the view.
+func (v *View) Server(ref ServerRef) (*Server, bool) {
 	servers := v.servers[ref.Service]
 	i, ok := v.search(servers, ref.ID)
 	if !ok {
