test(direct): connections of the cluster share links in small segments

A message of the cluster in virtual time passed a link whole, up to 64 KB at a time and in order, so that each pull had the link for itself and status messages waited for all pulls before them (22 s at a share of 0.05 of the links), and a call that was given up went on to transmit.

A message passes in segments of 4 KB, and the other connections have their turn between them; the rest of it is not sent once its connection is closed. The same holds for responses of the store, which cost the processor by their size. TestShortMessagePassesLongOnesOnALink guards this.

--- a/internal/direct/cluster_test.go
+++ b/internal/direct/cluster_test.go
@@ -107,7 +107,7 @@
 	if c.isDialer {
 		c.use.observe(p)
 	}
-	c.box.transmit(c.peer, len(p), c.use)
+	c.box.transmit(c.peer, len(p), c.use, c.closed)
 	return c.Conn.Write(p)
 }
 
--- a/internal/direct/clusterboxlinks_test.go
+++ b/internal/direct/clusterboxlinks_test.go
@@ -122,16 +122,30 @@
 	return l.facts
 }
 
-// transmit blocks until a message of the box has passed all links and processors up to its receiver.
-func (b *clusterBox) transmit(to *clusterBox, content int, use *connUse) {
+// segmentBytes is how much of a message a connection sends before other connections have their turn on each link. It is
+// the window of a connection that shares a link with many others.
+const segmentBytes = 4 << 10
+
+// transmit blocks until a message of the box has passed all links and processors up to its receiver, or until done is
+// closed.
+func (b *clusterBox) transmit(to *clusterBox, content int, use *connUse, done <-chan struct{}) {
 	sentAt := b.machine.run(time.Now(), messageTime+time.Duration(float64(content)/1000*float64(sentKilobyteTime)))
 	links := [...]*networkLink{&b.machine.sent, b.cluster.link(b.region, to.region), &to.machine.received}
-	sleepUntil(to.machine.receive(links[:], sentAt, content, use), 0)
+	sleepUntil(to.machine.receive(links[:], sentAt, content, use, done), 0)
+}
+
+// receive blocks until a message that is sent at a time has passed some links, and returns when the box has processed it.
+func (m *boxMachine) receive(links []*networkLink, sentAt time.Time, content int, use *connUse, done <-chan struct{}) time.Time {
+	at := sentAt
+	for sent := 0; sent < content && !isClosed(done); sent += segmentBytes {
+		at = passLinks(links, at, min(segmentBytes, content-sent), use)
+	}
+	return m.run(at, messageTime+time.Duration(float64(content)/1000*float64(receivedKilobyteTime)))
 }
 
-// receive blocks until a message that is sent at a time has passed some links, and returns when the box has processed it. A
-// link transmits the beginning of a message while it receives the rest.
-func (m *boxMachine) receive(links []*networkLink, sentAt time.Time, content int, use *connUse) time.Time {
+// passLinks blocks until a segment that is sent at a time has passed some links, except for less than minLinkSleep, and
+// returns when it has. A link transmits the beginning of a segment while it receives the rest.
+func passLinks(links []*networkLink, sentAt time.Time, content int, use *connUse) time.Time {
 	size := content + (content+packetBytes-1)/packetBytes*packetHeaderBytes
 	first, last := sentAt, sentAt
 	for _, link := range links {
@@ -142,15 +156,11 @@
 		}
 	}
 	sleepUntil(last, minLinkSleep)
-	return m.run(last, messageTime+time.Duration(float64(content)/1000*float64(receivedKilobyteTime)))
+	return last
 }
 
-const (
-	// storeRegion is the region of the store.
-	storeRegion member.Region = "region-0"
-	// storeSegmentBytes is how much of a response the store sends before it stops because the call has ended.
-	storeSegmentBytes = 64 << 10
-)
+// storeRegion is the region of the store.
+const storeRegion member.Region = "region-0"
 
 // receiveFromStore blocks until a response of the store with some facts has arrived at a box with limits.
 func (b *clusterBox) receiveFromStore(ctx context.Context, facts []fleet.Fact) error {
@@ -165,12 +175,14 @@
 		}
 		size += len(item.Key) + len(item.Value)
 	}
-	use, links := &connUse{}, [...]*networkLink{b.cluster.link(storeRegion, b.region), &b.machine.received}
-	for sent := 0; sent < size && ctx.Err() == nil; sent += storeSegmentBytes {
-		segment := min(storeSegmentBytes, size-sent)
+	links := [...]*networkLink{b.cluster.link(storeRegion, b.region), &b.machine.received}
+	at := time.Now()
+	for sent := 0; sent < size && ctx.Err() == nil; sent += segmentBytes {
+		segment := min(segmentBytes, size-sent)
 		b.machine.fromStore.Add(int64(segment))
-		sleepUntil(b.machine.receive(links[:], time.Now(), segment, use), 0)
+		at = passLinks(links[:], at, segment, &connUse{})
 	}
+	sleepUntil(b.machine.run(at, messageTime+time.Duration(float64(size)/1000*float64(receivedKilobyteTime))), 0)
 	if ctx.Err() != nil {
 		b.machine.storeTimeouts.Add(1)
 	}
@@ -269,10 +281,27 @@
 		const messages, size = 10, 65536
 		startedAt := time.Now()
 		for range messages {
-			from.transmit(to, size, &connUse{})
+			from.transmit(to, size, &connUse{}, nil)
 		}
 		took, seconds := time.Since(startedAt).Seconds(), messages*size/regionBandwidth
 		require.GreaterOrEqual(t, took, seconds)
 		require.Less(t, took, 1.25*seconds)
 	})
 }
+
+// Guards against a long message that delays a short one on the same link by all of its time.
+func TestShortMessagePassesLongOnesOnALink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestCluster(t, 2, 2, 5*time.Second)
+		defer c.stop()
+		c.limitBoxes(0.1)
+		const long, short = 1 << 20, 100
+		var sending sync.WaitGroup
+		defer sending.Wait()
+		sending.Go(func() { c.boxes[0].transmit(c.boxes[1], long, &connUse{}, nil) })
+		time.Sleep(time.Second)
+		startedAt := time.Now()
+		c.boxes[0].transmit(c.boxes[1], short, &connUse{}, nil)
+		require.Less(t, time.Since(startedAt), 50*time.Millisecond)
+	})
+}
