test(direct): boxes that start receive the state once

A box that starts needs the whole state once. No test stated what a start may cost.

TestStartingBoxReceivesTheStateOnce starts three boxes one after the other, TestBoxesThatStartTogetherReceiveTheStateOnce all at once, in clusters of 20 and 80 boxes (10 and 20 with the race detector), with whole links and with a tenth of them: each box has the state within 8 s, has received at most 1.5 times its size from the store and from boxes together, and gives up no pull.

With a tenth of the links all calls share them, none ends within its time, and most boxes have no state after 8 s.

--- a/internal/direct/clusterconfiguration_test.go
+++ b/internal/direct/clusterconfiguration_test.go
@@ -11,8 +11,11 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
+	"github.com/cinderslip/cinderslip/internal/wire"
 	"github.com/cinderslip/cinderslip/pkg/fleet"
 	"github.com/cinderslip/cinderslip/pkg/member"
 	"github.com/cinderslip/cinderslip/pkg/state"
@@ -118,6 +121,16 @@
 	return configuration.Version
 }
 
+// stateSize returns the size of all entries of the store as they are sent to another process.
+func (s *clusterStore) stateSize(tb testing.TB) (size int) {
+	for _, fact := range s.at(s.revision()) {
+		item, err := fact.Item()
+		require.NoError(tb, err)
+		size += proto.Size(&wire.FactsBatch{Items: itemsToWire([]state.Item{item})})
+	}
+	return size
+}
+
 // BenchmarkReceivedConfiguration decodes the configuration of a fleet and puts it into a view, as a box that receives it does.
 func BenchmarkReceivedConfiguration(b *testing.B) {
 	encoded := encodedConfiguration(b, newConfigurationMaker().next())
@@ -353,3 +366,80 @@
 		require.LessOrEqual(t, large.mostOnLink, 1.5*max(small.mostOnLink, small.received))
 	})
 }
+
+// linkShares are the parts of the links that are left for control traffic while boxes start.
+var linkShares = []float64{1, 0.1}
+
+// startSettleTime is how long a box that has the state after its start is observed further.
+const startSettleTime = 2 * time.Second
+
+// maxReceivedAtStart is how much a box may receive at its start, as a multiple of the state.
+const maxReceivedAtStart = 1.5
+
+// Guards against a box that receives the state more than once at its start.
+func TestStartingBoxReceivesTheStateOnce(t *testing.T) {
+	const starts = 3
+	forClustersAndShares(t, func(t *testing.T, c *testCluster) {
+		for _, box := range c.boxes[len(c.boxes)-starts:] {
+			box.kill()
+			time.Sleep(time.Second)
+			checkStart(t, []*clusterBox{box})
+		}
+	})
+}
+
+// Guards against boxes that receive the state more than once, or give up what they have received of it, when all start.
+func TestBoxesThatStartTogetherReceiveTheStateOnce(t *testing.T) {
+	forClustersAndShares(t, func(t *testing.T, c *testCluster) {
+		c.killAll()
+		checkStart(t, c.boxes)
+	})
+}
+
+// forClustersAndShares calls check for clusters of two sizes, with each share of the links.
+func forClustersAndShares(t *testing.T, check func(t *testing.T, c *testCluster)) {
+	for _, boxes := range comparedSizes() {
+		t.Run(fmt.Sprintf("%d boxes", boxes), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, _ := newLimitedCluster(t, boxes, 1)
+				defer c.stop()
+				for _, share := range linkShares {
+					t.Logf("%g of the links", share)
+					c.limitBoxes(share)
+					check(t, c)
+				}
+			})
+		})
+	}
+}
+
+// checkStart starts some stopped boxes and checks what they receive until all have the state.
+func checkStart(t *testing.T, boxes []*clusterBox) {
+	before := make(map[*clusterBox]boxTransfers)
+	startedAt, ready := time.Now(), make(map[*clusterBox]time.Duration)
+	for _, box := range boxes {
+		before[box] = box.transfers()
+		box.start()
+	}
+	for len(ready) < len(boxes) && time.Since(startedAt) < clusterStartTime {
+		time.Sleep(inForcePollInterval)
+		for _, box := range boxes {
+			if _, known := ready[box]; !known && box.hasState() {
+				ready[box] = time.Since(startedAt)
+			}
+		}
+	}
+	time.Sleep(startSettleTime)
+	size, received, all := boxes[0].cluster.store.stateSize(t), []int(nil), boxTransfers{}
+	for _, box := range boxes {
+		cost := box.transfers().minus(before[box])
+		received, all = append(received, cost.received+cost.fromStore), all.plus(cost)
+	}
+	middle, most := quantiles(received)
+	t.Logf("a box received %d bytes in the middle, %d at most, the state has %d; %d of %d boxes ready, the last after %v; "+
+		"given up: %d pulls, %d calls of the store", middle, most, size, len(ready), len(boxes),
+		slices.Max(append(slices.Collect(maps.Values(ready)), 0)), all.givenUp, all.storeTimeouts)
+	assert.Len(t, ready, len(boxes), "boxes with the state")
+	assert.LessOrEqual(t, float64(most), maxReceivedAtStart*float64(size), "bytes received")
+	assert.Zero(t, all.givenUp, "pulls given up")
+}
