--- a/internal/direct/clusterpulls_test.go
+++ b/internal/direct/clusterpulls_test.go
@@ -47,7 +47,7 @@
 		part := p[:min(len(p), linkPartBytes)]
 		c.box.processing.wait(c.closed)
 		c.box.awaitLink(c.peer, c.closed)
-		c.box.transmit(c.peer, len(part), c.use)
+		c.box.transmit(c.peer, len(part), c.use, c.closed)
 		var n int
 		n, err = c.Conn.Write(part)
 		written, p = written+n, p[n:]
