fix(member): cells of a large fleet are bounded also while few or no servers are known

Between -21.5 and -20 s boxes had opened 76,000 streams of load: the configuration had arrived (in force at the middle box at -21.6 s) and no server was listed yet, so CellCount took the largest service to have no server, and 547 boxes planned one cell (`fleet divided cells=1 mates=546` at all of them), each with a stream to every other. At -19.5 s, with the first servers, two cells, at -18.5 s sixteen. A fleet whose servers' entries all lapse would do the same in full traffic.

While no server is known the number of boxes alone decides, as before the first configuration. And a cell never has more than 64 boxes: beyond that the fleet is divided even if a service has too few servers to be divided; all cells share these, as they do those of any small service, and the reports of agents show what other cells send there.

--- a/internal/direct/cells.go
+++ b/internal/direct/cells.go
@@ -140,18 +140,20 @@
 	return plan
 }
 
-// largestServiceSize returns the number of servers of the largest service with an engine. Before a configuration
-// is known, it returns the number of boxes, so that the number of boxes alone determines the division.
+// largestServiceSize returns the number of servers of the largest service with an engine. Before a configuration or any
+// server is known, it returns the number of boxes, so that the number of boxes alone determines the division.
 func largestServiceSize(view *fleet.View, boxes int) int {
-	if view.Configuration == nil {
-		return boxes
-	}
-	largest := 0
+	largest, hasServers := 0, false
 	for _, service := range view.Services() {
+		servers := len(view.Servers(service.Name))
+		hasServers = hasServers || servers > 0
 		if service.Engine != nil {
-			largest = max(largest, len(view.Servers(service.Name)))
+			largest = max(largest, servers)
 		}
 	}
+	if !hasServers {
+		return boxes
+	}
 	return largest
 }
 
--- a/internal/direct/membership_test.go
+++ b/internal/direct/membership_test.go
@@ -508,6 +508,16 @@
 	})
 }
 
+// Guards against streams between all boxes of a large fleet once it has a configuration and no server is listed yet.
+func TestConfigurationWithoutServersKeepsTheDivision(t *testing.T) {
+	records, view := newFleet(547, 0)
+	regionOf := func(domain member.FailureDomain) member.Region { return member.Region(domain) }
+	unconfigured := planCells(records[0].Box, records, fleet.EmptyView(), regionOf)
+	configured := planCells(records[0].Box, records, view, regionOf)
+	require.Equal(t, unconfigured.cellPeers, configured.cellPeers)
+	require.Less(t, len(configured.cellPeers), 24)
+}
+
 func TestPlanIsPostponedOnlyWhileALargeFleetGrowsFast(t *testing.T) {
 	start := time.Unix(0, 0)
 	at := func(d time.Duration) time.Time { return start.Add(d) }
--- a/pkg/member/cell.go
+++ b/pkg/member/cell.go
@@ -23,6 +23,9 @@
 	// minServersPerCell is the minimum number of servers per cell. With fewer, all slots of one cell
 	// are in use while others have free slots.
 	minServersPerCell = 4
+	// maxBoxesPerCell is the number of entry boxes per cell above which cells are divided further even if they then share
+	// servers: the connections within a cell grow with the square of its boxes.
+	maxBoxesPerCell = 64
 )
 
 // CellCount returns the number of cells of a fleet. It is a power of two, so a growing fleet divides
@@ -32,7 +35,8 @@
 	for {
 		next := 2 * cells
 		large := boxes >= boxesPerCell*next || servers > maxServersPerCell*cells
-		if !large || boxes < minBoxesPerCell*next || !IsDivisible(servers, next) {
+		isDivided := large && boxes >= minBoxesPerCell*next && IsDivisible(servers, next)
+		if !isDivided && boxes <= maxBoxesPerCell*cells {
 			return cells
 		}
 		cells = next
