fix(direct): a starting box takes no whole share of servers and follows no agents while its plan is postponed

While the plan is postponed, all known boxes count as those that share the servers, and no new agent is followed.

--- a/internal/direct/agentfollower.go
+++ b/internal/direct/agentfollower.go
@@ -66,8 +66,10 @@
 	for {
 		changed, replanned := a.fleetState.Changed(), a.entries.Replanned()
 		servers := a.cellServers()
+		// A plan that is postponed may give the own cell all servers of the fleet.
+		isPostponed := a.entries.isPlanPostponed()
 		for address := range servers {
-			if following[address] == nil {
+			if following[address] == nil && !isPostponed {
 				followCtx, cancel := context.WithCancel(ctx)
 				following[address] = cancel
 				a.tasks.Go(func(context.Context) { a.follow(followCtx, address) })
--- a/internal/direct/cells.go
+++ b/internal/direct/cells.go
@@ -259,9 +259,10 @@
 		return false
 	}
 	before := e.plan
-	if before != nil && e.growth.isFast(len(input.boxes), len(e.planInput.boxes), e.clock.Now()) {
+	if e.isPostponed = before != nil && e.growth.isFast(len(input.boxes), len(e.planInput.boxes), e.clock.Now()); e.isPostponed {
 		return true
 	}
+	e.growth = planGrowth{}
 	e.plan, e.planInput = planCells(e.self.Box, input.boxes, view, e.regionOf), input
 	if before == nil || before.cellCount != e.plan.cellCount || before.ownCell != e.plan.ownCell {
 		e.log.Info().Int("boxes", len(input.boxes)).Int("cells", e.plan.cellCount).Int("cell", e.plan.ownCell).Int("mates", len(e.plan.cellPeers)).Msg("fleet divided")
@@ -285,13 +286,25 @@
 	return e.replanned
 }
 
+// isPlanPostponed reports whether the plan is outdated because more boxes are expected.
+func (e *EntryBoxes) isPlanPostponed() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.isPostponed
+}
+
 // CellSize returns the number of entry boxes in the own cell: the live ones, which are this one and those that have sent
-// a status within statusTimeout, and all, which includes those that may run and be unreachable from here.
+// a status within statusTimeout, and all, which includes those that may run and be unreachable from here. While the plan
+// is postponed, all known boxes may use the same servers.
 func (e *EntryBoxes) CellSize() (live, all int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.plan == nil {
+	switch {
+	case e.plan == nil:
 		return 1, 1
+	case e.isPostponed:
+		up := e.membership.UpCount()
+		return up, up
 	}
 	live = 1
 	now := e.clock.Now()
--- a/internal/direct/entryboxes.go
+++ b/internal/direct/entryboxes.go
@@ -83,8 +83,10 @@
 	// plan changes.
 	plan      *cellPlan
 	planInput planInput
-	growth    planGrowth
-	replanned chan struct{}
+	// growth and isPostponed are those of the plan; see planGrowth.
+	growth      planGrowth
+	isPostponed bool
+	replanned   chan struct{}
 }
 
 // subscription selects the contents of the status stream of one followed box.
--- a/internal/direct/membership_test.go
+++ b/internal/direct/membership_test.go
@@ -537,6 +537,37 @@
 	require.False(t, endless.isFast(5000, 1, at(maxSettleTime)))
 }
 
+// Guards against a box that starts in a large fleet and counts as the only one of its cell until its plan is made.
+func TestStartingBoxSharesServersWhileItsPlanIsPostponed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const boxes = 2 * minSettledBoxes
+		c := newTestCluster(t, boxes, 5, 5*time.Second)
+		defer c.stop()
+		c.store.write(fleet.Fact{Key: fleet.ConfigurationKey(), Configuration: &fleet.Configuration{
+			Version: 2, Services: []fleet.Service{{Name: "llm", Engine: &fleet.Engine{Slots: 8}}},
+		}})
+		for i := range boxes {
+			c.store.write(modelEntry(i, 0))
+		}
+		time.Sleep(10 * time.Second)
+		box := c.boxes[boxes/2]
+		box.kill()
+		time.Sleep(time.Second)
+		box.start()
+		wasPostponed := false
+		for range 20 {
+			time.Sleep(replanInterval / 2)
+			if box.entries.isPlanPostponed() {
+				wasPostponed = true
+				_, all := box.entries.CellSize()
+				require.Greater(t, all, minSettledBoxes)
+			}
+		}
+		require.True(t, wasPostponed)
+		require.False(t, box.entries.isPlanPostponed())
+	})
+}
+
 func TestRecordsAreLoggedEachUpToABudget(t *testing.T) {
 	start := time.Unix(0, 0)
 	var budget recordLogBudget
