fix(direct): a slot is held while its receiver may still be receiving

The slot expires after statusTimeout (1.5 s) without a send, the time after which a receiver counts as unreachable.

--- a/internal/direct/sendslots.go
+++ b/internal/direct/sendslots.go
@@ -16,7 +16,7 @@
 	maxSentPulls   = 2
 	maxSentStreams = 4
 	// sendSlotTimeout is how long a receiver may hold a slot without a batch being sent to it. It may be frozen or cut off.
-	sendSlotTimeout = 500 * time.Millisecond
+	sendSlotTimeout = statusTimeout
 	// narrowLinkRate is the bandwidth of the smallest boxes in bytes per second, less a part for other traffic. It gives
 	// how long a transfer on a stream, whose end its receiver does not confirm, takes.
 	narrowLinkRate = 4 << 20
