--- a/internal/direct/clusterpulls_test.go
+++ b/internal/direct/clusterpulls_test.go
@@ -533,7 +533,7 @@
 	boxes, before := newTestEntryBoxes(follower), follower.Watermarks()
 	cursor := state.Cursor{Instance: 7, Sequence: 5}
 	boxes.cursors["reader:1"] = cursor
-	boxes.applyBatch("reader:1", busyBatch(cursor))
+	require.NoError(t, boxes.applyBatch("reader:1", busyBatch(cursor)))
 	require.Equal(t, before, follower.Watermarks())
 	require.Equal(t, cursor, boxes.cursors["reader:1"])
 	require.Len(t, serverIDs(follower), 2)
--- a/internal/direct/configurationtraffic_test.go
+++ b/internal/direct/configurationtraffic_test.go
@@ -40,7 +40,7 @@
 				c.traffic().log(t, fmt.Sprintf("%d boxes, start, a box", size), float64(size))
 				before := c.traffic()
 				for i := range configurations {
-					c.store.write(largeConfigurationFact(uint64(3+i)))
+					c.store.write(largeConfigurationFact(uint64(3 + i)))
 					time.Sleep(5 * time.Second)
 				}
 				c.traffic().minus(before).log(t, fmt.Sprintf("%d boxes, a configuration, a box", size), float64(size*configurations))
--- a/internal/direct/membership_test.go
+++ b/internal/direct/membership_test.go
@@ -520,7 +520,7 @@
 
 func TestPlanIsPostponedOnlyWhileALargeFleetGrowsFast(t *testing.T) {
 	start := time.Unix(0, 0)
-	at := func(d time.Duration) time.Time { return start.Add(d) }
+	at := start.Add
 	var small, steady, fast planGrowth
 	require.False(t, small.isFast(minSettledBoxes, 1, start))
 	require.False(t, steady.isFast(101, 100, start))
