--- a/internal/direct/cluster_test.go
+++ b/internal/direct/cluster_test.go
@@ -614,7 +614,8 @@
 
 // Facts streams facts as StatusServer does.
 func (s *clusterServer) Facts(request *wire.FactsRequest, stream wire.DRPCFleet_FactsStream) error {
-	if s.box.withoutDeltas.Load() || s.box.cluster.box(member.BoxID(request.Box)).withoutDeltas.Load() {
+	isEarlier := func(box *clusterBox) bool { return box.withoutDeltas.Load() && (box == s.box || string(box.id) == request.Box) }
+	if slices.ContainsFunc(s.box.cluster.boxes, isEarlier) {
 		request.Values = nil
 	}
 	return s.StatusServer.Facts(request, stream)
--- a/internal/direct/clusterpulls_test.go
+++ b/internal/direct/clusterpulls_test.go
@@ -443,7 +443,7 @@
 // newAgent starts an agent that knows one entry box, over a link like that of a box.
 func (c *testCluster) newAgent(id member.BoxID, seed *clusterBox) (fleetState *FleetState, stop func()) {
 	clock, log, metrics := clockwork.NewRealClock(), zerolog.Nop(), NewMetrics()
-	agent := &clusterBox{cluster: c, id: id, region: seed.region, processing: newGate()}
+	agent := &clusterBox{cluster: c, id: id, region: seed.region, processing: newGate(), machine: &boxMachine{}}
 	agent.machine.sent.setRate(boxBandwidth)
 	agent.machine.received.setRate(boxBandwidth)
 	fleetState = NewFleetState(clock, log, metrics)
