--- a/internal/direct/cluster_test.go
+++ b/internal/direct/cluster_test.go
@@ -614,7 +614,9 @@
 
 // Facts streams facts as StatusServer does.
 func (s *clusterServer) Facts(request *wire.FactsRequest, stream wire.DRPCFleet_FactsStream) error {
-	isEarlier := func(box *clusterBox) bool { return box.withoutDeltas.Load() && (box == s.box || string(box.id) == request.Box) }
+	isEarlier := func(box *clusterBox) bool {
+		return box.withoutDeltas.Load() && (box == s.box || string(box.id) == request.Box)
+	}
 	if slices.ContainsFunc(s.box.cluster.boxes, isEarlier) {
 		request.Values = nil
 	}
