fix(direct): an agent withholds a server of a restored copy while the boxes that it follows defer its deletion

By its logs the store came back from a copy at 17.01 s, the agents withheld the server until 22.715 s, and the entry boxes, which deferred its second deletion since 20.56 s, applied it at 22.759: 45 to 120 ms between.

What another box has sent counts as what it has reported: facts beyond the revision up to which every change is known show that it may defer a deletion.

The case "agent" of TestServerOfACopyIsWithheldWhileOthersDeferItsDeletion fails before and passes after; the tests of eras, copies and departures pass (one run).

--- a/internal/direct/storeera.go
+++ b/internal/direct/storeera.go
@@ -157,12 +157,12 @@
 	return (isUnread || isReported || !f.downSince.IsZero()) && now.Sub(since) < wait+maxEraWait
 }
 
-// mayLackDeferred reports whether another box has reported changes up to which this process does not have every one, so that the
-// box may defer the deletion of a server that is withheld since a time.
+// mayLackDeferred reports whether another box has reported or sent changes up to which this process does not have every one, so
+// that the box may defer the deletion of a server that is withheld since a time.
 func (f *FleetState) mayLackDeferred(since time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.newestReported > f.positionLocked().complete && f.clock.Since(since) < withholdTime+maxEraWait
+	return max(f.newestReported, f.newest) > f.positionLocked().complete && f.clock.Since(since) < withholdTime+maxEraWait
 }
 
 // isEraUnread reports whether a later era of the store is known than the one of which this process has every change, for
--- a/internal/direct/storeera_test.go
+++ b/internal/direct/storeera_test.go
@@ -106,25 +106,32 @@
 	}
 }
 
-// Guards against using a server of the copy although its entry was deleted again, while the boxes that read the store defer that.
+// Guards against using a server of the copy although its entry was deleted again, while the boxes that read the store defer
+// that. Entry boxes receive reports of what others know; agents receive facts alone.
 func TestServerOfACopyIsWithheldWhileOthersDeferItsDeletion(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f, second := newEraState(readyServer(5)), fleet.NewRevision(2, 10)
-		f.change(21, deletedAt(0))
-		f.snapshot(second, readyServer(5))
-		f.wait(entryLapse)
-		// Another box has the deletion, which it defers, and a later change, which it passes on.
-		later := fleet.Fact{Key: fleet.ConfigurationKey(), Configuration: &fleet.Configuration{Version: 2}, Revision: second + 2}
-		item, err := later.Item()
-		require.NoError(t, err)
-		require.NoError(t, f.ApplyTransfer(&state.Transfer{Batch: state.Batch{Items: []state.Item{item}}}, "entry-2"))
-		f.noteReport(second+2, nil)
-		f.wait(expiryDeferral + 500*time.Millisecond)
-		require.Empty(t, f.View().Servers("llm"))
-		f.change(second+1, deletedAt(0))
-		f.wait(maxEraWait)
-		require.Empty(t, f.View().Servers("llm"))
-	})
+	for name, hasReports := range map[string]bool{"entry box": true, "agent": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, second := newEraState(readyServer(5)), fleet.NewRevision(2, 10)
+				f.change(21, deletedAt(0))
+				f.snapshot(second, readyServer(5))
+				f.wait(entryLapse)
+				// Another box has the deletion, which it defers, and a later change, which it passes on.
+				later := fleet.Fact{Key: fleet.ConfigurationKey(), Configuration: &fleet.Configuration{Version: 2}, Revision: second + 2}
+				item, err := later.Item()
+				require.NoError(t, err)
+				require.NoError(t, f.ApplyTransfer(&state.Transfer{Batch: state.Batch{Items: []state.Item{item}}}, "entry-2"))
+				if hasReports {
+					f.noteReport(second+2, nil)
+				}
+				f.wait(expiryDeferral + 500*time.Millisecond)
+				require.Empty(t, f.View().Servers("llm"))
+				f.change(second+1, deletedAt(0))
+				f.wait(maxEraWait)
+				require.Empty(t, f.View().Servers("llm"))
+			})
+		})
+	}
 }
 
 // Guards against using a server of the copy at a process that started after the deletion of its entry.
