--- a/internal/direct/configurationstatus.go
+++ b/internal/direct/configurationstatus.go
@@ -220,7 +220,7 @@
 	f.confirmations.take(received, f.clock.Now())
 }
 
-// noteReportWithoutConfirmation records the report of a process that sends no confirmations: what it knows, and when the
+// noteReportWithoutConfirmation records the report of a process that sends no confirmations: its watermarks, and when the
 // store last responded to readers.
 func (f *FleetState) noteReportWithoutConfirmation(reported Watermarks, responses []time.Time) {
 	f.mu.Lock()
--- a/internal/direct/controlcost_test.go
+++ b/internal/direct/controlcost_test.go
@@ -77,7 +77,8 @@
 		run(duration)
 		used := processorTime(t) - before
 		per := float64(*controlBoxes) * duration.Seconds()
-		t.Logf("%-14s %6.2f ms of processor time, %6.1f KB written, a box and second", name, float64(used.Microseconds())/1e3/per, float64(writtenBytes(t)-written)/1e3/per)
+		t.Logf("%-14s %6.2f ms of processor time, %6.1f KB written, a box and second", name,
+			float64(used.Microseconds())/1e3/per, float64(writtenBytes(t)-written)/1e3/per)
 	}
 	measure("start", func(d time.Duration) {
 		for i := range *controlBoxes {
--- a/internal/direct/membership.go
+++ b/internal/direct/membership.go
@@ -41,7 +41,8 @@
 	retired retiredBoxes
 	// reportedFleets are the sizes of the fleet that agents have reported, by the agent's address.
 	reportedFleets map[member.Address]reportedFleet
-	logged         recordLogBudget
+	// logged limits the log lines about records of other boxes.
+	logged recordLogBudget
 	// sorted caches the records sorted by box name; nil after a change.
 	sorted  []member.Record
 	changed chan struct{}
