test(review): a spoilt manifest makes servers take weights unverified

One bit of the manifest of a new version is changed on its way from the origin: the field `digests` gets another name. The agents take it as a version without pieces, verify nothing and order their servers to start the version from the pieces of the one before.

--- /dev/null
+++ b/review/harness/origin.go
@@ -0,0 +1,52 @@
+//go:build review
+
+package main
+
+import (
+	"bytes"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+
+	"github.com/cinderslip/cinderslip/platform/standin"
+)
+
+// origin is the origin of weights. It can spoil one byte of manifests.
+type origin struct {
+	*standin.Origin
+	address string
+	record  *record
+
+	mu sync.Mutex
+	// spoilManifests is how many of the next manifests are sent with one byte changed. answers counts all answers.
+	spoilManifests, spoilt, answers int
+}
+
+// ServeHTTP implements http.Handler.
+func (o *origin) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	recorder := httptest.NewRecorder()
+	o.Origin.ServeHTTP(recorder, r)
+	body := recorder.Body.Bytes()
+	isManifest := strings.HasPrefix(r.URL.Path, "/cinderslip/manifest/") && recorder.Code == http.StatusOK
+	o.mu.Lock()
+	o.answers++
+	isSpoilt := isManifest && o.spoilManifests > 0
+	if isSpoilt {
+		o.spoilManifests--
+		o.spoilt++
+	}
+	o.mu.Unlock()
+	if isSpoilt {
+		// One bit of one byte: the key "digests" arrives as "eigests".
+		body = bytes.Replace(body, []byte(`"digests"`), []byte(`"eigests"`), 1)
+	}
+	if isManifest {
+		o.record.printf("origin: manifest of version %s sent, %d bytes, spoilt %v: %.60s...", r.URL.Query().Get("Version"), len(body), isSpoilt, body)
+	}
+	for name, values := range recorder.Header() {
+		w.Header()[name] = values
+	}
+	w.WriteHeader(recorder.Code)
+	_, _ = w.Write(body)
+}
