test(review): a junk answer of one server ends the entry box that asked it

One of three plain servers answers 0.02 of its requests with bytes that form no answer, up to the deadline. The entry box reads them as the head of a response without a limit, goes over its memory and is killed by the platform, with the requests of other callers that sound servers were running.

--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -78,7 +78,7 @@
 	if d.storeAddress, err = d.serve("127.0.0.1:0", d.store); err != nil {
 		return nil, err
 	}
-	d.origin = &origin{Origin: standin.NewOrigin(chunkCount, chunkSize), record: r}
+	d.origin = &origin{Origin: standin.NewOrigin(chunkCount, chunkSize), record: r, spoil: spoilFieldName}
 	if d.origin.address, err = d.serve("127.0.0.1:0", d.origin); err != nil {
 		return nil, err
 	}
@@ -257,7 +257,7 @@
 	for i := range n {
 		ip := d.ip(50 + i)
 		m := newModelServer(d, fmt.Sprintf("i-model-%d", i+1))
-		address, err := d.serve(fmt.Sprintf("%s:%d", ip, d.ports.server), m)
+		address, err := m.listen(fmt.Sprintf("%s:%d", ip, d.ports.server))
 		if err != nil {
 			return err
 		}
@@ -294,6 +294,10 @@
 				"Name": "r-plain", "Host": host, "PathPrefix": plainPrefix, "Type": "safe", "TimeoutMs": 1500, "TargetLatencyMs": 150, "Priority": 2,
 				"Service": plainService, "MaxAttempts": 2, "Public": false,
 			},
+			map[string]any{
+				"Name": "r-unsafe", "Host": host, "PathPrefix": "/filo73/", "Type": "unsafe", "TimeoutMs": 1500, "TargetLatencyMs": 150, "Priority": 2,
+				"Service": plainService, "MaxAttempts": 2, "Public": false,
+			},
 		},
 		"Services": []any{
 			map[string]any{"Name": modelService, "HealthPath": "/healthz", "MaxConnections": 424, "Protocol": "h1", "Tls": false, "Engine": map[string]any{
--- a/review/harness/freeze.go
+++ b/review/harness/freeze.go
@@ -5,6 +5,7 @@
 import (
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -28,6 +29,7 @@
 	}
 	m, agent := d.models[0], d.agents[0]
 	var once sync.Once
+	var hasFrozen atomic.Bool
 	onRead := func(n int) {
 		if n != chunkCount-1 {
 			return
@@ -36,7 +38,10 @@
 		matches := m.checkPieces(2) == nil
 		m.mu.Unlock()
 		if matches {
-			once.Do(func() { go d.freeze(m, agent) })
+			once.Do(func() {
+				hasFrozen.Store(true)
+				go d.freeze(m, agent)
+			})
 		}
 	}
 	time.AfterFunc(2*time.Second, func() {
@@ -48,7 +53,11 @@
 		d.nameVersion(2)
 	})
 	load.run(http.MethodPost, streamPrefix+"2f", modelDeadline, 60*time.Millisecond, 18*time.Second)
-	return d.reportModels(), nil
+	broken = d.reportModels()
+	if trouble && !hasFrozen.Load() {
+		return broken, errNoTrouble
+	}
+	return broken, nil
 }
 
 // freeze stops an agent for freezeTime. Shortly after, 0.06 of the pieces at its server turn bad.
--- a/review/harness/load.go
+++ b/review/harness/load.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync"
 	"time"
@@ -25,6 +26,8 @@
 	// err is set if the answer is not complete.
 	err  error
 	took time.Duration
+	// isKept is set if the request was sent on a connection that had carried one before.
+	isKept bool
 }
 
 // clients sends requests at a steady rate and records the answers.
@@ -77,6 +80,9 @@
 	if err != nil {
 		panic(err)
 	}
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { a.isKept = info.Reused }}
+	request = request.WithContext(httptrace.WithClientTrace(ctx, trace))
+	request.GetBody = nil // the transport must not send it twice
 	request.Host = host
 	request.Header.Set("X-Request-Id", a.id)
 	request.Header.Set("X-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -10,8 +10,10 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -44,6 +46,8 @@
 	"manifest": runManifest,
 	"freeze":   runFreeze,
 	"crash":    runCrash,
+	"drain":    runDrain,
+	"head":     runHead,
 }
 
 func main() {
@@ -80,6 +84,13 @@
 		d.close()
 		os.Exit(exitFailed)
 	})
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-stopped
+		d.close()
+		os.Exit(exitFailed)
+	}()
 	broken, err := run(d, trouble)
 	d.close()
 	switch {
@@ -104,4 +115,8 @@
 	return filepath.Join(filepath.Dir(filepath.Dir(self)), "cinderslipd")
 }
 
-var errNotReady = errors.New("the entry boxes did not become ready")
+// Errors of runs.
+var (
+	errNotReady  = errors.New("the entry boxes did not become ready")
+	errNoTrouble = errors.New("the disruption did not come about")
+)
--- a/review/harness/manifest.go
+++ b/review/harness/manifest.go
@@ -10,8 +10,12 @@
 // modelDeadline is the deadline of requests to the model.
 const modelDeadline = 6 * time.Second
 
-// runManifest names a new version while the origin spoils one byte of one manifest.
+// runManifest names a new version while the origin spoils one bit of one manifest.
 func runManifest(d *deployment, trouble bool) (broken bool, err error) {
+	return d.runSpoilt(trouble, 16*time.Second)
+}
+
+func (d *deployment) runSpoilt(trouble bool, duration time.Duration) (broken bool, err error) {
 	d.putConfiguration()
 	if err := d.startModels(4); err != nil {
 		return false, err
@@ -32,8 +36,12 @@
 		}
 		d.nameVersion(2)
 	})
-	load.run(http.MethodPost, streamPrefix+"2f", modelDeadline, 60*time.Millisecond, 16*time.Second)
-	return d.reportModels(), nil
+	load.run(http.MethodPost, streamPrefix+"2f", modelDeadline, 60*time.Millisecond, duration)
+	broken = d.reportModels()
+	if trouble && d.origin.spoilt == 0 {
+		return broken, errNoTrouble
+	}
+	return broken, nil
 }
 
 // reportModels records what became of the model servers and returns whether one made tokens with layers that it must not
--- a/review/harness/model.go
+++ b/review/harness/model.go
@@ -31,9 +31,9 @@
 // modelServer is a model server as PROTOCOL.md tells it, with all layers on one server.
 type modelServer struct {
 	d       *deployment
+	server  *http.Server
 	id      string
 	address string
-	born    int64
 
 	mu      sync.Mutex
 	staged  map[int]stagedPiece
@@ -51,10 +51,22 @@
 	lastOrder time.Time
 	// onRead is called after a piece was read.
 	onRead func(n int)
+	// events is how many events a stream has, eventInterval the time between two. endsWithConnection is set if answers
+	// have neither a length nor chunks.
+	events             int
+	eventInterval      time.Duration
+	endsWithConnection bool
+	// state is what the entry in the store says; the entry is removed once gone is closed.
+	state        string
+	stateChanged chan struct{}
+	gone         chan struct{}
 }
 
 func newModelServer(d *deployment, id string) *modelServer {
-	m := &modelServer{d: d, id: id, born: time.Now().UnixMilli(), version: 1, staged: make(map[int]stagedPiece), cut: make(chan struct{})}
+	m := &modelServer{
+		d: d, id: id, version: 1, staged: make(map[int]stagedPiece), cut: make(chan struct{}),
+		events: eventCount, eventInterval: eventInterval, state: "ready", stateChanged: make(chan struct{}), gone: make(chan struct{}),
+	}
 	for n := range chunkCount {
 		m.staged[n] = stagedPiece{data: d.origin.Chunk(1, n)}
 	}
@@ -66,7 +78,7 @@
 	for seq := 1; ; seq++ {
 		m.mu.Lock()
 		entry := map[string]any{
-			"Service": modelService, "Address": m.address, "Zone": "kita-a", "Version": "v1", "Slots": slots, "State": "ready", "ColdRemainingMs": 0,
+			"Service": modelService, "Address": m.address, "Zone": "kita-a", "Version": "v1", "Slots": slots, "State": m.state, "ColdRemainingMs": 0,
 			"Stage": "both", "Models": m.models(), "layers": m.layers(), "Seq": seq,
 		}
 		m.mu.Unlock()
@@ -74,6 +86,10 @@
 		select {
 		case <-m.d.done:
 			return
+		case <-m.gone:
+			m.d.store.Remove("servers/" + m.id)
+			return
+		case <-m.stateChanged:
 		case <-time.After(heartbeat):
 		}
 	}
@@ -248,6 +264,10 @@
 		m.running--
 		m.mu.Unlock()
 	}()
+	if m.endsWithConnection {
+		w.Header().Set("Connection", "close")
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("X-Response-Seal", "seal."+m.id+"."+id)
 	w.Header().Set("Versions", strconv.FormatUint(version, 10))
@@ -263,13 +283,13 @@
 func (m *modelServer) stream(w http.ResponseWriter, r *http.Request, version uint64, faults int, cut chan struct{}) {
 	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	flush := http.NewResponseController(w)
-	for event := first + 1; event <= eventCount; event++ {
+	for event := first + 1; event <= m.events; event++ {
 		select {
 		case <-r.Context().Done():
 			return
 		case <-cut:
 			panic(http.ErrAbortHandler)
-		case <-time.After(eventInterval):
+		case <-time.After(m.eventInterval):
 		}
 		if faults > 0 {
 			m.mu.Lock()
--- a/review/harness/origin.go
+++ b/review/harness/origin.go
@@ -21,6 +21,8 @@
 	mu sync.Mutex
 	// spoilManifests is how many of the next manifests are sent with one byte changed. answers counts all answers.
 	spoilManifests, spoilt, answers int
+	// spoil changes one bit of a manifest.
+	spoil func(manifest []byte) []byte
 }
 
 // ServeHTTP implements http.Handler.
@@ -38,8 +40,7 @@
 	}
 	o.mu.Unlock()
 	if isSpoilt {
-		// One bit of one byte: the key "digests" arrives as "eigests".
-		body = bytes.Replace(body, []byte(`"digests"`), []byte(`"eigests"`), 1)
+		body = o.spoil(body)
 	}
 	if isManifest {
 		o.record.printf("origin: manifest of version %s sent, %d bytes, spoilt %v: %.60s...", r.URL.Query().Get("Version"), len(body), isSpoilt, body)
@@ -50,3 +51,8 @@
 	w.WriteHeader(recorder.Code)
 	_, _ = w.Write(body)
 }
+
+// spoilFieldName changes one bit in the name of a field: "digests" arrives as "eigests".
+func spoilFieldName(manifest []byte) []byte {
+	return bytes.Replace(manifest, []byte(`"digests"`), []byte(`"eigests"`), 1)
+}
