--- a/review/harness/origin.go
+++ b/review/harness/origin.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -31,6 +32,9 @@
 	o.Origin.ServeHTTP(recorder, r)
 	body := recorder.Body.Bytes()
 	isManifest := strings.HasPrefix(r.URL.Path, "/cinderslip/manifest/") && recorder.Code == http.StatusOK
+	if isManifest {
+		body = withModel(body)
+	}
 	o.mu.Lock()
 	o.answers++
 	isSpoilt := isManifest && o.spoilManifests > 0
@@ -43,7 +47,7 @@
 		body = o.spoil(body)
 	}
 	if isManifest {
-		o.record.printf("origin: manifest of version %s sent, %d bytes, spoilt %v: %.60s...", r.URL.Query().Get("Version"), len(body), isSpoilt, body)
+		o.record.printf("origin: manifest of version %s sent, %d bytes, spoilt %v: %.90s...", r.URL.Query().Get("Version"), len(body), isSpoilt, body)
 	}
 	for name, values := range recorder.Header() {
 		w.Header()[name] = values
@@ -52,6 +56,26 @@
 	_, _ = w.Write(body)
 }
 
+// withModel returns a manifest in the form of the pages' example, which names the model.
+func withModel(content []byte) []byte {
+	var m struct {
+		Model      string
+		Version    uint64
+		ChunkBytes int      `json:"chunk_bytes"`
+		Layers     int      `json:"layers"`
+		Digests    []string `json:"digests"`
+	}
+	if err := json.Unmarshal(content, &m); err != nil {
+		panic(err)
+	}
+	m.Model, m.Layers = modelName, layerCount
+	named, err := json.Marshal(m)
+	if err != nil {
+		panic(err)
+	}
+	return named
+}
+
 // spoilFieldName changes one bit in the name of a field: "digests" arrives as "eigests".
 func spoilFieldName(manifest []byte) []byte {
 	return bytes.Replace(manifest, []byte(`"digests"`), []byte(`"eigests"`), 1)
