feat(direct): log what is known of a manifest and of answers without a head

Change: the lines "manifest taken" and "staged pieces verified" name manifest and pieces; the error of an attempt without a response has the number of bytes received.

--- a/internal/direct/manifest.go
+++ b/internal/direct/manifest.go
@@ -49,6 +49,7 @@
 		}
 	}
 	l.options.Log.Info().Str("model", string(desired.model)).Uint64("version", uint64(version)).Str("from", source).
+		Str("manifest", manifest.Digest().Short()).Int("pieces", len(manifest.Chunks)).Int("pieces_configured", desired.engine.Chunks).
 		Dur("taken_ms", l.options.Clock.Since(started)).Msg("manifest taken")
 	l.store.Add(manifest)
 	l.mu.Lock()
--- a/internal/direct/versiondownload.go
+++ b/internal/direct/versiondownload.go
@@ -121,6 +121,8 @@
 	if err := l.stage(ctx, desired, manifest); err != nil {
 		return fmt.Errorf("staging chunks: %w", err)
 	}
+	l.options.Log.Info().Str("model", string(desired.model)).Uint64("version", uint64(version)).Str("manifest", manifest.Digest().Short()).
+		Int("pieces", len(manifest.Chunks)).Msg("staged pieces verified")
 	defer l.setSwapping(false)
 	if serving {
 		l.setSwapping(true)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -19,11 +19,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -136,11 +138,26 @@
 	address member.Address
 	reader  *bufio.Reader
 	writer  *bufio.Writer
+	// received is the number of bytes that have been read from the connection.
+	received *atomic.Int64
 	// reusableUntil is the time after which the connection must not be reused. It is zero for a connection that has
 	// not been idle yet.
 	reusableUntil time.Time
 }
 
+// countingReader counts the bytes that are read.
+type countingReader struct {
+	io.Reader
+	count *atomic.Int64
+}
+
+// Read implements io.Reader.
+func (r countingReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	r.count.Add(int64(n))
+	return n, err
+}
+
 // Request is a request that Send sends once.
 type Request struct {
 	Address member.Address
@@ -186,10 +203,11 @@
 	} else {
 		go func() { response.writeResult <- c.write(request) }()
 	}
+	before := c.received.Load()
 	response.Response, err = c.readMatching(request) //nolint:bodyclose // Response.Close closes it
 	if err != nil {
 		response.Close()
-		return nil, fmt.Errorf("%w: %w", ErrNoResponse, err)
+		return nil, fmt.Errorf("%w: %w after %d bytes", ErrNoResponse, err, c.received.Load()-before)
 	}
 	response.keepAlive = keepAliveTimeout(response.Header)
 	return response, nil
@@ -251,9 +269,10 @@
 	if p.options.OnConnect != nil {
 		p.options.OnConnect()
 	}
+	received := new(atomic.Int64)
 	return &conn{
-		Conn: raw, pool: p, address: address,
-		reader: bufio.NewReaderSize(raw, bufferSize), writer: bufio.NewWriterSize(raw, bufferSize),
+		Conn: raw, pool: p, address: address, received: received,
+		reader: bufio.NewReaderSize(countingReader{raw, received}, bufferSize), writer: bufio.NewWriterSize(raw, bufferSize),
 	}, nil
 }
 
