fix(platform): bound what each call of the platform reads

Cause: a response of the store, of the model server or of the origin that has no end was read until 16 MiB or the end of the call, its head until 10 MB. From outside, agents of 152 MB took 65 to 102 MB for one or two such responses at once; an answer that was longer was cut silently and taken for whole.

Change: each call states its limit.

--- a/cmd/cinderslipd/direct.go
+++ b/cmd/cinderslipd/direct.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -17,7 +16,6 @@
 	"github.com/cinderslip/cinderslip/internal/daemon"
 	"github.com/cinderslip/cinderslip/internal/direct"
 	"github.com/cinderslip/cinderslip/internal/settings"
-	"github.com/cinderslip/cinderslip/internal/upstream"
 	"github.com/cinderslip/cinderslip/pkg/member"
 	"github.com/cinderslip/cinderslip/platform"
 )
@@ -38,8 +36,10 @@
 	defer closeLog(queue)
 	log := daemon.NewLogger(queue, loaded.Log.Level, clock)
 	stop := stopContext()
-	addresses := platform.Addresses{Store: member.Address(loaded.Direct.Store), Server: member.Address(loaded.Direct.Server)}
-	process, err := direct.Start(loaded, direct.Options{Clock: clock, Log: log, Platform: platform.New(addresses, platformClient()), LogQueue: queue})
+	addresses := platform.Addresses{
+		Store: member.Address(loaded.Direct.Store), StoreValueSize: loaded.Direct.StoreValueBytes, Server: member.Address(loaded.Direct.Server),
+	}
+	process, err := direct.Start(loaded, direct.Options{Clock: clock, Log: log, Platform: platform.New(addresses, platform.NewHTTPClient()), LogQueue: queue})
 	if err != nil {
 		log.Error().Err(err).Msg("cannot start")
 		return exitFailed
@@ -98,20 +98,3 @@
 	}
 	process.Reload(changed)
 }
-
-const (
-	// platformDialTimeout is the maximum time for connecting to a service of the platform.
-	platformDialTimeout = 500 * time.Millisecond
-	// platformIdleConns is the maximum number of idle connections to one service.
-	platformIdleConns = 4
-	// platformIdleTimeout is the time after which an idle connection is closed.
-	platformIdleTimeout = 10 * time.Second
-)
-
-// platformClient returns the HTTP client for the services of the platform.
-func platformClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		DialContext: upstream.NewDialer(platformDialTimeout).DialContext, DisableCompression: true,
-		MaxIdleConnsPerHost: platformIdleConns, IdleConnTimeout: platformIdleTimeout,
-	}}
-}
--- a/internal/direct/backoff.go
+++ b/internal/direct/backoff.go
@@ -78,8 +78,8 @@
 		Stage: func(ctx context.Context, model fleet.ModelName, index int, data []byte) error {
 			return do(func() error { return server.Stage(ctx, model, index, data) })
 		},
-		ReadStaged: func(ctx context.Context, model fleet.ModelName, index int) ([]byte, error) {
-			return withBackoff(b, func() ([]byte, error) { return server.ReadStaged(ctx, model, index) })
+		ReadStaged: func(ctx context.Context, model fleet.ModelName, index int, size int64) ([]byte, error) {
+			return withBackoff(b, func() ([]byte, error) { return server.ReadStaged(ctx, model, index, size) })
 		},
 	}
 }
@@ -88,11 +88,11 @@
 // boxes keep fetching from the origin, as the backoff applies to this process only.
 func originWithBackoff(origin provider.ChunkOrigin, b *serverBackoff) provider.ChunkOrigin {
 	return provider.ChunkOrigin{
-		Manifest: func(ctx context.Context, address member.Address, model fleet.ModelName, version fleet.WeightsVersion) (*weights.Manifest, error) {
-			return withBackoff(b, func() (*weights.Manifest, error) { return origin.Manifest(ctx, address, model, version) })
+		Manifest: func(ctx context.Context, address member.Address, version provider.ChunkedVersion) (*weights.Manifest, error) {
+			return withBackoff(b, func() (*weights.Manifest, error) { return origin.Manifest(ctx, address, version) })
 		},
-		Chunk: func(ctx context.Context, address member.Address, model fleet.ModelName, version fleet.WeightsVersion, index int) ([]byte, error) {
-			return withBackoff(b, func() ([]byte, error) { return origin.Chunk(ctx, address, model, version, index) })
+		Chunk: func(ctx context.Context, address member.Address, version provider.ChunkedVersion, index int) ([]byte, error) {
+			return withBackoff(b, func() ([]byte, error) { return origin.Chunk(ctx, address, version, index) })
 		},
 	}
 }
--- a/internal/direct/backoff_test.go
+++ b/internal/direct/backoff_test.go
@@ -26,7 +26,7 @@
 		},
 		Load:       func(context.Context, provider.LoadOrder) error { calls++; return nil },
 		Stage:      func(context.Context, fleet.ModelName, int, []byte) error { calls++; return nil },
-		ReadStaged: func(context.Context, fleet.ModelName, int) ([]byte, error) { calls++; return nil, nil },
+		ReadStaged: func(context.Context, fleet.ModelName, int, int64) ([]byte, error) { calls++; return nil, nil },
 	}, &serverBackoff{name: "server", clock: clock, log: zerolog.Nop()})
 	ctx := t.Context()
 	_, err := server.Report(ctx)
@@ -36,7 +36,7 @@
 	require.Equal(t, time.Second, provider.RequestedBackoff(err), "the rest of the backoff")
 	require.Error(t, server.Load(ctx, provider.LoadOrder{}))
 	require.Error(t, server.Stage(ctx, "m", 0, nil))
-	_, err = server.ReadStaged(ctx, "m", 0)
+	_, err = server.ReadStaged(ctx, "m", 0, 1)
 	require.Error(t, err)
 	require.Equal(t, 1, calls)
 	clock.Advance(time.Second)
@@ -51,17 +51,17 @@
 	clock := clockwork.NewFakeClock()
 	calls := 0
 	origin := originWithBackoff(provider.ChunkOrigin{
-		Chunk: func(context.Context, member.Address, fleet.ModelName, fleet.WeightsVersion, int) ([]byte, error) {
+		Chunk: func(context.Context, member.Address, provider.ChunkedVersion, int) ([]byte, error) {
 			calls++
 			return nil, &provider.BackoffError{Delay: time.Second}
 		},
 	}, &serverBackoff{name: "origin", clock: clock, log: zerolog.Nop()})
 	for range 5 {
-		_, err := origin.Chunk(t.Context(), "", "m", 1, 0)
+		_, err := origin.Chunk(t.Context(), "", provider.ChunkedVersion{Model: "m", Version: 1}, 0)
 		require.Error(t, err)
 	}
 	require.Equal(t, 1, calls)
 	clock.Advance(time.Second)
-	_, _ = origin.Chunk(t.Context(), "", "m", 1, 0)
+	_, _ = origin.Chunk(t.Context(), "", provider.ChunkedVersion{Model: "m", Version: 1}, 0)
 	require.Equal(t, 2, calls)
 }
--- a/internal/direct/fetch.go
+++ b/internal/direct/fetch.go
@@ -335,7 +335,7 @@
 func (l *Loader) fetchFromOrigin(ctx context.Context, desired *target, version fleet.WeightsVersion, chunk int) ([]byte, error) {
 	callCtx, cancel := context.WithTimeout(ctx, chunkTimeout)
 	defer cancel()
-	return l.options.Origin.Chunk(callCtx, desired.origin.Origin, desired.model, version, chunk)
+	return l.options.Origin.Chunk(callCtx, desired.origin.Origin, desired.chunked(version), chunk)
 }
 
 // fetchChunk fetches a chunk from the source in the task: the origin or another agent. The bytes
--- a/internal/direct/loader.go
+++ b/internal/direct/loader.go
@@ -233,6 +233,13 @@
 	resumable bool
 }
 
+// chunked returns a version of the model with the layout that the configuration gives it.
+func (t *target) chunked(version fleet.WeightsVersion) provider.ChunkedVersion {
+	return provider.ChunkedVersion{
+		Model: t.model, Version: version, Layout: weights.Layout{Chunks: t.engine.Chunks, ChunkSize: t.engine.ChunkSize},
+	}
+}
+
 // newest returns the newest published version.
 func (t *target) newest() fleet.WeightsVersion { return t.published.Newest().Version }
 
--- a/internal/direct/manifest.go
+++ b/internal/direct/manifest.go
@@ -43,7 +43,7 @@
 		source = "origin"
 		callCtx, cancel := context.WithTimeout(ctx, serverCallTimeout)
 		defer cancel()
-		manifest, err = l.options.Origin.Manifest(callCtx, desired.origin.Origin, desired.model, version)
+		manifest, err = l.options.Origin.Manifest(callCtx, desired.origin.Origin, desired.chunked(version))
 		if err != nil {
 			return nil, fmt.Errorf("reading manifest from origin: %w", err)
 		}
--- a/internal/direct/versiondownload.go
+++ b/internal/direct/versiondownload.go
@@ -242,7 +242,7 @@
 func (l *Loader) verifyStaged(ctx context.Context, desired *target, manifest *weights.Manifest, index int) bool {
 	callCtx, cancel := context.WithTimeout(ctx, serverCallTimeout)
 	defer cancel()
-	data, err := l.options.Server.ReadStaged(callCtx, desired.model, index)
+	data, err := l.options.Server.ReadStaged(callCtx, desired.model, index, manifest.Chunks[index].Size)
 	return err == nil && manifest.Hash.Sum(data) == manifest.Chunks[index].Digest
 }
 
@@ -256,7 +256,7 @@
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, serverCallTimeout)
-		data, err := l.options.Server.ReadStaged(callCtx, desired.model, index)
+		data, err := l.options.Server.ReadStaged(callCtx, desired.model, index, manifest.Chunks[index].Size)
 		cancel()
 		if err != nil {
 			if index == 0 {
--- a/internal/direct/versiondownload_test.go
+++ b/internal/direct/versiondownload_test.go
@@ -33,7 +33,7 @@
 	clock := clockwork.NewFakeClock()
 	l := &Loader{
 		options: LoaderOptions{Clock: clock, Log: zerolog.Nop(), Server: provider.ModelServer{
-			ReadStaged: func(_ context.Context, _ fleet.ModelName, index int) ([]byte, error) {
+			ReadStaged: func(_ context.Context, _ fleet.ModelName, index int, _ int64) ([]byte, error) {
 				reads++
 				return staged(index), nil
 			},
--- a/internal/provider/fleet.go
+++ b/internal/provider/fleet.go
@@ -79,18 +79,27 @@
 	Load func(ctx context.Context, order LoadOrder) error
 	// Stage uploads one chunk of a model's weights.
 	Stage func(ctx context.Context, model fleet.ModelName, index int, data []byte) error
-	// ReadStaged reads a staged chunk. Errors wrap weights.ErrChunkNotFound or ErrUnavailable.
-	ReadStaged func(ctx context.Context, model fleet.ModelName, index int) ([]byte, error)
+	// ReadStaged reads a staged chunk of a size in bytes. A longer one is an error. Errors wrap
+	// weights.ErrChunkNotFound or ErrUnavailable.
+	ReadStaged func(ctx context.Context, model fleet.ModelName, index int, size int64) ([]byte, error)
+}
+
+// ChunkedVersion identifies a version of a model's weights, and is how the operators' configuration divides it into chunks.
+type ChunkedVersion struct {
+	Model   fleet.ModelName
+	Version fleet.WeightsVersion
+	Layout  weights.Layout
 }
 
 // ChunkOrigin is an origin that serves the weights of models in chunks. Errors of any call wrap a BackoffError if the
 // origin requests a backoff.
 type ChunkOrigin struct {
-	// Manifest reads the chunk digests of a version from the origin at an address. Errors wrap ErrNotPublished
-	// or ErrUnavailable.
-	Manifest func(ctx context.Context, at member.Address, model fleet.ModelName, version fleet.WeightsVersion) (*weights.Manifest, error)
-	// Chunk reads one chunk. Errors wrap ErrNotPublished, ErrRateLimited or ErrUnavailable.
-	Chunk func(ctx context.Context, at member.Address, model fleet.ModelName, version fleet.WeightsVersion, index int) ([]byte, error)
+	// Manifest reads the manifest of a version from the origin at an address. Errors wrap ErrNotPublished,
+	// ErrUnavailable or weights.ErrInvalidManifest.
+	Manifest func(ctx context.Context, at member.Address, version ChunkedVersion) (*weights.Manifest, error)
+	// Chunk reads one chunk. One that is longer than the layout says is an error. Errors wrap ErrNotPublished,
+	// ErrRateLimited or ErrUnavailable.
+	Chunk func(ctx context.Context, at member.Address, version ChunkedVersion, index int) ([]byte, error)
 }
 
 // BackoffError reports a call that failed because the server has requested a backoff. Delay is the remaining time of
--- a/internal/settings/direct.go
+++ b/internal/settings/direct.go
@@ -13,6 +13,9 @@
 // maxPort is the highest TCP port number.
 const maxPort = 1<<16 - 1
 
+// maxStoreValueBytes is the highest limit of a value in the key-value service, in bytes.
+const maxStoreValueBytes = 64 << 20
+
 // notNegative checks a number that may have a fraction.
 func (c *checker) notNegative(key string, value float64) {
 	if !(value >= 0) {
@@ -27,6 +30,7 @@
 	c.address("listen.metrics", s.Listen.Metrics)
 	c.address("direct.store", s.Direct.Store)
 	c.number("direct.agent_port", int64(s.Direct.AgentPort), 1, maxPort)
+	c.number("direct.store_value_bytes", s.Direct.StoreValueBytes, 0, maxStoreValueBytes)
 	if s.Direct.MemoryLimitMegabytes < 1 {
 		c.add("direct.memory_limit_megabytes", "want at least 1, got %v", s.Direct.MemoryLimitMegabytes)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -172,6 +172,8 @@
 type Direct struct {
 	// Store is the address of the platform's key-value service, an IP address with a port.
 	Store string `toml:"store"`
+	// StoreValueBytes is the maximum size of a value in the key-value service; 0 if it is not known.
+	StoreValueBytes int64 `toml:"store_value_bytes"`
 	// Server is the address of the backend server on the agent's box, Service the service to which it belongs;
 	// agents only.
 	Server  string `toml:"server"`
--- a/pkg/weights/manifest.go
+++ b/pkg/weights/manifest.go
@@ -193,6 +193,13 @@
 	return nil
 }
 
+// Layout is the division of a version that consists of one file into chunks of equal size.
+type Layout struct {
+	Chunks int
+	// ChunkSize is in bytes.
+	ChunkSize int64
+}
+
 // Source is one file to publish.
 type Source struct {
 	Path string
