fix(direct): check manifests of weights whole, and read one again whose chunks never fit

A manifest with half of its digests breaks the same rule; one with another chunk size or one wrong digit left servers without the version until the next one was named.

Cause: a manifest counted before it was checked.

Change: a manifest counts only if it names model and version and has the number and the size of chunks that the configuration states; one without chunks is invalid everywhere. One whose chunk gets the same other content from the origin twice is dropped and read again; neighbours learn that it was dropped, and read theirs again too.

--- a/internal/direct/chunks.go
+++ b/internal/direct/chunks.go
@@ -33,13 +33,15 @@
 	slots   chan struct{}
 	// isIdle reports whether the backend server has no requests. Chunks are then sent without a rate limit.
 	isIdle func() bool
+	// isDoubted reports whether this agent has dropped a manifest because its chunks do not match it.
+	isDoubted func(manifest weights.Digest) bool
 }
 
 // NewChunkServer returns a server for the chunks in a store. linkMbps is the rate of the box's link, in
 // Mbit/s.
-func NewChunkServer(store *weights.MemoryStore, linkMbps float64, isIdle func() bool) *ChunkServer {
+func NewChunkServer(store *weights.MemoryStore, linkMbps float64, isIdle func() bool, isDoubted func(manifest weights.Digest) bool) *ChunkServer {
 	return &ChunkServer{
-		store: store, isIdle: isIdle, slots: make(chan struct{}, maxConcurrentChunks),
+		store: store, isIdle: isIdle, isDoubted: isDoubted, slots: make(chan struct{}, maxConcurrentChunks),
 		limiter: rate.NewLimiter(rate.Limit(chunkLinkShare*linkMbps*bytesPerMbit), chunkFrameSize),
 	}
 }
@@ -50,7 +52,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &wire.HoldingsResponse{Held: s.store.Held(digest)}, nil
+	return &wire.HoldingsResponse{Held: s.store.Held(digest), Doubted: s.isDoubted(digest)}, nil
 }
 
 // Fetch streams one chunk in frames of at most chunkFrameSize bytes.
--- a/internal/direct/deployment_test.go
+++ b/internal/direct/deployment_test.go
@@ -430,14 +430,15 @@
 	return nil
 }
 
-// cmdOrigin corrupts the next chunks that the origin sends (origin corrupt=3), or checks that it has sent at most a
-// number of chunks (origin max=9).
+// cmdOrigin corrupts the next chunks that the origin sends (origin corrupt=3), spoils the next manifests (origin spoil=digit
+// manifests=2), or checks that it has sent at most a number of chunks (origin max=9).
 func (w *testDeployment) cmdOrigin(args []string) error {
 	options := parseOptions(args)
 	if limit := parseInt(options["max"], 0); limit > 0 && w.origin.Sent() > limit {
 		return fmt.Errorf("origin sent %d chunks, want at most %d", w.origin.Sent(), limit)
 	}
 	w.origin.CorruptNext(parseInt(options["corrupt"], 0))
+	w.origin.SpoilNextManifests(parseInt(options["manifests"], 0), standin.ManifestSpoil(options["spoil"]))
 	return nil
 }
 
--- a/internal/direct/fetch.go
+++ b/internal/direct/fetch.go
@@ -63,6 +63,8 @@
 	// window is the maximum number of concurrent fetches. It is reduced while chunks are slow, because the
 	// link is then slower than configured.
 	window float64
+	// mismatches counts for each chunk how often the origin has sent each content that does not match its digest.
+	mismatches map[int]map[weights.Digest]int
 }
 
 type fetchResult struct {
@@ -76,6 +78,8 @@
 	box       string
 	held      weights.Bits
 	responded bool
+	// doubted is set if the agent has dropped the manifest.
+	doubted bool
 }
 
 // pickerOptions returns the options of the picker that schedules the chunk fetches of a version.
@@ -89,14 +93,14 @@
 }
 
 // fetchChunks fetches the missing chunks of a version. It returns when the store holds every chunk, or an
-// error when the context ends. early holds the fetches that were started before the manifest was received.
+// error when the context ends or, wrapping errDoubted, when the chunks do not match the manifest. early holds the fetches that were started before the manifest was received.
 func (l *Loader) fetchChunks(ctx context.Context, desired *target, version fleet.WeightsVersion, manifest *weights.Manifest, early *earlyFetches) error {
 	options := l.pickerOptions(desired)
 	f := &chunkFetcher{
 		loader: l, desired: desired, version: version, manifest: manifest, addresses: make(map[string]member.Address),
 		picker:  weights.NewPicker(manifest, string(l.options.Agent), l.store.Held(manifest.Digest()), options, l.options.Clock.Now()),
 		results: make(chan fetchResult), holdings: make(chan holdingsResult), holdingsPending: make(map[string]bool),
-		window: initialFetchWindow, earlyResults: early.results,
+		window: initialFetchWindow, earlyResults: early.results, mismatches: make(map[int]map[weights.Digest]int),
 	}
 	for chunk, at := range early.stopNew() {
 		f.picker.AddEarlyFetch(chunk, at)
@@ -241,7 +245,7 @@
 	return member.Neighbours(self, l.agentRecords(desired))
 }
 
-// run fetches chunks until none is missing or the context ends.
+// run fetches chunks until none is missing, the context ends or the manifest is doubted.
 func (f *chunkFetcher) run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -255,10 +259,17 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case result := <-f.results:
-			f.handleResult(result)
+			if err := f.handleResult(result); err != nil {
+				return err
+			}
 		case result := <-f.earlyResults:
-			f.handleResult(result)
+			if err := f.handleResult(result); err != nil {
+				return err
+			}
 		case result := <-f.holdings:
+			if result.doubted && f.loader.mayDoubt(f.key()) {
+				return fmt.Errorf("%w: dropped by %s", errDoubted, result.box)
+			}
 			f.holdingsPending[result.box] = false
 			f.picker.SetHoldings(result.box, result.held)
 			if result.responded {
@@ -290,9 +301,12 @@
 	}
 }
 
+// key returns the version that is fetched.
+func (f *chunkFetcher) key() publishedVersion { return publishedVersion{f.desired.model, f.version} }
+
 // handleResult stores a chunk that matches its digest. It reports any other result to the picker as a failure,
-// which delays the next attempt by fetchRetryDelay.
-func (f *chunkFetcher) handleResult(result fetchResult) {
+// which delays the next attempt by fetchRetryDelay. The error wraps errDoubted if the manifest is wrong rather than the chunk.
+func (f *chunkFetcher) handleResult(result fetchResult) error {
 	from := "peer"
 	if result.task.FromOrigin() {
 		from = "origin"
@@ -308,11 +322,34 @@
 		f.picker.Done(result.task, now)
 		f.loader.options.Log.Debug().Int("piece", result.task.Chunk).Str("from", result.task.From).Uint64("version", uint64(f.version)).
 			Int("missing", f.picker.Missing()).Dur("taken_ms", result.duration).Msg("piece taken")
-		return
+		return nil
 	}
 	f.loader.options.Log.Info().Int("piece", result.task.Chunk).Str("from", result.task.From).
 		Uint64("version", uint64(f.version)).Err(err).Msg("piece not taken")
 	f.picker.Failed(result.task, now.Add(fetchRetryDelay))
+	return f.noteMismatch(result)
+}
+
+// noteMismatch counts a chunk of the right size that does not match its digest. Different errors of the origin give different
+// contents, so the same one again means that the digest is wrong.
+func (f *chunkFetcher) noteMismatch(result fetchResult) error {
+	chunk := result.task.Chunk
+	isComparable := result.err == nil && result.task.FromOrigin() && int64(len(result.data)) == f.manifest.Chunks[chunk].Size
+	if !isComparable {
+		return nil
+	}
+	content := f.manifest.Hash.Sum(result.data)
+	if content == f.manifest.Chunks[chunk].Digest {
+		return nil
+	}
+	if f.mismatches[chunk] == nil {
+		f.mismatches[chunk] = make(map[weights.Digest]int)
+	}
+	f.mismatches[chunk][content]++
+	if count := f.mismatches[chunk][content]; count >= f.loader.mismatchLimit(f.key()) {
+		return fmt.Errorf("%w: chunk %d had the content %s %d times", errDoubted, chunk, content.Short(), count)
+	}
+	return nil
 }
 
 // adjustWindow halves the window after a slow chunk and increases it by windowGrowth after any other. Chunks from
@@ -384,7 +421,7 @@
 			response, err := wire.NewDRPCChunksClient(f.loader.options.Peers.Conn(address)).
 				Holdings(callCtx, &wire.HoldingsRequest{Manifest: digest[:]})
 			if err == nil {
-				result.held, result.responded = response.Held, true
+				result.held, result.responded, result.doubted = response.Held, true, response.Doubted
 			}
 			select {
 			case f.holdings <- result:
--- a/internal/direct/loader.go
+++ b/internal/direct/loader.go
@@ -47,7 +47,7 @@
 
 	mu sync.Mutex
 	// manifests holds the manifests of the versions whose chunks are in the store.
-	manifests map[publishedVersion]*weights.Manifest
+	manifests map[publishedVersion]*heldManifest
 	// downloads holds the downloads in progress and the complete ones.
 	downloads map[fleet.WeightsVersion]*versionDownload
 	verified  verifiedChunks
@@ -110,14 +110,14 @@
 			LinkMbps: p.settings.Direct.LinkMbps, VersionBound: time.Duration(p.settings.Direct.VersionBound),
 		},
 		tasks: kernel.NewTaskGroup(), store: weights.NewMemoryStore(maxChunkMemory),
-		manifests: make(map[publishedVersion]*weights.Manifest),
+		manifests: make(map[publishedVersion]*heldManifest),
 		downloads: make(map[fleet.WeightsVersion]*versionDownload),
 		changed:   make(chan struct{}), done: make(chan struct{}),
 	}
 	if err := wire.DRPCRegisterFleet(p.mux, l); err != nil {
 		return err
 	}
-	if err := wire.DRPCRegisterChunks(p.mux, NewChunkServer(l.store, p.settings.Direct.LinkMbps, l.isIdle)); err != nil {
+	if err := wire.DRPCRegisterChunks(p.mux, NewChunkServer(l.store, p.settings.Direct.LinkMbps, l.isIdle, l.isDoubted)); err != nil {
 		return err
 	}
 	l.tasks.Go(l.pollServer)
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -53,6 +53,7 @@
 	configurationTransfers *prometheus.CounterVec
 	logDropped             prometheus.Counter
 	chunks                 *prometheus.CounterVec
+	manifests              *prometheus.CounterVec
 	orders                 *prometheus.CounterVec
 	// configuration, revision, storeEra, complete, completeEra and deferredDeletions describe the process's current view of the fleet.
 	configuration     prometheus.Gauge
@@ -105,6 +106,7 @@
 			"Configurations sent to other processes by kind: the whole, a delta, or the services alone (reduced).", "kind"),
 		logDropped: metric.Counter("log_lines_dropped_total", "Log lines dropped because they came too fast."),
 		chunks:     metric.CounterVec("pieces_total", "Pieces of weights received, by source and result.", "from", "result"),
+		manifests:  metric.CounterVec("manifests_total", "Manifests of weights by source and result: taken, invalid, or dropped because pieces do not match.", "from", "result"),
 		orders:     metric.CounterVec("orders_total", "Orders given to the backend server, by result.", "result"),
 
 		configuration:     metric.Gauge("believed_configuration_version", "Version of the operators' configuration that is in force here."),
@@ -120,7 +122,7 @@
 	}
 	m.registry.MustRegister(m.requests, m.requestSeconds, m.ttfb, m.attempts, m.hedges, m.retries, m.cutResponses, m.serverSignals, m.suspects,
 		m.waiting, m.limitedServers,
-		m.limitRefusals, m.unclaimed, m.heldBytes, m.connections, m.storeCalls, m.traffic.messages, m.traffic.bytes, m.configurationTransfers, m.logDropped, m.chunks, m.orders,
+		m.limitRefusals, m.unclaimed, m.heldBytes, m.connections, m.storeCalls, m.traffic.messages, m.traffic.bytes, m.configurationTransfers, m.logDropped, m.chunks, m.manifests, m.orders,
 		m.configuration, m.revision, m.storeEra, m.complete, m.completeEra, m.deferredDeletions, m.evacuatedDomains, m.outdatedEntries, m.pulls, m.refusedPulls,
 		collectors.NewGoCollector())
 	return m
--- a/internal/direct/versiondownload.go
+++ b/internal/direct/versiondownload.go
@@ -94,6 +94,9 @@
 			err = l.fetchChunks(ctx, desired, version, manifest, early)
 		}
 		early.stopNew()
+		if errors.Is(err, errDoubted) {
+			l.doubtManifest(publishedVersion{desired.model, version}, manifest, err)
+		}
 		if err == nil {
 			l.options.Log.Info().Str("model", string(desired.model)).Uint64("version", uint64(version)).
 				Dur("taken_ms", l.options.Clock.Since(started)).Msg("weights fetched")
@@ -279,10 +282,7 @@
 // importRunning copies the staged chunks of the version that the server runs into the store, so that other agents
 // can fetch them. It does nothing if the agent already has the manifest of the version.
 func (l *Loader) importRunning(ctx context.Context, desired *target, version fleet.WeightsVersion) error {
-	l.mu.Lock()
-	_, known := l.manifests[publishedVersion{desired.model, version}]
-	l.mu.Unlock()
-	if known {
+	if l.acceptedManifest(publishedVersion{desired.model, version}) != nil {
 		return nil
 	}
 	manifest, err := l.manifest(ctx, desired, version)
--- a/internal/provider/fleet.go
+++ b/internal/provider/fleet.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cinderslip/cinderslip/pkg/fleet"
@@ -91,6 +92,16 @@
 	Layout  weights.Layout
 }
 
+// Check returns an error that wraps weights.ErrInvalidManifest if a manifest is for another model or version, or has
+// another layout.
+func (v ChunkedVersion) Check(manifest *weights.Manifest) error {
+	if manifest.Model != string(v.Model) || manifest.Version != strconv.FormatUint(uint64(v.Version), 10) {
+		return fmt.Errorf("manifest is for %.80q version %.20q, want %q version %d: %w",
+			manifest.Model, manifest.Version, v.Model, v.Version, weights.ErrInvalidManifest)
+	}
+	return v.Layout.Check(manifest)
+}
+
 // ChunkOrigin is an origin that serves the weights of models in chunks. Errors of any call wrap a BackoffError if the
 // origin requests a backoff.
 type ChunkOrigin struct {
--- a/pkg/weights/manifest.go
+++ b/pkg/weights/manifest.go
@@ -29,6 +29,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 
 	"github.com/zeebo/blake3"
 )
@@ -168,8 +169,11 @@
 	return &manifest, nil
 }
 
-// check requires that the chunks cover each file exactly once and in order, and sets the size.
+// check requires at least one chunk and that the chunks cover each file exactly once and in order, and sets the size.
 func (m *Manifest) check() error {
+	if len(m.Chunks) == 0 {
+		return fmt.Errorf("manifest has no chunks: %w", ErrInvalidManifest)
+	}
 	file, offset := 0, int64(0)
 	m.size = 0
 	for i, chunk := range m.Chunks {
@@ -177,7 +181,7 @@
 			file, offset = file+1, 0
 		}
 		if chunk.File != file || chunk.Offset != offset || chunk.Size <= 0 || file >= len(m.Files) ||
-			chunk.Size > m.Files[file].Size-offset {
+			chunk.Size > m.Files[file].Size-offset || chunk.Size > math.MaxInt64-m.size {
 			return fmt.Errorf("chunk %d covers file %d from offset %d for %d bytes, want file %d from offset %d: %w",
 				i, chunk.File, chunk.Offset, chunk.Size, file, offset, ErrInvalidManifest)
 		}
@@ -200,6 +204,19 @@
 	ChunkSize int64
 }
 
+// Check returns an error that wraps ErrInvalidManifest if a manifest does not have the layout.
+func (l Layout) Check(m *Manifest) error {
+	if len(m.Files) != 1 || len(m.Chunks) != l.Chunks {
+		return fmt.Errorf("%d chunks in %d files, want %d in one: %w", len(m.Chunks), len(m.Files), l.Chunks, ErrInvalidManifest)
+	}
+	for i, chunk := range m.Chunks {
+		if chunk.Size != l.ChunkSize {
+			return fmt.Errorf("chunk %d has %d bytes, want %d: %w", i, chunk.Size, l.ChunkSize, ErrInvalidManifest)
+		}
+	}
+	return nil
+}
+
 // Source is one file to publish.
 type Source struct {
 	Path string
--- a/pkg/weights/weights_test.go
+++ b/pkg/weights/weights_test.go
@@ -60,6 +60,8 @@
 		"empty chunk":    func(m *Manifest) { m.Chunks[0].Size = 0 },
 		"unknown file":   func(m *Manifest) { m.Chunks[1].File = 7 },
 		"no files":       func(m *Manifest) { m.Files = nil },
+		"no chunks":      func(m *Manifest) { m.Files, m.Chunks = nil, nil },
+		"empty file":     func(m *Manifest) { m.Files, m.Chunks = []File{{Path: "f"}}, nil },
 	}
 	for name, corrupt := range cases {
 		t.Run(name, func(t *testing.T) {
