fix(upstream): bound the heads of responses, and give up one without an end at once

Requests without a repeat got no answer at all within their deadline where interim responses or header lines had no end.

Cause: the status line, the head and interim responses were read whole and without a bound until the deadline. Ruled out: bodies, which need a head first; discarded responses, which are not kept; the kernel's buffers, which are not resident memory of the process.

Change: a head may have as many bytes as the operators allow callers (MaxHeaderBytes, 16 KiB at least, as far as the memory of the box allows), interim responses together as many again. Past it the connection is reset and the attempt fails: the request is repeated where it may be, or gets 502. A refusal whose body does not end is given up after 50 ms instead of at the deadline. A switch of protocols, which nobody asked for, is no response.

--- a/internal/direct/callerserver.go
+++ b/internal/direct/callerserver.go
@@ -21,7 +21,7 @@
 )
 
 const (
-	// maxHeaderBytes limits the headers of a caller's request, in bytes, until the operators' limit is known.
+	// maxHeaderBytes limits the headers of a caller's request, in bytes. Responses may have more if the operators allow it.
 	maxHeaderBytes = 16 << 10
 	// defaultMaxBodyBytes limits the body of a caller's request, in bytes, if the operators set no limit.
 	defaultMaxBodyBytes = 4 << 20
@@ -124,6 +124,7 @@
 	s.held = newHeldBytes(direct.MemoryLimitMegabytes, p.metrics.heldBytes)
 	s.pool = upstream.NewPool(upstream.Options{
 		Clock: p.options.Clock, Matches: s.isMatchingResponse, MaxIdlePerServer: maxIdlePerServer, OnConnect: p.metrics.connections.Inc,
+		HeadLimit: s.headLimit,
 	})
 	s.exitProbes = newExitProbes(s.clock, s.pool, s.tasks)
 	p.callerServer = s
@@ -146,6 +147,19 @@
 	return meta.RequestID == id || meta.RequestID == "" && meta.NotExecuted
 }
 
+// headLimit returns the maximum size of the head of a server's response, in bytes. It is that of the operators for callers, as
+// far as the memory of the box allows.
+func (s *CallerServer) headLimit() int64 {
+	limit := int64(maxHeaderBytes)
+	if configuration := s.fleetState.View().Configuration; configuration != nil {
+		limit = max(limit, configuration.Limits.HeaderBytes)
+	}
+	return min(limit, max(maxHeaderBytes, s.held.limit/minHeldHeads))
+}
+
+// minHeldHeads is how many heads of the maximum size fit into the limit of the bytes that a box holds.
+const minHeldHeads = 16
+
 // String returns the service's name.
 func (s *CallerServer) String() string { return "front" }
 
--- /dev/null
+++ b/internal/direct/endless_test.go
@@ -0,0 +1,82 @@
+package direct_test
+
+import (
+	"io"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cinderslip/cinderslip/platform/standin"
+)
+
+// Guards against a server's bytes without an end taking the time or the memory of a request: the caller gets a response
+// before its deadline, whatever part of the response has no end.
+func TestResponseWithoutEndGetsAnAnswerInTime(t *testing.T) {
+	w := newTestDeployment(t)
+	t.Cleanup(w.close)
+	require.NoError(t, w.cmdPlatform([]string{"plain=1"}))
+	require.NoError(t, w.cmdEntry([]string{"entry-1"}))
+	require.NoError(t, w.cmdAwait([]string{"ready", "entry-1"}))
+	before := standin.EndlessBytes()
+	statuses := map[standin.Endless]int{
+		standin.EndlessEvent: http.StatusOK, standin.EndlessBody: http.StatusOK, standin.EndlessChunks: http.StatusOK,
+		standin.EndlessRefusal: http.StatusServiceUnavailable, standin.EndlessAfterAnswer: http.StatusOK,
+	}
+	for _, kind := range standin.EndlessKinds {
+		t.Run(string(kind), func(t *testing.T) {
+			// The box does not send to a server for a while after it has failed.
+			w.servers["plain-1"].SetEndless("")
+			require.NoError(t, w.cmdAwait([]string{"status", "entry-1", "/once/1", "key-1", "200"}))
+			status := http.StatusBadGateway
+			if statuses[kind] != 0 {
+				status = statuses[kind]
+			}
+			w.servers["plain-1"].SetEndless(kind)
+			response, err := w.request("entry-1", "endless-"+string(kind), "/once/1", "key-1")
+			require.NoError(t, err)
+			defer func() { _ = response.Body.Close() }()
+			require.Equal(t, status, response.StatusCode)
+			body, err := io.ReadAll(response.Body)
+			switch kind {
+			case standin.EndlessAfterAnswer:
+				require.NoError(t, err)
+				require.Equal(t, "ok", string(body))
+			case standin.EndlessBody, standin.EndlessChunks, standin.EndlessEvent:
+				require.Error(t, err, "a part of a body does not appear complete")
+			default:
+				require.NoError(t, err)
+				require.Empty(t, body)
+			}
+		})
+	}
+	t.Logf("%d bytes without an end were sent", standin.EndlessBytes()-before)
+}
+
+// Guards against a request that may be repeated, or a stream, being lost to one server whose responses have no end.
+func TestRequestIsRepeatedAfterResponseWithoutEnd(t *testing.T) {
+	w := newTestDeployment(t)
+	t.Cleanup(w.close)
+	require.NoError(t, w.cmdPlatform([]string{"plain=2", "models=2"}))
+	require.NoError(t, w.cmdEntry([]string{"entry-1"}))
+	require.NoError(t, w.cmdAgent([]string{"model-1", "model-2"}))
+	require.NoError(t, w.cmdAwait([]string{"ready", "entry-1"}))
+	require.NoError(t, w.cmdAwait([]string{"stream", "entry-1"}))
+	for _, kind := range []standin.Endless{
+		standin.EndlessStatusLine, standin.EndlessHeaders, standin.EndlessInterim, standin.EndlessChunkLine, standin.EndlessTrailers,
+		standin.EndlessRefusal, standin.EndlessEvent,
+	} {
+		t.Run(string(kind), func(t *testing.T) {
+			w.servers["model-1"].SetEndless(kind)
+			require.NoError(t, w.checkStream("entry-1", "stream-"+string(kind)))
+			if kind == standin.EndlessEvent {
+				return
+			}
+			w.servers["plain-1"].SetEndless(kind)
+			response, err := w.request("entry-1", "look-"+string(kind), "/look/1", "key-1")
+			require.NoError(t, err)
+			defer func() { _ = response.Body.Close() }()
+			require.Equal(t, http.StatusOK, response.StatusCode)
+		})
+	}
+}
--- a/internal/upstream/fuzz_test.go
+++ b/internal/upstream/fuzz_test.go
@@ -39,7 +39,8 @@
 			Matches: func(response *http.Response, id string) bool { return response.Header.Get("Id") == id },
 		})
 		raw := &closeRecorder{}
-		c := &conn{Conn: raw, pool: pool, address: "there", reader: bufio.NewReaderSize(bytes.NewReader(stream), bufferSize)}
+		source := newBoundedReader(bytes.NewReader(stream))
+		c := &conn{Conn: raw, pool: pool, address: "there", source: source, reader: bufio.NewReaderSize(source, bufferSize)}
 		request := &Request{ID: "1", Method: http.MethodPost}
 		if head {
 			request.Method = http.MethodHead
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -76,14 +76,23 @@
 // drainLimit is the maximum size of a discarded response body, in bytes.
 const drainLimit = 1 << 20
 
-// Discard reads the rest of a short response and closes it, so that the connection can be reused.
+// Discard reads the rest of a short response and closes it, so that the connection can be reused. A response whose end does not
+// arrive within discardTimeout is closed without it.
 func (r *Response) Discard() {
-	if _, err := io.Copy(io.Discard, io.LimitReader(r, discardLimit)); err == nil {
-		// Read once more to detect the end of the body, which the limited reader may not have reached.
-		_, _ = r.Read(make([]byte, 1))
+	defer r.Close()
+	// An error means that the connection is closed.
+	_ = r.conn.SetReadDeadline(time.Now().Add(discardTimeout))
+	if _, err := io.Copy(io.Discard, io.LimitReader(r, discardLimit)); err != nil {
+		return
 	}
-	r.Close()
+	// Read once more to detect the end of the body, which the limited reader may not have reached.
+	_, _ = r.Read(make([]byte, 1))
+	_ = r.conn.SetReadDeadline(time.Time{})
 }
 
-// discardLimit is the maximum number of body bytes that Discard reads to make a connection reusable.
-const discardLimit = 4 << 10
+const (
+	// discardLimit is the maximum number of body bytes that Discard reads to make a connection reusable.
+	discardLimit = 4 << 10
+	// discardTimeout is how long Discard waits for them. A new connection takes about as long.
+	discardTimeout = 50 * time.Millisecond
+)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -1,6 +1,9 @@
 // Package upstream sends requests to backend servers over its own pool of connections. Each call makes exactly one
 // attempt: no request is sent twice, and every error states whether the server may have run the request.
 //
+// What a server sends is bounded: the head of a response by HeadLimit, interim responses by the same number of bytes together,
+// and what is discarded in bytes and in time. Past a limit the connection is closed and the request has no response.
+//
 // A connection carries one request at a time. Idle connections are checked before they are reused. A response that
 // belongs to another request is read and discarded, so that a late duplicate response is never used for the next
 // request.
@@ -19,13 +22,11 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -58,6 +59,8 @@
 	// maxInlineBody is the maximum size of a body that is written before the response is read, in bytes. It fits
 	// into the TCP window of any link. Longer bodies are written while the response is read.
 	maxInlineBody = 16 << 10
+	// defaultHeadLimit is the maximum size of the head of a response if the options set none, in bytes.
+	defaultHeadLimit = 16 << 10
 	// maxMismatchedResponses is the maximum number of responses to other requests that are discarded while waiting
 	// for the response to one request.
 	maxMismatchedResponses = 2
@@ -73,6 +76,8 @@
 	Matches func(response *http.Response, id string) bool
 	// MaxIdlePerServer is the maximum number of idle connections to one server.
 	MaxIdlePerServer int
+	// HeadLimit returns the maximum size of the head of a response, in bytes; nil for defaultHeadLimit.
+	HeadLimit func() int64
 	// OnConnect is called for each new connection.
 	OnConnect func()
 	// Dial opens a connection; nil for TCP connections that fail soon if the peer acknowledges nothing.
@@ -136,28 +141,15 @@
 	net.Conn
 	pool    *Pool
 	address member.Address
-	reader  *bufio.Reader
-	writer  *bufio.Writer
-	// received is the number of bytes that have been read from the connection.
-	received *atomic.Int64
+	// source limits what reader reads from the connection.
+	source *boundedReader
+	reader *bufio.Reader
+	writer *bufio.Writer
 	// reusableUntil is the time after which the connection must not be reused. It is zero for a connection that has
 	// not been idle yet.
 	reusableUntil time.Time
 }
 
-// countingReader counts the bytes that are read.
-type countingReader struct {
-	io.Reader
-	count *atomic.Int64
-}
-
-// Read implements io.Reader.
-func (r countingReader) Read(p []byte) (int, error) {
-	n, err := r.Reader.Read(p)
-	r.count.Add(int64(n))
-	return n, err
-}
-
 // Request is a request that Send sends once.
 type Request struct {
 	Address member.Address
@@ -203,11 +195,11 @@
 	} else {
 		go func() { response.writeResult <- c.write(request) }()
 	}
-	before := c.received.Load()
+	before := c.source.received
 	response.Response, err = c.readMatching(request) //nolint:bodyclose // Response.Close closes it
 	if err != nil {
 		response.Close()
-		return nil, fmt.Errorf("%w: %w after %d bytes", ErrNoResponse, err, c.received.Load()-before)
+		return nil, fmt.Errorf("%w: %w after %d bytes", ErrNoResponse, err, c.source.received-before)
 	}
 	response.keepAlive = keepAliveTimeout(response.Header)
 	return response, nil
@@ -269,10 +261,10 @@
 	if p.options.OnConnect != nil {
 		p.options.OnConnect()
 	}
-	received := new(atomic.Int64)
+	source := newBoundedReader(raw)
 	return &conn{
-		Conn: raw, pool: p, address: address, received: received,
-		reader: bufio.NewReaderSize(countingReader{raw, received}, bufferSize), writer: bufio.NewWriterSize(raw, bufferSize),
+		Conn: raw, pool: p, address: address, source: source,
+		reader: bufio.NewReaderSize(source, bufferSize), writer: bufio.NewWriterSize(raw, bufferSize),
 	}, nil
 }
 
@@ -384,20 +376,53 @@
 	return nil, errors.New("too many responses to other requests")
 }
 
-// readFinal reads responses until one is not interim (RFC 9110, section 15.2).
+// errTooManyInterim reports interim responses whose heads together are longer than the limit of a head.
+var errTooManyInterim = errors.New("interim responses are too long")
+
+// errSwitching reports a switch of protocols, which no request asks for.
+var errSwitching = errors.New("server switches protocols")
+
+// readFinal reads responses until one is not interim (RFC 9110, section 15.2). The head of each response and the interim
+// responses together have at most the bytes of the pool's limit.
 func (c *conn) readFinal(request *Request) (*http.Response, error) {
-	for {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
+	limit := c.pool.headLimit()
+	for interim := int64(0); ; {
+		before := c.consumed()
+		response, err := c.readHead(request, limit)
 		if err != nil {
 			return nil, err
 		}
 		if request.OnResponse != nil {
 			request.OnResponse(response, c.isOpen)
 		}
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+		switch {
+		case response.StatusCode == http.StatusSwitchingProtocols:
+			return nil, errSwitching
+		case response.StatusCode >= http.StatusOK:
 			return response, nil
 		}
+		if interim += c.consumed() - before; interim > limit {
+			return nil, errTooManyInterim
+		}
+	}
+}
+
+// readHead reads one response up to the end of its head, which may have limit bytes.
+func (c *conn) readHead(request *Request, limit int64) (*http.Response, error) {
+	c.source.limit(limit)
+	defer c.source.unlimit()
+	return http.ReadResponse(c.reader, &http.Request{Method: request.Method})
+}
+
+// consumed returns the number of bytes of the connection that have been taken from the reader.
+func (c *conn) consumed() int64 { return c.source.received - int64(c.reader.Buffered()) }
+
+// headLimit returns the maximum size of the head of a response, in bytes.
+func (p *Pool) headLimit() int64 {
+	if p.options.HeadLimit == nil {
+		return defaultHeadLimit
 	}
+	return p.options.HeadLimit()
 }
 
 // keepAliveTimeout returns four fifths of the timeout in the Keep-Alive header, or defaultIdleTimeout if there is none.
