fix(direct): count what is kept of responses as held

Change: both grow in a heldBuffer, whose bytes beyond 4 KiB count toward the bytes that a box may hold, a quarter of its memory. Past it a body is forwarded without being kept for a repeat, and an event counts as too long. An event is searched for its end in its new bytes only.

Events of a few hundred bytes pass when nothing more may be held.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -218,22 +218,22 @@
 	s.metrics.ttfb.WithLabelValues(x.route.Name).Observe(x.ttfb.Seconds())
 }
 
-// responseBufferSize is the number of bytes of a response that are buffered before any of it is forwarded. A
-// response that fails within them can still be retried.
+// responseBufferSize is the number of bytes of a response that are buffered before any of it is forwarded, unless the box
+// holds too many bytes. A response that fails within them can still be retried.
 const responseBufferSize = 64 << 10
 
 // forwardBody forwards a response that is not an event stream.
 func (s *CallerServer) forwardBody(x *exchange, a *attempt, resp *upstream.Response) (outcome, error) {
 	a.reservation.Started(s.clock.Now())
-	buffer := make([]byte, 0, min(responseBufferSize, max(512, int(resp.ContentLength)+1)))
+	buffer := &heldBuffer{held: s.held}
+	defer buffer.release()
+	if length := resp.ContentLength; length >= 0 && length < minHeldBuffer {
+		// The free byte lets the end of the body be read.
+		buffer.data = make([]byte, 0, length+1)
+	}
 	var err error
-	for err == nil && len(buffer) < responseBufferSize {
-		if len(buffer) == cap(buffer) {
-			buffer = slices.Grow(buffer, len(buffer))
-		}
-		var n int
-		n, err = resp.Read(buffer[len(buffer):cap(buffer)])
-		buffer = buffer[:len(buffer)+n]
+	for err == nil && buffer.grow(responseBufferSize) {
+		_, err = buffer.read(resp)
 		x.group.noteProgress(a, s.clock.Now())
 	}
 	if err != nil && !errors.Is(err, io.EOF) {
@@ -245,12 +245,12 @@
 	a.delivered = true
 	s.forwardHeader(x, resp)
 	if err == nil {
-		return s.forwardLongBody(x, a, resp, buffer)
+		return s.forwardLongBody(x, a, resp, buffer.data)
 	}
 	s.recordResponse(x, a, resp)
 	// The server is free, whether or not the caller reads the response.
 	s.finishAttempt(x, a, resultOf(resp), nil)
-	if _, writeErr := x.writer.Write(buffer); writeErr != nil {
+	if _, writeErr := x.writer.Write(buffer.data); writeErr != nil {
 		return outcomeCallerGone, writeErr
 	}
 	return outcomeDone, nil
--- a/internal/direct/stream.go
+++ b/internal/direct/stream.go
@@ -14,7 +14,7 @@
 // maxEventBytes limits the size of one event, in bytes.
 const maxEventBytes = 1 << 20
 
-// errEventTooLong reports an event of more than maxEventBytes bytes.
+// errEventTooLong reports an event that is longer than maxEventBytes, or than the box may hold.
 var errEventTooLong = errors.New("event is too long")
 
 // errPartialEvent reports a stream that ended in the middle of an event.
@@ -23,49 +23,63 @@
 // eventReader splits a stream of server-sent events (WHATWG HTML) into complete events.
 type eventReader struct {
 	source io.Reader
-	buffer []byte
+	buffer heldBuffer
 	// consumed is the number of bytes of the buffer that have been returned.
 	consumed int
 }
 
+// newEventReader returns a reader of the events of a stream. release must be called once it is not used any more.
+func newEventReader(source io.Reader, held *heldBytes) *eventReader {
+	return &eventReader{source: source, buffer: heldBuffer{held: held}}
+}
+
+// release frees what the reader holds.
+func (r *eventReader) release() { r.buffer.release() }
+
 // next returns all complete events that have arrived, at least one, and the ID of the last of them. At the end
-// of the stream it returns io.EOF, or errPartialEvent if an incomplete event remains.
+// of the stream it returns io.EOF, or errPartialEvent if an incomplete event remains. It returns errEventTooLong for an event
+// that is longer than maxEventBytes, or for which the box holds too many bytes.
 func (r *eventReader) next() (events []byte, id string, err error) {
-	r.buffer = append(r.buffer[:0], r.buffer[r.consumed:]...)
+	b := &r.buffer
+	b.data = append(b.data[:0], b.data[r.consumed:]...)
 	r.consumed = 0
-	for {
-		if end := lastEventEnd(r.buffer); end > 0 {
+	for searched := 0; ; {
+		if end := lastEventEnd(b.data, searched); end > 0 {
 			r.consumed = end
-			return r.buffer[:end], lastID(r.buffer[:end]), nil
-		}
-		if len(r.buffer) > maxEventBytes {
-			return nil, "", errEventTooLong
+			return b.data[:end], lastID(b.data[:end]), nil
 		}
+		searched = len(b.data)
 		if err != nil {
-			if errors.Is(err, io.EOF) && len(r.buffer) > 0 {
+			if errors.Is(err, io.EOF) && len(b.data) > 0 {
 				err = errPartialEvent
 			}
 			return nil, "", err
 		}
-		if cap(r.buffer)-len(r.buffer) < 1024 {
-			grown := make([]byte, len(r.buffer), 2*cap(r.buffer)+4096)
-			copy(grown, r.buffer)
-			r.buffer = grown
+		if !b.grow(maxEventBytes) {
+			return nil, "", errEventTooLong
 		}
-		var n int
-		n, err = r.source.Read(r.buffer[len(r.buffer):cap(r.buffer)])
-		r.buffer = r.buffer[:len(r.buffer)+n]
+		_, err = b.read(r.source)
 	}
 }
 
-// lastEventEnd returns the offset of the end of the last complete event; 0 if there is none.
-func lastEventEnd(buffer []byte) int {
+// The ends of events. longestEventEnd is the length of the longest.
+var (
+	eventEnd     = []byte("\n\n")
+	eventEndCRLF = []byte("\r\n\r\n")
+)
+
+const longestEventEnd = 4
+
+// lastEventEnd returns the offset of the end of the last complete event; 0 if there is none. The first searched bytes contain no
+// end of an event.
+func lastEventEnd(buffer []byte, searched int) int {
+	from := max(0, searched-longestEventEnd+1)
 	end := 0
-	if at := bytes.LastIndex(buffer, []byte("\n\n")); at >= 0 {
-		end = at + 2
+	if at := bytes.LastIndex(buffer[from:], eventEnd); at >= 0 {
+		end = from + at + len(eventEnd)
 	}
-	if at := bytes.LastIndex(buffer, []byte("\r\n\r\n")); at >= 0 {
-		end = max(end, at+4)
+	if at := bytes.LastIndex(buffer[from:], eventEndCRLF); at >= 0 {
+		end = max(end, from+at+len(eventEndCRLF))
 	}
 	return end
 }
@@ -86,7 +100,8 @@
 // last forwarded event.
 func (s *CallerServer) forwardStream(x *exchange, a *attempt, resp *upstream.Response) (outcome, error) {
 	reservation := a.reservation
-	reader := &eventReader{source: resp}
+	reader := newEventReader(resp, s.held)
+	defer reader.release()
 	succeeded := false
 	// The headers are forwarded with the first event, so that a server that sends no event can still be
 	// replaced.
--- a/internal/direct/stream_test.go
+++ b/internal/direct/stream_test.go
@@ -21,7 +21,7 @@
 		}
 		complete := bytes.Clone(stream.Bytes())
 		length := rapid.IntRange(0, len(complete)).Draw(t, "cut")
-		reader := &eventReader{source: iotest.OneByteReader(bytes.NewReader(complete[:length]))}
+		reader := newEventReader(iotest.OneByteReader(bytes.NewReader(complete[:length])), newTestHeldBytes(1<<30))
 		var forwarded []byte
 		last := ""
 		for {
@@ -49,9 +49,45 @@
 }
 
 func TestOversizedEventIsRejected(t *testing.T) {
-	reader := &eventReader{source: io.LimitReader(endlessReader{}, 4*maxEventBytes)}
+	held := newTestHeldBytes(1 << 30)
+	reader := newEventReader(io.LimitReader(endlessReader{}, 4*maxEventBytes), held)
 	_, _, err := reader.next()
 	require.ErrorIs(t, err, errEventTooLong)
+	require.Positive(t, held.used.Load())
+	reader.release()
+	require.Zero(t, held.used.Load())
+}
+
+// Guards against events without an end of several servers together taking more memory than a box may hold.
+func TestOversizedEventsTogetherAreBounded(t *testing.T) {
+	const limit = 100 << 10
+	held := newTestHeldBytes(limit)
+	for range 20 {
+		reader := newEventReader(endlessReader{}, held)
+		defer reader.release()
+		_, _, err := reader.next()
+		require.ErrorIs(t, err, errEventTooLong)
+		require.LessOrEqual(t, held.used.Load(), int64(limit))
+		require.LessOrEqual(t, cap(reader.buffer.data), limit+minHeldBuffer)
+	}
+	event := []byte("id: 1\ndata: x\n\n")
+	reader := newEventReader(bytes.NewReader(event), held)
+	events, _, err := reader.next()
+	require.NoError(t, err, "a usual event passes even then")
+	require.Equal(t, event, events)
+}
+
+// Guards against a body whose first part is kept for a repeat taking more memory than a box may hold.
+func TestHeldBufferGrowsWithinTheLimits(t *testing.T) {
+	held := newTestHeldBytes(20 << 10)
+	buffer := &heldBuffer{held: held}
+	for buffer.grow(responseBufferSize) {
+		_, _ = buffer.read(endlessReader{})
+	}
+	require.Len(t, buffer.data, 16<<10, "the next size would be over the limit")
+	require.EqualValues(t, len(buffer.data)-minHeldBuffer, held.used.Load())
+	buffer.release()
+	require.Zero(t, held.used.Load())
 }
 
 type endlessReader struct{}
