fix(direct): bound the time of a body that a caller does not send, and of a response that it does not read

Cause: nothing ended the reading of a request's body but its caller, and a response of more than 64 KiB waited without a bound for a caller that reads nothing (seen in the review, not run there): each holds its bytes, the latter its server too.

Change: a body has the time of its request, from its arrival; after it the caller gets 408, as the request has not run. A response whose caller reads nothing for 10 s (unreadTimeout, until now applied only at its end) is cut.

--- a/internal/direct/endless_test.go
+++ b/internal/direct/endless_test.go
@@ -1,9 +1,12 @@
 package direct_test
 
 import (
+	"bufio"
 	"io"
+	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -80,3 +83,29 @@
 		})
 	}
 }
+
+// Guards against a caller that never sends the rest of its body holding a part of the box's memory for good.
+func TestRequestWhoseBodyDoesNotEndGetsAnAnswerInTime(t *testing.T) {
+	w := newTestDeployment(t)
+	t.Cleanup(w.close)
+	require.NoError(t, w.cmdPlatform([]string{"plain=1"}))
+	require.NoError(t, w.cmdEntry([]string{"entry-1"}))
+	require.NoError(t, w.cmdAwait([]string{"ready", "entry-1"}))
+	for name, framing := range map[string]string{"length": "Content-Length: 100\r\n\r\npart", "chunks": "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			var dialer net.Dialer
+			conn, err := dialer.DialContext(t.Context(), "tcp", w.settingsByName["entry-1"].Listen.Callers)
+			require.NoError(t, err)
+			defer func() { _ = conn.Close() }()
+			require.NoError(t, conn.SetReadDeadline(time.Now().Add(waitTimeout)))
+			_, err = io.WriteString(conn, "POST /once/1 HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: late-"+name+
+				"\r\nX-Deadline-Ms: 300\r\nAuthorization: Bearer key-1\r\n"+framing)
+			require.NoError(t, err)
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			require.NoError(t, err)
+			require.NoError(t, response.Body.Close())
+			require.Equal(t, http.StatusRequestTimeout, response.StatusCode)
+			require.NoError(t, w.cmdCheckRuns([]string{"late-" + name, "0"}))
+		})
+	}
+}
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -245,9 +246,16 @@
 		return x.request.ContentLength <= limit
 	})
 	reader := http.MaxBytesReader(x.writer, x.request.Body, limit)
+	control := http.NewResponseController(x.writer)
+	// An error means that the connection is closed, which reading shows.
+	_ = control.SetReadDeadline(time.Now().Add(x.bodyTimeout() - s.clock.Since(x.arrived)))
 	err := s.readHeldBody(x, reader, limit)
 	var tooLong *http.MaxBytesError
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		x.writer.Header().Set("Connection", "close")
+		s.reject(x, http.StatusRequestTimeout, "body-late")
+		return false
 	case errors.Is(err, errTooManyHeldBytes):
 		s.refuse(x, "memory", refusedRetryAfter)
 		return false
@@ -322,15 +330,29 @@
 }
 
 func (s *CallerServer) setDeadline(x *exchange) {
-	timeout := x.route.Timeout
-	if timeout <= 0 {
-		timeout = x.Deadline
-	}
 	if x.Deadline > 0 {
 		x.sinceFirstTry = s.sinceFirstTry(x)
-		timeout = min(timeout, x.Deadline)
 	}
-	x.deadline = x.arrived.Add(timeout)
+	x.deadline = x.arrived.Add(x.timeout())
+}
+
+// timeout returns the time of the route or of the caller, whichever is shorter; 0 if neither has one.
+func (x *exchange) timeout() time.Duration {
+	if x.route.Timeout <= 0 || x.Deadline > 0 && x.Deadline < x.route.Timeout {
+		return x.Deadline
+	}
+	return x.route.Timeout
+}
+
+// defaultBodyTimeout is how long the body of a request without a deadline may take.
+const defaultBodyTimeout = time.Minute
+
+// bodyTimeout returns how long after its arrival a request may take to send its body.
+func (x *exchange) bodyTimeout() time.Duration {
+	if timeout := x.timeout(); timeout > 0 {
+		return timeout
+	}
+	return defaultBodyTimeout
 }
 
 // refuse responds with status 503, which reports that the request has not run, and a Retry-After header.
--- a/internal/direct/sendbuffer.go
+++ b/internal/direct/sendbuffer.go
@@ -95,17 +95,25 @@
 	}
 }
 
-// add adds a part of the response. It waits while too many bytes are unsent, until the context ends.
+// add adds a part of the response. It waits while too many bytes are unsent, until the context ends or the caller has read
+// nothing for unreadTimeout.
 func (b *sendBuffer) add(ctx context.Context, data []byte) error {
+	if added, err := b.tryAdd(data); added || err != nil {
+		return err
+	}
+	timer := b.clock.NewTimer(unreadTimeout)
+	defer timer.Stop()
 	for {
-		added, err := b.tryAdd(data)
-		if added || err != nil {
-			return err
-		}
 		select {
 		case <-b.progress:
+			timer.Reset(unreadTimeout)
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-timer.Chan():
+			return errUnread
+		}
+		if added, err := b.tryAdd(data); added || err != nil {
+			return err
 		}
 	}
 }
