fix(provider): bound what is read from the services of the platform in agents mode, and check chunk manifests against their descriptor

A chunk manifest was pinned for all boxes as it arrived, though its descriptor states its size and digest.

Change: each call has a limit, past which it fails; heads have 64 KiB as those of callers.

Tests: TestBodiesWithoutEndAreGivenUp (real connections; without the limits get, watch, state end at the deadline of the call, by reading), TestChunkManifestIsCheckedAgainstItsDescriptor. Tests of internal/daemon and internal/scenario pass.

--- a/cmd/cinderslip/client.go
+++ b/cmd/cinderslip/client.go
@@ -67,6 +67,9 @@
 // errNoResponse reports that no complete response to a request was received, so the server may have executed it.
 var errNoResponse = errors.New("no response from the server")
 
+// responseLimit is the maximum size of a response, in bytes.
+const responseLimit = 64 << 20
+
 // call sends a request, with message as its JSON body unless message is nil, and decodes the response into out unless
 // out is nil. A problem document is returned as *problemError with the matching exit code.
 func (c *client) call(ctx context.Context, method, path string, header http.Header, message, out any) error {
@@ -102,7 +105,7 @@
 	if out == nil {
 		return nil
 	}
-	if err := json.NewDecoder(response.Body).Decode(out); err != nil {
+	if err := json.NewDecoder(io.LimitReader(response.Body, responseLimit)).Decode(out); err != nil {
 		return withCode(exitUnavailable, fmt.Errorf("%w: %w", errNoResponse, err))
 	}
 	return nil
@@ -110,7 +113,7 @@
 
 func readProblem(response *http.Response) error {
 	problem := &problemError{}
-	if err := json.NewDecoder(response.Body).Decode(&problem.Problem); err != nil {
+	if err := json.NewDecoder(io.LimitReader(response.Body, responseLimit)).Decode(&problem.Problem); err != nil {
 		problem.Title, problem.Detail = response.Status, "the response is not a problem document"
 	}
 	switch response.StatusCode {
--- a/internal/daemon/backendproxy.go
+++ b/internal/daemon/backendproxy.go
@@ -92,7 +92,7 @@
 		Transport: &http.Transport{
 			DisableCompression: true, DisableKeepAlives: disableKeepAlives,
 			MaxIdleConnsPerHost: backendIdleConns, IdleConnTimeout: idleConnTimeout,
-			DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, MaxResponseHeaderBytes: maxHeaderBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/internal/daemon/callerserver.go
+++ b/internal/daemon/callerserver.go
@@ -29,7 +29,7 @@
 	// attempts that were not executed are not charged to the budget.
 	retryRatio = 0.2
 	retryBurst = 50
-	// maxHeaderBytes is the maximum size of a request's headers, in bytes.
+	// maxHeaderBytes is the maximum size of the headers of a request or of a response, in bytes.
 	maxHeaderBytes = 64 << 10
 	// headerTimeout limits how long a caller may take to send the request headers.
 	headerTimeout = 10 * time.Second
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -105,7 +105,7 @@
 func newPlatformClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		MaxIdleConnsPerHost: platformIdleConns, IdleConnTimeout: idleConnTimeout, DisableCompression: true,
-		DialContext: upstream.NewDialer(dialTimeout).DialContext,
+		DialContext: upstream.NewDialer(dialTimeout).DialContext, MaxResponseHeaderBytes: maxHeaderBytes,
 	}}
 }
 
--- a/internal/provider/boxlist.go
+++ b/internal/provider/boxlist.go
@@ -53,7 +53,7 @@
 func NewBoxList(url string, client *http.Client) BoxList {
 	registry := &registryClient{base: url, client: client}
 	return BoxList{List: func(ctx context.Context) ([]ListedBox, error) {
-		content, err := registry.get(ctx, "", nil)
+		content, err := registry.get(ctx, "", nil, listLimit)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/provider/engine.go
+++ b/internal/provider/engine.go
@@ -132,6 +132,9 @@
 	return response.Body.Close()
 }
 
+// engineStateLimit is the maximum size of the state of an engine, in bytes.
+const engineStateLimit = 1 << 20
+
 func (c *engineClient) state(ctx context.Context) (EngineState, error) {
 	response, err := c.send(ctx, http.MethodGet, "/state", http.NoBody)
 	if err != nil {
@@ -139,7 +142,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	var state EngineState
-	if err := json.NewDecoder(response.Body).Decode(&state); err != nil {
+	if err := json.NewDecoder(io.LimitReader(response.Body, engineStateLimit)).Decode(&state); err != nil {
 		return EngineState{}, fmt.Errorf("reading engine state: %w: %w", ErrUnavailable, err)
 	}
 	return state, nil
--- a/internal/provider/keyvalue.go
+++ b/internal/provider/keyvalue.go
@@ -79,6 +79,10 @@
 	}
 }
 
+// keyValueLimit is the maximum size of the response to a call, or to a watch until its first event, in bytes. The JSON decoder
+// reports a longer one as incomplete.
+const keyValueLimit = 16 << 20
+
 type etcdClient struct {
 	base   string
 	client *http.Client
@@ -172,7 +176,7 @@
 		return err
 	}
 	defer func() { _ = body.Close() }()
-	if err := json.NewDecoder(body).Decode(response); err != nil {
+	if err := json.NewDecoder(io.LimitReader(body, keyValueLimit)).Decode(response); err != nil {
 		return fmt.Errorf("reading answer of %s: %w: %w", path, ErrUnavailable, err)
 	}
 	return nil
@@ -233,7 +237,7 @@
 		return err
 	}
 	defer func() { _ = body.Close() }()
-	decoder := json.NewDecoder(body)
+	decoder := json.NewDecoder(io.LimitReader(body, keyValueLimit))
 	for {
 		var response etcdWatchResponse
 		if err := decoder.Decode(&response); err != nil {
--- a/internal/provider/weights.go
+++ b/internal/provider/weights.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -9,6 +11,7 @@
 	"net/http"
 
 	"github.com/cinderslip/cinderslip/pkg/table"
+	"github.com/cinderslip/cinderslip/pkg/weights"
 )
 
 // MediaTypeChunks is the media type of the config blob in the OCI artifact of a version. The blob holds the chunk
@@ -21,8 +24,12 @@
 // ErrRateLimited reports a request that the weight source rejected because of its rate limit. It may be retried later.
 var ErrRateLimited = errors.New("source limits its rate")
 
-// manifestLimit is the maximum number of bytes read from a response, and so the maximum size of a chunk manifest.
-const manifestLimit = 64 << 20
+const (
+	// listLimit is the maximum size of a list of versions or boxes, and of the OCI manifest of a version, in bytes.
+	listLimit = 4 << 20
+	// manifestLimit is the maximum size of a chunk manifest, in bytes.
+	manifestLimit = 64 << 20
+)
 
 // WeightSource is a weight store or an origin.
 type WeightSource struct {
@@ -70,7 +77,8 @@
 	Tags []string `json:"tags"`
 }
 
-func (c *registryClient) get(ctx context.Context, path string, header http.Header) ([]byte, error) {
+// get reads a response of at most limit bytes. A longer one is an error.
+func (c *registryClient) get(ctx context.Context, path string, header http.Header, limit int64) ([]byte, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, http.NoBody)
 	if err != nil {
 		return nil, fmt.Errorf("reading %s: %w", path, err)
@@ -86,13 +94,19 @@
 	if err := checkStatus(response.StatusCode); err != nil {
 		return nil, fmt.Errorf("reading %s: %w", path, err)
 	}
-	content, err := io.ReadAll(io.LimitReader(response.Body, manifestLimit))
+	content, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	if err == nil && int64(len(content)) > limit {
+		err = errTooLong
+	}
 	if err != nil {
 		return nil, fmt.Errorf("reading %s: %w: %w", path, ErrUnavailable, err)
 	}
 	return content, nil
 }
 
+// errTooLong reports a response that is longer than the call allows.
+var errTooLong = errors.New("response is too long")
+
 func checkStatus(status int) error {
 	switch status {
 	case http.StatusOK, http.StatusPartialContent:
@@ -106,7 +120,7 @@
 }
 
 func (c *registryClient) versions(ctx context.Context, model table.Model) ([]table.ModelVersion, error) {
-	content, err := c.get(ctx, "/v2/"+string(model)+"/tags/list", nil)
+	content, err := c.get(ctx, "/v2/"+string(model)+"/tags/list", nil, listLimit)
 	if err != nil {
 		return nil, err
 	}
@@ -122,7 +136,7 @@
 }
 
 func (c *registryClient) manifest(ctx context.Context, model table.Model, version table.ModelVersion) ([]byte, error) {
-	content, err := c.get(ctx, "/v2/"+string(model)+"/manifests/"+string(version), nil)
+	content, err := c.get(ctx, "/v2/"+string(model)+"/manifests/"+string(version), nil, listLimit)
 	if err != nil {
 		return nil, err
 	}
@@ -133,10 +147,29 @@
 	if manifest.Config.MediaType != MediaTypeChunks {
 		return nil, fmt.Errorf("%s %s has config %q, want %q: %w", model, version, manifest.Config.MediaType, MediaTypeChunks, ErrNotPublished)
 	}
-	return c.get(ctx, "/v2/"+string(model)+"/blobs/"+manifest.Config.Digest, nil)
+	return c.chunkManifest(ctx, model, manifest.Config)
+}
+
+// chunkManifest reads a chunk manifest and checks it against the size and the SHA-256 digest of its descriptor.
+func (c *registryClient) chunkManifest(ctx context.Context, model table.Model, config OCIDescriptor) ([]byte, error) {
+	if config.Size <= 0 || config.Size > manifestLimit {
+		return nil, fmt.Errorf("chunk manifest of %s has %d bytes, want 1 to %d: %w", model, config.Size, manifestLimit, weights.ErrInvalidManifest)
+	}
+	content, err := c.get(ctx, "/v2/"+string(model)+"/blobs/"+config.Digest, nil, config.Size)
+	if err != nil {
+		return nil, err
+	}
+	sum := sha256.Sum256(content)
+	if int64(len(content)) != config.Size || ociSHA256+hex.EncodeToString(sum[:]) != config.Digest {
+		return nil, fmt.Errorf("chunk manifest of %s, %.80s: %w: %w", model, config.Digest, ErrUnavailable, weights.ErrDigestMismatch)
+	}
+	return content, nil
 }
 
+// ociSHA256 is the prefix of a SHA-256 digest in a descriptor.
+const ociSHA256 = "sha256:"
+
 func (c *registryClient) blobRange(ctx context.Context, model table.Model, blob string, offset, size int64) ([]byte, error) {
 	header := http.Header{"Range": []string{fmt.Sprintf("bytes=%d-%d", offset, offset+size-1)}}
-	return c.get(ctx, "/v2/"+string(model)+"/blobs/"+blob, header)
+	return c.get(ctx, "/v2/"+string(model)+"/blobs/"+blob, header, size)
 }
