test(soak): let servers and the origin send without an end, spoil manifests, and watch the memory of all processes

Change: servers answer callers and agents, and the origin answers agents, with bytes without an end of all kinds, in windows that overlap; manifests are spoilt in all ways, up to four in a row the same. A process of over 150 MB is a finding. Choices come from a random source of their own, so that seeds keep their other faults. A 408 has a Retry-After.

--- a/internal/direct/endless_test.go
+++ b/internal/direct/endless_test.go
@@ -44,7 +44,7 @@
 			switch kind {
 			case standin.EndlessAfterAnswer:
 				require.NoError(t, err)
-				require.Equal(t, "ok", string(body))
+				require.Equal(t, "answer to endless-after-answer", string(body))
 			case standin.EndlessBody, standin.EndlessChunks, standin.EndlessEvent:
 				require.Error(t, err, "a part of a body does not appear complete")
 			default:
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -254,6 +254,7 @@
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		x.writer.Header().Set("Connection", "close")
+		x.writer.Header().Set("Retry-After", "0")
 		s.reject(x, http.StatusRequestTimeout, "body-late")
 		return false
 	case errors.Is(err, errTooManyHeldBytes):
@@ -396,7 +397,7 @@
 	x.writer.WriteHeader(http.StatusServiceUnavailable)
 }
 
-// reject responds with a status that callers do not retry: 400, 401, 404 or 413.
+// reject responds with a status that callers do not retry, 400, 401, 404 or 413, or with 408 if the request did not arrive in time.
 func (s *CallerServer) reject(x *exchange, status int, reason string) {
 	x.writer.Header().Set("Content-Length", "0")
 	x.writer.WriteHeader(status)
--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -60,6 +60,8 @@
 	// restoreRand chooses the backups from which the store is restored. It is separate so that the restores do not
 	// change which other faults a seed chooses.
 	restoreRand *rand.Rand
+	// endlessRand chooses responses without an end and spoilt manifests. It is separate for the same reason.
+	endlessRand *rand.Rand
 	index       int
 
 	store           *standin.Store
@@ -106,6 +108,7 @@
 		removalRand: rand.New(rand.NewPCG(seed, seed+4)), //nolint:gosec // repeatable on purpose
 		silenceRand: rand.New(rand.NewPCG(seed, seed+5)), //nolint:gosec // repeatable on purpose
 		restoreRand: rand.New(rand.NewPCG(seed, seed+6)), //nolint:gosec // repeatable on purpose
+		endlessRand: rand.New(rand.NewPCG(seed, seed+7)), //nolint:gosec // repeatable on purpose
 		store:       standin.NewStore(), origin: standin.NewOrigin(chunkCount, chunkSize), newestVersion: 1, nextConfig: 1,
 	}
 	t.Cleanup(w.close)
@@ -200,7 +203,7 @@
 func (d *testDeployment) commonSettings(seeds string) []string {
 	return []string{
 		"[peers]", seeds, "[direct]", fmt.Sprintf("store = %q", d.storeProxy.address()), fmt.Sprintf("agent_port = %d", portAgents),
-		"memory_limit_megabytes = 150", "link_mbps = 100.0", `version_bound = "8s"`, fmt.Sprintf("retry_ratio = %v", retryBound.Ratio), fmt.Sprintf("retry_extra = %v", retryBound.Extra),
+		fmt.Sprintf("memory_limit_megabytes = %d", memoryLimit), "link_mbps = 100.0", `version_bound = "8s"`, fmt.Sprintf("retry_ratio = %v", retryBound.Ratio), fmt.Sprintf("retry_extra = %v", retryBound.Extra),
 		fmt.Sprintf("retry_window = %q", retryBound.Window),
 		fmt.Sprintf("cold_rate_factor = %v", coldAllowance.Factor), fmt.Sprintf("cold_rate_extra = %.1f", coldAllowance.Extra),
 	}
--- a/internal/soak/load_test.go
+++ b/internal/soak/load_test.go
@@ -207,6 +207,8 @@
 		want = bulkBody
 	}
 	switch {
+	case err != nil && standin.IsEndlessBody(body):
+		l.count("body without an end, cut")
 	case err != nil && !strings.HasPrefix(want, body):
 		l.problem("request %s: truncated response %q is not a prefix of %q", id, body, want)
 	case err == nil && body != want:
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -106,6 +106,7 @@
 	load := newLoad(d)
 	lists := watchServerLists(d)
 	keys := watchKeys(load)
+	memory := watchMemory(d)
 	load.awaitServing(t)
 	load.run(*callerCount)
 	load.runBulk()
@@ -127,12 +128,14 @@
 	load.awaitRestored(t, backup)
 	keys.stop()
 	lists.stop()
+	memory.stop()
 	findings := load.findings()
 	findings = append(findings, load.cutFindings()...)
 	findings = append(findings, load.budgetFindings()...)
 	findings = append(findings, load.retryFindings()...)
 	findings = append(findings, lists.findings...)
 	findings = append(findings, keys.findings...)
+	findings = append(findings, memory.findings...)
 	findings = append(findings, load.departureFindings(lists.departures)...)
 	findings = append(findings, load.signalFindings()...)
 	findings = append(findings, load.limitFindings()...)
@@ -148,7 +151,7 @@
 	for _, finding := range findings {
 		t.Error(finding)
 	}
-	t.Logf("%s", load.summary())
+	t.Logf("%s; at most %.0f MB of memory", load.summary(), memory.most)
 	if t.Failed() {
 		d.saveLogs(seed)
 	}
@@ -202,7 +205,10 @@
 	}
 	for _, s := range d.allServers() {
 		s.SetSilence(standin.Silence{})
+		s.SetEndless("")
+		s.SetEndlessCalls("")
 	}
+	d.origin.EndlessNext(0)
 	for _, p := range d.processes() {
 		p.signal(syscall.SIGCONT)
 	}
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -102,7 +102,7 @@
 		require.NoError(t, err)
 		body, err := io.ReadAll(response)
 		require.NoError(t, err)
-		require.Equal(t, "ok", string(body))
+		require.Equal(t, "answer to "+id, string(body))
 		response.Close()
 		time.Sleep(20 * time.Millisecond)
 	}
