fix(direct): do not take a body for complete whose server crashed as it ended

Cause: the end of the connection was the end of a body without a length, whether its server still runs or not; only streams asked (hasExitedUnannounced).

Change: such a body is complete only if its server still listens, as for streams; else it is broken off: sent again where it may be, answered with 502 or cut.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -236,6 +236,7 @@
 		_, err = buffer.read(resp)
 		x.group.noteProgress(a, s.clock.Now())
 	}
+	err = s.checkEnd(a.reservation, resp, err)
 	if err != nil && !errors.Is(err, io.EOF) {
 		return s.bodyFailed(x, a, a.withCause(err))
 	}
@@ -266,6 +267,7 @@
 			return outcomeCallerGone, err
 		}
 		n, err := resp.Read(buffer[:cap(buffer)])
+		err = s.checkEnd(a.reservation, resp, err)
 		part = buffer[:n]
 		switch {
 		case errors.Is(err, io.EOF):
--- a/internal/direct/stream.go
+++ b/internal/direct/stream.go
@@ -107,9 +107,7 @@
 	// replaced.
 	for {
 		events, id, err := reader.next()
-		if errors.Is(err, io.EOF) && !resp.IsSelfDelimited() && s.hasExitedUnannounced(reservation) {
-			err = io.ErrUnexpectedEOF
-		}
+		err = s.checkEnd(reservation, resp, err)
 		if err != nil && !errors.Is(err, io.EOF) {
 			return s.streamFailed(x, a, a.withCause(err))
 		}
@@ -142,8 +140,16 @@
 	}
 }
 
-// hasExitedUnannounced reports whether the server of a stream that ended with its connection, after a complete event, has
-// exited. Such a stream may lack events.
+// checkEnd returns io.ErrUnexpectedEOF instead of io.EOF for a response that ended with its connection if its server has exited
+// without announcing it. Such a response may lack a part.
+func (s *CallerServer) checkEnd(reservation *route.Reservation, resp *upstream.Response, err error) error {
+	if errors.Is(err, io.EOF) && !resp.IsSelfDelimited() && s.hasExitedUnannounced(reservation) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// hasExitedUnannounced reports whether the server of a response has exited without announcing its departure.
 func (s *CallerServer) hasExitedUnannounced(reservation *route.Reservation) bool {
 	return !reservation.IsLeaving() && reservation.IsListed() && s.startExitProbe(reservation).hasExited()
 }
