fix(direct): do not take a stream for complete whose server ended as planned while it sent it

Cause: a server that has said that it leaves, or is not listed any more, was not asked whether it still listens.

Change: each response that ends with its connection asks, whatever the server has said.

--- a/internal/direct/endofbody_test.go
+++ b/internal/direct/endofbody_test.go
@@ -62,3 +62,26 @@
 		})
 	}
 }
+
+// Guards against a stream that ends with the connection of a server that ends as planned appearing complete without its last
+// events.
+func TestStreamThatEndsWithAPlannedEndIsNotComplete(t *testing.T) {
+	w := newTestDeployment(t)
+	t.Cleanup(w.close)
+	require.NoError(t, w.cmdPlatform([]string{"models=2"}))
+	require.NoError(t, w.cmdEntry([]string{"entry-1"}))
+	require.NoError(t, w.cmdAgent([]string{"model-1", "model-2"}))
+	require.NoError(t, w.cmdAwait([]string{"stream", "entry-1"}))
+	for _, s := range w.servers {
+		s.SetEndsWithConnection(true)
+		s.SetEventInterval(100 * time.Millisecond)
+	}
+	require.NoError(t, w.cmdStartStream([]string{"entry-1", "planned"}))
+	for _, s := range w.servers {
+		if s.Runs()["planned"] > 0 {
+			w.putEntry(s, true)
+		}
+	}
+	require.True(t, w.killDuring("planned", 350*time.Millisecond))
+	require.NoError(t, w.cmdAwaitStream([]string{"planned"}))
+}
--- a/internal/direct/stream.go
+++ b/internal/direct/stream.go
@@ -140,20 +140,15 @@
 	}
 }
 
-// checkEnd returns io.ErrUnexpectedEOF instead of io.EOF for a response that ended with its connection if its server has exited
-// without announcing it. Such a response may lack a part.
+// checkEnd returns io.ErrUnexpectedEOF instead of io.EOF for a response that ended with its connection if its server has exited.
+// Such a response may lack a part, whether the server had announced its departure or not.
 func (s *CallerServer) checkEnd(reservation *route.Reservation, resp *upstream.Response, err error) error {
-	if errors.Is(err, io.EOF) && !resp.IsSelfDelimited() && s.hasExitedUnannounced(reservation) {
+	if errors.Is(err, io.EOF) && !resp.IsSelfDelimited() && s.startExitProbe(reservation).hasExited() {
 		return io.ErrUnexpectedEOF
 	}
 	return err
 }
 
-// hasExitedUnannounced reports whether the server of a response has exited without announcing its departure.
-func (s *CallerServer) hasExitedUnannounced(reservation *route.Reservation) bool {
-	return !reservation.IsLeaving() && reservation.IsListed() && s.startExitProbe(reservation).hasExited()
-}
-
 // finishStream ends a complete stream, which the attempt must have claimed.
 func (s *CallerServer) finishStream(x *exchange, a *attempt, resp *upstream.Response) (outcome, error) {
 	if !x.started {
