fix(direct): verify staged weights again if the order comes late

Cause: staged chunks count as verified when they were read; an agent that stood still between the verification and the order gave the order as it went on.

Change: right before the order the age of the oldest verification is looked at; over 2.5 s the chunks are verified again, at most three times. What remains: a pause between this look and the order itself.

--- a/internal/direct/silentserver_test.go
+++ b/internal/direct/silentserver_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/cinderslip/cinderslip/internal/provider"
 	"github.com/cinderslip/cinderslip/pkg/fleet"
+	"github.com/cinderslip/cinderslip/pkg/weights"
 )
 
 // loadingServer is a model server that loads version 2 within loadTime of its order. It does not respond from silentFrom
@@ -124,3 +125,58 @@
 	}
 	require.True(t, isDisconnect(&net.OpError{Op: "read", Err: os.NewSyscallError("read", syscall.ECONNRESET)}))
 }
+
+// rottingServer is a model server whose agent pauses for pauseFor while it reads the last staged chunk for the first time. Chunk 0
+// turns bad meanwhile.
+type rottingServer struct {
+	loadingServer
+	staged   map[int][]byte
+	pauseFor time.Duration
+	// wrong is set if the order came while a chunk was bad.
+	wrong bool
+}
+
+func (s *rottingServer) readStaged(_ context.Context, _ fleet.ModelName, index int, _ int64) ([]byte, error) {
+	data := s.staged[index]
+	if index == len(s.staged)-1 && s.pauseFor > 0 {
+		time.Sleep(s.pauseFor)
+		s.pauseFor, s.staged[0] = 0, []byte("bad")
+	}
+	return data, nil
+}
+
+func (s *rottingServer) stage(_ context.Context, _ fleet.ModelName, index int, data []byte) error {
+	s.staged[index] = data
+	return nil
+}
+
+func (s *rottingServer) load(ctx context.Context, order provider.LoadOrder) error {
+	s.wrong = s.wrong || string(s.staged[0]) == "bad"
+	return s.loadingServer.load(ctx, order)
+}
+
+// Guards against an agent that was paused between the verification of the staged chunks and the order giving the order although
+// chunks have turned bad.
+func TestPausedAgentVerifiesStagedChunksAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		manifest := testManifest(t, "m", 2, 6, manifestChunkSize, -1)
+		server := &rottingServer{staged: make(map[int][]byte), pauseFor: 4 * time.Second}
+		l := &Loader{
+			options: LoaderOptions{
+				Clock: clockwork.NewRealClock(), Log: zerolog.Nop(), Metrics: NewMetrics(),
+				Server: provider.ModelServer{
+					Report: server.report, Load: server.load, Stage: server.stage, ReadStaged: server.readStaged, Leaving: func() bool { return false },
+				},
+			},
+			store: weights.NewMemoryStore(1 << 20), manifests: make(map[publishedVersion]*heldManifest), changed: make(chan struct{}),
+		}
+		l.acceptManifest(publishedVersion{"m", 2}, manifest, true)
+		for index := range manifest.Chunks {
+			require.NoError(t, l.store.Put(manifest, index, testChunk(index)))
+			server.staged[index] = testChunk(index)
+		}
+		require.NoError(t, l.swap(t.Context(), manifestTarget(), 2, true))
+		require.Equal(t, 1, server.orders)
+		require.False(t, server.wrong)
+	})
+}
--- a/internal/direct/versiondownload.go
+++ b/internal/direct/versiondownload.go
@@ -115,25 +115,58 @@
 }
 
 // swap stages a version and orders the server to load it. Staging replaces the chunks that were staged before and
-// does not interrupt requests, so the server is marked as swapping only after it.
+// does not interrupt requests, so the server is marked as swapping only after it. If the order would come too long after the
+// verification of a chunk, for example because the agent was paused, the chunks are verified again.
 func (l *Loader) swap(ctx context.Context, desired *target, version fleet.WeightsVersion, serving bool) error {
 	manifest, err := l.manifest(ctx, desired, version)
 	if err != nil {
 		return err
 	}
-	if err := l.stage(ctx, desired, manifest); err != nil {
-		return fmt.Errorf("staging chunks: %w", err)
-	}
-	l.options.Log.Info().Str("model", string(desired.model)).Uint64("version", uint64(version)).Str("manifest", manifest.Digest().Short()).
-		Int("pieces", len(manifest.Chunks)).Msg("staged pieces verified")
 	defer l.setSwapping(false)
-	if serving {
-		l.setSwapping(true)
-		l.awaitIdle(ctx, swapNotice)
+	for pass := 1; ; pass++ {
+		if err := l.stage(ctx, desired, manifest); err != nil {
+			return fmt.Errorf("staging chunks: %w", err)
+		}
+		if serving && pass == 1 {
+			l.setSwapping(true)
+			l.awaitIdle(ctx, swapNotice)
+		}
+		age := l.verifiedAge(manifest)
+		l.options.Log.Info().Str("model", string(desired.model)).Uint64("version", uint64(version)).Str("manifest", manifest.Digest().Short()).
+			Int("pieces", len(manifest.Chunks)).Dur("oldest_ms", age).Msg("staged pieces verified")
+		if age <= maxVerifiedAge || pass == maxStagePasses {
+			break
+		}
 	}
 	return l.orderSwap(ctx, desired, version, serving)
 }
 
+const (
+	// maxVerifiedAge is how long before the load order a staged chunk may have been verified. Verifying all chunks and
+	// swapNotice take less.
+	maxVerifiedAge = 2500 * time.Millisecond
+	// maxStagePasses limits how often the chunks are verified for one order. A box on which that always takes longer than
+	// maxVerifiedAge is slow, not paused.
+	maxStagePasses = 3
+)
+
+// verifiedAge returns the time since the first of the staged chunks was last verified.
+func (l *Loader) verifiedAge(manifest *weights.Manifest) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	oldest := l.options.Clock.Now()
+	for index := range manifest.Chunks {
+		at := l.verified.at[index]
+		if l.verified.digest != manifest.Digest() {
+			at = time.Time{}
+		}
+		if at.Before(oldest) {
+			oldest = at
+		}
+	}
+	return l.options.Clock.Since(oldest)
+}
+
 // awaitIdle waits until the server is idle, at most for the given duration.
 func (l *Loader) awaitIdle(ctx context.Context, wait time.Duration) {
 	until := l.options.Clock.Now().Add(wait)
