fix(direct): let callers send the headers that the operators allow

Cause: MaxHeaderBytes, HeaderTimeoutMs and IdleTimeoutMs of the configuration were decoded and used nowhere; callers had 16 KiB, 3 s and 15 s whatever the operators allow (seen in the review, not run there), so a proper request with a larger head got 431.

Change: the listener of callers starts another HTTP server as the limits change, for the connections that are opened from then on; requests in progress end, idle connections are closed. No limit is below that of before, and the headers are bounded by the memory of the box.

--- /dev/null
+++ b/internal/direct/callerlistener.go
@@ -0,0 +1,191 @@
+package direct
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/cinderslip/cinderslip/internal/kernel"
+	"github.com/cinderslip/cinderslip/internal/upstream"
+	"github.com/cinderslip/cinderslip/pkg/fleet"
+)
+
+// callerLimits are the limits of what callers may send that the HTTP server enforces.
+type callerLimits struct {
+	headerBytes                int
+	headerTimeout, idleTimeout time.Duration
+}
+
+// defaultCallerLimits are the limits until the operators' limits are known.
+var defaultCallerLimits = callerLimits{maxHeaderBytes, headerTimeout, idleTimeout}
+
+// newCallerLimits returns the operators' limits, none of them below the default. Headers may have maxHeaderBytes at most.
+func newCallerLimits(limits *fleet.Limits, maxHeaderBytes int64) callerLimits {
+	return callerLimits{
+		headerBytes:   max(defaultCallerLimits.headerBytes, int(min(limits.HeaderBytes, maxHeaderBytes))),
+		headerTimeout: max(defaultCallerLimits.headerTimeout, limits.HeaderTimeout),
+		idleTimeout:   max(defaultCallerLimits.idleTimeout, limits.IdleTimeout),
+	}
+}
+
+// callerListener serves HTTP on one address within limits that may change. The limits of an http.Server are fixed, so a change
+// starts another one for the connections that are opened from then on. The server before closes its idle connections, and
+// others after their next response.
+type callerListener struct {
+	handler  http.Handler
+	listener net.Listener
+	log      zerolog.Logger
+	tasks    *kernel.TaskGroup
+
+	mu      sync.Mutex
+	limits  callerLimits
+	current *limitedServer
+	// servers are all servers that may have open connections.
+	servers []*limitedServer
+	// isStopped is set once Stop was called.
+	isStopped bool
+}
+
+// limitedServer is an http.Server whose connections are handed to it.
+type limitedServer struct {
+	*http.Server
+
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+	addr   net.Addr
+}
+
+// Accept implements net.Listener.
+func (s *limitedServer) Accept() (net.Conn, error) {
+	select {
+	case conn := <-s.conns:
+		return conn, nil
+	case <-s.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Addr implements net.Listener.
+func (s *limitedServer) Addr() net.Addr { return s.addr }
+
+// listenerOf is the net.Listener of a limitedServer, whose Close is not that of its http.Server.
+type listenerOf struct{ *limitedServer }
+
+// Close implements net.Listener.
+func (l listenerOf) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+// newCallerListener starts to serve on an address with the default limits.
+func newCallerListener(address string, handler http.Handler, log zerolog.Logger) (*callerListener, error) {
+	listener, err := upstream.Listen(context.Background(), address)
+	if err != nil {
+		return nil, err
+	}
+	l := &callerListener{handler: handler, listener: listener, log: log, tasks: kernel.NewTaskGroup()}
+	l.setLimits(defaultCallerLimits)
+	l.tasks.Go(func(context.Context) { l.accept() })
+	return l, nil
+}
+
+// accept hands each new connection to the current server.
+func (l *callerListener) accept() {
+	for {
+		conn, err := l.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			l.log.Error().Str("service", "callers").Err(err).Msg("accepting a connection failed")
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
+		if !l.hand(conn) {
+			_ = conn.Close()
+		}
+	}
+}
+
+// acceptRetryDelay is the delay after a connection could not be accepted, for example because there are too many.
+const acceptRetryDelay = 5 * time.Millisecond
+
+// hand hands a connection to the current server. It returns false if that has been closed.
+func (l *callerListener) hand(conn net.Conn) bool {
+	l.mu.Lock()
+	server := l.current
+	l.mu.Unlock()
+	select {
+	case server.conns <- conn:
+		return true
+	case <-server.closed:
+		return false
+	}
+}
+
+// setLimits sets the limits of connections that are opened from now on.
+func (l *callerListener) setLimits(limits callerLimits) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.isStopped || l.current != nil && l.limits == limits {
+		return
+	}
+	if before := l.current; before != nil {
+		l.log.Info().Int("header_bytes", limits.headerBytes).Dur("header_timeout_ms", limits.headerTimeout).
+			Dur("idle_timeout_ms", limits.idleTimeout).Msg("limits of callers changed")
+		l.tasks.Go(func(ctx context.Context) { l.retire(ctx, before) })
+	}
+	s := &limitedServer{conns: make(chan net.Conn), closed: make(chan struct{}), addr: l.listener.Addr(), Server: &http.Server{
+		Handler: l.handler, ReadHeaderTimeout: limits.headerTimeout, IdleTimeout: limits.idleTimeout, MaxHeaderBytes: limits.headerBytes,
+	}}
+	l.limits, l.current = limits, s
+	l.servers = append(l.servers, s)
+	l.tasks.Go(func(context.Context) {
+		if err := s.Serve(listenerOf{s}); !errors.Is(err, http.ErrServerClosed) {
+			l.log.Error().Str("service", "callers").Err(err).Msg("HTTP listener failed; no longer accepting connections")
+		}
+	})
+}
+
+// retire ends a server once its requests in progress have ended.
+func (l *callerListener) retire(ctx context.Context, s *limitedServer) {
+	if s.Shutdown(ctx) != nil {
+		// Stop ends the server.
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.servers = slices.DeleteFunc(l.servers, func(other *limitedServer) bool { return other == s })
+}
+
+// Stop waits for the requests in progress. If the context ends first, it closes their connections.
+func (l *callerListener) Stop(ctx context.Context) error {
+	errs := []error{l.listener.Close()}
+	l.mu.Lock()
+	l.isStopped = true
+	servers := slices.Clone(l.servers)
+	l.mu.Unlock()
+	var stopping sync.WaitGroup
+	results := make(chan error, len(servers))
+	for _, s := range servers {
+		stopping.Go(func() {
+			err := s.Shutdown(ctx)
+			if err != nil {
+				err = errors.Join(err, s.Close())
+			}
+			results <- err
+		})
+	}
+	stopping.Wait()
+	for range servers {
+		errs = append(errs, <-results)
+	}
+	return errors.Join(append(errs, l.tasks.Stop(ctx))...)
+}
--- a/internal/direct/callerserver.go
+++ b/internal/direct/callerserver.go
@@ -21,7 +21,7 @@
 )
 
 const (
-	// maxHeaderBytes limits the headers of a caller's request, in bytes. Responses may have more if the operators allow it.
+	// maxHeaderBytes limits the headers of a request and the head of a response, in bytes, unless the operators allow more.
 	maxHeaderBytes = 16 << 10
 	// defaultMaxBodyBytes limits the body of a caller's request, in bytes, if the operators set no limit.
 	defaultMaxBodyBytes = 4 << 20
@@ -67,7 +67,7 @@
 	isLocal      func(member.FailureDomain) bool
 	regionOf     func(member.FailureDomain) member.Region
 	entries      atomic.Pointer[EntryBoxes]
-	service      *httpService
+	listener     *callerListener
 	leaving      atomic.Bool
 	// leavingSince is when the box began to leave. It is set before leaving.
 	leavingSince time.Time
@@ -131,7 +131,7 @@
 	router := newRouter()
 	router.Any("/*", s.serve)
 	var err error
-	if s.service, err = p.serveHTTP("callers", p.settings.Listen.Callers, router, maxHeaderBytes); err != nil {
+	if s.listener, err = newCallerListener(p.settings.Listen.Callers, router, s.log); err != nil {
 		return err
 	}
 	s.suspects.Box, s.suspects.BoxCount = s.box, s.entryBoxCount
@@ -150,16 +150,25 @@
 // headLimit returns the maximum size of the head of a server's response, in bytes. It is that of the operators for callers, as
 // far as the memory of the box allows.
 func (s *CallerServer) headLimit() int64 {
-	limit := int64(maxHeaderBytes)
 	if configuration := s.fleetState.View().Configuration; configuration != nil {
-		limit = max(limit, configuration.Limits.HeaderBytes)
+		return int64(newCallerLimits(&configuration.Limits, s.maxHeadBytes()).headerBytes)
 	}
-	return min(limit, max(maxHeaderBytes, s.held.limit/minHeldHeads))
+	return maxHeaderBytes
 }
 
 // minHeldHeads is how many heads of the maximum size fit into the limit of the bytes that a box holds.
 const minHeldHeads = 16
 
+// maxHeadBytes returns the size up to which a box takes a head, in bytes, whatever the operators allow.
+func (s *CallerServer) maxHeadBytes() int64 { return s.held.limit / minHeldHeads }
+
+// applyLimits applies the operators' limits to connections of callers. Limits that can't be read change nothing.
+func (s *CallerServer) applyLimits(view *fleet.View) {
+	if configuration := view.Configuration; configuration != nil && !configuration.Unreadable.Limits {
+		s.listener.setLimits(newCallerLimits(&configuration.Limits, s.maxHeadBytes()))
+	}
+}
+
 // String returns the service's name.
 func (s *CallerServer) String() string { return "front" }
 
@@ -201,7 +210,7 @@
 
 // Stop finishes the requests in progress.
 func (s *CallerServer) Stop(ctx context.Context) error {
-	err := s.service.Stop(ctx)
+	err := s.listener.Stop(ctx)
 	s.log.Info().Int64("active", s.active.Load()).Msg("stopped serving callers")
 	return errors.Join(err, s.tasks.Stop(ctx))
 }
@@ -318,6 +327,7 @@
 			retriesUpdatedAt = now
 			s.updateRetryAllowance(now)
 		}
+		s.applyLimits(s.fleetState.View())
 		s.mu.Lock()
 		input := s.dispatcherInput()
 		for _, service := range input.view.Services() {
