--- a/internal/direct/fetch.go
+++ b/internal/direct/fetch.go
@@ -420,7 +420,7 @@
 			result := holdingsResult{box: box}
 			response, err := wire.NewDRPCChunksClient(f.loader.options.Peers.Conn(address)).
 				Holdings(callCtx, &wire.HoldingsRequest{Manifest: digest[:]})
-			if err == nil {
+			if err == nil && len(response.Held) <= len(weights.NewBits(len(f.manifest.Chunks))) {
 				result.held, result.responded, result.doubted = response.Held, true, response.Doubted
 			}
 			select {
--- a/internal/direct/manifest.go
+++ b/internal/direct/manifest.go
@@ -316,8 +316,18 @@
 	return manifest, nil
 }
 
+const (
+	// manifestHeadBytes is the maximum size of an encoded manifest without its chunks, and manifestChunkBytes that of a chunk, in
+	// bytes.
+	manifestHeadBytes  = 4 << 10
+	manifestChunkBytes = 256
+)
+
 // checkPeerManifest decodes a manifest of a version that another agent has sent, and checks it.
 func (l *Loader) checkPeerManifest(desired *target, version fleet.WeightsVersion, content []byte) (*weights.Manifest, error) {
+	if limit := manifestHeadBytes + manifestChunkBytes*desired.engine.Chunks; len(content) > limit {
+		return nil, fmt.Errorf("%d bytes, want at most %d: %w", len(content), limit, weights.ErrInvalidManifest)
+	}
 	manifest, err := weights.Parse(content, weights.Digest{})
 	if err != nil {
 		return nil, err
--- a/internal/direct/manifest_test.go
+++ b/internal/direct/manifest_test.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -185,6 +186,7 @@
 		"chunk size":      testManifest(t, "m", 2, 6, manifestChunkSize+1, -1).Raw(),
 		"version":         testManifest(t, "m", 3, 6, manifestChunkSize, -1).Raw(),
 		"model":           testManifest(t, "n", 2, 6, manifestChunkSize, -1).Raw(),
+		"long":            append(bytes.Repeat([]byte(" "), manifestHeadBytes+manifestChunkBytes*testManifestChunks), right.Raw()...),
 		"cut":             right.Raw()[:len(right.Raw())/2],
 		"other hash":      []byte(`{"model":"m","version":"2","files":[{"path":"m","size":1024}],"chunks":[{"size":1024}]}`),
 	}
