--- a/cmd/cinderslipd/direct.go
+++ b/cmd/cinderslipd/direct.go
@@ -39,7 +39,9 @@
 	addresses := platform.Addresses{
 		Store: member.Address(loaded.Direct.Store), StoreValueSize: loaded.Direct.StoreValueBytes, Server: member.Address(loaded.Direct.Server),
 	}
-	process, err := direct.Start(loaded, direct.Options{Clock: clock, Log: log, Platform: platform.New(addresses, platform.NewHTTPClient()), LogQueue: queue})
+	process, err := direct.Start(loaded, direct.Options{
+		Clock: clock, Log: log, Platform: platform.New(addresses, platform.NewHTTPClient()), LogQueue: queue,
+	})
 	if err != nil {
 		log.Error().Err(err).Msg("cannot start")
 		return exitFailed
--- a/internal/direct/endless_test.go
+++ b/internal/direct/endless_test.go
@@ -56,7 +56,7 @@
 	t.Logf("%d bytes without an end were sent", standin.EndlessBytes()-before)
 }
 
-// Guards against a request that may be repeated, or a stream, being lost to one server whose responses have no end.
+// Guards against one server whose responses have no end failing a request that may be repeated, or a stream.
 func TestRequestIsRepeatedAfterResponseWithoutEnd(t *testing.T) {
 	w := newTestDeployment(t)
 	t.Cleanup(w.close)
@@ -91,7 +91,10 @@
 	require.NoError(t, w.cmdPlatform([]string{"plain=1"}))
 	require.NoError(t, w.cmdEntry([]string{"entry-1"}))
 	require.NoError(t, w.cmdAwait([]string{"ready", "entry-1"}))
-	for name, framing := range map[string]string{"length": "Content-Length: 100\r\n\r\npart", "chunks": "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"} {
+	for name, framing := range map[string]string{
+		"length": "Content-Length: 100\r\n\r\npart",
+		"chunks": "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+	} {
 		t.Run(name, func(t *testing.T) {
 			var dialer net.Dialer
 			conn, err := dialer.DialContext(t.Context(), "tcp", w.settingsByName["entry-1"].Listen.Callers)
--- a/internal/direct/fetch.go
+++ b/internal/direct/fetch.go
@@ -93,7 +93,8 @@
 }
 
 // fetchChunks fetches the missing chunks of a version. It returns when the store holds every chunk, or an
-// error when the context ends or, wrapping errDoubted, when the chunks do not match the manifest. early holds the fetches that were started before the manifest was received.
+// error when the context ends or, wrapping errDoubted, when the chunks do not match the manifest. early holds the
+// fetches that were started before the manifest was received.
 func (l *Loader) fetchChunks(ctx context.Context, desired *target, version fleet.WeightsVersion, manifest *weights.Manifest, early *earlyFetches) error {
 	options := l.pickerOptions(desired)
 	f := &chunkFetcher{
--- a/internal/direct/manifest.go
+++ b/internal/direct/manifest.go
@@ -28,7 +28,7 @@
 
 const (
 	// agreeingReads is how often the origin must send the same manifest before an agent accepts it. A manifest with one wrong
-	// digest can't be told from the right one, and the agents of a region get theirs from the few that read the origin.
+	// digest looks like the right one, and the agents of a region get theirs from the few that read the origin.
 	agreeingReads = 2
 	// maxManifestRounds is how often agreeingReads manifests are read at once before the download is tried again.
 	maxManifestRounds = 2
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -379,7 +379,7 @@
 // errTooManyInterim reports interim responses whose heads together are longer than the limit of a head.
 var errTooManyInterim = errors.New("interim responses are too long")
 
-// errSwitching reports a switch of protocols, which no request asks for.
+// errSwitching reports a switch of protocols. Requests have no Upgrade header.
 var errSwitching = errors.New("server switches protocols")
 
 // readFinal reads responses until one is not interim (RFC 9110, section 15.2). The head of each response and the interim
