test(upstream): do not let the test of silent boxes depend on how fast a connection opens

Cause: TestServerWhoseBoxStopsAcknowledgingIsGivenUp/short_request was listed as red: its own first connection to a local listener was not open within the 0.4 s of the pool's dial on a machine at a load of 24, before anything is checked. What it checks is when a server that stops acknowledging is given up; how long a dial may take is not part of it.

Change: the test opens its connections with 10 s, with the same options of the socket. All assertions and bounds are as before.

--- a/internal/upstream/unreadbody_test.go
+++ b/internal/upstream/unreadbody_test.go
@@ -85,6 +85,7 @@
 			})
 			var opened atomic.Int32
 			pool := newTestPool(&opened)
+			pool.options.Dial = dialWithoutHurry
 			if test.size <= maxInlineBody {
 				require.NoError(t, pool.Probe(context.Background(), address))
 				require.Eventually(t, func() bool { return droppedAt.Load() != nil }, time.Second, time.Millisecond)
@@ -103,6 +104,17 @@
 	}
 }
 
+// dialWithoutHurry is dial with a timeout that a busy machine does not exceed. How long a connection takes to open is not what
+// its caller checks.
+func dialWithoutHurry(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: 10 * time.Second, KeepAlive: -1, Control: SetUserTimeout}
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return newUnreadConn(conn), nil
+}
+
 // Guards against the kernel sending a request for long after its process has ended, to a server that read nothing for long.
 func TestUnreadDataIsDiscardedSoonAfterProcessEnds(t *testing.T) {
 	t.Parallel()
