fix(direct): name what failed if a manifest can't be read from the origin

Cause: the error of an origin that can't be reached said, too, that it had sent different manifests, which misleads on call.

Change: that is said only if it has sent any. No decision depends on it.

Measured: tests of manifests pass.

--- a/internal/direct/manifest.go
+++ b/internal/direct/manifest.go
@@ -173,8 +173,8 @@
 	return !l.heldManifest(key).isFromOrigin
 }
 
-// errManifestsDiffer is returned if the origin has sent different manifests of one version.
-var errManifestsDiffer = errors.New("origin sends different manifests of the version")
+// errManifestsDiffer is returned if the origin has not sent the same manifest of a version agreeingReads times.
+var errManifestsDiffer = errors.New("origin has not sent the same manifest twice")
 
 // manifestFromOrigin reads the manifest from the origin until it has received the same one agreeingReads times.
 func (l *Loader) manifestFromOrigin(ctx context.Context, desired *target, version fleet.WeightsVersion) (*weights.Manifest, error) {
@@ -208,7 +208,7 @@
 			errs = append(errs, result.err)
 		}
 		if !responded {
-			break
+			return nil, errors.Join(errs...)
 		}
 	}
 	return nil, errors.Join(append(errs, errManifestsDiffer)...)
