--- a/internal/direct/callerlistener.go
+++ b/internal/direct/callerlistener.go
@@ -52,7 +52,7 @@
 	isStopped bool
 }
 
-// limitedServer is an http.Server whose connections are handed to it.
+// limitedServer is an http.Server for the connections that a callerListener accepts while its limits are in force.
 type limitedServer struct {
 	*http.Server
 
@@ -75,7 +75,8 @@
 // Addr implements net.Listener.
 func (s *limitedServer) Addr() net.Addr { return s.addr }
 
-// listenerOf is the net.Listener of a limitedServer, whose Close is not that of its http.Server.
+// listenerOf is the net.Listener from which the http.Server of a limitedServer takes its connections. Closing it closes no
+// connection, as the Close of the http.Server does.
 type listenerOf struct{ *limitedServer }
 
 // Close implements net.Listener.
--- a/internal/direct/loader.go
+++ b/internal/direct/loader.go
@@ -233,7 +233,7 @@
 	resumable bool
 }
 
-// chunked returns a version of the model with the layout that the configuration gives it.
+// chunked returns a version of the model with the layout in the configuration.
 func (t *target) chunked(version fleet.WeightsVersion) provider.ChunkedVersion {
 	return provider.ChunkedVersion{
 		Model: t.model, Version: version, Layout: weights.Layout{Chunks: t.engine.Chunks, ChunkSize: t.engine.ChunkSize},
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -106,8 +106,9 @@
 			"Configurations sent to other processes by kind: the whole, a delta, or the services alone (reduced).", "kind"),
 		logDropped: metric.Counter("log_lines_dropped_total", "Log lines dropped because they came too fast."),
 		chunks:     metric.CounterVec("pieces_total", "Pieces of weights received, by source and result.", "from", "result"),
-		manifests:  metric.CounterVec("manifests_total", "Manifests of weights by source and result: taken, invalid, or dropped because pieces do not match.", "from", "result"),
-		orders:     metric.CounterVec("orders_total", "Orders given to the backend server, by result.", "result"),
+		manifests: metric.CounterVec("manifests_total",
+			"Manifests of weights by source and result: taken, invalid, or dropped because pieces do not match.", "from", "result"),
+		orders: metric.CounterVec("orders_total", "Orders given to the backend server, by result.", "result"),
 
 		configuration:     metric.Gauge("believed_configuration_version", "Version of the operators' configuration that is in force here."),
 		revision:          metric.Gauge("believed_revision", "Newest revision of the platform's store that is known here, within its era."),
--- a/internal/provider/fleet.go
+++ b/internal/provider/fleet.go
@@ -85,7 +85,7 @@
 	ReadStaged func(ctx context.Context, model fleet.ModelName, index int, size int64) ([]byte, error)
 }
 
-// ChunkedVersion identifies a version of a model's weights, and is how the operators' configuration divides it into chunks.
+// ChunkedVersion identifies a version of a model's weights and has its layout in the operators' configuration.
 type ChunkedVersion struct {
 	Model   fleet.ModelName
 	Version fleet.WeightsVersion
--- a/internal/soak/endless_test.go
+++ b/internal/soak/endless_test.go
@@ -45,19 +45,19 @@
 			d.origin.SpoilNextManifests(count, spoil)
 			d.publishVersion()
 		case 2:
-			running.Go(func() { s.during(window, func(on bool) { s.SetEndlessCalls(chosen(kind, on)) }) })
+			running.Go(func() { s.during(window, func(on bool) { s.SetEndlessCalls(kindIf(kind, on)) }) })
 		default:
 			if kind == standin.EndlessAfterAnswer && s.service != "maps" {
 				kind = standin.EndlessStatusLine
 			}
-			running.Go(func() { s.during(window, func(on bool) { s.SetEndless(chosen(kind, on)) }) })
+			running.Go(func() { s.during(window, func(on bool) { s.SetEndless(kindIf(kind, on)) }) })
 		}
 	}
 	running.Wait()
 }
 
-// chosen returns a kind if the fault is on.
-func chosen(kind standin.Endless, on bool) standin.Endless {
+// kindIf returns a kind while a fault is on, and none otherwise.
+func kindIf(kind standin.Endless, on bool) standin.Endless {
 	if on {
 		return kind
 	}
