--- a/internal/direct/earlyfetches.go
+++ b/internal/direct/earlyfetches.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"strconv"
 	"sync"
 	"time"
 
@@ -40,13 +39,17 @@
 	for _, record := range l.agentRecords(desired) {
 		fetchers = append(fetchers, weights.Peer{Box: string(record.Box)})
 	}
-	chunks := weights.FirstRankChunks(string(desired.model), strconv.FormatUint(uint64(version), 10), string(l.options.Agent), fetchers, desired.engine.Chunks)
+	chunks := weights.FirstRankChunks(string(desired.model), versionName(version), string(l.options.Agent), fetchers, desired.engine.Chunks)
+	start := publishedAt
+	if schedule, ok := l.originSchedule.version(version); ok {
+		start = schedule.Start
+	}
 	e.results = make(chan fetchResult, len(chunks))
 	waitCtx, stop := context.WithCancel(ctx)
 	e.stop = stop
 	l.tasks.Go(func(context.Context) {
 		for _, chunk := range chunks {
-			sleep(waitCtx, l.options.Clock, publishedAt.Add(options.ScheduledOffset(chunk)).Sub(l.options.Clock.Now()))
+			sleep(waitCtx, l.options.Clock, start.Add(options.ScheduledOffset(chunk)).Sub(l.options.Clock.Now()))
 			if waitCtx.Err() != nil || !e.begin(chunk, l.options.Clock.Now()) {
 				return
 			}
--- a/internal/direct/fetch.go
+++ b/internal/direct/fetch.go
@@ -63,6 +63,8 @@
 	// window is the maximum number of concurrent fetches. It is reduced while chunks are slow, because the
 	// link is then slower than configured.
 	window float64
+	// unavailable are the chunks that no known agent held at the last holdingsInterval.
+	unavailable []int
 	// mismatches counts for each chunk how often the origin has sent each content that does not match its digest.
 	mismatches map[int]map[weights.Digest]int
 }
@@ -88,6 +90,7 @@
 	options.OriginWindow, options.OriginInterval = originWindow(desired), originInterval(desired)
 	options.OriginBurst, options.OriginHedgeDelay, options.SilenceTimeout = originBurst, originHedgeChunks*options.OriginInterval, originSilenceTimeout
 	options.MaxRemoteWait = l.maxRemoteWait(desired)
+	options.ProbeInterval = fetchRetryDelay
 	options.RankDelay, options.MaxOriginWait, options.NeighbourWindow, options.TotalWindow = originRankDelay, maxOriginWait, 1, initialFetchWindow
 	return options
 }
@@ -107,8 +110,9 @@
 		f.picker.AddEarlyFetch(chunk, at)
 	}
 	f.picker.RestrictUntil(l.restrictedUntil(desired, version))
-	f.picker.SetScheduleStart(scheduleStart(desired.published.PublishedAt(version), l.options.Clock.Now()))
+	f.picker.SetSchedule(weights.VersionSchedule{Start: scheduleStart(desired.published.PublishedAt(version), l.options.Clock.Now())}, l.options.Clock.Now())
 	f.updatePeers()
+	f.updateSchedule()
 	return f.run(ctx)
 }
 
@@ -209,6 +213,21 @@
 	f.picker.SetNeighbours(peers)
 }
 
+// updateSchedule passes the current schedule of origin fetches to the picker.
+func (f *chunkFetcher) updateSchedule() {
+	if schedule, ok := f.loader.originSchedule.version(f.version); ok {
+		f.picker.SetSchedule(schedule, f.loader.options.Clock.Now())
+	}
+}
+
+// noteUnavailable passes the chunks that no known agent holds to the schedule of origin fetches.
+func (f *chunkFetcher) noteUnavailable() {
+	unavailable := f.picker.Unavailable()
+	appeared := slices.ContainsFunc(f.unavailable, func(chunk int) bool { return !slices.Contains(unavailable, chunk) })
+	f.unavailable = unavailable
+	f.loader.originSchedule.noteMissing(f.version, unavailable, appeared)
+}
+
 // sameServers reports whether two lists contain the same servers in the same order.
 func sameServers(a, b []fleet.Server) bool {
 	return slices.EqualFunc(a, b, func(a, b fleet.Server) bool { return a.ID == b.ID })
@@ -255,6 +274,7 @@
 	defer ticker.Stop()
 	f.requestHoldings(ctx)
 	for f.picker.Missing() > 0 {
+		f.updateSchedule()
 		f.startTasks(ctx)
 		select {
 		case <-ctx.Done():
@@ -278,6 +298,7 @@
 			}
 		case <-ticker.Chan():
 			f.updatePeers()
+			f.noteUnavailable()
 			f.requestHoldings(ctx)
 		}
 	}
@@ -317,6 +338,9 @@
 		err = f.loader.store.Put(f.manifest, result.task.Chunk, result.data)
 	}
 	f.loader.options.Metrics.chunks.WithLabelValues(from, resultLabel(err)).Inc()
+	if result.task.FromOrigin() {
+		f.loader.originSchedule.noteResult(err)
+	}
 	now := f.loader.options.Clock.Now()
 	f.adjustWindow(result)
 	if err == nil {
--- a/internal/direct/loader.go
+++ b/internal/direct/loader.go
@@ -50,9 +50,11 @@
 	manifests map[publishedVersion]*heldManifest
 	// downloads holds the downloads in progress and the complete ones.
 	downloads map[fleet.WeightsVersion]*versionDownload
-	verified  verifiedChunks
-	report    fleet.Report
-	reportAt  time.Time
+	// originSchedule orders the origin fetches of all downloads.
+	originSchedule *originSchedule
+	verified       verifiedChunks
+	report         fleet.Report
+	reportAt       time.Time
 	// incarnation is the latest incarnation that the server has reported; 0 if it has reported none.
 	incarnation member.Incarnation
 	// leaving is set while the server announces its end.
@@ -110,9 +112,10 @@
 			LinkMbps: p.settings.Direct.LinkMbps, VersionBound: time.Duration(p.settings.Direct.VersionBound),
 		},
 		tasks: kernel.NewTaskGroup(), store: weights.NewMemoryStore(maxChunkMemory),
-		manifests: make(map[publishedVersion]*heldManifest),
-		downloads: make(map[fleet.WeightsVersion]*versionDownload),
-		changed:   make(chan struct{}), done: make(chan struct{}),
+		manifests:      make(map[publishedVersion]*heldManifest),
+		downloads:      make(map[fleet.WeightsVersion]*versionDownload),
+		originSchedule: &originSchedule{clock: p.options.Clock, log: p.options.Log, metrics: p.metrics},
+		changed:        make(chan struct{}), done: make(chan struct{}),
 	}
 	if err := wire.DRPCRegisterFleet(p.mux, l); err != nil {
 		return err
@@ -329,6 +332,7 @@
 		l.announceSwap(time.Time{})
 		return
 	}
+	l.originSchedule.setTarget(desired, l.options.VersionBound)
 	l.startDownload(desired, desired.newest())
 	version, at, ok := l.nextSwap(desired, have)
 	l.announceSwap(at)
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -55,6 +55,8 @@
 	chunks                 *prometheus.CounterVec
 	manifests              *prometheus.CounterVec
 	orders                 *prometheus.CounterVec
+	// originOutages counts the times at which the origin of weights was found unavailable.
+	originOutages prometheus.Counter
 	// configuration, revision, storeEra, complete, completeEra and deferredDeletions describe the process's current view of the fleet.
 	configuration     prometheus.Gauge
 	revision          prometheus.Gauge
@@ -108,7 +110,8 @@
 		chunks:     metric.CounterVec("pieces_total", "Pieces of weights received, by source and result.", "from", "result"),
 		manifests: metric.CounterVec("manifests_total",
 			"Manifests of weights by source and result: taken, invalid, or dropped because pieces do not match.", "from", "result"),
-		orders: metric.CounterVec("orders_total", "Orders given to the backend server, by result.", "result"),
+		orders:        metric.CounterVec("orders_total", "Orders given to the backend server, by result.", "result"),
+		originOutages: metric.Counter("origin_outages_total", "Times at which the origin of weights was found unavailable."),
 
 		configuration:     metric.Gauge("believed_configuration_version", "Version of the operators' configuration that is in force here."),
 		revision:          metric.Gauge("believed_revision", "Newest revision of the platform's store that is known here, within its era."),
@@ -123,7 +126,7 @@
 	}
 	m.registry.MustRegister(m.requests, m.requestSeconds, m.ttfb, m.attempts, m.hedges, m.retries, m.cutResponses, m.serverSignals, m.suspects,
 		m.waiting, m.limitedServers,
-		m.limitRefusals, m.unclaimed, m.heldBytes, m.connections, m.storeCalls, m.traffic.messages, m.traffic.bytes, m.configurationTransfers, m.logDropped, m.chunks, m.manifests, m.orders,
+		m.limitRefusals, m.unclaimed, m.heldBytes, m.connections, m.storeCalls, m.traffic.messages, m.traffic.bytes, m.configurationTransfers, m.logDropped, m.chunks, m.manifests, m.orders, m.originOutages,
 		m.configuration, m.revision, m.storeEra, m.complete, m.completeEra, m.deferredDeletions, m.evacuatedDomains, m.outdatedEntries, m.pulls, m.refusedPulls,
 		collectors.NewGoCollector())
 	return m
--- a/pkg/weights/origin.go
+++ b/pkg/weights/origin.go
@@ -13,13 +13,94 @@
 	return time.Duration(max(0, chunk-o.OriginBurst)) * o.OriginInterval
 }
 
-// SetScheduleStart sets the time at which the schedule of origin fetches starts. All boxes use the same
-// time. The default is the creation of the picker.
-func (p *Picker) SetScheduleStart(at time.Time) { p.scheduleStart = at }
+// SetSchedule sets the schedule of origin fetches. All boxes use the same one. By default it starts with the creation
+// of the picker and has all chunks in the order of their indexes.
+func (p *Picker) SetSchedule(schedule VersionSchedule, now time.Time) {
+	p.scheduleStart, p.lead, p.positions, p.scheduled = schedule.Start, schedule.Lead, nil, len(p.manifest.Chunks)
+	if schedule.Positions != nil {
+		p.positions, p.scheduled = make([]int, len(p.manifest.Chunks)), len(schedule.Positions)
+		for chunk := range p.positions {
+			p.positions[chunk] = p.scheduled
+		}
+		for position, chunk := range schedule.Positions {
+			p.positions[chunk] = position
+		}
+	}
+	switch {
+	case !schedule.Away:
+		p.awaySince = time.Time{}
+		// Until the origin's link is available to the version, no rank can have fetched a chunk.
+		p.waitStart = later(p.waitStart, schedule.Start)
+	case p.awaySince.IsZero():
+		p.awaySince, p.nextProbe = now, now.Add(p.options.ProbeInterval)
+	}
+}
 
 // scheduledAt returns the scheduled time of a chunk's fetch from the origin.
 func (p *Picker) scheduledAt(chunk int) time.Time {
-	return p.scheduleStart.Add(p.options.ScheduledOffset(chunk))
+	return p.scheduleStart.Add(p.options.ScheduledOffset(p.position(chunk)))
+}
+
+// scheduleEnd returns the time after the scheduled time of the last chunk.
+func (p *Picker) scheduleEnd() time.Time {
+	return p.scheduleStart.Add(p.options.ScheduledOffset(p.scheduled))
+}
+
+// position returns the position of a chunk in the schedule.
+func (p *Picker) position(chunk int) int {
+	if p.positions == nil {
+		return chunk
+	}
+	return p.positions[chunk]
+}
+
+// Unavailable returns the chunks that neither this box nor a usable neighbour holds.
+func (p *Picker) Unavailable() []int {
+	var chunks []int
+	for chunk := range p.manifest.Chunks {
+		if !p.held.Has(chunk) && !p.isAvailable(chunk) {
+			chunks = append(chunks, chunk)
+		}
+	}
+	return chunks
+}
+
+// outageRankWait is how long each rank waits for the rank before it while the origin is unavailable. Chunks cannot
+// arrive then, so the wait only covers fetchers that are listed but do not run.
+const outageRankWait = 8 * time.Second
+
+// probe returns a fetch that tries whether the origin is available again. The time between two probes grows with the
+// position of their chunk in the schedule: after the return, the boxes then request little more than the link can
+// send, in the order of the schedule, without any exchange of messages.
+func (p *Picker) probe(now time.Time) (FetchTask, bool) {
+	if p.originFetches > 0 || now.Before(p.nextProbe) {
+		return FetchTask{}, false
+	}
+	for position, chunk := range p.Unavailable() {
+		if p.isRunning(chunk) || !p.mayProbe(chunk, now) {
+			continue
+		}
+		offset := p.lead + time.Duration(position)*p.options.OriginInterval
+		p.nextProbe = now.Add(max(p.options.ProbeInterval, probeSpread*offset))
+		return FetchTask{Chunk: chunk}, true
+	}
+	return FetchTask{}, false
+}
+
+// probeSpread is the time between two probes for a chunk, relative to its offset in the schedule. With 2, half of the
+// chunks up to any offset are requested within that time after the return of the origin, besides those of later chunks.
+const probeSpread = 2
+
+// mayProbe reports whether this box tries to fetch a chunk while the origin is unavailable.
+func (p *Picker) mayProbe(chunk int, now time.Time) bool {
+	rank := p.ranks[chunk]
+	return rank == 0 || rank == 1 && p.isFirstSilent(chunk, now) || now.Sub(p.awaySince) >= time.Duration(rank)*outageRankWait
+}
+
+// isFirstSilent reports whether the first fetcher of a chunk has stopped responding to this box, which is the second.
+func (p *Picker) isFirstSilent(chunk int, now time.Time) bool {
+	first := p.neighbours[p.firstFetchers[chunk]]
+	return first != nil && !first.lastResponse.IsZero() && now.Sub(first.lastResponse) > p.options.SilenceTimeout
 }
 
 // SetOriginFetchers sets the boxes that download the version. For each chunk, rendezvous hashing ranks
@@ -132,6 +213,9 @@
 // fromOrigin returns the chunk with the lowest rank up to lastRank that is due for a fetch from the origin.
 // It skips chunks that a usable neighbour holds, unless they are stuck.
 func (p *Picker) fromOrigin(now time.Time, lastRank int) (FetchTask, bool) {
+	if !p.awaySince.IsZero() {
+		return p.probe(now)
+	}
 	if p.originFetches >= p.options.OriginWindow {
 		return FetchTask{}, false
 	}
@@ -143,7 +227,7 @@
 		if p.ranks[chunk] > lastRank || now.Before(p.nextRetry[chunk]) || now.Before(p.originDue(chunk, now)) {
 			continue
 		}
-		if best < 0 || p.ranks[chunk] < bestRank {
+		if best < 0 || p.ranks[chunk] < bestRank || p.ranks[chunk] == bestRank && p.position(chunk) < p.position(best) {
 			best, bestRank = chunk, p.ranks[chunk]
 		}
 	}
@@ -171,11 +255,10 @@
 // first fetcher has stopped responding, otherwise OriginHedgeDelay after the end of the schedule. Neither is
 // before waitStart.
 func (p *Picker) hedgeDue(chunk int, now time.Time) time.Time {
-	first := p.neighbours[p.firstFetchers[chunk]]
-	if first != nil && !first.lastResponse.IsZero() && now.Sub(first.lastResponse) > p.options.SilenceTimeout {
+	if p.isFirstSilent(chunk, now) {
 		return later(p.waitStart, p.scheduledAt(chunk))
 	}
-	return later(p.waitStart, p.scheduledAt(len(p.manifest.Chunks))).Add(p.options.OriginHedgeDelay)
+	return later(p.waitStart, p.scheduleEnd()).Add(p.options.OriginHedgeDelay)
 }
 
 func later(a, b time.Time) time.Time {
--- a/pkg/weights/origin_test.go
+++ b/pkg/weights/origin_test.go
@@ -125,7 +125,7 @@
 		s.byName[boxName(i)] = i
 		s.starts = append(s.starts, starts(i))
 		p := NewPicker(m, boxName(i), nil, options, publishedAt.Add(s.starts[i]))
-		p.SetScheduleStart(publishedAt)
+		p.SetSchedule(VersionSchedule{Start: publishedAt}, publishedAt)
 		p.SetOriginFetchers(all)
 		s.pickers = append(s.pickers, p)
 	}
--- a/pkg/weights/picker.go
+++ b/pkg/weights/picker.go
@@ -38,6 +38,8 @@
 	// failed origin fetch or the chunk's scheduled time, whichever is latest; each rank adds one RankDelay.
 	// 0 sets no bound.
 	MaxOriginWait time.Duration
+	// ProbeInterval is the shortest time between two fetches that try whether the origin is available again.
+	ProbeInterval time.Duration
 	// MaxRemoteWait is the same bound for chunks that another box of the region fetches from another region.
 	MaxRemoteWait time.Duration
 	// MaxFailures is the number of consecutive failures after which a neighbour is no longer used.
@@ -92,6 +94,16 @@
 	// scheduleStart is when the schedule of origin fetches starts. A failed fetch does not reset it: after a
 	// reset, a late chunk waited for its full offset again, and 204 boxes waited for that one chunk.
 	scheduleStart time.Time
+	// positions holds the position of each chunk in the schedule, or is nil if it is the chunk's index. scheduled
+	// is the number of positions.
+	positions []int
+	scheduled int
+	// lead is how long the chunks of versions that come first occupy the origin's link.
+	lead time.Duration
+	// awaySince is when the origin was found unavailable; zero while it is available. nextProbe is when it is
+	// tried again.
+	awaySince time.Time
+	nextProbe time.Time
 
 	held          Bits
 	missing       int
@@ -126,6 +138,7 @@
 func NewPicker(manifest *Manifest, self string, held Bits, options PickerOptions, now time.Time) *Picker {
 	p := &Picker{
 		manifest: manifest, self: self, options: options, lastProgress: now, waitStart: now, scheduleStart: now,
+		scheduled:  len(manifest.Chunks),
 		held:       NewBits(len(manifest.Chunks)),
 		missing:    len(manifest.Chunks),
 		running:    make(map[int]time.Time),
