--- a/internal/direct/fetch.go
+++ b/internal/direct/fetch.go
@@ -88,7 +88,7 @@
 func (l *Loader) pickerOptions(desired *target) weights.PickerOptions {
 	options := weights.DefaultPickerOptions()
 	options.OriginWindow, options.OriginInterval = originWindow(desired), originInterval(desired)
-	options.OriginBurst, options.OriginHedgeDelay, options.SilenceTimeout = originBurst, originHedgeChunks*options.OriginInterval, originSilenceTimeout
+	options.OriginBurst, options.OriginHedgeDelay, options.SilenceTimeout = originBurst, originHedgeDelay(desired), originSilenceTimeout
 	options.MaxRemoteWait = l.maxRemoteWait(desired)
 	options.ProbeInterval = fetchRetryDelay
 	options.RankDelay, options.MaxOriginWait, options.NeighbourWindow, options.TotalWindow = originRankDelay, maxOriginWait, 1, initialFetchWindow
@@ -151,10 +151,12 @@
 	// originBurst is how many chunks are requested from the origin ahead of the rate of its link. Two keep
 	// the link busy between a response and the next request.
 	originBurst = 2
-	// originHedgeChunks is how long the second origin fetchers wait after the scheduled time of the last
+	// minHedgeChunks is how long the second origin fetchers wait at least after the scheduled time of the last
 	// chunk, in transfer times of one chunk over the origin's link. The last chunks are still in transfer
-	// for that time.
-	originHedgeChunks = 4
+	// for that time. hedgeShare is the same relative to the number of chunks, because the link may be slower
+	// than the schedule by that much.
+	minHedgeChunks = 4
+	hedgeShare     = 0.125
 	// originSilenceTimeout is the time without a response from the first origin fetcher of a chunk after which
 	// the second one fetches the chunk. It covers several holdings requests. The remaining chunks of killed
 	// agents must be fetched before the origin becomes unavailable, or all agents wait for its return.
@@ -189,6 +191,11 @@
 	return time.Duration(seconds * float64(time.Second))
 }
 
+// originHedgeDelay returns how long the second origin fetchers wait after the scheduled time of the last chunk.
+func originHedgeDelay(desired *target) time.Duration {
+	return time.Duration(max(minHedgeChunks, hedgeShare*float64(desired.engine.Chunks)) * float64(originInterval(desired)))
+}
+
 // updatePeers passes the current origin fetchers and neighbours to the picker. It does nothing if the servers
 // have not changed since the last call.
 func (f *chunkFetcher) updatePeers() {
--- a/internal/direct/originschedule.go
+++ b/internal/direct/originschedule.go
@@ -107,6 +107,29 @@
 	return o.schedule.Version(versionName(version))
 }
 
+// before returns the versions that the origin is to send before another one, unless it has sent that one already. An
+// agent that starts late downloads them too, as it may be a first fetcher of their chunks.
+func (o *originSchedule) before(version fleet.WeightsVersion) []fleet.WeightsVersion {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.schedule == nil {
+		return nil
+	}
+	var versions []fleet.WeightsVersion
+	for _, period := range o.schedule.Order() {
+		if period.Version == versionName(version) {
+			if end := period.Start.Add(time.Duration(period.Chunks) * o.interval); !o.schedule.Away() && o.clock.Now().After(end) {
+				return nil
+			}
+			return versions
+		}
+		if older, err := strconv.ParseUint(period.Version, 10, 64); err == nil {
+			versions = append(versions, fleet.WeightsVersion(older))
+		}
+	}
+	return nil
+}
+
 // noteResult records the result of an origin fetch. A chunk with wrong content also shows that the origin is available.
 func (o *originSchedule) noteResult(err error) {
 	o.mu.Lock()
