--- a/internal/direct/fetch.go
+++ b/internal/direct/fetch.go
@@ -63,6 +63,8 @@
 	// window is the maximum number of concurrent fetches. It is reduced while chunks are slow, because the
 	// link is then slower than configured.
 	window float64
+	// yields is set while this agent fetches a version that comes before this one.
+	yields bool
 	// unavailable are the chunks that no known agent held at the last holdingsInterval.
 	unavailable []int
 	// mismatches counts for each chunk how often the origin has sent each content that does not match its digest.
@@ -225,6 +227,18 @@
 	if schedule, ok := f.loader.originSchedule.version(f.version); ok {
 		f.picker.SetSchedule(schedule, f.loader.options.Clock.Now())
 	}
+	f.yields = f.loader.isFetchingAny(f.loader.originSchedule.before(f.version))
+	f.setTotalWindow()
+}
+
+// setTotalWindow passes the current limit of concurrent fetches to the picker. While a version that comes before this
+// one is incomplete, one fetch leaves the links between agents to it.
+func (f *chunkFetcher) setTotalWindow() {
+	if f.yields {
+		f.picker.SetTotalWindow(1)
+		return
+	}
+	f.picker.SetTotalWindow(int(f.window))
 }
 
 // noteUnavailable passes the chunks that no known agent holds to the schedule of origin fetches.
@@ -397,7 +411,7 @@
 	} else {
 		f.window = min(maxFetchWindow, f.window+windowGrowth)
 	}
-	f.picker.SetTotalWindow(int(f.window))
+	f.setTotalWindow()
 }
 
 // fetchFromOrigin fetches a chunk from the origin. The bytes are not verified.
--- a/pkg/weights/originschedule.go
+++ b/pkg/weights/originschedule.go
@@ -60,6 +60,8 @@
 type scheduledVersion struct {
 	WantedVersion
 	start time.Time
+	// begun is when the first box began to fetch the version; it differs from start on a box that is late.
+	begun time.Time
 	// missing are the chunks that no known box held when the origin was last found unavailable; nil before that.
 	missing []int
 }
@@ -84,7 +86,7 @@
 	for _, w := range wanted {
 		v := s.version(w.Version)
 		if v == nil {
-			v, changed = &scheduledVersion{start: s.earliestStart(&w, now)}, true
+			v, changed = s.newVersion(&w, now), true
 		}
 		v.WantedVersion = w
 		next = append(next, v)
@@ -96,12 +98,17 @@
 	s.arrange(servingUntil, now)
 }
 
-// earliestStart returns the start of a version that is alone in the schedule.
-func (s *OriginSchedule) earliestStart(w *WantedVersion, now time.Time) time.Time {
-	if age := now.Sub(w.PublishedAt); w.PublishedAt.IsZero() || age < 0 || age > s.options.MaxLag {
-		return now
+// newVersion returns a version that is alone in the schedule.
+func (s *OriginSchedule) newVersion(w *WantedVersion, now time.Time) *scheduledVersion {
+	v := &scheduledVersion{start: w.PublishedAt, begun: w.PublishedAt}
+	age := now.Sub(w.PublishedAt)
+	if w.PublishedAt.IsZero() || age < 0 {
+		v.start, v.begun = now, now
 	}
-	return w.PublishedAt
+	if age > s.options.MaxLag {
+		v.start = now
+	}
+	return v
 }
 
 // arrange orders the versions and assigns them consecutive periods on the link. A version whose period has begun keeps
@@ -127,7 +134,10 @@
 // remaining returns how long the version still occupies the link from now on.
 func (s *OriginSchedule) remaining(v *scheduledVersion, now time.Time) time.Duration {
 	total := time.Duration(v.count()) * s.options.Interval
-	return min(total, max(0, v.start.Add(total).Sub(now)))
+	if v.start.After(now) {
+		return total
+	}
+	return min(total, max(0, v.begun.Add(total).Sub(now)))
 }
 
 // maxOrdered is the number of versions, the newest, of which all orders are compared. Older ones come last.
@@ -243,7 +253,7 @@
 	}
 	s.away = false
 	for _, v := range s.versions {
-		v.start = now
+		v.start, v.begun = now, now
 	}
 	s.arrange(servingUntil, now)
 	return true
