--- a/pkg/route/backend.go
+++ b/pkg/route/backend.go
@@ -26,6 +26,8 @@
 	// cutoff of its version.
 	responsiveTTFB   = 400 * time.Millisecond
 	responsiveMaxAge = time.Second
+	// slowServer is the slowdown from which a server counts as slow. Normal load varies it by less.
+	slowServer = 1.5
 	// unclaimedSmoothing is the weight of the newest report in the moving average of the unclaimed
 	// requests of a server. Reports arrive about twice a second.
 	unclaimedSmoothing = 0.5
@@ -152,9 +154,20 @@
 	return longest
 }
 
-// isResponsive reports whether the server recently started requests without delay.
-func (b *backend) isResponsive(now time.Time) bool {
-	return now.Sub(b.lastStartedAt) < responsiveMaxAge && b.lastTTFB < responsiveTTFB && b.maxFirstByteWait(now) < responsiveTTFB
+// isResponsive reports whether the server starts requests without delay, by the requests of this box or by the report of
+// its agent.
+func (d *Dispatcher) isResponsive(b *backend, now time.Time) bool {
+	if b.maxFirstByteWait(now) >= responsiveTTFB {
+		return false
+	}
+	return now.Sub(b.lastStartedAt) < responsiveMaxAge && b.lastTTFB < responsiveTTFB || d.isReportedResponsive(b, now)
+}
+
+// isReportedResponsive reports whether a server has no queue and is not slow by the recent report of its agent, while
+// servers of the service start requests without delay. A large fleet has many boxes and servers, and most boxes have
+// sent nothing to most servers in the last second.
+func (d *Dispatcher) isReportedResponsive(b *backend, now time.Time) bool {
+	return now.Sub(b.stateAt) < outdatedStatusMaxAge && b.state.Waiting == 0 && b.state.Slowdown < slowServer && d.ttfb+d.ttfbDeviation < responsiveTTFB
 }
 
 // version returns the complete version that the server has, and whether a swap is in progress, from
@@ -195,7 +208,7 @@
 	if swapping || version == 0 || version < d.required {
 		return false
 	}
-	return version >= d.preferred || b.isResponsive(now)
+	return version >= d.preferred || d.isResponsive(b, now)
 }
 
 // isSwapping reports whether a weight swap of the server is in progress.
