feat(weights): one schedule of origin fetches for all versions of an agent

Cause: with two versions published 2 s apart and the origin away from 0.5 s after the second for 6 s, callers were refused for 6 s: both versions were complete 6 s after the return. Ruled out: slow swaps (0.3 s) and the time of the manifests.

Change: weights.OriginSchedule orders the versions by how long servers would lack usable weights, gives each chunk its time on the origin's link, and starts again with the missing chunks when the origin returns. While it is away each agent tries it with one chunk, the less often the later the chunk comes. A later version leaves the links between agents to an earlier one, also where chunks are sent. Agents that start late take part in earlier downloads.

--- a/internal/direct/chunks.go
+++ b/internal/direct/chunks.go
@@ -30,18 +30,20 @@
 
 	store   *weights.MemoryStore
 	limiter *rate.Limiter
-	slots   chan struct{}
+	slots   *chunkSlots
 	// isIdle reports whether the backend server has no requests. Chunks are then sent without a rate limit.
 	isIdle func() bool
 	// isDoubted reports whether this agent has dropped a manifest because its chunks do not match it.
 	isDoubted func(manifest weights.Digest) bool
+	// yields reports whether chunks of other manifests go first.
+	yields func(manifest weights.Digest) bool
 }
 
 // NewChunkServer returns a server for the chunks in a store. linkMbps is the rate of the box's link, in
 // Mbit/s.
-func NewChunkServer(store *weights.MemoryStore, linkMbps float64, isIdle func() bool, isDoubted func(manifest weights.Digest) bool) *ChunkServer {
+func NewChunkServer(store *weights.MemoryStore, linkMbps float64, isIdle func() bool, isDoubted, yields func(manifest weights.Digest) bool) *ChunkServer {
 	return &ChunkServer{
-		store: store, isIdle: isIdle, isDoubted: isDoubted, slots: make(chan struct{}, maxConcurrentChunks),
+		store: store, isIdle: isIdle, isDoubted: isDoubted, yields: yields, slots: newChunkSlots(maxConcurrentChunks),
 		limiter: rate.NewLimiter(rate.Limit(chunkLinkShare*linkMbps*bytesPerMbit), chunkFrameSize),
 	}
 }
@@ -62,12 +64,10 @@
 		return err
 	}
 	ctx := stream.Context()
-	select {
-	case s.slots <- struct{}{}:
-		defer func() { <-s.slots }()
-	case <-ctx.Done():
-		return ctx.Err()
+	if err := s.slots.acquire(ctx, s.yields(digest)); err != nil {
+		return err
 	}
+	defer s.slots.release()
 	data, err := s.store.Get(digest, int(request.Chunk))
 	if err != nil {
 		return err
--- a/internal/direct/fetch.go
+++ b/internal/direct/fetch.go
@@ -43,6 +43,9 @@
 	// holdingsTimeout is the timeout of a holdings request. Several chunks may be queued on the neighbour's
 	// link ahead of the response. A neighbour that exceeds the timeout counts as holding nothing.
 	holdingsTimeout = 500 * time.Millisecond
+	// originProbeInterval is the shortest interval at which an agent tries whether the origin is available again. All
+	// servers may be waiting for it.
+	originProbeInterval = 150 * time.Millisecond
 	// fetchRetryDelay is the delay before a failed fetch is retried.
 	fetchRetryDelay = 300 * time.Millisecond
 )
@@ -63,10 +66,6 @@
 	// window is the maximum number of concurrent fetches. It is reduced while chunks are slow, because the
 	// link is then slower than configured.
 	window float64
-	// yields is set while this agent fetches a version that comes before this one.
-	yields bool
-	// unavailable are the chunks that no known agent held at the last holdingsInterval.
-	unavailable []int
 	// mismatches counts for each chunk how often the origin has sent each content that does not match its digest.
 	mismatches map[int]map[weights.Digest]int
 }
@@ -92,7 +91,7 @@
 	options.OriginWindow, options.OriginInterval = originWindow(desired), originInterval(desired)
 	options.OriginBurst, options.OriginHedgeDelay, options.SilenceTimeout = originBurst, originHedgeDelay(desired), originSilenceTimeout
 	options.MaxRemoteWait = l.maxRemoteWait(desired)
-	options.ProbeInterval = fetchRetryDelay
+	options.ProbeInterval = originProbeInterval
 	options.RankDelay, options.MaxOriginWait, options.NeighbourWindow, options.TotalWindow = originRankDelay, maxOriginWait, 1, initialFetchWindow
 	return options
 }
@@ -227,26 +226,12 @@
 	if schedule, ok := f.loader.originSchedule.version(f.version); ok {
 		f.picker.SetSchedule(schedule, f.loader.options.Clock.Now())
 	}
-	f.yields = f.loader.isFetchingAny(f.loader.originSchedule.before(f.version))
-	f.setTotalWindow()
 }
 
-// setTotalWindow passes the current limit of concurrent fetches to the picker. While a version that comes before this
-// one is incomplete, one fetch leaves the links between agents to it.
-func (f *chunkFetcher) setTotalWindow() {
-	if f.yields {
-		f.picker.SetTotalWindow(1)
-		return
-	}
-	f.picker.SetTotalWindow(int(f.window))
-}
-
-// noteUnavailable passes the chunks that no known agent holds to the schedule of origin fetches.
-func (f *chunkFetcher) noteUnavailable() {
-	unavailable := f.picker.Unavailable()
-	appeared := slices.ContainsFunc(f.unavailable, func(chunk int) bool { return !slices.Contains(unavailable, chunk) })
-	f.unavailable = unavailable
-	f.loader.originSchedule.noteMissing(f.version, unavailable, appeared)
+// noteShortage passes the chunks that no known agent holds to the schedule of origin fetches.
+func (f *chunkFetcher) noteShortage() {
+	shortage := f.picker.Shortage(f.loader.options.Clock.Now())
+	f.loader.originSchedule.noteShortage(f.version, &shortage)
 }
 
 // sameServers reports whether two lists contain the same servers in the same order.
@@ -319,7 +304,7 @@
 			}
 		case <-ticker.Chan():
 			f.updatePeers()
-			f.noteUnavailable()
+			f.noteShortage()
 			f.requestHoldings(ctx)
 		}
 	}
@@ -411,7 +396,7 @@
 	} else {
 		f.window = min(maxFetchWindow, f.window+windowGrowth)
 	}
-	f.setTotalWindow()
+	f.picker.SetTotalWindow(int(f.window))
 }
 
 // fetchFromOrigin fetches a chunk from the origin. The bytes are not verified.
--- a/internal/direct/manifest.go
+++ b/internal/direct/manifest.go
@@ -51,6 +51,20 @@
 	drops   int
 }
 
+// yields reports whether chunks of versions that come earlier in the schedule of origin fetches are sent before those of a
+// manifest.
+func (l *Loader) yields(manifest weights.Digest) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for key, held := range l.manifests {
+		if held.accepted != nil && held.accepted.Digest() == manifest {
+			schedule, ok := l.originSchedule.version(key.version)
+			return ok && schedule.Lead > 0
+		}
+	}
+	return false
+}
+
 // heldManifest returns the entry of a version and creates it if necessary. The lock must be held.
 func (l *Loader) heldManifest(key publishedVersion) *heldManifest {
 	held := l.manifests[key]
--- a/internal/direct/originschedule.go
+++ b/internal/direct/originschedule.go
@@ -130,6 +130,15 @@
 	return nil
 }
 
+// setComplete records that this agent needs no more chunks of a version.
+func (o *originSchedule) setComplete(version fleet.WeightsVersion) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.schedule != nil {
+		o.schedule.SetComplete(versionName(version))
+	}
+}
+
 // noteResult records the result of an origin fetch. A chunk with wrong content also shows that the origin is available.
 func (o *originSchedule) noteResult(err error) {
 	o.mu.Lock()
@@ -139,26 +148,36 @@
 	case err == nil || errors.Is(err, weights.ErrDigestMismatch):
 		o.returned()
 	case o.schedule.Failed():
-		o.awaySince = o.clock.Now()
-		o.metrics.originOutages.Inc()
-		o.log.Info().Str("dependency", "origin").Err(err).Msg("dependency lost")
+		o.lost(err)
 	}
 }
 
-// noteMissing records which chunks of a version no known agent holds. appeared is set if an agent has received a chunk
-// that none held before; late in an outage that shows that the origin has returned.
-func (o *originSchedule) noteMissing(version fleet.WeightsVersion, missing []int, appeared bool) {
+// errNoNewChunks is the reason for which the origin counts as unavailable to an agent that has not tried it.
+var errNoNewChunks = errors.New("no agent has received a new chunk")
+
+// noteShortage records which chunks of a version no known agent holds. If one appears late in an outage, the origin has
+// returned.
+func (o *originSchedule) noteShortage(version fleet.WeightsVersion, shortage *weights.Shortage) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.schedule == nil || !o.schedule.Away() {
+	if o.schedule == nil {
 		return
 	}
-	o.schedule.SetMissing(versionName(version), missing)
-	if appeared && o.clock.Since(o.awaySince) > lateChunkSpread {
+	if o.schedule.NoteShortage(versionName(version), shortage) {
+		o.lost(errNoNewChunks)
+	}
+	if o.schedule.Away() && shortage.Appeared && o.clock.Since(o.awaySince) > lateChunkSpread {
 		o.returned()
 	}
 }
 
+// lost begins an outage of the origin. The lock must be held.
+func (o *originSchedule) lost(cause error) {
+	o.awaySince = o.clock.Now()
+	o.metrics.originOutages.Inc()
+	o.log.Info().Str("dependency", "origin").Err(cause).Msg("dependency lost")
+}
+
 // returned ends an outage of the origin. The lock must be held.
 func (o *originSchedule) returned() {
 	now := o.clock.Now()
--- a/internal/direct/versiondownload.go
+++ b/internal/direct/versiondownload.go
@@ -29,8 +29,6 @@
 // versionDownload is the download of one version, in progress or complete.
 type versionDownload struct {
 	cancel context.CancelFunc
-	// canceled is set once the download is no longer needed because a newer version is complete.
-	canceled bool
 	// completedAt is when the last chunk was received; zero until then.
 	completedAt time.Time
 }
@@ -49,16 +47,6 @@
 	l.tasks.Go(func(context.Context) { l.download(ctx, desired, version, d) })
 }
 
-// isFetchingAny reports whether the download of any of the versions is in progress.
-func (l *Loader) isFetchingAny(versions []fleet.WeightsVersion) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return slices.ContainsFunc(versions, func(version fleet.WeightsVersion) bool {
-		d := l.downloads[version]
-		return d != nil && d.completedAt.IsZero() && !d.canceled
-	})
-}
-
 // cancelDownloads cancels and removes all downloads. Chunks that have been received stay in the store.
 func (l *Loader) cancelDownloads() {
 	l.mu.Lock()
@@ -87,10 +75,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	d.completedAt = l.options.Clock.Now()
+	l.originSchedule.setComplete(version)
 	for older, other := range l.downloads {
 		if older < version {
-			other.canceled = true
 			other.cancel()
+			l.originSchedule.setComplete(older)
 		}
 	}
 }
--- a/pkg/weights/origin.go
+++ b/pkg/weights/origin.go
@@ -16,7 +16,8 @@
 // SetSchedule sets the schedule of origin fetches. All boxes use the same one. By default it starts with the creation
 // of the picker and has all chunks in the order of their indexes.
 func (p *Picker) SetSchedule(schedule VersionSchedule, now time.Time) {
-	p.scheduleStart, p.lead, p.positions, p.scheduled = schedule.Start, schedule.Lead, nil, len(p.manifest.Chunks)
+	p.scheduleStart, p.lead, p.yields = schedule.Start, schedule.Lead, schedule.Yields
+	p.positions, p.scheduled = nil, len(p.manifest.Chunks)
 	if schedule.Positions != nil {
 		p.positions, p.scheduled = make([]int, len(p.manifest.Chunks)), len(schedule.Positions)
 		for chunk := range p.positions {
@@ -65,6 +66,43 @@
 	return chunks
 }
 
+// Shortage describes the chunks that no known box holds.
+type Shortage struct {
+	// Missing are the chunks that neither this box nor a usable neighbour holds.
+	Missing []int
+	// Appeared is set if a chunk was missing at the last call and is not any more.
+	Appeared bool
+	// Stalled is set if chunks are overdue and none has appeared for stallTime, so the origin is probably unavailable.
+	Stalled bool
+}
+
+const (
+	// stallTime is the time without a new chunk after which the origin counts as unavailable. A chunk passes from the
+	// origin to all boxes in less.
+	stallTime = time.Second
+	// minStalled is the number of missing chunks from which a stall counts. Fewer may be chunks of fetchers that are
+	// gone, which the next ranks fetch.
+	minStalled = 4
+)
+
+// Shortage returns the chunks that no known box holds now. It is to be called after each change of the holdings.
+func (p *Picker) Shortage(now time.Time) Shortage {
+	s := Shortage{Missing: p.Unavailable()}
+	var overdueSince time.Time
+	for _, chunk := range s.Missing {
+		if at := p.scheduledAt(chunk); overdueSince.IsZero() || at.Before(overdueSince) {
+			overdueSince = at
+		}
+	}
+	s.Appeared = len(s.Missing) < p.lastShortage
+	if s.Appeared || p.appearedAt.IsZero() {
+		p.appearedAt = now
+	}
+	p.lastShortage = len(s.Missing)
+	s.Stalled = len(s.Missing) >= minStalled && now.Sub(overdueSince) >= stallTime && now.Sub(p.appearedAt) >= stallTime
+	return s
+}
+
 // outageRankWait is how long each rank waits for the rank before it while the origin is unavailable. Chunks cannot
 // arrive then, so the wait only covers fetchers that are listed but do not run.
 const outageRankWait = 8 * time.Second
@@ -80,16 +118,30 @@
 		if p.isRunning(chunk) || !p.mayProbe(chunk, now) {
 			continue
 		}
-		offset := p.lead + time.Duration(position)*p.options.OriginInterval
-		p.nextProbe = now.Add(max(p.options.ProbeInterval, probeSpread*offset))
+		p.nextProbe = now.Add(p.probePeriod(position))
 		return FetchTask{Chunk: chunk}, true
 	}
 	return FetchTask{}, false
 }
 
-// probeSpread is the time between two probes for a chunk, relative to its offset in the schedule. With 2, half of the
-// chunks up to any offset are requested within that time after the return of the origin, besides those of later chunks.
-const probeSpread = 2
+const (
+	// probeSpread is the time between two probes for a chunk, relative to its offset in the schedule. With 2, half of
+	// the chunks up to any offset are requested within that time after the return of the origin, besides those of later
+	// chunks.
+	probeSpread = 2
+	// probeBurst is the offset up to which the chunks of the first version are all requested as soon as the origin
+	// returns. They share its link for that long, well below the time-out of a fetch.
+	probeBurst = 300 * time.Millisecond
+)
+
+// probePeriod returns the time between two probes for a chunk.
+func (p *Picker) probePeriod(position int) time.Duration {
+	offset := p.lead + time.Duration(position)*p.options.OriginInterval
+	if p.lead == 0 {
+		offset = max(0, offset-probeBurst)
+	}
+	return max(p.options.ProbeInterval, probeSpread*offset)
+}
 
 // mayProbe reports whether this box tries to fetch a chunk while the origin is unavailable.
 func (p *Picker) mayProbe(chunk int, now time.Time) bool {
--- a/pkg/weights/originschedule.go
+++ b/pkg/weights/originschedule.go
@@ -53,6 +53,8 @@
 	Positions []int
 	// Lead is how long the chunks of the versions before this one occupy the link.
 	Lead time.Duration
+	// Yields is set while this box lacks chunks of a version before this one. Its links are left to that version.
+	Yields bool
 	// Away is set while the origin is unavailable.
 	Away bool
 }
@@ -64,6 +66,8 @@
 	begun time.Time
 	// missing are the chunks that no known box held when the origin was last found unavailable; nil before that.
 	missing []int
+	// complete is set once this box holds all chunks.
+	complete bool
 }
 
 // outageFailures is the number of consecutive failed fetches after which the origin counts as unavailable. A single
@@ -140,8 +144,13 @@
 	return min(total, max(0, v.begun.Add(total).Sub(now)))
 }
 
-// maxOrdered is the number of versions, the newest, of which all orders are compared. Older ones come last.
-const maxOrdered = 3
+const (
+	// maxOrdered is the number of versions, the newest, of which all orders are compared. Older ones come last.
+	maxOrdered = 3
+	// orderTolerance is how much better an order must be than one with the older versions first. Boxes know the times
+	// and the missing chunks less precisely, and have to agree.
+	orderTolerance = 500 * time.Millisecond
+)
 
 // bestOrder returns the order of the versions with which servers are without usable weights for the shortest time.
 // Among equal ones it is the order in which the first version is complete soonest, which protects best against an
@@ -154,7 +163,9 @@
 	var bestOutage, bestFirst time.Duration
 	eachOrder(candidates, func(order []*scheduledVersion) {
 		outage, first := s.outage(order, servingUntil, now)
-		if best == nil || outage < bestOutage || outage == bestOutage && first < bestFirst {
+		shorter := outage < bestOutage-orderTolerance
+		sooner := outage <= bestOutage+orderTolerance && first < bestFirst-orderTolerance
+		if best == nil || shorter || sooner {
 			best, bestOutage, bestFirst = slices.Clone(order), outage, first
 		}
 	})
@@ -213,23 +224,37 @@
 
 // Version returns the schedule of one version. ok is false if the version is not wanted.
 func (s *OriginSchedule) Version(name string) (schedule VersionSchedule, ok bool) {
-	lead := time.Duration(0)
+	lead, yields := time.Duration(0), false
 	for _, v := range s.versions {
 		if v.Version == name {
-			return VersionSchedule{Start: v.start, Positions: v.missing, Lead: lead, Away: s.away}, true
+			return VersionSchedule{Start: v.start, Positions: v.missing, Lead: lead, Yields: yields, Away: s.away}, true
 		}
+		yields = yields || !v.complete
 		lead += time.Duration(v.count()) * s.options.Interval
 	}
 	return VersionSchedule{}, false
 }
 
+// SetComplete records that this box needs no more chunks of a version.
+func (s *OriginSchedule) SetComplete(name string) {
+	if v := s.version(name); v != nil {
+		v.complete = true
+	}
+}
+
 // Away reports whether the origin is unavailable.
 func (s *OriginSchedule) Away() bool { return s.away }
 
 // Failed records a fetch that the origin did not respond to, and reports whether the origin now counts as unavailable
 // and did not before.
 func (s *OriginSchedule) Failed() bool {
-	if s.failures++; s.failures < outageFailures || s.away {
+	s.failures++
+	return s.failures >= outageFailures && s.setAway()
+}
+
+// setAway makes the origin count as unavailable, and reports whether it did not before.
+func (s *OriginSchedule) setAway() bool {
+	if s.away {
 		return false
 	}
 	s.away = true
@@ -237,11 +262,14 @@
 	return true
 }
 
-// SetMissing records, while the origin is unavailable, which chunks of a version no known box holds.
-func (s *OriginSchedule) SetMissing(name string, missing []int) {
+// NoteShortage records, while the origin is unavailable, which chunks of a version no known box holds. It reports whether
+// the origin now counts as unavailable and did not before: a box whose own fetches come later does not try the origin.
+func (s *OriginSchedule) NoteShortage(name string, shortage *Shortage) bool {
+	lost := shortage.Stalled && s.setAway()
 	if v := s.version(name); v != nil && s.away {
-		v.missing = append([]int{}, missing...)
+		v.missing = append([]int{}, shortage.Missing...)
 	}
+	return lost
 }
 
 // Returned records that the origin responds, or that a chunk has been received that no known box held, and reports
--- a/pkg/weights/picker.go
+++ b/pkg/weights/picker.go
@@ -100,6 +100,8 @@
 	scheduled int
 	// lead is how long the chunks of versions that come first occupy the origin's link.
 	lead time.Duration
+	// yields is set while the links are left to another version.
+	yields bool
 	// awaySince is when the origin was found unavailable; zero while it is available. nextProbe is when it is
 	// tried again.
 	awaySince time.Time
@@ -126,6 +128,9 @@
 	firstFetchers map[int]string
 	// scores holds the rendezvous score of this box for each chunk.
 	scores []uint64
+	// lastShortage is the number of missing chunks at the last call of Shortage, appearedAt when it last fell.
+	lastShortage int
+	appearedAt   time.Time
 	// nextRetry holds, for a chunk whose origin fetch failed, the earliest time of the next attempt.
 	nextRetry map[int]time.Time
 	// restrictedUntil is the time until which the box fetches from neighbours only the chunks for which its
@@ -245,7 +250,7 @@
 // Next returns the next fetch; ok is false if none can start now. The task counts as running until Done or
 // Failed is called.
 func (p *Picker) Next(now time.Time) (task FetchTask, ok bool) {
-	if p.options.TotalWindow > 0 && len(p.running) >= p.options.TotalWindow {
+	if p.options.TotalWindow > 0 && len(p.running) >= p.options.TotalWindow || p.yields && len(p.running) > 0 {
 		return FetchTask{}, false
 	}
 	// Chunks for which this box is the first fetcher come before all others, because other boxes wait for them.
