fix(direct): schedule only versions that the origin serves, and count only unanswered fetches as an outage

Cause, by reading: an origin serves the two newest versions; with three in quick succession the schedule reserved its link for one that it refuses. A refused or canceled fetch counted as a failure of the origin. An agent whose server already ran the older version yielded to it for good.

Change: the schedule has the two newest versions; refusals, cancellations and backoffs change nothing; versions that the server runs count as complete.

--- a/internal/direct/loader.go
+++ b/internal/direct/loader.go
@@ -334,9 +334,11 @@
 	}
 	l.originSchedule.setTarget(desired, l.options.VersionBound)
 	for _, older := range l.originSchedule.before(desired.newest()) {
-		if older > have {
-			l.startDownload(desired, older)
+		if older <= have {
+			l.originSchedule.setComplete(older)
+			continue
 		}
+		l.startDownload(desired, older)
 	}
 	l.startDownload(desired, desired.newest())
 	version, at, ok := l.nextSwap(desired, have)
--- a/internal/direct/originschedule.go
+++ b/internal/direct/originschedule.go
@@ -79,10 +79,14 @@
 	return most
 }
 
-// wantedVersions returns the published versions that are newer than the served one, the oldest first.
+// originVersions is the number of versions, the newest, that an origin serves.
+const originVersions = 2
+
+// wantedVersions returns the published versions that are newer than the served one and that the origin serves, the oldest
+// first.
 func wantedVersions(desired *target, served fleet.WeightsVersion, versionBound time.Duration) []weights.WantedVersion {
 	var wanted []weights.WantedVersion
-	for _, published := range desired.published {
+	for _, published := range desired.published[max(0, len(desired.published)-originVersions):] {
 		if published.Version <= served {
 			continue
 		}
@@ -144,7 +148,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	switch {
-	case o.schedule == nil || errors.Is(err, context.Canceled) || provider.RequestedBackoff(err) > 0:
+	case o.schedule == nil || isUnrelatedToOutage(err):
 	case err == nil || errors.Is(err, weights.ErrDigestMismatch):
 		o.returned()
 	case o.schedule.Failed():
@@ -152,6 +156,17 @@
 	}
 }
 
+// isUnrelatedToOutage reports whether an error says nothing about whether the origin is available: the agent canceled the
+// fetch, or the origin refused it.
+func isUnrelatedToOutage(err error) bool {
+	for _, other := range []error{context.Canceled, provider.ErrNotPublished, provider.ErrRateLimited} {
+		if errors.Is(err, other) {
+			return true
+		}
+	}
+	return provider.RequestedBackoff(err) > 0
+}
+
 // errNoNewChunks is the reason for which the origin counts as unavailable to an agent that has not tried it.
 var errNoNewChunks = errors.New("no agent has received a new chunk")
 
