fix(direct): take a response that ends with its connection for complete only once its server is shown to run

Cause: two of the ways in which a part of a body appeared complete were in the probes themselves. A response shared the probes of an earlier one that had ended up to 10 ms before it, so the server could exit between the two and still listen at the last probe.

Change: such a response is complete only after a connection was accepted 10 ms or more after its own end. A probe that is neither accepted nor refused shows nothing, and the next ones decide. Probes that began before the end are shared only if they have shown an exit. What is blamed on requests is as before.

A response whose server runs still waits 10 ms.

--- a/internal/direct/serverexits.go
+++ b/internal/direct/serverexits.go
@@ -24,7 +24,8 @@
 	// exitProbeTimeout limits a probe, which checks whether a server still listens. A box without a listener
 	// refuses the connection at once; if the box does not reply, the failure is not limited to the server.
 	exitProbeTimeout = 150 * time.Millisecond
-	// earlyProbes is the number of probes of exitProbeTimes for which a failed attempt waits.
+	// earlyProbes is the number of probes of exitProbeTimes for which a failed attempt waits. A connection proves that the server
+	// runs from the last of them on.
 	earlyProbes = 2
 	// exitProbeRetention is how long the result of a probe is kept for a server incarnation that has exited.
 	exitProbeRetention = 10 * time.Second
@@ -47,11 +48,11 @@
 }
 
 // exitProbe is a series of probes of one server. early is closed after the first earlyProbes of them, done after the last one,
-// both as soon as one is refused. exited may be read once either is closed.
+// both as soon as one is refused. exited may be read once either is closed. shown is closed once running is set, or with done.
 type exitProbe struct {
-	early, done chan struct{}
-	at          time.Time
-	exited      atomic.Bool
+	early, shown, done chan struct{}
+	at                 time.Time
+	exited, running    atomic.Bool
 }
 
 // hasExited reports whether one of the first probes was refused.
@@ -60,6 +61,13 @@
 	return p.exited.Load()
 }
 
+// isRunning reports whether a probe has shown that the server runs. It waits until one has, or was refused, or the last one has
+// ended. A probe that was neither accepted nor refused shows nothing.
+func (p *exitProbe) isRunning() bool {
+	<-p.shown
+	return p.running.Load() && !p.exited.Load()
+}
+
 // exitsLater reports whether any probe was refused. It waits for the last one.
 func (p *exitProbe) exitsLater() bool {
 	<-p.done
@@ -73,7 +81,12 @@
 // start returns the probes that show whether the incarnation of a server that received a request has exited, which means that
 // its address refuses connections.
 func (p *exitProbes) start(incarnation route.ServerIncarnation, address member.Address, sent time.Time) *exitProbe {
-	probe, isNew := p.findOrAdd(incarnation, sent)
+	return p.startAfter(incarnation, address, sent, time.Time{})
+}
+
+// startAfter is like start, but the probes have already shown an exit or begin no earlier than the end of the response.
+func (p *exitProbes) startAfter(incarnation route.ServerIncarnation, address member.Address, sent, ended time.Time) *exitProbe {
+	probe, isNew := p.findOrAdd(incarnation, sent, ended)
 	if isNew {
 		p.tasks.Go(func(ctx context.Context) { p.run(ctx, probe, incarnation, address) })
 	}
@@ -83,9 +96,12 @@
 // run probes a server until it refuses a connection or the last probe has ended.
 func (p *exitProbes) run(ctx context.Context, probe *exitProbe, incarnation route.ServerIncarnation, address member.Address) {
 	defer close(probe.done)
+	show := sync.OnceFunc(func() { close(probe.shown) })
+	defer show()
 	for i, at := range exitProbeTimes {
 		sleep(ctx, p.clock, at-p.clock.Since(probe.at))
-		if p.isRefused(ctx, address) {
+		err := p.probeOnce(ctx, address)
+		if errors.Is(err, syscall.ECONNREFUSED) {
 			probe.exited.Store(true)
 			p.keep(incarnation, probe)
 			if i < earlyProbes {
@@ -98,14 +114,18 @@
 			p.drop(incarnation, probe)
 			close(probe.early)
 		}
+		if i >= earlyProbes-1 && err == nil {
+			probe.running.Store(true)
+			show()
+		}
 	}
 }
 
-// isRefused reports whether a server refuses a connection.
-func (p *exitProbes) isRefused(ctx context.Context, address member.Address) bool {
+// probeOnce opens a connection to a server.
+func (p *exitProbes) probeOnce(ctx context.Context, address member.Address) error {
 	ctx, cancel := clockwork.WithTimeout(ctx, p.clock, exitProbeTimeout)
 	defer cancel()
-	return errors.Is(p.probe(ctx, address), syscall.ECONNREFUSED)
+	return p.probe(ctx, address)
 }
 
 // keep makes probes that were refused those of an incarnation.
@@ -125,11 +145,13 @@
 }
 
 // findOrAdd returns the probes of an incarnation and whether the caller has to run them. Probes that began before
-// the request was sent do not show whether the server exited afterwards, so they are replaced.
-func (p *exitProbes) findOrAdd(incarnation route.ServerIncarnation, sent time.Time) (probe *exitProbe, isNew bool) {
+// the request was sent do not show whether the server exited afterwards, so they are replaced. So are probes that began before
+// its response ended, unless they have shown an exit: the server may have exited after them. ended is zero if it does not matter.
+func (p *exitProbes) findOrAdd(incarnation route.ServerIncarnation, sent, ended time.Time) (probe *exitProbe, isNew bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if known := p.byIncarnation[incarnation]; known != nil && !sent.After(known.at) {
+	known := p.byIncarnation[incarnation]
+	if known != nil && !sent.After(known.at) && (known.exited.Load() || !ended.After(known.at)) {
 		return known, false
 	}
 	now := p.clock.Now()
@@ -138,7 +160,7 @@
 			delete(p.byIncarnation, other)
 		}
 	}
-	probe = &exitProbe{early: make(chan struct{}), done: make(chan struct{}), at: now}
+	probe = &exitProbe{early: make(chan struct{}), shown: make(chan struct{}), done: make(chan struct{}), at: now}
 	p.byIncarnation[incarnation] = probe
 	return probe, true
 }
--- a/internal/direct/stream.go
+++ b/internal/direct/stream.go
@@ -140,10 +140,14 @@
 	}
 }
 
-// checkEnd returns io.ErrUnexpectedEOF instead of io.EOF for a response that ended with its connection if its server has exited.
-// Such a response may lack a part, whether the server had announced its departure or not.
+// checkEnd returns io.ErrUnexpectedEOF instead of io.EOF for a response that ended with its connection unless probes that began
+// after its end show that its server runs. Such a response may lack a part, whether the server had announced its departure or not.
 func (s *CallerServer) checkEnd(reservation *route.Reservation, resp *upstream.Response, err error) error {
-	if errors.Is(err, io.EOF) && !resp.IsSelfDelimited() && s.startExitProbe(reservation).hasExited() {
+	if !errors.Is(err, io.EOF) || resp.IsSelfDelimited() {
+		return err
+	}
+	probe := s.exitProbes.startAfter(reservation.ServerIncarnation(), reservation.Server.Address, reservation.ReservedAt(), s.clock.Now())
+	if !probe.isRunning() {
 		return io.ErrUnexpectedEOF
 	}
 	return err
