--- a/internal/direct/loader.go
+++ b/internal/direct/loader.go
@@ -346,7 +346,7 @@
 	if !ok || l.options.Clock.Now().Before(at) {
 		return
 	}
-	if err := l.swap(ctx, desired, version, have > 0); err != nil && ctx.Err() == nil {
+	if err := l.swap(ctx, desired, have, version); err != nil && ctx.Err() == nil {
 		l.options.Log.Warn().Str("model", string(desired.model)).Uint64("version", uint64(version)).
 			Uint64("have", uint64(have)).Err(err).Msg("weights not taken, trying again")
 		sleep(ctx, l.options.Clock, loadRetryDelay)
--- a/internal/direct/silentserver_test.go
+++ b/internal/direct/silentserver_test.go
@@ -183,7 +183,7 @@
 			require.NoError(t, l.store.Put(manifest, index, testChunk(index)))
 			server.staged[index] = testChunk(index)
 		}
-		require.NoError(t, l.swap(t.Context(), manifestTarget(), 2, true))
+		require.NoError(t, l.swap(t.Context(), manifestTarget(), 1, 2))
 		require.Equal(t, 1, server.orders)
 		require.False(t, server.wrong)
 		require.Equal(t, reads, server.reads)
--- a/internal/direct/versiondownload.go
+++ b/internal/direct/versiondownload.go
@@ -21,9 +21,9 @@
 	// swapTimeout limits the time in which the server must have loaded the ordered version. It includes the
 	// running streams, which the server finishes first.
 	swapTimeout = 10 * time.Second
-	// swapNotice is how long before the load order entry boxes are notified to send the server no more
+	// maxSwapNotice is how long before the load order entry boxes are notified to send the server no more
 	// requests. The wait ends earlier if the server is idle.
-	swapNotice = 400 * time.Millisecond
+	maxSwapNotice = 400 * time.Millisecond
 )
 
 // versionDownload is the download of one version, in progress or complete.
@@ -119,7 +119,8 @@
 // swap stages a version and orders the server to load it. Staging replaces the chunks that were staged before and
 // does not interrupt requests, so the server is marked as swapping only after it. If the order would come too long after the
 // verification of a chunk, for example because the agent was paused, the chunks are verified again.
-func (l *Loader) swap(ctx context.Context, desired *target, version fleet.WeightsVersion, serving bool) error {
+func (l *Loader) swap(ctx context.Context, desired *target, have, version fleet.WeightsVersion) error {
+	serving := have > 0
 	manifest, err := l.manifest(ctx, desired, version)
 	if err != nil {
 		return err
@@ -131,7 +132,7 @@
 		}
 		if serving && pass == 1 {
 			l.setSwapping(true)
-			l.awaitIdle(ctx, swapNotice)
+			l.awaitIdle(ctx, l.swapNotice(desired, have))
 		}
 		age := l.verifiedAge(manifest)
 		l.options.Log.Info().Str("model", string(desired.model)).Uint64("version", uint64(version)).Str("manifest", manifest.Digest().Short()).
@@ -145,7 +146,7 @@
 
 const (
 	// maxVerifiedAge is how long before the load order a staged chunk may have been verified. Verifying all chunks and
-	// swapNotice take less.
+	// maxSwapNotice take less.
 	maxVerifiedAge = 2500 * time.Millisecond
 	// maxStagePasses limits how often the chunks are verified for one order. A box on which that always takes longer than
 	// maxVerifiedAge is slow, not paused.
@@ -169,8 +170,21 @@
 	return l.options.Clock.Since(oldest)
 }
 
+// swapNotice returns how long before the load order entry boxes are notified. Shortly before the cutoff of the version that
+// the server has, they send it no requests any more.
+func (l *Loader) swapNotice(desired *target, have fleet.WeightsVersion) time.Duration {
+	cutoff, ok := desired.published.CutoffTime(have, l.options.VersionBound)
+	if ok && l.options.Clock.Now().After(cutoff.Add(-cutoffMargin)) {
+		return 0
+	}
+	return maxSwapNotice
+}
+
 // awaitIdle waits until the server is idle, at most for the given duration.
 func (l *Loader) awaitIdle(ctx context.Context, wait time.Duration) {
+	if wait == 0 {
+		return
+	}
 	until := l.options.Clock.Now().Add(wait)
 	// The status reaches the entry boxes within a few round trips.
 	sleep(ctx, l.options.Clock, reportInterval)
--- a/internal/direct/versiondownload_test.go
+++ b/internal/direct/versiondownload_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
@@ -102,3 +103,15 @@
 	}
 	require.Equal(t, member.MaxRoots, readers)
 }
+
+// Guards against servers that stay out of service for a notice although entry boxes send them nothing any more.
+func TestSwapAfterCutoffNeedsNoNotice(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	const bound = 10 * time.Second
+	l := &Loader{options: LoaderOptions{Clock: clock, VersionBound: bound}}
+	desired := &target{published: fleet.PublishedVersions{{Version: 1}, {Version: 2, PublishedAt: clock.Now()}}}
+	require.Equal(t, maxSwapNotice, l.swapNotice(desired, 1))
+	clock.Advance(bound - cutoffMargin + time.Millisecond)
+	require.Zero(t, l.swapNotice(desired, 1))
+	require.Equal(t, maxSwapNotice, l.swapNotice(desired, 2), "the newest version has no cutoff")
+}
