fix(direct): wait longer for the end of a server whose other connections end too

Cause: the kernel closes the connections of a process that ends one after the other, its listener among the last, and on a busy machine it pauses between them. A connection that is accepted 10 ms after the end of a response then proves nothing.

Change: if an idle connection to the server has ended too, or another attempt at it broke off within 120 ms, the last probe decides whether a response that ends with its connection is complete. The pool reports whether a server has ended idle connections.

A response whose server runs, and ends no other connection, still waits 10 ms, others 120 ms.

--- a/internal/direct/checkend_test.go
+++ b/internal/direct/checkend_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/cinderslip/cinderslip/internal/upstream"
 	"github.com/cinderslip/cinderslip/pkg/fleet"
+	"github.com/cinderslip/cinderslip/pkg/member"
 	"github.com/cinderslip/cinderslip/pkg/route"
 )
 
@@ -79,3 +80,33 @@
 		require.True(t, <-first)
 	})
 }
+
+// Guards against a part of a body appearing complete because a process that ends on a busy machine still listens when the first
+// probes are made: it closes its connections one after the other, its listener among the last.
+func TestResponseIsNotCompleteWhileOtherConnectionsOfItsServerEnd(t *testing.T) {
+	for name, test := range map[string]struct {
+		loseIdle, failAttempt bool
+		listens               time.Duration
+		is                    bool
+		latency               time.Duration
+	}{
+		"an idle connection ends, the server exits":     {true, false, 50 * time.Millisecond, false, 120 * time.Millisecond},
+		"another response breaks off, the server exits": {false, true, 50 * time.Millisecond, false, 120 * time.Millisecond},
+		"an idle connection ends, the server runs":      {true, false, time.Hour, true, 120 * time.Millisecond},
+		"another response breaks off, the server runs":  {false, true, time.Hour, true, 120 * time.Millisecond},
+		"no other connection ends, the server runs":     {false, false, time.Hour, true, 10 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, ended := newProbingCallerServer(exitProbeScript{{test.listens, nil}, {time.Hour, errRefused}}), time.Now()
+				defer func() { require.NoError(t, s.tasks.Stop(t.Context())) }()
+				s.exitProbes.hasLostIdle = func(member.Address) bool { return test.loseIdle && time.Since(ended) >= 5*time.Millisecond }
+				if test.failAttempt {
+					time.AfterFunc(5*time.Millisecond, func() { s.exitProbes.noteDisconnect("10.0.0.1:80") })
+				}
+				require.Equal(t, test.is, isComplete(t, s))
+				require.Equal(t, test.latency, time.Since(ended))
+			})
+		})
+	}
+}
--- a/internal/direct/serverexits.go
+++ b/internal/direct/serverexits.go
@@ -24,9 +24,12 @@
 	// exitProbeTimeout limits a probe, which checks whether a server still listens. A box without a listener
 	// refuses the connection at once; if the box does not reply, the failure is not limited to the server.
 	exitProbeTimeout = 150 * time.Millisecond
-	// earlyProbes is the number of probes of exitProbeTimes for which a failed attempt waits. A connection proves that the server
-	// runs from the last of them on.
+	// earlyProbes is the number of probes of exitProbeTimes for which a failed attempt waits.
 	earlyProbes = 2
+	// firstProof is the first probe of exitProbeTimes that shows that a server runs if it is accepted and no other connection
+	// to the server has ended. Otherwise the last one does. The kernel closes the connections of a process that ends one after
+	// the other. On a busy machine the listener was open for up to 45 ms after the first connection had ended.
+	firstProof = 1
 	// exitProbeRetention is how long the result of a probe is kept for a server incarnation that has exited.
 	exitProbeRetention = 10 * time.Second
 )
@@ -41,10 +44,14 @@
 type exitProbes struct {
 	clock clockwork.Clock
 	probe func(ctx context.Context, address member.Address) error
-	tasks *kernel.TaskGroup
+	// hasLostIdle reports whether a server has ended an idle connection.
+	hasLostIdle func(address member.Address) bool
+	tasks       *kernel.TaskGroup
 
 	mu            sync.Mutex
 	byIncarnation map[route.ServerIncarnation]*exitProbe
+	// disconnects are the times at which an attempt last failed because the server at an address ended the connection.
+	disconnects map[member.Address]time.Time
 }
 
 // exitProbe is a series of probes of one server. early is closed after the first earlyProbes of them, done after the last one,
@@ -62,7 +69,7 @@
 }
 
 // isRunning reports whether a probe has shown that the server runs. It waits until one has, or was refused, or the last one has
-// ended. A probe that was neither accepted nor refused shows nothing.
+// ended. A probe that was neither accepted nor refused shows nothing, see also firstProof.
 func (p *exitProbe) isRunning() bool {
 	<-p.shown
 	return p.running.Load() && !p.exited.Load()
@@ -75,7 +82,10 @@
 }
 
 func newExitProbes(clock clockwork.Clock, pool *upstream.Pool, tasks *kernel.TaskGroup) *exitProbes {
-	return &exitProbes{clock: clock, probe: pool.Probe, tasks: tasks, byIncarnation: make(map[route.ServerIncarnation]*exitProbe)}
+	return &exitProbes{
+		clock: clock, probe: pool.Probe, hasLostIdle: pool.HasLostIdle, tasks: tasks,
+		byIncarnation: make(map[route.ServerIncarnation]*exitProbe), disconnects: make(map[member.Address]time.Time),
+	}
 }
 
 // start returns the probes that show whether the incarnation of a server that received a request has exited, which means that
@@ -114,13 +124,36 @@
 			p.drop(incarnation, probe)
 			close(probe.early)
 		}
-		if i >= earlyProbes-1 && err == nil {
+		isProof := i == len(exitProbeTimes)-1 || i >= firstProof && !p.hasLostOther(address, probe.at)
+		if err == nil && isProof {
 			probe.running.Store(true)
 			show()
 		}
 	}
 }
 
+// noteDisconnect records that an attempt failed because the server at an address ended the connection.
+func (p *exitProbes) noteDisconnect(address member.Address) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	for other, at := range p.disconnects {
+		if now.Sub(at) > exitProbeRetention {
+			delete(p.disconnects, other)
+		}
+	}
+	p.disconnects[address] = now
+}
+
+// hasLostOther reports whether a server has ended another connection at about the time of the end of a response, which may be
+// because it exits.
+func (p *exitProbes) hasLostOther(address member.Address, ended time.Time) bool {
+	p.mu.Lock()
+	at, ok := p.disconnects[address]
+	p.mu.Unlock()
+	return ok && ended.Sub(at) < exitProbeTimes[len(exitProbeTimes)-1] || p.hasLostIdle(address)
+}
+
 // probeOnce opens a connection to a server.
 func (p *exitProbes) probeOnce(ctx context.Context, address member.Address) error {
 	ctx, cancel := clockwork.WithTimeout(ctx, p.clock, exitProbeTimeout)
@@ -178,6 +211,9 @@
 // failAttempt finishes an attempt that may have run and got no complete response.
 func (s *CallerServer) failAttempt(x *exchange, a *attempt, err error) {
 	result := route.ResultFailed
+	if isDisconnect(err) {
+		s.exitProbes.noteDisconnect(a.reservation.Server.Address)
+	}
 	switch {
 	case errors.Is(err, route.ErrQuarantined):
 		// The box aborted the attempt.
--- a/internal/direct/suspectrequests_test.go
+++ b/internal/direct/suspectrequests_test.go
@@ -82,6 +82,7 @@
 	started, count := time.Now(), &atomic.Int64{}
 	return &exitProbes{
 		clock: clockwork.NewRealClock(), tasks: kernel.NewTaskGroup(), byIncarnation: make(map[route.ServerIncarnation]*exitProbe),
+		disconnects: make(map[member.Address]time.Time), hasLostIdle: func(member.Address) bool { return false },
 		probe: func(context.Context, member.Address) error {
 			count.Add(1)
 			for _, result := range script {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -24,6 +24,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -292,6 +293,14 @@
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
+// HasLostIdle reports whether a server has ended an idle connection before the time until which it may be reused.
+func (p *Pool) HasLostIdle(address member.Address) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.options.Clock.Now()
+	return slices.ContainsFunc(p.idle[address], func(c *conn) bool { return now.Before(c.reusableUntil) && c.isEnded() })
+}
+
 // CloseIdle closes the idle connections to an address. It is called when the server at the address is removed.
 func (p *Pool) CloseIdle(address member.Address) {
 	p.mu.Lock()
@@ -321,21 +330,32 @@
 // isOpen reports whether the connection is open at both ends and no received data is unread. It does not wait for
 // another goroutine that reads from the connection.
 func (c *conn) isOpen() bool {
+	_, ok, err := c.peek()
+	return ok && errors.Is(err, syscall.EAGAIN)
+}
+
+// isEnded reports whether the other end has closed or reset the connection and no received data is unread.
+func (c *conn) isEnded() bool {
+	n, ok, err := c.peek()
+	return ok && n <= 0 && !errors.Is(err, syscall.EAGAIN)
+}
+
+// peek returns the result of reading one byte, which stays unread, without waiting. ok is false if the connection is closed at
+// this end or has no socket.
+func (c *conn) peek() (n int, ok bool, err error) {
 	tcp, ok := c.Conn.(tcpConn)
 	if !ok {
-		return false
+		return 0, false, nil
 	}
 	raw, err := tcp.SyscallConn()
 	if err != nil {
-		return false
+		return 0, false, err
 	}
-	open := false
-	err = raw.Control(func(fd uintptr) {
+	controlErr := raw.Control(func(fd uintptr) {
 		var one [1]byte
-		_, _, peekErr := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = errors.Is(peekErr, syscall.EAGAIN)
+		n, _, err = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return err == nil && open
+	return n, controlErr == nil, err
 }
 
 func (c *conn) write(request *Request) error {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -351,3 +351,18 @@
 	close(end)
 	require.Eventually(t, func() bool { return !isOpen() }, 10*time.Second, time.Millisecond)
 }
+
+// Guards against a server that exits being taken for one that runs: the end of its idle connections is the sign of it.
+func TestPoolReportsIdleConnectionsThatServerHasEnded(t *testing.T) {
+	end := make(chan struct{})
+	address := startRawServer(t, func(net.Conn, *bufio.Reader) { <-end })
+	var opened atomic.Int32
+	pool := newTestPool(&opened)
+	require.NoError(t, pool.Probe(t.Context(), address))
+	require.False(t, pool.HasLostIdle(address))
+	close(end)
+	require.Eventually(t, func() bool { return pool.HasLostIdle(address) }, 5*time.Second, time.Millisecond)
+	require.False(t, pool.HasLostIdle("127.0.0.1:1"))
+	pool.CloseIdle(address)
+	require.False(t, pool.HasLostIdle(address))
+}
