feat(route): entry boxes report their demand by priority class

Cause: boxes know of each other how many requests are queued, not how urgent they are, so scarce slots can't be allocated by priority across boxes.

A service has classes if the configuration gives its routes or the organisations different priorities; otherwise the new field is absent.

--- a/internal/direct/callerserver.go
+++ b/internal/direct/callerserver.go
@@ -5,6 +5,7 @@
 	"errors"
 	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -377,9 +378,31 @@
 	if input.hasBoxes {
 		d.SetBoxCount(input.liveBoxes, input.allBoxes)
 	}
+	d.SetPriorityClasses(hasSeveralPriorities(view, name))
 	s.setServers(name, d, input, layers)
 }
 
+// hasSeveralPriorities reports whether the requests of a service can have different priorities.
+func hasSeveralPriorities(view *fleet.View, service member.Service) bool {
+	if view.Configuration == nil {
+		return false
+	}
+	first, known := 0, false
+	differs := func(priority int) bool {
+		if !known {
+			first, known = priority, true
+		}
+		return priority != first
+	}
+	for i := range view.Configuration.Routes {
+		r := &view.Configuration.Routes[i]
+		if slices.ContainsFunc(r.Backends, func(b fleet.Backend) bool { return b.Service == service }) && differs(r.Priority) {
+			return true
+		}
+	}
+	return known && slices.ContainsFunc(view.Configuration.Organisations, func(o fleet.Organisation) bool { return o.Priority != nil && differs(*o.Priority) })
+}
+
 // responseStartMargin is how long before the version bound a response must have started. It covers the delay
 // with which a box receives a publication and the time that it takes to abort a request.
 const responseStartMargin = 500 * time.Millisecond
--- a/internal/direct/statusmessage.go
+++ b/internal/direct/statusmessage.go
@@ -186,7 +186,7 @@
 	for service, demand := range demands {
 		encoded = append(encoded, &wire.ServiceDemand{
 			Service: string(service), Arrivals: uint32(demand.Arrivals), InTime: uint32(demand.InTime), Late: uint32(demand.Late),
-			Beginning: uint32(demand.AwaitingFirstByte),
+			Beginning: uint32(demand.AwaitingFirstByte), Classes: demandClassesToWire(&demand.Classes),
 		})
 	}
 	return encoded
@@ -197,12 +197,35 @@
 	for _, demand := range encoded {
 		demands[member.Service(demand.Service)] = route.Demand{
 			Arrivals: int(demand.Arrivals), InTime: int(demand.InTime), Late: int(demand.Late),
-			AwaitingFirstByte: int(demand.Beginning),
+			AwaitingFirstByte: int(demand.Beginning), Classes: demandClassesFromWire(demand.Classes),
 		}
 	}
 	return demands
 }
 
+// demandClassesToWire encodes the classes that have any demand.
+func demandClassesToWire(classes *route.DemandClasses) []*wire.ClassDemand {
+	var encoded []*wire.ClassDemand
+	for priority, class := range classes {
+		if class != (route.ClassDemand{}) {
+			encoded = append(encoded, &wire.ClassDemand{
+				Priority: uint32(priority), Arrivals: uint32(class.Arrivals), InTime: uint32(class.InTime), Late: uint32(class.Late),
+			})
+		}
+	}
+	return encoded
+}
+
+// demandClassesFromWire decodes classes. Those with a priority beyond the last one are ignored.
+func demandClassesFromWire(encoded []*wire.ClassDemand) (classes route.DemandClasses) {
+	for _, class := range encoded {
+		if class.Priority < route.PriorityClasses {
+			classes[class.Priority] = route.ClassDemand{Arrivals: int(class.Arrivals), InTime: int(class.InTime), Late: int(class.Late)}
+		}
+	}
+	return classes
+}
+
 // rejectedToWire encodes rejected callers. Times are encoded relative to now, because the boxes have no common clock.
 func rejectedToWire(callers []route.RejectedCaller, now time.Time) []*wire.SentAway {
 	encoded := make([]*wire.SentAway, 0, len(callers))
--- a/pkg/route/demand.go
+++ b/pkg/route/demand.go
@@ -17,6 +17,8 @@
 	// AwaitingFirstByte is the number of requests that hold a slot and whose responses have not
 	// started.
 	AwaitingFirstByte int
+	// Classes are the arrivals and the queued requests by priority class, if the service has several classes.
+	Classes DemandClasses
 }
 
 // Demands are the demands of one entry box, by service.
@@ -30,7 +32,7 @@
 
 // peerDemands holds the demands of the other entry boxes and their sum.
 type peerDemands struct {
-	boxes map[member.BoxID]peerDemand
+	boxes map[member.BoxID]*peerDemand
 	sum   Demand
 	// oldest is a lower bound of the time of the oldest report.
 	oldest time.Time
@@ -40,9 +42,11 @@
 	if len(p.boxes) == 0 {
 		p.oldest = now
 	}
-	p.sum.add(p.boxes[box].Demand, -1)
-	p.sum.add(demand, 1)
-	p.boxes[box] = peerDemand{demand, now}
+	if before := p.boxes[box]; before != nil {
+		p.sum.add(&before.Demand, -1)
+	}
+	p.sum.add(&demand, 1)
+	p.boxes[box] = &peerDemand{demand, now}
 }
 
 // expire removes the boxes whose last report is older than peerLoadMaxAge.
@@ -53,7 +57,7 @@
 	p.oldest = now
 	for box, demand := range p.boxes {
 		if now.Sub(demand.at) >= peerLoadMaxAge {
-			p.sum.add(demand.Demand, -1)
+			p.sum.add(&demand.Demand, -1)
 			delete(p.boxes, box)
 			continue
 		}
@@ -63,11 +67,14 @@
 	}
 }
 
-func (d *Demand) add(other Demand, sign int) {
+func (d *Demand) add(other *Demand, sign int) {
 	d.Arrivals += sign * other.Arrivals
 	d.InTime += sign * other.InTime
 	d.Late += sign * other.Late
 	d.AwaitingFirstByte += sign * other.AwaitingFirstByte
+	for class := range d.Classes {
+		d.Classes[class].add(other.Classes[class], sign)
+	}
 }
 
 // Demand returns the demand of this box.
@@ -79,7 +86,19 @@
 
 func (d *Dispatcher) demand(now time.Time) Demand {
 	inTime, late := d.queueCounts(now)
-	return Demand{Arrivals: d.arrivals.count(now), InTime: inTime, Late: late, AwaitingFirstByte: len(d.awaiting)}
+	demand := Demand{Arrivals: d.arrivals.count(now), InTime: inTime, Late: late, AwaitingFirstByte: len(d.awaiting)}
+	if !d.hasClasses {
+		return demand
+	}
+	for class := range d.classArrivals {
+		demand.Classes[class].Arrivals = d.classArrivals[class].count(now)
+	}
+	d.eachPriority(now, func(r priorityRange) {
+		class := &demand.Classes[d.queue[r.start].req.priorityClass()]
+		class.InTime += r.end - r.inTime
+		class.Late += r.inTime - r.start
+	})
+	return demand
 }
 
 // UpdatePeerDemand records the demand that another entry box reported.
--- a/pkg/route/dispatch.go
+++ b/pkg/route/dispatch.go
@@ -83,6 +83,10 @@
 	queue           []*QueuedRequest
 	// arrivals counts the new requests at this box.
 	arrivals rateMeter
+	// hasClasses is set if the requests have several priorities; classArrivals then counts the new requests at this box by
+	// class.
+	hasClasses    bool
+	classArrivals [PriorityClasses]rateMeter
 	// peerDemands are the demands that the other entry boxes reported.
 	peerDemands peerDemands
 	// typicalHoldTime is the moving average of the time that a request holds its slot.
@@ -157,7 +161,7 @@
 		buckets:         make(map[fleet.ServerID]*tokenBucket),
 		awaiting:        make(map[*Reservation]struct{}),
 		peerLoads:       newPeerLoads(),
-		peerDemands:     peerDemands{boxes: make(map[member.BoxID]peerDemand)},
+		peerDemands:     peerDemands{boxes: make(map[member.BoxID]*peerDemand)},
 		boxes:           1,
 		allBoxes:        1,
 		typicalHoldTime: options.TypicalHoldTime,
--- a/pkg/route/queue.go
+++ b/pkg/route/queue.go
@@ -80,6 +80,9 @@
 	req.startBy = d.startBy(req, now)
 	if !req.Retry && !req.Resuming && !req.NoWait {
 		d.arrivals.add(now)
+		if d.hasClasses {
+			d.classArrivals[req.priorityClass()].add(now)
+		}
 		d.slack += time.Duration(ttfbSmoothing * float64(req.startBy.Sub(now)-d.slack))
 	}
 	if len(d.queue) == 0 || d.ahead(req, now) == 0 {
