feat(route): scarce slots go to the most urgent priority class of all boxes

Cause: a free slot was allocated to a box by the number of its queued requests, and a released slot to any request of the box that released it, so requests were ordered by priority only within a box.

Change: while slots are scarce, each is first allocated to a class, by a hash of the slot on ranges that all boxes compute from the reported demand, then to a box by weighted rendezvous hashing within the class. A released slot is allocated in the same way and left to other boxes if a more urgent request needs it. The expected wait counts more urgent requests at all boxes, and Retry-After counts only retries and late requests that are as urgent. Boxes that report no classes keep the slots that their total demand gives them. Services with one priority take none of these paths. New metrics direct_priority_waiting and direct_priority_refusals_total, and the log fields priority and more_urgent of refused requests.

Organisations do not share capacity yet.

--- a/internal/direct/callerserver.go
+++ b/internal/direct/callerserver.go
@@ -6,11 +6,13 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"github.com/cinderslip/cinderslip/internal/kernel"
@@ -339,6 +341,7 @@
 		for name, d := range s.dispatchers {
 			s.applyInput(name, d, input)
 			s.metrics.waiting.WithLabelValues(string(name)).Set(float64(d.QueueLen()))
+			s.observeQueuedPriorities(name, d)
 			s.metrics.limitedServers.WithLabelValues(string(name)).Set(float64(len(d.LimitedServers(s.clock.Now()))))
 			s.metrics.unclaimed.WithLabelValues(string(name)).Set(float64(d.Unclaimed(s.clock.Now())))
 		}
@@ -382,6 +385,18 @@
 	s.setServers(name, d, input, layers)
 }
 
+// observeQueuedPriorities sets the metric for the requests queued by priority.
+func (s *CallerServer) observeQueuedPriorities(name member.Service, d *route.Dispatcher) {
+	lengths, ok := d.QueueLenByClass(s.clock.Now())
+	if !ok {
+		s.metrics.priorityWaiting.DeletePartialMatch(prometheus.Labels{"service": string(name)})
+		return
+	}
+	for priority, length := range lengths {
+		s.metrics.priorityWaiting.WithLabelValues(string(name), strconv.Itoa(priority)).Set(float64(length))
+	}
+}
+
 // hasSeveralPriorities reports whether the requests of a service can have different priorities.
 func hasSeveralPriorities(view *fleet.View, service member.Service) bool {
 	if view.Configuration == nil {
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -37,6 +37,9 @@
 	// suspects counts the evidence about requests under which servers have exited.
 	suspects *prometheus.CounterVec
 	waiting  *prometheus.GaugeVec
+	// priorityWaiting and priorityRefusals are the queued and the refused requests of services with several priorities.
+	priorityWaiting  *prometheus.GaugeVec
+	priorityRefusals *prometheus.CounterVec
 	// limitedServers is the number of servers with a rate limit; limitRefusals counts the requests refused while
 	// all servers that could run them had one.
 	limitedServers *prometheus.GaugeVec
@@ -93,6 +96,10 @@
 		serverSignals: metric.CounterVec("direct_server_words_total", "Answers in which backend servers say that they leave, ask for rest or name a limit.", "word"),
 		suspects:      metric.CounterVec("suspect_requests_total", "What was heard of requests under which backend servers ended: one more has (ended), or one has run it well (cleared).", "heard"),
 		waiting:       metric.GaugeVec("direct_waiting", "Requests that wait for a place.", "service"),
+		priorityWaiting: metric.GaugeVec("direct_priority_waiting",
+			"Requests that wait for a slot, by service and priority; only for services with several priorities.", "service", "priority"),
+		priorityRefusals: metric.CounterVec("direct_priority_refusals_total",
+			"Requests refused because no slot would be free in time, by service and priority.", "service", "priority"),
 		limitedServers: metric.GaugeVec(
 			"direct_limited_servers", "Backend servers with a rate limit that this box sends to, by service.", "service",
 		),
@@ -125,7 +132,7 @@
 		deferredDeletions: metric.Gauge("believed_held_deletions", "Deletions of servers' entries that are held back after an outage of the store."),
 	}
 	m.registry.MustRegister(m.requests, m.requestSeconds, m.ttfb, m.attempts, m.hedges, m.retries, m.cutResponses, m.serverSignals, m.suspects,
-		m.waiting, m.limitedServers,
+		m.waiting, m.priorityWaiting, m.priorityRefusals, m.limitedServers,
 		m.limitRefusals, m.unclaimed, m.heldBytes, m.connections, m.storeCalls, m.traffic.messages, m.traffic.bytes, m.configurationTransfers, m.logDropped, m.chunks, m.manifests, m.orders, m.originOutages,
 		m.configuration, m.revision, m.storeEra, m.complete, m.completeEra, m.deferredDeletions, m.evacuatedDomains, m.outdatedEntries, m.pulls, m.refusedPulls,
 		collectors.NewGoCollector())
--- a/internal/lab/box.go
+++ b/internal/lab/box.go
@@ -78,6 +78,7 @@
 		TypicalHoldTime: initialHoldTime, TTFB: initialTTFB, NeedsWeights: true, Random: b.sim.random.Float64, Box: b.id,
 		OnLimitedSend: func() { b.reportSoon(b.incarnation) },
 	})
+	b.dispatcher.SetPriorityClasses(b.sim.deployment.hasSeveralPriorities())
 	b.heardAt = make(map[*box]time.Time)
 	for _, other := range b.peers {
 		b.heardAt[other] = b.sim.Now()
@@ -122,6 +123,7 @@
 func (b *box) kill() {
 	b.up, b.hadFault = false, true
 	b.incarnation++
+	maps.DeleteFunc(b.sim.queued, func(r *request, _ struct{}) bool { return r.box == b })
 	for _, other := range b.peers {
 		if other.up {
 			other.dispatcher.UpdatePeerLoad(b.id, nil, true, b.sim.Now())
@@ -251,6 +253,7 @@
 	req.Tried = r.tried
 	reservation, queued, err := r.box.dispatcher.Submit(&req, func(reservation *route.Reservation) {
 		r.queued = nil
+		delete(r.box.sim.queued, r)
 		r.afterFunc(0, func() { r.send(reservation) })
 	}, r.box.sim.Now())
 	switch {
@@ -260,6 +263,7 @@
 		r.reject(err)
 	default:
 		r.queued = queued
+		r.box.sim.queued[r] = struct{}{}
 		r.review()
 	}
 }
@@ -274,6 +278,7 @@
 	switch {
 	case err != nil:
 		r.queued = nil
+		delete(r.box.sim.queued, r)
 		r.reject(err)
 	case waiting:
 		r.afterFunc(next.Sub(now), r.review)
@@ -294,6 +299,7 @@
 		r.resubmit()
 		return
 	}
+	r.box.sim.countInversions(r)
 	r.attempts++
 	r.tried = append(r.tried, reservation.Server.ID)
 	server := r.box.sim.byID[reservation.Server.ID]
@@ -435,6 +441,7 @@
 // finish ends the request at the box.
 func (r *request) finish() {
 	r.done = true
+	delete(r.box.sim.queued, r)
 	r.retry.Settle(r.box.sim.Now())
 	r.box.quarantine.EndTurn(&r.turn)
 }
--- a/internal/lab/caller.go
+++ b/internal/lab/caller.go
@@ -20,6 +20,8 @@
 	promptTokens   int
 	responseTokens int
 	prompt         prompt
+	// organisation is the number of the caller's organisation; -1 if it has none.
+	organisation int
 	// arrivedAt is when the caller sent its first attempt, from which objective and deadline count.
 	arrivedAt time.Time
 	attempts  int
@@ -38,7 +40,7 @@
 	return &caller{
 		sim: sim, region: region, kind: kind, arrivedAt: sim.Now(),
 		promptTokens: sim.randomSize(kind.Prompt, kind.PromptSpread), responseTokens: sim.randomSize(kind.Response, kind.ResponseSpread),
-		prompt: sim.prompts.draw(),
+		prompt: sim.prompts.draw(), organisation: sim.drawOrganisation(),
 	}
 }
 
--- a/internal/lab/deployment.go
+++ b/internal/lab/deployment.go
@@ -14,6 +14,7 @@
 package lab
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cinderslip/cinderslip/pkg/route"
@@ -44,10 +45,18 @@
 	Retries route.RetryLimits
 	// LoadSteps are the changes of the traffic over time, sorted by time. Before the first, the level is 1.
 	LoadSteps []LoadStep
+	// Organisations are the relative arrival rates of the organisations that callers belong to; empty if callers belong
+	// to none.
+	Organisations []float64
 	// Duration is how long new callers arrive.
 	Duration time.Duration
 }
 
+// hasSeveralPriorities reports whether the request kinds have different priorities.
+func (d *Deployment) hasSeveralPriorities() bool {
+	return slices.ContainsFunc(d.Kinds, func(kind RequestKind) bool { return kind.Priority != d.Kinds[0].Priority })
+}
+
 // Region is a region with its numbers of entry boxes and servers.
 type Region struct {
 	Boxes, Servers int
@@ -137,7 +146,8 @@
 	// server which generates the first token of a response to it. No two of these requests have the same content. They
 	// count for no outcome.
 	FaultPartCrashes FaultKind = "part-crashes"
-	// FaultBurst multiplies the traffic by Factor for Duration.
+	// FaultBurst multiplies the traffic by Factor for Duration: that of the request kind RequestKind, or of all if it is
+	// empty.
 	FaultBurst FaultKind = "burst"
 )
 
@@ -155,6 +165,8 @@
 	RetryAfter time.Duration
 	// Limit is the rate limit or the cold rate of each affected server, in requests per second.
 	Limit float64
+	// RequestKind is the name of the request kind that a burst is limited to.
+	RequestKind string
 	// Factor multiplies the traffic of a burst or the time that slow servers take. It is the part of the requests that
 	// failing servers fail.
 	Factor float64
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -48,10 +48,12 @@
 	return float64(c[outcome]) / float64(total)
 }
 
-// sizedOutcome is the outcome of a caller with its prompt length in tokens.
+// sizedOutcome is the outcome of a caller with its prompt length in tokens, the second of its first attempt and its
+// organisation.
 type sizedOutcome struct {
-	prompt  int
-	outcome Outcome
+	prompt               int
+	outcome              Outcome
+	second, organisation int
 }
 
 // Result is the result of a simulation.
@@ -67,6 +69,8 @@
 	PossibleValue, EarnedValue, Penalties float64
 	// Truncated counts the responses that an entry box ended with an error, or before they were complete.
 	Truncated int
+	// Inversions counts the requests that were sent to a server while a more urgent one waited at a box of the same cell.
+	Inversions int
 	// PartCrashes counts the servers that crashed because of FaultPartCrashes, without those that a partitioned box caused,
 	// which receives no evidence.
 	PartCrashes int
@@ -113,7 +117,7 @@
 		r.Kinds[c.kind.Name] = kind
 	}
 	kind[outcome]++
-	r.sizedOutcomes[c.kind.Name] = append(r.sizedOutcomes[c.kind.Name], sizedOutcome{c.promptTokens, outcome})
+	r.sizedOutcomes[c.kind.Name] = append(r.sizedOutcomes[c.kind.Name], sizedOutcome{c.promptTokens, outcome, int(c.arrivedAt.Sub(virtual.Epoch) / time.Second), c.organisation})
 	size := min(4, 0.3+0.7*float64(c.promptTokens)/c.kind.Prompt)
 	r.PossibleValue += size * c.kind.Value
 	switch outcome {
@@ -131,6 +135,9 @@
 	}
 }
 
+// Served returns the fraction of the callers that received a complete response.
+func (c *OutcomeCounts) Served() float64 { return c.Share(OutcomeInTime) + c.Share(OutcomeLate) }
+
 // Between sums the outcomes of the callers whose first attempt was sent in [from, to), rounded down to whole
 // seconds.
 func (r *Result) Between(from, to time.Duration) OutcomeCounts {
@@ -143,6 +150,29 @@
 	return sum
 }
 
+// KindBetween returns the outcomes of the callers of a kind whose first attempt was sent in [from, to), rounded down to
+// whole seconds.
+func (r *Result) KindBetween(kind string, from, to time.Duration) (counts OutcomeCounts) {
+	for _, o := range r.sizedOutcomes[kind] {
+		if o.second >= int(from/time.Second) && o.second < int(to/time.Second) {
+			counts[o.outcome]++
+		}
+	}
+	return counts
+}
+
+// Organisation returns the outcomes of the callers of an organisation.
+func (r *Result) Organisation(organisation int) (counts OutcomeCounts) {
+	for _, outcomes := range r.sizedOutcomes {
+		for _, o := range outcomes {
+			if o.organisation == organisation {
+				counts[o.outcome]++
+			}
+		}
+	}
+	return counts
+}
+
 // All returns the outcomes of all callers.
 func (r *Result) All() OutcomeCounts { return r.Between(0, r.deployment.Duration+time.Second) }
 
--- a/internal/lab/simulation.go
+++ b/internal/lab/simulation.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cinderslip/cinderslip/internal/virtual"
@@ -19,6 +20,9 @@
 	initialTTFB     = 120 * time.Millisecond
 	// stateInterval is the interval at which an agent reports the state of its server.
 	stateInterval = 400 * time.Millisecond
+	// inversionMinWait is how long a request must wait to count as overtaken: other boxes learn of it within an
+	// allocation round.
+	inversionMinWait = 100 * time.Millisecond
 	// weightsVersion is the version that all servers have loaded.
 	weightsVersion fleet.WeightsVersion = 1
 )
@@ -34,14 +38,19 @@
 	byID       map[fleet.ServerID]*engine
 	// burstFactor is the product of the factors of all current bursts.
 	burstFactor float64
-	result      *Result
-	prompts     prompts
+	// kindFactors are the products of the factors of the current bursts of single request kinds, by name.
+	kindFactors map[string]float64
+	// queued are the requests that wait for a slot at an entry box.
+	queued  map[*request]struct{}
+	result  *Result
+	prompts prompts
 }
 
 // Run simulates a deployment with faults. The same seed gives the same result.
 func Run(deployment *Deployment, faults []Fault, seed uint64) *Result {
 	s := &simulation{
 		deployment: deployment, random: rand.New(rand.NewPCG(seed, 1)), byID: make(map[fleet.ServerID]*engine), burstFactor: 1,
+		kindFactors: make(map[string]float64), queued: make(map[*request]struct{}),
 		result:  newResult(deployment),
 		prompts: prompts{random: rand.New(rand.NewPCG(seed, 2))},
 	}
@@ -165,14 +174,17 @@
 	}
 }
 
-// trafficLevel returns the current traffic as a multiple of each kind's PerSecond.
-func (s *simulation) trafficLevel() float64 {
+// trafficLevel returns the current traffic of a kind as a multiple of its PerSecond.
+func (s *simulation) trafficLevel(kind *RequestKind) float64 {
 	level := 1.0
 	for _, step := range s.deployment.LoadSteps {
 		if step.At <= s.Elapsed() {
 			level = step.Level
 		}
 	}
+	if factor, ok := s.kindFactors[kind.Name]; ok {
+		level *= factor
+	}
 	return level * s.burstFactor
 }
 
@@ -190,7 +202,7 @@
 		if s.Elapsed() >= s.deployment.Duration {
 			return
 		}
-		if s.random.Float64() < s.trafficLevel()/maxLevel {
+		if s.random.Float64() < s.trafficLevel(kind)/maxLevel {
 			newCaller(s, region, kind).send()
 		}
 		s.scheduleArrival(region, kind)
@@ -251,11 +263,47 @@
 		s.AfterFunc(f.At, func() { s.prompts.crashShare = f.Share })
 		s.AfterFunc(f.At+f.Duration, func() { s.prompts.crashShare = 0 })
 	case FaultBurst:
+		if f.RequestKind != "" {
+			s.AfterFunc(f.At, func() { s.kindFactors[f.RequestKind] = f.Factor })
+			s.AfterFunc(f.At+f.Duration, func() { delete(s.kindFactors, f.RequestKind) })
+			return
+		}
 		s.AfterFunc(f.At, func() { s.burstFactor *= f.Factor })
 		s.AfterFunc(f.At+f.Duration, func() { s.burstFactor /= f.Factor })
 	}
 }
 
+// drawOrganisation returns the number of a random organisation; -1 if callers belong to none.
+func (s *simulation) drawOrganisation() int {
+	total := 0.0
+	for _, rate := range s.deployment.Organisations {
+		total += rate
+	}
+	if total == 0 {
+		return -1
+	}
+	point := s.random.Float64() * total
+	for i, rate := range s.deployment.Organisations {
+		if point -= rate; point < 0 {
+			return i
+		}
+	}
+	return len(s.deployment.Organisations) - 1
+}
+
+// countInversions counts a request that is sent to a server while a more urgent one, which can still be in time, has
+// waited for inversionMinWait at a box of the same cell.
+func (s *simulation) countInversions(sent *request) {
+	now := s.Now()
+	for other := range s.queued {
+		if other.caller.kind.Priority < sent.caller.kind.Priority && now.Sub(other.waitsFrom) >= inversionMinWait &&
+			other.slotRequest.Objective.After(now) && (other.box == sent.box || slices.Contains(sent.box.peers, other.box)) {
+			s.result.Inversions++
+			return
+		}
+	}
+}
+
 // randomSubset returns the given share of the indexes from 0 to n-1 in random order, rounded up.
 func (s *simulation) randomSubset(n int, share float64) []int {
 	return s.random.Perm(n)[:min(n, int(math.Ceil(share*float64(n))))]
--- a/pkg/route/allocation.go
+++ b/pkg/route/allocation.go
@@ -88,9 +88,7 @@
 
 // remainingShare returns how many more of a server's free slots this box may take in a round.
 func (d *Dispatcher) remainingShare(b *backend, free int, round int64, weight float64) int {
-	if b.round != round {
-		b.round, b.takenInRound = round, 0
-	}
+	b.startRound(round)
 	share := 0
 	// The slots that this box took in this round were free when it began.
 	for i := range free + b.takenInRound {
@@ -101,6 +99,20 @@
 	return share - b.takenInRound
 }
 
+// startRound resets what this box took of the server's free slots if the round is a new one.
+func (b *backend) startRound(round int64) {
+	if b.round != round {
+		b.round, b.takenInRound, b.takenByClass = round, 0, [PriorityClasses]int{}
+	}
+}
+
+// take records that this box took one of the server's free slots in a round.
+func (b *backend) take(req *SlotRequest, round int64) {
+	b.startRound(round)
+	b.takenInRound++
+	b.takenByClass[req.priorityClass()]++
+}
+
 // freeSlot identifies a free slot in one round.
 type freeSlot struct {
 	server fleet.ServerID
@@ -122,6 +134,11 @@
 // score returns the score of a box for a slot. The slot is allocated to the box with the highest
 // score.
 func (s *freeSlot) score(box member.BoxID, weight float64) float64 {
+	return -weight / math.Log(s.uniform(box))
+}
+
+// uniform returns a number strictly between 0 and 1 that depends on the slot and the box.
+func (s *freeSlot) uniform(box member.BoxID) float64 {
 	var key [16]byte
 	binary.LittleEndian.PutUint64(key[:8], uint64(s.index))
 	binary.LittleEndian.PutUint64(key[8:], uint64(s.round))
@@ -130,7 +147,6 @@
 	_, _ = hash.WriteString(string(s.server))
 	_, _ = hash.Write(key[:])
 	_, _ = hash.WriteString(string(box))
-	// A number strictly between 0 and 1 from the upper 53 bits, the precision of a float64.
-	uniform := (float64(hash.Sum64()>>11) + 0.5) / (1 << 53)
-	return -weight / math.Log(uniform)
+	// The number is made of the upper 53 bits, the precision of a float64.
+	return (float64(hash.Sum64()>>11) + 0.5) / (1 << 53)
 }
--- a/pkg/route/dispatch.go
+++ b/pkg/route/dispatch.go
@@ -96,6 +96,8 @@
 	ttfb             time.Duration
 	ttfbDeviation    time.Duration
 	scheduledRetries scheduledRetries
+	// classRetries divides scheduledRetries by class if the requests have several priorities.
+	classRetries [PriorityClasses]scheduledRetries
 	// slack is the moving average of the time that a new request can wait and still meet its
 	// objective.
 	slack time.Duration
@@ -388,12 +390,16 @@
 	}
 	d.collectCandidates(req, now)
 	if b := d.pickLimited(contention.round, now); b != nil {
-		b.takenInRound++
+		b.take(req, contention.round)
 		return d.reserve(b, req, now)
 	}
 	expected := contention.competitors(class) + 1
 	scarce := contention.isScarce(class)
-	d.keepOwnShare(contention.round, scarce, now)
+	if d.hasClasses && scarce {
+		d.keepOwnClassShare(req, &contention, now)
+	} else {
+		d.keepOwnShare(contention.round, scarce, now)
+	}
 	if scarce {
 		expected = 1
 	}
@@ -401,10 +407,7 @@
 	if b == nil {
 		return nil
 	}
-	if b.round != contention.round {
-		b.round, b.takenInRound = contention.round, 0
-	}
-	b.takenInRound++
+	b.take(req, contention.round)
 	return d.reserve(b, req, now)
 }
 
@@ -510,6 +513,10 @@
 // grant assigns free slots to queued requests, first to those that are in time, then to late ones.
 // See choose for freed.
 func (d *Dispatcher) grant(freed *backend, now time.Time) {
+	if d.hasClasses {
+		d.grantByClass(freed, now)
+		return
+	}
 	for _, late := range []bool{false, true} {
 		for i := 0; i < len(d.queue); {
 			queued := d.queue[i]
--- a/pkg/route/forecast.go
+++ b/pkg/route/forecast.go
@@ -142,6 +142,9 @@
 // the boxes in proportion to such requests queued there, and a box keeps the slots that it
 // releases.
 func (d *Dispatcher) expectedWait(req *SlotRequest, now time.Time) time.Duration {
+	if d.hasClasses {
+		return d.expectedClassWait(req, now)
+	}
 	own, _ := d.queueCounts(now)
 	if !req.queued {
 		own++
@@ -158,7 +161,7 @@
 // expectedLateWait returns how long a late request waits for a slot, behind the late requests
 // queued at other boxes too. ok is false if it gets none within the forecast.
 func (d *Dispatcher) expectedLateWait(req *SlotRequest, now time.Time) (wait time.Duration, ok bool) {
-	return d.lateForecast(now).timeToStart(float64(d.ahead(req, now) + d.totalPeerDemand(now).Late + 1))
+	return d.lateForecast(now).timeToStart(float64(d.ahead(req, now) + d.peerLateAhead(req, now) + 1))
 }
 
 // totalSlots returns the number of slots of all eligible servers.
--- a/pkg/route/queue.go
+++ b/pkg/route/queue.go
@@ -29,6 +29,9 @@
 	// Waiting is the number of requests queued here, PeerWaiting that of late requests queued at
 	// other entry boxes.
 	Waiting, PeerWaiting int
+	// Priority is the priority class of the request, MoreUrgent the number of requests of more urgent classes that are
+	// queued at all entry boxes; 0 if the service has one class.
+	Priority, MoreUrgent int
 	// Late is set if the request could no longer meet its objective. TimeLeft is how much longer a
 	// start would still have been useful.
 	Late     bool
@@ -188,7 +191,7 @@
 func (d *Dispatcher) busyError(req *SlotRequest, now time.Time) error {
 	maxWait := max(minRetryAfter, req.Deadline.Sub(now)/maxRetryAfterDivisor)
 	wait := maxWait
-	if untilFree, ok := d.lateForecast(now).timeToStart(float64(d.scheduledRetries.count(now)*d.boxes + d.lateAtAllBoxes(now) + 1)); ok {
+	if untilFree, ok := d.lateForecast(now).timeToStart(float64(d.retriesAhead(req, now)*d.boxes + d.lateAhead(req, now) + 1)); ok {
 		wait = min(maxWait, max(minRetryAfter, untilFree))
 	}
 	retryIn, backingOff := wait, d.backingOff(req, now)
@@ -200,6 +203,9 @@
 	}
 	if !req.Retry && !req.Resuming && !req.NoWait {
 		d.scheduledRetries.add(now.Add(retryIn))
+		if d.hasClasses {
+			d.classRetries[req.priorityClass()].add(now.Add(retryIn))
+		}
 	}
 	jitter := time.Duration(d.random() * float64(minRetryAfter))
 	peerDemand, remaining := d.totalPeerDemand(now), d.latestStart(req).Sub(now)
@@ -208,6 +214,7 @@
 	}
 	limited, cold := d.limitedEligible(req, now)
 	return &BusyError{
+		Priority: req.priorityClass(), MoreUrgent: d.moreUrgent(req, now),
 		Waiting: len(d.queue), PeerWaiting: peerDemand.Late, Late: req.isLate(now), TimeLeft: remaining,
 		Slots: d.currentCapacity(now).allowedSlots(req), NewRequestSlots: d.newRequestSlots(now), AwaitingFirstByte: len(d.awaiting) + peerDemand.AwaitingFirstByte, BackingOff: backingOff.servers,
 		Limited: limited, Cold: cold,
@@ -215,10 +222,38 @@
 	}
 }
 
-// lateAtAllBoxes returns the number of late requests queued at all entry boxes.
-func (d *Dispatcher) lateAtAllBoxes(now time.Time) int {
-	_, late := d.queueCounts(now)
-	return late + d.totalPeerDemand(now).Late
+// lateAhead returns the number of late requests queued at all entry boxes that a retry of a request comes after.
+func (d *Dispatcher) lateAhead(req *SlotRequest, now time.Time) int {
+	own := d.demand(now)
+	return own.lateAhead(req) + d.peerLateAhead(req, now)
+}
+
+// peerLateAhead returns how many of these are queued at other entry boxes.
+func (d *Dispatcher) peerLateAhead(req *SlotRequest, now time.Time) int {
+	peers := d.totalPeerDemand(now)
+	return peers.lateAhead(req)
+}
+
+// lateAhead returns the number of late requests except those in less urgent classes than a request.
+func (d *Demand) lateAhead(req *SlotRequest) int {
+	late := d.Late
+	for class := req.priorityClass() + 1; class < PriorityClasses; class++ {
+		late -= d.Classes[class].Late
+	}
+	return late
+}
+
+// retriesAhead returns the number of scheduled retries of rejected callers, without those in less urgent classes than a
+// request.
+func (d *Dispatcher) retriesAhead(req *SlotRequest, now time.Time) int {
+	if !d.hasClasses {
+		return d.scheduledRetries.count(now)
+	}
+	retries := 0
+	for class := range req.priorityClass() + 1 {
+		retries += d.classRetries[class].count(now)
+	}
+	return retries
 }
 
 // scheduledRetries are the times at which rejected callers are due to retry, in ascending order.
