fix(route): new requests may wait for an allocation round when several classes share slots

Servers had been overloaded by the boxes that were cut off, so the time to first byte was estimated too high, and requests with an objective of 400 ms had to start on arrival or were rejected; those with 800 ms could wait and took the slots.

Change: with several classes, a new request counts as in time for one allocation round, in which a slot can be allocated to its box, if its objective is later. Services with one priority are not affected.

--- a/pkg/route/dispatch_bench_test.go
+++ b/pkg/route/dispatch_bench_test.go
@@ -68,3 +68,36 @@
 		}
 	}
 }
+
+// BenchmarkScarceSlots reserves and releases one of few free slots while requests are queued at all boxes, with one
+// priority class and with three.
+func BenchmarkScarceSlots(b *testing.B) {
+	for _, classes := range []int{1, 3} {
+		b.Run(fmt.Sprintf("classes=%d", classes), func(b *testing.B) {
+			servers, load := make([]fleet.Server, 0, 45), make(Load)
+			for i := range 45 {
+				servers = append(servers, modelServer(fmt.Sprintf("s-%d", i), 12, 1))
+				load[servers[i].ID] = ServerLoad{Requests: 11}
+			}
+			d := newTestDispatcher(true, servers...)
+			d.SetPriorityClasses(classes > 1)
+			d.UpdatePeerLoad("others", load, true, d.clock.Now())
+			for box := range 43 {
+				demand := Demand{InTime: 3, Arrivals: 12}
+				for class := range classes {
+					if classes > 1 {
+						demand.Classes[class] = ClassDemand{InTime: 1, Arrivals: 4}
+					}
+				}
+				d.UpdatePeerDemand(member.BoxID(fmt.Sprint(box)), demand, d.clock.Now())
+			}
+			for b.Loop() {
+				req := d.request()
+				req.NoWait = true
+				if reservation, _, err := d.Submit(req, nil, d.clock.Now()); err == nil {
+					reservation.Release(ResultDone, d.clock.Now())
+				}
+			}
+		})
+	}
+}
--- a/pkg/route/priorityclass_test.go
+++ b/pkg/route/priorityclass_test.go
@@ -204,6 +204,22 @@
 	}
 }
 
+// Guards against urgent requests that are rejected for seconds after servers were slow, while requests with a longer
+// objective get the slots that are allocated to the urgent class.
+func TestNewRequestMayWaitForAnAllocationRoundWhileEstimateIsHigh(t *testing.T) {
+	b := newTestDispatcher(true, modelServer("a", 100, 1))
+	b.SetPriorityClasses(true)
+	b.UpdatePeerLoad("others", Load{"a": {Requests: 100}}, true, b.clock.Now())
+	b.ttfb = time.Second
+	_, queued, err := b.Submit(b.request(), func(*Reservation) {}, b.clock.Now())
+	require.NoError(t, err)
+	require.Equal(t, b.clock.Now().Add(allocationRound), queued.req.startBy)
+	expired := b.request()
+	expired.Objective = b.clock.Now().Add(allocationRound / 2)
+	_, _, err = b.Submit(expired, func(*Reservation) {}, b.clock.Now())
+	require.Error(t, err, "the objective passes within the round")
+}
+
 // Guards against effects of priorities on a service whose requests all have the same one: what other boxes report by
 // class, and the priority itself, change no decision.
 func TestServiceWithOnePriorityDecidesAsWithoutClasses(t *testing.T) {
--- a/pkg/route/queue.go
+++ b/pkg/route/queue.go
@@ -106,6 +106,13 @@
 // late would stop sending requests, and its estimate could not improve.
 func (d *Dispatcher) startBy(req *SlotRequest, now time.Time) time.Time {
 	startBy := req.Objective.Add(-d.ttfb - d.ttfbDeviation - req.Prefill)
+	if d.hasClasses && !req.Retry {
+		// With several classes, a slot may be allocated to a new request only in the round after its arrival. While the
+		// estimate is too high, requests with a tight objective would be rejected, and their slots left to less urgent ones.
+		if earliest := now.Add(allocationRound); startBy.Before(earliest) && req.Objective.After(earliest.Add(req.Prefill)) {
+			return earliest
+		}
+	}
 	if !req.Retry && startBy.Before(now) && req.Objective.After(now) {
 		return now
 	}
