--- a/internal/direct/callerserver.go
+++ b/internal/direct/callerserver.go
@@ -5,11 +5,14 @@
 	"errors"
 	"maps"
 	"net/http"
+	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"github.com/cinderslip/cinderslip/internal/kernel"
@@ -338,6 +341,7 @@
 		for name, d := range s.dispatchers {
 			s.applyInput(name, d, input)
 			s.metrics.waiting.WithLabelValues(string(name)).Set(float64(d.QueueLen()))
+			s.observeQueuedPriorities(name, d)
 			s.metrics.limitedServers.WithLabelValues(string(name)).Set(float64(len(d.LimitedServers(s.clock.Now()))))
 			s.metrics.unclaimed.WithLabelValues(string(name)).Set(float64(d.Unclaimed(s.clock.Now())))
 		}
@@ -377,9 +381,43 @@
 	if input.hasBoxes {
 		d.SetBoxCount(input.liveBoxes, input.allBoxes)
 	}
+	d.SetPriorityClasses(hasSeveralPriorities(view, name))
 	s.setServers(name, d, input, layers)
 }
 
+// observeQueuedPriorities sets the metric for the requests queued by priority.
+func (s *CallerServer) observeQueuedPriorities(name member.Service, d *route.Dispatcher) {
+	lengths, ok := d.QueueLenByClass(s.clock.Now())
+	if !ok {
+		s.metrics.priorityWaiting.DeletePartialMatch(prometheus.Labels{"service": string(name)})
+		return
+	}
+	for priority, length := range lengths {
+		s.metrics.priorityWaiting.WithLabelValues(string(name), strconv.Itoa(priority)).Set(float64(length))
+	}
+}
+
+// hasSeveralPriorities reports whether the requests of a service can have different priorities.
+func hasSeveralPriorities(view *fleet.View, service member.Service) bool {
+	if view.Configuration == nil {
+		return false
+	}
+	first, known := 0, false
+	differs := func(priority int) bool {
+		if !known {
+			first, known = priority, true
+		}
+		return priority != first
+	}
+	for i := range view.Configuration.Routes {
+		r := &view.Configuration.Routes[i]
+		if slices.ContainsFunc(r.Backends, func(b fleet.Backend) bool { return b.Service == service }) && differs(r.Priority) {
+			return true
+		}
+	}
+	return known && slices.ContainsFunc(view.Configuration.Organisations, func(o fleet.Organisation) bool { return o.Priority != nil && differs(*o.Priority) })
+}
+
 // responseStartMargin is how long before the version bound a response must have started. It covers the delay
 // with which a box receives a publication and the time that it takes to abort a request.
 const responseStartMargin = 500 * time.Millisecond
