feat(route): send fewer requests to servers that deliver events slowly

Cause: the cost of a server counts requests and outstanding prefill, but not how fast the server works. A server that is 2.5 times slower for 0.6 s receives as many requests as the others, and events come too late there.

Change: each box measures the pace of a server by the events of its own responses, as the ratio of the time between events to the median over all servers of the service, decayed over 150 ms. The time that a caller takes to read does not count, and an event that is overdue does. The cost of a server is multiplied by the pace, so the server receives fewer requests but is never excluded. Only requests with an expected decode time take part, so services without an engine are served as before. Metric direct_slow_servers and log field slowdown show the effect.

--- a/internal/direct/callerserver.go
+++ b/internal/direct/callerserver.go
@@ -340,6 +340,7 @@
 			s.metrics.waiting.WithLabelValues(string(name)).Set(float64(d.QueueLen()))
 			s.metrics.limitedServers.WithLabelValues(string(name)).Set(float64(len(d.LimitedServers(s.clock.Now()))))
 			s.metrics.unclaimed.WithLabelValues(string(name)).Set(float64(d.Unclaimed(s.clock.Now())))
+			s.metrics.slowServers.WithLabelValues(string(name)).Set(float64(d.SlowServers(s.clock.Now())))
 		}
 		s.mu.Unlock()
 		select {
--- a/internal/direct/run.go
+++ b/internal/direct/run.go
@@ -85,7 +85,11 @@
 		server := result.reservation.Server.ID
 		switch result.outcome {
 		case outcomeDone:
-			s.finish(x, "answered").Str("server", string(server)).Uint64("weights", uint64(result.reservation.Version)).Msg("request answered")
+			event := s.finish(x, "answered").Str("server", string(server)).Uint64("weights", uint64(result.reservation.Version))
+			if slowdown := result.reservation.Slowdown(); slowdown > 1 {
+				event = event.Float64("slowdown", slowdown)
+			}
+			event.Msg("request answered")
 			return true
 		case outcomeCallerGone:
 			s.noteRejected(x)
@@ -210,7 +214,7 @@
 	prefill, decode := s.engineTimes(x)
 	req := &route.SlotRequest{
 		Priority: s.priority(x), Arrived: s.clock.Now(), Objective: x.arrived.Add(x.route.Objective - x.sinceFirstTry), Deadline: x.deadline, CallerTimeout: x.route.CallerTimeout,
-		Prefill: prefill, HoldTime: prefill + decode,
+		Prefill: prefill, Decode: decode, HoldTime: prefill + decode,
 		Retry: x.sinceFirstTry > 0 && !s.leaving.Load(), Tried: tried, NoWait: noWait, Suspect: x.suspect,
 		Residency: s.residency(x),
 	}
--- a/internal/direct/stream.go
+++ b/internal/direct/stream.go
@@ -84,6 +84,11 @@
 	return end
 }
 
+// countEvents returns the number of complete events.
+func countEvents(events []byte) int {
+	return bytes.Count(events, eventEnd) + bytes.Count(events, eventEndCRLF)
+}
+
 // lastID returns the ID of the last event that has one.
 func lastID(events []byte) string {
 	id := ""
@@ -124,6 +129,7 @@
 		}
 		x.noteForwarded(s.clock.Now())
 		reservation.Started(s.clock.Now())
+		reservation.EventsReceived(countEvents(events), s.clock.Now())
 		if !succeeded && reservation.RespondingFor(s.clock.Now()) >= safeResponseDuration {
 			succeeded = true
 			s.recordSuccess(x)
@@ -133,6 +139,7 @@
 			s.finishAttempt(x, a, route.ResultAbandoned, err)
 			return outcomeCallerGone, err
 		}
+		reservation.AwaitEvents(s.clock.Now())
 		if id != "" {
 			x.lastEventID, a.lastEventID = id, id
 		}
--- a/internal/lab/box.go
+++ b/internal/lab/box.go
@@ -222,7 +222,11 @@
 		Priority: kind.Priority, Arrived: now, Objective: c.arrivedAt.Add(kind.Objective), Deadline: c.arrivedAt.Add(kind.Deadline),
 		CallerTimeout: kind.CallerTimeout, Prefill: engine.prefillTime(c.promptTokens), Retry: c.attempts > 1,
 	}
-	r.slotRequest.HoldTime = r.slotRequest.Prefill + time.Duration(c.responseTokens)*(engine.StepTime+time.Duration(engine.Slots/2)*engine.StepTimePerRequest)
+	r.slotRequest.Decode = time.Duration(c.responseTokens) * (engine.StepTime + time.Duration(engine.Slots/2)*engine.StepTimePerRequest)
+	r.slotRequest.HoldTime = r.slotRequest.Prefill + r.slotRequest.Decode
+	if b.sim.deployment.UnknownDecode {
+		r.slotRequest.Decode = 0
+	}
 	r.submit()
 	return r
 }
@@ -345,6 +349,8 @@
 // forwardEvent forwards an event of the response to the caller.
 func (r *request) forwardEvent(reservation *route.Reservation) {
 	reservation.Started(r.box.sim.Now())
+	reservation.EventsReceived(1, r.box.sim.Now())
+	reservation.AwaitEvents(r.box.sim.Now())
 	r.retry.Settle(r.box.sim.Now())
 	if !r.succeeded && reservation.RespondingFor(r.box.sim.Now()) >= successDuration {
 		r.recordSuccess()
--- a/pkg/route/dispatch.go
+++ b/pkg/route/dispatch.go
@@ -28,6 +28,9 @@
 	Objective time.Time
 	// Prefill is the time the server needs for the prefill of the request.
 	Prefill time.Duration
+	// Decode is the time the server is expected to need for the response after the prefill; 0 if the server runs no
+	// model.
+	Decode time.Duration
 	// HoldTime is how long the request is expected to hold its slot.
 	HoldTime time.Duration
 	Deadline time.Time
@@ -89,8 +92,10 @@
 	typicalHoldTime time.Duration
 	// ttfb is the moving average of the time to first byte without prefill, ttfbDeviation that of
 	// its absolute deviation.
-	ttfb             time.Duration
-	ttfbDeviation    time.Duration
+	ttfb          time.Duration
+	ttfbDeviation time.Duration
+	// eventGap is the typical time between the events of a response.
+	eventGap         eventGap
 	scheduledRetries scheduledRetries
 	// slack is the moving average of the time that a new request can wait and still meet its
 	// objective.
@@ -445,9 +450,11 @@
 			return candidate{}, false
 		}
 	}
+	// A slow server takes longer for the same work.
+	slowdown := d.slowdown(b, now)
 	c = candidate{
-		backend: b, costPerRequest: 1 / float64(slots), room: float64(room),
-		cost: float64(load.Requests)/float64(slots) + float64(load.Prefill)/float64(prefillScale) + costFailures*b.failureRate,
+		backend: b, costPerRequest: slowdown / float64(slots), room: float64(room),
+		cost: slowdown*(float64(load.Requests)/float64(slots)+float64(load.Prefill)/float64(prefillScale)) + costFailures*b.failureRate,
 	}
 	if b.remote {
 		c.cost += costRemote
@@ -468,8 +475,8 @@
 func (d *Dispatcher) reserve(b *backend, req *SlotRequest, now time.Time) *Reservation {
 	version, _ := b.version(now)
 	reservation := &Reservation{
-		Server: b.server, Incarnation: b.incarnation, Version: version, dispatcher: d, backend: b, reservedAt: now, prefill: req.Prefill,
-		prefillAhead: d.load(b, now).Prefill, suspect: req.Suspect,
+		Server: b.server, Incarnation: b.incarnation, Version: version, dispatcher: d, backend: b, reservedAt: now, prefill: req.Prefill, decode: req.Decode,
+		prefillAhead: d.load(b, now).Prefill, suspect: req.Suspect, slowdown: d.slowdown(b, now),
 	}
 	if req.Suspect {
 		b.suspects++
--- a/pkg/route/reservation.go
+++ b/pkg/route/reservation.go
@@ -41,6 +41,11 @@
 	// prefill is the prefill time of the request, prefillAhead that of the requests before it.
 	prefill      time.Duration
 	prefillAhead time.Duration
+	// decode is the expected decode time of the request; 0 if the server runs no model.
+	decode   time.Duration
+	released bool
+	// slowdown is the server's when the slot was reserved.
+	slowdown float64
 	// cancel cancels the attempt; nil if it cannot be canceled.
 	cancel func()
 	// startedAt is when the response of this attempt started; zero before that.
@@ -163,6 +168,8 @@
 
 func (d *Dispatcher) release(r *Reservation, now time.Time) {
 	r.clearAwaiting()
+	delete(r.backend.streaming, r)
+	r.released = true
 	r.backend.ownLoad.Requests--
 	if r.suspect {
 		r.backend.suspects--
@@ -221,5 +228,9 @@
 	return r.dispatcher.backends[r.Server.ID] != nil
 }
 
+// Slowdown returns the factor by which the server was slower than usual when the slot was reserved, by the events of
+// responses; 1 if it was not.
+func (r *Reservation) Slowdown() float64 { return r.slowdown }
+
 // ReservedAt returns when the slot was reserved.
 func (r *Reservation) ReservedAt() time.Time { return r.reservedAt }
