feat(route): report the pace of slow servers to the other entry boxes

Cause: a box has a response in progress at only some of the servers, and a server is slow for 0.6 s. Most boxes therefore notice a slow server late or not at all.

A change of it alone causes no message: it is sent with the next one. The receiver adds it to its own samples and estimates the number of samples from the requests that the others have in flight.

--- a/internal/direct/callerserver.go
+++ b/internal/direct/callerserver.go
@@ -219,7 +219,7 @@
 func (s *CallerServer) Load() route.Load {
 	load := make(route.Load)
 	for _, d := range s.dispatcherList() {
-		maps.Copy(load, d.OwnLoad())
+		maps.Copy(load, d.OwnLoad(s.clock.Now()))
 	}
 	return load
 }
--- a/internal/lab/box.go
+++ b/internal/lab/box.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"maps"
 	"time"
 
 	"github.com/cinderslip/cinderslip/pkg/fleet"
@@ -57,7 +56,7 @@
 // report sends the load and the demand to the peers in other regions if remote is set, otherwise to those in the
 // same region. It sends nothing if the load is unchanged and was sent less than unchangedReportInterval ago.
 func (r *reporter) report(b *box, remote bool, load route.Load, demand route.Demand, now time.Time) {
-	if r.load != nil && now.Sub(r.sentAt) < unchangedReportInterval && maps.Equal(load, r.load) {
+	if r.load != nil && now.Sub(r.sentAt) < unchangedReportInterval && load.HasSameRequests(r.load) {
 		return
 	}
 	r.load, r.sentAt = load, now
@@ -89,7 +88,7 @@
 	b.updateServers()
 	for _, other := range b.peers {
 		if other.up && other.dispatcher != nil {
-			b.receiveReport(other, other.dispatcher.OwnLoad(), other.dispatcher.Demand(b.sim.Now()))
+			b.receiveReport(other, other.dispatcher.OwnLoad(b.sim.Now()), other.dispatcher.Demand(b.sim.Now()))
 		}
 	}
 	b.reportPeriodically(b.incarnation)
@@ -136,7 +135,7 @@
 	}
 	b.updateBoxCount()
 	b.exchangeRetryClaims()
-	load, demand := b.dispatcher.OwnLoad(), b.dispatcher.Demand(b.sim.Now())
+	load, demand := b.dispatcher.OwnLoad(b.sim.Now()), b.dispatcher.Demand(b.sim.Now())
 	now := b.sim.Now()
 	b.localReporter.report(b, false, load, demand, now)
 	if now.Sub(b.remoteReporter.sentAt) >= b.sim.deployment.RemoteReportInterval {
@@ -158,7 +157,7 @@
 	b.sim.AfterFunc(reportBatchDelay, func() {
 		b.reportPending = false
 		if b.incarnation == incarnation {
-			load, demand := b.dispatcher.OwnLoad(), b.dispatcher.Demand(b.sim.Now())
+			load, demand := b.dispatcher.OwnLoad(b.sim.Now()), b.dispatcher.Demand(b.sim.Now())
 			b.localReporter.report(b, false, load, demand, b.sim.Now())
 			b.remoteReporter.report(b, true, load, demand, b.sim.Now())
 		}
--- a/pkg/route/dispatch.go
+++ b/pkg/route/dispatch.go
@@ -349,8 +349,8 @@
 	d.grant(nil, now)
 }
 
-// OwnLoad returns the requests that this box has in flight.
-func (d *Dispatcher) OwnLoad() Load {
+// OwnLoad returns the requests that this box has in flight, and the pace of slow servers.
+func (d *Dispatcher) OwnLoad(now time.Time) Load {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	load := make(Load)
@@ -359,7 +359,8 @@
 		if bucket := d.buckets[b.server.ID]; bucket != nil {
 			own.Sent = bucket.sent
 		}
-		if own.Requests > 0 || own.Sent > 0 {
+		own.Lateness = d.lateness(b, now)
+		if own.Requests > 0 || own.Sent > 0 || own.Lateness > 0 {
 			load[b.server.ID] = own
 		}
 	}
--- a/pkg/route/pace.go
+++ b/pkg/route/pace.go
@@ -21,6 +21,15 @@
 	// overdueFactor is the ratio from which a gap that has not ended counts as a sample. Gaps that contain the prefill of
 	// another request are not longer.
 	overdueFactor = 1.6
+	// latenessUnits is the number of units of ServerLoad.Lateness in an excess of 1. Smaller changes of the pace need no
+	// report.
+	latenessUnits = 4
+	// minLateness is the smallest excess that is reported. A gap with the prefill of another request does not reach it,
+	// so that usually only slow servers are reported.
+	minLateness = 1.0
+	// peerSampleShare is the part of the samples that the requests in flight of other boxes would give if all delivered
+	// events all the time. The boxes do not report their numbers of samples: those change with each event.
+	peerSampleShare = 0.5
 	// minPaceGap is the shortest time between two events that is a sample. Shorter ones occur when the events were
 	// already buffered, and do not show the pace of the server.
 	minPaceGap = time.Millisecond
@@ -71,7 +80,7 @@
 }
 
 // slowdown returns the factor by which a server is slower than usual; 1 if it is not or if there are no recent samples.
-// A response whose next event is overdue counts as a sample. The samples lose their weight gradually, and each box has
+// A response whose next event is overdue counts as a sample, and so does what other boxes report. The samples lose their weight gradually, and each box has
 // others, so that boxes do not return to a server together.
 func (d *Dispatcher) slowdown(b *backend, now time.Time) float64 {
 	keep := b.pace.decayed(now)
@@ -80,7 +89,24 @@
 		samples++
 		excess += min(overdue, maxPaceSample) - 1
 	}
-	return max(1, 1+excess/(samples+pacePrior))
+	if d.eventGap.median > 0 {
+		peers := d.peerLoads.sums[b.server.ID]
+		excess += float64(peers.Lateness) / latenessUnits
+		samples += peerSampleShare * float64(peers.Requests) * float64(paceDecay) / float64(d.eventGap.median)
+	}
+	return max(1, min(maxPaceSample, 1+excess/(samples+pacePrior)))
+}
+
+// lateness returns the decayed excess of the samples of a server's pace at this box, as it is reported to the others.
+func (d *Dispatcher) lateness(b *backend, now time.Time) int {
+	excess := b.pace.excess * b.pace.decayed(now)
+	if overdue := d.overdue(b, now); overdue > overdueFactor {
+		excess += min(overdue, maxPaceSample) - 1
+	}
+	if excess < minLateness {
+		return 0
+	}
+	return int(excess * latenessUnits)
 }
 
 // overdue returns the longest time for which a response of this box at a server has been without an event, relative to
--- a/pkg/route/pace_test.go
+++ b/pkg/route/pace_test.go
@@ -187,3 +187,42 @@
 		}
 	})
 }
+
+// Guards against a server that stays slow for boxes without a response in progress there, and against reports that keep
+// requests away from it after their box has stopped reporting.
+func TestPaceReportedByOtherBoxesCounts(t *testing.T) {
+	s, observer := newPaceScenario(t, time.Second), newPaceScenario(t, time.Second)
+	s.run(2*time.Second, "")
+	observer.run(2*time.Second, "")
+	require.Zero(t, observer.OwnLoad(observer.clock.Now())["0"].Lateness)
+	observer.run(slowPeriod, "0")
+	load := observer.OwnLoad(observer.clock.Now())
+	require.Positive(t, load["0"].Lateness)
+	require.Zero(t, load["1"].Lateness)
+	s.UpdatePeerLoad("observer", load, true, s.clock.Now())
+	slowdown := s.slowdown(s.backends["0"], s.clock.Now())
+	require.Greater(t, slowdown, 1.2)
+	require.LessOrEqual(t, slowdown, slowFactor)
+	require.Equal(t, 1.0, s.slowdown(s.backends["1"], s.clock.Now()))
+	s.run(peerLoadMaxAge, "")
+	s.peerLoads.expire(s.clock.Now())
+	require.Equal(t, 1.0, s.slowdown(s.backends["0"], s.clock.Now()))
+}
+
+// Guards against a box that excludes a server because of an absurd report.
+func TestReportedLatenessIsBounded(t *testing.T) {
+	s := newPaceScenario(t, time.Second)
+	s.run(2*time.Second, "")
+	s.UpdatePeerLoad("broken", Load{"0": {Lateness: 1 << 40}}, true, s.clock.Now())
+	require.LessOrEqual(t, s.slowdown(s.backends["0"], s.clock.Now()), maxPaceSample)
+	_, ok := s.candidate(s.backends["0"], s.request(), s.clock.Now())
+	require.True(t, ok)
+}
+
+// Guards against an effect of reports on a box that has forwarded no events, such as one that has just started: it knows
+// no typical time between events to weigh them with.
+func TestReportedLatenessHasNoEffectWithoutOwnEvents(t *testing.T) {
+	b := newTestDispatcher(true, modelServer("a", 5, 1))
+	b.UpdatePeerLoad("other", Load{"a": {Requests: 1, Lateness: 20}}, true, b.clock.Now())
+	require.Equal(t, 1.0, b.slowdown(b.backends["a"], b.clock.Now()))
+}
