fix(direct): a cell whose servers are evacuated uses those of other cells

Ruled out: residency (no route has one) and load (two servers serve 400 requests a second, 88 arrive).

Change: a cell that has no server in service uses the servers of other cells, but for those with a limit or that are cold, as cells do not report requests to each other.

--- a/internal/direct/cells.go
+++ b/internal/direct/cells.go
@@ -67,7 +67,8 @@
 	return sources
 }
 
-// ownServers returns the servers that the own cell uses, with rate limits reduced to the cell's share.
+// ownServers returns the servers of a service that the own cell uses, with rate limits reduced to the cell's share. If the
+// operators have evacuated all of them, these are the servers of other cells.
 func (p *cellPlan) ownServers(servers []fleet.Server) []fleet.Server {
 	if p == nil || p.cellCount == 1 {
 		return servers
@@ -86,7 +87,25 @@
 		}
 		owned = append(owned, server)
 	}
-	return owned
+	if slices.ContainsFunc(owned, isInService) {
+		return owned
+	}
+	return append(owned, p.borrowedServers(servers)...)
+}
+
+// isInService reports whether a server may get requests by the operators and by its own announcement.
+func isInService(server fleet.Server) bool { return !server.Evacuated && !server.Leaving }
+
+// borrowedServers returns the servers of other cells that a cell without any of its own may use. Servers with a limit are
+// left out: cells do not report requests to each other, so the sum could exceed the limit.
+func (p *cellPlan) borrowedServers(servers []fleet.Server) []fleet.Server {
+	var borrowed []fleet.Server
+	for i := range servers {
+		if server := &servers[i]; isInService(*server) && !p.usesServer(server.Address) && !server.Limit.Set && !server.Cold {
+			borrowed = append(borrowed, *server)
+		}
+	}
+	return borrowed
 }
 
 // minCellRate is the smallest share, in requests per second, that a rate limit is divided into. Cells do not
