feat(lab): measure how evenly requests are distributed among servers

Cause: the lab reported outcomes only, so it did not show whether servers are overloaded in turn while others are idle.

Change: Result.Evenness holds means over windows of 100 ms: utilization, slots that are idle while another server has a queue (misplaced) or while requests wait at entry boxes, and the ratio of the largest to the mean number of requests and remaining tokens of a server. Result.Reports counts the load reports.

--- a/internal/lab/box.go
+++ b/internal/lab/box.go
@@ -63,6 +63,7 @@
 	r.load, r.sentAt = load, now
 	for _, other := range b.peers {
 		if (other.region != b.region) == remote {
+			b.sim.result.Reports++
 			other.receiveReport(b, load, demand)
 		}
 	}
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -82,6 +82,10 @@
 	// all entry boxes; 0 if none did. ColdUtilization is the utilization of each cold server's rate.
 	ColdExcess      float64
 	ColdUtilization []float64
+	// Evenness is how evenly the requests were distributed among the servers.
+	Evenness Evenness
+	// Reports counts the load reports that entry boxes sent.
+	Reports int
 	// retryLog holds the requests, and the attempts beyond the first of each that arrived at servers.
 	retryLog ratewindow.RetryLog
 }
--- a/internal/lab/simulation.go
+++ b/internal/lab/simulation.go
@@ -54,6 +54,7 @@
 			s.scheduleArrival(region, &deployment.Kinds[kind])
 		}
 	}
+	s.recordEvenness(&evennessRecorder{})
 	s.Run(deployment.Duration + longestDeadline(deployment))
 	return s.result
 }
