feat(route): organisations share the capacity of a priority class

A fair queue within a box decides little: another organisation's request of the same kind is queued there for 1 in 10 of the requests sent.

Change: SlotRequest has the name of the organisation. Each box counts the requests of the organisations by class with a time constant of 20 s, and marks a new request as beyond its organisation's fair share if that has had more than twice the mean of all. Marked requests follow the others of their class at all boxes, and use what these leave; in the demand that boxes report they are classes of their own (field over_share of ClassDemand). At most 1,024 organisations are counted in a class. The lowest rate of a class holds for marked requests too, so no organisation is served less than a quarter as often as all requests. Services with one priority and requests without an organisation are not affected. Log field over_share of refused requests.

--- a/internal/direct/demandclasses_test.go
+++ b/internal/direct/demandclasses_test.go
@@ -20,7 +20,7 @@
 	require.Equal(t, plain, demandsFromWire(encoded))
 
 	demand := plain["maps"]
-	demand.Classes[0], demand.Classes[9] = route.ClassDemand{Arrivals: 1, InTime: 2}, route.ClassDemand{Arrivals: 2, Late: 1}
+	demand.Classes[0], demand.Classes[route.DemandClass(9, true)] = route.ClassDemand{Arrivals: 1, InTime: 2}, route.ClassDemand{Arrivals: 2, Late: 1}
 	encoded = demandsToWire(route.Demands{"maps": demand})
 	encoded[0].Classes = append(encoded[0].Classes, &wire.ClassDemand{Priority: 10, InTime: 1})
 	message, err := proto.Marshal(encoded[0])
--- a/internal/direct/run.go
+++ b/internal/direct/run.go
@@ -214,6 +214,9 @@
 		Retry: x.sinceFirstTry > 0 && !s.leaving.Load(), Tried: tried, NoWait: noWait, Suspect: x.suspect,
 		Residency: s.residency(x),
 	}
+	if x.organisation != nil {
+		req.Organisation = string(x.organisation.Name)
+	}
 	switch {
 	case x.started:
 		// The reader is waiting for the next event. If none comes, the whole response is lost.
--- a/internal/direct/statusmessage.go
+++ b/internal/direct/statusmessage.go
@@ -206,10 +206,10 @@
 // demandClassesToWire encodes the classes that have any demand.
 func demandClassesToWire(classes *route.DemandClasses) []*wire.ClassDemand {
 	var encoded []*wire.ClassDemand
-	for priority, class := range classes {
+	for i, class := range classes {
 		if class != (route.ClassDemand{}) {
 			encoded = append(encoded, &wire.ClassDemand{
-				Priority: uint32(priority), Arrivals: uint32(class.Arrivals), InTime: uint32(class.InTime), Late: uint32(class.Late),
+				Priority: uint32(i / 2), OverShare: i%2 > 0, Arrivals: uint32(class.Arrivals), InTime: uint32(class.InTime), Late: uint32(class.Late),
 			})
 		}
 	}
@@ -220,7 +220,7 @@
 func demandClassesFromWire(encoded []*wire.ClassDemand) (classes route.DemandClasses) {
 	for _, class := range encoded {
 		if class.Priority < route.PriorityClasses {
-			classes[class.Priority] = route.ClassDemand{Arrivals: int(class.Arrivals), InTime: int(class.InTime), Late: int(class.Late)}
+			classes[route.DemandClass(int(class.Priority), class.OverShare)] = route.ClassDemand{Arrivals: int(class.Arrivals), InTime: int(class.InTime), Late: int(class.Late)}
 		}
 	}
 	return classes
--- a/internal/lab/box.go
+++ b/internal/lab/box.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"maps"
+	"strconv"
 	"time"
 
 	"github.com/cinderslip/cinderslip/pkg/fleet"
@@ -224,6 +225,9 @@
 		Priority: kind.Priority, Arrived: now, Objective: c.arrivedAt.Add(kind.Objective), Deadline: c.arrivedAt.Add(kind.Deadline),
 		CallerTimeout: kind.CallerTimeout, Prefill: engine.prefillTime(c.promptTokens), Retry: c.attempts > 1,
 	}
+	if c.organisation >= 0 {
+		r.slotRequest.Organisation = strconv.Itoa(c.organisation)
+	}
 	r.slotRequest.HoldTime = r.slotRequest.Prefill + time.Duration(c.responseTokens)*(engine.StepTime+time.Duration(engine.Slots/2)*engine.StepTimePerRequest)
 	r.submit()
 	return r
--- a/internal/lab/priorities_test.go
+++ b/internal/lab/priorities_test.go
@@ -119,6 +119,9 @@
 				}
 			}
 			first := result.Organisation(0)
+			if s.name == "organisation" {
+				require.GreaterOrEqual(t, others.Served(), first.Served(), "organisations with small demand are not displaced by one with large demand")
+			}
 			t.Logf("%d boxes, all: %.3f served, %.3f in time, score %.3f, %d rejected twice, %d inversions; organisation 0 %.3f served, %.3f in time, others %.3f, %.3f",
 				*boxCount, all.Served(), all.Share(OutcomeInTime), result.Score(), all[OutcomeRejected], result.Inversions,
 				first.Served(), first.Share(OutcomeInTime), others.Served(), others.Share(OutcomeInTime))
--- a/pkg/route/allocation.go
+++ b/pkg/route/allocation.go
@@ -102,7 +102,7 @@
 // startRound resets what this box took of the server's free slots if the round is a new one.
 func (b *backend) startRound(round int64) {
 	if b.round != round {
-		b.round, b.takenInRound, b.takenByClass = round, 0, [PriorityClasses]int{}
+		b.round, b.takenInRound, b.takenByClass = round, 0, [demandClassCount]int{}
 	}
 }
 
@@ -110,7 +110,7 @@
 func (b *backend) take(req *SlotRequest, round int64) {
 	b.startRound(round)
 	b.takenInRound++
-	b.takenByClass[req.priorityClass()]++
+	b.takenByClass[req.demandClass()]++
 }
 
 // freeSlot identifies a free slot in one round.
--- a/pkg/route/backend.go
+++ b/pkg/route/backend.go
@@ -102,7 +102,7 @@
 	// takenInRound is how many of the server's free slots this box took in round.
 	takenInRound int
 	// takenByClass divides takenInRound by the priority class of the requests.
-	takenByClass [PriorityClasses]int
+	takenByClass [demandClassCount]int
 	round        int64
 
 	// ejectedAt is when the server was last ejected because it was unreachable, ejections how often since its last
--- a/pkg/route/demand.go
+++ b/pkg/route/demand.go
@@ -94,7 +94,7 @@
 		demand.Classes[class].Arrivals = d.classArrivals[class].count(now)
 	}
 	d.eachPriority(now, func(r priorityRange) {
-		class := &demand.Classes[d.queue[r.start].req.priorityClass()]
+		class := &demand.Classes[d.queue[r.start].req.demandClass()]
 		class.InTime += r.end - r.inTime
 		class.Late += r.inTime - r.start
 	})
--- a/pkg/route/dispatch.go
+++ b/pkg/route/dispatch.go
@@ -48,6 +48,11 @@
 	// server at the same time, so that another exit identifies the request that caused it.
 	Suspect bool
 
+	// Organisation is the name of the organisation that the request belongs to; empty if it belongs to none.
+	Organisation string
+
+	// overShare is set if the request exceeds the fair share of its organisation.
+	overShare bool
 	// startBy is the latest start with which the request can meet its objective.
 	startBy time.Time
 	// queued is set while the request is in the queue.
@@ -86,7 +91,7 @@
 	// hasClasses is set if the requests have several priorities; classArrivals then counts the new requests at this box by
 	// class.
 	hasClasses    bool
-	classArrivals [PriorityClasses]rateMeter
+	classArrivals [demandClassCount]rateMeter
 	// peerDemands are the demands that the other entry boxes reported.
 	peerDemands peerDemands
 	// typicalHoldTime is the moving average of the time that a request holds its slot.
@@ -96,8 +101,10 @@
 	ttfb             time.Duration
 	ttfbDeviation    time.Duration
 	scheduledRetries scheduledRetries
+	// fairShares are the fair shares of the organisations by priority class if the requests have several priorities.
+	fairShares [PriorityClasses]fairShares
 	// classRetries divides scheduledRetries by class if the requests have several priorities.
-	classRetries [PriorityClasses]scheduledRetries
+	classRetries [demandClassCount]scheduledRetries
 	// slack is the moving average of the time that a new request can wait and still meet its
 	// objective.
 	slack time.Duration
--- a/pkg/route/dispatch_bench_test.go
+++ b/pkg/route/dispatch_bench_test.go
@@ -86,7 +86,7 @@
 				demand := Demand{InTime: 3, Arrivals: 12}
 				for class := range classes {
 					if classes > 1 {
-						demand.Classes[class] = ClassDemand{InTime: 1, Arrivals: 4}
+						demand.Classes[DemandClass(class, false)] = ClassDemand{InTime: 1, Arrivals: 4}
 					}
 				}
 				d.UpdatePeerDemand(member.BoxID(fmt.Sprint(box)), demand, d.clock.Now())
--- a/pkg/route/priorityclass.go
+++ b/pkg/route/priorityclass.go
@@ -14,13 +14,30 @@
 	Arrivals, InTime, Late int
 }
 
-// DemandClasses are the parts of a demand by priority class. They are all zero if the box does not report classes.
-type DemandClasses [PriorityClasses]ClassDemand
+// demandClassCount is the number of demand classes: each priority class has one for the requests within their
+// organisations' fair shares, and a less urgent one for the others.
+const demandClassCount = 2 * PriorityClasses
+
+// DemandClasses are the parts of a demand by demand class; see DemandClass. They are all zero if the box does not report
+// classes.
+type DemandClasses [demandClassCount]ClassDemand
+
+// DemandClass returns the index in DemandClasses of the requests of a priority class that are within their organisations'
+// fair shares, or of those that exceed them.
+func DemandClass(priority int, overShare bool) int {
+	if overShare {
+		return 2*priority + 1
+	}
+	return 2 * priority
+}
 
 // priorityClass returns the priority class of a request. A resumed response, which precedes all others, is in the most
 // urgent class.
 func (r *SlotRequest) priorityClass() int { return min(max(r.Priority, 0), PriorityClasses-1) }
 
+// demandClass returns the demand class of a request.
+func (r *SlotRequest) demandClass() int { return DemandClass(r.priorityClass(), r.overShare) }
+
 // SetPriorityClasses sets whether the requests of the service have several priorities. If so, the demand is reported by
 // class, and scarce slots are allocated to the most urgent class first. Otherwise boxes share slots by their total demand.
 func (d *Dispatcher) SetPriorityClasses(several bool) {
@@ -30,7 +47,8 @@
 		return
 	}
 	d.hasClasses = several
-	d.classArrivals, d.classRetries = [PriorityClasses]rateMeter{}, [PriorityClasses]scheduledRetries{}
+	d.classArrivals, d.classRetries = [demandClassCount]rateMeter{}, [demandClassCount]scheduledRetries{}
+	d.fairShares = [PriorityClasses]fairShares{}
 }
 
 func (c *ClassDemand) add(other ClassDemand, sign int) {
@@ -47,14 +65,14 @@
 	// the majority in each class, and a slot that they are allocated is not used for a round.
 	idleClassWeight = 0.001
 	// noClass is the class of a slot that no class needs in the current round.
-	noClass = PriorityClasses
+	noClass = demandClassCount
 )
 
 // classShares are the parts of the free slots of one round that are allocated to each class. Guaranteed parts come
 // first, then those of the most urgent class.
 type classShares struct {
 	// guaranteed and total are upper bounds of the classes' ranges within [0, 1), in ascending order.
-	guaranteed, total [PriorityClasses]float64
+	guaranteed, total [demandClassCount]float64
 }
 
 // perRound returns how many requests of the class take a slot in the current round: those queued in time and those that
@@ -73,7 +91,7 @@
 	for i := range c {
 		arrivals += float64(c[i].Arrivals)
 	}
-	var guaranteed [PriorityClasses]float64
+	var guaranteed [demandClassCount]float64
 	bound := 0.0
 	for i := range c {
 		if arrivals > 0 {
@@ -149,7 +167,7 @@
 // remainingClassShare returns how many more of a server's free slots a request of this box may choose from in a round.
 func (d *Dispatcher) remainingClassShare(b *backend, req *SlotRequest, free int, shares *classShares, own *Demand, round int64, now time.Time) int {
 	b.startRound(round)
-	owned, allowed, requestClass := 0, 0, req.priorityClass()
+	owned, allowed, requestClass := 0, 0, req.demandClass()
 	for i := range free + b.takenInRound {
 		slot := freeSlot{b.server.ID, i, round}
 		class, guaranteed := shares.class(slot.uniform(""))
@@ -212,7 +230,7 @@
 				continue
 			}
 			usable := freed
-			if freedClass != noClass && (late || req.priorityClass() > freedClass) {
+			if freedClass != noClass && (late || req.demandClass() > freedClass) {
 				usable = nil
 			}
 			reservation := d.choose(req, usable, now)
@@ -246,7 +264,7 @@
 // any server, there is none for the others of its priority either.
 func (d *Dispatcher) nextAfter(i int) int {
 	req := d.queue[i].req
-	for i++; !req.isConfined() && i < len(d.queue) && d.queue[i].req.Priority == req.Priority; {
+	for i++; !req.isConfined() && i < len(d.queue) && d.queue[i].req.rank() == req.rank(); {
 		i++
 	}
 	return i
@@ -260,7 +278,7 @@
 	class, guaranteed = shares.class(d.random())
 	if guaranteed && d.firstInTime(class, now) < 0 {
 		// Another box serves this class; the slot is one of the others.
-		bound := shares.guaranteed[PriorityClasses-1]
+		bound := shares.guaranteed[demandClassCount-1]
 		return shares.class(bound + (1-bound)*d.random())
 	}
 	return class, guaranteed
@@ -269,7 +287,7 @@
 // firstInTime returns the index of the first queued request of a class that is in time; -1 if there is none.
 func (d *Dispatcher) firstInTime(class int, now time.Time) int {
 	return slices.IndexFunc(d.queue, func(queued *QueuedRequest) bool {
-		return queued.req.priorityClass() == class && !queued.req.isLate(now)
+		return queued.req.demandClass() == class && !queued.req.isLate(now)
 	})
 }
 
@@ -284,7 +302,7 @@
 // behind the more urgent requests that are queued at all boxes and that arrive meanwhile, and among those of its class.
 // The guaranteed rate of the class limits the wait.
 func (d *Dispatcher) expectedClassWait(req *SlotRequest, now time.Time) time.Duration {
-	own, peers, class := d.demand(now), d.totalPeerDemand(now), req.priorityClass()
+	own, peers, class := d.demand(now), d.totalPeerDemand(now), req.demandClass()
 	capacity := d.currentCapacity(now)
 	rate := capacity.maxRate * capacity.allowedShare(req)
 	if rate == 0 {
@@ -319,7 +337,7 @@
 func (d *Dispatcher) aheadInClass(req *SlotRequest, now time.Time) int {
 	ahead := 0
 	for _, queued := range d.queue {
-		if other := queued.req; other != req && other.priorityClass() == req.priorityClass() && !other.isLate(now) && !other.startBy.After(req.startBy) {
+		if other := queued.req; other != req && other.demandClass() == req.demandClass() && !other.isLate(now) && !other.startBy.After(req.startBy) {
 			ahead++
 		}
 	}
@@ -332,7 +350,7 @@
 		return 0
 	}
 	all, sum := d.allClasses(now), 0
-	for _, class := range all[:req.priorityClass()] {
+	for _, class := range all[:DemandClass(req.priorityClass(), false)] {
 		sum += class.InTime + class.Late
 	}
 	return sum
@@ -346,7 +364,7 @@
 		return lengths, false
 	}
 	for class, demand := range d.demand(now).Classes {
-		lengths[class] = demand.InTime + demand.Late
+		lengths[class/2] += demand.InTime + demand.Late
 	}
 	return lengths, true
 }
--- a/pkg/route/priorityclass_test.go
+++ b/pkg/route/priorityclass_test.go
@@ -24,9 +24,9 @@
 	}
 	demand := b.Demand(b.clock.Now())
 	require.Equal(t, 5, demand.InTime)
-	require.Equal(t, 2, demand.Classes[0].InTime)
-	require.Equal(t, 1, demand.Classes[1].InTime)
-	require.Equal(t, 2, demand.Classes[9].InTime)
+	require.Equal(t, 2, demand.Classes[DemandClass(0, false)].InTime)
+	require.Equal(t, 1, demand.Classes[DemandClass(1, false)].InTime)
+	require.Equal(t, 2, demand.Classes[DemandClass(9, false)].InTime)
 	b.clock.Advance(rateWindow / 2)
 	require.Equal(t, 1, b.Demand(b.clock.Now()).Classes[0].Arrivals)
 	b.SetPriorityClasses(false)
@@ -42,7 +42,7 @@
 	random := rand.New(rand.NewPCG(1, 2))
 	for range 100 {
 		demand := Demand{InTime: random.IntN(4)}
-		demand.Classes[random.IntN(PriorityClasses)].InTime = demand.InTime
+		demand.Classes[random.IntN(demandClassCount)].InTime = demand.InTime
 		b.UpdatePeerDemand(boxID(random.IntN(5)), demand, b.clock.Now())
 	}
 	want := Demand{}
@@ -57,7 +57,7 @@
 // classDemand returns a demand of queued requests of one class.
 func classDemand(class, inTime int) (demand Demand) {
 	demand.InTime = inTime
-	demand.Classes[class].InTime = inTime
+	demand.Classes[DemandClass(class, false)].InTime = inTime
 	return demand
 }
 
@@ -101,7 +101,7 @@
 				demands[i].Classes = DemandClasses{}
 			}
 		}
-		slot, class := freeSlot{"a", rapid.IntRange(0, 99).Draw(t, "index"), 1}, rapid.IntRange(0, PriorityClasses).Draw(t, "slot class")
+		slot, class := freeSlot{"a", rapid.IntRange(0, 99).Draw(t, "index"), 1}, rapid.IntRange(0, demandClassCount).Draw(t, "slot class")
 		owners := 0
 		for i := range demands {
 			b := newTestDispatcher(true)
@@ -138,7 +138,7 @@
 		}
 		slots := rapid.Float64Range(0.1, 300).Draw(t, "slots")
 		shares := demand.divide(slots)
-		var parts [PriorityClasses + 1]float64
+		var parts [demandClassCount + 1]float64
 		const steps = 10000
 		for i := range steps {
 			class, _ := shares.class((float64(i) + 0.5) / steps)
@@ -243,7 +243,7 @@
 				case 0:
 					demand := classDemand(priority, random.IntN(5))
 					demand.Arrivals = random.IntN(20)
-					demand.Classes[priority].Arrivals = demand.Arrivals
+					demand.Classes[DemandClass(priority, false)].Arrivals = demand.Arrivals
 					if !reportClasses {
 						demand.Classes = DemandClasses{}
 					}
@@ -257,6 +257,9 @@
 				default:
 					req := b.request()
 					req.Priority = priority
+					if reportClasses {
+						req.Organisation = "one"
+					}
 					reservation, queued, err := b.Submit(req, granted, now)
 					switch {
 					case reservation != nil:
--- a/pkg/route/queue.go
+++ b/pkg/route/queue.go
@@ -32,6 +32,8 @@
 	// Priority is the priority class of the request, MoreUrgent the number of requests of more urgent classes that are
 	// queued at all entry boxes; 0 if the service has one class.
 	Priority, MoreUrgent int
+	// OverShare is set if the request exceeded the fair share of its organisation.
+	OverShare bool
 	// Late is set if the request could no longer meet its objective. TimeLeft is how much longer a
 	// start would still have been useful.
 	Late     bool
@@ -81,10 +83,13 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	req.startBy = d.startBy(req, now)
+	if d.hasClasses {
+		d.checkFairShare(req, now)
+	}
 	if !req.Retry && !req.Resuming && !req.NoWait {
 		d.arrivals.add(now)
 		if d.hasClasses {
-			d.classArrivals[req.priorityClass()].add(now)
+			d.classArrivals[req.demandClass()].add(now)
 		}
 		d.slack += time.Duration(ttfbSmoothing * float64(req.startBy.Sub(now)-d.slack))
 	}
@@ -211,7 +216,7 @@
 	if !req.Retry && !req.Resuming && !req.NoWait {
 		d.scheduledRetries.add(now.Add(retryIn))
 		if d.hasClasses {
-			d.classRetries[req.priorityClass()].add(now.Add(retryIn))
+			d.classRetries[req.demandClass()].add(now.Add(retryIn))
 		}
 	}
 	jitter := time.Duration(d.random() * float64(minRetryAfter))
@@ -221,7 +226,7 @@
 	}
 	limited, cold := d.limitedEligible(req, now)
 	return &BusyError{
-		Priority: req.priorityClass(), MoreUrgent: d.moreUrgent(req, now),
+		Priority: req.priorityClass(), MoreUrgent: d.moreUrgent(req, now), OverShare: req.overShare,
 		Waiting: len(d.queue), PeerWaiting: peerDemand.Late, Late: req.isLate(now), TimeLeft: remaining,
 		Slots: d.currentCapacity(now).allowedSlots(req), NewRequestSlots: d.newRequestSlots(now), AwaitingFirstByte: len(d.awaiting) + peerDemand.AwaitingFirstByte, BackingOff: backingOff.servers,
 		Limited: limited, Cold: cold,
@@ -244,7 +249,7 @@
 // lateAhead returns the number of late requests except those in less urgent classes than a request.
 func (d *Demand) lateAhead(req *SlotRequest) int {
 	late := d.Late
-	for class := req.priorityClass() + 1; class < PriorityClasses; class++ {
+	for class := req.demandClass() + 1; class < demandClassCount; class++ {
 		late -= d.Classes[class].Late
 	}
 	return late
@@ -257,7 +262,7 @@
 		return d.scheduledRetries.count(now)
 	}
 	retries := 0
-	for class := range req.priorityClass() + 1 {
+	for class := range req.demandClass() + 1 {
 		retries += d.classRetries[class].count(now)
 	}
 	return retries
@@ -278,11 +283,20 @@
 	return len(*s)
 }
 
+// rank returns the position of a request in the order of priorities. With several classes, requests that exceed their
+// organisations' fair shares follow the others of their priority.
+func (r *SlotRequest) rank() int {
+	if r.overShare {
+		return 2*r.Priority + 1
+	}
+	return 2 * r.Priority
+}
+
 // hasPrecedence orders the queue by priority, the most urgent first, then by the time by which the
 // requests must start.
 func hasPrecedence(a, b *SlotRequest) bool {
-	if a.Priority != b.Priority {
-		return a.Priority < b.Priority
+	if a.rank() != b.rank() {
+		return a.rank() < b.rank()
 	}
 	return a.startBy.Before(b.startBy)
 }
@@ -306,13 +320,13 @@
 
 // priorityRange is the range of the queue that holds the requests of one priority: late ones from
 // start to inTime, those in time from inTime to end.
-type priorityRange struct{ priority, start, inTime, end int }
+type priorityRange struct{ rank, start, inTime, end int }
 
 // eachPriority calls yield for each priority in the queue, the most urgent first.
 func (d *Dispatcher) eachPriority(now time.Time, yield func(r priorityRange)) {
 	for start := 0; start < len(d.queue); {
-		r := priorityRange{priority: d.queue[start].req.Priority, start: start}
-		r.end = start + sort.Search(len(d.queue)-start, func(i int) bool { return d.queue[start+i].req.Priority > r.priority })
+		r := priorityRange{rank: d.queue[start].req.rank(), start: start}
+		r.end = start + sort.Search(len(d.queue)-start, func(i int) bool { return d.queue[start+i].req.rank() > r.rank })
 		r.inTime = start + sort.Search(r.end-start, func(i int) bool { return !d.queue[start+i].req.isLate(now) })
 		yield(r)
 		start = r.end
@@ -339,9 +353,9 @@
 			ahead += r.end - r.inTime
 		}
 		switch {
-		case r.priority < req.Priority:
+		case r.rank < req.rank():
 			ahead += to - from
-		case r.priority == req.Priority:
+		case r.rank == req.rank():
 			ahead += sort.Search(to-from, func(i int) bool { return d.queue[from+i].req.startBy.After(req.startBy) })
 		}
 	})
