--- a/internal/direct/callerserver.go
+++ b/internal/direct/callerserver.go
@@ -222,7 +222,7 @@
 func (s *CallerServer) Load() route.Load {
 	load := make(route.Load)
 	for _, d := range s.dispatcherList() {
-		maps.Copy(load, d.OwnLoad(s.clock.Now()))
+		maps.Copy(load, d.OwnLoad())
 	}
 	return load
 }
@@ -344,7 +344,6 @@
 			s.observeQueuedPriorities(name, d)
 			s.metrics.limitedServers.WithLabelValues(string(name)).Set(float64(len(d.LimitedServers(s.clock.Now()))))
 			s.metrics.unclaimed.WithLabelValues(string(name)).Set(float64(d.Unclaimed(s.clock.Now())))
-			s.metrics.slowServers.WithLabelValues(string(name)).Set(float64(d.SlowServers(s.clock.Now())))
 		}
 		s.mu.Unlock()
 		select {
--- a/internal/direct/callerserver_test.go
+++ b/internal/direct/callerserver_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -293,17 +292,3 @@
 	require.ErrorAs(t, err, &busy)
 	return busy.PeerWaiting
 }
-
-// Guards against a work without a bound for the hints that callers may send, which would overflow.
-func TestAbsurdHintsAreBounded(t *testing.T) {
-	state, clock := newTestFleetState()
-	s := newTestCallerServer(state)
-	for _, hint := range []int{math.MaxInt, 1 << 40, 1, 0} {
-		x := &exchange{arrived: clock.Now(), route: &fleet.Route{Name: "draft"}, InboundMetadata: provider.InboundMetadata{ResponseTokensHint: hint}}
-		engine := fleet.Engine{StepTime: 7 * time.Millisecond, TypicalResponseTokens: 100}
-		decode := engine.DecodeTime(min(float64(min(hint, maxResponseTokens)), responseTokensLimit(x)))
-		require.GreaterOrEqual(t, decode, time.Duration(0))
-		require.LessOrEqual(t, decode, 7*time.Millisecond*maxResponseTokens)
-		require.Zero(t, s.slotRequest(x, nil, false).Decode, "a service without an engine has no expected work")
-	}
-}
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -73,9 +73,7 @@
 	// longestEventGap is the longest time between two forwarded events. lastForwarded is when the last event
 	// was forwarded.
 	longestEventGap time.Duration
-	// events is the number of events that were forwarded.
-	events        int
-	lastForwarded time.Time
+	lastForwarded   time.Time
 	// lastEventID is the ID of the last forwarded event.
 	lastEventID string
 }
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -46,8 +46,6 @@
 	limitRefusals  *prometheus.CounterVec
 	// unclaimed is the number of requests that servers report in flight and that no live entry box claims.
 	unclaimed *prometheus.GaugeVec
-	// slowServers is the number of servers that receive fewer requests because they deliver events slowly.
-	slowServers *prometheus.GaugeVec
 	// heldBytes is the number of bytes held for callers and servers that are slow to read.
 	heldBytes   prometheus.Gauge
 	connections prometheus.Counter
@@ -109,7 +107,6 @@
 			"direct_limit_refusals_total", "Requests refused while all servers that could run them had a rate limit, by service.", "service",
 		),
 		unclaimed:   metric.GaugeVec("direct_unclaimed", "Requests that backend servers report and no entry box that is heard here claims.", "service"),
-		slowServers: metric.GaugeVec("direct_slow_servers", "Backend servers that deliver the events of responses at least 1.5 times more slowly than usual, by service.", "service"),
 		heldBytes:   metric.Gauge("direct_held_bytes", "Bytes of requests and of unsent parts of responses that are held."),
 		connections: metric.Counter("direct_connections_total", "Connections opened to backend servers."),
 		storeCalls:  metric.CounterVec("store_calls_total", "Calls of the platform's store by kind and result.", "call", "result"),
@@ -136,7 +133,7 @@
 	}
 	m.registry.MustRegister(m.requests, m.requestSeconds, m.ttfb, m.attempts, m.hedges, m.retries, m.cutResponses, m.serverSignals, m.suspects,
 		m.waiting, m.priorityWaiting, m.priorityRefusals, m.limitedServers,
-		m.limitRefusals, m.unclaimed, m.slowServers, m.heldBytes, m.connections, m.storeCalls, m.traffic.messages, m.traffic.bytes, m.configurationTransfers, m.logDropped, m.chunks, m.manifests, m.orders, m.originOutages,
+		m.limitRefusals, m.unclaimed, m.heldBytes, m.connections, m.storeCalls, m.traffic.messages, m.traffic.bytes, m.configurationTransfers, m.logDropped, m.chunks, m.manifests, m.orders, m.originOutages,
 		m.configuration, m.revision, m.storeEra, m.complete, m.completeEra, m.deferredDeletions, m.evacuatedDomains, m.outdatedEntries, m.pulls, m.refusedPulls,
 		collectors.NewGoCollector())
 	return m
--- a/internal/direct/run.go
+++ b/internal/direct/run.go
@@ -85,11 +85,7 @@
 		server := result.reservation.Server.ID
 		switch result.outcome {
 		case outcomeDone:
-			event := s.finish(x, "answered").Str("server", string(server)).Uint64("weights", uint64(result.reservation.Version))
-			if slowdown := result.reservation.Slowdown(); slowdown > 1 {
-				event = event.Float64("slowdown", slowdown)
-			}
-			event.Msg("request answered")
+			s.finish(x, "answered").Str("server", string(server)).Uint64("weights", uint64(result.reservation.Version)).Msg("request answered")
 			return true
 		case outcomeCallerGone:
 			s.noteRejected(x)
@@ -212,13 +208,9 @@
 // slotRequest returns the request for a slot on a server.
 func (s *CallerServer) slotRequest(x *exchange, tried []fleet.ServerID, noWait bool) *route.SlotRequest {
 	prefill, decode := s.engineTimes(x)
-	length := route.ResponseLength{Route: x.route.Name, Hint: x.ResponseTokensHint, Delivered: x.events}
-	if decode > 0 {
-		decode = min(s.dispatcher(x.service).ExpectedDecode(length, decode), s.maxDecode(x))
-	}
 	req := &route.SlotRequest{
 		Priority: s.priority(x), Arrived: s.clock.Now(), Objective: x.arrived.Add(x.route.Objective - x.sinceFirstTry), Deadline: x.deadline, CallerTimeout: x.route.CallerTimeout,
-		Prefill: prefill, Decode: decode, Length: length, HoldTime: prefill + decode,
+		Prefill: prefill, HoldTime: prefill + decode,
 		Retry: x.sinceFirstTry > 0 && !s.leaving.Load(), Tried: tried, NoWait: noWait, Suspect: x.suspect,
 		Residency: s.residency(x),
 	}
@@ -248,36 +240,18 @@
 	return x.route.Priority
 }
 
-// maxResponseTokens bounds the hints that callers send, far above the length of any response: the time for a larger
-// number of tokens may not fit a Duration.
-const maxResponseTokens = 1 << 20
-
-// engineTimes returns the prefill time and the decode time by the caller's hint of a model server; 0 for other servers.
+// engineTimes returns the expected prefill and decode time of a model server; 0 for other servers.
 func (s *CallerServer) engineTimes(x *exchange) (prefill, decode time.Duration) {
 	service := s.fleetState.View().Service(x.service)
 	if service == nil || service.Engine == nil {
 		return 0, 0
 	}
-	tokens := float64(min(x.ResponseTokensHint, maxResponseTokens))
+	tokens := float64(x.ResponseTokensHint)
 	if tokens == 0 {
 		tokens = service.Engine.TypicalResponseTokens
 	}
-	return service.Engine.PrefillTime(x.PromptTokens), service.Engine.DecodeTime(min(tokens, responseTokensLimit(x)))
-}
-
-// maxDecode returns the longest decode time of a request by its limit of response tokens. Its service must have an engine.
-func (s *CallerServer) maxDecode(x *exchange) time.Duration {
-	service := s.fleetState.View().Service(x.service)
-	if service == nil || service.Engine == nil {
-		return 0
-	}
-	return service.Engine.DecodeTime(responseTokensLimit(x))
-}
-
-// responseTokensLimit returns the limit of the response of a request.
-func responseTokensLimit(x *exchange) float64 {
 	if x.MaxResponseTokens > 0 {
-		return float64(min(x.MaxResponseTokens, maxResponseTokens))
+		tokens = min(tokens, float64(x.MaxResponseTokens))
 	}
-	return maxResponseTokens
+	return service.Engine.PrefillTime(x.PromptTokens), service.Engine.DecodeTime(tokens)
 }
--- a/internal/direct/statusmessage.go
+++ b/internal/direct/statusmessage.go
@@ -90,7 +90,7 @@
 	changedLoad := loadDelta(c.load, load)
 	changedDemands := maps.Clone(demands)
 	maps.DeleteFunc(changedDemands, func(service member.Service, demand route.Demand) bool { return c.demands[service] == demand })
-	urgent := hasOther || !load.HasSameRequests(c.load) || isUrgentDemand(c.demands, changedDemands) || c.isUrgentChange(&summary, now)
+	urgent := hasOther || len(changedLoad) > 0 || isUrgentDemand(c.demands, changedDemands) || c.isUrgentChange(&summary, now)
 	if !urgent && now.Sub(c.sentAt) < statusHeartbeat {
 		return nil
 	}
@@ -166,21 +166,16 @@
 	for id, serverLoad := range load {
 		encoded = append(encoded, &wire.InFlight{
 			Server: string(id), Count: uint32(serverLoad.Requests), ReadingMilliseconds: uint32(serverLoad.Prefill.Milliseconds()), Sent: serverLoad.Sent,
-			Lateness: uint32(serverLoad.Lateness),
 		})
 	}
 	return encoded
 }
 
-// maxLateness bounds what another box reports as lateness; the reservations of one box at a server give less.
-const maxLateness = 1 << 12
-
 func loadFromWire(encoded []*wire.InFlight) route.Load {
 	load := make(route.Load, len(encoded))
 	for _, inFlight := range encoded {
 		load[fleet.ServerID(inFlight.Server)] = route.ServerLoad{
 			Requests: int(inFlight.Count), Prefill: time.Duration(inFlight.ReadingMilliseconds) * time.Millisecond, Sent: inFlight.Sent,
-			Lateness: int(min(inFlight.Lateness, maxLateness)),
 		}
 	}
 	return load
--- a/internal/direct/statusmessage_test.go
+++ b/internal/direct/statusmessage_test.go
@@ -48,23 +48,6 @@
 	})
 }
 
-// Guards against additional messages for a value that changes with each event, and against a change that is lost because
-// it caused no message.
-func TestLatenessIsSentWithNextMessage(t *testing.T) {
-	cursor := statusCursor{fullStatus: func() *wire.EntryStatus { return &wire.EntryStatus{Box: "entry-1"} }}
-	now := time.Unix(1000, 0)
-	load := func(requests, lateness int) route.Load {
-		return route.Load{"a": {Requests: requests, Lateness: lateness}, "b": {Requests: 1}}
-	}
-	require.NotNil(t, cursor.nextMessage(statusSummary{}, load(1, 0), nil, now, false))
-	require.Nil(t, cursor.nextMessage(statusSummary{}, load(1, 5), nil, now.Add(statusInterval), false))
-	message := cursor.nextMessage(statusSummary{}, load(2, 6), nil, now.Add(2*statusInterval), false)
-	require.Equal(t, route.Load{"a": {Requests: 2, Lateness: 6}}, loadFromWire(message.InFlight))
-	require.Nil(t, cursor.nextMessage(statusSummary{}, load(2, 0), nil, now.Add(3*statusInterval), false))
-	heartbeat := cursor.nextMessage(statusSummary{}, load(2, 0), nil, now.Add(2*statusInterval+statusHeartbeat), false)
-	require.Equal(t, route.Load{"a": {Requests: 2}}, loadFromWire(heartbeat.InFlight))
-}
-
 // Guards against full statuses in every heartbeat: sent every 0.4 s with the addresses of all other boxes, they
 // were most of the traffic between the regions of 39 boxes.
 func TestStatusIsFullFirstAndWhenAgesChange(t *testing.T) {
--- a/internal/direct/stream.go
+++ b/internal/direct/stream.go
@@ -84,11 +84,6 @@
 	return end
 }
 
-// countEvents returns the number of complete events.
-func countEvents(events []byte) int {
-	return bytes.Count(events, eventEnd) + bytes.Count(events, eventEndCRLF)
-}
-
 // lastID returns the ID of the last event that has one.
 func lastID(events []byte) string {
 	id := ""
@@ -128,9 +123,7 @@
 			s.forwardHeader(x, resp)
 		}
 		x.noteForwarded(s.clock.Now())
-		x.events += countEvents(events)
 		reservation.Started(s.clock.Now())
-		reservation.EventsReceived(countEvents(events), s.clock.Now())
 		if !succeeded && reservation.RespondingFor(s.clock.Now()) >= safeResponseDuration {
 			succeeded = true
 			s.recordSuccess(x)
@@ -140,7 +133,6 @@
 			s.finishAttempt(x, a, route.ResultAbandoned, err)
 			return outcomeCallerGone, err
 		}
-		reservation.AwaitEvents(s.clock.Now())
 		if id != "" {
 			x.lastEventID, a.lastEventID = id, id
 		}
--- a/internal/lab/box.go
+++ b/internal/lab/box.go
@@ -58,7 +58,7 @@
 // report sends the load and the demand to the peers in other regions if remote is set, otherwise to those in the
 // same region. It sends nothing if the load is unchanged and was sent less than unchangedReportInterval ago.
 func (r *reporter) report(b *box, remote bool, load route.Load, demand route.Demand, now time.Time) {
-	if r.load != nil && now.Sub(r.sentAt) < unchangedReportInterval && load.HasSameRequests(r.load) {
+	if r.load != nil && now.Sub(r.sentAt) < unchangedReportInterval && maps.Equal(load, r.load) {
 		return
 	}
 	r.load, r.sentAt = load, now
@@ -92,7 +92,7 @@
 	b.updateServers()
 	for _, other := range b.peers {
 		if other.up && other.dispatcher != nil {
-			b.receiveReport(other, other.dispatcher.OwnLoad(b.sim.Now()), other.dispatcher.Demand(b.sim.Now()))
+			b.receiveReport(other, other.dispatcher.OwnLoad(), other.dispatcher.Demand(b.sim.Now()))
 		}
 	}
 	b.reportPeriodically(b.incarnation)
@@ -140,7 +140,7 @@
 	}
 	b.updateBoxCount()
 	b.exchangeRetryClaims()
-	load, demand := b.dispatcher.OwnLoad(b.sim.Now()), b.dispatcher.Demand(b.sim.Now())
+	load, demand := b.dispatcher.OwnLoad(), b.dispatcher.Demand(b.sim.Now())
 	now := b.sim.Now()
 	b.localReporter.report(b, false, load, demand, now)
 	if now.Sub(b.remoteReporter.sentAt) >= b.sim.deployment.RemoteReportInterval {
@@ -162,7 +162,7 @@
 	b.sim.AfterFunc(reportBatchDelay, func() {
 		b.reportPending = false
 		if b.incarnation == incarnation {
-			load, demand := b.dispatcher.OwnLoad(b.sim.Now()), b.dispatcher.Demand(b.sim.Now())
+			load, demand := b.dispatcher.OwnLoad(), b.dispatcher.Demand(b.sim.Now())
 			b.localReporter.report(b, false, load, demand, b.sim.Now())
 			b.remoteReporter.report(b, true, load, demand, b.sim.Now())
 		}
@@ -229,11 +229,7 @@
 	if c.organisation >= 0 {
 		r.slotRequest.Organisation = strconv.Itoa(c.organisation)
 	}
-	r.slotRequest.Decode = time.Duration(c.responseTokens) * (engine.StepTime + time.Duration(engine.Slots/2)*engine.StepTimePerRequest)
-	r.slotRequest.HoldTime = r.slotRequest.Prefill + r.slotRequest.Decode
-	if b.sim.deployment.UnknownDecode {
-		r.slotRequest.Decode = 0
-	}
+	r.slotRequest.HoldTime = r.slotRequest.Prefill + time.Duration(c.responseTokens)*(engine.StepTime+time.Duration(engine.Slots/2)*engine.StepTimePerRequest)
 	r.submit()
 	return r
 }
@@ -360,8 +356,6 @@
 // forwardEvent forwards an event of the response to the caller.
 func (r *request) forwardEvent(reservation *route.Reservation) {
 	reservation.Started(r.box.sim.Now())
-	reservation.EventsReceived(1, r.box.sim.Now())
-	reservation.AwaitEvents(r.box.sim.Now())
 	r.retry.Settle(r.box.sim.Now())
 	if !r.succeeded && reservation.RespondingFor(r.box.sim.Now()) >= successDuration {
 		r.recordSuccess()
--- a/internal/lab/caller.go
+++ b/internal/lab/caller.go
@@ -147,9 +147,6 @@
 	if c.done || c.request != r {
 		return
 	}
-	if c.maxEventGap > c.kind.MaxEventGap {
-		c.sim.result.LongGaps++
-	}
 	if c.firstEvent.Sub(c.arrivedAt) <= c.kind.Objective && c.maxEventGap <= c.kind.MaxEventGap {
 		c.finish(OutcomeInTime)
 		return
--- a/internal/lab/deployment.go
+++ b/internal/lab/deployment.go
@@ -39,9 +39,6 @@
 	// RemoteReportInterval is the minimum interval of periodic reports to other regions; it has no effect below
 	// ReportInterval.
 	RemoteReportInterval time.Duration
-	// UnknownDecode withholds the expected decode time of requests from the entry boxes, which then use neither the
-	// pace of servers nor the expected work of requests.
-	UnknownDecode bool
 	// MaxAttempts is the maximum number of servers that one request is sent to.
 	MaxAttempts int
 	// Retries limits the retries of all entry boxes together; no limit if its window is 0.
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -67,8 +67,6 @@
 	// PossibleValue is the value of all requests if every response were in time, EarnedValue that of the actual
 	// responses. Penalties are deducted for callers that waited in vain or were rejected repeatedly.
 	PossibleValue, EarnedValue, Penalties float64
-	// LongGaps counts the complete responses with a gap between two events above the kind's MaxEventGap.
-	LongGaps int
 	// Truncated counts the responses that an entry box ended with an error, or before they were complete.
 	Truncated int
 	// Inversions counts the requests that were sent to a server while a more urgent one waited at a box of the same cell.
--- a/pkg/route/backend.go
+++ b/pkg/route/backend.go
@@ -98,7 +98,6 @@
 	// box claims: those of boxes that were killed or cannot reach this one.
 	unclaimed   float64
 	failureRate float64
-	pace        pace
 
 	// takenInRound is how many of the server's free slots this box took in round.
 	takenInRound int
@@ -126,14 +125,11 @@
 	// awaiting maps each reservation whose response has not started to the time at which it was
 	// made.
 	awaiting map[*Reservation]time.Time
-	// streaming maps each reservation whose next events are awaited to the time since which they are, if the server runs
-	// a model.
-	streaming map[*Reservation]time.Time
 }
 
 // newBackend returns a backend of which only the incarnation is known.
 func newBackend(incarnation member.Incarnation) *backend {
-	return &backend{incarnation: incarnation, recovered: true, awaiting: make(map[*Reservation]time.Time), streaming: make(map[*Reservation]time.Time)}
+	return &backend{incarnation: incarnation, recovered: true, awaiting: make(map[*Reservation]time.Time)}
 }
 
 // updateListedVersion sets the listed version, unless the list entry is about an earlier
--- a/pkg/route/backoff_test.go
+++ b/pkg/route/backoff_test.go
@@ -187,7 +187,7 @@
 	require.Nil(t, reservation)
 	require.NotNil(t, waiting, "other requests wait for the result of the probe")
 	probe.Started(w.now)
-	require.Equal(t, 1, w.d.OwnLoad(w.now)["a"].Requests-1, "the queued request got its slot")
+	require.Equal(t, 1, w.d.OwnLoad()["a"].Requests-1, "the queued request got its slot")
 	w.acquire()
 }
 
--- a/pkg/route/dispatch.go
+++ b/pkg/route/dispatch.go
@@ -28,11 +28,6 @@
 	Objective time.Time
 	// Prefill is the time the server needs for the prefill of the request.
 	Prefill time.Duration
-	// Decode is the time the server is expected to need for the response after the prefill; 0 if the server runs no
-	// model.
-	Decode time.Duration
-	// Length is what is known of the length of the response.
-	Length ResponseLength
 	// HoldTime is how long the request is expected to hold its slot.
 	HoldTime time.Duration
 	Deadline time.Time
@@ -103,12 +98,8 @@
 	typicalHoldTime time.Duration
 	// ttfb is the moving average of the time to first byte without prefill, ttfbDeviation that of
 	// its absolute deviation.
-	ttfb          time.Duration
-	ttfbDeviation time.Duration
-	// lengths are the lengths of the responses of this box.
-	lengths responseLengths
-	// eventGap is the typical time between the events of a response.
-	eventGap         eventGap
+	ttfb             time.Duration
+	ttfbDeviation    time.Duration
 	scheduledRetries scheduledRetries
 	// fairShares are the fair shares of the organisations by priority class if the requests have several priorities.
 	fairShares [PriorityClasses]fairShares
@@ -366,8 +357,8 @@
 	d.grant(nil, now)
 }
 
-// OwnLoad returns the requests that this box has in flight, and the pace of slow servers.
-func (d *Dispatcher) OwnLoad(now time.Time) Load {
+// OwnLoad returns the requests that this box has in flight.
+func (d *Dispatcher) OwnLoad() Load {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	load := make(Load)
@@ -376,8 +367,7 @@
 		if bucket := d.buckets[b.server.ID]; bucket != nil {
 			own.Sent = bucket.sent
 		}
-		own.Lateness = d.lateness(b, now)
-		if own.Requests > 0 || own.Sent > 0 || own.Lateness > 0 {
+		if own.Requests > 0 || own.Sent > 0 {
 			load[b.server.ID] = own
 		}
 	}
@@ -469,11 +459,9 @@
 			return candidate{}, false
 		}
 	}
-	// A slow server takes longer for the same work.
-	slowdown := d.slowdown(b, now)
 	c = candidate{
-		backend: b, costPerRequest: slowdown / float64(slots), room: float64(room),
-		cost: slowdown*(float64(load.Requests)/float64(slots)+float64(load.Prefill)/float64(prefillScale)) + costFailures*b.failureRate,
+		backend: b, costPerRequest: 1 / float64(slots), room: float64(room),
+		cost: float64(load.Requests)/float64(slots) + float64(load.Prefill)/float64(prefillScale) + costFailures*b.failureRate,
 	}
 	if b.remote {
 		c.cost += costRemote
@@ -494,8 +482,8 @@
 func (d *Dispatcher) reserve(b *backend, req *SlotRequest, now time.Time) *Reservation {
 	version, _ := b.version(now)
 	reservation := &Reservation{
-		Server: b.server, Incarnation: b.incarnation, Version: version, dispatcher: d, backend: b, reservedAt: now, prefill: req.Prefill, decode: req.Decode, length: req.Length,
-		prefillAhead: d.load(b, now).Prefill, suspect: req.Suspect, slowdown: d.slowdown(b, now),
+		Server: b.server, Incarnation: b.incarnation, Version: version, dispatcher: d, backend: b, reservedAt: now, prefill: req.Prefill,
+		prefillAhead: d.load(b, now).Prefill, suspect: req.Suspect,
 	}
 	if req.Suspect {
 		b.suspects++
--- a/pkg/route/dispatch_test.go
+++ b/pkg/route/dispatch_test.go
@@ -225,7 +225,7 @@
 				required = fleet.WeightsVersion(rapid.IntRange(0, 2).Draw(t, "required"))
 				b.RequireVersions(VersionRequirements{Required: required, Preferred: required, Newest: 3}, b.clock.Now())
 			}
-			for id, count := range b.OwnLoad(b.clock.Now()) {
+			for id, count := range b.OwnLoad() {
 				for _, server := range servers {
 					if server.ID == id && count.Requests > server.Slots {
 						t.Fatalf("%s has %d of %d slots in use", id, count.Requests, server.Slots)
@@ -237,7 +237,7 @@
 		for _, reservation := range held {
 			reservation.Release(ResultDone, b.clock.Now())
 		}
-		if own := b.OwnLoad(b.clock.Now()); len(own) != 0 {
+		if own := b.OwnLoad(); len(own) != 0 {
 			t.Fatalf("slots still in use: %v", own)
 		}
 	})
--- a/pkg/route/forecast_test.go
+++ b/pkg/route/forecast_test.go
@@ -247,6 +247,6 @@
 			break
 		}
 	}
-	require.InDelta(t, b.slack/2, b.OwnLoad(b.clock.Now())["a"].Prefill, float64(20*time.Millisecond))
+	require.InDelta(t, b.slack/2, b.OwnLoad()["a"].Prefill, float64(20*time.Millisecond))
 	require.Error(t, late(b.slack), "the request would use up the slack of new requests")
 }
--- a/pkg/route/incarnation_test.go
+++ b/pkg/route/incarnation_test.go
@@ -42,10 +42,10 @@
 			req := &SlotRequest{Objective: now.Add(time.Second), Deadline: now.Add(6 * time.Second)}
 			reservation, _, err := d.Submit(req, nil, now)
 			require.NoError(t, err)
-			require.Equal(t, 1, d.OwnLoad(now)["a"].Requests)
+			require.Equal(t, 1, d.OwnLoad()["a"].Requests)
 
 			restart(d)
-			require.Zero(t, d.OwnLoad(now)["a"].Requests, "requests of the earlier incarnation do not count")
+			require.Zero(t, d.OwnLoad()["a"].Requests, "requests of the earlier incarnation do not count")
 			_, _, err = d.Submit(&SlotRequest{Objective: now.Add(time.Second), Deadline: now.Add(6 * time.Second)}, nil, now)
 			require.ErrorIs(t, err, ErrNoServer, "the server has no weights")
 			reservation.Release(ResultFailed, now)
@@ -60,9 +60,9 @@
 			d.UpdateServer("a", ServerState{Incarnation: 6, Version: 1}, now)
 			second, _, err := d.Submit(&SlotRequest{Objective: now.Add(time.Second), Deadline: now.Add(6 * time.Second)}, nil, now)
 			require.NoError(t, err)
-			require.Equal(t, 1, d.OwnLoad(now)["a"].Requests, "releasing the first reservation changed nothing")
+			require.Equal(t, 1, d.OwnLoad()["a"].Requests, "releasing the first reservation changed nothing")
 			second.Release(ResultDone, now)
-			require.Zero(t, d.OwnLoad(now)["a"].Requests)
+			require.Zero(t, d.OwnLoad()["a"].Requests)
 		})
 	}
 }
--- a/pkg/route/peerload.go
+++ b/pkg/route/peerload.go
@@ -23,30 +23,11 @@
 	// Sent is the number of requests sent since the box first received the server's rate limit; 0 if
 	// there is no limit.
 	Sent uint32
-	// Lateness is the decayed sum of the excess of the ratios that the box has observed as the pace of the server, in
-	// 1/latenessUnits; 0 unless the server is slow.
-	Lateness int
 }
 
 // Load is what one entry box has in flight at each server.
 type Load map[fleet.ServerID]ServerLoad
 
-// HasSameRequests reports whether two loads differ at most in lateness, which is sent with the next report and is no
-// reason to send one.
-func (l Load) HasSameRequests(other Load) bool {
-	isSame := func(a, b Load) bool {
-		for id, load := range a {
-			before := b[id]
-			before.Lateness = load.Lateness
-			if before != load {
-				return false
-			}
-		}
-		return true
-	}
-	return isSame(l, other) && isSame(other, l)
-}
-
 // peerLoad is the load that another entry box last reported, and when.
 type peerLoad struct {
 	load Load
@@ -116,7 +97,6 @@
 	sum := p.sums[id]
 	sum.Requests += sign * load.Requests
 	sum.Prefill += time.Duration(sign) * load.Prefill
-	sum.Lateness += sign * load.Lateness
 	if p.sums[id] = sum; sum == (ServerLoad{}) {
 		delete(p.sums, id)
 	}
--- a/pkg/route/peerload_test.go
+++ b/pkg/route/peerload_test.go
@@ -79,12 +79,12 @@
 	req.Prefill = 30 * time.Millisecond
 	reservation, err := b.Acquire(t.Context(), req, b.clock)
 	require.NoError(t, err)
-	require.Equal(t, Load{"a": {Requests: 1, Prefill: 30 * time.Millisecond}}, b.OwnLoad(b.clock.Now()))
+	require.Equal(t, Load{"a": {Requests: 1, Prefill: 30 * time.Millisecond}}, b.OwnLoad())
 	reservation.Started(b.clock.Now())
 	reservation.Started(b.clock.Now())
-	require.Equal(t, Load{"a": {Requests: 1}}, b.OwnLoad(b.clock.Now()))
+	require.Equal(t, Load{"a": {Requests: 1}}, b.OwnLoad())
 	reservation.Release(ResultDone, b.clock.Now())
-	require.Empty(t, b.OwnLoad(b.clock.Now()))
+	require.Empty(t, b.OwnLoad())
 }
 
 // Guards against boxes that cannot reach each other and each fill the servers as if the others sent nothing:
--- a/pkg/route/reservation.go
+++ b/pkg/route/reservation.go
@@ -41,15 +41,6 @@
 	// prefill is the prefill time of the request, prefillAhead that of the requests before it.
 	prefill      time.Duration
 	prefillAhead time.Duration
-	// decode is the expected decode time of the request; 0 if the server runs no model.
-	decode time.Duration
-	// length is what was known of the length of the response when the slot was reserved, events the number of events
-	// received since then.
-	length   ResponseLength
-	events   int
-	released bool
-	// slowdown is the server's when the slot was reserved.
-	slowdown float64
 	// cancel cancels the attempt; nil if it cannot be canceled.
 	cancel func()
 	// startedAt is when the response of this attempt started; zero before that.
@@ -124,7 +115,6 @@
 	switch result {
 	case ResultDone:
 		b.updateRecovered(r)
-		r.recordLength()
 		d.endSilence(b, now)
 		b.failureRate *= 1 - failureSmoothing
 		b.ejections = 0
@@ -173,8 +163,6 @@
 
 func (d *Dispatcher) release(r *Reservation, now time.Time) {
 	r.clearAwaiting()
-	delete(r.backend.streaming, r)
-	r.released = true
 	r.backend.ownLoad.Requests--
 	if r.suspect {
 		r.backend.suspects--
@@ -233,9 +221,5 @@
 	return r.dispatcher.backends[r.Server.ID] != nil
 }
 
-// Slowdown returns the factor by which the server was slower than usual when the slot was reserved, by the events of
-// responses; 1 if it was not.
-func (r *Reservation) Slowdown() float64 { return r.slowdown }
-
 // ReservedAt returns when the slot was reserved.
 func (r *Reservation) ReservedAt() time.Time { return r.reservedAt }
