feat(route): keep load even while load reports are late

Cause: boxes take the same free slots by the same outdated reports. The number of competing requests and the allocation rounds assume reports that are at most 60 ms old, also for slow boxes and those in other regions.

Change: a slot that this box has released after a complete response since its last report is in use for all others, so it is taken first. Rounds and competing requests follow the interval of each box's reports, and reported requests that have ended meanwhile are not counted. Messages and their number do not change. A box without reports of others, and servers with a rate limit, are treated as before. Metric direct_misplaced_slots, log field places_misplaced.

--- a/internal/direct/callerserver.go
+++ b/internal/direct/callerserver.go
@@ -339,6 +339,7 @@
 			s.applyInput(name, d, input)
 			s.metrics.waiting.WithLabelValues(string(name)).Set(float64(d.QueueLen()))
 			s.metrics.limitedServers.WithLabelValues(string(name)).Set(float64(len(d.LimitedServers(s.clock.Now()))))
+			s.metrics.misplacedSlots.WithLabelValues(string(name)).Set(float64(d.MisplacedSlots(s.clock.Now())))
 			s.metrics.unclaimed.WithLabelValues(string(name)).Set(float64(d.Unclaimed(s.clock.Now())))
 		}
 		s.mu.Unlock()
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -378,7 +378,7 @@
 	s.finish(x, "refused").Str("reason", reason).Int("resting", busy.BackingOff).Int("limited", busy.Limited).
 		Dur("retry_after_ms", busy.RetryAfter).Bool("late", busy.Late).Dur("left_ms", busy.TimeLeft).
 		Int("waiting", busy.Waiting).Int("waiting_elsewhere", busy.PeerWaiting).Int("places", busy.Slots).
-		Int("places_needed", int(busy.NewRequestSlots)).Int("beginning", busy.AwaitingFirstByte).Msg("request refused")
+		Int("places_needed", int(busy.NewRequestSlots)).Int("beginning", busy.AwaitingFirstByte).Int("places_misplaced", busy.MisplacedSlots).Msg("request refused")
 }
 
 // refuseQuarantined refuses a request under which servers have exited, as refuse does. The Retry-After header is the
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -43,6 +43,8 @@
 	limitRefusals  *prometheus.CounterVec
 	// unclaimed is the number of requests that servers report in flight and that no live entry box claims.
 	unclaimed *prometheus.GaugeVec
+	// misplacedSlots is the number of slots that are idle while requests wait at other servers.
+	misplacedSlots *prometheus.GaugeVec
 	// heldBytes is the number of bytes held for callers and servers that are slow to read.
 	heldBytes   prometheus.Gauge
 	connections prometheus.Counter
@@ -99,7 +101,10 @@
 		limitRefusals: metric.CounterVec(
 			"direct_limit_refusals_total", "Requests refused while all servers that could run them had a rate limit, by service.", "service",
 		),
-		unclaimed:   metric.GaugeVec("direct_unclaimed", "Requests that backend servers report and no entry box that is heard here claims.", "service"),
+		unclaimed: metric.GaugeVec("direct_unclaimed", "Requests that backend servers report and no entry box that is heard here claims.", "service"),
+		misplacedSlots: metric.GaugeVec(
+			"direct_misplaced_slots", "Slots that are idle while requests wait at other backend servers, by service and by the reports of the agents.", "service",
+		),
 		heldBytes:   metric.Gauge("direct_held_bytes", "Bytes of requests and of unsent parts of responses that are held."),
 		connections: metric.Counter("direct_connections_total", "Connections opened to backend servers."),
 		storeCalls:  metric.CounterVec("store_calls_total", "Calls of the platform's store by kind and result.", "call", "result"),
@@ -126,7 +131,7 @@
 	}
 	m.registry.MustRegister(m.requests, m.requestSeconds, m.ttfb, m.attempts, m.hedges, m.retries, m.cutResponses, m.serverSignals, m.suspects,
 		m.waiting, m.limitedServers,
-		m.limitRefusals, m.unclaimed, m.heldBytes, m.connections, m.storeCalls, m.traffic.messages, m.traffic.bytes, m.configurationTransfers, m.logDropped, m.chunks, m.manifests, m.orders, m.originOutages,
+		m.limitRefusals, m.unclaimed, m.misplacedSlots, m.heldBytes, m.connections, m.storeCalls, m.traffic.messages, m.traffic.bytes, m.configurationTransfers, m.logDropped, m.chunks, m.manifests, m.orders, m.originOutages,
 		m.configuration, m.revision, m.storeEra, m.complete, m.completeEra, m.deferredDeletions, m.evacuatedDomains, m.outdatedEntries, m.pulls, m.refusedPulls,
 		collectors.NewGoCollector())
 	return m
--- a/pkg/route/allocation.go
+++ b/pkg/route/allocation.go
@@ -19,8 +19,8 @@
 // none takes it for one round.
 
 const (
-	// allocationRound is the delay until the other entry boxes know that a slot was taken: the
-	// interval of the load reports plus their transfer time.
+	// allocationRound is the usual delay until the other entry boxes know that a slot was taken: the
+	// interval of the load reports plus their transfer time. See reportDelays for longer ones.
 	allocationRound = 60 * time.Millisecond
 	// scarcityFactor is the number of free slots per competing request below which slots are
 	// scarce. Below it, boxes that choose at random collide on one in ten servers.
@@ -56,9 +56,9 @@
 
 // contention returns the contention for free slots in the current round.
 func (d *Dispatcher) contention(now time.Time) contention {
-	peers := d.totalPeerDemand(now)
+	peers, delays := d.totalPeerDemand(now), d.reportDelays(now)
 	return contention{
-		round: now.UnixNano() / int64(allocationRound), inTime: float64(peers.InTime) + peers.arrivalsPerRound(), late: float64(peers.Late),
+		round: now.UnixNano() / int64(delays.round), inTime: float64(peers.InTime) + delays.arrivals, late: float64(peers.Late),
 		free: float64(max(0, d.currentCapacity(now).free)),
 	}
 }
@@ -86,19 +86,21 @@
 	return float64(d.InTime) + d.arrivalsPerRound() + idleWeight
 }
 
-// remainingShare returns how many more of a server's free slots this box may take in a round.
+// remainingShare returns how many more of a server's free slots this box may take in a round. Slots that it has released
+// since its last report are its own.
 func (d *Dispatcher) remainingShare(b *backend, free int, round int64, weight float64) int {
 	if b.round != round {
 		b.round, b.takenInRound = round, 0
 	}
 	share := 0
+	released := min(free, d.releasedSlots(b))
 	// The slots that this box took in this round were free when it began.
-	for i := range free + b.takenInRound {
+	for i := range free - released + b.takenInRound {
 		if d.owns(freeSlot{b.server.ID, i, round}, weight) {
 			share++
 		}
 	}
-	return share - b.takenInRound
+	return max(0, share-b.takenInRound) + released
 }
 
 // freeSlot identifies a free slot in one round.
--- a/pkg/route/backend.go
+++ b/pkg/route/backend.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -92,6 +93,9 @@
 	swapStart time.Time
 
 	ownLoad ServerLoad
+	// reportedRequests is the number of requests of this box in its last load report, doneSinceReport the
+	// number of its complete responses since then.
+	reportedRequests, doneSinceReport int
 	// suspects is the number of suspect requests of this box at the server.
 	suspects int
 	// unclaimed is the moving average of the requests in flight at the server that no known entry
@@ -238,9 +242,34 @@
 	return int(unclaimed)
 }
 
+// MisplacedSlots returns how many slots are idle while requests wait at other servers, according to their agents: the smaller
+// of the two numbers. If it remains above a few, requests are distributed unevenly.
+func (d *Dispatcher) MisplacedSlots(now time.Time) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.misplacedSlots(now)
+}
+
+func (d *Dispatcher) misplacedSlots(now time.Time) int {
+	idle, waiting := 0, 0
+	for _, b := range d.backendList {
+		if now.Sub(b.stateAt) >= serverStatusMaxAge || !d.isEligible(b, now) || d.buckets[b.server.ID] != nil {
+			continue
+		}
+		// A request that waits for the next pass of a server with a free slot is not misplaced.
+		free := d.slots(b) - b.state.Running - b.state.Waiting
+		idle += max(0, free)
+		waiting += max(0, -free)
+	}
+	return min(idle, waiting)
+}
+
 // load returns the requests in flight at a server, as far as this box knows.
 func (d *Dispatcher) load(b *backend, now time.Time) ServerLoad {
 	load := d.peerLoads.sums[b.server.ID]
+	if retained := d.reportDelays(now).retained; retained < 1 {
+		load.Requests = int(math.Round(retained * float64(load.Requests)))
+	}
 	load.Requests += b.ownLoad.Requests
 	load.Prefill += b.ownLoad.Prefill
 	if now.Sub(b.stateAt) < serverStatusMaxAge {
--- a/pkg/route/candidate.go
+++ b/pkg/route/candidate.go
@@ -8,6 +8,8 @@
 	// cost is the cost of sending a request to the server, costPerRequest by how much each request
 	// raises it.
 	cost, costPerRequest float64
+	// penalty is the cost without that of the slots in use.
+	penalty float64
 	// room is how many more requests the server can accept.
 	room float64
 }
--- a/pkg/route/demand.go
+++ b/pkg/route/demand.go
@@ -26,6 +26,8 @@
 type peerDemand struct {
 	Demand
 	at time.Time
+	// interval is the moving average of the time between the reports of the box.
+	interval time.Duration
 }
 
 // peerDemands holds the demands of the other entry boxes and their sum.
@@ -42,7 +44,11 @@
 	}
 	p.sum.add(p.boxes[box].Demand, -1)
 	p.sum.add(demand, 1)
-	p.boxes[box] = peerDemand{demand, now}
+	interval := allocationRound - reportTransferTime
+	if last, ok := p.boxes[box]; ok {
+		interval = last.interval + time.Duration(intervalSmoothing*float64(now.Sub(last.at)-last.interval))
+	}
+	p.boxes[box] = peerDemand{demand, now, interval}
 }
 
 // expire removes the boxes whose last report is older than peerLoadMaxAge.
@@ -87,6 +93,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.peerDemands.set(box, demand, now)
+	d.delays = reportDelays{}
 }
 
 // totalPeerDemand returns the sum of the other entry boxes' current demands.
--- a/pkg/route/dispatch.go
+++ b/pkg/route/dispatch.go
@@ -85,6 +85,8 @@
 	arrivals rateMeter
 	// peerDemands are the demands that the other entry boxes reported.
 	peerDemands peerDemands
+	// delays is the last estimate of reportDelays.
+	delays reportDelays
 	// typicalHoldTime is the moving average of the time that a request holds its slot.
 	typicalHoldTime time.Duration
 	// ttfb is the moving average of the time to first byte without prefill, ttfbDeviation that of
@@ -344,13 +346,15 @@
 	d.grant(nil, now)
 }
 
-// OwnLoad returns the requests that this box has in flight.
+// OwnLoad returns the requests that this box has in flight, for a report to the other entry boxes. Slots released from now
+// on count as in use there until the next call.
 func (d *Dispatcher) OwnLoad() Load {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	load := make(Load)
 	for _, b := range d.backendList {
 		own := b.ownLoad
+		b.reportedRequests, b.doneSinceReport = own.Requests, 0
 		if bucket := d.buckets[b.server.ID]; bucket != nil {
 			own.Sent = bucket.sent
 		}
@@ -387,6 +391,9 @@
 		b.takenInRound++
 		return d.reserve(b, req, now)
 	}
+	if b := d.pickReleased(now); b != nil {
+		return d.reserve(b, req, now)
+	}
 	expected := contention.competitors(class) + 1
 	scarce := contention.isScarce(class)
 	d.keepOwnShare(contention.round, scarce, now)
@@ -400,7 +407,9 @@
 	if b.round != contention.round {
 		b.round, b.takenInRound = contention.round, 0
 	}
-	b.takenInRound++
+	if d.releasedSlots(b) == 0 {
+		b.takenInRound++
+	}
 	return d.reserve(b, req, now)
 }
 
@@ -447,8 +456,9 @@
 	}
 	c = candidate{
 		backend: b, costPerRequest: 1 / float64(slots), room: float64(room),
-		cost: float64(load.Requests)/float64(slots) + float64(load.Prefill)/float64(prefillScale) + costFailures*b.failureRate,
+		cost: float64(load.Requests)/float64(slots) + float64(load.Prefill)/float64(prefillScale),
 	}
+	c.cost += costFailures * b.failureRate
 	if b.remote {
 		c.cost += costRemote
 	}
@@ -461,6 +471,7 @@
 	if b.maxFirstByteWait(now) > stallTimeout {
 		c.cost += costStalled
 	}
+	c.penalty = c.cost - float64(load.Requests)/float64(slots)
 	return c, true
 }
 
--- a/pkg/route/queue.go
+++ b/pkg/route/queue.go
@@ -38,6 +38,8 @@
 	Slots             int
 	NewRequestSlots   float64
 	AwaitingFirstByte int
+	// MisplacedSlots is the number that MisplacedSlots returned.
+	MisplacedSlots int
 	// BackingOff is the number of servers that requested a backoff from this box.
 	BackingOff int
 	// Limited is the number of eligible servers if all of them have a rate limit; 0 otherwise. Cold is how many of these
@@ -207,7 +209,7 @@
 	return &BusyError{
 		Waiting: len(d.queue), PeerWaiting: peerDemand.Late, Late: req.isLate(now), TimeLeft: remaining,
 		Slots: d.currentCapacity(now).allowedSlots(req), NewRequestSlots: d.newRequestSlots(now), AwaitingFirstByte: len(d.awaiting) + peerDemand.AwaitingFirstByte, BackingOff: backingOff.servers,
-		Limited: limited, Cold: cold,
+		Limited: limited, Cold: cold, MisplacedSlots: d.misplacedSlots(now),
 		RetryAfter: min(wait+jitter, maxWait),
 	}
 }
--- a/pkg/route/reservation.go
+++ b/pkg/route/reservation.go
@@ -117,6 +117,7 @@
 		b.updateRecovered(r)
 		d.endSilence(b, now)
 		b.failureRate *= 1 - failureSmoothing
+		b.doneSinceReport++
 		b.ejections = 0
 		d.typicalHoldTime += time.Duration(holdSmoothing * float64(now.Sub(r.reservedAt)-d.typicalHoldTime))
 	case ResultFailed, ResultSilent:
