fix(weights): a complete version takes no time in the schedule after an outage

Cause, found in the reading of the whole change: a version that was complete before or during an outage kept the period of its chunks after it, so the next one started up to a copy's time late. The newest versions were taken from a list in schedule order, and a version that can't be used counted as the first complete one.

Change: SetComplete empties the period; versions are sorted before the newest are taken; only versions that can be loaded count. Names, comments and texts that the reading stumbled on.

--- a/internal/direct/cells_test.go
+++ b/internal/direct/cells_test.go
@@ -12,7 +12,9 @@
 // Guards against a cell that rejects all requests for a service because the operators have evacuated the servers that the
 // plan gives it, while servers of other cells are free.
 func TestCellWhoseServersAreEvacuatedUsesThoseOfOtherCells(t *testing.T) {
-	plan := &cellPlan{cellCount: 2, cellByServer: map[member.Address]int{"own-1": 0, "own-2": 0, "other-1": 1, "other-2": 1, "other-3": 1, "other-4": 1}}
+	plan := &cellPlan{cellCount: 2, cellByServer: map[member.Address]int{
+		"own-1": 0, "own-2": 0, "other-1": 1, "other-2": 1, "other-3": 1, "other-4": 1,
+	}}
 	servers := func(ownEvacuated, secondLeaving bool) []fleet.Server {
 		return []fleet.Server{
 			{ID: "own-1", Address: "own-1", Evacuated: ownEvacuated},
--- a/internal/direct/fetch.go
+++ b/internal/direct/fetch.go
@@ -230,7 +230,7 @@
 
 // noteShortage passes the chunks that no known agent holds to the schedule of origin fetches.
 func (f *chunkFetcher) noteShortage() {
-	shortage := f.picker.Shortage(f.loader.options.Clock.Now())
+	shortage := f.picker.UpdateShortage(f.loader.options.Clock.Now())
 	f.loader.originSchedule.noteShortage(f.version, &shortage)
 }
 
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -37,7 +37,8 @@
 	// suspects counts the evidence about requests under which servers have exited.
 	suspects *prometheus.CounterVec
 	waiting  *prometheus.GaugeVec
-	// priorityWaiting and priorityRefusals are the queued and the refused requests of services with several priorities.
+	// priorityWaiting is the queued requests of services with several priorities, priorityRefusals the requests refused
+	// because servers were busy, of all services.
 	priorityWaiting  *prometheus.GaugeVec
 	priorityRefusals *prometheus.CounterVec
 	// limitedServers is the number of servers with a rate limit; limitRefusals counts the requests refused while
@@ -99,7 +100,7 @@
 		priorityWaiting: metric.GaugeVec("direct_priority_waiting",
 			"Requests that wait for a slot, by service and priority; only for services with several priorities.", "service", "priority"),
 		priorityRefusals: metric.CounterVec("direct_priority_refusals_total",
-			"Requests refused because no slot would be free in time, by service and priority.", "service", "priority"),
+			"Requests refused because servers are busy, by service and priority.", "service", "priority"),
 		limitedServers: metric.GaugeVec(
 			"direct_limited_servers", "Backend servers with a rate limit that this box sends to, by service.", "service",
 		),
--- a/pkg/route/allocation.go
+++ b/pkg/route/allocation.go
@@ -137,6 +137,9 @@
 	return -weight / math.Log(s.uniform(box))
 }
 
+// position returns a number in (0, 1) that depends on the slot only, so it is the same at all boxes.
+func (s *freeSlot) position() float64 { return s.uniform("") }
+
 // uniform returns a number strictly between 0 and 1 that depends on the slot and the box.
 func (s *freeSlot) uniform(box member.BoxID) float64 {
 	var key [16]byte
--- a/pkg/route/priorityclass.go
+++ b/pkg/route/priorityclass.go
@@ -107,8 +107,8 @@
 	return shares
 }
 
-// class returns the class that a slot is allocated to, by its position in [0, 1). guaranteed is set if less urgent
-// classes are entitled to it too.
+// class returns the class that a slot is allocated to, by its position in [0, 1). guaranteed is set if the slot is in the
+// guaranteed range of the class, which requests of more urgent classes may not use.
 func (s *classShares) class(position float64) (class int, guaranteed bool) {
 	for class, bound := range s.guaranteed {
 		if position < bound {
@@ -170,7 +170,7 @@
 	owned, allowed, requestClass := 0, 0, req.demandClass()
 	for i := range free + b.takenInRound {
 		slot := freeSlot{b.server.ID, i, round}
-		class, guaranteed := shares.class(slot.uniform(""))
+		class, guaranteed := shares.class(slot.position())
 		if !d.ownsInClass(slot, class, own) {
 			continue
 		}
@@ -212,7 +212,7 @@
 }
 
 // grantByClass does what grant does for a service with several classes. A slot that this box has released is allocated
-// to a class like any other. If it is one of a less urgent class's share, a request of that class gets it first; if
+// to a class like any other. If it is in the guaranteed range of a class, a request of that class gets it first; if
 // it is needed for more urgent requests at other boxes, it is left to them.
 func (d *Dispatcher) grantByClass(freed *backend, now time.Time) {
 	freedClass := noClass
--- a/pkg/route/queue.go
+++ b/pkg/route/queue.go
@@ -29,7 +29,7 @@
 	// Waiting is the number of requests queued here, PeerWaiting that of late requests queued at
 	// other entry boxes.
 	Waiting, PeerWaiting int
-	// Priority is the priority class of the request, MoreUrgent the number of requests of more urgent classes that are
+	// Priority is the priority class of the request. MoreUrgent is the number of requests of more urgent classes that are
 	// queued at all entry boxes; 0 if the service has one class.
 	Priority, MoreUrgent int
 	// OverShare is set if the request exceeded the fair share of its organisation.
@@ -240,7 +240,7 @@
 	return own.lateAhead(req) + d.peerLateAhead(req, now)
 }
 
-// peerLateAhead returns how many of these are queued at other entry boxes.
+// peerLateAhead returns the number of late requests queued at other entry boxes that are not in a less urgent class than req.
 func (d *Dispatcher) peerLateAhead(req *SlotRequest, now time.Time) int {
 	peers := d.totalPeerDemand(now)
 	return peers.lateAhead(req)
--- a/pkg/weights/origin.go
+++ b/pkg/weights/origin.go
@@ -70,7 +70,7 @@
 type Shortage struct {
 	// Missing are the chunks that neither this box nor a usable neighbour holds.
 	Missing []int
-	// Appeared is set if a chunk was missing at the last call and is not any more.
+	// Appeared is set if fewer chunks are missing than at the last call.
 	Appeared bool
 	// Stalled is set if chunks are overdue and none has appeared for stallTime, so the origin is probably unavailable.
 	Stalled bool
@@ -85,8 +85,9 @@
 	minStalled = 4
 )
 
-// Shortage returns the chunks that no known box holds now. It is to be called after each change of the holdings.
-func (p *Picker) Shortage(now time.Time) Shortage {
+// UpdateShortage returns the chunks that no known box holds now, compared with the last call. It is called once in each
+// interval in which the holdings of neighbours are requested.
+func (p *Picker) UpdateShortage(now time.Time) Shortage {
 	s := Shortage{Missing: p.Unavailable()}
 	var overdueSince time.Time
 	for _, chunk := range s.Missing {
--- a/pkg/weights/originschedule.go
+++ b/pkg/weights/originschedule.go
@@ -83,7 +83,7 @@
 func (s *OriginSchedule) Changes() int { return s.changes }
 
 // SetVersions sets the wanted versions, the oldest first. servingUntil is the cutoff of the version that the servers
-// run; it is zero if they run none. It has no effect if neither the versions nor their cutoffs have changed.
+// run; it is zero if they run none. The schedule is arranged again only if the versions have changed.
 func (s *OriginSchedule) SetVersions(wanted []WantedVersion, servingUntil, now time.Time) {
 	next := make([]*scheduledVersion, 0, len(wanted))
 	changed := len(wanted) != len(s.versions)
@@ -154,11 +154,12 @@
 
 // bestOrder returns the order of the versions with which servers are without usable weights for the shortest time.
 // Among equal ones it is the order in which the first version is complete soonest, which protects best against an
-// origin that becomes unavailable. A version that cannot be loaded before its cutoff thus comes last, where it delays
-// no other.
+// origin that becomes unavailable. A version that cannot be loaded before its cutoff thus comes last if it would delay
+// another one by more than orderTolerance.
 func (s *OriginSchedule) bestOrder(servingUntil, now time.Time) []*scheduledVersion {
-	older, candidates := s.versions[:max(0, len(s.versions)-maxOrdered)], s.versions[max(0, len(s.versions)-maxOrdered):]
-	slices.SortStableFunc(candidates, func(a, b *scheduledVersion) int { return a.PublishedAt.Compare(b.PublishedAt) })
+	slices.SortStableFunc(s.versions, func(a, b *scheduledVersion) int { return a.PublishedAt.Compare(b.PublishedAt) })
+	newest := max(0, len(s.versions)-maxOrdered)
+	older, candidates := s.versions[:newest], s.versions[newest:]
 	var best []*scheduledVersion
 	var bestOutage, bestFirst time.Duration
 	eachOrder(candidates, func(order []*scheduledVersion) {
@@ -191,19 +192,19 @@
 }
 
 // outage returns for how long servers are without usable weights if the origin sends the versions in an order, and how
-// long it takes until the first of them is complete.
+// long it takes until the first one that they can load before its cutoff is complete.
 func (s *OriginSchedule) outage(order []*scheduledVersion, servingUntil, now time.Time) (outage, first time.Duration) {
 	usableUntil, complete := later(servingUntil, now), now
 	first = -1
 	for _, v := range order {
 		complete = complete.Add(s.remaining(v, now))
-		if first < 0 {
-			first = complete.Sub(now)
-		}
 		loaded := complete.Add(s.options.LoadTime)
 		if !v.Cutoff.IsZero() && !v.Cutoff.After(loaded) {
 			continue
 		}
+		if first < 0 {
+			first = complete.Sub(now)
+		}
 		outage += max(0, loaded.Sub(usableUntil))
 		if v.Cutoff.IsZero() {
 			return outage, first
@@ -238,7 +239,7 @@
 // SetComplete records that this box needs no more chunks of a version.
 func (s *OriginSchedule) SetComplete(name string) {
 	if v := s.version(name); v != nil {
-		v.complete = true
+		v.complete, v.missing = true, []int{}
 	}
 }
 
@@ -266,7 +267,7 @@
 // the origin now counts as unavailable and did not before: a box whose own fetches come later does not try the origin.
 func (s *OriginSchedule) NoteShortage(name string, shortage *Shortage) bool {
 	lost := shortage.Stalled && s.setAway()
-	if v := s.version(name); v != nil && s.away {
+	if v := s.version(name); v != nil && s.away && !v.complete {
 		v.missing = append([]int{}, shortage.Missing...)
 	}
 	return lost
--- a/pkg/weights/originschedule_test.go
+++ b/pkg/weights/originschedule_test.go
@@ -335,7 +335,7 @@
 }
 
 func (s *outageSwarm) noteShortage(b *swarmBox, p *Picker) {
-	shortage := p.Shortage(s.now)
+	shortage := p.UpdateShortage(s.now)
 	if b.schedule.NoteShortage(p.manifest.Version, &shortage) {
 		b.awaySince = s.now
 	}
--- a/pkg/weights/picker.go
+++ b/pkg/weights/picker.go
@@ -128,7 +128,7 @@
 	firstFetchers map[int]string
 	// scores holds the rendezvous score of this box for each chunk.
 	scores []uint64
-	// lastShortage is the number of missing chunks at the last call of Shortage, appearedAt when it last fell.
+	// lastShortage is the number of missing chunks at the last call of UpdateShortage, appearedAt when it last fell.
 	lastShortage int
 	appearedAt   time.Time
 	// nextRetry holds, for a chunk whose origin fetch failed, the earliest time of the next attempt.
