style: names and comments that the reading of the whole change stumbled on

Change: IsUnavailable, EndOutage, UnheldChunks, IsDeferred, TimeAhead; hasSeveralPriorities collects the priorities. No behaviour changes.

--- a/internal/direct/callerserver.go
+++ b/internal/direct/callerserver.go
@@ -402,20 +402,22 @@
 	if view.Configuration == nil {
 		return false
 	}
-	first, known := 0, false
-	differs := func(priority int) bool {
-		if !known {
-			first, known = priority, true
-		}
-		return priority != first
-	}
+	priorities := make(map[int]struct{})
 	for i := range view.Configuration.Routes {
 		r := &view.Configuration.Routes[i]
-		if slices.ContainsFunc(r.Backends, func(b fleet.Backend) bool { return b.Service == service }) && differs(r.Priority) {
-			return true
+		if slices.ContainsFunc(r.Backends, func(b fleet.Backend) bool { return b.Service == service }) {
+			priorities[r.Priority] = struct{}{}
+		}
+	}
+	if len(priorities) == 0 {
+		return false
+	}
+	for i := range view.Configuration.Organisations {
+		if priority := view.Configuration.Organisations[i].Priority; priority != nil {
+			priorities[*priority] = struct{}{}
 		}
 	}
-	return known && slices.ContainsFunc(view.Configuration.Organisations, func(o fleet.Organisation) bool { return o.Priority != nil && differs(*o.Priority) })
+	return len(priorities) > 1
 }
 
 // responseStartMargin is how long before the version bound a response must have started. It covers the delay
--- a/internal/direct/chunks.go
+++ b/internal/direct/chunks.go
@@ -35,15 +35,18 @@
 	isIdle func() bool
 	// isDoubted reports whether this agent has dropped a manifest because its chunks do not match it.
 	isDoubted func(manifest weights.Digest) bool
-	// yields reports whether chunks of other manifests go first.
-	yields func(manifest weights.Digest) bool
+	// isDeferred reports whether chunks of other manifests go first.
+	isDeferred func(manifest weights.Digest) bool
 }
 
 // NewChunkServer returns a server for the chunks in a store. linkMbps is the rate of the box's link, in
 // Mbit/s.
-func NewChunkServer(store *weights.MemoryStore, linkMbps float64, isIdle func() bool, isDoubted, yields func(manifest weights.Digest) bool) *ChunkServer {
+func NewChunkServer(
+	store *weights.MemoryStore, linkMbps float64, isIdle func() bool,
+	isDoubted, isDeferred func(manifest weights.Digest) bool,
+) *ChunkServer {
 	return &ChunkServer{
-		store: store, isIdle: isIdle, isDoubted: isDoubted, yields: yields, slots: newChunkSlots(maxConcurrentChunks),
+		store: store, isIdle: isIdle, isDoubted: isDoubted, isDeferred: isDeferred, slots: newChunkSlots(maxConcurrentChunks),
 		limiter: rate.NewLimiter(rate.Limit(chunkLinkShare*linkMbps*bytesPerMbit), chunkFrameSize),
 	}
 }
@@ -64,7 +67,7 @@
 		return err
 	}
 	ctx := stream.Context()
-	if err := s.slots.acquire(ctx, s.yields(digest)); err != nil {
+	if err := s.slots.acquire(ctx, s.isDeferred(digest)); err != nil {
 		return err
 	}
 	defer s.slots.release()
--- a/internal/direct/chunkslots.go
+++ b/internal/direct/chunkslots.go
@@ -11,23 +11,24 @@
 type chunkSlots struct {
 	mu   sync.Mutex
 	free int
-	// first and later are the waiting requests, in the order of their arrival.
-	first, later []chan struct{}
+	// normal and deferred are the waiting requests, in the order of their arrival. A deferred one waits as long as any
+	// normal one does.
+	normal, deferred []chan struct{}
 }
 
 func newChunkSlots(slots int) *chunkSlots { return &chunkSlots{free: slots} }
 
-// acquire waits for a slot. A request that yields gets one only if no other request waits.
-func (s *chunkSlots) acquire(ctx context.Context, yields bool) error {
+// acquire waits for a slot. A deferred request gets one only if no other request waits.
+func (s *chunkSlots) acquire(ctx context.Context, deferred bool) error {
 	s.mu.Lock()
 	if s.free > 0 {
 		s.free--
 		s.mu.Unlock()
 		return nil
 	}
-	granted, queue := make(chan struct{}), &s.first
-	if yields {
-		queue = &s.later
+	granted, queue := make(chan struct{}), &s.normal
+	if deferred {
+		queue = &s.deferred
 	}
 	*queue = append(*queue, granted)
 	s.mu.Unlock()
@@ -55,7 +56,7 @@
 
 // grantNext passes a slot to the next request. The lock must be held.
 func (s *chunkSlots) grantNext() {
-	for _, queue := range []*[]chan struct{}{&s.first, &s.later} {
+	for _, queue := range []*[]chan struct{}{&s.normal, &s.deferred} {
 		if len(*queue) > 0 {
 			close((*queue)[0])
 			*queue = slices.Delete(*queue, 0, 1)
--- a/internal/direct/chunkslots_test.go
+++ b/internal/direct/chunkslots_test.go
@@ -13,9 +13,9 @@
 	slots := newChunkSlots(1)
 	require.NoError(t, slots.acquire(t.Context(), true))
 	order := make(chan string, 3)
-	wait := func(ctx context.Context, name string, yields bool) {
+	wait := func(ctx context.Context, name string, deferred bool) {
 		go func() {
-			if slots.acquire(ctx, yields) != nil {
+			if slots.acquire(ctx, deferred) != nil {
 				name += " canceled"
 			}
 			order <- name
@@ -23,7 +23,7 @@
 		require.Eventually(t, func() bool {
 			slots.mu.Lock()
 			defer slots.mu.Unlock()
-			return len(slots.first)+len(slots.later) > 0
+			return len(slots.normal)+len(slots.deferred) > 0
 		}, time.Second, time.Millisecond)
 	}
 	canceled, cancel := context.WithCancel(t.Context())
@@ -38,7 +38,7 @@
 	require.Eventually(t, func() bool {
 		slots.mu.Lock()
 		defer slots.mu.Unlock()
-		return len(slots.first) == 1 && len(slots.later) == 1
+		return len(slots.normal) == 1 && len(slots.deferred) == 1
 	}, time.Second, time.Millisecond)
 	slots.release()
 	require.Equal(t, "older", <-order)
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -376,7 +376,8 @@
 		s.metrics.limitRefusals.WithLabelValues(string(x.service)).Inc()
 	}
 	s.metrics.priorityRefusals.WithLabelValues(string(x.service), strconv.Itoa(busy.Priority)).Inc()
-	s.finish(x, "refused").Str("reason", reason).Int("priority", busy.Priority).Int("more_urgent", busy.MoreUrgent).Bool("over_share", busy.OverShare).Int("resting", busy.BackingOff).Int("limited", busy.Limited).
+	s.finish(x, "refused").Str("reason", reason).Int("priority", busy.Priority).Int("more_urgent", busy.MoreUrgent).Bool("over_share", busy.OverShare).
+		Int("resting", busy.BackingOff).Int("limited", busy.Limited).
 		Dur("retry_after_ms", busy.RetryAfter).Bool("late", busy.Late).Dur("left_ms", busy.TimeLeft).
 		Int("waiting", busy.Waiting).Int("waiting_elsewhere", busy.PeerWaiting).Int("places", busy.Slots).
 		Int("places_needed", int(busy.NewRequestSlots)).Int("beginning", busy.AwaitingFirstByte).Msg("request refused")
--- a/internal/direct/fetch.go
+++ b/internal/direct/fetch.go
@@ -111,7 +111,8 @@
 		f.picker.AddEarlyFetch(chunk, at)
 	}
 	f.picker.RestrictUntil(l.restrictedUntil(desired, version))
-	f.picker.SetSchedule(weights.VersionSchedule{Start: scheduleStart(desired.published.PublishedAt(version), l.options.Clock.Now())}, l.options.Clock.Now())
+	now := l.options.Clock.Now()
+	f.picker.SetSchedule(weights.VersionSchedule{Start: scheduleStart(desired.published.PublishedAt(version), now)}, now)
 	f.updatePeers()
 	f.updateSchedule()
 	return f.run(ctx)
@@ -228,10 +229,10 @@
 	}
 }
 
-// noteShortage passes the chunks that no known agent holds to the schedule of origin fetches.
-func (f *chunkFetcher) noteShortage() {
+// recordShortage passes the chunks that no known agent holds to the schedule of origin fetches.
+func (f *chunkFetcher) recordShortage() {
 	shortage := f.picker.UpdateShortage(f.loader.options.Clock.Now())
-	f.loader.originSchedule.noteShortage(f.version, &shortage)
+	f.loader.originSchedule.recordShortage(f.version, &shortage)
 }
 
 // sameServers reports whether two lists contain the same servers in the same order.
@@ -304,7 +305,7 @@
 			}
 		case <-ticker.Chan():
 			f.updatePeers()
-			f.noteShortage()
+			f.recordShortage()
 			f.requestHoldings(ctx)
 		}
 	}
@@ -345,7 +346,7 @@
 	}
 	f.loader.options.Metrics.chunks.WithLabelValues(from, resultLabel(err)).Inc()
 	if result.task.FromOrigin() {
-		f.loader.originSchedule.noteResult(err)
+		f.loader.originSchedule.recordResult(err)
 	}
 	now := f.loader.options.Clock.Now()
 	f.adjustWindow(result)
--- a/internal/direct/loader.go
+++ b/internal/direct/loader.go
@@ -120,7 +120,7 @@
 	if err := wire.DRPCRegisterFleet(p.mux, l); err != nil {
 		return err
 	}
-	if err := wire.DRPCRegisterChunks(p.mux, NewChunkServer(l.store, p.settings.Direct.LinkMbps, l.isIdle, l.isDoubted, l.yields)); err != nil {
+	if err := wire.DRPCRegisterChunks(p.mux, NewChunkServer(l.store, p.settings.Direct.LinkMbps, l.isIdle, l.isDoubted, l.isDeferred)); err != nil {
 		return err
 	}
 	l.tasks.Go(l.pollServer)
--- a/internal/direct/manifest.go
+++ b/internal/direct/manifest.go
@@ -51,15 +51,15 @@
 	drops   int
 }
 
-// yields reports whether chunks of versions that come earlier in the schedule of origin fetches are sent before those of a
+// isDeferred reports whether chunks of versions that come earlier in the schedule of origin fetches are sent before those of a
 // manifest.
-func (l *Loader) yields(manifest weights.Digest) bool {
+func (l *Loader) isDeferred(manifest weights.Digest) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for key, held := range l.manifests {
 		if held.accepted != nil && held.accepted.Digest() == manifest {
 			schedule, ok := l.originSchedule.version(key.version)
-			return ok && schedule.Lead > 0
+			return ok && schedule.TimeAhead > 0
 		}
 	}
 	return false
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -134,7 +134,8 @@
 	}
 	m.registry.MustRegister(m.requests, m.requestSeconds, m.ttfb, m.attempts, m.hedges, m.retries, m.cutResponses, m.serverSignals, m.suspects,
 		m.waiting, m.priorityWaiting, m.priorityRefusals, m.limitedServers,
-		m.limitRefusals, m.unclaimed, m.heldBytes, m.connections, m.storeCalls, m.traffic.messages, m.traffic.bytes, m.configurationTransfers, m.logDropped, m.chunks, m.manifests, m.orders, m.originOutages,
+		m.limitRefusals, m.unclaimed, m.heldBytes, m.connections, m.storeCalls,
+		m.traffic.messages, m.traffic.bytes, m.configurationTransfers, m.logDropped, m.chunks, m.manifests, m.orders, m.originOutages,
 		m.configuration, m.revision, m.storeEra, m.complete, m.completeEra, m.deferredDeletions, m.evacuatedDomains, m.outdatedEntries, m.pulls, m.refusedPulls,
 		collectors.NewGoCollector())
 	return m
--- a/internal/direct/originschedule.go
+++ b/internal/direct/originschedule.go
@@ -35,8 +35,8 @@
 	schedule *weights.OriginSchedule
 	interval time.Duration
 	// servingUntil is the cutoff of the version that most servers run; zero if they run none.
-	servingUntil time.Time
-	awaySince    time.Time
+	servingUntil     time.Time
+	unavailableSince time.Time
 }
 
 // setTarget updates the schedule from the published versions. It has no schedule while the rate of the origin's link is
@@ -122,7 +122,7 @@
 	var versions []fleet.WeightsVersion
 	for _, period := range o.schedule.Order() {
 		if period.Version == versionName(version) {
-			if end := period.Start.Add(time.Duration(period.Chunks) * o.interval); !o.schedule.Away() && o.clock.Now().After(end) {
+			if end := period.Start.Add(time.Duration(period.Chunks) * o.interval); !o.schedule.IsUnavailable() && o.clock.Now().After(end) {
 				return nil
 			}
 			return versions
@@ -143,16 +143,16 @@
 	}
 }
 
-// noteResult records the result of an origin fetch. A chunk with wrong content also shows that the origin is available.
-func (o *originSchedule) noteResult(err error) {
+// recordResult records the result of an origin fetch. A chunk with wrong content also shows that the origin is available.
+func (o *originSchedule) recordResult(err error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	switch {
 	case o.schedule == nil || isUnrelatedToOutage(err):
 	case err == nil || errors.Is(err, weights.ErrDigestMismatch):
-		o.returned()
-	case o.schedule.Failed():
-		o.lost(err)
+		o.endOutage()
+	case o.schedule.FetchFailed():
+		o.beginOutage(err)
 	}
 }
 
@@ -170,34 +170,34 @@
 // errNoNewChunks is the reason for which the origin counts as unavailable to an agent that has not tried it.
 var errNoNewChunks = errors.New("no agent has received a new chunk")
 
-// noteShortage records which chunks of a version no known agent holds. If one appears late in an outage, the origin has
+// recordShortage records which chunks of a version no known agent holds. If one appears late in an outage, the origin has
 // returned.
-func (o *originSchedule) noteShortage(version fleet.WeightsVersion, shortage *weights.Shortage) {
+func (o *originSchedule) recordShortage(version fleet.WeightsVersion, shortage *weights.Shortage) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.schedule == nil {
 		return
 	}
-	if o.schedule.NoteShortage(versionName(version), shortage) {
-		o.lost(errNoNewChunks)
+	if o.schedule.RecordShortage(versionName(version), shortage) {
+		o.beginOutage(errNoNewChunks)
 	}
-	if o.schedule.Away() && shortage.Appeared && o.clock.Since(o.awaySince) > lateChunkSpread {
-		o.returned()
+	if o.schedule.IsUnavailable() && shortage.Appeared && o.clock.Since(o.unavailableSince) > lateChunkSpread {
+		o.endOutage()
 	}
 }
 
-// lost begins an outage of the origin. The lock must be held.
-func (o *originSchedule) lost(cause error) {
-	o.awaySince = o.clock.Now()
+// beginOutage begins an outage of the origin. The lock must be held.
+func (o *originSchedule) beginOutage(cause error) {
+	o.unavailableSince = o.clock.Now()
 	o.metrics.originOutages.Inc()
 	o.log.Info().Str("dependency", "origin").Err(cause).Msg("dependency lost")
 }
 
-// returned ends an outage of the origin. The lock must be held.
-func (o *originSchedule) returned() {
+// endOutage ends an outage of the origin. The lock must be held.
+func (o *originSchedule) endOutage() {
 	now := o.clock.Now()
-	if o.schedule.Returned(o.servingUntil, now) {
-		o.log.Info().Str("dependency", "origin").Dur("lost_ms", now.Sub(o.awaySince)).Msg("dependency regained")
+	if o.schedule.EndOutage(o.servingUntil, now) {
+		o.log.Info().Str("dependency", "origin").Dur("lost_ms", now.Sub(o.unavailableSince)).Msg("dependency regained")
 		o.logOrder("origin fetches scheduled again", now)
 	}
 }
--- a/internal/direct/originschedule_test.go
+++ b/internal/direct/originschedule_test.go
@@ -40,10 +40,10 @@
 	require.Equal(t, []fleet.WeightsVersion{2}, o.before(3))
 	schedule, ok := o.version(3)
 	require.True(t, ok)
-	require.True(t, schedule.Yields)
+	require.True(t, schedule.IsDeferred)
 	o.setComplete(2)
 	schedule, _ = o.version(3)
-	require.False(t, schedule.Yields)
+	require.False(t, schedule.IsDeferred)
 	clock.Advance(scheduleVersionBound)
 	require.Empty(t, o.before(3), "the origin has sent both versions")
 }
@@ -80,11 +80,11 @@
 			o, clock := newTestOriginSchedule()
 			o.setTarget(scheduleTarget(clock.Now()), scheduleVersionBound)
 			for _, err := range c.results {
-				o.noteResult(err)
+				o.recordResult(err)
 			}
 			schedule, ok := o.version(3)
 			require.True(t, ok)
-			require.Equal(t, c.want, schedule.Away)
+			require.Equal(t, c.want, schedule.OriginUnavailable)
 		})
 	}
 }
@@ -95,8 +95,8 @@
 	desired := scheduleTarget(clock.Now())
 	desired.origin.OriginMbps = 0
 	o.setTarget(desired, scheduleVersionBound)
-	o.noteResult(errors.New("connection refused"))
-	o.noteShortage(3, &weights.Shortage{Stalled: true})
+	o.recordResult(errors.New("connection refused"))
+	o.recordShortage(3, &weights.Shortage{Stalled: true})
 	_, ok := o.version(3)
 	require.False(t, ok)
 	require.Empty(t, o.before(3))
--- a/internal/direct/statusmessage.go
+++ b/internal/direct/statusmessage.go
@@ -220,7 +220,9 @@
 func demandClassesFromWire(encoded []*wire.ClassDemand) (classes route.DemandClasses) {
 	for _, class := range encoded {
 		if class.Priority < route.PriorityClasses {
-			classes[route.DemandClass(int(class.Priority), class.OverShare)] = route.ClassDemand{Arrivals: int(class.Arrivals), InTime: int(class.InTime), Late: int(class.Late)}
+			classes[route.DemandClass(int(class.Priority), class.OverShare)] = route.ClassDemand{
+				Arrivals: int(class.Arrivals), InTime: int(class.InTime), Late: int(class.Late),
+			}
 		}
 	}
 	return classes
--- a/internal/soak/origin_test.go
+++ b/internal/soak/origin_test.go
@@ -6,10 +6,10 @@
 // after it has returned.
 
 const (
-	// originInterval is the mean delay before the origin becomes unavailable, and maxOriginAway the longest time for which
+	// originInterval is the mean delay before the origin becomes unavailable, and maxOriginOutage the longest time for which
 	// it is.
-	originInterval = 1500 * time.Millisecond
-	maxOriginAway  = 1500 * time.Millisecond
+	originInterval  = 1500 * time.Millisecond
+	maxOriginOutage = 1500 * time.Millisecond
 	// maxVersionGap is the longest time between two versions, and between the last one and the start of the outage.
 	maxVersionGap = 300 * time.Millisecond
 	// maxVersions is the largest number of versions that are published before an outage.
@@ -24,9 +24,9 @@
 			d.publishVersion()
 			time.Sleep(time.Duration(d.originRand.Int64N(int64(maxVersionGap))))
 		}
-		away := time.Duration(d.originRand.Int64N(int64(maxOriginAway)))
-		d.origin.SetAway(true)
-		time.Sleep(away)
-		d.origin.SetAway(false)
+		outage := time.Duration(d.originRand.Int64N(int64(maxOriginOutage)))
+		d.origin.SetUnavailable(true)
+		time.Sleep(outage)
+		d.origin.SetUnavailable(false)
 	}
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -209,7 +209,7 @@
 		s.SetEndlessCalls("")
 	}
 	d.origin.EndlessNext(0)
-	d.origin.SetAway(false)
+	d.origin.SetUnavailable(false)
 	for _, p := range d.processes() {
 		p.signal(syscall.SIGCONT)
 	}
--- a/pkg/weights/origin.go
+++ b/pkg/weights/origin.go
@@ -16,7 +16,7 @@
 // SetSchedule sets the schedule of origin fetches. All boxes use the same one. By default it starts with the creation
 // of the picker and has all chunks in the order of their indexes.
 func (p *Picker) SetSchedule(schedule VersionSchedule, now time.Time) {
-	p.scheduleStart, p.lead, p.yields = schedule.Start, schedule.Lead, schedule.Yields
+	p.scheduleStart, p.timeAhead, p.deferred = schedule.Start, schedule.TimeAhead, schedule.IsDeferred
 	p.positions, p.scheduled = nil, len(p.manifest.Chunks)
 	if schedule.Positions != nil {
 		p.positions, p.scheduled = make([]int, len(p.manifest.Chunks)), len(schedule.Positions)
@@ -28,12 +28,12 @@
 		}
 	}
 	switch {
-	case !schedule.Away:
-		p.awaySince = time.Time{}
+	case !schedule.OriginUnavailable:
+		p.unavailableSince = time.Time{}
 		// Until the origin's link is available to the version, no rank can have fetched a chunk.
 		p.waitStart = later(p.waitStart, schedule.Start)
-	case p.awaySince.IsZero():
-		p.awaySince, p.nextProbe = now, now.Add(p.options.ProbeInterval)
+	case p.unavailableSince.IsZero():
+		p.unavailableSince, p.nextProbe = now, now.Add(p.options.ProbeInterval)
 	}
 }
 
@@ -55,8 +55,8 @@
 	return p.positions[chunk]
 }
 
-// Unavailable returns the chunks that neither this box nor a usable neighbour holds.
-func (p *Picker) Unavailable() []int {
+// UnheldChunks returns the chunks that neither this box nor a usable neighbour holds.
+func (p *Picker) UnheldChunks() []int {
 	var chunks []int
 	for chunk := range p.manifest.Chunks {
 		if !p.held.Has(chunk) && !p.isAvailable(chunk) {
@@ -68,8 +68,8 @@
 
 // Shortage describes the chunks that no known box holds.
 type Shortage struct {
-	// Missing are the chunks that neither this box nor a usable neighbour holds.
-	Missing []int
+	// Unheld are the chunks that neither this box nor a usable neighbour holds.
+	Unheld []int
 	// Appeared is set if fewer chunks are missing than at the last call.
 	Appeared bool
 	// Stalled is set if chunks are overdue and none has appeared for stallTime, so the origin is probably unavailable.
@@ -88,19 +88,19 @@
 // UpdateShortage returns the chunks that no known box holds now, compared with the last call. It is called once in each
 // interval in which the holdings of neighbours are requested.
 func (p *Picker) UpdateShortage(now time.Time) Shortage {
-	s := Shortage{Missing: p.Unavailable()}
+	s := Shortage{Unheld: p.UnheldChunks()}
 	var overdueSince time.Time
-	for _, chunk := range s.Missing {
+	for _, chunk := range s.Unheld {
 		if at := p.scheduledAt(chunk); overdueSince.IsZero() || at.Before(overdueSince) {
 			overdueSince = at
 		}
 	}
-	s.Appeared = len(s.Missing) < p.lastShortage
+	s.Appeared = len(s.Unheld) < p.lastShortage
 	if s.Appeared || p.appearedAt.IsZero() {
 		p.appearedAt = now
 	}
-	p.lastShortage = len(s.Missing)
-	s.Stalled = len(s.Missing) >= minStalled && now.Sub(overdueSince) >= stallTime && now.Sub(p.appearedAt) >= stallTime
+	p.lastShortage = len(s.Unheld)
+	s.Stalled = len(s.Unheld) >= minStalled && now.Sub(overdueSince) >= stallTime && now.Sub(p.appearedAt) >= stallTime
 	return s
 }
 
@@ -115,7 +115,7 @@
 	if p.originFetches > 0 || now.Before(p.nextProbe) {
 		return FetchTask{}, false
 	}
-	for position, chunk := range p.Unavailable() {
+	for position, chunk := range p.UnheldChunks() {
 		if p.isRunning(chunk) || !p.mayProbe(chunk, now) {
 			continue
 		}
@@ -137,8 +137,8 @@
 
 // probePeriod returns the time between two probes for a chunk.
 func (p *Picker) probePeriod(position int) time.Duration {
-	offset := p.lead + time.Duration(position)*p.options.OriginInterval
-	if p.lead == 0 {
+	offset := p.timeAhead + time.Duration(position)*p.options.OriginInterval
+	if p.timeAhead == 0 {
 		offset = max(0, offset-probeBurst)
 	}
 	return max(p.options.ProbeInterval, probeSpread*offset)
@@ -147,7 +147,7 @@
 // mayProbe reports whether this box tries to fetch a chunk while the origin is unavailable.
 func (p *Picker) mayProbe(chunk int, now time.Time) bool {
 	rank := p.ranks[chunk]
-	return rank == 0 || rank == 1 && p.isFirstSilent(chunk, now) || now.Sub(p.awaySince) >= time.Duration(rank)*outageRankWait
+	return rank == 0 || rank == 1 && p.isFirstSilent(chunk, now) || now.Sub(p.unavailableSince) >= time.Duration(rank)*outageRankWait
 }
 
 // isFirstSilent reports whether the first fetcher of a chunk has stopped responding to this box, which is the second.
@@ -266,7 +266,7 @@
 // fromOrigin returns the chunk with the lowest rank up to lastRank that is due for a fetch from the origin.
 // It skips chunks that a usable neighbour holds, unless they are stuck.
 func (p *Picker) fromOrigin(now time.Time, lastRank int) (FetchTask, bool) {
-	if !p.awaySince.IsZero() {
+	if !p.unavailableSince.IsZero() {
 		return p.probe(now)
 	}
 	if p.originFetches >= p.options.OriginWindow {
--- a/pkg/weights/originschedule.go
+++ b/pkg/weights/originschedule.go
@@ -18,8 +18,8 @@
 	// versions are in the order in which the origin is to send them.
 	versions []*scheduledVersion
 	// failures is the number of consecutive failed fetches, over all versions.
-	failures int
-	away     bool
+	failures    int
+	unavailable bool
 	// changes counts the changes of the schedule.
 	changes int
 }
@@ -51,12 +51,12 @@
 	Start time.Time
 	// Positions are the chunks to fetch in their order, or nil for all chunks in the order of their indexes.
 	Positions []int
-	// Lead is how long the chunks of the versions before this one occupy the link.
-	Lead time.Duration
-	// Yields is set while this box lacks chunks of a version before this one. Its links are left to that version.
-	Yields bool
-	// Away is set while the origin is unavailable.
-	Away bool
+	// TimeAhead is how long the chunks of the versions before this one occupy the link.
+	TimeAhead time.Duration
+	// IsDeferred is set while this box lacks chunks of a version before this one. Its links are left to that version.
+	IsDeferred bool
+	// OriginUnavailable is set while the origin is unavailable.
+	OriginUnavailable bool
 }
 
 type scheduledVersion struct {
@@ -64,8 +64,8 @@
 	start time.Time
 	// begun is when the first box began to fetch the version; it differs from start on a box that is late.
 	begun time.Time
-	// missing are the chunks that no known box held when the origin was last found unavailable; nil before that.
-	missing []int
+	// unheld are the chunks that no known box held when the origin was last found unavailable; nil before that.
+	unheld []int
 	// complete is set once this box holds all chunks.
 	complete bool
 }
@@ -129,8 +129,8 @@
 
 // count returns the number of chunks in the version's period.
 func (v *scheduledVersion) count() int {
-	if v.missing != nil {
-		return len(v.missing)
+	if v.unheld != nil {
+		return len(v.unheld)
 	}
 	return v.Chunks
 }
@@ -225,13 +225,13 @@
 
 // Version returns the schedule of one version. ok is false if the version is not wanted.
 func (s *OriginSchedule) Version(name string) (schedule VersionSchedule, ok bool) {
-	lead, yields := time.Duration(0), false
+	timeAhead, deferred := time.Duration(0), false
 	for _, v := range s.versions {
 		if v.Version == name {
-			return VersionSchedule{Start: v.start, Positions: v.missing, Lead: lead, Yields: yields, Away: s.away}, true
+			return VersionSchedule{Start: v.start, Positions: v.unheld, TimeAhead: timeAhead, IsDeferred: deferred, OriginUnavailable: s.unavailable}, true
 		}
-		yields = yields || !v.complete
-		lead += time.Duration(v.count()) * s.options.Interval
+		deferred = deferred || !v.complete
+		timeAhead += time.Duration(v.count()) * s.options.Interval
 	}
 	return VersionSchedule{}, false
 }
@@ -239,48 +239,48 @@
 // SetComplete records that this box needs no more chunks of a version.
 func (s *OriginSchedule) SetComplete(name string) {
 	if v := s.version(name); v != nil {
-		v.complete, v.missing = true, []int{}
+		v.complete, v.unheld = true, []int{}
 	}
 }
 
-// Away reports whether the origin is unavailable.
-func (s *OriginSchedule) Away() bool { return s.away }
+// IsUnavailable reports whether the origin is unavailable.
+func (s *OriginSchedule) IsUnavailable() bool { return s.unavailable }
 
-// Failed records a fetch that the origin did not respond to, and reports whether the origin now counts as unavailable
+// FetchFailed records a fetch that the origin did not respond to, and reports whether the origin now counts as unavailable
 // and did not before.
-func (s *OriginSchedule) Failed() bool {
+func (s *OriginSchedule) FetchFailed() bool {
 	s.failures++
-	return s.failures >= outageFailures && s.setAway()
+	return s.failures >= outageFailures && s.beginOutage()
 }
 
-// setAway makes the origin count as unavailable, and reports whether it did not before.
-func (s *OriginSchedule) setAway() bool {
-	if s.away {
+// beginOutage makes the origin count as unavailable, and reports whether it did not before.
+func (s *OriginSchedule) beginOutage() bool {
+	if s.unavailable {
 		return false
 	}
-	s.away = true
+	s.unavailable = true
 	s.changes++
 	return true
 }
 
-// NoteShortage records, while the origin is unavailable, which chunks of a version no known box holds. It reports whether
+// RecordShortage records, while the origin is unavailable, which chunks of a version no known box holds. It reports whether
 // the origin now counts as unavailable and did not before: a box whose own fetches come later does not try the origin.
-func (s *OriginSchedule) NoteShortage(name string, shortage *Shortage) bool {
-	lost := shortage.Stalled && s.setAway()
-	if v := s.version(name); v != nil && s.away && !v.complete {
-		v.missing = append([]int{}, shortage.Missing...)
+func (s *OriginSchedule) RecordShortage(name string, shortage *Shortage) bool {
+	lost := shortage.Stalled && s.beginOutage()
+	if v := s.version(name); v != nil && s.unavailable && !v.complete {
+		v.unheld = append([]int{}, shortage.Unheld...)
 	}
 	return lost
 }
 
-// Returned records that the origin responds, or that a chunk has been received that no known box held, and reports
+// EndOutage records that the origin responds, or that a chunk has been received that no known box held, and reports
 // whether the origin was unavailable before. The missing chunks are then scheduled again from now on.
-func (s *OriginSchedule) Returned(servingUntil, now time.Time) bool {
+func (s *OriginSchedule) EndOutage(servingUntil, now time.Time) bool {
 	s.failures = 0
-	if !s.away {
+	if !s.unavailable {
 		return false
 	}
-	s.away = false
+	s.unavailable = false
 	for _, v := range s.versions {
 		v.start, v.begun = now, now
 	}
--- a/pkg/weights/originschedule_test.go
+++ b/pkg/weights/originschedule_test.go
@@ -69,12 +69,12 @@
 }
 
 type swarmBox struct {
-	name      string
-	schedule  *OriginSchedule
-	pickers   []*Picker
-	awaySince time.Time
-	startedAt time.Time
-	known     int
+	name             string
+	schedule         *OriginSchedule
+	pickers          []*Picker
+	unavailableSince time.Time
+	startedAt        time.Time
+	known            int
 }
 
 type transfer struct {
@@ -120,7 +120,7 @@
 	b := s.boxes[i]
 	b.schedule = NewOriginSchedule(OriginScheduleOptions{Interval: s.interval, LoadTime: swarmLoadTime, MaxLag: swarmMaxLag})
 	b.pickers = make([]*Picker, len(s.published))
-	b.startedAt, b.known, b.awaySince = now, 0, time.Time{}
+	b.startedAt, b.known, b.unavailableSince = now, 0, time.Time{}
 }
 
 // servingUntil is the cutoff of the version that the servers run at the start.
@@ -177,7 +177,7 @@
 	return p
 }
 
-func (s *outageSwarm) isAway(at time.Duration) bool {
+func (s *outageSwarm) isUnavailable(at time.Duration) bool {
 	for _, o := range s.outages {
 		if at >= o.from && at < o.to {
 			return true
@@ -196,7 +196,7 @@
 				s.dropTransfers(i)
 			}
 		}
-		s.noteLacking(at)
+		s.recordLacking(at)
 		s.move(at)
 		if at%swarmPollInterval == 0 {
 			s.poll()
@@ -205,7 +205,7 @@
 			s.learn(b)
 			s.fetch(i, b, at)
 		}
-		s.noteComplete(at)
+		s.recordComplete(at)
 		if s.complete[len(s.complete)-1] > 0 {
 			return
 		}
@@ -234,7 +234,7 @@
 		for task, ok := p.Next(s.now); ok; task, ok = p.Next(s.now) {
 			t := &transfer{box: i, version: version, task: task, remaining: 1, wrong: task.FromOrigin() && s.random.Float64() < s.wrong}
 			switch {
-			case task.FromOrigin() && s.isAway(at):
+			case task.FromOrigin() && s.isUnavailable(at):
 				t.failAt = s.now.Add(2 * swarmStep)
 			case task.FromOrigin() && s.originTransfers() >= swarmConnections:
 				t.failAt = s.now.Add(swarmConnectTimeout)
@@ -276,7 +276,7 @@
 			rate := min(1/(interval.Seconds()*float64(sources[t.task.From])), 1/(s.boxInterval.Seconds()*float64(destinations[t.box])))
 			t.remaining -= rate * swarmStep.Seconds()
 		}
-		if t.remaining <= 0 || !t.failAt.IsZero() && !s.now.Before(t.failAt) || t.task.FromOrigin() && t.failAt.IsZero() && s.isAway(at) {
+		if t.remaining <= 0 || !t.failAt.IsZero() && !s.now.Before(t.failAt) || t.task.FromOrigin() && t.failAt.IsZero() && s.isUnavailable(at) {
 			ended = append(ended, t)
 			continue
 		}
@@ -295,7 +295,7 @@
 	fromOrigin := t.task.FromOrigin()
 	if fromOrigin && t.remaining <= 0 {
 		s.sent[t.version]++
-		b.schedule.Returned(s.servingUntil(), s.now)
+		b.schedule.EndOutage(s.servingUntil(), s.now)
 	}
 	switch {
 	case t.remaining <= 0 && !t.wrong:
@@ -304,8 +304,8 @@
 			b.schedule.SetComplete(p.manifest.Version)
 		}
 		return
-	case fromOrigin && t.remaining > 0 && b.schedule.Failed():
-		b.awaySince = s.now
+	case fromOrigin && t.remaining > 0 && b.schedule.FetchFailed():
+		b.unavailableSince = s.now
 	}
 	p.Failed(t.task, s.now.Add(swarmRetryDelay))
 }
@@ -329,22 +329,22 @@
 				p.SetHoldings(name, append(Bits(nil), held...))
 				p.RecordResponse(name, s.now)
 			}
-			s.noteShortage(b, p)
+			s.recordShortage(b, p)
 		}
 	}
 }
 
-func (s *outageSwarm) noteShortage(b *swarmBox, p *Picker) {
+func (s *outageSwarm) recordShortage(b *swarmBox, p *Picker) {
 	shortage := p.UpdateShortage(s.now)
-	if b.schedule.NoteShortage(p.manifest.Version, &shortage) {
-		b.awaySince = s.now
+	if b.schedule.RecordShortage(p.manifest.Version, &shortage) {
+		b.unavailableSince = s.now
 	}
-	if b.schedule.Away() && shortage.Appeared && s.now.Sub(b.awaySince) > swarmLateSpread {
-		b.schedule.Returned(s.servingUntil(), s.now)
+	if b.schedule.IsUnavailable() && shortage.Appeared && s.now.Sub(b.unavailableSince) > swarmLateSpread {
+		b.schedule.EndOutage(s.servingUntil(), s.now)
 	}
 }
 
-func (s *outageSwarm) noteComplete(at time.Duration) {
+func (s *outageSwarm) recordComplete(at time.Duration) {
 	for version := range s.complete {
 		if s.complete[version] > 0 {
 			continue
@@ -379,8 +379,8 @@
 	return times
 }
 
-// noteLacking records how many chunks of each version boxes lack when an outage ends.
-func (s *outageSwarm) noteLacking(at time.Duration) {
+// recordLacking records how many chunks of each version boxes lack when an outage ends.
+func (s *outageSwarm) recordLacking(at time.Duration) {
 	if !slices.ContainsFunc(s.outages, func(o period) bool { return o.to == at }) {
 		return
 	}
--- a/pkg/weights/picker.go
+++ b/pkg/weights/picker.go
@@ -98,14 +98,14 @@
 	// is the number of positions.
 	positions []int
 	scheduled int
-	// lead is how long the chunks of versions that come first occupy the origin's link.
-	lead time.Duration
-	// yields is set while the links are left to another version.
-	yields bool
-	// awaySince is when the origin was found unavailable; zero while it is available. nextProbe is when it is
+	// timeAhead is how long the chunks of versions that come first occupy the origin's link.
+	timeAhead time.Duration
+	// deferred is set while the links are left to another version.
+	deferred bool
+	// unavailableSince is when the origin was found unavailable; zero while it is available. nextProbe is when it is
 	// tried again.
-	awaySince time.Time
-	nextProbe time.Time
+	unavailableSince time.Time
+	nextProbe        time.Time
 
 	held          Bits
 	missing       int
@@ -250,7 +250,7 @@
 // Next returns the next fetch; ok is false if none can start now. The task counts as running until Done or
 // Failed is called.
 func (p *Picker) Next(now time.Time) (task FetchTask, ok bool) {
-	if p.options.TotalWindow > 0 && len(p.running) >= p.options.TotalWindow || p.yields && len(p.running) > 0 {
+	if p.options.TotalWindow > 0 && len(p.running) >= p.options.TotalWindow || p.deferred && len(p.running) > 0 {
 		return FetchTask{}, false
 	}
 	// Chunks for which this box is the first fetcher come before all others, because other boxes wait for them.
