fix(weights): of versions published together the newest is sent first

Among equal orders the older version came first, so the newest one was complete a copy's time (2.9 s) later than possible, for a version that serves nothing. Not shown: that this alone causes the broken rule; the processes were killed before, and one that starts takes a version for published then.

Change: among orders that differ by less than 0.5 s the newer version comes first, unless the older one is complete sooner by more.

--- a/pkg/weights/originschedule.go
+++ b/pkg/weights/originschedule.go
@@ -147,7 +147,7 @@
 const (
 	// maxOrdered is the number of versions, the newest, of which all orders are compared. Older ones come last.
 	maxOrdered = 3
-	// orderTolerance is how much better an order must be than one with the older versions first. Boxes know the times
+	// orderTolerance is how much better an order must be than one with the newer versions first. Boxes know the times
 	// and the missing chunks less precisely, and have to agree.
 	orderTolerance = 500 * time.Millisecond
 )
@@ -159,7 +159,8 @@
 func (s *OriginSchedule) bestOrder(servingUntil, now time.Time) []*scheduledVersion {
 	slices.SortStableFunc(s.versions, func(a, b *scheduledVersion) int { return a.PublishedAt.Compare(b.PublishedAt) })
 	newest := max(0, len(s.versions)-maxOrdered)
-	older, candidates := s.versions[:newest], s.versions[newest:]
+	older, candidates := s.versions[:newest], slices.Clone(s.versions[newest:])
+	slices.Reverse(candidates)
 	var best []*scheduledVersion
 	var bestOutage, bestFirst time.Duration
 	eachOrder(candidates, func(order []*scheduledVersion) {
--- a/pkg/weights/originschedule_test.go
+++ b/pkg/weights/originschedule_test.go
@@ -492,23 +492,26 @@
 	})
 }
 
-// Guards against an older version that delays the newest one although it would be complete too late to be used.
-func TestVersionThatMissesItsCutoffComesLast(t *testing.T) {
+// Guards against an older version that delays the newest one although it would be complete too late to be used, or no sooner.
+func TestVersionWithoutUseComesLast(t *testing.T) {
 	now := time.Unix(1000, 0)
 	const interval = 50 * time.Millisecond
 	cases := []struct {
 		name string
 		// bound is the time from a publication to the cutoff of older versions.
 		bound time.Duration
-		want  []string
+		// gap is the time between the publications.
+		gap  time.Duration
+		want []string
 	}{
-		{"both in time", 10 * time.Second, []string{"1", "2"}},
-		{"older one after its cutoff", 4 * time.Second, []string{"2", "1"}},
+		{"both in time", 10 * time.Second, 2 * time.Second, []string{"1", "2"}},
+		{"published together", 10 * time.Second, 50 * time.Millisecond, []string{"2", "1"}},
+		{"older one after its cutoff", 2500 * time.Millisecond, 2 * time.Second, []string{"2", "1"}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			s := NewOriginSchedule(OriginScheduleOptions{Interval: interval, LoadTime: swarmLoadTime, MaxLag: swarmMaxLag})
-			published := now.Add(-400 * time.Millisecond)
+			published := now.Add(-c.gap)
 			s.SetVersions([]WantedVersion{
 				{Version: "1", Chunks: 60, PublishedAt: published, Cutoff: now.Add(c.bound)},
 				{Version: "2", Chunks: 60, PublishedAt: now},
