test(direct): publish the third version later than the second

Cause: the test published both at once; the newest one comes first then, so none comes before it. Change: two seconds lie between them; the assertion is the same.

--- a/internal/direct/originschedule_test.go
+++ b/internal/direct/originschedule_test.go
@@ -52,6 +52,7 @@
 func TestVersionThatOriginNoLongerServesIsNotScheduled(t *testing.T) {
 	o, clock := newTestOriginSchedule()
 	desired := scheduleTarget(clock.Now())
+	clock.Advance(2 * time.Second)
 	desired.published = append(desired.published, fleet.PublishedVersion{Version: 4, PublishedAt: clock.Now(), Observed: true})
 	o.setTarget(desired, scheduleVersionBound)
 	_, ok := o.version(2)
