--- a/review/stand/clockback.go
+++ b/review/stand/clockback.go
@@ -16,14 +16,13 @@
 
 const (
 	// clockStep is how far the time of day of a server's machine is ahead, and clockStepTime for how long.
-	clockStep     = 2400 * time.Millisecond
+	clockStep     = 2000 * time.Millisecond
 	clockStepTime = time.Second
 	// downTime is how long the server is down at each crash.
 	downTime = 500 * time.Millisecond
-	// drainTime is DrainMs, linger how much longer the server serves before it ends.
-	drainTime = 2 * time.Second
-	linger    = 5 * time.Second
-	// lateBy is the least delay after drainTime from which a request counts.
+	// linger is how much longer than DrainMs the server serves before it ends.
+	linger = 5 * time.Second
+	// lateBy is the least delay after DrainMs from which a request counts.
 	lateBy = 100 * time.Millisecond
 )
 
@@ -51,9 +50,11 @@
 // clockBack has a server start again twice within seconds while the time of day of its machine jumps ahead and returns. Later
 // the server leaves as planned, and no request may reach it DrainMs after the store has taken that.
 func clockBack(d *deployment, trouble bool) error {
+	d.bounds = hatakeiNowBounds
+	drainTime := time.Duration(d.bounds.drainMs) * time.Millisecond
 	var servers []*server
 	for i := range 3 {
-		s, err := d.addServer(fmt.Sprintf("i-geo-%d", i), "geo-answer", "127.0.0.1", 15*time.Millisecond)
+		s, err := d.addServer(fmt.Sprintf("i-chizu-%d", i), "chizu", "127.0.0.1", 60*time.Millisecond)
 		if err != nil {
 			return err
 		}
@@ -62,11 +63,11 @@
 	d.put("op/config", map[string]any{
 		"Version": 3,
 		"Routes": []any{map[string]any{
-			"Name": "dispatch-pin", "Host": "a.example", "PathPrefix": "/pin/", "Type": "unsafe", "TimeoutMs": 800,
-			"TargetLatencyMs": 100, "Service": "geo-answer", "MaxAttempts": 1, "Public": true,
+			"Name": "map-tile", "Host": "a.example", "PathPrefix": "/tile/", "Type": "unsafe", "TimeoutMs": 2000,
+			"TargetLatencyMs": 300, "Service": "chizu", "MaxAttempts": 1, "Public": true,
 		}},
 		"Limits":   limits,
-		"Services": []any{map[string]any{"Name": "geo-answer", "MaxConnections": 49}},
+		"Services": []any{map[string]any{"Name": "chizu", "MaxConnections": 96}},
 	})
 	for range 3 {
 		if _, err := d.addEntry(); err != nil {
@@ -76,14 +77,14 @@
 	if err := d.startAll(); err != nil {
 		return err
 	}
-	time.Sleep(settleTime)
+	d.settle()
 	var stopped atomic.Bool
 	var clients sync.WaitGroup
 	for c := range 9 {
 		clients.Go(func() {
 			client := &http.Client{Transport: &http.Transport{DisableCompression: true}}
 			for i := 0; !stopped.Load(); i++ {
-				d.pin(client, d.entries[c%3].callers, fmt.Sprintf("r-%d-%d", c, i))
+				d.tile(client, d.entries[c%3].callers, fmt.Sprintf("r-%d-%d", c, i))
 				time.Sleep(80 * time.Millisecond)
 			}
 		})
@@ -101,7 +102,6 @@
 	if trouble {
 		d.rec.note("the time of day of the machine of %s jumps %s ahead for %s", leaving.id, clockStep, clockStepTime)
 	}
-	// Its heartbeats go on; they change only Seq, which a box does not look at.
 	for range 2 {
 		time.Sleep(200 * time.Millisecond)
 		if err := leaving.crash(clock); err != nil {
@@ -137,18 +137,18 @@
 	return nil
 }
 
-// pin sends one unsafe request.
-func (d *deployment) pin(client *http.Client, address, id string) {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+// tile sends one unsafe request.
+func (d *deployment) tile(client *http.Client, address, id string) {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/pin/1", strings.NewReader("a scrawled street"))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/tile/1", strings.NewReader("a parcel"))
 	if err != nil {
 		panic(err)
 	}
 	request.Host = "a.example"
 	request.GetBody = nil
 	request.Header.Set("X-Request-Id", id)
-	request.Header.Set("X-Deadline-Ms", "1000")
+	request.Header.Set("X-Deadline-Ms", "3000")
 	response, err := client.Do(request)
 	if err != nil {
 		d.rec.note("client: %s at %s failed: %v", id, address, err)
--- a/review/stand/deployment.go
+++ b/review/stand/deployment.go
@@ -75,6 +75,7 @@
 	dir       string
 	store     *standin.Store
 	storeAddr string
+	bounds    bounds
 	entries   []*process
 	seeds     []string
 	closers   []func()
@@ -85,7 +86,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{rec: rec, dir: dir, store: standin.NewStore()}
+	d := &deployment{rec: rec, dir: dir, bounds: hatakeiBounds, store: standin.NewStore()}
 	d.storeAddr, err = d.serve("127.0.0.1", d.store)
 	return d, err
 }
@@ -132,6 +133,9 @@
 	exited                       chan struct{}
 }
 
+// agentPort is the first of the InternalPorts. No agent runs here.
+const agentPort = 7700
+
 // entrySettings are the settings of an entry box in the form that deploy/settings.toml.tmpl gives them.
 const entrySettings = `mode = "direct"
 role = "entry"
@@ -155,11 +159,11 @@
 agent_port = %d
 memory_limit_megabytes = 284
 link_mbps = 1000.0
-version_bound = "8000ms"
-settle_time = "3000ms"
-change_bound = "2000ms"
+version_bound = "%dms"
+settle_time = "%dms"
+change_bound = "%dms"
 retry_ratio = 0.2
-retry_extra = 100
+retry_extra = %d
 retry_window = "10s"
 
 [direct.domains]
@@ -197,7 +201,8 @@
 	}
 	for _, p := range d.entries {
 		p.config, p.log = filepath.Join(d.dir, p.name+".toml"), filepath.Join(d.dir, p.name+".log")
-		text := fmt.Sprintf(entrySettings, p.name, p.callers, p.readiness, p.resolver, p.peers, p.metrics, seeds, d.storeAddr, 7700)
+		text := fmt.Sprintf(entrySettings, p.name, p.callers, p.readiness, p.resolver, p.peers, p.metrics, seeds, d.storeAddr, agentPort,
+			d.bounds.versionMs, d.bounds.contactMs, d.bounds.configApplyMs, d.bounds.retryBudgetExtra)
 		if err := os.WriteFile(p.config, []byte(text), 0o600); err != nil {
 			return err
 		}
--- a/review/stand/lasttenant.go
+++ b/review/stand/lasttenant.go
@@ -64,7 +64,7 @@
 	if err := d.startAll(); err != nil {
 		return err
 	}
-	time.Sleep(settleTime)
+	d.settle()
 	runs := func(id string) (count int) {
 		for _, s := range servers {
 			count += s.runsOf(id)
--- a/review/stand/slowreader.go
+++ b/review/stand/slowreader.go
@@ -61,7 +61,7 @@
 	if err := d.startAll(); err != nil {
 		return err
 	}
-	time.Sleep(settleTime)
+	d.settle()
 	var clients sync.WaitGroup
 	for c := range slowClients {
 		clients.Go(func() {
