--- a/review/stand/platform.go
+++ b/review/stand/platform.go
@@ -9,10 +9,11 @@
 	contactMs, drainMs, configApplyMs, versionMs, retryBudgetExtra int
 }
 
-// The bounds of two deployments.
+// The bounds of the deployments.
 var (
 	hatakeiBounds    = bounds{contactMs: 3000, drainMs: 2000, configApplyMs: 2000, versionMs: 8000, retryBudgetExtra: 100}
 	hatakeiNowBounds = bounds{contactMs: 4000, drainMs: 3000, configApplyMs: 3000, versionMs: 9700, retryBudgetExtra: 234}
+	matrikelBounds   = bounds{contactMs: 4000, drainMs: 3000, configApplyMs: 3000, versionMs: 10300, retryBudgetExtra: 252}
 )
 
 // settle waits after the start of the entry boxes until they count as in touch, and a little longer.
--- a/review/stand/slowreader.go
+++ b/review/stand/slowreader.go
@@ -37,6 +37,7 @@
 // slowReader has clients that are slow to read their answers, and checks that no answer that lacks a part is ended as
 // complete. Every other client stops reading for a while, the others read slowly all the time.
 func slowReader(d *deployment, trouble bool) error {
+	d.bounds = matrikelBounds
 	for i := range 3 {
 		s, err := d.addServer(fmt.Sprintf("i-chizu-%d", i), "chizu", "127.0.0.1", 0)
 		if err != nil {
