--- a/review/stand/deployment.go
+++ b/review/stand/deployment.go
@@ -78,6 +78,7 @@
 	bounds    bounds
 	entries   []*process
 	seeds     []string
+	reserved  []net.Listener
 	closers   []func()
 }
 
@@ -103,16 +104,6 @@
 	return listener.Addr().String(), nil
 }
 
-// freePort returns a port that is free on a loopback address.
-func freePort(ip string) (int, error) {
-	listener, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return 0, err
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().(*net.TCPAddr).Port, nil
-}
-
 // put writes a value to the store as the operator or a server does.
 func (d *deployment) put(key string, value any) {
 	raw, err := json.Marshal(value)
@@ -175,17 +166,22 @@
 grace = "8s"
 `
 
+// listenCount is the number of addresses at which an entry box listens.
+const listenCount = 5
+
 // addEntry prepares an entry box. Its process is started by start.
 func (d *deployment) addEntry() (*process, error) {
 	n := len(d.entries) + 1
 	p := &process{d: d, name: fmt.Sprintf("edge-kita-a-%d", n), ip: fmt.Sprintf("127.0.1.%d", n)}
-	addresses := make([]string, 0, 5)
-	for range 5 {
-		port, err := freePort(p.ip)
+	addresses := make([]string, 0, listenCount)
+	for range listenCount {
+		// The listener keeps the port from being chosen twice. It is closed before the process starts.
+		listener, err := net.Listen("tcp", p.ip+":0")
 		if err != nil {
 			return nil, err
 		}
-		addresses = append(addresses, fmt.Sprintf("%s:%d", p.ip, port))
+		d.reserved = append(d.reserved, listener)
+		addresses = append(addresses, listener.Addr().String())
 	}
 	p.callers, p.readiness, p.resolver, p.peers, p.metrics = addresses[0], addresses[1], addresses[2], addresses[3], addresses[4]
 	d.seeds = append(d.seeds, p.peers)
@@ -302,6 +298,9 @@
 	if err := d.writeSettings(); err != nil {
 		return err
 	}
+	for _, listener := range d.reserved {
+		_ = listener.Close()
+	}
 	for _, p := range d.entries {
 		if err := p.start(); err != nil {
 			return err
@@ -309,6 +308,8 @@
 	}
 	for _, p := range d.entries {
 		if err := p.awaitReady(15 * time.Second); err != nil {
+			log, _ := os.ReadFile(p.log)
+			d.rec.note("log of %s ends: %s", p.name, log[max(0, len(log)-2000):])
 			return err
 		}
 	}
--- /dev/null
+++ b/review/stand/idlechange.go
@@ -0,0 +1,94 @@
+//go:build review
+
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// The clients of the case read nothing for idleChangeBefore before the configuration changes, and for readOnAfter to
+	// ConfigApplyMs + 1 s after it.
+	idleChangeBefore = time.Second
+	readOnAfter      = 2200 * time.Millisecond
+	readOnStep       = 240 * time.Millisecond
+)
+
+// mapConfiguration returns a configuration with a route for maps. Its versions differ in IdleTimeoutMs.
+func mapConfiguration(version, idleTimeoutMs int) map[string]any {
+	return map[string]any{
+		"Version": version,
+		"Routes": []any{map[string]any{
+			"Name": "map", "Host": "a.example", "PathPrefix": "/map/", "Type": "safe", "TimeoutMs": mapTimeout.Milliseconds(),
+			"TargetLatencyMs": 1000, "Service": "chizu", "MaxAttempts": 2, "Public": true,
+		}},
+		"Limits":   map[string]any{"MaxBodyBytes": 1 << 20, "MaxHeaderBytes": 16384, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": idleTimeoutMs},
+		"Services": []any{map[string]any{"Name": "chizu", "MaxConnections": 96}},
+	}
+}
+
+// idleChange changes IdleTimeoutMs while clients are slow to read their answers, and checks that they get them whole.
+func idleChange(d *deployment, trouble bool) error {
+	d.bounds = matrikelBounds
+	for i := range 3 {
+		s, err := d.addServer(fmt.Sprintf("i-chizu-%d", i), "chizu", "127.0.0.1", 0)
+		if err != nil {
+			return err
+		}
+		s.handle = func(w http.ResponseWriter, r *http.Request) {
+			id := r.Header.Get("X-Request-Id")
+			w.Header().Set("X-Response-Seal", seal(s.id, id))
+			w.Header().Set("Content-Length", fmt.Sprint(len(wholeMap(id))))
+			_, err := w.Write(wholeMap(id))
+			s.d.rec.note("server %s has sent all of %s: %v", s.id, id, err)
+		}
+	}
+	d.put("op/config", mapConfiguration(3, 15000))
+	for range 2 {
+		if _, err := d.addEntry(); err != nil {
+			return err
+		}
+	}
+	if err := d.startAll(); err != nil {
+		return err
+	}
+	d.settle()
+	// The first round is the time without a change, which the rule compares with.
+	for round := range 2 {
+		d.slowRound(round, func() {
+			if trouble && round == 1 {
+				d.put("op/config", mapConfiguration(8, 20000))
+			}
+		})
+	}
+	return nil
+}
+
+// slowRound has clients that read nothing for a while in the middle of their answers, and calls change in that time.
+func (d *deployment) slowRound(round int, change func()) {
+	var clients, ready sync.WaitGroup
+	ready.Add(mapClients)
+	changed := make(chan time.Time)
+	for c := range mapClients {
+		clients.Go(func() {
+			id := fmt.Sprintf("r-map-%d-%d", round, c)
+			d.requestMap(d.entries[c%2].callers, id, func() {
+				ready.Done()
+				at := <-changed
+				time.Sleep(time.Until(at.Add(readOnAfter + time.Duration(c)*readOnStep)))
+				d.rec.note("client: %s reads on, %s later", id, time.Since(at).Round(time.Millisecond))
+			})
+		})
+	}
+	ready.Wait()
+	time.Sleep(idleChangeBefore)
+	change()
+	at := time.Now()
+	for range mapClients {
+		changed <- at
+	}
+	clients.Wait()
+}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -23,7 +23,7 @@
 const maxCaseTime = 115 * time.Second
 
 var cases = map[string]func(d *deployment, trouble bool) error{
-	"slow-reader": slowReader, "last-tenant": lastTenant, "clock-back": clockBack, "stop-slow": stopSlow,
+	"slow-reader": slowReader, "last-tenant": lastTenant, "clock-back": clockBack, "stop-slow": stopSlow, "idle-change": idleChange,
 }
 
 func main() { os.Exit(runCase()) }
