test(review): cases 6 and 7 stay inside the sheet's deadlines, case 4 has smaller answers

Clients on loopback now ask for segments of Ethernet's size, so that the buffers of the entry box do not hold megabytes. In case 4 the clients that pause get answers of 1 MB.

--- a/review/stand/idlechange.go
+++ b/review/stand/idlechange.go
@@ -10,11 +10,13 @@
 )
 
 const (
-	// The clients of the case read nothing for idleChangeBefore before the configuration changes, and for readOnAfter to
-	// ConfigApplyMs + 1 s after it.
+	// The clients of the case read nothing for idleChangeBefore before the configuration changes, and for readOnAfter and more
+	// after it: less than ConfigApplyMs + 1 s, and than seven tenths of their time.
 	idleChangeBefore = time.Second
 	readOnAfter      = 2200 * time.Millisecond
-	readOnStep       = 240 * time.Millisecond
+	readOnStep       = 110 * time.Millisecond
+	// idleTimeout is the route's TimeoutMs and the client's X-Deadline-Ms, the longest of the sheet.
+	idleTimeout = 6 * time.Second
 )
 
 // mapConfiguration returns a configuration with a route for maps. Its versions differ in IdleTimeoutMs.
@@ -22,11 +24,11 @@
 	return map[string]any{
 		"Version": version,
 		"Routes": []any{map[string]any{
-			"Name": "map", "Host": "a.example", "PathPrefix": "/map/", "Type": "safe", "TimeoutMs": mapTimeout.Milliseconds(),
-			"TargetLatencyMs": 1000, "Service": "chizu", "MaxAttempts": 2, "Public": true,
+			"Name": "map", "Host": "a.example", "PathPrefix": "/map/", "Type": "safe", "TimeoutMs": idleTimeout.Milliseconds(),
+			"TargetLatencyMs": 1000, "Service": "matrikel-records", "MaxAttempts": 2, "Public": true,
 		}},
 		"Limits":   map[string]any{"MaxBodyBytes": 1 << 20, "MaxHeaderBytes": 16384, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": idleTimeoutMs},
-		"Services": []any{map[string]any{"Name": "chizu", "MaxConnections": 96}},
+		"Services": []any{map[string]any{"Name": "matrikel-records", "MaxConnections": 590}},
 	}
 }
 
@@ -34,7 +36,7 @@
 func idleChange(d *deployment, trouble bool) error {
 	d.bounds = matrikelBounds
 	for i := range 3 {
-		s, err := d.addServer(fmt.Sprintf("i-chizu-%d", i), "chizu", "127.0.0.1", 0)
+		s, err := d.addServer(fmt.Sprintf("i-records-%d", i), "matrikel-records", "127.0.0.1", 0)
 		if err != nil {
 			return err
 		}
@@ -75,7 +77,7 @@
 	for c := range mapClients {
 		clients.Go(func() {
 			id := fmt.Sprintf("r-map-%d-%d", round, c)
-			d.requestMap(d.entries[c%2].callers, id, func() {
+			d.requestMap(d.entries[c%2].callers, id, idleTimeout, func() {
 				ready.Done()
 				at := <-changed
 				time.Sleep(time.Until(at.Add(readOnAfter + time.Duration(c)*readOnStep)))
--- a/review/stand/platform.go
+++ b/review/stand/platform.go
@@ -2,7 +2,11 @@
 
 package main
 
-import "time"
+import (
+	"net"
+	"syscall"
+	"time"
+)
 
 // bounds are the figures of a sheet that the settings of a process and the cases use.
 type bounds struct {
@@ -23,3 +27,31 @@
 
 // limits are the Limits of the configurations.
 var limits = map[string]any{"MaxBodyBytes": 1 << 20, "MaxHeaderBytes": 16384, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}
+
+const (
+	// segmentBytes is the size of a TCP segment on Ethernet, which a client on loopback asks for. With the segments of
+	// loopback, of 64 KB, the socket buffers of an entry box hold megabytes for each client.
+	segmentBytes = 1448
+	// windowBytes is the receive buffer of a client.
+	windowBytes = 16 << 10
+)
+
+// dial connects a client.
+func dial(address string) (net.Conn, error) { return net.DialTimeout("tcp", address, time.Second) }
+
+// dialSlow connects a client whose socket takes little before the client reads it.
+func dialSlow(address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: time.Second, Control: func(_, _ string, raw syscall.RawConn) error {
+		var err error
+		controlErr := raw.Control(func(fd uintptr) {
+			if err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, segmentBytes); err == nil {
+				err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, windowBytes)
+			}
+		})
+		if controlErr != nil {
+			return controlErr
+		}
+		return err
+	}}
+	return dialer.Dial("tcp", address)
+}
--- a/review/stand/slowreader.go
+++ b/review/stand/slowreader.go
@@ -10,36 +10,48 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
 
 const (
-	// sheetBytes is the size of one answer. It is more than the socket buffers between an entry box and its client hold.
-	sheetBytes = 16 << 20
 	// sheetTimeout is the route's TimeoutMs and the client's X-Deadline-Ms.
 	sheetTimeout = 60 * time.Second
-	// readPause is how long a client that is slow to read stops reading in the middle of its answer.
-	readPause = 12 * time.Second
-	// slowRate is the rate of a client that reads slowly all the time, in bytes per second.
-	slowRate = 100 << 10
+	// pausedBytes is the size of the answers to clients that stop reading for readPause after firstBytes.
+	pausedBytes = 1 << 20
+	firstBytes  = 8 << 10
+	readPause   = 12 * time.Second
+	// slowBytes is the size of the answers to clients that read at slowRate without a pause, in bytes per second.
+	slowBytes = 16 << 20
+	slowRate  = 100 << 10
 	// unreadLimit is the time after which the server cuts off an answer that stays unread.
 	unreadLimit = 5 * time.Second
-	slowClients = 6
+	// slowClients is the number of clients of each kind.
+	slowClients = 3
+)
+
+// Beginnings of the ids of requests, by the kind of their clients.
+const (
+	pausedID = "r-paused-"
+	slowID   = "r-slow-"
 )
 
 // sheet is the whole answer of the server.
 func sheet(id string) []byte {
-	line := []byte(fmt.Sprintf("parcel of %s\n", id))
-	return bytes.Repeat(line, sheetBytes/len(line))
+	line, size := []byte(fmt.Sprintf("parcel of %s\n", id)), pausedBytes
+	if strings.HasPrefix(id, slowID) {
+		size = slowBytes
+	}
+	return bytes.Repeat(line, size/len(line))
 }
 
 // slowReader has clients that are slow to read their answers, and checks that no answer that lacks a part is ended as
-// complete. Every other client stops reading for a while, the others read slowly all the time.
+// complete. Some stop reading for a while, the others read slowly all the time.
 func slowReader(d *deployment, trouble bool) error {
 	d.bounds = matrikelBounds
 	for i := range 3 {
-		s, err := d.addServer(fmt.Sprintf("i-chizu-%d", i), "chizu", "127.0.0.1", 0)
+		s, err := d.addServer(fmt.Sprintf("i-records-%d", i), "matrikel-records", "127.0.0.1", 0)
 		if err != nil {
 			return err
 		}
@@ -49,10 +61,10 @@
 		"Version": 1,
 		"Routes": []any{map[string]any{
 			"Name": "parcel-sheet", "Host": "a.example", "PathPrefix": "/sheet/", "Type": "safe", "TimeoutMs": sheetTimeout.Milliseconds(),
-			"TargetLatencyMs": 1000, "Service": "chizu", "MaxAttempts": 2, "Public": true,
+			"TargetLatencyMs": 1000, "Service": "matrikel-records", "MaxAttempts": 2, "Public": true,
 		}},
 		"Limits":   limits,
-		"Services": []any{map[string]any{"Name": "chizu", "MaxConnections": 96}},
+		"Services": []any{map[string]any{"Name": "matrikel-records", "MaxConnections": 590}},
 	})
 	for range 2 {
 		if _, err := d.addEntry(); err != nil {
@@ -63,18 +75,14 @@
 		return err
 	}
 	d.settle()
+	paused, slow := d.readWithPause, readSlowly
+	if !trouble {
+		paused, slow = readAtOnce, readAtOnce
+	}
 	var clients sync.WaitGroup
 	for c := range slowClients {
-		clients.Go(func() {
-			read := readAtOnce
-			switch {
-			case trouble && c%2 == 0:
-				read = d.readWithPause
-			case trouble:
-				read = readSlowly
-			}
-			d.requestSheet(d.entries[c/2%2].callers, fmt.Sprintf("r-sheet-%d", c), read)
-		})
+		clients.Go(func() { d.requestSheet(dialSlow, d.entries[c%2].callers, fmt.Sprint(pausedID, c), paused) })
+		clients.Go(func() { d.requestSheet(dial, d.entries[c%2].callers, fmt.Sprint(slowID, c), slow) })
 	}
 	clients.Wait()
 	return nil
@@ -102,7 +110,7 @@
 
 // readWithPause reads nothing for readPause after the first part of the body.
 func (d *deployment) readWithPause(id string, body io.Reader) ([]byte, error) {
-	start := make([]byte, 64<<10)
+	start := make([]byte, firstBytes)
 	n, err := io.ReadFull(body, start)
 	if err != nil {
 		return start[:n], err
@@ -138,15 +146,15 @@
 }
 
 // requestSheet sends one request and reads its answer. It checks the rule MIXED.
-func (d *deployment) requestSheet(address, id string, read func(id string, body io.Reader) ([]byte, error)) {
-	dialer := net.Dialer{Timeout: time.Second}
-	conn, err := dialer.Dial("tcp", address)
+func (d *deployment) requestSheet(
+	dial func(address string) (net.Conn, error), address, id string, read func(id string, body io.Reader) ([]byte, error),
+) {
+	conn, err := dial(address)
 	if err != nil {
 		d.rec.note("client: %s could not connect: %v", id, err)
 		return
 	}
 	defer func() { _ = conn.Close() }()
-	_ = conn.(*net.TCPConn).SetReadBuffer(64 << 10)
 	_ = conn.SetDeadline(time.Now().Add(sheetTimeout))
 	_, err = fmt.Fprintf(conn, "GET /sheet/1 HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n\r\n", id, sheetTimeout.Milliseconds())
 	if err != nil {
--- a/review/stand/stopslow.go
+++ b/review/stand/stopslow.go
@@ -7,7 +7,6 @@
 	"bytes"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"sync"
 	"syscall"
@@ -16,14 +15,14 @@
 
 const (
 	// mapBytes is the size of one answer. The socket buffers between an entry box and its client hold all of it.
-	mapBytes = 2 << 20
+	mapBytes = 128 << 10
 	// mapTimeout is the route's TimeoutMs and the client's X-Deadline-Ms.
-	mapTimeout = 20 * time.Second
+	mapTimeout = 6 * time.Second
 	// pauseBefore is how long before the SIGTERM the clients stop reading. They read on pauseAfter later at the earliest,
 	// each pauseStep after the one before, all before GraceS has passed.
-	pauseBefore = time.Second
+	pauseBefore = 100 * time.Millisecond
 	pauseAfter  = 5500 * time.Millisecond
-	pauseStep   = 300 * time.Millisecond
+	pauseStep   = 40 * time.Millisecond
 	mapClients  = 8
 )
 
@@ -37,7 +36,7 @@
 func stopSlow(d *deployment, trouble bool) error {
 	d.bounds = matrikelBounds
 	for i := range 3 {
-		s, err := d.addServer(fmt.Sprintf("i-chizu-%d", i), "chizu", "127.0.0.1", 0)
+		s, err := d.addServer(fmt.Sprintf("i-records-%d", i), "matrikel-records", "127.0.0.1", 0)
 		if err != nil {
 			return err
 		}
@@ -53,10 +52,10 @@
 		"Version": 1,
 		"Routes": []any{map[string]any{
 			"Name": "map", "Host": "a.example", "PathPrefix": "/map/", "Type": "safe", "TimeoutMs": mapTimeout.Milliseconds(),
-			"TargetLatencyMs": 1000, "Service": "chizu", "MaxAttempts": 2, "Public": true,
+			"TargetLatencyMs": 1000, "Service": "matrikel-records", "MaxAttempts": 2, "Public": true,
 		}},
 		"Limits":   limits,
-		"Services": []any{map[string]any{"Name": "chizu", "MaxConnections": 96}},
+		"Services": []any{map[string]any{"Name": "matrikel-records", "MaxConnections": 590}},
 	})
 	for range 2 {
 		if _, err := d.addEntry(); err != nil {
@@ -74,7 +73,7 @@
 	for c := range mapClients {
 		clients.Go(func() {
 			id := fmt.Sprintf("r-map-%d", c)
-			d.requestMap(p.callers, id, func() {
+			d.requestMap(p.callers, id, mapTimeout, func() {
 				ready.Done()
 				at := <-stopped
 				time.Sleep(time.Until(at.Add(pauseAfter + time.Duration(c)*pauseStep)))
@@ -96,25 +95,23 @@
 }
 
 // requestMap sends one request and reads its answer, with a pause in the middle. It checks the rule LOST.
-func (d *deployment) requestMap(address, id string, pause func()) {
-	dialer := net.Dialer{Timeout: time.Second}
-	conn, err := dialer.Dial("tcp", address)
+func (d *deployment) requestMap(address, id string, timeout time.Duration, pause func()) {
+	conn, err := dialSlow(address)
 	if err != nil {
 		pause()
 		d.rec.note("client: %s could not connect: %v", id, err)
 		return
 	}
 	defer func() { _ = conn.Close() }()
-	_ = conn.(*net.TCPConn).SetReadBuffer(64 << 10)
-	_ = conn.SetDeadline(time.Now().Add(mapTimeout))
-	_, _ = fmt.Fprintf(conn, "GET /map/1 HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n\r\n", id, mapTimeout.Milliseconds())
+	_ = conn.SetDeadline(time.Now().Add(timeout))
+	_, _ = fmt.Fprintf(conn, "GET /map/1 HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n\r\n", id, timeout.Milliseconds())
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		pause()
 		d.rec.note("client: %s got no answer: %v", id, err)
 		return
 	}
-	start := make([]byte, 64<<10)
+	start := make([]byte, firstBytes)
 	n, _ := io.ReadFull(response.Body, start)
 	pause()
 	rest, err := io.ReadAll(response.Body)
