--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -96,7 +96,7 @@
 	s.runs = append(s.runs, run{s.id, id, r.Method, r.URL.RequestURI(), r.Header.Get("X-Tenant"), time.Now()})
 	mute, work, handle := s.mute, s.workTime, s.handle
 	s.mu.Unlock()
-	s.d.rec.note("server %s runs %s %s %s", s.id, id, r.Method, r.URL.Path)
+	s.d.rec.note("server %s runs %s %s %s, tenant %q", s.id, id, r.Method, r.URL.Path, r.Header.Get("X-Tenant"))
 	if handle != nil {
 		handle(w, r)
 		return
