--- a/review/stand/idlechange.go
+++ b/review/stand/idlechange.go
@@ -76,7 +76,7 @@
 	changed := make(chan time.Time)
 	for c := range mapClients {
 		clients.Go(func() {
-			id := fmt.Sprintf("r-map-%d-%d", round, c)
+			id := mapID(round, c)
 			d.requestMap(d.entries[c%2].callers, id, idleTimeout, func() {
 				ready.Done()
 				at := <-changed
--- a/review/stand/platform.go
+++ b/review/stand/platform.go
@@ -32,7 +32,7 @@
 	// segmentBytes is the size of a TCP segment on Ethernet, which a client on loopback asks for. With the segments of
 	// loopback, of 64 KB, the socket buffers of an entry box hold megabytes for each client.
 	segmentBytes = 1448
-	// windowBytes is the receive buffer of a client.
+	// windowBytes is the receive buffer of a client that is slow to read.
 	windowBytes = 16 << 10
 )
 
@@ -40,12 +40,15 @@
 func dial(address string) (net.Conn, error) { return net.DialTimeout("tcp", address, time.Second) }
 
 // dialSlow connects a client whose socket takes little before the client reads it.
-func dialSlow(address string) (net.Conn, error) {
+func dialSlow(address string) (net.Conn, error) { return dialWindow(address, windowBytes) }
+
+// dialWindow connects a client with a receive buffer of a size.
+func dialWindow(address string, window int) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: time.Second, Control: func(_, _ string, raw syscall.RawConn) error {
 		var err error
 		controlErr := raw.Control(func(fd uintptr) {
 			if err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, segmentBytes); err == nil {
-				err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, windowBytes)
+				err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, window)
 			}
 		})
 		if controlErr != nil {
--- a/review/stand/stopslow.go
+++ b/review/stand/stopslow.go
@@ -8,14 +8,20 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
 )
 
 const (
-	// mapBytes is the size of one answer. The socket buffers between an entry box and its client hold all of it.
-	mapBytes = 128 << 10
+	// mapBytes is the size of an answer, which the socket of an entry box holds. smallBytes is the size of the others, the
+	// largest of the sheet for plain answers; their clients have the smallest receive buffer, smallWindow.
+	mapBytes    = 128 << 10
+	smallBytes  = 4800
+	smallWindow = 2 << 10
+	// smallFirstBytes is what a client reads of a small answer before it stops.
+	smallFirstBytes = 256
 	// mapTimeout is the route's TimeoutMs and the client's X-Deadline-Ms.
 	mapTimeout = 6 * time.Second
 	// pauseBefore is how long before the SIGTERM the clients stop reading. They read on pauseAfter later at the earliest,
@@ -26,10 +32,24 @@
 	mapClients  = 8
 )
 
+// smallID begins the ids of requests for small answers.
+const smallID = "r-small-"
+
+// mapID returns the id of the request of a client. Every other pair of clients asks for a small answer.
+func mapID(round, client int) string {
+	if client/2%2 == 1 {
+		return fmt.Sprintf("%s%d-%d", smallID, round, client)
+	}
+	return fmt.Sprintf("r-map-%d-%d", round, client)
+}
+
 // wholeMap is the whole answer of the server.
 func wholeMap(id string) []byte {
-	line := []byte(fmt.Sprintf("tile of %s\n", id))
-	return bytes.Repeat(line, mapBytes/len(line))
+	line, size := []byte(fmt.Sprintf("tile of %s\n", id)), mapBytes
+	if strings.HasPrefix(id, smallID) {
+		size = smallBytes
+	}
+	return bytes.Repeat(line, size/len(line))
 }
 
 // stopSlow stops an entry box as planned while clients are slow to read their answers, and checks that they get them whole.
@@ -72,7 +92,7 @@
 	stopped := make(chan time.Time)
 	for c := range mapClients {
 		clients.Go(func() {
-			id := fmt.Sprintf("r-map-%d", c)
+			id := mapID(0, c)
 			d.requestMap(p.callers, id, mapTimeout, func() {
 				ready.Done()
 				at := <-stopped
@@ -96,7 +116,11 @@
 
 // requestMap sends one request and reads its answer, with a pause in the middle. It checks the rule LOST.
 func (d *deployment) requestMap(address, id string, timeout time.Duration, pause func()) {
-	conn, err := dialSlow(address)
+	window, first := windowBytes, firstBytes
+	if strings.HasPrefix(id, smallID) {
+		window, first = smallWindow, smallFirstBytes
+	}
+	conn, err := dialWindow(address, window)
 	if err != nil {
 		pause()
 		d.rec.note("client: %s could not connect: %v", id, err)
@@ -111,7 +135,7 @@
 		d.rec.note("client: %s got no answer: %v", id, err)
 		return
 	}
-	start := make([]byte, firstBytes)
+	start := make([]byte, first)
 	n, _ := io.ReadFull(response.Body, start)
 	pause()
 	rest, err := io.ReadAll(response.Body)
