--- a/review/stand/stopslow.go
+++ b/review/stand/stopslow.go
@@ -30,6 +30,10 @@
 	pauseAfter  = 5500 * time.Millisecond
 	pauseStep   = 40 * time.Millisecond
 	mapClients  = 8
+	// Other clients send their requests lateAfter the SIGTERM, while the entry box takes requests, and pause for latePause.
+	lateClients = 4
+	lateAfter   = 200 * time.Millisecond
+	latePause   = 3 * time.Second
 )
 
 // smallID begins the ids of requests for small answers.
@@ -107,6 +111,16 @@
 		p.signal(syscall.SIGTERM)
 	}
 	at := time.Now()
+	for c := range lateClients {
+		clients.Go(func() {
+			time.Sleep(lateAfter)
+			id := fmt.Sprintf("r-late-%d", c)
+			d.requestMap(p.callers, id, mapTimeout, func() {
+				time.Sleep(latePause)
+				d.rec.note("client: %s reads on, %s after the SIGTERM", id, time.Since(at).Round(time.Millisecond))
+			})
+		})
+	}
 	for range mapClients {
 		stopped <- at
 	}
