test(review): cases 6 and 7 check LOST with the rule's own bounds and excuses

Case 6 counted any answer that was cut; it now counts those cut up to ConfigApplyMs + 1 s after the change, of requests that had used less than seven tenths of their time, and wants more than three times as many as in the calm round. Case 7 leaves out answers that end at the deadline or later than GraceS + 1 s.

--- a/review/stand/idlechange.go
+++ b/review/stand/idlechange.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -59,30 +60,41 @@
 	}
 	d.settle()
 	// The first round is the time without a change, which the rule compares with.
-	for round := range 2 {
-		d.slowRound(round, func() {
-			if trouble && round == 1 {
-				d.put("op/config", mapConfiguration(8, 20000))
-			}
-		})
+	calm := d.slowRound(0, func() {})
+	cut := d.slowRound(1, func() {
+		if trouble {
+			d.put("op/config", mapConfiguration(8, 20000))
+		}
+	})
+	d.rec.note("%d answers were cut in the first round, %d in the second", calm, cut)
+	if cut > 3*calm {
+		d.rec.breaks("LOST: %d answers were cut beside the change, %d at another time", cut, calm)
 	}
 	return nil
 }
 
-// slowRound has clients that read nothing for a while in the middle of their answers, and calls change in that time.
-func (d *deployment) slowRound(round int, change func()) {
+// slowRound has clients that read nothing for a while in the middle of their answers, and calls change in that time. It
+// returns how many answers were cut up to ConfigApplyMs + 1 s after it, of requests that had used less than seven tenths
+// of their time.
+func (d *deployment) slowRound(round int, change func()) int {
+	window := time.Duration(d.bounds.configApplyMs)*time.Millisecond + time.Second
+	var cuts atomic.Int64
 	var clients, ready sync.WaitGroup
 	ready.Add(mapClients)
 	changed := make(chan time.Time)
 	for c := range mapClients {
 		clients.Go(func() {
 			id := mapID(round, c)
-			d.requestMap(d.entries[c%2].callers, id, idleTimeout, func() {
+			var at time.Time
+			isCut := d.requestMap(d.entries[c%2].callers, id, idleTimeout, idleTimeout*7/10, func() {
 				ready.Done()
-				at := <-changed
+				at = <-changed
 				time.Sleep(time.Until(at.Add(readOnAfter + time.Duration(c)*readOnStep)))
 				d.rec.note("client: %s reads on, %s later", id, time.Since(at).Round(time.Millisecond))
 			})
+			if isCut && time.Since(at) <= window {
+				cuts.Add(1)
+			}
 		})
 	}
 	ready.Wait()
@@ -93,4 +105,5 @@
 		changed <- at
 	}
 	clients.Wait()
+	return int(cuts.Load())
 }
--- a/review/stand/stopslow.go
+++ b/review/stand/stopslow.go
@@ -30,6 +30,8 @@
 	pauseAfter  = 5500 * time.Millisecond
 	pauseStep   = 40 * time.Millisecond
 	mapClients  = 8
+	// grace is GraceS.
+	grace = 8 * time.Second
 	// Other clients send their requests lateAfter the SIGTERM, while the entry box takes requests, and pause for latePause.
 	lateClients = 4
 	lateAfter   = 200 * time.Millisecond
@@ -97,12 +99,14 @@
 	for c := range mapClients {
 		clients.Go(func() {
 			id := mapID(0, c)
-			d.requestMap(p.callers, id, mapTimeout, func() {
+			var at time.Time
+			isCut := d.requestMap(p.callers, id, mapTimeout, mapTimeout, func() {
 				ready.Done()
-				at := <-stopped
+				at = <-stopped
 				time.Sleep(time.Until(at.Add(pauseAfter + time.Duration(c)*pauseStep)))
 				d.rec.note("client: %s reads on, %s after the SIGTERM", id, time.Since(at).Round(time.Millisecond))
 			})
+			d.judgeStop(id, isCut, at)
 		})
 	}
 	ready.Wait()
@@ -115,10 +119,11 @@
 		clients.Go(func() {
 			time.Sleep(lateAfter)
 			id := fmt.Sprintf("r-late-%d", c)
-			d.requestMap(p.callers, id, mapTimeout, func() {
+			isCut := d.requestMap(p.callers, id, mapTimeout, mapTimeout, func() {
 				time.Sleep(latePause)
 				d.rec.note("client: %s reads on, %s after the SIGTERM", id, time.Since(at).Round(time.Millisecond))
 			})
+			d.judgeStop(id, isCut, at)
 		})
 	}
 	for range mapClients {
@@ -128,8 +133,16 @@
 	return nil
 }
 
-// requestMap sends one request and reads its answer, with a pause in the middle. It checks the rule LOST.
-func (d *deployment) requestMap(address, id string, timeout time.Duration, pause func()) {
+// judgeStop notes a break of LOST for an answer that was cut up to 1 s after GraceS.
+func (d *deployment) judgeStop(id string, isCut bool, stoppedAt time.Time) {
+	if isCut && time.Since(stoppedAt) <= grace+time.Second {
+		d.rec.breaks("LOST: the answer of %s was cut", id)
+	}
+}
+
+// requestMap sends one request and reads its answer, with a pause in the middle. It reports whether an answer that had begun
+// was cut before the request had used a time.
+func (d *deployment) requestMap(address, id string, timeout, judged time.Duration, pause func()) (isCut bool) {
 	window, first := windowBytes, firstBytes
 	if strings.HasPrefix(id, smallID) {
 		window, first = smallWindow, smallFirstBytes
@@ -138,16 +151,17 @@
 	if err != nil {
 		pause()
 		d.rec.note("client: %s could not connect: %v", id, err)
-		return
+		return false
 	}
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(timeout))
+	sentAt := time.Now()
 	_, _ = fmt.Fprintf(conn, "GET /map/1 HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n\r\n", id, timeout.Milliseconds())
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		pause()
 		d.rec.note("client: %s got no answer: %v", id, err)
-		return
+		return false
 	}
 	start := make([]byte, first)
 	n, _ := io.ReadFull(response.Body, start)
@@ -155,7 +169,5 @@
 	rest, err := io.ReadAll(response.Body)
 	got, want := n+len(rest), len(wholeMap(id))
 	d.rec.note("client: %s: status %d, %d of %d bytes, end %v", id, response.StatusCode, got, want, err)
-	if got != want || err != nil {
-		d.rec.breaks("LOST: %s ended with %d of %d bytes: %v", id, got, want, err)
-	}
+	return (got != want || err != nil) && time.Since(sentAt) < judged
 }
