fix(config): an empty or null list of organisations no longer opens every route

Cause: whether requests need a key was told from the length of the list of organisations. Absent, null and empty lists were one from the platform's document to the last box.

Change: Configuration.KeyPolicy says it. A configuration without a policy, from a process of an earlier version, admits known keys and refuses others for now. A test's own configuration states its policy now; its assertions are the same.

--- a/internal/direct/clusterconfigurations_test.go
+++ b/internal/direct/clusterconfigurations_test.go
@@ -23,7 +23,7 @@
 	version := s.configuration
 	s.mu.Unlock()
 	configuration := &fleet.Configuration{
-		Version: version, Organisations: []fleet.Organisation{{Name: "kumiai", Keys: []fleet.APIKey{"k"}}},
+		Version: version, KeyPolicy: fleet.KeyRequired, Organisations: []fleet.Organisation{{Name: "kumiai", Keys: []fleet.APIKey{"k"}}},
 	}
 	for _, prefix := range prefixes {
 		configuration.Routes = append(configuration.Routes, fleet.Route{
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -148,10 +148,12 @@
 	if x.route, ok = view.Route(hostOf(x.request), x.request.URL.EscapedPath()); !ok {
 		return newRejection(http.StatusNotFound, "no-route", configuration.Unreadable.Routes)
 	}
-	if len(configuration.Organisations) > 0 && !x.route.Public {
-		if x.organisation, ok = view.Organisation(x.Key); !ok {
-			return newRejection(http.StatusUnauthorized, "unknown-key", configuration.Unreadable.Organisations && x.Key != "")
-		}
+	if x.route.Public || configuration.KeyPolicy == fleet.KeyNotRequired {
+		return nil
+	}
+	if x.organisation, ok = view.Organisation(x.Key); !ok {
+		mayBeAllowed := configuration.KeyPolicy != fleet.KeyRequired || configuration.Unreadable.Organisations && x.Key != ""
+		return newRejection(http.StatusUnauthorized, "unknown-key", mayBeAllowed)
 	}
 	return nil
 }
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -184,6 +184,32 @@
 	Limits        Limits         `cbor:"5,keyasint"`
 	// Unreadable marks the parts that could not be read, or only incompletely.
 	Unreadable UnreadableParts `cbor:"6,keyasint"`
+	// KeyPolicy states whether requests of routes that are not public need an API key. It does not follow from Organisations,
+	// which may be empty although keys are required.
+	KeyPolicy KeyPolicy `cbor:"7,keyasint,omitempty"`
+}
+
+// KeyPolicy states whether requests need an API key.
+type KeyPolicy uint8
+
+// The policies. Only KeyNotRequired admits a request without a known key. KeyPolicyUnknown is the policy of a configuration that
+// comes from a process of an earlier version.
+const (
+	KeyPolicyUnknown KeyPolicy = iota
+	KeyRequired
+	KeyNotRequired
+)
+
+// String returns the policy as logs have it.
+func (p KeyPolicy) String() string {
+	switch p {
+	case KeyRequired:
+		return "required"
+	case KeyNotRequired:
+		return "not-required"
+	default:
+		return "unknown"
+	}
 }
 
 // UnreadableParts marks the parts of a configuration that could not be read completely. What is
@@ -209,8 +235,7 @@
 	if c.Unreadable.Services {
 		filled.Services = before.Services
 	}
-	// A configuration without organisations requires no API key. The unreadable organisations exist,
-	// so an earlier empty list must not replace them.
+	// KeyPolicy stays as it is. The unreadable organisations exist, so an API key is required even if none was before.
 	if c.Unreadable.Organisations && len(before.Organisations) > 0 {
 		filled.Organisations = before.Organisations
 	}
@@ -232,7 +257,7 @@
 		kind      RouteKind
 		resumable bool
 	}
-	reduced := &Configuration{Version: c.Version, Services: c.Services, Unreadable: c.Unreadable}
+	reduced := &Configuration{Version: c.Version, Services: c.Services, Unreadable: c.Unreadable, KeyPolicy: c.KeyPolicy}
 	added := make(map[routeClass]bool)
 	for i := range c.Routes {
 		route := &c.Routes[i]
--- a/pkg/fleet/parser.go
+++ b/pkg/fleet/parser.go
@@ -37,6 +37,7 @@
 	Organisations []cbor.RawMessage `cbor:"4,keyasint"`
 	Limits        Limits            `cbor:"5,keyasint"`
 	Unreadable    UnreadableParts   `cbor:"6,keyasint"`
+	KeyPolicy     KeyPolicy         `cbor:"7,keyasint,omitempty"`
 }
 
 func (p *Parser) parseConfiguration(value []byte) (*Configuration, error) {
@@ -59,7 +60,7 @@
 	p.routes, p.services, p.organisations = routes, services, organisations
 	return &Configuration{
 		Version: encoded.Version, Routes: routes.elements, Services: services.elements, Organisations: organisations.elements,
-		Limits: encoded.Limits, Unreadable: encoded.Unreadable,
+		Limits: encoded.Limits, Unreadable: encoded.Unreadable, KeyPolicy: encoded.KeyPolicy,
 	}, nil
 }
 
