--- a/internal/direct/deployment_test.go
+++ b/internal/direct/deployment_test.go
@@ -200,10 +200,14 @@
 func (w *testDeployment) putConfig(version int, keys []string) {
 	w.configuration = version
 	route := func(name, path, kind, service string, timeout, attempts int, resumable bool) map[string]any {
-		return map[string]any{
+		entry := map[string]any{
 			"Name": name, "Host": "a.example", "PathPrefix": path, "Type": kind, "TimeoutMs": timeout, "TargetLatencyMs": 400,
-			"Service": service, "MaxAttempts": attempts, "Resumable": resumable, "gap_aim_ms": 300, "AllowedRegions": w.residency[path],
+			"Service": service, "MaxAttempts": attempts, "Resumable": resumable, "gap_aim_ms": 300,
 		}
+		if regions, ok := w.residency[path]; ok {
+			entry["AllowedRegions"] = regions
+		}
+		return entry
 	}
 	engine := map[string]any{
 		"Slots": 4, "Models": []map[string]any{{"Name": "daka", "WarmupS": 0.05}}, "layers": standin.LayerCount,
@@ -242,7 +246,9 @@
 // cmdResidency sets the allowed regions of the route with a path prefix, none for all regions, and writes another
 // configuration: residency /look/ riga.
 func (w *testDeployment) cmdResidency(args []string) error {
-	w.residency[args[0]] = args[1:]
+	if w.residency[args[0]] = args[1:]; len(args) == 1 {
+		delete(w.residency, args[0])
+	}
 	w.putConfig(w.configuration+1, []string{"key-1", "key-2"})
 	return nil
 }
