fix(config): a route without a host or a path is skipped

What callers would see: a route whose path is absent, null or empty matches every path of its host; if it is public, paths of other routes run without a key once those are removed.

Change: such a route is skipped and reported, and what it may have matched is refused for now, as with a path that can't be read.

--- a/internal/direct/invalidconfiguration_test.go
+++ b/internal/direct/invalidconfiguration_test.go
@@ -80,7 +80,10 @@
 
 // Guards against a route with an invalid host or path prefix that matches every path of its host.
 func TestRouteWithInvalidMatchIsDropped(t *testing.T) {
-	for _, match := range []string{`"Host":"a.example","PathPrefix":7`, `"Host":["a.example"],"PathPrefix":"/"`} {
+	for _, match := range []string{
+		`"Host":"a.example","PathPrefix":7`, `"Host":["a.example"],"PathPrefix":"/"`, `"Host":"a.example"`, `"Host":"a.example","PathPrefix":""`,
+		`"Host":"a.example","PathPrefix":null`, `"PathPrefix":"/"`, `"Host":"","PathPrefix":"/"`, `"Host":null,"PathPrefix":"/"`,
+	} {
 		fleetState := newStateWithConfigurations(t, `{"Version":4,"Routes":[{"Name":"open",`+match+`,"Type":"safe","Service":"maps","Public":true},
 			{"Name":"look","Host":"a.example","PathPrefix":"/look/","Type":"safe","Service":"maps","Public":true}]}`)
 		require.Equal(t, http.StatusServiceUnavailable, admitStatus(t, fleetState, "/find/1", ""), match)
