fix(upstream): a response that is reset during its upload is not complete

What callers saw: a server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written.

Cause: the kernel reports a reset to one call only, and an end of the stream to those after it. If the goroutine that writes the upload is told, the one that reads gets io.EOF, which ends a body without a length; the probe of the server's address finds it running, as it is. The same happens if a check of the connection (isConnected, MSG_PEEK) is told, which was not reported.

Change: lossConn notes what writes and checks are told, and its Read returns that at the end of a stream whose socket is closed rather than half-closed. It waits for a write in flight, which ends at once on a closed socket. EPIPE is no loss: the peer has ended its stream before.

--- a/internal/upstream/unread.go
+++ b/internal/upstream/unread.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -77,12 +78,8 @@
 // until all data is acknowledged or the connection is closed.
 func (c *unreadConn) check() {
 	c.isChecked.Store(false)
-	var info *unix.TCPInfo
-	var infoErr error
-	err := c.raw.Control(func(fd uintptr) {
-		info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-	})
-	if err != nil || infoErr != nil {
+	info, err := tcpInfo(c.raw)
+	if err != nil {
 		return
 	}
 	hasUnacknowledged := info.Unacked > 0 || info.Notsent_bytes > 0
@@ -92,6 +89,14 @@
 	}
 }
 
+// tcpInfo returns what the kernel tells of a TCP connection.
+func tcpInfo(raw syscall.RawConn) (info *unix.TCPInfo, err error) {
+	controlErr := raw.Control(func(fd uintptr) {
+		info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
+	return info, errors.Join(controlErr, err)
+}
+
 // timeoutFor returns the TCP_USER_TIMEOUT that ends at userTimeout after the last acknowledgement. The kernel counts it from
 // the time at which the window closed.
 func (c *unreadConn) timeoutFor(info *unix.TCPInfo, hasUnacknowledged bool, now time.Time) time.Duration {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -101,14 +101,15 @@
 	return &Pool{options: options, idle: make(map[member.Address][]*conn)}
 }
 
-// dial opens a connection that fails soon after its peer's box stops responding, and stays open while a peer reads nothing.
+// dial opens a connection that fails soon after its peer's box stops responding, and stays open while a peer reads nothing. Its
+// reader learns of its loss.
 func dial(ctx context.Context, network, address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: SetUserTimeout}
 	conn, err := dialer.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
-	return newUnreadConn(conn), nil
+	return newLossConn(newUnreadConn(conn)), nil
 }
 
 const (
@@ -351,11 +352,20 @@
 	if err != nil {
 		return 0, false, err
 	}
-	controlErr := raw.Control(func(fd uintptr) {
-		var one [1]byte
-		n, _, err = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	return n, controlErr == nil, err
+	receive := func() error {
+		controlErr := raw.Control(func(fd uintptr) {
+			var one [1]byte
+			n, _, err = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		})
+		ok = controlErr == nil
+		return err
+	}
+	if lossy, isLossy := c.Conn.(*lossConn); isLossy {
+		lossy.check(receive)
+	} else {
+		_ = receive()
+	}
+	return n, ok, err
 }
 
 func (c *conn) write(request *Request) error {
