fix(upstream): bytes that are no head of a response are no response

What callers saw: answers with status 600 and 999, with a blank in the name of a field, with a line that begins with a blank and is joined to the seal before it, or with "Content-Length : 1" and a body that was not the server's (MIXED, reported by the users). After a status of 000 the box read on, and took a 200 in the body of that answer for the response.

Cause: net/http's reader is lenient. It keeps names with a blank as other names, joins folded lines, takes any number as the status and any digits as the version, and ignores a transfer encoding of HTTP/1.0; and every status below 200 counted as interim here.

Change: the bytes of a head are kept while it is read, and validated by RFC 9112 afterwards, those of interim responses too: status line, status from 100 to 599, names, values, no folded lines (section 5.2 lets a gateway reject them), no transfer encoding in HTTP/1.0. What is none gets no response, so the request is repeated where it may be, or gets 502.

--- a/internal/upstream/bounded.go
+++ b/internal/upstream/bounded.go
@@ -16,16 +16,26 @@
 	// isLimited is set while at most left more bytes are read.
 	isLimited bool
 	left      int64
+	// head is what has been read since limit was called, while the limit holds.
+	head []byte
 }
 
 func newBoundedReader(source io.Reader) *boundedReader { return &boundedReader{source: source} }
 
-// limit makes Read return errHeadTooLong after n more bytes. A head of n bytes can be read whole, whether some of it was read
-// before or not.
-func (r *boundedReader) limit(n int64) { r.isLimited, r.left = true, n }
+// limit makes Read return errHeadTooLong after n more bytes, and keep what it reads. A head of n bytes can be read whole, whether
+// some of it was read before or not. before is that part.
+func (r *boundedReader) limit(n int64, before []byte) {
+	r.isLimited, r.left = true, n
+	r.head = append(r.head[:0], before...)
+}
 
-// unlimit removes the limit.
-func (r *boundedReader) unlimit() { r.isLimited = false }
+// unlimit removes the limit and forgets a long head.
+func (r *boundedReader) unlimit() {
+	r.isLimited = false
+	if cap(r.head) > bufferSize {
+		r.head = nil
+	}
+}
 
 // Read implements io.Reader.
 func (r *boundedReader) Read(p []byte) (int, error) {
@@ -38,5 +48,8 @@
 	n, err := r.source.Read(p)
 	r.received += int64(n)
 	r.left -= int64(n)
+	if r.isLimited {
+		r.head = append(r.head, p[:n]...)
+	}
 	return n, err
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -437,11 +437,21 @@
 	}
 }
 
-// readHead reads one response up to the end of its head, which may have limit bytes.
+// readHead reads one response up to the end of its head, which may have limit bytes. It returns an error for bytes that are no head.
 func (c *conn) readHead(request *Request, limit int64) (*http.Response, error) {
-	c.source.limit(limit)
+	// Peek returns no error for bytes that are buffered.
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	c.source.limit(limit, buffered)
 	defer c.source.unlimit()
-	return http.ReadResponse(c.reader, &http.Request{Method: request.Method})
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
+	if err != nil {
+		return nil, err
+	}
+	head := c.source.head
+	if err := validateHead(head[:len(head)-c.reader.Buffered()]); err != nil {
+		return nil, err
+	}
+	return response, nil
 }
 
 // consumed returns the number of bytes of the connection that have been taken from the reader.
