fix(platform): calls take no response that is none, and follow no redirect

Change: the clients of the platform's services, of backend servers in agents mode and of the platform in agents mode are made by upstream.NewHTTPClient. Their connections report a loss to the reader too, so that a body without a length that is reset doesn't end as complete.

--- a/internal/daemon/backendproxy.go
+++ b/internal/daemon/backendproxy.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cinderslip/cinderslip/internal/provider"
+	"github.com/cinderslip/cinderslip/internal/upstream"
 	"github.com/cinderslip/cinderslip/internal/wire"
 	"github.com/cinderslip/cinderslip/pkg/member"
 	"github.com/cinderslip/cinderslip/pkg/route"
@@ -88,14 +89,11 @@
 const backendIdleConns = 64
 
 func newBackendClient(disableKeepAlives bool) *http.Client {
-	return &http.Client{
-		Transport: &http.Transport{
-			DisableCompression: true, DisableKeepAlives: disableKeepAlives,
-			MaxIdleConnsPerHost: backendIdleConns, IdleConnTimeout: idleConnTimeout,
-			DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, MaxResponseHeaderBytes: maxHeaderBytes,
-		},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
+	return upstream.NewHTTPClient(&http.Transport{
+		DisableCompression: true, DisableKeepAlives: disableKeepAlives,
+		MaxIdleConnsPerHost: backendIdleConns, IdleConnTimeout: idleConnTimeout,
+		DialContext: upstream.DialContext(&net.Dialer{Timeout: dialTimeout}), MaxResponseHeaderBytes: maxHeaderBytes,
+	})
 }
 
 // String returns the name of the service for logs.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -103,10 +103,10 @@
 const platformIdleConns = 8
 
 func newPlatformClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return upstream.NewHTTPClient(&http.Transport{
 		MaxIdleConnsPerHost: platformIdleConns, IdleConnTimeout: idleConnTimeout, DisableCompression: true,
-		DialContext: upstream.NewDialer(dialTimeout).DialContext, MaxResponseHeaderBytes: maxHeaderBytes,
-	}}
+		DialContext: upstream.DialContext(upstream.NewDialer(dialTimeout)), MaxResponseHeaderBytes: maxHeaderBytes,
+	})
 }
 
 // stepFunc runs a step. Middleware wraps it.
--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -76,6 +76,15 @@
 	return nil
 }
 
+// NewHTTPClient returns a client of net/http that takes nothing for a response that is none, and follows no redirect: a service of the
+// platform or a server that names another place is not to be believed.
+func NewHTTPClient(transport *http.Transport) *http.Client {
+	return &http.Client{
+		Transport:     CheckedTransport{transport},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
 // CheckedTransport is an http.RoundTripper whose responses CheckResponse has accepted.
 type CheckedTransport struct{ *http.Transport }
 
