fix(direct): a response that its caller does not read does not end as complete

Cause: the box leaves out the rest of a response whose caller reads nothing for 10 s, counts the caller as gone, and the handler returned as after a whole response, so net/http wrote the last chunk once the caller read on. That a caller reads was told from writes that end, and the kernel continues a write only when a third of its buffer is free.

Change: a response that has started and is given up ends with its connection, as one that is cut does, without waiting a second time. While a write waits, the bytes that the caller's box has acknowledged show that it reads on. The line "caller left" has the error.

--- a/internal/direct/callerlistener.go
+++ b/internal/direct/callerlistener.go
@@ -97,6 +97,20 @@
 	return l, nil
 }
 
+// callerConnKey is the key of a caller's connection in the contexts of its requests.
+type callerConnKey struct{}
+
+// withCallerConn returns the context of the requests of a connection.
+func withCallerConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, callerConnKey{}, conn)
+}
+
+// acknowledgedBytes returns a function that returns how many bytes the box of a request's caller has acknowledged on the connection.
+func acknowledgedBytes(ctx context.Context) func() (bytes uint64, ok bool) {
+	conn, _ := ctx.Value(callerConnKey{}).(net.Conn)
+	return func() (uint64, bool) { return upstream.AcknowledgedBytes(conn) }
+}
+
 // accept hands each new connection to the current server.
 func (l *callerListener) accept() {
 	for {
@@ -145,6 +159,7 @@
 	}
 	s := &limitedServer{conns: make(chan net.Conn), closed: make(chan struct{}), addr: l.listener.Addr(), Server: &http.Server{
 		Handler: l.handler, ReadHeaderTimeout: limits.headerTimeout, IdleTimeout: limits.idleTimeout, MaxHeaderBytes: limits.headerBytes,
+		ConnContext: withCallerConn,
 	}}
 	l.limits, l.current = limits, s
 	l.servers = append(l.servers, s)
--- a/internal/direct/run.go
+++ b/internal/direct/run.go
@@ -89,7 +89,8 @@
 			return true
 		case outcomeCallerGone:
 			s.noteRejected(x)
-			s.finish(x, "left").Str("server", string(server)).Msg("caller left")
+			s.finish(x, "left").Str("server", string(server)).Err(result.err).Msg("caller left")
+			x.dropIfStarted()
 			return true
 		case outcomeTruncated:
 			s.abort(x, s.cutReason(x, nil, cutNotResumable), result.err)
@@ -155,6 +156,19 @@
 	panic(http.ErrAbortHandler)
 }
 
+// dropIfStarted closes the connection of a caller that has left, or does not read on, in the middle of its response. Otherwise what it
+// has got would end as a complete response.
+func (x *exchange) dropIfStarted() {
+	if !x.started {
+		return
+	}
+	if x.out != nil {
+		x.out.abandon()
+		x.out = nil
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // conclude ends a request that no attempt has completed: with an error response or, if the response has started, by
 // closing the connection.
 func (s *CallerServer) conclude(ctx context.Context, x *exchange, mayHaveRunErr, lastErr error) {
--- a/internal/direct/sendbuffer.go
+++ b/internal/direct/sendbuffer.go
@@ -28,6 +28,9 @@
 	control *http.ResponseController
 	held    *heldBytes
 	clock   clockwork.Clock
+	// acknowledged returns how many bytes the caller's box has acknowledged, ok is false if that is not known. A write may
+	// wait for longer than unreadTimeout although the caller reads: the kernel continues it once a third of its buffer is free.
+	acknowledged func() (bytes uint64, ok bool)
 
 	mu sync.Mutex
 	// unsent is what has not been passed to the writer, sending the number of bytes that the writer is sending.
@@ -42,9 +45,9 @@
 }
 
 // newSendBuffer starts to send to a caller. close must be called before the handler of the request returns.
-func newSendBuffer(writer http.ResponseWriter, held *heldBytes, clock clockwork.Clock) *sendBuffer {
+func newSendBuffer(writer http.ResponseWriter, held *heldBytes, clock clockwork.Clock, acknowledged func() (bytes uint64, ok bool)) *sendBuffer {
 	b := &sendBuffer{
-		writer: writer, control: http.NewResponseController(writer), held: held, clock: clock,
+		writer: writer, control: http.NewResponseController(writer), held: held, clock: clock, acknowledged: acknowledged,
 		ready: make(chan struct{}, 1), progress: make(chan struct{}, 1), done: make(chan struct{}),
 	}
 	go func() {
@@ -101,20 +104,54 @@
 	if added, err := b.tryAdd(data); added || err != nil {
 		return err
 	}
-	timer := b.clock.NewTimer(unreadTimeout)
-	defer timer.Stop()
+	for wait := b.newUnreadWait(); ; {
+		if err := wait.next(ctx); err != nil {
+			return err
+		}
+		if added, err := b.tryAdd(data); added || err != nil {
+			return err
+		}
+	}
+}
+
+// unreadWait waits for the progress of a caller that is slow to read.
+type unreadWait struct {
+	buffer       *sendBuffer
+	since        time.Time
+	acknowledged uint64
+}
+
+// newUnreadWait starts to wait.
+func (b *sendBuffer) newUnreadWait() *unreadWait {
+	w := &unreadWait{buffer: b, since: b.clock.Now()}
+	w.acknowledged, _ = b.acknowledged()
+	return w
+}
+
+// next waits until something was sent or everything was. It returns an error if the context ends before, or if the caller has read
+// nothing for unreadTimeout.
+func (w *unreadWait) next(ctx context.Context) error {
+	b := w.buffer
 	for {
+		timer := b.clock.NewTimer(unreadTimeout - b.clock.Since(w.since))
 		select {
 		case <-b.progress:
-			timer.Reset(unreadTimeout)
+			timer.Stop()
+			w.since = b.clock.Now()
+			return nil
+		case <-b.done:
+			timer.Stop()
+			return nil
 		case <-ctx.Done():
+			timer.Stop()
 			return ctx.Err()
 		case <-timer.Chan():
-			return errUnread
 		}
-		if added, err := b.tryAdd(data); added || err != nil {
-			return err
+		acknowledged, ok := b.acknowledged()
+		if !ok || acknowledged == w.acknowledged {
+			return errUnread
 		}
+		w.acknowledged, w.since = acknowledged, b.clock.Now()
 	}
 }
 
@@ -159,18 +196,22 @@
 
 // awaitSent waits until the background task has ended.
 func (b *sendBuffer) awaitSent(ctx context.Context) error {
-	timer := b.clock.NewTimer(unreadTimeout)
-	defer timer.Stop()
+	wait := b.newUnreadWait()
 	for {
 		select {
 		case <-b.done:
 			return nil
-		case <-b.progress:
-			timer.Reset(unreadTimeout)
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-timer.Chan():
-			return errUnread
+		default:
+		}
+		if err := wait.next(ctx); err != nil {
+			return err
 		}
 	}
 }
+
+// abandon ends the background task without waiting for the caller. The connection must be closed afterwards.
+func (b *sendBuffer) abandon() {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = b.close(ctx) // the response is incomplete anyway
+}
--- a/internal/direct/sendbuffer_test.go
+++ b/internal/direct/sendbuffer_test.go
@@ -1,10 +1,12 @@
 package direct
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -17,6 +19,10 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/require"
+
+	"github.com/cinderslip/cinderslip/internal/upstream"
+	"github.com/cinderslip/cinderslip/pkg/fleet"
+	"github.com/cinderslip/cinderslip/pkg/route"
 )
 
 // slowWriter is the connection of a caller that reads one part of the response after each interval, or nothing if the
@@ -82,7 +88,7 @@
 func TestSlowCallerDoesNotDelayReadingFromServer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		held, writer := newTestHeldBytes(1<<20), newSlowWriter(time.Second)
-		b := newSendBuffer(writer, held, clockwork.NewRealClock())
+		b := newSendBuffer(writer, held, clockwork.NewRealClock(), nothingAcknowledged)
 		var want strings.Builder
 		started := time.Now()
 		for i := range 100 {
@@ -103,7 +109,7 @@
 func TestUnsentBytesOfResponseAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		held := newTestHeldBytes(1 << 30)
-		b := newSendBuffer(newSlowWriter(0), held, clockwork.NewRealClock())
+		b := newSendBuffer(newSlowWriter(0), held, clockwork.NewRealClock(), nothingAcknowledged)
 		ctx, cancel := context.WithTimeout(t.Context(), unreadTimeout/2)
 		defer cancel()
 		part := make([]byte, 4<<10)
@@ -129,7 +135,7 @@
 		var buffers []*sendBuffer
 		var adding sync.WaitGroup
 		for range callers {
-			b := newSendBuffer(newSlowWriter(0), held, clockwork.NewRealClock())
+			b := newSendBuffer(newSlowWriter(0), held, clockwork.NewRealClock(), nothingAcknowledged)
 			buffers = append(buffers, b)
 			adding.Go(func() {
 				for b.add(ctx, make([]byte, partSize)) == nil {
@@ -139,7 +145,7 @@
 		synctest.Wait()
 		require.LessOrEqual(t, held.used.Load(), int64(limit+callers*partSize))
 		writer := newSlowWriter(time.Millisecond)
-		reading := newSendBuffer(writer, held, clockwork.NewRealClock())
+		reading := newSendBuffer(writer, held, clockwork.NewRealClock(), nothingAcknowledged)
 		for range 100 {
 			require.NoError(t, reading.add(ctx, []byte("event")))
 		}
@@ -157,7 +163,7 @@
 func TestResponseIsDeliveredToCallerThatReadsSlowly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		writer := newSlowWriter(unreadTimeout - time.Second)
-		b := newSendBuffer(writer, newTestHeldBytes(1<<20), clockwork.NewRealClock())
+		b := newSendBuffer(writer, newTestHeldBytes(1<<20), clockwork.NewRealClock(), nothingAcknowledged)
 		for i := range 3 {
 			require.NoError(t, b.add(t.Context(), []byte{byte('a' + i)}))
 			synctest.Wait()
@@ -171,7 +177,7 @@
 func TestCloseEndsWhenCallerDisconnects(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		held := newTestHeldBytes(1 << 20)
-		b := newSendBuffer(newSlowWriter(0), held, clockwork.NewRealClock())
+		b := newSendBuffer(newSlowWriter(0), held, clockwork.NewRealClock(), nothingAcknowledged)
 		require.NoError(t, b.add(t.Context(), []byte("event")))
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
@@ -217,7 +223,7 @@
 func TestResponseThatIsNotReadIsGivenUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		held := newTestHeldBytes(1 << 30)
-		b := newSendBuffer(newSlowWriter(0), held, clockwork.NewRealClock())
+		b := newSendBuffer(newSlowWriter(0), held, clockwork.NewRealClock(), nothingAcknowledged)
 		started := time.Now()
 		var err error
 		for err == nil {
@@ -229,3 +235,69 @@
 		require.Zero(t, held.used.Load())
 	})
 }
+
+// nothingAcknowledged is what is known of a caller whose connection says nothing.
+func nothingAcknowledged() (bytes uint64, ok bool) { return 0, false }
+
+// Guards against cutting the response of a caller that reads on while one write waits for longer than unreadTimeout, as with a
+// large buffer of the kernel.
+func TestCallerThatReadsWhileAWriteWaitsIsNotCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		started := time.Now()
+		const readsFor = 5 * unreadTimeout
+		acknowledged := func() (uint64, bool) { return uint64(min(time.Since(started), readsFor).Seconds()), true }
+		b := newSendBuffer(newSlowWriter(0), newTestHeldBytes(1<<30), clockwork.NewRealClock(), acknowledged)
+		var err error
+		for err == nil {
+			err = b.add(t.Context(), make([]byte, 4<<10))
+		}
+		require.ErrorIs(t, err, errUnread)
+		require.Equal(t, readsFor+unreadTimeout, time.Since(started))
+		b.abandon()
+	})
+}
+
+// Guards against the part of a response that its caller has got, who has not read on for too long, ending as a complete response.
+func TestResponseThatIsNotReadDoesNotAppearComplete(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	fleetState, _ := newTestFleetState()
+	s := newTestCallerServer(fleetState)
+	s.clock = clock
+	givenUp := make(chan struct{})
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		x := &exchange{writer: w, request: r, arrived: clock.Now(), started: true, route: &fleet.Route{}}
+		defer func() { _ = s.closeSendBuffer(x) }()
+		w.WriteHeader(http.StatusOK)
+		var err error
+		for err == nil {
+			err = s.sendBuffer(x).add(r.Context(), make([]byte, 32<<10))
+		}
+		close(givenUp)
+		result := attemptResult{&attempt{reservation: &route.Reservation{}}, outcomeCallerGone, err}
+		s.finishWith(x, []attemptResult{result})
+	}
+	listener, err := upstream.Listen(t.Context(), "127.0.0.1:0")
+	require.NoError(t, err)
+	server := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(handler), ConnContext: withCallerConn}
+	t.Cleanup(func() { _ = server.Close() })
+	go func() { _ = server.Serve(listener) }()
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(t.Context(), "tcp", listener.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	require.NoError(t, err)
+	for isGivenUp := false; !isGivenUp; {
+		clock.Advance(time.Second)
+		select {
+		case <-givenUp:
+			isGivenUp = true
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	_, err = io.Copy(io.Discard, response.Body)
+	require.Error(t, err)
+	_ = response.Body.Close()
+}
--- a/internal/direct/stream.go
+++ b/internal/direct/stream.go
@@ -170,7 +170,7 @@
 // sendBuffer returns the buffer through which the response is sent, and starts it if necessary.
 func (s *CallerServer) sendBuffer(x *exchange) *sendBuffer {
 	if x.out == nil {
-		x.out = newSendBuffer(x.writer, s.held, s.clock)
+		x.out = newSendBuffer(x.writer, s.held, s.clock, acknowledgedBytes(x.request.Context()))
 	}
 	return x.out
 }
--- a/internal/upstream/unread.go
+++ b/internal/upstream/unread.go
@@ -97,6 +97,20 @@
 	return info, errors.Join(controlErr, err)
 }
 
+// AcknowledgedBytes returns how many bytes the peer's box has acknowledged on a connection of a listener of Listen. ok is false for
+// other connections.
+func AcknowledgedBytes(conn net.Conn) (bytes uint64, ok bool) {
+	unread, isUnread := conn.(*unreadConn)
+	if !isUnread {
+		return 0, false
+	}
+	info, err := tcpInfo(unread.raw)
+	if err != nil {
+		return 0, false
+	}
+	return info.Bytes_acked, true
+}
+
 // timeoutFor returns the TCP_USER_TIMEOUT that ends at userTimeout after the last acknowledgement. The kernel counts it from
 // the time at which the window closed.
 func (c *unreadConn) timeoutFor(info *unix.TCPInfo, hasUnacknowledged bool, now time.Time) time.Duration {
