fix(direct): requests that are late in a planned stop get an answer

Cause: the box refuses what arrives 3 s after the stop began, but a request arrived with its head, however late its body ended; and at the end the connections were closed over the handlers.

Evidence: on the code before, TestRequestsAtTheEndOfAPlannedStopGetAnAnswer gets EOF on /once/ and /look/, and TestRequestWhoseBodyEndsLateInAPlannedStopIsRefused gets a 200 that ran 3.3 s after the stop began.

Change: the time of a request that counts is that at which its body has ended. 0.2 s before the end of the stop the requests that are left are ended: what was not sent gets 503, what was gets 504, which promises nothing; a response that has begun is cut as before. Their servers are not blamed.

Measured: both tests pass.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -175,7 +175,7 @@
 
 // localAborts are the reasons for which this box prevents or aborts an attempt although its server is not at fault.
 var localAborts = []error{
-	errPastCutoff, errNotStarted, errSuperseded, errResidency,
+	errPastCutoff, errNotStarted, errSuperseded, errResidency, errStopping,
 	route.ErrLeaving, route.ErrBackingOff, route.ErrRateLimited, route.ErrQuarantined, route.ErrEvacuated,
 }
 
--- a/internal/direct/callerserver.go
+++ b/internal/direct/callerserver.go
@@ -211,8 +211,16 @@
 	}
 }
 
-// Stop finishes the requests in progress.
+// stopAnswerTime is how long before the end of a stop the requests in progress are ended, so that their callers get an answer.
+const stopAnswerTime = 200 * time.Millisecond
+
+// Stop finishes the requests in progress, and waits until their callers have read the responses. Requests that are still in
+// progress shortly before the context ends get an answer.
 func (s *CallerServer) Stop(ctx context.Context) error {
+	if deadline, ok := ctx.Deadline(); ok {
+		timer := s.clock.AfterFunc(s.clock.Until(deadline)-stopAnswerTime, s.inFlight.end)
+		defer timer.Stop()
+	}
 	err := s.listener.Stop(ctx)
 	s.log.Info().Int64("active", s.active.Load()).Msg("stopped serving callers")
 	return errors.Join(err, s.tasks.Stop(ctx))
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"context"
 	"errors"
 	"io"
 	"math/rand/v2"
@@ -55,6 +56,8 @@
 	// set after it.
 	configurationTimeout  <-chan time.Time
 	configurationTimedOut bool
+	// cancel ends the request with a cause.
+	cancel context.CancelCauseFunc
 	// group is the attempts. Its lock guards the numbers of attempts while any of them runs. The fields that describe the
 	// response, started to lastEventID, belong to the attempt that delivers.
 	group attemptGroup
@@ -91,16 +94,15 @@
 	}
 	if s.leaving.Load() {
 		x.writer.Header().Set("Connection", "close")
-		if x.arrived.Sub(s.leavingSince) >= leaveAcceptDuration {
-			s.refuse(x, "leaving", refusedRetryAfter)
-			return nil
-		}
+	}
+	if s.refuseIfLeaving(x) {
+		return nil
 	}
 	defer func() {
 		_ = s.closeSendBuffer(x) // the outcome is known and logged
 		s.held.release(x.held)
 	}()
-	if !s.admit(x) || !s.readBody(x) {
+	if !s.admit(x) || !s.readBody(x) || s.refuseIfLeaving(x) {
 		return nil
 	}
 	s.setDeadline(x)
@@ -108,6 +110,16 @@
 	return nil
 }
 
+// refuseIfLeaving refuses a request, and returns true, once the box accepts none any more. A request may have arrived before and sent
+// its body until now.
+func (s *CallerServer) refuseIfLeaving(x *exchange) bool {
+	if !s.leaving.Load() || s.clock.Since(s.leavingSince) < leaveAcceptDuration {
+		return false
+	}
+	s.refuse(x, "leaving", refusedRetryAfter)
+	return true
+}
+
 // admit finds the route and the organisation of a request. If it finds none, it writes the response and returns
 // false.
 func (s *CallerServer) admit(x *exchange) bool {
--- a/internal/direct/hedge.go
+++ b/internal/direct/hedge.go
@@ -302,5 +302,5 @@
 
 // isAborted reports whether this box aborted the attempt.
 func isAborted(err error) bool {
-	return errors.Is(err, errPastCutoff) || errors.Is(err, errNotStarted) || errors.Is(err, route.ErrQuarantined) || isSuperseded(err)
+	return errors.Is(err, errPastCutoff) || errors.Is(err, errNotStarted) || errors.Is(err, route.ErrQuarantined) || errors.Is(err, errStopping) || isSuperseded(err)
 }
--- a/internal/direct/inflight.go
+++ b/internal/direct/inflight.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -12,6 +13,8 @@
 type inFlight struct {
 	mu       sync.Mutex
 	requests map[*exchange]struct{}
+	// isEnded is set once the requests have been ended.
+	isEnded bool
 }
 
 // add adds a request.
@@ -22,6 +25,22 @@
 		f.requests = make(map[*exchange]struct{})
 	}
 	f.requests[x] = struct{}{}
+	if f.isEnded {
+		x.cancel(errStopping)
+	}
+}
+
+// errStopping is the cause for a request that is ended because its process stops.
+var errStopping = errors.New("process is stopping")
+
+// end ends the requests that are being served and those that are added later.
+func (f *inFlight) end() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.isEnded = true
+	for x := range f.requests {
+		x.cancel(errStopping)
+	}
 }
 
 // remove removes a request.
--- a/internal/direct/plannedstop_test.go
+++ b/internal/direct/plannedstop_test.go
@@ -28,6 +28,60 @@
 	return w
 }
 
+// runs returns how often the servers have run a request.
+func (w *testDeployment) runs(id string) (count int) {
+	for _, s := range w.servers {
+		count += s.Runs()[id]
+	}
+	return count
+}
+
+// Guards against a request that is still running when the grace period ends being cut without an answer.
+func TestRequestsAtTheEndOfAPlannedStopGetAnAnswer(t *testing.T) {
+	for _, path := range []string{"/once/1", "/look/1"} {
+		t.Run(path, func(t *testing.T) {
+			w := startStopDeployment(t)
+			w.settingsByName["entry-1"].Stop.Grace = settings.Duration(2 * time.Second)
+			for _, s := range w.servers {
+				s.SetUnresponsive(true)
+			}
+			statuses := make(chan int, 1)
+			go func() {
+				response, err := w.request("entry-1", "late", path, "key-1")
+				if err != nil {
+					statuses <- 0
+					return
+				}
+				_ = response.Body.Close()
+				statuses <- response.StatusCode
+			}()
+			require.Eventually(t, func() bool { return w.runs("late") > 0 }, waitTimeout, 10*time.Millisecond)
+			_ = w.cmdStop([]string{"entry-1"})
+			require.Equal(t, http.StatusGatewayTimeout, <-statuses)
+		})
+	}
+}
+
+// Guards against a request whose body ends late in the grace period being passed on, and cut at the end of it.
+func TestRequestWhoseBodyEndsLateInAPlannedStopIsRefused(t *testing.T) {
+	w := startStopDeployment(t)
+	conn := w.dialCallers("entry-1", 0)
+	_, err := fmt.Fprintf(conn, "POST /haul/1 HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: slow\r\nX-Deadline-Ms: 6000\r\nAuthorization: Bearer key-1\r\nContent-Length: 8\r\n\r\nhalf")
+	require.NoError(t, err)
+	time.Sleep(100 * time.Millisecond)
+	stopped := make(chan error, 1)
+	go func() { stopped <- w.cmdStop([]string{"entry-1"}) }()
+	time.Sleep(3300 * time.Millisecond)
+	_, err = io.WriteString(conn, "half")
+	require.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.NoError(t, <-stopped)
+	require.Zero(t, w.runs("slow"))
+}
+
 // dialCallers opens a connection to an entry box as a caller. receiveBuffer is the size of its receive buffer, in bytes; 0 for the
 // default. Segments have the size of Ethernet's if it is set, as on loopback few of them fill any buffer.
 func (w *testDeployment) dialCallers(entry string, receiveBuffer int) net.Conn {
--- a/internal/direct/retry.go
+++ b/internal/direct/retry.go
@@ -60,6 +60,9 @@
 
 // nextReservation returns a slot for the next attempt while no attempt runs, and the retry if it is not the first.
 func (s *CallerServer) nextReservation(ctx context.Context, x *exchange) (*route.Reservation, *route.Retry, error) {
+	if cause := context.Cause(ctx); errors.Is(cause, errStopping) {
+		return nil, nil, cause
+	}
 	if err := s.checkQuarantine(ctx, x); err != nil {
 		return nil, nil, err
 	}
--- a/internal/direct/run.go
+++ b/internal/direct/run.go
@@ -21,8 +21,11 @@
 
 // run makes attempts until the request has an outcome.
 func (s *CallerServer) run(x *exchange) {
-	ctx, cancel := context.WithTimeout(x.request.Context(), s.clock.Until(x.deadline))
-	defer cancel()
+	timeoutCtx, stopTimer := context.WithTimeout(x.request.Context(), s.clock.Until(x.deadline))
+	defer stopTimer()
+	ctx, cancel := context.WithCancelCause(timeoutCtx)
+	defer cancel(nil)
+	x.cancel = cancel
 	s.retryBudget(x.service).RecordRequest(s.clock.Now())
 	defer x.group.stop()
 	s.inFlight.add(x)
--- a/internal/direct/serverexits.go
+++ b/internal/direct/serverexits.go
@@ -215,7 +215,7 @@
 		s.exitProbes.noteDisconnect(a.reservation.Server.Address)
 	}
 	switch {
-	case errors.Is(err, route.ErrQuarantined):
+	case errors.Is(err, route.ErrQuarantined), errors.Is(err, errStopping):
 		// The box aborted the attempt.
 		result = route.ResultAbandoned
 	case isDisconnect(err) && s.serverExited(x, a.reservation, (*exitProbe).hasExited):
