fix(direct): a server leaves by its later word, whatever its clock said at its starts

Cause: entries of a lower incarnation are dropped, and the time of day of the server's box was ahead at its start before. Its agent rejected the reports of the second start as well.

Evidence: "server's entry not taken ... earlier start" at each box at a newer revision; the two tests fail on the code before.

Change: an entry that says the server leaves counts if the store has taken it after the known one, in the same era; the next entry of the known incarnation, or a later one, ends that. An agent takes a lower incarnation that is reported twice in a row. Ready entries of a lower incarnation are dropped as before: they may be late writes (postmortem 0020).

--- a/internal/direct/incarnation_test.go
+++ b/internal/direct/incarnation_test.go
@@ -57,6 +57,52 @@
 	require.Equal(t, map[fleet.ServerID]member.Incarnation{"a": 60}, incarnationsByServer(fleetState, "llm"))
 }
 
+// Guards against sending requests to a server that leaves, because its box's clock was ahead at its start before.
+func TestServerLeavesByALaterEntryOfAnEarlierIncarnation(t *testing.T) {
+	entry := func(incarnation member.Incarnation, revision fleet.Revision, leaving bool) fleet.Fact {
+		fact := serverFact("a", "llm", incarnation, revision)
+		fact.Server.Leaving = leaving
+		return fact
+	}
+	secondEra := fleet.NewRevision(2, 9)
+	for _, test := range []struct {
+		name    string
+		entries []fleet.Fact
+		leaving bool
+	}{
+		{"earlier start leaves later", []fleet.Fact{entry(50, 2, false), entry(40, 3, true)}, true},
+		{"earlier start is ready later", []fleet.Fact{entry(50, 2, false), entry(40, 3, true), entry(40, 4, false)}, true},
+		{"later start is ready again", []fleet.Fact{entry(50, 2, false), entry(40, 3, true), entry(50, 4, false)}, false},
+		{"third start", []fleet.Fact{entry(50, 2, false), entry(40, 3, true), entry(60, 4, false)}, false},
+		{"earlier start left before", []fleet.Fact{entry(50, 5, false), entry(40, 3, true)}, false},
+		{"a copy of the store has the earlier start", []fleet.Fact{entry(50, 2, false), entry(40, secondEra, true)}, false},
+	} {
+		fleetState, _ := newTestFleetState()
+		for _, fact := range test.entries {
+			fleetState.Apply([]fleet.Fact{fact}, "store")
+		}
+		servers := fleetState.View().Servers("llm")
+		require.Len(t, servers, 1, test.name)
+		require.Equal(t, test.leaving, servers[0].Leaving, test.name)
+	}
+}
+
+// Guards against an agent that passes over all reports of a server whose box's clock was ahead at its start before, and a single
+// late one being taken for a new start.
+func TestAgentTakesAnEarlierIncarnationThatIsReportedAgain(t *testing.T) {
+	_, clock := newTestFleetState()
+	l := &Loader{changed: make(chan struct{}), options: LoaderOptions{Clock: clock}}
+	require.NoError(t, l.noteIncarnation(50))
+	l.swapAt = clock.Now()
+	require.ErrorIs(t, l.noteIncarnation(40), errEarlierIncarnation)
+	require.NoError(t, l.noteIncarnation(50))
+	require.ErrorIs(t, l.noteIncarnation(40), errEarlierIncarnation, "the report between was of the later start")
+	require.NotZero(t, l.swapAt)
+	require.NoError(t, l.noteIncarnation(40))
+	require.Zero(t, l.swapAt)
+	require.NoError(t, l.noteIncarnation(40))
+}
+
 func TestAgentResetsServerStateOnRestart(t *testing.T) {
 	_, clock := newTestFleetState()
 	l := &Loader{changed: make(chan struct{}), options: LoaderOptions{Clock: clock}}
--- a/internal/direct/loader.go
+++ b/internal/direct/loader.go
@@ -55,8 +55,9 @@
 	verified       verifiedChunks
 	report         fleet.Report
 	reportAt       time.Time
-	// incarnation is the latest incarnation that the server has reported; 0 if it has reported none.
-	incarnation member.Incarnation
+	// incarnation is the latest incarnation that the server has reported; 0 if it has reported none. earlierIncarnation is a
+	// lower one that the last report had; 0 if it had none.
+	incarnation, earlierIncarnation member.Incarnation
 	// leaving is set while the server announces its end.
 	leaving bool
 	// polled is set after the first request for a report of the server, whether it succeeded or not.
@@ -189,13 +190,20 @@
 // errEarlierIncarnation is returned for a report of an incarnation of the server before the current one.
 var errEarlierIncarnation = errors.New("report is from an earlier start of the server")
 
-// noteIncarnation records the incarnation of a report and rejects reports of earlier ones. A new incarnation
-// clears the state of the one before: its staged chunks may be lost, and swaps are scheduled again.
+// noteIncarnation records the incarnation of a report and rejects a report of an earlier one, which may be late. If the next report
+// has the same, the server has started again by a clock that was ahead before. A new incarnation clears the state of the one
+// before: its staged chunks may be lost, and swaps are scheduled again.
 func (l *Loader) noteIncarnation(reported member.Incarnation) error {
+	if reported == 0 {
+		return nil
+	}
+	earlier := l.earlierIncarnation
+	l.earlierIncarnation = 0
 	switch {
-	case reported == 0 || reported == l.incarnation:
+	case reported == l.incarnation:
 		return nil
-	case reported < l.incarnation:
+	case reported < l.incarnation && reported != earlier:
+		l.earlierIncarnation = reported
 		return errEarlierIncarnation
 	}
 	if l.incarnation != 0 {
--- a/internal/direct/serverentry.go
+++ b/internal/direct/serverentry.go
@@ -26,6 +26,9 @@
 	if !fact.Deleted {
 		known, isKnown := f.servers[id]
 		if problem := f.incarnationProblem(fact.Server.Incarnation, known.Incarnation); problem != "" {
+			if isKnown {
+				f.applyLateDeparture(id, fact, known, from, log)
+			}
 			log.Warn().Str("server", string(id)).Uint64("incarnation", uint64(fact.Server.Incarnation)).Uint64("known", uint64(known.Incarnation)).
 				Stringer("revision", fact.Revision).Str("from", from).Str("problem", problem).Msg("server's entry not taken")
 			return
@@ -59,6 +62,20 @@
 		Stringer("revision", fact.Revision).Str("from", from).Msg("server gone from the list")
 }
 
+// applyLateDeparture records that a server leaves by an entry of an earlier incarnation that the store has taken after the known one.
+// The clock of the server's box may have been ahead at the start before; and if it was not, the next entry of the later
+// incarnation makes the server one that is ready again. The lock must be held.
+func (f *FleetState) applyLateDeparture(id fleet.ServerID, fact *fleet.Fact, known serverEntry, from string, log *zerolog.Logger) {
+	isLater := fact.Revision > known.revision && fact.Revision.Era() == known.revision.Era()
+	if !fact.Server.Leaving || known.Leaving || !isLater {
+		return
+	}
+	known.Leaving, known.revision, known.from = true, fact.Revision, from
+	f.putServer(id, &known)
+	log.Info().Str("server", string(id)).Str("address", string(known.Address)).Uint64("incarnation", uint64(fact.Server.Incarnation)).
+		Uint64("known", uint64(known.Incarnation)).Stringer("revision", fact.Revision).Str("from", from).Msg("server leaves by an entry of an earlier start")
+}
+
 // maxIncarnationSkew is how far a server's incarnation may be ahead of this box's clock, which may jump by
 // seconds. An incarnation further ahead would block the true one until its time is reached.
 const maxIncarnationSkew = time.Minute
