fix(direct): a change of limits cuts no request that is under way

Cause: a change of limits closed every idle connection at once, with whatever was under way on it.

Change: a retired server closes its connections after their next response, and its idle ones at once only if the new limits allow requests that it would deny; otherwise its own idle timeout closes them. A connection that meets a retired server goes to the next one.

--- a/internal/direct/callerlistener.go
+++ b/internal/direct/callerlistener.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -35,8 +36,8 @@
 }
 
 // callerListener serves HTTP on one address within limits that may change. The limits of an http.Server are fixed, so a change
-// starts another one for the connections that are opened from then on. The server before closes its idle connections, and
-// others after their next response.
+// starts another one for the connections that are opened from then on. The server before closes its connections after their next
+// response, and idle ones at once if the new limits allow requests that they would deny.
 type callerListener struct {
 	handler  http.Handler
 	listener *upstream.Listener
@@ -60,6 +61,18 @@
 	closed chan struct{}
 	once   sync.Once
 	addr   net.Addr
+	// isRetired is set once other limits are in force. The connections then close after their next response.
+	isRetired atomic.Bool
+}
+
+// serve returns a handler that closes the connections of a retired server after their responses.
+func (s *limitedServer) serve(handler http.Handler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if s.isRetired.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	}
 }
 
 // Accept implements net.Listener.
@@ -132,16 +145,21 @@
 // acceptRetryDelay is the delay after a connection could not be accepted, for example because there are too many.
 const acceptRetryDelay = 5 * time.Millisecond
 
-// hand hands a connection to the current server. It returns false if that has been closed.
+// hand hands a connection to the current server, or to the next one if that is retired meanwhile. It returns false once the listener
+// has stopped.
 func (l *callerListener) hand(conn net.Conn) bool {
-	l.mu.Lock()
-	server := l.current
-	l.mu.Unlock()
-	select {
-	case server.conns <- conn:
-		return true
-	case <-server.closed:
-		return false
+	for {
+		l.mu.Lock()
+		server, isStopped := l.current, l.isStopped
+		l.mu.Unlock()
+		if isStopped {
+			return false
+		}
+		select {
+		case server.conns <- conn:
+			return true
+		case <-server.closed:
+		}
 	}
 }
 
@@ -155,12 +173,19 @@
 	if before := l.current; before != nil {
 		l.log.Info().Int("header_bytes", limits.headerBytes).Dur("header_timeout_ms", limits.headerTimeout).
 			Dur("idle_timeout_ms", limits.idleTimeout).Msg("limits of callers changed")
-		l.tasks.Go(func(ctx context.Context) { l.retire(ctx, before) })
+		retireAfter := time.Duration(0)
+		if limits.headerBytes <= l.limits.headerBytes && limits.headerTimeout <= l.limits.headerTimeout {
+			// Open connections take all requests that are allowed. Closing those that are idle would cut requests that are
+			// under way.
+			retireAfter = l.limits.idleTimeout
+		}
+		before.isRetired.Store(true)
+		l.tasks.Go(func(ctx context.Context) { l.retire(ctx, before, retireAfter) })
 	}
 	s := &limitedServer{conns: make(chan net.Conn), closed: make(chan struct{}), addr: l.listener.Addr(), Server: &http.Server{
-		Handler: l.handler, ReadHeaderTimeout: limits.headerTimeout, IdleTimeout: limits.idleTimeout, MaxHeaderBytes: limits.headerBytes,
-		ConnContext: withCallerConn,
+		ReadHeaderTimeout: limits.headerTimeout, IdleTimeout: limits.idleTimeout, MaxHeaderBytes: limits.headerBytes, ConnContext: withCallerConn,
 	}}
+	s.Handler = s.serve(l.handler)
 	l.limits, l.current = limits, s
 	l.servers = append(l.servers, s)
 	l.tasks.Go(func(context.Context) {
@@ -170,8 +195,14 @@
 	})
 }
 
-// retire ends a server once its requests in progress have ended.
-func (l *callerListener) retire(ctx context.Context, s *limitedServer) {
+// retire ends a server once its requests in progress have ended, but not before a delay, in which its idle connections close by
+// themselves.
+func (l *callerListener) retire(ctx context.Context, s *limitedServer, delay time.Duration) {
+	select {
+	case <-time.After(delay):
+	case <-ctx.Done():
+		return
+	}
 	if s.Shutdown(ctx) != nil {
 		// Stop ends the server.
 		return
--- a/internal/direct/callerlistener_test.go
+++ b/internal/direct/callerlistener_test.go
@@ -76,6 +76,23 @@
 	require.NoError(t, l.Stop(t.Context()))
 }
 
+// Guards against a change of limits closing idle connections on which requests may be under way, although they take every request
+// that is allowed.
+func TestChangeOfTheIdleTimeoutCutsNoRequest(t *testing.T) {
+	l, err := newCallerListener("127.0.0.1:0", http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), zerolog.Nop())
+	require.NoError(t, err)
+	for change := range 3 {
+		kept := dialCaller(t, l)
+		require.Equal(t, http.StatusOK, kept.request(t, 1))
+		l.setLimits(newCallerLimits(&fleet.Limits{IdleTimeout: time.Duration(20+change) * time.Second}, 1<<20))
+		time.Sleep(50 * time.Millisecond)
+		require.Equal(t, http.StatusOK, kept.request(t, 1))
+		_, err := kept.reader.ReadByte()
+		require.ErrorIs(t, err, io.EOF, "the connection closes after the next response")
+	}
+	require.NoError(t, l.Stop(t.Context()))
+}
+
 func TestLimitsOfCallersAreNeverBelowTheDefault(t *testing.T) {
 	require.Equal(t, defaultCallerLimits, newCallerLimits(&fleet.Limits{}, 1<<20))
 	require.Equal(t, defaultCallerLimits, newCallerLimits(&fleet.Limits{HeaderBytes: 100, HeaderTimeout: time.Millisecond}, 1<<20))
