--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -64,9 +64,10 @@
 	restoreRand *rand.Rand
 	// originRand chooses when the origin is unavailable. It is separate for the same reason.
 	originRand *rand.Rand
-	// endlessRand chooses responses without an end and spoilt manifests. It is separate for the same reason.
-	endlessRand *rand.Rand
-	index       int
+	// endlessRand chooses responses without an end and spoilt manifests, spoiltRand spoilt answers, lists of organisations and odd
+	// entries. They are separate for the same reason.
+	endlessRand, spoiltRand *rand.Rand
+	index                   int
 
 	store           *standin.Store
 	origin          *standin.Origin
@@ -114,6 +115,7 @@
 		restoreRand: rand.New(rand.NewPCG(seed, seed+6)), //nolint:gosec // repeatable on purpose
 		originRand:  rand.New(rand.NewPCG(seed, seed+8)), //nolint:gosec // repeatable on purpose
 		endlessRand: rand.New(rand.NewPCG(seed, seed+7)), //nolint:gosec // repeatable on purpose
+		spoiltRand:  rand.New(rand.NewPCG(seed, seed+9)), //nolint:gosec // repeatable on purpose
 		store:       standin.NewStore(), origin: standin.NewOrigin(chunkCount, chunkSize), newestVersion: 1, nextConfig: 1,
 	}
 	t.Cleanup(w.close)
@@ -232,8 +234,16 @@
 	}
 }
 
-// putConfig writes the next configuration. Each configuration adds one route, whose name is returned.
+// putConfig writes the next configuration. Each configuration adds one route, whose name is returned, and replaces the key.
 func (d *testDeployment) putConfig() (added string) {
+	d.mu.Lock()
+	key := keyOf(d.nextConfig)
+	d.mu.Unlock()
+	return d.putConfigWith([]any{map[string]any{"Name": "kumiai", "ApiKeys": []string{key}}})
+}
+
+// putConfigWith writes the next configuration with the given organisations.
+func (d *testDeployment) putConfigWith(tenants any) (added string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	route := func(name, kind, service string, resumable bool) map[string]any {
@@ -245,6 +255,7 @@
 	routes := []any{
 		route("talk", "streaming", "llm", true), route("once", "streaming", "llm", false),
 		route("look", "safe", "maps", false), route("book", "unsafe", "maps", false),
+		route("haul", "safe", "maps", false), route("post", "unsafe", "maps", false),
 	}
 	for name, region := range map[string]string{"near": nearRegion, "far": farRegion} {
 		restricted := route(name, "safe", "places", false)
@@ -266,8 +277,8 @@
 		"chunks": chunkCount, "chunk_bytes": chunkSize, "step_ms": 7.0, "read_per_s": 30000.0, "stride": 6, "chunk": 2048,
 	}
 	d.put("op/config", map[string]any{
-		"Version": d.nextConfig, "Routes": routes, "Limits": map[string]any{"MaxBodyBytes": 1000},
-		"Tenants": []any{map[string]any{"Name": "kumiai", "ApiKeys": []string{keyOf(d.nextConfig)}}},
+		"Version": d.nextConfig, "Routes": routes, "Limits": map[string]any{"MaxBodyBytes": 2 * uploadSize, "IdleTimeoutMs": idleTimeoutOf(d.nextConfig).Milliseconds()},
+		"Tenants": tenants,
 		"Services": []any{
 			map[string]any{"Name": "llm", "MaxConnections": 50, "Engine": engine},
 			map[string]any{"Name": "maps", "MaxConnections": 50},
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -41,6 +41,7 @@
 	running.Go(func() { d.restoreStore(duration) })
 	running.Go(func() { d.sendWithoutEnd(duration) })
 	running.Go(func() { d.interruptOrigin(duration) })
+	running.Go(func() { d.spoilAnswers(duration) })
 	for end := time.Now().Add(duration); time.Now().Before(end); {
 		inject := faults[d.random.IntN(len(faults))]
 		pick, span := d.random.IntN(1<<16), time.Duration(d.random.Int64N(int64(maxFaultTime)))
--- a/internal/soak/load_test.go
+++ b/internal/soak/load_test.go
@@ -20,7 +20,7 @@
 	failureBackoff = 20 * time.Millisecond
 )
 
-// routeNames are the names of the routes that callers use. Requests on "once" and "book" may run at most once.
+// routeNames are the names of the routes that callers use. Requests on "once" and "book", and uploads on "post", may run at most once.
 var routeNames = []string{"talk", "once", "look", "book", "near", "far"}
 
 // load sends the requests of the callers and records their results.
@@ -142,12 +142,12 @@
 // send sends one request and checks the response. It reports whether the request succeeded.
 func (l *load) send(route, entry string) bool {
 	id := fmt.Sprintf("r-%d-%d", l.deployment.index, l.lastID.Add(1))
-	if route == "once" || route == "book" {
+	if route == "once" || route == "book" || route == "post" {
 		l.note(&l.atMostOnce, id)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), timeoutOf(route))
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+"/"+route+"/1", strings.NewReader("draft"))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+"/"+route+"/1", strings.NewReader(bodyOf(route)))
 	if err != nil {
 		l.problem("request %s: %v", id, err)
 		return false
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -108,15 +110,20 @@
 		delete(p.conns, client)
 		p.mu.Unlock()
 	}()
-	done := make(chan struct{}, 2)
+	done := make(chan error, 2)
 	go p.copy(server, client, func() bool { return p.blackholeUp || state.blackholed }, done)
 	go p.copy(client, server, func() bool { return p.blackholeDown || state.blackholed }, done)
-	<-done
+	first := <-done
+	// The other direction may have been told of a reset of the server.
+	_ = client.SetReadDeadline(time.Unix(1, 0))
+	_ = server.SetDeadline(time.Unix(1, 0))
+	if second := <-done; errors.Is(errors.Join(first, second), syscall.ECONNRESET) {
+		_ = client.(*net.TCPConn).SetLinger(0)
+	}
 }
 
-// copy forwards data until either side closes its connection.
-func (p *proxy) copy(to io.Writer, from io.Reader, blackholed func() bool, done chan<- struct{}) {
-	defer func() { done <- struct{}{} }()
+// copy forwards data until either side closes its connection, and sends the error of the side that did.
+func (p *proxy) copy(to io.Writer, from io.Reader, blackholed func() bool, done chan<- error) {
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
@@ -129,10 +136,12 @@
 		time.Sleep(delay)
 		if n > 0 && !drop {
 			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
+				done <- writeErr
 				return
 			}
 		}
 		if err != nil {
+			done <- err
 			return
 		}
 	}
--- a/internal/soak/restore_test.go
+++ b/internal/soak/restore_test.go
@@ -166,6 +166,9 @@
 	findings []string
 }
 
+// neverKey is a key that no configuration holds.
+const neverKey = "never"
+
 // watchKeys starts to check the keys at all entry boxes.
 func watchKeys(l *load) *keyChecks {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -194,6 +197,11 @@
 	if started := box.lastStart(); !started.Equal(known.since) {
 		*known = processKnowledge{since: started}
 	}
+	if k.load.sendWithKey(address, neverKey) == http.StatusOK {
+		k.mu.Lock()
+		k.findings = append(k.findings, box.name+" accepted a key that no configuration has held")
+		k.mu.Unlock()
+	}
 	newest := d.newestConfig()
 	if k.load.sendWithKey(address, keyOf(newest)) == http.StatusOK && box.lastStart().Equal(known.since) {
 		known.version = max(known.version, newest)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -110,6 +110,8 @@
 	load.awaitServing(t)
 	load.run(*callerCount)
 	load.runBulk()
+	load.runUploads()
+	load.runSlowReaders()
 	load.runFailing()
 	load.runCrashRequests()
 	d.injectFaults(*faultTime)
@@ -206,6 +208,7 @@
 	for _, s := range d.allServers() {
 		s.SetSilence(standin.Silence{})
 		s.SetEndless("")
+		s.SetSpoilt("")
 		s.SetEndlessCalls("")
 	}
 	d.origin.EndlessNext(0)
