--- a/internal/upstream/head_test.go
+++ b/internal/upstream/head_test.go
@@ -41,8 +41,8 @@
 	return heads
 }
 
-// serveBytes starts a server that sends the given bytes in response to each request and ends the connection in order.
-func serveBytes(t *testing.T, response string) member.Address {
+// serveConns starts a server that calls serve with each connection on which it has read the head of a request, and closes it.
+func serveConns(t *testing.T, serve func(conn *net.TCPConn)) member.Address {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -55,8 +55,8 @@
 			}
 			go func() {
 				defer func() { _ = conn.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					_, _ = io.WriteString(conn, response)
+				if _, err := http.ReadRequest(bufio.NewReaderSize(conn, readAhead)); err == nil {
+					serve(conn.(*net.TCPConn))
 				}
 			}()
 		}
@@ -64,6 +64,15 @@
 	return member.Address(listener.Addr().String())
 }
 
+// readAhead is how much of an upload a server has read with the head of its request at most, in bytes.
+const readAhead = 512
+
+// serveBytes starts a server that sends the given bytes in response to each request and ends the connection in order.
+func serveBytes(t *testing.T, response string) member.Address {
+	t.Helper()
+	return serveConns(t, func(conn *net.TCPConn) { _, _ = io.WriteString(conn, response) })
+}
+
 // Guards against bytes that are no head of a response by the protocol being taken for one, with a body that is not the server's.
 func TestOnlyHeadsByTheProtocolAreResponses(t *testing.T) {
 	for _, test := range readHeads(t) {
--- a/internal/upstream/reset_test.go
+++ b/internal/upstream/reset_test.go
@@ -1,7 +1,6 @@
 package upstream_test
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
@@ -52,27 +51,11 @@
 // connection.
 func answerEarly(t *testing.T, end func(conn *net.TCPConn)) member.Address {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReaderSize(conn, 512)); err != nil {
-					return
-				}
-				time.Sleep(answerDelay)
-				_, _ = io.WriteString(conn, headWithoutLength+strings.Repeat("b", partOfBody))
-				end(conn.(*net.TCPConn))
-			}()
-		}
-	}()
-	return member.Address(listener.Addr().String())
+	return serveConns(t, func(conn *net.TCPConn) {
+		time.Sleep(answerDelay)
+		_, _ = io.WriteString(conn, headWithoutLength+strings.Repeat("b", partOfBody))
+		end(conn)
+	})
 }
 
 // Guards against a response that is reset while the request is being written being taken for whole: the kernel reports the reset to
