fix(direct): a box without a configuration directs callers to their own region only

What would happen: a box that starts directs callers to entry boxes of all regions, also for hosts whose requests may be handled in some regions only, until it has its first configuration.

--- a/internal/direct/placement.go
+++ b/internal/direct/placement.go
@@ -68,8 +68,11 @@
 }
 
 // directoryRegions returns a function that reports whether a caller may be directed to the entry boxes of a region: its own
-// region, or one in which all requests to the host may be served.
+// region, or one in which all requests to the host may be served. Without a configuration no other region is known to be allowed.
 func directoryRegions(view *fleet.View, host string, callerRegion member.Region) func(member.Region) bool {
-	residency := view.HostResidency(host)
+	residency := fleet.ResidencyIn()
+	if view.Configuration != nil {
+		residency = view.HostResidency(host)
+	}
 	return func(region member.Region) bool { return region == callerRegion || residency.Allows(region) }
 }
