test(direct): the test of a cutoff during a dial lets the time pass until its request has ended

Cause: the test steps its clock by a minute once, as soon as the connection closes. If the request begins to wait for its next attempt only after that, its timers are in the future for good: the goroutines of a hung run show it in Dispatcher.Acquire.

Change: the clock is stepped until the request has ended, for 10 s as before. All assertions stay.

--- a/internal/direct/cutoff_test.go
+++ b/internal/direct/cutoff_test.go
@@ -139,6 +139,21 @@
 	}
 }
 
+// advanceUntil lets the time pass until a request has ended. The request may begin to wait for its next attempt at any moment, so one
+// step of the clock is not enough.
+func (c *cutoffTest) advanceUntil(done <-chan struct{}) {
+	c.t.Helper()
+	for end := time.Now().Add(10 * time.Second); ; {
+		select {
+		case <-done:
+			return
+		case <-time.After(10 * time.Millisecond):
+			c.clock.Advance(time.Minute)
+		}
+		require.True(c.t, time.Now().Before(end), "the request has no outcome")
+	}
+}
+
 // acquireSlot returns a reservation whose response has not started, and the number of times that it was
 // aborted.
 func (c *cutoffTest) acquireSlot() (reservation *route.Reservation, aborted *int) {
@@ -334,8 +349,7 @@
 	done := c.runRequest()
 	require.ErrorIs(t, <-link.closed, io.EOF)
 	require.Empty(t, link.requests)
-	c.clock.Advance(time.Minute)
-	awaitDone(t, done)
+	c.advanceUntil(done)
 }
 
 // A server without power is detected by failed connections. A failure must also count if the attempt had
