--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -37,6 +37,9 @@
 // proxyBuffer is the size of the buffers of the connections of a proxy, in bytes. Uploads that the target does not read wait.
 const proxyBuffer = 32 << 10
 
+// listenTimeout is how long a proxy waits for its address to be free.
+const listenTimeout = time.Second
+
 // limitBuffers sets the sizes of the buffers and of the segments of a connection.
 func limitBuffers(_, _ string, raw syscall.RawConn) error {
 	return raw.Control(func(fd uintptr) {
@@ -68,6 +71,11 @@
 	}
 	config := net.ListenConfig{Control: p.control}
 	listener, err := config.Listen(context.Background(), "tcp", address)
+	for end := time.Now().Add(listenTimeout); errors.Is(err, syscall.EADDRINUSE) && time.Now().Before(end); {
+		// The socket that was closed before lasts until the goroutine that accepted from it has run.
+		time.Sleep(time.Millisecond)
+		listener, err = config.Listen(context.Background(), "tcp", address)
+	}
 	if err != nil {
 		return err
 	}
