--- a/internal/direct/fleetstate.go
+++ b/internal/direct/fleetstate.go
@@ -302,7 +302,8 @@
 		return view
 	}
 	f.log.Info().Uint64("version", fact.Configuration.Version).Stringer("revision", fact.Revision).Str("from", from).
-		Int("routes", len(fact.Configuration.Routes)).Int("organisations", len(fact.Configuration.Organisations)).Stringer("keys", fact.Configuration.KeyPolicy).Msg("configuration in force")
+		Int("routes", len(fact.Configuration.Routes)).Int("organisations", len(fact.Configuration.Organisations)).
+		Stringer("keys", fact.Configuration.KeyPolicy).Msg("configuration in force")
 	if unreadable := fact.Configuration.Unreadable; unreadable != (fleet.UnreadableParts{}) {
 		f.log.Error().Uint64("version", fact.Configuration.Version).Bool("routes", unreadable.Routes).Bool("services", unreadable.Services).
 			Bool("organisations", unreadable.Organisations).Bool("limits", unreadable.Limits).Msg("parts of the configuration that can't be read stay as they were")
--- a/internal/direct/hedge.go
+++ b/internal/direct/hedge.go
@@ -300,7 +300,10 @@
 // abortNotStarted aborts an attempt whose response has not started before the cutoff of its weights.
 func (a *attempt) abortNotStarted() { a.cancel(errNotStarted) }
 
+// abortCauses are the causes for which this box aborts an attempt, except those of isSuperseded.
+var abortCauses = []error{errPastCutoff, errNotStarted, errStopping, route.ErrQuarantined}
+
 // isAborted reports whether this box aborted the attempt.
 func isAborted(err error) bool {
-	return errors.Is(err, errPastCutoff) || errors.Is(err, errNotStarted) || errors.Is(err, route.ErrQuarantined) || errors.Is(err, errStopping) || isSuperseded(err)
+	return isSuperseded(err) || slices.ContainsFunc(abortCauses, func(cause error) bool { return errors.Is(err, cause) })
 }
--- a/internal/direct/keypolicy_test.go
+++ b/internal/direct/keypolicy_test.go
@@ -19,7 +19,7 @@
 	opens bool
 }
 
-// tenantsCases tell absent, null, empty and unreadable lists of organisations and keys apart.
+// tenantsCases are absent, null, empty and unreadable lists of organisations and keys.
 var tenantsCases = []tenantsCase{
 	{name: "absent", opens: true},
 	{name: "null", field: `"Tenants":null`},
--- a/internal/direct/plannedstop_test.go
+++ b/internal/direct/plannedstop_test.go
@@ -126,7 +126,7 @@
 }
 
 // Guards against the kernel dropping responses that callers have not read when their connections are closed: by a planned stop, by a
-// change of IdleTimeoutMs, or because the caller asked for it.
+// change of IdleTimeoutMs, or on a request with "Connection: close".
 func TestCallersThatReadOnLateGetWholeResponses(t *testing.T) {
 	for _, test := range []struct {
 		name, header string
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -136,7 +136,7 @@
 	go p.copy(server, client, func() bool { return p.blackholeUp || state.blackholed }, done)
 	go p.copy(client, server, func() bool { return p.blackholeDown || state.blackholed }, done)
 	first := <-done
-	// The other direction may have been told of a reset of the server.
+	// The call that returns a reset of the server may be one of the other direction.
 	_ = client.SetReadDeadline(time.Unix(1, 0))
 	_ = server.SetDeadline(time.Unix(1, 0))
 	if second := <-done; errors.Is(errors.Join(first, second), syscall.ECONNRESET) {
--- a/internal/upstream/bounded.go
+++ b/internal/upstream/bounded.go
@@ -29,7 +29,7 @@
 	r.head = append(r.head[:0], before...)
 }
 
-// unlimit removes the limit and forgets a long head.
+// unlimit removes the limit and releases the buffer of a long head.
 func (r *boundedReader) unlimit() {
 	r.isLimited = false
 	if cap(r.head) > bufferSize {
--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -76,8 +76,8 @@
 	return nil
 }
 
-// NewHTTPClient returns a client of net/http that takes nothing for a response that is none, and follows no redirect: a service of the
-// platform or a server that names another place is not to be believed.
+// NewHTTPClient returns a client of net/http that takes nothing for a response that is none, and follows no redirect: the
+// address of a service or of a server comes from the configuration and the store only.
 func NewHTTPClient(transport *http.Transport) *http.Client {
 	return &http.Client{
 		Transport:     CheckedTransport{transport},
--- a/internal/upstream/head_test.go
+++ b/internal/upstream/head_test.go
@@ -46,29 +46,13 @@
 // serveConns starts a server that calls serve with each connection on which it has read the head of a request, and closes it.
 func serveConns(t *testing.T, serve func(conn *net.TCPConn)) member.Address {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReaderSize(conn, readAhead)); err == nil {
-					serve(conn.(*net.TCPConn))
-				}
-			}()
+	return upstream.StartRawServer(t, func(conn net.Conn, reader *bufio.Reader) {
+		if _, err := http.ReadRequest(reader); err == nil {
+			serve(conn.(*net.TCPConn))
 		}
-	}()
-	return member.Address(listener.Addr().String())
+	})
 }
 
-// readAhead is how much of an upload a server has read with the head of its request at most, in bytes.
-const readAhead = 512
-
 // serveBytes starts a server that sends the given bytes in response to each request and ends the connection in order.
 func serveBytes(t *testing.T, response string) member.Address {
 	t.Helper()
--- a/internal/upstream/loss.go
+++ b/internal/upstream/loss.go
@@ -11,13 +11,13 @@
 	"time"
 )
 
-// lossConn is a TCP connection whose reader learns of its loss. The kernel reports a loss, such as a reset, to one call only, and
-// an end of the stream to the calls after it. If a write or a check of the connection has been told, reads would return io.EOF,
-// which ends a response without a length.
+// lossConn is a TCP connection whose reads return its loss, also if another call has returned it before. The kernel reports a loss, such
+// as a reset, to one call only; after a write or a check with that error, a read of a plain connection returns io.EOF, which ends a
+// response without a length.
 type lossConn struct {
 	tcpConn
 	raw syscall.RawConn
-	// writing is held during a write, checking during a check. Both record the loss that they are told of before they end.
+	// writing is held during a write, checking during a check. Both record a loss before they end.
 	writing, checking sync.Mutex
 
 	mu   sync.Mutex
@@ -57,7 +57,7 @@
 	return n, err
 }
 
-// check calls f, which may be told of a loss and returns it.
+// check calls f and records the loss that it returns.
 func (c *lossConn) check(f func() error) {
 	c.checking.Lock()
 	defer c.checking.Unlock()
@@ -80,7 +80,7 @@
 	}
 }
 
-// writeEndTimeout is how long the end of a stream waits for a write that may be told of a loss, if the kernel does not say whether
+// writeEndTimeout is how long the end of a stream waits for a write that may return a loss, if the kernel does not say whether
 // the connection is closed. A write on a closed connection ends at once.
 const writeEndTimeout = 50 * time.Millisecond
 
--- a/internal/upstream/reset_test.go
+++ b/internal/upstream/reset_test.go
@@ -21,6 +21,8 @@
 	longUpload = 16 << 20
 	// partOfBody is what a server sends of the body before it ends the connection, in bytes.
 	partOfBody = 1000
+	// readAhead is how much of an upload a server has read with the head of its request at most, in bytes.
+	readAhead = 4 << 10
 	// answerDelay is how long an upload waits for the server to read when the connection ends.
 	answerDelay = 20 * time.Millisecond
 )
@@ -41,7 +43,7 @@
 	{"close with unread bytes", func(conn *net.TCPConn) { _ = conn.Close() }, false},
 	{"end before the upload is read", func(conn *net.TCPConn) { _ = conn.CloseWrite(); _, _ = io.Copy(io.Discard, conn) }, true},
 	{"end after the upload is read", func(conn *net.TCPConn) {
-		_, _ = io.CopyN(io.Discard, conn, longUpload-partOfBody)
+		_, _ = io.CopyN(io.Discard, conn, longUpload-readAhead)
 		_ = conn.CloseWrite()
 		time.Sleep(answerDelay)
 	}, true},
