feat(direct): metrics for responses that count as none and for configurations that admit nobody

Change: direct_invalid_responses_total counts attempts by service and reason, an invalid head or an early end; believed_api_keys is the number of keys that the configuration admits, -1 if requests need none.

Measured: TestSpoiltAnswersAreCounted, a real box with servers that spoil their answers, counts both reasons and sees 502; TestRoutesOpenOnlyWithoutAListOfOrganisations checks the number in each case.

--- a/internal/direct/endofbody_test.go
+++ b/internal/direct/endofbody_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/cinderslip/cinderslip/platform/standin"
 )
 
 // killDuring kills the server that runs a request, some time after it began, and returns false if none runs it.
@@ -85,3 +87,24 @@
 	require.True(t, w.killDuring("planned", 350*time.Millisecond))
 	require.NoError(t, w.cmdAwaitStream([]string{"planned"}))
 }
+
+// Guards against answers that count as none, and their causes, being out of the operators' sight.
+func TestSpoiltAnswersAreCounted(t *testing.T) {
+	w := startStopDeployment(t)
+	for kind, reason := range map[standin.Spoilt]string{standin.SpoiltName: "head", standin.SpoiltFold: "head", standin.SpoiltReset: "cut"} {
+		for _, s := range w.servers {
+			s.SetSpoilt(kind)
+		}
+		response, err := w.request("entry-1", string(kind), "/once/1", "key-1")
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+		require.Equal(t, http.StatusBadGateway, response.StatusCode, kind)
+		metrics, err := http.Get("http://" + w.settingsByName["entry-1"].Listen.Metrics + "/metrics")
+		require.NoError(t, err)
+		content, err := io.ReadAll(metrics.Body)
+		require.NoError(t, err)
+		require.NoError(t, metrics.Body.Close())
+		require.True(t, strings.Contains(string(content), `cinderslip_direct_invalid_responses_total{reason="`+reason+`",service="maps"}`), kind)
+		require.True(t, strings.Contains(string(content), "cinderslip_believed_api_keys 2\n"))
+	}
+}
--- a/internal/direct/keypolicy_test.go
+++ b/internal/direct/keypolicy_test.go
@@ -87,6 +87,7 @@
 					}
 					apply(test.configuration("5"), 4)
 					require.Equal(t, admitted, admitStatus(t, fleetState, "/open/1", ""))
+					require.Equal(t, test.opens, fleetState.View().KeyCount() < 0, "operators see whether keys are needed")
 					for _, authorization := range []string{"", "Bearer", "Bearer never", "never"} {
 						status := admitStatus(t, fleetState, "/look/1", authorization)
 						require.Equal(t, test.opens, status == admitted, "%q: %d", authorization, status)
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -29,6 +29,8 @@
 	hedges *prometheus.CounterVec
 	// retries counts the decisions on attempts beyond the first of a request.
 	retries *prometheus.CounterVec
+	// invalidResponses counts attempts whose response was none by the protocol or ended early.
+	invalidResponses *prometheus.CounterVec
 	// cutResponses counts responses that had started and were cut.
 	cutResponses *prometheus.CounterVec
 	// serverSignals counts responses in which backend servers announce a departure, request a backoff or advertise
@@ -63,6 +65,7 @@
 	originOutages prometheus.Counter
 	// configuration, revision, storeEra, complete, completeEra and deferredDeletions describe the process's current view of the fleet.
 	configuration     prometheus.Gauge
+	apiKeys           prometheus.Gauge
 	revision          prometheus.Gauge
 	storeEra          prometheus.Gauge
 	complete          prometheus.Gauge
@@ -93,6 +96,8 @@
 		retries: metric.CounterVec("direct_retries_total",
 			"Attempts beyond the first of a request, by service, cause, and whether the retry budget allowed them.",
 			"service", "cause", "result"),
+		invalidResponses: metric.CounterVec("direct_invalid_responses_total",
+			"Attempts whose response counted as none, by service and reason: its head is invalid (head), or it ended early (cut).", "service", "reason"),
 		cutResponses:  metric.CounterVec("direct_cut_answers_total", "Answers cut after their start, by reason.", "reason"),
 		serverSignals: metric.CounterVec("direct_server_words_total", "Answers in which backend servers say that they leave, ask for rest or name a limit.", "word"),
 		suspects:      metric.CounterVec("suspect_requests_total", "What was heard of requests under which backend servers ended: one more has (ended), or one has run it well (cleared).", "heard"),
@@ -122,6 +127,7 @@
 		originOutages: metric.Counter("origin_outages_total", "Times at which the origin of weights was found unavailable."),
 
 		configuration:     metric.Gauge("believed_configuration_version", "Version of the operators' configuration that is in force here."),
+		apiKeys:           metric.Gauge("believed_api_keys", "API keys that the operators' configuration admits; -1 if requests need none."),
 		revision:          metric.Gauge("believed_revision", "Newest revision of the platform's store that is known here, within its era."),
 		storeEra:          metric.Gauge("believed_store_era", "Era of the newest revision that is known here: how often the platform's store has come back from a copy, and one."),
 		completeEra:       metric.Gauge("believed_complete_era", "Era of the revision up to which every change is known here."),
@@ -132,11 +138,11 @@
 		outdatedEntries:   metric.Counter("outdated_entries_total", "Entries of servers that other processes sent and that were deleted before."),
 		deferredDeletions: metric.Gauge("believed_held_deletions", "Deletions of servers' entries that are held back after an outage of the store."),
 	}
-	m.registry.MustRegister(m.requests, m.requestSeconds, m.ttfb, m.attempts, m.hedges, m.retries, m.cutResponses, m.serverSignals, m.suspects,
+	m.registry.MustRegister(m.requests, m.requestSeconds, m.ttfb, m.attempts, m.hedges, m.retries, m.invalidResponses, m.cutResponses, m.serverSignals, m.suspects,
 		m.waiting, m.priorityWaiting, m.priorityRefusals, m.limitedServers,
 		m.limitRefusals, m.unclaimed, m.heldBytes, m.connections, m.storeCalls,
 		m.traffic.messages, m.traffic.bytes, m.configurationTransfers, m.logDropped, m.chunks, m.manifests, m.orders, m.originOutages,
-		m.configuration, m.revision, m.storeEra, m.complete, m.completeEra, m.deferredDeletions, m.evacuatedDomains, m.outdatedEntries, m.pulls, m.refusedPulls,
+		m.configuration, m.apiKeys, m.revision, m.storeEra, m.complete, m.completeEra, m.deferredDeletions, m.evacuatedDomains, m.outdatedEntries, m.pulls, m.refusedPulls,
 		collectors.NewGoCollector())
 	return m
 }
@@ -145,6 +151,7 @@
 func (m *Metrics) observeView(view *fleet.View, known Watermarks, deferred int) {
 	if view.Configuration != nil {
 		m.configuration.Set(float64(view.Configuration.Version))
+		m.apiKeys.Set(float64(view.KeyCount()))
 	}
 	m.revision.Set(float64(known.Newest.Number()))
 	m.storeEra.Set(float64(known.Newest.Era()))
--- a/internal/direct/serverexits.go
+++ b/internal/direct/serverexits.go
@@ -211,6 +211,12 @@
 // failAttempt finishes an attempt that may have run and got no complete response.
 func (s *CallerServer) failAttempt(x *exchange, a *attempt, err error) {
 	result := route.ResultFailed
+	switch {
+	case errors.Is(err, upstream.ErrInvalidHead):
+		s.metrics.invalidResponses.WithLabelValues(string(x.service), "head").Inc()
+	case isDisconnect(err):
+		s.metrics.invalidResponses.WithLabelValues(string(x.service), "cut").Inc()
+	}
 	if isDisconnect(err) {
 		s.exitProbes.noteDisconnect(a.reservation.Server.Address)
 	}
--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -10,8 +10,8 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// errInvalidHead reports bytes that are no head of a response by RFC 9112, or one whose framing can't be trusted.
-var errInvalidHead = errors.New("head of the response is invalid")
+// ErrInvalidHead reports bytes that are no head of a response by RFC 9112, or one whose framing can't be trusted.
+var ErrInvalidHead = errors.New("head of the response is invalid")
 
 // The statuses of responses (RFC 9110, section 15).
 const (
@@ -24,7 +24,7 @@
 func validateHead(head []byte) error {
 	first, rest, _ := strings.Cut(string(head), "\n")
 	if !isStatusLine(strings.TrimSuffix(first, "\r")) {
-		return fmt.Errorf("%w: status line %.80q", errInvalidHead, first)
+		return fmt.Errorf("%w: status line %.80q", ErrInvalidHead, first)
 	}
 	isOld := strings.HasPrefix(first, "HTTP/1.0")
 	for line := range strings.SplitSeq(rest, "\n") {
@@ -34,11 +34,11 @@
 		}
 		name, value, hasColon := strings.Cut(line, ":")
 		if !hasColon || !httpguts.ValidHeaderFieldName(name) || !httpguts.ValidHeaderFieldValue(value) {
-			return fmt.Errorf("%w: line %.80q", errInvalidHead, line)
+			return fmt.Errorf("%w: line %.80q", ErrInvalidHead, line)
 		}
 		if isOld && strings.EqualFold(name, "Transfer-Encoding") {
 			// net/http ignores it, and would take the chunks for the body (RFC 9112, section 6.1).
-			return fmt.Errorf("%w: transfer encoding in HTTP/1.0", errInvalidHead)
+			return fmt.Errorf("%w: transfer encoding in HTTP/1.0", ErrInvalidHead)
 		}
 	}
 	return nil
@@ -61,15 +61,15 @@
 // CheckResponse returns an error for a response of net/http whose status is none or whose header has names or values that are none.
 func CheckResponse(response *http.Response) error {
 	if response.StatusCode < minStatus || response.StatusCode > maxStatus || response.ProtoMajor > 1 {
-		return fmt.Errorf("%w: %.80q", errInvalidHead, response.Proto+" "+response.Status)
+		return fmt.Errorf("%w: %.80q", ErrInvalidHead, response.Proto+" "+response.Status)
 	}
 	for name, values := range response.Header {
 		if !httpguts.ValidHeaderFieldName(name) {
-			return fmt.Errorf("%w: name %.80q", errInvalidHead, name)
+			return fmt.Errorf("%w: name %.80q", ErrInvalidHead, name)
 		}
 		for _, value := range values {
 			if !httpguts.ValidHeaderFieldValue(value) {
-				return fmt.Errorf("%w: value of %s", errInvalidHead, name)
+				return fmt.Errorf("%w: value of %s", ErrInvalidHead, name)
 			}
 		}
 	}
--- a/pkg/fleet/view.go
+++ b/pkg/fleet/view.go
@@ -296,6 +296,14 @@
 	return organisation, ok
 }
 
+// KeyCount returns the number of API keys that the configuration admits, -1 if requests need none.
+func (v *View) KeyCount() int {
+	if v.Configuration != nil && v.Configuration.KeyPolicy == KeyNotRequired {
+		return -1
+	}
+	return len(v.organisations)
+}
+
 // Service returns the description of a service; nil if it is not known.
 func (v *View) Service(name member.Service) *Service { return v.services[name] }
 
